Workspace, contracts between packages, architecture page

Cause: the project starts empty; parts built in parallel need agreed contracts first. Change: npm workspace with format, lint and strict build; result codes, clock, random source; messages between processes; ports for engine and platform; resource schemas; history events; interfaces of claims and policy. Before: nothing. Conclusion: the parts can now be written side by side.

--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The agent beside each target: pipeline stages, claims and plain services.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The waxwingspar command: daemons, local site, demo, bench, checks.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/config/src/lib/resources/specs.ts
@@ -0,0 +1,135 @@
+import { z } from "zod";
+
+/** A name: lower-case letters, digits, dots and hyphens, as in DNS labels. @public */
+export const nameSchema = z.string().min(1).max(63).regex(/^[a-z0-9]([-a-z0-9.]*[a-z0-9])?$/);
+
+/** A range of layers, both ends included, counted from 0. @public */
+export const layerRangeSchema = z.strictObject({
+    first: z.number().int().nonnegative(),
+    last: z.number().int().nonnegative(),
+});
+
+/** @public */
+export const modelSpecSchema = z.strictObject({
+    layers: z.number().int().positive(),
+    /** Versions that may be served. Requests go to `current`. */
+    versions: z.array(nameSchema).min(1),
+    current: nameSchema,
+    /** Bytes of weights of one layer. */
+    layerBytes: z.number().int().positive().default(1_000_000_000),
+    /** Bytes of activations of one position, as passed between two stages. */
+    activationBytes: z.number().int().positive().default(16_384),
+    /** How many whole pipelines the placement aims at. */
+    replicas: z.number().int().positive().default(1),
+    /** The bound on the first token, in milliseconds. */
+    firstTokenBound: z.number().positive().default(540),
+    /** The bound between two tokens, in milliseconds. */
+    tokenBound: z.number().positive().default(72),
+    /** Tokens of prompt and answer together. */
+    contextTokens: z.number().int().positive().default(8192),
+});
+
+/** @public */
+export type ModelSpec = z.infer<typeof modelSpecSchema>;
+
+/** @public */
+export const adapterSpecSchema = z.strictObject({
+    model: nameSchema,
+    versions: z.array(nameSchema).min(1),
+    bytes: z.number().int().positive(),
+});
+
+/** @public */
+export type AdapterSpec = z.infer<typeof adapterSpecSchema>;
+
+/** @public */
+export const targetSpecSchema = z.strictObject({
+    /** Where the agent beside the target listens: an IP address and a port. */
+    host: z.union([z.ipv4(), z.ipv6()]),
+    port: z.number().int().min(1).max(65535),
+    dataCentre: nameSchema,
+    region: nameSchema.default("local"),
+    accelerator: z.strictObject({
+        kind: nameSchema,
+        /** Bytes of memory for weights. */
+        memory: z.number().int().positive().default(80_000_000_000),
+        /** Speed against the slowest kind, which is 1. */
+        speed: z.number().positive().default(1),
+    }).default({ kind: "generic", memory: 80_000_000_000, speed: 1 }),
+    /** The link of the target's host: bandwidth in bytes per second, one-way latency in milliseconds. */
+    link: z.strictObject({
+        bandwidth: z.number().positive().default(1_250_000_000),
+        latency: z.number().nonnegative().default(0.1),
+    }).default({ bandwidth: 1_250_000_000, latency: 0.1 }),
+    /** Layers that the operator pins here. Where absent, the placement decides. */
+    holds: z.array(z.strictObject({ model: nameSchema, version: nameSchema, ...layerRangeSchema.shape })).default([]),
+    /** The plain service that runs here, if any. */
+    service: nameSchema.optional(),
+    /** Requests that the target runs at once. */
+    slots: z.number().int().positive().default(32),
+    /** True if the engine refuses an order with an old fencing number. */
+    checksFence: z.boolean().default(false),
+});
+
+/** @public */
+export type TargetSpec = z.infer<typeof targetSpecSchema>;
+
+/** @public */
+export const serviceSpecSchema = z.strictObject({
+    /** Calls that may not be repeated: method, and path with `*` for any rest. The first match decides. */
+    nonIdempotent: z.array(z.strictObject({ method: z.string(), path: z.string().startsWith("/") })).default([]),
+    /** Milliseconds within which an answer is expected. */
+    timeout: z.number().positive().default(10_000),
+    /** Hours for which the claim of a call that is not idempotent is kept. */
+    claimHours: z.number().positive().default(24),
+    /** Bytes that the body of a call may have. */
+    maxBody: z.number().int().positive().default(1_048_576),
+});
+
+/** @public */
+export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
+
+/** @public */
+export const organisationSpecSchema = z.strictObject({
+    /** Higher goes first. A request may ask for less, never for more. */
+    priority: z.number().int().min(0).max(9).default(5),
+    /** The weight of its share when capacity is short. */
+    share: z.number().positive().default(1),
+    /** Requests per second over all entries together; absent means no limit. */
+    requestsPerSecond: z.number().positive().optional(),
+    /** Requests in progress over all entries together; absent means no limit. */
+    maxInFlight: z.number().int().positive().optional(),
+    /** Models and services that it may use; absent means all. */
+    allow: z.array(nameSchema).optional(),
+});
+
+/** @public */
+export type OrganisationSpec = z.infer<typeof organisationSpecSchema>;
+
+/** @public */
+export const credentialSpecSchema = z.strictObject({
+    /** SHA-256 of the secret token, in hexadecimal. The token itself is never stored. */
+    tokenHash: z.string().regex(/^[0-9a-f]{64}$/),
+    /** What the holder is: a caller of an organisation, or an operator. */
+    role: z.enum(["caller", "viewer", "operator"]),
+    organisation: nameSchema.optional(),
+});
+
+/** @public */
+export type CredentialSpec = z.infer<typeof credentialSpecSchema>;
+
+/**
+ * Where the layers of a model version are to run: written by the placement, not by operators.
+ *
+ * @public
+ */
+export const placementSpecSchema = z.strictObject({
+    model: nameSchema,
+    version: nameSchema,
+    stages: z.array(z.strictObject({ target: nameSchema, ...layerRangeSchema.shape })).min(1),
+    /** True once every stage has loaded its layers; only then do requests use it. */
+    ready: z.boolean(),
+});
+
+/** @public */
+export type PlacementSpec = z.infer<typeof placementSpecSchema>;
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Leased control duties: placement, rollout, weight loads.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The entry that callers talk to: HTTP interface, routing, resume.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/platform/src/lib/LiveList.ts
@@ -0,0 +1,31 @@
+import { type Outcome } from "@waxwingspar/utils";
+import { z } from "zod";
+
+/**
+ * A host as the platform sees it, some seconds late.
+ *
+ * @public
+ */
+export const liveHostSchema = z.object({
+    /** The name of the process on the host, as in its settings. */
+    process: z.string(),
+    role: z.enum(["entry", "agent"]),
+    /** The IP address and port where the process listens for others. */
+    host: z.string(),
+    port: z.number().int(),
+    dataCentre: z.string(),
+    region: z.string(),
+    state: z.enum(["live", "leaving"]),
+});
+
+/** @public */
+export type LiveHost = z.infer<typeof liveHostSchema>;
+
+/**
+ * The platform's lagging list of hosts that are live or leaving.
+ *
+ * @public
+ */
+export interface LiveList {
+    read(): Promise<Outcome<LiveHost[]>>;
+}
--- /dev/null
+++ b/packages/transport/src/lib/messages/Message.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+import { helloSchema, loadMessageSchema } from "./common.js";
+import {
+    cancelMessageSchema,
+    creditMessageSchema,
+    doneMessageSchema,
+    failedMessageSchema,
+    frameMessageSchema,
+    joinedMessageSchema,
+    joinMessageSchema,
+    openMessageSchema,
+    sampledMessageSchema,
+    stageFailedMessageSchema,
+    tokensMessageSchema,
+} from "./pipelineMessages.js";
+import {
+    callCancelMessageSchema,
+    callFailedMessageSchema,
+    callMessageSchema,
+    replyBodyMessageSchema,
+    replyMessageSchema,
+} from "./serviceMessages.js";
+
+/** A JSON-RPC 2.0 request, notification or response, carried whole. @public */
+export const rpcMessageSchema = z.object({ type: z.literal("rpc"), body: z.unknown() });
+
+/**
+ * Every message that a link carries.
+ *
+ * @public
+ */
+export const messageSchema = z.discriminatedUnion("type", [
+    helloSchema,
+    rpcMessageSchema,
+    loadMessageSchema,
+    openMessageSchema,
+    creditMessageSchema,
+    cancelMessageSchema,
+    tokensMessageSchema,
+    doneMessageSchema,
+    failedMessageSchema,
+    joinMessageSchema,
+    joinedMessageSchema,
+    frameMessageSchema,
+    sampledMessageSchema,
+    stageFailedMessageSchema,
+    callMessageSchema,
+    replyMessageSchema,
+    replyBodyMessageSchema,
+    callFailedMessageSchema,
+    callCancelMessageSchema,
+]);
+
+/** @public */
+export type Message = z.infer<typeof messageSchema>;
--- /dev/null
+++ b/packages/transport/src/lib/messages/common.ts
@@ -0,0 +1,68 @@
+import { z } from "zod";
+
+/**
+ * Who is at the other end of a link: the first message in each direction.
+ *
+ * @public
+ */
+export const helloSchema = z.object({
+    type: z.literal("hello"),
+    /** The version of the protocol between processes. */
+    protocol: z.number().int(),
+    /** The stable name of the process, as in its settings. */
+    process: z.string(),
+    role: z.enum(["entry", "agent", "tool"]),
+    /** Unique for each start of the process. */
+    incarnation: z.string(),
+    dataCentre: z.string(),
+});
+
+/** @public */
+export type Hello = z.infer<typeof helloSchema>;
+
+/**
+ * What an agent tells about itself. It rides on answers, and is also sent on its own while a link carries traffic.
+ *
+ * @public
+ */
+export const loadReportSchema = z.object({
+    target: z.string(),
+    /** Requests admitted and not yet finished. */
+    running: z.number(),
+    /** Requests waiting for a slot. */
+    queued: z.number(),
+    /** Requests that may run at once. */
+    slots: z.number(),
+    /** The recent time between tokens of one stream, in milliseconds. */
+    tokenInterval: z.number(),
+    /** The predicted time to the first token of a request that arrives now, in milliseconds. */
+    firstTokenEstimate: z.number(),
+    /** True once the target takes no new work. */
+    leaving: z.boolean(),
+});
+
+/** @public */
+export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/**
+ * A load report on its own. An agent that is leaving sends one at once on every link.
+ *
+ * @public
+ */
+export const loadMessageSchema = z.object({ type: z.literal("load"), load: loadReportSchema });
+
+/**
+ * A failure as it travels between processes. See `Failure` for the meaning of its fields.
+ *
+ * @public
+ */
+export const wireFailureSchema = z.object({
+    /** The number of the result code. */
+    code: z.number().int(),
+    message: z.string(),
+    /** Milliseconds until a retry makes sense. */
+    retryAfter: z.number().optional(),
+});
+
+/** @public */
+export type WireFailure = z.infer<typeof wireFailureSchema>;
--- /dev/null
+++ b/packages/transport/src/lib/messages/serviceMessages.ts
@@ -0,0 +1,52 @@
+import { z } from "zod";
+import { loadReportSchema, wireFailureSchema } from "./common.js";
+
+/** Entry to agent: pass this call to the plain service beside you. @public */
+export const callMessageSchema = z.object({
+    type: z.literal("call"),
+    request: z.string(),
+    service: z.string(),
+    organisation: z.string(),
+    priority: z.number().int(),
+    /** Milliseconds left until the caller's deadline, counted from the arrival of this message. */
+    timeLeft: z.number(),
+    method: z.string(),
+    /** Path and query below the service's root. */
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    body: z.instanceof(Uint8Array),
+    /** The claim under which a call that is not idempotent runs; see docs/design/at-most-once.md. */
+    claim: z.string().optional(),
+    traceparent: z.string().optional(),
+});
+
+/** @public */
+export type CallMessage = z.infer<typeof callMessageSchema>;
+
+/** Agent to entry: the head of the service's answer. @public */
+export const replyMessageSchema = z.object({
+    type: z.literal("reply"),
+    request: z.string(),
+    status: z.number().int(),
+    headers: z.record(z.string(), z.string()),
+});
+
+/** Agent to entry: a piece of the answer's body; the last one closes the answer. @public */
+export const replyBodyMessageSchema = z.object({
+    type: z.literal("replyBody"),
+    request: z.string(),
+    data: z.instanceof(Uint8Array),
+    last: z.boolean(),
+    load: loadReportSchema.optional(),
+});
+
+/** Agent to entry: the call ended without a whole answer. @public */
+export const callFailedMessageSchema = z.object({
+    type: z.literal("callFailed"),
+    request: z.string(),
+    failure: wireFailureSchema,
+    load: loadReportSchema.optional(),
+});
+
+/** Entry to agent: the caller no longer waits. A call that is not idempotent still runs to its end. @public */
+export const callCancelMessageSchema = z.object({ type: z.literal("callCancel"), request: z.string() });
--- /dev/null
+++ b/packages/utils/src/index.ts
@@ -0,0 +1,18 @@
+/**
+ * Shared building blocks: clock, random source, result codes, assertions.
+ *
+ * @packageDocumentation
+ */
+export { assert, assertNever } from "./lib/assert.js";
+export { type Clock, sleep, type Timer } from "./lib/Clock.js";
+export { type Failure, failure, type Outcome } from "./lib/Failure.js";
+export { uniqueId } from "./lib/ids.js";
+export { ManualClock } from "./lib/ManualClock.js";
+export { type Random, seededRandom } from "./lib/Random.js";
+export { platformCodes } from "./lib/resultCodes/platformCodes.js";
+export { requestCodes } from "./lib/resultCodes/requestCodes.js";
+export { resourceCodes } from "./lib/resultCodes/resourceCodes.js";
+export { type Execution, type ResultCode } from "./lib/resultCodes/ResultCode.js";
+export { findResultCode, resultCodes } from "./lib/resultCodes/resultCodes.js";
+export { transportCodes } from "./lib/resultCodes/transportCodes.js";
+export { SystemClock } from "./lib/SystemClock.js";
