Claim ids that carry their key hash and runner

Cause: the agent must tell whether a claim is meant for its own incarnation, and duplicates by one string. Change: encodeClaim and decodeClaim; the id has a generation, so that a claim moved away and back is another id. Before: no claim id format. Conclusion: the agent can use decodeClaim from now on.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @packageDocumentation
  */
+export { type ClaimIdentity, decodeClaim, encodeClaim, keyHashOf, shortHash } from "./lib/claimId.js";
 export { type Claim, type ClaimRequest, type Claims, type Runner } from "./lib/Claims.js";
--- /dev/null
+++ b/packages/claims/src/lib/claimId.test.ts
@@ -0,0 +1,43 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import test from "node:test";
+import { decodeClaim, encodeClaim, keyHashOf, shortHash } from "./claimId.js";
+
+const text = fc.string({ unit: "grapheme", maxLength: 40 });
+
+test("claim ids survive any field", () => {
+    fc.assert(
+        fc.property(text, text, text, text, text, fc.nat(), (route, organisation, key, target, incarnation, n) => {
+            const keyHash = keyHashOf({ route, organisation, key });
+            const identity = { route, organisation, keyHash, generation: n % 1e9, runner: { target, incarnation } };
+            assert.deepEqual(decodeClaim(encodeClaim(identity)), identity);
+        }),
+    );
+});
+
+test("text that is no claim id is refused", () => {
+    const good = encodeClaim({
+        route: "r",
+        organisation: "o",
+        keyHash: shortHash("k"),
+        generation: 1,
+        runner: { target: "t", incarnation: "i" },
+    });
+    const bad = [
+        "",
+        "c1",
+        good.replace("c1", "c9"),
+        `${good}/x`,
+        good.replace("/1/", "/01/"),
+        `${good}%`,
+        "a/b/c/d/e/f/g",
+    ];
+    for (const id of bad) {
+        assert.equal(decodeClaim(id), undefined, id);
+    }
+});
+
+test("fields do not run into each other", () => {
+    assert.notEqual(shortHash("ab", "c"), shortHash("a", "bc"));
+    assert.notEqual(shortHash("a", ""), shortHash("a"));
+});
--- /dev/null
+++ b/packages/claims/src/lib/claimId.ts
@@ -0,0 +1,89 @@
+import { createHash } from "node:crypto";
+import { type ClaimRequest, type Runner } from "./Claims.js";
+
+/**
+ * What a claim's id tells the agent.
+ *
+ * @public
+ */
+export interface ClaimIdentity {
+    readonly route: string;
+    readonly organisation: string;
+    /** The hash of route, organisation and key, 128 bits in base64url. */
+    readonly keyHash: string;
+    /** How often the claim was moved before. Each move makes another id, so an old promise never binds a new claim. */
+    readonly generation: number;
+    /** The one runner that may run the request under this id. */
+    readonly runner: Runner;
+}
+
+const idVersion = "c1";
+const fieldCount = 7;
+const hashBytes = 16;
+const generationPattern = /^(0|[1-9]\d{0,8})$/;
+const keyHashPattern = /^[\w-]{22}$/;
+
+/**
+ * Hashes strings to 128 bits in base64url (22 characters). Fields cannot run into each other.
+ *
+ * @public
+ */
+export function shortHash(...fields: readonly string[]): string {
+    const hash = createHash("sha256");
+    for (const field of fields) {
+        hash.update(`${Buffer.byteLength(field)}:${field}`);
+    }
+    return hash.digest().subarray(0, hashBytes).toString("base64url");
+}
+
+/**
+ * The hash under which a request's claim is kept.
+ *
+ * @public
+ */
+export function keyHashOf(request: Pick<ClaimRequest, "route" | "organisation" | "key">): string {
+    return shortHash(request.route, request.organisation, request.key);
+}
+
+/**
+ * Writes a claim's identity as one string of printable ASCII without spaces.
+ *
+ * @example
+ * ```ts
+ * encodeClaim({ route: "records", organisation: "ports", keyHash, generation: 0, runner });
+ * // "c1/records/ports/<keyHash>/0/<target>/<incarnation>"
+ * ```
+ * @public
+ */
+export function encodeClaim(identity: ClaimIdentity): string {
+    const { route, organisation, keyHash, generation, runner } = identity;
+    const fields = [idVersion, route, organisation, keyHash, String(generation), runner.target, runner.incarnation];
+    return fields.map(encodeURIComponent).join("/");
+}
+
+/**
+ * Reads a claim's id.
+ *
+ * @returns The identity, or undefined when the text is not a claim id; such a request must be refused.
+ * @public
+ */
+export function decodeClaim(id: string): ClaimIdentity | undefined {
+    const fields = decodeFields(id);
+    if (fields === undefined || fields.length !== fieldCount || fields[0] !== idVersion) {
+        return undefined;
+    }
+    const [, route = "", organisation = "", keyHash = "", generation = "", target = "", incarnation = ""] = fields;
+    if (!keyHashPattern.test(keyHash) || !generationPattern.test(generation)) {
+        return undefined;
+    }
+    return { route, organisation, keyHash, generation: Number(generation), runner: { target, incarnation } };
+}
+
+function decodeFields(id: string): string[] | undefined {
+    try {
+        return id.split("/").map(decodeURIComponent);
+    }
+    catch {
+        return undefined;
+    }
+}
