Policy: first router, work queue and retry budget

Cause: entry and agent need something to run against. Change: createRouter picks the least loaded chain by own in-flight counts; createWorkQueue is a bounded first-in first-out queue that refuses what would miss its bound; createRetryBudget is a token bucket fed by successes. Before: contracts only. Conclusion: the router and queue are placeholders in their decisions, not in their contracts.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,8 +3,11 @@
  *
  * @packageDocumentation
  */
+export { createWorkQueue, type WorkQueueOptions } from "./lib/admission/createWorkQueue.js";
 export { type WorkItem, type WorkQueue } from "./lib/admission/WorkQueue.js";
+export { createRetryBudget, type RetryBudgetOptions } from "./lib/retry/createRetryBudget.js";
 export { type RetryBudget } from "./lib/retry/RetryBudget.js";
+export { createRouter, type RouterOptions } from "./lib/routing/createRouter.js";
 export {
     type AttemptEnd,
     type RoutedAttempt,
