Add a deterministic fake engine that reveals errors in the pipeline

Cause: agents, entries and the CLI need an engine whose answer a caller can check, and that can be made to fail. Change: FakeEngine behind the Engine port. Activations are running hashes and every layer keeps a key over all positions, so a layer or position that is skipped, repeated or out of order changes the token. Continuous batching, prefix cache with eviction, late cache events with gaps, KV export and import, orders with fences, and the controls hang, slow, crash and restart. referenceAnswer computes the whole answer in one place. Before: packages/engine had only the contract.

--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -22,3 +22,10 @@
     stepResultSchema,
     stepSchema,
 } from "./lib/Engine.js";
+export { blockHashes } from "./lib/fake/blockHashes.js";
+export { blockTokens } from "./lib/fake/PrefixCache.js";
+export { type InitialLayers } from "./lib/fake/WeightMemory.js";
+export { FakeEngine, type FakeEngineOptions } from "./lib/FakeEngine.js";
+export { activationBytes } from "./lib/model/LayerStack.js";
+export { type ReferenceAnswer, referenceAnswer, type ReferenceOptions } from "./lib/model/referenceAnswer.js";
+export { endToken, tokenizeText, tokenText, vocabularySize } from "./lib/model/vocabulary.js";
--- /dev/null
+++ b/packages/engine/src/lib/fake/WeightMemory.ts
@@ -0,0 +1,177 @@
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    requestCodes,
+    resourceCodes,
+    sleep,
+} from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type EngineInfo, type HeldLayers, type Order, type Session } from "../Engine.js";
+
+/** Layers that a fake engine holds from its start, and what they take. @public */
+export interface InitialLayers extends Omit<HeldLayers, "adapters"> {
+    readonly adapters?: readonly string[];
+    /** Bytes of memory; 0 unless told otherwise. */
+    readonly bytes?: number;
+}
+
+/** @internal */
+export interface WeightMemoryOptions {
+    readonly clock: Clock;
+    readonly held: readonly InitialLayers[];
+    readonly memory: number;
+    /** Bytes of weights that are loaded in a second. */
+    readonly loadRate: number;
+    readonly checksFence: boolean;
+    /** Called when a version leaves the memory. */
+    readonly unloaded: (model: string, version: string) => void;
+}
+
+interface Loaded extends HeldLayers {
+    bytes: number;
+}
+
+type LoadAction = Extract<Order["action"], { kind: "load"; }>;
+
+const millisecondsPerSecond = 1000;
+
+const done: Outcome<void> = Result.ok<void, Failure>(undefined);
+
+/**
+ * The weights that a fake engine holds, and the orders that change them.
+ *
+ * @internal
+ */
+export class WeightMemory {
+    private readonly loaded: Loaded[];
+    private readonly orders = new Map<string, Promise<Outcome<void>>>();
+    /** Bytes set aside for loads under way. */
+    private loadingBytes = 0;
+    private role: EngineInfo["role"] = "serving";
+    private highestFence: number | undefined;
+
+    constructor(private readonly options: WeightMemoryOptions) {
+        this.loaded = options.held.map(({ adapters = [], bytes = 0, ...layers }) => ({
+            ...layers,
+            adapters: [...adapters],
+            bytes,
+        }));
+    }
+
+    info(): Omit<EngineInfo, "slots"> {
+        return {
+            held: this.loaded.map(({ model, version, first, last, adapters }) => (
+                { model, version, first, last, adapters: [...adapters] }
+            )),
+            memory: this.options.memory,
+            freeMemory: this.freeMemory(),
+            role: this.role,
+            checksFence: this.options.checksFence,
+            ...(this.options.checksFence && this.highestFence !== undefined ? { fence: this.highestFence } : {}),
+        };
+    }
+
+    /** Whether a session can run here. */
+    serves(session: Session): boolean {
+        return this.role !== "idle"
+            && this.loaded.some(held =>
+                held.model === session.model && held.version === session.version
+                && held.first <= session.first && session.last <= held.last
+                && (session.adapter === undefined || held.adapters.includes(session.adapter))
+            );
+    }
+
+    order(order: Order): Promise<Outcome<void>> {
+        if (this.options.checksFence) {
+            if (order.fence < (this.highestFence ?? order.fence)) {
+                const message = `fence ${order.fence} is older than ${this.highestFence}`;
+                return Promise.resolve(Result.err(failure(platformCodes.staleFence, message)));
+            }
+            this.highestFence = order.fence;
+        }
+        const known = this.orders.get(order.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const outcome = this.apply(order.action);
+        this.orders.set(order.id, outcome);
+        void outcome.then(result => {
+            // A refused order may be repeated once there is room for it.
+            if (result.isErr) {
+                this.orders.delete(order.id);
+            }
+        });
+        return outcome;
+    }
+
+    private apply(action: Order["action"]): Promise<Outcome<void>> {
+        switch (action.kind) {
+            case "load":
+                return this.load(action);
+            case "unload":
+                return Promise.resolve(this.unload(action.model, action.version));
+            case "loadAdapter":
+                return Promise.resolve(this.changeAdapters(action.model, action.version, adapters => (
+                    adapters.includes(action.adapter) ? adapters : [...adapters, action.adapter]
+                )));
+            case "unloadAdapter":
+                return Promise.resolve(this.changeAdapters(action.model, action.version, adapters => (
+                    adapters.filter(name => name !== action.adapter)
+                )));
+            case "setRole":
+                this.role = action.role;
+                return Promise.resolve(done);
+        }
+    }
+
+    private async load({ model, version, first, last, bytes }: LoadAction): Promise<Outcome<void>> {
+        if (this.loaded.some(held => matches(held, model, version) && held.first === first && held.last === last)) {
+            return done;
+        }
+        if (bytes > this.freeMemory()) {
+            const message = `${bytes} bytes do not fit into ${this.freeMemory()} free ones`;
+            return Result.err(failure(resourceCodes.insufficientCapacity, message));
+        }
+        this.loadingBytes += bytes;
+        await sleep(this.options.clock, bytes / this.options.loadRate * millisecondsPerSecond);
+        this.loadingBytes -= bytes;
+        this.loaded.push({ model, version, first, last, adapters: [], bytes });
+        return done;
+    }
+
+    private unload(model: string, version: string): Outcome<void> {
+        const kept = this.loaded.filter(held => !matches(held, model, version));
+        if (kept.length < this.loaded.length) {
+            this.loaded.splice(0, this.loaded.length, ...kept);
+            this.options.unloaded(model, version);
+        }
+        return done;
+    }
+
+    private changeAdapters(
+        model: string,
+        version: string,
+        change: (adapters: string[]) => string[],
+    ): Outcome<void> {
+        const versions = this.loaded.filter(held => matches(held, model, version));
+        if (versions.length === 0) {
+            return Result.err(failure(requestCodes.wrongTarget, `${model} ${version} is not loaded`));
+        }
+        for (const held of versions) {
+            held.adapters = change(held.adapters);
+        }
+        return done;
+    }
+
+    private freeMemory(): number {
+        const used = this.loaded.reduce((sum, held) => sum + held.bytes, 0);
+        return this.options.memory - used - this.loadingBytes;
+    }
+}
+
+function matches(held: Loaded, model: string, version: string): boolean {
+    return held.model === model && held.version === version;
+}
--- /dev/null
+++ b/packages/engine/src/lib/model/hash.ts
@@ -0,0 +1,47 @@
+const firstMultiplier = 0xcc9e2d51;
+const secondMultiplier = 0x1b873593;
+
+/**
+ * Folds a number into a running 32-bit hash (the round of MurmurHash3). The order of the numbers matters.
+ *
+ * @param hash - The hash so far.
+ * @param value - The number to fold in; its lowest 32 bits count.
+ * @returns The new hash, as an unsigned number.
+ * @internal
+ */
+export function mix(hash: number, value: number): number {
+    let word = Math.imul(value, firstMultiplier);
+    word = (word << 15) | (word >>> 17);
+    word = Math.imul(word, secondMultiplier);
+    let mixed = hash ^ word;
+    mixed = (mixed << 13) | (mixed >>> 19);
+    return (Math.imul(mixed, 5) + 0xe6546b64) >>> 0;
+}
+
+/**
+ * Ends a running hash, so that every bit of it depends on every bit folded in (the finaliser of MurmurHash3).
+ *
+ * @internal
+ */
+export function finish(hash: number): number {
+    let word = hash ^ (hash >>> 16);
+    word = Math.imul(word, 0x85ebca6b);
+    word ^= word >>> 13;
+    word = Math.imul(word, 0xc2b2ae35);
+    return (word ^ (word >>> 16)) >>> 0;
+}
+
+/**
+ * Hashes a text.
+ *
+ * @param text - The text; its UTF-16 code units count.
+ * @param seed - Another seed gives another hash of the same text.
+ * @internal
+ */
+export function hashText(text: string, seed = 0): number {
+    let hash = mix(seed, text.length);
+    for (let index = 0; index < text.length; index++) {
+        hash = mix(hash, text.charCodeAt(index));
+    }
+    return finish(hash);
+}
--- /dev/null
+++ b/packages/engine/src/lib/model/referenceAnswer.ts
@@ -0,0 +1,59 @@
+import { LayerStack, type ModelIdentity } from "./LayerStack.js";
+import { tokenizeText, tokenText } from "./vocabulary.js";
+
+/** @public */
+export interface ReferenceOptions extends ModelIdentity {
+    /** How many layers the whole model has. */
+    readonly layers: number;
+    /** The prompt, exactly as it is given to the engine's `tokenize`. */
+    readonly prompt: string;
+    readonly maxTokens: number;
+    /** The seed of the sampling; temperature and top-p do not matter to the fake model. */
+    readonly seed?: number;
+}
+
+/** @public */
+export interface ReferenceAnswer {
+    readonly promptTokens: number;
+    /** The tokens of the answer; the token that ends it is included. */
+    readonly tokens: readonly number[];
+    /** The texts of the tokens, joined. */
+    readonly text: string;
+    readonly finish: "stop" | "length";
+}
+
+/**
+ * Computes the whole answer of the fake model in one place, for a caller that checks what it received.
+ *
+ * @example
+ * ```ts
+ * const { text } = referenceAnswer({ model: "demo", version: "1", layers: 12, prompt: "Hello", maxTokens: 32 });
+ * ```
+ * @public
+ */
+export function referenceAnswer(options: ReferenceOptions): ReferenceAnswer {
+    const stack = new LayerStack(options, 0, options.layers - 1);
+    const prompt = tokenizeText(options.prompt);
+    const keys = new Uint32Array((prompt.length + options.maxTokens) * options.layers);
+    const activations = new Uint32Array(2);
+    const sequence = [...prompt];
+    const tokens: number[] = [];
+    let end = false;
+    for (let position = 0; !end && tokens.length < options.maxTokens; position++) {
+        stack.embed(sequence[position] ?? 0, position, activations, 0);
+        stack.run(activations, 0, position, keys);
+        if (position < prompt.length - 1) {
+            continue;
+        }
+        const drawn = stack.draw(activations, 0, options.seed);
+        tokens.push(drawn.token);
+        sequence.push(drawn.token);
+        end = drawn.end;
+    }
+    return {
+        promptTokens: prompt.length,
+        tokens,
+        text: tokens.map(tokenText).join(""),
+        finish: end ? "stop" : "length",
+    };
+}
