Links between processes: frames, JSON-RPC, TLS with a shared key

Cause: other packages need a transport; only the interfaces existed. Change: LinkServer, TcpLinkPool and linkPair; length-prefixed frames of msgpack messages, one write a turn, a schema check of every message, hello with protocol version, limits of frame and queue, heartbeat, holdoff, and TLS 1.2 with ECDHE-PSK. Link.onClose now hands over the reason; new code 5006 peer-too-slow. Before: no implementation, no tests.

--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -5,11 +5,19 @@
  */
 export { type Link, type RpcMethod } from "./lib/Link.js";
 export { type Address, type LinkPool } from "./lib/LinkPool.js";
+export {
+    type LinkDirection,
+    type LinkEndOptions,
+    type LinkPair,
+    linkPair,
+    type LinkPairOptions,
+} from "./lib/memory/linkPair.js";
 export {
     type Hello,
     helloSchema,
     type LoadReport,
     loadReportSchema,
+    protocolVersion,
     type WireFailure,
     wireFailureSchema,
 } from "./lib/messages/common.js";
@@ -29,3 +37,7 @@
     type TokensMessage,
 } from "./lib/messages/pipelineMessages.js";
 export { type CallMessage } from "./lib/messages/serviceMessages.js";
+export { type LinkCredentials, linkCredentialsSchema } from "./lib/tcp/credentials.js";
+export { LinkServer, type LinkServerOptions } from "./lib/tcp/LinkServer.js";
+export { type LinkLimits } from "./lib/tcp/TcpLink.js";
+export { TcpLinkPool, type TcpLinkPoolOptions } from "./lib/tcp/TcpLinkPool.js";
--- a/packages/transport/src/lib/Link.ts
+++ b/packages/transport/src/lib/Link.ts
@@ -1,4 +1,4 @@
-import { type Outcome } from "@waxwingspar/utils";
+import { type Failure, type Outcome } from "@waxwingspar/utils";
 import { type Hello } from "./messages/common.js";
 import { type Message } from "./messages/Message.js";
 
@@ -36,8 +36,11 @@
     request(method: string, params: unknown, timeout: number): Promise<Outcome<unknown>>;
     /** Sets the one function that takes every message except `hello` and `rpc`. */
     onMessage(handler: (message: Message) => void): void;
-    /** Adds a function that runs once, when the link has closed for any reason. */
-    onClose(handler: () => void): void;
+    /**
+     * Adds a function that runs once, when the link has closed. It is given the failure that closed the link, or
+     * undefined when either end closed it on purpose.
+     */
+    onClose(handler: (reason: Failure | undefined) => void): void;
     /** Flushes what is queued, then closes. */
     close(): void;
 }
--- a/packages/transport/src/lib/messages/common.ts
+++ b/packages/transport/src/lib/messages/common.ts
@@ -1,5 +1,12 @@
 import { z } from "zod";
 
+/**
+ * The version of the protocol between processes. Both ends of a link must speak the same.
+ *
+ * @public
+ */
+export const protocolVersion = 1;
+
 /**
  * Who is at the other end of a link: the first message in each direction.
  *
--- a/packages/transport/src/lib/messages/pipelineMessages.ts
+++ b/packages/transport/src/lib/messages/pipelineMessages.ts
@@ -93,7 +93,12 @@
 export const creditMessageSchema = z.object({ type: z.literal("credit"), ...attempt, upTo: z.number().int() });
 
 /** Entry to head, and head to the other stages: stop, and free everything held for the request. @public */
-export const cancelMessageSchema = z.object({ type: z.literal("cancel"), ...attempt });
+export const cancelMessageSchema = z.object({
+    type: z.literal("cancel"),
+    ...attempt,
+    /** True when another attempt is likely to follow, so that the KV cache should stay for export for a short time. */
+    retain: z.boolean().optional(),
+});
 
 /** Head to entry: consecutive tokens of the answer. @public */
 export const tokensMessageSchema = z.object({
@@ -152,6 +157,8 @@
     exporters: z.array(exporterSchema).default([]),
     /** The index in `stages` of the stage that receives this message. */
     index: z.number().int().positive(),
+    /** The tokens of the prompt and of earlier attempts' answer, for the stage's prefix cache. */
+    tokens: z.array(z.number().int()).optional(),
     traceparent: z.string().optional(),
 });
 
--- /dev/null
+++ b/packages/transport/src/lib/tcp/LinkServer.ts
@@ -0,0 +1,141 @@
+import { type Clock, type Failure, failure, type Outcome, SystemClock, transportCodes } from "@waxwingspar/utils";
+import { createServer, type Server, type Socket } from "node:net";
+import { createServer as createTlsServer } from "node:tls";
+import { Result } from "true-myth";
+import { type BaseLink } from "../BaseLink.js";
+import { type Link, type RpcMethod } from "../Link.js";
+import { type Address } from "../LinkPool.js";
+import { type Hello } from "../messages/common.js";
+import { type LinkCredentials, mayUse, serverTlsOptions } from "./credentials.js";
+import { defaultLimits, type LinkLimits, openLink } from "./TcpLink.js";
+
+/**
+ * Options of a {@link LinkServer}.
+ *
+ * @public
+ */
+export interface LinkServerOptions {
+    /** The IP address to listen on. Default 127.0.0.1. */
+    readonly host?: string;
+    /** The port; 0 lets the operating system choose. Default 0. */
+    readonly port?: number;
+    /** What this process says about itself. */
+    readonly hello: Hello;
+    readonly credentials: LinkCredentials;
+    /** JSON-RPC methods offered to every peer. */
+    readonly methods?: Readonly<Record<string, RpcMethod>>;
+    readonly clock?: Clock;
+    readonly limits?: LinkLimits;
+    /** Links that may be open at once; further ones are closed on arrival. Default 20000. */
+    readonly maxLinks?: number;
+    /** Runs for every new link, before its first message. */
+    readonly onLink?: (link: Link) => void;
+    /** Runs for every connection that was refused, such as one without the key. */
+    readonly onRefused?: (reason: Failure) => void;
+}
+
+/**
+ * Accepts links from other processes.
+ *
+ * @example
+ * ```ts
+ * const server = new LinkServer({ hello, credentials, onLink: link => link.onMessage(handle) });
+ * const address = await server.listen();
+ * ```
+ * @public
+ */
+export class LinkServer {
+    private readonly server: Server;
+    private readonly links = new Set<BaseLink>();
+    private readonly sockets = new Set<Socket>();
+    private readonly clock: Clock;
+    private readonly limits: Required<LinkLimits>;
+
+    constructor(private readonly options: LinkServerOptions) {
+        this.clock = options.clock ?? new SystemClock();
+        this.limits = { ...defaultLimits, ...options.limits };
+        const tls = serverTlsOptions(options.credentials);
+        this.server = tls === undefined
+            ? createServer(socket => this.accept(socket))
+            : createTlsServer({ ...tls, handshakeTimeout: this.limits.connectTimeout }, socket => this.accept(socket));
+        this.server.maxConnections = options.maxLinks ?? 20_000;
+        this.server.on("connection", (socket: Socket) => this.track(socket));
+        this.server.on("tlsClientError", (error: Error) => this.refused(error.message));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @returns The address, with the port that was chosen; `notConnected` if it cannot be used, `peerRefused` for
+     * plaintext beyond loopback.
+     */
+    listen(): Promise<Outcome<Address>> {
+        const host = this.options.host ?? "127.0.0.1";
+        if (!mayUse(this.options.credentials, host)) {
+            const reason = failure(transportCodes.peerRefused, `plaintext links are for loopback only, not ${host}`);
+            return Promise.resolve(Result.err(reason));
+        }
+        return new Promise(resolve => {
+            this.server.once("error", error => {
+                resolve(Result.err(failure(transportCodes.notConnected, error.message)));
+            });
+            this.server.listen(this.options.port ?? 0, host, () => resolve(Result.ok(this.address(host))));
+        });
+    }
+
+    /** The links that are open now. */
+    get openLinks(): readonly Link[] {
+        return [...this.links];
+    }
+
+    /** Tells every peer that its link will close soon, so that it opens no new work on it. */
+    announceClosing(): void {
+        this.links.forEach(link => link.announceClosing());
+    }
+
+    /** Stops listening, announces and closes every link. Resolves once all sockets are closed. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.announceClosing();
+            this.links.forEach(link => link.close());
+            this.clock.schedule(() => this.destroySockets(), this.limits.connectTimeout);
+        });
+    }
+
+    private address(host: string): Address {
+        const address = this.server.address();
+        return { host, port: address !== null && typeof address === "object" ? address.port : 0 };
+    }
+
+    private track(socket: Socket): void {
+        socket.setNoDelay(true);
+        socket.on("error", () => undefined);
+        this.sockets.add(socket);
+        socket.on("close", () => this.sockets.delete(socket));
+    }
+
+    private accept(socket: Socket): void {
+        openLink({
+            stream: socket,
+            hello: this.options.hello,
+            clock: this.clock,
+            methods: this.options.methods ?? {},
+            limits: this.limits,
+            onOpen: link => {
+                this.links.add(link);
+                link.onClose(() => this.links.delete(link));
+                this.options.onLink?.(link);
+            },
+            onRefused: reason => this.options.onRefused?.(reason),
+        });
+    }
+
+    private refused(message: string): void {
+        this.options.onRefused?.(failure(transportCodes.peerRefused, message));
+    }
+
+    private destroySockets(): void {
+        this.sockets.forEach(socket => socket.destroy());
+    }
+}
--- a/packages/utils/src/lib/resultCodes/transportCodes.ts
+++ b/packages/utils/src/lib/resultCodes/transportCodes.ts
@@ -54,4 +54,12 @@
         retry: "later",
         summary: "The peer did not answer in time.",
     },
+    peerTooSlow: {
+        number: 5006,
+        name: "peer-too-slow",
+        execution: "unknown",
+        status: 502,
+        retry: "later",
+        summary: "The peer took its messages too slowly and the connection was closed.",
+    },
 } as const satisfies Record<string, ResultCode>;
