Accept changes of resources: revisions, log, validation

Change: ResourceStore accepts changes as one transaction over resource rows, log row, change row and head row; the change row makes a repeated or delayed transaction harmless. RevisionState applies only the next revisions in order and checks a digest chain and an order-free sum. StoreLog reads entries, or rows with entries over them when the log was cut.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -14,4 +14,19 @@
     type ServiceSpec,
     type TargetSpec,
 } from "./lib/resources/specs.js";
+export { type Change, kinds, type LogEntry, type Snapshot } from "./lib/revisions/LogEntry.js";
+export { type Offer, RevisionState, type RevisionStateOptions } from "./lib/revisions/RevisionState.js";
+export { headKey, StoreLog } from "./lib/revisions/StoreLog.js";
 export { resource, StaticConfiguration } from "./lib/StaticConfiguration.js";
+export { type FieldChange } from "./lib/store/diffFields.js";
+export { type ChangeResult } from "./lib/store/planChanges.js";
+export {
+    type Accepted,
+    type ApplyOptions,
+    type ChangeOutcome,
+    ResourceStore,
+    type ResourceStoreOptions,
+} from "./lib/store/ResourceStore.js";
+export { type DesiredChange, parseAllDesired, parseDesired } from "./lib/validation/parseDesired.js";
+export { type ResourceFailure } from "./lib/validation/ResourceFailure.js";
+export { validateChanges } from "./lib/validation/validateChanges.js";
--- /dev/null
+++ b/packages/config/src/lib/revisions/StoreLog.ts
@@ -0,0 +1,174 @@
+import { type Row, type TableStore } from "@waxwingspar/platform";
+import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type Resource } from "../resources/Resource.js";
+import { emptyDigest, replaceContent } from "./digest.js";
+import { type Head, headSchema, type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "./LogEntry.js";
+import { type Offer, RevisionState } from "./RevisionState.js";
+
+/** The key of the row that counts revisions. @public */
+export const headKey = "config/head";
+const logPrefix = "config/log/";
+const resourcePrefix = "config/resource/";
+const revisionDigits = 16;
+const pageRows = 500;
+const snapshotAttempts = 4;
+
+/** The head row with the version that a conditional write needs. */
+export interface HeadRow extends Head {
+    readonly version: number;
+}
+
+/** The row key of a log entry. Padded, so that keys sort as revisions do. @internal */
+export function logKey(revision: number): string {
+    return logPrefix + revision.toString().padStart(revisionDigits, "0");
+}
+
+/** The row key of a resource. @internal */
+export function resourceRowKey(key: string): string {
+    return resourcePrefix + key;
+}
+
+/**
+ * Reads revisions from the table store.
+ *
+ * @internal
+ */
+export class StoreLog {
+    constructor(readonly store: TableStore) {}
+
+    async head(): Promise<Outcome<HeadRow>> {
+        const row = await this.store.get(headKey);
+        return row.andThen(found => {
+            if (found.version === 0) {
+                return Result.ok<HeadRow, never>({
+                    revision: 0,
+                    digest: emptyDigest,
+                    content: emptyDigest,
+                    version: 0,
+                });
+            }
+            const head = headSchema.safeParse(found.value);
+            return head.success ? Result.ok({ ...head.data, version: found.version }) : unreadable(found);
+        });
+    }
+
+    /** Reads entries after a revision, at most one page. Rows behind a missing one are left out by the state. */
+    async entries(after: number): Promise<Outcome<LogEntry[]>> {
+        const rows = await this.store.scan(logPrefix, logKey(after), pageRows);
+        return rows.andThen(found => parseRows(found, value => logEntrySchema.safeParse(value)));
+    }
+
+    /**
+     * Brings a state up to what the store holds.
+     *
+     * @returns What the last step brought; the state never moves back.
+     */
+    async advance(state: RevisionState): Promise<Outcome<Offer>> {
+        for (;;) {
+            const entries = await this.entries(state.revision);
+            if (entries.isErr) {
+                return Result.err(entries.error);
+            }
+            const offer = state.apply(entries.value);
+            if (offer === "gap" || offer === "diverged") {
+                return this.advanceBySnapshot(state);
+            }
+            if (entries.value.length < pageRows) {
+                return Result.ok(offer);
+            }
+        }
+    }
+
+    private async advanceBySnapshot(state: RevisionState): Promise<Outcome<Offer>> {
+        for (let attempt = 0; attempt < snapshotAttempts; attempt++) {
+            const copy = await this.readSnapshot();
+            if (copy.isErr) {
+                return Result.err(copy.error);
+            }
+            if (copy.value !== undefined) {
+                return Result.ok(state.load(copy.value.snapshot()));
+            }
+        }
+        return Result.err(failure(platformCodes.storeUnavailable, "the store's resources do not match its log"));
+    }
+
+    /**
+     * Reads all resources while changes go on: the rows may be of different moments, so the entries since the start are
+     * applied over them, and the result counts only if its sum is the one in the log.
+     */
+    private async readSnapshot(): Promise<Outcome<RevisionState | undefined>> {
+        const head = await this.head();
+        if (head.isErr) {
+            return Result.err(head.error);
+        }
+        const resources = await this.readResources();
+        if (resources.isErr) {
+            return Result.err(resources.error);
+        }
+        const entries = await this.entries(head.value.revision);
+        if (entries.isErr) {
+            return Result.err(entries.error);
+        }
+        return Result.ok(mergeSnapshot(head.value, resources.value, entries.value));
+    }
+
+    private async readResources(): Promise<Outcome<Resource[]>> {
+        const resources: Resource[] = [];
+        for (let after = "";;) {
+            const rows = await this.store.scan(resourcePrefix, after, pageRows);
+            const parsed = rows.andThen(found => parseRows(found, value => resourceSchema.safeParse(value)));
+            if (parsed.isErr) {
+                return Result.err(parsed.error);
+            }
+            resources.push(...parsed.value as Resource[]);
+            const last = rows.isOk ? rows.value.at(-1) : undefined;
+            if (last === undefined || parsed.value.length < pageRows) {
+                return Result.ok(resources);
+            }
+            after = last.key;
+        }
+    }
+}
+
+function mergeSnapshot(head: Head, resources: readonly Resource[], entries: readonly LogEntry[]) {
+    const merged = new Map(resources.map(one => [resourceKey(one.kind, one.name), one]));
+    const last = entries.at(-1) ?? head;
+    for (const entry of entries) {
+        for (const { kind, name, spec } of entry.changes) {
+            const key = resourceKey(kind, name);
+            if (spec === undefined) {
+                merged.delete(key);
+            }
+            else {
+                merged.set(key, { kind, name, spec: spec as Resource["spec"], resourceVersion: entry.revision });
+            }
+        }
+    }
+    const all = [...merged.values()];
+    if (replaceContent(emptyDigest, [], all) !== last.content) {
+        return undefined;
+    }
+    const state = new RevisionState();
+    state.load({ revision: last.revision, digest: last.digest, content: last.content, resources: all });
+    return state;
+}
+
+function parseRows<T>(
+    rows: readonly Row[],
+    parse: (value: unknown) => { success: true; data: T; } | { success: false; },
+): Outcome<T[]> {
+    const values: T[] = [];
+    for (const row of rows) {
+        const parsed = parse(row.value);
+        if (!parsed.success) {
+            return unreadable(row);
+        }
+        values.push(parsed.data);
+    }
+    return Result.ok(values);
+}
+
+function unreadable<T>(row: Row): Outcome<T> {
+    return Result.err(failure(platformCodes.storeUnavailable, `row ${row.key} cannot be read`));
+}
--- /dev/null
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -0,0 +1,350 @@
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type Row, type Transaction } from "@waxwingspar/platform";
+import { type Clock, type Failure, failure, type Outcome, platformCodes, type Random, sleep } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { kindSchema, type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "../revisions/LogEntry.js";
+import { nextEntry, type RevisionState } from "../revisions/RevisionState.js";
+import { headKey, type HeadRow, logKey, resourceRowKey, type StoreLog } from "../revisions/StoreLog.js";
+import { type DesiredChange } from "../validation/parseDesired.js";
+import { type ResourceFailure } from "../validation/ResourceFailure.js";
+import { type ChangeResult, planChanges } from "./planChanges.js";
+
+const defaultPatience = 8000;
+const defaultRetainedEntries = 4096;
+const firstPause = 20;
+const longestPause = 1000;
+const parallelReads = 16;
+const headReads = 4;
+const changePrefix = "config/change/";
+
+/** The row that remembers a change by its id, so that it is never accepted twice. */
+const changeRowSchema = z.object({
+    revision: z.number().int(),
+    writeId: z.string(),
+    results: z.array(z.object({
+        kind: kindSchema,
+        name: z.string(),
+        action: z.enum(["created", "updated", "deleted", "unchanged"]),
+        resourceVersion: z.number().int(),
+        fields: z.array(z.never()),
+    })),
+});
+
+interface ChangeRow {
+    readonly revision: number;
+    readonly writeId: string;
+    readonly results: readonly ChangeResult[];
+}
+
+/** @public */
+export interface ResourceStoreOptions {
+    readonly log: StoreLog;
+    /** The state that is kept in step with the store; usually the one in force in this process. */
+    readonly state: RevisionState;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly record?: HistoryRecorder;
+    /** Milliseconds for which a change is tried while the store fails. */
+    readonly patience?: number;
+    /** How many log entries the store keeps; each new entry removes the one that falls out. */
+    readonly retainedEntries?: number;
+}
+
+/**
+ * A change that was accepted, or one that would be.
+ *
+ * @public
+ */
+export interface Accepted {
+    /** The revision that holds the change, or the current one when nothing was changed. */
+    readonly revision: number;
+    /** The id under which the change can be asked for again. */
+    readonly changeId: string;
+    readonly results: readonly ChangeResult[];
+}
+
+/**
+ * What came of a change: accepted, or every reason against it.
+ *
+ * @public
+ */
+export type ChangeOutcome = Result<Accepted, readonly (Failure | ResourceFailure)[]>;
+
+/** @public */
+export interface ApplyOptions {
+    /** Unique for each change. Sending a change again under its id never applies it twice. */
+    readonly changeId: string;
+    /** Checks everything, and writes nothing. */
+    readonly dryRun?: boolean;
+}
+
+/** One change on its way, over all its attempts. */
+interface Attempt extends ApplyOptions {
+    readonly changes: readonly DesiredChange[];
+    readonly deadline: number;
+    count: number;
+    /** True once a transaction was sent whose fate is not known. */
+    inDoubt: boolean;
+}
+
+/** What a step decided: the end of the change, or a reason to try again. */
+type Step = { readonly done: ChangeOutcome; } | { readonly retry: Failure; };
+
+/**
+ * Accepts changes of resources. Each is one transaction over the resources' rows, a new row of the log and the head
+ * row. The head row's condition puts all changes in one order, so each is checked against exactly the state it follows.
+ *
+ * @public
+ */
+export class ResourceStore {
+    private readonly log: StoreLog;
+    private readonly state: RevisionState;
+    private readonly clock: Clock;
+    private readonly random: Random;
+    private readonly record: HistoryRecorder;
+    private readonly patience: number;
+    private readonly retainedEntries: number;
+    /** Changes of this process wait for one another, so that they do not race for the head row. */
+    private queue: Promise<unknown> = Promise.resolve();
+
+    constructor(options: ResourceStoreOptions) {
+        this.log = options.log;
+        this.state = options.state;
+        this.clock = options.clock;
+        this.random = options.random;
+        this.record = options.record ?? (() => undefined);
+        this.patience = options.patience ?? defaultPatience;
+        this.retainedEntries = options.retainedEntries ?? defaultRetainedEntries;
+    }
+
+    /**
+     * Accepts changes together or not at all.
+     *
+     * @returns The revision, or the reasons: faults of the input, `conflict` when a resource has another version than
+     * the one given, `storeUnavailable` when nothing was written, `storeUnknown` when the change may have been accepted
+     * and asking again under the same id will tell.
+     */
+    apply(changes: readonly DesiredChange[], options: ApplyOptions): Promise<ChangeOutcome> {
+        const deadline = this.clock.now() + this.patience;
+        const attempt: Attempt = { ...options, changes, deadline, count: 0, inDoubt: false };
+        const result = this.queue.then(() => this.run(attempt));
+        this.queue = result.catch(() => undefined);
+        return result;
+    }
+
+    private async run(attempt: Attempt): Promise<ChangeOutcome> {
+        for (;;) {
+            const step = await this.step(attempt);
+            if ("done" in step) {
+                return step.done;
+            }
+            if (this.clock.now() >= attempt.deadline) {
+                return Result.err([giveUp(attempt, step.retry)]);
+            }
+            await sleep(this.clock, this.pause(attempt.count));
+            attempt.count++;
+        }
+    }
+
+    private pause(count: number): number {
+        const limit = Math.min(longestPause, firstPause * 2 ** Math.min(count, 10));
+        return limit * (0.5 + this.random.next() / 2);
+    }
+
+    private async step(attempt: Attempt): Promise<Step> {
+        const head = await this.synchronise();
+        if (head.isErr) {
+            return { retry: head.error };
+        }
+        const earlier = await this.findAccepted(attempt.changeId);
+        if (earlier.isErr) {
+            return { retry: earlier.error };
+        }
+        if (earlier.value !== undefined) {
+            return { done: this.accepted(earlier.value, attempt.changeId) };
+        }
+        const plan = planChanges(this.state, attempt.changes);
+        if (plan.isErr) {
+            return this.confirm(head.value, attempt, Result.err(plan.error));
+        }
+        const { changes, results } = plan.value;
+        if (changes.length === 0 || attempt.dryRun === true) {
+            const { changeId } = attempt;
+            return this.confirm(head.value, attempt, Result.ok({ revision: this.state.revision, changeId, results }));
+        }
+        const ids = { changeId: attempt.changeId, writeId: `${attempt.changeId}.${attempt.count}` };
+        return this.commit(nextEntry(this.state, changes, ids), head.value, attempt, results);
+    }
+
+    /** Brings the state exactly up to the head row, since a change must follow the state that it was checked against. */
+    private async synchronise(): Promise<Outcome<HeadRow>> {
+        for (let read = 0; read < headReads; read++) {
+            const head = await this.log.head();
+            if (
+                head.isErr || (head.value.revision === this.state.revision && head.value.digest === this.state.digest)
+            ) {
+                return head;
+            }
+            const advanced = await this.log.advance(this.state);
+            if (advanced.isErr) {
+                return Result.err(advanced.error);
+            }
+        }
+        return Result.err(failure(platformCodes.storeUnavailable, "the head of the log moved or was read late"));
+    }
+
+    /**
+     * Ends a change that writes nothing. Reads may be stale, but conditions see the truth: a transaction without writes
+     * proves that the judgement was made on the newest state.
+     */
+    private async confirm(head: HeadRow, attempt: Attempt, outcome: ChangeOutcome): Promise<Step> {
+        const committed = await this.log.store.commit({
+            writeId: `${attempt.changeId}.${attempt.count}.check`,
+            conditions: [{ key: headKey, version: head.version }],
+            writes: [],
+        });
+        return committed.isOk ? { done: outcome } : { retry: committed.error };
+    }
+
+    private async findAccepted(changeId: string): Promise<Outcome<ChangeRow | undefined>> {
+        const row = await this.log.store.get(changeKey(changeId));
+        return row.map(found => found.version === 0 ? undefined : changeRowSchema.parse(found.value));
+    }
+
+    private async commit(
+        entry: LogEntry,
+        head: HeadRow,
+        attempt: Attempt,
+        results: readonly ChangeResult[],
+    ): Promise<Step> {
+        const versions = await this.rowVersions(entry);
+        if (versions.isErr) {
+            return { retry: versions.error };
+        }
+        const expired = await this.expiredKeys(entry.revision);
+        if (expired.isErr) {
+            return { retry: expired.error };
+        }
+        const row = { revision: entry.revision, writeId: entry.writeId, results: results.map(withoutFields) };
+        const transaction = buildTransaction(entry, row, head, versions.value, expired.value);
+        const committed = await this.log.store.commit(transaction);
+        const certain = committed.isOk ? committed : await this.resolve(transaction, committed.error, attempt);
+        if (certain.isErr) {
+            return { retry: certain.error };
+        }
+        this.state.apply([entry]);
+        return { done: this.accepted({ ...row, results }, attempt.changeId) };
+    }
+
+    /** The rows that fall out of the log with a new revision: the oldest entry, and the row of its change. */
+    private async expiredKeys(revision: number): Promise<Outcome<string[]>> {
+        const expired = revision - this.retainedEntries;
+        if (expired <= 0) {
+            return Result.ok([]);
+        }
+        const row = await this.log.store.get(logKey(expired));
+        return row.map(found => {
+            const entry = logEntrySchema.safeParse(found.value);
+            return entry.success ? [logKey(expired), changeKey(entry.data.changeId)] : [logKey(expired)];
+        });
+    }
+
+    /**
+     * Finds out whether a transaction with a lost answer took effect. When the store says that it did not, a delayed
+     * copy of it may still arrive; but every later transaction of this change names the same head row and the same
+     * change row in its conditions, so only one of them can take effect.
+     */
+    private async resolve({ writeId }: Transaction, error: Failure, attempt: Attempt): Promise<Outcome<true>> {
+        if (error.code !== platformCodes.storeUnknown) {
+            return Result.err(error);
+        }
+        attempt.inDoubt = true;
+        const found = await this.log.store.findCommit(writeId);
+        return found.andThen(versions => versions === undefined ? Result.err(error) : Result.ok(true));
+    }
+
+    private async rowVersions(entry: LogEntry): Promise<Outcome<Map<string, number>>> {
+        const versions = new Map<string, number>();
+        for (let from = 0; from < entry.changes.length; from += parallelReads) {
+            const part = entry.changes.slice(from, from + parallelReads);
+            const rows = await Promise.all(
+                part.map(({ kind, name }) => this.log.store.get(resourceRowKey(resourceKey(kind, name)))),
+            );
+            for (const row of rows) {
+                if (row.isErr) {
+                    return Result.err(row.error);
+                }
+                versions.set(row.value.key, row.value.version);
+            }
+            if (!part.every(({ kind, name }, index) => this.matches(rows[index], this.state.get(kind, name)))) {
+                return Result.err(failure(platformCodes.storeUnavailable, "a resource's row was read late"));
+            }
+        }
+        return Result.ok(versions);
+    }
+
+    private matches(row: Outcome<Row> | undefined, known: { resourceVersion: number; } | undefined): boolean {
+        if (row === undefined || row.isErr) {
+            return false;
+        }
+        const stored = resourceSchema.safeParse(row.value.value);
+        return stored.success
+            ? stored.data.resourceVersion === known?.resourceVersion
+            : row.value.version === 0 && known === undefined;
+    }
+
+    private accepted({ revision, writeId, results }: ChangeRow, changeId: string): ChangeOutcome {
+        this.record({ event: "config.accepted", revision, writeId });
+        return Result.ok({ revision, changeId, results });
+    }
+}
+
+function buildTransaction(
+    entry: LogEntry,
+    row: ChangeRow,
+    head: HeadRow,
+    versions: ReadonlyMap<string, number>,
+    expired: readonly string[],
+): Transaction {
+    const { revision, digest, content } = entry;
+    const resources = entry.changes.map(({ kind, name, spec }) => ({
+        key: resourceRowKey(resourceKey(kind, name)),
+        value: spec === undefined ? undefined : { kind, name, spec, resourceVersion: revision },
+    }));
+    return {
+        writeId: entry.writeId,
+        conditions: [
+            { key: headKey, version: head.version },
+            { key: logKey(revision), version: 0 },
+            { key: changeKey(entry.changeId), version: 0 },
+            ...resources.map(({ key }) => ({ key, version: versions.get(key) ?? 0 })),
+        ],
+        writes: [
+            { key: headKey, value: { revision, digest, content } },
+            { key: logKey(revision), value: entry },
+            { key: changeKey(entry.changeId), value: row },
+            ...resources,
+            ...expired.map(key => ({ key })),
+        ],
+    };
+}
+
+function changeKey(changeId: string): string {
+    return changePrefix + changeId;
+}
+
+/** Old values stay out of the store's record of a change. */
+function withoutFields(result: ChangeResult): ChangeResult {
+    return { ...result, fields: [] };
+}
+
+function giveUp({ inDoubt }: Attempt, last: Failure): Failure {
+    if (inDoubt) {
+        return failure(platformCodes.storeUnknown, "the change may have been accepted; ask again under the same id");
+    }
+    if (last.code === platformCodes.conditionFailed) {
+        return failure(platformCodes.storeUnavailable, "too many changes race for the log; nothing was written");
+    }
+    return failure(platformCodes.storeUnavailable, `nothing was written: ${last.message}`);
+}
