Leases, fences and duty runner for control duties

Change: Lease (conditional row, renewal counted from before it was sent, takeover after an unchanged version was observed for the whole duration on the observer's own clock, early release), readFence for the agent's gate (confirmed against the store's truth, since reads may be stale), DutyRunner with rendezvous candidates. Before: no code. A release raced by a renewal in flight revived the lease in the first draft; the test for it failed. Each of these edits to a built copy made a test fail: shorter wait of the observer, renewal counted from the answer, fence not increased, no confirmation of readFence, release that forgets renewals in flight. Conclusion: leases are ready for the reconcilers.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @packageDocumentation
  */
-export {};
+export { type Duty, type DutyMember, DutyRunner, type DutyRunnerOptions } from "./lib/leases/DutyRunner.js";
+export { Lease, type LeaseOptions } from "./lib/leases/Lease.js";
+export { leaseKey, type LeaseValue, leaseValueSchema, ordersDuty, readFence } from "./lib/leases/leaseRow.js";
--- /dev/null
+++ b/packages/control/src/lib/leases/leaseRow.ts
@@ -0,0 +1,74 @@
+import { type Row, type TableStore } from "@waxwingspar/platform";
+import { type Outcome, uniqueId } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { commitResolved } from "../support/commitResolved.js";
+
+/**
+ * The value of a duty's row in the table service. The row is never deleted, so that its fence only grows.
+ *
+ * @public
+ */
+export const leaseValueSchema = z.object({
+    /** The process that took the lease last. */
+    holder: z.string(),
+    /** The start of that process, so that a restarted holder is not taken for its predecessor. */
+    incarnation: z.string(),
+    /** Grows by one each time the lease is taken. */
+    fence: z.number().int().nonnegative(),
+    /** Milliseconds that the lease lasts from each renewal. */
+    duration: z.number().positive(),
+    /** True once the holder has given the lease up before its end. */
+    released: z.boolean().default(false),
+});
+
+/** @public */
+export type LeaseValue = z.infer<typeof leaseValueSchema>;
+
+/** The key of a duty's lease row. @public */
+export function leaseKey(duty: string): string {
+    return `lease/${duty}`;
+}
+
+/**
+ * Reads the value of a lease row.
+ *
+ * @returns The value, or undefined if the row does not exist or cannot be read as a lease.
+ * @internal
+ */
+export function parseLease(row: Row): LeaseValue | undefined {
+    return row.version === 0 ? undefined : leaseValueSchema.safeParse(row.value).data;
+}
+
+/**
+ * Reads the fence that an agent must know before it accepts an order of a duty. The lease row carries a fence before
+ * its holder learns that it has the lease, so the answer is at least as high as every fence of an order sent so far.
+ *
+ * A read may be stale, so a transaction without writes confirms on the truth that the row had not changed.
+ *
+ * @param store - The table service.
+ * @param duty - The duty that gives orders to the agent's target; see {@link ordersDuty}.
+ * @returns The fence, or 0 if nobody has ever held the duty. On a failure, `conditionFailed` for a read that was stale
+ * or a row renewed meanwhile, the caller keeps refusing orders and asks again.
+ * @public
+ */
+export async function readFence(store: TableStore, duty: string): Promise<Outcome<number>> {
+    const key = leaseKey(duty);
+    const row = await store.get(key);
+    if (row.isErr) {
+        return Result.err(row.error);
+    }
+    const confirmation = { writeId: uniqueId(), conditions: [{ key, version: row.value.version }], writes: [] };
+    const confirmed = await commitResolved(store, confirmation);
+    return confirmed.map(() => parseLease(row.value)?.fence ?? 0);
+}
+
+/**
+ * The one duty that gives orders to the targets of a data centre. Fences of two duties cannot be compared, so a target
+ * takes orders from exactly one.
+ *
+ * @public
+ */
+export function ordersDuty(dataCentre: string): string {
+    return `orders/${dataCentre}`;
+}
--- /dev/null
+++ b/packages/control/src/lib/testing/ScriptedStore.ts
@@ -0,0 +1,107 @@
+import { type Row, type TableStore, type Transaction } from "@waxwingspar/platform";
+import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+
+/** What happens to the next commit: when it takes effect, and when the caller hears of it. */
+export interface Fate {
+    readonly effect: "now" | "late" | "never";
+    readonly answer: "now" | "held" | "lost";
+}
+
+/** A table in memory whose commits meet the fates that a test hands out, so that every interleaving can be reached. */
+export class ScriptedStore implements TableStore {
+    /** False while the store is down: every call is refused without effect. */
+    up = true;
+    /** Fates of the next commits; commits beyond them succeed at once. */
+    readonly fates: Fate[] = [];
+    reads = 0;
+    writes = 0;
+    private staleRows: ReadonlyMap<string, Row> | undefined;
+    private readonly rows = new Map<string, Row>();
+    private readonly commits = new Map<string, Record<string, number>>();
+    private readonly late: (() => void)[] = [];
+    private readonly heldAnswers: (() => void)[] = [];
+
+    get(key: string): Promise<Outcome<Row>> {
+        this.reads++;
+        const row = this.staleRows === undefined ? this.row(key) : this.staleRows.get(key);
+        return Promise.resolve(this.up ? Result.ok(row ?? { key, value: undefined, version: 0 }) : this.refusal());
+    }
+
+    scan(prefix: string, after: string, limit: number): Promise<Outcome<Row[]>> {
+        this.reads++;
+        const keys = [...this.rows.keys()].filter(key => key.startsWith(prefix) && key > after).sort();
+        const rows = keys.slice(0, limit).map(key => this.row(key));
+        return Promise.resolve(this.up ? Result.ok(rows) : this.refusal());
+    }
+
+    commit(transaction: Transaction): Promise<Outcome<Record<string, number>>> {
+        this.writes++;
+        if (!this.up) {
+            return Promise.resolve(this.refusal());
+        }
+        const fate = this.fates.shift() ?? { effect: "now", answer: "now" };
+        if (fate.effect === "late") {
+            this.late.push(() => void this.apply(transaction));
+        }
+        const applied = fate.effect === "now" ? this.apply(transaction) : undefined;
+        return this.answer(applied ?? this.unknown(), fate.answer);
+    }
+
+    findCommit(writeId: string): Promise<Outcome<Record<string, number> | undefined>> {
+        this.reads++;
+        return Promise.resolve(this.up ? Result.ok(this.commits.get(writeId)) : this.refusal());
+    }
+
+    /** Makes reads answer from the rows of this moment, or from the true ones again. */
+    setStale(stale: boolean): void {
+        this.staleRows = stale ? new Map(this.rows) : undefined;
+    }
+
+    /** Lets every late commit take effect, if its conditions still hold. */
+    applyLate(): void {
+        this.late.splice(0).forEach(apply => apply());
+    }
+
+    /** Delivers every answer that was held back. */
+    deliver(): void {
+        this.heldAnswers.splice(0).forEach(deliver => deliver());
+    }
+
+    private answer<T>(outcome: Outcome<T>, when: Fate["answer"]): Promise<Outcome<T>> {
+        if (when === "lost") {
+            return Promise.resolve(this.unknown());
+        }
+        if (when === "now") {
+            return Promise.resolve(outcome);
+        }
+        return new Promise(resolve => this.heldAnswers.push(() => resolve(outcome)));
+    }
+
+    private apply(transaction: Transaction): Outcome<Record<string, number>> {
+        if (transaction.conditions.some(({ key, version }) => this.row(key).version !== version)) {
+            return Result.err(failure(platformCodes.conditionFailed, "a row has changed"));
+        }
+        const versions: Record<string, number> = {};
+        for (const { key, value } of transaction.writes) {
+            const version = this.row(key).version + 1;
+            this.rows.set(key, { key, value, version });
+            versions[key] = version;
+        }
+        this.commits.set(transaction.writeId, versions);
+        return Result.ok(versions);
+    }
+
+    /** The true row, at any time. */
+    row(key: string): Row {
+        return this.rows.get(key) ?? { key, value: undefined, version: 0 };
+    }
+
+    private refusal<T>(): Outcome<T> {
+        return Result.err(failure(platformCodes.storeUnavailable, "the store is down"));
+    }
+
+    private unknown<T>(): Outcome<T> {
+        return Result.err(failure(platformCodes.storeUnknown, "the answer was lost"));
+    }
+}
