Claims with a row for each request

Change: TableClaims over the table store; generations keep an outdated mover out. Before: no implementation of Claims. Conclusion: correct for small sites; one write for each request.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -5,3 +5,4 @@
  */
 export { type ClaimIdentity, decodeClaim, encodeClaim, keyHashOf, shortHash } from "./lib/claimId.js";
 export { type Claim, type ClaimRequest, type Claims, type Runner } from "./lib/Claims.js";
+export { TableClaims } from "./lib/TableClaims.js";
--- /dev/null
+++ b/packages/claims/src/lib/TableClaims.test.ts
@@ -0,0 +1,52 @@
+import { MemoryTableStore } from "@waxwingspar/platform";
+import { ManualClock, requestCodes } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import test from "node:test";
+import { decodeClaim } from "./claimId.js";
+import { type ClaimRequest } from "./Claims.js";
+import { TableClaims } from "./TableClaims.js";
+
+function request(target: string, digest = "d"): ClaimRequest {
+    const runner = { target, incarnation: "1" };
+    return { route: "records", organisation: "ports", key: "k", digest, runner, retention: 1000 };
+}
+
+function setUp() {
+    const store = new MemoryTableStore({ clock: new ManualClock() });
+    return { store, claims: new TableClaims(store) };
+}
+
+test("two racing duplicates get one claim", async () => {
+    const { claims } = setUp();
+    const outcomes = await Promise.all([claims.acquire(request("a")), claims.acquire(request("b"))]);
+    const granted = outcomes.map(outcome => outcome.unwrapOr(undefined));
+    assert.equal(granted[0]?.id, granted[1]?.id);
+    assert.deepEqual(granted.map(claim => claim?.created).sort(), [false, true]);
+    const other = await claims.acquire(request("a", "another"));
+    assert.ok(other.isErr && other.error.code === requestCodes.keyReused);
+});
+
+test("a lost answer leaves the claim with the runner it names", async () => {
+    const { store, claims } = setUp();
+    store.faults.set({ losesAfter: 1 });
+    assert.ok((await claims.acquire(request("a"))).isOk);
+    assert.equal((await claims.acquire(request("b"))).unwrapOr(undefined)?.runner.target, "a");
+});
+
+test("a claim moves once, and an outdated one not at all", async () => {
+    const { claims } = setUp();
+    const first = (await claims.acquire(request("a"))).unwrapOr(undefined);
+    assert.ok(first);
+    const outcomes = await Promise.all([claims.move(first, request("b")), claims.move(first, request("c"))]);
+    assert.equal(outcomes.filter(outcome => outcome.isOk).length, 1);
+    const back = (await claims.acquire(request("a"))).unwrapOr(undefined);
+    assert.equal(decodeClaim(back?.id ?? "")?.generation, 1);
+    assert.ok((await claims.move(first, request("d"))).isErr);
+});
+
+test("nothing is granted while the store is down", async () => {
+    const { store, claims } = setUp();
+    store.faults.set({ down: true });
+    const outcome = await claims.acquire(request("a"));
+    assert.ok(outcome.isErr && outcome.error.code === requestCodes.claimUnavailable);
+});
