Stand-ins for the platform's services with faults under test control

Cause: every part needs a store that can be down, slow or lose an answer. Change: MemoryTableStore, MemoryObjectStore, MemoryLiveList, MemoryWeightStore; one FaultInjector; a token bucket. Before: ports without an implementation.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,6 +4,12 @@
  * @packageDocumentation
  */
 export { type LiveHost, liveHostSchema, type LiveList } from "./lib/LiveList.js";
+export { type CallKind, FaultInjector, type FaultSettings, faultSettingsSchema } from "./lib/memory/FaultInjector.js";
+export { MemoryLiveList } from "./lib/memory/MemoryLiveList.js";
+export { MemoryObjectStore } from "./lib/memory/MemoryObjectStore.js";
+export { MemoryTableStore, type MemoryTableStoreOptions } from "./lib/memory/MemoryTableStore.js";
+export { MemoryWeightStore, type MemoryWeightStoreOptions } from "./lib/memory/MemoryWeightStore.js";
 export { type ObjectStore } from "./lib/ObjectStore.js";
 export { type Row, rowSchema, type TableStore, type Transaction, transactionSchema } from "./lib/TableStore.js";
+export { TokenBucket, type TokenBucketOptions } from "./lib/TokenBucket.js";
 export { type WeightStore } from "./lib/WeightStore.js";
