--- /dev/null
+++ b/packages/telemetry/src/lib/traces/createTracing.ts
@@ -0,0 +1,69 @@
+import { ProxyTracerProvider, type Tracer } from "@opentelemetry/api";
+import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
+import { resourceFromAttributes } from "@opentelemetry/resources";
+import {
+    BasicTracerProvider,
+    BatchSpanProcessor,
+    ParentBasedSampler,
+    SimpleSpanProcessor,
+    type SpanExporter,
+    type SpanProcessor,
+    TraceIdRatioBasedSampler,
+} from "@opentelemetry/sdk-trace-base";
+
+/**
+ * Options of {@link createTracing}.
+ *
+ * @public
+ */
+export interface TracingOptions {
+    /** The name of the process, as in its settings. */
+    readonly process: string;
+    /** Where spans are sent by OTLP over HTTP, such as `http://127.0.0.1:4318/v1/traces`. Without it nothing is sent. */
+    readonly endpoint?: string;
+    /** The share of traces kept, from 0 to 1, among those that begin here. Default 1. */
+    readonly ratio?: number;
+    /** Takes every span at once instead of the endpoint, for tests. */
+    readonly exporter?: SpanExporter;
+}
+
+/**
+ * The tracing of a process.
+ *
+ * @public
+ */
+export interface Tracing {
+    /** Starts spans: one for each hop, never one for a token. */
+    readonly tracer: Tracer;
+    /** Sends what waits, then stops. */
+    shutdown(): Promise<void>;
+}
+
+/**
+ * Creates the tracing of a process. Without endpoint and exporter its spans do nothing.
+ *
+ * @public
+ */
+export function createTracing(options: TracingOptions): Tracing {
+    const processor = createProcessor(options);
+    if (processor === undefined) {
+        const tracer = new ProxyTracerProvider().getTracer("waxwingspar");
+        return { tracer, shutdown: () => Promise.resolve() };
+    }
+    const provider = new BasicTracerProvider({
+        resource: resourceFromAttributes({ "service.name": "waxwingspar", "service.instance.id": options.process }),
+        sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(options.ratio ?? 1) }),
+        spanProcessors: [processor],
+    });
+    return { tracer: provider.getTracer("waxwingspar"), shutdown: () => provider.shutdown() };
+}
+
+function createProcessor(options: TracingOptions): SpanProcessor | undefined {
+    if (options.exporter !== undefined) {
+        return new SimpleSpanProcessor(options.exporter);
+    }
+    if (options.endpoint === undefined) {
+        return undefined;
+    }
+    return new BatchSpanProcessor(new OTLPTraceExporter({ url: options.endpoint }));
+}
