--- /dev/null
+++ b/packages/control/src/lib/placement/createPipelines.ts
@@ -0,0 +1,68 @@
+import { groupTargets } from "./groupTargets.js";
+import { type PipelineStage, type PlacementModel, type PlacementTarget } from "./Pipeline.js";
+import { splitLayers } from "./splitLayers.js";
+import { type CostOptions, defaultCosts, hopTime, layerRoom } from "./stageTime.js";
+
+/** @public */
+export interface CreateOptions {
+    readonly costs?: CostOptions;
+    /** The share of the targets that is kept free to replace failed ones, if memory allows. */
+    readonly spareShare?: number;
+    /** The most stages that a pipeline has. */
+    readonly maxStages?: number;
+}
+
+const defaultSpareShare = 0.03;
+const defaultMaxStages = 16;
+
+/**
+ * Places whole pipelines of one model version on the free targets of one data centre. Fewer than wanted come back when
+ * memory is too short for all.
+ *
+ * @example
+ * ```ts
+ * const pipelines = createPipelines(model, targets, 40);
+ * ```
+ * @param free - Targets that hold nothing; none is used twice.
+ * @returns The stages of each pipeline, in the order of layers.
+ * @public
+ */
+export function createPipelines(
+    model: PlacementModel,
+    free: readonly PlacementTarget[],
+    count: number,
+    options: CreateOptions = {},
+): PipelineStage[][] {
+    const { costs = defaultCosts, spareShare = defaultSpareShare, maxStages = defaultMaxStages } = options;
+    const useful = free.filter(target => layerRoom(target, model) > 0);
+    if (count <= 0 || useful.length === 0) {
+        return [];
+    }
+    const ranked = rankTargets(useful, model, costs);
+    const groupCount = Math.min(count, useful.length);
+    const withoutSpares = Math.min(useful.length, groupCount * maxStages);
+    const withSpares = Math.max(groupCount, Math.min(withoutSpares, Math.ceil(useful.length * (1 - spareShare))));
+    const groups = groupTargets(ranked.slice(0, withSpares), groupCount, model, costs);
+    const best = groups.length < groupCount && withSpares < useful.length
+        ? groupTargets(ranked.slice(0, Math.max(withoutSpares, withSpares)), groupCount, model, costs)
+        : groups;
+    const chosen = best.length > groups.length ? best : groups;
+    return chosen.flatMap(group => {
+        const stages = splitLayers(group, model, costs);
+        return stages === undefined ? [] : [stages];
+    });
+}
+
+/** The most useful targets first: those that add most speed at their link, so that the spares are the least useful. */
+function rankTargets(
+    targets: readonly PlacementTarget[],
+    model: PlacementModel,
+    costs: CostOptions,
+): PlacementTarget[] {
+    const usualLayers = Math.max(1, model.layers / 8);
+    const worth = new Map(targets.map(target => {
+        const layers = Math.min(usualLayers, layerRoom(target, model));
+        return [target, layers / (layers * costs.layerTime / target.speed + hopTime(target, model, costs))];
+    }));
+    return [...targets].sort((a, b) => worth.get(b)! - worth.get(a)! || (a.name < b.name ? -1 : 1));
+}
