--- /dev/null
+++ b/packages/agent/src/lib/Agent.ts
@@ -0,0 +1,304 @@
+import { type Tracer } from "@opentelemetry/api";
+import { type Configuration } from "@waxwingspar/config";
+import { type Engine, type Order } from "@waxwingspar/engine";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type WorkQueue } from "@waxwingspar/policy";
+import { type Hello, type Link, type LinkPool, type Message, type RpcMethod } from "@waxwingspar/transport";
+import { type Clock, type Outcome } from "@waxwingspar/utils";
+import { type Logger } from "pino";
+import { Result } from "true-myth";
+import { type AgentContext, type AgentMetrics } from "./AgentContext.js";
+import { type AgentSettings } from "./AgentSettings.js";
+import { type AnswerClaims } from "./claims/AnswerRecord.js";
+import { ClaimTable, type ClaimTableOptions } from "./claims/ClaimTable.js";
+import { OrderGate, orderMethodName } from "./control/OrderGate.js";
+import { createContext } from "./createContext.js";
+import { Drain } from "./Drain.js";
+import { noService, toWire } from "./faults.js";
+import { FollowAttempt } from "./head/FollowAttempt.js";
+import { HeadAttempt } from "./head/HeadAttempt.js";
+import { HeadRequests } from "./head/HeadRequests.js";
+import { createExportMethod, exportMethodName } from "./kv/exportMethod.js";
+import { type CallClaims } from "./service/CallSink.js";
+import { type ServiceAddress, ServiceProxy } from "./service/ServiceProxy.js";
+import { StageAttempt } from "./stage/StageAttempt.js";
+import { StageRequests } from "./stage/StageRequests.js";
+
+const millisecondsPerHour = 3_600_000;
+
+/**
+ * Options of {@link Agent}.
+ *
+ * @public
+ */
+export interface AgentOptions {
+    /** The target beside which the agent runs. */
+    readonly target: string;
+    /** What the agent says about itself; claims are bound to its incarnation. */
+    readonly hello: Hello;
+    /** Opens links to other agents. Only this agent may use it. */
+    readonly pool: LinkPool;
+    readonly engine: Engine;
+    readonly configuration: Configuration;
+    /** The queue of the target, for model requests and plain calls together. */
+    readonly queue: WorkQueue;
+    /** The plain service beside the agent, if there is one. */
+    readonly service?: ServiceAddress;
+    /** Reads the highest fence ever issued for this target from the store. By default there was none. */
+    readonly readFence?: () => Promise<Outcome<number>>;
+    readonly record?: HistoryRecorder;
+    readonly clock?: Clock;
+    readonly log?: Logger;
+    readonly tracer?: Tracer;
+    readonly metrics?: AgentMetrics;
+    readonly settings?: Partial<AgentSettings>;
+}
+
+/** What became of the requests of an agent that left. @public */
+export interface DrainResult {
+    /** Requests that were cut off; 0 unless the hard limit passed. */
+    readonly interrupted: number;
+}
+
+/**
+ * The agent beside a target: the only sender of work and orders to it.
+ *
+ * @example
+ * ```ts
+ * const pool = new TcpLinkPool({ hello, credentials, methods: lateMethods(() => agent) });
+ * const agent = new Agent({ target: "t1", hello, pool, engine, configuration, queue });
+ * const server = new LinkServer({ hello, credentials, methods: agent.methods, onLink: link => agent.accept(link) });
+ * await agent.start();
+ * // later
+ * const { interrupted } = await agent.leave();
+ * ```
+ * @public
+ */
+export class Agent {
+    /** The JSON-RPC methods that the agent answers: `kv.export` and `order.apply`. */
+    readonly methods: Readonly<Record<string, RpcMethod>>;
+    private readonly context: AgentContext;
+    private readonly heads: HeadRequests;
+    private readonly stages: StageRequests;
+    private readonly calls: ServiceProxy | undefined;
+    private readonly gate: OrderGate;
+    private readonly stopWatching: () => void;
+    private closed = false;
+
+    constructor(private readonly options: AgentOptions) {
+        this.context = createContext(options);
+        const { context } = this;
+        const answerClaims: AnswerClaims = new ClaimTable(this.claimOptions());
+        const callClaims: CallClaims = new ClaimTable(this.claimOptions());
+        this.heads = new HeadRequests(context, answerClaims);
+        this.stages = new StageRequests(context);
+        this.calls = options.service === undefined ? undefined : new ServiceProxy(context, callClaims, options.service);
+        this.gate = new OrderGate({
+            target: context.target,
+            engine: context.engine,
+            clock: context.clock,
+            record: context.record,
+            readFence: options.readFence ?? (() => Promise.resolve(Result.ok(0))),
+            retryDelay: 1000,
+            applied: () => context.held.refresh(),
+        });
+        this.methods = {
+            [exportMethodName]: createExportMethod(context.sessions),
+            [orderMethodName]: this.gate.createMethod(),
+        };
+        options.pool.onOpen(link => this.accept(link));
+        this.stopWatching = context.configuration.onChange(() => this.applyShares());
+    }
+
+    /** True once the agent takes no new work. */
+    get leaving(): boolean {
+        return this.context.load.leaving;
+    }
+
+    /** Requests that would be cut off if the agent closed now. */
+    get activeRequests(): number {
+        return this.context.table.open.filter(attempt => attempt.active).length + (this.calls?.active ?? 0);
+    }
+
+    /** Asks the engine what it holds, and begins to read the fence back. */
+    async start(): Promise<void> {
+        this.applyShares();
+        void this.gate.start();
+        await this.context.held.refresh();
+    }
+
+    /** Takes over a link that a peer has opened. */
+    accept(link: Link): void {
+        this.context.links.add(link);
+        link.onMessage(message => this.receive(message, link));
+        if (this.leaving) {
+            link.send({ type: "load", load: this.context.load.report() });
+        }
+    }
+
+    /** Carries out an order, if its fence is not too old. */
+    apply(order: Order): Promise<Outcome<void>> {
+        return this.gate.apply(order);
+    }
+
+    /**
+     * Leaves: announces it on every link, refuses new work as not run from now on, waits for what runs, hands over what
+     * takes too long, and closes.
+     *
+     * @returns How many requests were cut off, which is 0 unless the hard limit passed.
+     */
+    async leave(): Promise<DrainResult> {
+        const { load, record, target, queue, settings, sessions, clock } = this.context;
+        load.leave();
+        record({ event: "target.leaving", target, bound: settings.leavingBound });
+        queue.close();
+        const drain = new Drain({
+            clock,
+            active: () => this.activeRequests,
+            handOver: () => this.context.table.open.forEach(attempt => attempt.handOver()),
+            exporting: () => sessions.size > 0,
+            handOverAfter: settings.handOverAfter,
+            limit: settings.drainLimit,
+        });
+        const interrupted = await drain.wait();
+        await this.close();
+        record({ event: "process.stopped", interrupted });
+        return { interrupted };
+    }
+
+    /** Stops at once. Whatever runs is cut off, and said to be so where a link is left. */
+    async close(): Promise<void> {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        const { table, load, sessions } = this.context;
+        table.open.forEach(attempt => attempt.abandon());
+        this.gate.stop();
+        load.stop();
+        this.stopWatching();
+        sessions.dropRetired();
+        await this.calls?.close();
+    }
+
+    private receive(message: Message, link: Link): void {
+        if (this.closed) {
+            return;
+        }
+        switch (message.type) {
+            case "frame":
+                this.receiveFrame(message, link);
+                return;
+            case "sampled":
+            case "joined":
+            case "stageFailed":
+                this.receiveFromStage(message);
+                return;
+            case "open":
+                void this.heads.open(message, link);
+                return;
+            case "join":
+                void this.stages.join(message, link);
+                return;
+            case "credit":
+                this.receiveCredit(message.request, message.epoch, message.upTo);
+                return;
+            case "cancel":
+                this.receiveCancel(message.request, message.epoch, message.retain === true);
+                return;
+            case "call":
+                this.receiveCall(message, link);
+                return;
+            case "callCancel":
+                this.calls?.cancel(message.request);
+                return;
+            default:
+                this.context.metrics.dropped?.(message.type);
+        }
+    }
+
+    private receiveFrame(message: Extract<Message, { type: "frame"; }>, link: Link): void {
+        const attempt = this.context.table.find(message.request, message.epoch);
+        if (attempt instanceof StageAttempt) {
+            attempt.frame(message, link);
+            return;
+        }
+        this.context.metrics.dropped?.("frame");
+    }
+
+    private receiveFromStage(message: Extract<Message, { type: "sampled" | "joined" | "stageFailed"; }>): void {
+        const attempt = this.context.table.find(message.request, message.epoch);
+        if (!(attempt instanceof HeadAttempt)) {
+            this.context.metrics.dropped?.(message.type);
+            return;
+        }
+        switch (message.type) {
+            case "sampled":
+                attempt.sampled(message);
+                return;
+            case "joined":
+                attempt.joined(message);
+                return;
+            case "stageFailed":
+                attempt.stageFailed(message);
+        }
+    }
+
+    private receiveCredit(request: string, epoch: number, upTo: number): void {
+        const attempt = this.context.table.find(request, epoch);
+        if (attempt instanceof HeadAttempt || attempt instanceof FollowAttempt) {
+            attempt.credit(upTo);
+        }
+    }
+
+    private receiveCancel(request: string, epoch: number, retain: boolean): void {
+        const { table } = this.context;
+        const attempt = table.find(request, epoch);
+        if (attempt instanceof StageAttempt) {
+            attempt.cancel(retain);
+            return;
+        }
+        if (attempt instanceof HeadAttempt || attempt instanceof FollowAttempt) {
+            attempt.cancel();
+            return;
+        }
+        if (table.judge(request, epoch) === "new") {
+            // The cancellation overtook the attempt, which must not begin any more.
+            table.end(request, epoch);
+        }
+    }
+
+    private receiveCall(message: Extract<Message, { type: "call"; }>, link: Link): void {
+        if (this.calls !== undefined) {
+            this.calls.call(message, link);
+            return;
+        }
+        const { request } = message;
+        link.send({ type: "callFailed", request, failure: toWire(noService(message.service)) });
+    }
+
+    /** Tells the queue the weights of the organisations. */
+    private applyShares(): void {
+        const { configuration, queue } = this.context;
+        configuration.list("organisation").forEach(({ name, spec }) => queue.setShare(name, spec.share));
+    }
+
+    private claimOptions(): ClaimTableOptions {
+        const { context, options } = this;
+        const { settings, configuration } = context;
+        const configured = (): number => {
+            const hours = configuration.list("service").map(({ spec }) => spec.claimHours + 1);
+            return Math.max(settings.claimRetention, ...hours.map(value => value * millisecondsPerHour));
+        };
+        return {
+            target: context.target,
+            incarnation: options.hello.incarnation,
+            clock: context.clock,
+            limit: settings.claims,
+            bytes: settings.claimBytes,
+            answerRetention: settings.claimAnswerRetention,
+            retention: configured,
+            resumeWindow: 2 * settings.retainCache,
+        };
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -0,0 +1,75 @@
+/**
+ * Numbers that tune an agent. Each has a default; docs/design/pipeline.md says when to change one.
+ *
+ * @public
+ */
+export interface AgentSettings {
+    /** Positions of the prompt that run in one step, so that a long prompt keeps several stages busy. */
+    readonly prefillChunk: number;
+    /** How many token bounds a step of one position may take before the engine counts as hung. */
+    readonly stepPatience: number;
+    /** How many token bounds the head waits for a token before it asks which stage is at fault. */
+    readonly silencePatience: number;
+    /** Milliseconds below which no step or silence timeout falls, whatever the token bound. */
+    readonly minimumTimeout: number;
+    /** Milliseconds for all stages to answer `join`. */
+    readonly joinTimeout: number;
+    /** Milliseconds to fetch a KV cache from another agent before the prompt is computed again instead. */
+    readonly importTimeout: number;
+    /** Milliseconds for which the KV cache of a failed attempt stays exportable. */
+    readonly retainCache: number;
+    /** Milliseconds to wait for a missing frame while later ones are held. */
+    readonly gapTimeout: number;
+    /** Frames that may be held behind a gap. */
+    readonly heldFrames: number;
+    /** Bytes queued on a link from which on no further prompt chunk is run for it. */
+    readonly linkHighWater: number;
+    /** Attempts of later stages that may be open at once, for each slot of the engine. */
+    readonly attemptsPerSlot: number;
+    /** Finished requests whose epoch is remembered, and for how many milliseconds. */
+    readonly finishedRequests: number;
+    readonly finishedRetention: number;
+    /** Claims that are remembered, and milliseconds for which at least: longer than the store keeps them. */
+    readonly claims: number;
+    readonly claimRetention: number;
+    /** Bytes of answers kept for duplicates, and milliseconds for which. */
+    readonly claimBytes: number;
+    readonly claimAnswerRetention: number;
+    /** Milliseconds between two load reports on a link that carries traffic. */
+    readonly loadInterval: number;
+    /** Milliseconds after leaving from which on running requests are handed over, and the hard limit. */
+    readonly handOverAfter: number;
+    readonly drainLimit: number;
+    /** Milliseconds after the announcement from which on the target may accept no new work; for the history. */
+    readonly leavingBound: number;
+    /** Bytes in one piece of a plain service's answer, and bytes of an answer that are kept for duplicates. */
+    readonly replyPiece: number;
+    readonly replyMemory: number;
+}
+
+/** @public */
+export const defaultAgentSettings: AgentSettings = {
+    prefillChunk: 256,
+    stepPatience: 3,
+    silencePatience: 4,
+    minimumTimeout: 200,
+    joinTimeout: 1000,
+    importTimeout: 500,
+    retainCache: 3000,
+    gapTimeout: 200,
+    heldFrames: 64,
+    linkHighWater: 4_194_304,
+    attemptsPerSlot: 4,
+    finishedRequests: 20_000,
+    finishedRetention: 600_000,
+    claims: 200_000,
+    claimRetention: 90_000_000,
+    claimBytes: 33_554_432,
+    claimAnswerRetention: 900_000,
+    loadInterval: 250,
+    handOverAfter: 10_000,
+    drainLimit: 120_000,
+    leavingBound: 2000,
+    replyPiece: 65_536,
+    replyMemory: 1_048_576,
+};
--- /dev/null
+++ b/packages/agent/src/lib/charts/attemptChart.ts
@@ -0,0 +1,14 @@
+import { readChart, StateChart } from "./StateChart.js";
+
+/** @internal */
+export type AttemptState = "waiting" | "preparing" | "running" | "done" | "refused" | "failed" | "cancelled";
+
+/** @internal */
+export type AttemptEvent = "start" | "ready" | "finish" | "refuse" | "fail" | "cancel";
+
+const definition = readChart("attempt");
+
+/** Creates the chart that an attempt follows, at the head and at later stages. @internal */
+export function createAttemptChart(): StateChart<AttemptState, AttemptEvent> {
+    return new StateChart(definition);
+}
--- /dev/null
+++ b/packages/agent/src/lib/claims/ClaimRecord.ts
@@ -0,0 +1,109 @@
+import { type Failure } from "@waxwingspar/utils";
+
+/**
+ * What has become of a claimed request in this incarnation.
+ *
+ * - `running`: it runs now.
+ * - `interrupted`: it ran in part; only the same request may continue it.
+ * - `ended`: it ran to its end, and the answer is kept.
+ * - `forgotten`: it ran, but its answer is no longer kept.
+ * - `refused`: it did not run and never will here.
+ *
+ * @internal
+ */
+export type ClaimState = "running" | "interrupted" | "ended" | "forgotten" | "refused";
+
+/** Takes the answer of a claimed request: what is there already, and what follows. @internal */
+export interface ClaimFollower<Item, End> {
+    item(item: Item): void;
+    end(end: End): void;
+    /** The request was interrupted or refused. */
+    failed(reason: Failure): void;
+}
+
+/**
+ * The answer of one claimed request as it grows, for everyone who asked for it.
+ *
+ * @internal
+ */
+export class ClaimRecord<Item, End> {
+    state: ClaimState = "running";
+    /** Bytes that the kept answer takes, about. */
+    bytes = 0;
+    /** The reason, once refused or interrupted. */
+    reason: Failure | undefined;
+    /** When it last left the state `running`. */
+    changedAt = 0;
+    private isTruncated = false;
+    private kept: Item[] = [];
+    private result: End | undefined;
+    private readonly followers = new Set<ClaimFollower<Item, End>>();
+
+    /**
+     * @param id - The claim's id.
+     * @param request - The request that runs under the claim; others with the same id are its duplicates.
+     */
+    constructor(readonly id: string, readonly request: string) {}
+
+    get items(): readonly Item[] {
+        return this.kept;
+    }
+
+    /** True once the answer is too large to be kept for duplicates. */
+    get truncated(): boolean {
+        return this.isTruncated;
+    }
+
+    /** Stops keeping the answer; whoever follows it already still gets the rest. */
+    truncate(): void {
+        this.isTruncated = true;
+        this.kept = [];
+        this.bytes = 0;
+    }
+
+    append(item: Item, bytes: number): void {
+        if (!this.isTruncated) {
+            this.kept.push(item);
+            this.bytes += bytes;
+        }
+        this.followers.forEach(follower => follower.item(item));
+    }
+
+    end(end: End): void {
+        this.state = "ended";
+        this.result = end;
+        this.followers.forEach(follower => follower.end(end));
+        this.followers.clear();
+    }
+
+    /** Ends the run without a whole answer. */
+    stop(state: "interrupted" | "refused", reason: Failure): void {
+        this.state = state;
+        this.reason = reason;
+        this.followers.forEach(follower => follower.failed(reason));
+        this.followers.clear();
+    }
+
+    /** Drops the answer and remembers only that there was one. */
+    forget(): void {
+        this.state = "forgotten";
+        this.kept = [];
+        this.bytes = 0;
+        this.result = undefined;
+    }
+
+    /**
+     * Hands over the answer from an item on, now and as it grows. Only while running or ended.
+     *
+     * @returns A function that ends it.
+     */
+    follow(follower: ClaimFollower<Item, End>, from = 0): () => void {
+        this.kept.slice(from).forEach(item => follower.item(item));
+        if (this.result !== undefined) {
+            follower.end(this.result);
+            return () => undefined;
+        }
+        this.followers.add(follower);
+        return () => void this.followers.delete(follower);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/control/OrderGate.ts
@@ -0,0 +1,149 @@
+import { type Engine, type Order, orderSchema } from "@waxwingspar/engine";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type RpcMethod } from "@waxwingspar/transport";
+import { type Clock, failure, type Outcome, platformCodes, requestCodes, type Timer } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+
+/** The JSON-RPC method that takes an order. @internal */
+export const orderMethodName = "order.apply";
+
+/** Results of orders that are remembered for repeats. */
+const rememberedOrders = 1024;
+
+/** @internal */
+export interface OrderGateOptions {
+    readonly target: string;
+    readonly engine: Engine;
+    readonly clock: Clock;
+    readonly record: HistoryRecorder;
+    /** Reads the highest fence that was ever issued for this target, from the store. */
+    readonly readFence: () => Promise<Outcome<number>>;
+    /** Milliseconds until the fence is read again after a failure. */
+    readonly retryDelay: number;
+    /** Runs after an order has changed the engine. */
+    readonly applied: () => Promise<unknown>;
+}
+
+/**
+ * The only way by which orders reach the engine. It lets no order pass with a fence below the highest seen, also across
+ * a restart of the agent, and carries out each order once.
+ *
+ * @internal
+ */
+export class OrderGate {
+    private fence: number | undefined;
+    private reading: Promise<void> | undefined;
+    private timer: Timer | undefined;
+    private stopped = false;
+    private readonly results = new Map<string, Promise<Outcome<void>>>();
+    /** Orders run one after the other, since each may change what the next one meets. */
+    private last: Promise<unknown> = Promise.resolve();
+
+    constructor(private readonly options: OrderGateOptions) {}
+
+    /** The highest fence seen; undefined until it has been read back. */
+    get highestFence(): number | undefined {
+        return this.fence;
+    }
+
+    /** Reads the fence back, again and again until that succeeds. Until then every order is refused. */
+    start(): Promise<void> {
+        this.reading ??= this.readBack();
+        return this.reading;
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.timer?.cancel();
+    }
+
+    /** Carries out an order, or gives the result of the same order again. */
+    apply(order: Order): Promise<Outcome<void>> {
+        if (this.fence === undefined) {
+            void this.start();
+            const reason = failure(platformCodes.storeUnavailable, "the fence has not been read back yet", {
+                retryAfter: this.options.retryDelay,
+            });
+            return Promise.resolve(Result.err(reason));
+        }
+        const known = this.results.get(order.id);
+        if (known !== undefined) {
+            return known;
+        }
+        if (order.fence < this.fence) {
+            return Promise.resolve(staleFence(order, this.fence));
+        }
+        // From here on no older order passes, although this one may still wait for its turn.
+        this.fence = order.fence;
+        const result = this.last.then(() => this.run(order));
+        this.last = result;
+        this.remember(order.id, result);
+        return result;
+    }
+
+    /** The JSON-RPC method that takes orders. */
+    createMethod(): RpcMethod {
+        return async (params, link) => {
+            if (link.peer.role === "tool") {
+                return Result.err(failure(requestCodes.forbidden, "tools give no orders"));
+            }
+            const order = orderSchema.safeParse(params);
+            if (!order.success) {
+                return Result.err(failure(requestCodes.malformed, "not an order"));
+            }
+            return this.apply(order.data);
+        };
+    }
+
+    private async run(order: Order): Promise<Outcome<void>> {
+        const { engine, record, target, applied } = this.options;
+        // A newer holder's order may have come while this one waited.
+        if (this.stopped || order.fence < (this.fence ?? 0)) {
+            return staleFence(order, this.fence ?? 0);
+        }
+        record({ event: "order.applied", order: order.id, fence: order.fence, target });
+        const outcome = await callEngine(engine, order);
+        await applied();
+        if (outcome.isErr) {
+            // A repeat of a failed order is a new try.
+            this.results.delete(order.id);
+        }
+        return outcome;
+    }
+
+    private remember(id: string, result: Promise<Outcome<void>>): void {
+        this.results.set(id, result);
+        for (const oldest of this.results.keys()) {
+            if (this.results.size <= rememberedOrders) {
+                return;
+            }
+            this.results.delete(oldest);
+        }
+    }
+
+    private async readBack(): Promise<void> {
+        const fence = await this.options.readFence();
+        if (fence.isOk) {
+            this.fence = Math.max(fence.value, this.fence ?? 0);
+            return;
+        }
+        this.reading = undefined;
+        if (!this.stopped) {
+            this.timer?.cancel();
+            this.timer = this.options.clock.schedule(() => void this.start(), this.options.retryDelay);
+        }
+    }
+}
+
+function staleFence(order: Order, highest: number): Outcome<void> {
+    return Result.err(failure(platformCodes.staleFence, `fence ${order.fence} is below ${highest}`));
+}
+
+async function callEngine(engine: Engine, order: Order): Promise<Outcome<void>> {
+    try {
+        return await engine.order(order);
+    }
+    catch (error) {
+        return Result.err(failure(requestCodes.engineFailed, String(error)));
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/createContext.ts
@@ -0,0 +1,47 @@
+import { trace } from "@opentelemetry/api";
+import { SystemClock } from "@waxwingspar/utils";
+import { pino } from "pino";
+import { type AgentOptions } from "./Agent.js";
+import { type AgentContext } from "./AgentContext.js";
+import { defaultAgentSettings } from "./AgentSettings.js";
+import { AttemptTable } from "./AttemptTable.js";
+import { HeldModels } from "./HeldModels.js";
+import { SessionTable } from "./kv/SessionTable.js";
+import { LinkWatch } from "./LinkWatch.js";
+import { LoadMeter } from "./load/LoadMeter.js";
+import { EngineActivity } from "./stage/EngineActivity.js";
+
+/** Puts together what the parts of an agent share. @internal */
+export function createContext(options: AgentOptions): AgentContext {
+    const { target, engine, pool, queue, configuration } = options;
+    const clock = options.clock ?? new SystemClock();
+    const settings = { ...defaultAgentSettings, ...options.settings };
+    const links = new LinkWatch();
+    const held = new HeldModels(engine);
+    return {
+        target,
+        clock,
+        engine,
+        pool,
+        queue,
+        configuration,
+        settings,
+        links,
+        held,
+        record: options.record ?? (() => undefined),
+        log: options.log ?? pino({ enabled: false }),
+        tracer: options.tracer ?? trace.getTracer("waxwingspar.agent"),
+        metrics: options.metrics ?? {},
+        sessions: new SessionTable(engine, clock, settings.retainCache),
+        table: new AttemptTable({ clock, limit: settings.finishedRequests, retention: settings.finishedRetention }),
+        load: new LoadMeter({
+            target,
+            clock,
+            queue,
+            links,
+            slots: () => held.slots,
+            interval: settings.loadInterval,
+        }),
+        activity: new EngineActivity(clock),
+    };
+}
--- /dev/null
+++ b/packages/agent/src/lib/faults.ts
@@ -0,0 +1,40 @@
+import { type WireFailure } from "@waxwingspar/transport";
+import { type Failure, failure, findResultCode, requestCodes } from "@waxwingspar/utils";
+
+/** A failure of a chain, and the target at fault when one is known. @internal */
+export interface ChainFault {
+    readonly failure: Failure;
+    readonly target?: string;
+}
+
+/** Writes a failure as it travels between processes. @internal */
+export function toWire(reason: Failure): WireFailure {
+    const { code, message, retryAfter } = reason;
+    return retryAfter === undefined ? { code: code.number, message } : { code: code.number, message, retryAfter };
+}
+
+/** Reads a failure that a message carried. A number that this version does not know says nothing, so: unknown. */
+export function fromWire(wire: WireFailure): Failure {
+    const code = findResultCode(wire.code) ?? requestCodes.outcomeUnknown;
+    return failure(code, wire.message, wire.retryAfter === undefined ? {} : { retryAfter: wire.retryAfter });
+}
+
+/** The failure of work of which nothing has run. A code that says otherwise is replaced by one that says so. */
+export function asNotRun(reason: Failure): Failure {
+    if (reason.code === requestCodes.deadlineExceeded) {
+        return failure(requestCodes.deadlinePassed, reason.message);
+    }
+    return reason.code.execution === "not run"
+        ? reason
+        : failure(requestCodes.noCapacity, `nothing ran: ${reason.message}`);
+}
+
+/** The failure of work that ran in part. A code that says that nothing ran is replaced. */
+export function asStarted(reason: Failure): Failure {
+    return reason.code.execution === "not run" ? failure(requestCodes.stageLost, reason.message) : reason;
+}
+
+/** The failure of a call to a service that does not run beside this agent. */
+export function noService(service: string): Failure {
+    return failure(requestCodes.wrongTarget, `${service} does not run here`);
+}
--- /dev/null
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -0,0 +1,384 @@
+import { type Span } from "@opentelemetry/api";
+import { type OpenMessage } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes, type Timer } from "@waxwingspar/utils";
+import { type AgentContext, type Attempt } from "../AgentContext.js";
+import { type AttemptEvent, type AttemptState, createAttemptChart } from "../charts/attemptChart.js";
+import { asNotRun, asStarted, type ChainFault, fromWire } from "../faults.js";
+import { type JoinedMessage, type StageFailedMessage } from "../messages.js";
+import { type SampledToken } from "../stage/StageRunner.js";
+import { StageSession } from "../stage/StageSession.js";
+import { type Timeouts, timeoutsOf } from "../timeouts.js";
+import { contextOf, traceparentOf } from "../tracing.js";
+import { type AnswerSink } from "./AnswerSink.js";
+import { headPlan, joinRequest } from "./chainMessages.js";
+import { type EntryStream } from "./EntryStream.js";
+import { LaterStages } from "./LaterStages.js";
+import { StopMatcher } from "./StopMatcher.js";
+import { TokenTimes } from "./TokenTimes.js";
+import { TokenWait } from "./TokenWait.js";
+
+/** Characters of prompt for one token, to estimate the cost before the prompt is read. */
+const charactersPerToken = 4;
+
+/** @internal */
+export interface HeadAttemptOptions {
+    readonly message: OpenMessage;
+    /** The tokens of the answer that are known already; the attempt continues behind them. */
+    readonly produced: readonly number[];
+    readonly sink: AnswerSink;
+    /** The stream to the entry that asked, for its credit. */
+    readonly entry: EntryStream;
+    /** True for a claimed request, which runs to its end even if its caller is gone. */
+    readonly claimed: boolean;
+    /** Runs when the attempt has ended here in any way, before the sink is told. */
+    readonly ended?: (attempt: HeadAttempt) => void;
+}
+
+/**
+ * An attempt at its head: waits for a slot, gathers the chain, runs the prompt and then token after token.
+ *
+ * @internal
+ */
+export class HeadAttempt implements Attempt {
+    readonly epoch: number;
+    private readonly chart = createAttemptChart();
+    private readonly item: string;
+    private readonly timeouts: Timeouts;
+    private readonly stops: StopMatcher;
+    private readonly wait: TokenWait;
+    private span: Span | undefined;
+    private deadline: Timer | undefined;
+    /** Runs out when the engine does not get ready in time. */
+    private patience: Timer | undefined;
+    private session: StageSession | undefined;
+    private later: LaterStages | undefined;
+    private promptTokens = 0;
+    private cachedTokens = 0;
+    private answerTokens: number;
+    /** The position in the sequence that the next token takes. */
+    private next = 0;
+    /** A token that is drawn and whose successor waits for credit. */
+    private paused: number | undefined;
+    private readonly times: TokenTimes;
+
+    constructor(private readonly context: AgentContext, private readonly options: HeadAttemptOptions) {
+        const { request, epoch, model, sampling } = options.message;
+        this.epoch = epoch;
+        this.item = `${request}/${epoch}`;
+        this.answerTokens = options.produced.length;
+        this.timeouts = timeoutsOf(context.configuration, model, context.settings);
+        this.times = new TokenTimes(context);
+        this.stops = new StopMatcher(sampling.stop);
+        this.wait = new TokenWait({
+            context,
+            timeouts: this.timeouts,
+            request,
+            epoch,
+            stages: options.message.stages,
+            members: () => this.later?.members ?? [],
+            lost: fault => this.fail(fault),
+        });
+    }
+
+    /** True while it runs, or while its answer still waits for a slow caller. */
+    get active(): boolean {
+        return !this.chart.ended || !this.options.entry.closed;
+    }
+
+    get state(): AttemptState {
+        return this.chart.state;
+    }
+
+    /** True once any layer may have run. */
+    get started(): boolean {
+        return this.session?.started === true;
+    }
+
+    /** Asks the queue for a slot. */
+    offer(): void {
+        const { message } = this.options;
+        const offered = this.context.queue.offer({
+            id: this.item,
+            organisation: message.organisation,
+            priority: message.priority,
+            timeLeft: message.timeLeft,
+            startBound: message.firstTokenBound,
+            cost: Math.ceil(message.prompt.length / charactersPerToken) + message.produced.length,
+            start: () => this.start(),
+            refuse: reason => this.refuse({ failure: reason }),
+        });
+        if (offered.isErr) {
+            this.refuse({ failure: offered.error });
+        }
+    }
+
+    /** The stream to the entry takes tokens again. */
+    resume(): void {
+        const token = this.paused;
+        if (token !== undefined && this.chart.state === "running") {
+            this.paused = undefined;
+            this.draw(token);
+        }
+    }
+
+    credit(upTo: number): void {
+        this.options.entry.credit(upTo);
+    }
+
+    /** The caller is gone. A claimed request still runs to its end, and its answer is kept for duplicates. */
+    cancel(): void {
+        this.options.entry.drop();
+        if (!this.options.claimed || this.chart.state === "waiting") {
+            this.stop("cancel", false);
+        }
+    }
+
+    supersede(): void {
+        this.options.entry.drop();
+        this.stop("cancel", true);
+    }
+
+    abandon(): void {
+        this.breakOff("the agent stopped");
+    }
+
+    handOver(): void {
+        if (!this.options.claimed) {
+            this.breakOff("the target is leaving; go on elsewhere");
+        }
+    }
+
+    joined(message: JoinedMessage): void {
+        this.later?.joined(message);
+    }
+
+    stageFailed({ failure: reason, target }: StageFailedMessage): void {
+        this.later?.fault({ failure: fromWire(reason), target });
+    }
+
+    /** A token was drawn, here or at the last stage. */
+    sampled({ position, token, text, end }: SampledToken): void {
+        if (this.chart.state !== "running" || position < this.next || !this.wait.waiting) {
+            this.context.metrics.dropped?.("sampled");
+            return;
+        }
+        if (position > this.next) {
+            this.fail({ failure: failure(requestCodes.stageLost, `a token for position ${position} came too early`) });
+            return;
+        }
+        this.wait.clear();
+        this.times.token();
+        this.next++;
+        this.answerTokens++;
+        const { released, stopped } = this.stops.push({ id: token, text });
+        released.forEach(answer => this.options.sink.token(answer));
+        this.goOn(token, end || stopped);
+    }
+
+    private breakOff(message: string): void {
+        const fault = { failure: failure(requestCodes.stageLost, message), target: this.context.target };
+        this.fail(fault);
+        this.options.entry.failed(fault);
+    }
+
+    private goOn(token: number, stopped: boolean): void {
+        if (stopped) {
+            this.finish("stop");
+            return;
+        }
+        if (this.answerTokens >= this.options.message.sampling.maxTokens || this.next >= this.contextTokens()) {
+            this.finish("length");
+            return;
+        }
+        if (!this.options.sink.ready) {
+            this.paused = token;
+            return;
+        }
+        this.draw(token);
+    }
+
+    /** Runs the token at the last position, which draws the next one. */
+    private draw(token: number): void {
+        this.wait.expect(1);
+        this.session?.submit({ position: this.next - 1, count: 1, tokens: [token], prefill: false });
+    }
+
+    private start(): void {
+        if (!this.chart.send("start")) {
+            return;
+        }
+        const { context, options: { message } } = this;
+        const { request, epoch } = message;
+        this.times.start();
+        context.record({ event: "work.accepted", request, epoch, target: context.target });
+        this.span = context.tracer.startSpan("agent.head", {
+            attributes: { "waxwingspar.request": request, "waxwingspar.epoch": epoch },
+        }, contextOf(message.traceparent));
+        this.deadline = context.clock.schedule(() => this.expire(), message.timeLeft);
+        this.prepare().catch((error: unknown) => {
+            this.fail({ failure: failure(requestCodes.engineFailed, String(error)), target: context.target });
+        });
+    }
+
+    private async prepare(): Promise<void> {
+        this.patience = this.context.clock.schedule(() => this.notReady(), 2 * this.context.settings.joinTimeout);
+        const { message, produced } = this.options;
+        const prompt = await this.context.engine.tokenize(message.model, message.prompt);
+        if (this.chart.ended) {
+            return;
+        }
+        if (prompt.isErr) {
+            this.fail({ failure: prompt.error, target: this.context.target });
+            return;
+        }
+        const tokens = [...prompt.value, ...produced];
+        this.promptTokens = prompt.value.length;
+        this.next = tokens.length;
+        this.recordPrompt();
+        if (tokens.length >= this.contextTokens()) {
+            this.refuse({ failure: failure(requestCodes.tooLarge, "the prompt exceeds the model's context") });
+            return;
+        }
+        if (produced.length >= message.sampling.maxTokens) {
+            this.finish("length");
+            return;
+        }
+        await this.gather(tokens);
+    }
+
+    /** Prepares every stage, and starts behind the shortest prefix that all of them hold. */
+    private async gather(tokens: number[]): Promise<void> {
+        const session = this.createSession(tokens);
+        const later = this.createLaterStages(tokens);
+        this.session = session;
+        this.later = later;
+        const [own, others] = await Promise.all([session.prepare(), later.join()]);
+        if (this.chart.ended) {
+            return;
+        }
+        if (own.isErr) {
+            this.fail(own.error);
+            return;
+        }
+        if (others.isErr) {
+            this.fail(others.error);
+            return;
+        }
+        this.chart.send("ready");
+        this.patience?.cancel();
+        // The last position must run in any case, since the next token is drawn from it.
+        const start = Math.min(own.value, others.value, tokens.length - 1);
+        this.cachedTokens = Math.min(start, this.promptTokens);
+        this.prefill(tokens, start);
+    }
+
+    private prefill(tokens: number[], start: number): void {
+        const { prefillChunk } = this.context.settings;
+        this.wait.expect(tokens.length - start);
+        for (let position = start; position < tokens.length; position += prefillChunk) {
+            const chunk = tokens.slice(position, position + prefillChunk);
+            const prefill = position + chunk.length < tokens.length;
+            this.session?.submit({ position, count: chunk.length, tokens: chunk, prefill });
+        }
+    }
+
+    private createSession(tokens: readonly number[]): StageSession {
+        return new StageSession(this.context, headPlan(this.options.message, tokens, this.timeouts), {
+            sampled: token => this.sampled(token),
+            failed: fault => this.fail(fault),
+        });
+    }
+
+    private createLaterStages(tokens: number[]): LaterStages {
+        const { message } = this.options;
+        const timeLeft = message.timeLeft - this.times.elapsed;
+        const traceparent = this.span === undefined ? message.traceparent : traceparentOf(this.span);
+        return new LaterStages({
+            context: this.context,
+            join: joinRequest(message, tokens, timeLeft, traceparent),
+            lost: fault => this.fail(fault),
+        });
+    }
+
+    private recordPrompt(): void {
+        const { request, epoch, stages } = this.options.message;
+        const layers = (stages.at(-1)?.last ?? -1) + 1;
+        this.context.record({ event: "prompt.read", request, epoch, tokens: this.promptTokens, layers });
+    }
+
+    private contextTokens(): number {
+        const spec = this.context.configuration.get("model", this.options.message.model)?.spec;
+        return spec?.contextTokens ?? Number.POSITIVE_INFINITY;
+    }
+
+    private finish(finish: "stop" | "length"): void {
+        this.stops.flush().forEach(token => this.options.sink.token(token));
+        const { promptTokens, cachedTokens, answerTokens } = this;
+        if (this.stop("finish", false)) {
+            this.options.sink.done({ finish, promptTokens, cachedTokens, answerTokens });
+        }
+    }
+
+    private expire(): void {
+        this.fail({ failure: failure(requestCodes.deadlineExceeded, "the deadline passed") });
+    }
+
+    private notReady(): void {
+        const reason = failure(requestCodes.noCapacity, "the engine did not get ready in time");
+        this.refuse({ failure: reason, target: this.context.target });
+    }
+
+    private fail({ failure: reason, target }: ChainFault): void {
+        if (this.chart.state === "waiting" || this.chart.state === "preparing") {
+            this.refuse({ failure: reason, target });
+            return;
+        }
+        if (this.stop("fail", true)) {
+            this.options.sink.failed({ failure: asStarted(reason), target });
+        }
+    }
+
+    /** Ends the attempt before anything ran. */
+    private refuse({ failure: reason, target }: ChainFault): void {
+        const notRun = asNotRun(reason);
+        if (this.stop("refuse", false)) {
+            this.recordRefusal(notRun);
+            this.options.sink.failed({ failure: notRun, target });
+        }
+    }
+
+    private recordRefusal(reason: Failure): void {
+        const { request, epoch } = this.options.message;
+        const { record, target } = this.context;
+        record({ event: "work.refused", request, epoch, target, code: reason.code.number });
+    }
+
+    /** Frees everything held for the attempt. Returns false if it had ended before. */
+    private stop(event: AttemptEvent, retain: boolean): boolean {
+        const waiting = this.chart.state === "waiting";
+        if (!this.chart.send(event)) {
+            return false;
+        }
+        this.wait.stop();
+        this.deadline?.cancel();
+        this.patience?.cancel();
+        this.session?.close(retain);
+        this.later?.close(retain);
+        this.releaseSlot(waiting);
+        this.context.metrics.attemptEnded?.(this.chart.state);
+        this.span?.setAttribute("waxwingspar.state", this.chart.state);
+        this.span?.end();
+        this.options.ended?.(this);
+        return true;
+    }
+
+    private releaseSlot(waiting: boolean): void {
+        const { queue } = this.context;
+        if (waiting) {
+            queue.cancel(this.item);
+            return;
+        }
+        this.times.finish();
+        queue.finish(this.item, this.times.elapsed);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/head/HeadRequests.ts
@@ -0,0 +1,233 @@
+import { type Link, type OpenMessage, type Stage } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
+import { type AgentContext } from "../AgentContext.js";
+import { type AnswerClaims, type AnswerRecord, followWith, RecordSink } from "../claims/AnswerRecord.js";
+import { type ClaimUse } from "../claims/ClaimTable.js";
+import { toWire } from "../faults.js";
+import { EntryStream } from "./EntryStream.js";
+import { FollowAttempt } from "./FollowAttempt.js";
+import { HeadAttempt } from "./HeadAttempt.js";
+
+interface StreamHandlers {
+    /** The link to the entry closed. */
+    readonly lost: () => void;
+    readonly drained: () => void;
+    readonly closed: () => void;
+}
+
+/**
+ * Takes `open` messages: refuses what this agent must not run, and starts or joins the rest.
+ *
+ * @internal
+ */
+export class HeadRequests {
+    constructor(private readonly context: AgentContext, private readonly claims: AnswerClaims) {}
+
+    /** Takes an `open` message. */
+    async open(message: OpenMessage, link: Link): Promise<void> {
+        const { request, epoch, claim } = message;
+        const verdict = this.context.table.judge(request, epoch);
+        if (verdict === "repeat") {
+            this.context.metrics.dropped?.("open");
+            return;
+        }
+        if (verdict === "stale") {
+            this.fail(message, link, failure(requestCodes.staleEpoch, "a newer attempt exists"));
+            return;
+        }
+        const refusal = this.checkLeaving(claim) ?? checkChain(message, this.context.target)
+            ?? await this.checkHeld(message);
+        // The engine may have been asked in between, and a newer attempt or the cancellation have arrived.
+        if (this.context.table.judge(request, epoch) !== "new" || !link.open) {
+            return;
+        }
+        if (refusal !== undefined) {
+            this.refuse(message, link, refusal);
+            return;
+        }
+        if (claim === undefined) {
+            this.run(message, link);
+            return;
+        }
+        this.openClaimed(message, link, claimUse(message, claim));
+    }
+
+    private checkLeaving(claim: string | undefined): Failure | undefined {
+        const continues = claim !== undefined && this.claims.knows(claim);
+        return this.context.load.leaving && !continues
+            ? failure(requestCodes.stopping, "the target is leaving")
+            : undefined;
+    }
+
+    private checkHeld({ model, version, adapter, stages }: OpenMessage): Promise<Failure | undefined> | undefined {
+        const { first = 0, last = 0 } = stages[0] ?? {};
+        const needed = { model, version, adapter, first, last };
+        return this.context.held.holds(needed) ? undefined : this.context.held.check(needed);
+    }
+
+    private openClaimed(message: OpenMessage, link: Link, use: ClaimUse): void {
+        // An older attempt of the same request stops first, so that this one goes on with what it left.
+        this.context.table.supersede(message.request, message.epoch);
+        const admitted = this.claims.admit(use);
+        if (admitted.isErr) {
+            this.refuse(message, link, admitted.error);
+            return;
+        }
+        const { action, record } = admitted.value;
+        if (!startsWith(record.items.map(item => item.id), message.produced)) {
+            this.refuse(message, link, failure(requestCodes.outcomeUnknown, "the answer kept here is another one"));
+            return;
+        }
+        if (action === "follow") {
+            this.follow(message, link, record);
+            return;
+        }
+        this.runClaimed(message, link, record);
+    }
+
+    private run(message: OpenMessage, link: Link): void {
+        const stream = this.createStream(message, link, {
+            lost: () => attempt.cancel(),
+            drained: () => attempt.resume(),
+            closed: () => this.context.table.end(message.request, message.epoch),
+        });
+        const attempt: HeadAttempt = new HeadAttempt(this.context, {
+            message,
+            produced: message.produced,
+            sink: stream,
+            entry: stream,
+            claimed: false,
+        });
+        this.context.table.begin(message.request, attempt);
+        attempt.offer();
+    }
+
+    private runClaimed(message: OpenMessage, link: Link, record: AnswerRecord): void {
+        const following: { stop?: () => void; } = {};
+        let parts = 2;
+        const partEnded = (): void => {
+            parts--;
+            if (parts === 0) {
+                this.context.table.end(message.request, message.epoch);
+            }
+        };
+        const stream = this.createStream(message, link, {
+            lost: () => attempt.cancel(),
+            drained: () => undefined,
+            closed: () => {
+                following.stop?.();
+                partEnded();
+            },
+        });
+        const attempt: HeadAttempt = new HeadAttempt(this.context, {
+            message,
+            produced: record.items.map(item => item.id),
+            sink: new RecordSink(this.claims, record, stream),
+            entry: stream,
+            claimed: true,
+            ended: ended => {
+                this.noteCancelled(ended, record);
+                partEnded();
+            },
+        });
+        this.context.table.begin(message.request, attempt);
+        following.stop = record.follow(followWith(stream), message.produced.length);
+        attempt.offer();
+    }
+
+    /** A cancelled run tells its sink nothing, but its claim must not look as if it still ran. */
+    private noteCancelled(attempt: HeadAttempt, record: AnswerRecord): void {
+        if (attempt.state === "cancelled") {
+            this.claims.interrupted(record, failure(requestCodes.inProgress, "the request was cancelled"));
+        }
+    }
+
+    private follow(message: OpenMessage, link: Link, record: AnswerRecord): void {
+        const following: { stop?: () => void; } = {};
+        const stream: EntryStream = this.createStream(message, link, {
+            lost: () => stream.drop(),
+            drained: () => undefined,
+            closed: () => {
+                following.stop?.();
+                this.context.table.end(message.request, message.epoch);
+            },
+        });
+        this.context.table.begin(message.request, new FollowAttempt(message.epoch, stream));
+        following.stop = record.follow(followWith(stream), message.produced.length);
+    }
+
+    private createStream(
+        message: OpenMessage,
+        link: Link,
+        handlers: StreamHandlers,
+    ): EntryStream {
+        const { request, epoch, produced, credit } = message;
+        const position = produced.length;
+        this.context.load.begin(link);
+        const unwatch = this.context.links.watch(link, handlers.lost);
+        return new EntryStream({
+            link,
+            request,
+            epoch,
+            position,
+            upTo: position + credit,
+            load: () => this.context.load.report(),
+            drained: handlers.drained,
+            closed: () => {
+                unwatch();
+                this.context.load.end(link);
+                handlers.closed();
+            },
+        });
+    }
+
+    /** Refuses an attempt as this agent's decision. A late copy of it will not run either. */
+    private refuse(message: OpenMessage, link: Link, reason: Failure): void {
+        const { request, epoch, claim } = message;
+        this.context.table.end(request, epoch);
+        if (claim !== undefined && reason.code.execution === "not run") {
+            this.claims.refuse(claimUse(message, claim), reason);
+        }
+        if (reason.code.execution === "not run") {
+            const { record, target } = this.context;
+            record({ event: "work.refused", request, epoch, target, code: reason.code.number });
+        }
+        this.fail(message, link, reason);
+    }
+
+    private fail(message: OpenMessage, link: Link, reason: Failure): void {
+        const { request, epoch } = message;
+        const { target, load } = this.context;
+        link.send({ type: "failed", request, epoch, failure: toWire(reason), target, load: load.report() });
+    }
+}
+
+function claimUse({ request, model, organisation }: OpenMessage, claim: string): ClaimUse {
+    return { claim, request, route: model, organisation };
+}
+
+function startsWith(list: readonly number[], beginning: readonly number[]): boolean {
+    return beginning.length <= list.length && beginning.every((value, index) => value === list[index]);
+}
+
+/** Checks that the chain covers every layer once, in order, from this target on, with no target twice. */
+function checkChain({ stages }: OpenMessage, target: string): Failure | undefined {
+    if (stages[0]?.target !== target) {
+        return failure(requestCodes.wrongTarget, `the head is ${stages[0]?.target ?? "missing"}, not ${target}`);
+    }
+    if (new Set(stages.map(stage => stage.target)).size !== stages.length) {
+        return failure(requestCodes.malformed, "a target stands twice in the chain");
+    }
+    return followsOn(stages) ? undefined : failure(requestCodes.malformed, "the chain leaves out or repeats a layer");
+}
+
+function followsOn(stages: readonly Stage[]): boolean {
+    let next = 0;
+    for (const { first, last } of stages) {
+        if (first !== next || last < first) {
+            return false;
+        }
+        next = last + 1;
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/agent/src/lib/kv/SessionTable.ts
@@ -0,0 +1,130 @@
+import { type Engine } from "@waxwingspar/engine";
+import { type Clock, failure, type Outcome, requestCodes, type Timer } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+
+/**
+ * A session of the engine, as the agent knows it.
+ *
+ * @internal
+ */
+export interface SessionRecord {
+    readonly request: string;
+    readonly epoch: number;
+    /** The engine's name of the session. */
+    readonly session: string;
+    readonly model: string;
+    readonly version: string;
+    readonly adapter?: string;
+    readonly first: number;
+    readonly last: number;
+    /**
+     * Leading positions whose tokens every later attempt shares: the prompt and what had been delivered when this
+     * attempt began. Tokens behind them may have been drawn and never delivered.
+     */
+    readonly known: number;
+}
+
+/** The KV cache of a session, as it travels. @internal */
+export interface CacheExport {
+    readonly positions: number;
+    readonly known: number;
+    readonly data: Uint8Array;
+}
+
+interface Entry {
+    readonly record: SessionRecord;
+    retired: Timer | undefined;
+    exported: Promise<Outcome<CacheExport>> | undefined;
+}
+
+/**
+ * The engine sessions of this agent: those in use, and those of failed attempts whose KV cache stays for export a short
+ * time.
+ *
+ * @internal
+ */
+export class SessionTable {
+    private readonly entries = new Map<string, Entry>();
+
+    /** @param retention - Milliseconds for which a retired session stays. */
+    constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly retention: number) {}
+
+    /** Sessions that the engine holds for this agent. */
+    get size(): number {
+        return this.entries.size;
+    }
+
+    /** Enters a session that the engine has opened. */
+    add(record: SessionRecord): void {
+        this.entries.set(record.session, { record, retired: undefined, exported: undefined });
+    }
+
+    /** Ends the use of a session: it is closed at once, or stays for export when `retain` is set. */
+    release(session: string, retain: boolean): void {
+        const entry = this.entries.get(session);
+        if (entry === undefined || !retain) {
+            this.drop(session);
+            return;
+        }
+        entry.retired ??= this.clock.schedule(() => this.drop(session), this.retention);
+    }
+
+    /** The newest session of an earlier attempt here that holds the same layers of the same version. */
+    findEarlier(wanted: SessionRecord): SessionRecord | undefined {
+        let best: SessionRecord | undefined;
+        for (const { record } of this.entries.values()) {
+            const fits = sameLayers(record, wanted) && record.epoch < wanted.epoch;
+            if (fits && (best === undefined || record.epoch > best.epoch)) {
+                best = record;
+            }
+        }
+        return best;
+    }
+
+    /** Exports the KV cache of an attempt's session. Calls for the same one share one export. */
+    async export(request: string, epoch: number): Promise<Outcome<CacheExport>> {
+        const entry = this.find(request, epoch);
+        if (entry === undefined) {
+            return Result.err(failure(requestCodes.wrongTarget, "no KV cache of this attempt is held here"));
+        }
+        entry.exported ??= this.exportEntry(entry);
+        return entry.exported;
+    }
+
+    /** Closes every session that is retired. */
+    dropRetired(): void {
+        [...this.entries.values()].filter(entry => entry.retired !== undefined).forEach(entry =>
+            this.drop(entry.record.session)
+        );
+    }
+
+    private find(request: string, epoch: number): Entry | undefined {
+        for (const entry of this.entries.values()) {
+            if (entry.record.request === request && entry.record.epoch === epoch) {
+                return entry;
+            }
+        }
+        return undefined;
+    }
+
+    private async exportEntry(entry: Entry): Promise<Outcome<CacheExport>> {
+        const { session, known } = entry.record;
+        const outcome = await this.engine.exportCache(session);
+        return outcome.map(({ positions, data }) => ({ positions, data, known }));
+    }
+
+    private drop(session: string): void {
+        this.entries.get(session)?.retired?.cancel();
+        this.entries.delete(session);
+        void this.engine.close(session);
+    }
+}
+
+function sameLayers(a: SessionRecord, b: SessionRecord): boolean {
+    return a.request === b.request
+        && a.model === b.model
+        && a.version === b.version
+        && a.adapter === b.adapter
+        && a.first === b.first
+        && a.last === b.last;
+}
--- /dev/null
+++ b/packages/agent/src/lib/load/LoadMeter.ts
@@ -0,0 +1,98 @@
+import { type WorkQueue } from "@waxwingspar/policy";
+import { type Link, type LoadReport } from "@waxwingspar/transport";
+import { type Clock, type Timer } from "@waxwingspar/utils";
+import { type LinkWatch } from "../LinkWatch.js";
+
+/** The weight of one interval in the moving average. */
+const weight = 1 / 32;
+
+/** @internal */
+export interface LoadMeterOptions {
+    readonly target: string;
+    readonly clock: Clock;
+    readonly queue: WorkQueue;
+    readonly links: LinkWatch;
+    /** Requests that may run at once. */
+    readonly slots: () => number;
+    /** Milliseconds between two reports on a link that carries traffic. */
+    readonly interval: number;
+}
+
+/**
+ * What the agent tells entries about its load: on each answer, and from time to time on links that carry requests.
+ *
+ * @internal
+ */
+export class LoadMeter {
+    private interval = 0;
+    private isLeaving = false;
+    private readonly openRequests = new Map<Link, number>();
+    private timer: Timer | undefined;
+
+    constructor(private readonly options: LoadMeterOptions) {}
+
+    get leaving(): boolean {
+        return this.isLeaving;
+    }
+
+    /** Takes the time between two tokens of one stream, in milliseconds. */
+    observeInterval(duration: number): void {
+        this.interval = this.interval === 0 ? duration : this.interval + (duration - this.interval) * weight;
+    }
+
+    report(): LoadReport {
+        const { target, queue, slots } = this.options;
+        return {
+            target,
+            running: queue.running,
+            queued: queue.queued,
+            slots: slots(),
+            tokenInterval: this.interval,
+            firstTokenEstimate: queue.estimate(),
+            leaving: this.isLeaving,
+        };
+    }
+
+    /** Notes that a request of this link is open here. Until it ends, the link gets reports. */
+    begin(link: Link): void {
+        this.openRequests.set(link, (this.openRequests.get(link) ?? 0) + 1);
+        this.timer ??= this.options.clock.schedule(() => this.sendReports(), this.options.interval);
+    }
+
+    /** Notes that a request of this link has ended. */
+    end(link: Link): void {
+        const left = (this.openRequests.get(link) ?? 0) - 1;
+        if (left > 0) {
+            this.openRequests.set(link, left);
+            return;
+        }
+        this.openRequests.delete(link);
+    }
+
+    /** Announces on every link that the target takes no new work. */
+    leave(): void {
+        this.isLeaving = true;
+        const load = this.report();
+        for (const link of this.options.links.links) {
+            link.send({ type: "load", load });
+        }
+    }
+
+    stop(): void {
+        this.timer?.cancel();
+        this.timer = undefined;
+        this.openRequests.clear();
+    }
+
+    private sendReports(): void {
+        this.timer = undefined;
+        if (this.openRequests.size === 0) {
+            return;
+        }
+        const load = this.report();
+        for (const link of this.openRequests.keys()) {
+            link.send({ type: "load", load });
+        }
+        this.timer = this.options.clock.schedule(() => this.sendReports(), this.options.interval);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -0,0 +1,234 @@
+import { SpanKind } from "@opentelemetry/api";
+import { type CallMessage, type Link } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
+import { type Dispatcher, Pool } from "undici";
+import { type AgentContext } from "../AgentContext.js";
+import { type ClaimUse } from "../claims/ClaimTable.js";
+import { contextOf, traceparentOf } from "../tracing.js";
+import { type CallClaims, type CallRecord, CallRecordSink, type CallSink, CallStream } from "./CallSink.js";
+import { ServiceCall } from "./ServiceCall.js";
+
+const defaultTimeout = 10_000;
+const defaultMaxBody = 1_048_576;
+const connectTimeout = 1000;
+const methodPattern = /^[A-Z]+$/;
+
+/**
+ * The plain service beside an agent.
+ *
+ * @public
+ */
+export interface ServiceAddress {
+    /** The name of the service's resource. */
+    readonly name: string;
+    /** Where it answers, such as `http://127.0.0.1:9000`. */
+    readonly baseUrl: string;
+    /** Sends the calls; by default a pool of connections to `baseUrl`. */
+    readonly dispatcher?: Dispatcher;
+}
+
+/** A call that waits or runs. */
+interface OpenCall {
+    readonly stream: CallStream;
+    readonly claimed: boolean;
+    call: ServiceCall | undefined;
+}
+
+/**
+ * Passes calls to the plain service beside the agent, a claimed one at most once.
+ *
+ * @internal
+ */
+export class ServiceProxy {
+    private readonly dispatcher: Dispatcher;
+    private readonly root: string;
+    private readonly calls = new Map<string, OpenCall>();
+    /** Calls that wait for the service's answer, also those that nobody listens to any more. */
+    private runningCalls = 0;
+
+    constructor(
+        private readonly context: AgentContext,
+        private readonly claims: CallClaims,
+        private readonly service: ServiceAddress,
+    ) {
+        const url = new URL(service.baseUrl);
+        this.root = url.pathname.replace(/\/$/, "");
+        this.dispatcher = service.dispatcher ?? new Pool(url.origin, {
+            pipelining: 1,
+            connect: { timeout: connectTimeout },
+        });
+    }
+
+    /** Calls that would be cut off if the agent closed now. */
+    get active(): number {
+        return Math.max(this.calls.size, this.runningCalls);
+    }
+
+    /** Takes a `call` message. */
+    call(message: CallMessage, link: Link): void {
+        if (this.calls.has(message.request)) {
+            this.context.metrics.dropped?.("call");
+            return;
+        }
+        const stream = this.createStream(message, link);
+        const refusal = this.check(message);
+        if (refusal !== undefined) {
+            this.refuse(message, stream, refusal);
+            return;
+        }
+        if (message.claim === undefined) {
+            this.offer(message, stream);
+            return;
+        }
+        this.callClaimed(message, claimUse(message, message.claim), stream);
+    }
+
+    /** Takes a `callCancel` message. A claimed call runs to its end, and its answer is kept for duplicates. */
+    cancel(request: string): void {
+        const open = this.calls.get(request);
+        if (open === undefined) {
+            return;
+        }
+        open.stream.drop();
+        if (open.claimed) {
+            return;
+        }
+        open.call?.abort();
+        this.context.queue.cancel(itemId(request));
+    }
+
+    /** Breaks off every call and closes the connections. */
+    async close(): Promise<void> {
+        for (const open of [...this.calls.values()]) {
+            open.stream.failed(failure(requestCodes.outcomeUnknown, "the agent stopped"));
+        }
+        await this.dispatcher.destroy();
+    }
+
+    private createStream(message: CallMessage, link: Link): CallStream {
+        const { load, links } = this.context;
+        const { request } = message;
+        const stopWatch = links.watch(link, () => this.cancel(request));
+        const stream = new CallStream(link, request, () => load.report(), () => {
+            stopWatch();
+            load.end(link);
+            this.calls.delete(request);
+        });
+        load.begin(link);
+        this.calls.set(request, { stream, claimed: message.claim !== undefined, call: undefined });
+        return stream;
+    }
+
+    private check({ service, path, method, body, claim }: CallMessage): Failure | undefined {
+        const continues = claim !== undefined && this.claims.knows(claim);
+        if (this.context.load.leaving && !continues) {
+            return failure(requestCodes.stopping, "the target is leaving");
+        }
+        if (service !== this.service.name) {
+            return failure(requestCodes.wrongTarget, `${service} does not run here`);
+        }
+        if (!path.startsWith("/") || !methodPattern.test(method)) {
+            return failure(requestCodes.malformed, "the call has no valid method and path");
+        }
+        const limit = this.context.configuration.get("service", service)?.spec.maxBody ?? defaultMaxBody;
+        return body.length > limit ? failure(requestCodes.tooLarge, `the body exceeds ${limit} bytes`) : undefined;
+    }
+
+    private callClaimed(message: CallMessage, use: ClaimUse, stream: CallStream): void {
+        const admitted = this.claims.admit(use);
+        if (admitted.isErr) {
+            this.refuse(message, stream, admitted.error);
+            return;
+        }
+        const { action, record } = admitted.value;
+        if (action === "run" && record.items.length > 0) {
+            const reason = failure(requestCodes.outcomeUnknown, "it ran and was broken off");
+            this.claims.interrupted(record, reason);
+            stream.failed(reason);
+            return;
+        }
+        record.follow(stream);
+        if (action === "run") {
+            this.offer(message, this.createRecordSink(record, stream));
+        }
+    }
+
+    private createRecordSink(record: CallRecord, stream: CallStream): CallRecordSink {
+        return new CallRecordSink(this.claims, record, stream, this.context.settings.replyMemory);
+    }
+
+    private offer(message: CallMessage, sink: CallSink): void {
+        const { request, organisation, priority, timeLeft } = message;
+        const timeout = Math.min(timeLeft, this.serviceTimeout());
+        const offered = this.context.queue.offer({
+            id: itemId(request),
+            organisation,
+            priority,
+            timeLeft,
+            startBound: timeout,
+            cost: 1,
+            start: () => void this.run(message, sink, timeout),
+            refuse: reason => this.refuse(message, sink, reason),
+        });
+        if (offered.isErr) {
+            this.refuse(message, sink, offered.error);
+        }
+    }
+
+    private async run(message: CallMessage, sink: CallSink, timeout: number): Promise<void> {
+        const { context, dispatcher, root } = this;
+        const { clock, record, target, settings, queue } = context;
+        const { request, service } = message;
+        const startedAt = clock.now();
+        const span = context.tracer.startSpan("agent.call", {
+            kind: SpanKind.CLIENT,
+            attributes: { "waxwingspar.request": request, "waxwingspar.service": service },
+        }, contextOf(message.traceparent));
+        const traceparent = traceparentOf(span);
+        const headers = traceparent === undefined ? message.headers : { ...message.headers, traceparent };
+        const call = new ServiceCall({
+            message: { ...message, headers },
+            dispatcher,
+            root,
+            clock,
+            timeout,
+            sink,
+            piece: settings.replyPiece,
+            highWater: settings.linkHighWater,
+        });
+        const open = this.calls.get(request);
+        if (open !== undefined) {
+            open.call = call;
+        }
+        record({ event: "work.accepted", request, epoch: 0, target });
+        record({ event: "service.run", request, service, target, key: message.headers["idempotency-key"] });
+        this.runningCalls++;
+        await call.run();
+        this.runningCalls--;
+        queue.finish(itemId(request), clock.now() - startedAt);
+        span.end();
+    }
+
+    private refuse({ request, claim, ...message }: CallMessage, sink: CallSink, reason: Failure): void {
+        if (reason.code.execution === "not run") {
+            const { record, target } = this.context;
+            record({ event: "work.refused", request, epoch: 0, target, code: reason.code.number });
+            if (claim !== undefined) {
+                this.claims.refuse(claimUse({ request, ...message }, claim), reason);
+            }
+        }
+        sink.failed(reason);
+    }
+
+    private serviceTimeout(): number {
+        return this.context.configuration.get("service", this.service.name)?.spec.timeout ?? defaultTimeout;
+    }
+}
+
+function itemId(request: string): string {
+    return `call/${request}`;
+}
+
+function claimUse({ request, service, organisation }: Omit<CallMessage, "claim">, claim: string): ClaimUse {
+    return { claim, request, route: service, organisation };
+}
--- /dev/null
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -0,0 +1,236 @@
+import { type Span } from "@opentelemetry/api";
+import { type FrameMessage, type JoinMessage, type Link } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes, type Timer, transportCodes } from "@waxwingspar/utils";
+import { type AgentContext, type Attempt } from "../AgentContext.js";
+import { type AttemptEvent, createAttemptChart } from "../charts/attemptChart.js";
+import { asNotRun, asStarted, type ChainFault, toWire } from "../faults.js";
+import { timeoutsOf } from "../timeouts.js";
+import { contextOf } from "../tracing.js";
+import { FrameOrder } from "./FrameOrder.js";
+import { type SampledToken } from "./StageRunner.js";
+import { StageSession } from "./StageSession.js";
+
+/**
+ * A stage of a chain behind its head: takes frames, runs its layers, and passes the result on.
+ *
+ * @internal
+ */
+export class StageAttempt implements Attempt {
+    readonly epoch: number;
+    private readonly chart = createAttemptChart();
+    private readonly session: StageSession;
+    private readonly span: Span;
+    private readonly unwatch: (() => void)[] = [];
+    private readonly deadline: Timer;
+    private order: FrameOrder<FrameMessage> | undefined;
+    private gapTimer: Timer | undefined;
+    /** Runs out when the engine does not get ready in time. */
+    private patience: Timer | undefined;
+    private previous: Link | undefined;
+
+    /**
+     * @param message - What the head asked for.
+     * @param head - The link to the head.
+     */
+    constructor(
+        private readonly context: AgentContext,
+        private readonly message: JoinMessage,
+        private readonly head: Link,
+    ) {
+        const { request, epoch, model, version, adapter, priority, sampling, stages, index, tokens } = message;
+        this.epoch = epoch;
+        const timeouts = timeoutsOf(context.configuration, model, context.settings);
+        this.session = new StageSession(context, {
+            request,
+            epoch,
+            model,
+            version,
+            adapter,
+            priority,
+            sampling,
+            stages,
+            index,
+            tokens,
+            exporters: message.exporters,
+            timeouts,
+        }, { sampled: token => this.sendSampled(token), failed: fault => this.fail(fault) });
+        this.span = context.tracer.startSpan("agent.stage", {
+            attributes: { "waxwingspar.request": request, "waxwingspar.epoch": epoch, "waxwingspar.stage": index },
+        }, contextOf(message.traceparent));
+        this.deadline = context.clock.schedule(() => this.expire(), message.timeLeft);
+    }
+
+    get active(): boolean {
+        return !this.chart.ended;
+    }
+
+    /** Opens the session and answers the head. */
+    async prepare(): Promise<void> {
+        this.chart.send("start");
+        this.unwatch.push(this.context.links.watch(this.head, () => this.headLost()));
+        const { clock, settings: { joinTimeout } } = this.context;
+        this.patience = clock.schedule(() => this.notReady(), joinTimeout);
+        const prepared = await this.session.prepare();
+        if (this.chart.ended) {
+            return;
+        }
+        if (prepared.isErr) {
+            this.fail(prepared.error);
+            return;
+        }
+        this.chart.send("ready");
+        this.patience.cancel();
+        const { request, epoch } = this.message;
+        const { record, target, settings } = this.context;
+        record({ event: "work.accepted", request, epoch, target });
+        this.order = new FrameOrder(settings.heldFrames, prepared.value);
+        this.head.send({ type: "joined", request, epoch, target, cached: prepared.value });
+    }
+
+    /** Takes a frame of this attempt. */
+    frame(frame: FrameMessage, link: Link): void {
+        if (this.chart.state !== "running" || this.order === undefined) {
+            this.context.metrics.dropped?.("frame");
+            return;
+        }
+        if (frame.layer !== this.message.stages[this.message.index]?.first) {
+            this.context.metrics.dropped?.("frame");
+            this.context.log.warn({ request: frame.request, layer: frame.layer }, "frame for other layers dropped");
+            return;
+        }
+        this.watchPrevious(link);
+        const verdict = this.order.accept(frame);
+        switch (verdict) {
+            case "deliver":
+                this.deliver(frame);
+                return;
+            case "held":
+                this.gapTimer ??= this.context.clock.schedule(() => this.gap(), this.context.settings.gapTimeout);
+                return;
+            case "repeat":
+                this.context.metrics.dropped?.("frame");
+                return;
+            case "broken":
+                this.gap();
+        }
+    }
+
+    /** The head no longer wants this attempt. */
+    cancel(retain: boolean): void {
+        this.end("cancel", retain);
+    }
+
+    supersede(): void {
+        this.end("cancel", true);
+    }
+
+    abandon(): void {
+        this.end("cancel", false);
+    }
+
+    handOver(): void {
+        this.fail({
+            failure: failure(requestCodes.stageLost, "the target is leaving; go on elsewhere"),
+            target: this.context.target,
+        });
+    }
+
+    private deliver(frame: FrameMessage): void {
+        this.run(frame);
+        let next = this.order?.takeHeld();
+        while (next !== undefined) {
+            this.run(next);
+            next = this.order?.takeHeld();
+        }
+        if (this.gapTimer !== undefined) {
+            this.gapTimer.cancel();
+            this.gapTimer = undefined;
+            if (this.order?.waiting === true) {
+                this.gapTimer = this.context.clock.schedule(() => this.gap(), this.context.settings.gapTimeout);
+            }
+        }
+    }
+
+    private run(frame: FrameMessage): void {
+        const { position, count, prefill, data } = frame;
+        this.session.submit({ position, count, prefill, activations: data });
+    }
+
+    /** Follows the link on which frames come, so that the loss of the previous stage is seen at once. */
+    private watchPrevious(link: Link): void {
+        if (this.previous === link) {
+            return;
+        }
+        this.previous = link;
+        if (link !== this.head) {
+            this.unwatch.push(this.context.links.watch(link, () => this.previousLost(link)));
+        }
+    }
+
+    private previousLost(link: Link): void {
+        if (this.previous !== link) {
+            return;
+        }
+        const target = this.message.stages[this.message.index - 1]?.target;
+        this.fail({ failure: failure(transportCodes.connectionLost, "the link to the previous stage closed"), target });
+    }
+
+    private headLost(): void {
+        this.end("cancel", true);
+    }
+
+    private notReady(): void {
+        this.fail({ failure: failure(requestCodes.noCapacity, "the engine did not get ready in time") });
+    }
+
+    private expire(): void {
+        this.fail({ failure: failure(requestCodes.deadlineExceeded, "the deadline passed") });
+    }
+
+    private gap(): void {
+        const target = this.message.stages[this.message.index - 1]?.target;
+        const reason = `no frame for position ${this.order?.expected ?? "the start"}`;
+        this.fail({ failure: failure(requestCodes.stageLost, reason), target });
+    }
+
+    private sendSampled({ position, token, text, end }: SampledToken): void {
+        const { request, epoch } = this.message;
+        this.head.send({ type: "sampled", request, epoch, position, token, text, end });
+    }
+
+    private fail(fault: ChainFault): void {
+        if (this.chart.ended) {
+            return;
+        }
+        const reason = this.session.started ? asStarted(fault.failure) : asNotRun(fault.failure);
+        const preparing = this.chart.state === "preparing";
+        this.end(preparing ? "refuse" : "fail", true);
+        if (preparing) {
+            this.recordRefusal(reason);
+        }
+        const { request, epoch } = this.message;
+        const target = fault.target ?? this.context.target;
+        this.head.send({ type: "stageFailed", request, epoch, target, failure: toWire(reason) });
+    }
+
+    private recordRefusal(reason: Failure): void {
+        const { request, epoch } = this.message;
+        const { record, target } = this.context;
+        record({ event: "work.refused", request, epoch, target, code: reason.code.number });
+    }
+
+    private end(event: AttemptEvent, retain: boolean): void {
+        if (!this.chart.send(event)) {
+            return;
+        }
+        this.session.close(retain);
+        this.deadline.cancel();
+        this.gapTimer?.cancel();
+        this.patience?.cancel();
+        this.unwatch.forEach(stop => stop());
+        this.context.table.end(this.message.request, this.epoch);
+        this.context.metrics.attemptEnded?.(this.chart.state);
+        this.span.setAttribute("waxwingspar.state", this.chart.state);
+        this.span.end();
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/stage/StageRequests.ts
@@ -0,0 +1,75 @@
+import { type JoinMessage, type Link } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
+import { type AgentContext } from "../AgentContext.js";
+import { toWire } from "../faults.js";
+import { StageAttempt } from "./StageAttempt.js";
+
+/**
+ * Takes `join` messages: refuses what this agent must not run, and starts the rest.
+ *
+ * @internal
+ */
+export class StageRequests {
+    constructor(private readonly context: AgentContext) {}
+
+    /** Takes a `join` message. */
+    async join(message: JoinMessage, link: Link): Promise<void> {
+        const { request, epoch } = message;
+        const { table, metrics } = this.context;
+        const verdict = table.judge(request, epoch);
+        if (verdict === "repeat") {
+            metrics.dropped?.("join");
+            return;
+        }
+        if (verdict === "stale") {
+            this.fail(message, link, failure(requestCodes.staleEpoch, "a newer attempt exists"));
+            return;
+        }
+        const refusal = this.checkState(message) ?? await this.checkHeld(message);
+        // The engine may have been asked in between, and a newer attempt or the cancellation have arrived.
+        if (table.judge(request, epoch) !== "new" || !link.open) {
+            return;
+        }
+        if (refusal !== undefined) {
+            this.refuse(message, link, refusal);
+            return;
+        }
+        const attempt = new StageAttempt(this.context, message, link);
+        table.begin(request, attempt);
+        await attempt.prepare();
+    }
+
+    private checkState({ stages, index }: JoinMessage): Failure | undefined {
+        const { target, load, table, held, settings } = this.context;
+        if (load.leaving) {
+            return failure(requestCodes.stopping, "the target is leaving");
+        }
+        if (stages[index]?.target !== target) {
+            return failure(requestCodes.wrongTarget, `stage ${index} is ${stages[index]?.target ?? "missing"}`);
+        }
+        if (table.openCount >= held.slots * settings.attemptsPerSlot) {
+            return failure(requestCodes.overloaded, "too many attempts are open here");
+        }
+        return undefined;
+    }
+
+    private checkHeld(
+        { model, version, adapter, stages, index }: JoinMessage,
+    ): Promise<Failure | undefined> | undefined {
+        const { first = 0, last = 0 } = stages[index] ?? {};
+        const needed = { model, version, adapter, first, last };
+        return this.context.held.holds(needed) ? undefined : this.context.held.check(needed);
+    }
+
+    private refuse(message: JoinMessage, link: Link, reason: Failure): void {
+        const { request, epoch } = message;
+        const { table, record, target } = this.context;
+        table.end(request, epoch);
+        record({ event: "work.refused", request, epoch, target, code: reason.code.number });
+        this.fail(message, link, reason);
+    }
+
+    private fail({ request, epoch }: JoinMessage, link: Link, reason: Failure): void {
+        link.send({ type: "stageFailed", request, epoch, target: this.context.target, failure: toWire(reason) });
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/stage/StageRunner.ts
@@ -0,0 +1,188 @@
+import { type Engine, type StepResult } from "@waxwingspar/engine";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type Clock, type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { type Timeouts } from "../timeouts.js";
+import { type EngineActivity } from "./EngineActivity.js";
+import { Watchdog } from "./Watchdog.js";
+
+/**
+ * Consecutive positions that one stage is to run: tokens at the first stage, activations at the others.
+ *
+ * @internal
+ */
+export interface StageWork {
+    readonly position: number;
+    readonly count: number;
+    readonly tokens?: number[];
+    readonly activations?: Uint8Array<ArrayBuffer>;
+    /** True while no token is wanted. */
+    readonly prefill: boolean;
+}
+
+/** @internal */
+export interface SampledToken {
+    /** The position in the sequence that the token takes. */
+    readonly position: number;
+    readonly token: number;
+    readonly text: string;
+    readonly end: boolean;
+}
+
+/** @internal */
+export interface StageRunnerOptions {
+    readonly engine: Engine;
+    readonly clock: Clock;
+    readonly record: HistoryRecorder;
+    readonly target: string;
+    readonly request: string;
+    readonly epoch: number;
+    /** The engine's name of the session. */
+    readonly session: string;
+    readonly version: string;
+    readonly first: number;
+    readonly last: number;
+    /** True when this stage holds the model's last layer and draws the tokens. */
+    readonly draws: boolean;
+    readonly activity: EngineActivity;
+    readonly timeouts: Timeouts;
+    /** Passes activations to the next stage. */
+    readonly forward: (work: StageWork, activations: Uint8Array<ArrayBuffer>) => void;
+    readonly sampled: (token: SampledToken) => void;
+    /** Runs once, when the engine failed or hung. */
+    readonly failed: (failure: Failure) => void;
+    /** When it returns true, no further prompt chunk is run for now; {@link StageRunner.resume} goes on. */
+    readonly congested?: () => boolean;
+}
+
+/**
+ * Runs the layers of one stage for one attempt: one step at a time, in the order of positions, each under a timeout.
+ *
+ * @internal
+ */
+export class StageRunner {
+    private readonly waiting: StageWork[] = [];
+    private current: StageWork | undefined;
+    private stopped = false;
+    private readonly watchdog: Watchdog;
+    private done = 0;
+    private startedAt = 0;
+
+    constructor(private readonly options: StageRunnerOptions) {
+        this.watchdog = new Watchdog(options.clock, () => this.hung());
+    }
+
+    /** True while a step runs or waits. */
+    get busy(): boolean {
+        return this.current !== undefined || this.waiting.length > 0;
+    }
+
+    /** True once a step has been given to the engine. */
+    get started(): boolean {
+        return this.done > 0 || this.current !== undefined;
+    }
+
+    submit(work: StageWork): void {
+        if (this.stopped) {
+            return;
+        }
+        this.waiting.push(work);
+        this.resume();
+    }
+
+    /** Starts the next step, if none runs and the next stage keeps up. */
+    resume(): void {
+        if (this.stopped || this.current !== undefined) {
+            return;
+        }
+        const work = this.waiting[0];
+        if (work === undefined || (work.prefill && this.options.congested?.() === true)) {
+            return;
+        }
+        this.waiting.shift();
+        this.run(work);
+    }
+
+    /** Drops what waits and ignores the result of the running step. The owner closes the engine's session. */
+    stop(): void {
+        this.stopped = true;
+        this.waiting.length = 0;
+        this.watchdog.stop();
+    }
+
+    private run(work: StageWork): void {
+        const { engine, session, draws, timeouts, clock } = this.options;
+        this.current = work;
+        this.startedAt = clock.now();
+        this.watchdog.expect(timeouts.step(work.count));
+        const { position, count, tokens, activations } = work;
+        engine.step({ session, position, count, tokens, activations, sample: draws && !work.prefill }).then(
+            outcome => this.finished(work, outcome),
+            (error: unknown) => this.fail(failure(requestCodes.engineFailed, `engine call failed: ${String(error)}`)),
+        );
+    }
+
+    private finished(work: StageWork, outcome: Outcome<StepResult>): void {
+        if (outcome.isOk) {
+            this.recordRun(work);
+        }
+        if (this.stopped) {
+            return;
+        }
+        this.current = undefined;
+        this.watchdog.clear();
+        this.options.activity.stepFinished();
+        if (outcome.isErr) {
+            this.fail(outcome.error);
+            return;
+        }
+        this.done++;
+        this.deliver(work, outcome.value);
+        this.resume();
+    }
+
+    private deliver(work: StageWork, result: StepResult): void {
+        if (!this.options.draws) {
+            if (result.activations === undefined) {
+                this.fail(failure(requestCodes.engineFailed, "the engine gave no activations"));
+                return;
+            }
+            this.options.forward(work, result.activations);
+            return;
+        }
+        if (work.prefill) {
+            return;
+        }
+        if (result.token === undefined) {
+            this.fail(failure(requestCodes.engineFailed, "the engine drew no token"));
+            return;
+        }
+        const { token, text = "", end = false } = result;
+        this.options.sampled({ position: work.position + work.count, token, text, end });
+    }
+
+    private recordRun(work: StageWork): void {
+        const { record, request, epoch, target, version, first, last } = this.options;
+        const { position, count } = work;
+        record({ event: "layers.run", request, epoch, target, version, first, last, position, count });
+    }
+
+    /** The step has taken too long. While steps of other sessions finish, the engine is only busy, up to a limit. */
+    private hung(): void {
+        const { timeouts, activity, clock } = this.options;
+        const count = this.current?.count ?? 1;
+        const timeout = timeouts.step(count);
+        if (activity.idle < timeout && clock.now() - this.startedAt < timeouts.hard(count)) {
+            this.watchdog.expect(timeout - activity.idle);
+            return;
+        }
+        this.fail(failure(requestCodes.engineFailed, "the engine did not finish a step in time"));
+    }
+
+    private fail(reason: Failure): void {
+        if (this.stopped) {
+            return;
+        }
+        this.stop();
+        this.options.failed(reason);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/stage/StageSession.ts
@@ -0,0 +1,269 @@
+import { type Exporter, type Link, type Sampling, type Stage } from "@waxwingspar/transport";
+import { type Failure, failure, requestCodes, transportCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type AgentContext } from "../AgentContext.js";
+import { type ChainFault } from "../faults.js";
+import { importCache } from "../kv/importCache.js";
+import { type SessionRecord } from "../kv/SessionTable.js";
+import { type Timeouts } from "../timeouts.js";
+import { type SampledToken, StageRunner, type StageWork } from "./StageRunner.js";
+
+/** Milliseconds after which a congested link is looked at again. */
+const congestionPoll = 5;
+
+/**
+ * What a stage must know of its attempt.
+ *
+ * @internal
+ */
+export interface StagePlan {
+    readonly request: string;
+    readonly epoch: number;
+    readonly model: string;
+    readonly version: string;
+    readonly adapter?: string;
+    readonly priority: number;
+    readonly sampling: Sampling;
+    readonly stages: readonly Stage[];
+    /** The index of this stage. */
+    readonly index: number;
+    /** The tokens of the prompt and of earlier attempts' answer, when known. */
+    readonly tokens?: readonly number[];
+    readonly exporters: readonly Exporter[];
+    readonly timeouts: Timeouts;
+}
+
+/** @internal */
+export interface StageEvents {
+    /** The last stage has drawn a token. */
+    readonly sampled: (token: SampledToken) => void;
+    /** Runs once, when this stage cannot go on. */
+    readonly failed: (fault: ChainFault) => void;
+}
+
+/**
+ * One stage of an attempt at the engine: its session, the order of its steps, and the link to the next stage. The head
+ * and later stages both have one.
+ *
+ * @internal
+ */
+export class StageSession {
+    private readonly session: string;
+    private readonly stage: Stage;
+    private readonly nextStage: Stage | undefined;
+    private next: Link | undefined;
+    private unwatchNext: (() => void) | undefined;
+    private runner: StageRunner | undefined;
+    private closed = false;
+    private opened = false;
+    private cached = 0;
+    private imported = false;
+    private firstPosition: number | undefined;
+
+    constructor(
+        private readonly context: AgentContext,
+        private readonly plan: StagePlan,
+        private readonly events: StageEvents,
+    ) {
+        const stage = plan.stages[plan.index];
+        if (stage === undefined) {
+            throw new Error(`no stage ${plan.index} in a chain of ${plan.stages.length}`);
+        }
+        this.stage = stage;
+        this.nextStage = plan.stages[plan.index + 1];
+        this.session = `${plan.request}/${plan.epoch}`;
+    }
+
+    /** True once a step has been given to the engine. */
+    get started(): boolean {
+        return this.runner?.started === true;
+    }
+
+    get busy(): boolean {
+        return this.runner?.busy === true;
+    }
+
+    /**
+     * Opens the session, connects to the next stage, and takes over what is cached.
+     *
+     * @returns How many leading positions the session holds.
+     */
+    async prepare(): Promise<Result<number, ChainFault>> {
+        const [connected, opened] = await Promise.all([this.connectNext(), this.open()]);
+        if (this.closed) {
+            this.dropSession(false);
+            return Result.err({ failure: failure(requestCodes.cancelled, "ended while it was prepared") });
+        }
+        if (connected.isErr) {
+            return Result.err(connected.error);
+        }
+        if (opened.isErr) {
+            return Result.err({ failure: opened.error, target: this.context.target });
+        }
+        this.runner = this.createRunner();
+        return Result.ok(this.cached);
+    }
+
+    /** Runs positions in the order in which they are submitted. */
+    submit(work: StageWork): void {
+        if (this.firstPosition === undefined) {
+            this.firstPosition = work.position;
+            this.recordReuse(work.position);
+        }
+        this.runner?.submit(work);
+    }
+
+    /**
+     * Stops and frees the engine. Closing twice is harmless.
+     *
+     * @param retain - True when the KV cache should stay for the next attempt.
+     */
+    close(retain: boolean): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        this.unwatchNext?.();
+        this.runner?.stop();
+        this.dropSession(retain && this.started);
+    }
+
+    private dropSession(retain: boolean): void {
+        if (this.opened) {
+            this.context.sessions.release(this.session, retain);
+        }
+    }
+
+    private async connectNext(): Promise<Result<undefined, ChainFault>> {
+        if (this.nextStage === undefined) {
+            return Result.ok(undefined);
+        }
+        const { host, port, target } = this.nextStage;
+        const link = await this.context.pool.connect({ host, port });
+        if (link.isErr) {
+            return Result.err({ failure: link.error, target });
+        }
+        if (!this.closed) {
+            this.next = link.value;
+            this.unwatchNext = this.context.links.watch(link.value, () => this.nextLost(target));
+        }
+        return Result.ok(undefined);
+    }
+
+    private nextLost(target: string): void {
+        const reason = failure(transportCodes.connectionLost, `the link to ${target} closed`);
+        this.fail({ failure: reason, target });
+    }
+
+    private async open(): Promise<Result<undefined, Failure>> {
+        const { plan, stage, context } = this;
+        const { model, version, adapter, priority, sampling, tokens } = plan;
+        const opened = await context.engine.open({
+            session: this.session,
+            model,
+            version,
+            adapter,
+            first: stage.first,
+            last: stage.last,
+            priority,
+            temperature: sampling.temperature,
+            topP: sampling.topP,
+            seed: sampling.seed,
+            tokens: tokens === undefined ? undefined : [...tokens],
+        });
+        if (opened.isErr) {
+            return Result.err(opened.error);
+        }
+        this.opened = true;
+        const record = this.createRecord();
+        context.sessions.add(record);
+        this.cached = opened.value.cached;
+        const wanted = Math.max(0, (tokens?.length ?? 0) - 1);
+        const imported = await importCache(context, record, plan.exporters, this.cached, wanted);
+        if (imported > this.cached) {
+            this.cached = imported;
+            this.imported = true;
+        }
+        return Result.ok(undefined);
+    }
+
+    private createRecord(): SessionRecord {
+        const { request, epoch, model, version, adapter, tokens } = this.plan;
+        const { first, last } = this.stage;
+        return {
+            request,
+            epoch,
+            session: this.session,
+            model,
+            version,
+            adapter,
+            first,
+            last,
+            known: tokens?.length ?? 0,
+        };
+    }
+
+    private createRunner(): StageRunner {
+        const { context, plan, stage } = this;
+        return new StageRunner({
+            engine: context.engine,
+            clock: context.clock,
+            activity: context.activity,
+            record: context.record,
+            target: context.target,
+            request: plan.request,
+            epoch: plan.epoch,
+            session: this.session,
+            version: plan.version,
+            first: stage.first,
+            last: stage.last,
+            draws: this.nextStage === undefined,
+            timeouts: plan.timeouts,
+            forward: (work, activations) => this.forward(work, activations),
+            sampled: this.events.sampled,
+            failed: reason => this.fail({ failure: reason, target: context.target }),
+            congested: () => this.congested(),
+        });
+    }
+
+    private forward(work: StageWork, data: Uint8Array<ArrayBuffer>): void {
+        const { request, epoch } = this.plan;
+        const { position, count, prefill } = work;
+        const layer = this.stage.last + 1;
+        this.next?.send({ type: "frame", request, epoch, position, count, layer, prefill, data });
+    }
+
+    private congested(): boolean {
+        const queued = this.next?.queuedBytes ?? 0;
+        if (queued < this.context.settings.linkHighWater) {
+            return false;
+        }
+        this.context.clock.schedule(() => this.runner?.resume(), congestionPoll);
+        return true;
+    }
+
+    private recordReuse(count: number): void {
+        if (count === 0) {
+            return;
+        }
+        const { request, epoch } = this.plan;
+        const { first, last } = this.stage;
+        const from = this.imported ? "import" : "prefix";
+        this.context.record({
+            event: "layers.reused",
+            request,
+            epoch,
+            target: this.context.target,
+            first,
+            last,
+            count,
+            from,
+        });
+    }
+
+    private fail(fault: ChainFault): void {
+        if (!this.closed) {
+            this.events.failed(fault);
+        }
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/testing/TestSite.ts
@@ -0,0 +1,118 @@
+import { type Configuration, resource, StaticConfiguration } from "@waxwingspar/config";
+import { FakeEngine, type FakeEngineOptions } from "@waxwingspar/engine";
+import { type HistoryEvent } from "@waxwingspar/history";
+import { ManualClock } from "@waxwingspar/utils";
+import { Agent, type AgentOptions } from "../Agent.js";
+import { TestEntry } from "./TestEntry.js";
+import { testHello, type TestHost, TestNetwork } from "./TestNetwork.js";
+import { TestQueue } from "./TestQueue.js";
+
+/** Layers of the model of the test site. @internal */
+export const testLayers = 12;
+
+/** An agent of a test site with its engine. @internal */
+export interface TestTarget {
+    readonly name: string;
+    readonly agent: Agent;
+    readonly engine: FakeEngine;
+    readonly queue: TestQueue;
+    readonly history: HistoryEvent[];
+}
+
+/** @internal */
+export interface TestTargetOptions {
+    readonly agent?: Partial<AgentOptions>;
+    readonly engine?: Partial<FakeEngineOptions>;
+    readonly incarnation?: string;
+    /** Layers that the engine holds; all by default. */
+    readonly first?: number;
+    readonly last?: number;
+    readonly slots?: number;
+}
+
+/**
+ * Agents with fake engines, and an entry, connected in memory on a clock that the test moves.
+ *
+ * @internal
+ */
+export class TestSite {
+    readonly clock = new ManualClock();
+    readonly network: TestNetwork;
+    readonly entry: TestEntry;
+    readonly configuration: Configuration;
+    readonly targets = new Map<string, TestTarget>();
+    /** The events of all processes, in their order. */
+    readonly history: HistoryEvent[] = [];
+
+    constructor(delay = 0) {
+        this.network = new TestNetwork(this.clock, delay);
+        this.entry = this.createEntry("entry");
+        const configuration = new StaticConfiguration();
+        configuration.set([
+            resource("model", "demo", {
+                layers: testLayers,
+                versions: ["1"],
+                current: "1",
+                layerBytes: 1,
+                activationBytes: 8,
+                replicas: 1,
+                firstTokenBound: 540,
+                tokenBound: 72,
+                contextTokens: 8192,
+            }),
+        ]);
+        this.configuration = configuration;
+    }
+
+    createEntry(name: string): TestEntry {
+        return new TestEntry(name, this.network, this.clock);
+    }
+
+    /** Starts an agent; one with the same name as before is a restart at the same address. */
+    async start(name: string, options: TestTargetOptions = {}): Promise<TestTarget> {
+        const { first = 0, last = testLayers - 1, slots = 64 } = options;
+        const hello = testHello(name, "agent", options.incarnation);
+        const held = [{ model: "demo", version: "1", first, last }];
+        const engine = new FakeEngine({ clock: this.clock, held, ...options.engine });
+        const queue = new TestQueue(slots);
+        const history: HistoryEvent[] = [];
+        const host: TestHost = { hello, methods: () => agent.methods, accept: link => agent.accept(link) };
+        const agent: Agent = new Agent({
+            target: name,
+            hello,
+            engine,
+            queue,
+            pool: this.network.createPool(host),
+            configuration: this.configuration,
+            clock: this.clock,
+            record: event => {
+                history.push(event);
+                this.history.push(event);
+            },
+            ...options.agent,
+        });
+        this.network.listen(host);
+        await agent.start();
+        const target = { name, agent, engine, queue, history };
+        this.targets.set(name, target);
+        return target;
+    }
+
+    /** Starts several agents that hold every layer. */
+    async startAll(names: readonly string[], options: TestTargetOptions = {}): Promise<TestTarget[]> {
+        return Promise.all(names.map(name => this.start(name, options)));
+    }
+
+    /** A target dies with its agent. */
+    kill(name: string): void {
+        this.targets.get(name)?.engine.crash();
+        this.network.kill(name);
+    }
+
+    /** Moves time, with promises settled on the way, until a condition holds or the time is over. */
+    async until(condition: () => boolean, limit = 60_000): Promise<void> {
+        for (let passed = 0; passed < limit && !condition(); passed++) {
+            await this.clock.advanceAsync(1, 1);
+        }
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/timeouts.ts
@@ -0,0 +1,35 @@
+import { type Configuration } from "@waxwingspar/config";
+import { type AgentSettings } from "./AgentSettings.js";
+
+const defaultTokenBound = 72;
+const defaultFirstTokenBound = 540;
+
+/**
+ * The timeouts of one model, in milliseconds. They follow from its bounds.
+ *
+ * @internal
+ */
+export interface Timeouts {
+    /** For one step of the engine. */
+    step(count: number): number;
+    /** For the token that a step of so many positions at the head leads to. */
+    silence(count: number): number;
+    /** Beyond this a step or token counts as lost even if the engine or the stages show signs of life. */
+    hard(count: number): number;
+}
+
+const hardFactor = 8;
+
+/** Derives the timeouts of a model. @internal */
+export function timeoutsOf(configuration: Configuration, model: string, settings: AgentSettings): Timeouts {
+    const spec = configuration.get("model", model)?.spec;
+    const tokenBound = spec?.tokenBound ?? defaultTokenBound;
+    const firstTokenBound = spec?.firstTokenBound ?? defaultFirstTokenBound;
+    const extra = (count: number): number =>
+        count <= 1 ? 0 : firstTokenBound * Math.ceil(count / settings.prefillChunk);
+    const step = (count: number): number =>
+        Math.max(settings.minimumTimeout, settings.stepPatience * tokenBound) + extra(count);
+    const silence = (count: number): number =>
+        Math.max(settings.minimumTimeout, settings.silencePatience * tokenBound) + 2 * extra(count);
+    return { step, silence, hard: count => hardFactor * silence(count) };
+}
