Store client with budget, breaker and commits that resolve lost answers

Cause: 8,500 processes share several hundred writes and 2,000 reads a second, and an answer can be lost after its write. Before: every part would call the store by itself.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,10 @@
  *
  * @packageDocumentation
  */
+export { Breaker, type BreakerOptions, type BreakerState } from "./lib/client/Breaker.js";
+export { canRepeat } from "./lib/client/canRepeat.js";
+export { type BackoffBounds, fullJitter } from "./lib/client/fullJitter.js";
+export { StoreClient, type StoreClientOptions } from "./lib/client/StoreClient.js";
 export { type LiveHost, liveHostSchema, type LiveList } from "./lib/LiveList.js";
 export { type CallKind, FaultInjector, type FaultSettings, faultSettingsSchema } from "./lib/memory/FaultInjector.js";
 export { MemoryLiveList } from "./lib/memory/MemoryLiveList.js";
