HTTP adapters and a server for the platform's stand-ins

Cause: several processes need one store, and a lost answer must look on the wire as it does in life. Change: PlatformConnection and four adapters over undici, PlatformServer with admin paths for faults and hosts; a row's value is optional in rowSchema, since JSON leaves out the value of a row that does not exist. Before: a read of a missing row over HTTP failed its schema (test "transactions, reads and scans pass over HTTP"). Conclusion: only a connection that never opened, 429 and a numbered refusal count as not done.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,6 +7,12 @@
 export { canRepeat } from "./lib/client/canRepeat.js";
 export { type BackoffBounds, fullJitter } from "./lib/client/fullJitter.js";
 export { StoreClient, type StoreClientOptions } from "./lib/client/StoreClient.js";
+export { HttpLiveList } from "./lib/http/HttpLiveList.js";
+export { HttpObjectStore } from "./lib/http/HttpObjectStore.js";
+export { HttpTableStore } from "./lib/http/HttpTableStore.js";
+export { HttpWeightStore } from "./lib/http/HttpWeightStore.js";
+export { PlatformConnection, type PlatformConnectionOptions } from "./lib/http/PlatformConnection.js";
+export { PlatformServer, type PlatformServerOptions } from "./lib/http/PlatformServer.js";
 export { type LiveHost, liveHostSchema, type LiveList } from "./lib/LiveList.js";
 export { type CallKind, FaultInjector, type FaultSettings, faultSettingsSchema } from "./lib/memory/FaultInjector.js";
 export { MemoryLiveList } from "./lib/memory/MemoryLiveList.js";
--- a/packages/platform/src/lib/TableStore.ts
+++ b/packages/platform/src/lib/TableStore.ts
@@ -4,8 +4,8 @@
 /** @public */
 export const rowSchema = z.object({
     key: z.string(),
-    /** Any value that JSON can hold. */
-    value: z.unknown(),
+    /** Any value that JSON can hold; undefined when the row does not exist. */
+    value: z.unknown().optional(),
     /** Grows with every change of this row; 0 means that the row does not exist. */
     version: z.number().int(),
 });
--- /dev/null
+++ b/packages/platform/src/lib/http/PlatformConnection.ts
@@ -0,0 +1,131 @@
+import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { Pool } from "undici";
+import {
+    answerSchema,
+    platformCalls,
+    type PlatformParams,
+    type PlatformPath,
+    type PlatformResult,
+    toFailure,
+    unknownOutcome,
+} from "./wire.js";
+
+/**
+ * Options of a {@link PlatformConnection}.
+ *
+ * @public
+ */
+export interface PlatformConnectionOptions {
+    /** Where the platform listens, such as `http://127.0.0.1:8090`. */
+    readonly origin: string;
+    /** Connections to keep. */
+    readonly connections?: number;
+    /** Milliseconds to wait for a connection. */
+    readonly connectTimeout?: number;
+    /** Milliseconds to wait for an answer. The store client's own timeout is shorter. */
+    readonly answerTimeout?: number;
+    /** The largest answer in bytes. */
+    readonly maxAnswerBytes?: number;
+}
+
+const defaults = {
+    connections: 4,
+    connectTimeout: 1_000,
+    answerTimeout: 10_000,
+    maxAnswerBytes: 64 * 1024 * 1024,
+};
+
+/** Errors that undici or the operating system report before any byte of the request has left. */
+const connectErrors = new Set(["UND_ERR_CONNECT_TIMEOUT", "ECONNREFUSED", "ENOTFOUND", "EAI_AGAIN"]);
+const tooManyRequests = 429;
+
+/**
+ * Calls the platform's HTTP interface. A connection that was never opened and an explicit refusal end as
+ * `storeUnavailable`; whatever else goes wrong ends as `storeUnknown`.
+ *
+ * @public
+ */
+export class PlatformConnection {
+    private readonly pool: Pool;
+
+    constructor(options: PlatformConnectionOptions) {
+        const { origin, connections, connectTimeout, answerTimeout, maxAnswerBytes } = { ...defaults, ...options };
+        this.pool = new Pool(origin, {
+            connections,
+            // A second request behind one that fails could not be told sent from unsent.
+            pipelining: 1,
+            connect: { timeout: connectTimeout },
+            headersTimeout: answerTimeout,
+            bodyTimeout: answerTimeout,
+            maxResponseSize: maxAnswerBytes,
+        });
+    }
+
+    /**
+     * Makes one call.
+     *
+     * @internal
+     */
+    async call<P extends PlatformPath>(path: P, params: PlatformParams<P>): Promise<Outcome<PlatformResult<P>>> {
+        try {
+            const response = await this.pool.request({
+                path,
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(params),
+            });
+            const text = await response.body.text();
+            return readAnswer(path, response.statusCode, text);
+        }
+        catch (error) {
+            return afterError(error);
+        }
+    }
+
+    /** Closes all connections once their calls have ended. */
+    close(): Promise<void> {
+        return this.pool.close();
+    }
+}
+
+function readAnswer<P extends PlatformPath>(path: P, status: number, text: string): Outcome<PlatformResult<P>> {
+    const answer = answerSchema.safeParse(parseJson(text));
+    if (!answer.success) {
+        return status === tooManyRequests ? unavailable("rate exceeded") : unknownOutcome(`status ${status}`);
+    }
+    if (answer.data.failure !== undefined) {
+        return Result.err(toFailure(answer.data.failure));
+    }
+    const value = platformCalls[path].result.safeParse(answer.data.value);
+    return value.success ? Result.ok(value.data as PlatformResult<P>) : unknownOutcome("an answer of another shape");
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function afterError(error: unknown): Outcome<never> {
+    const code = errorCode(error);
+    return connectErrors.has(code) ? unavailable(code) : unknownOutcome(code);
+}
+
+function errorCode(error: unknown): string {
+    if (error instanceof AggregateError && error.errors.length > 0) {
+        const codes = error.errors.map(errorCode);
+        return codes.find(code => !connectErrors.has(code)) ?? codes[0] ?? "";
+    }
+    if (error instanceof Error) {
+        return "code" in error && typeof error.code === "string" ? error.code : error.message;
+    }
+    return String(error);
+}
+
+function unavailable(message: string): Outcome<never> {
+    return Result.err(failure(platformCodes.storeUnavailable, message));
+}
