Add the history recorder, reader and checker

Cause: the guarantees of the system are proved by checking the histories of concurrent runs. Change: FileRecorder writes JSON lines, readHistory names file and line of what it cannot read, and HistoryChecker verifies eleven rules in one pass. What a lost line could hide is reported as undecided, not as passed. Two events are new: process.started (an agent names its target) and history.closed (nothing behind it is lost); layers.reused has an optional version. Before: packages/history had only the schema. With reuse counted per stage, the property test found a dropped layers.run that was not caught (fast-check): a stage with a longer cached prefix hid its first run. Now all stages of an attempt must start at one position, and that case is caught. Conclusion: agents and entries can record; the checker judges what they record.

--- a/packages/history/src/lib/HistoryEvent.ts
+++ b/packages/history/src/lib/HistoryEvent.ts
@@ -9,6 +9,10 @@
  * @public
  */
 export const historyEventSchema = z.discriminatedUnion("event", [
+    /** The first line of a file. An agent names its target, so that the checker knows whose history is whole. */
+    z.object({ event: z.literal("process.started"), target: z.string().optional() }),
+    /** The last line of a file that was closed in order: nothing behind it is lost. */
+    z.object({ event: z.literal("history.closed") }),
     /** An entry took a request from a caller. */
     z.object({
         event: z.literal("request.received"),
@@ -58,6 +62,8 @@
         last: z.number().int(),
         count: z.number().int(),
         from: z.enum(["prefix", "import"]),
+        /** The model version that computed them, where known. */
+        version: z.string().optional(),
     }),
     /** The head learned how long the prompt is, in tokens. */
     z.object({ event: z.literal("prompt.read"), ...attempt, tokens: z.number().int(), layers: z.number().int() }),
--- /dev/null
+++ b/packages/history/src/lib/check/rules/ConfigurationRule.ts
@@ -0,0 +1,129 @@
+import { type HistoryLine } from "../../HistoryEvent.js";
+import { type Finding, type Findings, type LineReference, referenceTo } from "../Findings.js";
+import { keyOf, type Recording, type Recordings } from "../Recordings.js";
+import { addTo, type Rule } from "../Rule.js";
+
+interface AcceptedRevision {
+    readonly revision: number;
+    readonly time: number;
+    readonly line: LineReference;
+}
+
+interface AppliedRevision {
+    readonly revision: number;
+    readonly time: number;
+    readonly line: HistoryLine;
+}
+
+/** @internal */
+export interface ConfigurationBounds {
+    /** Milliseconds in which an accepted revision must be in force on every live process. */
+    readonly bound: number;
+    /** Revisions up to this one were accepted before the history began. */
+    readonly baseRevision: number;
+}
+
+/**
+ * Each process moves only to higher revisions, and only to accepted ones; a revision is the same everywhere, and in
+ * force on every live process within the bound.
+ *
+ * @internal
+ */
+export class ConfigurationRule implements Rule {
+    private readonly accepted: AcceptedRevision[] = [];
+    private readonly applied = new Map<string, AppliedRevision[]>();
+    private readonly digests = new Map<number, { readonly digest: string; readonly line: LineReference; }>();
+    private readonly differing: Finding[] = [];
+
+    constructor(private readonly bounds: ConfigurationBounds) {}
+
+    take(line: HistoryLine): void {
+        const { body } = line;
+        if (body.event === "config.accepted") {
+            this.accepted.push({ revision: body.revision, time: line.time, line: referenceTo(line) });
+        }
+        else if (body.event === "config.applied") {
+            addTo(this.applied, keyOf(line), { revision: body.revision, time: line.time, line });
+            this.checkDigest(body.revision, body.digest, referenceTo(line));
+        }
+    }
+
+    decide(recordings: Recordings, findings: Findings): void {
+        this.differing.forEach(finding => findings.violate("configuration", finding));
+        this.accepted.sort((a, b) => a.revision - b.revision);
+        for (const applied of this.applied.values()) {
+            const [first] = applied;
+            const recording = first === undefined ? undefined : recordings.of(first.line);
+            if (recording === undefined) {
+                continue;
+            }
+            this.decideOrder(applied, recordings, findings);
+            this.decideBound(applied, recording, recordings, findings);
+        }
+    }
+
+    private checkDigest(revision: number, digest: string, line: LineReference): void {
+        const known = this.digests.get(revision);
+        if (known === undefined) {
+            this.digests.set(revision, { digest, line });
+        }
+        else if (known.digest !== digest) {
+            const message = `revision ${revision} has digest ${known.digest} here and ${digest} there`;
+            this.differing.push({ message, lines: [known.line, line] });
+        }
+    }
+
+    /** Decides for one incarnation whether its revisions grow and were accepted. */
+    private decideOrder(applied: readonly AppliedRevision[], recordings: Recordings, findings: Findings): void {
+        const accepted = new Set(this.accepted.map(({ revision }) => revision));
+        const found: Finding[] = [];
+        let decidable = true;
+        for (const [index, { revision, line }] of applied.entries()) {
+            const before = applied[index - 1];
+            if (before !== undefined && revision <= before.revision) {
+                const message = `${line.process} went from revision ${before.revision} to ${revision}`;
+                found.push({ message, lines: [referenceTo(before.line), referenceTo(line)] });
+            }
+            if (revision <= this.bounds.baseRevision || accepted.has(revision)) {
+                continue;
+            }
+            if (recordings.isEverythingWhole()) {
+                const message = `${line.process} applied revision ${revision}, which was never accepted`;
+                found.push({ message, lines: [referenceTo(line)] });
+            }
+            else {
+                decidable = false;
+            }
+        }
+        findings.decide("configuration", found, decidable);
+    }
+
+    /** Decides for one incarnation and each accepted revision whether it was in force in time. */
+    private decideBound(
+        applied: readonly AppliedRevision[],
+        recording: Recording,
+        recordings: Recordings,
+        findings: Findings,
+    ): void {
+        let index = 0;
+        for (const accepted of this.accepted) {
+            while ((applied[index]?.revision ?? Infinity) < accepted.revision) {
+                index++;
+            }
+            const due = Math.max(accepted.time, recording.firstTime) + this.bounds.bound;
+            const inForce = applied[index];
+            if (inForce !== undefined && inForce.time <= due) {
+                findings.pass("configuration");
+            }
+            else if (recording.lastTime >= due) {
+                const message = `${recording.process} did not have revision ${accepted.revision} in force within `
+                    + `${this.bounds.bound} ms`;
+                const lines = inForce === undefined ? [] : [referenceTo(inForce.line)];
+                findings.violate("configuration", { message, lines: [accepted.line, ...lines] });
+            }
+            else if (!recordings.isWhole(recording)) {
+                findings.undecide("configuration");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/history/src/lib/checkHistory.test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { at, change } from "../testing/plants.js";
+import { sampleHistory } from "../testing/sampleHistory.js";
+import { type HistoryRule, historyRules } from "./check/Findings.js";
+import { checkHistory } from "./checkHistory.js";
+import { historyEventSchema, type HistoryLine } from "./HistoryEvent.js";
+
+test("a history in which all holds passes every rule", () => {
+    const report = checkHistory(sampleHistory().lines());
+    assert.deepEqual(report.violations, []);
+    for (const rule of historyRules) {
+        assert.ok(report.rules[rule].passed > 0, `${rule} had no case`);
+        assert.equal(report.rules[rule].undecided, 0, `${rule} was undecided`);
+    }
+    assert.equal(report.tokens, 10);
+    assert.deepEqual(report.incomplete, []);
+    const missing = historyEventSchema.options.map(option => option.shape.event.value).filter(name =>
+        !report.events[name]
+    );
+    assert.deepEqual(missing, [], "the sample lacks these events");
+});
+
+/** Cuts a history after a number of lines, as a kill does. */
+function cut(lines: readonly HistoryLine[], process: string, keep: number): HistoryLine[] {
+    return lines.filter(line => line.process !== process || line.sequence < keep);
+}
+
+test("what the lost end of a killed process may hold is undecided, not passed", () => {
+    const lines = sampleHistory().lines();
+    const whole = checkHistory(lines).rules;
+    const leaving = lines.find(({ body }) => body.event === "target.leaving")?.sequence ?? 0;
+    const cases: [string, HistoryRule, number][] = [
+        ["target-d", "layers", 2],
+        ["target-a", "not-run", 2],
+        ["target-d", "at-most-once", 2],
+        ["entry-1", "delivery", 2],
+        ["caller", "answers", 2],
+        ["target-c", "orders", 2],
+        ["store", "writes", 2],
+        ["target-b", "leaving", leaving + 1],
+        ["operators", "configuration", 2],
+    ];
+    for (const [process, rule, keep] of cases) {
+        const { rules, violations, incomplete } = checkHistory(cut(lines, process, keep));
+        assert.deepEqual(violations, [], process);
+        assert.ok(incomplete.some(name => name.startsWith(process)));
+        assert.ok(rules[rule].undecided > 0, `${rule} without ${process}`);
+        assert.ok(rules[rule].passed < whole[rule].passed, `${rule} without ${process}`);
+    }
+});
+
+test("a history that is missing as a whole must be named as lost", () => {
+    const lines = sampleHistory().lines().filter(line => line.process !== "target-d");
+    const { violations, rules } = checkHistory(lines);
+    assert.deepEqual(violations, []);
+    assert.ok(rules.layers.undecided > 0);
+    const withoutOperators = sampleHistory().lines().filter(line => line.process !== "operators");
+    assert.ok(checkHistory(withoutOperators).violations.length > 0);
+    const named = checkHistory(withoutOperators, { lost: ["operators"] });
+    assert.deepEqual(named.violations, []);
+    assert.ok(named.rules.configuration.undecided > 0);
+});
+
+test("what ran behind a hole proves the hole, even if the end is lost", () => {
+    const history = sampleHistory();
+    change(history, "layers.run", at("resumed", 0, 24, 4), () => []);
+    const killed = history.lines().filter(line =>
+        line.process !== "target-b" || line.body.event === "layers.run"
+        || line.body.event === "process.started"
+    );
+    const { violations } = checkHistory(killed);
+    assert.ok(violations.some(({ rule }) => rule === "layers"));
+});
--- /dev/null
+++ b/packages/history/src/testing/HistoryBuilder.ts
@@ -0,0 +1,77 @@
+import { type HistoryEvent, type HistoryLine } from "../lib/HistoryEvent.js";
+
+/** A history in memory that a test builds and then spoils. */
+export class HistoryBuilder {
+    private readonly files = new Map<string, HistoryLine[]>();
+    /** The time of the next line, in milliseconds. */
+    time = 1_000_000;
+
+    /** Adds an event to the history of a process. The first one is preceded by `process.started`. */
+    add(process: string, ...events: HistoryEvent[]): void {
+        const file = this.files.get(process) ?? this.start(process);
+        for (const body of events) {
+            file.push(this.line(process, file.length, body));
+        }
+    }
+
+    /** Closes every history that is still open. */
+    close(): void {
+        for (const [process, file] of this.files) {
+            if (file.at(-1)?.body.event !== "history.closed") {
+                this.add(process, { event: "process.stopped", interrupted: 0 }, { event: "history.closed" });
+            }
+        }
+    }
+
+    /** All lines, file after file. */
+    lines(): HistoryLine[] {
+        return [...this.files.values()].flat();
+    }
+
+    /** The names of the processes. */
+    processes(): string[] {
+        return [...this.files.keys()];
+    }
+
+    /** The lines of one process, in place. */
+    file(process: string): HistoryLine[] {
+        return this.files.get(process) ?? [];
+    }
+
+    /**
+     * Replaces the lines for which a condition holds, and counts the sequences anew, so that only the rule in question
+     * can notice.
+     *
+     * @param condition - Chooses lines.
+     * @param replace - Gives the events that stand in a line's place.
+     */
+    edit(condition: (line: HistoryLine) => boolean, replace: (line: HistoryLine) => HistoryEvent[]): void {
+        for (const [process, file] of this.files) {
+            const edited = file.flatMap(line =>
+                condition(line) ? replace(line).map(body => ({ ...line, body })) : [line]
+            );
+            this.files.set(process, edited.map((line, sequence) => ({ ...line, sequence })));
+        }
+    }
+
+    /** Inserts events before the end of a history. */
+    insert(process: string, ...events: HistoryEvent[]): void {
+        const file = this.file(process);
+        const end = file.findIndex(line => line.body.event === "process.stopped");
+        const at = end < 0 ? file.length : end;
+        file.splice(at, 0, ...events.map(body => this.line(process, 0, body)));
+        this.files.set(process, file.map((line, sequence) => ({ ...line, sequence })));
+    }
+
+    private start(process: string): HistoryLine[] {
+        const target = process.startsWith("target") ? process : undefined;
+        const file = [this.line(process, 0, { event: "process.started", target })];
+        this.files.set(process, file);
+        return file;
+    }
+
+    private line(process: string, sequence: number, body: HistoryEvent): HistoryLine {
+        const [name = process, incarnation = "1"] = process.split("#");
+        return { process: name, incarnation, sequence, time: this.time, body };
+    }
+}
