The whole path in one process: a site, a demo, a checked history

Cause: there was no way to run entry, agents and engines together. Change: nodes that wire Entry and Agent to sockets, a local site on embedded stand-ins with the records service, the demo (a stage is killed in mid-stream), the operators' endpoint; LinkServer and TcpLinkPool gain terminate, which cuts all links as a dying process does. Before: no command.

--- /dev/null
+++ b/packages/cli/src/lib/nodes/NodeOptions.ts
@@ -0,0 +1,37 @@
+import { type Tracer } from "@opentelemetry/api";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type Address, type Hello, type LinkCredentials, protocolVersion } from "@waxwingspar/transport";
+import { type Clock, type Random, uniqueId } from "@waxwingspar/utils";
+import { type Logger } from "pino";
+
+/**
+ * What every node of a site is made from.
+ *
+ * @internal
+ */
+export interface NodeOptions {
+    /** The stable name of the process. */
+    readonly name: string;
+    readonly incarnation: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    /** Where other processes reach this one; port 0 lets the operating system choose. */
+    readonly links: Address;
+    readonly credentials: LinkCredentials;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly tracer: Tracer;
+    readonly record: HistoryRecorder;
+}
+
+/** Creates the hello of a node. @internal */
+export function createHello(options: NodeOptions, role: Hello["role"]): Hello {
+    const { name, incarnation, dataCentre } = options;
+    return { type: "hello", protocol: protocolVersion, process: name, role, incarnation, dataCentre };
+}
+
+/** The name of one start of a process. @internal */
+export function createIncarnation(): string {
+    return uniqueId();
+}
--- /dev/null
+++ b/packages/cli/src/lib/nodes/metrics.ts
@@ -0,0 +1,64 @@
+import { type AgentMetrics } from "@waxwingspar/agent";
+import { type EntryMetrics } from "@waxwingspar/entry";
+import { type MetricRegistry } from "@waxwingspar/telemetry";
+
+/** Feeds the figures of an entry to a registry. docs/METRICS.md lists them. @internal */
+export function createEntryMetrics(registry: MetricRegistry): EntryMetrics {
+    const requests = registry.counter({
+        name: "waxwingspar_requests_total",
+        help: "Requests that ended, by route and result code; 0 is a completed request.",
+    });
+    const tokens = registry.counter({ name: "waxwingspar_answer_tokens_total", help: "Tokens sent to callers." });
+    const durations = registry.histogram({
+        name: "waxwingspar_request_duration_seconds",
+        help: "From a request's arrival to its end.",
+    });
+    const firstTokens = registry.histogram({
+        name: "waxwingspar_first_token_seconds",
+        help: "From a request's arrival to its first token.",
+    });
+    const retries = registry.counter({
+        name: "waxwingspar_retries_total",
+        help: "Further attempts, by route and the code that ended the attempt before.",
+    });
+    const recoveries = registry.histogram({
+        name: "waxwingspar_recovery_seconds",
+        help: "From noticing a loss in mid-stream to the next token.",
+    });
+    return {
+        requestEnded: (route, code, duration, count) => {
+            requests.add({ route, code });
+            tokens.add({ route }, count);
+            durations.record(duration, { route });
+        },
+        firstToken: (route, latency) => firstTokens.record(latency, { route }),
+        retried: (route, code) => retries.add({ route, code }),
+        recovered: (route, duration) => recoveries.record(duration, { route }),
+    };
+}
+
+/** Feeds the figures of an agent to a registry. @internal */
+export function createAgentMetrics(registry: MetricRegistry): AgentMetrics {
+    const firstTokens = registry.histogram({
+        name: "waxwingspar_agent_first_token_seconds",
+        help: "From the start of a request at its head to its first token.",
+    });
+    const intervals = registry.histogram({
+        name: "waxwingspar_agent_token_interval_seconds",
+        help: "Between two tokens of one stream at its head.",
+    });
+    const dropped = registry.counter({
+        name: "waxwingspar_agent_dropped_messages_total",
+        help: "Messages that came late, twice or from an old attempt, by type.",
+    });
+    const attempts = registry.counter({
+        name: "waxwingspar_agent_attempts_total",
+        help: "Attempts that ended here, by the way they ended.",
+    });
+    return {
+        firstToken: duration => firstTokens.record(duration),
+        tokenInterval: duration => intervals.record(duration),
+        dropped: type => dropped.add({ type }),
+        attemptEnded: state => attempts.add({ state }),
+    };
+}
--- /dev/null
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -0,0 +1,254 @@
+import { TableClaims } from "@waxwingspar/claims";
+import { StaticConfiguration } from "@waxwingspar/config";
+import { FakeEngine } from "@waxwingspar/engine";
+import { FileRecorder, type HistoryRecorder } from "@waxwingspar/history";
+import { MemoryTableStore } from "@waxwingspar/platform";
+import { createTracing, MetricRegistry } from "@waxwingspar/telemetry";
+import { type Address, type LinkCredentials } from "@waxwingspar/transport";
+import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
+import { randomBytes } from "node:crypto";
+import { join } from "node:path";
+import { type Logger } from "pino";
+import { Result } from "true-myth";
+import { AgentNode } from "../nodes/AgentNode.js";
+import { EntryNode } from "../nodes/EntryNode.js";
+import { createAgentMetrics, createEntryMetrics } from "../nodes/metrics.js";
+import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
+import { OperatorsServer } from "../operators/OperatorsServer.js";
+import { RecordsService } from "./RecordsService.js";
+import {
+    demoModel,
+    demoStages,
+    localOrganisation,
+    recordsService,
+    siteResources,
+    type SiteTarget,
+} from "./siteResources.js";
+
+/** @internal */
+export interface LocalSiteOptions {
+    readonly callers: Address;
+    readonly operators: Address;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    /** The folder for one history file of each node; without it nothing is recorded. */
+    readonly historyFolder?: string;
+    /** Targets for each stage of the model. Default 2. */
+    readonly replicas?: number;
+    /** Milliseconds that a fake engine takes for one batch. Default 5. */
+    readonly stepTime?: number;
+}
+
+/** An agent of the site with what belongs to it. @internal */
+export interface SiteAgent {
+    readonly name: string;
+    readonly stage: number | undefined;
+    readonly node: AgentNode;
+    readonly engine: FakeEngine;
+    readonly recorder: FileRecorder | undefined;
+    killed: boolean;
+}
+
+/** @internal */
+export interface SiteAddresses {
+    readonly callers: Address;
+    readonly operators: Address;
+}
+
+/** Milliseconds between "not ready" and the closed door: nobody balances over a local site. */
+const stopLead = 0;
+
+/**
+ * A whole small site in one process: embedded platform, fake engines, agents, an entry and the records service. The
+ * links between them are real ones over loopback.
+ *
+ * @internal
+ */
+export class LocalSite {
+    readonly agents: SiteAgent[] = [];
+    readonly registry: MetricRegistry;
+    readonly historyFiles: string[] = [];
+    private readonly store: MemoryTableStore;
+    private readonly configuration = new StaticConfiguration();
+    private readonly credentials: LinkCredentials;
+    private readonly tracing = createTracing({ process: "local" });
+    private readonly recorders: FileRecorder[] = [];
+    private readonly operators: OperatorsServer;
+    private entry: EntryNode | undefined;
+    private records: RecordsService | undefined;
+    private ready = false;
+
+    constructor(private readonly options: LocalSiteOptions) {
+        const { clock, operators } = options;
+        this.store = new MemoryTableStore({ clock });
+        this.registry = new MetricRegistry(clock);
+        this.credentials = { keys: [{ id: "local", secret: randomBytes(32).toString("hex") }] };
+        this.operators = new OperatorsServer({ listen: operators, registry: this.registry, ready: () => this.ready });
+    }
+
+    /** Starts everything. @returns Where callers and operators connect, or why the site cannot run. */
+    async start(): Promise<Outcome<SiteAddresses>> {
+        const targets = await this.startAgents();
+        if (targets.isErr) {
+            return Result.err(targets.error);
+        }
+        this.configuration.set(siteResources(targets.value));
+        const callers = await this.startEntry();
+        if (callers.isErr) {
+            return Result.err(callers.error);
+        }
+        const operators = await this.operators.listen();
+        this.ready = operators.isOk;
+        return operators.map(address => ({ callers: callers.value, operators: address }));
+    }
+
+    /**
+     * Stops gracefully: the entry first, so that what runs can end.
+     *
+     * @returns How many requests were cut off.
+     */
+    async stop(): Promise<number> {
+        this.ready = false;
+        const cut = await this.entry?.stop() ?? 0;
+        const living = this.agents.filter(agent => !agent.killed);
+        const cuts = await Promise.all(living.map(agent => agent.node.stop()));
+        await this.records?.close();
+        await this.operators.close();
+        await this.tracing.shutdown();
+        await Promise.all(this.recorders.map(recorder => recorder.close()));
+        return cuts.reduce((sum, count) => sum + count, cut);
+    }
+
+    /** Kills an agent and its engine, as when their host dies: no message and no line of history comes any more. */
+    async kill(agent: SiteAgent): Promise<void> {
+        agent.killed = true;
+        agent.engine.crash();
+        await agent.node.kill();
+    }
+
+    private async startAgents(): Promise<Outcome<SiteTarget[]>> {
+        const targets: SiteTarget[] = [];
+        const metrics = createAgentMetrics(this.registry);
+        for (const { name, stage } of this.plannedAgents()) {
+            const started = await this.startAgent(name, stage, metrics);
+            if (started.isErr) {
+                return Result.err(started.error);
+            }
+            targets.push({ name, stage, address: started.value });
+        }
+        return Result.ok(targets);
+    }
+
+    private plannedAgents(): { name: string; stage: number | undefined; }[] {
+        const replicas = Array.from({ length: this.options.replicas ?? 2 }, (_, index) => index + 1);
+        const stages = demoStages.flatMap((_, stage) =>
+            replicas.map(replica => ({ name: `stage-${stage + 1}-${replica}`, stage }))
+        );
+        return [...stages, { name: `${recordsService}-1`, stage: undefined }];
+    }
+
+    private async startAgent(
+        name: string,
+        stage: number | undefined,
+        metrics: ReturnType<typeof createAgentMetrics>,
+    ): Promise<Outcome<Address>> {
+        const incarnation = createIncarnation();
+        const opened = await this.openRecorder(name, incarnation, name);
+        if (opened.isErr) {
+            return Result.err(opened.error);
+        }
+        const engine = this.createEngine(stage);
+        const agent: Omit<SiteAgent, "node"> = { name, stage, engine, recorder: opened.value, killed: false };
+        const node = new AgentNode({
+            ...this.nodeOptions(name, incarnation),
+            record: event => this.recordUnlessKilled(name, opened.value?.record, event),
+            engine,
+            configuration: this.configuration,
+            slots: 32,
+            service: stage === undefined ? await this.startRecords(opened.value?.record) : undefined,
+            metrics,
+        });
+        this.agents.push({ ...agent, node });
+        return node.start();
+    }
+
+    private async startRecords(record: HistoryRecorder = () => undefined): Promise<{ name: string; baseUrl: string; }> {
+        this.records = new RecordsService(record);
+        return { name: recordsService, baseUrl: await this.records.listen() };
+    }
+
+    private createEngine(stage: number | undefined): FakeEngine {
+        const { clock, random, stepTime } = this.options;
+        const range = stage === undefined ? undefined : demoStages[stage];
+        const held = range === undefined ? [] : [{ model: demoModel.name, version: demoModel.version, ...range }];
+        return new FakeEngine({ clock, random, held, stepTime });
+    }
+
+    private async startEntry(): Promise<Outcome<Address>> {
+        const name = "entry-1";
+        const incarnation = createIncarnation();
+        const opened = await this.openRecorder(name, incarnation);
+        if (opened.isErr) {
+            return Result.err(opened.error);
+        }
+        const entry = new EntryNode({
+            ...this.nodeOptions(name, incarnation),
+            record: opened.value?.record ?? (() => undefined),
+            callers: this.options.callers,
+            configuration: this.configuration,
+            claims: new TableClaims(this.store),
+            anonymousOrganisation: localOrganisation,
+            limits: { stopLead },
+            metrics: createEntryMetrics(this.registry),
+        });
+        this.entry = entry;
+        this.registry.gauge({ name: "waxwingspar_open_requests", help: "Requests in progress." })
+            .observe(() => entry.entry.openRequests);
+        return entry.start();
+    }
+
+    private nodeOptions(name: string, incarnation: string): Omit<NodeOptions, "record"> {
+        const { clock, random, logger } = this.options;
+        return {
+            name,
+            incarnation,
+            dataCentre: "local",
+            region: "local",
+            links: { host: "127.0.0.1", port: 0 },
+            credentials: this.credentials,
+            clock,
+            random,
+            logger: logger.child({ process: name }),
+            tracer: this.tracing.tracer,
+        };
+    }
+
+    private async openRecorder(
+        name: string,
+        incarnation: string,
+        target?: string,
+    ): Promise<Outcome<FileRecorder | undefined>> {
+        const { historyFolder, clock } = this.options;
+        if (historyFolder === undefined) {
+            return Result.ok(undefined);
+        }
+        const path = join(historyFolder, `${name}.jsonl`);
+        const opened = await FileRecorder.open({ clock, path, process: name, incarnation, target });
+        if (opened.isOk) {
+            this.recorders.push(opened.value);
+            this.historyFiles.push(path);
+        }
+        return opened;
+    }
+
+    private recordUnlessKilled(
+        name: string,
+        record: HistoryRecorder | undefined,
+        event: Parameters<HistoryRecorder>[0],
+    ): void {
+        if (this.agents.find(agent => agent.name === name)?.killed !== true) {
+            record?.(event);
+        }
+    }
+}
--- /dev/null
+++ b/packages/cli/src/lib/site/siteResources.ts
@@ -0,0 +1,46 @@
+import { type Kind, type Resource, resource, specSchemas } from "@waxwingspar/config";
+import { type Address } from "@waxwingspar/transport";
+
+/** The model that comes with a local site. @internal */
+export const demoModel = { name: "demo", version: "v1", layers: 12 } as const;
+
+/** The layer ranges of its three stages. @internal */
+export const demoStages = [{ first: 0, last: 3 }, { first: 4, last: 7 }, { first: 8, last: 11 }] as const;
+
+/** The organisation for which callers of a local site act. @internal */
+export const localOrganisation = "local";
+
+/** The plain service that comes with a local site. @internal */
+export const recordsService = "records";
+
+/** A target of a local site, once its agent listens. @internal */
+export interface SiteTarget {
+    readonly name: string;
+    readonly address: Address;
+    /** The stage that it holds, by its index, or undefined for the target of the plain service. */
+    readonly stage: number | undefined;
+}
+
+/** Every resource of a local site. @internal */
+export function siteResources(targets: readonly SiteTarget[]): Resource[] {
+    const { name, version, layers } = demoModel;
+    return [
+        make("organisation", localOrganisation, {}),
+        make("model", name, { layers, versions: [version], current: version }),
+        make("service", recordsService, { nonIdempotent: [{ method: "POST", path: "/work-orders" }] }),
+        ...targets.map(target => make("target", target.name, targetSpec(target))),
+    ];
+}
+
+function targetSpec({ address, stage }: SiteTarget): object {
+    const place = { ...address, dataCentre: "local", checksFence: true };
+    const range = stage === undefined ? undefined : demoStages[stage];
+    if (range === undefined) {
+        return { ...place, service: recordsService };
+    }
+    return { ...place, holds: [{ model: demoModel.name, version: demoModel.version, ...range }] };
+}
+
+function make<K extends Kind>(kind: K, name: string, spec: object): Resource<K> {
+    return resource(kind, name, specSchemas[kind].parse(spec) as Resource<K>["spec"]);
+}
--- a/packages/transport/src/lib/tcp/LinkServer.ts
+++ b/packages/transport/src/lib/tcp/LinkServer.ts
@@ -103,6 +103,12 @@
         });
     }
 
+    /** Cuts every link at once, as when the process dies. What was queued is lost. */
+    terminate(): void {
+        this.server.close();
+        this.destroySockets();
+    }
+
     private address(host: string): Address {
         const address = this.server.address();
         return { host, port: address !== null && typeof address === "object" ? address.port : 0 };
--- a/packages/transport/src/lib/tcp/TcpLinkPool.ts
+++ b/packages/transport/src/lib/tcp/TcpLinkPool.ts
@@ -64,6 +64,7 @@
  */
 export class TcpLinkPool implements LinkPool {
     private readonly slots = new Map<string, Slot>();
+    private readonly sockets = new Set<Socket>();
     private readonly openHandlers: ((link: Link, address: Address) => void)[] = [];
     private readonly clock: Clock;
     private readonly random: Random;
@@ -104,6 +105,12 @@
         this.slots.forEach(slot => slot.link?.close());
     }
 
+    /** Cuts every link at once, as when the process dies. What was queued is lost. */
+    terminate(): void {
+        this.closed = true;
+        this.sockets.forEach(socket => socket.destroy());
+    }
+
     private refusal(address: Address): Failure | undefined {
         if (this.closed) {
             return failure(transportCodes.notConnected, "the pool is closed");
@@ -180,7 +187,9 @@
             socket.on("error", error => {
                 resolve(Result.err(failure(transportCodes.notConnected, error.message)));
             });
+            this.sockets.add(socket);
             socket.on("close", () => {
+                this.sockets.delete(socket);
                 timer.cancel();
                 resolve(Result.err(failure(transportCodes.notConnected, "closed before it was open")));
             });
--- a/packages/transport/src/lib/tcp/links.test.ts
+++ b/packages/transport/src/lib/tcp/links.test.ts
@@ -295,3 +295,25 @@
     const next = await listen(t, { port: address.port });
     assert.notEqual(await open(pool, next.address), link);
 });
+
+test("a terminated process loses its links on both sides as lost", async t => {
+    const { server, address, nextLink } = await listen(t);
+    const accepted = nextLink();
+    const pool = poolFor(t);
+    const link = await open(pool, address);
+    await accepted;
+    const call = link.request("hang", {}, 60_000);
+    server.terminate();
+    const outcome = await call;
+    assert.equal(outcome.isErr && outcome.error.code, transportCodes.connectionLost);
+    assert.equal(link.open, false);
+    const other = await listen(t);
+    const joined = other.nextLink();
+    const second = poolFor(t);
+    await open(second, other.address);
+    const lost = closed(await joined);
+    second.terminate();
+    await lost;
+    const refused = await second.connect(other.address);
+    assert.equal(refused.isErr && refused.error.code, transportCodes.notConnected);
+});
