Agent: head finds the stage at fault, orders noted by fence, head tests

Cause: silence of a chain named no target; the head was tested on two cases only. Change: `stage.state` lets the head ask each stage how far it is; the gate notes fences for `target.observe` and keeps results by order id; `service.run` is recorded only for calls that may have reached the service; trace context from the telemetry package; a test site with histories and an entry that resumes. Before: 2 tests. After: 15 tests pass (credit, stop strings, chunks, prefix cache, cancel at 20 points, epochs, deadlines, refusals). Conclusion: faults of stages, claims, calls and leaving are still without tests.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 export { Agent, type AgentOptions, type DrainResult } from "./lib/Agent.js";
-export { type AgentMetrics } from "./lib/AgentContext.js";
+export { type AgentMetrics, type ModelVersion } from "./lib/AgentContext.js";
 export { type AgentSettings, defaultAgentSettings } from "./lib/AgentSettings.js";
 export { lateMethods } from "./lib/lateMethods.js";
 export { type ServiceAddress } from "./lib/service/ServiceProxy.js";
--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -7,7 +7,7 @@
 import { type Clock, type Outcome } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Result } from "true-myth";
-import { type AgentContext, type AgentMetrics } from "./AgentContext.js";
+import { type AgentContext, type AgentMetrics, type ModelVersion } from "./AgentContext.js";
 import { type AgentSettings } from "./AgentSettings.js";
 import { type AnswerClaims } from "./claims/AnswerRecord.js";
 import { ClaimTable, type ClaimTableOptions } from "./claims/ClaimTable.js";
@@ -23,6 +23,7 @@
 import { type ServiceAddress, ServiceProxy } from "./service/ServiceProxy.js";
 import { StageAttempt } from "./stage/StageAttempt.js";
 import { StageRequests } from "./stage/StageRequests.js";
+import { createStateMethod, stateMethodName } from "./stage/stateMethod.js";
 
 const millisecondsPerHour = 3_600_000;
 
@@ -75,7 +76,7 @@
  * @public
  */
 export class Agent {
-    /** The JSON-RPC methods that the agent answers: `kv.export` and `order.apply`. */
+    /** The JSON-RPC methods that the agent answers: `kv.export`, `order.apply` and `stage.state`. */
     readonly methods: Readonly<Record<string, RpcMethod>>;
     private readonly context: AgentContext;
     private readonly heads: HeadRequests;
@@ -105,6 +106,7 @@
         this.methods = {
             [exportMethodName]: createExportMethod(context.sessions),
             [orderMethodName]: this.gate.createMethod(),
+            [stateMethodName]: createStateMethod(context.table),
         };
         options.pool.onOpen(link => this.accept(link));
         this.stopWatching = context.configuration.onChange(() => this.applyShares());
@@ -141,6 +143,23 @@
         return this.gate.apply(order);
     }
 
+    /** Notes a fence at the gate of the target; from then on no older order passes. */
+    noteFence(fence: number): Outcome<void> {
+        return this.gate.noteFence(fence);
+    }
+
+    /** The model versions that requests run on or wait for. */
+    inUse(): ModelVersion[] {
+        const used = new Map<string, ModelVersion>();
+        for (const { uses } of this.context.table.open) {
+            if (uses !== undefined) {
+                const { model, version } = uses;
+                used.set(`${model}\n${version}`, { model, version });
+            }
+        }
+        return [...used.values()];
+    }
+
     /**
      * Leaves: announces it on every link, refuses new work as not run from now on, waits for what runs, hands over what
      * takes too long, and closes.
--- a/packages/agent/src/lib/AgentContext.ts
+++ b/packages/agent/src/lib/AgentContext.ts
@@ -30,12 +30,20 @@
     readonly attemptEnded?: (state: string) => void;
 }
 
+/** A version of a model. @public */
+export interface ModelVersion {
+    readonly model: string;
+    readonly version: string;
+}
+
 /** An attempt that the table of the agent holds. @internal */
 export interface Attempt extends TableAttempt {
     /** Stops for good because the agent closes. */
     abandon(): void;
     /** Asks the attempt to end soon, so that its request goes on elsewhere. */
     handOver(): void;
+    /** The model version that the attempt runs on or waits for, if any. */
+    readonly uses: ModelVersion | undefined;
     /** True while the attempt runs or waits, so that ending now would cut a request off. */
     readonly active: boolean;
 }
--- a/packages/agent/src/lib/control/OrderGate.ts
+++ b/packages/agent/src/lib/control/OrderGate.ts
@@ -1,7 +1,15 @@
 import { type Engine, type Order, orderSchema } from "@waxwingspar/engine";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type RpcMethod } from "@waxwingspar/transport";
-import { type Clock, failure, type Outcome, platformCodes, requestCodes, type Timer } from "@waxwingspar/utils";
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    requestCodes,
+    type Timer,
+} from "@waxwingspar/utils";
 import { Result } from "true-myth";
 
 /** The JSON-RPC method that takes an order. @internal */
@@ -36,6 +44,7 @@
     private timer: Timer | undefined;
     private stopped = false;
     private readonly results = new Map<string, Promise<Outcome<void>>>();
+    private readonly recorded = new Set<string>();
     /** Orders run one after the other, since each may change what the next one meets. */
     private last: Promise<unknown> = Promise.resolve();
 
@@ -57,24 +66,30 @@
         this.timer?.cancel();
     }
 
-    /** Carries out an order, or gives the result of the same order again. */
-    apply(order: Order): Promise<Outcome<void>> {
+    /** Notes a fence; from then on no older order passes. */
+    noteFence(fence: number): Outcome<void> {
         if (this.fence === undefined) {
             void this.start();
-            const reason = failure(platformCodes.storeUnavailable, "the fence has not been read back yet", {
-                retryAfter: this.options.retryDelay,
-            });
-            return Promise.resolve(Result.err(reason));
+            return Result.err(this.notReady());
+        }
+        if (fence < this.fence) {
+            return staleFence(fence, this.fence);
         }
+        this.fence = fence;
+        return Result.ok(undefined);
+    }
+
+    /** Carries out an order, or gives the result of the same order again. */
+    apply(order: Order): Promise<Outcome<void>> {
         const known = this.results.get(order.id);
         if (known !== undefined) {
             return known;
         }
-        if (order.fence < this.fence) {
-            return Promise.resolve(staleFence(order, this.fence));
-        }
         // From here on no older order passes, although this one may still wait for its turn.
-        this.fence = order.fence;
+        const noted = this.noteFence(order.fence);
+        if (noted.isErr) {
+            return Promise.resolve(noted);
+        }
         const result = this.last.then(() => this.run(order));
         this.last = result;
         this.remember(order.id, result);
@@ -99,13 +114,16 @@
         const { engine, record, target, applied } = this.options;
         // A newer holder's order may have come while this one waited.
         if (this.stopped || order.fence < (this.fence ?? 0)) {
-            return staleFence(order, this.fence ?? 0);
+            return staleFence(order.fence, this.fence ?? 0);
+        }
+        if (!this.recorded.has(order.id)) {
+            this.recorded.add(order.id);
+            record({ event: "order.applied", order: order.id, fence: order.fence, target });
         }
-        record({ event: "order.applied", order: order.id, fence: order.fence, target });
         const outcome = await callEngine(engine, order);
         await applied();
-        if (outcome.isErr) {
-            // A repeat of a failed order is a new try.
+        if (outcome.isErr && outcome.error.code.execution === "unknown") {
+            // Only the engine can tell whether it was carried out; a repeat asks it again, under the same id.
             this.results.delete(order.id);
         }
         return outcome;
@@ -118,9 +136,15 @@
                 return;
             }
             this.results.delete(oldest);
+            this.recorded.delete(oldest);
         }
     }
 
+    private notReady(): Failure {
+        const details = { retryAfter: this.options.retryDelay };
+        return failure(platformCodes.storeUnavailable, "the fence has not been read back yet", details);
+    }
+
     private async readBack(): Promise<void> {
         const fence = await this.options.readFence();
         if (fence.isOk) {
@@ -135,8 +159,8 @@
     }
 }
 
-function staleFence(order: Order, highest: number): Outcome<void> {
-    return Result.err(failure(platformCodes.staleFence, `fence ${order.fence} is below ${highest}`));
+function staleFence(fence: number, highest: number): Outcome<void> {
+    return Result.err(failure(platformCodes.staleFence, `fence ${fence} is below ${highest}`));
 }
 
 async function callEngine(engine: Engine, order: Order): Promise<Outcome<void>> {
--- a/packages/agent/src/lib/head/FollowAttempt.ts
+++ b/packages/agent/src/lib/head/FollowAttempt.ts
@@ -7,6 +7,8 @@
  * @internal
  */
 export class FollowAttempt implements Attempt {
+    readonly uses = undefined;
+
     constructor(readonly epoch: number, private readonly stream: EntryStream) {}
 
     get active(): boolean {
--- a/packages/agent/src/lib/head/HeadAttempt.test.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.test.ts
@@ -1,22 +1,38 @@
 import { referenceAnswer } from "@waxwingspar/engine";
+import { type Message } from "@waxwingspar/transport";
+import { requestCodes } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { chainOf, openMessage } from "../testing/TestEntry.js";
+import { chainOf, openMessage, testPrompt } from "../testing/TestEntry.js";
 import { testLayers, TestSite } from "../testing/TestSite.js";
 
-const prompt = "Why does the mast of the lift truck drift down under load?";
-const reference = referenceAnswer({ model: "demo", version: "1", layers: testLayers, prompt, maxTokens: 20, seed: 7 });
+const identity = { model: "demo", version: "1", layers: testLayers };
+const reference = referenceAnswer({ ...identity, prompt: testPrompt, maxTokens: 20, seed: 7 });
+const chain = chainOf(["a", "b", "c"], testLayers);
 
-test("three stages answer as one model", async () => {
+async function startThree(): Promise<TestSite> {
     const site = new TestSite();
     await site.startAll(["a", "b", "c"]);
-    const answer = await site.entry.open(openMessage({ request: "r1", stages: chainOf(["a", "b", "c"], testLayers) }));
+    return site;
+}
+
+/** Whether every engine has dropped the session of an attempt. */
+async function allClosed(site: TestSite, session: string): Promise<boolean> {
+    const exports = [...site.targets.values()].map(({ engine }) => engine.exportCache(session));
+    return (await Promise.all(exports)).every(outcome => outcome.isErr);
+}
+
+test("three stages answer as one model", async () => {
+    const site = await startThree();
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain }));
     await site.until(() => answer.done !== undefined || answer.failed !== undefined);
     assert.deepEqual(answer.ids, reference.tokens);
     assert.equal(answer.text, reference.text);
     assert.equal(answer.done?.finish, reference.finish);
     assert.equal(answer.done?.promptTokens, reference.promptTokens);
     assert.equal(answer.done?.answerTokens, reference.tokens.length);
+    assert.ok(await allClosed(site, "r1/0"));
+    assert.equal(site.targets.get("a")?.queue.running, 0);
 });
 
 test("one target runs alone", async () => {
@@ -26,3 +42,181 @@
     await site.until(() => answer.done !== undefined || answer.failed !== undefined);
     assert.deepEqual(answer.ids, reference.tokens);
 });
+
+test("long prompt runs in chunks and its repeat from the prefix cache", async () => {
+    const site = new TestSite();
+    await site.startAll(["a", "b", "c"], { agent: { settings: { prefillChunk: 16 } } });
+    const prompt = testPrompt.repeat(8);
+    const expected = referenceAnswer({ ...identity, prompt, maxTokens: 20, seed: 7 });
+    const first = await site.entry.open(openMessage({ request: "r1", stages: chain, prompt }));
+    await site.until(() => first.done !== undefined);
+    const second = await site.entry.open(openMessage({ request: "r2", stages: chain, prompt }));
+    await site.until(() => second.done !== undefined);
+    assert.deepEqual(first.ids, expected.tokens);
+    assert.deepEqual(second.ids, expected.tokens);
+    assert.equal(first.done?.cachedTokens, 0);
+    assert.ok((second.done?.cachedTokens ?? 0) > expected.promptTokens / 2);
+    assert.ok(
+        site.events("c", "layers.run").filter(({ request, count }) => request === "r1" && count === 16).length > 3,
+    );
+});
+
+test("stop string ends the answer before it", async () => {
+    const site = await startThree();
+    const stop = reference.text.slice(20, 27);
+    const sampling = { maxTokens: 20, stop: ["no such text", stop], seed: 7 };
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain, sampling }));
+    await site.until(() => answer.done !== undefined);
+    assert.equal(answer.text, reference.text.slice(0, reference.text.indexOf(stop)));
+    assert.equal(answer.done?.finish, "stop");
+    assert.equal(answer.done?.answerTokens, answer.ids.length);
+});
+
+test("resumes behind what was produced", async () => {
+    const site = await startThree();
+    const produced = reference.tokens.slice(0, 7);
+    const answer = await site.entry.open(
+        openMessage({ request: "r1", epoch: 3, stages: chain, produced: [...produced] }),
+    );
+    await site.until(() => answer.done !== undefined);
+    assert.equal(answer.first, 7);
+    assert.deepEqual([...produced, ...answer.ids], reference.tokens);
+    assert.equal(answer.done?.answerTokens, reference.tokens.length);
+});
+
+test("sends no more than the entry grants", async () => {
+    const site = await startThree();
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain, credit: 3 }));
+    await site.clock.advanceAsync(2000, 1);
+    assert.equal(answer.ids.length, 3);
+    const steps = site.events("a", "layers.run").length;
+    await site.clock.advanceAsync(2000, 1);
+    assert.equal(site.events("a", "layers.run").length, steps, "decoding has stopped");
+    const link = await site.entry.link("a");
+    link.send({ type: "credit", request: "r1", epoch: 0, upTo: 5 });
+    link.send({ type: "credit", request: "r1", epoch: 0, upTo: 4 });
+    await site.clock.advanceAsync(2000, 1);
+    assert.equal(answer.ids.length, 5);
+    link.send({ type: "credit", request: "r1", epoch: 0, upTo: 1000 });
+    await site.until(() => answer.done !== undefined);
+    assert.deepEqual(answer.ids, reference.tokens);
+});
+
+test("refuses what it must not run", async () => {
+    const site = await startThree();
+    const cases: [string, number, Partial<Parameters<typeof openMessage>[0]>][] = [
+        ["other head", requestCodes.wrongTarget.number, { stages: chainOf(["b", "a"], testLayers) }],
+        ["other version", requestCodes.wrongTarget.number, { version: "2" }],
+        ["other model", requestCodes.wrongTarget.number, { model: "other" }],
+        ["missing adapter", requestCodes.wrongTarget.number, { adapter: "cabinets" }],
+        ["target twice", requestCodes.malformed.number, { stages: chainOf(["a", "b", "a"], testLayers) }],
+        ["gap", requestCodes.malformed.number, { stages: chain.filter(stage => stage.target !== "b") }],
+    ];
+    const link = await site.entry.link("a");
+    for (const [request, code, changes] of cases) {
+        link.send(openMessage({ request, stages: chain, ...changes }));
+        const answer = site.entry.answer(request, 0);
+        await site.until(() => answer.failed !== undefined, 100);
+        assert.equal(answer.failed?.failure.code, code, request);
+    }
+    assert.deepEqual(site.events("a", "layers.run"), []);
+});
+
+test("old epoch is refused, repeated one ignored", async () => {
+    const site = await startThree();
+    const answer = await site.entry.open(openMessage({ request: "r1", epoch: 2, stages: chain }));
+    await site.until(() => answer.ids.length > 2);
+    await site.entry.open(openMessage({ request: "r1", epoch: 2, stages: chain }));
+    const old = await site.entry.open(openMessage({ request: "r1", epoch: 1, stages: chain }));
+    await site.until(() => answer.done !== undefined);
+    assert.deepEqual(answer.ids, reference.tokens);
+    assert.equal(old.failed?.failure.code, requestCodes.staleEpoch.number);
+});
+
+test("newer epoch replaces a running one", async () => {
+    const site = await startThree();
+    const first = await site.entry.open(openMessage({ request: "r1", stages: chain }));
+    await site.until(() => first.ids.length > 4);
+    const produced = [...first.ids];
+    const second = await site.entry.open(openMessage({ request: "r1", epoch: 1, stages: chain, produced }));
+    await site.until(() => second.done !== undefined);
+    assert.deepEqual([...produced, ...second.ids], reference.tokens);
+    assert.equal(first.done, undefined);
+    await site.clock.advanceAsync(5000, 100);
+    assert.ok(await allClosed(site, "r1/0"));
+});
+
+test("cancel at every point frees everything", async () => {
+    for (let point = 0; point < 60; point += 3) {
+        const site = new TestSite(1);
+        await site.startAll(["a", "b", "c"]);
+        const answer = await site.entry.open(openMessage({ request: "r1", stages: chain }));
+        await site.clock.advanceAsync(point, 1);
+        const link = await site.entry.link("a");
+        link.send({ type: "cancel", request: "r1", epoch: 0 });
+        await site.clock.advanceAsync(20, 1);
+        assert.ok(await allClosed(site, "r1/0"), `sessions are closed when cancelled after ${point} ms`);
+        assert.equal(site.targets.get("a")?.queue.running, 0);
+        const steps = site.history.length;
+        await site.clock.advanceAsync(300, 1);
+        assert.equal(site.history.length, steps, "nothing runs any more");
+        assert.equal(answer.done, undefined);
+    }
+});
+
+test("cancel in the queue leaves it", async () => {
+    const site = new TestSite();
+    await site.start("a", { slots: 1 });
+    const stages = chainOf(["a"], testLayers);
+    const first = await site.entry.open(openMessage({ request: "r1", stages }));
+    await site.entry.open(openMessage({ request: "r2", stages }));
+    await site.clock.advanceAsync(5, 1);
+    const target = site.targets.get("a");
+    assert.equal(target?.queue.queued, 1);
+    (await site.entry.link("a")).send({ type: "cancel", request: "r2", epoch: 0 });
+    await site.until(() => first.done !== undefined);
+    assert.equal(target?.queue.queued, 0);
+    assert.equal(target?.queue.running, 0);
+    assert.equal(site.events("a", "layers.run").filter(({ request }) => request === "r2").length, 0);
+});
+
+test("cancel that overtakes its open keeps it from running", async () => {
+    const site = await startThree();
+    const link = await site.entry.link("a");
+    link.send({ type: "cancel", request: "r1", epoch: 0 });
+    link.send(openMessage({ request: "r1", stages: chain }));
+    await site.clock.advanceAsync(100, 1);
+    assert.deepEqual(site.events("a", "layers.run"), []);
+});
+
+test("lost entry cancels", async () => {
+    const site = await startThree();
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain }));
+    await site.until(() => answer.ids.length > 2);
+    site.entry.die();
+    await site.clock.advanceAsync(20, 1);
+    assert.ok(await allClosed(site, "r1/0"));
+    assert.equal(site.targets.get("a")?.queue.running, 0);
+});
+
+test("deadline ends a running request", async () => {
+    const site = await startThree();
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain, timeLeft: 100 }));
+    await site.until(() => answer.failed !== undefined, 200);
+    assert.equal(answer.failed?.failure.code, requestCodes.deadlineExceeded.number);
+});
+
+test("answers of many requests do not cross", async () => {
+    const site = await startThree();
+    const prompts = Array.from({ length: 12 }, (_, index) => `${testPrompt} case ${index}`);
+    const answers = await Promise.all(
+        prompts.map((prompt, index) => site.entry.open(openMessage({ request: `r${index}`, stages: chain, prompt }))),
+    );
+    await site.until(() => answers.every(answer => answer.done !== undefined));
+    answers.forEach((answer, index) => {
+        const expected = referenceAnswer({ ...identity, prompt: prompts[index] ?? "", maxTokens: 20, seed: 7 });
+        assert.deepEqual(answer.ids, expected.tokens);
+    });
+    const loads = site.entry.received.filter((message: Message) => message.type === "load");
+    assert.ok(loads.length > 0, "the link got load reports while it carried requests");
+});
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -1,14 +1,14 @@
 import { type Span } from "@opentelemetry/api";
+import { parentContext, traceparentOf } from "@waxwingspar/telemetry";
 import { type OpenMessage } from "@waxwingspar/transport";
 import { type Failure, failure, requestCodes, type Timer } from "@waxwingspar/utils";
-import { type AgentContext, type Attempt } from "../AgentContext.js";
+import { type AgentContext, type Attempt, type ModelVersion } from "../AgentContext.js";
 import { type AttemptEvent, type AttemptState, createAttemptChart } from "../charts/attemptChart.js";
 import { asNotRun, asStarted, type ChainFault, fromWire } from "../faults.js";
 import { type JoinedMessage, type StageFailedMessage } from "../messages.js";
 import { type SampledToken } from "../stage/StageRunner.js";
 import { StageSession } from "../stage/StageSession.js";
 import { type Timeouts, timeoutsOf } from "../timeouts.js";
-import { contextOf, traceparentOf } from "../tracing.js";
 import { type AnswerSink } from "./AnswerSink.js";
 import { headPlan, joinRequest } from "./chainMessages.js";
 import { type EntryStream } from "./EntryStream.js";
@@ -74,12 +74,16 @@
             timeouts: this.timeouts,
             request,
             epoch,
-            stages: options.message.stages,
+            ownPassed: () => this.session?.progress.passed ?? 0,
             members: () => this.later?.members ?? [],
             lost: fault => this.fail(fault),
         });
     }
 
+    get uses(): ModelVersion | undefined {
+        return this.chart.ended ? undefined : this.options.message;
+    }
+
     /** True while it runs, or while its answer still waits for a slow caller. */
     get active(): boolean {
         return !this.chart.ended || !this.options.entry.closed;
@@ -199,7 +203,7 @@
 
     /** Runs the token at the last position, which draws the next one. */
     private draw(token: number): void {
-        this.wait.expect(1);
+        this.wait.expect(this.next, 1);
         this.session?.submit({ position: this.next - 1, count: 1, tokens: [token], prefill: false });
     }
 
@@ -213,7 +217,7 @@
         context.record({ event: "work.accepted", request, epoch, target: context.target });
         this.span = context.tracer.startSpan("agent.head", {
             attributes: { "waxwingspar.request": request, "waxwingspar.epoch": epoch },
-        }, contextOf(message.traceparent));
+        }, parentContext(message.traceparent));
         this.deadline = context.clock.schedule(() => this.expire(), message.timeLeft);
         this.prepare().catch((error: unknown) => {
             this.fail({ failure: failure(requestCodes.engineFailed, String(error)), target: context.target });
@@ -274,7 +278,7 @@
 
     private prefill(tokens: number[], start: number): void {
         const { prefillChunk } = this.context.settings;
-        this.wait.expect(tokens.length - start);
+        this.wait.expect(tokens.length, tokens.length - start);
         for (let position = start; position < tokens.length; position += prefillChunk) {
             const chunk = tokens.slice(position, position + prefillChunk);
             const prefill = position + chunk.length < tokens.length;
--- a/packages/agent/src/lib/lateMethods.ts
+++ b/packages/agent/src/lib/lateMethods.ts
@@ -4,9 +4,10 @@
 import { type Agent } from "./Agent.js";
 import { orderMethodName } from "./control/OrderGate.js";
 import { exportMethodName } from "./kv/exportMethod.js";
+import { stateMethodName } from "./stage/stateMethod.js";
 
 /** The JSON-RPC methods of every agent. */
-const methodNames = [exportMethodName, orderMethodName];
+const methodNames = [exportMethodName, orderMethodName, stateMethodName];
 
 /**
  * The methods of an agent that does not exist yet: a link pool takes its methods when it is made, and the agent takes
--- a/packages/agent/src/lib/service/ServiceCall.ts
+++ b/packages/agent/src/lib/service/ServiceCall.ts
@@ -27,6 +27,8 @@
     /** Milliseconds for the whole answer. */
     readonly timeout: number;
     readonly sink: CallSink;
+    /** Runs once, as soon as the call may have reached the service, before the sink is told anything. */
+    readonly sent: () => void;
     /** Bytes of the largest piece that is sent at once. */
     readonly piece: number;
     /** Bytes queued towards the entry from which on no more of the answer is read. */
@@ -42,6 +44,7 @@
     private readonly controller = new AbortController();
     private timer: Timer | undefined;
     private timedOut = false;
+    private answered = false;
 
     constructor(private readonly options: ServiceCallOptions) {}
 
@@ -67,7 +70,7 @@
     }
 
     private async exchange(): Promise<void> {
-        const { message, dispatcher, root, sink } = this.options;
+        const { message, dispatcher, root, sink, sent } = this.options;
         const reply = await dispatcher.request({
             path: root + message.path,
             method: message.method,
@@ -75,6 +78,8 @@
             body: message.body.length === 0 ? undefined : Buffer.from(message.body),
             signal: this.controller.signal,
         });
+        this.answered = true;
+        sent();
         sink.item({ kind: "head", status: reply.statusCode, headers: replyHeaders(reply.headers) });
         for await (const chunk of reply.body as AsyncIterable<Uint8Array<ArrayBuffer>>) {
             this.sendPieces(chunk);
@@ -104,9 +109,12 @@
 
     /** What an error says about the call: only an error before anything was sent proves that it did not run. */
     private judge(error: unknown): Failure {
-        if (notSentErrors.has(errorCode(error))) {
+        if (!this.answered && notSentErrors.has(errorCode(error))) {
             return failure(requestCodes.noCapacity, "the service takes no connection");
         }
+        if (!this.answered) {
+            this.options.sent();
+        }
         return this.timedOut
             ? failure(requestCodes.deadlineExceeded, "the service did not answer in time")
             : failure(requestCodes.outcomeUnknown, `the call was broken off: ${errorCode(error)}`);
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -1,10 +1,10 @@
 import { SpanKind } from "@opentelemetry/api";
+import { parentContext, traceparentOf } from "@waxwingspar/telemetry";
 import { type CallMessage, type Link } from "@waxwingspar/transport";
 import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
 import { type Dispatcher, Pool } from "undici";
 import { type AgentContext } from "../AgentContext.js";
 import { type ClaimUse } from "../claims/ClaimTable.js";
-import { contextOf, traceparentOf } from "../tracing.js";
 import { type CallClaims, type CallRecord, CallRecordSink, type CallSink, CallStream } from "./CallSink.js";
 import { ServiceCall } from "./ServiceCall.js";
 
@@ -183,7 +183,7 @@
         const span = context.tracer.startSpan("agent.call", {
             kind: SpanKind.CLIENT,
             attributes: { "waxwingspar.request": request, "waxwingspar.service": service },
-        }, contextOf(message.traceparent));
+        }, parentContext(message.traceparent));
         const traceparent = traceparentOf(span);
         const headers = traceparent === undefined ? message.headers : { ...message.headers, traceparent };
         const call = new ServiceCall({
@@ -193,6 +193,8 @@
             clock,
             timeout,
             sink,
+            sent: () =>
+                record({ event: "service.run", request, service, target, key: message.headers["idempotency-key"] }),
             piece: settings.replyPiece,
             highWater: settings.linkHighWater,
         });
@@ -201,7 +203,6 @@
             open.call = call;
         }
         record({ event: "work.accepted", request, epoch: 0, target });
-        record({ event: "service.run", request, service, target, key: message.headers["idempotency-key"] });
         this.runningCalls++;
         await call.run();
         this.runningCalls--;
--- a/packages/agent/src/lib/stage/StageAttempt.ts
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -1,11 +1,11 @@
 import { type Span } from "@opentelemetry/api";
+import { parentContext } from "@waxwingspar/telemetry";
 import { type FrameMessage, type JoinMessage, type Link } from "@waxwingspar/transport";
 import { type Failure, failure, requestCodes, type Timer, transportCodes } from "@waxwingspar/utils";
-import { type AgentContext, type Attempt } from "../AgentContext.js";
+import { type AgentContext, type Attempt, type ModelVersion } from "../AgentContext.js";
 import { type AttemptEvent, createAttemptChart } from "../charts/attemptChart.js";
 import { asNotRun, asStarted, type ChainFault, toWire } from "../faults.js";
 import { timeoutsOf } from "../timeouts.js";
-import { contextOf } from "../tracing.js";
 import { FrameOrder } from "./FrameOrder.js";
 import { type SampledToken } from "./StageRunner.js";
 import { StageSession } from "./StageSession.js";
@@ -56,14 +56,23 @@
         }, { sampled: token => this.sendSampled(token), failed: fault => this.fail(fault) });
         this.span = context.tracer.startSpan("agent.stage", {
             attributes: { "waxwingspar.request": request, "waxwingspar.epoch": epoch, "waxwingspar.stage": index },
-        }, contextOf(message.traceparent));
+        }, parentContext(message.traceparent));
         this.deadline = context.clock.schedule(() => this.expire(), message.timeLeft);
     }
 
+    get uses(): ModelVersion {
+        return this.message;
+    }
+
     get active(): boolean {
         return !this.chart.ended;
     }
 
+    /** Positions whose frames have come, and those whose result has been passed on. */
+    get progress(): { readonly taken: number; readonly passed: number; } {
+        return this.session.progress;
+    }
+
     /** Opens the session and answers the head. */
     async prepare(): Promise<void> {
         this.chart.send("start");
--- a/packages/agent/src/lib/stage/StageRunner.ts
+++ b/packages/agent/src/lib/stage/StageRunner.ts
@@ -64,21 +64,22 @@
     private current: StageWork | undefined;
     private stopped = false;
     private readonly watchdog: Watchdog;
-    private done = 0;
+    private isStarted = false;
+    private passedTo = 0;
     private startedAt = 0;
 
     constructor(private readonly options: StageRunnerOptions) {
         this.watchdog = new Watchdog(options.clock, () => this.hung());
     }
 
-    /** True while a step runs or waits. */
-    get busy(): boolean {
-        return this.current !== undefined || this.waiting.length > 0;
+    /** Positions of the sequence whose result has been passed on. */
+    get passed(): number {
+        return this.passedTo;
     }
 
     /** True once a step has been given to the engine. */
     get started(): boolean {
-        return this.done > 0 || this.current !== undefined;
+        return this.isStarted;
     }
 
     submit(work: StageWork): void {
@@ -112,6 +113,7 @@
     private run(work: StageWork): void {
         const { engine, session, draws, timeouts, clock } = this.options;
         this.current = work;
+        this.isStarted = true;
         this.startedAt = clock.now();
         this.watchdog.expect(timeouts.step(work.count));
         const { position, count, tokens, activations } = work;
@@ -135,7 +137,7 @@
             this.fail(outcome.error);
             return;
         }
-        this.done++;
+        this.passedTo = work.position + work.count;
         this.deliver(work, outcome.value);
         this.resume();
     }
--- a/packages/agent/src/lib/stage/StageSession.ts
+++ b/packages/agent/src/lib/stage/StageSession.ts
@@ -58,6 +58,7 @@
     private opened = false;
     private cached = 0;
     private imported = false;
+    private taken = 0;
     private firstPosition: number | undefined;
 
     constructor(
@@ -79,8 +80,9 @@
         return this.runner?.started === true;
     }
 
-    get busy(): boolean {
-        return this.runner?.busy === true;
+    /** Positions that have been submitted, and those whose result has been passed on. */
+    get progress(): { readonly taken: number; readonly passed: number; } {
+        return { taken: this.taken, passed: this.runner?.passed ?? 0 };
     }
 
     /**
@@ -110,6 +112,7 @@
             this.firstPosition = work.position;
             this.recordReuse(work.position);
         }
+        this.taken = work.position + work.count;
         this.runner?.submit(work);
     }
 
@@ -246,7 +249,7 @@
         if (count === 0) {
             return;
         }
-        const { request, epoch } = this.plan;
+        const { request, epoch, version } = this.plan;
         const { first, last } = this.stage;
         const from = this.imported ? "import" : "prefix";
         this.context.record({
@@ -258,6 +261,7 @@
             last,
             count,
             from,
+            version,
         });
     }
 
--- a/packages/agent/src/lib/testing/TestEntry.ts
+++ b/packages/agent/src/lib/testing/TestEntry.ts
@@ -1,3 +1,4 @@
+import { type HistoryRecorder } from "@waxwingspar/history";
 import {
     type DoneMessage,
     type FailedMessage,
@@ -20,29 +21,43 @@
 }
 
 /**
- * An entry that keeps what it receives, and checks that tokens follow on each other.
+ * An entry that keeps what it receives, and checks that tokens follow on each other and nothing follows an end.
  *
  * @internal
  */
 export class TestEntry {
     readonly received: Message[] = [];
-    readonly host: TestHost;
+    /** Runs for every message, after it has been kept. */
+    onMessage: ((message: Message) => void) | undefined;
+    /** Runs when the link to a target has closed. */
+    onLost: ((target: string) => void) | undefined;
     private readonly answers = new Map<string, TestAnswer>();
     private readonly pool;
 
-    constructor(name: string, network: TestNetwork, private readonly clock: Clock) {
-        this.host = { hello: testHello(name, "entry"), methods: () => ({}), accept: () => undefined };
-        this.pool = network.createPool(this.host);
-        this.pool.onOpen(link => link.onMessage(message => this.receive(message)));
+    constructor(
+        readonly name: string,
+        private readonly network: TestNetwork,
+        readonly clock: Clock,
+        readonly record: HistoryRecorder,
+    ) {
+        const host: TestHost = { hello: testHello(name, "entry"), methods: () => ({}), accept: () => undefined };
+        this.pool = network.createPool(host);
+        this.pool.onOpen((link, address) => {
+            link.onMessage(message => this.receive(message));
+            link.onClose(() => this.onLost?.(address.host));
+        });
     }
 
-    /** Milliseconds at which each token message came. */
-    readonly tokenTimes: number[] = [];
+    /** Opens a link to a target, or gives the open one. Undefined when it is gone. */
+    async tryLink(target: string): Promise<Link | undefined> {
+        const link = await this.pool.connect({ host: target, port: 1 });
+        return link.isOk ? link.value : undefined;
+    }
 
     async link(target: string): Promise<Link> {
-        const link = await this.pool.connect({ host: target, port: 1 });
-        assert(link.isOk, `no link to ${target}`);
-        return link.value;
+        const link = await this.tryLink(target);
+        assert(link !== undefined, `no link to ${target}`);
+        return link;
     }
 
     /** Sends an `open` to the head of its chain. */
@@ -64,6 +79,11 @@
         return created;
     }
 
+    /** Closes every link, as an entry that dies. */
+    die(): void {
+        this.network.kill(this.name);
+    }
+
     private receive(message: Message): void {
         this.received.push(message);
         switch (message.type) {
@@ -74,23 +94,23 @@
                 assert(answer.done === undefined && answer.failed === undefined, "nothing follows the end");
                 answer.ids.push(...message.ids);
                 answer.text += message.texts.join("");
-                this.tokenTimes.push(this.clock.now());
-                return;
-            }
-            case "done": {
-                const answer = this.answer(message.request, message.epoch);
-                assert(answer.done === undefined && answer.failed === undefined, "an answer ends once");
-                answer.done = message;
-                return;
-            }
-            case "failed": {
-                const answer = this.answer(message.request, message.epoch);
-                assert(answer.done === undefined && answer.failed === undefined, "an answer ends once");
-                answer.failed = message;
-                return;
+                break;
             }
+            case "done":
+                this.end(message.request, message.epoch).done = message;
+                break;
+            case "failed":
+                this.end(message.request, message.epoch).failed = message;
+                break;
             default:
         }
+        this.onMessage?.(message);
+    }
+
+    private end(request: string, epoch: number): TestAnswer {
+        const answer = this.answer(request, epoch);
+        assert(answer.done === undefined && answer.failed === undefined, "an answer ends once");
+        return answer;
     }
 }
 
@@ -105,6 +125,9 @@
     }));
 }
 
+/** The prompt of {@link openMessage}. @internal */
+export const testPrompt = "Why does the mast of the lift truck drift down under load?";
+
 /** An `open` with usual values. @internal */
 export function openMessage(changes: Partial<OpenMessage> & Pick<OpenMessage, "request" | "stages">): OpenMessage {
     return {
@@ -116,7 +139,7 @@
         priority: 5,
         timeLeft: 60_000,
         firstTokenBound: 540,
-        prompt: "Why does the mast of the lift truck drift down under load?",
+        prompt: testPrompt,
         produced: [],
         sampling: { maxTokens: 20, stop: [], seed: 7 },
         exporters: [],
--- a/packages/agent/src/lib/testing/TestSite.ts
+++ b/packages/agent/src/lib/testing/TestSite.ts
@@ -1,6 +1,6 @@
 import { type Configuration, resource, StaticConfiguration } from "@waxwingspar/config";
 import { FakeEngine, type FakeEngineOptions } from "@waxwingspar/engine";
-import { type HistoryEvent } from "@waxwingspar/history";
+import { checkHistory, type HistoryEvent, type HistoryLine, type HistoryRecorder } from "@waxwingspar/history";
 import { ManualClock } from "@waxwingspar/utils";
 import { Agent, type AgentOptions } from "../Agent.js";
 import { TestEntry } from "./TestEntry.js";
@@ -41,8 +41,9 @@
     readonly entry: TestEntry;
     readonly configuration: Configuration;
     readonly targets = new Map<string, TestTarget>();
-    /** The events of all processes, in their order. */
-    readonly history: HistoryEvent[] = [];
+    /** The histories of all processes, in the order of what happened. */
+    readonly history: HistoryLine[] = [];
+    private readonly sequences = new Map<string, number>();
 
     constructor(delay = 0) {
         this.network = new TestNetwork(this.clock, delay);
@@ -65,13 +66,15 @@
     }
 
     createEntry(name: string): TestEntry {
-        return new TestEntry(name, this.network, this.clock);
+        return new TestEntry(name, this.network, this.clock, this.createRecorder(name, `${name}-1`));
     }
 
     /** Starts an agent; one with the same name as before is a restart at the same address. */
     async start(name: string, options: TestTargetOptions = {}): Promise<TestTarget> {
         const { first = 0, last = testLayers - 1, slots = 64 } = options;
         const hello = testHello(name, "agent", options.incarnation);
+        const recorder = this.createRecorder(name, hello.incarnation);
+        recorder({ event: "process.started", target: name });
         const held = [{ model: "demo", version: "1", first, last }];
         const engine = new FakeEngine({ clock: this.clock, held, ...options.engine });
         const queue = new TestQueue(slots);
@@ -87,7 +90,7 @@
             clock: this.clock,
             record: event => {
                 history.push(event);
-                this.history.push(event);
+                recorder(event);
             },
             ...options.agent,
         });
@@ -103,6 +106,33 @@
         return Promise.all(names.map(name => this.start(name, options)));
     }
 
+    /** The events of one kind that a target recorded. */
+    events<Name extends HistoryEvent["event"]>(target: string, event: Name): Extract<HistoryEvent, { event: Name; }>[] {
+        const history = this.targets.get(target)?.history ?? [];
+        return history.filter((body): body is Extract<HistoryEvent, { event: Name; }> => body.event === event);
+    }
+
+    /** Checks the histories of all processes. Nothing of them is lost, since they were kept in memory. */
+    violations(): string[] {
+        const lines = [...this.history];
+        this.sequences.forEach((sequence, key) => {
+            const [process = "", incarnation = ""] = key.split("\n");
+            const time = this.clock.now();
+            lines.push({ process, incarnation, sequence, time, body: { event: "history.closed" } });
+        });
+        return checkHistory(lines).violations.map(({ rule, message }) => `${rule}: ${message}`);
+    }
+
+    private createRecorder(process: string, incarnation: string): HistoryRecorder {
+        const key = `${process}\n${incarnation}`;
+        this.sequences.set(key, 0);
+        return body => {
+            const sequence = this.sequences.get(key) ?? 0;
+            this.sequences.set(key, sequence + 1);
+            this.history.push({ process, incarnation, sequence, time: this.clock.now(), body });
+        };
+    }
+
     /** A target dies with its agent. */
     kill(name: string): void {
         this.targets.get(name)?.engine.crash();
