Settings of the daemons, checked by schema

Cause: the daemons need settings whose faults are named before any socket opens. Before: no settings. Conclusion: the daemons can be wired on these.

--- /dev/null
+++ b/packages/cli/src/lib/settings/standInSettings.ts
@@ -0,0 +1,35 @@
+import { heldLayersSchema } from "@waxwingspar/engine";
+import { liveHostSchema } from "@waxwingspar/platform";
+import { z } from "zod";
+import { addressSchema } from "./common.js";
+
+/** Settings of the platform's stand-ins. @internal */
+export const platformSettingsSchema = z.strictObject({
+    role: z.literal("platform").describe("What the process is."),
+    listen: addressSchema.describe(
+        "Where the stand-ins answer over HTTP. Anyone who reaches it may change everything.",
+    ),
+    hosts: z.array(liveHostSchema).default([]).describe("What the live list shows."),
+    listLag: z.number().nonnegative().default(2000).describe("How old the live list is, in milliseconds."),
+    layerBytes: z.number().positive().default(1_000_000_000).describe("Bytes of weights of every layer."),
+    weightRate: z.number().positive().default(10_000_000_000).describe("Bytes per second that all loads may take."),
+    resources: z.array(z.unknown()).default([]).describe("Resources to create at the start, as kind, name and spec."),
+});
+
+/** @internal */
+export type PlatformSettings = z.infer<typeof platformSettingsSchema>;
+
+/** Settings of a fake engine. @internal */
+export const engineSettingsSchema = z.strictObject({
+    role: z.literal("engine").describe("What the process is."),
+    listen: addressSchema.describe(
+        "Where the fake engine answers over HTTP. Anyone who reaches it may give it orders.",
+    ),
+    held: z.array(heldLayersSchema).default([]).describe("Layers that it holds from the start."),
+    slots: z.number().int().positive().default(32).describe("Steps that it runs in one batch."),
+    stepTime: z.number().positive().default(5).describe("Milliseconds that every batch takes."),
+    checksFence: z.boolean().default(true).describe("Whether it refuses an order with an old fencing number."),
+});
+
+/** @internal */
+export type EngineSettings = z.infer<typeof engineSettingsSchema>;
