History checker: duplicates that share an answer, undecided only where an agent's lost lines matter

Cause: a duplicate of a request that is not idempotent gets its answer from the head's memory and runs no layers; the checker would have called that a violation. A killed agent also made rules undecided that agents record nothing for. Change: a duplicate that ran nothing is judged by the attempts of the other requests with its key. Before: no test had a duplicate that was served from memory. Conclusion: kills leave less undecided, and followers of a claim are covered by the rule on layers.

--- a/packages/history/src/lib/check/Recordings.ts
+++ b/packages/history/src/lib/check/Recordings.ts
@@ -23,6 +23,8 @@
 export class Recordings implements Rule {
     private readonly recordings = new Map<string, Recording>();
     private readonly writers = new Map<string, Set<Recording>>();
+    /** Those that have recorded what agents do not. */
+    private readonly others = new Set<Recording>();
     private readonly lost: ReadonlySet<string>;
     private readonly faults = new Map<Recording, Finding[]>();
 
@@ -45,6 +47,9 @@
         recording.lastTime = Math.max(recording.lastTime, line.time);
         recording.closed = line.body.event === "history.closed" || line.body.event === "process.stopped";
         const target = ownTarget(line);
+        if (isNoAgentEvent(line.body.event)) {
+            this.others.add(recording);
+        }
         if (target !== undefined) {
             getOrCreate(this.writers, target, () => new Set<Recording>()).add(recording);
         }
@@ -79,6 +84,15 @@
         return this.lost.size === 0 && [...this.recordings.values()].every(recording => this.isWhole(recording));
     }
 
+    /** Whether no history is lost but those of agents, which take no requests and no changes of configuration. */
+    isWholeButForAgents(): boolean {
+        const writers = [...this.writers.values()].flatMap(recordings => [...recordings]);
+        const agents = new Set(writers.filter(recording => !this.others.has(recording)));
+        const names = new Set([...this.writers.keys(), ...[...agents].map(({ process }) => process)]);
+        return [...this.lost].every(name => names.has(name))
+            && [...this.recordings.values()].every(recording => agents.has(recording) || this.isWhole(recording));
+    }
+
     private checkSequence(recording: Recording, line: HistoryLine): void {
         if (line.sequence === recording.next) {
             return;
@@ -88,6 +102,11 @@
     }
 }
 
+/** Whether an event shows that its process is not only an agent. */
+function isNoAgentEvent(event: HistoryLine["body"]["event"]): boolean {
+    return event === "request.received" || event === "config.accepted" || event === "write.effect";
+}
+
 /** Names the incarnation that recorded a line. @internal */
 export function keyOf({ process, incarnation }: Pick<HistoryLine, "process" | "incarnation">): string {
     return `${process}\n${incarnation}`;
--- a/packages/history/src/lib/check/layerViolations.test.ts
+++ b/packages/history/src/lib/check/layerViolations.test.ts
@@ -1,4 +1,4 @@
-import { always, at, change, type Event, testPlants } from "../../testing/plants.js";
+import { always, at, change, ended, type Event, received, sent, testPlants } from "../../testing/plants.js";
 
 testPlants({
     "a layer range never ran": {
@@ -119,4 +119,23 @@
                 event => [{ ...event, tokens: event.tokens - 1 }],
             ),
     },
+    "a duplicate that got more than was computed": {
+        rule: "layers",
+        request: "follower",
+        plant: history => {
+            change(history, "tokens.sent", sent("follower", 0), event => [{ ...event, ids: [0, 1, 2, 3] }]);
+            change(history, "request.ended", ended("follower"), event => [{ ...event, tokens: 4 }]);
+        },
+    },
+    "a duplicate of a request that ran nothing": {
+        rule: "layers",
+        request: "follower",
+        plant: history =>
+            change(
+                history,
+                "request.received",
+                received("follower"),
+                event => [{ ...event, key: "another key" }],
+            ),
+    },
 });
--- a/packages/history/src/lib/check/rules/ConfigurationRule.ts
+++ b/packages/history/src/lib/check/rules/ConfigurationRule.ts
@@ -87,7 +87,7 @@
             if (revision <= this.bounds.baseRevision || accepted.has(revision)) {
                 continue;
             }
-            if (recordings.isEverythingWhole()) {
+            if (recordings.isWholeButForAgents()) {
                 const message = `${line.process} applied revision ${revision}, which was never accepted`;
                 found.push({ message, lines: [referenceTo(line)] });
             }
--- a/packages/history/src/lib/check/rules/LayerRule.ts
+++ b/packages/history/src/lib/check/rules/LayerRule.ts
@@ -20,7 +20,8 @@
 
 /**
  * For every token delivered, every layer ran exactly once, in order, on every position before it, within the attempt
- * that delivered it and on one model version; and nothing runs twice within an attempt.
+ * that delivered it and on one model version; and nothing runs twice within an attempt. A duplicate of a request that is
+ * not idempotent runs nothing itself; what it delivers, another request with its key must have computed.
  *
  * @internal
  */
@@ -50,6 +51,10 @@
 
     decide(recordings: Recordings, findings: Findings): void {
         for (const [request, layers] of this.requests) {
+            if (this.isFollower(request, layers)) {
+                this.decideFollower(request, layers, recordings, findings);
+                continue;
+            }
             for (const [epoch, attempt] of layers.attempts) {
                 this.decideAttempt(request, epoch, attempt, layers, recordings, findings);
             }
@@ -82,6 +87,40 @@
         }
     }
 
+    /** Whether a request ran nothing itself, but may have been given the answer of another one with its key. */
+    private isFollower(request: string, { attempts }: RequestLayers): boolean {
+        const received = this.index.requests.get(request)?.received;
+        const ran = [...attempts.values()].some(({ lanes, reuses }) => lanes.length + reuses.length > 0);
+        return received?.idempotent === false && received.key !== undefined && !ran;
+    }
+
+    /** Decides whether an attempt of another request with the same key has computed all that was delivered. */
+    private decideFollower(
+        request: string,
+        { attempts }: RequestLayers,
+        recordings: Recordings,
+        findings: Findings,
+    ): void {
+        const deliveries = [...attempts.values()].flatMap(({ delivery }) => delivery ?? []);
+        const end = Math.max(0, ...deliveries.map(delivery => delivery.end));
+        if (end === 0) {
+            findings.pass("layers");
+            return;
+        }
+        const key = this.index.requests.get(request)?.received?.key ?? "";
+        const sharing = this.index.byKey.get(key) ?? [];
+        if (sharing.some(name => hasComputed(this.requests.get(name), end))) {
+            findings.pass("layers");
+            return;
+        }
+        const message = `no request with this key ran all layers for the ${end} tokens delivered`;
+        const finding = { request, message, lines: deliveries.map(({ line }) => line) };
+        // The request that ran may be in the lost end of any entry, and its layers in that of its agents.
+        const decidable = recordings.isWholeButForAgents()
+            && sharing.every(name => this.index.isDecidable(name, recordings));
+        findings.decide("layers", decidable ? [finding] : [], false);
+    }
+
     private decideAttempt(
         request: string,
         epoch: number,
@@ -119,6 +158,18 @@
     }
 }
 
+/** Whether one attempt of a request ran every layer that the first tokens of its answer need. */
+function hasComputed(layers: RequestLayers | undefined, tokens: number): boolean {
+    const prompt = layers?.prompt;
+    if (layers === undefined || prompt === undefined) {
+        return false;
+    }
+    const positions = prompt.tokens + tokens - 1;
+    return [...layers.attempts.values()].some(attempt => (
+        attempt.lanes.length > 0 && attempt.compare(prompt.layers, positions).missing.length === 0
+    ));
+}
+
 /** Whether no lost line can hold the work that is missing. */
 function isMissingForSure(
     area: Area,
--- a/packages/history/src/lib/check/rules/NotRunRule.ts
+++ b/packages/history/src/lib/check/rules/NotRunRule.ts
@@ -35,7 +35,7 @@
             requests.forEach(request => refused.set(request, line));
             if (requests.length === 0) {
                 // No entry knows of it: it never arrived, or the history of the entry is lost.
-                findings.decide("not-run", [], recordings.isEverythingWhole());
+                findings.decide("not-run", [], recordings.isWholeButForAgents());
             }
         }
         for (const [request, line] of refused) {
--- a/packages/history/src/lib/check/rules/WriteRule.ts
+++ b/packages/history/src/lib/check/rules/WriteRule.ts
@@ -18,7 +18,7 @@
     }
 
     decide(recordings: Recordings, findings: Findings): void {
-        const decidable = recordings.isEverythingWhole();
+        const decidable = recordings.isWholeButForAgents();
         for (const [writeId, lines] of this.effects) {
             const message = `write ${writeId} took effect ${lines.length} times`;
             findings.decide("writes", lines.length > 1 ? [{ message, lines }] : [], decidable);
--- a/packages/history/src/lib/recording/recording.test.ts
+++ b/packages/history/src/lib/recording/recording.test.ts
@@ -116,3 +116,19 @@
     assert.deepEqual(checked.value.rules.writes, { passed: 0, violated: 0, undecided: 1 });
     await recorder.close();
 });
+
+test("an abandoned recorder leaves a history without an end", async t => {
+    const path = await temporaryFile(t);
+    const recorder = await openRecorder(path, new ManualClock());
+    recorder.record({ event: "write.effect", writeId: "a" });
+    await recorder.abandon();
+    recorder.record({ event: "write.effect", writeId: "b" });
+    assert.ok((await recorder.close()).isOk);
+    assert.deepEqual((await readLines(path)).map(({ body }) => body.event), ["process.started"]);
+});
+
+test("a full disk is a failure", async () => {
+    const options = { clock: new ManualClock(), path: "/dev/full", process: "p", incarnation: "i" };
+    const opened = await FileRecorder.open(options);
+    assert.ok(opened.isErr && opened.error.message.includes("ENOSPC"));
+});
--- a/packages/history/src/testing/sampleHistory.ts
+++ b/packages/history/src/testing/sampleHistory.ts
@@ -39,6 +39,7 @@
         key: "model key",
     });
     addRefusedDuplicate(history);
+    addFollower(history);
     addServiceCalls(history);
     addLeavingTarget(history);
     addRevisions(history);
@@ -67,6 +68,32 @@
     history.add("caller", { event: "caller.ended", callerRequest, outcome: "not run", code: 1014 });
 }
 
+/** Another duplicate of "publish" is given its answer, and runs nothing itself. */
+function addFollower(history: HistoryBuilder): void {
+    const request = "follower";
+    const key = "model key";
+    history.add(
+        "entry-1",
+        {
+            event: "request.received",
+            request,
+            organisation: "depot",
+            route: "demo",
+            idempotent: false,
+            key,
+        },
+        { event: "attempt.started", request, epoch: 0, targets: ["target-a", "target-d"], resumeAt: 0 },
+        {
+            event: "tokens.sent",
+            request,
+            epoch: 0,
+            position: 0,
+            ids: [0, 1, 2],
+        },
+        { event: "request.ended", request, outcome: "completed", tokens: 3 },
+    );
+}
+
 function addServiceCalls(history: HistoryBuilder): void {
     for (const [number, key] of ["order 1", "order 2"].entries()) {
         const request = `call ${number}`;
