--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -5,4 +5,7 @@
  */
 export { type ClaimIdentity, decodeClaim, encodeClaim, keyHashOf, shortHash } from "./lib/claimId.js";
 export { type Claim, type ClaimRequest, type Claims, type Runner } from "./lib/Claims.js";
+export { ClaimJournal, type ClaimJournalOptions } from "./lib/journal/ClaimJournal.js";
+export { ClaimJournals, type ClaimJournalsOptions } from "./lib/journal/ClaimJournals.js";
+export { partitionOf } from "./lib/routing/partitionOf.js";
 export { TableClaims } from "./lib/TableClaims.js";
--- a/packages/claims/src/lib/claimId.ts
+++ b/packages/claims/src/lib/claimId.ts
@@ -11,7 +11,10 @@
     readonly organisation: string;
     /** The hash of route, organisation and key, 128 bits in base64url. */
     readonly keyHash: string;
-    /** How often the claim was moved before. Each move makes another id, so an old promise never binds a new claim. */
+    /**
+     * Grows with each record of the key. A claim that is moved, even back to an earlier runner, gets another id, so that
+     * an old promise never binds a new claim.
+     */
     readonly generation: number;
     /** The one runner that may run the request under this id. */
     readonly runner: Runner;
@@ -20,7 +23,7 @@
 const idVersion = "c1";
 const fieldCount = 7;
 const hashBytes = 16;
-const generationPattern = /^(0|[1-9]\d{0,8})$/;
+const generationPattern = /^(0|[1-9]\d{0,14})$/;
 const keyHashPattern = /^[\w-]{22}$/;
 
 /**
--- /dev/null
+++ b/packages/claims/src/lib/journal/Archiver.ts
@@ -0,0 +1,131 @@
+import { type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import { type Clock, type Outcome, sleep, uniqueId } from "@waxwingspar/utils";
+import { encodeArchive } from "./archives.js";
+import { type ClaimRecord } from "./ClaimRecord.js";
+import { type PartitionLog } from "./PartitionLog.js";
+import { type Base, partitionPrefix, segmentNumber } from "./partitionRows.js";
+
+/**
+ * Options of an {@link Archiver}.
+ *
+ * @internal
+ */
+export interface ArchiverOptions {
+    readonly log: PartitionLog;
+    readonly partition: number;
+    readonly table: TableStore;
+    readonly objects: ObjectStore;
+    readonly clock: Clock;
+    readonly pace: () => number;
+    readonly archiveAfter: number;
+}
+
+/** Rows deleted in one transaction. */
+const rowsPerDeletion = 100;
+
+/**
+ * Moves the records of old segments to an archive in the object store, drops archives whose claims have all expired,
+ * and deletes what is not needed any more. Every step may fail or be cut off; a later run, of any owner, goes on.
+ *
+ * @internal
+ */
+export class Archiver {
+    private running = false;
+
+    constructor(private readonly options: ArchiverOptions) {}
+
+    /** Archives when enough segments have come together. Claims may be appended in the meantime. */
+    async run(): Promise<void> {
+        const { log, archiveAfter } = this.options;
+        if (this.running || log.nextSegment - log.base.first < archiveAfter) {
+            return;
+        }
+        this.running = true;
+        await this.archiveAndDelete();
+        this.running = false;
+    }
+
+    private async archiveAndDelete(): Promise<void> {
+        const { log } = this.options;
+        const archived = await this.archive();
+        if (archived) {
+            log.state.forgetExpired();
+            await this.deleteArchives();
+            await this.deleteSegments();
+        }
+    }
+
+    private async archive(): Promise<boolean> {
+        const { log, objects, partition } = this.options;
+        const last = log.state.lastSegment;
+        const records = log.state.recent();
+        const name = `${partitionPrefix(partition)}${last}-${uniqueId()}`;
+        const put = await this.write(() => objects.put(name, encodeArchive(records)));
+        if (put.isErr) {
+            return false;
+        }
+        const base = this.nextBase({ name, last, expiry: latestExpiry(records) });
+        const replaced = await this.write(() => log.replaceBase(base));
+        // When this failed the object stays behind unused: a late copy of the write may still make it count.
+        return replaced.isOk;
+    }
+
+    private nextBase(archive: Base["archives"][number]): Base {
+        const { base, state } = this.options.log;
+        const time = state.time.now();
+        const expired = base.archives.filter(({ expiry }) => expiry < time);
+        return {
+            first: archive.last + 1,
+            time,
+            archives: [...base.archives.filter(({ expiry }) => expiry >= time), archive],
+            discarded: [...base.discarded, ...expired.map(({ name }) => name)],
+        };
+    }
+
+    /** Deletes discarded archives, and takes those off the list that were deleted. */
+    private async deleteArchives(): Promise<void> {
+        const { log, objects } = this.options;
+        const deleted = new Set<string>();
+        for (const name of log.base.discarded) {
+            const outcome = await this.write(() => objects.delete(name));
+            if (outcome.isOk) {
+                deleted.add(name);
+            }
+        }
+        if (deleted.size > 0) {
+            const discarded = log.base.discarded.filter(name => !deleted.has(name));
+            await this.write(() => log.replaceBase({ ...log.base, discarded }));
+        }
+    }
+
+    /** Deletes every segment that an archive holds, also those that an earlier owner left behind. */
+    private async deleteSegments(): Promise<void> {
+        const { table, partition, log } = this.options;
+        for (;;) {
+            const page = await table.scan(partitionPrefix(partition), "", rowsPerDeletion);
+            const rows = page.unwrapOr([]).filter(({ key }) => {
+                return (segmentNumber(partition, key) ?? Infinity) < log.base.first;
+            });
+            if (rows.length === 0) {
+                return;
+            }
+            const writes = rows.map(({ key }) => ({ key }));
+            const outcome = await this.write(() => table.commit({ writeId: uniqueId(), conditions: [], writes }));
+            if (outcome.isErr) {
+                return;
+            }
+        }
+    }
+
+    private async write<T>(send: () => Promise<Outcome<T>>): Promise<Outcome<T>> {
+        const wait = this.options.pace();
+        if (wait > 0) {
+            await sleep(this.options.clock, wait);
+        }
+        return send();
+    }
+}
+
+function latestExpiry(records: readonly ClaimRecord[]): number {
+    return records.reduce((latest, { expiry }) => Math.max(latest, expiry), 0);
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -0,0 +1,259 @@
+import { type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    type Random,
+    requestCodes,
+    sleep,
+    uniqueId,
+} from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type Claim, type ClaimRequest, type Claims } from "../Claims.js";
+import { Archiver } from "./Archiver.js";
+import { Batch } from "./Batch.js";
+import { PartitionLog } from "./PartitionLog.js";
+import { PendingCall } from "./PendingCall.js";
+import { PendingCalls } from "./PendingCalls.js";
+
+/**
+ * Options of a {@link ClaimJournal}.
+ *
+ * @public
+ */
+export interface ClaimJournalOptions {
+    readonly partition: number;
+    readonly table: TableStore;
+    readonly objects: ObjectStore;
+    readonly clock: Clock;
+    readonly random: Random;
+    /**
+     * Takes a permit to write and returns the milliseconds to wait before using it. It holds the rate of writes; claims
+     * that arrive during the wait share the write.
+     */
+    readonly pace: () => number;
+    /** Milliseconds after which a call ends as `claimUnavailable`. */
+    readonly patience?: number;
+    /** Calls that may wait at the same time. */
+    readonly maxPending?: number;
+    /** Claims in one segment at most. */
+    readonly maxBatch?: number;
+    /** Claims in memory at most; more are refused. */
+    readonly maxClaims?: number;
+    /** Segments after which they are moved to an archive. */
+    readonly archiveAfter?: number;
+    /** Rows asked for in one scan. */
+    readonly pageSize?: number;
+    /** Milliseconds to refuse new claims after the store refused one, unless it names a time itself. */
+    readonly refusalPause?: number;
+}
+
+const defaults = {
+    patience: 2_000,
+    maxPending: 10_000,
+    maxBatch: 500,
+    maxClaims: 1_000_000,
+    archiveAfter: 4_096,
+    pageSize: 200,
+    refusalPause: 250,
+};
+
+/** Characters of a target's or an incarnation's name that a record may hold. */
+const maxNameLength = 256;
+
+/** Bounds of the wait after a failure whose outcome is unknown, in milliseconds. */
+const retryWait = { base: 20, cap: 500 };
+
+/**
+ * The claims of one partition. It appends claims to the partition's chain of segments, many in one write, and answers
+ * duplicates from memory. Any number of processes may run a journal of the same partition at the same time: a segment
+ * number can be written once, and only after all segments before it have been read.
+ *
+ * @public
+ */
+export class ClaimJournal implements Claims {
+    private readonly options: Required<ClaimJournalOptions>;
+    private readonly log: PartitionLog;
+    private readonly archiver: Archiver;
+    private readonly pending: PendingCalls;
+    /** Batches whose fate is open; at most one of them can become the next segment. */
+    private undecided: Batch[] = [];
+    private fresh = false;
+    private draining = false;
+    private failures = 0;
+    private refusedUntil = -Infinity;
+
+    constructor(options: ClaimJournalOptions) {
+        this.options = { ...defaults, ...options };
+        const { clock, patience, archiveAfter, objects, table, partition, pace } = this.options;
+        this.log = new PartitionLog(this.options);
+        this.archiver = new Archiver({ log: this.log, objects, table, partition, clock, pace, archiveAfter });
+        this.pending = new PendingCalls(clock, patience);
+    }
+
+    /** Claims in memory. */
+    get size(): number {
+        return this.log.state.size;
+    }
+
+    /** Calls that wait for a write. */
+    get waiting(): number {
+        return this.pending.size;
+    }
+
+    acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
+        const call = PendingCall.acquire(request);
+        const known = call.answer(this.log.state) ?? this.refusal(request);
+        return known === undefined ? this.enqueue(call) : Promise.resolve(known);
+    }
+
+    move(claim: Claim, request: ClaimRequest): Promise<Outcome<Claim>> {
+        const call = PendingCall.move(claim, request);
+        if (call === undefined) {
+            return Promise.resolve(Result.err(failure(requestCodes.malformed, "the claim is of another request")));
+        }
+        // Moves are rare, and this owner may have missed an earlier one.
+        this.fresh = false;
+        return this.enqueue(call);
+    }
+
+    /** Reads the partition, so that the first claim need not wait for that. */
+    async load(): Promise<Outcome<void>> {
+        if (this.draining || this.fresh) {
+            return Result.ok<void, never>(undefined);
+        }
+        this.draining = true;
+        const outcome = await this.refresh();
+        this.draining = false;
+        void this.drain();
+        return outcome;
+    }
+
+    private refusal({ runner }: ClaimRequest): Outcome<Claim> | undefined {
+        if (Math.max(runner.target.length, runner.incarnation.length) > maxNameLength) {
+            return Result.err(failure(requestCodes.malformed, "the runner's name is too long"));
+        }
+        if (this.size < this.options.maxClaims) {
+            return undefined;
+        }
+        this.log.state.forgetExpired();
+        return unavailable("the partition holds as many claims as it may", this.options.patience);
+    }
+
+    private enqueue(call: PendingCall): Promise<Outcome<Claim>> {
+        const { clock, maxPending, patience } = this.options;
+        const pause = this.refusedUntil - clock.now();
+        if (pause > 0) {
+            return Promise.resolve(unavailable("the store refuses writes", pause));
+        }
+        if (this.pending.size >= maxPending) {
+            return Promise.resolve(unavailable("too many claims wait for a write", patience));
+        }
+        const outcome = this.pending.add(call);
+        void this.drain();
+        return outcome;
+    }
+
+    private async drain(): Promise<void> {
+        if (this.draining) {
+            return;
+        }
+        this.draining = true;
+        while (this.pending.size > 0) {
+            const outcome = await this.step();
+            await this.after(outcome);
+        }
+        this.draining = false;
+    }
+
+    /** Brings the waiting calls one write further. */
+    private async step(): Promise<Outcome<void>> {
+        if (!this.fresh) {
+            const refreshed = await this.refresh();
+            if (refreshed.isErr) {
+                return refreshed;
+            }
+        }
+        this.pending.answer(this.log.state);
+        if (this.pending.size === 0) {
+            return Result.ok<void, never>(undefined);
+        }
+        await this.pauseFor(this.options.pace());
+        return this.write();
+    }
+
+    private async write(): Promise<Outcome<void>> {
+        const { maxBatch } = this.options;
+        const batch = new Batch(uniqueId(), this.log.state, this.log.nextSegment);
+        this.pending.fill(batch, maxBatch);
+        if (batch.size === 0) {
+            return Result.ok<void, never>(undefined);
+        }
+        this.undecided.push(batch);
+        const outcome = await this.log.append(batch.writeId, batch.records);
+        if (outcome.isOk) {
+            this.decide([batch.writeId]);
+            this.pending.answer(this.log.state);
+            void this.archiver.run();
+        }
+        return outcome;
+    }
+
+    private async refresh(): Promise<Outcome<void>> {
+        const outcome = await this.log.refresh();
+        if (outcome.isErr) {
+            return Result.err(outcome.error);
+        }
+        this.fresh = true;
+        if (outcome.value.length > 0) {
+            this.decide(outcome.value);
+        }
+        return Result.ok<void, never>(undefined);
+    }
+
+    /** A segment number has been decided: a batch that was written is granted, the others can never be written. */
+    private decide(writeIds: readonly string[]): void {
+        const written = new Set(writeIds);
+        this.undecided.filter(({ writeId }) => written.has(writeId)).forEach(batch => batch.grant());
+        this.undecided = [];
+    }
+
+    private async after(outcome: Outcome<void>): Promise<void> {
+        if (outcome.isOk) {
+            this.failures = 0;
+            return;
+        }
+        this.fresh = false;
+        if (wasRefused(outcome.error)) {
+            this.refuseAll(outcome.error);
+            return;
+        }
+        const wait = Math.min(retryWait.cap, retryWait.base * 2 ** this.failures) * this.options.random.next();
+        this.failures = Math.min(this.failures + 1, 10);
+        await sleep(this.options.clock, wait);
+    }
+
+    private refuseAll({ message, retryAfter }: Failure): void {
+        const pause = retryAfter ?? this.options.refusalPause;
+        this.refusedUntil = this.options.clock.now() + Math.min(pause, this.options.patience);
+        this.pending.endAll(unavailable(message, pause));
+    }
+
+    private async pauseFor(wait: number): Promise<void> {
+        if (wait > 0) {
+            await sleep(this.options.clock, wait);
+        }
+    }
+}
+
+/** Whether nothing was written or read for certain, so that waiting on has no use. */
+function wasRefused({ code }: Failure): boolean {
+    return code === platformCodes.storeUnavailable || code === platformCodes.budgetExhausted;
+}
+
+function unavailable(message: string, retryAfter: number): Outcome<Claim> {
+    const details = { retryAfter: Math.ceil(retryAfter) };
+    return Result.err(failure(requestCodes.claimUnavailable, message, details));
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/ClaimJournals.ts
@@ -0,0 +1,99 @@
+import { type ObjectStore, type TableStore, TokenBucket } from "@waxwingspar/platform";
+import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
+import { type Claim, type ClaimRequest, type Claims } from "../Claims.js";
+import { partitionOf } from "../routing/partitionOf.js";
+import { ClaimJournal, type ClaimJournalOptions } from "./ClaimJournal.js";
+
+/**
+ * Options of {@link ClaimJournals}.
+ *
+ * @public
+ */
+export interface ClaimJournalsOptions {
+    readonly table: TableStore;
+    readonly objects: ObjectStore;
+    readonly clock: Clock;
+    readonly random: Random;
+    /** Partitions of the key space. The same in every process, and never changed while claims are remembered. */
+    readonly partitions?: number;
+    /** Writes per second that the claims of all partitions may take together. */
+    readonly writesPerSecond?: number;
+    /** Settings of each partition's journal. */
+    readonly journal?: Partial<ClaimJournalOptions>;
+}
+
+const defaults = {
+    partitions: 32,
+    writesPerSecond: 200,
+};
+
+/**
+ * The journals of the partitions that this process serves, opened when they are first asked for. They share a rate of
+ * writes in proportion to their number, so that one busy partition may use what the others leave.
+ *
+ * @public
+ */
+export class ClaimJournals implements Claims {
+    private readonly options: ClaimJournalsOptions & typeof defaults;
+    private readonly journals = new Map<number, ClaimJournal>();
+    private readonly bucket: TokenBucket;
+
+    constructor(options: ClaimJournalsOptions) {
+        this.options = { ...defaults, ...options };
+        this.bucket = new TokenBucket({ clock: options.clock, rate: this.rate(1) });
+    }
+
+    /** Claims in memory. */
+    get size(): number {
+        return [...this.journals.values()].reduce((sum, journal) => sum + journal.size, 0);
+    }
+
+    /** The partitions that are open. */
+    get open(): readonly number[] {
+        return [...this.journals.keys()];
+    }
+
+    acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
+        return this.journalOf(request).acquire(request);
+    }
+
+    move(claim: Claim, request: ClaimRequest): Promise<Outcome<Claim>> {
+        return this.journalOf(request).move(claim, request);
+    }
+
+    /** Reads a partition that this process is about to serve. */
+    load(partition: number): Promise<Outcome<void>> {
+        return this.journal(partition).load();
+    }
+
+    /** Drops the memory of every partition that this process need not serve any more. Calls that wait still end. */
+    keepOnly(partitions: ReadonlySet<number>): void {
+        for (const [partition, journal] of this.journals) {
+            if (!partitions.has(partition) && journal.waiting === 0) {
+                this.journals.delete(partition);
+            }
+        }
+        this.bucket.setRate(this.rate(Math.max(1, this.journals.size)));
+    }
+
+    private journalOf(request: ClaimRequest): ClaimJournal {
+        return this.journal(partitionOf(request, this.options.partitions));
+    }
+
+    private journal(partition: number): ClaimJournal {
+        const known = this.journals.get(partition);
+        if (known !== undefined) {
+            return known;
+        }
+        const { table, objects, clock, random, journal } = this.options;
+        const pace = () => this.bucket.take(Infinity) ?? 0;
+        const opened = new ClaimJournal({ ...journal, partition, table, objects, clock, random, pace });
+        this.journals.set(partition, opened);
+        this.bucket.setRate(this.rate(this.journals.size));
+        return opened;
+    }
+
+    private rate(journals: number): number {
+        return this.options.writesPerSecond / this.options.partitions * journals;
+    }
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/ClaimRecord.ts
@@ -0,0 +1,75 @@
+import { z } from "zod";
+import { encodeClaim } from "../claimId.js";
+import { type Claim, type ClaimRequest, type Runner } from "../Claims.js";
+
+/**
+ * A claim as a partition keeps it.
+ *
+ * @internal
+ */
+export interface ClaimRecord {
+    /** The hash of route, organisation and key. */
+    readonly keyHash: string;
+    /** The hash of the request's digest. */
+    readonly digest: string;
+    /** The number of the segment that recorded it. The record with the highest number counts. */
+    readonly generation: number;
+    readonly runner: Runner;
+    /** Partition time in milliseconds from which the claim may be forgotten. */
+    readonly expiry: number;
+}
+
+/** Records as they are stored. Runners are listed once, since a few hundred of them recur in all records. */
+export const recordBlockSchema = z.object({
+    runners: z.array(z.object({ target: z.string(), incarnation: z.string() })),
+    records: z.array(z.object({
+        keyHash: z.string(),
+        digest: z.string(),
+        generation: z.number().int(),
+        /** An index into `runners`. */
+        runner: z.number().int(),
+        expiry: z.number(),
+    })),
+}).refine(({ runners, records }) => records.every(({ runner }) => runners[runner] !== undefined));
+
+/** @internal */
+export type RecordBlock = z.infer<typeof recordBlockSchema>;
+
+/** Packs records for the store. */
+export function packRecords(records: readonly ClaimRecord[]): RecordBlock {
+    const indexes = new Map<string, number>();
+    const runners: Runner[] = [];
+    const indexOf = (runner: Runner): number => {
+        const name = runnerName(runner);
+        const index = indexes.get(name) ?? runners.length;
+        if (index === runners.length) {
+            indexes.set(name, index);
+            runners.push(runner);
+        }
+        return index;
+    };
+    return { records: records.map(record => ({ ...record, runner: indexOf(record.runner) })), runners };
+}
+
+/** Unpacks records. Records with one runner share one object. */
+export function unpackRecords({ runners, records }: RecordBlock): ClaimRecord[] {
+    return records.map(record => {
+        const runner = runners[record.runner];
+        if (runner === undefined) {
+            throw new Error("a record names a runner that its block does not list");
+        }
+        return { ...record, runner };
+    });
+}
+
+/** A string that is equal for equal runners only. */
+export function runnerName({ target, incarnation }: Runner): string {
+    return JSON.stringify([target, incarnation]);
+}
+
+/** The claim that a caller gets for a record. */
+export function claimOf(request: ClaimRequest, record: ClaimRecord, created: boolean): Claim {
+    const { route, organisation } = request;
+    const { keyHash, generation, runner } = record;
+    return { id: encodeClaim({ route, organisation, keyHash, generation, runner }), runner, created };
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -0,0 +1,179 @@
+import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/platform";
+import { type Clock, type Outcome, uniqueId } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { loadArchives } from "./archives.js";
+import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
+import {
+    type Base,
+    baseKey,
+    baseSchema,
+    partitionPrefix,
+    type Segment,
+    segmentKey,
+    segmentNumber,
+    segmentSchema,
+} from "./partitionRows.js";
+import { PartitionState } from "./PartitionState.js";
+import { readValue } from "./readValue.js";
+
+/**
+ * Options of a {@link PartitionLog}.
+ *
+ * @internal
+ */
+export interface PartitionLogOptions {
+    readonly partition: number;
+    readonly table: TableStore;
+    readonly objects: ObjectStore;
+    readonly clock: Clock;
+    /** Rows asked for in one scan. */
+    readonly pageSize: number;
+}
+
+/** The base row with its version; version 0 before the first archive. */
+interface VersionedBase {
+    readonly version: number;
+    readonly base: Base;
+}
+
+const emptyBase: VersionedBase = { version: 0, base: { first: 1, time: 0, archives: [], discarded: [] } };
+
+/**
+ * The chain of segments of one partition, as one owner sees it. A segment can be written only by an owner that has
+ * read all segments before it.
+ *
+ * @internal
+ */
+export class PartitionLog {
+    readonly state: PartitionState;
+    private readonly options: PartitionLogOptions;
+    private known = emptyBase;
+
+    constructor(options: PartitionLogOptions) {
+        this.options = options;
+        this.state = new PartitionState(options.clock);
+    }
+
+    /** The base row as last read. */
+    get base(): Base {
+        return this.known.base;
+    }
+
+    /** The number of the next segment. */
+    get nextSegment(): number {
+        return this.state.lastSegment + 1;
+    }
+
+    /**
+     * Reads what other owners have written since.
+     *
+     * @returns The write ids of the segments that were read.
+     */
+    async refresh(): Promise<Outcome<string[]>> {
+        const row = await this.options.table.get(baseKey(this.options.partition));
+        if (row.isErr) {
+            return Result.err(row.error);
+        }
+        const adopted = await this.adoptBase(row.value);
+        return adopted.isErr ? Result.err(adopted.error) : this.readSegments();
+    }
+
+    /**
+     * Writes the next segment. When it succeeds the records are part of the state; when the answer is lost,
+     * {@link PartitionLog.refresh} shows what became of it.
+     */
+    async append(writeId: string, records: readonly ClaimRecord[]): Promise<Outcome<void>> {
+        const { table, partition } = this.options;
+        const number = this.nextSegment;
+        const time = this.state.time.now();
+        const segment: Segment = { writeId, time, block: packRecords(records) };
+        const key = segmentKey(partition, number);
+        const outcome = await table.commit({
+            writeId,
+            conditions: [{ key, version: 0 }, { key: baseKey(partition), version: this.known.version }],
+            writes: [{ key, value: segment }],
+        });
+        if (outcome.isOk) {
+            this.state.applySegment(number, time, records);
+        }
+        return outcome.map(() => undefined);
+    }
+
+    /** Replaces the base row, on condition that nobody else has. */
+    async replaceBase(base: Base): Promise<Outcome<void>> {
+        const { table, partition } = this.options;
+        const key = baseKey(partition);
+        const outcome = await table.commit({
+            writeId: uniqueId(),
+            conditions: [{ key, version: this.known.version }],
+            writes: [{ key, value: base }],
+        });
+        if (outcome.isErr) {
+            return Result.err(outcome.error);
+        }
+        const version = outcome.value[key] ?? 0;
+        if (version > this.known.version) {
+            this.known = { version, base };
+            this.state.archivedBefore(base.first);
+        }
+        return Result.ok<void, never>(undefined);
+    }
+
+    private async adoptBase(row: Row): Promise<Outcome<void>> {
+        if (row.version <= this.known.version) {
+            return Result.ok<void, never>(undefined);
+        }
+        const read = readValue(baseSchema, row.value, row.key);
+        if (read.isErr) {
+            return Result.err(read.error);
+        }
+        const base = read.value;
+        const missing = base.archives.filter(({ last }) => last > this.state.lastSegment);
+        const loaded = await loadArchives(this.options.objects, missing, records => this.state.applyArchive(records));
+        if (loaded.isErr) {
+            return loaded;
+        }
+        this.known = { version: row.version, base };
+        this.state.archivedBefore(base.first);
+        this.state.time.observe(base.time);
+        return loaded;
+    }
+
+    private async readSegments(): Promise<Outcome<string[]>> {
+        const { table, partition, pageSize } = this.options;
+        const writeIds: string[] = [];
+        for (;;) {
+            const after = segmentKey(partition, this.state.lastSegment);
+            const page = await table.scan(partitionPrefix(partition), after, pageSize);
+            if (page.isErr) {
+                return Result.err(page.error);
+            }
+            const read = this.applyRows(page.value);
+            if (read.isErr) {
+                return read;
+            }
+            writeIds.push(...read.value);
+            if (read.value.length < pageSize) {
+                return Result.ok(writeIds);
+            }
+        }
+    }
+
+    /** Applies segments up to the first gap. A gap means that they were archived after the base row was read. */
+    private applyRows(rows: readonly Row[]): Outcome<string[]> {
+        const writeIds: string[] = [];
+        for (const { key, value } of rows) {
+            if (segmentNumber(this.options.partition, key) !== this.nextSegment) {
+                break;
+            }
+            const segment = readValue(segmentSchema, value, key);
+            if (segment.isErr) {
+                return Result.err(segment.error);
+            }
+            const { writeId, time, block } = segment.value;
+            this.state.applySegment(this.nextSegment, time, unpackRecords(block));
+            writeIds.push(writeId);
+        }
+        return Result.ok(writeIds);
+    }
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/PendingCall.ts
@@ -0,0 +1,86 @@
+import { failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { decodeClaim, keyHashOf, shortHash } from "../claimId.js";
+import { type Claim, type ClaimRequest, type Runner } from "../Claims.js";
+import { claimOf, type ClaimRecord } from "./ClaimRecord.js";
+import { type PartitionState } from "./PartitionState.js";
+
+/**
+ * A call that wants to record a claim, or to find it recorded.
+ *
+ * @internal
+ */
+export class PendingCall {
+    readonly keyHash: string;
+    private readonly digest: string;
+
+    private constructor(
+        readonly request: ClaimRequest,
+        /** The generation that a move starts from; undefined for a first claim. */
+        private readonly from: number | undefined,
+    ) {
+        this.keyHash = keyHashOf(request);
+        this.digest = shortHash(request.digest);
+    }
+
+    /** A call that claims a request. */
+    static acquire(request: ClaimRequest): PendingCall {
+        return new PendingCall(request, undefined);
+    }
+
+    /** A call that moves a claim, or undefined if the claim is not one of this request. */
+    static move(claim: Claim, request: ClaimRequest): PendingCall | undefined {
+        const identity = decodeClaim(claim.id);
+        const call = new PendingCall(request, identity?.generation);
+        return identity?.keyHash === call.keyHash ? call : undefined;
+    }
+
+    /** The answer that follows from what is recorded, or undefined while a record must be written first. */
+    answer(state: PartitionState): Outcome<Claim> | undefined {
+        const record = state.find(this.keyHash);
+        return this.from === undefined ? this.answerAcquire(record) : this.answerMove(record, this.from);
+    }
+
+    /** The record that this call wants to write. */
+    record(state: PartitionState, generation: number): ClaimRecord {
+        const { request, keyHash, digest } = this;
+        const expiry = state.time.now() + request.retention;
+        const earlier = state.find(keyHash)?.expiry ?? 0;
+        return { keyHash, digest, generation, runner: request.runner, expiry: Math.max(expiry, earlier) };
+    }
+
+    private answerAcquire(record: ClaimRecord | undefined): Outcome<Claim> | undefined {
+        if (record === undefined) {
+            return undefined;
+        }
+        return record.digest === this.digest ? Result.ok(claimOf(this.request, record, false)) : keyReused();
+    }
+
+    private answerMove(record: ClaimRecord | undefined, from: number): Outcome<Claim> | undefined {
+        if (record === undefined) {
+            return cannotMove("the claim has expired");
+        }
+        if (record.digest !== this.digest) {
+            return keyReused();
+        }
+        if (record.generation === from) {
+            return undefined;
+        }
+        // A repeat of a move that succeeded finds its own result.
+        return record.generation > from && equalRunners(record.runner, this.request.runner)
+            ? Result.ok(claimOf(this.request, record, false))
+            : cannotMove("another process moved the claim first");
+    }
+}
+
+function equalRunners(one: Runner, other: Runner): boolean {
+    return one.target === other.target && one.incarnation === other.incarnation;
+}
+
+function keyReused(): Outcome<Claim> {
+    return Result.err(failure(requestCodes.keyReused, "the key stands for another request"));
+}
+
+function cannotMove(message: string): Outcome<Claim> {
+    return Result.err(failure(requestCodes.claimUnavailable, message));
+}
--- /dev/null
+++ b/packages/claims/src/lib/journal/PendingCalls.ts
@@ -0,0 +1,75 @@
+import { type Clock, failure, type Outcome, requestCodes, type Timer } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type Claim } from "../Claims.js";
+import { type Batch } from "./Batch.js";
+import { type PartitionState } from "./PartitionState.js";
+import { type PendingCall } from "./PendingCall.js";
+
+interface Waiting {
+    readonly end: (outcome: Outcome<Claim>) => void;
+    readonly timer: Timer;
+}
+
+/**
+ * The calls that wait for a write, in order of arrival. Each ends by itself when its time is up.
+ *
+ * @internal
+ */
+export class PendingCalls {
+    private readonly calls = new Map<PendingCall, Waiting>();
+
+    constructor(private readonly clock: Clock, private readonly patience: number) {}
+
+    get size(): number {
+        return this.calls.size;
+    }
+
+    /** Lets a call wait. */
+    add(call: PendingCall): Promise<Outcome<Claim>> {
+        return new Promise(end => {
+            const timer = this.clock.schedule(() => this.end(call, timedOut()), this.patience);
+            this.calls.set(call, { end, timer });
+        });
+    }
+
+    /** Ends a call if it still waits. */
+    end(call: PendingCall, outcome: Outcome<Claim>): void {
+        const waiting = this.calls.get(call);
+        if (waiting !== undefined) {
+            this.calls.delete(call);
+            waiting.timer.cancel();
+            waiting.end(outcome);
+        }
+    }
+
+    /** Ends every call that needs no write any more. */
+    answer(state: PartitionState): void {
+        for (const call of this.calls.keys()) {
+            const outcome = call.answer(state);
+            if (outcome !== undefined) {
+                this.end(call, outcome);
+            }
+        }
+    }
+
+    /** Puts the first calls into a batch; a second call of the same key waits for the outcome of the first. */
+    fill(batch: Batch, limit: number): void {
+        for (const call of this.calls.keys()) {
+            if (batch.size >= limit) {
+                return;
+            }
+            batch.add(call, outcome => this.end(call, outcome));
+        }
+    }
+
+    /** Ends every call in the same way. */
+    endAll(outcome: Outcome<Claim>): void {
+        for (const call of this.calls.keys()) {
+            this.end(call, outcome);
+        }
+    }
+}
+
+function timedOut(): Outcome<Claim> {
+    return Result.err(failure(requestCodes.claimUnavailable, "the claim was not recorded in time"));
+}
