Router of claims to the owner of their partition

Cause: duplicates that reach different entries must meet in one group commit, and owners come and go. Change: ClaimRouter (rendezvous hashing over live entries, repeat at the next owner when one is not reached), the JSON-RPC methods claims.acquire and claims.move, maintain() to read and drop partitions when the list changes. Before: journals without a way to reach them. Conclusion: an owner's own refusal is final, so an outage of the store does not make second owners read partitions.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -7,5 +7,8 @@
 export { type Claim, type ClaimRequest, type Claims, type Runner } from "./lib/Claims.js";
 export { ClaimJournal, type ClaimJournalOptions } from "./lib/journal/ClaimJournal.js";
 export { ClaimJournals, type ClaimJournalsOptions } from "./lib/journal/ClaimJournals.js";
+export { claimMethods } from "./lib/routing/claimMethods.js";
+export { ClaimRouter, type ClaimRouterOptions } from "./lib/routing/ClaimRouter.js";
+export { type ClaimOwner } from "./lib/routing/OwnerRanking.js";
 export { partitionOf } from "./lib/routing/partitionOf.js";
 export { TableClaims } from "./lib/TableClaims.js";
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -11,7 +11,7 @@
     uniqueId,
 } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { type Claim, type ClaimRequest, type Claims } from "../Claims.js";
+import { type Claim, type ClaimRequest, type Claims, type Runner } from "../Claims.js";
 import { Archiver } from "./Archiver.js";
 import { Batch } from "./Batch.js";
 import { PartitionLog } from "./PartitionLog.js";
@@ -51,7 +51,7 @@
 }
 
 const defaults = {
-    patience: 2_000,
+    patience: 1_000,
     maxPending: 10_000,
     maxBatch: 500,
     maxClaims: 1_000_000,
@@ -114,6 +114,9 @@
         if (call === undefined) {
             return Promise.resolve(Result.err(failure(requestCodes.malformed, "the claim is of another request")));
         }
+        if (hasLongName(request.runner)) {
+            return Promise.resolve(longName());
+        }
         // Moves are rare, and this owner may have missed an earlier one.
         this.fresh = false;
         return this.enqueue(call);
@@ -132,8 +135,8 @@
     }
 
     private refusal({ runner }: ClaimRequest): Outcome<Claim> | undefined {
-        if (Math.max(runner.target.length, runner.incarnation.length) > maxNameLength) {
-            return Result.err(failure(requestCodes.malformed, "the runner's name is too long"));
+        if (hasLongName(runner)) {
+            return longName();
         }
         if (this.size < this.options.maxClaims) {
             return undefined;
@@ -248,6 +251,14 @@
     }
 }
 
+function hasLongName({ target, incarnation }: Runner): boolean {
+    return Math.max(target.length, incarnation.length) > maxNameLength;
+}
+
+function longName(): Outcome<Claim> {
+    return Result.err(failure(requestCodes.malformed, "the runner's name is too long"));
+}
+
 /** Whether nothing was written or read for certain, so that waiting on has no use. */
 function wasRefused({ code }: Failure): boolean {
     return code === platformCodes.storeUnavailable || code === platformCodes.budgetExhausted;
--- a/packages/claims/src/lib/journal/ClaimJournals.ts
+++ b/packages/claims/src/lib/journal/ClaimJournals.ts
@@ -48,6 +48,11 @@
         return [...this.journals.values()].reduce((sum, journal) => sum + journal.size, 0);
     }
 
+    /** Partitions of the key space. */
+    get partitions(): number {
+        return this.options.partitions;
+    }
+
     /** The partitions that are open. */
     get open(): readonly number[] {
         return [...this.journals.keys()];
