--- a/packages/agent/src/lib/faults.ts
+++ b/packages/agent/src/lib/faults.ts
@@ -5,6 +5,8 @@
 export interface ChainFault {
     readonly failure: Failure;
     readonly target?: string;
+    /** True when that target only leaves, so that its KV cache can still be exported. */
+    readonly exportable?: boolean;
 }
 
 /** Writes a failure as it travels between processes. @internal */
--- a/packages/agent/src/lib/head/EntryStream.ts
+++ b/packages/agent/src/lib/head/EntryStream.ts
@@ -74,13 +74,13 @@
         this.flush();
     }
 
-    failed({ failure, target }: ChainFault): void {
+    failed({ failure, target, exportable }: ChainFault): void {
         if (this.isClosed) {
             return;
         }
         this.flush();
         const { link, request, epoch, load } = this.options;
-        link.send({ type: "failed", request, epoch, failure: toWire(failure), target, load: load() });
+        link.send({ type: "failed", request, epoch, failure: toWire(failure), target, exportable, load: load() });
         this.close();
     }
 
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -143,12 +143,12 @@
     }
 
     abandon(): void {
-        this.breakOff("the agent stopped");
+        this.breakOff("the agent stopped", false);
     }
 
     handOver(): void {
         if (!this.options.claimed) {
-            this.breakOff("the target is leaving; go on elsewhere");
+            this.breakOff("the target is leaving; go on elsewhere", true);
         }
     }
 
@@ -156,8 +156,8 @@
         this.later?.joined(message);
     }
 
-    stageFailed({ failure: reason, target }: StageFailedMessage): void {
-        this.later?.fault({ failure: fromWire(reason), target });
+    stageFailed({ failure: reason, target, exportable }: StageFailedMessage): void {
+        this.later?.fault({ failure: fromWire(reason), target, exportable });
     }
 
     /** A token was drawn, here or at the last stage. */
@@ -179,8 +179,9 @@
         this.goOn(token, end || stopped);
     }
 
-    private breakOff(message: string): void {
-        const fault = { failure: failure(requestCodes.stageLost, message), target: this.context.target };
+    private breakOff(message: string, exportable: boolean): void {
+        const { target } = this.context;
+        const fault = { failure: failure(requestCodes.stageLost, message), target, exportable };
         this.fail(fault);
         this.options.entry.failed(fault);
     }
@@ -332,22 +333,22 @@
         this.refuse({ failure: reason, target: this.context.target });
     }
 
-    private fail({ failure: reason, target }: ChainFault): void {
+    private fail({ failure: reason, ...where }: ChainFault): void {
         if (this.chart.state === "waiting" || this.chart.state === "preparing") {
-            this.refuse({ failure: reason, target });
+            this.refuse({ failure: reason, ...where });
             return;
         }
         if (this.stop("fail", true)) {
-            this.options.sink.failed({ failure: asStarted(reason), target });
+            this.options.sink.failed({ failure: asStarted(reason), ...where });
         }
     }
 
     /** Ends the attempt before anything ran. */
-    private refuse({ failure: reason, target }: ChainFault): void {
+    private refuse({ failure: reason, ...where }: ChainFault): void {
         const notRun = asNotRun(reason);
         if (this.stop("refuse", false)) {
             this.recordRefusal(notRun);
-            this.options.sink.failed({ failure: notRun, target });
+            this.options.sink.failed({ failure: notRun, ...where });
         }
     }
 
--- a/packages/agent/src/lib/kv/importCache.ts
+++ b/packages/agent/src/lib/kv/importCache.ts
@@ -1,4 +1,4 @@
-import { type Exporter, type LinkPool } from "@waxwingspar/transport";
+import { type Exporter, type LinkPool, type Stage } from "@waxwingspar/transport";
 import { type Clock, failure, type Outcome, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type AgentContext } from "../AgentContext.js";
@@ -11,15 +11,26 @@
 /** Exports larger than this are not fetched. */
 const maximumBytes = 268_435_456;
 
+type LayerRange = Pick<Stage, "first" | "last">;
+
 /** A KV cache from elsewhere, and the attempt it belongs to. */
 interface Found {
     readonly epoch: number;
     readonly cache: CacheExport;
 }
 
+/** @internal */
+export interface CacheSources {
+    /** The chain of the attempt. */
+    readonly stages: readonly Stage[];
+    /** Stages of earlier attempts that can export. */
+    readonly exporters: readonly Exporter[];
+}
+
 /**
  * Fills a session that holds no positions of its own yet from an earlier attempt: one of this agent, or one of another
- * agent by `kv.export`. Whatever goes wrong only means that more is computed again.
+ * agent by `kv.export`. Whatever goes wrong only means that more is computed again. Since an attempt starts behind the
+ * shortest prefix of all its stages, nothing is imported unless every stage can be.
  *
  * @param cached - Positions that the session has from the prefix cache.
  * @param wanted - Positions that the session could use.
@@ -29,11 +40,11 @@
 export async function importCache(
     context: AgentContext,
     record: SessionRecord,
-    exporters: readonly Exporter[],
+    { stages, exporters }: CacheSources,
     cached: number,
     wanted: number,
 ): Promise<number> {
-    if (wanted - cached < minimumGain) {
+    if (wanted - cached < minimumGain || !stages.every(stage => exporters.some(other => sameRange(stage, other)))) {
         return 0;
     }
     const found = await findCache(context, record, exporters);
@@ -64,7 +75,7 @@
 ): Promise<Found | undefined> {
     const own = context.sessions.findEarlier(record);
     const best = exporters
-        .filter(({ first, last, epoch }) => first === record.first && last === record.last && epoch < record.epoch)
+        .filter(exporter => sameRange(exporter, record) && exporter.epoch < record.epoch)
         .sort((a, b) => b.epoch - a.epoch)[0];
     if (own !== undefined && own.epoch >= (best?.epoch ?? 0)) {
         const cache = await context.sessions.export(own.request, own.epoch);
@@ -78,6 +89,10 @@
     return cache.isOk ? { epoch: best.epoch, cache: cache.value } : undefined;
 }
 
+function sameRange(a: LayerRange, b: LayerRange): boolean {
+    return a.first === b.first && a.last === b.last;
+}
+
 /** Fetches an export piece by piece, within one timeout for all. */
 async function fetchCache(
     pool: LinkPool,
--- a/packages/agent/src/lib/stage/StageAttempt.ts
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -141,6 +141,7 @@
         this.fail({
             failure: failure(requestCodes.stageLost, "the target is leaving; go on elsewhere"),
             target: this.context.target,
+            exportable: true,
         });
     }
 
@@ -219,7 +220,8 @@
         }
         const { request, epoch } = this.message;
         const target = fault.target ?? this.context.target;
-        this.head.send({ type: "stageFailed", request, epoch, target, failure: toWire(reason) });
+        const { exportable } = fault;
+        this.head.send({ type: "stageFailed", request, epoch, target, exportable, failure: toWire(reason) });
     }
 
     private recordRefusal(reason: Failure): void {
--- a/packages/agent/src/lib/stage/StageSession.ts
+++ b/packages/agent/src/lib/stage/StageSession.ts
@@ -182,7 +182,7 @@
         context.sessions.add(record);
         this.cached = opened.value.cached;
         const wanted = Math.max(0, (tokens?.length ?? 0) - 1);
-        const imported = await importCache(context, record, plan.exporters, this.cached, wanted);
+        const imported = await importCache(context, record, plan, this.cached, wanted);
         if (imported > this.cached) {
             this.cached = imported;
             this.imported = true;
--- a/packages/agent/src/lib/testing/TestRun.ts
+++ b/packages/agent/src/lib/testing/TestRun.ts
@@ -87,7 +87,11 @@
                 return;
             case "failed":
                 this.code = message.failure.code;
-                this.fail(message.target, findResultCode(message.failure.code)?.execution ?? "unknown");
+                this.fail(
+                    message.target,
+                    findResultCode(message.failure.code)?.execution ?? "unknown",
+                    message.exportable === true,
+                );
                 return;
             default:
         }
@@ -122,10 +126,17 @@
         }
     }
 
-    private fail(target: string | undefined, execution: "completed" | "not run" | "unknown"): void {
+    private fail(
+        target: string | undefined,
+        execution: "completed" | "not run" | "unknown",
+        exportable = false,
+    ): void {
         this.ran ||= execution !== "not run";
         const { epoch } = this;
-        this.exporters = this.stages.filter(stage => stage.target !== target).map(stage => ({ ...stage, epoch }));
+        this.exporters = this.stages.filter(stage => exportable || stage.target !== target).map(stage => ({
+            ...stage,
+            epoch,
+        }));
         if (target !== undefined) {
             this.excluded.add(target);
         }
--- a/packages/transport/src/lib/messages/pipelineMessages.ts
+++ b/packages/transport/src/lib/messages/pipelineMessages.ts
@@ -136,6 +136,8 @@
     failure: wireFailureSchema,
     /** The target at fault, when one is known. */
     target: z.string().optional(),
+    /** True when that target only leaves, so that its KV cache can still be exported. */
+    exportable: z.boolean().optional(),
     load: loadReportSchema.optional(),
 });
 
@@ -209,5 +211,7 @@
     type: z.literal("stageFailed"),
     ...attempt,
     target: z.string(),
+    /** True when that target only leaves, so that its KV cache can still be exported. */
+    exportable: z.boolean().optional(),
     failure: wireFailureSchema,
 });
