--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+import { CommanderError } from "commander";
+import { exitCodes } from "./lib/commands/exitCodes.js";
 import { createProgram } from "./lib/createProgram.js";
 
 const program = createProgram({
@@ -10,4 +12,12 @@
         process.exitCode = code;
     },
 });
-await program.parseAsync(process.argv);
+try {
+    await program.parseAsync(process.argv);
+}
+catch (error) {
+    if (!(error instanceof CommanderError)) {
+        throw error;
+    }
+    process.exitCode = error.exitCode === 0 ? exitCodes.done : exitCodes.usage;
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/checkCommands.ts
@@ -0,0 +1,50 @@
+import { checkHistoryFiles } from "@waxwingspar/history";
+import { formatHistory } from "../demo/formatReport.js";
+import { loadSettings } from "../settings/loadSettings.js";
+import { type CommandOutput } from "./CommandOutput.js";
+import { exitCodes } from "./exitCodes.js";
+import { describeFailure } from "./runUntilSignal.js";
+
+/**
+ * Checks a settings file of any role.
+ *
+ * @returns The exit code.
+ * @internal
+ */
+export async function checkSettingsCommand(file: string, output: CommandOutput): Promise<number> {
+    const settings = await loadSettings(file);
+    if (settings.isErr) {
+        output.writeError(describeFailure("check settings", settings.error));
+        return exitCodes.usage;
+    }
+    output.write(`${file}: settings of role ${settings.value.role}: ok\n`);
+    return exitCodes.done;
+}
+
+/** Options of `waxwingspar check history`. @internal */
+export interface CheckHistoryOptions {
+    /** Processes whose lines may be missing, because they were killed. */
+    readonly lost: readonly string[];
+    /** Milliseconds in which an accepted revision must be in force. */
+    readonly bound?: number;
+}
+
+/**
+ * Checks the history files of one run.
+ *
+ * @returns The exit code: 0 only if no rule is violated.
+ * @internal
+ */
+export async function checkHistoryCommand(
+    files: readonly string[],
+    options: CheckHistoryOptions,
+    output: CommandOutput,
+): Promise<number> {
+    const report = await checkHistoryFiles(files, { lost: options.lost, configurationBound: options.bound });
+    if (report.isErr) {
+        output.writeError(describeFailure("check history", report.error));
+        return exitCodes.usage;
+    }
+    output.write(`${formatHistory(report.value)}\n`);
+    return report.value.violations.length === 0 ? exitCodes.done : exitCodes.failed;
+}
--- a/packages/cli/src/lib/nodes/AgentNode.ts
+++ b/packages/cli/src/lib/nodes/AgentNode.ts
@@ -35,7 +35,8 @@
     constructor(private readonly options: AgentNodeOptions) {
         const { clock, credentials, links, random, logger, name } = options;
         const hello = createHello(options, "agent");
-        this.pool = new TcpLinkPool({ hello, credentials, clock, random });
+        const methods: Record<string, RpcMethod> = { ...options.methods };
+        this.pool = new TcpLinkPool({ hello, credentials, clock, random, methods });
         this.agent = new Agent({
             target: name,
             hello,
@@ -52,12 +53,14 @@
             metrics: options.metrics,
             settings: options.settings,
         });
+        // Links are made after this, so both ends of each offer every method.
+        Object.assign(methods, this.agent.methods);
         this.server = new LinkServer({
             ...links,
             hello,
             credentials,
             clock,
-            methods: { ...this.agent.methods, ...options.methods },
+            methods,
             onLink: link => this.agent.accept(link),
             onRefused: reason => logger.warn({ code: reason.code.number }, `transport: ${reason.message}`),
         });
--- a/packages/cli/src/lib/site/LocalSite.ts
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -1,5 +1,5 @@
 import { TableClaims } from "@waxwingspar/claims";
-import { StaticConfiguration } from "@waxwingspar/config";
+import { ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
 import { FakeEngine } from "@waxwingspar/engine";
 import { FileRecorder, type HistoryRecorder } from "@waxwingspar/history";
 import { MemoryTableStore } from "@waxwingspar/platform";
@@ -16,6 +16,7 @@
 import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
 import { OperatorsServer } from "../operators/OperatorsServer.js";
 import { RecordsService } from "./RecordsService.js";
+import { applyDocuments } from "./seedResources.js";
 import {
     demoModel,
     demoStages,
@@ -70,7 +71,8 @@
     readonly registry: MetricRegistry;
     readonly historyFiles: string[] = [];
     private readonly store: MemoryTableStore;
-    private readonly configuration = new StaticConfiguration();
+    private readonly configuration = new RevisionState();
+    private readonly resources: ResourceStore;
     private readonly credentials: LinkCredentials;
     private readonly tracing = createTracing({ process: "local" });
     private readonly recorders: FileRecorder[] = [];
@@ -82,6 +84,8 @@
     constructor(private readonly options: LocalSiteOptions) {
         const { clock, operators } = options;
         this.store = new MemoryTableStore({ clock });
+        const log = new StoreLog(this.store);
+        this.resources = new ResourceStore({ log, state: this.configuration, clock, random: options.random });
         this.registry = new MetricRegistry(clock);
         this.credentials = { keys: [{ id: "local", secret: randomBytes(32).toString("hex") }] };
         this.operators = new OperatorsServer({ listen: operators, registry: this.registry, ready: () => this.ready });
@@ -93,7 +97,10 @@
         if (targets.isErr) {
             return Result.err(targets.error);
         }
-        this.configuration.set(siteResources(targets.value));
+        const declared = await applyDocuments(siteResources(targets.value), this.resources);
+        if (declared.isErr) {
+            return Result.err(declared.error);
+        }
         const callers = await this.startEntry();
         if (callers.isErr) {
             return Result.err(callers.error);
--- a/packages/cli/src/lib/site/siteResources.ts
+++ b/packages/cli/src/lib/site/siteResources.ts
@@ -1,4 +1,4 @@
-import { type Kind, type Resource, resource, specSchemas } from "@waxwingspar/config";
+import { type Kind } from "@waxwingspar/config";
 import { type Address } from "@waxwingspar/transport";
 
 /** The model that comes with a local site. @internal */
@@ -13,6 +13,13 @@
 /** The plain service that comes with a local site. @internal */
 export const recordsService = "records";
 
+/** @internal */
+export interface SiteResource {
+    readonly kind: Kind;
+    readonly name: string;
+    readonly spec: object;
+}
+
 /** A target of a local site, once its agent listens. @internal */
 export interface SiteTarget {
     readonly name: string;
@@ -21,14 +28,15 @@
     readonly stage: number | undefined;
 }
 
-/** Every resource of a local site. @internal */
-export function siteResources(targets: readonly SiteTarget[]): Resource[] {
+/** Every resource of a local site, as an operator would write them. @internal */
+export function siteResources(targets: readonly SiteTarget[]): SiteResource[] {
     const { name, version, layers } = demoModel;
+    const workOrders = { method: "POST", path: "/work-orders" };
     return [
-        make("organisation", localOrganisation, {}),
-        make("model", name, { layers, versions: [version], current: version }),
-        make("service", recordsService, { nonIdempotent: [{ method: "POST", path: "/work-orders" }] }),
-        ...targets.map(target => make("target", target.name, targetSpec(target))),
+        { kind: "organisation", name: localOrganisation, spec: {} },
+        { kind: "model", name, spec: { layers, versions: [version], current: version } },
+        { kind: "service", name: recordsService, spec: { nonIdempotent: [workOrders] } },
+        ...targets.map((target): SiteResource => ({ kind: "target", name: target.name, spec: targetSpec(target) })),
     ];
 }
 
@@ -40,7 +48,3 @@
     }
     return { ...place, holds: [{ model: demoModel.name, version: demoModel.version, ...range }] };
 }
-
-function make<K extends Kind>(kind: K, name: string, spec: object): Resource<K> {
-    return resource(kind, name, specSchemas[kind].parse(spec) as Resource<K>["spec"]);
-}
