Entry: callers' HTTP, model requests with resume, plain calls with claims

Change: CallerServer, authentication, completions and service routes, RequestRun and ServiceCall with shared recovery rules, ClaimBinding, graceful stop. Before: no entry.

--- /dev/null
+++ b/packages/entry/src/lib/Entry.ts
@@ -0,0 +1,212 @@
+import { ProxyTracerProvider, SpanKind, type Tracer } from "@opentelemetry/api";
+import { type Claims } from "@waxwingspar/claims";
+import { type Configuration } from "@waxwingspar/config";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type RetryBudget, type Router } from "@waxwingspar/policy";
+import { type Address, type LinkPool } from "@waxwingspar/transport";
+import { type Clock, failure, type Outcome, requestCodes, sleep } from "@waxwingspar/utils";
+import { type Logger } from "pino";
+import { Authenticator, type Caller } from "./callers/Authenticator.js";
+import { contextOf } from "./callers/traceContext.js";
+import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
+import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
+import { BodyReader } from "./http/BodyReader.js";
+import { CallerServer } from "./http/CallerServer.js";
+import { type Exchange } from "./http/Exchange.js";
+import { AgentLinks } from "./links/AgentLinks.js";
+import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
+import { modelsRoute } from "./models/modelsRoute.js";
+import { OpenRequest, OpenRequests } from "./OpenRequests.js";
+import { routingTargets } from "./routingTargets.js";
+import { serviceRoute } from "./services/serviceRoute.js";
+
+/**
+ * What an entry is made from.
+ *
+ * @public
+ */
+export interface EntryOptions {
+    /** Where callers connect; port 0 lets the operating system choose. */
+    readonly listen: Address;
+    /** Links to agents. The entry sets the message handler of each of its links. */
+    readonly links: LinkPool;
+    readonly configuration: Configuration;
+    readonly router: Router;
+    readonly retryBudget: RetryBudget;
+    readonly claims: Claims;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Takes the events of this process; by default they are dropped. */
+    readonly history?: HistoryRecorder;
+    /** Makes the spans; by default nothing is traced. */
+    readonly tracer?: Tracer;
+    readonly metrics?: EntryMetrics;
+    /** The organisation for which callers without a credential act. By default they are refused. */
+    readonly anonymousOrganisation?: string;
+    /** Limits that differ from the defaults of {@link entryLimitsSchema}. */
+    readonly limits?: Partial<EntryLimits>;
+}
+
+/**
+ * The entry: takes callers' HTTP, has the router choose targets, streams answers back and resumes them after a loss.
+ * It keeps nothing beyond its open requests.
+ *
+ * @example
+ * ```ts
+ * const entry = new Entry({ listen, links, configuration, router, retryBudget, claims, clock, logger });
+ * const address = await entry.start();
+ * const interrupted = await entry.stop();
+ * ```
+ * @public
+ */
+export class Entry {
+    private readonly options: EntryOptions;
+    private readonly limits: EntryLimits;
+    private readonly services: RouteServices;
+    private readonly authenticator: Authenticator;
+    private readonly server: CallerServer;
+    private readonly open = new OpenRequests();
+    private readonly removeHandler: () => void;
+    private stopping: Promise<number> | undefined;
+    private accepting = true;
+
+    constructor(options: EntryOptions) {
+        const { clock, configuration, listen, logger, router } = options;
+        this.options = options;
+        this.limits = entryLimitsSchema.parse(options.limits ?? {});
+        this.services = {
+            ...options,
+            links: new AgentLinks(options),
+            history: options.history ?? (() => undefined),
+            metrics: options.metrics ?? noMetrics,
+            limits: this.limits,
+            tracer: options.tracer ?? new ProxyTracerProvider().getTracer("waxwingspar.entry"),
+            bodies: new BodyReader(this.limits.maxBodyMemory),
+        };
+        this.authenticator = new Authenticator(options);
+        this.server = new CallerServer({
+            listen,
+            limits: this.limits,
+            clock,
+            handle: exchange => this.handle(exchange),
+            onFault: fault => logger.error({ fault }, "entry: a request met a fault of the program"),
+        });
+        router.update(routingTargets(configuration));
+        this.removeHandler = configuration.onChange(() => router.update(routingTargets(configuration)));
+    }
+
+    /** Requests in progress. */
+    get openRequests(): number {
+        return this.open.count;
+    }
+
+    /** Starts to listen. @returns Where callers connect, or why that failed. */
+    async start(): Promise<Outcome<Address>> {
+        const address = await this.server.listen();
+        if (address.isOk) {
+            this.options.logger.info({ address: address.value }, "entry: takes callers");
+        }
+        return address;
+    }
+
+    /**
+     * Stops gracefully: answers "not ready", closes the listening socket after the lead time, lets the requests in
+     * progress end, and then resolves. Calling it again returns the same promise.
+     *
+     * @returns How many requests were cut off; 0 unless they took longer than the limit.
+     */
+    stop(): Promise<number> {
+        this.stopping ??= this.runStop();
+        return this.stopping;
+    }
+
+    private async runStop(): Promise<number> {
+        const { clock, logger } = this.options;
+        const { stopLead, stopLimit } = this.limits;
+        logger.info({ open: this.open.count }, "entry: stops");
+        this.server.closeConnections();
+        if (stopLead > 0) {
+            await sleep(clock, stopLead);
+        }
+        this.accepting = false;
+        this.server.stopAccepting();
+        const interrupted = await this.drain(stopLimit);
+        this.removeHandler();
+        this.server.destroy();
+        this.services.history({ event: "process.stopped", interrupted });
+        logger.info({ interrupted }, "entry: stopped");
+        return interrupted;
+    }
+
+    private drain(limit: number): Promise<number> {
+        return new Promise(resolve => {
+            const timer = this.options.clock.schedule(() => resolve(this.open.cutAll()), limit);
+            this.open.whenEmpty(() => {
+                timer.cancel();
+                resolve(0);
+            });
+        });
+    }
+
+    private async handle(exchange: Exchange): Promise<void> {
+        switch (exchange.path) {
+            case "/healthz":
+                return exchange.sendJson(200, { healthy: true });
+            case "/readyz":
+                return this.sendReadiness(exchange);
+        }
+        if (!this.accepting) {
+            return exchange.refuse(failure(requestCodes.stopping, "this entry is stopping"));
+        }
+        if (this.open.count >= this.limits.maxOpenRequests) {
+            return exchange.refuse(failure(requestCodes.overloaded, "this entry has too many requests in progress"));
+        }
+        const caller = this.authenticator.authenticate(exchange.header("authorization"));
+        if (caller.isErr) {
+            return exchange.refuse(caller.error, undefined, { "WWW-Authenticate": "Bearer" });
+        }
+        return this.route(exchange, caller.value);
+    }
+
+    private sendReadiness(exchange: Exchange): void {
+        const ready = this.stopping === undefined && this.options.configuration.revision > 0;
+        exchange.sendJson(ready ? 200 : 503, { ready });
+    }
+
+    private route(exchange: Exchange, caller: Caller): Promise<void> | void {
+        switch (exchange.path) {
+            case "/v1/chat/completions":
+            case "/v1/completions":
+                return this.allow(exchange, "POST")
+                    ? completionsRoute(this.services, exchange, caller, this.begin(exchange))
+                    : undefined;
+            case "/v1/models":
+                return this.allow(exchange, "GET")
+                    ? modelsRoute(this.options.configuration, exchange, caller)
+                    : undefined;
+        }
+        if (exchange.path.startsWith("/services/")) {
+            return serviceRoute(this.services, exchange, caller, this.begin(exchange));
+        }
+        return exchange.refuse(failure(requestCodes.noSuchRoute, "no such path"));
+    }
+
+    private allow(exchange: Exchange, method: string): boolean {
+        if (exchange.method === method) {
+            return true;
+        }
+        exchange.refuse(failure(requestCodes.noSuchRoute, `the path takes only ${method}`), 405, { Allow: method });
+        return false;
+    }
+
+    private begin(exchange: Exchange): OpenRequest {
+        const parent = contextOf(exchange.header("traceparent"));
+        const span = this.services.tracer.startSpan("entry.request", {
+            kind: SpanKind.SERVER,
+            attributes: { "http.request.method": exchange.method, "url.path": exchange.path },
+        }, parent);
+        const open = new OpenRequest(span);
+        this.open.add(open, exchange.response);
+        return open;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -0,0 +1,137 @@
+import { type Address } from "@waxwingspar/transport";
+import { type Clock, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
+import { type Duplex } from "node:stream";
+import { Result } from "true-myth";
+import { type EntryLimits } from "../EntryLimits.js";
+import { errorBody } from "./errorBody.js";
+import { Exchange } from "./Exchange.js";
+
+/** @internal */
+export interface CallerServerOptions {
+    readonly listen: Address;
+    readonly limits: EntryLimits;
+    readonly clock: Clock;
+    /** Takes each request. It answers in every case; a throw is a fault of the program. */
+    readonly handle: (exchange: Exchange) => Promise<void>;
+    /** Takes a fault of the program. */
+    readonly onFault: (fault: unknown) => void;
+}
+
+/** How often connections are checked against their time limits, in milliseconds. */
+const checkInterval = 500;
+
+/**
+ * The HTTP server that callers talk to. It holds the limits on headers, time and connections, and turns what HTTP
+ * itself refuses into the same error bodies as every other refusal.
+ *
+ * @internal
+ */
+export class CallerServer {
+    private readonly options: CallerServerOptions;
+    private readonly server: Server;
+    private readonly openByConnection = new WeakMap<Duplex, number>();
+    private closing = false;
+
+    constructor(options: CallerServerOptions) {
+        const { limits } = options;
+        this.options = options;
+        this.server = createServer({
+            maxHeaderSize: limits.maxHeaderBytes,
+            headersTimeout: Math.min(limits.headerTimeout, limits.bodyTimeout),
+            requestTimeout: limits.bodyTimeout,
+            keepAliveTimeout: limits.keepAliveTimeout,
+            connectionsCheckingInterval: checkInterval,
+            noDelay: true,
+        }, (request, response) => this.take(request, response));
+        this.server.maxConnections = limits.maxConnections;
+        this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket));
+    }
+
+    /** Starts to listen. @returns Where it listens. */
+    listen(): Promise<Outcome<Address>> {
+        const { host, port } = this.options.listen;
+        return new Promise(resolve => {
+            this.server.once("error", error => {
+                resolve(Result.err(failure(transportCodes.notConnected, `cannot listen: ${error.message}`)));
+            });
+            this.server.listen(port, host, () => {
+                const address = this.server.address() as AddressInfo;
+                resolve(Result.ok({ host: address.address, port: address.port }));
+            });
+        });
+    }
+
+    /** From now on every response closes its connection. */
+    closeConnections(): void {
+        this.closing = true;
+    }
+
+    /** Stops accepting connections and closes those that are idle. */
+    stopAccepting(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Closes every connection. */
+    destroy(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private take(request: IncomingMessage, response: ServerResponse): void {
+        const { clock, handle, limits, onFault } = this.options;
+        if (this.closing) {
+            response.setHeader("Connection", "close");
+        }
+        const exchange = new Exchange({ request, response, clock });
+        if (this.count(request.socket, response) > limits.maxOpenPerConnection) {
+            const message = "too many requests are in progress on this connection";
+            exchange.refuse(failure(requestCodes.overloaded, message), undefined, { Connection: "close" });
+            return;
+        }
+        handle(exchange).catch((fault: unknown) => {
+            onFault(fault);
+            response.destroy();
+        });
+    }
+
+    private count(socket: Duplex, response: ServerResponse): number {
+        const open = (this.openByConnection.get(socket) ?? 0) + 1;
+        this.openByConnection.set(socket, open);
+        response.once("close", () => {
+            this.openByConnection.set(socket, (this.openByConnection.get(socket) ?? 1) - 1);
+        });
+        return open;
+    }
+}
+
+/** Answers a connection on which no request could be read. */
+function refuseConnection(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (!socket.writable || error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const cause = connectionFailure(error.code);
+    const body = JSON.stringify(errorBody(cause));
+    socket.end([
+        `HTTP/1.1 ${cause.code.status} ${cause.code.name}`,
+        "Content-Type: application/json",
+        `Content-Length: ${Buffer.byteLength(body)}`,
+        "Connection: close",
+        "",
+        body,
+    ].join("\r\n"));
+}
+
+function connectionFailure(code: string | undefined) {
+    switch (code) {
+        case "HPE_HEADER_OVERFLOW":
+            return failure(requestCodes.tooLarge, "the headers exceed their limit");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return failure(requestCodes.tooSlow, "the request did not arrive in time");
+        default:
+            return failure(requestCodes.malformed, "the request is not valid HTTP");
+    }
+}
--- /dev/null
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -0,0 +1,107 @@
+import { type Clock, type Failure, uniqueId } from "@waxwingspar/utils";
+import { type IncomingMessage, type OutgoingHttpHeaders, type ServerResponse } from "node:http";
+import { errorBody, retryAfterOf } from "./errorBody.js";
+
+/** @internal */
+export interface ExchangeOptions {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly clock: Clock;
+}
+
+const maxCallerRequest = 128;
+const printable = /^[\x21-\x7e]+$/;
+
+/**
+ * One request of a caller and the response to it.
+ *
+ * @internal
+ */
+export class Exchange {
+    /** Identifies the request between processes. The caller's own `X-Request-Id` only accompanies it. */
+    readonly id = uniqueId();
+    readonly callerRequest: string | undefined;
+    /** The clock's time when the headers had arrived. */
+    readonly arrived: number;
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    private gone = false;
+
+    constructor({ request, response, clock }: ExchangeOptions) {
+        this.request = request;
+        this.response = response;
+        this.arrived = clock.now();
+        this.callerRequest = acceptableId(this.header("x-request-id"));
+        response.setHeader("X-Request-Id", this.callerRequest ?? this.id);
+        request.on("error", ignore);
+        response.on("error", ignore);
+        response.once("close", () => {
+            this.gone = !response.writableFinished;
+        });
+    }
+
+    /** The path without the query. */
+    get path(): string {
+        return this.target.split("?", 1)[0] ?? "/";
+    }
+
+    /** Path and query as they were sent. */
+    get target(): string {
+        return this.request.url ?? "/";
+    }
+
+    get method(): string {
+        return this.request.method ?? "GET";
+    }
+
+    /** True once the caller has gone away before its whole answer. */
+    get disconnected(): boolean {
+        return this.gone;
+    }
+
+    header(name: string): string | undefined {
+        const value = this.request.headers[name];
+        return Array.isArray(value) ? value[0] : value;
+    }
+
+    /** Runs a function once if the caller goes away before it has its whole answer. */
+    onDisconnect(handler: () => void): void {
+        this.response.once("close", () => {
+            if (!this.response.writableFinished) {
+                handler();
+            }
+        });
+    }
+
+    /** Sends a whole response with a JSON body, unless one has begun. */
+    sendJson(status: number, body: unknown, headers: OutgoingHttpHeaders = {}): void {
+        if (this.response.headersSent || this.response.destroyed) {
+            return;
+        }
+        const data = Buffer.from(JSON.stringify(body));
+        this.response.writeHead(status, {
+            "Content-Type": "application/json",
+            "Content-Length": data.length,
+            ...headers,
+        });
+        this.response.end(data);
+    }
+
+    /**
+     * Sends a refusal or failure as the whole response.
+     *
+     * @param status - The HTTP status, when it is not that of the result code.
+     */
+    refuse(failure: Failure, status: number = failure.code.status, headers: OutgoingHttpHeaders = {}): void {
+        const retryAfter = failure.code.retry === "later" ? retryAfterOf(failure) : undefined;
+        const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": Math.ceil(retryAfter / 1000) };
+        this.sendJson(status, errorBody(failure), { ...retryHeaders, ...headers });
+    }
+}
+
+function acceptableId(value: string | undefined): string | undefined {
+    return value !== undefined && value.length <= maxCallerRequest && printable.test(value) ? value : undefined;
+}
+
+/** Errors of a socket end in `close`, which is what the request acts on. */
+function ignore(): void {}
--- /dev/null
+++ b/packages/entry/src/lib/http/PacedWriter.ts
@@ -0,0 +1,126 @@
+import { type Clock, type Timer } from "@waxwingspar/utils";
+import { type ServerResponse } from "node:http";
+
+/** @internal */
+export interface PacedWriterOptions {
+    readonly response: ServerResponse;
+    readonly clock: Clock;
+    /** Milliseconds for which the caller may take nothing of what waits. */
+    readonly stallTimeout: number;
+    /** Bytes that may wait for the caller. */
+    readonly maxBuffer: number;
+    /** Runs when the caller has taken what waited. */
+    readonly onDrain: () => void;
+}
+
+/**
+ * Writes a response as fast as its caller reads. A caller that takes nothing for too long, or for whom too much waits,
+ * is cut off; the response's `close` event tells the rest.
+ *
+ * @internal
+ */
+export class PacedWriter {
+    private readonly options: PacedWriterOptions;
+    private pending = "";
+    private scheduled = false;
+    private stall: Timer | undefined;
+    private waiting = false;
+
+    constructor(options: PacedWriterOptions) {
+        this.options = options;
+        options.response.on("drain", () => this.drained());
+        options.response.once("close", () => this.stall?.cancel());
+    }
+
+    /** False while the caller is slow. */
+    get ready(): boolean {
+        return !this.waiting;
+    }
+
+    /**
+     * Queues text. What is queued in one turn of the event loop leaves in one write.
+     *
+     * @returns False while the caller is slow.
+     */
+    queue(text: string): boolean {
+        this.pending += text;
+        if (!this.scheduled) {
+            this.scheduled = true;
+            setImmediate(() => this.flush());
+        }
+        return !this.waiting;
+    }
+
+    /** Writes bytes at once. Returns false while the caller is slow. */
+    write(data: Uint8Array): boolean {
+        return this.push(data);
+    }
+
+    /** Writes what is queued and ends the response. */
+    end(text = ""): void {
+        const { response } = this.options;
+        const rest = this.pending + text;
+        this.pending = "";
+        if (!response.destroyed) {
+            response.end(rest);
+            this.watch();
+        }
+    }
+
+    private flush(): void {
+        this.scheduled = false;
+        const text = this.pending;
+        this.pending = "";
+        if (text !== "") {
+            this.push(text);
+        }
+    }
+
+    private push(data: string | Uint8Array): boolean {
+        const { response, maxBuffer } = this.options;
+        if (response.destroyed || response.writableEnded) {
+            return false;
+        }
+        if (!response.write(data)) {
+            this.waiting = true;
+            this.watch();
+        }
+        if (response.writableLength > maxBuffer) {
+            response.destroy();
+        }
+        return !this.waiting;
+    }
+
+    /** Cuts the caller off when it takes nothing for too long. */
+    private watch(): void {
+        const { clock, response, stallTimeout } = this.options;
+        if (this.stall !== undefined) {
+            return;
+        }
+        const taken = bytesTaken(response);
+        this.stall = clock.schedule(() => {
+            this.stall = undefined;
+            if (response.writableFinished || response.destroyed) {
+                return;
+            }
+            if (bytesTaken(response) === taken && response.writableLength > 0) {
+                response.destroy();
+                return;
+            }
+            if (this.waiting || response.writableEnded) {
+                this.watch();
+            }
+        }, stallTimeout);
+    }
+
+    private drained(): void {
+        this.waiting = false;
+        this.options.onDrain();
+    }
+}
+
+/** Bytes of the connection that the operating system has taken. */
+function bytesTaken(response: ServerResponse): number {
+    const { socket } = response;
+    return socket === null ? 0 : socket.bytesWritten - socket.writableLength;
+}
--- /dev/null
+++ b/packages/entry/src/lib/models/completionsRoute.ts
@@ -0,0 +1,205 @@
+import { type Tracer } from "@opentelemetry/api";
+import { type Claims } from "@waxwingspar/claims";
+import { type Configuration } from "@waxwingspar/config";
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type RetryBudget, type Router } from "@waxwingspar/policy";
+import { type Clock, type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { createHash } from "node:crypto";
+import { Result } from "true-myth";
+import { type Caller } from "../callers/Authenticator.js";
+import { malformed, readRequestHeaders, type RequestHeaders } from "../callers/requestHeaders.js";
+import { type EntryLimits } from "../EntryLimits.js";
+import { type EntryMetrics } from "../EntryMetrics.js";
+import { type BodyReader } from "../http/BodyReader.js";
+import { type Exchange } from "../http/Exchange.js";
+import { PacedWriter } from "../http/PacedWriter.js";
+import { type AgentLinks } from "../links/AgentLinks.js";
+import { ClaimBinding, type ClaimSubject } from "../links/ClaimBinding.js";
+import { type OpenRequest } from "../OpenRequests.js";
+import { AnswerFormat } from "./AnswerFormat.js";
+import { StreamedAnswer, WholeAnswer } from "./answerSinks.js";
+import { chatSchema, type CompletionRequest, completionSchema, fromChat, fromCompletion } from "./completionsSchema.js";
+import { findModel, type ModelChoice } from "./findModel.js";
+import { type ModelRequest } from "./ModelRequest.js";
+import { prefixHashes } from "./prefixHashes.js";
+import { RequestRun } from "./RequestRun.js";
+
+/**
+ * What the routes of an entry work with.
+ *
+ * @internal
+ */
+export interface RouteServices {
+    readonly configuration: Configuration;
+    readonly links: AgentLinks;
+    readonly router: Router;
+    readonly retryBudget: RetryBudget;
+    readonly claims: Claims;
+    readonly clock: Clock;
+    readonly history: HistoryRecorder;
+    readonly metrics: EntryMetrics;
+    readonly limits: EntryLimits;
+    readonly tracer: Tracer;
+    readonly bodies: BodyReader;
+}
+
+/**
+ * Answers POST /v1/chat/completions and POST /v1/completions.
+ *
+ * @param open - The request's place among those in progress; it is told how to cut the request off.
+ * @returns Resolves once the request has its run, or has been refused.
+ * @internal
+ */
+export async function completionsRoute(
+    services: RouteServices,
+    exchange: Exchange,
+    caller: Caller,
+    open: OpenRequest,
+): Promise<void> {
+    const body = await services.bodies.read(exchange, services.limits.maxBodyBytes);
+    const chat = exchange.path.endsWith("/chat/completions");
+    const parsed = body.andThen(data => parseBody(data, chat));
+    const prepared = parsed.andThen(completion => prepare(services, exchange, caller, completion));
+    if (prepared.isErr) {
+        return exchange.refuse(prepared.error);
+    }
+    if (exchange.disconnected) {
+        return;
+    }
+    begin(services, exchange, prepared.value, chat, open);
+}
+
+interface Prepared {
+    readonly completion: CompletionRequest;
+    readonly request: ModelRequest;
+    readonly key: string | undefined;
+}
+
+function begin(
+    services: RouteServices,
+    exchange: Exchange,
+    { completion, request, key }: Prepared,
+    chat: boolean,
+    open: OpenRequest,
+): void {
+    const { clock, history, limits } = services;
+    history({
+        event: "request.received",
+        request: request.id,
+        organisation: request.organisation,
+        route: request.model,
+        callerRequest: exchange.callerRequest,
+        idempotent: request.claim === undefined,
+        key,
+    });
+    const writer = new PacedWriter({
+        response: exchange.response,
+        clock,
+        stallTimeout: limits.writeStallTimeout,
+        maxBuffer: limits.maxReplyBuffer,
+        onDrain: () => run.resume(),
+    });
+    const created = Math.floor(clock.date().getTime() / 1000);
+    const format = new AnswerFormat({ id: request.id, model: completion.model, created, chat });
+    const sink = completion.stream
+        ? new StreamedAnswer({ exchange, format, writer, includeUsage: completion.includeUsage })
+        : new WholeAnswer({ exchange, format, writer });
+    const subject = request.claim;
+    const binding = subject === undefined ? undefined : new ClaimBinding({ ...services, subject });
+    const run = new RequestRun({ ...services, request, sink, binding, span: open.span, onEnd: () => open.answered() });
+    open.onCut(() =>
+        run.cancel(failure(requestCodes.outcomeUnknown, "the process stopped before the answer was whole"))
+    );
+    exchange.onDisconnect(() => run.cancel(failure(requestCodes.cancelled, "the caller went away")));
+    run.start();
+}
+
+function parseBody(data: Uint8Array, chat: boolean): Outcome<CompletionRequest> {
+    let json: unknown;
+    try {
+        json = JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(data));
+    }
+    catch {
+        return Result.err(failure(requestCodes.malformed, "the body is not JSON"));
+    }
+    if (chat) {
+        const parsed = chatSchema.safeParse(json);
+        return parsed.success ? Result.ok(fromChat(parsed.data)) : Result.err(malformed(parsed.error));
+    }
+    const parsed = completionSchema.safeParse(json);
+    return parsed.success ? Result.ok(fromCompletion(parsed.data)) : Result.err(malformed(parsed.error));
+}
+
+function prepare(
+    { configuration, limits }: RouteServices,
+    exchange: Exchange,
+    caller: Caller,
+    completion: CompletionRequest,
+): Outcome<Prepared> {
+    const model = findModel(configuration, caller, completion.model);
+    if (model.isErr) {
+        return Result.err(model.error);
+    }
+    const headers = readRequestHeaders(exchange, caller.spec, limits.requestTimeout);
+    if (headers.isErr) {
+        return Result.err(headers.error);
+    }
+    const { key, nonIdempotent } = headers.value;
+    if (nonIdempotent && key === undefined) {
+        return Result.err(keyMissing());
+    }
+    const request = toModelRequest(exchange, caller, completion, model.value, headers.value);
+    return Result.ok({ completion, request, key });
+}
+
+function toModelRequest(
+    exchange: Exchange,
+    caller: Caller,
+    completion: CompletionRequest,
+    { name, adapter, spec }: ModelChoice,
+    headers: RequestHeaders,
+): ModelRequest {
+    const { prompt, sampling } = completion;
+    return {
+        id: exchange.id,
+        organisation: caller.organisation,
+        model: name,
+        version: spec.current,
+        adapter,
+        layers: spec.layers,
+        activationBytes: spec.activationBytes,
+        firstTokenBound: spec.firstTokenBound,
+        priority: headers.priority,
+        prompt,
+        prefix: prefixHashes(`${name}\n${spec.current}\n${adapter ?? ""}`, prompt),
+        sampling: { ...sampling, maxTokens: Math.min(sampling.maxTokens, spec.contextTokens) },
+        arrived: exchange.arrived,
+        deadline: headers.deadline,
+        claim: claimOf(caller, completion, headers, name),
+    };
+}
+
+/** Hours for which the claim of a model request is kept. */
+const claimHours = 24;
+const hour = 3_600_000;
+
+function claimOf(
+    caller: Caller,
+    completion: CompletionRequest,
+    { key, nonIdempotent }: RequestHeaders,
+    route: string,
+): ClaimSubject | undefined {
+    if (!nonIdempotent || key === undefined) {
+        return undefined;
+    }
+    const { model, prompt, sampling } = completion;
+    const digest = createHash("sha256").update(JSON.stringify([model, prompt, sampling])).digest("hex");
+    return { route, organisation: caller.organisation, key, digest, retention: claimHours * hour };
+}
+
+/** @internal */
+export function keyMissing(): Failure {
+    return failure(requestCodes.keyMissing, "a request that is not idempotent needs an Idempotency-Key header", {
+        path: "Idempotency-Key",
+    });
+}
--- /dev/null
+++ b/packages/entry/src/lib/routingTargets.ts
@@ -0,0 +1,45 @@
+import { type Configuration, type Resource } from "@waxwingspar/config";
+import { type RoutingTarget } from "@waxwingspar/policy";
+
+type Held = RoutingTarget["holds"][number];
+
+/**
+ * What the router has to know about every target: its spec, with the layers of each placement that is ready.
+ *
+ * @internal
+ */
+export function routingTargets(configuration: Configuration): RoutingTarget[] {
+    const placed = placedLayers(configuration);
+    return configuration.list("target").map(target => toRoutingTarget(target, placed.get(target.name) ?? []));
+}
+
+function toRoutingTarget({ name, spec }: Resource<"target">, placed: readonly Held[]): RoutingTarget {
+    return {
+        name,
+        host: spec.host,
+        port: spec.port,
+        dataCentre: spec.dataCentre,
+        region: spec.region,
+        speed: spec.accelerator.speed,
+        bandwidth: spec.link.bandwidth,
+        latency: spec.link.latency,
+        slots: spec.slots,
+        holds: [...spec.holds, ...placed],
+        service: spec.service,
+    };
+}
+
+function placedLayers(configuration: Configuration): Map<string, Held[]> {
+    const placed = new Map<string, Held[]>();
+    for (const { spec } of configuration.list("placement")) {
+        if (!spec.ready) {
+            continue;
+        }
+        for (const { target, first, last } of spec.stages) {
+            const held = placed.get(target) ?? [];
+            held.push({ model: spec.model, version: spec.version, first, last });
+            placed.set(target, held);
+        }
+    }
+    return placed;
+}
--- /dev/null
+++ b/packages/entry/src/lib/services/serviceHeaders.ts
@@ -0,0 +1,46 @@
+import { type IncomingHttpHeaders } from "node:http";
+
+/** Headers that belong to one connection, or to this system alone. */
+const ownHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    "authorization",
+    "traceparent",
+    "x-http-method-override",
+]);
+
+/** The headers of a call that its service gets to see. @internal */
+export function forwardedHeaders(headers: IncomingHttpHeaders): Record<string, string> {
+    const named = connectionHeaders(headers.connection);
+    const forwarded: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined && !ownHeaders.has(name) && !named.has(name)) {
+            forwarded[name] = Array.isArray(value) ? value.join(", ") : value;
+        }
+    }
+    return forwarded;
+}
+
+/** The headers of a service's answer that its caller gets to see. @internal */
+export function returnedHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
+    const entries = Object.entries(headers).filter(([name]) => {
+        const lower = name.toLowerCase();
+        return lower === "content-length" || !ownHeaders.has(lower);
+    });
+    return Object.fromEntries(entries);
+}
+
+/** A caller may name further headers that concern only its connection. */
+function connectionHeaders(value: string | undefined): ReadonlySet<string> {
+    return new Set((value ?? "").split(",").map(name => name.trim().toLowerCase()));
+}
--- /dev/null
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -0,0 +1,161 @@
+import { type Resource } from "@waxwingspar/config";
+import { type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { createHash } from "node:crypto";
+import { Result } from "true-myth";
+import { type Caller } from "../callers/Authenticator.js";
+import { readRequestHeaders, type RequestHeaders } from "../callers/requestHeaders.js";
+import { type Exchange } from "../http/Exchange.js";
+import { PacedWriter } from "../http/PacedWriter.js";
+import { ClaimBinding, type ClaimSubject } from "../links/ClaimBinding.js";
+import { keyMissing, type RouteServices } from "../models/completionsRoute.js";
+import { mayUse } from "../models/findModel.js";
+import { type OpenRequest } from "../OpenRequests.js";
+import { type ReplySink, ServiceCall, type ServiceRequest } from "./ServiceCall.js";
+import { forwardedHeaders, returnedHeaders } from "./serviceHeaders.js";
+import { isNonIdempotent, parseServicePath, type ServicePath } from "./servicePath.js";
+
+interface CheckedCall {
+    readonly path: ServicePath;
+    readonly service: Resource<"service">;
+    readonly headers: RequestHeaders;
+    readonly nonIdempotent: boolean;
+}
+
+/**
+ * Answers any method on /services/NAME/...: passes the call to one of the service's targets.
+ *
+ * @param open - The call's place among the requests in progress; it is told how to cut the call off.
+ * @internal
+ */
+export async function serviceRoute(
+    services: RouteServices,
+    exchange: Exchange,
+    caller: Caller,
+    open: OpenRequest,
+): Promise<void> {
+    const checked = check(services, exchange, caller);
+    if (checked.isErr) {
+        return exchange.refuse(checked.error);
+    }
+    const body = await services.bodies.read(exchange, checked.value.service.spec.maxBody);
+    if (body.isErr) {
+        return exchange.refuse(body.error);
+    }
+    if (!exchange.disconnected) {
+        begin(services, exchange, caller, checked.value, body.value, open);
+    }
+}
+
+function check({ configuration }: RouteServices, exchange: Exchange, caller: Caller): Outcome<CheckedCall> {
+    const path = parseServicePath(exchange.target);
+    const service = path === undefined ? undefined : configuration.get("service", path.service);
+    if (path === undefined || service === undefined) {
+        return Result.err(failure(requestCodes.noSuchRoute, "no service has this name or path", { path: "service" }));
+    }
+    if (!mayUse(caller, service.name)) {
+        const message = `organisation ${caller.organisation} may not use ${service.name}`;
+        return Result.err(failure(requestCodes.forbidden, message));
+    }
+    const headers = readRequestHeaders(exchange, caller.spec, service.spec.timeout);
+    if (headers.isErr) {
+        return Result.err(headers.error);
+    }
+    const declared = isNonIdempotent(service.spec, exchange.method, path.path);
+    const nonIdempotent = declared || headers.value.nonIdempotent;
+    if (nonIdempotent && headers.value.key === undefined) {
+        return Result.err(keyMissing());
+    }
+    return Result.ok({ path, service, headers: headers.value, nonIdempotent });
+}
+
+function begin(
+    services: RouteServices,
+    exchange: Exchange,
+    caller: Caller,
+    checked: CheckedCall,
+    body: Uint8Array<ArrayBuffer>,
+    open: OpenRequest,
+): void {
+    const { service, headers, nonIdempotent } = checked;
+    const request = toServiceRequest(exchange, caller, checked, body);
+    services.history({
+        event: "request.received",
+        request: request.id,
+        organisation: caller.organisation,
+        route: service.name,
+        callerRequest: exchange.callerRequest,
+        idempotent: !nonIdempotent,
+        key: headers.key,
+    });
+    const subject = nonIdempotent ? claimOf(request, service, headers) : undefined;
+    const binding = subject === undefined ? undefined : new ClaimBinding({ ...services, subject });
+    const sink = replySink(services, exchange);
+    const call = new ServiceCall({
+        ...services,
+        request,
+        sink,
+        binding,
+        span: open.span,
+        onEnd: () => open.answered(),
+    });
+    open.onCut(() => call.cancel(stopped()));
+    exchange.onDisconnect(() => call.cancel(failure(requestCodes.cancelled, "the caller went away")));
+    call.start();
+}
+
+function toServiceRequest(
+    exchange: Exchange,
+    caller: Caller,
+    { path, service, headers }: CheckedCall,
+    body: Uint8Array<ArrayBuffer>,
+): ServiceRequest {
+    return {
+        id: exchange.id,
+        service: service.name,
+        organisation: caller.organisation,
+        priority: headers.priority,
+        method: exchange.method,
+        path: path.path + path.query,
+        headers: forwardedHeaders(exchange.request.headers),
+        body,
+        arrived: exchange.arrived,
+        deadline: headers.deadline,
+    };
+}
+
+const hour = 3_600_000;
+
+function claimOf(
+    request: ServiceRequest,
+    { spec }: Resource<"service">,
+    { key }: RequestHeaders,
+): ClaimSubject | undefined {
+    if (key === undefined) {
+        return undefined;
+    }
+    const { service, organisation, method, path, body } = request;
+    const digest = createHash("sha256").update(`${method} ${path}\n`).update(body).digest("hex");
+    return { route: service, organisation, key, digest, retention: spec.claimHours * hour };
+}
+
+/** Passes an answer on as it comes, as fast as the caller reads. */
+function replySink({ clock, limits }: RouteServices, exchange: Exchange): ReplySink {
+    const { response } = exchange;
+    const writer = new PacedWriter({
+        response,
+        clock,
+        stallTimeout: limits.writeStallTimeout,
+        maxBuffer: limits.maxReplyBuffer,
+        onDrain: () => undefined,
+    });
+    return {
+        head: (status, headers) => void response.writeHead(status, returnedHeaders(headers)),
+        body: data => void writer.write(data),
+        end: () => writer.end(),
+        fail: cause => response.headersSent ? void response.destroy() : exchange.refuse(cause),
+    };
+}
+
+function stopped(): Failure {
+    return failure(requestCodes.outcomeUnknown, "the process stopped before the answer was whole");
+}
--- /dev/null
+++ b/packages/entry/src/lib/testing/FakeRouter.ts
@@ -0,0 +1,88 @@
+import {
+    type AttemptEnd,
+    type RoutedAttempt,
+    type Router,
+    type RouteRequest,
+    type RoutingTarget,
+} from "@waxwingspar/policy";
+import { type LoadReport, type Stage } from "@waxwingspar/transport";
+import { type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+
+/** How an attempt that the router had handed out ended. @internal */
+export interface RecordedEnd {
+    readonly head: string;
+    readonly result: AttemptEnd;
+    readonly target: string | undefined;
+}
+
+/**
+ * A router that hands out chains in a fixed order and notes what it is told.
+ *
+ * @internal
+ */
+export class FakeRouter implements Router {
+    readonly ends: RecordedEnd[] = [];
+    readonly reports: LoadReport[] = [];
+    readonly lost: string[] = [];
+    readonly asked: RouteRequest[] = [];
+    targets: readonly RoutingTarget[] = [];
+    /** Set to refuse every choice. */
+    refusal: Failure | undefined;
+
+    /** @param chains - The chains for models, and for services by their single stages, best first. */
+    constructor(private readonly chains: readonly (readonly Stage[])[]) {}
+
+    update(targets: readonly RoutingTarget[]): void {
+        this.targets = targets;
+    }
+
+    choose(request: RouteRequest): Outcome<RoutedAttempt> {
+        this.asked.push(request);
+        return this.pick(request.exclude, request.head);
+    }
+
+    chooseService(_service: string, exclude: ReadonlySet<string>): Outcome<RoutedAttempt> {
+        return this.pick(exclude, undefined);
+    }
+
+    report(load: LoadReport): void {
+        this.reports.push(load);
+    }
+
+    unreachable(target: string): void {
+        this.lost.push(target);
+    }
+
+    setLeaving(): void {}
+
+    cacheEvent(): void {}
+
+    private pick(exclude: ReadonlySet<string>, head: string | undefined): Outcome<RoutedAttempt> {
+        if (this.refusal !== undefined) {
+            return Result.err(this.refusal);
+        }
+        const stages = this.chains.find(chain =>
+            (head === undefined || chain[0]?.target === head) && chain.every(stage => !exclude.has(stage.target))
+        );
+        if (stages === undefined) {
+            return Result.err(failure(requestCodes.noCapacity, "no chain", { retryAfter: 1500 }));
+        }
+        return Result.ok(this.attempt(stages));
+    }
+
+    private attempt(stages: readonly Stage[]): RoutedAttempt {
+        let ended = false;
+        return {
+            stages,
+            firstToken: () => undefined,
+            token: () => undefined,
+            end: (result, target) => {
+                if (!ended) {
+                    this.ends.push({ head: stages[0]?.target ?? "", result, target });
+                }
+                ended = true;
+            },
+        };
+    }
+}
--- /dev/null
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -0,0 +1,148 @@
+import { type Kind, type Resource, resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
+import { type HistoryEvent } from "@waxwingspar/history";
+import { createRetryBudget } from "@waxwingspar/policy";
+import { type Address, type Stage } from "@waxwingspar/transport";
+import { type Clock, ManualClock, seededRandom } from "@waxwingspar/utils";
+import { createHash } from "node:crypto";
+import { pino } from "pino";
+import { Entry, type EntryOptions } from "../Entry.js";
+import { type ErrorBody } from "../http/errorBody.js";
+import { FakeAgent, FakeLinkPool } from "./FakeAgents.js";
+import { FakeClaims } from "./FakeClaims.js";
+import { FakeRouter } from "./FakeRouter.js";
+
+/** The token of the test's caller. @internal */
+export const callerToken = "secret-of-ports";
+
+/** @internal */
+export interface TestSiteOptions {
+    readonly clock?: ManualClock;
+    readonly claims?: FakeClaims;
+    readonly limits?: EntryOptions["limits"];
+    readonly anonymousOrganisation?: string;
+    /** Agents that another site of the test also uses. */
+    readonly agents?: readonly FakeAgent[];
+}
+
+/**
+ * A whole entry on a real socket, with fake agents at the other end of its links.
+ *
+ * @internal
+ */
+export class TestSite {
+    readonly clock: ManualClock;
+    readonly agents: readonly FakeAgent[];
+    readonly router: FakeRouter;
+    readonly claims: FakeClaims;
+    readonly history: HistoryEvent[] = [];
+    readonly faults: unknown[] = [];
+    readonly entry: Entry;
+    private address: Address = { host: "", port: 0 };
+
+    constructor(options: TestSiteOptions = {}) {
+        this.clock = options.clock ?? new ManualClock();
+        this.agents = options.agents ?? createAgents(this.clock);
+        this.claims = options.claims ?? new FakeClaims();
+        this.router = new FakeRouter(this.agents.map(agent => [stageOf(agent)]));
+        const configuration = new StaticConfiguration();
+        configuration.set(siteResources(this.agents));
+        this.entry = new Entry({
+            listen: { host: "127.0.0.1", port: 0 },
+            links: new FakeLinkPool(this.agents),
+            configuration,
+            router: this.router,
+            retryBudget: createRetryBudget({ clock: this.clock, random: seededRandom(1) }),
+            claims: this.claims,
+            clock: this.clock,
+            logger: pino({ level: "error" }, { write: line => void this.faults.push(line) }),
+            history: event => void this.history.push(event),
+            anonymousOrganisation: options.anonymousOrganisation,
+            limits: { stopLead: 0, ...options.limits },
+        });
+    }
+
+    get port(): number {
+        return this.address.port;
+    }
+
+    agent(index: number): FakeAgent {
+        const agent = this.agents[index];
+        if (agent === undefined) {
+            throw new Error(`no agent ${index}`);
+        }
+        return agent;
+    }
+
+    async start(): Promise<this> {
+        const address = await this.entry.start();
+        if (address.isErr) {
+            throw new Error(address.error.message);
+        }
+        this.address = address.value;
+        return this;
+    }
+
+    /** Moves time on. */
+    async advance(duration: number): Promise<void> {
+        await this.clock.advanceAsync(duration, 100);
+    }
+
+    /** Sends a request with the caller's token. */
+    fetch(path: string, init: RequestInit = {}): Promise<Response> {
+        const headers = { Authorization: `Bearer ${callerToken}`, ...init.headers as Record<string, string> };
+        return fetch(`http://127.0.0.1:${this.port}${path}`, { ...init, headers });
+    }
+
+    /** Posts a JSON body with the caller's token. */
+    post(path: string, body: unknown, headers: Record<string, string> = {}, signal?: AbortSignal): Promise<Response> {
+        return this.fetch(path, { method: "POST", body: JSON.stringify(body), headers, signal });
+    }
+}
+
+function createAgents(clock: Clock): FakeAgent[] {
+    return [1, 2, 3].map(index => new FakeAgent(`target-${index}`, clock, index));
+}
+
+function stageOf(agent: FakeAgent): Stage {
+    return { target: agent.target, ...agent.address, first: 0, last: 11 };
+}
+
+function siteResources(agents: readonly FakeAgent[]): Resource[] {
+    const tokenHash = createHash("sha256").update(callerToken).digest("hex");
+    return [
+        make("organisation", "ports", { priority: 5 }),
+        make("organisation", "depots", { allow: ["records"] }),
+        make("credential", "ports-caller", { tokenHash, role: "caller", organisation: "ports" }),
+        make("model", "demo", { layers: 12, versions: ["1"], current: "1" }),
+        make("adapter", "polite", { model: "demo", versions: ["1"], bytes: 1000 }),
+        make("service", "records", { nonIdempotent: [{ method: "POST", path: "/work-orders" }], maxBody: 1000 }),
+        ...agents.map(agent =>
+            make("target", agent.target, { ...agent.address, dataCentre: "dc1", service: "records" })
+        ),
+    ];
+}
+
+function make<K extends Kind>(kind: K, name: string, spec: unknown): Resource<K> {
+    return resource(kind, name, specSchemas[kind].parse(spec) as Resource<K>["spec"]);
+}
+
+/** A chat request for the test's model. @internal */
+export function chatBody(maxTokens: number, stream = false): object {
+    return { model: "demo", messages: [{ role: "user", content: "Why does it hum?" }], max_tokens: maxTokens, stream };
+}
+
+/** Reads the text of a stream of chat events, and whether it ended whole. @internal */
+export async function readStream(response: Response): Promise<{ text: string; whole: boolean; error?: ErrorBody; }> {
+    const events = (await response.text()).split("\n\n").filter(event => event !== "").map(event => event.slice(6));
+    const chunks = events.filter(event => event !== "[DONE]").map(event => JSON.parse(event) as Chunk);
+    return {
+        text: chunks.map(chunk => chunk.choices?.[0]?.delta?.content ?? "").join(""),
+        whole: events.at(-1) === "[DONE]",
+        error: chunks.find(chunk => chunk.error !== undefined) as ErrorBody | undefined,
+    };
+}
+
+interface Chunk {
+    readonly choices?: readonly { readonly delta?: { readonly content?: string; }; }[];
+    readonly error?: unknown;
+}
