--- /dev/null
+++ b/packages/claims/src/lib/journal/ClaimJournal.test.ts
@@ -0,0 +1,222 @@
+import { MemoryObjectStore, MemoryTableStore, TokenBucket } from "@waxwingspar/platform";
+import { ManualClock, type Outcome, requestCodes, seededRandom } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import test from "node:test";
+import { type Claim, type ClaimRequest } from "../Claims.js";
+import { ClaimJournal, type ClaimJournalOptions } from "./ClaimJournal.js";
+import { segmentKey } from "./partitionRows.js";
+
+class Site {
+    readonly clock = new ManualClock();
+    readonly table = new MemoryTableStore({ clock: this.clock });
+    readonly objects = new MemoryObjectStore({ clock: this.clock });
+
+    /** A new owner; `rate` is its writes per second. */
+    owner(options: Partial<ClaimJournalOptions> = {}, rate = 1000): ClaimJournal {
+        const { clock, table, objects } = this;
+        const bucket = new TokenBucket({ clock, rate });
+        const pace = () => bucket.take(Infinity) ?? 0;
+        return new ClaimJournal({ partition: 0, clock, table, objects, pace, random: seededRandom(1), ...options });
+    }
+
+    async wait<T>(call: Promise<T>): Promise<T> {
+        let open = true;
+        void call.finally(() => open = false);
+        while (open) {
+            await this.clock.advanceAsync(5, 5);
+        }
+        return call;
+    }
+
+    async rows(prefix: string): Promise<string[]> {
+        return (await this.table.scan(prefix, "", 1000)).unwrapOr([]).map(({ key }) => key);
+    }
+}
+
+function request(key: string, changes: Partial<ClaimRequest> = {}): ClaimRequest {
+    const runner = { target: "a", incarnation: "1" };
+    return { route: "r", organisation: "o", key, digest: "d", runner, retention: 60_000, ...changes };
+}
+
+function codeOf(outcome: Outcome<unknown> | undefined): number | undefined {
+    return outcome?.isErr ? outcome.error.code.number : undefined;
+}
+
+function claimOf(outcome: Outcome<Claim>): Claim {
+    assert.ok(outcome.isOk);
+    return outcome.value;
+}
+
+test("claims that arrive together share a write, and writes keep to the rate", async () => {
+    const site = new Site();
+    const journal = site.owner({}, 10);
+    const calls: Promise<Outcome<Claim>>[] = [];
+    const start = site.clock.now();
+    for (let turn = 0; turn < 100; turn++) {
+        calls.push(...[0, 1, 2, 3].map(index => journal.acquire(request(`${turn}.${index}`))));
+        await site.clock.advanceAsync(10, 5);
+    }
+    const outcomes = await site.wait(Promise.all(calls));
+    assert.ok(outcomes.every(outcome => outcome.isOk));
+    const seconds = (site.clock.now() - start) / 1000;
+    assert.ok(site.table.faults.arrivals.write <= 10 * seconds + 1);
+});
+
+test("a claim after a pause is written at once", async () => {
+    const site = new Site();
+    const journal = site.owner({}, 1);
+    await site.wait(journal.acquire(request("1")));
+    await site.clock.advanceAsync(1000, 100);
+    const start = site.clock.now();
+    await site.wait(journal.acquire(request("2")));
+    assert.ok(site.clock.now() - start <= 5);
+});
+
+test("a key with another digest is refused, in memory and while it waits", async () => {
+    const site = new Site();
+    const journal = site.owner();
+    const calls = [journal.acquire(request("k")), journal.acquire(request("k", { digest: "other" }))];
+    const [first, second] = await site.wait(Promise.all(calls));
+    assert.ok(first?.isOk);
+    assert.equal(codeOf(second), requestCodes.keyReused.number);
+    const third = await journal.acquire(request("k", { digest: "other" }));
+    assert.equal(codeOf(third), requestCodes.keyReused.number);
+});
+
+test("an outage refuses new claims at once and still answers duplicates", async () => {
+    const site = new Site();
+    const journal = site.owner();
+    const known = request("known", { retention: 86_400_000 });
+    await site.wait(journal.acquire(known));
+    site.table.faults.set({ down: true });
+    await site.wait(journal.acquire(request("1")));
+    for (let minute = 0; minute < 60; minute++) {
+        const calls = Array.from({ length: 50 }, (_, index) => journal.acquire(request(`${minute}.${index}`)));
+        const outcomes = await site.wait(Promise.all(calls));
+        assert.ok(outcomes.every(outcome => outcome.isErr && (outcome.error.retryAfter ?? 0) > 0));
+        assert.ok((await journal.acquire(known)).isOk);
+        await site.clock.advanceAsync(60_000, 10_000);
+    }
+    site.table.faults.set({ down: false });
+    assert.ok((await site.wait(journal.acquire(request("2")))).isOk);
+});
+
+test("a silent store ends calls in time, and what was written is found later", async () => {
+    const site = new Site();
+    const journal = site.owner();
+    site.table.faults.set({ answerDelay: 5000 });
+    const start = site.clock.now();
+    const outcome = await site.wait(journal.acquire(request("k")));
+    assert.equal(codeOf(outcome), requestCodes.claimUnavailable.number);
+    assert.ok(site.clock.now() - start <= 1010);
+    site.table.faults.set({ answerDelay: 0 });
+    await site.clock.advanceAsync(20_000, 50);
+    const again = claimOf(
+        await site.wait(journal.acquire(request("k", { runner: { target: "b", incarnation: "1" } }))),
+    );
+    const other = claimOf(await site.wait(site.owner().acquire(request("k"))));
+    assert.equal(again.id, other.id);
+});
+
+test("a write whose answer is lost grants the claim to the call that made it", async () => {
+    const site = new Site();
+    const journal = site.owner();
+    site.table.faults.set({ losesAfter: 1 });
+    const claim = claimOf(await site.wait(journal.acquire(request("k"))));
+    assert.equal(claim.created, true);
+    assert.equal((await site.rows("claims/0/")).length, 1);
+});
+
+test("an owner that was paused cannot write a number that was used and deleted", async () => {
+    const site = new Site();
+    const paused = site.owner();
+    await paused.load();
+    const active = site.owner({ archiveAfter: 1 });
+    for (const key of ["k", "l", "m"]) {
+        await site.wait(active.acquire(request(key)));
+        await site.clock.advanceAsync(100, 5);
+    }
+    assert.deepEqual(await site.rows(segmentKey(0, 1)), []);
+    const late = request("k", { runner: { target: "b", incarnation: "1" } });
+    assert.equal(claimOf(await site.wait(paused.acquire(late))).runner.target, "a");
+});
+
+test("a claim is kept for its retention over any number of owners, and forgotten after it", async () => {
+    const site = new Site();
+    const options = { archiveAfter: 2 };
+    let journal = site.owner(options);
+    await site.wait(journal.acquire(request("k", { retention: 60_000 })));
+    for (let turn = 0; turn < 11; turn++) {
+        await site.clock.advanceAsync(5000, 100);
+        journal = site.owner(options);
+        await site.wait(journal.acquire(request(`filler ${turn}`, { retention: 1000 })));
+    }
+    const runner = { target: "b", incarnation: "1" };
+    assert.equal(claimOf(await site.wait(journal.acquire(request("k", { runner })))).runner.target, "a");
+    await site.clock.advanceAsync(60_001, 1000);
+    const anew = claimOf(await site.wait(journal.acquire(request("k", { runner }))));
+    assert.equal(anew.runner.target, "b");
+});
+
+test("old segments and expired archives are deleted, and memory follows", async () => {
+    const site = new Site();
+    const journal = site.owner({ archiveAfter: 4 });
+    for (let turn = 0; turn < 100; turn++) {
+        await site.wait(journal.acquire(request(`${turn}`, { retention: 20_000 })));
+        await site.clock.advanceAsync(1000, 20);
+    }
+    assert.ok((await site.rows("claims/0/")).length <= 6);
+    const archives = (await site.objects.list("claims/0/")).unwrapOr([]);
+    assert.ok(archives.length <= 8, `${archives.length} archives`);
+    assert.ok(journal.size <= 60, `${journal.size} claims`);
+});
+
+test("archiving that fails half-way loses no claim", async () => {
+    const site = new Site();
+    const journal = site.owner({ archiveAfter: 2 });
+    for (let turn = 0; turn < 40; turn++) {
+        site.objects.faults.set({ losesBefore: turn % 3 === 0 ? 1 : 0, losesAfter: turn % 4 === 0 ? 1 : 0 });
+        await site.wait(journal.acquire(request(`${turn}`)));
+        site.table.faults.set({ losesAfter: turn % 5 === 0 ? 1 : 0, losesBefore: turn % 7 === 0 ? 1 : 0 });
+        await site.clock.advanceAsync(50, 5);
+    }
+    const next = site.owner();
+    await site.wait(next.load());
+    assert.equal(next.size, 40);
+});
+
+test("a repeated move finds its own result, and a move of an old claim fails", async () => {
+    const site = new Site();
+    const journal = site.owner();
+    const first = claimOf(await site.wait(journal.acquire(request("k"))));
+    const toB = request("k", { runner: { target: "b", incarnation: "1" } });
+    const moved = claimOf(await site.wait(journal.move(first, toB)));
+    assert.equal(claimOf(await site.wait(site.owner().move(first, toB))).id, moved.id);
+    const toC = request("k", { runner: { target: "c", incarnation: "1" } });
+    assert.equal(codeOf(await site.wait(journal.move(first, toC))), requestCodes.claimUnavailable.number);
+    const back = claimOf(await site.wait(journal.move(moved, request("k"))));
+    assert.notEqual(back.id, first.id);
+});
+
+test("a partition that is full or a name that is long is refused", async () => {
+    const site = new Site();
+    const journal = site.owner({ maxClaims: 2, maxPending: 1 });
+    const [first, second] = await site.wait(Promise.all(["1", "2"].map(key => journal.acquire(request(key)))));
+    assert.ok(first?.isOk);
+    assert.equal(codeOf(second), requestCodes.claimUnavailable.number);
+    await site.wait(journal.acquire(request("2")));
+    assert.equal(codeOf(await site.wait(journal.acquire(request("3")))), requestCodes.claimUnavailable.number);
+    const runner = { target: "x".repeat(300), incarnation: "1" };
+    assert.equal(codeOf(await journal.acquire(request("4", { runner }))), requestCodes.malformed.number);
+    await site.clock.advanceAsync(120_000, 10_000);
+    await site.wait(journal.acquire(request("5")));
+    assert.ok((await site.wait(journal.acquire(request("5")))).isOk);
+});
+
+test("a row that cannot be read refuses claims and stops nothing else", async () => {
+    const site = new Site();
+    const write = { key: segmentKey(0, 1), value: { unexpected: true } };
+    await site.table.commit({ writeId: "x", conditions: [], writes: [write] });
+    const outcome = await site.wait(site.owner().acquire(request("k")));
+    assert.equal(codeOf(outcome), requestCodes.claimUnavailable.number);
+});
