--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -89,8 +89,8 @@
     constructor(private readonly options: AgentOptions) {
         this.context = createContext(options);
         const { context } = this;
-        const answerClaims: AnswerClaims = new ClaimTable(this.claimOptions());
-        const callClaims: CallClaims = new ClaimTable(this.claimOptions());
+        const answerClaims: AnswerClaims = new ClaimTable(this.claimOptions(2 * context.settings.retainCache));
+        const callClaims: CallClaims = new ClaimTable(this.claimOptions(undefined));
         this.heads = new HeadRequests(context, answerClaims);
         this.stages = new StageRequests(context);
         this.calls = options.service === undefined ? undefined : new ServiceProxy(context, callClaims, options.service);
@@ -302,7 +302,7 @@
         configuration.list("organisation").forEach(({ name, spec }) => queue.setShare(name, spec.share));
     }
 
-    private claimOptions(): ClaimTableOptions {
+    private claimOptions(resumeWindow: number | undefined): ClaimTableOptions {
         const { context, options } = this;
         const { settings, configuration } = context;
         const configured = (): number => {
@@ -317,7 +317,7 @@
             bytes: settings.claimBytes,
             answerRetention: settings.claimAnswerRetention,
             retention: configured,
-            resumeWindow: 2 * settings.retainCache,
+            resumeWindow,
         };
     }
 }
--- /dev/null
+++ b/packages/agent/src/lib/claims/ClaimTable.test.ts
@@ -0,0 +1,132 @@
+import { encodeClaim, shortHash } from "@waxwingspar/claims";
+import { failure, ManualClock, requestCodes } from "@waxwingspar/utils";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ClaimTable, type ClaimTableOptions, type ClaimUse } from "./ClaimTable.js";
+
+const clock = new ManualClock();
+
+function createTable(changes: Partial<ClaimTableOptions> = {}): ClaimTable<string, string> {
+    return new ClaimTable({
+        target: "t1",
+        incarnation: "i2",
+        clock,
+        limit: 100,
+        bytes: 1000,
+        answerRetention: 10_000,
+        retention: () => 100_000,
+        resumeWindow: 1000,
+        ...changes,
+    });
+}
+
+function use(key: string, request: string, incarnation = "i2", target = "t1"): ClaimUse {
+    const identity = { route: "demo", organisation: "ports", generation: 0, keyHash: shortHash(key) };
+    const claim = encodeClaim({ ...identity, runner: { target, incarnation } });
+    return { claim, request, route: "demo", organisation: "ports" };
+}
+
+function codeOf(table: ClaimTable<string, string>, asked: ClaimUse): number | undefined {
+    const admitted = table.admit(asked);
+    return admitted.isErr ? admitted.error.code.number : undefined;
+}
+
+function admit(table: ClaimTable<string, string>, asked: ClaimUse) {
+    const admitted = table.admit(asked);
+    assert.ok(admitted.isOk);
+    return admitted.value;
+}
+
+test("a claim of an earlier start of the agent is unknown", () => {
+    const table = createTable();
+    assert.equal(codeOf(table, use("k", "r1", "i1")), requestCodes.outcomeUnknown.number);
+    assert.equal(codeOf(table, use("k", "r1", "i2", "t2")), requestCodes.outcomeUnknown.number);
+    assert.equal(codeOf(table, { ...use("k", "r1"), organisation: "depots" }), requestCodes.outcomeUnknown.number);
+    assert.equal(codeOf(table, { ...use("k", "r1"), claim: "nonsense" }), requestCodes.malformed.number);
+    assert.equal(table.size, 0);
+});
+
+test("a refused claim never runs", () => {
+    const table = createTable();
+    const reason = failure(requestCodes.overloaded, "full");
+    table.refuse(use("k", "r1"), reason);
+    assert.equal(codeOf(table, use("k", "r1")), requestCodes.overloaded.number);
+    const { record } = admit(table, use("l", "r2"));
+    table.refused(record, reason);
+    assert.equal(codeOf(table, use("l", "r3")), requestCodes.overloaded.number);
+});
+
+test("an interrupted claim goes on for its own request only", () => {
+    const table = createTable();
+    const { record } = admit(table, use("k", "r1"));
+    table.interrupted(record, failure(requestCodes.stageLost, "lost"));
+    assert.equal(codeOf(table, use("k", "r2")), requestCodes.inProgress.number);
+    clock.advance(2000);
+    assert.equal(codeOf(table, use("k", "r2")), requestCodes.outcomeUnknown.number);
+    assert.equal(admit(table, use("k", "r1")).action, "run");
+});
+
+test("answers are dropped before claims are", () => {
+    const table = createTable({ bytes: 100 });
+    const first = admit(table, use("k1", "r1")).record;
+    first.append("x", 80);
+    table.ended(first, "end");
+    assert.equal(admit(table, use("k1", "r2")).action, "follow");
+    const second = admit(table, use("k2", "r3")).record;
+    second.append("y", 80);
+    table.ended(second, "end");
+    assert.equal(table.answerBytes, 80);
+    assert.equal(codeOf(table, use("k1", "r2")), requestCodes.outcomeUnknown.number);
+    clock.advance(10_001);
+    assert.equal(codeOf(table, use("k2", "r4")), requestCodes.outcomeUnknown.number);
+    assert.equal(table.answerBytes, 0);
+    clock.advance(100_000);
+    assert.equal(admit(table, use("k1", "r5")).action, "run", "the store has forgotten the claim as well");
+});
+
+test("a full table refuses and forgets nothing", () => {
+    const table = createTable({ limit: 2 });
+    admit(table, use("k1", "r1"));
+    admit(table, use("k2", "r2"));
+    assert.equal(codeOf(table, use("k3", "r3")), requestCodes.claimUnavailable.number);
+    assert.equal(admit(table, use("k1", "r4")).action, "follow");
+});
+
+test("whatever happens, a claim that ended or was refused is never run again", () => {
+    const step = fc.record({
+        key: fc.constantFrom("k1", "k2", "k3"),
+        request: fc.constantFrom("r1", "r2"),
+        then: fc.constantFrom("end", "refuse", "interrupt", "wait", "nothing"),
+        incarnation: fc.constantFrom("i1", "i2"),
+    });
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 40 }), steps => {
+            const table = createTable({ bytes: 50, retention: () => Number.POSITIVE_INFINITY });
+            const settled = new Set<string>();
+            for (const { key, request, then, incarnation } of steps) {
+                const admitted = table.admit(use(key, request, incarnation));
+                if (admitted.isErr || admitted.value.action === "follow") {
+                    clock.advance(then === "wait" ? 20_000 : 1);
+                    continue;
+                }
+                assert.equal(incarnation, "i2");
+                assert.ok(!settled.has(key), `${key} runs after it had ended`);
+                const { record } = admitted.value;
+                record.append("token", 20);
+                if (then === "end") {
+                    table.ended(record, "end");
+                    settled.add(key);
+                }
+                else if (then === "refuse") {
+                    table.refused(record, failure(requestCodes.overloaded, "full"));
+                    settled.add(key);
+                }
+                else if (then === "interrupt") {
+                    table.interrupted(record, failure(requestCodes.stageLost, "lost"));
+                }
+            }
+        }),
+        { seed: 11, numRuns: 300 },
+    );
+});
--- a/packages/agent/src/lib/claims/ClaimTable.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.ts
@@ -16,8 +16,11 @@
     readonly answerRetention: number;
     /** Milliseconds for which a claim is remembered: no less than the store keeps it. */
     readonly retention: () => number;
-    /** Milliseconds for which an interrupted request is expected to be continued. */
-    readonly resumeWindow: number;
+    /**
+     * Milliseconds for which an interrupted request is expected to be continued. Undefined when that never happens,
+     * since what was begun cannot be taken up again.
+     */
+    readonly resumeWindow: number | undefined;
 }
 
 /** Who asks under a claim. @internal */
@@ -142,11 +145,15 @@
         record: ClaimRecord<Item, End>,
         use: ClaimUse,
     ): Result<ClaimDecision<Item, End>, Failure> {
+        const { resumeWindow, clock } = this.options;
+        if (resumeWindow === undefined) {
+            return Result.err(failure(requestCodes.outcomeUnknown, "it was broken off"));
+        }
         if (use.request === record.request) {
             record.state = "running";
             return Result.ok({ action: "run", record });
         }
-        const recent = this.options.clock.now() - record.changedAt < this.options.resumeWindow;
+        const recent = clock.now() - record.changedAt < resumeWindow;
         return Result.err(
             recent
                 ? failure(requestCodes.inProgress, "it was interrupted and may go on")
--- a/packages/agent/src/lib/faults.ts
+++ b/packages/agent/src/lib/faults.ts
@@ -1,5 +1,5 @@
 import { type WireFailure } from "@waxwingspar/transport";
-import { type Failure, failure, findResultCode, requestCodes } from "@waxwingspar/utils";
+import { type Failure, failure, findResultCode, requestCodes, transportCodes } from "@waxwingspar/utils";
 
 /** A failure of a chain, and the target at fault when one is known. @internal */
 export interface ChainFault {
@@ -31,9 +31,13 @@
         : failure(requestCodes.noCapacity, `nothing ran: ${reason.message}`);
 }
 
-/** The failure of work that ran in part. A code that says that nothing ran is replaced. */
+const linkCodes: readonly number[] = Object.values(transportCodes).map(code => code.number);
+
+/** The failure of work that ran in part. A code that says that nothing ran, or speaks of links, is replaced. */
 export function asStarted(reason: Failure): Failure {
-    return reason.code.execution === "not run" ? failure(requestCodes.stageLost, reason.message) : reason;
+    const { code, message } = reason;
+    const unfit = code.execution === "not run" || linkCodes.includes(code.number);
+    return unfit ? failure(requestCodes.stageLost, message) : reason;
 }
 
 /** The failure of a call to a service that does not run beside this agent. */
--- /dev/null
+++ b/packages/agent/src/lib/head/HeadRequests.test.ts
@@ -0,0 +1,149 @@
+import { encodeClaim, shortHash } from "@waxwingspar/claims";
+import { referenceAnswer } from "@waxwingspar/engine";
+import { type OpenMessage } from "@waxwingspar/transport";
+import { requestCodes } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chainOf, openMessage, type TestAnswer, testPrompt } from "../testing/TestEntry.js";
+import { testLayers, TestSite } from "../testing/TestSite.js";
+
+const identity = { model: "demo", version: "1", layers: testLayers };
+const reference = referenceAnswer({ ...identity, prompt: testPrompt, maxTokens: 20, seed: 7 });
+const stages = chainOf(["a", "b", "c"], testLayers);
+
+function claim(incarnation = "a-1", key = "key"): string {
+    const runner = { target: "a", incarnation };
+    return encodeClaim({ route: "demo", organisation: "ports", keyHash: shortHash(key), generation: 0, runner });
+}
+
+function claimed(request: string, changes: Partial<OpenMessage> = {}): OpenMessage {
+    return openMessage({ request, stages, claim: claim(), ...changes });
+}
+
+async function startSite(settings = {}): Promise<TestSite> {
+    const site = new TestSite(1);
+    await site.startAll(["a", "b", "c", "d"], { agent: { settings } });
+    return site;
+}
+
+function ended(answer: TestAnswer): boolean {
+    return answer.done !== undefined || answer.failed !== undefined;
+}
+
+function requestsThatRan(site: TestSite): string[] {
+    return [...new Set(site.events("a", "layers.run").map(({ request }) => request))];
+}
+
+test("duplicates at any moment get the same answer from one run", async () => {
+    for (const moment of [0, 3, 20, 60, 150, 600]) {
+        const site = await startSite();
+        const other = site.createEntry("entry2");
+        const first = await site.entry.open(claimed("r1"));
+        await site.clock.advanceAsync(moment, 1);
+        const second = await other.open(claimed("r2", { credit: 2 }));
+        await site.until(() => second.ids.length === 2);
+        (await other.link("a")).send({ type: "credit", request: "r2", epoch: 0, upTo: 1000 });
+        await site.until(() => ended(first) && ended(second));
+        assert.deepEqual(first.ids, reference.tokens);
+        assert.deepEqual(second.ids, reference.tokens, `duplicate after ${moment} ms`);
+        assert.equal(second.text, reference.text);
+        assert.deepEqual(second.done?.finish, first.done?.finish);
+        assert.deepEqual(requestsThatRan(site), ["r1"]);
+    }
+});
+
+test("claimed request runs to its end without its entry", async () => {
+    const site = await startSite();
+    const other = site.createEntry("entry2");
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => first.ids.length > 2);
+    site.entry.die();
+    await site.clock.advanceAsync(1000, 1);
+    const second = await other.open(claimed("r2"));
+    await site.until(() => ended(second));
+    assert.deepEqual(second.ids, reference.tokens);
+    assert.deepEqual(requestsThatRan(site), ["r1"]);
+});
+
+test("slow caller does not hold up a claimed request", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1", { credit: 1 }));
+    const second = await site.entry.open(claimed("r2"));
+    await site.until(() => ended(second));
+    assert.equal(first.ids.length, 1);
+    assert.deepEqual(second.ids, reference.tokens);
+    assert.equal(site.targets.get("a")?.queue.running, 0, "the slot is free while the answer waits");
+    (await site.entry.link("a")).send({ type: "credit", request: "r1", epoch: 0, upTo: 100 });
+    await site.until(() => ended(first));
+    assert.deepEqual(first.ids, reference.tokens);
+});
+
+test("restarted agent refuses claims of its earlier start as unknown", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => first.ids.length > 2);
+    site.kill("a");
+    await site.start("a", { incarnation: "a-2" });
+    const epoch = await site.entry.open(claimed("r1", { epoch: 1, produced: [...first.ids] }));
+    const duplicate = await site.entry.open(claimed("r2"));
+    await site.until(() => ended(epoch) && ended(duplicate));
+    assert.equal(epoch.failed?.failure.code, requestCodes.outcomeUnknown.number);
+    assert.equal(duplicate.failed?.failure.code, requestCodes.outcomeUnknown.number);
+    assert.deepEqual(site.events("a", "layers.run"), []);
+    const fresh = await site.entry.open(claimed("r3", { claim: claim("a-2", "other") }));
+    await site.until(() => ended(fresh));
+    assert.deepEqual(fresh.ids, reference.tokens);
+});
+
+test("claimed request goes on at the same head after a stage is lost", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1", { credit: 4 }));
+    const duplicate = await site.entry.open(claimed("r2"));
+    await site.until(() => duplicate.ids.length > 8);
+    site.kill("b");
+    await site.until(() => ended(first) && ended(duplicate));
+    assert.equal(first.failed?.target, "b");
+    assert.equal(first.failed?.failure.code, requestCodes.stageLost.number);
+    assert.equal(duplicate.failed?.failure.code, requestCodes.inProgress.number);
+    const chain = chainOf(["a", "d", "c"], testLayers);
+    const next = await site.entry.open(claimed("r1", { epoch: 1, stages: chain, produced: [...first.ids] }));
+    const late = await site.entry.open(claimed("r3"));
+    await site.until(() => ended(next) && ended(late));
+    assert.deepEqual([...first.ids, ...next.ids], reference.tokens);
+    assert.deepEqual(late.ids, reference.tokens);
+    assert.deepEqual(requestsThatRan(site), ["r1"]);
+});
+
+test("newer epoch takes over a claimed run that still goes", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => first.ids.length > 4);
+    const produced = first.ids.slice(0, 3);
+    const next = await site.entry.open(claimed("r1", { epoch: 1, produced }));
+    await site.until(() => ended(next));
+    assert.deepEqual([...produced, ...next.ids], reference.tokens);
+    assert.deepEqual(requestsThatRan(site), ["r1"]);
+});
+
+test("claim refused as not run stays refused", async () => {
+    const site = await startSite();
+    site.kill("c");
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => ended(first));
+    assert.equal(first.failed?.target, "c");
+    const again = await site.entry.open(claimed("r2", { stages: chainOf(["a", "b", "d"], testLayers) }));
+    await site.until(() => ended(again));
+    assert.equal(again.failed?.failure.code, first.failed?.failure.code);
+    assert.deepEqual(site.events("a", "layers.run"), []);
+});
+
+test("claimed request refused before its claim was looked at never runs", async () => {
+    const site = await startSite();
+    const wrong = await site.entry.open(claimed("r1", { version: "2" }));
+    await site.until(() => ended(wrong));
+    assert.equal(wrong.failed?.failure.code, requestCodes.wrongTarget.number);
+    const late = await site.entry.open(claimed("r1", { epoch: 1 }));
+    await site.until(() => ended(late));
+    assert.equal(late.failed?.failure.code, requestCodes.wrongTarget.number);
+    assert.deepEqual(site.events("a", "layers.run"), []);
+});
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -141,12 +141,6 @@
             return;
         }
         const { action, record } = admitted.value;
-        if (action === "run" && record.items.length > 0) {
-            const reason = failure(requestCodes.outcomeUnknown, "it ran and was broken off");
-            this.claims.interrupted(record, reason);
-            stream.failed(reason);
-            return;
-        }
         record.follow(stream);
         if (action === "run") {
             this.offer(message, this.createRecordSink(record, stream));
