--- /dev/null
+++ b/packages/policy/src/bench/BenchRequest.ts
@@ -0,0 +1,244 @@
+import { type Failure, requestCodes } from "@waxwingspar/utils";
+import { type RoutedAttempt } from "../lib/routing/Router.js";
+import { type BenchEntry, type BenchWorld } from "./BenchWorld.js";
+import { type FakeTarget } from "./FakeTarget.js";
+import { fleet } from "./fleet.js";
+import { type Arrival } from "./Traffic.js";
+
+const firstTokenBound = 540;
+const tokenBound = 72;
+/** The contract allows one interval in twenty beyond the bound. */
+const toleratedLate = 0.05;
+const deadline = 30_000;
+const maxAttempts = 4;
+/** Tokens that are simulated by one event. */
+const tokensPerEvent = 8;
+/** Until an entry notices that a connection is refused or was lost, in milliseconds. */
+const connectionFailure = 1;
+const tokensPerBlock = 64;
+
+/**
+ * One request: attempts on chains until one completes, the budget is spent or the bound is past all hope.
+ *
+ * @internal
+ */
+export class BenchRequest {
+    private attempts = 0;
+    private produced = 0;
+    private lateIntervals = 0;
+    private firstTokenAt: number | undefined;
+    private lastTokenAt = 0;
+    private readonly exclude = new Set<string>();
+
+    constructor(
+        private readonly world: BenchWorld,
+        private readonly entry: BenchEntry,
+        private readonly arrival: Arrival,
+    ) {}
+
+    start(): void {
+        this.entry.budget.request();
+        this.attempt();
+    }
+
+    private get now(): number {
+        return this.world.clock.now();
+    }
+
+    private attempt(): void {
+        this.attempts++;
+        this.world.measurement.attempts++;
+        const routed = this.entry.router.choose({
+            model: "assistant",
+            version: "v1",
+            layers: fleet.layers,
+            activationBytes: fleet.activationBytes,
+            prefix: this.arrival.prefix,
+            exclude: this.exclude,
+        });
+        if (routed.isErr) {
+            this.notRouted();
+            return;
+        }
+        const [head, tail] = routed.value.stages.map(stage => this.world.target(stage.target)) as [
+            FakeTarget,
+            FakeTarget,
+        ];
+        const delay = this.world.entryDelay(this.entry, head);
+        this.world.clock.schedule(() => this.open(routed.value, head, tail), delay);
+    }
+
+    private open(attempt: RoutedAttempt, head: FakeTarget, tail: FakeTarget): void {
+        if (head.isDead) {
+            this.lost(attempt, head);
+            return;
+        }
+        const id = `${this.arrival.id}.${this.attempts}`;
+        const spent = this.now - this.arrival.time;
+        const queued = head.queue.offer({
+            id,
+            organisation: `organisation-${this.arrival.organisation}`,
+            priority: 5,
+            timeLeft: deadline - spent,
+            startBound: firstTokenBound - spent,
+            // The agent knows what its own engine has cached.
+            cost: (this.arrival.prefix.length - head.cachedBlocks(this.arrival.prefix)) * tokensPerBlock,
+            start: () => this.run(attempt, id, head, tail),
+            refuse: reason => this.refused(attempt, head, reason),
+        });
+        if (queued.isErr) {
+            this.refused(attempt, head, queued.error);
+        }
+    }
+
+    private run(attempt: RoutedAttempt, id: string, head: FakeTarget, tail: FakeTarget): void {
+        const startedAt = this.now;
+        const session = {};
+        const release = () => {
+            head.sessions.delete(session);
+            tail.sessions.delete(session);
+            head.queue.finish(id, this.now - startedAt);
+        };
+        if (tail.isDead || tail.sessions.size >= tail.spec.slots) {
+            // The start callback must return before the slot is freed.
+            this.world.clock.schedule(() => {
+                release();
+                if (tail.isDead) {
+                    this.lost(attempt, tail);
+                }
+                else {
+                    this.refused(attempt, tail);
+                }
+            }, this.world.hopDelay(head, tail) * 2);
+            return;
+        }
+        let isOver = false;
+        const over = () => {
+            isOver = true;
+            release();
+        };
+        for (const target of [head, tail]) {
+            target.sessions.set(session, () => {
+                over();
+                this.lost(attempt, target);
+            });
+        }
+        const { prefix } = this.arrival;
+        const cached = Math.min(head.cachedBlocks(prefix), tail.cachedBlocks(prefix));
+        this.world.measurement.promptBlocks += prefix.length;
+        this.world.measurement.cachedBlocks += cached;
+        const headEnd = head.prefill(prefix.length - cached, startedAt);
+        const tailEnd = tail.prefill(prefix.length - cached, headEnd + this.world.hopDelay(head, tail));
+        this.world.clock.schedule(() => {
+            if (isOver) {
+                return;
+            }
+            head.store(prefix);
+            tail.store(prefix);
+            head.queue.observe(this.now - startedAt, undefined);
+            this.firstToken(attempt, head);
+            this.decode(attempt, head, tail, () => isOver, over);
+        }, tailEnd - startedAt + this.world.hopDelay(tail, head));
+    }
+
+    private firstToken(attempt: RoutedAttempt, head: FakeTarget): void {
+        const at = this.now + this.world.entryDelay(this.entry, head);
+        attempt.firstToken(at - this.arrival.time);
+        if (this.firstTokenAt === undefined) {
+            this.firstTokenAt = at;
+        }
+        else {
+            this.countIntervals(at - this.lastTokenAt, 1);
+        }
+        this.produced++;
+        this.lastTokenAt = at;
+    }
+
+    private decode(
+        attempt: RoutedAttempt,
+        head: FakeTarget,
+        tail: FakeTarget,
+        isOver: () => boolean,
+        over: () => void,
+    ): void {
+        const left = this.arrival.tokens - this.produced;
+        if (left <= 0) {
+            over();
+            attempt.end("completed");
+            this.entry.budget.ended(true);
+            this.finish(true);
+            return;
+        }
+        const count = Math.min(tokensPerEvent, left);
+        const hops = this.world.hopDelay(head, tail) + this.world.hopDelay(tail, head);
+        const interval = head.tokenInterval() + tail.tokenInterval() + hops;
+        this.world.clock.schedule(() => {
+            if (isOver()) {
+                return;
+            }
+            for (let index = 0; index < count; index++) {
+                head.queue.observe(undefined, interval);
+                attempt.token(interval);
+            }
+            this.countIntervals(interval, count);
+            this.produced += count;
+            this.lastTokenAt = this.now;
+            this.decode(attempt, head, tail, isOver, over);
+        }, interval * count);
+    }
+
+    private countIntervals(interval: number, count: number): void {
+        this.world.measurement.interval(interval, count);
+        this.lateIntervals += interval > tokenBound ? count : 0;
+    }
+
+    private lost(attempt: RoutedAttempt, target: FakeTarget): void {
+        this.world.clock.schedule(() => {
+            attempt.end("failed", target.spec.name);
+            this.entry.router.unreachable(target.spec.name);
+            this.entry.budget.ended(false);
+            this.retry(target, 0);
+        }, connectionFailure);
+    }
+
+    private refused(attempt: RoutedAttempt, target: FakeTarget, reason?: Failure): void {
+        this.world.measurement.refusals++;
+        const delay = this.world.entryDelay(this.entry, target);
+        this.world.clock.schedule(() => {
+            attempt.end("refused", target.spec.name);
+            this.entry.budget.ended(false);
+            if (reason?.code === requestCodes.limitReached) {
+                this.finish(false);
+                return;
+            }
+            this.retry(target, this.entry.budget.backoff(this.attempts));
+        }, delay);
+    }
+
+    private notRouted(): void {
+        this.entry.budget.ended(false);
+        this.finish(false);
+    }
+
+    private retry(target: FakeTarget, delay: number): void {
+        this.exclude.add(target.spec.name);
+        const isHopeless = this.firstTokenAt === undefined && this.now + delay - this.arrival.time >= firstTokenBound;
+        if (this.attempts >= maxAttempts || isHopeless || !this.entry.budget.spend()) {
+            this.finish(false);
+            return;
+        }
+        this.world.measurement.retries++;
+        this.world.clock.schedule(() => this.attempt(), delay);
+    }
+
+    private finish(isComplete: boolean): void {
+        const firstToken = this.firstTokenAt === undefined ? undefined : this.firstTokenAt - this.arrival.time;
+        const isInTime = firstToken !== undefined && firstToken <= firstTokenBound;
+        this.world.measurement.ended({
+            arrival: this.arrival.time,
+            organisation: this.arrival.organisation,
+            firstToken,
+            isWithinBounds: isComplete && isInTime && this.lateIntervals <= toleratedLate * this.arrival.tokens,
+        });
+    }
+}
--- /dev/null
+++ b/packages/policy/src/bench/Traffic.ts
@@ -0,0 +1,96 @@
+import { type Random, seededRandom } from "@waxwingspar/utils";
+import { type BenchCase } from "./BenchCase.js";
+import { fleet } from "./fleet.js";
+
+const sharedPrefixes = 300;
+const sharedBlocks = 40;
+/** The exponent of the prefixes' popularity, by rank. */
+const skew = 1.1;
+const uniqueBlocks = { fewest: 16, most: 32 };
+const uniqueBlocksAfterPrefix = { fewest: 4, most: 12 };
+const answerTokens = { fewest: 40, most: 80 };
+
+/** One request of a caller. */
+export interface Arrival {
+    readonly id: number;
+    /** Milliseconds of virtual time. */
+    readonly time: number;
+    readonly entry: number;
+    readonly organisation: number;
+    readonly prefix: readonly string[];
+    readonly tokens: number;
+}
+
+/**
+ * The arrivals of a case: a Poisson process that does not wait for answers. The same seed gives the same arrivals
+ * whatever is measured.
+ *
+ * @internal
+ */
+export class Traffic {
+    private readonly random: Random;
+    private readonly popularity: readonly number[];
+    private time = 0;
+    private count = 0;
+
+    /** @param rate - Requests per second of the usual load. */
+    constructor(private readonly benchCase: BenchCase, private readonly rate: number, seed: number) {
+        this.random = seededRandom(seed);
+        this.popularity = cumulated(Array.from({ length: sharedPrefixes }, (_, rank) => (rank + 1) ** -skew));
+    }
+
+    next(): Arrival {
+        const factor = this.burstFactor() * this.greedFactor();
+        this.time += -Math.log(1 - this.random.next()) / (this.rate * factor) * 1000;
+        const id = this.count++;
+        return {
+            id,
+            time: this.time,
+            entry: this.random.below(fleet.entries),
+            organisation: this.organisation(),
+            prefix: this.prompt(id),
+            tokens: this.between(answerTokens),
+        };
+    }
+
+    private burstFactor(): number {
+        const { burst } = this.benchCase;
+        const second = this.time / 1000;
+        return burst !== undefined && second >= burst.from && second < burst.to ? burst.factor : 1;
+    }
+
+    /** How the total grows when one organisation sends more than its share. */
+    private greedFactor(): number {
+        return (fleet.organisations - 1 + (this.benchCase.greedy ?? 1)) / fleet.organisations;
+    }
+
+    private organisation(): number {
+        const greedy = this.benchCase.greedy ?? 1;
+        const drawn = this.random.next() * (fleet.organisations - 1 + greedy);
+        return drawn < greedy ? 0 : 1 + Math.floor(drawn - greedy);
+    }
+
+    private prompt(id: number): string[] {
+        if (this.benchCase.skewedPrefixes !== true) {
+            return Array.from({ length: this.between(uniqueBlocks) }, (_, block) => `${id}.${block}`);
+        }
+        const drawn = this.random.next();
+        const topic = this.popularity.findIndex(share => drawn < share);
+        const shared = Array.from({ length: sharedBlocks }, (_, block) => `topic-${topic}.${block}`);
+        const own = Array.from({ length: this.between(uniqueBlocksAfterPrefix) }, (_, block) => `${id}.${block}`);
+        return [...shared, ...own];
+    }
+
+    private between(range: { readonly fewest: number; readonly most: number; }): number {
+        return range.fewest + this.random.below(range.most - range.fewest + 1);
+    }
+}
+
+/** Running shares of a list of weights, the last of which is 1. */
+function cumulated(weights: readonly number[]): number[] {
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    let sum = 0;
+    const shares = weights.map(weight => (sum += weight) / total);
+    shares[shares.length - 1] = 1;
+    return shares;
+}
--- /dev/null
+++ b/packages/policy/src/bench/baselineRouters.ts
@@ -0,0 +1,86 @@
+import { type LoadReport } from "@waxwingspar/transport";
+import { failure, type Outcome, type Random, requestCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type RoutedAttempt, type Router, type RouteRequest, type RoutingTarget } from "../lib/routing/Router.js";
+
+/** Picks one of the targets that may run a stage. */
+type Pick = (usable: readonly RoutingTarget[], range: number) => RoutingTarget;
+
+/** A router that chooses every stage on its own by a simple rule, among targets that do not leave. */
+class SimpleRouter implements Router {
+    protected ranges: RoutingTarget[][] = [];
+    private readonly leaving = new Set<string>();
+
+    constructor(private readonly pick: Pick, private readonly onReport: (load: LoadReport) => void = () => undefined) {}
+
+    update(targets: readonly RoutingTarget[]): void {
+        const firsts = [...new Set(targets.map(target => target.holds[0]!.first))].sort((a, b) => a - b);
+        this.ranges = firsts.map(first => targets.filter(target => target.holds[0]!.first === first));
+    }
+
+    choose(request: RouteRequest): Outcome<RoutedAttempt> {
+        const stages = [];
+        for (const [index, targets] of this.ranges.entries()) {
+            const usable = targets.filter(({ name }) => !this.leaving.has(name) && !request.exclude.has(name));
+            if (usable.length === 0) {
+                return Result.err(failure(requestCodes.noCapacity, "no target left"));
+            }
+            const { name, host, port, holds } = this.pick(usable, index);
+            stages.push({ target: name, host, port, first: holds[0]!.first, last: holds[0]!.last });
+        }
+        const ignore = () => undefined;
+        return Result.ok({ stages, firstToken: ignore, token: ignore, end: ignore });
+    }
+
+    chooseService(): Outcome<RoutedAttempt> {
+        return Result.err(failure(requestCodes.noCapacity, "services are not part of the benchmark"));
+    }
+
+    report(load: LoadReport): void {
+        this.onReport(load);
+    }
+
+    setLeaving(target: string, leaving: boolean): void {
+        if (leaving) {
+            this.leaving.add(target);
+        }
+        else {
+            this.leaving.delete(target);
+        }
+    }
+
+    unreachable(): void {
+        // A plain balancer waits for the live list.
+    }
+
+    cacheEvent(): void {
+        // A plain balancer knows nothing of caches.
+    }
+}
+
+/** @internal */
+export function createRandomRouter(random: Random): Router {
+    return new SimpleRouter(usable => usable[random.below(usable.length)]!);
+}
+
+/** @internal */
+export function createRoundRobinRouter(random: Random): Router {
+    const next = [random.below(1000), random.below(1000)];
+    return new SimpleRouter((usable, range) => {
+        const turn = next[range]!;
+        next[range] = turn + 1;
+        return usable[turn % usable.length]!;
+    });
+}
+
+/** Chooses the target with the least load for its slots by the last report, at random among equals. @internal */
+export function createLeastLoadedRouter(random: Random): Router {
+    const loads = new Map<string, number>();
+    const loadOf = (target: RoutingTarget) => loads.get(target.name) ?? 0;
+    const pick: Pick = usable => {
+        const lowest = Math.min(...usable.map(loadOf));
+        const best = usable.filter(target => loadOf(target) === lowest);
+        return best[random.below(best.length)]!;
+    };
+    return new SimpleRouter(pick, load => loads.set(load.target, (load.running + load.queued) / load.slots));
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,11 +3,13 @@
  *
  * @packageDocumentation
  */
-export { createWorkQueue, type WorkQueueOptions } from "./lib/admission/createWorkQueue.js";
+export { createWorkQueue } from "./lib/admission/createWorkQueue.js";
 export { type WorkItem, type WorkQueue } from "./lib/admission/WorkQueue.js";
+export { type WorkQueueOptions } from "./lib/admission/WorkQueueOptions.js";
+export { type HealthOptions } from "./lib/health/TargetHealth.js";
 export { createRetryBudget, type RetryBudgetOptions } from "./lib/retry/createRetryBudget.js";
 export { type RetryBudget } from "./lib/retry/RetryBudget.js";
-export { createRouter, type RouterOptions } from "./lib/routing/createRouter.js";
+export { createRouter } from "./lib/routing/createRouter.js";
 export {
     type AttemptEnd,
     type RoutedAttempt,
@@ -15,3 +17,4 @@
     type RouteRequest,
     type RoutingTarget,
 } from "./lib/routing/Router.js";
+export { type RouterOptions } from "./lib/routing/RouterOptions.js";
--- a/packages/policy/src/lib/admission/createWorkQueue.ts
+++ b/packages/policy/src/lib/admission/createWorkQueue.ts
@@ -1,122 +1,269 @@
-import { type Clock, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { assert, type Clock, type Failure, failure, type Outcome, requestCodes, type Timer } from "@waxwingspar/utils";
 import { Result } from "true-myth";
+import { IndexedHeap } from "../support/IndexedHeap.js";
+import { ConcurrencyLimit } from "./ConcurrencyLimit.js";
+import { FairScheduler, type WaitingItem } from "./FairScheduler.js";
+import { FirstTokenModel } from "./FirstTokenModel.js";
+import { type OrganisationAccount, OrganisationAccounts } from "./OrganisationAccounts.js";
 import { type WorkItem, type WorkQueue } from "./WorkQueue.js";
+import { type CompleteWorkQueueOptions, completeWorkQueueOptions, type WorkQueueOptions } from "./WorkQueueOptions.js";
 
-/**
- * Options of {@link createWorkQueue}.
- *
- * @public
- */
-export interface WorkQueueOptions {
-    readonly clock: Clock;
-    /** Items that may run at once. */
-    readonly slots: number;
-    /** Items that may wait. Default 256. */
-    readonly capacity?: number;
-}
+/** The shortest time after which a refused request should come back, in milliseconds. */
+const minRetryAfter = 50;
 
-interface Waiting {
-    readonly item: WorkItem;
-    readonly expires: number;
+interface RunningItem {
+    readonly account: OrganisationAccount;
+    readonly priority: number;
+    /** The slot time that the fair order was charged with at the start, in milliseconds. */
+    readonly charged: number;
 }
 
-class SimpleWorkQueue implements WorkQueue {
-    private readonly active = new Set<string>();
-    private waiting: Waiting[] = [];
+class FairWorkQueue implements WorkQueue {
+    private readonly clock: Clock;
+    private readonly accounts: OrganisationAccounts;
+    private readonly scheduler = new FairScheduler();
+    private readonly firstToken: FirstTokenModel;
+    private readonly limit: ConcurrencyLimit;
+    private readonly active = new Map<string, RunningItem>();
+    private readonly waiting = new Map<string, WaitingItem>();
+    private readonly expiry = new IndexedHeap<WaitingItem>();
+    private expiryTimer: { readonly due: number; readonly timer: Timer; } | undefined;
+    /** The mean time that an item holds its slot, in milliseconds. */
+    private hold: number;
+    private usualCost = 0;
     private closed = false;
-    private firstToken = 100;
-    private hold = 1000;
 
-    constructor(private readonly options: Required<WorkQueueOptions>) {}
+    constructor(private readonly options: CompleteWorkQueueOptions) {
+        this.clock = options.clock;
+        this.accounts = new OrganisationAccounts(options);
+        this.firstToken = new FirstTokenModel(options);
+        this.limit = new ConcurrencyLimit(options.slots, options.tokenBound);
+        this.hold = options.initialHold;
+    }
 
     get running(): number {
         return this.active.size;
     }
 
     get queued(): number {
-        return this.waiting.length;
+        return this.scheduler.size;
     }
 
     offer(item: WorkItem): Outcome<"started" | "queued"> {
-        this.expire();
+        assert(!this.active.has(item.id) && !this.waiting.has(item.id), `work item ${item.id} is already here`);
         if (this.closed) {
-            return Result.err(failure(requestCodes.stopping, "the target is stopping"));
+            return Result.err(stopping());
         }
         if (item.timeLeft <= 0) {
             return Result.err(failure(requestCodes.deadlinePassed, "the deadline has passed"));
         }
-        if (this.active.size < this.options.slots) {
-            this.begin(item);
-            return Result.ok("started");
-        }
-        const estimate = this.estimate();
-        if (this.waiting.length >= this.options.capacity || estimate > item.startBound) {
-            return Result.err(failure(requestCodes.overloaded, "the bound would be missed", { retryAfter: estimate }));
+        const account = this.accounts.get(item.organisation);
+        this.accounts.touch(account);
+        this.usualCost += (item.cost - this.usualCost) / this.options.memory;
+        const prediction = this.firstToken.predict(item.cost);
+        const startsNow = this.scheduler.size === 0 && this.mayStart(account);
+        const wait = startsNow ? 0 : this.waitOf(account, item.priority);
+        // An idle target takes one item whatever it predicts, or a wrong prediction would never be put right.
+        const late = wait + prediction - Math.min(item.startBound, item.timeLeft);
+        if (late > 0 && this.active.size > 0) {
+            return Result.err(this.overloaded(late));
         }
-        const expires = this.options.clock.now() + Math.min(item.timeLeft, item.startBound);
-        this.waiting.push({ item, expires });
-        this.options.clock.schedule(() => this.expire(), expires - this.options.clock.now());
-        return Result.ok("queued");
+        return this.admit(item, account, prediction, startsNow);
     }
 
     finish(id: string, duration: number): void {
-        if (!this.active.delete(id)) {
+        const done = this.active.get(id);
+        if (done === undefined) {
             return;
         }
-        this.hold += (duration - this.hold) / 20;
-        this.expire();
-        const next = this.waiting.shift();
-        if (next !== undefined) {
-            this.begin(next.item);
-        }
+        this.active.delete(id);
+        done.account.running--;
+        this.firstToken.finished(id);
+        this.hold += (duration - this.hold) / this.options.memory;
+        const usual = done.account.hold ?? duration;
+        done.account.hold = usual + (duration - usual) / this.options.memory;
+        this.scheduler.correct(done.account, done.priority, duration - done.charged);
+        this.startWaiting();
     }
 
     cancel(id: string): boolean {
-        const before = this.waiting.length;
-        this.waiting = this.waiting.filter(entry => entry.item.id !== id);
-        return this.waiting.length < before;
+        const waiting = this.waiting.get(id);
+        if (waiting === undefined) {
+            return false;
+        }
+        this.leave(waiting);
+        return true;
     }
 
-    observe(firstToken: number | undefined): void {
+    observe(firstToken: number | undefined, interval: number | undefined): void {
         if (firstToken !== undefined) {
-            this.firstToken += (firstToken - this.firstToken) / 20;
+            this.firstToken.observe(firstToken);
+        }
+        if (interval !== undefined) {
+            this.limit.observe(interval, this.active.size);
         }
     }
 
     estimate(): number {
-        const ahead = this.active.size < this.options.slots ? 0 : this.waiting.length + 1;
-        return ahead * this.hold / this.options.slots + this.firstToken;
+        const isFree = this.active.size + this.scheduler.size < this.limit.value;
+        const wait = isFree ? 0 : (this.scheduler.size + 1) * this.drainInterval();
+        return wait + this.firstToken.predict(this.usualCost);
     }
 
-    setShare(): void {
-        // Shares come with the fair queue.
+    setShare(organisation: string, share: number, requestsPerSecond?: number, maxInFlight?: number): void {
+        this.accounts.setShare(organisation, share, requestsPerSecond, maxInFlight);
     }
 
     close(): void {
         this.closed = true;
-        const left = this.waiting;
-        this.waiting = [];
-        left.forEach(entry => entry.item.refuse(failure(requestCodes.stopping, "the target is stopping")));
+        [...this.waiting.values()].forEach(waiting => this.refuse(waiting, stopping()));
+    }
+
+    private admit(
+        item: WorkItem,
+        account: OrganisationAccount,
+        prediction: number,
+        startsNow: boolean,
+    ): Outcome<"started" | "queued"> {
+        const allowed = this.accounts.admit(account);
+        if (allowed.isErr) {
+            return Result.err(allowed.error);
+        }
+        if (startsNow) {
+            this.begin(item, account, this.charge(account, item.priority));
+            return Result.ok("started");
+        }
+        if (this.scheduler.size >= this.options.capacity && !this.makeRoom(account, item.priority)) {
+            return Result.err(this.overloaded(this.drainInterval()));
+        }
+        const latestStart = Math.max(0, item.startBound - prediction);
+        const endsAtDeadline = item.timeLeft < latestStart;
+        const expires = this.clock.now() + Math.min(item.timeLeft, latestStart);
+        this.enqueue({ item, account, expires, endsAtDeadline });
+        this.startWaiting();
+        return Result.ok(this.active.has(item.id) ? "started" : "queued");
+    }
+
+    private makeRoom(account: OrganisationAccount, priority: number): boolean {
+        const displaced = this.scheduler.displacedBy(account, priority);
+        if (displaced === undefined) {
+            return false;
+        }
+        this.refuse(displaced, this.overloaded(this.drainInterval()));
+        return true;
+    }
+
+    private enqueue(waiting: WaitingItem): void {
+        this.waiting.set(waiting.item.id, waiting);
+        waiting.account.queued++;
+        this.scheduler.add(waiting);
+        this.expiry.set(waiting.item.id, waiting.expires, waiting);
+        this.armExpiry();
+    }
+
+    private leave(waiting: WaitingItem): void {
+        this.waiting.delete(waiting.item.id);
+        waiting.account.queued--;
+        this.scheduler.remove(waiting);
+        this.expiry.delete(waiting.item.id);
     }
 
-    private begin(item: WorkItem): void {
-        this.active.add(item.id);
+    private refuse(waiting: WaitingItem, reason: Failure): void {
+        this.leave(waiting);
+        waiting.item.refuse(reason);
+    }
+
+    /** Charges an organisation for an item that is about to start. Returns the slot time charged, in milliseconds. */
+    private charge(account: OrganisationAccount, priority: number): number {
+        const expected = account.hold ?? this.hold;
+        this.scheduler.start(account, priority, expected);
+        return expected;
+    }
+
+    private begin(item: WorkItem, account: OrganisationAccount, charged: number): void {
+        this.active.set(item.id, { account, priority: item.priority, charged });
+        account.running++;
+        this.firstToken.started(item.id, item.cost);
         item.start();
     }
 
+    private startWaiting(): void {
+        while (this.scheduler.size > 0 && this.active.size < this.limit.value) {
+            const waiting = this.scheduler.next(account => this.mayStart(account));
+            if (waiting === undefined) {
+                return;
+            }
+            const { item, account } = waiting;
+            // The charge comes first, while the organisation still counts as waiting.
+            const charged = this.charge(account, item.priority);
+            this.leave(waiting);
+            this.begin(item, account, charged);
+        }
+    }
+
+    /** Organisations at or above their fair share leave the reserved slots to the others. */
+    private mayStart(account: OrganisationAccount): boolean {
+        const limit = this.limit.value;
+        if (this.active.size >= limit) {
+            return false;
+        }
+        const reserved = Math.ceil(limit * this.options.reserve);
+        return this.active.size < limit - reserved || !this.accounts.overShare(account, limit);
+    }
+
+    private waitOf(account: OrganisationAccount, priority: number): number {
+        return this.scheduler.placeOf(account, priority) * this.drainInterval();
+    }
+
+    /** The mean time until the next slot is freed, in milliseconds. */
+    private drainInterval(): number {
+        return this.hold / Math.max(1, this.active.size);
+    }
+
+    private overloaded(late: number): Failure {
+        const retryAfter = Math.max(minRetryAfter, late);
+        return failure(requestCodes.overloaded, "the first token would come after its bound", { retryAfter });
+    }
+
+    private armExpiry(): void {
+        const due = this.expiry.lowestRank();
+        if (due === Infinity || (this.expiryTimer !== undefined && this.expiryTimer.due <= due)) {
+            return;
+        }
+        this.expiryTimer?.timer.cancel();
+        const timer = this.clock.schedule(() => this.expire(), due - this.clock.now());
+        this.expiryTimer = { due, timer };
+    }
+
     private expire(): void {
-        const now = this.options.clock.now();
-        const late = this.waiting.filter(entry => entry.expires <= now);
-        this.waiting = this.waiting.filter(entry => entry.expires > now);
-        late.forEach(entry => entry.item.refuse(failure(requestCodes.deadlinePassed, "expired while it waited")));
+        this.expiryTimer = undefined;
+        const now = this.clock.now();
+        while (this.expiry.lowestRank() <= now) {
+            const waiting = this.expiry.peek()!;
+            const reason = waiting.endsAtDeadline
+                ? failure(requestCodes.deadlinePassed, "the deadline passed in the queue")
+                : this.overloaded(this.drainInterval());
+            this.refuse(waiting, reason);
+        }
+        this.armExpiry();
     }
 }
 
+function stopping(): Failure {
+    return failure(requestCodes.stopping, "the target takes no new work");
+}
+
 /**
  * Creates the queue of an agent.
  *
+ * @example
+ * ```ts
+ * const queue = createWorkQueue({ clock, slots: 32 });
+ * queue.setShare("depots", 2, 40);
+ * const admitted = queue.offer(item);
+ * ```
  * @public
  */
 export function createWorkQueue(options: WorkQueueOptions): WorkQueue {
-    return new SimpleWorkQueue({ capacity: 256, ...options });
+    return new FairWorkQueue(completeWorkQueueOptions(options));
 }
--- /dev/null
+++ b/packages/policy/src/lib/routing/ChainPlanner.ts
@@ -0,0 +1,103 @@
+import { type CostModel } from "./CostModel.js";
+import { type RangeGroup } from "./RangeGroup.js";
+import { type TargetState } from "./TargetState.js";
+
+/**
+ * A target that may run one layer range, with its cost.
+ *
+ * @internal
+ */
+export interface Candidate {
+    readonly state: TargetState;
+    readonly range: RangeGroup;
+    readonly cost: number;
+}
+
+interface Link {
+    readonly candidate: Candidate;
+    readonly before: Link | undefined;
+    /** Cost of the chain up to this link. */
+    readonly total: number;
+}
+
+/**
+ * Finds the cheapest chain over layer boundaries, by dynamic programming: the best chain up to each candidate is the
+ * best one up to a candidate that ends where it begins, plus the hop between them.
+ *
+ * @param candidates - Candidates by ascending first layer.
+ * @returns The chain in the order of layers, or undefined when the candidates leave a gap.
+ * @internal
+ */
+export function planChain(
+    candidates: readonly Candidate[],
+    layers: number,
+    activationBytes: number,
+    costs: CostModel,
+): readonly Candidate[] | undefined {
+    /** Links by the layer that must come next. */
+    const endings = new Map<number, Link[]>();
+    for (const candidate of candidates) {
+        const link = candidate.range.first === 0
+            ? { candidate, before: undefined, total: candidate.cost + costs.entryCost(candidate.state.target) }
+            : extend(candidate, endings.get(candidate.range.first), activationBytes, costs);
+        if (link !== undefined) {
+            const next = candidate.range.last + 1;
+            const list = endings.get(next);
+            if (list === undefined) {
+                endings.set(next, [link]);
+            }
+            else {
+                list.push(link);
+            }
+        }
+    }
+    return chainOf(cheapest(endings.get(layers)));
+}
+
+function extend(
+    candidate: Candidate,
+    endings: readonly Link[] | undefined,
+    bytes: number,
+    costs: CostModel,
+): Link | undefined {
+    let best: Link | undefined;
+    for (const before of endings ?? []) {
+        const hop = costs.hopCost(before.candidate.state.target, candidate.state.target, bytes);
+        const total = before.total + hop + candidate.cost;
+        if ((best === undefined || total < best.total) && !uses(before, candidate.state)) {
+            best = { candidate, before, total };
+        }
+    }
+    return best;
+}
+
+/** A target runs at most one stage of a chain, since its agent knows the request by one stage. */
+function uses(link: Link | undefined, state: TargetState): boolean {
+    for (let step = link; step !== undefined; step = step.before) {
+        if (step.candidate.state === state) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function cheapest(links: readonly Link[] | undefined): Link | undefined {
+    let best: Link | undefined;
+    for (const link of links ?? []) {
+        if (best === undefined || link.total < best.total) {
+            best = link;
+        }
+    }
+    return best;
+}
+
+function chainOf(link: Link | undefined): readonly Candidate[] | undefined {
+    if (link === undefined) {
+        return undefined;
+    }
+    const chain: Candidate[] = [];
+    for (let step: Link | undefined = link; step !== undefined; step = step.before) {
+        chain.unshift(step.candidate);
+    }
+    return chain;
+}
--- a/packages/policy/src/lib/routing/createRouter.ts
+++ b/packages/policy/src/lib/routing/createRouter.ts
@@ -1,147 +1,292 @@
-import { type LoadReport, type Stage } from "@waxwingspar/transport";
-import { type Clock, failure, type Outcome, type Random, requestCodes } from "@waxwingspar/utils";
+import { type LoadReport } from "@waxwingspar/transport";
+import { failure, type Outcome, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
+import { DataCentreWatch } from "../health/DataCentreWatch.js";
+import { findSlowTargets, mayEject } from "../health/SlowTargetDetector.js";
+import { CandidateSampler } from "./CandidateSampler.js";
+import { type AttemptObserver, ChainAttempt } from "./ChainAttempt.js";
+import { type Candidate } from "./ChainPlanner.js";
+import { type CostInput, CostModel } from "./CostModel.js";
+import { LatencyLearner } from "./LatencyLearner.js";
+import { PrefixIndex } from "./PrefixIndex.js";
+import { cachedBlocks, type PlanRequest, RequestPlanner } from "./RequestPlanner.js";
 import { type AttemptEnd, type RoutedAttempt, type Router, type RouteRequest, type RoutingTarget } from "./Router.js";
+import { type CompleteRouterOptions, completeRouterOptions, type RouterOptions } from "./RouterOptions.js";
+import { type TargetState } from "./TargetState.js";
+import { TargetTable } from "./TargetTable.js";
 
-/**
- * Options of {@link createRouter}.
- *
- * @public
- */
-export interface RouterOptions {
-    readonly clock: Clock;
-    readonly random: Random;
-    /** The name of this entry, which decides which part of a large fleet it uses. */
-    readonly entry: string;
-    readonly dataCentre: string;
-    readonly region: string;
-}
-
-interface KnownTarget {
-    target: RoutingTarget;
-    inFlight: number;
-    leaving: boolean;
-    avoidUntil: number;
-}
+/** Milliseconds between two looks at the peers: usual figures, and targets that are slow against them. */
+const reviewInterval = 500;
+const noCapacityRetryAfter = 500;
+/** The share of requests that are sent even though every target seems far over its bound, to see whether it still is. */
+const trialShare = 0.1;
+const serviceActivationBytes = 0;
 
-class SimpleRouter implements Router {
-    private targets = new Map<string, KnownTarget>();
+class ChainRouter implements Router, AttemptObserver {
+    private readonly table: TargetTable;
+    private readonly costs: CostModel;
+    private readonly prefixes: PrefixIndex;
+    private readonly learner: LatencyLearner;
+    private readonly dataCentres: DataCentreWatch;
+    private readonly planner: RequestPlanner;
+    /** Targets that are ejected, unreachable or being probed. */
+    private readonly outOfUse = new Set<TargetState>();
+    private readonly reviewedAt = new Map<string, number>();
 
-    constructor(private readonly options: RouterOptions) {}
+    constructor(private readonly options: CompleteRouterOptions) {
+        this.table = new TargetTable(options);
+        this.costs = new CostModel(options);
+        this.prefixes = new PrefixIndex(options);
+        this.learner = new LatencyLearner(this.costs);
+        this.dataCentres = new DataCentreWatch(options.clock);
+        const sampler = new CandidateSampler(options.random, this.dataCentres, options.choices);
+        this.planner = new RequestPlanner(options, this.table, this.costs, sampler);
+    }
 
     update(targets: readonly RoutingTarget[]): void {
-        const next = new Map<string, KnownTarget>();
-        for (const target of targets) {
-            const known = this.targets.get(target.name) ?? { target, inFlight: 0, leaving: false, avoidUntil: 0 };
-            known.target = target;
-            next.set(target.name, known);
-        }
-        this.targets = next;
+        this.table.update(targets);
+        this.outOfUse.forEach(state => this.table.get(state.name) !== state && this.outOfUse.delete(state));
     }
 
     choose(request: RouteRequest): Outcome<RoutedAttempt> {
-        const stages: Stage[] = [];
-        const failed = this.extend(request, 0, stages);
-        return failed ? this.noCapacity() : Result.ok(this.attempt(stages));
+        const { model, version } = request;
+        return this.plan({ ...request, key: `${model} ${version}`, ranges: this.table.ranges(model, version) });
     }
 
     chooseService(service: string, exclude: ReadonlySet<string>): Outcome<RoutedAttempt> {
-        const usable = this.usable(exclude).filter(known => known.target.service === service);
-        const best = usable[0];
-        return best === undefined ? this.noCapacity() : Result.ok(this.attempt([stageOf(best.target, 0, 0)]));
+        return this.plan({
+            key: service,
+            ranges: this.table.service(service),
+            layers: 1,
+            activationBytes: serviceActivationBytes,
+            prefix: [],
+            exclude,
+        });
     }
 
     report(load: LoadReport): void {
-        this.setLeaving(load.target, load.leaving);
+        const state = this.table.get(load.target);
+        if (state === undefined) {
+            return;
+        }
+        state.report(load, this.options.clock.now());
+        // A late report may predate the notice of leaving, so it cannot take it back.
+        if (load.leaving) {
+            this.setLeaving(load.target, true);
+        }
     }
 
     unreachable(target: string): void {
-        const known = this.targets.get(target);
-        if (known !== undefined) {
-            known.avoidUntil = this.options.clock.now() + 1000;
+        const state = this.table.get(target);
+        if (state !== undefined) {
+            state.health.lost();
+            // A target that restarts comes back with an empty cache.
+            state.cacheGeneration++;
+            this.dataCentres.lost(state.target.dataCentre, target);
+            this.tookOut(state);
         }
     }
 
     setLeaving(target: string, leaving: boolean): void {
-        const known = this.targets.get(target);
-        if (known !== undefined) {
-            known.leaving = leaving;
+        const state = this.table.get(target);
+        if (state !== undefined && state.leaving !== leaving) {
+            state.leaving = leaving;
+            this.table.changed(state);
+        }
+    }
+
+    cacheEvent(target: string, kind: "stored" | "evicted" | "cleared" | "gap", blocks: readonly string[]): void {
+        const state = this.table.get(target);
+        if (state === undefined) {
+            return;
+        }
+        switch (kind) {
+            case "stored":
+                // Blocks on targets that this entry does not use would only push out those that matter.
+                if (this.table.rangesOf(state).some(range => range.chosen.includes(state))) {
+                    this.prefixes.stored(state, blocks);
+                }
+                return;
+            case "evicted":
+                return this.prefixes.evicted(state, blocks);
+            case "cleared":
+                state.cacheGeneration++;
+                return;
+            case "gap":
+                state.cacheGaps++;
+                return;
         }
     }
 
-    cacheEvent(): void {
-        // The prefix index comes with the cost model.
+    firstToken(attempt: ChainAttempt, latency: number): void {
+        const { chain, input, key, cached, probe } = attempt;
+        for (const { state } of chain) {
+            state.health.succeeded();
+            this.dataCentres.succeeded(state.target.dataCentre);
+            this.prefixes.stored(state, attempt.prefix);
+        }
+        if (probe === undefined) {
+            this.learner.learnFirstToken(chain, this.at(input), key, cached, latency);
+        }
     }
 
-    /** Depth first over layer boundaries, least loaded first. Returns true when no chain was found. */
-    private extend(request: RouteRequest, layer: number, stages: Stage[]): boolean {
-        if (layer === request.layers) {
-            return false;
+    interval(attempt: ChainAttempt, mean: number): void {
+        const { chain, key, probe } = attempt;
+        const input = this.at(attempt.input);
+        if (probe !== undefined && probe.state.health.state === "probing") {
+            this.judgeProbe(attempt, probe, mean);
         }
-        for (const known of this.usable(request.exclude)) {
-            if (layer === 0 && request.head !== undefined && known.target.name !== request.head) {
-                continue;
-            }
-            const held = known.target.holds.find(range =>
-                range.model === request.model && range.version === request.version && range.first === layer
+        else {
+            this.learner.learnInterval(chain, input, key, mean);
+        }
+    }
+
+    ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined): void {
+        const faulty = attempt.chain.filter(stage => target === undefined || stage.state.name === target);
+        if (result === "refused") {
+            faulty.slice(0, 1).forEach(({ state }) => state.refused(this.options.clock.now()));
+        }
+        if (result === "failed") {
+            faulty.forEach(({ state }) => this.failed(state, 1 / faulty.length));
+        }
+        const probe = attempt.probe?.state;
+        if (probe !== undefined && probe.health.state === "probing") {
+            this.endProbe(probe, result);
+        }
+    }
+
+    private plan(request: PlanRequest): Outcome<RoutedAttempt> {
+        this.review(request);
+        const matches = request.prefix.length === 0
+            ? new Map<TargetState, number>()
+            : this.prefixes.match(request.prefix);
+        const input = {
+            now: this.options.clock.now(),
+            layers: request.layers,
+            activationBytes: request.activationBytes,
+            blocks: request.prefix.length,
+            matches,
+        };
+        const probe = this.probeFor(request);
+        const drawn = request.ranges.map(range => this.planner.draw(range, request, probe));
+        const chain = this.planner.bestChain(request, drawn, input) ?? this.planner.lastResort(request, input);
+        if (chain === undefined) {
+            const details = { retryAfter: noCapacityRetryAfter };
+            return Result.err(failure(requestCodes.noCapacity, "no chain of live targets covers the model", details));
+        }
+        const late = this.lateness(drawn[0] ?? [], input.now);
+        if (late > 0 && probe === undefined && this.options.random.next() >= trialShare) {
+            return Result.err(
+                failure(requestCodes.overloaded, "every target is far over its bound", { retryAfter: late }),
             );
-            if (held === undefined || held.last >= request.layers) {
+        }
+        const probed = chain.find(stage => stage.state === probe);
+        probed?.state.health.probeSent();
+        const cached = cachedBlocks(chain, input.matches);
+        return Result.ok(new ChainAttempt(chain, input, request.key, request.prefix, cached, probed, this));
+    }
+
+    /** A target out of use whose turn it is to be tried by this request. */
+    private probeFor(request: PlanRequest): TargetState | undefined {
+        for (const state of this.outOfUse) {
+            const range = request.ranges.find(candidate => candidate.chosen.includes(state));
+            if (range === undefined || state.leaving || request.exclude.has(state.name)) {
                 continue;
             }
-            stages.push(stageOf(known.target, held.first, held.last));
-            if (!this.extend(request, held.last + 1, stages)) {
-                return false;
+            const isBound = range.first === 0 && request.head !== undefined;
+            if (!isBound && !this.dataCentres.isAvoided(state.target.dataCentre) && state.health.wantsProbe()) {
+                return state;
             }
-            stages.pop();
         }
-        return true;
+        return undefined;
+    }
+
+    /** By how much the best of the drawn heads is over the bound it may be over, by its own fresh prediction. */
+    private lateness(heads: readonly TargetState[], now: number): number {
+        const { refuseAbove, firstTokenBound, reportHalfLife } = this.options;
+        if (heads.length === 0) {
+            return 0;
+        }
+        const estimates = heads.map(head => head.recentFirstTokenEstimate(now, reportHalfLife));
+        const lowest = Math.min(...estimates);
+        return lowest > refuseAbove * firstTokenBound ? lowest - firstTokenBound : 0;
     }
 
-    private usable(exclude: ReadonlySet<string>): KnownTarget[] {
+    private review(request: PlanRequest): void {
         const now = this.options.clock.now();
-        const order = (known: KnownTarget) => known.inFlight / known.target.slots + this.options.random.next() * 1e-6;
-        return [...this.targets.values()]
-            .filter(known => !known.leaving && known.avoidUntil <= now && !exclude.has(known.target.name))
-            .map(known => ({ known, rank: order(known) }))
-            .sort((a, b) => a.rank - b.rank)
-            .map(entry => entry.known);
-    }
-
-    private attempt(stages: readonly Stage[]): RoutedAttempt {
-        const used = stages.map(stage => this.targets.get(stage.target));
-        used.forEach(known => known && known.inFlight++);
-        let ended = false;
-        return {
-            stages,
-            firstToken: () => undefined,
-            token: () => undefined,
-            end: (result: AttemptEnd, target?: string) => {
-                if (ended) {
-                    return;
-                }
-                ended = true;
-                used.forEach(known => known && known.inFlight--);
-                if (result === "failed" && target !== undefined) {
-                    this.unreachable(target);
-                }
-            },
-        };
+        const last = this.reviewedAt.get(request.key);
+        if (last !== undefined && now - last < reviewInterval) {
+            return;
+        }
+        this.reviewedAt.set(request.key, now);
+        request.ranges.forEach(range => range.refresh());
+        for (const slow of findSlowTargets(request.ranges, this.options, now)) {
+            if (mayEject(this.table.rangesOf(slow), this.options.maxEjected)) {
+                slow.health.eject();
+                this.tookOut(slow);
+            }
+        }
+        request.ranges.forEach(range => range.refresh());
+        this.costs.refresh(request.key, request.ranges);
     }
 
-    private noCapacity(): Outcome<RoutedAttempt> {
-        return Result.err(failure(requestCodes.noCapacity, "no target can serve this", { retryAfter: 1000 }));
+    private failed(state: TargetState, weight: number): void {
+        state.health.failed(weight, mayEject(this.table.rangesOf(state), this.options.maxEjected));
+        this.tookOut(state);
+    }
+
+    private tookOut(state: TargetState): void {
+        if (!state.health.isUsable()) {
+            this.outOfUse.add(state);
+            this.table.changed(state);
+        }
+    }
+
+    private judgeProbe(attempt: ChainAttempt, probe: Candidate, mean: number): void {
+        const input = this.at(attempt.input);
+        const factor = this.learner.probeFactor(attempt.chain, probe, input, attempt.key, mean);
+        if (factor > this.costs.usualOf(attempt.key).interval * this.options.slowFactor) {
+            probe.state.health.eject();
+            return;
+        }
+        this.returned(probe.state);
     }
-}
 
-function stageOf(target: RoutingTarget, first: number, last: number): Stage {
-    return { target: target.name, host: target.host, port: target.port, first, last };
+    private endProbe(state: TargetState, result: AttemptEnd): void {
+        if (result === "completed" || result === "refused") {
+            // A refusal shows that the target lives, and costs nobody a late answer.
+            this.returned(state);
+        }
+        else {
+            // Cancelled, or failed through another stage.
+            state.health.probeWithdrawn();
+        }
+    }
+
+    private returned(state: TargetState): void {
+        state.intervalFactor.reset();
+        state.prefillFactor.reset();
+        state.health.passed();
+        this.outOfUse.delete(state);
+        this.table.changed(state);
+    }
+
+    private at(input: CostInput): CostInput {
+        return { ...input, now: this.options.clock.now() };
+    }
 }
 
 /**
  * Creates the router of an entry.
  *
+ * @example
+ * ```ts
+ * const router = createRouter({ clock, random, entry: "entry-1", dataCentre: "cairo-1", region: "cairo" });
+ * router.update(targets);
+ * const attempt = router.choose(request);
+ * ```
  * @public
  */
 export function createRouter(options: RouterOptions): Router {
-    return new SimpleRouter(options);
+    return new ChainRouter(completeRouterOptions(options));
 }
