Let agents forget claims without running one twice

Cause: the store may keep a claim longer than its retention, since partition time can lag behind real time; an agent that drops its mark after the retention would run a late duplicate again. Change: generations are counted in a named series, and ForgottenClaims keeps the highest generation forgotten of each; TableClaims numbers by time of recording. The interleaving test lets agents forget everything at any moment.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -5,6 +5,7 @@
  */
 export { type ClaimIdentity, decodeClaim, encodeClaim, keyHashOf, shortHash } from "./lib/claimId.js";
 export { type Claim, type ClaimRequest, type Claims, type Runner } from "./lib/Claims.js";
+export { ForgottenClaims } from "./lib/ForgottenClaims.js";
 export { ClaimJournal, type ClaimJournalOptions } from "./lib/journal/ClaimJournal.js";
 export { ClaimJournals, type ClaimJournalsOptions } from "./lib/journal/ClaimJournals.js";
 export { claimMethods } from "./lib/routing/claimMethods.js";
--- a/packages/claims/src/lib/TableClaims.test.ts
+++ b/packages/claims/src/lib/TableClaims.test.ts
@@ -12,8 +12,9 @@
 }
 
 function setUp() {
-    const store = new MemoryTableStore({ clock: new ManualClock() });
-    return { store, claims: new TableClaims(store) };
+    const clock = new ManualClock();
+    const store = new MemoryTableStore({ clock });
+    return { store, claims: new TableClaims(store, clock) };
 }
 
 test("two racing duplicates get one claim", async () => {
@@ -40,7 +41,7 @@
     const outcomes = await Promise.all([claims.move(first, request("b")), claims.move(first, request("c"))]);
     assert.equal(outcomes.filter(outcome => outcome.isOk).length, 1);
     const back = (await claims.acquire(request("a"))).unwrapOr(undefined);
-    assert.equal(decodeClaim(back?.id ?? "")?.generation, 1);
+    assert.equal(decodeClaim(back?.id ?? "")?.generation, 2);
     assert.ok((await claims.move(first, request("d"))).isErr);
 });
 
--- a/packages/claims/src/lib/TableClaims.ts
+++ b/packages/claims/src/lib/TableClaims.ts
@@ -1,5 +1,14 @@
 import { type Row, type TableStore } from "@waxwingspar/platform";
-import { type Failure, failure, type Outcome, platformCodes, requestCodes, uniqueId } from "@waxwingspar/utils";
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    requestCodes,
+    SystemClock,
+    uniqueId,
+} from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { encodeClaim, keyHashOf, shortHash } from "./claimId.js";
@@ -14,6 +23,7 @@
 type ClaimRow = z.infer<typeof claimRowSchema>;
 
 const tablePrefix = "claim-rows/";
+const series = "table";
 const retryAfter = 1000;
 
 /**
@@ -23,7 +33,7 @@
  * @public
  */
 export class TableClaims implements Claims {
-    constructor(private readonly store: TableStore) {}
+    constructor(private readonly store: TableStore, private readonly clock: Clock = new SystemClock()) {}
 
     async acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
         const found = await this.read(request);
@@ -34,7 +44,7 @@
         if (claim !== undefined) {
             return claim.digest === shortHash(request.digest) ? granted(request, claim, false) : keyReused();
         }
-        const created = { digest: shortHash(request.digest), generation: 0, runner: request.runner };
+        const created = { digest: shortHash(request.digest), generation: this.generation(0), runner: request.runner };
         const written = await this.write(row, created);
         if (written.isOk) {
             return granted(request, created, true);
@@ -53,11 +63,16 @@
         if (present === undefined || idOf(request, present) !== claim.id) {
             return unavailable(failure(platformCodes.conditionFailed, "the claim was moved before"));
         }
-        const moved = { ...present, generation: present.generation + 1, runner: request.runner };
+        const moved = { ...present, generation: this.generation(present.generation), runner: request.runner };
         const written = await this.write(row, moved);
         return written.isOk ? granted(request, moved, true) : unavailable(written.error);
     }
 
+    /** The time of recording, as wide as a series without a counter can be; it only has to grow for each key. */
+    private generation(earlier: number): number {
+        return Math.max(earlier + 1, this.clock.date().getTime());
+    }
+
     private async read(request: ClaimRequest): Promise<Outcome<{ row: Row; claim: ClaimRow | undefined; }>> {
         const outcome = await this.store.get(tablePrefix + keyHashOf(request));
         return outcome.map(row => ({
@@ -83,7 +98,7 @@
 
 function idOf(request: ClaimRequest, { generation, runner }: ClaimRow): string {
     const { route, organisation } = request;
-    return encodeClaim({ route, organisation, keyHash: keyHashOf(request), generation, runner });
+    return encodeClaim({ route, organisation, keyHash: keyHashOf(request), series, generation, runner });
 }
 
 function granted(request: ClaimRequest, row: ClaimRow, created: boolean): Outcome<Claim> {
--- a/packages/claims/src/lib/claimId.test.ts
+++ b/packages/claims/src/lib/claimId.test.ts
@@ -9,7 +9,14 @@
     fc.assert(
         fc.property(text, text, text, text, text, fc.nat(), (route, organisation, key, target, incarnation, n) => {
             const keyHash = keyHashOf({ route, organisation, key });
-            const identity = { route, organisation, keyHash, generation: n % 1e9, runner: { target, incarnation } };
+            const identity = {
+                route,
+                organisation,
+                keyHash,
+                series: key,
+                generation: n % 1e9,
+                runner: { target, incarnation },
+            };
             assert.deepEqual(decodeClaim(encodeClaim(identity)), identity);
         }),
     );
@@ -30,7 +37,8 @@
         `${good}/x`,
         good.replace("/1/", "/01/"),
         `${good}%`,
-        "a/b/c/d/e/f/g",
+        "c1/b/c/d/e/f/g/h",
+        good.replace("c1/", "c1"),
     ];
     for (const id of bad) {
         assert.equal(decodeClaim(id), undefined, id);
--- a/packages/claims/src/lib/claimId.ts
+++ b/packages/claims/src/lib/claimId.ts
@@ -16,12 +16,14 @@
      * an old promise never binds a new claim.
      */
     readonly generation: number;
+    /** Where generations are counted: of two claims of one series, the one recorded later has the higher generation. */
+    readonly series?: string;
     /** The one runner that may run the request under this id. */
     readonly runner: Runner;
 }
 
 const idVersion = "c1";
-const fieldCount = 7;
+const fieldCount = 8;
 const hashBytes = 16;
 const generationPattern = /^(0|[1-9]\d{0,14})$/;
 const keyHashPattern = /^[\w-]{22}$/;
@@ -54,13 +56,14 @@
  * @example
  * ```ts
  * encodeClaim({ route: "records", organisation: "ports", keyHash, generation: 0, runner });
- * // "c1/records/ports/<keyHash>/0/<target>/<incarnation>"
+ * // "c1/records/ports/<keyHash>/<series>/<generation>/<target>/<incarnation>"
  * ```
  * @public
  */
 export function encodeClaim(identity: ClaimIdentity): string {
-    const { route, organisation, keyHash, generation, runner } = identity;
-    const fields = [idVersion, route, organisation, keyHash, String(generation), runner.target, runner.incarnation];
+    const { route, organisation, keyHash, generation, series = "", runner } = identity;
+    const place = [series, String(generation)];
+    const fields = [idVersion, route, organisation, keyHash, ...place, runner.target, runner.incarnation];
     return fields.map(encodeURIComponent).join("/");
 }
 
@@ -75,11 +78,13 @@
     if (fields === undefined || fields.length !== fieldCount || fields[0] !== idVersion) {
         return undefined;
     }
-    const [, route = "", organisation = "", keyHash = "", generation = "", target = "", incarnation = ""] = fields;
+    const [, route = "", organisation = "", keyHash = "", series = "", generation = "", target = "", incarnation = ""] =
+        fields;
     if (!keyHashPattern.test(keyHash) || !generationPattern.test(generation)) {
         return undefined;
     }
-    return { route, organisation, keyHash, generation: Number(generation), runner: { target, incarnation } };
+    const runner = { target, incarnation };
+    return { route, organisation, keyHash, series, generation: Number(generation), runner };
 }
 
 function decodeFields(id: string): string[] | undefined {
--- a/packages/claims/src/lib/journal/Batch.ts
+++ b/packages/claims/src/lib/journal/Batch.ts
@@ -47,7 +47,7 @@
     grant(): void {
         for (const record of this.list) {
             const member = this.members.get(record.keyHash);
-            member?.end(Result.ok(claimOf(member.call.request, record, true)));
+            member?.end(Result.ok(claimOf(member.call.request, record, this.state.series, true)));
         }
     }
 }
--- a/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
@@ -15,6 +15,7 @@
 import { Result } from "true-myth";
 import { decodeClaim, keyHashOf } from "../claimId.js";
 import { type Claim, type ClaimRequest, type Runner } from "../Claims.js";
+import { ForgottenClaims } from "../ForgottenClaims.js";
 import { ClaimJournal } from "./ClaimJournal.js";
 
 const owners = 3;
@@ -91,6 +92,8 @@
     readonly runs = new Map<string, number>();
     private readonly starts = new Map(targets.map(target => [target, 0]));
     private readonly memory = new Map<string, "ran" | "refused">();
+    private readonly refused = new Set<string>();
+    private readonly forgotten = new ForgottenClaims();
 
     runner(target: string): Runner {
         return { target, incarnation: String(this.starts.get(target)) };
@@ -109,15 +112,28 @@
             return "gone";
         }
         const known = this.memory.get(id);
+        if (known === undefined && this.forgotten.mayInclude(id)) {
+            return "gone";
+        }
         if (known === undefined && !refuses) {
             this.runs.set(identity.keyHash, (this.runs.get(identity.keyHash) ?? 0) + 1);
         }
-        this.memory.set(id, known ?? (refuses ? "refused" : "ran"));
-        return this.memory.get(id) ?? "ran";
+        const end = known ?? (refuses ? "refused" : "ran");
+        this.memory.set(id, end);
+        if (end === "refused") {
+            this.refused.add(id);
+        }
+        return end;
+    }
+
+    /** Drops every mark, as an agent does with old ones. */
+    forget(): void {
+        [...this.memory.keys()].forEach(id => this.forgotten.add(id));
+        this.memory.clear();
     }
 
     hasRefused(id: string): boolean {
-        return this.memory.get(id) === "refused";
+        return this.refused.has(id);
     }
 }
 
@@ -153,6 +169,7 @@
     },
     { weight: 1, arbitrary: fc.record({ type: fc.constant("crash" as const), owner: fc.nat(owners - 1) }) },
     { weight: 1, arbitrary: fc.record({ type: fc.constant("restart" as const), target: fc.constantFrom(...targets) }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("forget" as const) }) },
     {
         weight: 1,
         arbitrary: fc.record({ type: fc.constant("outage" as const), down: fc.boolean(), stale: fc.boolean() }),
@@ -204,6 +221,9 @@
             case "restart":
                 this.agents.restart(step.target);
                 return;
+            case "forget":
+                this.agents.forget();
+                return;
             case "outage":
                 this.table.faults.set({ down: step.down, stale: step.stale });
                 this.objects.faults.set({ down: step.down });
--- a/packages/claims/src/lib/journal/ClaimRecord.ts
+++ b/packages/claims/src/lib/journal/ClaimRecord.ts
@@ -67,9 +67,13 @@
     return JSON.stringify([target, incarnation]);
 }
 
-/** The claim that a caller gets for a record. */
-export function claimOf(request: ClaimRequest, record: ClaimRecord, created: boolean): Claim {
+/**
+ * The claim that a caller gets for a record.
+ *
+ * @param series - The series of the partition's generations.
+ */
+export function claimOf(request: ClaimRequest, record: ClaimRecord, series: string, created: boolean): Claim {
     const { route, organisation } = request;
     const { keyHash, generation, runner } = record;
-    return { id: encodeClaim({ route, organisation, keyHash, generation, runner }), runner, created };
+    return { id: encodeClaim({ route, organisation, keyHash, series, generation, runner }), runner, created };
 }
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -51,7 +51,7 @@
 
     constructor(options: PartitionLogOptions) {
         this.options = options;
-        this.state = new PartitionState(options.clock);
+        this.state = new PartitionState(options.clock, `p${options.partition}`);
     }
 
     /** The base row as last read. */
--- a/packages/claims/src/lib/journal/PartitionState.ts
+++ b/packages/claims/src/lib/journal/PartitionState.ts
@@ -27,7 +27,8 @@
     private nextSweep = 0;
     private last = 0;
 
-    constructor(clock: Clock) {
+    /** @param series - The name under which this partition counts generations. */
+    constructor(clock: Clock, readonly series: string) {
         this.time = new PartitionClock(clock);
     }
 
--- a/packages/claims/src/lib/journal/PendingCall.ts
+++ b/packages/claims/src/lib/journal/PendingCall.ts
@@ -38,7 +38,7 @@
     /** The answer that follows from what is recorded, or undefined while a record must be written first. */
     answer(state: PartitionState): Outcome<Claim> | undefined {
         const record = state.find(this.keyHash);
-        return this.from === undefined ? this.answerAcquire(record) : this.answerMove(record, this.from);
+        return this.from === undefined ? this.answerAcquire(state, record) : this.answerMove(state, record, this.from);
     }
 
     /** The record that this call wants to write. */
@@ -49,14 +49,20 @@
         return { keyHash, digest, generation, runner: request.runner, expiry: Math.max(expiry, earlier) };
     }
 
-    private answerAcquire(record: ClaimRecord | undefined): Outcome<Claim> | undefined {
+    private answerAcquire(state: PartitionState, record: ClaimRecord | undefined): Outcome<Claim> | undefined {
         if (record === undefined) {
             return undefined;
         }
-        return record.digest === this.digest ? Result.ok(claimOf(this.request, record, false)) : keyReused();
+        return record.digest === this.digest
+            ? Result.ok(claimOf(this.request, record, state.series, false))
+            : keyReused();
     }
 
-    private answerMove(record: ClaimRecord | undefined, from: number): Outcome<Claim> | undefined {
+    private answerMove(
+        state: PartitionState,
+        record: ClaimRecord | undefined,
+        from: number,
+    ): Outcome<Claim> | undefined {
         if (record === undefined) {
             return cannotMove("the claim has expired");
         }
@@ -68,7 +74,7 @@
         }
         // A repeat of a move that succeeded finds its own result.
         return record.generation > from && equalRunners(record.runner, this.request.runner)
-            ? Result.ok(claimOf(this.request, record, false))
+            ? Result.ok(claimOf(this.request, record, state.series, false))
             : cannotMove("another process moved the claim first");
     }
 }
