--- a/packages/engine/src/bench/checkerBench.ts
+++ b/packages/engine/src/bench/checkerBench.ts
@@ -58,7 +58,9 @@
 
 async function measure(folder: string, requests: number): Promise<(string | number)[]> {
     const sample: SampleShape = { ...shape, requests };
+    const start = performance.now();
     const { paths, lines } = await writeSampleHistory(folder, sample);
+    const written = performance.now() - start;
     const parsed: number[] = [];
     const read: number[] = [];
     const checked: number[] = [];
@@ -72,6 +74,7 @@
     return [
         requests,
         lines,
+        perSecond([written]),
         perSecond(parsed),
         perSecond(read),
         perSecond(checked),
@@ -92,6 +95,7 @@
     [
         "requests",
         "lines",
+        "recorded lines/s (one round)",
         "JSON.parse lines/s",
         "readHistory lines/s",
         "checked lines/s",
