--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -20,6 +20,8 @@
     readonly claims?: FakeClaims;
     readonly limits?: EntryOptions["limits"];
     readonly anonymousOrganisation?: string;
+    /** True for a retry budget that allows no retry. */
+    readonly emptyBudget?: boolean;
     /** Agents that another site of the test also uses. */
     readonly agents?: readonly FakeAgent[];
 }
@@ -51,7 +53,11 @@
             links: new FakeLinkPool(this.agents),
             configuration,
             router: this.router,
-            retryBudget: createRetryBudget({ clock: this.clock, random: seededRandom(1) }),
+            retryBudget: createRetryBudget({
+                clock: this.clock,
+                random: seededRandom(1),
+                capacity: options.emptyBudget === true ? 0 : 20,
+            }),
             claims: this.claims,
             clock: this.clock,
             logger: pino({ level: "error" }, { write: line => void this.faults.push(line) }),
