History checker: name the processes that must have configuration

Cause: a process that never applied any revision was not noticed, and two decisions were computed anew for each case. Change: the option configured names processes that must apply revisions; what is lost as a whole is worked out once. Conclusion: a run of many processes can demand that every one of them follows the configuration.

--- a/packages/history/src/lib/check/Recordings.ts
+++ b/packages/history/src/lib/check/Recordings.ts
@@ -26,6 +26,8 @@
     /** Those that have recorded what agents do not. */
     private readonly others = new Set<Recording>();
     private readonly lost: ReadonlySet<string>;
+    private everythingWhole: boolean | undefined;
+    private wholeButForAgents: boolean | undefined;
     private readonly faults = new Map<Recording, Finding[]>();
 
     /** @param lost - Names of processes and targets of which whole histories may be missing. */
@@ -79,18 +81,28 @@
         return writers !== undefined && !this.lost.has(target) && [...writers].every(writer => this.isWhole(writer));
     }
 
-    /** Whether no history at all is lost, as far as can be seen. */
+    /** Whether no history at all is lost, as far as can be seen. To be asked when all lines have been taken. */
     isEverythingWhole(): boolean {
-        return this.lost.size === 0 && [...this.recordings.values()].every(recording => this.isWhole(recording));
+        this.everythingWhole ??= this.lost.size === 0 && this.areWhole([...this.recordings.values()]);
+        return this.everythingWhole;
     }
 
     /** Whether no history is lost but those of agents, which take no requests and no changes of configuration. */
     isWholeButForAgents(): boolean {
+        this.wholeButForAgents ??= this.areOthersWhole();
+        return this.wholeButForAgents;
+    }
+
+    private areOthersWhole(): boolean {
         const writers = [...this.writers.values()].flatMap(recordings => [...recordings]);
         const agents = new Set(writers.filter(recording => !this.others.has(recording)));
         const names = new Set([...this.writers.keys(), ...[...agents].map(({ process }) => process)]);
         return [...this.lost].every(name => names.has(name))
-            && [...this.recordings.values()].every(recording => agents.has(recording) || this.isWhole(recording));
+            && this.areWhole([...this.recordings.values()].filter(recording => !agents.has(recording)));
+    }
+
+    private areWhole(recordings: readonly Recording[]): boolean {
+        return recordings.every(recording => this.isWhole(recording));
     }
 
     private checkSequence(recording: Recording, line: HistoryLine): void {
--- a/packages/history/src/lib/check/rules/ConfigurationRule.ts
+++ b/packages/history/src/lib/check/rules/ConfigurationRule.ts
@@ -21,6 +21,8 @@
     readonly bound: number;
     /** Revisions up to this one were accepted before the history began. */
     readonly baseRevision: number;
+    /** Processes that must have configuration, even if they recorded none. */
+    readonly configured: readonly string[];
 }
 
 /**
@@ -51,14 +53,15 @@
     decide(recordings: Recordings, findings: Findings): void {
         this.differing.forEach(finding => findings.violate("configuration", finding));
         this.accepted.sort((a, b) => a.revision - b.revision);
-        for (const applied of this.applied.values()) {
-            const [first] = applied;
-            const recording = first === undefined ? undefined : recordings.of(first.line);
-            if (recording === undefined) {
-                continue;
+        const accepted = new Set(this.accepted.map(({ revision }) => revision));
+        for (const recording of recordings.all()) {
+            const applied = this.applied.get(keyOf(recording)) ?? [];
+            if (applied.length > 0) {
+                this.decideOrder(applied, accepted, recordings, findings);
+            }
+            if (applied.length > 0 || this.bounds.configured.includes(recording.process)) {
+                this.decideBound(applied, recording, recordings, findings);
             }
-            this.decideOrder(applied, recordings, findings);
-            this.decideBound(applied, recording, recordings, findings);
         }
     }
 
@@ -74,8 +77,12 @@
     }
 
     /** Decides for one incarnation whether its revisions grow and were accepted. */
-    private decideOrder(applied: readonly AppliedRevision[], recordings: Recordings, findings: Findings): void {
-        const accepted = new Set(this.accepted.map(({ revision }) => revision));
+    private decideOrder(
+        applied: readonly AppliedRevision[],
+        accepted: ReadonlySet<number>,
+        recordings: Recordings,
+        findings: Findings,
+    ): void {
         const found: Finding[] = [];
         let decidable = true;
         for (const [index, { revision, line }] of applied.entries()) {
--- a/packages/history/src/lib/checkHistory.test.ts
+++ b/packages/history/src/lib/checkHistory.test.ts
@@ -115,3 +115,19 @@
     history.add("target-a#2", { event: "history.closed" });
     assert.deepEqual(checkHistory(history.lines()).rules.leaving, { passed: 1, violated: 0, undecided: 0 });
 });
+
+test("a process that must have configuration and never applied any is caught", () => {
+    const lines = sampleHistory().lines();
+    assert.deepEqual(checkHistory(lines, { configured: ["entry-1", "target-a"] }).violations, []);
+    const { violations } = checkHistory(lines, { configured: ["operators"] });
+    assert.ok(violations.every(({ rule, message }) => rule === "configuration" && message.includes("operators")));
+    assert.equal(violations.length, 3);
+});
+
+test("revisions below the base need no acceptance", () => {
+    const history = new HistoryBuilder();
+    history.add("entry", { event: "config.applied", revision: 8, digest: "d" });
+    history.close();
+    assert.equal(checkHistory(history.lines(), { baseRevision: 8 }).violations.length, 0);
+    assert.equal(checkHistory(history.lines(), { baseRevision: 7 }).violations.length, 1);
+});
--- a/packages/history/src/lib/checkHistory.ts
+++ b/packages/history/src/lib/checkHistory.ts
@@ -24,6 +24,8 @@
     readonly configurationBound?: number;
     /** Revisions up to this one were accepted before the history began; 0 by default. */
     readonly baseRevision?: number;
+    /** Processes that must have configuration; without it, those that recorded `config.applied`. */
+    readonly configured?: readonly string[];
     /** Names of processes and targets of which whole histories may be missing, such as those that a test killed. */
     readonly lost?: readonly string[];
 }
@@ -66,7 +68,7 @@
     private lines = 0;
     private tokens = 0;
 
-    constructor({ configurationBound = 4000, baseRevision = 0, lost = [] }: CheckOptions = {}) {
+    constructor({ configurationBound = 4000, baseRevision = 0, configured = [], lost = [] }: CheckOptions = {}) {
         this.recordings = new Recordings(lost);
         const index = new RequestIndex();
         const work = new WorkIndex();
@@ -81,7 +83,7 @@
             new AtMostOnceRule(index, work),
             new LeavingRule(),
             new StopRule(),
-            new ConfigurationRule({ bound: configurationBound, baseRevision }),
+            new ConfigurationRule({ bound: configurationBound, baseRevision, configured }),
             new OrderRule(),
             new WriteRule(),
         ];
