Distribute revisions along tiers of peers; membership

Readers compare themselves with peers, so a stale read holds nobody back. A process is ready at the store's head, or with the store down at the highest revision of several peers. Progress is asked for down the same tiers. Membership merges the lagging list with what processes say themselves; the list travels as differences. Faults that these tests found on the way: a circle of askers in the progress question, both readers hung taking 4.4 s, a cut-off data centre tried process by process, and a lost digest at the edge of the kept log.

--- /dev/null
+++ b/packages/config/src/lib/distribution/ChangeClient.ts
@@ -0,0 +1,149 @@
+import { type Address } from "@waxwingspar/transport";
+import { failure, type Outcome, transportCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { logEntrySchema, type Snapshot, snapshotSchema } from "../revisions/LogEntry.js";
+import {
+    listChangeSchema,
+    listSchema,
+    rpcMethods,
+    type SinceAnswer,
+    sinceAnswerSchema,
+    type SinceParams,
+    snapshotAnswerSchema,
+} from "./messages.js";
+import { type NodeContext, type PeerCaller } from "./NodeContext.js";
+import { unpack } from "./packing.js";
+
+/** Milliseconds that an answer may take beyond the time for which it is held back. */
+const answerTimeout = 500;
+const snapshotTimeout = 5000;
+
+/** What a peer knew when it answered. */
+export interface PeerState {
+    readonly revision: number;
+    /** Milliseconds since the peer was in step with the store; infinite if it never was. */
+    readonly age: number;
+}
+
+/**
+ * Asks one peer at a time for changes, and puts them in force.
+ *
+ * @internal
+ */
+export class ChangeClient {
+    constructor(
+        private readonly context: NodeContext,
+        private readonly call: PeerCaller,
+        private readonly children: () => number,
+    ) {}
+
+    /**
+     * Asks for everything after the revision in force.
+     *
+     * @param wait - Milliseconds for which the peer may hold the answer back while it has nothing new.
+     */
+    async ask(peer: Address, wait: number): Promise<Outcome<PeerState>> {
+        const asked = await this.call(peer, rpcMethods.since, this.params(wait), wait + answerTimeout);
+        const answer = asked.andThen(value => parse(sinceAnswerSchema, value));
+        if (answer.isErr) {
+            return Result.err(answer.error);
+        }
+        this.takeList(answer.value);
+        const taken = await this.takeEntries(peer, answer.value);
+        if (taken.isErr) {
+            return Result.err(taken.error);
+        }
+        const { revision, age = Number.POSITIVE_INFINITY } = answer.value;
+        if (this.context.state.revision >= revision) {
+            this.context.synced(age);
+        }
+        return Result.ok({ revision, age });
+    }
+
+    private params(wait: number): SinceParams {
+        const { state, lists, membership } = this.context;
+        const { process, incarnation } = membership.self;
+        const { revision, digest } = state;
+        const listAge = Number.isFinite(membership.listAge) ? Math.round(membership.listAge) : undefined;
+        const known = listAge === undefined ? {} : { listAge };
+        return {
+            process,
+            incarnation,
+            revision,
+            digest,
+            list: lists.digest,
+            wait,
+            children: this.children(),
+            ...known,
+        };
+    }
+
+    private async takeEntries(peer: Address, answer: SinceAnswer): Promise<Outcome<true>> {
+        const { state } = this.context;
+        if (answer.snapshot === true) {
+            return this.takeSnapshot(peer);
+        }
+        if (answer.entries === undefined) {
+            return Result.ok(true);
+        }
+        const entries = parse(z.array(logEntrySchema), unpack(answer.entries));
+        if (entries.isErr) {
+            return Result.err(entries.error);
+        }
+        const offer = state.apply(entries.value);
+        return offer === "gap" || offer === "diverged" ? this.takeSnapshot(peer) : Result.ok(true);
+    }
+
+    private async takeSnapshot(peer: Address): Promise<Outcome<true>> {
+        let text = "";
+        let revision: number | undefined;
+        for (;;) {
+            const params = { revision, offset: text.length };
+            const asked = await this.call(peer, rpcMethods.snapshot, params, snapshotTimeout);
+            const answer = asked.andThen(value => parse(snapshotAnswerSchema, value));
+            if (answer.isErr) {
+                return Result.err(answer.error);
+            }
+            text += answer.value.part;
+            revision = answer.value.revision;
+            if (text.length >= answer.value.length || answer.value.part === "") {
+                return this.load(text);
+            }
+        }
+    }
+
+    private load(text: string): Outcome<true> {
+        const snapshot = parse(snapshotSchema, unpack(text));
+        if (snapshot.isErr) {
+            return Result.err(snapshot.error);
+        }
+        const offer = this.context.state.load(snapshot.value as Snapshot);
+        return offer === "diverged" ? unreadable("a snapshot whose sum is wrong") : Result.ok(true);
+    }
+
+    private takeList({ listAge, list, listChange }: SinceAnswer): void {
+        if (listAge === undefined) {
+            return;
+        }
+        if (list === undefined && listChange === undefined) {
+            this.context.membership.confirmList(listAge);
+            return;
+        }
+        const next = list === undefined
+            ? parse(listChangeSchema, unpack(listChange ?? "")).map(change => this.context.lists.changed(change))
+            : parse(listSchema, unpack(list));
+        if (next.isOk) {
+            this.context.takeList(next.value, listAge);
+        }
+    }
+}
+
+function parse<T extends z.ZodType>(schema: T, value: unknown): Outcome<z.infer<T>> {
+    const parsed = schema.safeParse(value);
+    return parsed.success ? Result.ok(parsed.data) : unreadable("an answer that cannot be read");
+}
+
+function unreadable<T>(what: string): Outcome<T> {
+    return Result.err(failure(transportCodes.protocolViolation, `the peer sent ${what}`));
+}
--- /dev/null
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -0,0 +1,369 @@
+import { type HistoryRecorder } from "@waxwingspar/history";
+import { type LiveList } from "@waxwingspar/platform";
+import { type Address, type RpcMethod } from "@waxwingspar/transport";
+import { type Clock, type Failure, failure, type Outcome, type Random, requestCodes, sleep } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { type Configuration } from "../Configuration.js";
+import { type Member } from "../membership/Member.js";
+import { type Membership } from "../membership/Membership.js";
+import { type Kind, type Resource } from "../resources/Resource.js";
+import { type LogEntry, logEntrySchema } from "../revisions/LogEntry.js";
+import { RevisionState } from "../revisions/RevisionState.js";
+import { type StoreLog } from "../revisions/StoreLog.js";
+import { ChangeClient, type PeerState } from "./ChangeClient.js";
+import { ChangeServer } from "./ChangeServer.js";
+import { Children } from "./Children.js";
+import { chooseParents } from "./chooseParents.js";
+import { leavingParamsSchema, offerParamsSchema, rpcMethods } from "./messages.js";
+import { NodeContext, type PeerCaller } from "./NodeContext.js";
+import { pack, unpack } from "./packing.js";
+import { type Progress, ProgressCollector } from "./ProgressCollector.js";
+
+/** @public */
+export interface ConfigurationNodeOptions {
+    readonly log: StoreLog;
+    readonly liveList: LiveList;
+    readonly membership: Membership;
+    readonly call: PeerCaller;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly record?: HistoryRecorder;
+    /** Addresses to ask while the membership is empty and the live list cannot be read. */
+    readonly seeds?: readonly Address[];
+    /** Milliseconds between two reads of the log by a reader. */
+    readonly storeInterval?: number;
+    /** Milliseconds between two reads of the live list by a reader. */
+    readonly listInterval?: number;
+    /** Milliseconds for which a parent holds an answer back while nothing is new. */
+    readonly wait?: number;
+    /** Milliseconds that lie at least between two questions to parents, so that changes of a burst travel together. */
+    readonly minInterval?: number;
+    /** The age from which a parent counts as lagging, in milliseconds. */
+    readonly lagLimit?: number;
+    readonly readers?: number;
+    /** How many processes are meant to learn from one. */
+    readonly fanOut?: number;
+    /** How many processes may learn from one. */
+    readonly maxChildren?: number;
+}
+
+const defaults = {
+    storeInterval: 500,
+    listInterval: 2000,
+    wait: 1500,
+    minInterval: 150,
+    lagLimit: 3000,
+    readers: 2,
+    fanOut: 6,
+    maxChildren: 24,
+};
+const readerExchange = 1000;
+const listPatience = 2000;
+const avoidFor = 5000;
+const longestBackoff = 2000;
+const peersForReadiness = 3;
+const leavingTimeout = 500;
+const offerTimeout = 1000;
+
+/** Someone to learn from: a member, or an address of which nothing else is known. */
+type Parent = Address & Partial<Pick<Member, "process" | "dataCentre">>;
+
+/**
+ * The configuration in force in a process, and its part in distributing it: it learns from the store if it is one of
+ * its data centre's readers, else from a process of the tier above, and hands on what it knows.
+ *
+ * @public
+ */
+export class ConfigurationNode implements Configuration {
+    /** The state in force. Others may offer it entries; it takes only the next ones. */
+    readonly state: RevisionState;
+    private readonly options: ConfigurationNodeOptions & typeof defaults;
+    private readonly context: NodeContext;
+    private readonly client: ChangeClient;
+    private readonly server: ChangeServer;
+    private readonly collector: ProgressCollector;
+    private readonly avoided = new Map<string, number>();
+    private readonly children: Children;
+    private startedAt = Number.POSITIVE_INFINITY;
+    private stopped = false;
+    private readyNow = false;
+
+    constructor(options: ConfigurationNodeOptions) {
+        this.options = { ...defaults, ...options };
+        const { clock, membership, call, record = () => undefined } = this.options;
+        const onApplied = (revision: number, digest: string) => record({ event: "config.applied", revision, digest });
+        this.state = new RevisionState({ onApplied });
+        this.context = new NodeContext(clock, this.state, membership);
+        this.children = new Children(clock, this.options.maxChildren);
+        this.client = new ChangeClient(this.context, call, () => this.children.count);
+        this.server = new ChangeServer(this.context, this.children);
+        this.collector = new ProgressCollector(this.context, this.children, call);
+    }
+
+    get revision(): number {
+        return this.state.revision;
+    }
+
+    /** True once this process knows all that was accepted before it started, as far as anyone could tell it. */
+    get ready(): boolean {
+        return this.readyNow;
+    }
+
+    /** Milliseconds since this process was in step with the store, by whatever path. */
+    get age(): number {
+        return this.context.age;
+    }
+
+    get<K extends Kind>(kind: K, name: string): Resource<K> | undefined {
+        return this.state.get(kind, name);
+    }
+
+    list<K extends Kind>(kind: K): readonly Resource<K>[] {
+        return this.state.list(kind);
+    }
+
+    onChange(handler: (revision: number) => void): () => void {
+        return this.state.onChange(handler);
+    }
+
+    /** The RPC methods that this node offers to every peer. */
+    methods(): Record<string, RpcMethod> {
+        return {
+            [rpcMethods.since]: this.server.since,
+            [rpcMethods.snapshot]: this.server.snapshot,
+            [rpcMethods.progress]: this.collector.answer,
+            [rpcMethods.offer]: params => Promise.resolve(this.heardOffer(params)),
+            [rpcMethods.leaving]: params => Promise.resolve(this.heardLeaving(params)),
+        };
+    }
+
+    /** Finds out which processes have a revision in force. */
+    progress(revision: number, timeout = 2000): Promise<Progress> {
+        return this.collector.collect(revision, timeout);
+    }
+
+    /** Starts to learn. Resolves once the process is {@link ConfigurationNode.ready}. */
+    async start(): Promise<void> {
+        this.startedAt = this.options.clock.now();
+        void this.listLoop();
+        void this.storeLoop();
+        void this.peerLoop();
+        await this.becomeReady();
+    }
+
+    /** Stops learning; questions of others are still answered. */
+    stop(): void {
+        this.stopped = true;
+        this.context.signal.notify();
+    }
+
+    /** Tells those who learn from this process, and those it learns from, that it leaves. */
+    async announceLeaving(): Promise<void> {
+        const { process, incarnation } = this.options.membership.self;
+        const params = { process, incarnation };
+        const tell = (peer: Address) => this.options.call(peer, rpcMethods.leaving, params, leavingTimeout);
+        const below = this.children.list().map(({ link }) => link.request(rpcMethods.leaving, params, leavingTimeout));
+        await Promise.all([...below, ...this.parents().map(tell)]);
+    }
+
+    /**
+     * Tells a change that this process accepted to the readers of its data centre and to one reader of each other, ahead
+     * of their next read of the store. What gets lost, they read there.
+     */
+    offer(entry: LogEntry): void {
+        const { membership, call } = this.options;
+        const { dataCentre, process } = membership.self;
+        const readers = [...membership.readers(dataCentre), ...this.remoteReaders(1)];
+        const params = { entries: pack([entry]) };
+        for (const reader of readers.filter(one => one.process !== process)) {
+            void call(reader, rpcMethods.offer, params, offerTimeout);
+        }
+    }
+
+    private heardOffer(params: unknown): Outcome<unknown> {
+        const parsed = offerParamsSchema.safeParse(params);
+        const entries = parsed.success ? z.array(logEntrySchema).safeParse(unpack(parsed.data.entries)) : parsed;
+        if (!entries.success) {
+            return Result.err(failure(requestCodes.malformed, "malformed offer"));
+        }
+        this.state.apply(entries.data);
+        return Result.ok(true);
+    }
+
+    private heardLeaving(params: unknown): Outcome<unknown> {
+        const parsed = leavingParamsSchema.safeParse(params);
+        if (!parsed.success) {
+            return Result.err(failure(requestCodes.malformed, "malformed announcement"));
+        }
+        this.options.membership.sawLeaving(parsed.data.process, parsed.data.incarnation);
+        return Result.ok(true);
+    }
+
+    /**
+     * The target revision is the store's head, or while the store is down the highest of several peers; nothing is
+     * known when neither answers.
+     */
+    private async becomeReady(): Promise<void> {
+        const { clock } = this.options;
+        for (let attempt = 0; !this.stopped; attempt++) {
+            const target = await this.targetRevision();
+            if (target !== undefined) {
+                await this.waitForRevision(target);
+                this.readyNow = !this.stopped;
+                return;
+            }
+            await sleep(clock, this.backoff(attempt));
+        }
+    }
+
+    private async targetRevision(): Promise<number | undefined> {
+        const head = await this.options.log.head();
+        if (head.isOk) {
+            return head.value.revision;
+        }
+        const peers = this.parents().slice(0, peersForReadiness);
+        const answers = await Promise.all(peers.map(peer => this.client.ask(peer, 0)));
+        const revisions = answers.filter(answer => answer.isOk).map(answer => answer.value.revision);
+        return revisions.length === 0 ? undefined : Math.max(...revisions);
+    }
+
+    private async waitForRevision(revision: number): Promise<void> {
+        while (!this.stopped && this.state.revision < revision) {
+            await this.context.signal.wait(this.options.storeInterval);
+        }
+    }
+
+    private async storeLoop(): Promise<void> {
+        const { clock, log, storeInterval } = this.options;
+        for (let failures = 0; !this.stopped;) {
+            if (this.isReader()) {
+                const started = clock.now();
+                const offer = await log.advance(this.state);
+                if (offer.isOk && (offer.value === "applied" || offer.value === "current")) {
+                    this.context.synced(clock.now() - started);
+                }
+                failures = offer.isOk ? 0 : failures + 1;
+            }
+            await sleep(clock, failures === 0 ? this.jitter(storeInterval) : this.backoff(failures));
+        }
+    }
+
+    /** Readers read the list again and again; others only until they know one, and learn the rest from peers. */
+    private async listLoop(): Promise<void> {
+        const { clock, liveList, membership, listInterval } = this.options;
+        for (let failures = 0; !this.stopped;) {
+            if (this.isReader() || !Number.isFinite(membership.listAge)) {
+                const started = clock.now();
+                const list = await liveList.read();
+                if (list.isOk) {
+                    this.context.takeList(list.value, clock.now() - started);
+                }
+                failures = list.isOk ? 0 : failures + 1;
+            }
+            await sleep(clock, failures === 0 ? this.jitter(listInterval) : this.backoff(failures));
+        }
+    }
+
+    private async peerLoop(): Promise<void> {
+        const { clock, wait, minInterval } = this.options;
+        let proved: string | undefined;
+        while (!this.stopped) {
+            const started = clock.now();
+            const reader = this.isReader();
+            const parent = this.pickParent();
+            if (parent !== undefined) {
+                // A parent that has not proved itself is asked for a quick answer, so that several dead ones cost little.
+                const answer = await this.client.ask(parent, reader || keyOf(parent) !== proved ? 0 : wait);
+                proved = answer.isOk ? keyOf(parent) : undefined;
+                this.note(parent, answer, reader);
+            }
+            const interval = reader ? readerExchange : parent === undefined ? longestBackoff / 4 : minInterval;
+            await sleep(clock, Math.max(0, this.jitter(interval) - (clock.now() - started)));
+        }
+    }
+
+    /** A process that knows no list would take itself for the only one, so it gives the list some time. */
+    private isReader(): boolean {
+        const { membership, readers, clock } = this.options;
+        if (!Number.isFinite(membership.listAge) && clock.now() < this.startedAt + listPatience) {
+            return false;
+        }
+        const { dataCentre, process } = membership.self;
+        return membership.ranked(dataCentre).slice(0, readers).some(one => one.process === process);
+    }
+
+    /** The first parent that is not avoided, else the one avoided for the longest time. */
+    private pickParent(): Parent | undefined {
+        const parents = this.parents();
+        const until = (parent: Parent) => Math.max(...avoidKeys(parent).map(key => this.avoided.get(key) ?? 0));
+        const now = this.options.clock.now();
+        return parents.find(parent => until(parent) <= now) ?? parents.sort((a, b) => until(a) - until(b))[0];
+    }
+
+    private parents(): Parent[] {
+        const { membership, readers, fanOut, seeds = [] } = this.options;
+        const { dataCentre, process } = membership.self;
+        const remote = this.remoteReaders(readers);
+        const ranked = membership.ranked(dataCentre);
+        const chosen = chooseParents({ self: process, ranked, readers, fanOut, remote });
+        return chosen.length > 0 ? chosen : [...seeds];
+    }
+
+    /** Some readers of each other data centre. */
+    private remoteReaders(count: number): Member[] {
+        const { membership } = this.options;
+        const centres = new Set(membership.members().map(one => one.dataCentre));
+        centres.delete(membership.self.dataCentre);
+        return [...centres].flatMap(centre => membership.readers(centre).slice(0, count));
+    }
+
+    private note(parent: Parent, answer: Outcome<PeerState>, reader: boolean): void {
+        if (answer.isErr) {
+            this.avoid(parent);
+            this.suspect(parent, answer.error);
+            this.avoidCentre(parent);
+        }
+        else if (reader || answer.value.age > this.options.lagLimit) {
+            // A reader compares itself with one peer after another; others leave a parent that lags behind the store.
+            this.avoid(parent);
+        }
+    }
+
+    private suspect(parent: Parent, { code }: Failure): void {
+        if (parent.process !== undefined && code !== requestCodes.overloaded) {
+            this.options.membership.sawFailure(parent.process);
+        }
+    }
+
+    private avoid(parent: Parent): void {
+        this.avoided.set(keyOf(parent), this.options.clock.now() + this.jitter(avoidFor));
+    }
+
+    /** When one process of another data centre does not answer, likely none does; the near ones are asked first. */
+    private avoidCentre({ dataCentre }: Parent): void {
+        if (dataCentre !== undefined && dataCentre !== this.options.membership.self.dataCentre) {
+            this.avoided.set(centreKey(dataCentre), this.options.clock.now() + this.jitter(avoidFor));
+        }
+    }
+
+    private jitter(duration: number): number {
+        return duration * (0.8 + 0.4 * this.options.random.next());
+    }
+
+    private backoff(failures: number): number {
+        return this.jitter(Math.min(longestBackoff, this.options.storeInterval * 2 ** Math.min(failures, 8)));
+    }
+}
+
+function keyOf({ host, port }: Address): string {
+    return `${host} ${port}`;
+}
+
+function avoidKeys(parent: Parent): string[] {
+    return parent.dataCentre === undefined ? [keyOf(parent)] : [keyOf(parent), centreKey(parent.dataCentre)];
+}
+
+function centreKey(dataCentre: string): string {
+    return `data centre ${dataCentre}`;
+}
--- /dev/null
+++ b/packages/config/src/lib/distribution/Signal.ts
@@ -0,0 +1,30 @@
+import { type Clock } from "@waxwingspar/utils";
+
+/**
+ * Wakes those who wait for a change.
+ *
+ * @internal
+ */
+export class Signal {
+    private readonly waiting = new Set<() => void>();
+
+    constructor(private readonly clock: Clock) {}
+
+    /** Resolves with the next notification, or after some milliseconds. */
+    wait(timeout: number): Promise<void> {
+        return new Promise(resolve => {
+            const finish = () => {
+                this.waiting.delete(finish);
+                timer.cancel();
+                resolve();
+            };
+            const timer = this.clock.schedule(finish, timeout);
+            this.waiting.add(finish);
+        });
+    }
+
+    /** Wakes everyone who waits now. */
+    notify(): void {
+        [...this.waiting].forEach(finish => finish());
+    }
+}
--- a/packages/config/src/lib/revisions/RevisionState.ts
+++ b/packages/config/src/lib/revisions/RevisionState.ts
@@ -34,6 +34,8 @@
     private resources = new Map<string, Resource>();
     private byKind = new Map<Kind, Resource[]>();
     private entries: LogEntry[] = [];
+    /** The digest of the revision before the first entry that is kept. */
+    private oldestDigest = emptyDigest;
     private readonly handlers = new Set<(revision: number) => void>();
     private current = 0;
     private currentDigest = emptyDigest;
@@ -113,8 +115,8 @@
         if (revision === this.current) {
             return this.currentDigest;
         }
-        if (revision === 0) {
-            return emptyDigest;
+        if (revision === this.oldest) {
+            return this.oldestDigest;
         }
         return this.entries[revision - this.oldest - 1]?.digest;
     }
@@ -146,6 +148,7 @@
         }
         this.resources = new Map(snapshot.resources.map(one => [resourceKey(one.kind, one.name), one]));
         this.entries = [];
+        this.oldestDigest = snapshot.digest;
         this.move(snapshot.revision, snapshot.digest, snapshot.content);
         this.announce();
         return "applied";
@@ -175,7 +178,7 @@
     private keepEntry(entry: LogEntry): void {
         this.entries.push(entry);
         if (this.entries.length > this.retained) {
-            this.entries.shift();
+            this.oldestDigest = this.entries.shift()?.digest ?? emptyDigest;
         }
     }
 
--- a/packages/config/src/lib/store/ResourceStore.test.ts
+++ b/packages/config/src/lib/store/ResourceStore.test.ts
@@ -235,7 +235,7 @@
             const ended = await site.settle(Promise.all(outcomes));
             await checkEnd(site, ended);
         }),
-        { numRuns: 60 },
+        { numRuns: 60, includeErrorInReport: true },
     );
 });
 
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -45,6 +45,8 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly record?: HistoryRecorder;
+    /** Runs after each change that this process accepted, so that it can be told to others at once. */
+    readonly onAccepted?: (entry: LogEntry) => void;
     /** Milliseconds for which a change is tried while the store fails. */
     readonly patience?: number;
     /** How many log entries the store keeps; each new entry removes the one that falls out. */
@@ -103,8 +105,11 @@
     private readonly clock: Clock;
     private readonly random: Random;
     private readonly record: HistoryRecorder;
+    private readonly onAccepted: (entry: LogEntry) => void;
     private readonly patience: number;
     private readonly retainedEntries: number;
+    /** Changes that ended as unknown; when one shows up in the log after all, that is recorded. */
+    private readonly inDoubt = new Set<string>();
     /** Changes of this process wait for one another, so that they do not race for the head row. */
     private queue: Promise<unknown> = Promise.resolve();
 
@@ -114,8 +119,10 @@
         this.clock = options.clock;
         this.random = options.random;
         this.record = options.record ?? (() => undefined);
+        this.onAccepted = options.onAccepted ?? (() => undefined);
         this.patience = options.patience ?? defaultPatience;
         this.retainedEntries = options.retainedEntries ?? defaultRetainedEntries;
+        this.state.onChange(revision => this.recordDoubtful(revision));
     }
 
     /**
@@ -140,7 +147,7 @@
                 return step.done;
             }
             if (this.clock.now() >= attempt.deadline) {
-                return Result.err([giveUp(attempt, step.retry)]);
+                return Result.err([this.giveUp(attempt, step.retry)]);
             }
             await sleep(this.clock, this.pause(attempt.count));
             attempt.count++;
@@ -234,6 +241,7 @@
             return { retry: certain.error };
         }
         this.state.apply([entry]);
+        this.onAccepted(entry);
         return { done: this.accepted({ ...row, results }, attempt.changeId) };
     }
 
@@ -294,6 +302,29 @@
             : row.value.version === 0 && known === undefined;
     }
 
+    private giveUp({ inDoubt, changeId }: Attempt, last: Failure): Failure {
+        if (inDoubt) {
+            this.inDoubt.add(changeId);
+            return failure(
+                platformCodes.storeUnknown,
+                "the change may have been accepted; ask again under the same id",
+            );
+        }
+        const reason = last.code === platformCodes.conditionFailed ? "too many changes race for the log" : last.message;
+        return failure(platformCodes.storeUnavailable, `nothing was written: ${reason}`);
+    }
+
+    private recordDoubtful(revision: number): void {
+        if (this.inDoubt.size === 0) {
+            return;
+        }
+        for (const { changeId, writeId, revision: accepted } of this.state.since(this.state.oldest) ?? []) {
+            if (accepted <= revision && this.inDoubt.delete(changeId)) {
+                this.record({ event: "config.accepted", revision: accepted, writeId });
+            }
+        }
+    }
+
     private accepted({ revision, writeId, results }: ChangeRow, changeId: string): ChangeOutcome {
         this.record({ event: "config.accepted", revision, writeId });
         return Result.ok({ revision, changeId, results });
@@ -338,13 +369,3 @@
 function withoutFields(result: ChangeResult): ChangeResult {
     return { ...result, fields: [] };
 }
-
-function giveUp({ inDoubt }: Attempt, last: Failure): Failure {
-    if (inDoubt) {
-        return failure(platformCodes.storeUnknown, "the change may have been accepted; ask again under the same id");
-    }
-    if (last.code === platformCodes.conditionFailed) {
-        return failure(platformCodes.storeUnavailable, "too many changes race for the log; nothing was written");
-    }
-    return failure(platformCodes.storeUnavailable, `nothing was written: ${last.message}`);
-}
