Resource API over HTTP for operators

Change: ResourceApi with list, get, put, post, delete, atomic apply, dry run, watch as lines of JSON, status of accepted against in force with the hosts behind; bearer tokens of credential resources with the roles viewer and operator, a bootstrap token by hash, anonymous operators by option; an Idempotency-Key makes a repeated request harmless and stands for one change only. Secrets are hidden in answers, differences and watches. Conclusion: the API is ready to be served by a process; status uses the progress of the configuration node.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -3,7 +3,23 @@
  *
  * @packageDocumentation
  */
+export { type ApiNode } from "./lib/api/ApiContext.js";
+export { type Operator, type OperatorAuthenticatorOptions } from "./lib/api/OperatorAuthenticator.js";
+export { parseText } from "./lib/api/readBody.js";
+export {
+    type AnsweredRequest,
+    type PlainHandler,
+    ResourceApi,
+    type ResourceApiOptions,
+} from "./lib/api/ResourceApi.js";
+export { type ResourceStatus } from "./lib/api/resourceStatus.js";
 export { type Configuration } from "./lib/Configuration.js";
+export { ConfigurationNode, type ConfigurationNodeOptions } from "./lib/distribution/ConfigurationNode.js";
+export { type HostBehind } from "./lib/distribution/messages.js";
+export { callByPool, type PeerCaller } from "./lib/distribution/NodeContext.js";
+export { type Progress } from "./lib/distribution/ProgressCollector.js";
+export { type Member, type MemberState, type Self } from "./lib/membership/Member.js";
+export { Membership, type MembershipOptions } from "./lib/membership/Membership.js";
 export { type Kind, type Resource, type Specs, specSchemas } from "./lib/resources/Resource.js";
 export {
     type AdapterSpec,
--- /dev/null
+++ b/packages/config/src/lib/api/ResourceApi.ts
@@ -0,0 +1,205 @@
+import { type Clock, failure, type Outcome, platformCodes, requestCodes, transportCodes } from "@waxwingspar/utils";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Result } from "true-myth";
+import { type Kind } from "../resources/Resource.js";
+import { type ResourceStore } from "../store/ResourceStore.js";
+import { failureAnswer, sendAnswer } from "./answers.js";
+import { type ApiNode, type ApiRequest, type RouteOutcome } from "./ApiContext.js";
+import { ChangeRoutes } from "./changeRoutes.js";
+import { OperatorAuthenticator, type OperatorAuthenticatorOptions } from "./OperatorAuthenticator.js";
+import { ReadRoutes } from "./readRoutes.js";
+import { WatchRoute } from "./WatchRoute.js";
+
+const root = "v1";
+const requestTimeout = 30_000;
+const maxHeader = 16_384;
+
+/** Answers one path outside the API, such as `/metrics`. Such paths need no token. @public */
+export type PlainHandler = (message: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** What is known of a request once it has been answered, without secrets. @public */
+export interface AnsweredRequest {
+    readonly operator?: string;
+    readonly method: string;
+    readonly path: string;
+    readonly status: number;
+    /** Milliseconds from the request's arrival to its answer. */
+    readonly duration: number;
+}
+
+/** @public */
+export interface ResourceApiOptions extends OperatorAuthenticatorOptions {
+    readonly node: ApiNode;
+    readonly store: ResourceStore;
+    readonly clock: Clock;
+    /** The IP address to listen on. */
+    readonly host?: string;
+    /** The port; 0 lets the operating system choose. */
+    readonly port?: number;
+    /** Kinds that only control duties write. */
+    readonly protectedKinds?: readonly Kind[];
+    /** Handlers by path, such as `/metrics`. `/healthz` and `/readyz` have defaults. */
+    readonly handlers?: Readonly<Record<string, PlainHandler>>;
+    readonly onAnswered?: (request: AnsweredRequest) => void;
+}
+
+/**
+ * The operators' API over HTTP. docs/RESOURCES.md describes its requests and answers.
+ *
+ * @public
+ */
+export class ResourceApi {
+    private readonly options: ResourceApiOptions;
+    private readonly server: Server;
+    private readonly authenticator: OperatorAuthenticator;
+    private readonly reads: ReadRoutes;
+    private readonly changes: ChangeRoutes;
+    private readonly watches: WatchRoute;
+    private readonly handlers: Readonly<Record<string, PlainHandler>>;
+
+    constructor(options: ResourceApiOptions) {
+        this.options = options;
+        const { node, protectedKinds = ["placement"] } = options;
+        this.authenticator = new OperatorAuthenticator(node.state, options);
+        this.reads = new ReadRoutes(options);
+        this.changes = new ChangeRoutes(options, protectedKinds);
+        this.watches = new WatchRoute(options, ({ message }) => this.authenticate(message).isOk);
+        this.handlers = {
+            "/healthz": (_message, response) => sendAnswer(response, { status: 200, body: { healthy: true } }),
+            "/readyz": (_message, response) => this.readiness(response),
+            ...options.handlers,
+        };
+        this.server = createServer({ requestTimeout, maxHeaderSize: maxHeader }, (message, response) => {
+            void this.handle(message, response);
+        });
+    }
+
+    /** Starts to listen. Returns the port. */
+    listen(): Promise<Outcome<number>> {
+        const { host = "127.0.0.1", port = 0 } = this.options;
+        return new Promise(resolve => {
+            const fail = (error: Error) => resolve(Result.err(failure(transportCodes.notConnected, error.message)));
+            this.server.once("error", fail);
+            this.server.listen(port, host, () => {
+                this.server.off("error", fail);
+                const address = this.server.address();
+                resolve(Result.ok(typeof address === "object" && address !== null ? address.port : port));
+            });
+        });
+    }
+
+    /** Stops listening, ends every watch, and resolves once the other requests have been answered. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.watches.close();
+            this.server.closeIdleConnections();
+        });
+    }
+
+    private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const started = this.options.clock.now();
+        const method = message.method ?? "GET";
+        const url = parseUrl(message.url ?? "/");
+        const path = url.pathname;
+        const operator = this.authenticate(message);
+        const handler = Object.hasOwn(this.handlers, path) ? this.handlers[path] : undefined;
+        if (handler !== undefined) {
+            await handler(message, response);
+        }
+        else {
+            const query = url.searchParams;
+            const outcome = operator.isErr
+                ? Result.err<undefined, [typeof operator.error]>([operator.error])
+                : await this.route({
+                    operator: operator.value,
+                    method,
+                    path: splitPath(path),
+                    query,
+                    message,
+                    response,
+                });
+            this.answer(response, outcome);
+        }
+        const name = operator.isOk ? operator.value.name : undefined;
+        const duration = this.options.clock.now() - started;
+        this.options.onAnswered?.({ operator: name, method, path, status: response.statusCode, duration });
+    }
+
+    private answer(response: ServerResponse, outcome: RouteOutcome): void {
+        if (outcome.isErr) {
+            sendAnswer(response, failureAnswer(outcome.error));
+        }
+        else if (outcome.value !== undefined) {
+            sendAnswer(response, outcome.value);
+        }
+    }
+
+    private authenticate(message: IncomingMessage) {
+        return this.authenticator.authenticate(message.headers.authorization);
+    }
+
+    private route(request: ApiRequest): Promise<RouteOutcome> | RouteOutcome {
+        const [version, area, ...path] = request.path;
+        if (version !== root) {
+            return refuse(requestCodes.noSuchRoute, "the API begins at /v1");
+        }
+        if (!this.options.node.ready) {
+            return refuse(platformCodes.storeUnavailable, "this process does not know the configuration yet");
+        }
+        if (request.method !== "GET" && request.operator.role !== "operator") {
+            return refuse(requestCodes.forbidden, `credential ${request.operator.name} may only read`);
+        }
+        return this.routeArea(`${request.method} ${area}`, { ...request, path });
+    }
+
+    private routeArea(area: string, request: ApiRequest): Promise<RouteOutcome> | RouteOutcome {
+        const depth = request.path.length;
+        if (area === "GET resources" && depth <= 2) {
+            return this.reads.resources(request);
+        }
+        if ((area === "PUT resources" && depth === 2) || (area === "POST resources" && depth === 1)) {
+            return this.changes.write(request);
+        }
+        if (area === "DELETE resources" && depth === 2) {
+            return this.changes.remove(request);
+        }
+        if (area === "POST apply" && depth === 0) {
+            return this.changes.applyAll(request);
+        }
+        if (area === "GET status" && depth === 0) {
+            return this.reads.status();
+        }
+        if (area === "GET watch" && depth === 0) {
+            return this.watches.watch(request);
+        }
+        return refuse(requestCodes.noSuchRoute, "no route has this method and path");
+    }
+
+    private readiness(response: ServerResponse): void {
+        const { ready, state } = this.options.node;
+        sendAnswer(response, { status: ready ? 200 : 503, body: { ready, revision: state.revision } });
+    }
+}
+
+function refuse(code: Parameters<typeof failure>[0], message: string): RouteOutcome {
+    return Result.err([failure(code, message)]);
+}
+
+function parseUrl(text: string): URL {
+    const base = "http://localhost";
+    return URL.canParse(text, base) ? new URL(text, base) : new URL(base);
+}
+
+function splitPath(path: string): string[] {
+    return path.split("/").filter(part => part !== "").map(decodePart);
+}
+
+function decodePart(part: string): string {
+    try {
+        return decodeURIComponent(part);
+    }
+    catch {
+        return part;
+    }
+}
--- /dev/null
+++ b/packages/config/src/lib/api/readBody.ts
@@ -0,0 +1,49 @@
+import { failure, type Outcome, requestCodes, resourceCodes } from "@waxwingspar/utils";
+import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
+import { type IncomingMessage } from "node:http";
+import { Result } from "true-myth";
+
+/** Bytes that a request may carry. */
+const maxBody = 8 * 1024 * 1024;
+
+/**
+ * Reads the body of a request as JSON with comments.
+ *
+ * @returns `tooLarge`, or `invalidSyntax` with the place of the first fault.
+ * @internal
+ */
+export async function readBody(message: IncomingMessage): Promise<Outcome<unknown>> {
+    const parts: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const part of message as AsyncIterable<Buffer>) {
+            size += part.length;
+            if (size > maxBody) {
+                return Result.err(failure(requestCodes.tooLarge, `a request may carry ${maxBody} bytes`));
+            }
+            parts.push(part);
+        }
+    }
+    catch {
+        return Result.err(failure(requestCodes.malformed, "the request ended before its body was whole"));
+    }
+    return parseText(Buffer.concat(parts).toString());
+}
+
+/**
+ * Parses JSON with comments.
+ *
+ * @public
+ */
+export function parseText(text: string): Outcome<unknown> {
+    const errors: ParseError[] = [];
+    const value: unknown = parse(text, errors, { allowTrailingComma: true });
+    const [first] = errors;
+    if (first === undefined && value !== undefined) {
+        return Result.ok(value);
+    }
+    const before = text.slice(0, first?.offset ?? 0).split("\n");
+    const reason = first === undefined ? "nothing there" : printParseErrorCode(first.error);
+    const column = (before.at(-1)?.length ?? 0) + 1;
+    return Result.err(failure(resourceCodes.invalidSyntax, `line ${before.length}, column ${column}: ${reason}`));
+}
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -1,8 +1,19 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type Row, type Transaction } from "@waxwingspar/platform";
-import { type Clock, type Failure, failure, type Outcome, platformCodes, type Random, sleep } from "@waxwingspar/utils";
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    type Random,
+    requestCodes,
+    sleep,
+} from "@waxwingspar/utils";
+import { createHash } from "node:crypto";
 import { Result } from "true-myth";
 import { z } from "zod";
+import { canonicalJson } from "../revisions/digest.js";
 import { kindSchema, type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "../revisions/LogEntry.js";
 import { nextEntry, type RevisionState } from "../revisions/RevisionState.js";
 import { headKey, type HeadRow, logKey, resourceRowKey, type StoreLog } from "../revisions/StoreLog.js";
@@ -22,6 +33,8 @@
 const changeRowSchema = z.object({
     revision: z.number().int(),
     writeId: z.string(),
+    /** A digest of what was asked, to tell a repeated request from another one under the same id. */
+    asked: z.string(),
     results: z.array(z.object({
         kind: kindSchema,
         name: z.string(),
@@ -34,6 +47,7 @@
 interface ChangeRow {
     readonly revision: number;
     readonly writeId: string;
+    readonly asked: string;
     readonly results: readonly ChangeResult[];
 }
 
@@ -169,7 +183,7 @@
             return { retry: earlier.error };
         }
         if (earlier.value !== undefined) {
-            return { done: this.accepted(earlier.value, attempt.changeId) };
+            return { done: this.repeated(earlier.value, attempt) };
         }
         const plan = planChanges(this.state, attempt.changes);
         if (plan.isErr) {
@@ -233,7 +247,8 @@
         if (expired.isErr) {
             return { retry: expired.error };
         }
-        const row = { revision: entry.revision, writeId: entry.writeId, results: results.map(withoutFields) };
+        const { revision, writeId } = entry;
+        const row = { revision, writeId, asked: askedDigest(attempt.changes), results: results.map(withoutFields) };
         const transaction = buildTransaction(entry, row, head, versions.value, expired.value);
         const committed = await this.log.store.commit(transaction);
         const certain = committed.isOk ? committed : await this.resolve(transaction, committed.error, attempt);
@@ -325,6 +340,13 @@
         }
     }
 
+    /** Answers a change that was accepted earlier, unless its id now stands for something else. */
+    private repeated(row: ChangeRow, { changeId, changes }: Attempt): ChangeOutcome {
+        return row.asked === askedDigest(changes)
+            ? this.accepted(row, changeId)
+            : Result.err([failure(requestCodes.keyReused, "the id of this change was used for another change")]);
+    }
+
     private accepted({ revision, writeId, results }: ChangeRow, changeId: string): ChangeOutcome {
         this.record({ event: "config.accepted", revision, writeId });
         return Result.ok({ revision, changeId, results });
@@ -361,6 +383,10 @@
     };
 }
 
+function askedDigest(changes: readonly DesiredChange[]): string {
+    return createHash("sha256").update(canonicalJson(changes)).digest("hex");
+}
+
 function changeKey(changeId: string): string {
     return changePrefix + changeId;
 }
