--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -1,5 +1,5 @@
 import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/platform";
-import { type Clock, type Outcome, uniqueId } from "@waxwingspar/utils";
+import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { loadArchives } from "./archives.js";
 import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
@@ -65,17 +65,29 @@
     }
 
     /**
-     * Reads what other owners have written since.
+     * Reads what other owners have written since. It reads on until a page shows the base row unchanged, so that it does
+     * not miss segments that are archived meanwhile.
      *
      * @returns The write ids of the segments that were read.
      */
     async refresh(): Promise<Outcome<string[]>> {
-        const row = await this.options.table.get(baseKey(this.options.partition));
-        if (row.isErr) {
-            return Result.err(row.error);
+        const writeIds: string[] = [];
+        let more = this.state.lastSegment > 0 ? Result.ok<boolean, Failure>(true) : await this.readBase();
+        while (more.isOk) {
+            const page = await this.readPage(writeIds);
+            if (page.isErr) {
+                return Result.err(page.error);
+            }
+            if (page.value === "end") {
+                return Result.ok(writeIds);
+            }
+            more = page.value === "gap" ? await this.readBase() : page.map(() => true);
+            if (more.isOk && !more.value) {
+                // An old copy of the rows; the conditions of the next write will tell.
+                return Result.ok(writeIds);
+            }
         }
-        const adopted = await this.adoptBase(row.value);
-        return adopted.isErr ? Result.err(adopted.error) : this.readSegments();
+        return Result.err(more.error);
     }
 
     /**
@@ -119,9 +131,16 @@
         return Result.ok<void, never>(undefined);
     }
 
-    private async adoptBase(row: Row): Promise<Outcome<void>> {
+    /** Reads the base row by itself, and says whether it had changed. */
+    private async readBase(): Promise<Outcome<boolean>> {
+        const row = await this.options.table.get(baseKey(this.options.partition));
+        return row.isErr ? Result.err(row.error) : this.adoptBase(row.value);
+    }
+
+    /** Takes over a base row if it is newer, with the archives that are not known yet. */
+    private async adoptBase(row: Row): Promise<Outcome<boolean>> {
         if (row.version <= this.known.version) {
-            return Result.ok<void, never>(undefined);
+            return Result.ok(false);
         }
         const read = readValue(baseSchema, row.value, row.key);
         if (read.isErr) {
@@ -131,32 +150,36 @@
         const missing = base.archives.filter(({ last }) => last > this.state.lastSegment);
         const loaded = await loadArchives(this.options.objects, missing, records => this.state.applyArchive(records));
         if (loaded.isErr) {
-            return loaded;
+            return Result.err(loaded.error);
         }
         this.known = { version: row.version, base };
         this.state.archivedBefore(base.first);
         this.state.time.observe(base.time);
-        return loaded;
+        return Result.ok(true);
     }
 
-    private async readSegments(): Promise<Outcome<string[]>> {
+    /** Reads a page of segments and tells how to go on. The base row sorts after the segments. */
+    private async readPage(writeIds: string[]): Promise<Outcome<"end" | "more" | "gap">> {
         const { table, partition, pageSize } = this.options;
-        const writeIds: string[] = [];
-        for (;;) {
-            const after = segmentKey(partition, this.state.lastSegment);
-            const page = await table.scan(partitionPrefix(partition), after, pageSize);
-            if (page.isErr) {
-                return Result.err(page.error);
-            }
-            const read = this.applyRows(page.value);
-            if (read.isErr) {
-                return read;
-            }
-            writeIds.push(...read.value);
-            if (read.value.length < pageSize) {
-                return Result.ok(writeIds);
-            }
+        const after = segmentKey(partition, this.state.lastSegment);
+        const page = await table.scan(partitionPrefix(partition), after, pageSize);
+        if (page.isErr) {
+            return Result.err(page.error);
+        }
+        const applied = this.applyRows(page.value);
+        if (applied.isErr) {
+            return Result.err(applied.error);
+        }
+        writeIds.push(...applied.value);
+        const base = page.value.find(({ key }) => key === baseKey(partition));
+        if (base !== undefined) {
+            const adopted = await this.adoptBase(base);
+            return adopted.map(changed => changed ? "more" : "end");
+        }
+        if (page.value.length < pageSize) {
+            return Result.ok("end");
         }
+        return Result.ok(applied.value.length === 0 ? "gap" : "more");
     }
 
     /** Applies segments up to the first gap. A gap means that they were archived after the base row was read. */
