Rollout, repair, weight loads and orders as one duty per data centre

A world on virtual time (fake engines, agents' gates, operators, three processes) for the tests. Before: no code. Conclusion: works on virtual time with the fake engine; not yet run over real links.

--- a/packages/control/src/lib/leases/DutyRunner.ts
+++ b/packages/control/src/lib/leases/DutyRunner.ts
@@ -1,5 +1,6 @@
 import { type TableStore } from "@waxwingspar/platform";
 import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
+import { withDefaults } from "../support/withDefaults.js";
 import { Lease } from "./Lease.js";
 import { rendezvousOrder } from "./rendezvous.js";
 
@@ -74,7 +75,8 @@
     private stopped = false;
 
     constructor(options: DutyRunnerOptions) {
-        this.options = { candidates: 3, duration: 10_000, interval: 1_000, onFault: () => undefined, ...options };
+        const defaults = { candidates: 3, duration: 10_000, interval: 1_000, onFault: () => undefined };
+        this.options = withDefaults(defaults, options);
         this.running = options.duties.map(duty => this.prepare(duty));
     }
 
--- a/packages/control/src/lib/leases/Lease.ts
+++ b/packages/control/src/lib/leases/Lease.ts
@@ -2,6 +2,7 @@
 import { type Clock, failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { commitResolved } from "../support/commitResolved.js";
+import { withDefaults } from "../support/withDefaults.js";
 import { leaseKey, type LeaseValue, parseLease } from "./leaseRow.js";
 
 /** @public */
@@ -59,7 +60,8 @@
 
     constructor(options: LeaseOptions) {
         this.duty = options.duty;
-        this.options = { duration: defaultDuration, patience: defaultPatience, writeId: uniqueId, ...options };
+        const defaults = { duration: defaultDuration, patience: defaultPatience, writeId: uniqueId };
+        this.options = withDefaults(defaults, options);
     }
 
     /** Milliseconds that the lease lasts from each renewal. */
--- /dev/null
+++ b/packages/control/src/lib/orders/LoadPermits.ts
@@ -0,0 +1,124 @@
+import { type TableStore } from "@waxwingspar/platform";
+import { failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { type Lease } from "../leases/Lease.js";
+import { commitResolved } from "../support/commitResolved.js";
+import { withDefaults } from "../support/withDefaults.js";
+
+/** The key of the row that lists every load under way. @internal */
+export const loadsKey = "loads";
+
+const loadsSchema = z.object({
+    duties: z.record(
+        z.string(),
+        z.object({
+            /** Loads that may run now. */
+            active: z.array(z.string()),
+            /** True if the duty wants more. */
+            waiting: z.boolean(),
+        }),
+    ),
+});
+
+type Loads = z.infer<typeof loadsSchema>;
+
+/**
+ * A load that a duty wants to run.
+ *
+ * @public
+ */
+export interface WantedLoad {
+    /** The same for as long as the load is wanted. */
+    readonly id: string;
+    /** True if it replaces a failed stage, which goes before anything else. */
+    readonly urgent: boolean;
+    /** False while the target has no room for it: it may go on if it has begun, but not begin. */
+    readonly fits: boolean;
+}
+
+/** @public */
+export interface LoadPermitsOptions {
+    readonly store: TableStore;
+    /** How many loads may run at once in the whole system, so that each gets a fair part of the weight store's rate. */
+    readonly limit?: number;
+    /** How many of them are kept for urgent loads. */
+    readonly reserve?: number;
+}
+
+const defaultLimit = 16;
+
+/**
+ * Bounds the loads from the weight store over all data centres. One row lists the loads under way; a duty adds its own
+ * by a conditional write before it orders them, and takes them out when they have ended. The row survives a change of
+ * the holder, who carries on with what the row says.
+ *
+ * @public
+ */
+export class LoadPermits {
+    private readonly options: Required<LoadPermitsOptions>;
+    /** True while the row lists loads of this duty, as far as this process knows. */
+    private listed = true;
+
+    constructor(options: LoadPermitsOptions) {
+        const limit = options.limit ?? defaultLimit;
+        this.options = withDefaults({ limit, reserve: Math.floor(limit / 4) }, options);
+    }
+
+    /**
+     * Gives back the permits of loads that are no longer wanted and asks for those that are.
+     *
+     * @param wanted - Every load that is under way or wanted, the most important first.
+     * @returns The ids of the loads that may run.
+     */
+    async update(lease: Lease, wanted: readonly WantedLoad[]): Promise<Outcome<ReadonlySet<string>>> {
+        if (wanted.length === 0 && !this.listed) {
+            return Result.ok(new Set());
+        }
+        const row = await this.options.store.get(loadsKey);
+        if (row.isErr) {
+            return Result.err(row.error);
+        }
+        const parsed = row.value.version === 0 ? { duties: {} } : loadsSchema.safeParse(row.value.value).data;
+        if (parsed === undefined) {
+            return Result.err(failure(platformCodes.storeUnavailable, "the row of loads cannot be read"));
+        }
+        const next = this.allot(parsed, lease.duty, wanted);
+        if (JSON.stringify(next) !== JSON.stringify(parsed)) {
+            const written = await lease.checked(() => this.write(row.value.version, next));
+            if (written.isErr) {
+                return Result.err(written.error);
+            }
+        }
+        const own = next.duties[lease.duty]?.active ?? [];
+        this.listed = lease.duty in next.duties;
+        return Result.ok(new Set(own));
+    }
+
+    private write(version: number, value: Loads): Promise<Outcome<Record<string, number>>> {
+        return commitResolved(this.options.store, {
+            writeId: uniqueId(),
+            conditions: [{ key: loadsKey, version }],
+            writes: [{ key: loadsKey, value }],
+        });
+    }
+
+    private allot(loads: Loads, duty: string, wanted: readonly WantedLoad[]): Loads {
+        const { limit, reserve } = this.options;
+        const others = Object.entries(loads.duties).filter(([name]) => name !== duty);
+        const taken = others.reduce((sum, [, { active }]) => sum + active.length, 0);
+        const fair = Math.max(1, Math.floor((limit - reserve) / (others.length + 1)));
+        const before = new Set(loads.duties[duty]?.active);
+        const active = wanted.filter(({ id }) => before.has(id)).map(({ id }) => id);
+        const fresh = wanted.filter(({ id, fits }) => fits && !before.has(id));
+        for (const { id, urgent } of [...fresh].sort((a, b) => Number(b.urgent) - Number(a.urgent))) {
+            const room = limit - taken - active.length;
+            if (urgent ? room > 0 : room > reserve && active.length < fair) {
+                active.push(id);
+            }
+        }
+        const duties = Object.fromEntries(others);
+        const waiting = active.length < wanted.length;
+        return { duties: wanted.length === 0 ? duties : { ...duties, [duty]: { active, waiting } } };
+    }
+}
--- /dev/null
+++ b/packages/control/src/lib/rollout/planSite.ts
@@ -0,0 +1,256 @@
+import { type PlacementSpec } from "@waxwingspar/config";
+import { createPipelines } from "../placement/createPipelines.js";
+import { type PipelineStage } from "../placement/Pipeline.js";
+import { replaceStages } from "../placement/replaceStages.js";
+import { withDefaults } from "../support/withDefaults.js";
+import { Fleet, placementModel } from "./Fleet.js";
+import { isDamaged, isLoaded, isUnloaded } from "./holdings.js";
+import { ModelPlan, type ModelPlanOptions } from "./ModelPlan.js";
+import { freePlacementName } from "./placementName.js";
+import { planOrders } from "./planOrders.js";
+import { readChart } from "./readChart.js";
+import { type PlacementChange, type SiteModel, type SitePlacement, type SitePlan, type SiteView } from "./SiteView.js";
+
+/** @public */
+export interface PlanOptions {
+    /** The share of the wanted pipelines that keeps serving through every planned step, from 0 to 1. */
+    readonly capacityShare?: number;
+    /** How many pipelines of one model may load at the same time in one data centre. */
+    readonly parallelPipelines?: number;
+    /** The share of the targets that is kept free to replace failed ones. */
+    readonly spareShare?: number;
+}
+
+interface PipelineFacts {
+    readonly placement: SitePlacement;
+    readonly dropped: boolean;
+    readonly damaged: boolean;
+    readonly replacement: readonly PipelineStage[] | undefined;
+    /** True if its targets do more good elsewhere than waiting for the lost one. */
+    readonly dissolvable: () => boolean;
+    readonly view: SiteView;
+}
+
+const assessPipeline = readChart<PipelineFacts>("pipeline", {
+    dropped: ({ dropped }) => dropped,
+    damaged: ({ damaged }) => damaged,
+    replaceable: ({ replacement }) => replacement !== undefined,
+    dissolvable: ({ dissolvable }) => dissolvable(),
+    ready: ({ placement }) => placement.spec.ready,
+    loaded: ({ placement, view }) => isLoaded(placement, view),
+    unloaded: ({ placement, view }) => isUnloaded(placement, view),
+});
+
+interface RolloutFacts {
+    readonly surplus: readonly SitePlacement[];
+    readonly plan: ModelPlan;
+    readonly fleet: Fleet;
+}
+
+const assessRollout = readChart<RolloutFacts>("rollout", {
+    surplus: ({ surplus }) => surplus.length > 0,
+    complete: ({ plan }) => plan.isComplete,
+    loadingEnough: ({ plan }) => plan.isLoadingEnough,
+    fitsBeside: ({ plan }) => plan.findBeside() !== undefined,
+    fitsFree: ({ plan, fleet }) => plan.findFree(fleet.freeTargets).length > 0,
+    staleLoading: ({ plan }) => plan.findStaleLoading().length > 0,
+    mayYield: ({ plan, fleet }) => plan.findYield(fleet.freeTargets) !== undefined,
+});
+
+/**
+ * Decides the next step towards the wanted placements of one data centre. A pure function of the view: it can be
+ * repeated at any time, by any process, and each step leaves a state from which the next one follows.
+ *
+ * @public
+ */
+export function planSite(view: SiteView, options: PlanOptions = {}): SitePlan {
+    return new SitePlanner(view, options).plan();
+}
+
+const defaults = { capacityShare: 0.9, parallelPipelines: 4, spareShare: 0.03 };
+
+/** Above this share of lost targets no pipeline is taken apart. */
+const widespreadShare = 0.25;
+
+class SitePlanner {
+    private readonly options: Required<PlanOptions>;
+    private readonly fleet: Fleet;
+    private readonly dropped = new Set<SitePlacement>();
+    private readonly changes: PlacementChange[] = [];
+    private readonly pipelines = new Map<string, string>();
+    private readonly rollouts = new Map<string, string>();
+    private readonly names: Set<string>;
+    /** Model versions of which a damaged pipeline waits for its target to come back. */
+    private readonly waiting = new Set<string>();
+
+    constructor(private readonly view: SiteView, options: PlanOptions) {
+        this.options = withDefaults(defaults, options);
+        this.fleet = new Fleet(view);
+        this.names = new Set(view.placements.map(({ name }) => name));
+    }
+
+    plan(): SitePlan {
+        const models = new Map(this.view.models.map(model => [model.name, model]));
+        const stray = this.view.placements.filter(({ spec }) => !models.has(spec.model));
+        stray.forEach(placement => this.dropped.add(placement));
+        const plans = this.view.models.map(model => this.prepare(model));
+        this.view.placements.forEach(placement => this.assess(placement, models.get(placement.spec.model)));
+        plans.forEach(facts => this.advance(facts));
+        const kept = this.view.placements.filter(placement => !this.dropped.has(placement));
+        const { orders, leftovers } = planOrders(this.view, kept);
+        const { changes, pipelines, rollouts } = this;
+        return { changes, orders, leftovers, pipelines, rollouts };
+    }
+
+    /** Sorts the placements of a model into those that must go, those that may go and those that stay. */
+    private prepare(model: SiteModel): RolloutFacts {
+        const own = this.view.placements.filter(({ spec }) => spec.model === model.name);
+        const invalid = own.filter(placement => this.isInvalid(placement, model));
+        invalid.forEach(placement => this.dropped.add(placement));
+        const movable = own.filter(placement => !this.dropped.has(placement));
+        const plan = new ModelPlan(model, movable, this.view, this.fleet, this.modelOptions(model));
+        const surplus = plan.findSurplus();
+        surplus.forEach(placement => this.dropped.add(placement));
+        return { surplus, plan, fleet: this.fleet };
+    }
+
+    private isInvalid({ spec }: SitePlacement, model: SiteModel): boolean {
+        return !model.spec.versions.includes(spec.version)
+            || spec.stages.at(-1)?.last !== model.spec.layers - 1
+            || spec.stages.some(({ target }) => this.fleet.isPinned(target));
+    }
+
+    private modelOptions(model: SiteModel): ModelPlanOptions {
+        const weight = ({ spec, wanted }: SiteModel) => spec.layers * spec.layerBytes * wanted;
+        const all = this.view.models.reduce((sum, other) => sum + weight(other), 0);
+        const targets = this.fleet.placeable().length * (1 - this.options.spareShare);
+        const share = all === 0 ? 0 : targets * weight(model) / all;
+        return { ...this.options, pipelineSize: Math.max(1, share / Math.max(1, model.wanted)) };
+    }
+
+    /** Follows the chart of one pipeline and notes what it asks for. */
+    private assess(placement: SitePlacement, model: SiteModel | undefined): void {
+        const dropped = this.dropped.has(placement);
+        const damaged = isDamaged(placement, this.view);
+        const replacement = damaged && !dropped && model !== undefined ? this.replace(placement, model) : undefined;
+        const dissolvable = () => model !== undefined && this.isDissolvable(placement, model);
+        const facts = { placement, dropped, damaged, replacement, dissolvable, view: this.view };
+        const { state, actions } = assessPipeline(facts);
+        this.pipelines.set(placement.name, state);
+        for (const action of actions) {
+            this.act(action, placement, replacement);
+        }
+    }
+
+    private replace({ spec }: SitePlacement, model: SiteModel): PipelineStage[] | undefined {
+        const failed = (target: string) => !this.fleet.isAlive(target);
+        return replaceStages(spec.stages, failed, this.fleet.freeTargets, placementModel(model));
+    }
+
+    /**
+     * The targets that are left of a pipeline can stand in for those that another one has lost, or hold the model
+     * without the lost one. Otherwise the pipeline keeps its layers and waits for the target to come back.
+     */
+    private isDissolvable(placement: SitePlacement, model: SiteModel): boolean {
+        if (this.isWidespread()) {
+            return false;
+        }
+        const key = `${placement.spec.model}@${placement.spec.version}`;
+        if (this.waiting.has(key)) {
+            return true;
+        }
+        const left = [...this.fleet.freeTargets, ...this.fleet.targetsOf(placement.spec.stages)];
+        const whole = createPipelines(placementModel(model), left, 1, { spareShare: 0 });
+        if (whole.length === 0) {
+            this.waiting.add(key);
+        }
+        return whole.length > 0;
+    }
+
+    /** Many targets lost at once have probably been cut off, and will come back with what they hold. */
+    private isWidespread(): boolean {
+        const lost = [...this.view.targets.values()].filter(({ alive }) => !alive).length;
+        return lost > 1 && lost > this.view.targets.size * widespreadShare;
+    }
+
+    private act(action: string, placement: SitePlacement, replacement: readonly PipelineStage[] | undefined): void {
+        const { spec } = placement;
+        switch (action) {
+            case "markReady":
+                return this.change(placement, { ...spec, ready: true });
+            case "markUnready":
+                return this.change(placement, { ...spec, ready: false });
+            case "replaceStages":
+                return this.useReplacement(placement, replacement ?? []);
+            case "remove":
+                this.dropped.add(placement);
+                return this.change(placement, undefined);
+            default:
+                throw new Error(`the chart of pipelines asks for ${action}`);
+        }
+    }
+
+    private useReplacement(placement: SitePlacement, stages: readonly PipelineStage[]): void {
+        const model = this.view.models.find(({ name }) => name === placement.spec.model);
+        const kept = new Set(placement.spec.stages.map(({ target }) => target));
+        if (model !== undefined) {
+            this.fleet.take(stages.filter(({ target }) => !kept.has(target)), placementModel(model));
+        }
+        this.change(placement, { ...placement.spec, stages: [...stages], ready: false });
+    }
+
+    /** Follows the chart of one model's rollout and does what it asks for. */
+    private advance(facts: RolloutFacts): void {
+        const { plan } = facts;
+        const { state, actions } = assessRollout(facts);
+        this.rollouts.set(plan.model.name, state);
+        for (const action of actions) {
+            this.actOnModel(action, plan);
+        }
+    }
+
+    private actOnModel(action: string, plan: ModelPlan): void {
+        const { name, spec } = plan.model;
+        const place = (stages: readonly PipelineStage[]) => {
+            this.fleet.take(stages, placementModel(plan.model));
+            this.create(name, spec.current, stages);
+        };
+        switch (action) {
+            case "retire":
+                // The surplus has been dropped before the pipelines were assessed.
+                return;
+            case "placeBeside":
+                return [plan.findBeside()].forEach(stages => stages && place(stages));
+            case "placeFree":
+                return plan.findFree(this.fleet.freeTargets).forEach(place);
+            case "dropStaleLoading":
+                return plan.findStaleLoading().forEach(placement => this.remove(placement));
+            case "yieldOne":
+                return [plan.findYield(this.fleet.freeTargets)].forEach(placement =>
+                    placement && this.remove(placement)
+                );
+            default:
+                throw new Error(`the chart of rollouts asks for ${action}`);
+        }
+    }
+
+    private remove(placement: SitePlacement): void {
+        this.dropped.add(placement);
+        this.change(placement, undefined);
+    }
+
+    /** Notes a change; a later one of the same placement replaces an earlier one. */
+    private change({ name, resourceVersion }: SitePlacement, spec: PlacementSpec | undefined): void {
+        const earlier = this.changes.findIndex(change => change.name === name);
+        if (earlier >= 0) {
+            this.changes.splice(earlier, 1);
+        }
+        this.changes.push({ name, spec, resourceVersion });
+    }
+
+    private create(model: string, version: string, stages: readonly PipelineStage[]): void {
+        const name = freePlacementName(model, this.view.dataCentre, this.names);
+        this.names.add(name);
+        this.changes.push({ name, resourceVersion: 0, spec: { model, version, stages: [...stages], ready: false } });
+    }
+}
--- /dev/null
+++ b/packages/control/src/lib/testing/SiteWorld.ts
@@ -0,0 +1,343 @@
+import {
+    type Configuration,
+    type ModelSpec,
+    type PlacementSpec,
+    type Resource,
+    resource,
+    StaticConfiguration,
+} from "@waxwingspar/config";
+import { type HistoryEvent, type HistoryLine } from "@waxwingspar/history";
+import {
+    failure,
+    ManualClock,
+    type Outcome,
+    platformCodes,
+    type Random,
+    seededRandom,
+    transportCodes,
+} from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type DutyMember, DutyRunner } from "../leases/DutyRunner.js";
+import { ordersDuty, readFence } from "../leases/leaseRow.js";
+import { type TargetPort } from "../orders/TargetPort.js";
+import { type PlanOptions } from "../rollout/planSite.js";
+import { SiteDuty } from "../rollout/SiteDuty.js";
+import { type PlacementChange } from "../rollout/SiteView.js";
+import { ScriptedStore } from "./ScriptedStore.js";
+import { TestTarget } from "./TestTarget.js";
+
+export interface WorldOptions {
+    readonly targets: number;
+    readonly memory: number;
+    readonly model: Partial<ModelSpec> & Pick<ModelSpec, "layers" | "replicas">;
+    readonly seed?: number;
+    readonly loadRate?: number;
+    readonly plan?: PlanOptions;
+}
+
+/** A process that may hold the duty. While it is paused it does nothing and hears nothing. */
+interface Holder {
+    readonly member: DutyMember;
+    readonly runner: DutyRunner;
+    readonly duty: SiteDuty;
+    paused: boolean;
+    lag: number;
+}
+
+export const dataCentre = "a";
+const lagLimit = 3000;
+
+/** One data centre on virtual time: engines, agents, a store, operators, and three processes that may hold the duty. */
+export class SiteWorld {
+    readonly clock = new ManualClock();
+    readonly store = new ScriptedStore();
+    readonly targets = new Map<string, TestTarget>();
+    readonly holders: Holder[] = [];
+    readonly lines: HistoryLine[] = [];
+    readonly violations: string[] = [];
+    /** What the next messages to targets meet. */
+    readonly messageFates: ("lostBefore" | "lostAfter" | "late")[] = [];
+    readonly random: Random;
+    model: ModelSpec;
+    revision = 1;
+    private readonly placements = new Map<string, Resource<"placement">>();
+    private history: { readonly at: number; readonly revision: number; readonly resources: Resource[]; }[] = [];
+    private resumes: (() => void)[] = [];
+
+    constructor(private readonly options: WorldOptions) {
+        this.random = seededRandom(options.seed ?? 1);
+        this.model = {
+            versions: ["v1", "v2"],
+            current: "v1",
+            layerBytes: 1e9,
+            activationBytes: 16_384,
+            firstTokenBound: 540,
+            tokenBound: 72,
+            contextTokens: 8192,
+            ...options.model,
+        };
+        for (let index = 0; index < options.targets; index++) {
+            this.addTarget(`t${String(index).padStart(2, "0")}`);
+        }
+        this.publish();
+        for (const process of ["p", "q", "r"]) {
+            this.holders.push(this.createHolder({ process, dataCentre, leaving: false }));
+        }
+        this.holders.forEach(({ runner }) => runner.start());
+    }
+
+    get ready(): Resource<"placement">[] {
+        return [...this.placements.values()].filter(({ spec }) => spec.ready);
+    }
+
+    get all(): Resource<"placement">[] {
+        return [...this.placements.values()];
+    }
+
+    /** The process that believes it holds the duty. */
+    get holder(): Holder | undefined {
+        return this.holders.find(({ runner }) => runner.held().length > 0);
+    }
+
+    /** An operator's change. */
+    setModel(change: Partial<ModelSpec>): void {
+        this.model = { ...this.model, ...change };
+        this.revision++;
+        this.publish();
+    }
+
+    pause(holder: Holder): void {
+        holder.paused = true;
+    }
+
+    resume(holder: Holder): void {
+        holder.paused = false;
+        this.resumes.splice(0).forEach(resume => resume());
+    }
+
+    async run(duration: number): Promise<void> {
+        for (let left = duration; left > 0; left -= 500) {
+            await this.clock.advanceAsync(500, 250);
+            await this.startStreams();
+        }
+    }
+
+    /** Pipelines that can serve at the same time, as far as anyone can know by now. */
+    capacity(): number {
+        const used = new Set<string>();
+        return this.ready.filter(({ spec }) => {
+            const known = spec.stages.every(({ target }) => {
+                const found = this.targets.get(target)!;
+                return found.alive || this.clock.now() - found.changedAt < lagLimit + 6000;
+            });
+            const free = spec.stages.every(({ target }) => !used.has(target));
+            if (known && free) {
+                spec.stages.forEach(({ target }) => used.add(target));
+            }
+            return known && free;
+        }).length;
+    }
+
+    private addTarget(name: string): void {
+        const { memory, loadRate = 1e9 } = this.options;
+        const record = (event: HistoryEvent, incarnation: string) => this.record(name, incarnation, event);
+        const fence = () => readFence(this.store, ordersDuty(dataCentre));
+        this.targets.set(name, new TestTarget({ name, clock: this.clock, memory, loadRate, readFence: fence, record }));
+    }
+
+    private record(process: string, incarnation: string, body: HistoryEvent): void {
+        const sequence = this.lines.filter(line => line.incarnation === incarnation).length;
+        this.lines.push({ process, incarnation, sequence, time: this.clock.now(), body });
+    }
+
+    private publish(): void {
+        const { memory } = this.options;
+        const targets = [...this.targets.keys()].map(name =>
+            resource("target", name, {
+                host: "127.0.0.1",
+                port: 1,
+                dataCentre,
+                region: "local",
+                accelerator: { kind: "generic", memory, speed: 1 },
+                link: { bandwidth: 1e9, latency: 0.1 },
+                holds: [],
+                slots: 8,
+                checksFence: false,
+            })
+        );
+        const resources = [resource("model", "m", this.model), ...targets, ...this.placements.values()];
+        this.history.push({ at: this.clock.now(), revision: this.revision, resources });
+    }
+
+    /** The configuration as a process sees it that is some milliseconds behind. */
+    private lagged(lag: () => number): Configuration {
+        const current = new StaticConfiguration();
+        let applied = 0;
+        const refresh = () => {
+            const known = this.history.findLast(({ at }) => at <= this.clock.now() - lag()) ?? this.history[0]!;
+            if (known.revision > applied) {
+                applied = known.revision;
+                current.set(known.resources);
+            }
+            return current;
+        };
+        return {
+            get revision() {
+                refresh();
+                return applied;
+            },
+            get: (kind, name) => refresh().get(kind, name),
+            list: kind => refresh().list(kind),
+            onChange: () => () => undefined,
+        };
+    }
+
+    private createHolder(member: DutyMember): Holder {
+        const state = { paused: false, lag: this.random.below(lagLimit) };
+        const awake = async <T>(outcome: Promise<T>): Promise<T> => {
+            const answer = await outcome;
+            while (state.paused) {
+                await new Promise<void>(resolve => this.resumes.push(resolve));
+            }
+            return answer;
+        };
+        const { store, clock, random } = this;
+        const awakeStore = {
+            get: (key: string) => awake(store.get(key)),
+            scan: (prefix: string, after: string, limit: number) => awake(store.scan(prefix, after, limit)),
+            commit: (transaction: Parameters<typeof store.commit>[0]) => awake(store.commit(transaction)),
+            findCommit: (writeId: string) => awake(store.findCommit(writeId)),
+        };
+        const awakeClock = {
+            now: () => clock.now(),
+            date: () => clock.date(),
+            schedule: (callback: () => void, delay: number) =>
+                clock.schedule(() => void awake(Promise.resolve()).then(callback), delay),
+        };
+        const duty = new SiteDuty({
+            dataCentre,
+            clock: awakeClock,
+            store: awakeStore,
+            configuration: this.lagged(() => state.lag),
+            targets: this.port(awake),
+            incarnationOf: target => this.membership(target),
+            readRevision: () => awake(Promise.resolve(this.unlessDown(this.revision))),
+            writePlacement: change => awake(Promise.resolve(this.writePlacement(change))),
+            record: event => this.record(member.process, member.process, event),
+            plan: this.options.plan,
+        });
+        const runner = new DutyRunner({
+            store: awakeStore,
+            clock: awakeClock,
+            random,
+            process: member.process,
+            incarnation: "1",
+            duties: [duty],
+            members: () => this.holders.map(holder => holder.member),
+            onFault: (_, error) => this.violations.push(String(error instanceof Error ? error.stack : error)),
+        });
+        return Object.assign(state, { member, runner, duty });
+    }
+
+    private port(awake: <T>(outcome: Promise<T>) => Promise<T>): TargetPort {
+        const send = async <T>(deliver: () => Promise<Outcome<T>>): Promise<Outcome<T>> => {
+            const fate = this.messageFates.shift();
+            const lost = Result.err(failure(transportCodes.connectionLost, "lost"));
+            if (fate === "lostBefore") {
+                return lost;
+            }
+            if (fate === "late") {
+                this.clock.schedule(() => void deliver(), 1000 + this.random.below(40_000));
+                return lost;
+            }
+            const outcome = await awake(deliver());
+            return fate === "lostAfter" ? lost : outcome;
+        };
+        return {
+            observe: (target, fence) => send(() => this.targets.get(target)!.observe(fence)),
+            order: (target, incarnation, order) => send(() => this.targets.get(target)!.order(incarnation, order)),
+        };
+    }
+
+    /** Membership learns of a loss or a return after a second. */
+    private membership(target: string): string | undefined {
+        const found = this.targets.get(target)!;
+        const isNews = this.clock.now() - found.changedAt < 1000;
+        return found.alive !== isNews ? found.incarnation : undefined;
+    }
+
+    private unlessDown<T>(value: T): Outcome<T> {
+        return this.store.up ? Result.ok(value) : Result.err(failure(platformCodes.storeUnavailable, "down"));
+    }
+
+    private writePlacement({ name, spec, resourceVersion }: PlacementChange): Outcome<number> {
+        const old = this.placements.get(name);
+        const fate = this.store.up ? this.random.below(40) : -1;
+        if (fate < 0 || fate === 1 || (old?.resourceVersion ?? 0) !== resourceVersion) {
+            const code = fate < 0 ? platformCodes.storeUnavailable : platformCodes.conditionFailed;
+            return Result.err(failure(code, "not written"));
+        }
+        const before = this.capacity();
+        this.revision++;
+        if (spec === undefined) {
+            this.placements.delete(name);
+        }
+        else {
+            this.placements.set(name, resource("placement", name, spec, this.revision));
+        }
+        this.publish();
+        this.checkChange(old?.spec, spec, before);
+        return fate === 0 ? Result.err(failure(platformCodes.storeUnknown, "lost")) : Result.ok(this.revision);
+    }
+
+    private checkChange(old: PlacementSpec | undefined, spec: PlacementSpec | undefined, before: number): void {
+        const floor = Math.ceil((this.options.plan?.capacityShare ?? 0.9) * this.model.replicas);
+        const after = this.capacity();
+        if (old?.ready && !spec?.ready && after < Math.min(floor, before)) {
+            void this.isWhole(old).then(wasWhole => {
+                if (wasWhole) {
+                    this.violations.push(`capacity ${after} below ${floor} at ${this.clock.now()}`);
+                }
+            });
+        }
+        if (spec?.ready && !old?.ready) {
+            void Promise.all(spec.stages.map(stage => this.checkLoaded(spec, stage)));
+        }
+    }
+
+    /** Tells whether nothing has happened to a pipeline lately, and its targets hold its layers. */
+    private async isWhole(spec: PlacementSpec): Promise<boolean> {
+        const checks = await Promise.all(spec.stages.map(async stage => {
+            const target = this.targets.get(stage.target)!;
+            const isSettled = target.alive && this.clock.now() - target.changedAt > 10_000;
+            return isSettled && await target.holds(spec.version, stage);
+        }));
+        return checks.every(whole => whole);
+    }
+
+    private async checkLoaded(spec: PlacementSpec, stage: PlacementSpec["stages"][number]): Promise<void> {
+        const target = this.targets.get(stage.target)!;
+        const isSettled = target.alive && this.clock.now() - target.changedAt > 10_000;
+        const holds = await target.holds(spec.version, stage);
+        if (isSettled && !holds) {
+            this.violations.push(`${stage.target} does not hold ${spec.version} at ${this.clock.now()}`);
+        }
+    }
+
+    /** Entries, up to the lag behind, start requests on ready pipelines. */
+    private async startStreams(): Promise<void> {
+        const at = this.clock.now() - this.random.below(lagLimit);
+        const known = this.history.findLast(entry => entry.at <= at) ?? this.history[0]!;
+        const ready = known.resources.filter((found): found is Resource<"placement"> => (
+            found.kind === "placement" && (found as Resource<"placement">).spec.ready
+        ));
+        const spec = ready[this.random.below(Math.max(1, ready.length))]?.spec;
+        const duration = 2000 + this.random.below(15_000);
+        for (const stage of spec?.stages ?? []) {
+            const target = this.targets.get(stage.target)!;
+            if (target.alive && await target.holds(spec!.version, stage)) {
+                target.startStream("m", spec!.version, duration);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/lib/testing/TestTarget.ts
@@ -0,0 +1,137 @@
+import { type EngineInfo, FakeEngine, type Order } from "@waxwingspar/engine";
+import { type HistoryEvent } from "@waxwingspar/history";
+import { type Clock, failure, type Outcome, platformCodes, requestCodes, transportCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type Observation, type TargetReport } from "../orders/TargetPort.js";
+
+export interface TestTargetOptions {
+    readonly name: string;
+    readonly clock: Clock;
+    readonly memory: number;
+    readonly loadRate: number;
+    readonly readFence: () => Promise<Outcome<number>>;
+    readonly record: (event: HistoryEvent, incarnation: string) => void;
+}
+
+/** A target: an engine that ignores fences, and the agent beside it with its gate. Both can die and come back. */
+export class TestTarget {
+    alive = true;
+    /** When the target was last lost or came back. */
+    changedAt = -Infinity;
+    starts = 1;
+    /** Unloads that hit a version in use, which must never happen. */
+    interrupted = 0;
+    failsLoads = false;
+    engine: FakeEngine;
+    private streams: { readonly model: string; readonly version: string; readonly end: number; }[] = [];
+    private fence: number | undefined;
+    private results = new Map<string, Promise<Outcome<void>>>();
+
+    constructor(readonly options: TestTargetOptions) {
+        this.engine = this.createEngine();
+    }
+
+    get incarnation(): string {
+        return `${this.options.name}-${this.starts}`;
+    }
+
+    /** Loses the agent and its memory; the engine too, unless it is kept. */
+    restart(keepsEngine: boolean): void {
+        this.starts++;
+        this.alive = true;
+        this.changedAt = this.options.clock.now();
+        this.fence = undefined;
+        this.results = new Map();
+        this.engine = keepsEngine ? this.engine : this.createEngine();
+        this.streams = keepsEngine ? this.streams : [];
+    }
+
+    die(): void {
+        this.alive = false;
+        this.changedAt = this.options.clock.now();
+    }
+
+    startStream(model: string, version: string, duration: number): void {
+        this.streams.push({ model, version, end: this.options.clock.now() + duration });
+    }
+
+    inUse(): TargetReport["inUse"] {
+        this.streams = this.streams.filter(({ end }) => end > this.options.clock.now());
+        return this.streams.map(({ model, version }) => ({ model, version }));
+    }
+
+    async info(): Promise<EngineInfo> {
+        return (await this.engine.info()).unwrapOrElse(error => {
+            throw new Error(error.message);
+        });
+    }
+
+    async holds(version: string, layers: { readonly first: number; readonly last: number; }): Promise<boolean> {
+        const { held } = await this.info();
+        return held.some(range => (
+            range.version === version && range.first <= layers.first && layers.last <= range.last
+        ));
+    }
+
+    async observe(fence: number): Promise<Outcome<Observation>> {
+        const refused = await this.refusal(fence);
+        const { incarnation } = this;
+        return refused === undefined
+            ? Result.ok({ incarnation, info: await this.info(), inUse: this.inUse() })
+            : Result.err(refused);
+    }
+
+    async order(incarnation: string, order: Order): Promise<Outcome<void>> {
+        if (!this.alive || incarnation !== this.incarnation) {
+            return Result.err(failure(transportCodes.notConnected, "another start"));
+        }
+        const refused = await this.refusal(order.fence);
+        if (refused !== undefined) {
+            return Result.err(refused);
+        }
+        const known = this.results.get(order.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const result = this.apply(order);
+        this.results.set(order.id, result);
+        return result;
+    }
+
+    private async refusal(fence: number) {
+        if (!this.alive) {
+            return failure(transportCodes.notConnected, "dead");
+        }
+        if (this.fence === undefined) {
+            const learned = await this.options.readFence();
+            if (learned.isErr) {
+                return learned.error;
+            }
+            this.fence ??= learned.value;
+        }
+        if (fence < this.fence) {
+            return failure(platformCodes.staleFence, "old fence");
+        }
+        this.fence = fence;
+        return undefined;
+    }
+
+    private apply(order: Order): Promise<Outcome<void>> {
+        const { action, id, fence } = order;
+        this.options.record({ event: "order.applied", order: id, fence, target: this.options.name }, this.incarnation);
+        if (action.kind === "load" && this.failsLoads) {
+            return Promise.resolve(Result.err(failure(requestCodes.engineFailed, "no such weights")));
+        }
+        if (action.kind === "unload") {
+            const used = this.inUse().some(({ model, version }) => (
+                model === action.model && version === action.version
+            ));
+            this.interrupted += used ? 1 : 0;
+        }
+        return this.engine.order(order);
+    }
+
+    private createEngine(): FakeEngine {
+        return new FakeEngine({ ...this.options, checksFence: false });
+    }
+}
