Proof: real processes under faults with checked histories

Cause: what must always hold was shown only within one process and in focused tests. Change: a private package that starts platform, engines, plain services, agents and entries as processes on loopback, sends open-loop load with repeats under one key, brings faults about by signals, relays and the store's faults, and checks the histories of all processes. 19 scenarios. Before: no run of several processes.

--- /dev/null
+++ b/packages/proof/src/lib/report/Recovery.ts
@@ -0,0 +1,60 @@
+import { type CallEnd } from "../callers/callEntry.js";
+import { type RequestEnd } from "../callers/Callers.js";
+
+/** How the streams that ran at the time of a fault, and the goodput, came through it. Times in milliseconds. @internal */
+export interface Recovery {
+    /** Streams in progress at the fault that went on to their end, and those that broke. */
+    readonly survived: number;
+    readonly broken: number;
+    /** The longest time between two pieces after the fault, of each stream that survived. */
+    readonly medianGap: number | undefined;
+    readonly longestGap: number | undefined;
+    /** From the fault until as many tokens reach callers in a second as before it; undefined if that did not come. */
+    readonly goodputBack: number | undefined;
+}
+
+const step = 100;
+const windowLength = 1000;
+const lookBack = 2500;
+const goodShare = 0.8;
+
+/**
+ * Measures the recovery from a fault.
+ *
+ * @param ends - Every request of the run.
+ * @param fault - When the fault began.
+ * @param end - When the callers stopped sending.
+ * @internal
+ */
+export function measureRecovery(ends: readonly RequestEnd[], fault: number, end: number): Recovery {
+    const streams = ends.flatMap(({ tries }) => tries).filter(({ pieceTimes }) => pieceTimes.length > 0);
+    const spanning = streams.filter(({ pieceTimes, endedAt }) => (pieceTimes[0] ?? fault) < fault && endedAt > fault);
+    const survivors = spanning.filter(({ outcome }) => outcome === "completed");
+    const gaps = survivors.map(stream => longestGapAfter(stream, fault)).sort((a, b) => a - b);
+    return {
+        survived: survivors.length,
+        broken: spanning.length - survivors.length,
+        medianGap: gaps[gaps.length >> 1],
+        longestGap: gaps.at(-1),
+        goodputBack: findGoodput(streams.flatMap(({ pieceTimes }) => pieceTimes).sort((a, b) => a - b), fault, end),
+    };
+}
+
+function longestGapAfter({ pieceTimes, endedAt }: CallEnd, fault: number): number {
+    const times = [...pieceTimes, endedAt];
+    return times.reduce((longest, time, index) => {
+        const before = times[index - 1];
+        return before === undefined || time < fault ? longest : Math.max(longest, time - before);
+    }, 0);
+}
+
+function findGoodput(times: readonly number[], fault: number, end: number): number | undefined {
+    const before = times.filter(time => time >= fault - lookBack && time < fault).length / lookBack;
+    for (let from = fault; from + windowLength <= end; from += step) {
+        const within = times.filter(time => time >= from && time < from + windowLength).length / windowLength;
+        if (within >= before * goodShare) {
+            return from - fault;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/proof/src/lib/report/formatResult.ts
@@ -0,0 +1,79 @@
+import { historyRules } from "@waxwingspar/history";
+import { holds, type ScenarioResult } from "./ScenarioResult.js";
+
+const columns = [
+    "scenario",
+    "seed",
+    "requests",
+    "completed",
+    "not run",
+    "unknown",
+    "repeated",
+    "violations",
+    "undecided",
+    "survived",
+    "broken",
+    "gap median ms",
+    "gap max ms",
+    "goodput back ms",
+    "in force ms",
+    "holds",
+];
+
+/** The head of the table of results, as Markdown. @internal */
+export function tableHead(): string {
+    return `| ${columns.join(" | ")} |\n|${columns.map(() => "---").join("|")}|`;
+}
+
+/** One row of the table of results, as Markdown. @internal */
+export function tableRow(result: ScenarioResult): string {
+    const { scenario, seed, outcomes, repeated, history, recovery } = result;
+    const counts = Object.values(outcomes);
+    const sum = (pick: (count: typeof counts[number]) => number) => counts.reduce((all, count) => all + pick(count), 0);
+    const completed = sum(count => count.completed);
+    const notRun = sum(count => count.notRun);
+    const unknown = sum(count => count.unknown);
+    const cells = [
+        scenario,
+        seed,
+        completed + notRun + unknown,
+        completed,
+        notRun,
+        unknown,
+        repeated,
+        history.violations.length,
+        historyRules.reduce((all, rule) => all + history.rules[rule].undecided, 0),
+        recovery.survived,
+        recovery.broken,
+        rounded(recovery.medianGap),
+        rounded(recovery.longestGap),
+        rounded(recovery.goodputBack, "not"),
+        rounded(result.longestActivation),
+        holds(result) ? "yes" : "NO",
+    ];
+    return `| ${cells.join(" | ")} |`;
+}
+
+/** What each rule and check decided, for people. @internal */
+export function formatDetails(result: ScenarioResult): string {
+    const { history, outcomes, checks } = result;
+    const kinds = Object.entries(outcomes).map(([kind, { completed, notRun, unknown }]) =>
+        `  ${kind}: ${completed} completed, ${notRun} not run, ${unknown} unknown`
+    );
+    const rules = historyRules.map(rule => {
+        const { passed, violated, undecided } = history.rules[rule];
+        return `  ${rule}: ${passed} passed, ${violated} violated, ${undecided} undecided`;
+    });
+    const violations = history.violations.map(({ rule, request = "", message, lines }) =>
+        `  VIOLATION ${rule} ${request}: ${message} (${
+            lines.map(line => `${line.process}:${line.sequence}`).join(", ")
+        })`
+    );
+    const failed = checks.map(({ name, holds, detail }) => `  ${holds ? "ok" : "FAILED"} ${name} ${detail}`);
+    const size = `  ${history.lines} lines, ${history.incarnations} incarnations, ${history.tokens} tokens`;
+    return [size, ...kinds, ...rules, ...violations, ...failed].join("\n");
+}
+
+function rounded(value: number | undefined, absent = "-"): string {
+    return value === undefined ? absent : String(Math.round(value));
+}
--- /dev/null
+++ b/packages/proof/src/lib/runScenario.ts
@@ -0,0 +1,111 @@
+import { checkHistoryFiles, FileRecorder, type HistoryReport } from "@waxwingspar/history";
+import { seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
+import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
+import { Callers } from "./callers/Callers.js";
+import { longestActivation } from "./report/longestActivation.js";
+import { measureRecovery } from "./report/Recovery.js";
+import { countOutcomes, type ScenarioCheck, type ScenarioResult } from "./report/ScenarioResult.js";
+import { type Scenario } from "./scenarios/Scenario.js";
+import { fullSite, type LayoutOptions, planSite } from "./site/layout.js";
+import { Site } from "./site/Site.js";
+
+/** @public */
+export interface RunOptions {
+    readonly scenario: Scenario;
+    readonly seed: number;
+    /** Seconds for which callers send after the first fault, at least. */
+    readonly seconds: number;
+    /** An existing folder for settings, logs and histories. */
+    readonly folder: string;
+    readonly layout?: LayoutOptions;
+    readonly modelRate?: number;
+    readonly serviceRate?: number;
+}
+
+const warmUp = 4000;
+const millisecondsPerSecond = 1000;
+const defaultModelRate = 10;
+const defaultServiceRate = 12;
+
+/**
+ * Runs one scenario on a site of real processes and checks the histories of all of them.
+ *
+ * @throws Error if the site cannot be started or a history file cannot be read.
+ * @public
+ */
+export async function runScenario(options: RunOptions): Promise<ScenarioResult> {
+    const { scenario, seed, seconds, folder, layout = fullSite } = options;
+    const clock = new SystemClock();
+    const random = seededRandom(seed);
+    const site = new Site(await planSite(layout), folder);
+    try {
+        await site.start();
+        const baseRevision = await site.revision();
+        const callersFile = join(folder, "callers.jsonl");
+        const opened = await FileRecorder.open({
+            clock,
+            path: callersFile,
+            process: "callers",
+            incarnation: uniqueId(),
+        });
+        if (opened.isErr) {
+            throw new Error(opened.error.message);
+        }
+        const callers = new Callers({
+            clock,
+            random,
+            recorder: opened.value,
+            origins: site.origins(),
+            modelRate: options.modelRate ?? defaultModelRate,
+            serviceRate: options.serviceRate ?? defaultServiceRate,
+        });
+        callers.start();
+        await pause(warmUp);
+        let fault = clock.now();
+        const checks: ScenarioCheck[] = [];
+        const duration = seconds * millisecondsPerSecond;
+        const context = {
+            site,
+            clock,
+            random,
+            duration,
+            markFault: () => void (fault = clock.now()),
+            check: (check: ScenarioCheck) => void checks.push(check),
+        };
+        await Promise.all([scenario.run(context), pause(duration)]);
+        const end = clock.now();
+        await callers.finish();
+        await opened.value.close();
+        await site.stop();
+        const files = [callersFile, ...site.historyFiles];
+        const history = await check(files, baseRevision, site);
+        const recovery = measureRecovery(callers.ends, fault, end);
+        return {
+            scenario: scenario.name,
+            seed,
+            outcomes: countOutcomes(callers.ends),
+            repeated: callers.ends.filter(({ tries }) => tries.length > 1).length,
+            history,
+            recovery,
+            longestActivation: await longestActivation(files),
+            checks: [...checks, stopCheck(site)],
+        };
+    }
+    finally {
+        await site.destroy();
+    }
+}
+
+async function check(files: readonly string[], baseRevision: number, site: Site): Promise<HistoryReport> {
+    const configured = site.layout.daemons.map(({ name }) => name);
+    const report = await checkHistoryFiles(files, { baseRevision, configured });
+    if (report.isErr) {
+        throw new Error(report.error.message);
+    }
+    return report.value;
+}
+
+function stopCheck({ badEnds }: Site): ScenarioCheck {
+    return { name: "every planned stop ends well", holds: badEnds.length === 0, detail: badEnds.join("; ") };
+}
--- /dev/null
+++ b/packages/proof/src/lib/scenarios/operatorsRace.ts
@@ -0,0 +1,90 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { z } from "zod";
+import { type Site } from "../site/Site.js";
+import { organisation } from "../site/siteModel.js";
+import { type Scenario } from "./Scenario.js";
+
+const rounds = 20;
+const statusOk = 200;
+const statusConflict = 409;
+const inForceLimit = 4000;
+const raceInterval = 200;
+const resourceSchema = z.object({ resourceVersion: z.number().int(), spec: z.object({ share: z.number() }) });
+
+type ReadResource = z.infer<typeof resourceSchema>;
+
+function urlAt(site: Site, name: string): string {
+    return `http://127.0.0.1:${site.daemon(name).operatorsPort}/v1/resources/organisation/${organisation}`;
+}
+
+async function read(site: Site, name: string): Promise<ReadResource> {
+    const response = await fetch(urlAt(site, name));
+    return resourceSchema.parse(await response.json());
+}
+
+async function write(site: Site, name: string, version: number, share: number): Promise<number> {
+    const response = await fetch(urlAt(site, name), {
+        method: "PUT",
+        headers: { "if-match": `"${version}"`, "content-type": "application/json" },
+        body: JSON.stringify({ spec: { share } }),
+    });
+    await response.arrayBuffer();
+    return response.status;
+}
+
+/** Two operators who read the same version write at the same moment, again and again. */
+export const operatorsRace: Scenario = {
+    name: "operators-race",
+    row: "two operators race",
+    summary: "20 times two operators at two entries change one resource at the same version and moment",
+    async run({ site, markFault, check }) {
+        markFault();
+        let version = (await read(site, "entry-1")).resourceVersion;
+        let won = 0;
+        let last = 0;
+        const unexpected: string[] = [];
+        for (let round = 1; round <= rounds; round++) {
+            const shares = [round * 2, round * 2 + 1] as const;
+            const statuses = await Promise.all([
+                write(site, "entry-1", version, shares[0]),
+                write(site, "entry-2", version, shares[1]),
+            ]);
+            const winners = shares.filter((_, index) => statuses[index] === statusOk);
+            const [winner] = winners;
+            if (winners.length === 1 && winner !== undefined && statuses.includes(statusConflict)) {
+                won++;
+                last = winner;
+            }
+            else {
+                unexpected.push(`round ${round}: ${statuses.join(" and ")}`);
+            }
+            version = await nextVersion(site, version);
+            await pause(raceInterval);
+        }
+        await pause(inForceLimit);
+        const states = await Promise.all(site.layout.daemons.map(({ name }) => read(site, name)));
+        const agreed = states.filter(({ spec }) => spec.share === last).length;
+        check({
+            name: "exactly one of two operators wins",
+            holds: won === rounds,
+            detail: `${won} of ${rounds} rounds; ${unexpected.join("; ")}`,
+        });
+        check({
+            name: "the last change is in force on every daemon",
+            holds: agreed === states.length,
+            detail: `${agreed} of ${states.length}`,
+        });
+    },
+};
+
+/** Waits until a newer version is in force where it is read. */
+async function nextVersion(site: Site, version: number): Promise<number> {
+    for (let waited = 0; waited < inForceLimit; waited += raceInterval / 4) {
+        const { resourceVersion } = await read(site, "entry-1");
+        if (resourceVersion > version) {
+            return resourceVersion;
+        }
+        await pause(raceInterval / 4);
+    }
+    return version;
+}
--- /dev/null
+++ b/packages/proof/src/lib/scenarios/storeScenarios.ts
@@ -0,0 +1,68 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { type Scenario } from "./Scenario.js";
+
+const outage = 20_000;
+const slowDelay = 700;
+const lossRounds = 12;
+const lossInterval = 500;
+
+const storeDown: Scenario = {
+    name: "store-down",
+    row: "store down an hour, slow, answer lost after the write",
+    summary: "the table service refuses every call for 20 s",
+    async run({ site, markFault }) {
+        markFault();
+        await site.storeFaults({ down: true });
+        await pause(outage);
+        await site.storeFaults({ down: false });
+    },
+};
+
+const storeSlow: Scenario = {
+    name: "store-slow",
+    row: "store down an hour, slow, answer lost after the write",
+    summary: "every call of the table service takes 0.7 s before its effect and 0.7 s after, for 8 s",
+    async run({ site, markFault }) {
+        markFault();
+        await site.storeFaults({ delay: slowDelay, answerDelay: slowDelay });
+        await pause(8000);
+        await site.storeFaults({ delay: 0, answerDelay: 0 });
+    },
+};
+
+const answersLost: Scenario = {
+    name: "store-answers-lost",
+    row: "store down an hour, slow, answer lost after the write",
+    summary:
+        "12 times in 6 s the next two writes take effect and lose their answers, and one is lost before its effect",
+    async run({ site, markFault }) {
+        markFault();
+        for (let round = 0; round < lossRounds; round++) {
+            await site.storeFaults({ losesBefore: 1, losesAfter: 2 });
+            await pause(lossInterval);
+        }
+        await site.storeFaults({ losesBefore: 0, losesAfter: 0 });
+    },
+};
+
+const twoAtOnce: Scenario = {
+    name: "two-at-once",
+    row: "two of these at once",
+    summary:
+        "the store is down for 8 s; meanwhile a host of stage 2 dies, an entry dies and starts again, and an agent "
+        + "beside the plain service restarts",
+    async run({ site, random, markFault }) {
+        markFault();
+        await site.storeFaults({ down: true });
+        const stage = `stage-2-${1 + random.below(2)}`;
+        const entry = `entry-${1 + random.below(2)}`;
+        await Promise.all([site.killHost(stage), site.kill(entry), site.kill("records-1")]);
+        const restarted = [site.startDaemon(entry), site.startDaemon("records-1")];
+        await pause(8000);
+        await site.storeFaults({ down: false });
+        await Promise.all([...restarted, site.list(stage, undefined)]);
+    },
+};
+
+/** Scenarios with faults of the table service. @internal */
+export const storeScenarios: readonly Scenario[] = [storeDown, storeSlow, answersLost, twoAtOnce];
--- /dev/null
+++ b/packages/proof/src/lib/site/Site.ts
@@ -0,0 +1,194 @@
+import { writeFile } from "node:fs/promises";
+import { createRequire } from "node:module";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { type FaultPolicy, type LinkFault, Relay } from "../relay/Relay.js";
+import { type Layout, type PlannedDaemon } from "./layout.js";
+import { daemonSettings, engineSettings, liveHost, platformSettings, serviceSettings } from "./settingsFiles.js";
+import { SiteProcess } from "./SiteProcess.js";
+
+const distFolder = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+const cliScript = join(dirname(createRequire(import.meta.url).resolve("waxwingspar")), "bin.js");
+const stopLimit = 60_000;
+const noFault: LinkFault = {};
+
+/**
+ * A site of real processes on loopback: platform, engines, plain services, agents, entries, and a relay in front of
+ * every one that takes links.
+ *
+ * @internal
+ */
+export class Site {
+    readonly historyFiles: string[] = [];
+    /** Daemons that were asked to stop and ended with another code than 0, with how they ended. */
+    readonly badEnds: string[] = [];
+    /** Decides the faults of links; undefined means none. */
+    linkFault: FaultPolicy = () => undefined;
+    private readonly processes = new Map<string, SiteProcess>();
+    private readonly relays: Relay[] = [];
+    private starts = 0;
+
+    constructor(readonly layout: Layout, private readonly folder: string) {}
+
+    /** Starts everything and waits until it is ready. */
+    async start(): Promise<void> {
+        const { daemons } = this.layout;
+        await this.startRelays();
+        const helpers = daemons.filter(({ role }) => role === "agent").flatMap(daemon => [
+            this.startEngine(daemon),
+            ...(daemon.stage === undefined ? [this.startService(daemon)] : []),
+        ]);
+        await Promise.all([this.startPlatform(), ...helpers]);
+        await Promise.all(daemons.map(({ name }) => this.startDaemon(name)));
+    }
+
+    /** Stops all that runs: entries first, then agents, gracefully; then the stand-ins. Ends every process. */
+    async stop(): Promise<void> {
+        for (const role of ["entry", "agent"]) {
+            const names = this.layout.daemons.filter(daemon => daemon.role === role).map(({ name }) => name);
+            await Promise.all(names.filter(name => this.running(name)).map(name => this.terminate(name)));
+        }
+        const rest = [...this.processes.values()].filter(({ running }) => running);
+        rest.forEach(process => process.signal("SIGTERM"));
+        await Promise.all(rest.map(process => process.waitForEnd(stopLimit)));
+        await this.destroy();
+    }
+
+    /** Ends every process at once. */
+    async destroy(): Promise<void> {
+        await Promise.all([...this.processes.values()].map(process => process.kill()));
+        this.relays.forEach(relay => relay.close());
+    }
+
+    daemon(name: string): PlannedDaemon {
+        const found = this.layout.daemons.find(daemon => daemon.name === name);
+        if (found === undefined) {
+            throw new Error(`no daemon ${name}`);
+        }
+        return found;
+    }
+
+    running(name: string): boolean {
+        return this.processes.get(name)?.running === true;
+    }
+
+    /** Starts a daemon at its address, as a new incarnation. Resolves once it is ready. */
+    async startDaemon(name: string): Promise<void> {
+        const daemon = this.daemon(name);
+        const start = ++this.starts;
+        const history = join(this.folder, `${name}-${start}.jsonl`);
+        this.historyFiles.push(history);
+        const settings = await this.writeSettings(`${name}-${start}`, daemonSettings(daemon, this.layout, history));
+        const port = daemon.role === "entry" ? daemon.callersPort : daemon.operatorsPort;
+        await this.launch(name, [join(distFolder, "daemon.js"), settings], `http://127.0.0.1:${port}/readyz`);
+    }
+
+    /** Starts the engine beside an agent. */
+    async startEngine(daemon: PlannedDaemon): Promise<void> {
+        const name = `engine-${daemon.name}`;
+        const settings = await this.writeSettings(name, engineSettings(daemon));
+        await this.launch(name, [cliScript, "engine", settings], `http://127.0.0.1:${daemon.enginePort}/`);
+    }
+
+    /** Kills a process without warning. */
+    async kill(name: string): Promise<void> {
+        await this.processes.get(name)?.kill();
+    }
+
+    /** Kills an agent together with its engine, as when their host dies. */
+    async killHost(name: string): Promise<void> {
+        await Promise.all([this.kill(name), this.kill(`engine-${name}`)]);
+    }
+
+    /** Stops a daemon gracefully and waits for its end. */
+    async terminate(name: string): Promise<void> {
+        const process = this.processes.get(name);
+        process?.signal("SIGTERM");
+        const inTime = await process?.waitForEnd(stopLimit);
+        if (process !== undefined && (inTime !== true || process.end !== "0")) {
+            this.badEnds.push(`${name}: ${process.end ?? "did not end"}`);
+        }
+    }
+
+    pause(name: string): void {
+        this.processes.get(name)?.signal("SIGSTOP");
+    }
+
+    resume(name: string): void {
+        this.processes.get(name)?.signal("SIGCONT");
+    }
+
+    /** Where the entries take callers. */
+    origins(): string[] {
+        const entries = this.layout.daemons.filter(({ role }) => role === "entry");
+        return entries.map(({ callersPort }) => `http://127.0.0.1:${callersPort}`);
+    }
+
+    /** The revision in force on the first daemon. */
+    async revision(): Promise<number> {
+        const [first] = this.layout.daemons;
+        const response = await fetch(`http://127.0.0.1:${first?.operatorsPort}/readyz`);
+        const { revision } = await response.json() as { revision: number; };
+        return revision;
+    }
+
+    /** Sets what the platform's live list says of a daemon; undefined removes it. */
+    async list(name: string, state: "live" | "leaving" | undefined): Promise<void> {
+        await (state === undefined
+            ? this.admin("/admin/hosts/remove", { process: name })
+            : this.admin("/admin/hosts/set", liveHost(this.daemon(name), state)));
+    }
+
+    /** Sets faults of the table service. */
+    storeFaults(faults: object): Promise<void> {
+        return this.admin("/admin/faults", { service: "table", faults });
+    }
+
+    private async admin(path: string, body: object): Promise<void> {
+        const url = `http://127.0.0.1:${this.layout.platformPort}${path}`;
+        const response = await fetch(url, { method: "POST", body: JSON.stringify(body) });
+        await response.arrayBuffer();
+        if (!response.ok) {
+            throw new Error(`${path}: status ${response.status}`);
+        }
+    }
+
+    private async startPlatform(): Promise<void> {
+        const settings = await this.writeSettings("platform", platformSettings(this.layout));
+        const url = `http://127.0.0.1:${this.layout.platformPort}/`;
+        await this.launch("platform", [cliScript, "platform", settings], url);
+    }
+
+    private async startService(daemon: PlannedDaemon): Promise<void> {
+        const name = `service-${daemon.name}`;
+        const settings = await this.writeSettings(name, serviceSettings(daemon, this.folder));
+        this.historyFiles.push(join(this.folder, `${name}.jsonl`));
+        await this.launch(name, [join(distFolder, "service.js"), settings], `http://127.0.0.1:${daemon.servicePort}/`);
+    }
+
+    private async startRelays(): Promise<void> {
+        const { daemons, platformPort, platformPorts } = this.layout;
+        const names = daemons.map(({ name }) => name);
+        const policy: FaultPolicy = (from, to) => this.linkFault(from, to) ?? noFault;
+        for (const { name, relayPort, linkPort } of daemons) {
+            this.relays.push(new Relay({ process: name, port: relayPort, targetPort: linkPort, names, policy }));
+        }
+        for (const [region, port] of Object.entries(platformPorts)) {
+            const opener = `region ${region}`;
+            this.relays.push(new Relay({ process: "platform", port, targetPort: platformPort, names, policy, opener }));
+        }
+        await Promise.all(this.relays.map(relay => relay.listen()));
+    }
+
+    private async launch(name: string, command: readonly string[], readyUrl: string): Promise<void> {
+        const process = new SiteProcess({ name, command, readyUrl, log: join(this.folder, `${name}.log`) });
+        this.processes.set(name, process);
+        await process.ready();
+    }
+
+    private async writeSettings(name: string, settings: object): Promise<string> {
+        const path = join(this.folder, `${name}.settings.json`);
+        await writeFile(path, JSON.stringify(settings, undefined, 4));
+        return path;
+    }
+}
--- /dev/null
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -0,0 +1,93 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream } from "node:fs";
+import { setTimeout as pause } from "node:timers/promises";
+
+/** @internal */
+export interface SiteProcessOptions {
+    readonly name: string;
+    /** The script and its arguments, for Node. */
+    readonly command: readonly string[];
+    /** The file that takes standard output and standard error. */
+    readonly log: string;
+    /** Answers 200 once the process does its work. */
+    readonly readyUrl: string;
+}
+
+const readyPoll = 50;
+const readyLimit = 60_000;
+const memoryLimit = "--max-old-space-size=256";
+
+/**
+ * One process of the site under test, a child of the driver.
+ *
+ * @internal
+ */
+export class SiteProcess {
+    readonly name: string;
+    /** The signal or exit code that ended it; undefined while it runs. */
+    end: string | undefined;
+    private readonly child: ChildProcess;
+    private readonly ended: Promise<void>;
+
+    constructor(private readonly options: SiteProcessOptions) {
+        this.name = options.name;
+        this.child = spawn(process.execPath, [memoryLimit, "--enable-source-maps", ...options.command], {
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const log = createWriteStream(options.log, { flags: "a" });
+        this.child.stdout?.pipe(log, { end: false });
+        this.child.stderr?.pipe(log, { end: false });
+        this.ended = new Promise(resolve => {
+            this.child.once("exit", (code, signal) => {
+                this.end = signal ?? String(code);
+                log.end();
+                resolve();
+            });
+        });
+    }
+
+    get running(): boolean {
+        return this.end === undefined;
+    }
+
+    /** Waits until it is ready. @throws Error if it ends before, or takes a minute. */
+    async ready(): Promise<void> {
+        const deadline = performance.now() + readyLimit;
+        while (!await answers(this.options.readyUrl)) {
+            if (!this.running || performance.now() > deadline) {
+                throw new Error(`${this.name} did not become ready (${this.end ?? "still running"})`);
+            }
+            await pause(readyPoll);
+        }
+    }
+
+    signal(signal: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT"): void {
+        if (this.running) {
+            this.child.kill(signal);
+        }
+    }
+
+    /** Waits until it has ended; false if the limit in milliseconds passes first. */
+    async waitForEnd(limit: number): Promise<boolean> {
+        const timer = new AbortController();
+        await Promise.race([this.ended, pause(limit, undefined, { signal: timer.signal }).catch(() => undefined)]);
+        timer.abort();
+        return !this.running;
+    }
+
+    async kill(): Promise<void> {
+        this.signal("SIGKILL");
+        await this.ended;
+    }
+}
+
+async function answers(url: string): Promise<boolean> {
+    try {
+        const response = await fetch(url);
+        await response.arrayBuffer();
+        return response.status < 500;
+    }
+    catch {
+        return false;
+    }
+}
--- /dev/null
+++ b/packages/proof/src/lib/site/layout.ts
@@ -0,0 +1,129 @@
+import { findPorts } from "./ports.js";
+import { serviceName } from "./ServiceStandIn.js";
+import { organisation, siteModel, stages } from "./siteModel.js";
+
+/** A daemon of the site and where it listens. @internal */
+export interface PlannedDaemon {
+    readonly name: string;
+    readonly role: "entry" | "agent";
+    readonly dataCentre: string;
+    readonly region: string;
+    /** Where it listens for links. */
+    readonly linkPort: number;
+    /** Where others find it: the relay in front of it. */
+    readonly relayPort: number;
+    readonly operatorsPort: number;
+    /** Entries only. */
+    readonly callersPort: number;
+    /** Agents only: the port of the engine, and the stage it holds; undefined beside a plain service. */
+    readonly enginePort: number;
+    readonly stage?: number;
+    /** Agents beside a plain service only. */
+    readonly servicePort: number;
+}
+
+/** @internal */
+export interface Layout {
+    readonly daemons: readonly PlannedDaemon[];
+    readonly platformPort: number;
+    /** Where the daemons of each region reach the platform: a relay for each. */
+    readonly platformPorts: Readonly<Record<string, number>>;
+}
+
+/** How large a site is. @internal */
+export interface LayoutOptions {
+    /** Data centre and region of each entry; each has that many pipelines. */
+    readonly centres: readonly { readonly name: string; readonly region: string; readonly pipelines: number; }[];
+    /** Data centres with a target of the plain service. */
+    readonly serviceCentres: readonly string[];
+}
+
+/** Three data centres, three entries, four pipelines of three stages, two targets of a plain service. @internal */
+export const fullSite: LayoutOptions = {
+    centres: [
+        { name: "dc1", region: "north", pipelines: 1 },
+        { name: "dc2", region: "north", pipelines: 1 },
+        { name: "dc3", region: "south", pipelines: 2 },
+    ],
+    serviceCentres: ["dc1", "dc3"],
+};
+
+/** Two data centres, two entries, two pipelines, two targets of a plain service: for CI. @internal */
+export const smallSite: LayoutOptions = {
+    centres: [
+        { name: "dc1", region: "north", pipelines: 1 },
+        { name: "dc2", region: "north", pipelines: 1 },
+    ],
+    serviceCentres: ["dc1", "dc2"],
+};
+
+const portsPerDaemon = 6;
+
+/** Plans a site on free ports. @internal */
+export async function planSite({ centres, serviceCentres }: LayoutOptions): Promise<Layout> {
+    const entries = centres.map(({ name }, index) => ({
+        name: `entry-${index + 1}`,
+        role: "entry" as const,
+        centre: name,
+    }));
+    const pipelines = centres.flatMap(({ name, pipelines }) => Array.from({ length: pipelines }, () => name));
+    const agents = pipelines.flatMap((centre, pipeline) =>
+        stages.map((_, stage) => ({
+            name: `stage-${stage + 1}-${pipeline + 1}`,
+            role: "agent" as const,
+            centre,
+            stage,
+        }))
+    );
+    const services = serviceCentres.map((centre, index) => ({
+        name: `${serviceName}-${index + 1}`,
+        role: "agent" as const,
+        centre,
+    }));
+    const planned = [...entries, ...agents, ...services];
+    const regions = [...new Set(centres.map(({ region }) => region))];
+    const ports = await findPorts(planned.length * portsPerDaemon + 1 + regions.length);
+    const next = () => ports.pop() ?? 0;
+    const daemons = planned.map(({ centre, ...daemon }): PlannedDaemon => ({
+        ...daemon,
+        dataCentre: centre,
+        region: centres.find(({ name }) => name === centre)?.region ?? "",
+        linkPort: next(),
+        relayPort: next(),
+        operatorsPort: next(),
+        callersPort: next(),
+        enginePort: next(),
+        servicePort: next(),
+    }));
+    const platformPorts = Object.fromEntries(regions.map(region => [region, next()]));
+    return { daemons, platformPort: next(), platformPorts };
+}
+
+/** The resources of the site, as an operator would write them. @internal */
+export function resourcesOf({ daemons }: Layout): object[] {
+    const { model, version, layers } = siteModel;
+    const targets = daemons.filter(({ role }) => role === "agent");
+    return [
+        { kind: "organisation", name: organisation, spec: {} },
+        { kind: "model", name: model, spec: { layers, versions: [version], current: version } },
+        {
+            kind: "service",
+            name: serviceName,
+            spec: { nonIdempotent: [{ method: "POST", path: "/work-orders" }] },
+        },
+        ...targets.map(({ name, relayPort, dataCentre, region, stage }) => ({
+            kind: "target",
+            name,
+            spec: {
+                host: "127.0.0.1",
+                port: relayPort,
+                dataCentre,
+                region,
+                checksFence: true,
+                ...(stage === undefined
+                    ? { service: serviceName }
+                    : { holds: [{ model, version, ...stages[stage] }] }),
+            },
+        })),
+    ];
+}
