--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -284,7 +284,11 @@
             attempt.cancel(retain);
             return;
         }
-        if (attempt instanceof HeadAttempt || attempt instanceof FollowAttempt) {
+        if (attempt instanceof HeadAttempt) {
+            attempt.cancel(retain);
+            return;
+        }
+        if (attempt instanceof FollowAttempt) {
             attempt.cancel();
             return;
         }
--- a/packages/agent/src/lib/head/HeadAttempt.test.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.test.ts
@@ -194,7 +194,7 @@
     const site = await startThree();
     const answer = await site.entry.open(openMessage({ request: "r1", stages: chain }));
     await site.until(() => answer.ids.length > 2);
-    site.entry.die();
+    site.network.kill("entry");
     await site.clock.advanceAsync(20, 1);
     assert.ok(await allClosed(site, "r1/0"));
     assert.equal(site.targets.get("a")?.queue.running, 0);
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -7,16 +7,15 @@
 import { asNotRun, asStarted, type ChainFault, fromWire } from "../faults.js";
 import { guarded } from "../guarded.js";
 import { type JoinedMessage, type StageFailedMessage } from "../messages.js";
+import { contextTokensOf, type Timeouts, timeoutsOf } from "../modelLimits.js";
 import { type SampledToken } from "../stage/StageRunner.js";
 import { StageSession } from "../stage/StageSession.js";
-import { type Timeouts, timeoutsOf } from "../timeouts.js";
 import { type AnswerSink } from "./AnswerSink.js";
 import { estimateCost, headPlan, joinRequest } from "./chainMessages.js";
+import { Decoder } from "./Decoder.js";
 import { type EntryStream } from "./EntryStream.js";
 import { LaterStages } from "./LaterStages.js";
-import { StopMatcher } from "./StopMatcher.js";
 import { TokenTimes } from "./TokenTimes.js";
-import { TokenWait } from "./TokenWait.js";
 
 /** @internal */
 export interface HeadAttemptOptions {
@@ -44,8 +43,6 @@
     private readonly chart = createAttemptChart();
     private readonly item: string;
     private readonly timeouts: Timeouts;
-    private readonly stops: StopMatcher;
-    private readonly wait: TokenWait;
     private span: Span | undefined;
     private deadline: Timer | undefined;
     /** Runs out when the engine does not get ready in time. */
@@ -54,30 +51,16 @@
     private later: LaterStages | undefined;
     private promptTokens = 0;
     private cachedTokens = 0;
-    private answerTokens: number;
-    /** The position in the sequence that the next token takes. */
-    private next = 0;
-    /** A token that is drawn and whose successor waits for credit. */
-    private paused: number | undefined;
+    private readonly decoder: Decoder;
     private readonly times: TokenTimes;
 
     constructor(private readonly context: AgentContext, private readonly options: HeadAttemptOptions) {
-        const { request, epoch, model, sampling } = options.message;
+        const { request, epoch, model } = options.message;
         this.epoch = epoch;
         this.item = `${request}/${epoch}`;
-        this.answerTokens = options.produced.length;
         this.timeouts = timeoutsOf(context.configuration, model, context.settings);
         this.times = new TokenTimes(context);
-        this.stops = new StopMatcher(sampling.stop);
-        this.wait = new TokenWait({
-            context,
-            timeouts: this.timeouts,
-            request,
-            epoch,
-            ownPassed: () => this.session?.progress.passed ?? 0,
-            members: () => this.later?.members ?? [],
-            lost: fault => this.fail(fault),
-        });
+        this.decoder = this.createDecoder();
     }
 
     get uses(): ModelVersion | undefined {
@@ -111,7 +94,7 @@
             organisation: message.organisation,
             priority: message.priority,
             timeLeft: message.timeLeft,
-            startBound: message.firstTokenBound,
+            startBound: this.startBound(),
             cost: estimateCost(message),
             start: () => this.start(),
             refuse: reason => this.refuse({ failure: reason }),
@@ -123,11 +106,7 @@
 
     /** The stream to the entry takes tokens again. */
     resume(): void {
-        const token = this.paused;
-        if (token !== undefined && this.chart.state === "running") {
-            this.paused = undefined;
-            this.draw(token);
-        }
+        this.decoder.resume();
     }
 
     credit(upTo: number): void {
@@ -140,10 +119,10 @@
     }
 
     /** The caller is gone. A claimed request still runs to its end, and its answer is kept for duplicates. */
-    cancel(): void {
+    cancel(retain = false): void {
         this.options.entry.drop();
         if (!this.options.claimed || this.chart.state === "waiting") {
-            this.stop("cancel", false);
+            this.stop("cancel", retain);
         }
     }
 
@@ -170,23 +149,15 @@
         this.later?.fault({ failure: fromWire(reason), target, exportable });
     }
 
-    /** A token was drawn, here or at the last stage. */
-    sampled({ position, token, text, end }: SampledToken): void {
-        if (this.chart.state !== "running" || position < this.next || !this.wait.waiting) {
-            this.context.metrics.dropped?.("sampled");
-            return;
-        }
-        if (position > this.next) {
-            this.fail({ failure: failure(requestCodes.stageLost, `a token for position ${position} came too early`) });
-            return;
-        }
-        this.wait.clear();
-        this.times.token();
-        this.next++;
-        this.answerTokens++;
-        const { released, stopped } = this.stops.push({ id: token, text });
-        released.forEach(answer => this.options.sink.token(answer));
-        this.goOn(token, end || stopped);
+    /** The last stage has drawn a token. */
+    sampled(message: SampledToken): void {
+        this.decoder.sampled(message);
+    }
+
+    /** An answer that has begun is late already; it waits no longer than a new request would. */
+    private startBound(): number {
+        const { produced, firstTokenBound } = this.options.message;
+        return produced.length === 0 ? firstTokenBound : Math.max(firstTokenBound, this.timeouts.firstToken);
     }
 
     private breakOff(message: string, exportable: boolean): void {
@@ -196,28 +167,6 @@
         this.options.entry.failed(fault);
     }
 
-    private goOn(token: number, stopped: boolean): void {
-        if (stopped) {
-            this.finish("stop");
-            return;
-        }
-        if (this.answerTokens >= this.options.message.sampling.maxTokens || this.next >= this.contextTokens()) {
-            this.finish("length");
-            return;
-        }
-        if (!this.options.sink.ready) {
-            this.paused = token;
-            return;
-        }
-        this.draw(token);
-    }
-
-    /** Runs the token at the last position, which draws the next one. */
-    private draw(token: number): void {
-        this.wait.expect(this.next, 1);
-        this.session?.submit({ position: this.next - 1, count: 1, tokens: [token], prefill: false });
-    }
-
     private start(): void {
         if (!this.chart.send("start")) {
             return;
@@ -248,9 +197,8 @@
         }
         const tokens = [...prompt.value, ...produced];
         this.promptTokens = prompt.value.length;
-        this.next = tokens.length;
         this.recordPrompt();
-        if (tokens.length >= this.contextTokens()) {
+        if (tokens.length >= contextTokensOf(this.context.configuration, message.model)) {
             this.refuse({ failure: failure(requestCodes.tooLarge, "the prompt exceeds the model's context") });
             return;
         }
@@ -284,22 +232,34 @@
         // The last position must run in any case, since the next token is drawn from it.
         const start = Math.min(own.value, others.value, tokens.length - 1);
         this.cachedTokens = Math.min(start, this.promptTokens);
-        this.prefill(tokens, start);
+        this.decoder.start(tokens, start);
     }
 
-    private prefill(tokens: number[], start: number): void {
-        const { prefillChunk } = this.context.settings;
-        this.wait.expect(tokens.length, tokens.length - start);
-        for (let position = start; position < tokens.length; position += prefillChunk) {
-            const chunk = tokens.slice(position, position + prefillChunk);
-            const prefill = position + chunk.length < tokens.length;
-            this.session?.submit({ position, count: chunk.length, tokens: chunk, prefill });
-        }
+    private createDecoder(): Decoder {
+        const { context, timeouts, times, options: { message, produced, sink } } = this;
+        const { request, epoch, model, sampling: { stop, maxTokens } } = message;
+        return new Decoder({
+            context,
+            request,
+            epoch,
+            timeouts,
+            times,
+            sink,
+            stop,
+            maxTokens,
+            produced: produced.length,
+            contextTokens: contextTokensOf(context.configuration, model),
+            members: () => this.later?.members ?? [],
+            ownPassed: () => this.session?.progress.passed ?? 0,
+            submit: work => this.session?.submit(work),
+            finished: finish => this.finish(finish),
+            failed: fault => this.fail(fault),
+        });
     }
 
     private createSession(tokens: readonly number[]): StageSession {
         return new StageSession(this.context, headPlan(this.options.message, tokens, this.timeouts), {
-            sampled: token => this.sampled(token),
+            sampled: token => this.decoder.sampled(token),
             failed: fault => this.fail(fault),
         });
     }
@@ -321,14 +281,8 @@
         this.context.record({ event: "prompt.read", request, epoch, tokens: this.promptTokens, layers });
     }
 
-    private contextTokens(): number {
-        const spec = this.context.configuration.get("model", this.options.message.model)?.spec;
-        return spec?.contextTokens ?? Number.POSITIVE_INFINITY;
-    }
-
     private finish(finish: "stop" | "length"): void {
-        this.stops.flush().forEach(token => this.options.sink.token(token));
-        const { promptTokens, cachedTokens, answerTokens } = this;
+        const { promptTokens, cachedTokens, decoder: { answerTokens } } = this;
         if (this.stop("finish", false)) {
             this.options.sink.done({ finish, promptTokens, cachedTokens, answerTokens });
         }
@@ -374,7 +328,7 @@
         if (!this.chart.send(event)) {
             return false;
         }
-        this.wait.stop();
+        this.decoder.stop();
         this.deadline?.cancel();
         this.patience?.cancel();
         this.session?.close(retain);
--- a/packages/agent/src/lib/head/HeadRequests.test.ts
+++ b/packages/agent/src/lib/head/HeadRequests.test.ts
@@ -61,7 +61,7 @@
     const other = site.createEntry("entry2");
     const first = await site.entry.open(claimed("r1"));
     await site.until(() => first.ids.length > 2);
-    site.entry.die();
+    site.network.kill("entry");
     await site.clock.advanceAsync(1000, 1);
     const second = await other.open(claimed("r2"));
     await site.until(() => ended(second));
--- a/packages/agent/src/lib/head/TokenWait.ts
+++ b/packages/agent/src/lib/head/TokenWait.ts
@@ -1,9 +1,9 @@
 import { failure, requestCodes } from "@waxwingspar/utils";
 import { type AgentContext } from "../AgentContext.js";
 import { type ChainFault } from "../faults.js";
+import { type Timeouts } from "../modelLimits.js";
 import { type StageState, stageStateSchema, stateMethodName } from "../stage/stateMethod.js";
 import { Watchdog } from "../stage/Watchdog.js";
-import { type Timeouts } from "../timeouts.js";
 import { judgeSilence } from "./judgeSilence.js";
 import { type Member } from "./LaterStages.js";
 
--- a/packages/agent/src/lib/head/chainMessages.ts
+++ b/packages/agent/src/lib/head/chainMessages.ts
@@ -1,6 +1,6 @@
 import { type JoinMessage, type OpenMessage } from "@waxwingspar/transport";
+import { type Timeouts } from "../modelLimits.js";
 import { type StagePlan } from "../stage/StageSession.js";
-import { type Timeouts } from "../timeouts.js";
 
 /** Characters of prompt for one token, to estimate the cost before the prompt is read. */
 const charactersPerToken = 4;
--- a/packages/agent/src/lib/timeouts.ts
+++ b/packages/agent/src/lib/modelLimits.ts
@@ -10,6 +10,8 @@
  * @internal
  */
 export interface Timeouts {
+    /** The bound on the first token. */
+    readonly firstToken: number;
     /** For one step of the engine. */
     step(count: number): number;
     /** For the token that a step of so many positions at the head leads to. */
@@ -31,5 +33,10 @@
         Math.max(settings.minimumTimeout, settings.stepPatience * tokenBound) + extra(count);
     const silence = (count: number): number =>
         Math.max(settings.minimumTimeout, settings.silencePatience * tokenBound) + 2 * extra(count);
-    return { step, silence, hard: count => hardFactor * silence(count) };
+    return { firstToken: firstTokenBound, step, silence, hard: count => hardFactor * silence(count) };
+}
+
+/** Tokens of prompt and answer together that a model takes. @internal */
+export function contextTokensOf(configuration: Configuration, model: string): number {
+    return configuration.get("model", model)?.spec.contextTokens ?? Number.POSITIVE_INFINITY;
 }
--- a/packages/agent/src/lib/stage/StageAttempt.ts
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -5,7 +5,7 @@
 import { type AgentContext, type Attempt, type ModelVersion } from "../AgentContext.js";
 import { type AttemptEvent, createAttemptChart } from "../charts/attemptChart.js";
 import { asNotRun, asStarted, type ChainFault, toWire } from "../faults.js";
-import { timeoutsOf } from "../timeouts.js";
+import { timeoutsOf } from "../modelLimits.js";
 import { FrameOrder } from "./FrameOrder.js";
 import { type SampledToken, type StageWork } from "./StageRunner.js";
 import { StageSession } from "./StageSession.js";
--- a/packages/agent/src/lib/stage/StageRunner.ts
+++ b/packages/agent/src/lib/stage/StageRunner.ts
@@ -1,7 +1,7 @@
 import { type Engine, type StepResult } from "@waxwingspar/engine";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type Clock, type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
-import { type Timeouts } from "../timeouts.js";
+import { type Timeouts } from "../modelLimits.js";
 import { type EngineActivity } from "./EngineActivity.js";
 import { Watchdog } from "./Watchdog.js";
 
--- a/packages/agent/src/lib/stage/StageSession.ts
+++ b/packages/agent/src/lib/stage/StageSession.ts
@@ -6,7 +6,7 @@
 import { guarded } from "../guarded.js";
 import { importCache } from "../kv/importCache.js";
 import { type SessionRecord } from "../kv/SessionTable.js";
-import { type Timeouts } from "../timeouts.js";
+import { type Timeouts } from "../modelLimits.js";
 import { type SampledToken, StageRunner, type StageWork } from "./StageRunner.js";
 
 /** Milliseconds after which a congested link is looked at again. */
@@ -189,6 +189,8 @@
         };
         const opened = await guarded(() => context.engine.open(wantedSession));
         if (opened.isErr) {
+            // The engine may have been restarted without these layers.
+            void context.held.refresh();
             return Result.err(opened.error);
         }
         this.opened = true;
--- a/packages/agent/src/lib/testing/TestEntry.ts
+++ b/packages/agent/src/lib/testing/TestEntry.ts
@@ -1,14 +1,15 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
 import {
+    type Address,
     type DoneMessage,
     type FailedMessage,
     type Link,
+    type LinkPool,
     type Message,
     type OpenMessage,
     type Stage,
 } from "@waxwingspar/transport";
 import { assert, type Clock } from "@waxwingspar/utils";
-import { testHello, type TestHost, type TestNetwork } from "./TestNetwork.js";
 
 /** What an entry got for one attempt. @internal */
 export interface TestAnswer {
@@ -20,6 +21,14 @@
     failed: FailedMessage | undefined;
 }
 
+/** @internal */
+export interface TestEntryOptions {
+    readonly pool: LinkPool;
+    readonly addressOf: (target: string) => Address;
+    readonly clock: Clock;
+    readonly record: HistoryRecorder;
+}
+
 /**
  * An entry that keeps what it receives, and checks that tokens follow on each other and nothing follows an end.
  *
@@ -32,25 +41,29 @@
     /** Runs when the link to a target has closed. */
     onLost: ((target: string) => void) | undefined;
     private readonly answers = new Map<string, TestAnswer>();
-    private readonly pool;
-
-    constructor(
-        readonly name: string,
-        private readonly network: TestNetwork,
-        readonly clock: Clock,
-        readonly record: HistoryRecorder,
-    ) {
-        const host: TestHost = { hello: testHello(name, "entry"), methods: () => ({}), accept: () => undefined };
-        this.pool = network.createPool(host);
-        this.pool.onOpen((link, address) => {
+    /** The targets to which links were opened, by address. */
+    private readonly linked = new Map<string, string>();
+
+    constructor(private readonly options: TestEntryOptions) {
+        options.pool.onOpen((link, address) => {
             link.onMessage(message => this.receive(message));
-            link.onClose(() => this.onLost?.(address.host));
+            link.onClose(() => this.lost(address));
         });
     }
 
+    get clock(): Clock {
+        return this.options.clock;
+    }
+
+    get record(): HistoryRecorder {
+        return this.options.record;
+    }
+
     /** Opens a link to a target, or gives the open one. Undefined when it is gone. */
     async tryLink(target: string): Promise<Link | undefined> {
-        const link = await this.pool.connect({ host: target, port: 1 });
+        const address = this.options.addressOf(target);
+        this.linked.set(keyOf(address), target);
+        const link = await this.options.pool.connect(address);
         return link.isOk ? link.value : undefined;
     }
 
@@ -79,9 +92,11 @@
         return created;
     }
 
-    /** Closes every link, as an entry that dies. */
-    die(): void {
-        this.network.kill(this.name);
+    private lost(address: Address): void {
+        const target = this.linked.get(keyOf(address));
+        if (target !== undefined) {
+            this.onLost?.(target);
+        }
     }
 
     private receive(message: Message): void {
@@ -114,6 +129,10 @@
     }
 }
 
+function keyOf({ host, port }: Address): string {
+    return `${host} ${port}`;
+}
+
 /** Splits the layers of a model over targets, as evenly as it goes. @internal */
 export function chainOf(targets: readonly string[], layers: number): Stage[] {
     return targets.map((target, index) => ({
--- a/packages/agent/src/lib/testing/TestRun.ts
+++ b/packages/agent/src/lib/testing/TestRun.ts
@@ -9,6 +9,8 @@
     /** Chooses the chain of an attempt without the targets that have failed; undefined when there is none. */
     readonly choose: (excluded: ReadonlySet<string>, epoch: number) => Stage[] | undefined;
     readonly changes?: Partial<OpenMessage>;
+    /** Milliseconds between the failure of an attempt and the next one; 0 by default. */
+    readonly retryDelay?: number;
     /** How many tokens the caller takes at once; unlimited by default. */
     readonly window?: number;
 }
@@ -139,7 +141,12 @@
             this.excluded.add(target);
         }
         this.stages = [];
-        void this.attempt();
+        const { retryDelay = 0, entry } = this.options;
+        if (retryDelay === 0) {
+            void this.attempt();
+            return;
+        }
+        entry.clock.schedule(() => void this.attempt(), retryDelay);
     }
 
     private end(outcome: "completed" | "not run" | "unknown", code: number | undefined): void {
--- a/packages/agent/src/lib/testing/TestSite.ts
+++ b/packages/agent/src/lib/testing/TestSite.ts
@@ -66,7 +66,13 @@
     }
 
     createEntry(name: string): TestEntry {
-        return new TestEntry(name, this.network, this.clock, this.createRecorder(name, `${name}-1`));
+        const host: TestHost = { hello: testHello(name, "entry"), methods: () => ({}), accept: () => undefined };
+        return new TestEntry({
+            pool: this.network.createPool(host),
+            addressOf: target => ({ host: target, port: 1 }),
+            clock: this.clock,
+            record: this.createRecorder(name, `${name}-1`),
+        });
     }
 
     /** Starts an agent; one with the same name as before is a restart at the same address. */
