--- /dev/null
+++ b/packages/config/src/bench/LoopbackSite.ts
@@ -0,0 +1,153 @@
+import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/platform";
+import { type Hello, LinkServer, protocolVersion, type RpcMethod, TcpLinkPool } from "@waxwingspar/transport";
+import { seededRandom, sleep, SystemClock, uniqueId } from "@waxwingspar/utils";
+import { AsyncLocalStorage } from "node:async_hooks";
+import { subscribe } from "node:diagnostics_channel";
+import { type Socket } from "node:net";
+import { ConfigurationNode, type ConfigurationNodeOptions } from "../lib/distribution/ConfigurationNode.js";
+import { callByPool } from "../lib/distribution/NodeContext.js";
+import { Membership } from "../lib/membership/Membership.js";
+import { StoreLog } from "../lib/revisions/StoreLog.js";
+import { ResourceStore } from "../lib/store/ResourceStore.js";
+import { parseDesired } from "../lib/validation/parseDesired.js";
+
+const credentials = { insecure: true } as const;
+const settleTime = 4000;
+
+/** One process of the site: a configuration node with its own sockets. */
+export interface LoopbackProcess {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly node: ConfigurationNode;
+    readonly store: ResourceStore;
+    readonly membership: Membership;
+    readonly close: () => Promise<void>;
+    /** Sockets that this process opened or accepted. */
+    readonly sockets: Set<Socket>;
+    /** Runs when a revision is put in force. */
+    onApplied: (revision: number) => void;
+}
+
+/** Which process's code runs, so that sockets can be counted for it. */
+const owner = new AsyncLocalStorage<Set<Socket>>();
+subscribe("net.client.socket", message => owner.getStore()?.add((message as { socket: Socket; }).socket));
+
+/** Many configuration nodes in this process, joined by real TCP links over loopback. */
+export class LoopbackSite {
+    readonly clock = new SystemClock();
+    readonly table = new MemoryTableStore({ clock: this.clock });
+    readonly liveList = new MemoryLiveList({ clock: this.clock, lag: 1000 });
+    readonly processes: LoopbackProcess[] = [];
+    private changes = 0;
+
+    constructor(private readonly options: Partial<ConfigurationNodeOptions> & { readonly offers?: boolean; } = {}) {}
+
+    /** Starts processes, spread over data centres, and waits until all are ready and have found their parents. */
+    async start(count: number, centres: number): Promise<void> {
+        const names = Array.from({ length: count }, (_unused, index) => `p${index}`);
+        await Promise.all(names.map((name, index) => this.startProcess(name, `dc${index % centres}`)));
+        await sleep(this.clock, settleTime);
+    }
+
+    /** Starts one process; the same name replaces an earlier one. */
+    async startProcess(name: string, dataCentre: string): Promise<LoopbackProcess> {
+        const incarnation = uniqueId();
+        const sockets = new Set<Socket>();
+        const methods: Record<string, RpcMethod> = {};
+        const hello: Hello = {
+            type: "hello",
+            protocol: protocolVersion,
+            process: name,
+            role: "agent",
+            incarnation,
+            dataCentre,
+        };
+        const server = new LinkServer({ hello, credentials, methods, clock: this.clock });
+        const address = await server.listen();
+        if (address.isErr) {
+            throw new Error(address.error.message);
+        }
+        const place = { process: name, role: "agent" as const, ...address.value, dataCentre, region: "r" };
+        const membership = new Membership({ self: { ...place, incarnation }, clock: this.clock });
+        const pool = new TcpLinkPool({ hello, credentials, methods, clock: this.clock });
+        const call = callByPool(pool, membership);
+        const shared = { log: new StoreLog(this.table), clock: this.clock, random: seededRandom(place.port) };
+        const record = (event: { event: string; revision?: number; }) => {
+            if (event.event === "config.applied") {
+                created.onApplied(event.revision ?? 0);
+            }
+        };
+        const node = new ConfigurationNode({
+            ...shared,
+            membership,
+            liveList: this.liveList,
+            record,
+            call: (...asked) => owner.run(sockets, () => call(...asked)),
+            ...this.options,
+        });
+        Object.assign(methods, node.methods());
+        const onAccepted = this.options.offers === false ? undefined : node.offer.bind(node);
+        const store = new ResourceStore({ ...shared, state: node.state, onAccepted });
+        const close = () => this.stopProcess(node, pool, server);
+        const created: LoopbackProcess = {
+            name,
+            dataCentre,
+            node,
+            store,
+            membership,
+            close,
+            sockets,
+            onApplied: () => undefined,
+        };
+        this.liveList.set({ ...place, state: "live" });
+        const index = this.processes.findIndex(one => one.name === name);
+        this.processes.splice(index < 0 ? this.processes.length : index, index < 0 ? 0 : 1, created);
+        await node.start();
+        return created;
+    }
+
+    /** Has a process accept a change, and returns its revision. */
+    async change(process: LoopbackProcess): Promise<number> {
+        const number = this.changes++;
+        const spec = { timeout: number + 1, nonIdempotent: [{ method: "POST", path: "/orders/*" }] };
+        const desired = parseDesired({ kind: "service", name: `service-${number % 50}`, spec });
+        const accepted = await process.store.apply(desired.isOk ? [desired.value] : [], { changeId: uniqueId() });
+        if (accepted.isErr) {
+            throw new Error(accepted.error[0]?.message);
+        }
+        return accepted.value.revision;
+    }
+
+    /** Bytes that each process sent and received on links that it opened. Each link is counted once, at its opener. */
+    linkBytes(): number[] {
+        return this.processes.map(({ sockets }) =>
+            [...sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0)
+        );
+    }
+
+    /** Bytes of each process on every link, those that it accepted included. */
+    totalBytes(): number[] {
+        const own = this.linkBytes();
+        const ports = new Map(this.processes.map((process, index) => [process.membership.self.port, index]));
+        const total = [...own];
+        for (const { sockets } of this.processes) {
+            for (const socket of sockets) {
+                const index = ports.get(socket.remotePort ?? 0);
+                if (index !== undefined) {
+                    total[index] = (total[index] ?? 0) + socket.bytesRead + socket.bytesWritten;
+                }
+            }
+        }
+        return total;
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.processes.map(process => process.close()));
+    }
+
+    private async stopProcess(node: ConfigurationNode, pool: TcpLinkPool, server: LinkServer): Promise<void> {
+        node.stop();
+        pool.close();
+        await server.close();
+    }
+}
--- /dev/null
+++ b/packages/config/src/bench/distributionBench.ts
@@ -0,0 +1,185 @@
+// node packages/config/dist/bench/distributionBench.js [reads|traffic|spread|restarts|slow]...
+import { sleep } from "@waxwingspar/utils";
+import { type LoopbackProcess, LoopbackSite } from "./LoopbackSite.js";
+import { fitLine, mean, quantile } from "./statistics.js";
+
+const window = 10_000;
+const millisecondsPerSecond = 1000;
+
+const parts: Record<string, () => Promise<void>> = {
+    reads: measureReads,
+    traffic: measureTraffic,
+    spread: () => measureSpread({ title: "in force", size: 240, offers: true }),
+    polling: () => measureSpread({ title: "in force, without offers", size: 240, offers: false }),
+    slow: () => measureSpread({ title: "in force, store 500 ms slow", size: 240, offers: true, storeDelay: 500 }),
+    restarts: measureRestarts,
+};
+
+const chosen = process.argv.slice(2);
+for (const name of chosen.length > 0 ? chosen : Object.keys(parts)) {
+    await parts[name]?.();
+}
+process.exit(0);
+
+function print(line: string): void {
+    process.stdout.write(line + "\n");
+}
+
+async function withSite(
+    count: number,
+    centres: number,
+    use: (site: LoopbackSite) => Promise<void>,
+    options: ConstructorParameters<typeof LoopbackSite>[0] = {},
+): Promise<void> {
+    const site = new LoopbackSite(options);
+    await site.start(count, centres);
+    await use(site);
+    await site.stop();
+}
+
+/** Store reads per second while nothing changes, by number of processes and by number of data centres. */
+async function measureReads(): Promise<void> {
+    const bySize = [];
+    for (const size of [30, 60, 120, 240, 480]) {
+        bySize.push({ x: size, y: await idleReads(size, 3) });
+    }
+    const byCentre = [];
+    for (const centres of [1, 3, 6, 12, 18]) {
+        byCentre.push({ x: centres, y: await idleReads(180, centres) });
+    }
+    const size = fitLine(bySize);
+    const centre = fitLine(byCentre);
+    print(`reads/s = ${size.intercept.toFixed(2)} + ${size.slope.toFixed(5)} per process (3 data centres)`);
+    print(`reads/s = ${centre.intercept.toFixed(2)} + ${centre.slope.toFixed(3)} per data centre (180 processes)`);
+}
+
+async function idleReads(size: number, centres: number): Promise<number> {
+    let rate = 0;
+    await withSite(size, centres, async site => {
+        const before = { ...site.table.faults.arrivals };
+        const lists = site.liveList.faults.arrivals.read;
+        await sleep(site.clock, window);
+        rate = (site.table.faults.arrivals.read - before.read) * millisecondsPerSecond / window;
+        const listRate = (site.liveList.faults.arrivals.read - lists) * millisecondsPerSecond / window;
+        print(`idle: ${size} processes in ${centres} data centres: ${rate} store reads/s, ${listRate} list reads/s`);
+    });
+    return rate;
+}
+
+/** Bytes per second of each process, and processor time, at several rates of change. */
+async function measureTraffic(): Promise<void> {
+    for (const [size, rate] of [[60, 0], [120, 0], [240, 0], [480, 0], [480, 0.15], [480, 1], [480, 10]] as const) {
+        await withSite(size, 3, async site => {
+            const before = site.totalBytes();
+            const processor = process.cpuUsage();
+            const revision = site.processes[0]!.node.revision;
+            await changeFor(site, rate, 2 * window);
+            const seconds = 2 * window / millisecondsPerSecond;
+            const rates = site.totalBytes().map((bytes, index) => (bytes - before[index]!) / seconds);
+            const { user, system } = process.cpuUsage(processor);
+            const share = (user + system) / 1e6 / seconds / size;
+            const changed = site.processes[0]!.node.revision - revision;
+            print(
+                `traffic: ${size} processes, ${rate} changes/s (${changed} made): bytes/s per process mean `
+                    + `${mean(rates).toFixed(0)}, p99 ${quantile(rates, 0.99).toFixed(0)}, max ${
+                        quantile(rates, 1).toFixed(0)
+                    }; `
+                    + `processor ${(100 * share).toFixed(3)}% of a core per process`,
+            );
+        });
+    }
+}
+
+async function changeFor(site: LoopbackSite, rate: number, duration: number): Promise<void> {
+    const end = site.clock.now() + duration;
+    const pause = rate === 0 ? duration : millisecondsPerSecond / rate;
+    while (site.clock.now() < end) {
+        const started = site.clock.now();
+        if (rate > 0) {
+            await site.change(site.processes[1]!);
+        }
+        await sleep(site.clock, Math.max(0, Math.min(pause - (site.clock.now() - started), end - site.clock.now())));
+    }
+}
+
+interface SpreadCase {
+    readonly title: string;
+    readonly size: number;
+    readonly offers: boolean;
+    readonly storeDelay?: number;
+}
+
+/** The time from acceptance to in force at each process, over many single changes. */
+async function measureSpread({ title, size, offers, storeDelay = 0 }: SpreadCase): Promise<void> {
+    await withSite(size, 3, async site => {
+        site.table.faults.set({ delay: storeDelay });
+        const times: number[] = [];
+        const spreads: number[] = [];
+        for (let number = 0; number < 40; number++) {
+            const found = await timeChange(site, site.processes[number % size]!, site.processes);
+            times.push(...found);
+            spreads.push(Math.max(...found) - Math.min(...found));
+            await sleep(site.clock, 200 + 37 * (number % 11));
+        }
+        printTimes(`${title}: ${size} processes in 3 data centres, 40 changes`, times);
+        print(
+            `  first to last process of one change: median ${quantile(spreads, 0.5).toFixed(0)} ms, max ${
+                quantile(spreads, 1).toFixed(0)
+            } ms`,
+        );
+    }, { offers });
+}
+
+/** Milliseconds from the acceptance of a change to its being in force at each process. */
+async function timeChange(site: LoopbackSite, operator: LoopbackProcess, observed: readonly LoopbackProcess[]) {
+    const seen = new Map<string, { revision: number; at: number; }[]>();
+    for (const one of observed) {
+        const list: { revision: number; at: number; }[] = [];
+        seen.set(one.name, list);
+        one.onApplied = revision => list.push({ revision, at: site.clock.now() });
+    }
+    const revision = await site.change(operator);
+    const accepted = site.clock.now();
+    const arrived = (name: string) => seen.get(name)?.find(one => one.revision >= revision)?.at;
+    const limit = accepted + 20_000;
+    while (observed.some(one => arrived(one.name) === undefined) && site.clock.now() < limit) {
+        await sleep(site.clock, 20);
+    }
+    return observed.map(one => Math.max(0, (arrived(one.name) ?? Number.POSITIVE_INFINITY) - accepted));
+}
+
+/** The same while a third of the processes is replaced, at new ports and with nothing of what they knew. */
+async function measureRestarts(): Promise<void> {
+    const size = 90;
+    await withSite(size, 3, async site => {
+        const times: number[] = [];
+        const readyTimes: number[] = [];
+        for (let round = 0; round < 5; round++) {
+            const lost = site.processes.filter((_one, index) => index % 3 === round % 3);
+            const operator = site.processes[(round + 1) % 3]!;
+            const kept = site.processes.filter(one => !lost.includes(one));
+            const restarts = lost.map(async one => {
+                await one.close();
+                const started = site.clock.now();
+                await site.startProcess(one.name, one.dataCentre);
+                readyTimes.push(site.clock.now() - started);
+            });
+            for (let number = 0; number < 4; number++) {
+                times.push(...await timeChange(site, operator, kept));
+            }
+            await Promise.all(restarts);
+            await sleep(site.clock, 2000);
+        }
+        printTimes(`a third restarting: ${size} processes, 20 changes, at those that stay`, times);
+        printTimes("a third restarting: from start to ready", readyTimes);
+    });
+}
+
+function printTimes(title: string, times: readonly number[]): void {
+    const shown = [0.5, 0.9, 0.99, 1].map(share => quantile(times, share).toFixed(0));
+    print(
+        `${title}: median ${shown[0]} ms, p90 ${shown[1]} ms, p99 ${shown[2]} ms, max ${
+            shown[3]
+        } ms (${times.length} times)`,
+    );
+}
--- a/packages/config/src/lib/distribution/ChangeClient.ts
+++ b/packages/config/src/lib/distribution/ChangeClient.ts
@@ -2,7 +2,8 @@
 import { failure, type Outcome, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
-import { logEntrySchema, type Snapshot, snapshotSchema } from "../revisions/LogEntry.js";
+import { type Resource } from "../resources/Resource.js";
+import { logEntrySchema, resourceSchema, type Snapshot } from "../revisions/LogEntry.js";
 import {
     listChangeSchema,
     listSchema,
@@ -96,29 +97,29 @@
     }
 
     private async takeSnapshot(peer: Address): Promise<Outcome<true>> {
-        let text = "";
+        const resources: Resource[] = [];
         let revision: number | undefined;
         for (;;) {
-            const params = { revision, offset: text.length };
+            const params = { revision, offset: resources.length };
             const asked = await this.call(peer, rpcMethods.snapshot, params, snapshotTimeout);
             const answer = asked.andThen(value => parse(snapshotAnswerSchema, value));
             if (answer.isErr) {
                 return Result.err(answer.error);
             }
-            text += answer.value.part;
+            const part = parse(z.array(resourceSchema), unpack(answer.value.part));
+            if (part.isErr) {
+                return Result.err(part.error);
+            }
+            resources.push(...part.value as Resource[]);
             revision = answer.value.revision;
-            if (text.length >= answer.value.length || answer.value.part === "") {
-                return this.load(text);
+            if (resources.length >= answer.value.total || part.value.length === 0) {
+                return this.load({ ...answer.value, resources });
             }
         }
     }
 
-    private load(text: string): Outcome<true> {
-        const snapshot = parse(snapshotSchema, unpack(text));
-        if (snapshot.isErr) {
-            return Result.err(snapshot.error);
-        }
-        const offer = this.context.state.load(snapshot.value as Snapshot);
+    private load(snapshot: Snapshot): Outcome<true> {
+        const offer = this.context.state.load(snapshot);
         return offer === "diverged" ? unreadable("a snapshot whose sum is wrong") : Result.ok(true);
     }
 
--- a/packages/config/src/lib/distribution/ChangeServer.ts
+++ b/packages/config/src/lib/distribution/ChangeServer.ts
@@ -1,13 +1,15 @@
 import { type RpcMethod } from "@waxwingspar/transport";
 import { failure, type Outcome, requestCodes, resourceCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
+import { type Snapshot } from "../revisions/LogEntry.js";
 import { type Children } from "./Children.js";
 import { type SinceAnswer, type SinceParams, sinceParamsSchema, snapshotParamsSchema } from "./messages.js";
 import { type NodeContext } from "./NodeContext.js";
 import { pack } from "./packing.js";
 
 const longestWait = 10_000;
-const partCharacters = 262_144;
+/** Resources that are packed at once: few enough that it takes a few milliseconds. */
+const partResources = 200;
 const snapshotLifetime = 60_000;
 
 /**
@@ -16,7 +18,7 @@
  * @internal
  */
 export class ChangeServer {
-    private packed: { readonly revision: number; readonly text: string; } | undefined;
+    private taken: Snapshot | undefined;
 
     constructor(private readonly context: NodeContext, private readonly children: Children) {}
 
@@ -86,32 +88,31 @@
         return change === undefined ? { listAge, list: pack(lists.list()) } : { listAge, listChange: pack(change) };
     }
 
-    private snapshotPart(revision: number | undefined, offset: number): Outcome<unknown> {
-        if (revision === undefined) {
-            this.preparePacked();
-        }
-        const packed = this.packed;
-        if (packed === undefined || (revision !== undefined && packed.revision !== revision)) {
+    private snapshotPart(asked: number | undefined, offset: number): Outcome<unknown> {
+        const snapshot = asked === undefined ? this.takeSnapshot() : this.taken;
+        if (snapshot === undefined || (asked !== undefined && snapshot.revision !== asked)) {
             return Result.err(failure(resourceCodes.revisionGone, "the snapshot was replaced by a newer one"));
         }
-        const part = packed.text.slice(offset, offset + partCharacters);
-        return Result.ok({ revision: packed.revision, part, length: packed.text.length });
+        const { revision, digest, content, resources } = snapshot;
+        const part = pack(resources.slice(offset, offset + partResources));
+        return Result.ok({ revision, digest, content, total: resources.length, part });
     }
 
-    /** Packs the snapshot, unless a recent one serves: what is missing in it follows as entries. */
-    private preparePacked(): void {
+    /** Takes a snapshot, unless a recent one serves: what is missing in it follows as entries. */
+    private takeSnapshot(): Snapshot {
         const { state, clock } = this.context;
-        if (this.packed !== undefined && this.packed.revision >= state.oldest) {
-            return;
+        if (this.taken !== undefined && this.taken.revision >= state.oldest) {
+            return this.taken;
         }
-        const packed = { revision: state.revision, text: pack(state.snapshot()) };
-        this.packed = packed;
-        clock.schedule(() => this.release(packed), snapshotLifetime);
+        const snapshot = state.snapshot();
+        this.taken = snapshot;
+        clock.schedule(() => this.release(snapshot), snapshotLifetime);
+        return snapshot;
     }
 
-    private release(packed: object): void {
-        if (this.packed === packed) {
-            this.packed = undefined;
+    private release(snapshot: Snapshot): void {
+        if (this.taken === snapshot) {
+            this.taken = undefined;
         }
     }
 }
--- a/packages/config/src/lib/distribution/ConfigurationNode.test.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.test.ts
@@ -82,7 +82,7 @@
     assert(sleeper !== undefined && operator !== undefined);
     site.kill(sleeper);
     for (let number = 0; number < 1030; number++) {
-        await site.settle(site.change(operator, `s${number % 7}`, number + 1));
+        await site.settle(site.change(operator, `s${number % 450}`, number + 1));
     }
     await site.settle(site.start(sleeper));
     assert.equal(sleeper.node.state.digest, operator.node.state.digest);
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -15,7 +15,7 @@
 import { ChangeServer } from "./ChangeServer.js";
 import { Children } from "./Children.js";
 import { chooseParents } from "./chooseParents.js";
-import { leavingParamsSchema, offerParamsSchema, rpcMethods } from "./messages.js";
+import { leavingParamsSchema, type OfferParams, offerParamsSchema, rpcMethods } from "./messages.js";
 import { NodeContext, type PeerCaller } from "./NodeContext.js";
 import { pack, unpack } from "./packing.js";
 import { type Progress, ProgressCollector } from "./ProgressCollector.js";
@@ -172,25 +172,34 @@
      * of their next read of the store. What gets lost, they read there.
      */
     offer(entry: LogEntry): void {
-        const { membership, call } = this.options;
-        const { dataCentre, process } = membership.self;
-        const readers = [...membership.readers(dataCentre), ...this.remoteReaders(1)];
-        const params = { entries: pack([entry]) };
-        for (const reader of readers.filter(one => one.process !== process)) {
-            void call(reader, rpcMethods.offer, params, offerTimeout);
-        }
+        this.sendOffer({ entries: pack([entry]) }, [...this.ownReaders(), ...this.remoteReaders(1)]);
     }
 
+    /** The reader that hears of a change tells the others of its data centre. */
     private heardOffer(params: unknown): Outcome<unknown> {
         const parsed = offerParamsSchema.safeParse(params);
         const entries = parsed.success ? z.array(logEntrySchema).safeParse(unpack(parsed.data.entries)) : parsed;
-        if (!entries.success) {
+        if (!parsed.success || !entries.success) {
             return Result.err(failure(requestCodes.malformed, "malformed offer"));
         }
-        this.state.apply(entries.data);
+        if (this.state.apply(entries.data) === "applied") {
+            this.sendOffer(parsed.data, this.ownReaders());
+        }
         return Result.ok(true);
     }
 
+    private sendOffer(params: OfferParams, readers: readonly Member[]): void {
+        const { membership, call } = this.options;
+        for (const reader of readers.filter(one => one.process !== membership.self.process)) {
+            void call(reader, rpcMethods.offer, params, offerTimeout);
+        }
+    }
+
+    private ownReaders(): Member[] {
+        const { membership } = this.options;
+        return membership.readers(membership.self.dataCentre);
+    }
+
     private heardLeaving(params: unknown): Outcome<unknown> {
         const parsed = leavingParamsSchema.safeParse(params);
         if (!parsed.success) {
@@ -313,9 +322,8 @@
     /** Some readers of each other data centre. */
     private remoteReaders(count: number): Member[] {
         const { membership } = this.options;
-        const centres = new Set(membership.members().map(one => one.dataCentre));
-        centres.delete(membership.self.dataCentre);
-        return [...centres].flatMap(centre => membership.readers(centre).slice(0, count));
+        const centres = membership.dataCentres().filter(centre => centre !== membership.self.dataCentre);
+        return centres.flatMap(centre => membership.readers(centre).slice(0, count));
     }
 
     private note(parent: Parent, answer: Outcome<PeerState>, reader: boolean): void {
--- a/packages/config/src/lib/distribution/NodeContext.ts
+++ b/packages/config/src/lib/distribution/NodeContext.ts
@@ -55,8 +55,15 @@
 
     /** Takes a list that was read some milliseconds ago. */
     takeList(list: Parameters<Membership["updateList"]>[0], age: number): void {
-        if (this.membership.updateList(list, age) && this.lists.update(list)) {
+        if (age >= this.membership.listAge) {
+            return;
+        }
+        if (this.lists.update(list) || !Number.isFinite(this.membership.listAge)) {
+            this.membership.updateList(list, age);
             this.signal.notify();
         }
+        else {
+            this.membership.confirmList(age);
+        }
     }
 }
--- a/packages/config/src/lib/distribution/ProgressCollector.ts
+++ b/packages/config/src/lib/distribution/ProgressCollector.ts
@@ -93,8 +93,7 @@
 
     private async askReaders(params: ProgressParams): Promise<ProgressAnswer[]> {
         const { membership } = this.context;
-        const centres = new Set(membership.members().map(one => one.dataCentre));
-        const readers = [...centres].flatMap(centre => membership.readers(centre));
+        const readers = membership.dataCentres().flatMap(centre => membership.readers(centre));
         const answers = await Promise.all(readers.map(reader => this.ask(reader, params)));
         return answers.filter(answer => answer.isOk).map(answer => answer.value);
     }
--- a/packages/config/src/lib/distribution/messages.ts
+++ b/packages/config/src/lib/distribution/messages.ts
@@ -50,19 +50,23 @@
 
 export type SinceAnswer = z.infer<typeof sinceAnswerSchema>;
 
-/** A part of the packed snapshot. @internal */
+/** Asks for a part of a snapshot. @internal */
 export const snapshotParamsSchema = z.object({
     /** The revision whose snapshot is being read; absent for the first part. */
     revision: z.number().int().optional(),
+    /** How many resources were received. */
     offset: z.number().int().nonnegative(),
 });
 
 /** @internal */
 export const snapshotAnswerSchema = z.object({
     revision: z.number().int(),
+    digest: z.string(),
+    content: z.string(),
+    /** Resources of the whole snapshot. */
+    total: z.number().int(),
+    /** The next resources, packed. */
     part: z.string(),
-    /** Characters of the whole packed snapshot. */
-    length: z.number().int(),
 });
 
 /** @internal */
@@ -103,6 +107,8 @@
 /** Entries that were just accepted, packed, from the process that accepted them. @internal */
 export const offerParamsSchema = z.object({ entries: z.string() });
 
+export type OfferParams = z.infer<typeof offerParamsSchema>;
+
 /** A process's own word that it leaves. @internal */
 export const leavingParamsSchema = z.object({ process: z.string(), incarnation: z.string() });
 
--- a/packages/config/src/lib/membership/ListHistory.ts
+++ b/packages/config/src/lib/membership/ListHistory.ts
@@ -1,10 +1,11 @@
 import { type LiveHost, liveHostSchema } from "@waxwingspar/platform";
 import { createHash } from "node:crypto";
 import { z } from "zod";
-import { canonicalJson } from "../revisions/digest.js";
 
 const keptChanges = 64;
+const digestBits = 64n;
 const digestCharacters = 16;
+const digestMask = (1n << digestBits) - 1n;
 
 /**
  * The difference between two lists of hosts.
@@ -19,7 +20,12 @@
 export type ListChange = z.infer<typeof listChangeSchema>;
 
 /** The digest of an empty list. @internal */
-export const emptyListDigest = listDigest([]);
+export const emptyListDigest = "0".repeat(digestCharacters);
+
+interface ListedHost {
+    readonly host: LiveHost;
+    readonly text: string;
+}
 
 /**
  * Hands the live list on as differences. Lists are known by a digest of their content, so that any process can serve
@@ -28,8 +34,9 @@
  * @internal
  */
 export class ListHistory {
-    private hosts = new Map<string, LiveHost>();
+    private hosts = new Map<string, ListedHost>();
     private readonly steps: { readonly from: string; readonly change: ListChange; }[] = [];
+    private sum = 0n;
     private current = emptyListDigest;
 
     /** The digest of the newest list. */
@@ -39,25 +46,37 @@
 
     /** The newest list. */
     list(): LiveHost[] {
-        return [...this.hosts.values()];
+        return [...this.hosts.values()].map(({ host }) => host);
     }
 
-    /** Takes a newer list. Returns whether it differs. */
+    /** Takes a newer list. Returns whether it differs. Only what changed is hashed, since lists are long. */
     update(list: readonly LiveHost[]): boolean {
-        const digest = listDigest(list);
-        if (digest === this.current) {
+        const next = new Map(list.map(host => [host.process, { host, text: textOf(host) }]));
+        const removed = [...this.hosts.keys()].filter(process => !next.has(process));
+        const set = [...next.values()].filter(({ host, text }) => this.hosts.get(host.process)?.text !== text);
+        if (removed.length === 0 && set.length === 0) {
             return false;
         }
-        const next = new Map(list.map(host => [host.process, host]));
-        const set = list.filter(host => canonicalJson(this.hosts.get(host.process)) !== canonicalJson(host));
-        const removed = [...this.hosts.keys()].filter(process => !next.has(process));
-        this.steps.push({ from: this.current, change: { set, removed } });
+        [...removed, ...set.map(({ host }) => host.process)].forEach(process => this.subtract(process));
+        set.forEach(({ text }) => this.sum += hashOf(text));
+        this.remember({ set: set.map(({ host }) => host), removed });
+        this.hosts = next;
+        this.current = (this.sum & digestMask).toString(16).padStart(digestCharacters, "0");
+        return true;
+    }
+
+    private remember(change: ListChange): void {
+        this.steps.push({ from: this.current, change });
         if (this.steps.length > keptChanges) {
             this.steps.shift();
         }
-        this.hosts = next;
-        this.current = digest;
-        return true;
+    }
+
+    private subtract(process: string): void {
+        const known = this.hosts.get(process);
+        if (known !== undefined) {
+            this.sum -= hashOf(known.text);
+        }
     }
 
     /** The change from an older list to the newest, or undefined when the older one is no longer known here. */
@@ -86,15 +105,17 @@
 
     /** The newest list after a change that was received. */
     changed(change: ListChange): LiveHost[] {
-        const next = new Map(this.hosts);
+        const next = new Map(this.list().map(host => [host.process, host]));
         change.removed.forEach(process => next.delete(process));
         change.set.forEach(host => next.set(host.process, host));
         return [...next.values()];
     }
 }
 
-/** A digest of a list's content, whatever its order. @internal */
-export function listDigest(list: readonly LiveHost[]): string {
-    const sorted = [...list].sort((a, b) => a.process < b.process ? -1 : 1);
-    return createHash("sha256").update(canonicalJson(sorted)).digest("hex").slice(0, digestCharacters);
+function textOf({ process, role, host, port, dataCentre, region, state }: LiveHost): string {
+    return [process, role, host, port, dataCentre, region, state].join(" ");
+}
+
+function hashOf(text: string): bigint {
+    return createHash("sha256").update(text).digest().readBigUInt64BE(0);
 }
--- a/packages/config/src/lib/membership/Membership.test.ts
+++ b/packages/config/src/lib/membership/Membership.test.ts
@@ -3,7 +3,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { emptyListDigest, listDigest, ListHistory } from "./ListHistory.js";
+import { emptyListDigest, ListHistory } from "./ListHistory.js";
 import { Membership } from "./Membership.js";
 
 const minute = 60_000;
@@ -156,7 +156,9 @@
         assert(change !== undefined);
         receiver.update(receiver.changed(change));
         assert.equal(receiver.digest, sender.digest);
-        assert.equal(listDigest(receiver.list()), sender.digest);
-        assert.equal(new ListHistory().digest, emptyListDigest);
+        const byName = (a: LiveHost, b: LiveHost) => a.process < b.process ? -1 : 1;
+        assert.deepEqual(receiver.list().sort(byName), sender.list().sort(byName));
+        receiver.update([]);
+        assert.equal(receiver.digest, emptyListDigest);
     }));
 });
--- a/packages/config/src/lib/membership/Membership.ts
+++ b/packages/config/src/lib/membership/Membership.ts
@@ -2,7 +2,7 @@
 import { type Address } from "@waxwingspar/transport";
 import { type Clock } from "@waxwingspar/utils";
 import { type Member, type Self } from "./Member.js";
-import { rankByWeight } from "./rendezvous.js";
+import { MembershipView } from "./MembershipView.js";
 
 const defaultReaders = 2;
 const defaultSuspicion = 10_000;
@@ -10,7 +10,6 @@
 const defaultRetention = 3_600_000;
 const defaultStaleAfter = 30_000;
 const heardFor = 60_000;
-const viewLifetime = 200;
 const massLossShare = 0.5;
 const massLossGroup = 4;
 
@@ -40,8 +39,8 @@
     host: Omit<LiveHost, "state">;
     /** Its state in the list; undefined when the list does not show it. */
     listed?: LiveHost["state"];
-    /** When the list last showed it. */
-    listedAt: number;
+    /** When the list last showed it, while it does not; or when it was first heard of. */
+    absentSince: number;
     heardAt: number;
     incarnation?: string;
     /** The incarnation that announced that it leaves. */
@@ -62,11 +61,13 @@
     private readonly clock: Clock;
     private readonly options: Required<Omit<MembershipOptions, "self" | "clock">>;
     private readonly known = new Map<string, Entry>();
+    /** Processes that the list does not show. */
+    private readonly absent = new Set<string>();
     /** Earlier incarnations, which a late message must not bring back. */
     private readonly replaced = new Set<string>();
     private readonly handlers = new Set<() => void>();
     private listReadAt = Number.NEGATIVE_INFINITY;
-    private view: { readonly members: readonly Member[]; readonly until: number; } | undefined;
+    private view: MembershipView | undefined;
 
     constructor({ self, clock, ...options }: MembershipOptions) {
         this.self = self;
@@ -80,7 +81,7 @@
         };
         const now = clock.now();
         const { incarnation, ...host } = self;
-        const times = { listedAt: now, heardAt: now, suspectUntil: now };
+        const times = { absentSince: now, heardAt: now, suspectUntil: now };
         this.known.set(self.process, { host, ...times, incarnation, listLags: false });
     }
 
@@ -102,12 +103,12 @@
 
     /** Every known process, this one included. */
     members(): readonly Member[] {
-        const now = this.clock.now();
-        if (this.view === undefined || this.view.until <= now) {
-            const members = [...this.known.values()].map(entry => this.describe(entry, now));
-            this.view = { members, until: now + viewLifetime };
-        }
-        return this.view.members;
+        return this.currentView().members;
+    }
+
+    /** The names of all data centres. */
+    dataCentres(): readonly string[] {
+        return this.currentView().dataCentres;
     }
 
     /**
@@ -133,18 +134,8 @@
     }
 
     /** The usable processes of a data centre, in the order in which they are readers. */
-    ranked(dataCentre: string): Member[] {
-        const usable = this.members().filter(one =>
-            one.dataCentre === dataCentre && one.state === "live" && !one.suspect
-        );
-        return rankByWeight(`reader/${dataCentre}`, usable);
-    }
-
-    /** The list as it was last read, to hand on to others. */
-    listed(): LiveHost[] {
-        return [...this.known.values()].flatMap(({ host, listed }) =>
-            listed === undefined ? [] : [{ ...host, state: listed }]
-        );
+    ranked(dataCentre: string): readonly Member[] {
+        return this.currentView().ranked(dataCentre);
     }
 
     /**
@@ -158,14 +149,13 @@
         if (readAt <= this.listReadAt) {
             return false;
         }
-        this.listReadAt = readAt;
         const present = new Set(hosts.map(host => host.process));
         for (const entry of this.known.values()) {
             if (!present.has(entry.host.process)) {
-                entry.listed = undefined;
-                entry.listLags = false;
+                this.markAbsent(entry);
             }
         }
+        this.listReadAt = readAt;
         hosts.forEach(host => this.updateFromList(host, readAt));
         this.drop();
         this.announce();
@@ -179,11 +169,6 @@
             return;
         }
         this.listReadAt = readAt;
-        for (const entry of this.known.values()) {
-            if (entry.listed !== undefined) {
-                entry.listedAt = readAt;
-            }
-        }
         if (this.drop()) {
             this.announce();
         }
@@ -243,6 +228,23 @@
         return this.members().find(one => one.host === host && one.port === port);
     }
 
+    private currentView(): MembershipView {
+        const now = this.clock.now();
+        if (this.view === undefined || this.view.until <= now) {
+            const entries = [...this.known.values()];
+            const until = entries.reduce((least, entry) => Math.min(least, this.nextExpiry(entry, now)), Infinity);
+            this.view = new MembershipView(entries.map(entry => this.describe(entry, now)), until);
+        }
+        return this.view;
+    }
+
+    /** When the state of an entry changes if nothing more is heard. */
+    private nextExpiry({ suspectUntil, heardAt, listed }: Entry, now: number): number {
+        const suspicion = suspectUntil > now ? suspectUntil : Infinity;
+        const silence = listed === undefined && heardAt + heardFor > now ? heardAt + heardFor : Infinity;
+        return Math.min(suspicion, silence);
+    }
+
     private describe(entry: Entry, now: number): Member {
         const { host, incarnation, suspectUntil } = entry;
         return { ...host, state: this.stateOf(entry), incarnation, suspect: suspectUntil > now };
@@ -257,16 +259,25 @@
         return entry.listed !== undefined || heard || entry.host.process === this.self.process ? "live" : "unreachable";
     }
 
+    private markAbsent(entry: Entry): void {
+        if (entry.listed !== undefined) {
+            entry.listed = undefined;
+            entry.absentSince = this.listReadAt;
+        }
+        entry.listLags = false;
+        this.absent.add(entry.host.process);
+    }
+
     private updateFromList({ state, ...host }: LiveHost, readAt: number): void {
+        this.absent.delete(host.process);
         const entry = this.known.get(host.process);
         if (entry === undefined) {
-            const times = { listedAt: readAt, heardAt: Number.NEGATIVE_INFINITY, suspectUntil: readAt };
+            const times = { absentSince: readAt, heardAt: Number.NEGATIVE_INFINITY, suspectUntil: readAt };
             this.known.set(host.process, { host, listed: state, ...times, listLags: false });
             return;
         }
         entry.host = host;
         entry.listed = state;
-        entry.listedAt = readAt;
         entry.listLags &&= state === "leaving";
     }
 
@@ -277,9 +288,10 @@
         }
         const { host, port } = address;
         const now = this.clock.now();
-        const times = { listedAt: now, heardAt: now, suspectUntil: now };
+        const times = { absentSince: now, heardAt: now, suspectUntil: now };
         const entry: Entry = { host: { process, role, host, port, dataCentre, region }, ...times, listLags: false };
         this.known.set(process, entry);
+        this.absent.add(process);
         this.announce();
         return entry;
     }
@@ -296,6 +308,9 @@
 
     /** Forgets processes that the list no longer shows, unless most of their data centre vanished with them. */
     private drop(): boolean {
+        if (this.absent.size === 0) {
+            return false;
+        }
         const groups = new Map<string, Entry[]>();
         for (const entry of this.known.values()) {
             const group = groups.get(entry.host.dataCentre) ?? [];
@@ -308,18 +323,23 @@
             const mass = group.length >= massLossGroup && lost.length > group.length * massLossShare;
             const limit = mass ? this.options.retention : this.options.grace;
             const gone = group.filter(entry => this.isGone(entry, limit));
-            gone.forEach(entry => this.known.delete(entry.host.process));
+            gone.forEach(entry => this.forget(entry.host.process));
             dropped ||= gone.length > 0;
         }
         return dropped;
     }
 
+    private forget(process: string): void {
+        this.known.delete(process);
+        this.absent.delete(process);
+    }
+
     private isGone(entry: Entry, limit: number): boolean {
         if (entry.listed !== undefined || entry.host.process === this.self.process) {
             return false;
         }
         const state = this.stateOf(entry);
-        const absent = this.clock.now() - entry.listedAt;
+        const absent = this.clock.now() - entry.absentSince;
         return state === "leaving" ? absent > this.options.grace : state === "unreachable" && absent > limit;
     }
 
--- a/packages/config/src/lib/revisions/LogEntry.ts
+++ b/packages/config/src/lib/revisions/LogEntry.ts
@@ -50,14 +50,6 @@
  *
  * @public
  */
-export const snapshotSchema = z.object({
-    revision: z.number().int().nonnegative(),
-    digest: z.string(),
-    content: z.string(),
-    resources: z.array(resourceSchema),
-});
-
-/** @public */
 export interface Snapshot {
     readonly revision: number;
     readonly digest: string;
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -10,16 +10,21 @@
     requestCodes,
     sleep,
 } from "@waxwingspar/utils";
-import { createHash } from "node:crypto";
 import { Result } from "true-myth";
-import { z } from "zod";
-import { canonicalJson } from "../revisions/digest.js";
-import { kindSchema, type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "../revisions/LogEntry.js";
+import { type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "../revisions/LogEntry.js";
 import { nextEntry, type RevisionState } from "../revisions/RevisionState.js";
 import { headKey, type HeadRow, logKey, resourceRowKey, type StoreLog } from "../revisions/StoreLog.js";
 import { type DesiredChange } from "../validation/parseDesired.js";
 import { type ResourceFailure } from "../validation/ResourceFailure.js";
 import { type ChangeResult, planChanges } from "./planChanges.js";
+import {
+    askedDigest,
+    buildTransaction,
+    changeKey,
+    type ChangeRow,
+    changeRowSchema,
+    withoutFields,
+} from "./transaction.js";
 
 const defaultPatience = 8000;
 const defaultRetainedEntries = 4096;
@@ -27,29 +32,6 @@
 const longestPause = 1000;
 const parallelReads = 16;
 const headReads = 4;
-const changePrefix = "config/change/";
-
-/** The row that remembers a change by its id, so that it is never accepted twice. */
-const changeRowSchema = z.object({
-    revision: z.number().int(),
-    writeId: z.string(),
-    /** A digest of what was asked, to tell a repeated request from another one under the same id. */
-    asked: z.string(),
-    results: z.array(z.object({
-        kind: kindSchema,
-        name: z.string(),
-        action: z.enum(["created", "updated", "deleted", "unchanged"]),
-        resourceVersion: z.number().int(),
-        fields: z.array(z.never()),
-    })),
-});
-
-interface ChangeRow {
-    readonly revision: number;
-    readonly writeId: string;
-    readonly asked: string;
-    readonly results: readonly ChangeResult[];
-}
 
 /** @public */
 export interface ResourceStoreOptions {
@@ -352,46 +334,3 @@
         return Result.ok({ revision, changeId, results });
     }
 }
-
-function buildTransaction(
-    entry: LogEntry,
-    row: ChangeRow,
-    head: HeadRow,
-    versions: ReadonlyMap<string, number>,
-    expired: readonly string[],
-): Transaction {
-    const { revision, digest, content } = entry;
-    const resources = entry.changes.map(({ kind, name, spec }) => ({
-        key: resourceRowKey(resourceKey(kind, name)),
-        value: spec === undefined ? undefined : { kind, name, spec, resourceVersion: revision },
-    }));
-    return {
-        writeId: entry.writeId,
-        conditions: [
-            { key: headKey, version: head.version },
-            { key: logKey(revision), version: 0 },
-            { key: changeKey(entry.changeId), version: 0 },
-            ...resources.map(({ key }) => ({ key, version: versions.get(key) ?? 0 })),
-        ],
-        writes: [
-            { key: headKey, value: { revision, digest, content } },
-            { key: logKey(revision), value: entry },
-            { key: changeKey(entry.changeId), value: row },
-            ...resources,
-            ...expired.map(key => ({ key })),
-        ],
-    };
-}
-
-function askedDigest(changes: readonly DesiredChange[]): string {
-    return createHash("sha256").update(canonicalJson(changes)).digest("hex");
-}
-
-function changeKey(changeId: string): string {
-    return changePrefix + changeId;
-}
-
-/** Old values stay out of the store's record of a change. */
-function withoutFields(result: ChangeResult): ChangeResult {
-    return { ...result, fields: [] };
-}
--- /dev/null
+++ b/packages/config/src/lib/store/transaction.ts
@@ -0,0 +1,78 @@
+import { type Transaction } from "@waxwingspar/platform";
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import { canonicalJson } from "../revisions/digest.js";
+import { kindSchema, type LogEntry, resourceKey } from "../revisions/LogEntry.js";
+import { headKey, type HeadRow, logKey, resourceRowKey } from "../revisions/StoreLog.js";
+import { type DesiredChange } from "../validation/parseDesired.js";
+import { type ChangeResult } from "./planChanges.js";
+
+const changePrefix = "config/change/";
+
+/** The row that remembers a change by its id, so that it is never accepted twice. */
+export const changeRowSchema = z.object({
+    revision: z.number().int(),
+    writeId: z.string(),
+    /** A digest of what was asked, to tell a repeated request from another one under the same id. */
+    asked: z.string(),
+    results: z.array(z.object({
+        kind: kindSchema,
+        name: z.string(),
+        action: z.enum(["created", "updated", "deleted", "unchanged"]),
+        resourceVersion: z.number().int(),
+        fields: z.array(z.never()),
+    })),
+});
+
+export interface ChangeRow {
+    readonly revision: number;
+    readonly writeId: string;
+    readonly asked: string;
+    readonly results: readonly ChangeResult[];
+}
+
+/** Builds the transaction that accepts an entry. @internal */
+export function buildTransaction(
+    entry: LogEntry,
+    row: ChangeRow,
+    head: HeadRow,
+    versions: ReadonlyMap<string, number>,
+    expired: readonly string[],
+): Transaction {
+    const { revision, digest, content } = entry;
+    const resources = entry.changes.map(({ kind, name, spec }) => ({
+        key: resourceRowKey(resourceKey(kind, name)),
+        value: spec === undefined ? undefined : { kind, name, spec, resourceVersion: revision },
+    }));
+    return {
+        writeId: entry.writeId,
+        conditions: [
+            { key: headKey, version: head.version },
+            { key: logKey(revision), version: 0 },
+            { key: changeKey(entry.changeId), version: 0 },
+            ...resources.map(({ key }) => ({ key, version: versions.get(key) ?? 0 })),
+        ],
+        writes: [
+            { key: headKey, value: { revision, digest, content } },
+            { key: logKey(revision), value: entry },
+            { key: changeKey(entry.changeId), value: row },
+            ...resources,
+            ...expired.map(key => ({ key })),
+        ],
+    };
+}
+
+/** A digest of what was asked. @internal */
+export function askedDigest(changes: readonly DesiredChange[]): string {
+    return createHash("sha256").update(canonicalJson(changes)).digest("hex");
+}
+
+/** The row key of a change's record. @internal */
+export function changeKey(changeId: string): string {
+    return changePrefix + changeId;
+}
+
+/** Old values stay out of the store's record of a change. @internal */
+export function withoutFields(result: ChangeResult): ChangeResult {
+    return { ...result, fields: [] };
+}
