--- a/packages/policy/src/bench/policyBench.ts
+++ b/packages/policy/src/bench/policyBench.ts
@@ -31,11 +31,8 @@
     process.exit(values.help ? 0 : 2);
 }
 if (values.sweep !== undefined) {
-    runSweeps(
-        values.sweep === "all" ? "" : values.sweep,
-        [seed, seed + 1],
-        text => process.stdout.write(`${text}\n\n`),
-    );
+    const options = values.sweep === "all" ? values.sweep : values.sweep.split(",");
+    runSweeps(options, [seed, seed + 1], text => process.stdout.write(`${text}\n\n`));
 }
 else {
     report();
