--- a/packages/transport/src/lib/tcp/StreamWire.ts
+++ b/packages/transport/src/lib/tcp/StreamWire.ts
@@ -89,7 +89,8 @@
         this.options.stream.destroy();
     }
 
-    private flush(): void {
+    /** Writes what was sent in this turn so far. */
+    flush(): void {
         if (this.pending.length === 0 || this.ended) {
             return;
         }
--- a/packages/transport/src/lib/tcp/TcpLink.ts
+++ b/packages/transport/src/lib/tcp/TcpLink.ts
@@ -67,6 +67,8 @@
     });
     const helloTimer = clock.schedule(() => wire.fail(noHello()), limits.connectTimeout);
     wire.send(hello);
+    // The hello leaves in a frame of its own: until it has come, the peer takes small frames only.
+    wire.flush();
 
     function greet(message: Message): Failure | undefined {
         const refusal = checkHello(message);
--- a/packages/transport/src/lib/tcp/credentials.ts
+++ b/packages/transport/src/lib/tcp/credentials.ts
@@ -18,13 +18,11 @@
 export const linkCredentialsSchema = z.union([
     z.strictObject({
         keys: z.array(z.strictObject({
-            /** Names the key; it travels in the clear. */
-            id: z.string().min(1).max(64),
-            /** The shared secret: random text, at least 32 characters. */
-            secret: z.string().min(minSecret),
-        })).min(1),
+            id: z.string().min(1).max(64).describe("Names the key; it travels in the clear."),
+            secret: z.string().min(minSecret).describe("The shared secret: random text, the same on every process."),
+        })).min(1).describe("The first key opens links; each of them is accepted."),
     }),
-    z.strictObject({ insecure: z.literal(true) }),
+    z.strictObject({ insecure: z.literal(true).describe("Plaintext, on loopback addresses only, instead of keys.") }),
 ]);
 
 /** @public */
--- a/packages/transport/src/lib/tcp/links.test.ts
+++ b/packages/transport/src/lib/tcp/links.test.ts
@@ -77,6 +77,25 @@
     assert.deepEqual(await answered, { type: "credit", request: "r1", epoch: 2, upTo: 9 });
 });
 
+test("much can be sent at the moment a link opens, in both directions", async t => {
+    const data = new Uint8Array(20_000);
+    const piece: Message = { type: "replyBody", request: "r", data, last: false };
+    for (const credentials of [insecure, { keys: [oldKey] }]) {
+        const { address, nextLink } = await listen(t, { credentials, onLink: link => link.send(piece) });
+        const accepted = nextLink();
+        const pool = poolFor(t, { credentials });
+        const arrived = new Promise<Message>(resolve =>
+            pool.onOpen(link => {
+                link.onMessage(resolve);
+                link.send(piece);
+            })
+        );
+        await open(pool, address);
+        assert.equal((await arrived).type, "replyBody");
+        assert.equal((await nextMessage(await accepted)).type, "replyBody");
+    }
+});
+
 test("concurrent connects share one attempt and one link", async t => {
     const { address, links } = await listen(t);
     const pool = poolFor(t);
