Agent: stays to refuse what was on its way; claimed runs under restarts and leaving tested

Cause: an agent that left without work closed at once and dropped an `open` that was on its way, so that its entry waited for an answer that never came (found by the new property test, shrunk to one request and one leaving at time 0). Change: a leaving agent lingers 500 ms, and refuses new work also after it has closed; tests use the real work queue. Conclusion: what arrives during a planned stop is refused as not run while its link lives.

--- a/packages/agent/src/bench/directCost.ts
+++ b/packages/agent/src/bench/directCost.ts
@@ -1,9 +1,9 @@
 import { StaticConfiguration } from "@waxwingspar/config";
+import { createWorkQueue } from "@waxwingspar/policy";
 import { type Link, type LinkPool, type Message, type OpenMessage } from "@waxwingspar/transport";
 import { type Failure, failure, SystemClock, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { Agent } from "../lib/Agent.js";
-import { TestQueue } from "../lib/testing/TestQueue.js";
 import { benchHello, benchLayers } from "./benchAgent.js";
 import { InstantEngine } from "./InstantEngine.js";
 
@@ -105,14 +105,15 @@
         onOpen: () => undefined,
         close: () => undefined,
     };
+    const clock = new SystemClock();
     const agent = new Agent({
         target: "head",
         hello: benchHello("head", "agent"),
         pool,
         engine: new InstantEngine(0, 5, benchLayers),
         configuration: new StaticConfiguration(),
-        queue: new TestQueue(streams),
-        clock: new SystemClock(),
+        queue: createWorkQueue({ clock, slots: streams }),
+        clock,
     });
     await agent.start();
     agent.accept(toLast);
--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -3,8 +3,15 @@
 import { type Engine, type Order } from "@waxwingspar/engine";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type WorkQueue } from "@waxwingspar/policy";
-import { type Hello, type Link, type LinkPool, type Message, type RpcMethod } from "@waxwingspar/transport";
-import { type Clock, type Outcome } from "@waxwingspar/utils";
+import {
+    type CallMessage,
+    type Hello,
+    type Link,
+    type LinkPool,
+    type Message,
+    type RpcMethod,
+} from "@waxwingspar/transport";
+import { type Clock, type Failure, type Outcome } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Result } from "true-myth";
 import { type AgentContext, type AgentMetrics, type ModelVersion } from "./AgentContext.js";
@@ -14,7 +21,7 @@
 import { OrderGate, orderMethodName } from "./control/OrderGate.js";
 import { createContext } from "./createContext.js";
 import { Drain } from "./Drain.js";
-import { noService, toWire } from "./faults.js";
+import { closedFailure, noService, toWire } from "./faults.js";
 import { FollowAttempt } from "./head/FollowAttempt.js";
 import { HeadAttempt } from "./head/HeadAttempt.js";
 import { HeadRequests } from "./head/HeadRequests.js";
@@ -177,6 +184,7 @@
             active: () => this.activeRequests,
             handOver: () => this.context.table.open.forEach(attempt => attempt.handOver()),
             exporting: () => sessions.size > 0,
+            linger: settings.leaveLinger,
             handOverAfter: settings.handOverAfter,
             limit: settings.drainLimit,
         });
@@ -203,6 +211,7 @@
 
     private receive(message: Message, link: Link): void {
         if (this.closed) {
+            this.refuse(message, link);
             return;
         }
         switch (message.type) {
@@ -237,6 +246,22 @@
         }
     }
 
+    /** Answers new work that arrives after the agent has closed, while its links still live. */
+    private refuse(message: Message, link: Link): void {
+        switch (message.type) {
+            case "open":
+                this.heads.refuseClosed(message, link);
+                return;
+            case "join":
+                this.stages.refuseClosed(message, link);
+                return;
+            case "call":
+                this.refuseCall(message, link, closedFailure(this.calls?.knows(message.claim) === true));
+                return;
+            default:
+        }
+    }
+
     private receiveFrame(message: Extract<Message, { type: "frame"; }>, link: Link): void {
         const attempt = this.context.table.find(message.request, message.epoch);
         if (attempt instanceof StageAttempt) {
@@ -298,13 +323,16 @@
         }
     }
 
-    private receiveCall(message: Extract<Message, { type: "call"; }>, link: Link): void {
+    private receiveCall(message: CallMessage, link: Link): void {
         if (this.calls !== undefined) {
             this.calls.call(message, link);
             return;
         }
-        const { request } = message;
-        link.send({ type: "callFailed", request, failure: toWire(noService(message.service)) });
+        this.refuseCall(message, link, noService(message.service));
+    }
+
+    private refuseCall({ request }: CallMessage, link: Link, reason: Failure): void {
+        link.send({ type: "callFailed", request, failure: toWire(reason), load: this.context.load.report() });
     }
 
     /** Tells the queue the weights of the organisations. */
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -47,6 +47,8 @@
     readonly loadBytesPerSecond: number;
     /** Milliseconds after leaving from which on running requests are handed over, and the hard limit. */
     readonly handOverAfter: number;
+    /** Milliseconds for which a target that leaves stays at least, to refuse what was on its way. */
+    readonly leaveLinger: number;
     readonly drainLimit: number;
     /** Milliseconds after the announcement from which on the target may accept no new work; for the history. */
     readonly leavingBound: number;
@@ -80,6 +82,7 @@
     loadInterval: 250,
     loadBytesPerSecond: 800,
     handOverAfter: 10_000,
+    leaveLinger: 500,
     drainLimit: 120_000,
     leavingBound: 2000,
     replyPiece: 65_536,
--- a/packages/agent/src/lib/Drain.ts
+++ b/packages/agent/src/lib/Drain.ts
@@ -9,6 +9,8 @@
     readonly handOver: () => void;
     /** True while KV caches of ended attempts may still be fetched. */
     readonly exporting: () => boolean;
+    /** Milliseconds for which the agent stays at least, to refuse what was on its way when it announced its leaving. */
+    readonly linger: number;
     readonly handOverAfter: number;
     /** Milliseconds after which the rest is cut off. */
     readonly limit: number;
@@ -43,10 +45,10 @@
     }
 
     private look(startedAt: number, resolve: (interrupted: number) => void): void {
-        const { clock, active, exporting, limit, handOver, handOverAfter } = this.options;
+        const { clock, active, exporting, linger, limit, handOver, handOverAfter } = this.options;
         const passed = clock.now() - startedAt;
         const left = active();
-        if ((left === 0 && !exporting()) || passed >= limit) {
+        if ((left === 0 && !exporting() && passed >= linger) || passed >= limit) {
             resolve(left);
             return;
         }
--- a/packages/agent/src/lib/faults.ts
+++ b/packages/agent/src/lib/faults.ts
@@ -44,3 +44,14 @@
 export function noService(service: string): Failure {
     return failure(requestCodes.wrongTarget, `${service} does not run here`);
 }
+
+/**
+ * The failure of work that comes after the agent has closed.
+ *
+ * @param known - True when it may have run here before.
+ */
+export function closedFailure(known: boolean): Failure {
+    return known
+        ? failure(requestCodes.outcomeUnknown, "the agent has stopped")
+        : failure(requestCodes.stopping, "the agent has stopped");
+}
--- a/packages/agent/src/lib/head/HeadRequests.ts
+++ b/packages/agent/src/lib/head/HeadRequests.ts
@@ -3,7 +3,7 @@
 import { type AgentContext } from "../AgentContext.js";
 import { type AnswerClaims, type AnswerRecord, followWith, RecordSink } from "../claims/AnswerRecord.js";
 import { type ClaimUse } from "../claims/ClaimTable.js";
-import { toWire } from "../faults.js";
+import { closedFailure, toWire } from "../faults.js";
 import { EntryStream } from "./EntryStream.js";
 import { FollowAttempt } from "./FollowAttempt.js";
 import { HeadAttempt } from "./HeadAttempt.js";
@@ -52,6 +52,12 @@
         this.openClaimed(message, link, claimUse(message, claim));
     }
 
+    /** Answers an `open` that comes after the agent has closed. */
+    refuseClosed(message: OpenMessage, link: Link): void {
+        const { claim } = message;
+        this.refuse(message, link, closedFailure(claim !== undefined && this.claims.knows(claim)));
+    }
+
     private checkLeaving(claim: string | undefined): Failure | undefined {
         const continues = claim !== undefined && this.claims.knows(claim);
         return this.context.load.leaving && !continues
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -83,6 +83,11 @@
         this.callClaimed(message, claimUse(message, message.claim), stream);
     }
 
+    /** Whether a call under this claim may have run here. */
+    knows(claim: string | undefined): boolean {
+        return claim !== undefined && this.claims.knows(claim);
+    }
+
     /** Takes a `callCancel` message. A claimed call runs to its end, and its answer is kept for duplicates. */
     cancel(request: string): void {
         const open = this.calls.get(request);
--- a/packages/agent/src/lib/stage/StageRequests.ts
+++ b/packages/agent/src/lib/stage/StageRequests.ts
@@ -1,7 +1,7 @@
 import { type JoinMessage, type Link } from "@waxwingspar/transport";
 import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
 import { type AgentContext } from "../AgentContext.js";
-import { toWire } from "../faults.js";
+import { closedFailure, toWire } from "../faults.js";
 import { StageAttempt } from "./StageAttempt.js";
 
 /**
@@ -39,6 +39,11 @@
         await attempt.prepare();
     }
 
+    /** Answers a `join` that comes after the agent has closed. */
+    refuseClosed(message: JoinMessage, link: Link): void {
+        this.refuse(message, link, closedFailure(false));
+    }
+
     private checkState({ stages, index }: JoinMessage): Failure | undefined {
         const { target, load, table, held, settings } = this.context;
         if (load.leaving) {
--- a/packages/agent/src/lib/testing/TestRun.ts
+++ b/packages/agent/src/lib/testing/TestRun.ts
@@ -9,6 +9,8 @@
     /** Chooses the chain of an attempt without the targets that have failed; undefined when there is none. */
     readonly choose: (excluded: ReadonlySet<string>, epoch: number) => Stage[] | undefined;
     readonly changes?: Partial<OpenMessage>;
+    /** The idempotency key of a request that runs at most once; its claim is in `changes`. */
+    readonly key?: string;
     /** Milliseconds between the failure of an attempt and the next one; 0 by default. */
     readonly retryDelay?: number;
     /** How many tokens the caller takes at once; unlimited by default. */
@@ -34,7 +36,7 @@
     private ran = false;
 
     constructor(private readonly options: TestRunOptions) {
-        const { entry, request, changes } = options;
+        const { entry, request, key } = options;
         const earlier = entry.onMessage;
         entry.onMessage = message => {
             earlier?.(message);
@@ -45,8 +47,8 @@
             earlierLost?.(target);
             this.lost(target);
         };
-        const idempotent = changes?.claim === undefined;
-        entry.record({ event: "request.received", request, organisation: "ports", route: "demo", idempotent });
+        const idempotent = key === undefined;
+        entry.record({ event: "request.received", request, organisation: "ports", route: "demo", idempotent, key });
         void this.attempt();
     }
 
@@ -135,6 +137,10 @@
     ): void {
         this.ran ||= execution !== "not run";
         const { epoch } = this;
+        if (this.isFinal(execution)) {
+            this.end(this.ran ? "unknown" : "not run", this.code);
+            return;
+        }
         const exporters = execution === "not run" ? this.exporters : this.stages.map(stage => ({ ...stage, epoch }));
         this.exporters = exporters.filter(stage => exportable || stage.target !== target);
         if (target !== undefined) {
@@ -149,6 +155,13 @@
         entry.clock.schedule(() => void this.attempt(), retryDelay);
     }
 
+    /** Whether a claimed request must not be tried again: refused by its runner, or told that nothing is known. */
+    private isFinal(execution: "completed" | "not run" | "unknown"): boolean {
+        const { outcomeUnknown, inProgress } = requestCodes;
+        const untold = this.code === outcomeUnknown.number || this.code === inProgress.number;
+        return this.options.key !== undefined && (execution === "not run" || untold);
+    }
+
     private end(outcome: "completed" | "not run" | "unknown", code: number | undefined): void {
         this.outcome = outcome;
         const { entry, request } = this.options;
--- a/packages/agent/src/lib/testing/TestSite.ts
+++ b/packages/agent/src/lib/testing/TestSite.ts
@@ -1,11 +1,11 @@
 import { type Configuration, resource, StaticConfiguration } from "@waxwingspar/config";
 import { FakeEngine, type FakeEngineOptions } from "@waxwingspar/engine";
 import { checkHistory, type HistoryEvent, type HistoryLine, type HistoryRecorder } from "@waxwingspar/history";
+import { createWorkQueue, type WorkQueue } from "@waxwingspar/policy";
 import { ManualClock } from "@waxwingspar/utils";
 import { Agent, type AgentOptions } from "../Agent.js";
 import { TestEntry } from "./TestEntry.js";
 import { testHello, type TestHost, TestNetwork } from "./TestNetwork.js";
-import { TestQueue } from "./TestQueue.js";
 
 /** Layers of the model of the test site. @internal */
 export const testLayers = 12;
@@ -15,7 +15,7 @@
     readonly name: string;
     readonly agent: Agent;
     readonly engine: FakeEngine;
-    readonly queue: TestQueue;
+    readonly queue: WorkQueue;
     readonly history: HistoryEvent[];
 }
 
@@ -83,7 +83,7 @@
         recorder({ event: "process.started", target: name });
         const held = [{ model: "demo", version: "1", first, last }];
         const engine = new FakeEngine({ clock: this.clock, held, ...options.engine });
-        const queue = new TestQueue(slots);
+        const queue = createWorkQueue({ clock: this.clock, slots });
         const history: HistoryEvent[] = [];
         const host: TestHost = { hello, methods: () => agent.methods, accept: link => agent.accept(link) };
         const agent: Agent = new Agent({
