Agent: messages only from peers of the right role, logs for each part, leaving once

Cause: any authenticated peer could send any message; the agent logged one event; leaving twice recorded two leavings. Change: a table of who may send what; logs of attempts, orders and leaving; `leave` is idempotent; tests of the spans of each hop, of wrong roles, and of what is on its way when an idle target leaves. Conclusion: an entry cannot inject frames, and another agent cannot open requests.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -27,6 +27,7 @@
 import { HeadRequests } from "./head/HeadRequests.js";
 import { createExportMethod, exportMethodName } from "./kv/exportMethod.js";
 import { type CreditMessage } from "./messages.js";
+import { isTakenFrom } from "./peerRoles.js";
 import { type CallClaims } from "./service/CallSink.js";
 import { type ServiceAddress, ServiceProxy } from "./service/ServiceProxy.js";
 import { StageAttempt } from "./stage/StageAttempt.js";
@@ -93,6 +94,7 @@
     private readonly gate: OrderGate;
     private readonly stopWatching: () => void;
     private closed = false;
+    private left: Promise<DrainResult> | undefined;
 
     constructor(private readonly options: AgentOptions) {
         this.context = createContext(options);
@@ -109,6 +111,7 @@
             record: context.record,
             readFence: options.readFence ?? (() => Promise.resolve(Result.ok(0))),
             retryDelay: 1000,
+            log: context.log,
             applied: () => context.held.refresh(),
         });
         this.methods = {
@@ -174,9 +177,15 @@
      *
      * @returns How many requests were cut off, which is 0 unless the hard limit passed.
      */
-    async leave(): Promise<DrainResult> {
-        const { load, record, target, queue, settings, sessions, clock } = this.context;
+    leave(): Promise<DrainResult> {
+        this.left ??= this.leaveOnce();
+        return this.left;
+    }
+
+    private async leaveOnce(): Promise<DrainResult> {
+        const { log, load, record, target, queue, settings, sessions, clock } = this.context;
         load.leave();
+        log.info({ target, active: this.activeRequests }, "agent: leaving");
         record({ event: "target.leaving", target, bound: settings.leavingBound });
         queue.close();
         const drain = new Drain({
@@ -191,6 +200,7 @@
         const interrupted = await drain.wait();
         await this.close();
         record({ event: "process.stopped", interrupted });
+        log.info({ target, interrupted }, "agent: stopped");
         return { interrupted };
     }
 
@@ -210,6 +220,10 @@
     }
 
     private receive(message: Message, link: Link): void {
+        if (!isTakenFrom(link.peer.role, message.type)) {
+            this.context.metrics.dropped?.(message.type);
+            return;
+        }
         if (this.closed) {
             this.refuse(message, link);
             return;
--- a/packages/agent/src/lib/Drain.test.ts
+++ b/packages/agent/src/lib/Drain.test.ts
@@ -106,3 +106,22 @@
     await site.clock.advanceAsync(5, 1);
     assert.equal(answer.failed?.failure.code, requestCodes.stageLost.number, "the caller is told");
 });
+
+test("what is on its way when an idle target leaves is refused", async () => {
+    const site = new TestSite(100);
+    await site.start("a");
+    const stages = chainOf(["a"], testLayers);
+    const link = await site.entry.link("a");
+    const leaving = leave(site, "a");
+    link.send(openMessage({ request: "r1", stages }));
+    await site.clock.advanceAsync(250, 10);
+    assert.equal(leaving.result, undefined, "the agent stays for a while");
+    assert.equal(site.entry.answer("r1", 0).failed?.failure.code, requestCodes.stopping.number);
+    await site.clock.advanceAsync(1000, 10);
+    assert.deepEqual(leaving.result, { interrupted: 0 });
+    link.send(openMessage({ request: "r2", stages }));
+    await site.clock.advanceAsync(250, 10);
+    const after = site.entry.answer("r2", 0).failed;
+    assert.equal(after?.failure.code, requestCodes.stopping.number, "also after it has closed");
+    assert.equal(after?.load?.leaving, true);
+});
--- a/packages/agent/src/lib/control/OrderGate.test.ts
+++ b/packages/agent/src/lib/control/OrderGate.test.ts
@@ -4,6 +4,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { pino } from "pino";
 import { Result } from "true-myth";
 import { OrderGate } from "./OrderGate.js";
 
@@ -39,6 +40,7 @@
                         ? Result.err(failure(platformCodes.storeUnavailable, "down"))
                         : Result.ok(this.storeFence),
                 ),
+            log: pino({ enabled: false }),
             retryDelay: 1000,
             applied: () => Promise.resolve(),
         });
--- a/packages/agent/src/lib/control/OrderGate.ts
+++ b/packages/agent/src/lib/control/OrderGate.ts
@@ -10,6 +10,7 @@
     requestCodes,
     type Timer,
 } from "@waxwingspar/utils";
+import { type Logger } from "pino";
 import { Result } from "true-myth";
 import { guarded } from "../guarded.js";
 
@@ -25,6 +26,7 @@
     readonly engine: Engine;
     readonly clock: Clock;
     readonly record: HistoryRecorder;
+    readonly log: Logger;
     /** Reads the highest fence that was ever issued for this target, from the store. */
     readonly readFence: () => Promise<Outcome<number>>;
     /** Milliseconds until the fence is read again after a failure. */
@@ -112,16 +114,18 @@
     }
 
     private async run(order: Order): Promise<Outcome<void>> {
-        const { engine, record, target, applied } = this.options;
+        const { engine, record, target, applied, log } = this.options;
         // A newer holder's order may have come while this one waited.
         if (this.stopped || order.fence < (this.fence ?? 0)) {
             return staleFence(order.fence, this.fence ?? 0);
         }
         if (!this.recorded.has(order.id)) {
-            this.recorded.add(order.id);
+            this.remembered(order.id);
             record({ event: "order.applied", order: order.id, fence: order.fence, target });
         }
         const outcome = await guarded(() => engine.order(order));
+        const code = outcome.isErr ? outcome.error.code.number : undefined;
+        log.info({ order: order.id, kind: order.action.kind, fence: order.fence, code }, "orders: carried out");
         await applied();
         if (outcome.isErr && outcome.error.code.execution === "unknown") {
             // Only the engine can tell whether it was carried out; a repeat asks it again, under the same id.
@@ -137,6 +141,13 @@
                 return;
             }
             this.results.delete(oldest);
+        }
+    }
+
+    private remembered(id: string): void {
+        this.recorded.add(id);
+        if (this.recorded.size > rememberedOrders) {
+            const [oldest = id] = this.recorded;
             this.recorded.delete(oldest);
         }
     }
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -303,6 +303,7 @@
             return;
         }
         if (this.stop("fail", true)) {
+            this.log("head: attempt failed", reason, where.target);
             this.options.sink.failed({ failure: asStarted(reason), ...where });
         }
     }
@@ -312,10 +313,16 @@
         const notRun = asNotRun(reason);
         if (this.stop("refuse", false)) {
             this.recordRefusal(notRun);
+            this.log("head: attempt refused", notRun, where.target);
             this.options.sink.failed({ failure: notRun, ...where });
         }
     }
 
+    private log(text: string, reason: Failure, fault: string | undefined): void {
+        const { request, epoch } = this.options.message;
+        this.context.log.info({ request, epoch, fault, code: reason.code.number, reason: reason.message }, text);
+    }
+
     private recordRefusal(reason: Failure): void {
         const { request, epoch } = this.options.message;
         const { record, target } = this.context;
--- a/packages/agent/src/lib/head/HeadRequests.test.ts
+++ b/packages/agent/src/lib/head/HeadRequests.test.ts
@@ -1,12 +1,16 @@
 import { encodeClaim, shortHash } from "@waxwingspar/claims";
 import { referenceAnswer } from "@waxwingspar/engine";
+import { createTracing } from "@waxwingspar/telemetry";
 import { type OpenMessage } from "@waxwingspar/transport";
 import { requestCodes } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { chainOf, openMessage, type TestAnswer, testPrompt } from "../testing/TestEntry.js";
+import { testHello } from "../testing/TestNetwork.js";
 import { testLayers, TestSite } from "../testing/TestSite.js";
 
+type SpanExporter = NonNullable<Parameters<typeof createTracing>[0]["exporter"]>;
+
 const identity = { model: "demo", version: "1", layers: testLayers };
 const reference = referenceAnswer({ ...identity, prompt: testPrompt, maxTokens: 20, seed: 7 });
 const stages = chainOf(["a", "b", "c"], testLayers);
@@ -177,3 +181,50 @@
     assert.equal(interrupted, 0);
     assert.deepEqual(site.violations(), []);
 });
+
+test("each hop has a span, and passes its own on as the parent of the next", async () => {
+    const spans: { name: string; id: string; parent: string | undefined; trace: string; }[] = [];
+    const exporter = {
+        export: (ended: Parameters<SpanExporter["export"]>[0], done: Parameters<SpanExporter["export"]>[1]) => {
+            for (const span of ended) {
+                const { spanId: id, traceId: trace } = span.spanContext();
+                spans.push({ name: span.name, id, parent: span.parentSpanContext?.spanId, trace });
+            }
+            done({ code: 0 });
+        },
+        shutdown: () => Promise.resolve(),
+    };
+    const { tracer } = createTracing({ process: "test", exporter });
+    const site = new TestSite(1);
+    await site.startAll(["a", "b", "c"], { agent: { tracer } });
+    const trace = "0af7651916cd43dd8448eb211c80319c";
+    const parent = "b7ad6b7169203331";
+    const traceparent = `00-${trace}-${parent}-01`;
+    const answer = await site.entry.open(openMessage({ request: "r1", stages, traceparent }));
+    await site.until(() => ended(answer));
+    await site.clock.advanceAsync(10, 1);
+    const head = spans.find(span => span.name === "agent.head");
+    const later = spans.filter(span => span.name === "agent.stage");
+    assert.equal(head?.parent, parent);
+    assert.deepEqual(later.map(span => span.parent), [head?.id, head?.id]);
+    assert.ok(spans.every(span => span.trace === trace));
+});
+
+test("messages from peers of the wrong role are dropped", async () => {
+    const dropped: string[] = [];
+    const site = new TestSite(1);
+    await site.startAll(["a", "b", "c"], { agent: { metrics: { dropped: type => dropped.push(type) } } });
+    const answer = await site.entry.open(openMessage({ request: "r1", stages }));
+    await site.until(() => answer.ids.length > 2);
+    const link = await site.entry.link("a");
+    const position = reference.promptTokens + answer.ids.length;
+    link.send({ type: "sampled", request: "r1", epoch: 0, position, token: 1, text: "x", end: true });
+    const host = { hello: testHello("z", "agent"), methods: () => ({}), accept: () => undefined };
+    const agentLink = await site.network.createPool(host).connect({ host: "a", port: 1 });
+    assert.ok(agentLink.isOk);
+    agentLink.value.send(openMessage({ request: "r2", stages }));
+    await site.until(() => ended(answer));
+    assert.deepEqual(answer.ids, reference.tokens);
+    assert.deepEqual(requestsThatRan(site), ["r1"]);
+    assert.deepEqual([...dropped].sort(), ["open", "sampled"]);
+});
--- a/packages/agent/src/lib/stage/StageAttempt.ts
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -108,7 +108,10 @@
         }
         if (frame.layer !== this.message.stages[this.message.index]?.first) {
             this.context.metrics.dropped?.("frame");
-            this.context.log.warn({ request: frame.request, layer: frame.layer }, "frame for other layers dropped");
+            this.context.log.warn(
+                { request: frame.request, layer: frame.layer },
+                "stage: frame for other layers dropped",
+            );
             return;
         }
         this.watchPrevious(link);
@@ -238,6 +241,7 @@
         }
         const { request, epoch } = this.message;
         const target = fault.target ?? this.context.target;
+        this.context.log.info({ request, epoch, fault: target, code: reason.code.number }, "stage: attempt failed");
         const { exportable } = fault;
         this.head.send({ type: "stageFailed", request, epoch, target, exportable, failure: toWire(reason) });
     }
