--- a/packages/control/src/lib/leases/Lease.test.ts
+++ b/packages/control/src/lib/leases/Lease.test.ts
@@ -5,7 +5,7 @@
 import { Result } from "true-myth";
 import { type Fate, ScriptedStore } from "../testing/ScriptedStore.js";
 import { Lease } from "./Lease.js";
-import { leaseKey, parseLease, readFence } from "./leaseRow.js";
+import { fenceKey, parseFence, readFence } from "./leaseRow.js";
 
 const duration = 1000;
 const settle = () => new Promise(resolve => setImmediate(resolve));
@@ -83,7 +83,7 @@
                 const fence = leases[index]!.fence!;
                 assert.equal(takers.get(fence) ?? index, index, `fence ${fence} given twice`);
                 takers.set(fence, index);
-                assert.ok(parseLease(store.row(leaseKey("orders/a")))!.fence >= fence);
+                assert.ok(parseFence(store.row(fenceKey("orders/a")))! >= fence);
             }
         }
         assert.deepEqual(gate.applied, [...gate.applied].sort((a, b) => a - b));
--- a/packages/control/src/lib/leases/Lease.ts
+++ b/packages/control/src/lib/leases/Lease.ts
@@ -3,7 +3,7 @@
 import { Result } from "true-myth";
 import { commitResolved } from "../support/commitResolved.js";
 import { withDefaults } from "../support/withDefaults.js";
-import { leaseKey, type LeaseValue, parseLease } from "./leaseRow.js";
+import { fenceKey, leaseKey, type LeaseValue, parseLease } from "./leaseRow.js";
 
 /** @public */
 export interface LeaseOptions {
@@ -140,7 +140,7 @@
             return this.write(row.version, value.fence);
         }
         this.holding = undefined;
-        return this.mayTake(row, value) ? this.write(row.version, (value?.fence ?? 0) + 1) : Result.ok(false);
+        return this.mayTake(row, value) ? this.write(row.version, (value?.fence ?? 0) + 1, true) : Result.ok(false);
     }
 
     private isOwn(value: LeaseValue): boolean {
@@ -164,10 +164,10 @@
     }
 
     /** Writes this process as the holder, on condition that the row has not changed. */
-    private async write(version: number, fence: number): Promise<Outcome<boolean>> {
+    private async write(version: number, fence: number, isNew = false): Promise<Outcome<boolean>> {
         const sent = this.options.clock.now();
         const term = this.term;
-        const written = await this.commit(version, this.value(fence));
+        const written = await this.commit(version, this.value(fence), isNew);
         if (term !== this.term) {
             return Result.ok(false);
         }
@@ -199,12 +199,13 @@
     }
 
     /** @returns The new version of the row, if the store told it. */
-    private async commit(version: number, value: LeaseValue): Promise<Outcome<number | undefined>> {
+    private async commit(version: number, value: LeaseValue, isNew = false): Promise<Outcome<number | undefined>> {
         const key = leaseKey(this.duty);
+        const fenceWrite = { key: fenceKey(this.duty), value: { fence: value.fence } };
         const transaction: Transaction = {
             writeId: this.options.writeId(),
             conditions: [{ key, version }],
-            writes: [{ key, value }],
+            writes: isNew ? [{ key, value }, fenceWrite] : [{ key, value }],
         };
         const versions = await commitResolved(this.options.store, transaction);
         return versions.map(found => found[key]);
--- a/packages/control/src/lib/leases/leaseRow.ts
+++ b/packages/control/src/lib/leases/leaseRow.ts
@@ -1,5 +1,5 @@
 import { type Row, type TableStore } from "@waxwingspar/platform";
-import { type Outcome, uniqueId } from "@waxwingspar/utils";
+import { failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { commitResolved } from "../support/commitResolved.js";
@@ -30,6 +30,29 @@
     return `lease/${duty}`;
 }
 
+/**
+ * The key of the row that holds a duty's fence alone. It is written in the same transaction that takes the lease, and
+ * not by renewals, so a transaction of a holder can name its version as a condition: the write fails once another
+ * process has taken the duty over, however late it arrives.
+ *
+ * @public
+ */
+export function fenceKey(duty: string): string {
+    return `fence/${duty}`;
+}
+
+const fenceValueSchema = z.object({ fence: z.number().int().nonnegative() });
+
+/**
+ * The value of a fence row.
+ *
+ * @returns 0 if nobody has ever held the duty; undefined if the row cannot be read as a fence.
+ * @internal
+ */
+export function parseFence(row: Row): number | undefined {
+    return row.version === 0 ? 0 : fenceValueSchema.safeParse(row.value).data?.fence;
+}
+
 /**
  * Reads the value of a lease row.
  *
@@ -41,26 +64,32 @@
 }
 
 /**
- * Reads the fence that an agent must know before it accepts an order of a duty. The lease row carries a fence before
- * its holder learns that it has the lease, so the answer is at least as high as every fence of an order sent so far.
+ * Reads the fence that an agent must know before it accepts an order of a duty. The row carries a fence before its
+ * holder learns that it has the lease, so the answer is at least as high as every fence of an order sent so far.
  *
  * A read may be stale, so a transaction without writes confirms on the truth that the row had not changed.
  *
  * @param store - The table service.
  * @param duty - The duty that gives orders to the agent's target; see {@link ordersDuty}.
- * @returns The fence, or 0 if nobody has ever held the duty. On a failure, `conditionFailed` for a read that was stale
- * or a row renewed meanwhile, the caller keeps refusing orders and asks again.
+ * @returns The fence, or 0 if nobody has ever held the duty. On a failure, `conditionFailed` for a read that was stale,
+ * the caller keeps refusing orders and asks again.
  * @public
  */
 export async function readFence(store: TableStore, duty: string): Promise<Outcome<number>> {
-    const key = leaseKey(duty);
+    const key = fenceKey(duty);
     const row = await store.get(key);
     if (row.isErr) {
         return Result.err(row.error);
     }
     const confirmation = { writeId: uniqueId(), conditions: [{ key, version: row.value.version }], writes: [] };
     const confirmed = await commitResolved(store, confirmation);
-    return confirmed.map(() => parseLease(row.value)?.fence ?? 0);
+    if (confirmed.isErr) {
+        return Result.err(confirmed.error);
+    }
+    const fence = parseFence(row.value);
+    return fence === undefined
+        ? Result.err(failure(platformCodes.storeUnavailable, `row ${key} cannot be read`))
+        : Result.ok(fence);
 }
 
 /**
--- a/packages/control/src/lib/orders/OrderSender.ts
+++ b/packages/control/src/lib/orders/OrderSender.ts
@@ -35,6 +35,7 @@
 
 /** What is known of the tries of one wanted order. */
 interface Progress {
+    readonly wanted: WantedOrder;
     attempt: number;
     pending: boolean;
     /** When the last try was known to be carried out. */
@@ -61,6 +62,10 @@
 export class OrderSender {
     private readonly options: Required<OrderSenderOptions>;
     private readonly progress = new Map<string, Progress>();
+    /** Orders that may still take effect, by target. */
+    private readonly open = new Map<string, Set<Progress>>();
+    /** When the last order to each target came to a known end. */
+    private readonly settled = new Map<string, number>();
 
     constructor(options: OrderSenderOptions) {
         const nothing = () => undefined;
@@ -68,47 +73,83 @@
         this.options = withDefaults(defaults, options);
     }
 
-    /** How many orders are on their way. */
-    get pending(): number {
-        return [...this.progress.values()].filter(({ pending }) => pending).length;
-    }
-
     /**
      * Sends an order if the lease is held and no earlier try makes it needless. Does not wait for its end.
      */
     send(lease: Lease, wanted: WantedOrder): void {
-        const { target, incarnation, action } = wanted;
-        const identity = { target, incarnation, action };
-        const progress = this.find(orderId({ ...identity, attempt: 0 }));
-        if (!this.isDue(progress, wanted)) {
-            return;
+        const progress = this.find(orderId({ ...wanted, attempt: 0 }), wanted);
+        if (this.isDue(progress, wanted)) {
+            this.sendAttempt(lease, progress);
+        }
+    }
+
+    /**
+     * Tells from when on reports of a target show the effect of every order sent to it so far.
+     *
+     * @returns Undefined while some order may still take effect.
+     */
+    settledSince(target: string, incarnation: string): number | undefined {
+        const open = [...this.open.get(target) ?? []];
+        return open.some(({ wanted }) => wanted.incarnation === incarnation)
+            ? undefined
+            : this.settled.get(target) ?? -Infinity;
+    }
+
+    /**
+     * Sends every order of unknown outcome again, also those no longer wanted, since a lost order can still arrive. The
+     * repeat has the same id, so that whichever arrives later has no effect.
+     *
+     * @param isCurrent - Tells whether a start of an agent is still the one in place; orders to others never arrive.
+     */
+    resolve(lease: Lease, isCurrent: (target: string, incarnation: string) => boolean): void {
+        const open = [...this.open.values()].flatMap(orders => [...orders]);
+        for (const progress of open.filter(({ pending }) => !pending)) {
+            if (isCurrent(progress.wanted.target, progress.wanted.incarnation)) {
+                this.sendAttempt(lease, progress);
+            }
+            else {
+                this.close(progress);
+            }
         }
-        const id = orderId({ ...identity, attempt: progress.attempt });
-        void lease.checked(fence => this.issue({ id, fence, action }, wanted, progress));
     }
 
     /** Forgets everything. To be called when the duty has changed hands. */
     clear(): void {
         this.progress.clear();
+        this.open.clear();
+        this.settled.clear();
+    }
+
+    private sendAttempt(lease: Lease, progress: Progress): void {
+        const { wanted, attempt } = progress;
+        const id = orderId({ ...wanted, attempt });
+        void lease.checked(fence => this.issue({ id, fence, action: wanted.action }, progress));
     }
 
-    private find(key: string): Progress {
+    private find(key: string, wanted: WantedOrder): Progress {
         const known = this.progress.get(key);
         if (known !== undefined) {
             return known;
         }
-        const progress: Progress = { attempt: 0, pending: false, appliedAt: undefined, notBefore: 0, issued: false };
+        const progress: Progress = {
+            wanted,
+            attempt: 0,
+            pending: false,
+            appliedAt: undefined,
+            notBefore: 0,
+            issued: false,
+        };
         this.progress.set(key, progress);
         this.forgetOldest();
         return progress;
     }
 
     private forgetOldest(): void {
-        for (const [key, { pending }] of this.progress) {
+        for (const [key, progress] of this.progress) {
             if (this.progress.size <= rememberedOrders) {
                 return;
             }
-            if (!pending) {
+            if (!this.open.get(progress.wanted.target)?.has(progress)) {
                 this.progress.delete(key);
             }
         }
@@ -135,12 +176,10 @@
         progress.issued = false;
     }
 
-    private async issue(
-        order: Order,
-        { target, incarnation }: WantedOrder,
-        progress: Progress,
-    ): Promise<Outcome<void>> {
+    private async issue(order: Order, progress: Progress): Promise<Outcome<void>> {
+        const { target, incarnation } = progress.wanted;
         progress.pending = true;
+        this.open.set(target, (this.open.get(target) ?? new Set()).add(progress));
         if (!progress.issued) {
             this.options.record({ event: "order.issued", order: order.id, fence: order.fence, target });
             progress.issued = true;
@@ -148,21 +187,37 @@
         const outcome = await this.options.targets.order(target, incarnation, order);
         progress.pending = false;
         if (outcome.isOk) {
+            this.close(progress);
             progress.appliedAt = this.options.clock.now();
         }
         else {
-            this.takeFailure(order, target, progress, outcome.error);
+            this.takeFailure(order, progress, outcome.error);
         }
         return outcome;
     }
 
-    private takeFailure(order: Order, target: string, progress: Progress, reason: Failure): void {
+    /** Notes that an order can no longer take effect. */
+    private close(progress: Progress): void {
+        const { target } = progress.wanted;
+        const orders = this.open.get(target);
+        orders?.delete(progress);
+        if (orders?.size === 0) {
+            this.open.delete(target);
+        }
+        this.settled.set(target, this.options.clock.now());
+    }
+
+    private takeFailure(order: Order, progress: Progress, reason: Failure): void {
+        const isUnknown = unknownCodes.includes(reason.code.number);
+        if (!isUnknown) {
+            this.close(progress);
+        }
         if (reason.code === platformCodes.staleFence) {
             this.options.onStaleFence();
             return;
         }
-        this.options.onFailure(order, target, reason);
-        if (!unknownCodes.includes(reason.code.number)) {
+        this.options.onFailure(order, progress.wanted.target, reason);
+        if (!isUnknown) {
             progress.notBefore = this.options.clock.now() + (reason.retryAfter ?? this.options.retryDelay);
             this.startNewAttempt(progress);
         }
--- a/packages/control/src/lib/rollout/ModelPlan.ts
+++ b/packages/control/src/lib/rollout/ModelPlan.ts
@@ -4,6 +4,9 @@
 import { isPresent, isUnloaded } from "./holdings.js";
 import { type SiteModel, type SitePlacement, type SiteView } from "./SiteView.js";
 
+/** How many old pipelines are tried when one is to make room for the current version. */
+const yieldCandidates = 8;
+
 /** @internal */
 export interface ModelPlanOptions {
     /** The share of the wanted pipelines that keeps serving through every planned step. */
@@ -25,17 +28,23 @@
     /** Placements of the current version, and of versions that it replaces, that are to stay so far. */
     private fresh: SitePlacement[];
     private old: SitePlacement[];
+    /** Placements that serve, as far as is known: ready, loaded, and all of their targets present. */
+    private readonly serving: ReadonlySet<SitePlacement>;
+    private knownCapacity: number | undefined;
 
     /** @param placements - The placements of the model that may stay. */
     constructor(
         readonly model: SiteModel,
         placements: readonly SitePlacement[],
-        private readonly view: SiteView,
+        view: SiteView,
         private readonly fleet: Fleet,
         private readonly options: ModelPlanOptions,
     ) {
         this.fresh = placements.filter(({ spec }) => spec.version === model.spec.current);
         this.old = placements.filter(({ spec }) => spec.version !== model.spec.current);
+        this.serving = new Set(placements.filter(placement => (
+            placement.spec.ready && isPresent(placement, view) && !isUnloaded(placement, view)
+        )));
     }
 
     private get wanted(): number {
@@ -93,7 +102,10 @@
         if (this.capacity() <= floor) {
             return undefined;
         }
-        return this.old.find(({ spec }) => this.create([...free, ...this.fleet.targetsOf(spec.stages)], 1).length > 0);
+        // The old pipelines are alike, so a few tell whether giving one up makes room.
+        return this.old.slice(0, yieldCandidates).find(({ spec }) => (
+            this.create([...free, ...this.fleet.targetsOf(spec.stages)], 1).length > 0
+        ));
     }
 
     private create(free: readonly PlacementTarget[], missing: number): PipelineStage[][] {
@@ -105,11 +117,12 @@
     }
 
     private readonly serves = (placement: SitePlacement): boolean => {
-        return placement.spec.ready && isPresent(placement, this.view) && !isUnloaded(placement, this.view);
+        return this.serving.has(placement);
     };
 
     private capacity(): number {
-        return countCapacity([...this.fresh, ...this.old], this.serves);
+        this.knownCapacity ??= countCapacity([...this.fresh, ...this.old], this.serves);
+        return this.knownCapacity;
     }
 
     /** Other versions first, and pipelines that do not serve before those that do. */
@@ -120,12 +133,27 @@
 
     private isSpared(placement: SitePlacement): boolean {
         const before = this.capacity();
+        if (!this.serves(placement)) {
+            return before >= this.wanted;
+        }
+        // One pipeline less costs one at most, and nothing if another serves on the same targets.
+        return before > this.wanted || (this.isShared(placement) && this.capacityWithout(placement) >= before);
+    }
+
+    private isShared(placement: SitePlacement): boolean {
+        const own = new Set(placement.spec.stages.map(({ target }) => target));
+        return [...this.fresh, ...this.old].some(other =>
+            other !== placement && this.serves(other) && other.spec.stages.some(({ target }) => own.has(target))
+        );
+    }
+
+    private capacityWithout(placement: SitePlacement): number {
         const rest = [...this.fresh, ...this.old].filter(other => other !== placement);
-        const after = countCapacity(rest, this.serves);
-        return after >= this.wanted || (after === before && this.serves(placement));
+        return countCapacity(rest, this.serves);
     }
 
     private drop(placement: SitePlacement): void {
+        this.knownCapacity = undefined;
         this.fresh = this.fresh.filter(other => other !== placement);
         this.old = this.old.filter(other => other !== placement);
     }
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -1,10 +1,10 @@
 import { type Configuration } from "@waxwingspar/config";
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore, type Transaction } from "@waxwingspar/platform";
 import { type Clock, type Failure, type Outcome } from "@waxwingspar/utils";
 import { type Duty } from "../leases/DutyRunner.js";
 import { type Lease } from "../leases/Lease.js";
-import { ordersDuty } from "../leases/leaseRow.js";
+import { fenceKey, ordersDuty, parseFence } from "../leases/leaseRow.js";
 import { LoadPermits } from "../orders/LoadPermits.js";
 import { OrderSender } from "../orders/OrderSender.js";
 import { type TargetPort } from "../orders/TargetPort.js";
@@ -25,8 +25,11 @@
     readonly incarnationOf: (target: string) => string | undefined;
     /** The latest accepted revision, from the store itself and not from a read that may be stale. */
     readonly readRevision: () => Promise<Outcome<number>>;
-    /** Writes a placement on condition of its version. Returns the revision that holds the change. */
-    readonly writePlacement: (change: PlacementChange) => Promise<Outcome<number>>;
+    /**
+     * Writes a placement on condition of its version, and of a row of the store that changes when another process takes
+     * the duty over. Returns the revision that holds the change.
+     */
+    readonly writePlacement: (change: PlacementChange, guard: RowCondition) => Promise<Outcome<number>>;
     readonly record?: HistoryRecorder;
     readonly plan?: PlanOptions;
     /** How many loads may run at once in the whole system. */
@@ -48,6 +51,24 @@
     readonly onFailure?: (message: string, failure: Failure) => void;
 }
 
+/**
+ * A condition of a transaction: the version that a row must have.
+ *
+ * @public
+ */
+export type RowCondition = Transaction["conditions"][number];
+
+/** One holding of the duty. */
+interface Term {
+    readonly fence: number;
+    /** The fence row as it was written when the lease was taken. */
+    readonly guard: RowCondition;
+    /** What must be in force here before anything is decided; undefined while it has to be read. */
+    requiredRevision: number | undefined;
+    /** A change whose outcome is unknown, and which may still take effect. */
+    doubtful: PlacementChange | undefined;
+}
+
 /** What a duty's holder is doing, for operators. @public */
 export interface SiteStatus {
     /** The state of each placement in the chart of pipelines. */
@@ -78,7 +99,7 @@
     private readonly sender: OrderSender;
     private permits: LoadPermits;
     private state: SiteState;
-    private term: { readonly fence: number; requiredRevision: number | undefined; } | undefined;
+    private term: Term | undefined;
     private readonly unneededSince = new Map<string, number>();
     private auditPosition = 0;
     private latest: SiteStatus = { pipelines: new Map(), rollouts: new Map() };
@@ -89,7 +110,7 @@
         this.dataCentre = options.dataCentre;
         this.sender = this.createSender();
         this.permits = this.createPermits();
-        this.state = new SiteState(this.options);
+        this.state = this.createState();
     }
 
     /** What the last step found. Empty in a process that does not hold the duty. */
@@ -98,17 +119,22 @@
     }
 
     async tick(lease: Lease): Promise<void> {
-        if (!await this.isPrepared(lease)) {
+        if (!await this.isPrepared(lease) || this.term === undefined) {
             return;
         }
         this.state.refresh();
         await this.observe(lease);
         const plan = planSite(this.state.view(), this.options.plan);
         this.latest = plan;
-        await this.write(lease, plan.changes);
+        if (!await this.write(lease, this.term, plan.changes)) {
+            return;
+        }
         const view = this.state.view();
+        this.sender.resolve(lease, (target, incarnation) => this.options.incarnationOf(target) === incarnation);
         await this.sendOrders(lease, view, plan);
-        this.unload(lease, view, plan.leftovers);
+        // A target on which something was placed just now may need again what was left over.
+        const changed = new Set(plan.changes.flatMap(({ spec }) => spec?.stages.map(({ target }) => target) ?? []));
+        this.unload(lease, view, plan.leftovers.filter(({ target }) => !changed.has(target)));
     }
 
     /**
@@ -121,12 +147,19 @@
             return false;
         }
         if (this.term?.fence !== fence) {
-            this.term = { fence, requiredRevision: undefined };
-            this.state = new SiteState(this.options);
+            const guard = await this.readGuard(fence);
+            if (guard === undefined) {
+                return false;
+            }
+            this.term = { fence, guard, requiredRevision: undefined, doubtful: undefined };
+            this.state = this.createState();
             this.permits = this.createPermits();
             this.sender.clear();
             this.unneededSince.clear();
         }
+        if (this.term.doubtful !== undefined && !await this.resolveDoubt(lease, this.term, this.term.doubtful)) {
+            return false;
+        }
         if (this.term.requiredRevision === undefined) {
             const revision = await this.options.readRevision();
             if (revision.isErr) {
@@ -138,6 +171,33 @@
         return this.options.configuration.revision >= this.term.requiredRevision;
     }
 
+    private async readGuard(fence: number): Promise<RowCondition | undefined> {
+        const row = await this.options.store.get(fenceKey(this.name));
+        if (row.isErr) {
+            this.fail("fence not read", row.error);
+            return undefined;
+        }
+        // A stale read shows an older fence.
+        const { key, version } = row.value;
+        return parseFence(row.value) === fence ? { key, version } : undefined;
+    }
+
+    /**
+     * Repeats a change until its outcome is known. Once the repeat is accepted, or fails since the placement has changed,
+     * the lost one can no longer take effect.
+     *
+     * @returns True when nothing is in doubt any more.
+     */
+    private async resolveDoubt(lease: Lease, term: Term, change: PlacementChange): Promise<boolean> {
+        const written = await lease.checked(() => this.options.writePlacement(change, term.guard));
+        if (written.isOk) {
+            this.state.accept(change, written.value);
+        }
+        const isOpen = written.isErr && (written.error.code.retry === "later" || !lease.isHeld());
+        term.doubtful = isOpen ? change : undefined;
+        return !isOpen;
+    }
+
     private async observe(lease: Lease): Promise<void> {
         const due = this.dueTargets(this.state.view());
         const now = this.options.clock.now();
@@ -174,16 +234,22 @@
         return [...names];
     }
 
-    private async write(lease: Lease, changes: readonly PlacementChange[]): Promise<void> {
+    /**
+     * Writes changes until one fails. After a failure what is in force may differ from what this process believes, and
+     * later changes rest on earlier ones, so nothing is decided before the accepted revision is in force here.
+     */
+    private async write(lease: Lease, term: Term, changes: readonly PlacementChange[]): Promise<boolean> {
         for (const change of changes.slice(0, this.options.changesPerStep)) {
-            const written = await lease.checked(() => this.options.writePlacement(change));
-            if (written.isOk) {
-                this.state.accept(change, written.value);
-            }
-            else {
+            const written = await lease.checked(() => this.options.writePlacement(change, term.guard));
+            if (written.isErr) {
                 this.fail(`placement ${change.name} not written`, written.error);
+                term.requiredRevision = undefined;
+                term.doubtful = written.error.code.execution === "unknown" ? change : undefined;
+                return false;
             }
+            this.state.accept(change, written.value);
         }
+        return true;
     }
 
     private async sendOrders(lease: Lease, view: SiteView, plan: SitePlan): Promise<void> {
@@ -227,6 +293,11 @@
         }
     }
 
+    private createState(): SiteState {
+        const settledSince = this.sender.settledSince.bind(this.sender);
+        return new SiteState({ ...this.options, settledSince });
+    }
+
     private createSender(): OrderSender {
         const { clock, targets, record } = this.options;
         return new OrderSender({
--- a/packages/control/src/lib/rollout/SiteState.ts
+++ b/packages/control/src/lib/rollout/SiteState.ts
@@ -14,6 +14,8 @@
     readonly incarnationOf: (target: string) => string | undefined;
     /** Milliseconds for which membership may miss a target before it counts as lost. */
     readonly grace: number;
+    /** From when on reports of a start of an agent show the effect of every order; undefined while some are open. */
+    readonly settledSince: (target: string, incarnation: string) => number | undefined;
 }
 
 interface Report {
@@ -87,7 +89,9 @@
         if (this.declared?.revision !== configuration.revision) {
             const targets = configuration.list("target")
                 .filter(({ spec }) => spec.dataCentre === dataCentre)
-                .map(({ name, spec }): [string, SiteTarget] => [name, { name, spec, alive: false, present: false }]);
+                .map((
+                    { name, spec },
+                ): [string, SiteTarget] => [name, { name, spec, alive: false, present: false, settled: false }]);
             const site = {
                 models: siteModels(configuration, dataCentre),
                 adapters: configuration.list("adapter").map(({ name, spec }) => ({ name, spec })),
@@ -109,9 +113,15 @@
             present: this.options.incarnationOf(target.name) !== undefined,
             observation: report?.observation,
             observedAt: report?.at,
+            settled: report !== undefined && this.isSettled(target.name, report),
         };
     }
 
+    private isSettled(target: string, { observation, at }: Report): boolean {
+        const since = this.options.settledSince(target, observation.incarnation);
+        return since !== undefined && at > since;
+    }
+
     private placements(): SitePlacement[] {
         const { configuration, dataCentre } = this.options;
         const found = new Map<string, SitePlacement>();
--- a/packages/control/src/lib/rollout/SiteView.ts
+++ b/packages/control/src/lib/rollout/SiteView.ts
@@ -18,6 +18,8 @@
     readonly observation?: Observation;
     /** The monotonic time at which that report was asked for. */
     readonly observedAt?: number;
+    /** True if the report shows the effect of every order sent to the target, and none can still take effect. */
+    readonly settled: boolean;
 }
 
 /** @public */
--- a/packages/control/src/lib/rollout/holdings.ts
+++ b/packages/control/src/lib/rollout/holdings.ts
@@ -24,15 +24,15 @@
 }
 
 /**
- * Tells whether every stage of a placement is known to be ready to run: the target has been observed, holds the layers
- * and plays the serving role.
+ * Tells whether every stage of a placement is known to be ready to run: the target holds the layers, plays the serving
+ * role, and no order under way can change that.
  *
  * @internal
  */
 export function isLoaded(placement: SitePlacement, view: SiteView): boolean {
     return placement.spec.stages.every(stage => {
         const target = view.targets.get(stage.target);
-        return target?.observation !== undefined && target.observation.info.role !== "idle"
+        return target?.observation !== undefined && target.settled && target.observation.info.role !== "idle"
             && findHeld(target, stageLayers(placement, stage)) !== undefined;
     });
 }
--- a/packages/control/src/lib/rollout/rollout.test.ts
+++ b/packages/control/src/lib/rollout/rollout.test.ts
@@ -127,7 +127,6 @@
     await fc.assert(property, {
         seed,
         numRuns,
-        interruptAfterTimeLimit: 120_000,
         endOnFailure: process.env["SHRINK"] === undefined,
     });
     context.diagnostic(`${steady} of ${numRuns} steady, ${orders} lines of history`);
--- a/packages/control/src/lib/testing/SiteWorld.ts
+++ b/packages/control/src/lib/testing/SiteWorld.ts
@@ -1,11 +1,4 @@
-import {
-    type Configuration,
-    type ModelSpec,
-    type PlacementSpec,
-    type Resource,
-    resource,
-    StaticConfiguration,
-} from "@waxwingspar/config";
+import { type ModelSpec, type PlacementSpec, type Resource, resource } from "@waxwingspar/config";
 import { type HistoryEvent, type HistoryLine } from "@waxwingspar/history";
 import {
     failure,
@@ -21,8 +14,9 @@
 import { ordersDuty, readFence } from "../leases/leaseRow.js";
 import { type TargetPort } from "../orders/TargetPort.js";
 import { type PlanOptions } from "../rollout/planSite.js";
-import { SiteDuty } from "../rollout/SiteDuty.js";
+import { type RowCondition, SiteDuty } from "../rollout/SiteDuty.js";
 import { type PlacementChange } from "../rollout/SiteView.js";
+import { LaggedConfiguration, type PastRevision } from "./LaggedConfiguration.js";
 import { ScriptedStore } from "./ScriptedStore.js";
 import { TestTarget } from "./TestTarget.js";
 
@@ -33,8 +27,13 @@
     readonly seed?: number;
     readonly loadRate?: number;
     readonly plan?: PlanOptions;
+    /** True if no change of a placement is lost or refused. */
+    readonly faultless?: boolean;
 }
 
+/** A late message arrives long after its sender has given up. */
+export type MessageFate = "lostBefore" | "lostAfter" | "late";
+
 /** A process that may hold the duty. While it is paused it does nothing and hears nothing. */
 interface Holder {
     readonly member: DutyMember;
@@ -56,12 +55,22 @@
     readonly lines: HistoryLine[] = [];
     readonly violations: string[] = [];
     /** What the next messages to targets meet. */
-    readonly messageFates: ("lostBefore" | "lostAfter" | "late")[] = [];
+    readonly messageFates: MessageFate[] = [];
+    /** What the next orders meet. */
+    readonly orderFates: MessageFate[] = [];
+    /** What the next changes of placements meet; those beyond meet random fates. */
+    readonly changeFates: MessageFate[] = [];
     readonly random: Random;
     model: ModelSpec;
+    /** Names of the adapters of both versions. */
+    adapters: string[] = [];
+    /** True while every change of a placement is refused. */
+    refusesWrites = false;
     revision = 1;
+    /** The lowest capacity seen since it was whole for the first time. */
+    lowest = Infinity;
     private readonly placements = new Map<string, Resource<"placement">>();
-    private history: { readonly at: number; readonly revision: number; readonly resources: Resource[]; }[] = [];
+    private readonly history: PastRevision[] = [];
     private resumes: (() => void)[] = [];
 
     constructor(private readonly options: WorldOptions) {
@@ -106,6 +115,18 @@
         this.publish();
     }
 
+    setAdapters(names: string[]): void {
+        this.adapters = names;
+        this.revision++;
+        this.publish();
+    }
+
+    /** Tells whether the targets of every ready pipeline hold its layers. */
+    async isWholeSite(): Promise<boolean> {
+        const whole = await Promise.all(this.ready.map(({ spec }) => this.isWhole(spec)));
+        return whole.every(found => found);
+    }
+
     pause(holder: Holder): void {
         holder.paused = true;
     }
@@ -119,6 +140,14 @@
         for (let left = duration; left > 0; left -= 500) {
             await this.clock.advanceAsync(500, 250);
             await this.startStreams();
+            this.noteCapacity();
+        }
+    }
+
+    private noteCapacity(): void {
+        const capacity = this.capacity();
+        if (capacity >= this.model.replicas || this.lowest < Infinity) {
+            this.lowest = Math.min(this.lowest, capacity);
         }
     }
 
@@ -165,33 +194,14 @@
                 checksFence: false,
             })
         );
-        const resources = [resource("model", "m", this.model), ...targets, ...this.placements.values()];
+        const adapters = this.adapters.map(name =>
+            resource("adapter", name, { model: "m", versions: ["v1", "v2"], bytes: 1 })
+        );
+        const model = resource("model", "m", this.model);
+        const resources: Resource[] = [model, ...adapters, ...targets, ...this.placements.values()];
         this.history.push({ at: this.clock.now(), revision: this.revision, resources });
     }
 
-    /** The configuration as a process sees it that is some milliseconds behind. */
-    private lagged(lag: () => number): Configuration {
-        const current = new StaticConfiguration();
-        let applied = 0;
-        const refresh = () => {
-            const known = this.history.findLast(({ at }) => at <= this.clock.now() - lag()) ?? this.history[0]!;
-            if (known.revision > applied) {
-                applied = known.revision;
-                current.set(known.resources);
-            }
-            return current;
-        };
-        return {
-            get revision() {
-                refresh();
-                return applied;
-            },
-            get: (kind, name) => refresh().get(kind, name),
-            list: kind => refresh().list(kind),
-            onChange: () => () => undefined,
-        };
-    }
-
     private createHolder(member: DutyMember): Holder {
         const state = { paused: false, lag: this.random.below(lagLimit) };
         const awake = async <T>(outcome: Promise<T>): Promise<T> => {
@@ -218,11 +228,11 @@
             dataCentre,
             clock: awakeClock,
             store: awakeStore,
-            configuration: this.lagged(() => state.lag),
+            configuration: new LaggedConfiguration(clock, this.history, () => state.lag),
             targets: this.port(awake),
             incarnationOf: target => this.membership(target),
             readRevision: () => awake(Promise.resolve(this.unlessDown(this.revision))),
-            writePlacement: change => awake(Promise.resolve(this.writePlacement(change))),
+            writePlacement: (change, guard) => awake(Promise.resolve(this.receiveChange(change, guard))),
             record: event => this.record(member.process, member.process, event),
             plan: this.options.plan,
         });
@@ -240,8 +250,8 @@
     }
 
     private port(awake: <T>(outcome: Promise<T>) => Promise<T>): TargetPort {
-        const send = async <T>(deliver: () => Promise<Outcome<T>>): Promise<Outcome<T>> => {
-            const fate = this.messageFates.shift();
+        const send = async <T>(deliver: () => Promise<Outcome<T>>, given?: MessageFate): Promise<Outcome<T>> => {
+            const fate = given ?? this.messageFates.shift();
             const lost = Result.err(failure(transportCodes.connectionLost, "lost"));
             if (fate === "lostBefore") {
                 return lost;
@@ -255,7 +265,8 @@
         };
         return {
             observe: (target, fence) => send(() => this.targets.get(target)!.observe(fence)),
-            order: (target, incarnation, order) => send(() => this.targets.get(target)!.order(incarnation, order)),
+            order: (target, incarnation, order) =>
+                send(() => this.targets.get(target)!.order(incarnation, order), this.orderFates.shift()),
         };
     }
 
@@ -270,12 +281,33 @@
         return this.store.up ? Result.ok(value) : Result.err(failure(platformCodes.storeUnavailable, "down"));
     }
 
-    private writePlacement({ name, spec, resourceVersion }: PlacementChange): Outcome<number> {
+    /** Some changes are refused, some take effect without an answer, and some only after a while. */
+    private receiveChange(change: PlacementChange, guard: RowCondition): Outcome<number> {
+        if (!this.store.up || this.refusesWrites) {
+            return Result.err(failure(platformCodes.storeUnavailable, "down"));
+        }
+        const fate = this.changeFates.shift() ?? this.randomFate();
+        if (fate === "late") {
+            this.clock.schedule(() => void this.writePlacement(change, guard), 30_000);
+        }
+        const isLost = fate === "late" || fate === "lostBefore";
+        const written = isLost ? undefined : this.writePlacement(change, guard);
+        if (fate === "lostAfter" || written === undefined) {
+            return Result.err(failure(platformCodes.storeUnknown, "lost"));
+        }
+        return written;
+    }
+
+    private randomFate(): MessageFate | undefined {
+        const fates: readonly MessageFate[] = ["late", "lostBefore", "lostAfter"];
+        return this.options.faultless ? undefined : fates[this.random.below(60)];
+    }
+
+    private writePlacement({ name, spec, resourceVersion }: PlacementChange, guard: RowCondition): Outcome<number> {
         const old = this.placements.get(name);
-        const fate = this.store.up ? this.random.below(40) : -1;
-        if (fate < 0 || fate === 1 || (old?.resourceVersion ?? 0) !== resourceVersion) {
-            const code = fate < 0 ? platformCodes.storeUnavailable : platformCodes.conditionFailed;
-            return Result.err(failure(code, "not written"));
+        const isGuarded = this.store.row(guard.key).version === guard.version;
+        if (!isGuarded || (old?.resourceVersion ?? 0) !== resourceVersion) {
+            return Result.err(failure(platformCodes.conditionFailed, "not written"));
         }
         const before = this.capacity();
         this.revision++;
@@ -287,7 +319,7 @@
         }
         this.publish();
         this.checkChange(old?.spec, spec, before);
-        return fate === 0 ? Result.err(failure(platformCodes.storeUnknown, "lost")) : Result.ok(this.revision);
+        return Result.ok(this.revision);
     }
 
     private checkChange(old: PlacementSpec | undefined, spec: PlacementSpec | undefined, before: number): void {
