--- /dev/null
+++ b/packages/cli/src/lib/operator/OperatorClient.ts
@@ -0,0 +1,155 @@
+import {
+    type Clock,
+    type Failure,
+    failure,
+    findResultCode,
+    type Outcome,
+    sleep,
+    transportCodes,
+} from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { request } from "undici";
+import { z } from "zod";
+
+const attempts = 4;
+const firstPause = 250;
+const answerTimeout = 30_000;
+const maxLine = 8 * 1024 * 1024;
+
+/** @internal */
+export interface OperatorClientOptions {
+    /** Where the API listens, such as `http://127.0.0.1:8081`. */
+    readonly server: string;
+    readonly token?: string;
+    readonly clock: Clock;
+}
+
+/** A request to the resource API. @internal */
+export interface OperatorRequest {
+    readonly method: "GET" | "PUT" | "POST" | "DELETE";
+    /** The path and query below `/v1/`. */
+    readonly path: string;
+    readonly body?: unknown;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** One failure that the API reported. @internal */
+export interface ApiFailure extends Failure {
+    /** The resource at fault, as `kind/name`. */
+    readonly resource?: string;
+}
+
+/** What the API answered: a body, or every failure. @internal */
+export type ApiReply = Result<unknown, readonly ApiFailure[]>;
+
+const errorsSchema = z.object({
+    errors: z.array(z.object({
+        code: z.number(),
+        message: z.string(),
+        path: z.string().optional(),
+        resource: z.string().optional(),
+        retryAfter: z.number().optional(),
+    })).min(1),
+});
+
+/**
+ * Talks to the resource API of one process.
+ *
+ * @internal
+ */
+export class OperatorClient {
+    constructor(private readonly options: OperatorClientOptions) {}
+
+    /**
+     * Sends a request, and sends it again when it was lost on the way or the store failed. The caller gives changes an
+     * `idempotency-key`, so that none is applied twice.
+     */
+    async send(asked: OperatorRequest): Promise<ApiReply> {
+        for (let attempt = 1;; attempt++) {
+            const reply = await this.sendOnce(asked);
+            if (reply.isOk || attempt === attempts || !reply.error.every(isTemporary)) {
+                return reply;
+            }
+            await sleep(this.options.clock, firstPause * 2 ** attempt);
+        }
+    }
+
+    /** Reads lines of JSON until the API ends them or the signal aborts. */
+    async *lines(path: string, signal?: AbortSignal): AsyncGenerator<Outcome<string>> {
+        const { server } = this.options;
+        let rest = "";
+        try {
+            const response = await request(new URL(`/v1/${path}`, server), {
+                headers: this.headers(),
+                signal,
+                bodyTimeout: 0,
+            });
+            if (response.statusCode !== 200) {
+                yield* readFailures(await response.body.text()).map(one => Result.err<string, Failure>(one));
+                return;
+            }
+            for await (const part of response.body as AsyncIterable<Buffer>) {
+                const lines = (rest + part.toString()).split("\n");
+                rest = (lines.pop() ?? "").slice(0, maxLine);
+                yield* lines.filter(line => line !== "").map(line => Result.ok<string, Failure>(line));
+            }
+        }
+        catch (error) {
+            if (signal?.aborted !== true) {
+                yield Result.err(unreachable(server, error));
+            }
+        }
+    }
+
+    private async sendOnce({ method, path, body, headers }: OperatorRequest): Promise<ApiReply> {
+        const { server } = this.options;
+        try {
+            const response = await request(new URL(`/v1/${path}`, server), {
+                method,
+                headers: { ...this.headers(), "content-type": "application/json", ...headers },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                headersTimeout: answerTimeout,
+            });
+            const text = await response.body.text();
+            return response.statusCode < 300 ? Result.ok(JSON.parse(text) as unknown) : Result.err(readFailures(text));
+        }
+        catch (error) {
+            return Result.err([unreachable(server, error)]);
+        }
+    }
+
+    private headers(): Record<string, string> {
+        const { token } = this.options;
+        return token === undefined ? {} : { authorization: `Bearer ${token}` };
+    }
+}
+
+function isTemporary({ code }: Failure): boolean {
+    return code.retry !== "no";
+}
+
+function readFailures(text: string): ApiFailure[] {
+    const parsed = errorsSchema.safeParse(parseJson(text));
+    if (!parsed.success) {
+        return [failure(transportCodes.protocolViolation, "the server did not answer like the resource API")];
+    }
+    return parsed.data.errors.map(({ code, message, path, resource, retryAfter }) => ({
+        ...failure(findResultCode(code) ?? transportCodes.protocolViolation, message, { path, retryAfter }),
+        resource,
+    }));
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Nothing is known of a request that got no answer, so it counts as lost on the way. */
+function unreachable(server: string, error: unknown): Failure {
+    const reason = error instanceof Error ? error.message : "no answer";
+    return failure(transportCodes.connectionLost, `${server}: ${reason}`);
+}
--- /dev/null
+++ b/packages/cli/src/lib/operator/operatorExitCodes.ts
@@ -0,0 +1,19 @@
+/**
+ * Exit codes of the operators' verbs.
+ *
+ * @public
+ */
+export const operatorExitCodes = {
+    /** Done; for `diff`, nothing differs; for `status`, everything is in force. */
+    done: 0,
+    /** The API refused, or with `status` something is not in force yet. */
+    refused: 1,
+    /** The command line or a file is wrong; nothing was sent. */
+    usage: 2,
+    /** `diff` found differences. */
+    differs: 3,
+    /** A resource changed since it was read. */
+    conflict: 4,
+    /** The API could not be reached, or the outcome of a change is unknown. */
+    unknown: 5,
+} as const;
