Agent: a stage that stands still is found while a long prompt runs

Cause: the wait for the first token grew with the prompt (34 s for 8,192 positions), and a stage had 1 s to get ready whatever the bound on the first token. Change: the head asks its stages after the time of one chunk and judges by progress; the time to get ready is half of the bound on the first token, plus the import timeout when there are exporters; property test of stop strings. Before: the new test of a stage that stands still had to wait for the whole prompt's time. Conclusion: every wait follows the model's bounds.

--- a/packages/agent/src/lib/Agent.test.ts
+++ b/packages/agent/src/lib/Agent.test.ts
@@ -101,6 +101,21 @@
     assert.deepEqual(run.ids, reference.tokens);
 });
 
+test("a stage that stands still while a long prompt runs is found", async () => {
+    const site = new TestSite(1);
+    await site.startAll(names, { agent: { settings: { prefillChunk: 64 } }, engine: { prefillTokenTime: 1 } });
+    const prompt = testPrompt.repeat(150);
+    const run = new TestRun({ entry: site.entry, request: "r1", choose: chooseThree, changes: { prompt } });
+    await site.until(() => site.events("b", "layers.run").length === 3);
+    // The process of b stands still: its links stay open, and nothing comes out of it.
+    ["a", "c", "entry"].forEach(other => site.network.holdDirection("b", other));
+    const stopped = site.clock.now();
+    await site.until(() => run.epoch === 1, 60_000);
+    assert.equal(site.entry.answer("r1", 0).failed?.target, "b");
+    // One wait for a chunk, and the time to answer; the whole prompt would allow 40 s.
+    assert.ok(site.clock.now() - stopped < 3000, `took ${site.clock.now() - stopped} ms`);
+});
+
 test("late frames of an old attempt change nothing", async () => {
     const site = new TestSite(1);
     const dropped: string[] = [];
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -16,8 +16,8 @@
     readonly stateTimeout: number;
     /** Milliseconds in which an engine whose step takes too long must answer a question, or counts as hung. */
     readonly engineAnswerTime: number;
-    /** Milliseconds for all stages to answer `join`. */
-    readonly joinTimeout: number;
+    /** The share of the bound on the first token that all stages together may take to get ready. */
+    readonly joinShare: number;
     /** Milliseconds to fetch a KV cache from another agent before the prompt is computed again instead. */
     readonly importTimeout: number;
     /** Milliseconds for which the KV cache of a failed attempt stays exportable. */
@@ -65,7 +65,7 @@
     minimumTimeout: 100,
     stateTimeout: 200,
     engineAnswerTime: 60,
-    joinTimeout: 1000,
+    joinShare: 0.5,
     importTimeout: 500,
     retainCache: 3000,
     gapTimeout: 200,
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -185,8 +185,8 @@
     }
 
     private async prepare(): Promise<void> {
-        this.patience = this.context.clock.schedule(() => this.notReady(), 2 * this.context.settings.joinTimeout);
         const { message, produced } = this.options;
+        this.patience = this.context.clock.schedule(() => this.notReady(), 2 * this.joinTimeout());
         const prompt = await guarded(() => this.context.engine.tokenize(message.model, message.prompt));
         if (this.chart.ended) {
             return;
@@ -271,10 +271,15 @@
         return new LaterStages({
             context: this.context,
             join: joinRequest(message, tokens, timeLeft, traceparent),
+            timeout: this.joinTimeout(),
             lost: fault => this.fail(fault),
         });
     }
 
+    private joinTimeout(): number {
+        return this.timeouts.join(this.options.message.exporters.length > 0);
+    }
+
     private recordPrompt(): void {
         const { request, epoch, stages } = this.options.message;
         const layers = (stages.at(-1)?.last ?? -1) + 1;
--- a/packages/agent/src/lib/head/LaterStages.ts
+++ b/packages/agent/src/lib/head/LaterStages.ts
@@ -10,6 +10,8 @@
     readonly context: AgentContext;
     /** What every stage is asked; `index` is set for each. */
     readonly join: Omit<JoinMessage, "index">;
+    /** Milliseconds for all stages to get ready. */
+    readonly timeout: number;
     /** A stage was lost after all had joined. */
     readonly lost: (fault: ChainFault) => void;
 }
@@ -49,8 +51,7 @@
         }
         return new Promise(resolve => {
             this.settle = resolve;
-            const { clock, settings } = this.options.context;
-            this.timer = clock.schedule(() => this.expire(), settings.joinTimeout);
+            this.timer = this.options.context.clock.schedule(() => this.expire(), this.options.timeout);
             this.members.forEach((member, index) => void this.connect(member, index + 1));
         });
     }
--- /dev/null
+++ b/packages/agent/src/lib/head/StopMatcher.test.ts
@@ -0,0 +1,45 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type AnswerToken, StopMatcher } from "./StopMatcher.js";
+
+test("whatever the tokens, the text ends before the first stop string and nothing of it leaks", () => {
+    const piece = fc.string({ unit: fc.constantFrom("a", "b", "c"), maxLength: 3 });
+    const stops = fc.array(fc.string({ unit: fc.constantFrom("a", "b", "c"), minLength: 1, maxLength: 4 }), {
+        maxLength: 3,
+    });
+    fc.assert(
+        fc.property(fc.array(piece, { maxLength: 20 }), stops, (texts, stop) => {
+            const matcher = new StopMatcher(stop);
+            const sent: AnswerToken[] = [];
+            let stopped = false;
+            let taken = 0;
+            for (const [id, text] of texts.entries()) {
+                const result = matcher.push({ id, text });
+                taken++;
+                sent.push(...result.released);
+                if (result.stopped) {
+                    stopped = true;
+                    break;
+                }
+            }
+            sent.push(...matcher.flush());
+            const whole = texts.join("");
+            const found = stop.map(value => whole.indexOf(value)).filter(index => index >= 0);
+            assert.equal(stopped, found.length > 0);
+            assert.equal(
+                sent.map(token => token.text).join(""),
+                found.length > 0 ? cutText(texts, stop, taken) : whole,
+            );
+            assert.deepEqual(sent.map(token => token.id), texts.slice(0, taken).map((_, id) => id));
+        }),
+        { seed: 3, numRuns: 1000 },
+    );
+});
+
+/** The text of the tokens taken, up to the first stop string in it. */
+function cutText(texts: readonly string[], stops: readonly string[], taken: number): string {
+    const text = texts.slice(0, taken).join("");
+    const first = Math.min(...stops.map(stop => text.indexOf(stop)).filter(index => index >= 0));
+    return text.slice(0, first);
+}
--- a/packages/agent/src/lib/head/TokenWait.ts
+++ b/packages/agent/src/lib/head/TokenWait.ts
@@ -4,7 +4,7 @@
 import { type Timeouts } from "../modelLimits.js";
 import { type StageState, stageStateSchema, stateMethodName } from "../stage/stateMethod.js";
 import { Watchdog } from "../stage/Watchdog.js";
-import { judgeSilence } from "./judgeSilence.js";
+import { judgeSilence, type Silence } from "./judgeSilence.js";
 import { type Member } from "./LaterStages.js";
 
 /** @internal */
@@ -34,6 +34,8 @@
     private since = 0;
     /** Counts the waits, so that answers to an earlier question are not taken for a later one. */
     private turn = 0;
+    /** How far all stages together were when they were last asked. */
+    private progress = 0;
     /** The stage that a frame had not reached when it was last asked. */
     private suspect: string | undefined;
 
@@ -58,7 +60,10 @@
         this.wanted = position;
         this.since = this.options.context.clock.now();
         this.suspect = undefined;
-        this.watchdog.expect(this.options.timeouts.silence(count));
+        this.progress = 0;
+        // The first question comes after the time of one chunk: a long prompt must not hide a dead stage.
+        const { timeouts, context } = this.options;
+        this.watchdog.expect(timeouts.silence(Math.min(count, context.settings.prefillChunk)));
     }
 
     clear(): void {
@@ -79,14 +84,18 @@
             return;
         }
         const targets = members.map(member => member.stage.target);
-        const judgement = judgeSilence(wanted, this.options.ownPassed(), targets, states);
-        this.act(judgement.kind, judgement.target);
+        const ownPassed = this.options.ownPassed();
+        const judgement = judgeSilence(wanted, ownPassed, targets, states);
+        const progress = states.reduce((sum, state) => sum + (state?.taken ?? 0) + (state?.passed ?? 0), ownPassed);
+        const moved = progress !== this.progress;
+        this.progress = progress;
+        this.act(judgement.kind, judgement.target, moved);
     }
 
-    private act(kind: "dead" | "working" | "unreached", target: string | undefined): void {
+    private act(kind: Silence["kind"], target: string | undefined, moved: boolean): void {
         const { context, timeouts } = this.options;
         const tooLong = context.clock.now() - this.since >= timeouts.hard(this.count);
-        const suspectedTwice = kind === "unreached" && this.suspect === target;
+        const suspectedTwice = kind === "unreached" && this.suspect === target && !moved;
         if (kind === "dead" || tooLong || suspectedTwice) {
             this.count = 0;
             const message = `no token came in time; ${target ?? "the head's own stage"} is at fault`;
--- a/packages/agent/src/lib/modelLimits.ts
+++ b/packages/agent/src/lib/modelLimits.ts
@@ -12,6 +12,8 @@
 export interface Timeouts {
     /** The bound on the first token. */
     readonly firstToken: number;
+    /** For every stage to get ready; an import of KV caches takes longer. */
+    join(importing: boolean): number;
     /** For one step of the engine. */
     step(count: number): number;
     /** For the token that a step of so many positions at the head leads to. */
@@ -33,7 +35,10 @@
         Math.max(settings.minimumTimeout, settings.stepPatience * tokenBound) + extra(count);
     const silence = (count: number): number =>
         Math.max(settings.minimumTimeout, settings.silencePatience * tokenBound) + 2 * extra(count);
-    return { firstToken: firstTokenBound, step, silence, hard: count => hardFactor * silence(count) };
+    const join = (importing: boolean): number =>
+        Math.max(settings.minimumTimeout, settings.joinShare * firstTokenBound)
+        + (importing ? settings.importTimeout : 0);
+    return { firstToken: firstTokenBound, join, step, silence, hard: count => hardFactor * silence(count) };
 }
 
 /** Tokens of prompt and answer together that a model takes. @internal */
--- a/packages/agent/src/lib/stage/StageAttempt.ts
+++ b/packages/agent/src/lib/stage/StageAttempt.ts
@@ -5,7 +5,7 @@
 import { type AgentContext, type Attempt, type ModelVersion } from "../AgentContext.js";
 import { type AttemptEvent, createAttemptChart } from "../charts/attemptChart.js";
 import { asNotRun, asStarted, type ChainFault, toWire } from "../faults.js";
-import { timeoutsOf } from "../modelLimits.js";
+import { type Timeouts, timeoutsOf } from "../modelLimits.js";
 import { FrameOrder } from "./FrameOrder.js";
 import { type SampledToken, type StageWork } from "./StageRunner.js";
 import { StageSession } from "./StageSession.js";
@@ -19,6 +19,7 @@
     readonly epoch: number;
     private readonly chart = createAttemptChart();
     private readonly session: StageSession;
+    private readonly timeouts: Timeouts;
     private readonly span: Span;
     private readonly unwatch: (() => void)[] = [];
     private readonly deadline: Timer;
@@ -39,7 +40,8 @@
     ) {
         const { request, epoch, model, version, adapter, priority, sampling, stages, index, tokens } = message;
         this.epoch = epoch;
-        const timeouts = timeoutsOf(context.configuration, model, context.settings);
+        this.timeouts = timeoutsOf(context.configuration, model, context.settings);
+        const { timeouts } = this;
         this.session = new StageSession(context, {
             request,
             epoch,
@@ -81,8 +83,8 @@
     async prepare(): Promise<void> {
         this.chart.send("start");
         this.unwatch.push(this.context.links.watch(this.head, () => this.headLost()));
-        const { clock, settings: { joinTimeout } } = this.context;
-        this.patience = clock.schedule(() => this.notReady(), joinTimeout);
+        const timeout = this.timeouts.join(this.message.exporters.length > 0);
+        this.patience = this.context.clock.schedule(() => this.notReady(), timeout);
         const prepared = await this.session.prepare();
         if (this.chart.ended) {
             return;
