Proof: control duties, store's witness, planted faults, and the failure table

A loopback address for each daemon, so that a port stays free while its process restarts. Before: head-dies of the first run broke off: a port was taken by an outgoing connection.

--- a/packages/proof/src/bin.ts
+++ b/packages/proof/src/bin.ts
@@ -13,37 +13,46 @@
     readonly seed: number;
     readonly seconds: number;
     readonly keep: boolean;
+    readonly plants: boolean;
 }
 
 const defaultSeconds = 14;
 
-const { scenario: name, seed, seconds, keep } = new Command("proof")
+const { scenario: name, seed, seconds, keep, plants } = new Command("proof")
     .description("Runs real processes under faults and checks their histories.")
-    .option("--scenario <name>", `one of ${scenarios.map(({ name }) => name).join(", ")}, or all`, "all")
+    .option("--scenario <name>", `some of ${scenarios.map(({ name }) => name).join(",")}, or all`, "all")
     .option("--seed <number>", "chooses victims, arrivals and prompts", Number, 1)
     .option("--seconds <number>", "seconds for which callers send after the first fault", Number, defaultSeconds)
     .option("--keep", "keep settings, logs and histories", false)
+    .option("--plants", "plant a fault of each rule into the history; each must be caught", false)
     .parse()
     .opts<Options>();
 
-const chosen = name === "all" ? scenarios : [findScenario(name)].filter(found => found !== undefined);
-if (chosen.length === 0) {
-    process.stderr.write(`no scenario ${name}\n`);
-    process.exit(2);
-}
+const chosen = name === "all" ? scenarios : name.split(",").map(part => findScenario(part) ?? unknown(part));
 const results: ScenarioResult[] = [];
+let broken = 0;
 for (const scenario of chosen) {
     const folder = await mkdtemp(join(tmpdir(), `waxwingspar-proof-${scenario.name}-`));
     process.stdout.write(`${scenario.name}: ${scenario.summary}\n`);
-    const result = await runScenario({ scenario, seed, seconds, folder });
-    process.stdout.write(`${formatDetails(result)}\n`);
-    results.push(result);
-    if (keep || !holds(result)) {
-        process.stdout.write(`  files: ${folder}\n`);
+    try {
+        const result = await runScenario({ scenario, seed, seconds, folder, plants });
+        process.stdout.write(`${formatDetails(result)}\n`);
+        results.push(result);
+        if (!keep && holds(result)) {
+            await rm(folder, { recursive: true });
+            continue;
+        }
     }
-    else {
-        await rm(folder, { recursive: true });
+    catch (error) {
+        broken++;
+        process.stdout.write(`  THE RUN BROKE OFF: ${error instanceof Error ? error.message : String(error)}\n`);
     }
+    process.stdout.write(`  files: ${folder}\n`);
 }
 process.stdout.write(`\n${[tableHead(), ...results.map(tableRow)].join("\n")}\n`);
-process.exitCode = results.every(holds) ? 0 : 1;
+process.exitCode = broken === 0 && results.every(holds) ? 0 : 1;
+
+function unknown(part: string): never {
+    process.stderr.write(`no scenario ${part}\n`);
+    process.exit(2);
+}
--- a/packages/proof/src/lib/daemon/Foundation.ts
+++ b/packages/proof/src/lib/daemon/Foundation.ts
@@ -1,14 +1,18 @@
 import { callByPool, ConfigurationNode, Membership, ResourceApi, ResourceStore, StoreLog } from "@waxwingspar/config";
+import { DutyRunner, ordersDuty, readFence } from "@waxwingspar/control";
 import { FileRecorder } from "@waxwingspar/history";
 import { HttpLiveList, HttpObjectStore, HttpTableStore, PlatformConnection, StoreClient } from "@waxwingspar/platform";
 import { createLogger } from "@waxwingspar/telemetry";
 import { type Hello, protocolVersion, type RpcMethod, TcpLinkPool } from "@waxwingspar/transport";
-import { type Clock, type Random, seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
+import { type Clock, type Outcome, type Random, seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
 import { randomInt } from "node:crypto";
 import { type Logger } from "pino";
+import { RoleDuty } from "./RoleDuty.js";
 import { type DaemonSettings } from "./settings.js";
 
 const maxSeed = 0x7fff_ffff;
+const leaseDuration = 3000;
+const dutyInterval = 100;
 
 /**
  * What an agent and an entry stand on: history, store, membership and configuration.
@@ -27,6 +31,7 @@
     /** Links of the configuration; agents and entries have their own for work. */
     readonly pool: TcpLinkPool;
     private readonly api: ResourceApi;
+    private readonly duties: DutyRunner;
 
     private constructor(
         readonly settings: DaemonSettings,
@@ -69,8 +74,25 @@
         });
         const { host, port } = settings.operators;
         this.api = new ResourceApi({ node: this.node, store: resources, clock, allowAnonymous: true, host, port });
+        const duty = new RoleDuty({ dataCentre, configuration: this.node, pool: this.pool, record: recorder.record });
+        this.duties = new DutyRunner({
+            store: this.store,
+            clock,
+            random,
+            process: name,
+            incarnation,
+            duties: [duty],
+            members: () =>
+                this.membership.members().filter(({ state }) => state !== "unreachable")
+                    .map(member => ({ ...member, leaving: member.state === "leaving" })),
+            duration: leaseDuration,
+            interval: dutyInterval,
+        });
     }
 
+    /** Reads the highest fence ever issued for the targets of this data centre. */
+    readonly readFence = (): Promise<Outcome<number>> => readFence(this.store, ordersDuty(this.settings.dataCentre));
+
     static async open(settings: DaemonSettings, role: "agent" | "entry"): Promise<Foundation> {
         const incarnation = uniqueId();
         const recorder = await FileRecorder.open({
@@ -93,6 +115,12 @@
         if (port.isErr) {
             throw new Error(port.error.message);
         }
+        this.duties.start();
+    }
+
+    /** Gives up the duties, to be called when the process begins to leave. */
+    leave(): Promise<unknown> {
+        return Promise.all([this.duties.stop(), this.node.announceLeaving()]);
     }
 
     async close(): Promise<void> {
--- a/packages/proof/src/lib/daemon/runAgent.ts
+++ b/packages/proof/src/lib/daemon/runAgent.ts
@@ -19,6 +19,7 @@
         configuration: node,
         queue: createWorkQueue({ clock, slots: settings.slots }),
         service: settings.service,
+        readFence: foundation.readFence,
         record: recorder.record,
         clock,
         log: logger,
@@ -42,7 +43,7 @@
     await foundation.start();
     await agent.start();
     return async () => {
-        void node.announceLeaving();
+        void foundation.leave();
         const { interrupted } = await agent.leave();
         pool.close();
         await server.close();
--- a/packages/proof/src/lib/daemon/runEntry.ts
+++ b/packages/proof/src/lib/daemon/runEntry.ts
@@ -50,7 +50,7 @@
     }
     return async () => {
         clearInterval(timer);
-        void node.announceLeaving();
+        void foundation.leave();
         const interrupted = await entry.stop();
         pool.close();
         await server.close();
--- a/packages/proof/src/lib/relay/Relay.ts
+++ b/packages/proof/src/lib/relay/Relay.ts
@@ -23,6 +23,8 @@
 export interface RelayOptions {
     /** The process behind the relay. */
     readonly process: string;
+    /** The loopback address of the relay and of the process. */
+    readonly host: string;
     /** Where the relay listens. */
     readonly port: number;
     /** Where the process listens. */
@@ -54,7 +56,7 @@
     listen(): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(this.options.port, "127.0.0.1", resolve);
+            this.server.listen(this.options.port, this.options.host, resolve);
         });
     }
 
@@ -64,8 +66,8 @@
     }
 
     private accept(near: Socket): void {
-        const { process, names, policy, targetPort } = this.options;
-        const far = connect({ host: "127.0.0.1", port: targetPort, noDelay: true, allowHalfOpen: true });
+        const { process, names, policy, host, targetPort } = this.options;
+        const far = connect({ host, port: targetPort, noDelay: true, allowHalfOpen: true });
         let { opener } = this.options;
         for (const socket of [near, far]) {
             this.sockets.add(socket);
--- a/packages/proof/src/lib/report/ScenarioResult.ts
+++ b/packages/proof/src/lib/report/ScenarioResult.ts
@@ -21,6 +21,8 @@
     readonly scenario: string;
     readonly seed: number;
     readonly outcomes: Readonly<Record<RequestKind, OutcomeCount>>;
+    /** How many tries of callers failed with which result code; 0 where no code arrived. */
+    readonly codes: Readonly<Record<string, number>>;
     /** Requests that needed more than one try of their caller. */
     readonly repeated: number;
     readonly history: HistoryReport;
@@ -44,6 +46,18 @@
     return counts;
 }
 
+/** Counts the tries that failed by kind of request, outcome and result code. @internal */
+export function countCodes(ends: readonly RequestEnd[]): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { kind, tries } of ends) {
+        for (const { outcome, code = 0 } of tries.filter(one => one.outcome !== "completed")) {
+            const name = `${kind} ${outcome} ${code}`;
+            counts[name] = (counts[name] ?? 0) + 1;
+        }
+    }
+    return counts;
+}
+
 /** Whether nothing is broken. @internal */
 export function holds({ history, checks }: ScenarioResult): boolean {
     return history.violations.length === 0 && checks.every(check => check.holds);
--- a/packages/proof/src/lib/report/formatResult.ts
+++ b/packages/proof/src/lib/report/formatResult.ts
@@ -60,6 +60,7 @@
     const kinds = Object.entries(outcomes).map(([kind, { completed, notRun, unknown }]) =>
         `  ${kind}: ${completed} completed, ${notRun} not run, ${unknown} unknown`
     );
+    const failed = Object.entries(result.codes).map(([name, count]) => `  failed tries: ${name}: ${count}`);
     const rules = historyRules.map(rule => {
         const { passed, violated, undecided } = history.rules[rule];
         return `  ${rule}: ${passed} passed, ${violated} violated, ${undecided} undecided`;
@@ -69,9 +70,9 @@
             lines.map(line => `${line.process}:${line.sequence}`).join(", ")
         })`
     );
-    const failed = checks.map(({ name, holds, detail }) => `  ${holds ? "ok" : "FAILED"} ${name} ${detail}`);
+    const checked = checks.map(({ name, holds, detail }) => `  ${holds ? "ok" : "FAILED"} ${name} ${detail}`);
     const size = `  ${history.lines} lines, ${history.incarnations} incarnations, ${history.tokens} tokens`;
-    return [size, ...kinds, ...rules, ...violations, ...failed].join("\n");
+    return [size, ...kinds, ...failed, ...rules, ...violations, ...checked].join("\n");
 }
 
 function rounded(value: number | undefined, absent = "-"): string {
--- /dev/null
+++ b/packages/proof/src/lib/report/plants.ts
@@ -0,0 +1,143 @@
+import { type HistoryLine, type HistoryRule } from "@waxwingspar/history";
+
+/** A change of a history after which one rule must be broken. @internal */
+export interface Plant {
+    readonly rule: HistoryRule;
+    readonly what: string;
+    /** The changed history; undefined if this history has no place for the change. */
+    readonly apply: (lines: readonly HistoryLine[]) => HistoryLine[] | undefined;
+}
+
+type Body = HistoryLine["body"];
+type EventOf<E extends Body["event"]> = Extract<Body, { event: E; }>;
+type LineOf<E extends Body["event"]> = HistoryLine & { readonly body: EventOf<E>; };
+
+function isLine<E extends Body["event"]>(line: HistoryLine, event: E): line is LineOf<E> {
+    return line.body.event === event;
+}
+
+/** Finds the line in the middle of all lines of an event that fit. */
+function findMiddle<E extends Body["event"]>(
+    lines: readonly HistoryLine[],
+    event: E,
+    fits: (body: EventOf<E>) => boolean = () => true,
+): LineOf<E> | undefined {
+    const found = lines.filter((line): line is LineOf<E> => isLine(line, event) && fits(line.body));
+    return found[found.length >> 1];
+}
+
+/** Numbers the lines of each incarnation anew, so that only the planted fault shows. */
+function renumber(lines: readonly HistoryLine[]): HistoryLine[] {
+    const next = new Map<string, number>();
+    return lines.map(line => {
+        const sequence = next.get(line.incarnation) ?? 0;
+        next.set(line.incarnation, sequence + 1);
+        return { ...line, sequence };
+    });
+}
+
+/** Puts other lines in the place of one; its incarnation is numbered anew. */
+function replaceLine(
+    lines: readonly HistoryLine[],
+    old: HistoryLine | undefined,
+    replacement: (line: HistoryLine) => HistoryLine[],
+): HistoryLine[] | undefined {
+    return old === undefined ? undefined : renumber(lines.flatMap(line => line === old ? replacement(line) : [line]));
+}
+
+function changeLine<E extends Body["event"]>(
+    lines: readonly HistoryLine[],
+    old: LineOf<E> | undefined,
+    change: Partial<EventOf<E>>,
+): HistoryLine[] | undefined {
+    return replaceLine(lines, old, line => [{ ...line, body: { ...line.body, ...change } }]);
+}
+
+function deliveredRequests(lines: readonly HistoryLine[]): Set<string> {
+    return new Set(lines.flatMap(line => isLine(line, "tokens.sent") ? [line.body.request] : []));
+}
+
+/** Copies the last work that a target accepted before it began to leave to a time behind its bound. */
+function acceptLate(lines: readonly HistoryLine[]): HistoryLine[] | undefined {
+    const leaving = lines.filter(line => isLine(line, "target.leaving"))
+        .find(({ body }) => lines.some(line => isLine(line, "work.accepted") && line.body.target === body.target));
+    const accepted = lines.find(line => isLine(line, "work.accepted") && line.body.target === leaving?.body.target);
+    if (leaving === undefined || accepted === undefined) {
+        return undefined;
+    }
+    const late = { ...accepted, incarnation: leaving.incarnation, time: leaving.time + leaving.body.bound + 1 };
+    return replaceLine(lines, leaving, line => [line, late]);
+}
+
+/** One planted fault for each rule, made in the history of a real run. @internal */
+export const plants: readonly Plant[] = [
+    {
+        rule: "recording",
+        what: "a line of an agent is dropped",
+        apply(lines) {
+            const dropped = findMiddle(lines, "layers.run");
+            return dropped === undefined ? undefined : lines.filter(line => line !== dropped);
+        },
+    },
+    {
+        rule: "layers",
+        what: "one run of layers of a delivered answer is dropped",
+        apply(lines) {
+            const delivered = deliveredRequests(lines);
+            const fits = ({ request, position, count }: EventOf<"layers.run">) =>
+                delivered.has(request) && position > 0 && count === 1;
+            return replaceLine(lines, findMiddle(lines, "layers.run", fits), () => []);
+        },
+    },
+    {
+        rule: "layers",
+        what: "one run of layers happens twice",
+        apply: lines => replaceLine(lines, findMiddle(lines, "layers.run"), line => [line, line]),
+    },
+    {
+        rule: "delivery",
+        what: "tokens are sent twice to a caller",
+        apply: lines => replaceLine(lines, findMiddle(lines, "tokens.sent"), line => [line, line]),
+    },
+    {
+        rule: "answers",
+        what: "a caller receives another text",
+        apply: lines =>
+            changeLine(lines, findMiddle(lines, "caller.ended", end => end.outcome === "completed"), { digest: "0" }),
+    },
+    {
+        rule: "not-run",
+        what: "a request that ran is called not run",
+        apply(lines) {
+            const ran = new Set(lines.flatMap(line => isLine(line, "service.run") ? [line.body.request] : []));
+            return changeLine(lines, findMiddle(lines, "request.ended", end => ran.has(end.request)), {
+                outcome: "not run",
+            });
+        },
+    },
+    {
+        rule: "at-most-once",
+        what: "the service acts twice under one key",
+        apply: lines =>
+            replaceLine(
+                lines,
+                findMiddle(lines, "service.effect", ({ key }) => key !== undefined),
+                line => [line, line],
+            ),
+    },
+    {
+        rule: "leaving",
+        what: "a leaving target accepts work after its bound",
+        apply: acceptLate,
+    },
+    {
+        rule: "stops",
+        what: "a planned stop cuts a request off",
+        apply: lines => changeLine(lines, findMiddle(lines, "process.stopped"), { interrupted: 1 }),
+    },
+    {
+        rule: "configuration",
+        what: "one process has another configuration under the same revision",
+        apply: lines => changeLine(lines, findMiddle(lines, "config.applied"), { digest: "0" }),
+    },
+];
--- a/packages/proof/src/lib/runScenario.ts
+++ b/packages/proof/src/lib/runScenario.ts
@@ -1,11 +1,12 @@
-import { checkHistoryFiles, FileRecorder, type HistoryReport } from "@waxwingspar/history";
+import { checkHistoryFiles, type CheckOptions, FileRecorder, type HistoryReport } from "@waxwingspar/history";
 import { seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
 import { Callers } from "./callers/Callers.js";
+import { checkPlants } from "./report/checkPlants.js";
 import { longestActivation } from "./report/longestActivation.js";
 import { measureRecovery } from "./report/Recovery.js";
-import { countOutcomes, type ScenarioCheck, type ScenarioResult } from "./report/ScenarioResult.js";
+import { countCodes, countOutcomes, type ScenarioCheck, type ScenarioResult } from "./report/ScenarioResult.js";
 import { type Scenario } from "./scenarios/Scenario.js";
 import { fullSite, type LayoutOptions, planSite } from "./site/layout.js";
 import { Site } from "./site/Site.js";
@@ -21,6 +22,8 @@
     readonly layout?: LayoutOptions;
     readonly modelRate?: number;
     readonly serviceRate?: number;
+    /** Whether to plant faults into the history afterwards, each of which the check must catch. */
+    readonly plants?: boolean;
 }
 
 const warmUp = 4000;
@@ -79,17 +82,20 @@
         await opened.value.close();
         await site.stop();
         const files = [callersFile, ...site.historyFiles];
-        const history = await check(files, baseRevision, site);
+        const checkOptions = { baseRevision, configured: site.layout.daemons.map(({ name }) => name) };
+        const history = await checkFiles(files, checkOptions);
+        const planted = options.plants === true ? await checkPlants(files, checkOptions) : [];
         const recovery = measureRecovery(callers.ends, fault, end);
         return {
             scenario: scenario.name,
             seed,
             outcomes: countOutcomes(callers.ends),
+            codes: countCodes(callers.ends),
             repeated: callers.ends.filter(({ tries }) => tries.length > 1).length,
             history,
             recovery,
             longestActivation: await longestActivation(files),
-            checks: [...checks, stopCheck(site)],
+            checks: [...checks, stopCheck(site), ...planted],
         };
     }
     finally {
@@ -97,9 +103,8 @@
     }
 }
 
-async function check(files: readonly string[], baseRevision: number, site: Site): Promise<HistoryReport> {
-    const configured = site.layout.daemons.map(({ name }) => name);
-    const report = await checkHistoryFiles(files, { baseRevision, configured });
+async function checkFiles(files: readonly string[], options: CheckOptions): Promise<HistoryReport> {
+    const report = await checkHistoryFiles(files, options);
     if (report.isErr) {
         throw new Error(report.error.message);
     }
--- a/packages/proof/src/lib/scenarios/operatorsRace.ts
+++ b/packages/proof/src/lib/scenarios/operatorsRace.ts
@@ -14,7 +14,8 @@
 type ReadResource = z.infer<typeof resourceSchema>;
 
 function urlAt(site: Site, name: string): string {
-    return `http://127.0.0.1:${site.daemon(name).operatorsPort}/v1/resources/organisation/${organisation}`;
+    const { host, operatorsPort } = site.daemon(name);
+    return `http://${host}:${operatorsPort}/v1/resources/organisation/${organisation}`;
 }
 
 async function read(site: Site, name: string): Promise<ReadResource> {
--- a/packages/proof/src/lib/scenarios/processScenarios.ts
+++ b/packages/proof/src/lib/scenarios/processScenarios.ts
@@ -87,18 +87,27 @@
 const pausedHolder: Scenario = {
     name: "paused-holder",
     row: "lease lapses while paused, the holder resumes",
-    summary: "SIGSTOP of an entry, which owns claims, and of two agents for 7 s, then SIGCONT",
+    summary:
+        "SIGSTOP of the holders of all three control duties (leases of 3 s), of an entry, which owns claims, and of "
+        + "an agent beside the plain service, for 7 s, then SIGCONT; holders look at their lease once for many orders",
     async run(context) {
-        const { site, markFault } = context;
-        const victims = [
-            pick(context, ["entry-1", "entry-2", "entry-3"]),
-            pick(context, near(1)),
-            pick(context, ["records-1", "records-2"]),
-        ];
+        const { site, markFault, check } = context;
+        const centres = ["dc1", "dc2", "dc3"];
+        const before = await Promise.all(centres.map(centre => site.dutyHolder(centre)));
+        const holders = before.filter(holder => holder !== undefined);
+        const others = [pick(context, ["entry-1", "entry-2", "entry-3"]), pick(context, ["records-1", "records-2"])];
         markFault();
+        const victims = new Set([...holders, ...others]);
         victims.forEach(victim => site.pause(victim));
         await pause(7000);
+        const after = await Promise.all(centres.map(centre => site.dutyHolder(centre)));
         victims.forEach(victim => site.resume(victim));
+        const moved = after.filter((holder, index) => holder !== undefined && holder !== before[index]).length;
+        check({
+            name: "another process holds each duty when the paused holder resumes",
+            holds: moved === centres.length,
+            detail: `${before.join(", ")} before, ${after.join(", ")} after`,
+        });
     },
 };
 
--- a/packages/proof/src/lib/site/ServiceStandIn.ts
+++ b/packages/proof/src/lib/site/ServiceStandIn.ts
@@ -22,10 +22,10 @@
         this.server = createServer((request, response) => void this.serve(request, response));
     }
 
-    listen(port: number): Promise<void> {
+    listen(host: string, port: number): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(port, "127.0.0.1", resolve);
+            this.server.listen(port, host, resolve);
         });
     }
 
--- a/packages/proof/src/lib/site/Site.ts
+++ b/packages/proof/src/lib/site/Site.ts
@@ -2,8 +2,9 @@
 import { createRequire } from "node:module";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { z } from "zod";
 import { type FaultPolicy, type LinkFault, Relay } from "../relay/Relay.js";
-import { type Layout, type PlannedDaemon } from "./layout.js";
+import { type Layout, type PlannedDaemon, platformHost } from "./layout.js";
 import { daemonSettings, engineSettings, liveHost, platformSettings, serviceSettings } from "./settingsFiles.js";
 import { SiteProcess } from "./SiteProcess.js";
 
@@ -11,6 +12,7 @@
 const cliScript = join(dirname(createRequire(import.meta.url).resolve("waxwingspar")), "bin.js");
 const stopLimit = 60_000;
 const noFault: LinkFault = {};
+const leaseAnswerSchema = z.object({ value: z.object({ value: z.object({ holder: z.string() }) }) });
 
 /**
  * A site of real processes on loopback: platform, engines, plain services, agents, entries, and a relay in front of
@@ -33,12 +35,13 @@
     /** Starts everything and waits until it is ready. */
     async start(): Promise<void> {
         const { daemons } = this.layout;
+        await this.startPlatform();
         await this.startRelays();
         const helpers = daemons.filter(({ role }) => role === "agent").flatMap(daemon => [
             this.startEngine(daemon),
             ...(daemon.stage === undefined ? [this.startService(daemon)] : []),
         ]);
-        await Promise.all([this.startPlatform(), ...helpers]);
+        await Promise.all(helpers);
         await Promise.all(daemons.map(({ name }) => this.startDaemon(name)));
     }
 
@@ -80,14 +83,14 @@
         this.historyFiles.push(history);
         const settings = await this.writeSettings(`${name}-${start}`, daemonSettings(daemon, this.layout, history));
         const port = daemon.role === "entry" ? daemon.callersPort : daemon.operatorsPort;
-        await this.launch(name, [join(distFolder, "daemon.js"), settings], `http://127.0.0.1:${port}/readyz`);
+        await this.launch(name, [join(distFolder, "daemon.js"), settings], `http://${daemon.host}:${port}/readyz`);
     }
 
     /** Starts the engine beside an agent. */
     async startEngine(daemon: PlannedDaemon): Promise<void> {
         const name = `engine-${daemon.name}`;
         const settings = await this.writeSettings(name, engineSettings(daemon));
-        await this.launch(name, [cliScript, "engine", settings], `http://127.0.0.1:${daemon.enginePort}/`);
+        await this.launch(name, [cliScript, "engine", settings], `http://${daemon.host}:${daemon.enginePort}/`);
     }
 
     /** Kills a process without warning. */
@@ -121,13 +124,13 @@
     /** Where the entries take callers. */
     origins(): string[] {
         const entries = this.layout.daemons.filter(({ role }) => role === "entry");
-        return entries.map(({ callersPort }) => `http://127.0.0.1:${callersPort}`);
+        return entries.map(({ host, callersPort }) => `http://${host}:${callersPort}`);
     }
 
     /** The revision in force on the first daemon. */
     async revision(): Promise<number> {
         const [first] = this.layout.daemons;
-        const response = await fetch(`http://127.0.0.1:${first?.operatorsPort}/readyz`);
+        const response = await fetch(`http://${first?.host}:${first?.operatorsPort}/readyz`);
         const { revision } = await response.json() as { revision: number; };
         return revision;
     }
@@ -139,43 +142,56 @@
             : this.admin("/admin/hosts/set", liveHost(this.daemon(name), state)));
     }
 
+    /** The daemon that took the duty of orders of a data centre last. */
+    async dutyHolder(dataCentre: string): Promise<string | undefined> {
+        const answer = await this.admin("/table/get", { key: `lease/orders/${dataCentre}` });
+        return leaseAnswerSchema.safeParse(answer).data?.value.value.holder;
+    }
+
     /** Sets faults of the table service. */
-    storeFaults(faults: object): Promise<void> {
-        return this.admin("/admin/faults", { service: "table", faults });
+    async storeFaults(faults: object): Promise<void> {
+        await this.admin("/admin/faults", { service: "table", faults });
     }
 
-    private async admin(path: string, body: object): Promise<void> {
-        const url = `http://127.0.0.1:${this.layout.platformPort}${path}`;
+    private async admin(path: string, body: object): Promise<unknown> {
+        const url = `http://${platformHost}:${this.layout.platformPort}${path}`;
         const response = await fetch(url, { method: "POST", body: JSON.stringify(body) });
-        await response.arrayBuffer();
+        const text = await response.text();
         if (!response.ok) {
             throw new Error(`${path}: status ${response.status}`);
         }
+        return JSON.parse(text);
     }
 
     private async startPlatform(): Promise<void> {
-        const settings = await this.writeSettings("platform", platformSettings(this.layout));
-        const url = `http://127.0.0.1:${this.layout.platformPort}/`;
-        await this.launch("platform", [cliScript, "platform", settings], url);
+        const settings = await this.writeSettings("platform", platformSettings(this.layout, this.folder));
+        this.historyFiles.push(join(this.folder, "platform.jsonl"));
+        const url = `http://${platformHost}:${this.layout.platformPort}/`;
+        await this.launch("platform", [join(distFolder, "platform.js"), settings], url);
     }
 
     private async startService(daemon: PlannedDaemon): Promise<void> {
         const name = `service-${daemon.name}`;
         const settings = await this.writeSettings(name, serviceSettings(daemon, this.folder));
         this.historyFiles.push(join(this.folder, `${name}.jsonl`));
-        await this.launch(name, [join(distFolder, "service.js"), settings], `http://127.0.0.1:${daemon.servicePort}/`);
+        await this.launch(
+            name,
+            [join(distFolder, "service.js"), settings],
+            `http://${daemon.host}:${daemon.servicePort}/`,
+        );
     }
 
     private async startRelays(): Promise<void> {
         const { daemons, platformPort, platformPorts } = this.layout;
         const names = daemons.map(({ name }) => name);
         const policy: FaultPolicy = (from, to) => this.linkFault(from, to) ?? noFault;
-        for (const { name, relayPort, linkPort } of daemons) {
-            this.relays.push(new Relay({ process: name, port: relayPort, targetPort: linkPort, names, policy }));
+        for (const { name, host, relayPort, linkPort } of daemons) {
+            this.relays.push(new Relay({ process: name, host, port: relayPort, targetPort: linkPort, names, policy }));
         }
         for (const [region, port] of Object.entries(platformPorts)) {
             const opener = `region ${region}`;
-            this.relays.push(new Relay({ process: "platform", port, targetPort: platformPort, names, policy, opener }));
+            const place = { process: "platform", host: platformHost, port, targetPort: platformPort };
+            this.relays.push(new Relay({ ...place, names, policy, opener }));
         }
         await Promise.all(this.relays.map(relay => relay.listen()));
     }
--- a/packages/proof/src/lib/site/layout.ts
+++ b/packages/proof/src/lib/site/layout.ts
@@ -8,6 +8,8 @@
     readonly role: "entry" | "agent";
     readonly dataCentre: string;
     readonly region: string;
+    /** A loopback address of its own; every port below is on it. */
+    readonly host: string;
     /** Where it listens for links. */
     readonly linkPort: number;
     /** Where others find it: the relay in front of it. */
@@ -59,6 +61,12 @@
 
 const portsPerDaemon = 6;
 
+/** Runs at the same time keep to networks of their own where they can. */
+const network = `127.0.${1 + process.pid % 250}`;
+
+/** The platform's stand-ins listen on no other address. @internal */
+export const platformHost = "127.0.0.1";
+
 /** Plans a site on free ports. @internal */
 export async function planSite({ centres, serviceCentres }: LayoutOptions): Promise<Layout> {
     const entries = centres.map(({ name }, index) => ({
@@ -82,21 +90,17 @@
     }));
     const planned = [...entries, ...agents, ...services];
     const regions = [...new Set(centres.map(({ region }) => region))];
-    const ports = await findPorts(planned.length * portsPerDaemon + 1 + regions.length);
-    const next = () => ports.pop() ?? 0;
-    const daemons = planned.map(({ centre, ...daemon }): PlannedDaemon => ({
-        ...daemon,
-        dataCentre: centre,
-        region: centres.find(({ name }) => name === centre)?.region ?? "",
-        linkPort: next(),
-        relayPort: next(),
-        operatorsPort: next(),
-        callersPort: next(),
-        enginePort: next(),
-        servicePort: next(),
+    const daemons = await Promise.all(planned.map(async ({ centre, ...daemon }, index): Promise<PlannedDaemon> => {
+        const host = `${network}.${index + 1}`;
+        const [linkPort = 0, relayPort = 0, operatorsPort = 0, callersPort = 0, enginePort = 0, servicePort = 0] =
+            await findPorts(host, portsPerDaemon);
+        const region = centres.find(({ name }) => name === centre)?.region ?? "";
+        const ports = { linkPort, relayPort, operatorsPort, callersPort, enginePort, servicePort };
+        return { ...daemon, dataCentre: centre, region, host, ...ports };
     }));
-    const platformPorts = Object.fromEntries(regions.map(region => [region, next()]));
-    return { daemons, platformPort: next(), platformPorts };
+    const [platformPort = 0, ...others] = await findPorts(platformHost, 1 + regions.length);
+    const platformPorts = Object.fromEntries(regions.map((region, index) => [region, others[index] ?? 0]));
+    return { daemons, platformPort, platformPorts };
 }
 
 /** The resources of the site, as an operator would write them. @internal */
@@ -111,11 +115,11 @@
             name: serviceName,
             spec: { nonIdempotent: [{ method: "POST", path: "/work-orders" }] },
         },
-        ...targets.map(({ name, relayPort, dataCentre, region, stage }) => ({
+        ...targets.map(({ name, host, relayPort, dataCentre, region, stage }) => ({
             kind: "target",
             name,
             spec: {
-                host: "127.0.0.1",
+                host,
                 port: relayPort,
                 dataCentre,
                 region,
--- a/packages/proof/src/lib/site/ports.ts
+++ b/packages/proof/src/lib/site/ports.ts
@@ -1,21 +1,23 @@
 import { createServer, type Server } from "node:net";
 
 /**
- * Finds free ports on loopback. All are held at the same time, so that no port is found twice.
+ * Finds free ports on a loopback address. All are held at the same time, so that no port is found twice. Outgoing
+ * connections come from 127.0.0.1, so a port found on another loopback address stays free, also while its process is
+ * restarted.
  *
  * @internal
  */
-export async function findPorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, listen));
+export async function findPorts(host: string, count: number): Promise<number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, () => listen(host)));
     const ports = servers.map(server => (server.address() as { port: number; }).port);
     await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
 
-function listen(): Promise<Server> {
+function listen(host: string): Promise<Server> {
     return new Promise((resolve, reject) => {
         const server = createServer();
         server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => resolve(server));
+        server.listen(0, host, () => resolve(server));
     });
 }
--- a/packages/proof/src/service.ts
+++ b/packages/proof/src/service.ts
@@ -4,8 +4,9 @@
 import { ServiceStandIn } from "./lib/site/ServiceStandIn.js";
 
 const [file = ""] = process.argv.slice(2);
-const { name, port, history } = JSON.parse(await readFile(file, "utf8")) as {
+const { name, host, port, history } = JSON.parse(await readFile(file, "utf8")) as {
     name: string;
+    host: string;
     port: number;
     history: string;
 };
@@ -19,7 +20,7 @@
     throw new Error(recorder.error.message);
 }
 const service = new ServiceStandIn(recorder.value.record);
-await service.listen(port);
+await service.listen(host, port);
 await new Promise<void>(resolve => process.once("SIGTERM", () => resolve()));
 await service.close();
 await recorder.value.close();
