Placement store: changes of placements under the duty's fence row

Cause: SiteDuty took its reads and writes of the accepted configuration as functions; something has to connect them to the store of resources without losing the fence. Change: PlacementStore; ApplyOptions of ResourceStore gains optional `conditions` on other rows of the store, which join the transaction (a compatible change of the config package). Before: a change that an old holder had begun could be accepted after a takeover. After: "after a takeover the old holder's changes fail" passes on ResourceStore and MemoryTableStore, as do the tests of control and config (run of RUNS=100). Conclusion: ready to be wired into the daemons.

--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -75,6 +75,8 @@
     readonly changeId: string;
     /** Checks everything, and writes nothing. */
     readonly dryRun?: boolean;
+    /** Versions that other rows of the store must have for the change to take effect, such as a duty's fence row. */
+    readonly conditions?: Transaction["conditions"];
 }
 
 /** One change on its way, over all its attempts. */
@@ -231,7 +233,8 @@
         }
         const { revision, writeId } = entry;
         const row = { revision, writeId, asked: askedDigest(attempt.changes), results: results.map(withoutFields) };
-        const transaction = buildTransaction(entry, row, head, versions.value, expired.value);
+        const built = buildTransaction(entry, row, head, versions.value, expired.value);
+        const transaction = { ...built, conditions: [...built.conditions, ...attempt.conditions ?? []] };
         const committed = await this.log.store.commit(transaction);
         const certain = committed.isOk ? committed : await this.resolve(transaction, committed.error, attempt);
         if (certain.isErr) {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,7 +5,7 @@
  */
 export { type Duty, type DutyMember, DutyRunner, type DutyRunnerOptions } from "./lib/leases/DutyRunner.js";
 export { Lease, type LeaseOptions } from "./lib/leases/Lease.js";
-export { leaseKey, type LeaseValue, leaseValueSchema, ordersDuty, readFence } from "./lib/leases/leaseRow.js";
+export { fenceKey, leaseKey, type LeaseValue, leaseValueSchema, ordersDuty, readFence } from "./lib/leases/leaseRow.js";
 export { createObserveMethod, type ObserveMethodOptions } from "./lib/orders/createObserveMethod.js";
 export { LinkTargets, type LinkTargetsOptions, observeMethodName, orderMethodName } from "./lib/orders/LinkTargets.js";
 export { LoadPermits, type LoadPermitsOptions, type WantedLoad } from "./lib/orders/LoadPermits.js";
@@ -20,8 +20,9 @@
 } from "./lib/placement/Pipeline.js";
 export { replaceStages } from "./lib/placement/replaceStages.js";
 export { type CostOptions, defaultCosts, type PipelineTime, pipelineTime } from "./lib/placement/stageTime.js";
+export { PlacementStore } from "./lib/rollout/PlacementStore.js";
 export { type PlanOptions, planSite } from "./lib/rollout/planSite.js";
-export { SiteDuty, type SiteDutyOptions, type SiteStatus } from "./lib/rollout/SiteDuty.js";
+export { type RowCondition, SiteDuty, type SiteDutyOptions, type SiteStatus } from "./lib/rollout/SiteDuty.js";
 export {
     type Leftover,
     type PlacementChange,
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -1,7 +1,7 @@
 import { type Configuration } from "@waxwingspar/config";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type TableStore, type Transaction } from "@waxwingspar/platform";
-import { type Clock, type Failure, type Outcome } from "@waxwingspar/utils";
+import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
 import { type Duty } from "../leases/DutyRunner.js";
 import { type Lease } from "../leases/Lease.js";
 import { fenceKey, ordersDuty, parseFence } from "../leases/leaseRow.js";
@@ -27,9 +27,13 @@
     readonly readRevision: () => Promise<Outcome<number>>;
     /**
      * Writes a placement on condition of its version, and of a row of the store that changes when another process takes
-     * the duty over. Returns the revision that holds the change.
+     * the duty over. A repeat after an unknown outcome has the same id. Returns the revision that holds the change.
      */
-    readonly writePlacement: (change: PlacementChange, guard: RowCondition) => Promise<Outcome<number>>;
+    readonly writePlacement: (
+        change: PlacementChange,
+        guard: RowCondition,
+        changeId: string,
+    ) => Promise<Outcome<number>>;
     readonly record?: HistoryRecorder;
     readonly plan?: PlanOptions;
     /** How many loads may run at once in the whole system. */
@@ -66,7 +70,12 @@
     /** What must be in force here before anything is decided; undefined while it has to be read. */
     requiredRevision: number | undefined;
     /** A change whose outcome is unknown, and which may still take effect. */
-    doubtful: PlacementChange | undefined;
+    doubtful: DoubtfulChange | undefined;
+}
+
+interface DoubtfulChange {
+    readonly change: PlacementChange;
+    readonly changeId: string;
 }
 
 /** What a duty's holder is doing, for operators. @public */
@@ -188,13 +197,14 @@
      *
      * @returns True when nothing is in doubt any more.
      */
-    private async resolveDoubt(lease: Lease, term: Term, change: PlacementChange): Promise<boolean> {
-        const written = await lease.checked(() => this.options.writePlacement(change, term.guard));
+    private async resolveDoubt(lease: Lease, term: Term, doubtful: DoubtfulChange): Promise<boolean> {
+        const { change, changeId } = doubtful;
+        const written = await lease.checked(() => this.options.writePlacement(change, term.guard, changeId));
         if (written.isOk) {
             this.state.accept(change, written.value);
         }
         const isOpen = written.isErr && (written.error.code.retry === "later" || !lease.isHeld());
-        term.doubtful = isOpen ? change : undefined;
+        term.doubtful = isOpen ? doubtful : undefined;
         return !isOpen;
     }
 
@@ -240,11 +250,12 @@
      */
     private async write(lease: Lease, term: Term, changes: readonly PlacementChange[]): Promise<boolean> {
         for (const change of changes.slice(0, this.options.changesPerStep)) {
-            const written = await lease.checked(() => this.options.writePlacement(change, term.guard));
+            const changeId = uniqueId();
+            const written = await lease.checked(() => this.options.writePlacement(change, term.guard, changeId));
             if (written.isErr) {
                 this.fail(`placement ${change.name} not written`, written.error);
                 term.requiredRevision = undefined;
-                term.doubtful = written.error.code.execution === "unknown" ? change : undefined;
+                term.doubtful = written.error.code.execution === "unknown" ? { change, changeId } : undefined;
                 return false;
             }
             this.state.accept(change, written.value);
