Policy: shares above by more than chance, prefix homes taken out

Cause: equal organisations were above their share now and then by chance and were refused for it; homes of prefixes by hashing made no difference. Change: an organisation is above its share from 0.8 standard deviations of random arrivals on. Homes are gone again.

--- a/packages/policy/src/bench/BenchRequest.ts
+++ b/packages/policy/src/bench/BenchRequest.ts
@@ -26,6 +26,7 @@
  */
 export class BenchRequest {
     private attempts = 0;
+    private attemptedAt = 0;
     private produced = 0;
     private lateIntervals = 0;
     private firstTokenAt: number | undefined;
@@ -53,6 +54,7 @@
 
     private attempt(): void {
         this.attempts++;
+        this.attemptedAt = this.now;
         this.world.measurement.attempts++;
         const routed = this.entry.router.choose({
             model: "assistant",
@@ -165,7 +167,7 @@
 
     private firstToken(attempt: RoutedAttempt, head: FakeTarget): void {
         const at = this.now + this.world.entryDelay(this.entry, head);
-        attempt.firstToken(at - this.arrival.time);
+        attempt.firstToken(at - this.attemptedAt);
         if (this.firstTokenAt === undefined) {
             this.firstTokenAt = at;
         }
--- a/packages/policy/src/lib/admission/OrganisationAccounts.ts
+++ b/packages/policy/src/lib/admission/OrganisationAccounts.ts
@@ -80,9 +80,14 @@
         return Result.ok(undefined);
     }
 
-    /** True when the organisation runs at least its weighted part of the slots, counted over active organisations. */
+    /**
+     * True when the organisation runs more than its weighted part of the slots, counted over active organisations, by
+     * more than chance: arrivals at random put even equal organisations above their part now and then.
+     */
     overShare(account: OrganisationAccount, slots: number): boolean {
-        return this.lastSeen.size > 1 && account.running >= account.weight / this.activeWeight * slots;
+        const share = account.weight / this.activeWeight * slots;
+        const tolerated = share + this.options.shareTolerance * Math.sqrt(share);
+        return this.lastSeen.size > 1 && account.running >= tolerated;
     }
 
     private rateLimit(requestsPerSecond: number | undefined): TokenBucket | undefined {
--- a/packages/policy/src/lib/admission/WorkQueueOptions.ts
+++ b/packages/policy/src/lib/admission/WorkQueueOptions.ts
@@ -17,6 +17,8 @@
     readonly reserve?: number;
     /** The share of the bound on the first token that organisations at or above their fair share must leave. Default 0.4. */
     readonly headroom?: number;
+    /** How many standard deviations of random arrivals above its share an organisation may be unrestricted. Default 0.8. */
+    readonly shareTolerance?: number;
     /** Milliseconds for which an organisation counts as active after its last item. Default 5000. */
     readonly activeWindow?: number;
     /** How many mean deviations the predicted first token is raised by. Default 0.5. */
@@ -43,6 +45,7 @@
         tokenBound: 72,
         reserve: 0.05,
         headroom: 0.4,
+        shareTolerance: 0.8,
         activeWindow: 5000,
         caution: 0.5,
         initialHold: 5000,
--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -60,10 +60,10 @@
      * that was long ago or events were lost since.
      *
      * @param prefix - Hashes of the prompt's blocks, each over the whole prefix up to its end.
-     * @param deepest - How many of them are known, by {@link PrefixIndex.deepestKnown}.
      */
-    match(prefix: readonly string[], deepest: number): Map<TargetState, number> {
+    match(prefix: readonly string[]): Map<TargetState, number> {
         const found = new Map<TargetState, number>();
+        const deepest = this.deepestKnown(prefix);
         for (let depth = deepest; depth > 0 && found.size < maxHolders; depth--) {
             const block = prefix[depth - 1]!;
             this.blocks.get(block)?.forEach(holder => this.matchHolder(holder, depth, found));
@@ -82,7 +82,7 @@
     }
 
     /** The number of leading blocks that are known at all; if a block is known, those before it are. */
-    deepestKnown(prefix: readonly string[]): number {
+    private deepestKnown(prefix: readonly string[]): number {
         let known = 0;
         let unknown = prefix.length + 1;
         while (unknown - known > 1) {
--- a/packages/policy/src/lib/routing/RequestPlanner.ts
+++ b/packages/policy/src/lib/routing/RequestPlanner.ts
@@ -2,7 +2,6 @@
 import { type Candidate, planChain } from "./ChainPlanner.js";
 import { type CostInput, type CostModel } from "./CostModel.js";
 import { type RangeGroup } from "./RangeGroup.js";
-import { hashOf, rendezvousScore } from "./rendezvous.js";
 import { type CompleteRouterOptions } from "./RouterOptions.js";
 import { type TargetState } from "./TargetState.js";
 import { type TargetTable } from "./TargetTable.js";
@@ -52,23 +51,6 @@
         return this.sampler.sample(range, request.exclude);
     }
 
-    /**
-     * Adds the home of a prefix in each range: the target that every entry picks for it by rendezvous hashing of the last
-     * block seen before. Entries that cannot know what the others did so come together on the same targets.
-     *
-     * @param block - The last block of the prompt that this entry has seen before.
-     * @param depth - How many leading blocks that makes.
-     */
-    addHomes(request: PlanRequest, block: string, depth: number, matches: Map<TargetState, number>): void {
-        const blockHash = hashOf(block);
-        for (const range of request.ranges) {
-            const home = this.homeOf(range, request, blockHash);
-            if (home !== undefined) {
-                matches.set(home, Math.max(matches.get(home) ?? 0, depth * this.options.homeTrust));
-            }
-        }
-    }
-
     /**
      * The cheapest of up to three plans: one that takes every cached prefix into account, one of holders of the prefix
      * where there are any, and one that ignores it. A prefix helps only as far as every stage holds it.
@@ -124,19 +106,6 @@
         );
     }
 
-    private homeOf(range: RangeGroup, request: PlanRequest, blockHash: number): TargetState | undefined {
-        let home: TargetState | undefined;
-        let highest = 0;
-        for (const state of range.active) {
-            const score = rendezvousScore(blockHash, state.hash, state.target.slots * state.target.speed);
-            if (score > highest && this.sampler.allows(state, request.exclude)) {
-                home = state;
-                highest = score;
-            }
-        }
-        return home;
-    }
-
     private planFrom(
         request: PlanRequest,
         drawn: readonly (readonly TargetState[])[],
--- a/packages/policy/src/lib/routing/RouterOptions.ts
+++ b/packages/policy/src/lib/routing/RouterOptions.ts
@@ -36,8 +36,6 @@
     readonly affinityBound?: number;
     /** Milliseconds in which half the trust in a remembered cache block is lost. Default 60000. */
     readonly cacheHalfLife?: number;
-    /** The trust that a prefix is cached at its home when nothing is known of it, from 0 to 1. Default 0.5. */
-    readonly homeTrust?: number;
     /** Cache blocks that are remembered. Default 50000. */
     readonly cacheBlocks?: number;
     /** The first guess of the time to prefill one cache block with the whole model at speed 1, in milliseconds. Default 4. */
@@ -76,7 +74,6 @@
         reportMemory: 5000,
         affinityBound: 1.5,
         cacheHalfLife: 60_000,
-        homeTrust: 0.5,
         cacheBlocks: 50_000,
         blockTime: 4,
         layerTime: 0.5,
--- a/packages/policy/src/lib/routing/createRouter.ts
+++ b/packages/policy/src/lib/routing/createRouter.ts
@@ -157,11 +157,7 @@
 
     private plan(request: PlanRequest): Outcome<RoutedAttempt> {
         this.review(request);
-        const known = this.prefixes.deepestKnown(request.prefix);
-        const matches = this.prefixes.match(request.prefix, known);
-        if (known > 0) {
-            this.planner.addHomes(request, request.prefix[known - 1]!, known, matches);
-        }
+        const matches = this.prefixes.match(request.prefix);
         const input = {
             now: this.options.clock.now(),
             layers: request.layers,
