Router: small layer ranges are used whole

Cause: with few entries subsets cover the targets unevenly by chance; a site of 40 pipelines and 6 entries lost goodput. Change: option wholeRange, 48: a layer range of no more targets is used whole, larger ones by subset.

--- a/packages/policy/src/bench/sweeps.ts
+++ b/packages/policy/src/bench/sweeps.ts
@@ -9,13 +9,16 @@
     readonly option: string;
     readonly values: readonly number[];
     readonly cases: readonly string[];
+    /** Other options of the same part that the sweep needs. */
+    readonly with?: Readonly<Record<string, number>>;
 }
 
 const sweeps: readonly Sweep[] = [
     {
         part: "router",
         option: "subsetSize",
-        values: [8, 16, 24, 40],
+        values: [8, 16, 24, 32, 40],
+        with: { wholeRange: 0 },
         cases: ["steady", "skewed prefixes", "slow replica"],
     },
     {
@@ -98,7 +101,7 @@
 
 /** The share of good requests over some seeds, and where organisations matter the worst of the well-behaved ones. */
 function cell(sweep: Sweep, value: number, benchCase: BenchCase, seeds: readonly number[]): string {
-    const policy = ownPolicy({ [sweep.part]: { [sweep.option]: value } });
+    const policy = ownPolicy({ [sweep.part]: { ...sweep.with, [sweep.option]: value } });
     const results = seeds.map(seed => runCase(benchCase, policy, seed));
     const good = results.reduce((sum, result) => sum + result.goodput, 0);
     const offered = results.reduce((sum, result) => sum + result.offered, 0);
--- a/packages/policy/src/lib/routing/RangeGroup.ts
+++ b/packages/policy/src/lib/routing/RangeGroup.ts
@@ -62,8 +62,11 @@
         this.near = selected.filter(member => member.tier === nearest).length;
     }
 
-    private select(members: readonly Member[]): Member[] {
-        const { subsetSize, localShare, regionShare } = this.options;
+    private select(members: readonly Member[]): readonly Member[] {
+        const { subsetSize, wholeRange, localShare, regionShare } = this.options;
+        if (this.members.length <= wholeRange) {
+            return members;
+        }
         const quotas = [subsetSize * localShare, subsetSize * regionShare, subsetSize * (1 - localShare - regionShare)];
         const picked = new Set<Member>();
         tiers.forEach((_, tier) => {
--- a/packages/policy/src/lib/routing/RouterOptions.ts
+++ b/packages/policy/src/lib/routing/RouterOptions.ts
@@ -15,6 +15,8 @@
     readonly region: string;
     /** Targets that this entry uses of each layer range of a model version. Default 24. */
     readonly subsetSize?: number;
+    /** A layer range of no more targets than this is used whole, whatever the subset's size. Default 48. */
+    readonly wholeRange?: number;
     /** The shares of the subset from the own data centre and from the rest of the region. Default 0.6 and 0.3. */
     readonly localShare?: number;
     readonly regionShare?: number;
@@ -63,6 +65,7 @@
     return {
         ...defaultHealthOptions,
         subsetSize: 24,
+        wholeRange: 48,
         localShare: 0.6,
         regionShare: 0.3,
         choices: 3,
