Old claims as fingerprints, with their records in archives

Cause: at 189 bytes a claim, 24 hours at 870 claims a second over 32 partitions would take 444 MB in each owner. Change: each archive has an index of sorted 48-bit fingerprints; an owner holds recent claims whole and reads an archive only for a key whose fingerprint is in its index. The test "old segments and expired archives are deleted" counted every object as an archive; it now counts archives with the same limit and demands exactly one index for each.

--- a/packages/claims/src/bench/claimsBench.ts
+++ b/packages/claims/src/bench/claimsBench.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { measureTakeover, measureThroughput } from "./measureOwner.js";
+import { hundredArchives, measureTakeover, measureThroughput } from "./measureOwner.js";
 import { measureRate } from "./measureRates.js";
 import { type Figures, markdownTable } from "./table.js";
 
@@ -34,4 +34,14 @@
     "Throughput of one owner with the stand-in store",
     await each([20_000, 40_000, 80_000, 160_000], measureThroughput),
 );
-print("Takeover of a partition", await each([10_000, 50_000, 100_000, 200_000, 400_000], measureTakeover));
+print(
+    "Takeover of a partition from archives",
+    await each(
+        [50_000, 100_000, 200_000, 400_000, 800_000],
+        claims => measureTakeover(claims, hundredArchives(claims)),
+    ),
+);
+print(
+    "Takeover of a partition from segments of 200 claims",
+    await each([5_000, 10_000, 20_000, 40_000, 80_000], claims => measureTakeover(claims, Infinity)),
+);
--- a/packages/claims/src/bench/measureOwner.ts
+++ b/packages/claims/src/bench/measureOwner.ts
@@ -7,19 +7,34 @@
 
 /** Claims in flight while a journal is filled. */
 const batch = 200;
+/** Claims with which {@link acquireTime} measures. */
+const acquires = 2000;
 const settleTime = 200;
 const bytesPerKiB = 1024;
 const microsecondsPerMillisecond = 1000;
 
-function usedHeap(): number {
+/** Bytes in use, typed arrays included. */
+function usedMemory(): number {
     globalThis.gc?.();
-    return process.memoryUsage().heapUsed;
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
 }
 
 function createStores(clock: SystemClock) {
     return { table: new MemoryTableStore({ clock }), objects: new MemoryObjectStore({ clock }) };
 }
 
+function countReads({ table, objects }: ReturnType<typeof createStores>): number {
+    return table.faults.arrivals.read + objects.faults.arrivals.read;
+}
+
+/** Microseconds that a new claim takes beside those that are known. */
+async function acquireTime(journal: ClaimJournal, known: number): Promise<number> {
+    const start = performance.now();
+    await fill(journal, acquires, known);
+    return (performance.now() - start) * microsecondsPerMillisecond / acquires;
+}
+
 function createJournal(clock: SystemClock, stores: ReturnType<typeof createStores>, archiveAfter: number) {
     return new ClaimJournal({
         partition: 0,
@@ -33,12 +48,17 @@
     });
 }
 
-async function fill(journal: ClaimJournal, claims: number): Promise<void> {
-    for (let first = 0; first < claims; first += batch) {
+async function fill(journal: ClaimJournal, claims: number, start = 0): Promise<void> {
+    for (let first = start; first < start + claims; first += batch) {
         await Promise.all(Array.from({ length: batch }, (_, index) => journal.acquire(benchRequest(first + index))));
     }
 }
 
+/** Segments in an archive, so that a partition has at most about a hundred archives, as after 24 hours. */
+export function hundredArchives(claims: number): number {
+    return Math.max(10, Math.ceil(claims / batch / 100));
+}
+
 /** Measures the processor time that an owner and the stand-in store take for a claim, in batches. */
 export async function measureThroughput(claims: number): Promise<Figures> {
     const clock = new SystemClock();
@@ -55,26 +75,31 @@
     };
 }
 
-/** Measures how long a new owner reads a partition, most of it from archives, and the memory that it then takes. */
-export async function measureTakeover(claims: number): Promise<Figures> {
+/**
+ * Measures how long a new owner reads a partition, and the memory that it then takes.
+ *
+ * @param archiveAfter - Segments of 200 claims after which they go to an archive.
+ */
+export async function measureTakeover(claims: number, archiveAfter: number): Promise<Figures> {
     const clock = new SystemClock();
     const stores = createStores(clock);
-    // 200 claims in a segment, 50 segments in an archive, up to 49 segments left over.
-    await fill(createJournal(clock, stores, 50), claims);
+    await fill(createJournal(clock, stores, archiveAfter), claims);
     // The first owner may still be archiving.
     await sleep(clock, settleTime);
-    const reads = stores.table.faults.arrivals.read + stores.objects.faults.arrivals.read;
-    const heap = usedHeap();
+    const reads = countReads(stores);
+    const before = usedMemory();
     const start = performance.now();
-    const journal = createJournal(clock, stores, 50);
+    const journal = createJournal(clock, stores, archiveAfter);
     const outcome = await journal.load();
     const time = performance.now() - start;
-    const kept = usedHeap() - heap;
+    const kept = usedMemory() - before;
+    const readsDone = countReads(stores);
     return {
         claims: outcome.isOk ? journal.size : NaN,
         "ms to take over": time,
         "µs per claim": time * microsecondsPerMillisecond / claims,
-        "store reads": stores.table.faults.arrivals.read + stores.objects.faults.arrivals.read - reads,
+        "µs per acquire then": await acquireTime(journal, claims),
+        "store reads": readsDone - reads,
         "KiB kept": Math.round(kept / bytesPerKiB),
         "bytes per claim": Math.round(kept / claims),
     };
--- a/packages/claims/src/lib/journal/Archiver.ts
+++ b/packages/claims/src/lib/journal/Archiver.ts
@@ -1,6 +1,7 @@
 import { type ObjectStore, type TableStore } from "@waxwingspar/platform";
 import { type Clock, type Outcome, sleep, uniqueId } from "@waxwingspar/utils";
-import { encodeArchive } from "./archives.js";
+import { ArchiveIndex } from "./ArchiveIndex.js";
+import { encodeArchive, indexName } from "./archives.js";
 import { type ClaimRecord } from "./ClaimRecord.js";
 import { type PartitionLog } from "./PartitionLog.js";
 import { type Base, partitionPrefix, segmentNumber } from "./partitionRows.js";
@@ -59,14 +60,16 @@
         const { log, objects, partition } = this.options;
         const last = log.state.lastSegment;
         const records = log.state.recent();
+        const index = ArchiveIndex.of(records.map(({ keyHash }) => keyHash));
         const name = `${partitionPrefix(partition)}${last}-${uniqueId()}`;
         const put = await this.write(() => objects.put(name, encodeArchive(records)));
-        if (put.isErr) {
+        const putIndex = await this.write(() => objects.put(indexName(name), index.encode()));
+        if (put.isErr || putIndex.isErr) {
             return false;
         }
         const base = this.nextBase({ name, last, expiry: latestExpiry(records) });
-        const replaced = await this.write(() => log.replaceBase(base));
-        // When this failed the object stays behind unused: a late copy of the write may still make it count.
+        const replaced = await this.write(() => log.replaceBase(base, new Map([[name, index]])));
+        // When this failed the objects stay behind unused: a late copy of the write may still make them count.
         return replaced.isOk;
     }
 
@@ -88,13 +91,14 @@
         const deleted = new Set<string>();
         for (const name of log.base.discarded) {
             const outcome = await this.write(() => objects.delete(name));
-            if (outcome.isOk) {
+            const index = await this.write(() => objects.delete(indexName(name)));
+            if (outcome.isOk && index.isOk) {
                 deleted.add(name);
             }
         }
         if (deleted.size > 0) {
             const discarded = log.base.discarded.filter(name => !deleted.has(name));
-            await this.write(() => log.replaceBase({ ...log.base, discarded }));
+            await this.write(() => log.replaceBase({ ...log.base, discarded }, new Map()));
         }
     }
 
--- a/packages/claims/src/lib/journal/Batch.ts
+++ b/packages/claims/src/lib/journal/Batch.ts
@@ -34,9 +34,10 @@
         return this.list;
     }
 
-    /** Adds a call, unless it needs no write or its key is in the batch already. */
+    /** Adds a call, unless it needs no write, its key is in the batch already, or an archive must be read first. */
     add(call: PendingCall, end: (outcome: Outcome<Claim>) => void): void {
-        if (this.members.has(call.keyHash) || call.answer(this.state) !== undefined) {
+        const waits = this.members.has(call.keyHash) || this.state.hidingPlace(call.keyHash) !== undefined;
+        if (waits || call.answer(this.state) !== undefined) {
             return;
         }
         this.members.set(call.keyHash, { call, end });
--- a/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
@@ -170,6 +170,14 @@
     { weight: 1, arbitrary: fc.record({ type: fc.constant("crash" as const), owner: fc.nat(owners - 1) }) },
     { weight: 1, arbitrary: fc.record({ type: fc.constant("restart" as const), target: fc.constantFrom(...targets) }) },
     { weight: 1, arbitrary: fc.record({ type: fc.constant("forget" as const) }) },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            type: fc.constant("others" as const),
+            owner: fc.nat(owners - 1),
+            count: fc.integer({ min: 1, max: 8 }),
+        }),
+    },
     {
         weight: 1,
         arbitrary: fc.record({ type: fc.constant("outage" as const), down: fc.boolean(), stale: fc.boolean() }),
@@ -187,6 +195,7 @@
     private readonly objects = new MemoryObjectStore({ clock: this.clock });
     private readonly connections: Connection[] = [];
     private readonly journals: ClaimJournal[] = [];
+    private nextOther = 100;
     /** Every claim that anybody was granted, by key and id. */
     private readonly granted = new Map<string, Map<string, Claim>>();
 
@@ -221,6 +230,12 @@
             case "restart":
                 this.agents.restart(step.target);
                 return;
+            case "others":
+                // Claims of other keys push the earlier ones into archives.
+                for (let index = 0; index < step.count; index++) {
+                    void this.journal(step.owner).acquire(request(this.nextOther++, this.agents.runner("a")));
+                }
+                return;
             case "forget":
                 this.agents.forget();
                 return;
--- a/packages/claims/src/lib/journal/ClaimJournal.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.test.ts
@@ -166,11 +166,67 @@
         await site.clock.advanceAsync(1000, 20);
     }
     assert.ok((await site.rows("claims/0/")).length <= 6);
-    const archives = (await site.objects.list("claims/0/")).unwrapOr([]);
+    const objects = (await site.objects.list("claims/0/")).unwrapOr([]);
+    const archives = objects.filter(name => !name.endsWith(".index"));
     assert.ok(archives.length <= 8, `${archives.length} archives`);
+    assert.deepEqual(objects.filter(name => name.endsWith(".index")), archives.map(name => `${name}.index`));
     assert.ok(journal.size <= 60, `${journal.size} claims`);
 });
 
+test("a duplicate of an old claim is answered from its archive, and refused while that cannot be read", async () => {
+    const site = new Site();
+    const journal = site.owner({ archiveAfter: 2 });
+    const ids: string[] = [];
+    for (let turn = 0; turn < 20; turn++) {
+        ids.push(claimOf(await site.wait(journal.acquire(request(`${turn}`)))).id);
+        await site.clock.advanceAsync(50, 5);
+    }
+    for (const owner of [journal, site.owner()]) {
+        site.objects.faults.set({ down: false });
+        await site.wait(owner.load());
+        site.objects.faults.set({ down: true });
+        const refused = await site.wait(owner.acquire(request("3")));
+        assert.equal(codeOf(refused), requestCodes.claimUnavailable.number);
+        site.objects.faults.set({ down: false });
+        for (const [turn, id] of ids.entries()) {
+            assert.equal(claimOf(await site.wait(owner.acquire(request(`${turn}`)))).id, id);
+        }
+        const other = await site.wait(owner.acquire(request("5", { digest: "other" })));
+        assert.equal(codeOf(other), requestCodes.keyReused.number);
+    }
+});
+
+test("an old claim that is asked for while a write waits for its permit is not claimed anew", async () => {
+    const site = new Site();
+    const journal = site.owner({ archiveAfter: 2 }, 10);
+    for (let turn = 0; turn < 10; turn++) {
+        await site.wait(journal.acquire(request(`${turn}`)));
+        await site.clock.advanceAsync(300, 5);
+    }
+    const calls = ["x", "y"].map(key => journal.acquire(request(key)));
+    await site.clock.advanceAsync(30, 5);
+    calls.push(journal.acquire(request("z")));
+    await site.clock.advanceAsync(30, 5);
+    const late = journal.acquire(request("1", { runner: { target: "b", incarnation: "1" } }));
+    assert.equal(claimOf(await site.wait(late)).runner.target, "a");
+    await site.wait(Promise.all(calls));
+});
+
+test("an owner that skips archived segments forgets what they may have changed", async () => {
+    const site = new Site();
+    const slow = site.owner({ archiveAfter: 100 });
+    const first = claimOf(await site.wait(slow.acquire(request("k"))));
+    const active = site.owner({ archiveAfter: 2 });
+    const toB = request("k", { runner: { target: "b", incarnation: "1" } });
+    const moved = claimOf(await site.wait(active.move(first, toB)));
+    for (let turn = 0; turn < 10; turn++) {
+        await site.wait(active.acquire(request(`${turn}`)));
+        await site.clock.advanceAsync(100, 5);
+    }
+    await site.wait(slow.acquire(request("another")));
+    assert.equal(claimOf(await site.wait(slow.acquire(request("k")))).id, moved.id);
+});
+
 test("archiving that fails half-way loses no claim", async () => {
     const site = new Site();
     const journal = site.owner({ archiveAfter: 2 });
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -40,7 +40,7 @@
     readonly maxPending?: number;
     /** Claims in one segment at most. */
     readonly maxBatch?: number;
-    /** Claims in memory at most; more are refused. */
+    /** Claims known at most; more are refused. An old one takes 8 bytes. */
     readonly maxClaims?: number;
     /** Segments after which they are moved to an archive. */
     readonly archiveAfter?: number;
@@ -54,7 +54,7 @@
     patience: 1_000,
     maxPending: 10_000,
     maxBatch: 500,
-    maxClaims: 1_000_000,
+    maxClaims: 8_000_000,
     archiveAfter: 4_096,
     pageSize: 200,
     refusalPause: 250,
@@ -93,7 +93,7 @@
         this.pending = new PendingCalls(clock, patience);
     }
 
-    /** Claims in memory. */
+    /** Claims that are known. */
     get size(): number {
         return this.log.state.size;
     }
@@ -179,6 +179,7 @@
                 return refreshed;
             }
         }
+        await this.readArchives();
         this.pending.answer(this.log.state);
         if (this.pending.size === 0) {
             return Result.ok<void, never>(undefined);
@@ -187,6 +188,21 @@
         return this.write();
     }
 
+    /** Reads the archives that may hold the claims of waiting calls; a call whose archive cannot be read ends. */
+    private async readArchives(): Promise<void> {
+        const { log, pending } = this;
+        for (let hidden = pending.hidden(log.state); hidden.size > 0; hidden = pending.hidden(log.state)) {
+            for (const { archive, calls } of hidden.values()) {
+                const outcome = await log.reveal(archive, calls.map(({ keyHash }) => keyHash));
+                if (outcome.isErr) {
+                    this.fresh = false;
+                    const refusal = unavailable(outcome.error.message, this.options.refusalPause);
+                    calls.forEach(call => pending.end(call, refusal));
+                }
+            }
+        }
+    }
+
     private async write(): Promise<Outcome<void>> {
         const { maxBatch } = this.options;
         const batch = new Batch(uniqueId(), this.log.state, this.log.nextSegment);
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -1,9 +1,11 @@
 import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/platform";
 import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { loadArchives } from "./archives.js";
+import { type ArchiveIndex } from "./ArchiveIndex.js";
+import { loadIndexes, loadRecords } from "./archives.js";
 import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
 import {
+    type Archive,
     type Base,
     baseKey,
     baseSchema,
@@ -111,8 +113,23 @@
         return outcome.map(() => undefined);
     }
 
-    /** Replaces the base row, on condition that nobody else has. */
-    async replaceBase(base: Base): Promise<Outcome<void>> {
+    /** Reads from an archive what it holds of some keys. */
+    async reveal(archive: Archive, keyHashes: readonly string[]): Promise<Outcome<void>> {
+        const records = await loadRecords(this.options.objects, archive.name);
+        if (records.isErr) {
+            return Result.err(records.error);
+        }
+        const byKey = new Map(records.value.map(record => [record.keyHash, record]));
+        keyHashes.forEach(keyHash => this.state.reveal(archive, keyHash, byKey.get(keyHash)));
+        return Result.ok<void, never>(undefined);
+    }
+
+    /**
+     * Replaces the base row, on condition that nobody else has.
+     *
+     * @param indexes - The indexes of the archives that it adds.
+     */
+    async replaceBase(base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): Promise<Outcome<void>> {
         const { table, partition } = this.options;
         const key = baseKey(partition);
         const outcome = await table.commit({
@@ -123,12 +140,15 @@
         if (outcome.isErr) {
             return Result.err(outcome.error);
         }
-        const version = outcome.value[key] ?? 0;
+        this.adopt(outcome.value[key] ?? 0, base, indexes);
+        return Result.ok<void, never>(undefined);
+    }
+
+    private adopt(version: number, base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): void {
         if (version > this.known.version) {
             this.known = { version, base };
-            this.state.archivedBefore(base.first);
+            this.state.adopt(base, indexes);
         }
-        return Result.ok<void, never>(undefined);
     }
 
     /** Reads the base row by itself, and says whether it had changed. */
@@ -147,14 +167,12 @@
             return Result.err(read.error);
         }
         const base = read.value;
-        const missing = base.archives.filter(({ last }) => last > this.state.lastSegment);
-        const loaded = await loadArchives(this.options.objects, missing, records => this.state.applyArchive(records));
+        const missing = base.archives.map(({ name }) => name).filter(name => !this.state.hasIndex(name));
+        const loaded = await loadIndexes(this.options.objects, missing);
         if (loaded.isErr) {
             return Result.err(loaded.error);
         }
-        this.known = { version: row.version, base };
-        this.state.archivedBefore(base.first);
-        this.state.time.observe(base.time);
+        this.adopt(row.version, base, loaded.value);
         return Result.ok(true);
     }
 
--- a/packages/claims/src/lib/journal/PartitionState.ts
+++ b/packages/claims/src/lib/journal/PartitionState.ts
@@ -1,7 +1,9 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Runner } from "../Claims.js";
+import { type ArchiveIndex, fingerprint } from "./ArchiveIndex.js";
 import { type ClaimRecord, runnerName } from "./ClaimRecord.js";
 import { PartitionClock } from "./PartitionClock.js";
+import { type Archive, type Base } from "./partitionRows.js";
 
 interface KeptClaim {
     readonly digest: string;
@@ -10,12 +12,17 @@
     readonly expiry: number;
 }
 
+interface IndexedArchive {
+    readonly archive: Archive;
+    readonly index: ArchiveIndex;
+}
+
 /** Milliseconds between two passes over all claims. */
 const sweepInterval = 30_000;
 
 /**
- * What an owner knows of a partition: every claim up to a segment number. Records may be applied in any order and more
- * than once.
+ * What an owner knows of a partition: every claim up to a segment number. Recent claims are held whole; of those that
+ * only archives hold it has fingerprints, and takes in the few that are asked for again.
  *
  * @internal
  */
@@ -24,8 +31,14 @@
     private readonly claims = new Map<string, KeptClaim>();
     private readonly runners = new Map<string, Runner>();
     private recentKeys: string[] = [];
-    private nextSweep = 0;
+    /** The newest first. */
+    private archives: IndexedArchive[] = [];
+    /** Keys whose fingerprint is in an archive without the key being there. */
+    private readonly mistaken = new Set<string>();
+    /** Every claim with this generation or a higher one is held whole. */
+    private heldFrom = 1;
     private last = 0;
+    private nextSweep = 0;
 
     /** @param series - The name under which this partition counts generations. */
     constructor(clock: Clock, readonly series: string) {
@@ -37,24 +50,55 @@
         return this.last;
     }
 
-    /** Claims in memory. */
+    /** Claims that are known. */
     get size(): number {
-        return this.claims.size;
+        const archived = this.archives.filter(({ archive }) => archive.last < this.heldFrom);
+        return archived.reduce((sum, { index }) => sum + index.size, this.claims.size);
     }
 
-    /** The claim of a key, unless it has expired. */
+    /** Whether the index of an archive is known. */
+    hasIndex(name: string): boolean {
+        return this.archives.some(({ archive }) => archive.name === name);
+    }
+
+    /** The claim of a key, unless it has expired or {@link PartitionState.hidingPlace} names an archive. */
     find(keyHash: string): ClaimRecord | undefined {
         const kept = this.claims.get(keyHash);
         return kept === undefined || kept.expiry < this.time.now() ? undefined : { keyHash, ...kept };
     }
 
+    /** The newest archive that may hold the claim of a key which is not held whole. */
+    hidingPlace(keyHash: string): Archive | undefined {
+        if (this.claims.has(keyHash) || this.mistaken.has(keyHash)) {
+            return undefined;
+        }
+        const now = this.time.now();
+        const wanted = fingerprint(keyHash);
+        return this.archives.find(({ archive, index }) => archive.expiry >= now && index.mayHave(wanted))?.archive;
+    }
+
+    /** Takes in what an archive holds of a key. */
+    reveal(archive: Archive, keyHash: string, record: ClaimRecord | undefined): void {
+        if (this.hidingPlace(keyHash)?.name !== archive.name) {
+            return;
+        }
+        if (record === undefined) {
+            this.mistaken.add(keyHash);
+        }
+        else {
+            this.apply(record);
+        }
+    }
+
     /** Applies the segment that follows the last one. */
     applySegment(number: number, time: number, records: readonly ClaimRecord[]): void {
         if (number !== this.last + 1) {
             throw new Error(`segment ${number} cannot follow segment ${this.last}`);
         }
-        records.forEach(record => this.apply(record));
-        records.forEach(({ keyHash }) => this.recentKeys.push(keyHash));
+        for (const record of records) {
+            this.apply(record);
+            this.recentKeys.push(record.keyHash);
+        }
         this.last = number;
         this.time.observe(time);
     }
@@ -67,15 +111,25 @@
         });
     }
 
-    /** Applies the records of an archive. */
-    applyArchive(records: readonly ClaimRecord[]): void {
-        records.forEach(record => this.apply(record));
-    }
-
-    /** Notes that archives hold every segment before `first`, and that all of them have been applied. */
-    archivedBefore(first: number): void {
-        this.last = Math.max(this.last, first - 1);
-        this.recentKeys = this.recentKeys.filter(keyHash => (this.claims.get(keyHash)?.generation ?? 0) >= first);
+    /**
+     * Takes over a base row.
+     *
+     * @param indexes - The indexes of the archives that are not known yet.
+     */
+    adopt(base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): void {
+        const known = new Map(this.archives.map(({ archive, index }) => [archive.name, index]));
+        this.archives = base.archives.flatMap(archive => {
+            const index = indexes.get(archive.name) ?? known.get(archive.name);
+            return index === undefined ? [] : [{ archive, index }];
+        }).reverse();
+        this.mistaken.clear();
+        if (base.first > this.last + 1) {
+            this.skipTo(base.first);
+        }
+        // The claims of the newest archive stay, since most duplicates come soon.
+        this.dropBefore((this.archives[1]?.archive.last ?? 0) + 1);
+        this.recentKeys = this.recentKeys.filter(keyHash => (this.claims.get(keyHash)?.generation ?? 0) >= base.first);
+        this.time.observe(base.time);
     }
 
     /** Forgets expired claims, if the last time was long enough ago. */
@@ -85,8 +139,28 @@
             return;
         }
         this.nextSweep = now + sweepInterval;
-        for (const [keyHash, { expiry }] of this.claims) {
-            if (expiry < now) {
+        this.dropWhere(({ expiry }) => expiry < now);
+    }
+
+    /** Archives hold segments that were never read here; any claim held may be outdated by one of them. */
+    private skipTo(first: number): void {
+        this.claims.clear();
+        this.recentKeys = [];
+        this.last = first - 1;
+        this.heldFrom = first;
+    }
+
+    private dropBefore(generation: number): void {
+        if (generation > this.heldFrom) {
+            this.heldFrom = generation;
+            this.runners.clear();
+            this.dropWhere(claim => claim.generation < generation);
+        }
+    }
+
+    private dropWhere(drops: (claim: KeptClaim) => boolean): void {
+        for (const [keyHash, claim] of this.claims) {
+            if (drops(claim)) {
                 this.claims.delete(keyHash);
             }
         }
--- a/packages/claims/src/lib/journal/PendingCall.ts
+++ b/packages/claims/src/lib/journal/PendingCall.ts
@@ -37,6 +37,9 @@
 
     /** The answer that follows from what is recorded, or undefined while a record must be written first. */
     answer(state: PartitionState): Outcome<Claim> | undefined {
+        if (state.hidingPlace(this.keyHash) !== undefined) {
+            return undefined;
+        }
         const record = state.find(this.keyHash);
         return this.from === undefined ? this.answerAcquire(state, record) : this.answerMove(state, record, this.from);
     }
--- a/packages/claims/src/lib/journal/PendingCalls.ts
+++ b/packages/claims/src/lib/journal/PendingCalls.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import { type Claim } from "../Claims.js";
 import { type Batch } from "./Batch.js";
+import { type Archive } from "./partitionRows.js";
 import { type PartitionState } from "./PartitionState.js";
 import { type PendingCall } from "./PendingCall.js";
 
@@ -10,6 +11,12 @@
     readonly timer: Timer;
 }
 
+/** Calls whose claims may be in one archive. */
+interface HiddenCalls {
+    readonly archive: Archive;
+    readonly calls: PendingCall[];
+}
+
 /**
  * The calls that wait for a write, in order of arrival. Each ends by itself when its time is up.
  *
@@ -62,6 +69,20 @@
         }
     }
 
+    /** The calls that need an archive to be read first, by the archive's name. */
+    hidden(state: PartitionState): Map<string, HiddenCalls> {
+        const hidden = new Map<string, HiddenCalls>();
+        for (const call of this.calls.keys()) {
+            const archive = state.hidingPlace(call.keyHash);
+            if (archive !== undefined) {
+                const group = hidden.get(archive.name) ?? { archive, calls: [] };
+                group.calls.push(call);
+                hidden.set(archive.name, group);
+            }
+        }
+        return hidden;
+    }
+
     /** Ends every call in the same way. */
     endAll(outcome: Outcome<Claim>): void {
         for (const call of this.calls.keys()) {
--- a/packages/claims/src/lib/journal/archives.ts
+++ b/packages/claims/src/lib/journal/archives.ts
@@ -1,50 +1,69 @@
 import { type ObjectStore } from "@waxwingspar/platform";
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
+import { ArchiveIndex } from "./ArchiveIndex.js";
 import { type ClaimRecord, packRecords, recordBlockSchema, unpackRecords } from "./ClaimRecord.js";
-import { type Archive } from "./partitionRows.js";
 import { readJson } from "./readValue.js";
 
-/** Archives read at the same time. */
+/** Objects read at the same time. */
 const readsAtOnce = 8;
 
+/** The name of the object that holds the index of an archive. */
+export function indexName(archive: string): string {
+    return `${archive}.index`;
+}
+
 /** Writes records as the bytes of an archive. */
 export function encodeArchive(records: readonly ClaimRecord[]): Uint8Array {
     return new TextEncoder().encode(JSON.stringify(packRecords(records)));
 }
 
-/**
- * Reads archives, some at a time, in any order.
- *
- * @param take - Receives the records of each.
- */
-export async function loadArchives(
+/** Reads the indexes of archives, some at a time. */
+export async function loadIndexes(
     objects: ObjectStore,
-    archives: readonly Archive[],
-    take: (records: ClaimRecord[]) => void,
-): Promise<Outcome<void>> {
-    for (let index = 0; index < archives.length; index += readsAtOnce) {
-        const group = archives.slice(index, index + readsAtOnce);
-        const loaded = await Promise.all(group.map(({ name }) => loadArchive(objects, name)));
-        for (const outcome of loaded) {
+    archives: readonly string[],
+): Promise<Outcome<Map<string, ArchiveIndex>>> {
+    const indexes = new Map<string, ArchiveIndex>();
+    for (let first = 0; first < archives.length; first += readsAtOnce) {
+        const group = archives.slice(first, first + readsAtOnce);
+        const loaded = await Promise.all(group.map(name => loadIndex(objects, name)));
+        for (const [position, outcome] of loaded.entries()) {
             if (outcome.isErr) {
                 return Result.err(outcome.error);
             }
-            take(outcome.value);
+            indexes.set(group[position] ?? "", outcome.value);
         }
     }
-    return Result.ok<void, never>(undefined);
+    return Result.ok(indexes);
 }
 
-async function loadArchive(objects: ObjectStore, name: string): Promise<Outcome<ClaimRecord[]>> {
-    const data = await objects.get(name);
+/** Reads the records of an archive. */
+export async function loadRecords(objects: ObjectStore, archive: string): Promise<Outcome<ClaimRecord[]>> {
+    const data = await readObject(objects, archive);
     if (data.isErr) {
         return Result.err(data.error);
     }
-    if (data.value === undefined) {
-        // The base row that named it has been replaced in the meantime; reading again finds the new one.
-        return Result.err(failure(platformCodes.storeUnknown, `archive ${name} has been replaced`));
+    return readJson(recordBlockSchema, new TextDecoder().decode(data.value), archive).map(unpackRecords);
+}
+
+async function loadIndex(objects: ObjectStore, archive: string): Promise<Outcome<ArchiveIndex>> {
+    const data = await readObject(objects, indexName(archive));
+    if (data.isErr) {
+        return Result.err(data.error);
+    }
+    const index = ArchiveIndex.decode(data.value);
+    return index === undefined
+        ? Result.err(failure(platformCodes.storeUnavailable, `${indexName(archive)} cannot be read`))
+        : Result.ok(index);
+}
+
+async function readObject(objects: ObjectStore, name: string): Promise<Outcome<Uint8Array>> {
+    const data = await objects.get(name);
+    if (data.isErr) {
+        return Result.err(data.error);
     }
-    const text = new TextDecoder().decode(data.value);
-    return readJson(recordBlockSchema, text, name).map(unpackRecords);
+    // The base row that named a missing object has been replaced in the meantime; reading again finds the new one.
+    return data.value === undefined
+        ? Result.err(failure(platformCodes.storeUnknown, `${name} has been replaced`))
+        : Result.ok(data.value);
 }
