--- /dev/null
+++ b/packages/policy/src/lib/admission/WorkQueue.interleavings.test.ts
@@ -0,0 +1,96 @@
+import { ManualClock } from "@waxwingspar/utils";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createWorkQueue } from "./createWorkQueue.js";
+
+type Fate = "offered" | "started" | "refused" | "cancelled" | "finished";
+
+const command = fc.oneof(
+    fc.record({
+        kind: fc.constant("offer" as const),
+        organisation: fc.integer({ min: 0, max: 3 }),
+        priority: fc.integer({ min: 0, max: 2 }),
+        startBound: fc.integer({ min: 1, max: 2000 }),
+        timeLeft: fc.integer({ min: 0, max: 3000 }),
+    }),
+    fc.record({ kind: fc.constant("finish" as const), pick: fc.nat() }),
+    fc.record({ kind: fc.constant("cancel" as const), pick: fc.nat() }),
+    fc.record({ kind: fc.constant("observe" as const), firstToken: fc.integer({ min: 0, max: 3000 }) }),
+    fc.record({ kind: fc.constant("advance" as const), duration: fc.integer({ min: 1, max: 1000 }) }),
+    fc.record({
+        kind: fc.constant("setShare" as const),
+        pick: fc.nat({ max: 3 }),
+        share: fc.integer({ min: 1, max: 5 }),
+    }),
+);
+
+test("every item has one fate, whatever happens in between", () => {
+    fc.assert(
+        fc.property(fc.array(command, { maxLength: 120 }), commands => {
+            const clock = new ManualClock();
+            const queue = createWorkQueue({ clock, slots: 3, capacity: 5, initialHold: 200 });
+            const fates = new Map<string, Fate>();
+            const move = (id: string, from: Fate, to: Fate) => {
+                assert.equal(fates.get(id), from, `${id} cannot become ${to}`);
+                fates.set(id, to);
+            };
+            const inFate = (fate: Fate) => [...fates].filter(([, current]) => current === fate).map(([id]) => id);
+            let count = 0;
+            for (const step of commands) {
+                const id = "pick" in step
+                    ? pickFrom(inFate(step.kind === "cancel" ? "offered" : "started"), step.pick)
+                    : "";
+                switch (step.kind) {
+                    case "offer": {
+                        const offered = String(count++);
+                        fates.set(offered, "offered");
+                        const outcome = queue.offer({
+                            ...step,
+                            id: offered,
+                            organisation: String(step.organisation),
+                            cost: 100,
+                            start: () => move(offered, "offered", "started"),
+                            refuse: () => move(offered, "offered", "refused"),
+                        });
+                        if (outcome.isErr) {
+                            move(offered, "offered", "refused");
+                        }
+                        break;
+                    }
+                    case "finish":
+                        if (id !== undefined) {
+                            move(id, "started", "finished");
+                            queue.finish(id, 100);
+                        }
+                        break;
+                    case "cancel":
+                        if (id !== undefined) {
+                            assert.equal(queue.cancel(id), true);
+                            move(id, "offered", "cancelled");
+                        }
+                        break;
+                    case "observe":
+                        queue.observe(step.firstToken, undefined);
+                        break;
+                    case "advance":
+                        clock.advance(step.duration);
+                        break;
+                    case "setShare":
+                        queue.setShare(String(step.pick), step.share);
+                        break;
+                }
+                assert.equal(queue.running, inFate("started").length);
+                assert.equal(queue.queued, inFate("offered").length);
+                assert.ok(queue.running <= 3 && queue.queued <= 5);
+            }
+            clock.advance(10_000);
+            assert.equal(queue.queued, 0, "nothing waits for ever");
+        }),
+        { numRuns: 300 },
+    );
+});
+
+function pickFrom(ids: readonly string[], pick: number): string | undefined {
+    return ids[pick % Math.max(1, ids.length)];
+}
--- a/packages/policy/src/lib/routing/createRouter.test.ts
+++ b/packages/policy/src/lib/routing/createRouter.test.ts
@@ -372,3 +372,16 @@
     assert.ok(crossed <= 30, `${crossed} of 300 crossed the slow link`);
     assert.ok(behind >= 60, `${behind} of 300 ran behind it`);
 });
+
+test("a fleet far over its bound is refused here, but for a few trials", () => {
+    const { clock, router } = setUp(whole(4));
+    for (let index = 0; index < 4; index++) {
+        router.report(report(`target-${index}`, 16, { firstTokenEstimate: 5000 }));
+    }
+    const outcomes = Array.from({ length: 100 }, () => router.choose(request));
+    const refused = outcomes.filter(outcome => outcome.isErr);
+    assert.ok(refused.length >= 80 && refused.length < 100, `${refused.length} of 100 refused`);
+    assert.ok(refused.every(outcome => outcome.isErr && outcome.error.code === requestCodes.overloaded));
+    clock.advance(5000);
+    assert.ok(router.choose(request).isOk, "an old report no longer counts");
+});
