--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -122,12 +122,15 @@
         make("model", "demo", { layers: 12, versions: ["1"], current: "1" }),
         make("adapter", "polite", { model: "demo", versions: ["1"], bytes: 1000 }),
         make("service", "records", { nonIdempotent: [{ method: "POST", path: "/work-orders" }], maxBody: 1000 }),
-        ...agents.map(agent =>
-            make("target", agent.target, { ...agent.address, dataCentre: "dc1", service: "records" })
-        ),
+        ...agents.map(targetResource),
     ];
 }
 
+/** The resource of an agent's target. @internal */
+export function targetResource({ target, address }: FakeAgent): Resource<"target"> {
+    return make("target", target, { ...address, dataCentre: "dc1", service: "records" });
+}
+
 function make<K extends Kind>(kind: K, name: string, spec: unknown): Resource<K> {
     return resource(kind, name, specSchemas[kind].parse(spec) as Resource<K>["spec"]);
 }
