--- a/packages/config/src/lib/revisions/RevisionState.ts
+++ b/packages/config/src/lib/revisions/RevisionState.ts
@@ -96,15 +96,15 @@
     /**
      * The entries after a revision.
      *
-     * @param digest - The asker's digest at that revision, where it should be compared.
+     * @param digest - The beginning of the asker's digest at that revision, where it should be compared.
      * @returns Undefined when the log no longer reaches back so far, or when the asker's digest differs; the asker then
      * needs a snapshot.
      */
-    since(revision: number, digest?: string): readonly LogEntry[] | undefined {
+    since(revision: number, digest = ""): readonly LogEntry[] | undefined {
         if (revision > this.current) {
             return [];
         }
-        if (revision < this.oldest || (digest !== undefined && this.digestAt(revision) !== digest)) {
+        if (revision < this.oldest || this.digestAt(revision)?.startsWith(digest) !== true) {
             return undefined;
         }
         return this.entries.slice(revision - this.oldest);
@@ -200,7 +200,7 @@
 /**
  * Builds the entry that follows a state.
  *
- * @internal
+ * @public
  */
 export function nextEntry(
     state: RevisionState,
