--- a/packages/cli/src/lib/commands/checkCommands.ts
+++ b/packages/cli/src/lib/commands/checkCommands.ts
@@ -27,6 +27,8 @@
     readonly lost: readonly string[];
     /** Milliseconds in which an accepted revision must be in force. */
     readonly bound?: number;
+    /** Revisions up to this one were accepted before the history began. */
+    readonly baseRevision?: number;
 }
 
 /**
@@ -40,7 +42,8 @@
     options: CheckHistoryOptions,
     output: CommandOutput,
 ): Promise<number> {
-    const report = await checkHistoryFiles(files, { lost: options.lost, configurationBound: options.bound });
+    const { lost, bound, baseRevision } = options;
+    const report = await checkHistoryFiles(files, { lost, configurationBound: bound, baseRevision });
     if (report.isErr) {
         output.writeError(describeFailure("check history", report.error));
         return exitCodes.usage;
--- a/packages/cli/src/lib/commands/localCommand.ts
+++ b/packages/cli/src/lib/commands/localCommand.ts
@@ -36,6 +36,7 @@
     const started = await site.start();
     if (started.isErr) {
         output.writeError(describeFailure("local", started.error));
+        await site.stop();
         return exitCodes.failed;
     }
     const { callers, operators } = started.value;
--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -4,10 +4,13 @@
 import { z } from "zod";
 import { checkHistoryCommand, type CheckHistoryOptions, checkSettingsCommand } from "./commands/checkCommands.js";
 import { type CommandOutput } from "./commands/CommandOutput.js";
+import { agentCommand, entryCommand } from "./commands/daemonCommands.js";
 import { demoCommand } from "./commands/demoCommand.js";
 import { localCommand, type LocalCommandOptions } from "./commands/localCommand.js";
 import { parseAddress } from "./commands/parseAddress.js";
+import { parseCount } from "./commands/parseCount.js";
 import { engineCommand, platformCommand } from "./commands/standInCommands.js";
+import { registerOperatorCommands } from "./operator/registerOperatorCommands.js";
 
 /** @internal */
 export interface ProgramOptions {
@@ -21,11 +24,16 @@
   $ waxwingspar demo                                   show the main job, with a stage killed in mid-stream
   $ waxwingspar local                                  a small site on 127.0.0.1:8080, operators on 127.0.0.1:8081
   $ waxwingspar local --callers 127.0.0.1:9080 --operators 127.0.0.1:9081
+  $ waxwingspar entry entry.jsonc                      one entry of a site, with its settings
+  $ waxwingspar agent agent-1.jsonc                    the agent beside one target
+  $ waxwingspar get target --server http://127.0.0.1:8081
+  $ waxwingspar apply -f resources.jsonc               change resources, all or none
   $ waxwingspar check settings entry.jsonc
   $ waxwingspar check history run/*.jsonl
   $ waxwingspar platform platform.jsonc                stand-ins for the platform, for trials
 
-Exit codes: 0 done, 1 failed, 2 wrong command line or settings.
+Exit codes: 0 done, 1 failed or refused, 2 wrong command line or settings, 3 diff found differences,
+4 conflict with another change, 5 the API could not be reached or the outcome is unknown.
 `;
 
 /**
@@ -39,8 +47,12 @@
         .version(packageVersion(), "--version", "print the version")
         .configureOutput({ writeOut: output.write, writeErr: output.writeError })
         .addHelpText("after", examples)
+        // Options of a verb may be named like those of the program, such as --version.
+        .enablePositionalOptions()
         .exitOverride();
     addSiteCommands(program, output, exit);
+    addDaemonCommands(program, output, exit);
+    registerOperatorCommands(program, { output, exit });
     addCheckCommands(program, output, exit);
     addStandInCommands(program, output, exit);
     return program;
@@ -61,6 +73,15 @@
         .action(async (options: LocalCommandOptions) => exit(await localCommand(options, output)));
 }
 
+function addDaemonCommands(program: Command, output: CommandOutput, exit: Exit): void {
+    program.command("entry <settings>")
+        .description("run an entry, which takes callers")
+        .action(async (file: string) => exit(await entryCommand(file, output)));
+    program.command("agent <settings>")
+        .description("run the agent beside a target")
+        .action(async (file: string) => exit(await agentCommand(file, output)));
+}
+
 function addCheckCommands(program: Command, output: CommandOutput, exit: Exit): void {
     const check = program.command("check").description("check files");
     check.command("settings <file>")
@@ -69,7 +90,8 @@
     check.command("history <file...>")
         .description("check the history files of one run")
         .option("--lost <process...>", "processes that were killed, of which lines may be missing", [])
-        .option("--bound <milliseconds>", "time for an accepted configuration to be in force", Number)
+        .option("--bound <milliseconds>", "time for an accepted configuration to be in force", parseCount)
+        .option("--base-revision <revision>", "the last revision accepted before the run", parseCount)
         .action(async (files: string[], options: CheckHistoryOptions) =>
             exit(await checkHistoryCommand(files, options, output))
         );
--- /dev/null
+++ b/packages/cli/src/lib/daemons/AgentDaemon.ts
@@ -0,0 +1,89 @@
+import { createObserveMethod, observeMethodName, ordersDuty, readFence } from "@waxwingspar/control";
+import { HttpEngine } from "@waxwingspar/engine";
+import { type Outcome } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { AgentNode } from "../nodes/AgentNode.js";
+import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
+import { createAgentMetrics } from "../nodes/metrics.js";
+import { ProcessLinks } from "../nodes/ProcessLinks.js";
+import { OperatorsServer } from "../operators/OperatorsServer.js";
+import { type Settings } from "../settings/loadSettings.js";
+import { type DaemonBase } from "./DaemonBase.js";
+
+/**
+ * The agent as a process: settings, clock and sockets around the library classes.
+ *
+ * @internal
+ */
+export class AgentDaemon {
+    private readonly engine: HttpEngine;
+    private readonly part: ConfigurationPart;
+    private readonly node: AgentNode;
+    private readonly operators: OperatorsServer;
+
+    constructor(private readonly base: DaemonBase, settings: Settings<"agent">) {
+        const { clock, store, liveList, registry, nodeOptions } = base;
+        const processLinks = new ProcessLinks(nodeOptions, "agent");
+        const { pool } = processLinks;
+        this.part = new ConfigurationPart({
+            ...nodeOptions,
+            role: "agent",
+            store,
+            liveList,
+            pool,
+            seeds: settings.seeds,
+        });
+        this.engine = new HttpEngine({ clock, origin: settings.engine.origin });
+        this.node = new AgentNode({
+            ...nodeOptions,
+            processLinks,
+            engine: this.engine,
+            configuration: this.part.node,
+            slots: settings.slots,
+            service: settings.service,
+            readFence: () => readFence(store, ordersDuty(settings.dataCentre)),
+            metrics: createAgentMetrics(registry),
+        });
+        const { agent } = this.node;
+        const observe = createObserveMethod({
+            engine: this.engine,
+            noteFence: fence => agent.noteFence(fence),
+            inUse: () => agent.inUse(),
+        });
+        processLinks.offer({ ...this.part.methods(), [observeMethodName]: observe });
+        processLinks.onLink(link => this.part.membership.sawHello(link.peer));
+        this.operators = new OperatorsServer({
+            listen: settings.operators,
+            registry,
+            ready: () => this.part.node.ready && !agent.leaving,
+        });
+    }
+
+    /** Starts to listen; then learns the configuration, however long the store takes. */
+    async start(): Promise<Outcome<void>> {
+        const operators = await this.operators.listen();
+        if (operators.isErr) {
+            return Result.err(operators.error);
+        }
+        const links = await this.node.start();
+        if (links.isErr) {
+            return Result.err(links.error);
+        }
+        void this.part.node.start();
+        return Result.ok(undefined);
+    }
+
+    /**
+     * Leaves gracefully.
+     *
+     * @returns How many requests were cut off.
+     */
+    async stop(): Promise<number> {
+        await this.part.stop();
+        const interrupted = await this.node.stop();
+        await this.operators.close();
+        await this.engine.disconnect();
+        await this.base.close();
+        return interrupted;
+    }
+}
--- /dev/null
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -0,0 +1,116 @@
+import { ClaimJournals, claimMethods, type ClaimOwner, ClaimRouter } from "@waxwingspar/claims";
+import { type Member, ResourceApi } from "@waxwingspar/config";
+import { type Outcome } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
+import { EntryNode } from "../nodes/EntryNode.js";
+import { createEntryMetrics } from "../nodes/metrics.js";
+import { ProcessLinks } from "../nodes/ProcessLinks.js";
+import { createMetricsHandler } from "../operators/createMetricsHandler.js";
+import { type Settings } from "../settings/loadSettings.js";
+import { type DaemonBase } from "./DaemonBase.js";
+
+/**
+ * The entry as a process: settings, clock and sockets around the library classes.
+ *
+ * @internal
+ */
+export class EntryDaemon {
+    private readonly links: ProcessLinks;
+    private readonly part: ConfigurationPart;
+    private readonly claims: ClaimRouter;
+    private readonly node: EntryNode;
+    private readonly api: ResourceApi;
+    /** The entries that serve claims; replaced when they change. */
+    private owners: readonly ClaimOwner[] = [];
+
+    constructor(private readonly base: DaemonBase, settings: Settings<"entry">) {
+        const { clock, random, store, liveList, objects, registry, nodeOptions } = base;
+        this.links = new ProcessLinks(nodeOptions, "entry");
+        const { pool } = this.links;
+        this.part = new ConfigurationPart({
+            ...nodeOptions,
+            role: "entry",
+            store,
+            liveList,
+            pool,
+            seeds: settings.seeds,
+        });
+        const journals = new ClaimJournals({ table: store, objects, clock, random });
+        this.claims = new ClaimRouter({
+            process: settings.name,
+            owners: () => this.owners,
+            journals,
+            links: pool,
+            clock,
+        });
+        this.node = new EntryNode({
+            ...nodeOptions,
+            processLinks: this.links,
+            callers: settings.callers,
+            configuration: this.part.node,
+            claims: this.claims,
+            anonymousOrganisation: settings.anonymousOrganisation,
+            limits: settings.limits,
+            metrics: createEntryMetrics(registry),
+        });
+        registry.gauge({ name: "waxwingspar_open_requests", help: "Requests in progress." })
+            .observe(() => this.node.entry.openRequests);
+        this.links.offer({ ...this.part.methods(), ...claimMethods(journals) });
+        this.links.onLink(link => this.part.membership.sawHello(link.peer));
+        this.part.membership.onChange(() => this.membersChanged());
+        this.api = new ResourceApi({
+            ...settings.operators,
+            node: this.part.node,
+            store: this.part.resources,
+            clock,
+            bootstrapTokenHash: settings.operatorTokenHash,
+            handlers: { "/metrics": createMetricsHandler(registry) },
+        });
+    }
+
+    /** Starts to listen; takes callers once the configuration is known. */
+    async start(): Promise<Outcome<void>> {
+        const operators = await this.api.listen();
+        if (operators.isErr) {
+            return Result.err(operators.error);
+        }
+        const links = await this.links.listen();
+        if (links.isErr) {
+            return Result.err(links.error);
+        }
+        const callers = await this.node.start();
+        void this.part.node.start();
+        return callers.map(() => undefined);
+    }
+
+    /**
+     * Stops gracefully.
+     *
+     * @returns How many requests were cut off.
+     */
+    async stop(): Promise<number> {
+        await this.part.stop();
+        const interrupted = await this.node.stop();
+        await this.api.close();
+        await this.base.close();
+        return interrupted;
+    }
+
+    private membersChanged(): void {
+        const { membership } = this.part;
+        const { router } = this.node;
+        membership.members()
+            .filter(({ role }) => role === "agent")
+            .forEach(({ process, state }) => router.setLeaving(process, state === "leaving"));
+        const owners = membership.entries().map(toOwner);
+        if (JSON.stringify(owners) !== JSON.stringify(this.owners)) {
+            this.owners = owners;
+            void this.claims.maintain();
+        }
+    }
+}
+
+function toOwner({ process, host, port }: Member): ClaimOwner {
+    return { process, address: { host, port } };
+}
--- a/packages/cli/src/lib/demo/runDemo.test.ts
+++ b/packages/cli/src/lib/demo/runDemo.test.ts
@@ -31,5 +31,6 @@
     const checks = await demoChecks(t, { maxTokens: 40, killAfter: 10, replicas: 1, companions: 0 });
     const failed = checks.filter(check => !check.holds).map(check => check.name);
     assert.ok(failed.includes("every answer is whole and right"), failed.join());
-    assert.ok(checks.some(check => check.name === "the history holds" && check.holds), "the refusal is honest");
+    const history = checks.find(check => check.name === "the history holds");
+    assert.ok(history?.holds, `the refusal is honest: ${history?.detail}`);
 });
--- a/packages/cli/src/lib/demo/runDemo.ts
+++ b/packages/cli/src/lib/demo/runDemo.ts
@@ -206,7 +206,9 @@
 
 function historyCheck(report: HistoryReport): DemoCheck {
     const { violations, lines, tokens } = report;
-    const detail = `${lines} lines, ${tokens} tokens, ${violations.length} violations`;
+    const [first] = violations;
+    const example = first === undefined ? "" : `, such as ${first.rule}: ${first.message}`;
+    const detail = `${lines} lines, ${tokens} tokens, ${violations.length} violations${example}`;
     return check("the history holds", violations.length === 0 && tokens > 0, detail);
 }
 
--- /dev/null
+++ b/packages/cli/src/lib/nodes/ConfigurationPart.ts
@@ -0,0 +1,49 @@
+import { callByPool, ConfigurationNode, Membership, ResourceStore, StoreLog } from "@waxwingspar/config";
+import { type LiveList, type TableStore } from "@waxwingspar/platform";
+import { type Address, type LinkPool, type RpcMethod } from "@waxwingspar/transport";
+import { type NodeOptions } from "./NodeOptions.js";
+
+/** @internal */
+export interface ConfigurationPartOptions extends NodeOptions {
+    readonly role: "entry" | "agent";
+    readonly store: TableStore;
+    readonly liveList: LiveList;
+    readonly pool: LinkPool;
+    readonly seeds: readonly Address[];
+}
+
+/**
+ * What every process needs to know the configuration in force and the other processes.
+ *
+ * @internal
+ */
+export class ConfigurationPart {
+    readonly membership: Membership;
+    readonly node: ConfigurationNode;
+    readonly resources: ResourceStore;
+
+    constructor(options: ConfigurationPartOptions) {
+        const { clock, random, record, liveList, pool, seeds } = options;
+        const { name: process, role, incarnation, dataCentre, region, links } = options;
+        const self = { process, role, ...links, dataCentre, region, incarnation };
+        this.membership = new Membership({ self, clock });
+        const call = callByPool(pool, this.membership);
+        const log = new StoreLog(options.store);
+        const { membership } = this;
+        this.node = new ConfigurationNode({ log, liveList, membership, call, clock, random, record, seeds });
+        const { state } = this.node;
+        const onAccepted: ConfigurationNode["offer"] = entry => this.node.offer(entry);
+        this.resources = new ResourceStore({ log, state, clock, random, record, onAccepted });
+    }
+
+    /** The JSON-RPC methods that every peer is offered. */
+    methods(): Record<string, RpcMethod> {
+        return this.node.methods();
+    }
+
+    /** Says that this process leaves, and stops learning. */
+    async stop(): Promise<void> {
+        await this.node.announceLeaving();
+        this.node.stop();
+    }
+}
--- a/packages/cli/src/lib/nodes/EntryNode.ts
+++ b/packages/cli/src/lib/nodes/EntryNode.ts
@@ -2,12 +2,14 @@
 import { type Configuration } from "@waxwingspar/config";
 import { Entry, type EntryLimits, type EntryMetrics } from "@waxwingspar/entry";
 import { createRetryBudget, createRouter, type Router } from "@waxwingspar/policy";
-import { type Address, TcpLinkPool } from "@waxwingspar/transport";
+import { type Address } from "@waxwingspar/transport";
 import { type Outcome } from "@waxwingspar/utils";
-import { createHello, type NodeOptions } from "./NodeOptions.js";
+import { type NodeOptions } from "./NodeOptions.js";
+import { type ProcessLinks } from "./ProcessLinks.js";
 
 /** @internal */
-export interface EntryNodeOptions extends Omit<NodeOptions, "links"> {
+export interface EntryNodeOptions extends NodeOptions {
+    readonly processLinks: ProcessLinks;
     /** Where callers connect. */
     readonly callers: Address;
     readonly configuration: Configuration;
@@ -26,12 +28,11 @@
 export class EntryNode {
     readonly entry: Entry;
     readonly router: Router;
-    readonly pool: TcpLinkPool;
+    private readonly links: ProcessLinks;
 
     constructor(options: EntryNodeOptions) {
-        const { clock, random, credentials, logger } = options;
-        const hello = createHello({ ...options, links: options.callers }, "entry");
-        this.pool = new TcpLinkPool({ hello, credentials, clock, random });
+        const { clock, random, logger } = options;
+        this.links = options.processLinks;
         this.router = createRouter({
             clock,
             random,
@@ -41,7 +42,7 @@
         });
         this.entry = new Entry({
             listen: options.callers,
-            links: this.pool,
+            links: this.links.pool,
             configuration: options.configuration,
             router: this.router,
             retryBudget: createRetryBudget({ clock, random }),
@@ -68,7 +69,7 @@
      */
     async stop(): Promise<number> {
         const interrupted = await this.entry.stop();
-        this.pool.close();
+        await this.links.close();
         return interrupted;
     }
 }
--- a/packages/cli/src/lib/operators/OperatorsServer.ts
+++ b/packages/cli/src/lib/operators/OperatorsServer.ts
@@ -4,13 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { Result } from "true-myth";
-
-/**
- * Answers a request, or leaves it to others by returning false.
- *
- * @internal
- */
-export type OperatorsRoute = (request: IncomingMessage, response: ServerResponse) => boolean | Promise<boolean>;
+import { createMetricsHandler } from "./createMetricsHandler.js";
 
 /** @internal */
 export interface OperatorsServerOptions {
@@ -19,8 +13,6 @@
     readonly registry: MetricRegistry;
     /** Whether the process does its work. */
     readonly ready: () => boolean;
-    /** Answers every other path, such as the resource API. */
-    readonly route?: OperatorsRoute;
 }
 
 /** Milliseconds for a whole request of an operator to arrive. */
@@ -28,16 +20,18 @@
 const maxHeaderSize = 16_384;
 
 /**
- * The operators' endpoint of a process: /metrics, /healthz, /readyz, and what else it is given.
+ * The operators' endpoint of a process without the resource API: /metrics, /healthz and /readyz.
  *
  * @internal
  */
 export class OperatorsServer {
     private readonly server: Server;
+    private readonly sendMetrics: (message: IncomingMessage, response: ServerResponse) => void;
 
     constructor(private readonly options: OperatorsServerOptions) {
+        this.sendMetrics = createMetricsHandler(options.registry);
         this.server = createServer({ requestTimeout, maxHeaderSize }, (request, response) => {
-            void this.serve(request, response);
+            this.serve(request, response);
         });
     }
 
@@ -60,24 +54,18 @@
         await closed;
     }
 
-    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { pathname } = new URL(request.url ?? "/", "http://operators");
-        switch (pathname) {
+    private serve(request: IncomingMessage, response: ServerResponse): void {
+        const path = (request.url ?? "/").split("?")[0];
+        switch (path) {
             case "/metrics":
-                return this.sendMetrics(response);
+                return this.sendMetrics(request, response);
             case "/healthz":
                 return sendJson(response, 200, { healthy: true });
             case "/readyz":
                 return this.sendReadiness(response);
+            default:
+                return sendJson(response, 404, { error: "no such path" });
         }
-        if (await this.options.route?.(request, response) !== true) {
-            sendJson(response, 404, { error: "no such path" });
-        }
-    }
-
-    private sendMetrics(response: ServerResponse): void {
-        response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4; charset=utf-8" });
-        response.end(this.options.registry.render());
     }
 
     private sendReadiness(response: ServerResponse): void {
--- a/packages/cli/src/lib/settings/common.ts
+++ b/packages/cli/src/lib/settings/common.ts
@@ -44,7 +44,9 @@
     dataCentre: nameSchema.describe("The data centre that the process runs in."),
     region: nameSchema.describe("The region of that data centre."),
     links: addressSchema.describe("Where other processes of the system connect."),
-    operators: addressSchema.describe("Where operators connect: /metrics, /healthz, /readyz."),
+    operators: addressSchema.describe(
+        "Where operators connect: /metrics, /healthz, /readyz, and on an entry the resource API.",
+    ),
     credentials: linkCredentialsSchema.describe("How links between processes are authenticated; see docs/SECURITY.md."),
     platform: platformClientSchema.describe("The platform's services."),
     seeds: z.array(addressSchema).default([]).describe("Processes to ask while the live list cannot be read."),
--- a/packages/cli/src/lib/settings/entrySettings.ts
+++ b/packages/cli/src/lib/settings/entrySettings.ts
@@ -9,6 +9,10 @@
     callers: addressSchema.describe("Where callers connect."),
     anonymousOrganisation: nameSchema.optional()
         .describe("The organisation for which callers without a credential act; absent means that they are refused."),
+    operatorTokenHash: z.string().regex(/^[0-9a-f]{64}$/, "expected 64 hexadecimal digits").optional()
+        .describe(
+            "SHA-256 of an operator's token that is valid beside the declared credentials, for the first of them.",
+        ),
     limits: entryLimitsSchema.prefault({}).describe("Limits towards callers and targets, in milliseconds and bytes."),
 }).superRefine(checkPlaintext);
 
--- a/packages/cli/src/lib/site/LocalSite.ts
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -1,5 +1,5 @@
 import { TableClaims } from "@waxwingspar/claims";
-import { ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
+import { type ApiNode, ResourceApi, ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
 import { FakeEngine } from "@waxwingspar/engine";
 import { FileRecorder, type HistoryRecorder } from "@waxwingspar/history";
 import { MemoryTableStore } from "@waxwingspar/platform";
@@ -14,7 +14,8 @@
 import { EntryNode } from "../nodes/EntryNode.js";
 import { createAgentMetrics, createEntryMetrics } from "../nodes/metrics.js";
 import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
-import { OperatorsServer } from "../operators/OperatorsServer.js";
+import { ProcessLinks } from "../nodes/ProcessLinks.js";
+import { createMetricsHandler } from "../operators/createMetricsHandler.js";
 import { RecordsService } from "./RecordsService.js";
 import { applyDocuments } from "./seedResources.js";
 import {
@@ -76,7 +77,7 @@
     private readonly credentials: LinkCredentials;
     private readonly tracing = createTracing({ process: "local" });
     private readonly recorders: FileRecorder[] = [];
-    private readonly operators: OperatorsServer;
+    private readonly api: ResourceApi;
     private entry: EntryNode | undefined;
     private records: RecordsService | undefined;
     private ready = false;
@@ -88,7 +89,14 @@
         this.resources = new ResourceStore({ log, state: this.configuration, clock, random: options.random });
         this.registry = new MetricRegistry(clock);
         this.credentials = { keys: [{ id: "local", secret: randomBytes(32).toString("hex") }] };
-        this.operators = new OperatorsServer({ listen: operators, registry: this.registry, ready: () => this.ready });
+        this.api = new ResourceApi({
+            ...operators,
+            node: this.createApiNode(),
+            store: this.resources,
+            clock,
+            allowAnonymous: true,
+            handlers: { "/metrics": createMetricsHandler(this.registry) },
+        });
     }
 
     /** Starts everything. @returns Where callers and operators connect, or why the site cannot run. */
@@ -105,9 +113,10 @@
         if (callers.isErr) {
             return Result.err(callers.error);
         }
-        const operators = await this.operators.listen();
-        this.ready = operators.isOk;
-        return operators.map(address => ({ callers: callers.value, operators: address }));
+        const port = await this.api.listen();
+        this.ready = port.isOk;
+        const { host } = this.options.operators;
+        return port.map(chosen => ({ callers: callers.value, operators: { host, port: chosen } }));
     }
 
     /**
@@ -121,7 +130,7 @@
         const living = this.agents.filter(agent => !agent.killed);
         const cuts = await Promise.all(living.map(agent => agent.node.stop()));
         await this.records?.close();
-        await this.operators.close();
+        await this.api.close();
         await this.tracing.shutdown();
         await Promise.all(this.recorders.map(recorder => recorder.close()));
         return cuts.reduce((sum, count) => sum + count, cut);
@@ -134,6 +143,19 @@
         await agent.node.kill();
     }
 
+    /** The whole site is one process, so what is accepted is in force. */
+    private createApiNode(): ApiNode {
+        const isReady = () => this.ready;
+        return {
+            state: this.configuration,
+            get ready() {
+                return isReady();
+            },
+            age: 0,
+            progress: revision => Promise.resolve({ revision, hosts: 1, behindCount: 0, behind: [] }),
+        };
+    }
+
     private async startAgents(): Promise<Outcome<SiteTarget[]>> {
         const targets: SiteTarget[] = [];
         const metrics = createAgentMetrics(this.registry);
@@ -167,9 +189,11 @@
         }
         const engine = this.createEngine(stage);
         const agent: Omit<SiteAgent, "node"> = { name, stage, engine, recorder: opened.value, killed: false };
+        const record: HistoryRecorder = event => this.recordUnlessKilled(name, opened.value?.record, event);
+        const nodeOptions = { ...this.nodeOptions(name, incarnation), record };
         const node = new AgentNode({
-            ...this.nodeOptions(name, incarnation),
-            record: event => this.recordUnlessKilled(name, opened.value?.record, event),
+            ...nodeOptions,
+            processLinks: new ProcessLinks(nodeOptions, "agent"),
             engine,
             configuration: this.configuration,
             slots: 32,
@@ -199,9 +223,11 @@
         if (opened.isErr) {
             return Result.err(opened.error);
         }
+        const record = opened.value?.record ?? (() => undefined);
+        const nodeOptions = { ...this.nodeOptions(name, incarnation), record };
         const entry = new EntryNode({
-            ...this.nodeOptions(name, incarnation),
-            record: opened.value?.record ?? (() => undefined),
+            ...nodeOptions,
+            processLinks: new ProcessLinks(nodeOptions, "entry"),
             callers: this.options.callers,
             configuration: this.configuration,
             claims: new TableClaims(this.store),
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -19,5 +19,7 @@
     console.error("no test files found; run the build first");
     process.exit(1);
 }
-const run = spawnSync(process.execPath, ["--test", "--enable-source-maps", ...files], { stdio: "inherit" });
+const run = spawnSync(process.execPath, ["--test", "--test-timeout=240000", "--enable-source-maps", ...files], {
+    stdio: "inherit",
+});
 process.exit(run.status ?? 1);
