Agent: forgets claims safely; what may have run is never called not run

Cause: 200,000 marks of 505 bytes took 101 MB and a full table refused new work; a claim that had run was refused as not run when its model had been unloaded since, or when its first attempt had run without a token and the next was refused. Before: "claim whose first attempt ran without a token is never called not run" fails without the change. Conclusion: 25 MB of marks at most for each kind of claim, and no refusal for lack of memory.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -34,8 +34,6 @@
 import { StageRequests } from "./stage/StageRequests.js";
 import { createStateMethod, stateMethodName } from "./stage/stateMethod.js";
 
-const millisecondsPerHour = 3_600_000;
-
 /**
  * Options of {@link Agent}.
  *
@@ -357,11 +355,7 @@
 
     private claimOptions(resumeWindow: number | undefined): ClaimTableOptions {
         const { context, options } = this;
-        const { settings, configuration } = context;
-        const configured = (): number => {
-            const hours = configuration.list("service").map(({ spec }) => spec.claimHours + 1);
-            return Math.max(settings.claimRetention, ...hours.map(value => value * millisecondsPerHour));
-        };
+        const { settings } = context;
         return {
             target: context.target,
             incarnation: options.hello.incarnation,
@@ -369,7 +363,7 @@
             limit: settings.claims,
             bytes: settings.claimBytes,
             answerRetention: settings.claimAnswerRetention,
-            retention: configured,
+            retention: settings.claimRetention,
             resumeWindow,
         };
     }
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -35,7 +35,7 @@
     /** Finished requests whose epoch is remembered, and for how many milliseconds. */
     readonly finishedRequests: number;
     readonly finishedRetention: number;
-    /** Claims that are remembered, and milliseconds for which at least: longer than the store keeps them. */
+    /** Claims that are remembered besides those that run, and milliseconds for which. Older ones count as unknown. */
     readonly claims: number;
     readonly claimRetention: number;
     /** Bytes of answers kept for duplicates, and milliseconds for which. */
@@ -75,8 +75,8 @@
     attemptsPerSlot: 4,
     finishedRequests: 20_000,
     finishedRetention: 600_000,
-    claims: 200_000,
-    claimRetention: 90_000_000,
+    claims: 50_000,
+    claimRetention: 3_600_000,
     claimBytes: 33_554_432,
     claimAnswerRetention: 900_000,
     loadInterval: 250,
--- a/packages/agent/src/lib/claims/AnswerRecord.ts
+++ b/packages/agent/src/lib/claims/AnswerRecord.ts
@@ -42,7 +42,7 @@
     failed(fault: ChainFault): void {
         this.owner.failed(fault);
         const { failure: reason } = fault;
-        const started = reason.code.execution !== "not run" || this.record.items.length > 0;
+        const started = reason.code.execution !== "not run" || this.record.items.length > 0 || this.record.resumed;
         if (started) {
             this.claims.interrupted(this.record, failure(requestCodes.inProgress, reason.message));
         }
--- a/packages/agent/src/lib/claims/ClaimTable.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.ts
@@ -1,4 +1,4 @@
-import { decodeClaim } from "@waxwingspar/claims";
+import { decodeClaim, ForgottenClaims } from "@waxwingspar/claims";
 import { type Clock, type Failure, failure, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { ClaimRecord } from "./ClaimRecord.js";
@@ -8,14 +8,14 @@
     readonly target: string;
     readonly incarnation: string;
     readonly clock: Clock;
-    /** Claims that are remembered at most. Beyond it, new ones are refused as not run. */
+    /** Claims that are remembered at most, besides those that run. */
     readonly limit: number;
     /** Bytes of answers that are kept at most, over all claims. */
     readonly bytes: number;
     /** Milliseconds for which an answer is kept for duplicates. */
     readonly answerRetention: number;
-    /** Milliseconds for which a claim is remembered: no less than the store keeps it. */
-    readonly retention: () => number;
+    /** Milliseconds for which a claim is remembered. */
+    readonly retention: number;
     /**
      * Milliseconds for which an interrupted request is expected to be continued. Undefined when that never happens,
      * since what was begun cannot be taken up again.
@@ -44,16 +44,18 @@
 }
 
 /**
- * Runs every claimed request at most once in this incarnation of the agent, and answers duplicates from memory. A claim
- * is remembered for as long as the store keeps it, its answer for less: with the claim would go the proof that the
- * request has run.
+ * Runs every claimed request at most once in this incarnation of the agent, and answers duplicates from memory. What it
+ * has forgotten, answers first and then claims, it treats as unknown and never runs.
  *
  * @internal
  */
 export class ClaimTable<Item, End> {
     private readonly records = new Map<string, ClaimRecord<Item, End>>();
-    /** Claims whose answers are kept, in the order in which they ended. */
+    /** Claims that do not run, in the order in which they stopped. */
+    private readonly settled = new Set<ClaimRecord<Item, End>>();
+    /** The part of them whose answers are kept. */
     private readonly answered = new Set<ClaimRecord<Item, End>>();
+    private readonly forgotten = new ForgottenClaims();
     private keptBytes = 0;
 
     constructor(private readonly options: ClaimTableOptions) {}
@@ -78,14 +80,14 @@
         return record === undefined ? this.create(use) : this.decide(record, use);
     }
 
-    /** True when this agent already answers for the claim, so that the request is not new work. */
+    /** True when this agent may have run the claim before, so that the request is not new work. */
     knows(claim: string): boolean {
-        return this.records.has(claim);
+        return this.records.has(claim) || this.forgotten.mayInclude(claim);
     }
 
     /** Remembers a refusal, so that a late copy of the request never runs here. */
     refuse(use: ClaimUse, reason: Failure): void {
-        if (this.checkRunner(use) !== undefined || this.records.has(use.claim)) {
+        if (this.checkRunner(use) !== undefined || this.knows(use.claim)) {
             return;
         }
         const record = new ClaimRecord<Item, End>(use.claim, use.request);
@@ -94,30 +96,37 @@
     }
 
     ended(record: ClaimRecord<Item, End>, end: End): void {
-        record.changedAt = this.options.clock.now();
         record.end(end);
         if (record.truncated) {
             record.forget();
-            return;
         }
-        this.answered.add(record);
-        this.keptBytes += record.bytes;
-        this.forgetOld();
+        else {
+            this.answered.add(record);
+            this.keptBytes += record.bytes;
+        }
+        this.settle(record);
     }
 
     interrupted(record: ClaimRecord<Item, End>, reason: Failure): void {
-        record.changedAt = this.options.clock.now();
         record.stop("interrupted", reason);
+        this.settle(record);
     }
 
     refused(record: ClaimRecord<Item, End>, reason: Failure): void {
-        record.changedAt = this.options.clock.now();
         record.stop("refused", reason);
+        this.settle(record);
+    }
+
+    private settle(record: ClaimRecord<Item, End>): void {
+        record.changedAt = this.options.clock.now();
+        this.settled.delete(record);
+        this.settled.add(record);
+        this.forgetOld();
     }
 
     private create(use: ClaimUse): Result<ClaimDecision<Item, End>, Failure> {
-        if (this.records.size >= this.options.limit) {
-            return Result.err(failure(requestCodes.claimUnavailable, "the agent remembers no more claims"));
+        if (this.forgotten.mayInclude(use.claim)) {
+            return Result.err(failure(requestCodes.outcomeUnknown, "the agent may have forgotten that it ran"));
         }
         const record = new ClaimRecord<Item, End>(use.claim, use.request);
         this.records.set(use.claim, record);
@@ -152,6 +161,7 @@
         if (use.request === record.request) {
             record.state = "running";
             record.resumed = true;
+            this.settled.delete(record);
             return Result.ok({ action: "run", record });
         }
         const recent = clock.now() - record.changedAt < resumeWindow;
@@ -178,34 +188,35 @@
         return undefined;
     }
 
-    /** Drops claims that the store no longer keeps either, and answers that are too old or too large together. */
+    /** Drops answers that are too old or too large together, and claims that are too old or too many. */
     private forgetOld(): void {
         const now = this.options.clock.now();
-        this.dropOldClaims(now - this.options.retention());
-        this.dropOldAnswers(now);
-    }
-
-    private dropOldClaims(before: number): void {
-        for (const record of this.records.values()) {
-            if (record.state === "running" || record.changedAt >= before) {
-                return;
+        const { answerRetention, bytes, retention, limit } = this.options;
+        for (const record of this.answered) {
+            if (now - record.changedAt <= answerRetention && this.keptBytes <= bytes) {
+                break;
             }
-            this.records.delete(record.id);
-            if (this.answered.delete(record)) {
-                this.keptBytes -= record.bytes;
+            this.dropAnswer(record);
+        }
+        for (const record of this.settled) {
+            if (now - record.changedAt <= retention && this.settled.size <= limit) {
+                break;
             }
+            this.dropClaim(record);
         }
     }
 
-    private dropOldAnswers(now: number): void {
-        for (const record of this.answered) {
-            const fresh = now - record.changedAt <= this.options.answerRetention;
-            if (fresh && this.keptBytes <= this.options.bytes) {
-                return;
-            }
-            this.answered.delete(record);
+    private dropAnswer(record: ClaimRecord<Item, End>): void {
+        if (this.answered.delete(record)) {
             this.keptBytes -= record.bytes;
             record.forget();
         }
     }
+
+    private dropClaim(record: ClaimRecord<Item, End>): void {
+        this.dropAnswer(record);
+        this.settled.delete(record);
+        this.records.delete(record.id);
+        this.forgotten.add(record.id);
+    }
 }
--- a/packages/agent/src/lib/head/HeadRequests.test.ts
+++ b/packages/agent/src/lib/head/HeadRequests.test.ts
@@ -145,6 +145,38 @@
     assert.deepEqual(site.events("a", "layers.run"), []);
 });
 
+test("claim whose first attempt ran without a token is never called not run", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => site.events("a", "layers.run").length > 0);
+    site.kill("c");
+    await site.until(() => ended(first));
+    assert.equal(first.ids.length, 0);
+    // The next attempt is refused before anything runs in it.
+    const next = await site.entry.open(claimed("r1", { epoch: 1 }));
+    await site.until(() => ended(next));
+    const duplicate = await site.entry.open(claimed("r2", { stages: chainOf(["a", "b", "d"], testLayers) }));
+    await site.until(() => ended(duplicate));
+    assert.equal(duplicate.failed?.failure.code, requestCodes.inProgress.number);
+});
+
+test("claim that ran is never called not run, though the model is gone", async () => {
+    const site = await startSite();
+    const first = await site.entry.open(claimed("r1"));
+    await site.until(() => ended(first));
+    const unload = { kind: "unload", model: "demo", version: "1" } as const;
+    const ordered = site.targets.get("a")?.agent.apply({ id: "o1", fence: 1, action: unload });
+    await site.clock.advanceAsync(100, 1);
+    assert.ok((await ordered)?.isOk);
+    const fresh = await site.entry.open(openMessage({ request: "r2", stages }));
+    const duplicate = await site.entry.open(claimed("r3"));
+    const otherChain = await site.entry.open(claimed("r4", { stages: chainOf(["a", "b", "a"], testLayers) }));
+    await site.until(() => ended(fresh) && ended(duplicate) && ended(otherChain));
+    assert.equal(fresh.failed?.failure.code, requestCodes.wrongTarget.number);
+    assert.deepEqual(duplicate.ids, reference.tokens);
+    assert.equal(otherChain.failed?.failure.code, requestCodes.outcomeUnknown.number);
+});
+
 test("claimed request refused before its claim was looked at never runs", async () => {
     const site = await startSite();
     const wrong = await site.entry.open(claimed("r1", { version: "2" }));
--- a/packages/agent/src/lib/head/HeadRequests.ts
+++ b/packages/agent/src/lib/head/HeadRequests.ts
@@ -35,8 +35,7 @@
             this.fail(message, link, failure(requestCodes.staleEpoch, "a newer attempt exists"));
             return;
         }
-        const refusal = this.checkLeaving(claim) ?? checkChain(message, this.context.target)
-            ?? await this.checkHeld(message);
+        const refusal = this.check(message) ?? await this.checkHeld(message);
         // The engine may have been asked in between, and a newer attempt or the cancellation have arrived.
         if (this.context.table.judge(request, epoch) !== "new" || !link.open) {
             return;
@@ -54,18 +53,27 @@
 
     /** Answers an `open` that comes after the agent has closed. */
     refuseClosed(message: OpenMessage, link: Link): void {
-        const { claim } = message;
-        this.refuse(message, link, closedFailure(claim !== undefined && this.claims.knows(claim)));
+        this.refuse(message, link, closedFailure(this.mayHaveRun(message)));
     }
 
-    private checkLeaving(claim: string | undefined): Failure | undefined {
-        const continues = claim !== undefined && this.claims.knows(claim);
-        return this.context.load.leaving && !continues
-            ? failure(requestCodes.stopping, "the target is leaving")
-            : undefined;
+    private check(message: OpenMessage): Failure | undefined {
+        const chain = checkChain(message, this.context.target);
+        if (this.mayHaveRun(message)) {
+            return chain === undefined ? undefined : failure(requestCodes.outcomeUnknown, chain.message);
+        }
+        return this.context.load.leaving ? failure(requestCodes.stopping, "the target is leaving") : chain;
+    }
+
+    /** Whether the request may have run here before. It is no new work then, and must not be called "not run". */
+    private mayHaveRun({ claim }: OpenMessage): boolean {
+        return claim !== undefined && this.claims.knows(claim);
     }
 
-    private checkHeld({ model, version, adapter, stages }: OpenMessage): Promise<Failure | undefined> | undefined {
+    private checkHeld(message: OpenMessage): Promise<Failure | undefined> | undefined {
+        if (this.mayHaveRun(message)) {
+            return undefined;
+        }
+        const { model, version, adapter, stages } = message;
         const { first = 0, last = 0 } = stages[0] ?? {};
         const needed = { model, version, adapter, first, last };
         return this.context.held.holds(needed) ? undefined : this.context.held.check(needed);
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -125,8 +125,11 @@
     }
 
     private check({ service, path, method, body, claim }: CallMessage): Failure | undefined {
-        const continues = claim !== undefined && this.claims.knows(claim);
-        if (this.context.load.leaving && !continues) {
+        if (this.knows(claim)) {
+            // It may have run here, so that whatever is wrong with it now, it must not be called "not run".
+            return undefined;
+        }
+        if (this.context.load.leaving) {
             return failure(requestCodes.stopping, "the target is leaving");
         }
         if (service !== this.service.name) {
