Claims wait for the local share of writes

Cause: a process whose share of the store's rate was used up refused every waiting claim, though it could still have recorded them in time.

--- a/packages/claims/src/lib/journal/ClaimJournal.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore, TokenBucket } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore, StoreClient, TokenBucket } from "@waxwingspar/platform";
 import { ManualClock, type Outcome, requestCodes, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
@@ -101,6 +101,29 @@
     assert.ok((await site.wait(journal.acquire(request("2")))).isOk);
 });
 
+test("a process that has used up its share of writes makes claims wait, and refuses none that it can still record", async () => {
+    const site = new Site();
+    const { clock, table } = site;
+    const client = new StoreClient({
+        store: table,
+        clock,
+        random: seededRandom(1),
+        readsPerSecond: 100,
+        writesPerSecond: 4,
+        maxWait: 20,
+    });
+    const journal = site.owner({ table: client });
+    await site.wait(journal.load());
+    const calls: Promise<Outcome<Claim>>[] = [];
+    for (let turn = 0; turn < 50; turn++) {
+        calls.push(journal.acquire(request(`${turn}`)));
+        await clock.advanceAsync(100, 5);
+    }
+    const outcomes = await site.wait(Promise.all(calls));
+    assert.ok(outcomes.every(outcome => outcome.isOk));
+    assert.ok(table.faults.arrivals.write <= 25, `${table.faults.arrivals.write} writes`);
+});
+
 test("a silent store ends calls in time, and what was written is found later", async () => {
     const site = new Site();
     const journal = site.owner();
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -1,4 +1,4 @@
-import { type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import { fullJitter, type ObjectStore, type TableStore } from "@waxwingspar/platform";
 import {
     type Clock,
     type Failure,
@@ -64,7 +64,7 @@
 const maxNameLength = 256;
 
 /** Bounds of the wait after a failure whose outcome is unknown, in milliseconds. */
-const retryWait = { base: 20, cap: 500 };
+const retryBounds = { base: 20, cap: 500 };
 
 /**
  * The claims of one partition. It appends claims to the partition's chain of segments, many in one write, and answers
@@ -244,14 +244,21 @@
             this.failures = 0;
             return;
         }
-        this.fresh = false;
+        // A call that the local budget held back has changed nothing.
+        this.fresh &&= outcome.error.code === platformCodes.budgetExhausted;
         if (wasRefused(outcome.error)) {
             this.refuseAll(outcome.error);
             return;
         }
-        const wait = Math.min(retryWait.cap, retryWait.base * 2 ** this.failures) * this.options.random.next();
-        this.failures = Math.min(this.failures + 1, 10);
-        await sleep(this.options.clock, wait);
+        await sleep(this.options.clock, this.retryWait(outcome.error));
+    }
+
+    /** Waits for the local budget as long as it asks for, and otherwise longer with each failure. */
+    private retryWait({ code, retryAfter }: Failure): number {
+        if (code === platformCodes.budgetExhausted) {
+            return Math.min(retryBounds.cap, retryAfter ?? retryBounds.cap);
+        }
+        return fullJitter(this.options.random, retryBounds, this.failures++);
     }
 
     private refuseAll({ message, retryAfter }: Failure): void {
@@ -275,9 +282,9 @@
     return Result.err(failure(requestCodes.malformed, "the runner's name is too long"));
 }
 
-/** Whether nothing was written or read for certain, so that waiting on has no use. */
+/** Whether the store is down for all that is known, so that waiting on has no use. */
 function wasRefused({ code }: Failure): boolean {
-    return code === platformCodes.storeUnavailable || code === platformCodes.budgetExhausted;
+    return code === platformCodes.storeUnavailable;
 }
 
 function unavailable(message: string, retryAfter: number): Outcome<Claim> {
