Agent: calls have their own names in the queue, and time spent waiting counts

Cause: a call that came again while its cancelled first copy still held a slot broke an assertion of the work queue; a call that had waited got the whole timeout again when it started. Change: a counter in the queue's item id; the deadline is fixed at the offer; `stage.state` answers agents only. Before: not run without the change (the queue asserts that ids are unique). After: 86 agent tests pass. Conclusion: a repeat of a cancelled call runs.

--- a/packages/agent/src/lib/service/ServiceProxy.test.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.test.ts
@@ -248,6 +248,23 @@
     await site.close();
 });
 
+test("call that comes again right after it was cancelled runs", async () => {
+    let runs = 0;
+    const site = await CallSite.create((_, response) => {
+        runs++;
+        if (runs > 1) {
+            response.end("second");
+        }
+    });
+    await site.call();
+    await site.until(() => runs === 1);
+    (await site.site.entry.link("a")).send({ type: "callCancel", request: "r1" });
+    await site.call();
+    await site.until(() => isWhole(site.site.entry));
+    assert.equal(textOf(site.site.entry), "second");
+    await site.close();
+});
+
 test("answer too large to keep is unknown to a later duplicate", async () => {
     let runs = 0;
     const site = await CallSite.create((_, response) => {
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -31,9 +31,18 @@
 interface OpenCall {
     readonly stream: CallStream;
     readonly claimed: boolean;
+    /** The name in the queue. */
+    readonly item: string;
     call: ServiceCall | undefined;
 }
 
+/** A call's place in the queue. */
+interface CallSlot {
+    readonly item: string;
+    /** The clock's time by which the answer must be whole. */
+    readonly due: number;
+}
+
 /**
  * Passes calls to the plain service beside the agent, a claimed one at most once.
  *
@@ -45,6 +54,7 @@
     private readonly calls = new Map<string, OpenCall>();
     /** Calls that wait for the service's answer, also those that nobody listens to any more. */
     private runningCalls = 0;
+    private callCount = 0;
 
     constructor(
         private readonly context: AgentContext,
@@ -99,7 +109,7 @@
             return;
         }
         open.call?.abort();
-        this.context.queue.cancel(itemId(request));
+        this.context.queue.cancel(open.item);
     }
 
     /** Breaks off every call and closes the connections. */
@@ -120,7 +130,9 @@
             this.calls.delete(request);
         });
         load.begin(link);
-        this.calls.set(request, { stream, claimed: message.claim !== undefined, call: undefined });
+        // A call that is broken off keeps its slot for a moment, in which its request may come again.
+        const item = `call/${request}/${this.callCount++}`;
+        this.calls.set(request, { stream, claimed: message.claim !== undefined, item, call: undefined });
         return stream;
     }
 
@@ -162,14 +174,18 @@
     private offer(message: CallMessage, sink: CallSink): void {
         const { request, organisation, priority, timeLeft } = message;
         const timeout = Math.min(timeLeft, this.serviceTimeout());
+        const slot: CallSlot = {
+            item: this.calls.get(request)?.item ?? request,
+            due: this.context.clock.now() + timeout,
+        };
         const offered = this.context.queue.offer({
-            id: itemId(request),
+            id: slot.item,
             organisation,
             priority,
             timeLeft,
             startBound: timeout,
             cost: 1,
-            start: () => void this.run(message, sink, timeout),
+            start: () => void this.run(message, sink, slot),
             refuse: reason => this.refuse(message, sink, reason),
         });
         if (offered.isErr) {
@@ -177,7 +193,7 @@
         }
     }
 
-    private async run(message: CallMessage, sink: CallSink, timeout: number): Promise<void> {
+    private async run(message: CallMessage, sink: CallSink, { item, due }: CallSlot): Promise<void> {
         const { context, dispatcher, root } = this;
         const { clock, record, target, settings, queue } = context;
         const { request, service } = message;
@@ -193,7 +209,7 @@
             dispatcher,
             root,
             clock,
-            timeout,
+            timeout: due - startedAt,
             sink,
             sent: () =>
                 record({ event: "service.run", request, service, target, key: message.headers["idempotency-key"] }),
@@ -208,7 +224,7 @@
         this.runningCalls++;
         await call.run();
         this.runningCalls--;
-        queue.finish(itemId(request), clock.now() - startedAt);
+        queue.finish(item, clock.now() - startedAt);
         span.end();
     }
 
@@ -228,10 +244,6 @@
     }
 }
 
-function itemId(request: string): string {
-    return `call/${request}`;
-}
-
 function claimUse({ request, service, organisation }: Omit<CallMessage, "claim">, claim: string): ClaimUse {
     return { claim, request, route: service, organisation };
 }
--- a/packages/agent/src/lib/stage/stateMethod.ts
+++ b/packages/agent/src/lib/stage/stateMethod.ts
@@ -26,10 +26,10 @@
 
 /** Answers `stage.state`. @internal */
 export function createStateMethod(table: AttemptTable<Attempt>): RpcMethod {
-    return params => {
+    return (params, link) => {
         const parsed = paramsSchema.safeParse(params);
-        if (!parsed.success) {
-            const reason = failure(requestCodes.malformed, "stage.state needs request and epoch");
+        if (!parsed.success || link.peer.role !== "agent") {
+            const reason = failure(requestCodes.malformed, "stage.state takes request and epoch, from agents");
             return Promise.resolve(Result.err(reason));
         }
         const attempt = table.find(parsed.data.request, parsed.data.epoch);
