--- a/packages/agent/src/bench/directCost.ts
+++ b/packages/agent/src/bench/directCost.ts
@@ -1,10 +1,11 @@
 import { StaticConfiguration } from "@waxwingspar/config";
 import { createWorkQueue } from "@waxwingspar/policy";
-import { type Link, type LinkPool, type Message, type OpenMessage } from "@waxwingspar/transport";
-import { type Failure, failure, SystemClock, transportCodes } from "@waxwingspar/utils";
+import { type LinkPool } from "@waxwingspar/transport";
+import { SystemClock } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { Agent } from "../lib/Agent.js";
 import { benchHello, benchLayers } from "./benchAgent.js";
+import { answerFrames, benchOpen, directPair } from "./DirectLink.js";
 import { InstantEngine } from "./InstantEngine.js";
 
 // Measures what the agent itself spends on each token: links hand messages over as they are, without codec and sockets,
@@ -17,84 +18,6 @@
 const streams = 32;
 const tokens = 1000;
 
-/** One end of a link that hands messages over in the next microtask. */
-class DirectLink implements Link {
-    readonly open = true;
-    readonly queuedBytes = 0;
-    other: DirectLink | undefined;
-    private handler: (message: Message) => void = () => undefined;
-
-    constructor(readonly peer: Link["peer"]) {}
-
-    send(message: Message): void {
-        queueMicrotask(() => this.other?.handler(message));
-    }
-
-    request(): Promise<Result<unknown, Failure>> {
-        return Promise.resolve(Result.err(failure(transportCodes.noSuchMethod, "none here")));
-    }
-
-    onMessage(handler: (message: Message) => void): void {
-        this.handler = handler;
-    }
-
-    onClose(): void {
-        // It never closes.
-    }
-
-    close(): void {
-        // It never closes.
-    }
-}
-
-/** A link between this process' agent and a peer: the agent's end and the peer's. */
-function directPair(peer: string, role: "entry" | "agent"): [DirectLink, DirectLink] {
-    const own = new DirectLink(benchHello(peer, role));
-    const other = new DirectLink(benchHello("head", "agent"));
-    own.other = other;
-    other.other = own;
-    return [own, other];
-}
-
-/** The last stage of the chain: draws a token at once. */
-function answerFrames(link: DirectLink): void {
-    link.onMessage(message => {
-        if (message.type === "join") {
-            const { request, epoch } = message;
-            link.send({ type: "joined", request, epoch, target: "last", cached: 0 });
-        }
-        if (message.type === "frame" && !message.prefill) {
-            const { request, epoch, position, count } = message;
-            const sampled = { type: "sampled", request, epoch, token: 7, text: " word", end: false } as const;
-            link.send({ ...sampled, position: position + count });
-        }
-    });
-}
-
-function openMessage(request: string): OpenMessage {
-    const stage = { host: "127.0.0.1", port: 1 };
-    return {
-        type: "open",
-        request,
-        epoch: 0,
-        model: "demo",
-        version: "1",
-        organisation: "bench",
-        priority: 5,
-        timeLeft: 600_000,
-        firstTokenBound: 600_000,
-        prompt: "bench",
-        produced: [],
-        sampling: { maxTokens: tokens, stop: [] },
-        stages: [
-            { ...stage, target: "head", first: 0, last: 5 },
-            { ...stage, target: "last", first: 6, last: benchLayers - 1 },
-        ],
-        exporters: [],
-        credit: tokens,
-    };
-}
-
 /** Streams answers through a head agent. */
 async function runHead(round: number): Promise<void> {
     const [toLast, last] = directPair("last", "agent");
@@ -130,7 +53,7 @@
             }
         });
         for (let index = 0; index < streams; index++) {
-            entry.send(openMessage(`${round}-${index}`));
+            entry.send(benchOpen(`${round}-${index}`, tokens));
         }
     });
     await agent.close();
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -75,7 +75,7 @@
     attemptsPerSlot: 4,
     finishedRequests: 20_000,
     finishedRetention: 600_000,
-    claims: 50_000,
+    claims: 20_000,
     claimRetention: 3_600_000,
     claimBytes: 33_554_432,
     claimAnswerRetention: 900_000,
