Agent: every interval between tokens reaches the queue, a slow caller's pauses do not

Cause: the queue, which judges windows of 128 intervals, got one mean for each whole stream, so that its limit could not follow the load; a caller who took tokens slowly made the target look slow in load reports. Change: TokenTimes passes on each interval, and starts anew when a paused stream goes on. Before: "sends no more than the entry grants" fails on the reported interval without the new start. Conclusion: the limit of running requests follows the time between tokens within one window.

--- a/packages/agent/src/lib/head/Decoder.ts
+++ b/packages/agent/src/lib/head/Decoder.ts
@@ -80,6 +80,7 @@
         const token = this.paused;
         if (token !== undefined && !this.stopped) {
             this.paused = undefined;
+            this.options.times.resume();
             this.draw(token);
         }
     }
--- a/packages/agent/src/lib/head/HeadAttempt.test.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.test.ts
@@ -101,6 +101,8 @@
     link.send({ type: "credit", request: "r1", epoch: 0, upTo: 1000 });
     await site.until(() => answer.done !== undefined);
     assert.deepEqual(answer.ids, reference.tokens);
+    const interval = answer.done?.load?.tokenInterval ?? 0;
+    assert.ok(interval > 10 && interval < 30, `a slow caller is not taken for a slow target: ${interval} ms`);
 });
 
 test("refuses what it must not run", async () => {
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -359,7 +359,6 @@
             queue.cancel(this.item);
             return;
         }
-        this.times.finish();
         queue.finish(this.item, this.times.elapsed);
     }
 }
--- a/packages/agent/src/lib/head/TokenTimes.ts
+++ b/packages/agent/src/lib/head/TokenTimes.ts
@@ -7,9 +7,8 @@
  */
 export class TokenTimes {
     private startedAt = 0;
-    private firstAt: number | undefined;
-    private lastAt = 0;
-    private tokens = 0;
+    /** When the last token came, or the caller began to take tokens again. */
+    private lastAt: number | undefined;
 
     constructor(private readonly context: Pick<AgentContext, "clock" | "load" | "queue" | "metrics">) {}
 
@@ -22,27 +21,26 @@
         this.startedAt = this.context.clock.now();
     }
 
+    /** A caller who was slow takes tokens again; the time in between says nothing about the target. */
+    resume(): void {
+        this.lastAt = this.context.clock.now();
+    }
+
     /** Takes the arrival of a token. */
     token(): void {
         const { clock, load, queue, metrics } = this.context;
         const now = clock.now();
-        if (this.firstAt === undefined) {
-            this.firstAt = now;
-            queue.observe(now - this.startedAt, undefined);
-            metrics.firstToken?.(now - this.startedAt);
+        if (this.lastAt === undefined) {
+            const duration = now - this.startedAt;
+            queue.observe(duration, undefined);
+            metrics.firstToken?.(duration);
         }
         else {
-            load.observeInterval(now - this.lastAt);
-            metrics.tokenInterval?.(now - this.lastAt);
+            const interval = now - this.lastAt;
+            queue.observe(undefined, interval);
+            load.observeInterval(interval);
+            metrics.tokenInterval?.(interval);
         }
         this.lastAt = now;
-        this.tokens++;
-    }
-
-    /** Tells the queue how long the stream took. */
-    finish(): void {
-        if (this.firstAt !== undefined && this.tokens > 1) {
-            this.context.queue.observe(undefined, (this.lastAt - this.firstAt) / (this.tokens - 1));
-        }
     }
 }
