--- a/packages/proof/src/lib/report/ScenarioResult.ts
+++ b/packages/proof/src/lib/report/ScenarioResult.ts
@@ -29,6 +29,8 @@
     readonly recovery: Recovery;
     /** The longest time from acceptance to force over all accepted revisions and daemons, in milliseconds. */
     readonly longestActivation: number | undefined;
+    /** Orders that were sent with a fence older than the target's. */
+    readonly staleOrders: number;
     readonly checks: readonly ScenarioCheck[];
 }
 
--- a/packages/proof/src/lib/report/formatResult.ts
+++ b/packages/proof/src/lib/report/formatResult.ts
@@ -1,6 +1,7 @@
 import { historyRules } from "@waxwingspar/history";
 import { holds, type ScenarioResult } from "./ScenarioResult.js";
 
+const percent = 100;
 const columns = [
     "scenario",
     "seed",
@@ -16,6 +17,7 @@
     "gap median ms",
     "gap max ms",
     "goodput back ms",
+    "lowest rate %",
     "in force ms",
     "holds",
 ];
@@ -48,6 +50,7 @@
         rounded(recovery.medianGap),
         rounded(recovery.longestGap),
         rounded(recovery.goodputBack, "not"),
+        rounded(recovery.lowestRate === undefined ? undefined : recovery.lowestRate * percent),
         rounded(result.longestActivation),
         holds(result) ? "yes" : "NO",
     ];
@@ -71,7 +74,9 @@
         })`
     );
     const checked = checks.map(({ name, holds, detail }) => `  ${holds ? "ok" : "FAILED"} ${name} ${detail}`);
-    const size = `  ${history.lines} lines, ${history.incarnations} incarnations, ${history.tokens} tokens`;
+    const { "order.issued": issued = 0, "order.applied": applied = 0 } = history.events;
+    const size = `  ${history.lines} lines, ${history.incarnations} incarnations, ${history.tokens} tokens, `
+        + `${issued} orders sent, ${result.staleOrders} of them with an old fence, ${applied} carried out`;
     return [size, ...kinds, ...failed, ...rules, ...violations, ...checked].join("\n");
 }
 
--- a/packages/proof/src/lib/report/plants.ts
+++ b/packages/proof/src/lib/report/plants.ts
@@ -140,4 +140,18 @@
         what: "one process has another configuration under the same revision",
         apply: lines => changeLine(lines, findMiddle(lines, "config.applied"), { digest: "0" }),
     },
+    {
+        rule: "orders",
+        what: "a target carries out an order with an older fence",
+        apply: lines =>
+            replaceLine(lines, findMiddle(lines, "order.applied"), line => [
+                line,
+                { ...line, body: { ...line.body, order: "planted", fence: 0 } as Body },
+            ]),
+    },
+    {
+        rule: "writes",
+        what: "a write takes effect twice",
+        apply: lines => replaceLine(lines, findMiddle(lines, "write.effect"), line => [line, line]),
+    },
 ];
--- a/packages/proof/src/lib/scenarios/networkScenarios.ts
+++ b/packages/proof/src/lib/scenarios/networkScenarios.ts
@@ -51,7 +51,9 @@
     row: "regions cut off",
     summary: "nothing passes between the regions north and south for 8 s; the platform is in the north",
     async run({ site, markFault }) {
-        const regions = new Map(site.layout.daemons.map(({ name, region }) => [name, region]));
+        const regions = new Map(
+            [...site.layout.daemons, ...site.layout.holders].map(({ name, region }) => [name, region]),
+        );
         markFault();
         site.linkFault = (from = "", to) => {
             const sides = [from, to].map(name => regions.get(name) ?? (name === "region south" ? "south" : "north"));
--- a/packages/proof/src/lib/scenarios/operatorsRace.ts
+++ b/packages/proof/src/lib/scenarios/operatorsRace.ts
@@ -1,9 +1,11 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { z } from "zod";
+import { operatorToken } from "../site/settingsFiles.js";
 import { type Site } from "../site/Site.js";
 import { organisation } from "../site/siteModel.js";
 import { type Scenario } from "./Scenario.js";
 
+const authorization = `Bearer ${operatorToken}`;
 const rounds = 20;
 const statusOk = 200;
 const statusConflict = 409;
@@ -19,14 +21,14 @@
 }
 
 async function read(site: Site, name: string): Promise<ReadResource> {
-    const response = await fetch(urlAt(site, name));
+    const response = await fetch(urlAt(site, name), { headers: { authorization } });
     return resourceSchema.parse(await response.json());
 }
 
 async function write(site: Site, name: string, version: number, share: number): Promise<number> {
     const response = await fetch(urlAt(site, name), {
         method: "PUT",
-        headers: { "if-match": `"${version}"`, "content-type": "application/json" },
+        headers: { authorization, "if-match": `"${version}"`, "content-type": "application/json" },
         body: JSON.stringify({ spec: { share } }),
     });
     await response.arrayBuffer();
@@ -63,7 +65,8 @@
             await pause(raceInterval);
         }
         await pause(inForceLimit);
-        const states = await Promise.all(site.layout.daemons.map(({ name }) => read(site, name)));
+        const entries = site.layout.daemons.filter(({ role }) => role === "entry");
+        const states = await Promise.all(entries.map(({ name }) => read(site, name)));
         const agreed = states.filter(({ spec }) => spec.share === last).length;
         check({
             name: "exactly one of two operators wins",
@@ -71,7 +74,7 @@
             detail: `${won} of ${rounds} rounds; ${unexpected.join("; ")}`,
         });
         check({
-            name: "the last change is in force on every daemon",
+            name: "the last change is in force on every entry",
             holds: agreed === states.length,
             detail: `${agreed} of ${states.length}`,
         });
--- a/packages/proof/src/lib/scenarios/processScenarios.ts
+++ b/packages/proof/src/lib/scenarios/processScenarios.ts
@@ -161,7 +161,8 @@
     row: "data centre lost",
     summary: "SIGKILL of every process of dc1 at once: entry, pipeline, engines, plain service's agent",
     async run({ site, markFault }) {
-        const names = site.layout.daemons.filter(({ dataCentre }) => dataCentre === "dc1").map(({ name }) => name);
+        const { daemons, holders } = site.layout;
+        const names = [...daemons, ...holders].filter(({ dataCentre }) => dataCentre === "dc1").map(({ name }) => name);
         markFault();
         await Promise.all(names.map(name => site.killHost(name)));
         await pause(listNotices);
--- a/packages/proof/src/lib/scenarios/storeScenarios.ts
+++ b/packages/proof/src/lib/scenarios/storeScenarios.ts
@@ -1,20 +1,40 @@
 import { setTimeout as pause } from "node:timers/promises";
-import { type Scenario } from "./Scenario.js";
+import { type RequestEnd } from "../callers/Callers.js";
+import { type Scenario, type ScenarioContext } from "./Scenario.js";
 
 const outage = 20_000;
+const claimsLimit = 60_000;
+const claimsPoll = 50;
+const aftermath = 4000;
 const slowDelay = 700;
 const lossRounds = 12;
 const lossInterval = 500;
 
+/** Waits until calls that are not idempotent complete again, and some seconds more. */
+async function waitForClaims({ clock, ends, check }: ScenarioContext): Promise<void> {
+    const from = clock.now();
+    const isNew = ({ kind, outcome, tries }: RequestEnd) =>
+        kind === "publish" && outcome === "completed" && (tries[0]?.sentAt ?? from) > from;
+    while (!ends().some(isNew) && clock.now() < from + claimsLimit) {
+        await pause(claimsPoll);
+    }
+    const back = ends().some(isNew);
+    const waited = Math.round(clock.now() - from);
+    check({ name: "claims are granted again after the outage", holds: back, detail: `first seen after ${waited} ms` });
+    await pause(aftermath);
+}
+
 const storeDown: Scenario = {
     name: "store-down",
     row: "store down an hour, slow, answer lost after the write",
     summary: "the table service refuses every call for 20 s",
-    async run({ site, markFault }) {
+    async run(context) {
+        const { site, markFault } = context;
         markFault();
         await site.storeFaults({ down: true });
         await pause(outage);
         await site.storeFaults({ down: false });
+        await waitForClaims(context);
     },
 };
 
@@ -51,7 +71,8 @@
     summary:
         "the store is down for 8 s; meanwhile a host of stage 2 dies, an entry dies and starts again, and an agent "
         + "beside the plain service restarts",
-    async run({ site, random, markFault }) {
+    async run(context) {
+        const { site, random, markFault } = context;
         markFault();
         await site.storeFaults({ down: true });
         const stage = `stage-2-${1 + random.below(2)}`;
@@ -61,6 +82,7 @@
         await pause(8000);
         await site.storeFaults({ down: false });
         await Promise.all([...restarted, site.list(stage, undefined)]);
+        await waitForClaims(context);
     },
 };
 
--- a/packages/proof/src/lib/site/Site.ts
+++ b/packages/proof/src/lib/site/Site.ts
@@ -4,8 +4,15 @@
 import { fileURLToPath } from "node:url";
 import { z } from "zod";
 import { type FaultPolicy, type LinkFault, Relay } from "../relay/Relay.js";
-import { type Layout, type PlannedDaemon, platformHost } from "./layout.js";
-import { daemonSettings, engineSettings, liveHost, platformSettings, serviceSettings } from "./settingsFiles.js";
+import { type Layout, type PlannedDaemon, type PlannedHolder, platformHost } from "./layout.js";
+import {
+    daemonSettings,
+    engineSettings,
+    holderSettings,
+    liveHost,
+    platformSettings,
+    serviceSettings,
+} from "./settingsFiles.js";
 import { SiteProcess } from "./SiteProcess.js";
 
 const distFolder = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
@@ -41,7 +48,7 @@
             this.startEngine(daemon),
             ...(daemon.stage === undefined ? [this.startService(daemon)] : []),
         ]);
-        await Promise.all(helpers);
+        await Promise.all([...helpers, ...this.layout.holders.map(holder => this.startHolder(holder))]);
         await Promise.all(daemons.map(({ name }) => this.startDaemon(name)));
     }
 
@@ -83,7 +90,7 @@
         this.historyFiles.push(history);
         const settings = await this.writeSettings(`${name}-${start}`, daemonSettings(daemon, this.layout, history));
         const port = daemon.role === "entry" ? daemon.callersPort : daemon.operatorsPort;
-        await this.launch(name, [join(distFolder, "daemon.js"), settings], `http://${daemon.host}:${port}/readyz`);
+        await this.launch(name, [cliScript, daemon.role, settings], `http://${daemon.host}:${port}/readyz`);
     }
 
     /** Starts the engine beside an agent. */
@@ -170,6 +177,13 @@
         await this.launch("platform", [join(distFolder, "platform.js"), settings], url);
     }
 
+    private async startHolder(holder: PlannedHolder): Promise<void> {
+        const { name } = holder;
+        const settings = await this.writeSettings(name, holderSettings(holder, this.layout, this.folder));
+        this.historyFiles.push(join(this.folder, `${name}.jsonl`));
+        await this.launch(name, [join(distFolder, "holder.js"), settings]);
+    }
+
     private async startService(daemon: PlannedDaemon): Promise<void> {
         const name = `service-${daemon.name}`;
         const settings = await this.writeSettings(name, serviceSettings(daemon, this.folder));
@@ -183,7 +197,7 @@
 
     private async startRelays(): Promise<void> {
         const { daemons, platformPort, platformPorts } = this.layout;
-        const names = daemons.map(({ name }) => name);
+        const names = [...daemons, ...this.layout.holders].map(({ name }) => name);
         const policy: FaultPolicy = (from, to) => this.linkFault(from, to) ?? noFault;
         for (const { name, host, relayPort, linkPort } of daemons) {
             this.relays.push(new Relay({ process: name, host, port: relayPort, targetPort: linkPort, names, policy }));
@@ -196,7 +210,7 @@
         await Promise.all(this.relays.map(relay => relay.listen()));
     }
 
-    private async launch(name: string, command: readonly string[], readyUrl: string): Promise<void> {
+    private async launch(name: string, command: readonly string[], readyUrl?: string): Promise<void> {
         const process = new SiteProcess({ name, command, readyUrl, log: join(this.folder, `${name}.log`) });
         this.processes.set(name, process);
         await process.ready();
--- a/packages/proof/src/lib/site/layout.ts
+++ b/packages/proof/src/lib/site/layout.ts
@@ -24,8 +24,16 @@
     readonly servicePort: number;
 }
 
+/** A process that competes for the control duty of its data centre. @internal */
+export interface PlannedHolder {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly region: string;
+}
+
 /** @internal */
 export interface Layout {
+    readonly holders: readonly PlannedHolder[];
     readonly daemons: readonly PlannedDaemon[];
     readonly platformPort: number;
     /** Where the daemons of each region reach the platform: a relay for each. */
@@ -100,7 +108,10 @@
     }));
     const [platformPort = 0, ...others] = await findPorts(platformHost, 1 + regions.length);
     const platformPorts = Object.fromEntries(regions.map((region, index) => [region, others[index] ?? 0]));
-    return { daemons, platformPort, platformPorts };
+    const holders = centres.flatMap(({ name, region }) =>
+        [1, 2].map(number => ({ name: `holder-${name}-${number}`, dataCentre: name, region }))
+    );
+    return { daemons, holders, platformPort, platformPorts };
 }
 
 /** The resources of the site, as an operator would write them. @internal */
--- a/packages/proof/src/lib/site/settingsFiles.ts
+++ b/packages/proof/src/lib/site/settingsFiles.ts
@@ -1,8 +1,12 @@
+import { createHash } from "node:crypto";
 import { join } from "node:path";
-import { type Layout, type PlannedDaemon, platformHost, resourcesOf } from "./layout.js";
+import { type Layout, type PlannedDaemon, type PlannedHolder, platformHost, resourcesOf } from "./layout.js";
 import { serviceName } from "./ServiceStandIn.js";
 import { organisation, siteModel, stages } from "./siteModel.js";
 
+/** What operators of the site show. @internal */
+export const operatorToken = "operator-of-the-proof";
+
 /** The settings of a daemon. @param file - Its history file. @internal */
 export function daemonSettings(daemon: PlannedDaemon, layout: Layout, file: string): object {
     const { name, role, host, dataCentre, region } = daemon;
@@ -29,6 +33,7 @@
             ...common,
             callers: { host, port: daemon.callersPort },
             anonymousOrganisation: organisation,
+            operatorTokenHash: createHash("sha256").update(operatorToken).digest("hex"),
             limits: { stopLead: 500 },
         }
         : { ...common, engine: { origin: `http://${host}:${daemon.enginePort}` }, slots: 32, ...serviceOf(daemon) };
@@ -66,6 +71,19 @@
     return { process: name, role, host, port: relayPort, dataCentre, region, state };
 }
 
+/** The settings of a holder of a control duty. @internal */
+export function holderSettings({ name, dataCentre, region }: PlannedHolder, layout: Layout, folder: string): object {
+    const targets = layout.daemons.filter(daemon => daemon.role === "agent" && daemon.dataCentre === dataCentre);
+    return {
+        name,
+        dataCentre,
+        holders: layout.holders.filter(holder => holder.dataCentre === dataCentre).map(holder => holder.name),
+        targets: targets.map(target => ({ name: target.name, host: target.host, port: target.relayPort })),
+        platform: `http://${platformHost}:${layout.platformPorts[region]}`,
+        history: join(folder, `${name}.jsonl`),
+    };
+}
+
 /** The settings of the stand-in of the plain service beside an agent. @internal */
 export function serviceSettings({ name, host, servicePort }: PlannedDaemon, folder: string): object {
     return { name: `service-${name}`, host, port: servicePort, history: join(folder, `service-${name}.jsonl`) };
