--- a/packages/control/src/bench/placementBench.ts
+++ b/packages/control/src/bench/placementBench.ts
@@ -7,7 +7,7 @@
 
 /**
  * Measures the placement against simple baselines on a random fleet: four kinds of accelerators, links that differ a
- * hundredfold, data centres of 3,000 targets at most. Run with `node dist/bench/placementBench.js [seed]`.
+ * hundredfold, data centres of 3,000 targets at most. Run with `node --expose-gc dist/bench/placementBench.js [seed]`.
  */
 
 interface Kind {
@@ -58,18 +58,25 @@
     });
 }
 
+/** Makes the heap figures mean what the plan keeps; needs `--expose-gc`. */
+function collectGarbage(): void {
+    (globalThis as { gc?: () => void; }).gc?.();
+}
+
 function quantile(sorted: readonly number[], part: number): number {
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? NaN;
 }
 
 function measure(name: string, algorithm: Algorithm, replicas: number, seed: number): string {
     const sites = fleet(replicas, seed);
+    collectGarbage();
     const heapBefore = process.memoryUsage().heapUsed;
     const cpuBefore = process.cpuUsage();
     const started = performance.now();
     const placed = sites.map(({ targets, count }) => algorithm(model, targets, count));
     const elapsed = performance.now() - started;
     const cpu = process.cpuUsage(cpuBefore);
+    collectGarbage();
     const heap = process.memoryUsage().heapUsed - heapBefore;
     const times = sites.flatMap(({ targets }, site) => {
         const byName = new Map(targets.map(target => [target.name, target]));
@@ -93,7 +100,7 @@
 
 const seed = Number(process.argv[2] ?? 1);
 const header = "replicas wanted | algorithm | placed | batch steps/s, all | 5% slowest pipeline, steps/s | "
-    + "step p50 ms | step p95 ms | ms | CPU ms | heap MB";
+    + "step p50 ms | step p95 ms | ms | CPU ms | heap kept MB";
 process.stdout.write(`seed ${seed}\n${header}\n`);
 for (const replicas of [40, 400, 1800, 6700]) {
     for (const [name, algorithm] of Object.entries(algorithms)) {
--- a/packages/control/src/bench/siteBench.ts
+++ b/packages/control/src/bench/siteBench.ts
@@ -56,7 +56,7 @@
     }));
     const targets = new Map(names.map((name): [string, SiteTarget] => [
         name,
-        { name, spec: target(name), alive: true, present: true, settled: false },
+        { name, spec: target(name), alive: true, present: true, settled: false, refused: [] },
     ]));
     return { dataCentre: "a", models: siteModels(configuration, "a"), adapters: [], targets, placements };
 }
@@ -127,6 +127,28 @@
     process.stdout.write(`${label} | ${perMinute(site.store.reads)} | ${perMinute(site.store.writes)} | ${changes}\n`);
 }
 
+/** Milliseconds from the moment a holder stops answering until another process holds the duty. */
+async function takeoverTime(seed: number): Promise<number> {
+    const site = new SiteWorld({ targets: 8, memory: 10e9, model: { layers: 8, replicas: 4 }, seed });
+    await site.run(20_000 + seed * 500);
+    const first = site.holder!;
+    site.pause(first);
+    const started = site.clock.now();
+    while (site.holder === undefined || site.holder === first) {
+        await site.run(500);
+    }
+    return site.clock.now() - started;
+}
+
+async function measureTakeover(): Promise<void> {
+    const times: number[] = [];
+    for (let seed = 1; seed <= 40; seed++) {
+        times.push(await takeoverTime(seed) / 1000);
+    }
+    times.sort((a, b) => a - b);
+    process.stdout.write(`40 takeovers, s | ${times[0]} least | ${times[20]} median | ${times[39]} most\n`);
+}
+
 process.stdout.write("replicas | targets | state | plan p50 ms | plan max ms\n");
 for (const replicas of [40, 100, 375, 1000]) {
     measurePlan(replicas, "v1");
@@ -141,3 +163,5 @@
 );
 await measureStore("at rest", () => undefined);
 await measureStore("with a rollout of 4 pipelines", site => site.setModel({ current: "v2" }));
+process.stdout.write("\n");
+await measureTakeover();
--- a/packages/control/src/lib/orders/OrderSender.ts
+++ b/packages/control/src/lib/orders/OrderSender.ts
@@ -1,9 +1,18 @@
 import { type Order } from "@waxwingspar/engine";
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type Clock, type Failure, type Outcome, platformCodes, transportCodes } from "@waxwingspar/utils";
+import {
+    type Clock,
+    type Failure,
+    type Outcome,
+    platformCodes,
+    requestCodes,
+    resourceCodes,
+    transportCodes,
+} from "@waxwingspar/utils";
 import { type Lease } from "../leases/Lease.js";
 import { withDefaults } from "../support/withDefaults.js";
 import { orderId } from "./orderId.js";
+import { Refusals, type RefusedVersion } from "./Refusals.js";
 import { type TargetPort } from "./TargetPort.js";
 
 /**
@@ -25,7 +34,7 @@
     readonly clock: Clock;
     readonly targets: TargetPort;
     readonly record?: HistoryRecorder;
-    /** Milliseconds to wait after a definite failure before the next try. */
+    /** Milliseconds to wait after a definite failure before the next try; doubled with each further failure. */
     readonly retryDelay?: number;
     /** Is told that an order was refused for its fence: another process has taken the duty over. */
     readonly onStaleFence?: () => void;
@@ -40,11 +49,16 @@
     pending: boolean;
     /** When the last try was known to be carried out. */
     appliedAt: number | undefined;
+    /** Definite failures in a row. */
+    failures: number;
     /** No further try before this time. */
     notBefore: number;
     issued: boolean;
 }
 
+/** Failures that say something about the load itself. */
+const refusalCodes: readonly number[] = [resourceCodes.insufficientCapacity.number, requestCodes.engineFailed.number];
+const maxRetryDelay = 60_000;
 const rememberedOrders = 4096;
 const unknownCodes: readonly number[] = [
     transportCodes.connectionLost.number,
@@ -66,11 +80,13 @@
     private readonly open = new Map<string, Set<Progress>>();
     /** When the last order to each target came to a known end. */
     private readonly settled = new Map<string, number>();
+    private readonly refusals: Refusals;
 
     constructor(options: OrderSenderOptions) {
         const nothing = () => undefined;
         const defaults = { record: nothing, retryDelay: 5_000, onStaleFence: nothing, onFailure: nothing };
         this.options = withDefaults(defaults, options);
+        this.refusals = new Refusals(options.clock);
     }
 
     /**
@@ -95,6 +111,11 @@
             : this.settled.get(target) ?? -Infinity;
     }
 
+    /** The versions that a target has refused to load several times, not long ago. */
+    refusedBy(target: string): readonly RefusedVersion[] {
+        return this.refusals.of(target);
+    }
+
     /**
      * Sends every order of unknown outcome again, also those no longer wanted, since a lost order can still arrive. The
      * repeat has the same id, so that whichever arrives later has no effect.
@@ -118,6 +139,7 @@
         this.progress.clear();
         this.open.clear();
         this.settled.clear();
+        this.refusals.clear();
     }
 
     private sendAttempt(lease: Lease, progress: Progress): void {
@@ -136,6 +158,7 @@
             attempt: 0,
             pending: false,
             appliedAt: undefined,
+            failures: 0,
             notBefore: 0,
             issued: false,
         };
@@ -188,7 +211,9 @@
         progress.pending = false;
         if (outcome.isOk) {
             this.close(progress);
+            this.refusals.note(target, order.action, false);
             progress.appliedAt = this.options.clock.now();
+            progress.failures = 0;
         }
         else {
             this.takeFailure(order, progress, outcome.error);
@@ -209,17 +234,20 @@
 
     private takeFailure(order: Order, progress: Progress, reason: Failure): void {
         const isUnknown = unknownCodes.includes(reason.code.number);
-        if (!isUnknown) {
-            this.close(progress);
+        this.options.onFailure(order, progress.wanted.target, reason);
+        if (isUnknown) {
+            return;
+        }
+        this.close(progress);
+        if (refusalCodes.includes(reason.code.number)) {
+            this.refusals.note(progress.wanted.target, order.action, true);
         }
         if (reason.code === platformCodes.staleFence) {
             this.options.onStaleFence();
-            return;
-        }
-        this.options.onFailure(order, progress.wanted.target, reason);
-        if (!isUnknown) {
-            progress.notBefore = this.options.clock.now() + (reason.retryAfter ?? this.options.retryDelay);
-            this.startNewAttempt(progress);
         }
+        const delay = Math.min(maxRetryDelay, this.options.retryDelay * 2 ** progress.failures);
+        progress.notBefore = this.options.clock.now() + (reason.retryAfter ?? delay);
+        progress.failures++;
+        this.startNewAttempt(progress);
     }
 }
--- a/packages/control/src/lib/orders/orders.test.ts
+++ b/packages/control/src/lib/orders/orders.test.ts
@@ -61,6 +61,14 @@
     assert.equal(new Set(sent.map(({ id }) => id)).size, 2);
 });
 
+test("a refusal for its fence makes a new order if the lease is still held", async () => {
+    const { clock, sent, send } = await senderWith([err(platformCodes.staleFence)]);
+    await send();
+    clock.advance(5_000);
+    await send();
+    assert.equal(new Set(sent.map(({ id }) => id)).size, 2);
+});
+
 test("an order that took effect is not sent again, unless a later report shows it undone", async () => {
     const { clock, sent, send } = await senderWith([]);
     const before = clock.now();
--- a/packages/control/src/lib/placement/createPipelines.ts
+++ b/packages/control/src/lib/placement/createPipelines.ts
@@ -10,6 +10,8 @@
     readonly spareShare?: number;
     /** The most stages that a pipeline has. */
     readonly maxStages?: number;
+    /** The most targets that all new pipelines have together. */
+    readonly maxTargets?: number;
 }
 
 const defaultSpareShare = 0.03;
@@ -40,7 +42,7 @@
     }
     const ranked = rankTargets(useful, model, costs);
     const groupCount = Math.min(count, useful.length);
-    const withoutSpares = Math.min(useful.length, groupCount * maxStages);
+    const withoutSpares = Math.min(useful.length, groupCount * maxStages, options.maxTargets ?? Infinity);
     const withSpares = Math.max(groupCount, Math.min(withoutSpares, Math.ceil(useful.length * (1 - spareShare))));
     const groups = groupTargets(ranked.slice(0, withSpares), groupCount, model, costs);
     const best = groups.length < groupCount && withSpares < useful.length
--- a/packages/control/src/lib/rollout/Fleet.ts
+++ b/packages/control/src/lib/rollout/Fleet.ts
@@ -4,6 +4,7 @@
     type PlacementTarget,
     placementTarget,
 } from "../placement/Pipeline.js";
+import { isRefused } from "./holdings.js";
 import { type SiteModel, type SitePlacement, type SiteTarget, type SiteView } from "./SiteView.js";
 
 /**
@@ -28,9 +29,9 @@
         this.free = new Map(free.map(target => [target.name, toPlacement(target)]));
     }
 
-    /** Targets on which nothing is placed. */
-    get freeTargets(): PlacementTarget[] {
-        return [...this.free.values()];
+    /** Targets on which nothing is placed, and that have not refused the version. */
+    freeTargets(model: PlacementModel): PlacementTarget[] {
+        return [...this.free.values()].filter(({ name }) => this.accepts(name, model));
     }
 
     /** Live targets that the placement may fill. */
@@ -60,7 +61,7 @@
         return stages.every(({ target, first, last }) => {
             const found = this.view.targets.get(target);
             const used = (this.reserved.get(target) ?? 0) + (last - first + 1) * model.layerBytes;
-            return found !== undefined && found.alive && used <= toPlacement(found).memory;
+            return found?.alive === true && this.accepts(target, model) && used <= toPlacement(found).memory;
         });
     }
 
@@ -72,6 +73,11 @@
         });
     }
 
+    private accepts(target: string, { name, version }: PlacementModel): boolean {
+        const found = this.view.targets.get(target);
+        return found !== undefined && !isRefused(found, { model: name, version });
+    }
+
     private reserve(stages: readonly PipelineStage[], layerBytes: number): void {
         for (const { target, first, last } of stages) {
             this.reserved.set(target, (this.reserved.get(target) ?? 0) + (last - first + 1) * layerBytes);
--- a/packages/control/src/lib/rollout/ModelPlan.ts
+++ b/packages/control/src/lib/rollout/ModelPlan.ts
@@ -85,7 +85,8 @@
     }
 
     /** New pipelines on free targets, as many as may load at once. */
-    findFree(free: readonly PlacementTarget[]): PipelineStage[][] {
+    findFree(): PipelineStage[][] {
+        const free = this.fleet.freeTargets(placementModel(this.model));
         const missing = this.wanted - this.fresh.length;
         const loading = this.fresh.filter(placement => !this.serves(placement)).length;
         return this.create(free, missing).slice(0, this.options.parallelPipelines - loading);
@@ -97,7 +98,8 @@
     }
 
     /** An old pipeline that may go before its successor is ready, and whose targets make room for it. */
-    findYield(free: readonly PlacementTarget[]): SitePlacement | undefined {
+    findYield(): SitePlacement | undefined {
+        const free = this.fleet.freeTargets(placementModel(this.model));
         const floor = Math.ceil(this.options.capacityShare * this.wanted);
         if (this.capacity() <= floor) {
             return undefined;
@@ -112,10 +114,20 @@
         const { pipelineSize, spareShare } = this.options;
         const count = Math.min(missing, Math.max(1, Math.round(free.length / pipelineSize)));
         const model = placementModel(this.model);
-        const usual = createPipelines(model, free, count, { spareShare, maxStages: Math.ceil(pipelineSize) });
+        const maxStages = Math.ceil(pipelineSize);
+        const usual = createPipelines(model, free, count, { spareShare, maxStages, maxTargets: this.budget(count) });
         return usual.length > 0 ? usual : createPipelines(model, free, 1, { spareShare: 0 });
     }
 
+    /** How many targets new pipelines may have, so that enough are left for those that are still missing afterwards. */
+    private budget(count: number): number {
+        const { pipelineSize } = this.options;
+        const used = new Set(this.fresh.flatMap(({ spec }) => spec.stages.map(({ target }) => target))).size;
+        const least = Math.floor(pipelineSize);
+        const later = Math.max(0, this.wanted - this.fresh.length - count) * least;
+        return Math.max(count * least, Math.floor(pipelineSize * this.wanted) - used - later);
+    }
+
     private readonly serves = (placement: SitePlacement): boolean => {
         return this.serving.has(placement);
     };
--- a/packages/control/src/lib/rollout/SiteDuty.test.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.test.ts
@@ -206,3 +206,12 @@
     await site.run(30_000);
     assert.deepEqual(await adapters(), [...Array<string>(2).fill("idle "), ...Array<string>(8).fill("serving ")]);
 });
+
+test("a target that refuses a version is left out", async () => {
+    const site = new SiteWorld(beside);
+    site.targets.get("t00")!.failsLoads = true;
+    await site.run(200_000);
+    assert.equal(site.capacity(), 4);
+    assert.ok(site.all.every(({ spec }) => spec.ready && spec.stages.every(({ target }) => target !== "t00")));
+    assertSafe(site);
+});
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -306,7 +306,8 @@
 
     private createState(): SiteState {
         const settledSince = this.sender.settledSince.bind(this.sender);
-        return new SiteState({ ...this.options, settledSince });
+        const refusedBy = this.sender.refusedBy.bind(this.sender);
+        return new SiteState({ ...this.options, settledSince, refusedBy });
     }
 
     private createSender(): OrderSender {
--- a/packages/control/src/lib/rollout/SiteState.ts
+++ b/packages/control/src/lib/rollout/SiteState.ts
@@ -1,5 +1,6 @@
 import { type Configuration, type PlacementSpec } from "@waxwingspar/config";
 import { type Clock } from "@waxwingspar/utils";
+import { type RefusedVersion } from "../orders/Refusals.js";
 import { type Observation } from "../orders/TargetPort.js";
 import { placementPrefix } from "./placementName.js";
 import { siteModels } from "./siteModels.js";
@@ -16,6 +17,8 @@
     readonly grace: number;
     /** From when on reports of a start of an agent show the effect of every order; undefined while some are open. */
     readonly settledSince: (target: string, incarnation: string) => number | undefined;
+    /** Model versions that a target has refused to load several times, not long ago. */
+    readonly refusedBy: (target: string) => readonly RefusedVersion[];
 }
 
 interface Report {
@@ -91,7 +94,14 @@
                 .filter(({ spec }) => spec.dataCentre === dataCentre)
                 .map((
                     { name, spec },
-                ): [string, SiteTarget] => [name, { name, spec, alive: false, present: false, settled: false }]);
+                ): [string, SiteTarget] => [name, {
+                    name,
+                    spec,
+                    alive: false,
+                    present: false,
+                    settled: false,
+                    refused: [],
+                }]);
             const site = {
                 models: siteModels(configuration, dataCentre),
                 adapters: configuration.list("adapter").map(({ name, spec }) => ({ name, spec })),
@@ -113,6 +123,7 @@
             present: this.options.incarnationOf(target.name) !== undefined,
             observation: report?.observation,
             observedAt: report?.at,
+            refused: this.options.refusedBy(target.name),
             settled: report !== undefined && this.isSettled(target.name, report),
         };
     }
--- a/packages/control/src/lib/rollout/SiteView.ts
+++ b/packages/control/src/lib/rollout/SiteView.ts
@@ -1,5 +1,6 @@
 import { type AdapterSpec, type ModelSpec, type PlacementSpec, type TargetSpec } from "@waxwingspar/config";
 import { type Order } from "@waxwingspar/engine";
+import { type RefusedVersion } from "../orders/Refusals.js";
 import { type Observation } from "../orders/TargetPort.js";
 
 /**
@@ -20,6 +21,8 @@
     readonly observedAt?: number;
     /** True if the report shows the effect of every order sent to the target, and none can still take effect. */
     readonly settled: boolean;
+    /** Model versions that the target has refused to load several times, not long ago. */
+    readonly refused: readonly RefusedVersion[];
 }
 
 /** @public */
@@ -80,7 +83,7 @@
     readonly action: Order["action"];
     /** For loads: true if it replaces a failed stage of a pipeline that was serving. */
     readonly urgent: boolean;
-    /** For loads: false while the target's free memory is too short. It is so too while this very load runs. */
+    /** For loads: false while there is no room and something else still goes or comes. */
     readonly fits: boolean;
 }
 
--- a/packages/control/src/lib/rollout/holdings.ts
+++ b/packages/control/src/lib/rollout/holdings.ts
@@ -50,6 +50,20 @@
     });
 }
 
+/** Tells whether a target has refused to load a version. @internal */
+export function isRefused(target: SiteTarget, wanted: Pick<WantedLayers, "model" | "version">): boolean {
+    return target.refused.some(({ model, version }) => model === wanted.model && version === wanted.version);
+}
+
+/** Tells whether some stage of a placement cannot be loaded where it is. @internal */
+export function isStuck(placement: SitePlacement, view: SiteView): boolean {
+    return placement.spec.stages.some(stage => {
+        const target = view.targets.get(stage.target);
+        const layers = stageLayers(placement, stage);
+        return target !== undefined && isRefused(target, layers) && findHeld(target, layers) === undefined;
+    });
+}
+
 /** Tells whether some stage's target is lost, or no longer declared. @internal */
 export function isDamaged(placement: SitePlacement, view: SiteView): boolean {
     return placement.spec.stages.some(({ target }) => view.targets.get(target)?.alive !== true);
--- a/packages/control/src/lib/rollout/planOrders.ts
+++ b/packages/control/src/lib/rollout/planOrders.ts
@@ -109,7 +109,9 @@
     if (leftovers.some(other => other.model === model && other.version === version)) {
         return [];
     }
-    const fits = bytes <= (target.observation?.info.freeMemory ?? 0);
+    // Where nothing is left to go and nothing else loads, the engine itself decides whether there is room.
+    const isQuiet = leftovers.length === 0 && target.settled;
+    const fits = isQuiet || bytes <= (target.observation?.info.freeMemory ?? 0);
     const action = { kind: "load" as const, model, version, first, last, bytes };
     return [{ target: target.name, action, urgent, fits }];
 }
--- a/packages/control/src/lib/rollout/planSite.ts
+++ b/packages/control/src/lib/rollout/planSite.ts
@@ -4,7 +4,7 @@
 import { replaceStages } from "../placement/replaceStages.js";
 import { withDefaults } from "../support/withDefaults.js";
 import { Fleet, placementModel } from "./Fleet.js";
-import { isDamaged, isLoaded, isUnloaded } from "./holdings.js";
+import { isDamaged, isLoaded, isStuck, isUnloaded } from "./holdings.js";
 import { ModelPlan, type ModelPlanOptions } from "./ModelPlan.js";
 import { freePlacementName } from "./placementName.js";
 import { planOrders } from "./planOrders.js";
@@ -44,7 +44,6 @@
 interface RolloutFacts {
     readonly surplus: readonly SitePlacement[];
     readonly plan: ModelPlan;
-    readonly fleet: Fleet;
 }
 
 const assessRollout = readChart<RolloutFacts>("rollout", {
@@ -52,9 +51,9 @@
     complete: ({ plan }) => plan.isComplete,
     loadingEnough: ({ plan }) => plan.isLoadingEnough,
     fitsBeside: ({ plan }) => plan.findBeside() !== undefined,
-    fitsFree: ({ plan, fleet }) => plan.findFree(fleet.freeTargets).length > 0,
+    fitsFree: ({ plan }) => plan.findFree().length > 0,
     staleLoading: ({ plan }) => plan.findStaleLoading().length > 0,
-    mayYield: ({ plan, fleet }) => plan.findYield(fleet.freeTargets) !== undefined,
+    mayYield: ({ plan }) => plan.findYield() !== undefined,
 });
 
 /**
@@ -111,13 +110,15 @@
         const plan = new ModelPlan(model, movable, this.view, this.fleet, this.modelOptions(model));
         const surplus = plan.findSurplus();
         surplus.forEach(placement => this.dropped.add(placement));
-        return { surplus, plan, fleet: this.fleet };
+        return { surplus, plan };
     }
 
-    private isInvalid({ spec }: SitePlacement, model: SiteModel): boolean {
+    private isInvalid(placement: SitePlacement, model: SiteModel): boolean {
+        const { spec } = placement;
         return !model.spec.versions.includes(spec.version)
             || spec.stages.at(-1)?.last !== model.spec.layers - 1
-            || spec.stages.some(({ target }) => this.fleet.isPinned(target));
+            || spec.stages.some(({ target }) => this.fleet.isPinned(target))
+            || (!spec.ready && isStuck(placement, this.view));
     }
 
     private modelOptions(model: SiteModel): ModelPlanOptions {
@@ -144,7 +145,8 @@
 
     private replace({ spec }: SitePlacement, model: SiteModel): PipelineStage[] | undefined {
         const failed = (target: string) => !this.fleet.isAlive(target);
-        return replaceStages(spec.stages, failed, this.fleet.freeTargets, placementModel(model));
+        const placed = { ...placementModel(model), version: spec.version };
+        return replaceStages(spec.stages, failed, this.fleet.freeTargets(placed), placed);
     }
 
     /**
@@ -159,8 +161,9 @@
         if (this.waiting.has(key)) {
             return true;
         }
-        const left = [...this.fleet.freeTargets, ...this.fleet.targetsOf(placement.spec.stages)];
-        const whole = createPipelines(placementModel(model), left, 1, { spareShare: 0 });
+        const placed = { ...placementModel(model), version: placement.spec.version };
+        const left = [...this.fleet.freeTargets(placed), ...this.fleet.targetsOf(placement.spec.stages)];
+        const whole = createPipelines(placed, left, 1, { spareShare: 0 });
         if (whole.length === 0) {
             this.waiting.add(key);
         }
@@ -222,13 +225,11 @@
             case "placeBeside":
                 return [plan.findBeside()].forEach(stages => stages && place(stages));
             case "placeFree":
-                return plan.findFree(this.fleet.freeTargets).forEach(place);
+                return plan.findFree().forEach(place);
             case "dropStaleLoading":
                 return plan.findStaleLoading().forEach(placement => this.remove(placement));
             case "yieldOne":
-                return [plan.findYield(this.fleet.freeTargets)].forEach(placement =>
-                    placement && this.remove(placement)
-                );
+                return [plan.findYield()].forEach(placement => placement && this.remove(placement));
             default:
                 throw new Error(`the chart of rollouts asks for ${action}`);
         }
--- a/packages/control/src/lib/rollout/rollout.test.ts
+++ b/packages/control/src/lib/rollout/rollout.test.ts
@@ -115,6 +115,13 @@
             assert.ok(site.ready.length >= 3, `${site.ready.length} ready`);
             const isSteady = site.holder?.duty.status.rollouts.get("m") === "steady";
             steady += isSteady ? 1 : 0;
+            if (!isSteady) {
+                const { rollouts, pipelines } = site.holder?.duty.status ?? {};
+                const states = [...rollouts?.values() ?? [], ...pipelines?.values() ?? []];
+                context.diagnostic(
+                    `not steady: ${states.join()} of ${JSON.stringify(start)} ${JSON.stringify(events)}`,
+                );
+            }
             orders += site.lines.length;
             if (isSteady) {
                 assert.deepEqual(
