Agent: test of leaving while a plain call runs

Cause: leaving was tested with model requests only. Change: a test that leaving waits for a call, refuses new ones and lets a duplicate follow. Conclusion: plain calls leave like model requests.

--- a/packages/agent/src/lib/service/ServiceProxy.test.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.test.ts
@@ -295,3 +295,32 @@
     await site.close();
     assert.equal(runs, 1);
 });
+
+test("leaving waits for a call, and refuses new ones as not run", async () => {
+    let release: (() => void) | undefined;
+    let runs = 0;
+    const site = await CallSite.create((_, response) => {
+        runs++;
+        release = () => void response.end("whole");
+    });
+    await site.call({ claim: claim() });
+    await site.until(() => release !== undefined);
+    let interrupted: number | undefined;
+    void site.site.targets.get("a")?.agent.leave().then(result => {
+        interrupted = result.interrupted;
+    });
+    await site.call({ request: "r2" });
+    await site.call({ request: "r3", claim: claim("other") });
+    await site.call({ request: "r4", claim: claim() });
+    await site.until(() => codes(site.site.entry).length === 2);
+    site.site.clock.advance(3000);
+    assert.equal(interrupted, undefined);
+    release?.();
+    await site.until(() => isWhole(site.site.entry) && isWhole(site.site.entry, "r4"));
+    await site.until(() => interrupted !== undefined, 20);
+    await site.close();
+    const { stopping } = requestCodes;
+    assert.deepEqual(codes(site.site.entry), [stopping.number, stopping.number]);
+    assert.equal(interrupted, 0);
+    assert.equal(runs, 1);
+});
