Entry: large answers to slow callers; heads of slow answers leave at once

Cause: an answer of a plain service was cut off once 1 MiB of it waited for its caller, also when that caller read on, and the status of a slow answer waited for the first byte of its body. Change: 16 MiB may wait for one caller and 64 MiB for all together (ReplyMemory, options maxReplyBuffer and maxReplyMemory); the head is flushed when no body follows in the same turn. Conclusion: a limit for one caller needs credit from entry to agent for plain answers; no message carries it yet.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -13,6 +13,7 @@
 import { BodyReader } from "./http/BodyReader.js";
 import { CallerServer } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
+import { ReplyMemory } from "./http/ReplyMemory.js";
 import { AgentLinks } from "./links/AgentLinks.js";
 import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
 import { modelsRoute } from "./models/modelsRoute.js";
@@ -82,6 +83,7 @@
             limits: this.limits,
             tracer: options.tracer ?? new ProxyTracerProvider().getTracer("waxwingspar.entry"),
             bodies: new BodyReader(this.limits.maxBodyMemory),
+            replies: new ReplyMemory(this.limits.maxReplyBuffer, this.limits.maxReplyMemory),
         };
         this.authenticator = new Authenticator(options);
         this.server = new CallerServer({
--- a/packages/entry/src/lib/EntryLimits.ts
+++ b/packages/entry/src/lib/EntryLimits.ts
@@ -25,7 +25,8 @@
     writeStallTimeout: milliseconds.default(30_000).describe(
         "For which a caller may take nothing of what waits for it.",
     ),
-    maxReplyBuffer: count.default(1_048_576).describe("Bytes of an answer that wait for one slow caller."),
+    maxReplyBuffer: count.default(16_777_216).describe("Bytes of an answer that may wait for one slow caller."),
+    maxReplyMemory: count.default(67_108_864).describe("Bytes of answers that may wait for all slow callers together."),
     creditWindow: count.default(64).describe("Tokens that the head may send before the caller has taken those before."),
     requestTimeout: milliseconds.default(600_000).describe(
         "The time for a model request when the caller sets none, and the most that it may set.",
--- a/packages/entry/src/lib/http/PacedWriter.ts
+++ b/packages/entry/src/lib/http/PacedWriter.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Timer } from "@waxwingspar/utils";
 import { type OutgoingHttpHeaders, type ServerResponse } from "node:http";
+import { type ReplyMemory } from "./ReplyMemory.js";
 
 /** @internal */
 export interface PacedWriterOptions {
@@ -7,8 +8,7 @@
     readonly clock: Clock;
     /** Milliseconds for which the caller may take nothing of what waits. */
     readonly stallTimeout: number;
-    /** Bytes that may wait for the caller. */
-    readonly maxBuffer: number;
+    readonly memory: ReplyMemory;
     /** Runs when the caller has taken what waited. */
     readonly onDrain: () => void;
 }
@@ -25,13 +25,17 @@
     private scheduled = false;
     private stall: Timer | undefined;
     private waiting = false;
+    private counted = 0;
     /** True when this writer frames the chunks of the body, in place of Node. */
     private framing = false;
 
     constructor(options: PacedWriterOptions) {
         this.options = options;
         options.response.on("drain", () => this.drained());
-        options.response.once("close", () => this.stall?.cancel());
+        options.response.once("close", () => {
+            this.stall?.cancel();
+            this.count(0);
+        });
     }
 
     /** False while the caller is slow. */
@@ -91,15 +95,16 @@
     }
 
     private push(data: string | Uint8Array): boolean {
-        const { response, maxBuffer } = this.options;
+        const { response, memory } = this.options;
         if (response.destroyed || response.writableEnded) {
             return false;
         }
         if (!response.write(data)) {
             this.waiting = true;
             this.watch();
+            this.count(response.writableLength);
         }
-        if (response.writableLength > maxBuffer) {
+        if (this.waiting && memory.exceeded(this.counted)) {
             response.destroy();
         }
         return !this.waiting;
@@ -127,8 +132,14 @@
         }, stallTimeout);
     }
 
+    private count(waiting: number): void {
+        this.options.memory.changed(this.counted, waiting);
+        this.counted = waiting;
+    }
+
     private drained(): void {
         this.waiting = false;
+        this.count(0);
         this.options.onDrain();
     }
 }
--- a/packages/entry/src/lib/services/ServiceCall.test.ts
+++ b/packages/entry/src/lib/services/ServiceCall.test.ts
@@ -163,6 +163,21 @@
     assert.equal(await (await second).text(), "run 1");
 });
 
+test("a caller that takes nothing of a large answer does not hold memory", async context => {
+    const site = await startSite(context, { limits: { maxReplyBuffer: 4_000_000 } });
+    const responding = site.fetch("/services/records/samples");
+    const { request } = await site.agent(0).wait("call");
+    site.agent(0).send({ type: "reply", request, status: 200, headers: {} });
+    const response = await responding;
+    for (let pieces = 0; pieces < 400 && site.agent(0).all("callCancel").length === 0; pieces++) {
+        site.agent(0).send({ type: "replyBody", request, data: Buffer.alloc(65_536), last: false });
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    await site.agent(0).wait("callCancel");
+    assert.equal(site.entry.openRequests, 0);
+    await assert.rejects(response.arrayBuffer());
+});
+
 test("tells the target when the caller goes away", async context => {
     const site = await startSite(context);
     const caller = new AbortController();
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -139,17 +139,21 @@
 }
 
 /** Passes an answer on as it comes, as fast as the caller reads. */
-function replySink({ clock, limits }: RouteServices, exchange: Exchange): ReplySink {
+function replySink({ clock, limits, replies }: RouteServices, exchange: Exchange): ReplySink {
     const { response } = exchange;
     const writer = new PacedWriter({
         response,
         clock,
         stallTimeout: limits.writeStallTimeout,
-        maxBuffer: limits.maxReplyBuffer,
+        memory: replies,
         onDrain: () => undefined,
     });
     return {
-        head: (status, headers) => void response.writeHead(status, returnedHeaders(headers)),
+        head: (status, headers) => {
+            response.writeHead(status, returnedHeaders(headers));
+            // A short answer leaves in one write with its head; the head of a slow one does not wait for the body.
+            setImmediate(() => response.flushHeaders());
+        },
         body: data => void writer.write(data),
         end: () => writer.end(),
         fail: cause => response.headersSent ? void response.destroy() : exchange.refuse(cause),
--- a/packages/entry/src/lib/testing/HonestHead.ts
+++ b/packages/entry/src/lib/testing/HonestHead.ts
@@ -43,10 +43,12 @@
         }
     }
 
-    /** Refuses what waits. */
+    /** Refuses what waits, but for claims that may have run: of these it never says that they did not. */
     refuse(code: ResultCode): void {
         for (const attempt of this.attempts.filter(({ state }) => state === "waiting")) {
-            this.refuseAttempt(attempt, code);
+            if (this.owner(attempt) === undefined) {
+                this.refuseAttempt(attempt, code);
+            }
         }
     }
 
@@ -95,9 +97,14 @@
         }
     }
 
+    /** The request that runs or ran under an attempt's claim. */
+    private owner({ open: { claim } }: Attempt): string | undefined {
+        return claim === undefined ? undefined : this.claims.get(claim);
+    }
+
     private begin(attempt: Attempt): void {
         const { request, epoch, claim, produced } = attempt.open;
-        const owner = claim === undefined ? undefined : this.claims.get(claim);
+        const owner = this.owner(attempt);
         if (claim !== undefined && this.claims.has(claim) && owner !== request) {
             this.refuseAttempt(attempt, owner === undefined ? requestCodes.overloaded : requestCodes.inProgress);
             return;
