--- a/packages/policy/src/lib/health/TargetHealth.ts
+++ b/packages/policy/src/lib/health/TargetHealth.ts
@@ -10,7 +10,7 @@
 export interface HealthOptions {
     /** Failures in a row that eject a target. Default 3. */
     readonly consecutiveFailures: number;
-    /** Milliseconds until the first probe of a target that cannot be reached. Doubles with each failed probe. Default 500. */
+    /** Milliseconds until the first probe of a target that cannot be reached. Doubles with each failed probe. Default 1000. */
     readonly reconnectDelay: number;
     /** Milliseconds until the first probe of a target ejected as slow or failing. Doubles as well. Default 5000. */
     readonly ejectionTime: number;
@@ -25,7 +25,7 @@
 /** @internal */
 export const defaultHealthOptions: HealthOptions = {
     consecutiveFailures: 3,
-    reconnectDelay: 500,
+    reconnectDelay: 1000,
     ejectionTime: 5000,
     maxEjectionTime: 30_000,
     slowStart: 3000,
--- a/packages/policy/src/lib/retry/createRetryBudget.ts
+++ b/packages/policy/src/lib/retry/createRetryBudget.ts
@@ -11,7 +11,7 @@
     readonly random: Random;
     /** Retries that one success pays for while nothing fails. Default 0.1. */
     readonly ratio?: number;
-    /** The most retries that can be saved up; also what a new budget holds. Default 10. */
+    /** The most retries that can be saved up; also what a new budget holds. Default 20. */
     readonly capacity?: number;
     /** What the retry of a refused request takes from the budget, against 1 for one that failed. Default 0.25. */
     readonly refusalCost?: number;
@@ -93,7 +93,7 @@
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
     return new SuccessFundedBudget({
         ratio: 0.1,
-        capacity: 10,
+        capacity: 20,
         refusalCost: 0.25,
         trickle: 0.1,
         memory: 50,
