Archives: shared fingerprints and missing indexes

An archive without an index would have been left out of the view without a word. Change: a mistake is remembered for the archive and the key; a base row is taken over only with all its indexes. Conclusion: found by reading, not by the interleavings, whose fingerprints never collide.

--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -1,5 +1,5 @@
 import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/platform";
-import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
+import { type Clock, type Failure, failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type ArchiveIndex } from "./ArchiveIndex.js";
 import { loadIndexes, loadRecords } from "./archives.js";
@@ -154,11 +154,17 @@
         return Result.ok<void, never>(undefined);
     }
 
-    private adopt(version: number, base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): void {
-        if (version > this.known.version) {
+    /** Takes over a base row unless a newer one is known; false if the index of one of its archives is missing. */
+    private adopt(version: number, base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): boolean {
+        if (version <= this.known.version) {
+            return true;
+        }
+        const complete = base.archives.every(({ name }) => indexes.has(name) || this.state.hasIndex(name));
+        if (complete) {
             this.known = { version, base };
             this.state.adopt(base, indexes);
         }
+        return complete;
     }
 
     /** Reads the base row by itself, and says whether it had changed. */
@@ -182,8 +188,9 @@
         if (loaded.isErr) {
             return Result.err(loaded.error);
         }
-        this.adopt(row.version, base, loaded.value);
-        return Result.ok(true);
+        return this.adopt(row.version, base, loaded.value)
+            ? Result.ok(true)
+            : Result.err(failure(platformCodes.storeUnknown, "the archives changed while they were read"));
     }
 
     /** Reads a page of segments and tells how to go on. The base row sorts after the segments. */
--- /dev/null
+++ b/packages/claims/src/lib/journal/PartitionState.test.ts
@@ -0,0 +1,47 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import test from "node:test";
+import { ArchiveIndex } from "./ArchiveIndex.js";
+import { type ClaimRecord } from "./ClaimRecord.js";
+import { PartitionState } from "./PartitionState.js";
+
+/** A key hash with a given first and last byte; those with one first byte share a fingerprint. */
+function hash(first: number, last: number): string {
+    return Buffer.from([first, 0, 0, 0, 0, 0, ...Array<number>(9).fill(0), last]).toString("base64url");
+}
+
+function record(keyHash: string, generation: number): ClaimRecord {
+    return { keyHash, digest: "d", generation, runner: { target: "a", incarnation: "1" }, expiry: 1000 };
+}
+
+test("a fingerprint that two keys share hides neither from an older archive", () => {
+    const wanted = hash(1, 1);
+    const state = new PartitionState(new ManualClock(), "p0");
+    const archives = [{ name: "old", last: 10, expiry: 1000 }, { name: "new", last: 20, expiry: 1000 }];
+    const indexes = new Map([
+        ["old", ArchiveIndex.of([wanted])],
+        ["new", ArchiveIndex.of([hash(1, 2)])],
+    ]);
+    state.adopt({ first: 21, time: 0, archives, discarded: [] }, indexes);
+    const newest = state.hidingPlace(wanted);
+    assert.equal(newest?.name, "new");
+    state.reveal(newest, wanted, undefined);
+    const older = state.hidingPlace(wanted);
+    assert.equal(older?.name, "old");
+    state.reveal(older, wanted, record(wanted, 7));
+    assert.equal(state.hidingPlace(wanted), undefined);
+    assert.equal(state.find(wanted)?.generation, 7);
+});
+
+test("what an archive holds is not taken in once a newer archive may hold more", () => {
+    const wanted = hash(1, 1);
+    const state = new PartitionState(new ManualClock(), "p0");
+    const old = { name: "old", last: 10, expiry: 1000 };
+    const index = ArchiveIndex.of([wanted]);
+    state.adopt({ first: 11, time: 0, archives: [old], discarded: [] }, new Map([["old", index]]));
+    const newer = { name: "new", last: 20, expiry: 1000 };
+    state.adopt({ first: 21, time: 0, archives: [old, newer], discarded: [] }, new Map([["new", index]]));
+    state.reveal(old, wanted, record(wanted, 7));
+    assert.equal(state.find(wanted), undefined);
+    assert.equal(state.hidingPlace(wanted)?.name, "new");
+});
--- a/packages/claims/src/lib/journal/PartitionState.ts
+++ b/packages/claims/src/lib/journal/PartitionState.ts
@@ -1,4 +1,4 @@
-import { type Clock } from "@waxwingspar/utils";
+import { assert, type Clock } from "@waxwingspar/utils";
 import { type Runner } from "../Claims.js";
 import { type ArchiveIndex, fingerprint } from "./ArchiveIndex.js";
 import { type ClaimRecord, runnerName } from "./ClaimRecord.js";
@@ -33,7 +33,7 @@
     private recentKeys: string[] = [];
     /** The newest first. */
     private archives: IndexedArchive[] = [];
-    /** Keys whose fingerprint is in an archive without the key being there. */
+    /** Archives and keys whose fingerprint is in the archive without the key being there. */
     private readonly mistaken = new Set<string>();
     /** Every claim with this generation or a higher one is held whole. */
     private heldFrom = 1;
@@ -69,12 +69,15 @@
 
     /** The newest archive that may hold the claim of a key which is not held whole. */
     hidingPlace(keyHash: string): Archive | undefined {
-        if (this.claims.has(keyHash) || this.mistaken.has(keyHash)) {
+        if (this.claims.has(keyHash)) {
             return undefined;
         }
         const now = this.time.now();
         const wanted = fingerprint(keyHash);
-        return this.archives.find(({ archive, index }) => archive.expiry >= now && index.mayHave(wanted))?.archive;
+        const place = this.archives.find(({ archive, index }) => {
+            return archive.expiry >= now && index.mayHave(wanted) && !this.mistaken.has(mistake(archive, keyHash));
+        });
+        return place?.archive;
     }
 
     /** Takes in what an archive holds of a key. */
@@ -83,7 +86,7 @@
             return;
         }
         if (record === undefined) {
-            this.mistaken.add(keyHash);
+            this.mistaken.add(mistake(archive, keyHash));
         }
         else {
             this.apply(record);
@@ -118,9 +121,10 @@
      */
     adopt(base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): void {
         const known = new Map(this.archives.map(({ archive, index }) => [archive.name, index]));
-        this.archives = base.archives.flatMap(archive => {
+        this.archives = base.archives.map(archive => {
             const index = indexes.get(archive.name) ?? known.get(archive.name);
-            return index === undefined ? [] : [{ archive, index }];
+            assert(index !== undefined, "the index of an archive is missing");
+            return { archive, index };
         }).reverse();
         this.mistaken.clear();
         if (base.first > this.last + 1) {
@@ -182,3 +186,7 @@
         return known ?? runner;
     }
 }
+
+function mistake(archive: Archive, keyHash: string): string {
+    return `${archive.name} ${keyHash}`;
+}
