Entry: refusals before a run appear in the metrics, lost links in the log

Cause: operators saw no figure of requests that were refused for their credential, body, limits or a stop, and no line when a link to an agent was lost. Change: requestEnded with the route "none" for such refusals; one warning for each lost link with its targets and the requests in progress on it. Before: "numbers every refusal" counted no ends.

--- a/packages/entry/src/lib/Entry.test.ts
+++ b/packages/entry/src/lib/Entry.test.ts
@@ -85,6 +85,8 @@
         assert.equal(path === undefined || error.param === path, true, name);
     }
     assert.equal(site.agents.every(agent => agent.received.length === 0), true);
+    // The requests run at the same time, so only the order differs.
+    assert.deepEqual(site.ended.toSorted(), cases.map(([, , code]) => code.number).toSorted());
 });
 
 test("says when to come back", async context => {
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -48,6 +48,9 @@
     readonly limits?: Partial<EntryLimits>;
 }
 
+/** What stands for the route in figures of requests that were refused before they had one. */
+const noRoute = "none";
+
 /**
  * The entry: takes callers' HTTP, has the router choose targets, streams answers back and resumes them after a loss.
  * It keeps nothing beyond its open requests.
@@ -77,7 +80,10 @@
         this.limits = entryLimitsSchema.parse(options.limits ?? {});
         this.services = {
             ...options,
-            links: new AgentLinks(options),
+            links: new AgentLinks({
+                ...options,
+                onLost: (targets, open) => logger.warn({ targets, open }, "entry: a link was lost"),
+            }),
             history: options.history ?? (() => undefined),
             metrics: options.metrics ?? noMetrics,
             limits: this.limits,
@@ -91,6 +97,7 @@
             limits: this.limits,
             clock,
             handle: exchange => this.handle(exchange),
+            onRefused: ({ code }, duration) => this.services.metrics.requestEnded(noRoute, code.number, duration, 0),
             onFault: fault => logger.error({ fault }, "entry: a request met a fault of the program"),
         });
         router.update(routingTargets(configuration));
--- a/packages/entry/src/lib/EntryMetrics.ts
+++ b/packages/entry/src/lib/EntryMetrics.ts
@@ -7,7 +7,7 @@
     /**
      * A request ended.
      *
-     * @param route - The model or service.
+     * @param route - The model or service; `none` for a request that was refused before it had one.
      * @param code - The number of the result code, 0 for a completed request.
      * @param duration - Milliseconds since its arrival.
      * @param tokens - The tokens of the answer, 0 for plain calls.
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -1,5 +1,5 @@
 import { type Address } from "@waxwingspar/transport";
-import { type Clock, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
+import { type Clock, type Failure, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type Duplex } from "node:stream";
@@ -15,6 +15,8 @@
     readonly clock: Clock;
     /** Takes each request. It answers in every case; a throw is a fault of the program. */
     readonly handle: (exchange: Exchange) => Promise<void>;
+    /** Takes note of a request that was refused before its run began, so many milliseconds after its arrival. */
+    readonly onRefused: (cause: Failure, duration: number) => void;
     /** Takes a fault of the program. */
     readonly onFault: (fault: unknown) => void;
 }
@@ -81,11 +83,17 @@
     }
 
     private take(request: IncomingMessage, response: ServerResponse): void {
-        const { clock, handle, limits, onFault } = this.options;
+        const { clock, handle, limits, onFault, onRefused } = this.options;
         if (this.closing) {
             response.setHeader("Connection", "close");
         }
-        const exchange = new Exchange({ request, response, clock });
+        const arrived = clock.now();
+        const exchange = new Exchange({
+            request,
+            response,
+            clock,
+            onRefused: cause => onRefused(cause, clock.now() - arrived),
+        });
         if (this.count(request.socket, response) > limits.maxOpenPerConnection) {
             const message = "too many requests are in progress on this connection";
             exchange.refuse(failure(requestCodes.overloaded, message), undefined, { Connection: "close" });
--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -7,6 +7,8 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clock: Clock;
+    /** Runs for a request that is refused before its run began. */
+    readonly onRefused: (cause: Failure) => void;
 }
 
 const maxCallerRequest = 128;
@@ -25,9 +27,11 @@
     readonly arrived: number;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    private readonly onRefused: (cause: Failure) => void;
     private gone = false;
 
-    constructor({ request, response, clock }: ExchangeOptions) {
+    constructor({ request, response, clock, onRefused }: ExchangeOptions) {
+        this.onRefused = onRefused;
         this.request = request;
         this.response = response;
         this.arrived = clock.now();
@@ -88,11 +92,17 @@
     }
 
     /**
-     * Sends a refusal or failure as the whole response.
+     * Refuses the request before its run has begun.
      *
      * @param status - The HTTP status, when it is not that of the result code.
      */
-    refuse(failure: Failure, status: number = failure.code.status, headers: OutgoingHttpHeaders = {}): void {
+    refuse(failure: Failure, status?: number, headers?: OutgoingHttpHeaders): void {
+        this.onRefused(failure);
+        this.sendFailure(failure, status, headers);
+    }
+
+    /** Sends a refusal or failure as the whole response. */
+    sendFailure(failure: Failure, status: number = failure.code.status, headers: OutgoingHttpHeaders = {}): void {
         const retryAfter = failure.code.retry === "later" ? retryAfterOf(failure) : undefined;
         const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": Math.ceil(retryAfter / 1000) };
         this.sendJson(status, errorBody(failure), { ...retryHeaders, ...headers });
--- a/packages/entry/src/lib/links/AgentLink.ts
+++ b/packages/entry/src/lib/links/AgentLink.ts
@@ -22,7 +22,11 @@
     readonly targets = new Set<string>();
     private readonly handlers = new Map<string, LinkHandler>();
 
-    constructor(private readonly link: Link, private readonly router: Router) {
+    constructor(
+        private readonly link: Link,
+        private readonly router: Router,
+        private readonly closed: (targets: readonly string[], open: number) => void,
+    ) {
         link.onMessage(message => this.dispatch(message));
         link.onClose(() => this.lose());
     }
@@ -65,6 +69,7 @@
             this.router.unreachable(target);
         }
         const handlers = [...this.handlers.values()];
+        this.closed([...this.targets], handlers.length);
         this.handlers.clear();
         for (const handler of handlers) {
             handler.onLost(this);
--- a/packages/entry/src/lib/links/AgentLinks.ts
+++ b/packages/entry/src/lib/links/AgentLinks.ts
@@ -17,6 +17,8 @@
 export interface AgentLinksOptions {
     readonly links: LinkPool;
     readonly router: Router;
+    /** Runs when a link closed: the targets behind it, and how many requests were in progress on it. */
+    readonly onLost?: (targets: readonly string[], open: number) => void;
 }
 
 /**
@@ -28,9 +30,11 @@
 export class AgentLinks {
     private readonly pool: LinkPool;
     private readonly router: Router;
+    private readonly onLost: (targets: readonly string[], open: number) => void;
     private readonly agents = new Map<Link, AgentLink>();
 
-    constructor({ links, router }: AgentLinksOptions) {
+    constructor({ links, router, onLost = () => undefined }: AgentLinksOptions) {
+        this.onLost = onLost;
         this.pool = links;
         this.router = router;
         links.onOpen(link => this.adopt(link));
@@ -57,7 +61,7 @@
         if (known !== undefined) {
             return known;
         }
-        const agent = new AgentLink(link, this.router);
+        const agent = new AgentLink(link, this.router, this.onLost);
         this.agents.set(link, agent);
         link.onClose(() => this.agents.delete(link));
         return agent;
--- a/packages/entry/src/lib/models/answerSinks.ts
+++ b/packages/entry/src/lib/models/answerSinks.ts
@@ -54,7 +54,7 @@
             this.options.writer.end(event(errorBody(failure)));
         }
         else {
-            this.options.exchange.refuse(failure);
+            this.options.exchange.sendFailure(failure);
         }
     }
 
@@ -104,6 +104,6 @@
     }
 
     fail(failure: Failure): void {
-        this.options.exchange.refuse(failure);
+        this.options.exchange.sendFailure(failure);
     }
 }
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -156,7 +156,7 @@
         },
         body: data => void writer.write(data),
         end: () => writer.end(),
-        fail: cause => response.headersSent ? void response.destroy() : exchange.refuse(cause),
+        fail: cause => response.headersSent ? void response.destroy() : exchange.sendFailure(cause),
     };
 }
 
--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import { pino } from "pino";
 import { Entry, type EntryOptions } from "../Entry.js";
+import { noMetrics } from "../EntryMetrics.js";
 import { type ErrorBody } from "../http/errorBody.js";
 import { FakeAgent, FakeLinkPool } from "./FakeAgents.js";
 import { FakeClaims } from "./FakeClaims.js";
@@ -38,6 +39,8 @@
     readonly claims: FakeClaims;
     readonly history: HistoryEvent[] = [];
     readonly faults: unknown[] = [];
+    /** The result codes of requests that ended, by the entry's metrics. */
+    readonly ended: number[] = [];
     readonly entry: Entry;
     private address: Address = { host: "", port: 0 };
 
@@ -61,6 +64,7 @@
             claims: this.claims,
             clock: this.clock,
             logger: pino({ level: "error" }, { write: line => void this.faults.push(line) }),
+            metrics: { ...noMetrics, requestEnded: (_, code) => void this.ended.push(code) },
             history: event => void this.history.push(event),
             anonymousOrganisation: options.anonymousOrganisation,
             limits: { stopLead: 0, ...options.limits },
