Agent: more time for an engine's sign of life

Cause: 60 ms to answer a question is short beside a busy host; a wrong verdict fails every attempt of a target.

--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -64,7 +64,7 @@
     silencePatience: 3,
     minimumTimeout: 100,
     stateTimeout: 200,
-    engineAnswerTime: 60,
+    engineAnswerTime: 100,
     joinShare: 0.5,
     importTimeout: 500,
     retainCache: 3000,
--- a/packages/agent/src/lib/stage/EngineActivity.ts
+++ b/packages/agent/src/lib/stage/EngineActivity.ts
@@ -2,6 +2,9 @@
 import { type Clock } from "@waxwingspar/utils";
 import { guarded } from "../guarded.js";
 
+/** Milliseconds for what has arrived to be read. */
+const readTime = 1;
+
 /** @internal */
 export interface EngineActivityOptions {
     readonly engine: Pick<Engine, "info">;
@@ -41,7 +44,9 @@
         const { engine, clock, answerTime } = this.options;
         const answer = guarded(() => engine.info()).then(outcome => outcome.isOk);
         const silence = new Promise<boolean>(resolve => {
-            const timer = clock.schedule(() => resolve(false), answerTime);
+            // After a pause of this process timers run before sockets are read; the second one lets the answer in first.
+            const expire = (): void => void clock.schedule(() => resolve(false), readTime);
+            const timer = clock.schedule(expire, answerTime);
             void answer.then(() => timer.cancel());
         });
         const alive = await Promise.race([answer, silence]);
