Tests of single plans

Cause: no test failed without the check that a report is younger than the last order to its target. Change: planSite.test.ts: readiness only on settled reports, pipelines not looked at, targets missing for a moment, a plan repeated on its own result. Before: removing `target.settled` from isLoaded failed no test. After: it fails "a pipeline becomes ready only on reports that no order can overtake"; 4 tests pass. Conclusion: of the edits tried, only the re-reading of the revision after a failed change still fails no test.

--- /dev/null
+++ b/packages/control/src/lib/rollout/planSite.test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planSite } from "./planSite.js";
+import { type SitePlacement, type SiteTarget, type SiteView } from "./SiteView.js";
+
+function target(name: string, change: Partial<SiteTarget> = {}): SiteTarget {
+    const held = [{ model: "m", version: "v1", first: 0, last: 3, adapters: [] }];
+    const info = { slots: 1, held, memory: 10, freeMemory: 6, role: "serving" as const, checksFence: false };
+    return {
+        name,
+        spec: {
+            host: "127.0.0.1",
+            port: 1,
+            dataCentre: "a",
+            region: "local",
+            accelerator: { kind: "generic", memory: 10, speed: 1 },
+            link: { bandwidth: 1, latency: 0 },
+            holds: [],
+            slots: 1,
+            checksFence: false,
+        },
+        alive: true,
+        present: true,
+        observation: { incarnation: "1", info, inUse: [] },
+        observedAt: 1,
+        settled: true,
+        refused: [],
+        ...change,
+    };
+}
+
+function placement(index: number, targetName: string, ready: boolean): SitePlacement {
+    const spec = { model: "m", version: "v1", ready, stages: [{ target: targetName, first: 0, last: 3 }] };
+    return { name: `m.a.${index}`, resourceVersion: 1, spec };
+}
+
+function view(targets: SiteTarget[], placements: SitePlacement[], wanted = 1): SiteView {
+    const spec = {
+        layers: 4,
+        versions: ["v1"],
+        current: "v1",
+        layerBytes: 1,
+        activationBytes: 1,
+        replicas: wanted,
+        firstTokenBound: 1,
+        tokenBound: 1,
+        contextTokens: 1,
+    };
+    return {
+        dataCentre: "a",
+        models: [{ name: "m", spec, wanted }],
+        adapters: [],
+        targets: new Map(targets.map(found => [found.name, found])),
+        placements,
+    };
+}
+
+test("a pipeline becomes ready only on reports that no order can overtake", () => {
+    const states = [true, false].map(settled => {
+        const { pipelines, changes } = planSite(view([target("t", { settled })], [placement(0, "t", false)]));
+        return [pipelines.get("m.a.0"), changes.map(({ spec }) => spec?.ready)];
+    });
+    assert.deepEqual(states, [["switching", [true]], ["loading", []]]);
+});
+
+test("a pipeline that nobody has looked at keeps its ready flag", () => {
+    const unseen = target("t", { observation: undefined, settled: false });
+    const { pipelines, changes, orders } = planSite(view([unseen], [placement(0, "t", true)]));
+    assert.deepEqual([pipelines.get("m.a.0"), changes, orders], ["serving", [], []]);
+});
+
+test("a target that is missing for a moment is neither replaced nor counted on", () => {
+    const missing = target("t", { present: false });
+    const both = [placement(0, "t", true), placement(1, "u", true)];
+    const waiting = planSite(view([missing, target("u")], both, 2));
+    assert.deepEqual([waiting.changes, [...waiting.pipelines.values()]], [[], ["serving", "serving"]]);
+    // One of two is too many. It is the one that cannot be counted on, though the last would go otherwise.
+    const dropped = [missing, target("t")].map(found => {
+        const { changes } = planSite(view([found, target("u")], both, 1));
+        return changes.map(({ name, spec }) => [name, spec]);
+    });
+    assert.deepEqual(dropped, [[["m.a.0", undefined]], [["m.a.1", undefined]]]);
+});
+
+test("a plan repeated on its own result changes nothing more", () => {
+    const first = planSite(view([target("t"), target("u")], [], 2));
+    const made = first.changes.map(({ name, spec }) => ({ name, spec: spec!, resourceVersion: 1 }));
+    assert.equal(made.length, 2);
+    const ready = planSite(view([target("t"), target("u")], made, 2));
+    const serving = ready.changes.map(({ name, spec }) => ({ name, spec: spec!, resourceVersion: 2 }));
+    assert.ok(serving.every(({ spec }) => spec.ready));
+    const last = planSite(view([target("t"), target("u")], serving, 2));
+    assert.deepEqual([last.changes, last.orders, last.leftovers], [[], [], []]);
+    assert.equal(last.rollouts.get("m"), "steady");
+});
