Entry: an answer that has begun waits for capacity instead of breaking off

Cause: a resumed attempt carried what was left of the bound on the first token, mostly 0, so a head that predicts any wait refuses it; and each refusal to resume took from the retry budget, which is empty when many streams are lost at once. Change: after a loss the bound counts anew; a refusal to resume is retried with backoff outside the budget, up to maxAttempts and the deadline. Before: the new test of four refusals with an empty budget would end the stream with an error. Conclusion: attempts that start and fail again still take from the budget.

--- a/packages/entry/src/lib/models/Attempt.ts
+++ b/packages/entry/src/lib/models/Attempt.ts
@@ -26,6 +26,8 @@
     readonly produced: readonly number[];
     readonly exporters: readonly Exporter[];
     readonly credit: number;
+    /** Milliseconds in which the first token of this attempt is wanted; the head refuses what it predicts to miss. */
+    readonly firstTokenBound: number;
     readonly claim: string | undefined;
 }
 
@@ -59,7 +61,7 @@
     }
 
     /** Sends the request to the head. */
-    open({ produced, exporters, credit, claim }: OpenDetails): void {
+    open({ produced, exporters, credit, firstTokenBound, claim }: OpenDetails): void {
         const { request, routed, link } = this.options;
         link.send({
             type: "open",
@@ -71,7 +73,7 @@
             organisation: request.organisation,
             priority: request.priority,
             timeLeft: request.deadline - this.sentAt,
-            firstTokenBound: Math.max(0, request.arrived + request.firstTokenBound - this.sentAt),
+            firstTokenBound,
             prompt: request.prompt,
             produced: [...produced],
             sampling: request.sampling,
--- a/packages/entry/src/lib/models/RequestRun.test.ts
+++ b/packages/entry/src/lib/models/RequestRun.test.ts
@@ -172,6 +172,29 @@
     assert.equal(site.router.reports[0]?.leaving, true);
 });
 
+test("waits for capacity to go on with an answer that has begun", async context => {
+    const site = await startSite(context, { emptyBudget: true });
+    const responding = site.post("/v1/chat/completions", chatBody(3, true));
+    const open = await site.agent(0).wait("open");
+    site.agent(0).tokens(open, 0, 1);
+    const response = await responding;
+    let refusals = 0;
+    for (const agent of site.agents) {
+        agent.react = (message, self) => {
+            if (message.type === "open" && refusals++ < 4) {
+                fail(self, message, requestCodes.overloaded);
+                return;
+            }
+            answerAll(message, self);
+        };
+    }
+    await site.advance(400);
+    site.agent(0).cut();
+    await site.advance(2000);
+    assert.equal((await readStream(response)).text, " 0 1 2");
+    assert.equal(site.agent(1).all("open")[0]?.firstTokenBound, 540);
+});
+
 test("retries no more than the budget allows", async context => {
     const site = await startSite(context, { emptyBudget: true });
     const responding = site.post("/v1/chat/completions", chatBody(3));
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -193,12 +193,25 @@
             resumeAt: this.produced.length,
         });
         link.attach(this.request.id, this);
-        this.attempt.open({ produced: this.produced, exporters: this.exporters, credit: limits.creditWindow, claim });
+        this.attempt.open({
+            produced: this.produced,
+            exporters: this.exporters,
+            credit: limits.creditWindow,
+            firstTokenBound: this.firstTokenBound(),
+            claim,
+        });
         if (!link.open) {
             this.onLost();
         }
     }
 
+    /** After a loss the bound counts anew: work that has begun is not refused because its loss took up the time. */
+    private firstTokenBound(): number {
+        const { arrived, firstTokenBound } = this.request;
+        const left = arrived + firstTokenBound - this.options.clock.now();
+        return this.recovery.mayHaveRun ? firstTokenBound : Math.max(0, left);
+    }
+
     private take(message: TokensMessage, attempt: Attempt): void {
         const skip = this.produced.length - message.position;
         if (skip < 0 || message.ids.length !== message.texts.length) {
@@ -285,7 +298,7 @@
         if (!refused) {
             this.exporters = attempt.exporters(target);
         }
-        const unfunded = leaving || (this.produced.length > 0 && !this.recovery.mayHaveRun);
+        const unfunded = leaving || (this.produced.length > 0 && (refused || !this.recovery.mayHaveRun));
         this.proceed(cause, this.recovery.afterFailed(cause, target ?? attempt.head, unfunded));
     }
 
--- a/packages/entry/src/lib/recovery/Recovery.ts
+++ b/packages/entry/src/lib/recovery/Recovery.ts
@@ -60,7 +60,8 @@
      *
      * @param target - The target at fault.
      * @param unfunded - True when the next attempt takes nothing from the budget: the first after the loss of an answer
-     * that had begun, and one that a leaving target asks for. Neither adds to an overload that caused the failure.
+     * that had begun, one after a refusal to go on with such an answer, and one that a leaving target asks for. None of
+     * these repeats work in an overload.
      * @returns Milliseconds until the next attempt, or undefined when the failure is final.
      */
     afterFailed(cause: Failure, target: string, unfunded: boolean): number | undefined {
