Agent: a chunk larger than the window between stages no longer blocks the prompt

Cause: a chunk that reached past the grant waited for a grant that never came when `prefillChunk` exceeds `frameWindow`. Change: a chunk may start below the grant and end beyond it. Before: "chunks larger than the window pass one at a time" fails with the old condition. Conclusion: no pair of the two settings stops a prompt.

--- a/packages/agent/src/lib/head/HeadAttempt.test.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.test.ts
@@ -242,6 +242,16 @@
     assert.ok(farthest <= 64 + 16, `a stage was ${farthest} positions ahead`);
 });
 
+test("chunks larger than the window pass one at a time", async () => {
+    const site = new TestSite(1);
+    await site.startAll(["a", "b", "c"], { agent: { settings: { prefillChunk: 64, frameWindow: 10 } } });
+    const prompt = testPrompt.repeat(20);
+    const expected = referenceAnswer({ ...identity, prompt, maxTokens: 20, seed: 7 });
+    const answer = await site.entry.open(openMessage({ request: "r1", stages: chain, prompt }));
+    await site.until(() => answer.done !== undefined || answer.failed !== undefined);
+    assert.deepEqual(answer.ids, expected.tokens);
+});
+
 test("late, repeated and foreign tokens of the last stage change nothing", async () => {
     const site = new TestSite();
     await site.start("a");
--- a/packages/agent/src/lib/stage/StageSession.ts
+++ b/packages/agent/src/lib/stage/StageSession.ts
@@ -260,8 +260,8 @@
         }
         const { frameWindow, linkHighWater } = this.context.settings;
         const granted = Math.max(this.granted, (this.firstPosition ?? 0) + frameWindow);
-        if (work.position + work.count > granted) {
-            // The next grant goes on with it.
+        if (work.position >= granted) {
+            // The next grant goes on with it. Chunks larger than the window pass one at a time.
             return true;
         }
         if (this.next.queuedBytes < linkHighWater) {
