Every daemon takes part in the control duty of its data centre

Cause: placements, loads and orders had no process that runs them. Change: ControlPart runs SiteDuty under a lease in entry and agent; agents answer target.observe. The example site pins no layers any more: the duty places the model and orders its layers. Before: an example site without pinned layers answered nothing.

--- a/packages/cli/src/lib/daemons/AgentDaemon.ts
+++ b/packages/cli/src/lib/daemons/AgentDaemon.ts
@@ -4,6 +4,7 @@
 import { Result } from "true-myth";
 import { AgentNode } from "../nodes/AgentNode.js";
 import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
+import { ControlPart } from "../nodes/ControlPart.js";
 import { createAgentMetrics } from "../nodes/metrics.js";
 import { ProcessLinks } from "../nodes/ProcessLinks.js";
 import { OperatorsServer } from "../operators/OperatorsServer.js";
@@ -18,6 +19,7 @@
 export class AgentDaemon {
     private readonly engine: HttpEngine;
     private readonly part: ConfigurationPart;
+    private readonly control: ControlPart;
     private readonly node: AgentNode;
     private readonly operators: OperatorsServer;
 
@@ -33,6 +35,7 @@
             pool,
             seeds: settings.seeds,
         });
+        this.control = new ControlPart({ ...nodeOptions, store, pool, part: this.part });
         this.engine = new HttpEngine({ clock, origin: settings.engine.origin });
         this.node = new AgentNode({
             ...nodeOptions,
@@ -70,6 +73,7 @@
             return Result.err(links.error);
         }
         void this.part.node.start();
+        this.control.start();
         return Result.ok(undefined);
     }
 
@@ -79,6 +83,7 @@
      * @returns How many requests were cut off.
      */
     async stop(): Promise<number> {
+        await this.control.stop();
         await this.part.stop();
         const interrupted = await this.node.stop();
         await this.operators.close();
--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -3,6 +3,7 @@
 import { type Outcome } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
+import { ControlPart } from "../nodes/ControlPart.js";
 import { EntryNode } from "../nodes/EntryNode.js";
 import { createEntryMetrics } from "../nodes/metrics.js";
 import { ProcessLinks } from "../nodes/ProcessLinks.js";
@@ -18,6 +19,7 @@
 export class EntryDaemon {
     private readonly links: ProcessLinks;
     private readonly part: ConfigurationPart;
+    private readonly control: ControlPart;
     private readonly claims: ClaimRouter;
     private readonly node: EntryNode;
     private readonly api: ResourceApi;
@@ -36,6 +38,7 @@
             pool,
             seeds: settings.seeds,
         });
+        this.control = new ControlPart({ ...nodeOptions, store, pool, part: this.part });
         const journals = new ClaimJournals({ table: store, objects, clock, random });
         this.claims = new ClaimRouter({
             process: settings.name,
@@ -81,6 +84,7 @@
         }
         const callers = await this.node.start();
         void this.part.node.start();
+        this.control.start();
         return callers.map(() => undefined);
     }
 
@@ -90,6 +94,7 @@
      * @returns How many requests were cut off.
      */
     async stop(): Promise<number> {
+        await this.control.stop();
         await this.part.stop();
         const interrupted = await this.node.stop();
         await this.api.close();
--- /dev/null
+++ b/packages/cli/src/lib/nodes/ControlPart.ts
@@ -0,0 +1,69 @@
+import { DutyRunner, LinkTargets, PlacementStore, SiteDuty } from "@waxwingspar/control";
+import { type TableStore } from "@waxwingspar/platform";
+import { type LinkPool } from "@waxwingspar/transport";
+import { type ConfigurationPart } from "./ConfigurationPart.js";
+import { type NodeOptions } from "./NodeOptions.js";
+
+/** @internal */
+export interface ControlPartOptions extends NodeOptions {
+    readonly store: TableStore;
+    readonly pool: LinkPool;
+    readonly part: ConfigurationPart;
+}
+
+/**
+ * The part that a process takes in the control duty of its data centre: it places pipelines and gives orders while it
+ * holds the lease, and does nothing otherwise.
+ *
+ * @internal
+ */
+export class ControlPart {
+    private readonly runner: DutyRunner;
+
+    constructor(options: ControlPartOptions) {
+        const { clock, random, logger, incarnation, store, name: process } = options;
+        this.runner = new DutyRunner({
+            store,
+            clock,
+            random,
+            process,
+            incarnation,
+            duties: [createSiteDuty(options)],
+            members: () => membersOf(options.part),
+            onFault: (duty, fault) => logger.error({ duty, fault }, "control: a duty met a fault of the program"),
+        });
+    }
+
+    /** Begins to poll the lease. */
+    start(): void {
+        this.runner.start();
+    }
+
+    /** Ends the work in progress and gives the lease up, so that another takes it at once. */
+    stop(): Promise<void> {
+        return this.runner.stop();
+    }
+}
+
+function createSiteDuty({ dataCentre, clock, logger, record, store, pool, part }: ControlPartOptions): SiteDuty {
+    const configuration = part.node;
+    const placements = new PlacementStore(part.resources, store);
+    return new SiteDuty({
+        dataCentre,
+        clock,
+        configuration,
+        store,
+        record,
+        targets: new LinkTargets({ pool, addressOf: target => configuration.get("target", target)?.spec }),
+        incarnationOf: target => part.membership.agents().find(({ process }) => process === target)?.incarnation,
+        readRevision: () => placements.readRevision(),
+        writePlacement: (change, guard, changeId) => placements.writePlacement(change, guard, changeId),
+        onFailure: (message, { code }) => logger.warn({ code: code.number }, `control: ${message}`),
+    });
+}
+
+function membersOf({ membership }: ConfigurationPart): { process: string; dataCentre: string; leaving: boolean; }[] {
+    return membership.members()
+        .filter(({ state }) => state !== "unreachable")
+        .map(({ process, dataCentre, state }) => ({ process, dataCentre, leaving: state === "leaving" }));
+}
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -1,15 +1,21 @@
 import { referenceAnswer } from "@waxwingspar/engine";
 import { SystemClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
+import { randomUUID } from "node:crypto";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { streamAnswer } from "./lib/demo/streamAnswer.js";
 import { freePorts, SpawnedCommand } from "./lib/testing/SpawnedCommand.js";
 
 const examples = new URL("../examples/", import.meta.url);
 
+const question = { model: "demo", prompt: "What drifts?", maxTokens: 30 };
+const maxAttempts = 240;
+const askInterval = 250;
+
 /** The ports that the example files use. */
 const examplePorts = [7000, 7001, 7002, 8080, 8081, 8101, 8102, 9000, 9101, 9102];
 
@@ -30,15 +36,16 @@
     return { folder, copy, port: (example: number) => portFor.get(String(example)) ?? "" };
 }
 
-test("a site of separate processes answers, stops gracefully, and its history holds", async t => {
+/** The example site, running. */
+async function startExampleSite(t: TestContext) {
     const { folder, copy, port } = await copyExamples(t);
     const spawned = (...args: string[]) => {
         const command = new SpawnedCommand(...args);
         t.after(() => command.kill());
         return command;
     };
-    const platform = spawned("platform", await copy("platform", false));
-    const engines = [
+    const standIns = [
+        spawned("platform", await copy("platform", false)),
         spawned("engine", await copy("engine-1", false)),
         spawned("engine", await copy("engine-2", false)),
     ];
@@ -47,23 +54,30 @@
     await agents[0]?.waitFor(`http://127.0.0.1:${port(8101)}/readyz`);
     await agents[1]?.waitFor(`http://127.0.0.1:${port(8102)}/readyz`);
     await entry.waitFor(`http://127.0.0.1:${port(8081)}/readyz`);
-
     const origin = `http://127.0.0.1:${port(8080)}`;
-    const question = { model: "demo", prompt: "What drifts?", maxTokens: 30 };
-    const onText = () => void entry.terminate();
-    const answer = await streamAnswer({ ...question, origin, clock: new SystemClock(), requestId: "r1", onText });
+    const ask = (onText?: () => void) =>
+        streamAnswer({ ...question, origin, clock: new SystemClock(), requestId: randomUUID(), onText });
+    // The agents hold nothing at first: the duty has to place the model and to order its layers.
+    for (let attempt = 0; (await ask()).text === ""; attempt++) {
+        assert.ok(attempt < maxAttempts, "the model is not served");
+        await delay(askInterval);
+    }
+    return { folder, spawned, entry, agents, standIns, ask };
+}
+
+test("a site of separate processes answers, stops gracefully, and its history holds", async t => {
+    const { folder, spawned, entry, agents, standIns, ask } = await startExampleSite(t);
+    const answer = await ask(() => void entry.terminate());
     assert.equal(answer.text, referenceAnswer({ ...question, version: "v1", layers: 12 }).text);
 
-    const codes = [
-        await entry.end(),
-        ...await Promise.all([...agents, ...engines, platform].map(one => one.terminate())),
-    ];
+    const codes = [await entry.end(), ...await Promise.all([...agents, ...standIns].map(one => one.terminate()))];
     assert.deepEqual(codes, [0, 0, 0, 0, 0, 0]);
     const files = ["entry", "agent-1", "agent-2"].map(name => join(folder, `${name}.jsonl`));
     const check = spawned("check", "history", "--base-revision", "1", ...files);
     assert.equal(await check.end(), 0, check.output);
-    assert.match(check.output, /30 tokens delivered/);
-    assert.match(check.output, /layers +1 held +0 violated +0 undecided/);
+    assert.match(check.output, /60 tokens delivered/);
+    assert.match(check.output, /layers +2 held +0 violated +0 undecided/);
+    assert.match(check.output, /orders +[1-9]\d* held +0 violated +0 undecided/);
 });
 
 test("wrong settings end a daemon with code 2 before it does anything", async t => {
