--- /dev/null
+++ b/packages/cli/src/lib/site/LocalSite.test.ts
@@ -0,0 +1,69 @@
+import { type ReadableSpan, type SpanExporter } from "@opentelemetry/sdk-trace-base";
+import { createLogger, createTracing } from "@waxwingspar/telemetry";
+import { seededRandom, SystemClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test, type TestContext } from "node:test";
+import { LocalSite } from "./LocalSite.js";
+
+const loopback = { host: "127.0.0.1", port: 0 };
+const traceId = "0af7651916cd43dd8448eb211c80319c";
+const traceparent = `00-${traceId}-b7ad6b7169203331-01`;
+
+async function startSite(t: TestContext) {
+    const spans: ReadableSpan[] = [];
+    const exporter: SpanExporter = {
+        export: (batch, done) => {
+            spans.push(...batch);
+            done({ code: 0 });
+        },
+        shutdown: () => Promise.resolve(),
+    };
+    const site = new LocalSite({
+        callers: loopback,
+        operators: loopback,
+        clock: new SystemClock(),
+        random: seededRandom(3),
+        logger: createLogger({ process: "local", level: "silent" }),
+        stepTime: 1,
+        tracing: createTracing({ process: "local", exporter }),
+    });
+    const started = await site.start();
+    assert.ok(started.isOk, started.isErr ? started.error.message : "");
+    t.after(() => site.stop());
+    const { callers, operators } = started.value;
+    const complete = async (maxTokens: number): Promise<void> => {
+        const body = JSON.stringify({ model: "demo", prompt: "Which seal?", max_tokens: maxTokens });
+        const headers = { "Content-Type": "application/json", traceparent };
+        const response = await fetch(`http://127.0.0.1:${callers.port}/v1/completions`, {
+            method: "POST",
+            body,
+            headers,
+        });
+        assert.equal(response.status, 200, await response.text());
+    };
+    return { site, spans, complete, operators: `http://127.0.0.1:${operators.port}` };
+}
+
+test("a request has one span for each hop in its caller's trace, however many tokens it has", async t => {
+    const { site, spans, complete } = await startSite(t);
+    await complete(5);
+    await complete(30);
+    await site.stop();
+    assert.deepEqual([...new Set(spans.map(span => span.spanContext().traceId))], [traceId]);
+    const names = spans.map(span => span.name).sort();
+    const ofOne = ["agent.head", "agent.stage", "agent.stage", "entry.attempt", "entry.request"];
+    assert.deepEqual(names, [...ofOne, ...ofOne].sort());
+});
+
+test("docs/METRICS.md lists exactly the metrics that a site has", async t => {
+    const { complete, operators } = await startSite(t);
+    await complete(5);
+    const text = await (await fetch(`${operators}/metrics`)).text();
+    const served = [...text.matchAll(/^# TYPE (\w+) (\w+)$/gm)].map(([, name = "", type = ""]) => `${name} ${type}`);
+    const page = readFileSync(new URL("../../../../../docs/METRICS.md", import.meta.url), "utf8");
+    const listed = [...page.matchAll(/^\| `(waxwingspar_\w+)` \| (\w+) \|/gm)].map(([, name, type]) =>
+        `${name} ${type}`
+    );
+    assert.deepEqual(listed.sort(), served.sort());
+});
--- a/packages/cli/src/lib/site/LocalSite.ts
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -3,7 +3,7 @@
 import { FakeEngine } from "@waxwingspar/engine";
 import { FileRecorder, type HistoryRecorder } from "@waxwingspar/history";
 import { MemoryTableStore } from "@waxwingspar/platform";
-import { createTracing, MetricRegistry } from "@waxwingspar/telemetry";
+import { createTracing, MetricRegistry, type Tracing } from "@waxwingspar/telemetry";
 import { type Address, type LinkCredentials } from "@waxwingspar/transport";
 import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
 import { randomBytes } from "node:crypto";
@@ -40,6 +40,8 @@
     readonly replicas?: number;
     /** Milliseconds that a fake engine takes for one batch. Default 5. */
     readonly stepTime?: number;
+    /** Traces of all nodes. By default nothing is traced. */
+    readonly tracing?: Tracing;
 }
 
 /** An agent of the site with what belongs to it. @internal */
@@ -75,16 +77,18 @@
     private readonly configuration = new RevisionState();
     private readonly resources: ResourceStore;
     private readonly credentials: LinkCredentials;
-    private readonly tracing = createTracing({ process: "local" });
+    private readonly tracing: Tracing;
     private readonly recorders: FileRecorder[] = [];
     private readonly api: ResourceApi;
     private entry: EntryNode | undefined;
     private records: RecordsService | undefined;
     private ready = false;
+    private stopping: Promise<number> | undefined;
 
     constructor(private readonly options: LocalSiteOptions) {
         const { clock, operators } = options;
         this.store = new MemoryTableStore({ clock });
+        this.tracing = options.tracing ?? createTracing({ process: "local" });
         const log = new StoreLog(this.store);
         this.resources = new ResourceStore({ log, state: this.configuration, clock, random: options.random });
         this.registry = new MetricRegistry(clock);
@@ -120,11 +124,23 @@
     }
 
     /**
-     * Stops gracefully: the entry first, so that what runs can end.
+     * Stops gracefully: the entry first, so that what runs can end. Calling it again returns the same promise.
      *
      * @returns How many requests were cut off.
      */
-    async stop(): Promise<number> {
+    stop(): Promise<number> {
+        this.stopping ??= this.runStop();
+        return this.stopping;
+    }
+
+    /** Kills an agent and its engine, as when their host dies: no message and no line of history comes any more. */
+    async kill(agent: SiteAgent): Promise<void> {
+        agent.killed = true;
+        agent.engine.crash();
+        await agent.node.kill();
+    }
+
+    private async runStop(): Promise<number> {
         this.ready = false;
         const cut = await this.entry?.stop() ?? 0;
         const living = this.agents.filter(agent => !agent.killed);
@@ -136,13 +152,6 @@
         return cuts.reduce((sum, count) => sum + count, cut);
     }
 
-    /** Kills an agent and its engine, as when their host dies: no message and no line of history comes any more. */
-    async kill(agent: SiteAgent): Promise<void> {
-        agent.killed = true;
-        agent.engine.crash();
-        await agent.node.kill();
-    }
-
     /** The whole site is one process, so what is accepted is in force. */
     private createApiNode(): ApiNode {
         const isReady = () => this.ready;
