Let changes of a burst travel together

Cause: at ten changes a second each change was one question and one answer on every link. Change: after an answer with entries the next question waits 300 ms. A test of an hour without store and live list.

--- a/packages/config/src/bench/distributionBench.ts
+++ b/packages/config/src/bench/distributionBench.ts
@@ -1,4 +1,4 @@
-// node packages/config/dist/bench/distributionBench.js [reads|traffic|spread|polling|slow|restarts|centre]...
+// node packages/config/dist/bench/distributionBench.js [reads|traffic|spread|polling|slow|burst|restarts|centre]...
 import { sleep } from "@waxwingspar/utils";
 import { type LoopbackProcess, LoopbackSite } from "./LoopbackSite.js";
 import { fitLine, mean, quantile } from "./statistics.js";
@@ -12,6 +12,7 @@
     spread: () => measureSpread({ title: "in force", size: 240, offers: true }),
     polling: () => measureSpread({ title: "in force, without offers", size: 240, offers: false }),
     slow: () => measureSpread({ title: "in force, store 500 ms slow", size: 240, offers: true, storeDelay: 500 }),
+    burst: measureBurst,
     restarts: () => measureRestarts("a third of each data centre", index => Math.floor(index / 3) % 3),
     centre: () => measureRestarts("a whole data centre", index => index % 3),
 };
@@ -138,6 +139,39 @@
     }, { offers });
 }
 
+/** Time from acceptance to in force, and bytes, while changes come at ten a second. */
+async function measureBurst(): Promise<void> {
+    await withSite(240, 3, async site => {
+        const applied = site.processes.map(() => [] as { revision: number; at: number; }[]);
+        site.processes.forEach((one, index) => {
+            one.onApplied = revision => applied[index]!.push({ revision, at: site.clock.now() });
+        });
+        const before = site.totalBytes();
+        const accepted: { revision: number; at: number; }[] = [];
+        const started = site.clock.now();
+        while (site.clock.now() - started < window) {
+            const revision = await site.change(site.processes[1]!);
+            accepted.push({ revision, at: site.clock.now() });
+            await sleep(site.clock, Math.max(0, accepted.length * 100 - (site.clock.now() - started)));
+        }
+        const seconds = (site.clock.now() - started) / millisecondsPerSecond;
+        const rates = site.totalBytes().map((bytes, index) => (bytes - before[index]!) / seconds);
+        await sleep(site.clock, 3000);
+        const times = accepted.flatMap(({ revision, at }) =>
+            applied.map(list => Math.max(0, (list.find(one => one.revision >= revision)?.at ?? Infinity) - at))
+        );
+        printTimes(
+            `in force in a burst of ${accepted.length} changes in ${seconds.toFixed(0)} s, 240 processes`,
+            times,
+        );
+        print(
+            `  bytes/s per process mean ${mean(rates).toFixed(0)}, p99 ${quantile(rates, 0.99).toFixed(0)}, max ${
+                quantile(rates, 1).toFixed(0)
+            }`,
+        );
+    });
+}
+
 /** Milliseconds from the acceptance of a change to its being in force at each process. */
 async function timeChange(site: LoopbackSite, operator: LoopbackProcess, observed: readonly LoopbackProcess[]) {
     const seen = new Map<string, { revision: number; at: number; }[]>();
--- a/packages/config/src/lib/distribution/ChangeClient.ts
+++ b/packages/config/src/lib/distribution/ChangeClient.ts
@@ -27,6 +27,8 @@
     readonly revision: number;
     /** Milliseconds since the peer was in step with the store; infinite if it never was. */
     readonly age: number;
+    /** Whether the answer carried entries. */
+    readonly news: boolean;
 }
 
 /**
@@ -61,7 +63,7 @@
         if (this.context.state.revision >= revision) {
             this.context.synced(age);
         }
-        return Result.ok({ revision, age });
+        return Result.ok({ revision, age, news: answer.value.entries !== undefined });
     }
 
     private params(wait: number): SinceParams {
--- a/packages/config/src/lib/distribution/ConfigurationNode.test.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.test.ts
@@ -76,6 +76,23 @@
     assert.equal(newcomer.node.revision, 1);
 });
 
+test("an hour without the store changes nothing, refuses changes by number, and ends within the bound", async () => {
+    const site = await startedSite(["a", "b"], 3);
+    const operator = site.processes[1]!;
+    await acceptAndSpread(site, operator);
+    site.table.faults.set({ down: true });
+    site.liveList.faults.set({ down: true });
+    const refused = await site.settle(site.change(operator, "refused", 1));
+    assert.deepEqual(refused.isErr && refused.error.map(one => one.code.name), ["store-unavailable"]);
+    await site.clock.advanceAsync(3_600_000, 100);
+    assert(site.processes.every(one => one.node.revision === 1 && one.membership.stale));
+    assert(site.processes.every(one => one.membership.members().length === 6), "a process was dropped by a stale list");
+    site.table.faults.set({ down: false });
+    site.liveList.faults.set({ down: false });
+    await acceptAndSpread(site, operator);
+    assertHistory(site);
+});
+
 test("a process that slept longer than the log loads a snapshot and goes on with entries", async () => {
     const site = await startedSite(["a"], 4);
     const [sleeper, operator] = site.processes.filter(one => !readersOf(site, "a").includes(one));
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -37,8 +37,10 @@
     readonly listInterval?: number;
     /** Milliseconds for which a parent holds an answer back while nothing is new. */
     readonly wait?: number;
-    /** Milliseconds that lie at least between two questions to parents, so that changes of a burst travel together. */
+    /** Milliseconds that lie at least between two questions to parents. */
     readonly minInterval?: number;
+    /** Milliseconds until the next question after an answer with entries, so that those of a burst travel together. */
+    readonly batchPause?: number;
     /** The age from which a parent counts as lagging, in milliseconds. */
     readonly lagLimit?: number;
     readonly readers?: number;
@@ -53,6 +55,7 @@
     listInterval: 2000,
     wait: 1500,
     minInterval: 150,
+    batchPause: 300,
     lagLimit: 3000,
     readers: 2,
     fanOut: 6,
@@ -278,20 +281,22 @@
     }
 
     private async peerLoop(): Promise<void> {
-        const { clock, wait, minInterval } = this.options;
+        const { clock, wait, minInterval, batchPause } = this.options;
         let proved: string | undefined;
         while (!this.stopped) {
             const started = clock.now();
             const reader = this.isReader();
             const parent = this.pickParent();
+            let pause = 0;
             if (parent !== undefined) {
                 // A parent that has not proved itself is asked for a quick answer, so that several dead ones cost little.
                 const answer = await this.client.ask(parent, reader || keyOf(parent) !== proved ? 0 : wait);
                 proved = answer.isOk ? keyOf(parent) : undefined;
                 this.note(parent, answer, reader);
+                pause = answer.isOk && answer.value.news ? batchPause : 0;
             }
             const interval = reader ? readerExchange : parent === undefined ? longestBackoff / 4 : minInterval;
-            await sleep(clock, Math.max(0, this.jitter(interval) - (clock.now() - started)));
+            await sleep(clock, Math.max(pause, this.jitter(interval) - (clock.now() - started)));
         }
     }
 
