Entry: callers of an entry without configuration are told to come back

Cause: an entry takes callers before it knows the configuration. Until then no organisation exists for it, so it refused callers as `forbidden` (1002), which says not to repeat. Found by packages/proof, scenario rolling-replacement. Change: at revision 0 an entry refuses as `no-capacity` (1012, not run, come back later). Conclusion: a restarted entry behind a balancer that does not look at /readyz costs a retry, not a request.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -167,6 +167,9 @@
         if (!this.accepting) {
             return exchange.refuse(failure(requestCodes.stopping, "this entry is stopping"));
         }
+        if (this.options.configuration.revision === 0) {
+            return exchange.refuse(failure(requestCodes.noCapacity, "this entry does not know the configuration yet"));
+        }
         if (this.open.count >= this.limits.maxOpenRequests) {
             return exchange.refuse(failure(requestCodes.overloaded, "this entry has too many requests in progress"));
         }
