A service's repeated headers stay apart up to the caller

Cause: the agent joined several reply headers of one name with a comma, which breaks `set-cookie`, whose values hold commas. Change: `reply.headers` takes a string or an array of strings by name (`replyHeadersSchema`); agent and entry pass arrays on. An entry of before this change refuses a reply with an array; update entries before agents. Before: "passes a call on without the headers of one connection" failed with actual 'a=1; Path=/, b=2; Expires=...'; the entry's new test did not compile, as the message took no array. Conclusion: several cookies of one answer arrive one by one.

--- a/packages/agent/src/lib/service/CallSink.ts
+++ b/packages/agent/src/lib/service/CallSink.ts
@@ -1,4 +1,4 @@
-import { type Link, type LoadReport } from "@waxwingspar/transport";
+import { type Link, type LoadReport, type ReplyHeaders } from "@waxwingspar/transport";
 import { type Failure } from "@waxwingspar/utils";
 import { type ClaimFollower, type ClaimRecord } from "../claims/ClaimRecord.js";
 import { type ClaimTable } from "../claims/ClaimTable.js";
@@ -6,7 +6,7 @@
 
 /** A part of a plain service's answer. @internal */
 export type CallItem =
-    | { readonly kind: "head"; readonly status: number; readonly headers: Record<string, string>; }
+    | { readonly kind: "head"; readonly status: number; readonly headers: ReplyHeaders; }
     | { readonly kind: "body"; readonly data: Uint8Array<ArrayBuffer>; };
 
 /** The end of a whole answer. @internal */
--- a/packages/agent/src/lib/service/ServiceProxy.test.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.test.ts
@@ -96,7 +96,13 @@
     const site = await CallSite.create((request, response) => {
         void bodyOf(request).then(body => {
             seen.push({ url: request.url, headers: request.headers, body });
-            response.writeHead(201, { "x-answer": "yes", connection: "x-private", "x-private": "secret" });
+            const cookies = ["a=1; Path=/", "b=2; Expires=Wed, 02 Dec 2026 10:00:00 GMT"];
+            response.writeHead(201, {
+                "x-answer": "yes",
+                connection: "x-private",
+                "x-private": "secret",
+                "set-cookie": cookies,
+            });
             response.end("done ".repeat(40_000));
         });
     });
@@ -115,6 +121,8 @@
     assert.equal(reply?.status, 201);
     assert.equal(reply?.headers["x-answer"], "yes");
     assert.equal(reply?.headers["x-private"], undefined);
+    const cookies = ["a=1; Path=/", "b=2; Expires=Wed, 02 Dec 2026 10:00:00 GMT"];
+    assert.deepEqual(reply?.headers["set-cookie"], cookies);
     assert.equal(textOf(site.site.entry), "done ".repeat(40_000));
     assert.ok(messages(site.site.entry, "replyBody").every(({ data }) => data.length <= 65_536));
     assert.equal(site.site.events("a", "service.run").length, 1);
--- a/packages/agent/src/lib/service/headers.ts
+++ b/packages/agent/src/lib/service/headers.ts
@@ -1,3 +1,5 @@
+import { type ReplyHeaders } from "@waxwingspar/transport";
+
 /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
 const hopByHop = new Set([
     "connection",
@@ -22,18 +24,21 @@
     return endToEnd(headers, ownHeaders);
 }
 
-/** The headers of an answer that are passed back. Repeated ones are joined. @internal */
-export function replyHeaders(headers: IncomingHeaders): Record<string, string> {
+/** The headers of an answer that are passed back. Repeated ones stay apart, as a comma may be part of a value. @internal */
+export function replyHeaders(headers: IncomingHeaders): ReplyHeaders {
     return endToEnd(headers, new Set());
 }
 
-function endToEnd(headers: IncomingHeaders, omitted: ReadonlySet<string>): Record<string, string> {
+function endToEnd<Value extends string | string[]>(
+    headers: Record<string, Value | undefined>,
+    omitted: ReadonlySet<string>,
+): Record<string, Value> {
     const named = connectionOptions(headers);
-    const kept: Record<string, string> = {};
+    const kept: Record<string, Value> = {};
     for (const [name, value] of Object.entries(headers)) {
         const key = name.toLowerCase();
         if (value !== undefined && !hopByHop.has(key) && !omitted.has(key) && !named.has(key)) {
-            kept[key] = Array.isArray(value) ? value.join(", ") : value;
+            kept[key] = value;
         }
     }
     return kept;
--- a/packages/entry/src/lib/services/ServiceCall.test.ts
+++ b/packages/entry/src/lib/services/ServiceCall.test.ts
@@ -47,6 +47,17 @@
     assert.equal(response.headers.get("content-type"), "text/plain");
 });
 
+test("several headers of one name stay apart", async context => {
+    const site = await startSite(context);
+    const responding = site.fetch("/services/records/parts");
+    const { request } = await site.agent(0).wait("call");
+    const cookies = ["a=1", "b=2; Expires=Wed, 02 Dec 2026 10:00:00 GMT"];
+    site.agent(0).send({ type: "reply", request, status: 200, headers: { "set-cookie": cookies } });
+    const data = Buffer.alloc(0);
+    site.agent(0).send({ type: "replyBody", request, data, last: true, load: site.agent(0).load(false) });
+    assert.deepEqual((await responding).headers.getSetCookie(), cookies);
+});
+
 test("retries an idempotent call that was lost", async context => {
     const site = await startSite(context);
     const responding = site.fetch("/services/records/parts");
@@ -114,6 +125,26 @@
     assert.equal(site.agent(2).received.length, 0);
 });
 
+test("a duplicate joins a model request on a target that is leaving", async context => {
+    const claims = new FakeClaims();
+    const site = await startSite(context, { claims });
+    const other = await startSite(context, { claims, agents: site.agents });
+    const body = { model: "demo", prompt: "Draft", max_tokens: 1 };
+    const headers = { ...keyed, "X-Non-Idempotent": "true" };
+    const first = site.post("/v1/completions", body, headers);
+    const firstOpen = await site.agent(0).wait("open");
+    other.router.withdrawn.add("target-1");
+    const second = other.post("/v1/completions", body, headers);
+    const secondOpen = await site.agent(0).wait("open", 2);
+    assert.deepEqual([secondOpen.claim, secondOpen.stages[0]?.target], [firstOpen.claim, "target-1"]);
+    for (const open of [firstOpen, secondOpen]) {
+        site.agent(0).tokens(open, 0, 1);
+        site.agent(0).done(open, 1);
+    }
+    assert.deepEqual([(await first).status, (await second).status], [200, 200]);
+    assert.equal(site.agent(1).received.length, 0);
+});
+
 test("a duplicate whose runner is gone is told so at once", async context => {
     const claims = new FakeClaims();
     const site = await startSite(context, { claims });
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -2,7 +2,7 @@
 import { context, trace } from "@opentelemetry/api";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type AttemptEnd, type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
-import { type Message } from "@waxwingspar/transport";
+import { type Message, type ReplyHeaders } from "@waxwingspar/transport";
 import {
     type Clock,
     type Failure,
@@ -47,7 +47,7 @@
  * @internal
  */
 export interface ReplySink {
-    head(status: number, headers: Record<string, string>): void;
+    head(status: number, headers: ReplyHeaders): void;
     body(data: Uint8Array): void;
     end(): void;
     /** The call ended without a whole answer. */
--- a/packages/entry/src/lib/services/serviceHeaders.ts
+++ b/packages/entry/src/lib/services/serviceHeaders.ts
@@ -1,3 +1,4 @@
+import { type ReplyHeaders } from "@waxwingspar/transport";
 import { type IncomingHttpHeaders } from "node:http";
 
 /** Headers that belong to one connection, or to this system alone. */
@@ -32,7 +33,7 @@
 }
 
 /** The headers of a service's answer that its caller gets to see. @internal */
-export function returnedHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
+export function returnedHeaders(headers: Readonly<ReplyHeaders>): ReplyHeaders {
     const entries = Object.entries(headers).filter(([name]) => {
         const lower = name.toLowerCase();
         return lower === "content-length" || !ownHeaders.has(lower);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -36,7 +36,7 @@
     stageSchema,
     type TokensMessage,
 } from "./lib/messages/pipelineMessages.js";
-export { type CallMessage } from "./lib/messages/serviceMessages.js";
+export { type CallMessage, type ReplyHeaders, replyHeadersSchema } from "./lib/messages/serviceMessages.js";
 export { type LinkCredentials, linkCredentialsSchema } from "./lib/tcp/credentials.js";
 export { LinkServer, type LinkServerOptions } from "./lib/tcp/LinkServer.js";
 export { type LinkLimits } from "./lib/tcp/TcpLink.js";
--- a/packages/transport/src/lib/messages/serviceMessages.ts
+++ b/packages/transport/src/lib/messages/serviceMessages.ts
@@ -23,12 +23,18 @@
 /** @public */
 export type CallMessage = z.infer<typeof callMessageSchema>;
 
+/** Headers by name. A name that stands several times, such as `set-cookie`, has a list of its values. @public */
+export const replyHeadersSchema = z.record(z.string(), z.union([z.string(), z.array(z.string())]));
+
+/** @public */
+export type ReplyHeaders = z.infer<typeof replyHeadersSchema>;
+
 /** Agent to entry: the head of the service's answer. @public */
 export const replyMessageSchema = z.object({
     type: z.literal("reply"),
     request: z.string(),
     status: z.number().int(),
-    headers: z.record(z.string(), z.string()),
+    headers: replyHeadersSchema,
 });
 
 /** Agent to entry: a piece of the answer's body; the last one closes the answer. @public */
