Test: stop strings over several attempts

Cause: it was reported that a stop string that spans two attempts is not found, as `open` carries no text of the answer. Change: a property test that loses attempts after any number of tokens and resumes behind what was released. It passes on the code as it is: the matcher holds back every token of a possible beginning, so a stop string never begins in text that was released. No field was added. Before: the fault could not be brought about; no test of it existed. Conclusion: an attempt needs no earlier text to find a stop string. Not covered: the loss of `done` right behind the tokens of a found stop string; the next attempt would go on behind it.

--- a/packages/agent/src/lib/head/StopMatcher.test.ts
+++ b/packages/agent/src/lib/head/StopMatcher.test.ts
@@ -43,3 +43,44 @@
     const first = Math.min(...stops.map(stop => text.indexOf(stop)).filter(index => index >= 0));
     return text.slice(0, first);
 }
+
+test("attempts that resume behind what was released find every stop string without the earlier text", () => {
+    const piece = fc.string({ unit: fc.constantFrom("a", "b"), maxLength: 3 });
+    const stops = fc.array(fc.string({ unit: fc.constantFrom("a", "b"), minLength: 1, maxLength: 6 }), {
+        maxLength: 3,
+    });
+    const losses = fc.array(fc.nat({ max: 8 }), { maxLength: 5 });
+    fc.assert(
+        fc.property(fc.array(piece, { maxLength: 20 }), stops, losses, (texts, stop, lives) => {
+            const whole = sendOver(texts, stop, []);
+            assert.equal(sendOver(texts, stop, lives), whole);
+        }),
+        { seed: 3, numRuns: 5000 },
+    );
+});
+
+/** The text that is sent when attempts are lost after some tokens each, and the last one lives. */
+function sendOver(texts: readonly string[], stop: readonly string[], lives: readonly number[]): string {
+    const sent: AnswerToken[] = [];
+    for (const life of [...lives, texts.length]) {
+        const matcher = new StopMatcher(stop);
+        const rest = texts.slice(sent.length, sent.length + life);
+        const first = sent.length;
+        for (const [index, text] of rest.entries()) {
+            const { released, stopped } = matcher.push({ id: first + index, text });
+            sent.push(...released);
+            if (stopped) {
+                return textOf(sent);
+            }
+        }
+        if (first + rest.length === texts.length) {
+            sent.push(...matcher.flush());
+            return textOf(sent);
+        }
+    }
+    return textOf(sent);
+}
+
+function textOf(tokens: readonly AnswerToken[]): string {
+    return tokens.map(({ text }) => text).join("");
+}
