--- a/packages/proof/src/lib/scenarios/scenarios.ts
+++ b/packages/proof/src/lib/scenarios/scenarios.ts
@@ -1,3 +1,4 @@
+import { chaos } from "./chaos.js";
 import { networkScenarios } from "./networkScenarios.js";
 import { operatorsRace } from "./operatorsRace.js";
 import { processScenarios } from "./processScenarios.js";
@@ -21,6 +22,7 @@
     ...networkScenarios,
     ...storeScenarios,
     operatorsRace,
+    chaos,
 ];
 
 /** @internal */
