Claims have a store share of their own, as large as their pace

Cause: an entry's share of writes was 10/s by default for everything, while its journals pace themselves at 200/s over all entries; with few entries a burst of claims waited over its second and was refused as not run. Change: the daemon gives claims a StoreClient of their own; `platform.claimWritesPerSecond` (200, the same everywhere) is both its limit and the pace of the journals. Ruled out: a larger common share, since a claim would still wait behind other calls. Conclusion: the fleet's writes stay bounded by the journals' pace, which shares them by partition.

--- a/packages/cli/src/lib/daemons/DaemonBase.ts
+++ b/packages/cli/src/lib/daemons/DaemonBase.ts
@@ -18,6 +18,9 @@
 
 const maxSeed = 0x7fff_ffff;
 
+/** Reads per second while the claims of a partition are taken over. 32 owners at once stay below the store's 2,000. */
+const takeoverReadsPerSecond = 50;
+
 /** Settings that entry and agent have in common. @internal */
 export type DaemonSettings = Settings<"entry"> | Settings<"agent">;
 
@@ -32,6 +35,8 @@
     readonly registry: MetricRegistry;
     readonly logger: Logger;
     readonly store: StoreClient;
+    /** The way of claims to the store: claims never wait for the calls of anything else, nor hold them up. */
+    readonly claimStore: StoreClient;
     readonly objects: ObjectStore;
     readonly liveList: LiveList;
     private readonly tracing: Tracing;
@@ -48,9 +53,12 @@
         this.logger = createLogger({ process: name, level: log.level });
         this.tracing = createTracing({ process: name, ...tracing });
         this.platform = new PlatformConnection({ origin: platform.origin });
-        this.store = new StoreClient({
-            ...platform,
-            store: new HttpTableStore(this.platform),
+        const table = new HttpTableStore(this.platform);
+        this.store = new StoreClient({ ...platform, store: table, clock, random: this.random });
+        this.claimStore = new StoreClient({
+            readsPerSecond: takeoverReadsPerSecond,
+            writesPerSecond: platform.claimWritesPerSecond,
+            store: table,
             clock,
             random: this.random,
         });
--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -39,7 +39,13 @@
             seeds: settings.seeds,
         });
         this.control = new ControlPart({ ...nodeOptions, store, pool, part: this.part });
-        const journals = new ClaimJournals({ table: store, objects, clock, random });
+        const journals = new ClaimJournals({
+            table: base.claimStore,
+            objects,
+            clock,
+            random,
+            writesPerSecond: settings.platform.claimWritesPerSecond,
+        });
         this.claims = new ClaimRouter({
             process: settings.name,
             owners: () => this.owners,
--- a/packages/cli/src/lib/settings/common.ts
+++ b/packages/cli/src/lib/settings/common.ts
@@ -23,6 +23,9 @@
     origin: originSchema.describe("Where the platform's services answer over HTTP."),
     readsPerSecond: z.number().positive().default(20).describe("This process's share of the store's reads."),
     writesPerSecond: z.number().positive().default(10).describe("This process's share of the store's writes."),
+    claimWritesPerSecond: z.number().positive().default(200).describe(
+        "Writes per second for claims, over all entries together; the same everywhere.",
+    ),
 });
 
 const tracingSchema = z.strictObject({
