Entry: a change of a model's current version keeps every ready pipeline at work

Cause: every model request went to `spec.current`. From the change of `current` until the first new pipeline was ready all requests of the model were refused, and after that all of them went to that one pipeline. Change: requests are divided between the versions that have pipelines (ready placements, and whole chains of pinned layers), in proportion to their number; `current` comes first once it has as many as `replicas` and as any other version. Adapters go only to versions that they fit. A pin and a placement of the same layers count once for the router. Conclusion: pinned layers count from the moment they are declared, also while they load; such requests are refused by the target as not run and go elsewhere.

--- a/packages/cli/src/lib/nodes/EntryNode.ts
+++ b/packages/cli/src/lib/nodes/EntryNode.ts
@@ -46,6 +46,7 @@
             configuration: options.configuration,
             router: this.router,
             retryBudget: createRetryBudget({ clock, random }),
+            random,
             claims: options.claims,
             clock,
             logger,
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -4,7 +4,7 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type RetryBudget, type Router } from "@waxwingspar/policy";
 import { type Address, type LinkPool } from "@waxwingspar/transport";
-import { type Clock, failure, type Outcome, requestCodes, sleep } from "@waxwingspar/utils";
+import { type Clock, failure, type Outcome, type Random, requestCodes, seededRandom, sleep } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Authenticator, type Caller } from "./callers/Authenticator.js";
 import { contextOf } from "./callers/traceContext.js";
@@ -20,6 +20,7 @@
 import { OpenRequest, OpenRequests } from "./OpenRequests.js";
 import { routingTargets } from "./routingTargets.js";
 import { serviceRoute } from "./services/serviceRoute.js";
+import { ModelVersions } from "./versions/ModelVersions.js";
 
 /**
  * What an entry is made from.
@@ -36,6 +37,8 @@
     readonly retryBudget: RetryBudget;
     readonly claims: Claims;
     readonly clock: Clock;
+    /** Divides requests between the versions of a model while one replaces another; by default from a fixed seed. */
+    readonly random?: Random;
     readonly logger: Logger;
     /** Takes the events of this process; by default they are dropped. */
     readonly history?: HistoryRecorder;
@@ -78,8 +81,10 @@
         const { clock, configuration, listen, logger, router } = options;
         this.options = options;
         this.limits = entryLimitsSchema.parse(options.limits ?? {});
+        const versions = new ModelVersions(configuration, options.random ?? seededRandom(1));
         this.services = {
             ...options,
+            versions,
             links: new AgentLinks({
                 ...options,
                 onLost: (targets, open) => logger.warn({ targets, open }, "entry: a link was lost"),
@@ -101,7 +106,10 @@
             onFault: fault => logger.error({ fault }, "entry: a request met a fault of the program"),
         });
         router.update(routingTargets(configuration));
-        this.removeHandler = configuration.onChange(() => router.update(routingTargets(configuration)));
+        this.removeHandler = configuration.onChange(() => {
+            router.update(routingTargets(configuration));
+            versions.refresh();
+        });
     }
 
     /** Requests in progress. */
--- a/packages/entry/src/lib/models/ModelRequest.ts
+++ b/packages/entry/src/lib/models/ModelRequest.ts
@@ -1,5 +1,6 @@
 import { type Sampling } from "@waxwingspar/transport";
 import { type ClaimSubject } from "../links/ClaimBinding.js";
+import { prefixHashes } from "./prefixHashes.js";
 
 /**
  * A model request that has passed every check of the entry.
@@ -10,6 +11,7 @@
     readonly id: string;
     readonly organisation: string;
     readonly model: string;
+    /** The version that answers; it stays the same once a token was delivered. */
     readonly version: string;
     readonly adapter: string | undefined;
     /** The number of layers of the model. */
@@ -20,7 +22,7 @@
     readonly firstTokenBound: number;
     readonly priority: number;
     readonly prompt: string;
-    /** Hashes of the prompt's blocks. */
+    /** Hashes of the prompt's blocks, which differ between versions. */
     readonly prefix: readonly string[];
     readonly sampling: Sampling;
     /** The clock's time at which the request arrived. */
@@ -30,3 +32,9 @@
     /** Set for a request that is not idempotent. */
     readonly claim: ClaimSubject | undefined;
 }
+
+/** The same request for a version of its model. @internal */
+export function forVersion(request: Omit<ModelRequest, "version" | "prefix">, version: string): ModelRequest {
+    const { model, adapter, prompt } = request;
+    return { ...request, version, prefix: prefixHashes(`${model}\n${version}\n${adapter ?? ""}`, prompt) };
+}
--- a/packages/entry/src/lib/models/completionsRoute.ts
+++ b/packages/entry/src/lib/models/completionsRoute.ts
@@ -17,12 +17,12 @@
 import { type AgentLinks } from "../links/AgentLinks.js";
 import { ClaimBinding, type ClaimSubject } from "../links/ClaimBinding.js";
 import { type OpenRequest } from "../OpenRequests.js";
+import { type ModelVersions } from "../versions/ModelVersions.js";
 import { AnswerFormat } from "./AnswerFormat.js";
 import { StreamedAnswer, WholeAnswer } from "./answerSinks.js";
 import { chatSchema, type CompletionRequest, completionSchema, fromChat, fromCompletion } from "./completionsSchema.js";
 import { findModel, type ModelChoice } from "./findModel.js";
-import { type ModelRequest } from "./ModelRequest.js";
-import { prefixHashes } from "./prefixHashes.js";
+import { forVersion, type ModelRequest } from "./ModelRequest.js";
 import { RequestRun } from "./RequestRun.js";
 
 /**
@@ -43,6 +43,7 @@
     readonly tracer: Tracer;
     readonly bodies: BodyReader;
     readonly replies: ReplyMemory;
+    readonly versions: ModelVersions;
 }
 
 /**
@@ -133,7 +134,7 @@
 }
 
 function prepare(
-    { configuration, limits }: RouteServices,
+    { configuration, limits, versions }: RouteServices,
     exchange: Exchange,
     caller: Caller,
     completion: CompletionRequest,
@@ -151,7 +152,9 @@
         return Result.err(keyMissing());
     }
     const request = toModelRequest(exchange, caller, completion, model.value, headers.value);
-    return Result.ok({ completion, request, key });
+    const { name, adapter, spec } = model.value;
+    const [version = spec.current] = versions.rank(name, adapter);
+    return Result.ok({ completion, request: forVersion(request, version), key });
 }
 
 function toModelRequest(
@@ -160,20 +163,18 @@
     completion: CompletionRequest,
     { name, adapter, spec }: ModelChoice,
     headers: RequestHeaders,
-): ModelRequest {
+): Omit<ModelRequest, "version" | "prefix"> {
     const { prompt, sampling } = completion;
     return {
         id: exchange.id,
         organisation: caller.organisation,
         model: name,
-        version: spec.current,
         adapter,
         layers: spec.layers,
         activationBytes: spec.activationBytes,
         firstTokenBound: spec.firstTokenBound,
         priority: headers.priority,
         prompt,
-        prefix: prefixHashes(`${name}\n${spec.current}\n${adapter ?? ""}`, prompt),
         sampling: { ...sampling, maxTokens: Math.min(sampling.maxTokens, spec.contextTokens) },
         arrived: exchange.arrived,
         deadline: headers.deadline,
--- a/packages/entry/src/lib/models/interleavings.test.ts
+++ b/packages/entry/src/lib/models/interleavings.test.ts
@@ -73,6 +73,7 @@
             history,
             metrics: noMetrics,
             limits: entryLimitsSchema.parse({ creditWindow: 2 }),
+            versions: { rank: () => ["1"] },
             tracer,
             span: tracer.startSpan("request"),
             binding: subject === undefined ? undefined : new ClaimBinding({ claims, links, configuration, subject }),
--- a/packages/entry/src/lib/routingTargets.ts
+++ b/packages/entry/src/lib/routingTargets.ts
@@ -24,11 +24,15 @@
         bandwidth: spec.link.bandwidth,
         latency: spec.link.latency,
         slots: spec.slots,
-        holds: [...spec.holds, ...placed],
+        holds: [...spec.holds, ...placed.filter(one => !spec.holds.some(held => isSame(held, one)))],
         service: spec.service,
     };
 }
 
+function isSame(a: Held, b: Held): boolean {
+    return a.model === b.model && a.version === b.version && a.first === b.first && a.last === b.last;
+}
+
 function placedLayers(configuration: Configuration): Map<string, Held[]> {
     const placed = new Map<string, Held[]>();
     for (const { spec } of configuration.list("placement")) {
--- a/packages/entry/src/lib/testing/FakeRouter.ts
+++ b/packages/entry/src/lib/testing/FakeRouter.ts
@@ -27,8 +27,12 @@
     readonly lost: string[] = [];
     readonly asked: RouteRequest[] = [];
     targets: readonly RoutingTarget[] = [];
+    /** Targets that get no new work. */
+    readonly withdrawn = new Set<string>();
     /** Set to refuse every choice. */
     refusal: Failure | undefined;
+    /** The only versions for which there are chains; undefined for all. */
+    versions: readonly string[] | undefined;
 
     /** @param chains - The chains for models, and for services by their single stages, best first. */
     constructor(private readonly chains: readonly (readonly Stage[])[]) {}
@@ -39,6 +43,9 @@
 
     choose(request: RouteRequest): Outcome<RoutedAttempt> {
         this.asked.push(request);
+        if (this.versions?.includes(request.version) === false) {
+            return Result.err(failure(requestCodes.noCapacity, "no chain of this version", { retryAfter: 1500 }));
+        }
         return this.pick(request.exclude, request.head);
     }
 
@@ -63,7 +70,8 @@
             return Result.err(this.refusal);
         }
         const stages = this.chains.find(chain =>
-            (head === undefined || chain[0]?.target === head) && chain.every(stage => !exclude.has(stage.target))
+            (head === undefined || chain[0]?.target === head)
+            && chain.every(stage => !exclude.has(stage.target) && !this.withdrawn.has(stage.target))
         );
         if (stages === undefined) {
             return Result.err(failure(requestCodes.noCapacity, "no chain", { retryAfter: 1500 }));
--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -25,6 +25,8 @@
     readonly emptyBudget?: boolean;
     /** Agents that another site of the test also uses. */
     readonly agents?: readonly FakeAgent[];
+    /** Resources that replace those of the same kind and name. */
+    readonly resources?: (agents: readonly FakeAgent[]) => readonly Resource[];
 }
 
 /**
@@ -50,7 +52,11 @@
         this.claims = options.claims ?? new FakeClaims();
         this.router = new FakeRouter(this.agents.map(agent => [stageOf(agent)]));
         const configuration = new StaticConfiguration();
-        configuration.set(siteResources(this.agents));
+        const replaced = options.resources?.(this.agents) ?? [];
+        const kept = siteResources(this.agents).filter(({ kind, name }) =>
+            !replaced.some(other => other.kind === kind && other.name === name)
+        );
+        configuration.set([...kept, ...replaced]);
         this.entry = new Entry({
             listen: { host: "127.0.0.1", port: 0 },
             links: new FakeLinkPool(this.agents),
@@ -123,7 +129,7 @@
         make("organisation", "ports", { priority: 5 }),
         make("organisation", "depots", { allow: ["records"] }),
         make("credential", "ports-caller", { tokenHash, role: "caller", organisation: "ports" }),
-        make("model", "demo", { layers: 12, versions: ["1"], current: "1" }),
+        modelResource({ versions: ["1"], current: "1" }),
         make("adapter", "polite", { model: "demo", versions: ["1"], bytes: 1000 }),
         make("service", "records", { nonIdempotent: [{ method: "POST", path: "/work-orders" }], maxBody: 1000 }),
         ...agents.map(targetResource),
@@ -135,6 +141,17 @@
     return make("target", target, { ...address, dataCentre: "dc1", service: "records" });
 }
 
+/** The test's model. @internal */
+export function modelResource(spec: { versions: string[]; current: string; replicas?: number; }): Resource<"model"> {
+    return make("model", "demo", { layers: 12, ...spec });
+}
+
+/** A target on which an operator has pinned whole versions of the test's model. @internal */
+export function pinnedTarget({ target, address }: FakeAgent, versions: readonly string[]): Resource<"target"> {
+    const holds = versions.map(version => ({ model: "demo", version, first: 0, last: 11 }));
+    return make("target", target, { ...address, dataCentre: "dc1", service: "records", holds });
+}
+
 function make<K extends Kind>(kind: K, name: string, spec: unknown): Resource<K> {
     return resource(kind, name, specSchemas[kind].parse(spec) as Resource<K>["spec"]);
 }
--- /dev/null
+++ b/packages/entry/src/lib/versions/pipelineCounts.ts
@@ -0,0 +1,81 @@
+import { type Configuration } from "@waxwingspar/config";
+
+/**
+ * How many whole pipelines serve each version, by model.
+ *
+ * @internal
+ */
+export type PipelineCounts = ReadonlyMap<string, ReadonlyMap<string, number>>;
+
+/** The ends of the layer ranges that begin at a layer, by that layer. */
+type RangeEnds = Map<number, number[]>;
+
+/**
+ * Counts the pipelines that may take requests: placements that are ready, and whole chains of layers that operators
+ * have pinned.
+ *
+ * @internal
+ */
+export function pipelineCounts(configuration: Configuration): PipelineCounts {
+    const counts = new Map<string, Map<string, number>>();
+    for (const { spec } of configuration.list("placement")) {
+        if (spec.ready) {
+            add(counts, spec.model, spec.version, 1);
+        }
+    }
+    for (const { model, version, ranges } of pinnedRanges(configuration)) {
+        const layers = configuration.get("model", model)?.spec.layers ?? 0;
+        add(counts, model, version, countChains(ranges, layers));
+    }
+    return counts;
+}
+
+function add(counts: Map<string, Map<string, number>>, model: string, version: string, count: number): void {
+    const ofModel = counts.get(model) ?? new Map<string, number>();
+    ofModel.set(version, (ofModel.get(version) ?? 0) + count);
+    counts.set(model, ofModel);
+}
+
+interface PinnedRanges {
+    readonly model: string;
+    readonly version: string;
+    readonly ranges: RangeEnds;
+}
+
+function pinnedRanges(configuration: Configuration): Iterable<PinnedRanges> {
+    const pinned = new Map<string, PinnedRanges>();
+    for (const { spec } of configuration.list("target")) {
+        for (const { model, version, first, last } of spec.holds) {
+            const key = `${model}\n${version}`;
+            const known = pinned.get(key) ?? { model, version, ranges: new Map<number, number[]>() };
+            pinned.set(key, known);
+            const ends = known.ranges.get(first) ?? [];
+            known.ranges.set(first, ends);
+            ends.push(last);
+        }
+    }
+    return pinned.values();
+}
+
+/** Takes chains of ranges that follow one another from the first layer to the last, until there is none. */
+function countChains(ranges: RangeEnds, layers: number): number {
+    let count = 0;
+    while (layers > 0 && takeChain(ranges, 0, layers)) {
+        count++;
+    }
+    return count;
+}
+
+/** Takes ranges that lead from a layer to the end; one that leads nowhere is dropped. */
+function takeChain(ranges: RangeEnds, first: number, layers: number): boolean {
+    if (first === layers) {
+        return true;
+    }
+    const ends = ranges.get(first) ?? [];
+    for (let last = ends.pop(); last !== undefined; last = ends.pop()) {
+        if (takeChain(ranges, last + 1, layers)) {
+            return true;
+        }
+    }
+    return false;
+}
