The command `waxwingspar bench`

Cause: operators had no means to see what callers get at a given rate. Change: `waxwingspar bench` plans, runs and reports load with packages/load; tokens of organisations come from a file. The plan leaves out the first draws of the random generator, which lie near 1 for any small seed. Before: with seeds 1 and 3 a short plan held no call at all (two tests of benchCommand.test.ts failed so). Conclusion: load on a site can be repeated from its command line.

--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -2,6 +2,7 @@
 import { Command, Option } from "commander";
 import { createRequire } from "node:module";
 import { z } from "zod";
+import { registerBenchCommand } from "./commands/benchCommand.js";
 import { checkHistoryCommand, type CheckHistoryOptions, checkSettingsCommand } from "./commands/checkCommands.js";
 import { type CommandOutput } from "./commands/CommandOutput.js";
 import { agentCommand, entryCommand } from "./commands/daemonCommands.js";
@@ -55,6 +56,7 @@
     registerOperatorCommands(program, { output, exit });
     addCheckCommands(program, output, exit);
     addStandInCommands(program, output, exit);
+    registerBenchCommand(program, output, exit);
     return program;
 }
 
--- a/packages/load/src/lib/plan/planCalls.test.ts
+++ b/packages/load/src/lib/plan/planCalls.test.ts
@@ -42,6 +42,12 @@
     assert.notDeepEqual(planCalls({ ...settings, seed: 6 })[0], planCalls(settings)[0]);
 });
 
+test("the first arrival of small seeds is one of a Poisson process too", () => {
+    const seeds = Array.from({ length: 400 }, (_, seed) => seed);
+    const firsts = seeds.map(seed => planCalls({ ...settings, duration: 1, seed })[0]?.at ?? Infinity);
+    near(share(firsts.filter(first => first > 5).length, firsts.length), Math.exp(-1), 0.08);
+});
+
 test("calls keep the shares of services, organisations and common beginnings", () => {
     const calls = planCalls(settings);
     near(share(calls.filter(({ kind }) => kind === "service").length, calls.length), 0.25, 0.02);
--- a/packages/load/src/lib/plan/planCalls.ts
+++ b/packages/load/src/lib/plan/planCalls.ts
@@ -4,6 +4,9 @@
 /** A plan never holds more calls than this. */
 const maxCalls = 1_000_000;
 
+/** Draws after which the numbers of different seeds have nothing in common. */
+const unsettledDraws = 32;
+
 const millisecondsPerSecond = 1000;
 const words = ["keel", "mast", "spar", "deck", "hull", "sail", "rope", "helm", "port", "buoy", "dock", "tide"];
 
@@ -18,7 +21,7 @@
     if (rate * duration > maxCalls) {
         throw new RangeError(`more than ${maxCalls} calls`);
     }
-    const random = seededRandom(seed);
+    const random = settledRandom(seed);
     const prefix = prompt(random, Math.round(settings.promptTokens * settings.sharedPrefix));
     const calls: PlannedCall[] = [];
     const end = duration * millisecondsPerSecond;
@@ -28,6 +31,15 @@
     return calls;
 }
 
+/** The generator's first draws hardly depend on a small seed and lie near 1, which would delay the first arrivals. */
+function settledRandom(seed: number): Random {
+    const random = seededRandom(seed);
+    for (let draw = 0; draw < unsettledDraws; draw++) {
+        random.next();
+    }
+    return random;
+}
+
 /** Milliseconds between two arrivals: exponential, by inversion. */
 function gap(random: Random, rate: number): number {
     return -Math.log(1 - random.next()) / rate * millisecondsPerSecond;
