Router: answers and load reports correct what is believed of prefix caches

Cause: a router knew caches only from its own routing history. A target that no longer held a prompt went on drawing it, and the long first tokens of the misses made the target look slow. Change: RoutedAttempt.cached(blocks) (optional) halves the trust in blocks that were expected and not there, shared among the stages, and restores it on hits; what was learned from the first token is corrected by it. LoadReport has two optional fields: cacheGeneration, whose change ends all belief in a target, and cacheEvicted, which shortens the trust in its blocks.

--- a/packages/policy/src/lib/routing/ChainAttempt.ts
+++ b/packages/policy/src/lib/routing/ChainAttempt.ts
@@ -15,9 +15,23 @@
     firstToken(attempt: ChainAttempt, latency: number): void;
     /** The mean of some intervals between tokens, in milliseconds. */
     interval(attempt: ChainAttempt, mean: number): void;
+    /** So many leading blocks of the prompt were in the cache of every stage. */
+    cachedSeen(attempt: ChainAttempt, blocks: number): void;
     ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined): void;
 }
 
+/**
+ * What was learned from the time to the first token.
+ *
+ * @internal
+ */
+export interface FirstTokenLesson {
+    /** In milliseconds. */
+    readonly latency: number;
+    /** By how much the factor of each stage changed. */
+    readonly changes: readonly number[];
+}
+
 /**
  * An attempt on a chain: counts its load on every stage while it runs, and passes on what its owner sees.
  *
@@ -27,6 +41,8 @@
     readonly stages: readonly Stage[];
     /** Blocks of prefill that the attempt added to each stage. */
     private readonly prefillBlocks: number;
+    /** The time to the first token, and what was learned from it. */
+    firstTokenLesson: FirstTokenLesson | undefined;
     private awaitsFirstToken = true;
     private isOver = false;
     private intervalSum = 0;
@@ -35,7 +51,7 @@
     /**
      * @param key - The model version or service.
      * @param prefix - The prompt's blocks.
-     * @param cached - Leading blocks that every stage is thought to hold.
+     * @param expectedBlocks - Leading blocks that every stage is thought to hold.
      * @param probe - The stage whose target is probed by this attempt, if any.
      */
     constructor(
@@ -43,7 +59,7 @@
         readonly input: CostInput,
         readonly key: string,
         readonly prefix: readonly string[],
-        readonly cached: number,
+        readonly expectedBlocks: number,
         readonly probe: Candidate | undefined,
         private readonly observer: AttemptObserver,
     ) {
@@ -51,7 +67,7 @@
             const { name, host, port } = state.target;
             return { target: name, host, port, first: range.first, last: range.last };
         });
-        this.prefillBlocks = Math.max(1, input.blocks - cached);
+        this.prefillBlocks = Math.max(1, input.blocks - expectedBlocks);
         for (const { state } of chain) {
             state.inFlight++;
             state.pendingBlocks += this.prefillBlocks;
@@ -77,6 +93,12 @@
         }
     }
 
+    cached(blocks: number): void {
+        if (!this.isOver) {
+            this.observer.cachedSeen(this, blocks);
+        }
+    }
+
     end(result: AttemptEnd, target?: string): void {
         if (this.isOver) {
             return;
--- a/packages/policy/src/lib/routing/LatencyLearner.ts
+++ b/packages/policy/src/lib/routing/LatencyLearner.ts
@@ -41,14 +41,19 @@
         }
     }
 
-    /** Takes in the time to the first token of an attempt, in milliseconds. */
+    /**
+     * Takes in the time to the first token of an attempt, in milliseconds.
+     *
+     * @returns By how much that changed the factor of each stage.
+     */
     learnFirstToken(
         chain: readonly Candidate[],
         input: CostInput,
         key: string,
         cached: number,
         observed: number,
-    ): void {
+    ): readonly number[] {
+        const before = chain.map(({ state }) => state.prefillFactor.value);
         const usual = this.costs.usualOf(key);
         const blocks = Math.max(0, input.blocks - cached);
         const parts = chain.map(({ state, range }): Part => {
@@ -57,6 +62,17 @@
             return { factor: state.prefillFactor, promised, predicted };
         });
         correct(parts, observed - this.hopDelays(chain, input.activationBytes).total - total(parts), input.now);
+        return chain.map(({ state }, index) => state.prefillFactor.value - before[index]!);
+    }
+
+    /**
+     * Takes back what {@link LatencyLearner.learnFirstToken} learned, since other blocks were cached than was thought: a
+     * miss taken for a hit makes its targets look many times as slow as they are.
+     */
+    unlearnFirstToken(chain: readonly Candidate[], changes: readonly number[], now: number): void {
+        chain.forEach(({ state: { prefillFactor } }, index) => {
+            prefillFactor.set(prefillFactor.value - (changes[index] ?? 0), now);
+        });
     }
 
     /** How slow a probed target is: the whole error of the chain is taken as its own. */
--- a/packages/policy/src/lib/routing/PrefixIndex.test.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.test.ts
@@ -53,3 +53,58 @@
     one.cacheGaps += 50;
     assert.ok(index.match(prompt("a", 10)).get(one)! < 2);
 });
+
+test("a miss where a hit was expected costs trust that storing the prompt again does not restore, a hit does", () => {
+    const { index, state } = setUp(100);
+    const one = state("one");
+    const trusts = ["miss", "miss", "miss", "hit", "hit"].map(answer => {
+        const expected = index.match(prompt("a", 20)).get(one) ?? 0;
+        index.stored([one], prompt("a", 20));
+        index.judge([one], prompt("a", 20), { expected, seen: answer === "hit" ? 20 : 0 });
+        return index.match(prompt("a", 20)).get(one)! / 20;
+    });
+    // Nothing was expected of the first answer, so it proves nothing.
+    assert.deepEqual(trusts, [1, 0.5, 0.25, 0.625, 0.8125]);
+    assert.equal(index.size, 20);
+});
+
+test("a partial hit is told from a miss, within the error of its place", () => {
+    const { index, state } = setUp(100);
+    const one = state("one");
+    index.stored([one], prompt("a", 20));
+    index.judge([one], prompt("a", 20), { expected: 20, seen: 16 });
+    assert.equal(index.match(prompt("a", 20)).get(one), 20);
+    index.judge([one], prompt("a", 20), { expected: 20, seen: 8 });
+    assert.equal(index.match(prompt("a", 11)).get(one), 11);
+    assert.equal(index.match(prompt("a", 20)).get(one), 11);
+});
+
+test("the stages of a chain share the blame for a miss, and each is cleared by hits elsewhere", () => {
+    const { index, state } = setUp(100);
+    const [one, two] = [state("one"), state("two")];
+    index.stored([one, two], prompt("a", 10));
+    index.judge([one, two], prompt("a", 10), { expected: 10, seen: 0 });
+    const share = index.match(prompt("a", 10)).get(one)! / 10;
+    assert.ok(share > 0.7 && share < 0.72, `${share}`);
+    index.judge([one], prompt("a", 10), { expected: 10, seen: 10 });
+    assert.ok(index.match(prompt("a", 10)).get(one)! > index.match(prompt("a", 10)).get(two)!);
+});
+
+test("reported evictions shorten the trust, and another generation ends it", () => {
+    const { clock, index, state } = setUp(100);
+    const one = state("one");
+    const load = { target: "one", running: 0, queued: 0, slots: 1, tokenInterval: 0, firstTokenEstimate: 0 };
+    const report = (cacheGeneration: number, cacheEvicted: number) =>
+        one.report({ ...load, leaving: false, cacheGeneration, cacheEvicted }, clock.now(), 1);
+    report(3, 60);
+    index.stored([one], prompt("a", 10));
+    clock.advance(1000);
+    const left = index.match(prompt("a", 10)).get(one)!;
+    assert.ok(Math.abs(left - 10 / 2 / Math.E) < 1e-9, `${left}`);
+    // A lower number than before comes from an agent that has started again.
+    report(0, 0);
+    assert.equal(index.match(prompt("a", 10)).size, 0);
+    index.stored([one], prompt("a", 10));
+    report(0, 0);
+    assert.equal(index.match(prompt("a", 10)).get(one), 10);
+});
--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -5,6 +5,13 @@
 const maxHolders = 16;
 /** What remains of the trust in a block each time that events of its target were lost after it was stored. */
 const trustAfterGap = 0.98;
+/** How much of the trust in a block rests on the last answer that tells whether it was there. */
+const answerWeight = 0.5;
+/** Below this trust a block counts as absent, so that not even a tie is decided by it. */
+const leastTrust = 0.1;
+/** Blocks by which the place where a hit ends may be off: a part of its depth, and a part of one block. */
+const depthError = 0.25;
+const blockError = 1;
 
 interface Holder {
     readonly state: TargetState;
@@ -12,6 +19,18 @@
     readonly storedAt: number;
     /** The target's count of gaps at that time. */
     readonly gaps: number;
+    /** What answers have shown of this block on this target, from 0 (never there) to 1. */
+    readonly trust: number;
+}
+
+/**
+ * How many leading blocks of a prompt were thought to be on all stages of a chain, and how many were.
+ *
+ * @internal
+ */
+export interface CacheSighting {
+    readonly expected: number;
+    readonly seen: number;
 }
 
 /**
@@ -34,7 +53,7 @@
         const storedAt = this.options.clock.now();
         const added = states.map((state): Holder => {
             const { cacheGeneration: generation, cacheGaps: gaps } = state;
-            return { state, generation, storedAt, gaps };
+            return { state, generation, storedAt, gaps, trust: 1 };
         });
         // The end of a prompt first, so that it is also forgotten first: a block is worthless without those before it.
         for (let place = blocks.length - 1; place >= 0; place--) {
@@ -43,6 +62,37 @@
         this.trim();
     }
 
+    /**
+     * Corrects the trust in a prompt's blocks by an answer. A hit is true of every stage; a miss may be the fault of any
+     * one, so each takes a part of it. The blocks stay known even after a miss: the answer has just computed them anew,
+     * but whether they will be found there next time is as doubtful as it was this time.
+     */
+    judge(states: readonly TargetState[], blocks: readonly string[], { expected, seen }: CacheSighting): void {
+        // That nothing was there is exact; only the place where a hit ends is not.
+        const missedFrom = seen === 0 ? 0 : seen * (1 + depthError) + blockError;
+        const isMiss = expected > missedFrom;
+        const missWeight = 1 - (1 - answerWeight) ** (1 / states.length);
+        blocks.forEach((block, index) => {
+            const depth = index + 1;
+            if (depth <= seen) {
+                this.correct(block, states, trust => trust + (1 - trust) * answerWeight);
+            }
+            else if (isMiss && depth > missedFrom) {
+                this.correct(block, states, trust => trust * (1 - missWeight));
+            }
+        });
+    }
+
+    private correct(block: string, states: readonly TargetState[], change: (trust: number) => number): void {
+        const holders = this.blocks.get(block);
+        holders?.forEach((holder, place) => {
+            const trust = change(holder.trust);
+            if (trust !== holder.trust && states.includes(holder.state)) {
+                holders[place] = { ...holder, trust };
+            }
+        });
+    }
+
     evicted(state: TargetState, blocks: readonly string[]): void {
         for (const block of blocks) {
             const holders = this.blocks.get(block);
@@ -77,12 +127,14 @@
 
     private matchHolder(holder: Holder, depth: number, found: Map<TargetState, number>): void {
         const { state } = holder;
-        if (found.has(state) || holder.generation !== state.cacheGeneration) {
+        if (holder.trust < leastTrust || holder.generation !== state.cacheGeneration) {
             return;
         }
         const age = this.options.clock.now() - holder.storedAt;
-        const trust = 2 ** -(age / this.options.cacheHalfLife) * trustAfterGap ** (state.cacheGaps - holder.gaps);
-        found.set(state, depth * trust);
+        const kept = 2 ** -(age / this.options.cacheHalfLife) * Math.exp(-age * state.evictionRate);
+        const trust = holder.trust * kept * trustAfterGap ** (state.cacheGaps - holder.gaps);
+        // Fewer blocks that are surely there can be worth more than many that are doubtful.
+        found.set(state, Math.max(found.get(state) ?? 0, depth * trust));
     }
 
     /** The number of leading blocks that are known at all; if a block is known, those before it are. */
@@ -122,7 +174,9 @@
 function addHolder(holders: Holder[], holder: Holder): void {
     const place = holders.findIndex(other => other.state === holder.state);
     if (place >= 0) {
-        holders[place] = holder;
+        const before = holders[place]!;
+        const isSame = before.trust === 1 || before.generation !== holder.generation;
+        holders[place] = isSame ? holder : { ...holder, trust: before.trust };
     }
     else if (holders.length < maxHolders) {
         holders.push(holder);
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -68,6 +68,13 @@
     firstToken(latency: number): void;
     /** A later token came, so many milliseconds after the one before. */
     token(interval: number): void;
+    /**
+     * How much of the prompt came from the prefix cache of every stage, which corrects what is believed of them. To be
+     * called before the end, and only when no KV cache was taken over from another attempt.
+     *
+     * @param blocks - Leading blocks of the request's prefix; not exact, see docs/design/cache-feedback.md.
+     */
+    cached?(blocks: number): void;
     /**
      * The attempt ended. Later calls do nothing.
      *
--- a/packages/policy/src/lib/routing/TargetState.ts
+++ b/packages/policy/src/lib/routing/TargetState.ts
@@ -7,6 +7,7 @@
 const factorHalfLife = 10_000;
 /** Milliseconds in which half the effect of a refusal is forgotten. */
 const refusalHalfLife = 300;
+const minute = 60_000;
 
 /**
  * What the router keeps of one target.
@@ -26,6 +27,8 @@
     cacheGeneration = 0;
     /** How many times cache events were lost; each time some remembered blocks may have been evicted unseen. */
     cacheGaps = 0;
+    /** The share of the target's blocks that are evicted in a millisecond, as the target last reported it. */
+    evictionRate = 0;
     /** Time between tokens against the accelerator's promise. */
     readonly intervalFactor = new LearnedFactor(factorHalfLife);
     /** Time to the first token against the accelerator's promise. */
@@ -34,6 +37,7 @@
     private reportedAt = 0;
     private reportedFirstToken = 0;
     private refusedAt = -Infinity;
+    private reportedGeneration: number | undefined;
 
     constructor(public target: RoutingTarget, readonly hash: number, readonly health: TargetHealth) {}
 
@@ -62,6 +66,21 @@
         this.othersPerSlot = before + (others - before) * (1 - Math.exp(-(now - this.reportedAt) / memory));
         this.reportedFirstToken = load.firstTokenEstimate;
         this.reportedAt = now;
+        this.reportCache(load);
+    }
+
+    private reportCache({ cacheGeneration, cacheEvicted }: LoadReport): void {
+        if (cacheEvicted !== undefined) {
+            this.evictionRate = cacheEvicted / minute;
+        }
+        if (cacheGeneration === undefined || cacheGeneration === this.reportedGeneration) {
+            return;
+        }
+        // Reports of one agent arrive in their order, so a number that differs is a newer one, also if it is lower.
+        if (this.reportedGeneration !== undefined) {
+            this.cacheGeneration++;
+        }
+        this.reportedGeneration = cacheGeneration;
     }
 
     refused(now: number): void {
--- a/packages/policy/src/lib/routing/createRouter.ts
+++ b/packages/policy/src/lib/routing/createRouter.ts
@@ -121,14 +121,15 @@
     }
 
     firstToken(attempt: ChainAttempt, latency: number): void {
-        const { chain, input, key, cached, probe } = attempt;
+        const { chain, input, key, expectedBlocks, probe } = attempt;
         for (const { state } of chain) {
             state.health.succeeded();
             this.dataCentres.succeeded(state.target.dataCentre);
         }
         this.prefixes.stored(chain.map(({ state }) => state), attempt.prefix);
         if (probe === undefined) {
-            this.learner.learnFirstToken(chain, this.at(input), key, cached, latency);
+            const changes = this.learner.learnFirstToken(chain, this.at(input), key, expectedBlocks, latency);
+            attempt.firstTokenLesson = { latency, changes };
         }
     }
 
@@ -143,6 +144,18 @@
         }
     }
 
+    cachedSeen(attempt: ChainAttempt, blocks: number): void {
+        const { chain, key, prefix, expectedBlocks, firstTokenLesson } = attempt;
+        const states = chain.map(({ state }) => state);
+        const seen = Math.min(prefix.length, blocks);
+        this.prefixes.judge(states, prefix, { expected: expectedBlocks, seen });
+        if (firstTokenLesson !== undefined && Math.abs(seen - expectedBlocks) > 1) {
+            const input = this.at(attempt.input);
+            this.learner.unlearnFirstToken(chain, firstTokenLesson.changes, input.now);
+            this.learner.learnFirstToken(chain, input, key, seen, firstTokenLesson.latency);
+        }
+    }
+
     ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined): void {
         const faulty = attempt.chain.filter(stage => target === undefined || stage.state.name === target);
         if (result === "refused") {
--- a/packages/transport/src/lib/messages/common.ts
+++ b/packages/transport/src/lib/messages/common.ts
@@ -46,6 +46,10 @@
     firstTokenEstimate: z.number(),
     /** True once the target takes no new work. */
     leaving: z.boolean(),
+    /** Changes when the prefix cache was cleared, or when more of its events were lost than can be accounted for. */
+    cacheGeneration: z.number().int().nonnegative().optional(),
+    /** The share of the prefix cache's blocks that is evicted in a minute; above 1 when all are replaced sooner. */
+    cacheEvicted: z.number().nonnegative().optional(),
 });
 
 /** @public */
