--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -19,6 +19,8 @@
 import { type BoundRunner, type ClaimBinding } from "../links/ClaimBinding.js";
 import { fromWire } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
+import { chooseChain } from "../versions/chooseChain.js";
+import { type ModelVersions } from "../versions/ModelVersions.js";
 import { type AnswerSink } from "./AnswerSink.js";
 import { Attempt } from "./Attempt.js";
 import { type ModelRequest } from "./ModelRequest.js";
@@ -34,6 +36,7 @@
     readonly history: HistoryRecorder;
     readonly metrics: EntryMetrics;
     readonly limits: EntryLimits;
+    readonly versions: Pick<ModelVersions, "rank">;
     readonly tracer: Tracer;
     /** The span of the whole request. */
     readonly span: Span;
@@ -51,7 +54,7 @@
  */
 export class RequestRun implements LinkHandler {
     private readonly options: RequestRunOptions;
-    private readonly request: ModelRequest;
+    private request: ModelRequest;
     private readonly produced: number[] = [];
     private readonly recovery: Recovery;
     private epoch = 0;
@@ -152,17 +155,21 @@
     }
 
     private choose(): Outcome<RoutedAttempt> {
-        const { model, version, layers, activationBytes, prefix } = this.request;
-        const head = this.options.binding?.target;
-        return this.options.router.choose({
-            model,
-            version,
-            layers,
-            activationBytes,
-            prefix,
-            exclude: this.recovery.exclude,
-            head,
-        });
+        const { router, versions, binding } = this.options;
+        const { request, recovery: { exclude } } = this;
+        const mayChangeVersion = this.mayChangeVersion();
+        const chosen = chooseChain({ router, versions, request, exclude, head: binding?.target, mayChangeVersion });
+        if (chosen.isOk && chosen.value.request !== request) {
+            this.request = chosen.value.request;
+            // A KV cache of another version is of no use.
+            this.exporters = [];
+        }
+        return chosen.map(({ routed }) => routed);
+    }
+
+    /** The runner of a claim may hold a part of the answer that was not delivered yet. */
+    private mayChangeVersion(): boolean {
+        return this.produced.length === 0 && (this.options.binding === undefined || !this.recovery.mayHaveRun);
     }
 
     private async connect(
