Entry: a claim stays with its runner once an attempt may have run

Cause: a claimed request ran at its head, a later stage was lost, and the head refused to go on (1012, of the second attempt). The entry took this for a refusal of the whole request, moved the claim to another head and ran it there again. Change: after an attempt that may have run, a refusal is followed by another try at the same runner, never by a move. Before: claimedRecovery.test.js fails: the second head gets an open message. Conclusion: only a request of which no attempt may have run changes its runner.

--- a/packages/entry/src/lib/recovery/Recovery.ts
+++ b/packages/entry/src/lib/recovery/Recovery.ts
@@ -70,6 +70,10 @@
             this.lost = cause;
             this.lostTime ??= this.options.clock.now();
         }
+        else if (this.options.binding !== undefined && this.lost !== undefined) {
+            // An earlier attempt may have run. This refusal is about going on, so the claim stays with its runner.
+            return this.again(cause);
+        }
         else if (this.options.binding?.release() === true) {
             return this.again(cause);
         }
