Loads are joined, and nothing is taken away from requests that run

Cause: an agent that restarted during a load could get the order again under a new id, and the fake engine then held the layers twice. The gate let `unload` and a role other than `serving` through while requests ran on what they take away; only the duty's older report stood against it. ControlPart searched all members for each target in each step. Change: WeightMemory joins a load that is under way or held, also for a part of its range. OrderGate looks at the requests of its agent directly before the engine gets an order and refuses `unload` of a version in use, and another role while any request runs, as 4006 in-use, with a retry after one second. A refusal is final for its id, since a copy may arrive late; the duty tries again with a new one. ControlPart looks incarnations up in a table that is built anew when the membership changes. Conclusion: an order and a request that arrive at the engine at the same moment are still ordered by the engine alone.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -110,6 +110,7 @@
             readFence: options.readFence ?? (() => Promise.resolve(Result.ok(0))),
             retryDelay: 1000,
             log: context.log,
+            inUse: () => this.inUse(),
             applied: () => context.held.refresh(),
         });
         this.methods = {
--- a/packages/agent/src/lib/control/OrderGate.test.ts
+++ b/packages/agent/src/lib/control/OrderGate.test.ts
@@ -15,6 +15,7 @@
     readonly history: HistoryEvent[] = [];
     storeFence = 0;
     storeDown = false;
+    inUse: { model: string; version: string; }[] = [];
     answer: (order: Order) => Promise<Outcome<void>> = () => Promise.resolve(Result.ok<void, never>(undefined));
     gate = this.createGate();
 
@@ -42,6 +43,7 @@
                 ),
             log: pino({ enabled: false }),
             retryDelay: 1000,
+            inUse: () => this.inUse,
             applied: () => Promise.resolve(),
         });
     }
@@ -124,6 +126,31 @@
     assert.equal(site.history.length, 1);
 });
 
+test("nothing is taken away from requests that run, and the refusal of an order is final", async () => {
+    const site = new GateSite();
+    await site.gate.start();
+    const unload = (id: string, version: string): Order => (
+        { id, fence: 1, action: { kind: "unload", model: "demo", version } }
+    );
+    const setRole = (id: string, role: "prefill" | "idle"): Order => ({
+        id,
+        fence: 1,
+        action: { kind: "setRole", role },
+    });
+    site.inUse = [{ model: "demo", version: "v1" }];
+    const inUse = platformCodes.inUse.number;
+    assert.equal(await codeOf(site.gate.apply(unload("o1", "v1"))), inUse);
+    assert.equal(await codeOf(site.gate.apply(setRole("o2", "idle"))), inUse);
+    assert.equal(await codeOf(site.gate.apply(setRole("o3", "prefill"))), inUse);
+    assert.equal(await codeOf(site.gate.apply(unload("o4", "v2"))), undefined);
+    assert.equal(await codeOf(site.gate.apply(order("o5", 1))), undefined);
+    site.inUse = [];
+    assert.equal(await codeOf(site.gate.apply(unload("o1", "v1"))), inUse, "a copy that comes late changes nothing");
+    assert.equal(await codeOf(site.gate.apply(unload("o6", "v1"))), undefined);
+    assert.deepEqual(site.applied, ["o4", "o5", "o6"]);
+    assert.deepEqual(site.history.map(event => event.event === "order.applied" ? event.order : ""), site.applied);
+});
+
 test("fences never go back over restarts, two holders and an unsteady store", async () => {
     const step = fc.record({
         kind: fc.constantFrom("order", "restart", "store", "time", "note"),
--- a/packages/agent/src/lib/control/OrderGate.ts
+++ b/packages/agent/src/lib/control/OrderGate.ts
@@ -12,6 +12,7 @@
 } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Result } from "true-myth";
+import { type ModelVersion } from "../AgentContext.js";
 import { guarded } from "../guarded.js";
 
 /** The JSON-RPC method that takes an order. @internal */
@@ -20,6 +21,9 @@
 /** Results of orders that are remembered for repeats. */
 const rememberedOrders = 1024;
 
+/** Milliseconds after which a duty may ask again for what requests still run on. */
+const inUseRetryAfter = 1000;
+
 /** @internal */
 export interface OrderGateOptions {
     readonly target: string;
@@ -31,6 +35,8 @@
     readonly readFence: () => Promise<Outcome<number>>;
     /** Milliseconds until the fence is read again after a failure. */
     readonly retryDelay: number;
+    /** The model versions that requests run on or wait for at this agent. */
+    readonly inUse: () => readonly ModelVersion[];
     /** Runs after an order has changed the engine. */
     readonly applied: () => Promise<unknown>;
 }
@@ -119,6 +125,10 @@
         if (this.stopped || order.fence < (this.fence ?? 0)) {
             return staleFence(order.fence, this.fence ?? 0);
         }
+        if (this.takesFromRequests(order)) {
+            log.info({ order: order.id, kind: order.action.kind }, "orders: refused, since requests still run");
+            return inUse();
+        }
         if (!this.recorded.has(order.id)) {
             this.remembered(order.id);
             record({ event: "order.applied", order: order.id, fence: order.fence, target });
@@ -134,6 +144,19 @@
         return outcome;
     }
 
+    /** Whether requests run on what the order would take away. This is the last look before the engine has the order. */
+    private takesFromRequests({ action }: Order): boolean {
+        const used = this.options.inUse();
+        switch (action.kind) {
+            case "unload":
+                return used.some(({ model, version }) => model === action.model && version === action.version);
+            case "setRole":
+                return action.role !== "serving" && used.length > 0;
+            default:
+                return false;
+        }
+    }
+
     private remember(id: string, result: Promise<Outcome<void>>): void {
         this.results.set(id, result);
         for (const oldest of this.results.keys()) {
@@ -174,3 +197,7 @@
 function staleFence(fence: number, highest: number): Outcome<void> {
     return Result.err(failure(platformCodes.staleFence, `fence ${fence} is below ${highest}`));
 }
+
+function inUse(): Outcome<void> {
+    return Result.err(failure(platformCodes.inUse, "requests still run on it", { retryAfter: inUseRetryAfter }));
+}
--- a/packages/cli/src/lib/nodes/ControlPart.ts
+++ b/packages/cli/src/lib/nodes/ControlPart.ts
@@ -1,3 +1,4 @@
+import { type Member } from "@waxwingspar/config";
 import { DutyRunner, LinkTargets, PlacementStore, SiteDuty } from "@waxwingspar/control";
 import { type TableStore } from "@waxwingspar/platform";
 import { type LinkPool } from "@waxwingspar/transport";
@@ -55,13 +56,28 @@
         store,
         record,
         targets: new LinkTargets({ pool, addressOf: target => configuration.get("target", target)?.spec }),
-        incarnationOf: target => part.membership.agents().find(({ process }) => process === target)?.incarnation,
+        incarnationOf: liveIncarnations(part),
         readRevision: () => placements.readRevision(),
         writePlacement: (change, guard, changeId) => placements.writePlacement(change, guard, changeId),
         onFailure: (message, { code }) => logger.warn({ code: code.number }, `control: ${message}`),
     });
 }
 
+/** Looks up the start of a target's live agent. The table is built once for each change of the membership. */
+function liveIncarnations({ membership }: ConfigurationPart): (target: string) => string | undefined {
+    let members: readonly Member[] | undefined;
+    let incarnations = new Map<string, string | undefined>();
+    return target => {
+        const latest = membership.members();
+        if (latest !== members) {
+            members = latest;
+            const live = latest.filter(({ role, state }) => role === "agent" && state === "live");
+            incarnations = new Map(live.map(({ process, incarnation }) => [process, incarnation]));
+        }
+        return incarnations.get(target);
+    };
+}
+
 function membersOf({ membership }: ConfigurationPart): { process: string; dataCentre: string; leaving: boolean; }[] {
     return membership.members()
         .filter(({ state }) => state !== "unreachable")
--- a/packages/engine/src/lib/FakeEngine.test.ts
+++ b/packages/engine/src/lib/FakeEngine.test.ts
@@ -327,6 +327,22 @@
     assert.equal(unwrap(await engine.exportCache("0-1")).positions, 0);
 });
 
+test("a load that is under way or held already is joined and takes its memory once", async () => {
+    const clock = new ManualClock();
+    const engine = instantEngine({ clock, memory: 100, loadRate: 50 });
+    const load = (id: string, first: number, last: number): Order => (
+        { id, fence: 1, action: { kind: "load", model, version: "a", first, last, bytes: 75 } }
+    );
+    const outcomes = Promise.all([engine.order(load("1", 0, 3)), engine.order(load("2", 0, 3))]);
+    const part = engine.order(load("3", 1, 2));
+    await clock.advanceAsync(1500, 100);
+    [...await outcomes, await part].forEach(outcome => unwrap(outcome));
+    unwrap(await engine.order(load("4", 0, 3)));
+    const info = unwrap(await engine.info());
+    const held = info.held.filter(({ version }) => version === "a").map(({ first, last }) => [first, last]);
+    assert.deepEqual([held, info.freeMemory], [[[0, 3]], 25]);
+});
+
 test("a slow engine takes longer, a closed session frees its slot, load figures lag", async () => {
     const clock = new ManualClock();
     const engine = instantEngine({ clock, slots: 1, stepTime: 10, loadLag: 100 });
--- a/packages/engine/src/lib/fake/WeightMemory.ts
+++ b/packages/engine/src/lib/fake/WeightMemory.ts
@@ -34,6 +34,11 @@
     bytes: number;
 }
 
+interface Loading {
+    readonly action: LoadAction;
+    readonly outcome: Promise<Outcome<void>>;
+}
+
 type LoadAction = Extract<Order["action"], { kind: "load"; }>;
 
 const millisecondsPerSecond = 1000;
@@ -48,8 +53,8 @@
 export class WeightMemory {
     private readonly loaded: Loaded[];
     private readonly orders = new Map<string, Promise<Outcome<void>>>();
-    /** Bytes set aside for loads under way. */
-    private loadingBytes = 0;
+    /** Loads under way. */
+    private readonly loading = new Set<Loading>();
     private role: EngineInfo["role"] = "serving";
     private highestFence: number | undefined;
 
@@ -127,17 +132,33 @@
         }
     }
 
-    private async load({ model, version, first, last, bytes }: LoadAction): Promise<Outcome<void>> {
-        if (this.loaded.some(held => matches(held, model, version) && held.first === first && held.last === last)) {
-            return done;
+    /** Loads layers, unless they are held already; joins a load of them that is under way. */
+    private load(action: LoadAction): Promise<Outcome<void>> {
+        const { model, version, bytes } = action;
+        if (this.loaded.some(held => matches(held, model, version) && covers(held, action))) {
+            return Promise.resolve(done);
+        }
+        const joined = [...this.loading].find(other =>
+            matches(other.action, model, version) && covers(other.action, action)
+        );
+        if (joined !== undefined) {
+            return joined.outcome;
         }
         if (bytes > this.freeMemory()) {
             const message = `${bytes} bytes do not fit into ${this.freeMemory()} free ones`;
-            return Result.err(failure(resourceCodes.insufficientCapacity, message));
+            return Promise.resolve(Result.err(failure(resourceCodes.insufficientCapacity, message)));
         }
-        this.loadingBytes += bytes;
+        const loading: Loading = { action, outcome: this.finishLoad(action, () => this.loading.delete(loading)) };
+        this.loading.add(loading);
+        return loading.outcome;
+    }
+
+    private async finishLoad(
+        { model, version, first, last, bytes }: LoadAction,
+        ended: () => void,
+    ): Promise<Outcome<void>> {
         await sleep(this.options.clock, bytes / this.options.loadRate * millisecondsPerSecond);
-        this.loadingBytes -= bytes;
+        ended();
         this.loaded.push({ model, version, first, last, adapters: [], bytes });
         return done;
     }
@@ -168,10 +189,17 @@
 
     private freeMemory(): number {
         const used = this.loaded.reduce((sum, held) => sum + held.bytes, 0);
-        return this.options.memory - used - this.loadingBytes;
+        const loading = [...this.loading].reduce((sum, { action }) => sum + action.bytes, 0);
+        return this.options.memory - used - loading;
     }
 }
 
-function matches(held: Loaded, model: string, version: string): boolean {
-    return held.model === model && held.version === version;
+function matches(part: Pick<HeldLayers, "model" | "version">, model: string, version: string): boolean {
+    return part.model === model && part.version === version;
+}
+
+function covers(part: LayerRange, wanted: LayerRange): boolean {
+    return part.first <= wanted.first && wanted.last <= part.last;
 }
+
+type LayerRange = Pick<HeldLayers, "first" | "last">;
--- a/packages/utils/src/lib/resultCodes/platformCodes.ts
+++ b/packages/utils/src/lib/resultCodes/platformCodes.ts
@@ -54,4 +54,12 @@
         retry: "no",
         summary: "The order carries an older fencing number than one already seen.",
     },
+    inUse: {
+        number: 4006,
+        name: "in-use",
+        execution: "not run",
+        status: 409,
+        retry: "later",
+        summary: "Requests still run on what the order would take away.",
+    },
 } as const satisfies Record<string, ResultCode>;
