Policy: the benchmark counts requests that never end

Cause: a request was counted as offered when it ended, so those still waiting in a FIFO queue at the end of a run were missing from the offered rate. Change: a request counts as offered when it arrives.

--- a/packages/policy/src/bench/BenchRequest.ts
+++ b/packages/policy/src/bench/BenchRequest.ts
@@ -40,6 +40,7 @@
     ) {}
 
     start(): void {
+        this.world.measurement.arrived(this.arrival.time, this.arrival.organisation);
         this.budget.request();
         this.attempt();
     }
--- a/packages/policy/src/bench/Measurement.ts
+++ b/packages/policy/src/bench/Measurement.ts
@@ -14,6 +14,11 @@
     readonly isWithinBounds: boolean;
 }
 
+interface Tally {
+    offered: number;
+    good: number;
+}
+
 /**
  * What a run measured.
  *
@@ -28,8 +33,8 @@
     /** Prompt blocks of the attempts that ran, and those of them that were cached on every stage. */
     promptBlocks = 0;
     cachedBlocks = 0;
-    private readonly bySecond: { offered: number; good: number; }[] = [];
-    private readonly byOrganisation: { offered: number; good: number; }[] = [];
+    private readonly bySecond: Tally[] = [];
+    private readonly byOrganisation: Tally[] = [];
 
     constructor(private readonly from: number, private readonly to: number) {}
 
@@ -37,13 +42,23 @@
         this.intervals.recordValueWithCount(Math.round(milliseconds * scale), count);
     }
 
+    /** A request arrived; one that never ends counts as offered all the same. */
+    arrived(arrival: number, organisation: number): void {
+        const second = Math.floor(arrival / 1000);
+        rowOf(this.bySecond, second).offered++;
+        if (this.isCounted(second)) {
+            rowOf(this.byOrganisation, organisation).offered++;
+        }
+    }
+
     ended(end: RequestEnd): void {
         const second = Math.floor(end.arrival / 1000);
-        count(this.bySecond, second, end.isWithinBounds);
-        if (second < this.from || second >= this.to) {
+        const good = end.isWithinBounds ? 1 : 0;
+        rowOf(this.bySecond, second).good += good;
+        if (!this.isCounted(second)) {
             return;
         }
-        count(this.byOrganisation, end.organisation, end.isWithinBounds);
+        rowOf(this.byOrganisation, end.organisation).good += good;
         if (end.firstToken !== undefined) {
             this.firstTokens.recordValue(Math.round(end.firstToken * scale));
         }
@@ -81,25 +96,27 @@
         }
         return undefined;
     }
+
+    private isCounted(second: number): boolean {
+        return second >= this.from && second < this.to;
+    }
 }
 
 function newHistogram(): Histogram {
     return build({ lowestDiscernibleValue: 1, highestTrackableValue: highestValue, numberOfSignificantValueDigits: 3 });
 }
 
-function count(rows: { offered: number; good: number; }[], index: number, isGood: boolean): void {
+function rowOf(rows: Tally[], index: number): Tally {
     while (rows.length <= index) {
         rows.push({ offered: 0, good: 0 });
     }
-    const row = rows[index]!;
-    row.offered++;
-    row.good += isGood ? 1 : 0;
+    return rows[index]!;
 }
 
-function sum(rows: readonly { offered: number; good: number; }[], what: "offered" | "good"): number {
+function sum(rows: readonly Tally[], what: "offered" | "good"): number {
     return rows.reduce((total, row) => total + row[what], 0);
 }
 
-function share(rows: readonly { offered: number; good: number; }[]): number {
+function share(rows: readonly Tally[]): number {
     return sum(rows, "good") / Math.max(1, sum(rows, "offered"));
 }
