--- a/packages/policy/src/bench/BenchRequest.ts
+++ b/packages/policy/src/bench/BenchRequest.ts
@@ -19,6 +19,13 @@
 const connectionFailure = 1;
 const tokensPerBlock = 64;
 
+/** An attempt that runs. */
+interface BenchSession {
+    isOver: boolean;
+    /** Leading blocks of the prompt that every stage held. */
+    readonly cached: number;
+}
+
 /**
  * One request: attempts on chains until one completes, the budget is spent or the bound is past all hope.
  *
@@ -131,7 +138,9 @@
 
     private run(attempt: RoutedAttempt, id: string, head: FakeTarget, tail: FakeTarget, headStart: number): void {
         const tailStart = this.now;
-        const session = { isOver: false };
+        const { prefix } = this.arrival;
+        const cached = Math.min(head.cachedBlocks(prefix), tail.cachedBlocks(prefix));
+        const session: BenchSession = { isOver: false, cached };
         const over = () => {
             session.isOver = true;
             head.sessions.delete(session);
@@ -148,8 +157,6 @@
             return;
         }
         [head, tail].forEach(target => target.sessions.set(session, () => fail(target)));
-        const { prefix } = this.arrival;
-        const cached = Math.min(head.cachedBlocks(prefix), tail.cachedBlocks(prefix));
         this.world.measurement.promptBlocks += prefix.length;
         this.world.measurement.cachedBlocks += cached;
         const later = (work: () => void, delay: number) =>
@@ -183,12 +190,13 @@
         attempt: RoutedAttempt,
         head: FakeTarget,
         tail: FakeTarget,
-        session: { readonly isOver: boolean; },
+        session: BenchSession,
         over: () => void,
     ): void {
         const left = this.arrival.tokens - this.produced;
         if (left <= 0) {
             over();
+            attempt.cached?.(session.cached);
             attempt.end("completed");
             this.budget.ended(true);
             this.finish(true);
