Keep the rankings of data centres that have not changed

Change: a member that has not changed stays the same object, and a data centre with the same members keeps its ranking.

--- a/packages/config/src/lib/membership/Membership.test.ts
+++ b/packages/config/src/lib/membership/Membership.test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import { emptyListDigest, ListHistory } from "./ListHistory.js";
 import { Membership } from "./Membership.js";
+import { rankByWeight } from "./rendezvous.js";
 
 const minute = 60_000;
 
@@ -141,6 +142,45 @@
     assert.deepEqual(after, before.slice(1));
 });
 
+test("rankings that are kept are those that would be computed afresh", () => {
+    const step = fc.oneof(
+        fc.record({ what: fc.constant("list" as const), hosts: fc.uniqueArray(fc.nat(9), { maxLength: 9 }) }),
+        fc.record({ what: fc.constantFrom("fail" as const, "hello" as const, "leave" as const), who: fc.nat(9) }),
+    );
+    fc.assert(fc.property(fc.array(fc.tuple(step, fc.nat(20_000)), { maxLength: 30 }), steps => {
+        const { clock, membership } = setUp();
+        for (const [one, pause] of steps) {
+            takeStep(membership, one);
+            clock.advance(pause + 1);
+            for (const centre of ["a", "b"]) {
+                const usable = membership.members().filter(({ dataCentre, state, suspect }) =>
+                    dataCentre === centre && state === "live" && !suspect
+                );
+                assert.deepEqual(membership.ranked(centre), rankByWeight(`reader/${centre}`, usable));
+            }
+        }
+    }));
+});
+
+type Step = { what: "list"; hosts: number[]; } | { what: "fail" | "hello" | "leave"; who: number; };
+
+function takeStep(membership: Membership, step: Step): void {
+    if (step.what === "list") {
+        membership.updateList(step.hosts.map(index => host(`x${index}`, index + 10, index % 2 === 0 ? "a" : "b")));
+        return;
+    }
+    const process = `x${step.who}`;
+    if (step.what === "fail") {
+        membership.sawFailure(process);
+    }
+    else if (step.what === "leave") {
+        membership.sawLeaving(process);
+    }
+    else {
+        membership.sawHello({ process, incarnation: `${process}#${membership.members().length}` });
+    }
+}
+
 test("live lists travel as differences to the same digest", () => {
     const hosts = fc.uniqueArray(fc.record({ name: fc.nat(8), port: fc.nat(3) }), { selector: one => one.name });
     fc.assert(fc.property(fc.array(hosts, { minLength: 1, maxLength: 8 }), fc.nat(), (lists, at) => {
--- a/packages/config/src/lib/membership/Membership.ts
+++ b/packages/config/src/lib/membership/Membership.ts
@@ -48,6 +48,8 @@
     /** True while the list may still speak of an earlier incarnation when it says `leaving`. */
     listLags: boolean;
     suspectUntil: number;
+    /** How it was last shown, and the place that it was shown with. */
+    shown?: { readonly host: Entry["host"]; readonly member: Member; };
 }
 
 /**
@@ -67,7 +69,8 @@
     private readonly replaced = new Set<string>();
     private readonly handlers = new Set<() => void>();
     private listReadAt = Number.NEGATIVE_INFINITY;
-    private view: MembershipView | undefined;
+    private view = new MembershipView([], Number.NEGATIVE_INFINITY);
+    private viewChanged = true;
 
     constructor({ self, clock, ...options }: MembershipOptions) {
         this.self = self;
@@ -188,7 +191,7 @@
         }
         const now = this.clock.now();
         if (entry.suspectUntil > now) {
-            this.view = undefined;
+            this.viewChanged = true;
         }
         entry.heardAt = now;
         entry.suspectUntil = now;
@@ -230,10 +233,11 @@
 
     private currentView(): MembershipView {
         const now = this.clock.now();
-        if (this.view === undefined || this.view.until <= now) {
+        if (this.viewChanged || this.view.until <= now) {
             const entries = [...this.known.values()];
             const until = entries.reduce((least, entry) => Math.min(least, this.nextExpiry(entry, now)), Infinity);
-            this.view = new MembershipView(entries.map(entry => this.describe(entry, now)), until);
+            this.view = new MembershipView(entries.map(entry => this.describe(entry, now)), until, this.view);
+            this.viewChanged = false;
         }
         return this.view;
     }
@@ -246,8 +250,14 @@
     }
 
     private describe(entry: Entry, now: number): Member {
-        const { host, incarnation, suspectUntil } = entry;
-        return { ...host, state: this.stateOf(entry), incarnation, suspect: suspectUntil > now };
+        const { host, incarnation, suspectUntil, shown } = entry;
+        const state = this.stateOf(entry);
+        const suspect = suspectUntil > now;
+        const known = shown?.host === host ? shown.member : undefined;
+        const same = known?.state === state && known.suspect === suspect && known.incarnation === incarnation;
+        const member = same ? known : { ...host, state, incarnation, suspect };
+        entry.shown = { host, member };
+        return member;
     }
 
     private stateOf(entry: Entry): Member["state"] {
@@ -276,7 +286,7 @@
             this.known.set(host.process, { host, listed: state, ...times, listLags: false });
             return;
         }
-        entry.host = host;
+        entry.host = isSamePlace(entry.host, host) ? entry.host : host;
         entry.listed = state;
         entry.listLags &&= state === "leaving";
     }
@@ -298,7 +308,9 @@
 
     /** Whoever answered last at an address is there; another process that the list still shows there is gone. */
     private replaceAddress(entry: Entry, { host, port }: Address): void {
-        entry.host = { ...entry.host, host, port };
+        if (entry.host.host !== host || entry.host.port !== port) {
+            entry.host = { ...entry.host, host, port };
+        }
         for (const [name, other] of this.known) {
             if (other !== entry && other.host.host === host && other.host.port === port && name !== this.self.process) {
                 other.leaving = other.incarnation ??= "replaced";
@@ -344,7 +356,12 @@
     }
 
     private announce(): void {
-        this.view = undefined;
+        this.viewChanged = true;
         [...this.handlers].forEach(handler => handler());
     }
 }
+
+function isSamePlace(one: Entry["host"], other: Entry["host"]): boolean {
+    return one.host === other.host && one.port === other.port && one.dataCentre === other.dataCentre
+        && one.region === other.region && one.role === other.role;
+}
--- a/packages/config/src/lib/membership/MembershipView.ts
+++ b/packages/config/src/lib/membership/MembershipView.ts
@@ -1,17 +1,29 @@
 import { type Member } from "./Member.js";
 import { rankByWeight } from "./rendezvous.js";
 
+interface Ranking {
+    readonly usable: readonly Member[];
+    readonly ranked: readonly Member[];
+}
+
 /**
  * The members at one moment, with look-ups that are built once and kept until something changes.
  *
  * @internal
  */
 export class MembershipView {
-    private readonly rankings = new Map<string, readonly Member[]>();
+    private readonly rankings = new Map<string, Ranking>();
+    private readonly earlier: ReadonlyMap<string, Ranking>;
     private centres: ReadonlyMap<string, readonly Member[]> | undefined;
 
-    /** @param until - When the view is out of date by the passing of time alone. */
-    constructor(readonly members: readonly Member[], readonly until: number) {}
+    /**
+     * @param members - The members; one that has not changed is the same object as before.
+     * @param until - When the view is out of date by the passing of time alone.
+     * @param previous - The view before, whose rankings serve for data centres that have not changed.
+     */
+    constructor(readonly members: readonly Member[], readonly until: number, previous?: MembershipView) {
+        this.earlier = previous?.rankings ?? new Map<string, Ranking>();
+    }
 
     /** The names of all data centres. */
     get dataCentres(): readonly string[] {
@@ -22,12 +34,14 @@
     ranked(dataCentre: string): readonly Member[] {
         const known = this.rankings.get(dataCentre);
         if (known !== undefined) {
-            return known;
+            return known.ranked;
         }
         const usable = (this.byCentre().get(dataCentre) ?? []).filter(one => one.state === "live" && !one.suspect);
-        const ranked = rankByWeight(`reader/${dataCentre}`, usable);
-        this.rankings.set(dataCentre, ranked);
-        return ranked;
+        const earlier = this.earlier.get(dataCentre);
+        const same = earlier !== undefined && areSame(earlier.usable, usable);
+        const ranking = same ? earlier : { usable, ranked: rankByWeight(`reader/${dataCentre}`, usable) };
+        this.rankings.set(dataCentre, ranking);
+        return ranking.ranked;
     }
 
     private byCentre(): ReadonlyMap<string, readonly Member[]> {
@@ -36,6 +50,10 @@
     }
 }
 
+function areSame(one: readonly Member[], other: readonly Member[]): boolean {
+    return one.length === other.length && one.every((member, index) => member === other[index]);
+}
+
 function groupByCentre(members: readonly Member[]): Map<string, Member[]> {
     const groups = new Map<string, Member[]>();
     for (const member of members) {
