Load: the body of a refusal is no first token

Cause: the reader noted the time of each piece of any answer, also of an error's body. Change: only text of a stream counts as tokens. Conclusion: first-token times are those of answers alone.

--- a/packages/load/src/lib/run/AnswerReader.ts
+++ b/packages/load/src/lib/run/AnswerReader.ts
@@ -33,7 +33,6 @@
 
     take(piece: string): void {
         if (!this.streamed) {
-            this.note();
             this.kept = (this.kept + piece).slice(0, maxKept);
             return;
         }
@@ -73,14 +72,10 @@
         const choice = chunk.data.choices[0];
         this.finished ||= typeof choice?.finish_reason === "string";
         if (choice?.text !== undefined && choice.text !== "") {
-            this.note();
+            this.pieceTimes.push(this.clock.now());
         }
     }
 
-    private note(): void {
-        this.pieceTimes.push(this.clock.now());
-    }
-
     private result(outcome: CallEnd["outcome"]): CallEnd {
         const { code, pieceTimes, usage } = this;
         return {
--- a/packages/load/src/lib/run/CallEnd.ts
+++ b/packages/load/src/lib/run/CallEnd.ts
@@ -14,7 +14,7 @@
     readonly outcome: "completed" | "refused" | "broken" | "not connected" | "timed out" | "not sent";
     /** The number of the result code, for a call that was refused. */
     readonly code?: number;
-    /** When each piece of text came, by the clock. */
+    /** When each piece of a streamed text came, by the clock. */
     readonly pieceTimes: readonly number[];
     /** Tokens of the prompt and of the answer as the site counted them. */
     readonly promptTokens?: number;
--- a/packages/load/src/lib/run/HttpCaller.test.ts
+++ b/packages/load/src/lib/run/HttpCaller.test.ts
@@ -56,8 +56,9 @@
     const refusal = { error: { number: 1301, execution: "not run" } };
     for (const [status, body] of [[503, JSON.stringify(refusal)], [200, token + event(refusal)]] as const) {
         const caller = await callerOf(context, (_, response) => response.writeHead(status).end(body));
-        const { outcome, code } = await caller.call(call);
+        const { outcome, code, pieceTimes } = await caller.call(call);
         assert.deepEqual([outcome, code], ["refused", 1301]);
+        assert.equal(pieceTimes.length, status === 200 ? 1 : 0, "the body of an error is no token");
     }
 });
 
