Entry: a duplicate joins its claim's runner also while that is leaving

Cause: the router gives a leaving target no new work, so a duplicate of a claimed model request that ran there was told "outcome unknown" although its runner still answers. Change: when the router has no chain with the claim's runner as head, the duplicate is sent to the runner on the chain that was chosen, with the runner in the head's place; a runner that does not know the claim refuses that as not run. Before: "a duplicate joins a model request on a target that is leaving" fails without the change. After: ServiceCall.test.ts: 16 tests pass, interleavings.test.ts: 2. Conclusion: none.

--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -15,7 +15,7 @@
 import { type EntryLimits } from "../EntryLimits.js";
 import { type EntryMetrics } from "../EntryMetrics.js";
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
-import { type AgentLinks } from "../links/AgentLinks.js";
+import { type AgentAddress, type AgentLinks } from "../links/AgentLinks.js";
 import { type BoundRunner, type ClaimBinding } from "../links/ClaimBinding.js";
 import { fromWire } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
@@ -143,13 +143,7 @@
         const { agent, link, claim } = connected.value;
         if (headOf(routed) !== agent.target) {
             routed.end("cancelled");
-            const rerouted = this.choose();
-            if (rerouted.isErr) {
-                return this.finish(
-                    failure(requestCodes.outcomeUnknown, "the target that holds the claim takes no work"),
-                );
-            }
-            routed = rerouted.value;
+            routed = this.choose().unwrapOr(joinRunner(routed, agent));
         }
         this.open(routed, link, claim?.id);
     }
@@ -389,6 +383,15 @@
     }
 }
 
+/**
+ * The chain for a duplicate whose runner gets no new work from the router. Joining what already runs there is no new
+ * work; if nothing runs there, the runner itself refuses the chain and the claim is moved.
+ */
+function joinRunner(routed: RoutedAttempt, { target, host, port }: AgentAddress): RoutedAttempt {
+    const stages = routed.stages.map((stage, index) => index === 0 ? { ...stage, target, host, port } : stage);
+    return { stages, firstToken: () => undefined, token: () => undefined, end: () => undefined };
+}
+
 function headOf(routed: RoutedAttempt): string {
     return routed.stages[0]?.target ?? "";
 }
