--- a/packages/config/src/bench/LoopbackSite.ts
+++ b/packages/config/src/bench/LoopbackSite.ts
@@ -44,11 +44,15 @@
 
     constructor(private readonly options: Partial<ConfigurationNodeOptions> & { readonly offers?: boolean; } = {}) {}
 
-    /** Starts processes, spread over data centres, and waits until all are ready and have found their parents. */
-    async start(count: number, centres: number): Promise<void> {
+    /**
+     * Starts processes, spread over data centres.
+     *
+     * @param settle - Milliseconds for them to find their parents.
+     */
+    async start(count: number, centres: number, settle = settleTime): Promise<void> {
         const names = Array.from({ length: count }, (_unused, index) => `p${index}`);
         await Promise.all(names.map((name, index) => this.startProcess(name, `dc${index % centres}`)));
-        await sleep(this.clock, settleTime);
+        await sleep(this.clock, settle);
     }
 
     /** Starts one process; the same name replaces an earlier one. */
