Rollout tested from the operator's change to the engines

Cause: placement, orders, agents and entry were tested apart; nothing showed that a change of `current` under requests works through all of them. Change: RolloutSite starts seven agents with fake engines, an entry and the control duty over loopback links and one table service in memory, with short times. One test rolls v2 out under continuous requests; another takes it back after v2 serves, and stops the holder of the duty in the middle of both. Each answer must be the reference answer of exactly one version, none may be refused, at the end one version alone serves and is held, and the history must hold. ControlPart takes optional times. Conclusion: the holder stops gracefully here; that it may also die or be paused is shown by the tests of the control package, not by this one.

--- a/packages/cli/src/lib/nodes/ControlPart.ts
+++ b/packages/cli/src/lib/nodes/ControlPart.ts
@@ -10,6 +10,18 @@
     readonly store: TableStore;
     readonly pool: LinkPool;
     readonly part: ConfigurationPart;
+    /** Times that differ from the defaults of the control package, for sites that are to move fast. */
+    readonly times?: ControlTimes;
+}
+
+/** In milliseconds; see the options of the control package. @internal */
+export interface ControlTimes {
+    /** How long a lease lasts. */
+    readonly duration?: number;
+    /** Between two steps. */
+    readonly interval?: number;
+    readonly drainDelay?: number;
+    readonly observeInterval?: number;
 }
 
 /**
@@ -22,7 +34,7 @@
     private readonly runner: DutyRunner;
 
     constructor(options: ControlPartOptions) {
-        const { clock, random, logger, incarnation, store, name: process } = options;
+        const { clock, random, logger, incarnation, store, times, name: process } = options;
         this.runner = new DutyRunner({
             store,
             clock,
@@ -30,11 +42,18 @@
             process,
             incarnation,
             duties: [createSiteDuty(options)],
+            duration: times?.duration,
+            interval: times?.interval,
             members: () => membersOf(options.part),
             onFault: (duty, fault) => logger.error({ duty, fault }, "control: a duty met a fault of the program"),
         });
     }
 
+    /** True while this process holds the duty. */
+    get holding(): boolean {
+        return this.runner.held().length > 0;
+    }
+
     /** Begins to poll the lease. */
     start(): void {
         this.runner.start();
@@ -46,7 +65,8 @@
     }
 }
 
-function createSiteDuty({ dataCentre, clock, logger, record, store, pool, part }: ControlPartOptions): SiteDuty {
+function createSiteDuty(options: ControlPartOptions): SiteDuty {
+    const { dataCentre, clock, logger, record, store, pool, part, times } = options;
     const configuration = part.node;
     const placements = new PlacementStore(part.resources, store);
     return new SiteDuty({
@@ -57,6 +77,8 @@
         record,
         targets: new LinkTargets({ pool, addressOf: target => configuration.get("target", target)?.spec }),
         incarnationOf: liveIncarnations(part),
+        drainDelay: times?.drainDelay,
+        observeInterval: times?.observeInterval,
         readRevision: () => placements.readRevision(),
         writePlacement: (change, guard, changeId) => placements.writePlacement(change, guard, changeId),
         onFailure: (message, { code }) => logger.warn({ code: code.number }, `control: ${message}`),
--- /dev/null
+++ b/packages/cli/src/lib/testing/RolloutSite.ts
@@ -0,0 +1,258 @@
+import { TableClaims } from "@waxwingspar/claims";
+import { createObserveMethod, observeMethodName, ordersDuty, readFence } from "@waxwingspar/control";
+import { FakeEngine } from "@waxwingspar/engine";
+import { checkHistory, type HistoryEvent, type HistoryLine, type HistoryRecorder } from "@waxwingspar/history";
+import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/platform";
+import { createLogger, createTracing } from "@waxwingspar/telemetry";
+import { type Address } from "@waxwingspar/transport";
+import { seededRandom, SystemClock } from "@waxwingspar/utils";
+import { randomBytes } from "node:crypto";
+import { setTimeout as pause } from "node:timers/promises";
+import { AgentNode } from "../nodes/AgentNode.js";
+import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
+import { ControlPart } from "../nodes/ControlPart.js";
+import { EntryNode } from "../nodes/EntryNode.js";
+import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
+import { ProcessLinks } from "../nodes/ProcessLinks.js";
+import { applyDocuments } from "../site/seedResources.js";
+import { freePorts } from "./SpawnedCommand.js";
+
+/** A model of three stages; each target has room for its layers in two versions. @internal */
+export const rolloutModel = { name: "demo", layers: 6, replicas: 2 } as const;
+
+const dataCentre = "dc1";
+const host = "127.0.0.1";
+const layerBytes = 1_000_000;
+const targetMemory = 4_000_000;
+const targetCount = 7;
+/** Three layers load in a third of a second. */
+const loadRate = 10_000_000;
+const times = { duration: 1500, interval: 50, drainDelay: 1500, observeInterval: 50 };
+const patience = 60_000;
+const pollInterval = 20;
+
+interface SiteAgent {
+    readonly name: string;
+    readonly engine: FakeEngine;
+    readonly node: AgentNode;
+    readonly part: ConfigurationPart;
+    readonly control: ControlPart;
+}
+
+/**
+ * Processes with the whole way from an operator's change to the engines in them: configuration, membership, control
+ * duty, agents with fake engines, and an entry, over links on loopback and one table service in memory.
+ *
+ * @internal
+ */
+export class RolloutSite {
+    readonly agents: SiteAgent[] = [];
+    readonly history: HistoryLine[] = [];
+    private readonly clock = new SystemClock();
+    private readonly store = new MemoryTableStore({ clock: this.clock });
+    private readonly liveList = new MemoryLiveList({ clock: this.clock });
+    private readonly credentials = { keys: [{ id: "site", secret: randomBytes(32).toString("hex") }] };
+    private readonly tracing = createTracing({ process: "rollout" });
+    private readonly sequences = new Map<string, number>();
+    private entry: { node: EntryNode; part: ConfigurationPart; address: Address; } | undefined;
+
+    /** Starts every process, declares the targets and the model at its first version, and waits until it serves. */
+    async start(): Promise<void> {
+        const [entryPort = 0, ...ports] = await freePorts(targetCount + 1);
+        for (const [index, port] of ports.entries()) {
+            await this.startAgent(`target-${index + 1}`, port, index);
+        }
+        await this.startEntry(entryPort);
+        await this.declare([
+            { kind: "organisation", name: "callers", spec: {} },
+            modelDocument("v1"),
+            ...this.agents.map(({ name }, index) => targetDocument(name, ports[index] ?? 0)),
+        ]);
+        await this.until("the first version serves", () => this.servesOnly("v1"));
+    }
+
+    /** Ends everything. */
+    async stop(): Promise<void> {
+        await Promise.all(this.agents.map(({ control }) => control.stop()));
+        await this.entry?.part.stop();
+        await this.entry?.node.stop();
+        await Promise.all(this.agents.map(async ({ node, part }) => {
+            await part.stop();
+            await node.stop();
+        }));
+        await this.tracing.shutdown();
+    }
+
+    /** Makes a version the current one, as an operator would. */
+    async setCurrent(version: string): Promise<void> {
+        await this.declare([modelDocument(version)]);
+    }
+
+    /** Ends the part that the present holder takes in the control duty. @returns Its name. */
+    async stopHolder(): Promise<string> {
+        await this.until("somebody holds the duty", () => this.agents.some(({ control }) => control.holding));
+        const holder = this.agents.find(({ control }) => control.holding)!;
+        await holder.control.stop();
+        return holder.name;
+    }
+
+    /** How many pipelines of a version are ready, as the entry sees it. */
+    readyPipelines(version: string): number {
+        const placements = this.entry?.part.node.list("placement") ?? [];
+        return placements.filter(({ spec }) => spec.version === version && spec.ready).length;
+    }
+
+    /** How many stages the pipelines have. */
+    stageCounts(): number[] {
+        return (this.entry?.part.node.list("placement") ?? []).map(({ spec }) => spec.stages.length);
+    }
+
+    /** Whether all wanted pipelines of a version are ready, and there are no others. */
+    servesOnly(version: string): boolean {
+        const placements = this.entry?.part.node.list("placement") ?? [];
+        return this.readyPipelines(version) === rolloutModel.replicas && placements.length === rolloutModel.replicas;
+    }
+
+    /** The versions that engines hold. */
+    async heldVersions(): Promise<string[]> {
+        const infos = await Promise.all(this.agents.map(({ engine }) => engine.info()));
+        const held = infos.flatMap(info => info.isOk ? info.value.held.map(({ version }) => version) : []);
+        return [...new Set(held)].sort();
+    }
+
+    /** Waits until something holds. @throws Error when that takes far too long. */
+    async until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+        for (let waited = 0; !await holds(); waited += pollInterval) {
+            if (waited > patience) {
+                throw new Error(`waited in vain until ${what}`);
+            }
+            await pause(pollInterval);
+        }
+    }
+
+    /** Sends a completion request. @returns The status and the text, or the code of the failure. */
+    async complete(prompt: string, maxTokens: number): Promise<{ status: number; text: string; }> {
+        const { host: name, port } = this.entry!.address;
+        const response = await fetch(`http://${name}:${port}/v1/completions`, {
+            method: "POST",
+            headers: { "Content-Type": "application/json" },
+            body: JSON.stringify({ model: rolloutModel.name, prompt, max_tokens: maxTokens }),
+        });
+        const body = await response.text();
+        const text = response.ok ? (JSON.parse(body) as { choices: { text: string; }[]; }).choices[0]!.text : body;
+        return { status: response.status, text };
+    }
+
+    /** What the checker finds in the history of all processes. To be called after {@link RolloutSite.stop}. */
+    violations(): string[] {
+        return checkHistory(this.history).violations.map(({ rule, message }) => `${rule}: ${message}`);
+    }
+
+    private async declare(documents: readonly unknown[]): Promise<void> {
+        const applied = await applyDocuments(documents, this.entry!.part.resources);
+        if (applied.isErr) {
+            throw new Error(applied.error.message);
+        }
+    }
+
+    private async startAgent(name: string, port: number, seed: number): Promise<void> {
+        const { store, liveList, clock } = this;
+        const options = this.nodeOptions(name, port, seed, name);
+        const processLinks = new ProcessLinks(options, "agent");
+        const { pool } = processLinks;
+        const part = new ConfigurationPart({ ...options, role: "agent", store, liveList, pool, seeds: [] });
+        const control = new ControlPart({ ...options, store, pool, part, times });
+        const engine = new FakeEngine({ clock, memory: targetMemory, loadRate, stepTime: 2 });
+        const node = new AgentNode({
+            ...options,
+            processLinks,
+            engine,
+            configuration: part.node,
+            slots: 32,
+            readFence: () => readFence(store, ordersDuty(dataCentre)),
+        });
+        const observe = createObserveMethod({
+            engine,
+            noteFence: fence => node.agent.noteFence(fence),
+            inUse: () => node.agent.inUse(),
+        });
+        processLinks.offer({ ...part.methods(), [observeMethodName]: observe });
+        processLinks.onLink(link => part.membership.sawHello(link.peer));
+        await node.start();
+        this.join(name, "agent", port);
+        void part.node.start();
+        control.start();
+        this.agents.push({ name, engine, node, part, control });
+    }
+
+    private async startEntry(port: number): Promise<void> {
+        const { store, liveList } = this;
+        const options = this.nodeOptions("entry-1", port, targetCount);
+        const processLinks = new ProcessLinks(options, "entry");
+        const { pool } = processLinks;
+        const part = new ConfigurationPart({ ...options, role: "entry", store, liveList, pool, seeds: [] });
+        processLinks.offer(part.methods());
+        processLinks.onLink(link => part.membership.sawHello(link.peer));
+        const node = new EntryNode({
+            ...options,
+            processLinks,
+            callers: { host, port: 0 },
+            configuration: part.node,
+            claims: new TableClaims(store),
+            anonymousOrganisation: "callers",
+            limits: { stopLead: 0 },
+        });
+        await processLinks.listen();
+        const address = await node.start();
+        if (address.isErr) {
+            throw new Error(address.error.message);
+        }
+        this.join("entry-1", "entry", port);
+        void part.node.start();
+        this.entry = { node, part, address: address.value };
+    }
+
+    private join(process: string, role: "agent" | "entry", port: number): void {
+        this.liveList.set({ process, role, host, port, dataCentre, region: "local", state: "live" });
+    }
+
+    private nodeOptions(name: string, port: number, seed: number, target?: string): NodeOptions {
+        const incarnation = createIncarnation();
+        return {
+            name,
+            incarnation,
+            dataCentre,
+            region: "local",
+            links: { host, port },
+            credentials: this.credentials,
+            clock: this.clock,
+            random: seededRandom(seed),
+            logger: createLogger({ process: name, level: "silent" }),
+            tracer: this.tracing.tracer,
+            record: this.recorderFor(name, incarnation, target),
+        };
+    }
+
+    private recorderFor(process: string, incarnation: string, target: string | undefined): HistoryRecorder {
+        const record = (body: HistoryEvent) => {
+            const sequence = this.sequences.get(process) ?? 0;
+            this.sequences.set(process, sequence + 1);
+            this.history.push({ process, incarnation, sequence, time: this.clock.now(), body });
+        };
+        record({ event: "process.started", target });
+        return record;
+    }
+}
+
+function modelDocument(current: string): object {
+    const { name, layers, replicas } = rolloutModel;
+    // The engines of the test share their time with everything else, so no bound on it is asked for.
+    const firstTokenBound = patience;
+    const spec = { layers, versions: ["v1", "v2"], current, layerBytes, replicas, firstTokenBound };
+    return { kind: "model", name, spec };
+}
+
+function targetDocument(name: string, port: number): object {
+    const accelerator = { kind: "generic", memory: targetMemory };
+    return { kind: "target", name, spec: { host, port, dataCentre, accelerator, checksFence: true } };
+}
