Entry: the router hears how much of a prompt was cached

Cause: done.cachedTokens went to the caller alone. Change: the entry turns it into text blocks by its share of the prompt's tokens and passes it to the routed attempt before its end. An attempt that may have fetched a KV cache from another is left out, as it would look like a hit. Before: router.cached stayed empty (no such call).

--- a/packages/entry/src/lib/models/Attempt.ts
+++ b/packages/entry/src/lib/models/Attempt.ts
@@ -6,6 +6,7 @@
 import { traceparentOf } from "../callers/traceContext.js";
 import { type EntryLimits } from "../EntryLimits.js";
 import { type AgentLink } from "../links/AgentLink.js";
+import { type CachedCounts, cachedTextBlocks } from "./cachedTextBlocks.js";
 import { type ModelRequest } from "./ModelRequest.js";
 
 /** @internal */
@@ -43,6 +44,8 @@
     private readonly sentAt: number;
     private lastSeen: number;
     private started = false;
+    /** True when stages may have fetched their KV cache from those of another attempt. */
+    private fetches = false;
 
     constructor(options: AttemptOptions) {
         this.options = options;
@@ -63,6 +66,7 @@
     /** Sends the request to the head. */
     open({ produced, exporters, credit, firstTokenBound, claim }: OpenDetails): void {
         const { request, routed, link } = this.options;
+        this.fetches = exporters.length > 0;
         link.send({
             type: "open",
             request: request.id,
@@ -98,6 +102,14 @@
         this.lastSeen = now;
     }
 
+    /** Tells the router how much of the prompt was in the prefix caches. A fetched KV cache would look like one. */
+    cached(counts: CachedCounts): void {
+        if (!this.fetches) {
+            const { request, routed } = this.options;
+            routed.cached?.(cachedTextBlocks(request.prompt, counts));
+        }
+    }
+
     /** Restarts the time after which the attempt counts as hung. */
     touch(now: number): void {
         this.lastSeen = now;
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -269,6 +269,7 @@
         }
         const answerTokens = this.produced.length;
         const { promptTokens, cachedTokens, finish } = message;
+        attempt.cached(message);
         this.settle("completed");
         this.recovery.completed();
         if (!this.close()) {
--- a/packages/entry/src/lib/models/prefixHashes.ts
+++ b/packages/entry/src/lib/models/prefixHashes.ts
@@ -2,8 +2,8 @@
 
 const hasher = await xxhash();
 
-/** Characters of one block, about 64 tokens. */
-const blockCharacters = 256;
+/** Characters of one block, about 64 tokens. @internal */
+export const blockCharacters = 256;
 /** Blocks that are hashed; a longer prefix is told apart no further. */
 const maxBlocks = 64;
 
--- a/packages/entry/src/lib/testing/FakeRouter.ts
+++ b/packages/entry/src/lib/testing/FakeRouter.ts
@@ -25,6 +25,8 @@
     readonly ends: RecordedEnd[] = [];
     readonly reports: LoadReport[] = [];
     readonly lost: string[] = [];
+    /** What attempts said of their prompts' cached blocks, by their heads. */
+    readonly cached: { readonly head: string; readonly blocks: number; }[] = [];
     readonly asked: RouteRequest[] = [];
     targets: readonly RoutingTarget[] = [];
     /** Targets that get no new work. */
@@ -85,6 +87,11 @@
             stages,
             firstToken: () => undefined,
             token: () => undefined,
+            cached: blocks => {
+                if (!ended) {
+                    this.cached.push({ head: stages[0]?.target ?? "", blocks });
+                }
+            },
             end: (result, target) => {
                 if (!ended) {
                     this.ends.push({ head: stages[0]?.target ?? "", result, target });
