--- a/packages/cli/src/lib/daemons/DaemonBase.ts
+++ b/packages/cli/src/lib/daemons/DaemonBase.ts
@@ -21,6 +21,12 @@
 /** Reads per second while the claims of a partition are taken over. 32 owners at once stay below the store's 2,000. */
 const takeoverReadsPerSecond = 50;
 
+/**
+ * How long a process waits before it asks a store that failed again. Only readers, owners of claims and holders of a
+ * duty call the store steadily, some hundred processes in all, so that a short pause costs it little.
+ */
+const breakerPause = { base: 250, cap: 2000 };
+
 /** Settings that entry and agent have in common. @internal */
 export type DaemonSettings = Settings<"entry"> | Settings<"agent">;
 
@@ -54,13 +60,12 @@
         this.tracing = createTracing({ process: name, ...tracing });
         this.platform = new PlatformConnection({ origin: platform.origin });
         const table = new HttpTableStore(this.platform);
-        this.store = new StoreClient({ ...platform, store: table, clock, random: this.random });
+        const common = { store: table, clock, random: this.random, breakerPause };
+        this.store = new StoreClient({ ...platform, ...common });
         this.claimStore = new StoreClient({
             readsPerSecond: takeoverReadsPerSecond,
             writesPerSecond: platform.claimWritesPerSecond,
-            store: table,
-            clock,
-            random: this.random,
+            ...common,
         });
         this.objects = new HttpObjectStore(this.platform);
         this.liveList = new HttpLiveList(this.platform);
