Agent: load reports tell when the prefix cache was cleared, and how fast it is evicted

Cause: the engine's cache events were read by nobody. Change: CacheWatch asks the engine for them each second (cachePollInterval) and keeps counts alone. Load reports carry a generation, raised when the cache was cleared, the engine restarted, or more events were lost than can be accounted for, and the share of the cache evicted in a minute. Before: reports said nothing of the cache. Conclusion: a clearing whose event is lost is not seen here; answers show it.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -136,6 +136,7 @@
     async start(): Promise<void> {
         this.applyShares();
         void this.gate.start();
+        this.context.cache.start();
         await this.context.held.refresh();
     }
 
@@ -209,7 +210,8 @@
             return;
         }
         this.closed = true;
-        const { table, load, sessions } = this.context;
+        const { table, load, cache, sessions } = this.context;
+        cache.stop();
         table.open.forEach(attempt => attempt.abandon());
         this.gate.stop();
         load.stop();
--- a/packages/agent/src/lib/AgentContext.ts
+++ b/packages/agent/src/lib/AgentContext.ts
@@ -11,6 +11,7 @@
 import { type HeldModels } from "./HeldModels.js";
 import { type SessionTable } from "./kv/SessionTable.js";
 import { type LinkWatch } from "./LinkWatch.js";
+import { type CacheWatch } from "./load/CacheWatch.js";
 import { type LoadMeter } from "./load/LoadMeter.js";
 import { type EngineActivity } from "./stage/EngineActivity.js";
 
@@ -70,5 +71,6 @@
     readonly table: AttemptTable<Attempt>;
     readonly held: HeldModels;
     readonly load: LoadMeter;
+    readonly cache: CacheWatch;
     readonly activity: EngineActivity;
 }
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -45,6 +45,8 @@
     readonly loadInterval: number;
     /** Bytes per second that load reports on their own may take, over all links; see docs/CAPACITY.md. */
     readonly loadBytesPerSecond: number;
+    /** Milliseconds between two looks at the engine's cache events; 0 for none, so that reports say nothing of the cache. */
+    readonly cachePollInterval: number;
     /** Milliseconds after leaving from which on running requests are handed over, and the hard limit. */
     readonly handOverAfter: number;
     /** Milliseconds for which a target that leaves stays at least, to refuse what was on its way. */
@@ -81,6 +83,7 @@
     claimAnswerRetention: 900_000,
     loadInterval: 250,
     loadBytesPerSecond: 800,
+    cachePollInterval: 1000,
     handOverAfter: 10_000,
     leaveLinger: 500,
     drainLimit: 120_000,
--- a/packages/agent/src/lib/createContext.ts
+++ b/packages/agent/src/lib/createContext.ts
@@ -8,6 +8,7 @@
 import { HeldModels } from "./HeldModels.js";
 import { SessionTable } from "./kv/SessionTable.js";
 import { LinkWatch } from "./LinkWatch.js";
+import { CacheWatch } from "./load/CacheWatch.js";
 import { LoadMeter } from "./load/LoadMeter.js";
 import { EngineActivity } from "./stage/EngineActivity.js";
 
@@ -18,6 +19,7 @@
     const settings = { ...defaultAgentSettings, ...options.settings };
     const links = new LinkWatch();
     const held = new HeldModels(engine);
+    const cache = new CacheWatch({ engine, clock, interval: settings.cachePollInterval });
     return {
         target,
         clock,
@@ -34,12 +36,14 @@
         metrics: options.metrics ?? {},
         sessions: new SessionTable(engine, clock, settings.retainCache),
         table: new AttemptTable({ clock, limit: settings.finishedRequests, retention: settings.finishedRetention }),
+        cache,
         load: new LoadMeter({
             target,
             clock,
             queue,
             links,
             slots: () => held.slots,
+            cache: () => cache.report(),
             interval: settings.loadInterval,
             bytesPerSecond: settings.loadBytesPerSecond,
         }),
--- a/packages/agent/src/lib/load/LoadMeter.ts
+++ b/packages/agent/src/lib/load/LoadMeter.ts
@@ -2,6 +2,7 @@
 import { type Link, type LoadReport } from "@waxwingspar/transport";
 import { type Clock, type Timer } from "@waxwingspar/utils";
 import { type LinkWatch } from "../LinkWatch.js";
+import { type CacheReport } from "./CacheWatch.js";
 
 /** The weight of one interval in the moving average. */
 const weight = 1 / 32;
@@ -17,6 +18,8 @@
     readonly links: LinkWatch;
     /** Requests that may run at once. */
     readonly slots: () => number;
+    /** What reports say of the prefix cache; nothing if absent. */
+    readonly cache?: () => CacheReport;
     /** Milliseconds between two reports on a link that carries traffic, at the least. */
     readonly interval: number;
     /**
@@ -49,7 +52,7 @@
     }
 
     report(): LoadReport {
-        const { target, queue, slots } = this.options;
+        const { target, queue, slots, cache } = this.options;
         return {
             target,
             running: queue.running,
@@ -58,6 +61,7 @@
             tokenInterval: this.interval,
             firstTokenEstimate: queue.estimate(),
             leaving: this.isLeaving,
+            ...cache?.(),
         };
     }
 
