--- a/packages/load/src/lib/report/LoadSummary.ts
+++ b/packages/load/src/lib/report/LoadSummary.ts
@@ -40,7 +40,7 @@
 }
 
 const millisecondsPerSecond = 1000;
-const curvePoints = [0, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 97, 98, 99, 99.5, 99.9, 100];
+const curvePoints = [0, 1, 2, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 97, 98, 99, 99.5, 99.9, 100];
 
 /**
  * Reduces the records of a run to figures. Waiting counts from the planned arrival of a call.
--- a/packages/load/src/lib/report/plotLatencies.ts
+++ b/packages/load/src/lib/report/plotLatencies.ts
@@ -9,7 +9,7 @@
 const size = { width: 900, height: 480 };
 
 /** Times below this many milliseconds are drawn at its height, as the axis is logarithmic. */
-const least = 0.1;
+const least = 1;
 
 /**
  * Draws the latencies of a run as curves over the share of calls, as SVG.
@@ -21,8 +21,8 @@
     chart.setOption({
         animation: false,
         title: { text: title, left: "center" },
-        legend: { top: 30 },
-        grid: { top: 70, bottom: 60, left: 80, right: 90 },
+        legend: { top: 40, itemGap: 40 },
+        grid: { top: 100, bottom: 60, left: 80, right: 90 },
         xAxis: { type: "value", min: 0, max: 100, name: "share of the times (%)", nameLocation: "middle", nameGap: 30 },
         yAxis: { type: "log", name: "milliseconds", min: least },
         series: [
