--- a/packages/agent/src/lib/charts/attemptChart.ts
+++ b/packages/agent/src/lib/charts/attemptChart.ts
@@ -1,4 +1,4 @@
-import { readChart, StateChart } from "./StateChart.js";
+import { readStateChart, StateChart } from "@waxwingspar/utils";
 
 /** @internal */
 export type AttemptState = "waiting" | "preparing" | "running" | "done" | "refused" | "failed" | "cancelled";
@@ -6,7 +6,7 @@
 /** @internal */
 export type AttemptEvent = "start" | "ready" | "finish" | "refuse" | "fail" | "cancel";
 
-const definition = readChart("attempt");
+const definition = readStateChart<AttemptState, AttemptEvent>(new URL("./attempt.json", import.meta.url));
 
 /** Creates the chart that an attempt follows, at the head and at later stages. @internal */
 export function createAttemptChart(): StateChart<AttemptState, AttemptEvent> {
--- a/packages/policy/src/lib/health/TargetHealth.ts
+++ b/packages/policy/src/lib/health/TargetHealth.ts
@@ -1,5 +1,4 @@
-import { type Clock, type Random } from "@waxwingspar/utils";
-import { StateChart } from "../support/StateChart.js";
+import { type Clock, type Random, StateChart } from "@waxwingspar/utils";
 import { type HealthEvent, type HealthState, targetHealthChart } from "./targetHealthChart.js";
 
 /**
--- a/packages/policy/src/lib/health/targetHealthChart.ts
+++ b/packages/policy/src/lib/health/targetHealthChart.ts
@@ -1,5 +1,4 @@
-import { createRequire } from "node:module";
-import { type ChartDefinition } from "../support/StateChart.js";
+import { readStateChart } from "@waxwingspar/utils";
 
 /** @internal */
 export type HealthState = "joining" | "healthy" | "ejected" | "unreachable" | "probing";
@@ -12,7 +11,6 @@
  *
  * @internal
  */
-export const targetHealthChart = createRequire(import.meta.url)("./targetHealth.json") as ChartDefinition<
-    HealthState,
-    HealthEvent
->;
+export const targetHealthChart = readStateChart<HealthState, HealthEvent>(
+    new URL("./targetHealth.json", import.meta.url),
+);
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -15,4 +15,5 @@
 export { type Execution, type ResultCode } from "./lib/resultCodes/ResultCode.js";
 export { findResultCode, resultCodes } from "./lib/resultCodes/resultCodes.js";
 export { transportCodes } from "./lib/resultCodes/transportCodes.js";
+export { type ChartDefinition, readStateChart, StateChart } from "./lib/StateChart.js";
 export { SystemClock } from "./lib/SystemClock.js";
