Every exported item is tagged public or internal

Cause: Exported items of config, claims, control, platform and transport had no tag, or one that contradicts index.ts. Change: comments only. What index.ts exports is @public, everything else @internal; StoreLog was tagged internal though it is exported, several schemas were tagged public though they are not. Conclusion: the tags can be trusted when reading.

--- a/packages/claims/src/lib/journal/ArchiveIndex.ts
+++ b/packages/claims/src/lib/journal/ArchiveIndex.ts
@@ -60,7 +60,7 @@
     }
 }
 
-/** The fingerprint of a key's hash: 48 of its bits as a number. */
+/** The fingerprint of a key's hash: 48 of its bits as a number. @internal */
 export function fingerprint(keyHash: string): number {
     return Buffer.from(keyHash, "base64url").readUIntBE(0, fingerprintBytes);
 }
--- a/packages/claims/src/lib/journal/ClaimRecord.ts
+++ b/packages/claims/src/lib/journal/ClaimRecord.ts
@@ -19,7 +19,7 @@
     readonly expiry: number;
 }
 
-/** Records as they are stored. Runners are listed once, since a few hundred of them recur in all records. */
+/** Records as they are stored. Runners are listed once, since a few hundred of them recur in all records. @internal */
 export const recordBlockSchema = z.object({
     runners: z.array(z.object({ target: z.string(), incarnation: z.string() })),
     records: z.array(z.object({
@@ -35,7 +35,7 @@
 /** @internal */
 export type RecordBlock = z.infer<typeof recordBlockSchema>;
 
-/** Packs records for the store. */
+/** Packs records for the store. @internal */
 export function packRecords(records: readonly ClaimRecord[]): RecordBlock {
     const indexes = new Map<string, number>();
     const runners: Runner[] = [];
@@ -51,7 +51,7 @@
     return { records: records.map(record => ({ ...record, runner: indexOf(record.runner) })), runners };
 }
 
-/** Unpacks records. Records with one runner share one object. */
+/** Unpacks records. Records with one runner share one object. @internal */
 export function unpackRecords({ runners, records }: RecordBlock): ClaimRecord[] {
     return records.map(record => {
         const runner = runners[record.runner];
@@ -62,7 +62,7 @@
     });
 }
 
-/** A string that is equal for equal runners only. */
+/** A string that is equal for equal runners only. @internal */
 export function runnerName({ target, incarnation }: Runner): string {
     return JSON.stringify([target, incarnation]);
 }
@@ -71,6 +71,8 @@
  * The claim that a caller gets for a record.
  *
  * @param series - The series of the partition's generations.
+ *
+ * @internal
  */
 export function claimOf(request: ClaimRequest, record: ClaimRecord, series: string, created: boolean): Claim {
     const { route, organisation } = request;
--- a/packages/claims/src/lib/journal/archives.ts
+++ b/packages/claims/src/lib/journal/archives.ts
@@ -8,17 +8,17 @@
 /** Objects read at the same time. */
 const readsAtOnce = 8;
 
-/** The name of the object that holds the index of an archive. */
+/** The name of the object that holds the index of an archive. @internal */
 export function indexName(archive: string): string {
     return `${archive}.index`;
 }
 
-/** Writes records as the bytes of an archive. */
+/** Writes records as the bytes of an archive. @internal */
 export function encodeArchive(records: readonly ClaimRecord[]): Uint8Array {
     return new TextEncoder().encode(JSON.stringify(packRecords(records)));
 }
 
-/** Reads the indexes of archives, some at a time. */
+/** Reads the indexes of archives, some at a time. @internal */
 export async function loadIndexes(
     objects: ObjectStore,
     archives: readonly string[],
@@ -37,7 +37,7 @@
     return Result.ok(indexes);
 }
 
-/** Reads the records of an archive. */
+/** Reads the records of an archive. @internal */
 export async function loadRecords(objects: ObjectStore, archive: string): Promise<Outcome<ClaimRecord[]>> {
     const data = await readObject(objects, archive);
     if (data.isErr) {
--- a/packages/claims/src/lib/routing/claimMethods.ts
+++ b/packages/claims/src/lib/routing/claimMethods.ts
@@ -17,13 +17,13 @@
     retention: z.number().positive(),
 });
 
-/** A claim as it travels between processes. */
+/** A claim as it travels between processes. @internal */
 export const claimSchema = z.object({ id: z.string(), runner: runnerSchema, created: z.boolean() });
 
 const acquireSchema = z.object({ request: claimRequestSchema });
 const moveSchema = z.object({ claim: claimSchema, request: claimRequestSchema });
 
-/** Names of the JSON-RPC methods. */
+/** Names of the JSON-RPC methods. @internal */
 export const claimMethodNames = { acquire: "claims.acquire", move: "claims.move" } as const;
 
 /**
--- a/packages/config/src/lib/distribution/ChangeClient.ts
+++ b/packages/config/src/lib/distribution/ChangeClient.ts
@@ -22,7 +22,7 @@
 /** Characters of the digest that are sent: 48 bits, enough to notice another log. */
 const sentDigest = 12;
 
-/** What a peer knew when it answered. */
+/** What a peer knew when it answered. @internal */
 export interface PeerState {
     readonly revision: number;
     /** Milliseconds since the peer was in step with the store; infinite if it never was. */
--- a/packages/config/src/lib/distribution/Children.ts
+++ b/packages/config/src/lib/distribution/Children.ts
@@ -5,10 +5,10 @@
 /** A child that has not asked for so long, in milliseconds, learns elsewhere or is lost. */
 const rememberedFor = 4000;
 
-/** The part of a link that questions to a child need. */
+/** The part of a link that questions to a child need. @internal */
 export type ChildLink = Pick<Link, "request" | "peer">;
 
-/** A process that learns from this one. */
+/** A process that learns from this one. @internal */
 export interface Child {
     readonly process: string;
     /** The revision in force there when it last asked. */
--- a/packages/config/src/lib/distribution/chooseParents.ts
+++ b/packages/config/src/lib/distribution/chooseParents.ts
@@ -4,7 +4,7 @@
 const parentsOfTier = 2;
 const otherCentres = 4;
 
-/** What the choice of parents depends on. */
+/** What the choice of parents depends on. @internal */
 export interface ParentChoice {
     readonly self: string;
     /** The usable processes of the own data centre, readers first, this process included. */
--- a/packages/config/src/lib/distribution/messages.ts
+++ b/packages/config/src/lib/distribution/messages.ts
@@ -27,6 +27,7 @@
     children: z.number().int().nonnegative(),
 });
 
+/** @internal */
 export type SinceParams = z.infer<typeof sinceParamsSchema>;
 
 /** @internal */
@@ -46,6 +47,7 @@
     list: z.string().optional(),
 });
 
+/** @internal */
 export type SinceAnswer = z.infer<typeof sinceAnswerSchema>;
 
 /** Asks for a part of a snapshot. @internal */
@@ -79,9 +81,10 @@
     timeout: z.number().positive(),
 });
 
+/** @internal */
 export type ProgressParams = z.infer<typeof progressParamsSchema>;
 
-/** A process that is behind. @public */
+/** A process that is behind. @internal */
 export const hostBehindSchema = z.object({
     process: z.string(),
     /** The revision in force there, as last heard; absent when it was not heard of. */
@@ -100,15 +103,18 @@
     names: z.array(z.string()).optional(),
 });
 
+/** @internal */
 export type ProgressAnswer = z.infer<typeof progressAnswerSchema>;
 
 /** Entries that were just accepted, packed, from the process that accepted them. @internal */
 export const offerParamsSchema = z.object({ entries: z.string() });
 
+/** @internal */
 export type OfferParams = z.infer<typeof offerParamsSchema>;
 
 /** A process's own word that it leaves. @internal */
 export const leavingParamsSchema = z.object({ process: z.string(), incarnation: z.string() });
 
+/** @internal */
 export const listSchema = z.array(liveHostSchema);
 export { listChangeSchema };
--- a/packages/config/src/lib/membership/ListHistory.ts
+++ b/packages/config/src/lib/membership/ListHistory.ts
@@ -17,6 +17,7 @@
     removed: z.array(z.string()),
 });
 
+/** @internal */
 export type ListChange = z.infer<typeof listChangeSchema>;
 
 /** The digest of an empty list. @internal */
--- a/packages/config/src/lib/resources/specs.ts
+++ b/packages/config/src/lib/resources/specs.ts
@@ -1,15 +1,15 @@
 import { z } from "zod";
 
-/** A name: lower-case letters, digits, dots and hyphens, as in DNS labels. @public */
+/** A name: lower-case letters, digits, dots and hyphens, as in DNS labels. @internal */
 export const nameSchema = z.string().min(1).max(63).regex(/^[a-z0-9]([-a-z0-9.]*[a-z0-9])?$/);
 
-/** A range of layers, both ends included, counted from 0. @public */
+/** A range of layers, both ends included, counted from 0. @internal */
 export const layerRangeSchema = z.strictObject({
     first: z.number().int().nonnegative(),
     last: z.number().int().nonnegative(),
 });
 
-/** @public */
+/** @internal */
 export const modelSpecSchema = z.strictObject({
     layers: z.number().int().positive(),
     /** Versions that may be served. Requests go to `current`. */
@@ -32,7 +32,7 @@
 /** @public */
 export type ModelSpec = z.infer<typeof modelSpecSchema>;
 
-/** @public */
+/** @internal */
 export const adapterSpecSchema = z.strictObject({
     model: nameSchema,
     versions: z.array(nameSchema).min(1),
@@ -42,7 +42,7 @@
 /** @public */
 export type AdapterSpec = z.infer<typeof adapterSpecSchema>;
 
-/** @public */
+/** @internal */
 export const targetSpecSchema = z.strictObject({
     /** Where the agent beside the target listens: an IP address and a port. */
     host: z.union([z.ipv4(), z.ipv6()]),
@@ -74,7 +74,7 @@
 /** @public */
 export type TargetSpec = z.infer<typeof targetSpecSchema>;
 
-/** @public */
+/** @internal */
 export const serviceSpecSchema = z.strictObject({
     /** Calls that may not be repeated: method, and path with `*` for any rest. The first match decides. */
     nonIdempotent: z.array(z.strictObject({ method: z.string(), path: z.string().startsWith("/") })).default([]),
@@ -89,7 +89,7 @@
 /** @public */
 export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
 
-/** @public */
+/** @internal */
 export const organisationSpecSchema = z.strictObject({
     /** Higher goes first. A request may ask for less, never for more. */
     priority: z.number().int().min(0).max(9).default(5),
@@ -106,7 +106,7 @@
 /** @public */
 export type OrganisationSpec = z.infer<typeof organisationSpecSchema>;
 
-/** @public */
+/** @internal */
 export const credentialSpecSchema = z.strictObject({
     /** SHA-256 of the secret token, in hexadecimal. The token itself is never stored. */
     tokenHash: z.string().regex(/^[0-9a-f]{64}$/),
@@ -121,7 +121,7 @@
 /**
  * Where the layers of a model version are to run: written by the placement, not by operators.
  *
- * @public
+ * @internal
  */
 export const placementSpecSchema = z.strictObject({
     model: nameSchema,
--- a/packages/config/src/lib/revisions/LogEntry.ts
+++ b/packages/config/src/lib/revisions/LogEntry.ts
@@ -5,9 +5,10 @@
 /** Every kind of resource, in the order in which references point from right to left. @public */
 export const kinds = Object.keys(specSchemas) as Kind[];
 
+/** @internal */
 export const kindSchema = z.enum(kinds as [Kind, ...Kind[]]);
 
-/** A resource set to a spec, or removed when there is no spec. @public */
+/** A resource set to a spec, or removed when there is no spec. @internal */
 export const changeSchema = z.object({
     kind: kindSchema,
     name: nameSchema,
@@ -20,7 +21,7 @@
 /**
  * One revision: changes that took effect together.
  *
- * @public
+ * @internal
  */
 export const logEntrySchema = z.object({
     revision: z.number().int().positive(),
@@ -38,6 +39,7 @@
 /** @public */
 export type LogEntry = z.infer<typeof logEntrySchema>;
 
+/** @internal */
 export const resourceSchema = z.object({
     kind: kindSchema,
     name: nameSchema,
@@ -68,9 +70,10 @@
     content: z.string(),
 });
 
+/** @internal */
 export type Head = z.infer<typeof headSchema>;
 
-/** The key of a resource in maps and in the store's rows. */
+/** The key of a resource in maps and in the store's rows. @internal */
 export function resourceKey(kind: Kind, name: string): string {
     return `${kind}/${name}`;
 }
--- a/packages/config/src/lib/revisions/StoreLog.ts
+++ b/packages/config/src/lib/revisions/StoreLog.ts
@@ -15,7 +15,7 @@
 const singleReads = 8;
 const snapshotAttempts = 4;
 
-/** The head row with the version that a conditional write needs. */
+/** The head row with the version that a conditional write needs. @internal */
 export interface HeadRow extends Head {
     readonly version: number;
 }
@@ -33,7 +33,7 @@
 /**
  * Reads revisions from the table store.
  *
- * @internal
+ * @public
  */
 export class StoreLog {
     constructor(readonly store: TableStore) {}
--- a/packages/config/src/lib/revisions/digest.ts
+++ b/packages/config/src/lib/revisions/digest.ts
@@ -6,7 +6,7 @@
 const contentMask = (1n << contentBits) - 1n;
 const digestCharacters = 32;
 
-/** The digest and the content of the state before the first revision. */
+/** The digest and the content of the state before the first revision. @internal */
 export const emptyDigest = "0".repeat(digestCharacters);
 
 /**
--- a/packages/config/src/lib/store/transaction.ts
+++ b/packages/config/src/lib/store/transaction.ts
@@ -9,7 +9,7 @@
 
 const changePrefix = "config/change/";
 
-/** The row that remembers a change by its id, so that it is never accepted twice. */
+/** The row that remembers a change by its id, so that it is never accepted twice. @internal */
 export const changeRowSchema = z.object({
     revision: z.number().int(),
     writeId: z.string(),
@@ -24,6 +24,7 @@
     })),
 });
 
+/** @internal */
 export interface ChangeRow {
     readonly revision: number;
     readonly writeId: string;
--- a/packages/control/src/lib/orders/Refusals.ts
+++ b/packages/control/src/lib/orders/Refusals.ts
@@ -1,7 +1,7 @@
 import { type Order } from "@waxwingspar/engine";
 import { type Clock } from "@waxwingspar/utils";
 
-/** A model version that a target has refused to load. @public */
+/** A model version that a target has refused to load. @internal */
 export interface RefusedVersion {
     readonly model: string;
     readonly version: string;
--- a/packages/control/src/lib/testing/LaggedConfiguration.ts
+++ b/packages/control/src/lib/testing/LaggedConfiguration.ts
@@ -1,14 +1,14 @@
 import { type Configuration, type Kind, type Resource, StaticConfiguration } from "@waxwingspar/config";
 import { type Clock } from "@waxwingspar/utils";
 
-/** What was accepted at some time. */
+/** What was accepted at some time. @internal */
 export interface PastRevision {
     readonly at: number;
     readonly revision: number;
     readonly resources: readonly Resource[];
 }
 
-/** The configuration as a process sees it that is some milliseconds behind. It never moves back. */
+/** The configuration as a process sees it that is some milliseconds behind. It never moves back. @internal */
 export class LaggedConfiguration implements Configuration {
     private readonly current = new StaticConfiguration();
     private applied = 0;
--- a/packages/control/src/lib/testing/ScriptedStore.ts
+++ b/packages/control/src/lib/testing/ScriptedStore.ts
@@ -2,13 +2,17 @@
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 
-/** What happens to the next commit: when it takes effect, and when the caller hears of it. */
+/** What happens to the next commit: when it takes effect, and when the caller hears of it. @internal */
 export interface Fate {
     readonly effect: "now" | "late" | "never";
     readonly answer: "now" | "held" | "lost";
 }
 
-/** A table in memory whose commits meet the fates that a test hands out, so that every interleaving can be reached. */
+/**
+ * A table in memory whose commits meet the fates that a test hands out, so that every interleaving can be reached.
+ *
+ * @internal
+ */
 export class ScriptedStore implements TableStore {
     /** False while the store is down: every call is refused without effect. */
     up = true;
--- a/packages/control/src/lib/testing/SiteWorld.ts
+++ b/packages/control/src/lib/testing/SiteWorld.ts
@@ -20,6 +20,7 @@
 import { ScriptedStore } from "./ScriptedStore.js";
 import { TestTarget } from "./TestTarget.js";
 
+/** @internal */
 export interface WorldOptions {
     readonly targets: number;
     readonly memory: number;
@@ -31,7 +32,7 @@
     readonly faultless?: boolean;
 }
 
-/** A late message arrives long after its sender has given up. */
+/** A late message arrives long after its sender has given up. @internal */
 export type MessageFate = "lostBefore" | "lostAfter" | "late";
 
 /** A process that may hold the duty. While it is paused it does nothing and hears nothing. */
@@ -43,10 +44,15 @@
     lag: number;
 }
 
+/** @internal */
 export const dataCentre = "a";
 const lagLimit = 3000;
 
-/** One data centre on virtual time: engines, agents, a store, operators, and three processes that may hold the duty. */
+/**
+ * One data centre on virtual time: engines, agents, a store, operators, and three processes that may hold the duty.
+ *
+ * @internal
+ */
 export class SiteWorld {
     readonly clock = new ManualClock();
     readonly store = new ScriptedStore();
--- a/packages/control/src/lib/testing/TestTarget.ts
+++ b/packages/control/src/lib/testing/TestTarget.ts
@@ -4,6 +4,7 @@
 import { Result } from "true-myth";
 import { type Observation, type TargetReport } from "../orders/TargetPort.js";
 
+/** @internal */
 export interface TestTargetOptions {
     readonly name: string;
     readonly clock: Clock;
@@ -13,7 +14,11 @@
     readonly record: (event: HistoryEvent, incarnation: string) => void;
 }
 
-/** A target: an engine that ignores fences, and the agent beside it with its gate. Both can die and come back. */
+/**
+ * A target: an engine that ignores fences, and the agent beside it with its gate. Both can die and come back.
+ *
+ * @internal
+ */
 export class TestTarget {
     alive = true;
     /** When the target was last lost or came back. */
--- a/packages/platform/src/lib/http/wire.ts
+++ b/packages/platform/src/lib/http/wire.ts
@@ -93,7 +93,7 @@
 /** @internal */
 export type Answer = z.infer<typeof answerSchema>;
 
-/** Writes an outcome as an answer. */
+/** Writes an outcome as an answer. @internal */
 export function toAnswer(outcome: Outcome<unknown>): Answer {
     if (outcome.isOk) {
         return { value: outcome.value };
@@ -102,13 +102,13 @@
     return { failure: { code: code.number, message, retryAfter } };
 }
 
-/** Reads the failure of an answer. A number that this version does not know leaves the outcome unknown. */
+/** Reads the failure of an answer. A number that this version does not know leaves the outcome unknown. @internal */
 export function toFailure({ code, message, retryAfter }: NonNullable<Answer["failure"]>): Failure {
     const known = findResultCode(code) ?? platformCodes.storeUnknown;
     return failure(known, message, retryAfter === undefined ? {} : { retryAfter });
 }
 
-/** An outcome that nothing is known about. */
+/** An outcome that nothing is known about. @internal */
 export function unknownOutcome(message: string): Outcome<never> {
     return Result.err(failure(platformCodes.storeUnknown, message));
 }
--- a/packages/transport/src/lib/BaseLink.ts
+++ b/packages/transport/src/lib/BaseLink.ts
@@ -5,10 +5,10 @@
 import { type Message } from "./messages/Message.js";
 import { RpcChannel } from "./rpc/RpcChannel.js";
 
-/** Built-in method that a peer answers at once; it shows that the path works in both directions. */
+/** Built-in method that a peer answers at once; it shows that the path works in both directions. @internal */
 export const pingMethod = "link.ping";
 
-/** Built-in notification: the sender will close this link soon, on purpose. */
+/** Built-in notification: the sender will close this link soon, on purpose. @internal */
 export const closingMethod = "link.closing";
 
 /**
--- a/packages/transport/src/lib/frames/FrameParser.ts
+++ b/packages/transport/src/lib/frames/FrameParser.ts
@@ -1,7 +1,7 @@
 import { type Failure, failure, type Outcome, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 
-/** Bytes of the length that precedes each frame: an unsigned 32-bit number, most significant byte first. */
+/** Bytes of the length that precedes each frame: an unsigned 32-bit number, most significant byte first. @internal */
 export const lengthBytes = 4;
 
 /**
--- a/packages/transport/src/lib/frames/codec.ts
+++ b/packages/transport/src/lib/frames/codec.ts
@@ -11,7 +11,7 @@
 const arrayMarker = 0xdd;
 const arrayHeaderBytes = 5;
 
-/** Bytes that a frame has besides its messages. */
+/** Bytes that a frame has besides its messages. @internal */
 export const frameOverhead = lengthBytes + arrayHeaderBytes;
 
 /**
