Proof: a paused holder must be refused, or its scenario fails

Change: careless holders wait between two orders, take their duties before any daemon runs, and count refusals; the scenario fails without one.

--- a/packages/proof/src/lib/holder/CarelessDuty.ts
+++ b/packages/proof/src/lib/holder/CarelessDuty.ts
@@ -1,7 +1,8 @@
 import { type Duty, type Lease, ordersDuty } from "@waxwingspar/control";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type Address, type LinkPool } from "@waxwingspar/transport";
-import { uniqueId } from "@waxwingspar/utils";
+import { platformCodes, uniqueId } from "@waxwingspar/utils";
+import { setTimeout as pause } from "node:timers/promises";
 
 /** A target, and where its agent is found. @internal */
 export interface OrderedTarget extends Address {
@@ -14,10 +15,14 @@
     readonly targets: readonly OrderedTarget[];
     readonly pool: LinkPool;
     readonly record: HistoryRecorder;
+    /** Runs for each order that a target refused because of its fence. */
+    readonly onStaleFence: () => void;
 }
 
 const orderMethod = "order.apply";
 const orderTimeout = 2000;
+/** Milliseconds between two orders, so that a pause of the process mostly falls between the look and an order. */
+const orderPause = 150;
 
 /**
  * A duty whose holder orders every target of its data centre to serve, again and again. It looks at its lease once for
@@ -42,21 +47,22 @@
         }
         for (const target of this.options.targets) {
             await this.order(target, fence);
+            await pause(orderPause);
         }
     }
 
     private async order(target: OrderedTarget, fence: number): Promise<void> {
-        const { pool, record } = this.options;
+        const { pool, record, onStaleFence } = this.options;
         const link = await pool.connect(target);
         if (link.isErr) {
             return;
         }
         const id = uniqueId();
         record({ event: "order.issued", order: id, fence, target: target.name });
-        await link.value.request(
-            orderMethod,
-            { id, fence, action: { kind: "setRole", role: "serving" } },
-            orderTimeout,
-        );
+        const order = { id, fence, action: { kind: "setRole", role: "serving" } };
+        const answer = await link.value.request(orderMethod, order, orderTimeout);
+        if (answer.isErr && answer.error.code === platformCodes.staleFence) {
+            onStaleFence();
+        }
     }
 }
--- a/packages/proof/src/lib/holder/runHolder.ts
+++ b/packages/proof/src/lib/holder/runHolder.ts
@@ -16,6 +16,9 @@
     readonly history: string;
 }
 
+/** The line that a holder writes for each order that was refused because of its fence. @internal */
+export const staleFenceLine = "an order was refused: stale fence";
+
 const duration = 3000;
 const interval = 50;
 const readsPerSecond = 20;
@@ -48,6 +51,7 @@
         incarnation,
         dataCentre,
     } as const;
+    const onStaleFence = () => void process.stdout.write(`${staleFenceLine}\n`);
     const pool = new TcpLinkPool({ hello, credentials: { insecure: true }, clock, random });
     const runner = new DutyRunner({
         store,
@@ -55,7 +59,7 @@
         random,
         process: name,
         incarnation,
-        duties: [new CarelessDuty({ dataCentre, targets, pool, record })],
+        duties: [new CarelessDuty({ dataCentre, targets, pool, record, onStaleFence })],
         members: () => holders.map(holder => ({ process: holder, dataCentre, leaving: false })),
         duration,
         interval,
--- a/packages/proof/src/lib/report/ScenarioResult.ts
+++ b/packages/proof/src/lib/report/ScenarioResult.ts
@@ -29,7 +29,7 @@
     readonly recovery: Recovery;
     /** The longest time from acceptance to force over all accepted revisions and daemons, in milliseconds. */
     readonly longestActivation: number | undefined;
-    /** Orders that were sent with a fence older than the target's. */
+    /** Orders of the careless holders that targets refused because of their fence. */
     readonly staleOrders: number;
     readonly checks: readonly ScenarioCheck[];
 }
--- a/packages/proof/src/lib/report/formatResult.ts
+++ b/packages/proof/src/lib/report/formatResult.ts
@@ -76,7 +76,7 @@
     const checked = checks.map(({ name, holds, detail }) => `  ${holds ? "ok" : "FAILED"} ${name} ${detail}`);
     const { "order.issued": issued = 0, "order.applied": applied = 0 } = history.events;
     const size = `  ${history.lines} lines, ${history.incarnations} incarnations, ${history.tokens} tokens, `
-        + `${issued} orders sent, ${result.staleOrders} of them with an old fence, ${applied} carried out`;
+        + `${issued} orders sent, ${result.staleOrders} of them refused for an old fence, ${applied} carried out`;
     return [size, ...kinds, ...failed, ...rules, ...violations, ...checked].join("\n");
 }
 
--- a/packages/proof/src/lib/runScenario.ts
+++ b/packages/proof/src/lib/runScenario.ts
@@ -4,7 +4,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { Callers } from "./callers/Callers.js";
 import { checkPlants } from "./report/checkPlants.js";
-import { countStaleOrders } from "./report/countStaleOrders.js";
 import { longestActivation } from "./report/longestActivation.js";
 import { measureRecovery } from "./report/Recovery.js";
 import { countCodes, countOutcomes, type ScenarioCheck, type ScenarioResult } from "./report/ScenarioResult.js";
@@ -89,6 +88,7 @@
         const checkOptions = { baseRevision, configured: site.layout.daemons.map(({ name }) => name) };
         const history = await checkFiles(files, checkOptions);
         const planted = options.plants === true ? await checkPlants(files, checkOptions) : [];
+        const staleOrders = await site.staleOrders();
         const recovery = measureRecovery(callers.ends, fault, end);
         return {
             scenario: scenario.name,
@@ -99,8 +99,8 @@
             history,
             recovery,
             longestActivation: await longestActivation(files),
-            staleOrders: await countStaleOrders(files),
-            checks: [...checks, stopCheck(site), ...planted],
+            staleOrders,
+            checks: [...checks, stopCheck(site), ...staleCheck(scenario, staleOrders), ...planted],
         };
     }
     finally {
@@ -118,6 +118,11 @@
     return report.value;
 }
 
+function staleCheck({ staleOrders = false }: Scenario, count: number): ScenarioCheck[] {
+    const name = "targets refused orders with an old fence";
+    return staleOrders ? [{ name, holds: count > 0, detail: String(count) }] : [];
+}
+
 function stopCheck({ badEnds }: Site): ScenarioCheck {
     return { name: "every planned stop ends well", holds: badEnds.length === 0, detail: badEnds.join("; ") };
 }
--- a/packages/proof/src/lib/scenarios/Scenario.ts
+++ b/packages/proof/src/lib/scenarios/Scenario.ts
@@ -25,4 +25,6 @@
     readonly summary: string;
     /** Brings the faults about; the callers send until it resolves, and for the whole duration at least. */
     readonly run: (context: ScenarioContext) => Promise<void>;
+    /** True when orders with an old fence must have been sent, as the scenario shows nothing otherwise. */
+    readonly staleOrders?: boolean;
 }
--- a/packages/proof/src/lib/scenarios/processScenarios.ts
+++ b/packages/proof/src/lib/scenarios/processScenarios.ts
@@ -86,6 +86,7 @@
 
 const pausedHolder: Scenario = {
     name: "paused-holder",
+    staleOrders: true,
     row: "lease lapses while paused, the holder resumes",
     summary:
         "SIGSTOP of the holders of all three control duties (leases of 3 s), of an entry, which owns claims, and of "
--- a/packages/proof/src/lib/site/Site.ts
+++ b/packages/proof/src/lib/site/Site.ts
@@ -1,8 +1,10 @@
-import { writeFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { createRequire } from "node:module";
 import { dirname, join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { z } from "zod";
+import { staleFenceLine } from "../holder/runHolder.js";
 import { type FaultPolicy, type LinkFault, Relay } from "../relay/Relay.js";
 import { type Layout, type PlannedDaemon, type PlannedHolder, platformHost } from "./layout.js";
 import {
@@ -18,6 +20,7 @@
 const distFolder = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
 const cliScript = join(dirname(createRequire(import.meta.url).resolve("waxwingspar")), "bin.js");
 const stopLimit = 60_000;
+const holderPoll = 50;
 const noFault: LinkFault = {};
 const leaseAnswerSchema = z.object({ value: z.object({ value: z.object({ holder: z.string() }) }) });
 
@@ -49,6 +52,7 @@
             ...(daemon.stage === undefined ? [this.startService(daemon)] : []),
         ]);
         await Promise.all([...helpers, ...this.layout.holders.map(holder => this.startHolder(holder))]);
+        await this.waitForHolders();
         await Promise.all(daemons.map(({ name }) => this.startDaemon(name)));
     }
 
@@ -149,6 +153,14 @@
             : this.admin("/admin/hosts/set", liveHost(this.daemon(name), state)));
     }
 
+    /** Orders of the careless holders that targets refused because of their fence. */
+    async staleOrders(): Promise<number> {
+        const logs = await Promise.all(
+            this.layout.holders.map(({ name }) => readFile(join(this.folder, `${name}.log`), "utf8")),
+        );
+        return logs.join("").split(staleFenceLine).length - 1;
+    }
+
     /** The daemon that took the duty of orders of a data centre last. */
     async dutyHolder(dataCentre: string): Promise<string | undefined> {
         const answer = await this.admin("/table/get", { key: `lease/orders/${dataCentre}` });
@@ -184,6 +196,20 @@
         await this.launch(name, [join(distFolder, "holder.js"), settings]);
     }
 
+    /** The careless holders take their duties before any daemon runs that could. */
+    private async waitForHolders(): Promise<void> {
+        const centres = new Set(this.layout.holders.map(({ dataCentre }) => dataCentre));
+        for (const centre of centres) {
+            const deadline = performance.now() + stopLimit;
+            while (await this.dutyHolder(centre) === undefined) {
+                if (performance.now() > deadline) {
+                    throw new Error(`nobody took the duty of ${centre}`);
+                }
+                await pause(holderPoll);
+            }
+        }
+    }
+
     private async startService(daemon: PlannedDaemon): Promise<void> {
         const name = `service-${daemon.name}`;
         const settings = await this.writeSettings(name, serviceSettings(daemon, this.folder));
