An answer no longer goes on behind a stop string when an attempt is lost there

Cause: the head sent the tokens of a found stop string, without their text. When the attempt was lost after some of them (the credit ended there, or `done` was lost), the next attempt resumed inside or behind the stop string and did not find it. Change: no token with a part of a stop string is sent. What stands before it in the same token comes as the optional `text` of `done`, and the entry writes it. `open` needs no `producedText`: the text that the entry holds was cut already. An entry of before this change does not write `done.text`; update entries before agents. Without the entry's lines "the text before a stop string comes with the end..." failed. Conclusion: the text of an answer ends before its stop string, over any loss.

--- a/packages/agent/src/lib/head/AnswerSink.ts
+++ b/packages/agent/src/lib/head/AnswerSink.ts
@@ -11,6 +11,8 @@
     readonly promptTokens: number;
     readonly cachedTokens: number;
     readonly answerTokens: number;
+    /** Text before a stop string that belongs to the token in which the stop string begins. */
+    readonly text?: string;
 }
 
 /**
--- a/packages/agent/src/lib/head/Decoder.ts
+++ b/packages/agent/src/lib/head/Decoder.ts
@@ -30,7 +30,8 @@
     readonly ownPassed: () => number;
     /** Runs positions at the head's own stage. */
     readonly submit: (work: StageWork) => void;
-    readonly finished: (finish: "stop" | "length") => void;
+    /** @param rest - Text that goes before a stop string without a token. */
+    readonly finished: (finish: "stop" | "length", rest: string) => void;
     readonly failed: (fault: ChainFault) => void;
 }
 
@@ -100,9 +101,9 @@
         this.options.times.token();
         this.next++;
         this.answerTokens++;
-        const { released, stopped } = this.stops.push({ id: token, text });
+        const { released, stopped, rest } = this.stops.push({ id: token, text });
         released.forEach(answer => this.options.sink.token(answer));
-        this.goOn(token, end || stopped);
+        this.goOn(token, end || stopped, rest);
     }
 
     /** Ends the run. */
@@ -111,14 +112,14 @@
         this.wait.stop();
     }
 
-    private goOn(token: number, stopped: boolean): void {
+    private goOn(token: number, stopped: boolean, rest: string): void {
         const { maxTokens, contextTokens, sink } = this.options;
         if (stopped) {
-            this.finish("stop");
+            this.finish("stop", rest);
             return;
         }
         if (this.answerTokens >= maxTokens || this.next >= contextTokens) {
-            this.finish("length");
+            this.finish("length", rest);
             return;
         }
         if (!sink.ready) {
@@ -134,8 +135,8 @@
         this.options.submit({ position: this.next - 1, count: 1, tokens: [token], prefill: false });
     }
 
-    private finish(finish: "stop" | "length"): void {
+    private finish(finish: "stop" | "length", rest: string): void {
         this.stops.flush().forEach(token => this.options.sink.token(token));
-        this.options.finished(finish);
+        this.options.finished(finish, rest);
     }
 }
--- a/packages/agent/src/lib/head/HeadAttempt.ts
+++ b/packages/agent/src/lib/head/HeadAttempt.ts
@@ -252,7 +252,7 @@
             members: () => this.later?.members ?? [],
             ownPassed: () => this.session?.progress.passed ?? 0,
             submit: work => this.session?.submit(work),
-            finished: finish => this.finish(finish),
+            finished: (finish, rest) => this.finish(finish, rest),
             failed: fault => this.fail(fault),
         });
     }
@@ -286,10 +286,11 @@
         this.context.record({ event: "prompt.read", request, epoch, tokens: this.promptTokens, layers });
     }
 
-    private finish(finish: "stop" | "length"): void {
+    private finish(finish: "stop" | "length", rest = ""): void {
         const { promptTokens, cachedTokens, decoder: { answerTokens } } = this;
         if (this.stop("finish", false)) {
-            this.options.sink.done({ finish, promptTokens, cachedTokens, answerTokens });
+            const text = rest === "" ? undefined : rest;
+            this.options.sink.done({ finish, promptTokens, cachedTokens, answerTokens, text });
         }
     }
 
--- a/packages/agent/src/lib/head/StopMatcher.ts
+++ b/packages/agent/src/lib/head/StopMatcher.ts
@@ -10,11 +10,14 @@
     readonly released: readonly AnswerToken[];
     /** True when a stop string was found; `released` then ends before it. */
     readonly stopped: boolean;
+    /** Text before the stop string that belongs to the token in which it begins; that token is not released. */
+    readonly rest: string;
 }
 
 /**
  * Looks for stop strings in the text of an answer. It holds back tokens while their text may be the beginning of one, so
- * that no part of a stop string reaches the caller.
+ * that no part of a stop string reaches the caller. No token with a part of one is released ever: an attempt that resumes
+ * behind the released tokens meets the whole stop string again.
  *
  * @internal
  */
@@ -29,15 +32,15 @@
 
     push(token: AnswerToken): StopResult {
         if (this.stops.length === 0) {
-            return { released: [token], stopped: false };
+            return { released: [token], stopped: false, rest: "" };
         }
         this.held.push(token);
         this.text += token.text;
         const found = this.findStop();
         if (found !== undefined) {
-            return { released: this.cutAt(found), stopped: true };
+            return { ...this.cutAt(found), stopped: true };
         }
-        return { released: this.release(this.text.length - this.longestBeginning()), stopped: false };
+        return { released: this.release(this.text.length - this.longestBeginning()), stopped: false, rest: "" };
     }
 
     /** Gives out what is held, when the answer ends otherwise. */
@@ -81,16 +84,13 @@
         return released;
     }
 
-    /** Releases everything with the text cut at an index. Tokens behind it keep their place, without text. */
-    private cutAt(index: number): AnswerToken[] {
-        let offset = 0;
-        const cut = this.held.map(({ id, text }) => {
-            const kept = text.slice(0, Math.max(0, index - offset));
-            offset += text.length;
-            return { id, text: kept };
-        });
+    /** Releases the tokens that lie before an index, and the rest of the text before it. */
+    private cutAt(index: number): Pick<StopResult, "released" | "rest"> {
+        const before = this.text.slice(0, index);
+        const released = this.release(index);
+        const length = released.reduce((sum, { text }) => sum + text.length, 0);
         this.held = [];
         this.text = "";
-        return cut;
+        return { released, rest: before.slice(length) };
     }
 }
--- a/packages/entry/src/lib/models/RequestRun.test.ts
+++ b/packages/entry/src/lib/models/RequestRun.test.ts
@@ -43,6 +43,19 @@
     ]]);
 });
 
+test("the text before a stop string comes with the end, once, also when an attempt was lost before its end", async context => {
+    const site = await startSite(context);
+    const responding = site.post("/v1/chat/completions", { ...chatBody(9, true), stop: ["!"] });
+    site.agent(0).tokens(await site.agent(0).wait("open"), 0, 2);
+    const response = await responding;
+    site.agent(0).cut();
+    const { request, epoch, produced } = await site.agent(1).wait("open");
+    assert.deepEqual(produced, [100, 101]);
+    const usage = { promptTokens: 7, cachedTokens: 0, answerTokens: 4 };
+    site.agent(1).send({ type: "done", request, epoch, finish: "stop", ...usage, text: " oh" });
+    assert.deepEqual(await readStream(response), { text: " 0 1 oh", whole: true, error: undefined });
+});
+
 test("names the living stages of a failed attempt as exporters", async context => {
     const site = await startSite(context);
     const responding = site.post("/v1/chat/completions", chatBody(1));
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -279,6 +279,9 @@
         history({ event: "request.ended", request: this.request.id, outcome: "completed", tokens: answerTokens });
         metrics.requestEnded(this.request.model, 0, clock.now() - this.request.arrived, answerTokens);
         span.setAttribute("waxwingspar.attempts", attempt.epoch);
+        if (message.text !== undefined) {
+            sink.write([message.text]);
+        }
         sink.end({ finish, promptTokens, cachedTokens, answerTokens });
         this.options.onEnd();
     }
--- a/packages/transport/src/lib/messages/pipelineMessages.ts
+++ b/packages/transport/src/lib/messages/pipelineMessages.ts
@@ -128,6 +128,8 @@
     cachedTokens: z.number().int(),
     /** How many tokens the answer has, over all attempts. */
     answerTokens: z.number().int(),
+    /** Text before a stop string that belongs to the token in which the stop string begins. No `tokens` carries it. */
+    text: z.string().optional(),
     load: loadReportSchema.optional(),
 });
 
