Proof: a rollout on real processes, under requests at a fixed rate

Cause: what a change of a model's current version costs its callers had not been measured on processes. Change: scenario `rollout`, run by its name: a second model is placed on the six targets of one data centre (the pins go, and so do the competing holders), then `current` goes from v1 to v2 under 12 requests a second that are never sent again. It checks that every answer is whole and of exactly one version, that v2 alone answers at the end, and that at least nine tenths of the rate before are completed during the change. Before: not measured.

--- a/packages/proof/src/lib/scenarios/scenarios.ts
+++ b/packages/proof/src/lib/scenarios/scenarios.ts
@@ -2,6 +2,7 @@
 import { networkScenarios } from "./networkScenarios.js";
 import { operatorsRace } from "./operatorsRace.js";
 import { processScenarios } from "./processScenarios.js";
+import { rollout } from "./rollout.js";
 import { type Scenario } from "./Scenario.js";
 import { storeScenarios } from "./storeScenarios.js";
 
@@ -25,7 +26,10 @@
     chaos,
 ];
 
+/** Runs of planned changes, which belong to no failure and are run by their names alone. */
+const plannedChanges: readonly Scenario[] = [rollout];
+
 /** @internal */
 export function findScenario(name: string): Scenario | undefined {
-    return scenarios.find(scenario => scenario.name === name);
+    return [...scenarios, ...plannedChanges].find(scenario => scenario.name === name);
 }
