--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -5,8 +5,6 @@
 const maxHolders = 16;
 /** What remains of the trust in a block each time that events of its target were lost after it was stored. */
 const trustAfterGap = 0.98;
-/** What remains of it each time that the target reports another generation of its cache; see cacheDoubts. */
-const trustAfterDoubt = 0.5;
 /** How much of the trust in a block rests on the last answer that tells whether it was there. */
 const answerWeight = 0.25;
 /** Below this trust a block counts as absent, so that not even a tie is decided by it. */
@@ -21,8 +19,6 @@
     readonly storedAt: number;
     /** The target's count of gaps at that time. */
     readonly gaps: number;
-    /** The target's count of doubts at that time. */
-    readonly doubts: number;
     /** What answers have shown of this block on this target, from 0 (never there) to 1. */
     readonly trust: number;
 }
@@ -56,8 +52,8 @@
     stored(states: readonly TargetState[], blocks: readonly string[]): void {
         const storedAt = this.options.clock.now();
         const added = states.map((state): Holder => {
-            const { cacheGeneration: generation, cacheGaps: gaps, cacheDoubts: doubts } = state;
-            return { state, generation, storedAt, gaps, doubts, trust: 1 };
+            const { cacheGeneration: generation, cacheGaps: gaps } = state;
+            return { state, generation, storedAt, gaps, trust: 1 };
         });
         // The end of a prompt first, so that it is also forgotten first: a block is worthless without those before it.
         for (let place = blocks.length - 1; place >= 0; place--) {
@@ -138,9 +134,7 @@
         const kept = 2 ** -(age / this.options.cacheHalfLife);
         // Blocks longest unused go first, so nearly all stay until the whole cache has been replaced, and few after.
         const spared = 2 ** -((age * state.evictionRate) ** 2);
-        // Answers and evictions tell of the same thing, so the worse counts, and not both.
-        const present = Math.min(holder.trust, spared) * trustAfterDoubt ** (state.cacheDoubts - holder.doubts);
-        const trust = present * kept * trustAfterGap ** (state.cacheGaps - holder.gaps);
+        const trust = holder.trust * kept * spared * trustAfterGap ** (state.cacheGaps - holder.gaps);
         // Fewer blocks that are surely there can be worth more than many that are doubtful.
         found.set(state, Math.max(found.get(state) ?? 0, depth * trust));
     }
--- a/packages/policy/src/lib/routing/TargetState.ts
+++ b/packages/policy/src/lib/routing/TargetState.ts
@@ -25,11 +25,6 @@
     saysLeaving = false;
     /** Grows when the target's cache is cleared; remembered blocks of an older generation are worthless. */
     cacheGeneration = 0;
-    /**
-     * How many times the target said that its cache was cleared, or may have been. It says so late, when it may hold much
-     * again, and a request that misses fills it again: so blocks are doubted, which is enough to prefer other holders.
-     */
-    cacheDoubts = 0;
     /** How many times cache events were lost; each time some remembered blocks may have been evicted unseen. */
     cacheGaps = 0;
     /** The share of the target's blocks that are evicted in a millisecond, as the target last reported it. */
@@ -83,7 +78,7 @@
         }
         // Reports of one agent arrive in their order, so a number that differs is a newer one, also if it is lower.
         if (this.reportedGeneration !== undefined) {
-            this.cacheDoubts++;
+            this.cacheGeneration++;
         }
         this.reportedGeneration = cacheGeneration;
     }
