Choice of a parent split from ConfigurationNode, and plainer words

Cause: ConfigurationNode had 395 lines and two jobs; tests and comments spoke of fates, kin and a yardstick. Change: ParentSelector chooses whom a process asks for revisions and avoids those that failed; ConfigurationNode has 309 lines. The scripted outcomes of control's tests are called faults. No behaviour and no check of a test is changed. Before: one class. Conclusion: the file reads as one job.

--- a/packages/claims/src/lib/TableClaims.ts
+++ b/packages/claims/src/lib/TableClaims.ts
@@ -27,8 +27,8 @@
 const retryAfter = 1000;
 
 /**
- * Claims with a row of its own for each request: the plainest way, for small sites and as the yardstick of others. It
- * costs one write for each request and keeps every row; the store's operators delete old ones.
+ * Claims with a row of its own for each request: the plainest way, for small sites and as the baseline of measurements.
+ * It costs one write for each request and keeps every row; the store's operators delete old ones.
  *
  * @public
  */
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -78,7 +78,7 @@
     private readonly log: PartitionLog;
     private readonly archiver: Archiver;
     private readonly pending: PendingCalls;
-    /** Batches whose fate is open; at most one of them can become the next segment. */
+    /** Batches whose outcome is not known yet; at most one of them can become the next segment. */
     private undecided: Batch[] = [];
     private fresh = false;
     private draining = false;
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -1,7 +1,7 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type LiveList } from "@waxwingspar/platform";
 import { type Address, type RpcMethod } from "@waxwingspar/transport";
-import { type Clock, type Failure, failure, type Outcome, type Random, requestCodes, sleep } from "@waxwingspar/utils";
+import { type Clock, failure, type Outcome, type Random, requestCodes, sleep } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { type Configuration } from "../Configuration.js";
@@ -11,13 +11,13 @@
 import { type LogEntry, logEntrySchema } from "../revisions/LogEntry.js";
 import { RevisionState } from "../revisions/RevisionState.js";
 import { type StoreLog } from "../revisions/StoreLog.js";
-import { ChangeClient, type PeerState } from "./ChangeClient.js";
+import { ChangeClient } from "./ChangeClient.js";
 import { ChangeServer } from "./ChangeServer.js";
 import { Children } from "./Children.js";
-import { chooseParents } from "./chooseParents.js";
 import { leavingParamsSchema, type OfferParams, offerParamsSchema, rpcMethods } from "./messages.js";
 import { NodeContext, type PeerCaller } from "./NodeContext.js";
 import { pack, unpack } from "./packing.js";
+import { keyOf, ParentSelector } from "./ParentSelector.js";
 import { type Progress, ProgressCollector } from "./ProgressCollector.js";
 
 /** @public */
@@ -63,17 +63,11 @@
 };
 const readerExchange = 1000;
 const listPatience = 2000;
-const avoidFor = 5000;
-const avoidNearFor = 1000;
-const nearFailureLimit = 3;
 const longestBackoff = 2000;
 const peersForReadiness = 3;
 const leavingTimeout = 500;
 const offerTimeout = 1000;
 
-/** Someone to learn from: a member, or an address of which nothing else is known. */
-type Parent = Address & Partial<Pick<Member, "process" | "dataCentre">>;
-
 /**
  * The configuration in force in a process, and its part in distributing it: it learns from the store if it is one of
  * its data centre's readers, else from a process of the tier above, and hands on what it knows.
@@ -88,10 +82,9 @@
     private readonly client: ChangeClient;
     private readonly server: ChangeServer;
     private readonly collector: ProgressCollector;
-    private readonly avoided = new Map<string, number>();
+    private readonly parents: ParentSelector;
     private readonly children: Children;
     private startedAt = Number.POSITIVE_INFINITY;
-    private nearFailures = 0;
     private stopped = false;
     private readyNow = false;
 
@@ -105,6 +98,7 @@
         this.client = new ChangeClient(this.context, call, () => this.children.count);
         this.server = new ChangeServer(this.context, this.children);
         this.collector = new ProgressCollector(this.context, this.children, call);
+        this.parents = new ParentSelector(this.options);
     }
 
     get revision(): number {
@@ -170,7 +164,7 @@
         const params = { process, incarnation };
         const tell = (peer: Address) => this.options.call(peer, rpcMethods.leaving, params, leavingTimeout);
         const below = this.children.list().map(({ link }) => link.request(rpcMethods.leaving, params, leavingTimeout));
-        await Promise.all([...below, ...this.parents().map(tell)]);
+        await Promise.all([...below, ...this.parents.list().map(tell)]);
     }
 
     /**
@@ -178,7 +172,7 @@
      * of their next read of the store. What gets lost, they read there.
      */
     offer(entry: LogEntry): void {
-        this.sendOffer({ entries: pack([entry]) }, [...this.ownReaders(), ...this.remoteReaders(1)]);
+        this.sendOffer({ entries: pack([entry]) }, [...this.parents.ownReaders(), ...this.parents.remoteReaders(1)]);
     }
 
     /** The reader that hears of a change tells the others of its data centre. */
@@ -189,7 +183,7 @@
             return Result.err(failure(requestCodes.malformed, "malformed offer"));
         }
         if (this.state.apply(entries.data) === "applied") {
-            this.sendOffer(parsed.data, this.ownReaders());
+            this.sendOffer(parsed.data, this.parents.ownReaders());
         }
         return Result.ok(true);
     }
@@ -201,11 +195,6 @@
         }
     }
 
-    private ownReaders(): Member[] {
-        const { membership } = this.options;
-        return membership.readers(membership.self.dataCentre);
-    }
-
     private heardLeaving(params: unknown): Outcome<unknown> {
         const parsed = leavingParamsSchema.safeParse(params);
         if (!parsed.success) {
@@ -237,7 +226,7 @@
         if (head.isOk) {
             return head.value.revision;
         }
-        const peers = this.parents().slice(0, peersForReadiness);
+        const peers = this.parents.list().slice(0, peersForReadiness);
         const answers = await Promise.all(peers.map(peer => this.client.ask(peer, 0)));
         const revisions = answers.filter(answer => answer.isOk).map(answer => answer.value.revision);
         return revisions.length === 0 ? undefined : Math.max(...revisions);
@@ -286,13 +275,13 @@
         while (!this.stopped) {
             const started = clock.now();
             const reader = this.isReader();
-            const parent = this.pickParent();
+            const parent = this.parents.pick();
             let pause = 0;
             if (parent !== undefined) {
                 // A parent that has not proved itself is asked for a quick answer, so that several dead ones cost little.
                 const answer = await this.client.ask(parent, reader || keyOf(parent) !== proved ? 0 : wait);
                 proved = answer.isOk ? keyOf(parent) : undefined;
-                this.note(parent, answer, reader);
+                this.parents.note(parent, answer, reader);
                 pause = answer.isOk && answer.value.news ? batchPause : 0;
             }
             const interval = reader ? readerExchange : parent === undefined ? longestBackoff / 4 : minInterval;
@@ -310,69 +299,6 @@
         return membership.ranked(dataCentre).slice(0, readers).some(one => one.process === process);
     }
 
-    /** The first parent that is not avoided, else the one avoided for the longest time. */
-    private pickParent(): Parent | undefined {
-        const parents = this.parents();
-        const until = (parent: Parent) => Math.max(...avoidKeys(parent).map(key => this.avoided.get(key) ?? 0));
-        const now = this.options.clock.now();
-        return parents.find(parent => until(parent) <= now) ?? parents.sort((a, b) => until(a) - until(b))[0];
-    }
-
-    private parents(): Parent[] {
-        const { membership, readers, fanOut, seeds = [] } = this.options;
-        const { dataCentre, process } = membership.self;
-        const remote = this.remoteReaders(readers);
-        const ranked = membership.ranked(dataCentre);
-        const chosen = chooseParents({ self: process, ranked, readers, fanOut, remote });
-        return chosen.length > 0 ? chosen : [...seeds];
-    }
-
-    /** Some readers of each other data centre. */
-    private remoteReaders(count: number): Member[] {
-        const { membership } = this.options;
-        const centres = membership.dataCentres().filter(centre => centre !== membership.self.dataCentre);
-        return centres.flatMap(centre => membership.readers(centre).slice(0, count));
-    }
-
-    private note(parent: Parent, answer: Outcome<PeerState>, reader: boolean): void {
-        if (answer.isErr) {
-            this.avoid(parent);
-            this.suspect(parent, answer.error);
-            this.avoidCentre(parent);
-        }
-        else if (reader || answer.value.age > this.options.lagLimit) {
-            // A reader compares itself with one peer after another; others leave a parent that lags behind the store.
-            this.avoid(parent);
-        }
-    }
-
-    private suspect(parent: Parent, { code }: Failure): void {
-        if (parent.process !== undefined && code !== requestCodes.overloaded) {
-            this.options.membership.sawFailure(parent.process);
-        }
-    }
-
-    private avoid(parent: Parent): void {
-        this.avoided.set(keyOf(parent), this.options.clock.now() + this.jitter(avoidFor));
-    }
-
-    /**
-     * When one process of another data centre does not answer, likely none does, and the near ones are asked first. When
-     * several near ones do not, the own data centre may just be starting, and the others are asked first.
-     */
-    private avoidCentre({ dataCentre }: Parent): void {
-        if (dataCentre === undefined) {
-            return;
-        }
-        const near = dataCentre === this.options.membership.self.dataCentre;
-        this.nearFailures = near ? this.nearFailures + 1 : this.nearFailures;
-        if (!near || this.nearFailures >= nearFailureLimit) {
-            this.nearFailures = 0;
-            const time = near ? avoidNearFor : avoidFor;
-            this.avoided.set(centreKey(dataCentre), this.options.clock.now() + this.jitter(time));
-        }
-    }
-
     private jitter(duration: number): number {
         return duration * (0.8 + 0.4 * this.options.random.next());
     }
@@ -381,15 +307,3 @@
         return this.jitter(Math.min(longestBackoff, this.options.storeInterval * 2 ** Math.min(failures, 8)));
     }
 }
-
-function keyOf({ host, port }: Address): string {
-    return `${host} ${port}`;
-}
-
-function avoidKeys(parent: Parent): string[] {
-    return parent.dataCentre === undefined ? [keyOf(parent)] : [keyOf(parent), centreKey(parent.dataCentre)];
-}
-
-function centreKey(dataCentre: string): string {
-    return `data centre ${dataCentre}`;
-}
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -83,7 +83,7 @@
     readonly changes: readonly DesiredChange[];
     readonly deadline: number;
     count: number;
-    /** True once a transaction was sent whose fate is not known. */
+    /** True once a transaction was sent whose outcome is not known. */
     inDoubt: boolean;
 }
 
--- a/packages/control/src/lib/leases/Lease.test.ts
+++ b/packages/control/src/lib/leases/Lease.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "true-myth";
-import { type Fate, ScriptedStore } from "../testing/ScriptedStore.js";
+import { type CommitFault, ScriptedStore } from "../testing/ScriptedStore.js";
 import { Lease } from "./Lease.js";
 import { fenceKey, parseFence, readFence } from "./leaseRow.js";
 
@@ -37,7 +37,7 @@
     }
 }
 
-const fate = fc.record<Fate>({
+const fault = fc.record<CommitFault>({
     effect: fc.constantFrom("now", "now", "late", "never"),
     answer: fc.constantFrom("now", "now", "held", "lost"),
 });
@@ -59,7 +59,7 @@
     { weight: 6, arbitrary: fc.record({ kind: fc.constant("check" as const), process }) },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant("act" as const) }) },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant("advance" as const), time: fc.nat({ max: 700 }) }) },
-    { weight: 2, arbitrary: fc.record({ kind: fc.constant("fate" as const), fate }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("fault" as const), fault }) },
     { weight: 3, arbitrary: fc.record({ kind: rare }) },
 );
 
@@ -100,8 +100,8 @@
             else if (step.kind === "check" && "process" in step) {
                 await leases[step.process]!.checked(sent => pauseBeforeSending(sent));
             }
-            else if (step.kind === "fate" && "fate" in step) {
-                store.fates.push(step.fate);
+            else if (step.kind === "fault" && "fault" in step) {
+                store.faults.push(step.fault);
             }
             else {
                 runPlain(step.kind);
@@ -137,7 +137,7 @@
 async function assertRecovers(store: ScriptedStore, clock: ManualClock, leases: readonly Lease[]): Promise<void> {
     store.up = true;
     store.setStale(false);
-    store.fates.length = 0;
+    store.faults.length = 0;
     store.applyLate();
     store.deliver();
     await settle();
@@ -154,7 +154,7 @@
     const clock = new ManualClock();
     const store = new ScriptedStore();
     const lease = makeLease(store, clock, "p");
-    store.fates.push({ effect: "now", answer: "held" });
+    store.faults.push({ effect: "now", answer: "held" });
     const polled = lease.poll();
     await settle();
     clock.advance(duration);
@@ -167,7 +167,7 @@
     const clock = new ManualClock();
     const store = new ScriptedStore();
     const lease = makeLease(store, clock, "p");
-    store.fates.push({ effect: "now", answer: "lost" });
+    store.faults.push({ effect: "now", answer: "lost" });
     assert.deepEqual(await lease.poll(), Result.ok(true));
     assert.equal(lease.fence, 1);
 });
@@ -226,7 +226,7 @@
     const store = new ScriptedStore();
     const lease = makeLease(store, clock, "p");
     await lease.poll();
-    store.fates.push({ effect: "now", answer: "held" });
+    store.faults.push({ effect: "now", answer: "held" });
     const renewed = lease.poll();
     await lease.release();
     store.deliver();
--- a/packages/control/src/lib/rollout/SiteDuty.test.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.test.ts
@@ -1,7 +1,7 @@
 import { checkHistory } from "@waxwingspar/history";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type MessageFate, SiteWorld, type WorldOptions } from "../testing/SiteWorld.js";
+import { type MessageFault, SiteWorld, type WorldOptions } from "../testing/SiteWorld.js";
 
 const beside: WorldOptions = {
     targets: 10,
@@ -82,10 +82,10 @@
         const site = await deployed({ ...beside, seed });
         site.setModel({ current: "v2" });
         await site.run(500);
-        site.messageFates.push(...Array<MessageFate>(30).fill("late"));
+        site.messageFaults.push(...Array<MessageFault>(30).fill("late"));
         await site.run(3_000);
         site.pause(site.holder!);
-        site.messageFates.length = 0;
+        site.messageFaults.length = 0;
         // The next holder gives other orders, so that the delayed ones are not just repeats.
         site.setModel({ current: "v1" });
         site.setAdapters(["polite"]);
@@ -100,8 +100,8 @@
     for (let seed = 1; seed <= 8; seed++) {
         const site = await deployed({ ...tight, seed, faultless: true });
         site.setModel({ current: "v2" });
-        site.orderFates.push(...Array<MessageFate>(4).fill("late"));
-        while (site.orderFates.length > 2) {
+        site.orderFaults.push(...Array<MessageFault>(4).fill("late"));
+        while (site.orderFaults.length > 2) {
             await site.run(500);
         }
         site.setModel({ current: "v1" });
@@ -121,8 +121,8 @@
         await site.run(500);
     }
     // The next change removes an old pipeline, which the next holder will count on.
-    site.changeFates.push("late");
-    while (site.changeFates.length > 0) {
+    site.changeFaults.push("late");
+    while (site.changeFaults.length > 0) {
         await site.run(500);
     }
     site.pause(site.holder!);
--- a/packages/control/src/lib/rollout/rollout.test.ts
+++ b/packages/control/src/lib/rollout/rollout.test.ts
@@ -52,17 +52,17 @@
         resume: () => paused !== undefined && site.resume(paused),
         down: () => site.store.up = false,
         up: () => site.store.up = true,
-        lostWrite: () => site.store.fates.push({ effect: "now", answer: "lost" }),
+        lostWrite: () => site.store.faults.push({ effect: "now", answer: "lost" }),
     };
-    const action = actions[step.kind] ?? (() => site.messageFates.push(step.kind as "late"));
+    const action = actions[step.kind] ?? (() => site.messageFaults.push(step.kind as "late"));
     action();
 }
 
 /** Ends every fault and lets the site settle. */
 async function settle(site: SiteWorld): Promise<void> {
     site.store.up = true;
-    site.store.fates.length = 0;
-    site.messageFates.length = 0;
+    site.store.faults.length = 0;
+    site.messageFaults.length = 0;
     site.holders.forEach(holder => site.resume(holder));
     for (const target of site.targets.values()) {
         if (!target.alive) {
--- a/packages/control/src/lib/testing/ScriptedStore.ts
+++ b/packages/control/src/lib/testing/ScriptedStore.ts
@@ -3,21 +3,21 @@
 import { Result } from "true-myth";
 
 /** What happens to the next commit: when it takes effect, and when the caller hears of it. @internal */
-export interface Fate {
+export interface CommitFault {
     readonly effect: "now" | "late" | "never";
     readonly answer: "now" | "held" | "lost";
 }
 
 /**
- * A table in memory whose commits meet the fates that a test hands out, so that every interleaving can be reached.
+ * A table in memory whose commits meet the faults that a test sets, so that every interleaving can be reached.
  *
  * @internal
  */
 export class ScriptedStore implements TableStore {
     /** False while the store is down: every call is refused without effect. */
     up = true;
-    /** Fates of the next commits; commits beyond them succeed at once. */
-    readonly fates: Fate[] = [];
+    /** Faults of the next commits; commits beyond them succeed at once. */
+    readonly faults: CommitFault[] = [];
     reads = 0;
     writes = 0;
     private staleRows: ReadonlyMap<string, Row> | undefined;
@@ -44,12 +44,12 @@
         if (!this.up) {
             return Promise.resolve(this.refusal());
         }
-        const fate = this.fates.shift() ?? { effect: "now", answer: "now" };
-        if (fate.effect === "late") {
+        const fault = this.faults.shift() ?? { effect: "now", answer: "now" };
+        if (fault.effect === "late") {
             this.late.push(() => void this.apply(transaction));
         }
-        const applied = fate.effect === "now" ? this.apply(transaction) : undefined;
-        return this.answer(applied ?? this.unknown(), fate.answer);
+        const applied = fault.effect === "now" ? this.apply(transaction) : undefined;
+        return this.answer(applied ?? this.unknown(), fault.answer);
     }
 
     findCommit(writeId: string): Promise<Outcome<Record<string, number> | undefined>> {
@@ -72,7 +72,7 @@
         this.heldAnswers.splice(0).forEach(deliver => deliver());
     }
 
-    private answer<T>(outcome: Outcome<T>, when: Fate["answer"]): Promise<Outcome<T>> {
+    private answer<T>(outcome: Outcome<T>, when: CommitFault["answer"]): Promise<Outcome<T>> {
         if (when === "lost") {
             return Promise.resolve(this.unknown());
         }
--- a/packages/control/src/lib/testing/SiteWorld.ts
+++ b/packages/control/src/lib/testing/SiteWorld.ts
@@ -33,7 +33,7 @@
 }
 
 /** A late message arrives long after its sender has given up. @internal */
-export type MessageFate = "lostBefore" | "lostAfter" | "late";
+export type MessageFault = "lostBefore" | "lostAfter" | "late";
 
 /** A process that may hold the duty. While it is paused it does nothing and hears nothing. */
 interface Holder {
@@ -61,11 +61,11 @@
     readonly lines: HistoryLine[] = [];
     readonly violations: string[] = [];
     /** What the next messages to targets meet. */
-    readonly messageFates: MessageFate[] = [];
+    readonly messageFaults: MessageFault[] = [];
     /** What the next orders meet. */
-    readonly orderFates: MessageFate[] = [];
-    /** What the next changes of placements meet; those beyond meet random fates. */
-    readonly changeFates: MessageFate[] = [];
+    readonly orderFaults: MessageFault[] = [];
+    /** What the next changes of placements meet; those beyond meet random faults. */
+    readonly changeFaults: MessageFault[] = [];
     readonly random: Random;
     model: ModelSpec;
     /** Names of the adapters of both versions. */
@@ -256,23 +256,23 @@
     }
 
     private port(awake: <T>(outcome: Promise<T>) => Promise<T>): TargetPort {
-        const send = async <T>(deliver: () => Promise<Outcome<T>>, given?: MessageFate): Promise<Outcome<T>> => {
-            const fate = given ?? this.messageFates.shift();
+        const send = async <T>(deliver: () => Promise<Outcome<T>>, given?: MessageFault): Promise<Outcome<T>> => {
+            const fault = given ?? this.messageFaults.shift();
             const lost = Result.err(failure(transportCodes.connectionLost, "lost"));
-            if (fate === "lostBefore") {
+            if (fault === "lostBefore") {
                 return lost;
             }
-            if (fate === "late") {
+            if (fault === "late") {
                 this.clock.schedule(() => void deliver(), 1000 + this.random.below(40_000));
                 return lost;
             }
             const outcome = await awake(deliver());
-            return fate === "lostAfter" ? lost : outcome;
+            return fault === "lostAfter" ? lost : outcome;
         };
         return {
             observe: (target, fence) => send(() => this.targets.get(target)!.observe(fence)),
             order: (target, incarnation, order) =>
-                send(() => this.targets.get(target)!.order(incarnation, order), this.orderFates.shift()),
+                send(() => this.targets.get(target)!.order(incarnation, order), this.orderFaults.shift()),
         };
     }
 
@@ -292,21 +292,21 @@
         if (!this.store.up || this.refusesWrites) {
             return Result.err(failure(platformCodes.storeUnavailable, "down"));
         }
-        const fate = this.changeFates.shift() ?? this.randomFate();
-        if (fate === "late") {
+        const fault = this.changeFaults.shift() ?? this.randomFault();
+        if (fault === "late") {
             this.clock.schedule(() => void this.writePlacement(change, guard), 30_000);
         }
-        const isLost = fate === "late" || fate === "lostBefore";
+        const isLost = fault === "late" || fault === "lostBefore";
         const written = isLost ? undefined : this.writePlacement(change, guard);
-        if (fate === "lostAfter" || written === undefined) {
+        if (fault === "lostAfter" || written === undefined) {
             return Result.err(failure(platformCodes.storeUnknown, "lost"));
         }
         return written;
     }
 
-    private randomFate(): MessageFate | undefined {
-        const fates: readonly MessageFate[] = ["late", "lostBefore", "lostAfter"];
-        return this.options.faultless ? undefined : fates[this.random.below(60)];
+    private randomFault(): MessageFault | undefined {
+        const faults: readonly MessageFault[] = ["late", "lostBefore", "lostAfter"];
+        return this.options.faultless ? undefined : faults[this.random.below(60)];
     }
 
     private writePlacement({ name, spec, resourceVersion }: PlacementChange, guard: RowCondition): Outcome<number> {
