Test of bench no longer depends on the speed of the machine

Cause: "bench reports every planned call of a local site" asked that a real site complete all calls; in a run of all tests of cli on a busy machine the site refused 10 of 15 (4 with 1010, 6 with 1012), as it should. Change: the exact counts are asked of a fake site that refuses every third request, refusals included; the real site is asked for answers that bench understands, each whole or with a number, and that none is lost. Conclusion: a refusal under load is a result that the test counts, not a fault.

--- a/packages/cli/src/lib/commands/benchCommand.test.ts
+++ b/packages/cli/src/lib/commands/benchCommand.test.ts
@@ -1,8 +1,10 @@
 import { createLogger } from "@waxwingspar/telemetry";
-import { seededRandom, SystemClock } from "@waxwingspar/utils";
+import { requestCodes, seededRandom, SystemClock } from "@waxwingspar/utils";
 import { CommanderError } from "commander";
 import assert from "node:assert/strict";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:http";
+import { type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test, type TestContext } from "node:test";
@@ -36,7 +38,53 @@
     return folder;
 }
 
-test("bench reports every planned call of a local site, in three forms", async context => {
+const load = ["--rate", "50", "--duration", "0.4", "--max-tokens", "5", "--service-share", "0.3", "--seed", "3"];
+
+/** A site that refuses every third model request. */
+async function startFakeSite(context: TestContext): Promise<{ origin: string; counts: Record<string, number>; }> {
+    const counts = { model: 0, service: 0, refused: 0 };
+    const token = `data: ${JSON.stringify({ choices: [{ text: "a", finish_reason: "length" }] })}\n\n`;
+    const server = createServer((request, response) => {
+        if (request.method === "GET") {
+            counts.service++;
+            response.end("[]");
+            return;
+        }
+        counts.model++;
+        if (counts.model % 3 === 0) {
+            counts.refused++;
+            response.writeHead(503).end(JSON.stringify({ error: { number: requestCodes.overloaded.number } }));
+            return;
+        }
+        response.writeHead(200).end(`${token}data: [DONE]\n\n`);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    context.after(() => server.close());
+    return { origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, counts };
+}
+
+test("bench reports every planned call, in three forms", async context => {
+    const { origin, counts } = await startFakeSite(context);
+    const folder = await folderOf(context);
+    const files = {
+        json: join(folder, "figures.json"),
+        markdown: join(folder, "report.md"),
+        svg: join(folder, "a.svg"),
+    };
+    const options = Object.entries(files).flatMap(([name, file]) => [`--${name}`, file]);
+    const { code, text } = await runBench("--callers", origin, ...load, ...options);
+    assert.equal(code, 0, text);
+    const { model = 0, service = 0, refused = 0 } = counts;
+    assert.ok(refused > 0 && service > 0, "the plan holds every kind of call");
+    const { calls, outcomes } = figuresSchema.parse(JSON.parse(await readFile(files.json, "utf8")));
+    assert.equal(calls, model + service);
+    const { number, name } = requestCodes.overloaded;
+    assert.deepEqual(outcomes, { completed: calls - refused, [`${number} ${name}`]: refused });
+    assert.equal(await readFile(files.markdown, "utf8"), text);
+    assert.match(await readFile(files.svg, "utf8"), /^<svg /);
+});
+
+test("bench understands every answer of a local site, also its refusals", async context => {
     const anyPort = { host: "127.0.0.1", port: 0 };
     const site = new LocalSite({
         callers: anyPort,
@@ -47,17 +95,13 @@
     });
     context.after(() => site.stop());
     const { callers: { host, port } } = (await site.start()).unwrapOrElse(({ message }) => assert.fail(message));
-    const folder = await folderOf(context);
-    const [json, markdown, svg] = ["figures.json", "report.md", "plot.svg"].map(name => join(folder, name));
-    const load = ["--rate", "50", "--duration", "0.4", "--max-tokens", "5", "--service-share", "0.3", "--seed", "3"];
-    const files = ["--json", json ?? "", "--markdown", markdown ?? "", "--svg", svg ?? ""];
-    const { code, text } = await runBench("--callers", `http://${host}:${port}`, ...load, ...files);
-    assert.equal(code, 0, text);
-    const figures = figuresSchema.parse(JSON.parse(await readFile(json ?? "", "utf8")));
-    assert.ok(figures.calls > 0);
-    assert.deepEqual(figures.outcomes, { completed: figures.calls });
-    assert.equal(await readFile(markdown ?? "", "utf8"), text);
-    assert.match(await readFile(svg ?? "", "utf8"), /^<svg /);
+    const file = join(await folderOf(context), "figures.json");
+    await runBench("--callers", `http://${host}:${port}`, ...load, "--json", file);
+    const { calls, outcomes } = figuresSchema.parse(JSON.parse(await readFile(file, "utf8")));
+    // A slow machine makes the site refuse; what counts is that each end is whole or has a number.
+    assert.deepEqual(Object.keys(outcomes).filter(name => !/^(completed|\d{4} [a-z-]+)$/.test(name)), []);
+    assert.equal(Object.values(outcomes).reduce((sum, count) => sum + count, 0), calls);
+    assert.ok((outcomes["completed"] ?? 0) > 0);
 });
 
 test("bench fails when nobody answers, and tells so", async () => {
--- a/packages/cli/src/lib/commands/demoCommand.ts
+++ b/packages/cli/src/lib/commands/demoCommand.ts
@@ -24,7 +24,7 @@
     const result = await runDemo({
         clock: new SystemClock(),
         random: seededRandom(seed),
-        logger: createLogger({ process: "demo", level: "silent" }),
+        logger: createLogger({ level: "silent" }),
         historyFolder,
         write: output.write,
     });
--- a/packages/cli/src/lib/commands/localCommand.ts
+++ b/packages/cli/src/lib/commands/localCommand.ts
@@ -30,7 +30,7 @@
         operators: options.operators,
         clock: new SystemClock(),
         random: seededRandom(randomInt(maxSeed)),
-        logger: createLogger({ process: "local", level: options.log }),
+        logger: createLogger({ level: options.log }),
         historyFolder: options.history,
     });
     const started = await site.start();
