--- a/packages/config/src/lib/resources/specs.ts
+++ b/packages/config/src/lib/resources/specs.ts
@@ -12,7 +12,7 @@
 /** @internal */
 export const modelSpecSchema = z.strictObject({
     layers: z.number().int().positive(),
-    /** Versions that may be served. Requests go to `current`. */
+    /** Versions that may be served. Requests go to `current`; while it takes over, to others that still have pipelines. */
     versions: z.array(nameSchema).min(1),
     current: nameSchema,
     /** Bytes of weights of one layer. */
--- a/packages/control/src/lib/orders/orders.test.ts
+++ b/packages/control/src/lib/orders/orders.test.ts
@@ -69,6 +69,24 @@
     assert.equal(new Set(sent.map(({ id }) => id)).size, 2);
 });
 
+test("an unload that requests still hold up is asked for again after a second, as a new order", async () => {
+    const refusal = Result.err<void, ReturnType<typeof failure>>(
+        failure(platformCodes.inUse, "in use", { retryAfter: 1000 }),
+    );
+    const { clock, sent, send } = await senderWith([refusal, refusal]);
+    await send();
+    clock.advance(999);
+    await send();
+    assert.equal(sent.length, 1);
+    clock.advance(1);
+    await send();
+    clock.advance(1000);
+    await send();
+    await send();
+    assert.equal(sent.length, 3, "the third was carried out");
+    assert.equal(new Set(sent.map(({ id }) => id)).size, 3);
+});
+
 test("an order that took effect is not sent again, unless a later report shows it undone", async () => {
     const { clock, sent, send } = await senderWith([]);
     const before = clock.now();
