Router: evictions take at most half of the trust, and count no more beside worse answers

Cause: the reported share of evictions took nearly all trust from prompts that a small cache keeps because others use them, and answers were counted on top of it. Change: evictions lower the trust down to a half; of answers and evictions the worse counts instead of their product.

--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -5,6 +5,11 @@
 const maxHolders = 16;
 /** What remains of the trust in a block each time that events of its target were lost after it was stored. */
 const trustAfterGap = 0.98;
+/**
+ * What remains of it however much the target evicts. The blocks that others use stay longest, which the share of evictions
+ * does not tell; below this the answers decide.
+ */
+const leastSpared = 0.5;
 /** How much of the trust in a block rests on the last answer that tells whether it was there. */
 const answerWeight = 0.25;
 /** Below this trust a block counts as absent, so that not even a tie is decided by it. */
@@ -133,8 +138,9 @@
         const age = this.options.clock.now() - holder.storedAt;
         const kept = 2 ** -(age / this.options.cacheHalfLife);
         // Blocks longest unused go first, so nearly all stay until the whole cache has been replaced, and few after.
-        const spared = 2 ** -((age * state.evictionRate) ** 2);
-        const trust = holder.trust * kept * spared * trustAfterGap ** (state.cacheGaps - holder.gaps);
+        const spared = leastSpared + (1 - leastSpared) * 2 ** -((age * state.evictionRate) ** 2);
+        // Answers and evictions tell of the same thing, so the worse counts, and not both.
+        const trust = Math.min(holder.trust, spared) * kept * trustAfterGap ** (state.cacheGaps - holder.gaps);
         // Fewer blocks that are surely there can be worth more than many that are doubtful.
         found.set(state, Math.max(found.get(state) ?? 0, depth * trust));
     }
