--- a/packages/policy/src/lib/admission/TokenBucket.ts
+++ b/packages/policy/src/lib/admission/TokenBucket.ts
@@ -15,7 +15,7 @@
      * @param rate - Tokens per second.
      * @param burst - The most tokens that can be saved up, at least 1.
      */
-    constructor(private readonly clock: Clock, readonly rate: number, private readonly burst: number) {
+    constructor(private readonly clock: Clock, public rate: number, private burst: number) {
         this.tokens = burst;
         this.refilledAt = clock.now();
     }
@@ -36,6 +36,20 @@
         return Math.max(0, 1 - this.tokens) / this.rate * millisecondsPerSecond;
     }
 
+    /** True while nothing more can be saved up. */
+    get full(): boolean {
+        this.refill();
+        return this.tokens >= this.burst;
+    }
+
+    /** Goes on at another rate. What was saved up stays, as far as the new burst holds it. */
+    change(rate: number, burst: number): void {
+        this.refill();
+        this.rate = rate;
+        this.burst = burst;
+        this.tokens = Math.min(burst, this.tokens);
+    }
+
     private refill(): void {
         const now = this.clock.now();
         const gained = (now - this.refilledAt) / millisecondsPerSecond * this.rate;
