--- a/packages/entry/src/lib/links/AgentLink.ts
+++ b/packages/entry/src/lib/links/AgentLink.ts
@@ -12,6 +12,23 @@
     onLost(link: AgentLink): void;
 }
 
+/**
+ * A link that closed.
+ *
+ * @internal
+ */
+export interface ClosedLink {
+    /** The targets behind it. */
+    readonly targets: readonly string[];
+    /** How many requests were in progress on it. */
+    readonly open: number;
+    /** True when the agent had told before that it leaves. */
+    readonly announced: boolean;
+}
+
+/** @internal */
+export type LinkClosed = (link: ClosedLink) => void;
+
 /**
  * One open link to an agent, shared by all requests that this agent serves.
  *
@@ -21,11 +38,12 @@
     /** Names of the targets that were reached over this link; one, unless a target was renamed. */
     readonly targets = new Set<string>();
     private readonly handlers = new Map<string, LinkHandler>();
+    private leaving = false;
 
     constructor(
         private readonly link: Link,
         private readonly router: Router,
-        private readonly closed: (targets: readonly string[], open: number) => void,
+        private readonly closed: LinkClosed,
     ) {
         link.onMessage(message => this.dispatch(message));
         link.onClose(() => this.lose());
@@ -57,6 +75,7 @@
     private dispatch(message: Message): void {
         const load = loadOf(message);
         if (load !== undefined) {
+            this.leaving = load.leaving;
             this.router.report(load);
         }
         if ("request" in message) {
@@ -69,7 +88,7 @@
             this.router.unreachable(target);
         }
         const handlers = [...this.handlers.values()];
-        this.closed([...this.targets], handlers.length);
+        this.closed({ targets: [...this.targets], open: handlers.length, announced: this.leaving });
         this.handlers.clear();
         for (const handler of handlers) {
             handler.onLost(this);
--- a/packages/entry/src/lib/links/AgentLinks.ts
+++ b/packages/entry/src/lib/links/AgentLinks.ts
@@ -2,7 +2,7 @@
 import { type Address, type Link, type LinkPool } from "@waxwingspar/transport";
 import { failure, type Outcome, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { AgentLink } from "./AgentLink.js";
+import { AgentLink, type LinkClosed } from "./AgentLink.js";
 
 /**
  * An agent, by the name of its target and where it listens.
@@ -17,8 +17,8 @@
 export interface AgentLinksOptions {
     readonly links: LinkPool;
     readonly router: Router;
-    /** Runs when a link closed: the targets behind it, and how many requests were in progress on it. */
-    readonly onLost?: (targets: readonly string[], open: number) => void;
+    /** Runs when a link closed. */
+    readonly onClosed?: LinkClosed;
 }
 
 /**
@@ -30,11 +30,11 @@
 export class AgentLinks {
     private readonly pool: LinkPool;
     private readonly router: Router;
-    private readonly onLost: (targets: readonly string[], open: number) => void;
+    private readonly onClosed: LinkClosed;
     private readonly agents = new Map<Link, AgentLink>();
 
-    constructor({ links, router, onLost = () => undefined }: AgentLinksOptions) {
-        this.onLost = onLost;
+    constructor({ links, router, onClosed = () => undefined }: AgentLinksOptions) {
+        this.onClosed = onClosed;
         this.pool = links;
         this.router = router;
         links.onOpen(link => this.adopt(link));
@@ -61,7 +61,7 @@
         if (known !== undefined) {
             return known;
         }
-        const agent = new AgentLink(link, this.router, this.onLost);
+        const agent = new AgentLink(link, this.router, this.onClosed);
         this.agents.set(link, agent);
         link.onClose(() => this.agents.delete(link));
         return agent;
--- a/packages/telemetry/src/lib/logs/createLogger.test.ts
+++ b/packages/telemetry/src/lib/logs/createLogger.test.ts
@@ -18,3 +18,12 @@
     assert.equal(parsed.msg, "transport: link opened");
     assert.equal(parsed.process, "entry-1");
 });
+
+test("a process that is named by a child logger stands in its lines once", () => {
+    const lines: string[] = [];
+    const logger = createLogger({ destination: { write: line => void lines.push(line) } });
+    logger.child({ process: "entry" }).info("takes callers");
+    const [line = ""] = lines;
+    assert.equal(line.match(/"process":/g)?.length, 1, line);
+    assert.doesNotMatch(line, /"(pid|hostname)":/);
+});
--- a/packages/telemetry/src/lib/logs/createLogger.ts
+++ b/packages/telemetry/src/lib/logs/createLogger.ts
@@ -12,8 +12,8 @@
  * @public
  */
 export interface LoggerOptions {
-    /** The name of the process, as in its settings. */
-    readonly process: string;
+    /** The name of the process, as in its settings; absent where several run in one, and child loggers name them. */
+    readonly process?: string;
     /** The part of the system that writes, put before each sentence; absent where the sentences name it themselves. */
     readonly part?: string;
     /** Default `info`. */
@@ -40,7 +40,7 @@
 export function createLogger(options: LoggerOptions): Logger {
     const settings = {
         level: options.level ?? "info",
-        base: { process: options.process },
+        base: options.process === undefined ? undefined : { process: options.process },
         msgPrefix: options.part === undefined ? undefined : `${options.part}: `,
         redact: { paths: redacted, censor: "[redacted]" },
     };
