Claims of a target that leaves gracefully are answered after it is gone

Cause: a claim was bound to one incarnation, and whatever that one knew was lost when it left as planned, so that every later duplicate got "unknown" (2001), also of calls that had ended and of calls that never arrived. Change: after its drain, once it refuses everything, an agent writes one object `claims/left/TARGET/INCARNATION`: each remembered claim with its end (ran, interrupted, refused), answers of plain calls up to 4 MiB, the newest first, and the highest forgotten generation of each series. An entry that cannot reach a claim's runner looks there for at most 1 s: a kept answer is repeated, a claim that is refused, or neither listed nor forgotten, is moved and runs elsewhere, the rest stays unknown, as does everything when there is no object. The next leave of the target deletes objects after 24 h. Answers of models are not kept in the object: their duplicates get "unknown" as before. Conclusion: a planned stop costs one write, one listing and a read of each older object; only duplicates of gone runners read.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -16,8 +16,7 @@
 import { Result } from "true-myth";
 import { type AgentContext, type AgentMetrics, type ModelVersion } from "./AgentContext.js";
 import { type AgentSettings } from "./AgentSettings.js";
-import { type AnswerClaims } from "./claims/AnswerRecord.js";
-import { ClaimTable, type ClaimTableOptions } from "./claims/ClaimTable.js";
+import { AgentClaims, type WriteLeftClaims } from "./claims/AgentClaims.js";
 import { OrderGate, orderMethodName } from "./control/OrderGate.js";
 import { createContext } from "./createContext.js";
 import { Drain } from "./Drain.js";
@@ -28,7 +27,6 @@
 import { createExportMethod, exportMethodName } from "./kv/exportMethod.js";
 import { type CreditMessage } from "./messages.js";
 import { isTakenFrom } from "./peerRoles.js";
-import { type CallClaims } from "./service/CallSink.js";
 import { type ServiceAddress, ServiceProxy } from "./service/ServiceProxy.js";
 import { StageAttempt } from "./stage/StageAttempt.js";
 import { StageRequests } from "./stage/StageRequests.js";
@@ -54,6 +52,8 @@
     readonly service?: ServiceAddress;
     /** Reads the highest fence ever issued for this target from the store. By default there was none. */
     readonly readFence?: () => Promise<Outcome<number>>;
+    /** Writes down what became of the claims, for duplicates that come after the agent has left. By default it is lost. */
+    readonly writeLeftClaims?: WriteLeftClaims;
     readonly record?: HistoryRecorder;
     readonly clock?: Clock;
     readonly log?: Logger;
@@ -89,19 +89,20 @@
     private readonly heads: HeadRequests;
     private readonly stages: StageRequests;
     private readonly calls: ServiceProxy | undefined;
+    private readonly claims: AgentClaims;
     private readonly gate: OrderGate;
     private readonly stopWatching: () => void;
     private closed = false;
     private left: Promise<DrainResult> | undefined;
 
-    constructor(private readonly options: AgentOptions) {
+    constructor(options: AgentOptions) {
         this.context = createContext(options);
         const { context } = this;
-        const answerClaims: AnswerClaims = new ClaimTable(this.claimOptions(2 * context.settings.retainCache));
-        const callClaims: CallClaims = new ClaimTable(this.claimOptions(undefined));
-        this.heads = new HeadRequests(context, answerClaims);
+        this.claims = new AgentClaims(context, options.hello.incarnation, options.writeLeftClaims);
+        const { answers, calls } = this.claims;
+        this.heads = new HeadRequests(context, answers);
         this.stages = new StageRequests(context);
-        this.calls = options.service === undefined ? undefined : new ServiceProxy(context, callClaims, options.service);
+        this.calls = options.service === undefined ? undefined : new ServiceProxy(context, calls, options.service);
         this.gate = new OrderGate({
             target: context.target,
             engine: context.engine,
@@ -199,6 +200,8 @@
         });
         const interrupted = await drain.wait();
         await this.close();
+        // Only now: from here on every request is refused, so that a claim that is not listed can never run here.
+        await this.claims.writeDown();
         record({ event: "process.stopped", interrupted });
         log.info({ target, interrupted }, "agent: stopped");
         return { interrupted };
@@ -355,19 +358,4 @@
         const { configuration, queue } = this.context;
         configuration.list("organisation").forEach(({ name, spec }) => queue.setShare(name, spec.share));
     }
-
-    private claimOptions(resumeWindow: number | undefined): ClaimTableOptions {
-        const { context, options } = this;
-        const { settings } = context;
-        return {
-            target: context.target,
-            incarnation: options.hello.incarnation,
-            clock: context.clock,
-            limit: settings.claims,
-            bytes: settings.claimBytes,
-            answerRetention: settings.claimAnswerRetention,
-            retention: settings.claimRetention,
-            resumeWindow,
-        };
-    }
 }
--- a/packages/agent/src/lib/AgentSettings.ts
+++ b/packages/agent/src/lib/AgentSettings.ts
@@ -41,6 +41,9 @@
     /** Bytes of answers kept for duplicates, and milliseconds for which. */
     readonly claimBytes: number;
     readonly claimAnswerRetention: number;
+    /** Bytes of answers that a target that leaves writes down for duplicates, and milliseconds for which they stay. */
+    readonly leftClaimBytes: number;
+    readonly leftClaimRetention: number;
     /** Milliseconds between two load reports on a link that carries traffic. */
     readonly loadInterval: number;
     /** Bytes per second that load reports on their own may take, over all links; see docs/CAPACITY.md. */
@@ -81,6 +84,8 @@
     claimRetention: 3_600_000,
     claimBytes: 33_554_432,
     claimAnswerRetention: 900_000,
+    leftClaimBytes: 4_194_304,
+    leftClaimRetention: 86_400_000,
     loadInterval: 250,
     loadBytesPerSecond: 800,
     cachePollInterval: 1000,
--- a/packages/agent/src/lib/claims/ClaimTable.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.ts
@@ -1,7 +1,7 @@
-import { decodeClaim, ForgottenClaims } from "@waxwingspar/claims";
+import { decodeClaim, ForgottenClaims, type LeftClaim } from "@waxwingspar/claims";
 import { type Clock, type Failure, failure, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { ClaimRecord } from "./ClaimRecord.js";
+import { ClaimRecord, type ClaimState } from "./ClaimRecord.js";
 
 /** @internal */
 export interface ClaimTableOptions {
@@ -95,6 +95,18 @@
         this.refused(record, reason);
     }
 
+    /** The highest forgotten generation of each series. */
+    get forgottenClaims(): [series: string, generation: number][] {
+        return this.forgotten.entries();
+    }
+
+    /** Every remembered claim, the newest first. One that still runs, or may go on, counts as interrupted. */
+    listEnds(): { readonly record: ClaimRecord<Item, End>; readonly end: LeftClaim["end"]; }[] {
+        const running = [...this.records.values()].filter(record => !this.settled.has(record));
+        const records = [...running, ...[...this.settled].reverse()];
+        return records.map(record => ({ record, end: endOf(record.state) }));
+    }
+
     ended(record: ClaimRecord<Item, End>, end: End): void {
         record.end(end);
         if (record.truncated) {
@@ -220,3 +232,15 @@
         this.forgotten.add(record.id);
     }
 }
+
+function endOf(state: ClaimState): LeftClaim["end"] {
+    switch (state) {
+        case "ended":
+        case "forgotten":
+            return "ran";
+        case "refused":
+            return "refused";
+        default:
+            return "interrupted";
+    }
+}
--- /dev/null
+++ b/packages/agent/src/lib/claims/collectLeftClaims.ts
@@ -0,0 +1,56 @@
+import { type LeftClaim, type LeftClaims, type LeftReply, type Runner } from "@waxwingspar/claims";
+import { type CallClaims, type CallRecord } from "../service/CallSink.js";
+import { type AnswerClaims } from "./AnswerRecord.js";
+
+/** @internal */
+export interface LeftClaimsInput {
+    readonly runner: Runner;
+    readonly calls: CallClaims;
+    readonly answers: AnswerClaims;
+    /** Bytes of answers that are written down at most. */
+    readonly bytes: number;
+    /** Milliseconds of the wall clock, after which nobody needs the result. */
+    readonly until: number;
+}
+
+/**
+ * Lists what an agent that can run nothing more knows about its claims. Answers of plain calls are included, the newest
+ * first, up to the limit; those of models are not.
+ *
+ * @internal
+ */
+export function collectLeftClaims({ runner, calls, answers, bytes, until }: LeftClaimsInput): LeftClaims {
+    let room = bytes;
+    const callEnds = calls.listEnds().map(({ record, end }): LeftClaim => {
+        const reply = record.state === "ended" ? replyOf(record) : undefined;
+        const size = reply === undefined ? 0 : JSON.stringify(reply).length;
+        if (reply === undefined || size > room) {
+            return { claim: record.id, end };
+        }
+        room -= size;
+        return { claim: record.id, end, reply };
+    });
+    const answerEnds = answers.listEnds().map(({ record, end }): LeftClaim => ({ claim: record.id, end }));
+    return {
+        version: 1,
+        ...runner,
+        until,
+        forgotten: mergeForgotten([...calls.forgottenClaims, ...answers.forgottenClaims]),
+        claims: [...callEnds, ...answerEnds],
+    };
+}
+
+function replyOf({ items }: CallRecord): LeftReply | undefined {
+    const head = items.find(item => item.kind === "head");
+    if (head === undefined) {
+        return undefined;
+    }
+    const pieces = items.flatMap(item => item.kind === "body" ? [item.data] : []);
+    return { status: head.status, headers: head.headers, body: Buffer.concat(pieces).toString("base64") };
+}
+
+function mergeForgotten(entries: readonly [string, number][]): [string, number][] {
+    const highest = new Map<string, number>();
+    entries.forEach(([series, generation]) => highest.set(series, Math.max(generation, highest.get(series) ?? 0)));
+    return [...highest];
+}
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -8,6 +8,8 @@
 export { ForgottenClaims } from "./lib/ForgottenClaims.js";
 export { ClaimJournal, type ClaimJournalOptions } from "./lib/journal/ClaimJournal.js";
 export { ClaimJournals, type ClaimJournalsOptions } from "./lib/journal/ClaimJournals.js";
+export { type LeftClaim, type LeftClaims, type LeftOutcome, type LeftReply } from "./lib/left/LeftClaims.js";
+export { LeftClaimsStore, type LeftClaimsStoreOptions } from "./lib/left/LeftClaimsStore.js";
 export { claimMethods } from "./lib/routing/claimMethods.js";
 export { ClaimRouter, type ClaimRouterOptions } from "./lib/routing/ClaimRouter.js";
 export { type ClaimOwner } from "./lib/routing/OwnerRanking.js";
--- a/packages/claims/src/lib/ForgottenClaims.ts
+++ b/packages/claims/src/lib/ForgottenClaims.ts
@@ -15,7 +15,17 @@
  * @public
  */
 export class ForgottenClaims {
-    private readonly highest = new Map<string, number>();
+    private readonly highest: Map<string, number>;
+
+    /** @param entries - What {@link entries} of another gave. */
+    constructor(entries: Iterable<readonly [series: string, generation: number]> = []) {
+        this.highest = new Map(entries);
+    }
+
+    /** The highest forgotten generation of each series. */
+    entries(): [series: string, generation: number][] {
+        return [...this.highest];
+    }
 
     /** Notes that a claim's mark is dropped. */
     add(claim: string): void {
--- /dev/null
+++ b/packages/claims/src/lib/left/LeftClaimsStore.test.ts
@@ -0,0 +1,90 @@
+import { MemoryObjectStore } from "@waxwingspar/platform";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { encodeClaim, shortHash } from "../claimId.js";
+import { type LeftClaims } from "./LeftClaims.js";
+import { LeftClaimsStore } from "./LeftClaimsStore.js";
+
+const runner = { target: "t/1", incarnation: "i1" };
+const reply = { status: 201, headers: { "x-part": ["7", "8"] }, body: Buffer.from("done").toString("base64") };
+const day = 86_400_000;
+
+function claim(key: string, generation = 9): { id: string; runner: typeof runner; } {
+    const keyHash = shortHash(key);
+    const id = encodeClaim({ route: "records", organisation: "ports", keyHash, series: "p3", generation, runner });
+    return { id, runner };
+}
+
+function leftClaims(clock: ManualClock, changes: Partial<LeftClaims> = {}): LeftClaims {
+    return {
+        version: 1,
+        ...runner,
+        until: clock.date().getTime() + day,
+        forgotten: [["p3", 4]],
+        claims: [
+            { claim: claim("ran").id, end: "ran", reply },
+            { claim: claim("large").id, end: "ran" },
+            { claim: claim("broken").id, end: "interrupted" },
+            { claim: claim("refused").id, end: "refused" },
+        ],
+        ...changes,
+    };
+}
+
+function create(): { clock: ManualClock; objects: MemoryObjectStore; left: LeftClaimsStore; } {
+    const clock = new ManualClock();
+    const objects = new MemoryObjectStore({ clock });
+    return { clock, objects, left: new LeftClaimsStore({ objects, clock }) };
+}
+
+test("a runner that has left tells what became of each claim", async () => {
+    const { clock, objects, left } = create();
+    assert.ok((await left.write(leftClaims(clock))).isOk);
+    const kinds = async (...keys: string[]): Promise<string[]> =>
+        Promise.all(keys.map(async key => (await left.find(claim(key))).kind));
+    assert.deepEqual(await left.find(claim("ran")), { kind: "answered", reply });
+    assert.deepEqual(await kinds("large", "broken", "refused", "absent"), ["unknown", "unknown", "notRun", "notRun"]);
+    assert.equal((await left.find(claim("forgotten", 4))).kind, "unknown", "absence proves nothing here");
+    assert.equal(objects.faults.arrivals.read, 2, "the listing of old objects, and one read for all duplicates");
+});
+
+test("without an object, or with another runner's, nothing is known", async () => {
+    const { clock, objects, left } = create();
+    assert.equal((await left.find(claim("ran"))).kind, "unknown", "a killed runner writes none");
+    const other = leftClaims(clock, { incarnation: "i2" });
+    for (const data of [JSON.stringify(other), "{", JSON.stringify({ ...leftClaims(clock), version: 2 })]) {
+        await objects.put("claims/left/t%2F1/i1", Buffer.from(data));
+        await clock.advanceAsync(2000, 100);
+        assert.equal((await left.find(claim("absent"))).kind, "unknown");
+    }
+});
+
+test("a store that does not answer is asked once, and for a bounded time", async () => {
+    const { clock, objects, left } = create();
+    await left.write(leftClaims(clock));
+    const before = objects.faults.arrivals.read;
+    objects.faults.set({ delay: 60_000 });
+    let found: string[] = [];
+    void Promise.all([left.find(claim("ran")), left.find(claim("absent"))]).then(outcomes => {
+        found = outcomes.map(({ kind }) => kind);
+    });
+    await clock.advanceAsync(1000, 100);
+    assert.deepEqual(found, ["unknown", "unknown"]);
+    assert.equal(objects.faults.arrivals.read - before, 1);
+    objects.faults.set({ delay: 0 });
+    await clock.advanceAsync(1000, 100);
+    assert.equal((await left.find(claim("ran"))).kind, "answered", "it is asked again later");
+});
+
+test("the next runner of the target deletes objects whose time is over", async () => {
+    const { clock, objects, left } = create();
+    await left.write(leftClaims(clock));
+    await left.write(leftClaims(clock, { target: "other" }));
+    await left.write(leftClaims(clock, { incarnation: "i2" }));
+    assert.equal((await objects.list("claims/left/")).unwrapOr([]).length, 3);
+    clock.advance(day + 1);
+    await left.write(leftClaims(clock, { incarnation: "i3" }));
+    const names = (await objects.list("claims/left/")).unwrapOr([]);
+    assert.deepEqual(names, ["claims/left/other/i1", "claims/left/t%2F1/i3"]);
+});
--- /dev/null
+++ b/packages/claims/src/lib/left/LeftClaimsStore.ts
@@ -0,0 +1,135 @@
+import { type ObjectStore } from "@waxwingspar/platform";
+import { type Clock, failure, type Outcome, platformCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { type Claim, type Runner } from "../Claims.js";
+import { type LeftClaims, LeftIndex, type LeftOutcome, parseLeftClaims } from "./LeftClaims.js";
+
+/** Options of {@link LeftClaimsStore}. @public */
+export interface LeftClaimsStoreOptions {
+    readonly objects: ObjectStore;
+    readonly clock: Clock;
+    /** Milliseconds that one call to the object store may take. */
+    readonly timeout?: number;
+    /** Milliseconds for which an object that was found is used again, and for which none is looked for again. */
+    readonly keepFound?: number;
+    readonly keepMissing?: number;
+    /** Runners whose objects are kept in memory at most. */
+    readonly limit?: number;
+}
+
+interface CachedRead {
+    readonly index: Promise<LeftIndex | undefined>;
+    until: number;
+}
+
+const prefix = "claims/left/";
+
+/** Old objects of one target that are looked at in one go. */
+const maxOld = 8;
+const defaults = { timeout: 1000, keepFound: 30_000, keepMissing: 1000, limit: 16 };
+
+/**
+ * Keeps, in the object store, what runners that left gracefully knew about their claims: one object for each.
+ *
+ * @example
+ * ```ts
+ * const left = new LeftClaimsStore({ objects, clock });
+ * await left.write(claimsOfThisAgent); // by the agent, when nothing can run in it any more
+ * const outcome = await left.find(claim); // by an entry that cannot reach the runner of a claim
+ * ```
+ * @public
+ */
+export class LeftClaimsStore {
+    private readonly options: Required<LeftClaimsStoreOptions>;
+    private readonly reads = new Map<string, CachedRead>();
+
+    constructor(options: LeftClaimsStoreOptions) {
+        this.options = { ...defaults, ...options };
+    }
+
+    /** Writes the claims of a runner that can run nothing more, and deletes old objects of its target. */
+    async write(left: LeftClaims): Promise<Outcome<void>> {
+        const data = Buffer.from(JSON.stringify(left));
+        const written = await this.limited(this.options.objects.put(nameOf(left), data));
+        if (written.isOk) {
+            await this.deleteOld(left);
+        }
+        return written;
+    }
+
+    /**
+     * What the runner of a claim left about it.
+     *
+     * @returns `unknown` also when the runner left nothing or the store does not answer in time.
+     */
+    async find(claim: Pick<Claim, "id" | "runner">): Promise<LeftOutcome> {
+        const index = await this.read(claim.runner);
+        return index?.outcome(claim.id) ?? { kind: "unknown" };
+    }
+
+    private read(runner: Runner): Promise<LeftIndex | undefined> {
+        const { clock, keepFound, keepMissing, timeout } = this.options;
+        const name = nameOf(runner);
+        const known = this.reads.get(name);
+        if (known !== undefined && clock.now() < known.until) {
+            return known.index;
+        }
+        const index = this.fetch(runner);
+        const read = { index, until: clock.now() + timeout + keepMissing };
+        this.reads.delete(name);
+        this.reads.set(name, read);
+        this.trim();
+        void index.then(found => {
+            read.until = clock.now() + (found === undefined ? keepMissing : keepFound);
+        });
+        return index;
+    }
+
+    private async fetch(runner: Runner): Promise<LeftIndex | undefined> {
+        const left = await this.load(nameOf(runner));
+        const matches = left?.target === runner.target && left.incarnation === runner.incarnation;
+        return matches ? new LeftIndex(left) : undefined;
+    }
+
+    private async load(name: string): Promise<LeftClaims | undefined> {
+        const found = await this.limited(this.options.objects.get(name));
+        return found.isOk && found.value !== undefined ? parseLeftClaims(found.value) : undefined;
+    }
+
+    private trim(): void {
+        for (const name of this.reads.keys()) {
+            if (this.reads.size <= this.options.limit) {
+                return;
+            }
+            this.reads.delete(name);
+        }
+    }
+
+    /** Deletes the objects of earlier incarnations whose time is over. */
+    private async deleteOld({ target, incarnation }: LeftClaims): Promise<void> {
+        const { objects, clock } = this.options;
+        const names = await this.limited(objects.list(`${prefix}${encodeURIComponent(target)}/`));
+        const own = nameOf({ target, incarnation });
+        for (const name of names.unwrapOr([]).filter(other => other !== own).slice(0, maxOld)) {
+            const left = await this.load(name);
+            if (left !== undefined && left.until < clock.date().getTime()) {
+                await this.limited(objects.delete(name));
+            }
+        }
+    }
+
+    private limited<T>(call: Promise<Outcome<T>>): Promise<Outcome<T>> {
+        const { clock, timeout } = this.options;
+        return new Promise((resolve, reject) => {
+            const timer = clock.schedule(
+                () => resolve(Result.err(failure(platformCodes.storeUnknown, `no answer within ${timeout} ms`))),
+                timeout,
+            );
+            call.then(resolve, reject).finally(() => timer.cancel());
+        });
+    }
+}
+
+function nameOf({ target, incarnation }: Runner): string {
+    return `${prefix}${encodeURIComponent(target)}/${encodeURIComponent(incarnation)}`;
+}
--- a/packages/cli/src/lib/daemons/AgentDaemon.ts
+++ b/packages/cli/src/lib/daemons/AgentDaemon.ts
@@ -1,3 +1,4 @@
+import { LeftClaimsStore } from "@waxwingspar/claims";
 import { createObserveMethod, observeMethodName, ordersDuty, readFence } from "@waxwingspar/control";
 import { HttpEngine } from "@waxwingspar/engine";
 import { type Outcome } from "@waxwingspar/utils";
@@ -24,7 +25,8 @@
     private readonly operators: OperatorsServer;
 
     constructor(private readonly base: DaemonBase, settings: Settings<"agent">) {
-        const { clock, store, liveList, registry, nodeOptions } = base;
+        const { clock, store, liveList, objects, registry, nodeOptions } = base;
+        const leftClaims = new LeftClaimsStore({ objects, clock });
         const processLinks = new ProcessLinks(nodeOptions, "agent");
         const { pool } = processLinks;
         this.part = new ConfigurationPart({
@@ -45,6 +47,7 @@
             slots: settings.slots,
             service: settings.service,
             readFence: () => readFence(store, ordersDuty(settings.dataCentre)),
+            writeLeftClaims: left => leftClaims.write(left),
             metrics: createAgentMetrics(registry),
         });
         const { agent } = this.node;
--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -1,4 +1,4 @@
-import { ClaimJournals, claimMethods, type ClaimOwner, ClaimRouter } from "@waxwingspar/claims";
+import { ClaimJournals, claimMethods, type ClaimOwner, ClaimRouter, LeftClaimsStore } from "@waxwingspar/claims";
 import { type Member, ResourceApi } from "@waxwingspar/config";
 import { type Outcome } from "@waxwingspar/utils";
 import { Result } from "true-myth";
@@ -53,12 +53,14 @@
             links: pool,
             clock,
         });
+        const leftClaims = new LeftClaimsStore({ objects, clock });
         this.node = new EntryNode({
             ...nodeOptions,
             processLinks: this.links,
             callers: settings.callers,
             configuration: this.part.node,
             claims: this.claims,
+            findLeft: claim => leftClaims.find(claim),
             anonymousOrganisation: settings.anonymousOrganisation,
             limits: settings.limits,
             metrics: createEntryMetrics(registry),
--- a/packages/cli/src/lib/nodes/EntryNode.ts
+++ b/packages/cli/src/lib/nodes/EntryNode.ts
@@ -1,6 +1,6 @@
 import { type Claims } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
-import { Entry, type EntryLimits, type EntryMetrics } from "@waxwingspar/entry";
+import { Entry, type EntryLimits, type EntryMetrics, type FindLeft } from "@waxwingspar/entry";
 import { createRetryBudget, createRouter, type Router } from "@waxwingspar/policy";
 import { type Address } from "@waxwingspar/transport";
 import { type Outcome } from "@waxwingspar/utils";
@@ -14,6 +14,8 @@
     readonly callers: Address;
     readonly configuration: Configuration;
     readonly claims: Claims;
+    /** Looks up what became of a claim whose runner is gone. */
+    readonly findLeft?: FindLeft;
     /** The organisation for which callers without a credential act. */
     readonly anonymousOrganisation?: string;
     readonly limits?: Partial<EntryLimits>;
@@ -48,6 +50,7 @@
             retryBudget: createRetryBudget({ clock, random }),
             random,
             claims: options.claims,
+            findLeft: options.findLeft,
             clock,
             logger,
             history: options.record,
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -14,8 +14,8 @@
 import { CallerServer } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
 import { ReplyMemory } from "./http/ReplyMemory.js";
-import { type ClosedLink } from "./links/AgentLink.js";
 import { AgentLinks } from "./links/AgentLinks.js";
+import { type FindLeft } from "./links/ClaimBinding.js";
 import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
 import { modelsRoute } from "./models/modelsRoute.js";
 import { OpenRequest, OpenRequests } from "./OpenRequests.js";
@@ -37,6 +37,8 @@
     readonly router: Router;
     readonly retryBudget: RetryBudget;
     readonly claims: Claims;
+    /** Looks up what became of a claim whose runner is gone; by default that is unknown. */
+    readonly findLeft?: FindLeft;
     readonly clock: Clock;
     /** Divides requests between the versions of a model while one replaces another; by default from a fixed seed. */
     readonly random?: Random;
@@ -88,7 +90,7 @@
             versions,
             links: new AgentLinks({
                 ...options,
-                onClosed: link => this.logClosed(link),
+                onLost: (targets, open) => logger.warn({ targets, open }, "entry: a link was lost"),
             }),
             history: options.history ?? (() => undefined),
             metrics: options.metrics ?? noMetrics,
@@ -156,16 +158,6 @@
         return interrupted;
     }
 
-    /** A planned end of a link is no news, but requests that it cut off always are. */
-    private logClosed({ targets, open, announced }: ClosedLink): void {
-        const { logger } = this.options;
-        if (open === 0 && (announced || this.stopping !== undefined)) {
-            logger.debug({ targets }, "entry: a link closed");
-            return;
-        }
-        logger.warn({ targets, open }, "entry: a link was lost");
-    }
-
     private drain(limit: number): Promise<number> {
         return new Promise(resolve => {
             const timer = this.options.clock.schedule(() => resolve(this.open.cutAll()), limit);
--- a/packages/entry/src/lib/links/ClaimBinding.ts
+++ b/packages/entry/src/lib/links/ClaimBinding.ts
@@ -1,4 +1,4 @@
-import { type Claim, type ClaimRequest, type Claims } from "@waxwingspar/claims";
+import { type Claim, type ClaimRequest, type Claims, type LeftOutcome, type LeftReply } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
 import { type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
@@ -18,8 +18,16 @@
     readonly links: AgentLinks;
     readonly configuration: Configuration;
     readonly subject: ClaimSubject;
+    /** Tells what the runner of a claim wrote down when it left gracefully. By default nothing. */
+    readonly findLeft?: FindLeft;
 }
 
+/** Looks up what became of a claim whose runner is gone. @public */
+export type FindLeft = (claim: Claim) => Promise<LeftOutcome>;
+
+/** Runners of one claim, each gone after another, that are looked up in one attempt. */
+const maxRunnersGone = 3;
+
 /**
  * The one runner that a claim allows.
  *
@@ -31,6 +39,11 @@
     readonly link: AgentLink;
 }
 
+const runnerGone: Failure = failure(
+    requestCodes.outcomeUnknown,
+    "the process that may have run this request is gone",
+);
+
 /**
  * Ties a request that is not idempotent to the runner of its claim. It reaches that one process start and no other.
  *
@@ -41,6 +54,7 @@
     private claim: Claim | undefined;
     private released = false;
     private earlier = false;
+    private reply: LeftReply | undefined;
 
     constructor(options: ClaimBindingOptions) {
         this.options = options;
@@ -56,6 +70,11 @@
         return this.earlier && !this.released;
     }
 
+    /** The answer of an earlier duplicate, once `bind` has found that its runner left it behind. */
+    get leftReply(): LeftReply | undefined {
+        return this.reply;
+    }
+
     /**
      * The runner refused the claim as not run and will never run it, so that another may.
      *
@@ -73,10 +92,30 @@
      *
      * @param agent - The agent that was chosen for a request without a claim.
      * @param link - The link to it; its hello names the incarnation.
-     * @returns The runner to send to; `outcomeUnknown` when the claim's runner is gone; `keyReused`;
-     * `claimUnavailable`.
+     * @returns The runner to send to; `outcomeUnknown` when the claim's runner is gone and
+     * did not write down that it never ran; `keyReused`; `claimUnavailable`.
      */
     async bind(agent: AgentAddress, link: AgentLink): Promise<Outcome<BoundRunner>> {
+        let bound = await this.bindOnce(agent, link);
+        for (let gone = 0; gone < maxRunnersGone && await this.releasedByLeaving(bound); gone++) {
+            bound = await this.bindOnce(agent, link);
+        }
+        return bound;
+    }
+
+    /** Whether the claim's runner is gone, but has proved that it did not run the request, so that another may. */
+    private async releasedByLeaving(bound: Outcome<BoundRunner>): Promise<boolean> {
+        const { claim, options: { findLeft } } = this;
+        if (bound.isOk || bound.error !== runnerGone || claim === undefined || findLeft === undefined) {
+            return false;
+        }
+        const left = await findLeft(claim);
+        this.reply = left.kind === "answered" ? left.reply : undefined;
+        this.released = left.kind === "notRun";
+        return this.released;
+    }
+
+    private async bindOnce(agent: AgentAddress, link: AgentLink): Promise<Outcome<BoundRunner>> {
         const request = { ...this.options.subject, runner: { target: agent.target, incarnation: link.incarnation } };
         const recorded = await this.record(request);
         if (recorded.isErr) {
@@ -107,21 +146,17 @@
     private async findRunner(claim: Claim): Promise<Outcome<BoundRunner>> {
         const target = this.options.configuration.get("target", claim.runner.target);
         if (target === undefined) {
-            return Result.err(runnerGone());
+            return Result.err(runnerGone);
         }
         const agent = { target: target.name, host: target.spec.host, port: target.spec.port };
         const link = await this.options.links.connect(agent);
-        return link.isErr ? Result.err(runnerGone()) : this.check(claim, agent, link.value);
+        return link.isErr ? Result.err(runnerGone) : this.check(claim, agent, link.value);
     }
 
     private check(claim: Claim, agent: AgentAddress, link: AgentLink): Outcome<BoundRunner> {
         if (claim.runner.incarnation !== link.incarnation) {
-            return Result.err(runnerGone());
+            return Result.err(runnerGone);
         }
         return Result.ok({ claim, agent, link });
     }
 }
-
-function runnerGone(): Failure {
-    return failure(requestCodes.outcomeUnknown, "the process that may have run this request is gone");
-}
--- a/packages/entry/src/lib/models/interleavings.test.ts
+++ b/packages/entry/src/lib/models/interleavings.test.ts
@@ -1,4 +1,5 @@
 import { trace } from "@opentelemetry/api";
+import { type Claim, type LeftOutcome } from "@waxwingspar/claims";
 import { StaticConfiguration } from "@waxwingspar/config";
 import { checkHistory, type HistoryEvent, type HistoryLine } from "@waxwingspar/history";
 import { createRetryBudget } from "@waxwingspar/policy";
@@ -31,6 +32,8 @@
     private readonly claims = new FakeClaims();
     private readonly configuration = new StaticConfiguration();
     private restarts = 0;
+    /** What heads wrote down when they left, by incarnation. */
+    private readonly left = new Map<string, (claim: string) => LeftOutcome>();
 
     constructor() {
         this.heads = [1, 2, 3].map(index => {
@@ -53,6 +56,9 @@
         const request = toRequest(id, this.clock.now(), claimed);
         const subject = request.claim;
         const { clock, claims, configuration } = this;
+        const findLeft = ({ id, runner }: Claim): Promise<LeftOutcome> =>
+            Promise.resolve(this.left.get(runner.incarnation)?.(id) ?? { kind: "unknown" });
+        const bindingOptions = { claims, links, configuration, findLeft };
         const answer = new Answer();
         history({
             event: "request.received",
@@ -76,7 +82,7 @@
             versions: { rank: () => ["1"] },
             tracer,
             span: tracer.startSpan("request"),
-            binding: subject === undefined ? undefined : new ClaimBinding({ claims, links, configuration, subject }),
+            binding: subject === undefined ? undefined : new ClaimBinding({ ...bindingOptions, subject }),
             onEnd: () => undefined,
         });
         this.answers.push(answer);
@@ -87,6 +93,12 @@
         head.restart(`again-${this.restarts++}`);
     }
 
+    /** Leaves gracefully: writes down what became of its claims once it takes nothing more, and starts again. */
+    leave(head: HonestHead): void {
+        this.left.set(head.agent.incarnation, head.claimsLeft());
+        this.restart(head);
+    }
+
     /** Lets everything come to its end. */
     async finish(): Promise<void> {
         for (let step = 0; step < 60 && this.answers.some(answer => answer.ends === 0); step++) {
@@ -174,6 +186,7 @@
     fail: (_, head) => head.fail(),
     cut: (_, head) => head.agent.cut(),
     restart: (world, head) => world.restart(head),
+    leave: (world, head) => world.leave(head),
     pause: world => world.clock.advance(3000),
     slowCaller: world =>
         world.answers.forEach(answer => {
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -1,5 +1,6 @@
 import { type Span, SpanKind, type Tracer } from "@opentelemetry/api";
 import { context, trace } from "@opentelemetry/api";
+import { type LeftReply } from "@waxwingspar/claims";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type AttemptEnd, type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
 import { type Message, type ReplyHeaders } from "@waxwingspar/transport";
@@ -169,6 +170,10 @@
         }
         if (connected.isErr) {
             routed.end("refused");
+            const { binding } = this.options;
+            if (binding?.leftReply !== undefined) {
+                return this.repeat(binding.leftReply);
+            }
             return this.proceed(connected.error, this.recovery.afterNotSent(connected.error, stage.target));
         }
         const { target, link, claim } = connected.value;
@@ -224,11 +229,22 @@
         }
     }
 
+    /** Answers a duplicate with what the runner of its claim left behind. Nothing runs. */
+    private repeat({ status, headers, body }: LeftReply): void {
+        this.options.sink.head(status, headers);
+        this.options.sink.body(Buffer.from(body, "base64"));
+        this.answered();
+    }
+
     private complete(attempt: CallAttempt): void {
-        const { clock, history, metrics, sink, onEnd } = this.options;
-        attempt.routed?.firstToken(clock.now() - attempt.sentAt);
+        attempt.routed?.firstToken(this.options.clock.now() - attempt.sentAt);
         this.settle("completed");
         this.recovery.completed();
+        this.answered();
+    }
+
+    private answered(): void {
+        const { clock, history, metrics, sink, onEnd } = this.options;
         this.close();
         history({ event: "request.ended", request: this.request.id, outcome: "completed" });
         metrics.requestEnded(this.request.service, 0, clock.now() - this.request.arrived, 0);
--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -19,6 +19,7 @@
 export interface TestSiteOptions {
     readonly clock?: ManualClock;
     readonly claims?: FakeClaims;
+    readonly findLeft?: EntryOptions["findLeft"];
     readonly limits?: EntryOptions["limits"];
     readonly anonymousOrganisation?: string;
     /** True for a retry budget that allows no retry. */
@@ -68,6 +69,7 @@
                 capacity: options.emptyBudget === true ? 0 : 20,
             }),
             claims: this.claims,
+            findLeft: options.findLeft,
             clock: this.clock,
             logger: pino({ level: "error" }, { write: line => void this.faults.push(line) }),
             metrics: { ...noMetrics, requestEnded: (_, code) => void this.ended.push(code) },
