--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -14,6 +14,7 @@
 import { CallerServer } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
 import { ReplyMemory } from "./http/ReplyMemory.js";
+import { type ClosedLink } from "./links/AgentLink.js";
 import { AgentLinks } from "./links/AgentLinks.js";
 import { type FindLeft } from "./links/ClaimBinding.js";
 import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
@@ -90,7 +91,7 @@
             versions,
             links: new AgentLinks({
                 ...options,
-                onLost: (targets, open) => logger.warn({ targets, open }, "entry: a link was lost"),
+                onClosed: link => this.logClosed(link),
             }),
             history: options.history ?? (() => undefined),
             metrics: options.metrics ?? noMetrics,
@@ -158,6 +159,16 @@
         return interrupted;
     }
 
+    /** A planned end of a link is no news, but requests that it cut off always are. */
+    private logClosed({ targets, open, announced }: ClosedLink): void {
+        const { logger } = this.options;
+        if (open === 0 && (announced || this.stopping !== undefined)) {
+            logger.debug({ targets }, "entry: a link closed");
+            return;
+        }
+        logger.warn({ targets, open }, "entry: a link was lost");
+    }
+
     private drain(limit: number): Promise<number> {
         return new Promise(resolve => {
             const timer = this.options.clock.schedule(() => resolve(this.open.cutAll()), limit);
