--- a/packages/policy/src/bench/cacheFeedbackBench.ts
+++ b/packages/policy/src/bench/cacheFeedbackBench.ts
@@ -7,7 +7,8 @@
     readonly p95: number;
 }
 
-const seeds = [1, 2, 3];
+/** Seeds 1 to 3 served to choose the constants of the router, so the figures come from others. */
+const seeds = [11, 12, 13, 14, 15, 16];
 
 process.stdout.write(
     "| case | feedback | hit share | mean first token, ms | p95 first token, ms |\n|---|---|---|---|---|\n",
