Entry: holds organisations' limits, and one retry budget for each organisation

Cause: requestsPerSecond and maxInFlight were enforced nowhere; one budget of retries served all organisations, and a retry after a refusal as not run cost as much as one after a failure. Change: the entry takes each model request and plain call through OrganisationLimits before its body is read, with its part of the live entries from membership (one that is cut off keeps its part). A request with an idempotency key is refused as the new code 2005 limit-reached-with-key (429, unknown), as an earlier duplicate may be running and is not looked up. EntryOptions.retryBudget became retryBudgets. Recovery names what a retry follows. Before: by reading, nothing outside the queue's own unused arguments read the two fields, and no kind of retry was passed on; not run before the change. Conclusion: a limit is exact for one entry and off by one burst per entry for many.

--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -1,5 +1,6 @@
 import { ClaimJournals, claimMethods, type ClaimOwner, ClaimRouter, LeftClaimsStore } from "@waxwingspar/claims";
 import { type Member, ResourceApi } from "@waxwingspar/config";
+import { type EntryPart } from "@waxwingspar/policy";
 import { type Outcome } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
@@ -26,6 +27,9 @@
     /** The entries that serve claims; replaced when they change. */
     private owners: readonly ClaimOwner[] = [];
 
+    /** This entry's part of the limits of organisations; replaced when the entries change. */
+    private entryPart: EntryPart = { index: 0, count: 1 };
+
     constructor(private readonly base: DaemonBase, settings: Settings<"entry">) {
         const { clock, random, store, liveList, objects, registry, nodeOptions } = base;
         this.links = new ProcessLinks(nodeOptions, "entry");
@@ -62,6 +66,7 @@
             claims: this.claims,
             findLeft: claim => leftClaims.find(claim),
             anonymousOrganisation: settings.anonymousOrganisation,
+            part: () => this.entryPart,
             limits: settings.limits,
             metrics: createEntryMetrics(registry),
         });
@@ -116,6 +121,8 @@
         membership.members()
             .filter(({ role }) => role === "agent")
             .forEach(({ process, state }) => router.setLeaving(process, state === "leaving"));
+        const names = membership.entries({ unreachable: true }).map(({ process }) => process);
+        this.entryPart = entryPartOf(this.base.nodeOptions.name, names);
         const owners = membership.entries().map(toOwner);
         if (JSON.stringify(owners) !== JSON.stringify(this.owners)) {
             this.owners = owners;
@@ -124,6 +131,12 @@
     }
 }
 
+/** The part of one entry, which counts itself in also while the others do not see it. */
+function entryPartOf(name: string, entries: readonly string[]): EntryPart {
+    const all = [...new Set([...entries, name])].sort();
+    return { index: all.indexOf(name), count: all.length };
+}
+
 function toOwner({ process, host, port }: Member): ClaimOwner {
     return { process, address: { host, port } };
 }
--- a/packages/cli/src/lib/nodes/EntryNode.ts
+++ b/packages/cli/src/lib/nodes/EntryNode.ts
@@ -1,7 +1,13 @@
 import { type Claims } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
 import { Entry, type EntryLimits, type EntryMetrics, type FindLeft } from "@waxwingspar/entry";
-import { createRetryBudget, createRouter, type Router } from "@waxwingspar/policy";
+import {
+    createOrganisationLimits,
+    createRetryBudgets,
+    createRouter,
+    type EntryPart,
+    type Router,
+} from "@waxwingspar/policy";
 import { type Address } from "@waxwingspar/transport";
 import { type Outcome } from "@waxwingspar/utils";
 import { type NodeOptions } from "./NodeOptions.js";
@@ -18,6 +24,8 @@
     readonly findLeft?: FindLeft;
     /** The organisation for which callers without a credential act. */
     readonly anonymousOrganisation?: string;
+    /** Which of the live entries this one is; by default the only one. */
+    readonly part?: () => EntryPart;
     readonly limits?: Partial<EntryLimits>;
     readonly metrics?: EntryMetrics;
 }
@@ -47,7 +55,8 @@
             links: this.links.pool,
             configuration: options.configuration,
             router: this.router,
-            retryBudget: createRetryBudget({ clock, random }),
+            retryBudgets: createRetryBudgets({ clock, random }),
+            organisationLimits: createOrganisationLimits({ clock, part: options.part }),
             random,
             claims: options.claims,
             findLeft: options.findLeft,
--- a/packages/entry/src/bench/entryProcess.ts
+++ b/packages/entry/src/bench/entryProcess.ts
@@ -3,7 +3,7 @@
  * router and real links.
  */
 import { resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
-import { createRetryBudget, createRouter } from "@waxwingspar/policy";
+import { createRetryBudgets, createRouter } from "@waxwingspar/policy";
 import { TcpLinkPool } from "@waxwingspar/transport";
 import { seededRandom, SystemClock } from "@waxwingspar/utils";
 import { pino } from "pino";
@@ -53,7 +53,7 @@
         links: new TcpLinkPool({ hello: { ...hello, incarnation: "bench" }, credentials: { insecure: true } }),
         configuration: createConfiguration(heads),
         router: createRouter({ clock, random, entry: "entry", dataCentre: "dc1", region: "local" }),
-        retryBudget: createRetryBudget({ clock, random }),
+        retryBudgets: createRetryBudgets({ clock, random }),
         claims: new FakeClaims(),
         clock,
         logger: pino({ level: "silent" }),
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -2,11 +2,12 @@
 import { type Claims } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type RetryBudget, type Router } from "@waxwingspar/policy";
+import { createOrganisationLimits, type OrganisationLimits, type RetryBudgets, type Router } from "@waxwingspar/policy";
 import { type Address, type LinkPool } from "@waxwingspar/transport";
 import { type Clock, failure, type Outcome, type Random, requestCodes, seededRandom, sleep } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Authenticator, type Caller } from "./callers/Authenticator.js";
+import { limitRefusal } from "./callers/limitRefusal.js";
 import { contextOf } from "./callers/traceContext.js";
 import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
 import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
@@ -36,7 +37,9 @@
     readonly links: LinkPool;
     readonly configuration: Configuration;
     readonly router: Router;
-    readonly retryBudget: RetryBudget;
+    readonly retryBudgets: RetryBudgets;
+    /** Holds this entry's part of the limits of organisations; by default the whole limits. */
+    readonly organisationLimits?: OrganisationLimits;
     readonly claims: Claims;
     /** Looks up what became of a claim whose runner is gone; by default that is unknown. */
     readonly findLeft?: FindLeft;
@@ -64,7 +67,7 @@
  *
  * @example
  * ```ts
- * const entry = new Entry({ listen, links, configuration, router, retryBudget, claims, clock, logger });
+ * const entry = new Entry({ listen, links, configuration, router, retryBudgets, claims, clock, logger });
  * const address = await entry.start();
  * const interrupted = await entry.stop();
  * ```
@@ -73,7 +76,8 @@
 export class Entry {
     private readonly options: EntryOptions;
     private readonly limits: EntryLimits;
-    private readonly services: RouteServices;
+    private readonly organisationLimits: OrganisationLimits;
+    private readonly services: Omit<RouteServices, "retryBudget">;
     private readonly authenticator: Authenticator;
     private readonly server: CallerServer;
     private readonly open = new OpenRequests();
@@ -85,6 +89,7 @@
         const { clock, configuration, listen, logger, router } = options;
         this.options = options;
         this.limits = entryLimitsSchema.parse(options.limits ?? {});
+        this.organisationLimits = options.organisationLimits ?? createOrganisationLimits({ clock });
         const versions = new ModelVersions(configuration, options.random ?? seededRandom(1));
         this.services = {
             ...options,
@@ -211,20 +216,31 @@
         switch (exchange.path) {
             case "/v1/chat/completions":
             case "/v1/completions":
-                return this.allow(exchange, "POST")
-                    ? completionsRoute(this.services, exchange, caller, this.begin(exchange))
-                    : undefined;
+                return this.allow(exchange, "POST") ? this.run(completionsRoute, exchange, caller) : undefined;
             case "/v1/models":
                 return this.allow(exchange, "GET")
                     ? modelsRoute(this.options.configuration, exchange, caller)
                     : undefined;
         }
         if (exchange.path.startsWith("/services/")) {
-            return serviceRoute(this.services, exchange, caller, this.begin(exchange));
+            return this.run(serviceRoute, exchange, caller);
         }
         return exchange.refuse(failure(requestCodes.noSuchRoute, "no such path"));
     }
 
+    /** Runs a request that takes part of its organisation's limits, or refuses it before its body is read. */
+    private run(route: typeof completionsRoute, exchange: Exchange, caller: Caller): Promise<void> | void {
+        const { organisation, spec } = caller;
+        const open = this.begin(exchange);
+        const admitted = this.organisationLimits.admit(organisation, spec);
+        if (admitted.isErr) {
+            return exchange.refuse(limitRefusal(exchange, admitted.error));
+        }
+        open.onAnswered(admitted.value);
+        const retryBudget = this.options.retryBudgets.of(organisation);
+        return route({ ...this.services, retryBudget }, exchange, caller, open);
+    }
+
     private allow(exchange: Exchange, method: string): boolean {
         if (exchange.method === method) {
             return true;
--- a/packages/entry/src/lib/OpenRequests.ts
+++ b/packages/entry/src/lib/OpenRequests.ts
@@ -10,6 +10,7 @@
     /** The span of the whole request. */
     readonly span: Span;
     private cutHandler: (() => void) | undefined;
+    private answeredHandler: (() => void) | undefined;
     private spanEnded = false;
 
     constructor(span: Span) {
@@ -21,9 +22,16 @@
         this.cutHandler = handler;
     }
 
+    /** Sets what runs once, when the request needs no more from targets, however it ended. */
+    onAnswered(handler: () => void): void {
+        this.answeredHandler = handler;
+    }
+
     /** The request needs no more from targets; only the response has to be written out. */
     answered(): void {
         this.cutHandler = undefined;
+        this.answeredHandler?.();
+        this.answeredHandler = undefined;
         if (!this.spanEnded) {
             this.spanEnded = true;
             this.span.end();
--- a/packages/entry/src/lib/links/AgentLinks.test.ts
+++ b/packages/entry/src/lib/links/AgentLinks.test.ts
@@ -1,5 +1,5 @@
 import { StaticConfiguration } from "@waxwingspar/config";
-import { createRetryBudget } from "@waxwingspar/policy";
+import { createRetryBudgets } from "@waxwingspar/policy";
 import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -24,7 +24,7 @@
         links,
         configuration: new StaticConfiguration(),
         router: new FakeRouter([]),
-        retryBudget: createRetryBudget({ clock, random: seededRandom(1) }),
+        retryBudgets: createRetryBudgets({ clock, random: seededRandom(1) }),
         claims: new FakeClaims(),
         clock,
         logger: pino({ level: "debug" }, { write }),
--- a/packages/entry/src/lib/recovery/Recovery.ts
+++ b/packages/entry/src/lib/recovery/Recovery.ts
@@ -116,7 +116,7 @@
         if (runnerFailed || !mayGoElsewhere(cause)) {
             return undefined;
         }
-        if (!unfunded && !retryBudget.spend()) {
+        if (!unfunded && !retryBudget.spend(cause.code.execution === "not run" ? "refused" : "failed")) {
             return undefined;
         }
         this.exclude.add(target);
--- a/packages/entry/src/lib/testing/TestSite.ts
+++ b/packages/entry/src/lib/testing/TestSite.ts
@@ -1,6 +1,6 @@
 import { type Kind, type Resource, resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
 import { type HistoryEvent } from "@waxwingspar/history";
-import { createRetryBudget } from "@waxwingspar/policy";
+import { createRetryBudgets, type OrganisationLimits } from "@waxwingspar/policy";
 import { type Address, type Stage } from "@waxwingspar/transport";
 import { type Clock, ManualClock, seededRandom } from "@waxwingspar/utils";
 import { createHash } from "node:crypto";
@@ -21,6 +21,7 @@
     readonly claims?: FakeClaims;
     readonly findLeft?: EntryOptions["findLeft"];
     readonly limits?: EntryOptions["limits"];
+    readonly organisationLimits?: OrganisationLimits;
     readonly anonymousOrganisation?: string;
     /** True for a retry budget that allows no retry. */
     readonly emptyBudget?: boolean;
@@ -63,13 +64,14 @@
             links: new FakeLinkPool(this.agents),
             configuration,
             router: this.router,
-            retryBudget: createRetryBudget({
+            retryBudgets: createRetryBudgets({
                 clock: this.clock,
                 random: seededRandom(1),
                 capacity: options.emptyBudget === true ? 0 : 20,
             }),
             claims: this.claims,
             findLeft: options.findLeft,
+            organisationLimits: options.organisationLimits,
             clock: this.clock,
             logger: pino({ level: "error" }, { write: line => void this.faults.push(line) }),
             metrics: { ...noMetrics, requestEnded: (_, code) => void this.ended.push(code) },
--- a/packages/entry/src/lib/unknownConfiguration.test.ts
+++ b/packages/entry/src/lib/unknownConfiguration.test.ts
@@ -1,5 +1,5 @@
 import { resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
-import { createRetryBudget } from "@waxwingspar/policy";
+import { createRetryBudgets } from "@waxwingspar/policy";
 import { ManualClock, requestCodes, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -18,7 +18,7 @@
         links: new FakeLinkPool([]),
         configuration,
         router: new FakeRouter([]),
-        retryBudget: createRetryBudget({ clock, random: seededRandom(1) }),
+        retryBudgets: createRetryBudgets({ clock, random: seededRandom(1) }),
         claims: new FakeClaims(),
         clock,
         logger: pino({ level: "silent" }),
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -182,4 +182,13 @@
         retry: "later",
         summary: "The engine reported a failure while the request ran.",
     },
+    limitReachedWithKey: {
+        number: 2005,
+        name: "limit-reached-with-key",
+        execution: "unknown",
+        status: 429,
+        retry: "later",
+        summary:
+            "The organisation has reached its limit; whether an earlier request with this key ran was not looked up.",
+    },
 } as const satisfies Record<string, ResultCode>;
