Tests listed in KNOWN-RED.txt are printed and passed over, nothing else is

Cause: a test that fails for a known fault could not land without being weakened or skipped. Change: run-tests.mjs notes how each test ended and compares that with KNOWN-RED.txt, if there is one (PACKAGE: TEST | CAUSE | ISSUE, at most three lines). Any other failure fails, so do a listed test that was skipped or is gone, a longer or malformed list, and a file with listed failures that fails again when it runs without them. A listed test that passes is reported. Before: no list. There is no KNOWN-RED.txt now. Conclusion: a known failure cannot hide another one.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,7 +1,11 @@
-// Runs every compiled test file with Node's own test runner, and fails when there are none.
+// Runs every compiled test file with Node's own test runner, and fails when there are none, or when a test fails that
+// KNOWN-RED.txt does not list (see known-red.mjs).
 import { spawnSync } from "node:child_process";
-import { readdirSync } from "node:fs";
-import { join } from "node:path";
+import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, relative } from "node:path";
+import { fileURLToPath } from "node:url";
+import { judgeRun, readKnownRed } from "./known-red.mjs";
 
 const testSuffix = ".test.js";
 
@@ -13,13 +17,53 @@
         .sort();
 }
 
+/** Runs the tests as before, and notes how each ended. A signal counts as a failure without any outcome. */
+function runTests(files, options = []) {
+    const folder = mkdtempSync(join(tmpdir(), "waxwingspar-tests-"));
+    const outcomeFile = join(folder, "outcomes");
+    const reporters = [
+        `--test-reporter=${process.stdout.isTTY ? "spec" : "tap"}`,
+        "--test-reporter-destination=stdout",
+        `--test-reporter=${fileURLToPath(new URL("./outcome-reporter.mjs", import.meta.url))}`,
+        `--test-reporter-destination=${outcomeFile}`,
+    ];
+    const settings = ["--test", "--test-timeout=240000", "--enable-source-maps"];
+    const { status } = spawnSync(process.execPath, [...settings, ...options, ...reporters, ...files], {
+        stdio: "inherit",
+    });
+    const text = existsSync(outcomeFile) ? readFileSync(outcomeFile, "utf8") : "";
+    rmSync(folder, { recursive: true });
+    return { status, outcomes: text.split("\n").filter(line => line !== "").map(line => JSON.parse(line)) };
+}
+
+/** The runner names a test's source, but is given the compiled file; this name is the same for both. */
+function moduleOf(file) {
+    return relative(process.cwd(), file).replace(/^(packages.[^\\/]+.)(src|dist)/, "$1").replace(/[.][jt]s$/, "");
+}
+
+const known = readKnownRed("KNOWN-RED.txt");
 const packages = process.argv.length > 2 ? process.argv.slice(2) : readdirSync("packages");
 const files = packages.flatMap(name => findTests(join("packages", name, "dist")));
 if (files.length === 0) {
     console.error("no test files found; run the build first");
     process.exit(1);
 }
-const run = spawnSync(process.execPath, ["--test", "--test-timeout=240000", "--enable-source-maps", ...files], {
-    stdio: "inherit",
-});
-process.exit(run.status ?? 1);
+const { status, outcomes } = runTests(files);
+const { passes, lines } = judgeRun(known, outcomes, packages, status);
+lines.forEach(line => console.log(line));
+
+/** A file that fails can hide behind a listed test of its own, so it must pass without these tests. */
+function passesWithoutKnown() {
+    const names = known.map(({ test }) => test.slice(test.indexOf(": ") + 2));
+    const escaped = names.map(name => name.replaceAll(/[\\^$.*+?()[\]{}|/]/g, "\\$&"));
+    const failed = new Set(outcomes.filter(({ passed }) => !passed).map(({ file }) => moduleOf(file)));
+    const suspects = files.filter(file => failed.has(moduleOf(file)));
+    // The runner takes a test whose parent matches, and all tests of a file are below one that it calls "<root>".
+    const rest = runTests(suspects, [`--test-name-pattern=/^(?!(?:${[...escaped, "<root>"].join("|")})$)/`]);
+    if (rest.status !== 0) {
+        console.log("failed: a file with known red tests fails without them, too");
+    }
+    return rest.status === 0;
+}
+
+process.exit(status !== null && passes && (status === 0 || passesWithoutKnown()) ? 0 : 1);
