Every public type says what it is

Cause: some sixty public types and schemas had only the tag @public. Change: a sentence for each; comments only. Before: as said. Conclusion: index.ts can be read from its types; messages of transport, which others edit, are left.

--- a/packages/config/src/lib/api/OperatorAuthenticator.ts
+++ b/packages/config/src/lib/api/OperatorAuthenticator.ts
@@ -15,7 +15,11 @@
     readonly role: "viewer" | "operator";
 }
 
-/** @public */
+/**
+ * Options of the check of operators' credentials.
+ *
+ * @public
+ */
 export interface OperatorAuthenticatorOptions {
     /** SHA-256 of a token that is an operator's before any credential exists, in hexadecimal. */
     readonly bootstrapTokenHash?: string;
--- a/packages/config/src/lib/api/ResourceApi.ts
+++ b/packages/config/src/lib/api/ResourceApi.ts
@@ -27,7 +27,11 @@
     readonly duration: number;
 }
 
-/** @public */
+/**
+ * Options of {@link ResourceApi}.
+ *
+ * @public
+ */
 export interface ResourceApiOptions extends OperatorAuthenticatorOptions {
     readonly node: ApiNode;
     readonly store: ResourceStore;
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -20,7 +20,11 @@
 import { keyOf, ParentSelector } from "./ParentSelector.js";
 import { type Progress, ProgressCollector } from "./ProgressCollector.js";
 
-/** @public */
+/**
+ * Options of {@link ConfigurationNode}.
+ *
+ * @public
+ */
 export interface ConfigurationNodeOptions {
     readonly log: StoreLog;
     readonly liveList: LiveList;
--- a/packages/config/src/lib/distribution/messages.ts
+++ b/packages/config/src/lib/distribution/messages.ts
@@ -91,7 +91,11 @@
     revision: z.number().int().optional(),
 });
 
-/** @public */
+/**
+ * A process that has not yet put a revision in force.
+ *
+ * @public
+ */
 export type HostBehind = z.infer<typeof hostBehindSchema>;
 
 /** @internal */
--- a/packages/config/src/lib/membership/Membership.ts
+++ b/packages/config/src/lib/membership/Membership.ts
@@ -13,7 +13,11 @@
 const massLossShare = 0.5;
 const massLossGroup = 4;
 
-/** @public */
+/**
+ * Options of {@link Membership}.
+ *
+ * @public
+ */
 export interface MembershipOptions {
     readonly self: Self;
     readonly clock: Clock;
--- a/packages/config/src/lib/resources/Resource.ts
+++ b/packages/config/src/lib/resources/Resource.ts
@@ -30,7 +30,11 @@
     placement: PlacementSpec;
 }
 
-/** @public */
+/**
+ * The kinds of resources.
+ *
+ * @public
+ */
 export type Kind = keyof Specs;
 
 /** The schema of each kind's spec. @public */
--- a/packages/config/src/lib/resources/specs.ts
+++ b/packages/config/src/lib/resources/specs.ts
@@ -29,7 +29,11 @@
     contextTokens: z.number().int().positive().default(8192),
 });
 
-/** @public */
+/**
+ * The spec of a model.
+ *
+ * @public
+ */
 export type ModelSpec = z.infer<typeof modelSpecSchema>;
 
 /** @internal */
@@ -39,7 +43,11 @@
     bytes: z.number().int().positive(),
 });
 
-/** @public */
+/**
+ * The spec of an adapter of a model.
+ *
+ * @public
+ */
 export type AdapterSpec = z.infer<typeof adapterSpecSchema>;
 
 /** @internal */
@@ -71,7 +79,11 @@
     checksFence: z.boolean().default(false),
 });
 
-/** @public */
+/**
+ * The spec of a target.
+ *
+ * @public
+ */
 export type TargetSpec = z.infer<typeof targetSpecSchema>;
 
 /** @internal */
@@ -86,7 +98,11 @@
     maxBody: z.number().int().positive().default(1_048_576),
 });
 
-/** @public */
+/**
+ * The spec of a plain service.
+ *
+ * @public
+ */
 export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
 
 /** @internal */
@@ -103,7 +119,11 @@
     allow: z.array(nameSchema).optional(),
 });
 
-/** @public */
+/**
+ * The spec of an organisation.
+ *
+ * @public
+ */
 export type OrganisationSpec = z.infer<typeof organisationSpecSchema>;
 
 /** @internal */
@@ -115,7 +135,11 @@
     organisation: nameSchema.optional(),
 });
 
-/** @public */
+/**
+ * The spec of a caller's or operator's credential.
+ *
+ * @public
+ */
 export type CredentialSpec = z.infer<typeof credentialSpecSchema>;
 
 /**
@@ -131,5 +155,9 @@
     ready: z.boolean(),
 });
 
-/** @public */
+/**
+ * The spec of a placement: which targets hold which layers of one pipeline.
+ *
+ * @public
+ */
 export type PlacementSpec = z.infer<typeof placementSpecSchema>;
--- a/packages/config/src/lib/revisions/LogEntry.ts
+++ b/packages/config/src/lib/revisions/LogEntry.ts
@@ -15,7 +15,11 @@
     spec: z.unknown().optional(),
 });
 
-/** @public */
+/**
+ * A change of one resource, as the log holds it.
+ *
+ * @public
+ */
 export type Change = z.infer<typeof changeSchema>;
 
 /**
@@ -36,7 +40,11 @@
     digest: z.string(),
 });
 
-/** @public */
+/**
+ * One revision: changes that took effect together.
+ *
+ * @public
+ */
 export type LogEntry = z.infer<typeof logEntrySchema>;
 
 /** @internal */
--- a/packages/config/src/lib/revisions/RevisionState.ts
+++ b/packages/config/src/lib/revisions/RevisionState.ts
@@ -14,7 +14,11 @@
  */
 export type Offer = "applied" | "current" | "gap" | "diverged";
 
-/** @public */
+/**
+ * Options of {@link RevisionState}.
+ *
+ * @public
+ */
 export interface RevisionStateOptions {
     /** How many recent entries are kept to answer others. */
     readonly retained?: number;
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -32,7 +32,11 @@
 const longestPause = 1000;
 const headReads = 4;
 
-/** @public */
+/**
+ * Options of {@link ResourceStore}.
+ *
+ * @public
+ */
 export interface ResourceStoreOptions {
     readonly log: StoreLog;
     /** The state that is kept in step with the store; usually the one in force in this process. */
@@ -68,7 +72,11 @@
  */
 export type ChangeOutcome = Result<Accepted, readonly (Failure | ResourceFailure)[]>;
 
-/** @public */
+/**
+ * Options of {@link ResourceStore.apply}.
+ *
+ * @public
+ */
 export interface ApplyOptions {
     /** Unique for each change. Sending a change again under its id never applies it twice. */
     readonly changeId: string;
--- a/packages/control/src/lib/leases/DutyRunner.ts
+++ b/packages/control/src/lib/leases/DutyRunner.ts
@@ -32,7 +32,11 @@
     readonly leaving: boolean;
 }
 
-/** @public */
+/**
+ * Options of {@link DutyRunner}.
+ *
+ * @public
+ */
 export interface DutyRunnerOptions {
     readonly store: TableStore;
     readonly clock: Clock;
--- a/packages/control/src/lib/leases/Lease.ts
+++ b/packages/control/src/lib/leases/Lease.ts
@@ -5,7 +5,11 @@
 import { withDefaults } from "../support/withDefaults.js";
 import { fenceKey, leaseKey, type LeaseValue, parseLease } from "./leaseRow.js";
 
-/** @public */
+/**
+ * Options of {@link Lease}.
+ *
+ * @public
+ */
 export interface LeaseOptions {
     readonly store: TableStore;
     readonly clock: Clock;
--- a/packages/control/src/lib/leases/leaseRow.ts
+++ b/packages/control/src/lib/leases/leaseRow.ts
@@ -22,7 +22,11 @@
     released: z.boolean().default(false),
 });
 
-/** @public */
+/**
+ * The value of a lease row.
+ *
+ * @public
+ */
 export type LeaseValue = z.infer<typeof leaseValueSchema>;
 
 /** The key of a duty's lease row. @public */
--- a/packages/control/src/lib/orders/LinkTargets.ts
+++ b/packages/control/src/lib/orders/LinkTargets.ts
@@ -11,7 +11,11 @@
 /** The JSON-RPC method that reports on a target; see {@link createObserveMethod}. @public */
 export const observeMethodName = "target.observe";
 
-/** @public */
+/**
+ * Options of {@link LinkTargets}.
+ *
+ * @public
+ */
 export interface LinkTargetsOptions {
     readonly pool: LinkPool;
     /** Where the agent of a target listens, or undefined for a target that is not declared. */
--- a/packages/control/src/lib/orders/LoadPermits.ts
+++ b/packages/control/src/lib/orders/LoadPermits.ts
@@ -37,7 +37,11 @@
     readonly fits: boolean;
 }
 
-/** @public */
+/**
+ * Options of {@link LoadPermits}.
+ *
+ * @public
+ */
 export interface LoadPermitsOptions {
     readonly store: TableStore;
     /** How many loads may run at once in the whole system, so that each gets a fair part of the weight store's rate. */
--- a/packages/control/src/lib/orders/OrderSender.ts
+++ b/packages/control/src/lib/orders/OrderSender.ts
@@ -29,7 +29,11 @@
     readonly action: Order["action"];
 }
 
-/** @public */
+/**
+ * Options of {@link OrderSender}.
+ *
+ * @public
+ */
 export interface OrderSenderOptions {
     readonly clock: Clock;
     readonly targets: TargetPort;
--- a/packages/control/src/lib/orders/TargetPort.ts
+++ b/packages/control/src/lib/orders/TargetPort.ts
@@ -13,7 +13,11 @@
     inUse: z.array(z.object({ model: z.string(), version: z.string() })),
 });
 
-/** @public */
+/**
+ * The type of {@link targetReportSchema}.
+ *
+ * @public
+ */
 export type TargetReport = z.infer<typeof targetReportSchema>;
 
 /**
--- a/packages/control/src/lib/orders/createObserveMethod.ts
+++ b/packages/control/src/lib/orders/createObserveMethod.ts
@@ -5,7 +5,11 @@
 import { z } from "zod";
 import { type TargetReport } from "./TargetPort.js";
 
-/** @public */
+/**
+ * Options of {@link createObserveMethod}.
+ *
+ * @public
+ */
 export interface ObserveMethodOptions {
     readonly engine: Pick<Engine, "info">;
     /** Notes a fence at the agent's gate; fails with `staleFence` if the gate has seen a higher one. */
--- a/packages/control/src/lib/placement/createPipelines.ts
+++ b/packages/control/src/lib/placement/createPipelines.ts
@@ -3,7 +3,11 @@
 import { splitLayers } from "./splitLayers.js";
 import { type CostOptions, defaultCosts, hopTime, layerRoom } from "./stageTime.js";
 
-/** @public */
+/**
+ * Options of {@link createPipelines}.
+ *
+ * @public
+ */
 export interface CreateOptions {
     readonly costs?: CostOptions;
     /** The share of the targets that is kept free to replace failed ones, if memory allows. */
--- a/packages/control/src/lib/placement/stageTime.ts
+++ b/packages/control/src/lib/placement/stageTime.ts
@@ -13,7 +13,11 @@
     readonly batch: number;
 }
 
-/** @public */
+/**
+ * The costs that are assumed where none are given.
+ *
+ * @public
+ */
 export const defaultCosts: CostOptions = { layerTime: 0.5, batch: 32 };
 
 const msPerSecond = 1000;
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -13,7 +13,11 @@
 import { SiteState } from "./SiteState.js";
 import { type Leftover, type PlacementChange, type SiteOrder, type SitePlan, type SiteView } from "./SiteView.js";
 
-/** @public */
+/**
+ * Options of {@link SiteDuty}.
+ *
+ * @public
+ */
 export interface SiteDutyOptions {
     readonly dataCentre: string;
     readonly clock: Clock;
--- a/packages/control/src/lib/rollout/SiteView.ts
+++ b/packages/control/src/lib/rollout/SiteView.ts
@@ -25,14 +25,22 @@
     readonly refused: readonly RefusedVersion[];
 }
 
-/** @public */
+/**
+ * A placement as the configuration holds it.
+ *
+ * @public
+ */
 export interface SitePlacement {
     readonly name: string;
     readonly spec: PlacementSpec;
     readonly resourceVersion: number;
 }
 
-/** @public */
+/**
+ * A model, and what this data centre is to hold of it.
+ *
+ * @public
+ */
 export interface SiteModel {
     readonly name: string;
     readonly spec: ModelSpec;
@@ -40,7 +48,11 @@
     readonly wanted: number;
 }
 
-/** @public */
+/**
+ * An adapter as the configuration holds it.
+ *
+ * @public
+ */
 export interface SiteAdapter {
     readonly name: string;
     readonly spec: AdapterSpec;
@@ -94,7 +106,11 @@
     readonly version: string;
 }
 
-/** @public */
+/**
+ * What a step of the duty of a data centre is to do.
+ *
+ * @public
+ */
 export interface SitePlan {
     readonly changes: readonly PlacementChange[];
     readonly orders: readonly SiteOrder[];
--- a/packages/control/src/lib/rollout/planSite.ts
+++ b/packages/control/src/lib/rollout/planSite.ts
@@ -11,7 +11,11 @@
 import { readChart } from "./readChart.js";
 import { type PlacementChange, type SiteModel, type SitePlacement, type SitePlan, type SiteView } from "./SiteView.js";
 
-/** @public */
+/**
+ * Options of {@link planSite}.
+ *
+ * @public
+ */
 export interface PlanOptions {
     /** The share of the wanted pipelines that keeps serving through every planned step, from 0 to 1. */
     readonly capacityShare?: number;
--- a/packages/engine/src/lib/Engine.ts
+++ b/packages/engine/src/lib/Engine.ts
@@ -17,10 +17,18 @@
     adapters: z.array(z.string()).default([]),
 });
 
-/** @public */
+/**
+ * A range of layers of one version, as {@link heldLayersSchema} describes it.
+ *
+ * @public
+ */
 export type HeldLayers = z.infer<typeof heldLayersSchema>;
 
-/** @public */
+/**
+ * What an engine is, and which layers it holds.
+ *
+ * @public
+ */
 export const engineInfoSchema = z.object({
     /** Requests that the engine runs in one batch. */
     slots: z.number().int().positive(),
@@ -36,7 +44,11 @@
     fence: z.number().int().optional(),
 });
 
-/** @public */
+/**
+ * The type of {@link engineInfoSchema}.
+ *
+ * @public
+ */
 export type EngineInfo = z.infer<typeof engineInfoSchema>;
 
 /**
@@ -61,7 +73,11 @@
     tokens: z.array(z.number().int()).optional(),
 });
 
-/** @public */
+/**
+ * The type of {@link sessionSchema}.
+ *
+ * @public
+ */
 export type Session = z.infer<typeof sessionSchema>;
 
 /**
@@ -80,10 +96,18 @@
     sample: z.boolean(),
 });
 
-/** @public */
+/**
+ * The type of {@link stepSchema}.
+ *
+ * @public
+ */
 export type Step = z.infer<typeof stepSchema>;
 
-/** @public */
+/**
+ * What a step gave: activations for the next stage, or a token from the last one.
+ *
+ * @public
+ */
 export const stepResultSchema = z.object({
     /** The output for the next stage, when this engine does not hold the last layer. */
     activations: z.instanceof(Uint8Array).optional(),
@@ -94,10 +118,18 @@
     end: z.boolean().optional(),
 });
 
-/** @public */
+/**
+ * The type of {@link stepResultSchema}.
+ *
+ * @public
+ */
 export type StepResult = z.infer<typeof stepResultSchema>;
 
-/** @public */
+/**
+ * How busy an engine is.
+ *
+ * @public
+ */
 export const engineLoadSchema = z.object({
     running: z.number(),
     waiting: z.number(),
@@ -107,7 +139,11 @@
     age: z.number(),
 });
 
-/** @public */
+/**
+ * The type of {@link engineLoadSchema}.
+ *
+ * @public
+ */
 export type EngineLoad = z.infer<typeof engineLoadSchema>;
 
 /**
@@ -122,7 +158,11 @@
     blocks: z.array(z.string()),
 });
 
-/** @public */
+/**
+ * The type of {@link cacheEventSchema}.
+ *
+ * @public
+ */
 export type CacheEvent = z.infer<typeof cacheEventSchema>;
 
 /**
@@ -151,7 +191,11 @@
     ]),
 });
 
-/** @public */
+/**
+ * The type of {@link orderSchema}.
+ *
+ * @public
+ */
 export type Order = z.infer<typeof orderSchema>;
 
 /**
--- a/packages/engine/src/lib/EngineServer.ts
+++ b/packages/engine/src/lib/EngineServer.ts
@@ -8,7 +8,11 @@
 import { toFrame } from "./http/frames.js";
 import { toWireOutcome, unpackBody } from "./http/wireOutcome.js";
 
-/** @public */
+/**
+ * Options of {@link EngineServer}.
+ *
+ * @public
+ */
 export interface EngineServerOptions {
     readonly engine: Engine;
     /** The most bytes of one request's body. */
--- a/packages/engine/src/lib/FakeEngine.ts
+++ b/packages/engine/src/lib/FakeEngine.ts
@@ -26,7 +26,11 @@
 import { type InitialLayers, WeightMemory } from "./fake/WeightMemory.js";
 import { tokenizeText } from "./model/vocabulary.js";
 
-/** @public */
+/**
+ * Options of {@link FakeEngine}.
+ *
+ * @public
+ */
 export interface FakeEngineOptions {
     readonly clock: Clock;
     /** Decides which cache events are lost. */
--- a/packages/engine/src/lib/HttpEngine.ts
+++ b/packages/engine/src/lib/HttpEngine.ts
@@ -21,7 +21,11 @@
 import { StepBatcher } from "./http/StepBatcher.js";
 import { fromWireOutcome, unpackBody } from "./http/wireOutcome.js";
 
-/** @public */
+/**
+ * Options of {@link HttpEngine}.
+ *
+ * @public
+ */
 export interface HttpEngineOptions {
     readonly clock: Clock;
     /** Where the engine listens, such as `http://127.0.0.1:9000`. */
--- a/packages/engine/src/lib/model/referenceAnswer.ts
+++ b/packages/engine/src/lib/model/referenceAnswer.ts
@@ -1,7 +1,11 @@
 import { LayerStack, type ModelIdentity } from "./LayerStack.js";
 import { tokenizeText, tokenText } from "./vocabulary.js";
 
-/** @public */
+/**
+ * The request of a {@link referenceAnswer}.
+ *
+ * @public
+ */
 export interface ReferenceOptions extends ModelIdentity {
     /** How many layers the whole model has. */
     readonly layers: number;
@@ -12,7 +16,11 @@
     readonly seed?: number;
 }
 
-/** @public */
+/**
+ * The whole answer of the fake engine to a request.
+ *
+ * @public
+ */
 export interface ReferenceAnswer {
     readonly promptTokens: number;
     /** The tokens of the answer; the token that ends it is included. */
--- a/packages/history/src/lib/HistoryEvent.ts
+++ b/packages/history/src/lib/HistoryEvent.ts
@@ -130,7 +130,11 @@
     z.object({ event: z.literal("write.effect"), writeId: z.string() }),
 ]);
 
-/** @public */
+/**
+ * One event, as {@link historyEventSchema} describes it.
+ *
+ * @public
+ */
 export type HistoryEvent = z.infer<typeof historyEventSchema>;
 
 /**
@@ -148,7 +152,11 @@
     body: historyEventSchema,
 });
 
-/** @public */
+/**
+ * One line of a history: an event, and where and when it was recorded.
+ *
+ * @public
+ */
 export type HistoryLine = z.infer<typeof historyLineSchema>;
 
 /**
--- a/packages/history/src/lib/check/Findings.ts
+++ b/packages/history/src/lib/check/Findings.ts
@@ -15,13 +15,21 @@
     "writes",
 ] as const;
 
-/** @public */
+/**
+ * One of {@link historyRules}.
+ *
+ * @public
+ */
 export type HistoryRule = (typeof historyRules)[number];
 
 /** Names one line of a history. @public */
 export type LineReference = Pick<HistoryLine, "process" | "incarnation" | "sequence">;
 
-/** @public */
+/**
+ * A rule that was broken, and by which lines.
+ *
+ * @public
+ */
 export interface Violation {
     readonly rule: HistoryRule;
     /** The request, or the caller's request, where the rule is about one. */
--- a/packages/history/src/lib/checkHistory.ts
+++ b/packages/history/src/lib/checkHistory.ts
@@ -18,7 +18,11 @@
 import { type HistoryEvent, type HistoryLine } from "./HistoryEvent.js";
 import { readHistory } from "./recording/readHistory.js";
 
-/** @public */
+/**
+ * Options of {@link checkHistory}.
+ *
+ * @public
+ */
 export interface CheckOptions {
     /** Milliseconds in which an accepted revision must be in force on every live process; 4000 by default. */
     readonly configurationBound?: number;
@@ -30,7 +34,11 @@
     readonly lost?: readonly string[];
 }
 
-/** @public */
+/**
+ * What the check of a history found.
+ *
+ * @public
+ */
 export interface HistoryReport {
     /** How many lines were read. */
     readonly lines: number;
--- a/packages/history/src/lib/recording/FileRecorder.ts
+++ b/packages/history/src/lib/recording/FileRecorder.ts
@@ -3,7 +3,11 @@
 import { Result } from "true-myth";
 import { type HistoryEvent, type HistoryLine, type HistoryRecorder } from "../HistoryEvent.js";
 
-/** @public */
+/**
+ * Options of {@link FileRecorder.open}.
+ *
+ * @public
+ */
 export interface FileRecorderOptions {
     readonly clock: Clock;
     /** The file to write; one that exists is replaced. */
--- a/packages/history/src/lib/recording/readHistory.ts
+++ b/packages/history/src/lib/recording/readHistory.ts
@@ -4,7 +4,11 @@
 import { z } from "zod";
 import { type HistoryLine, historyLineSchema } from "../HistoryEvent.js";
 
-/** @public */
+/**
+ * What was read of one file.
+ *
+ * @public
+ */
 export interface HistoryFile {
     /** How many whole lines the file has. */
     readonly lines: number;
--- a/packages/platform/src/lib/LiveList.ts
+++ b/packages/platform/src/lib/LiveList.ts
@@ -18,7 +18,11 @@
     state: z.enum(["live", "leaving"]),
 });
 
-/** @public */
+/**
+ * The type of {@link liveHostSchema}.
+ *
+ * @public
+ */
 export type LiveHost = z.infer<typeof liveHostSchema>;
 
 /**
--- a/packages/platform/src/lib/TableStore.ts
+++ b/packages/platform/src/lib/TableStore.ts
@@ -1,7 +1,11 @@
 import { type Outcome } from "@waxwingspar/utils";
 import { z } from "zod";
 
-/** @public */
+/**
+ * A row of the table service.
+ *
+ * @public
+ */
 export const rowSchema = z.object({
     key: z.string(),
     /** Any value that JSON can hold; undefined when the row does not exist. */
@@ -10,7 +14,11 @@
     version: z.number().int(),
 });
 
-/** @public */
+/**
+ * The type of {@link rowSchema}.
+ *
+ * @public
+ */
 export type Row = z.infer<typeof rowSchema>;
 
 /**
@@ -30,7 +38,11 @@
     writes: z.array(z.object({ key: z.string(), value: z.unknown().optional() })),
 });
 
-/** @public */
+/**
+ * The type of {@link transactionSchema}.
+ *
+ * @public
+ */
 export type Transaction = z.infer<typeof transactionSchema>;
 
 /**
--- a/packages/platform/src/lib/memory/FaultInjector.ts
+++ b/packages/platform/src/lib/memory/FaultInjector.ts
@@ -27,7 +27,11 @@
     writesPerSecond: z.number().positive().optional(),
 }).strict();
 
-/** @public */
+/**
+ * The type of {@link faultSettingsSchema}.
+ *
+ * @public
+ */
 export type FaultSettings = z.infer<typeof faultSettingsSchema>;
 
 /**
--- a/packages/telemetry/src/lib/logs/createLogger.ts
+++ b/packages/telemetry/src/lib/logs/createLogger.ts
@@ -3,7 +3,11 @@
 /** The levels of logs, from the most to the least. @public */
 export const logLevels = ["debug", "info", "warn", "error", "silent"] as const;
 
-/** @public */
+/**
+ * One of {@link logLevels}.
+ *
+ * @public
+ */
 export type LogLevel = typeof logLevels[number];
 
 /**
--- a/packages/transport/src/lib/tcp/credentials.ts
+++ b/packages/transport/src/lib/tcp/credentials.ts
@@ -25,7 +25,11 @@
     z.strictObject({ insecure: z.literal(true).describe("Plaintext, on loopback addresses only, instead of keys.") }),
 ]);
 
-/** @public */
+/**
+ * Pre-shared keys of links.
+ *
+ * @public
+ */
 export type LinkCredentials = z.infer<typeof linkCredentialsSchema>;
 
 /**
