Plain answers: credit from the entry to the agent

Cause: nothing held a service's answer back between agent and entry, so a slow caller was cut off once 16 MiB of it waited. Change: `call` has an optional `credit`, a new `replyCredit` moves the limit as the caller takes the answer, and `reply` says `credited` when the agent keeps to it, since only then may grants be sent. The agent stops reading from the service while credit is used up. A claimed call pauses only beyond what its record keeps, and goes as fast as the fastest who listens; one far behind another is cut off. New limit `replyWindow` (256 KiB). `CallStream` and `CallRecordSink` have files of their own. Conclusion: what one slow caller's answer holds is bounded by the window. The bound over all callers (64 MiB) still cuts off from 256 slow callers with a full window on.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -259,6 +259,9 @@
             case "callCancel":
                 this.calls?.cancel(message.request);
                 return;
+            case "replyCredit":
+                this.calls?.credit(message.request, message.upTo);
+                return;
             default:
                 this.context.metrics.dropped?.(message.type);
         }
--- a/packages/agent/src/lib/peerRoles.ts
+++ b/packages/agent/src/lib/peerRoles.ts
@@ -11,6 +11,7 @@
     open: fromEntries,
     call: fromEntries,
     callCancel: fromEntries,
+    replyCredit: fromEntries,
     credit: fromBoth,
     cancel: fromBoth,
     join: fromAgents,
--- a/packages/agent/src/lib/service/ServiceCall.ts
+++ b/packages/agent/src/lib/service/ServiceCall.ts
@@ -45,12 +45,15 @@
     private timer: Timer | undefined;
     private timedOut = false;
     private answered = false;
+    /** Ends the wait for credit. */
+    private wake: () => void = () => undefined;
 
     constructor(private readonly options: ServiceCallOptions) {}
 
     /** Runs the call. It always ends the sink, and never throws. */
     async run(): Promise<void> {
         const { clock, timeout, sink } = this.options;
+        sink.onReady(() => this.wake());
         this.timer = clock.schedule(() => this.expire(), timeout);
         try {
             await this.exchange();
@@ -67,6 +70,7 @@
     /** Breaks the call off. */
     abort(): void {
         this.controller.abort();
+        this.wake();
     }
 
     private async exchange(): Promise<void> {
@@ -84,6 +88,7 @@
         for await (const chunk of reply.body as AsyncIterable<Uint8Array<ArrayBuffer>>) {
             this.sendPieces(chunk);
             await this.drained();
+            await this.granted();
         }
     }
 
@@ -102,9 +107,20 @@
         }
     }
 
+    /** Waits while the credit is used up, so that what a slow caller has not taken stays at the service. */
+    private async granted(): Promise<void> {
+        const { signal } = this.controller;
+        while (!this.options.sink.ready && !signal.aborted) {
+            await new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+        }
+        signal.throwIfAborted();
+    }
+
     private expire(): void {
         this.timedOut = true;
-        this.controller.abort();
+        this.abort();
     }
 
     /** What an error says about the call: only an error before anything was sent proves that it did not run. */
--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -5,7 +5,9 @@
 import { type Dispatcher, Pool } from "undici";
 import { type AgentContext } from "../AgentContext.js";
 import { type ClaimUse } from "../claims/ClaimTable.js";
-import { type CallClaims, type CallRecord, CallRecordSink, type CallSink, CallStream } from "./CallSink.js";
+import { CallRecordSink } from "./CallRecordSink.js";
+import { type CallClaims, type CallRecord, type CallSink } from "./CallSink.js";
+import { CallStream } from "./CallStream.js";
 import { ServiceCall } from "./ServiceCall.js";
 
 const defaultTimeout = 10_000;
@@ -52,6 +54,8 @@
     private readonly dispatcher: Dispatcher;
     private readonly root: string;
     private readonly calls = new Map<string, OpenCall>();
+    /** Where the answers of claimed calls go that were admitted, for duplicates that join them. */
+    private readonly recordSinks = new WeakMap<CallRecord, CallRecordSink>();
     /** Calls that wait for the service's answer, also those that nobody listens to any more. */
     private runningCalls = 0;
     private callCount = 0;
@@ -98,6 +102,11 @@
         return claim !== undefined && this.claims.knows(claim);
     }
 
+    /** Takes a `replyCredit` message. */
+    credit(request: string, upTo: number): void {
+        this.calls.get(request)?.stream.credit(upTo);
+    }
+
     /** Takes a `callCancel` message. A claimed call runs to its end, and its answer is kept for duplicates. */
     cancel(request: string): void {
         const open = this.calls.get(request);
@@ -122,13 +131,14 @@
 
     private createStream(message: CallMessage, link: Link): CallStream {
         const { load, links } = this.context;
-        const { request } = message;
+        const { request, credit } = message;
         const stopWatch = links.watch(link, () => this.cancel(request));
-        const stream = new CallStream(link, request, () => load.report(), () => {
+        const ended = (): void => {
             stopWatch();
             load.end(link);
             this.calls.delete(request);
-        });
+        };
+        const stream = new CallStream({ link, request, credit, load: () => load.report(), ended });
         load.begin(link);
         // A call that is broken off keeps its slot for a moment, in which its request may come again.
         const item = `call/${request}/${this.callCount++}`;
@@ -162,13 +172,16 @@
         }
         const { action, record } = admitted.value;
         record.follow(stream);
+        this.recordSinks.get(record)?.add(stream);
         if (action === "run") {
             this.offer(message, this.createRecordSink(record, stream));
         }
     }
 
     private createRecordSink(record: CallRecord, stream: CallStream): CallRecordSink {
-        return new CallRecordSink(this.claims, record, stream, this.context.settings.replyMemory);
+        const sink = new CallRecordSink(this.claims, record, stream, this.context.settings.replyMemory);
+        this.recordSinks.set(record, sink);
+        return sink;
     }
 
     private offer(message: CallMessage, sink: CallSink): void {
--- a/packages/entry/src/lib/EntryLimits.ts
+++ b/packages/entry/src/lib/EntryLimits.ts
@@ -27,6 +27,9 @@
     ),
     maxReplyBuffer: count.default(16_777_216).describe("Bytes of an answer that may wait for one slow caller."),
     maxReplyMemory: count.default(67_108_864).describe("Bytes of answers that may wait for all slow callers together."),
+    replyWindow: count.default(262_144).describe(
+        "Bytes of a plain service's answer that the agent may send before the caller has taken those before.",
+    ),
     creditWindow: count.default(64).describe("Tokens that the head may send before the caller has taken those before."),
     requestTimeout: milliseconds.default(600_000).describe(
         "The time for a model request when the caller sets none, and the most that it may set.",
--- a/packages/entry/src/lib/http/PacedWriter.ts
+++ b/packages/entry/src/lib/http/PacedWriter.ts
@@ -43,6 +43,11 @@
         return !this.waiting;
     }
 
+    /** Bytes that wait for a slow caller, with their framing; 0 while the caller is not slow. */
+    get waitingBytes(): number {
+        return this.waiting ? this.options.response.writableLength : 0;
+    }
+
     /**
      * Begins a response of text pieces. Pieces are framed here, as one string each: Node hands a chunk to the operating
      * system in five parts, which costs more than all else that is done for a token.
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -22,6 +22,7 @@
 import { type ClaimBinding } from "../links/ClaimBinding.js";
 import { fromWire } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
+import { ReplyCredit } from "./ReplyCredit.js";
 
 /**
  * A plain call that has passed every check of the entry.
@@ -48,6 +49,10 @@
  * @internal
  */
 export interface ReplySink {
+    /** Bytes that wait for the caller. */
+    readonly waiting: number;
+    /** Sets what runs when the caller has taken what waited. */
+    onTaken(handler: () => void): void;
     head(status: number, headers: ReplyHeaders): void;
     body(data: Uint8Array): void;
     end(): void;
@@ -83,6 +88,7 @@
     readonly routed: RoutedAttempt | undefined;
     readonly sentAt: number;
     readonly span: Span;
+    readonly credit: ReplyCredit;
 }
 
 /**
@@ -104,6 +110,7 @@
     constructor(options: ServiceCallOptions) {
         this.options = options;
         this.request = options.request;
+        options.sink.onTaken(() => this.attempt?.credit.update());
         this.recovery = new Recovery({
             retryBudget: options.retryBudget,
             clock: options.clock,
@@ -135,10 +142,10 @@
         switch (message.type) {
             case "reply":
                 this.begun = true;
+                this.attempt.credit.active = message.credited === true;
                 return this.options.sink.head(message.status, message.headers);
             case "replyBody":
-                this.options.sink.body(message.data);
-                return message.last ? this.complete(this.attempt) : undefined;
+                return this.passOn(this.attempt, message.data, message.last);
             case "callFailed":
                 return this.attemptFailed(fromWire(message.failure));
             default:
@@ -150,6 +157,15 @@
         this.attemptFailed(failure(transportCodes.connectionLost, "the link to the target was lost"));
     }
 
+    private passOn(attempt: CallAttempt, data: Uint8Array, last: boolean): void {
+        this.options.sink.body(data);
+        if (last) {
+            this.complete(attempt);
+            return;
+        }
+        attempt.credit.passedOn(data.length);
+    }
+
     private async next(): Promise<void> {
         if (this.ended) {
             return;
@@ -207,7 +223,7 @@
         }, trace.setSpan(context.active(), span));
         const sentAt = clock.now();
         this.attempts++;
-        this.attempt = { target, link, routed, sentAt, span: attemptSpan };
+        this.attempt = { target, link, routed, sentAt, span: attemptSpan, credit: this.createCredit(link) };
         history({ event: "attempt.started", request: id, epoch: this.attempts, targets: [target], resumeAt: 0 });
         link.attach(id, this);
         link.send({
@@ -222,6 +238,7 @@
             headers,
             body,
             claim,
+            credit: this.options.limits.replyWindow,
             traceparent: traceparentOf(attemptSpan),
         });
         if (!link.open) {
@@ -229,6 +246,16 @@
         }
     }
 
+    private createCredit(link: AgentLink): ReplyCredit {
+        const { sink, limits } = this.options;
+        const { id } = this.request;
+        return new ReplyCredit({
+            window: limits.replyWindow,
+            waiting: () => sink.waiting,
+            grant: upTo => link.send({ type: "replyCredit", request: id, upTo }),
+        });
+    }
+
     /** Answers a duplicate with what the runner of its claim left behind. Nothing runs. */
     private repeat({ status, headers, body }: LeftReply): void {
         this.options.sink.head(status, headers);
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -141,14 +141,21 @@
 /** Passes an answer on as it comes, as fast as the caller reads. */
 function replySink({ clock, limits, replies }: RouteServices, exchange: Exchange): ReplySink {
     const { response } = exchange;
+    let taken: () => void = () => undefined;
     const writer = new PacedWriter({
         response,
         clock,
         stallTimeout: limits.writeStallTimeout,
         memory: replies,
-        onDrain: () => undefined,
+        onDrain: () => taken(),
     });
     return {
+        get waiting() {
+            return writer.waitingBytes;
+        },
+        onTaken: handler => {
+            taken = handler;
+        },
         head: (status, headers) => {
             response.writeHead(status, returnedHeaders(headers));
             // A short answer leaves in one write with its head; the head of a slow one does not wait for the body.
--- a/packages/transport/src/lib/messages/Message.ts
+++ b/packages/transport/src/lib/messages/Message.ts
@@ -18,6 +18,7 @@
     callFailedMessageSchema,
     callMessageSchema,
     replyBodyMessageSchema,
+    replyCreditMessageSchema,
     replyMessageSchema,
 } from "./serviceMessages.js";
 
@@ -49,6 +50,7 @@
     replyBodyMessageSchema,
     callFailedMessageSchema,
     callCancelMessageSchema,
+    replyCreditMessageSchema,
 ]);
 
 /** @public */
--- a/packages/transport/src/lib/messages/serviceMessages.ts
+++ b/packages/transport/src/lib/messages/serviceMessages.ts
@@ -17,6 +17,8 @@
     body: z.instanceof(Uint8Array),
     /** The claim under which a call that is not idempotent runs; see docs/design/at-most-once.md. */
     claim: z.string().optional(),
+    /** Bytes of the answer's body that may be sent before a `replyCredit`. Without it nothing is held back. */
+    credit: z.number().int().positive().optional(),
     traceparent: z.string().optional(),
 });
 
@@ -35,6 +37,8 @@
     request: z.string(),
     status: z.number().int(),
     headers: replyHeadersSchema,
+    /** True when the agent keeps to the call's `credit`; only then does it understand `replyCredit`. */
+    credited: z.boolean().optional(),
 });
 
 /** Agent to entry: a piece of the answer's body; the last one closes the answer. @public */
@@ -54,5 +58,12 @@
     load: loadReportSchema.optional(),
 });
 
+/** Entry to agent: the body of the answer may be sent up to this byte (excluded), counted from its beginning. */
+export const replyCreditMessageSchema = z.object({
+    type: z.literal("replyCredit"),
+    request: z.string(),
+    upTo: z.number().int().nonnegative(),
+});
+
 /** Entry to agent: the caller no longer waits. A call that is not idempotent still runs to its end. @public */
 export const callCancelMessageSchema = z.object({ type: z.literal("callCancel"), request: z.string() });
