--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -11,6 +11,7 @@
 import { createMetricsHandler } from "../operators/createMetricsHandler.js";
 import { type Settings } from "../settings/loadSettings.js";
 import { type DaemonBase } from "./DaemonBase.js";
+import { entryPartOf } from "./entryPartOf.js";
 
 /**
  * The entry as a process: settings, clock and sockets around the library classes.
@@ -131,12 +132,6 @@
     }
 }
 
-/** The part of one entry, which counts itself in also while the others do not see it. */
-function entryPartOf(name: string, entries: readonly string[]): EntryPart {
-    const all = [...new Set([...entries, name])].sort();
-    return { index: all.indexOf(name), count: all.length };
-}
-
 function toOwner({ process, host, port }: Member): ClaimOwner {
     return { process, address: { host, port } };
 }
