Pausing of processes in the tests of a site split out

Change: pausableStore and pausableClock in testing/pausable.ts. Before: one function with three jobs. Conclusion: no check is changed.

--- a/packages/control/src/lib/testing/SiteWorld.ts
+++ b/packages/control/src/lib/testing/SiteWorld.ts
@@ -17,6 +17,7 @@
 import { type RowCondition, SiteDuty } from "../rollout/SiteDuty.js";
 import { type PlacementChange } from "../rollout/SiteView.js";
 import { LaggedConfiguration, type PastRevision } from "./LaggedConfiguration.js";
+import { type Awake, pausableClock, pausableStore } from "./pausable.js";
 import { ScriptedStore } from "./ScriptedStore.js";
 import { TestTarget } from "./TestTarget.js";
 
@@ -217,19 +218,9 @@
             }
             return answer;
         };
-        const { store, clock, random } = this;
-        const awakeStore = {
-            get: (key: string) => awake(store.get(key)),
-            scan: (prefix: string, after: string, limit: number) => awake(store.scan(prefix, after, limit)),
-            commit: (transaction: Parameters<typeof store.commit>[0]) => awake(store.commit(transaction)),
-            findCommit: (writeId: string) => awake(store.findCommit(writeId)),
-        };
-        const awakeClock = {
-            now: () => clock.now(),
-            date: () => clock.date(),
-            schedule: (callback: () => void, delay: number) =>
-                clock.schedule(() => void awake(Promise.resolve()).then(callback), delay),
-        };
+        const { clock, random } = this;
+        const awakeStore = pausableStore(this.store, awake);
+        const awakeClock = pausableClock(clock, awake);
         const duty = new SiteDuty({
             dataCentre,
             clock: awakeClock,
@@ -255,7 +246,7 @@
         return Object.assign(state, { member, runner, duty });
     }
 
-    private port(awake: <T>(outcome: Promise<T>) => Promise<T>): TargetPort {
+    private port(awake: Awake): TargetPort {
         const send = async <T>(deliver: () => Promise<Outcome<T>>, given?: MessageFault): Promise<Outcome<T>> => {
             const fault = given ?? this.messageFaults.shift();
             const lost = Result.err(failure(transportCodes.connectionLost, "lost"));
