--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -3,12 +3,12 @@
 import { type Configuration } from "@waxwingspar/config";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { createOrganisationLimits, type OrganisationLimits, type RetryBudgets, type Router } from "@waxwingspar/policy";
+import { parentContext } from "@waxwingspar/telemetry";
 import { type Address, type LinkPool } from "@waxwingspar/transport";
 import { type Clock, failure, type Outcome, type Random, requestCodes, seededRandom, sleep } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { Authenticator, type Caller } from "./callers/Authenticator.js";
 import { limitRefusal } from "./callers/limitRefusal.js";
-import { contextOf } from "./callers/traceContext.js";
 import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
 import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
 import { BodyReader } from "./http/BodyReader.js";
@@ -250,7 +250,7 @@
     }
 
     private begin(exchange: Exchange): OpenRequest {
-        const parent = contextOf(exchange.header("traceparent"));
+        const parent = parentContext(exchange.header("traceparent"));
         const span = this.services.tracer.startSpan("entry.request", {
             kind: SpanKind.SERVER,
             attributes: { "http.request.method": exchange.method, "url.path": exchange.path },
--- a/packages/entry/src/lib/models/Attempt.ts
+++ b/packages/entry/src/lib/models/Attempt.ts
@@ -1,9 +1,9 @@
 import { type Span, SpanKind, type Tracer } from "@opentelemetry/api";
 import { context, trace } from "@opentelemetry/api";
 import { type AttemptEnd, type RoutedAttempt } from "@waxwingspar/policy";
+import { traceparentOf } from "@waxwingspar/telemetry";
 import { type Exporter } from "@waxwingspar/transport";
 import { type Clock } from "@waxwingspar/utils";
-import { traceparentOf } from "../callers/traceContext.js";
 import { type EntryLimits } from "../EntryLimits.js";
 import { type AgentLink } from "../links/AgentLink.js";
 import { type CachedCounts, cachedTextBlocks } from "./cachedTextBlocks.js";
--- a/packages/entry/src/lib/models/RequestRun.test.ts
+++ b/packages/entry/src/lib/models/RequestRun.test.ts
@@ -67,6 +67,19 @@
     assert.equal((await responding).status, 200);
 });
 
+test("a target that only leaves exports its cache to the next attempt", async context => {
+    const site = await startSite(context);
+    site.agent(1).react = answerAll;
+    const responding = site.post("/v1/chat/completions", chatBody(1));
+    const { request, epoch } = await site.agent(0).wait("open");
+    const failure = { code: requestCodes.stageLost.number, message: "leaving" };
+    const load = site.agent(0).load(true);
+    site.agent(0).send({ type: "failed", request, epoch, failure, target: "target-1", exportable: true, load });
+    const second = await site.agent(1).wait("open");
+    assert.deepEqual(second.exporters.map(exporter => exporter.target), ["target-1"]);
+    assert.equal((await responding).status, 200);
+});
+
 test("drops tokens of an old epoch", async context => {
     const site = await startSite(context);
     const responding = site.post("/v1/chat/completions", chatBody(4, true));
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -1,7 +1,13 @@
 import { type Span, type Tracer } from "@opentelemetry/api";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
-import { type DoneMessage, type Exporter, type Message, type TokensMessage } from "@waxwingspar/transport";
+import {
+    type DoneMessage,
+    type Exporter,
+    type FailedMessage,
+    type Message,
+    type TokensMessage,
+} from "@waxwingspar/transport";
 import {
     type Clock,
     type Failure,
@@ -15,7 +21,7 @@
 import { type EntryLimits } from "../EntryLimits.js";
 import { type EntryMetrics } from "../EntryMetrics.js";
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
-import { type AgentAddress, type AgentLinks } from "../links/AgentLinks.js";
+import { type AgentLinks } from "../links/AgentLinks.js";
 import { type BoundRunner, type ClaimBinding } from "../links/ClaimBinding.js";
 import { fromWire } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
@@ -23,6 +29,7 @@
 import { type ModelVersions } from "../versions/ModelVersions.js";
 import { type AnswerSink } from "./AnswerSink.js";
 import { Attempt } from "./Attempt.js";
+import { headOf, joinRunner } from "./chains.js";
 import { type ModelRequest } from "./ModelRequest.js";
 
 /** @internal */
@@ -46,6 +53,9 @@
     readonly onEnd: () => void;
 }
 
+/** Where an attempt failed, and whether that target still exports its KV cache because it only leaves. */
+type AttemptFault = Partial<Pick<FailedMessage, "target" | "exportable" | "load">>;
+
 /**
  * The life of one model request: attempts with growing epochs until the answer is whole, or until another attempt is
  * not allowed. Each token goes to the caller once, by its position in the answer.
@@ -107,7 +117,7 @@
             case "done":
                 return this.complete(message, this.attempt);
             case "failed":
-                return this.attemptFailed(fromWire(message.failure), message.target, message.load?.leaving);
+                return this.attemptFailed(fromWire(message.failure), message);
             default:
                 return;
         }
@@ -115,10 +125,8 @@
 
     onLost(): void {
         if (this.attempt !== undefined) {
-            this.attemptFailed(
-                failure(transportCodes.connectionLost, "the link to the head was lost"),
-                this.attempt.head,
-            );
+            const target = this.attempt.head;
+            this.attemptFailed(failure(transportCodes.connectionLost, "the link to the head was lost"), { target });
         }
     }
 
@@ -289,11 +297,10 @@
     /** Gives up an attempt that still runs, in favour of another. */
     private abandon(cause: Failure): void {
         this.attempt?.cancel(true);
-        this.attemptFailed(cause, this.attempt?.head);
+        this.attemptFailed(cause, { target: this.attempt?.head });
     }
 
-    /** @param leaving - True when the head hands the answer over because its target is leaving. */
-    private attemptFailed(cause: Failure, target: string | undefined, leaving = false): void {
+    private attemptFailed(cause: Failure, { target, exportable = false, load }: AttemptFault): void {
         const attempt = this.attempt;
         if (attempt === undefined) {
             return;
@@ -301,9 +308,9 @@
         const refused = cause.code.execution === "not run";
         this.settle(refused ? "refused" : "failed", target);
         if (!refused) {
-            this.exporters = attempt.exporters(target);
+            this.exporters = attempt.exporters(exportable ? undefined : target);
         }
-        const unfunded = leaving || (this.produced.length > 0 && (refused || !this.recovery.mayHaveRun));
+        const unfunded = load?.leaving === true || (this.produced.length > 0 && (refused || !this.recovery.mayHaveRun));
         this.proceed(cause, this.recovery.afterFailed(cause, target ?? attempt.head, unfunded));
     }
 
@@ -386,16 +393,3 @@
         this.finish(failure(code, "the deadline passed"));
     }
 }
-
-/**
- * The chain for a duplicate whose runner gets no new work from the router. Joining what already runs there is no new
- * work; if nothing runs there, the runner itself refuses the chain and the claim is moved.
- */
-function joinRunner(routed: RoutedAttempt, { target, host, port }: AgentAddress): RoutedAttempt {
-    const stages = routed.stages.map((stage, index) => index === 0 ? { ...stage, target, host, port } : stage);
-    return { stages, firstToken: () => undefined, token: () => undefined, end: () => undefined };
-}
-
-function headOf(routed: RoutedAttempt): string {
-    return routed.stages[0]?.target ?? "";
-}
--- /dev/null
+++ b/packages/entry/src/lib/models/chains.ts
@@ -0,0 +1,18 @@
+import { type RoutedAttempt } from "@waxwingspar/policy";
+import { type AgentAddress } from "../links/AgentLinks.js";
+
+/**
+ * The chain for a duplicate whose runner gets no new work from the router. Joining what already runs there is no new
+ * work; if nothing runs there, the runner itself refuses the chain and the claim is moved.
+ *
+ * @internal
+ */
+export function joinRunner(routed: RoutedAttempt, { target, host, port }: AgentAddress): RoutedAttempt {
+    const stages = routed.stages.map((stage, index) => index === 0 ? { ...stage, target, host, port } : stage);
+    return { stages, firstToken: () => undefined, token: () => undefined, end: () => undefined };
+}
+
+/** The target of a chain's first stage, or the empty text for an empty chain. @internal */
+export function headOf(routed: RoutedAttempt): string {
+    return routed.stages[0]?.target ?? "";
+}
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -3,6 +3,7 @@
 import { type LeftReply } from "@waxwingspar/claims";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type AttemptEnd, type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
+import { traceparentOf } from "@waxwingspar/telemetry";
 import { type Message, type ReplyHeaders } from "@waxwingspar/transport";
 import {
     type Clock,
@@ -14,7 +15,6 @@
     transportCodes,
 } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { traceparentOf } from "../callers/traceContext.js";
 import { type EntryLimits } from "../EntryLimits.js";
 import { type EntryMetrics } from "../EntryMetrics.js";
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
