--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,9 +3,9 @@
 import tseslint from "typescript-eslint";
 
 export default defineConfig(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         extends: [tseslint.configs.recommendedTypeChecked],
         plugins: { tsdoc },
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -29,7 +29,7 @@
     },
     {
         // node:test returns promises that the runner itself awaits; an async fake often has nothing to await.
-        files: ["packages/**/*.test.ts"],
+        files: ["packages/**/*.test.ts", "platform/**/*.test.ts"],
         rules: {
             "@typescript-eslint/no-floating-promises": "off",
             "@typescript-eslint/require-await": "off",
--- a/packages/claims/src/bench/measureOwner.ts
+++ b/packages/claims/src/bench/measureOwner.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/stores";
 import { seededRandom, sleep, SystemClock } from "@waxwingspar/utils";
 import { performance } from "node:perf_hooks";
 import { ClaimJournal } from "../lib/journal/ClaimJournal.js";
--- a/packages/claims/src/bench/measureRates.ts
+++ b/packages/claims/src/bench/measureRates.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/stores";
 import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import { type ClaimRequest } from "../lib/Claims.js";
 import { ClaimJournals } from "../lib/journal/ClaimJournals.js";
--- a/packages/claims/src/lib/TableClaims.test.ts
+++ b/packages/claims/src/lib/TableClaims.test.ts
@@ -1,4 +1,4 @@
-import { MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryTableStore } from "@waxwingspar/stores";
 import { ManualClock, requestCodes } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
--- a/packages/claims/src/lib/TableClaims.ts
+++ b/packages/claims/src/lib/TableClaims.ts
@@ -1,4 +1,4 @@
-import { type Row, type TableStore } from "@waxwingspar/platform";
+import { type Row, type TableStore } from "@waxwingspar/stores";
 import {
     type Clock,
     type Failure,
--- a/packages/claims/src/lib/journal/Archiver.ts
+++ b/packages/claims/src/lib/journal/Archiver.ts
@@ -1,4 +1,4 @@
-import { type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import { type ObjectStore, type TableStore } from "@waxwingspar/stores";
 import { type Clock, type Outcome, sleep, uniqueId } from "@waxwingspar/utils";
 import { ArchiveIndex } from "./ArchiveIndex.js";
 import { encodeArchive, indexName } from "./archives.js";
--- a/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore, type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore, type ObjectStore, type TableStore } from "@waxwingspar/stores";
 import {
     failure,
     ManualClock,
--- a/packages/claims/src/lib/journal/ClaimJournal.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore, StoreClient, TokenBucket } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore, StoreClient, TokenBucket } from "@waxwingspar/stores";
 import { ManualClock, type Outcome, requestCodes, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -1,4 +1,4 @@
-import { fullJitter, type ObjectStore, type TableStore } from "@waxwingspar/platform";
+import { fullJitter, type ObjectStore, type TableStore } from "@waxwingspar/stores";
 import {
     type Clock,
     type Failure,
--- a/packages/claims/src/lib/journal/ClaimJournals.ts
+++ b/packages/claims/src/lib/journal/ClaimJournals.ts
@@ -1,4 +1,4 @@
-import { type ObjectStore, type TableStore, TokenBucket } from "@waxwingspar/platform";
+import { type ObjectStore, type TableStore, TokenBucket } from "@waxwingspar/stores";
 import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
 import { type Claim, type ClaimRequest, type Claims } from "../Claims.js";
 import { partitionOf } from "../routing/partitionOf.js";
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -1,4 +1,4 @@
-import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/platform";
+import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/stores";
 import { type Clock, type Failure, failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type ArchiveIndex } from "./ArchiveIndex.js";
--- a/packages/claims/src/lib/journal/archives.ts
+++ b/packages/claims/src/lib/journal/archives.ts
@@ -1,4 +1,4 @@
-import { type ObjectStore } from "@waxwingspar/platform";
+import { type ObjectStore } from "@waxwingspar/stores";
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { ArchiveIndex } from "./ArchiveIndex.js";
--- a/packages/claims/src/lib/journal/storeOutage.test.ts
+++ b/packages/claims/src/lib/journal/storeOutage.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore, StoreClient } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore, StoreClient } from "@waxwingspar/stores";
 import { ManualClock, requestCodes, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
--- a/packages/claims/src/lib/left/LeftClaimsStore.test.ts
+++ b/packages/claims/src/lib/left/LeftClaimsStore.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore } from "@waxwingspar/platform";
+import { MemoryObjectStore } from "@waxwingspar/stores";
 import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
--- a/packages/claims/src/lib/routing/ClaimRouter.test.ts
+++ b/packages/claims/src/lib/routing/ClaimRouter.test.ts
@@ -1,4 +1,4 @@
-import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryObjectStore, MemoryTableStore } from "@waxwingspar/stores";
 import { type Address, type Hello, type Link, type LinkPair, linkPair, type LinkPool } from "@waxwingspar/transport";
 import { failure, ManualClock, type Outcome, requestCodes, seededRandom, transportCodes } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
--- a/packages/cli/src/lib/commands/standInCommands.ts
+++ b/packages/cli/src/lib/commands/standInCommands.ts
@@ -5,7 +5,7 @@
     MemoryTableStore,
     MemoryWeightStore,
     PlatformServer,
-} from "@waxwingspar/platform";
+} from "@waxwingspar/stores";
 import { type Clock, type Outcome, seededRandom, SystemClock } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { loadSettings, type Settings } from "../settings/loadSettings.js";
--- a/packages/cli/src/lib/daemons/DaemonBase.ts
+++ b/packages/cli/src/lib/daemons/DaemonBase.ts
@@ -7,7 +7,7 @@
     type ObjectStore,
     PlatformConnection,
     StoreClient,
-} from "@waxwingspar/platform";
+} from "@waxwingspar/stores";
 import { createLogger, createTracing, MetricRegistry, type Tracing } from "@waxwingspar/telemetry";
 import { type Clock, type Outcome, type Random, seededRandom, SystemClock } from "@waxwingspar/utils";
 import { randomInt } from "node:crypto";
--- a/packages/cli/src/lib/nodes/ConfigurationPart.ts
+++ b/packages/cli/src/lib/nodes/ConfigurationPart.ts
@@ -1,5 +1,5 @@
 import { callByPool, ConfigurationNode, Membership, ResourceStore, StoreLog } from "@waxwingspar/config";
-import { type LiveList, type TableStore } from "@waxwingspar/platform";
+import { type LiveList, type TableStore } from "@waxwingspar/stores";
 import { type Address, type LinkPool, type RpcMethod } from "@waxwingspar/transport";
 import { type NodeOptions } from "./NodeOptions.js";
 
--- a/packages/cli/src/lib/nodes/ControlPart.ts
+++ b/packages/cli/src/lib/nodes/ControlPart.ts
@@ -1,6 +1,6 @@
 import { type Member } from "@waxwingspar/config";
 import { DutyRunner, LinkTargets, PlacementStore, SiteDuty } from "@waxwingspar/control";
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import { type LinkPool } from "@waxwingspar/transport";
 import { type ConfigurationPart } from "./ConfigurationPart.js";
 import { type NodeOptions } from "./NodeOptions.js";
--- a/packages/cli/src/lib/operator/operatorVerbs.test.ts
+++ b/packages/cli/src/lib/operator/operatorVerbs.test.ts
@@ -1,5 +1,5 @@
 import { ResourceApi, type ResourceApiOptions, ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
-import { MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryTableStore } from "@waxwingspar/stores";
 import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import { Command } from "commander";
 import assert from "node:assert/strict";
--- a/packages/cli/src/lib/site/LocalSite.ts
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -2,7 +2,7 @@
 import { type ApiNode, ResourceApi, ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
 import { FakeEngine } from "@waxwingspar/engine";
 import { FileRecorder, type HistoryRecorder } from "@waxwingspar/history";
-import { MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryTableStore } from "@waxwingspar/stores";
 import { createTracing, MetricRegistry, type Tracing } from "@waxwingspar/telemetry";
 import { type Address, type LinkCredentials } from "@waxwingspar/transport";
 import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
--- a/packages/cli/src/lib/site/seedResources.ts
+++ b/packages/cli/src/lib/site/seedResources.ts
@@ -1,5 +1,5 @@
 import { parseAllDesired, type ResourceFailure, ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import {
     type Clock,
     type Failure,
--- a/packages/cli/src/lib/testing/RolloutSite.ts
+++ b/packages/cli/src/lib/testing/RolloutSite.ts
@@ -2,7 +2,7 @@
 import { createObserveMethod, observeMethodName, ordersDuty, readFence } from "@waxwingspar/control";
 import { FakeEngine } from "@waxwingspar/engine";
 import { checkHistory, type HistoryEvent, type HistoryLine, type HistoryRecorder } from "@waxwingspar/history";
-import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/stores";
 import { createLogger, createTracing } from "@waxwingspar/telemetry";
 import { type Address } from "@waxwingspar/transport";
 import { seededRandom, SystemClock } from "@waxwingspar/utils";
--- a/packages/config/src/bench/LoopbackSite.ts
+++ b/packages/config/src/bench/LoopbackSite.ts
@@ -1,4 +1,4 @@
-import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryLiveList, MemoryTableStore } from "@waxwingspar/stores";
 import { type Hello, LinkServer, protocolVersion, type RpcMethod, TcpLinkPool } from "@waxwingspar/transport";
 import { seededRandom, sleep, SystemClock, uniqueId } from "@waxwingspar/utils";
 import { AsyncLocalStorage } from "node:async_hooks";
--- a/packages/config/src/bench/scaleBench.ts
+++ b/packages/config/src/bench/scaleBench.ts
@@ -1,5 +1,5 @@
 // node --expose-gc packages/config/dist/bench/scaleBench.js: costs at the size that the letter plans for.
-import { type LiveHost } from "@waxwingspar/platform";
+import { type LiveHost } from "@waxwingspar/stores";
 import { SystemClock } from "@waxwingspar/utils";
 import { chooseParents } from "../lib/distribution/chooseParents.js";
 import { pack } from "../lib/distribution/packing.js";
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -1,5 +1,5 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type LiveList } from "@waxwingspar/platform";
+import { type LiveList } from "@waxwingspar/stores";
 import { type Address, type RpcMethod } from "@waxwingspar/transport";
 import { type Clock, failure, type Outcome, type Random, requestCodes, sleep } from "@waxwingspar/utils";
 import { Result } from "true-myth";
--- a/packages/config/src/lib/distribution/messages.ts
+++ b/packages/config/src/lib/distribution/messages.ts
@@ -1,4 +1,4 @@
-import { liveHostSchema } from "@waxwingspar/platform";
+import { liveHostSchema } from "@waxwingspar/stores";
 import { z } from "zod";
 import { listChangeSchema } from "../membership/ListHistory.js";
 
--- a/packages/config/src/lib/membership/ListHistory.ts
+++ b/packages/config/src/lib/membership/ListHistory.ts
@@ -1,4 +1,4 @@
-import { type LiveHost, liveHostSchema } from "@waxwingspar/platform";
+import { type LiveHost, liveHostSchema } from "@waxwingspar/stores";
 import { createHash } from "node:crypto";
 import { z } from "zod";
 
--- a/packages/config/src/lib/membership/Member.ts
+++ b/packages/config/src/lib/membership/Member.ts
@@ -1,4 +1,4 @@
-import { type LiveHost } from "@waxwingspar/platform";
+import { type LiveHost } from "@waxwingspar/stores";
 
 /**
  * Whether a process takes part: `live`, `leaving` by its own word or the list's, or `unreachable`, which the list no
--- a/packages/config/src/lib/membership/Membership.test.ts
+++ b/packages/config/src/lib/membership/Membership.test.ts
@@ -1,4 +1,4 @@
-import { type LiveHost } from "@waxwingspar/platform";
+import { type LiveHost } from "@waxwingspar/stores";
 import { ManualClock } from "@waxwingspar/utils";
 import fc from "fast-check";
 import assert from "node:assert/strict";
--- a/packages/config/src/lib/membership/Membership.ts
+++ b/packages/config/src/lib/membership/Membership.ts
@@ -1,4 +1,4 @@
-import { type LiveHost } from "@waxwingspar/platform";
+import { type LiveHost } from "@waxwingspar/stores";
 import { type Address } from "@waxwingspar/transport";
 import { type Clock } from "@waxwingspar/utils";
 import { type Member, type Self } from "./Member.js";
--- a/packages/config/src/lib/store/ResourceStore.test.ts
+++ b/packages/config/src/lib/store/ResourceStore.test.ts
@@ -1,5 +1,5 @@
 import { type HistoryEvent } from "@waxwingspar/history";
-import { MemoryTableStore, type TableStore } from "@waxwingspar/platform";
+import { MemoryTableStore, type TableStore } from "@waxwingspar/stores";
 import { failure, ManualClock, platformCodes, resourceCodes, seededRandom } from "@waxwingspar/utils";
 import fc from "fast-check";
 import assert from "node:assert/strict";
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -1,5 +1,5 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type Row, type Transaction } from "@waxwingspar/platform";
+import { type Row, type Transaction } from "@waxwingspar/stores";
 import {
     type Clock,
     type Failure,
--- a/packages/config/src/lib/store/transaction.ts
+++ b/packages/config/src/lib/store/transaction.ts
@@ -1,4 +1,4 @@
-import { type Transaction } from "@waxwingspar/platform";
+import { type Transaction } from "@waxwingspar/stores";
 import { createHash } from "node:crypto";
 import { z } from "zod";
 import { canonicalJson } from "../revisions/digest.js";
--- a/packages/config/src/lib/testing/SimulatedSite.ts
+++ b/packages/config/src/lib/testing/SimulatedSite.ts
@@ -1,5 +1,5 @@
 import { type HistoryEvent, type HistoryLine } from "@waxwingspar/history";
-import { type LiveHost, MemoryLiveList, MemoryTableStore, type Row, type TableStore } from "@waxwingspar/platform";
+import { type LiveHost, MemoryLiveList, MemoryTableStore, type Row, type TableStore } from "@waxwingspar/stores";
 import { type Address, type Link, type RpcMethod } from "@waxwingspar/transport";
 import {
     failure,
--- a/packages/control/src/lib/leases/DutyRunner.ts
+++ b/packages/control/src/lib/leases/DutyRunner.ts
@@ -1,4 +1,4 @@
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
 import { withDefaults } from "../support/withDefaults.js";
 import { Lease } from "./Lease.js";
--- a/packages/control/src/lib/leases/Lease.ts
+++ b/packages/control/src/lib/leases/Lease.ts
@@ -1,4 +1,4 @@
-import { type Row, type TableStore, type Transaction } from "@waxwingspar/platform";
+import { type Row, type TableStore, type Transaction } from "@waxwingspar/stores";
 import { type Clock, failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { commitResolved } from "../support/commitResolved.js";
--- a/packages/control/src/lib/orders/LoadPermits.ts
+++ b/packages/control/src/lib/orders/LoadPermits.ts
@@ -1,4 +1,4 @@
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import { failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
--- a/packages/control/src/lib/rollout/PlacementStore.test.ts
+++ b/packages/control/src/lib/rollout/PlacementStore.test.ts
@@ -1,5 +1,5 @@
 import { headKey, ResourceStore, RevisionState, StoreLog } from "@waxwingspar/config";
-import { MemoryTableStore } from "@waxwingspar/platform";
+import { MemoryTableStore } from "@waxwingspar/stores";
 import { ManualClock, platformCodes, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
--- a/packages/control/src/lib/rollout/PlacementStore.ts
+++ b/packages/control/src/lib/rollout/PlacementStore.ts
@@ -1,5 +1,5 @@
 import { headKey, type ResourceStore } from "@waxwingspar/config";
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import { failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -1,6 +1,6 @@
 import { type Configuration } from "@waxwingspar/config";
 import { type HistoryRecorder } from "@waxwingspar/history";
-import { type TableStore, type Transaction } from "@waxwingspar/platform";
+import { type TableStore, type Transaction } from "@waxwingspar/stores";
 import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
 import { type Duty } from "../leases/DutyRunner.js";
 import { type Lease } from "../leases/Lease.js";
--- a/packages/control/src/lib/support/commitResolved.ts
+++ b/packages/control/src/lib/support/commitResolved.ts
@@ -1,4 +1,4 @@
-import { type TableStore, type Transaction } from "@waxwingspar/platform";
+import { type TableStore, type Transaction } from "@waxwingspar/stores";
 import { type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 
--- a/packages/control/src/lib/testing/ScriptedStore.ts
+++ b/packages/control/src/lib/testing/ScriptedStore.ts
@@ -1,4 +1,4 @@
-import { type Row, type TableStore, type Transaction } from "@waxwingspar/platform";
+import { type Row, type TableStore, type Transaction } from "@waxwingspar/stores";
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 
--- a/packages/control/src/lib/testing/pausable.ts
+++ b/packages/control/src/lib/testing/pausable.ts
@@ -1,4 +1,4 @@
-import { type TableStore } from "@waxwingspar/platform";
+import { type TableStore } from "@waxwingspar/stores";
 import { type Clock } from "@waxwingspar/utils";
 
 /** Holds an answer back while the process that waits for it is paused. @internal */
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,44 @@
+/**
+ * An HTTP gateway to targets that run a chain of layer ranges by themselves, and to plain services.
+ *
+ * @packageDocumentation
+ */
+export {
+    type EngineControl,
+    type EngineReport,
+    type LayerOrder,
+    type OrderResult,
+} from "./lib/chains/EngineControl.js";
+export {
+    type Accelerator,
+    type CallerLimits,
+    type Configuration,
+    configurationSchema,
+    type Engine,
+    type Organisation,
+    type Route,
+    type Service,
+} from "./lib/configuration/Configuration.js";
+export { type LayerRange, type Target, targetSchema } from "./lib/directory/Target.js";
+export { Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
+export { type Address, type GatewaySettings } from "./lib/GatewaySettings.js";
+export { LogDestination, type LogDestinationOptions } from "./lib/observation/LogDestination.js";
+export { type Logs } from "./lib/observation/Observation.js";
+export {
+    type CallerRequest,
+    type Dispatch,
+    type Hop,
+    type ReplyHead,
+    type TokenCount,
+    type WireFormat,
+} from "./lib/requests/messages.js";
+export { MetricsServer } from "./lib/server/MetricsServer.js";
+export {
+    type ConditionalWrite,
+    type Store,
+    type StoredRow,
+    type StoreFailure,
+    type TableChanges,
+    type TableSnapshot,
+    type WriteResult,
+} from "./lib/store/Store.js";
--- /dev/null
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -0,0 +1,279 @@
+import { type MetricRegistry } from "@waxwingspar/telemetry";
+import { type Clock, type Random, requestCodes } from "@waxwingspar/utils";
+import { ChainService } from "./chains/ChainService.js";
+import { type EngineControl } from "./chains/EngineControl.js";
+import { TargetSuspicions } from "./chains/TargetSuspicions.js";
+import { type Configuration } from "./configuration/Configuration.js";
+import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
+import { type Target } from "./directory/Target.js";
+import { TargetDirectory } from "./directory/TargetDirectory.js";
+import { PlacementDuty } from "./duty/PlacementDuty.js";
+import { PlacementLease } from "./duty/PlacementLease.js";
+import { type GatewaySettings } from "./GatewaySettings.js";
+import { GatewayMetrics, type Logs, type Observation } from "./observation/Observation.js";
+import { PeerGroup } from "./peers/PeerGroup.js";
+import { writeRefusal } from "./requests/CallerExchange.js";
+import { type WireFormat } from "./requests/messages.js";
+import { RepeatBudget } from "./requests/RepeatBudget.js";
+import { RequestRouter, type ServiceParts } from "./requests/RequestRouter.js";
+import { CallerServer } from "./server/CallerServer.js";
+import { ReadinessServer } from "./server/ReadinessServer.js";
+import { ServicePicker } from "./services/ServicePicker.js";
+import { type Store, type StoredRow } from "./store/Store.js";
+import { TableWatch } from "./store/TableWatch.js";
+
+/** Where the platform keeps what the gateway reads, and how it is read. */
+export interface PlatformTables {
+    readonly configurationTable: string;
+    readonly configurationKey: string;
+    readonly targetTable: string;
+    /** @throws Error when the document is no configuration. */
+    decodeConfiguration(document: unknown): Configuration;
+    decodeTarget(id: string, document: unknown): Target | undefined;
+}
+
+/** Options of {@link Gateway}. */
+export interface GatewayOptions {
+    readonly settings: GatewaySettings;
+    readonly clock: Clock;
+    readonly random: Random;
+    /** A name for this start of the process. */
+    readonly incarnation: string;
+    readonly store: Store;
+    readonly tables: PlatformTables;
+    readonly wire: WireFormat;
+    readonly engines: EngineControl;
+    readonly logs: Logs;
+    readonly registry: MetricRegistry;
+}
+
+/** Milliseconds that one call waits for a change of the configuration: two calls must fit in the bound on keys. */
+const configurationWait = 1_500;
+/** Milliseconds that one call waits for a change of the list of targets; a dead connection is noticed after that. */
+const targetWait = 1_800;
+/** Of the bound on keys, milliseconds left for a request on its way. */
+const revocationSlack = 400;
+/** Milliseconds after the request to stop until the balancer has surely taken this process out: two misses and a bit. */
+const balancerDelay = 2_600;
+/** Milliseconds before the end of the grace at which what is left is broken off. */
+const stopSlack = 400;
+const stopCheck = 50;
+
+/** A process that takes callers' requests and passes them to targets. */
+export class Gateway {
+    private readonly observation: Observation;
+    private readonly configuration: ConfigurationInForce;
+    private readonly directory: TargetDirectory;
+    private readonly suspicions: TargetSuspicions;
+    private readonly services = new Map<string, ServiceParts>();
+    private readonly callers: CallerServer;
+    private readonly readiness: ReadinessServer;
+    private readonly peers: PeerGroup;
+    private readonly lease: PlacementLease;
+    private readonly duty: PlacementDuty;
+    private readonly watches: TableWatch[];
+    private knowsTargets = false;
+    private isStopping = false;
+
+    constructor(private readonly options: GatewayOptions) {
+        const { settings, clock, logs, registry, store, engines } = options;
+        this.observation = { logs, metrics: new GatewayMetrics(registry) };
+        const { keyRevocation } = settings;
+        this.configuration = new ConfigurationInForce({
+            clock,
+            maxConfirmationAge: keyRevocation === undefined ? undefined : keyRevocation - revocationSlack,
+        });
+        this.directory = new TargetDirectory({
+            clock,
+            onChange: ({ kind, target }) =>
+                logs.directory.info({
+                    target: target.id,
+                    service: target.service,
+                    dataCentre: target.dataCentre,
+                    state: target.state,
+                    layers: target.layers,
+                    change: kind,
+                }, `target ${kind}`),
+        });
+        this.suspicions = new TargetSuspicions(clock);
+        const router = new RequestRouter({
+            clock,
+            random: options.random,
+            wire: options.wire,
+            observation: this.observation,
+            configuration: this.configuration,
+            findService: name => this.services.get(name),
+        });
+        this.callers = new CallerServer({
+            address: settings.callers,
+            onRequest: request => router.handle(request),
+            onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
+            maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? 0,
+        });
+        this.readiness = new ReadinessServer(settings.readiness, () => this.isReady);
+        this.peers = new PeerGroup({
+            clock,
+            store,
+            process: settings.process,
+            incarnation: options.incarnation,
+            address: { host: settings.host, port: settings.internalPorts.first },
+            logger: logs.process,
+            describe: () => ({ suspects: this.suspicions.list(), dutyTerm: this.lease.term }),
+        });
+        this.lease = new PlacementLease({
+            clock,
+            store,
+            process: settings.process,
+            incarnation: options.incarnation,
+            peers: this.peers,
+            logger: logs.duty,
+        });
+        this.duty = new PlacementDuty({
+            clock,
+            lease: this.lease,
+            directory: this.directory,
+            suspicions: this.suspicions,
+            peers: this.peers,
+            engines,
+            services: () => this.configuration.current?.services ?? [],
+            observation: this.observation,
+        });
+        this.watches = this.createWatches();
+    }
+
+    /** Starts to listen, and to learn what is needed to serve. */
+    async start(): Promise<void> {
+        const { logs, settings } = this.options;
+        logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
+        this.watches.forEach(watch => void watch.run());
+        await Promise.all([this.readiness.start(), this.callers.start()]);
+        await this.peers.start();
+        this.lease.start();
+        this.duty.start();
+        logs.process.info({ callers: settings.callers, readiness: settings.readiness }, "listening");
+    }
+
+    /**
+     * Stops without cutting an answer off: leaves the balancer first, serves on until it has, then ends when the last
+     * answer has ended, or shortly before the grace is over.
+     */
+    async stop(): Promise<void> {
+        const { clock, logs, settings } = this.options;
+        const stoppedAt = clock.now();
+        this.isStopping = true;
+        logs.process.info({ open: this.callers.openRequests }, "stopping");
+        this.callers.stopKeepingConnections();
+        this.lease.release();
+        this.duty.stop();
+        await this.pause(balancerDelay);
+        this.callers.close();
+        const end = stoppedAt + settings.stopGrace - stopSlack;
+        while (this.callers.openRequests > 0 && clock.now() < end) {
+            await this.pause(stopCheck);
+        }
+        logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
+        this.watches.forEach(watch => watch.stop());
+        this.peers.stop();
+        this.callers.closeAll();
+        this.readiness.close();
+    }
+
+    private get isReady(): boolean {
+        const { keyRevocation } = this.options.settings;
+        const mayServeKeys = keyRevocation === undefined || this.configuration.confirmationAge < keyRevocation;
+        return !this.isStopping && this.configuration.current !== undefined && this.knowsTargets && mayServeKeys;
+    }
+
+    private createWatches(): TableWatch[] {
+        const { clock, store, tables, logs } = this.options;
+        const ofStore = (table: string) => ({
+            clock,
+            store,
+            table,
+            onLost: (reason: string) => {
+                this.observation.metrics.storeLosses.add({ table });
+                logs.process.warn({ table, reason }, "store lost");
+            },
+            onRegained: (outage: number) => logs.process.info({ table, outage: Math.round(outage) }, "store regained"),
+        });
+        const configurationWatch = new TableWatch({
+            ...ofStore(tables.configurationTable),
+            wait: configurationWait,
+            onSnapshot: rows => this.takeConfiguration(rows),
+            onChanges: rows => this.takeConfiguration(rows),
+            onConfirmed: askedAt => this.configuration.confirm(askedAt),
+        });
+        const targetWatch = new TableWatch({
+            ...ofStore(tables.targetTable),
+            wait: targetWait,
+            onSnapshot: (rows, afterOutage) => {
+                const targets = rows.flatMap(row => tables.decodeTarget(row.key, row.value) ?? []);
+                this.directory.replaceAll(targets, afterOutage);
+                this.knowsTargets = true;
+            },
+            onChanges: (rows, removedKeys, afterOutage) => {
+                const targets = rows.flatMap(row => tables.decodeTarget(row.key, row.value) ?? []);
+                targets.forEach(target => this.directory.put(target));
+                removedKeys.forEach(key => this.directory.remove(key, afterOutage));
+            },
+        });
+        return [configurationWatch, targetWatch];
+    }
+
+    private takeConfiguration(rows: readonly StoredRow[]): void {
+        const { tables, logs } = this.options;
+        const row = rows.find(({ key }) => key === tables.configurationKey);
+        if (row === undefined) {
+            return;
+        }
+        let configuration: Configuration;
+        try {
+            configuration = tables.decodeConfiguration(row.value);
+        }
+        catch (error) {
+            logs.configuration.error({ row: row.version, error: String(error) }, "configuration cannot be read");
+            return;
+        }
+        if (this.configuration.offer(configuration)) {
+            this.applyConfiguration(configuration);
+            logs.configuration.info({
+                version: configuration.version,
+                row: row.version,
+                routes: configuration.routes.length,
+                services: configuration.services.length,
+            }, "configuration in force");
+        }
+    }
+
+    private applyConfiguration(configuration: Configuration): void {
+        const { clock, settings, engines } = this.options;
+        this.callers.applyLimits(configuration.limits);
+        for (const { name, engine } of configuration.services) {
+            if (this.services.has(name)) {
+                continue;
+            }
+            const common = { clock, service: name, dataCentre: settings.dataCentre, directory: this.directory };
+            this.services.set(name, {
+                picker: new ServicePicker(common),
+                chains: engine === undefined ? undefined : new ChainService({
+                    ...common,
+                    engine,
+                    suspicions: this.suspicions,
+                    engines,
+                    observation: this.observation,
+                }),
+                budget: new RepeatBudget({
+                    clock,
+                    window: settings.retryWindow,
+                    share: settings.retryShare,
+                    reserve: settings.retryReserve,
+                    gateways: () => this.peers.groupSize,
+                }),
+            });
+        }
+    }
+
+    private pause(delay: number): Promise<void> {
+        return new Promise(resolve => void this.options.clock.schedule(resolve, delay));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/GatewaySettings.ts
@@ -0,0 +1,29 @@
+/** An address that a process listens on or calls. */
+export interface Address {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** What the surroundings tell a gateway process. Times are in milliseconds. */
+export interface GatewaySettings {
+    /** The name of the process. */
+    readonly process: string;
+    readonly host: string;
+    readonly dataCentre: string;
+    /** Ports that gateways may use among themselves, both ends included. */
+    readonly internalPorts: { readonly first: number; readonly last: number; };
+    /** Where callers connect. */
+    readonly callers: Address;
+    /** Where the balancer asks whether to send callers here. */
+    readonly readiness: Address;
+    readonly store: Address;
+    /** From the request to stop until the process is killed. */
+    readonly stopGrace: number;
+    /** After this time a credential that was taken away must not work; undefined where that holds only while in touch. */
+    readonly keyRevocation: number | undefined;
+    /** Repeats allowed for each request, in any window. */
+    readonly retryShare: number;
+    readonly retryWindow: number;
+    /** Repeats allowed beyond the share in any window, over all gateways together. */
+    readonly retryReserve: number;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -0,0 +1,101 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type Engine } from "../configuration/Configuration.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { buildChain } from "./buildChain.js";
+import { type Chain } from "./Chain.js";
+import { type TargetSuspicions } from "./TargetSuspicions.js";
+
+/** Options of {@link ChainRouter}. */
+export interface ChainRouterOptions {
+    readonly clock: Clock;
+    readonly service: string;
+    /** The data centre of this process, which is preferred. */
+    readonly dataCentre: string;
+    readonly directory: TargetDirectory;
+    readonly suspicions: TargetSuspicions;
+}
+
+/** A chain in use by requests of this process. */
+export interface ChainLoad {
+    readonly chain: Chain;
+    inFlight: number;
+    /** Requests whose first event has come. */
+    streaming: number;
+    /** When any request on the chain last got an event. */
+    lastEventAt: number;
+    /** Until when the chain gets no new requests, because its requests stalled. */
+    avoidedUntil: number;
+}
+
+/** A chain of the own data centre is preferred until it has so many more requests of this process than another one. */
+const localAdvantage = 24;
+
+/**
+ * Knows the best chain of each data centre for one service, and how many requests of this process are on it.
+ */
+export class ChainRouter {
+    private chains: ChainLoad[] = [];
+    private readonly loads = new Map<string, ChainLoad>();
+    private builtFor = "";
+
+    constructor(private readonly options: ChainRouterOptions) {}
+
+    /**
+     * Chooses the chain for a request.
+     *
+     * @param excluded - Keys of chains that failed the request.
+     * @returns Undefined when no data centre has a chain that may be used.
+     */
+    choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+        const now = this.options.clock.now();
+        const usable = this.current(engine).filter(({ chain }) => !excluded.has(chain.key));
+        const well = usable.filter(load => load.avoidedUntil <= now);
+        const candidates = well.length > 0 ? well : usable;
+        return candidates.reduce<ChainLoad | undefined>(
+            (best, load) => best === undefined || this.cost(load) < this.cost(best) ? load : best,
+            undefined,
+        );
+    }
+
+    /** The chains as they are now, one for each data centre at most. */
+    current(engine: Engine): ChainLoad[] {
+        const { directory, suspicions } = this.options;
+        const suspected = suspicions.list();
+        const state = `${directory.revision} ${suspected.join()} ${engine.layers}`;
+        if (state !== this.builtFor) {
+            this.builtFor = state;
+            this.rebuild(engine, new Set(suspected));
+        }
+        return this.chains;
+    }
+
+    private rebuild(engine: Engine, suspected: ReadonlySet<string>): void {
+        const targets = this.options.directory.readyTargets(this.options.service)
+            .filter(({ id }) => !suspected.has(id));
+        const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
+        const chains = dataCentres.flatMap(dataCentre => {
+            const chain = buildChain(dataCentre, targets.filter(target => target.dataCentre === dataCentre), engine);
+            return chain === undefined ? [] : [chain];
+        });
+        for (const [key, load] of this.loads) {
+            if (load.inFlight === 0 && chains.every(chain => chain.key !== key)) {
+                this.loads.delete(key);
+            }
+        }
+        this.chains = chains.map(chain => this.loadOf(chain));
+    }
+
+    private loadOf(chain: Chain): ChainLoad {
+        const known = this.loads.get(chain.key);
+        if (known !== undefined) {
+            return known;
+        }
+        const load = { chain, inFlight: 0, streaming: 0, lastEventAt: this.options.clock.now(), avoidedUntil: -Infinity };
+        this.loads.set(chain.key, load);
+        return load;
+    }
+
+    private cost({ chain, inFlight }: ChainLoad): number {
+        return inFlight + (chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/chains/EngineControl.ts
@@ -0,0 +1,41 @@
+import { type LayerRange, type Target } from "../directory/Target.js";
+
+/** What a target that holds layers says of itself. */
+export interface EngineReport {
+    /** An order is being carried out. */
+    readonly isBusy: boolean;
+    /** Orders accepted since the target's start. */
+    readonly orders: number;
+    readonly layers: LayerRange | undefined;
+    /** Over 1 when the target is slower than its accelerator should be. */
+    readonly slowdown: number;
+    /** Addresses of targets that requests which begin here are waiting for in vain. */
+    readonly stalledBy: readonly string[];
+}
+
+/** An order to hold a range of layers, in place of the present one. */
+export interface LayerOrder {
+    readonly layers: LayerRange;
+    /** Grows with each holder of the duty. */
+    readonly fence: number;
+    /** The target refuses the order if it has accepted any other meanwhile. */
+    readonly expectedOrders: number;
+}
+
+/** How an order was received. */
+export type OrderResult =
+    | { readonly kind: "begun"; }
+    /** The state that was ordered holds already. */
+    | { readonly kind: "held"; }
+    /** The order does not fit the target's state, or another one came first. */
+    | { readonly kind: "unfit"; readonly reason: string; }
+    | { readonly kind: "refused"; readonly reason: string; }
+    /** No reply: the order may be carried out, also much later. */
+    | { readonly kind: "unknown"; readonly reason: string; };
+
+/** Reports of and orders to targets that hold layers. */
+export interface EngineControl {
+    /** @returns Undefined when the target gives no report within the timeout, in milliseconds. */
+    fetchReport(target: Pick<Target, "host" | "port">, timeout: number): Promise<EngineReport | undefined>;
+    place(target: Pick<Target, "host" | "port">, order: LayerOrder): Promise<OrderResult>;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -0,0 +1,203 @@
+import { type Engine } from "../configuration/Configuration.js";
+import { type LayerRange, type Target } from "../directory/Target.js";
+
+/**
+ * Plans which layers the targets of one data centre hold: one whole copy on the fastest accelerators, and standbys that
+ * hold a second copy of some ranges on what is left.
+ *
+ * @module
+ */
+
+/** A target and the layers that it should hold. */
+export interface Placement {
+    readonly target: Target;
+    readonly layers: LayerRange;
+}
+
+/** Requests for whose KV cache every target of a chain keeps room, tried in this order; the last is the least. */
+const concurrencyLevels = [96, 72, 56, 40, 24, 12];
+const bytesPerMegabyte = 1e6;
+/** Time of one more hop against the reference's time for a whole step: transfers and waiting for the next pass. */
+export const hopCost = 0.3;
+
+/** The layers that a target can hold beside the KV cache of so many usual requests. */
+export function layerCapacity(engine: Engine, accelerator: string | undefined, concurrency: number): number {
+    const memory = engine.accelerators.find(({ name }) => name === accelerator)?.memory ?? 0;
+    const tokens = engine.usualPrompt + engine.usualAnswer;
+    const cacheMemory = concurrency * tokens * engine.cacheBytesPerToken / engine.layers / bytesPerMegabyte;
+    const capacity = Math.floor(memory / (engine.layerMemory + cacheMemory));
+    return Math.min(engine.layers, capacity);
+}
+
+/**
+ * Plans one data centre. What targets hold already stays where it can, since every load takes seconds.
+ *
+ * @param targets - Its targets that are ready and believed to be well.
+ * @returns What every planned target should hold; targets that are not named keep what they hold. Empty when the targets
+ * cannot hold all layers.
+ */
+export function planLayers(targets: readonly Target[], engine: Engine): Placement[] {
+    const kept = keepRanges(targets, engine);
+    const unused = targets.filter(target => kept.every(placement => placement.target !== target));
+    for (const concurrency of kept.length > 0 ? concurrencyLevels : []) {
+        const filled = fillGaps(kept, rankCards(unused, engine, concurrency), engine, concurrency);
+        if (filled !== undefined) {
+            return addStandbys(filled, targets, engine, concurrency);
+        }
+    }
+    for (const concurrency of concurrencyLevels) {
+        const filled = fillGaps([], rankCards(targets, engine, concurrency), engine, concurrency);
+        if (filled !== undefined) {
+            return addStandbys(filled, targets, engine, concurrency);
+        }
+    }
+    return [];
+}
+
+/** A target and the layers for which it has room. */
+interface Card {
+    readonly target: Target;
+    readonly capacity: number;
+}
+
+/** The cards with room for a layer, the cheapest per layer first. */
+function rankCards(targets: readonly Target[], engine: Engine, concurrency: number): Card[] {
+    const layerCost = ({ target, capacity }: Card) => {
+        const accelerator = engine.accelerators.find(({ name }) => name === target.accelerator);
+        return (accelerator?.stepFactor ?? Infinity) / engine.layers + hopCost / capacity;
+    };
+    return targets
+        .map(target => ({ target, capacity: layerCapacity(engine, target.accelerator, concurrency) }))
+        .filter(({ capacity }) => capacity > 0)
+        .sort((a, b) => layerCost(a) - layerCost(b) || (a.target.id < b.target.id ? -1 : 1));
+}
+
+/** Of the ranges that are held, those of the chain that leaves the fewest layers uncovered with the fewest targets. */
+function keepRanges(targets: readonly Target[], engine: Engine): Placement[] {
+    const held = targets
+        .flatMap(target => target.layers === undefined ? [] : [{ target, layers: target.layers }])
+        .sort((a, b) => a.layers.first - b.layers.first || b.layers.end - a.layers.end);
+    const kept: Placement[] = [];
+    let covered = 0;
+    while (covered < engine.layers) {
+        const useful = held.filter(({ layers }) => layers.end > covered);
+        const joining = useful.filter(({ layers }) => layers.first <= covered);
+        const next = joining.length > 0
+            ? joining.reduce((a, b) => b.layers.end > a.layers.end ? b : a)
+            : useful[0];
+        if (next === undefined) {
+            break;
+        }
+        kept.push(next);
+        covered = next.layers.end;
+    }
+    return kept;
+}
+
+/** @returns Placements without any gap; undefined when the cards and the spare room of neighbours do not suffice. */
+function fillGaps(
+    kept: readonly Placement[],
+    cards: readonly Card[],
+    engine: Engine,
+    concurrency: number,
+): Placement[] | undefined {
+    const left = [...cards];
+    const placements: Placement[] = [];
+    let covered = 0;
+    for (const placement of [...kept, undefined]) {
+        const gapEnd = placement?.layers.first ?? engine.layers;
+        while (covered < gapEnd) {
+            const card = left.shift();
+            if (card === undefined) {
+                break;
+            }
+            const end = Math.min(gapEnd, covered + card.capacity);
+            placements.push({ target: card.target, layers: { first: covered, end } });
+            covered = end;
+        }
+        if (covered < gapEnd) {
+            covered = extendLast(placements, gapEnd, engine, concurrency, covered);
+        }
+        if (placement !== undefined) {
+            const extended = extendDown(placement, covered, engine, concurrency);
+            if (extended.layers.first > covered) {
+                return undefined;
+            }
+            placements.push(extended);
+            covered = Math.max(covered, extended.layers.end);
+        }
+    }
+    return covered >= engine.layers ? placements : undefined;
+}
+
+/** Lets the last target take layers up to a bound, as far as it has room. @returns The first layer that is not covered. */
+function extendLast(
+    placements: Placement[],
+    bound: number,
+    engine: Engine,
+    concurrency: number,
+    covered: number,
+): number {
+    const last = placements.at(-1);
+    if (last === undefined) {
+        return covered;
+    }
+    const capacity = layerCapacity(engine, last.target.accelerator, concurrency);
+    const end = Math.min(bound, last.layers.first + capacity);
+    if (end <= last.layers.end) {
+        return covered;
+    }
+    placements[placements.length - 1] = { target: last.target, layers: { first: last.layers.first, end } };
+    return end;
+}
+
+/** Lets a target take layers below its range down to a bound, as far as it has room. */
+function extendDown({ target, layers }: Placement, bound: number, engine: Engine, concurrency: number): Placement {
+    const capacity = layerCapacity(engine, target.accelerator, concurrency);
+    const first = Math.max(bound, layers.end - capacity);
+    return { target, layers: { first: Math.min(layers.first, first), end: layers.end } };
+}
+
+/**
+ * Lets empty targets that are left hold a second copy of the largest ranges, so that a chain goes round a lost target at
+ * once. A target that already holds layers stays as it is.
+ */
+function addStandbys(
+    placements: readonly Placement[],
+    targets: readonly Target[],
+    engine: Engine,
+    concurrency: number,
+): Placement[] {
+    const used = new Set(placements.map(({ target }) => target));
+    const unused = targets.filter(target => !used.has(target));
+    const doubled = unused.flatMap(({ layers }) => layers ?? []);
+    const left = rankCards(unused.filter(({ layers }) => layers === undefined), engine, concurrency);
+    const ranges = placements
+        .flatMap(({ layers }) => subtractRanges(layers, doubled))
+        .sort((a, b) => b.end - b.first - (a.end - a.first));
+    const standbys: Placement[] = [];
+    for (const range of ranges) {
+        for (let first = range.first; first < range.end && left.length > 0;) {
+            const card = left.shift();
+            if (card === undefined) {
+                break;
+            }
+            const end = Math.min(range.end, first + card.capacity);
+            standbys.push({ target: card.target, layers: { first, end } });
+            first = end;
+        }
+    }
+    return [...placements, ...standbys];
+}
+
+/** @returns The parts of a range that none of the others covers. */
+function subtractRanges(range: LayerRange, others: readonly LayerRange[]): LayerRange[] {
+    return others.reduce<LayerRange[]>(
+        (parts, other) =>
+            parts.flatMap(({ first, end }) => [
+                { first, end: Math.min(end, other.first) },
+                { first: Math.max(first, other.end), end },
+            ]).filter(part => part.end > part.first),
+        [range],
+    );
+}
--- /dev/null
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
@@ -0,0 +1,103 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type Configuration, type Organisation, type Route, type Service } from "./Configuration.js";
+
+/** How the credential of a request was judged. */
+export type CredentialVerdict =
+    | { readonly kind: "accepted"; readonly organisation: Organisation | undefined; }
+    | { readonly kind: "unknown"; }
+    | { readonly kind: "unconfirmed"; readonly age: number; };
+
+/** Options of {@link ConfigurationInForce}. */
+export interface ConfigurationInForceOptions {
+    readonly clock: Clock;
+    /**
+     * The oldest confirmation, in milliseconds, under which credentials are still accepted. Undefined where a process
+     * that is cut off from the store may go on accepting them.
+     */
+    readonly maxConfirmationAge: number | undefined;
+}
+
+/**
+ * The newest configuration that this process knows, and when the store last confirmed that there is no newer one. The
+ * version only grows, whoever brings it, so a late or repeated read cannot take a change back.
+ *
+ * @public
+ */
+export class ConfigurationInForce {
+    private configuration: Configuration | undefined;
+    private confirmedAt = -Infinity;
+    private readonly routesByHost = new Map<string, Route[]>();
+    private readonly services = new Map<string, Service>();
+    private readonly organisationsByKey = new Map<string, Organisation>();
+
+    constructor(private readonly options: ConfigurationInForceOptions) {}
+
+    /** Undefined until the first configuration is known. */
+    get current(): Configuration | undefined {
+        return this.configuration;
+    }
+
+    /** Milliseconds since the store was last known to hold nothing newer. */
+    get confirmationAge(): number {
+        return this.options.clock.now() - this.confirmedAt;
+    }
+
+    /** @returns True if the configuration is newer than the one in force, and replaced it. */
+    offer(configuration: Configuration): boolean {
+        if (this.configuration !== undefined && configuration.version <= this.configuration.version) {
+            return false;
+        }
+        this.configuration = configuration;
+        this.buildIndexes(configuration);
+        return true;
+    }
+
+    /**
+     * Notes that the store held nothing newer at some time after the given one.
+     *
+     * @param askedAt - When the call that found this was *sent*: its reply may have been on the way for long.
+     */
+    confirm(askedAt: number): void {
+        this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+    }
+
+    /** The route with the longest prefix of the path, among those of the host. */
+    findRoute(hostname: string, path: string): Route | undefined {
+        return this.routesByHost.get(hostname.toLowerCase())?.find(route => path.startsWith(route.pathPrefix));
+    }
+
+    findService(name: string): Service | undefined {
+        return this.services.get(name);
+    }
+
+    /** Judges the credential of a request to a route. */
+    judgeCredential(route: Route, key: string | undefined): CredentialVerdict {
+        if (route.isPublic || this.configuration?.organisations === undefined) {
+            return { kind: "accepted", organisation: undefined };
+        }
+        const { maxConfirmationAge } = this.options;
+        const age = this.confirmationAge;
+        if (maxConfirmationAge !== undefined && age > maxConfirmationAge) {
+            return { kind: "unconfirmed", age };
+        }
+        const organisation = key === undefined ? undefined : this.organisationsByKey.get(key);
+        return organisation === undefined ? { kind: "unknown" } : { kind: "accepted", organisation };
+    }
+
+    private buildIndexes({ routes, services, organisations }: Configuration): void {
+        this.routesByHost.clear();
+        for (const route of routes) {
+            const host = route.hostname.toLowerCase();
+            this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
+        }
+        for (const list of this.routesByHost.values()) {
+            list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+        }
+        this.services.clear();
+        services.forEach(service => this.services.set(service.name, service));
+        this.organisationsByKey.clear();
+        for (const organisation of organisations ?? []) {
+            organisation.keys.forEach(key => this.organisationsByKey.set(key, organisation));
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/directory/Target.ts
@@ -0,0 +1,28 @@
+import { z } from "zod/mini";
+
+/** A range of layers: `first` is held, `end` is the first one that is not. */
+export const layerRangeSchema = z.object({ first: z.number(), end: z.number() });
+
+/** One start of one process that serves requests. A restart is another target with another id. */
+export const targetSchema = z.object({
+    id: z.string(),
+    service: z.string(),
+    host: z.string(),
+    port: z.number(),
+    dataCentre: z.string(),
+    state: z.enum(["ready", "draining"]),
+    /** The kind of accelerator, where the target holds layers of a model. */
+    accelerator: z.optional(z.string()),
+    /** The layers it holds; undefined while it holds none. */
+    layers: z.optional(layerRangeSchema),
+});
+
+/** @public */
+export type LayerRange = z.infer<typeof layerRangeSchema>;
+/** @public */
+export type Target = z.infer<typeof targetSchema>;
+
+/** The address as `host:port`. */
+export function addressOf(target: Pick<Target, "host" | "port">): string {
+    return `${target.host}:${target.port}`;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -0,0 +1,117 @@
+import { type Clock, type Timer } from "@waxwingspar/utils";
+import { type Target } from "./Target.js";
+
+/** What happened to a target of the directory. */
+export interface DirectoryChange {
+    readonly kind: "added" | "changed" | "removed" | "lapsed" | "returned";
+    readonly target: Target;
+}
+
+/** Options of {@link TargetDirectory}. */
+export interface TargetDirectoryOptions {
+    readonly clock: Clock;
+    readonly onChange?: (change: DirectoryChange) => void;
+    /**
+     * Milliseconds for which a target stays in use whose entry vanished around an outage of the store. The platform
+     * promises entries of live targets back within about two seconds of the store's return.
+     */
+    readonly lapseGrace?: number;
+}
+
+const defaultLapseGrace = 2_200;
+
+/**
+ * The targets that the platform lists. An entry that vanishes while the store is well means that its target has gone;
+ * one that vanishes around an outage may only have expired, and gets time to come back.
+ *
+ * @public
+ */
+export class TargetDirectory {
+    private readonly targets = new Map<string, Target>();
+    private readonly changedTimes = new Map<string, number>();
+    private readonly lapsed = new Map<string, Timer>();
+    private revisionCount = 0;
+
+    constructor(private readonly options: TargetDirectoryOptions) {}
+
+    /** Grows with every change, so that what was derived from the directory can be kept until then. */
+    get revision(): number {
+        return this.revisionCount;
+    }
+
+    get(id: string): Target | undefined {
+        return this.targets.get(id);
+    }
+
+    /** When the entry of a target last changed here, on the clock. */
+    changedAt(id: string): number {
+        return this.changedTimes.get(id) ?? -Infinity;
+    }
+
+    /** All targets, those that are leaving as well. */
+    list(): Target[] {
+        return [...this.targets.values()];
+    }
+
+    /** Targets of a service that may get new work. */
+    readyTargets(service: string): Target[] {
+        return this.list().filter(target => target.service === service && target.state === "ready");
+    }
+
+    /** Takes the present entry of a target. */
+    put(target: Target): void {
+        const known = this.targets.get(target.id);
+        this.targets.set(target.id, target);
+        this.changedTimes.set(target.id, this.options.clock.now());
+        if (this.cancelLapse(target.id)) {
+            this.changed({ kind: "returned", target });
+        }
+        else {
+            this.changed({ kind: known === undefined ? "added" : "changed", target });
+        }
+    }
+
+    /**
+     * Takes the news that a target is no longer listed.
+     *
+     * @param mayHaveLapsed - Whether the store was away lately, so that a live target's entry may have expired.
+     */
+    remove(id: string, mayHaveLapsed: boolean): void {
+        const target = this.targets.get(id);
+        if (target === undefined || this.lapsed.has(id)) {
+            return;
+        }
+        if (!mayHaveLapsed || target.state === "draining") {
+            this.drop(target);
+            return;
+        }
+        const timer = this.options.clock.schedule(() => this.drop(target), this.options.lapseGrace ?? defaultLapseGrace);
+        this.lapsed.set(id, timer);
+        this.changed({ kind: "lapsed", target });
+    }
+
+    /** Takes a whole list. Whatever it lacks counts as removed. */
+    replaceAll(targets: readonly Target[], mayHaveLapsed: boolean): void {
+        const listed = new Set(targets.map(target => target.id));
+        targets.forEach(target => this.put(target));
+        const missing = [...this.targets.keys()].filter(id => !listed.has(id));
+        missing.forEach(id => this.remove(id, mayHaveLapsed));
+    }
+
+    private drop(target: Target): void {
+        this.cancelLapse(target.id);
+        this.targets.delete(target.id);
+        this.changedTimes.delete(target.id);
+        this.changed({ kind: "removed", target });
+    }
+
+    private cancelLapse(id: string): boolean {
+        this.lapsed.get(id)?.cancel();
+        return this.lapsed.delete(id);
+    }
+
+    private changed(change: DirectoryChange): void {
+        this.revisionCount++;
+        this.options.onChange?.(change);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -0,0 +1,172 @@
+import { type Clock, readStateChart, StateChart } from "@waxwingspar/utils";
+import { type Logger } from "pino";
+import { z } from "zod/mini";
+import { type PeerGroup } from "../peers/PeerGroup.js";
+import { type Store, type StoredRow } from "../store/Store.js";
+import { TableWatch } from "../store/TableWatch.js";
+
+type LeaseState = "following" | "acquiring" | "holding" | "paused" | "ended";
+type LeaseEvent =
+    | "holderSilent"
+    | "acquired"
+    | "failed"
+    | "superseded"
+    | "unconfirmed"
+    | "confirmed"
+    | "released";
+
+const chart = readStateChart<LeaseState, LeaseEvent>(new URL("./placementLease.json", import.meta.url));
+
+const rowSchema = z.object({ holder: z.string(), incarnation: z.string(), term: z.number() });
+
+/** Options of {@link PlacementLease}. */
+export interface PlacementLeaseOptions {
+    readonly clock: Clock;
+    readonly store: Store;
+    readonly process: string;
+    readonly incarnation: string;
+    readonly peers: PeerGroup;
+    readonly logger: Logger;
+}
+
+const table = "duties";
+const key = "placement";
+/** Milliseconds between two looks at who holds the duty. */
+const checkInterval = 200;
+/** Milliseconds after the start in which peers are heard before this process may take the duty. */
+const startDelay = 700;
+/** Milliseconds that the holder waits for another one's write in one call. */
+const watchWait = 1_000;
+/** Milliseconds since the store last confirmed the holder after which it gives no orders. */
+const confirmationBound = 2_500;
+/** Milliseconds before a try that failed is repeated. */
+const retryDelay = 600;
+
+/**
+ * The lease on the placement duty. Its row in the store names the holder and a term that grows with each one. Others
+ * learn from heartbeats that the holder lives, so they need no call to the store; when the heartbeats end, the first of
+ * the others by name writes itself into the row. Two may believe for a moment that they hold it: the targets' own
+ * count of orders keeps their orders from mixing.
+ */
+export class PlacementLease {
+    private readonly state = new StateChart<LeaseState, LeaseEvent>(chart);
+    private heldTerm = 0;
+    private confirmedAt = -Infinity;
+    private watch: TableWatch | undefined;
+    private nextTry = 0;
+
+    constructor(private readonly options: PlacementLeaseOptions) {}
+
+    /** The term while this process holds the duty. */
+    get term(): number | undefined {
+        return this.state.state === "holding" || this.state.state === "paused" ? this.heldTerm : undefined;
+    }
+
+    /** True while orders may be given: the store has confirmed the holder of late. */
+    get isHeld(): boolean {
+        return this.state.state === "holding" && this.options.clock.now() - this.confirmedAt < confirmationBound;
+    }
+
+    start(): void {
+        this.nextTry = this.options.clock.now() + startDelay;
+        this.check();
+    }
+
+    /** Gives the duty up; a peer takes it when the heartbeats no longer claim it. */
+    release(): void {
+        this.watch?.stop();
+        this.state.send("released");
+    }
+
+    private check(): void {
+        if (this.state.state === "ended") {
+            return;
+        }
+        const now = this.options.clock.now();
+        if (this.state.state === "following" && now >= this.nextTry && this.isNext()) {
+            void this.acquire();
+        }
+        if (this.state.state === "holding" && now - this.confirmedAt > confirmationBound) {
+            this.state.send("unconfirmed");
+            this.options.logger.warn({ term: this.heldTerm, age: Math.round(now - this.confirmedAt) }, "duty paused");
+        }
+        this.options.clock.schedule(() => this.check(), checkInterval);
+    }
+
+    /** True if no living peer holds the duty and no living one comes before this process. */
+    private isNext(): boolean {
+        const peers = this.options.peers.alive();
+        return peers.every(({ state, process }) => state.dutyTerm === undefined && process > this.options.process);
+    }
+
+    private async acquire(): Promise<void> {
+        const { store, process, incarnation, clock, logger } = this.options;
+        this.state.send("holderSilent");
+        this.nextTry = clock.now() + retryDelay;
+        const askedAt = clock.now();
+        const current = await store.read(table);
+        if (current.kind !== "read") {
+            this.state.send("failed");
+            return;
+        }
+        const row = current.rows.find(row => row.key === key);
+        const term = (readTerm(row) ?? 0) + 1;
+        const value = { holder: process, incarnation, term };
+        const written = await store.write({ table, key, value, expectedVersion: row?.version ?? 0 });
+        if (written.kind !== "written") {
+            // A write without a reply may yet take effect; the next try reads what is there.
+            logger.info({ term, result: written.kind }, "duty not taken");
+            this.state.send("failed");
+            return;
+        }
+        if (this.state.send("acquired")) {
+            this.heldTerm = term;
+            this.confirmedAt = askedAt;
+            logger.info({ term }, "duty taken");
+            this.followRow();
+        }
+    }
+
+    private followRow(): void {
+        const { clock, store } = this.options;
+        this.watch?.stop();
+        const watch = new TableWatch({
+            clock,
+            store,
+            table,
+            wait: watchWait,
+            onSnapshot: rows => this.judge(rows, watch),
+            onChanges: rows => this.judge(rows, watch),
+            onConfirmed: askedAt => this.confirm(askedAt, watch),
+        });
+        this.watch = watch;
+        void watch.run();
+    }
+
+    private judge(rows: readonly StoredRow[], watch: TableWatch): void {
+        const row = rows.find(row => row.key === key);
+        const parsed = rowSchema.safeParse(row?.value);
+        if (this.watch !== watch || !parsed.success) {
+            return;
+        }
+        const { holder, incarnation, term } = parsed.data;
+        if (holder !== this.options.process || incarnation !== this.options.incarnation || term !== this.heldTerm) {
+            watch.stop();
+            this.state.send("superseded");
+            this.options.logger.warn({ term: this.heldTerm, holder, newTerm: term }, "duty lost");
+        }
+    }
+
+    private confirm(askedAt: number, watch: TableWatch): void {
+        if (this.watch === watch) {
+            this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+            if (this.state.send("confirmed")) {
+                this.options.logger.info({ term: this.heldTerm }, "duty resumed");
+            }
+        }
+    }
+}
+
+function readTerm(row: StoredRow | undefined): number | undefined {
+    return rowSchema.safeParse(row?.value).data?.term;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -0,0 +1,60 @@
+import { type Counter, type Histogram, type MetricRegistry } from "@waxwingspar/telemetry";
+import { type Logger } from "pino";
+
+/** The loggers of a gateway's parts, each with its own prefix. */
+export interface Logs {
+    readonly requests: Logger;
+    readonly configuration: Logger;
+    readonly directory: Logger;
+    readonly chains: Logger;
+    readonly duty: Logger;
+    readonly process: Logger;
+}
+
+/** The counters and histograms of a gateway. */
+export class GatewayMetrics {
+    readonly requests: Counter;
+    readonly sends: Counter;
+    readonly refusals: Counter;
+    readonly orders: Counter;
+    readonly storeLosses: Counter;
+    readonly firstByte: Histogram;
+    readonly duration: Histogram;
+
+    constructor(registry: MetricRegistry) {
+        this.requests = registry.counter({
+            name: "waxwingspar_gateway_requests_total",
+            help: "Callers' requests that ended, by kind of route and status.",
+        });
+        this.sends = registry.counter({
+            name: "waxwingspar_gateway_sends_total",
+            help: "Requests sent to targets, by how the exchange ended.",
+        });
+        this.refusals = registry.counter({
+            name: "waxwingspar_gateway_refusals_total",
+            help: "Requests that this process refused, by result code.",
+        });
+        this.orders = registry.counter({
+            name: "waxwingspar_gateway_orders_total",
+            help: "Orders to hold layers, by result.",
+        });
+        this.storeLosses = registry.counter({
+            name: "waxwingspar_gateway_store_losses_total",
+            help: "Times that the platform's store stopped answering, by table.",
+        });
+        this.firstByte = registry.histogram({
+            name: "waxwingspar_gateway_first_byte_seconds",
+            help: "From a request's arrival to the first byte of its reply, by kind of route.",
+        });
+        this.duration = registry.histogram({
+            name: "waxwingspar_gateway_duration_seconds",
+            help: "From a request's arrival to its end, by kind of route.",
+        });
+    }
+}
+
+/** What the parts of a gateway report to. */
+export interface Observation {
+    readonly logs: Logs;
+    readonly metrics: GatewayMetrics;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -0,0 +1,194 @@
+import { type Clock } from "@waxwingspar/utils";
+import { createSocket, type Socket } from "node:dgram";
+import { type Logger } from "pino";
+import { z } from "zod/mini";
+import { type Address } from "../GatewaySettings.js";
+import { type Store, type WriteResult } from "../store/Store.js";
+
+/** What a gateway tells its peers of itself, several times a second. */
+export const peerStateSchema = z.object({
+    /** Ids of targets that it avoids. */
+    suspects: z.array(z.string()),
+    /** The term under which it holds the placement duty; undefined when it does not. */
+    dutyTerm: z.optional(z.number()),
+});
+
+/** @public */
+export type PeerState = z.infer<typeof peerStateSchema>;
+
+const heartbeatSchema = z.object({
+    process: z.string(),
+    incarnation: z.string(),
+    /** Addresses of all gateways that the sender knows, so that the group grows together. */
+    known: z.array(z.string()),
+    state: peerStateSchema,
+});
+const messageSchema = z.object({
+    jsonrpc: z.literal("2.0"),
+    method: z.literal("heartbeat"),
+    params: heartbeatSchema,
+});
+const memberSchema = z.object({ host: z.string(), port: z.number() });
+
+/** A peer that was heard of late. */
+export interface Peer {
+    readonly process: string;
+    readonly incarnation: string;
+    readonly state: PeerState;
+    readonly heardAt: number;
+}
+
+/** Options of {@link PeerGroup}. */
+export interface PeerGroupOptions {
+    readonly clock: Clock;
+    readonly store: Store;
+    readonly process: string;
+    readonly incarnation: string;
+    readonly address: Address;
+    readonly logger: Logger;
+    readonly describe: () => PeerState;
+}
+
+const membersTable = "gateways";
+/** Milliseconds between two heartbeats. */
+const heartbeatInterval = 200;
+/** Milliseconds without a heartbeat after which a peer counts as gone: several lost datagrams in a row. */
+const peerTimeout = 1_000;
+/** Milliseconds after which an address that never answers is forgotten, until a heartbeat or the store names it again. */
+const addressTimeout = 30_000;
+/** Milliseconds between two tries to enter the table of members. */
+const joinRetry = 500;
+/** The size of the group until the first heartbeats came. */
+const unknownGroupSize = 8;
+
+/**
+ * The gateways of a site as one of them sees them. They find each other through a table of the store, once at the start,
+ * and then tell each other by datagrams what they believe.
+ */
+export class PeerGroup {
+    private readonly socket: Socket = createSocket("udp4");
+    /** Known addresses, and when each was last named or heard of. */
+    private readonly addresses = new Map<string, number>();
+    private readonly peers = new Map<string, Peer>();
+    private isStopped = false;
+    private hasJoined = false;
+
+    constructor(private readonly options: PeerGroupOptions) {}
+
+    /** Gateways that live, this one included; a cautious guess before the group is known. */
+    get groupSize(): number {
+        return this.hasJoined ? this.alive().length + 1 : unknownGroupSize;
+    }
+
+    /** Peers that were heard of within the timeout. */
+    alive(): Peer[] {
+        const bound = this.options.clock.now() - peerTimeout;
+        return [...this.peers.values()].filter(({ heardAt }) => heardAt >= bound);
+    }
+
+    async start(): Promise<void> {
+        const { address, logger } = this.options;
+        this.socket.on("message", data => this.receive(data));
+        this.socket.on("error", (error: Error) => logger.warn({ error: error.message }, "peers: socket failed"));
+        await new Promise<void>(resolve => this.socket.bind(address.port, address.host, resolve));
+        logger.info({ address }, "peers: listening");
+        this.beat();
+        void this.join();
+    }
+
+    stop(): void {
+        this.isStopped = true;
+        this.socket.close();
+    }
+
+    /**
+     * Enters this process in the table of members, and only then reads who else is there: of two that start together,
+     * the later writer sees the earlier one, and its heartbeats tell the other.
+     */
+    private async join(): Promise<void> {
+        const { store, clock, logger } = this.options;
+        let expectedVersion = 0;
+        while (!this.isStopped) {
+            const written = await this.enter(expectedVersion);
+            expectedVersion = written.kind === "conflict" ? written.rows[0]?.version ?? 0 : expectedVersion;
+            const members = written.kind === "written" ? await store.read(membersTable) : undefined;
+            if (members?.kind === "read") {
+                members.rows.forEach(({ value }) => this.learnMember(value));
+                this.hasJoined = true;
+                logger.info({ members: this.addresses.size }, "peers: joined");
+                return;
+            }
+            await new Promise<void>(resolve => void clock.schedule(resolve, joinRetry));
+        }
+    }
+
+    private enter(expectedVersion: number): Promise<WriteResult> {
+        const { store, process, address } = this.options;
+        return store.write({ table: membersTable, key: process, value: address, expectedVersion });
+    }
+
+    private learnMember(value: unknown): void {
+        const member = memberSchema.safeParse(value);
+        if (member.success) {
+            this.learn(`${member.data.host}:${member.data.port}`);
+        }
+    }
+
+    private learn(address: string): void {
+        const own = `${this.options.address.host}:${this.options.address.port}`;
+        if (address !== own && !this.addresses.has(address)) {
+            this.addresses.set(address, this.options.clock.now());
+        }
+    }
+
+    private beat(): void {
+        if (this.isStopped) {
+            return;
+        }
+        const { process, incarnation, address, describe, clock } = this.options;
+        const bound = clock.now() - addressTimeout;
+        for (const [peer, heardAt] of this.addresses) {
+            if (heardAt < bound) {
+                this.addresses.delete(peer);
+            }
+        }
+        const known = [`${address.host}:${address.port}`, ...this.addresses.keys()];
+        const params = { process, incarnation, known, state: describe() };
+        const message = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "heartbeat", params }));
+        for (const peer of this.addresses.keys()) {
+            const colon = peer.lastIndexOf(":");
+            // A datagram that cannot be sent is lost like any other; the next one follows.
+            this.socket.send(message, Number(peer.slice(colon + 1)), peer.slice(0, colon), error => { if (error !== null) { this.options.logger.warn({ error: String(error), peer }, "peers: send failed"); } });
+        }
+        clock.schedule(() => this.beat(), heartbeatInterval);
+    }
+
+    private receive(data: Buffer): void {
+        const message = parseMessage(data);
+        if (message === undefined) {
+            this.options.logger.warn({ bytes: data.length }, "peers: unreadable datagram");
+            return;
+        }
+        const { process, incarnation, known, state } = message;
+        const [sender] = known;
+        const heardAt = this.options.clock.now();
+        known.forEach(address => this.learn(address));
+        if (sender !== undefined && this.addresses.has(sender)) {
+            this.addresses.set(sender, heardAt);
+        }
+        const before = this.peers.get(process);
+        this.peers.set(process, { process, incarnation, state, heardAt });
+        if (before?.incarnation !== incarnation) {
+            this.options.logger.info({ peer: process, incarnation }, "peers: heard of");
+        }
+    }
+}
+
+function parseMessage(data: Buffer): z.infer<typeof heartbeatSchema> | undefined {
+    try {
+        return messageSchema.safeParse(JSON.parse(data.toString("utf8"))).data?.params;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -0,0 +1,228 @@
+import { type Clock, type ResultCode } from "@waxwingspar/utils";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Organisation, type Route } from "../configuration/Configuration.js";
+import { type Observation } from "../observation/Observation.js";
+import { type CallerRequest } from "./messages.js";
+
+/** Options of {@link CallerExchange}. */
+export interface CallerExchangeOptions {
+    readonly clock: Clock;
+    readonly incoming: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly request: CallerRequest;
+    readonly route: Route;
+    readonly organisation: Organisation | undefined;
+    readonly arrivedAt: number;
+    readonly body: Buffer | undefined;
+    readonly observation: Observation;
+    /** The version of the configuration that the request was judged by. */
+    readonly configurationVersion: number;
+}
+
+/** Headers of one connection, which a gateway must not copy from one connection to another. */
+const connectionHeaders = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+const millisecondsPerSecond = 1_000;
+/** A caller honours a time to come back of at most this share of what it has left. */
+const retryAfterShare = 0.3;
+
+/** The caller's side of one request: what was asked, and how it is answered. It ends exactly once. */
+export class CallerExchange {
+    /** When the caller must have a final answer, on the clock. */
+    readonly deadline: number;
+    private isOver = false;
+    private hasHead = false;
+    private firstByteAt: number | undefined;
+    private goneListener: (() => void) | undefined;
+    private drainListener: (() => void) | undefined;
+    private sends = 0;
+
+    constructor(private readonly options: CallerExchangeOptions) {
+        const { request, route, arrivedAt, response } = options;
+        this.deadline = arrivedAt + Math.min(route.timeout, request.timeLeft ?? Infinity);
+        response.once("close", () => this.closed());
+        response.on("drain", () => this.drainListener?.());
+    }
+
+    get request(): CallerRequest {
+        return this.options.request;
+    }
+
+    get route(): Route {
+        return this.options.route;
+    }
+
+    get organisation(): Organisation | undefined {
+        return this.options.organisation;
+    }
+
+    get method(): string {
+        return this.options.incoming.method ?? "GET";
+    }
+
+    get path(): string {
+        return this.options.incoming.url ?? "/";
+    }
+
+    get rawHeaders(): readonly string[] {
+        return this.options.incoming.rawHeaders;
+    }
+
+    get body(): Buffer | undefined {
+        return this.options.body;
+    }
+
+    /** Milliseconds until the deadline. */
+    get timeLeft(): number {
+        return this.deadline - this.options.clock.now();
+    }
+
+    /** True once the answer has ended or the caller has left. */
+    get ended(): boolean {
+        return this.isOver;
+    }
+
+    /** True once the caller has got the head of the answer, so that no other one can be given. */
+    get headSent(): boolean {
+        return this.hasHead;
+    }
+
+    /** Sets what to do when the caller leaves before its answer has ended. */
+    onGone(listener: () => void): void {
+        this.goneListener = listener;
+    }
+
+    /** Sets what to do when the caller has read what waited for it. */
+    onDrain(listener: () => void): void {
+        this.drainListener = listener;
+    }
+
+    /** Notes that the request goes to a target. */
+    countSend(): void {
+        this.sends++;
+    }
+
+    /** Sends the head of a target's reply. */
+    writeHead(status: number, rawHeaders: readonly string[]): void {
+        this.hasHead = true;
+        this.options.response.writeHead(status, endToEndHeaders(rawHeaders));
+    }
+
+    /** @returns False when the caller does not keep up; `onDrain` tells when it does again. */
+    write(chunk: Buffer): boolean {
+        this.firstByteAt ??= this.options.clock.now();
+        return this.options.response.write(chunk);
+    }
+
+    /** Ends a whole answer. */
+    end(outcome: string, chunk?: Buffer): void {
+        if (this.isOver) {
+            return;
+        }
+        this.firstByteAt ??= this.options.clock.now();
+        this.options.response.end(chunk);
+        this.finish(outcome);
+    }
+
+    /** Breaks an answer off that cannot be completed, so that it does not look complete. */
+    breakOff(reason: string): void {
+        if (!this.isOver) {
+            this.options.response.destroy();
+            this.finish(`broken off: ${reason}`);
+        }
+    }
+
+    /**
+     * Answers with a result of the gateway's own.
+     *
+     * @param retryAfter - When to come back, in milliseconds; for refusals of requests that have not run.
+     */
+    refuse(code: ResultCode, reason: string, retryAfter?: number): void {
+        if (this.isOver) {
+            return;
+        }
+        if (this.hasHead) {
+            this.breakOff(reason);
+            return;
+        }
+        this.options.observation.metrics.refusals.add({ code: `${code.number}` });
+        writeRefusal(this.options.response, code, reason, retryAfter === undefined ? undefined : this.limit(retryAfter));
+        this.finish(`${code.name}: ${reason}`);
+    }
+
+    private limit(retryAfter: number): number {
+        const { request, arrivedAt, clock } = this.options;
+        const left = (request.timeLeft ?? Infinity) - (clock.now() - arrivedAt);
+        return Math.max(0, Math.min(retryAfter, left * retryAfterShare));
+    }
+
+    private closed(): void {
+        if (!this.isOver) {
+            this.finish("caller left");
+            this.goneListener?.();
+        }
+    }
+
+    private finish(outcome: string): void {
+        this.isOver = true;
+        const { clock, arrivedAt, route, response, observation, organisation, request } = this.options;
+        const duration = clock.now() - arrivedAt;
+        const status = this.hasHead || response.headersSent ? response.statusCode : 0;
+        observation.metrics.requests.add({ kind: route.kind, status: `${status}` });
+        observation.metrics.duration.record(duration, { kind: route.kind });
+        const firstByte = this.firstByteAt === undefined ? undefined : this.firstByteAt - arrivedAt;
+        if (firstByte !== undefined) {
+            observation.metrics.firstByte.record(firstByte, { kind: route.kind });
+        }
+        observation.logs.requests.info({
+            request: request.id,
+            route: route.name,
+            organisation: organisation?.name,
+            configuration: this.options.configurationVersion,
+            outcome,
+            status,
+            sends: this.sends,
+            firstByte: round(firstByte),
+            duration: round(duration),
+        }, "request ended");
+    }
+}
+
+/** Answers a request that has not run, or whose outcome is unknown, with a numbered result. */
+export function writeRefusal(
+    response: ServerResponse,
+    code: ResultCode,
+    message: string,
+    retryAfter?: number,
+): void {
+    const body = Buffer.from(JSON.stringify({ code: code.number, name: code.name, message }));
+    const headers: Record<string, string | number> = { "Content-Type": "application/json", "Content-Length": body.length };
+    if (retryAfter !== undefined) {
+        headers["Retry-After"] = (retryAfter / millisecondsPerSecond).toFixed(3);
+    }
+    response.writeHead(code.status, headers);
+    response.end(body);
+}
+
+/** A reply's headers without those of the connection it came on. */
+function endToEndHeaders(rawHeaders: readonly string[]): string[] {
+    const kept: string[] = [];
+    for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+        const name = rawHeaders[i] ?? "";
+        if (!connectionHeaders.has(name.toLowerCase())) {
+            kept.push(name, rawHeaders[i + 1] ?? "");
+        }
+    }
+    return kept;
+}
+
+function round(value: number | undefined): number | undefined {
+    return value === undefined ? undefined : Math.round(value);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -0,0 +1,274 @@
+import { requestCodes, type Timer } from "@waxwingspar/utils";
+import { type IncomingMessage } from "node:http";
+import { type Target } from "../directory/Target.js";
+import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
+import { Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type CallerExchange } from "./CallerExchange.js";
+import { type RequestContext } from "./RequestContext.js";
+
+/** Bytes of a reply that are held until it is whole; a longer one is passed on as it comes and cannot be repeated. */
+const replyBuffer = 262_144;
+/** Part of the latency target after which an idempotent request without a reply is sent to a second target as well. */
+const hedgeShare = 0.8;
+/** Statuses by which callers understand that a request has not run. Only a target's explicit word may say so. */
+const promisingStatuses = new Set([408, 421, 429, 503]);
+/** Milliseconds after which a caller may come back when targets refuse. */
+const retryAfter = 100;
+const serverErrors = 500;
+
+interface Attempt {
+    readonly target: Target;
+    readonly exchange: Exchange;
+    readonly startedAt: number;
+    response?: IncomingMessage;
+    readonly chunks: Buffer[];
+    bytes: number;
+}
+
+/** What is known when an attempt has ended without a reply that can be passed on. */
+type AttemptEnd = "neverSent" | "neverExecuted" | "unknown";
+
+/**
+ * Runs one request on a plain service: sends it, repeats it where its kind allows, and answers with one of three
+ * outcomes: the target's reply, a refusal that promises that nothing ran, or an unknown outcome.
+ */
+export class PlainRun {
+    private readonly attempts = new Set<Attempt>();
+    private readonly tried = new Set<string>();
+    /** Sends that may have reached a target. */
+    private sent = 0;
+    private mayHaveRun = false;
+    /** A complete reply by which the target reports its own failure, for want of a better one. */
+    private failedReply: Attempt | undefined;
+    private deadlineTimer: Timer | undefined;
+    private hedgeTimer: Timer | undefined;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly caller: CallerExchange,
+        private readonly picker: ServicePicker,
+    ) {}
+
+    start(): void {
+        const { clock } = this.context;
+        this.context.budget.request();
+        this.caller.onGone(() => this.stop());
+        this.deadlineTimer = clock.schedule(() => this.giveUp("time is up"), Math.max(0, this.caller.timeLeft));
+        if (this.isIdempotent) {
+            const delay = this.caller.route.latencyTarget * hedgeShare;
+            this.hedgeTimer = clock.schedule(() => this.hedge(), delay);
+        }
+        this.send();
+    }
+
+    private get isIdempotent(): boolean {
+        return this.caller.route.kind === "idempotent";
+    }
+
+    private send(): void {
+        const target = this.picker.choose(this.tried);
+        if (target === undefined) {
+            if (this.attempts.size === 0) {
+                this.giveUp("no target is left");
+            }
+            return;
+        }
+        this.tried.add(target.id);
+        this.picker.sent(target.id);
+        this.sent++;
+        this.caller.countSend();
+        const { clock, wire, connectTimeout } = this.context;
+        const { caller } = this;
+        const headers = wire.writeDispatchHeaders(caller.rawHeaders, {
+            targetId: target.id,
+            timeLeft: caller.timeLeft,
+            organisation: caller.organisation?.name,
+            lastEventId: caller.request.lastEventId,
+            priority: undefined,
+            chain: undefined,
+            bodyLength: caller.body?.length,
+        });
+        const attempt: Attempt = {
+            target,
+            startedAt: clock.now(),
+            chunks: [],
+            bytes: 0,
+            exchange: new Exchange({
+                host: target.host,
+                port: target.port,
+                method: caller.method,
+                path: caller.path,
+                headers,
+                body: caller.body,
+                connectTimeout,
+                listener: {
+                    onHead: response => this.receiveHead(attempt, response),
+                    onData: chunk => this.receiveData(attempt, chunk),
+                    onEnd: () => this.receiveEnd(attempt),
+                    onFailure: failure => this.exchangeFailed(attempt, failure),
+                },
+            }),
+        };
+        this.attempts.add(attempt);
+    }
+
+    private receiveHead(attempt: Attempt, response: IncomingMessage): void {
+        attempt.response = response;
+        const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
+        if (head.requestId !== this.caller.request.id && head.requestId !== undefined) {
+            this.abandon(attempt, "failed", "unknown", "reply to another request");
+        }
+        else if (head.neverExecuted) {
+            this.abandon(attempt, "refused", "neverExecuted", `refused with ${response.statusCode}`);
+        }
+        else if (!head.isSigned) {
+            this.abandon(attempt, "failed", "unknown", `unsigned reply ${response.statusCode}`);
+        }
+        else if (promisingStatuses.has(response.statusCode ?? 0)) {
+            this.abandon(attempt, "failed", "unknown", `status ${response.statusCode} without a promise`);
+        }
+    }
+
+    private receiveData(attempt: Attempt, chunk: Buffer): void {
+        if (attempt.bytes > replyBuffer) {
+            this.pass(attempt, chunk);
+            return;
+        }
+        attempt.chunks.push(chunk);
+        attempt.bytes += chunk.length;
+        if (attempt.bytes > replyBuffer) {
+            this.stopOthers(attempt);
+            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
+            this.pass(attempt, Buffer.concat(attempt.chunks));
+            this.caller.onDrain(() => attempt.exchange.resume());
+        }
+    }
+
+    private pass(attempt: Attempt, chunk: Buffer): void {
+        if (!this.caller.write(chunk)) {
+            attempt.exchange.pause();
+        }
+    }
+
+    private receiveEnd(attempt: Attempt): void {
+        const status = attempt.response?.statusCode ?? 0;
+        const isFailure = status >= serverErrors;
+        this.remove(attempt, isFailure ? "failed" : "served");
+        if (!isFailure || this.caller.headSent) {
+            this.deliver(attempt);
+            return;
+        }
+        this.mayHaveRun = true;
+        this.failedReply = attempt;
+        this.note(attempt, `target's own status ${status}`);
+        this.continueAfter("unknown");
+    }
+
+    private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
+        this.remove(attempt, "failed");
+        this.note(attempt, reason);
+        if (this.caller.headSent) {
+            this.finish();
+            this.caller.breakOff(reason);
+            return;
+        }
+        this.continueAfter(neverSent ? "neverSent" : "unknown");
+    }
+
+    /** Ends an attempt whose reply is of no use. */
+    private abandon(attempt: Attempt, verdict: ExchangeVerdict, end: AttemptEnd, reason: string): void {
+        attempt.exchange.cancel();
+        this.remove(attempt, verdict);
+        this.note(attempt, reason);
+        this.continueAfter(end);
+    }
+
+    /** Decides what follows an attempt that brought no reply. */
+    private continueAfter(end: AttemptEnd): void {
+        if (end === "neverSent") {
+            this.sent--;
+        }
+        this.mayHaveRun ||= end === "unknown";
+        if (this.attempts.size > 0) {
+            return;
+        }
+        const mayRepeat = (end !== "unknown" || this.isIdempotent) && this.sent < this.caller.route.maxAttempts;
+        if (mayRepeat && this.caller.timeLeft > 0 && this.context.budget.take()) {
+            this.send();
+            return;
+        }
+        this.giveUp(mayRepeat ? "retry budget is used up" : "no repeat is allowed");
+    }
+
+    /** Sends an idempotent request to a second target while the first one takes its time. */
+    private hedge(): void {
+        const isAllowed = this.attempts.size === 1 && this.sent < this.caller.route.maxAttempts;
+        if (isAllowed && !this.caller.headSent && this.context.budget.take()) {
+            this.send();
+        }
+    }
+
+    private deliver(attempt: Attempt): void {
+        const { response, chunks } = attempt;
+        this.finish();
+        if (!this.caller.headSent) {
+            this.caller.writeHead(response?.statusCode ?? 0, response?.rawHeaders ?? []);
+            this.caller.end("served", Buffer.concat(chunks));
+            return;
+        }
+        this.caller.end("served");
+    }
+
+    private giveUp(reason: string): void {
+        if (this.failedReply !== undefined && this.attempts.size === 0) {
+            this.deliver(this.failedReply);
+            return;
+        }
+        const mayRun = this.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
+        this.finish();
+        if (mayRun) {
+            this.caller.refuse(this.caller.timeLeft > 0 ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+            return;
+        }
+        this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
+    }
+
+    private stopOthers(kept: Attempt): void {
+        for (const attempt of this.attempts) {
+            if (attempt !== kept) {
+                attempt.exchange.cancel();
+                this.remove(attempt, "served");
+            }
+        }
+    }
+
+    private stop(): void {
+        this.finish();
+    }
+
+    private finish(): void {
+        this.deadlineTimer?.cancel();
+        this.hedgeTimer?.cancel();
+        for (const attempt of this.attempts) {
+            attempt.exchange.cancel();
+            this.remove(attempt, "failed");
+        }
+    }
+
+    private remove(attempt: Attempt, verdict: ExchangeVerdict): void {
+        if (this.attempts.delete(attempt)) {
+            this.picker.ended(attempt.target.id, verdict, this.context.clock.now() - attempt.startedAt);
+            this.context.observation.metrics.sends.add({ result: verdict });
+        }
+    }
+
+    private note(attempt: Attempt, reason: string): void {
+        this.context.observation.logs.requests.warn({
+            request: this.caller.request.id,
+            target: attempt.target.id,
+            reason,
+            after: Math.round(this.context.clock.now() - attempt.startedAt),
+            timeLeft: Math.round(this.caller.timeLeft),
+        }, "attempt failed");
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/RepeatBudget.ts
@@ -0,0 +1,57 @@
+import { type Clock } from "@waxwingspar/utils";
+
+/** Options of {@link RepeatBudget}. */
+export interface RepeatBudgetOptions {
+    readonly clock: Clock;
+    /** Length of the sliding window in milliseconds. */
+    readonly window: number;
+    /** Repeats allowed in a window for each request of it. */
+    readonly share: number;
+    /** Repeats allowed in a window beyond the share, over all gateways together. */
+    readonly reserve: number;
+    /** How many gateways share the reserve. */
+    readonly gateways: () => number;
+}
+
+/** Of what the rule allows, this part is used: requests are counted by the store's operators, not by this process. */
+const safetyFactor = 0.8;
+
+/**
+ * Limits the repeats that one gateway sends to one service in any window. Every gateway may use the share of its own
+ * requests and an equal part of the reserve, so the sum over all of them holds without a word between them.
+ */
+export class RepeatBudget {
+    private readonly requests: number[] = [];
+    private readonly repeats: number[] = [];
+
+    constructor(private readonly options: RepeatBudgetOptions) {}
+
+    /** Counts a caller's request. */
+    request(): void {
+        const now = this.options.clock.now();
+        this.requests.push(now);
+        dropBefore(this.requests, now - this.options.window);
+    }
+
+    /** Takes one repeat. @returns False when the window holds too many. */
+    take(): boolean {
+        const now = this.options.clock.now();
+        dropBefore(this.requests, now - this.options.window);
+        dropBefore(this.repeats, now - this.options.window);
+        const { share, reserve, gateways } = this.options;
+        const allowed = (share * this.requests.length + reserve / Math.max(1, gateways())) * safetyFactor;
+        if (this.repeats.length + 1 > allowed) {
+            return false;
+        }
+        this.repeats.push(now);
+        return true;
+    }
+}
+
+function dropBefore(times: number[], bound: number): void {
+    let count = 0;
+    while (count < times.length && (times[count] ?? 0) < bound) {
+        count++;
+    }
+    times.splice(0, count);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -0,0 +1,14 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type Observation } from "../observation/Observation.js";
+import { type WireFormat } from "./messages.js";
+import { type RepeatBudget } from "./RepeatBudget.js";
+
+/** What every run of a request needs. */
+export interface RequestContext {
+    readonly clock: Clock;
+    readonly wire: WireFormat;
+    readonly observation: Observation;
+    readonly budget: RepeatBudget;
+    /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
+    readonly connectTimeout: number;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -0,0 +1,141 @@
+import { type Clock, type Random, requestCodes, type ResultCode } from "@waxwingspar/utils";
+import { type ChainService } from "../chains/ChainService.js";
+import { type Route } from "../configuration/Configuration.js";
+import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { type Observation } from "../observation/Observation.js";
+import { type ReceivedRequest } from "../server/CallerServer.js";
+import { type ServicePicker } from "../services/ServicePicker.js";
+import { CallerExchange, writeRefusal } from "./CallerExchange.js";
+import { type CallerRequest, type WireFormat } from "./messages.js";
+import { PlainRun } from "./PlainRun.js";
+import { type RepeatBudget } from "./RepeatBudget.js";
+import { StreamRun } from "./StreamRun.js";
+
+/** What serves the requests for one service. */
+export interface ServiceParts {
+    readonly picker: ServicePicker;
+    readonly chains: ChainService | undefined;
+    readonly budget: RepeatBudget;
+}
+
+/** Options of {@link RequestRouter}. */
+export interface RequestRouterOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly wire: WireFormat;
+    readonly observation: Observation;
+    readonly configuration: ConfigurationInForce;
+    readonly findService: (name: string) => ServiceParts | undefined;
+}
+
+/** Milliseconds after which a caller may come back that a process without a usable configuration cannot serve. */
+const unreadyRetryAfter = 300;
+/**
+ * A process whose configuration was not confirmed for so long, in milliseconds, does not deny routes and keys that it
+ * does not know: a newer configuration may hold them. Two waits for changes, and their replies, fit in.
+ */
+const denialAge = 4_000;
+/** Milliseconds for a connection to a target to open: a round trip takes 1.5 ms, a lost packet is sent again after 200. */
+const connectTimeout = 450;
+
+/** Judges each request by the configuration in force and starts the run that its route asks for. */
+export class RequestRouter {
+    constructor(private readonly options: RequestRouterOptions) {}
+
+    /** Takes a request with its whole body. */
+    handle({ incoming, response, body }: ReceivedRequest): void {
+        const { clock, wire, configuration } = this.options;
+        const arrivedAt = clock.now();
+        const request = wire.readCallerRequest(incoming.headers);
+        const refuse = (code: ResultCode, reason: string, retryAfter?: number) => {
+            this.logRefusal(request, code, reason);
+            writeRefusal(response, code, reason, retryAfter);
+        };
+        if (configuration.current === undefined) {
+            refuse(requestCodes.noCapacity, "no configuration is known yet", unreadyRetryAfter);
+            return;
+        }
+        const url = incoming.url ?? "/";
+        const hostname = (incoming.headers.host ?? "").replace(/:\d+$/, "");
+        const route = configuration.findRoute(hostname, pathOf(url));
+        if (route === undefined) {
+            this.deny(refuse, requestCodes.noSuchRoute, "no route matches");
+            return;
+        }
+        const verdict = configuration.judgeCredential(route, request.key);
+        if (verdict.kind === "unknown") {
+            this.deny(refuse, requestCodes.unauthenticated, "the credential is not known");
+            return;
+        }
+        if (verdict.kind === "unconfirmed") {
+            refuse(requestCodes.noCapacity, "credentials cannot be confirmed", unreadyRetryAfter);
+            return;
+        }
+        const caller = new CallerExchange({
+            clock,
+            incoming,
+            response,
+            request,
+            route,
+            organisation: verdict.organisation,
+            arrivedAt,
+            body,
+            observation: this.options.observation,
+            configurationVersion: configuration.current.version,
+        });
+        this.start(caller, route);
+    }
+
+    private start(caller: CallerExchange, route: Route): void {
+        const parts = this.options.findService(this.chooseShare(route));
+        if (parts === undefined) {
+            caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
+            return;
+        }
+        const { clock, wire, observation } = this.options;
+        const context = { clock, wire, observation, budget: parts.budget, connectTimeout };
+        if (parts.chains !== undefined) {
+            new StreamRun(context, caller, parts.chains).start();
+            return;
+        }
+        new PlainRun(context, caller, parts.picker).start();
+    }
+
+    /** Splits requests by the weights of a route's shares. */
+    private chooseShare({ shares }: Route): string {
+        const total = shares.reduce((sum, { weight }) => sum + weight, 0);
+        let drawn = this.options.random.next() * total;
+        for (const { service, weight } of shares) {
+            drawn -= weight;
+            if (drawn < 0) {
+                return service;
+            }
+        }
+        return shares.at(-1)?.service ?? "";
+    }
+
+    private deny(refuse: (code: ResultCode, reason: string, retryAfter?: number) => void, code: ResultCode, reason: string): void {
+        if (this.options.configuration.confirmationAge > denialAge) {
+            refuse(requestCodes.noCapacity, "the configuration may be out of date", unreadyRetryAfter);
+            return;
+        }
+        refuse(code, reason);
+    }
+
+    private logRefusal(request: CallerRequest, code: ResultCode, reason: string): void {
+        const { configuration, observation } = this.options;
+        observation.metrics.refusals.add({ code: `${code.number}` });
+        observation.logs.requests.info({
+            request: request.id,
+            configuration: configuration.current?.version,
+            confirmed: Math.round(configuration.confirmationAge),
+            outcome: `${code.name}: ${reason}`,
+            status: code.status,
+        }, "request refused");
+    }
+}
+
+function pathOf(url: string): string {
+    const query = url.indexOf("?");
+    return query === -1 ? url : url.slice(0, query);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -0,0 +1,290 @@
+import { requestCodes, type Timer } from "@waxwingspar/utils";
+import { type IncomingMessage } from "node:http";
+import { type ChainLoad } from "../chains/ChainRouter.js";
+import { type ChainService } from "../chains/ChainService.js";
+import { Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type CallerExchange } from "./CallerExchange.js";
+import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { type RequestContext } from "./RequestContext.js";
+
+/** Milliseconds after which a caller may come back when no chain can take its request. */
+const retryAfter = 250;
+/** How long the first event may take, against its latency target, before another chain is tried. */
+const firstEventPatience = 2;
+const firstSuccess = 200;
+const firstRedirect = 300;
+
+interface Attempt {
+    readonly load: ChainLoad;
+    readonly exchange: Exchange;
+    readonly startedAt: number;
+    readonly splitter: EventSplitter;
+    /** Set for a reply that is no stream, which is passed on whole. */
+    isPlain: boolean;
+    response?: IncomingMessage;
+    hasEvents: boolean;
+}
+
+/** What is known when an attempt has ended before its stream did. */
+type AttemptEnd = "neverSent" | "neverExecuted" | "unknown";
+
+/**
+ * Runs one streamed request over a chain of targets. A stream that breaks off or stalls goes on over another chain after
+ * the last event that the caller has, where its route allows that; the caller sees one stream.
+ */
+export class StreamRun {
+    private attempt: Attempt | undefined;
+    private readonly failedChains = new Set<string>();
+    private sent = 0;
+    private mayHaveRun = false;
+    private lastEventId: string | undefined;
+    private events = 0;
+    private deadlineTimer: Timer | undefined;
+    private firstEventTimer: Timer | undefined;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly caller: CallerExchange,
+        private readonly service: ChainService,
+    ) {
+        this.lastEventId = caller.request.lastEventId;
+    }
+
+    start(): void {
+        this.context.budget.request();
+        this.caller.onGone(() => this.finish());
+        const delay = Math.max(0, this.caller.timeLeft);
+        this.deadlineTimer = this.context.clock.schedule(() => this.giveUp("time is up"), delay);
+        this.send();
+    }
+
+    /** Leaves a chain whose requests have stalled. */
+    leaveChain(reason: string): void {
+        const { attempt } = this;
+        if (attempt !== undefined && (this.mayResume || attempt.exchange.neverSent)) {
+            const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
+            attempt.exchange.cancel();
+            this.attemptEnded(attempt, end, reason);
+        }
+    }
+
+    private get mayResume(): boolean {
+        const { route } = this.caller;
+        return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+    }
+
+    private send(): void {
+        const load = this.service.choose(this.failedChains);
+        const head = load?.chain.hops[0];
+        const target = head === undefined ? undefined : this.service.target(head.targetId);
+        if (load === undefined || head === undefined || target === undefined) {
+            this.giveUp("no chain is left");
+            return;
+        }
+        const { clock, wire, connectTimeout } = this.context;
+        const { caller } = this;
+        this.sent++;
+        caller.countSend();
+        const headers = wire.writeDispatchHeaders(caller.rawHeaders, {
+            targetId: target.id,
+            timeLeft: caller.timeLeft,
+            organisation: caller.organisation?.name,
+            lastEventId: this.lastEventId,
+            priority: undefined,
+            chain: load.chain.hops,
+            bodyLength: caller.body?.length,
+        });
+        const attempt: Attempt = {
+            load,
+            startedAt: clock.now(),
+            splitter: new EventSplitter(),
+            isPlain: false,
+            hasEvents: false,
+            exchange: new Exchange({
+                host: target.host,
+                port: target.port,
+                method: caller.method,
+                path: caller.path,
+                headers,
+                body: caller.body,
+                connectTimeout,
+                listener: {
+                    onHead: response => this.receiveHead(attempt, response),
+                    onData: chunk => this.receiveData(attempt, chunk),
+                    onEnd: () => this.receiveEnd(attempt),
+                    onFailure: failure => this.exchangeFailed(attempt, failure),
+                },
+            }),
+        };
+        this.attempt = attempt;
+        this.service.begin(load, this);
+        caller.onDrain(() => attempt.exchange.resume());
+        this.watchFirstEvent(attempt);
+    }
+
+    private receiveHead(attempt: Attempt, response: IncomingMessage): void {
+        attempt.response = response;
+        const status = response.statusCode ?? 0;
+        const head = this.context.wire.readReplyHead(status, response.headers);
+        if (head.neverExecuted) {
+            this.service.refused(attempt.load, status, head.faultyAddress);
+            attempt.exchange.cancel();
+            this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
+        }
+        else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
+            attempt.exchange.cancel();
+            this.attemptEnded(attempt, "unknown", `reply ${status} is not this request's`);
+        }
+        else if (status < firstSuccess || status >= firstRedirect) {
+            this.receiveFailedReply(attempt, status);
+        }
+    }
+
+    /** The target says itself that it failed: repeated where allowed, else passed on. */
+    private receiveFailedReply(attempt: Attempt, status: number): void {
+        if (this.caller.headSent || this.mayRepeat("unknown")) {
+            attempt.exchange.cancel();
+            this.attemptEnded(attempt, "unknown", `target's own status ${status}`);
+            return;
+        }
+        attempt.isPlain = true;
+        this.caller.writeHead(status, attempt.response?.rawHeaders ?? []);
+    }
+
+    private receiveData(attempt: Attempt, chunk: Buffer): void {
+        if (attempt.isPlain) {
+            this.pass(attempt, chunk);
+            return;
+        }
+        const events = attempt.splitter.push(chunk);
+        const fresh = events.filter(event => this.isNew(event));
+        if (events.length > 0) {
+            this.noteEvents(attempt);
+        }
+        if (fresh.length === 0) {
+            return;
+        }
+        if (!this.caller.headSent) {
+            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
+        }
+        this.events += fresh.length;
+        this.lastEventId = fresh.at(-1)?.id ?? this.lastEventId;
+        this.pass(attempt, fresh.length === 1 && fresh[0] !== undefined
+            ? fresh[0].bytes
+            : Buffer.concat(fresh.map(({ bytes }) => bytes)));
+    }
+
+    private noteEvents(attempt: Attempt): void {
+        if (!attempt.hasEvents) {
+            attempt.hasEvents = true;
+            this.firstEventTimer?.cancel();
+            this.service.firstEvent(attempt.load);
+        }
+        this.service.event(attempt.load);
+    }
+
+    /** A new run may begin with events that the caller has. */
+    private isNew({ id }: StreamEvent): boolean {
+        if (id === undefined || this.lastEventId === undefined) {
+            return true;
+        }
+        const [number, last] = [Number(id), Number(this.lastEventId)];
+        return Number.isNaN(number) || Number.isNaN(last) || number > last;
+    }
+
+    private pass(attempt: Attempt, bytes: Buffer): void {
+        if (!this.caller.write(bytes)) {
+            attempt.exchange.pause();
+        }
+    }
+
+    private receiveEnd(attempt: Attempt): void {
+        if (attempt.splitter.hasPartialEvent) {
+            this.attemptEnded(attempt, "unknown", "ended within an event");
+            return;
+        }
+        if (!this.caller.headSent) {
+            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
+        }
+        this.finish();
+        this.caller.end(`served ${this.events} events`);
+    }
+
+    private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
+        this.service.broke(attempt.load, neverSent);
+        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason);
+    }
+
+    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string): void {
+        this.release();
+        this.failedChains.add(attempt.load.chain.key);
+        this.note(attempt, reason);
+        if (attempt.isPlain) {
+            this.finish();
+            this.caller.breakOff(reason);
+            return;
+        }
+        if (end === "neverSent") {
+            this.sent--;
+        }
+        this.mayHaveRun ||= end === "unknown";
+        if (this.mayRepeat(end) && this.context.budget.take()) {
+            this.send();
+            return;
+        }
+        this.giveUp(reason);
+    }
+
+    private mayRepeat(end: AttemptEnd): boolean {
+        const isAllowed = end !== "unknown" || this.mayResume;
+        return isAllowed && this.sent < this.caller.route.maxAttempts && this.caller.timeLeft > 0;
+    }
+
+    private watchFirstEvent(attempt: Attempt): void {
+        this.firstEventTimer?.cancel();
+        const delay = this.caller.route.latencyTarget * firstEventPatience;
+        this.firstEventTimer = this.context.clock.schedule(() => {
+            if (this.attempt === attempt && this.mayRepeat("unknown")) {
+                this.leaveChain("no first event");
+            }
+        }, delay);
+    }
+
+    private giveUp(reason: string): void {
+        const mayRun = this.mayHaveRun || this.attempt?.exchange.neverSent === false;
+        this.finish();
+        if (!mayRun) {
+            this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
+            return;
+        }
+        this.caller.refuse(this.caller.timeLeft > 0 ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+    }
+
+    private finish(): void {
+        this.deadlineTimer?.cancel();
+        this.attempt?.exchange.cancel();
+        this.release();
+    }
+
+    /** Gives back what the attempt holds of its chain. */
+    private release(): void {
+        this.firstEventTimer?.cancel();
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            this.attempt = undefined;
+            this.service.end(attempt.load, this, attempt.hasEvents);
+            this.context.observation.metrics.sends.add({ result: "stream" });
+        }
+    }
+
+    private note(attempt: Attempt, reason: string): void {
+        this.context.observation.logs.requests.warn({
+            request: this.caller.request.id,
+            chain: attempt.load.chain.dataCentre,
+            head: attempt.load.chain.hops[0]?.targetId,
+            reason,
+            events: this.events,
+            after: Math.round(this.context.clock.now() - attempt.startedAt),
+        }, "attempt failed");
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/server/ReadinessServer.ts
@@ -0,0 +1,30 @@
+import { createServer, type Server } from "node:http";
+import { type Address } from "../GatewaySettings.js";
+
+const ready = 200;
+const notReady = 503;
+
+/** Tells the balancer whether new callers should come here. */
+export class ReadinessServer {
+    private readonly server: Server;
+
+    /** @param isReady - Asked at each question. */
+    constructor(private readonly address: Address, isReady: () => boolean) {
+        this.server = createServer((_request, response) => {
+            response.writeHead(isReady() ? ready : notReady, { "Content-Length": 0 });
+            response.end();
+        });
+    }
+
+    start(): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.address.port, this.address.host, resolve);
+        });
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/services/ServicePicker.ts
@@ -0,0 +1,98 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type Target } from "../directory/Target.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
+
+/** How an exchange with a target went, as far as its health is concerned. */
+export type ExchangeVerdict = "served" | "failed" | "refused";
+
+/** Options of {@link ServicePicker}. */
+export interface ServicePickerOptions {
+    readonly clock: Clock;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly directory: TargetDirectory;
+}
+
+interface TargetRecord {
+    inFlight: number;
+    /** Mean time to serve, in milliseconds; undefined until something was served. */
+    latency: number | undefined;
+    /** Failures of late, each counting less as it gets older. */
+    failures: number;
+    failuresAt: number;
+}
+
+/** Weight of the newest latency in the mean. */
+const latencyWeight = 0.2;
+/** Milliseconds of latency assumed of a target that has served nothing yet. */
+const unknownLatency = 50;
+/** Milliseconds that another data centre counts against a target: a few times the round trip, for the bytes' price. */
+const remotePenalty = 10;
+/** Milliseconds in which half of a failure is forgotten, so that a target that failed is tried again within seconds. */
+const failureHalfLife = 2_000;
+/** How many times dearer one fresh failure makes a target. */
+const failureWeight = 3;
+
+/** Chooses targets of a plain service by what this process's own requests to them met. */
+export class ServicePicker {
+    private readonly records = new Map<string, TargetRecord>();
+
+    constructor(private readonly options: ServicePickerOptions) {}
+
+    /** @returns The cheapest target that is not excluded, or undefined when there is none. */
+    choose(excluded: ReadonlySet<string>): Target | undefined {
+        const targets = this.options.directory.readyTargets(this.options.service).filter(({ id }) => !excluded.has(id));
+        let best: Target | undefined;
+        let bestCost = Infinity;
+        for (const target of targets) {
+            const cost = this.cost(target);
+            if (cost < bestCost) {
+                best = target;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** Notes that a request was sent to a target. */
+    sent(id: string): void {
+        this.record(id).inFlight++;
+    }
+
+    /** Notes how a request ended, after so many milliseconds. */
+    ended(id: string, verdict: ExchangeVerdict, latency: number): void {
+        const record = this.record(id);
+        record.inFlight--;
+        if (verdict === "served") {
+            const known = record.latency ?? latency;
+            record.latency = known + (latency - known) * latencyWeight;
+        }
+        else {
+            record.failures = this.recentFailures(record) + (verdict === "failed" ? 1 : 0.5);
+            record.failuresAt = this.options.clock.now();
+        }
+        if (record.inFlight === 0 && this.options.directory.get(id) === undefined) {
+            this.records.delete(id);
+        }
+    }
+
+    private cost(target: Target): number {
+        const record = this.record(target.id);
+        const latency = (record.latency ?? unknownLatency) * (1 + record.inFlight);
+        const distance = target.dataCentre === this.options.dataCentre ? 0 : remotePenalty;
+        return (latency + distance) * (1 + failureWeight * this.recentFailures(record));
+    }
+
+    private recentFailures({ failures, failuresAt }: TargetRecord): number {
+        return failures * 0.5 ** ((this.options.clock.now() - failuresAt) / failureHalfLife);
+    }
+
+    private record(id: string): TargetRecord {
+        let record = this.records.get(id);
+        if (record === undefined) {
+            record = { inFlight: 0, latency: undefined, failures: 0, failuresAt: 0 };
+            this.records.set(id, record);
+        }
+        return record;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -0,0 +1,62 @@
+/**
+ * What the gateway needs of the platform's table store. Row values are JSON documents.
+ *
+ * @module
+ */
+
+/** One row. `version` comes from a counter that grows with every transaction of the store. */
+export interface StoredRow {
+    readonly key: string;
+    readonly value: unknown;
+    readonly version: number;
+}
+
+/** The rows of a table at one moment. */
+export interface TableSnapshot {
+    readonly rows: readonly StoredRow[];
+    /** The newest version of the store at that moment. */
+    readonly version: number;
+}
+
+/** What has changed in a table after some version. */
+export interface TableChanges {
+    readonly changed: readonly StoredRow[];
+    readonly removedKeys: readonly string[];
+    readonly version: number;
+}
+
+/** A write that takes effect only if the row still has the version. */
+export interface ConditionalWrite {
+    readonly table: string;
+    readonly key: string;
+    readonly value: unknown;
+    /** 0 when the row must not exist yet. */
+    readonly expectedVersion: number;
+}
+
+/** The result of a call that did not give what was asked for. */
+export type StoreFailure =
+    /** Nothing was done: the store refused, or was never reached. */
+    | { readonly kind: "unavailable"; readonly reason: string; }
+    /** No reply: a write may have been done, or may still be done later. */
+    | { readonly kind: "unknown"; readonly reason: string; }
+    /** The history that was asked for is gone; the table must be read anew. */
+    | { readonly kind: "historyGone"; };
+
+/** The result of a conditional write. */
+export type WriteResult =
+    | { readonly kind: "written"; readonly version: number; }
+    | { readonly kind: "conflict"; readonly rows: readonly StoredRow[]; }
+    | StoreFailure;
+
+/** The platform's table store. @public */
+export interface Store {
+    read(table: string): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure>;
+    /** Waits up to `wait` milliseconds for changes after a version. */
+    watch(
+        table: string,
+        after: number,
+        wait: number,
+    ): Promise<({ readonly kind: "changes"; } & TableChanges) | StoreFailure>;
+    write(write: ConditionalWrite): Promise<WriteResult>;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -0,0 +1,110 @@
+import { type Clock, sleep } from "@waxwingspar/utils";
+import { type Store, type StoredRow, type StoreFailure } from "./Store.js";
+
+/** Options of {@link TableWatch}. */
+export interface TableWatchOptions {
+    readonly clock: Clock;
+    readonly store: Store;
+    readonly table: string;
+    /** Milliseconds that one call waits for changes. */
+    readonly wait: number;
+    /** Takes a whole table; what it lacks is gone. */
+    readonly onSnapshot: (rows: readonly StoredRow[], afterOutage: boolean) => void;
+    /** Takes the rows that changed, and the keys of rows that are gone. */
+    readonly onChanges: (changed: readonly StoredRow[], removedKeys: readonly string[], afterOutage: boolean) => void;
+    /** The table was as told at some time after `askedAt`. */
+    readonly onConfirmed?: (askedAt: number) => void;
+    readonly onLost?: (reason: string) => void;
+    readonly onRegained?: (outage: number) => void;
+    /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
+    readonly retryDelay?: number;
+    /** For so many milliseconds after an outage a vanished row may only have expired meanwhile. */
+    readonly outageMemory?: number;
+}
+
+const defaults = { retryDelay: 400, outageMemory: 4_000 };
+
+/**
+ * Follows one table of the store: a whole read first, then a chain of calls that each wait for changes. After any doubt
+ * about the history it reads the table anew.
+ */
+export class TableWatch {
+    private readonly options: Required<Omit<TableWatchOptions, "onConfirmed" | "onLost" | "onRegained">> & TableWatchOptions;
+    private version: number | undefined;
+    private lostAt: number | undefined;
+    private regainedAt = -Infinity;
+    private stopped = false;
+
+    constructor(options: TableWatchOptions) {
+        this.options = { ...defaults, ...options };
+    }
+
+    /** Follows the table until {@link TableWatch.stop}. */
+    async run(): Promise<void> {
+        while (!this.stopped) {
+            const askedAt = this.options.clock.now();
+            const failure = this.version === undefined ? await this.readAll() : await this.waitForChanges(this.version);
+            if (this.stopped) {
+                return;
+            }
+            if (failure === undefined) {
+                this.options.onConfirmed?.(askedAt);
+            }
+            else {
+                await this.afterFailure(failure);
+            }
+        }
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    private async readAll(): Promise<StoreFailure | undefined> {
+        const result = await this.options.store.read(this.options.table);
+        if (result.kind !== "read") {
+            return result;
+        }
+        this.regained();
+        this.version = result.version;
+        this.options.onSnapshot(result.rows, this.isAfterOutage());
+        return undefined;
+    }
+
+    private async waitForChanges(after: number): Promise<StoreFailure | undefined> {
+        const result = await this.options.store.watch(this.options.table, after, this.options.wait);
+        if (result.kind !== "changes") {
+            return result;
+        }
+        this.regained();
+        this.version = result.version;
+        if (result.changed.length > 0 || result.removedKeys.length > 0) {
+            this.options.onChanges(result.changed, result.removedKeys, this.isAfterOutage());
+        }
+        return undefined;
+    }
+
+    private async afterFailure(failure: StoreFailure): Promise<void> {
+        if (failure.kind === "historyGone") {
+            this.version = undefined;
+            return;
+        }
+        if (this.lostAt === undefined) {
+            this.lostAt = this.options.clock.now();
+            this.options.onLost?.(failure.reason);
+        }
+        await sleep(this.options.clock, this.options.retryDelay);
+    }
+
+    private regained(): void {
+        if (this.lostAt !== undefined) {
+            this.regainedAt = this.options.clock.now();
+            this.options.onRegained?.(this.regainedAt - this.lostAt);
+            this.lostAt = undefined;
+        }
+    }
+
+    private isAfterOutage(): boolean {
+        return this.options.clock.now() - this.regainedAt < this.options.outageMemory;
+    }
+}
--- a/packages/proof/src/lib/holder/runHolder.ts
+++ b/packages/proof/src/lib/holder/runHolder.ts
@@ -1,6 +1,6 @@
 import { DutyRunner } from "@waxwingspar/control";
 import { FileRecorder } from "@waxwingspar/history";
-import { HttpTableStore, PlatformConnection, StoreClient } from "@waxwingspar/platform";
+import { HttpTableStore, PlatformConnection, StoreClient } from "@waxwingspar/stores";
 import { protocolVersion, TcpLinkPool } from "@waxwingspar/transport";
 import { seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
 import { CarelessDuty, type OrderedTarget } from "./CarelessDuty.js";
--- a/packages/proof/src/lib/site/runPlatform.ts
+++ b/packages/proof/src/lib/site/runPlatform.ts
@@ -7,7 +7,7 @@
     MemoryTableStore,
     MemoryWeightStore,
     PlatformServer,
-} from "@waxwingspar/platform";
+} from "@waxwingspar/stores";
 import { seededRandom, SystemClock, uniqueId } from "@waxwingspar/utils";
 
 /** The settings of the platform's process. @internal */
