--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -12,6 +12,8 @@
 const hedgeShare = 0.8;
 /** Statuses by which callers understand that a request has not run. Only a target's explicit word may say so. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
+/** Timers may fire a little before the clock shows their time, in milliseconds. */
+const timerSlack = 2;
 /** Milliseconds after which a caller may come back when targets refuse. */
 const retryAfter = 100;
 const serverErrors = 500;
@@ -227,7 +229,7 @@
         const mayRun = this.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
         this.finish();
         if (mayRun) {
-            this.caller.refuse(this.caller.timeLeft > 0 ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+            this.caller.refuse(this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
             return;
         }
         this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -7,6 +7,8 @@
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { type RequestContext } from "./RequestContext.js";
 
+/** Timers may fire a little before the clock shows their time, in milliseconds. */
+const timerSlack = 2;
 /** Milliseconds after which a caller may come back when no chain can take its request. */
 const retryAfter = 250;
 /** How long the first event may take, against its latency target, before another chain is tried. */
@@ -257,7 +259,7 @@
             this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
             return;
         }
-        this.caller.refuse(this.caller.timeLeft > 0 ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+        this.caller.refuse(this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
     }
 
     private finish(): void {
