Stop: requests after the balancer's delay are refused, connections closed once idle

Change: idle connections are closed while stopping, later requests refused as not run; changes are applied in order.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -35,6 +35,7 @@
 export { MetricsServer } from "./lib/server/MetricsServer.js";
 export {
     type ConditionalWrite,
+    type RowChange,
     type Store,
     type StoredRow,
     type StoreFailure,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -74,6 +74,7 @@
     private readonly watches: TableWatch[];
     private knowsTargets = false;
     private isStopping = false;
+    private refusesNewRequests = false;
 
     constructor(private readonly options: GatewayOptions) {
         const { settings, clock, logs, registry, store, engines } = options;
@@ -106,7 +107,7 @@
         });
         this.callers = new CallerServer({
             address: settings.callers,
-            onRequest: request => router.handle(request),
+            onRequest: request => this.refusesNewRequests ? router.refuseStopping(request) : router.handle(request),
             onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
             maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? 0,
         });
@@ -167,8 +168,10 @@
         this.duty.stop();
         await this.pause(balancerDelay);
         this.callers.close();
+        this.refusesNewRequests = true;
         const end = stoppedAt + settings.stopGrace - stopSlack;
         while (this.callers.openRequests > 0 && clock.now() < end) {
+            this.callers.closeIdle();
             await this.pause(stopCheck);
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
@@ -200,7 +203,7 @@
             ...ofStore(tables.configurationTable),
             wait: configurationWait,
             onSnapshot: rows => this.takeConfiguration(rows),
-            onChanges: rows => this.takeConfiguration(rows),
+            onChanges: changes => this.takeConfiguration(changes.flatMap(({ row }) => row ?? [])),
             onConfirmed: askedAt => this.configuration.confirm(askedAt),
         });
         const targetWatch = new TableWatch({
@@ -211,18 +214,28 @@
                 this.directory.replaceAll(targets, afterOutage);
                 this.knowsTargets = true;
             },
-            onChanges: (rows, removedKeys, afterOutage) => {
-                const targets = rows.flatMap(row => tables.decodeTarget(row.key, row.value) ?? []);
-                targets.forEach(target => this.directory.put(target));
-                removedKeys.forEach(key => this.directory.remove(key, afterOutage));
+            onChanges: (changes, afterOutage) => {
+                changes.forEach(({ key, row }) => this.takeTarget(key, row, afterOutage));
             },
         });
         return [configurationWatch, targetWatch];
     }
 
+    private takeTarget(id: string, row: StoredRow | undefined, afterOutage: boolean): void {
+        if (row === undefined) {
+            this.directory.remove(id, afterOutage);
+            return;
+        }
+        const target = this.options.tables.decodeTarget(id, row.value);
+        if (target !== undefined) {
+            this.directory.put(target);
+        }
+    }
+
+    /** Takes the newest of the rows that hold the configuration: a call may bring several versions of it. */
     private takeConfiguration(rows: readonly StoredRow[]): void {
         const { tables, logs } = this.options;
-        const row = rows.find(({ key }) => key === tables.configurationKey);
+        const row = rows.findLast(({ key }) => key === tables.configurationKey);
         if (row === undefined) {
             return;
         }
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -136,7 +136,7 @@
             table,
             wait: watchWait,
             onSnapshot: rows => this.judge(rows, watch),
-            onChanges: rows => this.judge(rows, watch),
+            onChanges: changes => this.judge(changes.flatMap(({ row }) => row ?? []), watch),
             onConfirmed: askedAt => this.confirm(askedAt, watch),
         });
         this.watch = watch;
@@ -144,7 +144,7 @@
     }
 
     private judge(rows: readonly StoredRow[], watch: TableWatch): void {
-        const row = rows.find(row => row.key === key);
+        const row = rows.findLast(row => row.key === key);
         const parsed = rowSchema.safeParse(row?.value);
         if (this.watch !== watch || !parsed.success) {
             return;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -30,6 +30,8 @@
 
 /** Milliseconds after which a caller may come back that a process without a usable configuration cannot serve. */
 const unreadyRetryAfter = 300;
+/** A caller of a process that stops reaches another one at once. */
+const stoppingRetryAfter = 0;
 /**
  * A process whose configuration was not confirmed for so long, in milliseconds, does not deny routes and keys that it
  * does not know: a newer configuration may hold them. Two waits for changes, and their replies, fit in.
@@ -42,6 +44,15 @@
 export class RequestRouter {
     constructor(private readonly options: RequestRouterOptions) {}
 
+    /**
+     * Refuses a request that came on an old connection after the balancer has taken this process out. It could not be
+     * ended for sure before the process is.
+     */
+    refuseStopping({ incoming, response }: ReceivedRequest): void {
+        this.logRefusal(this.options.wire.readCallerRequest(incoming.headers), requestCodes.stopping, "stopping");
+        writeRefusal(response, requestCodes.stopping, "this process is stopping", stoppingRetryAfter);
+    }
+
     /** Takes a request with its whole body. */
     handle({ incoming, response, body }: ReceivedRequest): void {
         const { clock, wire, configuration } = this.options;
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -59,9 +59,13 @@
         this.isStopping = true;
     }
 
-    /** Stops listening and closes connections that are idle. */
+    /** Stops listening. Connections that are open stay so until they are idle. */
     close(): void {
         this.server.close();
+    }
+
+    /** Closes connections on which no request is open, such as those whose answer began before the stop. */
+    closeIdle(): void {
         this.server.closeIdleConnections();
     }
 
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -18,10 +18,17 @@
     readonly version: number;
 }
 
+/** A row that was written or removed. One key may come several times, the newest last. */
+export interface RowChange {
+    readonly key: string;
+    /** Undefined when the row was removed. */
+    readonly row: StoredRow | undefined;
+}
+
 /** What has changed in a table after some version. */
 export interface TableChanges {
-    readonly changed: readonly StoredRow[];
-    readonly removedKeys: readonly string[];
+    /** In the order in which it happened. */
+    readonly changes: readonly RowChange[];
     readonly version: number;
 }
 
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,5 +1,5 @@
 import { type Clock, sleep } from "@waxwingspar/utils";
-import { type Store, type StoredRow, type StoreFailure } from "./Store.js";
+import { type RowChange, type Store, type StoredRow, type StoreFailure } from "./Store.js";
 
 /** Options of {@link TableWatch}. */
 export interface TableWatchOptions {
@@ -10,8 +10,8 @@
     readonly wait: number;
     /** Takes a whole table; what it lacks is gone. */
     readonly onSnapshot: (rows: readonly StoredRow[], afterOutage: boolean) => void;
-    /** Takes the rows that changed, and the keys of rows that are gone. */
-    readonly onChanges: (changed: readonly StoredRow[], removedKeys: readonly string[], afterOutage: boolean) => void;
+    /** Takes what changed, in the order in which it happened. */
+    readonly onChanges: (changes: readonly RowChange[], afterOutage: boolean) => void;
     /** The table was as told at some time after `askedAt`. */
     readonly onConfirmed?: (askedAt: number) => void;
     readonly onLost?: (reason: string) => void;
@@ -78,8 +78,8 @@
         }
         this.regained();
         this.version = result.version;
-        if (result.changed.length > 0 || result.removedKeys.length > 0) {
-            this.options.onChanges(result.changed, result.removedKeys, this.isAfterOutage());
+        if (result.changes.length > 0) {
+            this.options.onChanges(result.changes, this.isAfterOutage());
         }
         return undefined;
     }
