Vanished rows get until 2.2 s after the store's return; fewer calls to the store

Change: the grace ends at a fixed time after the return; longer waits for changes, changes in close succession gathered.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -48,9 +48,12 @@
 }
 
 /** Milliseconds that one call waits for a change of the configuration: two calls must fit in the bound on keys. */
-const configurationWait = 1_500;
-/** Milliseconds that one call waits for a change of the list of targets; a dead connection is noticed after that. */
-const targetWait = 1_800;
+const configurationWait = 2_000;
+/**
+ * Milliseconds that one call waits for a change of the list of targets. A connection that has gone silent is noticed
+ * after that; targets that leave must be known within the time in touch and the draining time, 5 s together.
+ */
+const targetWait = 3_500;
 /** Of the bound on keys, milliseconds left for a request on its way. */
 const revocationSlack = 400;
 /** Milliseconds after the request to stop until the balancer has surely taken this process out: two misses and a bit. */
@@ -209,21 +212,21 @@
         const targetWatch = new TableWatch({
             ...ofStore(tables.targetTable),
             wait: targetWait,
-            onSnapshot: (rows, afterOutage) => {
+            onSnapshot: (rows, graceEnd) => {
                 const targets = rows.flatMap(row => tables.decodeTarget(row.key, row.value) ?? []);
-                this.directory.replaceAll(targets, afterOutage);
+                this.directory.replaceAll(targets, graceEnd);
                 this.knowsTargets = true;
             },
-            onChanges: (changes, afterOutage) => {
-                changes.forEach(({ key, row }) => this.takeTarget(key, row, afterOutage));
+            onChanges: (changes, graceEnd) => {
+                changes.forEach(({ key, row }) => this.takeTarget(key, row, graceEnd));
             },
         });
         return [configurationWatch, targetWatch];
     }
 
-    private takeTarget(id: string, row: StoredRow | undefined, afterOutage: boolean): void {
+    private takeTarget(id: string, row: StoredRow | undefined, graceEnd: number): void {
         if (row === undefined) {
-            this.directory.remove(id, afterOutage);
+            this.directory.remove(id, graceEnd);
             return;
         }
         const target = this.options.tables.decodeTarget(id, row.value);
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -11,15 +11,8 @@
 export interface TargetDirectoryOptions {
     readonly clock: Clock;
     readonly onChange?: (change: DirectoryChange) => void;
-    /**
-     * Milliseconds for which a target stays in use whose entry vanished around an outage of the store. The platform
-     * promises entries of live targets back within about two seconds of the store's return.
-     */
-    readonly lapseGrace?: number;
 }
 
-const defaultLapseGrace = 2_200;
-
 /**
  * The targets that the platform lists. An entry that vanishes while the store is well means that its target has gone;
  * one that vanishes around an outage may only have expired, and gets time to come back.
@@ -74,28 +67,29 @@
     /**
      * Takes the news that a target is no longer listed.
      *
-     * @param mayHaveLapsed - Whether the store was away lately, so that a live target's entry may have expired.
+     * @param graceEnd - Until when, on the clock, the entry of a live target may come back, because the store was away.
      */
-    remove(id: string, mayHaveLapsed: boolean): void {
+    remove(id: string, graceEnd: number): void {
         const target = this.targets.get(id);
         if (target === undefined || this.lapsed.has(id)) {
             return;
         }
-        if (!mayHaveLapsed || target.state === "draining") {
+        const grace = graceEnd - this.options.clock.now();
+        if (grace <= 0 || target.state === "draining") {
             this.drop(target);
             return;
         }
-        const timer = this.options.clock.schedule(() => this.drop(target), this.options.lapseGrace ?? defaultLapseGrace);
+        const timer = this.options.clock.schedule(() => this.drop(target), grace);
         this.lapsed.set(id, timer);
         this.changed({ kind: "lapsed", target });
     }
 
     /** Takes a whole list. Whatever it lacks counts as removed. */
-    replaceAll(targets: readonly Target[], mayHaveLapsed: boolean): void {
+    replaceAll(targets: readonly Target[], graceEnd: number): void {
         const listed = new Set(targets.map(target => target.id));
         targets.forEach(target => this.put(target));
         const missing = [...this.targets.keys()].filter(id => !listed.has(id));
-        missing.forEach(id => this.remove(id, mayHaveLapsed));
+        missing.forEach(id => this.remove(id, graceEnd));
     }
 
     private drop(target: Target): void {
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -36,9 +36,9 @@
 /** Milliseconds after the start in which peers are heard before this process may take the duty. */
 const startDelay = 700;
 /** Milliseconds that the holder waits for another one's write in one call. */
-const watchWait = 1_000;
+const watchWait = 2_000;
 /** Milliseconds since the store last confirmed the holder after which it gives no orders. */
-const confirmationBound = 2_500;
+const confirmationBound = 4_300;
 /** Milliseconds before a try that failed is repeated. */
 const retryDelay = 600;
 
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -36,7 +36,7 @@
  * A process whose configuration was not confirmed for so long, in milliseconds, does not deny routes and keys that it
  * does not know: a newer configuration may hold them. Two waits for changes, and their replies, fit in.
  */
-const denialAge = 4_000;
+const denialAge = 4_300;
 /** Milliseconds for a connection to a target to open: a round trip takes 1.5 ms, a lost packet is sent again after 200. */
 const connectTimeout = 450;
 
--- /dev/null
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -0,0 +1,119 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type RowChange, type Store, type StoreFailure, type TableChanges, type TableSnapshot } from "./Store.js";
+import { TableWatch, type TableWatchOptions } from "./TableWatch.js";
+
+type Reply = ({ readonly kind: "read"; } & TableSnapshot) | ({ readonly kind: "changes"; } & TableChanges) | StoreFailure;
+
+/** A store that answers by a script, and never after its end. */
+class ScriptedStore implements Store {
+    readonly calls: string[] = [];
+
+    constructor(private readonly replies: (Reply | { readonly after: number; readonly reply: Reply; })[], private readonly clock: ManualClock) {}
+
+    read(table: string): Promise<never> {
+        this.calls.push(`read ${table}`);
+        return this.next();
+    }
+
+    watch(_table: string, after: number): Promise<never> {
+        this.calls.push(`watch ${after}`);
+        return this.next();
+    }
+
+    write(): Promise<never> {
+        throw new Error("not used");
+    }
+
+    private next(): Promise<never> {
+        const entry = this.replies.shift();
+        if (entry === undefined) {
+            return new Promise(() => undefined);
+        }
+        const { after, reply } = "reply" in entry ? entry : { after: 0, reply: entry };
+        return new Promise(resolve => void this.clock.schedule(() => resolve(reply as never), after));
+    }
+}
+
+function watchTable(replies: ConstructorParameters<typeof ScriptedStore>[0], options: Partial<TableWatchOptions> = {}) {
+    const clock = new ManualClock();
+    const store = new ScriptedStore(replies, clock);
+    const seen: string[] = [];
+    const watch = new TableWatch({
+        clock,
+        store,
+        table: "t",
+        wait: 2_000,
+        onSnapshot: rows => seen.push(`all ${rows.map(({ key }) => key).join()}`),
+        onChanges: changes => seen.push(...changes.map(({ key, row }) => `${key}=${String(row?.value)}`)),
+        ...options,
+    });
+    void watch.run();
+    return { clock, store, seen };
+}
+
+const change = (key: string, value: unknown, version: number): RowChange => ({ key, row: { key, value, version } });
+
+test("reads the table, then follows it by version", async () => {
+    const { clock, store, seen } = watchTable([
+        { kind: "read", rows: [{ key: "a", value: 1, version: 3 }], version: 5 },
+        { kind: "changes", changes: [change("a", 2, 6)], version: 6 },
+    ]);
+    await clock.advanceAsync(50);
+    assert.deepEqual(seen, ["all a", "a=2"]);
+    assert.deepEqual(store.calls, ["read t", "watch 5", "watch 6"]);
+});
+
+test("changes of one key in one batch come in their order, the newest last", async () => {
+    const { clock, seen } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { kind: "changes", changes: [change("a", 1, 2), { key: "a", row: undefined }, change("a", 3, 4)], version: 4 },
+    ]);
+    await clock.advanceAsync(50);
+    assert.deepEqual(seen, ["all ", "a=1", "a=undefined", "a=3"]);
+});
+
+test("history gone: reads anew at once", async () => {
+    const { clock, store } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { kind: "historyGone" },
+        { kind: "read", rows: [], version: 9 },
+    ]);
+    await clock.advanceAsync(50);
+    assert.deepEqual(store.calls, ["read t", "watch 1", "read t", "watch 9"]);
+});
+
+test("after an outage vanished rows get until the return time to come back", async () => {
+    const graceEnds: number[] = [];
+    const { clock } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { kind: "unavailable", reason: "503" },
+        { kind: "changes", changes: [change("a", 1, 2)], version: 2 },
+    ], { onChanges: (_changes, graceEnd) => graceEnds.push(graceEnd), retryDelay: 100, returnTime: 2_200 });
+    await clock.advanceAsync(300);
+    const [graceEnd = 0] = graceEnds;
+    assert.ok(graceEnd > 2_200 && graceEnd <= clock.now() + 2_200);
+});
+
+test("confirms from the moment a call was sent, not from its reply", async () => {
+    const confirmed: number[] = [];
+    const { clock } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { after: 1_500, reply: { kind: "changes", changes: [], version: 1 } },
+    ], { onConfirmed: askedAt => confirmed.push(askedAt) });
+    await clock.advanceAsync(2_000);
+    assert.equal(confirmed.length, 2);
+    assert.ok((confirmed[1] ?? 0) < 100);
+});
+
+test("changes in close succession are gathered", async () => {
+    const changes = [2, 3, 4, 5, 6, 7, 8].map(version => ({
+        kind: "changes" as const,
+        changes: [change("a", version, version)],
+        version,
+    }));
+    const { clock, store } = watchTable([{ kind: "read", rows: [], version: 1 }, ...changes], { gatherTime: 250 });
+    await clock.advanceAsync(240);
+    assert.ok(store.calls.length <= 5, `${store.calls.length} calls`);
+});
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -8,21 +8,28 @@
     readonly table: string;
     /** Milliseconds that one call waits for changes. */
     readonly wait: number;
-    /** Takes a whole table; what it lacks is gone. */
-    readonly onSnapshot: (rows: readonly StoredRow[], afterOutage: boolean) => void;
+    /** Takes a whole table. What it lacks is gone, or may come back until `graceEnd` on the clock. */
+    readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number) => void;
     /** Takes what changed, in the order in which it happened. */
-    readonly onChanges: (changes: readonly RowChange[], afterOutage: boolean) => void;
+    readonly onChanges: (changes: readonly RowChange[], graceEnd: number) => void;
     /** The table was as told at some time after `askedAt`. */
     readonly onConfirmed?: (askedAt: number) => void;
     readonly onLost?: (reason: string) => void;
     readonly onRegained?: (outage: number) => void;
     /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
     readonly retryDelay?: number;
-    /** For so many milliseconds after an outage a vanished row may only have expired meanwhile. */
-    readonly outageMemory?: number;
+    /**
+     * Milliseconds after an outage in which rows that expired meanwhile are written again. The platform promises about
+     * two seconds; it holds targets to their leaving from three seconds after its return, so this must stay below that.
+     */
+    readonly returnTime?: number;
+    /** Milliseconds for which changes gather when they come in close succession, as at the start of a site. */
+    readonly gatherTime?: number;
 }
 
-const defaults = { retryDelay: 400, outageMemory: 4_000 };
+const defaults = { retryDelay: 400, returnTime: 2_200, gatherTime: 250 };
+/** Calls in a row that brought changes after which further changes are gathered: each call is priced. */
+const gatherAfter = 3;
 
 /**
  * Follows one table of the store: a whole read first, then a chain of calls that each wait for changes. After any doubt
@@ -34,6 +41,7 @@
     private lostAt: number | undefined;
     private regainedAt = -Infinity;
     private stopped = false;
+    private changesInARow = 0;
 
     constructor(options: TableWatchOptions) {
         this.options = { ...defaults, ...options };
@@ -67,7 +75,7 @@
         }
         this.regained();
         this.version = result.version;
-        this.options.onSnapshot(result.rows, this.isAfterOutage());
+        this.options.onSnapshot(result.rows, this.graceEnd());
         return undefined;
     }
 
@@ -78,8 +86,14 @@
         }
         this.regained();
         this.version = result.version;
-        if (result.changes.length > 0) {
-            this.options.onChanges(result.changes, this.isAfterOutage());
+        if (result.changes.length === 0) {
+            this.changesInARow = 0;
+            return undefined;
+        }
+        this.options.onChanges(result.changes, this.graceEnd());
+        this.changesInARow++;
+        if (this.changesInARow >= gatherAfter) {
+            await sleep(this.options.clock, this.options.gatherTime);
         }
         return undefined;
     }
@@ -104,7 +118,7 @@
         }
     }
 
-    private isAfterOutage(): boolean {
-        return this.options.clock.now() - this.regainedAt < this.options.outageMemory;
+    private graceEnd(): number {
+        return this.regainedAt + this.options.returnTime;
     }
 }
