Replies without a length: a reset that comes with the last bytes is told from an end

Change: at the end of a connection its peer's address is asked for; only a connection that was reset has none any more. Ruled out: Node's own error events, which do not come in this case (seen on real sockets, too). The new test fails without the change.

--- /dev/null
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { test } from "node:test";
+import { Exchange, type ExchangeFailure } from "./Exchange.js";
+
+interface Result {
+    readonly body: string;
+    readonly failure: ExchangeFailure | undefined;
+}
+
+const blockTime = 30;
+
+/** Blocks this thread, so that whatever the kernel receives meanwhile is seen in one go. */
+function block(): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, blockTime);
+}
+
+async function listen(answer: (socket: Socket) => void): Promise<Server> {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => answer(socket));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return server;
+}
+
+function exchange(port: number): Promise<Result> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        const finish = (failure?: ExchangeFailure) => resolve({ body: Buffer.concat(chunks).toString(), failure });
+        new Exchange({
+            host: "127.0.0.1",
+            port,
+            method: "GET",
+            path: "/",
+            headers: ["Host", "x", "Connection", "close"],
+            body: undefined,
+            connectTimeout: 1_000,
+            listener: {
+                onHead: () => undefined,
+                onData: chunk => chunks.push(chunk),
+                onEnd: () => finish(),
+                onFailure: finish,
+            },
+        });
+    });
+}
+
+async function exchangeWith(answer: (socket: Socket) => void): Promise<Result> {
+    const server = await listen(answer);
+    const result = await exchange((server.address() as AddressInfo).port);
+    server.close();
+    return result;
+}
+
+const unframed = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+
+test("a reply without a length that ends with its connection is whole", async () => {
+    const { body, failure } = await exchangeWith(socket => {
+        socket.end(`${unframed}whole`);
+        setImmediate(block);
+    });
+    assert.equal(body, "whole");
+    assert.equal(failure, undefined);
+});
+
+test("a reply without a length whose connection is reset with the last bytes is not whole", async () => {
+    const { failure } = await exchangeWith(socket => {
+        socket.write(`${unframed}par`);
+        socket.resetAndDestroy();
+        setImmediate(block);
+    });
+    assert.equal(failure?.neverSent, false);
+});
+
+test("a reply that is shorter than its length is not whole", async () => {
+    const { failure } = await exchangeWith(socket =>
+        socket.end("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort")
+    );
+    assert.equal(failure?.neverSent, false);
+});
+
+test("a chunked reply that breaks off is not whole", async () => {
+    const { failure } = await exchangeWith(socket =>
+        socket.end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+    );
+    assert.equal(failure?.neverSent, false);
+});
+
+test("a port without a listener: never sent", async () => {
+    const server = await listen(() => undefined);
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    const { failure } = await exchange(port);
+    assert.equal(failure?.neverSent, true);
+});
+
+test("closed without a reply: may have been executed", async () => {
+    const { failure } = await exchangeWith(socket => socket.destroy());
+    assert.equal(failure?.neverSent, false);
+});
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -1,4 +1,5 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { type Socket } from "node:net";
 
 /** Why an exchange ended without a whole reply. */
 export interface ExchangeFailure {
@@ -40,6 +41,7 @@
     private response: IncomingMessage | undefined;
     private isConnected = false;
     private isOver = false;
+    private wasReset = false;
 
     constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, body, connectTimeout } = options;
@@ -47,6 +49,7 @@
         this.connectTimer = setTimeout(() => this.fail("connect timeout"), connectTimeout);
         this.call.once("socket", socket => {
             socket.setNoDelay(true);
+            socket.prependOnceListener("end", () => this.noteReset(socket));
             socket.once("connect", () => {
                 this.isConnected = true;
                 clearTimeout(this.connectTimer);
@@ -76,6 +79,15 @@
         return !this.isConnected;
     }
 
+    /**
+     * Tells a reset from an orderly end. When the last bytes and a reset arrive together, Node reports a plain end, and
+     * a reply without a length, which ends with its connection, looks whole. Only a connection that was reset has no
+     * peer any more at this moment.
+     */
+    private noteReset(socket: Socket): void {
+        this.wasReset = socket.remoteAddress === undefined;
+    }
+
     private receive(response: IncomingMessage): void {
         if (this.isOver) {
             return;
@@ -91,8 +103,8 @@
             }
         });
         response.once("end", () => {
-            if (!response.complete) {
-                this.fail("truncated");
+            if (!response.complete || this.wasReset) {
+                this.fail(this.wasReset ? "reset" : "truncated");
             }
             else if (!this.isOver) {
                 this.close();
