--- /dev/null
+++ b/packages/gateway/src/lib/chains/buildChain.test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { testEngine, testTarget } from "../testing/fixtures.js";
+import { buildChain } from "./buildChain.js";
+
+test("runs every layer once and in order, over ranges that overlap", () => {
+    const chain = buildChain("x", [
+        testTarget("t1", "small", { first: 0, end: 50 }),
+        testTarget("t2", "small", { first: 30, end: 80 }),
+    ], testEngine);
+    const ranges = chain?.hops.map(({ layers }) => layers) ?? [];
+    assert.equal(ranges[0]?.first, 0);
+    assert.equal(ranges[0]?.end, ranges[1]?.first);
+    assert.equal(ranges[1]?.end, 80);
+});
+
+test("gives overlapping layers to the faster target", () => {
+    const chain = buildChain("x", [
+        testTarget("t1", "large", { first: 0, end: 50 }),
+        testTarget("t2", "small", { first: 30, end: 80 }),
+    ], testEngine);
+    assert.deepEqual(chain?.hops[0]?.layers, { first: 0, end: 50 });
+});
+
+test("a layer that nobody holds: no chain", () => {
+    const targets = [
+        testTarget("t1", "small", { first: 0, end: 40 }),
+        testTarget("t2", "small", { first: 41, end: 80 }),
+    ];
+    assert.equal(buildChain("x", targets, testEngine), undefined);
+});
+
+test("one target that holds all layers is a chain of one", () => {
+    const chain = buildChain("x", [testTarget("t1", "large", { first: 0, end: 80 })], testEngine);
+    assert.deepEqual(chain?.hops.map(({ targetId }) => targetId), ["t1"]);
+});
+
+test("a standby takes the place of a lost target", () => {
+    const targets = [
+        testTarget("t1", "small", { first: 0, end: 40 }),
+        testTarget("t2", "small", { first: 40, end: 80 }),
+        testTarget("t3", "small", { first: 40, end: 80 }),
+    ];
+    const [, second] = buildChain("x", targets, testEngine)?.hops ?? [];
+    const rest = targets.filter(({ id }) => id !== second?.targetId);
+    assert.ok(buildChain("x", rest, testEngine) !== undefined);
+});
--- /dev/null
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -0,0 +1,95 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type LayerRange, type Target } from "../directory/Target.js";
+import { testEngine, testTarget } from "../testing/fixtures.js";
+import { buildChain } from "./buildChain.js";
+import { layerCapacity, type Placement, planLayers } from "./planLayers.js";
+
+function apply(targets: readonly Target[], placements: readonly Placement[]): Target[] {
+    return targets.map(target => {
+        const placement = placements.find(placement => placement.target.id === target.id);
+        return placement === undefined ? target : { ...target, layers: placement.layers };
+    });
+}
+
+const accelerators = fc.constantFrom("large", "middle", "small");
+const sites = fc.array(accelerators, { minLength: 1, maxLength: 16 })
+    .map(kinds => kinds.map((kind, index) => testTarget(`t${index}`, kind)));
+const heldRanges = fc.array(fc.option(fc.tuple(fc.nat(79), fc.nat(20)), { nil: undefined }), {
+    minLength: 16,
+    maxLength: 16,
+});
+
+function withHeld(targets: readonly Target[], held: readonly ([number, number] | undefined)[]): Target[] {
+    return targets.map((target, index) => {
+        const range = held[index];
+        const room = layerCapacity(testEngine, target.accelerator, 0);
+        const layers: LayerRange | undefined = range === undefined
+            ? undefined
+            : { first: range[0], end: Math.min(testEngine.layers, range[0] + 1 + Math.min(range[1], room - 1)) };
+        return { ...target, layers };
+    });
+}
+
+test("every plan runs all layers, or is empty", () => {
+    fc.assert(fc.property(sites, heldRanges, (targets, held) => {
+        const before = withHeld(targets, held);
+        const placements = planLayers(before, testEngine);
+        if (placements.length > 0) {
+            assert.ok(buildChain("x", apply(before, placements), testEngine) !== undefined);
+        }
+    }));
+});
+
+test("no target is given more layers than its memory holds", () => {
+    fc.assert(fc.property(sites, heldRanges, (targets, held) => {
+        for (const { target, layers } of planLayers(withHeld(targets, held), testEngine)) {
+            assert.ok(layers.end - layers.first <= layerCapacity(testEngine, target.accelerator, 0));
+            assert.ok(layers.first >= 0 && layers.end <= testEngine.layers && layers.first < layers.end);
+        }
+    }));
+});
+
+test("a plan that was carried out stays as it is", () => {
+    fc.assert(fc.property(sites, targets => {
+        const carriedOut = apply(targets, planLayers(targets, testEngine));
+        const again = apply(carriedOut, planLayers(carriedOut, testEngine));
+        assert.deepEqual(again.map(({ layers }) => layers), carriedOut.map(({ layers }) => layers));
+    }));
+});
+
+test("no target is planned twice", () => {
+    fc.assert(fc.property(sites, heldRanges, (targets, held) => {
+        const ids = planLayers(withHeld(targets, held), testEngine).map(({ target }) => target.id);
+        assert.equal(new Set(ids).size, ids.length);
+    }));
+});
+
+test("a lost target's layers go to others, and the rest keep theirs", () => {
+    const targets = ["large", ...Array.from({ length: 9 }, () => "small")].map((kind, i) => testTarget(`t${i}`, kind));
+    const carriedOut = apply(targets, planLayers(targets, testEngine));
+    const chain = buildChain("x", carriedOut, testEngine);
+    const lost = chain?.hops[1]?.targetId;
+    const left = carriedOut.filter(({ id }) => id !== lost);
+    const repaired = apply(left, planLayers(left, testEngine));
+    assert.ok(buildChain("x", repaired, testEngine) !== undefined);
+    const kept = chain?.hops.filter(({ targetId }) => targetId !== lost).map(({ targetId }) => targetId) ?? [];
+    for (const id of kept) {
+        const [before, after] = [carriedOut, repaired].map(list => list.find(target => target.id === id)?.layers);
+        assert.ok(before !== undefined && after !== undefined);
+        assert.ok(after.first <= before.first && after.end >= before.end);
+    }
+});
+
+test("too little memory for a copy: nothing is planned", () => {
+    assert.deepEqual(planLayers([testTarget("t0", "large")], testEngine), []);
+});
+
+test("more targets leave more room for requests", () => {
+    const few = Array.from({ length: 8 }, (_, i) => testTarget(`t${i}`, "small"));
+    const many = Array.from({ length: 14 }, (_, i) => testTarget(`t${i}`, "small"));
+    const largest = (targets: Target[]) =>
+        Math.max(...planLayers(targets, testEngine).map(({ layers }) => layers.end - layers.first));
+    assert.ok(largest(many) < largest(few));
+});
--- /dev/null
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.test.ts
@@ -0,0 +1,86 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Configuration, type Route } from "./Configuration.js";
+import { ConfigurationInForce } from "./ConfigurationInForce.js";
+
+function route(name: string, pathPrefix: string, isPublic = false): Route {
+    return {
+        name,
+        hostname: "a.example",
+        pathPrefix,
+        kind: "idempotent",
+        timeout: 1_000,
+        latencyTarget: 100,
+        maxAttempts: 2,
+        priority: 0,
+        isPublic,
+        isResumable: false,
+        shares: [{ service: "s", weight: 1 }],
+    };
+}
+
+function configuration(version: number, key = "k1"): Configuration {
+    return {
+        version,
+        routes: [route("short", "/a/"), route("long", "/a/b/"), route("open", "/open/", true)],
+        services: [{ name: "s" }],
+        organisations: [{ name: "o", keys: [key] }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+    };
+}
+
+function inForce(maxConfirmationAge: number | undefined = 4_600) {
+    const clock = new ManualClock();
+    const state = new ConfigurationInForce({ clock, maxConfirmationAge });
+    state.offer(configuration(5));
+    state.confirm(clock.now());
+    return { clock, state };
+}
+
+test("a version only grows, whoever brings it", () => {
+    const { state } = inForce();
+    assert.equal(state.offer(configuration(4)), false);
+    assert.equal(state.offer(configuration(5)), false);
+    assert.equal(state.offer(configuration(9)), true);
+    assert.equal(state.current?.version, 9);
+});
+
+test("the longest prefix wins, whatever the case of the host", () => {
+    const { state } = inForce();
+    assert.equal(state.findRoute("A.example", "/a/b/c")?.name, "long");
+    assert.equal(state.findRoute("a.example", "/a/x")?.name, "short");
+    assert.equal(state.findRoute("a.example", "/a"), undefined);
+    assert.equal(state.findRoute("b.example", "/a/x"), undefined);
+});
+
+test("a key that was taken away is unknown at once", () => {
+    const { state } = inForce();
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "accepted");
+    state.offer(configuration(6, "k2"));
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unknown");
+});
+
+test("no key works on a process that the store has not confirmed for too long", () => {
+    const { clock, state } = inForce(4_600);
+    clock.advance(4_601);
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unconfirmed");
+    assert.equal(state.judgeCredential(route("r", "/", true), undefined).kind, "accepted");
+});
+
+test("a late reply does not make the confirmation younger than its question", () => {
+    const { clock, state } = inForce(4_600);
+    const askedAt = clock.now();
+    clock.advance(4_000);
+    state.confirm(askedAt);
+    clock.advance(700);
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unconfirmed");
+});
+
+test("where a process that is cut off may go on, keys go on to work", () => {
+    const clock = new ManualClock();
+    const state = new ConfigurationInForce({ clock, maxConfirmationAge: undefined });
+    state.offer(configuration(5));
+    clock.advance(60_000);
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "accepted");
+});
--- /dev/null
+++ b/packages/gateway/src/lib/requests/RepeatBudget.test.ts
@@ -0,0 +1,56 @@
+import { ManualClock } from "@waxwingspar/utils";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RepeatBudget } from "./RepeatBudget.js";
+
+const window = 10_000;
+
+function createBudget(gateways = 5) {
+    const clock = new ManualClock();
+    return { clock, budget: new RepeatBudget({ clock, window, share: 0.2, reserve: 200, gateways: () => gateways }) };
+}
+
+test("the reserve is shared by all gateways", () => {
+    const { budget } = createBudget(5);
+    let taken = 0;
+    while (budget.take()) {
+        taken++;
+    }
+    assert.ok(taken <= 200 / 5);
+    assert.ok(taken > 20);
+});
+
+test("requests earn repeats", () => {
+    const [idle, busy] = [createBudget(), createBudget()];
+    Array.from({ length: 1_000 }, () => busy.budget.request());
+    const count = ({ budget }: typeof idle) => {
+        let taken = 0;
+        while (budget.take()) {
+            taken++;
+        }
+        return taken;
+    };
+    assert.ok(count(busy) > count(idle) + 100);
+});
+
+test("in no window do gateways together exceed the share and the reserve", () => {
+    fc.assert(fc.property(fc.array(fc.tuple(fc.nat(400), fc.boolean()), { maxLength: 400 }), steps => {
+        const { clock, budget } = createBudget(1);
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        for (const [delay, isRequest] of steps) {
+            clock.advance(delay);
+            if (isRequest) {
+                budget.request();
+                requests.push(clock.now());
+            }
+            for (let i = 0; i < 20 && budget.take(); i++) {
+                repeats.push(clock.now());
+            }
+            const start = clock.now() - window;
+            const inWindow = (times: number[]) => times.filter(time => time >= start).length;
+            assert.ok(inWindow(repeats) <= 0.2 * inWindow(requests) + 200);
+        }
+    }), { numRuns: 40 });
+});
--- /dev/null
+++ b/packages/gateway/src/lib/services/ServicePicker.test.ts
@@ -0,0 +1,62 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Target } from "../directory/Target.js";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { ServicePicker } from "./ServicePicker.js";
+
+function createPicker(dataCentres = ["x", "y", "z"]) {
+    const clock = new ManualClock();
+    clock.advance(60_000);
+    const directory = new TargetDirectory({ clock });
+    const targets: Target[] = dataCentres.map(dataCentre => ({
+        id: dataCentre,
+        service: "s",
+        host: "10.0.0.1",
+        port: 80,
+        dataCentre,
+        state: "ready",
+    }));
+    targets.forEach(target => directory.put(target));
+    return { clock, directory, picker: new ServicePicker({ clock, service: "s", dataCentre: "x", directory }) };
+}
+
+const none: ReadonlySet<string> = new Set();
+
+test("prefers the own data centre", () => {
+    assert.equal(createPicker().picker.choose(none)?.id, "x");
+});
+
+test("goes round a target that fails, and comes back to it later", () => {
+    const { clock, picker } = createPicker();
+    picker.sent("x");
+    picker.ended("x", "failed", 5);
+    assert.notEqual(picker.choose(none)?.id, "x");
+    clock.advance(10_000);
+    assert.equal(picker.choose(none)?.id, "x");
+});
+
+test("goes round a target that does not answer", () => {
+    const { picker } = createPicker();
+    picker.sent("x");
+    picker.sent("x");
+    assert.notEqual(picker.choose(none)?.id, "x");
+});
+
+test("goes round a slow target", () => {
+    const { picker } = createPicker();
+    for (let i = 0; i < 10; i++) {
+        picker.sent("x");
+        picker.ended("x", "served", 500);
+    }
+    assert.notEqual(picker.choose(none)?.id, "x");
+});
+
+test("never gives a target that is excluded or leaving", () => {
+    const { directory, picker } = createPicker(["x", "y"]);
+    assert.equal(picker.choose(new Set(["x"]))?.id, "y");
+    const leaving = directory.get("x");
+    directory.put({ ...leaving, state: "draining" } as Target);
+    assert.equal(picker.choose(none)?.id, "y");
+    assert.equal(picker.choose(new Set(["y"])), undefined);
+});
