--- a/packages/capacity/src/lib/measurements.ts
+++ b/packages/capacity/src/lib/measurements.ts
@@ -1,6 +1,6 @@
 import { Membership, nextEntry, RevisionState, specSchemas } from "@waxwingspar/config";
-import { type LiveHost } from "@waxwingspar/stores";
 import { createRouter, createWorkQueue, type Router, type RoutingTarget } from "@waxwingspar/policy";
+import { type LiveHost } from "@waxwingspar/stores";
 import { assert, ManualClock, seededRandom } from "@waxwingspar/utils";
 import { bytesKept, timePerRun } from "./memory.js";
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,5 +1,6 @@
 import { type MetricRegistry } from "@waxwingspar/telemetry";
 import { type Clock, type Random, requestCodes } from "@waxwingspar/utils";
+import { type AddressInfo } from "node:net";
 import { ChainService } from "./chains/ChainService.js";
 import { type EngineControl } from "./chains/EngineControl.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
@@ -45,6 +46,8 @@
     readonly engines: EngineControl;
     readonly logs: Logs;
     readonly registry: MetricRegistry;
+    /** Milliseconds from the request to stop until the balancer has surely taken this process out. */
+    readonly balancerDelay?: number;
 }
 
 /** Milliseconds that one call waits for a change of the configuration: two calls must fit in the bound on keys. */
@@ -56,8 +59,8 @@
 const targetWait = 3_500;
 /** Of the bound on keys, milliseconds left for a request on its way. */
 const revocationSlack = 400;
-/** Milliseconds after the request to stop until the balancer has surely taken this process out: two misses and a bit. */
-const balancerDelay = 2_600;
+/** The balancer asks once a second and takes a process out after two misses; the rest is for connections on their way. */
+const defaultBalancerDelay = 2_600;
 /** Milliseconds before the end of the grace at which what is left is broken off. */
 const stopSlack = 400;
 const stopCheck = 50;
@@ -78,6 +81,7 @@
     private knowsTargets = false;
     private isStopping = false;
     private refusesNewRequests = false;
+    private stopped: Promise<void> | undefined;
 
     constructor(private readonly options: GatewayOptions) {
         const { settings, clock, logs, registry, store, engines } = options;
@@ -154,14 +158,24 @@
         await this.peers.start();
         this.lease.start();
         this.duty.start();
-        logs.process.info({ callers: settings.callers, readiness: settings.readiness }, "listening");
+        logs.process.info({ callers: this.callers.address, readiness: this.readiness.address }, "listening");
+    }
+
+    /** Where it listens, once it has started. */
+    get addresses(): { readonly callers: AddressInfo; readonly readiness: AddressInfo; } {
+        return { callers: this.callers.address, readiness: this.readiness.address };
     }
 
     /**
      * Stops without cutting an answer off: leaves the balancer first, serves on until it has, then ends when the last
-     * answer has ended, or shortly before the grace is over.
+     * answer has ended, or shortly before the grace is over. Further calls wait for the same end.
      */
-    async stop(): Promise<void> {
+    stop(): Promise<void> {
+        this.stopped ??= this.stopOnce();
+        return this.stopped;
+    }
+
+    private async stopOnce(): Promise<void> {
         const { clock, logs, settings } = this.options;
         const stoppedAt = clock.now();
         this.isStopping = true;
@@ -169,7 +183,7 @@
         this.callers.stopKeepingConnections();
         this.lease.release();
         this.duty.stop();
-        await this.pause(balancerDelay);
+        await this.pause(this.options.balancerDelay ?? defaultBalancerDelay);
         this.callers.close();
         this.refusesNewRequests = true;
         const end = stoppedAt + settings.stopGrace - stopSlack;
@@ -179,6 +193,7 @@
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         this.watches.forEach(watch => watch.stop());
+        this.services.forEach(({ chains }) => chains?.stop());
         this.peers.stop();
         this.callers.closeAll();
         this.readiness.close();
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -90,7 +90,13 @@
         if (known !== undefined) {
             return known;
         }
-        const load = { chain, inFlight: 0, streaming: 0, lastEventAt: this.options.clock.now(), avoidedUntil: -Infinity };
+        const load = {
+            chain,
+            inFlight: 0,
+            streaming: 0,
+            lastEventAt: this.options.clock.now(),
+            avoidedUntil: -Infinity,
+        };
         this.loads.set(chain.key, load);
         return load;
     }
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -4,8 +4,6 @@
 /**
  * Plans which layers the targets of one data centre hold: one whole copy on the fastest accelerators, and standbys that
  * hold a second copy of some ranges on what is left.
- *
- * @module
  */
 
 /** A target and the layers that it should hold. */
--- a/packages/gateway/src/lib/configuration/Configuration.ts
+++ b/packages/gateway/src/lib/configuration/Configuration.ts
@@ -2,8 +2,6 @@
 
 /**
  * What the operators declare for the gateway. All times are in milliseconds, all memory in megabytes of 10^6 bytes.
- *
- * @module
  */
 
 /** One kind of accelerator that an engine runs on. */
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -158,7 +158,11 @@
         for (const peer of this.addresses.keys()) {
             const colon = peer.lastIndexOf(":");
             // A datagram that cannot be sent is lost like any other; the next one follows.
-            this.socket.send(message, Number(peer.slice(colon + 1)), peer.slice(0, colon), error => { if (error !== null) { this.options.logger.warn({ error: String(error), peer }, "peers: send failed"); } });
+            this.socket.send(message, Number(peer.slice(colon + 1)), peer.slice(0, colon), error => {
+                if (error !== null) {
+                    this.options.logger.warn({ error: String(error), peer }, "peers: send failed");
+                }
+            });
         }
         clock.schedule(() => this.beat(), heartbeatInterval);
     }
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -153,7 +153,12 @@
             return;
         }
         this.options.observation.metrics.refusals.add({ code: `${code.number}` });
-        writeRefusal(this.options.response, code, reason, retryAfter === undefined ? undefined : this.limit(retryAfter));
+        writeRefusal(
+            this.options.response,
+            code,
+            reason,
+            retryAfter === undefined ? undefined : this.limit(retryAfter),
+        );
         this.finish(`${code.name}: ${reason}`);
     }
 
@@ -203,7 +208,10 @@
     retryAfter?: number,
 ): void {
     const body = Buffer.from(JSON.stringify({ code: code.number, name: code.name, message }));
-    const headers: Record<string, string | number> = { "Content-Type": "application/json", "Content-Length": body.length };
+    const headers: Record<string, string | number> = {
+        "Content-Type": "application/json",
+        "Content-Length": body.length,
+    };
     if (retryAfter !== undefined) {
         headers["Retry-After"] = (retryAfter / millisecondsPerSecond).toFixed(3);
     }
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -229,7 +229,10 @@
         const mayRun = this.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
         this.finish();
         if (mayRun) {
-            this.caller.refuse(this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+            this.caller.refuse(
+                this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded,
+                reason,
+            );
             return;
         }
         this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
--- a/packages/gateway/src/lib/requests/RepeatBudget.test.ts
+++ b/packages/gateway/src/lib/requests/RepeatBudget.test.ts
@@ -35,22 +35,25 @@
 });
 
 test("in no window do gateways together exceed the share and the reserve", () => {
-    fc.assert(fc.property(fc.array(fc.tuple(fc.nat(400), fc.boolean()), { maxLength: 400 }), steps => {
-        const { clock, budget } = createBudget(1);
-        const requests: number[] = [];
-        const repeats: number[] = [];
-        for (const [delay, isRequest] of steps) {
-            clock.advance(delay);
-            if (isRequest) {
-                budget.request();
-                requests.push(clock.now());
+    fc.assert(
+        fc.property(fc.array(fc.tuple(fc.nat(400), fc.boolean()), { maxLength: 400 }), steps => {
+            const { clock, budget } = createBudget(1);
+            const requests: number[] = [];
+            const repeats: number[] = [];
+            for (const [delay, isRequest] of steps) {
+                clock.advance(delay);
+                if (isRequest) {
+                    budget.request();
+                    requests.push(clock.now());
+                }
+                for (let i = 0; i < 20 && budget.take(); i++) {
+                    repeats.push(clock.now());
+                }
+                const start = clock.now() - window;
+                const inWindow = (times: number[]) => times.filter(time => time >= start).length;
+                assert.ok(inWindow(repeats) <= 0.2 * inWindow(requests) + 200);
             }
-            for (let i = 0; i < 20 && budget.take(); i++) {
-                repeats.push(clock.now());
-            }
-            const start = clock.now() - window;
-            const inWindow = (times: number[]) => times.filter(time => time >= start).length;
-            assert.ok(inWindow(repeats) <= 0.2 * inWindow(requests) + 200);
-        }
-    }), { numRuns: 40 });
+        }),
+        { numRuns: 40 },
+    );
 });
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -125,7 +125,11 @@
         return shares.at(-1)?.service ?? "";
     }
 
-    private deny(refuse: (code: ResultCode, reason: string, retryAfter?: number) => void, code: ResultCode, reason: string): void {
+    private deny(
+        refuse: (code: ResultCode, reason: string, retryAfter?: number) => void,
+        code: ResultCode,
+        reason: string,
+    ): void {
         if (this.options.configuration.confirmationAge > denialAge) {
             refuse(requestCodes.noCapacity, "the configuration may be out of date", unreadyRetryAfter);
             return;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -171,9 +171,12 @@
         }
         this.events += fresh.length;
         this.lastEventId = fresh.at(-1)?.id ?? this.lastEventId;
-        this.pass(attempt, fresh.length === 1 && fresh[0] !== undefined
-            ? fresh[0].bytes
-            : Buffer.concat(fresh.map(({ bytes }) => bytes)));
+        this.pass(
+            attempt,
+            fresh.length === 1 && fresh[0] !== undefined
+                ? fresh[0].bytes
+                : Buffer.concat(fresh.map(({ bytes }) => bytes)),
+        );
     }
 
     private noteEvents(attempt: Attempt): void {
@@ -259,7 +262,10 @@
             this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
             return;
         }
-        this.caller.refuse(this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded, reason);
+        this.caller.refuse(
+            this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded,
+            reason,
+        );
     }
 
     private finish(): void {
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -2,8 +2,6 @@
 
 /**
  * What the gateway says to callers and targets, without the names that these things have on the wire.
- *
- * @module
  */
 
 /** Tokens of a model request. */
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
 import { type Address } from "../GatewaySettings.js";
 
@@ -48,6 +49,11 @@
         });
     }
 
+    /** Where it listens. */
+    get address(): AddressInfo {
+        return this.server.address() as AddressInfo;
+    }
+
     /** Applies what the operators declare for callers. */
     applyLimits({ headerTimeout, idleTimeout }: CallerLimits): void {
         this.server.headersTimeout = headerTimeout;
--- a/packages/gateway/src/lib/server/ReadinessServer.ts
+++ b/packages/gateway/src/lib/server/ReadinessServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from "node:http";
+import { type AddressInfo } from "node:net";
 import { type Address } from "../GatewaySettings.js";
 
 const ready = 200;
@@ -9,17 +10,22 @@
     private readonly server: Server;
 
     /** @param isReady - Asked at each question. */
-    constructor(private readonly address: Address, isReady: () => boolean) {
+    constructor(private readonly listenAddress: Address, isReady: () => boolean) {
         this.server = createServer((_request, response) => {
             response.writeHead(isReady() ? ready : notReady, { "Content-Length": 0 });
             response.end();
         });
     }
 
+    /** Where it listens. */
+    get address(): AddressInfo {
+        return this.server.address() as AddressInfo;
+    }
+
     start(): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(this.address.port, this.address.host, resolve);
+            this.server.listen(this.listenAddress.port, this.listenAddress.host, resolve);
         });
     }
 
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -1,7 +1,5 @@
 /**
  * What the gateway needs of the platform's table store. Row values are JSON documents.
- *
- * @module
  */
 
 /** One row. `version` comes from a counter that grows with every transaction of the store. */
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -4,13 +4,19 @@
 import { type RowChange, type Store, type StoreFailure, type TableChanges, type TableSnapshot } from "./Store.js";
 import { TableWatch, type TableWatchOptions } from "./TableWatch.js";
 
-type Reply = ({ readonly kind: "read"; } & TableSnapshot) | ({ readonly kind: "changes"; } & TableChanges) | StoreFailure;
+type Reply =
+    | ({ readonly kind: "read"; } & TableSnapshot)
+    | ({ readonly kind: "changes"; } & TableChanges)
+    | StoreFailure;
 
 /** A store that answers by a script, and never after its end. */
 class ScriptedStore implements Store {
     readonly calls: string[] = [];
 
-    constructor(private readonly replies: (Reply | { readonly after: number; readonly reply: Reply; })[], private readonly clock: ManualClock) {}
+    constructor(
+        private readonly replies: (Reply | { readonly after: number; readonly reply: Reply; })[],
+        private readonly clock: ManualClock,
+    ) {}
 
     read(table: string): Promise<never> {
         this.calls.push(`read ${table}`);
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -36,7 +36,9 @@
  * about the history it reads the table anew.
  */
 export class TableWatch {
-    private readonly options: Required<Omit<TableWatchOptions, "onConfirmed" | "onLost" | "onRegained">> & TableWatchOptions;
+    private readonly options:
+        & Required<Omit<TableWatchOptions, "onConfirmed" | "onLost" | "onRegained">>
+        & TableWatchOptions;
     private version: number | undefined;
     private lostAt: number | undefined;
     private regainedAt = -Infinity;
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -76,9 +76,7 @@
 });
 
 test("a reply that is shorter than its length is not whole", async () => {
-    const { failure } = await exchangeWith(socket =>
-        socket.end("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort")
-    );
+    const { failure } = await exchangeWith(socket => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"));
     assert.equal(failure?.neverSent, false);
 });
 
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -38,12 +38,14 @@
 
 /** The runner names a test's source, but is given the compiled file; this name is the same for both. */
 function moduleOf(file) {
-    return relative(process.cwd(), file).replace(/^(packages.[^\\/]+.)(src|dist)/, "$1").replace(/[.][jt]s$/, "");
+    return relative(process.cwd(), file).replace(/^((?:packages.)?[^\\/]+.)(src|dist)(?=[\\/])/, "$1").replace(/[.][jt]s$/, "");
 }
 
+/** The adapter to the users' platform, a workspace of its own beside the packages. */
+const adapter = "platform";
 const known = readKnownRed("KNOWN-RED.txt");
-const packages = process.argv.length > 2 ? process.argv.slice(2) : readdirSync("packages");
-const files = packages.flatMap(name => findTests(join("packages", name, "dist")));
+const packages = process.argv.length > 2 ? process.argv.slice(2) : [...readdirSync("packages"), adapter];
+const files = packages.flatMap(name => findTests(join(name === adapter ? "" : "packages", name, "dist")));
 if (files.length === 0) {
     console.error("no test files found; run the build first");
     process.exit(1);
