Targets that refuse with room are avoided; peers confirm the configuration; suspended time counts

Change: a refusing target is looked at and avoided for as long as its report explains; a shorter wait (1.2 s) and peers' confirmations, counted from before they can have been given; ages by the worse of both clocks; 503 before a configuration.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -11,8 +11,9 @@
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
+import { type Moment } from "./Moment.js";
 import { GatewayMetrics, type Logs, type Observation } from "./observation/Observation.js";
-import { PeerGroup } from "./peers/PeerGroup.js";
+import { PeerGroup, type PeerState } from "./peers/PeerGroup.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
 import { type WireFormat } from "./requests/messages.js";
 import { RepeatBudget } from "./requests/RepeatBudget.js";
@@ -50,8 +51,12 @@
     readonly balancerDelay?: number;
 }
 
-/** Milliseconds that one call waits for a change of the configuration: two calls must fit in the bound on keys. */
-const configurationWait = 2_000;
+/**
+ * Milliseconds that one call waits for a change of the configuration. Keys work for as long after a call was sent as the
+ * bound on revoked keys allows, so a shorter wait lets them work longer through an outage: with 1.2 s and what peers
+ * confirm, 2.8 s of an outage on average, where 2 s left 1.3 s.
+ */
+const configurationWait = 1_200;
 /**
  * Milliseconds that one call waits for a change of the list of targets. A connection that has gone silent is noticed
  * after that; targets that leave must be known within the time in touch and the draining time, 5 s together.
@@ -64,6 +69,8 @@
 /** Milliseconds before the end of the grace at which what is left is broken off. */
 const stopSlack = 400;
 const stopCheck = 50;
+/** Bytes of a body that are taken before any limit is known: such a request is refused as not run, whatever its size. */
+const unknownBodyLimit = 8_388_608;
 
 /** A process that takes callers' requests and passes them to targets. */
 export class Gateway {
@@ -116,7 +123,7 @@
             address: settings.callers,
             onRequest: request => this.refusesNewRequests ? router.refuseStopping(request) : router.handle(request),
             onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
-            maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? 0,
+            maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? unknownBodyLimit,
         });
         this.readiness = new ReadinessServer(settings.readiness, () => this.isReady);
         this.peers = new PeerGroup({
@@ -126,7 +133,13 @@
             incarnation: options.incarnation,
             address: { host: settings.host, port: settings.internalPorts.first },
             logger: logs.process,
-            describe: () => ({ suspects: this.suspicions.list(), dutyTerm: this.lease.term }),
+            describe: () => ({
+                suspects: this.suspicions.list(),
+                dutyTerm: this.lease.term,
+                configurationVersion: this.configuration.current?.version,
+                confirmationAge: this.configuration.confirmationAge,
+            }),
+            onHeard: (state, moment) => this.confirmByPeer(state, moment),
         });
         this.lease = new PlacementLease({
             clock,
@@ -222,7 +235,7 @@
             wait: configurationWait,
             onSnapshot: rows => this.takeConfiguration(rows),
             onChanges: changes => this.takeConfiguration(changes.flatMap(({ row }) => row ?? [])),
-            onConfirmed: askedAt => this.configuration.confirm(askedAt),
+            onConfirmed: asked => this.configuration.confirm(asked),
         });
         const targetWatch = new TableWatch({
             ...ofStore(tables.targetTable),
@@ -239,6 +252,18 @@
         return [configurationWatch, targetWatch];
     }
 
+    /**
+     * A peer's word that the store holds nothing newer counts here as well, from before the peer can have given it. A
+     * peer that knows a newer configuration confirms nothing.
+     */
+    private confirmByPeer({ configurationVersion, confirmationAge }: PeerState, { now, date }: Moment): void {
+        const version = this.configuration.current?.version;
+        if (version === undefined || configurationVersion !== version || typeof confirmationAge !== "number") {
+            return;
+        }
+        this.configuration.confirm({ now: now - confirmationAge, date: date - confirmationAge });
+    }
+
     private takeTarget(id: string, row: StoredRow | undefined, graceEnd: number): void {
         if (row === undefined) {
             this.directory.remove(id, graceEnd);
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -41,6 +41,17 @@
 const reportTimeout = 300;
 /** Milliseconds for which a target that gave no report is avoided; then it is looked at again. */
 const silentPause = 2_000;
+/** Milliseconds before the end of that at which the next look begins, so that it ends in time. */
+const reinspectLead = 400;
+/** Milliseconds for which a target without room is avoided; requests end at a rate of several in that time. */
+const fullPause = 150;
+/**
+ * Milliseconds for which a target is avoided that refuses although it has room: it is leaving, which the store may not
+ * say while it is away (8 s of refusals were seen on a day with both).
+ */
+const leavingPause = 3_000;
+/** The share of its KV cache from which a target that refuses counts as full. */
+const fullCache = 0.85;
 /** Milliseconds for which a target is avoided that no longer holds its layers; its entry is up to date after that. */
 const misplacedPause = 1_500;
 const misdirected = 421;
@@ -106,14 +117,14 @@
     /** A target of the chain refused a request. */
     refused(load: ChainLoad, status: number, address: string | undefined): void {
         const hop = load.chain.hops.find(hop => hop.address === address) ?? load.chain.hops[0];
-        if (hop === undefined || (address === undefined && status !== misdirected)) {
+        if (hop === undefined) {
             return;
         }
         if (status === misdirected) {
             this.avoid(hop.targetId, misplacedPause, "does not hold its layers");
             return;
         }
-        void this.inspect(hop.targetId);
+        void this.inspect(hop.targetId, true);
     }
 
     /** A stream of the chain broke off. */
@@ -171,8 +182,13 @@
         }
     }
 
-    /** Looks whether a target answers. @returns True if it does, or if another look is under way. */
-    private async inspect(id: string): Promise<boolean> {
+    /**
+     * Looks whether a target answers, and whether it has room.
+     *
+     * @param hasRefused - Whether it has just refused a request.
+     * @returns True if it seems well, or if another look is under way.
+     */
+    private async inspect(id: string, hasRefused = false): Promise<boolean> {
         const target = this.options.directory.get(id);
         if (target === undefined || this.inspections.has(id)) {
             return true;
@@ -182,6 +198,12 @@
         this.inspections.delete(id);
         if (report === undefined) {
             this.avoid(id, silentPause, "gives no report");
+            this.options.clock.schedule(() => void this.inspectAgain(id), silentPause - reinspectLead);
+            return false;
+        }
+        if (hasRefused) {
+            const isFull = report.waiting > 0 || report.cacheUse > fullCache;
+            this.avoid(id, isFull ? fullPause : leavingPause, isFull ? "is full" : "refuses, though it has room");
             return false;
         }
         const culprits = this.options.directory.list().filter(other => report.stalledBy.includes(addressOf(other)));
@@ -189,6 +211,13 @@
         return culprits.length === 0;
     }
 
+    /** A target that gave no report stays avoided until it gives one or is no longer listed. */
+    private async inspectAgain(id: string): Promise<void> {
+        if (!this.isStopped && this.options.directory.get(id) !== undefined) {
+            await this.inspect(id);
+        }
+    }
+
     private avoid(id: string, duration: number, reason: string): void {
         this.options.suspicions.suspect(id, duration);
         this.options.observation.logs.chains.warn({ target: id, reason, duration }, "target avoided");
--- a/packages/gateway/src/lib/chains/EngineControl.ts
+++ b/packages/gateway/src/lib/chains/EngineControl.ts
@@ -7,6 +7,10 @@
     /** Orders accepted since the target's start. */
     readonly orders: number;
     readonly layers: LayerRange | undefined;
+    /** The share of its KV cache that is taken, from 0 to 1. */
+    readonly cacheUse: number;
+    /** Requests that wait for a slot. */
+    readonly waiting: number;
     /** Over 1 when the target is slower than its accelerator should be. */
     readonly slowdown: number;
     /** Addresses of targets that requests which begin here are waiting for in vain. */
--- a/packages/gateway/src/lib/configuration/ConfigurationInForce.test.ts
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.test.ts
@@ -1,6 +1,7 @@
-import { ManualClock } from "@waxwingspar/utils";
+import { type Clock, ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { currentMoment } from "../Moment.js";
 import { type Configuration, type Route } from "./Configuration.js";
 import { ConfigurationInForce } from "./ConfigurationInForce.js";
 
@@ -34,7 +35,7 @@
     const clock = new ManualClock();
     const state = new ConfigurationInForce({ clock, maxConfirmationAge });
     state.offer(configuration(5));
-    state.confirm(clock.now());
+    state.confirm(currentMoment(clock));
     return { clock, state };
 }
 
@@ -70,9 +71,9 @@
 
 test("a late reply does not make the confirmation younger than its question", () => {
     const { clock, state } = inForce(4_600);
-    const askedAt = clock.now();
+    const asked = currentMoment(clock);
     clock.advance(4_000);
-    state.confirm(askedAt);
+    state.confirm(asked);
     clock.advance(700);
     assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unconfirmed");
 });
@@ -84,3 +85,36 @@
     clock.advance(60_000);
     assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "accepted");
 });
+
+test("time that a host was suspended counts, though its monotonic clock stood still", () => {
+    const manual = new ManualClock();
+    let suspended = 0;
+    const clock: Clock = {
+        now: () => manual.now(),
+        date: () => new Date(manual.date().getTime() + suspended),
+        schedule: (callback, delay) => manual.schedule(callback, delay),
+    };
+    const state = new ConfigurationInForce({ clock, maxConfirmationAge: 4_600 });
+    state.offer(configuration(5));
+    state.confirm(currentMoment(clock));
+    suspended = 5_000;
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unconfirmed");
+    state.confirm(currentMoment(clock));
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "accepted");
+});
+
+test("a wall clock that is set back makes nothing younger", () => {
+    const manual = new ManualClock();
+    let offset = 0;
+    const clock: Clock = {
+        now: () => manual.now(),
+        date: () => new Date(manual.date().getTime() + offset),
+        schedule: (callback, delay) => manual.schedule(callback, delay),
+    };
+    const state = new ConfigurationInForce({ clock, maxConfirmationAge: 4_600 });
+    state.offer(configuration(5));
+    state.confirm(currentMoment(clock));
+    offset = -60_000;
+    manual.advance(4_601);
+    assert.equal(state.judgeCredential(route("r", "/"), "k1").kind, "unconfirmed");
+});
--- a/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { ageOf, type Moment } from "../Moment.js";
 import { type Configuration, type Organisation, type Route, type Service } from "./Configuration.js";
 
 /** How the credential of a request was judged. */
@@ -25,7 +26,7 @@
  */
 export class ConfigurationInForce {
     private configuration: Configuration | undefined;
-    private confirmedAt = -Infinity;
+    private confirmedAt: Moment | undefined;
     private readonly routesByHost = new Map<string, Route[]>();
     private readonly services = new Map<string, Service>();
     private readonly organisationsByKey = new Map<string, Organisation>();
@@ -39,7 +40,7 @@
 
     /** Milliseconds since the store was last known to hold nothing newer. */
     get confirmationAge(): number {
-        return this.options.clock.now() - this.confirmedAt;
+        return this.confirmedAt === undefined ? Infinity : ageOf(this.confirmedAt, this.options.clock);
     }
 
     /** @returns True if the configuration is newer than the one in force, and replaced it. */
@@ -55,10 +56,12 @@
     /**
      * Notes that the store held nothing newer at some time after the given one.
      *
-     * @param askedAt - When the call that found this was *sent*: its reply may have been on the way for long.
+     * @param asked - When the call that found this was *sent*: its reply may have been on the way for long.
      */
-    confirm(askedAt: number): void {
-        this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+    confirm(asked: Moment): void {
+        if (ageOf(asked, this.options.clock) < this.confirmationAge) {
+            this.confirmedAt = asked;
+        }
     }
 
     /** The route with the longest prefix of the path, among those of the host. */
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -21,6 +21,8 @@
     readonly observation: Observation;
 }
 
+/** Gateways that must avoid a target before its layers go elsewhere: one alone may be cut off itself. */
+const neededWitnesses = 2;
 /** Milliseconds between two looks at the plan. */
 const planInterval = 150;
 /** Milliseconds that a report may take. */
@@ -108,9 +110,12 @@
     /** Targets that are listed as ready and that no gateway avoids, with what they hold or are about to hold. */
     private usableTargets(service: string): Target[] {
         const { directory, suspicions, peers } = this.options;
-        const suspects = new Set(peers.alive().flatMap(({ state }) => state.suspects));
+        const suspects = peers.alive().map(({ state }) => state.suspects);
+        const witnesses = (id: string) =>
+            suspects.filter(list => list.includes(id)).length + (suspicions.has(id) ? 1 : 0);
+        const needed = Math.min(neededWitnesses, suspects.length + 1);
         return directory.readyTargets(service)
-            .filter(({ id }) => !suspicions.has(id) && !suspects.has(id))
+            .filter(({ id }) => witnesses(id) < needed)
             .map(target => ({ ...target, layers: this.expectedLayers(target) }));
     }
 
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -1,6 +1,7 @@
 import { type Clock, readStateChart, StateChart } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { z } from "zod/mini";
+import { ageOf, currentMoment, type Moment } from "../Moment.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
 import { type Store, type StoredRow } from "../store/Store.js";
 import { TableWatch } from "../store/TableWatch.js";
@@ -51,7 +52,7 @@
 export class PlacementLease {
     private readonly state = new StateChart<LeaseState, LeaseEvent>(chart);
     private heldTerm = 0;
-    private confirmedAt = -Infinity;
+    private confirmedAt: Moment | undefined;
     private watch: TableWatch | undefined;
     private nextTry = 0;
 
@@ -64,7 +65,11 @@
 
     /** True while orders may be given: the store has confirmed the holder of late. */
     get isHeld(): boolean {
-        return this.state.state === "holding" && this.options.clock.now() - this.confirmedAt < confirmationBound;
+        return this.state.state === "holding" && this.confirmationAge < confirmationBound;
+    }
+
+    private get confirmationAge(): number {
+        return this.confirmedAt === undefined ? Infinity : ageOf(this.confirmedAt, this.options.clock);
     }
 
     start(): void {
@@ -86,9 +91,9 @@
         if (this.state.state === "following" && now >= this.nextTry && this.isNext()) {
             void this.acquire();
         }
-        if (this.state.state === "holding" && now - this.confirmedAt > confirmationBound) {
+        if (this.state.state === "holding" && this.confirmationAge > confirmationBound) {
             this.state.send("unconfirmed");
-            this.options.logger.warn({ term: this.heldTerm, age: Math.round(now - this.confirmedAt) }, "duty paused");
+            this.options.logger.warn({ term: this.heldTerm, age: Math.round(this.confirmationAge) }, "duty paused");
         }
         this.options.clock.schedule(() => this.check(), checkInterval);
     }
@@ -103,7 +108,7 @@
         const { store, process, incarnation, clock, logger } = this.options;
         this.state.send("holderSilent");
         this.nextTry = clock.now() + retryDelay;
-        const askedAt = clock.now();
+        const asked = currentMoment(clock);
         const current = await store.read(table);
         if (current.kind !== "read") {
             this.state.send("failed");
@@ -121,7 +126,7 @@
         }
         if (this.state.send("acquired")) {
             this.heldTerm = term;
-            this.confirmedAt = askedAt;
+            this.confirmedAt = asked;
             logger.info({ term }, "duty taken");
             this.followRow();
         }
@@ -137,7 +142,7 @@
             wait: watchWait,
             onSnapshot: rows => this.judge(rows, watch),
             onChanges: changes => this.judge(changes.flatMap(({ row }) => row ?? []), watch),
-            onConfirmed: askedAt => this.confirm(askedAt, watch),
+            onConfirmed: asked => this.confirm(asked, watch),
         });
         this.watch = watch;
         void watch.run();
@@ -157,9 +162,9 @@
         }
     }
 
-    private confirm(askedAt: number, watch: TableWatch): void {
+    private confirm(asked: Moment, watch: TableWatch): void {
         if (this.watch === watch) {
-            this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+            this.confirmedAt = asked;
             if (this.state.send("confirmed")) {
                 this.options.logger.info({ term: this.heldTerm }, "duty resumed");
             }
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -3,6 +3,7 @@
 import { type Logger } from "pino";
 import { z } from "zod/mini";
 import { type Address } from "../GatewaySettings.js";
+import { currentMoment, type Moment } from "../Moment.js";
 import { type Store, type WriteResult } from "../store/Store.js";
 
 /** What a gateway tells its peers of itself, several times a second. */
@@ -11,8 +12,13 @@
     suspects: z.array(z.string()),
     /** The term under which it holds the placement duty; undefined when it does not. */
     dutyTerm: z.optional(z.number()),
+    configurationVersion: z.optional(z.number()),
+    /** Milliseconds since the store last confirmed that version as the newest. Absent where it never did. */
+    confirmationAge: z.optional(z.nullable(z.number())),
 });
 
+const momentSchema = z.object({ now: z.number(), date: z.number() });
+
 /** @public */
 export type PeerState = z.infer<typeof peerStateSchema>;
 
@@ -22,6 +28,10 @@
     /** Addresses of all gateways that the sender knows, so that the group grows together. */
     known: z.array(z.string()),
     state: peerStateSchema,
+    /** When this was sent, on the sender's clocks. */
+    sent: momentSchema,
+    /** By incarnation of a peer: the newest `sent` that came from it. So a peer learns that this was said after that. */
+    echoes: z.record(z.string(), momentSchema),
 });
 const messageSchema = z.object({
     jsonrpc: z.literal("2.0"),
@@ -36,6 +46,7 @@
     readonly incarnation: string;
     readonly state: PeerState;
     readonly heardAt: number;
+    readonly sent: Moment;
 }
 
 /** Options of {@link PeerGroup}. */
@@ -47,6 +58,8 @@
     readonly address: Address;
     readonly logger: Logger;
     readonly describe: () => PeerState;
+    /** A peer described itself at some time after the given moment. */
+    readonly onHeard?: (state: PeerState, after: Moment) => void;
 }
 
 const membersTable = "gateways";
@@ -153,7 +166,9 @@
             }
         }
         const known = [`${address.host}:${address.port}`, ...this.addresses.keys()];
-        const params = { process, incarnation, known, state: describe() };
+        const echoes = Object.fromEntries(this.alive().map(peer => [peer.incarnation, peer.sent]));
+        const sent = currentMoment(clock);
+        const params = { process, incarnation, known, state: describe(), sent, echoes };
         const message = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "heartbeat", params }));
         for (const peer of this.addresses.keys()) {
             const colon = peer.lastIndexOf(":");
@@ -173,7 +188,7 @@
             this.options.logger.warn({ bytes: data.length }, "peers: unreadable datagram");
             return;
         }
-        const { process, incarnation, known, state } = message;
+        const { process, incarnation, known, state, sent, echoes } = message;
         const [sender] = known;
         const heardAt = this.options.clock.now();
         known.forEach(address => this.learn(address));
@@ -181,7 +196,11 @@
             this.addresses.set(sender, heardAt);
         }
         const before = this.peers.get(process);
-        this.peers.set(process, { process, incarnation, state, heardAt });
+        this.peers.set(process, { process, incarnation, state, heardAt, sent });
+        const echo = echoes[this.options.incarnation];
+        if (echo !== undefined) {
+            this.options.onHeard?.(state, echo);
+        }
         if (before?.incarnation !== incarnation) {
             this.options.logger.info({ peer: process, incarnation }, "peers: heard of");
         }
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -107,7 +107,7 @@
     const { clock } = watchTable([
         { kind: "read", rows: [], version: 1 },
         { after: 1_500, reply: { kind: "changes", changes: [], version: 1 } },
-    ], { onConfirmed: askedAt => confirmed.push(askedAt) });
+    ], { onConfirmed: ({ now }) => confirmed.push(now) });
     await clock.advanceAsync(2_000);
     assert.equal(confirmed.length, 2);
     assert.ok((confirmed[1] ?? 0) < 100);
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,4 +1,5 @@
 import { type Clock, sleep } from "@waxwingspar/utils";
+import { currentMoment, type Moment } from "../Moment.js";
 import { type RowChange, type Store, type StoredRow, type StoreFailure } from "./Store.js";
 
 /** Options of {@link TableWatch}. */
@@ -12,8 +13,8 @@
     readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number) => void;
     /** Takes what changed, in the order in which it happened. */
     readonly onChanges: (changes: readonly RowChange[], graceEnd: number) => void;
-    /** The table was as told at some time after `askedAt`. */
-    readonly onConfirmed?: (askedAt: number) => void;
+    /** The table was as told at some time after `asked`. */
+    readonly onConfirmed?: (asked: Moment) => void;
     readonly onLost?: (reason: string) => void;
     readonly onRegained?: (outage: number) => void;
     /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
@@ -52,13 +53,13 @@
     /** Follows the table until {@link TableWatch.stop}. */
     async run(): Promise<void> {
         while (!this.stopped) {
-            const askedAt = this.options.clock.now();
+            const asked = currentMoment(this.options.clock);
             const failure = this.version === undefined ? await this.readAll() : await this.waitForChanges(this.version);
             if (this.stopped) {
                 return;
             }
             if (failure === undefined) {
-                this.options.onConfirmed?.(askedAt);
+                this.options.onConfirmed?.(asked);
             }
             else {
                 await this.afterFailure(failure);
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -38,7 +38,10 @@
 
 /** The runner names a test's source, but is given the compiled file; this name is the same for both. */
 function moduleOf(file) {
-    return relative(process.cwd(), file).replace(/^((?:packages.)?[^\\/]+.)(src|dist)(?=[\\/])/, "$1").replace(/[.][jt]s$/, "");
+    return relative(process.cwd(), file).replace(/^((?:packages.)?[^\\/]+.)(src|dist)(?=[\\/])/, "$1").replace(
+        /[.][jt]s$/,
+        "",
+    );
 }
 
 /** The adapter to the users' platform, a workspace of its own beside the packages. */
