Duty passes on from a holder the store turns away; plans keep their order; chains by all gateways' load

Change: heartbeats say who holds, who could, what is lost (busy is not lost) and the load by chain; plans from scratch keep the order of what is held; the smallest card that fits takes the end of a gap.

--- /dev/null
+++ b/packages/cli/src/lib/commands/gatewayCommands.ts
@@ -0,0 +1,77 @@
+import { type LogLevel, logLevels } from "@waxwingspar/telemetry";
+import { type Command, Option } from "commander";
+import { readFile } from "node:fs/promises";
+import { text } from "node:stream/consumers";
+import { explainRequest, formatExplanation } from "../explain/explainRequest.js";
+import { type CommandOutput } from "./CommandOutput.js";
+import { exitCodes } from "./exitCodes.js";
+import { parseCount } from "./parseCount.js";
+
+interface GatewayCommandOptions {
+    readonly settings?: string;
+    readonly metricsPort?: number;
+    readonly log: LogLevel;
+}
+
+/**
+ * Registers what runs on the users' platform and explains it.
+ *
+ * @internal
+ */
+export function registerGatewayCommands(program: Command, output: CommandOutput, exit: (code: number) => void): void {
+    program.command("gateway")
+        .description("run a gateway on the users' platform")
+        .option("--settings <file>", "the platform's settings; by default the file that its variable names")
+        .option("--metrics-port <port>", "serve metrics on this port", parseCount)
+        .addOption(new Option("--log <level>", "the least level of logs").choices(logLevels).default("info"))
+        .action(async (options: GatewayCommandOptions) => exit(await gatewayCommand(options, output)));
+    program.command("explain <request> [log...]")
+        .description("tell from logs what happened to a request; without files, from standard input")
+        .action(async (request: string, files: string[]) => exit(await explainCommand(request, files, output)));
+}
+
+/**
+ * Runs a gateway until SIGTERM.
+ *
+ * @returns The exit code.
+ */
+async function gatewayCommand(options: GatewayCommandOptions, output: CommandOutput): Promise<number> {
+    const { runGateway } = await import("../gateway/runGateway.js");
+    const { settingsVariable } = await import("@waxwingspar/platform");
+    const environment = options.settings === undefined
+        ? process.env
+        : { ...process.env, [settingsVariable]: options.settings };
+    try {
+        return await runGateway({ environment, metricsPort: options.metricsPort, logLevel: options.log });
+    }
+    catch (error) {
+        output.writeError(`gateway: ${error instanceof Error ? error.message : String(error)}\n`);
+        return exitCodes.usage;
+    }
+}
+
+/**
+ * Explains a request.
+ *
+ * @returns The exit code: failed when no line names the request.
+ * @internal
+ */
+export async function explainCommand(
+    request: string,
+    files: readonly string[],
+    output: CommandOutput,
+): Promise<number> {
+    let logs: string[];
+    try {
+        logs = files.length === 0
+            ? [await text(process.stdin)]
+            : await Promise.all(files.map(file => readFile(file, "utf8")));
+    }
+    catch (error) {
+        output.writeError(`explain: ${error instanceof Error ? error.message : String(error)}\n`);
+        return exitCodes.usage;
+    }
+    const explanation = explainRequest(request, logs.flatMap(log => log.split("\n")));
+    output.write(formatExplanation(request, explanation));
+    return explanation.story.length === 0 ? exitCodes.failed : exitCodes.done;
+}
--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -7,6 +7,7 @@
 import { type CommandOutput } from "./commands/CommandOutput.js";
 import { agentCommand, entryCommand } from "./commands/daemonCommands.js";
 import { demoCommand } from "./commands/demoCommand.js";
+import { registerGatewayCommands } from "./commands/gatewayCommands.js";
 import { localCommand, type LocalCommandOptions } from "./commands/localCommand.js";
 import { parseAddress } from "./commands/parseAddress.js";
 import { parseCount } from "./commands/parseCount.js";
@@ -27,6 +28,8 @@
   $ waxwingspar local --callers 127.0.0.1:9080 --operators 127.0.0.1:9081
   $ waxwingspar entry entry.jsonc                      one entry of a site, with its settings
   $ waxwingspar agent agent-1.jsonc                    the agent beside one target
+  $ waxwingspar gateway --metrics-port 9464            a gateway on the users' platform
+  $ waxwingspar explain 9c41d07be2a35f68 gateway-*.log what happened to a request
   $ waxwingspar get target --server http://127.0.0.1:8081
   $ waxwingspar apply -f resources.jsonc               change resources, all or none
   $ waxwingspar check settings entry.jsonc
@@ -53,6 +56,7 @@
         .exitOverride();
     addSiteCommands(program, output, exit);
     addDaemonCommands(program, output, exit);
+    registerGatewayCommands(program, output, exit);
     registerOperatorCommands(program, { output, exit });
     addCheckCommands(program, output, exit);
     addStandInCommands(program, output, exit);
--- /dev/null
+++ b/packages/cli/src/lib/explain/explainRequest.test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { explainRequest, formatExplanation } from "./explainRequest.js";
+
+const line = (time: number, process: string, msg: string, fields: object = {}) =>
+    JSON.stringify({ level: 30, time, process, msg, ...fields });
+
+const logs = [
+    line(1_000, "a", "configuration: configuration in force", { version: 2 }),
+    line(2_000, "a", "configuration: configuration in force", { version: 5 }),
+    line(2_500, "b", "process: store lost", { table: "op" }),
+    `  12.5 a ${line(3_000, "a", "request: attempt failed", { request: "r1", reason: "ECONNRESET" })}`,
+    line(2_900, "a", "chains: chain stalled", { chain: "x" }),
+    line(3_100, "a", "request: request ended", { request: "r1", status: 502 }),
+    line(3_050, "a", "request: request ended", { request: "r2", status: 200 }),
+    line(4_000, "a", "configuration: configuration in force", { version: 9 }),
+    "not a log line",
+    "{\"broken\":",
+];
+
+test("the story holds the request's own lines in order, whatever stands before them", () => {
+    const { story } = explainRequest("r1", logs);
+    assert.deepEqual(story.map(({ msg }) => msg), ["request: attempt failed", "request: request ended"]);
+});
+
+test("beliefs are the newest before the end, of the processes that handled the request", () => {
+    const { beliefs } = explainRequest("r1", logs);
+    assert.deepEqual([...beliefs.keys()], ["a"]);
+    const [configuration, stall] = beliefs.get("a") ?? [];
+    assert.equal(configuration?.["version"], 5);
+    assert.equal(stall?.msg, "chains: chain stalled");
+});
+
+test("lines that cannot be read are counted", () => {
+    assert.equal(explainRequest("r1", logs).unreadable, 2);
+});
+
+test("a request that no line names is said to be unknown", () => {
+    assert.match(formatExplanation("r9", explainRequest("r9", logs)), /no line names it; 2 lines/);
+});
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -86,6 +86,7 @@
     private readonly duty: PlacementDuty;
     private readonly watches: TableWatch[];
     private knowsTargets = false;
+    private reachesStore = true;
     private isStopping = false;
     private refusesNewRequests = false;
     private stopped: Promise<void> | undefined;
@@ -134,8 +135,12 @@
             address: { host: settings.host, port: settings.internalPorts.first },
             logger: logs.process,
             describe: () => ({
-                suspects: this.suspicions.list(),
-                dutyTerm: this.lease.term,
+                chainLoads: Object.fromEntries(
+                    [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
+                ),
+                suspects: this.suspicions.listLost(),
+                dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
+                mayTakeDuty: this.reachesStore && !this.isStopping,
                 configurationVersion: this.configuration.current?.version,
                 confirmationAge: this.configuration.confirmationAge,
             }),
@@ -226,9 +231,13 @@
             table,
             onLost: (reason: string) => {
                 this.observation.metrics.storeLosses.add({ table });
+                this.reachesStore = false;
                 logs.process.warn({ table, reason }, "store lost");
             },
-            onRegained: (outage: number) => logs.process.info({ table, outage: Math.round(outage) }, "store regained"),
+            onRegained: (outage: number) => {
+                this.reachesStore = true;
+                logs.process.info({ table, outage: Math.round(outage) }, "store regained");
+            },
         });
         const configurationWatch = new TableWatch({
             ...ofStore(tables.configurationTable),
@@ -315,6 +324,7 @@
                     ...common,
                     engine,
                     suspicions: this.suspicions,
+                    peerLoad: headId => this.peers.chainLoad(headId),
                     engines,
                     observation: this.observation,
                 }),
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -13,6 +13,8 @@
     readonly dataCentre: string;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    /** Requests of other processes in flight on chains that begin at a target. */
+    readonly peerLoad: (headId: string) => number;
 }
 
 /** A chain in use by requests of this process. */
@@ -27,8 +29,12 @@
     avoidedUntil: number;
 }
 
-/** A chain of the own data centre is preferred until it has so many more requests of this process than another one. */
-const localAdvantage = 24;
+/**
+ * A chain of the own data centre is preferred until it has so many more requests in flight than another one. Half of
+ * what a chain carries on a usual day: less would send bytes between data centres for nothing, more leaves one chain
+ * at its limit beside idle ones when callers move.
+ */
+const localAdvantage = 20;
 
 /**
  * Knows the best chain of each data centre for one service, and how many requests of this process are on it.
@@ -69,6 +75,13 @@
         return this.chains;
     }
 
+    /** Requests of this process in flight, by the first target of their chain. */
+    headLoads(): [string, number][] {
+        return [...this.loads.values()]
+            .filter(({ inFlight }) => inFlight > 0)
+            .map(({ chain, inFlight }) => [chain.hops[0]?.targetId ?? "", inFlight]);
+    }
+
     private rebuild(engine: Engine, suspected: ReadonlySet<string>): void {
         const targets = this.options.directory.readyTargets(this.options.service)
             .filter(({ id }) => !suspected.has(id));
@@ -102,6 +115,8 @@
     }
 
     private cost({ chain, inFlight }: ChainLoad): number {
-        return inFlight + (chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage);
+        const head = chain.hops[0]?.targetId ?? "";
+        return inFlight + this.options.peerLoad(head)
+            + (chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage);
     }
 }
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -4,8 +4,8 @@
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
-import { type EngineControl } from "./EngineControl.js";
-import { type TargetSuspicions } from "./TargetSuspicions.js";
+import { type EngineControl, type EngineReport } from "./EngineControl.js";
+import { type SuspicionKind, type TargetSuspicions } from "./TargetSuspicions.js";
 
 /** A request on a chain, which can be told to leave it. */
 export interface ChainUser {
@@ -20,6 +20,7 @@
     readonly engine: Engine;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    readonly peerLoad: (headId: string) => number;
     readonly engines: EngineControl;
     readonly observation: Observation;
 }
@@ -43,6 +44,8 @@
 const silentPause = 2_000;
 /** Milliseconds before the end of that at which the next look begins, so that it ends in time. */
 const reinspectLead = 400;
+/** Milliseconds for which a target is avoided that is giving up or loading layers. */
+const reorderedPause = 400;
 /** Milliseconds for which a target without room is avoided; requests end at a rate of several in that time. */
 const fullPause = 150;
 /**
@@ -75,6 +78,11 @@
         return this.router.choose(this.options.engine, failed);
     }
 
+    /** Requests of this process in flight, by the first target of their chain. */
+    headLoads(): [string, number][] {
+        return this.router.headLoads();
+    }
+
     target(id: string): Target | undefined {
         return this.options.directory.get(id);
     }
@@ -121,7 +129,7 @@
             return;
         }
         if (status === misdirected) {
-            this.avoid(hop.targetId, misplacedPause, "does not hold its layers");
+            this.avoid(hop.targetId, "busy", misplacedPause, "does not hold its layers");
             return;
         }
         void this.inspect(hop.targetId, true);
@@ -131,7 +139,7 @@
     broke(load: ChainLoad, neverSent: boolean): void {
         const head = load.chain.hops[0];
         if (neverSent && head !== undefined) {
-            this.avoid(head.targetId, silentPause, "cannot be reached");
+            this.avoid(head.targetId, "lost", silentPause, "cannot be reached");
             return;
         }
         void this.inspectAll(load);
@@ -197,20 +205,31 @@
         const report = await this.options.engines.fetchReport(target, reportTimeout);
         this.inspections.delete(id);
         if (report === undefined) {
-            this.avoid(id, silentPause, "gives no report");
+            this.avoid(id, "lost", silentPause, "gives no report");
             this.options.clock.schedule(() => void this.inspectAgain(id), silentPause - reinspectLead);
             return false;
         }
         if (hasRefused) {
-            const isFull = report.waiting > 0 || report.cacheUse > fullCache;
-            this.avoid(id, isFull ? fullPause : leavingPause, isFull ? "is full" : "refuses, though it has room");
+            this.judgeRefusal(id, report);
             return false;
         }
         const culprits = this.options.directory.list().filter(other => report.stalledBy.includes(addressOf(other)));
-        culprits.forEach(culprit => this.avoid(culprit.id, silentPause, "stalls others"));
+        culprits.forEach(culprit => this.avoid(culprit.id, "lost", silentPause, "stalls others"));
         return culprits.length === 0;
     }
 
+    private judgeRefusal(id: string, report: EngineReport): void {
+        if (report.isBusy) {
+            this.avoid(id, "busy", reorderedPause, "changes its layers");
+        }
+        else if (report.waiting > 0 || report.cacheUse > fullCache) {
+            this.avoid(id, "busy", fullPause, "is full");
+        }
+        else {
+            this.avoid(id, "lost", leavingPause, "refuses, though it has room");
+        }
+    }
+
     /** A target that gave no report stays avoided until it gives one or is no longer listed. */
     private async inspectAgain(id: string): Promise<void> {
         if (!this.isStopped && this.options.directory.get(id) !== undefined) {
@@ -218,8 +237,8 @@
         }
     }
 
-    private avoid(id: string, duration: number, reason: string): void {
-        this.options.suspicions.suspect(id, duration);
-        this.options.observation.logs.chains.warn({ target: id, reason, duration }, "target avoided");
+    private avoid(id: string, kind: SuspicionKind, duration: number, reason: string): void {
+        this.options.suspicions.suspect(id, kind, duration);
+        this.options.observation.logs.chains.warn({ target: id, kind, reason, duration }, "target avoided");
     }
 }
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -44,7 +44,7 @@
         }
     }
     for (const concurrency of concurrencyLevels) {
-        const filled = fillGaps([], rankCards(targets, engine, concurrency), engine, concurrency);
+        const filled = planAnew(rankCards(targets, engine, concurrency), engine);
         if (filled !== undefined) {
             return addStandbys(filled, targets, engine, concurrency);
         }
@@ -52,6 +52,32 @@
     return [];
 }
 
+/**
+ * Plans without keeping what is held: the cheapest cards that suffice, each with its share of the layers. Cards come in
+ * the order of what they hold, so that their new ranges mostly overlap the old ones and little is loaded.
+ */
+function planAnew(ranked: readonly Card[], engine: Engine): Placement[] | undefined {
+    const chosen: Card[] = [];
+    let room = 0;
+    for (const card of ranked) {
+        if (room < engine.layers) {
+            chosen.push(card);
+            room += card.capacity;
+        }
+    }
+    if (room < engine.layers) {
+        return undefined;
+    }
+    const middle = ({ target: { layers } }: Card) => layers === undefined ? engine.layers : layers.first + layers.end;
+    const ordered = [...chosen].sort((a, b) => middle(a) - middle(b));
+    let capacityBefore = 0;
+    return ordered.map(({ target, capacity }) => {
+        const first = Math.floor(capacityBefore * engine.layers / room);
+        capacityBefore += capacity;
+        return { target, layers: { first, end: Math.floor(capacityBefore * engine.layers / room) } };
+    });
+}
+
 /** A target and the layers for which it has room. */
 interface Card {
     readonly target: Target;
@@ -105,7 +131,7 @@
     for (const placement of [...kept, undefined]) {
         const gapEnd = placement?.layers.first ?? engine.layers;
         while (covered < gapEnd) {
-            const card = left.shift();
+            const card = takeBestFit(left, gapEnd - covered);
             if (card === undefined) {
                 break;
             }
@@ -128,6 +154,16 @@
     return covered >= engine.layers ? placements : undefined;
 }
 
+/** Takes the cheapest card, but for the end of a gap the smallest that holds it, so that a small gap binds no large card. */
+function takeBestFit(cards: Card[], layers: number): Card | undefined {
+    const fitting = cards.filter(({ capacity }) => capacity >= layers);
+    const best = fitting.length > 0 ? fitting.reduce((a, b) => b.capacity < a.capacity ? b : a) : cards[0];
+    if (best !== undefined) {
+        cards.splice(cards.indexOf(best), 1);
+    }
+    return best;
+}
+
 /** Lets the last target take layers up to a bound, as far as it has room. @returns The first layer that is not covered. */
 function extendLast(
     placements: Placement[],
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -34,6 +34,9 @@
 /** Milliseconds after which an order without effect is given again; a late one is refused by its count of orders. */
 const orderPatience = 4_000;
 
+/** Milliseconds for which a report of an order in progress is believed without a newer one. */
+const busyTrust = 2_000;
+
 /** What the duty knows of a target beyond its entry in the list. */
 interface WorkState {
     /** The layers ordered last. */
@@ -112,7 +115,7 @@
         const { directory, suspicions, peers } = this.options;
         const suspects = peers.alive().map(({ state }) => state.suspects);
         const witnesses = (id: string) =>
-            suspects.filter(list => list.includes(id)).length + (suspicions.has(id) ? 1 : 0);
+            suspects.filter(list => list.includes(id)).length + (suspicions.isLost(id) ? 1 : 0);
         const needed = Math.min(neededWitnesses, suspects.length + 1);
         return directory.readyTargets(service)
             .filter(({ id }) => witnesses(id) < needed)
@@ -122,12 +125,19 @@
     /** What a target holds or loads, by the newest of its entry, its report and a pending order. */
     private expectedLayers(target: Target): LayerRange | undefined {
         const state = this.work.get(target.id);
-        if (state?.ordered !== undefined && this.options.clock.now() - state.orderedAt < orderPatience) {
+        if (state?.ordered !== undefined && this.isPending(state)) {
             return state.ordered;
         }
         return this.heldLayers(target);
     }
 
+    /** True while an order is under way: the target says so, or the last one may still begin. */
+    private isPending({ ordered, orderedAt, report, reportedAt }: WorkState): boolean {
+        const now = this.options.clock.now();
+        const isBusy = report?.isBusy === true && now - reportedAt < busyTrust;
+        return isBusy || (ordered !== undefined && now - orderedAt < orderPatience);
+    }
+
     private heldLayers(target: Target): LayerRange | undefined {
         const state = this.work.get(target.id);
         const isReportNewer = state !== undefined && state.reportedAt > this.options.directory.changedAt(target.id);
@@ -148,8 +158,8 @@
         if (state.isCalling) {
             return;
         }
-        const isPending = sameRange(state.ordered, layers) && clock.now() - state.orderedAt < orderPatience;
-        if (!isPending) {
+        const mustWait = this.isPending(state);
+        if (!mustWait) {
             void this.order(listed, layers, state, engine);
         }
         else if (clock.now() >= state.nextPoll) {
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -98,10 +98,11 @@
         this.options.clock.schedule(() => this.check(), checkInterval);
     }
 
-    /** True if no living peer holds the duty and no living one comes before this process. */
+    /** True if no living peer holds the duty, and none that could take it comes before this process. */
     private isNext(): boolean {
-        const peers = this.options.peers.alive();
-        return peers.every(({ state, process }) => state.dutyTerm === undefined && process > this.options.process);
+        return this.options.peers.alive().every(({ state, process }) =>
+            state.dutyTerm === undefined && (process > this.options.process || !state.mayTakeDuty)
+        );
     }
 
     private async acquire(): Promise<void> {
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -8,10 +8,14 @@
 
 /** What a gateway tells its peers of itself, several times a second. */
 export const peerStateSchema = z.object({
-    /** Ids of targets that it avoids. */
+    /** Ids of targets that seem lost to it. */
     suspects: z.array(z.string()),
-    /** The term under which it holds the placement duty; undefined when it does not. */
+    /** Requests of this process in flight, by the first target of their chain. */
+    chainLoads: z.record(z.string(), z.number()),
+    /** The term under which it holds the placement duty; undefined when it does not, or the store has not confirmed it. */
     dutyTerm: z.optional(z.number()),
+    /** Whether it could take the duty: it reaches the store, and is not stopping. */
+    mayTakeDuty: z.boolean(),
     configurationVersion: z.optional(z.number()),
     /** Milliseconds since the store last confirmed that version as the newest. Absent where it never did. */
     confirmationAge: z.optional(z.nullable(z.number())),
@@ -93,6 +97,11 @@
         return this.hasJoined ? this.alive().length + 1 : unknownGroupSize;
     }
 
+    /** Requests of all living peers in flight on chains that begin at a target. */
+    chainLoad(headId: string): number {
+        return this.alive().reduce((sum, { state }) => sum + (state.chainLoads[headId] ?? 0), 0);
+    }
+
     /** Peers that were heard of within the timeout. */
     alive(): Peer[] {
         const bound = this.options.clock.now() - peerTimeout;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -12,7 +12,7 @@
 /** Milliseconds after which a caller may come back when no chain can take its request. */
 const retryAfter = 250;
 /** How long the first event may take, against its latency target, before another chain is tried. */
-const firstEventPatience = 2;
+const firstEventPatience = 3;
 const firstSuccess = 200;
 const firstRedirect = 300;
 
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -11,6 +11,9 @@
 
 /** Lists the compiled test files below a folder, in a stable order. */
 function findTests(folder) {
+    if (!existsSync(folder)) {
+        return [];
+    }
     return readdirSync(folder, { withFileTypes: true, recursive: true })
         .filter(entry => entry.isFile() && entry.name.endsWith(testSuffix))
         .map(entry => join(entry.parentPath, entry.name))
