Lost ranges shift borders as little as room allows; callers come back when a lost range can be loaded

A caller was told to come back after 250 ms, while a load takes 1.2 to 1.6 s, and was refused again. Change: borders move from the gap outwards; reports are read before the first order of a new holder; 1.5 s to come back.

--- a/packages/gateway/src/lib/chains/planLayers.test.ts
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -93,3 +93,18 @@
         Math.max(...planLayers(targets, testEngine).map(({ layers }) => layers.end - layers.first));
     assert.ok(largest(many) < largest(few));
 });
+
+test("a lost range that no free target can take shifts the borders next to it, not all of them", () => {
+    const targets = Array.from(
+        { length: 12 },
+        (_, i) => testTarget(`t${i}`, "small", { first: i * 7, end: Math.min(80, i * 7 + 7) }),
+    );
+    const left = targets.filter(({ id }) => id !== "t5");
+    const repaired = apply(left, planLayers(left, testEngine));
+    assert.ok(buildChain("x", repaired, testEngine) !== undefined);
+    const changed = left.filter(({ id, layers }) => {
+        const after = repaired.find(target => target.id === id)?.layers;
+        return after?.first !== layers?.first || after?.end !== layers?.end;
+    });
+    assert.ok(changed.length <= 6, `${changed.length} targets changed`);
+});
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -36,48 +36,17 @@
  */
 export function planLayers(targets: readonly Target[], engine: Engine): Placement[] {
     const kept = keepRanges(targets, engine);
+    const tries = kept.length === 0 ? concurrencyLevels.map(level => ({ level, plan: planAnew })) : repairs;
     const unused = targets.filter(target => kept.every(placement => placement.target !== target));
-    for (const concurrency of kept.length > 0 ? concurrencyLevels : []) {
-        const filled = fillGaps(kept, rankCards(unused, engine, concurrency), engine, concurrency);
+    for (const { level, plan } of tries) {
+        const filled = plan(kept, rankCards(unused, engine, level), engine, level);
         if (filled !== undefined) {
-            return addStandbys(filled, targets, engine, concurrency);
-        }
-    }
-    for (const concurrency of concurrencyLevels) {
-        const filled = planAnew(rankCards(targets, engine, concurrency), engine);
-        if (filled !== undefined) {
-            return addStandbys(filled, targets, engine, concurrency);
+            return addStandbys(filled, targets, engine, level);
         }
     }
     return [];
 }
 
-/**
- * Plans without keeping what is held: the cheapest cards that suffice, each with its share of the layers. Cards come in
- * the order of what they hold, so that their new ranges mostly overlap the old ones and little is loaded.
- */
-function planAnew(ranked: readonly Card[], engine: Engine): Placement[] | undefined {
-    const chosen: Card[] = [];
-    let room = 0;
-    for (const card of ranked) {
-        if (room < engine.layers) {
-            chosen.push(card);
-            room += card.capacity;
-        }
-    }
-    if (room < engine.layers) {
-        return undefined;
-    }
-    const middle = ({ target: { layers } }: Card) => layers === undefined ? engine.layers : layers.first + layers.end;
-    const ordered = [...chosen].sort((a, b) => middle(a) - middle(b));
-    let capacityBefore = 0;
-    return ordered.map(({ target, capacity }) => {
-        const first = Math.floor(capacityBefore * engine.layers / room);
-        capacityBefore += capacity;
-        return { target, layers: { first, end: Math.floor(capacityBefore * engine.layers / room) } };
-    });
-}
-
 /** A target and the layers for which it has room. */
 interface Card {
     readonly target: Target;
@@ -96,6 +65,71 @@
         .sort((a, b) => layerCost(a) - layerCost(b) || (a.target.id < b.target.id ? -1 : 1));
 }
 
+/** Makes placements out of what is kept and cards that are free. @returns Undefined when they do not suffice. */
+type Planner = (
+    kept: readonly Placement[],
+    cards: readonly Card[],
+    engine: Engine,
+    concurrency: number,
+) => Placement[] | undefined;
+
+/** Gives the layers to the cheapest cards that suffice, each filled up. */
+const planAnew: Planner = (_kept, cards, engine, concurrency) => fillGaps([], cards, engine, concurrency);
+
+/**
+ * The ways to repair a data centre, the best first. Filling gaps disturbs no request, so it goes down to room for the
+ * requests of a usual day; then ranges are shifted, which makes some targets give up layers, before room gets scarce.
+ */
+const repairs: readonly { readonly level: number; readonly plan: Planner; }[] = [
+    { level: 96, plan: fillGaps },
+    { level: 72, plan: fillGaps },
+    { level: 56, plan: fillGaps },
+    { level: 40, plan: fillGaps },
+    { level: 40, plan: shiftRanges },
+    { level: 24, plan: fillGaps },
+    { level: 24, plan: shiftRanges },
+    { level: 12, plan: fillGaps },
+    { level: 12, plan: shiftRanges },
+];
+
+/**
+ * Moves the borders between ranges as little as the room of the targets allows, so that a lost range is taken up by its
+ * neighbours and their neighbours, a few layers each. Free cards join at the first gap when the others do not suffice.
+ */
+function shiftRanges(
+    kept: readonly Placement[],
+    cards: readonly Card[],
+    engine: Engine,
+    concurrency: number,
+): Placement[] | undefined {
+    const capacityOf = (target: Target) => layerCapacity(engine, target.accelerator, concurrency);
+    const members = kept.map(({ target, layers }) => ({ target, capacity: capacityOf(target), end: layers.end }));
+    const gapIndex = kept.findIndex(({ layers }, index) => layers.first > (kept[index - 1]?.layers.end ?? 0));
+    const position = gapIndex === -1 ? members.length : gapIndex;
+    let room = members.reduce((sum, { capacity }) => sum + capacity, 0);
+    for (const { target, capacity } of cards) {
+        if (room < engine.layers) {
+            members.splice(position, 0, { target, capacity, end: kept[position]?.layers.first ?? engine.layers });
+            room += capacity;
+        }
+    }
+    if (room < engine.layers) {
+        return undefined;
+    }
+    let first = 0;
+    let roomAfter = room;
+    const placements: Placement[] = [];
+    for (const { target, capacity, end: wanted } of members) {
+        roomAfter -= capacity;
+        const end = Math.min(first + capacity, engine.layers, Math.max(wanted, first, engine.layers - roomAfter));
+        if (end > first) {
+            placements.push({ target, layers: { first, end } });
+        }
+        first = end;
+    }
+    return first === engine.layers ? placements : undefined;
+}
+
 /** Of the ranges that are held, those of the chain that leaves the fewest layers uncovered with the fewest targets. */
 function keepRanges(targets: readonly Target[], engine: Engine): Placement[] {
     const held = targets
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -170,6 +170,11 @@
     private async order(target: Target, layers: LayerRange, state: WorkState, engine: Engine): Promise<void> {
         const { clock, lease, engines, observation } = this.options;
         const term = lease.term ?? 0;
+        // An earlier holder has given this target orders; how many, only its report tells.
+        if (target.layers !== undefined && state.report === undefined) {
+            await this.poll(target, state);
+            return;
+        }
         const expectedOrders = state.acceptedOrders;
         state.isCalling = true;
         const result = await engines.place(target, { layers, fence: term, expectedOrders });
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -9,10 +9,13 @@
 
 /** Timers may fire a little before the clock shows their time, in milliseconds. */
 const timerSlack = 2;
-/** Milliseconds after which a caller may come back when no chain can take its request. */
-const retryAfter = 250;
+/** Milliseconds after which a caller may come back when chains have no room: some requests end in that time. */
+const fullRetryAfter = 400;
+/** Milliseconds after which a caller may come back when no chain is whole: a lost range is loaded anew in 1.2 to 1.6 s. */
+const brokenRetryAfter = 1_500;
 /** How long the first event may take, against its latency target, before another chain is tried. */
 const firstEventPatience = 3;
+const noChains: ReadonlySet<string> = new Set();
 const firstSuccess = 200;
 const firstRedirect = 300;
 
@@ -259,6 +262,7 @@
         const mayRun = this.mayHaveRun || this.attempt?.exchange.neverSent === false;
         this.finish();
         if (!mayRun) {
+            const retryAfter = this.service.choose(noChains) === undefined ? brokenRetryAfter : fullRetryAfter;
             this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
             return;
         }
