--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -70,6 +70,7 @@
         directory: ofPart("directory"),
         chains: ofPart("chains"),
         duty: ofPart("duty"),
+        peers: ofPart("peers"),
         process: ofPart("process"),
     };
 }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -133,7 +133,7 @@
             process: settings.process,
             incarnation: options.incarnation,
             address: { host: settings.host, port: settings.internalPorts.first },
-            logger: logs.process,
+            logger: logs.peers,
             describe: () => ({
                 chainLoads: Object.fromEntries(
                     [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -8,6 +8,7 @@
     readonly directory: Logger;
     readonly chains: Logger;
     readonly duty: Logger;
+    readonly peers: Logger;
     readonly process: Logger;
 }
 
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -111,9 +111,9 @@
     async start(): Promise<void> {
         const { address, logger } = this.options;
         this.socket.on("message", data => this.receive(data));
-        this.socket.on("error", (error: Error) => logger.warn({ error: error.message }, "peers: socket failed"));
+        this.socket.on("error", (error: Error) => logger.warn({ error: error.message }, "socket failed"));
         await new Promise<void>(resolve => this.socket.bind(address.port, address.host, resolve));
-        logger.info({ address }, "peers: listening");
+        logger.info({ address }, "listening");
         this.beat();
         void this.join();
     }
@@ -137,7 +137,7 @@
             if (members?.kind === "read") {
                 members.rows.forEach(({ value }) => this.learnMember(value));
                 this.hasJoined = true;
-                logger.info({ members: this.addresses.size }, "peers: joined");
+                logger.info({ members: this.addresses.size }, "joined");
                 return;
             }
             await new Promise<void>(resolve => void clock.schedule(resolve, joinRetry));
@@ -184,7 +184,7 @@
             // A datagram that cannot be sent is lost like any other; the next one follows.
             this.socket.send(message, Number(peer.slice(colon + 1)), peer.slice(0, colon), error => {
                 if (error !== null) {
-                    this.options.logger.warn({ error: String(error), peer }, "peers: send failed");
+                    this.options.logger.warn({ error: String(error), peer }, "send failed");
                 }
             });
         }
@@ -194,7 +194,7 @@
     private receive(data: Buffer): void {
         const message = parseMessage(data);
         if (message === undefined) {
-            this.options.logger.warn({ bytes: data.length }, "peers: unreadable datagram");
+            this.options.logger.warn({ bytes: data.length }, "unreadable datagram");
             return;
         }
         const { process, incarnation, known, state, sent, echoes } = message;
@@ -211,7 +211,7 @@
             this.options.onHeard?.(state, echo);
         }
         if (before?.incarnation !== incarnation) {
-            this.options.logger.info({ peer: process, incarnation }, "peers: heard of");
+            this.options.logger.info({ peer: process, incarnation }, "heard of");
         }
     }
 }
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -39,7 +39,10 @@
  */
 export class StreamRun {
     private attempt: Attempt | undefined;
+    /** Chains that failed the request in any way. */
     private readonly failedChains = new Set<string>();
+    /** Those of them that would fail it again; one that merely lost a connection may be used if no other is left. */
+    private readonly deadChains = new Set<string>();
     private sent = 0;
     private mayHaveRun = false;
     private lastEventId: string | undefined;
@@ -63,11 +66,15 @@
         this.send();
     }
 
-    /** Leaves a chain whose requests have stalled. */
+    /** Leaves a chain whose requests have stalled, if the request can go on elsewhere; else the chain may yet recover. */
     leaveChain(reason: string): void {
         const { attempt } = this;
-        if (attempt !== undefined && (this.mayResume || attempt.exchange.neverSent)) {
-            const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
+        if (attempt === undefined) {
+            return;
+        }
+        const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
+        const others = new Set([...this.failedChains, attempt.load.chain.key]);
+        if (this.mayRepeat(end) && this.service.choose(others) !== undefined) {
             attempt.exchange.cancel();
             this.attemptEnded(attempt, end, reason);
         }
@@ -79,7 +86,7 @@
     }
 
     private send(): void {
-        const load = this.service.choose(this.failedChains);
+        const load = this.service.choose(this.failedChains) ?? this.service.choose(this.deadChains);
         const head = load?.chain.hops[0];
         const target = head === undefined ? undefined : this.service.target(head.targetId);
         if (load === undefined || head === undefined || target === undefined) {
@@ -220,12 +227,15 @@
 
     private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
         this.service.broke(attempt.load, neverSent);
-        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason);
+        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
-    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string): void {
+    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, mayReuse = false): void {
         this.release();
         this.failedChains.add(attempt.load.chain.key);
+        if (!mayReuse) {
+            this.deadChains.add(attempt.load.chain.key);
+        }
         this.note(attempt, reason);
         if (attempt.isPlain) {
             this.finish();
@@ -252,7 +262,7 @@
         this.firstEventTimer?.cancel();
         const delay = this.caller.route.latencyTarget * firstEventPatience;
         this.firstEventTimer = this.context.clock.schedule(() => {
-            if (this.attempt === attempt && this.mayRepeat("unknown")) {
+            if (this.attempt === attempt) {
                 this.leaveChain("no first event");
             }
         }, delay);
