A target that refuses with room is busy, not lost: no plan follows from a refusal

Change: such a target is avoided for 1.5 s; only silence, stalled others and the list make a target lost. The new test fails before the change.

--- /dev/null
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -0,0 +1,135 @@
+import { createLogger, MetricRegistry } from "@waxwingspar/telemetry";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { GatewayMetrics, type Logs } from "../observation/Observation.js";
+import { testEngine, testTarget } from "../testing/fixtures.js";
+import { ChainService } from "./ChainService.js";
+import { type EngineReport } from "./EngineControl.js";
+import { TargetSuspicions } from "./TargetSuspicions.js";
+
+const wellReport: EngineReport = {
+    isBusy: false,
+    orders: 1,
+    layers: { first: 0, end: 40 },
+    cacheUse: 0.2,
+    waiting: 0,
+    slowdown: 1,
+    stalledBy: [],
+};
+
+function createService() {
+    const manual = new ManualClock();
+    let stoodStill = 0;
+    const clock = {
+        now: () => manual.now() + stoodStill,
+        date: () => manual.date(),
+        schedule: (callback: () => void, delay: number) => manual.schedule(callback, delay),
+        advanceAsync: (duration: number) => manual.advanceAsync(duration),
+    };
+    /** Lets time pass in which no timer of this process fires. */
+    const stand = (duration: number) => {
+        stoodStill += duration;
+    };
+    const logger = createLogger({ level: "silent" });
+    const logs: Logs = {
+        requests: logger,
+        configuration: logger,
+        directory: logger,
+        chains: logger,
+        duty: logger,
+        peers: logger,
+        process: logger,
+    };
+    const directory = new TargetDirectory({ clock });
+    directory.put(testTarget("t1", "small", { first: 0, end: 40 }));
+    directory.put(testTarget("t2", "small", { first: 40, end: 80 }));
+    const suspicions = new TargetSuspicions(clock);
+    const reports = new Map<number, EngineReport>([[1_001, wellReport], [1_002, wellReport]]);
+    const service = new ChainService({
+        clock,
+        service: "model",
+        dataCentre: "x",
+        engine: testEngine,
+        directory,
+        suspicions,
+        peerLoad: () => 0,
+        engines: {
+            fetchReport: ({ port }) => Promise.resolve(reports.get(port)),
+            place: () => Promise.resolve({ kind: "begun" }),
+        },
+        observation: { logs, metrics: new GatewayMetrics(new MetricRegistry(clock)) },
+    });
+    const load = service.choose(new Set());
+    assert.ok(load !== undefined);
+    return { clock, stand, directory, suspicions, reports, service, load };
+}
+
+test("a target that refuses though it has room is avoided for a while, but its layers stay", async () => {
+    const { clock, suspicions, service, load } = createService();
+    service.refused(load, 503, "127.0.0.1:1002");
+    await clock.advanceAsync(10);
+    assert.equal(suspicions.has("t2"), true);
+    assert.equal(suspicions.isLost("t2"), false);
+    await clock.advanceAsync(2_000);
+    assert.equal(suspicions.has("t2"), false);
+});
+
+test("a full target is avoided for a moment only", async () => {
+    const { clock, suspicions, reports, service, load } = createService();
+    reports.set(1_002, { ...wellReport, cacheUse: 0.95 });
+    service.refused(load, 503, "127.0.0.1:1002");
+    await clock.advanceAsync(10);
+    assert.equal(suspicions.has("t2"), true);
+    await clock.advanceAsync(200);
+    assert.equal(suspicions.has("t2"), false);
+});
+
+test("a target without a report is lost until it gives one", async () => {
+    const { clock, suspicions, reports, service, load } = createService();
+    reports.delete(1_002);
+    service.refused(load, 503, "127.0.0.1:1002");
+    await clock.advanceAsync(6_000);
+    assert.equal(suspicions.isLost("t2"), true);
+    reports.set(1_002, wellReport);
+    await clock.advanceAsync(4_000);
+    assert.equal(suspicions.has("t2"), false);
+});
+
+test("a target that others wait for in vain is lost", async () => {
+    const { clock, suspicions, reports, service, load } = createService();
+    reports.set(1_001, { ...wellReport, stalledBy: ["127.0.0.1:1002"] });
+    service.broke(load, false);
+    await clock.advanceAsync(10);
+    assert.equal(suspicions.isLost("t2"), true);
+});
+
+test("streams leave a chain that is silent as a whole", async () => {
+    const { clock, service, load } = createService();
+    const left: string[] = [];
+    const users = ["a", "b"].map(name => ({ leaveChain: () => void left.push(name) }));
+    users.forEach(user => {
+        service.begin(load, user);
+        service.firstEvent(load);
+    });
+    service.event(load);
+    await clock.advanceAsync(100);
+    assert.deepEqual(left, []);
+    await clock.advanceAsync(100);
+    assert.deepEqual(left, ["a", "b"]);
+});
+
+test("silence says nothing after this process itself stood still", async () => {
+    const { clock, stand, service, load } = createService();
+    const left: string[] = [];
+    ["a", "b"].forEach(name => {
+        service.begin(load, { leaveChain: () => void left.push(name) });
+        service.firstEvent(load);
+    });
+    service.event(load);
+    await clock.advanceAsync(40);
+    stand(1_000);
+    await clock.advanceAsync(80);
+    assert.deepEqual(left, []);
+});
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -49,10 +49,10 @@
 /** Milliseconds for which a target without room is avoided; requests end at a rate of several in that time. */
 const fullPause = 150;
 /**
- * Milliseconds for which a target is avoided that refuses although it has room: it is leaving, which the store may not
- * say while it is away (8 s of refusals were seen on a day with both).
+ * Milliseconds for which a target is avoided that refuses although it has room: it may be leaving, which the store may
+ * not say while it is away (8 s of refusals were seen on a day with both).
  */
-const leavingPause = 3_000;
+const leavingPause = 1_500;
 /** The share of its KV cache from which a target that refuses counts as full. */
 const fullCache = 0.85;
 /** Milliseconds for which a target is avoided that no longer holds its layers; its entry is up to date after that. */
@@ -226,7 +226,8 @@
             this.avoid(id, "busy", fullPause, "is full");
         }
         else {
-            this.avoid(id, "lost", leavingPause, "refuses, though it has room");
+            // It may be leaving, or lack room for just this request. Only the list says that its layers must go elsewhere.
+            this.avoid(id, "busy", leavingPause, "refuses, though it has room");
         }
     }
 
