--- a/packages/cli/src/lib/site/LocalSite.test.ts
+++ b/packages/cli/src/lib/site/LocalSite.test.ts
@@ -1,5 +1,6 @@
 import { type ReadableSpan, type SpanExporter } from "@opentelemetry/sdk-trace-base";
-import { createLogger, createTracing } from "@waxwingspar/telemetry";
+import { GatewayMetrics } from "@waxwingspar/gateway";
+import { createLogger, createTracing, MetricRegistry } from "@waxwingspar/telemetry";
 import { seededRandom, SystemClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
@@ -56,10 +57,12 @@
     assert.deepEqual(names, [...ofOne, ...ofOne].sort());
 });
 
-test("docs/METRICS.md lists exactly the metrics that a site has", async t => {
+test("docs/METRICS.md lists exactly the metrics that a site and a gateway have", async t => {
     const { complete, operators } = await startSite(t);
     await complete(5);
-    const text = await (await fetch(`${operators}/metrics`)).text();
+    const gateway = new MetricRegistry(new SystemClock());
+    new GatewayMetrics(gateway);
+    const text = await (await fetch(`${operators}/metrics`)).text() + gateway.render();
     const served = [...text.matchAll(/^# TYPE (\w+) (\w+)$/gm)].map(([, name = "", type = ""]) => `${name} ${type}`);
     const page = readFileSync(new URL("../../../../../docs/METRICS.md", import.meta.url), "utf8");
     const listed = [...page.matchAll(/^\| `(waxwingspar_\w+)` \| (\w+) \|/gm)].map(([, name, type]) =>
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,7 +23,7 @@
 export { Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
 export { type Address, type GatewaySettings } from "./lib/GatewaySettings.js";
 export { LogDestination, type LogDestinationOptions } from "./lib/observation/LogDestination.js";
-export { type Logs } from "./lib/observation/Observation.js";
+export { GatewayMetrics, type Logs } from "./lib/observation/Observation.js";
 export {
     type CallerRequest,
     type Dispatch,
