An order that the list shows as done is no longer pending

A standby whose load was through after 1.2 to 2.5 s still counted as pending until 4 s after its order, because the order was only cleared when the plan wanted just those layers; so the next gap waited for it. Change: what the duty knows of a target is a module of its own (TargetWork) with the rule that an order is through once the newer of entry and report shows its layers and no report says busy. Ruled out: sending on through draining targets, since a chain with one refuses.

--- a/packages/gateway/src/lib/directory/Target.ts
+++ b/packages/gateway/src/lib/directory/Target.ts
@@ -26,3 +26,8 @@
 export function addressOf(target: Pick<Target, "host" | "port">): string {
     return `${target.host}:${target.port}`;
 }
+
+/** Whether two ranges are the same; no range is not the same as any. */
+export function sameRange(a: LayerRange | undefined, b: LayerRange): boolean {
+    return a !== undefined && a.first === b.first && a.end === b.end;
+}
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -1,13 +1,14 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type EngineControl, type EngineReport } from "../chains/EngineControl.js";
+import { type EngineControl } from "../chains/EngineControl.js";
 import { type Placement, planLayers } from "../chains/planLayers.js";
 import { type TargetSuspicions } from "../chains/TargetSuspicions.js";
 import { type Engine, type Service } from "../configuration/Configuration.js";
-import { type LayerRange, type Target } from "../directory/Target.js";
+import { type LayerRange, sameRange, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
 import { type PlacementLease } from "./PlacementLease.js";
+import { type ListedTarget, TargetWork } from "./TargetWork.js";
 
 /** Options of {@link PlacementDuty}. */
 export interface PlacementDutyOptions {
@@ -31,28 +32,9 @@
 const pollInterval = 400;
 /** Milliseconds for which the list of targets must have been quiet before the first plan, as they start in any order. */
 const settleTime = 600;
-/** Milliseconds after which an order without effect is given again; a late one is refused by its count of orders. */
-const orderPatience = 4_000;
-
-/** Milliseconds for which a report of an order in progress is believed without a newer one. */
-const busyTrust = 2_000;
-
-/** What the duty knows of a target beyond its entry in the list. */
-interface WorkState {
-    /** The layers ordered last. */
-    ordered: LayerRange | undefined;
-    orderedAt: number;
-    report: EngineReport | undefined;
-    reportedAt: number;
-    /** Orders that the target is known to have accepted since its start. */
-    acceptedOrders: number;
-    isCalling: boolean;
-    nextPoll: number;
-}
-
 /** Gives targets their layers, while this process holds the lease. */
 export class PlacementDuty {
-    private readonly work = new Map<string, WorkState>();
+    private readonly work = new Map<string, TargetWork>();
     private isStopped = false;
     private seenRevision = -1;
     private quietSince: number;
@@ -119,71 +101,50 @@
         const needed = Math.min(neededWitnesses, suspects.length + 1);
         return directory.readyTargets(service)
             .filter(({ id }) => witnesses(id) < needed)
-            .map(target => ({ ...target, layers: this.expectedLayers(target) }));
-    }
-
-    /** What a target holds or loads, by the newest of its entry, its report and a pending order. */
-    private expectedLayers(target: Target): LayerRange | undefined {
-        const state = this.work.get(target.id);
-        if (state?.ordered !== undefined && this.isPending(state)) {
-            return state.ordered;
-        }
-        return this.heldLayers(target);
+            .map(target => ({ ...target, layers: this.workOf(target.id).expected(this.listed(target)) }));
     }
 
-    /** True while an order is under way: the target says so, or the last one may still begin. */
-    private isPending({ ordered, orderedAt, report, reportedAt }: WorkState): boolean {
-        const now = this.options.clock.now();
-        const isBusy = report?.isBusy === true && now - reportedAt < busyTrust;
-        return isBusy || (ordered !== undefined && now - orderedAt < orderPatience);
-    }
-
-    private heldLayers(target: Target): LayerRange | undefined {
-        const state = this.work.get(target.id);
-        const isReportNewer = state !== undefined && state.reportedAt > this.options.directory.changedAt(target.id);
-        return isReportNewer ? state.report?.layers : target.layers;
+    private listed(target: Target): ListedTarget {
+        return { target, changedAt: this.options.directory.changedAt(target.id) };
     }
 
     private bringAbout({ target, layers }: Placement, engine: Engine): void {
         const { clock, directory } = this.options;
-        const listed = directory.get(target.id);
-        if (listed === undefined) {
-            return;
-        }
-        const state = this.stateOf(target.id);
-        if (sameRange(this.heldLayers(listed), layers)) {
-            state.ordered = undefined;
+        const entry = directory.get(target.id);
+        if (entry === undefined) {
             return;
         }
-        if (state.isCalling) {
+        const listed = this.listed(entry);
+        const work = this.workOf(target.id);
+        if (sameRange(work.held(listed), layers) || work.isCalling) {
             return;
         }
-        const mustWait = this.isPending(state);
-        if (!mustWait) {
-            void this.order(listed, layers, state, engine);
+        if (!work.isPending(listed)) {
+            void this.order(listed, layers, work, engine);
         }
-        else if (clock.now() >= state.nextPoll) {
-            void this.poll(listed, state);
+        else if (clock.now() >= work.nextPoll) {
+            void this.poll(entry, work);
         }
     }
 
-    private async order(target: Target, layers: LayerRange, state: WorkState, engine: Engine): Promise<void> {
+    private async order(listed: ListedTarget, layers: LayerRange, work: TargetWork, engine: Engine): Promise<void> {
         const { clock, lease, engines, observation } = this.options;
+        const { target } = listed;
         const term = lease.term ?? 0;
         // An earlier holder has given this target orders; how many, only its report tells.
-        if (target.layers !== undefined && state.report === undefined) {
-            await this.poll(target, state);
+        if (target.layers !== undefined && !work.hasReport) {
+            await this.poll(target, work);
             return;
         }
-        const expectedOrders = state.acceptedOrders;
-        state.isCalling = true;
+        const expectedOrders = work.acceptedOrders;
+        work.isCalling = true;
         const result = await engines.place(target, { layers, fence: term, expectedOrders });
-        state.isCalling = false;
+        work.isCalling = false;
         observation.metrics.orders.add({ result: result.kind });
         observation.logs.duty.info({
             target: target.id,
             dataCentre: target.dataCentre,
-            held: this.heldLayers(target),
+            held: work.held(listed),
             layers,
             term,
             expectedOrders,
@@ -194,44 +155,33 @@
             return;
         }
         if (result.kind === "unfit") {
-            await this.poll(target, state);
+            await this.poll(target, work);
             return;
         }
-        state.acceptedOrders += result.kind === "begun" ? 1 : 0;
-        state.ordered = layers;
-        state.orderedAt = clock.now();
+        work.acceptedOrders += result.kind === "begun" ? 1 : 0;
+        work.recordOrder(layers);
         const share = (layers.end - layers.first) / engine.layers;
-        state.nextPoll = clock.now() + (result.kind === "begun" ? engine.loadTime * share : 0);
+        work.nextPoll = clock.now() + (result.kind === "begun" ? engine.loadTime * share : 0);
     }
 
-    private async poll(target: Target, state: WorkState): Promise<void> {
+    private async poll(target: Target, work: TargetWork): Promise<void> {
         const { clock, engines } = this.options;
-        state.isCalling = true;
+        work.isCalling = true;
         const report = await engines.fetchReport(target, reportTimeout);
-        state.isCalling = false;
-        state.nextPoll = clock.now() + pollInterval;
+        work.isCalling = false;
+        work.nextPoll = clock.now() + pollInterval;
         if (report !== undefined) {
-            state.report = report;
-            state.reportedAt = clock.now();
-            state.acceptedOrders = report.orders;
+            work.recordReport(report);
         }
     }
 
-    private stateOf(id: string): WorkState {
-        let state = this.work.get(id);
-        if (state === undefined) {
-            state = {
-                ordered: undefined,
-                orderedAt: 0,
-                report: undefined,
-                reportedAt: -Infinity,
-                acceptedOrders: 0,
-                isCalling: false,
-                nextPoll: 0,
-            };
-            this.work.set(id, state);
+    private workOf(id: string): TargetWork {
+        let work = this.work.get(id);
+        if (work === undefined) {
+            work = new TargetWork(this.options.clock);
+            this.work.set(id, work);
         }
-        return state;
+        return work;
     }
 
     private forgetGone(): void {
@@ -242,7 +192,3 @@
         }
     }
 }
-
-function sameRange(a: LayerRange | undefined, b: LayerRange): boolean {
-    return a !== undefined && a.first === b.first && a.end === b.end;
-}
