Chains go between data centres while none has a whole one

Change: buildChain takes targets of several data centres, with a cost for each hop between them, and finds the cheapest chain that begins in a given one. The router uses such chains only while no data centre has a whole one. Their streams may be silent for 400 ms instead of 130 before they count as stalled.

--- a/packages/gateway/src/lib/chains/Chain.ts
+++ b/packages/gateway/src/lib/chains/Chain.ts
@@ -1,9 +1,12 @@
 import { type Hop } from "../requests/messages.js";
 
-/** Targets of one data centre that together run every layer once and in order. */
+/** Targets that together run every layer once and in order. */
 export interface Chain {
     /** The targets and ranges as one text. */
     readonly key: string;
+    /** The data centre of the first target. */
     readonly dataCentre: string;
+    /** How often a request's activations go from one data centre to another. */
+    readonly crossings: number;
     readonly hops: readonly Hop[];
 }
--- /dev/null
+++ b/packages/gateway/src/lib/chains/ChainRouter.test.ts
@@ -0,0 +1,56 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { testEngine, testTarget } from "../testing/fixtures.js";
+import { ChainRouter } from "./ChainRouter.js";
+import { TargetSuspicions } from "./TargetSuspicions.js";
+
+const none: ReadonlySet<string> = new Set();
+
+function createRouter() {
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({ clock });
+    const suspicions = new TargetSuspicions(clock);
+    for (const dataCentre of ["x", "y"]) {
+        const offset = dataCentre === "x" ? 1 : 3;
+        directory.put(testTarget(`t${offset}`, "small", { first: 0, end: 40 }, dataCentre));
+        directory.put(testTarget(`t${offset + 1}`, "small", { first: 40, end: 80 }, dataCentre));
+    }
+    const router = new ChainRouter({
+        clock,
+        service: "model",
+        dataCentre: "x",
+        directory,
+        suspicions,
+        peerLoad: () => 0,
+    });
+    const hops = () => router.choose(testEngine, none)?.chain.hops.map(({ targetId }) => targetId);
+    return { suspicions, router, hops };
+}
+
+test("the chain of the own data centre comes first", () => {
+    const { hops } = createRouter();
+    assert.deepEqual(hops(), ["t1", "t2"]);
+});
+
+test("a whole chain elsewhere comes before one between data centres", () => {
+    const { suspicions, hops } = createRouter();
+    suspicions.suspect("t2", "lost", 1_000);
+    assert.deepEqual(hops(), ["t3", "t4"]);
+});
+
+test("no whole chain anywhere: one between data centres", () => {
+    const { suspicions, router, hops } = createRouter();
+    suspicions.suspect("t1", "lost", 1_000);
+    suspicions.suspect("t4", "lost", 1_000);
+    assert.deepEqual(hops(), ["t3", "t2"]);
+    assert.equal(router.current(testEngine)[0]?.chain.crossings, 1);
+});
+
+test("a range that nobody holds: no chain", () => {
+    const { suspicions, hops } = createRouter();
+    suspicions.suspect("t2", "lost", 1_000);
+    suspicions.suspect("t4", "lost", 1_000);
+    assert.equal(hops(), undefined);
+});
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -1,5 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Engine } from "../configuration/Configuration.js";
+import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { buildChain } from "./buildChain.js";
 import { type Chain } from "./Chain.js";
@@ -36,6 +37,17 @@
  */
 const localAdvantage = 20;
 
+/**
+ * Chains through targets of several data centres, for the seconds in which none has a whole chain of its own: one that
+ * begins in each data centre, so that they share the pipes, of those with the fewest hops from one to another. Where three
+ * targets of three data centres were lost at once, callers got nothing for 1.5 s without them.
+ */
+function mixedChains(dataCentres: readonly string[], targets: readonly Target[], engine: Engine): Chain[] {
+    const chains = dataCentres.flatMap(dataCentre => buildChain(dataCentre, targets, engine) ?? []);
+    const fewest = Math.min(...chains.map(({ crossings }) => crossings));
+    return chains.filter(({ crossings }) => crossings === fewest);
+}
+
 /**
  * Knows the best chain of each data centre for one service, and how many requests of this process are on it.
  */
@@ -63,7 +75,7 @@
         );
     }
 
-    /** The chains as they are now, one for each data centre at most. */
+    /** The chains as they are now, one that begins in each data centre at most. */
     current(engine: Engine): ChainLoad[] {
         const { directory, suspicions } = this.options;
         const suspected = suspicions.list();
@@ -86,10 +98,11 @@
         const targets = this.options.directory.readyTargets(this.options.service)
             .filter(({ id }) => !suspected.has(id));
         const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
-        const chains = dataCentres.flatMap(dataCentre => {
+        const local = dataCentres.flatMap(dataCentre => {
             const chain = buildChain(dataCentre, targets.filter(target => target.dataCentre === dataCentre), engine);
             return chain === undefined ? [] : [chain];
         });
+        const chains = local.length > 0 ? local : mixedChains(dataCentres, targets, engine);
         for (const [key, load] of this.loads) {
             if (load.inFlight === 0 && chains.every(chain => chain.key !== key)) {
                 this.loads.delete(key);
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -3,6 +3,7 @@
 import { addressOf, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
+import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { type EngineControl, type EngineReport } from "./EngineControl.js";
 import { type SuspicionKind, type TargetSuspicions } from "./TargetSuspicions.js";
@@ -34,6 +35,11 @@
  * event in about 30 ms and callers count a pause over 200 ms as late, of which a new prefill takes about 80.
  */
 const stallSilence = 130;
+/**
+ * The same for a chain between data centres, whose tokens wait behind the prompts of others on a pipe that all share. The
+ * figure is chosen: a prompt takes about 20 ms of a pipe, and few are on it at once.
+ */
+const crossingSilence = 400;
 /** A look that comes so late means that this process itself stood still, so silence proves nothing. */
 const lateCheck = 90;
 /** Milliseconds for which a stalled chain gets no new requests unless a look at its targets finds one at fault. */
@@ -163,7 +169,7 @@
                 load.lastEventAt = now;
                 continue;
             }
-            if (load.streaming >= stallStreams && now - load.lastEventAt > stallSilence) {
+            if (load.streaming >= stallStreams && now - load.lastEventAt > silenceLimit(load.chain)) {
                 this.leaveStalled(load, users, now);
             }
         }
@@ -243,3 +249,8 @@
         this.options.observation.logs.chains.warn({ target: id, kind, reason, duration }, "target avoided");
     }
 }
+
+/** Milliseconds without an event of any stream that mean a stall of a chain. */
+function silenceLimit({ crossings }: Chain): number {
+    return crossings > 0 ? crossingSilence : stallSilence;
+}
--- a/packages/gateway/src/lib/chains/buildChain.test.ts
+++ b/packages/gateway/src/lib/chains/buildChain.test.ts
@@ -45,3 +45,26 @@
     const rest = targets.filter(({ id }) => id !== second?.targetId);
     assert.ok(buildChain("x", rest, testEngine) !== undefined);
 });
+
+test("a layer that one data centre lacks is run in another one, with the fewest hops between them", () => {
+    const targets = [
+        testTarget("t1", "small", { first: 0, end: 40 }, "x"),
+        testTarget("t2", "small", { first: 48, end: 80 }, "x"),
+        testTarget("t3", "small", { first: 13, end: 48 }, "y"),
+        testTarget("t4", "small", { first: 48, end: 80 }, "y"),
+    ];
+    const chain = buildChain("x", targets, testEngine);
+    assert.deepEqual(chain?.hops.map(({ targetId }) => targetId), ["t1", "t3", "t4"]);
+    assert.equal(chain.crossings, 1);
+});
+
+test("a chain begins in the data centre that is asked for", () => {
+    const targets = [
+        testTarget("t1", "small", { first: 0, end: 40 }, "x"),
+        testTarget("t2", "small", { first: 40, end: 80 }, "x"),
+        testTarget("t3", "small", { first: 0, end: 60 }, "y"),
+    ];
+    assert.equal(buildChain("y", targets, testEngine)?.hops[0]?.targetId, "t3");
+    assert.equal(buildChain("x", targets, testEngine)?.crossings, 0);
+    assert.equal(buildChain("z", targets, testEngine), undefined);
+});
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -5,51 +5,70 @@
 import { hopCost } from "./planLayers.js";
 
 /**
- * Finds the fastest chain through targets of one data centre. Ranges of targets may overlap; a hop runs only the part of
- * its range that the hops before it left.
+ * Cost of a hop to another data centre against the reference's time for a whole step. Chosen so high that no detour over
+ * slow accelerators is too long to save one: the activations of a usual request take 25 ms of a pipe that all share.
+ */
+const crossingCost = 20;
+
+/**
+ * Finds the fastest chain that begins in a data centre, with as few hops between data centres as the targets allow.
+ * Ranges of targets may overlap; a hop runs only the part of its range that the hops before it left.
  *
+ * @param targets - The targets that may take part; those of one data centre give a chain that stays inside it.
  * @returns Undefined when the targets do not hold all layers.
  */
 export function buildChain(dataCentre: string, targets: readonly Target[], engine: Engine): Chain | undefined {
     const factors = new Map(engine.accelerators.map(({ name, stepFactor }) => [name, stepFactor]));
     const holders = targets.filter(target => target.layers !== undefined);
-    /** The cheapest way to have run all layers before the index. */
-    const best: (Step | undefined)[] = [{ cost: 0 }];
+    /** The cheapest way to have run all layers before the index, by the data centre that it has come to. */
+    const best = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
+    best[0]?.set(dataCentre, { cost: 0, crossings: 0, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
-        const reached = best[layer];
-        if (reached === undefined) {
-            continue;
-        }
-        for (const target of holders) {
-            const layers = target.layers;
-            if (layers === undefined || layers.first > layer || layers.end <= layer || isUsed(reached, target)) {
-                continue;
-            }
-            const factor = factors.get(target.accelerator ?? "") ?? 1;
-            for (let end = layer + 1; end <= Math.min(layers.end, engine.layers); end++) {
-                const cost = reached.cost + hopCost + factor * (end - layer) / engine.layers;
-                const known = best[end];
-                if (known === undefined || cost < known.cost) {
-                    best[end] = { cost, before: reached, target, layers: { first: layer, end } };
+        const next = holders.filter(({ layers }) => layers !== undefined && layers.first <= layer && layers.end > layer);
+        for (const reached of best[layer]?.values() ?? []) {
+            for (const target of next) {
+                const isCrossing = target.dataCentre !== reached.dataCentre;
+                if ((isCrossing && layer === 0) || isUsed(reached, target)) {
+                    continue;
+                }
+                const base = reached.cost + hopCost + (isCrossing ? crossingCost : 0);
+                const factor = factors.get(target.accelerator ?? "") ?? 1;
+                for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
+                    const cost = base + factor * (end - layer) / engine.layers;
+                    const known = best[end]?.get(target.dataCentre);
+                    if (known === undefined || cost < known.cost) {
+                        best[end]?.set(target.dataCentre, {
+                            cost,
+                            crossings: reached.crossings + (isCrossing ? 1 : 0),
+                            dataCentre: target.dataCentre,
+                            before: reached,
+                            target,
+                            layers: { first: layer, end },
+                        });
+                    }
                 }
             }
         }
     }
-    const hops = collectHops(best[engine.layers]);
-    if (hops.length === 0) {
-        return undefined;
-    }
-    const key = hops.map(({ targetId, layers }) => `${targetId}:${layers.first}-${layers.end}`).join(",");
-    return { key, dataCentre, hops };
+    return toChain(dataCentre, cheapest([...best[engine.layers]?.values() ?? []]));
 }
 
 interface Step {
     readonly cost: number;
+    readonly crossings: number;
+    readonly dataCentre: string;
     readonly before?: Step;
     readonly target?: Target;
     readonly layers?: LayerRange;
 }
 
+function cheapest(steps: readonly Step[]): Step | undefined {
+    return steps.reduce<Step | undefined>(
+        (best, step) => best === undefined || step.cost < best.cost ? step : best,
+        undefined,
+    );
+}
+
 function isUsed(step: Step, target: Target): boolean {
     for (let at: Step | undefined = step; at !== undefined; at = at.before) {
         if (at.target === target) {
@@ -59,10 +78,14 @@
     return false;
 }
 
-function collectHops(last: Step | undefined): Hop[] {
+function toChain(dataCentre: string, last: Step | undefined): Chain | undefined {
     const hops: Hop[] = [];
     for (let step = last; step?.target !== undefined && step.layers !== undefined; step = step.before) {
         hops.unshift({ targetId: step.target.id, address: addressOf(step.target), layers: step.layers });
     }
-    return hops;
+    if (last === undefined || hops.length === 0) {
+        return undefined;
+    }
+    const key = hops.map(({ targetId, layers }) => `${targetId}:${layers.first}-${layers.end}`).join(",");
+    return { key, dataCentre, crossings: last.crossings, hops };
 }
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -20,8 +20,8 @@
     ],
 };
 
-/** Creates a target of a service "model" in the data centre "x". */
-export function testTarget(id: string, accelerator: string, layers?: LayerRange): Target {
+/** Creates a target of a service "model". */
+export function testTarget(id: string, accelerator: string, layers?: LayerRange, dataCentre = "x"): Target {
     const port = 1_000 + Number(id.replaceAll(/\D/g, "") || 0);
-    return { id, service: "model", host: "127.0.0.1", port, dataCentre: "x", state: "ready", accelerator, layers };
+    return { id, service: "model", host: "127.0.0.1", port, dataCentre, state: "ready", accelerator, layers };
 }
