Chains that fall silent are surveyed before streams move; only arrivals count as repeats

Sends that never arrived were counted as well. Change: AttemptLimits (one copy for plain and streamed requests) counts arrivals only. TargetInspector, split from ChainService, looks at the targets of a stalled chain and of the next one together; a target still silent 40 ms after most have answered is avoided at once. Repeats go only to chains that have not stalled. A stream that may have run waits up to 1.8 s of its caller's two for such a chain. A target that refuses gets nothing until it has answered, then 0.3 s (before 1.5), doubled each time that it comes again; so are targets that stall others (2 to 16 s).

--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -65,14 +65,14 @@
      * @returns Undefined when no data centre has a chain that may be used.
      */
     choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+        return this.cheapest(this.current(engine).filter(({ chain }) => !excluded.has(chain.key)));
+    }
+
+    /** The same, but none that is avoided. */
+    chooseWell(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
-        const usable = this.current(engine).filter(({ chain }) => !excluded.has(chain.key));
-        const well = usable.filter(load => load.avoidedUntil <= now);
-        const candidates = well.length > 0 ? well : usable;
-        return candidates.reduce<ChainLoad | undefined>(
-            (best, load) => best === undefined || this.cost(load) < this.cost(best) ? load : best,
-            undefined,
-        );
+        const well = this.current(engine).filter(load => load.avoidedUntil <= now);
+        return this.cheapest(well.filter(({ chain }) => !excluded.has(chain.key)));
     }
 
     /** The chains as they are now, one that begins in each data centre at most. */
@@ -127,6 +127,13 @@
         return load;
     }
 
+    private cheapest(loads: readonly ChainLoad[]): ChainLoad | undefined {
+        return loads.reduce<ChainLoad | undefined>(
+            (best, load) => best === undefined || this.cost(load) < this.cost(best) ? load : best,
+            undefined,
+        );
+    }
+
     private cost({ chain, inFlight }: ChainLoad): number {
         const head = chain.hops[0]?.targetId ?? "";
         return inFlight + this.options.peerLoad(head)
--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -3,22 +3,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
-import { GatewayMetrics, type Logs } from "../observation/Observation.js";
-import { testEngine, testTarget } from "../testing/fixtures.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { silentLogs, testEngine, testTarget, wellReport } from "../testing/fixtures.js";
 import { ChainService } from "./ChainService.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetSuspicions } from "./TargetSuspicions.js";
 
-const wellReport: EngineReport = {
-    isBusy: false,
-    orders: 1,
-    layers: { first: 0, end: 40 },
-    cacheUse: 0.2,
-    waiting: 0,
-    slowdown: 1,
-    stalledBy: [],
-};
-
 function createService() {
     const manual = new ManualClock();
     let stoodStill = 0;
@@ -32,16 +22,7 @@
     const stand = (duration: number) => {
         stoodStill += duration;
     };
-    const logger = createLogger({ level: "silent" });
-    const logs: Logs = {
-        requests: logger,
-        configuration: logger,
-        directory: logger,
-        chains: logger,
-        duty: logger,
-        peers: logger,
-        process: logger,
-    };
+    const logs = silentLogs(createLogger({ level: "silent" }));
     const directory = new TargetDirectory({ clock });
     directory.put(testTarget("t1", "small", { first: 0, end: 40 }));
     directory.put(testTarget("t2", "small", { first: 40, end: 80 }));
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -1,12 +1,13 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Engine } from "../configuration/Configuration.js";
-import { addressOf, type Target } from "../directory/Target.js";
+import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
 import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
-import { type EngineControl, type EngineReport } from "./EngineControl.js";
-import { type SuspicionKind, type TargetSuspicions } from "./TargetSuspicions.js";
+import { type EngineControl } from "./EngineControl.js";
+import { TargetInspector } from "./TargetInspector.js";
+import { type TargetSuspicions } from "./TargetSuspicions.js";
 
 /** A request on a chain, which can be told to leave it. */
 export interface ChainUser {
@@ -44,44 +45,36 @@
 const lateCheck = 90;
 /** Milliseconds for which a stalled chain gets no new requests unless a look at its targets finds one at fault. */
 const stalledPause = 1_500;
-/** Milliseconds that a report may take. */
-const reportTimeout = 300;
-/** Milliseconds for which a target that gave no report is avoided; then it is looked at again. */
-const silentPause = 2_000;
-/** Milliseconds before the end of that at which the next look begins, so that it ends in time. */
-const reinspectLead = 400;
-/** Milliseconds for which a target is avoided that is giving up or loading layers. */
-const reorderedPause = 400;
-/** Milliseconds for which a target without room is avoided; requests end at a rate of several in that time. */
-const fullPause = 150;
-/**
- * Milliseconds for which a target is avoided that refuses although it has room: it may be leaving, which the store may
- * not say while it is away. With both at once, 47 requests were refused in 4 s of a played day. The time is chosen.
- */
-const leavingPause = 1_500;
-/** The share of its KV cache from which a target that refuses counts as full. */
-const fullCache = 0.85;
-/** Milliseconds for which a target is avoided that no longer holds its layers; its entry is up to date after that. */
-const misplacedPause = 1_500;
+/** Milliseconds between two surveys of a chain: each is priced, and a lost range takes longer to come back. */
+const surveyPause = 500;
+/** Milliseconds without an event after which streams leave a chain with a silent target. */
+const doubtfulSilence = 80;
 const misdirected = 421;
 
 /** The chains of one service: choice, stalls, and which target is to blame. */
 export class ChainService {
     private readonly router: ChainRouter;
     private readonly users = new Map<ChainLoad, Set<ChainUser>>();
-    private readonly inspections = new Set<string>();
+    private readonly inspector: TargetInspector;
+    private readonly surveyedAt = new WeakMap<ChainLoad, number>();
     private checkedAt: number;
     private isStopped = false;
 
     constructor(private readonly options: ChainServiceOptions) {
         this.router = new ChainRouter(options);
+        this.inspector = new TargetInspector(options);
         this.checkedAt = options.clock.now();
         this.scheduleCheck();
     }
 
     /** Chooses a chain that is not among the failed ones. */
     choose(failed: ReadonlySet<string>): ChainLoad | undefined {
-        return this.router.choose(this.options.engine, failed);
+        return this.chooseWell(failed) ?? this.router.choose(this.options.engine, failed);
+    }
+
+    /** The same, but none that stalled a moment ago: a repeat is worth its part of the budget on a sound chain only. */
+    chooseWell(failed: ReadonlySet<string>): ChainLoad | undefined {
+        return this.router.chooseWell(this.options.engine, failed);
     }
 
     /** Requests of this process in flight, by the first target of their chain. */
@@ -95,6 +88,7 @@
 
     stop(): void {
         this.isStopped = true;
+        this.inspector.stop();
     }
 
     /** A request is sent over the chain. */
@@ -135,20 +129,20 @@
             return;
         }
         if (status === misdirected) {
-            this.avoid(hop.targetId, "busy", misplacedPause, "does not hold its layers");
+            this.inspector.avoidMisplaced(hop.targetId);
             return;
         }
-        void this.inspect(hop.targetId, true);
+        this.inspector.inspectRefusing(hop.targetId);
     }
 
     /** A stream of the chain broke off. */
     broke(load: ChainLoad, neverSent: boolean): void {
         const head = load.chain.hops[0];
         if (neverSent && head !== undefined) {
-            this.avoid(head.targetId, "lost", silentPause, "cannot be reached");
+            this.inspector.avoidUnreachable(head.targetId);
             return;
         }
-        void this.inspectAll(load);
+        void this.survey(load);
     }
 
     private scheduleCheck(): void {
@@ -164,89 +158,58 @@
         const now = this.options.clock.now();
         const stoodStill = now - this.checkedAt > lateCheck;
         this.checkedAt = now;
-        for (const [load, users] of this.users) {
+        for (const load of this.users.keys()) {
             if (stoodStill || load.streaming === 0) {
                 load.lastEventAt = now;
                 continue;
             }
             if (load.streaming >= stallStreams && now - load.lastEventAt > silenceLimit(load.chain)) {
-                this.leaveStalled(load, users, now);
+                void this.leaveStalled(load, now);
             }
         }
     }
 
-    private leaveStalled(load: ChainLoad, users: Set<ChainUser>, now: number): void {
+    private async leaveStalled(load: ChainLoad, now: number): Promise<void> {
+        const stalledSince = load.lastEventAt;
         load.avoidedUntil = now + stalledPause;
-        const silence = Math.round(now - load.lastEventAt);
         load.lastEventAt = now;
         this.options.observation.logs.chains.warn({
             chain: load.chain.dataCentre,
-            silence,
+            silence: Math.round(now - stalledSince),
             streams: load.streaming,
             requests: load.inFlight,
         }, "chain stalled");
-        void this.inspectAll(load);
-        [...users].forEach(user => user.leaveChain("chain stalled"));
-    }
-
-    private async inspectAll(load: ChainLoad): Promise<void> {
-        const results = await Promise.all(load.chain.hops.map(({ targetId }) => this.inspect(targetId)));
-        if (results.every(isWell => isWell)) {
-            this.options.observation.logs.chains.info({ chain: load.chain.dataCentre }, "all targets answer");
+        await this.survey(load);
+        if (load.lastEventAt === now) {
+            this.leave(load, "chain stalled");
         }
     }
 
     /**
-     * Looks whether a target answers, and whether it has room.
-     *
-     * @param hasRefused - Whether it has just refused a request.
-     * @returns True if it seems well, or if another look is under way.
+     * Looks at the targets of a chain that failed, and of the one that its requests would move to: when several are lost
+     * at once, a move to the next broken chain would use up attempts and the retry budget. Requests leave every chain on
+     * which a target is found to be silent.
      */
-    private async inspect(id: string, hasRefused = false): Promise<boolean> {
-        const target = this.options.directory.get(id);
-        if (target === undefined || this.inspections.has(id)) {
-            return true;
-        }
-        this.inspections.add(id);
-        const report = await this.options.engines.fetchReport(target, reportTimeout);
-        this.inspections.delete(id);
-        if (report === undefined) {
-            this.avoid(id, "lost", silentPause, "gives no report");
-            this.options.clock.schedule(() => void this.inspectAgain(id), silentPause - reinspectLead);
-            return false;
-        }
-        if (hasRefused) {
-            this.judgeRefusal(id, report);
-            return false;
-        }
-        const culprits = this.options.directory.list().filter(other => report.stalledBy.includes(addressOf(other)));
-        culprits.forEach(culprit => this.avoid(culprit.id, "lost", silentPause, "stalls others"));
-        return culprits.length === 0;
-    }
-
-    private judgeRefusal(id: string, report: EngineReport): void {
-        if (report.isBusy) {
-            this.avoid(id, "busy", reorderedPause, "changes its layers");
-        }
-        else if (report.waiting > 0 || report.cacheUse > fullCache) {
-            this.avoid(id, "busy", fullPause, "is full");
-        }
-        else {
-            // It may be leaving, or lack room for just this request. Only the list says that its layers must go elsewhere.
-            this.avoid(id, "busy", leavingPause, "refuses, though it has room");
+    private async survey(load: ChainLoad): Promise<void> {
+        const { clock } = this.options;
+        if (clock.now() - (this.surveyedAt.get(load) ?? -Infinity) < surveyPause) {
+            return;
         }
-    }
-
-    /** A target that gave no report stays avoided until it gives one or is no longer listed. */
-    private async inspectAgain(id: string): Promise<void> {
-        if (!this.isStopped && this.options.directory.get(id) !== undefined) {
-            await this.inspect(id);
+        this.surveyedAt.set(load, clock.now());
+        const next = this.choose(new Set([load.chain.key]));
+        const hops = [...load.chain.hops, ...next?.chain.hops ?? []];
+        const silent = await this.inspector.survey([...new Set(hops.map(({ targetId }) => targetId))]);
+        for (const other of this.users.keys()) {
+            const culprit = other.chain.hops.find(({ targetId }) => silent.includes(targetId));
+            const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > doubtfulSilence;
+            if (culprit !== undefined && isDoubtful) {
+                this.leave(other, `${culprit.address} is silent`);
+            }
         }
     }
 
-    private avoid(id: string, kind: SuspicionKind, duration: number, reason: string): void {
-        this.options.suspicions.suspect(id, kind, duration);
-        this.options.observation.logs.chains.warn({ target: id, kind, reason, duration }, "target avoided");
+    private leave(load: ChainLoad, reason: string): void {
+        [...this.users.get(load) ?? []].forEach(user => user.leaveChain(reason));
     }
 }
 
--- /dev/null
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -0,0 +1,107 @@
+import { createLogger, MetricRegistry } from "@waxwingspar/telemetry";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { silentLogs, testTarget, wellReport } from "../testing/fixtures.js";
+import { type EngineReport } from "./EngineControl.js";
+import { TargetInspector } from "./TargetInspector.js";
+import { TargetSuspicions } from "./TargetSuspicions.js";
+
+const ids = ["t1", "t2", "t3", "t4", "t5"];
+
+/** Targets of whom the named ones never answer; the others do after `delay` milliseconds. */
+function createInspector(silent: readonly string[], delay = 10) {
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({ clock });
+    ids.forEach(id => directory.put(testTarget(id, "small")));
+    const suspicions = new TargetSuspicions(clock);
+    const reports = new Map<string, EngineReport>(ids.map(id => [id, wellReport]));
+    const inspector = new TargetInspector({
+        clock,
+        directory,
+        suspicions,
+        engines: {
+            fetchReport: ({ port }, timeout) => {
+                const id = `t${port - 1_000}`;
+                const isSilent = silent.includes(id);
+                return new Promise(resolve => {
+                    clock.schedule(() => resolve(isSilent ? undefined : reports.get(id)), isSilent ? timeout : delay);
+                });
+            },
+            place: () => Promise.resolve({ kind: "begun" }),
+        },
+        observation: {
+            logs: silentLogs(createLogger({ level: "silent" })),
+            metrics: new GatewayMetrics(new MetricRegistry(clock)),
+        },
+    });
+    return { clock, suspicions, reports, inspector };
+}
+
+test("a target that is silent while the others answer is avoided at once", async () => {
+    const { clock, suspicions, inspector } = createInspector(["t2"]);
+    let found: string[] | undefined;
+    void inspector.survey(ids).then(silent => found = silent);
+    await clock.advanceAsync(60);
+    assert.deepEqual(found, ["t2"]);
+    assert.equal(suspicions.has("t2"), true);
+    assert.equal(suspicions.isLost("t2"), false);
+    await clock.advanceAsync(260);
+    assert.equal(suspicions.isLost("t2"), true);
+});
+
+test("while nobody answers, nobody is avoided before the time limit", async () => {
+    const { clock, suspicions, inspector } = createInspector(ids);
+    void inspector.survey(ids);
+    await clock.advanceAsync(250);
+    assert.deepEqual(suspicions.list(), []);
+    await clock.advanceAsync(100);
+    assert.deepEqual(suspicions.listLost(), ids);
+});
+
+test("answers that come late together blame nobody", async () => {
+    const { clock, suspicions, inspector } = createInspector([], 200);
+    let found: string[] | undefined;
+    void inspector.survey(ids).then(silent => found = silent);
+    await clock.advanceAsync(250);
+    assert.deepEqual(found, []);
+    assert.deepEqual(suspicions.list(), []);
+});
+
+test("a target that refuses gets nothing until it has answered", async () => {
+    const { clock, suspicions, inspector } = createInspector([], 100);
+    inspector.inspectRefusing("t1");
+    assert.equal(suspicions.has("t1"), true);
+    await clock.advanceAsync(110);
+    assert.equal(suspicions.has("t1"), true);
+    await clock.advanceAsync(300);
+    assert.equal(suspicions.has("t1"), false);
+});
+
+test("a target that refuses with room again and again is avoided for longer each time", async () => {
+    const { clock, suspicions, inspector } = createInspector([], 10);
+    const durations: number[] = [];
+    for (let round = 0; round < 3; round++) {
+        inspector.inspectRefusing("t1");
+        await clock.advanceAsync(10);
+        const begin = clock.now();
+        while (suspicions.has("t1")) {
+            await clock.advanceAsync(10);
+        }
+        durations.push(clock.now() - begin);
+    }
+    assert.deepEqual(durations, [300, 600, 1_200]);
+});
+
+test("a target that stalls others again and again is avoided for longer each time", async () => {
+    const { clock, suspicions, reports, inspector } = createInspector([], 10);
+    reports.set("t1", { ...wellReport, stalledBy: ["127.0.0.1:1002"] });
+    void inspector.survey(["t1"]);
+    await clock.advanceAsync(2_100);
+    assert.equal(suspicions.has("t2"), false);
+    void inspector.survey(["t1"]);
+    await clock.advanceAsync(3_900);
+    assert.equal(suspicions.isLost("t2"), true);
+});
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -24,7 +24,9 @@
     const best = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
     best[0]?.set(dataCentre, { cost: 0, crossings: 0, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
-        const next = holders.filter(({ layers }) => layers !== undefined && layers.first <= layer && layers.end > layer);
+        const next = holders.filter(({ layers }) =>
+            layers !== undefined && layers.first <= layer && layers.end > layer
+        );
         for (const reached of best[layer]?.values() ?? []) {
             for (const target of next) {
                 const isCrossing = target.dataCentre !== reached.dataCentre;
--- /dev/null
+++ b/packages/gateway/src/lib/requests/AttemptLimits.test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AttemptLimits } from "./AttemptLimits.js";
+
+function createLimits(allowance: number, maxAttempts = 2) {
+    const budget = {
+        left: allowance,
+        take: () => budget.left > 0 && budget.left-- > 0,
+        giveBack: () => void budget.left++,
+    };
+    return { budget, limits: new AttemptLimits({ budget, maxAttempts }) };
+}
+
+test("the first send takes no repeat", () => {
+    const { budget, limits } = createLimits(1);
+    assert.equal(limits.begin(), true);
+    assert.equal(budget.left, 1);
+});
+
+test("a send after one that never arrived takes no repeat", () => {
+    const { budget, limits } = createLimits(1);
+    limits.begin();
+    limits.end("neverSent");
+    assert.equal(limits.begin(), true);
+    assert.equal(budget.left, 1);
+    assert.equal(limits.hasAttemptLeft, true);
+});
+
+test("a repeat that never arrived is given back", () => {
+    const { budget, limits } = createLimits(1);
+    limits.begin();
+    limits.end("unknown");
+    assert.equal(limits.begin(), true);
+    assert.equal(budget.left, 0);
+    limits.end("neverSent");
+    assert.equal(budget.left, 1);
+    assert.equal(limits.mayHaveRun, true);
+});
+
+test("a refusal as not executed is an attempt and its repeat counts", () => {
+    const { budget, limits } = createLimits(5);
+    limits.begin();
+    limits.end("neverExecuted");
+    assert.equal(limits.hasAttemptLeft, true);
+    limits.begin();
+    assert.equal(budget.left, 4);
+    assert.equal(limits.hasAttemptLeft, false);
+    assert.equal(limits.mayHaveRun, false);
+});
+
+test("as many attempts as the route allows", () => {
+    const { limits } = createLimits(5, 3);
+    let sends = 0;
+    while (limits.hasAttemptLeft && limits.begin()) {
+        sends++;
+        limits.end("unknown");
+    }
+    assert.equal(sends, 3);
+});
+
+test("without budget no repeat", () => {
+    const { limits } = createLimits(0);
+    limits.begin();
+    limits.end("neverExecuted");
+    assert.equal(limits.begin(), false);
+});
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -3,6 +3,7 @@
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
 import { type Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
@@ -28,9 +29,6 @@
     bytes: number;
 }
 
-/** What is known when an attempt has ended without a reply that can be passed on. */
-type AttemptEnd = "neverSent" | "neverExecuted" | "unknown";
-
 /**
  * Runs one request on a plain service: sends it, repeats it where its kind allows, and answers with one of three
  * outcomes: the target's reply, a refusal that promises that nothing ran, or an unknown outcome.
@@ -38,9 +36,7 @@
 export class PlainRun {
     private readonly attempts = new Set<Attempt>();
     private readonly tried = new Set<string>();
-    /** Sends that may have reached a target. */
-    private sent = 0;
-    private mayHaveRun = false;
+    private readonly limits: AttemptLimits;
     /** A complete reply by which the target reports its own failure, for want of a better one. */
     private failedReply: Attempt | undefined;
     private deadlineTimer: Timer | undefined;
@@ -50,7 +46,9 @@
         private readonly context: RequestContext,
         private readonly caller: CallerExchange,
         private readonly picker: ServicePicker,
-    ) {}
+    ) {
+        this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+    }
 
     start(): void {
         const { clock } = this.context;
@@ -76,9 +74,14 @@
             }
             return;
         }
+        if (!this.limits.begin()) {
+            if (this.attempts.size === 0) {
+                this.giveUp("retry budget is used up");
+            }
+            return;
+        }
         this.tried.add(target.id);
         this.picker.sent(target.id);
-        this.sent++;
         const { context, caller } = this;
         const attempt: Attempt = {
             target,
@@ -147,7 +150,6 @@
             this.deliver(attempt);
             return;
         }
-        this.mayHaveRun = true;
         this.failedReply = attempt;
         this.note(attempt, `target's own status ${status}`);
         this.continueAfter("unknown");
@@ -174,25 +176,21 @@
 
     /** Decides what follows an attempt that brought no reply. */
     private continueAfter(end: AttemptEnd): void {
-        if (end === "neverSent") {
-            this.sent--;
-        }
-        this.mayHaveRun ||= end === "unknown";
+        this.limits.end(end);
         if (this.attempts.size > 0) {
             return;
         }
-        const mayRepeat = (end !== "unknown" || this.isIdempotent) && this.sent < this.caller.route.maxAttempts;
-        if (mayRepeat && this.caller.timeLeft > 0 && this.context.budget.take()) {
+        const isAllowed = end !== "unknown" || this.isIdempotent;
+        if (isAllowed && this.limits.hasAttemptLeft && this.caller.timeLeft > 0) {
             this.send();
             return;
         }
-        this.giveUp(mayRepeat ? "retry budget is used up" : "no repeat is allowed");
+        this.giveUp("no repeat is allowed");
     }
 
     /** Sends an idempotent request to a second target while the first one takes its time. */
     private hedge(): void {
-        const isAllowed = this.attempts.size === 1 && this.sent < this.caller.route.maxAttempts;
-        if (isAllowed && !this.caller.headSent && this.context.budget.take()) {
+        if (this.attempts.size === 1 && this.limits.hasAttemptLeft && !this.caller.headSent) {
             this.send();
         }
     }
@@ -213,7 +211,7 @@
             this.deliver(this.failedReply);
             return;
         }
-        const mayRun = this.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
+        const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
         this.finish();
         if (mayRun) {
             this.caller.refuse(
--- a/packages/gateway/src/lib/requests/RepeatBudget.ts
+++ b/packages/gateway/src/lib/requests/RepeatBudget.ts
@@ -46,6 +46,11 @@
         this.repeats.push(now);
         return true;
     }
+
+    /** Gives back the newest repeat, which reached no target: only arrivals count against the allowance. */
+    giveBack(): void {
+        this.repeats.pop();
+    }
 }
 
 function dropBefore(times: number[], bound: number): void {
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -3,6 +3,7 @@
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { type Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { openExchange } from "./openExchange.js";
@@ -14,6 +15,13 @@
 const fullRetryAfter = 400;
 /** Milliseconds after which a caller may come back when no chain is whole: a lost range is loaded anew in 1.2 to 1.6 s. */
 const brokenRetryAfter = 1_500;
+/** Milliseconds between two looks for a chain on which a stream that broke off can go on. */
+const resumeInterval = 200;
+/**
+ * Milliseconds after its last event for which a stream waits for such a chain: callers abandon one that is silent for two
+ * seconds. A lost range has a chain round it, or is loaded anew, within 0.4 to 1.6 s.
+ */
+const resumePatience = 1_800;
 /** How long the first event may take, against its latency target, before another chain is tried. */
 const firstEventPatience = 3;
 /** Targets admit requests of a lower number first; 5 is what they assume. A caller that waits in mid-stream goes first. */
@@ -33,9 +41,6 @@
     hasEvents: boolean;
 }
 
-/** What is known when an attempt has ended before its stream did. */
-type AttemptEnd = "neverSent" | "neverExecuted" | "unknown";
-
 /**
  * Runs one streamed request over a chain of targets. A stream that breaks off or stalls goes on over another chain after
  * the last event that the caller has, where its route allows that; the caller sees one stream.
@@ -46,8 +51,9 @@
     private readonly failedChains = new Set<string>();
     /** Those of them that would fail it again; one that merely lost a connection may be used if no other is left. */
     private readonly deadChains = new Set<string>();
-    private sent = 0;
-    private mayHaveRun = false;
+    private readonly limits: AttemptLimits;
+    private lastEventAt: number;
+    private resumeTimer: Timer | undefined;
     private lastEventId: string | undefined;
     private events = 0;
     private deadlineTimer: Timer | undefined;
@@ -59,6 +65,8 @@
         private readonly service: ChainService,
     ) {
         this.lastEventId = caller.request.lastEventId;
+        this.lastEventAt = context.clock.now();
+        this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
     }
 
     start(): void {
@@ -77,7 +85,7 @@
         }
         const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
         const others = new Set([...this.failedChains, attempt.load.chain.key]);
-        if (this.mayRepeat(end) && this.service.choose(others) !== undefined) {
+        if (this.mayRepeat(end) && this.service.chooseWell(others) !== undefined) {
             attempt.exchange.cancel();
             this.attemptEnded(attempt, end, reason);
         }
@@ -89,15 +97,18 @@
     }
 
     private send(): void {
-        const load = this.service.choose(this.failedChains) ?? this.service.choose(this.deadChains);
+        const load = this.chooseChain();
         const head = load?.chain.hops[0];
         const target = head === undefined ? undefined : this.service.target(head.targetId);
         if (load === undefined || head === undefined || target === undefined) {
-            this.giveUp("no chain is left");
+            this.waitOrGiveUp("no chain is left");
+            return;
+        }
+        if (!this.limits.begin()) {
+            this.giveUp("retry budget is used up");
             return;
         }
         const { context, caller } = this;
-        this.sent++;
         const attempt: Attempt = {
             load,
             startedAt: context.clock.now(),
@@ -125,6 +136,13 @@
         this.watchFirstEvent(attempt);
     }
 
+    private chooseChain(): ChainLoad | undefined {
+        const { service, failedChains, deadChains } = this;
+        return this.limits.isRepeat
+            ? service.chooseWell(failedChains) ?? service.chooseWell(deadChains)
+            : service.choose(failedChains) ?? service.choose(deadChains);
+    }
+
     private receiveHead(attempt: Attempt, response: IncomingMessage): void {
         attempt.response = response;
         const status = response.statusCode ?? 0;
@@ -171,6 +189,7 @@
             this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
         }
         this.events += fresh.length;
+        this.lastEventAt = this.context.clock.now();
         this.lastEventId = fresh.at(-1)?.id ?? this.lastEventId;
         this.pass(
             attempt,
@@ -233,11 +252,8 @@
             this.caller.breakOff(reason);
             return;
         }
-        if (end === "neverSent") {
-            this.sent--;
-        }
-        this.mayHaveRun ||= end === "unknown";
-        if (this.mayRepeat(end) && this.context.budget.take()) {
+        this.limits.end(end);
+        if (this.mayRepeat(end)) {
             this.send();
             return;
         }
@@ -246,7 +262,21 @@
 
     private mayRepeat(end: AttemptEnd): boolean {
         const isAllowed = end !== "unknown" || this.mayResume;
-        return isAllowed && this.sent < this.caller.route.maxAttempts && this.caller.timeLeft > 0;
+        return isAllowed && this.limits.hasAttemptLeft && this.caller.timeLeft > 0;
+    }
+
+    /** A stream that may have run waits for a chain while its caller does; one that never ran is refused at once. */
+    private waitOrGiveUp(reason: string): void {
+        const { clock } = this.context;
+        const hasRun = this.caller.headSent || this.limits.mayHaveRun;
+        const mayWait = hasRun && this.mayResume && clock.now() - this.lastEventAt < resumePatience;
+        if (!mayWait) {
+            this.giveUp(reason);
+            return;
+        }
+        this.failedChains.clear();
+        this.deadChains.clear();
+        this.resumeTimer = clock.schedule(() => this.send(), resumeInterval);
     }
 
     private watchFirstEvent(attempt: Attempt): void {
@@ -260,7 +290,7 @@
     }
 
     private giveUp(reason: string): void {
-        const mayRun = this.mayHaveRun || this.attempt?.exchange.neverSent === false;
+        const mayRun = this.limits.mayHaveRun || this.attempt?.exchange.neverSent === false;
         this.finish();
         if (!mayRun) {
             const retryAfter = this.service.choose(noChains) === undefined ? brokenRetryAfter : fullRetryAfter;
@@ -275,6 +305,7 @@
 
     private finish(): void {
         this.deadlineTimer?.cancel();
+        this.resumeTimer?.cancel();
         this.attempt?.exchange.cancel();
         this.release();
     }
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -1,5 +1,8 @@
+import { type Logger } from "pino";
+import { type EngineReport } from "../chains/EngineControl.js";
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
+import { type Logs } from "../observation/Observation.js";
 
 /** An engine for tests: 80 layers, on three kinds of accelerators. */
 export const testEngine: Engine = {
@@ -25,3 +28,27 @@
     const port = 1_000 + Number(id.replaceAll(/\D/g, "") || 0);
     return { id, service: "model", host: "127.0.0.1", port, dataCentre, state: "ready", accelerator, layers };
 }
+
+/** The report of a target that has nothing to complain of. */
+export const wellReport: EngineReport = {
+    isBusy: false,
+    orders: 1,
+    layers: { first: 0, end: 40 },
+    cacheUse: 0.2,
+    waiting: 0,
+    slowdown: 1,
+    stalledBy: [],
+};
+
+/** All logs by one logger, which a test makes silent. */
+export function silentLogs(logger: Logger): Logs {
+    return {
+        requests: logger,
+        configuration: logger,
+        directory: logger,
+        chains: logger,
+        duty: logger,
+        peers: logger,
+        process: logger,
+    };
+}
