--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { registerBenchCommand } from "./commands/benchCommand.js";
 import { checkHistoryCommand, type CheckHistoryOptions, checkSettingsCommand } from "./commands/checkCommands.js";
+import { checkGatewayCommand } from "./commands/checkGatewayCommand.js";
 import { type CommandOutput } from "./commands/CommandOutput.js";
 import { agentCommand, entryCommand } from "./commands/daemonCommands.js";
 import { demoCommand } from "./commands/demoCommand.js";
@@ -93,6 +94,9 @@
     check.command("settings <file>")
         .description("check a settings file of any role")
         .action(async (file: string) => exit(await checkSettingsCommand(file, output)));
+    check.command("gateway <file>")
+        .description("check the settings that the users' platform gives to a gateway")
+        .action(async (file: string) => exit(await checkGatewayCommand(file, output)));
     check.command("history <file...>")
         .description("check the history files of one run")
         .option("--lost <process...>", "processes that were killed, of which lines may be missing", [])
