--- a/packages/gateway/src/lib/chains/EngineControl.ts
+++ b/packages/gateway/src/lib/chains/EngineControl.ts
@@ -41,5 +41,6 @@
 export interface EngineControl {
     /** @returns Undefined when the target gives no report within the timeout, in milliseconds. */
     fetchReport(target: Pick<Target, "host" | "port">, timeout: number): Promise<EngineReport | undefined>;
-    place(target: Pick<Target, "host" | "port">, order: LayerOrder): Promise<OrderResult>;
+    /** @returns "unknown" when no reply comes within the timeout, in milliseconds: the order may still be carried out. */
+    place(target: Pick<Target, "host" | "port">, order: LayerOrder, timeout: number): Promise<OrderResult>;
 }
--- /dev/null
+++ b/packages/gateway/src/lib/duty/PlacementDuty.test.ts
@@ -0,0 +1,117 @@
+import { createLogger, MetricRegistry } from "@waxwingspar/telemetry";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type LayerOrder, type OrderResult } from "../chains/EngineControl.js";
+import { TargetSuspicions } from "../chains/TargetSuspicions.js";
+import { type LayerRange } from "../directory/Target.js";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { type Peer } from "../peers/PeerGroup.js";
+import { silentLogs, testEngine, testTarget, wellReport } from "../testing/fixtures.js";
+import { PlacementDuty } from "./PlacementDuty.js";
+
+interface GivenOrder extends LayerOrder {
+    readonly id: string;
+}
+
+/** A duty over two small targets that hold half of the layers each, and a third one without any. */
+function createDuty() {
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({ clock });
+    const suspicions = new TargetSuspicions(clock);
+    const orders: GivenOrder[] = [];
+    const lease = { isHeld: true, term: 1 as number | undefined };
+    const peers: Peer[] = [];
+    let answer: (order: GivenOrder) => OrderResult = () => ({ kind: "begun" });
+    const engine = { ...testEngine, layers: 10, cacheBytesPerToken: 100 };
+    const hold = (id: string, layers: LayerRange | undefined) => directory.put(testTarget(id, "small", layers));
+    hold("t1", { first: 0, end: 5 });
+    hold("t2", { first: 5, end: 10 });
+    hold("t3", undefined);
+    const duty = new PlacementDuty({
+        clock,
+        lease,
+        directory,
+        suspicions,
+        peers: { alive: () => peers },
+        engines: {
+            fetchReport: ({ port }) => {
+                const layers = directory.get(`t${port - 1_000}`)?.layers;
+                return Promise.resolve({ ...wellReport, orders: 0, layers });
+            },
+            place: ({ port }, order) => {
+                const given = { id: `t${port - 1_000}`, ...order };
+                orders.push(given);
+                return Promise.resolve(answer(given));
+            },
+        },
+        services: () => [{ name: "model", engine }],
+        observation: {
+            logs: silentLogs(createLogger({ level: "silent" })),
+            metrics: new GatewayMetrics(new MetricRegistry(clock)),
+        },
+    });
+    const answerBy = (next: (order: GivenOrder) => OrderResult) => {
+        answer = next;
+    };
+    const suspectAt = (id: string) => {
+        const state = { suspects: [id], chainLoads: {}, mayTakeDuty: true };
+        peers.push({ process: "p", incarnation: "p#1", state, heardAt: 0, sent: { now: 0, date: 0 } });
+    };
+    return { clock, directory, suspicions, orders, lease, duty, hold, answerBy, suspectAt };
+}
+
+test("a range whose standby loads already needs no further order", async () => {
+    const { clock, directory, orders, duty } = createDuty();
+    duty.start();
+    await clock.advanceAsync(2_000);
+    orders.length = 0;
+    directory.remove("t2", 0);
+    await clock.advanceAsync(1_000);
+    assert.deepEqual(orders.map(({ id }) => id), []);
+});
+
+test("an order without an answer is given again soon, with the same count of orders", async () => {
+    const { clock, orders, duty, answerBy } = createDuty();
+    answerBy(() => ({ kind: orders.length < 3 ? "unknown" : "begun", reason: "timeout" }));
+    duty.start();
+    await clock.advanceAsync(2_000);
+    assert.deepEqual(orders.map(({ id }) => id), ["t3", "t3", "t3"]);
+    assert.deepEqual(orders.map(({ expectedOrders }) => expectedOrders), [0, 0, 0]);
+});
+
+test("an order that has begun is not given again while it may be under way", async () => {
+    const { clock, orders, duty } = createDuty();
+    duty.start();
+    await clock.advanceAsync(3_000);
+    assert.equal(orders.length, 1);
+});
+
+test("without the lease no orders", async () => {
+    const { clock, orders, lease, duty } = createDuty();
+    lease.isHeld = false;
+    duty.start();
+    await clock.advanceAsync(3_000);
+    assert.equal(orders.length, 0);
+    lease.isHeld = true;
+    await clock.advanceAsync(1_000);
+    assert.equal(orders.length, 1);
+});
+
+test("one gateway alone does not take a target for lost, two do", async () => {
+    const { clock, suspicions, orders, duty, hold, suspectAt } = createDuty();
+    hold("t3", { first: 0, end: 5 });
+    hold("t4", undefined);
+    duty.start();
+    await clock.advanceAsync(2_000);
+    hold("t4", undefined);
+    orders.length = 0;
+    suspicions.suspect("t2", "lost", 60_000);
+    suspectAt("t9");
+    await clock.advanceAsync(1_000);
+    assert.deepEqual(orders.filter(({ layers }) => layers.first === 5), []);
+    suspectAt("t2");
+    await clock.advanceAsync(6_000);
+    assert.ok(orders.some(({ id, layers }) => id !== "t2" && layers.end === 10));
+});
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -13,10 +13,10 @@
 /** Options of {@link PlacementDuty}. */
 export interface PlacementDutyOptions {
     readonly clock: Clock;
-    readonly lease: PlacementLease;
+    readonly lease: Pick<PlacementLease, "isHeld" | "term">;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
-    readonly peers: PeerGroup;
+    readonly peers: Pick<PeerGroup, "alive">;
     readonly engines: EngineControl;
     readonly services: () => readonly Service[];
     readonly observation: Observation;
@@ -28,6 +28,12 @@
 const planInterval = 150;
 /** Milliseconds that a report may take. */
 const reportTimeout = 400;
+/**
+ * Milliseconds that the answer to an order may take. An order without one is given again at once, with the same count of
+ * orders: whichever comes first is carried out, and the other one refused. On a day whose answers were lost, waiting 4 s
+ * for the late one left ranges unplaced for up to 10 s.
+ */
+const orderTimeout = 500;
 /** Milliseconds between two reports of a target that loads. */
 const pollInterval = 400;
 /** Milliseconds for which the list of targets must have been quiet before the first plan, as they start in any order. */
@@ -138,7 +144,7 @@
         }
         const expectedOrders = work.acceptedOrders;
         work.isCalling = true;
-        const result = await engines.place(target, { layers, fence: term, expectedOrders });
+        const result = await engines.place(target, { layers, fence: term, expectedOrders }, orderTimeout);
         work.isCalling = false;
         observation.metrics.orders.add({ result: result.kind });
         observation.logs.duty.info({
@@ -151,7 +157,7 @@
             result: result.kind,
             reason: "reason" in result ? result.reason : undefined,
         }, "layers ordered");
-        if (result.kind === "refused") {
+        if (result.kind === "refused" || result.kind === "unknown") {
             return;
         }
         if (result.kind === "unfit") {
