Chains know for how many requests they have room

Second copies went to the largest ranges, and a chain never used them to relieve a target short of room. Change: memory.ts tells for how many requests a target has room on the layers that it runs; a chain has the least of its hops'. buildChain weighs room against hops, the router counts each request beyond a chain's room as ten, and second copies go first to ranges short of room. Loads are counted by the first target, also on chains that were rebuilt. Tests of builder, router and planner fail without it.

--- a/packages/gateway/src/lib/chains/Chain.ts
+++ b/packages/gateway/src/lib/chains/Chain.ts
@@ -8,5 +8,7 @@
     readonly dataCentre: string;
     /** How often a request's activations go from one data centre to another. */
     readonly crossings: number;
+    /** Usual requests whose KV cache all its targets have room for. */
+    readonly room: number;
     readonly hops: readonly Hop[];
 }
--- a/packages/gateway/src/lib/chains/ChainRouter.test.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.test.ts
@@ -14,19 +14,20 @@
     const suspicions = new TargetSuspicions(clock);
     for (const dataCentre of ["x", "y"]) {
         const offset = dataCentre === "x" ? 1 : 3;
-        directory.put(testTarget(`t${offset}`, "small", { first: 0, end: 40 }, dataCentre));
-        directory.put(testTarget(`t${offset + 1}`, "small", { first: 40, end: 80 }, dataCentre));
+        directory.put(testTarget(`t${offset}`, "large", { first: 0, end: 40 }, dataCentre));
+        directory.put(testTarget(`t${offset + 1}`, "large", { first: 40, end: 80 }, dataCentre));
     }
+    const peerLoads = new Map<string, number>();
     const router = new ChainRouter({
         clock,
         service: "model",
         dataCentre: "x",
         directory,
         suspicions,
-        peerLoad: () => 0,
+        peerLoad: headId => peerLoads.get(headId) ?? 0,
     });
     const hops = () => router.choose(testEngine, none)?.chain.hops.map(({ targetId }) => targetId);
-    return { suspicions, router, hops };
+    return { suspicions, peerLoads, router, hops };
 }
 
 test("the chain of the own data centre comes first", () => {
@@ -54,3 +55,12 @@
     suspicions.suspect("t4", "lost", 1_000);
     assert.equal(hops(), undefined);
 });
+
+test("a chain that is full comes after one with room, though it is nearer", () => {
+    const { peerLoads, router, hops } = createRouter();
+    const room = router.current(testEngine)[0]?.chain.room ?? 0;
+    assert.ok(room >= 1 && room < testEngine.slots);
+    peerLoads.set("t1", Math.ceil(room) + 2);
+    peerLoads.set("t3", Math.floor(room) - 1);
+    assert.deepEqual(hops(), ["t3", "t4"]);
+});
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -36,6 +36,12 @@
  * at its limit beside idle ones when callers move.
  */
 const localAdvantage = 20;
+/**
+ * What each request beyond the room of a chain counts for, so that chains with room come first. Requests beyond it wait, or
+ * push others out: on a day with lost targets, a tenth of the requests got no first event for 1.5 s on a chain with room for
+ * 41, while others had room for 96.
+ */
+const excessCost = 10;
 
 /**
  * Chains through targets of several data centres, for the seconds in which none has a whole chain of its own: one that
@@ -134,9 +140,20 @@
         );
     }
 
-    private cost({ chain, inFlight }: ChainLoad): number {
+    private cost({ chain }: ChainLoad): number {
         const head = chain.hops[0]?.targetId ?? "";
-        return inFlight + this.options.peerLoad(head)
-            + (chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage);
+        const requests = this.headLoad(head) + this.options.peerLoad(head);
+        const excess = Math.max(0, requests + 1 - chain.room);
+        const distance = chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage;
+        return requests + excess * excessCost + distance;
+    }
+
+    /** Requests of this process on all chains that begin at a target, also on those that were rebuilt meanwhile. */
+    private headLoad(head: string): number {
+        let sum = 0;
+        for (const { chain, inFlight } of this.loads.values()) {
+            sum += chain.hops[0]?.targetId === head ? inFlight : 0;
+        }
+        return sum;
     }
 }
--- a/packages/gateway/src/lib/chains/buildChain.test.ts
+++ b/packages/gateway/src/lib/chains/buildChain.test.ts
@@ -68,3 +68,15 @@
     assert.equal(buildChain("x", targets, testEngine)?.crossings, 0);
     assert.equal(buildChain("z", targets, testEngine), undefined);
 });
+
+test("a target that is short of room runs only the layers that no other holds", () => {
+    const chain = buildChain("x", [
+        testTarget("t1", "large", { first: 0, end: 28 }),
+        testTarget("t2", "large", { first: 28, end: 56 }),
+        testTarget("t5", "large", { first: 56, end: 70 }),
+        testTarget("t3", "small", { first: 70, end: 80 }),
+        testTarget("t4", "small", { first: 70, end: 75 }),
+    ], testEngine);
+    assert.deepEqual(chain?.hops.map(({ targetId }) => targetId), ["t1", "t2", "t5", "t4", "t3"]);
+    assert.ok(chain.room > 80);
+});
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -2,13 +2,19 @@
 import { addressOf, type LayerRange, type Target } from "../directory/Target.js";
 import { type Hop } from "../requests/messages.js";
 import { type Chain } from "./Chain.js";
-import { hopCost } from "./planLayers.js";
+import { requestRoom } from "./memory.js";
+import { ampleRoom, hopCost } from "./planLayers.js";
 
 /**
  * Cost of a hop to another data centre against the reference's time for a whole step. Chosen so high that no detour over
  * slow accelerators is too long to save one: the activations of a usual request take 25 ms of a pipe that all share.
  */
 const crossingCost = 20;
+/**
+ * Cost of a hop whose target has no room for requests at all; one with ample room costs nothing. Chosen: it is worth some
+ * more hops over second copies to run fewer layers where room is short.
+ */
+const shortageCost = 10;
 
 /**
  * Finds the fastest chain that begins in a data centre, with as few hops between data centres as the targets allow.
@@ -22,7 +28,7 @@
     const holders = targets.filter(target => target.layers !== undefined);
     /** The cheapest way to have run all layers before the index, by the data centre that it has come to. */
     const best = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
-    best[0]?.set(dataCentre, { cost: 0, crossings: 0, dataCentre });
+    best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
         const next = holders.filter(({ layers }) =>
             layers !== undefined && layers.first <= layer && layers.end > layer
@@ -36,12 +42,15 @@
                 const base = reached.cost + hopCost + (isCrossing ? crossingCost : 0);
                 const factor = factors.get(target.accelerator ?? "") ?? 1;
                 for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
-                    const cost = base + factor * (end - layer) / engine.layers;
+                    const room = requestRoom(engine, target, end - layer);
+                    const shortage = Math.max(0, 1 - room / ampleRoom);
+                    const cost = base + factor * (end - layer) / engine.layers + shortageCost * shortage;
                     const known = best[end]?.get(target.dataCentre);
                     if (known === undefined || cost < known.cost) {
                         best[end]?.set(target.dataCentre, {
                             cost,
                             crossings: reached.crossings + (isCrossing ? 1 : 0),
+                            room: Math.min(reached.room, room),
                             dataCentre: target.dataCentre,
                             before: reached,
                             target,
@@ -58,6 +67,7 @@
 interface Step {
     readonly cost: number;
     readonly crossings: number;
+    readonly room: number;
     readonly dataCentre: string;
     readonly before?: Step;
     readonly target?: Target;
@@ -89,5 +99,5 @@
         return undefined;
     }
     const key = hops.map(({ targetId, layers }) => `${targetId}:${layers.first}-${layers.end}`).join(",");
-    return { key, dataCentre, crossings: last.crossings, hops };
+    return { key, dataCentre, crossings: last.crossings, room: last.room, hops };
 }
--- a/packages/gateway/src/lib/chains/planLayers.test.ts
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -4,7 +4,8 @@
 import { type LayerRange, type Target } from "../directory/Target.js";
 import { testEngine, testTarget } from "../testing/fixtures.js";
 import { buildChain } from "./buildChain.js";
-import { layerCapacity, type Placement, planLayers } from "./planLayers.js";
+import { layerCapacity } from "./memory.js";
+import { type Placement, planLayers } from "./planLayers.js";
 
 function apply(targets: readonly Target[], placements: readonly Placement[]): Target[] {
     return targets.map(target => {
@@ -108,3 +109,15 @@
     });
     assert.ok(changed.length <= 6, `${changed.length} targets changed`);
 });
+
+test("a target that is short of room is relieved first", () => {
+    const targets = [
+        testTarget("t1", "large", { first: 0, end: 28 }),
+        testTarget("t2", "large", { first: 28, end: 56 }),
+        testTarget("t5", "large", { first: 56, end: 70 }),
+        testTarget("t3", "small", { first: 70, end: 80 }),
+        testTarget("t4", "small"),
+    ];
+    const [relief] = planLayers(targets, testEngine).filter(({ target }) => target.id === "t4");
+    assert.equal(relief?.layers.first, 70);
+});
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -1,5 +1,6 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
+import { layerCapacity, requestRoom } from "./memory.js";
 
 /**
  * Plans which layers the targets of one data centre hold: one whole copy on the fastest accelerators, and standbys that
@@ -12,21 +13,16 @@
     readonly layers: LayerRange;
 }
 
+/**
+ * Requests for whose KV cache every target of a chain has room when nothing is lost; no part of a chain with as much room
+ * needs relief. Chosen: twice what a chain carries on a usual day.
+ */
+export const ampleRoom = 96;
 /** Requests for whose KV cache every target of a chain keeps room, tried in this order; the last is the least. */
-const concurrencyLevels = [96, 72, 56, 40, 24, 12];
-const bytesPerMegabyte = 1e6;
+const concurrencyLevels = [ampleRoom, 72, 56, 40, 24, 12];
 /** Time of one more hop against the reference's time for a whole step: transfers and waiting for the next pass. */
 export const hopCost = 0.3;
 
-/** The layers that a target can hold beside the KV cache of so many usual requests. */
-export function layerCapacity(engine: Engine, accelerator: string | undefined, concurrency: number): number {
-    const memory = engine.accelerators.find(({ name }) => name === accelerator)?.memory ?? 0;
-    const tokens = engine.usualPrompt + engine.usualAnswer;
-    const cacheMemory = concurrency * tokens * engine.cacheBytesPerToken / engine.layers / bytesPerMegabyte;
-    const capacity = Math.floor(memory / (engine.layerMemory + cacheMemory));
-    return Math.min(engine.layers, capacity);
-}
-
 /**
  * Plans one data centre. What targets hold already stays where it can, since every load takes seconds.
  *
@@ -227,8 +223,9 @@
 }
 
 /**
- * Lets empty targets that are left hold a second copy of the largest ranges, so that a chain goes round a lost target at
- * once. A target that already holds layers stays as it is.
+ * Lets empty targets that are left hold a second copy of some ranges: first of those whose target is short of room for
+ * requests, which the second one relieves; then of the largest, so that a chain goes round a lost target at once. A target
+ * that already holds layers stays as it is.
  */
 function addStandbys(
     placements: readonly Placement[],
@@ -241,8 +238,11 @@
     const doubled = unused.flatMap(({ layers }) => layers ?? []);
     const left = rankCards(unused.filter(({ layers }) => layers === undefined), engine, concurrency);
     const ranges = placements
-        .flatMap(({ layers }) => subtractRanges(layers, doubled))
-        .sort((a, b) => b.end - b.first - (a.end - a.first));
+        .flatMap(({ target, layers }) => {
+            const room = Math.min(ampleRoom, requestRoom(engine, { ...target, layers }, layers.end - layers.first));
+            return subtractRanges(layers, doubled).map(range => ({ ...range, room }));
+        })
+        .sort((a, b) => a.room - b.room || b.end - b.first - (a.end - a.first));
     const standbys: Placement[] = [];
     for (const range of ranges) {
         for (let first = range.first; first < range.end && left.length > 0;) {
