Chains between data centres also beside whole ones, over targets that those do not use

Change: data centres without a whole chain get chains over several data centres from the targets that no whole chain uses. The router counts each hop between data centres as 30 requests, so that whole chains come first until they are nearly full. The line of an ended request names the last target and its data centre, without which this could not be seen from logs. Test of the router.

--- a/packages/gateway/src/lib/chains/ChainRouter.test.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.test.ts
@@ -27,7 +27,7 @@
         peerLoad: headId => peerLoads.get(headId) ?? 0,
     });
     const hops = () => router.choose(testEngine, none)?.chain.hops.map(({ targetId }) => targetId);
-    return { suspicions, peerLoads, router, hops };
+    return { directory, suspicions, peerLoads, router, hops };
 }
 
 test("the chain of the own data centre comes first", () => {
@@ -64,3 +64,14 @@
     peerLoads.set("t3", Math.floor(room) - 1);
     assert.deepEqual(hops(), ["t3", "t4"]);
 });
+
+test("a whole chain that is full: one between data centres, beside its targets", () => {
+    const { directory, peerLoads, suspicions, router, hops } = createRouter();
+    directory.put(testTarget("t5", "large", { first: 0, end: 40 }, "z"));
+    suspicions.suspect("t2", "lost", 1_000);
+    directory.put(testTarget("t6", "large", { first: 40, end: 80 }, "w"));
+    const room = router.current(testEngine)[0]?.chain.room ?? 0;
+    assert.deepEqual(hops(), ["t3", "t4"]);
+    peerLoads.set("t3", Math.ceil(room) + 20);
+    assert.deepEqual(hops(), ["t1", "t6"]);
+});
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -36,6 +36,11 @@
  * at its limit beside idle ones when callers move.
  */
 const localAdvantage = 20;
+/**
+ * What a hop between data centres counts for, in requests. Chosen: whole chains come first until they are nearly full, since
+ * a request's activations take 25 ms of a pipe for each such hop.
+ */
+const crossingDisadvantage = 30;
 /**
  * What each request beyond the room of a chain counts for, so that chains with room come first. Requests beyond it wait, or
  * push others out: on a day with lost targets, a tenth of the requests got no first event for 1.5 s on a chain with room for
@@ -44,12 +49,22 @@
 const excessCost = 10;
 
 /**
- * Chains through targets of several data centres, for the seconds in which none has a whole chain of its own: one that
- * begins in each data centre, so that they share the pipes, of those with the fewest hops from one to another. Where three
- * targets of three data centres were lost at once, callers got nothing for 1.5 s without them.
+ * Chains through targets of several data centres, for the seconds in which some have no whole chain of their own: one that
+ * begins in each of these, so that they share the pipes, of those with the fewest hops from one to another. They leave the
+ * targets of whole chains alone, which have no room to spare then. Where three targets of three data centres were lost at
+ * once, callers got nothing for 1.5 s without them.
  */
-function mixedChains(dataCentres: readonly string[], targets: readonly Target[], engine: Engine): Chain[] {
-    const chains = dataCentres.flatMap(dataCentre => buildChain(dataCentre, targets, engine) ?? []);
+function mixedChains(
+    dataCentres: readonly string[],
+    whole: readonly Chain[],
+    targets: readonly Target[],
+    engine: Engine,
+): Chain[] {
+    const used = new Set(whole.flatMap(({ hops }) => hops.map(({ targetId }) => targetId)));
+    const free = targets.filter(({ id }) => !used.has(id));
+    const chains = dataCentres
+        .filter(dataCentre => whole.every(chain => chain.dataCentre !== dataCentre))
+        .flatMap(dataCentre => buildChain(dataCentre, free, engine) ?? []);
     const fewest = Math.min(...chains.map(({ crossings }) => crossings));
     return chains.filter(({ crossings }) => crossings === fewest);
 }
@@ -108,7 +123,7 @@
             const chain = buildChain(dataCentre, targets.filter(target => target.dataCentre === dataCentre), engine);
             return chain === undefined ? [] : [chain];
         });
-        const chains = local.length > 0 ? local : mixedChains(dataCentres, targets, engine);
+        const chains = [...local, ...mixedChains(dataCentres, local, targets, engine)];
         for (const [key, load] of this.loads) {
             if (load.inFlight === 0 && chains.every(chain => chain.key !== key)) {
                 this.loads.delete(key);
@@ -145,7 +160,7 @@
         const requests = this.headLoad(head) + this.options.peerLoad(head);
         const excess = Math.max(0, requests + 1 - chain.room);
         const distance = chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage;
-        return requests + excess * excessCost + distance;
+        return requests + excess * excessCost + distance + chain.crossings * crossingDisadvantage;
     }
 
     /** Requests of this process on all chains that begin at a target, also on those that were rebuilt meanwhile. */
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -1,6 +1,7 @@
 import { type Clock, type ResultCode } from "@waxwingspar/utils";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Organisation, type Route } from "../configuration/Configuration.js";
+import { type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
 import { type CallerRequest } from "./messages.js";
 
@@ -43,6 +44,7 @@
     private goneListener: (() => void) | undefined;
     private drainListener: (() => void) | undefined;
     private sends = 0;
+    private lastTarget: Target | undefined;
 
     constructor(private readonly options: CallerExchangeOptions) {
         const { request, route, arrivedAt, response } = options;
@@ -104,9 +106,10 @@
         this.drainListener = listener;
     }
 
-    /** Notes that the request goes to a target. */
-    countSend(): void {
+    /** Notes that the request goes to a target, for a chain its first one. */
+    noteSend(target: Target): void {
         this.sends++;
+        this.lastTarget = target;
     }
 
     /** Sends the head of a target's reply. */
@@ -194,6 +197,8 @@
             outcome,
             status,
             sends: this.sends,
+            target: this.lastTarget?.id,
+            dataCentre: this.lastTarget?.dataCentre,
             firstByte: round(firstByte),
             duration: round(duration),
         }, "request ended");
