buildChain in small steps

Cause: read as a newcomer, its loops stood five deep. Change: which target may follow, and what a hop adds, are functions of their own; no decision changed.

--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -24,46 +24,25 @@
  * @returns Undefined when the targets do not hold all layers.
  */
 export function buildChain(dataCentre: string, targets: readonly Target[], engine: Engine): Chain | undefined {
-    const factors = new Map(engine.accelerators.map(({ name, stepFactor }) => [name, stepFactor]));
-    const holders = targets.filter(target => target.layers !== undefined);
-    /** The cheapest way to have run all layers before the index, by the data centre that it has come to. */
-    const best = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
+    const best: BestSteps = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
     best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
-        const next = holders.filter(({ layers }) =>
+        const holders = targets.filter(({ layers }) =>
             layers !== undefined && layers.first <= layer && layers.end > layer
         );
         for (const reached of best[layer]?.values() ?? []) {
-            for (const target of next) {
-                const isCrossing = target.dataCentre !== reached.dataCentre;
-                if ((isCrossing && layer === 0) || isUsed(reached, target)) {
-                    continue;
-                }
-                const base = reached.cost + hopCost + (isCrossing ? crossingCost : 0);
-                const factor = factors.get(target.accelerator ?? "") ?? 1;
-                for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
-                    const room = requestRoom(engine, target, end - layer);
-                    const shortage = Math.max(0, 1 - room / ampleRoom);
-                    const cost = base + factor * (end - layer) / engine.layers + shortageCost * shortage;
-                    const known = best[end]?.get(target.dataCentre);
-                    if (known === undefined || cost < known.cost) {
-                        best[end]?.set(target.dataCentre, {
-                            cost,
-                            crossings: reached.crossings + (isCrossing ? 1 : 0),
-                            room: Math.min(reached.room, room),
-                            dataCentre: target.dataCentre,
-                            before: reached,
-                            target,
-                            layers: { first: layer, end },
-                        });
-                    }
-                }
-            }
+            holders
+                .filter(target => mayFollow(reached, target, layer))
+                .forEach(target => addHop(best, reached, target, layer, engine));
         }
     }
     return toChain(dataCentre, cheapest([...best[engine.layers]?.values() ?? []]));
 }
 
+/** By layer: the cheapest way to have run all layers before it, by the data centre that it has come to. */
+type BestSteps = readonly Map<string, Step>[];
+
+/** A hop, and what the chain up to it costs. The first step has no hop yet. */
 interface Step {
     readonly cost: number;
     readonly crossings: number;
@@ -74,6 +53,37 @@
     readonly layers?: LayerRange;
 }
 
+/** A target comes once in a chain, and the first one is in the data centre in which the chain begins. */
+function mayFollow(reached: Step, target: Target, layer: number): boolean {
+    const isElsewhere = target.dataCentre !== reached.dataCentre;
+    return !(isElsewhere && layer === 0) && !isUsed(reached, target);
+}
+
+/** Lets a target run from a layer to every layer that it holds, where no cheaper way there is known. */
+function addHop(best: BestSteps, reached: Step, target: Target, layer: number, engine: Engine): void {
+    const { dataCentre } = target;
+    const factor = engine.accelerators.find(({ name }) => name === target.accelerator)?.stepFactor ?? 1;
+    const crossings = dataCentre === reached.dataCentre ? 0 : 1;
+    const base = reached.cost + hopCost + crossings * crossingCost;
+    for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
+        const room = requestRoom(engine, target, end - layer);
+        const shortage = Math.max(0, 1 - room / ampleRoom);
+        const cost = base + factor * (end - layer) / engine.layers + shortageCost * shortage;
+        const known = best[end]?.get(dataCentre);
+        if (known === undefined || cost < known.cost) {
+            best[end]?.set(dataCentre, {
+                cost,
+                crossings: reached.crossings + crossings,
+                room: Math.min(reached.room, room),
+                dataCentre,
+                before: reached,
+                target,
+                layers: { first: layer, end },
+            });
+        }
+    }
+}
+
 function cheapest(steps: readonly Step[]): Step | undefined {
     return steps.reduce<Step | undefined>(
         (best, step) => best === undefined || step.cost < best.cost ? step : best,
