A stream leaves a stalled chain only if the budget allows the repeat

Cause: found while reading: a stream was cancelled on its stalled chain before the retry budget was asked, so without budget the gateway broke off streams whose chain might have recovered. Change: AttemptLimits tells whether a send under way may be replaced, by a look at the budget that takes nothing.

--- a/packages/gateway/src/lib/requests/AttemptLimits.test.ts
+++ b/packages/gateway/src/lib/requests/AttemptLimits.test.ts
@@ -5,6 +5,7 @@
 function createLimits(allowance: number, maxAttempts = 2) {
     const budget = {
         left: allowance,
+        hasLeft: () => budget.left > 0,
         take: () => budget.left > 0 && budget.left-- > 0,
         giveBack: () => void budget.left++,
     };
@@ -64,3 +65,11 @@
     limits.end("neverExecuted");
     assert.equal(limits.begin(), false);
 });
+
+test("a send under way is not given up for a repeat that the budget would refuse", () => {
+    const [poor, rich] = [createLimits(0), createLimits(1)];
+    poor.limits.begin();
+    rich.limits.begin();
+    assert.equal(poor.limits.mayReplaceSend, false);
+    assert.equal(rich.limits.mayReplaceSend, true);
+});
--- a/packages/gateway/src/lib/requests/AttemptLimits.ts
+++ b/packages/gateway/src/lib/requests/AttemptLimits.ts
@@ -5,7 +5,7 @@
 
 /** Options of {@link AttemptLimits}. */
 export interface AttemptLimitsOptions {
-    readonly budget: Pick<RepeatBudget, "take" | "giveBack">;
+    readonly budget: Pick<RepeatBudget, "hasLeft" | "take" | "giveBack">;
     /** Targets that the route lets a request be sent to. */
     readonly maxAttempts: number;
 }
@@ -36,6 +36,11 @@
         return this.arrivals < this.options.maxAttempts;
     }
 
+    /** Whether a send that is under way may be given up for a repeat: it goes on when the budget would not allow that. */
+    get mayReplaceSend(): boolean {
+        return this.hasAttemptLeft && this.options.budget.hasLeft();
+    }
+
     /** Counts a send. @returns False when the retry budget does not allow it; then it must not be sent. */
     begin(): boolean {
         if (this.isRepeat && !this.options.budget.take()) {
--- a/packages/gateway/src/lib/requests/RepeatBudget.ts
+++ b/packages/gateway/src/lib/requests/RepeatBudget.ts
@@ -33,17 +33,22 @@
         dropBefore(this.requests, now - this.options.window);
     }
 
-    /** Takes one repeat. @returns False when the window holds too many. */
-    take(): boolean {
-        const now = this.options.clock.now();
-        dropBefore(this.requests, now - this.options.window);
-        dropBefore(this.repeats, now - this.options.window);
+    /** Whether the window allows one more repeat now. */
+    hasLeft(): boolean {
+        const start = this.options.clock.now() - this.options.window;
+        dropBefore(this.requests, start);
+        dropBefore(this.repeats, start);
         const { share, reserve, gateways } = this.options;
         const allowed = (share * this.requests.length + reserve / Math.max(1, gateways())) * safetyFactor;
-        if (this.repeats.length + 1 > allowed) {
+        return this.repeats.length + 1 <= allowed;
+    }
+
+    /** Takes one repeat. @returns False when the window holds too many. */
+    take(): boolean {
+        if (!this.hasLeft()) {
             return false;
         }
-        this.repeats.push(now);
+        this.repeats.push(this.options.clock.now());
         return true;
     }
 
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -85,7 +85,8 @@
         }
         const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
         const others = new Set([...this.failedChains, attempt.load.chain.key]);
-        if (this.mayRepeat(end) && this.service.chooseWell(others) !== undefined) {
+        const mayMove = this.mayRepeat(end) && this.limits.mayReplaceSend;
+        if (mayMove && this.service.chooseWell(others) !== undefined) {
             attempt.exchange.cancel();
             this.attemptEnded(attempt, end, reason);
         }
