Lost ranges go to idle targets and neighbours, slow targets are routed round, streams resume sooner

Changes: plans keep room for 80; gaps go to idle targets and to neighbours with memory; targets that requests were on within 7 s give nothing up, borders move only after 1.5 s; the duty asks for paces every 4 s, peers hear of slow targets, chains go round them and plans replace them if idle targets suffice; chains are logged when they are built or broken; a silent chain is looked at after 1.2 intervals of its streams; streams resume where few prompts wait, those with short prompts first; a chain whose targets all answer is left after 600 ms instead of 130.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo } from "node:net";
 import { ChainService } from "./chains/ChainService.js";
 import { type EngineControl } from "./chains/EngineControl.js";
+import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
@@ -78,6 +79,7 @@
     private readonly configuration: ConfigurationInForce;
     private readonly directory: TargetDirectory;
     private readonly suspicions: TargetSuspicions;
+    private readonly paces: TargetPaces;
     private readonly services = new Map<string, ServiceParts>();
     private readonly callers: CallerServer;
     private readonly readiness: ReadinessServer;
@@ -112,6 +114,7 @@
                 }, `target ${kind}`),
         });
         this.suspicions = new TargetSuspicions(clock);
+        this.paces = new TargetPaces(clock);
         const router = new RequestRouter({
             clock,
             random: options.random,
@@ -139,12 +142,16 @@
                     [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
                 ),
                 suspects: this.suspicions.listLost(),
+                slowTargets: this.paces.listOwn(),
                 dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
                 mayTakeDuty: this.reachesStore && !this.isStopping,
                 configurationVersion: this.configuration.current?.version,
                 confirmationAge: this.configuration.confirmationAge,
             }),
-            onHeard: (state, moment) => this.confirmByPeer(state, moment),
+            onHeard: (state, moment) => {
+                this.paces.hear(state.slowTargets);
+                this.confirmByPeer(state, moment);
+            },
         });
         this.lease = new PlacementLease({
             clock,
@@ -159,6 +166,7 @@
             lease: this.lease,
             directory: this.directory,
             suspicions: this.suspicions,
+            paces: this.paces,
             peers: this.peers,
             engines,
             services: () => this.configuration.current?.services ?? [],
@@ -324,6 +332,7 @@
                     ...common,
                     engine,
                     suspicions: this.suspicions,
+                    paces: this.paces,
                     peerLoad: headId => this.peers.chainLoad(headId),
                     engines,
                     observation: this.observation,
--- a/packages/gateway/src/lib/chains/Chain.ts
+++ b/packages/gateway/src/lib/chains/Chain.ts
@@ -10,5 +10,7 @@
     readonly crossings: number;
     /** Usual requests whose KV cache all its targets have room for. */
     readonly room: number;
+    /** How many times longer than its accelerator should the slowest of its targets takes. */
+    readonly slowdown: number;
     readonly hops: readonly Hop[];
 }
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -2,8 +2,9 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
-import { buildChain } from "./buildChain.js";
+import { buildChain, type Slowdown } from "./buildChain.js";
 import { type Chain } from "./Chain.js";
+import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
 
 /** Options of {@link ChainRouter}. */
@@ -14,18 +15,24 @@
     readonly dataCentre: string;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    readonly paces: TargetPaces;
     /** Requests of other processes in flight on chains that begin at a target. */
     readonly peerLoad: (headId: string) => number;
+    /** Called with the chain that now begins in a data centre, or none, when another one did before. */
+    readonly onChange?: (dataCentre: string, chain: Chain | undefined) => void;
 }
 
 /** A chain in use by requests of this process. */
 export interface ChainLoad {
-    readonly chain: Chain;
+    /** The same targets and ranges for good; its room and slowdown as last known. */
+    chain: Chain;
     inFlight: number;
     /** Requests whose first event has come. */
     streaming: number;
     /** When any request on the chain last got an event. */
     lastEventAt: number;
+    /** Mean milliseconds between two events of one stream of late; undefined until some were seen. */
+    eventInterval: number | undefined;
     /** Until when the chain gets no new requests, because its requests stalled. */
     avoidedUntil: number;
 }
@@ -47,6 +54,16 @@
  * second copies of ranges that are short of room.
  */
 const excessCost = 10;
+/**
+ * What each prompt of this process that waits on a chain counts for when a stream looks for a chain to go on: the streams of a
+ * lost target come all at once, and a chain reads one prompt after the other.
+ */
+const readingCost = 10;
+/**
+ * What a chain counts for, in requests, for each time that its slowest target takes longer than it should. Chosen: one at
+ * half its speed makes all requests on the chain wait, so it is avoided while another chain carries twice as many.
+ */
+const slownessDisadvantage = 40;
 
 /**
  * Chains through targets of several data centres, for the seconds in which some have no whole chain of their own: one that
@@ -59,12 +76,13 @@
     whole: readonly Chain[],
     targets: readonly Target[],
     engine: Engine,
+    slowdown: Slowdown,
 ): Chain[] {
     const used = new Set(whole.flatMap(({ hops }) => hops.map(({ targetId }) => targetId)));
     const free = targets.filter(({ id }) => !used.has(id));
     const chains = dataCentres
         .filter(dataCentre => whole.every(chain => chain.dataCentre !== dataCentre))
-        .flatMap(dataCentre => buildChain(dataCentre, free, engine) ?? []);
+        .flatMap(dataCentre => buildChain(dataCentre, free, engine, slowdown) ?? []);
     const fewest = Math.min(...chains.map(({ crossings }) => crossings));
     return chains.filter(({ crossings }) => crossings === fewest);
 }
@@ -86,21 +104,37 @@
      * @returns Undefined when no data centre has a chain that may be used.
      */
     choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
-        return this.cheapest(this.current(engine).filter(({ chain }) => !excluded.has(chain.key)));
+        const loads = this.current(engine).filter(({ chain }) => !excluded.has(chain.key));
+        return cheapest(loads, load => this.cost(load));
     }
 
     /** The same, but none that is avoided. */
     chooseWell(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
         const well = this.current(engine).filter(load => load.avoidedUntil <= now);
-        return this.cheapest(well.filter(({ chain }) => !excluded.has(chain.key)));
+        return cheapest(well.filter(({ chain }) => !excluded.has(chain.key)), load => this.cost(load));
+    }
+
+    /**
+     * The best chain for a stream that broke off, which its caller should see go on within a fifth of a second: one on which
+     * few of this process's prompts wait to be read, wherever it is.
+     */
+    chooseToResume(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+        const now = this.options.clock.now();
+        const well = this.current(engine).filter(load => load.avoidedUntil <= now && !excluded.has(load.chain.key));
+        return cheapest(well, load => this.resumeCost(load));
+    }
+
+    /** Whether a chain has room for one more request. */
+    hasRoom({ chain }: ChainLoad): boolean {
+        return this.requestsOn(chain) + 1 <= chain.room;
     }
 
     /** The chains as they are now, one that begins in each data centre at most. */
     current(engine: Engine): ChainLoad[] {
-        const { directory, suspicions } = this.options;
+        const { directory, suspicions, paces } = this.options;
         const suspected = suspicions.list();
-        const state = `${directory.revision} ${suspected.join()} ${engine.layers}`;
+        const state = `${directory.revision} ${suspected.join()} ${paces.fingerprint} ${engine.layers}`;
         if (state !== this.builtFor) {
             this.builtFor = state;
             this.rebuild(engine, new Set(suspected));
@@ -116,51 +150,73 @@
     }
 
     private rebuild(engine: Engine, suspected: ReadonlySet<string>): void {
+        const slowdown = (id: string) => this.options.paces.slowdown(id);
         const targets = this.options.directory.readyTargets(this.options.service)
             .filter(({ id }) => !suspected.has(id));
         const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
         const local = dataCentres.flatMap(dataCentre => {
-            const chain = buildChain(dataCentre, targets.filter(target => target.dataCentre === dataCentre), engine);
+            const ofDataCentre = targets.filter(target => target.dataCentre === dataCentre);
+            const chain = buildChain(dataCentre, ofDataCentre, engine, slowdown);
             return chain === undefined ? [] : [chain];
         });
-        const chains = [...local, ...mixedChains(dataCentres, local, targets, engine)];
+        const chains = [...local, ...mixedChains(dataCentres, local, targets, engine, slowdown)];
         for (const [key, load] of this.loads) {
             if (load.inFlight === 0 && chains.every(chain => chain.key !== key)) {
                 this.loads.delete(key);
             }
         }
+        this.tellChanges(chains);
         this.chains = chains.map(chain => this.loadOf(chain));
     }
 
+    private tellChanges(chains: readonly Chain[]): void {
+        const before = new Map(this.chains.map(({ chain }) => [chain.dataCentre, chain]));
+        const after = new Map(chains.map(chain => [chain.dataCentre, chain]));
+        for (const dataCentre of new Set([...before.keys(), ...after.keys()])) {
+            if (before.get(dataCentre)?.key !== after.get(dataCentre)?.key) {
+                this.options.onChange?.(dataCentre, after.get(dataCentre));
+            }
+        }
+    }
+
     private loadOf(chain: Chain): ChainLoad {
         const known = this.loads.get(chain.key);
         if (known !== undefined) {
+            known.chain = chain;
             return known;
         }
-        const load = {
+        const load: ChainLoad = {
             chain,
             inFlight: 0,
             streaming: 0,
             lastEventAt: this.options.clock.now(),
+            eventInterval: undefined,
             avoidedUntil: -Infinity,
         };
         this.loads.set(chain.key, load);
         return load;
     }
 
-    private cheapest(loads: readonly ChainLoad[]): ChainLoad | undefined {
-        return loads.reduce<ChainLoad | undefined>(
-            (best, load) => best === undefined || this.cost(load) < this.cost(best) ? load : best,
-            undefined,
-        );
+    private cost({ chain }: ChainLoad): number {
+        const distance = chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage;
+        return this.loadCost(chain) + distance;
     }
 
-    private cost({ chain }: ChainLoad): number {
-        const head = chain.hops[0]?.targetId ?? "";
-        const requests = this.headLoad(head) + this.options.peerLoad(head);
+    private resumeCost({ chain, inFlight, streaming }: ChainLoad): number {
+        return this.loadCost(chain) + (inFlight - streaming) * readingCost;
+    }
+
+    private loadCost(chain: Chain): number {
+        const requests = this.requestsOn(chain);
         const excess = Math.max(0, requests + 1 - chain.room);
-        const distance = chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage;
-        return requests + excess * excessCost + distance + chain.crossings * crossingDisadvantage;
+        const slowness = (chain.slowdown - 1) * slownessDisadvantage;
+        return requests + excess * excessCost + chain.crossings * crossingDisadvantage + slowness;
+    }
+
+    /** Requests of all gateways on chains that begin at the same target. */
+    private requestsOn({ hops }: Chain): number {
+        const head = hops[0]?.targetId ?? "";
+        return this.headLoad(head) + this.options.peerLoad(head);
     }
 
     /** Requests of this process on all chains that begin at a target, also on those that were rebuilt meanwhile. */
@@ -172,3 +228,16 @@
         return sum;
     }
 }
+
+function cheapest(loads: readonly ChainLoad[], cost: (load: ChainLoad) => number): ChainLoad | undefined {
+    let best: ChainLoad | undefined;
+    let bestCost = Infinity;
+    for (const load of loads) {
+        const itsCost = cost(load);
+        if (itsCost < bestCost) {
+            best = load;
+            bestCost = itsCost;
+        }
+    }
+    return best;
+}
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -7,6 +7,7 @@
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { type EngineControl } from "./EngineControl.js";
 import { TargetInspector } from "./TargetInspector.js";
+import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
 
 /** A request on a chain, which can be told to leave it. */
@@ -22,28 +23,35 @@
     readonly engine: Engine;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    readonly paces: TargetPaces;
     readonly peerLoad: (headId: string) => number;
     readonly engines: EngineControl;
     readonly observation: Observation;
 }
 
 /** Milliseconds between two looks for chains that have stalled. */
-const stallCheck = 25;
+const stallCheck = 10;
 /** Streams that must have begun on a chain before their silence together says something. */
 const stallStreams = 2;
 /**
- * Milliseconds without an event of any stream of a chain after which its targets are looked at, while the streams stay. A
- * silent target is known 30 to 40 ms later, so that its streams go on elsewhere with a pause of less than 200 ms.
+ * Mean intervals between a stream's events without an event of any stream of a chain, after which its targets are looked at
+ * while the streams stay. All of them being late at once by a fifth is rare, and a look costs little.
  */
-const surveySilence = 70;
+const surveyIntervals = 1.2;
+/** Bounds of that silence in milliseconds: jitter of the links, and what leaves time to go on within 200 ms. */
+const surveySilence = { least: 30, most: 70 };
+/** Weight of the newest interval in the mean. */
+const intervalWeight = 0.05;
 /**
- * Milliseconds without an event of any stream of a chain that mean a stall. A chain of the slowest accelerators makes an
- * event in about 30 ms and callers count a pause over 200 ms as late, of which a new prefill takes about 80.
+ * Milliseconds without an event of any stream of a chain that mean a stall, although all its targets answer. A slow chain is
+ * silent for longer than a sound one, and streams that leave it have their prompts read again, which slows the others. On a
+ * played day with five slow targets streams that left after 130 ms made others read 482,000 tokens again.
  */
-const stallSilence = 130;
+const stallSilence = 600;
 /**
- * The same for a chain between data centres, whose tokens wait behind the prompts of others on a pipe that all share. The
- * figure is chosen: a prompt takes about 20 ms of a pipe, and few are on it at once.
+ * The silence after which the targets of a chain between data centres are looked at, in milliseconds. Its tokens wait behind
+ * the prompts of others on a pipe that all share; the figure is chosen: a prompt takes about 20 ms of it, and few are on it
+ * at once.
  */
 const crossingSilence = 400;
 /** A look that comes so late means that this process itself stood still, so silence proves nothing. */
@@ -52,8 +60,6 @@
 const stalledPause = 1_500;
 /** Milliseconds between two surveys of a chain: each is priced, and a lost range takes longer to come back. */
 const surveyPause = 500;
-/** Milliseconds without an event after which streams leave a chain with a silent target. */
-const doubtfulSilence = 60;
 const misdirected = 421;
 
 /** The chains of one service: choice, stalls, and which target is to blame. */
@@ -66,7 +72,10 @@
     private isStopped = false;
 
     constructor(private readonly options: ChainServiceOptions) {
-        this.router = new ChainRouter(options);
+        this.router = new ChainRouter({
+            ...options,
+            onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
+        });
         this.inspector = new TargetInspector(options);
         this.checkedAt = options.clock.now();
         this.scheduleCheck();
@@ -82,6 +91,17 @@
         return this.router.chooseWell(this.options.engine, failed);
     }
 
+    /** The best chain for a stream that broke off to go on. */
+    chooseToResume(failed: ReadonlySet<string>): ChainLoad | undefined {
+        return this.router.chooseToResume(this.options.engine, failed);
+    }
+
+    /** The same, but none that is full: a request that waits is no better off at the end of another queue. */
+    chooseWithRoom(failed: ReadonlySet<string>): ChainLoad | undefined {
+        const load = this.chooseWell(failed);
+        return load !== undefined && this.router.hasRoom(load) ? load : undefined;
+    }
+
     /** Requests of this process in flight, by the first target of their chain. */
     headLoads(): [string, number][] {
         return this.router.headLoads();
@@ -112,8 +132,13 @@
         load.streaming++;
     }
 
-    event(load: ChainLoad): void {
+    /** A stream got an event, so many milliseconds after its last one if that came over the same chain. */
+    event(load: ChainLoad, interval?: number): void {
         load.lastEventAt = this.options.clock.now();
+        if (interval !== undefined && interval < stallSilence) {
+            const known = load.eventInterval ?? interval;
+            load.eventInterval = known + (interval - known) * intervalWeight;
+        }
     }
 
     /** A request no longer uses the chain. */
@@ -150,6 +175,18 @@
         void this.survey(load);
     }
 
+    private logChain(dataCentre: string, chain: Chain | undefined): void {
+        const { observation, directory } = this.options;
+        observation.logs.chains.info({
+            chain: dataCentre,
+            list: directory.revision,
+            hops: chain?.hops.map(({ targetId, layers }) => `${targetId}=${layers.first}-${layers.end}`),
+            room: chain === undefined ? undefined : Math.round(chain.room),
+            crossings: chain?.crossings,
+            slowdown: chain?.slowdown,
+        }, chain === undefined ? "chain broken" : "chain built");
+    }
+
     private scheduleCheck(): void {
         this.options.clock.schedule(() => {
             if (!this.isStopped) {
@@ -172,29 +209,25 @@
                 continue;
             }
             const silence = now - load.lastEventAt;
-            if (silence > surveySilence && load.chain.crossings === 0) {
+            if (silence > silenceLimit(load)) {
                 void this.survey(load);
             }
-            if (silence > silenceLimit(load.chain)) {
-                void this.leaveStalled(load, now);
+            if (silence > stallSilence) {
+                this.leaveStalled(load, now);
             }
         }
     }
 
-    private async leaveStalled(load: ChainLoad, now: number): Promise<void> {
-        const stalledSince = load.lastEventAt;
-        load.avoidedUntil = now + stalledPause;
-        load.lastEventAt = now;
+    private leaveStalled(load: ChainLoad, now: number): void {
         this.options.observation.logs.chains.warn({
             chain: load.chain.dataCentre,
-            silence: Math.round(now - stalledSince),
+            silence: Math.round(now - load.lastEventAt),
             streams: load.streaming,
             requests: load.inFlight,
         }, "chain stalled");
-        await this.survey(load);
-        if (load.lastEventAt === now) {
-            this.leave(load, "chain stalled");
-        }
+        load.avoidedUntil = now + stalledPause;
+        load.lastEventAt = now;
+        this.leave(load, "chain stalled");
     }
 
     /**
@@ -212,20 +245,34 @@
         const hops = [...load.chain.hops, ...next?.chain.hops ?? []];
         const silent = await this.inspector.survey([...new Set(hops.map(({ targetId }) => targetId))]);
         for (const other of this.users.keys()) {
-            const culprit = other.chain.hops.find(({ targetId }) => silent.includes(targetId));
-            const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > doubtfulSilence;
-            if (culprit !== undefined && isDoubtful) {
-                this.leave(other, `${culprit.address} is silent`);
+            const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > silenceLimit(other);
+            const fault = isDoubtful ? this.findFault(other.chain, silent) : undefined;
+            if (fault !== undefined) {
+                this.leave(other, fault);
             }
         }
     }
 
+    /** Why no stream of a chain can go on, if one of its targets is to blame. */
+    private findFault({ hops }: Chain, silent: readonly string[]): string | undefined {
+        const silentHop = hops.find(({ targetId }) => silent.includes(targetId));
+        if (silentHop !== undefined) {
+            return `${silentHop.address} is silent`;
+        }
+        const lostHop = hops.find(({ targetId }) => this.options.suspicions.isLost(targetId));
+        return lostHop === undefined ? undefined : `${lostHop.address} stalls others`;
+    }
+
     private leave(load: ChainLoad, reason: string): void {
         [...this.users.get(load) ?? []].forEach(user => user.leaveChain(reason));
     }
 }
 
-/** Milliseconds without an event of any stream that mean a stall of a chain. */
-function silenceLimit({ crossings }: Chain): number {
-    return crossings > 0 ? crossingSilence : stallSilence;
+/** Milliseconds without an event of any stream of a chain after which its targets are looked at. */
+function silenceLimit({ chain, eventInterval }: ChainLoad): number {
+    if (chain.crossings > 0) {
+        return crossingSilence;
+    }
+    const { least, most } = surveySilence;
+    return eventInterval === undefined ? most : Math.min(most, Math.max(least, eventInterval * surveyIntervals));
 }
--- a/packages/gateway/src/lib/chains/TargetInspector.test.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -7,6 +7,7 @@
 import { silentLogs, testTarget, wellReport } from "../testing/fixtures.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetInspector } from "./TargetInspector.js";
+import { TargetPaces } from "./TargetPaces.js";
 import { TargetSuspicions } from "./TargetSuspicions.js";
 
 const ids = ["t1", "t2", "t3", "t4", "t5"];
@@ -17,11 +18,13 @@
     const directory = new TargetDirectory({ clock });
     ids.forEach(id => directory.put(testTarget(id, "small")));
     const suspicions = new TargetSuspicions(clock);
+    const paces = new TargetPaces(clock);
     const reports = new Map<string, EngineReport>(ids.map(id => [id, wellReport]));
     const inspector = new TargetInspector({
         clock,
         directory,
         suspicions,
+        paces,
         engines: {
             fetchReport: ({ port }, timeout) => {
                 const id = `t${port - 1_000}`;
--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -4,6 +4,7 @@
 import { type Observation } from "../observation/Observation.js";
 import { type EngineControl, type EngineReport } from "./EngineControl.js";
 import { Penalties, type Penalty } from "./Penalties.js";
+import { type TargetPaces } from "./TargetPaces.js";
 import { type SuspicionKind, type TargetSuspicions } from "./TargetSuspicions.js";
 
 /** Options of {@link TargetInspector}. */
@@ -11,6 +12,7 @@
     readonly clock: Clock;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    readonly paces: TargetPaces;
     readonly engines: EngineControl;
     readonly observation: Observation;
 }
@@ -24,7 +26,7 @@
 const promptShare = 0.6;
 /** Milliseconds that the others get then. Chosen: a report takes 3 to 10 ms (reckoned from
  * the links' delays), and a lost packet takes longer to come again. */
-const stragglerDelay = 25;
+const stragglerDelay = 15;
 /** Milliseconds before the end of an avoidance at which the next look begins, so that it ends in time. */
 const reinspectLead = 400;
 
@@ -141,6 +143,7 @@
             clock.schedule(() => void this.inspectAgain(id), silent.duration - reinspectLead);
             return "silent";
         }
+        this.options.paces.observe(id, report.slowdown);
         return judge(report);
     }
 
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -23,9 +23,14 @@
  * @param targets - The targets that may take part; those of one data centre give a chain that stays inside it.
  * @returns Undefined when the targets do not hold all layers.
  */
-export function buildChain(dataCentre: string, targets: readonly Target[], engine: Engine): Chain | undefined {
+export function buildChain(
+    dataCentre: string,
+    targets: readonly Target[],
+    engine: Engine,
+    slowdown: Slowdown = () => 1,
+): Chain | undefined {
     const best: BestSteps = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
-    best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, dataCentre });
+    best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, slowdown: 1, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
         const holders = targets.filter(({ layers }) =>
             layers !== undefined && layers.first <= layer && layers.end > layer
@@ -33,12 +38,15 @@
         for (const reached of best[layer]?.values() ?? []) {
             holders
                 .filter(target => mayFollow(reached, target, layer))
-                .forEach(target => addHop(best, reached, target, layer, engine));
+                .forEach(target => addHop({ best, reached, target, layer, engine, slowdown: slowdown(target.id) }));
         }
     }
     return toChain(dataCentre, cheapest([...best[engine.layers]?.values() ?? []]));
 }
 
+/** How many times longer than its accelerator should a target takes. */
+export type Slowdown = (targetId: string) => number;
+
 /** By layer: the cheapest way to have run all layers before it, by the data centre that it has come to. */
 type BestSteps = readonly Map<string, Step>[];
 
@@ -47,6 +55,8 @@
     readonly cost: number;
     readonly crossings: number;
     readonly room: number;
+    /** Of its slowest target. */
+    readonly slowdown: number;
     readonly dataCentre: string;
     readonly before?: Step;
     readonly target?: Target;
@@ -59,10 +69,21 @@
     return !(isElsewhere && layer === 0) && !isUsed(reached, target);
 }
 
+/** A target that may run on from a layer. */
+interface NextHop {
+    readonly best: BestSteps;
+    readonly reached: Step;
+    readonly target: Target;
+    readonly layer: number;
+    readonly engine: Engine;
+    readonly slowdown: number;
+}
+
 /** Lets a target run from a layer to every layer that it holds, where no cheaper way there is known. */
-function addHop(best: BestSteps, reached: Step, target: Target, layer: number, engine: Engine): void {
+function addHop({ best, reached, target, layer, engine, slowdown }: NextHop): void {
     const { dataCentre } = target;
-    const factor = engine.accelerators.find(({ name }) => name === target.accelerator)?.stepFactor ?? 1;
+    const stepFactor = engine.accelerators.find(({ name }) => name === target.accelerator)?.stepFactor ?? 1;
+    const factor = stepFactor * slowdown;
     const crossings = dataCentre === reached.dataCentre ? 0 : 1;
     const base = reached.cost + hopCost + crossings * crossingCost;
     for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
@@ -75,6 +96,7 @@
                 cost,
                 crossings: reached.crossings + crossings,
                 room: Math.min(reached.room, room),
+                slowdown: Math.max(reached.slowdown, slowdown),
                 dataCentre,
                 before: reached,
                 target,
@@ -109,5 +131,6 @@
         return undefined;
     }
     const key = hops.map(({ targetId, layers }) => `${targetId}:${layers.first}-${layers.end}`).join(",");
-    return { key, dataCentre, crossings: last.crossings, room: last.room, hops };
+    const { crossings, room, slowdown } = last;
+    return { key, dataCentre, crossings, room, slowdown, hops };
 }
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -18,11 +18,22 @@
  * needs relief. Chosen: twice what a chain carries on a usual day.
  */
 export const ampleRoom = 96;
-/** Requests for whose KV cache every target of a chain keeps room, tried in this order; the last is the least. */
-const concurrencyLevels = [ampleRoom, 72, 56, 40, 24, 12];
+/**
+ * Requests for whose KV cache every target of a new chain keeps room, tried in this order; the last is the least. A little
+ * below ample room, so that some targets are left for second copies and for lost ranges.
+ */
+const concurrencyLevels = [80, 56, 40, 24, 12];
 /** Time of one more hop against the reference's time for a whole step: transfers and waiting for the next pass. */
 export const hopCost = 0.3;
 
+/** What a plan must not touch, or may. */
+export interface PlanOptions {
+    /** Ids of targets that requests are on: they give up no layers, which would take until the last of these has ended. */
+    readonly inUse?: ReadonlySet<string>;
+    /** Whether borders between ranges may be moved when nothing else helps. Default true. */
+    readonly mayShift?: boolean;
+}
+
 /**
  * Plans one data centre. What targets hold already stays where it can, since every load takes seconds.
  *
@@ -30,12 +41,17 @@
  * @returns What every planned target should hold; targets that are not named keep what they hold. Empty when the targets
  * cannot hold all layers.
  */
-export function planLayers(targets: readonly Target[], engine: Engine): Placement[] {
+export function planLayers(targets: readonly Target[], engine: Engine, options: PlanOptions = {}): Placement[] {
+    const { inUse = new Set(), mayShift = true } = options;
     const kept = keepRanges(targets, engine);
-    const tries = kept.length === 0 ? concurrencyLevels.map(level => ({ level, plan: planAnew })) : repairs;
-    const unused = targets.filter(target => kept.every(placement => placement.target !== target));
+    const tries = kept.length === 0
+        ? concurrencyLevels.map(level => ({ level, plan: planAnew }))
+        : repairs.filter(({ plan }) => mayShift || plan !== shiftRanges);
+    const idle = targets.filter(target =>
+        !inUse.has(target.id) && kept.every(placement => placement.target !== target)
+    );
     for (const { level, plan } of tries) {
-        const filled = plan(kept, rankCards(unused, engine, level), engine, level);
+        const filled = plan(kept, rankCards(idle, engine, level), engine, level);
         if (filled !== undefined) {
             return addStandbys(filled, targets, engine, level);
         }
@@ -73,21 +89,14 @@
 const planAnew: Planner = (_kept, cards, engine, concurrency) => fillGaps([], cards, engine, concurrency);
 
 /**
- * The ways to repair a data centre, the best first. Filling gaps disturbs no request and takes 1.2 to 1.8 s (reckoned from
- * the load time); shifted
- * ranges make targets give up layers, and they load new ones only once the streams under way have ended: 5.1 to 6.5 s on a played day.
- * So room goes down to a quarter before ranges are shifted: the router sends fewer requests, and second copies relieve.
+ * The ways to repair a data centre, the best first. Filling gaps with idle targets disturbs no request and takes 1.2 to 1.8 s
+ * (reckoned from the load time). Shifted ranges make targets give up layers, and they load new ones only once the streams
+ * under way have ended: 5.1 to 9.4 s on played days. So room goes down to the least before ranges are shifted: the router
+ * sends fewer requests, and second copies relieve.
  */
 const repairs: readonly { readonly level: number; readonly plan: Planner; }[] = [
-    { level: 96, plan: fillGaps },
-    { level: 72, plan: fillGaps },
-    { level: 56, plan: fillGaps },
-    { level: 40, plan: fillGaps },
-    { level: 24, plan: fillGaps },
-    { level: 40, plan: shiftRanges },
-    { level: 24, plan: shiftRanges },
-    { level: 12, plan: fillGaps },
-    { level: 12, plan: shiftRanges },
+    ...concurrencyLevels.flatMap(level => [{ level, plan: fillGaps }, { level, plan: extendNeighbours }]),
+    ...concurrencyLevels.slice(1).map(level => ({ level, plan: shiftRanges })),
 ];
 
 /**
@@ -150,7 +159,11 @@
     return kept;
 }
 
-/** @returns Placements without any gap; undefined when the cards and the spare room of neighbours do not suffice. */
+/**
+ * Gives gaps to free cards, and what is left of them to the neighbours as far as these have room.
+ *
+ * @returns Placements without any gap; undefined when the cards and the spare room of neighbours do not suffice.
+ */
 function fillGaps(
     kept: readonly Placement[],
     cards: readonly Card[],
@@ -162,15 +175,7 @@
     let covered = 0;
     for (const placement of [...kept, undefined]) {
         const gapEnd = placement?.layers.first ?? engine.layers;
-        while (covered < gapEnd) {
-            const card = takeBestFit(left, gapEnd - covered);
-            if (card === undefined) {
-                break;
-            }
-            const end = Math.min(gapEnd, covered + card.capacity);
-            placements.push({ target: card.target, layers: { first: covered, end } });
-            covered = end;
-        }
+        covered = placeCards(placements, left, covered, gapEnd);
         if (covered < gapEnd) {
             covered = extendLast(placements, gapEnd, engine, concurrency, covered);
         }
@@ -186,16 +191,68 @@
     return covered >= engine.layers ? placements : undefined;
 }
 
+/**
+ * Lets neighbours take what they have room for, and only then free cards the rest: several gaps need fewer cards so. On a
+ * played day that lost 5 and 8 layers of a data centre with one idle target, the chain was out for 10 s without this.
+ */
+function extendNeighbours(
+    kept: readonly Placement[],
+    cards: readonly Card[],
+    engine: Engine,
+    concurrency: number,
+): Placement[] | undefined {
+    const left = [...cards];
+    const placements: Placement[] = [];
+    let covered = 0;
+    for (const placement of [...kept, undefined]) {
+        const gapEnd = placement?.layers.first ?? engine.layers;
+        if (covered < gapEnd) {
+            covered = extendLast(placements, gapEnd, engine, concurrency, covered);
+        }
+        const extended = placement === undefined ? undefined : extendDown(placement, covered, engine, concurrency);
+        covered = placeCards(placements, left, covered, extended?.layers.first ?? engine.layers);
+        if (extended !== undefined) {
+            if (extended.layers.first > covered) {
+                return undefined;
+            }
+            placements.push(extended);
+            covered = Math.max(covered, extended.layers.end);
+        }
+    }
+    return covered >= engine.layers ? placements : undefined;
+}
+
+/** Gives a gap to cards, the best fitting first. @returns The first layer that is not covered. */
+function placeCards(placements: Placement[], cards: Card[], gapFirst: number, gapEnd: number): number {
+    let covered = gapFirst;
+    while (covered < gapEnd) {
+        const card = takeBestFit(cards, gapEnd - covered);
+        if (card === undefined) {
+            break;
+        }
+        const end = Math.min(gapEnd, covered + card.capacity);
+        placements.push({ target: card.target, layers: { first: covered, end } });
+        covered = end;
+    }
+    return covered;
+}
+
 /** Takes the cheapest card, but for the end of a gap the smallest that holds it, so that a small gap binds no large card. */
 function takeBestFit(cards: Card[], layers: number): Card | undefined {
     const fitting = cards.filter(({ capacity }) => capacity >= layers);
-    const best = fitting.length > 0 ? fitting.reduce((a, b) => b.capacity < a.capacity ? b : a) : cards[0];
+    const best = fitting.length > 0 ? fitting.reduce((a, b) => isBetterFit(b, a) ? b : a) : cards[0];
     if (best !== undefined) {
         cards.splice(cards.indexOf(best), 1);
     }
     return best;
 }
 
+/** Empty targets first, so that second copies stay; then the smaller one. */
+function isBetterFit(a: Card, b: Card): boolean {
+    const isEmpty = ({ target }: Card) => target.layers === undefined;
+    return isEmpty(a) === isEmpty(b) ? a.capacity < b.capacity : isEmpty(a);
+}
+
 /** Lets the last target take layers up to a bound, as far as it has room. @returns The first layer that is not covered. */
 function extendLast(
     placements: Placement[],
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -1,12 +1,17 @@
 import { type Clock } from "@waxwingspar/utils";
+import { buildChain } from "../chains/buildChain.js";
+import { type Chain } from "../chains/Chain.js";
 import { type EngineControl } from "../chains/EngineControl.js";
 import { type Placement, planLayers } from "../chains/planLayers.js";
+import { type TargetPaces } from "../chains/TargetPaces.js";
 import { type TargetSuspicions } from "../chains/TargetSuspicions.js";
 import { type Engine, type Service } from "../configuration/Configuration.js";
 import { type LayerRange, sameRange, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
+import { DataCentreChain } from "./DataCentreChain.js";
+import { PaceWatch } from "./PaceWatch.js";
 import { type PlacementLease } from "./PlacementLease.js";
 import { type ListedTarget, TargetWork } from "./TargetWork.js";
 
@@ -16,6 +21,7 @@
     readonly lease: Pick<PlacementLease, "isHeld" | "term">;
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
+    readonly paces: TargetPaces;
     readonly peers: Pick<PeerGroup, "alive">;
     readonly engines: EngineControl;
     readonly services: () => readonly Service[];
@@ -38,9 +44,13 @@
 const pollInterval = 400;
 /** Milliseconds for which the list of targets must have been quiet before the first plan, as they start in any order. */
 const settleTime = 600;
+
 /** Gives targets their layers, while this process holds the lease. */
 export class PlacementDuty {
     private readonly work = new Map<string, TargetWork>();
+    /** By service and data centre. */
+    private readonly chains = new Map<string, DataCentreChain>();
+    private readonly paceWatch: PaceWatch;
     private isStopped = false;
     private seenRevision = -1;
     private quietSince: number;
@@ -48,6 +58,7 @@
 
     constructor(private readonly options: PlacementDutyOptions) {
         this.quietSince = options.clock.now();
+        this.paceWatch = new PaceWatch(options);
     }
 
     start(): void {
@@ -93,7 +104,11 @@
             const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))];
             for (const dataCentre of dataCentres) {
                 const local = targets.filter(target => target.dataCentre === dataCentre);
-                planLayers(local, engine).forEach(placement => this.bringAbout(placement, engine));
+                const chain = this.chainOf(name, dataCentre);
+                chain.update(this.presentChain(dataCentre, local, engine));
+                this.paceWatch.ask(chain.inUse);
+                this.planDataCentre(local, engine, chain)
+                    .forEach(placement => this.bringAbout(placement, engine));
             }
         }
     }
@@ -110,6 +125,32 @@
             .map(target => ({ ...target, layers: this.workOf(target.id).expected(this.listed(target)) }));
     }
 
+    /** The chain through what the targets hold by now. */
+    private presentChain(dataCentre: string, targets: readonly Target[], engine: Engine): Chain | undefined {
+        const { directory, paces } = this.options;
+        const listed = targets.flatMap(({ id }) => directory.get(id) ?? []);
+        return buildChain(dataCentre, listed, engine, id => paces.slowdown(id));
+    }
+
+    /**
+     * Plans without the slow targets if the others suffice, so that idle ones take their ranges: on a played day with five
+     * targets at a twelfth of their speed the chains of all data centres stood still for 9 s.
+     */
+    private planDataCentre(targets: readonly Target[], engine: Engine, chain: DataCentreChain): Placement[] {
+        const { paces } = this.options;
+        const { inUse, isOutForLong } = chain;
+        const wellPaced = targets.filter(({ id }) => paces.slowdown(id) === 1);
+        const plan = wellPaced.length < targets.length ? planLayers(wellPaced, engine, { inUse, mayShift: false }) : [];
+        return plan.length > 0 ? plan : planLayers(targets, engine, { inUse, mayShift: isOutForLong });
+    }
+
+    private chainOf(service: string, dataCentre: string): DataCentreChain {
+        const key = `${service} ${dataCentre}`;
+        const chain = this.chains.get(key) ?? new DataCentreChain(this.options.clock);
+        this.chains.set(key, chain);
+        return chain;
+    }
+
     private listed(target: Target): ListedTarget {
         return { target, changedAt: this.options.directory.changedAt(target.id) };
     }
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -1,7 +1,7 @@
 import { type Clock } from "@waxwingspar/utils";
 import { createSocket, type Socket } from "node:dgram";
 import { type Logger } from "pino";
-import { z } from "zod/mini";
+import * as z from "zod/mini";
 import { type Address } from "../GatewaySettings.js";
 import { currentMoment, type Moment } from "../Moment.js";
 import { type Store, type WriteResult } from "../store/Store.js";
@@ -10,6 +10,8 @@
 export const peerStateSchema = z.object({
     /** Ids of targets that seem lost to it. */
     suspects: z.array(z.string()),
+    /** Targets whose own reports to it say that they are slow, by id. */
+    slowTargets: z.record(z.string(), z.number()),
     /** Requests of this process in flight, by the first target of their chain. */
     chainLoads: z.record(z.string(), z.number()),
     /** The term under which it holds the placement duty; undefined when it does not, or the store has not confirmed it. */
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -41,6 +41,8 @@
     private isOver = false;
     private hasHead = false;
     private firstByteAt: number | undefined;
+    private lastByteAt: number | undefined;
+    private longestPause = 0;
     private goneListener: (() => void) | undefined;
     private drainListener: (() => void) | undefined;
     private sends = 0;
@@ -120,7 +122,10 @@
 
     /** @returns False when the caller does not keep up; `onDrain` tells when it does again. */
     write(chunk: Buffer): boolean {
-        this.firstByteAt ??= this.options.clock.now();
+        const now = this.options.clock.now();
+        this.firstByteAt ??= now;
+        this.longestPause = Math.max(this.longestPause, now - (this.lastByteAt ?? now));
+        this.lastByteAt = now;
         return this.options.response.write(chunk);
     }
 
@@ -200,6 +205,7 @@
             target: this.lastTarget?.id,
             dataCentre: this.lastTarget?.dataCentre,
             firstByte: round(firstByte),
+            longestPause: round(this.longestPause),
             duration: round(duration),
         }, "request ended");
     }
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -24,8 +24,13 @@
 const resumePatience = 1_800;
 /** How long the first event may take, against its latency target, before another chain is tried. */
 const firstEventPatience = 3;
-/** Targets admit requests of a lower number first; 5 is what they assume. A caller that waits in mid-stream goes first. */
-const resumedPriority = 1;
+/**
+ * Targets admit requests of a lower number first; 5 is what they assume. A caller that waits in mid-stream goes first, and of
+ * several the one with the least to read: most of them then go on in time, where in any other order most would be late.
+ */
+const resumedPriorities = { first: 1, last: 4 };
+/** Tokens of a prompt for each step of these priorities. Chosen: half of a usual prompt. */
+const tokensPerPriority = 400;
 const noChains: ReadonlySet<string> = new Set();
 const firstSuccess = 200;
 const firstRedirect = 300;
@@ -38,7 +43,8 @@
     /** Set for a reply that is no stream, which is passed on whole. */
     isPlain: boolean;
     response?: IncomingMessage;
-    hasEvents: boolean;
+    /** When its last event came, on the clock; undefined before the first. */
+    lastEventAt: number | undefined;
 }
 
 /**
@@ -84,14 +90,23 @@
             return;
         }
         const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
-        const others = new Set([...this.failedChains, attempt.load.chain.key]);
         const mayMove = this.mayRepeat(end) && this.limits.mayReplaceSend;
-        if (mayMove && this.service.chooseWell(others) !== undefined) {
+        if (mayMove && this.service.chooseWell(this.triedChains(attempt)) !== undefined) {
             attempt.exchange.cancel();
             this.attemptEnded(attempt, end, reason);
         }
     }
 
+    private get resumedPriority(): number {
+        const { first, last } = resumedPriorities;
+        const tokens = this.caller.request.tokens?.prompt ?? 0;
+        return Math.min(last, first + Math.floor(tokens / tokensPerPriority));
+    }
+
+    private triedChains({ load }: Attempt): ReadonlySet<string> {
+        return new Set([...this.failedChains, load.chain.key]);
+    }
+
     private get mayResume(): boolean {
         const { route } = this.caller;
         return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
@@ -115,14 +130,14 @@
             startedAt: context.clock.now(),
             splitter: new EventSplitter(),
             isPlain: false,
-            hasEvents: false,
+            lastEventAt: undefined,
             exchange: openExchange({
                 context,
                 caller,
                 target,
                 chain: load.chain.hops,
                 lastEventId: this.lastEventId,
-                priority: this.events > 0 ? resumedPriority : undefined,
+                priority: this.events > 0 ? this.resumedPriority : undefined,
                 listener: {
                     onHead: response => this.receiveHead(attempt, response),
                     onData: chunk => this.receiveData(attempt, chunk),
@@ -140,7 +155,7 @@
     private chooseChain(): ChainLoad | undefined {
         const { service, failedChains, deadChains } = this;
         return this.limits.isRepeat
-            ? service.chooseWell(failedChains) ?? service.chooseWell(deadChains)
+            ? service.chooseToResume(failedChains) ?? service.chooseToResume(deadChains)
             : service.choose(failedChains) ?? service.choose(deadChains);
     }
 
@@ -201,12 +216,14 @@
     }
 
     private noteEvents(attempt: Attempt): void {
-        if (!attempt.hasEvents) {
-            attempt.hasEvents = true;
+        const now = this.context.clock.now();
+        const interval = attempt.lastEventAt === undefined ? undefined : now - attempt.lastEventAt;
+        if (interval === undefined) {
             this.firstEventTimer?.cancel();
             this.service.firstEvent(attempt.load);
         }
-        this.service.event(attempt.load);
+        attempt.lastEventAt = now;
+        this.service.event(attempt.load, interval);
     }
 
     /** A new run may begin with events that the caller has. */
@@ -284,7 +301,7 @@
         this.firstEventTimer?.cancel();
         const delay = this.caller.route.latencyTarget * firstEventPatience;
         this.firstEventTimer = this.context.clock.schedule(() => {
-            if (this.attempt === attempt) {
+            if (this.attempt === attempt && this.service.chooseWithRoom(this.triedChains(attempt)) !== undefined) {
                 this.leaveChain("no first event");
             }
         }, delay);
@@ -317,7 +334,7 @@
         const { attempt } = this;
         if (attempt !== undefined) {
             this.attempt = undefined;
-            this.service.end(attempt.load, this, attempt.hasEvents);
+            this.service.end(attempt.load, this, attempt.lastEventAt !== undefined);
             this.context.observation.metrics.sends.add({ result: "stream" });
         }
     }
@@ -329,6 +346,7 @@
             head: attempt.load.chain.hops[0]?.targetId,
             reason,
             events: this.events,
+            silence: Math.round(this.context.clock.now() - this.lastEventAt),
             after: Math.round(this.context.clock.now() - attempt.startedAt),
         }, "attempt failed");
     }
