A target that starts again under its id is another incarnation; entries of other writers name no target

Cause: the platform lets a replica start again under its id, holding nothing, with its count of orders anew; nothing read the time of its start. An entry with an unknown state counted as ready, one without a state as well, and bytes that were no JSON threw inside the watch of the list, which then ended for good. Change: the adapter decodes the start in entries and reports; directory, orders, paces, penalties, suspicions, records of plain targets and chains go by id and start. A late entry of an earlier start is ignored for 8 s (a write may be carried out 6 s late; after that a clock was set back); a report of a new start empties the target before its entry does; an answer to an order, a look or a failure of an earlier start counts for nothing; streams leave a chain whose target has started again, though it answers. Entries with a field missing or of another type, an unknown state, an address that is none or bytes that cannot be read name no target, each logged once; the others hold.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,7 +20,7 @@
     type Service,
 } from "./lib/configuration/Configuration.js";
 export { type LayerRange, type Target, targetSchema } from "./lib/directory/Target.js";
-export { Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
+export { type DecodedTarget, Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
 export { type Address, type GatewaySettings } from "./lib/GatewaySettings.js";
 export { LogDestination, type LogDestinationOptions } from "./lib/observation/LogDestination.js";
 export { GatewayMetrics, type Logs } from "./lib/observation/Observation.js";
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -8,7 +8,7 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { type Target } from "./directory/Target.js";
-import { TargetDirectory } from "./directory/TargetDirectory.js";
+import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
@@ -32,9 +32,16 @@
     readonly targetTable: string;
     /** @throws Error when the document is no configuration. */
     decodeConfiguration(document: unknown): Configuration;
-    decodeTarget(id: string, document: unknown): Target | undefined;
+    /** Never throws: any document may stand there. */
+    decodeTarget(id: string, document: unknown): DecodedTarget;
 }
 
+/** What an entry of the platform's list says. */
+export type DecodedTarget =
+    | { readonly kind: "target"; readonly target: Target; }
+    /** It names no target that could be used, for this reason. */
+    | { readonly kind: "unusable"; readonly reason: string; };
+
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
     readonly settings: GatewaySettings;
@@ -87,6 +94,8 @@
     private readonly lease: PlacementLease;
     private readonly duty: PlacementDuty;
     private readonly watches: TableWatch[];
+    /** Rows of the list that name no target, and why, so that each is logged once. */
+    private readonly unusableRows = new Map<string, string>();
     private knowsTargets = false;
     private reachesStore = true;
     private isStopping = false;
@@ -101,18 +110,7 @@
             clock,
             maxConfirmationAge: keyRevocation === undefined ? undefined : keyRevocation - revocationSlack,
         });
-        this.directory = new TargetDirectory({
-            clock,
-            onChange: ({ kind, target }) =>
-                logs.directory.info({
-                    target: target.id,
-                    service: target.service,
-                    dataCentre: target.dataCentre,
-                    state: target.state,
-                    layers: target.layers,
-                    change: kind,
-                }, `target ${kind}`),
-        });
+        this.directory = new TargetDirectory({ clock, onChange: change => this.noteTarget(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
         const router = new RequestRouter({
@@ -258,7 +256,7 @@
             ...ofStore(tables.targetTable),
             wait: targetWait,
             onSnapshot: (rows, graceEnd) => {
-                const targets = rows.flatMap(row => tables.decodeTarget(row.key, row.value) ?? []);
+                const targets = rows.flatMap(row => this.decodeTarget(row) ?? []);
                 this.directory.replaceAll(targets, graceEnd);
                 this.knowsTargets = true;
             },
@@ -281,15 +279,46 @@
         this.configuration.confirm({ now: now - confirmationAge, date: date - confirmationAge });
     }
 
+    private noteTarget({ kind, target }: DirectoryChange): void {
+        const { id, service, dataCentre, state, layers, startedAt } = target;
+        this.options.logs.directory.info(
+            { target: id, startedAt, service, dataCentre, state, layers, change: kind },
+            `target ${kind}`,
+        );
+        if (kind === "restarted") {
+            this.suspicions.clear(id);
+            this.paces.forget(id);
+            this.services.forEach(({ chains }) => chains?.forget(id));
+        }
+    }
+
+    /** An entry that cannot be read names no target to use; it may be another writer's, and the others hold. */
+    private decodeTarget({ key, value, version }: StoredRow): Target | undefined {
+        const decoded = this.options.tables.decodeTarget(key, value);
+        if (decoded.kind === "target") {
+            this.unusableRows.delete(key);
+            return decoded.target;
+        }
+        if (this.unusableRows.get(key) !== decoded.reason) {
+            this.unusableRows.set(key, decoded.reason);
+            const { reason } = decoded;
+            this.options.logs.directory.warn({ target: key, row: version, reason }, "entry names no target");
+        }
+        return undefined;
+    }
+
     private takeTarget(id: string, row: StoredRow | undefined, graceEnd: number): void {
         if (row === undefined) {
+            this.unusableRows.delete(id);
             this.directory.remove(id, graceEnd);
             return;
         }
-        const target = this.options.tables.decodeTarget(id, row.value);
-        if (target !== undefined) {
-            this.directory.put(target);
+        const target = this.decodeTarget(row);
+        if (target === undefined) {
+            this.directory.remove(id, -Infinity);
+            return;
         }
+        this.directory.put(target);
     }
 
     /** Takes the newest of the rows that hold the configuration: a call may bring several versions of it. */
--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -144,3 +144,30 @@
     await clock.advanceAsync(125);
     assert.deepEqual(left, ["127.0.0.1:1002 is silent", "127.0.0.1:1002 is silent"]);
 });
+
+test("streams leave a chain whose target has started again, though it answers", async () => {
+    const { clock, directory, service, load } = createService();
+    const left = beginStreams({ service, load });
+    directory.put({ ...testTarget("t2", "small", { first: 40, end: 80 }), startedAt: 5 });
+    await clock.advanceAsync(20);
+    assert.deepEqual(left, ["127.0.0.1:1002 has started again", "127.0.0.1:1002 has started again"]);
+    assert.notEqual(service.choose(new Set())?.chain.key, load.chain.key);
+});
+
+test("a look at an earlier start of a target blames the next for nothing", async () => {
+    const { clock, directory, suspicions, reports, service, load } = createService();
+    reports.delete(1_002);
+    service.refused(load, 503, "127.0.0.1:1002");
+    directory.put({ ...testTarget("t2", "small", { first: 40, end: 80 }), startedAt: 5 });
+    await clock.advanceAsync(10);
+    assert.equal(suspicions.isLost("t2"), false);
+});
+
+test("a report of a new start empties the target before its entry does", async () => {
+    const { clock, directory, reports, service, load } = createService();
+    directory.put({ ...testTarget("t2", "small", { first: 40, end: 80 }), startedAt: 5 });
+    reports.set(1_002, { ...wellReport, startedAt: 6 });
+    service.refused(load, 503, "127.0.0.1:1002");
+    await clock.advanceAsync(10);
+    assert.equal(directory.get("t2")?.layers, undefined);
+});
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -69,6 +69,7 @@
     private readonly inspector: TargetInspector;
     private readonly surveyedAt = new WeakMap<ChainLoad, number>();
     private checkedAt: number;
+    private checkedRevision = -1;
     private isStopped = false;
 
     constructor(private readonly options: ChainServiceOptions) {
@@ -116,6 +117,11 @@
         this.inspector.stop();
     }
 
+    /** Forgets what a target did before it started again. */
+    forget(id: string): void {
+        this.inspector.forget(id);
+    }
+
     /** A request is sent over the chain. */
     begin(load: ChainLoad, user: ChainUser): void {
         load.inFlight++;
@@ -196,7 +202,26 @@
         }, stallCheck);
     }
 
+    /** A target that has started again knows nothing of the requests on it, although it answers. */
+    private leaveRestarted(): void {
+        const { directory } = this.options;
+        if (directory.revision === this.checkedRevision) {
+            return;
+        }
+        this.checkedRevision = directory.revision;
+        for (const load of this.users.keys()) {
+            const restarted = load.chain.hops.find(({ targetId, startedAt }) => {
+                const target = directory.get(targetId);
+                return target !== undefined && target.startedAt !== startedAt;
+            });
+            if (restarted !== undefined) {
+                this.leave(load, `${restarted.address} has started again`);
+            }
+        }
+    }
+
     private checkStalls(): void {
+        this.leaveRestarted();
         const now = this.options.clock.now();
         const stoodStill = now - this.checkedAt > lateCheck;
         this.checkedAt = now;
--- a/packages/gateway/src/lib/chains/EngineControl.ts
+++ b/packages/gateway/src/lib/chains/EngineControl.ts
@@ -2,6 +2,8 @@
 
 /** What a target that holds layers says of itself. */
 export interface EngineReport {
+    /** When the target started, in milliseconds since 1970 by its own clock; undefined where it does not say. */
+    readonly startedAt?: number;
     /** An order is being carried out. */
     readonly isBusy: boolean;
     /** Orders accepted since the target's start. */
--- a/packages/gateway/src/lib/chains/Penalties.ts
+++ b/packages/gateway/src/lib/chains/Penalties.ts
@@ -46,6 +46,15 @@
         return next;
     }
 
+    /** Forgets what a target did, for instance because it has started again. */
+    forget(id: string): void {
+        for (const key of this.records.keys()) {
+            if (key.startsWith(`${id} `)) {
+                this.records.delete(key);
+            }
+        }
+    }
+
     private forgetOld(now: number): void {
         for (const [key, { end }] of this.records) {
             if (end + memory < now) {
--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -66,6 +66,11 @@
         this.isStopped = true;
     }
 
+    /** Forgets what a target did before it started again. */
+    forget(id: string): void {
+        this.penalties.forget(id);
+    }
+
     /**
      * Looks at targets together. Those that have not answered soon after most others are avoided at once, so that
      * requests need not wait for the time limit of a report.
@@ -135,7 +140,7 @@
         const target = directory.get(id);
         const report = target === undefined ? undefined : await engines.fetchReport(target, reportTimeout);
         this.running.delete(id);
-        if (target === undefined) {
+        if (target === undefined || !directory.confirmsStart(target, report?.startedAt)) {
             return "well";
         }
         if (report === undefined) {
--- a/packages/gateway/src/lib/chains/TargetPaces.ts
+++ b/packages/gateway/src/lib/chains/TargetPaces.ts
@@ -34,6 +34,12 @@
         }
     }
 
+    /** Forgets what was known of a target, for instance because it has started again. */
+    forget(id: string): void {
+        this.own.delete(id);
+        this.heard.delete(id);
+    }
+
     /** Takes the slow targets that a peer knows by itself. */
     hear(slow: SlowTargets): void {
         const end = this.clock.now() + peerTrust;
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -1,5 +1,5 @@
 import { type Engine } from "../configuration/Configuration.js";
-import { addressOf, type LayerRange, type Target } from "../directory/Target.js";
+import { addressOf, incarnationOf, type LayerRange, type Target } from "../directory/Target.js";
 import { type Hop } from "../requests/messages.js";
 import { type Chain } from "./Chain.js";
 import { requestRoom } from "./memory.js";
@@ -125,12 +125,14 @@
 function toChain(dataCentre: string, last: Step | undefined): Chain | undefined {
     const hops: Hop[] = [];
     for (let step = last; step?.target !== undefined && step.layers !== undefined; step = step.before) {
-        hops.unshift({ targetId: step.target.id, address: addressOf(step.target), layers: step.layers });
+        const { id: targetId, startedAt } = step.target;
+        hops.unshift({ targetId, startedAt, address: addressOf(step.target), layers: step.layers });
     }
     if (last === undefined || hops.length === 0) {
         return undefined;
     }
-    const key = hops.map(({ targetId, layers }) => `${targetId}:${layers.first}-${layers.end}`).join(",");
+    const key = hops.map(hop => `${incarnationOf({ ...hop, id: hop.targetId })}:${hop.layers.first}-${hop.layers.end}`)
+        .join(",");
     const { crossings, room, slowdown } = last;
     return { key, dataCentre, crossings, room, slowdown, hops };
 }
--- a/packages/gateway/src/lib/directory/Target.ts
+++ b/packages/gateway/src/lib/directory/Target.ts
@@ -3,9 +3,11 @@
 /** A range of layers: `first` is held, `end` is the first one that is not. */
 export const layerRangeSchema = z.object({ first: z.number(), end: z.number() });
 
-/** One start of one process that serves requests. A restart is another target with another id. */
+/** A process that serves requests. It may start again under its id, and then holds and knows nothing of before. */
 export const targetSchema = z.object({
     id: z.string(),
+    /** When it started, in milliseconds since 1970 by its own clock; undefined where it does not say. */
+    startedAt: z.optional(z.number()),
     service: z.string(),
     host: z.string(),
     port: z.number(),
@@ -27,6 +29,11 @@
     return `${target.host}:${target.port}`;
 }
 
+/** Names one start of a target: what is known of one start says nothing about the next. */
+export function incarnationOf({ id, startedAt }: Pick<Target, "id" | "startedAt">): string {
+    return startedAt === undefined ? id : `${id}@${startedAt}`;
+}
+
 /** Whether two ranges are the same; no range is not the same as any. */
 export function sameRange(a: LayerRange | undefined, b: LayerRange): boolean {
     return a !== undefined && a.first === b.first && a.end === b.end;
--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -63,3 +63,50 @@
     directory.replaceAll([{ ...target, id: "b" }], -Infinity);
     assert.deepEqual(directory.list().map(({ id }) => id), ["b"]);
 });
+
+test("a restart under the same id is told, and what the target held is gone", () => {
+    const { directory, changes } = createDirectory();
+    directory.put({ ...target, startedAt: 1, layers: { first: 0, end: 5 } });
+    directory.put({ ...target, startedAt: 2 });
+    assert.equal(directory.get("a")?.layers, undefined);
+    assert.equal(changes.at(-1), "restarted");
+});
+
+test("a late entry of an earlier start changes nothing", () => {
+    const { clock, directory, changes } = createDirectory();
+    directory.put({ ...target, startedAt: 2 });
+    clock.advance(6_000);
+    directory.put({ ...target, startedAt: 1, layers: { first: 0, end: 5 } });
+    assert.equal(directory.get("a")?.layers, undefined);
+    assert.equal(changes.at(-1), "stale");
+});
+
+test("a clock that was set back: the earlier time of start is believed once the later one is long unseen", () => {
+    const { clock, directory } = createDirectory();
+    directory.put({ ...target, startedAt: 9_000 });
+    clock.advance(8_000);
+    directory.put({ ...target, startedAt: 4_000 });
+    assert.equal(directory.get("a")?.startedAt, 4_000);
+});
+
+test("a target's own word of a new start comes before its entry, which is of the earlier one", () => {
+    const { directory } = createDirectory();
+    const earlier: Target = { ...target, startedAt: 1, layers: { first: 0, end: 5 } };
+    directory.put(earlier);
+    assert.equal(directory.confirmsStart(earlier, 2), false);
+    assert.equal(directory.get("a")?.layers, undefined);
+    directory.put(earlier);
+    assert.equal(directory.get("a")?.layers, undefined);
+    directory.put({ ...target, startedAt: 2, layers: { first: 5, end: 9 } });
+    assert.deepEqual(directory.get("a")?.layers, { first: 5, end: 9 });
+});
+
+test("news of an earlier start does not hold", () => {
+    const { directory } = createDirectory();
+    const later = { ...target, startedAt: 2 };
+    directory.put(later);
+    assert.equal(directory.confirmsStart(later, 1), false);
+    assert.equal(directory.confirmsStart(later, 2), true);
+    assert.equal(directory.confirmsStart(later, undefined), true);
+    assert.equal(directory.confirmsStart({ ...target, startedAt: 1 }, undefined), false);
+});
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -3,7 +3,8 @@
 
 /** What happened to a target of the directory. */
 export interface DirectoryChange {
-    readonly kind: "added" | "changed" | "removed" | "lapsed" | "returned";
+    /** "restarted": it has started again, and nothing that was known of it holds. "stale": an entry of an earlier start came. */
+    readonly kind: "added" | "changed" | "removed" | "lapsed" | "returned" | "restarted" | "stale";
     readonly target: Target;
 }
 
@@ -13,6 +14,12 @@
     readonly onChange?: (change: DirectoryChange) => void;
 }
 
+/**
+ * Milliseconds for which the newest start of a target that was seen outweighs entries of an earlier one. A write of the
+ * earlier one may be carried out 6 s late; after that, an earlier time of start means that the target's clock was set back.
+ */
+const earlierStartDelay = 8_000;
+
 /**
  * The targets that the platform lists. An entry that vanishes while the store is well means that its target has gone;
  * one that vanishes around an outage may only have expired, and gets time to come back.
@@ -22,6 +29,8 @@
 export class TargetDirectory {
     private readonly targets = new Map<string, Target>();
     private readonly changedTimes = new Map<string, number>();
+    /** When the newest start of each target was last seen, on the clock. */
+    private readonly startSeenAt = new Map<string, number>();
     private readonly lapsed = new Map<string, Timer>();
     private revisionCount = 0;
 
@@ -54,14 +63,58 @@
     /** Takes the present entry of a target. */
     put(target: Target): void {
         const known = this.targets.get(target.id);
-        this.targets.set(target.id, target);
-        this.changedTimes.set(target.id, this.options.clock.now());
-        if (this.cancelLapse(target.id)) {
-            this.changed({ kind: "returned", target });
+        if (known !== undefined && this.isOfEarlierStart(target, known)) {
+            this.options.onChange?.({ kind: "stale", target });
+            return;
+        }
+        this.startSeenAt.set(target.id, this.options.clock.now());
+        this.set(target);
+        const hadLapsed = this.cancelLapse(target.id);
+        const hasRestarted = known !== undefined && known.startedAt !== target.startedAt;
+        this.changed({
+            kind: known === undefined ? "added" : hasRestarted ? "restarted" : hadLapsed ? "returned" : "changed",
+            target,
+        });
+    }
+
+    /**
+     * Whether news of a target, which gives this time of its start, holds for its present entry: neither may be of an
+     * earlier start. News of a later one is taken.
+     *
+     * @param target - The entry that the target was asked by.
+     * @param startedAt - Undefined where it gave none, or did not answer.
+     */
+    confirmsStart(target: Target, startedAt: number | undefined): boolean {
+        if (startedAt !== undefined) {
+            this.noteStart(target.id, startedAt);
         }
-        else {
-            this.changed({ kind: known === undefined ? "added" : "changed", target });
+        const isCurrent = this.targets.get(target.id)?.startedAt === target.startedAt;
+        return isCurrent
+            && (startedAt === undefined || target.startedAt === undefined || startedAt === target.startedAt);
+    }
+
+    /** A target has started again: its entry is of an earlier start until it changes. */
+    private noteStart(id: string, startedAt: number): void {
+        const known = this.targets.get(id);
+        if (known === undefined || known.startedAt === undefined || known.startedAt >= startedAt) {
+            return;
         }
+        const target = { ...known, startedAt, layers: undefined };
+        this.startSeenAt.set(id, this.options.clock.now());
+        this.set(target);
+        this.changed({ kind: "restarted", target });
+    }
+
+    private isOfEarlierStart(target: Target, known: Target): boolean {
+        if (target.startedAt === undefined || known.startedAt === undefined || target.startedAt >= known.startedAt) {
+            return false;
+        }
+        return this.options.clock.now() - (this.startSeenAt.get(target.id) ?? -Infinity) < earlierStartDelay;
+    }
+
+    private set(target: Target): void {
+        this.targets.set(target.id, target);
+        this.changedTimes.set(target.id, this.options.clock.now());
     }
 
     /**
@@ -96,6 +149,7 @@
         this.cancelLapse(target.id);
         this.targets.delete(target.id);
         this.changedTimes.delete(target.id);
+        this.startSeenAt.delete(target.id);
         this.changed({ kind: "removed", target });
     }
 
--- a/packages/gateway/src/lib/duty/PaceWatch.ts
+++ b/packages/gateway/src/lib/duty/PaceWatch.ts
@@ -45,9 +45,9 @@
     }
 
     private async observe(target: Target): Promise<void> {
-        const { engines, paces } = this.options;
+        const { engines, paces, directory } = this.options;
         const report = await engines.fetchReport(target, reportTimeout);
-        if (report !== undefined) {
+        if (report !== undefined && directory.confirmsStart(target, report.startedAt)) {
             paces.observe(target.id, report.slowdown);
         }
     }
--- a/packages/gateway/src/lib/duty/PlacementDuty.test.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.test.ts
@@ -118,3 +118,31 @@
     await clock.advanceAsync(6_000);
     assert.ok(orders.some(({ id, layers }) => id !== "t2" && layers.end === 10));
 });
+
+test("orders to a target that has started again count from 0", async () => {
+    const { clock, orders, duty, directory, hold } = createDuty();
+    hold("t2", undefined);
+    duty.start();
+    await clock.advanceAsync(2_000);
+    const before = orders.filter(({ id }) => id === "t2").length;
+    assert.ok(before > 0);
+    directory.put({ ...testTarget("t2", "small"), startedAt: 7 });
+    await clock.advanceAsync(1_000);
+    const again = orders.filter(({ id }) => id === "t2").slice(before);
+    assert.deepEqual(again.map(({ expectedOrders }) => expectedOrders), [0]);
+});
+
+test("the answer to an order of an earlier start does not count for the next", async () => {
+    const { clock, orders, duty, directory, hold, answerBy } = createDuty();
+    hold("t2", undefined);
+    answerBy(({ id }) => {
+        if (id === "t2" && directory.get("t2")?.startedAt === undefined) {
+            directory.put({ ...testTarget("t2", "small"), startedAt: 7 });
+        }
+        return { kind: "begun" };
+    });
+    duty.start();
+    await clock.advanceAsync(2_000);
+    const given = orders.filter(({ id }) => id === "t2");
+    assert.deepEqual(given.map(({ expectedOrders }) => expectedOrders), [0, 0]);
+});
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -6,7 +6,7 @@
 import { type TargetPaces } from "../chains/TargetPaces.js";
 import { type TargetSuspicions } from "../chains/TargetSuspicions.js";
 import { type Engine, type Service } from "../configuration/Configuration.js";
-import { type LayerRange, sameRange, type Target } from "../directory/Target.js";
+import { incarnationOf, type LayerRange, sameRange, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
@@ -47,6 +47,7 @@
 
 /** Gives targets their layers, while this process holds the lease. */
 export class PlacementDuty {
+    /** By incarnation of the target. */
     private readonly work = new Map<string, TargetWork>();
     /** By service and data centre. */
     private readonly chains = new Map<string, DataCentreChain>();
@@ -122,7 +123,7 @@
         const needed = Math.min(neededWitnesses, suspects.length + 1);
         return directory.readyTargets(service)
             .filter(({ id }) => witnesses(id) < needed)
-            .map(target => ({ ...target, layers: this.workOf(target.id).expected(this.listed(target)) }));
+            .map(target => ({ ...target, layers: this.workOf(target).expected(this.listed(target)) }));
     }
 
     /** The chain through what the targets hold by now. */
@@ -162,7 +163,7 @@
             return;
         }
         const listed = this.listed(entry);
-        const work = this.workOf(target.id);
+        const work = this.workOf(entry);
         if (sameRange(work.held(listed), layers) || work.isCalling) {
             return;
         }
@@ -212,29 +213,33 @@
     }
 
     private async poll(target: Target, work: TargetWork): Promise<void> {
-        const { clock, engines } = this.options;
+        const { clock, engines, directory } = this.options;
         work.isCalling = true;
         const report = await engines.fetchReport(target, reportTimeout);
         work.isCalling = false;
         work.nextPoll = clock.now() + pollInterval;
-        if (report !== undefined) {
+        if (report !== undefined && directory.confirmsStart(target, report.startedAt)) {
             work.recordReport(report);
         }
     }
 
-    private workOf(id: string): TargetWork {
-        let work = this.work.get(id);
-        if (work === undefined) {
-            work = new TargetWork(this.options.clock);
-            this.work.set(id, work);
+    /** Orders and reports of an earlier start say nothing of a target, and its count of orders begins anew. */
+    private workOf(target: Target): TargetWork {
+        const incarnation = incarnationOf(target);
+        const known = this.work.get(incarnation);
+        if (known !== undefined) {
+            return known;
         }
+        const work = new TargetWork(this.options.clock);
+        this.work.set(incarnation, work);
         return work;
     }
 
     private forgetGone(): void {
-        for (const id of this.work.keys()) {
-            if (this.options.directory.get(id) === undefined) {
-                this.work.delete(id);
+        const listed = new Set(this.options.directory.list().map(incarnationOf));
+        for (const incarnation of this.work.keys()) {
+            if (!listed.has(incarnation)) {
+                this.work.delete(incarnation);
             }
         }
     }
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -81,7 +81,7 @@
             return;
         }
         this.tried.add(target.id);
-        this.picker.sent(target.id);
+        this.picker.sent(target);
         const { context, caller } = this;
         const attempt: Attempt = {
             target,
@@ -247,7 +247,7 @@
 
     private remove(attempt: Attempt, verdict: ExchangeVerdict): void {
         if (this.attempts.delete(attempt)) {
-            this.picker.ended(attempt.target.id, verdict, this.context.clock.now() - attempt.startedAt);
+            this.picker.ended(attempt.target, verdict, this.context.clock.now() - attempt.startedAt);
             this.context.observation.metrics.sends.add({ result: verdict });
         }
     }
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -27,6 +27,8 @@
 /** One hop of a chain: a target and the layers that it runs. */
 export interface Hop {
     readonly targetId: string;
+    /** The start of the target that holds the layers; a later one does not. */
+    readonly startedAt: number | undefined;
     readonly address: string;
     readonly layers: LayerRange;
 }
--- a/packages/gateway/src/lib/services/ServicePicker.test.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.test.ts
@@ -18,7 +18,9 @@
         state: "ready",
     }));
     targets.forEach(target => directory.put(target));
-    return { clock, directory, picker: new ServicePicker({ clock, service: "s", dataCentre: "x", directory }) };
+    const [x] = targets;
+    assert.ok(x !== undefined);
+    return { clock, directory, x, picker: new ServicePicker({ clock, service: "s", dataCentre: "x", directory }) };
 }
 
 const none: ReadonlySet<string> = new Set();
@@ -28,26 +30,26 @@
 });
 
 test("goes round a target that fails, and comes back to it later", () => {
-    const { clock, picker } = createPicker();
-    picker.sent("x");
-    picker.ended("x", "failed", 5);
+    const { clock, picker, x } = createPicker();
+    picker.sent(x);
+    picker.ended(x, "failed", 5);
     assert.notEqual(picker.choose(none)?.id, "x");
     clock.advance(10_000);
     assert.equal(picker.choose(none)?.id, "x");
 });
 
 test("goes round a target that does not answer", () => {
-    const { picker } = createPicker();
-    picker.sent("x");
-    picker.sent("x");
+    const { picker, x } = createPicker();
+    picker.sent(x);
+    picker.sent(x);
     assert.notEqual(picker.choose(none)?.id, "x");
 });
 
 test("goes round a slow target", () => {
-    const { picker } = createPicker();
+    const { picker, x } = createPicker();
     for (let i = 0; i < 10; i++) {
-        picker.sent("x");
-        picker.ended("x", "served", 500);
+        picker.sent(x);
+        picker.ended(x, "served", 500);
     }
     assert.notEqual(picker.choose(none)?.id, "x");
 });
@@ -60,3 +62,13 @@
     assert.equal(picker.choose(none)?.id, "y");
     assert.equal(picker.choose(new Set(["y"])), undefined);
 });
+
+test("a failure of an earlier start does not count against the next", () => {
+    const { directory, picker, x } = createPicker();
+    const [earlier, later] = [{ ...x, startedAt: 1 }, { ...x, startedAt: 2 }];
+    directory.put(earlier);
+    picker.sent(earlier);
+    directory.put(later);
+    picker.ended(earlier, "failed", 5);
+    assert.equal(picker.choose(none), later);
+});
--- a/packages/gateway/src/lib/services/ServicePicker.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.ts
@@ -1,5 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type Target } from "../directory/Target.js";
+import { incarnationOf, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 
 /** How an exchange with a target went, as far as its health is concerned. */
@@ -35,6 +35,7 @@
 
 /** Chooses targets of a plain service by what this process's own requests to them met. */
 export class ServicePicker {
+    /** By incarnation: a late failure of an earlier start does not count against the next. */
     private readonly records = new Map<string, TargetRecord>();
 
     constructor(private readonly options: ServicePickerOptions) {}
@@ -55,13 +56,13 @@
     }
 
     /** Notes that a request was sent to a target. */
-    sent(id: string): void {
-        this.record(id).inFlight++;
+    sent(target: Target): void {
+        this.record(target).inFlight++;
     }
 
     /** Notes how a request ended, after so many milliseconds. */
-    ended(id: string, verdict: ExchangeVerdict, latency: number): void {
-        const record = this.record(id);
+    ended(target: Target, verdict: ExchangeVerdict, latency: number): void {
+        const record = this.record(target);
         record.inFlight--;
         if (verdict === "served") {
             const known = record.latency ?? latency;
@@ -71,13 +72,13 @@
             record.failures = this.recentFailures(record) + (verdict === "failed" ? 1 : 0.5);
             record.failuresAt = this.options.clock.now();
         }
-        if (record.inFlight === 0 && this.options.directory.get(id) === undefined) {
-            this.records.delete(id);
+        if (record.inFlight === 0 && this.options.directory.get(target.id)?.startedAt !== target.startedAt) {
+            this.records.delete(incarnationOf(target));
         }
     }
 
     private cost(target: Target): number {
-        const record = this.record(target.id);
+        const record = this.record(target);
         const latency = (record.latency ?? unknownLatency) * (1 + record.inFlight);
         const distance = target.dataCentre === this.options.dataCentre ? 0 : remotePenalty;
         return (latency + distance) * (1 + failureWeight * this.recentFailures(record));
@@ -87,11 +88,12 @@
         return failures * 0.5 ** ((this.options.clock.now() - failuresAt) / failureHalfLife);
     }
 
-    private record(id: string): TargetRecord {
-        let record = this.records.get(id);
+    private record(target: Target): TargetRecord {
+        const incarnation = incarnationOf(target);
+        let record = this.records.get(incarnation);
         if (record === undefined) {
             record = { inFlight: 0, latency: undefined, failures: 0, failuresAt: 0 };
-            this.records.set(id, record);
+            this.records.set(incarnation, record);
         }
         return record;
     }
