Mechanisms can be left out by name; callers of a gateway that is cut off come back at once

Cause: an ablation needs each mechanism switched off alone, and operators who trace a fault need the same. Callers of a gateway that the store turns away waited 300 ms, though its peers could serve them at once; where no gateway can, 300 ms was less than outages last.

--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -14,9 +14,9 @@
  * @param callerListener - A server that listens for callers already.
  */
 export function main(callerListener?: Server): void {
-    const metricsFlag = process.argv.indexOf("--metrics-port");
-    const metricsPort = metricsFlag === -1 ? undefined : Number(process.argv[metricsFlag + 1]);
-    runGateway({ metricsPort, callerListener }).then(
+    const port = option("--metrics-port");
+    const metricsPort = port === undefined ? undefined : Number(port);
+    runGateway({ metricsPort, callerListener, without: option("--without") }).then(
         code => process.exit(code),
         (error: unknown) => {
             process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`);
@@ -24,3 +24,9 @@
         },
     );
 }
+
+/** The value behind an option of the command line. */
+function option(name: string): string | undefined {
+    const index = process.argv.indexOf(name);
+    return index === -1 ? undefined : process.argv[index + 1];
+}
--- a/packages/cli/src/lib/commands/gatewayCommands.ts
+++ b/packages/cli/src/lib/commands/gatewayCommands.ts
@@ -11,6 +11,7 @@
     readonly settings?: string;
     readonly metricsPort?: number;
     readonly log: LogLevel;
+    readonly without?: string;
 }
 
 /**
@@ -24,7 +25,11 @@
         .option("--settings <file>", "the platform's settings; by default the file that its variable names")
         .option("--metrics-port <port>", "serve metrics on this port", parseCount)
         .addOption(new Option("--log <level>", "the least level of logs").choices(logLevels).default("info"))
+        .option("--without <names>", "mechanisms to run without, separated by commas; `mechanisms` lists them")
         .action(async (options: GatewayCommandOptions) => exit(await gatewayCommand(options, output)));
+    program.command("mechanisms")
+        .description("list the mechanisms of a gateway that --without can leave out")
+        .action(async () => exit(await mechanismsCommand(output)));
     program.command("explain <request> [log...]")
         .description("tell from logs what happened to a request; without files, from standard input")
         .action(async (request: string, files: string[]) => exit(await explainCommand(request, files, output)));
@@ -42,7 +47,8 @@
         ? process.env
         : { ...process.env, [settingsVariable]: options.settings };
     try {
-        return await runGateway({ environment, metricsPort: options.metricsPort, logLevel: options.log });
+        const { metricsPort, log: logLevel, without } = options;
+        return await runGateway({ environment, metricsPort, logLevel, without });
     }
     catch (error) {
         output.writeError(`gateway: ${error instanceof Error ? error.message : String(error)}\n`);
@@ -50,6 +56,18 @@
     }
 }
 
+/**
+ * Lists the mechanisms that can be left out.
+ *
+ * @returns The exit code.
+ * @internal
+ */
+export async function mechanismsCommand(output: CommandOutput): Promise<number> {
+    const { listMechanisms } = await import("@waxwingspar/gateway");
+    listMechanisms().forEach(([name, purpose]) => output.write(`${name.padEnd(20)} ${purpose}\n`));
+    return exitCodes.done;
+}
+
 /**
  * Explains a request.
  *
--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -1,4 +1,4 @@
-import { type Address, Gateway, LogDestination, type Logs, MetricsServer } from "@waxwingspar/gateway";
+import { type Address, Gateway, LogDestination, type Logs, MetricsServer, switchOff } from "@waxwingspar/gateway";
 import {
     decodeConfiguration,
     decodeTarget,
@@ -19,6 +19,8 @@
 export interface GatewayRunOptions {
     /** The port for metrics, on all addresses of the host. */
     readonly metricsPort?: number;
+    /** Names of mechanisms to run without, separated by commas. */
+    readonly without?: string;
     /** A server that listens for callers already. */
     readonly callerListener?: Server;
     readonly logLevel?: LogLevel;
@@ -52,6 +54,7 @@
         logs,
         registry,
         callerListener: options.callerListener,
+        isOn: switchOff(options.without ?? ""),
     });
     const stopped = stopOnSignal(logs, () => gateway.stop());
     process.on("SIGHUP", () => reloadSettings(logs, options.environment ?? process.env));
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,6 +12,7 @@
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
+import { allMechanisms, type MechanismSwitch } from "./Mechanisms.js";
 import { type Moment } from "./Moment.js";
 import { GatewayMetrics, type Logs, type Observation } from "./observation/Observation.js";
 import { PeerGroup, type PeerState } from "./peers/PeerGroup.js";
@@ -58,6 +59,8 @@
     readonly registry: MetricRegistry;
     /** A server that listens for callers already; connections wait for the gateway to take it over. */
     readonly callerListener?: Server;
+    /** Mechanisms to run without; all are on by default. */
+    readonly isOn?: MechanismSwitch;
     /** Milliseconds from the request to stop until the balancer has surely taken this process out. */
     readonly balancerDelay?: number;
 }
@@ -117,8 +120,11 @@
         this.directory = new TargetDirectory({ clock, onChange: change => this.noteTarget(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
+        const { isOn = allMechanisms } = options;
         const router = new RequestRouter({
             clock,
+            isOn,
+            hasConfirmedPeer: () => this.hasConfirmedPeer,
             random: options.random,
             wire: options.wire,
             observation: this.observation,
@@ -127,7 +133,7 @@
         });
         this.startQueue = new StartQueue({
             clock,
-            isReady: () => this.configuration.current !== undefined && this.knowsTargets,
+            isReady: () => this.knowsEnough || !isOn("start-queue"),
             onRequest: request => router.handle(request),
         });
         this.callers = new CallerServer({
@@ -179,6 +185,7 @@
             peers: this.peers,
             engines,
             services: () => this.configuration.current?.services ?? [],
+            isOn,
             observation: this.observation,
         });
         this.watches = this.createWatches();
@@ -240,6 +247,17 @@
         return !this.isStopping && this.configuration.current !== undefined && this.knowsTargets && mayServeKeys;
     }
 
+    private get knowsEnough(): boolean {
+        return this.configuration.current !== undefined && this.knowsTargets;
+    }
+
+    private get hasConfirmedPeer(): boolean {
+        const bound = this.options.settings.keyRevocation ?? Infinity;
+        return this.peers.alive().some(({ state }) =>
+            typeof state.confirmationAge === "number" && state.confirmationAge < bound - revocationSlack
+        );
+    }
+
     private createWatches(): TableWatch[] {
         const { clock, store, tables, logs } = this.options;
         const ofStore = (table: string) => ({
@@ -285,6 +303,9 @@
      */
     private confirmByPeer({ configurationVersion, confirmationAge }: PeerState, { now, date }: Moment): void {
         const version = this.configuration.current?.version;
+        if (this.options.isOn?.("peer-confirmations") === false) {
+            return;
+        }
         if (version === undefined || configurationVersion !== version || typeof confirmationAge !== "number") {
             return;
         }
@@ -361,7 +382,7 @@
     }
 
     private applyConfiguration(configuration: Configuration): void {
-        const { clock, settings, engines } = this.options;
+        const { clock, settings, engines, isOn } = this.options;
         this.callers.applyLimits(configuration.limits);
         for (const { name, engine } of configuration.services) {
             if (this.services.has(name)) {
@@ -377,6 +398,7 @@
                     paces: this.paces,
                     peerLoad: headId => this.peers.chainLoad(headId),
                     engines,
+                    isOn,
                     observation: this.observation,
                 }),
                 budget: new RepeatBudget({
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -2,6 +2,7 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
 import { buildChain, type Slowdown } from "./buildChain.js";
 import { type Chain } from "./Chain.js";
 import { type TargetPaces } from "./TargetPaces.js";
@@ -19,6 +20,7 @@
     /** Requests of other processes in flight on chains that begin at a target. */
     readonly peerLoad: (headId: string) => number;
     /** Called with the chain that now begins in a data centre, or none, when another one did before. */
+    readonly isOn?: MechanismSwitch;
     readonly onChange?: (dataCentre: string, chain: Chain | undefined) => void;
 }
 
@@ -96,8 +98,11 @@
     private chains: ChainLoad[] = [];
     private readonly loads = new Map<string, ChainLoad>();
     private builtFor = "";
+    private readonly isOn: MechanismSwitch;
 
-    constructor(private readonly options: ChainRouterOptions) {}
+    constructor(private readonly options: ChainRouterOptions) {
+        this.isOn = options.isOn ?? allMechanisms;
+    }
 
     /**
      * Chooses the chain for a request.
@@ -124,7 +129,7 @@
     chooseToResume(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
         const well = this.current(engine).filter(load => load.avoidedUntil <= now && !excluded.has(load.chain.key));
-        return cheapest(well, load => this.resumeCost(load));
+        return cheapest(well, load => this.isOn("resume-spread") ? this.resumeCost(load) : this.cost(load));
     }
 
     /** Whether a chain has room for one more request. */
@@ -152,7 +157,8 @@
     }
 
     private rebuild(engine: Engine, suspected: ReadonlySet<string>): void {
-        const slowdown = (id: string) => this.options.paces.slowdown(id);
+        const { paces } = this.options;
+        const slowdown: Slowdown = id => this.isOn("slow-targets") ? paces.slowdown(id) : 1;
         const targets = this.options.directory.readyTargets(this.options.service)
             .filter(({ id }) => !suspected.has(id));
         const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
@@ -161,7 +167,8 @@
             const chain = buildChain(dataCentre, ofDataCentre, engine, slowdown);
             return chain === undefined ? [] : [chain];
         });
-        const chains = [...local, ...mixedChains(dataCentres, local, targets, engine, slowdown)];
+        const mixed = this.isOn("mixed-chains") ? mixedChains(dataCentres, local, targets, engine, slowdown) : [];
+        const chains = [...local, ...mixed];
         for (const [key, load] of this.loads) {
             if (load.inFlight === 0 && chains.every(chain => chain.key !== key)) {
                 this.loads.delete(key);
@@ -211,7 +218,7 @@
 
     private loadCost(chain: Chain): number {
         const requests = this.requestsOn(chain);
-        const excess = Math.max(0, requests + 1 - chain.room);
+        const excess = this.isOn("chain-room") ? Math.max(0, requests + 1 - chain.room) : 0;
         const slowness = (chain.slowdown - 1) * slownessDisadvantage;
         return requests + excess * excessCost + chain.crossings * crossingDisadvantage + slowness;
     }
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -2,6 +2,7 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
@@ -26,6 +27,7 @@
     readonly paces: TargetPaces;
     readonly peerLoad: (headId: string) => number;
     readonly engines: EngineControl;
+    readonly isOn?: MechanismSwitch;
     readonly observation: Observation;
 }
 
@@ -49,6 +51,8 @@
  * played day with five slow targets streams that left after 130 ms made others read 482,000 tokens again.
  */
 const stallSilence = 600;
+/** The same without that patience: a few intervals of a sound chain. */
+const hastyStallSilence = 130;
 /**
  * The silence after which the targets of a chain between data centres are looked at, in milliseconds. Its tokens wait behind
  * the prompts of others on a pipe that all share; the figure is chosen: a prompt takes about 20 ms of it, and few are on it
@@ -71,9 +75,11 @@
     private readonly surveyedAt = new WeakMap<ChainLoad, number>();
     private checkedAt: number;
     private checkedRevision = -1;
+    private readonly isOn: MechanismSwitch;
     private isStopped = false;
 
     constructor(private readonly options: ChainServiceOptions) {
+        this.isOn = options.isOn ?? allMechanisms;
         this.router = new ChainRouter({
             ...options,
             onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
@@ -207,7 +213,7 @@
     private nextCheck(): number {
         const now = this.options.clock.now();
         const watched = [...this.users.keys()].filter(({ streaming }) => streaming >= stallStreams);
-        const delays = watched.map(load => load.lastEventAt + silenceLimit(load) - now);
+        const delays = watched.map(load => load.lastEventAt + this.silenceLimit(load) - now);
         return Math.max(stallCheck.least, Math.min(stallCheck.most, ...delays));
     }
 
@@ -243,10 +249,10 @@
                 continue;
             }
             const silence = now - load.lastEventAt;
-            if (silence > silenceLimit(load)) {
+            if (silence > this.silenceLimit(load) && this.isOn("chain-surveys")) {
                 void this.survey(load);
             }
-            if (silence > stallSilence) {
+            if (silence > (this.isOn("stall-patience") ? stallSilence : hastyStallSilence)) {
                 this.leaveStalled(load, now);
             }
         }
@@ -280,7 +286,7 @@
         const silent = await this.inspector.survey([...new Set(hops.map(({ targetId }) => targetId))]);
         load.falseAlarms += silent.length === 0 ? 1 : 0;
         for (const other of this.users.keys()) {
-            const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > silenceLimit(other);
+            const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > this.silenceLimit(other);
             const fault = isDoubtful ? this.findFault(other.chain, silent) : undefined;
             if (fault !== undefined) {
                 this.leave(other, fault);
@@ -301,18 +307,18 @@
     private leave(load: ChainLoad, reason: string): void {
         [...this.users.get(load) ?? []].forEach(user => user.leaveChain(reason));
     }
-}
 
-/** Milliseconds without an event of any stream of a chain after which its targets are looked at. */
-function silenceLimit({ chain, eventInterval, falseAlarms }: ChainLoad): number {
-    if (chain.crossings > 0) {
-        return crossingSilence;
-    }
-    const { least, most } = surveySilence;
-    if (eventInterval === undefined) {
-        return most;
+    /** Milliseconds without an event of any stream of a chain after which its targets are looked at. */
+    private silenceLimit({ chain, eventInterval, falseAlarms }: ChainLoad): number {
+        if (chain.crossings > 0) {
+            return crossingSilence;
+        }
+        const { least, most } = surveySilence;
+        if (eventInterval === undefined || !this.isOn("survey-intervals")) {
+            return most;
+        }
+        const { first, step, most: mostIntervals } = surveyIntervals;
+        const intervals = Math.min(mostIntervals, first + step * falseAlarms);
+        return Math.min(most, Math.max(least, eventInterval * intervals));
     }
-    const { first, step, most: mostIntervals } = surveyIntervals;
-    const intervals = Math.min(mostIntervals, first + step * falseAlarms);
-    return Math.min(most, Math.max(least, eventInterval * intervals));
 }
--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -1,6 +1,7 @@
 import { type Clock } from "@waxwingspar/utils";
 import { addressOf } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type EngineControl, type EngineReport } from "./EngineControl.js";
 import { Penalties, type Penalty } from "./Penalties.js";
@@ -14,6 +15,7 @@
     readonly suspicions: TargetSuspicions;
     readonly paces: TargetPaces;
     readonly engines: EngineControl;
+    readonly isOn?: MechanismSwitch;
     readonly observation: Observation;
 }
 
@@ -181,7 +183,8 @@
     }
 
     private avoid(id: string, kind: SuspicionKind, penalty: Penalty): void {
-        const duration = this.penalties.add(id, penalty);
+        const { isOn = allMechanisms } = this.options;
+        const duration = isOn("penalties") ? this.penalties.add(id, penalty) : penalty.duration;
         this.options.suspicions.suspect(id, kind, duration);
         this.options.observation.logs.chains.warn(
             { target: id, kind, reason: penalty.reason, duration },
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -1,5 +1,6 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
+import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
 import { layerCapacity, requestRoom } from "./memory.js";
 
 /**
@@ -32,6 +33,7 @@
     readonly inUse?: ReadonlySet<string>;
     /** Whether borders between ranges may be moved when nothing else helps. Default true. */
     readonly mayShift?: boolean;
+    readonly isOn?: MechanismSwitch;
 }
 
 /**
@@ -42,18 +44,18 @@
  * cannot hold all layers.
  */
 export function planLayers(targets: readonly Target[], engine: Engine, options: PlanOptions = {}): Placement[] {
-    const { inUse = new Set(), mayShift = true } = options;
+    const { inUse = new Set(), mayShift = true, isOn = allMechanisms } = options;
     const kept = keepRanges(targets, engine);
     const tries = kept.length === 0
         ? concurrencyLevels.map(level => ({ level, plan: planAnew }))
-        : repairs.filter(({ plan }) => mayShift || plan !== shiftRanges);
+        : repairs.filter(({ plan }) => plan === shiftRanges ? mayShift : plan === fillGaps || isOn("neighbours"));
     const idle = targets.filter(target =>
         !inUse.has(target.id) && kept.every(placement => placement.target !== target)
     );
     for (const { level, plan } of tries) {
         const filled = plan(kept, rankCards(idle, engine, level), engine, level);
         if (filled !== undefined) {
-            return addStandbys(filled, targets, engine, level);
+            return isOn("second-copies") ? addStandbys(filled, targets, engine, level) : filled;
         }
     }
     return [];
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -8,6 +8,7 @@
 import { type Engine, type Service } from "../configuration/Configuration.js";
 import { incarnationOf, type LayerRange, sameRange, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
 import { DataCentreChain } from "./DataCentreChain.js";
@@ -25,6 +26,7 @@
     readonly peers: Pick<PeerGroup, "alive">;
     readonly engines: EngineControl;
     readonly services: () => readonly Service[];
+    readonly isOn?: MechanismSwitch;
     readonly observation: Observation;
 }
 
@@ -107,7 +109,9 @@
                 const local = targets.filter(target => target.dataCentre === dataCentre);
                 const chain = this.chainOf(name, dataCentre);
                 chain.update(this.presentChain(dataCentre, local, engine));
-                this.paceWatch.ask(chain.inUse);
+                if (this.options.isOn?.("slow-targets") !== false) {
+                    this.paceWatch.ask(chain.inUse);
+                }
                 this.planDataCentre(local, engine, chain)
                     .forEach(placement => this.bringAbout(placement, engine));
             }
@@ -138,11 +142,14 @@
      * targets at a twelfth of their speed the chains of all data centres stood still for 9 s.
      */
     private planDataCentre(targets: readonly Target[], engine: Engine, chain: DataCentreChain): Placement[] {
-        const { paces } = this.options;
-        const { inUse, isOutForLong } = chain;
-        const wellPaced = targets.filter(({ id }) => paces.slowdown(id) === 1);
-        const plan = wellPaced.length < targets.length ? planLayers(wellPaced, engine, { inUse, mayShift: false }) : [];
-        return plan.length > 0 ? plan : planLayers(targets, engine, { inUse, mayShift: isOutForLong });
+        const { paces, isOn = allMechanisms } = this.options;
+        const inUse = isOn("in-use-targets") ? chain.inUse : new Set<string>();
+        const mayShift = chain.isOutForLong || !isOn("shift-patience");
+        const wellPaced = targets.filter(({ id }) => !isOn("slow-targets") || paces.slowdown(id) === 1);
+        const plan = wellPaced.length < targets.length
+            ? planLayers(wellPaced, engine, { inUse, mayShift: false, isOn })
+            : [];
+        return plan.length > 0 ? plan : planLayers(targets, engine, { inUse, mayShift, isOn });
     }
 
     private chainOf(service: string, dataCentre: string): DataCentreChain {
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -55,7 +55,7 @@
         this.context.budget.request();
         this.caller.onGone(() => this.stop());
         this.deadlineTimer = clock.schedule(() => this.giveUp("time is up"), Math.max(0, this.caller.timeLeft));
-        if (this.isIdempotent) {
+        if (this.isIdempotent && this.context.isOn("hedged-sends")) {
             const delay = this.caller.route.latencyTarget * hedgeShare;
             this.hedgeTimer = clock.schedule(() => this.hedge(), delay);
         }
@@ -180,7 +180,8 @@
         if (this.attempts.size > 0) {
             return;
         }
-        const isAllowed = end !== "unknown" || this.isIdempotent;
+        const mayRepeat = this.isIdempotent && this.context.isOn("second-attempts");
+        const isAllowed = end !== "unknown" || mayRepeat;
         if (isAllowed && this.limits.hasAttemptLeft && this.caller.timeLeft > 0) {
             this.send();
             return;
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type WireFormat } from "./messages.js";
 import { type RepeatBudget } from "./RepeatBudget.js";
@@ -11,4 +12,5 @@
     readonly budget: RepeatBudget;
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
+    readonly isOn: MechanismSwitch;
 }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -2,6 +2,7 @@
 import { type ChainService } from "../chains/ChainService.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
 import { type ServicePicker } from "../services/ServicePicker.js";
@@ -26,12 +27,20 @@
     readonly observation: Observation;
     readonly configuration: ConfigurationInForce;
     readonly findService: (name: string) => ServiceParts | undefined;
+    /** Whether some peer could judge credentials at this moment. */
+    readonly hasConfirmedPeer: () => boolean;
+    readonly isOn: MechanismSwitch;
 }
 
 /** Milliseconds after which a caller may come back that a process without a usable configuration cannot serve. */
 const unreadyRetryAfter = 300;
-/** A caller of a process that stops reaches another one at once. */
-const stoppingRetryAfter = 0;
+/** A caller that comes back reaches another process, which can serve it at once: this one stops, or is cut off. */
+const otherProcessRetryAfter = 0;
+/**
+ * Milliseconds after which a caller may come back when no process can confirm credentials, as the store is away for all.
+ * Chosen: outages of the store last some seconds beyond the time for which credentials count without it.
+ */
+const unconfirmedRetryAfter = 1_000;
 /**
  * A process whose configuration was not confirmed for so long, in milliseconds, does not deny routes and keys that it
  * does not know: a newer configuration may hold them. Two waits for changes, and their replies, fit in.
@@ -50,7 +59,7 @@
      */
     refuseStopping({ incoming, response }: ReceivedRequest): void {
         this.logRefusal(this.options.wire.readCallerRequest(incoming.headers), requestCodes.stopping, "stopping");
-        writeRefusal(response, requestCodes.stopping, "this process is stopping", stoppingRetryAfter);
+        writeRefusal(response, requestCodes.stopping, "this process is stopping", otherProcessRetryAfter);
     }
 
     /** Takes a request with its whole body. */
@@ -79,7 +88,8 @@
             return;
         }
         if (verdict.kind === "unconfirmed") {
-            refuse(requestCodes.noCapacity, "credentials cannot be confirmed", unreadyRetryAfter);
+            const retryAfter = this.options.hasConfirmedPeer() ? otherProcessRetryAfter : unconfirmedRetryAfter;
+            refuse(requestCodes.noCapacity, "credentials cannot be confirmed", retryAfter);
             return;
         }
         const caller = new CallerExchange({
@@ -104,7 +114,7 @@
             return;
         }
         const { clock, wire, observation } = this.options;
-        const context = { clock, wire, observation, budget: parts.budget, connectTimeout };
+        const context = { clock, wire, observation, budget: parts.budget, connectTimeout, isOn: this.options.isOn };
         if (parts.chains !== undefined) {
             new StreamRun(context, caller, parts.chains).start();
             return;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -99,6 +99,9 @@
 
     private get resumedPriority(): number {
         const { first, last } = resumedPriorities;
+        if (!this.context.isOn("short-first")) {
+            return first;
+        }
         const tokens = this.caller.request.tokens?.prompt ?? 0;
         return Math.min(last, first + Math.floor(tokens / tokensPerPriority));
     }
