The list of targets is brought into the directory by a class of its own; losses are counted from logs

Change: TargetList takes what the gateway did with rows of the list; `waxwingspar losses LOG...` counts refused, failed and interrupted requests by cause and second; `explain` shows chains that were built or broken.

--- a/packages/cli/src/lib/commands/gatewayCommands.ts
+++ b/packages/cli/src/lib/commands/gatewayCommands.ts
@@ -3,6 +3,7 @@
 import { readFile } from "node:fs/promises";
 import { text } from "node:stream/consumers";
 import { explainRequest, formatExplanation } from "../explain/explainRequest.js";
+import { formatLosses, summarizeLosses } from "../explain/summarizeLosses.js";
 import { type CommandOutput } from "./CommandOutput.js";
 import { exitCodes } from "./exitCodes.js";
 import { parseCount } from "./parseCount.js";
@@ -33,6 +34,12 @@
     program.command("explain <request> [log...]")
         .description("tell from logs what happened to a request; without files, from standard input")
         .action(async (request: string, files: string[]) => exit(await explainCommand(request, files, output)));
+    program.command("losses [log...]")
+        .description("count from logs the requests that were refused, failed or interrupted, by cause and second")
+        .option("--pause <milliseconds>", "the longest pause within an answer that is no interruption", parseCount)
+        .action(async (files: string[], { pause }: { readonly pause?: number; }) =>
+            exit(await lossesCommand(files, pause, output))
+        );
 }
 
 /**
@@ -79,17 +86,48 @@
     files: readonly string[],
     output: CommandOutput,
 ): Promise<number> {
-    let logs: string[];
+    const lines = await readLines("explain", files, output);
+    if (lines === undefined) {
+        return exitCodes.usage;
+    }
+    const explanation = explainRequest(request, lines);
+    output.write(formatExplanation(request, explanation));
+    return explanation.story.length === 0 ? exitCodes.failed : exitCodes.done;
+}
+
+/**
+ * Summarizes the requests that did not go well.
+ *
+ * @returns The exit code.
+ * @internal
+ */
+export async function lossesCommand(
+    files: readonly string[],
+    pauseLimit: number | undefined,
+    output: CommandOutput,
+): Promise<number> {
+    const lines = await readLines("losses", files, output);
+    if (lines === undefined) {
+        return exitCodes.usage;
+    }
+    output.write(formatLosses(summarizeLosses(lines, pauseLimit)));
+    return exitCodes.done;
+}
+
+/** The lines of log files, or of standard input where none are named. @returns Undefined when a file cannot be read. */
+async function readLines(
+    command: string,
+    files: readonly string[],
+    output: CommandOutput,
+): Promise<string[] | undefined> {
     try {
-        logs = files.length === 0
+        const logs = files.length === 0
             ? [await text(process.stdin)]
             : await Promise.all(files.map(file => readFile(file, "utf8")));
+        return logs.flatMap(log => log.split("\n"));
     }
     catch (error) {
-        output.writeError(`explain: ${error instanceof Error ? error.message : String(error)}\n`);
-        return exitCodes.usage;
+        output.writeError(`${command}: ${error instanceof Error ? error.message : String(error)}\n`);
+        return undefined;
     }
-    const explanation = explainRequest(request, logs.flatMap(log => log.split("\n")));
-    output.write(formatExplanation(request, explanation));
-    return explanation.story.length === 0 ? exitCodes.failed : exitCodes.done;
 }
--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -31,6 +31,7 @@
   $ waxwingspar agent agent-1.jsonc                    the agent beside one target
   $ waxwingspar gateway --metrics-port 9464            a gateway on the users' platform
   $ waxwingspar explain 9c41d07be2a35f68 gateway-*.log what happened to a request
+  $ waxwingspar losses gateway-*.log                   which requests were lost or interrupted, why and when
   $ waxwingspar get target --server http://127.0.0.1:8081
   $ waxwingspar apply -f resources.jsonc               change resources, all or none
   $ waxwingspar check settings entry.jsonc
--- a/packages/cli/src/lib/explain/explainRequest.ts
+++ b/packages/cli/src/lib/explain/explainRequest.ts
@@ -27,7 +27,14 @@
     "duty: duty paused",
 ];
 /** Sentences that say what went wrong near by, and for how many milliseconds before the request's end they matter. */
-const eventMessages = ["chains: chain stalled", "chains: target avoided", "directory: target removed"];
+const eventMessages = [
+    "chains: chain built",
+    "chains: chain broken",
+    "chains: chain stalled",
+    "chains: target avoided",
+    "directory: target removed",
+    "directory: target restarted",
+];
 const eventWindow = 5_000;
 
 /** Collects what log lines tell of a request. */
@@ -61,7 +68,7 @@
 }
 
 /** Reads a line, whatever a collector of logs has put before it. */
-function parseLine(text: string): LogLine | undefined {
+export function parseLine(text: string): LogLine | undefined {
     const start = text.indexOf("{");
     if (start === -1) {
         return undefined;
--- /dev/null
+++ b/packages/cli/src/lib/explain/summarizeLosses.test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { formatLosses, summarizeLosses } from "./summarizeLosses.js";
+
+const head = (time: number) => `{"level":30,"time":${1_783_155_900_000 + time},"process":"front-se-atl-1"`;
+
+/** Lines as a gateway wrote them, one with what a collector put before it. */
+const logs = [
+    `  24.6 front-se-atl-1 ${head(0)},"msg":"process: listening"}`,
+    `${
+        head(1_200)
+    },"request":"a1","chain":"se-bhm","reason":"10.2.64.41:8428 is silent","events":12,"msg":"request: attempt failed"}`,
+    `${
+        head(2_100)
+    },"request":"a1","outcome":"served 44 events","status":200,"longestPause":257,"msg":"request: request ended"}`,
+    `${
+        head(2_300)
+    },"request":"a2","outcome":"served 9 events","status":200,"longestPause":41,"msg":"request: request ended"}`,
+    `${
+        head(2_400)
+    },"request":"a3","outcome":"no-capacity: refused with 503 at 10.2.64.34:8104","status":503,"msg":"request: request ended"}`,
+    `${
+        head(3_100)
+    },"request":"a4","outcome":"no-capacity: refused with 503 at 10.3.64.49:8104","status":503,"msg":"request: request ended"}`,
+    `${head(3_200)},"request":"a5","outcome":"caller left","status":0,"msg":"request: request ended"}`,
+    "torn {\"level\":30",
+];
+
+test("losses are counted by cause and second, the most frequent first", () => {
+    const { requests, losses, unreadable } = summarizeLosses(logs);
+    assert.equal(requests, 5);
+    assert.equal(unreadable, 1);
+    assert.deepEqual(losses.map(({ cause, count }) => [cause, count]), [
+        ["no-capacity: refused with 503 at a target", 2],
+        ["interrupted for over 200 ms after \"a target is silent\"", 1],
+        ["caller left", 1],
+    ]);
+    assert.deepEqual([...losses[0]?.seconds ?? []], [[2, 1], [3, 1]]);
+});
+
+test("the bound of pauses can be set", () => {
+    const causes = summarizeLosses(logs, 300).losses.map(({ cause }) => cause);
+    assert.ok(causes.every(cause => !cause.startsWith("interrupted")));
+});
+
+test("a summary of nothing says so", () => {
+    assert.equal(formatLosses(summarizeLosses([])), "0 requests\n0 lines could not be read\n");
+});
--- /dev/null
+++ b/packages/cli/src/lib/explain/summarizeLosses.ts
@@ -0,0 +1,82 @@
+import { type LogLine, parseLine } from "./explainRequest.js";
+
+/** Requests that did not go as their callers wished, by why and when. */
+export interface LossSummary {
+    /** Requests that ended or were refused. */
+    readonly requests: number;
+    /** The most frequent first. */
+    readonly losses: readonly Loss[];
+    /** Lines that hold no structured log line. */
+    readonly unreadable: number;
+}
+
+/** One cause. */
+export interface Loss {
+    readonly cause: string;
+    readonly count: number;
+    /** By second since the first line. */
+    readonly seconds: ReadonlyMap<number, number>;
+}
+
+/** Milliseconds without a byte in an answer above which it counts as interrupted, unless the caller says otherwise. */
+export const defaultPauseLimit = 200;
+const millisecondsPerSecond = 1_000;
+const firstFailedStatus = 400;
+const endMessages = new Set(["request: request ended", "request: request refused"]);
+const failureMessage = "request: attempt failed";
+
+/** Counts the requests that were refused, failed or interrupted, by cause and second. */
+export function summarizeLosses(text: readonly string[], pauseLimit = defaultPauseLimit): LossSummary {
+    const parsed = text.filter(line => line.trim() !== "").map(parseLine);
+    const lines = parsed.filter(line => line !== undefined).sort((a, b) => a.time - b.time);
+    const start = lines[0]?.time ?? 0;
+    const failures = new Map<unknown, string>();
+    const losses = new Map<string, Map<number, number>>();
+    let requests = 0;
+    for (const line of lines) {
+        if (line.msg === failureMessage) {
+            failures.set(line["request"], withoutAddresses(String(line["reason"])));
+        }
+        if (!endMessages.has(line.msg)) {
+            continue;
+        }
+        requests++;
+        const cause = findCause(line, failures.get(line["request"]), pauseLimit);
+        if (cause !== undefined) {
+            const second = Math.floor((line.time - start) / millisecondsPerSecond);
+            const seconds = losses.get(cause) ?? new Map<number, number>();
+            losses.set(cause, seconds.set(second, (seconds.get(second) ?? 0) + 1));
+        }
+    }
+    return { requests, losses: sortLosses(losses), unreadable: parsed.length - lines.length };
+}
+
+/** Writes a summary as text. */
+export function formatLosses({ requests, losses, unreadable }: LossSummary): string {
+    const rows = losses.map(({ cause, count, seconds }) => {
+        const times = [...seconds].map(([second, number]) => `${second} s: ${number}`).join(", ");
+        return `${String(count).padStart(6)}  ${cause} (${times})`;
+    });
+    return [`${requests} requests`, ...rows, `${unreadable} lines could not be read`, ""].join("\n");
+}
+
+function findCause(line: LogLine, failure: string | undefined, pauseLimit: number): string | undefined {
+    const because = failure === undefined ? "" : ` after "${failure}"`;
+    const status = Number(line["status"]);
+    if (status >= firstFailedStatus || status === 0) {
+        return `${withoutAddresses(String(line["outcome"]))}${because}`;
+    }
+    const pause = Number(line["longestPause"] ?? 0);
+    return pause > pauseLimit ? `interrupted for over ${pauseLimit} ms${because}` : undefined;
+}
+
+/** Addresses would make a cause of its own of each target. */
+function withoutAddresses(reason: string): string {
+    return reason.replaceAll(/\d+\.\d+\.\d+\.\d+:\d+/g, "a target");
+}
+
+function sortLosses(losses: ReadonlyMap<string, ReadonlyMap<number, number>>): Loss[] {
+    return [...losses]
+        .map(([cause, seconds]) => ({ cause, seconds, count: [...seconds.values()].reduce((a, b) => a + b, 0) }))
+        .sort((a, b) => b.count - a.count);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,7 +20,8 @@
     type Service,
 } from "./lib/configuration/Configuration.js";
 export { type LayerRange, type Target, targetSchema } from "./lib/directory/Target.js";
-export { type DecodedTarget, Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
+export { type DecodedTarget } from "./lib/directory/TargetList.js";
+export { Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
 export { type Address, type GatewaySettings } from "./lib/GatewaySettings.js";
 export { listMechanisms, type Mechanism, type MechanismSwitch, switchOff } from "./lib/Mechanisms.js";
 export { LogDestination, type LogDestinationOptions } from "./lib/observation/LogDestination.js";
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -7,8 +7,8 @@
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
-import { type Target } from "./directory/Target.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
+import { type DecodedTarget, TargetList } from "./directory/TargetList.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
@@ -38,12 +38,6 @@
     decodeTarget(id: string, document: unknown): DecodedTarget;
 }
 
-/** What an entry of the platform's list says. */
-export type DecodedTarget =
-    | { readonly kind: "target"; readonly target: Target; }
-    /** It names no target that could be used, for this reason. */
-    | { readonly kind: "unusable"; readonly reason: string; };
-
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
     readonly settings: GatewaySettings;
@@ -101,8 +95,6 @@
     private readonly lease: PlacementLease;
     private readonly duty: PlacementDuty;
     private readonly watches: TableWatch[];
-    /** Rows of the list that name no target, and why, so that each is logged once. */
-    private readonly unusableRows = new Map<string, string>();
     private knowsTargets = false;
     private reachesStore = true;
     private isStopping = false;
@@ -260,6 +252,12 @@
 
     private createWatches(): TableWatch[] {
         const { clock, store, tables, logs } = this.options;
+        const { directory } = this;
+        const targetList = new TargetList({
+            directory,
+            decode: (id, document) => tables.decodeTarget(id, document),
+            logger: logs.directory,
+        });
         const ofStore = (table: string) => ({
             clock,
             store,
@@ -285,14 +283,11 @@
             ...ofStore(tables.targetTable),
             wait: targetWait,
             onSnapshot: (rows, graceEnd) => {
-                const targets = rows.flatMap(row => this.decodeTarget(row) ?? []);
-                this.directory.replaceAll(targets, graceEnd);
+                targetList.takeAll(rows, graceEnd);
                 this.knowsTargets = true;
                 this.startQueue.release();
             },
-            onChanges: (changes, graceEnd) => {
-                changes.forEach(({ key, row }) => this.takeTarget(key, row, graceEnd));
-            },
+            onChanges: (changes, graceEnd) => targetList.takeChanges(changes, graceEnd),
         });
         return [configurationWatch, targetWatch];
     }
@@ -325,35 +320,6 @@
         }
     }
 
-    /** An entry that cannot be read names no target to use; it may be another writer's, and the others hold. */
-    private decodeTarget({ key, value, version }: StoredRow): Target | undefined {
-        const decoded = this.options.tables.decodeTarget(key, value);
-        if (decoded.kind === "target") {
-            this.unusableRows.delete(key);
-            return decoded.target;
-        }
-        if (this.unusableRows.get(key) !== decoded.reason) {
-            this.unusableRows.set(key, decoded.reason);
-            const { reason } = decoded;
-            this.options.logs.directory.warn({ target: key, row: version, reason }, "entry names no target");
-        }
-        return undefined;
-    }
-
-    private takeTarget(id: string, row: StoredRow | undefined, graceEnd: number): void {
-        if (row === undefined) {
-            this.unusableRows.delete(id);
-            this.directory.remove(id, graceEnd);
-            return;
-        }
-        const target = this.decodeTarget(row);
-        if (target === undefined) {
-            this.directory.remove(id, -Infinity);
-            return;
-        }
-        this.directory.put(target);
-    }
-
     /** Takes the newest of the rows that hold the configuration: a call may bring several versions of it. */
     private takeConfiguration(rows: readonly StoredRow[]): void {
         const { tables, logs } = this.options;
