--- a/packages/gateway/src/lib/chains/ChainRouter.test.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { testEngine, testTarget } from "../testing/fixtures.js";
-import { ChainRouter } from "./ChainRouter.js";
+import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { TargetPaces } from "./TargetPaces.js";
 import { TargetSuspicions } from "./TargetSuspicions.js";
 
@@ -93,3 +93,23 @@
     paces.observe("t2", 3);
     assert.deepEqual(hops(), ["t1", "t9"]);
 });
+
+/** Lets streams of a lost chain go on, all at the same moment. @returns How many went to each data centre. */
+function resumeStreams(count: number, choose: (router: ChainRouter) => ChainLoad | undefined): Map<string, number> {
+    const { router } = createRouter();
+    const spread = new Map<string, number>();
+    for (let stream = 0; stream < count; stream++) {
+        const load = choose(router);
+        assert.ok(load !== undefined);
+        load.inFlight++;
+        spread.set(load.chain.dataCentre, (spread.get(load.chain.dataCentre) ?? 0) + 1);
+    }
+    return spread;
+}
+
+test("streams that all look for another chain at once are read by all chains alike, not one after the other by the nearest", () => {
+    const resumed = resumeStreams(4, router => router.chooseToResume(testEngine, none));
+    assert.deepEqual([...resumed.values()], [2, 2]);
+    const asNewRequests = resumeStreams(4, router => router.chooseWell(testEngine, none));
+    assert.deepEqual([...asNewRequests.entries()], [["x", 4]]);
+});
--- a/packages/gateway/src/lib/chains/planLayers.test.ts
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -121,3 +121,65 @@
     const [relief] = planLayers(targets, testEngine).filter(({ target }) => target.id === "t4");
     assert.equal(relief?.layers.first, 70);
 });
+
+const losses = fc.array(fc.nat(15), { minLength: 1, maxLength: 3 });
+
+test("targets that requests are on give up no layers, whatever is lost, unless borders may move", () => {
+    fc.assert(fc.property(sites, losses, (targets, lost) => {
+        const carriedOut = apply(targets, planLayers(targets, testEngine));
+        const inUse = new Set(buildChain("x", carriedOut, testEngine)?.hops.map(({ targetId }) => targetId));
+        const left = carriedOut.filter((_, index) => !lost.includes(index));
+        const repaired = apply(left, planLayers(left, testEngine, { inUse, mayShift: false }));
+        for (const { id, layers } of left.filter(target => inUse.has(target.id))) {
+            const after = repaired.find(target => target.id === id)?.layers;
+            assert.ok(layers !== undefined && after !== undefined);
+            assert.ok(after.first <= layers.first && after.end >= layers.end);
+        }
+    }));
+});
+
+/** A data centre as the new customer has one: two middle and eleven small targets, carrying out its plan. */
+function planDataCentre(): Target[] {
+    const kinds = ["middle", "middle", ...Array.from({ length: 11 }, () => "small")];
+    const targets = kinds.map((kind, index) => testTarget(`t${index}`, kind));
+    return apply(targets, planLayers(targets, testEngine));
+}
+
+/** Milliseconds until the last target that a plan changes has loaded what it lacks. */
+function loadTime(before: readonly Target[], placements: readonly Placement[]): number {
+    const loads = placements.map(({ target, layers }) => {
+        const held = before.find(({ id }) => id === target.id)?.layers;
+        const isHeld = (layer: number) => held !== undefined && layer >= held.first && layer < held.end;
+        return Array.from({ length: layers.end - layers.first }, (_, i) => layers.first + i)
+            .filter(layer => !isHeld(layer)).length;
+    });
+    return Math.max(...loads) * testEngine.loadTime / testEngine.layers;
+}
+
+test("one lost target: its data centre has a chain again within 2 s, and no request is disturbed", () => {
+    const targets = planDataCentre();
+    const hops = buildChain("x", targets, testEngine)?.hops ?? [];
+    const small = hops.filter(({ targetId }) =>
+        targets.some(({ id, accelerator }) => id === targetId && accelerator === "small")
+    );
+    for (const { targetId } of small) {
+        const inUse = new Set(hops.map(hop => hop.targetId));
+        const left = targets.filter(({ id }) => id !== targetId);
+        const repair = planLayers(left, testEngine, { inUse, mayShift: false });
+        assert.ok(buildChain("x", apply(left, repair), testEngine) !== undefined, `without ${targetId}`);
+        assert.ok(loadTime(left, repair) <= 2_000, `${loadTime(left, repair)} ms without ${targetId}`);
+    }
+});
+
+test("two gaps and one idle target: neighbours take the smaller gap", () => {
+    const held: (readonly [string, LayerRange | undefined])[] = [
+        ["small", { first: 0, end: 8 }],
+        ["small", { first: 10, end: 18 }],
+        ["large", { first: 18, end: 45 }],
+        ["large", { first: 53, end: 80 }],
+        ["small", undefined],
+    ];
+    const targets = held.map(([kind, layers], index) => testTarget(`t${index}`, kind, layers));
+    const repaired = apply(targets, planLayers(targets, testEngine, { mayShift: false }));
+    assert.ok(buildChain("x", repaired, testEngine) !== undefined);
+});
