--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -20,10 +20,18 @@
  */
 export const ampleRoom = 96;
 /**
- * Requests for whose KV cache every target of a new chain keeps room, tried in this order; the last is the least. A little
- * below ample room, so that some targets are left for second copies and for lost ranges.
+ * Requests for whose KV cache every target of a new chain keeps room, tried in this order; the last is the least. The first two
+ * are for data centres with more memory than one chain of usual room needs: there requests, not losses, take it up. A target
+ * takes no more than 134 requests as the first of a chain, so more would be of no use. 80 is a little below ample room, so that
+ * some targets are left for second copies and lost ranges.
  */
-const concurrencyLevels = [80, 56, 40, 24, 12];
+const newChainLevels: readonly { readonly level: number; readonly spare: number; }[] = [
+    { level: 128, spare: 0.3 },
+    { level: 96, spare: 0.3 },
+    ...[80, 56, 40, 24, 12].map(level => ({ level, spare: 0 })),
+];
+/** The same for chains that are repaired. */
+const repairLevels = [80, 56, 40, 24, 12];
 /** Time of one more hop against the reference's time for a whole step: transfers and waiting for the next pass. */
 export const hopCost = 0.3;
 
@@ -47,7 +55,7 @@
     const { inUse = new Set(), mayShift = true, isOn = allMechanisms } = options;
     const kept = keepRanges(targets, engine);
     const tries = kept.length === 0
-        ? concurrencyLevels.map(level => ({ level, plan: planAnew }))
+        ? newChainLevels.filter(step => hasSpare(targets, engine, step)).map(({ level }) => ({ level, plan: planAnew }))
         : repairs.filter(({ plan }) => plan === shiftRanges ? mayShift : plan === fillGaps || isOn("neighbours"));
     const idle = targets.filter(target =>
         !inUse.has(target.id) && kept.every(placement => placement.target !== target)
@@ -61,6 +69,16 @@
     return [];
 }
 
+/** Whether targets with so much room hold a whole copy and a share of another one. */
+function hasSpare(
+    targets: readonly Target[],
+    engine: Engine,
+    step: { readonly level: number; readonly spare: number; },
+): boolean {
+    const capacity = rankCards(targets, engine, step.level).reduce((sum, card) => sum + card.capacity, 0);
+    return capacity >= engine.layers * (1 + step.spare);
+}
+
 /** A target and the layers for which it has room. */
 interface Card {
     readonly target: Target;
@@ -97,8 +115,8 @@
  * sends fewer requests, and second copies relieve.
  */
 const repairs: readonly { readonly level: number; readonly plan: Planner; }[] = [
-    ...concurrencyLevels.flatMap(level => [{ level, plan: fillGaps }, { level, plan: extendNeighbours }]),
-    ...concurrencyLevels.slice(1).map(level => ({ level, plan: shiftRanges })),
+    ...repairLevels.flatMap(level => [{ level, plan: fillGaps }, { level, plan: extendNeighbours }]),
+    ...repairLevels.slice(1).map(level => ({ level, plan: shiftRanges })),
 ];
 
 /**
