--- /dev/null
+++ b/packages/gateway/src/lib/chains/Placement.ts
@@ -0,0 +1,7 @@
+import { type LayerRange, type Target } from "../directory/Target.js";
+
+/** A target and the layers that it should hold. */
+export interface Placement {
+    readonly target: Target;
+    readonly layers: LayerRange;
+}
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -1,9 +1,9 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { addressOf, incarnationOf, type LayerRange, type Target } from "../directory/Target.js";
 import { type Hop } from "../requests/messages.js";
+import { hopCost } from "./cards.js";
 import { type Chain } from "./Chain.js";
-import { requestRoom } from "./memory.js";
-import { ampleRoom, hopCost } from "./planLayers.js";
+import { ampleRoom, requestRoom } from "./memory.js";
 
 /**
  * Cost of a hop to another data centre against the reference's time for a whole step. Chosen so high that no detour over
--- a/packages/gateway/src/lib/chains/memory.ts
+++ b/packages/gateway/src/lib/chains/memory.ts
@@ -4,6 +4,11 @@
 /** What targets have room for, in layers and in requests. */
 
 const bytesPerMegabyte = 1e6;
+/**
+ * Requests for whose KV cache every target of a chain has room when nothing is lost; no part of a chain with as much room
+ * needs relief. Chosen: twice what a chain carries on a usual day.
+ */
+export const ampleRoom = 96;
 
 /** Memory that the KV cache of a usual request takes for one layer, in megabytes. */
 function cacheMemory(engine: Engine): number {
--- a/packages/gateway/src/lib/chains/planLayers.test.ts
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -5,7 +5,8 @@
 import { testEngine, testTarget } from "../testing/fixtures.js";
 import { buildChain } from "./buildChain.js";
 import { layerCapacity } from "./memory.js";
-import { type Placement, planLayers } from "./planLayers.js";
+import { type Placement } from "./Placement.js";
+import { planLayers } from "./planLayers.js";
 
 function apply(targets: readonly Target[], placements: readonly Placement[]): Target[] {
     return targets.map(target => {
