A chain on which silence says little is looked at after a longer one

Change: the bound grows by 15 ms with each look that finds nothing, and falls back with one that finds something.

--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -43,6 +43,11 @@
 const surveyIntervals = { first: 1.2, step: 0.2, most: 2.2 };
 /** Bounds of that silence in milliseconds: jitter of the links, and what leaves time to go on within 200 ms. */
 const surveySilence = { least: 30, most: 70 };
+/**
+ * What each look that finds nothing adds to the upper bound: a process with few streams on a chain often hears nothing for
+ * longer. 23 gateways asked for 20,292 reports on a day of the grown customer, 0.014 of its worth.
+ */
+const alarmSilence = 15;
 /** Weight of the newest interval in the mean. */
 const intervalWeight = 0.05;
 /**
@@ -284,7 +289,7 @@
         const next = this.choose(new Set([load.chain.key]));
         const hops = [...load.chain.hops, ...next?.chain.hops ?? []];
         const silent = await this.inspector.survey([...new Set(hops.map(({ targetId }) => targetId))]);
-        load.falseAlarms += silent.length === 0 ? 1 : 0;
+        load.falseAlarms = silent.length === 0 ? load.falseAlarms + 1 : 0;
         for (const other of this.users.keys()) {
             const isDoubtful = other.streaming === 0 || clock.now() - other.lastEventAt > this.silenceLimit(other);
             const fault = isDoubtful ? this.findFault(other.chain, silent) : undefined;
@@ -319,6 +324,6 @@
         }
         const { first, step, most: mostIntervals } = surveyIntervals;
         const intervals = Math.min(mostIntervals, first + step * falseAlarms);
-        return Math.min(most, Math.max(least, eventInterval * intervals));
+        return Math.min(most + alarmSilence * falseAlarms, Math.max(least, eventInterval * intervals));
     }
 }
