--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -45,7 +45,7 @@
 const surveySilence = { least: 30, most: 70 };
 /**
  * What each look that finds nothing adds to the upper bound: a process with few streams on a chain often hears nothing for
- * longer. 23 gateways asked for 20,292 reports on a day of the grown customer, 0.014 of its worth.
+ * longer. 23 gateways together asked for 20,292 reports on a played day, 0.014 of its worth.
  */
 const alarmSilence = 15;
 /** Weight of the newest interval in the mean. */
--- a/packages/gateway/src/lib/chains/planLayers.test.ts
+++ b/packages/gateway/src/lib/chains/planLayers.test.ts
@@ -139,7 +139,7 @@
     }));
 });
 
-/** A data centre as the new customer has one: two middle and eleven small targets, carrying out its plan. */
+/** A data centre of two middle and eleven small targets, which carry out its plan. */
 function planDataCentre(): Target[] {
     const kinds = ["middle", "middle", ...Array.from({ length: 11 }, () => "small")];
     const targets = kinds.map((kind, index) => testTarget(`t${index}`, kind));
