Logs tell how old the list of targets is, and for how long a vanished entry keeps its target

Cause: the logs of a process could not tell whether it had not heard that a target leaves, or had heard it and took the vanished entry for one that expired in an outage. Change: the directory knows to which moment the store confirmed it; request ended and every directory line give that age, target lapsed for how long the target stays in use, store lost how long the call had been under way, store regained how old the last failed call is. A histogram of the age at each send. The wiring of the list moves from Gateway to createTargetWatch. No decision changes.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -7,8 +7,9 @@
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
+import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
-import { type DecodedTarget, TargetList } from "./directory/TargetList.js";
+import { type DecodedTarget } from "./directory/TargetList.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
@@ -65,11 +66,6 @@
  * confirmation of the group is 1.2 to 1.6 s old when an outage begins, which leaves 3 s of the 4.6 s.
  */
 const configurationWait = 1_200;
-/**
- * Milliseconds that one call waits for a change of the list of targets. A connection that has gone silent is noticed
- * after that; targets that leave must be known within the time in touch and the draining time, 5 s together.
- */
-const targetWait = 3_500;
 /** Of the bound on keys, milliseconds left for a request on its way. */
 const revocationSlack = 400;
 /** The balancer asks once a second and takes a process out after two misses; the rest is for connections on their way. */
@@ -121,6 +117,7 @@
             wire: options.wire,
             observation: this.observation,
             configuration: this.configuration,
+            targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
         this.startQueue = new StartQueue({
@@ -252,24 +249,22 @@
 
     private createWatches(): TableWatch[] {
         const { clock, store, tables, logs } = this.options;
-        const { directory } = this;
-        const targetList = new TargetList({
-            directory,
-            decode: (id, document) => tables.decodeTarget(id, document),
-            logger: logs.directory,
-        });
         const ofStore = (table: string) => ({
             clock,
             store,
             table,
-            onLost: (reason: string) => {
+            onLost: (reason: string, waited: number) => {
                 this.observation.metrics.storeLosses.add({ table });
                 this.reachesStore = false;
-                logs.process.warn({ table, reason }, "store lost");
+                logs.process.warn({ table, reason, waited: Math.round(waited) }, "store lost");
             },
-            onRegained: (outage: number) => {
+            onRegained: (outage: number, sinceFailure: number) => {
                 this.reachesStore = true;
-                logs.process.info({ table, outage: Math.round(outage) }, "store regained");
+                logs.process.info({
+                    table,
+                    outage: Math.round(outage),
+                    sinceFailure: Math.round(sinceFailure),
+                }, "store regained");
             },
         });
         const configurationWatch = new TableWatch({
@@ -279,15 +274,15 @@
             onChanges: changes => this.takeConfiguration(changes.flatMap(({ row }) => row ?? [])),
             onConfirmed: asked => this.configuration.confirm(asked),
         });
-        const targetWatch = new TableWatch({
+        const targetWatch = createTargetWatch({
             ...ofStore(tables.targetTable),
-            wait: targetWait,
-            onSnapshot: (rows, graceEnd) => {
-                targetList.takeAll(rows, graceEnd);
+            directory: this.directory,
+            decode: (id, document) => tables.decodeTarget(id, document),
+            logger: logs.directory,
+            onConfirmed: () => {
                 this.knowsTargets = true;
                 this.startQueue.release();
             },
-            onChanges: (changes, graceEnd) => targetList.takeChanges(changes, graceEnd),
         });
         return [configurationWatch, targetWatch];
     }
@@ -307,10 +302,20 @@
         this.configuration.confirm({ now: now - confirmationAge, date: date - confirmationAge });
     }
 
-    private noteTarget({ kind, target }: DirectoryChange): void {
+    private noteTarget({ kind, target, keptFor }: DirectoryChange): void {
         const { id, service, dataCentre, state, layers, startedAt } = target;
         this.options.logs.directory.info(
-            { target: id, startedAt, service, dataCentre, state, layers, change: kind },
+            {
+                target: id,
+                startedAt,
+                service,
+                dataCentre,
+                state,
+                layers,
+                change: kind,
+                keptFor: keptFor === undefined ? undefined : Math.round(keptFor),
+                listAge: Math.round(this.directory.age),
+            },
             `target ${kind}`,
         );
         if (kind === "restarted") {
--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { currentMoment } from "../Moment.js";
 import { type Target } from "./Target.js";
 import { type DirectoryChange, TargetDirectory } from "./TargetDirectory.js";
 
@@ -36,6 +37,25 @@
     assert.equal(directory.get("a"), undefined);
 });
 
+test("a lapse tells for how long the target is kept", () => {
+    const clock = new ManualClock();
+    const kept: (number | undefined)[] = [];
+    const directory = new TargetDirectory({ clock, onChange: ({ keptFor }) => kept.push(keptFor) });
+    directory.put(target);
+    directory.remove("a", clock.now() + 400);
+    assert.deepEqual(kept, [undefined, 400]);
+});
+
+test("the age of the list counts from the moment to which it was confirmed", () => {
+    const { clock, directory } = createDirectory();
+    assert.equal(directory.age, Infinity);
+    const asked = currentMoment(clock);
+    clock.advance(700);
+    directory.confirm(asked);
+    clock.advance(50);
+    assert.equal(directory.age, 750);
+});
+
 test("back within the grace: stays", () => {
     const { clock, directory, changes } = createDirectory();
     directory.remove("a", clock.now() + 400);
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Timer } from "@waxwingspar/utils";
+import { ageOf, type Moment } from "../Moment.js";
 import { type Target } from "./Target.js";
 
 /** What happened to a target of the directory. */
@@ -6,6 +7,8 @@
     /** "restarted": it has started again, and nothing that was known of it holds. "stale": an entry of an earlier start came. */
     readonly kind: "added" | "changed" | "removed" | "lapsed" | "returned" | "restarted" | "stale";
     readonly target: Target;
+    /** Milliseconds for which a lapsed target stays in use unless its entry comes back. */
+    readonly keptFor?: number;
 }
 
 /** Options of {@link TargetDirectory}. */
@@ -33,6 +36,7 @@
     private readonly startSeenAt = new Map<string, number>();
     private readonly lapsed = new Map<string, Timer>();
     private revisionCount = 0;
+    private confirmedAt: Moment | undefined;
 
     constructor(private readonly options: TargetDirectoryOptions) {}
 
@@ -41,6 +45,16 @@
         return this.revisionCount;
     }
 
+    /** Milliseconds since the store was last known to hold nothing newer. */
+    get age(): number {
+        return this.confirmedAt === undefined ? Infinity : Math.max(0, ageOf(this.confirmedAt, this.options.clock));
+    }
+
+    /** Notes that the store's list was as known here at some time after the given one. */
+    confirm(asked: Moment): void {
+        this.confirmedAt = asked;
+    }
+
     get(id: string): Target | undefined {
         return this.targets.get(id);
     }
@@ -134,7 +148,7 @@
         }
         const timer = this.options.clock.schedule(() => this.drop(target), grace);
         this.lapsed.set(id, timer);
-        this.changed({ kind: "lapsed", target });
+        this.changed({ kind: "lapsed", target, keptFor: grace });
     }
 
     /** Takes a whole list. Whatever it lacks counts as removed. */
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -21,6 +21,7 @@
     readonly storeLosses: Counter;
     readonly firstByte: Histogram;
     readonly duration: Histogram;
+    readonly targetListAge: Histogram;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -51,6 +52,10 @@
             name: "waxwingspar_gateway_duration_seconds",
             help: "From a request's arrival to its end, by kind of route.",
         });
+        this.targetListAge = registry.histogram({
+            name: "waxwingspar_gateway_target_list_age_seconds",
+            help: "How long the list of targets had not been confirmed when a request was sent to one of them.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -47,6 +47,7 @@
     private drainListener: (() => void) | undefined;
     private sends = 0;
     private lastTarget: Target | undefined;
+    private lastListAge: number | undefined;
 
     constructor(private readonly options: CallerExchangeOptions) {
         const { request, route, arrivedAt, response } = options;
@@ -108,10 +109,16 @@
         this.drainListener = listener;
     }
 
-    /** Notes that the request goes to a target, for a chain its first one. */
-    noteSend(target: Target): void {
+    /**
+     * Notes that the request goes to a target, for a chain its first one.
+     *
+     * @param listAge - Milliseconds since the list that the target was taken from was last confirmed.
+     */
+    noteSend(target: Target, listAge: number): void {
         this.sends++;
         this.lastTarget = target;
+        this.lastListAge = listAge;
+        this.options.observation.metrics.targetListAge.record(listAge, {});
     }
 
     /** Sends the head of a target's reply. */
@@ -204,6 +211,7 @@
             sends: this.sends,
             target: this.lastTarget?.id,
             dataCentre: this.lastTarget?.dataCentre,
+            listAge: round(this.lastListAge),
             firstByte: round(firstByte),
             longestPause: round(this.longestPause),
             duration: round(duration),
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -13,4 +13,6 @@
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
     readonly isOn: MechanismSwitch;
+    /** Milliseconds since the list of targets, which sends are decided by, was last confirmed. */
+    readonly targetListAge: () => number;
 }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -30,6 +30,8 @@
     /** Whether some peer could judge credentials at this moment. */
     readonly hasConfirmedPeer: () => boolean;
     readonly isOn: MechanismSwitch;
+    /** Milliseconds since the list of targets was last confirmed. */
+    readonly targetListAge: () => number;
 }
 
 /** Milliseconds after which a caller may come back that a process without a usable configuration cannot serve. */
@@ -113,8 +115,8 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation } = this.options;
-        const context = { clock, wire, observation, budget: parts.budget, connectTimeout, isOn: this.options.isOn };
+        const { clock, wire, observation, isOn, targetListAge } = this.options;
+        const context = { clock, wire, observation, budget: parts.budget, connectTimeout, isOn, targetListAge };
         if (parts.chains !== undefined) {
             new StreamRun(context, caller, parts.chains).start();
             return;
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -29,7 +29,7 @@
         chain,
         bodyLength: caller.body?.length,
     });
-    caller.noteSend(target);
+    caller.noteSend(target, context.targetListAge());
     return new Exchange({
         host: target.host,
         port: target.port,
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -115,6 +115,17 @@
     assert.ok((confirmed[1] ?? 0) < 100);
 });
 
+test("an answer that nothing changed confirms the table to the end of the wait", async () => {
+    const held: number[] = [];
+    const { clock } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { after: 2_004, reply: { kind: "changes", changes: [], version: 1 } },
+        { after: 500, reply: { kind: "changes", changes: [change("a", 1, 2)], version: 2 } },
+    ], { onConfirmed: (_asked, time) => held.push(time) });
+    await clock.advanceAsync(3_000);
+    assert.deepEqual(held, [0, 2_000, 0]);
+});
+
 test("changes in close succession are gathered", async () => {
     const changes = [2, 3, 4, 5, 6, 7, 8].map(version => ({
         kind: "changes" as const,
@@ -137,6 +148,25 @@
     assert.deepEqual(store.waits, [2_000, 0, 0, 2_000]);
 });
 
+test("a loss tells how long the call was under way, a return how old the last failed call is", async () => {
+    const losses: number[] = [];
+    const returns: number[] = [];
+    const { clock } = watchTable([
+        { kind: "read", rows: [], version: 1 },
+        { after: 2_700, reply: { kind: "unknown", reason: "timeout" } },
+        { after: 700, reply: { kind: "unknown", reason: "timeout" } },
+        { kind: "changes", changes: [], version: 1 },
+    ], {
+        onLost: (_reason, waited) => losses.push(waited),
+        onRegained: (_outage, sinceFailure) => returns.push(sinceFailure),
+        retryDelay: 200,
+    });
+    await clock.advanceAsync(4_000);
+    assert.deepEqual(losses, [2_700]);
+    const [sinceFailure = 0] = returns;
+    assert.ok(sinceFailure >= 900 && sinceFailure < 950, `${sinceFailure}`);
+});
+
 test("a process that was cut off drops a target that left within three seconds of its return", async () => {
     const graceEnds: number[] = [];
     const { clock } = watchTable([
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -13,10 +13,17 @@
     readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number) => void;
     /** Takes what changed, in the order in which it happened. */
     readonly onChanges: (changes: readonly RowChange[], graceEnd: number) => void;
-    /** The table was as told at some time after `asked`. */
-    readonly onConfirmed?: (asked: Moment) => void;
-    readonly onLost?: (reason: string) => void;
-    readonly onRegained?: (outage: number) => void;
+    /**
+     * The table was as told at some time after `asked`.
+     *
+     * @param held - Milliseconds for which the store held the call, since nothing changed: at their end the table was still
+     * as told.
+     */
+    readonly onConfirmed?: (asked: Moment, held: number) => void;
+    /** A call failed, the first one for a while; it had been under way for `waited` milliseconds. */
+    readonly onLost?: (reason: string, waited: number) => void;
+    /** The store answers again, so many milliseconds after it was lost and after the last call that failed was sent. */
+    readonly onRegained?: (outage: number, sinceFailure: number) => void;
     /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
     readonly retryDelay?: number;
     /**
@@ -43,6 +50,8 @@
     private version: number | undefined;
     private lostAt: number | undefined;
     private regainedAt = -Infinity;
+    /** When the last call that failed was sent. */
+    private failedCallAt = -Infinity;
     private stopped = false;
     private changesInARow = 0;
 
@@ -54,15 +63,21 @@
     async run(): Promise<void> {
         while (!this.stopped) {
             const asked = currentMoment(this.options.clock);
-            const failure = this.version === undefined ? await this.readAll() : await this.waitForChanges(this.version);
+            const wait = this.nextWait;
+            const result = this.version === undefined
+                ? await this.readAll()
+                : await this.waitForChanges(this.version, wait);
             if (this.stopped) {
                 return;
             }
-            if (failure === undefined) {
-                this.options.onConfirmed?.(asked);
+            if (result === "read" || result === "changed") {
+                this.options.onConfirmed?.(asked, 0);
+            }
+            else if (result === "unchanged") {
+                this.options.onConfirmed?.(asked, wait);
             }
             else {
-                await this.afterFailure(failure);
+                await this.afterFailure(result, asked.now);
             }
         }
     }
@@ -71,7 +86,7 @@
         this.stopped = true;
     }
 
-    private async readAll(): Promise<StoreFailure | undefined> {
+    private async readAll(): Promise<"read" | StoreFailure> {
         const result = await this.options.store.read(this.options.table);
         if (result.kind !== "read") {
             return result;
@@ -79,11 +94,11 @@
         this.regained();
         this.version = result.version;
         this.options.onSnapshot(result.rows, this.graceEnd());
-        return undefined;
+        return "read";
     }
 
-    private async waitForChanges(after: number): Promise<StoreFailure | undefined> {
-        const result = await this.options.store.watch(this.options.table, after, this.nextWait);
+    private async waitForChanges(after: number, wait: number): Promise<"changed" | "unchanged" | StoreFailure> {
+        const result = await this.options.store.watch(this.options.table, after, wait);
         if (result.kind !== "changes") {
             return result;
         }
@@ -91,14 +106,14 @@
         this.version = result.version;
         if (result.changes.length === 0) {
             this.changesInARow = 0;
-            return undefined;
+            return "unchanged";
         }
         this.options.onChanges(result.changes, this.graceEnd());
         this.changesInARow++;
         if (this.changesInARow >= gatherAfter) {
             await sleep(this.options.clock, this.options.gatherTime);
         }
-        return undefined;
+        return "changed";
     }
 
     /**
@@ -109,14 +124,15 @@
         return this.lostAt === undefined ? this.options.wait : 0;
     }
 
-    private async afterFailure(failure: StoreFailure): Promise<void> {
+    private async afterFailure(failure: StoreFailure, asked: number): Promise<void> {
         if (failure.kind === "historyGone") {
             this.version = undefined;
             return;
         }
+        this.failedCallAt = asked;
         if (this.lostAt === undefined) {
             this.lostAt = this.options.clock.now();
-            this.options.onLost?.(failure.reason);
+            this.options.onLost?.(failure.reason, this.lostAt - asked);
         }
         await sleep(this.options.clock, this.options.retryDelay);
     }
@@ -124,7 +140,7 @@
     private regained(): void {
         if (this.lostAt !== undefined) {
             this.regainedAt = this.options.clock.now();
-            this.options.onRegained?.(this.regainedAt - this.lostAt);
+            this.options.onRegained?.(this.regainedAt - this.lostAt, this.regainedAt - this.failedCallAt);
             this.lostAt = undefined;
         }
     }
