--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -43,5 +43,6 @@
     type StoreFailure,
     type TableChanges,
     type TableSnapshot,
+    watchSlack,
     type WriteResult,
 } from "./lib/store/Store.js";
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -54,10 +54,13 @@
     | { readonly kind: "conflict"; readonly rows: readonly StoredRow[]; }
     | StoreFailure;
 
+/** Milliseconds beyond its wait after which a call that waits for changes is given up. @public */
+export const watchSlack = 700;
+
 /** The platform's table store. @public */
 export interface Store {
     read(table: string): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure>;
-    /** Waits up to `wait` milliseconds for changes after a version. */
+    /** Waits up to `wait` milliseconds for changes after a version. Settles within {@link watchSlack} more. */
     watch(
         table: string,
         after: number,
--- /dev/null
+++ b/packages/gateway/src/lib/testing/WatchedTable.ts
@@ -0,0 +1,119 @@
+import { type Clock, type Timer } from "@waxwingspar/utils";
+import {
+    type RowChange,
+    type Store,
+    type StoredRow,
+    type StoreFailure,
+    type TableChanges,
+    type TableSnapshot,
+    watchSlack,
+} from "../store/Store.js";
+
+type Snapshot = { readonly kind: "read"; } & TableSnapshot;
+type Changes = { readonly kind: "changes"; } & TableChanges;
+
+interface WaitingCall {
+    readonly after: number;
+    readonly answer: (changes: Changes) => void;
+}
+
+/** Milliseconds from a call to its answer, as the platform's sheet gives them. */
+const answerTime = 5;
+/** Milliseconds after which a read without an answer is given up. */
+const readTimeout = 1_000;
+
+/**
+ * One table of a store on a clock, for tests of what follows it. Answers can be lost: to calls under way when their
+ * connections fall silent, and to all calls while the store is away.
+ */
+export class WatchedTable implements Store {
+    private readonly rows = new Map<string, StoredRow>();
+    private readonly changes: (RowChange & { readonly version: number; })[] = [];
+    private waiting = new Set<WaitingCall>();
+    private version = 1;
+    private isAway = false;
+
+    constructor(private readonly clock: Clock) {}
+
+    /** Writes a row; undefined removes it. */
+    put(key: string, value: unknown): void {
+        const version = ++this.version;
+        const row = value === undefined ? undefined : { key, value, version };
+        if (row === undefined) {
+            this.rows.delete(key);
+        }
+        else {
+            this.rows.set(key, row);
+        }
+        this.changes.push({ key, row, version });
+        for (const call of this.waiting) {
+            this.waiting.delete(call);
+            call.answer(this.changesAfter(call.after));
+        }
+    }
+
+    /** Every connection falls silent: calls under way get no answer, later ones go over new connections. */
+    silenceConnections(): void {
+        this.waiting.clear();
+    }
+
+    /** The store goes away, with the connections, or is back. */
+    setAway(isAway: boolean): void {
+        this.isAway = isAway;
+        this.silenceConnections();
+    }
+
+    read(): Promise<Snapshot | StoreFailure> {
+        return this.call<Snapshot>(
+            readTimeout,
+            answer => answer({ kind: "read", rows: [...this.rows.values()], version: this.version }),
+        );
+    }
+
+    watch(_table: string, after: number, wait: number): Promise<Changes | StoreFailure> {
+        return this.call<Changes>(wait + watchSlack, answer => {
+            const changes = this.changesAfter(after);
+            if (changes.changes.length > 0 || wait === 0) {
+                answer(changes);
+                return;
+            }
+            const call = { after, answer };
+            this.waiting.add(call);
+            this.clock.schedule(() => this.endWait(call), wait);
+        });
+    }
+
+    write(): Promise<never> {
+        throw new Error("not used");
+    }
+
+    private endWait(call: WaitingCall): void {
+        if (this.waiting.delete(call)) {
+            call.answer(this.changesAfter(call.after));
+        }
+    }
+
+    private changesAfter(after: number): Changes {
+        return {
+            kind: "changes",
+            changes: this.changes.filter(({ version }) => version > after),
+            version: this.version,
+        };
+    }
+
+    /** A call that is given up after `timeout` milliseconds unless it is answered. */
+    private call<T>(timeout: number, receive: (answer: (reply: T) => void) => void): Promise<T | StoreFailure> {
+        return new Promise(resolve => {
+            const giveUp: Timer = this.clock.schedule(() => resolve({ kind: "unknown", reason: "timeout" }), timeout);
+            if (this.isAway) {
+                return;
+            }
+            receive(reply => {
+                this.clock.schedule(() => {
+                    giveUp.cancel();
+                    resolve(reply);
+                }, answerTime);
+            });
+        });
+    }
+}
