What a gateway knows of the targets is never older than the time in contact

Cause: the list of targets had no bound on its age. A call for changes waited 3.5 s and was given up 0.7 s later, so a silent connection hid a leaving for 4.4 s; and the return of the store counted from when it was noticed, so a target that had left was taken for one whose entry had expired, for 2 s more. Change: a call waits as long as the time in contact allows, given by the platform's settings, less what giving up and asking again take (1.7 s at 3 s); the first call after a failure goes at once; the wait for expired entries also ends a time in contact after the sending of the last call that failed, since the store may have been back right after that. Before and after: leavingTargets.test.ts: up to 3.0 s too late, now never. Open: if an outage of under 2.4 s makes entries expire, their targets are left out for up to 1.4 s until the entries are back (reckoned from the constants).

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -279,6 +279,7 @@
             directory: this.directory,
             decode: (id, document) => tables.decodeTarget(id, document),
             logger: logs.directory,
+            contactTime: this.options.settings.contactTime,
             onConfirmed: () => {
                 this.knowsTargets = true;
                 this.startQueue.release();
--- a/packages/gateway/src/lib/GatewaySettings.ts
+++ b/packages/gateway/src/lib/GatewaySettings.ts
@@ -17,6 +17,8 @@
     /** Where the balancer asks whether to send callers here. */
     readonly readiness: Address;
     readonly store: Address;
+    /** After so much time without trouble the platform holds this process to what it promises, leavings of targets included. */
+    readonly contactTime: number;
     /** From the request to stop until the process is killed. */
     readonly stopGrace: number;
     /** After this time a credential that was taken away must not work; undefined where that holds only while in touch. */
--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -1,6 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Logger } from "pino";
-import { type Store } from "../store/Store.js";
+import { type Store, watchSlack } from "../store/Store.js";
 import { TableWatch, type TableWatchOptions } from "../store/TableWatch.js";
 import { type TargetDirectory } from "./TargetDirectory.js";
 import { type DecodedTarget, TargetList } from "./TargetList.js";
@@ -13,25 +13,38 @@
     readonly directory: TargetDirectory;
     readonly decode: (id: string, document: unknown) => DecodedTarget;
     readonly logger: Logger;
+    /** Milliseconds without trouble after which this process must know of every leaving. */
+    readonly contactTime: number;
     /** The directory is as the store's list was some moment ago. */
     readonly onConfirmed?: () => void;
 }
 
 /**
- * Milliseconds that one call waits for a change of the list of targets. A connection that has gone silent is noticed
- * after that; targets that leave must be known within the time in touch and the draining time, 5 s together.
+ * Milliseconds that are left of the time in contact when a call over a silent connection is given up: for the next call, its
+ * new connection and its answer (some 10 ms together) on a host that is busy. Chosen.
  */
-const targetWait = 3_500;
+const reconnectTime = 600;
+/** Milliseconds that one call waits at least, whatever the time in contact: each call is priced. */
+const leastWait = 500;
+/** Milliseconds by which vanished entries are given up before the time in contact is over: timers fire late. Chosen. */
+const timerSlack = 50;
 
-/** Follows the platform's list of targets and keeps a directory as the list says. */
+/**
+ * Follows the platform's list of targets and keeps a directory as the list says.
+ *
+ * A connection that falls silent is noticed when the call on it is given up. That must be within the time in contact alone: a
+ * target that left right after the silence may have had its draining time by then. With waits of 3.5 s requests were sent
+ * to such targets until 4.4 s after the silence (leavingTargets.test.ts plays it).
+ */
 export function createTargetWatch(options: TargetWatchOptions): TableWatch {
-    const { clock, store, table, directory, decode, logger, onLost, onRegained } = options;
+    const { clock, store, table, directory, decode, logger, contactTime, onLost, onRegained } = options;
     const list = new TargetList({ directory, decode, logger });
     return new TableWatch({
         clock,
         store,
         table,
-        wait: targetWait,
+        wait: Math.max(leastWait, contactTime - watchSlack - reconnectTime),
+        returnBound: contactTime - timerSlack,
         onSnapshot: (rows, graceEnd) => list.takeAll(rows, graceEnd),
         onChanges: (changes, graceEnd) => list.takeChanges(changes, graceEnd),
         onConfirmed: (asked, held) => {
--- a/packages/gateway/src/lib/directory/leavingTargets.test.ts
+++ b/packages/gateway/src/lib/directory/leavingTargets.test.ts
@@ -60,6 +60,7 @@
         directory,
         decode: (_id, document) => ({ kind: "target", target: document as Target }),
         logger: silentLogs().directory,
+        contactTime,
     });
     void watch.run();
     events.forEach(({ at, run }) => clock.schedule(() => run(table), at));
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -26,16 +26,18 @@
     readonly onRegained?: (outage: number, sinceFailure: number) => void;
     /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
     readonly retryDelay?: number;
+    /** Milliseconds after an outage in which rows that expired meanwhile are written again: the platform says about two seconds. */
+    readonly returnTime?: number;
     /**
-     * Milliseconds after an outage in which rows that expired meanwhile are written again. The platform promises about
-     * two seconds; it holds targets to their leaving from three seconds after its return, so this must stay below that.
+     * Milliseconds after the sending of the last call that failed at which the wait for such rows ends in any case. The
+     * outage can have ended right after that sending, however late it was noticed.
      */
-    readonly returnTime?: number;
+    readonly returnBound?: number;
     /** Milliseconds for which changes gather when they come in close succession, as at the start of a site. */
     readonly gatherTime?: number;
 }
 
-const defaults = { retryDelay: 200, returnTime: 2_050, gatherTime: 250 };
+const defaults = { retryDelay: 200, returnTime: 2_050, returnBound: 2_950, gatherTime: 250 };
 /** Calls in a row that brought changes after which further changes are gathered: each call is priced. */
 const gatherAfter = 3;
 
@@ -124,6 +126,10 @@
         return this.lostAt === undefined ? this.options.wait : 0;
     }
 
+    /**
+     * The first failure may be that of a connection only, so the call is made again at once: a process that waits here as
+     * well goes on for so much longer with what it knew.
+     */
     private async afterFailure(failure: StoreFailure, asked: number): Promise<void> {
         if (failure.kind === "historyGone") {
             this.version = undefined;
@@ -133,6 +139,7 @@
         if (this.lostAt === undefined) {
             this.lostAt = this.options.clock.now();
             this.options.onLost?.(failure.reason, this.lostAt - asked);
+            return;
         }
         await sleep(this.options.clock, this.options.retryDelay);
     }
@@ -145,7 +152,13 @@
         }
     }
 
+    /**
+     * Until when vanished rows may come back. The return of the store counts from when it was noticed, since the rows are
+     * back only some time after it. But a call that hung for long notices it late: without the bound a target that had
+     * left got requests for up to 2.1 s more (leavingTargets.test.ts plays it).
+     */
     private graceEnd(): number {
-        return this.regainedAt + this.options.returnTime;
+        const { returnTime, returnBound } = this.options;
+        return Math.min(this.regainedAt + returnTime, this.failedCallAt + returnBound);
     }
 }
