What a peer said gets older from the moment it was heard, and overtaken heartbeats are not taken

A gateway that could not confirm credentials sent callers to a peer by the age that the peer had told up to 1 s ago, and a heartbeat that a later one had overtaken was believed as if it were new, for instance that its sender holds the duty. Change: what heartbeats said moves from PeerGroup to HeardPeers, which needs no network to be tested; it adds the time since and drops overtaken heartbeats of the same start.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -242,9 +242,7 @@
 
     private get hasConfirmedPeer(): boolean {
         const bound = this.options.settings.keyRevocation ?? Infinity;
-        return this.peers.alive().some(({ state }) =>
-            typeof state.confirmationAge === "number" && state.confirmationAge < bound - revocationSlack
-        );
+        return this.peers.confirmationAge < bound - revocationSlack;
     }
 
     private createWatches(): TableWatch[] {
--- a/packages/gateway/src/lib/duty/PlacementDuty.test.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.test.ts
@@ -8,7 +8,7 @@
 import { type LayerRange } from "../directory/Target.js";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { GatewayMetrics } from "../observation/Observation.js";
-import { type Peer } from "../peers/PeerGroup.js";
+import { type Peer } from "../peers/HeardPeers.js";
 import { silentLogs, testEngine, testTarget, wellReport } from "../testing/fixtures.js";
 import { PlacementDuty } from "./PlacementDuty.js";
 
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -5,6 +5,7 @@
 import { type Address } from "../GatewaySettings.js";
 import { currentMoment, type Moment } from "../Moment.js";
 import { type Store, type WriteResult } from "../store/Store.js";
+import { HeardPeers, type Peer } from "./HeardPeers.js";
 
 /** What a gateway tells its peers of itself, several times a second. */
 export const peerStateSchema = z.object({
@@ -46,15 +47,6 @@
 });
 const memberSchema = z.object({ host: z.string(), port: z.number() });
 
-/** A peer that was heard of late. */
-export interface Peer {
-    readonly process: string;
-    readonly incarnation: string;
-    readonly state: PeerState;
-    readonly heardAt: number;
-    readonly sent: Moment;
-}
-
 /** Options of {@link PeerGroup}. */
 export interface PeerGroupOptions {
     readonly clock: Clock;
@@ -78,8 +70,6 @@
  */
 const largeGroup = 8;
 const wholeHeartbeatEvery = 4;
-/** Milliseconds without a heartbeat after which a peer counts as gone: several lost datagrams in a row. */
-const peerTimeout = 1_000;
 /** Milliseconds after which an address that never answers is forgotten, until a heartbeat or the store names it again. */
 const addressTimeout = 30_000;
 /** Milliseconds between two tries to enter the table of members. */
@@ -95,12 +85,14 @@
     private readonly socket: Socket = createSocket("udp4");
     /** Known addresses, and when each was last named or heard of. */
     private readonly addresses = new Map<string, number>();
-    private readonly peers = new Map<string, Peer>();
+    private readonly peers: HeardPeers;
     private isStopped = false;
     private hasJoined = false;
     private beats = 0;
 
-    constructor(private readonly options: PeerGroupOptions) {}
+    constructor(private readonly options: PeerGroupOptions) {
+        this.peers = new HeardPeers(options.clock);
+    }
 
     /** Gateways that live, this one included; a cautious guess before the group is known. */
     get groupSize(): number {
@@ -114,8 +106,12 @@
 
     /** Peers that were heard of within the timeout. */
     alive(): Peer[] {
-        const bound = this.options.clock.now() - peerTimeout;
-        return [...this.peers.values()].filter(({ heardAt }) => heardAt >= bound);
+        return this.peers.alive();
+    }
+
+    /** Milliseconds since the store last confirmed the configuration of any living peer. */
+    get confirmationAge(): number {
+        return this.peers.confirmationAge;
     }
 
     async start(): Promise<void> {
@@ -215,13 +211,15 @@
         if (sender !== undefined && this.addresses.has(sender)) {
             this.addresses.set(sender, heardAt);
         }
-        const before = this.peers.get(process);
-        this.peers.set(process, { process, incarnation, state, heardAt, sent });
+        const news = this.peers.hear({ process, incarnation, state, sent });
+        if (news === "late") {
+            return;
+        }
         const echo = echoes[this.options.incarnation];
         if (echo !== undefined) {
             this.options.onHeard?.(state, echo);
         }
-        if (before?.incarnation !== incarnation) {
+        if (news === "new") {
             this.options.logger.info({ peer: process, incarnation }, "heard of");
         }
     }
