A process reaches the store only while it follows every table

With one table followed again and the other still lost a gateway told its peers that it could take the placement duty. Change: StoreContact knows the lost tables by name, and writes the lines that Gateway wrote.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -26,6 +26,7 @@
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServicePicker } from "./services/ServicePicker.js";
 import { type Store, type StoredRow } from "./store/Store.js";
+import { StoreContact } from "./store/StoreContact.js";
 import { TableWatch } from "./store/TableWatch.js";
 
 /** Where the platform keeps what the gateway reads, and how it is read. */
@@ -92,7 +93,7 @@
     private readonly duty: PlacementDuty;
     private readonly watches: TableWatch[];
     private knowsTargets = false;
-    private reachesStore = true;
+    private readonly contact: StoreContact;
     private isStopping = false;
     private refusesNewRequests = false;
     private stopped: Promise<void> | undefined;
@@ -100,6 +101,7 @@
     constructor(private readonly options: GatewayOptions) {
         const { settings, clock, logs, registry, store, engines } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
+        this.contact = new StoreContact(this.observation);
         const { keyRevocation } = settings;
         this.configuration = new ConfigurationInForce({
             clock,
@@ -148,7 +150,7 @@
                 suspects: this.suspicions.listLost(),
                 slowTargets: this.paces.listOwn(),
                 dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
-                mayTakeDuty: this.reachesStore && !this.isStopping,
+                mayTakeDuty: this.contact.isWhole && !this.isStopping,
                 configurationVersion: this.configuration.current?.version,
                 confirmationAge: this.configuration.confirmationAge,
             }),
@@ -251,19 +253,7 @@
             clock,
             store,
             table,
-            onLost: (reason: string, waited: number) => {
-                this.observation.metrics.storeLosses.add({ table });
-                this.reachesStore = false;
-                logs.process.warn({ table, reason, waited: Math.round(waited) }, "store lost");
-            },
-            onRegained: (outage: number, sinceFailure: number) => {
-                this.reachesStore = true;
-                logs.process.info({
-                    table,
-                    outage: Math.round(outage),
-                    sinceFailure: Math.round(sinceFailure),
-                }, "store regained");
-            },
+            ...this.contact.listenersFor(table),
         });
         const configurationWatch = new TableWatch({
             ...ofStore(tables.configurationTable),
--- /dev/null
+++ b/packages/gateway/src/lib/store/StoreContact.ts
@@ -0,0 +1,33 @@
+import { type Observation } from "../observation/Observation.js";
+import { type TableWatchOptions } from "./TableWatch.js";
+
+/** Whether the store answers this process, by the calls of the watches that follow its tables. */
+export class StoreContact {
+    private readonly lostTables = new Set<string>();
+
+    constructor(private readonly observation: Observation) {}
+
+    /** False from the first call that fails until every table is followed again: an answer about one says nothing of the others. */
+    get isWhole(): boolean {
+        return this.lostTables.size === 0;
+    }
+
+    /** What the watch of a table tells of its calls. */
+    listenersFor(table: string): Required<Pick<TableWatchOptions, "onLost" | "onRegained">> {
+        const { metrics, logs } = this.observation;
+        return {
+            onLost: (reason, waited) => {
+                this.lostTables.add(table);
+                metrics.storeLosses.add({ table });
+                logs.process.warn({ table, reason, waited: Math.round(waited) }, "store lost");
+            },
+            onRegained: (outage, sinceFailure) => {
+                this.lostTables.delete(table);
+                logs.process.info(
+                    { table, outage: Math.round(outage), sinceFailure: Math.round(sinceFailure) },
+                    "store regained",
+                );
+            },
+        };
+    }
+}
