--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -45,14 +45,14 @@
         return this.revisionCount;
     }
 
-    /** Milliseconds since the store was last known to hold nothing newer. */
+    /** Milliseconds since the store's list was last known to be as known here; what has changed since is not known. */
     get age(): number {
         return this.confirmedAt === undefined ? Infinity : Math.max(0, ageOf(this.confirmedAt, this.options.clock));
     }
 
-    /** Notes that the store's list was as known here at some time after the given one. */
-    confirm(asked: Moment): void {
-        this.confirmedAt = asked;
+    /** Notes that the store's list was as known here at the given moment or later. */
+    confirm(moment: Moment): void {
+        this.confirmedAt = moment;
     }
 
     get(id: string): Target | undefined {
