Calls to a store that fails are paced from their sending

A store that resets calls that wait, and answers others, would have been called in a busy loop. Change: a call that failed is made again no sooner than the retry delay after its sending.

--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -24,7 +24,7 @@
     readonly onLost?: (reason: string, waited: number) => void;
     /** The store answers again, so many milliseconds after it was lost and after the last call that failed was sent. */
     readonly onRegained?: (outage: number, sinceFailure: number) => void;
-    /** Milliseconds between two tries while the store does not answer. Every call is priced, refused ones too. */
+    /** Milliseconds from the sending of a call that failed to the next one, at least. Every call is priced, refused ones too. */
     readonly retryDelay?: number;
     /** Milliseconds after an outage in which rows that expired meanwhile are written again: the platform says about two seconds. */
     readonly returnTime?: number;
@@ -127,8 +127,8 @@
     }
 
     /**
-     * The first failure may be that of a connection only, so the call is made again at once: a process that waits here as
-     * well goes on for so much longer with what it knew.
+     * A call that was given up after a while is made again at once: its connection alone may be at fault, and a process that
+     * waits here as well goes on for so much longer with what it knew. One that was refused or reset is made again later.
      */
     private async afterFailure(failure: StoreFailure, asked: number): Promise<void> {
         if (failure.kind === "historyGone") {
@@ -139,9 +139,9 @@
         if (this.lostAt === undefined) {
             this.lostAt = this.options.clock.now();
             this.options.onLost?.(failure.reason, this.lostAt - asked);
-            return;
         }
-        await sleep(this.options.clock, this.options.retryDelay);
+        const elapsed = this.options.clock.now() - asked;
+        await sleep(this.options.clock, Math.max(0, this.options.retryDelay - elapsed));
     }
 
     private regained(): void {
