--- a/packages/cli/src/lib/testing/RolloutSite.ts
+++ b/packages/cli/src/lib/testing/RolloutSite.ts
@@ -15,7 +15,7 @@
 import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
 import { ProcessLinks } from "../nodes/ProcessLinks.js";
 import { applyDocuments } from "../site/seedResources.js";
-import { freePorts } from "./SpawnedCommand.js";
+import { freePorts } from "./freePorts.js";
 
 /** A model of three stages; each target has room for its layers in two versions. @internal */
 export const rolloutModel = { name: "demo", layers: 6, replicas: 2 } as const;
--- a/packages/cli/src/lib/testing/SpawnedCommand.ts
+++ b/packages/cli/src/lib/testing/SpawnedCommand.ts
@@ -1,7 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { createServer } from "node:net";
-import { type AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 
@@ -61,15 +59,3 @@
         throw new Error(`${url} is not there: ${this.output}${this.errors}`);
     }
 }
-
-/** Ports that the operating system chose and that are free again. @internal */
-export async function freePorts(count: number): Promise<number[]> {
-    const servers = Array.from({ length: count }, () => createServer());
-    const ports = await Promise.all(servers.map(async server => {
-        server.listen(0, "127.0.0.1");
-        await once(server, "listening");
-        return (server.address() as AddressInfo).port;
-    }));
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
--- a/packages/cli/src/localCommand.test.ts
+++ b/packages/cli/src/localCommand.test.ts
@@ -3,7 +3,8 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { streamAnswer } from "./lib/demo/streamAnswer.js";
-import { freePorts, SpawnedCommand } from "./lib/testing/SpawnedCommand.js";
+import { freePorts } from "./lib/testing/freePorts.js";
+import { SpawnedCommand } from "./lib/testing/SpawnedCommand.js";
 
 async function startLocal(t: TestContext) {
     const [callers = 0, operators = 0] = await freePorts(2);
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -8,7 +8,8 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { streamAnswer } from "./lib/demo/streamAnswer.js";
-import { freePorts, SpawnedCommand } from "./lib/testing/SpawnedCommand.js";
+import { freePorts } from "./lib/testing/freePorts.js";
+import { SpawnedCommand } from "./lib/testing/SpawnedCommand.js";
 
 const examples = new URL("../examples/", import.meta.url);
 
--- a/packages/gateway/src/lib/directory/leavingTargets.test.ts
+++ b/packages/gateway/src/lib/directory/leavingTargets.test.ts
@@ -22,8 +22,8 @@
  * hides a leaving, and the return of a store is noticed long after it.
  */
 
-/** Milliseconds without trouble after which a process is held to its promises. */
-const contactTime = 3_000;
+/** Milliseconds without trouble after which a process is held to its promises, unless a play says otherwise. */
+const usualContactTime = 3_000;
 /** Milliseconds after its leaving in which a target may still get requests. */
 const drainTime = 2_000;
 /** Milliseconds between two requests, and of a step of the clock. */
@@ -46,7 +46,7 @@
 };
 
 /** Plays events, and tells at which moments a request was sent to the target that leaves, in milliseconds after the start. */
-async function playRequests(events: readonly Event[]): Promise<number[]> {
+async function playRequests(events: readonly Event[], contactTime = usualContactTime): Promise<number[]> {
     const clock = new ManualClock();
     const table = new WatchedTable(clock);
     const directory = new TargetDirectory({ clock });
@@ -90,7 +90,7 @@
                     { at: silentAt, run: table => table.silenceConnections() },
                     { at: leftAt, run },
                 ]);
-                const bound = Math.max(silentAt + contactTime, leftAt + drainTime);
+                const bound = Math.max(silentAt + usualContactTime, leftAt + drainTime);
                 const late = Math.max(0, ...sends) - bound;
                 if (late > 0) {
                     wrong.push(`silent at ${silentAt}, left ${way} ${later} later: ${late} too late`);
@@ -101,6 +101,24 @@
     assert.deepEqual(wrong, []);
 });
 
+test("the same holds where a site is given another time in contact", async () => {
+    const wrong: string[] = [];
+    for (const contactTime of [2_000, 4_000, 5_000]) {
+        for (const silentAt of [6_000, 6_700, 7_400, 8_100, 8_800, 9_500]) {
+            const leftAt = silentAt + 500;
+            const sends = await playRequests([
+                { at: silentAt, run: table => table.silenceConnections() },
+                { at: leftAt, run: leave.silently },
+            ], contactTime);
+            const late = Math.max(0, ...sends) - Math.max(silentAt + contactTime, leftAt + drainTime);
+            if (late > 0) {
+                wrong.push(`time in contact ${contactTime}, silent at ${silentAt}: ${late} too late`);
+            }
+        }
+    }
+    assert.deepEqual(wrong, []);
+});
+
 test("a target that left around an outage of the store gets no request after its draining time", async () => {
     const wrong: string[] = [];
     for (const awayAt of moments) {
@@ -113,7 +131,7 @@
                     { at: backAt, run: table => table.setAway(false) },
                     { at: leftAt, run: leave.silently },
                 ]);
-                const bound = Math.max(backAt + contactTime, leftAt + drainTime);
+                const bound = Math.max(backAt + usualContactTime, leftAt + drainTime);
                 const late = Math.max(0, ...sends) - bound;
                 if (late > 0) {
                     wrong.push(`away at ${awayAt} for ${outage}, left ${later} after it: ${late} too late`);
