--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -34,7 +34,7 @@
  *
  * A connection that falls silent is noticed when the call on it is given up. That must be within the time in contact alone: a
  * target that left right after the silence may have had its draining time by then. With waits of 3.5 s requests were sent
- * to such targets until 4.4 s after the silence (leavingTargets.test.ts plays it).
+ * to such targets up to 1.1 s after their draining time (leavingTargets.test.ts run with them).
  */
 export function createTargetWatch(options: TargetWatchOptions): TableWatch {
     const { clock, store, table, directory, decode, logger, contactTime, onLost, onRegained } = options;
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -155,7 +155,7 @@
     /**
      * Until when vanished rows may come back. The return of the store counts from when it was noticed, since the rows are
      * back only some time after it. But a call that hung for long notices it late: without the bound a target that had
-     * left got requests for up to 2.1 s more (leavingTargets.test.ts plays it).
+     * left got requests up to 1.2 s after its draining time (leavingTargets.test.ts run without it).
      */
     private graceEnd(): number {
         const { returnTime, returnBound } = this.options;
