Logs name a request over its attempts, and tell whether a target that cut it off has crashed

Cause: logs named each attempt of a caller by an id of its own, and a cut connection said nothing of the target, so the hypotheses on the request that ended sixteen targets could not be told apart. Change: a digest of what is asked for in 'request ended' and 'attempt failed'; after a cut run one look at its target, for all runs that it cut, and a line 'target crashed under a run' with a counter. A bare reset, a leaving target and a silent host do not count. Before and after: nothing that callers get changes; 37 of 37 tests of requests, upstream and crashes pass.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -8,6 +8,7 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
+import { CrashWatch } from "./crashes/CrashWatch.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { type DecodedTarget } from "./directory/TargetList.js";
@@ -31,6 +32,7 @@
 import { type Store } from "./store/Store.js";
 import { StoreContact } from "./store/StoreContact.js";
 import { type TableWatch, type TableWord, type WatchRole } from "./store/TableWatch.js";
+import { refusesConnections } from "./upstream/refusesConnections.js";
 
 /** Where the platform keeps what the gateway reads, and how it is read. */
 export interface PlatformTables {
@@ -117,6 +119,11 @@
             wire: options.wire,
             observation: this.observation,
             configuration: this.configuration,
+            crashes: new CrashWatch({
+                directory: this.directory,
+                refusesConnections,
+                observation: this.observation,
+            }),
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
--- /dev/null
+++ b/packages/gateway/src/lib/crashes/CrashWatch.test.ts
@@ -0,0 +1,51 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Target } from "../directory/Target.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { silentLogs, testTarget } from "../testing/fixtures.js";
+import { CrashWatch, type CutRun } from "./CrashWatch.js";
+
+function createWatch(listed: Target | undefined, isRefused = true) {
+    const crashes: CutRun[] = [];
+    let looks = 0;
+    const watch = new CrashWatch({
+        directory: { get: () => listed },
+        refusesConnections: () => {
+            looks++;
+            return Promise.resolve(isRefused);
+        },
+        observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(new ManualClock())) },
+        onCrash: run => void crashes.push(run),
+    });
+    return { watch, crashes, looks: () => looks };
+}
+
+const target = testTarget("t1", "small");
+const run: CutRun = { request: "r", digest: "d", target, after: 80, replyAge: undefined };
+const settled = () => new Promise(resolve => setImmediate(resolve));
+
+test("all runs that a target cuts as it crashes are told, after one look", async () => {
+    const { watch, crashes, looks } = createWatch(target);
+    ["a", "b", "c"].forEach(digest => watch.runCut({ ...run, digest }));
+    await settled();
+    assert.deepEqual(crashes.map(({ digest }) => digest), ["a", "b", "c"]);
+    assert.equal(looks(), 1);
+});
+
+test("a target that takes connections has cut a run off, but has not crashed", async () => {
+    const { watch, crashes } = createWatch(target, false);
+    watch.runCut(run);
+    await settled();
+    assert.deepEqual(crashes, []);
+});
+
+test("a target that was leaving, or is gone, has not crashed", async () => {
+    for (const listed of [undefined, { ...target, state: "draining" as const }]) {
+        const { watch, crashes } = createWatch(listed);
+        watch.runCut(run);
+        await settled();
+        assert.deepEqual(crashes, []);
+    }
+});
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -25,6 +25,7 @@
     readonly deliveredPause: Histogram;
     readonly deliveryWait: Histogram;
     readonly slowLinks: Counter;
+    readonly crashedRuns: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -71,6 +72,10 @@
             name: "waxwingspar_gateway_slow_links_total",
             help: "Times that this host's own link was found to hold answers up.",
         });
+        this.crashedRuns = registry.counter({
+            name: "waxwingspar_gateway_crashed_runs_total",
+            help: "Runs of requests that were cut off because their target crashed.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -6,6 +6,7 @@
 import { Delivery } from "./Delivery.js";
 import { type LinkWatch } from "./LinkWatch.js";
 import { type CallerRequest } from "./messages.js";
+import { requestDigest } from "./requestDigest.js";
 
 /** Options of {@link CallerExchange}. */
 export interface CallerExchangeOptions {
@@ -41,6 +42,8 @@
 export class CallerExchange {
     /** When the caller must have a final answer, on the clock. */
     readonly deadline: number;
+    /** Names the request over its attempts, whichever gateway takes them. */
+    readonly digest: string;
     private isOver = false;
     private hasHead = false;
     private firstByteAt: number | undefined;
@@ -56,9 +59,16 @@
     private endedWith: string | undefined;
 
     constructor(private readonly options: CallerExchangeOptions) {
-        const { request, route, arrivedAt, response, clock, link } = options;
+        const { request, route, arrivedAt, response, clock, link, incoming, organisation, body } = options;
         this.delivery = new Delivery({ clock, onLeft: wait => link.note(this, wait) });
         this.deadline = arrivedAt + Math.min(route.timeout, request.timeLeft ?? Infinity);
+        this.digest = requestDigest({
+            method: this.method,
+            hostname: incoming.headers.host ?? "",
+            path: this.path,
+            organisation: organisation?.name,
+            body,
+        });
         response.once("close", () => this.closed());
         response.on("drain", () => this.drainListener?.());
     }
@@ -226,6 +236,7 @@
         }
         observation.logs.requests.info({
             request: request.id,
+            digest: this.digest,
             route: route.name,
             organisation: organisation?.name,
             configuration: this.options.configurationVersion,
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -25,6 +25,8 @@
     readonly exchange: Exchange;
     readonly startedAt: number;
     response?: IncomingMessage;
+    /** When its reply began, on the clock. */
+    repliedAt?: number;
     readonly chunks: Buffer[];
     bytes: number;
 }
@@ -106,6 +108,7 @@
 
     private receiveHead(attempt: Attempt, response: IncomingMessage): void {
         attempt.response = response;
+        attempt.repliedAt = this.context.clock.now();
         const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
         if (head.requestId !== this.caller.request.id && head.requestId !== undefined) {
             this.abandon(attempt, "failed", "unknown", "reply to another request");
@@ -158,6 +161,9 @@
     private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
         this.remove(attempt, "failed");
         this.note(attempt, reason);
+        if (!neverSent) {
+            this.noteCut(attempt);
+        }
         if (this.caller.headSent) {
             this.finish();
             this.caller.breakOff(reason);
@@ -166,6 +172,19 @@
         this.continueAfter(neverSent ? "neverSent" : "unknown");
     }
 
+    private noteCut({ target, startedAt, repliedAt }: Attempt): void {
+        const { clock, crashes } = this.context;
+        const { request, digest } = this.caller;
+        const now = clock.now();
+        crashes.runCut({
+            request: request.id,
+            digest,
+            target,
+            after: now - startedAt,
+            replyAge: repliedAt === undefined ? undefined : now - repliedAt,
+        });
+    }
+
     /** Ends an attempt whose reply is of no use. */
     private abandon(attempt: Attempt, verdict: ExchangeVerdict, end: AttemptEnd, reason: string): void {
         attempt.exchange.cancel();
@@ -256,6 +275,7 @@
     private note(attempt: Attempt, reason: string): void {
         this.context.observation.logs.requests.warn({
             request: this.caller.request.id,
+            digest: this.caller.digest,
             target: attempt.target.id,
             reason,
             after: Math.round(this.context.clock.now() - attempt.startedAt),
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { type CrashWatch } from "../crashes/CrashWatch.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type WireFormat } from "./messages.js";
@@ -12,6 +13,7 @@
     readonly budget: RepeatBudget;
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
+    readonly crashes: Pick<CrashWatch, "runCut">;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets, which sends are decided by, was last confirmed. */
     readonly targetListAge: () => number;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -2,6 +2,7 @@
 import { type ChainService } from "../chains/ChainService.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { type CrashWatch } from "../crashes/CrashWatch.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
@@ -30,6 +31,7 @@
     readonly findService: (name: string) => ServiceParts | undefined;
     /** Whether some peer could judge credentials at this moment. */
     readonly hasConfirmedPeer: () => boolean;
+    readonly crashes: Pick<CrashWatch, "runCut">;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -121,8 +123,9 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, isOn, targetListAge } = this.options;
-        const context = { clock, wire, observation, budget: parts.budget, connectTimeout, isOn, targetListAge };
+        const { clock, wire, observation, crashes, isOn, targetListAge } = this.options;
+        const { budget } = parts;
+        const context = { clock, wire, observation, budget, connectTimeout, crashes, isOn, targetListAge };
         if (parts.chains !== undefined) {
             new StreamRun(context, caller, parts.chains).start();
             return;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage } from "node:http";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
+import { type Target } from "../directory/Target.js";
 import { type Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
@@ -38,13 +39,16 @@
 
 interface Attempt {
     readonly load: ChainLoad;
+    /** The first target of its chain. */
+    readonly target: Target;
     readonly exchange: Exchange;
     readonly startedAt: number;
     readonly splitter: EventSplitter;
     /** Set for a reply that is no stream, which is passed on whole. */
     isPlain: boolean;
     response?: IncomingMessage;
-    /** When its last event came, on the clock; undefined before the first. */
+    /** When its first and its last event came, on the clock; undefined before the first. */
+    firstEventAt: number | undefined;
     lastEventAt: number | undefined;
 }
 
@@ -131,9 +135,11 @@
         const { context, caller } = this;
         const attempt: Attempt = {
             load,
+            target,
             startedAt: context.clock.now(),
             splitter: new EventSplitter(),
             isPlain: false,
+            firstEventAt: undefined,
             lastEventAt: undefined,
             exchange: openExchange({
                 context,
@@ -226,6 +232,7 @@
             this.firstEventTimer?.cancel();
             this.service.firstEvent(attempt.load);
         }
+        attempt.firstEventAt ??= now;
         attempt.lastEventAt = now;
         this.service.event(attempt.load, interval);
     }
@@ -259,9 +266,25 @@
 
     private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
         this.service.broke(attempt.load, neverSent);
+        if (!neverSent) {
+            this.noteCut(attempt);
+        }
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
+    private noteCut({ target, startedAt, firstEventAt }: Attempt): void {
+        const { clock, crashes } = this.context;
+        const { request, digest } = this.caller;
+        const now = clock.now();
+        crashes.runCut({
+            request: request.id,
+            digest,
+            target,
+            after: now - startedAt,
+            replyAge: firstEventAt === undefined ? undefined : now - firstEventAt,
+        });
+    }
+
     private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, mayReuse = false): void {
         this.release();
         this.failedChains.add(attempt.load.chain.key);
@@ -346,6 +369,7 @@
     private note(attempt: Attempt, reason: string): void {
         this.context.observation.logs.requests.warn({
             request: this.caller.request.id,
+            digest: this.caller.digest,
             chain: attempt.load.chain.dataCentre,
             head: attempt.load.chain.hops[0]?.targetId,
             reason,
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/refusesConnections.test.ts
@@ -0,0 +1,13 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "node:test";
+import { refusesConnections } from "./refusesConnections.js";
+
+test("a process that listens refuses nothing, one that has ended refuses all", async () => {
+    const server = createServer(socket => socket.end()).listen(0, "127.0.0.1");
+    await new Promise(resolve => server.once("listening", resolve));
+    const target = { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+    assert.equal(await refusesConnections(target), false);
+    await new Promise(resolve => server.close(resolve));
+    assert.equal(await refusesConnections(target), true);
+});
