--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -1,8 +1,7 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
-import { type IncomingMessage } from "node:http";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
-import { type Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { openExchange } from "./openExchange.js";
@@ -22,9 +21,9 @@
 
 interface Attempt {
     readonly target: Target;
-    readonly exchange: Exchange;
+    readonly exchange: OpenExchange;
     readonly startedAt: number;
-    response?: IncomingMessage;
+    response?: ReplyMessage;
     /** When its reply began, on the clock. */
     repliedAt?: number;
     readonly chunks: Buffer[];
@@ -106,7 +105,7 @@
         this.attempts.add(attempt);
     }
 
-    private receiveHead(attempt: Attempt, response: IncomingMessage): void {
+    private receiveHead(attempt: Attempt, response: ReplyMessage): void {
         attempt.response = response;
         attempt.repliedAt = this.context.clock.now();
         const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -2,6 +2,7 @@
 import { type CrashWatch } from "../crashes/CrashWatch.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
+import { type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
 import { type WireFormat } from "./messages.js";
 import { type RepeatBudget } from "./RepeatBudget.js";
 
@@ -14,6 +15,8 @@
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
     readonly crashes: Pick<CrashWatch, "runCut">;
+    /** Sends a request to a target. */
+    readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets, which sends are decided by, was last confirmed. */
     readonly targetListAge: () => number;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -7,6 +7,7 @@
 import { type Observation } from "../observation/Observation.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
 import { type ServicePicker } from "../services/ServicePicker.js";
+import { Exchange, type ExchangeOptions } from "../upstream/Exchange.js";
 import { CallerExchange, writeRefusal } from "./CallerExchange.js";
 import { LinkWatch } from "./LinkWatch.js";
 import { type CallerRequest, type WireFormat } from "./messages.js";
@@ -125,7 +126,18 @@
         }
         const { clock, wire, observation, crashes, isOn, targetListAge } = this.options;
         const { budget } = parts;
-        const context = { clock, wire, observation, budget, connectTimeout, crashes, isOn, targetListAge };
+        const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
+        const context = {
+            clock,
+            wire,
+            observation,
+            budget,
+            connectTimeout,
+            crashes,
+            openExchange,
+            isOn,
+            targetListAge,
+        };
         if (parts.chains !== undefined) {
             new StreamRun(context, caller, parts.chains).start();
             return;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -1,9 +1,8 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
-import { type IncomingMessage } from "node:http";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { type Target } from "../directory/Target.js";
-import { type Exchange, type ExchangeFailure } from "../upstream/Exchange.js";
+import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
@@ -41,12 +40,12 @@
     readonly load: ChainLoad;
     /** The first target of its chain. */
     readonly target: Target;
-    readonly exchange: Exchange;
+    readonly exchange: OpenExchange;
     readonly startedAt: number;
     readonly splitter: EventSplitter;
     /** Set for a reply that is no stream, which is passed on whole. */
     isPlain: boolean;
-    response?: IncomingMessage;
+    response?: ReplyMessage;
     /** When its first and its last event came, on the clock; undefined before the first. */
     firstEventAt: number | undefined;
     lastEventAt: number | undefined;
@@ -169,7 +168,7 @@
             : service.choose(failedChains) ?? service.choose(deadChains);
     }
 
-    private receiveHead(attempt: Attempt, response: IncomingMessage): void {
+    private receiveHead(attempt: Attempt, response: ReplyMessage): void {
         attempt.response = response;
         const status = response.statusCode ?? 0;
         const head = this.context.wire.readReplyHead(status, response.headers);
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -1,5 +1,5 @@
 import { type Target } from "../directory/Target.js";
-import { Exchange, type ExchangeListener } from "../upstream/Exchange.js";
+import { type ExchangeListener, type OpenExchange } from "../upstream/Exchange.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { type Hop } from "./messages.js";
 import { type RequestContext } from "./RequestContext.js";
@@ -18,7 +18,7 @@
 }
 
 /** Sends a caller's request to a target, with what is left of its time. */
-export function openExchange(options: OpenExchangeOptions): Exchange {
+export function openExchange(options: OpenExchangeOptions): OpenExchange {
     const { context, caller, target, chain, lastEventId, priority, listener } = options;
     const headers = context.wire.writeDispatchHeaders(caller.rawHeaders, {
         targetId: target.id,
@@ -30,7 +30,7 @@
         bodyLength: caller.body?.length,
     });
     caller.noteSend(target, context.targetListAge());
-    return new Exchange({
+    return context.openExchange({
         host: target.host,
         port: target.port,
         method: caller.method,
--- /dev/null
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -0,0 +1,309 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
+import { type Random, seededRandom } from "@waxwingspar/utils";
+import { type IncomingMessage } from "node:http";
+import { ChainService } from "../chains/ChainService.js";
+import { TargetPaces } from "../chains/TargetPaces.js";
+import { TargetSuspicions } from "../chains/TargetSuspicions.js";
+import { type Route } from "../configuration/Configuration.js";
+import { CrashWatch } from "../crashes/CrashWatch.js";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms } from "../Mechanisms.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { CallerExchange } from "../requests/CallerExchange.js";
+import { LinkWatch } from "../requests/LinkWatch.js";
+import { type WireFormat } from "../requests/messages.js";
+import { RepeatBudget } from "../requests/RepeatBudget.js";
+import { type RequestContext } from "../requests/RequestContext.js";
+import { StreamRun } from "../requests/StreamRun.js";
+import { silentLogs, testEngine, testTarget, wellReport } from "./fixtures.js";
+import { SimulatedAnswer } from "./SimulatedAnswer.js";
+import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
+import { SimulatedTarget } from "./SimulatedTarget.js";
+
+/** Options of {@link CrashingSite}. */
+export interface CrashingSiteOptions extends SimulatedGroupOptions {
+    /** Requests a second that crash nothing, over all gateways. */
+    readonly load?: number;
+    /** Different requests that crash each target which runs them. */
+    readonly culprits?: number;
+    /** Targets that crash by themselves, in a minute. */
+    readonly crashesPerMinute?: number;
+}
+
+/** What became of a caller's request, all its attempts together. */
+export interface CallerOutcome {
+    readonly body: string;
+    readonly isServed: boolean;
+    /** Result numbers of the answers that were no success. */
+    readonly results: readonly (number | undefined)[];
+}
+
+interface SiteGateway {
+    readonly group: SimulatedGateway;
+    readonly context: RequestContext;
+    readonly chains: ChainService;
+    readonly directory: TargetDirectory;
+}
+
+const route: Route = {
+    name: "chat",
+    hostname: "a.example",
+    pathPrefix: "/",
+    kind: "stream",
+    isResumable: true,
+    shares: [{ service: "model", weight: 1 }],
+    timeout: 20_000,
+    latencyTarget: 500,
+    priority: 1,
+    maxAttempts: 3,
+    isPublic: false,
+};
+/** Milliseconds after a crash at which the entry of a target is gone, and its next start is listed. */
+const lapse = 3_600;
+const restart = { least: 4_000, most: 6_000 };
+/** A caller tries again once. */
+const attempts = 2;
+/** Milliseconds between the visits of the caller of a culprit, in bursts. */
+const culpritPause = { least: 100, most: 3_000 };
+/** Chains of each data centre. */
+const targetsOfChain = 2;
+const layersEach = 40;
+
+/** Nothing on the wire is of interest here. */
+const wire: WireFormat = {
+    readCallerRequest: () => {
+        throw new Error("not used");
+    },
+    writeDispatchHeaders: () => [],
+    readReplyHead: () => ({
+        requestId: undefined,
+        isSigned: true,
+        neverExecuted: false,
+        faultyAddress: undefined,
+    }),
+};
+
+/**
+ * Gateways with the modules that decide where requests are sent, over targets that crash under certain requests and come back
+ * some seconds later. Callers come to any gateway, and once more when they are not served; those of the culprits for ever.
+ */
+export class CrashingSite {
+    readonly group: SimulatedGroup;
+    readonly outcomes: CallerOutcome[] = [];
+    /** When targets crashed under a culprit, and when a culprit reached a target, by its body. */
+    readonly crashes = new Map<string, number[]>();
+    readonly arrivals = new Map<string, number[]>();
+    private readonly gateways: SiteGateway[];
+    private readonly targets: SimulatedTarget[] = [];
+    private readonly random: Random;
+    private readonly options: Required<Pick<CrashingSiteOptions, "load" | "culprits" | "crashesPerMinute">>;
+    private requests = 0;
+    private isOver = false;
+
+    constructor(options: CrashingSiteOptions = {}) {
+        const { seed = 1, load = 40, culprits = 1, crashesPerMinute = 0 } = options;
+        this.options = { load, culprits, crashesPerMinute };
+        this.group = new SimulatedGroup({ dataCentres: 3, ...options });
+        this.random = seededRandom(seed + 500);
+        this.gateways = this.group.gateways.map(gateway => this.createGateway(gateway));
+        for (let dataCentre = 0; dataCentre < (options.dataCentres ?? 3); dataCentre++) {
+            for (let index = 0; index < targetsOfChain; index++) {
+                this.startTarget(`dc-${dataCentre}`, dataCentre * targetsOfChain + index, index);
+            }
+        }
+    }
+
+    /** Lets the site run for some milliseconds under its load, and then until all callers have an answer. */
+    async run(duration: number): Promise<void> {
+        await this.group.runAsync(2_000);
+        this.nextRequest();
+        this.nextCrash();
+        for (let culprit = 0; culprit < this.options.culprits; culprit++) {
+            this.visit(`culprit ${culprit}`);
+        }
+        await this.group.runAsync(duration);
+        this.isOver = true;
+        await this.group.runAsync(5_000);
+    }
+
+    private createGateway(group: SimulatedGateway): SiteGateway {
+        const { clock } = this.group;
+        const directory = new TargetDirectory({ clock });
+        const suspicions = new TargetSuspicions(clock);
+        const observation = { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
+        const chains = new ChainService({
+            clock,
+            service: "model",
+            dataCentre: group.dataCentre,
+            engine: testEngine,
+            directory,
+            suspicions,
+            paces: new TargetPaces(clock),
+            peerLoad: headId => group.exchange.others.chainLoads[headId] ?? 0,
+            engines: {
+                fetchReport: ({ port }) => Promise.resolve(this.isDown(port) ? undefined : wellReport),
+                place: () => Promise.resolve({ kind: "held" }),
+            },
+            observation,
+        });
+        group.tell(() => ({
+            chainLoads: Object.fromEntries(chains.headLoads()),
+            suspects: suspicions.listLost(),
+        }));
+        const context: RequestContext = {
+            clock,
+            wire,
+            observation,
+            budget: new RepeatBudget({
+                clock,
+                window: 10_000,
+                share: 0.2,
+                reserve: 202,
+                gateways: () => group.size.value,
+            }),
+            connectTimeout: 450,
+            crashes: new CrashWatch({
+                directory,
+                observation,
+                refusesConnections: ({ port }) => Promise.resolve(this.isDown(port)),
+            }),
+            openExchange: exchange => this.targetAt(exchange.port).open(exchange),
+            isOn: allMechanisms,
+            targetListAge: () => directory.age,
+        };
+        return { group, context, chains, directory };
+    }
+
+    private startTarget(dataCentre: string, port: number, half: number): void {
+        const { clock } = this.group;
+        const layers = { first: half * layersEach, end: (half + 1) * layersEach };
+        const target = { ...testTarget(`t${port}`, "small", layers, dataCentre), startedAt: clock.now() };
+        const simulated = new SimulatedTarget({
+            clock,
+            random: this.random,
+            target,
+            crashesUnder: body => body.startsWith("culprit"),
+            onArrival: body => note(this.arrivals, body, clock.now()),
+            onCrash: body => {
+                if (body !== undefined) {
+                    note(this.crashes, body, clock.now());
+                }
+                clock.schedule(() => this.eachDirectory(directory => directory.remove(target.id, 0)), lapse);
+                clock.schedule(() => this.startTarget(dataCentre, port, half), this.draw(restart));
+            },
+        });
+        const known = this.targets.findIndex(other => other.target.port === target.port);
+        this.targets.splice(known === -1 ? this.targets.length : known, known === -1 ? 0 : 1, simulated);
+        this.eachDirectory(directory => directory.put(target));
+    }
+
+    private eachDirectory(change: (directory: TargetDirectory) => void): void {
+        this.gateways.forEach(({ directory }) => change(directory));
+    }
+
+    private targetAt(port: number): SimulatedTarget {
+        const found = this.targets.find(({ target }) => target.port === port);
+        if (found === undefined) {
+            throw new Error(`no target at port ${port}`);
+        }
+        return found;
+    }
+
+    private isDown(port: number): boolean {
+        return this.targetAt(port).isDown;
+    }
+
+    private nextRequest(): void {
+        if (this.isOver || this.options.load === 0) {
+            return;
+        }
+        const pause = -Math.log(1 - this.random.next()) * 1_000 / this.options.load;
+        this.group.clock.schedule(() => {
+            void this.ask(`question ${this.requests++}`, attempts);
+            this.nextRequest();
+        }, Math.round(pause));
+    }
+
+    private nextCrash(): void {
+        const { crashesPerMinute } = this.options;
+        if (this.isOver || crashesPerMinute === 0) {
+            return;
+        }
+        const pause = -Math.log(1 - this.random.next()) * 60_000 / crashesPerMinute;
+        this.group.clock.schedule(() => {
+            const heads = this.targets.filter(({ isDown, target }) => !isDown && target.layers?.first === 0);
+            heads[Math.floor(this.random.next() * heads.length)]?.crash();
+            this.nextCrash();
+        }, Math.round(pause));
+    }
+
+    /** The caller of a culprit comes back for ever. */
+    private visit(body: string): void {
+        if (!this.isOver) {
+            this.ask(body, attempts, () => {
+                this.group.clock.schedule(() => this.visit(body), this.draw(culpritPause));
+            });
+        }
+    }
+
+    /** One request of a caller, with its attempts. */
+    private ask(
+        body: string,
+        left: number,
+        onEnd: () => void = () => undefined,
+        results: readonly (number | undefined)[] = [],
+    ): void {
+        const living = this.gateways.filter(({ group }) => this.group.living.includes(group));
+        const gateway = living[Math.floor(this.random.next() * living.length)];
+        if (gateway === undefined) {
+            return;
+        }
+        const answer = this.start(gateway, body);
+        answer.whenOver(() => {
+            const isServed = answer.statusCode === 200 && answer.isWhole;
+            const all = isServed ? results : [...results, answer.resultNumber];
+            if (isServed || left <= 1) {
+                this.outcomes.push({ body, isServed, results: all });
+                onEnd();
+                return;
+            }
+            this.group.clock.schedule(() => this.ask(body, left - 1, onEnd, all), 2);
+        });
+    }
+
+    private start({ context, chains }: SiteGateway, body: string): SimulatedAnswer {
+        const { clock } = this.group;
+        const answer = new SimulatedAnswer();
+        const incoming = { method: "POST", url: "/chat", headers: { host: "a.example" }, rawHeaders: [] };
+        const caller = new CallerExchange({
+            clock,
+            incoming: incoming as unknown as IncomingMessage,
+            response: answer.response,
+            request: {
+                id: undefined,
+                timeLeft: 20_000,
+                key: undefined,
+                lastEventId: undefined,
+                tokens: undefined,
+                answerLengthHint: undefined,
+            },
+            route,
+            organisation: undefined,
+            arrivedAt: clock.now(),
+            body: Buffer.from(body),
+            observation: context.observation,
+            link: new LinkWatch({ clock, observation: context.observation }),
+            configurationVersion: 1,
+        });
+        new StreamRun(context, caller, chains).start();
+        return answer;
+    }
+
+    private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
+        return least + Math.floor(this.random.next() * (most - least));
+    }
+}
+
+function note(times: Map<string, number[]>, body: string, time: number): void {
+    times.set(body, [...times.get(body) ?? [], time]);
+}
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -39,6 +39,8 @@
     readonly size: GroupSize;
     /** What it tells of itself; tests change it. */
     state: PeerState;
+    /** Lets it tell, of itself, what holds at each heartbeat. */
+    tell(describe: () => Partial<PeerState>): void;
     /** When the store told it the newest configuration last, on the group's clock. */
     confirmedAt: number | undefined;
     /** The latest moment to which peers confirmed the configuration to it. */
@@ -102,8 +104,12 @@
         }:7340`;
         const name = `front-dc-${dataCentre}-${index}`;
         const dataCentreName = `dc-${dataCentre}`;
+        let describe: () => Partial<PeerState> = () => ({});
         const gateway: SimulatedGateway = {
             name,
+            tell: describeNow => {
+                describe = describeNow;
+            },
             address,
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
@@ -121,7 +127,7 @@
                 own: { address, dataCentre: dataCentreName },
                 logger: silentLogs().peers,
                 send: (to, datagram) => this.send(gateway, to, datagram),
-                describe: () => gateway.state,
+                describe: () => ({ ...gateway.state, ...describe() }),
                 words: () => this.wordsOf(gateway),
                 onWord: (name, word, after) => name === table ? noteWord(gateway, word, after) : undefined,
                 onSums: ({ members }) => gateway.size.note(members + 1),
--- /dev/null
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -0,0 +1,104 @@
+import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
+import { type Target } from "../directory/Target.js";
+import { type ExchangeListener, type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
+
+/** Options of {@link SimulatedTarget}. */
+export interface SimulatedTargetOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly target: Target;
+    /** The bodies under which it crashes. */
+    readonly crashesUnder: (body: string) => boolean;
+    /** It has crashed: under the request with the body, or by itself. */
+    readonly onCrash: (body: string | undefined) => void;
+    readonly onArrival: (body: string) => void;
+}
+
+interface Run {
+    readonly body: string;
+    readonly listener: ExchangeListener;
+    timer: Timer | undefined;
+}
+
+/** Milliseconds on the way from a gateway. */
+const delay = 1;
+/** Bounds of the milliseconds until a request begins to run, as prompts of others are read before it. */
+const wait = { least: 30, most: 130 };
+/** Bounds of the milliseconds from there to the crash. */
+const crashTime = { least: 30, most: 100 };
+const eventInterval = 24;
+const events = 40;
+
+/** A target on the injected clock that streams events, and crashes soon after it begins to run certain requests. */
+export class SimulatedTarget {
+    isDown = false;
+    private readonly runs = new Set<Run>();
+
+    constructor(private readonly options: SimulatedTargetOptions) {}
+
+    get target(): Target {
+        return this.options.target;
+    }
+
+    /** Takes a request, like the constructor of a real exchange. */
+    open({ body, listener }: ExchangeOptions): OpenExchange {
+        const { clock, onArrival } = this.options;
+        const run: Run = { body: body?.toString() ?? "", listener, timer: undefined };
+        let isSent = false;
+        run.timer = clock.schedule(() => {
+            if (this.isDown) {
+                listener.onFailure({ neverSent: true, reason: "ECONNREFUSED" });
+                return;
+            }
+            isSent = true;
+            onArrival(run.body);
+            this.runs.add(run);
+            run.timer = clock.schedule(() => this.begin(run), this.draw(wait));
+        }, delay);
+        return {
+            pause: () => undefined,
+            resume: () => undefined,
+            cancel: () => {
+                run.timer?.cancel();
+                this.runs.delete(run);
+            },
+            get neverSent() {
+                return !isSent;
+            },
+        };
+    }
+
+    /** Ends all runs in one moment, and refuses connections. */
+    crash(body?: string): void {
+        this.isDown = true;
+        const cut = [...this.runs];
+        this.runs.clear();
+        cut.forEach(({ timer }) => timer?.cancel());
+        this.options.onCrash(body);
+        cut.forEach(({ listener }) => listener.onFailure({ neverSent: false, reason: "ECONNRESET" }));
+    }
+
+    private begin(run: Run): void {
+        const { clock, crashesUnder } = this.options;
+        if (crashesUnder(run.body)) {
+            run.timer = clock.schedule(() => this.crash(run.body), this.draw(crashTime));
+            return;
+        }
+        run.listener.onHead({ statusCode: 200, headers: {}, rawHeaders: [] });
+        this.sendEvent(run, 0);
+    }
+
+    private sendEvent(run: Run, id: number): void {
+        if (id >= events) {
+            this.runs.delete(run);
+            run.listener.onEnd();
+            return;
+        }
+        run.timer = this.options.clock.schedule(() => this.sendEvent(run, id + 1), eventInterval);
+        run.listener.onData(Buffer.from(`id: ${id}\ndata: x\n\n`));
+    }
+
+    private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
+        return least + Math.floor(this.options.random.next() * (most - least));
+    }
+}
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -8,9 +8,15 @@
     readonly reason: string;
 }
 
+/** The part of a reply that comes before its body. */
+export type ReplyMessage = Pick<IncomingMessage, "statusCode" | "headers" | "rawHeaders">;
+
+/** An exchange as those that started it see it. */
+export type OpenExchange = Pick<Exchange, "pause" | "resume" | "cancel" | "neverSent">;
+
 /** What an exchange tells of its reply, in this order. `onFailure` or `onEnd` comes last, and only one of them. */
 export interface ExchangeListener {
-    onHead(response: IncomingMessage): void;
+    onHead(response: ReplyMessage): void;
     onData(chunk: Buffer): void;
     onEnd(): void;
     onFailure(failure: ExchangeFailure): void;
