A request that crashes the targets which run it is held back, over all gateways

What callers saw: most requests for the model failed for seconds, again and again, as one request crashed the first targets of one chain after the other, within its attempts and whenever its caller came back, at any gateway. Cause: nothing was remembered of a request beyond one attempt of its caller, and no gateway told another. Change: gateways count the targets that crashed under a request by its digest (a run cut before it was well under way, and a connection refused right after), tell each other in heartbeats and write it to a table of the store. From the third crash on a request is suspect: it gets two more runs, counted in the store by compare-and-set, one suspect at a time at each gateway. A run that goes well excuses it; after two that crash it is refused at once with result 1019 (503, not run). Hedges of a suspect are left out. Records count for an hour (ten minutes without a retrial); processes that start remove older ones. The table is read at the start, and when a target is gone or restarted without having left, every 2 s at most. Why it holds: the count of retrials is one for all gateways, cut off or just started; it needs no peer, and without the store nothing is granted. Crashes alone convict nobody: of 3 to 32 requests that one crash cuts off only one causes it.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -8,6 +8,9 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
+import { CrashCounts } from "./crashes/CrashCounts.js";
+import { CrashGuard } from "./crashes/CrashGuard.js";
+import { CrashRecords } from "./crashes/CrashRecords.js";
 import { CrashWatch } from "./crashes/CrashWatch.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
@@ -84,6 +87,9 @@
     private readonly suspicions: TargetSuspicions;
     private readonly paces: TargetPaces;
     private readonly services = new Map<string, ServiceParts>();
+    private readonly crashCounts: CrashCounts;
+    private readonly crashRecords: CrashRecords;
+    private readonly crashGuard: CrashGuard;
     private readonly startQueue: StartQueue;
     private readonly callers: CallerServer;
     private readonly readiness: ReadinessServer;
@@ -110,6 +116,14 @@
         this.directory = new TargetDirectory({ clock, onChange: change => this.noteTarget(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
+        this.crashCounts = new CrashCounts(clock);
+        this.crashRecords = new CrashRecords({ clock, store, logger: logs.requests });
+        this.crashGuard = new CrashGuard({
+            clock,
+            counts: this.crashCounts,
+            records: this.crashRecords,
+            observation: this.observation,
+        });
         const { isOn = allMechanisms } = options;
         const router = new RequestRouter({
             clock,
@@ -123,7 +137,9 @@
                 directory: this.directory,
                 refusesConnections,
                 observation: this.observation,
+                onCrash: runs => this.crashGuard.noteCrash(runs),
             }),
+            crashGuard: this.crashGuard,
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
@@ -155,12 +171,16 @@
                 ),
                 suspects: this.suspicions.listLost(),
                 slowTargets: this.paces.listOwn(),
+                crashes: this.crashCounts.listSeen(),
                 dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
                 mayTakeDuty: this.contact.isWhole && this.lease.mayAcquire && !this.isStopping,
             }),
             words: () => this.words,
             onWord: (table, word, after) => this.hearWord(table, word, after),
-            onSums: ({ slowTargets }) => this.paces.hear(slowTargets),
+            onSums: ({ slowTargets, crashes }) => {
+                this.paces.hear(slowTargets);
+                this.crashCounts.hear(crashes);
+            },
         });
         this.lease = new PlacementLease({
             clock,
@@ -190,6 +210,7 @@
         const { logs, settings } = this.options;
         logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
         this.watches.forEach(watch => void watch.run());
+        this.crashRecords.start();
         await Promise.all([this.readiness.start(), this.callers.start()]);
         await this.peers.start();
         this.lease.start();
@@ -229,6 +250,7 @@
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         this.watches.forEach(watch => watch.stop());
+        this.crashRecords.stop();
         this.services.forEach(({ chains }) => chains?.stop());
         this.peers.stop();
         this.callers.closeAll();
@@ -305,7 +327,8 @@
         }
     }
 
-    private noteTarget({ kind, target, keptFor }: DirectoryChange): void {
+    private noteTarget(change: DirectoryChange): void {
+        const { kind, target, keptFor } = change;
         const { id, service, dataCentre, state, layers, startedAt } = target;
         this.options.logs.directory.info(
             {
@@ -321,6 +344,7 @@
             },
             `target ${kind}`,
         );
+        this.crashGuard.noteTarget(change);
         if (kind === "restarted") {
             this.suspicions.clear(id);
             this.paces.forget(id);
--- /dev/null
+++ b/packages/gateway/src/lib/crashes/CrashCounts.test.ts
@@ -0,0 +1,41 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashCounts } from "./CrashCounts.js";
+
+test("what was seen here and what others tell adds up, until the request runs well", () => {
+    const counts = new CrashCounts(new ManualClock(1));
+    counts.add("a");
+    counts.add("a");
+    counts.hear({ a: 1, b: 2 });
+    assert.equal(counts.of("a"), 3);
+    assert.equal(counts.of("b"), 2);
+    counts.clear("a");
+    assert.equal(counts.of("a"), 1);
+});
+
+test("what others told once still counts when their next heartbeat has no room for it", () => {
+    const counts = new CrashCounts(new ManualClock(1));
+    counts.hear({ a: 3 });
+    counts.hear({ b: 1 });
+    counts.hear({ a: 2 });
+    assert.equal(counts.of("a"), 3);
+});
+
+test("requests that crashed most targets over all gateways are told first", () => {
+    const counts = new CrashCounts(new ManualClock(1));
+    ["a", "b", "c", "c"].forEach(digest => counts.add(digest));
+    counts.hear({ a: 4 });
+    assert.deepEqual(Object.keys(counts.listSeen()), ["a", "c", "b"]);
+});
+
+test("a request without further crashes is forgotten after ten minutes", () => {
+    const clock = new ManualClock(1);
+    const counts = new CrashCounts(clock);
+    counts.add("a");
+    clock.advance(599_000);
+    assert.equal(counts.of("a"), 1);
+    clock.advance(2_000);
+    assert.equal(counts.of("a"), 0);
+    assert.deepEqual(counts.listSeen(), {});
+});
--- /dev/null
+++ b/packages/gateway/src/lib/crashes/CrashRecords.test.ts
@@ -0,0 +1,148 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type StoreFailure } from "../store/Store.js";
+import { silentLogs } from "../testing/fixtures.js";
+import { WatchedTable } from "../testing/WatchedTable.js";
+import { type CrashRecord, CrashRecords, type RetrialVerdict } from "./CrashRecords.js";
+
+const anyRecord = ({ crashes }: CrashRecord) => crashes >= 0;
+const unlessExcused = ({ excused }: CrashRecord) => excused === undefined;
+const hour = 3_600_000;
+
+function createSite() {
+    const clock = new ManualClock(1_000_000);
+    const store = new WatchedTable(clock);
+    const createTable = () => new CrashRecords({ clock, store, logger: silentLogs().requests });
+    const started = async () => {
+        const table = createTable();
+        table.start();
+        await clock.advanceAsync(50);
+        return table;
+    };
+    const grant = async (table: CrashRecords, isSuspect = anyRecord): Promise<RetrialVerdict> => {
+        const verdict = table.grant("a", isSuspect);
+        await clock.advanceAsync(2_000);
+        return verdict;
+    };
+    return { clock, store, createTable, started, grant };
+}
+
+test("a request gets two runs over all gateways, and none after that", async () => {
+    const { createTable, grant } = createSite();
+    const [first, second] = [createTable(), createTable()];
+    assert.equal(await grant(first), "granted");
+    assert.equal(await grant(second), "granted");
+    assert.equal(await grant(first), "condemned");
+    assert.equal(await grant(second), "condemned");
+    assert.equal(first.isCondemned("a"), true);
+});
+
+test("gateways that ask at the same moment get two runs together", async () => {
+    const { clock, createTable } = createSite();
+    const verdicts = Promise.all([1, 2, 3, 4].map(() => createTable().grant("a", anyRecord)));
+    await clock.advanceAsync(200);
+    assert.deepEqual((await verdicts).sort(), ["condemned", "condemned", "granted", "granted"]);
+});
+
+test("a gateway that starts knows what was written before", async () => {
+    const { createTable, started, grant } = createSite();
+    const old = createTable();
+    await grant(old);
+    await grant(old);
+    assert.equal((await started()).isCondemned("a"), true);
+});
+
+test("while the store does not answer, no run is granted, and one that may have been counted counts", async () => {
+    const { store, createTable, grant } = createSite();
+    const table = createTable();
+    store.setAway(true);
+    assert.equal(await grant(table), "unavailable");
+    store.setAway(false);
+    assert.equal(await grant(table), "granted");
+});
+
+test("a write whose reply is lost counts as a run", async () => {
+    const { clock, store, createTable, grant } = createSite();
+    const lossy = new CrashRecords({
+        clock,
+        store: {
+            read: () => store.read(),
+            watch: (name, after, wait) => store.watch(name, after, wait),
+            write: async change => {
+                await store.write(change);
+                const lost: StoreFailure = { kind: "unknown", reason: "timeout" };
+                return lost;
+            },
+        },
+        logger: silentLogs().requests,
+    });
+    assert.equal(await grant(lossy), "unavailable");
+    const other = createTable();
+    assert.equal(await grant(other), "granted");
+    assert.equal(await grant(other), "condemned");
+});
+
+test("a request that ran well is excused at all gateways", async () => {
+    const { clock, createTable, grant } = createSite();
+    const [first, second] = [createTable(), createTable()];
+    await grant(first);
+    void first.excuse("a", 3);
+    await clock.advanceAsync(100);
+    assert.equal(await grant(second, unlessExcused), "excused");
+});
+
+test("a record counts for an hour, and the next gateway that starts removes it", async () => {
+    const { clock, store, createTable, started, grant } = createSite();
+    const table = createTable();
+    await grant(table);
+    await grant(table);
+    clock.advance(hour);
+    assert.equal(table.isCondemned("a"), false);
+    const next = await started();
+    assert.equal(next.get("a"), undefined);
+    const left = store.read();
+    await clock.advanceAsync(50);
+    assert.deepEqual(await left, { kind: "read", rows: [], version: 4 });
+});
+
+test("crashes that several gateways write at the same moment add up", async () => {
+    const { clock, createTable } = createSite();
+    const tables = [1, 2, 3].map(createTable);
+    tables.forEach(table => void table.addCrash("a"));
+    await clock.advanceAsync(200);
+    assert.equal(Math.max(...tables.map(table => table.get("a")?.crashes ?? 0)), 3);
+});
+
+test("crashes that the store did not take are written once it is back", async () => {
+    const { clock, store, createTable, started } = createSite();
+    const table = createTable();
+    store.setAway(true);
+    void table.addCrash("a");
+    void table.addCrash("a");
+    await clock.advanceAsync(5_000);
+    store.setAway(false);
+    await clock.advanceAsync(5_000);
+    assert.equal((await started()).get("a")?.crashes, 2);
+});
+
+test("a series of crashes costs one read of the table in two seconds", async () => {
+    const { clock, store, createTable } = createSite();
+    const table = createTable();
+    table.start();
+    await clock.advanceAsync(100);
+    store.put("a", { crashes: 3, retrials: 0, writtenAt: clock.now() });
+    [1, 2, 3].forEach(() => table.refresh());
+    await clock.advanceAsync(1_000);
+    assert.equal(table.get("a"), undefined);
+    await clock.advanceAsync(1_000);
+    assert.equal(table.get("a")?.crashes, 3);
+});
+
+test("a row of another format says nothing", async () => {
+    const { store, started } = createSite();
+    store.put("a", { retrials: "many" });
+    store.put("b", undefined);
+    const table = await started();
+    assert.equal(table.get("a"), undefined);
+});
--- a/packages/gateway/src/lib/crashes/CrashWatch.test.ts
+++ b/packages/gateway/src/lib/crashes/CrashWatch.test.ts
@@ -17,7 +17,7 @@
             return Promise.resolve(isRefused);
         },
         observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(new ManualClock())) },
-        onCrash: run => void crashes.push(run),
+        onCrash: runs => void crashes.push(...runs),
     });
     return { watch, crashes, looks: () => looks };
 }
--- a/packages/gateway/src/lib/crashes/CrashWatch.ts
+++ b/packages/gateway/src/lib/crashes/CrashWatch.ts
@@ -21,8 +21,8 @@
     readonly directory: Pick<TargetDirectory, "get">;
     readonly refusesConnections: (target: Target) => Promise<boolean>;
     readonly observation: Observation;
-    /** The target of the run had crashed. */
-    readonly onCrash?: (run: CutRun) => void;
+    /** The target of the runs had crashed. */
+    readonly onCrash?: (runs: readonly CutRun[]) => void;
 }
 
 /**
@@ -49,6 +49,7 @@
             this.waiting.delete(incarnation);
             if (hasCrashed) {
                 runs.forEach(cut => this.noteCrash(cut, runs.length));
+                this.options.onCrash?.(runs);
             }
         });
     }
@@ -61,7 +62,7 @@
     }
 
     private noteCrash(run: CutRun, runs: number): void {
-        const { observation, onCrash } = this.options;
+        const { observation } = this.options;
         const { request, digest, target, after, replyAge } = run;
         observation.metrics.crashedRuns.add({});
         observation.logs.requests.warn({
@@ -73,6 +74,5 @@
             replyAge: replyAge === undefined ? undefined : Math.round(replyAge),
             runs,
         }, "target crashed under a run");
-        onCrash?.(run);
     }
 }
--- a/packages/gateway/src/lib/duty/PlacementDuty.test.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.test.ts
@@ -59,7 +59,7 @@
         answer = next;
     };
     const suspectAt = (id: string) => {
-        const state = { suspects: [id], slowTargets: {}, chainLoads: {}, mayTakeDuty: true };
+        const state = { suspects: [id], slowTargets: {}, chainLoads: {}, crashes: {}, mayTakeDuty: true };
         peers.others = addSums([peers.others, sumsOf("p", state)]);
     };
     return { clock, directory, suspicions, paces, orders, lease, duty, hold, answerBy, suspectAt };
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -26,6 +26,7 @@
     readonly deliveryWait: Histogram;
     readonly slowLinks: Counter;
     readonly crashedRuns: Counter;
+    readonly retrials: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -76,6 +77,10 @@
             name: "waxwingspar_gateway_crashed_runs_total",
             help: "Runs of requests that were cut off because their target crashed.",
         });
+        this.retrials = registry.counter({
+            name: "waxwingspar_gateway_retrials_total",
+            help: "Judgements on requests that several targets crashed under, by result.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/peers/GroupSums.test.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.test.ts
@@ -7,12 +7,19 @@
     suspects: ["t1"],
     slowTargets: { t2: 3 },
     chainLoads: { t3: 5 },
+    crashes: { r1: 1 },
     mayTakeDuty: true,
     dutyTerm: 2,
 };
-const second: PeerState = { suspects: ["t1", "t4"], slowTargets: { t2: 8 }, chainLoads: { t3: 1 }, mayTakeDuty: false };
+const second: PeerState = {
+    suspects: ["t1", "t4"],
+    slowTargets: { t2: 8 },
+    chainLoads: { t3: 1 },
+    crashes: { r1: 2, r2: 1 },
+    mayTakeDuty: false,
+};
 
-test("sums count loads and witnesses, and take the largest slowdown", () => {
+test("sums count loads, witnesses and crashes, and take the largest slowdown", () => {
     assert.deepEqual(addSums([sumsOf("b", first), sumsOf("a", second)]), {
         members: 2,
         dutyTerm: 2,
@@ -20,6 +27,7 @@
         chainLoads: { t3: 6 },
         suspects: { t1: 2, t4: 1 },
         slowTargets: { t2: 8 },
+        crashes: { r1: 3, r2: 1 },
     });
 });
 
@@ -34,6 +42,7 @@
     assert.equal(rest.members, 1);
     assert.deepEqual(rest.chainLoads, { t3: 5 });
     assert.deepEqual(rest.suspects, { t1: 1, t4: 0 });
+    assert.deepEqual(rest.crashes, { r1: 1, r2: 0 });
 });
 
 test("a bounded sum keeps the targets with the most requests", () => {
--- a/packages/gateway/src/lib/peers/GroupSums.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.ts
@@ -13,6 +13,8 @@
     chainLoads: z.record(z.string(), z.number()),
     /** How many of them take a target for lost, by its id. */
     suspects: z.record(z.string(), z.number()),
+    /** Targets that crashed under a request, by its digest. */
+    crashes: z._default(z.record(z.string(), z.number()), {}),
     /** The largest slowdown that one of them knows, by the id of the target. */
     slowTargets: z.record(z.string(), z.number()),
 });
@@ -24,7 +26,7 @@
  * Entries of each table that go into one datagram, the largest first. With full tables of ids of twelve characters a heartbeat stays
  * below 1,200 bytes, so that no network on the way splits it.
  */
-const mostEntries = { chainLoads: 10, suspects: 7, slowTargets: 4 };
+const mostEntries = { chainLoads: 10, suspects: 7, slowTargets: 4, crashes: 6 };
 
 /** What one gateway told, as a sum. */
 export function sumsOf(process: string, state: PeerState): GroupSums {
@@ -35,6 +37,7 @@
         chainLoads: state.chainLoads,
         suspects: Object.fromEntries(state.suspects.map(id => [id, 1])),
         slowTargets: state.slowTargets,
+        crashes: state.crashes,
     };
 }
 
@@ -49,6 +52,7 @@
         chainLoads: combine(parts.map(({ chainLoads }) => chainLoads), (a, b) => a + b),
         suspects: combine(parts.map(({ suspects }) => suspects), (a, b) => a + b),
         slowTargets: combine(parts.map(({ slowTargets }) => slowTargets), Math.max),
+        crashes: combine(parts.map(({ crashes }) => crashes), (a, b) => a + b),
     };
 }
 
@@ -61,7 +65,9 @@
     state.suspects.forEach(id => lower(suspects, id, 1));
     const chainLoads = { ...sums.chainLoads };
     Object.entries(state.chainLoads).forEach(([id, load]) => lower(chainLoads, id, load));
-    return { ...sums, members: sums.members - 1, suspects, chainLoads };
+    const crashes = { ...sums.crashes };
+    Object.entries(state.crashes).forEach(([digest, count]) => lower(crashes, digest, count));
+    return { ...sums, members: sums.members - 1, suspects, chainLoads, crashes };
 }
 
 /** A sum that fits into a heartbeat: of each table the largest entries. */
@@ -71,16 +77,18 @@
         chainLoads: largest(sums.chainLoads, mostEntries.chainLoads),
         suspects: largest(sums.suspects, mostEntries.suspects),
         slowTargets: largest(sums.slowTargets, mostEntries.slowTargets),
+        crashes: largest(sums.crashes, mostEntries.crashes),
     };
 }
 
-/** A gateway's own word that fits into a heartbeat, cut like the sums. */
+/** A gateway's own word that fits into a heartbeat, cut like the sums; crashes come in the order in which they matter. */
 export function boundState(state: PeerState): PeerState {
     return {
         ...state,
         suspects: state.suspects.slice(0, mostEntries.suspects),
         chainLoads: largest(state.chainLoads, mostEntries.chainLoads),
         slowTargets: largest(state.slowTargets, mostEntries.slowTargets),
+        crashes: Object.fromEntries(Object.entries(state.crashes).slice(0, mostEntries.crashes)),
     };
 }
 
--- a/packages/gateway/src/lib/peers/HeardPeers.test.ts
+++ b/packages/gateway/src/lib/peers/HeardPeers.test.ts
@@ -4,7 +4,7 @@
 import { HeardPeers } from "./HeardPeers.js";
 import { type PeerState } from "./PeerState.js";
 
-const state: PeerState = { suspects: [], slowTargets: {}, chainLoads: {}, mayTakeDuty: true };
+const state: PeerState = { suspects: [], slowTargets: {}, chainLoads: {}, crashes: {}, mayTakeDuty: true };
 
 function createPeers() {
     const clock = new ManualClock(50_000);
--- a/packages/gateway/src/lib/peers/PeerExchange.test.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.test.ts
@@ -78,7 +78,14 @@
     for (const [index, gateway] of group.gateways.entries()) {
         const ids = Array.from({ length: 40 }, (_, id) => `i-${1_000_000_000 + index * 40 + id}`);
         const table = Object.fromEntries(ids.map(id => [id, 130]));
-        gateway.state = { suspects: ids, slowTargets: table, chainLoads: table, mayTakeDuty: true, dutyTerm: 4_000 };
+        gateway.state = {
+            suspects: ids,
+            slowTargets: table,
+            chainLoads: table,
+            crashes: table,
+            mayTakeDuty: true,
+            dutyTerm: 4_000,
+        };
         gateway.confirmedAt = group.clock.now();
     }
     group.run(5_000);
--- a/packages/gateway/src/lib/peers/PeerState.ts
+++ b/packages/gateway/src/lib/peers/PeerState.ts
@@ -8,6 +8,8 @@
     slowTargets: z.record(z.string(), z.number()),
     /** Requests of this process in flight, by the first target of their chain. */
     chainLoads: z.record(z.string(), z.number()),
+    /** Targets that crashed under a request, by its digest. */
+    crashes: z._default(z.record(z.string(), z.number()), {}),
     /** The term under which it holds the placement duty; undefined when it does not, or the store has not confirmed it. */
     dutyTerm: z.optional(z.number()),
     /** Whether it could take the duty: it reaches the store, and is not stopping. */
--- a/packages/gateway/src/lib/requests/AttemptLimits.ts
+++ b/packages/gateway/src/lib/requests/AttemptLimits.ts
@@ -41,6 +41,11 @@
         return this.hasAttemptLeft && this.options.budget.hasLeft();
     }
 
+    /** Whether the retry budget allows the next send, if it is a repeat. */
+    get mayBegin(): boolean {
+        return !this.isRepeat || this.options.budget.hasLeft();
+    }
+
     /** Counts a send. @returns False when the retry budget does not allow it; then it must not be sent. */
     begin(): boolean {
         if (this.isRepeat && !this.options.budget.take()) {
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -1,9 +1,11 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
+import { type HoldBack } from "../crashes/CrashGuard.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
+import { CrashCheck } from "./CrashCheck.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 
@@ -38,6 +40,7 @@
     private readonly attempts = new Set<Attempt>();
     private readonly tried = new Set<string>();
     private readonly limits: AttemptLimits;
+    private readonly crashCheck: CrashCheck;
     /** A complete reply by which the target reports its own failure, for want of a better one. */
     private failedReply: Attempt | undefined;
     private deadlineTimer: Timer | undefined;
@@ -49,6 +52,12 @@
         private readonly picker: ServicePicker,
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+        this.crashCheck = new CrashCheck({
+            guard: context.crashGuard,
+            digest: caller.digest,
+            isOver: () => caller.ended,
+            canSend: () => this.limits.mayBegin && this.picker.choose(this.tried) !== undefined,
+        });
     }
 
     start(): void {
@@ -68,6 +77,10 @@
     }
 
     private send(): void {
+        this.crashCheck.pass(() => this.sendNow(), why => this.holdBack(why));
+    }
+
+    private sendNow(): void {
         const target = this.picker.choose(this.tried);
         if (target === undefined) {
             if (this.attempts.size === 0) {
@@ -147,6 +160,7 @@
     private receiveEnd(attempt: Attempt): void {
         const status = attempt.response?.statusCode ?? 0;
         const isFailure = status >= serverErrors;
+        this.crashCheck.noteWell();
         this.remove(attempt, isFailure ? "failed" : "served");
         if (!isFailure || this.caller.headSent) {
             this.deliver(attempt);
@@ -207,9 +221,9 @@
         this.giveUp("no repeat is allowed");
     }
 
-    /** Sends an idempotent request to a second target while the first one takes its time. */
+    /** Sends an idempotent request to a second target while the first one takes its time, but not a suspect to two at once. */
     private hedge(): void {
-        if (this.attempts.size === 1 && this.limits.hasAttemptLeft && !this.caller.headSent) {
+        if (this.crashCheck.isFree && this.attempts.size === 1 && this.limits.hasAttemptLeft && !this.caller.headSent) {
             this.send();
         }
     }
@@ -225,6 +239,16 @@
         this.caller.end("served");
     }
 
+    /** Targets crashed under the request, so it is not sent again. */
+    private holdBack({ reason, retryAfter }: HoldBack): void {
+        if (this.failedReply !== undefined || this.limits.mayHaveRun) {
+            this.giveUp(reason);
+            return;
+        }
+        this.finish();
+        this.caller.refuse(requestCodes.crashesTargets, reason, retryAfter);
+    }
+
     private giveUp(reason: string): void {
         if (this.failedReply !== undefined && this.attempts.size === 0) {
             this.deliver(this.failedReply);
@@ -258,6 +282,7 @@
     private finish(): void {
         this.deadlineTimer?.cancel();
         this.hedgeTimer?.cancel();
+        this.crashCheck.end();
         for (const attempt of this.attempts) {
             attempt.exchange.cancel();
             this.remove(attempt, "failed");
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { type CrashGuard } from "../crashes/CrashGuard.js";
 import { type CrashWatch } from "../crashes/CrashWatch.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
@@ -15,6 +16,7 @@
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
     readonly crashes: Pick<CrashWatch, "runCut">;
+    readonly crashGuard: CrashGuard;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -1,13 +1,16 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
+import { type HoldBack, settleTime } from "../crashes/CrashGuard.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
+import { CrashCheck } from "./CrashCheck.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
+import { resumedPriority } from "./resumedPriority.js";
 
 /** Timers may fire a little before the clock shows their time, in milliseconds. */
 const timerSlack = 2;
@@ -24,14 +27,6 @@
 const resumePatience = 1_800;
 /** How long the first event may take, against its latency target, before another chain is tried. */
 const firstEventPatience = 3;
-/**
- * Targets admit requests of a lower number first; 5 is what they assume. A caller that waits in mid-stream goes first, and of
- * several the one with the least to read, so that more of them go on in time: without that order the mean worth of four played
- * days was lower by 0.009.
- */
-const resumedPriorities = { first: 1, last: 4 };
-/** Tokens of a prompt for each step of these priorities. Chosen: half of a usual prompt. */
-const tokensPerPriority = 400;
 const noChains: ReadonlySet<string> = new Set();
 const firstSuccess = 200;
 const firstRedirect = 300;
@@ -62,6 +57,7 @@
     /** Those of them that would fail it again; one that merely lost a connection may be used if no other is left. */
     private readonly deadChains = new Set<string>();
     private readonly limits: AttemptLimits;
+    private readonly crashCheck: CrashCheck;
     private lastEventAt: number;
     private resumeTimer: Timer | undefined;
     private lastEventId: string | undefined;
@@ -77,6 +73,12 @@
         this.lastEventId = caller.request.lastEventId;
         this.lastEventAt = context.clock.now();
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+        this.crashCheck = new CrashCheck({
+            guard: context.crashGuard,
+            digest: caller.digest,
+            isOver: () => caller.ended,
+            canSend: () => this.limits.mayBegin && this.chooseChain() !== undefined,
+        });
     }
 
     start(): void {
@@ -101,15 +103,6 @@
         }
     }
 
-    private get resumedPriority(): number {
-        const { first, last } = resumedPriorities;
-        if (!this.context.isOn("short-first")) {
-            return first;
-        }
-        const tokens = this.caller.request.tokens?.prompt ?? 0;
-        return Math.min(last, first + Math.floor(tokens / tokensPerPriority));
-    }
-
     private triedChains({ load }: Attempt): ReadonlySet<string> {
         return new Set([...this.failedChains, load.chain.key]);
     }
@@ -120,6 +113,10 @@
     }
 
     private send(): void {
+        this.crashCheck.pass(() => this.sendNow(), why => this.holdBack(why));
+    }
+
+    private sendNow(): void {
         const load = this.chooseChain();
         const head = load?.chain.hops[0];
         const target = head === undefined ? undefined : this.service.target(head.targetId);
@@ -146,7 +143,9 @@
                 target,
                 chain: load.chain.hops,
                 lastEventId: this.lastEventId,
-                priority: this.events > 0 ? this.resumedPriority : undefined,
+                priority: this.events > 0
+                    ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
+                    : undefined,
                 listener: {
                     onHead: response => this.receiveHead(attempt, response),
                     onData: chunk => this.receiveData(attempt, chunk),
@@ -234,6 +233,9 @@
         attempt.firstEventAt ??= now;
         attempt.lastEventAt = now;
         this.service.event(attempt.load, interval);
+        if (now - attempt.firstEventAt >= settleTime) {
+            this.crashCheck.noteWell();
+        }
     }
 
     /** A new run may begin with events that the caller has. */
@@ -259,6 +261,7 @@
         if (!this.caller.headSent) {
             this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
         }
+        this.crashCheck.noteWell();
         this.finish();
         this.caller.end(`served ${this.events} events`);
     }
@@ -333,6 +336,16 @@
         }, delay);
     }
 
+    /** Targets crashed under the request, so it is not sent again. */
+    private holdBack({ reason, retryAfter }: HoldBack): void {
+        if (this.limits.mayHaveRun || this.caller.headSent) {
+            this.giveUp(reason);
+            return;
+        }
+        this.finish();
+        this.caller.refuse(requestCodes.crashesTargets, reason, retryAfter);
+    }
+
     private giveUp(reason: string): void {
         const mayRun = this.limits.mayHaveRun || this.attempt?.exchange.neverSent === false;
         this.finish();
@@ -357,6 +370,7 @@
     /** Gives back what the attempt holds of its chain. */
     private release(): void {
         this.firstEventTimer?.cancel();
+        this.crashCheck.end();
         const { attempt } = this;
         if (attempt !== undefined) {
             this.attempt = undefined;
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -34,6 +34,7 @@
 export interface ConditionalWrite {
     readonly table: string;
     readonly key: string;
+    /** Undefined to remove the row. */
     readonly value: unknown;
     /** 0 when the row must not exist yet. */
     readonly expectedVersion: number;
--- a/packages/gateway/src/lib/store/sharedWatches.test.ts
+++ b/packages/gateway/src/lib/store/sharedWatches.test.ts
@@ -109,7 +109,7 @@
             path.after = after;
             return path.isTurnedAway ? Promise.resolve(refused) : table.watch(name, after, wait);
         },
-        write: () => table.write(),
+        write: change => table.write(change),
     };
 }
 
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -5,6 +5,9 @@
 import { TargetPaces } from "../chains/TargetPaces.js";
 import { TargetSuspicions } from "../chains/TargetSuspicions.js";
 import { type Route } from "../configuration/Configuration.js";
+import { CrashCounts } from "../crashes/CrashCounts.js";
+import { CrashGuard } from "../crashes/CrashGuard.js";
+import { CrashRecords } from "../crashes/CrashRecords.js";
 import { CrashWatch } from "../crashes/CrashWatch.js";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { allMechanisms } from "../Mechanisms.js";
@@ -19,6 +22,7 @@
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
+import { WatchedTable } from "./WatchedTable.js";
 
 /** Options of {@link CrashingSite}. */
 export interface CrashingSiteOptions extends SimulatedGroupOptions {
@@ -34,8 +38,16 @@
 export interface CallerOutcome {
     readonly body: string;
     readonly isServed: boolean;
-    /** Result numbers of the answers that were no success. */
-    readonly results: readonly (number | undefined)[];
+    /** The answers that were no success. */
+    readonly failures: readonly CallerFailure[];
+}
+
+/** An answer that was no success. */
+export interface CallerFailure {
+    /** The numbered result, if the gateway gave one. */
+    readonly result: number | undefined;
+    /** Whether it told when to come back. */
+    readonly hasRetryAfter: boolean;
 }
 
 interface SiteGateway {
@@ -43,6 +55,8 @@
     readonly context: RequestContext;
     readonly chains: ChainService;
     readonly directory: TargetDirectory;
+    /** Answers that callers wait for. */
+    readonly answers: Set<SimulatedAnswer>;
 }
 
 const route: Route = {
@@ -89,21 +103,25 @@
  */
 export class CrashingSite {
     readonly group: SimulatedGroup;
+    readonly store: WatchedTable;
     readonly outcomes: CallerOutcome[] = [];
     /** When targets crashed under a culprit, and when a culprit reached a target, by its body. */
     readonly crashes = new Map<string, number[]>();
     readonly arrivals = new Map<string, number[]>();
-    private readonly gateways: SiteGateway[];
     private readonly targets: SimulatedTarget[] = [];
+    private readonly gateways: SiteGateway[];
     private readonly random: Random;
-    private readonly options: Required<Pick<CrashingSiteOptions, "load" | "culprits" | "crashesPerMinute">>;
+    private readonly options: Required<
+        Pick<CrashingSiteOptions, "load" | "culprits" | "crashesPerMinute" | "gatewaysEach">
+    >;
     private requests = 0;
     private isOver = false;
 
     constructor(options: CrashingSiteOptions = {}) {
-        const { seed = 1, load = 40, culprits = 1, crashesPerMinute = 0 } = options;
-        this.options = { load, culprits, crashesPerMinute };
-        this.group = new SimulatedGroup({ dataCentres: 3, ...options });
+        const { seed = 1, load = 40, culprits = 1, crashesPerMinute = 0, gatewaysEach = 2 } = options;
+        this.options = { load, culprits, crashesPerMinute, gatewaysEach };
+        this.group = new SimulatedGroup({ dataCentres: 3, ...options, gatewaysEach });
+        this.store = new WatchedTable(this.group.clock);
         this.random = seededRandom(seed + 500);
         this.gateways = this.group.gateways.map(gateway => this.createGateway(gateway));
         for (let dataCentre = 0; dataCentre < (options.dataCentres ?? 3); dataCentre++) {
@@ -126,11 +144,38 @@
         await this.group.runAsync(5_000);
     }
 
+    /** Does something so many milliseconds from now. */
+    after(delay: number, action: () => void): void {
+        this.group.clock.schedule(action, delay);
+    }
+
+    /** Kills all gateways; they start again at once, and remember nothing. */
+    restartGateways(): void {
+        const old = this.gateways.splice(0);
+        old.forEach(gateway => this.kill(gateway));
+        const { gatewaysEach } = this.options;
+        old.forEach((_, index) => {
+            const group = this.group.add(Math.floor(index / gatewaysEach), index % gatewaysEach);
+            this.group.introduce(group);
+            this.gateways.push(this.createGateway(group));
+        });
+    }
+
+    private kill({ group, chains, answers }: SiteGateway): void {
+        group.isDown = true;
+        chains.stop();
+        answers.forEach(answer => answer.breakConnection());
+    }
+
     private createGateway(group: SimulatedGateway): SiteGateway {
         const { clock } = this.group;
-        const directory = new TargetDirectory({ clock });
         const suspicions = new TargetSuspicions(clock);
         const observation = { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
+        const counts = new CrashCounts(clock);
+        const records = new CrashRecords({ clock, store: this.store, logger: observation.logs.requests });
+        const crashGuard = new CrashGuard({ clock, counts, records, observation });
+        records.start();
+        const directory = new TargetDirectory({ clock, onChange: change => crashGuard.noteTarget(change) });
         const chains = new ChainService({
             clock,
             service: "model",
@@ -146,7 +191,9 @@
             },
             observation,
         });
+        group.hear(({ crashes }) => counts.hear(crashes));
         group.tell(() => ({
+            crashes: counts.listSeen(),
             chainLoads: Object.fromEntries(chains.headLoads()),
             suspects: suspicions.listLost(),
         }));
@@ -166,12 +213,15 @@
                 directory,
                 observation,
                 refusesConnections: ({ port }) => Promise.resolve(this.isDown(port)),
+                onCrash: runs => crashGuard.noteCrash(runs),
             }),
+            crashGuard,
             openExchange: exchange => this.targetAt(exchange.port).open(exchange),
             isOn: allMechanisms,
             targetListAge: () => directory.age,
         };
-        return { group, context, chains, directory };
+        this.targets.forEach(({ target, isDown }) => isDown ? undefined : directory.put(target));
+        return { group, context, chains, directory, answers: new Set() };
     }
 
     private startTarget(dataCentre: string, port: number, half: number): void {
@@ -251,7 +301,7 @@
         body: string,
         left: number,
         onEnd: () => void = () => undefined,
-        results: readonly (number | undefined)[] = [],
+        failures: readonly CallerFailure[] = [],
     ): void {
         const living = this.gateways.filter(({ group }) => this.group.living.includes(group));
         const gateway = living[Math.floor(this.random.next() * living.length)];
@@ -259,11 +309,14 @@
             return;
         }
         const answer = this.start(gateway, body);
+        gateway.answers.add(answer);
         answer.whenOver(() => {
+            gateway.answers.delete(answer);
             const isServed = answer.statusCode === 200 && answer.isWhole;
-            const all = isServed ? results : [...results, answer.resultNumber];
+            const { resultNumber: result, hasRetryAfter } = answer;
+            const all = isServed ? failures : [...failures, { result, hasRetryAfter }];
             if (isServed || left <= 1) {
-                this.outcomes.push({ body, isServed, results: all });
+                this.outcomes.push({ body, isServed, failures: all });
                 onEnd();
                 return;
             }
--- a/packages/gateway/src/lib/testing/SimulatedAnswer.ts
+++ b/packages/gateway/src/lib/testing/SimulatedAnswer.ts
@@ -9,6 +9,8 @@
     /** Set once the answer has ended, or was broken off. */
     isOver = false;
     isWhole = false;
+    /** Whether the gateway told when to come back. */
+    hasRetryAfter = false;
 
     /** As the gateway's code takes it. */
     get response(): ServerResponse {
@@ -20,8 +22,9 @@
         return this.body.startsWith("{") ? (JSON.parse(this.body) as { readonly code: number; }).code : undefined;
     }
 
-    writeHead(status: number): void {
+    writeHead(status: number, headers: object): void {
         this.statusCode = status;
+        this.hasRetryAfter = "Retry-After" in headers;
         this.headersSent = true;
     }
 
@@ -42,6 +45,12 @@
         this.finish();
     }
 
+    /** The connection is lost, as when the gateway is killed. */
+    breakConnection(): void {
+        this.emit("close");
+        this.finish();
+    }
+
     /** Calls back when the answer is over, at once if it is already. */
     whenOver(listener: () => void): void {
         if (this.isOver) {
@@ -52,7 +61,9 @@
     }
 
     private finish(): void {
-        this.isOver = true;
-        this.emit("finish");
+        if (!this.isOver) {
+            this.isOver = true;
+            this.emit("finish");
+        }
     }
 }
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -1,6 +1,7 @@
 import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type Moment } from "../Moment.js";
 import { GroupSize } from "../peers/GroupSize.js";
+import { type GroupSums } from "../peers/GroupSums.js";
 import { PeerExchange, type TableWords } from "../peers/PeerExchange.js";
 import { type PeerState } from "../peers/PeerState.js";
 import { type TableWatch, type TableWord } from "../store/TableWatch.js";
@@ -39,6 +40,8 @@
     readonly size: GroupSize;
     /** What it tells of itself; tests change it. */
     state: PeerState;
+    /** Calls back with what the others tell. */
+    hear(listener: (others: GroupSums) => void): void;
     /** Lets it tell, of itself, what holds at each heartbeat. */
     tell(describe: () => Partial<PeerState>): void;
     /** When the store told it the newest configuration last, on the group's clock. */
@@ -105,15 +108,19 @@
         const name = `front-dc-${dataCentre}-${index}`;
         const dataCentreName = `dc-${dataCentre}`;
         let describe: () => Partial<PeerState> = () => ({});
+        let listener: (others: GroupSums) => void = () => undefined;
         const gateway: SimulatedGateway = {
             name,
+            hear: newListener => {
+                listener = newListener;
+            },
             tell: describeNow => {
                 describe = describeNow;
             },
             address,
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
-            state: { suspects: [], slowTargets: {}, chainLoads: {}, mayTakeDuty: true },
+            state: { suspects: [], slowTargets: {}, chainLoads: {}, crashes: {}, mayTakeDuty: true },
             confirmedAt: undefined,
             heardConfirmation: -Infinity,
             isDown: false,
@@ -130,7 +137,10 @@
                 describe: () => ({ ...gateway.state, ...describe() }),
                 words: () => this.wordsOf(gateway),
                 onWord: (name, word, after) => name === table ? noteWord(gateway, word, after) : undefined,
-                onSums: ({ members }) => gateway.size.note(members + 1),
+                onSums: others => {
+                    gateway.size.note(others.members + 1);
+                    listener(others);
+                },
             }),
         };
         this.gateways.push(gateway);
--- a/packages/gateway/src/lib/testing/WatchedTable.ts
+++ b/packages/gateway/src/lib/testing/WatchedTable.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Timer } from "@waxwingspar/utils";
 import {
+    type ConditionalWrite,
     type RowChange,
     type Store,
     type StoredRow,
@@ -7,6 +8,7 @@
     type TableChanges,
     type TableSnapshot,
     watchSlack,
+    type WriteResult,
 } from "../store/Store.js";
 
 type Snapshot = { readonly kind: "read"; } & TableSnapshot;
@@ -19,8 +21,8 @@
 
 /** Milliseconds from a call to its answer, as the platform's sheet gives them. */
 const answerTime = 5;
-/** Milliseconds after which a read without an answer is given up. */
-const readTimeout = 1_000;
+/** Milliseconds after which a read or write without an answer is given up. */
+const callTimeout = 1_000;
 
 /**
  * One table of a store on a clock, for tests of what follows it. Answers can be lost: to calls under way when their
@@ -70,7 +72,7 @@
 
     read(): Promise<Snapshot | StoreFailure> {
         return this.call<Snapshot>(
-            readTimeout,
+            callTimeout,
             answer => answer({ kind: "read", rows: [...this.rows.values()], version: this.version }),
         );
     }
@@ -88,8 +90,16 @@
         });
     }
 
-    write(): Promise<never> {
-        throw new Error("not used");
+    write({ key, value, expectedVersion }: ConditionalWrite): Promise<WriteResult> {
+        return this.call<WriteResult>(callTimeout, answer => {
+            const row = this.rows.get(key);
+            if ((row?.version ?? 0) !== expectedVersion) {
+                answer({ kind: "conflict", rows: row === undefined ? [] : [row] });
+                return;
+            }
+            this.put(key, value);
+            answer({ kind: "written", version: this.version });
+        });
     }
 
     private endWait(call: WaitingCall): void {
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -142,6 +142,14 @@
         retry: "no",
         summary: "A newer attempt of this request exists.",
     },
+    crashesTargets: {
+        number: 1019,
+        name: "crashes-targets",
+        execution: "not run",
+        status: 503,
+        retry: "no",
+        summary: "Targets that ran this very request crashed, so it is not sent to another one.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
