Versions of the store count within one era: what is known is read anew after the store came back from a copy

A peer's word of another era confirmed rows, or lifted a version beyond what had been seen. Tables are read anew at once, and once more after the two seconds in which others write again what the copy lacks; until then nothing is confirmed, missing rows are waited for, and targets that left, are leaving or have started again since are not taken from the copy. Words of peers carry the era. Conclusion: a gateway that saw a key or a target go does not get it back from a copy.

--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -6,9 +6,10 @@
 import { type Configuration } from "./Configuration.js";
 import { type ConfigurationInForce } from "./ConfigurationInForce.js";
 
+type WatchName = "onLost" | "onRegained" | "onDoubt" | "onRestored" | "role" | "eras";
+
 /** Options of {@link createConfigurationWatch}. */
-export interface ConfigurationWatchOptions
-    extends Pick<TableWatchOptions, "onLost" | "onRegained" | "onDoubt" | "role"> {
+export interface ConfigurationWatchOptions extends Pick<TableWatchOptions, WatchName> {
     readonly clock: Clock;
     readonly store: Store;
     readonly table: string;
@@ -41,8 +42,8 @@
  * from the sending of a call, 68 gateways made 57 calls a second for the configuration alone.
  */
 export function createConfigurationWatch(options: ConfigurationWatchOptions): TableWatch {
-    const { clock, store, table, configuration, contactTime, configurationTime, role, onLost, onRegained, onDoubt } =
-        options;
+    const { clock, store, table, configuration, contactTime, configurationTime } = options;
+    const { role, eras, onLost, onRegained, onDoubt, onRestored } = options;
     const promise = Math.min(contactTime, configurationTime ?? 0, longestReliance);
     return new TableWatch({
         clock,
@@ -51,12 +52,14 @@
         wait: Math.min(longestWait, watchWait(contactTime)),
         reliance: relianceWithin(promise),
         role,
+        eras,
         onSnapshot: rows => take(rows, options),
         onChanges: changes => take(changes.flatMap(({ row }) => row ?? []), options),
         onConfirmed: after => configuration.confirm(after),
         onLost,
         onRegained,
         onDoubt,
+        onRestored,
     });
 }
 
--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -130,3 +130,27 @@
     assert.equal(directory.confirmsStart(later, undefined), true);
     assert.equal(directory.confirmsStart({ ...target, startedAt: 1 }, undefined), false);
 });
+
+test("a restored list brings no target back that left, is leaving, or has started again", () => {
+    const { directory, changes } = createDirectory();
+    directory.put({ ...target, id: "b" });
+    directory.put({ ...target, id: "c", startedAt: 7 });
+    directory.remove("a", -Infinity);
+    directory.put({ ...target, id: "b", state: "draining" });
+    const copy = [target, { ...target, id: "b" }, { ...target, id: "c", startedAt: 3 }, { ...target, id: "d" }];
+    directory.replaceAll(copy, -Infinity, true);
+    assert.deepEqual(directory.readyTargets("s").map(({ id, startedAt }) => `${id} ${startedAt}`), [
+        "c 7",
+        "d undefined",
+    ]);
+    assert.equal(changes.filter(kind => kind === "stale").length, 3);
+});
+
+test("a target that is written again after all is taken, and so is a whole list later", () => {
+    const { directory } = createDirectory();
+    directory.remove("a", -Infinity);
+    directory.replaceAll([target], -Infinity, true);
+    assert.equal(directory.readyTargets("s").length, 0);
+    directory.replaceAll([target], -Infinity);
+    assert.equal(directory.readyTargets("s").length, 1);
+});
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Timer } from "@waxwingspar/utils";
+import { LRUCache } from "lru-cache";
 import { ageOf, type Moment } from "../Moment.js";
-import { type Target } from "./Target.js";
+import { incarnationOf, type Target } from "./Target.js";
 
 /** What happened to a target of the directory. */
 export interface DirectoryChange {
@@ -23,6 +24,9 @@
  */
 const earlierStartDelay = 8_000;
 
+/** Targets that left and are remembered, so that an old copy of the list does not bring them back: a day's, on a large site. */
+const mostDeparted = 2_000;
+
 /**
  * The targets that the platform lists. An entry that vanishes while the store is well means that its target has gone;
  * one that vanishes around an outage may only have expired, and gets time to come back.
@@ -35,6 +39,8 @@
     /** When the newest start of each target was last seen, on the clock. */
     private readonly startSeenAt = new Map<string, number>();
     private readonly lapsed = new Map<string, Timer>();
+    /** Starts of targets that left. */
+    private readonly departed = new LRUCache<string, boolean>({ max: mostDeparted });
     private revisionCount = 0;
     private confirmedAt: Moment | undefined;
 
@@ -151,15 +157,40 @@
         this.changed({ kind: "lapsed", target, keptFor: grace });
     }
 
-    /** Takes a whole list. Whatever it lacks counts as removed. */
-    replaceAll(targets: readonly Target[], graceEnd: number): void {
+    /**
+     * Takes a whole list. Whatever it lacks counts as removed.
+     *
+     * @param isRestored - The list is a copy that may be older than what is known: it brings no target back that has left or is
+     * leaving. One that lives after all writes its entry again, and that is taken like any change.
+     */
+    replaceAll(targets: readonly Target[], graceEnd: number, isRestored = false): void {
         const listed = new Set(targets.map(target => target.id));
-        targets.forEach(target => this.put(target));
+        for (const target of targets) {
+            if (isRestored && this.isLeavingOrGone(target)) {
+                this.options.onChange?.({ kind: "stale", target });
+            }
+            else {
+                this.put(target);
+            }
+        }
         const missing = [...this.targets.keys()].filter(id => !listed.has(id));
         missing.forEach(id => this.remove(id, graceEnd));
     }
 
+    private isLeavingOrGone(target: Target): boolean {
+        const known = this.targets.get(target.id);
+        if (known === undefined) {
+            return this.departed.has(incarnationOf(target));
+        }
+        if (known.startedAt === target.startedAt) {
+            return known.state === "draining";
+        }
+        return (target.startedAt ?? Infinity) < (known.startedAt ?? -Infinity)
+            || this.departed.has(incarnationOf(target));
+    }
+
     private drop(target: Target): void {
+        this.departed.set(incarnationOf(target), true);
         this.cancelLapse(target.id);
         this.targets.delete(target.id);
         this.changedTimes.delete(target.id);
--- a/packages/gateway/src/lib/directory/TargetList.ts
+++ b/packages/gateway/src/lib/directory/TargetList.ts
@@ -28,9 +28,9 @@
     constructor(private readonly options: TargetListOptions) {}
 
     /** Takes the whole list; see {@link TargetDirectory.replaceAll}. */
-    takeAll(rows: readonly StoredRow[], graceEnd: number): void {
+    takeAll(rows: readonly StoredRow[], graceEnd: number, isRestored = false): void {
         const targets = rows.flatMap(row => this.decode(row) ?? []);
-        this.options.directory.replaceAll(targets, graceEnd);
+        this.options.directory.replaceAll(targets, graceEnd, isRestored);
     }
 
     /** Takes what changed. An entry that was overwritten names its target no more, whatever the state of the store. */
--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -6,8 +6,10 @@
 import { type TargetDirectory } from "./TargetDirectory.js";
 import { type DecodedTarget, TargetList } from "./TargetList.js";
 
+type WatchName = "onLost" | "onRegained" | "onDoubt" | "onRestored" | "role" | "eras";
+
 /** Options of {@link createTargetWatch}. */
-export interface TargetWatchOptions extends Pick<TableWatchOptions, "onLost" | "onRegained" | "onDoubt" | "role"> {
+export interface TargetWatchOptions extends Pick<TableWatchOptions, WatchName> {
     readonly clock: Clock;
     readonly store: Store;
     readonly table: string;
@@ -34,7 +36,7 @@
  */
 export function createTargetWatch(options: TargetWatchOptions): TableWatch {
     const { clock, store, table, directory, decode, logger, contactTime, drainTime } = options;
-    const { role, onLost, onRegained, onDoubt } = options;
+    const { role, eras, onLost, onRegained, onDoubt, onRestored } = options;
     const list = new TargetList({ directory, decode, logger });
     return new TableWatch({
         clock,
@@ -43,8 +45,9 @@
         wait: watchWait(contactTime),
         reliance: relianceWithin(Math.min(contactTime, drainTime ?? 0)),
         role,
+        eras,
         returnBound: contactTime - timerSlack,
-        onSnapshot: (rows, graceEnd) => list.takeAll(rows, graceEnd),
+        onSnapshot: (rows, graceEnd, isRestored) => list.takeAll(rows, graceEnd, isRestored),
         onChanges: (changes, graceEnd) => list.takeChanges(changes, graceEnd),
         onConfirmed: after => {
             directory.confirm(after);
@@ -53,5 +56,6 @@
         onLost,
         onRegained,
         onDoubt,
+        onRestored,
     });
 }
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -19,6 +19,8 @@
     readonly refusals: Counter;
     readonly orders: Counter;
     readonly storeLosses: Counter;
+    readonly storeEras: Counter;
+    readonly tableDoubt: Histogram;
     readonly firstByte: Histogram;
     readonly duration: Histogram;
     readonly targetListAge: Histogram;
@@ -49,6 +51,14 @@
             name: "waxwingspar_gateway_store_losses_total",
             help: "Times that the platform's store stopped answering, by table.",
         });
+        this.storeEras = registry.counter({
+            name: "waxwingspar_gateway_store_eras_total",
+            help: "Times that the platform's store was found to have come back from an older copy.",
+        });
+        this.tableDoubt = registry.histogram({
+            name: "waxwingspar_gateway_table_doubt_seconds",
+            help: "From noticing that the store came back from a copy until a table was read anew, by table.",
+        });
         this.firstByte = registry.histogram({
             name: "waxwingspar_gateway_first_byte_seconds",
             help: "From a request's arrival to the first byte of its reply, by kind of route.",
--- a/packages/gateway/src/lib/peers/heartbeat.ts
+++ b/packages/gateway/src/lib/peers/heartbeat.ts
@@ -2,6 +2,13 @@
 import { groupSumsSchema } from "./GroupSums.js";
 import { peerStateSchema } from "./PeerState.js";
 
+const tableWordSchema = z.object({
+    version: z.number(),
+    seen: z.number(),
+    age: z.number(),
+    era: z.optional(z.number()),
+});
+
 const heartbeatSchema = z.object({
     process: z.string(),
     /** This start of the process. */
@@ -18,7 +25,7 @@
         isCounted: z.boolean(),
     })),
     /** What the sender knows of tables of the store, by their names: see {@link TableWord}. */
-    words: z.record(z.string(), z.object({ version: z.number(), seen: z.number(), age: z.number() })),
+    words: z.record(z.string(), tableWordSchema),
     /** What the sender tells of itself; for gateways of its data centre that add it up. */
     state: z.optional(peerStateSchema),
     /** The sum over the sender's data centre, itself included; for relays of other data centres. */
--- /dev/null
+++ b/packages/gateway/src/lib/store/EraStore.test.ts
@@ -0,0 +1,78 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { silentLogs } from "../testing/fixtures.js";
+import { EraStore } from "./EraStore.js";
+import { type Store, type WriteResult } from "./Store.js";
+import { StoreEras } from "./StoreEras.js";
+
+type Read = Awaited<ReturnType<Store["read"]>>;
+type Watched = Awaited<ReturnType<Store["watch"]>>;
+
+function createStore() {
+    const eras = new StoreEras();
+    let rises = 0;
+    eras.onRise(() => void rises++);
+    const answers = {
+        read: { kind: "read", rows: [], version: 5, era: 1 } as Read,
+        watch: { kind: "changes", changes: [], version: 5, era: 1 } as Watched,
+        write: { kind: "written", version: 6, era: 1 } as WriteResult,
+    };
+    const store = new EraStore({
+        store: {
+            read: () => Promise.resolve(answers.read),
+            watch: () => Promise.resolve(answers.watch),
+            write: () => Promise.resolve(answers.write),
+        },
+        eras,
+        observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(new ManualClock())) },
+    });
+    const write = () => store.write({ table: "t", key: "k", value: 1, expectedVersion: 5 });
+    return { eras, answers, store, write, rises: () => rises };
+}
+
+test("the first era that is told is no rise, and answers without one say nothing", async () => {
+    const { eras, answers, store, rises } = createStore();
+    await store.read("t");
+    answers.read = { kind: "unknown", reason: "timeout" };
+    await store.read("t");
+    assert.equal(eras.current, 1);
+    assert.equal(rises(), 0);
+});
+
+test("a refusal tells the era as well", async () => {
+    const { answers, store, rises } = createStore();
+    await store.read("t");
+    answers.read = { kind: "unavailable", reason: "status 503", era: 2 };
+    await store.read("t");
+    assert.equal(rises(), 1);
+});
+
+test("an answer of an earlier era that comes late is not taken", async () => {
+    const { eras, answers, store, write } = createStore();
+    eras.note(2);
+    assert.equal((await store.read("t")).kind, "unknown");
+    assert.equal((await store.watch("t", 5, 0)).kind, "unknown");
+    assert.equal((await write()).kind, "unknown");
+    answers.read = { kind: "read", rows: [], version: 3, era: 2 };
+    assert.equal((await store.read("t")).kind, "read");
+});
+
+test("changes after a version of an earlier era are no changes: the table must be read anew", async () => {
+    const { answers, store, rises } = createStore();
+    await store.read("t");
+    answers.watch = { kind: "changes", changes: [], version: 5, era: 2 };
+    assert.equal((await store.watch("t", 5, 0)).kind, "historyGone");
+    assert.equal(rises(), 1);
+});
+
+test("a write by a version of an earlier era may have replaced anything; a conflict has replaced nothing", async () => {
+    const { answers, store, write } = createStore();
+    await store.read("t");
+    answers.write = { kind: "written", version: 6, era: 2 };
+    assert.equal((await write()).kind, "unknown");
+    answers.write = { kind: "conflict", rows: [], era: 3 };
+    assert.equal((await write()).kind, "conflict");
+});
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -9,8 +9,17 @@
     readonly version: number;
 }
 
+/** What every answer of the store may tell. */
+export interface StoreAnswer {
+    /**
+     * Rises each time that the store has come back from an older copy of itself: what was written since the copy is gone, and its
+     * versions are given out again. Undefined where the store does not tell, or gave no answer.
+     */
+    readonly era?: number;
+}
+
 /** The rows of a table at one moment. */
-export interface TableSnapshot {
+export interface TableSnapshot extends StoreAnswer {
     readonly rows: readonly StoredRow[];
     /** The newest version of the store at that moment. */
     readonly version: number;
@@ -24,7 +33,7 @@
 }
 
 /** What has changed in a table after some version. */
-export interface TableChanges {
+export interface TableChanges extends StoreAnswer {
     /** In the order in which it happened. */
     readonly changes: readonly RowChange[];
     readonly version: number;
@@ -42,17 +51,20 @@
 
 /** The result of a call that did not give what was asked for. */
 export type StoreFailure =
-    /** Nothing was done: the store refused, or was never reached. */
-    | { readonly kind: "unavailable"; readonly reason: string; }
-    /** No reply: a write may have been done, or may still be done later. */
-    | { readonly kind: "unknown"; readonly reason: string; }
-    /** The history that was asked for is gone; the table must be read anew. */
-    | { readonly kind: "historyGone"; };
+    & StoreAnswer
+    & (
+        /** Nothing was done: the store refused, or was never reached. */
+        | { readonly kind: "unavailable"; readonly reason: string; }
+        /** No reply: a write may have been done, or may still be done later. */
+        | { readonly kind: "unknown"; readonly reason: string; }
+        /** The history that was asked for is gone; the table must be read anew. */
+        | { readonly kind: "historyGone"; }
+    );
 
 /** The result of a conditional write. */
 export type WriteResult =
-    | { readonly kind: "written"; readonly version: number; }
-    | { readonly kind: "conflict"; readonly rows: readonly StoredRow[]; }
+    | ({ readonly kind: "written"; readonly version: number; } & StoreAnswer)
+    | ({ readonly kind: "conflict"; readonly rows: readonly StoredRow[]; } & StoreAnswer)
     | StoreFailure;
 
 /** Milliseconds beyond its wait after which a call that waits for changes is given up. @public */
--- a/packages/gateway/src/lib/store/StoreContact.ts
+++ b/packages/gateway/src/lib/store/StoreContact.ts
@@ -13,7 +13,7 @@
     }
 
     /** What the watch of a table tells of its calls. */
-    listenersFor(table: string): Required<Pick<TableWatchOptions, "onLost" | "onRegained" | "onDoubt">> {
+    listenersFor(table: string): Required<Pick<TableWatchOptions, "onLost" | "onRegained" | "onDoubt" | "onRestored">> {
         const { metrics, logs } = this.observation;
         return {
             onLost: (reason, waited) => {
@@ -22,6 +22,10 @@
                 logs.process.warn({ table, reason, waited: Math.round(waited) }, "store lost");
             },
             onDoubt: age => logs.process.info({ table, age: Math.round(age) }, "peers no longer confirm the table"),
+            onRestored: doubt => {
+                metrics.tableDoubt.record(doubt, { table });
+                logs.process.info({ table, doubt: Math.round(doubt) }, "table read after a copy");
+            },
             onRegained: (outage, sinceFailure) => {
                 this.lostTables.delete(table);
                 logs.process.info(
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,6 +1,7 @@
-import { type Clock, sleep } from "@waxwingspar/utils";
+import { type Clock, sleep, type Timer } from "@waxwingspar/utils";
 import { ageOf, currentMoment, type Moment } from "../Moment.js";
 import { type RowChange, type Store, type StoredRow, type StoreFailure } from "./Store.js";
+import { type StoreEras } from "./StoreEras.js";
 import { type Reliance } from "./watchWait.js";
 
 /** What a gateway knows of a table. */
@@ -11,6 +12,8 @@
     readonly seen: number;
     /** Milliseconds since the table was surely as known. */
     readonly age: number;
+    /** The era of the store that the versions belong to; undefined where it tells none. */
+    readonly era?: number;
 }
 
 /** Whether a process follows the store for itself, also for others that rely on it, or relies on others. */
@@ -23,12 +26,19 @@
     readonly table: string;
     /** Milliseconds that one call waits for changes. */
     readonly wait: number;
-    /** Takes a whole table. What it lacks is gone, or may come back until `graceEnd` on the clock. */
-    readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number) => void;
+    /**
+     * Takes a whole table. What it lacks is gone, or may come back until `graceEnd` on the clock. A restored one comes from a copy that
+     * the store went back to: what it holds may be older than what is known.
+     */
+    readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number, isRestored: boolean) => void;
     /** Takes what changed, in the order in which it happened. */
     readonly onChanges: (changes: readonly RowChange[], graceEnd: number) => void;
     /** The table was as told at some time after a moment, which is later than the one told before. */
     readonly onConfirmed?: (after: Moment) => void;
+    /** The eras of the store; undefined where it has none. */
+    readonly eras?: StoreEras;
+    /** The table is known again after the store came back from a copy, so many milliseconds after that was noticed. */
+    readonly onRestored?: (doubt: number) => void;
     /** How to rely on peers; undefined where this process follows the table by itself. */
     readonly reliance?: Reliance;
     /** What this process is for others just now. */
@@ -52,6 +62,16 @@
     readonly gatherTime?: number;
 }
 
+type OptionalName =
+    | "onConfirmed"
+    | "onLost"
+    | "onRegained"
+    | "onDoubt"
+    | "onRestored"
+    | "reliance"
+    | "role"
+    | "eras";
+
 const defaults = { retryDelay: 200, returnTime: 2_050, returnBound: 2_950, gatherTime: 250 };
 /** Milliseconds after its time at which a timer has surely come. */
 const timerSlack = 5;
@@ -67,7 +87,7 @@
  */
 export class TableWatch {
     private readonly options:
-        & Required<Omit<TableWatchOptions, "onConfirmed" | "onLost" | "onRegained" | "onDoubt" | "reliance" | "role">>
+        & Required<Omit<TableWatchOptions, OptionalName>>
         & TableWatchOptions;
     private version: number | undefined;
     /** The version at which the table last changed, as far as this process knows. */
@@ -86,9 +106,18 @@
     private failedCallAt = -Infinity;
     private stopped = false;
     private changesInARow = 0;
+    /** When the store was noticed to have come back from a copy, until the table has been read since. */
+    private restoredAt: number | undefined;
+    /** Until when, on the clock, writes that the copy lacks may still be missing: nothing is confirmed before that. */
+    private incompleteUntil = -Infinity;
+    /** Reads the table once more. */
+    private completion: Timer | undefined;
+    private abandonCall: () => void = () => undefined;
+    private readonly stopListening: () => void;
 
     constructor(options: TableWatchOptions) {
         this.options = { ...defaults, ...options };
+        this.stopListening = options.eras?.onRise(() => this.startAnew()) ?? (() => undefined);
     }
 
     /** Follows the table until {@link TableWatch.stop}. */
@@ -128,6 +157,29 @@
     /** Follows the table no longer. */
     stop(): void {
         this.stopped = true;
+        this.stopListening();
+        this.completion?.cancel();
+        this.wakeUp();
+    }
+
+    /**
+     * The store came back from a copy, so no version that is known here means anything. The table is read anew at once, and once more
+     * when the others have written again what the copy lacks; until then it confirms nothing.
+     */
+    private startAnew(): void {
+        const now = this.options.clock.now();
+        if (this.version !== undefined) {
+            this.restoredAt ??= now;
+        }
+        this.incompleteUntil = now + this.options.returnTime;
+        this.readAnew();
+        this.completion?.cancel();
+        this.completion = this.options.clock.schedule(() => this.readAnew(), this.options.returnTime + timerSlack);
+    }
+
+    private readAnew(): void {
+        this.version = undefined;
+        this.abandonCall();
         this.wakeUp();
     }
 
@@ -136,12 +188,18 @@
         const { version, changedAt, confirmedAt } = this;
         return confirmedAt === undefined || version === undefined
             ? undefined
-            : { version: changedAt, seen: version, age: Math.ceil(ageOf(confirmedAt, this.options.clock)) };
+            : {
+                version: changedAt,
+                seen: version,
+                age: Math.ceil(ageOf(confirmedAt, this.options.clock)),
+                era: this.options.eras?.current,
+            };
     }
 
     /** Takes a peer's word, which it gave at some time after a moment. */
-    hear({ version, seen, age }: TableWord, after: Moment): void {
-        if (this.version === undefined) {
+    hear({ version, seen, age, era }: TableWord, after: Moment): void {
+        const isOfOtherEra = era !== undefined && this.options.eras?.note(era) === "older";
+        if (this.version === undefined || isOfOtherEra) {
             return;
         }
         if (version > this.version) {
@@ -157,6 +215,9 @@
     }
 
     private confirm(moment: Moment): void {
+        if (moment.now < this.incompleteUntil) {
+            return;
+        }
         const newest = latest(this.confirmedAt, moment);
         if (newest !== this.confirmedAt) {
             this.confirmedAt = newest;
@@ -208,12 +269,17 @@
         this.version = result.version;
         this.changedAt = result.version;
         this.isBehind = false;
-        this.options.onSnapshot(result.rows, this.graceEnd());
+        const { restoredAt } = this;
+        this.restoredAt = undefined;
+        this.options.onSnapshot(result.rows, this.graceEnd(), this.options.clock.now() < this.incompleteUntil);
+        if (restoredAt !== undefined) {
+            this.options.onRestored?.(this.options.clock.now() - restoredAt);
+        }
         return "read";
     }
 
     private async waitForChanges(after: number, wait: number): Promise<"changed" | "unchanged" | StoreFailure> {
-        const result = await this.options.store.watch(this.options.table, after, wait);
+        const result = await this.watchUntilAbandoned(after, wait);
         if (result.kind !== "changes") {
             return result;
         }
@@ -234,6 +300,14 @@
         return "changed";
     }
 
+    /** A call by a version that means nothing any more is not waited for. */
+    private watchUntilAbandoned(after: number, wait: number): ReturnType<Store["watch"]> {
+        return new Promise(resolve => {
+            this.abandonCall = () => resolve({ kind: "historyGone" });
+            void this.options.store.watch(this.options.table, after, wait).then(resolve);
+        });
+    }
+
     /**
      * A call that is held up by an outage must not hide its end: a process that was cut off learned 1.4 s after its return,
      * from a call that had still been waiting, that a target had left, and sent it a request 2.09 s after the leaving.
@@ -279,6 +353,9 @@
      */
     private graceEnd(): number {
         const { returnTime, returnBound } = this.options;
+        if (this.options.clock.now() < this.incompleteUntil) {
+            return this.incompleteUntil;
+        }
         return Math.min(this.regainedAt + returnTime, this.failedCallAt + returnBound);
     }
 }
--- a/packages/gateway/src/lib/testing/WatchedTable.ts
+++ b/packages/gateway/src/lib/testing/WatchedTable.ts
@@ -33,6 +33,8 @@
     private readonly changes: (RowChange & { readonly version: number; })[] = [];
     private waiting = new Set<WaitingCall>();
     private version = 1;
+    private era = 1;
+    private copy: { readonly rows: readonly StoredRow[]; readonly version: number; } = { rows: [], version: 1 };
     private isAway = false;
 
     constructor(private readonly clock: Clock) {}
@@ -64,6 +66,27 @@
         this.waiting.clear();
     }
 
+    /** The value of a row as it is now. */
+    value(key: string): unknown {
+        return this.rows.get(key)?.value;
+    }
+
+    /** Makes the copy that {@link WatchedTable.restoreCopy} goes back to. */
+    saveCopy(): void {
+        this.copy = { rows: [...this.rows.values()], version: this.version };
+    }
+
+    /** Goes back to the copy: what was written since is gone, its versions are given out again, and open calls get no answer. */
+    restoreCopy(): void {
+        const { rows, version } = this.copy;
+        this.era++;
+        this.version = version;
+        this.rows.clear();
+        rows.forEach(row => this.rows.set(row.key, row));
+        this.changes.splice(0, this.changes.length, ...this.changes.filter(change => change.version <= version));
+        this.silenceConnections();
+    }
+
     /** The store goes away, with the connections, or is back. */
     setAway(isAway: boolean): void {
         this.isAway = isAway;
@@ -73,12 +96,16 @@
     read(): Promise<Snapshot | StoreFailure> {
         return this.call<Snapshot>(
             callTimeout,
-            answer => answer({ kind: "read", rows: [...this.rows.values()], version: this.version }),
+            answer => answer({ kind: "read", rows: [...this.rows.values()], version: this.version, era: this.era }),
         );
     }
 
     watch(_table: string, after: number, wait: number): Promise<Changes | StoreFailure> {
-        return this.call<Changes>(wait + watchSlack, answer => {
+        return this.call<Changes | StoreFailure>(wait + watchSlack, answer => {
+            if (after > this.version) {
+                answer({ kind: "historyGone", era: this.era });
+                return;
+            }
             const changes = this.changesAfter(after);
             if (changes.changes.length > 0 || wait === 0) {
                 answer(changes);
@@ -94,11 +121,11 @@
         return this.call<WriteResult>(callTimeout, answer => {
             const row = this.rows.get(key);
             if ((row?.version ?? 0) !== expectedVersion) {
-                answer({ kind: "conflict", rows: row === undefined ? [] : [row] });
+                answer({ kind: "conflict", rows: row === undefined ? [] : [row], era: this.era });
                 return;
             }
             this.put(key, value);
-            answer({ kind: "written", version: this.version });
+            answer({ kind: "written", version: this.version, era: this.era });
         });
     }
 
@@ -113,6 +140,7 @@
             kind: "changes",
             changes: this.changes.filter(({ version }) => version > after),
             version: this.version,
+            era: this.era,
         };
     }
 
