The placement duty's term does not go back with a copy of the store

Change: the holder writes its row again under its term, unless a higher one stands there; one that takes the duty goes beyond the highest term that it saw or heard of. Before and after: three tests of the lease. Conclusion: as long as one gateway that knows the term lives, terms only grow.

--- a/packages/gateway/src/lib/duty/PlacementLease.test.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.test.ts
@@ -1,9 +1,14 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
 import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { GatewayMetrics } from "../observation/Observation.js";
 import { addSums } from "../peers/GroupSums.js";
+import { EraStore } from "../store/EraStore.js";
 import { type Store } from "../store/Store.js";
+import { StoreEras } from "../store/StoreEras.js";
 import { silentLogs } from "../testing/fixtures.js";
+import { WatchedTable } from "../testing/WatchedTable.js";
 import { PlacementLease } from "./PlacementLease.js";
 
 type Watched = Awaited<ReturnType<Store["watch"]>>;
@@ -85,3 +90,54 @@
     await clock.advanceAsync(3_200);
     assert.equal(lease.mayAcquire, true);
 });
+
+/** A holder over a store that can come back from a copy. */
+async function createHolder() {
+    const clock = new ManualClock(1_000_000);
+    const table = new WatchedTable(clock);
+    const eras = new StoreEras();
+    const logs = silentLogs();
+    const observation = { logs, metrics: new GatewayMetrics(new MetricRegistry(clock)) };
+    const store = new EraStore({ store: table, eras, observation });
+    const lease = new PlacementLease({
+        clock,
+        store,
+        eras,
+        process: "b",
+        incarnation: "1",
+        peers: { others: addSums([]) },
+        logger: logs.duty,
+    });
+    table.saveCopy();
+    table.put("placement", { holder: "a", incarnation: "0", term: 6 });
+    lease.start();
+    await clock.advanceAsync(1_500);
+    assert.equal(lease.term, 7);
+    return { clock, table, lease };
+}
+
+test("a holder whose row the copy lacks writes it again under its term", async () => {
+    const { clock, table, lease } = await createHolder();
+    table.restoreCopy();
+    await clock.advanceAsync(5_000);
+    assert.deepEqual(table.value("placement"), { holder: "b", incarnation: "1", term: 7 });
+    assert.equal(lease.isHeld, true);
+});
+
+test("a holder gives way to one that took the duty under a higher term since the copy", async () => {
+    const { clock, table, lease } = await createHolder();
+    table.restoreCopy();
+    table.put("placement", { holder: "c", incarnation: "1", term: 8 });
+    await clock.advanceAsync(3_000);
+    assert.equal(lease.term, undefined);
+});
+
+test("terms do not go back with the copy, for one that takes the duty anew either", async () => {
+    const { clock, table, lease } = await createHolder();
+    table.put("placement", { holder: "c", incarnation: "1", term: 8 });
+    await clock.advanceAsync(100);
+    assert.equal(lease.term, undefined);
+    table.restoreCopy();
+    await clock.advanceAsync(8_000);
+    assert.equal(lease.term, 9);
+});
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -4,6 +4,7 @@
 import { ageOf, currentMoment, type Moment } from "../Moment.js";
 import { type PeerGroup } from "../peers/PeerGroup.js";
 import { type Store, type StoredRow } from "../store/Store.js";
+import { type StoreEras } from "../store/StoreEras.js";
 import { TableWatch } from "../store/TableWatch.js";
 
 type LeaseState = "following" | "acquiring" | "holding" | "paused" | "ended";
@@ -24,6 +25,7 @@
 export interface PlacementLeaseOptions {
     readonly clock: Clock;
     readonly store: Store;
+    readonly eras?: StoreEras;
     readonly process: string;
     readonly incarnation: string;
     readonly peers: Pick<PeerGroup, "others">;
@@ -60,6 +62,8 @@
 export class PlacementLease {
     private readonly state = new StateChart<LeaseState, LeaseEvent>(chart);
     private heldTerm = 0;
+    /** The highest term that was ever seen here: a copy that the store went back to may hold an older one. */
+    private highestTerm = 0;
     private confirmedAt: Moment | undefined;
     private watch: TableWatch | undefined;
     private nextTry = 0;
@@ -133,7 +137,8 @@
             return;
         }
         const row = current.rows.find(row => row.key === key);
-        const term = (readTerm(row) ?? 0) + 1;
+        const known = Math.max(this.highestTerm, this.options.peers.others.dutyTerm ?? 0);
+        const term = Math.max(readTerm(row) ?? 0, known) + 1;
         const value = { holder: process, incarnation, term };
         const written = await store.write({ table, key, value, expectedVersion: row?.version ?? 0 });
         if (written.kind !== "written") {
@@ -144,6 +149,7 @@
         }
         if (this.state.send("acquired")) {
             this.heldTerm = term;
+            this.highestTerm = term;
             this.confirmedAt = asked;
             logger.info({ term }, "duty taken");
             this.followRow();
@@ -158,7 +164,15 @@
             store,
             table,
             wait: watchWait,
-            onSnapshot: rows => this.judge(rows, watch),
+            eras: this.options.eras,
+            onSnapshot: (rows, _graceEnd, isRestored) => {
+                if (isRestored) {
+                    void this.restore(rows.find(row => row.key === key), watch);
+                }
+                else {
+                    this.judge(rows, watch);
+                }
+            },
             onChanges: changes => this.judge(changes.flatMap(({ row }) => row ?? []), watch),
             onConfirmed: after => this.confirm(after, watch),
         });
@@ -166,6 +180,24 @@
         void watch.run();
     }
 
+    /**
+     * The store went back to a copy. The holder writes itself into the row again, under the term that it has, unless another one took
+     * the duty since under a higher one. Until that is done the store confirms nothing, so the age of its last word ends the orders.
+     */
+    private async restore(row: StoredRow | undefined, watch: TableWatch): Promise<void> {
+        const { store, process, incarnation, logger } = this.options;
+        if (this.watch !== watch || (readTerm(row) ?? 0) >= this.heldTerm) {
+            this.judge(row === undefined ? [] : [row], watch);
+            return;
+        }
+        const value = { holder: process, incarnation, term: this.heldTerm };
+        const written = await store.write({ table, key, value, expectedVersion: row?.version ?? 0 });
+        logger.warn({ term: this.heldTerm, copy: readTerm(row), result: written.kind }, "duty written again");
+        if (written.kind !== "written" && this.watch === watch) {
+            this.followRow();
+        }
+    }
+
     private judge(rows: readonly StoredRow[], watch: TableWatch): void {
         const row = rows.findLast(row => row.key === key);
         const parsed = rowSchema.safeParse(row?.value);
@@ -173,6 +205,7 @@
             return;
         }
         const { holder, incarnation, term } = parsed.data;
+        this.highestTerm = Math.max(this.highestTerm, term);
         if (holder !== this.options.process || incarnation !== this.options.incarnation || term !== this.heldTerm) {
             watch.stop();
             // Whoever took the duty did not hear of this holder, so its own word may be under way just as long.
