Gateways follow the store over its copies; crash records and members are written again

Cause: the parts above were not connected, members that a copy lacks stayed unknown to gateways that start later, and retrials that it lacks could be granted twice. Change: the gateway puts the eras between the store and its parts; members enter the table again within 2 s, spread at random; crash records are joined with what the copy holds, the larger count wins. The parts against crashing requests are put together in one place, for the gateway and for its simulation.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -8,10 +8,7 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
-import { CrashCounts } from "./crashes/CrashCounts.js";
-import { CrashGuard } from "./crashes/CrashGuard.js";
-import { CrashRecords } from "./crashes/CrashRecords.js";
-import { CrashWatch } from "./crashes/CrashWatch.js";
+import { CrashParts } from "./crashes/CrashParts.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { type DecodedTarget } from "./directory/TargetList.js";
@@ -32,8 +29,10 @@
 import { CallerServer } from "./server/CallerServer.js";
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServicePicker } from "./services/ServicePicker.js";
+import { EraStore } from "./store/EraStore.js";
 import { type Store } from "./store/Store.js";
 import { StoreContact } from "./store/StoreContact.js";
+import { StoreEras } from "./store/StoreEras.js";
 import { type TableWatch, type TableWord, type WatchRole } from "./store/TableWatch.js";
 import { refusesConnections } from "./upstream/refusesConnections.js";
 
@@ -82,14 +81,14 @@
 /** A process that takes callers' requests and passes them to targets. */
 export class Gateway {
     private readonly observation: Observation;
+    private readonly eras = new StoreEras();
+    private readonly store: Store;
     private readonly configuration: ConfigurationInForce;
     private readonly directory: TargetDirectory;
     private readonly suspicions: TargetSuspicions;
     private readonly paces: TargetPaces;
     private readonly services = new Map<string, ServiceParts>();
-    private readonly crashCounts: CrashCounts;
-    private readonly crashRecords: CrashRecords;
-    private readonly crashGuard: CrashGuard;
+    private readonly crashes: CrashParts;
     private readonly startQueue: StartQueue;
     private readonly callers: CallerServer;
     private readonly readiness: ReadinessServer;
@@ -105,8 +104,11 @@
     private stopped: Promise<void> | undefined;
 
     constructor(private readonly options: GatewayOptions) {
-        const { settings, clock, logs, registry, store, engines } = options;
+        const { settings, clock, logs, registry, engines, random } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
+        const { eras, observation } = this;
+        const store = new EraStore({ store: options.store, eras, observation });
+        this.store = store;
         this.contact = new StoreContact(this.observation);
         const { keyRevocation } = settings;
         this.configuration = new ConfigurationInForce({
@@ -116,13 +118,13 @@
         this.directory = new TargetDirectory({ clock, onChange: change => this.noteTarget(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
-        this.crashCounts = new CrashCounts(clock);
-        this.crashRecords = new CrashRecords({ clock, store, logger: logs.requests });
-        this.crashGuard = new CrashGuard({
+        this.crashes = new CrashParts({
             clock,
-            counts: this.crashCounts,
-            records: this.crashRecords,
-            observation: this.observation,
+            store,
+            eras,
+            directory: this.directory,
+            refusesConnections,
+            observation,
         });
         const { isOn = allMechanisms } = options;
         const router = new RequestRouter({
@@ -133,13 +135,7 @@
             wire: options.wire,
             observation: this.observation,
             configuration: this.configuration,
-            crashes: new CrashWatch({
-                directory: this.directory,
-                refusesConnections,
-                observation: this.observation,
-                onCrash: runs => this.crashGuard.noteCrash(runs),
-            }),
-            crashGuard: this.crashGuard,
+            crashes: this.crashes,
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
@@ -160,6 +156,8 @@
         this.peers = new PeerGroup({
             clock,
             store,
+            eras,
+            random,
             process: settings.process,
             incarnation: options.incarnation,
             address: { host: settings.host, port: settings.internalPorts.first },
@@ -171,7 +169,7 @@
                 ),
                 suspects: this.suspicions.listLost(),
                 slowTargets: this.paces.listOwn(),
-                crashes: this.crashCounts.listSeen(),
+                crashes: this.crashes.counts.listSeen(),
                 dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
                 mayTakeDuty: this.contact.isWhole && this.lease.mayAcquire && !this.isStopping,
             }),
@@ -179,12 +177,13 @@
             onWord: (table, word, after) => this.hearWord(table, word, after),
             onSums: ({ slowTargets, crashes }) => {
                 this.paces.hear(slowTargets);
-                this.crashCounts.hear(crashes);
+                this.crashes.counts.hear(crashes);
             },
         });
         this.lease = new PlacementLease({
             clock,
             store,
+            eras,
             process: settings.process,
             incarnation: options.incarnation,
             peers: this.peers,
@@ -210,7 +209,7 @@
         const { logs, settings } = this.options;
         logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
         this.watches.forEach(watch => void watch.run());
-        this.crashRecords.start();
+        this.crashes.records.start();
         await Promise.all([this.readiness.start(), this.callers.start()]);
         await this.peers.start();
         this.lease.start();
@@ -250,7 +249,7 @@
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         this.watches.forEach(watch => watch.stop());
-        this.crashRecords.stop();
+        this.crashes.records.stop();
         this.services.forEach(({ chains }) => chains?.stop());
         this.peers.stop();
         this.callers.closeAll();
@@ -278,10 +277,12 @@
     }
 
     private createWatches(): ReadonlyMap<string, TableWatch> {
-        const { clock, store, tables, logs, settings, isOn = allMechanisms } = this.options;
+        const { store, eras } = this;
+        const { clock, tables, logs, settings, isOn = allMechanisms } = this.options;
         const ofStore = (table: string) => ({
             clock,
             store,
+            eras,
             table,
             contactTime: settings.contactTime,
             role: () => isOn("shared-watches") ? this.watchRole : "alone",
@@ -344,7 +345,7 @@
             },
             `target ${kind}`,
         );
-        this.crashGuard.noteTarget(change);
+        this.crashes.guard.noteTarget(change);
         if (kind === "restarted") {
             this.suspicions.clear(id);
             this.paces.forget(id);
--- /dev/null
+++ b/packages/gateway/src/lib/crashes/CrashParts.ts
@@ -0,0 +1,40 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type Target } from "../directory/Target.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { type Observation } from "../observation/Observation.js";
+import { type Store } from "../store/Store.js";
+import { type StoreEras } from "../store/StoreEras.js";
+import { CrashCounts } from "./CrashCounts.js";
+import { CrashGuard } from "./CrashGuard.js";
+import { CrashRecords } from "./CrashRecords.js";
+import { CrashWatch } from "./CrashWatch.js";
+
+/** Options of {@link CrashParts}. */
+export interface CrashPartsOptions {
+    readonly clock: Clock;
+    readonly store: Store;
+    readonly eras?: StoreEras;
+    readonly directory: Pick<TargetDirectory, "get">;
+    readonly refusesConnections: (target: Target) => Promise<boolean>;
+    readonly observation: Observation;
+}
+
+/** What a gateway needs against requests that crash targets, put together. */
+export class CrashParts {
+    readonly counts: CrashCounts;
+    readonly records: CrashRecords;
+    readonly guard: CrashGuard;
+    readonly watch: CrashWatch;
+
+    constructor({ clock, store, eras, directory, refusesConnections, observation }: CrashPartsOptions) {
+        this.counts = new CrashCounts(clock);
+        this.records = new CrashRecords({ clock, store, eras, logger: observation.logs.requests });
+        this.guard = new CrashGuard({ clock, counts: this.counts, records: this.records, observation });
+        this.watch = new CrashWatch({
+            directory,
+            refusesConnections,
+            observation,
+            onCrash: runs => this.guard.noteCrash(runs),
+        });
+    }
+}
--- a/packages/gateway/src/lib/crashes/CrashRecords.ts
+++ b/packages/gateway/src/lib/crashes/CrashRecords.ts
@@ -3,6 +3,7 @@
 import { type Logger } from "pino";
 import * as z from "zod/mini";
 import { type Store, type StoredRow } from "../store/Store.js";
+import { type StoreEras } from "../store/StoreEras.js";
 
 const recordSchema = z.object({
     /** Targets that crashed under the request, as far as gateways wrote it down. */
@@ -33,6 +34,7 @@
 export interface CrashRecordsOptions {
     readonly clock: Clock;
     readonly store: Store;
+    readonly eras?: StoreEras;
     readonly logger: Logger;
 }
 
@@ -68,11 +70,15 @@
     private readonly known = new LRUCache<string, KnownRecord>({ max: mostKnown });
     /** Crashes that the store has not taken yet, by digest. */
     private readonly unwritten = new Map<string, number>();
+    /** Records that a copy may lack, and that are written again where it does. */
+    private readonly lost = new Set<string>();
     private nextRead = -Infinity;
     private isReadDue = false;
     private isStopped = false;
 
-    constructor(private readonly options: CrashRecordsOptions) {}
+    constructor(private readonly options: CrashRecordsOptions) {
+        options.eras?.onRise(() => this.startAnew());
+    }
 
     /** Reads what gateways wrote before this one started. */
     start(): void {
@@ -129,6 +135,18 @@
         await this.change(digest, () => ({ crashes, retrials: 0, excused: crashes }));
     }
 
+    /**
+     * The store went back to a copy, which may lack retrials that were granted. What is known here is kept, without its version, and
+     * joined with what the store holds; the larger count is right.
+     */
+    private startAnew(): void {
+        for (const [digest, record] of [...this.known.entries()]) {
+            this.known.set(digest, { ...record, version: 0 });
+            this.lost.add(digest);
+        }
+        this.refresh();
+    }
+
     private judge(record: CrashRecord, isSuspect: (record: CrashRecord) => boolean): RetrialVerdict {
         if (!isSuspect(record)) {
             return "excused";
@@ -159,11 +177,24 @@
         result.rows.forEach(row => this.learn(row));
         logger.info({ requests: result.rows.length, version: result.version }, "crashing requests read");
         await Promise.all([...this.unwritten.keys()].map(digest => this.writeCrashes(digest)));
+        await this.writeLost(result.rows);
         if (isFirst) {
             await this.removeOutdated(result.rows);
         }
     }
 
+    /** Only retrials are written again: crashes count on with what gateways tell each other. */
+    private async writeLost(rows: readonly StoredRow[]): Promise<void> {
+        const held = new Map(rows.map(({ key, value }) => [key, recordSchema.safeParse(value).data?.retrials ?? 0]));
+        for (const digest of this.lost) {
+            const { retrials = 0 } = this.get(digest) ?? {};
+            if (retrials > (held.get(digest) ?? 0)) {
+                await this.change(digest, () => ({}));
+            }
+        }
+        this.lost.clear();
+    }
+
     /** Rows that count no more would fill the table; each process that starts removes some. */
     private async removeOutdated(rows: readonly StoredRow[]): Promise<void> {
         const outdated = rows.filter(({ key }) => this.known.has(key) && this.get(key) === undefined);
@@ -207,8 +238,10 @@
     /** A row that is none, for instance of another version of this program, says nothing; a newer one is kept. */
     private learn({ key, value, version }: StoredRow): void {
         const record = recordSchema.safeParse(value);
-        if (record.success && version >= (this.known.get(key)?.version ?? 0)) {
-            this.known.set(key, { ...record.data, version });
+        const known = this.known.get(key);
+        if (record.success && version >= (known?.version ?? 0)) {
+            const mayLack = known !== undefined && this.lost.has(key);
+            this.known.set(key, { ...mayLack ? joined(record.data, known) : record.data, version });
         }
     }
 
@@ -216,3 +249,14 @@
         return this.options.clock.date().getTime() - writtenAt > (retrials > 0 ? lifetime : idleLifetime);
     }
 }
+
+/** Two records of one request, of which either may lack what the other holds. */
+function joined(a: CrashRecord, b: CrashRecord): CrashRecord {
+    const excused = Math.max(a.excused ?? 0, b.excused ?? 0);
+    return {
+        crashes: Math.max(a.crashes, b.crashes),
+        retrials: Math.max(a.retrials, b.retrials),
+        excused: excused === 0 ? undefined : excused,
+        writtenAt: Math.max(a.writtenAt, b.writtenAt),
+    };
+}
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -1,9 +1,10 @@
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, type Random } from "@waxwingspar/utils";
 import { createSocket, type Socket } from "node:dgram";
 import { type Logger } from "pino";
 import * as z from "zod/mini";
 import { type Address } from "../GatewaySettings.js";
 import { type Store, type WriteResult } from "../store/Store.js";
+import { type StoreEras } from "../store/StoreEras.js";
 import { GroupSize } from "./GroupSize.js";
 import { type GroupSums } from "./GroupSums.js";
 import { PeerExchange, type PeerExchangeOptions } from "./PeerExchange.js";
@@ -15,6 +16,8 @@
 export interface PeerGroupOptions extends Pick<PeerExchangeOptions, "describe" | "words" | "onWord" | "onSums"> {
     readonly clock: Clock;
     readonly store: Store;
+    readonly eras: StoreEras;
+    readonly random: Random;
     readonly process: string;
     readonly incarnation: string;
     readonly address: Address;
@@ -32,6 +35,8 @@
  * been replaced.
  */
 const rejoinInterval = 10_000;
+/** Milliseconds over which gateways enter the table again that the store has lost, so that they do not crowd it. */
+const enterSpread = 2_000;
 
 /**
  * The gateways of a site as one of them sees them. They find each other through a table of the store, once at the start,
@@ -43,6 +48,7 @@
     private readonly size: GroupSize;
     private isStopped = false;
     private nextRead = -Infinity;
+    private stopListening: () => void = () => undefined;
 
     constructor(private readonly options: PeerGroupOptions) {
         const { clock, process, incarnation, address, dataCentre, logger } = options;
@@ -98,11 +104,13 @@
         await new Promise<void>(resolve => this.socket.bind(address.port, address.host, resolve));
         logger.info({ address }, "listening");
         this.beat();
+        this.stopListening = this.options.eras.onRise(() => this.enterAgain());
         void this.join();
     }
 
     stop(): void {
         this.isStopped = true;
+        this.stopListening();
         this.socket.close();
     }
 
@@ -111,20 +119,39 @@
      * the later writer sees the earlier one, and its heartbeats tell the other.
      */
     private async join(): Promise<void> {
-        const { clock, logger } = this.options;
+        while (!this.isStopped) {
+            await this.enterTable();
+            if (await this.readMembers()) {
+                this.size.join(this.exchange.knownMembers + 1);
+                this.options.logger.info({ members: this.exchange.knownMembers }, "joined");
+                return;
+            }
+            await this.pause(joinRetry);
+        }
+    }
+
+    /** A copy that the store went back to may lack this process, and those that start later learn of it there. */
+    private enterAgain(): void {
+        const { clock, random } = this.options;
+        clock.schedule(() => void this.enterTable(), random.next() * enterSpread);
+    }
+
+    private async enterTable(): Promise<void> {
         let expectedVersion = 0;
         while (!this.isStopped) {
             const written = await this.enter(expectedVersion);
-            expectedVersion = written.kind === "conflict" ? written.rows[0]?.version ?? 0 : expectedVersion;
-            if (written.kind === "written" && await this.readMembers()) {
-                this.size.join(this.exchange.knownMembers + 1);
-                logger.info({ members: this.exchange.knownMembers }, "joined");
+            if (written.kind === "written") {
                 return;
             }
-            await new Promise<void>(resolve => void clock.schedule(resolve, joinRetry));
+            expectedVersion = written.kind === "conflict" ? written.rows[0]?.version ?? 0 : expectedVersion;
+            await this.pause(joinRetry);
         }
     }
 
+    private pause(duration: number): Promise<void> {
+        return new Promise(resolve => void this.options.clock.schedule(resolve, duration));
+    }
+
     private enter(expectedVersion: number): Promise<WriteResult> {
         const { store, process, address, dataCentre } = this.options;
         return store.write({ table: membersTable, key: process, value: { ...address, dataCentre }, expectedVersion });
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -53,7 +53,7 @@
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.crashCheck = new CrashCheck({
-            guard: context.crashGuard,
+            guard: context.crashes.guard,
             digest: caller.digest,
             isOver: () => caller.ended,
             canSend: () => this.limits.mayBegin && this.picker.choose(this.tried) !== undefined,
@@ -189,7 +189,7 @@
         const { clock, crashes } = this.context;
         const { request, digest } = this.caller;
         const now = clock.now();
-        crashes.runCut({
+        crashes.watch.runCut({
             request: request.id,
             digest,
             target,
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,6 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type CrashGuard } from "../crashes/CrashGuard.js";
-import { type CrashWatch } from "../crashes/CrashWatch.js";
+import { type CrashParts } from "../crashes/CrashParts.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
@@ -15,8 +14,7 @@
     readonly budget: RepeatBudget;
     /** Milliseconds for a connection to a target to open: several round trips between data centres and a lost packet. */
     readonly connectTimeout: number;
-    readonly crashes: Pick<CrashWatch, "runCut">;
-    readonly crashGuard: CrashGuard;
+    readonly crashes: Pick<CrashParts, "watch" | "guard">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -2,8 +2,7 @@
 import { type ChainService } from "../chains/ChainService.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
-import { type CrashGuard } from "../crashes/CrashGuard.js";
-import { type CrashWatch } from "../crashes/CrashWatch.js";
+import { type CrashParts } from "../crashes/CrashParts.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
@@ -33,8 +32,7 @@
     readonly findService: (name: string) => ServiceParts | undefined;
     /** Whether some peer could judge credentials at this moment. */
     readonly hasConfirmedPeer: () => boolean;
-    readonly crashes: Pick<CrashWatch, "runCut">;
-    readonly crashGuard: CrashGuard;
+    readonly crashes: Pick<CrashParts, "watch" | "guard">;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -126,7 +124,7 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, crashGuard, isOn, targetListAge } = this.options;
+        const { clock, wire, observation, crashes, isOn, targetListAge } = this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
         const context = {
@@ -136,7 +134,6 @@
             budget,
             connectTimeout,
             crashes,
-            crashGuard,
             openExchange,
             isOn,
             targetListAge,
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -74,7 +74,7 @@
         this.lastEventAt = context.clock.now();
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.crashCheck = new CrashCheck({
-            guard: context.crashGuard,
+            guard: context.crashes.guard,
             digest: caller.digest,
             isOver: () => caller.ended,
             canSend: () => this.limits.mayBegin && this.chooseChain() !== undefined,
@@ -278,7 +278,7 @@
         const { clock, crashes } = this.context;
         const { request, digest } = this.caller;
         const now = clock.now();
-        crashes.runCut({
+        crashes.watch.runCut({
             request: request.id,
             digest,
             target,
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -5,10 +5,7 @@
 import { TargetPaces } from "../chains/TargetPaces.js";
 import { TargetSuspicions } from "../chains/TargetSuspicions.js";
 import { type Route } from "../configuration/Configuration.js";
-import { CrashCounts } from "../crashes/CrashCounts.js";
-import { CrashGuard } from "../crashes/CrashGuard.js";
-import { CrashRecords } from "../crashes/CrashRecords.js";
-import { CrashWatch } from "../crashes/CrashWatch.js";
+import { CrashParts } from "../crashes/CrashParts.js";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { allMechanisms } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
@@ -171,11 +168,18 @@
         const { clock } = this.group;
         const suspicions = new TargetSuspicions(clock);
         const observation = { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
-        const counts = new CrashCounts(clock);
-        const records = new CrashRecords({ clock, store: this.store, logger: observation.logs.requests });
-        const crashGuard = new CrashGuard({ clock, counts, records, observation });
-        records.start();
-        const directory = new TargetDirectory({ clock, onChange: change => crashGuard.noteTarget(change) });
+        const directory: TargetDirectory = new TargetDirectory({
+            clock,
+            onChange: change => crashes.guard.noteTarget(change),
+        });
+        const crashes = new CrashParts({
+            clock,
+            store: this.store,
+            directory,
+            refusesConnections: ({ port }) => Promise.resolve(this.isDown(port)),
+            observation,
+        });
+        crashes.records.start();
         const chains = new ChainService({
             clock,
             service: "model",
@@ -191,9 +195,9 @@
             },
             observation,
         });
-        group.hear(({ crashes }) => counts.hear(crashes));
+        group.hear(others => crashes.counts.hear(others.crashes));
         group.tell(() => ({
-            crashes: counts.listSeen(),
+            crashes: crashes.counts.listSeen(),
             chainLoads: Object.fromEntries(chains.headLoads()),
             suspects: suspicions.listLost(),
         }));
@@ -209,13 +213,7 @@
                 gateways: () => group.size.value,
             }),
             connectTimeout: 450,
-            crashes: new CrashWatch({
-                directory,
-                observation,
-                refusesConnections: ({ port }) => Promise.resolve(this.isDown(port)),
-                onCrash: runs => crashGuard.noteCrash(runs),
-            }),
-            crashGuard,
+            crashes,
             openExchange: exchange => this.targetAt(exchange.port).open(exchange),
             isOn: allMechanisms,
             targetListAge: () => directory.age,
