Gateways read the crash records only where a crash under a request was heard of

Cause: each target that is gone without having left made every gateway read the table, also where targets only come and go: up to one call in two seconds and gateway, on a site of 68. Change: a gateway that knows of no crash at all does not read.

--- a/packages/gateway/src/lib/crashes/CrashCounts.ts
+++ b/packages/gateway/src/lib/crashes/CrashCounts.ts
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Whether no crash under a request is known, here or from others. */
+    get isEmpty(): boolean {
+        return this.seen.size === 0 && this.told.size === 0;
+    }
+
     /** Whether a target crashed under the request here. */
     hasSeen(digest: string): boolean {
         return this.seen.has(digest);
--- a/packages/gateway/src/lib/crashes/CrashGuard.test.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.test.ts
@@ -139,8 +139,12 @@
 });
 
 test("crashes that other gateways wrote down are known after a target is gone", async () => {
-    const { clock, store, guard } = createGuard();
+    const { clock, store, counts, guard } = createGuard();
     store.put("a", { crashes: 3, retrials: 0, writtenAt: clock.now() });
+    guard.noteTarget({ kind: "removed", target: run.target });
+    await clock.advanceAsync(50);
+    assert.equal(guard.standing("a"), "free");
+    counts.hear({ other: 1 });
     guard.noteTarget({ kind: "removed", target: { ...run.target, state: "draining" } });
     await clock.advanceAsync(50);
     assert.equal(guard.standing("a"), "free");
--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -89,10 +89,15 @@
         }
     }
 
-    /** A target that was gone or started again without having left may have crashed: other gateways may know under what. */
+    /**
+     * A target that is gone or has started again without having left may have crashed, and other gateways may know under what. Where
+     * no crash was heard of at all, targets come and go for other reasons, and reading is not worth its calls.
+     */
     noteTarget({ kind, target }: DirectoryChange): void {
-        if (kind === "restarted" || (kind === "removed" && target.state === "ready")) {
-            this.options.records.refresh();
+        const { counts, records } = this.options;
+        const isLost = kind === "restarted" || (kind === "removed" && target.state === "ready");
+        if (isLost && !counts.isEmpty) {
+            records.refresh();
         }
     }
 
