--- a/packages/cli/src/lib/explain/explainRequest.test.ts
+++ b/packages/cli/src/lib/explain/explainRequest.test.ts
@@ -38,3 +38,29 @@
 test("a request that no line names is said to be unknown", () => {
     assert.match(formatExplanation("r9", explainRequest("r9", logs)), /no line names it; 2 lines/);
 });
+
+test("the story tells what became of other attempts of a request that was held back", () => {
+    const attempts = [
+        line(1_000, "b", "request: target crashed under a run", { request: "r0", digest: "d", target: "t" }),
+        line(1_100, "b", "request: attempt failed", { request: "r0", digest: "d" }),
+        line(1_200, "c", "request: suspect request judged", { digest: "d", verdict: "condemned" }),
+        line(1_300, "c", "request: suspect request judged", { digest: "other", verdict: "granted" }),
+        line(1_400, "a", "request: request ended", { request: "r1", digest: "d", status: 503 }),
+    ];
+    const { story, beliefs } = explainRequest("r1", attempts);
+    assert.deepEqual(story.map(({ time }) => time), [1_000, 1_200, 1_400]);
+    assert.deepEqual([...beliefs.keys()], ["a"]);
+});
+
+test("a store that came back from a copy is among the beliefs", () => {
+    const drill = [
+        line(1_000, "a", "process: store came back from a copy", { era: 2, before: 1 }),
+        line(1_010, "a", "process: table read after a copy", { table: "op", doubt: 9 }),
+        line(1_400, "a", "request: request ended", { request: "r1", status: 200 }),
+    ];
+    const { beliefs } = explainRequest("r1", drill);
+    assert.deepEqual(beliefs.get("a")?.map(({ msg }) => msg), [
+        "process: store came back from a copy",
+        "process: table read after a copy",
+    ]);
+});
--- a/packages/cli/src/lib/explain/explainRequest.ts
+++ b/packages/cli/src/lib/explain/explainRequest.ts
@@ -9,7 +9,10 @@
 
 /** What the logs tell of one request. */
 export interface Explanation {
-    /** The lines that name the request, in the order of their time. */
+    /**
+     * The lines that name the request, and those that tell why requests like it, by their digest, are held back, in the order of their
+     * time.
+     */
     readonly story: readonly LogLine[];
     /** By process that handled the request: what it believed when the request ended there. */
     readonly beliefs: ReadonlyMap<string, readonly LogLine[]>;
@@ -22,6 +25,8 @@
     "configuration: configuration in force",
     "process: store lost",
     "process: store regained",
+    "process: store came back from a copy",
+    "process: table read after a copy",
     "process: stopping",
     "duty: duty taken",
     "duty: duty paused",
@@ -36,14 +41,24 @@
     "directory: target restarted",
 ];
 const eventWindow = 5_000;
+/** Sentences about all attempts of a request, which name it by its digest alone. */
+const digestMessages = [
+    "request: target crashed under a run",
+    "request: request is suspect",
+    "request: suspect request judged",
+];
 
 /** Collects what log lines tell of a request. */
 export function explainRequest(id: string, text: readonly string[]): Explanation {
     const parsed = text.filter(line => line.trim() !== "").map(parseLine);
     const lines = parsed.filter(line => line !== undefined).sort((a, b) => a.time - b.time);
-    const story = lines.filter(line => line["request"] === id);
+    const own = lines.filter(line => line["request"] === id);
+    const digests = new Set(own.flatMap(({ digest }) => typeof digest === "string" ? digest : []));
+    const isOfDigest = ({ digest, msg }: LogLine) =>
+        typeof digest === "string" && digests.has(digest) && digestMessages.includes(msg);
+    const story = lines.filter(line => line["request"] === id || isOfDigest(line));
     const beliefs = new Map<string, readonly LogLine[]>();
-    for (const { process, time } of story) {
+    for (const { process, time } of own) {
         beliefs.set(process, findBeliefs(lines.filter(line => line.process === process && line.time <= time), time));
     }
     return { story, beliefs, unreadable: parsed.length - lines.length };
