A request that used its runs up stays refused where its crashes were forgotten

Cause: found by reading: the crashes under a request may stand in no record (a crowd was cut off each time), so a gateway that started again, and knows the record alone, took a request with two retrials for free. Change: a record with a retrial and no excuse makes a request suspect. The list of crashes for heartbeats is ranked by totals that are looked up once each, not in each comparison.

--- a/packages/gateway/src/lib/crashes/CrashCounts.ts
+++ b/packages/gateway/src/lib/crashes/CrashCounts.ts
@@ -66,7 +66,8 @@
      * same ones, and of equal ones those that were seen last.
      */
     listSeen(): Record<string, number> {
-        const entries = [...this.seen.entries()].sort(([a], [b]) => this.of(b) - this.of(a));
-        return Object.fromEntries(entries);
+        const ranked = [...this.seen.entries()].map(([digest, count]) => ({ digest, count, rank: this.of(digest) }));
+        ranked.sort((a, b) => b.rank - a.rank);
+        return Object.fromEntries(ranked.map(({ digest, count }) => [digest, count]));
     }
 }
--- a/packages/gateway/src/lib/crashes/CrashGuard.test.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.test.ts
@@ -165,3 +165,11 @@
     assert.equal(records.get("a")?.crashes, 2);
     assert.equal(records.get("b")?.crashes, 1);
 });
+
+test("a request that used its runs up stays refused where its crashes were forgotten", async () => {
+    const { clock, store, records, guard } = createGuard();
+    store.put("a", { crashes: 0, retrials: 2, writtenAt: clock.now() });
+    records.start();
+    await clock.advanceAsync(50);
+    assert.equal(guard.standing("a"), "condemned");
+});
--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -171,7 +171,11 @@
         });
     }
 
+    /** One that was granted a run and not excused stays suspect, also where its crashes are forgotten. */
     private isSuspect(digest: string, record: CrashRecord | undefined): boolean {
+        if (record !== undefined && record.retrials > 0) {
+            return true;
+        }
         return this.crashesOf(digest, record) - (record?.excused ?? 0) >= crashesToSuspect;
     }
 
