Judgements on suspect requests log what they rest on, with its age; cut sends are told in one place

Cause: the line on a judgement gave a sum only, not whose word it was nor how old; both kinds of run built the same report of a cut send. Change: crashes seen here and told by others, retrials, and the age of the store's record; the report is built by the check that both runs share.

--- a/packages/gateway/src/lib/crashes/CrashCounts.ts
+++ b/packages/gateway/src/lib/crashes/CrashCounts.ts
@@ -58,7 +58,13 @@
 
     /** Crashes under the request, over all gateways. */
     of(digest: string): number {
-        return (this.seen.get(digest) ?? 0) + (this.told.get(digest) ?? 0);
+        const { seen, told } = this.parts(digest);
+        return seen + told;
+    }
+
+    /** How many of them were seen here, and told by others. */
+    parts(digest: string): { readonly seen: number; readonly told: number; } {
+        return { seen: this.seen.get(digest) ?? 0, told: this.told.get(digest) ?? 0 };
     }
 
     /**
--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -81,8 +81,9 @@
                 void records.addCrash(digest);
             }
             if (wasFree && this.standing(digest) !== "free") {
+                const { seen, told } = counts.parts(digest);
                 observation.logs.requests.warn(
-                    { request, digest, crashes: this.crashesOf(digest) },
+                    { request, digest, crashes: this.crashesOf(digest), seen, told },
                     "request is suspect",
                 );
             }
@@ -185,12 +186,18 @@
     }
 
     private log(digest: string, verdict: string): void {
-        const { records, observation } = this.options;
+        const { clock, counts, records, observation } = this.options;
+        const record = records.get(digest);
+        const { seen, told } = counts.parts(digest);
         observation.metrics.retrials.add({ result: verdict });
         observation.logs.requests.warn({
             digest,
             crashes: this.crashesOf(digest),
-            retrials: records.get(digest)?.retrials,
+            seen,
+            told,
+            retrials: record?.retrials,
+            excused: record?.excused,
+            recordAge: record === undefined ? undefined : clock.date().getTime() - record.writtenAt,
             verdict,
         }, "suspect request judged");
     }
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -53,9 +53,8 @@
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.crashCheck = new CrashCheck({
-            guard: context.crashes.guard,
-            digest: caller.digest,
-            isOver: () => caller.ended,
+            context,
+            caller,
             canSend: () => this.limits.mayBegin && this.picker.choose(this.tried) !== undefined,
         });
     }
@@ -175,7 +174,8 @@
         this.remove(attempt, "failed");
         this.note(attempt, reason);
         if (!neverSent) {
-            this.noteCut(attempt);
+            const { target, startedAt, repliedAt } = attempt;
+            this.crashCheck.noteCut({ target, startedAt, repliedAt });
         }
         if (this.caller.headSent) {
             this.finish();
@@ -185,19 +185,6 @@
         this.continueAfter(neverSent ? "neverSent" : "unknown");
     }
 
-    private noteCut({ target, startedAt, repliedAt }: Attempt): void {
-        const { clock, crashes } = this.context;
-        const { request, digest } = this.caller;
-        const now = clock.now();
-        crashes.watch.runCut({
-            request: request.id,
-            digest,
-            target,
-            after: now - startedAt,
-            replyAge: repliedAt === undefined ? undefined : now - repliedAt,
-        });
-    }
-
     /** Ends an attempt whose reply is of no use. */
     private abandon(attempt: Attempt, verdict: ExchangeVerdict, end: AttemptEnd, reason: string): void {
         attempt.exchange.cancel();
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -74,9 +74,8 @@
         this.lastEventAt = context.clock.now();
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.crashCheck = new CrashCheck({
-            guard: context.crashes.guard,
-            digest: caller.digest,
-            isOver: () => caller.ended,
+            context,
+            caller,
             canSend: () => this.limits.mayBegin && this.chooseChain() !== undefined,
         });
     }
@@ -269,24 +268,12 @@
     private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
         this.service.broke(attempt.load, neverSent);
         if (!neverSent) {
-            this.noteCut(attempt);
+            const { target, startedAt, firstEventAt } = attempt;
+            this.crashCheck.noteCut({ target, startedAt, repliedAt: firstEventAt });
         }
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
-    private noteCut({ target, startedAt, firstEventAt }: Attempt): void {
-        const { clock, crashes } = this.context;
-        const { request, digest } = this.caller;
-        const now = clock.now();
-        crashes.watch.runCut({
-            request: request.id,
-            digest,
-            target,
-            after: now - startedAt,
-            replyAge: firstEventAt === undefined ? undefined : now - firstEventAt,
-        });
-    }
-
     private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, mayReuse = false): void {
         this.release();
         this.failedChains.add(attempt.load.chain.key);
