A test of the engine gives each call a connection of its own

Traced now: its calls shared idle connections, and the server closes one that is idle for 6 s (5 s and a second of Node's own); a process that stands still for longer between two calls writes the next one on a connection that ends. Nothing was wrong with any body. Change: a dispatcher without shared connections; what is sent and checked is as before.

--- a/packages/engine/src/lib/engineFaults.test.ts
+++ b/packages/engine/src/lib/engineFaults.test.ts
@@ -5,7 +5,7 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import test, { type TestContext } from "node:test";
 import { setImmediate as settle } from "node:timers/promises";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { EngineServer } from "./EngineServer.js";
 import { FakeEngine } from "./FakeEngine.js";
 import { HttpEngine } from "./HttpEngine.js";
@@ -145,6 +145,10 @@
 
 test("a body that no engine sends is answered or cut off, and the server goes on", async t => {
     const { engine, port } = await serveFake(t);
+    // Each call has a connection of its own: when this process stands still for longer than the server keeps an idle connection, the
+    // next call on it would meet its end, whatever the body.
+    const dispatcher = new Agent({ pipelining: 0 });
+    t.after(() => dispatcher.close());
     const paths = ["info", "tokenize", "open", "close", "exportCache", "importCache", "load", "cacheEvents", "order"];
     const path = fc.constantFrom(...[...paths, "steps", "nothing"].map(name => `/engine/${name}`), "/");
     const anything = fc.anything({ withTypedArray: true, maxDepth: 3 }).map(value => pack(value));
@@ -154,18 +158,24 @@
             const { statusCode, body: answer } = await request(`http://127.0.0.1:${port}${target}`, {
                 method: "POST",
                 body,
+                dispatcher,
             });
             await answer.dump();
             assert.ok(statusCode === 200 || statusCode === 400);
         }),
         { numRuns: 300 },
     );
-    const tooLong = request(`http://127.0.0.1:${port}/engine/open`, { method: "POST", body: Buffer.alloc(5000) });
+    const tooLong = request(`http://127.0.0.1:${port}/engine/open`, {
+        method: "POST",
+        body: Buffer.alloc(5000),
+        dispatcher,
+    });
     await assert.rejects(tooLong);
     assert.ok((await engine.info()).isOk);
     const { statusCode } = await request(`http://127.0.0.1:${port}/engine/info`, {
         method: "POST",
         body: pack(undefined),
+        dispatcher,
     });
     assert.equal(statusCode, 200);
 });
