--- a/packages/claims/src/lib/TableClaims.test.ts
+++ b/packages/claims/src/lib/TableClaims.test.ts
@@ -45,6 +45,15 @@
     assert.ok((await claims.move(first, request("d"))).isErr);
 });
 
+test("a claim that was acknowledged and that a copy of the store lacks is not granted to another runner", async () => {
+    const { store, claims } = setUp();
+    const restore = store.saveCopy();
+    assert.ok((await claims.acquire(request("a"))).isOk);
+    restore();
+    const repeat = (await claims.acquire(request("b"))).unwrapOr(undefined);
+    assert.notEqual(repeat?.created, true);
+});
+
 test("nothing is granted while the store is down", async () => {
     const { store, claims } = setUp();
     store.faults.set({ down: true });
--- a/packages/gateway/src/lib/store/restoredStore.test.ts
+++ b/packages/gateway/src/lib/store/restoredStore.test.ts
@@ -86,3 +86,45 @@
     const after = site.calls - before;
     assert.ok(after < 2 * start, `${after} calls, ${start} at the start`);
 });
+
+/** Gateways that know the newest configuration, of those that live. */
+function upToDate({ gateways, newestVersion }: RestoringSite): readonly [number, number] {
+    const living = gateways.filter(({ group }) => !group.isDown);
+    return [
+        living.filter(({ configuration }) => configuration.current?.version === newestVersion).length,
+        living.length,
+    ];
+}
+
+test("all relays lost as the store comes back: the others learn of the copy and of what follows it", async () => {
+    const site = new RestoringSite({ seed: 2, dataCentres: 4, gatewaysEach: 5 });
+    await site.group.runAsync(6_000);
+    site.changeConfiguration();
+    site.drill();
+    await site.group.runAsync(3_000);
+    site.gateways.filter(({ group }) => group.exchange.isRelay).forEach(({ group }) => {
+        group.isDown = true;
+    });
+    site.changeConfiguration();
+    await site.group.runAsync(settleTime);
+    const [known, living] = upToDate(site);
+    assert.ok(living >= 8);
+    assert.equal(known, living);
+});
+
+test("a relay that is cut off stays in the old era: who hears it as well follows the new one", async () => {
+    const site = new RestoringSite({ seed: 3, dataCentres: 2, gatewaysEach: 6 });
+    await site.group.runAsync(6_000);
+    const relay = site.gateways.find(({ group }) => group.exchange.isRelay);
+    assert.ok(relay !== undefined);
+    relay.isCut = true;
+    site.drill();
+    await site.group.runAsync(6_000);
+    site.changeConfiguration();
+    await site.group.runAsync(4_000);
+    const [known, living] = upToDate(site);
+    assert.ok(known >= living - 1, `${known} of ${living}`);
+    relay.isCut = false;
+    await site.group.runAsync(settleTime);
+    assert.deepEqual(upToDate(site), [living, living]);
+});
--- a/packages/stores/src/lib/memory/MemoryTableStore.ts
+++ b/packages/stores/src/lib/memory/MemoryTableStore.ts
@@ -76,6 +76,24 @@
         });
     }
 
+    /**
+     * Comes back from a copy of itself, as a real service may after a loss: what was written since is gone, and its versions are given
+     * out again.
+     *
+     * @returns What goes back to the present rows.
+     */
+    saveCopy(): () => void {
+        const rows = new Map(this.rows);
+        const { version } = this;
+        return () => {
+            this.rows.clear();
+            rows.forEach((row, key) => this.rows.set(key, row));
+            this.commits.clear();
+            this.version = version;
+            this.sorted = undefined;
+        };
+    }
+
     private keysAfter(prefix: string, after: string, limit: number): string[] {
         const rows = this.readable();
         if (this.sorted?.rows !== rows) {
