Benches of entry and agent share how they start an entry and open a request

Cause: two benches started the same entry by the same lines, and one wrote a request out that another had a function for. Change: startBenchEntry; peers use benchOpen.

--- a/packages/agent/src/bench/peers.ts
+++ b/packages/agent/src/bench/peers.ts
@@ -1,6 +1,7 @@
 import { type Stage, TcpLinkPool } from "@waxwingspar/transport";
 import { assert } from "@waxwingspar/utils";
 import { benchCredentials, benchHello, benchLayers, startBenchAgent } from "./benchAgent.js";
+import { benchOpen } from "./DirectLink.js";
 import { InstantEngine } from "./InstantEngine.js";
 
 /** What the measured process tells the process of its peers. @internal */
@@ -52,23 +53,7 @@
         }
     });
     for (let index = 0; index < streams; index++) {
-        link.value.send({
-            type: "open",
-            request: `request-${index}`,
-            epoch: 0,
-            model: "demo",
-            version: "1",
-            organisation: "bench",
-            priority: 5,
-            timeLeft: 600_000,
-            firstTokenBound: 600_000,
-            prompt: "bench",
-            produced: [],
-            sampling: { maxTokens: tokens, stop: [] },
-            stages,
-            exporters: [],
-            credit: tokens,
-        });
+        link.value.send({ ...benchOpen(`request-${index}`, tokens), stages });
     }
 }
 
--- a/packages/entry/src/bench/entryProcess.ts
+++ b/packages/entry/src/bench/entryProcess.ts
@@ -3,12 +3,8 @@
  * router and real links.
  */
 import { resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
-import { createRetryBudgets, createRouter } from "@waxwingspar/policy";
 import { TcpLinkPool } from "@waxwingspar/transport";
-import { seededRandom, SystemClock } from "@waxwingspar/utils";
-import { pino } from "pino";
-import { Entry } from "../lib/Entry.js";
-import { FakeClaims } from "../lib/testing/FakeClaims.js";
+import { startBenchEntry } from "./startBenchEntry.js";
 
 /** What the bench tells this process at its start: the ports of the heads. */
 export interface EntryProcessOptions {
@@ -44,26 +40,13 @@
     return configuration;
 }
 
-async function start({ heads }: EntryProcessOptions): Promise<number> {
-    const clock = new SystemClock();
-    const random = seededRandom(1);
+function start({ heads }: EntryProcessOptions): Promise<number> {
     const hello = { type: "hello", protocol: 1, process: "entry", role: "entry", dataCentre: "dc1" } as const;
-    const entry = new Entry({
-        listen: { host: "127.0.0.1", port: 0 },
+    return startBenchEntry({
         links: new TcpLinkPool({ hello: { ...hello, incarnation: "bench" }, credentials: { insecure: true } }),
         configuration: createConfiguration(heads),
-        router: createRouter({ clock, random, entry: "entry", dataCentre: "dc1", region: "local" }),
-        retryBudgets: createRetryBudgets({ clock, random }),
-        claims: new FakeClaims(),
-        clock,
-        logger: pino({ level: "silent" }),
-        anonymousOrganisation: "bench",
+        dataCentre: "dc1",
     });
-    const address = await entry.start();
-    if (address.isErr) {
-        throw new Error(address.error.message);
-    }
-    return address.value.port;
 }
 
 process.once("message", (options: EntryProcessOptions) => {
--- a/packages/entry/src/bench/replyBench.ts
+++ b/packages/entry/src/bench/replyBench.ts
@@ -8,14 +8,12 @@
 import { Agent, lateMethods, type ServiceAddress } from "@waxwingspar/agent";
 import { resource, specSchemas, StaticConfiguration } from "@waxwingspar/config";
 import { FakeEngine } from "@waxwingspar/engine";
-import { createRetryBudgets, createRouter, createWorkQueue } from "@waxwingspar/policy";
+import { createWorkQueue } from "@waxwingspar/policy";
 import { type Hello, type Link, LinkServer, TcpLinkPool } from "@waxwingspar/transport";
-import { seededRandom, SystemClock } from "@waxwingspar/utils";
+import { SystemClock } from "@waxwingspar/utils";
 import { get, type IncomingMessage, ServerResponse } from "node:http";
 import { cpus, loadavg } from "node:os";
-import { pino } from "pino";
-import { Entry } from "../lib/Entry.js";
-import { FakeClaims } from "../lib/testing/FakeClaims.js";
+import { startBenchEntry } from "./startBenchEntry.js";
 
 const answerBytes = 64 * 1024 * 1024;
 const pieceBytes = 65_536;
@@ -128,8 +126,7 @@
     return address.value.port;
 }
 
-async function startEntry(agentPort: number): Promise<number> {
-    const random = seededRandom(1);
+function startEntry(agentPort: number): Promise<number> {
     const target = { host: "127.0.0.1", port: agentPort, dataCentre: "d1", service: "records", slots: 8 };
     const configuration = new StaticConfiguration();
     configuration.set([
@@ -139,22 +136,7 @@
     ]);
     const links = new TcpLinkPool({ hello: hello("entry", "entry"), credentials });
     links.onOpen(watchEntryLink);
-    const entry = new Entry({
-        listen: { host: "127.0.0.1", port: 0 },
-        links,
-        configuration,
-        router: createRouter({ clock, random, entry: "entry", dataCentre: "d1", region: "local" }),
-        retryBudgets: createRetryBudgets({ clock, random }),
-        claims: new FakeClaims(),
-        clock,
-        logger: pino({ level: "silent" }),
-        anonymousOrganisation: "bench",
-    });
-    const address = await entry.start();
-    if (address.isErr) {
-        throw new Error(address.error.message);
-    }
-    return address.value.port;
+    return startBenchEntry({ links, configuration, dataCentre: "d1" });
 }
 
 /** Reads an answer, with pauses if the caller is slow. Gives the bytes that came before the end or the cut. */
