--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -32,10 +32,7 @@
 const crashesToSuspect = 3;
 /** Young runs that a crash cuts off here up to which each may well be its cause. */
 const fewRuns = 6;
-/**
- * Milliseconds of a reply after which its run has gone well: a request that crashes targets does so soon after it begins to run,
- * within a tenth of a second as far as was seen.
- */
+/** Milliseconds of a reply after which its run has gone well: a request that crashes targets does so soon after it begins to run. */
 export const settleTime = 300;
 /** Milliseconds for which a suspect waits for its turn: callers abandon a stream that is silent for two seconds. */
 const turnPatience = 1_500;
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -69,14 +69,15 @@
     maxAttempts: 3,
     isPublic: false,
 };
-/** Milliseconds after a crash at which the entry of a target is gone, and its next start is listed. */
+/** Milliseconds after a crash at which the entry of the target is gone. */
 const lapse = 3_600;
+/** Bounds of the milliseconds after which its next start is listed. */
 const restart = { least: 4_000, most: 6_000 };
 /** A caller tries again once. */
 const attempts = 2;
 /** Milliseconds between the visits of the caller of a culprit, in bursts. */
 const culpritPause = { least: 100, most: 3_000 };
-/** Chains of each data centre. */
+/** Targets of the one chain that each data centre has. */
 const targetsOfChain = 2;
 const layersEach = 40;
 
