Logs tell who ended a run, on what evidence, and how late the process itself was

Cause: the logs could not tell the hypotheses of the incident of closed streams apart. Change: 'attempt failed' says whether the target or the gateway ended the run, how old the last event on the chain was, and how late this process's timers ran in the last second; the latter also stands in 'chain stalled' and 'target avoided'. Each answer that the gateway ends though a target may have begun it is told in one line with its cause and counted (waxwingspar_gateway_answers_given_up_total). No decision changed. Conclusion: a loss by suspicion can be told from a loss of the target, at the time and afterwards.

--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -3,6 +3,7 @@
 import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
+import { LoopDelay } from "../observation/LoopDelay.js";
 import { type Observation } from "../observation/Observation.js";
 import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
@@ -16,6 +17,14 @@
     leaveChain(reason: string): void;
 }
 
+/** What a chain is judged by at some moment, in milliseconds. */
+export interface ChainEvidence {
+    /** Since the last event of any stream on it. */
+    readonly chainSilence: number;
+    /** How late the timers of this process ran of late. */
+    readonly loopDelay: number;
+}
+
 /** Options of {@link ChainService}. */
 export interface ChainServiceOptions {
     readonly clock: Clock;
@@ -77,6 +86,7 @@
     private readonly router: ChainRouter;
     private readonly users = new Map<ChainLoad, Set<ChainUser>>();
     private readonly inspector: TargetInspector;
+    private readonly loop: LoopDelay;
     private readonly surveyedAt = new WeakMap<ChainLoad, number>();
     private checkedAt: number;
     private checkedRevision = -1;
@@ -89,7 +99,8 @@
             ...options,
             onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
         });
-        this.inspector = new TargetInspector(options);
+        this.loop = new LoopDelay(options.clock);
+        this.inspector = new TargetInspector({ ...options, loop: this.loop });
         this.checkedAt = options.clock.now();
         this.scheduleCheck();
     }
@@ -120,6 +131,14 @@
         return this.router.headLoads();
     }
 
+    /** What is known of a chain now, for the logs. */
+    evidence({ lastEventAt }: ChainLoad): ChainEvidence {
+        return {
+            chainSilence: Math.round(this.options.clock.now() - lastEventAt),
+            loopDelay: Math.round(this.loop.recent),
+        };
+    }
+
     target(id: string): Target | undefined {
         return this.options.directory.get(id);
     }
@@ -206,12 +225,16 @@
     }
 
     private scheduleCheck(): void {
-        this.options.clock.schedule(() => {
+        const { clock } = this.options;
+        const delay = this.nextCheck();
+        const due = clock.now() + delay;
+        clock.schedule(() => {
             if (!this.isStopped) {
+                this.loop.note(due);
                 this.checkStalls();
                 this.scheduleCheck();
             }
-        }, this.nextCheck());
+        }, delay);
     }
 
     /** Milliseconds until a chain can have been silent for long enough, if no event comes meanwhile. */
@@ -267,6 +290,7 @@
         this.options.observation.logs.chains.warn({
             chain: load.chain.dataCentre,
             silence: Math.round(now - load.lastEventAt),
+            loopDelay: Math.round(this.loop.recent),
             streams: load.streaming,
             requests: load.inFlight,
         }, "chain stalled");
--- a/packages/gateway/src/lib/chains/TargetInspector.test.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { LoopDelay } from "../observation/LoopDelay.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs, testTarget, wellReport } from "../testing/fixtures.js";
 import { type EngineReport } from "./EngineControl.js";
@@ -35,6 +36,7 @@
             },
             place: () => Promise.resolve({ kind: "begun" }),
         },
+        loop: new LoopDelay(clock),
         observation: {
             logs: silentLogs(),
             metrics: new GatewayMetrics(new MetricRegistry(clock)),
--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -2,6 +2,7 @@
 import { addressOf } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { allMechanisms, type MechanismSwitch } from "../Mechanisms.js";
+import { type LoopDelay } from "../observation/LoopDelay.js";
 import { type Observation } from "../observation/Observation.js";
 import { type EngineControl, type EngineReport } from "./EngineControl.js";
 import { Penalties, type Penalty } from "./Penalties.js";
@@ -15,6 +16,7 @@
     readonly suspicions: TargetSuspicions;
     readonly paces: TargetPaces;
     readonly engines: EngineControl;
+    readonly loop: LoopDelay;
     readonly isOn?: MechanismSwitch;
     readonly observation: Observation;
 }
@@ -187,7 +189,7 @@
         const duration = isOn("penalties") ? this.penalties.add(id, penalty) : penalty.duration;
         this.options.suspicions.suspect(id, kind, duration);
         this.options.observation.logs.chains.warn(
-            { target: id, kind, reason: penalty.reason, duration },
+            { target: id, kind, reason: penalty.reason, duration, loopDelay: Math.round(this.options.loop.recent) },
             "target avoided",
         );
     }
--- /dev/null
+++ b/packages/gateway/src/lib/observation/LoopDelay.test.ts
@@ -0,0 +1,25 @@
+import { ManualClock } from "@waxwingspar/utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LoopDelay } from "./LoopDelay.js";
+
+test("loop delay: the longest of the last second counts", () => {
+    const clock = new ManualClock(1_000);
+    const loop = new LoopDelay(clock);
+    assert.equal(loop.recent, 0);
+    assert.equal(loop.note(960), 40);
+    clock.advance(500);
+    assert.equal(loop.note(1_495), 5);
+    assert.equal(loop.recent, 40);
+    clock.advance(600);
+    assert.equal(loop.recent, 5);
+    clock.advance(600);
+    assert.equal(loop.recent, 0);
+});
+
+test("loop delay: a timer that runs early is not late", () => {
+    const clock = new ManualClock(1_000);
+    const loop = new LoopDelay(clock);
+    assert.equal(loop.note(1_002), 0);
+    assert.equal(loop.recent, 0);
+});
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -27,6 +27,7 @@
     readonly deliveredPause: Histogram;
     readonly deliveryWait: Histogram;
     readonly slowLinks: Counter;
+    readonly answersGivenUp: Counter;
     readonly crashedRuns: Counter;
     readonly retrials: Counter;
 
@@ -83,6 +84,10 @@
             name: "waxwingspar_gateway_slow_links_total",
             help: "Times that this host's own link was found to hold answers up.",
         });
+        this.answersGivenUp = registry.counter({
+            name: "waxwingspar_gateway_answers_given_up_total",
+            help: "Answers that a target may have begun and that this process ended, by kind of route and cause.",
+        });
         this.crashedRuns = registry.counter({
             name: "waxwingspar_gateway_crashed_runs_total",
             help: "Runs of requests that were cut off because their target crashed.",
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -6,6 +6,7 @@
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { CrashCheck } from "./CrashCheck.js";
+import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 
@@ -15,8 +16,6 @@
 const hedgeShare = 0.8;
 /** Statuses by which callers understand that a request has not run. Only a target's explicit word may say so. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
-/** Timers may fire a little before the clock shows their time, in milliseconds. */
-const timerSlack = 2;
 /** Milliseconds after which a caller may come back when targets refuse. */
 const retryAfter = 100;
 const serverErrors = 500;
@@ -244,10 +243,9 @@
         const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ exchange }) => !exchange.neverSent);
         this.finish();
         if (mayRun) {
-            this.caller.refuse(
-                this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded,
-                reason,
-            );
+            const isLate = isPastDeadline(this.caller);
+            noteGivenUp(this.context, this.caller, isLate ? "deadline" : "target", { reason });
+            this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
             return;
         }
         this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -8,12 +8,11 @@
 import { type CallerExchange } from "./CallerExchange.js";
 import { CrashCheck } from "./CrashCheck.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 import { resumedPriority } from "./resumedPriority.js";
 
-/** Timers may fire a little before the clock shows their time, in milliseconds. */
-const timerSlack = 2;
 /** Milliseconds after which a caller may come back when chains have no room: some requests end in that time. */
 const fullRetryAfter = 400;
 /** Milliseconds after which a caller may come back when no chain is whole: a lost range is loaded anew in 1.2 to 1.6 s. */
@@ -31,6 +30,15 @@
 const firstSuccess = 200;
 const firstRedirect = 300;
 
+/** Whether a target ended a run of a request, or the gateway gave it up. */
+type AttemptEnder = "target" | "gateway";
+
+interface AttemptEndOptions {
+    /** Whether the chain may be used again if no other is left. */
+    readonly mayReuse?: boolean;
+    readonly endedBy?: AttemptEnder;
+}
+
 interface Attempt {
     readonly load: ChainLoad;
     /** The first target of its chain. */
@@ -62,6 +70,8 @@
     private resumeTimer: Timer | undefined;
     private lastEventId: string | undefined;
     private events = 0;
+    /** Set while its last run was given up on a suspicion, so that nobody knows whether it would have gone on. */
+    private leftLivingRun = false;
     private deadlineTimer: Timer | undefined;
     private firstEventTimer: Timer | undefined;
 
@@ -98,7 +108,7 @@
         const mayMove = this.mayRepeat(end) && this.limits.mayReplaceSend;
         if (mayMove && this.service.chooseWell(this.triedChains(attempt)) !== undefined) {
             attempt.exchange.cancel();
-            this.attemptEnded(attempt, end, reason);
+            this.attemptEnded(attempt, end, reason, { endedBy: "gateway" });
         }
     }
 
@@ -271,22 +281,24 @@
             const { target, startedAt, firstEventAt } = attempt;
             this.crashCheck.noteCut({ target, startedAt, repliedAt: firstEventAt });
         }
-        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
+        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, { mayReuse: !neverSent });
     }
 
-    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, mayReuse = false): void {
+    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, options: AttemptEndOptions = {}): void {
+        const { mayReuse = false, endedBy = "target" } = options;
         this.release();
         this.failedChains.add(attempt.load.chain.key);
         if (!mayReuse) {
             this.deadChains.add(attempt.load.chain.key);
         }
-        this.note(attempt, reason);
+        this.note(attempt, reason, endedBy);
         if (attempt.isPlain) {
             this.finish();
             this.caller.breakOff(reason);
             return;
         }
         this.limits.end(end);
+        this.leftLivingRun = endedBy === "gateway" || (this.leftLivingRun && end !== "unknown");
         if (this.mayRepeat(end)) {
             this.send();
             return;
@@ -335,16 +347,19 @@
 
     private giveUp(reason: string): void {
         const mayRun = this.limits.mayHaveRun || this.attempt?.exchange.neverSent === false;
+        const isLate = isPastDeadline(this.caller);
+        if (mayRun) {
+            const cause = isLate ? "deadline" : this.leftLivingRun ? "suspicion" : "target";
+            const silence = Math.round(this.context.clock.now() - this.lastEventAt);
+            noteGivenUp(this.context, this.caller, cause, { reason, events: this.events, silence });
+        }
         this.finish();
         if (!mayRun) {
             const retryAfter = this.service.choose(noChains) === undefined ? brokenRetryAfter : fullRetryAfter;
             this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
             return;
         }
-        this.caller.refuse(
-            this.caller.timeLeft > timerSlack ? requestCodes.outcomeUnknown : requestCodes.deadlineExceeded,
-            reason,
-        );
+        this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
     }
 
     private finish(): void {
@@ -366,13 +381,15 @@
         }
     }
 
-    private note(attempt: Attempt, reason: string): void {
+    private note(attempt: Attempt, reason: string, endedBy: AttemptEnder): void {
         this.context.observation.logs.requests.warn({
             request: this.caller.request.id,
             digest: this.caller.digest,
             chain: attempt.load.chain.dataCentre,
             head: attempt.load.chain.hops[0]?.targetId,
             reason,
+            endedBy,
+            ...this.service.evidence(attempt.load),
             events: this.events,
             silence: Math.round(this.context.clock.now() - this.lastEventAt),
             after: Math.round(this.context.clock.now() - attempt.startedAt),
