--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -1,23 +1,9 @@
-import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Random, seededRandom } from "@waxwingspar/utils";
-import { type IncomingMessage } from "node:http";
-import { ChainService } from "../chains/ChainService.js";
-import { TargetPaces } from "../chains/TargetPaces.js";
-import { TargetSuspicions } from "../chains/TargetSuspicions.js";
-import { type Route } from "../configuration/Configuration.js";
-import { CrashParts } from "../crashes/CrashParts.js";
-import { TargetDirectory } from "../directory/TargetDirectory.js";
-import { allMechanisms } from "../Mechanisms.js";
-import { GatewayMetrics } from "../observation/Observation.js";
-import { CallerExchange } from "../requests/CallerExchange.js";
-import { LinkWatch } from "../requests/LinkWatch.js";
-import { type WireFormat } from "../requests/messages.js";
-import { RepeatBudget } from "../requests/RepeatBudget.js";
-import { type RequestContext } from "../requests/RequestContext.js";
-import { StreamRun } from "../requests/StreamRun.js";
-import { silentLogs, testEngine, testTarget, wellReport } from "./fixtures.js";
-import { SimulatedAnswer } from "./SimulatedAnswer.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { testTarget } from "./fixtures.js";
+import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
+import { SimulatedRouter } from "./SimulatedRouter.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 import { WatchedTable } from "./WatchedTable.js";
 
@@ -49,26 +35,11 @@
 
 interface SiteGateway {
     readonly group: SimulatedGateway;
-    readonly context: RequestContext;
-    readonly chains: ChainService;
-    readonly directory: TargetDirectory;
+    readonly router: SimulatedRouter;
     /** Answers that callers wait for. */
     readonly answers: Set<SimulatedAnswer>;
 }
 
-const route: Route = {
-    name: "chat",
-    hostname: "a.example",
-    pathPrefix: "/",
-    kind: "stream",
-    isResumable: true,
-    shares: [{ service: "model", weight: 1 }],
-    timeout: 20_000,
-    latencyTarget: 500,
-    priority: 1,
-    maxAttempts: 3,
-    isPublic: false,
-};
 /** Milliseconds after a crash at which the entry of the target is gone. */
 const lapse = 3_600;
 /** Bounds of the milliseconds after which its next start is listed. */
@@ -81,20 +52,6 @@
 const targetsOfChain = 2;
 const layersEach = 40;
 
-/** Nothing on the wire is of interest here. */
-const wire: WireFormat = {
-    readCallerRequest: () => {
-        throw new Error("not used");
-    },
-    writeDispatchHeaders: () => [],
-    readReplyHead: () => ({
-        requestId: undefined,
-        isSigned: true,
-        neverExecuted: false,
-        faultyAddress: undefined,
-    }),
-};
-
 /**
  * Gateways with the modules that decide where requests are sent, over targets that crash under certain requests and come back
  * some seconds later. Callers come to any gateway, and once more when they are not served; those of the culprits for ever.
@@ -159,68 +116,30 @@
         });
     }
 
-    private kill({ group, chains, answers }: SiteGateway): void {
+    private kill({ group, router, answers }: SiteGateway): void {
         group.isDown = true;
-        chains.stop();
+        router.chains.stop();
         answers.forEach(answer => answer.breakConnection());
     }
 
     private createGateway(group: SimulatedGateway): SiteGateway {
-        const { clock } = this.group;
-        const suspicions = new TargetSuspicions(clock);
-        const observation = { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
-        const directory: TargetDirectory = new TargetDirectory({
-            clock,
-            onChange: change => crashes.guard.noteTarget(change),
-        });
-        const crashes = new CrashParts({
-            clock,
-            store: this.store,
-            directory,
-            refusesConnections: ({ port }) => Promise.resolve(this.isDown(port)),
-            observation,
-        });
-        crashes.records.start();
-        const chains = new ChainService({
-            clock,
-            service: "model",
+        const router = new SimulatedRouter({
+            clock: this.group.clock,
             dataCentre: group.dataCentre,
-            engine: testEngine,
-            directory,
-            suspicions,
-            paces: new TargetPaces(clock),
+            store: this.store,
+            targetAt: port => this.targetAt(port),
             peerLoad: headId => group.exchange.others.chainLoads[headId] ?? 0,
-            engines: {
-                fetchReport: ({ port }) => Promise.resolve(this.isDown(port) ? undefined : wellReport),
-                place: () => Promise.resolve({ kind: "held" }),
-            },
-            observation,
+            gateways: () => group.size.value,
         });
+        const { chains, crashes, directory, suspicions } = router;
         group.hear(others => crashes.counts.hear(others.crashes));
         group.tell(() => ({
             crashes: crashes.counts.listSeen(),
             chainLoads: Object.fromEntries(chains.headLoads()),
             suspects: suspicions.listLost(),
         }));
-        const context: RequestContext = {
-            clock,
-            wire,
-            observation,
-            budget: new RepeatBudget({
-                clock,
-                window: 10_000,
-                share: 0.2,
-                reserve: 202,
-                gateways: () => group.size.value,
-            }),
-            connectTimeout: 450,
-            crashes,
-            openExchange: exchange => this.targetAt(exchange.port).open(exchange),
-            isOn: allMechanisms,
-            targetListAge: () => directory.age,
-        };
         this.targets.forEach(({ target, isDown }) => isDown ? undefined : directory.put(target));
-        return { group, context, chains, directory, answers: new Set() };
+        return { group, router, answers: new Set() };
     }
 
     private startTarget(dataCentre: string, port: number, half: number): void {
@@ -247,7 +166,7 @@
     }
 
     private eachDirectory(change: (directory: TargetDirectory) => void): void {
-        this.gateways.forEach(({ directory }) => change(directory));
+        this.gateways.forEach(({ router }) => change(router.directory));
     }
 
     private targetAt(port: number): SimulatedTarget {
@@ -258,10 +177,6 @@
         return found;
     }
 
-    private isDown(port: number): boolean {
-        return this.targetAt(port).isDown;
-    }
-
     private nextRequest(): void {
         if (this.isOver || this.options.load === 0) {
             return;
@@ -307,7 +222,7 @@
         if (gateway === undefined) {
             return;
         }
-        const answer = this.start(gateway, body);
+        const answer = gateway.router.start(body);
         gateway.answers.add(answer);
         answer.whenOver(() => {
             gateway.answers.delete(answer);
@@ -323,34 +238,6 @@
         });
     }
 
-    private start({ context, chains }: SiteGateway, body: string): SimulatedAnswer {
-        const { clock } = this.group;
-        const answer = new SimulatedAnswer();
-        const incoming = { method: "POST", url: "/chat", headers: { host: "a.example" }, rawHeaders: [] };
-        const caller = new CallerExchange({
-            clock,
-            incoming: incoming as unknown as IncomingMessage,
-            response: answer.response,
-            request: {
-                id: undefined,
-                timeLeft: 20_000,
-                key: undefined,
-                lastEventId: undefined,
-                tokens: undefined,
-                answerLengthHint: undefined,
-            },
-            route,
-            organisation: undefined,
-            arrivedAt: clock.now(),
-            body: Buffer.from(body),
-            observation: context.observation,
-            link: new LinkWatch({ clock, observation: context.observation }),
-            configurationVersion: 1,
-        });
-        new StreamRun(context, caller, chains).start();
-        return answer;
-    }
-
     private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
         return least + Math.floor(this.random.next() * (most - least));
     }
--- /dev/null
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -0,0 +1,146 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
+import { type Clock } from "@waxwingspar/utils";
+import { type IncomingMessage } from "node:http";
+import { ChainService } from "../chains/ChainService.js";
+import { TargetPaces } from "../chains/TargetPaces.js";
+import { TargetSuspicions } from "../chains/TargetSuspicions.js";
+import { type Route } from "../configuration/Configuration.js";
+import { CrashParts } from "../crashes/CrashParts.js";
+import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanisms } from "../Mechanisms.js";
+import { GatewayMetrics } from "../observation/Observation.js";
+import { CallerExchange } from "../requests/CallerExchange.js";
+import { LinkWatch } from "../requests/LinkWatch.js";
+import { type WireFormat } from "../requests/messages.js";
+import { RepeatBudget } from "../requests/RepeatBudget.js";
+import { type RequestContext } from "../requests/RequestContext.js";
+import { StreamRun } from "../requests/StreamRun.js";
+import { type Store } from "../store/Store.js";
+import { silentLogs, testEngine, wellReport } from "./fixtures.js";
+import { SimulatedAnswer } from "./SimulatedAnswer.js";
+import { refusalStatus, type SimulatedTarget } from "./SimulatedTarget.js";
+
+/** Options of {@link SimulatedRouter}. */
+export interface SimulatedRouterOptions {
+    readonly clock: Clock;
+    readonly dataCentre: string;
+    readonly store: Store;
+    readonly targetAt: (port: number) => SimulatedTarget;
+    /** Requests of other gateways in flight on chains that begin at a target. */
+    readonly peerLoad?: (headId: string) => number;
+    /** How many gateways share the reserve of the retry budget. */
+    readonly gateways?: () => number;
+    /** Repeats that all gateways together may send in ten seconds, beyond a fifth of their requests. */
+    readonly retryReserve?: number;
+}
+
+/** A route for streams that may go on over another chain. */
+export const streamRoute: Route = {
+    name: "chat",
+    hostname: "a.example",
+    pathPrefix: "/",
+    kind: "stream",
+    isResumable: true,
+    shares: [{ service: "model", weight: 1 }],
+    timeout: 20_000,
+    latencyTarget: 500,
+    priority: 1,
+    maxAttempts: 3,
+    isPublic: false,
+};
+
+/** Only refusals matter on the wire here. */
+const wire: WireFormat = {
+    readCallerRequest: () => {
+        throw new Error("not used");
+    },
+    writeDispatchHeaders: () => [],
+    readReplyHead: status => ({
+        requestId: undefined,
+        isSigned: true,
+        neverExecuted: status === refusalStatus,
+        faultyAddress: undefined,
+    }),
+};
+
+/** The modules of one gateway that decide where streams are sent, over simulated targets. */
+export class SimulatedRouter {
+    readonly directory: TargetDirectory;
+    readonly suspicions: TargetSuspicions;
+    readonly crashes: CrashParts;
+    readonly chains: ChainService;
+    readonly context: RequestContext;
+    readonly metrics: GatewayMetrics;
+
+    constructor(private readonly options: SimulatedRouterOptions) {
+        const { clock, dataCentre, store, targetAt, peerLoad = () => 0, gateways = () => 1, retryReserve } = options;
+        this.metrics = new GatewayMetrics(new MetricRegistry(clock));
+        const observation = { logs: silentLogs(), metrics: this.metrics };
+        this.suspicions = new TargetSuspicions(clock);
+        this.directory = new TargetDirectory({ clock, onChange: change => this.crashes.guard.noteTarget(change) });
+        this.crashes = new CrashParts({
+            clock,
+            store,
+            directory: this.directory,
+            refusesConnections: ({ port }) => Promise.resolve(targetAt(port).isDown),
+            observation,
+        });
+        this.crashes.records.start();
+        this.chains = new ChainService({
+            clock,
+            service: "model",
+            dataCentre,
+            engine: testEngine,
+            directory: this.directory,
+            suspicions: this.suspicions,
+            paces: new TargetPaces(clock),
+            peerLoad,
+            engines: {
+                fetchReport: ({ port }) => Promise.resolve(targetAt(port).givesReports ? wellReport : undefined),
+                place: () => Promise.resolve({ kind: "held" }),
+            },
+            observation,
+        });
+        this.context = {
+            clock,
+            wire,
+            observation,
+            budget: new RepeatBudget({ clock, window: 10_000, share: 0.2, reserve: retryReserve ?? 202, gateways }),
+            connectTimeout: 450,
+            crashes: this.crashes,
+            openExchange: exchange => targetAt(exchange.port).open(exchange),
+            isOn: allMechanisms,
+            targetListAge: () => this.directory.age,
+        };
+    }
+
+    /** Takes a caller's request. */
+    start(body: string, route = streamRoute): SimulatedAnswer {
+        const { clock } = this.options;
+        const { observation } = this.context;
+        const answer = new SimulatedAnswer();
+        const incoming = { method: "POST", url: "/chat", headers: { host: "a.example" }, rawHeaders: [] };
+        const caller = new CallerExchange({
+            clock,
+            incoming: incoming as unknown as IncomingMessage,
+            response: answer.response,
+            request: {
+                id: undefined,
+                timeLeft: route.timeout,
+                key: undefined,
+                lastEventId: undefined,
+                tokens: undefined,
+                answerLengthHint: undefined,
+            },
+            route,
+            organisation: undefined,
+            arrivedAt: clock.now(),
+            body: Buffer.from(body),
+            observation,
+            link: new LinkWatch({ clock, observation }),
+            configurationVersion: 1,
+        });
+        new StreamRun(this.context, caller, this.chains).start();
+        return answer;
+    }
+}
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -27,11 +27,19 @@
 /** Bounds of the milliseconds from there to the crash. */
 const crashTime = { least: 30, most: 100 };
 const eventInterval = 24;
-const events = 40;
+/** Events of a whole answer. */
+export const simulatedEvents = 40;
+/** The status by which a target refuses a request that it has not run. */
+export const refusalStatus = 503;
 
 /** A target on the injected clock that streams events, and crashes soon after it begins to run certain requests. */
 export class SimulatedTarget {
     isDown = false;
+    /** It turns new requests away. */
+    isRefusing = false;
+    /** It gives no reports, though it may run requests. */
+    isMute = false;
+    private silentUntil = -Infinity;
     private readonly runs = new Set<Run>();
 
     constructor(private readonly options: SimulatedTargetOptions) {}
@@ -40,6 +48,16 @@
         return this.options.target;
     }
 
+    /** Whether it answers when it is asked for a report. */
+    get givesReports(): boolean {
+        return !this.isDown && !this.isMute;
+    }
+
+    /** Says nothing more on any stream for some milliseconds, and then goes on. */
+    fallSilent(duration: number): void {
+        this.silentUntil = this.options.clock.now() + duration;
+    }
+
     /** Takes a request, like the constructor of a real exchange. */
     open({ body, listener }: ExchangeOptions): OpenExchange {
         const { clock, onArrival } = this.options;
@@ -52,6 +70,10 @@
             }
             isSent = true;
             onArrival(run.body);
+            if (this.isRefusing) {
+                listener.onHead({ statusCode: refusalStatus, headers: {}, rawHeaders: [] });
+                return;
+            }
             this.runs.add(run);
             run.timer = clock.schedule(() => this.begin(run), this.draw(wait));
         }, delay);
@@ -84,12 +106,28 @@
             run.timer = clock.schedule(() => this.crash(run.body), this.draw(crashTime));
             return;
         }
+        if (this.isSilent) {
+            this.postpone(run, () => this.begin(run));
+            return;
+        }
         run.listener.onHead({ statusCode: 200, headers: {}, rawHeaders: [] });
         this.sendEvent(run, 0);
     }
 
+    private get isSilent(): boolean {
+        return this.options.clock.now() < this.silentUntil;
+    }
+
+    private postpone(run: Run, action: () => void): void {
+        run.timer = this.options.clock.schedule(action, this.silentUntil - this.options.clock.now());
+    }
+
     private sendEvent(run: Run, id: number): void {
-        if (id >= events) {
+        if (this.isSilent) {
+            this.postpone(run, () => this.sendEvent(run, id));
+            return;
+        }
+        if (id >= simulatedEvents) {
             this.runs.delete(run);
             run.listener.onEnd();
             return;
--- /dev/null
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -0,0 +1,104 @@
+import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
+import { testTarget } from "./fixtures.js";
+import { type SimulatedAnswer } from "./SimulatedAnswer.js";
+import { SimulatedRouter, streamRoute } from "./SimulatedRouter.js";
+import { simulatedEvents, SimulatedTarget } from "./SimulatedTarget.js";
+import { WatchedTable } from "./WatchedTable.js";
+
+/** Options of {@link StreamSite}. */
+export interface StreamSiteOptions {
+    readonly seed?: number;
+    /** Chains of four targets, each in a data centre of its own. */
+    readonly chains?: number;
+    /** Targets that a request may be sent to. */
+    readonly maxAttempts?: number;
+    /** Repeats that the retry budget allows beyond a fifth of the requests. */
+    readonly retryReserve?: number;
+}
+
+const targetsOfChain = 4;
+const layersEach = 20;
+
+/** One gateway over chains of targets that may fall silent or refuse but never crash, on a manual clock. */
+export class StreamSite {
+    readonly clock = new ManualClock(1_000_000);
+    readonly random: Random;
+    /** The first target of each chain; that of the gateway's own data centre comes first. */
+    readonly heads: SimulatedTarget[] = [];
+    readonly answers: SimulatedAnswer[] = [];
+    readonly router: SimulatedRouter;
+    private readonly byPort = new Map<number, SimulatedTarget>();
+    private readonly maxAttempts: number;
+
+    constructor({ seed = 1, chains = 2, maxAttempts = 2, retryReserve }: StreamSiteOptions = {}) {
+        this.random = seededRandom(seed);
+        this.maxAttempts = maxAttempts;
+        this.router = new SimulatedRouter({
+            clock: this.clock,
+            dataCentre: "dc-0",
+            store: new WatchedTable(this.clock),
+            targetAt: port => this.targetAt(port),
+            retryReserve,
+        });
+        for (let chain = 0; chain < chains; chain++) {
+            this.heads.push(this.addTarget(chain, 0));
+            for (let part = 1; part < targetsOfChain; part++) {
+                this.addTarget(chain, part);
+            }
+        }
+    }
+
+    get targets(): SimulatedTarget[] {
+        return [...this.byPort.values()];
+    }
+
+    /** A caller asks for a stream. */
+    open(): void {
+        const route = { ...streamRoute, maxAttempts: this.maxAttempts };
+        this.answers.push(this.router.start(`question ${this.answers.length}`, route));
+    }
+
+    /** Answers that ended without all events, though they were begun or may have run. */
+    get cutOff(): SimulatedAnswer[] {
+        return this.answers.filter(answer => !isServed(answer) && !isRefusedAsNotRun(answer));
+    }
+
+    get served(): SimulatedAnswer[] {
+        return this.answers.filter(isServed);
+    }
+
+    private addTarget(chain: number, part: number): SimulatedTarget {
+        const layers = { first: part * layersEach, end: (part + 1) * layersEach };
+        const target = testTarget(`t${chain * targetsOfChain + part}`, "large", layers, `dc-${chain}`);
+        const simulated = new SimulatedTarget({
+            clock: this.clock,
+            random: this.random,
+            target,
+            crashesUnder: () => false,
+            onArrival: () => undefined,
+            onCrash: () => undefined,
+        });
+        this.byPort.set(target.port, simulated);
+        this.router.directory.put(target);
+        return simulated;
+    }
+
+    private targetAt(port: number): SimulatedTarget {
+        const target = this.byPort.get(port);
+        if (target === undefined) {
+            throw new Error(`no target at port ${port}`);
+        }
+        return target;
+    }
+}
+
+const wholeBody = Array.from({ length: simulatedEvents }, (_, id) => `id: ${id}\ndata: x\n\n`).join("");
+
+/** Every event came, once and in order. */
+function isServed({ statusCode, isWhole, body }: SimulatedAnswer): boolean {
+    return statusCode === 200 && isWhole && body === wholeBody;
+}
+
+function isRefusedAsNotRun({ statusCode, hasRetryAfter }: SimulatedAnswer): boolean {
+    return statusCode === 503 && hasRetryAfter;
+}
