A stream's run ends only when the one that replaces it has brought an event

What callers saw: the connection of a streamed answer closed in the middle, with seconds of its time left, while the target that ran it was sound and went on; before the first event an error for a request that was about to be served. Cause: a run was closed on a suspicion (a silent chain, a target without a report, a late first event), and only then sent elsewhere. When the second send was refused, the attempts of the route were used up and nothing was left. Change: a suspected run stays. The request is sent over another chain beside it; the first of both to bring an event that the caller lacks goes on, the other one is closed. A run that cannot have reached its target is still moved at once. What may run only once, what is suspected of crashing targets, and a run that is silent because its caller does not read, get no second run. One send over a chain is a module of its own. Why it works: no answer is ended while a run of it lives, but at its deadline or by its caller.

--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -93,7 +93,7 @@
 function beginStreams({ service, load }: Pick<ReturnType<typeof createService>, "service" | "load">): string[] {
     const left: string[] = [];
     ["a", "b"].forEach(() => {
-        service.begin(load, { leaveChain: reason => void left.push(reason) });
+        service.begin(load, { leaveChain: (_load, reason) => void left.push(reason) });
         service.firstEvent(load);
     });
     service.event(load);
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -12,9 +12,10 @@
 import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
 
-/** A request on a chain, which can be told to leave it. */
+/** A request on chains, which can be told that one of them seems to fail. */
 export interface ChainUser {
-    leaveChain(reason: string): void;
+    /** Goes on over another chain, if the request can and that one does. */
+    leaveChain(load: ChainLoad, reason: string): void;
 }
 
 /** What a chain is judged by at some moment, in milliseconds. */
@@ -334,7 +335,7 @@
     }
 
     private leave(load: ChainLoad, reason: string): void {
-        [...this.users.get(load) ?? []].forEach(user => user.leaveChain(reason));
+        [...this.users.get(load) ?? []].forEach(user => user.leaveChain(load, reason));
     }
 
     /** Milliseconds without an event of any stream of a chain after which its targets are looked at. */
--- /dev/null
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -0,0 +1,151 @@
+import { type Timer } from "@waxwingspar/utils";
+import { type ChainLoad } from "../chains/ChainRouter.js";
+import { type ChainService, type ChainUser } from "../chains/ChainService.js";
+import { type Target } from "../directory/Target.js";
+import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
+import { type CallerExchange } from "./CallerExchange.js";
+import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { openExchange } from "./openExchange.js";
+import { type RequestContext } from "./RequestContext.js";
+
+/** What an attempt tells the request that it is one of. `onEnd` or `onFailure` comes last, and only one of them. */
+export interface ChainAttemptListener extends ChainUser {
+    onHead(attempt: ChainAttempt, response: ReplyMessage): void;
+    onData(attempt: ChainAttempt, chunk: Buffer): void;
+    onEnd(attempt: ChainAttempt): void;
+    onFailure(attempt: ChainAttempt, failure: ExchangeFailure): void;
+    /** It has taken several times its latency target, and no event has come. */
+    onLateFirstEvent(attempt: ChainAttempt): void;
+}
+
+/** Options of {@link ChainAttempt}. */
+export interface ChainAttemptOptions {
+    readonly context: RequestContext;
+    readonly caller: CallerExchange;
+    readonly service: ChainService;
+    readonly load: ChainLoad;
+    /** The first target of the chain. */
+    readonly target: Target;
+    /** The last event that the caller has. */
+    readonly lastEventId: string | undefined;
+    /** 0 is the most urgent; undefined for what targets assume by themselves. */
+    readonly priority: number | undefined;
+    readonly listener: ChainAttemptListener;
+}
+
+/** How long the first event may take, against its latency target, before another chain is tried. */
+const firstEventPatience = 3;
+
+/** One send of a streamed request over a chain of targets, from its beginning until it has ended or is given up. */
+export class ChainAttempt {
+    readonly startedAt: number;
+    /** Set for a reply that is no stream, which is passed on whole. */
+    isPlain = false;
+    response: ReplyMessage | undefined;
+    private readonly exchange: OpenExchange;
+    private readonly splitter = new EventSplitter();
+    private readonly firstEventTimer: Timer;
+    private firstEventTime: number | undefined;
+    private lastEventTime: number | undefined;
+    private paused = false;
+    private isClosed = false;
+
+    constructor(private readonly options: ChainAttemptOptions) {
+        const { context, caller, service, load, target, lastEventId, priority, listener } = options;
+        this.startedAt = context.clock.now();
+        this.exchange = openExchange({
+            context,
+            caller,
+            target,
+            chain: load.chain.hops,
+            lastEventId,
+            priority,
+            listener: {
+                onHead: response => {
+                    this.response = response;
+                    listener.onHead(this, response);
+                },
+                onData: chunk => listener.onData(this, chunk),
+                onEnd: () => listener.onEnd(this),
+                onFailure: failure => listener.onFailure(this, failure),
+            },
+        });
+        service.begin(load, listener);
+        this.firstEventTimer = context.clock.schedule(
+            () => listener.onLateFirstEvent(this),
+            caller.route.latencyTarget * firstEventPatience,
+        );
+    }
+
+    get load(): ChainLoad {
+        return this.options.load;
+    }
+
+    get target(): Target {
+        return this.options.target;
+    }
+
+    /** True while nothing can have reached the target. */
+    get neverSent(): boolean {
+        return this.exchange.neverSent;
+    }
+
+    /** True while nothing is read from the target, because the caller does not keep up. */
+    get isPaused(): boolean {
+        return this.paused;
+    }
+
+    /** When its first event came, on the clock; undefined before. */
+    get firstEventAt(): number | undefined {
+        return this.firstEventTime;
+    }
+
+    get hasPartialEvent(): boolean {
+        return this.splitter.hasPartialEvent;
+    }
+
+    /** Takes bytes of the reply. @returns The events that they complete. */
+    take(chunk: Buffer): StreamEvent[] {
+        const events = this.splitter.push(chunk);
+        if (events.length > 0) {
+            this.noteEvents();
+        }
+        return events;
+    }
+
+    pause(): void {
+        this.paused = true;
+        this.exchange.pause();
+    }
+
+    resume(): void {
+        this.paused = false;
+        this.exchange.resume();
+    }
+
+    /** Ends it, if it has not ended, and gives back what it holds of its chain. */
+    close(): void {
+        if (this.isClosed) {
+            return;
+        }
+        this.isClosed = true;
+        const { context, service, load, listener } = this.options;
+        this.firstEventTimer.cancel();
+        this.exchange.cancel();
+        service.end(load, listener, this.firstEventTime !== undefined);
+        context.observation.metrics.sends.add({ result: "stream" });
+    }
+
+    private noteEvents(): void {
+        const { context, service, load } = this.options;
+        const now = context.clock.now();
+        const interval = this.lastEventTime === undefined ? undefined : now - this.lastEventTime;
+        if (interval === undefined) {
+            this.firstEventTimer.cancel();
+            service.firstEvent(load);
+        }
+        this.firstEventTime ??= now;
+        this.lastEventTime = now;
+        service.event(load, interval);
+    }
+}
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -2,14 +2,13 @@
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { type HoldBack, settleTime } from "../crashes/CrashGuard.js";
-import { type Target } from "../directory/Target.js";
-import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
+import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
+import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
 import { CrashCheck } from "./CrashCheck.js";
-import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { type StreamEvent } from "./EventSplitter.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
-import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 import { resumedPriority } from "./resumedPriority.js";
 
@@ -24,8 +23,6 @@
  * seconds. A lost range has a chain round it, or is loaded anew, within 0.4 to 1.6 s.
  */
 const resumePatience = 1_800;
-/** How long the first event may take, against its latency target, before another chain is tried. */
-const firstEventPatience = 3;
 const noChains: ReadonlySet<string> = new Set();
 const firstSuccess = 200;
 const firstRedirect = 300;
@@ -33,33 +30,16 @@
 /** Whether a target ended a run of a request, or the gateway gave it up. */
 type AttemptEnder = "target" | "gateway";
 
-interface AttemptEndOptions {
-    /** Whether the chain may be used again if no other is left. */
-    readonly mayReuse?: boolean;
-    readonly endedBy?: AttemptEnder;
-}
-
-interface Attempt {
-    readonly load: ChainLoad;
-    /** The first target of its chain. */
-    readonly target: Target;
-    readonly exchange: OpenExchange;
-    readonly startedAt: number;
-    readonly splitter: EventSplitter;
-    /** Set for a reply that is no stream, which is passed on whole. */
-    isPlain: boolean;
-    response?: ReplyMessage;
-    /** When its first and its last event came, on the clock; undefined before the first. */
-    firstEventAt: number | undefined;
-    lastEventAt: number | undefined;
-}
-
 /**
- * Runs one streamed request over a chain of targets. A stream that breaks off or stalls goes on over another chain after
- * the last event that the caller has, where its route allows that; the caller sees one stream.
+ * Runs one streamed request over a chain of targets. A stream that breaks off goes on over another chain after the last event that
+ * the caller has, where its route allows that; the caller sees one stream.
+ *
+ * A run whose chain is only suspected stays until the one beside it has brought an event that the caller lacks: when the second send is
+ * refused, nothing is lost, and a target that was merely slow goes on.
  */
-export class StreamRun {
-    private attempt: Attempt | undefined;
+export class StreamRun implements ChainAttemptListener {
+    /** Runs that may still bring events: one, or a suspected one and the one that is to replace it. */
+    private readonly attempts = new Set<ChainAttempt>();
     /** Chains that failed the request in any way. */
     private readonly failedChains = new Set<string>();
     /** Those of them that would fail it again; one that merely lost a connection may be used if no other is left. */
@@ -70,10 +50,7 @@
     private resumeTimer: Timer | undefined;
     private lastEventId: string | undefined;
     private events = 0;
-    /** Set while its last run was given up on a suspicion, so that nobody knows whether it would have gone on. */
-    private leftLivingRun = false;
     private deadlineTimer: Timer | undefined;
-    private firstEventTimer: Timer | undefined;
 
     constructor(
         private readonly context: RequestContext,
@@ -93,27 +70,107 @@
     start(): void {
         this.context.budget.request();
         this.caller.onGone(() => this.finish());
+        this.caller.onDrain(() => this.attempts.forEach(attempt => attempt.resume()));
         const delay = Math.max(0, this.caller.timeLeft);
         this.deadlineTimer = this.context.clock.schedule(() => this.giveUp("time is up"), delay);
         this.send();
     }
 
-    /** Leaves a chain whose requests have stalled, if the request can go on elsewhere; else the chain may yet recover. */
-    leaveChain(reason: string): void {
-        const { attempt } = this;
-        if (attempt === undefined) {
+    leaveChain(load: ChainLoad, reason: string): void {
+        const attempt = [...this.attempts].find(running => running.load === load);
+        if (attempt !== undefined) {
+            this.suspect(attempt, reason);
+        }
+    }
+
+    onHead(attempt: ChainAttempt, response: ReplyMessage): void {
+        const status = response.statusCode ?? 0;
+        const head = this.context.wire.readReplyHead(status, response.headers);
+        if (head.neverExecuted) {
+            this.service.refused(attempt.load, status, head.faultyAddress);
+            this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
+        }
+        else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
+            this.attemptEnded(attempt, "unknown", `reply ${status} is not this request's`);
+        }
+        else if (status < firstSuccess || status >= firstRedirect) {
+            this.receiveFailedReply(attempt, status);
+        }
+    }
+
+    onData(attempt: ChainAttempt, chunk: Buffer): void {
+        if (attempt.isPlain) {
+            this.pass(attempt, chunk);
             return;
         }
-        const end = attempt.exchange.neverSent ? "neverSent" : "unknown";
-        const mayMove = this.mayRepeat(end) && this.limits.mayReplaceSend;
-        if (mayMove && this.service.chooseWell(this.triedChains(attempt)) !== undefined) {
-            attempt.exchange.cancel();
-            this.attemptEnded(attempt, end, reason, { endedBy: "gateway" });
+        const fresh = attempt.take(chunk).filter(event => this.isNew(event));
+        const { firstEventAt } = attempt;
+        if (firstEventAt !== undefined && this.context.clock.now() - firstEventAt >= settleTime) {
+            this.crashCheck.noteWell();
+        }
+        if (fresh.length === 0) {
+            return;
+        }
+        this.keepOnly(attempt);
+        this.writeHeadOnce(attempt);
+        this.events += fresh.length;
+        this.lastEventAt = this.context.clock.now();
+        this.lastEventId = fresh.at(-1)?.id ?? this.lastEventId;
+        this.pass(
+            attempt,
+            fresh.length === 1 && fresh[0] !== undefined
+                ? fresh[0].bytes
+                : Buffer.concat(fresh.map(({ bytes }) => bytes)),
+        );
+    }
+
+    onEnd(attempt: ChainAttempt): void {
+        if (attempt.hasPartialEvent) {
+            this.attemptEnded(attempt, "unknown", "ended within an event");
+            return;
+        }
+        this.writeHeadOnce(attempt);
+        this.crashCheck.noteWell();
+        this.finish();
+        this.caller.end(`served ${this.events} events`);
+    }
+
+    onFailure(attempt: ChainAttempt, { neverSent, reason }: ExchangeFailure): void {
+        this.service.broke(attempt.load, neverSent);
+        if (!neverSent) {
+            const { target, startedAt, firstEventAt } = attempt;
+            this.crashCheck.noteCut({ target, startedAt, repliedAt: firstEventAt });
+        }
+        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
+    }
+
+    onLateFirstEvent(attempt: ChainAttempt): void {
+        if (this.service.chooseWithRoom(this.excluding(this.failedChains)) !== undefined) {
+            this.suspect(attempt, "no first event");
+        }
+    }
+
+    /** Sends the request over another chain as well, if that is allowed and one is there. */
+    private suspect(attempt: ChainAttempt, reason: string): void {
+        if (this.service.chooseWell(this.excluding(this.failedChains)) === undefined) {
+            return;
+        }
+        if (attempt.neverSent) {
+            attempt.close();
+            this.attemptEnded(attempt, "neverSent", reason, false, "gateway");
+        }
+        else if (this.mayReplace(attempt)) {
+            this.note(attempt, reason, "attempt suspected");
+            this.send();
         }
     }
 
-    private triedChains({ load }: Attempt): ReadonlySet<string> {
-        return new Set([...this.failedChains, load.chain.key]);
+    /** A request that is suspected of crashing its targets runs at one of them at a time. */
+    private mayReplace(attempt: ChainAttempt): boolean {
+        const isAlone = this.attempts.size === 1 && !attempt.isPlain && !attempt.isPaused;
+        const canContinue = this.events === 0 || this.lastEventId !== undefined;
+        return isAlone && canContinue && this.mayRepeat("unknown") && this.limits.mayReplaceSend
+            && this.crashCheck.isFree;
     }
 
     private get mayResume(): boolean {
@@ -125,79 +182,48 @@
         this.crashCheck.pass(() => this.sendNow(), why => this.holdBack(why));
     }
 
+    /** Sends the request, beside a run that is suspected or, without one, for good or ill. */
     private sendNow(): void {
+        const isBeside = this.attempts.size > 0;
         const load = this.chooseChain();
-        const head = load?.chain.hops[0];
-        const target = head === undefined ? undefined : this.service.target(head.targetId);
-        if (load === undefined || head === undefined || target === undefined) {
-            this.waitOrGiveUp("no chain is left");
+        const target = load === undefined ? undefined : this.service.target(load.chain.hops[0]?.targetId ?? "");
+        if (load === undefined || target === undefined) {
+            if (!isBeside) {
+                this.waitOrGiveUp("no chain is left");
+            }
             return;
         }
         if (!this.limits.begin()) {
-            this.giveUp("retry budget is used up");
+            if (!isBeside) {
+                this.giveUp("retry budget is used up");
+            }
             return;
         }
-        const { context, caller } = this;
-        const attempt: Attempt = {
-            load,
-            target,
-            startedAt: context.clock.now(),
-            splitter: new EventSplitter(),
-            isPlain: false,
-            firstEventAt: undefined,
-            lastEventAt: undefined,
-            exchange: openExchange({
-                context,
-                caller,
-                target,
-                chain: load.chain.hops,
-                lastEventId: this.lastEventId,
-                priority: this.events > 0
-                    ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
-                    : undefined,
-                listener: {
-                    onHead: response => this.receiveHead(attempt, response),
-                    onData: chunk => this.receiveData(attempt, chunk),
-                    onEnd: () => this.receiveEnd(attempt),
-                    onFailure: failure => this.exchangeFailed(attempt, failure),
-                },
-            }),
-        };
-        this.attempt = attempt;
-        this.service.begin(load, this);
-        caller.onDrain(() => attempt.exchange.resume());
-        this.watchFirstEvent(attempt);
+        const { context, caller, service, lastEventId } = this;
+        const priority = this.events > 0
+            ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
+            : undefined;
+        this.attempts.add(
+            new ChainAttempt({ context, caller, service, load, target, lastEventId, priority, listener: this }),
+        );
     }
 
     private chooseChain(): ChainLoad | undefined {
-        const { service, failedChains, deadChains } = this;
-        return this.limits.isRepeat
-            ? service.chooseToResume(failedChains) ?? service.chooseToResume(deadChains)
-            : service.choose(failedChains) ?? service.choose(deadChains);
+        const { service, limits } = this;
+        const [failed, dead] = [this.excluding(this.failedChains), this.excluding(this.deadChains)];
+        return limits.isRepeat
+            ? service.chooseToResume(failed) ?? service.chooseToResume(dead)
+            : service.choose(failed) ?? service.choose(dead);
     }
 
-    private receiveHead(attempt: Attempt, response: ReplyMessage): void {
-        attempt.response = response;
-        const status = response.statusCode ?? 0;
-        const head = this.context.wire.readReplyHead(status, response.headers);
-        if (head.neverExecuted) {
-            this.service.refused(attempt.load, status, head.faultyAddress);
-            attempt.exchange.cancel();
-            this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
-        }
-        else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
-            attempt.exchange.cancel();
-            this.attemptEnded(attempt, "unknown", `reply ${status} is not this request's`);
-        }
-        else if (status < firstSuccess || status >= firstRedirect) {
-            this.receiveFailedReply(attempt, status);
-        }
+    /** The chains and those that the request runs on now. */
+    private excluding(chains: ReadonlySet<string>): ReadonlySet<string> {
+        return new Set([...chains, ...[...this.attempts].map(({ load }) => load.chain.key)]);
     }
 
     /** The target says itself that it failed: repeated where allowed, else passed on. */
-    private receiveFailedReply(attempt: Attempt, status: number): void {
-        if (this.caller.headSent || this.mayRepeat("unknown")) {
-            attempt.exchange.cancel();
+    private receiveFailedReply(attempt: ChainAttempt, status: number): void {
+        if (this.caller.headSent || this.attempts.size > 1 || this.mayRepeat("unknown")) {
             this.attemptEnded(attempt, "unknown", `target's own status ${status}`);
             return;
         }
@@ -205,45 +231,9 @@
         this.caller.writeHead(status, attempt.response?.rawHeaders ?? []);
     }
 
-    private receiveData(attempt: Attempt, chunk: Buffer): void {
-        if (attempt.isPlain) {
-            this.pass(attempt, chunk);
-            return;
-        }
-        const events = attempt.splitter.push(chunk);
-        const fresh = events.filter(event => this.isNew(event));
-        if (events.length > 0) {
-            this.noteEvents(attempt);
-        }
-        if (fresh.length === 0) {
-            return;
-        }
+    private writeHeadOnce({ response }: ChainAttempt): void {
         if (!this.caller.headSent) {
-            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
-        }
-        this.events += fresh.length;
-        this.lastEventAt = this.context.clock.now();
-        this.lastEventId = fresh.at(-1)?.id ?? this.lastEventId;
-        this.pass(
-            attempt,
-            fresh.length === 1 && fresh[0] !== undefined
-                ? fresh[0].bytes
-                : Buffer.concat(fresh.map(({ bytes }) => bytes)),
-        );
-    }
-
-    private noteEvents(attempt: Attempt): void {
-        const now = this.context.clock.now();
-        const interval = attempt.lastEventAt === undefined ? undefined : now - attempt.lastEventAt;
-        if (interval === undefined) {
-            this.firstEventTimer?.cancel();
-            this.service.firstEvent(attempt.load);
-        }
-        attempt.firstEventAt ??= now;
-        attempt.lastEventAt = now;
-        this.service.event(attempt.load, interval);
-        if (now - attempt.firstEventAt >= settleTime) {
-            this.crashCheck.noteWell();
+            this.caller.writeHead(response?.statusCode ?? 0, response?.rawHeaders ?? []);
         }
     }
 
@@ -256,54 +246,51 @@
         return Number.isNaN(number) || Number.isNaN(last) || number > last;
     }
 
-    private pass(attempt: Attempt, bytes: Buffer): void {
-        if (!this.caller.write(bytes)) {
-            attempt.exchange.pause();
-        }
-    }
-
-    private receiveEnd(attempt: Attempt): void {
-        if (attempt.splitter.hasPartialEvent) {
-            this.attemptEnded(attempt, "unknown", "ended within an event");
-            return;
-        }
-        if (!this.caller.headSent) {
-            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
+    /** One of two runs goes on, so the other one is not needed. */
+    private keepOnly(kept: ChainAttempt): void {
+        for (const other of this.attempts) {
+            if (other !== kept) {
+                const end = other.neverSent ? "neverSent" : "unknown";
+                this.note(other, `goes on over ${kept.load.chain.dataCentre}`, "attempt not needed");
+                this.remove(other);
+                this.limits.end(end);
+            }
         }
-        this.crashCheck.noteWell();
-        this.finish();
-        this.caller.end(`served ${this.events} events`);
     }
 
-    private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
-        this.service.broke(attempt.load, neverSent);
-        if (!neverSent) {
-            const { target, startedAt, firstEventAt } = attempt;
-            this.crashCheck.noteCut({ target, startedAt, repliedAt: firstEventAt });
+    private pass(attempt: ChainAttempt, bytes: Buffer): void {
+        if (!this.caller.write(bytes)) {
+            attempt.pause();
         }
-        this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, { mayReuse: !neverSent });
     }
 
-    private attemptEnded(attempt: Attempt, end: AttemptEnd, reason: string, options: AttemptEndOptions = {}): void {
-        const { mayReuse = false, endedBy = "target" } = options;
-        this.release();
+    private attemptEnded(
+        attempt: ChainAttempt,
+        end: AttemptEnd,
+        reason: string,
+        mayReuse = false,
+        endedBy: AttemptEnder = "target",
+    ): void {
+        this.remove(attempt);
         this.failedChains.add(attempt.load.chain.key);
         if (!mayReuse) {
             this.deadChains.add(attempt.load.chain.key);
         }
-        this.note(attempt, reason, endedBy);
+        this.note(attempt, reason, "attempt failed", endedBy);
+        this.limits.end(end);
         if (attempt.isPlain) {
             this.finish();
             this.caller.breakOff(reason);
+        }
+        else if (this.attempts.size > 0) {
             return;
         }
-        this.limits.end(end);
-        this.leftLivingRun = endedBy === "gateway" || (this.leftLivingRun && end !== "unknown");
-        if (this.mayRepeat(end)) {
+        else if (this.mayRepeat(end)) {
             this.send();
-            return;
         }
-        this.giveUp(reason);
+        else {
+            this.giveUp(reason);
+        }
     }
 
     private mayRepeat(end: AttemptEnd): boolean {
@@ -325,16 +312,6 @@
         this.resumeTimer = clock.schedule(() => this.send(), resumeInterval);
     }
 
-    private watchFirstEvent(attempt: Attempt): void {
-        this.firstEventTimer?.cancel();
-        const delay = this.caller.route.latencyTarget * firstEventPatience;
-        this.firstEventTimer = this.context.clock.schedule(() => {
-            if (this.attempt === attempt && this.service.chooseWithRoom(this.triedChains(attempt)) !== undefined) {
-                this.leaveChain("no first event");
-            }
-        }, delay);
-    }
-
     /** Targets crashed under the request, so it is not sent again. */
     private holdBack({ reason, retryAfter }: HoldBack): void {
         if (this.limits.mayHaveRun || this.caller.headSent) {
@@ -346,10 +323,10 @@
     }
 
     private giveUp(reason: string): void {
-        const mayRun = this.limits.mayHaveRun || this.attempt?.exchange.neverSent === false;
+        const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ neverSent }) => !neverSent);
         const isLate = isPastDeadline(this.caller);
         if (mayRun) {
-            const cause = isLate ? "deadline" : this.leftLivingRun ? "suspicion" : "target";
+            const cause = isLate ? "deadline" : this.attempts.size > 0 ? "suspicion" : "target";
             const silence = Math.round(this.context.clock.now() - this.lastEventAt);
             noteGivenUp(this.context, this.caller, cause, { reason, events: this.events, silence });
         }
@@ -365,34 +342,31 @@
     private finish(): void {
         this.deadlineTimer?.cancel();
         this.resumeTimer?.cancel();
-        this.attempt?.exchange.cancel();
-        this.release();
+        this.attempts.forEach(attempt => this.remove(attempt));
+        this.crashCheck.end();
     }
 
-    /** Gives back what the attempt holds of its chain. */
-    private release(): void {
-        this.firstEventTimer?.cancel();
-        this.crashCheck.end();
-        const { attempt } = this;
-        if (attempt !== undefined) {
-            this.attempt = undefined;
-            this.service.end(attempt.load, this, attempt.lastEventAt !== undefined);
-            this.context.observation.metrics.sends.add({ result: "stream" });
+    private remove(attempt: ChainAttempt): void {
+        attempt.close();
+        this.attempts.delete(attempt);
+        if (this.attempts.size === 0) {
+            this.crashCheck.end();
         }
     }
 
-    private note(attempt: Attempt, reason: string, endedBy: AttemptEnder): void {
+    private note(attempt: ChainAttempt, reason: string, message: string, endedBy?: AttemptEnder): void {
+        const now = this.context.clock.now();
         this.context.observation.logs.requests.warn({
             request: this.caller.request.id,
             digest: this.caller.digest,
             chain: attempt.load.chain.dataCentre,
-            head: attempt.load.chain.hops[0]?.targetId,
+            head: attempt.target.id,
             reason,
             endedBy,
             ...this.service.evidence(attempt.load),
             events: this.events,
-            silence: Math.round(this.context.clock.now() - this.lastEventAt),
-            after: Math.round(this.context.clock.now() - attempt.startedAt),
-        }, "attempt failed");
+            silence: Math.round(now - this.lastEventAt),
+            after: Math.round(now - attempt.startedAt),
+        }, message);
     }
 }
--- a/packages/gateway/src/lib/requests/runningStreams.test.ts
+++ b/packages/gateway/src/lib/requests/runningStreams.test.ts
@@ -4,7 +4,13 @@
 
 /**
  * Callers of streamed requests saw their connections close in the middle of an answer, around a change of the configuration, while the
- * target that ran them was sound and went on.
+ * target that ran them was sound and went on. The order of events: the streams of a chain pause together; the gateway takes their target
+ * for lost, closes their runs and sends them to the next chain; that one turns some away, so their attempts are used up and the
+ * callers are cut off, with nearly all of their time left.
+ *
+ * Cause: a run that might still go on was ended on a suspicion, before another one had been accepted. Evidence: 22 of 24 streams of this
+ * site were cut off with one run each, none while the other chain took them; on a played day 24 requests were logged as left by the
+ * gateway itself, then refused elsewhere, then broken off.
  */
 
 const streams = 24;
@@ -39,6 +45,16 @@
     }
 });
 
+test("requests whose first event comes a second late end whole while other chains refuse", async () => {
+    const site = new StreamSite();
+    site.heads[0]?.fallSilent(2_600);
+    site.open();
+    await site.clock.advanceAsync(fifteenEvents);
+    site.heads.slice(1).forEach(head => head.isRefusing = true);
+    await site.clock.advanceAsync(untilDeadline);
+    assert.equal(site.cutOff.length, 0, "cut off");
+});
+
 const seeds = Array.from({ length: 30 }, (_, index) => index + 1);
 /** Bounds of the milliseconds between two troubles, and of how long one lasts. */
 const troublePause = { least: 20, most: 400 };
@@ -47,13 +63,18 @@
 const headShare = 0.7;
 const arrivalPause = { least: 5, most: 60 };
 const loadTime = 8_000;
+/** Answers of a seed that come whole, so that the check is not of requests that were all refused. */
+const usualServed = 100;
 
 function draw({ random }: StreamSite, { least, most }: { readonly least: number; readonly most: number; }): number {
     return least + Math.floor(random.next() * (most - least));
 }
 
 /** Some target falls silent, gives no reports or refuses for a while; none ever ends a stream. */
-function nextTrouble(site: StreamSite): void {
+function nextTrouble(site: StreamSite, end: number): void {
+    if (site.clock.now() >= end) {
+        return;
+    }
     const candidates = site.random.next() < headShare ? site.heads : site.targets;
     const target = candidates[Math.floor(site.random.next() * candidates.length)];
     const kind = Math.floor(site.random.next() * 3);
@@ -66,7 +87,7 @@
         target[flag] = true;
         site.clock.schedule(() => target[flag] = false, length);
     }
-    site.clock.schedule(() => nextTrouble(site), draw(site, troublePause));
+    site.clock.schedule(() => nextTrouble(site, end), draw(site, troublePause));
 }
 
 function nextArrival(site: StreamSite, end: number): void {
@@ -77,6 +98,7 @@
 }
 
 test("an answer whose target goes on is never ended by the gateway", async () => {
+    let served = 0;
     for (const seed of seeds) {
         const site = new StreamSite({
             seed,
@@ -84,10 +106,12 @@
             maxAttempts: 1 + seed % 3,
             retryReserve: (seed % 5) * 4,
         });
-        nextTrouble(site);
-        nextArrival(site, site.clock.now() + loadTime);
+        const end = site.clock.now() + loadTime;
+        nextTrouble(site, end);
+        nextArrival(site, end);
         await site.clock.advanceAsync(loadTime + untilDeadline);
-        assert.ok(site.served.length > 0, `seed ${seed}`);
+        served += site.served.length;
         assert.equal(site.cutOff.length, 0, `seed ${seed}: ${site.cutOff.length} of ${site.answers.length} cut off`);
     }
+    assert.ok(served > seeds.length * usualServed, `${served} served`);
 });
