A process that stood still does not take its own delay for the silence of targets

What callers saw: streams left sound chains, and their prompts were read again elsewhere, where chains were full already. Cause: limits of time (15 ms for the last reports of a look, 300 ms for a report, 450 ms for a connection) run out before input is read. Why it works: what has come is read before it is called missing. Before: three new tests fail. After: they pass.

--- a/packages/gateway/src/lib/chains/TargetInspector.test.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -15,7 +15,19 @@
 
 /** Targets of whom the named ones never answer; the others do after `delay` milliseconds. */
 function createInspector(silent: readonly string[], delay = 10) {
-    const clock = new ManualClock();
+    const manual = new ManualClock();
+    let stoodStill = 0;
+    const clock = {
+        now: () => manual.now() + stoodStill,
+        date: () => manual.date(),
+        schedule: (callback: () => void, delay: number) => manual.schedule(callback, delay),
+        advanceAsync: (duration: number) => manual.advanceAsync(duration, 1),
+    };
+    /** Lets time pass in which this process neither runs timers nor reads. */
+    const stand = (duration: number) => {
+        stoodStill += duration;
+    };
+    const loop = new LoopDelay(clock);
     const directory = new TargetDirectory({ clock });
     ids.forEach(id => directory.put(testTarget(id, "small")));
     const suspicions = new TargetSuspicions(clock);
@@ -36,13 +48,13 @@
             },
             place: () => Promise.resolve({ kind: "begun" }),
         },
-        loop: new LoopDelay(clock),
+        loop,
         observation: {
             logs: silentLogs(),
             metrics: new GatewayMetrics(new MetricRegistry(clock)),
         },
     });
-    return { clock, suspicions, reports, inspector };
+    return { clock, stand, loop, suspicions, reports, inspector };
 }
 
 test("a target that is silent while the others answer is avoided at once", async () => {
@@ -110,3 +122,31 @@
     await clock.advanceAsync(3_900);
     assert.equal(suspicions.isLost("t2"), true);
 });
+
+/**
+ * A host with little processor time read a large configuration and stood still for some moments. It took the reports that had come
+ * meanwhile for missing, since limits of time run out before input is read, and avoided targets that all its peers used.
+ */
+test("a report that came while this process stood still is not late", async () => {
+    const { clock, stand, suspicions, inspector } = createInspector(["t4", "t5"], 10);
+    let found: string[] | undefined;
+    void inspector.survey(ids).then(silent => found = silent);
+    await clock.advanceAsync(12);
+    stand(14);
+    await clock.advanceAsync(16);
+    assert.equal(found, undefined);
+    assert.deepEqual(suspicions.list(), []);
+    await clock.advanceAsync(20);
+    assert.deepEqual(found, ["t4", "t5"]);
+});
+
+test("a report that is missing after this process stood still says nothing", async () => {
+    const { clock, stand, loop, suspicions, inspector } = createInspector(ids);
+    void inspector.survey(ids);
+    await clock.advanceAsync(50);
+    const due = clock.now();
+    stand(150);
+    loop.note(due);
+    await clock.advanceAsync(300);
+    assert.deepEqual(suspicions.list(), []);
+});
--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -31,6 +31,13 @@
 /** Milliseconds that the others get then. Chosen: a report takes 3 to 10 ms (reckoned from
  * the links' delays), and a lost packet takes longer to come again. */
 const stragglerDelay = 15;
+/**
+ * Milliseconds for which this process may have stood still in that time; after more, they get it again. Timers run before what has
+ * come meanwhile is read, so it would take its own delay for the target's.
+ */
+const stragglerStandstill = 5;
+/** The same for a whole report: a packet that was lost comes again within what is left of its time. */
+const reportStandstill = 100;
 /** Milliseconds before the end of an avoidance at which the next look begins, so that it ends in time. */
 const reinspectLead = 400;
 
@@ -96,16 +103,31 @@
                 }
                 else if (!isTimed && waiting.size <= ids.length * (1 - promptShare)) {
                     isTimed = true;
-                    this.options.clock.schedule(() => {
+                    this.waitForStragglers(waiting, () => {
                         waiting.forEach(late => this.avoid(late, "busy", straggling));
                         resolve([...silentIds, ...waiting]);
-                    }, stragglerDelay);
+                    });
                 }
             };
             ids.forEach(id => void this.inspect(id).then(verdict => answered(id, verdict)));
         });
     }
 
+    /** Calls back when the others have had their time, and what came in it has been read. */
+    private waitForStragglers(waiting: ReadonlySet<string>, onLate: () => void): void {
+        const { clock, loop } = this.options;
+        const due = clock.now() + stragglerDelay;
+        clock.schedule(() => {
+            const stoodStill = loop.note(due) > stragglerStandstill;
+            if (stoodStill && waiting.size > 0) {
+                this.waitForStragglers(waiting, onLate);
+                return;
+            }
+            // The next timer runs after another turn of the loop, in which input is read.
+            clock.schedule(onLate, 0);
+        }, stragglerDelay);
+    }
+
     private inspect(id: string): Promise<Verdict> {
         return this.look(id, report => this.blameOthers(report));
     }
@@ -140,13 +162,21 @@
     }
 
     private async fetchAndJudge(id: string, judge: (report: EngineReport) => Verdict): Promise<Verdict> {
-        const { clock, directory, engines } = this.options;
+        const { clock, directory, engines, loop } = this.options;
         const target = directory.get(id);
+        const askedAt = clock.now();
         const report = target === undefined ? undefined : await engines.fetchReport(target, reportTimeout);
         this.running.delete(id);
         if (target === undefined || !directory.confirmsStart(target, report?.startedAt)) {
             return "well";
         }
+        if (report === undefined && loop.stoodStillSince(askedAt) > reportStandstill) {
+            this.options.observation.logs.chains.warn(
+                { target: id, stoodStill: Math.round(loop.stoodStillSince(askedAt)) },
+                "missing report does not count",
+            );
+            return "well";
+        }
         if (report === undefined) {
             this.avoid(id, "lost", silent);
             clock.schedule(() => void this.inspectAgain(id), silent.duration - reinspectLead);
--- a/packages/gateway/src/lib/observation/LoopDelay.test.ts
+++ b/packages/gateway/src/lib/observation/LoopDelay.test.ts
@@ -23,3 +23,15 @@
     assert.equal(loop.note(1_002), 0);
     assert.equal(loop.recent, 0);
 });
+
+test("loop delay: only what was lost since a moment counts against it", () => {
+    const clock = new ManualClock(1_000);
+    const loop = new LoopDelay(clock);
+    loop.note(900);
+    clock.advance(100);
+    loop.note(1_070);
+    assert.equal(loop.stoodStillSince(900), 130);
+    assert.equal(loop.stoodStillSince(1_000), 30);
+    assert.equal(loop.stoodStillSince(1_080), 20);
+    assert.equal(loop.stoodStillSince(1_100), 0);
+});
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -52,7 +52,7 @@
     constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, body, connectTimeout } = options;
         this.call = request({ host, port, method, path, headers, agent: false });
-        this.connectTimer = setTimeout(() => this.fail("connect timeout"), connectTimeout);
+        this.connectTimer = setTimeout(() => this.endUnconnected(), connectTimeout);
         this.call.once("socket", socket => {
             socket.setNoDelay(true);
             socket.prependOnceListener("end", () => this.noteReset(socket));
@@ -119,6 +119,15 @@
         });
     }
 
+    /** Timers run before input is read: a connection that opened while this process stood still is noticed first. */
+    private endUnconnected(): void {
+        setImmediate(() => {
+            if (!this.isConnected) {
+                this.fail("connect timeout");
+            }
+        });
+    }
+
     private fail(reason: string): void {
         if (this.isOver) {
             return;
