--- a/packages/claims/src/lib/TableClaims.test.ts
+++ b/packages/claims/src/lib/TableClaims.test.ts
@@ -14,7 +14,7 @@
 function setUp() {
     const clock = new ManualClock();
     const store = new MemoryTableStore({ clock });
-    return { store, claims: new TableClaims(store, clock) };
+    return { clock, store, claims: new TableClaims(store, clock) };
 }
 
 test("two racing duplicates get one claim", async () => {
@@ -54,6 +54,27 @@
     assert.notEqual(repeat?.created, true);
 });
 
+test("a claim that was moved does not go back to its first runner with a copy of the store", async () => {
+    const { store, claims } = setUp();
+    const first = (await claims.acquire(request("a"))).unwrapOr(undefined);
+    assert.ok(first);
+    const restore = store.saveCopy();
+    const moved = (await claims.move(first, request("b"))).unwrapOr(undefined);
+    restore();
+    assert.ok((await claims.move(first, request("c"))).isErr);
+    const repeat = (await claims.acquire(request("d"))).unwrapOr(undefined);
+    assert.equal(repeat?.id, moved?.id);
+});
+
+test("a claim is not written again after its retention", async () => {
+    const { store, clock, claims } = setUp();
+    const restore = store.saveCopy();
+    assert.ok((await claims.acquire(request("a"))).isOk);
+    restore();
+    clock.advance(1_001);
+    assert.equal((await claims.acquire(request("b"))).unwrapOr(undefined)?.created, true);
+});
+
 test("nothing is granted while the store is down", async () => {
     const { store, claims } = setUp();
     store.faults.set({ down: true });
