--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -160,7 +160,9 @@
             this.attemptEnded(attempt, "neverSent", reason, false, "gateway");
         }
         else if (this.mayReplace(attempt)) {
-            this.note(attempt, reason, "attempt suspected");
+            const { logs } = this.context.observation;
+            const { dataCentre } = attempt.load.chain;
+            logs.requests.info({ ...this.facts(attempt), chain: dataCentre, reason }, "attempt suspected");
             this.send();
         }
     }
@@ -248,10 +250,11 @@
 
     /** One of two runs goes on, so the other one is not needed. */
     private keepOnly(kept: ChainAttempt): void {
+        const { logs } = this.context.observation;
         for (const other of this.attempts) {
             if (other !== kept) {
                 const end = other.neverSent ? "neverSent" : "unknown";
-                this.note(other, `goes on over ${kept.load.chain.dataCentre}`, "attempt not needed");
+                logs.requests.info({ ...this.facts(other), chain: other.load.chain.dataCentre }, "attempt not needed");
                 this.remove(other);
                 this.limits.end(end);
             }
@@ -276,7 +279,7 @@
         if (!mayReuse) {
             this.deadChains.add(attempt.load.chain.key);
         }
-        this.note(attempt, reason, "attempt failed", endedBy);
+        this.noteFailed(attempt, reason, endedBy);
         this.limits.end(end);
         if (attempt.isPlain) {
             this.finish();
@@ -354,19 +357,22 @@
         }
     }
 
-    private note(attempt: ChainAttempt, reason: string, message: string, endedBy?: AttemptEnder): void {
-        const now = this.context.clock.now();
+    private noteFailed(attempt: ChainAttempt, reason: string, endedBy: AttemptEnder): void {
         this.context.observation.logs.requests.warn({
-            request: this.caller.request.id,
-            digest: this.caller.digest,
+            ...this.facts(attempt),
             chain: attempt.load.chain.dataCentre,
             head: attempt.target.id,
             reason,
             endedBy,
-            ...this.service.evidence(attempt.load),
             events: this.events,
-            silence: Math.round(now - this.lastEventAt),
-            after: Math.round(now - attempt.startedAt),
-        }, message);
+            after: Math.round(this.context.clock.now() - attempt.startedAt),
+        }, "attempt failed");
+    }
+
+    /** What all lines about an attempt tell. */
+    private facts(attempt: ChainAttempt): object {
+        const { request, digest } = this.caller;
+        const silence = Math.round(this.context.clock.now() - this.lastEventAt);
+        return { request: request.id, digest, silence, ...this.service.evidence(attempt.load) };
     }
 }
