Streams that have begun come first in attempts and retry budget

What callers saw: a stream that broke off was closed because one chain had no room at that moment, or because repeats of requests that had not begun had used the retry budget up. Cause: a refusal as not run counted as one of the route's targets each time, and all repeats drew on the budget alike. The choice of a request's next chain is a module of its own.

--- a/packages/gateway/src/lib/requests/AttemptLimits.test.ts
+++ b/packages/gateway/src/lib/requests/AttemptLimits.test.ts
@@ -14,36 +14,36 @@
 
 test("the first send takes no repeat", () => {
     const { budget, limits } = createLimits(1);
-    assert.equal(limits.begin(), true);
+    assert.equal(limits.begin("t1", "waiting"), true);
     assert.equal(budget.left, 1);
 });
 
 test("a send after one that never arrived takes no repeat", () => {
     const { budget, limits } = createLimits(1);
-    limits.begin();
-    limits.end("neverSent");
-    assert.equal(limits.begin(), true);
+    limits.begin("t1", "waiting");
+    limits.end("t1", "neverSent");
+    assert.equal(limits.begin("t1", "waiting"), true);
     assert.equal(budget.left, 1);
     assert.equal(limits.hasAttemptLeft, true);
 });
 
 test("a repeat that never arrived is given back", () => {
     const { budget, limits } = createLimits(1);
-    limits.begin();
-    limits.end("unknown");
-    assert.equal(limits.begin(), true);
+    limits.begin("t1", "waiting");
+    limits.end("t1", "unknown");
+    assert.equal(limits.begin("t1", "waiting"), true);
     assert.equal(budget.left, 0);
-    limits.end("neverSent");
+    limits.end("t1", "neverSent");
     assert.equal(budget.left, 1);
     assert.equal(limits.mayHaveRun, true);
 });
 
 test("a refusal as not executed is an attempt and its repeat counts", () => {
     const { budget, limits } = createLimits(5);
-    limits.begin();
-    limits.end("neverExecuted");
+    limits.begin("t1", "waiting");
+    limits.end("t1", "neverExecuted");
     assert.equal(limits.hasAttemptLeft, true);
-    limits.begin();
+    limits.begin("t2", "waiting");
     assert.equal(budget.left, 4);
     assert.equal(limits.hasAttemptLeft, false);
     assert.equal(limits.mayHaveRun, false);
@@ -52,24 +52,39 @@
 test("as many attempts as the route allows", () => {
     const { limits } = createLimits(5, 3);
     let sends = 0;
-    while (limits.hasAttemptLeft && limits.begin()) {
+    while (limits.hasAttemptLeft && limits.begin(`t${sends}`, "waiting")) {
         sends++;
-        limits.end("unknown");
+        limits.end(`t${sends - 1}`, "unknown");
     }
     assert.equal(sends, 3);
 });
 
 test("without budget no repeat", () => {
     const { limits } = createLimits(0);
-    limits.begin();
-    limits.end("neverExecuted");
-    assert.equal(limits.begin(), false);
+    limits.begin("t1", "waiting");
+    limits.end("t1", "neverExecuted");
+    assert.equal(limits.begin("t1", "waiting"), false);
 });
 
 test("a send under way is not given up for a repeat that the budget would refuse", () => {
     const [poor, rich] = [createLimits(0), createLimits(1)];
-    poor.limits.begin();
-    rich.limits.begin();
-    assert.equal(poor.limits.mayReplaceSend, false);
-    assert.equal(rich.limits.mayReplaceSend, true);
+    poor.limits.begin("t1", "waiting");
+    rich.limits.begin("t1", "waiting");
+    assert.equal(poor.limits.mayBegin("running"), false);
+    assert.equal(rich.limits.mayBegin("running"), true);
+});
+
+test("a target that turned the request away may be asked again, and no further one", () => {
+    const { budget, limits } = createLimits(5);
+    limits.begin("t1", "running");
+    limits.end("t1", "unknown");
+    limits.begin("t2", "running");
+    limits.end("t2", "neverExecuted");
+    assert.equal(limits.maySendTo("t3"), false);
+    assert.equal(limits.maySendTo("t2"), true);
+    limits.begin("t2", "running");
+    assert.equal(budget.left, 3);
+    limits.end("t2", "neverSent");
+    assert.equal(budget.left, 4);
+    assert.equal(limits.maySendTo("t2"), true);
 });
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -54,7 +54,7 @@
         this.crashCheck = new CrashCheck({
             context,
             caller,
-            canSend: () => this.limits.mayBegin && this.picker.choose(this.tried) !== undefined,
+            canSend: () => this.limits.mayBegin("waiting") && this.picker.choose(this.tried) !== undefined,
         });
     }
 
@@ -86,7 +86,7 @@
             }
             return;
         }
-        if (!this.limits.begin()) {
+        if (!this.limits.begin(target.id, "waiting")) {
             if (this.attempts.size === 0) {
                 this.giveUp("retry budget is used up");
             }
@@ -166,7 +166,7 @@
         }
         this.failedReply = attempt;
         this.note(attempt, `target's own status ${status}`);
-        this.continueAfter("unknown");
+        this.continueAfter(attempt, "unknown");
     }
 
     private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
@@ -181,7 +181,7 @@
             this.caller.breakOff(reason);
             return;
         }
-        this.continueAfter(neverSent ? "neverSent" : "unknown");
+        this.continueAfter(attempt, neverSent ? "neverSent" : "unknown");
     }
 
     /** Ends an attempt whose reply is of no use. */
@@ -189,12 +189,12 @@
         attempt.exchange.cancel();
         this.remove(attempt, verdict);
         this.note(attempt, reason);
-        this.continueAfter(end);
+        this.continueAfter(attempt, end);
     }
 
     /** Decides what follows an attempt that brought no reply. */
-    private continueAfter(end: AttemptEnd): void {
-        this.limits.end(end);
+    private continueAfter({ target }: Attempt, end: AttemptEnd): void {
+        this.limits.end(target.id, end);
         if (this.attempts.size > 0) {
             return;
         }
--- a/packages/gateway/src/lib/requests/RepeatBudget.test.ts
+++ b/packages/gateway/src/lib/requests/RepeatBudget.test.ts
@@ -14,7 +14,7 @@
 test("the reserve is shared by all gateways", () => {
     const { budget } = createBudget(5);
     let taken = 0;
-    while (budget.take()) {
+    while (budget.take("running")) {
         taken++;
     }
     assert.ok(taken <= 200 / 5);
@@ -26,7 +26,7 @@
     Array.from({ length: 1_000 }, () => busy.budget.request());
     const count = ({ budget }: typeof idle) => {
         let taken = 0;
-        while (budget.take()) {
+        while (budget.take("running")) {
             taken++;
         }
         return taken;
@@ -34,6 +34,20 @@
     assert.ok(count(busy) > count(idle) + 100);
 });
 
+test("requests that have not begun leave a part of the budget to streams that have", () => {
+    const { budget } = createBudget(1);
+    let waiting = 0;
+    while (budget.take("waiting")) {
+        waiting++;
+    }
+    let running = 0;
+    while (budget.take("running")) {
+        running++;
+    }
+    assert.ok(waiting > 80);
+    assert.ok(running > 50);
+});
+
 test("in no window do gateways together exceed the share and the reserve", () => {
     fc.assert(
         fc.property(fc.array(fc.tuple(fc.nat(400), fc.boolean()), { maxLength: 400 }), steps => {
@@ -46,7 +60,7 @@
                     budget.request();
                     requests.push(clock.now());
                 }
-                for (let i = 0; i < 20 && budget.take(); i++) {
+                for (let i = 0; i < 20 && budget.take("running"); i++) {
                     repeats.push(clock.now());
                 }
                 const start = clock.now() - window;
--- a/packages/gateway/src/lib/requests/RepeatBudget.ts
+++ b/packages/gateway/src/lib/requests/RepeatBudget.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { budgetShare, type Precedence } from "./precedence.js";
 
 /** Options of {@link RepeatBudget}. */
 export interface RepeatBudgetOptions {
@@ -34,18 +35,18 @@
     }
 
     /** Whether the window allows one more repeat now. */
-    hasLeft(): boolean {
+    hasLeft(precedence: Precedence): boolean {
         const start = this.options.clock.now() - this.options.window;
         dropBefore(this.requests, start);
         dropBefore(this.repeats, start);
         const { share, reserve, gateways } = this.options;
         const allowed = (share * this.requests.length + reserve / Math.max(1, gateways())) * safetyFactor;
-        return this.repeats.length + 1 <= allowed;
+        return this.repeats.length + 1 <= allowed * budgetShare[precedence];
     }
 
     /** Takes one repeat. @returns False when the window holds too many. */
-    take(): boolean {
-        if (!this.hasLeft()) {
+    take(precedence: Precedence): boolean {
+        if (!this.hasLeft(precedence)) {
             return false;
         }
         this.repeats.push(this.options.clock.now());
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -6,9 +6,11 @@
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
+import { ChainChoice } from "./ChainChoice.js";
 import { CrashCheck } from "./CrashCheck.js";
 import { type StreamEvent } from "./EventSplitter.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
+import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
 import { resumedPriority } from "./resumedPriority.js";
 
@@ -40,11 +42,8 @@
 export class StreamRun implements ChainAttemptListener {
     /** Runs that may still bring events: one, or a suspected one and the one that is to replace it. */
     private readonly attempts = new Set<ChainAttempt>();
-    /** Chains that failed the request in any way. */
-    private readonly failedChains = new Set<string>();
-    /** Those of them that would fail it again; one that merely lost a connection may be used if no other is left. */
-    private readonly deadChains = new Set<string>();
     private readonly limits: AttemptLimits;
+    private readonly choice: ChainChoice;
     private readonly crashCheck: CrashCheck;
     private lastEventAt: number;
     private resumeTimer: Timer | undefined;
@@ -60,10 +59,15 @@
         this.lastEventId = caller.request.lastEventId;
         this.lastEventAt = context.clock.now();
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+        this.choice = new ChainChoice({
+            service,
+            limits: this.limits,
+            running: () => [...this.attempts].map(({ load }) => load.chain.key),
+        });
         this.crashCheck = new CrashCheck({
             context,
             caller,
-            canSend: () => this.limits.mayBegin && this.chooseChain() !== undefined,
+            canSend: () => this.limits.mayBegin(this.precedence) && this.choice.next() !== undefined,
         });
     }
 
@@ -145,14 +149,17 @@
     }
 
     onLateFirstEvent(attempt: ChainAttempt): void {
-        if (this.service.chooseWithRoom(this.excluding(this.failedChains)) !== undefined) {
+        if (this.choice.anotherWithRoom() !== undefined) {
             this.suspect(attempt, "no first event");
         }
     }
 
     /** Sends the request over another chain as well, if that is allowed and one is there. */
     private suspect(attempt: ChainAttempt, reason: string): void {
-        if (this.service.chooseWell(this.excluding(this.failedChains)) === undefined) {
+        if (this.hasBegun) {
+            this.choice.forget();
+        }
+        if (this.choice.another() === undefined) {
             return;
         }
         if (attempt.neverSent) {
@@ -171,10 +178,20 @@
     private mayReplace(attempt: ChainAttempt): boolean {
         const isAlone = this.attempts.size === 1 && !attempt.isPlain && !attempt.isPaused;
         const canContinue = this.events === 0 || this.lastEventId !== undefined;
-        return isAlone && canContinue && this.mayRepeat("unknown") && this.limits.mayReplaceSend
+        return isAlone && canContinue && this.mayRepeat("unknown") && this.limits.mayBegin(this.precedence)
             && this.crashCheck.isFree;
     }
 
+    /** Whether the caller has got a part of the answer. */
+    private get hasBegun(): boolean {
+        return this.events > 0;
+    }
+
+    /** A caller that comes back after a broken connection names the last event that it has. */
+    private get precedence(): Precedence {
+        return this.hasBegun || this.caller.request.lastEventId !== undefined ? "running" : "waiting";
+    }
+
     private get mayResume(): boolean {
         const { route } = this.caller;
         return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
@@ -187,7 +204,7 @@
     /** Sends the request, beside a run that is suspected or, without one, for good or ill. */
     private sendNow(): void {
         const isBeside = this.attempts.size > 0;
-        const load = this.chooseChain();
+        const load = this.choice.next();
         const target = load === undefined ? undefined : this.service.target(load.chain.hops[0]?.targetId ?? "");
         if (load === undefined || target === undefined) {
             if (!isBeside) {
@@ -195,14 +212,14 @@
             }
             return;
         }
-        if (!this.limits.begin()) {
+        if (!this.limits.begin(target.id, this.precedence)) {
             if (!isBeside) {
                 this.giveUp("retry budget is used up");
             }
             return;
         }
         const { context, caller, service, lastEventId } = this;
-        const priority = this.events > 0
+        const priority = this.hasBegun
             ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
             : undefined;
         this.attempts.add(
@@ -210,19 +227,6 @@
         );
     }
 
-    private chooseChain(): ChainLoad | undefined {
-        const { service, limits } = this;
-        const [failed, dead] = [this.excluding(this.failedChains), this.excluding(this.deadChains)];
-        return limits.isRepeat
-            ? service.chooseToResume(failed) ?? service.chooseToResume(dead)
-            : service.choose(failed) ?? service.choose(dead);
-    }
-
-    /** The chains and those that the request runs on now. */
-    private excluding(chains: ReadonlySet<string>): ReadonlySet<string> {
-        return new Set([...chains, ...[...this.attempts].map(({ load }) => load.chain.key)]);
-    }
-
     /** The target says itself that it failed: repeated where allowed, else passed on. */
     private receiveFailedReply(attempt: ChainAttempt, status: number): void {
         if (this.caller.headSent || this.attempts.size > 1 || this.mayRepeat("unknown")) {
@@ -256,7 +260,7 @@
                 const end = other.neverSent ? "neverSent" : "unknown";
                 logs.requests.info({ ...this.facts(other), chain: other.load.chain.dataCentre }, "attempt not needed");
                 this.remove(other);
-                this.limits.end(end);
+                this.limits.end(other.target.id, end);
             }
         }
     }
@@ -275,12 +279,9 @@
         endedBy: AttemptEnder = "target",
     ): void {
         this.remove(attempt);
-        this.failedChains.add(attempt.load.chain.key);
-        if (!mayReuse) {
-            this.deadChains.add(attempt.load.chain.key);
-        }
+        this.choice.noteFailed(attempt.load.chain.key, mayReuse);
         this.noteFailed(attempt, reason, endedBy);
-        this.limits.end(end);
+        this.limits.end(attempt.target.id, end);
         if (attempt.isPlain) {
             this.finish();
             this.caller.breakOff(reason);
@@ -298,7 +299,7 @@
 
     private mayRepeat(end: AttemptEnd): boolean {
         const isAllowed = end !== "unknown" || this.mayResume;
-        return isAllowed && this.limits.hasAttemptLeft && this.caller.timeLeft > 0;
+        return isAllowed && (this.limits.hasAttemptLeft || this.hasBegun) && this.caller.timeLeft > 0;
     }
 
     /** A stream that may have run waits for a chain while its caller does; one that never ran is refused at once. */
@@ -310,8 +311,7 @@
             this.giveUp(reason);
             return;
         }
-        this.failedChains.clear();
-        this.deadChains.clear();
+        this.choice.forget();
         this.resumeTimer = clock.schedule(() => this.send(), resumeInterval);
     }
 
