--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -1,28 +1,17 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
-import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs, testEngine, testTarget, wellReport } from "../testing/fixtures.js";
+import { StandingClock } from "../testing/StandingClock.js";
 import { ChainService } from "./ChainService.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetPaces } from "./TargetPaces.js";
 import { TargetSuspicions } from "./TargetSuspicions.js";
 
 function createService() {
-    const manual = new ManualClock();
-    let stoodStill = 0;
-    const clock = {
-        now: () => manual.now() + stoodStill,
-        date: () => manual.date(),
-        schedule: (callback: () => void, delay: number) => manual.schedule(callback, delay),
-        advanceAsync: (duration: number) => manual.advanceAsync(duration),
-    };
-    /** Lets time pass in which no timer of this process fires. */
-    const stand = (duration: number) => {
-        stoodStill += duration;
-    };
+    const clock = new StandingClock();
     const logs = silentLogs();
     const directory = new TargetDirectory({ clock });
     directory.put(testTarget("t1", "small", { first: 0, end: 40 }));
@@ -47,7 +36,7 @@
     });
     const load = service.choose(new Set());
     assert.ok(load !== undefined);
-    return { clock, stand, directory, suspicions, reports, service, load };
+    return { clock, directory, suspicions, reports, service, load };
 }
 
 test("a target that refuses though it has room is avoided for a while, but its layers stay", async () => {
@@ -127,10 +116,10 @@
 });
 
 test("silence says nothing after this process itself stood still", async () => {
-    const { clock, stand, service, load } = createService();
+    const { clock, service, load } = createService();
     const left = beginStreams({ service, load });
     await clock.advanceAsync(40);
-    stand(1_000);
+    clock.stand(1_000);
     await clock.advanceAsync(80);
     assert.deepEqual(left, []);
 });
--- a/packages/gateway/src/lib/chains/TargetInspector.test.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -1,11 +1,11 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
-import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { LoopDelay } from "../observation/LoopDelay.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs, testTarget, wellReport } from "../testing/fixtures.js";
+import { StandingClock } from "../testing/StandingClock.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetInspector } from "./TargetInspector.js";
 import { TargetPaces } from "./TargetPaces.js";
@@ -15,18 +15,7 @@
 
 /** Targets of whom the named ones never answer; the others do after `delay` milliseconds. */
 function createInspector(silent: readonly string[], delay = 10) {
-    const manual = new ManualClock();
-    let stoodStill = 0;
-    const clock = {
-        now: () => manual.now() + stoodStill,
-        date: () => manual.date(),
-        schedule: (callback: () => void, delay: number) => manual.schedule(callback, delay),
-        advanceAsync: (duration: number) => manual.advanceAsync(duration, 1),
-    };
-    /** Lets time pass in which this process neither runs timers nor reads. */
-    const stand = (duration: number) => {
-        stoodStill += duration;
-    };
+    const clock = new StandingClock(1);
     const loop = new LoopDelay(clock);
     const directory = new TargetDirectory({ clock });
     ids.forEach(id => directory.put(testTarget(id, "small")));
@@ -54,7 +43,7 @@
             metrics: new GatewayMetrics(new MetricRegistry(clock)),
         },
     });
-    return { clock, stand, loop, suspicions, reports, inspector };
+    return { clock, loop, suspicions, reports, inspector };
 }
 
 test("a target that is silent while the others answer is avoided at once", async () => {
@@ -128,11 +117,11 @@
  * meanwhile for missing, since limits of time run out before input is read, and avoided targets that all its peers used.
  */
 test("a report that came while this process stood still is not late", async () => {
-    const { clock, stand, suspicions, inspector } = createInspector(["t4", "t5"], 10);
+    const { clock, suspicions, inspector } = createInspector(["t4", "t5"], 10);
     let found: string[] | undefined;
     void inspector.survey(ids).then(silent => found = silent);
     await clock.advanceAsync(12);
-    stand(14);
+    clock.stand(14);
     await clock.advanceAsync(16);
     assert.equal(found, undefined);
     assert.deepEqual(suspicions.list(), []);
@@ -141,11 +130,11 @@
 });
 
 test("a report that is missing after this process stood still says nothing", async () => {
-    const { clock, stand, loop, suspicions, inspector } = createInspector(ids);
+    const { clock, loop, suspicions, inspector } = createInspector(ids);
     void inspector.survey(ids);
     await clock.advanceAsync(50);
     const due = clock.now();
-    stand(150);
+    clock.stand(150);
     loop.note(due);
     await clock.advanceAsync(300);
     assert.deepEqual(suspicions.list(), []);
