Tests: which chain a request's next send may use, and streams that run once

Cause: the choice of a request's next chain was tested through whole runs only, and nothing said that what may run once gets no second run. Change: tests of the choice alone; a stream that may not be resumed reaches one target however long that is silent, one that may goes on over another chain. Before and after: no code of the gateway changed. Conclusion: both hold.

--- a/packages/gateway/src/lib/requests/runningStreams.test.ts
+++ b/packages/gateway/src/lib/requests/runningStreams.test.ts
@@ -55,6 +55,28 @@
     assert.equal(site.cutOff.length, 0, "cut off");
 });
 
+test("a stream that may not be resumed gets no second run, however long its target is silent", async () => {
+    const site = new StreamSite({ isResumable: false });
+    site.open();
+    site.open();
+    await site.clock.advanceAsync(fifteenEvents);
+    site.heads[0]?.fallSilent(5_000);
+    await site.clock.advanceAsync(untilDeadline);
+    assert.equal(site.served.length, 2);
+    assert.equal(site.arrivals, 2);
+});
+
+test("a stream whose target is silent for long goes on over another chain", async () => {
+    const site = new StreamSite();
+    site.open();
+    site.open();
+    await site.clock.advanceAsync(fifteenEvents);
+    site.heads[0]?.fallSilent(untilDeadline);
+    await site.clock.advanceAsync(3_000);
+    assert.equal(site.served.length, 2);
+    assert.equal(site.arrivals, 4);
+});
+
 const seeds = Array.from({ length: 30 }, (_, index) => index + 1);
 /** Bounds of the milliseconds between two troubles, and of how long one lasts. */
 const troublePause = { least: 20, most: 400 };
--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -1,4 +1,5 @@
 import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
+import { type Route } from "../configuration/Configuration.js";
 import { testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { SimulatedRouter, streamRoute } from "./SimulatedRouter.js";
@@ -12,6 +13,8 @@
     readonly chains?: number;
     /** Targets that a request may be sent to. */
     readonly maxAttempts?: number;
+    /** Whether a stream may go on at another target. */
+    readonly isResumable?: boolean;
     /** Repeats that the retry budget allows beyond a fifth of the requests. */
     readonly retryReserve?: number;
 }
@@ -27,12 +30,15 @@
     readonly heads: SimulatedTarget[] = [];
     readonly answers: SimulatedAnswer[] = [];
     readonly router: SimulatedRouter;
+    /** Requests that reached a target, each time. */
+    arrivals = 0;
     private readonly byPort = new Map<number, SimulatedTarget>();
-    private readonly maxAttempts: number;
+    private readonly route: Route;
 
-    constructor({ seed = 1, chains = 2, maxAttempts = 2, retryReserve }: StreamSiteOptions = {}) {
+    constructor(options: StreamSiteOptions = {}) {
+        const { seed = 1, chains = 2, maxAttempts = 2, isResumable = true, retryReserve } = options;
         this.random = seededRandom(seed);
-        this.maxAttempts = maxAttempts;
+        this.route = { ...streamRoute, maxAttempts, isResumable };
         this.router = new SimulatedRouter({
             clock: this.clock,
             dataCentre: "dc-0",
@@ -54,8 +60,7 @@
 
     /** A caller asks for a stream. */
     open(): void {
-        const route = { ...streamRoute, maxAttempts: this.maxAttempts };
-        this.answers.push(this.router.start(`question ${this.answers.length}`, route));
+        this.answers.push(this.router.start(`question ${this.answers.length}`, this.route));
     }
 
     /** Answers that ended without all events, though they were begun or may have run. */
@@ -75,7 +80,7 @@
             random: this.random,
             target,
             crashesUnder: () => false,
-            onArrival: () => undefined,
+            onArrival: () => this.arrivals++,
             onCrash: () => undefined,
         });
         this.byPort.set(target.port, simulated);
