Comments of a stream's attempts say what follows their end

Cause: two methods of the run of a stream had a vague comment or none. Change: comments only; the bundle is the same to the byte. Conclusion: no decision changed.

--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -201,7 +201,7 @@
         this.crashCheck.pass(() => this.sendNow(), why => this.holdBack(why));
     }
 
-    /** Sends the request, beside a run that is suspected or, without one, for good or ill. */
+    /** Sends the request. Without a run that may yet go on, it ends or waits when it cannot be sent. */
     private sendNow(): void {
         const isBeside = this.attempts.size > 0;
         const load = this.choice.next();
@@ -271,6 +271,11 @@
         }
     }
 
+    /**
+     * Goes on after the end of an attempt: with the other run, with another send, or not at all.
+     *
+     * @param mayReuse - Whether its chain may be used again if no other is left.
+     */
     private attemptEnded(
         attempt: ChainAttempt,
         end: AttemptEnd,
