--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -229,7 +229,8 @@
         if (outcome.value.length > 0) {
             this.decide(outcome.value);
         }
-        return Result.ok<void, never>(undefined);
+        const displaced = this.log.takeDisplaced();
+        return displaced.length === 0 ? Result.ok<void, never>(undefined) : this.log.append(uniqueId(), displaced);
     }
 
     /** A segment number has been decided: a batch that was written is granted, the others can never be written. */
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -3,7 +3,7 @@
 import { Result } from "true-myth";
 import { type ArchiveIndex } from "./ArchiveIndex.js";
 import { loadIndexes, loadRecords } from "./archives.js";
-import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
+import { type ClaimRecord, packRecords, runnerName, unpackRecords } from "./ClaimRecord.js";
 import {
     type Archive,
     type Base,
@@ -17,6 +17,7 @@
 } from "./partitionRows.js";
 import { PartitionState } from "./PartitionState.js";
 import { readValue } from "./readValue.js";
+import { type KnownSegment, RecentSegments } from "./RecentSegments.js";
 
 /**
  * Options of a {@link PartitionLog}.
@@ -54,6 +55,11 @@
     readonly state: PartitionState;
     private readonly options: PartitionLogOptions;
     private known = emptyBase;
+    private readonly recent = new RecentSegments();
+    /** Set while a write has failed on its conditions, and nothing that was read explains it. */
+    private isInDoubt = false;
+    /** Claims that the store has acknowledged and lost, and that another owner's segments stand in place of. */
+    private displaced: readonly ClaimRecord[] = [];
 
     constructor(options: PartitionLogOptions) {
         this.options = options;
@@ -77,6 +83,19 @@
      * @returns The write ids of the segments that were read.
      */
     async refresh(): Promise<Outcome<string[]>> {
+        const read = await this.readOn();
+        if (read.isErr || !this.isInDoubt) {
+            return read;
+        }
+        this.isInDoubt = false;
+        if (read.value.length > 0) {
+            return read;
+        }
+        const restored = await this.restoreLost();
+        return restored.isErr ? Result.err(restored.error) : this.readOn();
+    }
+
+    private async readOn(): Promise<Outcome<string[]>> {
         const writeIds: string[] = [];
         let more = this.state.lastSegment > 0 ? Result.ok<boolean, Failure>(true) : await this.readBase();
         while (more.isOk) {
@@ -108,15 +127,124 @@
         const key = segmentKey(partition, number);
         const outcome = await table.commit({
             writeId,
-            conditions: [{ key, version: 0 }, { key: baseKey(partition), version: this.known.version }],
+            conditions: [
+                { key, version: 0 },
+                { key: baseKey(partition), version: this.known.version },
+                ...this.conditionsOn(this.recent.from(this.known.base.first).at(-1)),
+            ],
             writes: [{ key, value: segment }],
         });
         if (outcome.isOk) {
             this.state.applySegment(number, time, records);
+            this.recent.put({ number, version: outcome.value[key] ?? 0, segment });
         }
+        this.isInDoubt = outcome.isErr && outcome.error.code === platformCodes.conditionFailed;
         return outcome.map(() => undefined);
     }
 
+    /**
+     * A store that came back from a copy lacks the newest segments. A segment written behind the gap would be hidden from other
+     * owners, which then claim lost keys for other runners; so each is written on condition that the one before it is there.
+     */
+    private conditionsOn(before: KnownSegment | undefined): { readonly key: string; readonly version: number; }[] {
+        return before === undefined
+            ? []
+            : [{ key: segmentKey(this.options.partition, before.number), version: before.version }];
+    }
+
+    /** Writes the segments again that the store has lost; where others stand in their place, everything is read anew. */
+    private async restoreLost(): Promise<Outcome<void>> {
+        const { partition } = this.options;
+        const recent = this.recent.from(this.known.base.first);
+        const scanned = await this.scanFrom(recent[0]?.number ?? this.nextSegment);
+        if (scanned.isErr) {
+            return Result.err(scanned.error);
+        }
+        const rows = new Map(scanned.value.map(row => [row.key, row]));
+        if ((rows.get(baseKey(partition))?.version ?? 0) !== this.known.version) {
+            this.readAnew();
+            return Result.ok<void, never>(undefined);
+        }
+        const missing: KnownSegment[] = [];
+        for (const known of recent) {
+            const row = rows.get(segmentKey(partition, known.number));
+            if (row === undefined) {
+                missing.push(known);
+            }
+            else if (!holds(row, known)) {
+                this.readAnew();
+                return Result.ok<void, never>(undefined);
+            }
+            else {
+                this.recent.put({ ...known, version: row.version });
+            }
+        }
+        return this.writeAgain(missing);
+    }
+
+    /** All rows from a segment on, and the base row. */
+    private async scanFrom(number: number): Promise<Outcome<Row[]>> {
+        const { table, partition, pageSize } = this.options;
+        const rows: Row[] = [];
+        for (;;) {
+            const after = rows.at(-1)?.key ?? segmentKey(partition, number - 1);
+            const page = await table.scan(partitionPrefix(partition), after, pageSize);
+            if (page.isErr) {
+                return Result.err(page.error);
+            }
+            rows.push(...page.value);
+            if (page.value.length < pageSize) {
+                return Result.ok(rows);
+            }
+        }
+    }
+
+    private async writeAgain(missing: readonly KnownSegment[]): Promise<Outcome<void>> {
+        const { table, partition } = this.options;
+        const keyOf = ({ number }: KnownSegment) => segmentKey(partition, number);
+        if (missing.length === 0) {
+            return Result.ok<void, never>(undefined);
+        }
+        const outcome = await table.commit({
+            writeId: uniqueId(),
+            conditions: [
+                { key: baseKey(partition), version: this.known.version },
+                ...missing.map(known => ({ key: keyOf(known), version: 0 })),
+            ],
+            writes: missing.map(known => ({ key: keyOf(known), value: known.segment })),
+        });
+        if (outcome.isErr) {
+            this.isInDoubt = true;
+            return Result.err(outcome.error);
+        }
+        missing.forEach(known => this.recent.put({ ...known, version: outcome.value[keyOf(known)] ?? 0 }));
+        return Result.ok<void, never>(undefined);
+    }
+
+    private readAnew(): void {
+        const recent = this.recent.from(1).flatMap(({ segment }) => unpackRecords(segment.block));
+        this.displaced = [...this.displaced, ...recent];
+        this.recent.clear();
+        this.state.clear();
+        this.known = emptyBase;
+    }
+
+    /** Claims that were acknowledged, lost with a copy of the store, and have no other in their place. They are to be written again. */
+    takeDisplaced(): readonly ClaimRecord[] {
+        const lost = this.displaced;
+        this.displaced = [];
+        const oldest = Math.min(...lost.map(({ generation }) => generation));
+        const isKnown = (found: ClaimRecord) =>
+            found.generation < oldest || lost.some(record => nameOf(record) === nameOf(found));
+        const newest = new Map(lost.map(record => [record.keyHash, record]));
+        return [...newest.values()].filter(record => {
+            const found = this.state.find(record.keyHash);
+            return found === undefined
+                ? (this.state.hidingPlace(record.keyHash)?.last ?? 0) < record.generation
+                : found.generation < record.generation && isKnown(found);
+        });
+    }
+
     /** Reads from an archive what it holds of some keys. */
     async reveal(archive: Archive, keyHashes: readonly string[]): Promise<Outcome<void>> {
         const records = await loadRecords(this.options.objects, archive.name);
@@ -220,7 +348,7 @@
     /** Applies segments up to the first gap. A gap means that they were archived after the base row was read. */
     private applyRows(rows: readonly Row[]): Outcome<string[]> {
         const writeIds: string[] = [];
-        for (const { key, value } of rows) {
+        for (const { key, value, version } of rows) {
             if (segmentNumber(this.options.partition, key) !== this.nextSegment) {
                 break;
             }
@@ -229,9 +357,19 @@
                 return Result.err(segment.error);
             }
             const { writeId, time, block } = segment.value;
+            this.recent.put({ number: this.nextSegment, version, segment: segment.value });
             this.state.applySegment(this.nextSegment, time, unpackRecords(block));
             writeIds.push(writeId);
         }
         return Result.ok(writeIds);
     }
 }
+
+function holds({ value, key }: Row, { segment }: KnownSegment): boolean {
+    const read = readValue(segmentSchema, value, key);
+    return read.isOk && read.value.writeId === segment.writeId;
+}
+
+function nameOf({ keyHash, generation, runner }: ClaimRecord): string {
+    return `${keyHash}/${generation}/${runnerName(runner)}`;
+}
--- a/packages/claims/src/lib/journal/PartitionState.ts
+++ b/packages/claims/src/lib/journal/PartitionState.ts
@@ -146,6 +146,14 @@
         this.dropWhere(({ expiry }) => expiry < now);
     }
 
+    /** Forgets everything, so that the partition is read anew. Partition time does not go back. */
+    clear(): void {
+        this.skipTo(1);
+        this.archives = [];
+        this.mistaken.clear();
+        this.runners.clear();
+    }
+
     /** Archives hold segments that were never read here; any claim held may be outdated by one of them. */
     private skipTo(first: number): void {
         this.claims.clear();
--- a/packages/claims/src/lib/journal/PendingCall.ts
+++ b/packages/claims/src/lib/journal/PendingCall.ts
@@ -45,11 +45,13 @@
     }
 
     /** The record that this call wants to write. */
-    record(state: PartitionState, generation: number): ClaimRecord {
+    record(state: PartitionState, segment: number): ClaimRecord {
         const { request, keyHash, digest } = this;
-        const expiry = state.time.now() + request.retention;
-        const earlier = state.find(keyHash)?.expiry ?? 0;
-        return { keyHash, digest, generation, runner: request.runner, expiry: Math.max(expiry, earlier) };
+        const present = state.find(keyHash);
+        const expiry = Math.max(state.time.now() + request.retention, present?.expiry ?? 0);
+        // Numbers of segments go back with a copy of the store, and a claim that was written again keeps its generation.
+        const generation = Math.max(segment, (present?.generation ?? 0) + 1);
+        return { keyHash, digest, generation, runner: request.runner, expiry };
     }
 
     private answerAcquire(state: PartitionState, record: ClaimRecord | undefined): Outcome<Claim> | undefined {
