Losses count answers that were cut in the middle, and who gave them up

What operators saw: a stream that was broken off after its first event had the status of a success, so 'losses' did not count it unless it had also paused. Cause: losses went by status and pause alone. Change: an outcome that begins with 'broken off' is a loss; its cause names why the gateway gave it up. Before: the new test finds no loss. After: it passes.

--- a/packages/cli/src/lib/explain/summarizeLosses.test.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.test.ts
@@ -51,6 +51,18 @@
     assert.deepEqual(causes, ["held up for over 200 ms on the way to the caller"]);
 });
 
+test("an answer that was cut in the middle counts, with who gave it up and why", () => {
+    const lines = [
+        `${head(900)},"request":"c1","reason":"ECONNRESET","msg":"request: attempt failed"}`,
+        `${head(950)},"request":"c1","cause":"target","msg":"request: answer given up"}`,
+        `${
+            head(1_000)
+        },"request":"c1","outcome":"broken off: no chain is left","status":200,"longestPause":40,"msg":"request: request ended"}`,
+    ];
+    const causes = summarizeLosses(lines).losses.map(({ cause }) => cause);
+    assert.deepEqual(causes, ["broken off: no chain is left after \"ECONNRESET\", given up: target"]);
+});
+
 test("a summary of nothing says so", () => {
     assert.equal(formatLosses(summarizeLosses([])), "0 requests\n0 lines could not be read\n");
 });
--- a/packages/cli/src/lib/explain/summarizeLosses.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.ts
@@ -24,6 +24,9 @@
 const firstFailedStatus = 400;
 const endMessages = new Set(["request: request ended", "request: request refused"]);
 const failureMessage = "request: attempt failed";
+const givenUpMessage = "request: answer given up";
+/** How the outcome of an answer begins that was cut after its head, which had a status of success. */
+const brokenOff = "broken off";
 
 /** Counts the requests that were refused, failed or interrupted, by cause and second. */
 export function summarizeLosses(text: readonly string[], pauseLimit = defaultPauseLimit): LossSummary {
@@ -31,17 +34,26 @@
     const lines = parsed.filter(line => line !== undefined).sort((a, b) => a.time - b.time);
     const start = lines[0]?.time ?? 0;
     const failures = new Map<unknown, string>();
+    const giveUpCauses = new Map<unknown, string>();
     const losses = new Map<string, Map<number, number>>();
     let requests = 0;
     for (const line of lines) {
         if (line.msg === failureMessage) {
             failures.set(line["request"], withoutAddresses(String(line["reason"])));
         }
+        if (line.msg === givenUpMessage) {
+            giveUpCauses.set(line["request"], String(line["cause"]));
+        }
         if (!endMessages.has(line.msg)) {
             continue;
         }
         requests++;
-        const cause = findCause(line, failures.get(line["request"]), pauseLimit);
+        const request = line["request"];
+        const cause = findCause(line, {
+            failure: failures.get(request),
+            giveUp: giveUpCauses.get(request),
+            pauseLimit,
+        });
         if (cause !== undefined) {
             const second = Math.floor((line.time - start) / millisecondsPerSecond);
             const seconds = losses.get(cause) ?? new Map<number, number>();
@@ -60,11 +72,20 @@
     return [`${requests} requests`, ...rows, `${unreadable} lines could not be read`, ""].join("\n");
 }
 
-function findCause(line: LogLine, failure: string | undefined, pauseLimit: number): string | undefined {
+interface LossContext {
+    /** Why the last attempt failed, if one did. */
+    readonly failure: string | undefined;
+    /** Why the gateway ended the answer, if it did. */
+    readonly giveUp: string | undefined;
+    readonly pauseLimit: number;
+}
+
+function findCause(line: LogLine, { failure, giveUp, pauseLimit }: LossContext): string | undefined {
     const because = failure === undefined ? "" : ` after "${failure}"`;
     const status = Number(line["status"]);
-    if (status >= firstFailedStatus || status === 0) {
-        return `${withoutAddresses(String(line["outcome"]))}${because}`;
+    const outcome = withoutAddresses(String(line["outcome"]));
+    if (status >= firstFailedStatus || status === 0 || outcome.startsWith(brokenOff)) {
+        return `${outcome}${because}${giveUp === undefined ? "" : `, given up: ${giveUp}`}`;
     }
     if (Number(line["longestPause"] ?? 0) > pauseLimit) {
         return `interrupted for over ${pauseLimit} ms${because}`;
