Claims that a copy of the store displaced are written again in bounded steps

Cause: all that a copy lacked went into one transaction and one segment, up to 128 segments of 500 claims, over any store's limits; and what was displaced was forgotten when its one write failed, so a repeat could have run twice. Change: lost segments are written one after the other, displaced claims in segments of the usual size, and they are kept until the partition holds them. Which of them are lost is a module of its own with tests. Before: one write for all, dropped when it failed (by reading). Conclusion: the bound of a step no longer grows with what was lost.

--- a/packages/claims/src/lib/journal/ClaimJournal.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.test.ts
@@ -359,7 +359,11 @@
     for (let seed = 1; seed <= 20; seed++) {
         const site = new Site();
         const random = seededRandom(seed);
-        const owner = site.owner({ pageSize: 1 + random.below(4), archiveAfter: 3 + random.below(20) });
+        const owner = site.owner({
+            pageSize: 1 + random.below(4),
+            archiveAfter: 3 + random.below(20),
+            maxBatch: 1 + random.below(3),
+        });
         const granted = new Map<string, string>();
         let restore: (() => void) | undefined;
         for (let step = 0; step < 60; step++) {
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -229,8 +229,19 @@
         if (outcome.value.length > 0) {
             this.decide(outcome.value);
         }
-        const displaced = this.log.takeDisplaced();
-        return displaced.length === 0 ? Result.ok<void, never>(undefined) : this.log.append(uniqueId(), displaced);
+        return this.appendDisplaced();
+    }
+
+    private async appendDisplaced(): Promise<Outcome<void>> {
+        const { maxBatch } = this.options;
+        for (let records = this.log.nextDisplaced(maxBatch); records.length > 0;) {
+            const outcome = await this.log.append(uniqueId(), records);
+            if (outcome.isErr) {
+                return outcome;
+            }
+            records = this.log.nextDisplaced(maxBatch);
+        }
+        return Result.ok<void, never>(undefined);
     }
 
     /** A segment number has been decided: a batch that was written is granted, the others can never be written. */
--- /dev/null
+++ b/packages/claims/src/lib/journal/DisplacedClaims.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { type ClaimRecord } from "./ClaimRecord.js";
+import { DisplacedClaims } from "./DisplacedClaims.js";
+
+function record(keyHash: string, generation: number, target = "a"): ClaimRecord {
+    return { keyHash, digest: "d", generation, runner: { target, incarnation: "1" }, expiry: 1_000 };
+}
+
+/** A partition that holds some claims, and of other keys says in which archive they may be. */
+function stateOf(held: readonly ClaimRecord[], archiveEnd?: number) {
+    return {
+        find: (keyHash: string) => held.find(claim => claim.keyHash === keyHash),
+        hidingPlace: () => archiveEnd === undefined ? undefined : { name: "archive", last: archiveEnd, expiry: 1_000 },
+    };
+}
+
+function displaced(...records: readonly ClaimRecord[]): DisplacedClaims {
+    const claims = new DisplacedClaims();
+    claims.add(records);
+    return claims;
+}
+
+test("a claim that is lost is written again until it is there", () => {
+    const claims = displaced(record("k", 5), record("l", 6));
+    assert.deepEqual(claims.next(stateOf([]), 1), [record("k", 5)]);
+    assert.deepEqual(claims.next(stateOf([record("k", 5)]), 1), [record("l", 6)]);
+    assert.deepEqual(claims.next(stateOf([record("k", 5), record("l", 6)]), 1), []);
+});
+
+test("of a claim that was moved the last runner counts", () => {
+    const claims = displaced(record("k", 5), record("k", 7, "b"));
+    assert.deepEqual(claims.next(stateOf([record("k", 5)]), 10), [record("k", 7, "b")]);
+    assert.deepEqual(claims.next(stateOf([record("k", 3)]), 10), [record("k", 7, "b")]);
+});
+
+test("a claim that another owner has granted since stands", () => {
+    const claims = displaced(record("j", 4), record("k", 7));
+    assert.deepEqual(claims.next(stateOf([record("j", 4), record("k", 6, "b")]), 10), []);
+});
+
+test("an archive that ends before a claim does not hold it", () => {
+    assert.deepEqual(displaced(record("k", 5)).next(stateOf([], 4), 10), [record("k", 5)]);
+    assert.deepEqual(displaced(record("k", 5)).next(stateOf([], 5), 10), []);
+});
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -3,7 +3,8 @@
 import { Result } from "true-myth";
 import { type ArchiveIndex } from "./ArchiveIndex.js";
 import { loadIndexes, loadRecords } from "./archives.js";
-import { type ClaimRecord, packRecords, runnerName, unpackRecords } from "./ClaimRecord.js";
+import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
+import { DisplacedClaims } from "./DisplacedClaims.js";
 import {
     type Archive,
     type Base,
@@ -58,8 +59,7 @@
     private readonly recent = new RecentSegments();
     /** Set while a write has failed on its conditions, and nothing that was read explains it. */
     private isInDoubt = false;
-    /** Claims that the store has acknowledged and lost, and that another owner's segments stand in place of. */
-    private displaced: readonly ClaimRecord[] = [];
+    private readonly displaced = new DisplacedClaims();
 
     constructor(options: PartitionLogOptions) {
         this.options = options;
@@ -199,50 +199,35 @@
         }
     }
 
+    /** Writes them one after the other, so that no transaction grows with what was lost, and what is there is always a chain. */
     private async writeAgain(missing: readonly KnownSegment[]): Promise<Outcome<void>> {
         const { table, partition } = this.options;
-        const keyOf = ({ number }: KnownSegment) => segmentKey(partition, number);
-        if (missing.length === 0) {
-            return Result.ok<void, never>(undefined);
-        }
-        const outcome = await table.commit({
-            writeId: uniqueId(),
-            conditions: [
-                { key: baseKey(partition), version: this.known.version },
-                ...missing.map(known => ({ key: keyOf(known), version: 0 })),
-            ],
-            writes: missing.map(known => ({ key: keyOf(known), value: known.segment })),
-        });
-        if (outcome.isErr) {
-            this.isInDoubt = true;
-            return Result.err(outcome.error);
+        for (const { number, segment } of missing) {
+            const key = segmentKey(partition, number);
+            const outcome = await table.commit({
+                writeId: uniqueId(),
+                conditions: [{ key, version: 0 }, { key: baseKey(partition), version: this.known.version }],
+                writes: [{ key, value: segment }],
+            });
+            if (outcome.isErr) {
+                this.isInDoubt = true;
+                return Result.err(outcome.error);
+            }
+            this.recent.put({ number, segment, version: outcome.value[key] ?? 0 });
         }
-        missing.forEach(known => this.recent.put({ ...known, version: outcome.value[keyOf(known)] ?? 0 }));
         return Result.ok<void, never>(undefined);
     }
 
     private readAnew(): void {
-        const recent = this.recent.from(1).flatMap(({ segment }) => unpackRecords(segment.block));
-        this.displaced = [...this.displaced, ...recent];
+        this.displaced.add(this.recent.from(1).flatMap(({ segment }) => unpackRecords(segment.block)));
         this.recent.clear();
         this.state.clear();
         this.known = emptyBase;
     }
 
-    /** Claims that were acknowledged, lost with a copy of the store, and have no other in their place. They are to be written again. */
-    takeDisplaced(): readonly ClaimRecord[] {
-        const lost = this.displaced;
-        this.displaced = [];
-        const oldest = Math.min(...lost.map(({ generation }) => generation));
-        const isKnown = (found: ClaimRecord) =>
-            found.generation < oldest || lost.some(record => nameOf(record) === nameOf(found));
-        const newest = new Map(lost.map(record => [record.keyHash, record]));
-        return [...newest.values()].filter(record => {
-            const found = this.state.find(record.keyHash);
-            return found === undefined
-                ? (this.state.hidingPlace(record.keyHash)?.last ?? 0) < record.generation
-                : found.generation < record.generation && isKnown(found);
-        });
+    /** Claims that a copy of the store lacks, and that are to be appended: so many at most. */
+    nextDisplaced(most: number): readonly ClaimRecord[] {
+        return this.displaced.next(this.state, most);
     }
 
     /** Reads from an archive what it holds of some keys. */
@@ -369,7 +354,3 @@
     const read = readValue(segmentSchema, value, key);
     return read.isOk && read.value.writeId === segment.writeId;
 }
-
-function nameOf({ keyHash, generation, runner }: ClaimRecord): string {
-    return `${keyHash}/${generation}/${runnerName(runner)}`;
-}
