--- a/packages/claims/src/lib/journal/storeCopy.test.ts
+++ b/packages/claims/src/lib/journal/storeCopy.test.ts
@@ -53,6 +53,19 @@
     assert.equal(claimOf(await site.wait(owner.acquire(request("other")))).id, present.id);
 });
 
+// The owner that had written the claim is gone or idle, and one that has never read it serves the caller's repeat.
+test("a claim that a copy of the store lacks is granted to another runner by no owner", async () => {
+    const site = new JournalSite();
+    const owner = site.owner();
+    await site.wait(owner.acquire(request("old")));
+    const restore = site.table.saveCopy();
+    claimOf(await site.wait(owner.acquire(request("lost"))));
+    restore();
+    const runner = { target: "b", incarnation: "1" };
+    const repeat = await site.wait(site.owner().acquire(request("lost", { runner })));
+    assert.notEqual(repeat.unwrapOr(undefined)?.created, true);
+});
+
 test("copies of the store at any moment lose no claim whose owner writes again", async () => {
     for (let seed = 1; seed <= 20; seed++) {
         const site = new JournalSite();
