The table service tells its era in each answer of the project's own interface

Cause: a process could not tell a store that came back from an older copy from a young one. Change: TableStore.era is the newest era that an answer told; the stand-in's HTTP interface carries it, also with refusals. Before: no such field. After: 'every answer tells the era of the table service, also a refusal' passes. Conclusion: what claims and leases need to see; nothing uses it yet.

--- a/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.history.test.ts
@@ -71,6 +71,9 @@
 
 function connectedTable(store: TableStore, connection: Connection): TableStore {
     return {
+        get era() {
+            return store.era;
+        },
         get: key => connection.pass("read", () => store.get(key)),
         scan: (prefix, after, limit) => connection.pass("read", () => store.scan(prefix, after, limit)),
         commit: transaction => connection.pass("write", () => store.commit(transaction)),
--- a/packages/config/src/lib/store/ResourceStore.test.ts
+++ b/packages/config/src/lib/store/ResourceStore.test.ts
@@ -122,6 +122,7 @@
     const site = new Site();
     const { table, clock } = site;
     const late: TableStore = {
+        era: table.era,
         get: key => table.get(key),
         scan: (prefix, after, limit) => table.scan(prefix, after, limit),
         findCommit: writeId => table.findCommit(writeId),
--- a/packages/config/src/lib/testing/SimulatedSite.ts
+++ b/packages/config/src/lib/testing/SimulatedSite.ts
@@ -198,6 +198,9 @@
             process.reachesStore ? use() : Promise.resolve(storeDown<T>());
         const stale = (keep: (row: Row) => boolean) => process.staleRows?.filter(keep);
         return {
+            get era() {
+                return table.era;
+            },
             get: key =>
                 reach(async () => {
                     const rows = stale(row => row.key === key);
--- a/packages/control/src/lib/testing/ScriptedStore.ts
+++ b/packages/control/src/lib/testing/ScriptedStore.ts
@@ -14,6 +14,7 @@
  * @internal
  */
 export class ScriptedStore implements TableStore {
+    readonly era = 0;
     /** False while the store is down: every call is refused without effect. */
     up = true;
     /** Faults of the next commits; commits beyond them succeed at once. */
--- a/packages/control/src/lib/testing/pausable.ts
+++ b/packages/control/src/lib/testing/pausable.ts
@@ -7,6 +7,9 @@
 /** A store whose answers reach a paused process only when it goes on. @internal */
 export function pausableStore(store: TableStore, awake: Awake): TableStore {
     return {
+        get era() {
+            return store.era;
+        },
         get: key => awake(store.get(key)),
         scan: (prefix, after, limit) => awake(store.scan(prefix, after, limit)),
         commit: transaction => awake(store.commit(transaction)),
--- a/packages/stores/src/lib/TableStore.ts
+++ b/packages/stores/src/lib/TableStore.ts
@@ -51,6 +51,11 @@
  * @public
  */
 export interface TableStore {
+    /**
+     * The newest era that an answer has told. It rises each time that the service has come back from an older copy of itself: what was
+     * written since the copy is gone, and its versions are given out again. 0 while nothing was ever lost, as far as is known.
+     */
+    readonly era: number;
     /** Reads one row; version 0 when there is none. */
     get(key: string): Promise<Outcome<Row>>;
     /** Reads rows in key order, from the first key after `after` that starts with `prefix`. */
--- a/packages/stores/src/lib/client/StoreClient.ts
+++ b/packages/stores/src/lib/client/StoreClient.ts
@@ -78,6 +78,10 @@
         this.restartBuckets();
     }
 
+    get era(): number {
+        return this.options.store.era;
+    }
+
     /** The breaker's state, for metrics. */
     get breakerState(): BreakerState {
         return this.breaker.state;
--- a/packages/stores/src/lib/http/HttpTableStore.ts
+++ b/packages/stores/src/lib/http/HttpTableStore.ts
@@ -10,6 +10,10 @@
 export class HttpTableStore implements TableStore {
     constructor(private readonly connection: PlatformConnection) {}
 
+    get era(): number {
+        return this.connection.tableEra;
+    }
+
     get(key: string): Promise<Outcome<Row>> {
         return this.connection.call("/table/get", { key });
     }
--- a/packages/stores/src/lib/http/PlatformConnection.ts
+++ b/packages/stores/src/lib/http/PlatformConnection.ts
@@ -48,6 +48,7 @@
  */
 export class PlatformConnection {
     private readonly pool: Pool;
+    private newestEra = 0;
 
     constructor(options: PlatformConnectionOptions) {
         const { origin, connections, connectTimeout, answerTimeout, maxAnswerBytes } = { ...defaults, ...options };
@@ -62,6 +63,11 @@
         });
     }
 
+    /** The newest era of the table service that an answer has told; an answer that is overtaken does not lower it. */
+    get tableEra(): number {
+        return this.newestEra;
+    }
+
     /**
      * Makes one call.
      *
@@ -76,7 +82,7 @@
                 body: JSON.stringify(params),
             });
             const text = await response.body.text();
-            return readAnswer(path, response.statusCode, text);
+            return this.readAnswer(path, response.statusCode, text);
         }
         catch (error) {
             return afterError(error);
@@ -87,18 +93,22 @@
     close(): Promise<void> {
         return this.pool.close();
     }
-}
 
-function readAnswer<P extends PlatformPath>(path: P, status: number, text: string): Outcome<PlatformResult<P>> {
-    const answer = answerSchema.safeParse(parseJson(text));
-    if (!answer.success) {
-        return status === tooManyRequests ? unavailable("rate exceeded") : unknownOutcome(`status ${status}`);
-    }
-    if (answer.data.failure !== undefined) {
-        return Result.err(toFailure(answer.data.failure));
+    private readAnswer<P extends PlatformPath>(path: P, status: number, text: string): Outcome<PlatformResult<P>> {
+        const answer = answerSchema.safeParse(parseJson(text));
+        if (!answer.success) {
+            return status === tooManyRequests ? unavailable("rate exceeded") : unknownOutcome(`status ${status}`);
+        }
+        const { failure: refusal, value: content, tableEra } = answer.data;
+        this.newestEra = Math.max(this.newestEra, tableEra ?? 0);
+        if (refusal !== undefined) {
+            return Result.err(toFailure(refusal));
+        }
+        const value = platformCalls[path].result.safeParse(content);
+        return value.success
+            ? Result.ok(value.data as PlatformResult<P>)
+            : unknownOutcome("an answer of another shape");
     }
-    const value = platformCalls[path].result.safeParse(answer.data.value);
-    return value.success ? Result.ok(value.data as PlatformResult<P>) : unknownOutcome("an answer of another shape");
 }
 
 function parseJson(text: string): unknown {
--- a/packages/stores/src/lib/http/PlatformServer.test.ts
+++ b/packages/stores/src/lib/http/PlatformServer.test.ts
@@ -56,6 +56,16 @@
     assert.equal((await store.get("a")).unwrapOr(undefined)?.version, 0);
 });
 
+test("every answer tells the era of the table service, also a refusal", async t => {
+    const { store, table } = await setUp(t);
+    assert.ok((await store.get("a")).isOk);
+    assert.equal(store.era, 0);
+    table.saveCopy()();
+    assert.equal(store.era, 0);
+    assert.ok((await store.commit({ ...create, conditions: [{ key: "a", version: 7 }] })).isErr);
+    assert.equal(store.era, 1);
+});
+
 test("objects, hosts and weights pass over HTTP", async t => {
     const { connection } = await setUp(t);
     const objects = new HttpObjectStore(connection);
--- a/packages/stores/src/lib/http/PlatformServer.ts
+++ b/packages/stores/src/lib/http/PlatformServer.ts
@@ -40,9 +40,11 @@
     private readonly server: Server;
     private readonly handlers: Handlers;
     private readonly maxBodyBytes: number;
+    private readonly table: MemoryTableStore;
 
     constructor(options: PlatformServerOptions) {
         this.maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
+        this.table = options.table;
         this.handlers = { ...serviceHandlers(options), ...adminHandlers(options) };
         this.server = createServer((request, response) => void this.serve(request, response));
     }
@@ -87,7 +89,7 @@
             return;
         }
         const handler = this.handlers[path as PlatformPath] as (params: unknown) => Promise<Outcome<unknown>>;
-        sendOutcome(response, await handler(params));
+        sendOutcome(response, await handler(params), this.table.era);
     }
 }
 
@@ -131,13 +133,13 @@
 }
 
 /** A lost answer is lost on the wire too: the connection breaks without one. */
-function sendOutcome(response: ServerResponse, outcome: Outcome<unknown>): void {
+function sendOutcome(response: ServerResponse, outcome: Outcome<unknown>, tableEra: number): void {
     if (outcome.isErr && outcome.error.code === platformCodes.storeUnknown) {
         response.destroy();
         return;
     }
     const status = outcome.isOk ? statusOk : outcome.error.code.status;
-    end(response, status, JSON.stringify(toAnswer(outcome)));
+    end(response, status, JSON.stringify(toAnswer(outcome, tableEra)));
 }
 
 function end(response: ServerResponse, status: number, text = ""): void {
--- a/packages/stores/src/lib/http/wire.ts
+++ b/packages/stores/src/lib/http/wire.ts
@@ -77,7 +77,7 @@
 export type PlatformResult<P extends PlatformPath> = z.infer<(typeof platformCalls)[P]["result"]>;
 
 /**
- * An answer: a value, or a failure by its number.
+ * An answer: a value, or a failure by its number. Each tells the era of the table service.
  *
  * @internal
  */
@@ -88,18 +88,19 @@
         message: z.string(),
         retryAfter: z.number().optional(),
     }).optional(),
+    tableEra: z.number().int().nonnegative().optional(),
 });
 
 /** @internal */
 export type Answer = z.infer<typeof answerSchema>;
 
 /** Writes an outcome as an answer. @internal */
-export function toAnswer(outcome: Outcome<unknown>): Answer {
+export function toAnswer(outcome: Outcome<unknown>, tableEra: number): Answer {
     if (outcome.isOk) {
-        return { value: outcome.value };
+        return { value: outcome.value, tableEra };
     }
     const { code, message, retryAfter } = outcome.error;
-    return { failure: { code: code.number, message, retryAfter } };
+    return { failure: { code: code.number, message, retryAfter }, tableEra };
 }
 
 /** Reads the failure of an answer. A number that this version does not know leaves the outcome unknown. @internal */
--- a/packages/stores/src/lib/memory/MemoryTableStore.ts
+++ b/packages/stores/src/lib/memory/MemoryTableStore.ts
@@ -46,6 +46,7 @@
     private sorted: { readonly rows: Map<string, StoredRow>; readonly keys: readonly string[]; } | undefined;
     /** One counter for all rows, so that a row deleted and written again never repeats a version. */
     private version = 0;
+    private copiesUsed = 0;
 
     constructor(options: MemoryTableStoreOptions) {
         this.clock = options.clock;
@@ -54,6 +55,10 @@
         this.faults = new FaultInjector(options.clock);
     }
 
+    get era(): number {
+        return this.copiesUsed;
+    }
+
     get(key: string): Promise<Outcome<Row>> {
         return this.faults.run("read", () => Result.ok(this.row(key)));
     }
@@ -90,6 +95,7 @@
             rows.forEach((row, key) => this.rows.set(key, row));
             this.commits.clear();
             this.version = version;
+            this.copiesUsed++;
             this.sorted = undefined;
         };
     }
