--- a/packages/claims/src/lib/claimId.ts
+++ b/packages/claims/src/lib/claimId.ts
@@ -25,7 +25,7 @@
 const idVersion = "c1";
 const fieldCount = 8;
 const hashBytes = 16;
-const generationPattern = /^(0|[1-9]\d{0,14})$/;
+const generationPattern = /^(0|[1-9]\d{0,15})$/;
 const keyHashPattern = /^[\w-]{22}$/;
 
 /**
@@ -41,6 +41,9 @@
     return hash.digest().subarray(0, hashBytes).toString("base64url");
 }
 
+/** The digest of a claim that only its runner remembered; any request under its key counts as a duplicate. @internal */
+export const unknownDigest = "";
+
 /**
  * The hash under which a request's claim is kept.
  *
@@ -80,7 +83,8 @@
     }
     const [, route = "", organisation = "", keyHash = "", series = "", generation = "", target = "", incarnation = ""] =
         fields;
-    if (!keyHashPattern.test(keyHash) || !generationPattern.test(generation)) {
+    const isGeneration = generationPattern.test(generation) && Number.isSafeInteger(Number(generation));
+    if (!keyHashPattern.test(keyHash) || !isGeneration) {
         return undefined;
     }
     const runner = { target, incarnation };
--- a/packages/claims/src/lib/journal/Archiver.ts
+++ b/packages/claims/src/lib/journal/Archiver.ts
@@ -114,8 +114,7 @@
             if (rows.length === 0) {
                 return;
             }
-            const writes = rows.map(({ key }) => ({ key }));
-            const outcome = await this.write(() => table.commit({ writeId: uniqueId(), conditions: [], writes }));
+            const outcome = await this.write(() => log.deleteRows(rows.map(({ key }) => key)));
             if (outcome.isErr) {
                 return;
             }
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -12,6 +12,8 @@
 } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type Claim, type ClaimRequest, type Claims, type Runner } from "../Claims.js";
+import { type CollectReports, type Reclaim, type ReportedClaim } from "../reclaim/ClaimReport.js";
+import { firstGeneration } from "../reclaim/generations.js";
 import { Archiver } from "./Archiver.js";
 import { Batch } from "./Batch.js";
 import { PartitionLog } from "./PartitionLog.js";
@@ -34,6 +36,13 @@
      * that arrive during the wait share the write.
      */
     readonly pace: () => number;
+    /**
+     * Asks the processes that may know claims which the store has lost. By default nobody, which is right only where no other
+     * process records or runs claims.
+     */
+    readonly collectReports?: CollectReports;
+    /** Runs after each look for lost claims. */
+    readonly onReclaim?: (reclaim: Reclaim) => void;
     /** Milliseconds after which a call ends as `claimUnavailable`. */
     readonly patience?: number;
     /** Calls that may wait at the same time. */
@@ -51,6 +60,8 @@
 }
 
 const defaults = {
+    collectReports: () => Promise.resolve(Result.ok<readonly ReportedClaim[], Failure>([])),
+    onReclaim: () => undefined,
     patience: 1_000,
     maxPending: 10_000,
     maxBatch: 500,
@@ -93,6 +104,11 @@
         this.pending = new PendingCalls(clock, patience);
     }
 
+    /** The name under which the partition counts generations. */
+    get series(): string {
+        return this.log.state.series;
+    }
+
     /** Claims that are known. */
     get size(): number {
         return this.log.state.size;
@@ -105,7 +121,8 @@
 
     acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
         const call = PendingCall.acquire(request);
-        const known = call.answer(this.log.state) ?? this.refusal(request);
+        const answer = this.log.isSettled ? call.answer(this.log.state) : undefined;
+        const known = answer ?? this.refusal(request);
         return known === undefined ? this.enqueue(call) : Promise.resolve(known);
     }
 
@@ -122,9 +139,14 @@
         return this.enqueue(call);
     }
 
+    /** The claims granted in earlier eras of the store that this process knows and the store may lack. */
+    report(before: number): readonly ReportedClaim[] {
+        return this.log.reports.filter(({ generation }) => generation < before);
+    }
+
     /** Reads the partition, so that the first claim need not wait for that. */
     async load(): Promise<Outcome<void>> {
-        if (this.draining || this.fresh) {
+        if (this.draining || this.isCurrent) {
             return Result.ok<void, never>(undefined);
         }
         this.draining = true;
@@ -134,6 +156,11 @@
         return outcome;
     }
 
+    /** Whether all that the store holds is known, for all that is known. */
+    private get isCurrent(): boolean {
+        return this.fresh && this.log.isSettled;
+    }
+
     private refusal({ runner }: ClaimRequest): Outcome<Claim> | undefined {
         if (hasLongName(runner)) {
             return longName();
@@ -173,7 +200,7 @@
 
     /** Brings the waiting calls one write further. */
     private async step(): Promise<Outcome<void>> {
-        if (!this.fresh) {
+        if (!this.isCurrent) {
             const refreshed = await this.refresh();
             if (refreshed.isErr) {
                 return refreshed;
@@ -221,7 +248,12 @@
     }
 
     private async refresh(): Promise<Outcome<void>> {
+        const { era } = this.log;
         const outcome = await this.log.refresh();
+        if (this.log.era !== era) {
+            // What was sent in an earlier era is not granted: another owner may not have seen it when it settled the partition.
+            this.undecided = [];
+        }
         if (outcome.isErr) {
             return Result.err(outcome.error);
         }
@@ -229,11 +261,42 @@
         if (outcome.value.length > 0) {
             this.decide(outcome.value);
         }
-        return this.appendDisplaced();
+        if (!this.log.isSettled) {
+            return this.reclaim();
+        }
+        const written = await this.appendDisplaced();
+        if (written.isOk) {
+            this.log.clearDisplaced();
+        }
+        return written;
+    }
+
+    /** Looks for the claims that a copy of the store lacks, and writes them again before anything else is granted or told. */
+    private async reclaim(): Promise<Outcome<void>> {
+        const { collectReports, onReclaim } = this.options;
+        const { log: { era, state: { series } } } = this;
+        const reports = await collectReports({ series, before: firstGeneration(era) });
+        if (reports.isErr) {
+            onReclaim({ series, era, reported: 0, refusal: reports.error.message });
+            return Result.err(reports.error);
+        }
+        this.log.addReports(reports.value);
+        const written = await this.appendDisplaced();
+        const settled = written.isErr ? written : await this.log.append(uniqueId(), [], { settles: true });
+        if (settled.isOk) {
+            this.log.clearDisplaced();
+        }
+        const refusal = settled.isErr ? settled.error.message : undefined;
+        onReclaim({ series, era, reported: reports.value.length, refusal });
+        return settled;
     }
 
     private async appendDisplaced(): Promise<Outcome<void>> {
         const { maxBatch } = this.options;
+        const revealed = await this.log.revealDisplaced();
+        if (revealed.isErr) {
+            return revealed;
+        }
         for (let records = this.log.nextDisplaced(maxBatch); records.length > 0;) {
             const outcome = await this.log.append(uniqueId(), records);
             if (outcome.isErr) {
@@ -294,9 +357,9 @@
     return Result.err(failure(requestCodes.malformed, "the runner's name is too long"));
 }
 
-/** Whether the store is down for all that is known, so that waiting on has no use. */
+/** Whether the store is down for all that is known, or lost claims cannot be looked for, so that waiting on has no use. */
 function wasRefused({ code }: Failure): boolean {
-    return code === platformCodes.storeUnavailable;
+    return code === platformCodes.storeUnavailable || code === requestCodes.claimUnavailable;
 }
 
 function unavailable(message: string, retryAfter: number): Outcome<Claim> {
--- a/packages/claims/src/lib/journal/ClaimJournals.ts
+++ b/packages/claims/src/lib/journal/ClaimJournals.ts
@@ -1,6 +1,7 @@
 import { type ObjectStore, type TableStore, TokenBucket } from "@waxwingspar/stores";
 import { type Clock, type Outcome, type Random } from "@waxwingspar/utils";
 import { type Claim, type ClaimRequest, type Claims } from "../Claims.js";
+import { type ReportedClaim, type ReportRequest } from "../reclaim/ClaimReport.js";
 import { partitionOf } from "../routing/partitionOf.js";
 import { ClaimJournal, type ClaimJournalOptions } from "./ClaimJournal.js";
 
@@ -66,6 +67,12 @@
         return this.journalOf(request).move(claim, request);
     }
 
+    /** The claims of earlier eras of the store that this process knows. */
+    report({ series, before }: ReportRequest): readonly ReportedClaim[] {
+        return [...this.journals.values()].filter(journal => journal.series === series)
+            .flatMap(journal => journal.report(before));
+    }
+
     /** Reads a partition that this process is about to serve. */
     load(partition: number): Promise<Outcome<void>> {
         return this.journal(partition).load();
--- a/packages/claims/src/lib/journal/DisplacedClaims.test.ts
+++ b/packages/claims/src/lib/journal/DisplacedClaims.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { unknownDigest } from "../claimId.js";
 import { type ClaimRecord } from "./ClaimRecord.js";
 import { DisplacedClaims } from "./DisplacedClaims.js";
 
@@ -40,6 +41,27 @@
     assert.deepEqual(claims.next(stateOf([record("j", 4), record("k", 6, "b")]), 10), []);
 });
 
+test("a claim that was written in the place of a granted one gives way to it", () => {
+    const state = { ...stateOf([record("k", 5, "b")]), firstGeneration: 100 };
+    assert.deepEqual(displaced(record("k", 5)).next(state, 10), [record("k", 5)]);
+});
+
+test("a claim that its runner has begun stands whatever is found", () => {
+    const claims = new DisplacedClaims();
+    claims.addReports([{ ...record("k", 5), state: "ran" }, { ...record("k", 9, "c"), state: "granted" }]);
+    const state = { ...stateOf([record("k", 7, "b")]), firstGeneration: 100 };
+    assert.deepEqual(claims.next(state, 10), [record("k", 5)]);
+    assert.deepEqual(claims.next({ ...state, firstGeneration: 6 }, 10), [], "one that was granted since");
+});
+
+test("a claim that only its runner remembers is kept for a day, whatever was asked", () => {
+    const { keyHash, generation, runner } = record("k", 5);
+    const claims = new DisplacedClaims();
+    claims.addReports([{ keyHash, generation, runner, state: "ran" }]);
+    const [written] = claims.next(stateOf([]), 10);
+    assert.deepEqual(written, { keyHash, generation, runner, digest: unknownDigest, expiry: 86_400_000 });
+});
+
 test("a claim that has expired is not written again", () => {
     assert.deepEqual(displaced(record("k", 5)).next(stateOf([], undefined, 1_001), 10), []);
 });
--- a/packages/claims/src/lib/journal/DisplacedClaims.ts
+++ b/packages/claims/src/lib/journal/DisplacedClaims.ts
@@ -1,11 +1,19 @@
+import { unknownDigest } from "../claimId.js";
+import { type ReportedClaim } from "../reclaim/ClaimReport.js";
+import { strongestOfEach } from "../reclaim/strongestOfEach.js";
 import { type ClaimRecord, runnerName } from "./ClaimRecord.js";
 import { type PartitionState } from "./PartitionState.js";
 
 /** A partition as far as it matters here. @internal */
 export interface ReadPartition extends Pick<PartitionState, "find" | "hidingPlace"> {
+    /** The lowest generation of a claim that was granted since the store came back, where the store tells its era. */
+    readonly firstGeneration?: number;
     readonly time: { now(): number; };
 }
 
+/** Milliseconds for which a claim is kept whose retention is not known: as long as callers may repeat a request by default. */
+const unknownRetention = 86_400_000;
+
 /**
  * Claims that the store has acknowledged and may have lost with a copy, while the partition is read anew. Those that have no other
  * in their place are written again.
@@ -13,11 +21,21 @@
  * @internal
  */
 export class DisplacedClaims {
-    private records: readonly ClaimRecord[] = [];
+    private claims: readonly ReportedClaim[] = [];
+
+    /** The claims that are still to be looked for. */
+    get reports(): readonly ReportedClaim[] {
+        return this.claims;
+    }
 
     /** @param records - In the order in which they were written. */
     add(records: readonly ClaimRecord[]): void {
-        this.records = [...this.records, ...records];
+        this.addReports(records.map(record => ({ ...record, state: "granted" })));
+    }
+
+    /** Adds what processes reported. */
+    addReports(reports: readonly ReportedClaim[]): void {
+        this.claims = [...this.claims, ...reports];
     }
 
     /**
@@ -26,34 +44,52 @@
      * @param state - The partition as it was read anew.
      */
     next(state: ReadPartition, most: number): readonly ClaimRecord[] {
-        const newest = new Map(this.records.map(record => [record.keyHash, record]));
-        const lost = [...newest.values()].filter(record => this.isLost(record, state));
-        if (lost.length === 0) {
-            this.records = [];
-        }
-        return lost.slice(0, most);
+        const lost = strongestOfEach(this.claims).filter(claim => this.isLost(claim, state));
+        return lost.slice(0, most).map(claim => recordOf(claim, state.time.now()));
     }
 
-    private isLost(record: ClaimRecord, state: ReadPartition): boolean {
+    /** Forgets them, once the store holds what is left of them. */
+    clear(): void {
+        this.claims = [];
+    }
+
+    private isLost(claim: ReportedClaim, state: ReadPartition): boolean {
         // The state holds no expired claim, so one that was written would look lost for ever.
-        if (record.expiry < state.time.now()) {
+        if (claim.expiry !== undefined && claim.expiry < state.time.now()) {
             return false;
         }
-        const found = state.find(record.keyHash);
+        const found = state.find(claim.keyHash);
         if (found === undefined) {
             // An archive holds no segment above its last one, so at most an earlier claim of the key.
-            return (state.hidingPlace(record.keyHash)?.last ?? 0) < record.generation;
+            return (state.hidingPlace(claim.keyHash)?.last ?? 0) < claim.generation;
+        }
+        if (nameOf(found) === nameOf(claim) || !this.isOfCommonPast(found, state)) {
+            return false;
         }
-        return found.generation < record.generation && this.isOfCommonPast(found);
+        // Of two claims with one generation the one that is found was written in the place of the other, and never granted.
+        return claim.state === "ran" || found.generation <= claim.generation;
     }
 
     /** Whether a claim was there before the copy was made; any other was granted since, and stands. */
-    private isOfCommonPast(found: ClaimRecord): boolean {
-        const oldest = Math.min(...this.records.map(({ generation }) => generation));
-        return found.generation < oldest || this.records.some(record => nameOf(record) === nameOf(found));
+    private isOfCommonPast(found: ClaimRecord, { firstGeneration = 0 }: ReadPartition): boolean {
+        if (found.generation < firstGeneration) {
+            return true;
+        }
+        const oldest = Math.min(...this.claims.map(({ generation }) => generation));
+        return found.generation < oldest || this.claims.some(claim => nameOf(claim) === nameOf(found));
     }
 }
 
-function nameOf({ keyHash, generation, runner }: ClaimRecord): string {
+function recordOf({ keyHash, generation, runner, digest, expiry }: ReportedClaim, now: number): ClaimRecord {
+    return {
+        keyHash,
+        generation,
+        runner,
+        digest: digest ?? unknownDigest,
+        expiry: expiry ?? now + unknownRetention,
+    };
+}
+
+function nameOf({ keyHash, generation, runner }: Pick<ClaimRecord, "keyHash" | "generation" | "runner">): string {
     return `${keyHash}/${generation}/${runnerName(runner)}`;
 }
--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -1,6 +1,9 @@
-import { type ObjectStore, type Row, type TableStore } from "@waxwingspar/stores";
+import { type ObjectStore, type Row, type TableStore, type Transaction } from "@waxwingspar/stores";
 import { type Clock, type Failure, failure, type Outcome, platformCodes, uniqueId } from "@waxwingspar/utils";
 import { Result } from "true-myth";
+import { type ReportedClaim } from "../reclaim/ClaimReport.js";
+import { firstGeneration } from "../reclaim/generations.js";
+import { SettledEra } from "../reclaim/SettledEra.js";
 import { type ArchiveIndex } from "./ArchiveIndex.js";
 import { loadIndexes, loadRecords } from "./archives.js";
 import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
@@ -15,6 +18,7 @@
     segmentKey,
     segmentNumber,
     segmentSchema,
+    settlementPrefix,
 } from "./partitionRows.js";
 import { PartitionState } from "./PartitionState.js";
 import { readValue } from "./readValue.js";
@@ -46,9 +50,15 @@
 
 const emptyBase: VersionedBase = { version: 0, base: { first: 1, time: 0, archives: [], discarded: [] } };
 
+/** How a segment is appended. */
+interface AppendOptions {
+    /** Whether all claims that the store lost are written again with this segment. */
+    readonly settles?: boolean;
+}
+
 /**
  * The chain of segments of one partition, as one owner sees it. A segment can be written only by an owner that has
- * read all segments before it.
+ * read all segments before it, in the era of the store that the partition was settled in.
  *
  * @internal
  */
@@ -57,13 +67,14 @@
     private readonly options: PartitionLogOptions;
     private known = emptyBase;
     private readonly recent = new RecentSegments();
-    /** Set while a write has failed on its conditions, and nothing that was read explains it. */
-    private isInDoubt = false;
     private readonly displaced = new DisplacedClaims();
+    private readonly settled: SettledEra;
 
     constructor(options: PartitionLogOptions) {
         this.options = options;
+        this.settled = new SettledEra(options.table, settlementPrefix(options.partition));
         this.state = new PartitionState(options.clock, `p${options.partition}`);
+        this.state.firstGeneration = firstGeneration(this.era);
     }
 
     /** The base row as last read. */
@@ -76,23 +87,73 @@
         return this.state.lastSegment + 1;
     }
 
+    /** The era of the store in which the partition was read. */
+    get era(): number {
+        return this.settled.era;
+    }
+
+    /**
+     * False while claims may be missing that the store had acknowledged, or claims be there that were never granted: nothing may be
+     * granted or told then.
+     */
+    get isSettled(): boolean {
+        return this.settled.isCurrent && this.settled.wasSettled;
+    }
+
+    /** The claims that this owner knows to be granted and that a copy of the store may lack. */
+    get reports(): readonly ReportedClaim[] {
+        const granted = this.granted().map((record): ReportedClaim => ({ ...record, state: "granted" }));
+        return [...this.displaced.reports, ...granted];
+    }
+
     /**
-     * Reads what other owners have written since. It reads on until a page shows the base row unchanged, so that it does
-     * not miss segments that are archived meanwhile.
+     * Reads what other owners have written since, or everything where the store has come back from a copy. It reads on until a
+     * page shows the base row unchanged, so that it does not miss segments that are archived meanwhile.
      *
      * @returns The write ids of the segments that were read.
      */
     async refresh(): Promise<Outcome<string[]>> {
-        const read = await this.readOn();
-        if (read.isErr || !this.isInDoubt) {
-            return read;
+        for (;;) {
+            this.followEra();
+            // Read first, so that all segments that it speaks of are among those read after it.
+            const settlement = await this.settled.read();
+            if (settlement.isErr) {
+                return Result.err(settlement.error);
+            }
+            const read = await this.readOn();
+            if (read.isErr) {
+                return read;
+            }
+            // Answers of two eras do not fit together.
+            if (this.settled.isCurrent) {
+                this.settled.use(settlement.value);
+                return read;
+            }
         }
-        this.isInDoubt = false;
-        if (read.value.length > 0) {
-            return read;
+    }
+
+    /** What was read in an earlier era is read anew; what was granted in it is kept, to be written again if it is lost. */
+    private followEra(): void {
+        if (!this.settled.isCurrent) {
+            this.displaced.add(this.granted());
+            this.recent.clear();
+            this.state.clear();
+            this.known = emptyBase;
+            this.settled.follow();
+            this.state.firstGeneration = firstGeneration(this.era);
         }
-        const restored = await this.restoreLost();
-        return restored.isErr ? Result.err(restored.error) : this.readOn();
+    }
+
+    /**
+     * The records of recent segments, of each key the last. While the partition was not settled, its rows may hold claims that were
+     * never granted.
+     */
+    private granted(): readonly ClaimRecord[] {
+        if (!this.settled.wasSettled) {
+            return [];
+        }
+        const records = this.recent.from(1).flatMap(({ segment }) => unpackRecords(segment.block));
+        return [...new Map(records.map(record => [record.keyHash, record])).values()];
     }
 
     private async readOn(): Promise<Outcome<string[]>> {
@@ -116,16 +177,20 @@
     }
 
     /**
-     * Writes the next segment. When it succeeds the records are part of the state; when the answer is lost,
-     * {@link PartitionLog.refresh} shows what became of it.
+     * Writes the next segment. When it succeeds the records are part of the state; when the answer is lost, or tells of a
+     * new era, {@link PartitionLog.refresh} shows what became of it.
      */
-    async append(writeId: string, records: readonly ClaimRecord[]): Promise<Outcome<void>> {
-        const { table, partition } = this.options;
+    async append(
+        writeId: string,
+        records: readonly ClaimRecord[],
+        { settles = false }: AppendOptions = {},
+    ): Promise<Outcome<void>> {
+        const { partition } = this.options;
         const number = this.nextSegment;
         const time = this.state.time.now();
         const segment: Segment = { writeId, time, block: packRecords(records) };
         const key = segmentKey(partition, number);
-        const outcome = await table.commit({
+        const transaction: Transaction = {
             writeId,
             conditions: [
                 { key, version: 0 },
@@ -133,12 +198,12 @@
                 ...this.conditionsOn(this.recent.from(this.known.base.first).at(-1)),
             ],
             writes: [{ key, value: segment }],
-        });
+        };
+        const outcome = settles ? await this.settled.settle(transaction) : await this.settled.commit(transaction);
         if (outcome.isOk) {
             this.state.applySegment(number, time, records);
             this.recent.put({ number, version: outcome.value[key] ?? 0, segment });
         }
-        this.isInDoubt = outcome.isErr && outcome.error.code === platformCodes.conditionFailed;
         return outcome.map(() => undefined);
     }
 
@@ -152,84 +217,36 @@
             : [{ key: segmentKey(this.options.partition, before.number), version: before.version }];
     }
 
-    /** Writes the segments again that the store has lost; where others stand in their place, everything is read anew. */
-    private async restoreLost(): Promise<Outcome<void>> {
-        const { partition } = this.options;
-        const recent = this.recent.from(this.known.base.first);
-        const scanned = await this.scanFrom(recent[0]?.number ?? this.nextSegment);
-        if (scanned.isErr) {
-            return Result.err(scanned.error);
-        }
-        const rows = new Map(scanned.value.map(row => [row.key, row]));
-        if ((rows.get(baseKey(partition))?.version ?? 0) !== this.known.version) {
-            this.readAnew();
-            return Result.ok<void, never>(undefined);
-        }
-        const missing: KnownSegment[] = [];
-        for (const known of recent) {
-            const row = rows.get(segmentKey(partition, known.number));
-            if (row === undefined) {
-                missing.push(known);
-            }
-            else if (!holds(row, known)) {
-                this.readAnew();
-                return Result.ok<void, never>(undefined);
-            }
-            else {
-                this.recent.put({ ...known, version: row.version });
-            }
-        }
-        return this.writeAgain(missing);
+    /** Adds claims that processes know of an earlier era of the store. */
+    addReports(reports: readonly ReportedClaim[]): void {
+        this.displaced.addReports(reports);
     }
 
-    /** All rows from a segment on, and the base row. */
-    private async scanFrom(number: number): Promise<Outcome<Row[]>> {
-        const { table, partition, pageSize } = this.options;
-        const rows: Row[] = [];
-        for (;;) {
-            const after = rows.at(-1)?.key ?? segmentKey(partition, number - 1);
-            const page = await table.scan(partitionPrefix(partition), after, pageSize);
-            if (page.isErr) {
-                return Result.err(page.error);
-            }
-            rows.push(...page.value);
-            if (page.value.length < pageSize) {
-                return Result.ok(rows);
-            }
-        }
+    /** Claims that a copy of the store lacks, and that are to be appended: so many at most. */
+    nextDisplaced(most: number): readonly ClaimRecord[] {
+        return this.displaced.next(this.state, most);
+    }
+
+    /** Forgets what processes knew of earlier eras, once the store holds it. */
+    clearDisplaced(): void {
+        this.displaced.clear();
     }
 
-    /** Writes them one after the other, so that no transaction grows with what was lost, and what is there is always a chain. */
-    private async writeAgain(missing: readonly KnownSegment[]): Promise<Outcome<void>> {
-        const { table, partition } = this.options;
-        for (const { number, segment } of missing) {
-            const key = segmentKey(partition, number);
-            const outcome = await table.commit({
-                writeId: uniqueId(),
-                conditions: [{ key, version: 0 }, { key: baseKey(partition), version: this.known.version }],
-                writes: [{ key, value: segment }],
-            });
-            if (outcome.isErr) {
-                this.isInDoubt = true;
-                return Result.err(outcome.error);
+    /** Reads what archives hold of the keys that displaced claims may be written again for. */
+    async revealDisplaced(): Promise<Outcome<void>> {
+        const keyHashes = this.displaced.reports.map(({ keyHash }) => keyHash);
+        for (const keyHash of keyHashes) {
+            for (let place = this.state.hidingPlace(keyHash); place !== undefined;) {
+                const outcome = await this.reveal(place, keyHashes);
+                if (outcome.isErr) {
+                    return outcome;
+                }
+                place = this.state.hidingPlace(keyHash);
             }
-            this.recent.put({ number, segment, version: outcome.value[key] ?? 0 });
         }
         return Result.ok<void, never>(undefined);
     }
 
-    private readAnew(): void {
-        this.displaced.add(this.recent.from(1).flatMap(({ segment }) => unpackRecords(segment.block)));
-        this.recent.clear();
-        this.state.clear();
-        this.known = emptyBase;
-    }
-
-    /** Claims that a copy of the store lacks, and that are to be appended: so many at most. */
-    nextDisplaced(most: number): readonly ClaimRecord[] {
-        return this.displaced.next(this.state, most);
-    }
-
     /** Reads from an archive what it holds of some keys. */
     async reveal(archive: Archive, keyHashes: readonly string[]): Promise<Outcome<void>> {
         const records = await loadRecords(this.options.objects, archive.name);
@@ -253,9 +270,9 @@
         base: Base,
         indexes: ReadonlyMap<string, ArchiveIndex>,
     ): Promise<Outcome<void>> {
-        const { table, partition } = this.options;
+        const { partition } = this.options;
         const key = baseKey(partition);
-        const outcome = await table.commit({
+        const outcome = await this.settled.commit({
             writeId: uniqueId(),
             conditions: [{ key, version: from.version }],
             writes: [{ key, value: base }],
@@ -267,6 +284,19 @@
         return Result.ok<void, never>(undefined);
     }
 
+    /**
+     * Deletes rows of segments that the base row says are archived. A store that came back from a copy may hold another base row and
+     * new segments under the same numbers; none of those is deleted.
+     */
+    async deleteRows(keys: readonly string[]): Promise<Outcome<void>> {
+        const outcome = await this.settled.commit({
+            writeId: uniqueId(),
+            conditions: [{ key: baseKey(this.options.partition), version: this.known.version }],
+            writes: keys.map(key => ({ key })),
+        });
+        return outcome.map(() => undefined);
+    }
+
     /** Takes over a base row unless a newer one is known; false if the index of one of its archives is missing. */
     private adopt(version: number, base: Base, indexes: ReadonlyMap<string, ArchiveIndex>): boolean {
         if (version <= this.known.version) {
@@ -314,6 +344,9 @@
         if (page.isErr) {
             return Result.err(page.error);
         }
+        if (!this.settled.isCurrent) {
+            return Result.ok("end");
+        }
         const applied = this.applyRows(page.value);
         if (applied.isErr) {
             return Result.err(applied.error);
@@ -349,8 +382,3 @@
         return Result.ok(writeIds);
     }
 }
-
-function holds({ value, key }: Row, { segment }: KnownSegment): boolean {
-    const read = readValue(segmentSchema, value, key);
-    return read.isOk && read.value.writeId === segment.writeId;
-}
--- a/packages/claims/src/lib/journal/PartitionState.ts
+++ b/packages/claims/src/lib/journal/PartitionState.ts
@@ -10,6 +10,11 @@
     readonly generation: number;
     readonly runner: Runner;
     readonly expiry: number;
+    /**
+     * The segment that holds it, or the last one of its archive. The generation does not tell: a claim that was written again after a
+     * copy of the store lost it keeps its own.
+     */
+    readonly segment: number;
 }
 
 interface IndexedArchive {
@@ -35,10 +40,12 @@
     private archives: IndexedArchive[] = [];
     /** Archives and keys whose fingerprint is in the archive without the key being there. */
     private readonly mistaken = new Set<string>();
-    /** Every claim with this generation or a higher one is held whole. */
+    /** Every claim of this segment or a later one is held whole. */
     private heldFrom = 1;
     private last = 0;
     private nextSweep = 0;
+    /** The lowest generation of a claim that is granted now. */
+    firstGeneration = 0;
 
     /** @param series - The name under which this partition counts generations. */
     constructor(clock: Clock, readonly series: string) {
@@ -64,7 +71,7 @@
     /** The claim of a key, unless it has expired or {@link PartitionState.hidingPlace} names an archive. */
     find(keyHash: string): ClaimRecord | undefined {
         const kept = this.claims.get(keyHash);
-        return kept === undefined || kept.expiry < this.time.now() ? undefined : { keyHash, ...kept };
+        return kept === undefined || kept.expiry < this.time.now() ? undefined : recordOf(keyHash, kept);
     }
 
     /** The newest archive that may hold the claim of a key which is not held whole. */
@@ -89,7 +96,7 @@
             this.mistaken.add(mistake(archive, keyHash));
         }
         else {
-            this.apply(record);
+            this.keep(record, archive.last);
         }
     }
 
@@ -99,7 +106,7 @@
             throw new Error(`segment ${number} cannot follow segment ${this.last}`);
         }
         for (const record of records) {
-            this.apply(record);
+            this.keep(record, number);
             this.recentKeys.push(record.keyHash);
         }
         this.last = number;
@@ -110,7 +117,7 @@
     recent(): ClaimRecord[] {
         return [...new Set(this.recentKeys)].flatMap(keyHash => {
             const kept = this.claims.get(keyHash);
-            return kept === undefined ? [] : [{ keyHash, ...kept }];
+            return kept === undefined ? [] : [recordOf(keyHash, kept)];
         });
     }
 
@@ -132,7 +139,7 @@
         }
         // The claims of the newest archive stay, since most duplicates come soon.
         this.dropBefore((this.archives[1]?.archive.last ?? 0) + 1);
-        this.recentKeys = this.recentKeys.filter(keyHash => (this.claims.get(keyHash)?.generation ?? 0) >= base.first);
+        this.recentKeys = this.recentKeys.filter(keyHash => (this.claims.get(keyHash)?.segment ?? 0) >= base.first);
         this.time.observe(base.time);
     }
 
@@ -162,11 +169,11 @@
         this.heldFrom = first;
     }
 
-    private dropBefore(generation: number): void {
-        if (generation > this.heldFrom) {
-            this.heldFrom = generation;
+    private dropBefore(segment: number): void {
+        if (segment > this.heldFrom) {
+            this.heldFrom = segment;
             this.runners.clear();
-            this.dropWhere(claim => claim.generation < generation);
+            this.dropWhere(claim => claim.segment < segment);
         }
     }
 
@@ -178,11 +185,9 @@
         }
     }
 
-    private apply({ keyHash, digest, generation, runner, expiry }: ClaimRecord): void {
-        const known = this.claims.get(keyHash);
-        if (known === undefined || known.generation < generation) {
-            this.claims.set(keyHash, { digest, generation, runner: this.shared(runner), expiry });
-        }
+    /** Of several claims of a key the one in the last segment counts. */
+    private keep({ keyHash, digest, generation, runner, expiry }: ClaimRecord, segment: number): void {
+        this.claims.set(keyHash, { digest, generation, runner: this.shared(runner), expiry, segment });
     }
 
     private shared(runner: Runner): Runner {
@@ -195,6 +200,10 @@
     }
 }
 
+function recordOf(keyHash: string, { digest, generation, runner, expiry }: KeptClaim): ClaimRecord {
+    return { keyHash, digest, generation, runner, expiry };
+}
+
 function mistake(archive: Archive, keyHash: string): string {
     return `${archive.name} ${keyHash}`;
 }
--- a/packages/claims/src/lib/journal/PendingCall.ts
+++ b/packages/claims/src/lib/journal/PendingCall.ts
@@ -1,6 +1,6 @@
 import { failure, type Outcome, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { decodeClaim, keyHashOf, shortHash } from "../claimId.js";
+import { decodeClaim, keyHashOf, shortHash, unknownDigest } from "../claimId.js";
 import { type Claim, type ClaimRequest, type Runner } from "../Claims.js";
 import { claimOf, type ClaimRecord } from "./ClaimRecord.js";
 import { type PartitionState } from "./PartitionState.js";
@@ -50,7 +50,7 @@
         const present = state.find(keyHash);
         const expiry = Math.max(state.time.now() + request.retention, present?.expiry ?? 0);
         // Numbers of segments go back with a copy of the store, and a claim that was written again keeps its generation.
-        const generation = Math.max(segment, (present?.generation ?? 0) + 1);
+        const generation = Math.max(state.firstGeneration + segment, (present?.generation ?? 0) + 1);
         return { keyHash, digest, generation, runner: request.runner, expiry };
     }
 
@@ -58,11 +58,15 @@
         if (record === undefined) {
             return undefined;
         }
-        return record.digest === this.digest
+        return this.asksFor(record)
             ? Result.ok(claimOf(this.request, record, state.series, false))
             : keyReused();
     }
 
+    private asksFor({ digest }: ClaimRecord): boolean {
+        return digest === this.digest || digest === unknownDigest;
+    }
+
     private answerMove(
         state: PartitionState,
         record: ClaimRecord | undefined,
@@ -71,7 +75,7 @@
         if (record === undefined) {
             return cannotMove("the claim has expired");
         }
-        if (record.digest !== this.digest) {
+        if (!this.asksFor(record)) {
             return keyReused();
         }
         if (record.generation === from) {
--- a/packages/claims/src/lib/journal/partitionRows.ts
+++ b/packages/claims/src/lib/journal/partitionRows.ts
@@ -59,6 +59,11 @@
     return `${partitionPrefix(partition)}base`;
 }
 
+/** The prefix of the rows that tell in which era of the store the partition was settled. They sort after the base row. @internal */
+export function settlementPrefix(partition: number): string {
+    return `${partitionPrefix(partition)}settled`;
+}
+
 /** The number of the segment with a key, or undefined for the base row. @internal */
 export function segmentNumber(partition: number, key: string): number | undefined {
     const number = Number(key.slice(partitionPrefix(partition).length));
--- a/packages/claims/src/lib/journal/testing/JournalSite.ts
+++ b/packages/claims/src/lib/journal/testing/JournalSite.ts
@@ -2,6 +2,9 @@
 import { ManualClock, type Outcome, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { type Claim, type ClaimRequest } from "../../Claims.js";
+import { type ReportedClaim } from "../../reclaim/ClaimReport.js";
+import { AnsweredEra } from "../../testing/AnsweredEra.js";
+import { Runners } from "../../testing/Runners.js";
 import { ClaimJournal, type ClaimJournalOptions } from "../ClaimJournal.js";
 
 /** The stores of a partition, on a manual clock, and any number of owners of it. */
@@ -9,13 +12,40 @@
     readonly clock = new ManualClock();
     readonly table = new MemoryTableStore({ clock: this.clock });
     readonly objects = new MemoryObjectStore({ clock: this.clock });
+    /** The processes that run claims. */
+    readonly runners = new Runners();
+    /** The owners that live, and so tell one another which claims they know. */
+    private readonly owners = new Set<ClaimJournal>();
 
     /** A new owner; `rate` is its writes per second. */
     owner(options: Partial<ClaimJournalOptions> = {}, rate = 1000): ClaimJournal {
-        const { clock, table, objects } = this;
+        const { clock, objects } = this;
+        const table = new AnsweredEra(this.table);
         const bucket = new TokenBucket({ clock, rate });
         const pace = () => bucket.take(Infinity) ?? 0;
-        return new ClaimJournal({ partition: 0, clock, table, objects, pace, random: seededRandom(1), ...options });
+        const collectReports = this.runners.collector(before => this.reports(before));
+        const random = seededRandom(1);
+        const owner = new ClaimJournal({
+            partition: 0,
+            clock,
+            table,
+            objects,
+            pace,
+            random,
+            collectReports,
+            ...options,
+        });
+        this.owners.add(owner);
+        return owner;
+    }
+
+    /** Ends an owner, with all that only it knew. */
+    kill(owner: ClaimJournal): void {
+        this.owners.delete(owner);
+    }
+
+    private reports(before: number): ReportedClaim[] {
+        return [...this.owners].flatMap(owner => owner.report(before));
     }
 
     async wait<T>(call: Promise<T>): Promise<T> {
--- /dev/null
+++ b/packages/claims/src/lib/testing/Runners.ts
@@ -0,0 +1,77 @@
+import { failure, requestCodes } from "@waxwingspar/utils";
+import { Result } from "true-myth";
+import { decodeClaim } from "../claimId.js";
+import { type Claim, type Runner } from "../Claims.js";
+import { type CollectReports, type ReportedClaim, type ReportRequest } from "../reclaim/ClaimReport.js";
+
+/** The runners of a site as the claims see them: each runs a claim once, and none that it was told not to begin any more. */
+export class Runners {
+    /** How often each key ran, over all runners. */
+    readonly runs = new Map<string, number>();
+    /** While false a process that may know claims does not answer. */
+    isComplete = true;
+    private readonly ran = new Set<string>();
+    private readonly refused = new Set<string>();
+    private readonly barred = new Map<string, number>();
+    private readonly dead = new Set<string>();
+
+    /** Sends a request to the runner of its claim. */
+    run(claim: Claim): "ran" | "repeated" | "refused" | "unknown" {
+        const identity = decodeClaim(claim.id);
+        if (identity === undefined || this.dead.has(nameOf(claim.runner))) {
+            return "unknown";
+        }
+        if (this.ran.has(claim.id)) {
+            return "repeated";
+        }
+        const isBarred = identity.generation < (this.barred.get(identity.series ?? "") ?? 0);
+        if (isBarred || this.refused.has(claim.id)) {
+            this.refused.add(claim.id);
+            return "refused";
+        }
+        this.ran.add(claim.id);
+        this.runs.set(identity.keyHash, (this.runs.get(identity.keyHash) ?? 0) + 1);
+        return "ran";
+    }
+
+    /** Refuses a claim that has not begun, so that it may be moved. */
+    refuse(claim: Claim): boolean {
+        const refuses = !this.ran.has(claim.id);
+        if (refuses) {
+            this.refused.add(claim.id);
+        }
+        return refuses;
+    }
+
+    /** Ends a runner, with all that it remembers. */
+    kill(runner: Runner): void {
+        this.dead.add(nameOf(runner));
+    }
+
+    /** Asks the runners, and others that may know claims. */
+    collector(others: (before: number) => readonly ReportedClaim[]): CollectReports {
+        return request =>
+            Promise.resolve(
+                this.isComplete
+                    ? Result.ok([...this.report(request), ...others(request.before)])
+                    : Result.err(failure(requestCodes.claimUnavailable, "a process does not answer")),
+            );
+    }
+
+    private report({ series, before }: ReportRequest): ReportedClaim[] {
+        this.barred.set(series, Math.max(before, this.barred.get(series) ?? 0));
+        return [...this.ran].flatMap((id): ReportedClaim[] => {
+            const identity = decodeClaim(id);
+            const isAsked = identity?.series === series && identity.generation < before;
+            if (identity === undefined || !isAsked || this.dead.has(nameOf(identity.runner))) {
+                return [];
+            }
+            const { keyHash, generation, runner } = identity;
+            return [{ keyHash, generation, runner, state: "ran" }];
+        });
+    }
+}
+
+function nameOf({ target, incarnation }: Runner): string {
+    return `${target}/${incarnation}`;
+}
