--- a/packages/claims/src/lib/TableClaims.ts
+++ b/packages/claims/src/lib/TableClaims.ts
@@ -1,4 +1,4 @@
-import { type Row, type TableStore } from "@waxwingspar/stores";
+import { type Row, type TableStore, type Transaction } from "@waxwingspar/stores";
 import {
     type Clock,
     type Failure,
@@ -12,8 +12,12 @@
 import { LRUCache } from "lru-cache";
 import { Result } from "true-myth";
 import { z } from "zod";
-import { encodeClaim, keyHashOf, shortHash } from "./claimId.js";
+import { encodeClaim, keyHashOf, shortHash, unknownDigest } from "./claimId.js";
 import { type Claim, type ClaimRequest, type Claims } from "./Claims.js";
+import { type CollectReports, type ReportedClaim, type ReportRequest } from "./reclaim/ClaimReport.js";
+import { firstGeneration } from "./reclaim/generations.js";
+import { conditionOf, readSettlement, type Settlement, settlementWrites } from "./reclaim/Settlement.js";
+import { strongestOfEach } from "./reclaim/strongestOfEach.js";
 
 const claimRowSchema = z.object({
     digest: z.string(),
@@ -25,11 +29,20 @@
 
 interface KnownClaim {
     readonly claim: ClaimRow;
-    /** When the store held it, on the clock. */
-    readonly at: number;
+    /** The clock's time from which it may be forgotten. */
+    readonly expiry: number;
+}
+
+/** A row and the claim in it, read in an era of the store in which no claim is missing. */
+interface FoundRow {
+    readonly row: Row;
+    readonly claim: ClaimRow | undefined;
+    readonly settlement: Settlement | undefined;
+    readonly era: number;
 }
 
 const tablePrefix = "claim-rows/";
+const settlementPrefix = "claim-settled";
 const series = "table";
 const retryAfter = 1000;
 /** Claims that are remembered: as many as an agent remembers of those that it ran. */
@@ -39,16 +52,25 @@
  * Claims with a row of its own for each request: the plainest way, for small sites and as the baseline of measurements.
  * It costs one write for each request and keeps every row; the store's operators delete old ones.
  *
- * A store that came back from a copy may lack claims that it had acknowledged. Those that this process knows are written again
- * when their key comes back; no other process can tell such a key from a new one.
+ * A store that came back from a copy may lack claims that it had acknowledged. Before anything is granted or told in a new era of the
+ * store, one process asks all that may know such claims and writes them again.
  *
  * @public
  */
 export class TableClaims implements Claims {
     /** By row key, the newest claim that the store is known to have held. */
     private readonly known = new LRUCache<string, KnownClaim>({ max: mostKnown });
+    private settlement: Settlement | undefined;
 
-    constructor(private readonly store: TableStore, private readonly clock: Clock = new SystemClock()) {}
+    /**
+     * @param collectReports - Asks the other processes that may know claims which the store has lost, and the runners. By default
+     * nobody, which is right only where no other process records or runs claims.
+     */
+    constructor(
+        private readonly store: TableStore,
+        private readonly clock: Clock = new SystemClock(),
+        private readonly collectReports: CollectReports = () => Promise.resolve(Result.ok([])),
+    ) {}
 
     async acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
         const found = await this.read(request);
@@ -56,15 +78,16 @@
             return unavailable(found.error);
         }
         const { row, claim } = found.value;
-        const lost = this.findLost(row.key, claim, request.retention);
+        const lost = this.findLost(row.key, claim);
         if (lost !== undefined) {
-            return this.restore(row, lost, request);
+            return this.restore(found.value, lost, request);
         }
         if (claim !== undefined) {
-            return claim.digest === shortHash(request.digest) ? granted(request, claim, false) : keyReused();
+            return asksFor(request, claim) ? granted(request, claim, false) : keyReused();
         }
-        const created = { digest: shortHash(request.digest), generation: this.generation(0), runner: request.runner };
-        const written = await this.write(row, created);
+        const digest = shortHash(request.digest);
+        const created = { digest, generation: this.generation(0, found.value), runner: request.runner };
+        const written = await this.write(found.value, created, request.retention);
         if (written.isOk) {
             return granted(request, created, true);
         }
@@ -79,27 +102,39 @@
             return unavailable(found.error);
         }
         const { row, claim: present } = found.value;
-        const isOutdated = this.findLost(row.key, present, request.retention) !== undefined;
+        const isOutdated = this.findLost(row.key, present) !== undefined;
         if (present === undefined || isOutdated || idOf(request, present) !== claim.id) {
             return unavailable(failure(platformCodes.conditionFailed, "the claim was moved before"));
         }
-        const moved = { ...present, generation: this.generation(present.generation), runner: request.runner };
-        const written = await this.write(row, moved);
+        const generation = this.generation(present.generation, found.value);
+        const moved = { ...present, generation, runner: request.runner };
+        const written = await this.write(found.value, moved, request.retention);
         return written.isOk ? granted(request, moved, true) : unavailable(written.error);
     }
 
+    /** The claims of earlier eras of the store that this process knows. */
+    report(request: ReportRequest): readonly ReportedClaim[] {
+        if (request.series !== series) {
+            return [];
+        }
+        const now = this.clock.now();
+        return [...this.known]
+            .filter(([, { claim, expiry }]) => now < expiry && claim.generation < request.before)
+            .map(([key, { claim }]) => ({ ...claim, keyHash: key.slice(tablePrefix.length), state: "granted" }));
+    }
+
     /** The claim that the store has acknowledged, if it now lacks it or holds an earlier one. */
-    private findLost(key: string, present: ClaimRow | undefined, retention: number): ClaimRow | undefined {
+    private findLost(key: string, present: ClaimRow | undefined): ClaimRow | undefined {
         const known = this.known.get(key);
-        if (known === undefined || this.clock.now() - known.at >= retention) {
+        if (known === undefined || this.clock.now() >= known.expiry) {
             return undefined;
         }
         return (present?.generation ?? 0) < known.claim.generation ? known.claim : undefined;
     }
 
     /** Writes a claim again that the store had acknowledged and lacks now, so that its runner stays the only one. */
-    private async restore(row: Row, lost: ClaimRow, request: ClaimRequest): Promise<Outcome<Claim>> {
-        const written = await this.write(row, lost);
+    private async restore(found: FoundRow, lost: ClaimRow, request: ClaimRequest): Promise<Outcome<Claim>> {
+        const written = await this.write(found, lost, request.retention);
         if (written.isErr && written.error.code !== platformCodes.conditionFailed) {
             return unavailable(written.error);
         }
@@ -107,44 +142,137 @@
     }
 
     /** The time of recording, as wide as a series without a counter can be; it only has to grow for each key. */
-    private generation(earlier: number): number {
-        return Math.max(earlier + 1, this.clock.date().getTime());
+    private generation(earlier: number, { era }: FoundRow): number {
+        return Math.max(earlier + 1, firstGeneration(era) + this.clock.date().getTime());
     }
 
-    private async read(request: ClaimRequest): Promise<Outcome<{ row: Row; claim: ClaimRow | undefined; }>> {
-        const outcome = await this.store.get(tablePrefix + keyHashOf(request));
-        return outcome.map(row => {
-            const claim = row.version === 0 ? undefined : claimRowSchema.parse(row.value);
-            this.remember(row.key, claim);
-            return { row, claim };
+    private async read(request: ClaimRequest): Promise<Outcome<FoundRow>> {
+        for (;;) {
+            const { era } = this.store;
+            const settled = await this.settle(era);
+            if (settled.isErr) {
+                return Result.err(settled.error);
+            }
+            const row = await this.store.get(tablePrefix + keyHashOf(request));
+            if (row.isErr) {
+                return Result.err(row.error);
+            }
+            // Answers of two eras do not fit together.
+            if (this.store.era === era) {
+                const claim = claimOf(row.value);
+                this.remember(row.value.key, claim, request.retention);
+                return Result.ok({ row: row.value, claim, settlement: this.settlement, era });
+            }
+        }
+    }
+
+    /** Makes sure that the store lacks no claim of an earlier era. */
+    private async settle(era: number): Promise<Outcome<void>> {
+        if (era === (this.settlement?.era ?? 0)) {
+            return Result.ok<void, never>(undefined);
+        }
+        const known = await readSettlement(this.store, settlementPrefix);
+        if (known.isErr) {
+            return Result.err(known.error);
+        }
+        if (this.store.era !== era) {
+            return this.settle(this.store.era);
+        }
+        if (known.value?.era === era) {
+            this.settlement = known.value;
+            return Result.ok<void, never>(undefined);
+        }
+        const reports = await this.collectReports({ series, before: firstGeneration(era) });
+        if (reports.isErr) {
+            return Result.err(reports.error);
+        }
+        const own = this.report({ series, before: firstGeneration(era) });
+        for (const claim of strongestOfEach([...reports.value, ...own])) {
+            const restored = await this.reclaim(claim, era, known.value);
+            if (restored.isErr) {
+                return restored;
+            }
+        }
+        const settled = await this.commit(era, {
+            writeId: uniqueId(),
+            conditions: [conditionOf(settlementPrefix, known.value)],
+            writes: settlementWrites(settlementPrefix, known.value, era),
+        });
+        return settled.isErr ? Result.err(settled.error) : this.settle(era);
+    }
+
+    /** Writes a claim again that a process knows, unless the store holds it or a later one. */
+    private async reclaim(
+        claim: ReportedClaim,
+        era: number,
+        settlement: Settlement | undefined,
+    ): Promise<Outcome<void>> {
+        const row = await this.store.get(tablePrefix + claim.keyHash);
+        if (row.isErr) {
+            return Result.err(row.error);
+        }
+        const found = claimOf(row.value);
+        // One that its runner has begun stands whatever is found: the other was never granted, or has been moved away.
+        if (found !== undefined && claim.state !== "ran" && found.generation >= claim.generation) {
+            return Result.ok<void, never>(undefined);
+        }
+        const { digest = found?.digest ?? unknownDigest, generation, runner } = claim;
+        const written = await this.commit(era, {
+            writeId: uniqueId(),
+            conditions: [
+                { key: row.value.key, version: row.value.version },
+                conditionOf(settlementPrefix, settlement),
+            ],
+            writes: [{ key: row.value.key, value: { digest, generation, runner } }],
         });
+        return written.map(() => undefined);
     }
 
-    private async write(row: Row, claim: ClaimRow): Promise<Outcome<unknown>> {
+    private async write(
+        { row, settlement, era }: FoundRow,
+        claim: ClaimRow,
+        retention: number,
+    ): Promise<Outcome<unknown>> {
         const writeId = uniqueId();
-        const outcome = await this.store.commit({
+        const outcome = await this.commit(era, {
             writeId,
-            conditions: [{ key: row.key, version: row.version }],
+            conditions: [{ key: row.key, version: row.version }, conditionOf(settlementPrefix, settlement)],
             writes: [{ key: row.key, value: claim }],
         });
         if (outcome.isOk || outcome.error.code !== platformCodes.storeUnknown) {
-            this.remember(row.key, outcome.isOk ? claim : undefined);
+            this.remember(row.key, outcome.isOk ? claim : undefined, retention);
             return outcome;
         }
         const effect = await this.store.findCommit(writeId);
-        const hasEffect = effect.isOk && effect.value !== undefined;
-        this.remember(row.key, hasEffect ? claim : undefined);
+        const hasEffect = effect.isOk && effect.value !== undefined && this.store.era === era;
+        this.remember(row.key, hasEffect ? claim : undefined, retention);
         return hasEffect ? Result.ok(effect.value) : outcome;
     }
 
+    /** Commits in an era; an answer of another era proves nothing about this one. */
+    private async commit(era: number, transaction: Transaction): Promise<Outcome<Record<string, number>>> {
+        const outcome = await this.store.commit(transaction);
+        return this.store.era === era
+            ? outcome
+            : Result.err(failure(platformCodes.storeUnknown, "the store came back from a copy meanwhile"));
+    }
+
     /** Generations only grow, so an older claim of a copy does not replace the one that is known. */
-    private remember(key: string, claim: ClaimRow | undefined): void {
+    private remember(key: string, claim: ClaimRow | undefined, retention: number): void {
         if (claim !== undefined && claim.generation >= (this.known.get(key)?.claim.generation ?? 0)) {
-            this.known.set(key, { claim, at: this.clock.now() });
+            this.known.set(key, { claim, expiry: this.clock.now() + retention });
         }
     }
 }
 
+function claimOf({ version, value }: Row): ClaimRow | undefined {
+    return version === 0 ? undefined : claimRowSchema.parse(value);
+}
+
+function asksFor({ digest }: ClaimRequest, row: ClaimRow): boolean {
+    return row.digest === shortHash(digest) || row.digest === unknownDigest;
+}
+
 function idOf(request: ClaimRequest, { generation, runner }: ClaimRow): string {
     const { route, organisation } = request;
     return encodeClaim({ route, organisation, keyHash: keyHashOf(request), series, generation, runner });
--- a/packages/claims/src/lib/lostClaims.test.ts
+++ b/packages/claims/src/lib/lostClaims.test.ts
@@ -1,8 +1,43 @@
+import { seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
 import { claimOf, request } from "./journal/testing/JournalSite.js";
 import { ClaimSite } from "./testing/ClaimSite.js";
 
+/** Callers that come to any of three processes while the store comes back from copies, and runners that get claims late. */
+async function playCopies(seed: number): Promise<readonly number[]> {
+    const site = new ClaimSite();
+    const random = seededRandom(seed);
+    const processes = [site.process(), site.process(), site.process()];
+    let restore = site.store.saveCopy();
+    for (let step = 0; step < 80; step++) {
+        const process = processes[random.below(processes.length)] ?? site.process();
+        const runner = { target: `t${random.below(3)}`, incarnation: "1" };
+        const call = request(`k${random.below(10)}`, { runner });
+        site.clock.advance(1 + random.below(20));
+        let claim = (await process.acquire(call)).unwrapOr(undefined);
+        if (random.below(6) === 0) {
+            restore = site.store.saveCopy();
+        }
+        else if (random.below(6) === 0) {
+            restore();
+        }
+        for (let attempt = 0; claim !== undefined && attempt < 2; attempt++) {
+            const isRefused = random.below(4) === 0
+                ? site.runners.refuse(claim)
+                : site.runners.run(claim) === "refused";
+            const moved = { ...call, runner: { target: `t${random.below(3)}`, incarnation: "1" } };
+            claim = isRefused ? (await process.move(claim, moved)).unwrapOr(undefined) : undefined;
+        }
+        if (random.below(10) === 0) {
+            const victim = random.below(processes.length);
+            site.kill(processes[victim] ?? process);
+            processes[victim] = site.process();
+        }
+    }
+    return [...site.runners.runs.values()];
+}
+
 const another = { target: "b", incarnation: "1" };
 
 /**
@@ -19,3 +54,26 @@
     const repeat = await site.process().acquire(request("lost", { runner: another }));
     assert.notEqual(repeat.unwrapOr(undefined)?.created, true);
 });
+
+test("copies of the store at any moment let no request run twice, whatever process is asked", async () => {
+    const first = Number(process.env["RECLAIM_FIRST"] ?? 1);
+    const count = Number(process.env["RECLAIM_SEEDS"] ?? 30);
+    for (let seed = first; seed < first + count; seed++) {
+        const runs = await playCopies(seed);
+        assert.deepEqual(runs.filter(times => times > 1), [], `seed ${seed}`);
+        assert.ok(runs.length > 0, `seed ${seed}`);
+    }
+});
+
+// The row of the copy names the first runner, which refuses and so lets the claim move once more, past the runner that has it.
+test("a move that a copy of the store lacks is not made again by another process", async () => {
+    const site = new ClaimSite();
+    const first = site.process();
+    const claim = claimOf(await first.acquire(request("moved")));
+    const restore = site.store.saveCopy();
+    const moved = claimOf(await first.move(claim, request("moved", { runner: another })));
+    restore();
+    const other = site.process();
+    const found = await other.acquire(request("moved"));
+    assert.notEqual(found.unwrapOr(moved).id, claim.id);
+});
