Entries ask every process for lost claims, and agents bar what they have not begun

What callers saw: a request that is not idempotent ran twice after the store came back from a copy, whichever entry the caller came back to. Cause: the claims of one process were asked, and no process asked another. Change: entries and agents answer claims.report; an entry asks all that the list of processes shows or showed lately, and all targets of the configuration, before it grants a key in a new era; an agent that has reported refuses older claims that it has not begun as not run. Logs and a counter tell each look. Conclusion: holds for every process while one that knows the claim, its owner or its runner, lives or left the claim at another.

--- a/packages/agent/src/lib/Agent.ts
+++ b/packages/agent/src/lib/Agent.ts
@@ -1,4 +1,5 @@
 import { type Tracer } from "@opentelemetry/api";
+import { reportMethods } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
 import { type Engine, type Order } from "@waxwingspar/engine";
 import { type HistoryRecorder } from "@waxwingspar/history";
@@ -83,7 +84,7 @@
  * @public
  */
 export class Agent {
-    /** The JSON-RPC methods that the agent answers: `kv.export`, `order.apply` and `stage.state`. */
+    /** The JSON-RPC methods that the agent answers: `claims.report`, `kv.export`, `order.apply` and `stage.state`. */
     readonly methods: Readonly<Record<string, RpcMethod>>;
     private readonly context: AgentContext;
     private readonly heads: HeadRequests;
@@ -115,6 +116,7 @@
             applied: () => context.held.refresh(),
         });
         this.methods = {
+            ...reportMethods(request => this.claims.report(request)),
             [exportMethodName]: createExportMethod(context.sessions),
             [orderMethodName]: this.gate.createMethod(),
             [stateMethodName]: createStateMethod(context.table),
--- a/packages/agent/src/lib/claims/AgentClaims.ts
+++ b/packages/agent/src/lib/claims/AgentClaims.ts
@@ -1,4 +1,4 @@
-import { type LeftClaims } from "@waxwingspar/claims";
+import { type LeftClaims, type ReportedClaim, type ReportRequest } from "@waxwingspar/claims";
 import { type Outcome } from "@waxwingspar/utils";
 import { type AgentContext } from "../AgentContext.js";
 import { type CallClaims } from "../service/CallSink.js";
@@ -27,6 +27,14 @@
         this.calls = new ClaimTable(this.tableOptions(undefined));
     }
 
+    /** Lists the claims that have begun here, and bars the others of the request's range. */
+    report(request: ReportRequest): readonly ReportedClaim[] {
+        const reported = [...this.answers.report(request), ...this.calls.report(request)];
+        const { log, target } = this.context;
+        log.info({ target, ...request, reported: reported.length }, "agent: claims told, earlier ones barred");
+        return reported;
+    }
+
     /** Writes down what became of the claims. Only once nothing can run any more; what was cut off is interrupted. */
     async writeDown(): Promise<void> {
         const { incarnation, context: { clock, log, settings, target } } = this;
--- a/packages/agent/src/lib/claims/ClaimTable.test.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.test.ts
@@ -57,6 +57,25 @@
     assert.equal(codeOf(table, use("l", "r3")), requestCodes.overloaded.number);
 });
 
+// The store may have lost the claim, and another runner may have been given the request since.
+test("a claim that comes after this agent has reported without it is refused as not run, and never runs", () => {
+    const table = createTable();
+    const series = (key: string, generation: number): ClaimUse => {
+        const identity = { route: "demo", organisation: "ports", keyHash: shortHash(key), series: "p1", generation };
+        return { ...use(key, key), claim: encodeClaim({ ...identity, runner: { target: "t1", incarnation: "i2" } }) };
+    };
+    const begun = admit(table, series("begun", 4)).record;
+    table.refuse(series("refused", 5), failure(requestCodes.overloaded, "full"));
+    const reported = table.report({ series: "p1", before: 10 });
+    assert.deepEqual(reported.map(({ generation, state }) => [generation, state]), [[4, "ran"]]);
+    const late = table.admit(series("late", 9));
+    assert.ok(late.isErr && late.error.code.execution === "not run");
+    assert.equal(codeOf(table, series("late", 9)), late.error.code.number);
+    assert.equal(admit(table, series("begun", 4)).record, begun);
+    assert.equal(admit(table, series("new", 10)).action, "run");
+    assert.equal(admit(table, use("another series", "r")).action, "run");
+});
+
 test("an interrupted claim goes on for its own request only", () => {
     const table = createTable();
     const { record } = admit(table, use("k", "r1"));
--- a/packages/agent/src/lib/claims/ClaimTable.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.ts
@@ -1,4 +1,10 @@
-import { decodeClaim, ForgottenClaims, type LeftClaim } from "@waxwingspar/claims";
+import {
+    decodeClaim,
+    ForgottenClaims,
+    type LeftClaim,
+    type ReportedClaim,
+    type ReportRequest,
+} from "@waxwingspar/claims";
 import { type Clock, type Failure, failure, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { ClaimRecord, type ClaimState } from "./ClaimRecord.js";
@@ -56,6 +62,8 @@
     /** The part of them whose answers are kept. */
     private readonly answered = new Set<ClaimRecord<Item, End>>();
     private readonly forgotten = new ForgottenClaims();
+    /** For each series the generation below which a claim is refused that has not begun here. */
+    private readonly barred = new Map<string, number>();
     private keptBytes = 0;
 
     constructor(private readonly options: ClaimTableOptions) {}
@@ -95,6 +103,22 @@
         this.refused(record, reason);
     }
 
+    /**
+     * Lists the claims of a series below a generation that have begun here. From now on no other of them does: the store may have lost
+     * it, so that another runner may be given the request.
+     */
+    report({ series, before }: ReportRequest): ReportedClaim[] {
+        this.barred.set(series, Math.max(before, this.barred.get(series) ?? 0));
+        return [...this.records.values()].flatMap((record): ReportedClaim[] => {
+            const identity = decodeClaim(record.id);
+            if (identity?.series !== series || identity.generation >= before || record.state === "refused") {
+                return [];
+            }
+            const { keyHash, generation, runner } = identity;
+            return [{ keyHash, generation, runner, state: "ran" }];
+        });
+    }
+
     /** The highest forgotten generation of each series. */
     get forgottenClaims(): [series: string, generation: number][] {
         return this.forgotten.entries();
@@ -142,9 +166,22 @@
         }
         const record = new ClaimRecord<Item, End>(use.claim, use.request);
         this.records.set(use.claim, record);
+        if (this.isBarred(use.claim)) {
+            const reason = failure(
+                requestCodes.noCapacity,
+                "the claim is older than the copy that the store came back from",
+            );
+            this.refused(record, reason);
+            return Result.err(reason);
+        }
         return Result.ok({ action: "run", record });
     }
 
+    private isBarred(claim: string): boolean {
+        const identity = decodeClaim(claim);
+        return identity !== undefined && identity.generation < (this.barred.get(identity.series ?? "") ?? 0);
+    }
+
     private decide(record: ClaimRecord<Item, End>, use: ClaimUse): Result<ClaimDecision<Item, End>, Failure> {
         switch (record.state) {
             case "running":
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -10,8 +10,21 @@
 export { ClaimJournals, type ClaimJournalsOptions } from "./lib/journal/ClaimJournals.js";
 export { type LeftClaim, type LeftClaims, type LeftOutcome, type LeftReply } from "./lib/left/LeftClaims.js";
 export { LeftClaimsStore, type LeftClaimsStoreOptions } from "./lib/left/LeftClaimsStore.js";
+export {
+    type CollectReports,
+    type Reclaim,
+    type ReportedClaim,
+    reportMethodName,
+    type ReportRequest,
+} from "./lib/reclaim/ClaimReport.js";
+export {
+    createReportCollector,
+    type ReportCollectorOptions,
+    type ReportingProcess,
+} from "./lib/reclaim/createReportCollector.js";
+export { reportMethods } from "./lib/reclaim/reportMethods.js";
 export { claimMethods } from "./lib/routing/claimMethods.js";
 export { ClaimRouter, type ClaimRouterOptions } from "./lib/routing/ClaimRouter.js";
 export { type ClaimOwner } from "./lib/routing/OwnerRanking.js";
 export { partitionOf } from "./lib/routing/partitionOf.js";
-export { TableClaims } from "./lib/TableClaims.js";
+export { TableClaims, type TableClaimsOptions } from "./lib/TableClaims.js";
--- a/packages/claims/src/lib/TableClaims.ts
+++ b/packages/claims/src/lib/TableClaims.ts
@@ -14,7 +14,7 @@
 import { z } from "zod";
 import { encodeClaim, keyHashOf, shortHash, unknownDigest } from "./claimId.js";
 import { type Claim, type ClaimRequest, type Claims } from "./Claims.js";
-import { type CollectReports, type ReportedClaim, type ReportRequest } from "./reclaim/ClaimReport.js";
+import { type CollectReports, type Reclaim, type ReportedClaim, type ReportRequest } from "./reclaim/ClaimReport.js";
 import { firstGeneration } from "./reclaim/generations.js";
 import { conditionOf, readSettlement, type Settlement, settlementWrites } from "./reclaim/Settlement.js";
 import { strongestOfEach } from "./reclaim/strongestOfEach.js";
@@ -33,6 +33,22 @@
     readonly expiry: number;
 }
 
+/** Options of {@link TableClaims}. @public */
+export interface TableClaimsOptions {
+    /**
+     * Asks the other processes that may know claims which the store has lost, and the runners. By default nobody, which is right only
+     * where no other process records or runs claims.
+     */
+    readonly collectReports?: CollectReports;
+    /** Runs after each look for lost claims. */
+    readonly onReclaim?: (reclaim: Reclaim) => void;
+}
+
+const defaults = {
+    collectReports: () => Promise.resolve(Result.ok<readonly ReportedClaim[], Failure>([])),
+    onReclaim: () => undefined,
+};
+
 /** A row and the claim in it, read in an era of the store in which no claim is missing. */
 interface FoundRow {
     readonly row: Row;
@@ -60,17 +76,16 @@
 export class TableClaims implements Claims {
     /** By row key, the newest claim that the store is known to have held. */
     private readonly known = new LRUCache<string, KnownClaim>({ max: mostKnown });
+    private readonly options: Required<TableClaimsOptions>;
     private settlement: Settlement | undefined;
 
-    /**
-     * @param collectReports - Asks the other processes that may know claims which the store has lost, and the runners. By default
-     * nobody, which is right only where no other process records or runs claims.
-     */
     constructor(
         private readonly store: TableStore,
         private readonly clock: Clock = new SystemClock(),
-        private readonly collectReports: CollectReports = () => Promise.resolve(Result.ok([])),
-    ) {}
+        options: TableClaimsOptions = {},
+    ) {
+        this.options = { ...defaults, ...options };
+    }
 
     async acquire(request: ClaimRequest): Promise<Outcome<Claim>> {
         const found = await this.read(request);
@@ -182,23 +197,32 @@
             this.settlement = known.value;
             return Result.ok<void, never>(undefined);
         }
-        const reports = await this.collectReports({ series, before: firstGeneration(era) });
+        const reclaimed = await this.reclaimAll(era, known.value);
+        const refusal = reclaimed.isErr ? reclaimed.error.message : undefined;
+        this.options.onReclaim({ series, era, reported: reclaimed.unwrapOr(0), refusal });
+        return reclaimed.isErr ? Result.err(reclaimed.error) : this.settle(era);
+    }
+
+    /** Writes again what processes know and the store lacks. @returns How many claims were reported. */
+    private async reclaimAll(era: number, settlement: Settlement | undefined): Promise<Outcome<number>> {
+        const request = { series, before: firstGeneration(era) };
+        const reports = await this.options.collectReports(request);
         if (reports.isErr) {
             return Result.err(reports.error);
         }
-        const own = this.report({ series, before: firstGeneration(era) });
-        for (const claim of strongestOfEach([...reports.value, ...own])) {
-            const restored = await this.reclaim(claim, era, known.value);
+        const reported = [...reports.value, ...this.report(request)];
+        for (const claim of strongestOfEach(reported)) {
+            const restored = await this.reclaim(claim, era, settlement);
             if (restored.isErr) {
-                return restored;
+                return Result.err(restored.error);
             }
         }
         const settled = await this.commit(era, {
             writeId: uniqueId(),
-            conditions: [conditionOf(settlementPrefix, known.value)],
-            writes: settlementWrites(settlementPrefix, known.value, era),
+            conditions: [conditionOf(settlementPrefix, settlement)],
+            writes: settlementWrites(settlementPrefix, settlement, era),
         });
-        return settled.isErr ? Result.err(settled.error) : this.settle(era);
+        return settled.map(() => reported.length);
     }
 
     /** Writes a claim again that a process knows, unless the store holds it or a later one. */
--- a/packages/claims/src/lib/testing/ClaimSite.ts
+++ b/packages/claims/src/lib/testing/ClaimSite.ts
@@ -18,7 +18,7 @@
     /** The claims of one more process. */
     process(): TableClaims {
         const collectReports = this.runners.collector(before => this.reports(before));
-        const process = new TableClaims(new AnsweredEra(this.store), this.clock, collectReports);
+        const process = new TableClaims(new AnsweredEra(this.store), this.clock, { collectReports });
         this.processes.add(process);
         return process;
     }
--- a/packages/cli/src/lib/daemons/EntryDaemon.ts
+++ b/packages/cli/src/lib/daemons/EntryDaemon.ts
@@ -1,4 +1,13 @@
-import { ClaimJournals, claimMethods, type ClaimOwner, ClaimRouter, LeftClaimsStore } from "@waxwingspar/claims";
+import {
+    ClaimJournals,
+    claimMethods,
+    type ClaimOwner,
+    ClaimRouter,
+    createReportCollector,
+    LeftClaimsStore,
+    type ReportingProcess,
+    reportMethods,
+} from "@waxwingspar/claims";
 import { type Member, ResourceApi } from "@waxwingspar/config";
 import { type EntryPart } from "@waxwingspar/policy";
 import { type Outcome } from "@waxwingspar/utils";
@@ -6,7 +15,7 @@
 import { ConfigurationPart } from "../nodes/ConfigurationPart.js";
 import { ControlPart } from "../nodes/ControlPart.js";
 import { EntryNode } from "../nodes/EntryNode.js";
-import { createEntryMetrics } from "../nodes/metrics.js";
+import { createEntryMetrics, createReclaimObserver } from "../nodes/metrics.js";
 import { ProcessLinks } from "../nodes/ProcessLinks.js";
 import { createMetricsHandler } from "../operators/createMetricsHandler.js";
 import { type Settings } from "../settings/loadSettings.js";
@@ -44,12 +53,20 @@
             seeds: settings.seeds,
         });
         this.control = new ControlPart({ ...nodeOptions, store, pool, part: this.part });
-        const journals = new ClaimJournals({
+        const journals: ClaimJournals = new ClaimJournals({
             table: base.claimStore,
             objects,
             clock,
             random,
             writesPerSecond: settings.platform.claimWritesPerSecond,
+            journal: {
+                collectReports: createReportCollector({
+                    processes: () => this.reportingProcesses(),
+                    own: request => journals.report(request),
+                    links: pool,
+                }),
+                onReclaim: createReclaimObserver(registry, nodeOptions.logger),
+            },
         });
         this.claims = new ClaimRouter({
             process: settings.name,
@@ -73,7 +90,11 @@
         });
         registry.gauge({ name: "waxwingspar_open_requests", help: "Requests in progress." })
             .observe(() => this.node.entry.openRequests);
-        this.links.offer({ ...this.part.methods(), ...claimMethods(journals) });
+        this.links.offer({
+            ...this.part.methods(),
+            ...claimMethods(journals),
+            ...reportMethods(request => journals.report(request)),
+        });
         this.links.onLink(link => this.part.membership.sawHello(link.peer));
         this.part.membership.onChange(() => this.membersChanged());
         this.api = new ResourceApi({
@@ -116,6 +137,23 @@
         return interrupted;
     }
 
+    /** The other entries and agents: those that the list shows or showed lately, and the targets of the configuration. */
+    private reportingProcesses(): readonly ReportingProcess[] | undefined {
+        const { membership, node } = this.part;
+        if (!Number.isFinite(membership.listAge)) {
+            return undefined;
+        }
+        const targets = node.list("target").map(({ name, spec: { host, port } }): ReportingProcess => {
+            return { process: name, address: { host, port }, isKnown: false };
+        });
+        const members = membership.members().map(({ process, host, port }): ReportingProcess => {
+            return { process, address: { host, port }, isKnown: true };
+        });
+        const byName = new Map([...targets, ...members].map(process => [process.process, process]));
+        byName.delete(this.base.nodeOptions.name);
+        return [...byName.values()];
+    }
+
     private membersChanged(): void {
         const { membership } = this.part;
         const { router } = this.node;
--- a/packages/cli/src/lib/nodes/metrics.ts
+++ b/packages/cli/src/lib/nodes/metrics.ts
@@ -1,6 +1,8 @@
 import { type AgentMetrics } from "@waxwingspar/agent";
+import { type Reclaim } from "@waxwingspar/claims";
 import { type EntryMetrics } from "@waxwingspar/entry";
 import { type MetricRegistry } from "@waxwingspar/telemetry";
+import { type Logger } from "pino";
 
 /** Feeds the figures of an entry to a registry. docs/METRICS.md lists them. @internal */
 export function createEntryMetrics(registry: MetricRegistry): EntryMetrics {
@@ -37,6 +39,23 @@
     };
 }
 
+/** Logs and counts each look for claims that the store may have lost. @internal */
+export function createReclaimObserver(registry: MetricRegistry, logger: Logger): (reclaim: Reclaim) => void {
+    const looks = registry.counter({
+        name: "waxwingspar_claim_reclaims_total",
+        help: "Looks for claims that the store may have lost, by outcome: settled, or refused and to be repeated.",
+    });
+    return reclaim => {
+        if (reclaim.refusal === undefined) {
+            looks.add({ outcome: "settled" });
+            logger.info(reclaim, "claims: lost claims are written again");
+            return;
+        }
+        looks.add({ outcome: "refused" });
+        logger.warn(reclaim, "claims: new claims are refused, some may be lost");
+    };
+}
+
 /** Feeds the figures of an agent to a registry. @internal */
 export function createAgentMetrics(registry: MetricRegistry): AgentMetrics {
     const firstTokens = registry.histogram({
--- a/packages/cli/src/lib/site/LocalSite.ts
+++ b/packages/cli/src/lib/site/LocalSite.ts
@@ -12,7 +12,7 @@
 import { Result } from "true-myth";
 import { AgentNode } from "../nodes/AgentNode.js";
 import { EntryNode } from "../nodes/EntryNode.js";
-import { createAgentMetrics, createEntryMetrics } from "../nodes/metrics.js";
+import { createAgentMetrics, createEntryMetrics, createReclaimObserver } from "../nodes/metrics.js";
 import { createIncarnation, type NodeOptions } from "../nodes/NodeOptions.js";
 import { ProcessLinks } from "../nodes/ProcessLinks.js";
 import { createMetricsHandler } from "../operators/createMetricsHandler.js";
@@ -239,7 +239,9 @@
             processLinks: new ProcessLinks(nodeOptions, "entry"),
             callers: this.options.callers,
             configuration: this.configuration,
-            claims: new TableClaims(this.store),
+            claims: new TableClaims(this.store, this.options.clock, {
+                onReclaim: createReclaimObserver(this.registry, nodeOptions.logger),
+            }),
             anonymousOrganisation: localOrganisation,
             limits: { stopLead },
             metrics: createEntryMetrics(this.registry),
--- a/packages/proof/src/lib/runScenario.test.ts
+++ b/packages/proof/src/lib/runScenario.test.ts
@@ -7,6 +7,7 @@
 import { holds, type OutcomeCount, type ScenarioResult } from "./report/ScenarioResult.js";
 import { runScenario } from "./runScenario.js";
 import { type Scenario } from "./scenarios/Scenario.js";
+import { findScenario } from "./scenarios/scenarios.js";
 import { smallSite } from "./site/layout.js";
 
 const options = { timeout: 240_000 };
@@ -51,6 +52,15 @@
     assert.ok(result.history.rules["at-most-once"].passed > 0);
 });
 
+// Callers repeat under their keys at both entries, also at the same moment and seconds later.
+test("no request runs twice when the store comes back from copies that lack its claim", options, async t => {
+    const scenario = findScenario("store-copy");
+    assert.ok(scenario);
+    const result = await run(t, scenario);
+    assert.ok(holds(result), formatDetails(result));
+    assert.ok(result.history.rules["at-most-once"].passed > 0);
+});
+
 test("the history holds when a stage, an agent with claims and an entry are killed", options, async t => {
     const kill: Scenario = {
         name: "kill",
--- a/packages/proof/src/lib/scenarios/storeScenarios.ts
+++ b/packages/proof/src/lib/scenarios/storeScenarios.ts
@@ -9,6 +9,10 @@
 const slowDelay = 700;
 const lossRounds = 12;
 const lossInterval = 500;
+const copyRounds = 3;
+const copyAge = 1500;
+const copyOutage = 500;
+const copyPause = 3000;
 
 /** Waits until calls that are not idempotent complete again, and some seconds more. */
 async function waitForClaims({ clock, ends, check }: ScenarioContext): Promise<void> {
@@ -86,5 +90,25 @@
     },
 };
 
+const storeCopy: Scenario = {
+    name: "store-copy",
+    row: "the store comes back from an older copy (the own interface)",
+    summary: "three times the table service is away for 0.5 s and comes back from a copy that is 1.5 s old",
+    async run(context) {
+        const { site, markFault } = context;
+        markFault();
+        for (let round = 0; round < copyRounds; round++) {
+            await site.storeCopy("save");
+            await pause(copyAge);
+            await site.storeFaults({ down: true });
+            await pause(copyOutage);
+            await site.storeCopy("use");
+            await site.storeFaults({ down: false });
+            await pause(copyPause);
+        }
+        await waitForClaims(context);
+    },
+};
+
 /** Scenarios with faults of the table service. @internal */
-export const storeScenarios: readonly Scenario[] = [storeDown, storeSlow, answersLost, twoAtOnce];
+export const storeScenarios: readonly Scenario[] = [storeDown, storeSlow, answersLost, storeCopy, twoAtOnce];
--- a/packages/proof/src/lib/site/Site.ts
+++ b/packages/proof/src/lib/site/Site.ts
@@ -172,6 +172,11 @@
         await this.admin("/admin/faults", { service: "table", faults });
     }
 
+    /** Saves a copy of the table service, or lets it come back from the last one. */
+    async storeCopy(action: "save" | "use"): Promise<void> {
+        await this.admin("/admin/table/copy", { action });
+    }
+
     private async admin(path: string, body: object): Promise<unknown> {
         const url = `http://${platformHost}:${this.layout.platformPort}${path}`;
         const response = await fetch(url, { method: "POST", body: JSON.stringify(body) });
--- a/packages/stores/src/lib/http/PlatformServer.ts
+++ b/packages/stores/src/lib/http/PlatformServer.ts
@@ -112,22 +112,29 @@
     };
 }
 
-type AdminPath = "/admin/faults" | "/admin/hosts/set" | "/admin/hosts/remove" | "/admin/hosts/lag";
+type AdminPath =
+    | "/admin/faults"
+    | "/admin/table/copy"
+    | "/admin/hosts/set"
+    | "/admin/hosts/remove"
+    | "/admin/hosts/lag";
 
 function adminHandlers({ table, objects, live, weights }: PlatformServerOptions): Pick<Handlers, AdminPath> {
     const services = { table, objects, live, weights };
+    let useCopy = table.saveCopy();
     return {
         "/admin/faults": async ({ service, faults }) => {
             services[service].faults.set(faults);
             return Promise.resolve(Result.ok(services[service].faults.faults));
         },
+        "/admin/table/copy": ({ action }) => done(() => action === "save" ? useCopy = table.saveCopy() : useCopy()),
         "/admin/hosts/set": host => done(() => live.set(host)),
         "/admin/hosts/remove": ({ process }) => done(() => live.remove(process)),
         "/admin/hosts/lag": ({ lag }) => done(() => live.lag = lag),
     };
 }
 
-function done(action: () => void): Promise<Outcome<undefined>> {
+function done(action: () => unknown): Promise<Outcome<undefined>> {
     action();
     return Promise.resolve(Result.ok(undefined));
 }
--- a/packages/stores/src/lib/http/wire.ts
+++ b/packages/stores/src/lib/http/wire.ts
@@ -62,6 +62,8 @@
         }),
         faultSettingsSchema,
     ),
+    /** `save` keeps a copy of the tables; `use` lets the service come back from it. */
+    "/admin/table/copy": call(z.object({ action: z.enum(["save", "use"]) }), nothing),
     "/admin/hosts/set": call(liveHostSchema, nothing),
     "/admin/hosts/remove": call(z.object({ process: z.string() }), nothing),
     "/admin/hosts/lag": call(z.object({ lag: z.number().nonnegative() }), nothing),
