A fence is never given out twice, also when the store comes back from a copy

What callers saw: nothing yet; orders of two holders of one duty, each with the same fence, were all carried out, so that a target could be told to hold two different ranges. Cause: a fence grew by one from what the row held, and the copy holds the row before the first holder took it; versions that are given out again also let the first holder's renewal replace the second one's row. Change: fences of an era are above all of the era before; each term has a row whose key is used once, and taking, renewing and the duty's writes depend on it. A take that may have been made in two eras is not used.

--- a/packages/claims/src/lib/journal/reclaim.test.ts
+++ b/packages/claims/src/lib/journal/reclaim.test.ts
@@ -1,8 +1,8 @@
+import { AnsweredEra } from "@waxwingspar/stores";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test from "node:test";
 import { type Claim, type ClaimRequest } from "../Claims.js";
-import { AnsweredEra } from "../testing/AnsweredEra.js";
 import { type ClaimJournal } from "./ClaimJournal.js";
 import { PartitionLog } from "./PartitionLog.js";
 import { claimOf, JournalSite, request } from "./testing/JournalSite.js";
--- a/packages/claims/src/lib/journal/testing/JournalSite.ts
+++ b/packages/claims/src/lib/journal/testing/JournalSite.ts
@@ -1,9 +1,8 @@
-import { MemoryObjectStore, MemoryTableStore, TokenBucket } from "@waxwingspar/stores";
+import { AnsweredEra, MemoryObjectStore, MemoryTableStore, TokenBucket } from "@waxwingspar/stores";
 import { ManualClock, type Outcome, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { type Claim, type ClaimRequest } from "../../Claims.js";
 import { type ReportedClaim } from "../../reclaim/ClaimReport.js";
-import { AnsweredEra } from "../../testing/AnsweredEra.js";
 import { Runners } from "../../testing/Runners.js";
 import { ClaimJournal, type ClaimJournalOptions } from "../ClaimJournal.js";
 
--- a/packages/claims/src/lib/testing/ClaimSite.ts
+++ b/packages/claims/src/lib/testing/ClaimSite.ts
@@ -1,8 +1,7 @@
-import { MemoryTableStore } from "@waxwingspar/stores";
+import { AnsweredEra, MemoryTableStore } from "@waxwingspar/stores";
 import { ManualClock } from "@waxwingspar/utils";
 import { type ReportedClaim } from "../reclaim/ClaimReport.js";
 import { TableClaims } from "../TableClaims.js";
-import { AnsweredEra } from "./AnsweredEra.js";
 import { Runners } from "./Runners.js";
 
 /** A store on a manual clock, and any number of processes that keep claims in it. */
--- a/packages/control/src/lib/leases/Lease.ts
+++ b/packages/control/src/lib/leases/Lease.ts
@@ -3,7 +3,7 @@
 import { Result } from "true-myth";
 import { commitResolved } from "../support/commitResolved.js";
 import { withDefaults } from "../support/withDefaults.js";
-import { fenceKey, leaseKey, type LeaseValue, parseLease } from "./leaseRow.js";
+import { fenceKey, leaseKey, type LeaseValue, lowestFence, parseLease, termKey } from "./leaseRow.js";
 
 /**
  * Options of {@link Lease}.
@@ -36,11 +36,23 @@
     readonly since: number;
 }
 
+/** What a write of the lease rests on. */
+interface Basis {
+    /** The version of the lease's row. */
+    readonly version: number;
+    /** The row of the term that the lease's row tells of; undefined while there is none. */
+    readonly term: Row | undefined;
+    /** The era of the store in which both were read. */
+    readonly era: number;
+}
+
 /** The lease as this process holds it. */
 interface Holding {
     /** The version of the row, or undefined while a renewal's effect is unknown. */
     readonly version: number | undefined;
     readonly fence: number;
+    /** The version of the row of its term. */
+    readonly term: number;
     /** The monotonic time from which on another process may hold the lease. */
     readonly expires: number;
 }
@@ -60,7 +72,7 @@
     private observed: Observation | undefined;
     private holding: Holding | undefined;
     /** Counts releases, so that a renewal that is answered after a release does not revive the lease. */
-    private term = 0;
+    private releases = 0;
 
     constructor(options: LeaseOptions) {
         this.duty = options.duty;
@@ -90,21 +102,28 @@
      * @returns True if the lease is held; a failure of the store otherwise.
      */
     async poll(): Promise<Outcome<boolean>> {
-        const term = this.term;
+        const releases = this.releases;
         if (this.holding?.version !== undefined) {
-            const renewed = await this.write(this.holding.version, this.holding.fence);
+            const renewed = await this.renew(this.holding, this.holding.version);
             if (renewed.isErr || renewed.value) {
                 return renewed;
             }
         }
-        const row = await this.options.store.get(leaseKey(this.duty));
-        if (row.isErr) {
-            return Result.err(row.error);
-        }
-        if (term !== this.term) {
-            return Result.ok(false);
+        const { store } = this.options;
+        for (;;) {
+            const { era } = store;
+            const row = await store.get(leaseKey(this.duty));
+            if (row.isErr) {
+                return Result.err(row.error);
+            }
+            if (releases !== this.releases) {
+                return Result.ok(false);
+            }
+            // Answers of two eras do not fit together.
+            if (store.era === era) {
+                return this.decide(row.value, era);
+            }
         }
-        return this.decide(row.value);
     }
 
     /**
@@ -129,22 +148,53 @@
     async release(): Promise<Outcome<void>> {
         const held = this.holding;
         this.holding = undefined;
-        this.term++;
+        this.releases++;
         if (held?.version === undefined) {
             return Result.ok(undefined);
         }
-        const written = await this.commit(held.version, { ...this.value(held.fence), released: true });
+        const key = leaseKey(this.duty);
+        const value = { ...this.value(held.fence), released: true };
+        const written = await this.commit(this.ownConditions(held, held.version), [{ key, value }]);
         return written.map(() => undefined);
     }
 
     /** Takes the next step from the row as it was read just now. */
-    private async decide(row: Row): Promise<Outcome<boolean>> {
+    private async decide(row: Row, era: number): Promise<Outcome<boolean>> {
         const value = parseLease(row);
-        if (value !== undefined && !value.released && this.isOwn(value)) {
-            return this.write(row.version, value.fence);
+        const isOwn = value !== undefined && !value.released && this.isOwn(value);
+        if (!isOwn) {
+            this.holding = undefined;
+        }
+        if (!isOwn && !this.mayTake(row, value)) {
+            return Result.ok(false);
+        }
+        const { releases } = this;
+        const basis = await this.readBasis(row.version, value, era);
+        if (basis.isErr) {
+            return Result.err(basis.error);
+        }
+        if (this.options.store.era !== era || releases !== this.releases) {
+            return Result.ok(false);
+        }
+        if (isOwn && this.isConfirmed(value.fence, basis.value)) {
+            const term = basis.value.term?.version ?? 0;
+            return this.renew({ version: undefined, fence: value.fence, term, expires: -Infinity }, row.version);
         }
         this.holding = undefined;
-        return this.mayTake(row, value) ? this.write(row.version, (value?.fence ?? 0) + 1, true) : Result.ok(false);
+        return this.take(value, basis.value);
+    }
+
+    private async readBasis(version: number, value: LeaseValue | undefined, era: number): Promise<Outcome<Basis>> {
+        if (value === undefined) {
+            return Result.ok({ version, term: undefined, era });
+        }
+        const term = await this.options.store.get(termKey(this.duty, value.fence));
+        return term.map(row => ({ version, term: row, era }));
+    }
+
+    /** Whether a fence is this process's alone: one that was taken as the store came back from a copy may be another's, too. */
+    private isConfirmed(fence: number, { term, era }: Basis): boolean {
+        return term !== undefined && term.version > 0 && (this.holding?.fence === fence || fence > lowestFence(era));
     }
 
     private isOwn(value: LeaseValue): boolean {
@@ -167,16 +217,58 @@
         return now - this.observed.since >= value.duration * this.options.patience;
     }
 
-    /** Writes this process as the holder, on condition that the row has not changed. */
-    private async write(version: number, fence: number, isNew = false): Promise<Outcome<boolean>> {
+    /** Writes this process as the holder with a new fence, on condition that nobody else has taken the lease. */
+    private async take(value: LeaseValue | undefined, { version, term, era }: Basis): Promise<Outcome<boolean>> {
+        const key = leaseKey(this.duty);
+        const fence = Math.max(value?.fence ?? 0, lowestFence(era)) + 1;
+        const taken = termKey(this.duty, fence);
+        const conditions = [{ key, version }];
+        const writes: Transaction["writes"] = [
+            { key, value: this.value(fence) },
+            { key: fenceKey(this.duty), value: { fence } },
+            { key: taken, value: { fence } },
+        ];
+        if (term !== undefined) {
+            conditions.push({ key: term.key, version: term.version });
+            writes.push({ key: term.key });
+        }
+        return this.hold(conditions, writes, versions => {
+            const isSameEra = this.options.store.era === era;
+            // A fence of the era before may have been given to another process that the copy does not know.
+            return isSameEra ? { version: versions[key], fence, term: versions[taken] ?? 0 } : undefined;
+        });
+    }
+
+    private renew(held: Holding, version: number): Promise<Outcome<boolean>> {
+        const key = leaseKey(this.duty);
+        const { fence, term } = held;
+        const writes = [{ key, value: this.value(fence) }];
+        return this.hold(
+            this.ownConditions(held, version),
+            writes,
+            versions => ({ version: versions[key], fence, term }),
+        );
+    }
+
+    private ownConditions({ fence, term }: Holding, version: number): Transaction["conditions"] {
+        return [{ key: leaseKey(this.duty), version }, { key: termKey(this.duty, fence), version: term }];
+    }
+
+    /** Commits, and holds the lease from before that was sent, if it took effect. */
+    private async hold(
+        conditions: Transaction["conditions"],
+        writes: Transaction["writes"],
+        holdingOf: (versions: Record<string, number>) => Omit<Holding, "expires"> | undefined,
+    ): Promise<Outcome<boolean>> {
         const sent = this.options.clock.now();
-        const term = this.term;
-        const written = await this.commit(version, this.value(fence), isNew);
-        if (term !== this.term) {
+        const releases = this.releases;
+        const written = await this.commit(conditions, writes);
+        if (releases !== this.releases) {
             return Result.ok(false);
         }
         if (written.isOk) {
-            this.holding = { version: written.value, fence, expires: sent + this.options.duration };
+            const holding = holdingOf(written.value);
+            this.holding = holding && { ...holding, expires: sent + this.options.duration };
             return Result.ok(this.isHeld());
         }
         if (written.error.code === platformCodes.conditionFailed) {
@@ -202,16 +294,11 @@
         return { holder, incarnation, fence, duration, released: false };
     }
 
-    /** @returns The new version of the row, if the store told it. */
-    private async commit(version: number, value: LeaseValue, isNew = false): Promise<Outcome<number | undefined>> {
-        const key = leaseKey(this.duty);
-        const fenceWrite = { key: fenceKey(this.duty), value: { fence: value.fence } };
-        const transaction: Transaction = {
-            writeId: this.options.writeId(),
-            conditions: [{ key, version }],
-            writes: isNew ? [{ key, value }, fenceWrite] : [{ key, value }],
-        };
-        const versions = await commitResolved(this.options.store, transaction);
-        return versions.map(found => found[key]);
+    /** @returns The new versions of the rows, if the store told them. */
+    private commit(
+        conditions: Transaction["conditions"],
+        writes: Transaction["writes"],
+    ): Promise<Outcome<Record<string, number>>> {
+        return commitResolved(this.options.store, { writeId: this.options.writeId(), conditions, writes });
     }
 }
--- a/packages/control/src/lib/leases/leaseRow.ts
+++ b/packages/control/src/lib/leases/leaseRow.ts
@@ -14,7 +14,7 @@
     holder: z.string(),
     /** The start of that process, so that a restarted holder is not taken for its predecessor. */
     incarnation: z.string(),
-    /** Grows by one each time the lease is taken. */
+    /** Grows each time the lease is taken: by one, or beyond all fences of earlier eras of the store. */
     fence: z.number().int().nonnegative(),
     /** Milliseconds that the lease lasts from each renewal. */
     duration: z.number().positive(),
@@ -45,6 +45,29 @@
     return `fence/${duty}`;
 }
 
+/** Fences of one era of the store: far more than a duty is ever taken over in one. */
+const fencesPerEra = 1_000_000_000;
+
+/**
+ * A fence below every one that is given out in an era of the store. A store that came back from a copy may lack the last fences of
+ * the era before, which must not be given out again.
+ *
+ * @internal
+ */
+export function lowestFence(era: number): number {
+    return era * fencesPerEra;
+}
+
+/**
+ * The key of the row that exists while a fence is the duty's newest one. Unlike a version of the lease's row, which a store that came
+ * back from a copy gives out again, the key is used once.
+ *
+ * @internal
+ */
+export function termKey(duty: string, fence: number): string {
+    return `term/${duty}/${fence}`;
+}
+
 const fenceValueSchema = z.object({ fence: z.number().int().nonnegative() });
 
 /**
--- a/packages/control/src/lib/rollout/SiteDuty.ts
+++ b/packages/control/src/lib/rollout/SiteDuty.ts
@@ -4,7 +4,7 @@
 import { type Clock, type Failure, type Outcome, uniqueId } from "@waxwingspar/utils";
 import { type Duty } from "../leases/DutyRunner.js";
 import { type Lease } from "../leases/Lease.js";
-import { fenceKey, ordersDuty, parseFence } from "../leases/leaseRow.js";
+import { ordersDuty, termKey } from "../leases/leaseRow.js";
 import { LoadPermits } from "../orders/LoadPermits.js";
 import { OrderSender } from "../orders/OrderSender.js";
 import { type TargetPort } from "../orders/TargetPort.js";
@@ -185,14 +185,14 @@
     }
 
     private async readGuard(fence: number): Promise<RowCondition | undefined> {
-        const row = await this.options.store.get(fenceKey(this.name));
+        const row = await this.options.store.get(termKey(this.name, fence));
         if (row.isErr) {
             this.fail("fence not read", row.error);
             return undefined;
         }
-        // A stale read shows an older fence.
+        // A stale read does not show the term yet, and a store that came back from a copy may lack it.
         const { key, version } = row.value;
-        return parseFence(row.value) === fence ? { key, version } : undefined;
+        return version > 0 ? { key, version } : undefined;
     }
 
     /**
--- a/packages/claims/src/lib/testing/AnsweredEra.ts
+++ b/packages/stores/src/lib/memory/AnsweredEra.ts
@@ -1,7 +1,11 @@
-import { type Row, type TableStore, type Transaction } from "@waxwingspar/stores";
 import { type Outcome } from "@waxwingspar/utils";
+import { type Row, type TableStore, type Transaction } from "../TableStore.js";
 
-/** A table service as one process sees it: it learns of a new era only from an answer. */
+/**
+ * A stand-in for the table service as one process sees it: it learns of a new era only from an answer.
+ *
+ * @public
+ */
 export class AnsweredEra implements TableStore {
     private answered: number;
 
