Changes of the configuration that a copy of the store lacks are written again by those that have them in force

What callers saw: nothing yet; operators' changes were all refused after the store had come back from a copy, and a process that started then went back to the configuration before, with credentials that had been taken away. Cause: the log in the store was behind the state in force, which never moves back, and nobody wrote what was missing. Change: whoever reads or changes the log in a new era compares its head with the state, and writes the entries again that follow it, if the log is a beginning of its own (the digest chain tells). Row keys of the log in a module of their own. Before: the three tests fail. Open, listed with a test: a process that had not heard of the change may accept another one under its revision first.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -31,8 +31,9 @@
     type TargetSpec,
 } from "./lib/resources/specs.js";
 export { type Change, kinds, type LogEntry, type Snapshot } from "./lib/revisions/LogEntry.js";
+export { headKey } from "./lib/revisions/logRows.js";
 export { nextEntry, type Offer, RevisionState, type RevisionStateOptions } from "./lib/revisions/RevisionState.js";
-export { headKey, StoreLog } from "./lib/revisions/StoreLog.js";
+export { StoreLog } from "./lib/revisions/StoreLog.js";
 export { resource, StaticConfiguration } from "./lib/StaticConfiguration.js";
 export { type FieldChange } from "./lib/store/diffFields.js";
 export { type ChangeResult } from "./lib/store/planChanges.js";
--- a/packages/config/src/lib/revisions/StoreLog.ts
+++ b/packages/config/src/lib/revisions/StoreLog.ts
@@ -2,40 +2,25 @@
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type Resource } from "../resources/Resource.js";
+import { restoreEntries } from "../store/restoreEntries.js";
 import { emptyDigest, replaceContent } from "./digest.js";
 import { type Head, headSchema, type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "./LogEntry.js";
+import { headKey, type HeadRow, logKey, logPrefix, resourcePrefix, resourceRowKey } from "./logRows.js";
 import { type Offer, RevisionState } from "./RevisionState.js";
 
-/** The key of the row that counts revisions. @public */
-export const headKey = "config/head";
-const logPrefix = "config/log/";
-const resourcePrefix = "config/resource/";
-const revisionDigits = 16;
 const pageRows = 500;
 const singleReads = 8;
 const snapshotAttempts = 4;
 
-/** The head row with the version that a conditional write needs. @internal */
-export interface HeadRow extends Head {
-    readonly version: number;
-}
-
-/** The row key of a log entry. Padded, so that keys sort as revisions do. @internal */
-export function logKey(revision: number): string {
-    return logPrefix + revision.toString().padStart(revisionDigits, "0");
-}
-
-/** The row key of a resource. @internal */
-export function resourceRowKey(key: string): string {
-    return resourcePrefix + key;
-}
-
 /**
  * Reads revisions from the table store.
  *
  * @public
  */
 export class StoreLog {
+    /** The era of the store in which its log was last found to hold all that is in force here. */
+    private wholeEra = 0;
+
     constructor(readonly store: TableStore) {}
 
     async head(): Promise<Outcome<HeadRow>> {
@@ -61,11 +46,25 @@
     }
 
     /**
-     * Brings a state up to what the store holds.
+     * Brings a state up to what the store holds, and the store up to the state where it came back from a copy.
      *
      * @returns What the last step brought; the state never moves back.
      */
     async advance(state: RevisionState): Promise<Outcome<Offer>> {
+        const offer = await this.readOn(state);
+        const { era } = this.store;
+        if (offer.isErr || era === this.wholeEra) {
+            return offer;
+        }
+        const restored = await restoreEntries(this, state);
+        if (restored.isErr) {
+            return Result.err(restored.error);
+        }
+        this.wholeEra = era;
+        return offer;
+    }
+
+    private async readOn(state: RevisionState): Promise<Outcome<Offer>> {
         for (;;) {
             const entries = await this.entries(state.revision);
             if (entries.isErr) {
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -12,8 +12,9 @@
 } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type LogEntry, logEntrySchema, resourceKey, resourceSchema } from "../revisions/LogEntry.js";
+import { headKey, type HeadRow, logKey, resourceRowKey } from "../revisions/logRows.js";
 import { nextEntry, type RevisionState } from "../revisions/RevisionState.js";
-import { headKey, type HeadRow, logKey, resourceRowKey, type StoreLog } from "../revisions/StoreLog.js";
+import { type StoreLog } from "../revisions/StoreLog.js";
 import { type DesiredChange } from "../validation/parseDesired.js";
 import { type ResourceFailure } from "../validation/ResourceFailure.js";
 import { type ChangeResult, planChanges } from "./planChanges.js";
@@ -23,6 +24,7 @@
     changeKey,
     type ChangeRow,
     changeRowSchema,
+    unknownAsked,
     withoutFields,
 } from "./transaction.js";
 
@@ -322,7 +324,7 @@
 
     /** Answers a change that was accepted earlier, unless its id now stands for something else. */
     private repeated(row: ChangeRow, { changeId, changes }: Attempt): ChangeOutcome {
-        return row.asked === askedDigest(changes)
+        return row.asked === unknownAsked || row.asked === askedDigest(changes)
             ? this.accepted(row, changeId)
             : Result.err([failure(requestCodes.keyReused, "the id of this change was used for another change")]);
     }
--- a/packages/config/src/lib/store/transaction.ts
+++ b/packages/config/src/lib/store/transaction.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import { canonicalJson } from "../revisions/digest.js";
 import { kindSchema, type LogEntry, resourceKey } from "../revisions/LogEntry.js";
-import { headKey, type HeadRow, logKey, resourceRowKey } from "../revisions/StoreLog.js";
+import { headKey, type HeadRow, logKey, resourceRowKey } from "../revisions/logRows.js";
 import { type DesiredChange } from "../validation/parseDesired.js";
 import { type ChangeResult } from "./planChanges.js";
 
@@ -32,6 +32,9 @@
     readonly results: readonly ChangeResult[];
 }
 
+/** In the place of {@link ChangeRow.asked}, where only the entry of a change was left: any request under its id is a repeat. @internal */
+export const unknownAsked = "";
+
 /** Builds the transaction that accepts an entry. @internal */
 export function buildTransaction(
     entry: LogEntry,
