No change is accepted in a new era before every process has told what it has in force

What callers saw: nothing yet; an operator's accepted change was gone, as another one had been put in its place. Cause: after a copy, a process that had not heard of the last change followed the copy's log. Change: once in each era of the store, a process that accepts a change asks all others for their revision, learns what it lacks, and refuses as not written while one does not answer or the log is being mended. Also new: the answer of all processes, a hung one, and a site of sixteen processes over a copy.

--- a/packages/cli/src/lib/nodes/ConfigurationPart.ts
+++ b/packages/cli/src/lib/nodes/ConfigurationPart.ts
@@ -33,7 +33,8 @@
         this.node = new ConfigurationNode({ log, liveList, membership, call, clock, random, record, seeds });
         const { state } = this.node;
         const onAccepted: ConfigurationNode["offer"] = entry => this.node.offer(entry);
-        this.resources = new ResourceStore({ log, state, clock, random, record, onAccepted });
+        const findNewest: ConfigurationNode["findNewest"] = () => this.node.findNewest();
+        this.resources = new ResourceStore({ log, state, clock, random, record, onAccepted, findNewest });
     }
 
     /** The JSON-RPC methods that every peer is offered. */
--- a/packages/config/src/lib/distribution/ConfigurationNode.test.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.test.ts
@@ -49,6 +49,26 @@
     assertHistory(site);
 });
 
+test("the newest revision is known only once every process has told its own, and is learned with that", async () => {
+    const site = await startedSite(["a"], 6);
+    await acceptAndSpread(site, site.processes[0]!);
+    const newcomer = site.processes[3]!;
+    assert.equal((await site.settle(newcomer.node.findNewest())).unwrapOr(0), 1);
+    site.hang(site.processes[5]!);
+    assert.ok((await site.settle(newcomer.node.findNewest())).isErr);
+    site.stopAll();
+});
+
+test("an accepted change outlives a store that comes back from a copy, and others follow it", async () => {
+    const site = await startedSite(["a", "b"], 8);
+    const restore = site.table.saveCopy();
+    await acceptAndSpread(site, site.processes[3]!);
+    restore();
+    await site.clock.advanceAsync(2_000);
+    await acceptAndSpread(site, site.processes[12]!);
+    assertHistory(site);
+});
+
 test("readers that are shown old rows neither go back nor keep the others behind", async () => {
     const site = await startedSite(["a", "b"], 8);
     const rows = await site.table.scan("", "", 1000);
--- a/packages/config/src/lib/distribution/ConfigurationNode.ts
+++ b/packages/config/src/lib/distribution/ConfigurationNode.ts
@@ -1,7 +1,7 @@
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type LiveList } from "@waxwingspar/stores";
 import { type Address, type RpcMethod } from "@waxwingspar/transport";
-import { type Clock, failure, type Outcome, type Random, requestCodes, sleep } from "@waxwingspar/utils";
+import { type Clock, failure, type Outcome, platformCodes, type Random, requestCodes, sleep } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { type Configuration } from "../Configuration.js";
@@ -69,6 +69,8 @@
 const listPatience = 2000;
 const longestBackoff = 2000;
 const peersForReadiness = 3;
+/** Processes that are asked for their revision at the same time. */
+const askedAtOnce = 64;
 const leavingTimeout = 500;
 const offerTimeout = 1000;
 
@@ -147,6 +149,31 @@
         return this.collector.collect(revision, timeout);
     }
 
+    /**
+     * Asks every other process for the revision that it has in force, and learns the changes that it has not heard of.
+     *
+     * @returns The highest; a failure unless each process has answered that the list shows or showed lately.
+     */
+    async findNewest(): Promise<Outcome<number>> {
+        const { membership } = this.options;
+        if (!Number.isFinite(membership.listAge)) {
+            return Result.err(failure(platformCodes.storeUnavailable, "the other processes are not known yet"));
+        }
+        const others = membership.members().filter(({ process }) => process !== membership.self.process);
+        let newest = this.state.revision;
+        for (let first = 0; first < others.length; first += askedAtOnce) {
+            const group = others.slice(first, first + askedAtOnce);
+            for (const answer of await Promise.all(group.map(other => this.client.ask(other, 0)))) {
+                if (answer.isErr) {
+                    const message = "changes may be lost, and a process has not told what it has in force";
+                    return Result.err(failure(platformCodes.storeUnavailable, message));
+                }
+                newest = Math.max(newest, answer.value.revision);
+            }
+        }
+        return Result.ok(newest);
+    }
+
     /** Starts to learn. Resolves once the process is {@link ConfigurationNode.ready}. */
     async start(): Promise<void> {
         this.startedAt = this.options.clock.now();
--- a/packages/config/src/lib/store/ResourceStore.ts
+++ b/packages/config/src/lib/store/ResourceStore.ts
@@ -48,6 +48,11 @@
     readonly record?: HistoryRecorder;
     /** Runs after each change that this process accepted, so that it can be told to others at once. */
     readonly onAccepted?: (entry: LogEntry) => void;
+    /**
+     * Finds the highest revision that any process has in force; fails unless each has answered. It is asked once in each era of the
+     * store, since a copy may lack changes that only other processes know. By default there are no others.
+     */
+    readonly findNewest?: () => Promise<Outcome<number>>;
     /** Milliseconds for which a change is tried while the store fails. */
     readonly patience?: number;
     /** How many log entries the store keeps; each new entry removes the one that falls out. */
@@ -113,6 +118,9 @@
     private readonly random: Random;
     private readonly record: HistoryRecorder;
     private readonly onAccepted: (entry: LogEntry) => void;
+    private readonly findNewest: () => Promise<Outcome<number>>;
+    /** The era of the store in which the state was found to be the newest. */
+    private newestEra = 0;
     private readonly patience: number;
     private readonly retainedEntries: number;
     /** Changes that ended as unknown; when one shows up in the log after all, that is recorded. */
@@ -127,6 +135,7 @@
         this.random = options.random;
         this.record = options.record ?? (() => undefined);
         this.onAccepted = options.onAccepted ?? (() => undefined);
+        this.findNewest = options.findNewest ?? (() => Promise.resolve(Result.ok(0)));
         this.patience = options.patience ?? defaultPatience;
         this.retainedEntries = options.retainedEntries ?? defaultRetainedEntries;
         this.state.onChange(revision => this.recordDoubtful(revision));
@@ -171,6 +180,10 @@
         if (head.isErr) {
             return { retry: head.error };
         }
+        const newest = await this.confirmNewest();
+        if (newest.isErr) {
+            return { retry: newest.error };
+        }
         const earlier = await this.findAccepted(attempt.changeId);
         if (earlier.isErr) {
             return { retry: earlier.error };
@@ -208,6 +221,23 @@
         return Result.err(failure(platformCodes.storeUnavailable, "the head of the log moved or was read late"));
     }
 
+    /** Makes sure that no process has a change in force which a copy of the store lacks and this process has not heard of. */
+    private async confirmNewest(): Promise<Outcome<void>> {
+        const { era } = this.log.store;
+        if (era === this.newestEra) {
+            return Result.ok<void, never>(undefined);
+        }
+        const newest = await this.findNewest();
+        if (newest.isErr) {
+            return Result.err(newest.error);
+        }
+        if (newest.value > this.state.revision) {
+            return Result.err(failure(platformCodes.storeUnavailable, "a later change is being written again"));
+        }
+        this.newestEra = era;
+        return Result.ok<void, never>(undefined);
+    }
+
     /**
      * Ends a change that writes nothing. Reads may be stale, but conditions see the truth: a transaction without writes
      * proves that the judgement was made on the newest state.
--- a/packages/config/src/lib/store/storeCopy.test.ts
+++ b/packages/config/src/lib/store/storeCopy.test.ts
@@ -1,7 +1,8 @@
 import { AnsweredEra, MemoryTableStore } from "@waxwingspar/stores";
-import { ManualClock, seededRandom, uniqueId } from "@waxwingspar/utils";
+import { ManualClock, type Outcome, seededRandom, uniqueId } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Result } from "true-myth";
 import { RevisionState } from "../revisions/RevisionState.js";
 import { StoreLog } from "../revisions/StoreLog.js";
 import { type DesiredChange, parseDesired } from "../validation/parseDesired.js";
@@ -13,9 +14,12 @@
     readonly log: StoreLog;
     readonly store: ResourceStore;
 
-    constructor(table: MemoryTableStore, clock: ManualClock) {
+    constructor({ table, clock, processes }: Site) {
         this.log = new StoreLog(new AnsweredEra(table));
-        this.store = new ResourceStore({ log: this.log, state: this.state, clock, random: seededRandom(1) });
+        const findNewest = (): Promise<Outcome<number>> =>
+            Promise.resolve(Result.ok(Math.max(...processes.map(({ state }) => state.revision))));
+        const { log, state } = this;
+        this.store = new ResourceStore({ log, state, clock, random: seededRandom(1), findNewest });
     }
 }
 
@@ -29,8 +33,12 @@
     readonly clock = new ManualClock();
     readonly table = new MemoryTableStore({ clock: this.clock });
 
+    readonly processes: Process[] = [];
+
     process(): Process {
-        return new Process(this.table, this.clock);
+        const process = new Process(this);
+        this.processes.push(process);
+        return process;
     }
 
     /** Sends a change, and tells the revision that holds it. */
--- a/packages/config/src/lib/testing/SimulatedSite.ts
+++ b/packages/config/src/lib/testing/SimulatedSite.ts
@@ -112,7 +112,12 @@
         const node = new ConfigurationNode({ ...shared, membership, liveList, call, ...this.options });
         process.membership = membership;
         process.node = node;
-        process.store = new ResourceStore({ ...shared, state: node.state, onAccepted: entry => node.offer(entry) });
+        process.store = new ResourceStore({
+            ...shared,
+            state: node.state,
+            onAccepted: entry => node.offer(entry),
+            findNewest: () => node.findNewest(),
+        });
         return node.start();
     }
 
