An old base row may name archives that have been deleted since

What callers saw: nothing yet; every request that is not idempotent of a partition would have been refused for good. Cause: an owner deletes an archive once all its claims have expired; a store that comes back from a copy names it again, and an owner that cannot read it takes nothing over. Change: partition time is taken from the base row first, and archives whose claims have all expired then are not read. Before: the test fails. After: it passes; one that is missing before its time holds the partition up for as long as the copy is old.

--- a/packages/claims/src/lib/journal/PartitionLog.ts
+++ b/packages/claims/src/lib/journal/PartitionLog.ts
@@ -4,7 +4,7 @@
 import { type ReportedClaim } from "../reclaim/ClaimReport.js";
 import { firstGeneration } from "../reclaim/generations.js";
 import { SettledEra } from "../reclaim/SettledEra.js";
-import { type ArchiveIndex } from "./ArchiveIndex.js";
+import { ArchiveIndex } from "./ArchiveIndex.js";
 import { loadIndexes, loadRecords } from "./archives.js";
 import { type ClaimRecord, packRecords, unpackRecords } from "./ClaimRecord.js";
 import { DisplacedClaims } from "./DisplacedClaims.js";
@@ -326,12 +326,18 @@
             return Result.err(read.error);
         }
         const base = read.value;
-        const missing = base.archives.map(({ name }) => name).filter(name => !this.state.hasIndex(name));
-        const loaded = await loadIndexes(this.options.objects, missing);
+        this.state.time.observe(base.time);
+        const unknown = base.archives.filter(({ name }) => !this.state.hasIndex(name));
+        // A base row that came back with a copy may name archives that were deleted once all their claims had expired.
+        const now = this.state.time.now();
+        const expired = unknown.filter(({ expiry }) => expiry < now);
+        const needed = unknown.filter(({ expiry }) => expiry >= now);
+        const loaded = await loadIndexes(this.options.objects, needed.map(({ name }) => name));
         if (loaded.isErr) {
             return Result.err(loaded.error);
         }
-        return this.adopt(row.version, base, loaded.value)
+        const empty = expired.map(({ name }) => [name, ArchiveIndex.of([])] as const);
+        return this.adopt(row.version, base, new Map([...loaded.value, ...empty]))
             ? Result.ok(true)
             : Result.err(failure(platformCodes.storeUnknown, "the archives changed while they were read"));
     }
--- a/packages/claims/src/lib/journal/reclaim.test.ts
+++ b/packages/claims/src/lib/journal/reclaim.test.ts
@@ -206,6 +206,27 @@
     assert.ok(claimOf(await site.wait(owner.acquire(request("new")))).created);
 });
 
+// The partition refused every claim for good: its base row named an archive that had been deleted after its claims had expired.
+test("an old base row may name an archive that has been deleted since", async () => {
+    const site = new JournalSite();
+    const owner = site.owner({ archiveAfter: 3 });
+    const fill = async (prefix: string): Promise<void> => {
+        for (let number = 0; number < 4; number++) {
+            claimOf(await site.wait(owner.acquire(request(`${prefix} ${number}`, { retention: 2_000 }))));
+        }
+        await site.clock.advanceAsync(100, 10);
+    };
+    await fill("archived");
+    const restore = site.table.saveCopy();
+    await site.clock.advanceAsync(2_500, 50);
+    await fill("later");
+    restore();
+    const other = site.owner();
+    await site.wait(other.acquire(request("early", { runner: another })));
+    await site.clock.advanceAsync(3_000, 50);
+    claimOf(await site.wait(other.acquire(request("new", { runner: another }))));
+});
+
 test("an owner that has archived and deleted segments which a copy lost takes none of the new ones away", async () => {
     const site = new JournalSite();
     const owner = site.owner({ archiveAfter: 6 });
