An attempt whose head falls silent goes on while nothing can take its place

What callers saw: an answer of the own interface that they were reading was broken off after a pause of two seconds, with their time left. Cause: the attempt was cancelled on the suspicion before it was known whether another chain, attempt or permit to retry is there. Change: these are looked for first, and without them the attempt goes on, to be judged again after as long a silence. A request with a claim has one runner, so it always goes on. Before: both new tests fail. After: they pass, with all of the entry's. Options of a run stand in a file of their own. Ruled out: two attempts at once, as stages end the lower epoch.

--- a/packages/entry/src/lib/EntryLimits.ts
+++ b/packages/entry/src/lib/EntryLimits.ts
@@ -35,10 +35,10 @@
         "The time for a model request when the caller sets none, and the most that it may set.",
     ),
     firstTokenTimeout: milliseconds.default(10_000).describe(
-        "From sending an attempt to its first token; then the attempt is given up as hung.",
+        "From sending an attempt to its first token; then another attempt takes its place, where one may.",
     ),
     tokenTimeout: milliseconds.default(2_000).describe(
-        "Between two messages of an attempt; then it is given up as hung.",
+        "Between two messages of an attempt; then another one takes its place, where one may.",
     ),
     maxAttempts: count.default(8).describe("Attempts of one request."),
     stopLead: z.number().nonnegative().default(2_000).describe(
--- a/packages/entry/src/lib/models/Attempt.ts
+++ b/packages/entry/src/lib/models/Attempt.ts
@@ -43,6 +43,7 @@
     private readonly span: Span;
     private readonly sentAt: number;
     private lastSeen: number;
+    private waitedAt = -Infinity;
     private started = false;
     /** True when stages may have fetched their KV cache from those of another attempt. */
     private fetches = false;
@@ -115,9 +116,15 @@
         this.lastSeen = now;
     }
 
+    /** Lets the attempt go on though nothing came, until it has been silent for as long again. */
+    wait(now: number): void {
+        this.waitedAt = now;
+    }
+
     /** The clock's time at which the attempt counts as hung if nothing comes until then. */
     silentAt(limits: EntryLimits): number {
-        return this.lastSeen + (this.started ? limits.tokenTimeout : limits.firstTokenTimeout);
+        const since = Math.max(this.lastSeen, this.waitedAt);
+        return since + (this.started ? limits.tokenTimeout : limits.firstTokenTimeout);
     }
 
     credit(upTo: number): void {
--- a/packages/entry/src/lib/models/RequestRun.test.ts
+++ b/packages/entry/src/lib/models/RequestRun.test.ts
@@ -1,5 +1,5 @@
 import { type Message } from "@waxwingspar/transport";
-import { requestCodes, type ResultCode } from "@waxwingspar/utils";
+import { failure, requestCodes, type ResultCode } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test, { type TestContext } from "node:test";
 import { type FakeAgent } from "../testing/FakeAgents.js";
@@ -156,6 +156,36 @@
     assert.deepEqual((await readStream(response)).text, " 0 1 2");
 });
 
+/**
+ * A caller read an answer whose head paused for longer than the limit on silence. The attempt was cancelled at once, and as nothing else
+ * could serve the request, the answer was broken off with most of the caller's time left.
+ */
+test("an answer whose head pauses goes on when no other target can serve it", async context => {
+    const site = await startSite(context, { limits: { tokenTimeout: 500 } });
+    const responding = site.post("/v1/chat/completions", chatBody(3, true));
+    const open = await site.agent(0).wait("open");
+    site.agent(0).tokens(open, 0, 1);
+    const response = await responding;
+    site.router.refusal = failure(requestCodes.noCapacity, "no other chain");
+    await site.advance(1600);
+    assert.deepEqual(site.agent(0).all("cancel"), []);
+    site.agent(0).tokens(open, 1, 2);
+    site.agent(0).done(open, 3);
+    assert.deepEqual((await readStream(response)).text, " 0 1 2");
+});
+
+test("an answer whose head pauses goes on when no further attempt is allowed", async context => {
+    const site = await startSite(context, { limits: { tokenTimeout: 500, maxAttempts: 1 } });
+    const responding = site.post("/v1/chat/completions", chatBody(2, true));
+    const open = await site.agent(0).wait("open");
+    site.agent(0).tokens(open, 0, 1);
+    const response = await responding;
+    await site.advance(1600);
+    site.agent(0).tokens(open, 1, 1);
+    site.agent(0).done(open, 2);
+    assert.deepEqual((await readStream(response)).text, " 0 1");
+});
+
 test("reports a request that may have run as unknown", async context => {
     const site = await startSite(context);
     const responding = site.post("/v1/chat/completions", chatBody(3));
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -1,6 +1,4 @@
-import { type Span, type Tracer } from "@opentelemetry/api";
-import { type HistoryRecorder } from "@waxwingspar/history";
-import { type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
+import { type RoutedAttempt } from "@waxwingspar/policy";
 import {
     type DoneMessage,
     type Exporter,
@@ -8,50 +6,17 @@
     type Message,
     type TokensMessage,
 } from "@waxwingspar/transport";
-import {
-    type Clock,
-    type Failure,
-    failure,
-    type Outcome,
-    requestCodes,
-    type Timer,
-    transportCodes,
-} from "@waxwingspar/utils";
+import { type Failure, failure, type Outcome, requestCodes, type Timer, transportCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { type EntryLimits } from "../EntryLimits.js";
-import { type EntryMetrics } from "../EntryMetrics.js";
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
-import { type AgentLinks } from "../links/AgentLinks.js";
-import { type BoundRunner, type ClaimBinding } from "../links/ClaimBinding.js";
+import { type BoundRunner } from "../links/ClaimBinding.js";
 import { fromWire } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
-import { chooseChain } from "../versions/chooseChain.js";
-import { type ModelVersions } from "../versions/ModelVersions.js";
-import { type AnswerSink } from "./AnswerSink.js";
+import { type ChainChoice, chooseChain } from "../versions/chooseChain.js";
 import { Attempt } from "./Attempt.js";
 import { headOf, joinRunner } from "./chains.js";
 import { type ModelRequest } from "./ModelRequest.js";
-
-/** @internal */
-export interface RequestRunOptions {
-    readonly request: ModelRequest;
-    readonly sink: AnswerSink;
-    readonly links: AgentLinks;
-    readonly router: Router;
-    readonly retryBudget: RetryBudget;
-    readonly clock: Clock;
-    readonly history: HistoryRecorder;
-    readonly metrics: EntryMetrics;
-    readonly limits: EntryLimits;
-    readonly versions: Pick<ModelVersions, "rank">;
-    readonly tracer: Tracer;
-    /** The span of the whole request. */
-    readonly span: Span;
-    /** Set for a request that is not idempotent. */
-    readonly binding: ClaimBinding | undefined;
-    /** Runs once, when the request has ended. */
-    readonly onEnd: () => void;
-}
+import { type RequestRunOptions } from "./RequestRunOptions.js";
 
 /** Where an attempt failed, and whether that target still exports its KV cache because it only leaves. */
 type AttemptFault = Partial<Pick<FailedMessage, "target" | "exportable" | "load">>;
@@ -157,11 +122,8 @@
     }
 
     private choose(): Outcome<RoutedAttempt> {
-        const { router, versions, binding } = this.options;
-        const { request, recovery: { exclude } } = this;
-        const mayChangeVersion = this.mayChangeVersion();
-        const chosen = chooseChain({ router, versions, request, exclude, head: binding?.target, mayChangeVersion });
-        if (chosen.isOk && chosen.value.request !== request) {
+        const chosen = chooseChain(this.choice(this.recovery.exclude));
+        if (chosen.isOk && chosen.value.request !== this.request) {
             this.request = chosen.value.request;
             // A KV cache of another version is of no use.
             this.exporters = [];
@@ -169,6 +131,12 @@
         return chosen.map(({ routed }) => routed);
     }
 
+    private choice(exclude: ReadonlySet<string>): ChainChoice {
+        const { router, versions, binding } = this.options;
+        const { request } = this;
+        return { router, versions, request, exclude, head: binding?.target, mayChangeVersion: this.mayChangeVersion() };
+    }
+
     /** The runner of a claim may hold a part of the answer that was not delivered yet. */
     private mayChangeVersion(): boolean {
         return this.produced.length === 0 && (this.options.binding === undefined || !this.recovery.mayHaveRun);
@@ -370,7 +338,7 @@
         }
         const silentAt = this.silentAt();
         if (silentAt !== undefined && now >= silentAt) {
-            this.abandon(failure(transportCodes.requestTimeout, "the head sent nothing for too long"));
+            this.fellSilent(now);
         }
         if (!this.ended) {
             const due = Math.min(this.request.deadline, this.silentAt() ?? now + this.options.limits.tokenTimeout);
@@ -378,6 +346,32 @@
         }
     }
 
+    /** Leaves a silent attempt for another one, or waits on: while nothing can take its place, its answer may still come. */
+    private fellSilent(now: number): void {
+        const { attempt } = this;
+        if (attempt === undefined) {
+            return;
+        }
+        const cause = failure(transportCodes.requestTimeout, "the head sent nothing for too long");
+        const isFirstLoss = this.produced.length > 0 && !this.recovery.mayHaveRun;
+        const delay = this.hasOtherChain(attempt.head)
+            ? this.recovery.afterSilence(cause, attempt.head, isFirstLoss)
+            : undefined;
+        if (delay === undefined) {
+            attempt.wait(now);
+            return;
+        }
+        attempt.cancel(true);
+        this.settle("failed", attempt.head);
+        this.exporters = attempt.exporters(attempt.head);
+        this.schedule(delay);
+    }
+
+    private hasOtherChain(head: string): boolean {
+        const chosen = chooseChain(this.choice(new Set([...this.recovery.exclude, head])));
+        return chosen.map(({ routed }) => routed.end("cancelled")).isOk;
+    }
+
     private silentAt(): number | undefined {
         if (this.attempt === undefined || !this.callerReady || this.produced.length >= this.granted) {
             return undefined;
--- a/packages/entry/src/lib/recovery/Recovery.ts
+++ b/packages/entry/src/lib/recovery/Recovery.ts
@@ -80,6 +80,24 @@
         return this.retry(cause, target, unfunded);
     }
 
+    /**
+     * An attempt has been silent for too long. It goes on unless another one may follow, since its answer may still come.
+     *
+     * @returns As {@link Recovery.afterFailed}; undefined when the attempt is to go on.
+     */
+    afterSilence(cause: Failure, target: string, unfunded: boolean): number | undefined {
+        if (this.retries + 1 >= this.options.maxAttempts) {
+            return undefined;
+        }
+        const delay = this.retry(cause, target, unfunded);
+        if (delay !== undefined) {
+            this.options.retryBudget.ended(false);
+            this.lost = cause;
+            this.lostTime ??= this.options.clock.now();
+        }
+        return delay;
+    }
+
     /** Nothing was sent, as no link to the target could be opened or the claim binds the request to another. */
     afterNotSent(cause: Failure, target: string): number | undefined {
         const delay = this.options.binding?.target === undefined ? this.retry(cause, target, false) : undefined;
