Claims of a partition that is served elsewhere are told for ten more minutes; reporting them reads no others

Cause: an owner that a change of the members had relieved dropped what it knew, so that a claim which the copy lacked could be known to nobody; and an agent decoded each of up to 20,000 claims to find those of one series.

--- a/packages/agent/src/lib/claims/ClaimTable.ts
+++ b/packages/agent/src/lib/claims/ClaimTable.ts
@@ -109,7 +109,9 @@
      */
     report({ series, before }: ReportRequest): ReportedClaim[] {
         this.barred.set(series, Math.max(before, this.barred.get(series) ?? 0));
-        return [...this.records.values()].flatMap((record): ReportedClaim[] => {
+        // Decoding every claim that is remembered would hold up the tokens of all requests.
+        const mark = `/${encodeURIComponent(series)}/`;
+        return [...this.records.values()].filter(({ id }) => id.includes(mark)).flatMap((record): ReportedClaim[] => {
             const identity = decodeClaim(record.id);
             if (identity?.series !== series || identity.generation >= before || record.state === "refused") {
                 return [];
--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -139,9 +139,9 @@
         return this.enqueue(call);
     }
 
-    /** The claims granted in earlier eras of the store that this process knows and the store may lack. */
-    report(before: number): readonly ReportedClaim[] {
-        return this.log.reports.filter(({ generation }) => generation < before);
+    /** The claims that were granted lately, as far as this process knows. */
+    report(): readonly ReportedClaim[] {
+        return this.log.reports;
     }
 
     /** Reads the partition, so that the first claim need not wait for that. */
--- a/packages/claims/src/lib/journal/ClaimJournals.ts
+++ b/packages/claims/src/lib/journal/ClaimJournals.ts
@@ -28,6 +28,17 @@
     writesPerSecond: 200,
 };
 
+/** Milliseconds for which claims of a partition that is served elsewhere can still be told; longer than any copy of the store is old. */
+const retiredFor = 600_000;
+
+/** What is left of a journal that was dropped. */
+interface RetiredJournal {
+    readonly series: string;
+    readonly claims: readonly ReportedClaim[];
+    /** The clock's time from which it is forgotten. */
+    readonly expiry: number;
+}
+
 /**
  * The journals of the partitions that this process serves, opened when they are first asked for. They share a rate of
  * writes in proportion to their number, so that one busy partition may use what the others leave.
@@ -37,6 +48,7 @@
 export class ClaimJournals implements Claims {
     private readonly options: ClaimJournalsOptions & typeof defaults;
     private readonly journals = new Map<number, ClaimJournal>();
+    private retired: readonly RetiredJournal[] = [];
     private readonly bucket: TokenBucket;
 
     constructor(options: ClaimJournalsOptions) {
@@ -69,8 +81,11 @@
 
     /** The claims of earlier eras of the store that this process knows. */
     report({ series, before }: ReportRequest): readonly ReportedClaim[] {
-        return [...this.journals.values()].filter(journal => journal.series === series)
-            .flatMap(journal => journal.report(before));
+        this.forgetRetired();
+        const open = [...this.journals.values()].filter(journal => journal.series === series);
+        const retired = this.retired.filter(journal => journal.series === series);
+        return [...retired.flatMap(({ claims }) => claims), ...open.flatMap(journal => journal.report())]
+            .filter(({ generation }) => generation < before);
     }
 
     /** Reads a partition that this process is about to serve. */
@@ -82,12 +97,24 @@
     keepOnly(partitions: ReadonlySet<number>): void {
         for (const [partition, journal] of this.journals) {
             if (!partitions.has(partition) && journal.waiting === 0) {
+                this.retire(journal);
                 this.journals.delete(partition);
             }
         }
+        this.forgetRetired();
         this.bucket.setRate(this.rate(Math.max(1, this.journals.size)));
     }
 
+    private retire(journal: ClaimJournal): void {
+        const expiry = this.options.clock.now() + retiredFor;
+        this.retired = [...this.retired, { series: journal.series, claims: journal.report(), expiry }];
+    }
+
+    private forgetRetired(): void {
+        const now = this.options.clock.now();
+        this.retired = this.retired.filter(({ expiry }) => expiry > now);
+    }
+
     private journalOf(request: ClaimRequest): ClaimJournal {
         return this.journal(partitionOf(request, this.options.partitions));
     }
--- a/packages/claims/src/lib/journal/testing/JournalSite.ts
+++ b/packages/claims/src/lib/journal/testing/JournalSite.ts
@@ -44,7 +44,7 @@
     }
 
     private reports(before: number): ReportedClaim[] {
-        return [...this.owners].flatMap(owner => owner.report(before));
+        return [...this.owners].flatMap(owner => owner.report()).filter(({ generation }) => generation < before);
     }
 
     async wait<T>(call: Promise<T>): Promise<T> {
