--- a/packages/claims/src/lib/journal/ClaimJournal.ts
+++ b/packages/claims/src/lib/journal/ClaimJournal.ts
@@ -156,7 +156,7 @@
         return outcome;
     }
 
-    /** Whether all that the store holds is known, for all that is known. */
+    /** Whether nothing hints that the store holds more than what was read, or less than it acknowledged. */
     private get isCurrent(): boolean {
         return this.fresh && this.log.isSettled;
     }
--- a/packages/claims/src/lib/reclaim/SettledEra.ts
+++ b/packages/claims/src/lib/reclaim/SettledEra.ts
@@ -65,7 +65,7 @@
         const outcome = await this.commit({ ...transaction, writes });
         if (outcome.isOk) {
             const read = await this.read();
-            this.settlement = read.unwrapOr(this.settlement);
+            this.settlement = this.isCurrent ? read.unwrapOr(this.settlement) : this.settlement;
         }
         return outcome;
     }
