A process that has told its claims is not asked again when another one was slow

Cause: answers of those that had told were thrown away. Change: they are kept by the start of the process until the look succeeds; a later start is asked again, as it has barred nothing. Before: the new test sees two calls where one is due. Conclusion: slow processes hold a look up one after the other at most.

--- a/packages/claims/src/lib/reclaim/createReportCollector.test.ts
+++ b/packages/claims/src/lib/reclaim/createReportCollector.test.ts
@@ -75,6 +75,30 @@
     assert.match(refusalOf(await collect(processes(true), linksTo([() => []], "agent"))), /t0 has not told/);
 });
 
+test("a process that has answered is not asked again when another one had not", async () => {
+    const asked = [0, 0];
+    const reports = [0, 1].map((index): Report => () => {
+        asked[index] = (asked[index] ?? 0) + 1;
+        return [claim(`of ${index}`)];
+    });
+    const running = [...reports.slice(0, 1)];
+    const links = linksTo(running);
+    const collector = createReportCollector({ processes: () => processes(true, true), own: () => [], links });
+    const collectAgain = async (): Promise<Outcome<readonly ReportedClaim[]>> => {
+        const outcome = collector(request);
+        await clock.advanceAsync(1_000, 50);
+        return outcome;
+    };
+    refusalOf(await collectAgain());
+    running.push(...reports.slice(1));
+    assert.equal((await collectAgain()).unwrapOr([]).length, 2);
+    assert.deepEqual(asked, [1, 1]);
+    const later = collector({ ...request, before: 20 });
+    await clock.advanceAsync(1_000, 50);
+    assert.ok((await later).isOk);
+    assert.deepEqual(asked, [2, 2], "another era");
+});
+
 test("a process that only the configuration names is left out when nobody listens there", async () => {
     const outcome = await collect(processes(true, false), linksTo([() => [claim("a")]]));
     assert.equal(outcome.unwrapOr([]).length, 2);
--- a/packages/claims/src/lib/reclaim/createReportCollector.ts
+++ b/packages/claims/src/lib/reclaim/createReportCollector.ts
@@ -30,6 +30,19 @@
     readonly atOnce?: number;
 }
 
+interface Answer {
+    /** The start of the process that answered last; a later one has barred nothing yet. */
+    readonly incarnation: string;
+    /** What all its starts told. */
+    readonly claims: readonly ReportedClaim[];
+}
+
+interface KnownAnswers {
+    readonly before: number;
+    /** By the names of processes. */
+    readonly answers: Map<string, Answer>;
+}
+
 const defaults = { timeout: 800, atOnce: 64 };
 
 /** Milliseconds after which a caller may come back: the list of processes lags by some seconds, a restart takes less. */
@@ -37,21 +50,42 @@
 
 /**
  * Asks all entries and agents for the claims that they know. One that does not answer may have begun a claim, or begin it later, so
- * nothing is settled without it until the list of processes has dropped it.
+ * nothing is settled without it until the list of processes has dropped it. A start of one that has answered is not asked again in the same era,
+ * so that slow processes hold a look up one after the other at most.
  *
  * @public
  */
 export function createReportCollector(options: ReportCollectorOptions): CollectReports {
     const { processes, own, links, timeout, atOnce } = { ...defaults, ...options };
+    /** What processes have answered so far, by series, while others have not. What they bar or begin later changes nothing in it. */
+    const known = new Map<string, KnownAnswers>();
+
+    function answersOf({ series, before }: ReportRequest): KnownAnswers["answers"] {
+        const present = known.get(series);
+        if (present?.before === before) {
+            return present.answers;
+        }
+        const answers = new Map<string, Answer>();
+        known.set(series, { before, answers });
+        return answers;
+    }
 
-    async function ask(process: ReportingProcess, request: ReportRequest): Promise<Outcome<readonly ReportedClaim[]>> {
+    async function ask(process: ReportingProcess, request: ReportRequest): Promise<Outcome<Answer>> {
         const link = await links.connect(process.address);
         if (link.isErr) {
-            return process.isKnown ? missing(process, link.error) : Result.ok([]);
+            const claims = answersOf(request).get(process.process)?.claims ?? [];
+            return process.isKnown ? missing(process, link.error) : Result.ok({ incarnation: "", claims });
+        }
+        const { incarnation } = link.value.peer;
+        const earlier = answersOf(request).get(process.process);
+        if (earlier?.incarnation === incarnation) {
+            return Result.ok(earlier);
         }
-        const answer = await link.value.request(reportMethodName, request, timeout);
-        const claims = answer.andThen(readReport);
-        return claims.isErr ? missing(process, claims.error) : claims;
+        const told = await link.value.request(reportMethodName, request, timeout);
+        const claims = told.andThen(readReport);
+        return claims.isErr
+            ? missing(process, claims.error)
+            : Result.ok({ incarnation, claims: [...earlier?.claims ?? [], ...claims.value] });
     }
 
     return async request => {
@@ -59,18 +93,26 @@
         if (asked === undefined) {
             return unsettled("the processes that may know claims are not known yet");
         }
-        const reports = [...own(request)];
+        const answers = answersOf(request);
+        let refusal: Outcome<never> | undefined;
         for (let first = 0; first < asked.length; first += atOnce) {
             const group = asked.slice(first, first + atOnce);
-            const answers = await Promise.all(group.map(process => ask(process, request)));
-            for (const answer of answers) {
-                if (answer.isErr) {
-                    return answer;
+            const outcomes = await Promise.all(group.map(process => ask(process, request)));
+            outcomes.forEach((outcome, index) => {
+                const { process = "" } = group[index] ?? {};
+                if (outcome.isErr) {
+                    refusal ??= Result.err(outcome.error);
                 }
-                reports.push(...answer.value);
-            }
+                else {
+                    answers.set(process, outcome.value);
+                }
+            });
+        }
+        if (refusal !== undefined) {
+            return refusal;
         }
-        return Result.ok(reports);
+        known.delete(request.series);
+        return Result.ok([...own(request), ...[...answers.values()].flatMap(({ claims }) => claims)]);
     };
 }
 
