--- a/packages/claims/src/lib/journal/ClaimRecord.ts
+++ b/packages/claims/src/lib/journal/ClaimRecord.ts
@@ -12,7 +12,7 @@
     readonly keyHash: string;
     /** The hash of the request's digest. */
     readonly digest: string;
-    /** The number of the segment that recorded it. The record with the highest number counts. */
+    /** Grows with each record of the key, and from era to era of the store. */
     readonly generation: number;
     readonly runner: Runner;
     /** Partition time in milliseconds from which the claim may be forgotten. */
--- a/packages/claims/src/lib/journal/DisplacedClaims.ts
+++ b/packages/claims/src/lib/journal/DisplacedClaims.ts
@@ -60,7 +60,7 @@
         }
         const found = state.find(claim.keyHash);
         if (found === undefined) {
-            // An archive holds no segment above its last one, so at most an earlier claim of the key.
+            // Archives are read for these keys before; one that is left holds an earlier claim of the key at most.
             return (state.hidingPlace(claim.keyHash)?.last ?? 0) < claim.generation;
         }
         if (nameOf(found) === nameOf(claim) || !this.isOfCommonPast(found, state)) {
