A delayed write no longer leaves a rollout one pipeline short

Cause, from a trace of that case tick by tick: the write that created m.a.4 on t00, t04, t08 had no answer; its repeat was accepted and the placement was dissolved later, when t04 was lost. t00 and t08 went to m.a.0. 30 s after it was sent the first write took effect, since its condition (no such placement) held again. m.a.0 and m.a.4 then shared two targets: four placements were counted, three could serve at once, so the last old one was neither surplus nor replaced. The product's own store refuses such a write by its change id; one that is restored from a copy that lacks the id would not.

Change: ModelPlan.findSurplus drops a placement of the current version that shares a target with another one of it, if the capacity without it is the same. A test plans that state without the site.

--- a/packages/control/src/lib/rollout/ModelPlan.ts
+++ b/packages/control/src/lib/rollout/ModelPlan.ts
@@ -68,7 +68,7 @@
         const surplus: SitePlacement[] = [];
         for (const placement of this.retirementOrder()) {
             const isExcess = this.oldPlacements.includes(placement) || this.currentPlacements.length > this.wanted;
-            if (isExcess && this.mayRemove(placement)) {
+            if (this.isRedundant(placement) || (isExcess && this.mayRemove(placement))) {
                 surplus.push(placement);
                 this.drop(placement);
             }
@@ -157,6 +157,17 @@
         ];
     }
 
+    /**
+     * Checks whether a placement of the current version shares a target with another one of that version. The two
+     * cannot serve at the same time, yet both count towards the wanted number, so the rollout would end with too few
+     * that serve. The planner creates no such pair; a write that takes effect after the plan has changed does.
+     */
+    private isRedundant(placement: SitePlacement): boolean {
+        return this.currentPlacements.includes(placement)
+            && this.sharesTarget(placement, this.currentPlacements)
+            && this.capacityWithout(placement) >= this.capacity();
+    }
+
     private mayRemove(placement: SitePlacement): boolean {
         const before = this.capacity();
         if (!this.serves(placement)) {
@@ -167,9 +178,13 @@
     }
 
     private isShared(placement: SitePlacement): boolean {
+        return this.sharesTarget(placement, [...this.currentPlacements, ...this.oldPlacements].filter(this.serves));
+    }
+
+    private sharesTarget(placement: SitePlacement, others: readonly SitePlacement[]): boolean {
         const own = new Set(placement.spec.stages.map(({ target }) => target));
-        return [...this.currentPlacements, ...this.oldPlacements].some(other =>
-            other !== placement && this.serves(other) && other.spec.stages.some(({ target }) => own.has(target))
+        return others.some(other =>
+            other !== placement && other.spec.stages.some(({ target }) => own.has(target))
         );
     }
 
--- a/packages/control/src/lib/rollout/planSite.test.ts
+++ b/packages/control/src/lib/rollout/planSite.test.ts
@@ -93,3 +93,14 @@
     assert.deepEqual([last.changes, last.orders, last.unneededVersions], [[], [], []]);
     assert.equal(last.rollouts.get("m"), "steady");
 });
+
+// A delayed write recreated a placement on targets that had been given to another one of the same version. Both counted
+// towards the wanted number, so the last pipeline of the old version was never replaced.
+test("of two placements of one version that share a target one is dropped, and its replacement is placed", () => {
+    const shared = [placement(0, "t", true), placement(1, "t", false)];
+    const first = planSite(view([target("t"), target("u")], shared, 2));
+    assert.deepEqual(first.changes.map(({ name, spec }) => [name, spec]), [["m.a.1", undefined]]);
+    const second = planSite(view([target("t"), target("u")], shared.slice(0, 1), 2));
+    const stages = second.changes.flatMap(({ spec }) => spec?.stages.map(stage => stage.target) ?? []);
+    assert.deepEqual(stages, ["u"]);
+});
