A starting gateway serves its waiting requests once keys are confirmed

What callers saw: after a restart, requests that had waited for the gateway's first configuration were all refused with 503 "credentials cannot be confirmed" in the millisecond in which it could have served them.

Cause: the watch announces a configuration before it records the store's confirmation of it. The start queue was released by the announcement and asked only for a configuration and a list of targets, so where the list had come first each waiting request was judged without a confirmation.

Change: the configuration watch releases the queue when the confirmation is recorded, and the queue is ready only if credentials may be accepted. A process that has been ready once queues nothing: with a store that is lost later there is nothing to wait for, and requests are refused at once as before.

--- a/packages/control/src/lib/rollout/ModelPlan.ts
+++ b/packages/control/src/lib/rollout/ModelPlan.ts
@@ -183,9 +183,7 @@
 
     private sharesTarget(placement: SitePlacement, others: readonly SitePlacement[]): boolean {
         const own = new Set(placement.spec.stages.map(({ target }) => target));
-        return others.some(other =>
-            other !== placement && other.spec.stages.some(({ target }) => own.has(target))
-        );
+        return others.some(other => other !== placement && other.spec.stages.some(({ target }) => own.has(target)));
     }
 
     private capacityWithout(placement: SitePlacement): number {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -148,7 +148,7 @@
         });
         this.startQueue = new StartQueue({
             clock,
-            isReady: () => this.hasRoutingData || !isOn("start-queue"),
+            isReady: () => this.hasServingState || !isOn("start-queue"),
             onRequest: request => router.handle(request),
         });
         this.callers = new CallerServer({
@@ -269,8 +269,9 @@
         return !this.isStopping && this.configuration.current !== undefined && this.hasTargetList && mayTrustKeys;
     }
 
-    private get hasRoutingData(): boolean {
-        return this.configuration.current !== undefined && this.hasTargetList;
+    /** Whether requests can be authenticated and routed. A configuration in force may not be confirmed yet. */
+    private get hasServingState(): boolean {
+        return this.configuration.mayAcceptCredentials && this.hasTargetList;
     }
 
     private get hasConfirmedPeer(): boolean {
@@ -302,10 +303,8 @@
             decode: document => tables.decodeConfiguration(document),
             configuration: this.configuration,
             logger: logs.configuration,
-            onChange: configuration => {
-                this.applyConfiguration(configuration);
-                this.startQueue.release();
-            },
+            onChange: configuration => this.applyConfiguration(configuration),
+            onConfirmed: () => this.startQueue.release(),
         });
         const targetWatch = createTargetWatch({
             ...createWatchOptions(tables.targetTable),
--- a/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
@@ -43,6 +43,12 @@
         return this.confirmedAt === undefined ? Infinity : ageOf(this.confirmedAt, this.options.clock);
     }
 
+    /** Whether a configuration is known that was confirmed recently enough to accept credentials by it. */
+    get mayAcceptCredentials(): boolean {
+        const { maxConfirmationAge = Infinity } = this.options;
+        return this.configuration !== undefined && this.confirmationAge <= maxConfirmationAge;
+    }
+
     /** @returns True if the configuration is newer than the one in force, and replaced it. */
     offer(configuration: Configuration): boolean {
         if (this.configuration !== undefined && configuration.version <= this.configuration.version) {
@@ -78,10 +84,8 @@
         if (route.isPublic || this.configuration?.organisations === undefined) {
             return { kind: "accepted", organisation: undefined };
         }
-        const { maxConfirmationAge } = this.options;
-        const age = this.confirmationAge;
-        if (maxConfirmationAge !== undefined && age > maxConfirmationAge) {
-            return { kind: "unconfirmed", age };
+        if (!this.mayAcceptCredentials) {
+            return { kind: "unconfirmed", age: this.confirmationAge };
         }
         const organisation = key === undefined ? undefined : this.organisationsByKey.get(key);
         return organisation === undefined ? { kind: "unknown" } : { kind: "accepted", organisation };
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -27,6 +27,8 @@
     readonly configurationTime?: number;
     /** Called when a newer configuration is in force. */
     readonly onChange: (configuration: Configuration) => void;
+    /** Called when the configuration in force was confirmed to be the newest one. */
+    readonly onConfirmed?: () => void;
 }
 
 /**
@@ -61,7 +63,10 @@
         eras,
         onSnapshot: rows => applyNewest(rows, options),
         onChanges: changes => applyNewest(changes.flatMap(({ row }) => row ?? []), options),
-        onConfirmed: after => configuration.confirm(after),
+        onConfirmed: after => {
+            configuration.confirm(after);
+            options.onConfirmed?.();
+        },
         onLost,
         onRegained,
         onPeersStale,
--- a/packages/gateway/src/lib/requests/StartQueue.test.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.test.ts
@@ -63,3 +63,12 @@
     Array.from({ length: 403 }, () => queue.take(testRequest()));
     assert.equal(passed.length, 3);
 });
+
+test("a process that has been ready queues nothing, even if it loses its state", () => {
+    const { state, passed, queue } = createQueue();
+    state.isReady = true;
+    queue.release();
+    state.isReady = false;
+    queue.take(testRequest());
+    assert.equal(passed.length, 1);
+});
--- a/packages/gateway/src/lib/requests/StartQueue.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.ts
@@ -30,13 +30,16 @@
  */
 export class StartQueue {
     private readonly waiting = new Set<Waiting>();
+    /** Whether the process has been ready once. A store that is lost later leaves nothing to wait for. */
+    private hasStarted = false;
 
     constructor(private readonly options: StartQueueOptions) {}
 
     /** Forwards a request once the process is ready, and after {@link maxWaitTime} at the latest. */
     take(request: ReceivedRequest): void {
         const { clock, isReady, onRequest } = this.options;
-        if (isReady() || this.waiting.size >= maxWaiting) {
+        this.hasStarted ||= isReady();
+        if (this.hasStarted || this.waiting.size >= maxWaiting) {
             onRequest(request);
             return;
         }
@@ -46,7 +49,8 @@
 
     /** Forwards all waiting requests if the process is ready. */
     release(): void {
-        if (this.options.isReady()) {
+        this.hasStarted ||= this.options.isReady();
+        if (this.hasStarted) {
             this.waiting.forEach(waiting => this.forward(waiting));
         }
     }
