--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -1,10 +1,10 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
+import { StallingClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { healthyReport, silentLogs, testEngine, testTarget } from "../testing/fixtures.js";
-import { StallingClock } from "../testing/StallingClock.js";
 import { ChainService } from "./ChainService.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetPaces } from "./TargetPaces.js";
--- a/packages/gateway/src/lib/chains/TargetInspector.test.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.test.ts
@@ -1,11 +1,11 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
+import { StallingClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { LoopDelay } from "../observation/LoopDelay.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { healthyReport, silentLogs, testTarget } from "../testing/fixtures.js";
-import { StallingClock } from "../testing/StallingClock.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetInspector } from "./TargetInspector.js";
 import { TargetPaces } from "./TargetPaces.js";
--- a/packages/gateway/src/lib/testing/StallingClock.ts
+++ b/packages/utils/src/lib/StallingClock.ts
@@ -1,6 +1,11 @@
-import { type Clock, ManualClock, type Timer } from "@waxwingspar/utils";
+import { type Clock, type Timer } from "./Clock.js";
+import { ManualClock } from "./ManualClock.js";
 
-/** A manual clock of a process that can stall: its time advances while none of its timers runs. */
+/**
+ * A manual clock of a process that can stall: its time advances while none of its timers runs.
+ *
+ * @public
+ */
 export class StallingClock implements Clock {
     private readonly manual = new ManualClock();
     private stoodStill = 0;
