Heartbeats carry as many slow targets as they have room for

Cause: a heartbeat named at most four slow targets, whatever else it held. When two fifths of the targets turned slow, each gateway knew a few of them and built chains over the others; only the holder of the placement duty knew them all.

Change: the tables of a heartbeat share 27 entries as before, and slow targets get what the other tables leave, four at least. The largest datagram stays the same.

--- a/packages/gateway/src/lib/peers/GroupSums.test.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { addSums, sumsOf, truncateSums, withoutMember } from "./GroupSums.js";
+import { addSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
 import { type PeerState } from "./PeerState.js";
 
 const first: PeerState = {
@@ -51,3 +51,19 @@
     assert.equal(Object.keys(bounded.chainLoads).length, 10);
     assert.equal(bounded.chainLoads["t29"], 29);
 });
+
+// With four entries at most, each gateway knew a different part of twenty slow targets and built chains over the others.
+test("slow targets use the room that the other tables of a heartbeat leave, and always some of it", () => {
+    const many = (count: number, prefix: string) =>
+        Object.fromEntries(Array.from({ length: count }, (_, index) => [`${prefix}${index}`, 12]));
+    const suspects = Array.from({ length: 7 }, (_, index) => `s${index}`);
+    const slowTargets = many(23, "t");
+    const quiet = { ...first, suspects: [], crashes: {}, slowTargets };
+    const full = { ...first, suspects, chainLoads: many(10, "c"), crashes: many(6, "r"), slowTargets };
+    const countKept = (state: PeerState) => [
+        Object.keys(truncateState(state).slowTargets).length,
+        Object.keys(truncateSums(sumsOf("a", state)).slowTargets).length,
+    ];
+    assert.deepEqual(countKept(quiet), [23, 23]);
+    assert.deepEqual(countKept(full), [4, 4]);
+});
--- a/packages/gateway/src/lib/peers/GroupSums.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.ts
@@ -23,10 +23,16 @@
 export type GroupSums = z.infer<typeof groupSumsSchema>;
 
 /**
- * Maximum entries of each table in one datagram, largest first. With full tables and ids of twelve characters a
- * heartbeat stays below 1,200 bytes, so that no network fragments it.
+ * Maximum entries of all tables in one datagram. With ids of twelve characters a heartbeat stays below 1,200 bytes, so
+ * that no network fragments it.
  */
-const maxEntries = { chainLoads: 10, suspects: 7, slowTargets: 4, crashes: 6 };
+const maxTotalEntries = 27;
+/**
+ * Maximum entries of each table, largest first. Slow targets get what the other tables leave of the total, but at least
+ * this number: when many are slow at the same time, gateways that do not know them build chains over them.
+ */
+const maxEntries = { chainLoads: 10, suspects: 7, crashes: 6 };
+const minSlowTargets = 4;
 
 /** The state of one gateway, as a sum. */
 export function sumsOf(process: string, state: PeerState): GroupSums {
@@ -72,24 +78,26 @@
 
 /** Truncates each table of a sum to its largest entries, so that the sum fits into a heartbeat. */
 export function truncateSums(sums: GroupSums): GroupSums {
-    return {
-        ...sums,
-        chainLoads: largest(sums.chainLoads, maxEntries.chainLoads),
-        suspects: largest(sums.suspects, maxEntries.suspects),
-        slowTargets: largest(sums.slowTargets, maxEntries.slowTargets),
-        crashes: largest(sums.crashes, maxEntries.crashes),
-    };
+    const chainLoads = largest(sums.chainLoads, maxEntries.chainLoads);
+    const suspects = largest(sums.suspects, maxEntries.suspects);
+    const crashes = largest(sums.crashes, maxEntries.crashes);
+    const slowTargets = largest(sums.slowTargets, entriesLeft(chainLoads, suspects, crashes));
+    return { ...sums, chainLoads, suspects, slowTargets, crashes };
 }
 
 /** Truncates a gateway's own state like {@link truncateSums}, except that crashes are already sorted by importance. */
 export function truncateState(state: PeerState): PeerState {
-    return {
-        ...state,
-        suspects: state.suspects.slice(0, maxEntries.suspects),
-        chainLoads: largest(state.chainLoads, maxEntries.chainLoads),
-        slowTargets: largest(state.slowTargets, maxEntries.slowTargets),
-        crashes: Object.fromEntries(Object.entries(state.crashes).slice(0, maxEntries.crashes)),
-    };
+    const suspects = state.suspects.slice(0, maxEntries.suspects);
+    const chainLoads = largest(state.chainLoads, maxEntries.chainLoads);
+    const crashes = Object.fromEntries(Object.entries(state.crashes).slice(0, maxEntries.crashes));
+    const slowTargets = largest(state.slowTargets, entriesLeft(suspects, chainLoads, crashes));
+    return { ...state, suspects, chainLoads, slowTargets, crashes };
+}
+
+/** Returns the number of slow targets that fit into a datagram beside the entries of the other tables. */
+function entriesLeft(...tables: readonly object[]): number {
+    const used = tables.reduce((sum, table) => sum + Object.keys(table).length, 0);
+    return Math.max(minSlowTargets, maxTotalEntries - used);
 }
 
 function combine(
