Chains between data centres get no more new requests than their links carry

Cause: a request occupies the link between two data centres for 63 ms at each crossing where its bandwidth is 2,700 Mbit/s (13 ms at 13,000).

Change: the gateway reads what a token's activations take and what the link carries from the configuration, and each gateway admits its part of four fifths of it. What cannot be carried is refused at once as not run. Streams that have begun may still be resumed there. Without these settings nothing changes.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -2,6 +2,7 @@
 import { type Clock, type Random, requestCodes } from "@waxwingspar/utils";
 import { type AddressInfo, type Server } from "node:net";
 import { ChainService } from "./chains/ChainService.js";
+import { CrossingAllowance } from "./chains/CrossingAllowance.js";
 import { type EngineControl } from "./chains/EngineControl.js";
 import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
@@ -94,6 +95,7 @@
     private readonly directory: TargetDirectory;
     private readonly suspicions: TargetSuspicions;
     private readonly paces: TargetPaces;
+    private readonly crossingAllowance: CrossingAllowance;
     private readonly services = new Map<string, ServiceParts>();
     private readonly crashes: CrashProtection;
     private readonly startQueue: StartQueue;
@@ -125,6 +127,7 @@
         this.directory = new TargetDirectory({ clock, onChange: change => this.handleTargetChange(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
+        this.crossingAllowance = new CrossingAllowance({ clock, random, gateways: () => this.peers.groupSize });
         this.crashes = new CrashProtection({
             clock,
             store,
@@ -376,6 +379,7 @@
                     paces: this.paces,
                     peerLoad: headId => this.peers.chainLoad(headId),
                     engines,
+                    crossingAllowance: this.crossingAllowance,
                     isOn,
                     observation: this.observation,
                 }),
--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -10,6 +10,7 @@
     "shift-patience": "boundaries between layer ranges move only after a data centre was without a chain for some time",
     "slow-targets": "chains and plans avoid targets whose reports show that they are slow",
     "mixed-chains": "chains may span data centres while a data centre has no complete chain",
+    "crossing-allowance": "chains between data centres get no more new requests than their links can carry",
     "chain-room": "chains with free capacity are preferred to full ones",
     "chain-surveys": "targets of a silent chain are asked for reports, and streams avoid a target that does not answer",
     "survey-intervals": "how soon a silent chain is checked depends on the event intervals of its streams",
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -5,6 +5,7 @@
 import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 import { buildChain, type Slowdown } from "./buildChain.js";
 import { type Chain } from "./Chain.js";
+import { type CrossingAllowance, crossingTime } from "./CrossingAllowance.js";
 import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
 
@@ -19,6 +20,8 @@
     readonly paces: TargetPaces;
     /** Number of requests that other processes have in flight on chains whose first target has this id. */
     readonly peerLoad: (headId: string) => number;
+    /** Limits new requests on chains between data centres; undefined if their links have no limit. */
+    readonly crossingAllowance?: CrossingAllowance;
     readonly isOn?: MechanismSwitch;
     /** Called when the chain that begins in a data centre has changed; `chain` is undefined when there is none now. */
     readonly onChange?: (dataCentre: string, chain: Chain | undefined) => void;
@@ -105,20 +108,20 @@
     }
 
     /**
-     * Chooses the chain for a request.
+     * Chooses the chain for a request that has not begun.
      *
      * @param excluded - Keys of chains on which the request has failed.
-     * @returns The chain with the lowest cost; undefined when every chain is excluded or there is none.
+     * @returns The chain with the lowest cost; undefined when every chain is excluded or full, or there is none.
      */
     choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
-        const loads = this.current(engine).filter(({ chain }) => !excluded.has(chain.key));
+        const loads = this.current(engine).filter(load => !excluded.has(load.chain.key) && this.mayAdd(engine, load));
         return cheapest(loads, load => this.cost(load));
     }
 
     /** Like {@link ChainRouter.choose}, but leaves out chains that are avoided after a stall. */
     chooseHealthy(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
-        const healthy = this.current(engine).filter(load => load.avoidedUntil <= now);
+        const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && this.mayAdd(engine, load));
         return cheapest(healthy.filter(({ chain }) => !excluded.has(chain.key)), load => this.cost(load));
     }
 
@@ -132,6 +135,20 @@
         return cheapest(healthy, load => this.isOn("resume-spread") ? this.resumeCost(load) : this.cost(load));
     }
 
+    /** Records that a request is sent over a chain. */
+    noteSend(engine: Engine, { chain }: ChainLoad): void {
+        if (chain.crossings > 0) {
+            this.options.crossingAllowance?.use(crossingTime(engine) * chain.crossings);
+        }
+    }
+
+    /** Whether the links of a chain can carry one more request that has not begun. */
+    private mayAdd(engine: Engine, { chain }: ChainLoad): boolean {
+        const { crossingAllowance } = this.options;
+        return chain.crossings === 0 || crossingAllowance === undefined || !this.isOn("crossing-allowance")
+            || crossingAllowance.mayUse(crossingTime(engine) * chain.crossings);
+    }
+
     /** Whether a chain has room for one more request. */
     hasRoom({ chain }: ChainLoad): boolean {
         return this.requestsOn(chain) + 1 <= chain.room;
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -7,6 +7,7 @@
 import { type Observation } from "../observation/Observation.js";
 import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
+import { type CrossingAllowance } from "./CrossingAllowance.js";
 import { type EngineControl } from "./EngineControl.js";
 import { TargetInspector } from "./TargetInspector.js";
 import { type TargetPaces } from "./TargetPaces.js";
@@ -37,6 +38,7 @@
     readonly paces: TargetPaces;
     readonly peerLoad: (headId: string) => number;
     readonly engines: EngineControl;
+    readonly crossingAllowance?: CrossingAllowance;
     readonly isOn?: MechanismSwitch;
     readonly observation: Observation;
 }
@@ -170,6 +172,7 @@
     /** Records that a request is sent over the chain. */
     begin(load: ChainLoad, user: ChainUser): void {
         load.inFlight++;
+        this.router.noteSend(this.options.engine, load);
         const users = this.users.get(load);
         if (users === undefined) {
             this.users.set(load, new Set([user]));
--- a/packages/gateway/src/lib/configuration/Configuration.ts
+++ b/packages/gateway/src/lib/configuration/Configuration.ts
@@ -37,6 +37,10 @@
     /** Time of one decoding step through all layers on the reference accelerator. */
     stepTime: z.number(),
     accelerators: z.array(acceleratorSchema),
+    /** Bytes of the activations of one token, which each target of a chain sends to the next one. */
+    activationBytes: z.optional(z.number()),
+    /** Bandwidth of the link between two data centres, which all chains share, in megabits per second. */
+    crossingBandwidth: z.optional(z.number()),
 });
 
 /** A group of interchangeable targets. An engine is set where a request runs over a chain of them. */
@@ -58,6 +62,8 @@
     timeout: z.number(),
     /** Latency up to which a reply keeps its full value; for streams, latency of the first event. */
     latencyTarget: z.number(),
+    /** Longest pause between two events of a stream at which its answer keeps its full value. */
+    pauseTarget: z.optional(z.number()),
     /** Maximum number of targets that one request of a caller may be sent to. */
     maxAttempts: z.number(),
     /** 0 is the most urgent. */
