Back off from a store that refuses all calls

Cause: each gateway repeats a refused call every 200 ms for each of two tables, and while nobody reaches the store each gateway takes itself for the preferred holder of the duty and tries every 600 ms.

Change: the interval of calls that fail quickly doubles from 0.2 to 0.8 s, with jitter; a peer's report of a newer version ends the wait. Calls that time out are repeated at once as before. Attempts to take the duty without a store are spread so that all gateways together make about one per 0.6 s.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -192,6 +192,7 @@
         });
         this.lease = new PlacementLease({
             clock,
+            random,
             store,
             eras,
             process: settings.process,
@@ -289,9 +290,10 @@
 
     private createWatches(): ReadonlyMap<string, TableWatch> {
         const { store, eras } = this;
-        const { clock, tables, logs, settings, isOn = allMechanismsOn } = this.options;
+        const { clock, random, tables, logs, settings, isOn = allMechanismsOn } = this.options;
         const createWatchOptions = (table: string) => ({
             clock,
+            random,
             store,
             eras,
             table,
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -6,7 +6,7 @@
 import { type Configuration } from "./Configuration.js";
 import { type ConfigurationInForce } from "./ConfigurationInForce.js";
 
-type ForwardedOption = "onLost" | "onRegained" | "onPeersStale" | "onRestored" | "role" | "eras";
+type ForwardedOption = "onLost" | "onRegained" | "onPeersStale" | "onRestored" | "role" | "eras" | "random";
 
 /** Options of {@link createConfigurationWatch}. */
 export interface ConfigurationWatchOptions extends Pick<TableWatchOptions, ForwardedOption> {
@@ -51,7 +51,7 @@
  */
 export function createConfigurationWatch(options: ConfigurationWatchOptions): TableWatch {
     const { clock, store, table, configuration, contactTime, configurationTime } = options;
-    const { role, eras, onLost, onRegained, onPeersStale, onRestored } = options;
+    const { role, eras, random, onLost, onRegained, onPeersStale, onRestored } = options;
     const propagationTime = Math.min(contactTime, configurationTime ?? 0, maxPropagationTime);
     return new TableWatch({
         clock,
@@ -61,6 +61,7 @@
         sharedWatch: sharedWatchLimits(propagationTime),
         role,
         eras,
+        random,
         onSnapshot: rows => applyNewest(rows, options),
         onChanges: changes => applyNewest(changes.flatMap(({ row }) => row ?? []), options),
         onConfirmed: after => {
--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -6,7 +6,7 @@
 import { type TargetDirectory } from "./TargetDirectory.js";
 import { type DecodedTarget, TargetList } from "./TargetList.js";
 
-type ForwardedOption = "onLost" | "onRegained" | "onPeersStale" | "onRestored" | "role" | "eras";
+type ForwardedOption = "onLost" | "onRegained" | "onPeersStale" | "onRestored" | "role" | "eras" | "random";
 
 /** Options of {@link createTargetWatch}. */
 export interface TargetWatchOptions extends Pick<TableWatchOptions, ForwardedOption> {
@@ -39,7 +39,7 @@
  */
 export function createTargetWatch(options: TargetWatchOptions): TableWatch {
     const { clock, store, table, directory, decode, logger, contactTime, drainTime } = options;
-    const { role, eras, onLost, onRegained, onPeersStale, onRestored } = options;
+    const { role, eras, random, onLost, onRegained, onPeersStale, onRestored } = options;
     const list = new TargetList({ directory, decode, logger });
     return new TableWatch({
         clock,
@@ -49,6 +49,7 @@
         sharedWatch: sharedWatchLimits(Math.min(contactTime, drainTime ?? 0)),
         role,
         eras,
+        random,
         rewriteBound: contactTime - timerSlack,
         onSnapshot: (rows, graceEnd, isRestored) => list.applySnapshot(rows, graceEnd, isRestored),
         onChanges: (changes, graceEnd) => list.applyChanges(changes, graceEnd),
--- a/packages/gateway/src/lib/duty/PlacementLease.test.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.test.ts
@@ -1,5 +1,5 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
-import { ManualClock } from "@waxwingspar/utils";
+import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { GatewayMetrics } from "../observation/Observation.js";
@@ -14,13 +14,14 @@
 type Watched = Awaited<ReturnType<Store["watch"]>>;
 type Read = Awaited<ReturnType<Store["read"]>>;
 
-function createLease(process = "b") {
+function createLease(process = "b", random?: Random) {
     const clock = new ManualClock();
     let reads = 0;
     let resolveWatch: (changes: Watched) => void = () => undefined;
     const simulated = { answer: { kind: "read", rows: [], version: 1 } as Read, others: addSums([]) };
     const lease = new PlacementLease({
         clock,
+        random,
         process,
         incarnation: "1",
         logger: silentLogs().duty,
@@ -141,3 +142,24 @@
     await clock.advanceAsync(8_000);
     assert.equal(lease.term, 9);
 });
+
+// Nobody is a candidate while nobody reaches the store, so that every gateway took itself for the preferred one.
+test("gateways that cannot reach the store attempt to acquire the lease in turn, and one does soon after its return", async () => {
+    const members = 23;
+    const random = seededRandom(1_000_003);
+    const sites = Array.from({ length: members }, (_, index) => createLease(`p${index}`, random));
+    for (const { simulated } of sites) {
+        simulated.answer = { kind: "unavailable", reason: "status 503" };
+        simulated.others = { ...addSums([]), members: members - 1 };
+    }
+    const advance = (duration: number) => Promise.all(sites.map(({ clock }) => clock.advanceAsync(duration)));
+    const countReads = () => sites.reduce((sum, { reads }) => sum + reads(), 0);
+    await advance(2_000);
+    const before = countReads();
+    await advance(8_000);
+    const attempts = countReads() - before;
+    assert.ok(attempts <= members * 8_000 / 1_300, `${attempts} attempts`);
+    sites.forEach(({ simulated }) => simulated.answer = { kind: "read", rows: [], version: 1 });
+    await advance(600);
+    assert.ok(sites.some(({ lease }) => lease.isHeld));
+});
--- a/packages/gateway/src/lib/duty/PlacementLease.ts
+++ b/packages/gateway/src/lib/duty/PlacementLease.ts
@@ -1,4 +1,4 @@
-import { type Clock, readStateChart, StateChart } from "@waxwingspar/utils";
+import { type Clock, type Random, readStateChart, StateChart } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import * as z from "zod/mini";
 import { ageOf, currentMoment, type Moment } from "../Moment.js";
@@ -26,6 +26,8 @@
     readonly clock: Clock;
     readonly store: Store;
     readonly eras?: StoreEras;
+    /** Spreads the attempts of gateways that lost the store at the same moment; without it they are not spread. */
+    readonly random?: Random;
     readonly process: string;
     readonly incarnation: string;
     readonly peers: Pick<PeerGroup, "others">;
@@ -135,6 +137,7 @@
         if (current.kind !== "read") {
             logger.info({ result: current.kind }, "duty not taken");
             this.backOffUntil = clock.now() + unreachableBackOff;
+            this.nextAttemptAt = clock.now() + this.unreachableDelay();
             this.state.send("failed");
             return;
         }
@@ -158,6 +161,16 @@
         }
     }
 
+    /**
+     * The delay of the next attempt after the store was not reached. When nobody reaches it, every gateway is preferred,
+     * so that the delay grows with their number: together they make one attempt per retry delay.
+     */
+    private unreachableDelay(): number {
+        const { peers, random } = this.options;
+        const delay = Math.min(unreachableBackOff, retryDelay * (peers.others.members + 1));
+        return Math.max(retryDelay, delay * (random?.next() ?? 1));
+    }
+
     private watchRow(): void {
         const { clock, store } = this.options;
         this.watch?.stop();
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from "@waxwingspar/utils";
+import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type RowChange, type Store, type StoreFailure, type TableChanges, type TableSnapshot } from "./Store.js";
@@ -58,7 +58,7 @@
         ...options,
     });
     void watch.run();
-    return { clock, store, seen };
+    return { clock, store, seen, watch };
 }
 
 const change = (key: string, value: unknown, version: number): RowChange => ({ key, row: { key, value, version } });
@@ -181,6 +181,21 @@
     assert.equal(store.calls.length, 4);
 });
 
+// During an outage of eight seconds 23 processes made 1,800 calls that were refused, and each call is billed.
+test("while the store refuses calls their interval doubles to 0.8 s, and a report of a newer version ends the wait", async () => {
+    const refusals = Array.from({ length: 50 }, (): StoreFailure => ({ kind: "unavailable", reason: "status 503" }));
+    const { clock, store, watch } = watchTable([{ kind: "read", rows: [], version: 1 }, ...refusals], {
+        retryDelay: 200,
+        random: seededRandom(1_000_003),
+    });
+    await clock.advanceAsync(8_000);
+    assert.ok(store.calls.length >= 8_000 / 800 && store.calls.length <= 8_000 / 400, `${store.calls.length} calls`);
+    const before = store.calls.length;
+    watch.applyPeerStatus({ version: 9, seen: 9, age: 0 }, { now: clock.now(), date: clock.date().getTime() });
+    await clock.advanceAsync(250);
+    assert.ok(store.calls.length > before);
+});
+
 test("calls that alternately succeed and fail immediately do not cause a busy loop", async () => {
     const { clock, store } = watchTable(
         Array.from({ length: 2_000 }, (_, i) =>
