Standbys first for the ranges that need the fewest; back-off in a module of its own

Cause: standbys went to the largest ranges first, so that one large target took four to six of them and most hops of a chain had none: any loss of such a hop left the data centre without a chain until its layers were loaded (1.4 s).

Change: after the ranges that are short of memory, the ranges that need the fewest standbys come first, each with the smallest target that holds it. Streams are resumed over a link between data centres only if it can carry them, or if nothing else is there.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,5 +1,5 @@
 import { type MetricRegistry } from "@waxwingspar/telemetry";
-import { type Clock, type Random, requestCodes } from "@waxwingspar/utils";
+import { type Clock, type Random, requestCodes, sleep } from "@waxwingspar/utils";
 import { type AddressInfo, type Server } from "node:net";
 import { ChainService } from "./chains/ChainService.js";
 import { CrossingAllowance } from "./chains/CrossingAllowance.js";
@@ -250,13 +250,13 @@
         this.callers.stopKeepingConnections();
         this.lease.release();
         this.duty.stop();
-        await this.pause(this.options.balancerDelay ?? defaultBalancerDelay);
+        await sleep(clock, this.options.balancerDelay ?? defaultBalancerDelay);
         this.callers.close();
         this.refusesNewRequests = true;
         const end = stoppedAt + settings.stopGrace - stopSlack;
         while (this.callers.openRequests > 0 && clock.now() < end) {
             this.callers.closeIdle();
-            await this.pause(stopCheckInterval);
+            await sleep(clock, stopCheckInterval);
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         this.watches.forEach(watch => watch.stop());
@@ -395,8 +395,4 @@
             });
         }
     }
-
-    private pause(delay: number): Promise<void> {
-        return new Promise(resolve => void this.options.clock.schedule(resolve, delay));
-    }
 }
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -127,12 +127,17 @@
 
     /**
      * Chooses the chain for an interrupted stream, which should resume within 200 ms. It prefers chains with few
-     * pending prompts of this process, regardless of their data centre.
+     * pending prompts of this process, regardless of their data centre. A link between data centres that is in use comes
+     * last: it would carry the activations of all tokens of the stream again.
      */
     chooseToResume(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
         const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && !excluded.has(load.chain.key));
-        return cheapest(healthy, load => this.isOn("resume-spread") ? this.resumeCost(load) : this.cost(load));
+        const readable = healthy.filter(load => this.mayAdd(engine, load));
+        return cheapest(
+            readable.length > 0 ? readable : healthy,
+            load => this.isOn("resume-spread") ? this.resumeCost(load) : this.cost(load),
+        );
     }
 
     /** Records that a request is sent over a chain. */
--- a/packages/gateway/src/lib/chains/addStandbys.ts
+++ b/packages/gateway/src/lib/chains/addStandbys.ts
@@ -1,13 +1,14 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
-import { rankCandidates } from "./candidates.js";
+import { rankCandidates, takeBestFit } from "./candidates.js";
 import { ampleRoom, requestRoom } from "./memory.js";
 import { type Placement } from "./Placement.js";
 
 /**
  * Adds standbys: targets without layers that the plan does not use hold a second copy of some ranges. Ranges whose
- * target is short of memory for requests come first, since the standby takes over part of its load; then the largest
- * ranges, so that a chain can bypass a lost target immediately. Targets that already hold layers keep them.
+ * target is short of memory for requests come first, since the standby takes over part of its load; then the smallest
+ * ranges: any target may be lost, so as many hops as possible should have a standby over which a chain can bypass them
+ * immediately. A large range takes several standbys. Targets that already hold layers keep them.
  */
 export function addStandbys(
     placements: readonly Placement[],
@@ -24,11 +25,11 @@
             const room = Math.min(ampleRoom, requestRoom(engine, { ...target, layers }, layers.end - layers.first));
             return subtractRanges(layers, replicated).map(range => ({ ...range, room }));
         })
-        .sort((a, b) => a.room - b.room || b.end - b.first - (a.end - a.first));
+        .sort((a, b) => a.room - b.room || a.end - a.first - (b.end - b.first));
     const standbys: Placement[] = [];
     for (const range of ranges) {
         for (let first = range.first; first < range.end && available.length > 0;) {
-            const candidate = available.shift();
+            const candidate = takeBestFit(available, range.end - first);
             if (candidate === undefined) {
                 break;
             }
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Random, sleep, type Timer } from "@waxwingspar/utils";
 import { ageOf, currentMoment, type Moment } from "../Moment.js";
+import { CallBackOff } from "./CallBackOff.js";
 import { type RowChange, type Store, type StoredRow, type StoreFailure } from "./Store.js";
 import { type StoreEras } from "./StoreEras.js";
 import { type SharedWatchLimits } from "./watchWait.js";
@@ -56,13 +57,9 @@
     readonly onRegained?: (outage: number, sinceFailure: number) => void;
     /** Peers' confirmations are too old, the last one `age` milliseconds: this process polls the store itself. */
     readonly onPeersStale?: (age: number) => void;
-    /**
-     * Minimum milliseconds from sending a failed call to sending the next one. It doubles with each further failure up
-     * to `maxRetryDelay`: refused calls are billed too, and all processes make them during an outage.
-     */
+    /** Bounds of the milliseconds from sending a failed call to sending the next one: see {@link CallBackOff}. */
     readonly retryDelay?: number;
     readonly maxRetryDelay?: number;
-    /** Spreads the retries of processes that lost the store at the same moment; without it they are not spread. */
     readonly random?: Random;
     /**
      * Milliseconds after an outage or a restore within which writers write lost rows again. The platform documents
@@ -90,8 +87,6 @@
     | "random";
 
 const defaults = { retryDelay: 200, maxRetryDelay: 800, rewriteTime: 2_050, rewriteBound: 2_950, batchDelay: 250 };
-/** Least share of a retry delay, from 0 to 1, that a process waits. */
-const minJitter = 0.5;
 /** Milliseconds by which a timer may fire early or late. */
 const timerSlack = 5;
 /**
@@ -127,8 +122,7 @@
     private lastFailedCallAt = -Infinity;
     private stopped = false;
     private consecutiveChanges = 0;
-    /** Number of calls that failed quickly since the last one that succeeded. */
-    private consecutiveFailures = 0;
+    private readonly backOff: CallBackOff;
     /** When a restore of the store from a copy was detected; undefined once the table has been read since. */
     private restoredAt: number | undefined;
     /** Until when, on the clock, a restored copy may still lack writes. Nothing is confirmed before that. */
@@ -140,6 +134,7 @@
 
     constructor(options: TableWatchOptions) {
         this.options = { ...defaults, ...options };
+        this.backOff = new CallBackOff(this.options);
         this.stopListening = options.eras?.onNewEra(() => this.handleNewEra()) ?? (() => undefined);
     }
 
@@ -370,22 +365,14 @@
             return;
         }
         await sleep(clock, retryDelay - elapsed);
-        const backOff = this.nextBackOff();
+        const backOff = this.backOff.next();
         if (backOff > 0 && !this.isBehind) {
             await this.pause(backOff);
         }
     }
 
-    /** Milliseconds to wait beyond the retry delay. A peer's report of a newer version ends the wait. */
-    private nextBackOff(): number {
-        const { retryDelay, maxRetryDelay, random } = this.options;
-        const delay = Math.min(maxRetryDelay, retryDelay * 2 ** this.consecutiveFailures++);
-        const jitter = random === undefined ? 1 : minJitter + (1 - minJitter) * random.next();
-        return Math.max(0, delay * jitter - retryDelay);
-    }
-
     private markRegained(): void {
-        this.consecutiveFailures = 0;
+        this.backOff.reset();
         if (this.lostAt !== undefined) {
             this.regainedAt = this.options.clock.now();
             this.options.onRegained?.(this.regainedAt - this.lostAt, this.regainedAt - this.lastFailedCallAt);
