--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -57,8 +57,7 @@
 const crossingPenalty = 30;
 /**
  * Cost of each request beyond the room of a chain, in requests in flight, so that chains with room are preferred.
- * Excess requests are queued or evict the KV cache of others. On a simulated day with lost targets, the served share of
- * the total request value rose from 0.774 to 0.893 with this cost and standbys for ranges that are short of memory.
+ * Excess requests are queued or evict the KV cache of others.
  */
 const excessCost = 10;
 /**
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -53,8 +53,7 @@
 /**
  * Silence of a chain after which its targets are surveyed, as a multiple of the mean interval between a stream's
  * events. The streams stay on the chain during the survey. Each survey that finds no fault raises the factor for this
- * chain, since each report is billed: a constant factor of 1.2 takes 1,800 more of them on a simulated day, 0.004 of
- * its request value.
+ * chain, since each report is billed.
  */
 const surveyFactor = { first: 1.2, step: 0.2, max: 2.2 };
 /**
@@ -64,8 +63,7 @@
 const surveySilenceBounds = { min: 30, max: 70 };
 /**
  * Milliseconds by which each survey without a fault raises the upper bound. A process with few streams on a chain often
- * sees no event for longer: with a fixed bound, 23 gateways requested 20,292 reports on a simulated day, 0.014 of its
- * request value.
+ * sees no event for longer.
  */
 const falseAlarmSilence = 15;
 /** Weight of the newest interval in the moving average. */
@@ -73,8 +71,7 @@
 /**
  * Milliseconds without an event of any stream after which a chain counts as stalled, although all its targets answer. A
  * slow chain is silent for longer than a healthy one, and the prompts of streams that leave it are processed again,
- * which slows other chains: on a simulated day with five slow targets, a limit of 130 ms caused 482,000 tokens to be
- * processed again.
+ * which slows other chains.
  */
 const stallSilence = 600;
 /** The same when the mechanism "stall-patience" is off: a few event intervals of a healthy chain, in milliseconds. */
--- a/packages/gateway/src/lib/chains/fillGaps.ts
+++ b/packages/gateway/src/lib/chains/fillGaps.ts
@@ -12,8 +12,7 @@
  * Assigns the layers of gaps to candidates and to the targets next to the gaps.
  *
  * @param order - "neighboursFirst" needs fewer candidates for several gaps, but leaves the neighbours less memory for
- * requests. With "candidatesFirst" alone, a data centre with one idle target that lost 5 and 8 layers had no chain for
- * 10 s on a simulated day.
+ * requests. With "candidatesFirst" alone, a data centre with one idle target and two gaps has no chain.
  * @param concurrency - Number of requests for whose KV cache every target keeps memory free.
  * @returns Placements without gaps; undefined when the candidates and the spare capacity of the neighbours do not
  * suffice.
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -15,10 +15,8 @@
 /**
  * Numbers of requests for whose KV cache every target of a new chain keeps memory free, tried in this order. The first
  * two apply to data centres with more memory than one chain of ordinary room needs, where load rather than loss of
- * targets is the limit: on two simulated days with 20 targets per data centre the mean share of the request value was
- * 0.327 with 80 alone, and 0.467 with them and shorter heartbeats. The first target of a chain accepts at most 134
- * requests, so higher levels gain nothing. 80 is slightly below ample room, which leaves targets for standbys and lost
- * ranges: the mean of 15 simulated days was 0.680 with it and 0.666 with 96, with two smaller changes between the runs.
+ * targets is the limit. The first target of a chain accepts at most 134 requests, so higher levels gain nothing. 80 is
+ * slightly below ample room, which leaves targets for standbys and lost ranges.
  */
 const newChainLevels: readonly { readonly level: number; readonly spare: number; }[] = [
     { level: 128, spare: 0.3 },
--- a/packages/gateway/src/lib/duty/PaceWatch.ts
+++ b/packages/gateway/src/lib/duty/PaceWatch.ts
@@ -13,8 +13,8 @@
 }
 
 /**
- * Milliseconds between two reports of each target. A slow target is detected after 2 s on average; a simulated day of
- * 46 s takes 418 reports, whose price is 0.001 of its request value.
+ * Milliseconds between two reports of each target, which are billed. A slow target is detected after half of it on
+ * average.
  */
 const reportInterval = 4_000;
 /** Timeout of a report, in milliseconds. */
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -39,8 +39,7 @@
 const reportTimeout = 400;
 /**
  * Timeout of the answer to an order, in milliseconds. An unanswered order is sent again immediately with the same
- * expected order count, so that the target carries out the first one it receives and refuses the other. Without the
- * immediate retry, a range stayed unplaced for more than 5 s on a simulated day whose answers were lost.
+ * expected order count, so that the target carries out the first one it receives and refuses the other.
  */
 const orderTimeout = 500;
 /** Milliseconds between two reports of a target that loads layers. */
--- a/packages/gateway/src/lib/duty/TargetOrderState.ts
+++ b/packages/gateway/src/lib/duty/TargetOrderState.ts
@@ -56,8 +56,7 @@
 
     /**
      * Whether an order is in progress: the target reports it, or the last one may still start. An order is complete
-     * once the target's layers match it, so that the next one need not wait for {@link orderEffectTimeout}. With that
-     * wait, no data centre had a complete chain for 4 s on a simulated day with a rolling replacement of targets.
+     * once the target's layers match it, so that the next one need not wait for {@link orderEffectTimeout}.
      */
     isPending(listed: ListedTarget): boolean {
         if (this.isComplete(listed)) {
--- a/packages/gateway/src/lib/observation/LogDestination.ts
+++ b/packages/gateway/src/lib/observation/LogDestination.ts
@@ -11,8 +11,7 @@
 }
 
 /**
- * Bytes, enough for about four thousand lines of the mean size of 257 B. In a simulated day, six processes together
- * wrote 358 lines in the busiest second.
+ * Bytes, enough for about four thousand lines of usual size.
  */
 const defaultMaxPending = 1_000_000;
 const defaultDelay = 20;
--- a/packages/gateway/src/lib/requests/StartQueue.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.ts
@@ -25,8 +25,7 @@
 
 /**
  * Queues requests that arrive while the process is starting. This absorbs the callers that all retry at the same time
- * after all processes were killed: of 2,079 requests of a simulated day, about 20 reached a process in its first
- * 100 ms.
+ * after all processes were killed.
  */
 export class StartQueue {
     private readonly waiting = new Set<Waiting>();
--- a/packages/gateway/src/lib/requests/runningStreams.test.ts
+++ b/packages/gateway/src/lib/requests/runningStreams.test.ts
@@ -9,8 +9,7 @@
  * attempts are used up and their callers are cut off with nearly all of their time left.
  *
  * With this fault, 22 of the 24 streams below were cut off after one run each, and none if the other chain accepted
- * them. In a simulated day, the gateway abandoned 24 requests that were then refused elsewhere, 18 of them in
- * mid-stream.
+ * them.
  */
 
 const streams = 24;
