--- a/packages/gateway/src/lib/chains/TargetInspector.ts
+++ b/packages/gateway/src/lib/chains/TargetInspector.ts
@@ -59,8 +59,7 @@
 const full: Penalty = { reason: "is full", duration: 150, maxDuration: 150 };
 /**
  * The target may have filled up since its report, which is up to some hundred milliseconds old, or it may be draining,
- * which is not listed while the store is unavailable. With both at the same time, 47 requests were refused in 4 s of a
- * simulated day.
+ * which is not listed while the store is unavailable.
  */
 const leaving: Penalty = { reason: "refuses, though it has room", duration: 300, maxDuration: 2_400 };
 /** By the end of this penalty the entry of the target is up to date. */
--- a/packages/gateway/src/lib/configuration/Configuration.ts
+++ b/packages/gateway/src/lib/configuration/Configuration.ts
@@ -62,8 +62,6 @@
     timeout: z.number(),
     /** Latency up to which a reply keeps its full value; for streams, latency of the first event. */
     latencyTarget: z.number(),
-    /** Longest pause between two events of a stream at which its answer keeps its full value. */
-    pauseTarget: z.optional(z.number()),
     /** Maximum number of targets that one request of a caller may be sent to. */
     maxAttempts: z.number(),
     /** 0 is the most urgent. */
