--- a/packages/cli/src/lib/commands/gatewayCommands.ts
+++ b/packages/cli/src/lib/commands/gatewayCommands.ts
@@ -3,7 +3,7 @@
 import { readFile } from "node:fs/promises";
 import { text } from "node:stream/consumers";
 import { explainRequest, formatExplanation } from "../explain/explainRequest.js";
-import { formatLosses, summarizeLosses } from "../explain/summarizeLosses.js";
+import { formatLosses, type LossLimits, summarizeLosses } from "../explain/summarizeLosses.js";
 import { type CommandOutput } from "./CommandOutput.js";
 import { exitCodes } from "./exitCodes.js";
 import { parseCount } from "./parseCount.js";
@@ -37,8 +37,9 @@
     program.command("losses [log...]")
         .description("count from logs the requests that were refused, failed or interrupted, by cause and second")
         .option("--pause <milliseconds>", "the longest pause that does not count as an interruption", parseCount)
-        .action(async (files: string[], { pause }: { readonly pause?: number; }) =>
-            exit(await lossesCommand(files, pause, output))
+        .option("--first <milliseconds>", "the latest first byte that does not count as late", parseCount)
+        .action(async (files: string[], { pause, first }: { readonly pause?: number; readonly first?: number; }) =>
+            exit(await lossesCommand(files, { pause, firstByte: first }, output))
         );
 }
 
@@ -103,14 +104,14 @@
  */
 export async function lossesCommand(
     files: readonly string[],
-    pauseLimit: number | undefined,
+    limits: LossLimits,
     output: CommandOutput,
 ): Promise<number> {
     const lines = await readLines("losses", files, output);
     if (lines === undefined) {
         return exitCodes.usage;
     }
-    output.write(formatLosses(summarizeLosses(lines, pauseLimit)));
+    output.write(formatLosses(summarizeLosses(lines, limits)));
     return exitCodes.done;
 }
 
--- a/packages/cli/src/lib/explain/summarizeLosses.test.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.test.ts
@@ -39,10 +39,25 @@
 });
 
 test("the pause limit can be set", () => {
-    const causes = summarizeLosses(logs, 300).losses.map(({ cause }) => cause);
+    const causes = summarizeLosses(logs, { pause: 300 }).losses.map(({ cause }) => cause);
     assert.ok(causes.every(cause => !cause.startsWith("interrupted")));
 });
 
+test("answers that began late count if a limit is given, by the data centre of their chain", () => {
+    const ended = (request: string, dataCentre: string, firstByte: number) =>
+        `${
+            head(1_000)
+        },"request":"${request}","status":200,"dataCentre":"${dataCentre}","firstByte":${firstByte},"longestPause":300,"msg":"request: request ended"}`;
+    const lines = [ended("d1", "x", 700), ended("d2", "x", 900), ended("d3", "y", 701), ended("d4", "y", 400)];
+    const causes = summarizeLosses(lines, { firstByte: 600 }).losses.map(({ cause, count }) => [cause, count]);
+    assert.deepEqual(causes, [
+        ["began after over 600 ms in x", 2],
+        ["began after over 600 ms in y", 1],
+        ["interrupted for over 200 ms", 1],
+    ]);
+    assert.deepEqual(summarizeLosses(lines).losses.map(({ count }) => count), [4]);
+});
+
 test("an answer that arrived in time but was delivered late was delayed on the way to the caller", () => {
     const line = `${
         head(1_000)
--- a/packages/cli/src/lib/explain/summarizeLosses.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.ts
@@ -18,7 +18,15 @@
     readonly seconds: ReadonlyMap<number, number>;
 }
 
-/** Default milliseconds without a byte above which an answer counts as interrupted. */
+/** Bounds above which a complete answer counts as a loss, in milliseconds. */
+export interface LossLimits {
+    /** Longest time without a byte within an answer. */
+    readonly pause?: number;
+    /** Longest time until the first byte of an answer; undefined if it does not count. */
+    readonly firstByte?: number;
+}
+
+/** The pause limit where none is given, in milliseconds. */
 export const defaultPauseLimit = 200;
 const millisecondsPerSecond = 1_000;
 const firstFailedStatus = 400;
@@ -28,8 +36,8 @@
 /** Prefix of the outcome of an answer that was truncated after a head with a success status. */
 const brokenOffPrefix = "broken off";
 
-/** Counts the requests that were refused, failed or interrupted, by cause and second. */
-export function summarizeLosses(text: readonly string[], pauseLimit = defaultPauseLimit): LossSummary {
+/** Counts the requests that were refused, failed, interrupted or began late, by cause and second. */
+export function summarizeLosses(text: readonly string[], limits: LossLimits = {}): LossSummary {
     const parsed = text.filter(line => line.trim() !== "").map(parseLine);
     const lines = parsed.filter(line => line !== undefined).sort((a, b) => a.time - b.time);
     const start = lines[0]?.time ?? 0;
@@ -52,7 +60,7 @@
         const cause = findCause(line, {
             failure: failures.get(request),
             giveUp: giveUpCauses.get(request),
-            pauseLimit,
+            limits,
         });
         if (cause !== undefined) {
             const second = Math.floor((line.time - start) / millisecondsPerSecond);
@@ -77,16 +85,20 @@
     readonly failure: string | undefined;
     /** Why the gateway ended the answer, if it did. */
     readonly giveUp: string | undefined;
-    readonly pauseLimit: number;
+    readonly limits: LossLimits;
 }
 
-function findCause(line: LogLine, { failure, giveUp, pauseLimit }: LossContext): string | undefined {
+function findCause(line: LogLine, { failure, giveUp, limits }: LossContext): string | undefined {
+    const { pause: pauseLimit = defaultPauseLimit, firstByte = Infinity } = limits;
     const failureSuffix = failure === undefined ? "" : ` after "${failure}"`;
     const status = Number(line["status"]);
     const outcome = maskAddresses(String(line["outcome"]));
     if (status >= firstFailedStatus || status === 0 || outcome.startsWith(brokenOffPrefix)) {
         return `${outcome}${failureSuffix}${giveUp === undefined ? "" : `, given up: ${giveUp}`}`;
     }
+    if (Number(line["firstByte"] ?? 0) > firstByte) {
+        return `began after over ${firstByte} ms in ${String(line["dataCentre"])}${failureSuffix}`;
+    }
     if (Number(line["longestPause"] ?? 0) > pauseLimit) {
         return `interrupted for over ${pauseLimit} ms${failureSuffix}`;
     }
