--- a/packages/gateway/src/lib/chains/addStandbys.ts
+++ b/packages/gateway/src/lib/chains/addStandbys.ts
@@ -1,6 +1,6 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
-import { rankCandidates, takeBestFit } from "./candidates.js";
+import { rankCandidates } from "./candidates.js";
 import { ampleRoom, requestRoom } from "./memory.js";
 import { type Placement } from "./Placement.js";
 
@@ -8,7 +8,8 @@
  * Adds standbys: targets without layers that the plan does not use hold a second copy of some ranges. Ranges whose
  * target is short of memory for requests come first, since the standby takes over part of its load; then the smallest
  * ranges: any target may be lost, so as many hops as possible should have a standby over which a chain can bypass them
- * immediately. A large range takes several standbys. Targets that already hold layers keep them.
+ * immediately. A large range takes several standbys. Each standby is the fastest target left, since a chain that runs
+ * over it reads all prompts through it. Targets that already hold layers keep them.
  */
 export function addStandbys(
     placements: readonly Placement[],
@@ -29,7 +30,7 @@
     const standbys: Placement[] = [];
     for (const range of ranges) {
         for (let first = range.first; first < range.end && available.length > 0;) {
-            const candidate = takeBestFit(available, range.end - first);
+            const candidate = available.shift();
             if (candidate === undefined) {
                 break;
             }
