A request finds a chain where a target holds two ranges and only one use of it works

Cause: planning keeps one chain for each candidate. With a target that holds layers 0-2 and 6-7, the cheapest chain up to layer 5 began with that target, and then nothing else held 6-7. Callers of the own interface were refused as not run while such a pair was the only one of its kind. An old fault; load has no part.

Change: if planning finds no chain and some target stands for several ranges, a bounded depth-first search looks for any chain.

--- a/packages/policy/src/lib/routing/ChainPlanner.ts
+++ b/packages/policy/src/lib/routing/ChainPlanner.ts
@@ -20,10 +20,16 @@
     readonly total: number;
 }
 
+/** Maximum number of partial chains that the exhaustive search extends, which bounds its time. */
+const maxSearchSteps = 5_000;
+
 /**
  * Finds the cheapest chain of layer ranges by dynamic programming: the best chain that ends with a candidate extends
  * the best chain that ends at the layer before it, plus the cost of the hop between them.
  *
+ * That keeps one chain for each candidate. If a target holds several ranges, the chain that was kept may use it where
+ * only another one can be completed; then an exhaustive search finds a chain, though not the cheapest one.
+ *
  * @param candidates - Candidates in ascending order of their first layer.
  * @returns The chain in layer order, or undefined when the candidates do not cover all layers.
  * @internal
@@ -51,7 +57,33 @@
             }
         }
     }
-    return chainOf(cheapest(endings.get(layers)));
+    return chainOf(cheapest(endings.get(layers))) ?? searchChain(candidates, layers);
+}
+
+/** Finds any chain whose targets differ, by depth-first search. */
+function searchChain(candidates: readonly Candidate[], layers: number): readonly Candidate[] | undefined {
+    const states = new Set(candidates.map(({ state }) => state));
+    if (states.size === candidates.length) {
+        return undefined;
+    }
+    let steps = 0;
+    const extendFrom = (layer: number, chain: readonly Candidate[]): readonly Candidate[] | undefined => {
+        if (layer === layers) {
+            return chain;
+        }
+        for (const candidate of candidates) {
+            const fits = candidate.range.first === layer && chain.every(({ state }) => state !== candidate.state);
+            if (!fits || ++steps > maxSearchSteps) {
+                continue;
+            }
+            const found = extendFrom(candidate.range.last + 1, [...chain, candidate]);
+            if (found !== undefined) {
+                return found;
+            }
+        }
+        return undefined;
+    };
+    return extendFrom(0, []);
 }
 
 function extend(
--- a/packages/policy/src/lib/routing/createRouter.test.ts
+++ b/packages/policy/src/lib/routing/createRouter.test.ts
@@ -131,6 +131,18 @@
     }));
 });
 
+// The cheapest chain up to the middle range used the only target of the last one, so no chain was found.
+test("a target with two ranges is used for the one that no other target holds", () => {
+    const held = (first: number, last: number) => ({ model: "assistant", version: "v1", first, last });
+    const { router } = setUp([
+        target("target-0", 0, 0, { holds: [held(3, 5)] }),
+        target("target-4", 0, 0, { holds: [held(6, 7), held(0, 2)] }),
+        target("target-7", 0, 0, { holds: [held(0, 2)] }),
+    ]);
+    const chains = Array.from({ length: 20 }, () => choose(router).stages.map(stage => stage.target));
+    chains.forEach(chain => assert.deepEqual(chain, ["target-7", "target-0", "target-4"]));
+});
+
 /** Checks by exhaustive search whether a chain exists. */
 function isCoverable(targets: readonly RoutingTarget[], layer: number, used: ReadonlySet<string>): boolean {
     return layer === request.layers || targets.some(({ name, holds }) =>
