--- a/packages/cli/src/lib/site/LocalSite.test.ts
+++ b/packages/cli/src/lib/site/LocalSite.test.ts
@@ -46,7 +46,7 @@
     return { site, spans, complete, operators: `http://127.0.0.1:${operators.port}` };
 }
 
-/** Returns the names and results of the spans below a span, from the top down. */
+/** Returns one text for each child of a span: its name, followed by those of the spans below it. */
 function describeChildren(spans: readonly ReadableSpan[], parent: ReadableSpan): string[] {
     return spans
         .filter(span => span.parentSpanContext?.spanId === parent.spanContext().spanId)
