Gateways read and log the limits that targets name

No decision depends on it yet. Replies to other requests, of other targets and unsigned ones say nothing; only a signed reply to a later request lifts.

--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -83,6 +83,7 @@
         configuration: createPartLogger("configuration"),
         directory: createPartLogger("directory"),
         chains: createPartLogger("chains"),
+        limits: createPartLogger("limits"),
         duty: createPartLogger("duty"),
         peers: createPartLogger("peers"),
         process: createPartLogger("process"),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,6 +32,7 @@
     type Dispatch,
     type Hop,
     type ReplyHead,
+    type StatedLimit,
     type TokenCount,
     type WireFormat,
 } from "./lib/requests/messages.js";
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -11,11 +11,13 @@
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
 import { CrashProtection } from "./crashes/CrashProtection.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
+import { logTargetChange } from "./directory/logTargetChange.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { type DecodedTarget } from "./directory/TargetList.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
+import { TargetLimits } from "./limits/TargetLimits.js";
 import { allMechanismsOn, type MechanismSwitch } from "./Mechanisms.js";
 import { type Moment } from "./Moment.js";
 import { GatewayMetrics, type Logs, type Observation } from "./observation/Observation.js";
@@ -96,6 +98,7 @@
     private readonly suspicions: TargetSuspicions;
     private readonly paces: TargetPaces;
     private readonly crossingAllowance: CrossingAllowance;
+    private readonly limits: TargetLimits;
     private readonly services = new Map<string, ServiceParts>();
     private readonly crashes: CrashProtection;
     private readonly startQueue: StartQueue;
@@ -128,6 +131,7 @@
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
         this.crossingAllowance = new CrossingAllowance({ clock, random, gateways: () => this.peers.groupSize });
+        this.limits = new TargetLimits({ clock, observation });
         this.crashes = new CrashProtection({
             clock,
             store,
@@ -146,6 +150,7 @@
             observation: this.observation,
             configuration: this.configuration,
             crashes: this.crashes,
+            limits: this.limits,
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
@@ -340,24 +345,10 @@
     }
 
     private handleTargetChange(change: DirectoryChange): void {
-        const { kind, target, keptFor } = change;
-        const { id, service, dataCentre, state, layers, startedAt } = target;
-        this.options.logs.directory.info(
-            {
-                target: id,
-                startedAt,
-                service,
-                dataCentre,
-                state,
-                layers,
-                change: kind,
-                keptFor: keptFor === undefined ? undefined : Math.round(keptFor),
-                listAge: Math.round(this.directory.age),
-            },
-            `target ${kind}`,
-        );
+        const { id } = change.target;
+        logTargetChange(this.options.logs.directory, change, this.directory.age);
         this.crashes.guard.handleTargetChange(change);
-        if (kind === "restarted") {
+        if (change.kind === "restarted") {
             this.suspicions.clear(id);
             this.paces.forget(id);
             this.services.forEach(({ chains }) => chains?.forget(id));
--- /dev/null
+++ b/packages/gateway/src/lib/limits/TargetLimits.ts
@@ -0,0 +1,94 @@
+import { type Clock } from "@waxwingspar/utils";
+import { incarnationOf, type Target } from "../directory/Target.js";
+import { type Observation } from "../observation/Observation.js";
+import { type ReplyHead, type StatedLimit } from "../requests/messages.js";
+
+/** The newest statement of a target about its limit. */
+export interface KnownLimit {
+    /** Requests per second that the target takes from all gateways together; undefined if it has none now. */
+    readonly rate: number | undefined;
+    /** When it was stated, on this process's clock. */
+    readonly statedAt: number;
+}
+
+/** The head of a reply, with the request that it answers. */
+export interface LimitEvidence {
+    readonly target: Target;
+    readonly status: number;
+    readonly head: ReplyHead;
+    readonly requestId: string | undefined;
+    /** When the request was sent, on the clock. */
+    readonly sentAt: number;
+}
+
+/** Options of {@link TargetLimits}. */
+export interface TargetLimitsOptions {
+    readonly clock: Clock;
+    readonly observation: Observation;
+}
+
+/** HTTP status of a process that is not the addressed target. */
+const misdirectedStatus = 421;
+
+/** The limits that targets state in their replies, by incarnation. */
+export class TargetLimits {
+    private readonly known = new Map<string, KnownLimit>();
+
+    constructor(private readonly options: TargetLimitsOptions) {}
+
+    /** The rate that a target takes from all gateways together; undefined if it has not limited it. */
+    rate(target: Target): number | undefined {
+        return this.known.get(incarnationOf(target))?.rate;
+    }
+
+    /** Milliseconds since the target last stated its limit; undefined if it has none. */
+    age(target: Target): number | undefined {
+        const known = this.known.get(incarnationOf(target));
+        return known?.rate === undefined ? undefined : this.options.clock.now() - known.statedAt;
+    }
+
+    /** Records what a reply says about the limit of the target that the request was sent to. */
+    recordReply(evidence: LimitEvidence): void {
+        if (!isByTarget(evidence)) {
+            return;
+        }
+        const { target, head: { limit, isSigned }, sentAt } = evidence;
+        const known = this.known.get(incarnationOf(target));
+        if (limit.kind === "unreadable") {
+            this.log(evidence, "unreadable");
+        }
+        else if (limit.kind === "limited") {
+            this.set(target, limit.rate);
+            if (known?.rate !== limit.rate) {
+                this.log(evidence, known?.rate === undefined ? "named" : "changed");
+            }
+        }
+        // A reply to an earlier request may have overtaken the one that named the limit.
+        else if (known?.rate !== undefined && isSigned && sentAt > known.statedAt) {
+            this.set(target, undefined);
+            this.log(evidence, "lifted");
+        }
+    }
+
+    private set(target: Target, rate: number | undefined): void {
+        this.known.set(incarnationOf(target), { rate, statedAt: this.options.clock.now() });
+    }
+
+    private log({ target, head, requestId, status }: LimitEvidence, change: string): void {
+        const { logs, metrics } = this.options.observation;
+        metrics.limitStatements.add({ change });
+        const fields = { target: target.id, request: requestId, status, ...describe(head.limit) };
+        logs.limits.info(fields, `limit ${change}`);
+    }
+}
+
+/** Whether a reply comes from the target itself: addresses are reused, and a faulty target repeats old replies. */
+function isByTarget({ head, requestId, status }: LimitEvidence): boolean {
+    const isToRequest = head.requestId === undefined || head.requestId === requestId;
+    const isMisdirected = status === misdirectedStatus && head.faultyAddress === undefined;
+    return isToRequest && !isMisdirected && (head.isSigned || head.neverExecuted);
+}
+
+function describe(limit: StatedLimit): { readonly limit?: number | string; } {
+    return limit.kind === "limited" ? { limit: limit.rate } : limit.kind === "unreadable" ? { limit: limit.text } : {};
+}
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -7,6 +7,7 @@
     readonly configuration: Logger;
     readonly directory: Logger;
     readonly chains: Logger;
+    readonly limits: Logger;
     readonly duty: Logger;
     readonly peers: Logger;
     readonly process: Logger;
@@ -30,6 +31,8 @@
     readonly answersGivenUp: Counter;
     readonly crashedRuns: Counter;
     readonly retrials: Counter;
+    readonly limitStatements: Counter;
+    readonly limitedSends: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -96,6 +99,14 @@
             name: "waxwingspar_gateway_retrials_total",
             help: "Judgements on requests that several targets crashed under, by result.",
         });
+        this.limitStatements = registry.counter({
+            name: "waxwingspar_gateway_limit_statements_total",
+            help: "Replies of targets that named, lifted or misstated a limit on their requests.",
+        });
+        this.limitedSends = registry.counter({
+            name: "waxwingspar_gateway_limited_sends_total",
+            help: "Requests sent to targets that were known to limit their requests.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -24,6 +24,16 @@
     readonly configurationVersion: number;
 }
 
+/** What a gateway knew of a target when it sent a request there. */
+export interface SendBasis {
+    /** Milliseconds since the list of targets was last confirmed. */
+    readonly listAge: number;
+    /** Requests per second that the target had said it takes; undefined without a limit. */
+    readonly limit?: number;
+    /** Milliseconds since the target had stated that limit. */
+    readonly limitAge?: number;
+}
+
 /** Hop-by-hop headers, which a gateway must not forward. */
 const hopByHopHeaders = new Set([
     "connection",
@@ -53,7 +63,7 @@
     private drainListener: (() => void) | undefined;
     private sends = 0;
     private lastTarget: Target | undefined;
-    private lastListAge: number | undefined;
+    private lastBasis: SendBasis | undefined;
     private readonly delivery: Delivery;
     /** Outcome of an answer that has ended but is not flushed yet. */
     private pendingOutcome: string | undefined;
@@ -126,16 +136,12 @@
         this.drainListener = listener;
     }
 
-    /**
-     * Records that the request is sent to a target; for a chain, to its first target.
-     *
-     * @param listAge - Milliseconds since the list of targets that the choice is based on was last confirmed.
-     */
-    noteSend(target: Target, listAge: number): void {
+    /** Records that the request is sent to a target; for a chain, to its first target. */
+    noteSend(target: Target, basis: SendBasis): void {
         this.sends++;
         this.lastTarget = target;
-        this.lastListAge = listAge;
-        this.options.observation.metrics.targetListAge.record(listAge, {});
+        this.lastBasis = basis;
+        this.options.observation.metrics.targetListAge.record(basis.listAge, {});
     }
 
     /** Sends the head of a target's reply. */
@@ -245,7 +251,9 @@
             sends: this.sends,
             target: this.lastTarget?.id,
             dataCentre: this.lastTarget?.dataCentre,
-            listAge: round(this.lastListAge),
+            listAge: round(this.lastBasis?.listAge),
+            limit: this.lastBasis?.limit,
+            limitAge: round(this.lastBasis?.limitAge),
             firstByte: round(firstByte),
             longestPause: round(this.longestPause),
             firstDelivered: round(firstAt === undefined ? undefined : firstAt - arrivedAt),
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -123,6 +123,13 @@
         attempt.response = response;
         attempt.repliedAt = this.context.clock.now();
         const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
+        this.context.limits.recordReply({
+            target: attempt.target,
+            status: response.statusCode ?? 0,
+            head,
+            requestId: this.caller.request.id,
+            sentAt: attempt.startedAt,
+        });
         if (head.requestId !== this.caller.request.id && head.requestId !== undefined) {
             this.abandon(attempt, "failed", "unknown", "reply to another request");
         }
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,5 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
@@ -15,6 +16,7 @@
     /** Maximum milliseconds until a connection to a target is established: several round trips and a lost packet. */
     readonly connectTimeout: number;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
+    readonly limits: TargetLimits;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -3,6 +3,7 @@
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
@@ -33,6 +34,7 @@
     /** Whether any peer is currently able to check credentials. */
     readonly hasConfirmedPeer: () => boolean;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
+    readonly limits: TargetLimits;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -127,7 +129,7 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, isOn, targetListAge } = this.options;
+        const { clock, wire, observation, crashes, limits, isOn, targetListAge } = this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
         const context = {
@@ -137,6 +139,7 @@
             budget,
             connectTimeout,
             crashes,
+            limits,
             openExchange,
             isOn,
             targetListAge,
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -46,6 +46,15 @@
     readonly bodyLength: number | undefined;
 }
 
+/** What the head of a reply says about the requests that its target takes from all gateways together. */
+export type StatedLimit =
+    /** No limit. */
+    | { readonly kind: "none"; }
+    /** A number of requests per second, from 0. */
+    | { readonly kind: "limited"; readonly rate: number; }
+    /** A limit in a form that cannot be read. */
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Contents of the headers of a target's reply. */
 export interface ReplyHead {
     /** Id of the request that the reply belongs to. */
@@ -55,6 +64,7 @@
     readonly neverExecuted: boolean;
     /** Address of the target of the chain that caused a refusal. */
     readonly faultyAddress: string | undefined;
+    readonly limit: StatedLimit;
 }
 
 /** Converts requests and replies to and from their headers on the wire. */
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -29,7 +29,11 @@
         chain,
         bodyLength: caller.body?.length,
     });
-    caller.noteSend(target, context.targetListAge());
+    const limit = context.limits.rate(target);
+    if (limit !== undefined) {
+        context.observation.metrics.limitedSends.add({ service: target.service });
+    }
+    caller.noteSend(target, { listAge: context.targetListAge(), limit, limitAge: context.limits.age(target) });
     return context.openExchange({
         host: target.host,
         port: target.port,
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -7,6 +7,7 @@
 import { type Route } from "../configuration/Configuration.js";
 import { CrashProtection } from "../crashes/CrashProtection.js";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { TargetLimits } from "../limits/TargetLimits.js";
 import { allMechanismsOn } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { CallerExchange } from "../requests/CallerExchange.js";
@@ -18,7 +19,7 @@
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
-import { refusalStatus, type SimulatedTarget } from "./SimulatedTarget.js";
+import { limitHeader, refusalStatus, type SimulatedTarget } from "./SimulatedTarget.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
@@ -55,11 +56,14 @@
         throw new Error("not used");
     },
     writeDispatchHeaders: () => [],
-    readReplyHead: status => ({
+    readReplyHead: (status, headers) => ({
         requestId: undefined,
         isSigned: true,
         neverExecuted: status === refusalStatus,
         faultyAddress: undefined,
+        limit: typeof headers[limitHeader] === "string"
+            ? { kind: "limited", rate: Number(headers[limitHeader]) }
+            : { kind: "none" },
     }),
 };
 
@@ -69,6 +73,7 @@
     readonly suspicions: TargetSuspicions;
     readonly crashes: CrashProtection;
     readonly chains: ChainService;
+    readonly limits: TargetLimits;
     readonly context: RequestContext;
     readonly metrics: GatewayMetrics;
 
@@ -76,6 +81,7 @@
         const { clock, dataCentre, store, targetAt, peerLoad = () => 0, gateways = () => 1, retryReserve } = options;
         this.metrics = new GatewayMetrics(new MetricRegistry(clock));
         const observation = { logs: silentLogs(), metrics: this.metrics };
+        this.limits = new TargetLimits({ clock, observation });
         this.suspicions = new TargetSuspicions(clock);
         this.directory = new TargetDirectory({
             clock,
@@ -111,6 +117,7 @@
             budget: new RetryBudget({ clock, window: 10_000, share: 0.2, reserve: retryReserve ?? 202, gateways }),
             connectTimeout: 450,
             crashes: this.crashes,
+            limits: this.limits,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
             isOn: allMechanismsOn,
             targetListAge: () => this.directory.age,
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -33,6 +33,9 @@
 /** Status with which a target refuses a request without running it. */
 export const refusalStatus = 503;
 
+/** Header with the limit that a target names. */
+export const limitHeader = "limit";
+
 /** A simulated target that streams events, and crashes shortly after it begins to run certain requests. */
 export class SimulatedTarget {
     isDown = false;
@@ -40,6 +43,8 @@
     isRefusing = false;
     /** Whether it withholds reports, though it may run requests. */
     isMute = false;
+    /** The limit that it names in its replies, in requests per second. */
+    limit: number | undefined;
     private silentUntil = -Infinity;
     private readonly runs = new Set<Run>();
 
@@ -72,7 +77,7 @@
             isSent = true;
             onArrival(run.body);
             if (this.isRefusing) {
-                listener.onHead({ statusCode: refusalStatus, headers: {}, rawHeaders: [] });
+                listener.onHead({ statusCode: refusalStatus, headers: this.replyHeaders, rawHeaders: [] });
                 return;
             }
             this.runs.add(run);
@@ -111,10 +116,14 @@
             this.postpone(run, () => this.begin(run));
             return;
         }
-        run.listener.onHead({ statusCode: 200, headers: {}, rawHeaders: [] });
+        run.listener.onHead({ statusCode: 200, headers: this.replyHeaders, rawHeaders: [] });
         this.sendEvent(run, 0);
     }
 
+    private get replyHeaders(): Record<string, string> {
+        return this.limit === undefined ? {} : { [limitHeader]: `${this.limit}` };
+    }
+
     private get isSilent(): boolean {
         return this.options.clock.now() < this.silentUntil;
     }
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -48,6 +48,7 @@
         configuration: logger,
         directory: logger,
         chains: logger,
+        limits: logger,
         duty: logger,
         peers: logger,
         process: logger,
