--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -12,6 +12,8 @@
     /** Called after a crash, with the body of the request that caused it; undefined for a spontaneous crash. */
     readonly onCrash: (body: string | undefined) => void;
     readonly onArrival: (body: string) => void;
+    /** Called when a reply names a limit. */
+    readonly onLimitNamed?: (body: string) => void;
 }
 
 interface Run {
@@ -77,7 +79,7 @@
             isSent = true;
             onArrival(run.body);
             if (this.isRefusing) {
-                listener.onHead({ statusCode: refusalStatus, headers: this.replyHeaders, rawHeaders: [] });
+                listener.onHead({ statusCode: refusalStatus, headers: this.replyHeaders(run.body), rawHeaders: [] });
                 return;
             }
             this.runs.add(run);
@@ -116,12 +118,16 @@
             this.postpone(run, () => this.begin(run));
             return;
         }
-        run.listener.onHead({ statusCode: 200, headers: this.replyHeaders, rawHeaders: [] });
+        run.listener.onHead({ statusCode: 200, headers: this.replyHeaders(run.body), rawHeaders: [] });
         this.sendEvent(run, 0);
     }
 
-    private get replyHeaders(): Record<string, string> {
-        return this.limit === undefined ? {} : { [limitHeader]: `${this.limit}` };
+    private replyHeaders(body: string): Record<string, string> {
+        if (this.limit === undefined) {
+            return {};
+        }
+        this.options.onLimitNamed?.(body);
+        return { [limitHeader]: `${this.limit}` };
     }
 
     private get isSilent(): boolean {
