A target's limit holds for all gateways together: one of them issues the permits

Cause: no decision read the limit. Class: a target's own word about what it takes is not read, and a bound of the group needs a mechanism of the group. Change: sends to a limited target need a permit. The first relay of the target's data centre issues them from one bucket at the rate of the limit; others ask it with a datagram. It issues only the part of the gateways that it is in contact with, so two sides of a partition stay below the limit together. While it is silent a gateway uses half of its equal part. The last permit is kept for streams that have begun. Statements of targets travel in heartbeats with their age; they take the room of chain loads. Where all targets are limited the refusal comes at once, with the time until the next permit. Runs hold one send at a time in PermitGate; DeliveredEvents is split off StreamRun. Why it works: permits are counted in one place, and each is valid only for the send that waits for it, so lost, late and repeated messages can only waste them.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -17,6 +17,7 @@
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
 import { type GatewaySettings } from "./GatewaySettings.js";
+import { SendPermits } from "./limits/SendPermits.js";
 import { TargetLimits } from "./limits/TargetLimits.js";
 import { allMechanismsOn, type MechanismSwitch } from "./Mechanisms.js";
 import { type Moment } from "./Moment.js";
@@ -99,6 +100,7 @@
     private readonly paces: TargetPaces;
     private readonly crossingAllowance: CrossingAllowance;
     private readonly limits: TargetLimits;
+    private readonly permits: SendPermits;
     private readonly services = new Map<string, ServiceParts>();
     private readonly crashes: CrashProtection;
     private readonly startQueue: StartQueue;
@@ -140,6 +142,8 @@
             refusesConnections,
             observation,
         });
+        this.peers = this.createPeerGroup();
+        this.permits = new SendPermits({ clock, random, limits: this.limits, group: this.peers, observation });
         const { isOn = allMechanismsOn } = options;
         const router = new RequestRouter({
             clock,
@@ -151,6 +155,7 @@
             configuration: this.configuration,
             crashes: this.crashes,
             limits: this.limits,
+            permits: this.permits,
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
         });
@@ -168,33 +173,6 @@
             maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? defaultBodyLimit,
         });
         this.readiness = new ReadinessServer(settings.readiness, () => this.isReady);
-        this.peers = new PeerGroup({
-            clock,
-            store,
-            eras,
-            random,
-            process: settings.process,
-            incarnation: options.incarnation,
-            address: { host: settings.host, port: settings.internalPorts.first },
-            dataCentre: settings.dataCentre,
-            logger: logs.peers,
-            describe: () => ({
-                chainLoads: Object.fromEntries(
-                    [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
-                ),
-                suspects: this.suspicions.listLost(),
-                slowTargets: this.paces.listObserved(),
-                crashes: this.crashes.counts.listSeen(),
-                dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
-                mayTakeDuty: this.storeHealth.isHealthy && this.lease.mayAcquire && !this.isStopping,
-            }),
-            words: () => this.words,
-            onTableStatus: (table, tableStatus, after) => this.receiveTableStatus(table, tableStatus, after),
-            onSums: ({ slowTargets, crashes }) => {
-                this.paces.recordPeerReports(slowTargets);
-                this.crashes.counts.recordPeerCounts(crashes);
-            },
-        });
         this.lease = new PlacementLease({
             clock,
             random,
@@ -293,6 +271,40 @@
         return chooseWatchRole({ isRelay, hasFollowers, hasDuty: this.lease.term !== undefined });
     }
 
+    private createPeerGroup(): PeerGroup {
+        const { store, eras, options: { settings, clock, logs, random } } = this;
+        return new PeerGroup({
+            clock,
+            store,
+            eras,
+            random,
+            process: settings.process,
+            incarnation: this.options.incarnation,
+            address: { host: settings.host, port: settings.internalPorts.first },
+            dataCentre: settings.dataCentre,
+            logger: logs.peers,
+            describe: () => ({
+                chainLoads: Object.fromEntries(
+                    [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
+                ),
+                suspects: this.suspicions.listLost(),
+                slowTargets: this.paces.listObserved(),
+                limits: this.limits.listStatements(),
+                crashes: this.crashes.counts.listSeen(),
+                dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
+                mayTakeDuty: this.storeHealth.isHealthy && this.lease.mayAcquire && !this.isStopping,
+            }),
+            words: () => this.words,
+            onTableStatus: (table, tableStatus, after) => this.receiveTableStatus(table, tableStatus, after),
+            onOther: datagram => this.permits.receive(datagram),
+            onSums: ({ slowTargets, crashes, limits }) => {
+                this.paces.recordPeerReports(slowTargets);
+                this.crashes.counts.recordPeerCounts(crashes);
+                this.limits.recordStatements(limits);
+            },
+        });
+    }
+
     private createWatches(): ReadonlyMap<string, TableWatch> {
         const { store, eras } = this;
         const { clock, random, tables, logs, settings, isOn = allMechanismsOn } = this.options;
@@ -332,10 +344,9 @@
 
     /** The status of each watched table, as peers receive it. */
     private get words(): TableStatuses {
-        const words = [...this.watches].flatMap(([table, { status: tableStatus }]) =>
-            tableStatus === undefined ? [] : [[table, tableStatus] as const]
+        return Object.fromEntries(
+            [...this.watches].flatMap(([table, { status }]) => status === undefined ? [] : [[table, status]]),
         );
-        return Object.fromEntries(words);
     }
 
     private receiveTableStatus(table: string, tableStatus: TableStatus, after: Moment): void {
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -152,6 +152,13 @@
         };
     }
 
+    /** The first targets of the current chains. */
+    listHeads(): Target[] {
+        return this.router.current(this.options.engine).flatMap(({ chain }) =>
+            this.target(chain.hops[0]?.targetId ?? "") ?? []
+        );
+    }
+
     target(id: string): Target | undefined {
         return this.options.directory.get(id);
     }
--- a/packages/gateway/src/lib/configuration/Configuration.ts
+++ b/packages/gateway/src/lib/configuration/Configuration.ts
@@ -111,3 +111,8 @@
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 /** @public */
 export type Configuration = z.infer<typeof configurationSchema>;
+
+/** Whether an interrupted answer on a route may be continued by another run of its request. */
+export function mayResume(route: Route): boolean {
+    return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+}
--- a/packages/gateway/src/lib/limits/TargetLimits.ts
+++ b/packages/gateway/src/lib/limits/TargetLimits.ts
@@ -1,7 +1,9 @@
 import { type Clock } from "@waxwingspar/utils";
+import { LRUCache } from "lru-cache";
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
 import { type ReplyHead, type StatedLimit } from "../requests/messages.js";
+import { type LimitStatement, type LimitStatements } from "./LimitStatement.js";
 
 /** The newest statement of a target about its limit. */
 export interface KnownLimit {
@@ -29,10 +31,19 @@
 
 /** HTTP status of a process that is not the addressed target. */
 const misdirectedStatus = 421;
+/** Maximum number of targets whose statements are kept. */
+const maxTargets = 2_000;
+/** Milliseconds for which a statement is passed on to peers. */
+const maxToldAge = 60_000;
+/**
+ * Milliseconds by which a peer's statement must be newer than the known one. The age of a statement lacks the time that
+ * it was on its way, so an older one that comes back from a peer looks newer than it is.
+ */
+const orderSlack = 100;
 
 /** The limits that targets state in their replies, by incarnation. */
 export class TargetLimits {
-    private readonly known = new Map<string, KnownLimit>();
+    private readonly known = new LRUCache<string, KnownLimit>({ max: maxTargets });
 
     constructor(private readonly options: TargetLimitsOptions) {}
 
@@ -47,6 +58,40 @@
         return known?.rate === undefined ? undefined : this.options.clock.now() - known.statedAt;
     }
 
+    /** The newest statement of an incarnation of a target. */
+    statement(incarnation: string): LimitStatement | undefined {
+        const known = this.known.get(incarnation);
+        return known === undefined
+            ? undefined
+            : { rate: known.rate, age: Math.round(this.options.clock.now() - known.statedAt) };
+    }
+
+    /** The statements that are new enough for peers. */
+    listStatements(): LimitStatements {
+        const statements = [...this.known.keys()].map(incarnation =>
+            [incarnation, this.statement(incarnation)] as const
+        );
+        return Object.fromEntries(
+            statements.flatMap(([incarnation, statement]) =>
+                statement !== undefined && statement.age <= maxToldAge ? [[incarnation, statement]] : []
+            ),
+        );
+    }
+
+    /** Records statements that peers have passed on, if they are newer than the known ones. */
+    recordStatements(statements: LimitStatements): void {
+        const now = this.options.clock.now();
+        for (const [incarnation, { rate, age }] of Object.entries(statements)) {
+            const known = this.known.get(incarnation);
+            if (now - age > (known?.statedAt ?? -Infinity) + orderSlack) {
+                this.known.set(incarnation, { rate, statedAt: now - age });
+                if (known?.rate !== rate) {
+                    this.options.observation.logs.limits.info({ target: incarnation, limit: rate, age }, "limit told");
+                }
+            }
+        }
+    }
+
     /** Records what a reply says about the limit of the target that the request was sent to. */
     recordReply(evidence: LimitEvidence): void {
         if (!isByTarget(evidence)) {
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -33,6 +33,7 @@
     readonly retrials: Counter;
     readonly limitStatements: Counter;
     readonly limitedSends: Counter;
+    readonly permits: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -107,6 +108,10 @@
             name: "waxwingspar_gateway_limited_sends_total",
             help: "Requests sent to targets that were known to limit their requests.",
         });
+        this.permits = registry.counter({
+            name: "waxwingspar_gateway_permits_total",
+            help: "Decisions on permits to send to limited targets, by decision and who decided.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/peers/GroupSums.test.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { addSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
+import { addSums, ageSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
 import { type PeerState } from "./PeerState.js";
 
 const first: PeerState = {
@@ -8,6 +8,7 @@
     slowTargets: { t2: 3 },
     chainLoads: { t3: 5 },
     crashes: { r1: 1 },
+    limits: { t6: { rate: 3, age: 20 }, t7: { rate: 5, age: 10 } },
     mayTakeDuty: true,
     dutyTerm: 2,
 };
@@ -16,6 +17,7 @@
     slowTargets: { t2: 8 },
     chainLoads: { t3: 1 },
     crashes: { r1: 2, r2: 1 },
+    limits: { t6: { age: 5 }, t7: { rate: 4, age: 30 } },
     mayTakeDuty: false,
 };
 
@@ -28,6 +30,7 @@
         suspects: { t1: 2, t4: 1 },
         slowTargets: { t2: 8 },
         crashes: { r1: 3, r2: 1 },
+        limits: { t6: { age: 5 }, t7: { rate: 5, age: 10 } },
     });
 });
 
@@ -47,18 +50,32 @@
 
 test("a truncated sum keeps the targets with the most requests", () => {
     const chainLoads = Object.fromEntries(Array.from({ length: 30 }, (_, load) => [`t${load}`, load]));
-    const bounded = truncateSums(sumsOf("a", { ...first, chainLoads }));
+    const bounded = truncateSums(sumsOf("a", { ...first, limits: {}, chainLoads }));
     assert.equal(Object.keys(bounded.chainLoads).length, 10);
     assert.equal(bounded.chainLoads["t29"], 29);
 });
 
+test("statements of limits take the room of chain loads, the newest first", () => {
+    const chainLoads = Object.fromEntries(Array.from({ length: 30 }, (_, load) => [`t${load}`, load]));
+    const limits = Object.fromEntries([30, 10, 20].map(age => [`u${age}`, { rate: 3, age }]));
+    const state = { ...first, chainLoads, limits };
+    for (const kept of [truncateState(state), truncateSums(sumsOf("a", state))]) {
+        assert.deepEqual(Object.keys(kept.limits).sort(), ["u10", "u20"]);
+        assert.equal(Object.keys(kept.chainLoads).length, 6);
+    }
+});
+
+test("statements grow older while a sum is held", () => {
+    assert.deepEqual(ageSums(sumsOf("a", first), 50).limits, { t6: { rate: 3, age: 70 }, t7: { rate: 5, age: 60 } });
+});
+
 // With four entries at most, each gateway knew a different part of twenty slow targets and built chains over the others.
 test("slow targets use the room that the other tables of a heartbeat leave, and always some of it", () => {
     const many = (count: number, prefix: string) =>
         Object.fromEntries(Array.from({ length: count }, (_, index) => [`${prefix}${index}`, 12]));
     const suspects = Array.from({ length: 7 }, (_, index) => `s${index}`);
     const slowTargets = many(23, "t");
-    const quiet = { ...first, suspects: [], crashes: {}, slowTargets };
+    const quiet = { ...first, suspects: [], crashes: {}, limits: {}, slowTargets };
     const full = { ...first, suspects, chainLoads: many(10, "c"), crashes: many(6, "r"), slowTargets };
     const countKept = (state: PeerState) => [
         Object.keys(truncateState(state).slowTargets).length,
--- a/packages/gateway/src/lib/peers/GroupSums.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.ts
@@ -1,4 +1,5 @@
 import * as z from "zod/mini";
+import { ageStatements, limitStatementSchema, newestStatements, truncateStatements } from "../limits/LimitStatement.js";
 import { type PeerState } from "./PeerState.js";
 
 /** The aggregated state of several gateways. */
@@ -17,6 +18,8 @@
     crashes: z._default(z.record(z.string(), z.number()), {}),
     /** The largest slowdown known to any of them, by the id of the target. */
     slowTargets: z.record(z.string(), z.number()),
+    /** The newest statement that any of them knows of a target's limit, by the incarnation of the target. */
+    limits: z._default(z.record(z.string(), limitStatementSchema), {}),
 });
 
 /** @public */
@@ -33,6 +36,9 @@
  */
 const maxEntries = { chainLoads: 10, suspects: 7, crashes: 6 };
 const minSlowTargets = 4;
+/** Maximum statements of limits, the newest first. Each takes the room of two chain loads. */
+const maxLimits = 2;
+const entriesPerLimit = 2;
 
 /** The state of one gateway, as a sum. */
 export function sumsOf(process: string, state: PeerState): GroupSums {
@@ -44,6 +50,7 @@
         suspects: Object.fromEntries(state.suspects.map(id => [id, 1])),
         slowTargets: state.slowTargets,
         crashes: state.crashes,
+        limits: state.limits,
     };
 }
 
@@ -59,12 +66,18 @@
         suspects: combine(parts.map(({ suspects }) => suspects), (a, b) => a + b),
         slowTargets: combine(parts.map(({ slowTargets }) => slowTargets), Math.max),
         crashes: combine(parts.map(({ crashes }) => crashes), (a, b) => a + b),
+        limits: newestStatements(parts.map(({ limits }) => limits)),
     };
 }
 
+/** Adds the time for which a sum was held to the ages in it. */
+export function ageSums(sums: GroupSums, heldFor: number): GroupSums {
+    return { ...sums, limits: ageStatements(sums.limits, heldFor) };
+}
+
 /**
- * Removes one gateway from a sum, given the state that it reported. The largest slowdowns, the term and the candidate
- * stay, since they may also come from another gateway.
+ * Removes one gateway from a sum, given the state that it reported. The largest slowdowns, the limits, the term and the
+ * candidate stay, since they may also come from another gateway.
  */
 export function withoutMember(sums: GroupSums, state: PeerState): GroupSums {
     const suspects = { ...sums.suspects };
@@ -78,28 +91,34 @@
 
 /** Truncates each table of a sum to its largest entries, so that the sum fits into a heartbeat. */
 export function truncateSums(sums: GroupSums): GroupSums {
-    const chainLoads = largest(sums.chainLoads, maxEntries.chainLoads);
+    const limits = truncateStatements(sums.limits, maxLimits);
+    const chainLoads = largest(sums.chainLoads, maxEntries.chainLoads - roomOf(limits));
     const suspects = largest(sums.suspects, maxEntries.suspects);
     const crashes = largest(sums.crashes, maxEntries.crashes);
-    const slowTargets = largest(sums.slowTargets, entriesLeft(chainLoads, suspects, crashes));
-    return { ...sums, chainLoads, suspects, slowTargets, crashes };
+    const slowTargets = largest(sums.slowTargets, entriesLeft(limits, chainLoads, suspects, crashes));
+    return { ...sums, chainLoads, suspects, slowTargets, crashes, limits };
 }
 
 /** Truncates a gateway's own state like {@link truncateSums}, except that crashes are already sorted by importance. */
 export function truncateState(state: PeerState): PeerState {
     const suspects = state.suspects.slice(0, maxEntries.suspects);
-    const chainLoads = largest(state.chainLoads, maxEntries.chainLoads);
+    const limits = truncateStatements(state.limits, maxLimits);
+    const chainLoads = largest(state.chainLoads, maxEntries.chainLoads - roomOf(limits));
     const crashes = Object.fromEntries(Object.entries(state.crashes).slice(0, maxEntries.crashes));
-    const slowTargets = largest(state.slowTargets, entriesLeft(suspects, chainLoads, crashes));
-    return { ...state, suspects, chainLoads, slowTargets, crashes };
+    const slowTargets = largest(state.slowTargets, entriesLeft(limits, suspects, chainLoads, crashes));
+    return { ...state, suspects, chainLoads, slowTargets, crashes, limits };
 }
 
 /** Returns the number of slow targets that fit into a datagram beside the entries of the other tables. */
-function entriesLeft(...tables: readonly object[]): number {
-    const used = tables.reduce((sum, table) => sum + Object.keys(table).length, 0);
+function entriesLeft(limits: object, ...tables: readonly object[]): number {
+    const used = tables.reduce((sum, table) => sum + Object.keys(table).length, roomOf(limits));
     return Math.max(minSlowTargets, maxTotalEntries - used);
 }
 
+function roomOf(limits: object): number {
+    return Object.keys(limits).length * entriesPerLimit;
+}
+
 function combine(
     tables: readonly Readonly<Record<string, number>>[],
     join: (a: number, b: number) => number,
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -3,7 +3,7 @@
 import { currentMoment, type Moment } from "../Moment.js";
 import { type TableStatus } from "../store/TableWatch.js";
 import { GroupMembers, type Member } from "./GroupMembers.js";
-import { addSums, type GroupSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
+import { addSums, ageSums, type GroupSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
 import { type Heartbeat, readHeartbeat, writeHeartbeat } from "./heartbeat.js";
 import { type PeerState } from "./PeerState.js";
 import { type Peer, RecentPeers } from "./RecentPeers.js";
@@ -27,6 +27,8 @@
     readonly words: () => TableStatuses;
     /** A peer reported the state of a table at some time after the given moment. */
     readonly onTableStatus?: (table: string, status: TableStatus, after: Moment) => void;
+    /** Handles a datagram that is not a heartbeat. Returns false if it cannot be read either. */
+    readonly onOther?: (datagram: string) => boolean;
     /** Called after each heartbeat with the aggregated state of the other gateways. */
     readonly onSums?: (others: GroupSums) => void;
 }
@@ -111,6 +113,19 @@
         return this.options.clock.now() - (this.tableConfirmedAt.get(table) ?? -Infinity);
     }
 
+    /**
+     * The address of the gateway that issues permits for targets of a data centre: its first live relay, or that of the
+     * first data centre by name that has one.
+     */
+    findIssuer(dataCentre: string): string {
+        const { own } = this.options;
+        const findRelay = (name: string) =>
+            name === own.dataCentre ? this.relays[0] ?? own.address : this.members.aliveIn(name)[0];
+        const others = [own.dataCentre, ...this.members.remoteDataCentres].sort();
+        const relays = [dataCentre, ...others].flatMap(name => findRelay(name) ?? []);
+        return relays[0] ?? own.address;
+    }
+
     /** Adds a gateway that is listed in the store's table. */
     addMember(member: Member): void {
         this.members.add(member);
@@ -164,6 +179,9 @@
         const { own, logger } = this.options;
         const heartbeat = readHeartbeat(datagram);
         if (heartbeat === undefined) {
+            if (this.options.onOther?.(datagram) === true) {
+                return;
+            }
             if (this.unreadable++ % unreadableLogInterval === 0) {
                 logger.warn({ bytes: datagram.length, unreadable: this.unreadable }, "unreadable datagram");
             }
@@ -273,8 +291,8 @@
 
     /** The sum over the gateways of the own data centre that report to this process. */
     private sumLocal(self: GroupSums): GroupSums {
-        const reports = this.reporters().flatMap(({ process, state }) =>
-            state === undefined ? [] : sumsOf(process, state)
+        const reports = this.reporters().flatMap(({ process, state, receivedAt }) =>
+            state === undefined ? [] : this.aged(sumsOf(process, state), receivedAt)
         );
         return addSums([self, ...reports]);
     }
@@ -282,8 +300,9 @@
     /** The sum over the other data centres, with the sum of the relay that covers the most gateways for each. */
     private sumRemote(): GroupSums {
         const ofDataCentre = new Map<string, GroupSums>();
-        for (const { dataCentre, near } of this.remotePeers()) {
-            ofDataCentre.set(dataCentre, largest([ofDataCentre.get(dataCentre) ?? emptySums, near ?? emptySums]));
+        for (const { dataCentre, near = emptySums, receivedAt } of this.remotePeers()) {
+            const known = ofDataCentre.get(dataCentre) ?? emptySums;
+            ofDataCentre.set(dataCentre, largest([known, this.aged(near, receivedAt)]));
         }
         return addSums([...ofDataCentre.values()]);
     }
@@ -296,9 +315,13 @@
     }
 
     /** The sum that a relay sent, without the state of this process. */
-    private told({ whole = emptySums, echo }: Peer): GroupSums {
+    private told({ whole = emptySums, echo, receivedAt }: Peer): GroupSums {
         const own = echo?.isCounted === true ? this.echoed(echo) : undefined;
-        return own === undefined ? whole : withoutMember(whole, own.state);
+        return this.aged(own === undefined ? whole : withoutMember(whole, own.state), receivedAt);
+    }
+
+    private aged(sums: GroupSums, receivedAt: number): GroupSums {
+        return ageSums(sums, this.options.clock.now() - receivedAt);
     }
 
     private send(address: string, parts: Pick<Heartbeat, "state" | "near" | "whole">): void {
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -3,6 +3,7 @@
 import { type Logger } from "pino";
 import * as z from "zod/mini";
 import { type Address } from "../GatewaySettings.js";
+import { type PermitGroup } from "../limits/SendPermits.js";
 import { type Store, type WriteResult } from "../store/Store.js";
 import { type StoreEras } from "../store/StoreEras.js";
 import { GroupSize } from "./GroupSize.js";
@@ -13,7 +14,8 @@
 const memberSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
 
 /** Options of {@link PeerGroup}. */
-export interface PeerGroupOptions extends Pick<PeerExchangeOptions, "describe" | "words" | "onTableStatus" | "onSums"> {
+export interface PeerGroupOptions
+    extends Pick<PeerExchangeOptions, "describe" | "words" | "onTableStatus" | "onSums" | "onOther"> {
     readonly clock: Clock;
     readonly store: Store;
     readonly eras: StoreEras;
@@ -42,36 +44,54 @@
  * The group of gateways of a site, as seen by one of them. Gateways discover each other at the start through a table of
  * the store, and then exchange their state in datagrams.
  */
-export class PeerGroup {
+export class PeerGroup implements PermitGroup {
     private readonly socket: Socket = createSocket("udp4");
     private readonly exchange: PeerExchange;
     private readonly size: GroupSize;
+    private isListening = false;
     private isStopped = false;
     private nextRead = -Infinity;
     private stopListening: () => void = () => undefined;
 
     constructor(private readonly options: PeerGroupOptions) {
-        const { clock, process, incarnation, address, dataCentre, logger } = options;
+        const { clock, process, incarnation, dataCentre, logger } = options;
         this.size = new GroupSize(clock);
         this.exchange = new PeerExchange({
             clock,
             process,
             incarnation,
-            own: { address: `${address.host}:${address.port}`, dataCentre },
+            own: { address: this.address, dataCentre },
             logger,
             send: (to, datagram) => this.send(to, datagram),
             describe: options.describe,
             words: options.words,
             onTableStatus: options.onTableStatus,
             onSums: options.onSums,
+            onOther: options.onOther,
         });
     }
 
+    /** Host and port of this gateway in the group. */
+    get address(): string {
+        const { host, port } = this.options.address;
+        return `${host}:${port}`;
+    }
+
     /** The number of gateways that share the site's budget, including this one; infinite until the group is known. */
     get groupSize(): number {
         return this.size.value;
     }
 
+    /** The number of gateways in contact, including this one. */
+    get alive(): number {
+        return this.exchange.others.members + 1;
+    }
+
+    /** The address of the gateway that issues the permits for targets of a data centre. */
+    findIssuer(dataCentre: string): string {
+        return this.exchange.findIssuer(dataCentre);
+    }
+
     /** The aggregated state of all other gateways. */
     get others(): GroupSums {
         return this.exchange.others;
@@ -102,6 +122,7 @@
         this.socket.on("message", data => this.exchange.receive(data.toString("utf8")));
         this.socket.on("error", (error: Error) => logger.warn({ error: error.message }, "socket failed"));
         await new Promise<void>(resolve => this.socket.bind(address.port, address.host, resolve));
+        this.isListening = true;
         logger.info({ address }, "listening");
         this.sendHeartbeats();
         this.stopListening = this.options.eras.onNewEra(() => this.registerAgain());
@@ -110,6 +131,7 @@
 
     stop(): void {
         this.isStopped = true;
+        this.isListening = false;
         this.stopListening();
         this.socket.close();
     }
@@ -193,7 +215,11 @@
         clock.schedule(() => this.sendHeartbeats(), heartbeatInterval);
     }
 
-    private send(to: string, datagram: string): void {
+    /** Sends a datagram to a gateway; delivery is not guaranteed. */
+    send(to: string, datagram: string): void {
+        if (!this.isListening) {
+            return;
+        }
         const colon = to.lastIndexOf(":");
         // A datagram that cannot be sent is not retried, since the next heartbeat follows.
         this.socket.send(datagram, Number(to.slice(colon + 1)), to.slice(0, colon), error => {
--- a/packages/gateway/src/lib/peers/PeerState.ts
+++ b/packages/gateway/src/lib/peers/PeerState.ts
@@ -1,4 +1,5 @@
 import * as z from "zod/mini";
+import { limitStatementSchema } from "../limits/LimitStatement.js";
 
 /** The state that a gateway reports several times a second. */
 export const peerStateSchema = z.object({
@@ -10,6 +11,8 @@
     chainLoads: z.record(z.string(), z.number()),
     /** Number of targets that crashed while running a request, by the digest of the request. */
     crashes: z._default(z.record(z.string(), z.number()), {}),
+    /** What targets said about their limits, by incarnation. */
+    limits: z._default(z.record(z.string(), limitStatementSchema), {}),
     /** The term under which the gateway holds the placement duty; undefined unless confirmed by the store. */
     dutyTerm: z.optional(z.number()),
     /** Whether the gateway may take the placement duty: it can reach the store and is not stopping. */
--- a/packages/gateway/src/lib/requests/ChainChoice.test.ts
+++ b/packages/gateway/src/lib/requests/ChainChoice.test.ts
@@ -17,10 +17,11 @@
 }
 
 /** Creates a choice among chains a, b and c, preferred in this order. */
-function createChoice({ running = [], allowed = ["a", "b", "c"], isRetry = false }: {
+function createChoice({ running = [], allowed = ["a", "b", "c"], isRetry = false, denied = [] }: {
     readonly running?: readonly string[];
     readonly allowed?: readonly string[];
     readonly isRetry?: boolean;
+    readonly denied?: readonly string[];
 } = {}) {
     const loads = ["a", "b", "c"].map(loadOf);
     const first = (excluded: ReadonlySet<string>) => loads.find(({ chain }) => !excluded.has(chain.key));
@@ -28,10 +29,16 @@
     return new ChainChoice({
         service: { choose: first, chooseHealthy: first, chooseWithRoom: first, chooseToResume: last },
         limits: { isRetry: isRetry, maySendTo: target => allowed.some(key => target === `head of ${key}`) },
+        mayPass: target => !denied.some(key => target === `head of ${key}`),
         running: () => running,
     });
 }
 
+test("chooses no chain whose first target has used up its limit", () => {
+    assert.equal(createChoice({ denied: ["a"] }).chooseNext()?.chain.key, "b");
+    assert.equal(createChoice({ denied: ["a", "b", "c"] }).chooseNext(), undefined);
+});
+
 test("chooses the best chain that has not failed the request", () => {
     const choice = createChoice();
     assert.equal(choice.chooseNext()?.chain.key, "a");
--- a/packages/gateway/src/lib/requests/ChainChoice.ts
+++ b/packages/gateway/src/lib/requests/ChainChoice.ts
@@ -6,6 +6,8 @@
 export interface ChainChoiceOptions {
     readonly service: Pick<ChainService, "choose" | "chooseHealthy" | "chooseToResume" | "chooseWithRoom">;
     readonly limits: Pick<AttemptLimits, "isRetry" | "maySendTo">;
+    /** Whether the request may be sent to the first target of a chain, or a permit for it may be available. */
+    readonly mayPass: (headId: string) => boolean;
     /** Keys of the chains that the request is running on. */
     readonly running: () => readonly string[];
 }
@@ -58,11 +60,12 @@
     }
 
     private choose(choose: Chooser, failed: ReadonlySet<string>): ChainLoad | undefined {
-        const { limits, running } = this.options;
+        const { limits, mayPass, running } = this.options;
         const excluded = new Set([...failed, ...running()]);
         for (;;) {
             const load = choose(excluded);
-            if (load === undefined || limits.maySendTo(load.chain.hops[0]?.targetId ?? "")) {
+            const headId = load?.chain.hops[0]?.targetId ?? "";
+            if (load === undefined || (limits.maySendTo(headId) && mayPass(headId))) {
                 return load;
             }
             excluded.add(load.chain.key);
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -8,6 +8,7 @@
 import { CrashCheck } from "./CrashCheck.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
+import { limitsUsedUp, PermitGate } from "./PermitGate.js";
 import { type RequestContext } from "./RequestContext.js";
 
 /** Maximum bytes of a reply that are buffered. A longer reply is forwarded as it arrives and cannot be retried. */
@@ -42,6 +43,7 @@
     private readonly attempts = new Set<Attempt>();
     private readonly tried = new Set<string>();
     private readonly limits: AttemptLimits;
+    private readonly gate: PermitGate;
     private readonly crashCheck: CrashCheck;
     /** A complete reply with a server error, delivered if no attempt brings a better one. */
     private failedReply: Attempt | undefined;
@@ -54,10 +56,11 @@
         private readonly picker: ServicePicker,
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+        this.gate = new PermitGate({ context, caller, precedence: () => "waiting" });
         this.crashCheck = new CrashCheck({
             context,
             caller,
-            canSend: () => this.limits.mayBegin("waiting") && this.picker.choose(this.tried) !== undefined,
+            canSend: () => this.limits.mayBegin("waiting") && this.chooseTarget() !== undefined,
         });
     }
 
@@ -78,17 +81,32 @@
     }
 
     private send(): void {
-        this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
+        if (!this.gate.isHolding) {
+            this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
+        }
+    }
+
+    private chooseTarget(): Target | undefined {
+        return this.picker.choose(this.tried, target => this.gate.mayPass(target));
     }
 
     private sendNow(): void {
-        const target = this.picker.choose(this.tried);
+        const target = this.chooseTarget();
         if (target === undefined) {
             if (this.attempts.size === 0) {
-                this.giveUp("no target is left");
+                this.giveUp(this.limitedWait === undefined ? "no target is left" : limitsUsedUp);
             }
             return;
         }
+        this.gate.pass(target, () => this.sendTo(target), () => this.sendNow());
+    }
+
+    /** Milliseconds until a limit permits a send to a target that was not tried; undefined if none prevents one. */
+    private get limitedWait(): number | undefined {
+        return this.gate.waitFor(this.picker.list().filter(({ id }) => !this.tried.has(id)));
+    }
+
+    private sendTo(target: Target): void {
         if (!this.limits.begin(target.id, "waiting")) {
             if (this.attempts.size === 0) {
                 this.giveUp("retry budget is used up");
@@ -269,7 +287,7 @@
             this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
             return;
         }
-        this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
+        this.caller.refuse(requestCodes.noCapacity, reason, this.limitedWait ?? retryAfter);
     }
 
     private stopOthers(kept: Attempt): void {
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,5 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
@@ -17,6 +18,7 @@
     readonly connectTimeout: number;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
     readonly limits: TargetLimits;
+    readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -3,6 +3,7 @@
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
@@ -35,6 +36,7 @@
     readonly hasConfirmedPeer: () => boolean;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
     readonly limits: TargetLimits;
+    readonly permits: SendPermits;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -129,7 +131,7 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, limits, isOn, targetListAge } = this.options;
+        const { clock, wire, observation, crashes, limits, permits, isOn, targetListAge } = this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
         const context = {
@@ -140,6 +142,7 @@
             connectTimeout,
             crashes,
             limits,
+            permits,
             openExchange,
             isOn,
             targetListAge,
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -1,15 +1,18 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
+import { mayResume } from "../configuration/Configuration.js";
 import { type CrashRefusal, safeReplyAge } from "../crashes/CrashGuard.js";
+import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
 import { ChainChoice } from "./ChainChoice.js";
 import { CrashCheck } from "./CrashCheck.js";
-import { type StreamEvent } from "./EventSplitter.js";
+import { DeliveredEvents } from "./DeliveredEvents.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
+import { limitsUsedUp, PermitGate } from "./PermitGate.js";
 import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
 import { resumedPriority } from "./resumedPriority.js";
@@ -43,12 +46,11 @@
     /** Runs that may still bring events: one, or a suspected one and its intended replacement. */
     private readonly attempts = new Set<ChainAttempt>();
     private readonly limits: AttemptLimits;
+    private readonly gate: PermitGate;
     private readonly choice: ChainChoice;
     private readonly crashCheck: CrashCheck;
-    private lastEventAt: number;
+    private readonly delivered: DeliveredEvents;
     private resumeTimer: Timer | undefined;
-    private lastEventId: string | undefined;
-    private events = 0;
     private deadlineTimer: Timer | undefined;
 
     constructor(
@@ -56,12 +58,16 @@
         private readonly caller: CallerExchange,
         private readonly service: ChainService,
     ) {
-        this.lastEventId = caller.request.lastEventId;
-        this.lastEventAt = context.clock.now();
+        this.delivered = new DeliveredEvents(context.clock, caller.request.lastEventId);
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
+        this.gate = new PermitGate({ context, caller, precedence: () => this.precedence });
         this.choice = new ChainChoice({
             service,
             limits: this.limits,
+            mayPass: headId => {
+                const head = service.target(headId);
+                return head === undefined || this.gate.mayPass(head);
+            },
             running: () => [...this.attempts].map(({ load }) => load.chain.key),
         });
         this.crashCheck = new CrashCheck({
@@ -109,7 +115,7 @@
             this.forward(attempt, chunk);
             return;
         }
-        const newEvents = attempt.take(chunk).filter(event => this.isNew(event));
+        const newEvents = attempt.take(chunk).filter(event => this.delivered.isNew(event));
         const { firstEventAt } = attempt;
         if (firstEventAt !== undefined && this.context.clock.now() - firstEventAt >= safeReplyAge) {
             this.crashCheck.noteSuccess();
@@ -119,9 +125,7 @@
         }
         this.keepOnly(attempt);
         this.writeHeadOnce(attempt);
-        this.events += newEvents.length;
-        this.lastEventAt = this.context.clock.now();
-        this.lastEventId = newEvents.at(-1)?.id ?? this.lastEventId;
+        this.delivered.add(newEvents);
         this.forward(
             attempt,
             newEvents.length === 1 && newEvents[0] !== undefined
@@ -138,7 +142,7 @@
         this.writeHeadOnce(attempt);
         this.crashCheck.noteSuccess();
         this.finish();
-        this.caller.end(`served ${this.events} events`);
+        this.caller.end(`served ${this.delivered.count} events`);
     }
 
     onFailure(attempt: ChainAttempt, { neverSent, reason }: ExchangeFailure): void {
@@ -158,7 +162,7 @@
 
     /** Sends the request over another chain as well, if this is allowed and one is available. */
     private suspect(attempt: ChainAttempt, reason: string): void {
-        if (this.hasBegun) {
+        if (this.delivered.hasBegun) {
             this.choice.reset();
         }
         if (this.choice.chooseAlternative() === undefined) {
@@ -179,49 +183,52 @@
     /** A request that is suspected of crashing its targets runs on only one target at a time. */
     private mayReplace(attempt: ChainAttempt): boolean {
         const isAlone = this.attempts.size === 1 && !attempt.isPlain && !attempt.isPaused;
-        const canContinue = this.events === 0 || this.lastEventId !== undefined;
+        const canContinue = this.delivered.count === 0 || this.delivered.lastId !== undefined;
         return isAlone && canContinue && this.mayRetry("unknown") && this.limits.mayBegin(this.precedence)
             && this.crashCheck.isUnsuspected;
     }
 
-    /** Whether the caller has received a part of the answer. */
-    private get hasBegun(): boolean {
-        return this.events > 0;
-    }
-
     /** A caller that reconnects sends the id of the last event that it received. */
     private get precedence(): Precedence {
-        return this.hasBegun || this.caller.request.lastEventId !== undefined ? "running" : "waiting";
-    }
-
-    private get mayResume(): boolean {
-        const { route } = this.caller;
-        return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+        return this.delivered.hasBegun || this.caller.request.lastEventId !== undefined ? "running" : "waiting";
     }
 
     private send(): void {
-        this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
+        if (!this.gate.isHolding) {
+            this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
+        }
     }
 
     /** Sends the request. If it cannot be sent and no other run is in flight, it waits or is given up. */
     private sendNow(): void {
-        const hasOtherAttempt = this.attempts.size > 0;
         const load = this.choice.chooseNext();
         const target = load === undefined ? undefined : this.service.target(load.chain.hops[0]?.targetId ?? "");
         if (load === undefined || target === undefined) {
-            if (!hasOtherAttempt) {
-                this.waitOrGiveUp("no chain is left");
+            if (this.attempts.size === 0) {
+                this.waitOrGiveUp(this.limitedWait === undefined ? "no chain is left" : limitsUsedUp);
             }
             return;
         }
-        if (!this.limits.begin(target.id, this.precedence)) {
-            if (!hasOtherAttempt) {
-                this.giveUp("retry budget is used up");
+        if (!this.limits.mayBegin(this.precedence)) {
+            this.giveUpAlone("retry budget is used up");
+            return;
+        }
+        const { count } = this.delivered;
+        this.gate.pass(target, () => {
+            const hasContinued = this.attempts.size > 0 && this.delivered.count > count;
+            if (!hasContinued) {
+                this.sendOver(load, target);
             }
+        }, () => this.sendNow());
+    }
+
+    private sendOver(load: ChainLoad, target: Target): void {
+        if (!this.limits.begin(target.id, this.precedence)) {
+            this.giveUpAlone("retry budget is used up");
             return;
         }
-        const { context, caller, service, lastEventId } = this;
-        const priority = this.hasBegun
+        const { context, caller, service, delivered: { lastId: lastEventId } } = this;
+        const priority = this.delivered.hasBegun
             ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
             : undefined;
         this.attempts.add(
@@ -245,15 +252,6 @@
         }
     }
 
-    /** Whether the caller lacks an event; a new run may begin with events that the caller already has. */
-    private isNew({ id }: StreamEvent): boolean {
-        if (id === undefined || this.lastEventId === undefined) {
-            return true;
-        }
-        const [number, last] = [Number(id), Number(this.lastEventId)];
-        return Number.isNaN(number) || Number.isNaN(last) || number > last;
-    }
-
     /** Cancels all other runs once one has brought new events. */
     private keepOnly(kept: ChainAttempt): void {
         const { logs } = this.context.observation;
@@ -308,8 +306,8 @@
     }
 
     private mayRetry(end: AttemptEnd): boolean {
-        const isAllowed = end !== "unknown" || this.mayResume;
-        return isAllowed && (this.limits.hasAttemptLeft || this.hasBegun) && this.caller.timeLeft > 0;
+        const isAllowed = end !== "unknown" || mayResume(this.caller.route);
+        return isAllowed && (this.limits.hasAttemptLeft || this.delivered.hasBegun) && this.caller.timeLeft > 0;
     }
 
     /**
@@ -317,15 +315,14 @@
      * executed is refused immediately.
      */
     private waitOrGiveUp(reason: string): void {
-        const { clock } = this.context;
         const hasRun = this.caller.headSent || this.limits.mayHaveRun;
-        const mayWait = hasRun && this.mayResume && clock.now() - this.lastEventAt < maxResumeWait;
+        const mayWait = hasRun && mayResume(this.caller.route) && this.delivered.silence < maxResumeWait;
         if (!mayWait) {
             this.giveUp(reason);
             return;
         }
         this.choice.reset();
-        this.resumeTimer = clock.schedule(() => this.send(), resumeInterval);
+        this.resumeTimer = this.context.clock.schedule(() => this.send(), resumeInterval);
     }
 
     /** Ends a request that is not sent again because targets crashed while running it. */
@@ -338,23 +335,35 @@
         this.caller.refuse(requestCodes.crashesTargets, reason, retryAfter);
     }
 
+    /** Gives up unless a run is in flight. */
+    private giveUpAlone(reason: string): void {
+        if (this.attempts.size === 0) {
+            this.giveUp(reason);
+        }
+    }
+
     private giveUp(reason: string): void {
         const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ neverSent }) => !neverSent);
         const isLate = isPastDeadline(this.caller);
         if (mayRun) {
             const cause = isLate ? "deadline" : this.attempts.size > 0 ? "suspicion" : "target";
-            const silence = Math.round(this.context.clock.now() - this.lastEventAt);
-            noteGivenUp(this.context, this.caller, cause, { reason, events: this.events, silence });
+            const silence = Math.round(this.delivered.silence);
+            noteGivenUp(this.context, this.caller, cause, { reason, events: this.delivered.count, silence });
         }
         this.finish();
         if (!mayRun) {
             const retryAfter = this.service.choose(noExclusions) === undefined ? noChainRetryAfter : fullRetryAfter;
-            this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
+            this.caller.refuse(requestCodes.noCapacity, reason, this.limitedWait ?? retryAfter);
             return;
         }
         this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
     }
 
+    /** Milliseconds until a limit permits a send; undefined if no limit prevents one. */
+    private get limitedWait(): number | undefined {
+        return this.gate.waitFor(this.service.listHeads());
+    }
+
     private finish(): void {
         this.deadlineTimer?.cancel();
         this.resumeTimer?.cancel();
@@ -377,7 +386,7 @@
             head: attempt.target.id,
             reason,
             endedBy,
-            events: this.events,
+            events: this.delivered.count,
             after: Math.round(this.context.clock.now() - attempt.startedAt),
         }, "attempt failed");
     }
@@ -385,7 +394,7 @@
     /** Log fields common to all messages about an attempt. */
     private logFields(attempt: ChainAttempt): object {
         const { request, digest } = this.caller;
-        const silence = Math.round(this.context.clock.now() - this.lastEventAt);
+        const silence = Math.round(this.delivered.silence);
         return { request: request.id, digest, silence, ...this.service.diagnostics(attempt.load) };
     }
 }
--- a/packages/gateway/src/lib/services/ServicePicker.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.ts
@@ -40,9 +40,18 @@
 
     constructor(private readonly options: ServicePickerOptions) {}
 
-    /** @returns The target with the lowest cost that is not excluded, or undefined when there is none. */
-    choose(excluded: ReadonlySet<string>): Target | undefined {
-        const targets = this.options.directory.readyTargets(this.options.service).filter(({ id }) => !excluded.has(id));
+    /** The targets that may get requests. */
+    list(): Target[] {
+        return this.options.directory.readyTargets(this.options.service);
+    }
+
+    /**
+     * @param excluded - Ids of targets that are not chosen.
+     * @param mayUse - Whether a target may be chosen.
+     * @returns The target with the lowest cost that may be chosen, or undefined when there is none.
+     */
+    choose(excluded: ReadonlySet<string>, mayUse: (target: Target) => boolean = () => true): Target | undefined {
+        const targets = this.list().filter(target => !excluded.has(target.id) && mayUse(target));
         let best: Target | undefined;
         let bestCost = Infinity;
         for (const target of targets) {
--- a/packages/gateway/src/lib/testing/LimitedSite.ts
+++ b/packages/gateway/src/lib/testing/LimitedSite.ts
@@ -183,8 +183,25 @@
             targetAt: port => this.targetAt(port),
             peerLoad: headId => group.exchange.others.chainLoads[headId] ?? 0,
             gateways: () => group.size.value,
+            random: this.random,
+            group: {
+                address: group.address,
+                findIssuer: name => group.exchange.findIssuer(name),
+                get groupSize() {
+                    return group.size.value;
+                },
+                get alive() {
+                    return group.exchange.others.members + 1;
+                },
+                send: (address, datagram) => group.send(address, datagram),
+            },
         });
-        group.overrideState(() => ({ chainLoads: Object.fromEntries(router.chains.headLoads()) }));
+        group.onDatagram(datagram => router.permits.receive(datagram));
+        group.onPeerSums(({ limits }) => router.limits.recordStatements(limits));
+        group.overrideState(() => ({
+            chainLoads: Object.fromEntries(router.chains.headLoads()),
+            limits: router.limits.listStatements(),
+        }));
         this.targets.forEach(({ target }) => router.directory.put(target));
         return { group, router, answers: new Set(), toldAt: Infinity };
     }
--- a/packages/gateway/src/lib/testing/SimulatedAnswer.ts
+++ b/packages/gateway/src/lib/testing/SimulatedAnswer.ts
@@ -10,8 +10,8 @@
     isOver = false;
     /** Set once the answer has ended without being aborted. */
     isComplete = false;
-    /** Whether the answer has a `Retry-After` header. */
-    hasRetryAfter = false;
+    /** The `Retry-After` header in seconds. */
+    retryAfter: number | undefined;
 
     /** This object with the type that the gateway's code expects. */
     get response(): ServerResponse {
@@ -23,9 +23,14 @@
         return this.body.startsWith("{") ? (JSON.parse(this.body) as { readonly code: number; }).code : undefined;
     }
 
-    writeHead(status: number, headers: object): void {
+    /** Whether the answer has a `Retry-After` header. */
+    get hasRetryAfter(): boolean {
+        return this.retryAfter !== undefined;
+    }
+
+    writeHead(status: number, headers: Readonly<Record<string, unknown>>): void {
         this.statusCode = status;
-        this.hasRetryAfter = "Retry-After" in headers;
+        this.retryAfter = headers["Retry-After"] === undefined ? undefined : Number(headers["Retry-After"]);
         this.headersSent = true;
     }
 
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -42,6 +42,10 @@
     state: PeerState;
     /** Sets the listener for the sums of the other gateways' states. */
     onPeerSums(listener: (others: GroupSums) => void): void;
+    /** Sets the handler of datagrams that are no heartbeats. */
+    onDatagram(handler: (datagram: string) => boolean): void;
+    /** Sends a datagram to an address. */
+    send(address: string, datagram: string): void;
     /** Sets a function whose result overrides parts of {@link state} at each heartbeat. */
     overrideState(describe: () => Partial<PeerState>): void;
     /** When the store last confirmed the newest configuration to it, on the group's clock. */
@@ -108,19 +112,24 @@
         const name = `front-dc-${dataCentre}-${index}`;
         const dataCentreName = `dc-${dataCentre}`;
         let describe: () => Partial<PeerState> = () => ({});
+        let handleOther: (datagram: string) => boolean = () => false;
         let listener: (others: GroupSums) => void = () => undefined;
         const gateway: SimulatedGateway = {
             name,
             onPeerSums: newListener => {
                 listener = newListener;
             },
+            onDatagram: handler => {
+                handleOther = handler;
+            },
+            send: (to, datagram) => this.send(gateway, to, datagram),
             overrideState: describeNow => {
                 describe = describeNow;
             },
             address,
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
-            state: { suspects: [], slowTargets: {}, chainLoads: {}, crashes: {}, mayTakeDuty: true },
+            state: { suspects: [], slowTargets: {}, chainLoads: {}, crashes: {}, limits: {}, mayTakeDuty: true },
             confirmedAt: undefined,
             peerConfirmedAt: -Infinity,
             isDown: false,
@@ -138,6 +147,7 @@
                 words: () => this.describeTables(gateway),
                 onTableStatus: (name, tableStatus, after) =>
                     name === table ? recordConfirmation(gateway, tableStatus, after) : undefined,
+                onOther: datagram => handleOther(datagram),
                 onSums: others => {
                     gateway.size.record(others.members + 1);
                     listener(others);
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -1,5 +1,5 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type IncomingMessage } from "node:http";
 import { ChainService } from "../chains/ChainService.js";
 import { TargetPaces } from "../chains/TargetPaces.js";
@@ -7,6 +7,7 @@
 import { type Route } from "../configuration/Configuration.js";
 import { CrashProtection } from "../crashes/CrashProtection.js";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
+import { type PermitGroup, SendPermits } from "../limits/SendPermits.js";
 import { TargetLimits } from "../limits/TargetLimits.js";
 import { allMechanismsOn } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
@@ -33,6 +34,13 @@
     readonly gateways?: () => number;
     /** Retries that all gateways together may send in ten seconds beyond a fifth of their requests. */
     readonly retryReserve?: number;
+    /** The gateways that share the limits of targets; by default this one only. */
+    readonly group?: PermitGroup;
+    readonly random?: Random;
+}
+
+function createGroupOfOne(): PermitGroup {
+    return { address: "", groupSize: 1, alive: 1, findIssuer: () => "", send: () => undefined };
 }
 
 /** A route for streams that may be resumed on another chain. */
@@ -74,6 +82,7 @@
     readonly crashes: CrashProtection;
     readonly chains: ChainService;
     readonly limits: TargetLimits;
+    readonly permits: SendPermits;
     readonly context: RequestContext;
     readonly metrics: GatewayMetrics;
 
@@ -82,6 +91,8 @@
         this.metrics = new GatewayMetrics(new MetricRegistry(clock));
         const observation = { logs: silentLogs(), metrics: this.metrics };
         this.limits = new TargetLimits({ clock, observation });
+        const { group = createGroupOfOne(), random = seededRandom(1) } = options;
+        this.permits = new SendPermits({ clock, random, limits: this.limits, group, observation });
         this.suspicions = new TargetSuspicions(clock);
         this.directory = new TargetDirectory({
             clock,
@@ -118,6 +129,7 @@
             connectTimeout: 450,
             crashes: this.crashes,
             limits: this.limits,
+            permits: this.permits,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
             isOn: allMechanismsOn,
             targetListAge: () => this.directory.age,
