Soak of real gateways under overlapping faults, with the limits of targets

Change: packages/soak starts gateways as processes before stand-ins of store and targets; by the seed they are stopped, killed and paused, the store fails, the configuration changes, targets are replaced and name, change and lift limits. Seven checks on what callers and targets saw. LimitHistory is shared with the simulation. A process that gets SIGTERM before it listens ends by the signal; that is no violation.

--- a/packages/gateway/src/lib/testing/LimitedSite.ts
+++ b/packages/gateway/src/lib/testing/LimitedSite.ts
@@ -1,5 +1,6 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { testTarget } from "./fixtures.js";
+import { LimitHistory } from "./LimitHistory.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
 import { SimulatedRouter } from "./SimulatedRouter.js";
@@ -30,14 +31,6 @@
     readonly gateway: SiteGateway;
 }
 
-/** Milliseconds of the window in which requests are counted. */
-const window = 4_000;
-/** Milliseconds from a target's first limit until it must be respected. */
-const contactTime = 3_000;
-/** Milliseconds from an answer with a limit until its gateway counts as told. */
-const tellTime = 500;
-/** Factor and number of requests by which a limit may be exceeded in a window. */
-const tolerance = { factor: 1.5, extra: 5 };
 const targetsPerChain = 2;
 const layersPerTarget = 40;
 const millisecondsPerSecond = 1_000;
@@ -49,8 +42,7 @@
     readonly answers: SimulatedAnswer[] = [];
     /** Requests that reached the limited target. */
     readonly arrivals: Arrival[] = [];
-    /** The limits of the target and when each began; the last one is in force. */
-    private readonly limits: { readonly at: number; readonly rate: number; }[] = [];
+    private readonly limits = new LimitHistory();
     private readonly targets: SimulatedTarget[] = [];
     private readonly store: SimulatedStore;
     private readonly random: Random;
@@ -85,7 +77,7 @@
         const [target] = this.targets;
         if (target !== undefined) {
             target.limit = rate;
-            this.limits.push({ at: this.group.clock.now(), rate: rate ?? Infinity });
+            this.limits.set(this.group.clock.now(), rate);
         }
     }
 
@@ -109,36 +101,15 @@
         this.gateways.push(this.createGateway(group));
     }
 
-    /** Requests in the worst window beyond what the limit and the tolerance allow; 0 or less if it was respected. */
+    /** Requests in the worst window beyond what the limits allow; 0 or less if they were respected. */
     get worstExcess(): number {
-        const begin = (this.limits.find(({ rate }) => rate < Infinity)?.at ?? Infinity) + contactTime;
-        const counted = this.arrivals.filter(({ at, gateway }) => at >= gateway.toldAt + tellTime);
-        const excesses = counted.map(({ at: end }) => {
-            const count = counted.filter(({ at }) => at > end - window && at <= end).length;
-            return end < begin ? -Infinity : count - Math.ceil(this.allowed(end - window, end));
-        });
-        return Math.max(-Infinity, ...excesses);
+        return this.limits.worstExcess(this.arrivals.map(({ at, gateway: { toldAt } }) => ({ at, toldAt })));
     }
 
-    /** Share of the limit, from the first one on, that was used by the end of the run. */
+    /** Share of the limits, from the first one on, that was used by the end of the run. */
     get use(): number {
-        const start = this.limits[0]?.at ?? 0;
-        const end = this.group.clock.now();
-        const sent = this.arrivals.filter(({ at }) => at >= start).length;
-        return sent / (this.limitIn(start, end) / millisecondsPerSecond);
-    }
-
-    private allowed(start: number, end: number): number {
-        return tolerance.factor * this.limitIn(start, end) / millisecondsPerSecond + tolerance.extra;
-    }
-
-    /** Integrates the limit over a period; each counts until gateways that were told of the next one must respect it. */
-    private limitIn(start: number, end: number): number {
-        return this.limits.reduce((sum, { at, rate }, index) => {
-            const until = (this.limits[index + 1]?.at ?? Infinity) + tellTime;
-            const overlap = Math.min(end, until) - Math.max(start, at);
-            return overlap <= 0 ? sum : sum + overlap * rate;
-        }, start < (this.limits[0]?.at ?? Infinity) ? Infinity : 0);
+        const sent = this.arrivals.filter(({ at }) => at >= this.limits.startedAt).length;
+        return sent / this.limits.allowedUntil(this.group.clock.now());
     }
 
     private createTarget(port: number): SimulatedTarget {
--- a/packages/gateway/src/lib/testing/index.ts
+++ b/packages/gateway/src/lib/testing/index.ts
@@ -4,3 +4,4 @@
  * @packageDocumentation
  */
 export { silentLogs } from "./fixtures.js";
+export { type LimitedArrival, LimitHistory } from "./LimitHistory.js";
--- a/packages/proof/src/lib/site/SiteProcess.ts
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -2,7 +2,7 @@
 import { createWriteStream } from "node:fs";
 import { setTimeout as pause } from "node:timers/promises";
 
-/** @internal */
+/** @public */
 export interface SiteProcessOptions {
     readonly name: string;
     /** The arguments of Node: the script and its arguments. */
@@ -22,7 +22,7 @@
 /**
  * One process of the site under test, a child of the driver.
  *
- * @internal
+ * @public
  */
 export class SiteProcess {
     readonly name: string;
--- a/packages/proof/src/lib/site/ports.ts
+++ b/packages/proof/src/lib/site/ports.ts
@@ -4,7 +4,7 @@
  * Finds free ports on a loopback address. All ports are bound at the same time, so that none is returned twice. Outgoing
  * connections use 127.0.0.1, so a port found on another loopback address stays free, even while its process restarts.
  *
- * @internal
+ * @public
  */
 export async function findPorts(host: string, count: number): Promise<number[]> {
     const servers = await Promise.all(Array.from({ length: count }, () => listen(host)));
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Runs real gateway processes under overlapping faults and checks what callers and targets see.
+ *
+ * @packageDocumentation
+ */
+export { runSoak, type SoakOptions, type SoakResult } from "./lib/runSoak.js";
--- /dev/null
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -0,0 +1,85 @@
+import { type CallerReply, callGateway } from "@waxwingspar/platform/testing";
+import { type Random, uniqueId } from "@waxwingspar/utils";
+import { Agent } from "node:http";
+import { type SoakGateway } from "./SoakGateway.js";
+import { type SoakKind, type SoakLog } from "./SoakLog.js";
+import { gatewayHeader, streamEvents } from "./SoakTargets.js";
+
+/** Options of {@link SoakCaller}. */
+export interface SoakCallerOptions {
+    readonly random: Random;
+    readonly log: SoakLog;
+    readonly now: () => number;
+    readonly wait: (duration: number) => Promise<void>;
+    readonly isOver: () => boolean;
+    /** A gateway for a new connection; undefined if none takes any. */
+    readonly chooseGateway: () => SoakGateway | undefined;
+}
+
+const kinds: readonly { readonly kind: SoakKind; readonly prefix: string; readonly method: string; }[] = [
+    { kind: "idempotent", prefix: "/get/", method: "GET" },
+    { kind: "once", prefix: "/order/", method: "POST" },
+    { kind: "stream", prefix: "/chat/", method: "POST" },
+];
+/** Bounds of the milliseconds between two requests of a caller. */
+const thinkTime = { least: 5, most: 80 };
+/** Milliseconds after which a caller without a gateway tries again. */
+const retryDelay = 100;
+const signatureHeader = "waxwingspar-replica-signature";
+const signaturePrefix = "signature-of-";
+const streamBody = Array.from({ length: streamEvents }, (_, id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
+
+/** A caller that uses one connection as long as it lasts, then one to another gateway. */
+export class SoakCaller {
+    constructor(private readonly options: SoakCallerOptions) {}
+
+    /** Sends requests until the soak is over. */
+    async run(): Promise<void> {
+        const { isOver, chooseGateway, wait } = this.options;
+        while (!isOver()) {
+            const gateway = chooseGateway();
+            if (gateway === undefined) {
+                await wait(retryDelay);
+                continue;
+            }
+            const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+            while (!isOver() && await this.call(gateway, agent)) {
+                const { least, most } = thinkTime;
+                await wait(least + this.options.random.next() * (most - least));
+            }
+            agent.destroy();
+        }
+    }
+
+    /** @returns Whether the connection may be used again. */
+    private async call(gateway: SoakGateway, agent: Agent): Promise<boolean> {
+        const { random, log, now } = this.options;
+        const { kind, prefix, method } = kinds[Math.floor(random.next() * kinds.length)] ?? kinds[0]!;
+        const requestId = uniqueId();
+        const path = `${prefix}${requestId}`;
+        const { incarnation, port, name } = gateway;
+        const sentAt = now();
+        const reply = await callGateway({
+            port,
+            path,
+            method,
+            body: method === "POST" ? requestId : undefined,
+            requestId,
+            agent,
+            headers: { [gatewayHeader]: name },
+        }).catch((): CallerReply | undefined => undefined);
+        const signer = String(reply?.headers[signatureHeader] ?? "").slice(signaturePrefix.length);
+        const plainBody = `${signer} ${method} ${path} ${method === "POST" ? requestId : ""}`;
+        log.calls.push({
+            requestId,
+            kind,
+            gateway: incarnation,
+            sentAt,
+            expectedBody: kind === "stream" ? streamBody : plainBody,
+            status: reply?.status ?? 0,
+            body: reply?.body ?? "",
+            isComplete: reply?.isComplete === true,
+        });
+        return reply?.isComplete === true && reply.headers["connection"] !== "close";
+    }
+}
--- /dev/null
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -0,0 +1,142 @@
+import { callGateway, testSettings } from "@waxwingspar/platform/testing";
+import { SiteProcess } from "@waxwingspar/proof";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { type GatewayIncarnation, type SoakLog } from "./SoakLog.js";
+
+/** Options of {@link SoakGateway}. */
+export interface SoakGatewayOptions {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly ports: { readonly callers: number; readonly readiness: number; readonly peers: number; };
+    readonly storeAddress: string;
+    /** Folder of settings and logs. */
+    readonly folder: string;
+    readonly log: SoakLog;
+    readonly now: () => number;
+}
+
+/** Milliseconds within which a stopped process ends: the grace period and a second. */
+const stopTime = 9_000;
+const success = 200;
+const command = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
+
+/** A gateway process that is disturbed and started again. */
+export class SoakGateway {
+    incarnation: GatewayIncarnation;
+    /** Whether it gets new connections. */
+    isInRotation = false;
+    private process: SiteProcess | undefined;
+    private isBusy = false;
+    /** Whether the process has been seen to listen; one that is still loading ends by the signal itself. */
+    private hasListened = false;
+    private starts = 0;
+
+    constructor(private readonly options: SoakGatewayOptions) {
+        this.incarnation = this.createIncarnation();
+    }
+
+    get name(): string {
+        return this.options.name;
+    }
+
+    get port(): number {
+        return this.options.ports.callers;
+    }
+
+    /** Whether its process runs and no disturbance of it is in progress. */
+    get isCalm(): boolean {
+        return this.process?.running === true && !this.isBusy;
+    }
+
+    /** Starts the process and waits until it is ready. */
+    async start(): Promise<void> {
+        const { name, dataCentre, ports, storeAddress, folder } = this.options;
+        const settings = join(folder, `${name}.json`);
+        writeFileSync(settings, JSON.stringify(testSettings(storeAddress, { name, dataCentre, ports })));
+        this.incarnation = this.createIncarnation();
+        this.hasListened = false;
+        this.process = new SiteProcess({
+            name,
+            command: [command, "gateway", "--settings", settings],
+            log: join(folder, `${name}.log`),
+        });
+        await this.process.ready();
+    }
+
+    /** Updates whether it gets new connections. */
+    async checkReadiness(): Promise<void> {
+        const reply = await callGateway({ port: this.options.ports.readiness, path: "/ready" }).catch(() => undefined);
+        this.isInRotation = reply?.status === success;
+        this.hasListened ||= reply !== undefined;
+    }
+
+    /** Stops as planned and starts again. */
+    async restart(): Promise<void> {
+        await this.disturb("gets SIGTERM", async process => {
+            process.signal("SIGTERM");
+            const hasEnded = await process.waitForEnd(stopTime);
+            const isPlanned = process.end === "0" || (process.end === "SIGTERM" && !this.hasListened);
+            if (!hasEnded || !isPlanned) {
+                this.options.log.processFaults.push(`${this.name}: stop ended with ${process.end ?? "no end"}`);
+                await process.kill();
+            }
+            await this.start();
+        });
+    }
+
+    /** Is killed and starts again. */
+    async crash(): Promise<void> {
+        await this.disturb("is killed", async process => {
+            this.incarnation.wasCutOff = true;
+            await process.kill();
+            await this.start();
+        });
+    }
+
+    /** Stands still. */
+    async pause(duration: number, wait: (duration: number) => Promise<void>): Promise<void> {
+        await this.disturb(`stands still for ${Math.round(duration)} ms`, async process => {
+            this.incarnation.wasCutOff = true;
+            process.signal("SIGSTOP");
+            await wait(duration);
+            process.signal("SIGCONT");
+        });
+    }
+
+    /** Ends the process for good. */
+    async end(): Promise<void> {
+        if (this.process?.running === false && !this.isBusy) {
+            this.options.log.processFaults.push(`${this.name} ended by itself with ${this.process.end}`);
+        }
+        this.isBusy = true;
+        await this.process?.kill();
+    }
+
+    private async disturb(what: string, action: (process: SiteProcess) => Promise<void>): Promise<void> {
+        if (this.process === undefined || !this.isCalm) {
+            return;
+        }
+        const { log, now } = this.options;
+        log.event(now(), `${this.name} ${what}`);
+        this.isBusy = true;
+        const { disturbances } = this.incarnation;
+        const disturbance = { from: now(), until: Infinity };
+        disturbances.push(disturbance);
+        await action(this.process);
+        disturbance.until = now();
+        this.isBusy = false;
+    }
+
+    /** A new process is disturbed until it counts as in touch. */
+    private createIncarnation(): GatewayIncarnation {
+        const now = this.options.now();
+        return {
+            gateway: this.name,
+            number: ++this.starts,
+            disturbances: [{ from: now, until: now }],
+            wasCutOff: false,
+        };
+    }
+}
--- /dev/null
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -0,0 +1,65 @@
+/** One start of a gateway process. */
+export interface GatewayIncarnation {
+    readonly gateway: string;
+    readonly number: number;
+    /** Periods in which it was disturbed, with the time after them until it counts as in touch again. */
+    readonly disturbances: { readonly from: number; until: number; }[];
+    /** Whether it was killed or paused, so that its callers may lose answers. */
+    wasCutOff: boolean;
+}
+
+/** What a target did with a request. */
+export type RunEnd = "served" | "failed" | "refused" | "brokenOff";
+
+/** A request as it reached a target. */
+export interface SoakRun {
+    readonly requestId: string;
+    readonly target: string;
+    readonly at: number;
+    /** Undefined if its process has been replaced since. */
+    readonly sender: GatewayIncarnation | undefined;
+    readonly end: RunEnd;
+}
+
+/** The kinds of route that callers use. */
+export type SoakKind = "idempotent" | "once" | "stream";
+
+/** A request of a caller, and its answer. */
+export interface SoakCall {
+    readonly requestId: string;
+    readonly kind: SoakKind;
+    readonly gateway: GatewayIncarnation;
+    readonly sentAt: number;
+    readonly expectedBody: string;
+    /** 0 if there was no answer. */
+    readonly status: number;
+    readonly body: string;
+    readonly isComplete: boolean;
+}
+
+/** A target that leaves, and when the store accepted that. */
+export interface Departure {
+    readonly target: string;
+    readonly at: number;
+}
+
+/** Everything that callers and targets saw, on the clock of the driver. */
+export class SoakLog {
+    readonly calls: SoakCall[] = [];
+    readonly runs: SoakRun[] = [];
+    readonly departures: Departure[] = [];
+    readonly storeFaults: { readonly from: number; readonly until: number; }[] = [];
+    /** Faults of processes that are known without comparing calls and runs. */
+    readonly processFaults: string[] = [];
+    /** Disturbances in their order, for the report. */
+    readonly events: string[] = [];
+    /** Longest time in milliseconds by which the driver itself stood still. */
+    longestStall = 0;
+
+    constructor(readonly startedAt: number) {}
+
+    /** Records a disturbance. */
+    event(at: number, text: string): void {
+        this.events.push(`${((at - this.startedAt) / 1_000).toFixed(2)} s ${text}`);
+    }
+}
--- /dev/null
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -0,0 +1,64 @@
+import { LimitHistory } from "@waxwingspar/gateway/testing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkSoak } from "./checkSoak.js";
+import { type GatewayIncarnation, type SoakCall, SoakLog, type SoakRun } from "./SoakLog.js";
+
+const gateway: GatewayIncarnation = { gateway: "front-1", number: 1, disturbances: [], wasCutOff: false };
+const call: SoakCall = {
+    requestId: "r1",
+    kind: "once",
+    gateway,
+    sentAt: 10_000,
+    expectedBody: "whole",
+    status: 200,
+    body: "whole",
+    isComplete: true,
+};
+const run: SoakRun = { requestId: "r1", target: "t1", at: 10_000, sender: gateway, end: "served" };
+
+function createLog(calls: readonly Partial<SoakCall>[], runs: readonly Partial<SoakRun>[]): SoakLog {
+    const log = new SoakLog(0);
+    log.calls.push(...calls.map(changes => ({ ...call, ...changes })));
+    log.runs.push(...runs.map(changes => ({ ...run, ...changes })));
+    return log;
+}
+
+const checksOf = (log: SoakLog, ...limited: Parameters<typeof checkSoak>[1]) =>
+    checkSoak(log, limited).map(({ check }) => check);
+
+test("a sound call breaks no check", () => {
+    assert.deepEqual(checksOf(createLog([{}], [{ end: "refused" }, {}])), []);
+});
+
+test("a second run, a false refusal and a changed answer are found", () => {
+    assert.deepEqual(checksOf(createLog([{}], [{}, { target: "t2" }])), ["once"]);
+    assert.deepEqual(checksOf(createLog([{ status: 503 }], [{}])), ["refusal"]);
+    assert.deepEqual(checksOf(createLog([{ body: "wh" }], [{}])), ["answer"]);
+});
+
+test("an answer that a planned stop cuts off is found, one after a kill is not", () => {
+    assert.deepEqual(checksOf(createLog([{ isComplete: false }], [{}])), ["stop"]);
+    const killed = { ...gateway, wasCutOff: true };
+    assert.deepEqual(checksOf(createLog([{ isComplete: false, gateway: killed }], [{}])), []);
+});
+
+test("a request to a target that left is found, unless the store failed around its leaving", () => {
+    const log = createLog([], [{ at: 12_500 }]);
+    log.departures.push({ target: "t1", at: 10_000 });
+    assert.deepEqual(checksOf(log), ["leaving"]);
+    log.storeFaults.push({ from: 8_000, until: 9_000 });
+    assert.deepEqual(checksOf(log), []);
+});
+
+test("too many requests from told gateways are found, those of gateways that were just disturbed are not", () => {
+    const limits = new LimitHistory();
+    limits.set(0, 3);
+    const limited = { id: "t1", limits, toldAt: new Map([[gateway, 0]]) };
+    const runs = Array.from({ length: 24 }, (_, index) => ({ requestId: `r${index}`, at: 10_000 + index }));
+    assert.deepEqual(checksOf(createLog([], runs), limited), ["limit"]);
+    assert.deepEqual(checksOf(createLog([], runs.slice(1)), limited), []);
+    const disturbed = { ...gateway, disturbances: [{ from: 9_000, until: 9_500 }] };
+    const excused = { ...limited, toldAt: new Map([[disturbed, 0]]) };
+    assert.deepEqual(checksOf(createLog([], runs.map(other => ({ ...other, sender: disturbed }))), excused), []);
+});
--- /dev/null
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -0,0 +1,100 @@
+import { type LimitHistory } from "@waxwingspar/gateway/testing";
+import { type GatewayIncarnation, type SoakLog, type SoakRun } from "./SoakLog.js";
+
+/** Milliseconds after a disturbance until a process counts as in touch. */
+export const contactTime = 3_000;
+/** Milliseconds from a target's leaving until it gets no requests, with what a request needs to arrive. */
+const drainTime = 2_000 + 150;
+/** Stall of the driver in milliseconds above which it cannot tell when requests arrived. */
+const maxStall = 1_000;
+const notRunStatuses = new Set([408, 421, 429, 503]);
+const success = 200;
+
+/** A check that failed. */
+export interface Violation {
+    readonly check: string;
+    readonly detail: string;
+}
+
+/** The limits of a target, and when each gateway passed on its first answer with one. */
+export interface LimitedTarget {
+    readonly id: string;
+    readonly limits: LimitHistory;
+    readonly toldAt: ReadonlyMap<GatewayIncarnation, number>;
+}
+
+/** Checks what callers and targets saw. */
+export function checkSoak(log: SoakLog, limited: readonly LimitedTarget[]): Violation[] {
+    return [
+        ...checkRuns(log),
+        ...checkAnswers(log),
+        ...checkDepartures(log),
+        ...checkStops(log),
+        ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
+        ...log.processFaults.map(detail => ({ check: "end", detail })),
+    ];
+}
+
+function checkRuns({ calls, runs }: SoakLog): Violation[] {
+    const counts = new Map<string, number>();
+    for (const { requestId } of runs.filter(({ end }) => end !== "refused")) {
+        counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    }
+    return calls.filter(({ kind }) => kind === "once").flatMap(({ requestId, status }) => {
+        const count = counts.get(requestId) ?? 0;
+        const repeated = count > 1 ? [{ check: "once", detail: `${requestId} ran ${count} times` }] : [];
+        const isFalse = count > 0 && notRunStatuses.has(status);
+        return [...repeated, ...isFalse ? [{ check: "refusal", detail: `${requestId}: ${status}, but ran` }] : []];
+    });
+}
+
+function checkAnswers({ calls }: SoakLog): Violation[] {
+    return calls
+        .filter(({ status, isComplete, body, expectedBody }) =>
+            status === success && isComplete && body !== expectedBody
+        )
+        .map(({ requestId, kind, body }) => ({
+            check: "answer",
+            detail: `${requestId} (${kind}): ${JSON.stringify(body.slice(0, 120))}`,
+        }));
+}
+
+function checkDepartures({ departures, runs, storeFaults }: SoakLog): Violation[] {
+    return departures.flatMap(({ target, at }) => {
+        const isStoreStable = storeFaults.every(({ from, until }) => until + contactTime < at || from > at + drainTime);
+        const late = runs.filter(run => run.target === target && run.at > at + drainTime && isInTouch(run, at));
+        return isStoreStable && late.length > 0
+            ? [{ check: "leaving", detail: `${target} got ${late.length} requests more than 2 s after it left` }]
+            : [];
+    });
+}
+
+/** A planned stop may not cost an answer that a target has begun, unless something else cut it off. */
+function checkStops({ calls, runs }: SoakLog): Violation[] {
+    const find = (id: string) => runs.filter(({ requestId }) => requestId === id);
+    return calls
+        .filter(({ isComplete, gateway }) => !isComplete && !gateway.wasCutOff)
+        .filter(({ requestId }) => {
+            const own = find(requestId);
+            return own.length > 0 && own.every(({ end }) => end !== "brokenOff");
+        })
+        .map(({ requestId, gateway, kind, status }) => ({
+            check: "stop",
+            detail: `${requestId} (${kind}, ${status}) at ${gateway.gateway} got no complete answer`,
+        }));
+}
+
+function checkLimit({ runs }: SoakLog, { id, limits, toldAt }: LimitedTarget): Violation[] {
+    const arrivals = runs.filter(run => run.target === id && isInTouch(run)).map(({ at, sender }) => ({
+        at,
+        toldAt: sender === undefined ? Infinity : toldAt.get(sender) ?? Infinity,
+    }));
+    const excess = limits.worstExcess(arrivals);
+    return excess > 0 ? [{ check: "limit", detail: `${id} got ${excess} requests too many in 4 s` }] : [];
+}
+
+/** Whether the sender of a run was in touch all the time since `since`, by default at the moment of the run. */
+function isInTouch({ sender, at }: SoakRun, since = at): boolean {
+    return sender !== undefined
+        && sender.disturbances.every(({ from, until }) => until + contactTime < since || from > at);
+}
--- /dev/null
+++ b/packages/soak/src/lib/runSoak.ts
@@ -0,0 +1,208 @@
+import { FakeStore, type StoreFault, testConfiguration } from "@waxwingspar/platform/testing";
+import { findPorts } from "@waxwingspar/proof";
+import { type Random, seededRandom } from "@waxwingspar/utils";
+import { setTimeout as pause } from "node:timers/promises";
+import { checkSoak, type Violation } from "./checkSoak.js";
+import { SoakCaller } from "./SoakCaller.js";
+import { SoakGateway } from "./SoakGateway.js";
+import { SoakLog } from "./SoakLog.js";
+import { SoakTargets } from "./SoakTargets.js";
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+    readonly seed: number;
+    /** Number of gateway processes. */
+    readonly gateways?: number;
+    /** Seconds under load. */
+    readonly seconds?: number;
+    /** Folder of settings and logs. */
+    readonly folder: string;
+}
+
+/** The result of a soak. */
+export interface SoakResult {
+    readonly seed: number;
+    readonly calls: number;
+    readonly served: number;
+    readonly refused: number;
+    readonly violations: readonly Violation[];
+    /** Disturbances in their order. */
+    readonly events: readonly string[];
+    /** Longest time in milliseconds by which the driver itself stood still; limits are not judged above a second. */
+    readonly longestStall: number;
+}
+
+const host = "127.0.0.1";
+const dataCentres = ["x", "y", "z"];
+const plainTargets = 3;
+const portsPerGateway = 3;
+const callersPerGateway = 3;
+/** Bounds of the milliseconds between two disturbances, of a process's pause and of a fault of the store. */
+const interval = { least: 500, most: 3_000 };
+const pauseTime = { least: 200, most: 2_500 };
+const storeFaultTime = { least: 300, most: 3_500 };
+/** Milliseconds between two checks which gateways are ready, as the load balancer makes them. */
+const probeInterval = 250;
+/** Milliseconds between two checks of the driver's own event loop. */
+const stallCheckInterval = 50;
+/** Milliseconds after the load until what was sent late has arrived. */
+const settleTime = 3_500;
+const millisecondsPerSecond = 1_000;
+const success = 200;
+const refusal = 503;
+const storeFaults: readonly StoreFault[] = ["refuse", "reset", "silent", "loseReply"];
+
+/** Runs gateways under load and disturbances that follow from the seed. @returns What was seen, and what broke. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const soak = new Soak(options);
+    try {
+        await soak.start();
+        await soak.run();
+    }
+    finally {
+        await soak.stop();
+    }
+    return soak.result;
+}
+
+class Soak {
+    private readonly now = () => performance.now();
+    private readonly log = new SoakLog(this.now());
+    private readonly random: Random;
+    private readonly store = new FakeStore();
+    private readonly targets: SoakTargets;
+    private gateways: SoakGateway[] = [];
+    private readonly disturbances: Promise<void>[] = [];
+    private isOver = false;
+    private version = 1;
+
+    constructor(private readonly options: SoakOptions) {
+        this.random = seededRandom(options.seed);
+        this.targets = new SoakTargets({
+            store: this.store,
+            random: seededRandom(options.seed + 1_000),
+            log: this.log,
+            now: this.now,
+            findSender: name => this.gateways.find(gateway => gateway.name === name)?.incarnation,
+        });
+    }
+
+    get result(): SoakResult {
+        const { calls, events, longestStall } = this.log;
+        return {
+            seed: this.options.seed,
+            calls: calls.length,
+            served: calls.filter(({ status, isComplete }) => status === success && isComplete).length,
+            refused: calls.filter(({ status }) => status === refusal).length,
+            violations: checkSoak(this.log, this.targets.limited),
+            events,
+            longestStall: Math.round(longestStall),
+        };
+    }
+
+    async start(): Promise<void> {
+        await this.store.start();
+        this.store.put("op", "config", testConfiguration(this.version));
+        await this.targets.start(dataCentres, plainTargets);
+        const { gateways = 4, folder } = this.options;
+        const ports = await findPorts(host, gateways * portsPerGateway);
+        this.gateways = Array.from({ length: gateways }, (_, index) => {
+            const [callers = 0, readiness = 0, peers = 0] = ports.slice(index * portsPerGateway);
+            return new SoakGateway({
+                name: `front-${index + 1}`,
+                dataCentre: dataCentres[index % dataCentres.length] ?? "",
+                ports: { callers, readiness, peers },
+                storeAddress: this.store.address,
+                folder,
+                log: this.log,
+                now: this.now,
+            });
+        });
+        await Promise.all(this.gateways.map(gateway => gateway.start()));
+    }
+
+    async run(): Promise<void> {
+        const { gateways = 4, seconds = 30 } = this.options;
+        void this.watchReadiness();
+        void this.watchStalls();
+        const callers = Array.from({ length: gateways * callersPerGateway }, (_, index) =>
+            new SoakCaller({
+                random: seededRandom(this.options.seed * 100 + index),
+                log: this.log,
+                now: this.now,
+                wait: pause,
+                isOver: () => this.isOver,
+                chooseGateway: () => this.chooseGateway(),
+            }).run());
+        const end = this.now() + seconds * millisecondsPerSecond;
+        while (this.now() < end) {
+            await pause(this.draw(interval));
+            this.disturbances.push(this.disturb());
+        }
+        this.isOver = true;
+        await Promise.all(this.disturbances);
+        await Promise.all(callers);
+        await pause(settleTime);
+    }
+
+    async stop(): Promise<void> {
+        this.isOver = true;
+        await Promise.all(this.gateways.map(gateway => gateway.end()));
+        this.targets.stop();
+        this.store.stop();
+    }
+
+    /** Begins one disturbance; earlier ones may be in progress. */
+    private async disturb(): Promise<void> {
+        const gateway = this.pick(this.gateways);
+        const actions: readonly (() => Promise<void> | void)[] = [
+            () => gateway?.restart(),
+            () => gateway?.crash(),
+            () => gateway?.pause(this.draw(pauseTime), pause),
+            () => this.failStore(),
+            () => this.targets.replace(pause),
+            () => this.targets.changeLimit(),
+            () => this.targets.changeLimit(),
+            () => this.store.put("op", "config", testConfiguration(++this.version)),
+        ];
+        await this.pick(actions)?.();
+    }
+
+    private async failStore(): Promise<void> {
+        const fault = this.pick(storeFaults);
+        const from = this.now();
+        const duration = this.draw(storeFaultTime);
+        this.log.event(from, `the store fails for ${Math.round(duration)} ms: ${fault}`);
+        this.log.storeFaults.push({ from, until: from + duration });
+        this.store.setFault(fault);
+        await pause(duration);
+        this.store.setFault(undefined);
+    }
+
+    private chooseGateway(): SoakGateway | undefined {
+        return this.pick(this.gateways.filter(({ isInRotation }) => isInRotation));
+    }
+
+    private async watchReadiness(): Promise<void> {
+        while (!this.isOver) {
+            await Promise.all(this.gateways.map(gateway => gateway.checkReadiness()));
+            await pause(probeInterval);
+        }
+    }
+
+    private async watchStalls(): Promise<void> {
+        while (!this.isOver) {
+            const before = this.now();
+            await pause(stallCheckInterval);
+            this.log.longestStall = Math.max(this.log.longestStall, this.now() - before - stallCheckInterval);
+        }
+    }
+
+    private pick<T>(items: readonly T[]): T | undefined {
+        return items[Math.floor(this.random.next() * items.length)];
+    }
+
+    private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
+        return least + this.random.next() * (most - least);
+    }
+}
