Headers of targets' replies that nobody reads are logged once and counted

Change: the adapter names reply headers that it does not know; each is logged once by a process and counted by name. Tests of the platform pass.

--- a/packages/gateway/src/lib/limits/TargetLimits.test.ts
+++ b/packages/gateway/src/lib/limits/TargetLimits.test.ts
@@ -14,6 +14,7 @@
     neverExecuted: false,
     faultyAddress: undefined,
     limit: { kind: "limited", rate: 3 },
+    unknownHeaders: [],
 };
 const unlimited: ReplyHead = { ...head, limit: { kind: "none" } };
 
--- a/packages/gateway/src/lib/limits/TargetLimits.ts
+++ b/packages/gateway/src/lib/limits/TargetLimits.ts
@@ -2,6 +2,7 @@
 import { LRUCache } from "lru-cache";
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
+import { UnknownHeaders } from "../observation/UnknownHeaders.js";
 import { type ReplyHead, type StatedLimit } from "../requests/messages.js";
 import { type LimitStatement, type LimitStatements } from "./LimitStatement.js";
 
@@ -45,7 +46,11 @@
 export class TargetLimits {
     private readonly known = new LRUCache<string, KnownLimit>({ max: maxTargets });
 
-    constructor(private readonly options: TargetLimitsOptions) {}
+    private readonly unknownHeaders: UnknownHeaders;
+
+    constructor(private readonly options: TargetLimitsOptions) {
+        this.unknownHeaders = new UnknownHeaders(options.observation);
+    }
 
     /** The rate that a target takes from all gateways together; undefined if it has not limited it. */
     rate(target: Target): number | undefined {
@@ -97,7 +102,8 @@
         if (!isByTarget(evidence)) {
             return;
         }
-        const { target, head: { limit, isSigned }, sentAt } = evidence;
+        const { target, head: { limit, isSigned, unknownHeaders }, sentAt } = evidence;
+        this.unknownHeaders.record(target, unknownHeaders);
         const known = this.known.get(incarnationOf(target));
         if (limit.kind === "unreadable") {
             this.log(evidence, "unreadable");
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -34,6 +34,7 @@
     readonly limitStatements: Counter;
     readonly limitedSends: Counter;
     readonly permits: Counter;
+    readonly unknownHeaders: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -112,6 +113,10 @@
             name: "waxwingspar_gateway_permits_total",
             help: "Decisions on permits to send to limited targets, by decision and who decided.",
         });
+        this.unknownHeaders = registry.counter({
+            name: "waxwingspar_gateway_unknown_headers_total",
+            help: "Headers of targets' replies that this program does not know, once for each name.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -65,6 +65,8 @@
     /** Address of the target of the chain that caused a refusal. */
     readonly faultyAddress: string | undefined;
     readonly limit: StatedLimit;
+    /** Names of headers that this program does not know. */
+    readonly unknownHeaders: readonly string[];
 }
 
 /** Converts requests and replies to and from their headers on the wire. */
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -72,6 +72,7 @@
         limit: typeof headers[limitHeader] === "string"
             ? { kind: "limited", rate: Number(headers[limitHeader]) }
             : { kind: "none" },
+        unknownHeaders: [],
     }),
 };
 
