SendPermits is split: buckets, denials and silent issuers have files of their own

Change: PermitBuckets, PermitDenials and SilentIssuers; no decision changes. Requests for permits have unique ids, so that a reply to an earlier incarnation of a gateway settles nothing. Each decision is logged with the request's id, so that explain shows it.

--- a/packages/gateway/src/lib/limits/SendPermits.test.ts
+++ b/packages/gateway/src/lib/limits/SendPermits.test.ts
@@ -39,7 +39,10 @@
     for (let elapsed = 0; elapsed < 60 * millisecondsPerSecond; elapsed += 50) {
         clock.advance(50);
         for (const { permits } of [a, b]) {
-            granted += permits.mayAcquire(target, "waiting") && await permits.acquire(target, "waiting") ? 1 : 0;
+            granted += permits.mayAcquire(target, "waiting")
+                    && await permits.acquire({ target, precedence: "waiting", requestId: "r1" })
+                ? 1
+                : 0;
         }
     }
     assert.ok(granted >= 115 && granted <= 122, `${granted}`);
@@ -48,16 +51,16 @@
 test("the last permit is kept for a stream that has begun", async () => {
     const { clock, a } = createPair();
     a.limits.recordStatements({ t1: { rate: 1, age: 0 } });
-    await a.permits.acquire(target, "waiting");
+    await a.permits.acquire({ target, precedence: "waiting", requestId: "r1" });
     clock.advance(1_500);
-    assert.equal(await a.permits.acquire(target, "waiting"), false);
-    assert.equal(await a.permits.acquire(target, "running"), true);
+    assert.equal(await a.permits.acquire({ target, precedence: "waiting", requestId: "r1" }), false);
+    assert.equal(await a.permits.acquire({ target, precedence: "running", requestId: "r1" }), true);
 });
 
 test("a denial tells when to ask again, and ends with the limit that caused it", async () => {
     const { b } = createPair();
     b.limits.recordStatements({ t1: { rate: 2, age: 300 } });
-    assert.equal(await b.permits.acquire(target, "waiting"), false);
+    assert.equal(await b.permits.acquire({ target, precedence: "waiting", requestId: "r1" }), false);
     assert.equal(b.permits.mayAcquire(target, "waiting"), false);
     assert.equal(b.permits.retryAfter([target], "waiting"), 1_000);
     b.limits.recordStatements({ t1: { rate: 8, age: 0 } });
@@ -68,7 +71,7 @@
     const { a, b } = createPair();
     b.limits.recordStatements({ t1: { rate: 2, age: 500 } });
     a.limits.recordStatements({ t1: { age: 0 } });
-    assert.equal(await b.permits.acquire(target, "waiting"), true);
+    assert.equal(await b.permits.acquire({ target, precedence: "waiting", requestId: "r1" }), true);
     assert.equal(b.permits.isNeeded(target), false);
 });
 
@@ -78,7 +81,8 @@
     lost.isLost = true;
     let granted = 0;
     for (let elapsed = 0; elapsed < 100 * millisecondsPerSecond; elapsed += 100) {
-        const decision = b.permits.mayAcquire(target, "waiting") && b.permits.acquire(target, "waiting");
+        const decision = b.permits.mayAcquire(target, "waiting")
+            && b.permits.acquire({ target, precedence: "waiting", requestId: "r1" });
         await clock.advanceAsync(100);
         granted += await decision ? 1 : 0;
     }
@@ -88,7 +92,7 @@
 test("a gateway that does not know its group issues nothing", async () => {
     const { clock, a } = createPair(Infinity);
     a.limits.recordStatements({ t1: { rate: 4, age: 0 } });
-    await a.permits.acquire(target, "waiting");
+    await a.permits.acquire({ target, precedence: "waiting", requestId: "r1" });
     clock.advance(9_000);
-    assert.equal(await a.permits.acquire(target, "running"), false);
+    assert.equal(await a.permits.acquire({ target, precedence: "running", requestId: "r1" }), false);
 });
--- a/packages/gateway/src/lib/limits/SendPermits.ts
+++ b/packages/gateway/src/lib/limits/SendPermits.ts
@@ -1,10 +1,11 @@
-import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
-import { LRUCache } from "lru-cache";
+import { type Clock, type Random, type Timer, uniqueId } from "@waxwingspar/utils";
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
 import { type Precedence } from "../requests/precedence.js";
-import { PermitBucket } from "./PermitBucket.js";
+import { PermitBuckets, type PermitDecision } from "./PermitBuckets.js";
+import { PermitDenials } from "./PermitDenials.js";
 import { type PermitReply, type PermitRequest, readPermitMessage } from "./permitMessage.js";
+import { silenceTime, SilentIssuers } from "./SilentIssuers.js";
 import { type TargetLimits } from "./TargetLimits.js";
 
 /** The group of gateways that share the limits of targets. */
@@ -30,36 +31,24 @@
     readonly observation: Observation;
 }
 
-type Decision = PermitReply["result"];
-/** Who decided on a permit: this gateway as the issuer, another issuer, or this gateway for an issuer that is silent. */
-type DecidedBy = "issuer" | "reply" | "silence";
+/** Who decides on a permit: this gateway as the issuer, another issuer, or this gateway while that one is silent. */
+type Decider = "issuer" | "reply" | "silence";
 
-/** A permit that is not available yet. */
-interface Denial {
-    readonly until: number;
-    /** The limit by which it was denied. A denial by an earlier limit says nothing of the next one. */
-    readonly rate: number | undefined;
-}
-
-interface Silence {
-    readonly requests: number;
-    /** Until when the issuer is not asked. */
-    readonly until: number;
+/** A send that needs a permit. */
+export interface PermittedSend {
+    readonly target: Target;
+    readonly precedence: Precedence;
+    /** Id of the caller's request, for the log. */
+    readonly requestId: string | undefined;
 }
 
 interface PendingRequest {
     readonly timer: Timer;
-    readonly onReply: (decision: Decision) => void;
+    readonly onReply: (decision: PermitDecision) => void;
 }
 
-/** Milliseconds until an issuer counts as silent: many round trips, and pauses of a busy process. */
+/** Milliseconds until a reply counts as missing: many round trips, and pauses of a busy process. */
 const replyTimeout = 80;
-/** Number of successive requests without a reply after which an issuer is silent: one may have been lost. */
-const silentRequests = 2;
-/** Milliseconds for which a silent issuer is not asked again. */
-const silenceTime = 1_000;
-/** Maximum milliseconds of a denial: the share of the limit that an issuer uses may grow. */
-const maxDenial = 10_000;
 /** Milliseconds after which a gateway that takes another one for the issuer is asked again. */
 const otherIssuerRetryAfter = 200;
 /**
@@ -72,8 +61,6 @@
  * the whole limit to others.
  */
 const silentShare = 0.5;
-/** Maximum number of targets whose buckets are kept. */
-const maxTargets = 2_000;
 
 /**
  * Issues and obtains the permits that requests to limited targets need. One gateway of the target's data centre issues
@@ -82,17 +69,21 @@
  * issuer of its own. A permit is valid for the moment of its arrival, so a lost or late message wastes it.
  */
 export class SendPermits {
-    private readonly buckets = new LRUCache<string, PermitBucket>({ max: maxTargets });
-    /** Buckets for the time in which an issuer is silent. */
-    private readonly silentBuckets = new LRUCache<string, PermitBucket>({ max: maxTargets });
-    /** By incarnation and precedence. */
-    private readonly denials = new LRUCache<string, Denial>({ max: maxTargets });
-    /** Issuers that have not replied to the newest request, by address. */
-    private readonly silences = new LRUCache<string, Silence>({ max: maxTargets });
+    private readonly issued: PermitBuckets;
+    /** Permits that this gateway uses while the issuer is silent. */
+    private readonly own: PermitBuckets;
+    private readonly denials: PermitDenials;
+    private readonly silentIssuers: SilentIssuers;
     private readonly pending = new Map<string, PendingRequest>();
-    private requests = 0;
 
-    constructor(private readonly options: SendPermitsOptions) {}
+    constructor(private readonly options: SendPermitsOptions) {
+        const { clock, random, limits } = options;
+        this.issued = new PermitBuckets({ clock });
+        // A random level, so that gateways which lose their issuer together do not get their permits together.
+        this.own = new PermitBuckets({ clock, initialLevel: () => random.next() });
+        this.denials = new PermitDenials({ clock, limits });
+        this.silentIssuers = new SilentIssuers(clock);
+    }
 
     /** Whether requests to a target need a permit. */
     isNeeded(target: Target): boolean {
@@ -101,32 +92,27 @@
 
     /** Whether a request may be sent or a permit may be available, as far as this gateway knows. */
     mayAcquire(target: Target, precedence: Precedence): boolean {
-        return !this.isNeeded(target) || this.denialLeft(target, precedence) === 0;
+        return !this.isNeeded(target) || this.denials.timeLeft(target, precedence) === 0;
     }
 
     /** Milliseconds until a permit for one of the targets may be available. */
     retryAfter(targets: readonly Target[], precedence: Precedence): number {
-        return Math.min(...targets.map(target => this.denialLeft(target, precedence)));
+        return Math.min(...targets.map(target => this.denials.timeLeft(target, precedence)));
     }
 
     /** Acquires a permit to send one request to a target now. @returns Whether it was granted. */
-    async acquire(target: Target, precedence: Precedence): Promise<boolean> {
-        const { clock, limits, group } = this.options;
-        const issuer = group.findIssuer(target.dataCentre);
-        const decidedBy: DecidedBy = issuer === group.address
-            ? "issuer"
-            : clock.now() < (this.silences.get(issuer)?.until ?? -Infinity)
-            ? "silence"
-            : "reply";
-        const decision = decidedBy === "issuer"
-            ? this.issue(incarnationOf(target), precedence)
-            : decidedBy === "silence"
-            ? this.decideAlone(target, precedence)
-            : await this.ask(issuer, target, precedence);
+    async acquire(send: PermittedSend): Promise<boolean> {
+        const { target, precedence } = send;
+        const issuer = this.options.group.findIssuer(target.dataCentre);
+        const decider = this.chooseDecider(issuer);
+        const decision = decider === "reply" ? await this.ask(issuer, send) : this.decide(decider, send);
         if (decision.statement !== undefined) {
-            limits.recordStatements({ [incarnationOf(target)]: decision.statement });
+            this.options.limits.recordStatements({ [incarnationOf(target)]: decision.statement });
+        }
+        if (!decision.isGranted) {
+            this.denials.record(target, precedence, decision.retryAfter);
         }
-        this.note(target, precedence, decision, decidedBy);
+        this.log(send, decision, decider);
         return decision.isGranted;
     }
 
@@ -140,11 +126,23 @@
             this.answer(message);
         }
         else {
-            this.settle(message.id, message.result);
+            this.settle(message);
         }
         return true;
     }
 
+    private chooseDecider(issuer: string): Decider {
+        if (issuer === this.options.group.address) {
+            return "issuer";
+        }
+        return this.silentIssuers.isSilent(issuer) ? "silence" : "reply";
+    }
+
+    private decide(decider: "issuer" | "silence", { target, precedence }: PermittedSend): PermitDecision {
+        const incarnation = incarnationOf(target);
+        return decider === "issuer" ? this.issue(incarnation, precedence) : this.decideAlone(incarnation, precedence);
+    }
+
     private answer({ id, params }: PermitRequest): void {
         const { limits, group } = this.options;
         const { from, target, dataCentre, precedence, statement } = params;
@@ -157,42 +155,29 @@
         group.send(from, JSON.stringify(reply));
     }
 
-    private issue(incarnation: string, precedence: Precedence): Decision {
+    private issue(target: string, precedence: Precedence): PermitDecision {
         const { limits, group } = this.options;
-        const statement = limits.statement(incarnation);
+        const statement = limits.statement(target);
         if (statement?.rate === undefined) {
             return { isGranted: true, retryAfter: 0, statement };
         }
         const rate = Math.max(minRate, statement.rate) * Math.min(1, group.alive / group.groupSize);
-        return { ...this.takeFrom(this.buckets, incarnation, rate, precedence), statement };
+        return { ...this.issued.take({ target, rate, precedence }), statement };
     }
 
     /** Decides for an issuer that is silent. */
-    private decideAlone(target: Target, precedence: Precedence): Decision {
-        const { limits, group, random } = this.options;
-        const rate = Math.max(minRate, limits.rate(target) ?? 0) * silentShare / group.groupSize;
-        const decision = this.takeFrom(this.silentBuckets, incarnationOf(target), rate, precedence, random.next());
-        return { ...decision, retryAfter: Math.min(silenceTime, decision.retryAfter) };
-    }
-
-    private takeFrom(
-        buckets: LRUCache<string, PermitBucket>,
-        incarnation: string,
-        rate: number,
-        precedence: Precedence,
-        level?: number,
-    ): Decision {
-        const bucket = buckets.get(incarnation) ?? new PermitBucket({ clock: this.options.clock, level });
-        buckets.set(incarnation, bucket);
-        const isGranted = bucket.take(rate, precedence);
-        const wait = Math.min(maxDenial, Math.ceil(bucket.wait(rate, precedence)));
-        return { isGranted, retryAfter: isGranted ? 0 : wait };
+    private decideAlone(target: string, precedence: Precedence): PermitDecision {
+        const { limits, group } = this.options;
+        const limit = limits.statement(target)?.rate ?? 0;
+        const rate = Math.max(minRate, limit) * silentShare / group.groupSize;
+        const { isGranted, retryAfter } = this.own.take({ target, rate, precedence });
+        return { isGranted, retryAfter: Math.min(silenceTime, retryAfter) };
     }
 
-    private ask(issuer: string, target: Target, precedence: Precedence): Promise<Decision> {
+    private ask(issuer: string, { target, precedence }: PermittedSend): Promise<PermitDecision> {
         const { clock, limits, group } = this.options;
         const incarnation = incarnationOf(target);
-        const id = `${group.address} ${++this.requests}`;
+        const id = uniqueId();
         const request: PermitRequest = {
             jsonrpc: "2.0",
             id,
@@ -208,62 +193,39 @@
         return new Promise(resolve => {
             const timer = clock.schedule(() => {
                 this.pending.delete(id);
-                this.recordSilence(issuer);
+                this.silentIssuers.recordTimeout(issuer);
                 resolve({ isGranted: false, retryAfter: replyTimeout });
             }, replyTimeout);
-            this.pending.set(id, {
-                timer,
-                onReply: decision => {
-                    this.silences.delete(issuer);
-                    this.silentBuckets.delete(incarnation);
-                    resolve(decision);
-                },
-            });
+            const onReply = (decision: PermitDecision) => {
+                this.silentIssuers.recordReply(issuer);
+                this.own.discard(incarnation);
+                resolve(decision);
+            };
+            this.pending.set(id, { timer, onReply });
             group.send(issuer, JSON.stringify(request));
         });
     }
 
     /** A reply that arrives after its timeout, or twice, is ignored. */
-    private settle(id: string, decision: Decision): void {
+    private settle({ id, result }: PermitReply): void {
         const pending = this.pending.get(id);
         this.pending.delete(id);
         pending?.timer.cancel();
-        pending?.onReply(decision);
-    }
-
-    private recordSilence(issuer: string): void {
-        const requests = (this.silences.get(issuer)?.requests ?? 0) + 1;
-        const until = requests < silentRequests ? -Infinity : this.options.clock.now() + silenceTime;
-        this.silences.set(issuer, { requests, until });
+        pending?.onReply(result);
     }
 
-    private denialLeft(target: Target, precedence: Precedence): number {
-        const { clock, limits } = this.options;
-        const denial = this.denials.get(denialKey(target, precedence));
-        const isCurrent = denial !== undefined && denial.rate === limits.rate(target);
-        return isCurrent ? Math.max(0, denial.until - clock.now()) : 0;
-    }
-
-    private note(target: Target, precedence: Precedence, decision: Decision, decidedBy: DecidedBy): void {
-        const { clock, limits, observation } = this.options;
+    private log({ target, precedence, requestId }: PermittedSend, decision: PermitDecision, decidedBy: Decider): void {
+        const { limits, observation } = this.options;
         const { isGranted, retryAfter } = decision;
         observation.metrics.permits.add({ decision: isGranted ? "granted" : "denied", decidedBy });
-        if (isGranted) {
-            return;
-        }
-        const until = clock.now() + Math.max(1, retryAfter);
-        this.denials.set(denialKey(target, precedence), { until, rate: limits.rate(target) });
         observation.logs.limits.info({
+            request: requestId,
             target: target.id,
             limit: limits.rate(target),
             limitAge: Math.round(limits.age(target) ?? 0),
             precedence,
             decidedBy,
-            retryAfter: Math.round(retryAfter),
-        }, "permit denied");
+            retryAfter: isGranted ? undefined : Math.round(retryAfter),
+        }, isGranted ? "permit granted" : "permit denied");
     }
 }
-
-function denialKey(target: Target, precedence: Precedence): string {
-    return `${incarnationOf(target)} ${precedence}`;
-}
--- a/packages/gateway/src/lib/requests/PermitGate.ts
+++ b/packages/gateway/src/lib/requests/PermitGate.ts
@@ -6,7 +6,7 @@
 /** Options of {@link PermitGate}. */
 export interface PermitGateOptions {
     readonly context: Pick<RequestContext, "permits">;
-    readonly caller: Pick<CallerExchange, "ended">;
+    readonly caller: Pick<CallerExchange, "ended" | "request">;
     /** Precedence of the next send. */
     readonly precedence: () => Precedence;
 }
@@ -55,7 +55,8 @@
     private async acquire(target: Target, send: () => void, onDenied: () => void): Promise<void> {
         const { context, caller, precedence } = this.options;
         this.isAcquiring = true;
-        const isGranted = await context.permits.acquire(target, precedence());
+        const { id: requestId } = caller.request;
+        const isGranted = await context.permits.acquire({ target, precedence: precedence(), requestId });
         this.isAcquiring = false;
         if (caller.ended) {
             return;
