Two issuers that do not know of each other yet share a limit

Cause, from the trace: a cut of 4.6 s ends with a restart; the second gateway of the data centre skips the first one as a relay for 6 s and goes on issuing, the first one issues as well. Both are in contact with the other data centres, so both counted nearly the whole group: 5/6 of the limit each. Class: a belief about the group is taken for one that the group shares. Change: the share of an issuer is the smaller one of two: of its data centre and of all gateways, in contact over the largest recent number (IssuerShare). The issuer is the first live gateway by address; a relay that is skipped counts as live with its first heartbeat.

--- a/packages/gateway/src/lib/limits/SendPermits.test.ts
+++ b/packages/gateway/src/lib/limits/SendPermits.test.ts
@@ -20,7 +20,7 @@
         const group: PermitGroup = {
             address,
             groupSize,
-            alive: 2,
+            issuerShare: groupSize === Infinity ? 0 : 1,
             findIssuer: () => "a",
             send: (_, datagram) => lost.isLost ? undefined : deliver(datagram),
         };
--- a/packages/gateway/src/lib/limits/SendPermits.ts
+++ b/packages/gateway/src/lib/limits/SendPermits.ts
@@ -16,8 +16,8 @@
     findIssuer(dataCentre: string): string;
     /** Number of gateways that may exist, including those that are partitioned; infinite while unknown. */
     readonly groupSize: number;
-    /** Number of gateways in contact, including this one. */
-    readonly alive: number;
+    /** Share of a limit that this gateway may issue, from 0 to 1; below 1 after a loss of contact. */
+    readonly issuerShare: number;
     /** Sends a datagram, without a guarantee of delivery. */
     send(address: string, datagram: string): void;
 }
@@ -65,8 +65,7 @@
 /**
  * Issues and obtains the permits that requests to limited targets need. One gateway of the target's data centre issues
  * them at the rate of the limit, so the limit holds for all gateways together however their load is distributed. An
- * issuer that has lost contact with some gateways issues only the part of the others, since a partition may have an
- * issuer of its own. A permit is valid for the moment of its arrival, so a lost or late message wastes it.
+ * issuer that has lost contact with some gateways issues only a share, since they may have an issuer of their own. A permit is valid for the moment of its arrival, so a lost or late message wastes it.
  */
 export class SendPermits {
     private readonly issued: PermitBuckets;
@@ -161,7 +160,7 @@
         if (statement?.rate === undefined) {
             return { isGranted: true, retryAfter: 0, statement };
         }
-        const rate = Math.max(minRate, statement.rate) * Math.min(1, group.alive / group.groupSize);
+        const rate = Math.max(minRate, statement.rate) * group.issuerShare;
         return { ...this.issued.take({ target, rate, precedence }), statement };
     }
 
--- a/packages/gateway/src/lib/peers/GroupMembers.ts
+++ b/packages/gateway/src/lib/peers/GroupMembers.ts
@@ -60,6 +60,11 @@
         return this.members.size;
     }
 
+    /** The number of known members of the own data centre. */
+    get localSize(): number {
+        return this.of(this.options.own.dataCentre).length;
+    }
+
     /** Other data centres in which gateways are known. */
     get remoteDataCentres(): string[] {
         const all = new Set([...this.members.values()].map(({ dataCentre }) => dataCentre));
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -5,6 +5,7 @@
 import { GroupMembers, type Member } from "./GroupMembers.js";
 import { addSums, ageSums, type GroupSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
 import { type Heartbeat, readHeartbeat, writeHeartbeat } from "./heartbeat.js";
+import { type GatewayCounts } from "./IssuerShare.js";
 import { type PeerState } from "./PeerState.js";
 import { type Peer, RecentPeers } from "./RecentPeers.js";
 import { SentHeartbeats } from "./SentHeartbeats.js";
@@ -87,11 +88,21 @@
         return this.members.size;
     }
 
+    /** The numbers of known gateways, including this one. */
+    get knownCounts(): GatewayCounts {
+        return { dataCentre: this.members.localSize + 1, all: this.members.size + 1 };
+    }
+
     /** Whether no other gateway of the own data centre is alive, although some are known. */
     get isIsolated(): boolean {
         return this.members.isIsolated;
     }
 
+    /** The number of gateways of the own data centre that are in contact, including this one. */
+    get localMembers(): number {
+        return this.reporters().length + 1;
+    }
+
     /** Whether this process aggregates the reports of other gateways. */
     get isRelay(): boolean {
         return this.relays.includes(this.options.own.address) || this.reporters().length > 0;
@@ -114,16 +125,17 @@
     }
 
     /**
-     * The address of the gateway that issues permits for targets of a data centre: its first live relay, or that of the
-     * first data centre by name that has one.
+     * The address of the gateway that issues permits for targets of a data centre: its first live gateway by address, or
+     * that of the first data centre by name that has one. A relay that is skipped after a silence is live again with its
+     * first heartbeat, since it takes itself for the issuer as well.
      */
     findIssuer(dataCentre: string): string {
         const { own } = this.options;
-        const findRelay = (name: string) =>
-            name === own.dataCentre ? this.relays[0] ?? own.address : this.members.aliveIn(name)[0];
+        const findFirst = (name: string) =>
+            name === own.dataCentre ? this.members.localSenders[0] : this.members.aliveIn(name)[0];
         const others = [own.dataCentre, ...this.members.remoteDataCentres].sort();
-        const relays = [dataCentre, ...others].flatMap(name => findRelay(name) ?? []);
-        return relays[0] ?? own.address;
+        const issuers = [dataCentre, ...others].flatMap(name => findFirst(name) ?? []);
+        return issuers[0] ?? own.address;
     }
 
     /** Adds a gateway that is listed in the store's table. */
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -6,8 +6,8 @@
 import { type PermitGroup } from "../limits/SendPermits.js";
 import { type Store, type WriteResult } from "../store/Store.js";
 import { type StoreEras } from "../store/StoreEras.js";
-import { GroupSize } from "./GroupSize.js";
 import { type GroupSums } from "./GroupSums.js";
+import { IssuerShare } from "./IssuerShare.js";
 import { PeerExchange, type PeerExchangeOptions } from "./PeerExchange.js";
 
 /** A row of the member table. */
@@ -47,7 +47,7 @@
 export class PeerGroup implements PermitGroup {
     private readonly socket: Socket = createSocket("udp4");
     private readonly exchange: PeerExchange;
-    private readonly size: GroupSize;
+    private readonly share: IssuerShare;
     private isListening = false;
     private isStopped = false;
     private nextRead = -Infinity;
@@ -55,7 +55,7 @@
 
     constructor(private readonly options: PeerGroupOptions) {
         const { clock, process, incarnation, dataCentre, logger } = options;
-        this.size = new GroupSize(clock);
+        this.share = new IssuerShare(clock);
         this.exchange = new PeerExchange({
             clock,
             process,
@@ -79,12 +79,12 @@
 
     /** The number of gateways that share the site's budget, including this one; infinite until the group is known. */
     get groupSize(): number {
-        return this.size.value;
+        return this.share.groupSize;
     }
 
-    /** The number of gateways in contact, including this one. */
-    get alive(): number {
-        return this.exchange.others.members + 1;
+    /** The share of a limit that this gateway issues permits for, from 0 to 1. */
+    get issuerShare(): number {
+        return this.share.value;
     }
 
     /** The address of the gateway that issues the permits for targets of a data centre. */
@@ -144,7 +144,7 @@
         while (!this.isStopped) {
             await this.register();
             if (await this.readMembers()) {
-                this.size.join(this.exchange.knownMembers + 1);
+                this.share.join(this.exchange.knownCounts);
                 this.options.logger.info({ members: this.exchange.knownMembers }, "joined");
                 return;
             }
@@ -208,7 +208,7 @@
         }
         const { clock } = this.options;
         this.exchange.sendHeartbeats();
-        this.size.record(this.exchange.others.members + 1);
+        this.share.record({ dataCentre: this.exchange.localMembers, all: this.exchange.others.members + 1 });
         if (this.exchange.isIsolated && clock.now() >= this.nextRead) {
             void this.readMembers();
         }
--- a/packages/gateway/src/lib/testing/LimitedSite.ts
+++ b/packages/gateway/src/lib/testing/LimitedSite.ts
@@ -161,8 +161,8 @@
                 get groupSize() {
                     return group.size.value;
                 },
-                get alive() {
-                    return group.exchange.others.members + 1;
+                get issuerShare() {
+                    return group.issuerShare.value;
                 },
                 send: (address, datagram) => group.send(address, datagram),
             },
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -2,6 +2,7 @@
 import { type Moment } from "../Moment.js";
 import { GroupSize } from "../peers/GroupSize.js";
 import { type GroupSums } from "../peers/GroupSums.js";
+import { IssuerShare } from "../peers/IssuerShare.js";
 import { PeerExchange, type TableStatuses } from "../peers/PeerExchange.js";
 import { type PeerState } from "../peers/PeerState.js";
 import { type TableStatus, type TableWatch } from "../store/TableWatch.js";
@@ -38,6 +39,7 @@
     readonly dataCentre: string;
     readonly exchange: PeerExchange;
     readonly size: GroupSize;
+    readonly issuerShare: IssuerShare;
     /** The state that its heartbeats carry; tests may change it. */
     state: PeerState;
     /** Sets the listener for the sums of the other gateways' states. */
@@ -129,6 +131,7 @@
             address,
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
+            issuerShare: new IssuerShare(this.clock),
             state: { suspects: [], slowTargets: {}, chainLoads: {}, crashes: {}, limits: {}, mayTakeDuty: true },
             confirmedAt: undefined,
             peerConfirmedAt: -Infinity,
@@ -149,7 +152,9 @@
                     name === table ? recordConfirmation(gateway, tableStatus, after) : undefined,
                 onOther: datagram => handleOther(datagram),
                 onSums: others => {
-                    gateway.size.record(others.members + 1);
+                    const all = others.members + 1;
+                    gateway.size.record(all);
+                    gateway.issuerShare.record({ dataCentre: gateway.exchange.localMembers, all });
                     listener(others);
                 },
             }),
@@ -160,9 +165,10 @@
     }
 
     /** Makes the first `count` gateways known to a gateway, as the store's table of members does. */
-    introduce({ exchange, size }: SimulatedGateway, count = this.gateways.length): void {
+    introduce({ exchange, size, issuerShare }: SimulatedGateway, count = this.gateways.length): void {
         this.gateways.slice(0, count).forEach(({ address, dataCentre }) => exchange.addMember({ address, dataCentre }));
         size.join(exchange.knownMembers + 1);
+        issuerShare.join(exchange.knownCounts);
     }
 
     get runningGateways(): SimulatedGateway[] {
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -40,7 +40,7 @@
 }
 
 function createGroupOfOne(): PermitGroup {
-    return { address: "", groupSize: 1, alive: 1, findIssuer: () => "", send: () => undefined };
+    return { address: "", groupSize: 1, issuerShare: 1, findIssuer: () => "", send: () => undefined };
 }
 
 /** A route for streams that may be resumed on another chain. */
