A hedge whose permit comes late is not sent once the answer has begun

Cause: found by reading: a permit may take some milliseconds, in which the first attempt's long reply can have begun; the hedge was sent all the same, and its own long reply would have written a second head. Change: PlainRun sends nothing once the head of the answer is written. No test: with one gateway permits are decided at once, so the interleaving needs two gateways and a reply of over 256 KB at one moment. Result: tests of requests, gateway and accounting pass.

--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -107,6 +107,10 @@
     }
 
     private sendTo(target: Target): void {
+        // The first attempt's reply may have begun while a permit for a hedge was on its way.
+        if (this.caller.headSent) {
+            return;
+        }
         if (!this.limits.begin(target.id, "waiting")) {
             if (this.attempts.size === 0) {
                 this.giveUp("retry budget is used up");
