--- a/packages/gateway/src/lib/limits/groupLimit.test.ts
+++ b/packages/gateway/src/lib/limits/groupLimit.test.ts
@@ -26,7 +26,8 @@
 for (const gatewaysEach of [2, 8]) {
     test(`${3 * gatewaysEach} gateways: a limit holds through losses, restarts, joins, cuts and changes of it`, async () => {
         for (const seed of [1, 2, 3, 4]) {
-            const site = new LimitedSite({ gatewaysEach, seed, loss: 0.05, duplicates: 0.05, maxDelay: 60 });
+            const skew = seed % 2 === 0 ? 0 : 0.6;
+            const site = new LimitedSite({ gatewaysEach, seed, skew, loss: 0.05, duplicates: 0.05, maxDelay: 60 });
             site.after(6_000, () => site.setLimit(4.1));
             disturbLimitedSite(site, { random: seededRandom(seed), startsIn: 9_000, dataCentres: 3 });
             await site.run(50_000);
--- a/packages/gateway/src/lib/testing/LimitedSite.ts
+++ b/packages/gateway/src/lib/testing/LimitedSite.ts
@@ -101,6 +101,11 @@
         this.gateways.push(this.createGateway(group));
     }
 
+    /** The first target of each chain; the limited one comes first. */
+    get heads(): SimulatedTarget[] {
+        return this.targets.filter(({ target }) => target.layers?.first === 0);
+    }
+
     /** Requests in the worst window beyond what the limits allow; 0 or less if they were respected. */
     get worstExcess(): number {
         return this.limits.worstExcess(this.arrivals.map(({ at, gateway: { toldAt } }) => ({ at, toldAt })));
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -46,11 +46,13 @@
 /** The targets of a soak: a plain service, and chains of two targets in each data centre. */
 export class SoakTargets {
     private readonly all: SoakTarget[] = [];
+    /** Ids of those that are leaving or have left. */
+    private readonly left = new Set<string>();
     private started = 0;
 
     constructor(private readonly options: SoakTargetsOptions) {}
 
-    /** Every target that named limits. */
+    /** All targets, with the limits that they named. */
     get limited(): readonly LimitedTarget[] {
         return this.all;
     }
@@ -104,8 +106,6 @@
         this.all.forEach(({ fake }) => fake.stop());
     }
 
-    private readonly left = new Set<string>();
-
     private get listed(): SoakTarget[] {
         return this.all.filter(({ id }) => !this.left.has(id));
     }
