Gateways count and log how calls to the store end, and how a configuration came

Cause: "store lost" told neither whether a reply had begun nor how much of it had arrived, further failures of an outage left no line, and nothing counted the bytes that the store sends. So a reply that was too slow could not be told from a store that did not answer.

Change: each call has a progress (bytes, time to the head of its reply, duration). "configuration in force" has source, bytes, and the times since the version was known, of its transfer and of its decoding. No decision uses any of it.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,7 +22,8 @@
 } from "./lib/configuration/Configuration.js";
 export { type LayerRange, type Target, targetSchema } from "./lib/directory/Target.js";
 export { type DecodedTarget } from "./lib/directory/TargetList.js";
-export { Gateway, type GatewayOptions, type PlatformTables } from "./lib/Gateway.js";
+export { Gateway } from "./lib/Gateway.js";
+export { type GatewayOptions, type PlatformTables } from "./lib/GatewayOptions.js";
 export { type Address, type GatewaySettings } from "./lib/GatewaySettings.js";
 export { listMechanisms, type Mechanism, type MechanismSwitch, parseDisabledMechanisms } from "./lib/Mechanisms.js";
 export { LogDestination, type LogDestinationOptions } from "./lib/observation/LogDestination.js";
@@ -39,6 +40,7 @@
 export { MetricsServer } from "./lib/server/MetricsServer.js";
 export {
     type ConditionalWrite,
+    type ReplyProgress,
     type RowChange,
     type Store,
     type StoredRow,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,9 +1,7 @@
-import { type MetricRegistry } from "@waxwingspar/telemetry";
-import { type Clock, type Random, requestCodes, sleep } from "@waxwingspar/utils";
-import { type AddressInfo, type Server } from "node:net";
+import { requestCodes, sleep } from "@waxwingspar/utils";
+import { type AddressInfo } from "node:net";
 import { ChainService } from "./chains/ChainService.js";
 import { CrossingAllowance } from "./chains/CrossingAllowance.js";
-import { type EngineControl } from "./chains/EngineControl.js";
 import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
@@ -13,20 +11,18 @@
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { logTargetChange } from "./directory/logTargetChange.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
-import { type DecodedTarget } from "./directory/TargetList.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
-import { type GatewaySettings } from "./GatewaySettings.js";
+import { type GatewayOptions } from "./GatewayOptions.js";
 import { SendPermits } from "./limits/SendPermits.js";
 import { TargetLimits } from "./limits/TargetLimits.js";
-import { allMechanismsOn, type MechanismSwitch } from "./Mechanisms.js";
+import { allMechanismsOn } from "./Mechanisms.js";
 import { type Moment } from "./Moment.js";
-import { GatewayMetrics, type Logs, type Observation } from "./observation/Observation.js";
+import { GatewayMetrics, type Observation } from "./observation/Observation.js";
 import { chooseWatchRole } from "./peers/chooseWatchRole.js";
 import { type TableStatuses } from "./peers/PeerExchange.js";
 import { PeerGroup } from "./peers/PeerGroup.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
-import { type WireFormat } from "./requests/messages.js";
 import { RequestRouter, type ServiceParts } from "./requests/RequestRouter.js";
 import { RetryBudget } from "./requests/RetryBudget.js";
 import { StartQueue } from "./requests/StartQueue.js";
@@ -34,44 +30,14 @@
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServicePicker } from "./services/ServicePicker.js";
 import { EraStore } from "./store/EraStore.js";
+import { ObservedStore } from "./store/ObservedStore.js";
 import { type Store } from "./store/Store.js";
 import { StoreEras } from "./store/StoreEras.js";
 import { StoreHealth } from "./store/StoreHealth.js";
-import { type TableStatus, type TableWatch, type WatchRole } from "./store/TableWatch.js";
+import { type TableWatch } from "./store/TableWatch.js";
+import { type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
 import { refusesConnections } from "./upstream/refusesConnections.js";
 
-/** The store's tables and keys that the gateway reads, and the decoders for their documents. */
-export interface PlatformTables {
-    readonly configurationTable: string;
-    readonly configurationKey: string;
-    readonly targetTable: string;
-    /** @throws Error when the document is not a valid configuration. */
-    decodeConfiguration(document: unknown): Configuration;
-    /** Never throws, since the table may hold any document. */
-    decodeTarget(id: string, document: unknown): DecodedTarget;
-}
-
-/** Options of {@link Gateway}. */
-export interface GatewayOptions {
-    readonly settings: GatewaySettings;
-    readonly clock: Clock;
-    readonly random: Random;
-    /** A unique id of this start of the process. */
-    readonly incarnation: string;
-    readonly store: Store;
-    readonly tables: PlatformTables;
-    readonly wire: WireFormat;
-    readonly engines: EngineControl;
-    readonly logs: Logs;
-    readonly registry: MetricRegistry;
-    /** A server that already listens for callers; its connections wait until the gateway takes it over. */
-    readonly callerListener?: Server;
-    /** Which mechanisms are on; all by default. */
-    readonly isOn?: MechanismSwitch;
-    /** Milliseconds from the stop request until the load balancer is sure to have removed this process. */
-    readonly balancerDelay?: number;
-}
-
 /** Milliseconds of the key revocation bound that are reserved for requests in flight. */
 const revocationSlack = 400;
 /**
@@ -121,7 +87,8 @@
         const { settings, clock, logs, registry, engines, random } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
         const { eras, observation } = this;
-        const store = new EraStore({ store: options.store, eras, observation });
+        const observed = new ObservedStore({ store: options.store, clock, observation });
+        const store = new EraStore({ store: observed, eras, observation });
         this.store = store;
         this.storeHealth = new StoreHealth(this.observation);
         const { keyRevocation } = settings;
@@ -324,7 +291,7 @@
             configurationTime: settings.configurationTime,
             decode: document => tables.decodeConfiguration(document),
             configuration: this.configuration,
-            logger: logs.configuration,
+            observation: this.observation,
             onChange: configuration => this.applyConfiguration(configuration),
             onConfirmed: () => this.startQueue.release(),
         });
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.test.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { silentLogs } from "../testing/fixtures.js";
+import { silentObservation } from "../testing/fixtures.js";
 import { SimulatedStore } from "../testing/SimulatedStore.js";
 import { type Configuration } from "./Configuration.js";
 import { ConfigurationInForce } from "./ConfigurationInForce.js";
@@ -29,7 +29,7 @@
         key: "c",
         decode: document => document as Configuration,
         configuration,
-        logger: silentLogs().configuration,
+        observation: silentObservation(clock),
         contactTime,
         onChange: () => undefined,
     });
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -1,7 +1,8 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type Logger } from "pino";
+import { type Observation } from "../observation/Observation.js";
 import { type Store, type StoredRow } from "../store/Store.js";
-import { TableWatch, type TableWatchOptions } from "../store/TableWatch.js";
+import { TableWatch } from "../store/TableWatch.js";
+import { type TableDelivery, type TableWatchOptions } from "../store/TableWatchOptions.js";
 import { sharedWatchLimits, watchWait } from "../store/watchWait.js";
 import { type Configuration } from "./Configuration.js";
 import { type ConfigurationInForce } from "./ConfigurationInForce.js";
@@ -18,7 +19,7 @@
     /** @throws Error when the document is not a valid configuration. */
     readonly decode: (document: unknown) => Configuration;
     readonly configuration: ConfigurationInForce;
-    readonly logger: Logger;
+    readonly observation: Observation;
     /** Maximum milliseconds until this process must know of a change while it is in contact with the store. */
     readonly contactTime: number;
     /**
@@ -62,8 +63,9 @@
         role,
         eras,
         random,
-        onSnapshot: rows => applyNewest(rows, options),
-        onChanges: changes => applyNewest(changes.flatMap(({ row }) => row ?? []), options),
+        onSnapshot: (rows, _graceEnd, _isRestored, delivery) => applyNewest(rows, delivery, options),
+        onChanges: (changes, _graceEnd, delivery) =>
+            applyNewest(changes.flatMap(({ row }) => row ?? []), delivery, options),
         onConfirmed: after => {
             configuration.confirm(after);
             options.onConfirmed?.();
@@ -76,27 +78,42 @@
 }
 
 /** Applies the newest row that holds the configuration; one call may return several versions of it. */
-function applyNewest(rows: readonly StoredRow[], options: ConfigurationWatchOptions): void {
-    const { key, decode, configuration, logger, onChange } = options;
+function applyNewest(
+    rows: readonly StoredRow[],
+    { source, progress, knownFor }: TableDelivery,
+    options: ConfigurationWatchOptions,
+): void {
+    const { clock, key, decode, configuration, observation: { logs, metrics }, onChange } = options;
     const row = rows.findLast(row => row.key === key);
     if (row === undefined) {
         return;
     }
+    const startedAt = clock.now();
     let offered: Configuration;
     try {
         offered = decode(row.value);
     }
     catch (error) {
-        logger.error({ row: row.version, error: String(error) }, "configuration cannot be read");
+        logs.configuration.error({ row: row.version, error: String(error) }, "configuration cannot be read");
         return;
     }
-    if (configuration.offer(offered)) {
-        onChange(offered);
-        logger.info({
-            version: offered.version,
-            row: row.version,
-            routes: offered.routes.length,
-            services: offered.services.length,
-        }, "configuration in force");
+    if (!configuration.offer(offered)) {
+        return;
     }
+    onChange(offered);
+    const decoding = clock.now() - startedAt;
+    metrics.configurationDelay.record(knownFor + decoding);
+    metrics.configurationDecoding.record(decoding);
+    metrics.configurationVersion.observe(() => configuration.current?.version ?? 0);
+    logs.configuration.info({
+        version: offered.version,
+        row: row.version,
+        routes: offered.routes.length,
+        services: offered.services.length,
+        source,
+        bytes: progress?.bytes,
+        known: Math.round(knownFor + decoding),
+        fetching: progress === undefined ? undefined : Math.round(progress.duration),
+        decoding: Math.round(decoding),
+    }, "configuration in force");
 }
--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -1,7 +1,8 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { type Store } from "../store/Store.js";
-import { TableWatch, type TableWatchOptions } from "../store/TableWatch.js";
+import { TableWatch } from "../store/TableWatch.js";
+import { type TableWatchOptions } from "../store/TableWatchOptions.js";
 import { sharedWatchLimits, watchWait } from "../store/watchWait.js";
 import { type TargetDirectory } from "./TargetDirectory.js";
 import { type DecodedTarget, TargetList } from "./TargetList.js";
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -1,4 +1,4 @@
-import { type Counter, type Histogram, type MetricRegistry } from "@waxwingspar/telemetry";
+import { type Counter, type Gauge, type Histogram, type MetricRegistry } from "@waxwingspar/telemetry";
 import { type Logger } from "pino";
 
 /** The loggers of a gateway's parts, each with its own prefix. */
@@ -21,6 +21,12 @@
     readonly orders: Counter;
     readonly storeLosses: Counter;
     readonly storeEras: Counter;
+    readonly storeCalls: Counter;
+    readonly storeBytes: Counter;
+    readonly storeReplyTime: Histogram;
+    readonly configurationVersion: Gauge;
+    readonly configurationDelay: Histogram;
+    readonly configurationDecoding: Histogram;
     readonly tableDoubt: Histogram;
     readonly firstByte: Histogram;
     readonly duration: Histogram;
@@ -61,6 +67,30 @@
             name: "waxwingspar_gateway_store_eras_total",
             help: "Times that the platform's store was found to have come back from an older copy.",
         });
+        this.storeCalls = registry.counter({
+            name: "waxwingspar_gateway_store_calls_total",
+            help: "Calls to the platform's store that ended, by table, call and result.",
+        });
+        this.storeBytes = registry.counter({
+            name: "waxwingspar_gateway_store_bytes_total",
+            help: "Bytes of replies of the platform's store, by table, and whether the reply was used or given up.",
+        });
+        this.storeReplyTime = registry.histogram({
+            name: "waxwingspar_gateway_store_reply_seconds",
+            help: "From the head of a reply of the platform's store to its end, by table.",
+        });
+        this.configurationVersion = registry.gauge({
+            name: "waxwingspar_gateway_configuration_version",
+            help: "The version of the configuration in force.",
+        });
+        this.configurationDelay = registry.histogram({
+            name: "waxwingspar_gateway_configuration_delay_seconds",
+            help: "From learning that a newer configuration exists until it was in force.",
+        });
+        this.configurationDecoding = registry.histogram({
+            name: "waxwingspar_gateway_configuration_decoding_seconds",
+            help: "Time to decode and index a configuration, in which nothing else ran.",
+        });
         this.tableDoubt = registry.histogram({
             name: "waxwingspar_gateway_table_doubt_seconds",
             help: "From noticing that the store came back from a copy until a table was read anew, by table.",
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -1,7 +1,7 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Logger } from "pino";
 import { currentMoment, type Moment } from "../Moment.js";
-import { type TableStatus } from "../store/TableWatch.js";
+import { type TableStatus } from "../store/TableWatchOptions.js";
 import { GroupMembers, type Member } from "./GroupMembers.js";
 import { addSums, ageSums, type GroupSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
 import { type Heartbeat, readHeartbeat, writeHeartbeat } from "./heartbeat.js";
--- a/packages/gateway/src/lib/peers/chooseWatchRole.ts
+++ b/packages/gateway/src/lib/peers/chooseWatchRole.ts
@@ -1,4 +1,4 @@
-import { type WatchRole } from "../store/TableWatch.js";
+import { type WatchRole } from "../store/TableWatchOptions.js";
 
 /** The properties of a gateway that determine how it follows the store. */
 export interface WatchPosition {
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -9,8 +9,20 @@
     readonly version: number;
 }
 
+/** How much of a reply has arrived, and when. */
+export interface ReplyProgress {
+    /** Bytes of the reply's body. */
+    readonly bytes: number;
+    /** Milliseconds from sending the call to the head of the reply; undefined if none arrived. */
+    readonly headAfter: number | undefined;
+    /** Milliseconds from sending the call to its end. */
+    readonly duration: number;
+}
+
 /** Fields that any reply of the store may have. */
 export interface StoreAnswer {
+    /** Undefined if the store does not measure its calls. */
+    readonly progress?: ReplyProgress;
     /**
      * Increases each time the store is restored from an older copy of itself: writes made after the copy are lost, and
      * their versions are assigned again. Undefined if the store does not report it, or did not reply.
--- a/packages/gateway/src/lib/store/StoreHealth.ts
+++ b/packages/gateway/src/lib/store/StoreHealth.ts
@@ -1,5 +1,5 @@
 import { type Observation } from "../observation/Observation.js";
-import { type TableWatchOptions } from "./TableWatch.js";
+import { type TableWatchOptions } from "./TableWatchOptions.js";
 
 /** Tracks whether this process can reach the store, from the results of the calls that follow its tables. */
 export class StoreHealth {
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -2,7 +2,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type RowChange, type Store, type StoreFailure, type TableChanges, type TableSnapshot } from "./Store.js";
-import { TableWatch, type TableWatchOptions } from "./TableWatch.js";
+import { TableWatch } from "./TableWatch.js";
+import { type TableWatchOptions } from "./TableWatchOptions.js";
 
 type Reply =
     | ({ readonly kind: "read"; } & TableSnapshot)
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,79 +1,8 @@
-import { type Clock, type Random, sleep, type Timer } from "@waxwingspar/utils";
+import { sleep, type Timer } from "@waxwingspar/utils";
 import { ageOf, currentMoment, type Moment } from "../Moment.js";
 import { CallBackOff } from "./CallBackOff.js";
-import { type RowChange, type Store, type StoredRow, type StoreFailure } from "./Store.js";
-import { type StoreEras } from "./StoreEras.js";
-import { type SharedWatchLimits } from "./watchWait.js";
-
-/** The state of a table as one gateway knows it. Gateways send it to each other in heartbeats. */
-export interface TableStatus {
-    /** The store version at which the table last changed. */
-    readonly version: number;
-    /** The store version up to which the sender has seen all changes. */
-    readonly seen: number;
-    /** Milliseconds since the latest moment at which the table was confirmed to be in this state. */
-    readonly age: number;
-    /** The store era that the versions belong to; undefined if the store reports none. */
-    readonly era?: number;
-}
-
-/**
- * How a process follows the store: "alone" polls for itself only, "leader" polls for its followers as well, and
- * "follower" uses what its peers report instead of polling.
- */
-export type WatchRole = "alone" | "leader" | "follower";
-
-/** Options of {@link TableWatch}. */
-export interface TableWatchOptions {
-    readonly clock: Clock;
-    readonly store: Store;
-    readonly table: string;
-    /** Milliseconds that one long-poll call waits for changes. */
-    readonly wait: number;
-    /**
-     * Receives all rows of the table. Rows that are missing were removed; before `graceEnd` on the clock they may still
-     * be written again. `isRestored` means that the store was restored from an older copy, so the rows may be older
-     * than those known here.
-     */
-    readonly onSnapshot: (rows: readonly StoredRow[], graceEnd: number, isRestored: boolean) => void;
-    /** Receives changes in the order in which they were made. */
-    readonly onChanges: (changes: readonly RowChange[], graceEnd: number) => void;
-    /** The state of the table was confirmed at some time after the given moment, which increases between calls. */
-    readonly onConfirmed?: (after: Moment) => void;
-    /** Tracks the store's eras; undefined if the store has none. */
-    readonly eras?: StoreEras;
-    /** The table was read again, `doubt` milliseconds after a restore of the store from a copy was detected. */
-    readonly onRestored?: (doubt: number) => void;
-    /** Limits for sharing the watch with peers; undefined if this process always polls the store itself. */
-    readonly sharedWatch?: SharedWatchLimits;
-    /** The current role of this process. */
-    readonly role?: () => WatchRole;
-    /** A call failed after `waited` milliseconds, and the one before it had succeeded. */
-    readonly onLost?: (reason: string, waited: number) => void;
-    /**
-     * The store answers again, `outage` milliseconds after the first failure was noticed and `sinceFailure`
-     * milliseconds after the last failed call was sent.
-     */
-    readonly onRegained?: (outage: number, sinceFailure: number) => void;
-    /** Peers' confirmations are too old, the last one `age` milliseconds: this process polls the store itself. */
-    readonly onPeersStale?: (age: number) => void;
-    /** Bounds of the milliseconds from sending a failed call to sending the next one: see {@link CallBackOff}. */
-    readonly retryDelay?: number;
-    readonly maxRetryDelay?: number;
-    readonly random?: Random;
-    /**
-     * Milliseconds after an outage or a restore within which writers write lost rows again. The platform documents
-     * about two seconds for rows that expired during an outage.
-     */
-    readonly rewriteTime?: number;
-    /**
-     * Upper bound for that wait, in milliseconds after the last failed call was sent: the outage may have ended right
-     * after the call was sent, however late its end was noticed.
-     */
-    readonly rewriteBound?: number;
-    /** Milliseconds for which changes in quick succession are collected, for example when a site starts. */
-    readonly batchDelay?: number;
-}
+import { type ReplyProgress, type Store, type StoreFailure } from "./Store.js";
+import { type TableDelivery, type TableStatus, type TableWatchOptions } from "./TableWatchOptions.js";
 
 type OptionalName =
     | "onConfirmed"
@@ -111,8 +40,8 @@
     private confirmedAt: Moment | undefined;
     /** The latest moment to which a peer confirmed the state known here. */
     private peerConfirmedAt: Moment | undefined;
-    /** Whether a peer reported a change that this process has not read yet. */
-    private isBehind = false;
+    /** When a peer first reported a change that this process has not read yet; undefined if there is none. */
+    private behindSince: number | undefined;
     /** Whether peers' confirmations are too old. The next call then does not wait: its connection may be dead. */
     private isPeerStateStale = false;
     private wakeUp: () => void = () => undefined;
@@ -226,7 +155,7 @@
             return;
         }
         if (version > this.version) {
-            this.isBehind = true;
+            this.behindSince ??= this.options.clock.now();
             this.wakeUp();
             return;
         }
@@ -238,6 +167,10 @@
         this.confirm(moment);
     }
 
+    private get isBehind(): boolean {
+        return this.behindSince !== undefined;
+    }
+
     private confirm(moment: Moment): void {
         if (moment.now < this.recoveryEnd) {
             return;
@@ -292,10 +225,12 @@
         this.markRegained();
         this.version = result.version;
         this.changedAt = result.version;
-        this.isBehind = false;
+        const delivery = this.describeDelivery(result.progress);
+        this.behindSince = undefined;
         const { restoredAt } = this;
         this.restoredAt = undefined;
-        this.options.onSnapshot(result.rows, this.graceEnd(), this.options.clock.now() < this.recoveryEnd);
+        const isRestored = this.options.clock.now() < this.recoveryEnd;
+        this.options.onSnapshot(result.rows, this.graceEnd(), isRestored, delivery);
         if (restoredAt !== undefined) {
             this.options.onRestored?.(this.options.clock.now() - restoredAt);
         }
@@ -309,14 +244,15 @@
         }
         this.markRegained();
         this.version = result.version;
-        this.isBehind = false;
+        const delivery = this.describeDelivery(result.progress);
+        this.behindSince = undefined;
         this.isPeerStateStale = false;
         if (result.changes.length === 0) {
             this.consecutiveChanges = 0;
             return "unchanged";
         }
         this.changedAt = Math.max(this.changedAt, ...result.changes.map(({ row }) => row?.version ?? result.version));
-        this.options.onChanges(result.changes, this.graceEnd());
+        this.options.onChanges(result.changes, this.graceEnd(), delivery);
         this.consecutiveChanges++;
         if (this.consecutiveChanges >= batchThreshold) {
             await sleep(this.options.clock, this.options.batchDelay);
@@ -324,6 +260,12 @@
         return "changed";
     }
 
+    private describeDelivery(progress: ReplyProgress | undefined): TableDelivery {
+        const now = this.options.clock.now();
+        const replyTime = progress?.headAfter === undefined ? 0 : progress.duration - progress.headAfter;
+        return { source: "store", progress, knownFor: Math.max(replyTime, now - (this.behindSince ?? now)) };
+    }
+
     /** Waits for changes until {@link cancelWait} is called, because `after` is no longer a valid version. */
     private watchUntilCancelled(after: number, wait: number): ReturnType<Store["watch"]> {
         return new Promise(resolve => {
--- a/packages/gateway/src/lib/store/sharedWatches.test.ts
+++ b/packages/gateway/src/lib/store/sharedWatches.test.ts
@@ -5,7 +5,8 @@
 import { type SimulatedGateway, SimulatedGroup } from "../testing/SimulatedGroup.js";
 import { SimulatedStore } from "../testing/SimulatedStore.js";
 import { type Store, type StoreFailure } from "./Store.js";
-import { TableWatch, type WatchRole } from "./TableWatch.js";
+import { TableWatch } from "./TableWatch.js";
+import { type WatchRole } from "./TableWatchOptions.js";
 import { sharedWatchLimits, watchWait } from "./watchWait.js";
 
 /** Milliseconds within which gateways must know of a change: the smallest value at which they share watches. */
--- a/packages/gateway/src/lib/testing/RestoredStoreSite.ts
+++ b/packages/gateway/src/lib/testing/RestoredStoreSite.ts
@@ -212,7 +212,7 @@
             key: configurationKey,
             decode: document => document as Configuration,
             configuration,
-            logger: logs.configuration,
+            observation,
             onChange: () => undefined,
         });
         const targets = createTargetWatch({
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -5,7 +5,8 @@
 import { IssuerShare } from "../peers/IssuerShare.js";
 import { PeerExchange, type TableStatuses } from "../peers/PeerExchange.js";
 import { type PeerState } from "../peers/PeerState.js";
-import { type TableStatus, type TableWatch } from "../store/TableWatch.js";
+import { type TableWatch } from "../store/TableWatch.js";
+import { type TableStatus } from "../store/TableWatchOptions.js";
 import { silentLogs } from "./fixtures.js";
 
 /** Options of {@link SimulatedGroup}. */
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -1,8 +1,9 @@
-import { createLogger } from "@waxwingspar/telemetry";
+import { createLogger, MetricRegistry } from "@waxwingspar/telemetry";
+import { type Clock } from "@waxwingspar/utils";
 import { type EngineReport } from "../chains/EngineControl.js";
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
-import { type Logs } from "../observation/Observation.js";
+import { GatewayMetrics, type Logs, type Observation } from "../observation/Observation.js";
 
 /** An engine for tests, with 80 layers and three kinds of accelerators. */
 export const testEngine: Engine = {
@@ -54,3 +55,8 @@
         process: logger,
     };
 }
+
+/** An observation that logs nothing, with a registry of its own. */
+export function silentObservation(clock: Clock): Observation {
+    return { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
+}
