Failing tests: a configuration larger than a narrow link carries in a call's limit

Cause: unknown to the tests; they state what must hold. A reply that makes progress is read, whatever its size, and a version is in force on every gateway in contact within a bound that follows from its size, the rates and the number of gateways.

--- /dev/null
+++ b/packages/gateway/src/lib/configuration/configurationArrives.test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationSite } from "../testing/ConfigurationSite.js";
+
+/** Bytes a millisecond of a link of 14 Mbit/s. */
+const narrowRate = 1_750;
+const documentBytes = 1_500_000;
+
+test("a document that takes longer than a call's limit on a narrow link is in force on every gateway", async () => {
+    const site = new ConfigurationSite({ gatewaysEach: 6, linkRate: index => index % 6 < 2 ? 25_000 : narrowRate });
+    await site.run(6_000);
+    site.publish(documentBytes);
+    await site.run(10_000);
+    assert.deepEqual(site.listLate(), []);
+});
+
+test("versions in quick succession do not keep a gateway on a narrow link from getting the newest", async () => {
+    const site = new ConfigurationSite({ gatewaysEach: 4, linkRate: () => narrowRate });
+    await site.run(6_000);
+    for (let count = 0; count < 12; count++) {
+        site.publish(documentBytes);
+        await site.run(330);
+    }
+    await site.run(8_000);
+    assert.deepEqual(site.listLate(), []);
+});
