Tests of the platform adapter can be listed in KNOWN-RED.txt

Cause: a listed name starts with the package, and outcomes of the adapter's tests had none, so a listed test of it counted as not run and as failed.

Change: the adapter's tests get its folder as prefix, like those of packages. What passes and what fails is judged as before.

Measured: run-tests.mjs platform, with the listed test failing, passes over it and prints it; before, it failed with "it did not run".

--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -28,10 +28,14 @@
     return tests;
 }
 
+/** The adapter to the users' platform, a workspace of its own beside the packages. */
+const adapter = "platform";
+
 /** Returns a test's name as in the list. The failure of a whole file gets no package prefix and so cannot be listed. */
 function listedName({ name, file }) {
     const [folder, packageName] = relative(process.cwd(), file ?? "").split(sep);
-    return folder === "packages" ? `${packageName}: ${name}` : name;
+    const workspace = folder === "packages" ? packageName : folder;
+    return folder === "packages" || folder === adapter ? `${workspace}: ${name}` : name;
 }
 
 /**
