A reply of the store is read as long as it makes progress

Callers saw: after the configuration had grown, gateways on narrow links went on by the old one for good, and refused all requests with a key from 4.6 s on.

Cause: the limit of a call to the store (0.7 s beyond its wait, 1 s for a read) covered the whole transfer of its reply. A document of 1.5 MB takes 0.86 s at 14 Mbit/s. The call was given up, what had arrived was thrown away, and the same call was sent again at once, for ever.

Change: ReplyLimit. A call fails when its reply has not begun in time, or when a reply that has begun brings nothing for 0.7 s. A silent connection is found as early as before. A reply of single bytes is given up after some seconds.

Ruled out: a larger limit, since each limit fits some size of document.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,9 +38,11 @@
     type WireFormat,
 } from "./lib/requests/messages.js";
 export { MetricsServer } from "./lib/server/MetricsServer.js";
+export { ReplyLimit, type ReplyLimitOptions } from "./lib/store/ReplyLimit.js";
 export {
     type ConditionalWrite,
     type ReplyProgress,
+    replyStall,
     type RowChange,
     type Store,
     type StoredRow,
--- a/packages/gateway/src/lib/configuration/configurationArrives.test.ts
+++ b/packages/gateway/src/lib/configuration/configurationArrives.test.ts
@@ -14,6 +14,23 @@
     assert.deepEqual(site.listLate(), []);
 });
 
+test("a document that all gateways read over the store's own narrow link is sent to each about once", async () => {
+    const site = new ConfigurationSite({ gatewaysEach: 4, storeRate: 5_000, linkRate: () => 25_000 });
+    await site.run(6_000);
+    site.publish(documentBytes);
+    await site.run(12_000);
+    assert.deepEqual(site.listLate(), []);
+    assert.ok(site.mostDocuments <= 2, `${site.mostDocuments} times`);
+});
+
+test("gateways that all start while the document is large get it over the store's narrow link", async () => {
+    const site = new ConfigurationSite({ gatewaysEach: 4, notStarted: 8, storeRate: 5_000 });
+    site.publish(documentBytes);
+    site.readers.forEach(reader => site.start(reader));
+    await site.run(12_000);
+    assert.deepEqual(site.listLate(), []);
+});
+
 test("versions in quick succession do not keep a gateway on a narrow link from getting the newest", async () => {
     const site = new ConfigurationSite({ gatewaysEach: 4, linkRate: () => narrowRate });
     await site.run(6_000);
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -79,13 +79,18 @@
     | ({ readonly kind: "conflict"; readonly rows: readonly StoredRow[]; } & StoreAnswer)
     | StoreFailure;
 
-/** Milliseconds after the end of its wait at which a call for changes times out. @public */
+/** Milliseconds after the end of its wait at which the reply to a call for changes must have begun. @public */
 export const watchSlack = 700;
+/** Milliseconds without progress after which a reply that has begun is given up. @public */
+export const replyStall = 700;
 
 /** The platform's table store. @public */
 export interface Store {
     read(table: string): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure>;
-    /** Waits up to `wait` milliseconds for changes after a version. Settles within {@link watchSlack} more. */
+    /**
+     * Waits up to `wait` milliseconds for changes after a version. Settles within {@link watchSlack} more, or within
+     * {@link replyStall} of the last progress of a reply that has begun.
+     */
     watch(
         table: string,
         after: number,
--- a/packages/gateway/src/lib/testing/NarrowStore.ts
+++ b/packages/gateway/src/lib/testing/NarrowStore.ts
@@ -1,6 +1,8 @@
-import { type Clock, type Timer } from "@waxwingspar/utils";
+import { type Clock } from "@waxwingspar/utils";
+import { ReplyLimit } from "../store/ReplyLimit.js";
 import {
     type ConditionalWrite,
+    replyStall,
     type Store,
     type StoredRow,
     type StoreFailure,
@@ -60,12 +62,17 @@
         }
         return new Promise(resolve => {
             let stop: () => void = () => undefined;
-            const timer: Timer = clock.schedule(() => {
-                stop();
-                resolve({ kind: "unknown", reason: "timeout" });
-            }, limit);
+            const replyLimit = new ReplyLimit({
+                clock,
+                begin: limit,
+                stall: replyStall,
+                onExpired: () => {
+                    stop();
+                    resolve({ kind: "unknown", reason: "timeout" });
+                },
+            });
             const finish = (reply: T | StoreFailure) => {
-                timer.cancel();
+                replyLimit.cancel();
                 resolve(reply);
             };
             void send().then(reply => {
@@ -78,7 +85,7 @@
                     stop = links.start({
                         link,
                         bytes: rows.reduce((sum, row) => sum + sizeOf(row), headBytes),
-                        onProgress: () => undefined,
+                        onProgress: bytes => replyLimit.receive(bytes),
                         onEnd: () => finish(reply),
                     });
                 }, delay());
--- a/packages/gateway/src/lib/testing/SimulatedLinks.ts
+++ b/packages/gateway/src/lib/testing/SimulatedLinks.ts
@@ -12,7 +12,7 @@
 export interface SimulatedTransfer {
     readonly link: SimulatedLink;
     readonly bytes: number;
-    readonly onProgress: () => void;
+    readonly onProgress: (bytes: number) => void;
     readonly onEnd: () => void;
 }
 
@@ -54,7 +54,7 @@
             const { link, onProgress, onEnd } = transfer;
             const rate = Math.min(this.senderRate / moving.length, link.rate / (onLink.get(link) ?? 1));
             transfer.left -= rate * step;
-            onProgress();
+            onProgress(rate * step);
             if (transfer.left <= 0) {
                 this.transfers.delete(transfer);
                 onEnd();
