--- a/packages/gateway/src/lib/configuration/configurationArrives.test.ts
+++ b/packages/gateway/src/lib/configuration/configurationArrives.test.ts
@@ -41,3 +41,22 @@
     await site.run(8_000);
     assert.deepEqual(site.listLate(), []);
 });
+
+test("a gateway that missed many versions reads the newest document only, not one of each version", async () => {
+    const site = new ConfigurationSite({ dataCentres: 1, gatewaysEach: 3, linkRate: () => narrowRate });
+    site.publish(documentBytes);
+    await site.run(8_000);
+    const [behind] = site.readers;
+    assert.ok(behind !== undefined);
+    behind.isRefused = true;
+    const before = site.countAllDocuments(behind);
+    for (let count = 0; count < 12; count++) {
+        site.publish(documentBytes);
+        await site.run(100);
+    }
+    behind.isRefused = false;
+    site.disturb(behind);
+    await site.run(4_000);
+    assert.equal(behind.configuration.current?.version, site.version);
+    assert.ok(site.countAllDocuments(behind) - before <= 2, `${site.countAllDocuments(behind) - before} documents`);
+});
--- a/packages/gateway/src/lib/store/EraStore.ts
+++ b/packages/gateway/src/lib/store/EraStore.ts
@@ -38,9 +38,10 @@
         table: string,
         after: number,
         wait: number,
+        maxBytes?: number,
     ): Promise<({ readonly kind: "changes"; } & TableChanges) | StoreFailure> {
         const asked = this.options.eras.current;
-        const result = await this.options.store.watch(table, after, wait);
+        const result = await this.options.store.watch(table, after, wait, maxBytes);
         const isLate = this.observeEra(result, "changes" === result.kind ? result.version : undefined) === "older";
         if (isLate) {
             return staleAnswer;
--- a/packages/gateway/src/lib/store/ObservedStore.ts
+++ b/packages/gateway/src/lib/store/ObservedStore.ts
@@ -26,8 +26,8 @@
         return this.record(table, "read", await this.options.store.read(table));
     }
 
-    async watch(table: string, after: number, wait: number): ReturnType<Store["watch"]> {
-        return this.record(table, "watch", await this.options.store.watch(table, after, wait));
+    async watch(table: string, after: number, wait: number, maxBytes?: number): ReturnType<Store["watch"]> {
+        return this.record(table, "watch", await this.options.store.watch(table, after, wait, maxBytes));
     }
 
     async write(write: ConditionalWrite): Promise<WriteResult> {
@@ -39,8 +39,9 @@
         const { kind, progress } = result;
         metrics.storeCalls.add({ table, call, result: kind });
         const isFailure = kind === "unknown" || kind === "unavailable";
+        const isUsed = !isFailure && kind !== "historyTooLong";
         if (progress !== undefined) {
-            metrics.storeBytes.add({ table, outcome: isFailure ? "given up" : "used" }, progress.bytes);
+            metrics.storeBytes.add({ table, outcome: isUsed ? "used" : "given up" }, progress.bytes);
             if (progress.headAfter !== undefined) {
                 metrics.storeReplyTime.record(progress.duration - progress.headAfter, { table });
             }
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -71,6 +71,8 @@
         | { readonly kind: "unknown"; readonly reason: string; }
         /** The store no longer keeps the requested changes; the whole table must be read. */
         | { readonly kind: "historyGone"; }
+        /** The changes have more bytes than the caller takes; reading the whole table is cheaper. */
+        | { readonly kind: "historyTooLong"; }
     );
 
 /** The result of a conditional write. */
@@ -90,11 +92,14 @@
     /**
      * Waits up to `wait` milliseconds for changes after a version. Settles within {@link watchSlack} more, or within
      * {@link replyStall} of the last progress of a reply that has begun.
+     *
+     * @param maxBytes - Size up to which the reply is read.
      */
     watch(
         table: string,
         after: number,
         wait: number,
+        maxBytes?: number,
     ): Promise<({ readonly kind: "changes"; } & TableChanges) | StoreFailure>;
     write(write: ConditionalWrite): Promise<WriteResult>;
 }
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -22,6 +22,10 @@
  * Consecutive calls with changes after which further changes are collected into batches, because each call is billed.
  */
 const batchThreshold = 3;
+/** A history of changes with more than this number of times the bytes of the table is not read. */
+const maxHistoryRatio = 2;
+/** Bytes of a history that is read in any case: reading the table costs a call more. */
+const minHistoryBytes = 262_144;
 
 /**
  * Follows one table of the store: reads it completely once, then makes consecutive long-poll calls for changes. It
@@ -51,6 +55,8 @@
     private lastFailedCallAt = -Infinity;
     private stopped = false;
     private consecutiveChanges = 0;
+    /** Bytes that a read of the table takes, at least, as far as known; undefined if replies are not measured. */
+    private tableBytes: number | undefined;
     private readonly backOff: CallBackOff;
     /** When a restore of the store from a copy was detected; undefined once the table has been read since. */
     private restoredAt: number | undefined;
@@ -225,6 +231,7 @@
         this.markRegained();
         this.version = result.version;
         this.changedAt = result.version;
+        this.tableBytes = result.progress?.bytes;
         const delivery = this.describeDelivery(result.progress);
         this.behindSince = undefined;
         const { restoredAt } = this;
@@ -251,6 +258,9 @@
             this.consecutiveChanges = 0;
             return "unchanged";
         }
+        if (result.progress !== undefined) {
+            this.tableBytes = Math.max(this.tableBytes ?? 0, result.progress.bytes / result.changes.length);
+        }
         this.changedAt = Math.max(this.changedAt, ...result.changes.map(({ row }) => row?.version ?? result.version));
         this.options.onChanges(result.changes, this.graceEnd(), delivery);
         this.consecutiveChanges++;
@@ -270,10 +280,16 @@
     private watchUntilCancelled(after: number, wait: number): ReturnType<Store["watch"]> {
         return new Promise(resolve => {
             this.cancelWait = () => resolve({ kind: "historyGone" });
-            void this.options.store.watch(this.options.table, after, wait).then(resolve);
+            void this.options.store.watch(this.options.table, after, wait, this.maxHistoryBytes).then(resolve);
         });
     }
 
+    private get maxHistoryBytes(): number | undefined {
+        return this.tableBytes === undefined
+            ? undefined
+            : Math.max(minHistoryBytes, maxHistoryRatio * this.tableBytes);
+    }
+
     /**
      * The wait of the next call. It is 0 during an outage, because a call that hangs would hide the end of the outage:
      * otherwise a process whose connection was restored read only 1.4 s later that a target had left, and sent it a
@@ -292,7 +308,7 @@
      * the time for which stale data is used. A call that was refused or reset quickly is retried after the retry delay.
      */
     private async handleFailure(failure: StoreFailure, asked: number): Promise<void> {
-        if (failure.kind === "historyGone") {
+        if (failure.kind === "historyGone" || failure.kind === "historyTooLong") {
             this.version = undefined;
             return;
         }
--- a/packages/gateway/src/lib/testing/ConfigurationSite.ts
+++ b/packages/gateway/src/lib/testing/ConfigurationSite.ts
@@ -169,6 +169,11 @@
         return Math.max(...this.readers.flatMap(({ documents }) => [...documents.values()]));
     }
 
+    /** Number of documents that the store began to send to one gateway. */
+    countAllDocuments({ documents }: ConfigurationReader): number {
+        return [...documents.values()].reduce((sum, count) => sum + count, 0);
+    }
+
     /** Documents that the store began to send for each gateway and version after the first. */
     get documentsPerVersion(): number {
         const sent = this.readers.flatMap(({ documents }) =>
--- a/packages/gateway/src/lib/testing/NarrowStore.ts
+++ b/packages/gateway/src/lib/testing/NarrowStore.ts
@@ -39,11 +39,12 @@
         return this.call(readLimit, () => this.options.table.read(), ({ rows }) => rows);
     }
 
-    watch(table: string, after: number, wait: number): ReturnType<Store["watch"]> {
+    watch(table: string, after: number, wait: number, maxBytes?: number): ReturnType<Store["watch"]> {
         return this.call(
             wait + watchSlack,
             () => this.options.table.watch(table, after, wait),
             ({ changes }) => changes.flatMap(({ row }) => row ?? []),
+            maxBytes,
         );
     }
 
@@ -55,6 +56,7 @@
         limit: number,
         send: () => Promise<T | StoreFailure>,
         rowsOf: (reply: T) => readonly StoredRow[],
+        maxBytes = Infinity,
     ): Promise<T | StoreFailure> {
         const { clock, links, link, sizeOf, delay, isRefused, onRows } = this.options;
         if (isRefused()) {
@@ -80,13 +82,22 @@
                     return;
                 }
                 const rows = isFailure(reply) ? [] : rowsOf(reply);
+                const bytes = rows.reduce((sum, row) => sum + sizeOf(row), headBytes);
+                const sentAt = clock.now();
                 clock.schedule(() => {
+                    if (bytes > maxBytes) {
+                        finish({ kind: "historyTooLong" });
+                        return;
+                    }
                     onRows?.(rows);
                     stop = links.start({
                         link,
-                        bytes: rows.reduce((sum, row) => sum + sizeOf(row), headBytes),
-                        onProgress: bytes => replyLimit.receive(bytes),
-                        onEnd: () => finish(reply),
+                        bytes,
+                        onProgress: received => replyLimit.receive(received),
+                        onEnd: () => {
+                            const progress = { bytes, headAfter: 0, duration: clock.now() - sentAt };
+                            finish({ ...reply, progress });
+                        },
                     });
                 }, delay());
             });
@@ -95,5 +106,5 @@
 }
 
 function isFailure<T extends { readonly kind: string; }>(reply: T | StoreFailure): reply is StoreFailure {
-    return reply.kind === "unavailable" || reply.kind === "unknown" || reply.kind === "historyGone";
+    return ["unavailable", "unknown", "historyGone", "historyTooLong"].includes(reply.kind);
 }
