A long transfer of a configuration does not let its confirmation grow too old

Callers saw: requests with a key refused, and readiness failing on all gateways together, for a store that answered.

Cause: a reply with changes confirms the configuration as of the sending of its call. When that call had waited 2.7 s and its document then took 1.5 s, the next call waited 2.7 s again, and keys are accepted for 4.6 s only.

Change: a call waits no longer than the age of the last confirmation leaves room for, with 1 s for its reply. Calls keep a least wait of 0.5 s while that age is below half of the maximum, and the rule rests while a restored store confirms nothing, since calls without a wait would follow each other at once.

Before: the new test fails at once (confirmation 4,620 ms old with a document written at 0 ms). After: passes at ten moments.

--- a/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
@@ -38,6 +38,11 @@
         return this.configuration;
     }
 
+    /** See {@link ConfigurationInForceOptions.maxConfirmationAge}. */
+    get maxConfirmationAge(): number | undefined {
+        return this.options.maxConfirmationAge;
+    }
+
     /** Milliseconds since the store was last known to hold no newer version. */
     get confirmationAge(): number {
         return this.confirmedAt === undefined ? Infinity : ageOf(this.confirmedAt, this.options.clock);
--- a/packages/gateway/src/lib/configuration/configurationArrives.test.ts
+++ b/packages/gateway/src/lib/configuration/configurationArrives.test.ts
@@ -60,3 +60,15 @@
     assert.equal(behind.configuration.current?.version, site.version);
     assert.ok(site.countAllDocuments(behind) - before <= 2, `${site.countAllDocuments(behind) - before} documents`);
 });
+
+test("credentials stay accepted while a document takes a second and a half, whenever it is written", async () => {
+    for (let offset = 0; offset < 3_000; offset += 300) {
+        const site = new ConfigurationSite({ dataCentres: 1, gatewaysEach: 1, linkRate: () => 1_000 });
+        await site.run(2_000);
+        site.publish(documentBytes);
+        await site.run(8_000 + offset);
+        site.publish(documentBytes);
+        await site.run(9_000, () => assert.deepEqual(site.listUnconfirmed(), [], `written after ${offset} ms`));
+        assert.equal(site.readers[0]?.configuration.current?.version, site.version);
+    }
+});
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -59,6 +59,7 @@
         store,
         table,
         wait: Math.min(maxWait, watchWait(contactTime)),
+        maxConfirmationAge: configuration.maxConfirmationAge,
         sharedWatch: sharedWatchLimits(propagationTime),
         role,
         eras,
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -10,6 +10,7 @@
     | "onRegained"
     | "onPeersStale"
     | "onRestored"
+    | "maxConfirmationAge"
     | "sharedWatch"
     | "role"
     | "eras"
@@ -22,6 +23,10 @@
  * Consecutive calls with changes after which further changes are collected into batches, because each call is billed.
  */
 const batchThreshold = 3;
+/** Milliseconds from the end of a call's wait until its reply, on a busy host or after one call that timed out. */
+const confirmationCallTime = 1_000;
+/** Milliseconds that a call waits while the last confirmation is young, because each call is billed. */
+const minConfirmationWait = 500;
 /** A history of changes with more than this number of times the bytes of the table is not read. */
 const maxHistoryRatio = 2;
 /** Bytes of a history that is read in any case: reading the table costs a call more. */
@@ -300,7 +305,23 @@
         if (this.lostAt !== undefined || this.isBehind || this.isPeerStateStale) {
             return 0;
         }
-        return role?.() === "leader" ? Math.min(wait, sharedWatch?.wait ?? wait) : wait;
+        const leaderWait = role?.() === "leader" ? Math.min(wait, sharedWatch?.wait ?? wait) : wait;
+        return Math.min(leaderWait, this.maxConfirmationWait);
+    }
+
+    /**
+     * The longest wait after which the store's reply still comes within the maximum age of the confirmation. A reply
+     * with changes confirms the table as of the sending of its call, which is long ago if the call has waited or the
+     * transfer has taken long.
+     */
+    private get maxConfirmationWait(): number {
+        const { maxConfirmationAge = Infinity, clock } = this.options;
+        if (this.confirmedAt === undefined || clock.now() < this.recoveryEnd) {
+            return Infinity;
+        }
+        const age = ageOf(this.confirmedAt, clock);
+        const wait = maxConfirmationAge - age - confirmationCallTime;
+        return age < maxConfirmationAge / 2 ? Math.max(minConfirmationWait, wait) : Math.max(0, wait);
     }
 
     /**
--- a/packages/gateway/src/lib/store/TableWatchOptions.ts
+++ b/packages/gateway/src/lib/store/TableWatchOptions.ts
@@ -57,6 +57,11 @@
     readonly eras?: StoreEras;
     /** The table was read again, `doubt` milliseconds after a restore of the store from a copy was detected. */
     readonly onRestored?: (doubt: number) => void;
+    /**
+     * Maximum age in milliseconds of the last confirmation while the store answers. Calls wait less if it would be
+     * exceeded otherwise. Undefined if there is no maximum.
+     */
+    readonly maxConfirmationAge?: number;
     /** Limits for sharing the watch with peers; undefined if this process always polls the store itself. */
     readonly sharedWatch?: SharedWatchLimits;
     /** The current role of this process. */
--- a/packages/gateway/src/lib/testing/ConfigurationSite.ts
+++ b/packages/gateway/src/lib/testing/ConfigurationSite.ts
@@ -144,8 +144,9 @@
         this.readers.forEach(reader => this.disturb(reader));
     }
 
-    run(duration: number): Promise<void> {
-        return this.group.runAsync(duration);
+    /** @param check - Called every 100 ms. */
+    run(duration: number, check?: () => void): Promise<void> {
+        return this.group.runAsync(duration, check);
     }
 
     /**
@@ -164,6 +165,13 @@
         });
     }
 
+    /** Running gateways that accept no credentials, because their configuration was not confirmed for too long. */
+    listUnconfirmed(): string[] {
+        return this.readers
+            .filter(({ hasStarted, configuration }) => hasStarted && !configuration.mayAcceptCredentials)
+            .map(({ gateway, configuration }) => `${gateway.name}: ${configuration.confirmationAge} ms`);
+    }
+
     /** The most times that the store began to send one version to one gateway. */
     get mostDocuments(): number {
         return Math.max(...this.readers.flatMap(({ documents }) => [...documents.values()]));
