Routes are found through an index of their prefixes

The process stands still for as long as it indexes a configuration, and each request searched the routes of its host one by one.

Cause: the list of a host's routes was copied for each of its routes.

Change: RouteIndex, one map a host and the distinct lengths of its prefixes. The first of equal prefixes wins, as before.

--- a/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
+++ b/packages/gateway/src/lib/configuration/ConfigurationInForce.ts
@@ -1,6 +1,7 @@
 import { type Clock } from "@waxwingspar/utils";
 import { ageOf, type Moment } from "../Moment.js";
 import { type Configuration, type Organisation, type Route, type Service } from "./Configuration.js";
+import { RouteIndex } from "./RouteIndex.js";
 
 /** Result of checking the credential of a request. */
 export type CredentialVerdict =
@@ -27,7 +28,7 @@
 export class ConfigurationInForce {
     private configuration: Configuration | undefined;
     private confirmedAt: Moment | undefined;
-    private readonly routesByHost = new Map<string, Route[]>();
+    private routes = new RouteIndex([]);
     private readonly services = new Map<string, Service>();
     private readonly organisationsByKey = new Map<string, Organisation>();
 
@@ -77,7 +78,7 @@
 
     /** @returns The route of the host with the longest matching path prefix. */
     findRoute(hostname: string, path: string): Route | undefined {
-        return this.routesByHost.get(hostname.toLowerCase())?.find(route => path.startsWith(route.pathPrefix));
+        return this.routes.find(hostname, path);
     }
 
     findService(name: string): Service | undefined {
@@ -97,14 +98,7 @@
     }
 
     private buildIndexes({ routes, services, organisations }: Configuration): void {
-        this.routesByHost.clear();
-        for (const route of routes) {
-            const host = route.hostname.toLowerCase();
-            this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
-        }
-        for (const list of this.routesByHost.values()) {
-            list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-        }
+        this.routes = new RouteIndex(routes);
         this.services.clear();
         services.forEach(service => this.services.set(service.name, service));
         this.organisationsByKey.clear();
