Gateways hand a changed configuration on to each other

The store sent the whole document to each gateway, at the same moment, over the narrowest links.

Cause: all who rely on relays asked the store for the document as soon as a heartbeat named a newer version. The relays have it already, and it shrinks to a twentieth when compressed (1,120,683 to 64,982 bytes for 4,500 routes).

Change: copies/. A gateway keeps its configuration's row compressed and hands it on over its internal port, to four peers at a time; the others are told who has it already. A follower asks up to three peers that reported the version, and then the store. A copy counts only if it is whole, of the current era, at least of the reported version, and decodes to a newer configuration. A relay says in its heartbeats that a reply of the store is on its way, and followers wait for it instead of asking for the same rows; only for the configuration, since waiting would delay the removal of targets. Gateways of the older build report no such thing and answer no request for a copy: the store is asked then.

Weighed, not built: handing on only what changed; at this compression a change of 1,400 routes is a third of the whole document.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,6 +41,7 @@
 export { ReplyLimit, type ReplyLimitOptions } from "./lib/store/ReplyLimit.js";
 export {
     type ConditionalWrite,
+    type ReadOptions,
     type ReplyProgress,
     replyStall,
     type RowChange,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -7,6 +7,7 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
+import { TableCopies } from "./copies/TableCopies.js";
 import { CrashProtection } from "./crashes/CrashProtection.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { logTargetChange } from "./directory/logTargetChange.js";
@@ -35,7 +36,7 @@
 import { StoreEras } from "./store/StoreEras.js";
 import { StoreHealth } from "./store/StoreHealth.js";
 import { type TableWatch } from "./store/TableWatch.js";
-import { type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
+import { type PeerSnapshot, type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
 import { refusesConnections } from "./upstream/refusesConnections.js";
 
 /** Milliseconds of the key revocation bound that are reserved for requests in flight. */
@@ -73,6 +74,7 @@
     private readonly callers: CallerServer;
     private readonly readiness: ReadinessServer;
     private readonly peers: PeerGroup;
+    private readonly copies: TableCopies;
     private readonly lease: PlacementLease;
     private readonly duty: PlacementDuty;
     /** By table name. */
@@ -110,6 +112,13 @@
             observation,
         });
         this.peers = this.createPeerGroup();
+        this.copies = new TableCopies({
+            clock,
+            random,
+            address: { host: settings.host, port: settings.internalPorts.first },
+            eras,
+            observation,
+        });
         this.permits = new SendPermits({ clock, random, limits: this.limits, group: this.peers, observation });
         const { isOn = allMechanismsOn } = options;
         const router = new RequestRouter({
@@ -172,7 +181,7 @@
         this.watches.forEach(watch => void watch.run());
         this.crashes.records.start();
         await Promise.all([this.readiness.start(), this.callers.start()]);
-        await this.peers.start();
+        await Promise.all([this.peers.start(), this.copies.start()]);
         this.lease.start();
         this.duty.start();
         logs.process.info({ callers: this.callers.address, readiness: this.readiness.address }, "listening");
@@ -213,6 +222,7 @@
         this.crashes.records.stop();
         this.services.forEach(({ chains }) => chains?.stop());
         this.peers.stop();
+        this.copies.stop();
         this.callers.closeAll();
         this.readiness.close();
     }
@@ -262,7 +272,12 @@
                 mayTakeDuty: this.storeHealth.isHealthy && this.lease.mayAcquire && !this.isStopping,
             }),
             words: () => this.words,
-            onTableStatus: (table, tableStatus, after) => this.receiveTableStatus(table, tableStatus, after),
+            onTableStatus: (table, tableStatus, after, sender) => {
+                if (sender.dataCentre === settings.dataCentre) {
+                    this.copies.reader.noteHolder(table, sender.address, tableStatus.version);
+                }
+                this.receiveTableStatus(table, tableStatus, after);
+            },
             onOther: datagram => this.permits.receive(datagram),
             onSums: ({ slowTargets, crashes, limits }) => {
                 this.paces.recordPeerReports(slowTargets);
@@ -289,6 +304,8 @@
             ...createWatchOptions(tables.configurationTable),
             key: tables.configurationKey,
             configurationTime: settings.configurationTime,
+            readFromPeers: isOn("peer-copies") ? version => this.readCopy(version) : undefined,
+            onRow: (row, encoded) => this.copies.keep(tables.configurationTable, row.version, [row], encoded),
             decode: document => tables.decodeConfiguration(document),
             configuration: this.configuration,
             observation: this.observation,
@@ -309,6 +326,12 @@
         return new Map([[tables.configurationTable, configurationWatch], [tables.targetTable, targetWatch]]);
     }
 
+    /** Reads the configuration's table from a peer that has at least a version. */
+    private async readCopy(version: number): Promise<PeerSnapshot | undefined> {
+        const read = await this.copies.reader.read(this.options.tables.configurationTable, version);
+        return read === undefined ? undefined : { ...read.copy, encoded: read.encoded, progress: read.progress };
+    }
+
     /** The status of each watched table, as peers receive it. */
     private get words(): TableStatuses {
         return Object.fromEntries(
--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -22,6 +22,7 @@
     "second-attempts": "an idempotent request to a plain service is retried after a failure",
     "peer-confirmations": "a peer may confirm that the configuration is still the newest",
     "shared-watches": "gateways that are not relays rely on relays for changes of the store's tables",
+    "peer-copies": "a gateway reads a changed configuration from a peer of its data centre before it asks the store",
     "start-queue": "requests are queued briefly while the process loads its configuration and target list",
 } as const satisfies Readonly<Record<string, string>>;
 
--- a/packages/gateway/src/lib/Moment.ts
+++ b/packages/gateway/src/lib/Moment.ts
@@ -22,3 +22,8 @@
     const { now, date } = currentMoment(clock);
     return Math.max(now - moment.now, date - moment.date);
 }
+
+/** The later of two moments. */
+export function latestMoment(known: Moment | undefined, other: Moment): Moment {
+    return known === undefined || other.now > known.now ? other : known;
+}
--- a/packages/gateway/src/lib/configuration/configurationArrives.test.ts
+++ b/packages/gateway/src/lib/configuration/configurationArrives.test.ts
@@ -72,3 +72,16 @@
         assert.equal(site.readers[0]?.configuration.current?.version, site.version);
     }
 });
+
+for (const [bytes, most] of [[400_000, 0.25], [documentBytes, 1]] as const) {
+    test(`36 gateways: the store sends a document of ${bytes} bytes ${most} times a gateway at most`, async () => {
+        const site = new ConfigurationSite({ dataCentres: 3, gatewaysEach: 12, linkRate: () => narrowRate });
+        await site.run(6_000);
+        for (let count = 0; count < 4; count++) {
+            site.publish(bytes);
+            await site.run(4_000);
+        }
+        assert.deepEqual(site.listLate(), []);
+        assert.ok(site.documentsPerVersion <= most, `${site.documentsPerVersion}`);
+    });
+}
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -2,7 +2,7 @@
 import { type Observation } from "../observation/Observation.js";
 import { type Store, type StoredRow } from "../store/Store.js";
 import { TableWatch } from "../store/TableWatch.js";
-import { type TableDelivery, type TableWatchOptions } from "../store/TableWatchOptions.js";
+import { type PeerSnapshot, type TableDelivery, type TableWatchOptions } from "../store/TableWatchOptions.js";
 import { sharedWatchLimits, watchWait } from "../store/watchWait.js";
 import { type Configuration } from "./Configuration.js";
 import { type ConfigurationInForce } from "./ConfigurationInForce.js";
@@ -26,6 +26,10 @@
      * Maximum milliseconds from a write to the store until the configuration is in force; undefined if no limit is set.
      */
     readonly configurationTime?: number;
+    /** Reads the configuration's table from a peer that has at least a version; undefined if none gives it. */
+    readonly readFromPeers?: TableWatchOptions["readFromPeers"];
+    /** Called with the row of a configuration that has come into force, and the copy in which a peer sent it. */
+    readonly onRow?: (row: StoredRow, encoded: Buffer | undefined) => void;
     /** Called when a newer configuration is in force. */
     readonly onChange: (configuration: Configuration) => void;
     /** Called when the configuration in force was confirmed to be the newest one. */
@@ -50,7 +54,8 @@
  * store becomes unavailable, and fewer calls are needed: with waits of 1.2 s, counted from the sending of a call, 68
  * gateways made 57 calls per second for the configuration alone.
  */
-export function createConfigurationWatch(options: ConfigurationWatchOptions): TableWatch {
+export function createConfigurationWatch(given: ConfigurationWatchOptions): TableWatch {
+    const options = { ...given, decode: decodeOnce(given.decode) };
     const { clock, store, table, configuration, contactTime, configurationTime } = options;
     const { role, eras, random, onLost, onRegained, onPeersStale, onRestored } = options;
     const propagationTime = Math.min(contactTime, configurationTime ?? 0, maxPropagationTime);
@@ -61,6 +66,8 @@
         wait: Math.min(maxWait, watchWait(contactTime)),
         maxConfirmationAge: configuration.maxConfirmationAge,
         sharedWatch: sharedWatchLimits(propagationTime),
+        waitsForPeers: options.readFromPeers !== undefined,
+        readFromPeers: options.readFromPeers === undefined ? undefined : version => readUsable(version, options),
         role,
         eras,
         random,
@@ -78,10 +85,43 @@
     });
 }
 
+/** Remembers what a document decodes to, since a copy of a peer is checked before it is applied. */
+function decodeOnce(decode: ConfigurationWatchOptions["decode"]): ConfigurationWatchOptions["decode"] {
+    let last: { readonly document: unknown; readonly configuration: Configuration; } | undefined;
+    return document => {
+        if (last === undefined || last.document !== document) {
+            last = { document, configuration: decode(document) };
+        }
+        return last.configuration;
+    };
+}
+
+/** Reads the table from peers, and rejects what is no configuration or none newer than the one in force. */
+async function readUsable(
+    version: number,
+    { key, decode, configuration, observation, readFromPeers }: ConfigurationWatchOptions,
+): Promise<PeerSnapshot | undefined> {
+    const snapshot = await readFromPeers?.(version);
+    const row = snapshot?.rows.findLast(row => row.key === key);
+    if (row === undefined) {
+        return undefined;
+    }
+    try {
+        if (decode(row.value).version > (configuration.current?.version ?? 0)) {
+            return snapshot;
+        }
+        observation.logs.configuration.warn({ row: row.version }, "copy of a peer is older than it says");
+    }
+    catch (error) {
+        observation.logs.configuration.warn({ row: row.version, error: String(error) }, "copy of a peer is unusable");
+    }
+    return undefined;
+}
+
 /** Applies the newest row that holds the configuration; one call may return several versions of it. */
 function applyNewest(
     rows: readonly StoredRow[],
-    { source, progress, knownFor }: TableDelivery,
+    { source, progress, knownFor, encoded }: TableDelivery,
     options: ConfigurationWatchOptions,
 ): void {
     const { clock, key, decode, configuration, observation: { logs, metrics }, onChange } = options;
@@ -102,6 +142,7 @@
         return;
     }
     onChange(offered);
+    options.onRow?.(row, encoded);
     const decoding = clock.now() - startedAt;
     metrics.configurationDelay.record(knownFor + decoding);
     metrics.configurationDecoding.record(decoding);
--- /dev/null
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -0,0 +1,112 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Logger } from "pino";
+import { type Address } from "../GatewaySettings.js";
+import { encodeTableCopy, type TableCopy } from "./TableCopy.js";
+
+/** Options of {@link CopyServer}. */
+export interface CopyServerOptions {
+    readonly address: Address;
+    readonly logger: Logger;
+}
+
+/** What a gateway answers to a peer that asks for a copy. */
+export type CopyAnswer =
+    | { readonly kind: "copy"; readonly bytes: Buffer; }
+    /** Too many transfers are running. Peers that have the copy already can be asked instead. */
+    | { readonly kind: "busy"; readonly holders: readonly string[]; }
+    | { readonly kind: "none"; };
+
+interface KeptCopy {
+    readonly version: number;
+    readonly bytes: Promise<Buffer>;
+    readonly holders: Set<string>;
+}
+
+/** Transfers at a time: with more, none of them would end before the others on a narrow link. */
+const maxTransfers = 4;
+/** Peers that a busy gateway names. */
+const maxHolders = 8;
+const status = { ok: 200, notFound: 404, busy: 503 };
+
+/** Path of the copy of a table. */
+export function copyPath(table: string): string {
+    return `/tables/${encodeURIComponent(table)}`;
+}
+
+/** Header with the address of the gateway that asks, so that it can be named to others. */
+export const askerHeader = "x-gateway-address";
+
+/** Hands copies of tables to the other gateways of the data centre. */
+export class CopyServer {
+    private readonly server: Server;
+    private readonly copies = new Map<string, KeptCopy>();
+    private transfers = 0;
+
+    constructor(private readonly options: CopyServerOptions) {
+        this.server = createServer((request, response) => void this.handle(request, response));
+    }
+
+    /** Starts to listen. A gateway whose port is taken works without handing on copies. */
+    start(): Promise<void> {
+        const { address: { host, port }, logger } = this.options;
+        return new Promise(resolve => {
+            this.server.once("error", (error: Error) => {
+                logger.warn({ error: error.message }, "copies cannot be handed on");
+                resolve();
+            });
+            this.server.listen(port, host, resolve);
+        });
+    }
+
+    stop(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    /** Keeps a copy instead of an older one of the same table. */
+    keep(copy: TableCopy, encoded?: Buffer): void {
+        const bytes = encoded === undefined ? encodeTableCopy(copy) : Promise.resolve(encoded);
+        this.copies.set(copy.table, { version: copy.version, bytes, holders: new Set() });
+    }
+
+    /** Begins a transfer if one more is allowed; {@link CopyServer.endTransfer} ends it. */
+    async beginTransfer(table: string): Promise<CopyAnswer> {
+        const copy = this.copies.get(table);
+        if (copy === undefined) {
+            return { kind: "none" };
+        }
+        if (this.transfers >= maxTransfers) {
+            return { kind: "busy", holders: [...copy.holders].slice(-maxHolders) };
+        }
+        this.transfers++;
+        return { kind: "copy", bytes: await copy.bytes };
+    }
+
+    /** @param asker - The address of a gateway that has the copy now; undefined if the transfer failed. */
+    endTransfer(table: string, asker: string | undefined): void {
+        this.transfers--;
+        if (asker !== undefined) {
+            this.copies.get(table)?.holders.add(asker);
+        }
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const table = [...this.copies.keys()].find(name => request.url === copyPath(name));
+        const answer = table === undefined ? { kind: "none" } as const : await this.beginTransfer(table);
+        if (table === undefined || answer.kind === "none") {
+            response.writeHead(status.notFound).end();
+            return;
+        }
+        if (answer.kind === "busy") {
+            response.writeHead(status.busy, { "Content-Type": "application/json" });
+            response.end(JSON.stringify(answer.holders));
+            return;
+        }
+        const asker = request.headers[askerHeader];
+        let isSent = false;
+        response.once("finish", () => isSent = true);
+        response.once("close", () => this.endTransfer(table, isSent && typeof asker === "string" ? asker : undefined));
+        response.writeHead(status.ok, { "Content-Length": answer.bytes.length });
+        response.end(answer.bytes);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/copies/fetchCopy.ts
@@ -0,0 +1,94 @@
+import { type Clock } from "@waxwingspar/utils";
+import { request } from "node:http";
+import { ReplyLimit } from "../store/ReplyLimit.js";
+import { type CopyReply } from "./CopyReader.js";
+import { askerHeader, copyPath } from "./CopyServer.js";
+
+/** Options of {@link createCopyFetch}. */
+export interface CopyFetchOptions {
+    readonly clock: Clock;
+    /** Address of this gateway. */
+    readonly own: string;
+}
+
+/** Milliseconds until a peer's reply must have begun. A peer that is slower is no gain over the store. */
+const beginTime = 500;
+/** Milliseconds that a reply may bring nothing. */
+const stallTime = 500;
+/** Largest copy in bytes, compressed. */
+const maxBytes = 33_554_432;
+const status = { ok: 200, busy: 503 };
+
+/** Creates the function that asks a peer for its copy of a table. */
+export function createCopyFetch(
+    { clock, own }: CopyFetchOptions,
+): (address: string, table: string) => Promise<CopyReply> {
+    return (address, table) =>
+        new Promise(resolve => {
+            const sentAt = clock.now();
+            const chunks: Buffer[] = [];
+            let bytes = 0;
+            let headAfter: number | undefined;
+            const measure = () => ({ bytes, headAfter, duration: clock.now() - sentAt });
+            const colon = address.lastIndexOf(":");
+            const call = request({
+                host: address.slice(0, colon),
+                port: Number(address.slice(colon + 1)),
+                path: copyPath(table),
+                headers: { [askerHeader]: own },
+                agent: false,
+            });
+            const finish = (reply: CopyReply) => {
+                limit.cancel();
+                resolve(reply);
+                call.destroy();
+            };
+            const fail = (reason: string) => finish({ kind: "failed", reason, progress: measure() });
+            const limit = new ReplyLimit({
+                clock,
+                begin: beginTime,
+                stall: stallTime,
+                onExpired: () => fail("timeout"),
+                afterInput: setImmediate,
+            });
+            call.once("error", (error: NodeJS.ErrnoException) => fail(error.code ?? error.message));
+            call.once("response", response => {
+                headAfter = clock.now() - sentAt;
+                response.on("data", (chunk: Buffer) => {
+                    bytes += chunk.length;
+                    chunks.push(chunk);
+                    limit.receive(chunk.length);
+                    if (bytes > maxBytes) {
+                        fail("too large");
+                    }
+                });
+                response.once("close", () => fail("closed"));
+                response.once("end", () => {
+                    const body = Buffer.concat(chunks);
+                    if (!response.complete) {
+                        fail("truncated");
+                    }
+                    else if (response.statusCode === status.ok) {
+                        finish({ kind: "copy", bytes: body, progress: measure() });
+                    }
+                    else if (response.statusCode === status.busy) {
+                        finish({ kind: "busy", holders: readHolders(body) });
+                    }
+                    else {
+                        fail(`status ${response.statusCode ?? 0}`);
+                    }
+                });
+            });
+            call.end();
+        });
+}
+
+function readHolders(body: Buffer): string[] {
+    try {
+        const holders: unknown = JSON.parse(body.toString("utf8"));
+        return Array.isArray(holders) ? holders.filter(holder => typeof holder === "string") : [];
+    }
+    catch {
+        return [];
+    }
+}
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -24,6 +24,8 @@
     readonly storeCalls: Counter;
     readonly storeBytes: Counter;
     readonly storeReplyTime: Histogram;
+    readonly peerCopies: Counter;
+    readonly peerCopyBytes: Counter;
     readonly configurationVersion: Gauge;
     readonly configurationDelay: Histogram;
     readonly configurationDecoding: Histogram;
@@ -79,6 +81,14 @@
             name: "waxwingspar_gateway_store_reply_seconds",
             help: "From the head of a reply of the platform's store to its end, by table.",
         });
+        this.peerCopies = registry.counter({
+            name: "waxwingspar_gateway_peer_copies_total",
+            help: "Requests to peers for copies of tables, by table and result.",
+        });
+        this.peerCopyBytes = registry.counter({
+            name: "waxwingspar_gateway_peer_copy_bytes_total",
+            help: "Compressed bytes of tables that peers sent, by table.",
+        });
         this.configurationVersion = registry.gauge({
             name: "waxwingspar_gateway_configuration_version",
             help: "The version of the configuration in force.",
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -27,7 +27,7 @@
     /** The state of the store's tables as this process knows it, by name. */
     readonly words: () => TableStatuses;
     /** A peer reported the state of a table at some time after the given moment. */
-    readonly onTableStatus?: (table: string, status: TableStatus, after: Moment) => void;
+    readonly onTableStatus?: (table: string, status: TableStatus, after: Moment, sender: Member) => void;
     /** Handles a datagram that is not a heartbeat. Returns false if it cannot be read either. */
     readonly onOther?: (datagram: string) => boolean;
     /** Called after each heartbeat with the aggregated state of the other gateways. */
@@ -236,13 +236,13 @@
      * Applies the table states in a heartbeat. They count from when this process sent the heartbeat that the peer
      * echoes, since only that time is known for certain.
      */
-    private applyTableStatuses({ words, echo }: Heartbeat): void {
+    private applyTableStatuses({ words, echo, address, dataCentre }: Heartbeat): void {
         const echoed = this.echoed(echo);
         for (const [table, status] of Object.entries(words)) {
             const knownAt = this.options.clock.now() - status.age;
             this.tableConfirmedAt.set(table, Math.max(knownAt, this.tableConfirmedAt.get(table) ?? -Infinity));
             if (echoed !== undefined) {
-                this.options.onTableStatus?.(table, status, echoed.sent);
+                this.options.onTableStatus?.(table, status, echoed.sent, { address, dataCentre });
             }
         }
     }
--- a/packages/gateway/src/lib/peers/heartbeat.ts
+++ b/packages/gateway/src/lib/peers/heartbeat.ts
@@ -7,6 +7,7 @@
     seen: z.number(),
     age: z.number(),
     era: z.optional(z.number()),
+    pending: z.optional(z.boolean()),
 });
 
 const heartbeatSchema = z.object({
--- a/packages/gateway/src/lib/store/EraStore.ts
+++ b/packages/gateway/src/lib/store/EraStore.ts
@@ -1,6 +1,7 @@
 import { type Observation } from "../observation/Observation.js";
 import {
     type ConditionalWrite,
+    type ReadOptions,
     type Store,
     type StoreAnswer,
     type StoreFailure,
@@ -28,8 +29,11 @@
 
     constructor(private readonly options: EraStoreOptions) {}
 
-    async read(table: string): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure> {
-        const result = await this.options.store.read(table);
+    async read(
+        table: string,
+        options?: ReadOptions,
+    ): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure> {
+        const result = await this.options.store.read(table, options);
         const isStale = this.observeEra(result, "read" === result.kind ? result.version : undefined) === "older";
         return isStale ? staleAnswer : result;
     }
@@ -38,10 +42,10 @@
         table: string,
         after: number,
         wait: number,
-        maxBytes?: number,
+        options?: ReadOptions,
     ): Promise<({ readonly kind: "changes"; } & TableChanges) | StoreFailure> {
         const asked = this.options.eras.current;
-        const result = await this.options.store.watch(table, after, wait, maxBytes);
+        const result = await this.options.store.watch(table, after, wait, options);
         const isLate = this.observeEra(result, "changes" === result.kind ? result.version : undefined) === "older";
         if (isLate) {
             return staleAnswer;
--- a/packages/gateway/src/lib/store/ObservedStore.ts
+++ b/packages/gateway/src/lib/store/ObservedStore.ts
@@ -1,6 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type Observation } from "../observation/Observation.js";
-import { type ConditionalWrite, type Store, type StoreAnswer, type WriteResult } from "./Store.js";
+import { type ConditionalWrite, type ReadOptions, type Store, type StoreAnswer, type WriteResult } from "./Store.js";
 
 /** Options of {@link ObservedStore}. */
 export interface ObservedStoreOptions {
@@ -22,12 +22,12 @@
 
     constructor(private readonly options: ObservedStoreOptions) {}
 
-    async read(table: string): ReturnType<Store["read"]> {
-        return this.record(table, "read", await this.options.store.read(table));
+    async read(table: string, options?: ReadOptions): ReturnType<Store["read"]> {
+        return this.record(table, "read", await this.options.store.read(table, options));
     }
 
-    async watch(table: string, after: number, wait: number, maxBytes?: number): ReturnType<Store["watch"]> {
-        return this.record(table, "watch", await this.options.store.watch(table, after, wait, maxBytes));
+    async watch(table: string, after: number, wait: number, options?: ReadOptions): ReturnType<Store["watch"]> {
+        return this.record(table, "watch", await this.options.store.watch(table, after, wait, options));
     }
 
     async write(write: ConditionalWrite): Promise<WriteResult> {
--- a/packages/gateway/src/lib/store/Store.ts
+++ b/packages/gateway/src/lib/store/Store.ts
@@ -86,20 +86,26 @@
 /** Milliseconds without progress after which a reply that has begun is given up. @public */
 export const replyStall = 700;
 
+/** Options of a call that reads rows. */
+export interface ReadOptions {
+    /** Size in bytes up to which the reply to a call for changes is read. */
+    readonly maxBytes?: number;
+    /** Called when the reply begins to arrive. */
+    readonly onBegin?: () => void;
+}
+
 /** The platform's table store. @public */
 export interface Store {
-    read(table: string): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure>;
+    read(table: string, options?: ReadOptions): Promise<({ readonly kind: "read"; } & TableSnapshot) | StoreFailure>;
     /**
      * Waits up to `wait` milliseconds for changes after a version. Settles within {@link watchSlack} more, or within
      * {@link replyStall} of the last progress of a reply that has begun.
-     *
-     * @param maxBytes - Size up to which the reply is read.
      */
     watch(
         table: string,
         after: number,
         wait: number,
-        maxBytes?: number,
+        options?: ReadOptions,
     ): Promise<({ readonly kind: "changes"; } & TableChanges) | StoreFailure>;
     write(write: ConditionalWrite): Promise<WriteResult>;
 }
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -1,36 +1,26 @@
 import { sleep, type Timer } from "@waxwingspar/utils";
-import { ageOf, currentMoment, type Moment } from "../Moment.js";
+import { ageOf, currentMoment, latestMoment, type Moment } from "../Moment.js";
 import { CallBackOff } from "./CallBackOff.js";
+import { HistoryLimit } from "./HistoryLimit.js";
+import { PeerReports } from "./PeerReports.js";
 import { type ReplyProgress, type Store, type StoreFailure } from "./Store.js";
-import { type TableDelivery, type TableStatus, type TableWatchOptions } from "./TableWatchOptions.js";
+import {
+    type CompleteTableWatchOptions,
+    type TableDelivery,
+    type TableStatus,
+    tableWatchDefaults,
+    type TableWatchOptions,
+} from "./TableWatchOptions.js";
+import { confirmationWait } from "./watchWait.js";
 
-type OptionalName =
-    | "onConfirmed"
-    | "onLost"
-    | "onRegained"
-    | "onPeersStale"
-    | "onRestored"
-    | "maxConfirmationAge"
-    | "sharedWatch"
-    | "role"
-    | "eras"
-    | "random";
-
-const defaults = { retryDelay: 200, maxRetryDelay: 800, rewriteTime: 2_050, rewriteBound: 2_950, batchDelay: 250 };
 /** Milliseconds by which a timer may fire early or late. */
 const timerSlack = 5;
 /**
  * Consecutive calls with changes after which further changes are collected into batches, because each call is billed.
  */
 const batchThreshold = 3;
-/** Milliseconds from the end of a call's wait until its reply, on a busy host or after one call that timed out. */
-const confirmationCallTime = 1_000;
-/** Milliseconds that a call waits while the last confirmation is young, because each call is billed. */
-const minConfirmationWait = 500;
-/** A history of changes with more than this number of times the bytes of the table is not read. */
-const maxHistoryRatio = 2;
-/** Bytes of a history that is read in any case: reading the table costs a call more. */
-const minHistoryBytes = 262_144;
+/** Milliseconds between two checks whether a peer still receives rows. */
+const minFollowTime = 100;
 
 /**
  * Follows one table of the store: reads it completely once, then makes consecutive long-poll calls for changes. It
@@ -40,17 +30,12 @@
  * version, or when the last confirmation by a peer is too old.
  */
 export class TableWatch {
-    private readonly options:
-        & Required<Omit<TableWatchOptions, OptionalName>>
-        & TableWatchOptions;
+    private readonly options: CompleteTableWatchOptions;
     private version: number | undefined;
     /** The store version of the last change to the table that this process knows of. */
     private changedAt = 0;
     private confirmedAt: Moment | undefined;
-    /** The latest moment to which a peer confirmed the state known here. */
-    private peerConfirmedAt: Moment | undefined;
-    /** When a peer first reported a change that this process has not read yet; undefined if there is none. */
-    private behindSince: number | undefined;
+    private readonly reports: PeerReports;
     /** Whether peers' confirmations are too old. The next call then does not wait: its connection may be dead. */
     private isPeerStateStale = false;
     private wakeUp: () => void = () => undefined;
@@ -60,8 +45,11 @@
     private lastFailedCallAt = -Infinity;
     private stopped = false;
     private consecutiveChanges = 0;
-    /** Bytes that a read of the table takes, at least, as far as known; undefined if replies are not measured. */
-    private tableBytes: number | undefined;
+    /** Whether the reply to the current call has begun to arrive. */
+    private isReceiving = false;
+    /** Whether the table must be read because its changes are too long. */
+    private isHistoryTooLong = false;
+    private readonly historyLimit = new HistoryLimit();
     private readonly backOff: CallBackOff;
     /** When a restore of the store from a copy was detected; undefined once the table has been read since. */
     private restoredAt: number | undefined;
@@ -73,7 +61,8 @@
     private readonly stopListening: () => void;
 
     constructor(options: TableWatchOptions) {
-        this.options = { ...defaults, ...options };
+        this.options = { ...tableWatchDefaults, ...options };
+        this.reports = new PeerReports(options.clock);
         this.backOff = new CallBackOff(this.options);
         this.stopListening = options.eras?.onNewEra(() => this.handleNewEra()) ?? (() => undefined);
     }
@@ -82,11 +71,15 @@
     async run(): Promise<void> {
         while (!this.stopped) {
             await this.followPeers();
+            if (await this.readFromPeers()) {
+                continue;
+            }
             const asked = currentMoment(this.options.clock);
             const wait = this.nextWait;
-            const result = this.version === undefined
+            const result = this.version === undefined || this.isHistoryTooLong
                 ? await this.readAll()
                 : await this.waitForChanges(this.version, wait);
+            this.isReceiving = false;
             if (this.stopped) {
                 return;
             }
@@ -138,6 +131,7 @@
 
     private forceReread(): void {
         this.version = undefined;
+        this.reports.forget();
         this.cancelWait();
         this.wakeUp();
     }
@@ -152,6 +146,7 @@
                 seen: version,
                 age: Math.ceil(ageOf(confirmedAt, this.options.clock)),
                 era: this.options.eras?.current,
+                pending: this.isReceiving ? true : undefined,
             };
     }
 
@@ -160,13 +155,16 @@
      *
      * @param after - A moment before the peer sent its report.
      */
-    applyPeerStatus({ version, seen, age, era }: TableStatus, after: Moment): void {
+    applyPeerStatus({ version, seen, age, era, pending }: TableStatus, after: Moment): void {
         const isOfOtherEra = era !== undefined && this.options.eras?.observe(era) === "older";
         if (this.version === undefined || isOfOtherEra) {
             return;
         }
+        if (pending === true) {
+            this.reports.notePending();
+        }
         if (version > this.version) {
-            this.behindSince ??= this.options.clock.now();
+            this.reports.noteNewer(version);
             this.wakeUp();
             return;
         }
@@ -174,19 +172,26 @@
         // than the history of changes that the store keeps.
         this.version = Math.max(this.version, seen);
         const moment = { now: after.now - age, date: after.date - age };
-        this.peerConfirmedAt = latest(this.peerConfirmedAt, moment);
+        this.reports.confirm(moment);
         this.confirm(moment);
     }
 
-    private get isBehind(): boolean {
-        return this.behindSince !== undefined;
+    /** Milliseconds since a peer reported a change that is not known here; undefined if there is none. */
+    get behindFor(): number | undefined {
+        return this.reports.newerFor;
+    }
+
+    /** Records that the table is known up to a version. */
+    private reach(version: number): void {
+        this.version = version;
+        this.reports.reach(version);
     }
 
     private confirm(moment: Moment): void {
         if (moment.now < this.recoveryEnd) {
             return;
         }
-        const newest = latest(this.confirmedAt, moment);
+        const newest = latestMoment(this.confirmedAt, moment);
         if (newest !== this.confirmedAt) {
             this.confirmedAt = newest;
             this.options.onConfirmed?.(newest);
@@ -198,11 +203,12 @@
         let hasFollowed = false;
         while (this.mayFollowPeers) {
             hasFollowed = true;
-            await this.pause((this.options.sharedWatch?.bound ?? 0) - this.peerAge);
+            const left = (this.options.sharedWatch?.bound ?? 0) - this.reports.confirmationAge;
+            await this.pause(Math.max(left, minFollowTime));
         }
-        if (hasFollowed && !this.isBehind && !this.stopped) {
+        if (hasFollowed && !this.reports.hasNewer && !this.stopped) {
             this.isPeerStateStale = true;
-            this.options.onPeersStale?.(this.peerAge);
+            this.options.onPeersStale?.(this.reports.confirmationAge);
         }
     }
 
@@ -219,26 +225,51 @@
 
     private get mayFollowPeers(): boolean {
         const { sharedWatch, role } = this.options;
-        const isFollower = sharedWatch !== undefined && role?.() === "follower";
-        const isUpToDate = this.version !== undefined && this.lostAt === undefined && !this.isBehind;
-        return isFollower && isUpToDate && !this.stopped && this.peerAge < sharedWatch.bound;
+        const isUpToDate = this.version !== undefined && this.lostAt === undefined && !this.reports.hasNewer;
+        if (sharedWatch === undefined || !isUpToDate || this.stopped) {
+            return false;
+        }
+        const isFresh = this.reports.confirmationAge < sharedWatch.bound;
+        const waitsForPeer = this.options.waitsForPeers === true && this.reports.isPending;
+        return role?.() === "follower" ? isFresh || waitsForPeer : role?.() === "alone" && waitsForPeer;
     }
 
-    private get peerAge(): number {
-        return this.peerConfirmedAt === undefined ? Infinity : ageOf(this.peerConfirmedAt, this.options.clock);
+    /**
+     * Reads the table from a peer if one has reported a change that is not known here. A peer's rows confirm nothing:
+     * the confirmation comes with its next report.
+     *
+     * @returns Whether the change is known now.
+     */
+    private async readFromPeers(): Promise<boolean> {
+        const { readFromPeers, onSnapshot, clock } = this.options;
+        if (readFromPeers === undefined || this.version === undefined || !this.reports.hasNewer || this.stopped) {
+            return false;
+        }
+        const snapshot = await readFromPeers(this.reports.version);
+        // A restore of the store from a copy may have been detected meanwhile.
+        const known = this.version as number | undefined;
+        if (snapshot === undefined || known === undefined || this.stopped) {
+            return false;
+        }
+        const { rows, version, encoded, progress } = snapshot;
+        const delivery: TableDelivery = { source: "peer", progress, encoded, knownFor: this.reports.newerFor ?? 0 };
+        this.reach(Math.max(known, version));
+        this.changedAt = version;
+        onSnapshot(rows, this.graceEnd(), clock.now() < this.recoveryEnd, delivery);
+        return !this.reports.hasNewer;
     }
 
     private async readAll(): Promise<"read" | StoreFailure> {
-        const result = await this.options.store.read(this.options.table);
+        const result = await this.options.store.read(this.options.table, { onBegin: this.markReceiving });
         if (result.kind !== "read") {
             return result;
         }
         this.markRegained();
-        this.version = result.version;
-        this.changedAt = result.version;
-        this.tableBytes = result.progress?.bytes;
         const delivery = this.describeDelivery(result.progress);
-        this.behindSince = undefined;
+        this.isHistoryTooLong = false;
+        this.reach(result.version);
+        this.changedAt = result.version;
+        this.historyLimit.noteTable(result.progress);
         const { restoredAt } = this;
         this.restoredAt = undefined;
         const isRestored = this.options.clock.now() < this.recoveryEnd;
@@ -255,17 +286,14 @@
             return result;
         }
         this.markRegained();
-        this.version = result.version;
         const delivery = this.describeDelivery(result.progress);
-        this.behindSince = undefined;
+        this.reach(result.version);
         this.isPeerStateStale = false;
         if (result.changes.length === 0) {
             this.consecutiveChanges = 0;
             return "unchanged";
         }
-        if (result.progress !== undefined) {
-            this.tableBytes = Math.max(this.tableBytes ?? 0, result.progress.bytes / result.changes.length);
-        }
+        this.historyLimit.noteChanges(result.progress, result.changes.length);
         this.changedAt = Math.max(this.changedAt, ...result.changes.map(({ row }) => row?.version ?? result.version));
         this.options.onChanges(result.changes, this.graceEnd(), delivery);
         this.consecutiveChanges++;
@@ -276,24 +304,22 @@
     }
 
     private describeDelivery(progress: ReplyProgress | undefined): TableDelivery {
-        const now = this.options.clock.now();
         const replyTime = progress?.headAfter === undefined ? 0 : progress.duration - progress.headAfter;
-        return { source: "store", progress, knownFor: Math.max(replyTime, now - (this.behindSince ?? now)) };
+        return { source: "store", progress, knownFor: Math.max(replyTime, this.reports.newerFor ?? 0) };
     }
 
     /** Waits for changes until {@link cancelWait} is called, because `after` is no longer a valid version. */
     private watchUntilCancelled(after: number, wait: number): ReturnType<Store["watch"]> {
         return new Promise(resolve => {
             this.cancelWait = () => resolve({ kind: "historyGone" });
-            void this.options.store.watch(this.options.table, after, wait, this.maxHistoryBytes).then(resolve);
+            const { historyLimit: { maxBytes }, markReceiving: onBegin } = this;
+            void this.options.store.watch(this.options.table, after, wait, { maxBytes, onBegin }).then(resolve);
         });
     }
 
-    private get maxHistoryBytes(): number | undefined {
-        return this.tableBytes === undefined
-            ? undefined
-            : Math.max(minHistoryBytes, maxHistoryRatio * this.tableBytes);
-    }
+    private readonly markReceiving = () => {
+        this.isReceiving = true;
+    };
 
     /**
      * The wait of the next call. It is 0 during an outage, because a call that hangs would hide the end of the outage:
@@ -301,27 +327,15 @@
      * request 2.09 s after it left.
      */
     private get nextWait(): number {
-        const { wait, sharedWatch, role } = this.options;
-        if (this.lostAt !== undefined || this.isBehind || this.isPeerStateStale) {
+        const { wait, sharedWatch, role, clock, maxConfirmationAge } = this.options;
+        if (this.lostAt !== undefined || this.reports.hasNewer || this.isPeerStateStale) {
             return 0;
         }
         const leaderWait = role?.() === "leader" ? Math.min(wait, sharedWatch?.wait ?? wait) : wait;
-        return Math.min(leaderWait, this.maxConfirmationWait);
-    }
-
-    /**
-     * The longest wait after which the store's reply still comes within the maximum age of the confirmation. A reply
-     * with changes confirms the table as of the sending of its call, which is long ago if the call has waited or the
-     * transfer has taken long.
-     */
-    private get maxConfirmationWait(): number {
-        const { maxConfirmationAge = Infinity, clock } = this.options;
-        if (this.confirmedAt === undefined || clock.now() < this.recoveryEnd) {
-            return Infinity;
-        }
-        const age = ageOf(this.confirmedAt, clock);
-        const wait = maxConfirmationAge - age - confirmationCallTime;
-        return age < maxConfirmationAge / 2 ? Math.max(minConfirmationWait, wait) : Math.max(0, wait);
+        // Nothing is confirmed while a restored store may lack writes, so a shorter wait would be of no use.
+        return this.confirmedAt === undefined || clock.now() < this.recoveryEnd
+            ? leaderWait
+            : Math.min(leaderWait, confirmationWait(ageOf(this.confirmedAt, clock), maxConfirmationAge));
     }
 
     /**
@@ -329,7 +343,11 @@
      * the time for which stale data is used. A call that was refused or reset quickly is retried after the retry delay.
      */
     private async handleFailure(failure: StoreFailure, asked: number): Promise<void> {
-        if (failure.kind === "historyGone" || failure.kind === "historyTooLong") {
+        if (failure.kind === "historyTooLong") {
+            this.isHistoryTooLong = true;
+            return;
+        }
+        if (failure.kind === "historyGone") {
             this.version = undefined;
             return;
         }
@@ -345,7 +363,7 @@
         }
         await sleep(clock, retryDelay - elapsed);
         const backOff = this.backOff.next();
-        if (backOff > 0 && !this.isBehind) {
+        if (backOff > 0 && !this.reports.hasNewer) {
             await this.pause(backOff);
         }
     }
@@ -373,7 +391,3 @@
         return Math.min(this.regainedAt + rewriteTime, this.lastFailedCallAt + rewriteBound);
     }
 }
-
-function latest(known: Moment | undefined, other: Moment): Moment {
-    return known === undefined || other.now > known.now ? other : known;
-}
--- a/packages/gateway/src/lib/store/TableWatchOptions.ts
+++ b/packages/gateway/src/lib/store/TableWatchOptions.ts
@@ -14,6 +14,8 @@
     readonly age: number;
     /** The store era that the versions belong to; undefined if the store reports none. */
     readonly era?: number;
+    /** Whether the sender is receiving rows from the store, so that the table may have changed. */
+    readonly pending?: boolean;
 }
 
 /**
@@ -24,13 +26,24 @@
 
 /** How rows of a table reached this process. */
 export interface TableDelivery {
-    readonly source: "store";
+    readonly source: "store" | "peer";
     /** Undefined if the source does not measure its calls. */
     readonly progress: ReplyProgress | undefined;
+    /** The copy as a peer sent it; undefined if the rows came from the store. */
+    readonly encoded?: Buffer;
     /** Milliseconds since this process learned that the rows exist. */
     readonly knownFor: number;
 }
 
+/** The rows of a table as a peer handed them on. */
+export interface PeerSnapshot {
+    readonly rows: readonly StoredRow[];
+    /** The store version at which the table last changed. */
+    readonly version: number;
+    readonly encoded: Buffer;
+    readonly progress: ReplyProgress;
+}
+
 /** Options of {@link TableWatch}. */
 export interface TableWatchOptions {
     readonly clock: Clock;
@@ -64,6 +77,15 @@
     readonly maxConfirmationAge?: number;
     /** Limits for sharing the watch with peers; undefined if this process always polls the store itself. */
     readonly sharedWatch?: SharedWatchLimits;
+    /**
+     * Reads the table from a peer that has at least a version; undefined if none gives it. The store is asked then.
+     */
+    readonly readFromPeers?: (version: number) => Promise<PeerSnapshot | undefined>;
+    /**
+     * Whether a follower waits for rows that a peer is receiving, however old its last confirmation is, instead of
+     * asking the store for the same rows.
+     */
+    readonly waitsForPeers?: boolean;
     /** The current role of this process. */
     readonly role?: () => WatchRole;
     /** A call failed after `waited` milliseconds, and the one before it had succeeded. */
@@ -92,3 +114,29 @@
     /** Milliseconds for which changes in quick succession are collected, for example when a site starts. */
     readonly batchDelay?: number;
 }
+
+type OptionalName =
+    | "onConfirmed"
+    | "onLost"
+    | "onRegained"
+    | "onPeersStale"
+    | "onRestored"
+    | "maxConfirmationAge"
+    | "readFromPeers"
+    | "waitsForPeers"
+    | "sharedWatch"
+    | "role"
+    | "eras"
+    | "random";
+
+/** Defaults of {@link TableWatchOptions}. */
+export const tableWatchDefaults = {
+    retryDelay: 200,
+    maxRetryDelay: 800,
+    rewriteTime: 2_050,
+    rewriteBound: 2_950,
+    batchDelay: 250,
+};
+
+/** {@link TableWatchOptions} with their defaults. */
+export type CompleteTableWatchOptions = Required<Omit<TableWatchOptions, OptionalName>> & TableWatchOptions;
--- a/packages/gateway/src/lib/store/watchWait.ts
+++ b/packages/gateway/src/lib/store/watchWait.ts
@@ -46,3 +46,19 @@
     const bound = maxStaleness - storeCallTime;
     return bound < minBound ? undefined : { bound, wait: bound - relayTime };
 }
+
+/** Milliseconds from the end of a call's wait until its reply, on a busy host or after one call that timed out. */
+const confirmationCallTime = 1_000;
+
+/**
+ * Milliseconds that a call may wait so that its reply still comes within the maximum age of a confirmation. A reply with
+ * changes confirms the table as of the sending of its call, which is long ago if the call has waited or the transfer
+ * has taken long.
+ *
+ * @param age - Milliseconds since the last confirmation.
+ * @param maxAge - Undefined if there is no maximum.
+ */
+export function confirmationWait(age: number, maxAge = Infinity): number {
+    const wait = maxAge - age - confirmationCallTime;
+    return age < maxAge / 2 ? Math.max(minWait, wait) : Math.max(0, wait);
+}
--- a/packages/gateway/src/lib/testing/ConfigurationSite.ts
+++ b/packages/gateway/src/lib/testing/ConfigurationSite.ts
@@ -4,6 +4,7 @@
 import { createConfigurationWatch } from "../configuration/createConfigurationWatch.js";
 import { chooseWatchRole } from "../peers/chooseWatchRole.js";
 import { type StoredRow } from "../store/Store.js";
+import { type PeerSnapshot } from "../store/TableWatchOptions.js";
 import { silentObservation } from "./fixtures.js";
 import { NarrowStore } from "./NarrowStore.js";
 import { type SimulatedGateway, SimulatedGroup } from "./SimulatedGroup.js";
@@ -21,6 +22,8 @@
     readonly linkRate?: (index: number) => number;
     /** Milliseconds of the bound within which a configuration must be in force. */
     readonly configurationTime?: number;
+    /** Whether gateways read a version from peers of their data centre before they ask the store. */
+    readonly hasPeerCopies?: boolean;
     /** Number of gateways of the last data centre that are not started yet. */
     readonly notStarted?: number;
 }
@@ -30,6 +33,8 @@
     readonly gateway: SimulatedGateway;
     readonly link: SimulatedLink;
     readonly configuration: ConfigurationInForce;
+    /** The row of its configuration, which it hands on. */
+    row: StoredRow | undefined;
     /** Whether the store turns its calls away. */
     isRefused: boolean;
     /** Since when, on the clock, nothing has disturbed it. */
@@ -49,6 +54,10 @@
 const contactTime = 4_000;
 const keyRevocation = 4_600;
 const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+/** Bytes a millisecond of all peers' links together, and the share of its size to which a copy is compressed. */
+const peerRate = 20_000;
+const compression = 0.05;
+const peerTimeout = 500;
 /** Milliseconds until a gateway learns of a version: the longest wait, the timeout of a silent call, and a repeat. */
 const noticeTime = 4_000;
 
@@ -62,6 +71,7 @@
     answerDelay = 0;
     private readonly published: Publication[] = [];
     private readonly links: SimulatedLinks;
+    private readonly peerLinks: SimulatedLinks;
     private readonly options: Required<ConfigurationSiteOptions>;
 
     constructor(options: ConfigurationSiteOptions = {}) {
@@ -73,6 +83,7 @@
             linkRate: () => 10_000,
             configurationTime: 3_000,
             notStarted: 0,
+            hasPeerCopies: true,
             ...options,
         };
         const { dataCentres, gatewaysEach, seed, storeRate, notStarted } = this.options;
@@ -80,6 +91,7 @@
         this.group = new SimulatedGroup({ dataCentres, gatewaysEach, seed, startSpread: 200 });
         this.table = new SimulatedStore(this.group.clock);
         this.links = new SimulatedLinks(this.group.clock, storeRate);
+        this.peerLinks = new SimulatedLinks(this.group.clock, peerRate);
         this.publish(1_000);
         this.readers = this.group.gateways.map((gateway, index) => this.createReader(gateway, index));
         this.readers.forEach((reader, index) => {
@@ -125,6 +137,10 @@
             observation: silentObservation(this.group.clock),
             contactTime,
             configurationTime: this.options.configurationTime,
+            readFromPeers: this.options.hasPeerCopies ? version => this.readFromPeer(reader, version) : undefined,
+            onRow: row => {
+                reader.row = row;
+            },
             onChange: () => undefined,
             role: () => {
                 const { isRelay, hasFollowers } = gateway.exchange;
@@ -204,6 +220,7 @@
             gateway,
             link: { rate: this.options.linkRate(index), isSilent: false },
             configuration: new ConfigurationInForce({ clock, maxConfirmationAge: keyRevocation }),
+            row: undefined,
             isRefused: false,
             calmSince: 0,
             hasStarted: false,
@@ -224,6 +241,38 @@
         });
     }
 
+    /** A transfer from a peer that has the version, which fails if that peer is gone when it would have ended. */
+    private readFromPeer(reader: ConfigurationReader, version: number): Promise<PeerSnapshot | undefined> {
+        const { dataCentre } = reader.gateway;
+        const holders = this.readers.filter(({ gateway, row }) =>
+            gateway.dataCentre === dataCentre && !gateway.isDown && (row?.version ?? 0) >= version
+        );
+        const holder = holders[Math.floor(this.random.next() * holders.length)];
+        const { clock } = this.group;
+        return new Promise(resolve => {
+            const row = holder?.row;
+            if (row === undefined) {
+                clock.schedule(() => resolve(undefined), peerTimeout);
+                return;
+            }
+            const bytes = this.sizeOf(row) * compression;
+            this.peerLinks.start({
+                link: reader.link,
+                bytes,
+                onProgress: () => undefined,
+                onEnd: () =>
+                    resolve(
+                        holder?.gateway.isDown === true ? undefined : {
+                            rows: [row],
+                            version: row.version,
+                            encoded: Buffer.alloc(0),
+                            progress: { bytes, headAfter: 0, duration: 0 },
+                        },
+                    ),
+            });
+        });
+    }
+
     private sizeOf({ value }: StoredRow): number {
         return this.published[(value as Configuration).version - 1]?.bytes ?? 0;
     }
--- a/packages/gateway/src/lib/testing/NarrowStore.ts
+++ b/packages/gateway/src/lib/testing/NarrowStore.ts
@@ -2,6 +2,7 @@
 import { ReplyLimit } from "../store/ReplyLimit.js";
 import {
     type ConditionalWrite,
+    type ReadOptions,
     replyStall,
     type Store,
     type StoredRow,
@@ -35,16 +36,16 @@
 export class NarrowStore implements Store {
     constructor(private readonly options: NarrowStoreOptions) {}
 
-    read(): ReturnType<Store["read"]> {
-        return this.call(readLimit, () => this.options.table.read(), ({ rows }) => rows);
+    read(_table: string, options?: ReadOptions): ReturnType<Store["read"]> {
+        return this.call(readLimit, () => this.options.table.read(), ({ rows }) => rows, options);
     }
 
-    watch(table: string, after: number, wait: number, maxBytes?: number): ReturnType<Store["watch"]> {
+    watch(table: string, after: number, wait: number, options?: ReadOptions): ReturnType<Store["watch"]> {
         return this.call(
             wait + watchSlack,
             () => this.options.table.watch(table, after, wait),
             ({ changes }) => changes.flatMap(({ row }) => row ?? []),
-            maxBytes,
+            options,
         );
     }
 
@@ -56,7 +57,7 @@
         limit: number,
         send: () => Promise<T | StoreFailure>,
         rowsOf: (reply: T) => readonly StoredRow[],
-        maxBytes = Infinity,
+        { maxBytes = Infinity, onBegin }: ReadOptions = {},
     ): Promise<T | StoreFailure> {
         const { clock, links, link, sizeOf, delay, isRefused, onRows } = this.options;
         if (isRefused()) {
@@ -90,6 +91,7 @@
                         return;
                     }
                     onRows?.(rows);
+                    onBegin?.();
                     stop = links.start({
                         link,
                         bytes,
