A gateway that is behind for too long refuses at once what it can't serve truly

Callers saw: requests run by a configuration that had been replaced more than three seconds before. They went to routes that need no credential, for which nothing asked how far the process was behind.

Cause: a process that knew of a newer version served by its own for as long as it took to get the newer one.

Change: ConfigurationLag. The time counts from the first report that rows are on their way, or from the first byte of an own reply. When it comes near the platform's bound, less 0.6 s in which a process learns of a version and 0.3 s for handling, requests are refused as not run: at once where another gateway is confirmed, else after 0.3 s. A process that knows of no newer version serves on while the store is away.

Ruled out: the age of the last confirmation instead. A waiting call confirms late, so gateways refused for every change that a peer reported before their own reply had come. Weighed, not built: to ask a peer that has the newer version whether it concerns a request. Since gateways hand versions on, one that lags behind a peer for over two seconds is rare; when none has it yet, nobody knows.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -6,6 +6,7 @@
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
+import { ConfigurationLag } from "./configuration/ConfigurationLag.js";
 import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
 import { TableCopies } from "./copies/TableCopies.js";
 import { CrashProtection } from "./crashes/CrashProtection.js";
@@ -125,6 +126,10 @@
             clock,
             isOn,
             hasConfirmedPeer: () => this.hasConfirmedPeer,
+            lag: new ConfigurationLag({
+                behindFor: () => this.watches.get(options.tables.configurationTable)?.behindFor,
+                configurationTime: settings.configurationTime,
+            }),
             random: options.random,
             wire: options.wire,
             observation: this.observation,
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -2,6 +2,7 @@
 import { type ChainService } from "../chains/ChainService.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
@@ -32,6 +33,8 @@
     readonly observation: Observation;
     readonly configuration: ConfigurationInForce;
     readonly findService: (name: string) => ServiceParts | undefined;
+    /** Whether the configuration in force has been superseded for too long. */
+    readonly lag: Pick<ConfigurationLag, "isTooLong">;
     /** Whether any peer is currently able to check credentials. */
     readonly hasConfirmedPeer: () => boolean;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
@@ -92,6 +95,11 @@
             refuse(requestCodes.noCapacity, "no configuration is known yet", unreadyRetryAfter);
             return;
         }
+        if (this.options.lag.isTooLong) {
+            const retryAfter = this.options.hasConfirmedPeer() ? otherProcessRetryAfter : unreadyRetryAfter;
+            refuse(requestCodes.noCapacity, "a newer configuration is not in force yet", retryAfter);
+            return;
+        }
         const url = incoming.url ?? "/";
         const hostname = (incoming.headers.host ?? "").replace(/:\d+$/, "");
         const route = configuration.findRoute(hostname, pathOf(url));
--- a/packages/gateway/src/lib/store/PeerReports.ts
+++ b/packages/gateway/src/lib/store/PeerReports.ts
@@ -12,8 +12,8 @@
     private newerSince: number | undefined;
     /** The latest moment to which a peer confirmed the state known here. */
     private confirmedAt: Moment | undefined;
-    /** When a peer last reported that it is receiving rows. */
-    private pendingAt = -Infinity;
+    /** When a peer first and last reported that it is receiving rows, without a break. */
+    private pending = { since: -Infinity, last: -Infinity };
 
     constructor(private readonly clock: Clock) {}
 
@@ -22,9 +22,10 @@
         return this.newerSince !== undefined;
     }
 
-    /** Milliseconds since a peer reported such a change; undefined if there is none. */
+    /** Milliseconds since a peer reported such a change, known or on its way; undefined if there is none. */
     get newerFor(): number | undefined {
-        return this.newerSince === undefined ? undefined : this.clock.now() - this.newerSince;
+        const since = this.newerSince ?? (this.isPending ? this.pending.since : undefined);
+        return since === undefined ? undefined : this.clock.now() - since;
     }
 
     /** Milliseconds since the latest moment to which a peer confirmed the state known here. */
@@ -34,18 +35,19 @@
 
     /** Whether a peer reported lately that it is receiving rows. */
     get isPending(): boolean {
-        return this.clock.now() - this.pendingAt < pendingLifetime;
+        return this.clock.now() - this.pending.last < pendingLifetime;
     }
 
     /** Records a report that a peer is receiving rows. */
     notePending(): void {
-        this.pendingAt = this.clock.now();
+        const now = this.clock.now();
+        this.pending = { since: this.isPending ? this.pending.since : now, last: now };
     }
 
     /** Records a report of a change that is not known here. */
     noteNewer(version: number): void {
         this.version = Math.max(version, this.version);
-        this.newerSince ??= this.clock.now();
+        this.newerSince ??= this.clock.now() - (this.newerFor ?? 0);
     }
 
     /** Records that a peer confirmed the state known here. */
@@ -57,6 +59,7 @@
     reach(version: number): void {
         if (version >= this.version) {
             this.newerSince = undefined;
+            this.pending = { since: -Infinity, last: -Infinity };
         }
     }
 
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -45,8 +45,8 @@
     private lastFailedCallAt = -Infinity;
     private stopped = false;
     private consecutiveChanges = 0;
-    /** Whether the reply to the current call has begun to arrive. */
-    private isReceiving = false;
+    /** Since when the reply to the current call is arriving; undefined if it has not begun. */
+    private receivingSince: number | undefined;
     /** Whether the table must be read because its changes are too long. */
     private isHistoryTooLong = false;
     private readonly historyLimit = new HistoryLimit();
@@ -79,7 +79,7 @@
             const result = this.version === undefined || this.isHistoryTooLong
                 ? await this.readAll()
                 : await this.waitForChanges(this.version, wait);
-            this.isReceiving = false;
+            this.receivingSince = undefined;
             if (this.stopped) {
                 return;
             }
@@ -146,7 +146,7 @@
                 seen: version,
                 age: Math.ceil(ageOf(confirmedAt, this.options.clock)),
                 era: this.options.eras?.current,
-                pending: this.isReceiving ? true : undefined,
+                pending: this.receivingSince === undefined ? undefined : true,
             };
     }
 
@@ -176,9 +176,13 @@
         this.confirm(moment);
     }
 
-    /** Milliseconds since a peer reported a change that is not known here; undefined if there is none. */
+    /**
+     * Milliseconds since this process learned of changes that it has not read yet, from a peer or because they are
+     * arriving; undefined if it knows of none. A reply without changes arrives at once, so it is none.
+     */
     get behindFor(): number | undefined {
-        return this.reports.newerFor;
+        const { reports, receivingSince, options: { clock } } = this;
+        return reports.newerFor ?? (receivingSince === undefined ? undefined : clock.now() - receivingSince);
     }
 
     /** Records that the table is known up to a version. */
@@ -318,7 +322,7 @@
     }
 
     private readonly markReceiving = () => {
-        this.isReceiving = true;
+        this.receivingSince = this.options.clock.now();
     };
 
     /**
