--- a/packages/gateway/src/lib/testing/ConfigurationSite.ts
+++ b/packages/gateway/src/lib/testing/ConfigurationSite.ts
@@ -155,8 +155,10 @@
         reader.calmSince = this.group.clock.now();
     }
 
-    /** Marks a disturbance of all gateways that ends now. */
-    disturbAll(): void {
+    /** Makes every open connection to the store fall silent; later calls use new ones. */
+    silenceConnections(): void {
+        this.table.silenceConnections();
+        this.links.silence();
         this.readers.forEach(reader => this.disturb(reader));
     }
 
@@ -218,7 +220,7 @@
         const { clock } = this.group;
         return {
             gateway,
-            link: { rate: this.options.linkRate(index), isSilent: false },
+            link: { rate: this.options.linkRate(index) },
             configuration: new ConfigurationInForce({ clock, maxConfirmationAge: keyRevocation }),
             row: undefined,
             isRefused: false,
--- a/packages/gateway/src/lib/testing/SimulatedLinks.ts
+++ b/packages/gateway/src/lib/testing/SimulatedLinks.ts
@@ -3,9 +3,7 @@
 /** The link of one gateway. */
 export interface SimulatedLink {
     /** Bytes a millisecond. */
-    rate: number;
-    /** Whether what is on its way stands still. */
-    isSilent: boolean;
+    readonly rate: number;
 }
 
 /** A transfer of one reply over a link. */
@@ -18,6 +16,8 @@
 
 interface RunningTransfer extends SimulatedTransfer {
     left: number;
+    /** Whether it brings nothing any more, although its connection stays open. */
+    isSilent: boolean;
 }
 
 /** Milliseconds between two steps of the transfers. */
@@ -34,11 +34,18 @@
 
     /** @returns A function that ends the transfer: the sender stops as soon as its receiver closes the connection. */
     start(transfer: SimulatedTransfer): () => void {
-        const running = { ...transfer, left: transfer.bytes };
+        const running = { ...transfer, left: transfer.bytes, isSilent: false };
         this.transfers.add(running);
         return () => this.transfers.delete(running);
     }
 
+    /** Makes all running transfers fall silent. */
+    silence(): void {
+        this.transfers.forEach(transfer => {
+            transfer.isSilent = true;
+        });
+    }
+
     private schedule(): void {
         this.clock.schedule(() => {
             this.advance();
@@ -47,7 +54,7 @@
     }
 
     private advance(): void {
-        const moving = [...this.transfers].filter(({ link }) => !link.isSilent);
+        const moving = [...this.transfers].filter(({ isSilent }) => !isSilent);
         const onLink = new Map<SimulatedLink, number>();
         moving.forEach(({ link }) => onLink.set(link, (onLink.get(link) ?? 0) + 1));
         for (const transfer of moving) {
