Copies of a configuration go to known gateways of the data centre only

Cause: a copy contains the organisations' credentials, and the internal port answered anyone who reached it.

Change: a gateway answers hosts that it knows as gateways of its data centre, from their heartbeats or the store's table, and refuses and logs others.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -120,6 +120,7 @@
             address: { host: settings.host, port: settings.internalPorts.first },
             eras,
             observation,
+            mayRead: host => this.peers.hasLocalHost(host),
         });
         this.permits = new SendPermits({ clock, random, limits: this.limits, group: this.peers, observation });
         const { isOn = allMechanismsOn } = options;
--- a/packages/gateway/src/lib/copies/CopyServer.ts
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -7,6 +7,8 @@
 export interface CopyServerOptions {
     readonly address: Address;
     readonly logger: Logger;
+    /** Whether a process at a host may read copies, which contain credentials. */
+    readonly mayRead: (host: string) => boolean;
 }
 
 /** What a gateway answers to a peer that asks for a copy. */
@@ -26,7 +28,7 @@
 const maxTransfers = 4;
 /** Peers that a busy gateway names. */
 const maxHolders = 8;
-const status = { ok: 200, notFound: 404, busy: 503 };
+const status = { ok: 200, forbidden: 403, notFound: 404, busy: 503 };
 
 /** Path of the copy of a table. */
 export function copyPath(table: string): string {
@@ -91,6 +93,12 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { remoteAddress = "" } = request.socket;
+        if (!this.options.mayRead(remoteAddress)) {
+            this.options.logger.warn({ remoteAddress }, "copy refused to an unknown host");
+            response.writeHead(status.forbidden).end();
+            return;
+        }
         const table = [...this.copies.keys()].find(name => request.url === copyPath(name));
         const answer = table === undefined ? { kind: "none" } as const : await this.beginTransfer(table);
         if (table === undefined || answer.kind === "none") {
--- a/packages/gateway/src/lib/copies/TableCopies.test.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.test.ts
@@ -19,7 +19,10 @@
     });
 }
 
-async function createCopies(t: TestContext): Promise<{ readonly copies: TableCopies; readonly address: string; }> {
+async function createCopies(
+    t: TestContext,
+    mayRead = true,
+): Promise<{ readonly copies: TableCopies; readonly address: string; }> {
     const clock = new SystemClock();
     const port = await findPort();
     const copies = new TableCopies({
@@ -28,6 +31,7 @@
         address: { host, port },
         eras: new StoreEras(),
         observation: silentObservation(clock),
+        mayRead: () => mayRead,
     });
     await copies.start();
     t.after(() => copies.stop());
@@ -53,6 +57,13 @@
     assert.equal(await b.copies.reader.read("t", 3), undefined);
 });
 
+test("a process that is no known gateway gets no copy", async t => {
+    const [a, b] = await Promise.all([createCopies(t, false), createCopies(t)]);
+    a.copies.keep("t", 3, rows, undefined);
+    b.copies.reader.noteHolder("t", a.address, 3);
+    assert.equal(await b.copies.reader.read("t", 3), undefined);
+});
+
 test("more gateways than one serves at a time all get the copy", async t => {
     const source = await createCopies(t);
     source.copies.keep("t", 3, rows, undefined);
@@ -79,6 +90,7 @@
         address: { host, port: Number(a.address.split(":")[1]) },
         eras: new StoreEras(),
         observation: silentObservation(clock),
+        mayRead: () => true,
     });
     await second.start();
     second.keep("t", 3, rows, undefined);
--- a/packages/gateway/src/lib/copies/TableCopies.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.ts
@@ -14,6 +14,8 @@
     /** Address of this gateway, at which peers ask for copies. */
     readonly address: Address;
     readonly eras: StoreEras;
+    /** Whether a process at a host may read copies. */
+    readonly mayRead: (host: string) => boolean;
     readonly observation: Observation;
 }
 
@@ -25,7 +27,7 @@
     constructor(private readonly options: TableCopiesOptions) {
         const { clock, random, address, eras, observation } = options;
         const own = `${address.host}:${address.port}`;
-        this.server = new CopyServer({ address, logger: observation.logs.peers });
+        this.server = new CopyServer({ address, logger: observation.logs.peers, mayRead: options.mayRead });
         this.reader = new CopyReader({
             clock,
             random,
--- a/packages/gateway/src/lib/peers/GroupMembers.ts
+++ b/packages/gateway/src/lib/peers/GroupMembers.ts
@@ -72,6 +72,11 @@
         return [...all];
     }
 
+    /** Whether a gateway of the own data centre is known at a host. */
+    hasLocalHost(host: string): boolean {
+        return this.of(this.options.own.dataCentre).some(({ address }) => address.startsWith(`${host}:`));
+    }
+
     /** Whether other gateways of the own data centre are known, but none is alive. */
     get isIsolated(): boolean {
         const local = this.of(this.options.own.dataCentre);
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -93,6 +93,11 @@
         return { dataCentre: this.members.localSize + 1, all: this.members.size + 1 };
     }
 
+    /** Whether a gateway of the own data centre is known at a host. */
+    hasLocalHost(host: string): boolean {
+        return this.members.hasLocalHost(host);
+    }
+
     /** Whether no other gateway of the own data centre is alive, although some are known. */
     get isIsolated(): boolean {
         return this.members.isIsolated;
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -107,6 +107,11 @@
         return this.exchange.tableAge(table);
     }
 
+    /** Whether a gateway of the own data centre is known at a host. */
+    hasLocalHost(host: string): boolean {
+        return this.exchange.hasLocalHost(host);
+    }
+
     /** Whether this process aggregates the reports of other gateways of its data centre. */
     get isRelay(): boolean {
         return this.exchange.isRelay;
