--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -19,6 +19,8 @@
 
 /** Milliseconds within which a stopped process ends: the grace period and a second. */
 const stopTime = 9_000;
+/** Milliseconds until a configuration must be in force; with this bound followers rely on relays. */
+const configurationTime = 3_000;
 const success = 200;
 const command = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
 
@@ -54,7 +56,9 @@
     async start(): Promise<void> {
         const { name, dataCentre, ports, storeAddress, folder } = this.options;
         const settings = join(folder, `${name}.json`);
-        writeFileSync(settings, JSON.stringify(testSettings(storeAddress, { name, dataCentre, ports })));
+        const { Bounds, ...common } = testSettings(storeAddress, { name, dataCentre, ports });
+        const bounds = { ...Bounds as object, ConfigApplyMs: configurationTime };
+        writeFileSync(settings, JSON.stringify({ ...common, Bounds: bounds }));
         this.incarnation = this.createIncarnation();
         this.hasListened = false;
         this.process = new SiteProcess({
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -51,6 +51,8 @@
     readonly storeFaults: { readonly from: number; readonly until: number; }[] = [];
     /** Faults of processes that are known without comparing calls and runs. */
     readonly processFaults: string[] = [];
+    /** Gateways that did not serve by the newest configuration in the end. */
+    readonly outdated: string[] = [];
     /** Disturbances in their order, for the report. */
     readonly events: string[] = [];
     /** Longest time in milliseconds by which the driver itself stood still. */
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -31,6 +31,7 @@
         ...checkDepartures(log),
         ...checkStops(log),
         ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
+        ...log.outdated.map(detail => ({ check: "configuration", detail })),
         ...log.processFaults.map(detail => ({ check: "end", detail })),
     ];
 }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -1,4 +1,4 @@
-import { FakeStore, type StoreFault, testConfiguration } from "@waxwingspar/platform/testing";
+import { callGateway, FakeStore, type StoreFault, testConfiguration } from "@waxwingspar/platform/testing";
 import { findPorts } from "@waxwingspar/proof";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { setTimeout as pause } from "node:timers/promises";
@@ -47,11 +47,23 @@
 const stallCheckInterval = 50;
 /** Milliseconds after the load until what was sent late has arrived. */
 const settleTime = 3_500;
+/** Milliseconds within which a process that was started answers on a busy machine. */
+const startTime = 15_000;
+/** Most routes of a version. */
+const maxRoutes = 3_000;
+/** Number of versions in quick succession, and bounds of the milliseconds between two. */
+const seriesLength = 5;
+const seriesGap = { least: 50, most: 400 };
 const millisecondsPerSecond = 1_000;
 const success = 200;
 const refusal = 503;
 const storeFaults: readonly StoreFault[] = ["refuse", "reset", "silent", "loseReply"];
 
+/** The name of a route that only one version has. */
+function newestRoute(version: number): string {
+    return `version${version}`;
+}
+
 /** Runs gateways under load and disturbances that follow from the seed. @returns What was seen, and what broke. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const soak = new Soak(options);
@@ -75,6 +87,8 @@
     private readonly disturbances: Promise<void>[] = [];
     private isOver = false;
     private version = 1;
+    /** Routes of the next version beside the usual ones. */
+    private routes = 0;
 
     constructor(private readonly options: SoakOptions) {
         this.random = seededRandom(options.seed);
@@ -142,7 +156,8 @@
         this.isOver = true;
         await Promise.all(this.disturbances);
         await Promise.all(callers);
-        await pause(settleTime);
+        this.publish();
+        await Promise.all([this.checkConfiguration(), pause(settleTime)]);
     }
 
     async stop(): Promise<void> {
@@ -163,7 +178,9 @@
             () => this.targets.replace(pause),
             () => this.targets.changeLimit(),
             () => this.targets.changeLimit(),
-            () => this.store.put("op", "config", testConfiguration(++this.version)),
+            () => this.publish(),
+            () => this.publishSeries(),
+            () => this.narrowStore(),
         ];
         await this.pick(actions)?.();
     }
@@ -179,6 +196,54 @@
         this.store.setFault(undefined);
     }
 
+    /** Writes a new version, some of them with many routes, and one route that no other version has. */
+    private publish(): void {
+        const configuration = testConfiguration(++this.version);
+        const [route] = configuration.Routes;
+        const names = [newestRoute(this.version), ...Array.from({ length: this.routes }, (_, i) => `many${i}`)];
+        const added = names.map(name => ({ ...route, Name: name, PathPrefix: `/${name}/` }));
+        this.routes = Math.floor(maxRoutes * this.random.next() ** 3);
+        this.store.put("op", "config", { ...configuration, Routes: [...configuration.Routes, ...added] });
+    }
+
+    private async publishSeries(): Promise<void> {
+        this.log.event(this.now(), "versions in quick succession");
+        for (let count = 0; count < seriesLength; count++) {
+            this.publish();
+            await pause(this.draw(seriesGap));
+        }
+    }
+
+    /** Makes the store send its replies slowly, as over a narrow link. */
+    private async narrowStore(): Promise<void> {
+        const duration = this.draw(storeFaultTime);
+        this.log.event(this.now(), `the store's link is narrow for ${Math.round(duration)} ms`);
+        this.store.setPace({ parts: 2 + Math.floor(this.random.next() * 30), pause: 60 });
+        await pause(duration);
+        this.store.setPace(undefined);
+    }
+
+    /**
+     * Waits until every gateway serves the route of the newest version, and notes those that do not some seconds after
+     * they first answered at all: a process may still be starting.
+     */
+    private async checkConfiguration(): Promise<void> {
+        const path = `/${newestRoute(this.version)}/1`;
+        const startEnd = this.now() + startTime;
+        await Promise.all(this.gateways.map(async ({ name, port }) => {
+            let end = startEnd;
+            let status = 0;
+            while (status !== success && this.now() < end) {
+                await pause(probeInterval);
+                status = (await callGateway({ port, path }).catch(() => undefined))?.status ?? 0;
+                end = status !== 0 && end === startEnd ? this.now() + settleTime : end;
+            }
+            if (status !== success) {
+                this.log.outdated.push(`${name}: ${status} for a route of version ${this.version}`);
+            }
+        }));
+    }
+
     private chooseGateway(): SoakGateway | undefined {
         return this.pick(this.gateways.filter(({ isInRotation }) => isInRotation));
     }
