A copy whose reader went away frees its place; decoded documents are not kept

Cause, found by reading: a connection that closed while a copy was still being compressed never gave its place back, and after four of them the gateway was busy for good; a reader that takes nothing held its place, too. The last decoded document was kept until the next one. A reply counted as arriving until the pause after it was over, in which peers waited and the lag went on.

Change: a transfer is counted while its response is open, and a connection on which nothing moves for 5 s is closed. The cache of decoded documents is weak. A reply no longer counts as arriving once its rows are applied.

--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -87,12 +87,14 @@
 
 /** Remembers what a document decodes to, since a copy of a peer is checked before it is applied. */
 function decodeOnce(decode: ConfigurationWatchOptions["decode"]): ConfigurationWatchOptions["decode"] {
-    let last: { readonly document: unknown; readonly configuration: ReturnType<typeof decode>; } | undefined;
+    const decoded = new WeakMap<object, ReturnType<typeof decode>>();
     return document => {
-        if (last === undefined || last.document !== document) {
-            last = { document, configuration: decode(document) };
+        if (typeof document !== "object" || document === null) {
+            return decode(document);
         }
-        return last.configuration;
+        const configuration = decoded.get(document) ?? decode(document);
+        decoded.set(document, configuration);
+        return configuration;
     };
 }
 
--- a/packages/gateway/src/lib/copies/CopyServer.ts
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -12,8 +12,8 @@
 }
 
 /** What a gateway answers to a peer that asks for a copy. */
-export type CopyAnswer =
-    | { readonly kind: "copy"; readonly bytes: Buffer; }
+type CopyAnswer =
+    | { readonly kind: "copy"; readonly bytes: Promise<Buffer>; }
     /** Too many transfers are running. Peers that have the copy already can be asked instead. */
     | { readonly kind: "busy"; readonly holders: readonly string[]; }
     | { readonly kind: "none"; };
@@ -26,6 +26,8 @@
 
 /** Transfers at a time: with more, none of them would end before the others on a narrow link. */
 const maxTransfers = 4;
+/** Milliseconds after which a connection on which nothing moves is closed, so that it does not count as a transfer. */
+const idleTime = 5_000;
 /** Peers that a busy gateway names. */
 const maxHolders = 8;
 const status = { ok: 200, forbidden: 403, notFound: 404, busy: 503 };
@@ -46,6 +48,7 @@
 
     constructor(private readonly options: CopyServerOptions) {
         this.server = createServer((request, response) => void this.handle(request, response));
+        this.server.setTimeout(idleTime);
     }
 
     /** Starts to listen. A gateway whose port is taken works without handing on copies. */
@@ -71,25 +74,14 @@
         this.copies.set(copy.table, { version: copy.version, bytes, holders: new Set() });
     }
 
-    /** Begins a transfer if one more is allowed; {@link CopyServer.endTransfer} ends it. */
-    async beginTransfer(table: string): Promise<CopyAnswer> {
-        const copy = this.copies.get(table);
+    private answer(table: string | undefined): CopyAnswer {
+        const copy = this.copies.get(table ?? "");
         if (copy === undefined) {
             return { kind: "none" };
         }
-        if (this.transfers >= maxTransfers) {
-            return { kind: "busy", holders: [...copy.holders].slice(-maxHolders) };
-        }
-        this.transfers++;
-        return { kind: "copy", bytes: await copy.bytes };
-    }
-
-    /** @param asker - The address of a gateway that has the copy now; undefined if the transfer failed. */
-    endTransfer(table: string, asker: string | undefined): void {
-        this.transfers--;
-        if (asker !== undefined) {
-            this.copies.get(table)?.holders.add(asker);
-        }
+        return this.transfers < maxTransfers
+            ? { kind: "copy", bytes: copy.bytes }
+            : { kind: "busy", holders: [...copy.holders].slice(-maxHolders) };
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -100,8 +92,8 @@
             return;
         }
         const table = [...this.copies.keys()].find(name => request.url === copyPath(name));
-        const answer = table === undefined ? { kind: "none" } as const : await this.beginTransfer(table);
-        if (table === undefined || answer.kind === "none") {
+        const answer = this.answer(table);
+        if (answer.kind === "none") {
             response.writeHead(status.notFound).end();
             return;
         }
@@ -110,11 +102,24 @@
             response.end(JSON.stringify(answer.holders));
             return;
         }
-        const asker = request.headers[askerHeader];
+        this.countTransfer(response, this.copies.get(table ?? ""), request.headers[askerHeader]);
+        const bytes = await answer.bytes;
+        if (!response.destroyed) {
+            response.writeHead(status.ok, { "Content-Length": bytes.length });
+            response.end(bytes);
+        }
+    }
+
+    /** Counts a transfer until its connection is done with it, and notes who has the copy then. */
+    private countTransfer(response: ServerResponse, copy: KeptCopy | undefined, asker: unknown): void {
+        this.transfers++;
         let isSent = false;
         response.once("finish", () => isSent = true);
-        response.once("close", () => this.endTransfer(table, isSent && typeof asker === "string" ? asker : undefined));
-        response.writeHead(status.ok, { "Content-Length": answer.bytes.length });
-        response.end(answer.bytes);
+        response.once("close", () => {
+            this.transfers--;
+            if (isSent && typeof asker === "string") {
+                copy?.holders.add(asker);
+            }
+        });
     }
 }
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -182,6 +182,7 @@
     /** Records that the table is known up to a version. */
     private reach(version: number): void {
         this.version = version;
+        this.receivingSince = undefined;
         this.reports.reach(version);
     }
 
@@ -245,15 +246,15 @@
         }
         const snapshot = await readFromPeers(this.reports.version);
         // A restore of the store from a copy may have been detected meanwhile.
-        const known = this.version as number | undefined;
-        if (snapshot === undefined || known === undefined || this.stopped) {
+        const wasForgotten = (this.version as number | undefined) === undefined;
+        if (snapshot === undefined || wasForgotten || this.stopped) {
             return false;
         }
         const { rows, version, encoded, progress } = snapshot;
         const delivery: TableDelivery = { source: "peer", progress, encoded, knownFor: this.reports.newerFor ?? 0 };
         await onSnapshot(rows, this.graceEnd(), clock.now() < this.recoveryEnd, delivery);
         if (this.version !== undefined) {
-            this.reach(Math.max(known, version));
+            this.reach(Math.max(this.version, version));
             this.changedAt = version;
         }
         return !this.reports.hasNewer;
