Gateways log what targets say about rest and leaving

Cause: a refusal with Retry-After and a reply with Server-Leaving were unknown headers. The logs of the incident tell neither how long a target wanted to rest nor what a gateway believed when it sent a request there.

Change: both words are read at the platform's edge. TargetReplies judges once whose reply it is and passes the words on; TargetRests remembers rests by incarnation, on the monotonic clock, and is not asked by any decision yet. Log lines, restLeft in request ended, three counters.

--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -84,6 +84,7 @@
         directory: createPartLogger("directory"),
         chains: createPartLogger("chains"),
         limits: createPartLogger("limits"),
+        targets: createPartLogger("targets"),
         duty: createPartLogger("duty"),
         peers: createPartLogger("peers"),
         process: createPartLogger("process"),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,6 +34,7 @@
     type Hop,
     type ReplyHead,
     type StatedLimit,
+    type StatedRest,
     type TokenCount,
     type WireFormat,
 } from "./lib/requests/messages.js";
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -13,6 +13,7 @@
 import { CrashProtection } from "./crashes/CrashProtection.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { logTargetChange } from "./directory/logTargetChange.js";
+import { type Target } from "./directory/Target.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
@@ -25,10 +26,12 @@
 import { chooseWatchRole } from "./peers/chooseWatchRole.js";
 import { type TableStatuses } from "./peers/PeerExchange.js";
 import { PeerGroup } from "./peers/PeerGroup.js";
+import { TargetReplies } from "./replies/TargetReplies.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
 import { RequestRouter, type ServiceParts } from "./requests/RequestRouter.js";
 import { RetryBudget } from "./requests/RetryBudget.js";
 import { StartQueue } from "./requests/StartQueue.js";
+import { TargetRests } from "./rests/TargetRests.js";
 import { CallerServer } from "./server/CallerServer.js";
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServicePicker } from "./services/ServicePicker.js";
@@ -69,6 +72,8 @@
     private readonly paces: TargetPaces;
     private readonly crossingAllowance: CrossingAllowance;
     private readonly limits: TargetLimits;
+    private readonly rests: TargetRests;
+    private readonly replies: TargetReplies;
     private readonly permits: SendPermits;
     private readonly services = new Map<string, ServiceParts>();
     private readonly crashes: CrashProtection;
@@ -105,6 +110,13 @@
         this.paces = new TargetPaces(clock);
         this.crossingAllowance = new CrossingAllowance({ clock, random, gateways: () => this.peers.groupSize });
         this.limits = new TargetLimits({ clock, observation });
+        this.rests = new TargetRests({ clock, observation });
+        this.replies = new TargetReplies({
+            limits: this.limits,
+            rests: this.rests,
+            onLeaving: target => this.handleLeavingReply(target),
+            observation,
+        });
         this.crashes = new CrashProtection({
             clock,
             store,
@@ -137,7 +149,9 @@
             observation: this.observation,
             configuration: this.configuration,
             crashes: this.crashes,
+            replies: this.replies,
             limits: this.limits,
+            rests: this.rests,
             permits: this.permits,
             targetListAge: () => this.directory.age,
             findService: name => this.services.get(name),
@@ -352,6 +366,12 @@
         }
     }
 
+    private handleLeavingReply({ id }: Target): void {
+        const { logs, metrics } = this.observation;
+        metrics.leavingReplies.add({});
+        logs.targets.info({ target: id, listed: this.directory.get(id)?.state }, "target says that it leaves");
+    }
+
     private handleTargetChange(change: DirectoryChange): void {
         const { id } = change.target;
         logTargetChange(this.options.logs.directory, change, this.directory.age);
--- a/packages/gateway/src/lib/limits/TargetLimits.test.ts
+++ b/packages/gateway/src/lib/limits/TargetLimits.test.ts
@@ -3,9 +3,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { GatewayMetrics } from "../observation/Observation.js";
+import { type ReplyEvidence } from "../replies/ReplyEvidence.js";
 import { type ReplyHead } from "../requests/messages.js";
 import { silentLogs, testTarget } from "../testing/fixtures.js";
-import { type LimitEvidence, TargetLimits } from "./TargetLimits.js";
+import { TargetLimits } from "./TargetLimits.js";
 
 const target = testTarget("t1", "large");
 const head: ReplyHead = {
@@ -14,6 +15,8 @@
     neverExecuted: false,
     faultyAddress: undefined,
     limit: { kind: "limited", rate: 3 },
+    rest: { kind: "none" },
+    isLeaving: false,
     unknownHeaders: [],
 };
 const unlimited: ReplyHead = { ...head, limit: { kind: "none" } };
@@ -22,7 +25,7 @@
     const clock = new ManualClock(1_000);
     const metrics = new GatewayMetrics(new MetricRegistry(clock));
     const limits = new TargetLimits({ clock, observation: { logs: silentLogs(), metrics } });
-    const reply = (evidence: Partial<LimitEvidence>) =>
+    const reply = (evidence: Partial<ReplyEvidence>) =>
         limits.recordReply({ target, status: 200, head, requestId: "r1", sentAt: clock.now(), ...evidence });
     return { clock, limits, reply };
 }
--- a/packages/gateway/src/lib/limits/TargetLimits.ts
+++ b/packages/gateway/src/lib/limits/TargetLimits.ts
@@ -2,8 +2,8 @@
 import { LRUCache } from "lru-cache";
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
-import { UnknownHeaders } from "../observation/UnknownHeaders.js";
-import { type ReplyHead, type StatedLimit } from "../requests/messages.js";
+import { isByTarget, type ReplyEvidence } from "../replies/ReplyEvidence.js";
+import { type StatedLimit } from "../requests/messages.js";
 import { type LimitStatement, type LimitStatements } from "./LimitStatement.js";
 
 /** The newest statement of a target about its limit. */
@@ -14,24 +14,12 @@
     readonly statedAt: number;
 }
 
-/** The head of a reply, with the request that it answers. */
-export interface LimitEvidence {
-    readonly target: Target;
-    readonly status: number;
-    readonly head: ReplyHead;
-    readonly requestId: string | undefined;
-    /** When the request was sent, on the clock. */
-    readonly sentAt: number;
-}
-
 /** Options of {@link TargetLimits}. */
 export interface TargetLimitsOptions {
     readonly clock: Clock;
     readonly observation: Observation;
 }
 
-/** HTTP status of a process that is not the addressed target. */
-const misdirectedStatus = 421;
 /** Maximum number of targets whose statements are kept. */
 const maxTargets = 2_000;
 /** Milliseconds for which a statement is passed on to peers. */
@@ -46,11 +34,7 @@
 export class TargetLimits {
     private readonly known = new LRUCache<string, KnownLimit>({ max: maxTargets });
 
-    private readonly unknownHeaders: UnknownHeaders;
-
-    constructor(private readonly options: TargetLimitsOptions) {
-        this.unknownHeaders = new UnknownHeaders(options.observation);
-    }
+    constructor(private readonly options: TargetLimitsOptions) {}
 
     /** The rate that a target takes from all gateways together; undefined if it has not limited it. */
     rate(target: Target): number | undefined {
@@ -98,12 +82,11 @@
     }
 
     /** Records what a reply says about the limit of the target that the request was sent to. */
-    recordReply(evidence: LimitEvidence): void {
+    recordReply(evidence: ReplyEvidence): void {
         if (!isByTarget(evidence)) {
             return;
         }
-        const { target, head: { limit, isSigned, unknownHeaders }, sentAt } = evidence;
-        this.unknownHeaders.record(target, unknownHeaders);
+        const { target, head: { limit, isSigned }, sentAt } = evidence;
         const known = this.known.get(incarnationOf(target));
         if (limit.kind === "unreadable") {
             this.log(evidence, "unreadable");
@@ -125,7 +108,7 @@
         this.known.set(incarnationOf(target), { rate, statedAt: this.options.clock.now() });
     }
 
-    private log({ target, head, requestId, status }: LimitEvidence, change: string): void {
+    private log({ target, head, requestId, status }: ReplyEvidence, change: string): void {
         const { logs, metrics } = this.options.observation;
         metrics.limitStatements.add({ change });
         const fields = { target: target.id, request: requestId, status, ...describe(head.limit) };
@@ -133,13 +116,6 @@
     }
 }
 
-/** Whether a reply comes from the target itself: addresses are reused, and a faulty target repeats old replies. */
-function isByTarget({ head, requestId, status }: LimitEvidence): boolean {
-    const isToRequest = head.requestId === undefined || head.requestId === requestId;
-    const isMisdirected = status === misdirectedStatus && head.faultyAddress === undefined;
-    return isToRequest && !isMisdirected && (head.isSigned || head.neverExecuted);
-}
-
 function describe(limit: StatedLimit): { readonly limit?: number | string; } {
     return limit.kind === "limited" ? { limit: limit.rate } : limit.kind === "unreadable" ? { limit: limit.text } : {};
 }
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -8,6 +8,8 @@
     readonly directory: Logger;
     readonly chains: Logger;
     readonly limits: Logger;
+    /** What targets say about themselves. */
+    readonly targets: Logger;
     readonly duty: Logger;
     readonly peers: Logger;
     readonly process: Logger;
@@ -42,6 +44,9 @@
     readonly limitStatements: Counter;
     readonly limitedSends: Counter;
     readonly permits: Counter;
+    readonly rests: Counter;
+    readonly restingSends: Counter;
+    readonly leavingReplies: Counter;
     readonly unknownHeaders: Counter;
 
     constructor(registry: MetricRegistry) {
@@ -153,6 +158,18 @@
             name: "waxwingspar_gateway_permits_total",
             help: "Decisions on permits to send to limited targets, by decision and who decided.",
         });
+        this.rests = registry.counter({
+            name: "waxwingspar_gateway_rests_total",
+            help: "Refusals in which a target asked this process for rest, by whether the time could be read.",
+        });
+        this.restingSends = registry.counter({
+            name: "waxwingspar_gateway_resting_sends_total",
+            help: "Requests sent to targets whose rest had not ended.",
+        });
+        this.leavingReplies = registry.counter({
+            name: "waxwingspar_gateway_leaving_replies_total",
+            help: "Replies in which a target said that it is leaving.",
+        });
         this.unknownHeaders = registry.counter({
             name: "waxwingspar_gateway_unknown_headers_total",
             help: "Headers of targets' replies that this program does not know, once for each name.",
--- a/packages/gateway/src/lib/observation/UnknownHeaders.ts
+++ b/packages/gateway/src/lib/observation/UnknownHeaders.ts
@@ -19,7 +19,7 @@
             if (!this.names.has(header) && this.names.size < maxNames) {
                 this.names.add(header);
                 this.observation.metrics.unknownHeaders.add({ header });
-                this.observation.logs.limits.warn({ target: target.id, header }, "reply has an unknown header");
+                this.observation.logs.targets.warn({ target: target.id, header }, "reply has an unknown header");
             }
         }
     }
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -32,6 +32,8 @@
     readonly limit?: number;
     /** Milliseconds since the target had stated that limit. */
     readonly limitAge?: number;
+    /** Milliseconds for which the target had asked for no requests; undefined without a rest. */
+    readonly restLeft?: number;
 }
 
 /** Hop-by-hop headers, which a gateway must not forward. */
@@ -254,6 +256,7 @@
             listAge: round(this.lastBasis?.listAge),
             limit: this.lastBasis?.limit,
             limitAge: round(this.lastBasis?.limitAge),
+            restLeft: round(this.lastBasis?.restLeft),
             firstByte: round(firstByte),
             longestPause: round(this.longestPause),
             firstDelivered: round(firstAt === undefined ? undefined : firstAt - arrivedAt),
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -145,7 +145,7 @@
         attempt.response = response;
         attempt.repliedAt = this.context.clock.now();
         const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
-        this.context.limits.recordReply({
+        this.context.replies.record({
             target: attempt.target,
             status: response.statusCode ?? 0,
             head,
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -4,6 +4,8 @@
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
+import { type TargetReplies } from "../replies/TargetReplies.js";
+import { type TargetRests } from "../rests/TargetRests.js";
 import { type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
 import { type WireFormat } from "./messages.js";
 import { type RetryBudget } from "./RetryBudget.js";
@@ -17,7 +19,10 @@
     /** Maximum milliseconds until a connection to a target is established: several round trips and a lost packet. */
     readonly connectTimeout: number;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
+    /** Receives what targets say about themselves in their replies. */
+    readonly replies: Pick<TargetReplies, "record">;
     readonly limits: TargetLimits;
+    readonly rests: TargetRests;
     readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -8,6 +8,8 @@
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
+import { type TargetReplies } from "../replies/TargetReplies.js";
+import { type TargetRests } from "../rests/TargetRests.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
 import { type ServicePicker } from "../services/ServicePicker.js";
 import { Exchange, type ExchangeOptions } from "../upstream/Exchange.js";
@@ -38,7 +40,9 @@
     /** Whether any peer is currently able to check credentials. */
     readonly hasConfirmedPeer: () => boolean;
     readonly crashes: Pick<CrashProtection, "detector" | "guard">;
+    readonly replies: TargetReplies;
     readonly limits: TargetLimits;
+    readonly rests: TargetRests;
     readonly permits: SendPermits;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
@@ -139,7 +143,8 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, limits, permits, isOn, targetListAge } = this.options;
+        const { clock, wire, observation, crashes, replies, limits, rests, permits, isOn, targetListAge } =
+            this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
         const context = {
@@ -149,7 +154,9 @@
             budget,
             connectTimeout,
             crashes,
+            replies,
             limits,
+            rests,
             permits,
             openExchange,
             isOn,
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -97,7 +97,7 @@
         const status = response.statusCode ?? 0;
         const head = this.context.wire.readReplyHead(status, response.headers);
         const { target, startedAt: sentAt } = attempt;
-        this.context.limits.recordReply({ target, status, head, requestId: this.caller.request.id, sentAt });
+        this.context.replies.record({ target, status, head, requestId: this.caller.request.id, sentAt });
         if (head.neverExecuted) {
             this.service.refused(attempt.load, status, head.faultyAddress);
             this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -55,6 +55,15 @@
     /** A limit in a form that cannot be read. */
     | { readonly kind: "unreadable"; readonly text: string; };
 
+/** What the head of a reply says about the time for which its target wants no requests from this gateway. */
+export type StatedRest =
+    /** No rest. */
+    | { readonly kind: "none"; }
+    /** A duration in milliseconds. */
+    | { readonly kind: "asked"; readonly duration: number; }
+    /** A rest in a form that cannot be read. */
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Contents of the headers of a target's reply. */
 export interface ReplyHead {
     /** Id of the request that the reply belongs to. */
@@ -65,6 +74,9 @@
     /** Address of the target of the chain that caused a refusal. */
     readonly faultyAddress: string | undefined;
     readonly limit: StatedLimit;
+    readonly rest: StatedRest;
+    /** Whether the target says that it is leaving and wants no new requests. */
+    readonly isLeaving: boolean;
     /** Names of headers that this program does not know. */
     readonly unknownHeaders: readonly string[];
 }
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -33,7 +33,16 @@
     if (limit !== undefined) {
         context.observation.metrics.limitedSends.add({ service: target.service });
     }
-    caller.noteSend(target, { listAge: context.targetListAge(), limit, limitAge: context.limits.age(target) });
+    const restLeft = context.rests.timeLeft(target);
+    if (restLeft > 0) {
+        context.observation.metrics.restingSends.add({ service: target.service });
+    }
+    caller.noteSend(target, {
+        listAge: context.targetListAge(),
+        limit,
+        limitAge: context.limits.age(target),
+        restLeft: restLeft > 0 ? restLeft : undefined,
+    });
     return context.openExchange({
         host: target.host,
         port: target.port,
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -11,16 +11,18 @@
 import { TargetLimits } from "../limits/TargetLimits.js";
 import { allMechanismsOn } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
+import { TargetReplies } from "../replies/TargetReplies.js";
 import { CallerExchange } from "../requests/CallerExchange.js";
 import { CallerLinkMonitor } from "../requests/CallerLinkMonitor.js";
 import { type WireFormat } from "../requests/messages.js";
 import { type RequestContext } from "../requests/RequestContext.js";
 import { RetryBudget } from "../requests/RetryBudget.js";
 import { StreamRun } from "../requests/StreamRun.js";
+import { TargetRests } from "../rests/TargetRests.js";
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
-import { limitHeader, refusalStatus, type SimulatedTarget } from "./SimulatedTarget.js";
+import { leavingHeader, limitHeader, refusalStatus, restHeader, type SimulatedTarget } from "./SimulatedTarget.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
@@ -72,6 +74,10 @@
         limit: typeof headers[limitHeader] === "string"
             ? { kind: "limited", rate: Number(headers[limitHeader]) }
             : { kind: "none" },
+        rest: typeof headers[restHeader] === "string"
+            ? { kind: "asked", duration: Number(headers[restHeader]) }
+            : { kind: "none" },
+        isLeaving: headers[leavingHeader] !== undefined,
         unknownHeaders: [],
     }),
 };
@@ -83,6 +89,7 @@
     readonly crashes: CrashProtection;
     readonly chains: ChainService;
     readonly limits: TargetLimits;
+    readonly rests: TargetRests;
     readonly permits: SendPermits;
     readonly context: RequestContext;
     readonly metrics: GatewayMetrics;
@@ -92,6 +99,7 @@
         this.metrics = new GatewayMetrics(new MetricRegistry(clock));
         const observation = { logs: silentLogs(), metrics: this.metrics };
         this.limits = new TargetLimits({ clock, observation });
+        this.rests = new TargetRests({ clock, observation });
         const { group = createGroupOfOne(), random = seededRandom(1) } = options;
         this.permits = new SendPermits({ clock, random, limits: this.limits, group, observation });
         this.suspicions = new TargetSuspicions(clock);
@@ -129,7 +137,14 @@
             budget: new RetryBudget({ clock, window: 10_000, share: 0.2, reserve: retryReserve ?? 202, gateways }),
             connectTimeout: 450,
             crashes: this.crashes,
+            replies: new TargetReplies({
+                limits: this.limits,
+                rests: this.rests,
+                onLeaving: () => undefined,
+                observation,
+            }),
             limits: this.limits,
+            rests: this.rests,
             permits: this.permits,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
             isOn: allMechanismsOn,
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -37,6 +37,10 @@
 
 /** Header with the limit that a target names. */
 export const limitHeader = "limit";
+/** Header with the milliseconds for which a target that refuses wants nothing from the gateway. */
+export const restHeader = "rest";
+/** Header of a target that is leaving. */
+export const leavingHeader = "leaving";
 
 /** A simulated target that streams events, and crashes shortly after it begins to run certain requests. */
 export class SimulatedTarget {
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -50,6 +50,7 @@
         directory: logger,
         chains: logger,
         limits: logger,
+        targets: logger,
         duty: logger,
         peers: logger,
         process: logger,
