--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,6 +1,5 @@
 import { requestCodes, sleep } from "@waxwingspar/utils";
 import { type AddressInfo } from "node:net";
-import { ChainService } from "./chains/ChainService.js";
 import { CrossingAllowance } from "./chains/CrossingAllowance.js";
 import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
@@ -28,13 +27,12 @@
 import { PeerGroup } from "./peers/PeerGroup.js";
 import { TargetReplies } from "./replies/TargetReplies.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
-import { RequestRouter, type ServiceParts } from "./requests/RequestRouter.js";
-import { RetryBudget } from "./requests/RetryBudget.js";
+import { RequestRouter } from "./requests/RequestRouter.js";
 import { StartQueue } from "./requests/StartQueue.js";
 import { TargetRests } from "./rests/TargetRests.js";
 import { CallerServer } from "./server/CallerServer.js";
 import { ReadinessServer } from "./server/ReadinessServer.js";
-import { ServicePicker } from "./services/ServicePicker.js";
+import { ServiceTable } from "./services/ServiceTable.js";
 import { EraStore } from "./store/EraStore.js";
 import { ObservedStore } from "./store/ObservedStore.js";
 import { type Store } from "./store/Store.js";
@@ -75,7 +73,7 @@
     private readonly rests: TargetRests;
     private readonly replies: TargetReplies;
     private readonly permits: SendPermits;
-    private readonly services = new Map<string, ServiceParts>();
+    private readonly services: ServiceTable;
     private readonly crashes: CrashProtection;
     private readonly startQueue: StartQueue;
     private readonly callers: CallerServer;
@@ -136,6 +134,19 @@
         });
         this.permits = new SendPermits({ clock, random, limits: this.limits, group: this.peers, observation });
         const { isOn = allMechanismsOn } = options;
+        this.services = new ServiceTable({
+            clock,
+            settings,
+            directory: this.directory,
+            suspicions: this.suspicions,
+            paces: this.paces,
+            peerLoad: headId => this.peers.chainLoad(headId),
+            engines,
+            crossingAllowance: this.crossingAllowance,
+            gateways: () => this.peers.groupSize,
+            isOn: options.isOn,
+            observation,
+        });
         const router = new RequestRouter({
             clock,
             isOn,
@@ -154,7 +165,7 @@
             rests: this.rests,
             permits: this.permits,
             targetListAge: () => this.directory.age,
-            findService: name => this.services.get(name),
+            findService: name => this.services.find(name),
         });
         this.startQueue = new StartQueue({
             clock,
@@ -241,7 +252,7 @@
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         this.watches.forEach(watch => watch.stop());
         this.crashes.records.stop();
-        this.services.forEach(({ chains }) => chains?.stop());
+        this.services.stop();
         this.peers.stop();
         this.copies.stop();
         this.callers.closeAll();
@@ -282,9 +293,7 @@
             dataCentre: settings.dataCentre,
             logger: logs.peers,
             describe: () => ({
-                chainLoads: Object.fromEntries(
-                    [...this.services.values()].flatMap(({ chains }) => chains?.headLoads() ?? []),
-                ),
+                chainLoads: this.services.headLoads(),
                 suspects: this.suspicions.listLost(),
                 slowTargets: this.paces.listObserved(),
                 limits: this.limits.listStatements(),
@@ -379,39 +388,12 @@
         if (change.kind === "restarted") {
             this.suspicions.clear(id);
             this.paces.forget(id);
-            this.services.forEach(({ chains }) => chains?.forget(id));
+            this.services.forget(id);
         }
     }
 
     private applyConfiguration(configuration: Configuration): void {
-        const { clock, settings, engines, isOn } = this.options;
         this.callers.applyLimits(configuration.limits);
-        for (const { name, engine } of configuration.services) {
-            if (this.services.has(name)) {
-                continue;
-            }
-            const common = { clock, service: name, dataCentre: settings.dataCentre, directory: this.directory };
-            this.services.set(name, {
-                picker: new ServicePicker(common),
-                chains: engine === undefined ? undefined : new ChainService({
-                    ...common,
-                    engine,
-                    suspicions: this.suspicions,
-                    paces: this.paces,
-                    peerLoad: headId => this.peers.chainLoad(headId),
-                    engines,
-                    crossingAllowance: this.crossingAllowance,
-                    isOn,
-                    observation: this.observation,
-                }),
-                budget: new RetryBudget({
-                    clock,
-                    window: settings.retryWindow,
-                    share: settings.retryShare,
-                    reserve: settings.retryReserve,
-                    gateways: () => this.peers.groupSize,
-                }),
-            });
-        }
+        this.services.add(configuration.services);
     }
 }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -1,5 +1,4 @@
 import { type Clock, type Random, requestCodes, type ResultCode } from "@waxwingspar/utils";
-import { type ChainService } from "../chains/ChainService.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
@@ -11,22 +10,14 @@
 import { type TargetReplies } from "../replies/TargetReplies.js";
 import { type TargetRests } from "../rests/TargetRests.js";
 import { type ReceivedRequest } from "../server/CallerServer.js";
-import { type ServicePicker } from "../services/ServicePicker.js";
+import { type ServiceParts } from "../services/ServiceTable.js";
 import { Exchange, type ExchangeOptions } from "../upstream/Exchange.js";
 import { CallerExchange, writeRefusal } from "./CallerExchange.js";
 import { CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { type CallerRequest, type WireFormat } from "./messages.js";
 import { PlainRun } from "./PlainRun.js";
-import { type RetryBudget } from "./RetryBudget.js";
 import { StreamRun } from "./StreamRun.js";
 
-/** Components that serve the requests for one service. */
-export interface ServiceParts {
-    readonly picker: ServicePicker;
-    readonly chains: ChainService | undefined;
-    readonly budget: RetryBudget;
-}
-
 /** Options of {@link RequestRouter}. */
 export interface RequestRouterOptions {
     readonly clock: Clock;
--- /dev/null
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -0,0 +1,78 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type ChainRouterOptions } from "../chains/ChainRouter.js";
+import { ChainService, type ChainServiceOptions } from "../chains/ChainService.js";
+import { type Service } from "../configuration/Configuration.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { type GatewaySettings } from "../GatewaySettings.js";
+import { RetryBudget } from "../requests/RetryBudget.js";
+import { ServicePicker } from "./ServicePicker.js";
+
+/** Components that serve the requests for one service. */
+export interface ServiceParts {
+    readonly picker: ServicePicker;
+    readonly chains: ChainService | undefined;
+    readonly budget: RetryBudget;
+}
+
+type ForwardedOption = "suspicions" | "paces" | "peerLoad" | "engines" | "crossingAllowance" | "isOn" | "observation";
+
+/** Options of {@link ServiceTable}. */
+export interface ServiceTableOptions extends Pick<ChainServiceOptions & ChainRouterOptions, ForwardedOption> {
+    readonly clock: Clock;
+    readonly directory: TargetDirectory;
+    readonly settings: Pick<GatewaySettings, "dataCentre" | "retryWindow" | "retryShare" | "retryReserve">;
+    /** Number of gateways that share the reserve of the retry budget. */
+    readonly gateways: () => number;
+}
+
+/** The services of all configurations so far. A service keeps its state when the configuration changes. */
+export class ServiceTable {
+    private readonly parts = new Map<string, ServiceParts>();
+
+    constructor(private readonly options: ServiceTableOptions) {}
+
+    find(name: string): ServiceParts | undefined {
+        return this.parts.get(name);
+    }
+
+    /** Adds the services that are new. */
+    add(services: readonly Service[]): void {
+        for (const service of services) {
+            if (!this.parts.has(service.name)) {
+                this.parts.set(service.name, this.create(service));
+            }
+        }
+    }
+
+    /** Number of requests of this gateway in flight, by the first target of their chain. */
+    headLoads(): Record<string, number> {
+        return Object.fromEntries([...this.parts.values()].flatMap(({ chains }) => chains?.headLoads() ?? []));
+    }
+
+    /** Discards what chains know of a target, because it has restarted. */
+    forget(targetId: string): void {
+        this.parts.forEach(({ chains }) => chains?.forget(targetId));
+    }
+
+    stop(): void {
+        this.parts.forEach(({ chains }) => chains?.stop());
+    }
+
+    private create({ name, engine }: Service): ServiceParts {
+        const { clock, settings, directory, gateways } = this.options;
+        const { dataCentre } = settings;
+        return {
+            picker: new ServicePicker({ clock, service: name, dataCentre, directory }),
+            chains: engine === undefined
+                ? undefined
+                : new ChainService({ ...this.options, service: name, dataCentre, engine }),
+            budget: new RetryBudget({
+                clock,
+                window: settings.retryWindow,
+                share: settings.retryShare,
+                reserve: settings.retryReserve,
+                gateways,
+            }),
+        };
+    }
+}
