Failing tests: the rest that a target asked for, and its leaving

Cause: unknown to the tests; they state what must hold. Between half a second after a refusal and the end of the rest at most two requests reach the target from one gateway. While all targets rest, callers are refused at once with the time that is left. A target that says it leaves gets nothing new from then on, and its successor is used.

An exchange writes its request once the connection is open and asks then whether it may still be sent, always yes for now.

--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -51,6 +51,7 @@
         headers,
         body: caller.body,
         connectTimeout: context.connectTimeout,
+        maySend: () => true,
         listener,
     });
 }
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -15,10 +15,12 @@
 import { CallerExchange } from "../requests/CallerExchange.js";
 import { CallerLinkMonitor } from "../requests/CallerLinkMonitor.js";
 import { type WireFormat } from "../requests/messages.js";
+import { PlainRun } from "../requests/PlainRun.js";
 import { type RequestContext } from "../requests/RequestContext.js";
 import { RetryBudget } from "../requests/RetryBudget.js";
 import { StreamRun } from "../requests/StreamRun.js";
 import { TargetRests } from "../rests/TargetRests.js";
+import { ServicePicker } from "../services/ServicePicker.js";
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
@@ -45,6 +47,9 @@
     return { address: "", groupSize: 1, issuerShare: 1, findIssuer: () => "", send: () => undefined };
 }
 
+/** Name of the service without chains. */
+export const plainService = "plain";
+
 /** A route for streams that may be resumed on another chain. */
 export const streamRoute: Route = {
     name: "chat",
@@ -60,6 +65,17 @@
     isPublic: false,
 };
 
+/** A route for idempotent requests. */
+export const plainRoute: Route = {
+    ...streamRoute,
+    name: "page",
+    kind: "idempotent",
+    isResumable: false,
+    shares: [{ service: plainService, weight: 1 }],
+    timeout: 1_500,
+    latencyTarget: 250,
+};
+
 /** A wire format that recognises only the simulated targets' refusals. */
 const wire: WireFormat = {
     readCallerRequest: () => {
@@ -88,6 +104,7 @@
     readonly suspicions: TargetSuspicions;
     readonly crashes: CrashProtection;
     readonly chains: ChainService;
+    readonly picker: ServicePicker;
     readonly limits: TargetLimits;
     readonly rests: TargetRests;
     readonly permits: SendPermits;
@@ -130,6 +147,7 @@
             },
             observation,
         });
+        this.picker = new ServicePicker({ clock, service: plainService, dataCentre, directory: this.directory });
         this.context = {
             clock,
             wire,
@@ -152,8 +170,24 @@
         };
     }
 
-    /** Starts a caller's request. */
+    /** Starts a caller's stream. */
     start(body: string, route = streamRoute): SimulatedAnswer {
+        const { caller, answer } = this.receive(body, route);
+        new StreamRun(this.context, caller, this.chains).start();
+        return answer;
+    }
+
+    /** Starts a caller's request to the plain service. */
+    startPlain(body: string, route = plainRoute): SimulatedAnswer {
+        const { caller, answer } = this.receive(body, route);
+        new PlainRun(this.context, caller, this.picker).start();
+        return answer;
+    }
+
+    private receive(
+        body: string,
+        route: Route,
+    ): { readonly caller: CallerExchange; readonly answer: SimulatedAnswer; } {
         const { clock } = this.options;
         const { observation } = this.context;
         const answer = new SimulatedAnswer();
@@ -178,7 +212,6 @@
             link: new CallerLinkMonitor({ clock, observation }),
             configurationVersion: 1,
         });
-        new StreamRun(this.context, caller, this.chains).start();
-        return answer;
+        return { caller, answer };
     }
 }
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
 import { type Target } from "../directory/Target.js";
-import { type ExchangeListener, type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
+import { type ExchangeListener, type ExchangeOptions, type OpenExchange, withdrawn } from "../upstream/Exchange.js";
 
 /** Options of {@link SimulatedTarget}. */
 export interface SimulatedTargetOptions {
@@ -14,6 +14,14 @@
     readonly onArrival: (body: string) => void;
     /** Called when a reply names a limit. */
     readonly onLimitNamed?: (body: string) => void;
+    /** Called when a refusal that asks for rest leaves the target. */
+    readonly onRest?: (body: string, duration: number) => void;
+    /** Called when a reply that says that the target leaves has arrived at the gateway. */
+    readonly onLeavingTold?: (body: string) => void;
+    /** Milliseconds that a connection, and the head of a refusal, are on their way; 1 and 0 by default. */
+    readonly latency?: () => { readonly connect: number; readonly reply: number; };
+    /** Number of events of a complete answer. */
+    readonly events?: number;
 }
 
 interface Run {
@@ -47,6 +55,12 @@
     isDown = false;
     /** Whether it refuses new requests. */
     isRefusing = false;
+    /** Share of the requests that it refuses, from 0 to 1. */
+    refusedShare = 0;
+    /** Milliseconds of rest that it asks for when it refuses; undefined for none. */
+    rest: number | undefined;
+    /** Whether it says in its replies that it is leaving. */
+    isLeaving = false;
     /** Whether it withholds reports, though it may run requests. */
     isMute = false;
     /** The limit that it names in its replies, in requests per second. */
@@ -71,24 +85,29 @@
     }
 
     /** Receives a request, in place of the constructor of a real exchange. */
-    open({ body, listener }: ExchangeOptions): OpenExchange {
+    open({ body, listener, maySend }: ExchangeOptions): OpenExchange {
         const { clock, onArrival } = this.options;
         const run: Run = { body: body?.toString() ?? "", listener, timer: undefined };
+        const latency = this.options.latency?.() ?? { connect: delay, reply: 0 };
         let isSent = false;
         run.timer = clock.schedule(() => {
             if (this.isDown) {
                 listener.onFailure({ neverSent: true, reason: "ECONNREFUSED" });
                 return;
             }
+            if (!maySend()) {
+                listener.onFailure(withdrawn);
+                return;
+            }
             isSent = true;
             onArrival(run.body);
-            if (this.isRefusing) {
-                listener.onHead({ statusCode: refusalStatus, headers: this.replyHeaders(run.body), rawHeaders: [] });
+            if (this.isRefusing || this.drawsRefusal) {
+                this.refuse(run, latency.reply);
                 return;
             }
             this.runs.add(run);
             run.timer = clock.schedule(() => this.begin(run), this.draw(wait));
-        }, delay);
+        }, latency.connect);
         return {
             pause: () => undefined,
             resume: () => undefined,
@@ -112,6 +131,28 @@
         cut.forEach(({ listener }) => listener.onFailure({ neverSent: false, reason: "ECONNRESET" }));
     }
 
+    private get drawsRefusal(): boolean {
+        return this.refusedShare > 0 && this.options.random.next() < this.refusedShare;
+    }
+
+    private refuse(run: Run, delay: number): void {
+        const { clock, onRest } = this.options;
+        const headers = this.replyHeaders(run.body);
+        if (this.rest !== undefined) {
+            headers[restHeader] = `${this.rest}`;
+            onRest?.(run.body, this.rest);
+        }
+        const answer = () => {
+            this.tellLeaving(run.body, headers);
+            run.listener.onHead({ statusCode: refusalStatus, headers, rawHeaders: [] });
+        };
+        if (delay === 0) {
+            answer();
+            return;
+        }
+        run.timer = clock.schedule(answer, delay);
+    }
+
     private begin(run: Run): void {
         const { clock, crashesUnder } = this.options;
         if (crashesUnder(run.body)) {
@@ -122,16 +163,25 @@
             this.postpone(run, () => this.begin(run));
             return;
         }
-        run.listener.onHead({ statusCode: 200, headers: this.replyHeaders(run.body), rawHeaders: [] });
+        const headers = this.replyHeaders(run.body);
+        this.tellLeaving(run.body, headers);
+        run.listener.onHead({ statusCode: 200, headers, rawHeaders: [] });
         this.sendEvent(run, 0);
     }
 
     private replyHeaders(body: string): Record<string, string> {
+        const leaving: Record<string, string> = this.isLeaving ? { [leavingHeader]: "1" } : {};
         if (this.limit === undefined) {
-            return {};
+            return leaving;
         }
         this.options.onLimitNamed?.(body);
-        return { [limitHeader]: `${this.limit}` };
+        return { ...leaving, [limitHeader]: `${this.limit}` };
+    }
+
+    private tellLeaving(body: string, headers: Record<string, string>): void {
+        if (headers[leavingHeader] !== undefined) {
+            this.options.onLeavingTold?.(body);
+        }
     }
 
     private get isSilent(): boolean {
@@ -147,7 +197,7 @@
             this.postpone(run, () => this.sendEvent(run, id));
             return;
         }
-        if (id >= simulatedEvents) {
+        if (id >= (this.options.events ?? simulatedEvents)) {
             this.runs.delete(run);
             run.listener.onEnd();
             return;
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -38,6 +38,7 @@
             headers: ["Host", "x", "Connection", "close"],
             body: undefined,
             connectTimeout: 1_000,
+            maySend: () => true,
             listener: {
                 onHead: () => undefined,
                 onData: chunk => chunks.push(chunk),
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -5,9 +5,14 @@
 export interface ExchangeFailure {
     /** True if no byte of the request can have reached the target, so it cannot be executed there. */
     readonly neverSent: boolean;
+    /** True if this process held the request back because it may not be sent to the target any more. */
+    readonly isWithdrawn?: boolean;
     readonly reason: string;
 }
 
+/** The failure of a request that was held back when its connection was established. */
+export const withdrawn: ExchangeFailure = { neverSent: true, isWithdrawn: true, reason: "withdrawn" };
+
 /** Status and headers of a reply. */
 export type ReplyMessage = Pick<IncomingMessage, "statusCode" | "headers" | "rawHeaders">;
 
@@ -33,6 +38,8 @@
     readonly body: Buffer | undefined;
     /** Maximum milliseconds until the connection is established. */
     readonly connectTimeout: number;
+    /** Called when the connection is established: whether the request may still be sent. */
+    readonly maySend: () => boolean;
     readonly listener: ExchangeListener;
 }
 
@@ -50,19 +57,31 @@
     private wasReset = false;
 
     constructor(private readonly options: ExchangeOptions) {
-        const { host, port, method, path, headers, body, connectTimeout } = options;
+        const { host, port, method, path, headers, connectTimeout } = options;
         this.call = request({ host, port, method, path, headers, agent: false });
         this.connectTimer = setTimeout(() => this.failIfUnconnected(), connectTimeout);
         this.call.once("socket", socket => {
             socket.setNoDelay(true);
             socket.prependOnceListener("end", () => this.detectReset(socket));
-            socket.once("connect", () => {
-                this.isConnected = true;
-                clearTimeout(this.connectTimer);
-            });
+            socket.once("connect", () => this.send());
         });
         this.call.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
         this.call.once("response", response => this.receive(response));
+    }
+
+    /** Sends the request on its new connection, unless what is known of the target has changed meanwhile. */
+    private send(): void {
+        const { body, maySend, listener } = this.options;
+        if (this.isOver) {
+            return;
+        }
+        if (!maySend()) {
+            this.close();
+            listener.onFailure(withdrawn);
+            return;
+        }
+        this.isConnected = true;
+        clearTimeout(this.connectTimer);
         this.call.end(body);
     }
 
