A target that asked for rest is sent nothing until it ends

Callers saw: refusals that told them to return while every target still rested, and repeats that fell on a target which had asked for rest.

Cause: no part of the gateway read Retry-After of a target's refusal. The beliefs that kept requests away instead, a decaying weight of failures for plain targets and penalties of 0.15 to 2.4 s for heads, know no time and are often shorter than the rest.

Change: TargetRests keeps the end of each rest by incarnation, on the monotonic clock; the latest end counts. SendGate, which every first send, retry, hedge and resume passes, holds sends back by it and judges again after a permit arrived; an exchange asks once more when its connection is open. Chains are built without targets that rest, so another head of the data centre takes over if there is one. If a head speaks for a target behind it, both rest. When all rest, callers are refused at once with the new code targets-resting and the time until the first rest ends, in full. After a rest the target gets one request, and two more for each that it accepts. A refusal that asks for rest is followed by no report.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,7 +12,6 @@
 import { CrashProtection } from "./crashes/CrashProtection.js";
 import { createTargetWatch } from "./directory/createTargetWatch.js";
 import { logTargetChange } from "./directory/logTargetChange.js";
-import { type Target } from "./directory/Target.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
 import { PlacementLease } from "./duty/PlacementLease.js";
@@ -91,7 +90,7 @@
     private stopped: Promise<void> | undefined;
 
     constructor(private readonly options: GatewayOptions) {
-        const { settings, clock, logs, registry, engines, random } = options;
+        const { settings, clock, logs, registry, random } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
         const { eras, observation } = this;
         const observed = new ObservedStore({ store: options.store, clock, observation });
@@ -108,13 +107,13 @@
         this.paces = new TargetPaces(clock);
         this.crossingAllowance = new CrossingAllowance({ clock, random, gateways: () => this.peers.groupSize });
         this.limits = new TargetLimits({ clock, observation });
-        this.rests = new TargetRests({ clock, observation });
+        this.rests = new TargetRests({ clock, random, observation });
         this.replies = new TargetReplies({
             limits: this.limits,
             rests: this.rests,
-            onLeaving: target => this.handleLeavingReply(target),
             observation,
         });
+        const { engines } = options;
         this.crashes = new CrashProtection({
             clock,
             store,
@@ -140,6 +139,7 @@
             directory: this.directory,
             suspicions: this.suspicions,
             paces: this.paces,
+            rests: this.rests,
             peerLoad: headId => this.peers.chainLoad(headId),
             engines,
             crossingAllowance: this.crossingAllowance,
@@ -163,6 +163,7 @@
             replies: this.replies,
             limits: this.limits,
             rests: this.rests,
+            mayReceive: target => this.directory.mayReceive(target),
             permits: this.permits,
             targetListAge: () => this.directory.age,
             findService: name => this.services.find(name),
@@ -375,12 +376,6 @@
         }
     }
 
-    private handleLeavingReply({ id }: Target): void {
-        const { logs, metrics } = this.observation;
-        metrics.leavingReplies.add({});
-        logs.targets.info({ target: id, listed: this.directory.get(id)?.state }, "target says that it leaves");
-    }
-
     private handleTargetChange(change: DirectoryChange): void {
         const { id } = change.target;
         logTargetChange(this.options.logs.directory, change, this.directory.age);
--- a/packages/gateway/src/lib/chains/ChainRouter.test.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
-import { testEngine, testTarget } from "../testing/fixtures.js";
+import { noRests, testEngine, testTarget } from "../testing/fixtures.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { TargetPaces } from "./TargetPaces.js";
 import { TargetSuspicions } from "./TargetSuspicions.js";
@@ -27,6 +27,7 @@
         directory,
         suspicions,
         paces,
+        rests: noRests,
         peerLoad: headId => peerLoads.get(headId) ?? 0,
     });
     const hops = () => router.choose(testEngine, none)?.chain.hops.map(({ targetId }) => targetId);
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -3,6 +3,7 @@
 import { type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
+import { type TargetRests } from "../rests/TargetRests.js";
 import { buildChain, type Slowdown } from "./buildChain.js";
 import { type Chain } from "./Chain.js";
 import { type CrossingAllowance, crossingTime } from "./CrossingAllowance.js";
@@ -18,6 +19,7 @@
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
     readonly paces: TargetPaces;
+    readonly rests: Pick<TargetRests, "timeLeft" | "fingerprint">;
     /** Number of requests that other processes have in flight on chains whose first target has this id. */
     readonly peerLoad: (headId: string) => number;
     /** Limits new requests on chains between data centres; undefined if their links have no limit. */
@@ -100,6 +102,8 @@
     private chains: ChainLoad[] = [];
     private readonly loads = new Map<string, ChainLoad>();
     private builtState = "";
+    /** When a chain can be built because rests have ended, on the clock. */
+    private restEnd: number | undefined;
     private readonly isOn: MechanismSwitch;
 
     constructor(private readonly options: ChainRouterOptions) {
@@ -162,12 +166,14 @@
      * Returns the current chains, at most one for each data centre; rebuilds them when targets or slowdowns changed.
      */
     current(engine: Engine): ChainLoad[] {
-        const { directory, suspicions, paces } = this.options;
+        const { directory, suspicions, paces, rests } = this.options;
         const suspected = suspicions.list();
-        const state = `${directory.revision} ${suspected.join()} ${paces.fingerprint} ${engine.layers}`;
+        const resting = rests.fingerprint;
+        const state = `${directory.revision} ${suspected.join()} ${resting} ${paces.fingerprint} ${engine.layers}`;
         if (state !== this.builtState) {
             this.builtState = state;
-            this.rebuild(engine, new Set(suspected));
+            this.rebuild(engine);
+            this.restEnd = this.findRestEnd(engine);
         }
         return this.chains;
     }
@@ -179,11 +185,40 @@
             .map(({ chain, inFlight }) => [chain.hops[0]?.targetId ?? "", inFlight]);
     }
 
-    private rebuild(engine: Engine, suspected: ReadonlySet<string>): void {
-        const { paces } = this.options;
+    /**
+     * Milliseconds until a chain can be built because rests of its targets have ended; undefined if there is a chain, or
+     * rests are not what prevents one.
+     */
+    restLeft(engine: Engine): number | undefined {
+        const hasChain = this.current(engine).length > 0;
+        return hasChain || this.restEnd === undefined ? undefined : this.restEnd - this.options.clock.now();
+    }
+
+    private findRestEnd(engine: Engine): number | undefined {
+        const { clock, rests } = this.options;
+        if (this.chains.length > 0) {
+            return undefined;
+        }
+        const candidates = this.listUnsuspected().map(target => ({ target, wait: rests.timeLeft(target) }));
+        const waits = [...new Set(candidates.map(({ wait }) => wait))].sort((a, b) => a - b);
+        const first = waits.find(limit => {
+            const targets = candidates.flatMap(({ target, wait }) => wait <= limit ? [target] : []);
+            const dataCentres = new Set(targets.map(({ dataCentre }) => dataCentre));
+            return [...dataCentres].some(dataCentre => buildChain(dataCentre, targets, engine) !== undefined);
+        });
+        return first === undefined ? undefined : clock.now() + first;
+    }
+
+    private listUnsuspected(): Target[] {
+        const { directory, service, suspicions } = this.options;
+        const suspected = new Set(suspicions.list());
+        return directory.readyTargets(service).filter(({ id }) => !suspected.has(id));
+    }
+
+    private rebuild(engine: Engine): void {
+        const { paces, rests } = this.options;
         const slowdown: Slowdown = id => this.isOn("slow-targets") ? paces.slowdown(id) : 1;
-        const targets = this.options.directory.readyTargets(this.options.service)
-            .filter(({ id }) => !suspected.has(id));
+        const targets = this.listUnsuspected().filter(target => rests.timeLeft(target) === 0);
         const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
         const local = dataCentres.flatMap(dataCentre => {
             const ofDataCentre = targets.filter(target => target.dataCentre === dataCentre);
--- a/packages/gateway/src/lib/chains/ChainService.test.ts
+++ b/packages/gateway/src/lib/chains/ChainService.test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { GatewayMetrics } from "../observation/Observation.js";
-import { healthyReport, silentLogs, testEngine, testTarget } from "../testing/fixtures.js";
+import { healthyReport, noRests, silentLogs, testEngine, testTarget } from "../testing/fixtures.js";
 import { ChainService } from "./ChainService.js";
 import { type EngineReport } from "./EngineControl.js";
 import { TargetPaces } from "./TargetPaces.js";
@@ -27,6 +27,7 @@
         directory,
         suspicions,
         paces,
+        rests: noRests,
         peerLoad: () => 0,
         engines: {
             fetchReport: ({ port }) => Promise.resolve(reports.get(port)),
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -5,6 +5,7 @@
 import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 import { LoopDelay } from "../observation/LoopDelay.js";
 import { type Observation } from "../observation/Observation.js";
+import { type TargetRests } from "../rests/TargetRests.js";
 import { type Chain } from "./Chain.js";
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { type CrossingAllowance } from "./CrossingAllowance.js";
@@ -36,6 +37,7 @@
     readonly directory: TargetDirectory;
     readonly suspicions: TargetSuspicions;
     readonly paces: TargetPaces;
+    readonly rests: Pick<TargetRests, "timeLeft" | "fingerprint">;
     readonly peerLoad: (headId: string) => number;
     readonly engines: EngineControl;
     readonly crossingAllowance?: CrossingAllowance;
@@ -159,6 +161,11 @@
         );
     }
 
+    /** Milliseconds until a chain can be built because rests have ended; see {@link ChainRouter.restLeft}. */
+    get restLeft(): number | undefined {
+        return this.router.restLeft(this.options.engine);
+    }
+
     target(id: string): Target | undefined {
         return this.options.directory.get(id);
     }
--- a/packages/gateway/src/lib/chains/CrossingAllowance.test.ts
+++ b/packages/gateway/src/lib/chains/CrossingAllowance.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
-import { testEngine, testTarget } from "../testing/fixtures.js";
+import { noRests, testEngine, testTarget } from "../testing/fixtures.js";
 import { ChainRouter } from "./ChainRouter.js";
 import { CrossingAllowance, crossingTime } from "./CrossingAllowance.js";
 import { TargetPaces } from "./TargetPaces.js";
@@ -39,6 +39,7 @@
         directory,
         suspicions: new TargetSuspicions(clock),
         paces: new TargetPaces(clock),
+        rests: noRests,
         peerLoad: () => 0,
         crossingAllowance: new CrossingAllowance({ clock, random, gateways: () => gateways }),
         isOn,
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -106,6 +106,13 @@
         });
     }
 
+    /** Whether a request that was meant for a target may still be sent there. */
+    mayReceive(target: Target): boolean {
+        const known = this.targets.get(target.id);
+        return known === undefined ? !this.departed.has(incarnationOf(target)) : known.state === "ready"
+            && known.startedAt === target.startedAt;
+    }
+
     /**
      * Whether a reply of a target applies to its current entry: neither may be of an earlier incarnation than the
      * other. A reply of a later incarnation marks the target as restarted.
@@ -128,7 +135,7 @@
         if (known === undefined || known.startedAt === undefined || known.startedAt >= startedAt) {
             return;
         }
-        const target = { ...known, startedAt, layers: undefined };
+        const target: Target = { ...known, startedAt, layers: undefined };
         this.startSeenAt.set(id, this.options.clock.now());
         this.set(target);
         this.changed({ kind: "restarted", target });
--- a/packages/gateway/src/lib/replies/ReplyEvidence.ts
+++ b/packages/gateway/src/lib/replies/ReplyEvidence.ts
@@ -6,6 +6,8 @@
     /** The target that the request was sent to. */
     readonly target: Target;
     readonly status: number;
+    /** The target of the chain behind `target` that a refusal is about, if it is another one. */
+    readonly faultyTarget?: Target;
     readonly head: ReplyHead;
     readonly requestId: string | undefined;
     /** When the request was sent, on the clock. */
--- a/packages/gateway/src/lib/replies/TargetReplies.ts
+++ b/packages/gateway/src/lib/replies/TargetReplies.ts
@@ -9,8 +9,6 @@
 export interface TargetRepliesOptions {
     readonly limits: Pick<TargetLimits, "recordReply">;
     readonly rests: Pick<TargetRests, "recordReply">;
-    /** Called for each reply in which a target says that it is leaving. */
-    readonly onLeaving: (target: Target) => void;
     readonly observation: Observation;
 }
 
@@ -27,13 +25,20 @@
         if (!isByTarget(evidence)) {
             return;
         }
-        const { limits, rests, onLeaving } = this.options;
+        const { limits, rests } = this.options;
         const { target, head } = evidence;
         this.unknownHeaders.record(target, head.unknownHeaders);
         limits.recordReply(evidence);
         rests.recordReply(evidence);
         if (head.isLeaving) {
-            onLeaving(target);
+            this.recordLeaving(target);
         }
     }
+
+    /** Records that a target says that it is leaving. */
+    recordLeaving(target: Target): void {
+        const { logs, metrics } = this.options.observation;
+        metrics.leavingReplies.add({});
+        logs.targets.info({ target: target.id, startedAt: target.startedAt }, "target says that it leaves");
+    }
 }
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -185,8 +185,9 @@
      * Answers with a result code of the gateway itself.
      *
      * @param retryAfter - Milliseconds after which the caller may retry; for requests that have not been executed.
+     * @param isBinding - Whether the time is named in full: an earlier retry is known to be in vain.
      */
-    refuse(code: ResultCode, reason: string, retryAfter?: number): void {
+    refuse(code: ResultCode, reason: string, retryAfter?: number, isBinding = false): void {
         if (this.isOver) {
             return;
         }
@@ -199,7 +200,7 @@
             this.options.response,
             code,
             reason,
-            retryAfter === undefined ? undefined : this.limit(retryAfter),
+            retryAfter === undefined || isBinding ? retryAfter : this.limit(retryAfter),
         );
         this.finish(`${code.name}: ${reason}`);
     }
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -85,6 +85,15 @@
         return this.options.target;
     }
 
+    /** The target of the chain behind the first one that has an address; undefined if there is none. */
+    findTarget(address: string | undefined): Target | undefined {
+        const { load, service } = this.options;
+        const [, ...later] = load.chain.hops;
+        const hop = later.find(hop => hop.address === address);
+        const target = hop === undefined ? undefined : service.target(hop.targetId);
+        return target?.startedAt === hop?.startedAt ? target : undefined;
+    }
+
     /** True while no byte can have reached the target. */
     get neverSent(): boolean {
         return this.exchange.neverSent;
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -8,8 +8,8 @@
 import { CrashCheck } from "./CrashCheck.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
-import { limitsUsedUp, PermitGate } from "./PermitGate.js";
 import { type RequestContext } from "./RequestContext.js";
+import { type Closure, SendGate } from "./SendGate.js";
 
 /** Maximum bytes of a reply that are buffered. A longer reply is forwarded as it arrives and cannot be retried. */
 const maxBufferedReply = 262_144;
@@ -43,7 +43,7 @@
     private readonly attempts = new Set<Attempt>();
     private readonly tried = new Set<string>();
     private readonly limits: AttemptLimits;
-    private readonly gate: PermitGate;
+    private readonly gate: SendGate;
     private readonly crashCheck: CrashCheck;
     /** A complete reply with a server error, delivered if no attempt brings a better one. */
     private failedReply: Attempt | undefined;
@@ -56,7 +56,7 @@
         private readonly picker: ServicePicker,
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
-        this.gate = new PermitGate({ context, caller, precedence: () => "waiting" });
+        this.gate = new SendGate({ context, caller, precedence: () => "waiting" });
         this.crashCheck = new CrashCheck({
             context,
             caller,
@@ -94,16 +94,16 @@
         const target = this.chooseTarget();
         if (target === undefined) {
             if (this.attempts.size === 0) {
-                this.giveUp(this.limitedWait === undefined ? "no target is left" : limitsUsedUp);
+                this.giveUp(this.closure?.reason ?? "no target is left");
             }
             return;
         }
         this.gate.pass(target, () => this.sendTo(target), () => this.sendNow());
     }
 
-    /** Milliseconds until a limit permits a send to a target that was not tried; undefined if none prevents one. */
-    private get limitedWait(): number | undefined {
-        return this.gate.waitFor(this.picker.list().filter(({ id }) => !this.tried.has(id)));
+    /** Why no target takes a request now by what it said; undefined if that does not prevent a send. */
+    private get closure(): Closure | undefined {
+        return this.gate.findClosure(this.picker.list());
     }
 
     private sendTo(target: Target): void {
@@ -206,8 +206,8 @@
         this.continueAfter(attempt, "unknown");
     }
 
-    private exchangeFailed(attempt: Attempt, { neverSent, reason }: ExchangeFailure): void {
-        this.remove(attempt, "failed");
+    private exchangeFailed(attempt: Attempt, { neverSent, isWithdrawn = false, reason }: ExchangeFailure): void {
+        this.remove(attempt, isWithdrawn ? "withdrawn" : "failed");
         this.logFailure(attempt, reason);
         if (!neverSent) {
             const { target, startedAt, repliedAt } = attempt;
@@ -291,7 +291,12 @@
             this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
             return;
         }
-        this.caller.refuse(requestCodes.noCapacity, reason, this.limitedWait ?? retryAfter);
+        const { closure } = this;
+        if (closure === undefined) {
+            this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
+            return;
+        }
+        this.caller.refuse(closure.code, reason, closure.wait, closure.isBinding);
     }
 
     private stopOthers(kept: Attempt): void {
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,5 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type Target } from "../directory/Target.js";
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
@@ -23,6 +24,8 @@
     readonly replies: Pick<TargetReplies, "record">;
     readonly limits: TargetLimits;
     readonly rests: TargetRests;
+    /** Whether a target is still the listed incarnation, as far as is known, and is not leaving. */
+    readonly mayReceive: (target: Target) => boolean;
     readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -3,6 +3,7 @@
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
+import { type Target } from "../directory/Target.js";
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
@@ -34,6 +35,7 @@
     readonly replies: TargetReplies;
     readonly limits: TargetLimits;
     readonly rests: TargetRests;
+    readonly mayReceive: (target: Target) => boolean;
     readonly permits: SendPermits;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
@@ -134,7 +136,7 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, replies, limits, rests, permits, isOn, targetListAge } =
+        const { clock, wire, observation, crashes, replies, limits, rests, mayReceive, permits, isOn, targetListAge } =
             this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
@@ -148,6 +150,7 @@
             replies,
             limits,
             rests,
+            mayReceive,
             permits,
             openExchange,
             isOn,
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -12,15 +12,12 @@
 import { CrashCheck } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
-import { limitsUsedUp, PermitGate } from "./PermitGate.js";
 import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
 import { resumedPriority } from "./resumedPriority.js";
+import { SendGate } from "./SendGate.js";
+import { StreamRefusal } from "./StreamRefusal.js";
 
-/** `Retry-After` in milliseconds when no chain has room: some requests end in that time. */
-const fullRetryAfter = 400;
-/** `Retry-After` in milliseconds when no chain is complete: a lost layer range is reloaded in 1.2 to 1.6 s. */
-const noChainRetryAfter = 1_500;
 /** Milliseconds between two attempts to find a chain that can resume an interrupted stream. */
 const resumeInterval = 200;
 /**
@@ -28,7 +25,6 @@
  * silent for two seconds. A lost layer range is bypassed by another chain, or reloaded, within 0.4 to 1.6 s.
  */
 const maxResumeWait = 1_800;
-const noExclusions: ReadonlySet<string> = new Set();
 const firstSuccess = 200;
 const firstRedirect = 300;
 
@@ -46,7 +42,8 @@
     /** Runs that may still bring events: one, or a suspected one and its intended replacement. */
     private readonly attempts = new Set<ChainAttempt>();
     private readonly limits: AttemptLimits;
-    private readonly gate: PermitGate;
+    private readonly gate: SendGate;
+    private readonly refusal: StreamRefusal;
     private readonly choice: ChainChoice;
     private readonly crashCheck: CrashCheck;
     private readonly delivered: DeliveredEvents;
@@ -60,7 +57,8 @@
     ) {
         this.delivered = new DeliveredEvents(context.clock, caller.request.lastEventId);
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
-        this.gate = new PermitGate({ context, caller, precedence: () => this.precedence });
+        this.gate = new SendGate({ context, caller, precedence: () => this.precedence });
+        this.refusal = new StreamRefusal({ gate: this.gate, service, caller });
         this.choice = new ChainChoice({
             service,
             limits: this.limits,
@@ -97,9 +95,12 @@
         const status = response.statusCode ?? 0;
         const head = this.context.wire.readReplyHead(status, response.headers);
         const { target, startedAt: sentAt } = attempt;
-        this.context.replies.record({ target, status, head, requestId: this.caller.request.id, sentAt });
+        const faultyTarget = attempt.findTarget(head.faultyAddress);
+        this.context.replies.record({ target, faultyTarget, status, head, requestId: this.caller.request.id, sentAt });
         if (head.neverExecuted) {
-            this.service.refused(attempt.load, status, head.faultyAddress);
+            if (head.rest.kind !== "asked") {
+                this.service.refused(attempt.load, status, head.faultyAddress);
+            }
             this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
         }
         else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
@@ -145,8 +146,10 @@
         this.caller.end(`served ${this.delivered.count} events`);
     }
 
-    onFailure(attempt: ChainAttempt, { neverSent, reason }: ExchangeFailure): void {
-        this.service.streamFailed(attempt.load, neverSent);
+    onFailure(attempt: ChainAttempt, { neverSent, isWithdrawn = false, reason }: ExchangeFailure): void {
+        if (!isWithdrawn) {
+            this.service.streamFailed(attempt.load, neverSent);
+        }
         if (!neverSent) {
             const { target, startedAt, firstEventAt } = attempt;
             this.crashCheck.noteInterrupted({ target, startedAt, repliedAt: firstEventAt });
@@ -205,7 +208,7 @@
         const target = load === undefined ? undefined : this.service.target(load.chain.hops[0]?.targetId ?? "");
         if (load === undefined || target === undefined) {
             if (this.attempts.size === 0) {
-                this.waitOrGiveUp(this.limitedWait === undefined ? "no chain is left" : limitsUsedUp);
+                this.waitOrGiveUp(this.refusal.reason);
             }
             return;
         }
@@ -352,18 +355,12 @@
         }
         this.finish();
         if (!mayRun) {
-            const retryAfter = this.service.choose(noExclusions) === undefined ? noChainRetryAfter : fullRetryAfter;
-            this.caller.refuse(requestCodes.noCapacity, reason, this.limitedWait ?? retryAfter);
+            this.refusal.refuse(reason);
             return;
         }
         this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
     }
 
-    /** Milliseconds until a limit permits a send; undefined if no limit prevents one. */
-    private get limitedWait(): number | undefined {
-        return this.gate.waitFor(this.service.listHeads());
-    }
-
     private finish(): void {
         this.deadlineTimer?.cancel();
         this.resumeTimer?.cancel();
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -17,6 +17,9 @@
     readonly listener: ExchangeListener;
 }
 
+/** Statuses with which a target turns a request away. */
+const refusalStatuses = new Set([429, 503]);
+
 /** Sends a caller's request to a target, with its remaining time. */
 export function openExchange(options: OpenExchangeOptions): OpenExchange {
     const { context, caller, target, chain, lastEventId, priority, listener } = options;
@@ -43,7 +46,8 @@
         limitAge: context.limits.age(target),
         restLeft: restLeft > 0 ? restLeft : undefined,
     });
-    return context.openExchange({
+    const endSend = context.rests.beginSend(target);
+    const exchange = context.openExchange({
         host: target.host,
         port: target.port,
         method: caller.method,
@@ -51,7 +55,28 @@
         headers,
         body: caller.body,
         connectTimeout: context.connectTimeout,
-        maySend: () => true,
-        listener,
+        maySend: () => context.rests.timeLeft(target) === 0 && context.mayReceive(target),
+        listener: {
+            ...listener,
+            onHead: response => {
+                endSend(refusalStatuses.has(response.statusCode ?? 0) ? "refused" : "accepted");
+                listener.onHead(response);
+            },
+            onFailure: failure => {
+                endSend("unanswered");
+                listener.onFailure(failure);
+            },
+        },
     });
+    return {
+        pause: () => exchange.pause(),
+        resume: () => exchange.resume(),
+        cancel: () => {
+            endSend("unanswered");
+            exchange.cancel();
+        },
+        get neverSent() {
+            return exchange.neverSent;
+        },
+    };
 }
--- a/packages/gateway/src/lib/services/ServicePicker.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.ts
@@ -3,7 +3,7 @@
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 
 /** Outcome of an exchange, for judging the health of the target. */
-export type ExchangeVerdict = "served" | "failed" | "refused";
+export type ExchangeVerdict = "served" | "failed" | "refused" | "withdrawn";
 
 /** Options of {@link ServicePicker}. */
 export interface ServicePickerOptions {
@@ -77,7 +77,7 @@
             const known = record.latency ?? latency;
             record.latency = known + (latency - known) * latencyWeight;
         }
-        else {
+        else if (verdict !== "withdrawn") {
             record.failures = this.recentFailures(record) + (verdict === "failed" ? 1 : 0.5);
             record.failuresAt = this.options.clock.now();
         }
--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -14,7 +14,15 @@
     readonly budget: RetryBudget;
 }
 
-type ForwardedOption = "suspicions" | "paces" | "peerLoad" | "engines" | "crossingAllowance" | "isOn" | "observation";
+type ForwardedOption =
+    | "suspicions"
+    | "paces"
+    | "rests"
+    | "peerLoad"
+    | "engines"
+    | "crossingAllowance"
+    | "isOn"
+    | "observation";
 
 /** Options of {@link ServiceTable}. */
 export interface ServiceTableOptions extends Pick<ChainServiceOptions & ChainRouterOptions, ForwardedOption> {
--- a/packages/gateway/src/lib/testing/RestingSite.ts
+++ b/packages/gateway/src/lib/testing/RestingSite.ts
@@ -183,9 +183,9 @@
             events: isPlainTarget ? 1 : undefined,
             latency: () => ({ connect: this.drawLatency(1), reply: this.drawLatency(0) }),
             onArrival: body => this.record(this.arrivals, body, simulated),
-            onRest: (body, duration) => {
-                const until = this.group.clock.now() + duration;
-                this.record(this.rests, body, simulated, { until });
+            onRest: (body, duration, delay) => {
+                const at = this.group.clock.now() - delay;
+                this.record(this.rests, body, simulated, { at, until: at + duration });
             },
             onLeavingTold: body => this.record(this.leavingTold, body, simulated),
         });
@@ -196,7 +196,7 @@
         list: T[],
         body: string,
         target: SimulatedTarget,
-        ...[more]: T extends AskedRest ? [{ readonly until: number; }] : []
+        ...[more]: T extends AskedRest ? [Pick<AskedRest, "at" | "until">] : []
     ): void {
         const gateway = this.gateways.find(({ group }) => body === `from ${group.name}`);
         if (gateway !== undefined) {
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -116,8 +116,8 @@
         this.metrics = new GatewayMetrics(new MetricRegistry(clock));
         const observation = { logs: silentLogs(), metrics: this.metrics };
         this.limits = new TargetLimits({ clock, observation });
-        this.rests = new TargetRests({ clock, observation });
         const { group = createGroupOfOne(), random = seededRandom(1) } = options;
+        this.rests = new TargetRests({ clock, random, observation });
         this.permits = new SendPermits({ clock, random, limits: this.limits, group, observation });
         this.suspicions = new TargetSuspicions(clock);
         this.directory = new TargetDirectory({
@@ -140,6 +140,7 @@
             directory: this.directory,
             suspicions: this.suspicions,
             paces: new TargetPaces(clock),
+            rests: this.rests,
             peerLoad,
             engines: {
                 fetchReport: ({ port }) => Promise.resolve(targetAt(port).givesReports ? healthyReport : undefined),
@@ -158,11 +159,11 @@
             replies: new TargetReplies({
                 limits: this.limits,
                 rests: this.rests,
-                onLeaving: () => undefined,
                 observation,
             }),
             limits: this.limits,
             rests: this.rests,
+            mayReceive: target => this.directory.mayReceive(target),
             permits: this.permits,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
             isOn: allMechanismsOn,
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -14,8 +14,8 @@
     readonly onArrival: (body: string) => void;
     /** Called when a reply names a limit. */
     readonly onLimitNamed?: (body: string) => void;
-    /** Called when a refusal that asks for rest leaves the target. */
-    readonly onRest?: (body: string, duration: number) => void;
+    /** Called when a refusal that asks for rest arrives at the gateway, with the milliseconds that it was on its way. */
+    readonly onRest?: (body: string, duration: number, onTheWay: number) => void;
     /** Called when a reply that says that the target leaves has arrived at the gateway. */
     readonly onLeavingTold?: (body: string) => void;
     /** Milliseconds that a connection, and the head of a refusal, are on their way; 1 and 0 by default. */
@@ -138,11 +138,14 @@
     private refuse(run: Run, delay: number): void {
         const { clock, onRest } = this.options;
         const headers = this.replyHeaders(run.body);
-        if (this.rest !== undefined) {
-            headers[restHeader] = `${this.rest}`;
-            onRest?.(run.body, this.rest);
+        const { rest } = this;
+        if (rest !== undefined) {
+            headers[restHeader] = `${rest}`;
         }
         const answer = () => {
+            if (rest !== undefined) {
+                onRest?.(run.body, rest, delay);
+            }
             this.tellLeaving(run.body, headers);
             run.listener.onHead({ statusCode: refusalStatus, headers, rawHeaders: [] });
         };
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -4,6 +4,7 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type LayerRange, type Target } from "../directory/Target.js";
 import { GatewayMetrics, type Logs, type Observation } from "../observation/Observation.js";
+import { type TargetRests } from "../rests/TargetRests.js";
 
 /** An engine for tests, with 80 layers and three kinds of accelerators. */
 export const testEngine: Engine = {
@@ -61,3 +62,6 @@
 export function silentObservation(clock: Clock): Observation {
     return { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) };
 }
+
+/** The rests of targets that never ask for one. */
+export const noRests: Pick<TargetRests, "timeLeft" | "fingerprint"> = { timeLeft: () => 0, fingerprint: "" };
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -150,6 +150,14 @@
         retry: "no",
         summary: "Targets that ran this request crashed, so it is not sent to another one.",
     },
+    targetsResting: {
+        number: 1020,
+        name: "targets-resting",
+        execution: "not run",
+        status: 503,
+        retry: "later",
+        summary: "Every target that could serve the request has asked for rest.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
