A target that says it leaves gets nothing new from then on

Callers saw: requests sent to targets that had said in an answer that they leave, until the platform's list showed it; with the store gone, until the targets ended.

Cause: Server-Leaving was an unknown header, so a target counted as ready by its entry alone. The same class as the rests: what a target says about itself was not read.

Change: TargetDirectory remembers the incarnations that said so; they are draining whatever their entry or a restored copy of the list says, so new requests, retries, hedges, resumes, chains and the plan of layers go elsewhere, and a connection that is being opened is given up before the request is written. Running streams go on. The word is read in replies to requests, in reports and in replies to orders, from the target that the request was sent to. A new incarnation is another target.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -24,6 +24,7 @@
 import { chooseWatchRole } from "./peers/chooseWatchRole.js";
 import { type TableStatuses } from "./peers/PeerExchange.js";
 import { PeerGroup } from "./peers/PeerGroup.js";
+import { observeEngines } from "./replies/observeEngines.js";
 import { TargetReplies } from "./replies/TargetReplies.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
 import { RequestRouter } from "./requests/RequestRouter.js";
@@ -111,9 +112,10 @@
         this.replies = new TargetReplies({
             limits: this.limits,
             rests: this.rests,
+            directory: this.directory,
             observation,
         });
-        const { engines } = options;
+        const engines = observeEngines(options.engines, target => this.replies.recordLeaving(target));
         this.crashes = new CrashProtection({
             clock,
             store,
--- a/packages/gateway/src/lib/chains/EngineControl.ts
+++ b/packages/gateway/src/lib/chains/EngineControl.ts
@@ -17,6 +17,8 @@
     readonly slowdown: number;
     /** Addresses of targets that block requests of chains which begin at this target. */
     readonly stalledBy: readonly string[];
+    /** Whether the target says that it is leaving. */
+    readonly isLeaving?: boolean;
 }
 
 /** An order to a target to replace its layers by another range. */
@@ -28,8 +30,11 @@
     readonly expectedOrders: number;
 }
 
-/** Result of an order to a target. */
-export type OrderResult =
+/** Result of an order to a target, and whether the target says that it is leaving. */
+export type OrderResult = { readonly isLeaving?: boolean; } & OrderOutcome;
+
+/** What became of an order. */
+type OrderOutcome =
     /** The target accepted the order and carries it out. */
     | { readonly kind: "begun"; }
     /** The target already holds the ordered layers. */
@@ -43,9 +48,9 @@
 /** Fetches reports from targets that hold layers, and sends them orders. */
 export interface EngineControl {
     /** @returns Undefined when the target gives no report within the timeout, in milliseconds. */
-    fetchReport(target: Pick<Target, "host" | "port">, timeout: number): Promise<EngineReport | undefined>;
+    fetchReport(target: Target, timeout: number): Promise<EngineReport | undefined>;
     /**
      * @returns "unknown" when no reply arrives within the timeout, in milliseconds: the order may still be carried out.
      */
-    place(target: Pick<Target, "host" | "port">, order: LayerOrder, timeout: number): Promise<OrderResult>;
+    place(target: Target, order: LayerOrder, timeout: number): Promise<OrderResult>;
 }
--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -92,6 +92,30 @@
     assert.equal(changes.at(-1), "restarted");
 });
 
+test("a target that says it leaves is draining whatever its entry says, and its next incarnation is not", () => {
+    const { directory } = createDirectory();
+    const [earlier, later] = [{ ...target, startedAt: 1 }, { ...target, startedAt: 2 }];
+    directory.put(earlier);
+    assert.equal(directory.recordLeaving(earlier), true);
+    assert.equal(directory.recordLeaving(earlier), false);
+    directory.put(earlier);
+    directory.replaceAll([earlier], -Infinity);
+    assert.deepEqual(directory.readyTargets("s"), []);
+    assert.equal(directory.mayReceive(earlier), false);
+    directory.confirmsIncarnation(earlier, 2);
+    assert.equal(directory.get("a")?.state, "ready");
+    directory.put(later);
+    assert.deepEqual(directory.readyTargets("s"), [later]);
+});
+
+test("a target that says it leaves before it is listed gets no requests once it is", () => {
+    const { directory } = createDirectory();
+    const unlisted: Target = { ...target, id: "b" };
+    directory.recordLeaving(unlisted);
+    directory.put(unlisted);
+    assert.deepEqual(directory.readyTargets("s").map(({ id }) => id), ["a"]);
+});
+
 test("a late entry of an earlier incarnation is ignored", () => {
     const { clock, directory, changes } = createDirectory();
     directory.put({ ...target, startedAt: 2 });
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -50,6 +50,8 @@
     private readonly lapsed = new Map<string, Timer>();
     /** Incarnations of targets that have left. */
     private readonly departed = new LRUCache<string, boolean>({ max: maxDeparted });
+    /** Incarnations of targets that said in a reply that they leave. */
+    private readonly leaving = new LRUCache<string, boolean>({ max: maxDeparted });
     private revisionCount = 0;
     private confirmedAt: Moment | undefined;
 
@@ -97,7 +99,7 @@
             return;
         }
         this.startSeenAt.set(target.id, this.options.clock.now());
-        this.set(target);
+        this.set(this.leaving.has(incarnationOf(target)) ? { ...target, state: "draining" } : target);
         const hadLapsed = this.cancelLapse(target.id);
         const hasRestarted = known !== undefined && known.startedAt !== target.startedAt;
         this.changed({
@@ -106,6 +108,25 @@
         });
     }
 
+    /**
+     * Records that a target said that it leaves. This incarnation gets no new requests from then on, whatever its entry
+     * says.
+     *
+     * @returns Whether this was not known.
+     */
+    recordLeaving(target: Target): boolean {
+        const incarnation = incarnationOf(target);
+        if (this.leaving.has(incarnation)) {
+            return false;
+        }
+        this.leaving.set(incarnation, true);
+        const known = this.targets.get(target.id);
+        if (known !== undefined && incarnationOf(known) === incarnation && known.state === "ready") {
+            this.put(known);
+        }
+        return true;
+    }
+
     /** Whether a request that was meant for a target may still be sent there. */
     mayReceive(target: Target): boolean {
         const known = this.targets.get(target.id);
@@ -135,7 +156,8 @@
         if (known === undefined || known.startedAt === undefined || known.startedAt >= startedAt) {
             return;
         }
-        const target: Target = { ...known, startedAt, layers: undefined };
+        const state = this.leaving.has(incarnationOf(known)) ? "ready" : known.state;
+        const target: Target = { ...known, startedAt, state, layers: undefined };
         this.startSeenAt.set(id, this.options.clock.now());
         this.set(target);
         this.changed({ kind: "restarted", target });
--- a/packages/gateway/src/lib/replies/TargetReplies.ts
+++ b/packages/gateway/src/lib/replies/TargetReplies.ts
@@ -1,4 +1,5 @@
 import { type Target } from "../directory/Target.js";
+import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type Observation } from "../observation/Observation.js";
 import { UnknownHeaders } from "../observation/UnknownHeaders.js";
@@ -9,6 +10,7 @@
 export interface TargetRepliesOptions {
     readonly limits: Pick<TargetLimits, "recordReply">;
     readonly rests: Pick<TargetRests, "recordReply">;
+    readonly directory: Pick<TargetDirectory, "recordLeaving">;
     readonly observation: Observation;
 }
 
@@ -37,8 +39,10 @@
 
     /** Records that a target says that it is leaving. */
     recordLeaving(target: Target): void {
-        const { logs, metrics } = this.options.observation;
+        const { directory, observation: { logs, metrics } } = this.options;
         metrics.leavingReplies.add({});
-        logs.targets.info({ target: target.id, startedAt: target.startedAt }, "target says that it leaves");
+        if (directory.recordLeaving(target)) {
+            logs.targets.info({ target: target.id, startedAt: target.startedAt }, "target says that it leaves");
+        }
     }
 }
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -159,6 +159,7 @@
             replies: new TargetReplies({
                 limits: this.limits,
                 rests: this.rests,
+                directory: this.directory,
                 observation,
             }),
             limits: this.limits,
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -26,7 +26,7 @@
     return server;
 }
 
-function exchange(port: number): Promise<Result> {
+function exchange(port: number, maySend = true): Promise<Result> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         const finish = (failure?: ExchangeFailure) => resolve({ body: Buffer.concat(chunks).toString(), failure });
@@ -38,7 +38,7 @@
             headers: ["Host", "x", "Connection", "close"],
             body: undefined,
             connectTimeout: 1_000,
-            maySend: () => true,
+            maySend: () => maySend,
             listener: {
                 onHead: () => undefined,
                 onData: chunk => chunks.push(chunk),
@@ -97,6 +97,17 @@
     assert.equal(failure?.neverSent, true);
 });
 
+test("a request that may not be sent any more when its connection is open does not reach the target", async () => {
+    let received = 0;
+    const server = await listen(() => received++);
+    const closed = once(server, "connection").then(([socket]) => once(socket as Socket, "close"));
+    const { failure } = await exchange((server.address() as AddressInfo).port, false);
+    await closed;
+    server.close();
+    assert.deepEqual(failure, { neverSent: true, isWithdrawn: true, reason: "withdrawn" });
+    assert.equal(received, 0);
+});
+
 test("a request whose connection closes without a reply may have been executed", async () => {
     const { failure } = await exchangeWith(socket => socket.destroy());
     assert.equal(failure?.neverSent, false);
