What a target gets after its rest grows up to half of what it refused

Callers saw: with a window that doubled without memory, targets that were short for long refused, and asked for rest, again and again.

Cause: the end of a rest says that the target takes requests again, not how many. A window that doubles overshoots what the target takes by up to its double in each round.

Change: Recovery doubles its window only up to half of what was unanswered when the target last refused, and then adds one a round, as congestion control does. Limits of targets join the disturbances.

--- a/packages/gateway/src/lib/rests/Recovery.ts
+++ b/packages/gateway/src/lib/rests/Recovery.ts
@@ -1,11 +1,16 @@
 /** Number of requests without an answer that a target may have at the beginning of its recovery. */
 const firstWindow = 1;
-/** Window at which a target has recovered. It doubles with each round of accepted requests. */
+/** Window at which a target has recovered. */
 const recoveredWindow = 32;
 
-/** Limits the unanswered requests to a target after its rest; each request that it accepts admits two more. */
+/**
+ * Limits the unanswered requests to a target after its rest, as a sender limits the packets in flight after a loss: the
+ * window doubles with each round of accepted requests, up to half of what was unanswered when the target last refused,
+ * and then grows by one a round.
+ */
 export class Recovery {
     private window = firstWindow;
+    private doublingEnd = recoveredWindow;
     private unanswered = 0;
 
     get mayBegin(): boolean {
@@ -21,19 +26,16 @@
         this.unanswered++;
     }
 
-    /** Records the answer to a request, or that there will be none. */
+    /** Records the answer to a request, or that there will be none. Of refusals in a row only the first one counts. */
     end(result: "accepted" | "refused" | "unanswered"): void {
         this.unanswered--;
         if (result === "accepted") {
-            this.window++;
+            this.window += this.window < this.doublingEnd ? 1 : 1 / this.window;
         }
-        else if (result === "refused") {
-            this.restart();
+        else if (result === "refused" && this.window > firstWindow) {
+            const reached = Math.min(this.window, this.unanswered + 1);
+            this.doublingEnd = Math.max(firstWindow, reached / 2);
+            this.window = firstWindow;
         }
     }
-
-    /** Starts anew, because the target refused a request. */
-    restart(): void {
-        this.window = firstWindow;
-    }
 }
--- a/packages/gateway/src/lib/rests/TargetRests.ts
+++ b/packages/gateway/src/lib/rests/TargetRests.ts
@@ -108,11 +108,11 @@
         const incarnation = incarnationOf(target);
         const end = clock.now() + duration + random.next() * Math.min(extension.max, duration * extension.share);
         const known = this.rests.get(incarnation);
-        if (known !== undefined) {
+        if (known === undefined) {
+            this.rests.set(incarnation, { end, recovery: new Recovery() });
+        }
+        else {
             known.end = Math.max(known.end, end);
-            known.recovery.restart();
-            return;
         }
-        this.rests.set(incarnation, { end, recovery: new Recovery() });
     }
 }
--- a/packages/gateway/src/lib/rests/restingTargets.test.ts
+++ b/packages/gateway/src/lib/rests/restingTargets.test.ts
@@ -60,3 +60,33 @@
     }
     assert.deepEqual(broken, []);
 });
+
+test("while another target has room, no caller is refused", async () => {
+    for (const seed of seeds) {
+        const site = new RestingSite({ seed, plainTargets: 3, chains: 3, load: 80 });
+        const resting = [site.plain[0], site.plain[1], site.heads[0], site.heads[1]].flatMap(target => target ?? []);
+        resting.forEach(target => target.rest = 2_500);
+        site.after(6_000, () => resting.forEach(target => target.refusedShare = 0.5));
+        await site.run(25_000);
+        assert.ok(site.rests.length > 0);
+        assert.deepEqual(site.refusals, []);
+        assert.equal(site.served, site.requests);
+    }
+});
+
+test("24 gateways: what falls on a target at the end of its rest is about one request from each", async () => {
+    const window = 100;
+    for (const seed of seeds) {
+        const site = new RestingSite({ seed, gatewaysEach: 8, plainTargets: 1, load: 400 });
+        const [target] = site.plain;
+        assert.ok(target !== undefined);
+        target.rest = 3_000;
+        site.after(6_000, () => target.refusedShare = 1);
+        site.after(9_000, () => target.refusedShare = 0);
+        await site.run(12_000);
+        const ends = site.rests.map(({ until }) => until).sort((a, b) => a - b);
+        const firstEnd = ends[0] ?? Infinity;
+        const arrivals = site.arrivals.filter(({ at }) => at > firstEnd && at <= firstEnd + window).length;
+        assert.ok(arrivals <= site.gateways.length, `seed ${seed}: ${arrivals} requests in ${window} ms`);
+    }
+});
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -57,6 +57,8 @@
     isRefusing = false;
     /** Share of the requests that it refuses, from 0 to 1. */
     refusedShare = 0;
+    /** Number of requests that it runs at once; it refuses what comes beyond. */
+    capacity = Infinity;
     /** Milliseconds of rest that it asks for when it refuses; undefined for none. */
     rest: number | undefined;
     /** Whether it says in its replies that it is leaving. */
@@ -101,7 +103,7 @@
             }
             isSent = true;
             onArrival(run.body);
-            if (this.isRefusing || this.drawsRefusal) {
+            if (this.isRefusing || this.runs.size >= this.capacity || this.drawsRefusal) {
                 this.refuse(run, latency.reply);
                 return;
             }
--- a/packages/gateway/src/lib/testing/disturbRestingSite.ts
+++ b/packages/gateway/src/lib/testing/disturbRestingSite.ts
@@ -9,6 +9,7 @@
 }
 
 const rests = [undefined, 0, 300, 1_000, 2_500, 3_000, 6_000, 20_000];
+const limits = [undefined, 2, 6, 20];
 const refusedShares = [0.1, 0.3, 0.5, 1];
 /** Bounds of the milliseconds between two disturbances, and of how long a target refuses or pauses. */
 const pause = { least: 500, most: 2_500 };
@@ -17,8 +18,8 @@
 const leaveTime = 4_000;
 
 /**
- * Makes targets refuse requests and ask for rest, pause, leave and restart, and restarts gateways; at random and
- * overlapping.
+ * Makes targets refuse requests and ask for rest, name limits, pause, leave and restart, and restarts gateways; at random
+ * and overlapping.
  */
 export function disturbRestingSite(site: RestingSite, options: RestingSiteDisturbanceOptions): void {
     const { random, startsIn } = options;
@@ -36,6 +37,12 @@
         refuse,
         refuse,
         refuse,
+        () => {
+            const target = pick([...site.heads, ...site.plain]);
+            if (target !== undefined) {
+                target.limit = pick(limits);
+            }
+        },
         () => site.restartGateway(Math.floor(random.next() * site.gateways.length)),
         () => pick([...site.heads, ...site.plain])?.fallSilent(draw(faultTime) / 4),
         () => {
