--- a/packages/cli/src/lib/explain/summarizeLosses.test.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.test.ts
@@ -81,3 +81,10 @@
 test("a summary without log lines reports 0 requests", () => {
     assert.equal(formatLosses(summarizeLosses([])), "0 requests\n0 lines could not be read\n");
 });
+
+test("a header of targets that nothing reads is reported with the processes that saw it", () => {
+    const line = (process: string) =>
+        `{"level":40,"time":1,"process":"${process}","header":"server-mood","msg":"targets: reply has an unknown header"}`;
+    const summary = summarizeLosses([line("a"), line("b"), line("a")]);
+    assert.match(formatLosses(summary), /"server-mood", which nothing reads \(seen by 2 processes\)/);
+});
--- a/packages/cli/src/lib/explain/summarizeLosses.ts
+++ b/packages/cli/src/lib/explain/summarizeLosses.ts
@@ -6,6 +6,8 @@
     readonly requests: number;
     /** Causes of losses, the most frequent first. */
     readonly losses: readonly Loss[];
+    /** Headers of targets' replies that no gateway reads, each with the processes that saw it. */
+    readonly unknownHeaders: ReadonlyMap<string, ReadonlySet<string>>;
     /** The number of lines without a structured log line. */
     readonly unreadable: number;
 }
@@ -33,6 +35,8 @@
 const endMessages = new Set(["request: request ended", "request: request refused"]);
 const failureMessage = "request: attempt failed";
 const givenUpMessage = "request: answer given up";
+/** End of the message about a header that this program does not know, whichever part logs it. */
+const unknownHeaderMessage = "reply has an unknown header";
 /** Prefix of the outcome of an answer that was truncated after a head with a success status. */
 const brokenOffPrefix = "broken off";
 
@@ -44,6 +48,7 @@
     const failures = new Map<unknown, string>();
     const giveUpCauses = new Map<unknown, string>();
     const losses = new Map<string, Map<number, number>>();
+    const unknownHeaders = new Map<string, Set<string>>();
     let requests = 0;
     for (const line of lines) {
         if (line.msg === failureMessage) {
@@ -52,6 +57,10 @@
         if (line.msg === givenUpMessage) {
             giveUpCauses.set(line["request"], String(line["cause"]));
         }
+        if (line.msg.endsWith(unknownHeaderMessage)) {
+            const header = String(line["header"]);
+            unknownHeaders.set(header, (unknownHeaders.get(header) ?? new Set()).add(line.process));
+        }
         if (!endMessages.has(line.msg)) {
             continue;
         }
@@ -68,16 +77,19 @@
             losses.set(cause, seconds.set(second, (seconds.get(second) ?? 0) + 1));
         }
     }
-    return { requests, losses: sortLosses(losses), unreadable: parsed.length - lines.length };
+    return { requests, losses: sortLosses(losses), unknownHeaders, unreadable: parsed.length - lines.length };
 }
 
 /** Formats a summary as text. */
-export function formatLosses({ requests, losses, unreadable }: LossSummary): string {
+export function formatLosses({ requests, losses, unknownHeaders, unreadable }: LossSummary): string {
     const rows = losses.map(({ cause, count, seconds }) => {
         const times = [...seconds].map(([second, number]) => `${second} s: ${number}`).join(", ");
         return `${String(count).padStart(6)}  ${cause} (${times})`;
     });
-    return [`${requests} requests`, ...rows, `${unreadable} lines could not be read`, ""].join("\n");
+    const headers = [...unknownHeaders].map(([header, processes]) =>
+        `targets send the header "${header}", which nothing reads (seen by ${processes.size} processes)`
+    );
+    return [`${requests} requests`, ...rows, ...headers, `${unreadable} lines could not be read`, ""].join("\n");
 }
 
 interface LossContext {
