Soak: targets that ask for rest, leave by their own word, or say something unknown

Cause: the soak's targets said nothing but limits, so no run of real gateways could show the fault.

Change: random targets refuse a share of the requests and ask for rest; a leaving target says so in its replies up to 3 s before the list does. Three checks: at most two requests of a gateway in a rest, none half a second after a gateway was told that a target leaves (also while the store fails), and no header that a gateway does not know. A gateway that was restarted or stood still in between is excused.

Planted violations are found by checkSoak.test.ts.

--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -1,6 +1,6 @@
 import { callGateway, testSettings } from "@waxwingspar/platform/testing";
 import { SiteProcess } from "@waxwingspar/proof";
-import { writeFileSync } from "node:fs";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { type GatewayIncarnation, type SoakLog } from "./SoakLog.js";
@@ -109,6 +109,16 @@
         });
     }
 
+    /** Reports the headers of targets that its processes did not know. */
+    reportUnknownHeaders(): void {
+        const { name, folder, log } = this.options;
+        const file = join(folder, `${name}.log`);
+        const lines = existsSync(file) ? readFileSync(file, "utf8").split("\n") : [];
+        lines.filter(line => line.includes("reply has an unknown header")).forEach(line =>
+            log.unknownHeaders.push(line)
+        );
+    }
+
     /** Ends the process for good. */
     async end(): Promise<void> {
         if (this.process?.running === false && !this.isBusy) {
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -43,11 +43,30 @@
     readonly at: number;
 }
 
+/** A refusal in which a target asked a gateway for rest. */
+export interface SoakRest {
+    readonly target: string;
+    readonly sender: GatewayIncarnation;
+    readonly at: number;
+    readonly until: number;
+}
+
+/** The first reply in which a target told a gateway that it leaves. */
+export interface ToldLeaving {
+    readonly target: string;
+    readonly sender: GatewayIncarnation;
+    readonly at: number;
+}
+
 /** Everything that callers and targets saw, on the clock of the driver. */
 export class SoakLog {
     readonly calls: SoakCall[] = [];
     readonly runs: SoakRun[] = [];
     readonly departures: Departure[] = [];
+    readonly rests: SoakRest[] = [];
+    readonly toldLeaving: ToldLeaving[] = [];
+    /** Headers of targets that a gateway logged as unknown. */
+    readonly unknownHeaders: string[] = [];
     readonly storeFaults: { readonly from: number; readonly until: number; }[] = [];
     /** Faults of processes that are known without comparing calls and runs. */
     readonly processFaults: string[] = [];
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -29,6 +29,10 @@
 interface SoakTarget extends LimitedTarget {
     readonly fake: FakeTarget;
     readonly toldAt: Map<GatewayIncarnation, number>;
+    /** The gateways that it told that it leaves. */
+    readonly toldLeaving: Set<GatewayIncarnation>;
+    /** Share of the requests that it refuses beside the usual one. */
+    refusedShare: number;
 }
 
 /** Header in which callers name the gateway that they call. */
@@ -36,10 +40,18 @@
 /** Number of events of a complete stream. */
 export const streamEvents = 20;
 const eventInterval = 10;
+const millisecondsPerSecond = 1_000;
 /** Bounds of the milliseconds in which a target serves a plain request. */
 const serviceTime = { least: 2, most: 40 };
 /** Share of plain requests that a target refuses, fails or leaves without an answer. */
 const faultShare = { refused: 0.03, failed: 0.02, brokenOff: 0.02 };
+/** Seconds of rest that targets ask for, and shares of the requests that they refuse meanwhile. */
+const rests = [0.3, 1, 2.5, 3, 6];
+const refusedShares = [0.2, 0.5, 1];
+/** Bounds of the milliseconds in which a target refuses requests and asks for rest. */
+const refusalTime = { least: 300, most: 8_000 };
+/** Longest time in milliseconds for which a leaving target says so in its replies before the list does. */
+const maxUnlistedLeaving = 3_000;
 /** Milliseconds from its leaving until a target ends. */
 const leaveTime = 6_000;
 
@@ -71,8 +83,7 @@
     /** Names, changes or lifts the limit of a random target that gets requests from gateways. */
     changeLimit(): void {
         const { random, log, now } = this.options;
-        const heads = this.listed.filter(({ id }) => id.startsWith("plain") || id.endsWith("-1"));
-        const target = heads[Math.floor(random.next() * heads.length)];
+        const target = this.pick(this.heads);
         if (target === undefined) {
             return;
         }
@@ -82,16 +93,34 @@
         log.event(now(), `${target.id} names the limit ${target.fake.limit ?? "none"}`);
     }
 
+    /** Makes a random target that gets requests from gateways refuse some for a while, and ask for rest. */
+    async askForRest(wait: (duration: number) => Promise<void>): Promise<void> {
+        const { log, now } = this.options;
+        const target = this.pick(this.heads);
+        if (target === undefined) {
+            return;
+        }
+        target.fake.rest = this.pick(rests);
+        target.refusedShare = this.pick(refusedShares) ?? 0;
+        log.event(now(), `${target.id} refuses ${target.refusedShare} and asks for ${target.fake.rest} s of rest`);
+        await wait(this.draw(refusalTime));
+        target.refusedShare = 0;
+        target.fake.rest = undefined;
+    }
+
     /** Replaces a random plain target by a new one. */
     async replace(wait: (duration: number) => Promise<void>): Promise<void> {
-        const { random, store, log, now } = this.options;
+        const { store, log, now } = this.options;
         const plain = this.listed.filter(({ id }) => id.startsWith("plain"));
-        const target = plain[Math.floor(random.next() * plain.length)];
+        const target = this.pick(plain);
         if (target === undefined || plain.length < 2) {
             return;
         }
         await this.addPlain(target.id.split("-")[1] ?? "");
         this.left.add(target.id);
+        target.fake.isLeaving = true;
+        log.event(now(), `${target.id} says that it leaves`);
+        await wait(this.draw({ least: 0, most: maxUnlistedLeaving }));
         listTarget(store, target.fake, "draining");
         log.departures.push({ target: target.id, at: now() });
         log.event(now(), `${target.id} leaves`);
@@ -106,6 +135,11 @@
         this.all.forEach(({ fake }) => fake.stop());
     }
 
+    /** The targets that get requests from gateways. */
+    private get heads(): SoakTarget[] {
+        return this.listed.filter(({ id }) => id.startsWith("plain") || id.endsWith("-1"));
+    }
+
     private get listed(): SoakTarget[] {
         return this.all.filter(({ id }) => !this.left.has(id));
     }
@@ -117,7 +151,7 @@
     private async add(id: string): Promise<void> {
         const toldAt = new Map<GatewayIncarnation, number>();
         const fake = new FakeTarget(id, (seen, response, self) => {
-            const [end, behaviour] = this.choose(seen);
+            const [end, behaviour] = this.choose(seen, target);
             const sender = this.options.findSender(String(seen.headers[gatewayHeader]));
             const at = this.options.now();
             this.options.log.runs.push({ requestId: seen.id, target: id, at, sender, end });
@@ -125,16 +159,44 @@
                 if (self.limit !== undefined && end !== "brokenOff" && sender !== undefined && !toldAt.has(sender)) {
                     toldAt.set(sender, this.options.now());
                 }
+                this.noteWords(target, end, sender);
                 behaviour(...parts);
             };
             setTimeout(() => answer(seen, response, self), seen.path.startsWith("/chat/") ? 0 : this.draw(serviceTime));
         });
-        this.all.push({ id, fake, limits: new LimitHistory(), toldAt });
+        const target: SoakTarget = {
+            id,
+            fake,
+            limits: new LimitHistory(),
+            toldAt,
+            toldLeaving: new Set(),
+            refusedShare: 0,
+        };
+        this.all.push(target);
         await fake.start();
         listTarget(this.options.store, fake);
     }
 
-    private choose({ path }: SeenRequest): readonly [RunEnd, TargetBehaviour] {
+    /** Records what a reply that is being written says about its target. */
+    private noteWords(target: SoakTarget, end: RunEnd, sender: GatewayIncarnation | undefined): void {
+        const { log, now } = this.options;
+        const { id, fake, toldLeaving } = target;
+        if (sender === undefined || end === "brokenOff") {
+            return;
+        }
+        if (end === "refused" && fake.rest !== undefined) {
+            log.rests.push({ target: id, sender, at: now(), until: now() + fake.rest * millisecondsPerSecond });
+        }
+        if (fake.isLeaving && !toldLeaving.has(sender)) {
+            toldLeaving.add(sender);
+            log.toldLeaving.push({ target: id, sender, at: now() });
+        }
+    }
+
+    private choose({ path }: SeenRequest, { refusedShare }: SoakTarget): readonly [RunEnd, TargetBehaviour] {
+        if (refusedShare > 0 && this.options.random.next() < refusedShare) {
+            return ["refused", refuse];
+        }
         if (path.startsWith("/chat/")) {
             return ["served", stream(streamEvents, Infinity, eventInterval)];
         }
@@ -149,6 +211,10 @@
         return drawn < refused + failed + brokenOff ? ["brokenOff", hangUp] : ["served", serve];
     }
 
+    private pick<T>(items: readonly T[]): T | undefined {
+        return items[Math.floor(this.options.random.next() * items.length)];
+    }
+
     private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
         return least + this.options.random.next() * (most - least);
     }
--- a/packages/soak/src/lib/checkSoak.test.ts
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -62,3 +62,31 @@
     const excused = { ...limited, toldAt: new Map([[disturbed, 0]]) };
     assert.deepEqual(checksOf(createLog([], runs.map(other => ({ ...other, sender: disturbed }))), excused), []);
 });
+
+test("requests in a rest are found beyond two, unless the gateway was disturbed or they were on their way", () => {
+    const runs = [10_400, 11_000, 12_000, 12_900].map((at, index) => ({ requestId: `r${index}`, at }));
+    const rest = { target: "t1", sender: gateway, at: 10_000, until: 13_000 };
+    const log = createLog([], runs);
+    log.rests.push(rest);
+    assert.deepEqual(checksOf(log), ["rest"]);
+    const twoInRest = createLog([], runs.slice(0, 3));
+    twoInRest.rests.push(rest);
+    assert.deepEqual(checksOf(twoInRest), []);
+    const disturbed = { ...gateway, disturbances: [{ from: 10_700, until: 10_800 }] };
+    const excused = createLog([], runs.map(one => ({ ...one, sender: disturbed })));
+    excused.rests.push({ ...rest, sender: disturbed });
+    assert.deepEqual(checksOf(excused), []);
+});
+
+test("a request to a target that had told its gateway that it leaves is found, also while the store fails", () => {
+    const log = createLog([], [{ at: 10_700 }]);
+    log.toldLeaving.push({ target: "t1", sender: gateway, at: 10_000 });
+    log.storeFaults.push({ from: 8_000, until: 12_000 });
+    assert.deepEqual(checksOf(log), ["leaving"]);
+});
+
+test("a header that a gateway did not know is found", () => {
+    const log = createLog([], []);
+    log.unknownHeaders.push("server-mood");
+    assert.deepEqual(checksOf(log), ["header"]);
+});
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -7,6 +7,10 @@
 const drainTime = 2_000 + 150;
 /** Stall of the driver in milliseconds above which it cannot tell when requests arrived. */
 const maxStall = 1_000;
+/** Milliseconds after a reply in which what had been sent before it may arrive. */
+const onTheWay = 500;
+/** Requests that may reach a target from one gateway in a rest that it asked for. */
+const allowedInRest = 2;
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const success = 200;
 
@@ -29,9 +33,12 @@
         ...checkRuns(log),
         ...checkAnswers(log),
         ...checkDepartures(log),
+        ...checkToldLeaving(log),
+        ...log.longestStall > maxStall ? [] : checkRests(log),
         ...checkStops(log),
         ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
         ...log.outdated.map(detail => ({ check: "configuration", detail })),
+        ...log.unknownHeaders.map(detail => ({ check: "header", detail })),
         ...log.processFaults.map(detail => ({ check: "end", detail })),
     ];
 }
@@ -70,6 +77,32 @@
     });
 }
 
+/** A target that said so in a reply to a gateway gets nothing new from there, whether the store failed or not. */
+function checkToldLeaving({ toldLeaving, runs }: SoakLog): Violation[] {
+    return toldLeaving.flatMap(({ target, sender, at }) => {
+        const late = runs.filter(run => run.target === target && run.sender === sender && run.at > at + onTheWay)
+            .filter(run => wasCalm(run, at));
+        return late.length > 0
+            ? [{
+                check: "leaving",
+                detail: `${target} got ${late.length} requests of ${sender.gateway} that it had told`,
+            }]
+            : [];
+    });
+}
+
+function checkRests({ rests, runs }: SoakLog): Violation[] {
+    return rests.flatMap(({ target, sender, at, until }) => {
+        const early = runs.filter(run =>
+            run.target === target && run.sender === sender && run.at > at + onTheWay && run.at <= until
+            && wasCalm(run, at)
+        );
+        return early.length > allowedInRest
+            ? [{ check: "rest", detail: `${target} got ${early.length} requests of ${sender.gateway} in a rest` }]
+            : [];
+    });
+}
+
 /** A planned stop may not cost an answer that a target has begun, unless something else cut it off. */
 function checkStops({ calls, runs }: SoakLog): Violation[] {
     const find = (id: string) => runs.filter(({ requestId }) => requestId === id);
@@ -94,6 +127,11 @@
     return excess > 0 ? [{ check: "limit", detail: `${id} got ${excess} requests too many in 4 s` }] : [];
 }
 
+/** Whether the sender of a run ran without a disturbance from a moment on until the run. */
+function wasCalm({ sender, at }: SoakRun, since: number): boolean {
+    return sender?.disturbances.every(({ from, until }) => until < since || from > at) === true;
+}
+
 /** Whether the sender of a run was in touch all the time since `since`, by default at the moment of the run. */
 function isInTouch({ sender, at }: SoakRun, since = at): boolean {
     return sender !== undefined
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -158,6 +158,7 @@
         await Promise.all(callers);
         this.publish();
         await Promise.all([this.checkConfiguration(), pause(settleTime)]);
+        this.gateways.forEach(gateway => gateway.reportUnknownHeaders());
     }
 
     async stop(): Promise<void> {
@@ -178,6 +179,8 @@
             () => this.targets.replace(pause),
             () => this.targets.changeLimit(),
             () => this.targets.changeLimit(),
+            () => this.targets.askForRest(pause),
+            () => this.targets.askForRest(pause),
             () => this.publish(),
             () => this.publishSeries(),
             () => this.narrowStore(),
