Own interface: an entry honours the time that a target names when it refuses

Callers saw: nothing yet; no agent of this repository names a time. An engine behind an agent can, and its retryAfter reached the caller, while the next request went to the same target some milliseconds later.

The router weighed a refusal with a half-life of 0.3 s and was not told of the time in it.

Change: RoutedAttempt.end takes the rest that a refusal names (no-capacity, overloaded, stopping); until it ends the target is neither sampled, bound, probed nor a last resort, and the router's own refusal names the time until each layer range has a target that does not rest. A lost connection ends it.

--- a/packages/entry/src/lib/models/Attempt.ts
+++ b/packages/entry/src/lib/models/Attempt.ts
@@ -148,10 +148,10 @@
             .map(stage => ({ ...stage, epoch: this.epoch }));
     }
 
-    /** Reports the end to the router and drops all further messages. */
-    end(result: AttemptEnd, target?: string): void {
+    /** Reports the end, and the rest that the target at fault asks for, to the router and drops all further messages. */
+    end(result: AttemptEnd, target?: string, rest?: number): void {
         this.options.link.detach(this.options.request.id);
-        this.options.routed.end(result, target);
+        this.options.routed.end(result, target, rest);
         this.span.setAttribute("waxwingspar.result", result);
         this.span.end();
     }
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -1,4 +1,4 @@
-import { type RoutedAttempt } from "@waxwingspar/policy";
+import { type AttemptEnd, type RoutedAttempt } from "@waxwingspar/policy";
 import {
     type DoneMessage,
     type Exporter,
@@ -10,7 +10,7 @@
 import { Result } from "true-myth";
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
 import { type BoundRunner } from "../links/ClaimBinding.js";
-import { fromWire } from "../recovery/failures.js";
+import { fromWire, restAskedBy } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
 import { type ChainChoice, chooseChain } from "../versions/chooseChain.js";
 import { Attempt } from "./Attempt.js";
@@ -274,7 +274,7 @@
             return;
         }
         const refused = cause.code.execution === "not run";
-        this.endAttempt(refused ? "refused" : "failed", target);
+        this.endAttempt(refused ? "refused" : "failed", target, restAskedBy(cause));
         if (!refused) {
             this.exporters = attempt.exporters(exportable ? undefined : target);
         }
@@ -299,8 +299,8 @@
         this.options.clock.schedule(() => void this.startNextAttempt(), delay);
     }
 
-    private endAttempt(result: "completed" | "refused" | "failed" | "cancelled", target?: string): void {
-        this.attempt?.end(result, target);
+    private endAttempt(result: AttemptEnd, target?: string, rest?: number): void {
+        this.attempt?.end(result, target, rest);
         this.attempt = undefined;
     }
 
--- a/packages/entry/src/lib/recovery/failures.ts
+++ b/packages/entry/src/lib/recovery/failures.ts
@@ -45,3 +45,11 @@
     const code = cause.code.execution === "not run" ? requestCodes.noCapacity : lost;
     return { ...cause, code };
 }
+
+/** Refusals by which a target says how long it wants no requests; the time in others is about something else. */
+const restCodes: readonly Failure["code"][] = [requestCodes.noCapacity, requestCodes.overloaded, requestCodes.stopping];
+
+/** Milliseconds for which the target that refused wants no requests from this entry; undefined if it did not say so. */
+export function restAskedBy({ code, retryAfter }: Failure): number | undefined {
+    return restCodes.includes(code) ? retryAfter : undefined;
+}
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -20,7 +20,7 @@
 import { type AgentLink, type LinkHandler } from "../links/AgentLink.js";
 import { type AgentAddress, type AgentLinks } from "../links/AgentLinks.js";
 import { type ClaimBinding } from "../links/ClaimBinding.js";
-import { fromWire } from "../recovery/failures.js";
+import { fromWire, restAskedBy } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
 import { ReplyCredit } from "./ReplyCredit.js";
 
@@ -284,7 +284,8 @@
         if (attempt === undefined) {
             return;
         }
-        this.endAttempt(cause.code.execution === "not run" ? "refused" : "failed", attempt.target);
+        const end = cause.code.execution === "not run" ? "refused" : "failed";
+        this.endAttempt(end, attempt.target, restAskedBy(cause));
         const delay = this.recovery.afterFailed(cause, attempt.target, false);
         this.retryOrFinish(cause, this.begun ? undefined : delay);
     }
@@ -301,11 +302,11 @@
         this.options.clock.schedule(() => void this.startNextAttempt(), delay);
     }
 
-    private endAttempt(result: AttemptEnd, target?: string): void {
+    private endAttempt(result: AttemptEnd, target?: string, rest?: number): void {
         const { attempt } = this;
         this.attempt = undefined;
         attempt?.link.detach(this.request.id);
-        attempt?.routed?.end(result, target);
+        attempt?.routed?.end(result, target, rest);
         attempt?.span.setAttribute("waxwingspar.result", result);
         attempt?.span.end();
     }
--- a/packages/policy/src/lib/routing/CandidateSampler.ts
+++ b/packages/policy/src/lib/routing/CandidateSampler.ts
@@ -1,4 +1,4 @@
-import { type Random } from "@waxwingspar/utils";
+import { type Clock, type Random } from "@waxwingspar/utils";
 import { type DataCentreBreaker } from "../health/DataCentreBreaker.js";
 import { type RangeGroup } from "./RangeGroup.js";
 import { type TargetState } from "./TargetState.js";
@@ -10,6 +10,7 @@
  */
 export class CandidateSampler {
     constructor(
+        private readonly clock: Clock,
         private readonly random: Random,
         private readonly dataCentres: DataCentreBreaker,
         private readonly choices: number,
@@ -28,7 +29,8 @@
 
     /** Returns whether a regular request may use a target. */
     allows(state: TargetState, exclude: ReadonlySet<string>): boolean {
-        return state.isUsable() && !exclude.has(state.name) && !this.dataCentres.isAvoided(state.target.dataCentre);
+        return state.isUsable() && state.restLeft(this.clock.now()) === 0 && !exclude.has(state.name)
+            && !this.dataCentres.isAvoided(state.target.dataCentre);
     }
 
     /**
--- a/packages/policy/src/lib/routing/ChainAttempt.ts
+++ b/packages/policy/src/lib/routing/ChainAttempt.ts
@@ -18,8 +18,8 @@
     interval(attempt: ChainAttempt, mean: number): void;
     /** Reports how many leading blocks of the prompt were cached on every stage. */
     cacheHitReported(attempt: ChainAttempt, blocks: number): void;
-    /** Reports the result, and the target at fault if one is known. */
-    ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined): void;
+    /** Reports the result, the target at fault if one is known, and the milliseconds for which it wants to rest. */
+    ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined, rest: number | undefined): void;
 }
 
 /**
@@ -101,7 +101,7 @@
         }
     }
 
-    end(result: AttemptEnd, target?: string): void {
+    end(result: AttemptEnd, target?: string, rest?: number): void {
         if (this.isOver) {
             return;
         }
@@ -109,7 +109,7 @@
         this.releasePrefill();
         this.isOver = true;
         this.chain.forEach(({ state }) => state.inFlight--);
-        this.observer.ended(this, result, target);
+        this.observer.ended(this, result, target, rest);
     }
 
     private flushIntervals(): void {
--- a/packages/policy/src/lib/routing/RequestPlanner.ts
+++ b/packages/policy/src/lib/routing/RequestPlanner.ts
@@ -43,7 +43,7 @@
         if (range.first === 0 && request.head !== undefined) {
             const head = this.table.get(request.head);
             const fits = head !== undefined && this.table.rangesOf(head).includes(range);
-            return fits && !head.isLeaving && !request.exclude.has(head.name) ? [head] : [];
+            return fits && this.takesWork(head) && !request.exclude.has(head.name) ? [head] : [];
         }
         if (probe !== undefined && this.table.rangesOf(probe).includes(range)) {
             return [probe];
@@ -144,11 +144,16 @@
             range.first === 0 && request.head !== undefined
                 ? this.draw(range, request, undefined)
                 : range.subset.filter(state =>
-                    !state.isLeaving && state.health.state !== "unreachable" && !request.exclude.has(state.name)
+                    this.takesWork(state) && state.health.state !== "unreachable" && !request.exclude.has(state.name)
                 )
         );
         return this.planFrom(request, drawn, input, false);
     }
+
+    /** Whether a target has not said that it wants no requests. */
+    private takesWork(state: TargetState): boolean {
+        return !state.isLeaving && state.restLeft(this.options.clock.now()) === 0;
+    }
 }
 
 /**
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -80,8 +80,9 @@
      * Reports the end of the attempt. Later calls have no effect.
      *
      * @param target - The target at fault, if known.
+     * @param rest - Milliseconds for which a target that refused wants no requests from this entry.
      */
-    end(result: AttemptEnd, target?: string): void;
+    end(result: AttemptEnd, target?: string, rest?: number): void;
 }
 
 /**
--- a/packages/policy/src/lib/routing/TargetState.ts
+++ b/packages/policy/src/lib/routing/TargetState.ts
@@ -41,6 +41,7 @@
     private reportedAt = 0;
     private reportedFirstToken = 0;
     private refusedAt = -Infinity;
+    private restEnd = -Infinity;
     private reportedGeneration: number | undefined;
 
     constructor(public target: RoutingTarget, readonly hash: number, readonly health: TargetHealth) {}
@@ -87,8 +88,20 @@
         this.reportedGeneration = cacheGeneration;
     }
 
-    refused(now: number): void {
+    /** @param rest - Milliseconds for which the target wants no requests from this entry. */
+    refused(now: number, rest = 0): void {
         this.refusedAt = now;
+        this.restEnd = Math.max(this.restEnd, now + rest);
+    }
+
+    /** Milliseconds until the rest that the target asked for ends; 0 if it has none. */
+    restLeft(now: number): number {
+        return Math.max(0, this.restEnd - now);
+    }
+
+    /** Forgets the rest, because the target may have restarted. */
+    endRest(): void {
+        this.restEnd = -Infinity;
     }
 
     /** True while the target is healthy and not leaving, so that it accepts new work. */
--- a/packages/policy/src/lib/routing/createRouter.ts
+++ b/packages/policy/src/lib/routing/createRouter.ts
@@ -41,7 +41,7 @@
         this.prefixes = new PrefixIndex(options);
         this.learner = new LatencyLearner(this.costs);
         this.dataCentres = new DataCentreBreaker(options.clock);
-        const sampler = new CandidateSampler(options.random, this.dataCentres, options.choices);
+        const sampler = new CandidateSampler(options.clock, options.random, this.dataCentres, options.choices);
         this.planner = new RequestPlanner(options, this.table, this.costs, sampler);
     }
 
@@ -85,6 +85,7 @@
             state.health.lost();
             // After a restart the target has an empty cache and is no longer leaving.
             state.reportedAsLeaving = false;
+            state.endRest();
             state.cacheGeneration++;
             this.dataCentres.lost(state.target.dataCentre, target);
             this.trackIfUnusable(state);
@@ -164,10 +165,10 @@
         }
     }
 
-    ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined): void {
+    ended(attempt: ChainAttempt, result: AttemptEnd, target: string | undefined, rest: number | undefined): void {
         const faulty = attempt.chain.filter(stage => target === undefined || stage.state.name === target);
         if (result === "refused") {
-            faulty.slice(0, 1).forEach(({ state }) => state.refused(this.options.clock.now()));
+            faulty.slice(0, 1).forEach(({ state }) => state.refused(this.options.clock.now(), rest));
         }
         if (result === "failed") {
             faulty.forEach(({ state }) => this.failed(state, 1 / faulty.length));
@@ -192,7 +193,7 @@
         const drawn = request.ranges.map(range => this.planner.draw(range, request, probe));
         const chain = this.planner.bestChain(request, drawn, input) ?? this.planner.lastResort(request, input);
         if (chain === undefined) {
-            const details = { retryAfter: noCapacityRetryAfter };
+            const details = { retryAfter: Math.max(noCapacityRetryAfter, this.restLeft(request, input.now)) };
             return Result.err(failure(requestCodes.noCapacity, "no chain of live targets covers the model", details));
         }
         const late = this.lateness(drawn[0] ?? [], input.now);
@@ -209,11 +210,18 @@
         return Result.ok(new ChainAttempt(chain, input, request.key, request.prefix, cached, probed, this));
     }
 
+    /** Milliseconds until each layer range has a target that does not rest. */
+    private restLeft({ ranges }: PlanRequest, now: number): number {
+        const waits = ranges.map(({ subset }) => Math.min(...subset.map(state => state.restLeft(now))));
+        return Math.max(0, ...waits.filter(Number.isFinite));
+    }
+
     /** Returns an unavailable target that is due for a probe and that this request can probe. */
     private probeFor(request: PlanRequest): TargetState | undefined {
+        const now = this.options.clock.now();
         for (const state of this.unavailable) {
             const range = request.ranges.find(candidate => candidate.subset.includes(state));
-            if (range === undefined || state.isLeaving || request.exclude.has(state.name)) {
+            if (range === undefined || state.isLeaving || state.restLeft(now) > 0 || request.exclude.has(state.name)) {
                 continue;
             }
             const isBound = range.first === 0 && request.head !== undefined;
