A request that is never answered holds a recovering target closed for a second, not for its whole time

A stream that its target never answers would have kept the others away, refused with 0.2 s each time, for up to the 20 s of its deadline.

Cause: the window counted requests without an answer however old they were.

Change: one more request may begin a second after the last one. A reply of another process (421) does not count as accepted. The refusal tells a rest from the recovery after it.

--- a/packages/gateway/src/lib/requests/SendGate.ts
+++ b/packages/gateway/src/lib/requests/SendGate.ts
@@ -22,9 +22,9 @@
     readonly isBinding: boolean;
 }
 
-/** Describes the closure of targets that asked for rest. */
-export function restClosure(wait: number): Closure {
-    return { code: requestCodes.targetsResting, reason: "all targets rest", wait, isBinding: true };
+/** Describes the closure of targets that rest. */
+export function restClosure(wait: number, reason = "all targets rest"): Closure {
+    return { code: requestCodes.targetsResting, reason, wait, isBinding: true };
 }
 
 /** Holds back the sends of one request to targets that rest, and to limited ones until they are permitted. */
@@ -72,7 +72,13 @@
             const wait = Math.max(restWait, permits.retryAfter([target], precedence()));
             return { code: requestCodes.noCapacity, reason: "limits of targets are used up", wait, isBinding: false };
         }
-        return restWait > 0 ? restClosure(restWait) : undefined;
+        if (restWait === 0) {
+            return undefined;
+        }
+        return restClosure(
+            restWait,
+            rests.timeLeft(target) > 0 ? undefined : "targets take few requests after their rest",
+        );
     }
 
     private async acquire(target: Target, send: () => void, onDenied: () => void): Promise<void> {
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -17,8 +17,8 @@
     readonly listener: ExchangeListener;
 }
 
-/** Statuses with which a target turns a request away. */
-const refusalStatuses = new Set([429, 503]);
+/** Statuses of replies that do not show that the target takes requests: it turns them away, or is another process. */
+const refusalStatuses = new Set([421, 429, 503]);
 
 /** Sends a caller's request to a target, with its remaining time. */
 export function openExchange(options: OpenExchangeOptions): OpenExchange {
--- a/packages/gateway/src/lib/rests/Recovery.test.ts
+++ b/packages/gateway/src/lib/rests/Recovery.test.ts
@@ -2,11 +2,13 @@
 import { test } from "node:test";
 import { Recovery } from "./Recovery.js";
 
+const now = 1_000;
+
 /** Begins as many requests as the window admits. @returns Their number. */
 function fill(recovery: Recovery): number {
     let begun = 0;
-    for (; recovery.mayBegin; begun++) {
-        recovery.begin();
+    for (; recovery.mayBegin(now); begun++) {
+        recovery.begin(now);
     }
     return begun;
 }
@@ -36,6 +38,15 @@
     assert.deepEqual(playRounds(recovery, ["refused", ...accepted, ...accepted]), [8, 1, 2, 4, 5, 6, 7]);
 });
 
+test("one more request may begin each second although none is answered", () => {
+    const recovery = new Recovery();
+    fill(recovery);
+    assert.equal(recovery.mayBegin(now + 999), false);
+    assert.equal(recovery.mayBegin(now + 1_000), true);
+    recovery.begin(now + 1_000);
+    assert.equal(recovery.mayBegin(now + 1_500), false);
+});
+
 test("a request without an answer leaves the window as it is", () => {
     const recovery = new Recovery();
     assert.deepEqual(playRounds(recovery, ["unanswered", "unanswered", "accepted"]), [1, 1, 1]);
--- a/packages/gateway/src/lib/rests/Recovery.ts
+++ b/packages/gateway/src/lib/rests/Recovery.ts
@@ -1,5 +1,7 @@
 /** Number of requests without an answer that a target may have at the beginning of its recovery. */
 const firstWindow = 1;
+/** Milliseconds after which one more request may begin although the earlier ones have no answer: they may never get one. */
+const answerPatience = 1_000;
 /** Window at which a target has recovered. */
 const recoveredWindow = 32;
 
@@ -12,9 +14,11 @@
     private window = firstWindow;
     private doublingEnd = recoveredWindow;
     private unanswered = 0;
+    private begunAt = -Infinity;
 
-    get mayBegin(): boolean {
-        return this.unanswered < this.window;
+    /** @param now - The time on the clock. */
+    mayBegin(now: number): boolean {
+        return this.unanswered < this.window || now - this.begunAt >= answerPatience;
     }
 
     get isOver(): boolean {
@@ -22,8 +26,9 @@
     }
 
     /** Records that a request is sent. */
-    begin(): void {
+    begin(now: number): void {
         this.unanswered++;
+        this.begunAt = now;
     }
 
     /** Records the answer to a request, or that there will be none. Of refusals in a row only the first one counts. */
--- a/packages/gateway/src/lib/rests/TargetRests.ts
+++ b/packages/gateway/src/lib/rests/TargetRests.ts
@@ -51,7 +51,7 @@
     /** Milliseconds until a request may be sent to a target; 0 if one may be sent now. */
     waitFor(target: Target): number {
         const rest = this.rests.get(incarnationOf(target));
-        const isClosed = rest !== undefined && !rest.recovery.mayBegin;
+        const isClosed = rest !== undefined && !rest.recovery.mayBegin(this.options.clock.now());
         return Math.max(this.timeLeft(target), isClosed ? recoveryWait : 0);
     }
 
@@ -68,7 +68,7 @@
         if (recovery === undefined) {
             return () => undefined;
         }
-        recovery.begin();
+        recovery.begin(this.options.clock.now());
         let isOver = false;
         return end => {
             if (isOver) {
