--- a/packages/cli/src/lib/explain/explainRequest.test.ts
+++ b/packages/cli/src/lib/explain/explainRequest.test.ts
@@ -52,6 +52,15 @@
     assert.deepEqual([...contexts.keys()], ["a"]);
 });
 
+test("the context of a refusal for rest includes the rests that targets asked for", () => {
+    const restLogs = [
+        line(1_000, "a", "targets: rest asked for", { target: "t", request: "r0", duration: 3_000, left: 0 }),
+        line(1_400, "a", "request: request ended", { request: "r1", outcome: "targets-resting: all targets rest" }),
+    ];
+    const { contexts } = explainRequest("r1", restLogs);
+    assert.deepEqual(contexts.get("a")?.map(({ msg }) => msg), ["targets: rest asked for"]);
+});
+
 test("the context includes a store that was restored from a copy", () => {
     const restoreLogs = [
         line(1_000, "a", "process: store came back from a copy", { era: 2, before: 1 }),
--- a/packages/cli/src/lib/explain/explainRequest.ts
+++ b/packages/cli/src/lib/explain/explainRequest.ts
@@ -39,6 +39,8 @@
     "chains: target avoided",
     "directory: target removed",
     "directory: target restarted",
+    "targets: rest asked for",
+    "targets: target says that it leaves",
 ];
 /** Milliseconds before the request's end. */
 const eventWindow = 5_000;
