Soak: links to targets and to the store that are delayed, reset or silent, by a proxy of its own

Cause: the soak's store and targets failed by themselves only; no path between two processes did, neither for one gateway alone nor in one direction.

Change: FaultProxy on loopback, one before each target and one between each gateway and the store. What a target says counts as said only over an open link, and what a cut held back is no violation. The link to the store excuses a gateway like any time without touch, except for what targets told it.

--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -1,8 +1,11 @@
 import { callGateway, testSettings } from "@waxwingspar/platform/testing";
 import { SiteProcess } from "@waxwingspar/proof";
+import { type Random } from "@waxwingspar/utils";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { drawLinkFault } from "./drawLinkFault.js";
+import { FaultProxy } from "./FaultProxy.js";
 import { type GatewayIncarnation, type SoakLog } from "./SoakLog.js";
 
 /** Options of {@link SoakGateway}. */
@@ -34,8 +37,11 @@
     /** Whether the process has been seen to listen; one that is still loading ends by the signal itself. */
     private hasListened = false;
     private starts = 0;
+    /** The link over which it reaches the store. */
+    private readonly storeLink: FaultProxy;
 
     constructor(private readonly options: SoakGatewayOptions) {
+        this.storeLink = new FaultProxy({ server: options.storeAddress });
         this.incarnation = this.createIncarnation();
     }
 
@@ -52,11 +58,17 @@
         return this.process?.running === true && !this.isBusy;
     }
 
+    /** Starts its link to the store and the process. */
+    async open(): Promise<void> {
+        await this.storeLink.start();
+        await this.start();
+    }
+
     /** Starts the process and waits until it is ready. */
-    async start(): Promise<void> {
-        const { name, dataCentre, ports, storeAddress, folder } = this.options;
+    private async start(): Promise<void> {
+        const { name, dataCentre, ports, folder } = this.options;
         const settings = join(folder, `${name}.json`);
-        const { Bounds, ...common } = testSettings(storeAddress, { name, dataCentre, ports });
+        const { Bounds, ...common } = testSettings(this.storeLink.address, { name, dataCentre, ports });
         const bounds = { ...Bounds as object, ConfigApplyMs: configurationTime };
         writeFileSync(settings, JSON.stringify({ ...common, Bounds: bounds }));
         this.incarnation = this.createIncarnation();
@@ -109,6 +121,17 @@
         });
     }
 
+    /** Makes its link to the store misbehave for a while. */
+    async failStoreLink(random: Random, wait: (duration: number) => Promise<void>): Promise<void> {
+        const { log, now } = this.options;
+        const { fault, duration, text } = drawLinkFault(random);
+        log.event(now(), `${this.name}'s link to the store is ${text}`);
+        this.incarnation.storeCuts.push({ from: now(), until: now() + duration });
+        this.storeLink.setFault(fault);
+        await wait(duration);
+        this.storeLink.setFault(undefined);
+    }
+
     /** Reports the headers of targets that its processes did not know. */
     reportUnknownHeaders(): void {
         const { name, folder, log } = this.options;
@@ -126,6 +149,7 @@
         }
         this.isBusy = true;
         await this.process?.kill();
+        this.storeLink.stop();
     }
 
     private async disturb(what: string, action: (process: SiteProcess) => Promise<void>): Promise<void> {
@@ -150,6 +174,7 @@
             gateway: this.name,
             number: ++this.starts,
             disturbances: [{ from: now, until: now }],
+            storeCuts: [],
             wasCutOff: false,
         };
     }
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -4,6 +4,8 @@
     readonly number: number;
     /** Periods in which it was disturbed, with the time after them until it counts as in touch again. */
     readonly disturbances: { readonly from: number; until: number; }[];
+    /** Periods in which its link to the store was cut or silent. */
+    readonly storeCuts: { readonly from: number; readonly until: number; }[];
     /** Whether it was killed or paused, so that its callers may lose answers. */
     wasCutOff: boolean;
 }
@@ -51,6 +53,13 @@
     readonly until: number;
 }
 
+/** A time in which the link between all gateways and a target was cut or silent. */
+export interface LinkFaultPeriod {
+    readonly target: string;
+    readonly from: number;
+    readonly until: number;
+}
+
 /** The first reply in which a target told a gateway that it leaves. */
 export interface ToldLeaving {
     readonly target: string;
@@ -63,6 +72,8 @@
     readonly calls: SoakCall[] = [];
     readonly runs: SoakRun[] = [];
     readonly departures: Departure[] = [];
+    /** Times in which the link to a target was cut or silent. */
+    readonly linkFaults: LinkFaultPeriod[] = [];
     readonly rests: SoakRest[] = [];
     readonly toldLeaving: ToldLeaving[] = [];
     /** Headers of targets that a gateway logged as unknown. */
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -14,6 +14,8 @@
 } from "@waxwingspar/platform/testing";
 import { type Random } from "@waxwingspar/utils";
 import { type LimitedTarget } from "./checkSoak.js";
+import { drawLinkFault } from "./drawLinkFault.js";
+import { FaultProxy } from "./FaultProxy.js";
 import { type GatewayIncarnation, type RunEnd, type SoakLog } from "./SoakLog.js";
 
 /** Options of {@link SoakTargets}. */
@@ -28,6 +30,8 @@
 
 interface SoakTarget extends LimitedTarget {
     readonly fake: FakeTarget;
+    /** The link over which gateways reach it. */
+    readonly link: FaultProxy;
     readonly toldAt: Map<GatewayIncarnation, number>;
     /** The gateways that it told that it leaves. */
     readonly toldLeaving: Set<GatewayIncarnation>;
@@ -108,6 +112,24 @@
         target.fake.rest = undefined;
     }
 
+    /** Makes the link to a random target misbehave for a while. */
+    async failLink(wait: (duration: number) => Promise<void>): Promise<void> {
+        const { log, now, random } = this.options;
+        const target = this.pick(this.heads);
+        if (target === undefined) {
+            return;
+        }
+        const { fault, duration, text } = drawLinkFault(random);
+        log.event(now(), `the link to ${target.id} is ${text}`);
+        const from = now();
+        if (fault.kind !== "delayed") {
+            log.linkFaults.push({ target: target.id, from, until: from + duration });
+        }
+        target.link.setFault(fault);
+        await wait(duration);
+        target.link.setFault(undefined);
+    }
+
     /** Replaces a random plain target by a new one. */
     async replace(wait: (duration: number) => Promise<void>): Promise<void> {
         const { store, log, now } = this.options;
@@ -121,18 +143,22 @@
         target.fake.isLeaving = true;
         log.event(now(), `${target.id} says that it leaves`);
         await wait(this.draw({ least: 0, most: maxUnlistedLeaving }));
-        listTarget(store, target.fake, "draining");
+        listTarget(store, target.fake, "draining", target.link.address);
         log.departures.push({ target: target.id, at: now() });
         log.event(now(), `${target.id} leaves`);
         await wait(leaveTime / 2);
         unlistTarget(store, target.id);
         await wait(leaveTime / 2);
+        target.link.stop();
         target.fake.stop();
     }
 
     /** Stops all targets. */
     stop(): void {
-        this.all.forEach(({ fake }) => fake.stop());
+        this.all.forEach(({ fake, link }) => {
+            link.stop();
+            fake.stop();
+        });
     }
 
     /** The targets that get requests from gateways. */
@@ -156,32 +182,38 @@
             const at = this.options.now();
             this.options.log.runs.push({ requestId: seen.id, target: id, at, sender, end });
             const answer: TargetBehaviour = (...parts) => {
-                if (self.limit !== undefined && end !== "brokenOff" && sender !== undefined && !toldAt.has(sender)) {
+                const isHeard = end !== "brokenOff" && target.link.isOpen;
+                if (self.limit !== undefined && isHeard && sender !== undefined && !toldAt.has(sender)) {
                     toldAt.set(sender, this.options.now());
                 }
-                this.noteWords(target, end, sender);
+                if (isHeard) {
+                    this.noteWords(target, end, sender);
+                }
                 behaviour(...parts);
             };
             setTimeout(() => answer(seen, response, self), seen.path.startsWith("/chat/") ? 0 : this.draw(serviceTime));
         });
+        await fake.start();
+        const link = new FaultProxy({ server: fake.address });
+        await link.start();
         const target: SoakTarget = {
             id,
             fake,
+            link,
             limits: new LimitHistory(),
             toldAt,
             toldLeaving: new Set(),
             refusedShare: 0,
         };
         this.all.push(target);
-        await fake.start();
-        listTarget(this.options.store, fake);
+        listTarget(this.options.store, fake, "ready", link.address);
     }
 
     /** Records what a reply that is being written says about its target. */
     private noteWords(target: SoakTarget, end: RunEnd, sender: GatewayIncarnation | undefined): void {
         const { log, now } = this.options;
         const { id, fake, toldLeaving } = target;
-        if (sender === undefined || end === "brokenOff") {
+        if (sender === undefined) {
             return;
         }
         if (end === "refused" && fake.rest !== undefined) {
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -1,10 +1,12 @@
 import { type LimitHistory } from "@waxwingspar/gateway/testing";
-import { type GatewayIncarnation, type SoakLog, type SoakRun } from "./SoakLog.js";
+import { type GatewayIncarnation, type LinkFaultPeriod, type SoakLog, type SoakRun } from "./SoakLog.js";
 
 /** Milliseconds after a disturbance until a process counts as in touch. */
 export const contactTime = 3_000;
 /** Milliseconds from a target's leaving until it gets no requests, with what a request needs to arrive. */
 const drainTime = 2_000 + 150;
+/** Milliseconds that a target works on a request, with what its answer needs on a delayed link. */
+const maxRunTime = 2_000;
 /** Stall of the driver in milliseconds above which it cannot tell when requests arrived. */
 const maxStall = 1_000;
 /** Milliseconds after a reply in which what had been sent before it may arrive. */
@@ -78,10 +80,10 @@
 }
 
 /** A target that said so in a reply to a gateway gets nothing new from there, whether the store failed or not. */
-function checkToldLeaving({ toldLeaving, runs }: SoakLog): Violation[] {
+function checkToldLeaving({ toldLeaving, runs, linkFaults }: SoakLog): Violation[] {
     return toldLeaving.flatMap(({ target, sender, at }) => {
         const late = runs.filter(run => run.target === target && run.sender === sender && run.at > at + onTheWay)
-            .filter(run => wasCalm(run, at));
+            .filter(run => wasCalm(run, at) && !wasCut(linkFaults, target, at, run.at));
         return late.length > 0
             ? [{
                 check: "leaving",
@@ -91,11 +93,11 @@
     });
 }
 
-function checkRests({ rests, runs }: SoakLog): Violation[] {
+function checkRests({ rests, runs, linkFaults }: SoakLog): Violation[] {
     return rests.flatMap(({ target, sender, at, until }) => {
         const early = runs.filter(run =>
             run.target === target && run.sender === sender && run.at > at + onTheWay && run.at <= until
-            && wasCalm(run, at)
+            && wasCalm(run, at) && !wasCut(linkFaults, target, at, run.at)
         );
         return early.length > allowedInRest
             ? [{ check: "rest", detail: `${target} got ${early.length} requests of ${sender.gateway} in a rest` }]
@@ -104,13 +106,16 @@
 }
 
 /** A planned stop may not cost an answer that a target has begun, unless something else cut it off. */
-function checkStops({ calls, runs }: SoakLog): Violation[] {
+function checkStops({ calls, runs, linkFaults }: SoakLog): Violation[] {
     const find = (id: string) => runs.filter(({ requestId }) => requestId === id);
     return calls
         .filter(({ isComplete, gateway }) => !isComplete && !gateway.wasCutOff)
         .filter(({ requestId }) => {
             const own = find(requestId);
-            return own.length > 0 && own.every(({ end }) => end !== "brokenOff");
+            return own.length > 0
+                && own.every(({ end, target, at }) =>
+                    end !== "brokenOff" && !wasCut(linkFaults, target, at, at + maxRunTime)
+                );
         })
         .map(({ requestId, gateway, kind, status }) => ({
             check: "stop",
@@ -118,8 +123,10 @@
         }));
 }
 
-function checkLimit({ runs }: SoakLog, { id, limits, toldAt }: LimitedTarget): Violation[] {
-    const arrivals = runs.filter(run => run.target === id && isInTouch(run)).map(({ at, sender }) => ({
+function checkLimit({ runs, linkFaults }: SoakLog, { id, limits, toldAt }: LimitedTarget): Violation[] {
+    const isJudged = (run: SoakRun) =>
+        run.target === id && isInTouch(run) && !wasCut(linkFaults, id, run.at - contactTime, run.at);
+    const arrivals = runs.filter(isJudged).map(({ at, sender }) => ({
         at,
         toldAt: sender === undefined ? Infinity : toldAt.get(sender) ?? Infinity,
     }));
@@ -127,6 +134,11 @@
     return excess > 0 ? [{ check: "limit", detail: `${id} got ${excess} requests too many in 4 s` }] : [];
 }
 
+/** Whether the link to a target was cut or silent at any time between two moments. */
+function wasCut(faults: readonly LinkFaultPeriod[], target: string, since: number, end: number): boolean {
+    return faults.some(fault => fault.target === target && fault.from <= end && fault.until >= since);
+}
+
 /** Whether the sender of a run ran without a disturbance from a moment on until the run. */
 function wasCalm({ sender, at }: SoakRun, since: number): boolean {
     return sender?.disturbances.every(({ from, until }) => until < since || from > at) === true;
@@ -135,5 +147,6 @@
 /** Whether the sender of a run was in touch all the time since `since`, by default at the moment of the run. */
 function isInTouch({ sender, at }: SoakRun, since = at): boolean {
     return sender !== undefined
-        && sender.disturbances.every(({ from, until }) => until + contactTime < since || from > at);
+        && [...sender.disturbances, ...sender.storeCuts]
+            .every(({ from, until }) => until + contactTime < since || from > at);
 }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -132,7 +132,7 @@
                 now: this.now,
             });
         });
-        await Promise.all(this.gateways.map(gateway => gateway.start()));
+        await Promise.all(this.gateways.map(gateway => gateway.open()));
     }
 
     async run(): Promise<void> {
@@ -184,6 +184,8 @@
             () => this.publish(),
             () => this.publishSeries(),
             () => this.narrowStore(),
+            () => this.targets.failLink(pause),
+            () => gateway?.failStoreLink(this.random, pause),
         ];
         await this.pick(actions)?.();
     }
