--- a/packages/gateway/src/lib/testing/LimitedSite.ts
+++ b/packages/gateway/src/lib/testing/LimitedSite.ts
@@ -1,9 +1,10 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
+import { createGroupRouter } from "./createGroupRouter.js";
 import { testTarget } from "./fixtures.js";
 import { LimitHistory } from "./LimitHistory.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
-import { SimulatedRouter } from "./SimulatedRouter.js";
+import { type SimulatedRouter } from "./SimulatedRouter.js";
 import { SimulatedStore } from "./SimulatedStore.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 
@@ -152,27 +153,13 @@
     }
 
     private createGateway(group: SimulatedGateway): SiteGateway {
-        const router = new SimulatedRouter({
+        const router = createGroupRouter({
             clock: this.group.clock,
-            dataCentre: group.dataCentre,
+            gateway: group,
             store: this.store,
-            targetAt: port => this.targetAt(port),
-            peerLoad: headId => group.exchange.others.chainLoads[headId] ?? 0,
-            gateways: () => group.size.value,
             random: this.random,
-            group: {
-                address: group.address,
-                findIssuer: name => group.exchange.findIssuer(name),
-                get groupSize() {
-                    return group.size.value;
-                },
-                get issuerShare() {
-                    return group.issuerShare.value;
-                },
-                send: (address, datagram) => group.send(address, datagram),
-            },
+            targetAt: port => this.targetAt(port),
         });
-        group.onDatagram(datagram => router.permits.receive(datagram));
         group.onPeerSums(({ limits }) => router.limits.recordStatements(limits));
         group.overrideState(() => ({
             chainLoads: Object.fromEntries(router.chains.headLoads()),
--- a/packages/gateway/src/lib/testing/RestingSite.ts
+++ b/packages/gateway/src/lib/testing/RestingSite.ts
@@ -1,8 +1,9 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
+import { createGroupRouter } from "./createGroupRouter.js";
 import { testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
-import { plainService, SimulatedRouter } from "./SimulatedRouter.js";
+import { plainService, type SimulatedRouter } from "./SimulatedRouter.js";
 import { SimulatedStore } from "./SimulatedStore.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 
@@ -26,7 +27,7 @@
     readonly answers: Set<SimulatedAnswer>;
 }
 
-/** A request that reached a target. */
+/** A request that reached a target, or a word of a target that reached a gateway. */
 interface Arrival {
     readonly at: number;
     readonly gateway: RestingGateway;
@@ -34,7 +35,7 @@
     readonly target: SimulatedTarget;
 }
 
-/** A rest that a target asked a gateway for. */
+/** A rest that a target asked a gateway for; `at` is the moment of the refusal. */
 interface AskedRest extends Arrival {
     readonly until: number;
 }
@@ -182,25 +183,28 @@
             onCrash: () => undefined,
             events: isPlainTarget ? 1 : undefined,
             latency: () => ({ connect: this.drawLatency(1), reply: this.drawLatency(0) }),
-            onArrival: body => this.record(this.arrivals, body, simulated),
-            onRest: (body, duration, delay) => {
-                const at = this.group.clock.now() - delay;
-                this.record(this.rests, body, simulated, { at, until: at + duration });
-            },
-            onLeavingTold: body => this.record(this.leavingTold, body, simulated),
+            onArrival: body =>
+                this.withGateway(body, gateway => {
+                    this.arrivals.push({ at: this.group.clock.now(), gateway, target: simulated });
+                }),
+            onRest: (body, duration, delay) =>
+                this.withGateway(body, gateway => {
+                    const at = this.group.clock.now() - delay;
+                    this.rests.push({ at, until: at + duration, gateway, target: simulated });
+                }),
+            onLeavingTold: body =>
+                this.withGateway(body, gateway => {
+                    this.leavingTold.push({ at: this.group.clock.now(), gateway, target: simulated });
+                }),
         });
         return simulated;
     }
 
-    private record<T extends Arrival>(
-        list: T[],
-        body: string,
-        target: SimulatedTarget,
-        ...[more]: T extends AskedRest ? [Pick<AskedRest, "at" | "until">] : []
-    ): void {
+    /** Calls `note` with the gateway that sent a request, unless it was killed meanwhile. */
+    private withGateway(body: string, note: (gateway: RestingGateway) => void): void {
         const gateway = this.gateways.find(({ group }) => body === `from ${group.name}`);
         if (gateway !== undefined) {
-            list.push({ at: this.group.clock.now(), gateway, target, ...more } as unknown as T);
+            note(gateway);
         }
     }
 
@@ -210,27 +214,13 @@
     }
 
     private createGateway(group: SimulatedGateway): RestingGateway {
-        const router = new SimulatedRouter({
+        const router = createGroupRouter({
             clock: this.group.clock,
-            dataCentre: group.dataCentre,
+            gateway: group,
             store: this.store,
-            targetAt: port => this.targetAt(port),
-            peerLoad: headId => group.exchange.others.chainLoads[headId] ?? 0,
-            gateways: () => group.size.value,
             random: seededRandom(Math.floor(this.random.next() * 1_000_000)),
-            group: {
-                address: group.address,
-                findIssuer: name => group.exchange.findIssuer(name),
-                get groupSize() {
-                    return group.size.value;
-                },
-                get issuerShare() {
-                    return group.issuerShare.value;
-                },
-                send: (address, datagram) => group.send(address, datagram),
-            },
+            targetAt: port => this.targetAt(port),
         });
-        group.onDatagram(datagram => router.permits.receive(datagram));
         group.overrideState(() => ({ chainLoads: Object.fromEntries(router.chains.headLoads()) }));
         this.targets.forEach(({ target }) => router.directory.put(target));
         return { group, router, answers: new Set() };
