The soak's proxy keeps bytes in order when a delay shrinks

Cause: bytes that were delayed had a timer each, and timers of different lengths that end together fire in any order.

Change: one queue and one timer for each direction. The proxy's test shrinks the delay under 26 writes.

--- a/packages/soak/src/lib/FaultProxy.test.ts
+++ b/packages/soak/src/lib/FaultProxy.test.ts
@@ -77,15 +77,17 @@
     const socket = await open(context, proxy);
     let received = "";
     socket.on("data", (bytes: Buffer) => received += bytes.toString());
-    proxy.setFault({ kind: "delayed", delay: 40 });
-    socket.write("a");
-    await new Promise(resolve => setImmediate(resolve));
-    proxy.setFault({ kind: "delayed", delay: 1 });
-    socket.write("b");
-    while (received.length < 2) {
+    const letters = "abcdefghijklmnopqrstuvwxyz";
+    for (const [index, letter] of [...letters].entries()) {
+        proxy.setFault({ kind: "delayed", delay: 20 - index / 2 });
+        socket.write(letter);
+        await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    proxy.setFault(undefined);
+    while (received.length < letters.length) {
         await once(socket, "data");
     }
-    assert.equal(received, "ab");
+    assert.equal(received, letters);
 });
 
 test("a reset ends open connections and new ones, until it is over", async context => {
--- a/packages/soak/src/lib/FaultProxy.ts
+++ b/packages/soak/src/lib/FaultProxy.ts
@@ -78,8 +78,9 @@
 /** The bytes of one connection in one direction. */
 class Lane {
     private delay = 0;
-    /** When the last bytes are to arrive, so that a shorter delay does not let later ones overtake them. */
-    private busyUntil = 0;
+    /** What is on its way, in order. A shorter delay does not let later bytes overtake earlier ones. */
+    private readonly queue: { readonly due: number; readonly arrive: () => void; }[] = [];
+    private timer: NodeJS.Timeout | undefined;
 
     constructor(private readonly from: Socket, to: Socket, private readonly direction: Direction) {
         from.setNoDelay(true);
@@ -112,14 +113,25 @@
         this.from.once("close", listener);
     }
 
-    private later(action: () => void): void {
-        const now = performance.now();
-        const due = Math.max(this.busyUntil, now + this.delay);
-        if (due <= now) {
-            action();
+    private later(arrive: () => void): void {
+        if (this.delay === 0 && this.queue.length === 0) {
+            arrive();
             return;
         }
-        this.busyUntil = due;
-        setTimeout(action, due - now);
+        this.queue.push({ due: performance.now() + this.delay, arrive });
+        this.timer ??= setTimeout(() => this.deliver(), this.delay);
+    }
+
+    private deliver(): void {
+        this.timer = undefined;
+        for (let next = this.queue[0]; next !== undefined; next = this.queue[0]) {
+            const left = next.due - performance.now();
+            if (left > 0) {
+                this.timer = setTimeout(() => this.deliver(), left);
+                return;
+            }
+            this.queue.shift();
+            next.arrive();
+        }
     }
 }
