--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -175,18 +175,13 @@
     }
 
     private async add(id: string): Promise<void> {
-        const toldAt = new Map<GatewayIncarnation, number>();
         const fake = new FakeTarget(id, (seen, response, self) => {
             const [end, behaviour] = this.choose(seen, target);
             const sender = this.options.findSender(String(seen.headers[gatewayHeader]));
             const at = this.options.now();
             this.options.log.runs.push({ requestId: seen.id, target: id, at, sender, end });
             const answer: TargetBehaviour = (...parts) => {
-                const isHeard = end !== "brokenOff" && target.link.isOpen;
-                if (self.limit !== undefined && isHeard && sender !== undefined && !toldAt.has(sender)) {
-                    toldAt.set(sender, this.options.now());
-                }
-                if (isHeard) {
+                if (sender !== undefined && end !== "brokenOff" && target.link.isOpen) {
                     this.noteWords(target, end, sender);
                 }
                 behaviour(...parts);
@@ -201,7 +196,7 @@
             fake,
             link,
             limits: new LimitHistory(),
-            toldAt,
+            toldAt: new Map(),
             toldLeaving: new Set(),
             refusedShare: 0,
         };
@@ -209,12 +204,12 @@
         listTarget(this.options.store, fake, "ready", link.address);
     }
 
-    /** Records what a reply that is being written says about its target. */
-    private noteWords(target: SoakTarget, end: RunEnd, sender: GatewayIncarnation | undefined): void {
+    /** Records what a reply that is being written tells a gateway about its target. */
+    private noteWords(target: SoakTarget, end: RunEnd, sender: GatewayIncarnation): void {
         const { log, now } = this.options;
-        const { id, fake, toldLeaving } = target;
-        if (sender === undefined) {
-            return;
+        const { id, fake, toldAt, toldLeaving } = target;
+        if (fake.limit !== undefined && !toldAt.has(sender)) {
+            toldAt.set(sender, now());
         }
         if (end === "refused" && fake.rest !== undefined) {
             log.rests.push({ target: id, sender, at: now(), until: now() + fake.rest * millisecondsPerSecond });
