--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -1,5 +1,4 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type ChainRouterOptions } from "../chains/ChainRouter.js";
 import { ChainService, type ChainServiceOptions } from "../chains/ChainService.js";
 import { type Service } from "../configuration/Configuration.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
@@ -25,7 +24,7 @@
     | "observation";
 
 /** Options of {@link ServiceTable}. */
-export interface ServiceTableOptions extends Pick<ChainServiceOptions & ChainRouterOptions, ForwardedOption> {
+export interface ServiceTableOptions extends Pick<ChainServiceOptions, ForwardedOption> {
     readonly clock: Clock;
     readonly directory: TargetDirectory;
     readonly settings: Pick<GatewaySettings, "dataCentre" | "retryWindow" | "retryShare" | "retryReserve">;
