Gateways log the shared parts of a prompt with crashes and ended requests

Cause: the logs named a request by its whole text only, so neither crashes under one part could be counted nor what ran well with it. No decision depends on them yet.

--- a/packages/gateway/src/lib/crashes/CrashDetector.test.ts
+++ b/packages/gateway/src/lib/crashes/CrashDetector.test.ts
@@ -23,7 +23,7 @@
 }
 
 const target = testTarget("t1", "small");
-const run: InterruptedRun = { request: "r", digest: "d", target, after: 80, replyAge: undefined };
+const run: InterruptedRun = { request: "r", digest: "d", causes: ["d"], target, after: 80, replyAge: undefined };
 const settled = () => new Promise(resolve => setImmediate(resolve));
 
 test("all runs that a crash interrupts are reported after a single check", async () => {
--- a/packages/gateway/src/lib/crashes/CrashDetector.ts
+++ b/packages/gateway/src/lib/crashes/CrashDetector.ts
@@ -1,6 +1,7 @@
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
+import { isPart } from "./crashCauses.js";
 
 /** A run that was interrupted because its target closed or reset the connection. */
 export interface InterruptedRun {
@@ -8,6 +9,8 @@
     readonly request: string | undefined;
     /** Identifies the request over all attempts of its caller. */
     readonly digest: string;
+    /** What may have caused a crash of the target: the request itself and the shared parts of its prompt. */
+    readonly causes: readonly string[];
     /** The target to which the request was sent; for a chain, its first target. */
     readonly target: Target;
     /** Milliseconds since the request was sent to the target. */
@@ -64,11 +67,12 @@
 
     private recordCrash(run: InterruptedRun, runs: number): void {
         const { observation } = this.options;
-        const { request, digest, target, after, replyAge } = run;
+        const { request, digest, causes, target, after, replyAge } = run;
         observation.metrics.crashedRuns.add({});
         observation.logs.requests.warn({
             request,
             digest,
+            parts: causes.filter(isPart),
             target: target.id,
             startedAt: target.startedAt,
             after: Math.round(after),
--- a/packages/gateway/src/lib/crashes/CrashGuard.test.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.test.ts
@@ -13,6 +13,7 @@
 const run: InterruptedRun = {
     request: "attempt",
     digest: "a",
+    causes: ["a"],
     target: testTarget("t1", "small"),
     after: 80,
     replyAge: undefined,
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -1,6 +1,7 @@
 import { type Clock, type ResultCode } from "@waxwingspar/utils";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Organisation, type Route } from "../configuration/Configuration.js";
+import { listCrashCauses } from "../crashes/crashCauses.js";
 import { type Target } from "../directory/Target.js";
 import { type Observation } from "../observation/Observation.js";
 import { type CallerLinkMonitor } from "./CallerLinkMonitor.js";
@@ -47,6 +48,8 @@
     "upgrade",
 ]);
 const millisecondsPerSecond = 1_000;
+/** Maximum number of parts of a prompt in one log line. */
+const maxLoggedParts = 8;
 /** Maximum `Retry-After`, as a share of the caller's remaining time. Callers do not honour a longer one. */
 const retryAfterShare = 0.3;
 
@@ -56,6 +59,8 @@
     readonly deadline: number;
     /** Identifies the request across all its attempts and gateways. */
     readonly digest: string;
+    /** What may be the cause if a target crashes while running the request. */
+    readonly crashCauses: readonly string[];
     private isOver = false;
     private hasHead = false;
     private firstByteAt: number | undefined;
@@ -81,6 +86,7 @@
             organisation: organisation?.name,
             body,
         });
+        this.crashCauses = listCrashCauses(this.digest, request.sharedParts);
         response.once("close", () => this.handleClose());
         response.on("drain", () => this.drainListener?.());
     }
@@ -246,6 +252,7 @@
         observation.logs.requests.info({
             request: request.id,
             digest: this.digest,
+            parts: this.crashCauses.slice(1, 1 + maxLoggedParts),
             route: route.name,
             organisation: organisation?.name,
             configuration: this.options.configurationVersion,
--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -64,6 +64,7 @@
         context.crashes.detector.handleInterruptedRun({
             request: caller.request.id,
             digest: caller.digest,
+            causes: caller.crashCauses,
             target,
             after: now - startedAt,
             replyAge: repliedAt === undefined ? undefined : now - repliedAt,
--- a/packages/gateway/src/lib/requests/messages.ts
+++ b/packages/gateway/src/lib/requests/messages.ts
@@ -20,6 +20,8 @@
     /** Id of the last event that the caller received of an interrupted stream. */
     readonly lastEventId: string | undefined;
     readonly tokens: TokenCount | undefined;
+    /** Ids of the parts of its prompt that other requests may share, in order, without its own last part. */
+    readonly sharedParts: readonly string[];
     /** The caller's estimate of the number of answer tokens: accurate at the median, but with a large spread. */
     readonly answerLengthHint: number | undefined;
 }
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -204,6 +204,7 @@
                 key: undefined,
                 lastEventId: undefined,
                 tokens: undefined,
+                sharedParts: [],
                 answerLengthHint: undefined,
             },
             route,
