--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -3,7 +3,7 @@
 import { testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
-import { SimulatedRouter } from "./SimulatedRouter.js";
+import { partsOf, SimulatedRouter } from "./SimulatedRouter.js";
 import { SimulatedStore } from "./SimulatedStore.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 
@@ -15,11 +15,25 @@
     readonly culprits?: number;
     /** Spontaneous crashes of targets per minute. */
     readonly crashesPerMinute?: number;
+    /** Number of parts that crash every target which begins to answer a prompt with them. */
+    readonly deadlyParts?: number;
+    /** Requests per second with each of these parts, no two alike, over all gateways. */
+    readonly deadlyRate?: number;
+    /** Milliseconds of load before the first of these requests. */
+    readonly deadlyFrom?: number;
+    /** Number of subjects; the prompt of a harmless request has one of them. */
+    readonly subjects?: number;
+    /** Whether the prompts of all requests begin with the same part. */
+    readonly hasCommonPart?: boolean;
+    /** Whether a request with a deadly part always has the same subject; otherwise any. */
+    readonly hasFixedSubject?: boolean;
 }
 
 /** The outcome of a caller's request over all its attempts. */
 export interface CallerOutcome {
     readonly body: string;
+    /** Time of its first attempt. */
+    readonly startedAt: number;
     readonly isServed: boolean;
     /** The unsuccessful answers. */
     readonly failures: readonly CallerFailure[];
@@ -48,6 +62,9 @@
 const attempts = 2;
 /** Bounds of the milliseconds between two requests of a culprit's caller. */
 const culpritPause = { least: 100, most: 3_000 };
+const deadlyMark = "deadly";
+/** The subject of requests with a deadly part that always have the same one. */
+const fixedSubject = 3;
 /** Targets of the single chain of each data centre. */
 const targetsPerChain = 2;
 const layersPerTarget = 40;
@@ -61,22 +78,34 @@
     readonly group: SimulatedGroup;
     readonly store: SimulatedStore;
     readonly outcomes: CallerOutcome[] = [];
-    /** Times at which each culprit crashed a target, by request body. */
+    /** Times at which each culprit crashed a target, by request body or deadly part. */
     readonly crashes = new Map<string, number[]>();
-    /** Times at which each request reached a target, by request body. */
+    /** Times at which each request reached a target, by request body, and by deadly part. */
     readonly arrivals = new Map<string, number[]>();
     private readonly targets: SimulatedTarget[] = [];
     private readonly gateways: SiteGateway[];
     private readonly random: Random;
-    private readonly options: Required<
-        Pick<CrashingSiteOptions, "load" | "culprits" | "crashesPerMinute" | "gatewaysEach">
-    >;
+    private readonly options: Required<Omit<CrashingSiteOptions, keyof SimulatedGroupOptions>> & {
+        readonly gatewaysEach: number;
+    };
     private requests = 0;
     private isOver = false;
 
     constructor(options: CrashingSiteOptions = {}) {
-        const { seed = 1, load = 40, culprits = 1, crashesPerMinute = 0, gatewaysEach = 2 } = options;
-        this.options = { load, culprits, crashesPerMinute, gatewaysEach };
+        const { seed = 1, gatewaysEach = 2 } = options;
+        this.options = {
+            load: 40,
+            culprits: 1,
+            crashesPerMinute: 0,
+            deadlyParts: 0,
+            deadlyRate: 5,
+            deadlyFrom: 0,
+            subjects: 0,
+            hasCommonPart: false,
+            hasFixedSubject: false,
+            ...options,
+            gatewaysEach,
+        };
         this.group = new SimulatedGroup({ dataCentres: 3, ...options, gatewaysEach });
         this.store = new SimulatedStore(this.group.clock);
         this.random = seededRandom(seed + 500);
@@ -96,6 +125,9 @@
         for (let culprit = 0; culprit < this.options.culprits; culprit++) {
             this.sendCulprit(`culprit ${culprit}`);
         }
+        for (let part = 0; part < this.options.deadlyParts; part++) {
+            this.after(this.options.deadlyFrom, () => this.scheduleDeadlyRequest(`${deadlyMark} ${part}`));
+        }
         await this.group.runAsync(duration);
         this.isOver = true;
         await this.group.runAsync(5_000);
@@ -152,12 +184,10 @@
             clock,
             random: this.random,
             target,
-            crashesUnder: body => body.startsWith("culprit"),
-            onArrival: body => recordTime(this.arrivals, body, clock.now()),
+            crashesUnder: body => culpritsIn(body).length > 0,
+            onArrival: body => [body, ...deadlyIn(body)].forEach(key => recordTime(this.arrivals, key, clock.now())),
             onCrash: body => {
-                if (body !== undefined) {
-                    recordTime(this.crashes, body, clock.now());
-                }
+                culpritsIn(body ?? "").forEach(culprit => recordTime(this.crashes, culprit, clock.now()));
                 clock.schedule(() => this.updateDirectories(directory => directory.remove(target.id, 0)), entryExpiry);
                 clock.schedule(() => this.startTarget(dataCentre, port, half), this.draw(restartTime));
             },
@@ -185,11 +215,33 @@
         }
         const pause = -Math.log(1 - this.random.next()) * 1_000 / this.options.load;
         this.group.clock.schedule(() => {
-            void this.sendRequest(`question ${this.requests++}`, attempts);
+            this.sendRequest(`question ${this.requests++}${this.writeParts()}`, attempts);
             this.scheduleRequest();
         }, Math.round(pause));
     }
 
+    private scheduleDeadlyRequest(part: string): void {
+        if (this.isOver) {
+            return;
+        }
+        this.sendRequest(`question ${this.requests++}${this.writeParts(part)}`, attempts);
+        const pause = -Math.log(1 - this.random.next()) * 1_000 / this.options.deadlyRate;
+        this.after(Math.round(pause), () => this.scheduleDeadlyRequest(part));
+    }
+
+    /** Writes the parts of a prompt as they stand in a body; a few subjects are much more frequent than others. */
+    private writeParts(deadlyPart?: string): string {
+        const { subjects, hasCommonPart, hasFixedSubject } = this.options;
+        const drawn = subjects === 0 ? 0 : Math.floor(subjects * this.random.next() ** 2);
+        const subject = deadlyPart !== undefined && hasFixedSubject ? fixedSubject : drawn;
+        const parts = [
+            ...hasCommonPart ? ["common"] : [],
+            ...subjects > 0 ? [`subject ${subject}`] : [],
+            ...deadlyPart === undefined ? [] : [deadlyPart],
+        ];
+        return parts.length === 0 ? "" : `|${parts.join(",")}`;
+    }
+
     private scheduleCrash(): void {
         const { crashesPerMinute } = this.options;
         if (this.isOver || crashesPerMinute === 0) {
@@ -218,6 +270,7 @@
         left: number,
         onEnd: () => void = () => undefined,
         failures: readonly CallerFailure[] = [],
+        startedAt = this.group.clock.now(),
     ): void {
         const living = this.gateways.filter(({ group }) => this.group.runningGateways.includes(group));
         const gateway = living[Math.floor(this.random.next() * living.length)];
@@ -232,11 +285,11 @@
             const { resultNumber: result, hasRetryAfter } = answer;
             const all = isServed ? failures : [...failures, { result, hasRetryAfter }];
             if (isServed || left <= 1) {
-                this.outcomes.push({ body, isServed, failures: all });
+                this.outcomes.push({ body, startedAt, isServed, failures: all });
                 onEnd();
                 return;
             }
-            this.group.clock.schedule(() => this.sendRequest(body, left - 1, onEnd, all), 2);
+            this.group.clock.schedule(() => this.sendRequest(body, left - 1, onEnd, all, startedAt), 2);
         });
     }
 
@@ -245,6 +298,16 @@
     }
 }
 
+/** Lists the deadly parts of a request's prompt. */
+export function deadlyIn(body: string): string[] {
+    return partsOf(body).filter(part => part.startsWith(deadlyMark));
+}
+
+/** Lists what crashes the targets of a request. */
+function culpritsIn(body: string): string[] {
+    return body.startsWith("culprit") ? [body] : deadlyIn(body);
+}
+
 function recordTime(times: Map<string, number[]>, body: string, time: number): void {
     times.set(body, [...times.get(body) ?? [], time]);
 }
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -98,6 +98,11 @@
     }),
 };
 
+/** Names the shared parts of a request's prompt, which stand in its body after a bar. */
+export function partsOf(body: string): string[] {
+    return body.split("|")[1]?.split(",") ?? [];
+}
+
 /** The modules of one gateway that decide where streams are sent, over simulated targets. */
 export class SimulatedRouter {
     readonly directory: TargetDirectory;
@@ -204,7 +209,7 @@
                 key: undefined,
                 lastEventId: undefined,
                 tokens: undefined,
-                sharedParts: [],
+                sharedParts: partsOf(body),
                 answerLengthHint: undefined,
             },
             route,
