Requests with a part that crashes targets are held back by that part, over all gateways

Cause: a request was known by its whole text. Each new request with the part was a stranger with up to three crashes and two retrials of its own, so every one of them crashed targets, also with a single gateway.

Change: the shared parts of a prompt are causes beside the request's digest. A run that has answered for 0.3 s clears its parts at all gateways; gateways report the targets that crashed under a part as sets, which count a target once; a crash says nothing of a part that was probably there by accident. A suspect part gets three spaced runs, counted in the store for good, one suspect at a time in the group under a lease; a run that reached no target is returned; what waited is judged again when its connection opens. New result code 1021.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -123,6 +123,7 @@
             directory: this.directory,
             refusesConnections,
             observation,
+            gateways: () => this.peers.groupSize,
         });
         this.peers = this.createPeerGroup();
         this.copies = new TableCopies({
@@ -300,7 +301,7 @@
                 suspects: this.suspicions.listLost(),
                 slowTargets: this.paces.listObserved(),
                 limits: this.limits.listStatements(),
-                crashes: this.crashes.counts.listSeen(),
+                ...this.crashes.describe(),
                 dutyTerm: this.lease.isHeld ? this.lease.term : undefined,
                 mayTakeDuty: this.storeHealth.isHealthy && this.lease.mayAcquire && !this.isStopping,
             }),
@@ -312,9 +313,9 @@
                 this.receiveTableStatus(table, tableStatus, after);
             },
             onOther: datagram => this.permits.receive(datagram),
-            onSums: ({ slowTargets, crashes, limits }) => {
+            onSums: ({ slowTargets, limits, ...news }) => {
                 this.paces.recordPeerReports(slowTargets);
-                this.crashes.counts.recordPeerCounts(crashes);
+                this.crashes.receive(news);
                 this.limits.recordStatements(limits);
             },
         });
--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -1,38 +1,59 @@
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, requestCodes } from "@waxwingspar/utils";
+import { LRUCache } from "lru-cache";
+import { incarnationOf } from "../directory/Target.js";
 import { type DirectoryChange } from "../directory/TargetDirectory.js";
 import { type Observation } from "../observation/Observation.js";
+import { isPart } from "./crashCauses.js";
 import { type CrashCounts } from "./CrashCounts.js";
 import { type InterruptedRun } from "./CrashDetector.js";
-import { type CrashRecord, type CrashRecords } from "./CrashRecords.js";
+import { type CrashRecord } from "./CrashRecord.js";
+import { type CrashRecords } from "./CrashRecords.js";
+import { crashSetOf, joinCrashSets, sizeOfCrashSet } from "./CrashSet.js";
+import { type PartCrashes } from "./PartCrashes.js";
+import { type CrashRefusal, type Retrial, type RetrialVerdict } from "./Retrial.js";
+import { type TrialLease } from "./TrialLease.js";
+import { type TurnResult, Turns } from "./Turns.js";
 
 /** Options of {@link CrashGuard}. */
 export interface CrashGuardOptions {
     readonly clock: Clock;
+    /** Crashes by request. */
     readonly counts: CrashCounts;
+    readonly parts: PartCrashes;
     readonly records: CrashRecords;
+    readonly lease: TrialLease;
     readonly observation: Observation;
+    /** Number of gateways that send requests to the same targets. */
+    readonly gateways?: () => number;
 }
 
-/** Whether a request may be sent, given the crashes of targets that ran it. */
+/** Whether a request may be sent, given the crashes of targets that ran it or other requests with its parts. */
 export type CrashStatus =
     /** It may be sent. */
     | "free"
-    /** It may have caused crashes, so it is sent only while no other suspect runs, and only a few times. */
+    /** It may cause crashes, so it is sent only while no other suspect runs, and only a few times. */
     | "suspect"
     /** It has used up the runs of a suspect and is refused. */
     | "condemned";
 
-/** Why a request may not be sent. */
-export interface CrashRefusal {
-    readonly reason: string;
-    /** Milliseconds after which the caller may retry; undefined when a retry is pointless. */
-    readonly retryAfter: number | undefined;
-}
-
+/** Number of crashes from which a request is suspect; the guarantee of at most three more runs starts with the third. */
+const suspectThreshold = 3;
 /**
- * Number of crashes from which a request is suspect; the guarantee of at most three more runs starts with the third.
+ * Numbers of crashes from which a part is suspect: at least the first one, and always from the second one on, with which
+ * the guarantee of at most three more runs starts. In between it is compared with the part with the most crashes.
  */
-const suspectThreshold = 3;
+const partThreshold = { least: 3, most: 5 };
+/**
+ * Share of the crashes of the part with the most from which another one is suspect. One crash interrupts requests with
+ * many parts; the parts that were there by accident fall behind the one that is there each time.
+ */
+const comparedShare = 0.6;
+/** Number of crashes in series, seen by this process, from which a part is suspect although many prompts have it. */
+const seriesThreshold = 5;
+/** Maximum number of gateways whose requests are considered to share a target. */
+const maxGroup = 30;
+/** Chance from which a crash does not count against a part: that it interrupts a request with the part by accident. */
+const uninformativeChance = 0.5;
 /** Maximum number of runs without a reply for which a crash is recorded as possibly caused by each of them. */
 const maxRecordedRuns = 6;
 /**
@@ -40,6 +61,8 @@
  * so soon after it starts to run.
  */
 export const safeReplyAge = 300;
+/** Milliseconds after which the outcome of a trial run is known: the first events of most streams arrive sooner. */
+const trialTime = 1_000;
 /** Milliseconds for which a suspect waits for its turn: callers abandon a stream that is silent for 2 s. */
 const turnTimeout = 1_500;
 /** Milliseconds after which a caller may retry: after its request got no turn, or while the store was unavailable. */
@@ -47,53 +70,61 @@
 const storeRetryAfter = 1_000;
 /** Milliseconds after which a caller may retry when no target was available; crashed targets restart within seconds. */
 const noTargetRetryAfter = 1_500;
+/**
+ * Milliseconds for which a prompt with several suspect parts is held back, so that prompts with one of them tell which
+ * one is to blame, and after which its caller may retry.
+ */
+const sharedHold = 5_000;
+const sharedRetryAfter = 1_000;
+/** Milliseconds without such a prompt after which the hold begins anew. */
+const sharedHoldMemory = 30_000;
+const maxHeldParts = 1_000;
 
 /**
- * Limits the number of targets that a request can crash. A crash interrupts all requests on the target, and the callers
- * of harmless ones retry as well, so crashes alone do not identify the cause. From its third crash on, a request gets
- * two more runs, during which this gateway runs no other suspect. It is excused if one of them succeeds, and refused
- * (condemned) if both crash their targets.
+ * Limits the number of targets that a request, or requests with a part in common, can crash. A crash interrupts all
+ * requests on the target, and the callers of harmless ones retry as well, so crashes alone do not identify the cause:
+ * a run without a crash clears the parts of its prompt. A suspect gets a few more runs, during which this gateway runs
+ * no other suspect. It is excused if one of them succeeds, and refused (condemned) if all of them crash their targets.
  */
 export class CrashGuard {
-    private isTurnTaken = false;
-    private readonly waiting: (() => void)[] = [];
+    private readonly turns: Turns;
+    /** When prompts with several suspect parts were first held back, by part. */
+    private readonly heldSince: LRUCache<string, number>;
 
-    constructor(private readonly options: CrashGuardOptions) {}
+    constructor(private readonly options: CrashGuardOptions) {
+        const { clock } = options;
+        this.turns = new Turns(clock, turnTimeout);
+        this.heldSince = new LRUCache({
+            max: maxHeldParts,
+            ttl: sharedHoldMemory,
+            ttlResolution: 0,
+            perf: { now: () => clock.now() },
+        });
+    }
 
-    /** Returns whether a request may be sent, according to the crashes that this process knows of. */
-    getStatus(digest: string): CrashStatus {
-        const { records } = this.options;
-        if (!this.isSuspect(digest, records.get(digest))) {
+    /** Returns whether a request with some causes may be sent, according to the crashes that this process knows of. */
+    getStatus(causes: readonly string[]): CrashStatus {
+        const suspects = this.listSuspects(causes);
+        if (suspects.length === 0) {
             return "free";
         }
-        return records.isCondemned(digest) ? "condemned" : "suspect";
+        return suspects.some(cause => this.options.records.isCondemned(cause)) ? "condemned" : "suspect";
     }
 
     /**
      * Records a crash of a target that interrupted runs of this gateway. Runs whose reply had started long enough ago
      * are left out. If the crash interrupted few runs without a reply, each of them is written to the store; otherwise
-     * only requests that were interrupted by a crash before, since nearly all others are not the cause, and each write
-     * is a call to the store.
+     * only causes that were interrupted by a crash before, since nearly all others are not to blame, and each write is a
+     * call to the store.
      */
     recordCrash(runs: readonly InterruptedRun[]): void {
-        const { counts, records, observation } = this.options;
         const suspectRuns = runs.filter(({ replyAge }) => replyAge === undefined || replyAge < safeReplyAge);
         const withoutReply = suspectRuns.filter(({ replyAge }) => replyAge === undefined);
+        const isRecorded = withoutReply.length <= maxRecordedRuns;
         for (const { digest, request, replyAge } of suspectRuns) {
-            const wasFree = this.getStatus(digest) === "free";
-            const isRepeated = counts.hasSeen(digest);
-            counts.add(digest);
-            if (isRepeated || (replyAge === undefined && withoutReply.length <= maxRecordedRuns)) {
-                void records.addCrash(digest);
-            }
-            if (wasFree && this.getStatus(digest) !== "free") {
-                const { seen, told } = counts.parts(digest);
-                observation.logs.requests.warn(
-                    { request, digest, crashes: this.crashesOf(digest), seen, told },
-                    "request is suspect",
-                );
-            }
+            this.recordCrashOfRequest(digest, request, isRecorded && replyAge === undefined);
         }
+        this.recordCrashOfParts(suspectRuns);
     }
 
     /**
@@ -101,116 +132,263 @@
      * crashed. While no crash is known at all, targets change for other reasons, and the read is skipped.
      */
     handleTargetChange({ kind, target }: DirectoryChange): void {
-        const { counts, records } = this.options;
+        const { counts, parts, records } = this.options;
         const isLost = kind === "restarted" || (kind === "removed" && target.state === "ready");
-        if (isLost && !counts.isEmpty) {
+        if (isLost && !(counts.isEmpty && parts.isEmpty)) {
             records.refresh();
         }
     }
 
-    /** Records that the request ran without a crash. */
-    recordSuccess(digest: string): void {
-        const { counts, records } = this.options;
-        if (this.getStatus(digest) !== "free") {
-            this.log(digest, "excused");
-            void records.excuse(digest, this.crashesOf(digest));
+    /** Records that a request with some causes ran without a crash. */
+    recordSuccess(causes: readonly string[]): void {
+        const { clock, counts, parts, records } = this.options;
+        for (const cause of causes) {
+            if (isPart(cause)) {
+                if (this.isSuspect(cause) || (records.get(cause)?.retrials ?? 0) > 0) {
+                    this.log(cause, "excused");
+                    void records.excusePart(cause);
+                }
+                records.forgive(cause, clock.now());
+                this.heldSince.delete(cause);
+            }
+            else {
+                if (this.isSuspect(cause)) {
+                    this.log(cause, "excused");
+                    void records.excuse(cause, Math.max(counts.of(cause), records.get(cause)?.crashes ?? 0));
+                }
+                counts.clear(cause);
+            }
         }
-        counts.clear(digest);
+        parts.recordRun(causes.filter(isPart));
+        this.turns.releaseIf(waiting => this.getStatus(waiting) === "free");
+    }
+
+    /** Records the milliseconds since parts were last known to run without a crash at other gateways. */
+    recordPeerRuns(ages: Readonly<Record<string, number>>): void {
+        const { clock, parts, records } = this.options;
+        parts.recordPeerRuns(ages);
+        Object.entries(ages).forEach(([part, age]) => records.forgive(part, clock.now() - age));
+        this.turns.releaseIf(waiting => this.getStatus(waiting) === "free");
     }
 
     /**
-     * Requests a further run for a suspect. A granted run must be ended with {@link CrashGuard.endTurn}.
+     * Requests a further run for a suspect.
      *
      * @param canSend - Whether the run could start now; if not, none is used up.
-     * @returns Why the request may not run; undefined when the run is granted.
      */
-    async requestRetrial(digest: string, canSend: () => boolean): Promise<CrashRefusal | undefined> {
-        if (!await this.takeTurn()) {
-            return {
-                reason: "targets crashed while running this request, and other such requests run first",
-                retryAfter: turnRetryAfter,
-            };
+    async requestRetrial(causes: readonly string[], canSend: () => boolean): Promise<Retrial> {
+        if (this.mustHold(causes)) {
+            return this.refuse("parts of the prompt crash targets, and are tried one by one", sharedRetryAfter);
+        }
+        const { timeToNextRun, grantAge } = this.describeGrants(causes);
+        if (timeToNextRun > 0 && grantAge >= trialTime) {
+            return this.refuse("targets crashed, and the last trial has failed", timeToNextRun, true);
+        }
+        const turn = await this.turns.take(causes);
+        if (turn !== "taken") {
+            return this.withoutTurn(turn);
+        }
+        const suspects = this.listSuspects(causes);
+        if (suspects.length === 0) {
+            this.endTurn();
+            return { kind: "free" };
         }
         if (!canSend()) {
             this.endTurn();
-            return {
-                reason: "targets crashed while running this request, and no other target is available",
-                retryAfter: noTargetRetryAfter,
-            };
+            return this.refuse("targets crashed, and no other target is available", noTargetRetryAfter);
+        }
+        const lease = await this.options.lease.acquire();
+        if (lease === "busy") {
+            this.endTurn();
+            return this.withoutTurn("timeout");
         }
-        const verdict = await this.options.records.grant(digest, record => this.isSuspect(digest, record));
-        this.log(digest, verdict);
-        if (verdict === "granted" || verdict === "excused") {
-            return undefined;
+        const verdict = lease === "held" ? await this.grantAll(this.listSuspects(causes)) : "unavailable";
+        if (verdict === "granted") {
+            return { kind: "granted" };
         }
         this.endTurn();
-        return verdict === "condemned" ? this.condemned : {
-            reason: "targets crashed while running this request, and the store that counts its runs is unavailable",
-            retryAfter: storeRetryAfter,
-        };
+        if (verdict === "tooSoon") {
+            return this.withoutTurn(await this.turns.waitForRelease(causes));
+        }
+        if (verdict === "excused") {
+            return { kind: "free" };
+        }
+        return verdict === "condemned"
+            ? { kind: "refused", refusal: this.describeCondemned(causes) }
+            : this.refuse("the store that counts the runs of a suspect is unavailable", storeRetryAfter);
     }
 
     /** The refusal of a condemned request. */
-    get condemned(): CrashRefusal {
-        return { reason: "every target that ran it crashed", retryAfter: undefined };
+    describeCondemned(causes: readonly string[]): CrashRefusal {
+        const { records } = this.options;
+        const suspects = this.listSuspects(causes);
+        suspects.forEach(cause => records.noteRefused(cause));
+        return suspects.some(isPart)
+            ? {
+                code: requestCodes.promptCrashesTargets,
+                reason: "targets crashed with a part of the prompt",
+                retryAfter: undefined,
+            }
+            : { code: requestCodes.crashesTargets, reason: "every target that ran it crashed", retryAfter: undefined };
+    }
+
+    /** Returns a granted run that did not begin, since no target was reached. */
+    giveBack(causes: readonly string[]): void {
+        this.listSuspects(causes).forEach(cause => void this.options.records.giveBack(cause));
     }
 
     /** Ends the turn of a suspect, after its run has ended or counts as successful. */
     endTurn(): void {
-        const next = this.waiting.shift();
-        if (next === undefined) {
-            this.isTurnTaken = false;
-            return;
-        }
-        next();
-    }
-
-    /** Waits until no other suspect runs. @returns False after the timeout. */
-    private takeTurn(): Promise<boolean> {
-        if (!this.isTurnTaken) {
-            this.isTurnTaken = true;
-            return Promise.resolve(true);
-        }
-        return new Promise(resolve => {
-            const take = () => {
-                timer.cancel();
-                resolve(true);
-            };
-            const timer = this.options.clock.schedule(() => {
-                this.waiting.splice(this.waiting.indexOf(take), 1);
-                resolve(false);
-            }, turnTimeout);
-            this.waiting.push(take);
-        });
+        this.options.lease.release();
+        this.turns.end();
     }
 
-    /** A request that was granted a run and not excused stays suspect, even if its crashes are no longer known here. */
-    private isSuspect(digest: string, record: CrashRecord | undefined): boolean {
-        if (record !== undefined && record.retrials > 0) {
+    private withoutTurn(result: Exclude<TurnResult, "taken">): Retrial {
+        return result === "released"
+            ? { kind: "free" }
+            : this.refuse("targets crashed, and other such requests run first", turnRetryAfter);
+    }
+
+    private refuse(reason: string, retryAfter: number, isBinding = false): Retrial {
+        return { kind: "refused", refusal: { code: requestCodes.crashesTargets, reason, retryAfter, isBinding } };
+    }
+
+    /** Whether a prompt has several suspect parts, and prompts with one of them only may still tell them apart. */
+    private mustHold(causes: readonly string[]): boolean {
+        const parts = this.listSuspects(causes).filter(isPart);
+        if (parts.length < 2) {
+            return false;
+        }
+        const now = this.options.clock.now();
+        const held = parts.map(part => this.heldSince.get(part) ?? now);
+        parts.forEach((part, index) => this.heldSince.set(part, held[index] ?? now));
+        return now - Math.max(...held) < sharedHold;
+    }
+
+    /** Describes the last granted runs of suspect causes: until when no further one is granted, and how old they are. */
+    private describeGrants(causes: readonly string[]) {
+        const { records } = this.options;
+        const suspects = this.listSuspects(causes);
+        return {
+            timeToNextRun: Math.max(0, ...suspects.map(cause => records.timeToNextRun(cause))),
+            grantAge: Math.min(Infinity, ...suspects.map(cause => records.grantAge(cause))),
+        };
+    }
+
+    /** Requests a run for each suspect cause of a request. */
+    private async grantAll(suspects: readonly string[]): Promise<RetrialVerdict> {
+        const isShared = suspects.filter(isPart).length > 1;
+        const ordered = [...suspects.filter(isPart), ...suspects.filter(cause => !isPart(cause))];
+        let result: RetrialVerdict = "excused";
+        for (const cause of ordered) {
+            const verdict = await this.options.records.grant(cause, {
+                isSuspect: record => this.isSuspect(cause, record),
+                isShared,
+            });
+            this.log(cause, verdict);
+            if (verdict !== "granted" && verdict !== "excused") {
+                return verdict;
+            }
+            result = verdict === "granted" ? verdict : result;
+        }
+        return result;
+    }
+
+    private recordCrashOfRequest(digest: string, request: string | undefined, isRecorded: boolean): void {
+        const { counts, records, observation } = this.options;
+        const wasSuspect = this.isSuspect(digest);
+        const isRepeated = counts.hasSeen(digest);
+        counts.add(digest);
+        if (isRepeated || isRecorded) {
+            void records.addCrash(digest);
+        }
+        if (!wasSuspect && this.isSuspect(digest)) {
+            const { seen, told } = counts.parts(digest);
+            observation.logs.requests.warn(
+                { request, digest, crashes: this.crashesOf(digest), seen, told },
+                "request is suspect",
+            );
+        }
+    }
+
+    /**
+     * Records a crash for the parts of the prompts that it interrupted. It does not count against a part that is in so
+     * many prompts that it was probably interrupted by accident, at this gateway or another one.
+     */
+    private recordCrashOfParts(runs: readonly InterruptedRun[]): void {
+        const { parts, records, observation, gateways = () => 1 } = this.options;
+        const targets = runs.map(({ target }) => crashSetOf(incarnationOf(target))).reduce(joinCrashSets, 0);
+        const affectedRuns = runs.length * Math.min(maxGroup, Math.max(1, gateways()));
+        const requests = new Map(
+            runs.flatMap(({ causes, request }) => causes.filter(isPart).map(part => [part, request] as const)),
+        );
+        for (const [part, request] of requests) {
+            const wasSuspect = this.isSuspect(part);
+            parts.addToSeries(part);
+            if (1 - (1 - parts.shareOf(part)) ** affectedRuns < uninformativeChance) {
+                const isRepeated = parts.targetsOf(part) !== 0;
+                parts.add(part, targets);
+                if (isRepeated) {
+                    void records.addTargets(part, parts.seenTargetsOf(part));
+                }
+            }
+            if (!wasSuspect && this.isSuspect(part)) {
+                const crashes = this.crashesOf(part);
+                observation.logs.requests.warn(
+                    { request, part, crashes, runAge: this.runAge(part) },
+                    "part is suspect",
+                );
+            }
+        }
+    }
+
+    private listSuspects(causes: readonly string[]): string[] {
+        return causes.filter(cause => this.isSuspect(cause));
+    }
+
+    /** A cause that was granted a run and not excused stays suspect, even if its crashes are no longer known here. */
+    private isSuspect(cause: string, record = this.options.records.get(cause)): boolean {
+        if (this.options.records.countsSinceLastRun(cause, record).retrials > 0) {
             return true;
         }
-        return this.crashesOf(digest, record) - (record?.excused ?? 0) >= suspectThreshold;
+        const crashes = this.crashesOf(cause, record);
+        return isPart(cause)
+            ? crashes >= this.partThreshold || this.options.parts.seriesOf(cause) >= seriesThreshold
+            : crashes >= suspectThreshold;
+    }
+
+    private get partThreshold(): number {
+        const { least, most } = partThreshold;
+        return Math.max(least, Math.min(most, Math.ceil(this.options.parts.highestCount * comparedShare)));
     }
 
     /** Heartbeats spread counts within a second; records in the store survive restarts and do not depend on peers. */
-    private crashesOf(digest: string, record = this.options.records.get(digest)): number {
-        return Math.max(this.options.counts.of(digest), record?.crashes ?? 0);
+    private crashesOf(cause: string, record = this.options.records.get(cause)): number {
+        const { counts, parts, records } = this.options;
+        const { crashes, targets } = records.countsSinceLastRun(cause, record);
+        return isPart(cause)
+            ? sizeOfCrashSet(joinCrashSets(parts.targetsOf(cause), targets))
+            : Math.max(counts.of(cause) - (record?.excused ?? 0), crashes);
+    }
+
+    /** Milliseconds since the last known run with a part; undefined if none is known. */
+    private runAge(part: string): number | undefined {
+        const ranAt = this.options.parts.lastRunAt(part);
+        return ranAt === undefined ? undefined : Math.round(this.options.clock.now() - ranAt);
     }
 
-    private log(digest: string, verdict: string): void {
+    private log(cause: string, verdict: string): void {
         const { clock, counts, records, observation } = this.options;
-        const record = records.get(digest);
-        const { seen, told } = counts.parts(digest);
+        const record: CrashRecord | undefined = records.get(cause);
+        const { seen, told } = counts.parts(cause);
         observation.metrics.retrials.add({ result: verdict });
         observation.logs.requests.warn({
-            digest,
-            crashes: this.crashesOf(digest),
-            seen,
-            told,
+            ...isPart(cause) ? { part: cause, runAge: this.runAge(cause) } : { digest: cause, seen, told },
+            crashes: this.crashesOf(cause),
             retrials: record?.retrials,
             excused: record?.excused,
             recordAge: record === undefined ? undefined : clock.date().getTime() - record.writtenAt,
             verdict,
-        }, "suspect request judged");
+        }, isPart(cause) ? "suspect part judged" : "suspect request judged");
     }
 }
--- a/packages/gateway/src/lib/crashes/deadlyParts.test.ts
+++ b/packages/gateway/src/lib/crashes/deadlyParts.test.ts
@@ -16,6 +16,46 @@
     { name: "one gateway", options: { dataCentres: 1, gatewaysEach: 1 } },
     { name: "6 gateways", options: {} },
     { name: "21 gateways", options: { gatewaysEach: 7 } },
+    { name: "25 requests a second", options: { deadlyRate: 25 } },
+    { name: "a request every 1.5 seconds", options: { deadlyRate: 0.67 } },
+    { name: "since the start of the load", options: { deadlyFrom: 0 } },
+    { name: "always with the same subject", options: { hasFixedSubject: true } },
+    { name: "all prompts share a part", options: { hasCommonPart: true, deadlyFrom: 0 } },
+    { name: "two such parts", options: { deadlyParts: 2, hasCommonPart: true } },
+    { name: "150 harmless requests a second", options: { load: 150 } },
+    { name: "targets also crash for other reasons", options: { crashesPerMinute: 10 } },
+    {
+        name: "messages between gateways lost, delayed and duplicated",
+        options: { loss: 0.1, duplicates: 0.1, maxDelay: 150 },
+    },
+    {
+        name: "all gateways restart, twice",
+        options: {},
+        begin: site => {
+            [8_000, 25_000].forEach(delay => site.after(delay, () => site.restartGateways()));
+            return noOutage;
+        },
+    },
+    {
+        name: "the gateways of a data centre are cut off from the others",
+        options: {},
+        begin: site => {
+            site.after(3_000, () => {
+                site.group.isCut = (from, to) => (from.dataCentre === "dc-0") !== (to.dataCentre === "dc-0");
+            });
+            return noOutage;
+        },
+    },
+    {
+        name: "the store is unavailable for ten seconds",
+        options: {},
+        begin: site => {
+            const start = site.group.clock.now() + 5_000;
+            site.after(5_000, () => site.store.setDown(true));
+            site.after(15_000, () => site.store.setDown(false));
+            return { start, end: start + 10_000 };
+        },
+    },
 ];
 
 for (const { name, options, begin = () => noOutage } of scenarios) {
--- a/packages/gateway/src/lib/peers/PeerExchange.test.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.test.ts
@@ -83,6 +83,8 @@
             slowTargets: table,
             chainLoads: table,
             crashes: table,
+            partCrashes: Object.fromEntries(ids.map(id => [id, 2 ** 32 - 1])),
+            safeRuns: table,
             limits: Object.fromEntries(ids.map(id => [id, { rate: 12.25, age: 12_345 }])),
             mayTakeDuty: true,
             dutyTerm: 4_000,
--- a/packages/gateway/src/lib/peers/PeerState.ts
+++ b/packages/gateway/src/lib/peers/PeerState.ts
@@ -11,6 +11,10 @@
     chainLoads: z.record(z.string(), z.number()),
     /** Number of targets that crashed while running a request, by the digest of the request. */
     crashes: z._default(z.record(z.string(), z.number()), {}),
+    /** The targets that crashed while running prompts with a part, as a {@link CrashSet}, by the part. */
+    partCrashes: z._default(z.record(z.string(), z.number()), {}),
+    /** Milliseconds since a prompt with a part last ran without a crash, for parts that crashes are counted of. */
+    safeRuns: z._default(z.record(z.string(), z.number()), {}),
     /** What targets said about their limits, by incarnation. */
     limits: z._default(z.record(z.string(), limitStatementSchema), {}),
     /** The term under which the gateway holds the placement duty; undefined unless confirmed by the store. */
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -30,6 +30,8 @@
     readonly lastEventId: string | undefined;
     /** 0 is the most urgent; undefined for the default of the targets. */
     readonly priority: number | undefined;
+    /** Whether the request itself may still be sent when the connection is established. */
+    readonly maySend: () => boolean;
     readonly listener: ChainAttemptListener;
 }
 
@@ -51,7 +53,7 @@
     private isClosed = false;
 
     constructor(private readonly options: ChainAttemptOptions) {
-        const { context, caller, service, load, target, lastEventId, priority, listener } = options;
+        const { context, caller, service, load, target, lastEventId, priority, maySend, listener } = options;
         this.startedAt = context.clock.now();
         this.exchange = openExchange({
             context,
@@ -60,6 +62,7 @@
             chain: load.chain.hops,
             lastEventId,
             priority,
+            maySend,
             listener: {
                 onHead: response => {
                     this.response = response;
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -1,5 +1,5 @@
 import { requestCodes, type Timer } from "@waxwingspar/utils";
-import { type CrashRefusal } from "../crashes/CrashGuard.js";
+import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
@@ -130,6 +130,7 @@
                 caller,
                 target,
                 lastEventId: caller.request.lastEventId,
+                maySend: () => this.crashCheck.maySend,
                 listener: {
                     onHead: response => this.receiveHead(attempt, response),
                     onData: chunk => this.receiveData(attempt, chunk),
@@ -209,10 +210,8 @@
     private exchangeFailed(attempt: Attempt, { neverSent, isWithdrawn = false, reason }: ExchangeFailure): void {
         this.remove(attempt, isWithdrawn ? "withdrawn" : "failed");
         this.logFailure(attempt, reason);
-        if (!neverSent) {
-            const { target, startedAt, repliedAt } = attempt;
-            this.crashCheck.noteInterrupted({ target, startedAt, repliedAt });
-        }
+        const { target, startedAt, repliedAt } = attempt;
+        this.crashCheck.noteFailure({ target, startedAt, repliedAt, neverSent });
         if (this.caller.headSent) {
             this.finish();
             this.caller.breakOff(reason);
@@ -269,13 +268,13 @@
     }
 
     /** Ends a request that is not sent again because targets crashed while running it. */
-    private refuseSuspect({ reason, retryAfter }: CrashRefusal): void {
+    private refuseSuspect({ code, reason, retryAfter, isBinding }: CrashRefusal): void {
         if (this.failedReply !== undefined || this.limits.mayHaveRun) {
             this.giveUp(reason);
             return;
         }
         this.finish();
-        this.caller.refuse(requestCodes.crashesTargets, reason, retryAfter);
+        this.caller.refuse(code, reason, retryAfter, isBinding);
     }
 
     private giveUp(reason: string): void {
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -2,7 +2,8 @@
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { mayResume } from "../configuration/Configuration.js";
-import { type CrashRefusal, safeReplyAge } from "../crashes/CrashGuard.js";
+import { safeReplyAge } from "../crashes/CrashGuard.js";
+import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
@@ -150,10 +151,8 @@
         if (!isWithdrawn) {
             this.service.streamFailed(attempt.load, neverSent);
         }
-        if (!neverSent) {
-            const { target, startedAt, firstEventAt } = attempt;
-            this.crashCheck.noteInterrupted({ target, startedAt, repliedAt: firstEventAt });
-        }
+        const { target, startedAt, firstEventAt: repliedAt } = attempt;
+        this.crashCheck.noteFailure({ target, startedAt, repliedAt, neverSent });
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
@@ -234,9 +233,9 @@
         const priority = this.delivered.hasBegun
             ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
             : undefined;
-        this.attempts.add(
-            new ChainAttempt({ context, caller, service, load, target, lastEventId, priority, listener: this }),
-        );
+        const maySend = () => this.crashCheck.maySend;
+        const route = { context, caller, service, load, target };
+        this.attempts.add(new ChainAttempt({ ...route, lastEventId, priority, maySend, listener: this }));
     }
 
     /** Handles a reply with an error status: retries the request if allowed, otherwise forwards the reply. */
@@ -329,13 +328,13 @@
     }
 
     /** Ends a request that is not sent again because targets crashed while running it. */
-    private refuseSuspect({ reason, retryAfter }: CrashRefusal): void {
+    private refuseSuspect({ code, reason, retryAfter, isBinding }: CrashRefusal): void {
         if (this.limits.mayHaveRun || this.caller.headSent) {
             this.giveUp(reason);
             return;
         }
         this.finish();
-        this.caller.refuse(requestCodes.crashesTargets, reason, retryAfter);
+        this.caller.refuse(code, reason, retryAfter, isBinding);
     }
 
     /** Gives up unless a run is in flight. */
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -14,6 +14,8 @@
     readonly lastEventId: string | undefined;
     /** 0 is the most urgent; undefined for the default of the targets. */
     readonly priority?: number;
+    /** Whether the request itself may still be sent when the connection is established. */
+    readonly maySend: () => boolean;
     readonly listener: ExchangeListener;
 }
 
@@ -22,7 +24,7 @@
 
 /** Sends a caller's request to a target, with its remaining time. */
 export function openExchange(options: OpenExchangeOptions): OpenExchange {
-    const { context, caller, target, chain, lastEventId, priority, listener } = options;
+    const { context, caller, target, chain, lastEventId, priority, maySend, listener } = options;
     const headers = context.wire.writeDispatchHeaders(caller.rawHeaders, {
         targetId: target.id,
         timeLeft: caller.timeLeft,
@@ -55,7 +57,7 @@
         headers,
         body: caller.body,
         connectTimeout: context.connectTimeout,
-        maySend: () => context.rests.timeLeft(target) === 0 && context.mayReceive(target),
+        maySend: () => maySend() && context.rests.timeLeft(target) === 0 && context.mayReceive(target),
         listener: {
             ...listener,
             onHead: response => {
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -133,6 +133,11 @@
         await this.group.runAsync(5_000);
     }
 
+    /** Whether targets also crash without a request that causes it. */
+    get crashesByThemselves(): boolean {
+        return this.options.crashesPerMinute > 0;
+    }
+
     /** Schedules an action `delay` milliseconds from now. */
     after(delay: number, action: () => void): void {
         this.group.clock.schedule(action, delay);
@@ -166,9 +171,9 @@
             gateways: () => group.size.value,
         });
         const { chains, crashes, directory, suspicions } = router;
-        group.onPeerSums(others => crashes.counts.recordPeerCounts(others.crashes));
+        group.onPeerSums(others => crashes.receive(others));
         group.overrideState(() => ({
-            crashes: crashes.counts.listSeen(),
+            ...crashes.describe(),
             chainLoads: Object.fromEntries(chains.headLoads()),
             suspects: suspicions.listLost(),
         }));
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -135,6 +135,7 @@
             directory: this.directory,
             refusesConnections: ({ port }) => Promise.resolve(targetAt(port).isDown),
             observation,
+            gateways,
         });
         this.crashes.records.start();
         this.chains = new ChainService({
--- a/packages/gateway/src/lib/testing/checkDeadlyParts.ts
+++ b/packages/gateway/src/lib/testing/checkDeadlyParts.ts
@@ -18,12 +18,14 @@
 const maxSends = 3;
 /** Share of harmless requests that must be served at the first attempt, as a share of those before the first crash. */
 const minServed = 0.5;
+/** Result codes of requests that are refused because targets crashed. */
+const refusalNumbers = new Set<number>([requestCodes.crashesTargets.number, requestCodes.promptCrashesTargets.number]);
 /** Minimum number of requests on which shares are compared. */
 const minSample = 20;
 
 /**
  * Checks what callers and targets rely on while requests with deadly parts come: that few of them are sent, that
- * harmless requests are served, and that none of these is refused for good.
+ * harmless requests are served, unless targets also crash by themselves, and that none of these is refused for good.
  *
  * @returns What is wrong; empty if nothing is.
  */
@@ -33,7 +35,8 @@
     const parts = [...site.arrivals.keys()].filter(key => key.startsWith("deadly"));
     return [
         ...refused > 0 ? [`${refused} harmless requests refused for good`] : [],
-        ...parts.flatMap(part => [...checkSends(site, part, outage), ...checkServed(site, part, harmless, outage)]),
+        ...parts.flatMap(part => checkSends(site, part, outage)),
+        ...site.crashesByThemselves ? [] : parts.flatMap(part => checkServed(site, part, harmless, outage)),
     ];
 }
 
@@ -81,7 +84,5 @@
 }
 
 function isRefusedForGood({ failures }: CallerOutcome): boolean {
-    return failures.some(({ result, hasRetryAfter }) =>
-        result === requestCodes.crashesTargets.number && !hasRetryAfter
-    );
+    return failures.some(({ result, hasRetryAfter }) => !hasRetryAfter && refusalNumbers.has(result ?? 0));
 }
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -158,6 +158,14 @@
         retry: "later",
         summary: "Every target that could serve the request has asked for rest.",
     },
+    promptCrashesTargets: {
+        number: 1021,
+        name: "prompt-crashes-targets",
+        execution: "not run",
+        status: 503,
+        retry: "no",
+        summary: "Targets crashed under requests that have a part of the prompt in common with this one.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
