An answer without a length that ends with its connection clears nobody, and no empty stream counts as whole

What callers saw: nothing yet; the rule on answers without length or chunks is new. With such answers a target that crashes ends them in order, so its crash looked like a run that went well: it excused the deadly part, and the caller got an empty stream as a success.

Cause: the end of a reply was taken as a success whatever told that it was the end. A stream that ends so within an event or before the first one counts as interrupted, is resumed or broken off, and its chain is penalised.

--- a/packages/gateway/src/lib/crashes/deadlyParts.test.ts
+++ b/packages/gateway/src/lib/crashes/deadlyParts.test.ts
@@ -23,6 +23,7 @@
     { name: "all prompts share a part", options: { hasCommonPart: true, deadlyFrom: 0 } },
     { name: "two such parts", options: { deadlyParts: 2, hasCommonPart: true } },
     { name: "150 harmless requests a second", options: { load: 150 } },
+    { name: "answers without a length that a crash ends in order", options: { endsQuietly: true } },
     { name: "targets also crash for other reasons", options: { crashesPerMinute: 10 } },
     {
         name: "messages between gateways lost, delayed and duplicated",
--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -1,4 +1,4 @@
-import { type CrashGuard } from "../crashes/CrashGuard.js";
+import { type CrashGuard, safeReplyAge } from "../crashes/CrashGuard.js";
 import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type Target } from "../directory/Target.js";
 import { type CallerExchange } from "./CallerExchange.js";
@@ -12,15 +12,13 @@
     readonly canSend: () => boolean;
 }
 
-/** A send that ended without a complete reply. */
-export interface FailedSend {
+/** A send to a target. */
+export interface Send {
     readonly target: Target;
     /** Start time on the clock. */
     readonly startedAt: number;
     /** Time of the start of the reply, for a stream of its first event; undefined if there was none. */
     readonly repliedAt: number | undefined;
-    /** Whether no byte can have reached the target. */
-    readonly neverSent: boolean;
 }
 
 /** Checks before each send of one request that the request is not known to crash its targets. */
@@ -67,22 +65,30 @@
         }
     }
 
+    /**
+     * Records that a reply has ended.
+     *
+     * @param isWhole - False if the end of the connection is all that tells so: the target may have crashed soon after
+     * the start of the reply.
+     */
+    noteEnd(send: Send, isWhole: boolean): void {
+        const { clock } = this.options.context;
+        if (isWhole || (send.repliedAt !== undefined && clock.now() - send.repliedAt >= safeReplyAge)) {
+            this.noteSuccess();
+        }
+        else {
+            this.detectCrash(send);
+        }
+    }
+
     /** Records that a send ended without a reply, or was interrupted by its target. */
-    noteFailure({ target, startedAt, repliedAt, neverSent }: FailedSend): void {
-        if (neverSent) {
-            this.returnRetrial();
-            return;
+    noteFailure(send: Send, neverSent: boolean): void {
+        if (!neverSent) {
+            this.detectCrash(send);
+        }
+        else if (this.isGranted) {
+            this.guard.giveBack(this.causes);
         }
-        const { context, caller } = this.options;
-        const now = context.clock.now();
-        context.crashes.detector.handleInterruptedRun({
-            request: caller.request.id,
-            digest: caller.digest,
-            causes: caller.crashCauses,
-            target,
-            after: now - startedAt,
-            replyAge: repliedAt === undefined ? undefined : now - repliedAt,
-        });
     }
 
     /** Releases the turn when no run is in flight any more. */
@@ -94,10 +100,17 @@
         }
     }
 
-    private returnRetrial(): void {
-        if (this.isGranted) {
-            this.guard.giveBack(this.causes);
-        }
+    private detectCrash({ target, startedAt, repliedAt }: Send): void {
+        const { context, caller } = this.options;
+        const now = context.clock.now();
+        context.crashes.detector.handleInterruptedRun({
+            request: caller.request.id,
+            digest: caller.digest,
+            causes: caller.crashCauses,
+            target,
+            after: now - startedAt,
+            replyAge: repliedAt === undefined ? undefined : now - repliedAt,
+        });
     }
 
     private get guard(): CrashGuard {
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -3,6 +3,7 @@
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
+import { isDelimited } from "../upstream/isDelimited.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { CrashCheck } from "./CrashCheck.js";
@@ -194,9 +195,10 @@
     }
 
     private receiveEnd(attempt: Attempt): void {
-        const status = attempt.response?.statusCode ?? 0;
+        const { response, target, startedAt, repliedAt } = attempt;
+        const status = response?.statusCode ?? 0;
         const isFailure = status >= firstServerError;
-        this.crashCheck.noteSuccess();
+        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, response !== undefined && isDelimited(response));
         this.remove(attempt, isFailure ? "failed" : "served");
         if (!isFailure || this.caller.headSent) {
             this.deliver(attempt);
@@ -211,7 +213,7 @@
         this.remove(attempt, isWithdrawn ? "withdrawn" : "failed");
         this.logFailure(attempt, reason);
         const { target, startedAt, repliedAt } = attempt;
-        this.crashCheck.noteFailure({ target, startedAt, repliedAt, neverSent });
+        this.crashCheck.noteFailure({ target, startedAt, repliedAt }, neverSent);
         if (this.caller.headSent) {
             this.finish();
             this.caller.breakOff(reason);
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -6,6 +6,7 @@
 import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
+import { isDelimited } from "../upstream/isDelimited.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
@@ -137,12 +138,14 @@
     }
 
     onEnd(attempt: ChainAttempt): void {
-        if (attempt.hasPartialEvent) {
-            this.attemptEnded(attempt, "unknown", "ended within an event");
+        const isWhole = attempt.response !== undefined && isDelimited(attempt.response);
+        if (attempt.hasPartialEvent || (!isWhole && attempt.firstEventAt === undefined && !attempt.isPlain)) {
+            this.onFailure(attempt, { neverSent: false, reason: "ended within an event or before the first" });
             return;
         }
+        const { target, startedAt, firstEventAt: repliedAt } = attempt;
+        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, isWhole);
         this.writeHeadOnce(attempt);
-        this.crashCheck.noteSuccess();
         this.finish();
         this.caller.end(`served ${this.delivered.count} events`);
     }
@@ -152,7 +155,7 @@
             this.service.streamFailed(attempt.load, neverSent);
         }
         const { target, startedAt, firstEventAt: repliedAt } = attempt;
-        this.crashCheck.noteFailure({ target, startedAt, repliedAt, neverSent });
+        this.crashCheck.noteFailure({ target, startedAt, repliedAt }, neverSent);
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -25,6 +25,8 @@
     readonly subjects?: number;
     /** Whether the prompts of all requests begin with the same part. */
     readonly hasCommonPart?: boolean;
+    /** Whether answers have no length, so that a crash may look like their end. */
+    readonly endsQuietly?: boolean;
     /** Whether a request with a deadly part always has the same subject; otherwise any. */
     readonly hasFixedSubject?: boolean;
 }
@@ -103,6 +105,7 @@
             subjects: 0,
             hasCommonPart: false,
             hasFixedSubject: false,
+            endsQuietly: false,
             ...options,
             gatewaysEach,
         };
@@ -189,6 +192,7 @@
             clock,
             random: this.random,
             target,
+            endsQuietly: this.options.endsQuietly,
             crashesUnder: body => culpritsIn(body).length > 0,
             onArrival: body => [body, ...deadlyIn(body)].forEach(key => recordTime(this.arrivals, key, clock.now())),
             onCrash: body => {
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -22,11 +22,14 @@
     readonly latency?: () => { readonly connect: number; readonly reply: number; };
     /** Number of events of a complete answer. */
     readonly events?: number;
+    /** Whether a crash ends answers that have begun in order, as the end of an answer without a length. */
+    readonly endsQuietly?: boolean;
 }
 
 interface Run {
     readonly body: string;
     readonly listener: ExchangeListener;
+    hasHead: boolean;
     timer: Timer | undefined;
 }
 
@@ -89,7 +92,7 @@
     /** Receives a request, in place of the constructor of a real exchange. */
     open({ body, listener, maySend }: ExchangeOptions): OpenExchange {
         const { clock, onArrival } = this.options;
-        const run: Run = { body: body?.toString() ?? "", listener, timer: undefined };
+        const run: Run = { body: body?.toString() ?? "", listener, hasHead: false, timer: undefined };
         const latency = this.options.latency?.() ?? { connect: delay, reply: 0 };
         let isSent = false;
         run.timer = clock.schedule(() => {
@@ -130,7 +133,14 @@
         this.runs.clear();
         cut.forEach(({ timer }) => timer?.cancel());
         this.options.onCrash(body);
-        cut.forEach(({ listener }) => listener.onFailure({ neverSent: false, reason: "ECONNRESET" }));
+        for (const { listener, hasHead } of cut) {
+            if (hasHead && this.options.endsQuietly === true) {
+                listener.onEnd();
+            }
+            else {
+                listener.onFailure({ neverSent: false, reason: "ECONNRESET" });
+            }
+        }
     }
 
     private get drawsRefusal(): boolean {
@@ -161,6 +171,9 @@
     private begin(run: Run): void {
         const { clock, crashesUnder } = this.options;
         if (crashesUnder(run.body)) {
+            if (this.options.endsQuietly === true) {
+                this.sendHead(run);
+            }
             run.timer = clock.schedule(() => this.crash(run.body), this.draw(crashTime));
             return;
         }
@@ -168,10 +181,15 @@
             this.postpone(run, () => this.begin(run));
             return;
         }
+        this.sendHead(run);
+        this.sendEvent(run, 0);
+    }
+
+    private sendHead(run: Run): void {
         const headers = this.replyHeaders(run.body);
         this.tellLeaving(run.body, headers);
+        run.hasHead = true;
         run.listener.onHead({ statusCode: 200, headers, rawHeaders: [] });
-        this.sendEvent(run, 0);
     }
 
     private replyHeaders(body: string): Record<string, string> {
