A gateway's part of the links between data centres follows its requests in flight

What callers would see: while most new connections go to one gateway, and no data centre has a whole chain, that gateway refused what the links can carry, since it had the part of one of many.

Cause: the allowance was divided by the number of gateways, not by who has the callers. Change: a fifth is divided equally, the rest by the requests in flight that heartbeats tell of; the parts add up to 1. Before: with 6, 24 and 68 gateways and all callers at one, less than three quarters of the requests in time that a link serves for all (the test asserts it for the code without the loads); after: at least three quarters.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,6 +1,7 @@
 import { requestCodes, sleep } from "@waxwingspar/utils";
 import { type AddressInfo } from "node:net";
 import { CrossingAllowance } from "./chains/CrossingAllowance.js";
+import { loadShare } from "./chains/loadShare.js";
 import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
@@ -106,7 +107,9 @@
         this.directory = new TargetDirectory({ clock, onChange: change => this.handleTargetChange(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
-        this.crossingAllowance = new CrossingAllowance({ clock, random, gateways: () => this.peers.groupSize });
+        const gateways = () => this.peers.groupSize;
+        const share = () => loadShare(this.services.headLoads(), this.peers.others.chainLoads);
+        this.crossingAllowance = new CrossingAllowance({ clock, random, gateways, loadShare: share });
         this.limits = new TargetLimits({ clock, observation });
         this.rests = new TargetRests({ clock, random, observation });
         this.replies = new TargetReplies({
@@ -123,7 +126,7 @@
             directory: this.directory,
             refusesConnections,
             observation,
-            gateways: () => this.peers.groupSize,
+            gateways,
         });
         this.peers = this.createPeerGroup();
         this.copies = new TableCopies({
@@ -146,7 +149,7 @@
             peerLoad: headId => this.peers.chainLoad(headId),
             engines,
             crossingAllowance: this.crossingAllowance,
-            gateways: () => this.peers.groupSize,
+            gateways,
             isOn: options.isOn,
             observation,
         });
--- a/packages/gateway/src/lib/chains/CrossingAllowance.test.ts
+++ b/packages/gateway/src/lib/chains/CrossingAllowance.test.ts
@@ -20,6 +20,10 @@
     /** Milliseconds between two requests of all callers. */
     readonly interval: number;
     readonly duration: number;
+    /** Whether all callers are at one gateway. */
+    readonly isAtOne?: boolean;
+    /** Whether each gateway knows which part of the requests it has. */
+    readonly knowsLoads?: boolean;
 }
 
 /** A gateway of a site whose two data centres have one chain together. */
@@ -29,6 +33,7 @@
     random: Random,
     isOn?: MechanismSwitch,
     directory = new TargetDirectory({ clock, onChange: () => undefined }),
+    loadShare?: () => number,
 ) {
     directory.put(testTarget("t1", "large", { first: 0, end: 40 }, "x"));
     directory.put(testTarget("t2", "large", { first: 40, end: 80 }, "y"));
@@ -41,21 +46,24 @@
         paces: new TargetPaces(clock),
         rests: noRests,
         peerLoad: () => 0,
-        crossingAllowance: new CrossingAllowance({ clock, random, gateways: () => gateways }),
+        crossingAllowance: new CrossingAllowance({ clock, random, gateways: () => gateways, loadShare }),
         isOn,
     });
 }
 
 /** Sends requests over the only chain, whose transfers queue on the link, and counts what callers get. */
-function play({ gateways, interval, duration }: Load, isOn?: MechanismSwitch) {
+function play({ gateways, interval, duration, isAtOne = false, knowsLoads = false }: Load, isOn?: MechanismSwitch) {
     const clock = new ManualClock();
     const random = seededRandom(7);
-    const routers = Array.from({ length: gateways }, () => createRouter(clock, gateways, random, isOn));
+    const routers = Array.from({ length: gateways }, (_, index) => {
+        const share = () => isAtOne ? (index === 0 ? 1 : 0) : 1 / gateways;
+        return createRouter(clock, gateways, random, isOn, undefined, knowsLoads ? share : undefined);
+    });
     const counts = { inTime: 0, late: 0, left: 0, refused: 0 };
     let linkFreeAt = 0;
     for (let sent = 0; sent < duration; sent += interval) {
         clock.advance(interval);
-        const router = routers[random.below(gateways)];
+        const router = routers[isAtOne ? 0 : random.below(gateways)];
         const load = router?.choose(slowLink, new Set());
         if (router === undefined || load === undefined) {
             counts.refused++;
@@ -88,6 +96,17 @@
     assert.deepEqual(few, { inTime: 80, late: 0, left: 0, refused: 0 });
 });
 
+test("when all callers are at one gateway, the link serves at least three quarters of what it serves for all", () => {
+    for (const gateways of [6, 24, 68]) {
+        const load = { gateways, interval: 11, duration: 8_000 };
+        const atAll = play(load);
+        const atOne = play({ ...load, isAtOne: true, knowsLoads: true });
+        assert.ok(atOne.inTime >= 0.75 * atAll.inTime, `${atOne.inTime} and ${atAll.inTime} in time of ${gateways}`);
+        assert.equal(atOne.left, 0);
+        assert.ok(play({ ...load, isAtOne: true }).inTime < 0.75 * atAll.inTime);
+    }
+});
+
 // Streams of two lost chains were resumed over the link, which took up to 1.9 s to carry all their tokens again.
 test("streams are resumed over the link while it can carry them, then over whole chains, and over it if none is left", () => {
     const clock = new ManualClock();
--- a/packages/gateway/src/lib/chains/CrossingAllowance.ts
+++ b/packages/gateway/src/lib/chains/CrossingAllowance.ts
@@ -7,6 +7,8 @@
     readonly random: Random;
     /** Number of gateways that share the links between data centres. */
     readonly gateways: () => number;
+    /** The part of all gateways' requests in flight that are this gateway's, from 0 to 1; an equal part by default. */
+    readonly loadShare?: () => number;
 }
 
 const bitsPerByte = 8;
@@ -15,6 +17,11 @@
 const usableShare = 0.8;
 /** Milliseconds of transfers that all gateways together may queue at once: half of a usual latency target. */
 const maxBacklog = 300;
+/**
+ * Share of the allowance that is divided equally. The rest follows the requests in flight, since callers may all be at
+ * one gateway; the equal part is for callers that have just moved to another one.
+ */
+const equalShare = 0.2;
 /** Milliseconds without a request after which the level is unknown, since the link was not used meanwhile. */
 const idleTime = 2_000;
 
@@ -55,19 +62,26 @@
     }
 
     private refill(time: number): void {
-        const { clock, gateways } = this.options;
+        const { clock } = this.options;
         const now = clock.now();
-        const share = maxBacklog / gateways();
+        const share = maxBacklog * this.share;
         if (now - this.refilledAt > idleTime) {
             this.level = this.startLevel(time, share);
         }
         else {
-            const gained = (now - this.refilledAt) * usableShare / gateways();
+            const gained = (now - this.refilledAt) * usableShare * this.share;
             this.level = Math.min(Math.max(time, share), this.level + gained);
         }
         this.refilledAt = now;
     }
 
+    /** This gateway's part of the allowance; the parts of all gateways add up to 1. */
+    private get share(): number {
+        const { gateways, loadShare } = this.options;
+        const equal = 1 / gateways();
+        return loadShare === undefined ? equal : equalShare * equal + (1 - equalShare) * loadShare();
+    }
+
     /** The level after an idle time. It is random if a request of each gateway at once would be too much. */
     private startLevel(time: number, share: number): number {
         return share >= time ? share : this.options.random.next() * time;
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -25,6 +25,8 @@
     readonly subjects?: number;
     /** Whether the prompts of all requests begin with the same part. */
     readonly hasCommonPart?: boolean;
+    /** Whether all callers are at the first gateway. */
+    readonly hasCallersAtOne?: boolean;
     /** Whether answers have no length, so that a crash may look like their end. */
     readonly endsQuietly?: boolean;
     /** Whether a request with a deadly part always has the same subject; otherwise any. */
@@ -105,6 +107,7 @@
             subjects: 0,
             hasCommonPart: false,
             hasFixedSubject: false,
+            hasCallersAtOne: false,
             endsQuietly: false,
             ...options,
             gatewaysEach,
@@ -282,7 +285,7 @@
         startedAt = this.group.clock.now(),
     ): void {
         const living = this.gateways.filter(({ group }) => this.group.runningGateways.includes(group));
-        const gateway = living[Math.floor(this.random.next() * living.length)];
+        const gateway = living[this.options.hasCallersAtOne ? 0 : Math.floor(this.random.next() * living.length)];
         if (gateway === undefined) {
             return;
         }
