Soak: targets that crash under a part of prompts

Change: two of a hundred plain requests have a part that crashes each target which begins to answer them; others share their subjects. The check 'part' counts such requests from processes in touch, later than three seconds after the fifth crash.

--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -3,7 +3,7 @@
 import { Agent } from "node:http";
 import { type SoakGateway } from "./SoakGateway.js";
 import { type SoakKind, type SoakLog } from "./SoakLog.js";
-import { gatewayHeader, streamEvents } from "./SoakTargets.js";
+import { deadlyPart, gatewayHeader, promptHeader, streamEvents } from "./SoakTargets.js";
 
 /** Options of {@link SoakCaller}. */
 export interface SoakCallerOptions {
@@ -25,6 +25,10 @@
 const thinkTime = { least: 5, most: 80 };
 /** Milliseconds after which a caller without a gateway tries again. */
 const retryDelay = 100;
+/** Share of the plain requests whose prompt has a deadly part. */
+const deadlyShare = 0.02;
+/** Number of subjects, one of which each prompt has. */
+const subjects = 8;
 const signatureHeader = "waxwingspar-replica-signature";
 const signaturePrefix = "signature-of-";
 const streamBody = Array.from({ length: streamEvents }, (_, id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
@@ -51,6 +55,14 @@
         }
     }
 
+    /** Writes the parts of a prompt: its subject, perhaps a deadly part, and one of its own. */
+    private writePrompt(kind: SoakKind): string {
+        const { random } = this.options;
+        const subject = `subject-${Math.floor(random.next() * subjects)}:20`;
+        const isDeadly = random.next() < deadlyShare && kind !== "stream";
+        return [subject, ...isDeadly ? [`${deadlyPart}:5`] : [], `${uniqueId()}:9`].join(",");
+    }
+
     /** @returns Whether the connection may be used again. */
     private async call(gateway: SoakGateway, agent: Agent): Promise<boolean> {
         const { random, log, now } = this.options;
@@ -66,7 +78,7 @@
             body: method === "POST" ? requestId : undefined,
             requestId,
             agent,
-            headers: { [gatewayHeader]: name },
+            headers: { [gatewayHeader]: name, [promptHeader]: this.writePrompt(kind) },
         }).catch((): CallerReply | undefined => undefined);
         const signer = String(reply?.headers[signatureHeader] ?? "").slice(signaturePrefix.length);
         const plainBody = `${signer} ${method} ${path} ${method === "POST" ? requestId : ""}`;
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -21,6 +21,8 @@
     /** Undefined if its process has been replaced since. */
     readonly sender: GatewayIncarnation | undefined;
     readonly end: RunEnd;
+    /** Whether it crashed its target. */
+    readonly isDeadly?: boolean;
 }
 
 /** The kinds of route that callers use. */
@@ -75,6 +77,8 @@
     /** Times in which the link to a target was cut or silent. */
     readonly linkFaults: LinkFaultPeriod[] = [];
     readonly rests: SoakRest[] = [];
+    /** Times at which targets crashed under a deadly part. */
+    readonly crashes: number[] = [];
     readonly toldLeaving: ToldLeaving[] = [];
     /** Headers of targets that a gateway logged as unknown. */
     readonly unknownHeaders: string[] = [];
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -41,6 +41,15 @@
 
 /** Header in which callers name the gateway that they call. */
 export const gatewayHeader = "x-gateway";
+/** Header with the parts of a prompt. */
+export const promptHeader = "waxwingspar-prompt-prefix";
+/** The part of prompts that crashes each plain target which begins to answer them. */
+export const deadlyPart = "deadly";
+/** Bounds of the milliseconds from the start of an answer to the crash, and until another target replaces the crashed one. */
+const crashTime = { least: 5, most: 50 };
+const restartTime = { least: 1_500, most: 2_500 };
+/** Milliseconds after which the entry of a crashed target expires. */
+const entryExpiry = 1_000;
 /** Number of events of a complete stream. */
 export const streamEvents = 20;
 const eventInterval = 10;
@@ -56,6 +65,8 @@
 const refusalTime = { least: 300, most: 8_000 };
 /** Longest time in milliseconds for which a leaving target says so in its replies before the list does. */
 const maxUnlistedLeaving = 3_000;
+/** Milliseconds before a crash in which requests that it interrupts may have arrived. */
+const longestRun = 2_000;
 /** Milliseconds from its leaving until a target ends. */
 const leaveTime = 6_000;
 
@@ -65,6 +76,7 @@
     /** Ids of those that are leaving or have left. */
     private readonly left = new Set<string>();
     private started = 0;
+    private isStopped = false;
 
     constructor(private readonly options: SoakTargetsOptions) {}
 
@@ -155,6 +167,7 @@
 
     /** Stops all targets. */
     stop(): void {
+        this.isStopped = true;
         this.all.forEach(({ fake, link }) => {
             link.stop();
             fake.stop();
@@ -170,6 +183,26 @@
         return this.all.filter(({ id }) => !this.left.has(id));
     }
 
+    /** Crashes a target: its connections are reset, new ones are refused, and another one starts some time later. */
+    private async crash(target: SoakTarget): Promise<void> {
+        const { store, log, now } = this.options;
+        const { id, link, fake } = target;
+        if (this.left.has(id) || this.isStopped) {
+            return;
+        }
+        this.left.add(id);
+        log.event(now(), `${id} crashes under a part`);
+        log.crashes.push(now());
+        log.linkFaults.push({ target: id, from: now() - longestRun, until: Infinity });
+        link.stop();
+        fake.stop();
+        setTimeout(() => unlistTarget(store, id), entryExpiry);
+        await new Promise(resolve => void setTimeout(resolve, this.draw(restartTime)));
+        if (!this.isStopped) {
+            await this.addPlain(id.split("-")[1] ?? "");
+        }
+    }
+
     private addPlain(dataCentre: string): Promise<void> {
         return this.add(`plain-${dataCentre}-${++this.started}`);
     }
@@ -179,7 +212,19 @@
             const [end, behaviour] = this.choose(seen, target);
             const sender = this.options.findSender(String(seen.headers[gatewayHeader]));
             const at = this.options.now();
-            this.options.log.runs.push({ requestId: seen.id, target: id, at, sender, end });
+            const isDeadly = end !== "refused" && String(seen.headers[promptHeader]).includes(`${deadlyPart}:`);
+            this.options.log.runs.push({
+                requestId: seen.id,
+                target: id,
+                at,
+                sender,
+                end: isDeadly ? "brokenOff" : end,
+                isDeadly,
+            });
+            if (isDeadly) {
+                setTimeout(() => void this.crash(target), this.draw(crashTime));
+                return;
+            }
             const answer: TargetBehaviour = (...parts) => {
                 if (sender !== undefined && end !== "brokenOff" && target.link.isOpen) {
                     this.noteWords(target, end, sender);
--- a/packages/soak/src/lib/checkSoak.test.ts
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -96,3 +96,24 @@
     log.unknownHeaders.push("server-mood");
     assert.deepEqual(checksOf(log), ["header"]);
 });
+
+test("more than three requests with a deadly part after the fifth crash are found, except around a store that fails", () => {
+    const late = (count: number) =>
+        Array.from({ length: count }, (_, id) => ({
+            requestId: `late ${id}`,
+            at: 20_000 + id,
+            end: "brokenOff" as const,
+            isDeadly: true,
+        }));
+    const played = (count: number, crashes: number) => {
+        const log = createLog([], late(count));
+        log.crashes.push(...Array.from({ length: crashes }, (_, index) => 10_000 + index));
+        return log;
+    };
+    assert.deepEqual(checksOf(played(3, 5)), []);
+    assert.deepEqual(checksOf(played(4, 4)), []);
+    assert.deepEqual(checksOf(played(4, 5)), ["part"]);
+    const withoutStore = played(4, 5);
+    withoutStore.storeFaults.push({ from: 18_000, until: 19_000 });
+    assert.deepEqual(checksOf(withoutStore), []);
+});
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -13,6 +13,9 @@
 const onTheWay = 500;
 /** Requests that may reach a target from one gateway in a rest that it asked for. */
 const allowedInRest = 2;
+/** Requests with a deadly part that may reach targets later than the contact time after the crash with this index. */
+const allowedWithPart = 3;
+const lastFreeCrash = 4;
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const success = 200;
 
@@ -38,6 +41,7 @@
         ...checkToldLeaving(log),
         ...log.longestStall > maxStall ? [] : checkRests(log),
         ...checkStops(log),
+        ...checkDeadlyPart(log),
         ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
         ...log.outdated.map(detail => ({ check: "configuration", detail })),
         ...log.unknownHeaders.map(detail => ({ check: "header", detail })),
@@ -105,6 +109,16 @@
     });
 }
 
+/** Few requests with a deadly part may reach targets once all gateways can know of the fifth crash. */
+function checkDeadlyPart({ runs, crashes, storeFaults }: SoakLog): Violation[] {
+    const knownAt = (crashes[lastFreeCrash] ?? Infinity) + contactTime;
+    const hasStore = ({ at }: SoakRun) => storeFaults.every(({ from, until }) => until + contactTime < at || from > at);
+    const late = runs.filter(run => run.isDeadly === true && run.at > knownAt && isInTouch(run) && hasStore(run));
+    return late.length > allowedWithPart
+        ? [{ check: "part", detail: `${late.length} requests with a deadly part, after ${crashes.length} crashes` }]
+        : [];
+}
+
 /** A planned stop may not cost an answer that a target has begun, unless something else cut it off. */
 function checkStops({ calls, runs, linkFaults }: SoakLog): Violation[] {
     const find = (id: string) => runs.filter(({ requestId }) => requestId === id);
