Explain shows what was judged of the parts of a request's prompt

Cause: a request that is refused for a part has a digest of its own, so the lines that tell why did not name it. Change: lines about parts that are suspect or judged are in the timeline of each request with the part.

--- a/packages/cli/src/lib/explain/explainRequest.test.ts
+++ b/packages/cli/src/lib/explain/explainRequest.test.ts
@@ -52,6 +52,16 @@
     assert.deepEqual([...contexts.keys()], ["a"]);
 });
 
+test("the timeline includes judgements of the parts of the prompt, not those of other parts", () => {
+    const judgements = [
+        line(1_000, "b", "request: part is suspect", { request: "r0", part: "+p", crashes: 3 }),
+        line(1_100, "c", "request: suspect part judged", { part: "+p", verdict: "condemned" }),
+        line(1_200, "c", "request: suspect part judged", { part: "+q", verdict: "granted" }),
+        line(1_300, "a", "request: request ended", { request: "r1", parts: ["+o", "+p"], status: 503 }),
+    ];
+    assert.deepEqual(explainRequest("r1", judgements).timeline.map(({ time }) => time), [1_000, 1_100, 1_300]);
+});
+
 test("the context of a refusal for rest includes the rests that targets asked for", () => {
     const restLogs = [
         line(1_000, "a", "targets: rest asked for", { target: "t", request: "r0", duration: 3_000, left: 0 }),
--- a/packages/cli/src/lib/explain/explainRequest.ts
+++ b/packages/cli/src/lib/explain/explainRequest.ts
@@ -10,8 +10,8 @@
 /** What the logs contain about one request. */
 export interface Explanation {
     /**
-     * The lines that name the request, and those that report a request with the same digest as suspect or judged, in
-     * chronological order.
+     * The lines that name the request, and those that report a request with the same digest, or a part of its prompt,
+     * as suspect or judged, in chronological order.
      */
     readonly timeline: readonly LogLine[];
     /** For each process that handled the request: its state, and recent events there, when the request ended. */
@@ -51,6 +51,9 @@
     "request: suspect request judged",
 ];
 
+/** Messages about parts of prompts, whichever requests had them. */
+const partMessages = ["request: part is suspect", "request: suspect part judged"];
+
 /** Collects the log lines about a request. */
 export function explainRequest(id: string, text: readonly string[]): Explanation {
     const parsed = text.filter(line => line.trim() !== "").map(parseLine);
@@ -59,7 +62,9 @@
     const digests = new Set(own.flatMap(({ digest }) => typeof digest === "string" ? digest : []));
     const isOfDigest = ({ digest, msg }: LogLine) =>
         typeof digest === "string" && digests.has(digest) && digestMessages.includes(msg);
-    const timeline = lines.filter(line => line["request"] === id || isOfDigest(line));
+    const parts = new Set(own.flatMap(({ parts }) => Array.isArray(parts) ? parts as unknown[] : []));
+    const isOfPart = ({ part, msg }: LogLine) => parts.has(part) && partMessages.includes(msg);
+    const timeline = lines.filter(line => line["request"] === id || isOfDigest(line) || isOfPart(line));
     const contexts = new Map<string, readonly LogLine[]>();
     for (const { process, time } of own) {
         contexts.set(process, findContext(lines.filter(line => line.process === process && line.time <= time), time));
