A reply with an error status clears no request and no part

Cause: any reply that ended whole counted as a run without a crash. A target that fails a request before it begins to run it cleared the deadly part, whose crashes and runs were counted from nothing again. Change: only replies with a success status clear their causes.

--- a/packages/gateway/src/lib/crashes/deadlyParts.test.ts
+++ b/packages/gateway/src/lib/crashes/deadlyParts.test.ts
@@ -24,6 +24,7 @@
     { name: "two such parts", options: { deadlyParts: 2, hasCommonPart: true } },
     { name: "150 harmless requests a second", options: { load: 150 } },
     { name: "answers without a length that a crash ends in order", options: { endsQuietly: true } },
+    { name: "targets answer some requests with an error", options: { failedShare: 0.3 } },
     { name: "all callers at one of 24 gateways", options: { gatewaysEach: 8, hasCallersAtOne: true } },
     { name: "targets also crash for other reasons", options: { crashesPerMinute: 10 } },
     {
--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -12,6 +12,8 @@
     readonly canSend: () => boolean;
 }
 
+const firstFailure = 300;
+
 /** A send to a target. */
 export interface Send {
     readonly target: Target;
@@ -66,13 +68,17 @@
     }
 
     /**
-     * Records that a reply has ended.
+     * Records that a reply has ended. A reply with an error status tells nothing: its target may have failed before it
+     * began to run the request.
      *
      * @param isWhole - False if the end of the connection is all that tells so: the target may have crashed soon after
      * the start of the reply.
      */
-    noteEnd(send: Send, isWhole: boolean): void {
+    noteEnd(send: Send, status: number, isWhole: boolean): void {
         const { clock } = this.options.context;
+        if (status >= firstFailure) {
+            return;
+        }
         if (isWhole || (send.repliedAt !== undefined && clock.now() - send.repliedAt >= safeReplyAge)) {
             this.noteSuccess();
         }
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -198,7 +198,8 @@
         const { response, target, startedAt, repliedAt } = attempt;
         const status = response?.statusCode ?? 0;
         const isFailure = status >= firstServerError;
-        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, response !== undefined && isDelimited(response));
+        const isWhole = response !== undefined && isDelimited(response);
+        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, status, isWhole);
         this.remove(attempt, isFailure ? "failed" : "served");
         if (!isFailure || this.caller.headSent) {
             this.deliver(attempt);
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -144,7 +144,7 @@
             return;
         }
         const { target, startedAt, firstEventAt: repliedAt } = attempt;
-        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, isWhole);
+        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, attempt.response?.statusCode ?? 0, isWhole);
         this.writeHeadOnce(attempt);
         this.finish();
         this.caller.end(`served ${this.delivered.count} events`);
--- a/packages/gateway/src/lib/testing/CrashingSite.ts
+++ b/packages/gateway/src/lib/testing/CrashingSite.ts
@@ -25,6 +25,8 @@
     readonly subjects?: number;
     /** Whether the prompts of all requests begin with the same part. */
     readonly hasCommonPart?: boolean;
+    /** Share of the requests that targets answer with an error before they run them. */
+    readonly failedShare?: number;
     /** Whether all callers are at the first gateway. */
     readonly hasCallersAtOne?: boolean;
     /** Whether answers have no length, so that a crash may look like their end. */
@@ -107,6 +109,7 @@
             subjects: 0,
             hasCommonPart: false,
             hasFixedSubject: false,
+            failedShare: 0,
             hasCallersAtOne: false,
             endsQuietly: false,
             ...options,
@@ -195,6 +198,7 @@
             clock,
             random: this.random,
             target,
+            failedShare: this.options.failedShare,
             endsQuietly: this.options.endsQuietly,
             crashesUnder: body => culpritsIn(body).length > 0,
             onArrival: body => [body, ...deadlyIn(body)].forEach(key => recordTime(this.arrivals, key, clock.now())),
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -22,6 +22,8 @@
     readonly latency?: () => { readonly connect: number; readonly reply: number; };
     /** Number of events of a complete answer. */
     readonly events?: number;
+    /** Share of the requests that it answers with an error status before it runs them. */
+    readonly failedShare?: number;
     /** Whether a crash ends answers that have begun in order, as the end of an answer without a length. */
     readonly endsQuietly?: boolean;
 }
@@ -43,6 +45,7 @@
 const eventInterval = 24;
 /** Number of events of a complete answer. */
 export const simulatedEvents = 40;
+const failureStatus = 500;
 /** Status with which a target refuses a request without running it. */
 export const refusalStatus = 503;
 
@@ -169,7 +172,13 @@
     }
 
     private begin(run: Run): void {
-        const { clock, crashesUnder } = this.options;
+        const { clock, random, crashesUnder, failedShare = 0 } = this.options;
+        if (failedShare > 0 && random.next() < failedShare) {
+            this.runs.delete(run);
+            run.listener.onHead({ statusCode: failureStatus, headers: { "content-length": "0" }, rawHeaders: [] });
+            run.listener.onEnd();
+            return;
+        }
         if (crashesUnder(run.body)) {
             if (this.options.endsQuietly === true) {
                 this.sendHead(run);
