--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -39,10 +39,10 @@
 /** Number of crashes from which a request is suspect; the guarantee of at most three more runs starts with the third. */
 const suspectThreshold = 3;
 /**
- * Numbers of crashes from which a part is suspect: at least the first one, and always from the second one on, with which
- * the guarantee of at most three more runs starts. In between it is compared with the part with the most crashes.
+ * Numbers of crashes from which a part is suspect: at least `least`, and always from `most` on, before the guarantee of
+ * at most three more runs starts with the fifth. In between it is compared with the part with the most crashes.
  */
-const partThreshold = { least: 3, most: 5 };
+const partThreshold = { least: 3, most: 4 };
 /**
  * Share of the crashes of the part with the most from which another one is suspect. One crash interrupts requests with
  * many parts; the parts that were there by accident fall behind the one that is there each time.
