Of the parts that a crash affects, those without a reply are told first

One crash interrupts runs with ten parts and more, a heartbeat holds three, and equal ones came in any order, so that the deadly part could be missing from the first heartbeats. Change: for equal numbers of crashes, parts whose prompts had no reply come first.

--- a/packages/gateway/src/lib/crashes/CrashGuard.ts
+++ b/packages/gateway/src/lib/crashes/CrashGuard.ts
@@ -323,12 +323,13 @@
         const requests = new Map(
             runs.flatMap(({ causes, request }) => causes.filter(isPart).map(part => [part, request] as const)),
         );
+        const silent = new Set(runs.flatMap(({ causes, replyAge }) => replyAge === undefined ? causes : []));
         for (const [part, request] of requests) {
             const wasSuspect = this.isSuspect(part);
             parts.addToSeries(part);
             if (1 - (1 - parts.shareOf(part)) ** affectedRuns < uninformativeChance) {
                 const isRepeated = parts.targetsOf(part) !== 0;
-                parts.add(part, targets);
+                parts.add(part, targets, silent.has(part));
                 if (isRepeated) {
                     void records.addTargets(part, parts.seenTargetsOf(part));
                 }
--- a/packages/gateway/src/lib/crashes/PartCrashes.test.ts
+++ b/packages/gateway/src/lib/crashes/PartCrashes.test.ts
@@ -96,3 +96,11 @@
     }
     assert.equal(count("p"), 1);
 });
+
+test("of parts with as many crashes, those whose prompts had no reply are reported first", () => {
+    const { parts } = createParts();
+    ["p", "q", "r"].forEach(part => parts.add(part, a));
+    parts.add("q", b);
+    parts.add("s", a, true);
+    assert.deepEqual(Object.keys(parts.listSeen()).slice(0, 2), ["q", "s"]);
+});
--- a/packages/gateway/src/lib/crashes/PartCrashes.ts
+++ b/packages/gateway/src/lib/crashes/PartCrashes.ts
@@ -31,6 +31,8 @@
     private readonly crashedAt: LRUCache<string, number>;
     /** Time of the last known run without a crash. */
     private readonly ranAt: LRUCache<string, number>;
+    /** Parts of prompts that had no reply when their target crashed, as most that cause a crash. */
+    private readonly silent: LRUCache<string, true>;
     /** Parts of which crashes are known here or at other gateways, which may need to hear of a run. */
     private readonly contested: LRUCache<string, true>;
     /** Crashes seen here in a row, also those that may have hit the part by chance. */
@@ -52,13 +54,17 @@
         this.told = new LRUCache(options);
         this.crashedAt = new LRUCache(options);
         this.ranAt = new LRUCache(options);
+        this.silent = new LRUCache(options);
         this.contested = new LRUCache(options);
         this.series = new LRUCache(options);
         this.runsWith = new LRUCache(options);
     }
 
-    /** Records that targets crashed while running prompts with the part for this process. */
-    add(part: string, targets: CrashSet): void {
+    /** Records that targets crashed while running prompts with the part for this process, perhaps before any reply. */
+    add(part: string, targets: CrashSet, isSilent = false): void {
+        if (isSilent) {
+            this.silent.set(part, true);
+        }
         this.seen.set(part, joinCrashSets(this.seen.get(part) ?? noCrashes, targets));
         this.crashedAt.set(part, this.clock.now());
         this.contested.set(part, true);
@@ -138,14 +144,18 @@
         return this.highest;
     }
 
-    /** Returns the crashed targets seen here, to be reported to other gateways; parts with the most crashes come first. */
+    /**
+     * Returns the crashed targets seen here, to be reported to other gateways. Parts with the most crashes come first,
+     * for equal numbers those whose prompts had no reply, since a heartbeat holds few of the many that a crash affects.
+     */
     listSeen(): Record<string, CrashSet> {
         const ranked = [...this.seen.entries()].map(([part, targets]) => ({
             part,
             targets,
-            rank: sizeOfCrashSet(this.targetsOf(part)),
+            crashes: sizeOfCrashSet(this.targetsOf(part)),
+            isSilent: this.silent.has(part),
         }));
-        ranked.sort((a, b) => b.rank - a.rank);
+        ranked.sort((a, b) => b.crashes - a.crashes || Number(b.isSilent) - Number(a.isSilent));
         return Object.fromEntries(ranked.map(({ part, targets }) => [part, targets]));
     }
 
@@ -165,6 +175,7 @@
             return;
         }
         this.ranAt.set(part, ranAt);
+        this.silent.delete(part);
         if (this.told.delete(part)) {
             this.highest = undefined;
         }
