--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -70,6 +70,11 @@
 /** Milliseconds from its leaving until a target ends. */
 const leaveTime = 6_000;
 
+function stopTarget({ link, fake }: SoakTarget): void {
+    link.stop();
+    fake.stop();
+}
+
 /** The targets of a soak: a plain service, and chains of two targets in each data centre. */
 export class SoakTargets {
     private readonly all: SoakTarget[] = [];
@@ -161,17 +166,13 @@
         await wait(leaveTime / 2);
         unlistTarget(store, target.id);
         await wait(leaveTime / 2);
-        target.link.stop();
-        target.fake.stop();
+        stopTarget(target);
     }
 
     /** Stops all targets. */
     stop(): void {
         this.isStopped = true;
-        this.all.forEach(({ fake, link }) => {
-            link.stop();
-            fake.stop();
-        });
+        this.all.forEach(stopTarget);
     }
 
     /** The targets that get requests from gateways. */
@@ -186,7 +187,7 @@
     /** Crashes a target: its connections are reset, new ones are refused, and another one starts some time later. */
     private async crash(target: SoakTarget): Promise<void> {
         const { store, log, now } = this.options;
-        const { id, link, fake } = target;
+        const { id } = target;
         if (this.left.has(id) || this.isStopped) {
             return;
         }
@@ -194,8 +195,7 @@
         log.event(now(), `${id} crashes under a part`);
         log.crashes.push(now());
         log.linkFaults.push({ target: id, from: now() - longestRun, until: Infinity });
-        link.stop();
-        fake.stop();
+        stopTarget(target);
         setTimeout(() => unlistTarget(store, id), entryExpiry);
         await new Promise(resolve => void setTimeout(resolve, this.draw(restartTime)));
         if (!this.isStopped) {
@@ -246,6 +246,10 @@
             refusedShare: 0,
         };
         this.all.push(target);
+        if (this.isStopped) {
+            stopTarget(target);
+            return;
+        }
         listTarget(this.options.store, fake, "ready", link.address);
     }
 
