A gateway without its peers' address is not ready; the address is tried again, then the process ends

Cause: the socket for peers was bound once, and a failure was only logged. While another process held the address for 4 s, a gateway was ready after 1.7 s without ever sending or hearing a heartbeat, so all sums over the group were wrong; its start never settled. Change: PeerSocket tries the address again with back-off for 10 s, replaces a socket that fails while it is open, and otherwise ends the start, or the process, with 5007 address-unavailable, which names the address. Readiness needs the socket.

--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -42,13 +42,17 @@
  * Runs a gateway on the users' platform until SIGTERM, then until its last answer has ended.
  *
  * @returns The exit code.
- * @throws Error if the settings are invalid or the gateway cannot listen on an address.
+ * @throws Error if the settings are invalid, the gateway cannot listen on an address, or it loses one for good.
  */
 export async function runGateway(options: GatewayRunOptions = {}): Promise<number> {
     const clock = new SystemClock();
     const settings = readSettings(options.environment ?? process.env);
     const logs = createLogs(settings.process, options.logLevel);
     const registry = new MetricRegistry(clock);
+    let onLost: (error: Error) => void = () => undefined;
+    const lost = new Promise<Error>(resolve => {
+        onLost = resolve;
+    });
     const gateway = new Gateway({
         settings,
         clock,
@@ -62,19 +66,38 @@
         registry,
         callerListener: options.callerListener,
         isOn: parseDisabledMechanisms(options.without ?? ""),
+        onLost,
     });
     const stopped = stopOnSignal(logs, () => gateway.stop());
     process.on("SIGHUP", () => validateSettings(logs, options.environment ?? process.env));
     process.on("uncaughtException", error => logs.process.error({ error: error.stack }, "uncaught exception"));
-    await gateway.start();
+    await startOrStop(gateway);
     if (options.metricsPort !== undefined) {
         await startMetrics({ host: anyAddress, port: options.metricsPort }, registry, logs);
     }
-    await stopped;
+    const error = await Promise.race([stopped, lost]);
+    if (error !== undefined) {
+        logs.process.error({ error: error.message }, "a part that the gateway needs is lost");
+        await gateway.stop();
+    }
     await flushLogs(clock);
+    if (error !== undefined) {
+        throw error;
+    }
     return 0;
 }
 
+/** Starts a gateway. If a part cannot start, stops the others, so that the process ends. */
+async function startOrStop(gateway: Gateway): Promise<void> {
+    try {
+        await gateway.start();
+    }
+    catch (error) {
+        await gateway.stop();
+        throw error;
+    }
+}
+
 function createLogs(name: string, level: LogLevel = "info"): Logs {
     const logger = createLogger({ process: name, level, destination: new LogDestination() });
     const createPartLogger = (part: string) => logger.child({}, { msgPrefix: `${part}: ` });
@@ -91,11 +114,11 @@
     };
 }
 
-function stopOnSignal(logs: Logs, stop: () => Promise<void>): Promise<void> {
+function stopOnSignal(logs: Logs, stop: () => Promise<void>): Promise<undefined> {
     return new Promise(resolve => {
         process.once("SIGTERM", signal => {
             logs.process.info({ signal }, "signal received");
-            void stop().then(resolve);
+            void stop().then(() => resolve(undefined));
         });
     });
 }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -40,7 +40,7 @@
 import { StoreEras } from "./store/StoreEras.js";
 import { StoreHealth } from "./store/StoreHealth.js";
 import { type TableWatch } from "./store/TableWatch.js";
-import { type PeerSnapshot, type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
+import { type TableStatus } from "./store/TableWatchOptions.js";
 import { refusesConnections } from "./upstream/refusesConnections.js";
 
 /** Milliseconds of the key revocation bound that are reserved for requests in flight. */
@@ -213,7 +213,7 @@
         this.watches = this.createWatches();
     }
 
-    /** Starts to listen, to watch the store's tables and to exchange heartbeats with peers. */
+    /** @throws Error if an address cannot be bound; one for peers that is in use is tried for some seconds first. */
     async start(): Promise<void> {
         const { logs, settings } = this.options;
         logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
@@ -269,7 +269,8 @@
     private get isReady(): boolean {
         const { keyRevocation } = this.options.settings;
         const mayTrustKeys = keyRevocation === undefined || this.configuration.confirmationAge < keyRevocation;
-        return !this.isStopping && this.configuration.current !== undefined && this.hasTargetList && mayTrustKeys;
+        const knowsSite = this.configuration.current !== undefined && this.hasTargetList && this.peers.isListening;
+        return !this.isStopping && knowsSite && mayTrustKeys;
     }
 
     /** Whether requests can be authenticated and routed. A configuration in force may not be confirmed yet. */
@@ -282,11 +283,6 @@
         return this.peers.tableAge(this.options.tables.configurationTable) < bound - revocationSlack;
     }
 
-    private get watchRole(): WatchRole {
-        const { isRelay, hasFollowers } = this.peers;
-        return chooseWatchRole({ isRelay, hasFollowers, hasDuty: this.lease.term !== undefined });
-    }
-
     private createPeerGroup(): PeerGroup {
         const { store, eras, options: { settings, clock, logs, random } } = this;
         return new PeerGroup({
@@ -299,6 +295,7 @@
             address: { host: settings.host, port: settings.internalPorts.first },
             dataCentre: settings.dataCentre,
             logger: logs.peers,
+            onLost: error => this.options.onLost?.(error),
             describe: () => ({
                 chainLoads: this.services.headLoads(),
                 suspects: this.suspicions.listLost(),
@@ -334,14 +331,20 @@
             eras,
             table,
             contactTime: settings.contactTime,
-            role: () => isOn("shared-watches") ? this.watchRole : "alone",
+            role: () => {
+                const { isRelay, hasFollowers } = this.peers;
+                const position = { isRelay, hasFollowers, hasDuty: this.lease.term !== undefined };
+                return isOn("shared-watches") ? chooseWatchRole(position) : "alone";
+            },
             ...this.storeHealth.createListeners(table),
         });
         const configurationWatch = createConfigurationWatch({
             ...createWatchOptions(tables.configurationTable),
             key: tables.configurationKey,
             configurationTime: settings.configurationTime,
-            readFromPeers: isOn("peer-copies") ? version => this.readCopy(version) : undefined,
+            readFromPeers: isOn("peer-copies")
+                ? version => this.copies.readSnapshot(tables.configurationTable, version)
+                : undefined,
             onRow: (row, encoded) => this.copies.keep(tables.configurationTable, row.version, [row], encoded),
             decode: document => runInSlices(tables.decodeConfiguration(document), clock),
             configuration: this.configuration,
@@ -363,12 +366,6 @@
         return new Map([[tables.configurationTable, configurationWatch], [tables.targetTable, targetWatch]]);
     }
 
-    /** Reads the configuration's table from a peer that has at least a version. */
-    private async readCopy(version: number): Promise<PeerSnapshot | undefined> {
-        const read = await this.copies.reader.read(this.options.tables.configurationTable, version);
-        return read === undefined ? undefined : { ...read.copy, encoded: read.encoded, progress: read.progress };
-    }
-
     /** The status of each watched table, as peers receive it. */
     private get words(): TableStatuses {
         return Object.fromEntries(
--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -42,6 +42,8 @@
     readonly callerListener?: Server;
     /** Which mechanisms are on; all by default. */
     readonly isOn?: MechanismSwitch;
+    /** Called once if a part that the gateway needs is lost for good while it runs; it is to be stopped then. */
+    readonly onLost?: (error: Error) => void;
     /** Milliseconds from the stop request until the load balancer is sure to have removed this process. */
     readonly balancerDelay?: number;
 }
--- a/packages/gateway/src/lib/copies/TableCopies.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.ts
@@ -3,6 +3,7 @@
 import { type Observation } from "../observation/Observation.js";
 import { type StoredRow } from "../store/Store.js";
 import { type StoreEras } from "../store/StoreEras.js";
+import { type PeerSnapshot } from "../store/TableWatchOptions.js";
 import { CopyReader } from "./CopyReader.js";
 import { CopyServer } from "./CopyServer.js";
 import { createCopyFetch } from "./fetchCopy.js";
@@ -50,4 +51,10 @@
     keep(table: string, version: number, rows: readonly StoredRow[], encoded: Buffer | undefined): void {
         this.server.keep({ table, version, era: this.options.eras.current, rows: [...rows] }, encoded);
     }
+
+    /** Reads a table from a peer that has at least a version. @returns Undefined if no peer gives one. */
+    async readSnapshot(table: string, version: number): Promise<PeerSnapshot | undefined> {
+        const read = await this.reader.read(table, version);
+        return read === undefined ? undefined : { ...read.copy, encoded: read.encoded, progress: read.progress };
+    }
 }
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -1,5 +1,4 @@
 import { type Clock, type Random } from "@waxwingspar/utils";
-import { createSocket, type Socket } from "node:dgram";
 import { type Logger } from "pino";
 import * as z from "zod/mini";
 import { type Address } from "../GatewaySettings.js";
@@ -9,6 +8,7 @@
 import { type GroupSums } from "./GroupSums.js";
 import { IssuerShare } from "./IssuerShare.js";
 import { PeerExchange, type PeerExchangeOptions } from "./PeerExchange.js";
+import { PeerSocket } from "./PeerSocket.js";
 
 /** A row of the member table. */
 const memberSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
@@ -25,6 +25,8 @@
     readonly address: Address;
     readonly dataCentre: string;
     readonly logger: Logger;
+    /** Called once if the socket for datagrams fails and cannot be opened again. */
+    readonly onLost: (error: Error) => void;
 }
 
 const membersTable = "gateways";
@@ -45,16 +47,17 @@
  * the store, and then exchange their state in datagrams.
  */
 export class PeerGroup implements PermitGroup {
-    private readonly socket: Socket = createSocket("udp4");
+    private readonly socket: PeerSocket;
     private readonly exchange: PeerExchange;
     private readonly share: IssuerShare;
-    private isListening = false;
     private isStopped = false;
     private nextRead = -Infinity;
     private stopListening: () => void = () => undefined;
 
     constructor(private readonly options: PeerGroupOptions) {
-        const { clock, process, incarnation, dataCentre, logger } = options;
+        const { clock, process, incarnation, dataCentre, logger, address, onLost } = options;
+        const onDatagram = (datagram: string) => this.exchange.receive(datagram);
+        this.socket = new PeerSocket({ clock, address, logger, onDatagram, onLost });
         this.share = new IssuerShare(clock);
         this.exchange = new PeerExchange({
             clock,
@@ -122,13 +125,17 @@
         return this.exchange.hasFollowers;
     }
 
+    /** Whether datagrams of other gateways are received. */
+    get isListening(): boolean {
+        return this.socket.isListening;
+    }
+
+    /** @throws Error if the address for datagrams cannot be bound; see {@link PeerSocket.open}. */
     async start(): Promise<void> {
-        const { address, logger } = this.options;
-        this.socket.on("message", data => this.exchange.receive(data.toString("utf8")));
-        this.socket.on("error", (error: Error) => logger.warn({ error: error.message }, "socket failed"));
-        await new Promise<void>(resolve => this.socket.bind(address.port, address.host, resolve));
-        this.isListening = true;
-        logger.info({ address }, "listening");
+        await this.socket.open();
+        if (this.isStopped) {
+            return;
+        }
         this.sendHeartbeats();
         this.stopListening = this.options.eras.onNewEra(() => this.registerAgain());
         void this.join();
@@ -136,7 +143,6 @@
 
     stop(): void {
         this.isStopped = true;
-        this.isListening = false;
         this.stopListening();
         this.socket.close();
     }
@@ -222,15 +228,7 @@
 
     /** Sends a datagram to a gateway; delivery is not guaranteed. */
     send(to: string, datagram: string): void {
-        if (!this.isListening) {
-            return;
-        }
         const colon = to.lastIndexOf(":");
-        // A datagram that cannot be sent is not retried, since the next heartbeat follows.
-        this.socket.send(datagram, Number(to.slice(colon + 1)), to.slice(0, colon), error => {
-            if (error !== null) {
-                this.options.logger.warn({ error: String(error), peer: to }, "send failed");
-            }
-        });
+        this.socket.send(datagram, Number(to.slice(colon + 1)), to.slice(0, colon));
     }
 }
--- a/packages/utils/src/lib/resultCodes/transportCodes.ts
+++ b/packages/utils/src/lib/resultCodes/transportCodes.ts
@@ -62,4 +62,12 @@
         retry: "later",
         summary: "The peer read its messages too slowly, so the connection was closed.",
     },
+    addressUnavailable: {
+        number: 5007,
+        name: "address-unavailable",
+        execution: "not run",
+        status: 503,
+        retry: "later",
+        summary: "The process cannot listen on an address that it needs, and ends.",
+    },
 } as const satisfies Record<string, ResultCode>;
