Runs acquire a slot before each send

Full heads refuse about a third of the streams under bursts, and these refusals use up the retry budget and break chains. Nothing asks for capacity before a request is sent, and targets are not told how urgent it is.

StreamRun and PlainRun take a slot for each send, from the data centre of the best chain or target first, and release it when the attempt ends. A request that gets none is refused with the new code 1022 and the time that the decision names. Targets are told the rank of new requests, Slots of target entries are decoded, and ServicePicker spreads ties. Slots are unlimited until the grants of the admission folder are wired in. All of it is behind the switch slot-admission.

--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -23,6 +23,7 @@
     "peer-confirmations": "a peer may confirm that the configuration is still the newest",
     "shared-watches": "gateways that are not relays rely on relays for changes of the store's tables",
     "peer-copies": "a gateway reads a changed configuration from a peer of its data centre before it asks the store",
+    "slot-admission": "requests are sent to a full target only when one of its slots is free, by rank and share",
     "start-queue": "requests are queued briefly while the process loads its configuration and target list",
 } as const satisfies Readonly<Record<string, string>>;
 
--- a/packages/gateway/src/lib/directory/Target.ts
+++ b/packages/gateway/src/lib/directory/Target.ts
@@ -15,6 +15,8 @@
     state: z.enum(["ready", "draining"]),
     /** The kind of accelerator, if the target can hold layers of a model. */
     accelerator: z.optional(z.string()),
+    /** Number of requests that the target runs at once; undefined if it does not list it. */
+    slots: z.optional(z.number()),
     /** The layers that the target holds; undefined if none. */
     layers: z.optional(layerRangeSchema),
 });
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -124,6 +124,11 @@
         return this.deadline - this.options.clock.now();
     }
 
+    /** Milliseconds since the request arrived. */
+    get age(): number {
+        return this.options.clock.now() - this.options.arrivedAt;
+    }
+
     /** True once the answer has ended or the caller has disconnected. */
     get ended(): boolean {
         return this.isOver;
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -30,6 +30,8 @@
     readonly lastEventId: string | undefined;
     /** 0 is the most urgent; undefined for the default of the targets. */
     readonly priority: number | undefined;
+    /** Releases the slot that the attempt uses. */
+    readonly releaseSlot: () => void;
     /** Whether the request itself may still be sent when the connection is established. */
     readonly maySend: () => boolean;
     readonly listener: ChainAttemptListener;
@@ -135,16 +137,17 @@
         this.exchange.resume();
     }
 
-    /** Ends the attempt, if it has not ended, and releases its load on the chain. */
+    /** Ends the attempt, if it has not ended, and releases its slot and its load on the chain. */
     close(): void {
         if (this.isClosed) {
             return;
         }
         this.isClosed = true;
-        const { context, service, load, listener } = this.options;
+        const { context, service, load, listener, releaseSlot } = this.options;
         this.firstEventTimer.cancel();
         this.exchange.cancel();
         service.end(load, listener, this.firstEventTime !== undefined);
+        releaseSlot();
         context.observation.metrics.sends.add({ result: "stream" });
     }
 
--- a/packages/gateway/src/lib/requests/ChainChoice.ts
+++ b/packages/gateway/src/lib/requests/ChainChoice.ts
@@ -12,6 +12,9 @@
     readonly running: () => readonly string[];
 }
 
+/** Maximum number of chains that are listed for one send, to bound the time that this takes. */
+const maxListed = 24;
+
 type Chooser = (excluded: ReadonlySet<string>) => ChainLoad | undefined;
 
 /**
@@ -40,13 +43,29 @@
         this.permanentlyFailed.clear();
     }
 
-    /** @returns The chain for the next send, or undefined when there is none. */
-    chooseNext(): ChainLoad | undefined {
+    /**
+     * @param listed - Keys of further chains that are left out.
+     * @returns The chain for the next send, or undefined when there is none.
+     */
+    chooseNext(listed: ReadonlySet<string> = new Set()): ChainLoad | undefined {
         const { service, limits } = this.options;
         const choose: Chooser = limits.isRetry
             ? excluded => service.chooseToResume(excluded)
             : excluded => service.choose(excluded);
-        return this.choose(choose, this.failed) ?? this.choose(choose, this.permanentlyFailed);
+        return this.choose(choose, this.failed, listed) ?? this.choose(choose, this.permanentlyFailed, listed);
+    }
+
+    /** Lists the chains for the next send, best first. */
+    *listNext(): Generator<ChainLoad> {
+        const listed = new Set<string>();
+        while (listed.size < maxListed) {
+            const load = this.chooseNext(listed);
+            if (load === undefined) {
+                return;
+            }
+            yield load;
+            listed.add(load.chain.key);
+        }
     }
 
     /** @returns A healthy chain other than those that the request is running on. */
@@ -59,9 +78,13 @@
         return this.choose(excluded => this.options.service.chooseWithRoom(excluded), this.failed);
     }
 
-    private choose(choose: Chooser, failed: ReadonlySet<string>): ChainLoad | undefined {
+    private choose(
+        choose: Chooser,
+        failed: ReadonlySet<string>,
+        listed: ReadonlySet<string> = new Set(),
+    ): ChainLoad | undefined {
         const { limits, mayPass, running } = this.options;
-        const excluded = new Set([...failed, ...running()]);
+        const excluded = new Set([...failed, ...listed, ...running()]);
         for (;;) {
             const load = choose(excluded);
             const headId = load?.chain.hops[0]?.targetId ?? "";
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -11,6 +11,8 @@
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 import { type Closure, SendGate } from "./SendGate.js";
+import { sendPriority } from "./sendPriority.js";
+import { newRequestHold, noSlotReason, refuseWithoutSlot, type SlotCandidate, SlotUse } from "./SlotUse.js";
 
 /** Maximum bytes of a reply that are buffered. A longer reply is forwarded as it arrives and cannot be retried. */
 const maxBufferedReply = 262_144;
@@ -34,6 +36,7 @@
     repliedAt?: number;
     readonly chunks: Buffer[];
     bytes: number;
+    readonly releaseSlot: () => void;
 }
 
 /**
@@ -46,6 +49,7 @@
     private readonly limits: AttemptLimits;
     private readonly gate: SendGate;
     private readonly crashCheck: CrashCheck;
+    private readonly slots: SlotUse<Target>;
     /** A complete reply with a server error, delivered if no attempt brings a better one. */
     private failedReply: Attempt | undefined;
     private deadlineTimer: Timer | undefined;
@@ -58,6 +62,7 @@
     ) {
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.gate = new SendGate({ context, caller, precedence: () => "waiting" });
+        this.slots = new SlotUse({ context, caller, list: () => this.listCandidates() });
         this.crashCheck = new CrashCheck({
             context,
             caller,
@@ -82,24 +87,58 @@
     }
 
     private send(): void {
-        if (!this.gate.isHolding) {
+        if (!this.gate.isHolding && !this.slots.isWaiting) {
             this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
         }
     }
 
-    private chooseTarget(): Target | undefined {
-        return this.picker.choose(this.tried, target => this.gate.mayPass(target));
+    private chooseTarget(excluded: ReadonlySet<string> = this.tried): Target | undefined {
+        return this.picker.choose(excluded, target => this.gate.mayPass(target));
     }
 
-    private sendNow(): void {
-        const target = this.chooseTarget();
-        if (target === undefined) {
-            if (this.attempts.size === 0) {
-                this.giveUp(this.closure?.reason ?? "no target is left");
+    /** The targets that the request may be sent to now, best first. */
+    private *listCandidates(): Generator<SlotCandidate<Target>> {
+        const excluded = new Set(this.tried);
+        for (;;) {
+            const target = this.chooseTarget(excluded);
+            if (target === undefined) {
+                return;
             }
+            yield { choice: target, target, room: target.slots };
+            excluded.add(target.id);
+        }
+    }
+
+    private sendNow(): void {
+        this.slots.cancel();
+        if (this.chooseTarget() === undefined) {
+            this.giveUpAlone(this.closure?.reason ?? "no target is left");
             return;
         }
-        this.gate.pass(target, () => this.sendTo(target), () => this.sendNow());
+        const { size: runs } = this.attempts;
+        // A hedge is made only if a slot is free at once.
+        const maxHold = runs > 0 ? 0 : newRequestHold(this.caller);
+        this.slots.take(
+            { precedence: "waiting", maxHold },
+            ({ target }) => this.gate.pass(target, () => this.sendTo(target), () => this.sendNow()),
+            () => this.noSlotGranted(runs > 0),
+        );
+    }
+
+    /** @param wasRunning - Whether an attempt was in flight when the slot was requested. */
+    private noSlotGranted(wasRunning: boolean): void {
+        if (wasRunning && this.attempts.size === 0) {
+            // That attempt has ended meanwhile, so that the send may now be held.
+            this.send();
+            return;
+        }
+        this.giveUpAlone(noSlotReason);
+    }
+
+    private giveUpAlone(reason: string): void {
+        if (this.attempts.size === 0) {
+            this.giveUp(reason);
+        }
     }
 
     /** Why no target takes a request now by what it said; undefined if that does not prevent a send. */
@@ -110,12 +149,12 @@
     private sendTo(target: Target): void {
         // The first attempt's reply may have begun while a permit for a hedge was on its way.
         if (this.caller.headSent) {
+            this.slots.cancel();
             return;
         }
         if (!this.limits.begin(target.id, "waiting")) {
-            if (this.attempts.size === 0) {
-                this.giveUp("retry budget is used up");
-            }
+            this.slots.cancel();
+            this.giveUpAlone("retry budget is used up");
             return;
         }
         this.tried.add(target.id);
@@ -126,11 +165,13 @@
             startedAt: context.clock.now(),
             chunks: [],
             bytes: 0,
+            releaseSlot: this.slots.handOver(),
             exchange: openExchange({
                 context,
                 caller,
                 target,
                 lastEventId: caller.request.lastEventId,
+                priority: sendPriority({ caller, precedence: "waiting", hasBegun: false, isOn: context.isOn }),
                 maySend: () => this.crashCheck.maySend,
                 listener: {
                     onHead: response => this.receiveHead(attempt, response),
@@ -293,6 +334,10 @@
             this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
             return;
         }
+        if (this.slots.refusal !== undefined) {
+            refuseWithoutSlot(this.caller, this.slots.refusal);
+            return;
+        }
         const { closure } = this;
         if (closure === undefined) {
             this.caller.refuse(requestCodes.noCapacity, reason, retryAfter);
@@ -318,6 +363,7 @@
         this.deadlineTimer?.cancel();
         this.hedgeTimer?.cancel();
         this.crashCheck.end();
+        this.slots.cancel();
         for (const attempt of this.attempts) {
             attempt.exchange.cancel();
             this.remove(attempt, "failed");
@@ -326,6 +372,7 @@
 
     private remove(attempt: Attempt, verdict: ExchangeVerdict): void {
         if (this.attempts.delete(attempt)) {
+            attempt.releaseSlot();
             this.picker.ended(attempt.target, verdict, this.context.clock.now() - attempt.startedAt);
             this.context.observation.metrics.sends.add({ result: verdict });
         }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Random, requestCodes, type ResultCode } from "@waxwingspar/utils";
+import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
@@ -17,6 +18,7 @@
 import { CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { type CallerRequest, type WireFormat } from "./messages.js";
 import { PlainRun } from "./PlainRun.js";
+import { type RequestContext } from "./RequestContext.js";
 import { StreamRun } from "./StreamRun.js";
 
 /** Options of {@link RequestRouter}. */
@@ -37,6 +39,8 @@
     readonly rests: TargetRests;
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: SendPermits;
+    /** Grants the slots of targets; by default all that are requested. */
+    readonly slots?: RequestContext["slots"];
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -136,8 +140,20 @@
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
         }
-        const { clock, wire, observation, crashes, replies, limits, rests, mayReceive, permits, isOn, targetListAge } =
-            this.options;
+        const {
+            clock,
+            wire,
+            observation,
+            crashes,
+            replies,
+            limits,
+            rests,
+            mayReceive,
+            permits,
+            slots,
+            isOn,
+            targetListAge,
+        } = this.options;
         const { budget } = parts;
         const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
         const context = {
@@ -152,6 +168,7 @@
             rests,
             mayReceive,
             permits,
+            slots: slots ?? unlimitedSlots,
             openExchange,
             isOn,
             targetListAge,
--- a/packages/gateway/src/lib/requests/StreamRefusal.ts
+++ b/packages/gateway/src/lib/requests/StreamRefusal.ts
@@ -2,12 +2,14 @@
 import { type ChainService } from "../chains/ChainService.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { type Closure, restClosure, type SendGate } from "./SendGate.js";
+import { refuseWithoutSlot, type SlotUse } from "./SlotUse.js";
 
 /** Options of {@link StreamRefusal}. */
 export interface StreamRefusalOptions {
     readonly gate: Pick<SendGate, "findClosure">;
     readonly service: Pick<ChainService, "choose" | "listHeads" | "restLeft">;
     readonly caller: Pick<CallerExchange, "refuse">;
+    readonly slots: Pick<SlotUse<unknown>, "refusal">;
 }
 
 /** `Retry-After` in milliseconds when no chain has room: some requests end in that time. */
@@ -26,7 +28,11 @@
     }
 
     refuse(reason: string): void {
-        const { closure, options: { service, caller } } = this;
+        const { closure, options: { service, caller, slots } } = this;
+        if (slots.refusal !== undefined) {
+            refuseWithoutSlot(caller, slots.refusal);
+            return;
+        }
         if (closure !== undefined) {
             caller.refuse(closure.code, reason, closure.wait, closure.isBinding);
             return;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -4,20 +4,22 @@
 import { mayResume } from "../configuration/Configuration.js";
 import { safeReplyAge } from "../crashes/CrashGuard.js";
 import { type CrashRefusal } from "../crashes/Retrial.js";
-import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { isDelimited } from "../upstream/isDelimited.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
+import { chainCandidates } from "./chainCandidates.js";
 import { ChainChoice } from "./ChainChoice.js";
 import { CrashCheck } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
-import { resumedPriority } from "./resumedPriority.js";
 import { SendGate } from "./SendGate.js";
+import { sendPriority } from "./sendPriority.js";
+import { newRequestHold, noSlotReason, resumedHold, type SlotCandidate, SlotUse } from "./SlotUse.js";
+import { type EndInitiator, StreamLog } from "./StreamLog.js";
 import { StreamRefusal } from "./StreamRefusal.js";
 
 /** Milliseconds between two attempts to find a chain that can resume an interrupted stream. */
@@ -30,9 +32,6 @@
 const firstSuccess = 200;
 const firstRedirect = 300;
 
-/** Whether a run was ended by its target or abandoned by the gateway. */
-type EndInitiator = "target" | "gateway";
-
 /**
  * Runs one streamed request over a chain of targets. If the route allows it, an interrupted stream is resumed over
  * another chain after the last event that the caller received, so the caller sees one stream.
@@ -49,6 +48,8 @@
     private readonly choice: ChainChoice;
     private readonly crashCheck: CrashCheck;
     private readonly delivered: DeliveredEvents;
+    private readonly slots: SlotUse<ChainLoad>;
+    private readonly log: StreamLog;
     private resumeTimer: Timer | undefined;
     private deadlineTimer: Timer | undefined;
 
@@ -60,7 +61,9 @@
         this.delivered = new DeliveredEvents(context.clock, caller.request.lastEventId);
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.gate = new SendGate({ context, caller, precedence: () => this.precedence });
-        this.refusal = new StreamRefusal({ gate: this.gate, service, caller });
+        this.slots = new SlotUse({ context, caller, list: () => chainCandidates(this.choice, service) });
+        this.refusal = new StreamRefusal({ gate: this.gate, service, caller, slots: this.slots });
+        this.log = new StreamLog({ context, caller, service, delivered: this.delivered });
         this.choice = new ChainChoice({
             service,
             limits: this.limits,
@@ -178,9 +181,7 @@
             this.attemptEnded(attempt, "neverSent", reason, false, "gateway");
         }
         else if (this.mayReplace(attempt)) {
-            const { logs } = this.context.observation;
-            const { dataCentre } = attempt.load.chain;
-            logs.requests.info({ ...this.logFields(attempt), chain: dataCentre, reason }, "attempt suspected");
+            this.log.suspected(attempt, reason);
             this.send();
         }
     }
@@ -199,45 +200,64 @@
     }
 
     private send(): void {
-        if (!this.gate.isHolding) {
+        if (!this.gate.isHolding && !this.slots.isWaiting) {
             this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
         }
     }
 
     /** Sends the request. If it cannot be sent and no other run is in flight, it waits or is given up. */
     private sendNow(): void {
-        const load = this.choice.chooseNext();
-        const target = load === undefined ? undefined : this.service.target(load.chain.hops[0]?.targetId ?? "");
-        if (load === undefined || target === undefined) {
-            if (this.attempts.size === 0) {
-                this.waitOrGiveUp(this.refusal.reason);
-            }
+        this.slots.cancel();
+        if (this.choice.chooseNext() === undefined) {
+            this.waitOrGiveUp(this.refusal.reason);
             return;
         }
         if (!this.limits.mayBegin(this.precedence)) {
             this.giveUpAlone("retry budget is used up");
             return;
         }
-        const { count } = this.delivered;
-        this.gate.pass(target, () => {
-            const hasContinued = this.attempts.size > 0 && this.delivered.count > count;
-            if (!hasContinued) {
-                this.sendOver(load, target);
-            }
-        }, () => this.sendNow());
+        const { attempts: { size: runs }, delivered: { count }, precedence } = this;
+        this.slots.take({ precedence, maxHold: this.maxHold }, candidate => {
+            this.gate.pass(candidate.target, () => {
+                const hasContinued = this.attempts.size > 0 && this.delivered.count > count;
+                if (hasContinued) {
+                    this.slots.cancel();
+                    return;
+                }
+                this.sendOver(candidate);
+            }, () => this.sendNow());
+        }, () => this.noSlotGranted(runs > 0));
     }
 
-    private sendOver(load: ChainLoad, target: Target): void {
-        if (!this.limits.begin(target.id, this.precedence)) {
+    /** Milliseconds for which the next send may wait for a slot; a second run is made only if one is free at once. */
+    private get maxHold(): number {
+        if (this.attempts.size > 0) {
+            return 0;
+        }
+        const isResumed = this.precedence === "running" || this.limits.mayHaveRun;
+        return isResumed ? resumedHold(maxResumeWait - this.delivered.silence) : newRequestHold(this.caller);
+    }
+
+    /** @param wasRunning - Whether a run was in flight when the slot was requested. */
+    private noSlotGranted(wasRunning: boolean): void {
+        if (wasRunning && this.attempts.size === 0) {
+            // That run has ended meanwhile, so that the send may now be held.
+            this.send();
+            return;
+        }
+        this.waitOrGiveUp(noSlotReason);
+    }
+
+    private sendOver({ choice: load, target }: SlotCandidate<ChainLoad>): void {
+        const { context, caller, service, precedence, delivered: { hasBegun, lastId: lastEventId } } = this;
+        if (!this.limits.begin(target.id, precedence)) {
+            this.slots.cancel();
             this.giveUpAlone("retry budget is used up");
             return;
         }
-        const { context, caller, service, delivered: { lastId: lastEventId } } = this;
-        const priority = this.delivered.hasBegun
-            ? resumedPriority(caller.request.tokens?.prompt ?? 0, context.isOn)
-            : undefined;
+        const priority = sendPriority({ caller, precedence, hasBegun, isOn: context.isOn });
         const maySend = () => this.crashCheck.maySend;
-        const route = { context, caller, service, load, target };
+        const route = { context, caller, service, load, target, releaseSlot: this.slots.handOver() };
         this.attempts.add(new ChainAttempt({ ...route, lastEventId, priority, maySend, listener: this }));
     }
 
@@ -259,14 +279,10 @@
 
     /** Cancels all other runs once one has brought new events. */
     private keepOnly(kept: ChainAttempt): void {
-        const { logs } = this.context.observation;
         for (const other of this.attempts) {
             if (other !== kept) {
                 const end = other.neverSent ? "neverSent" : "unknown";
-                logs.requests.info(
-                    { ...this.logFields(other), chain: other.load.chain.dataCentre },
-                    "attempt not needed",
-                );
+                this.log.notNeeded(other);
                 this.remove(other);
                 this.limits.end(other.target.id, end);
             }
@@ -293,7 +309,7 @@
     ): void {
         this.remove(attempt);
         this.choice.noteFailed(attempt.load.chain.key, mayReuse);
-        this.logFailure(attempt, reason, endedBy);
+        this.log.failed(attempt, reason, endedBy);
         this.limits.end(attempt.target.id, end);
         if (attempt.isPlain) {
             this.finish();
@@ -317,9 +333,12 @@
 
     /**
      * Waits for a chain if the stream may have been executed, for as long as its caller waits. A stream that was never
-     * executed is refused immediately.
+     * executed is refused immediately. Does neither while a run is in flight.
      */
     private waitOrGiveUp(reason: string): void {
+        if (this.attempts.size > 0) {
+            return;
+        }
         const hasRun = this.caller.headSent || this.limits.mayHaveRun;
         const mayWait = hasRun && mayResume(this.caller.route) && this.delivered.silence < maxResumeWait;
         if (!mayWait) {
@@ -366,6 +385,7 @@
     private finish(): void {
         this.deadlineTimer?.cancel();
         this.resumeTimer?.cancel();
+        this.slots.cancel();
         this.attempts.forEach(attempt => this.remove(attempt));
         this.crashCheck.end();
     }
@@ -377,23 +397,4 @@
             this.crashCheck.end();
         }
     }
-
-    private logFailure(attempt: ChainAttempt, reason: string, endedBy: EndInitiator): void {
-        this.context.observation.logs.requests.warn({
-            ...this.logFields(attempt),
-            chain: attempt.load.chain.dataCentre,
-            head: attempt.target.id,
-            reason,
-            endedBy,
-            events: this.delivered.count,
-            after: Math.round(this.context.clock.now() - attempt.startedAt),
-        }, "attempt failed");
-    }
-
-    /** Log fields common to all messages about an attempt. */
-    private logFields(attempt: ChainAttempt): object {
-        const { request, digest } = this.caller;
-        const silence = Math.round(this.delivered.silence);
-        return { request: request.id, digest, silence, ...this.service.diagnostics(attempt.load) };
-    }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/requests/sendPriority.ts
@@ -0,0 +1,37 @@
+import { type MechanismSwitch } from "../Mechanisms.js";
+import { type CallerExchange } from "./CallerExchange.js";
+import { type Precedence } from "./precedence.js";
+import { resumedPriority } from "./resumedPriority.js";
+
+/** Options of {@link sendPriority}. */
+export interface SendPriorityOptions {
+    readonly caller: Pick<CallerExchange, "organisation" | "request" | "route">;
+    readonly precedence: Precedence;
+    /** Whether this gateway has passed on a part of the answer. */
+    readonly hasBegun: boolean;
+    readonly isOn: MechanismSwitch;
+}
+
+/** The lowest priority number of new requests. Resumed streams have the numbers below it. */
+const firstNewPriority = 2;
+/** The largest priority number that targets accept. */
+const lastPriority = 9;
+
+/** The urgency of a caller's request, where 0 is the most urgent. */
+export function rankOf({ organisation, route }: Pick<CallerExchange, "organisation" | "route">): number {
+    return organisation?.priority ?? route.priority;
+}
+
+/**
+ * Computes the priority that a target is told, from 0 for the most urgent: resumed streams before new requests, and
+ * these by rank. Undefined for the default of the targets.
+ */
+export function sendPriority({ caller, precedence, hasBegun, isOn }: SendPriorityOptions): number | undefined {
+    const ofResumed = resumedPriority(caller.request.tokens?.prompt ?? 0, isOn);
+    if (!isOn("slot-admission")) {
+        return hasBegun ? ofResumed : undefined;
+    }
+    return precedence === "running"
+        ? Math.min(ofResumed, firstNewPriority) - 1
+        : Math.min(lastPriority, firstNewPriority + Math.max(0, rankOf(caller)));
+}
--- a/packages/gateway/src/lib/services/ServicePicker.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.ts
@@ -1,6 +1,7 @@
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, type Random } from "@waxwingspar/utils";
 import { incarnationOf, type Target } from "../directory/Target.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
+import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 
 /** Outcome of an exchange, for judging the health of the target. */
 export type ExchangeVerdict = "served" | "failed" | "refused" | "withdrawn";
@@ -11,6 +12,11 @@
     readonly service: string;
     readonly dataCentre: string;
     readonly directory: TargetDirectory;
+    /** Spreads requests over targets of equal cost; without it, the first one in the list gets them. */
+    readonly random?: Random;
+    /** Number of requests of all gateways on a target, by its incarnation; undefined if it is not known. */
+    readonly knownLoad?: (head: string) => number | undefined;
+    readonly isOn?: MechanismSwitch;
 }
 
 interface TargetRecord {
@@ -38,7 +44,15 @@
     /** By incarnation, so that a late failure from before a restart does not count against the restarted target. */
     private readonly records = new Map<string, TargetRecord>();
 
-    constructor(private readonly options: ServicePickerOptions) {}
+    private readonly random: Random | undefined;
+    private readonly knownLoad: (head: string) => number | undefined;
+
+    constructor(private readonly options: ServicePickerOptions) {
+        const { random, knownLoad = () => undefined, isOn = allMechanismsOn } = options;
+        const isSpreading = isOn("slot-admission");
+        this.random = isSpreading ? random : undefined;
+        this.knownLoad = isSpreading ? knownLoad : () => undefined;
+    }
 
     /** The targets that may get requests. */
     list(): Target[] {
@@ -48,20 +62,23 @@
     /**
      * @param excluded - Ids of targets that are not chosen.
      * @param mayUse - Whether a target may be chosen.
-     * @returns The target with the lowest cost that may be chosen, or undefined when there is none.
+     * @returns The target with the lowest cost that may be chosen, a random one of several; undefined if there is none.
      */
     choose(excluded: ReadonlySet<string>, mayUse: (target: Target) => boolean = () => true): Target | undefined {
         const targets = this.list().filter(target => !excluded.has(target.id) && mayUse(target));
-        let best: Target | undefined;
+        let best: Target[] = [];
         let bestCost = Infinity;
         for (const target of targets) {
             const cost = this.cost(target);
             if (cost < bestCost) {
-                best = target;
+                best = [target];
                 bestCost = cost;
             }
+            else if (cost === bestCost) {
+                best.push(target);
+            }
         }
-        return best;
+        return best.length > 1 && this.random !== undefined ? best[this.random.below(best.length)] : best[0];
     }
 
     /** Records that a request was sent to a target. */
@@ -88,11 +105,17 @@
 
     private cost(target: Target): number {
         const record = this.record(target);
-        const latency = (record.latency ?? unknownLatency) * (1 + record.inFlight);
+        const latency = (record.latency ?? unknownLatency) * (1 + this.requestsAt(target, record));
         const distance = target.dataCentre === this.options.dataCentre ? 0 : remotePenalty;
         return (latency + distance) * (1 + failureWeight * this.recentFailures(record));
     }
 
+    /** Counts the requests at a target, with those of other gateways if the target lists its slots. */
+    private requestsAt(target: Target, { inFlight }: TargetRecord): number {
+        const known = target.slots === undefined ? undefined : this.knownLoad(incarnationOf(target));
+        return Math.max(inFlight, known ?? 0);
+    }
+
     private recentFailures({ failures, failuresAt }: TargetRecord): number {
         return failures * 0.5 ** ((this.options.clock.now() - failuresAt) / failureHalfLife);
     }
--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -1,10 +1,10 @@
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, type Random } from "@waxwingspar/utils";
 import { ChainService, type ChainServiceOptions } from "../chains/ChainService.js";
 import { type Service } from "../configuration/Configuration.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type GatewaySettings } from "../GatewaySettings.js";
 import { RetryBudget } from "../requests/RetryBudget.js";
-import { ServicePicker } from "./ServicePicker.js";
+import { ServicePicker, type ServicePickerOptions } from "./ServicePicker.js";
 
 /** Components that serve the requests for one service. */
 export interface ServiceParts {
@@ -26,7 +26,10 @@
 /** Options of {@link ServiceTable}. */
 export interface ServiceTableOptions extends Pick<ChainServiceOptions, ForwardedOption> {
     readonly clock: Clock;
+    readonly random?: Random;
     readonly directory: TargetDirectory;
+    /** Number of requests of all gateways on a plain target; see {@link ServicePickerOptions.knownLoad}. */
+    readonly knownLoad?: ServicePickerOptions["knownLoad"];
     readonly settings: Pick<GatewaySettings, "dataCentre" | "retryWindow" | "retryShare" | "retryReserve">;
     /** Number of gateways that share the reserve of the retry budget. */
     readonly gateways: () => number;
@@ -66,10 +69,10 @@
     }
 
     private create({ name, engine }: Service): ServiceParts {
-        const { clock, settings, directory, gateways } = this.options;
+        const { clock, random, settings, directory, knownLoad, gateways, isOn } = this.options;
         const { dataCentre } = settings;
         return {
-            picker: new ServicePicker({ clock, service: name, dataCentre, directory }),
+            picker: new ServicePicker({ clock, random, service: name, dataCentre, directory, knownLoad, isOn }),
             chains: engine === undefined
                 ? undefined
                 : new ChainService({ ...this.options, service: name, dataCentre, engine }),
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -1,6 +1,7 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Clock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type IncomingMessage } from "node:http";
+import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { ChainService } from "../chains/ChainService.js";
 import { TargetPaces } from "../chains/TargetPaces.js";
 import { TargetSuspicions } from "../chains/TargetSuspicions.js";
@@ -41,6 +42,8 @@
     /** The gateways that share the limits of targets; by default this one only. */
     readonly group?: PermitGroup;
     readonly random?: Random;
+    /** Grants the slots of targets; by default all that are requested. */
+    readonly slots?: RequestContext["slots"];
 }
 
 function createGroupOfOne(): PermitGroup {
@@ -154,7 +157,13 @@
             },
             observation,
         });
-        this.picker = new ServicePicker({ clock, service: plainService, dataCentre, directory: this.directory });
+        this.picker = new ServicePicker({
+            clock,
+            random: seededRandom(2),
+            service: plainService,
+            dataCentre,
+            directory: this.directory,
+        });
         this.context = {
             clock,
             wire,
@@ -172,6 +181,7 @@
             rests: this.rests,
             mayReceive: target => this.directory.mayReceive(target),
             permits: this.permits,
+            slots: options.slots ?? unlimitedSlots,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
             isOn: allMechanismsOn,
             targetListAge: () => this.directory.age,
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -166,6 +166,14 @@
         retry: "no",
         summary: "Targets crashed under requests that have a part of the prompt in common with this one.",
     },
+    noSlot: {
+        number: 1022,
+        name: "no-slot",
+        execution: "not run",
+        status: 503,
+        retry: "later",
+        summary: "Every target that could serve the request is full, and no slot becomes free in time.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
