Stand-ins for tests of slots

The simulated router and site take a source of slots and a switch, and simulated targets tell the priority they are sent. A slot that is refused returns the retrial that a suspect was granted.

--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -97,6 +97,14 @@
         }
     }
 
+    /** Records that a send that was permitted is not made, so that its retrial may be used again. */
+    noteUnsent(): void {
+        if (this.isGranted) {
+            this.isGranted = false;
+            this.guard.giveBack(this.causes);
+        }
+    }
+
     /** Releases the turn when no run is in flight any more. */
     end(): void {
         this.isGranted = false;
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -127,6 +127,7 @@
 
     /** @param wasRunning - Whether an attempt was in flight when the slot was requested. */
     private noSlotGranted(wasRunning: boolean): void {
+        this.crashCheck.noteUnsent();
         if (wasRunning && this.attempts.size === 0) {
             // That attempt has ended meanwhile, so that the send may now be held.
             this.send();
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -26,7 +26,7 @@
 
 /** Options of {@link SlotUse}. */
 export interface SlotUseOptions<Choice> {
-    readonly context: Pick<RequestContext, "clock" | "isOn" | "observation" | "slots">;
+    readonly context: Pick<RequestContext, "clock" | "isOn" | "slots">;
     readonly caller: Pick<CallerExchange, "digest" | "organisation" | "request" | "route" | "timeLeft">;
     /** Lists what the request may be sent to now, best first. */
     readonly list: () => Iterable<SlotCandidate<Choice>>;
@@ -147,22 +147,20 @@
                 return;
             }
             const pool = poolOf(candidates);
-            const fullFor = asks > 0 && need.precedence === "waiting" ? slots.fullFor(pool, rank) : 0;
-            if (fullFor > 0) {
-                refusals.push({ kind: "refused", reason: "full", retryAfter: fullFor, held: 0 });
+            // The first pool is always asked, since its issuer knows who goes first, and when a caller is to return.
+            if (asks > 0 && need.precedence === "waiting" && slots.fullFor(pool, rank) > 0) {
                 continue;
             }
             if (asks === maxAsks) {
                 break;
             }
             asks++;
-            const request = this.describe(need, Math.max(0, end - clock.now()));
-            const outcome = slots.tryLocal(pool) ?? await slots.acquire(pool, request);
+            const maxHold = Math.max(0, end - clock.now());
+            const outcome = slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(need, maxHold));
             if (this.waiting !== waiting) {
                 releaseIfGranted(outcome);
                 return;
             }
-            this.log(pool, request, outcome);
             if (outcome.kind === "refused") {
                 refusals.push(outcome);
                 continue;
@@ -223,30 +221,6 @@
             digest: caller.digest,
         };
     }
-
-    /** Logs refusals and requests that were held. */
-    private log(
-        { dataCentre, heads }: SlotPool,
-        request: Omit<SlotRequest, "heads">,
-        outcome: HeldSlot | SlotRefusal,
-    ): void {
-        if (outcome.kind === "granted" && outcome.held === 0) {
-            return;
-        }
-        const { context, caller } = this.options;
-        const { id, ...inputs } = request;
-        context.observation.logs.requests.info({
-            ...inputs,
-            request: caller.request.id,
-            slot: id,
-            dataCentre,
-            heads,
-            held: Math.round(outcome.held),
-            head: outcome.kind === "granted" ? outcome.head : undefined,
-            reason: outcome.kind === "refused" ? outcome.reason : undefined,
-            retryAfter: outcome.kind === "refused" ? Math.round(outcome.retryAfter) : undefined,
-        }, outcome.kind === "granted" ? "slot granted after a wait" : "slot refused");
-    }
 }
 
 function poolOf(candidates: readonly SlotCandidate<unknown>[]): SlotPool {
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -218,14 +218,8 @@
         }
         const { attempts: { size: runs }, delivered: { count }, precedence } = this;
         this.slots.take({ precedence, maxHold: this.maxHold }, candidate => {
-            this.gate.pass(candidate.target, () => {
-                const hasContinued = this.attempts.size > 0 && this.delivered.count > count;
-                if (hasContinued) {
-                    this.slots.cancel();
-                    return;
-                }
-                this.sendOver(candidate);
-            }, () => this.sendNow());
+            const hasContinued = () => this.attempts.size > 0 && this.delivered.count > count;
+            this.gate.pass(candidate.target, () => this.sendOver(candidate, hasContinued()), () => this.sendNow());
         }, () => this.noSlotGranted(runs > 0));
     }
 
@@ -240,6 +234,7 @@
 
     /** @param wasRunning - Whether a run was in flight when the slot was requested. */
     private noSlotGranted(wasRunning: boolean): void {
+        this.crashCheck.noteUnsent();
         if (wasRunning && this.attempts.size === 0) {
             // That run has ended meanwhile, so that the send may now be held.
             this.send();
@@ -248,9 +243,10 @@
         this.waitOrGiveUp(noSlotReason);
     }
 
-    private sendOver({ choice: load, target }: SlotCandidate<ChainLoad>): void {
+    /** @param hasContinued - Whether a suspected run has brought an event since, so that no other one is needed. */
+    private sendOver({ choice: load, target }: SlotCandidate<ChainLoad>, hasContinued: boolean): void {
         const { context, caller, service, precedence, delivered: { hasBegun, lastId: lastEventId } } = this;
-        if (!this.limits.begin(target.id, precedence)) {
+        if (hasContinued || !this.limits.begin(target.id, precedence)) {
             this.slots.cancel();
             this.giveUpAlone("retry budget is used up");
             return;
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -10,7 +10,7 @@
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { type PermitGroup, SendPermits } from "../limits/SendPermits.js";
 import { TargetLimits } from "../limits/TargetLimits.js";
-import { allMechanismsOn } from "../Mechanisms.js";
+import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { TargetReplies } from "../replies/TargetReplies.js";
 import { CallerExchange } from "../requests/CallerExchange.js";
@@ -25,7 +25,7 @@
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
-import { leavingHeader, limitHeader, refusalStatus, restHeader, type SimulatedTarget } from "./SimulatedTarget.js";
+import { leavingHeader, limitHeader, priorityHeader, refusalStatus, restHeader, type SimulatedTarget } from "./SimulatedTarget.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
@@ -42,6 +42,7 @@
     /** The gateways that share the limits of targets; by default this one only. */
     readonly group?: PermitGroup;
     readonly random?: Random;
+    readonly isOn?: MechanismSwitch;
     /** Grants the slots of targets; by default all that are requested. */
     readonly slots?: RequestContext["slots"];
 }
@@ -84,7 +85,7 @@
     readCallerRequest: () => {
         throw new Error("not used");
     },
-    writeDispatchHeaders: () => [],
+    writeDispatchHeaders: (_, { priority }) => priority === undefined ? [] : [priorityHeader, `${priority}`],
     readReplyHead: (status, headers) => ({
         requestId: undefined,
         isSigned: true,
@@ -183,7 +184,7 @@
             permits: this.permits,
             slots: options.slots ?? unlimitedSlots,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
-            isOn: allMechanismsOn,
+            isOn: options.isOn ?? allMechanismsOn,
             targetListAge: () => this.directory.age,
         };
     }
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -11,7 +11,7 @@
     readonly crashesUnder: (body: string) => boolean;
     /** Called after a crash, with the body of the request that caused it; undefined for a spontaneous crash. */
     readonly onCrash: (body: string | undefined) => void;
-    readonly onArrival: (body: string) => void;
+    readonly onArrival: (body: string, priority: number | undefined) => void;
     /** Called when a reply names a limit. */
     readonly onLimitNamed?: (body: string) => void;
     /** Called when a refusal that asks for rest arrives at the gateway, with the milliseconds that it was on its way. */
@@ -53,6 +53,8 @@
 export const limitHeader = "limit";
 /** Header with the milliseconds for which a target that refuses wants nothing from the gateway. */
 export const restHeader = "rest";
+/** Header with the priority that a target is told. */
+export const priorityHeader = "priority";
 /** Header of a target that is leaving. */
 export const leavingHeader = "leaving";
 
@@ -87,13 +89,18 @@
         return !this.isDown && !this.isMute;
     }
 
+    /** Number of requests that it runs. */
+    get running(): number {
+        return this.runs.size;
+    }
+
     /** Pauses all streams for `duration` milliseconds. */
     fallSilent(duration: number): void {
         this.silentUntil = this.options.clock.now() + duration;
     }
 
     /** Receives a request, in place of the constructor of a real exchange. */
-    open({ body, listener, maySend }: ExchangeOptions): OpenExchange {
+    open({ body, headers, listener, maySend }: ExchangeOptions): OpenExchange {
         const { clock, onArrival } = this.options;
         const run: Run = { body: body?.toString() ?? "", listener, hasHead: false, timer: undefined };
         const latency = this.options.latency?.() ?? { connect: delay, reply: 0 };
@@ -108,7 +115,7 @@
                 return;
             }
             isSent = true;
-            onArrival(run.body);
+            onArrival(run.body, headers[0] === priorityHeader ? Number(headers[1]) : undefined);
             if (this.isRefusing || this.runs.size >= this.capacity || this.drawsRefusal) {
                 this.refuse(run, latency.reply);
                 return;
--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -1,5 +1,7 @@
 import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type Route } from "../configuration/Configuration.js";
+import { type MechanismSwitch } from "../Mechanisms.js";
+import { type RequestContext } from "../requests/RequestContext.js";
 import { testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { SimulatedRouter, streamRoute } from "./SimulatedRouter.js";
@@ -17,6 +19,11 @@
     readonly isResumable?: boolean;
     /** Retries that the retry budget allows beyond a fifth of the requests. */
     readonly retryReserve?: number;
+    /** Grants the slots of heads; by default all that are requested. */
+    readonly slots?: RequestContext["slots"];
+    readonly isOn?: MechanismSwitch;
+    /** Milliseconds until the deadline of a stream. */
+    readonly timeout?: number;
 }
 
 const targetsPerChain = 4;
@@ -32,19 +39,23 @@
     readonly router: SimulatedRouter;
     /** Number of times that a request reached a target, retries included. */
     arrivals = 0;
+    /** The priorities that targets were told, in order of arrival. */
+    readonly priorities: (number | undefined)[] = [];
     private readonly byPort = new Map<number, SimulatedTarget>();
     private readonly route: Route;
 
     constructor(options: StreamSiteOptions = {}) {
-        const { seed = 1, chains = 2, maxAttempts = 2, isResumable = true, retryReserve } = options;
+        const { seed = 1, chains = 2, maxAttempts = 2, isResumable = true, retryReserve, slots, isOn } = options;
         this.random = seededRandom(seed);
-        this.route = { ...streamRoute, maxAttempts, isResumable };
+        this.route = { ...streamRoute, maxAttempts, isResumable, timeout: options.timeout ?? streamRoute.timeout };
         this.router = new SimulatedRouter({
             clock: this.clock,
             dataCentre: "dc-0",
             store: new SimulatedStore(this.clock),
             targetAt: port => this.targetAt(port),
             retryReserve,
+            slots,
+            isOn,
         });
         for (let chain = 0; chain < chains; chain++) {
             this.heads.push(this.addTarget(chain, 0));
@@ -80,7 +91,10 @@
             random: this.random,
             target,
             crashesUnder: () => false,
-            onArrival: () => this.arrivals++,
+            onArrival: (_, priority) => {
+                this.arrivals++;
+                this.priorities.push(priority);
+            },
             onCrash: () => undefined,
         });
         this.byPort.set(target.port, simulated);
