--- /dev/null
+++ b/packages/gateway/src/lib/admission/FullPools.ts
@@ -0,0 +1,34 @@
+import { type Clock } from "@waxwingspar/utils";
+import { LRUCache } from "lru-cache";
+import { type SlotPool } from "./SlotPool.js";
+
+/** Milliseconds for which a refusal tells that a pool is full at most: slots become free every few milliseconds. */
+const maxFullTime = 250;
+/** Maximum number of pools and ranks that are remembered. */
+const maxEntries = 1_000;
+
+/** The pools that refused a request a moment ago, by rank. */
+export class FullPools {
+    /** Until when a pool is full for a rank and less urgent ones. */
+    private readonly ends = new LRUCache<string, number>({ max: maxEntries });
+    private leastUrgent = 0;
+
+    constructor(private readonly clock: Clock) {}
+
+    /** @param retryAfter - Milliseconds after which the caller is to return. */
+    record(pool: SlotPool, rank: number, retryAfter: number): void {
+        this.leastUrgent = Math.max(this.leastUrgent, rank);
+        this.ends.set(keyOf(pool, rank), this.clock.now() + Math.min(maxFullTime, retryAfter));
+    }
+
+    /** Milliseconds until a pool may take a request of a rank; 0 if it is not known to be full. */
+    timeLeft(pool: SlotPool, rank: number): number {
+        const ranks = Array.from({ length: Math.min(rank, this.leastUrgent) + 1 }, (_, index) => index);
+        const ends = ranks.map(other => this.ends.get(keyOf(pool, other)) ?? 0);
+        return Math.max(0, Math.max(...ends) - this.clock.now());
+    }
+}
+
+function keyOf({ service, dataCentre }: SlotPool, rank: number): string {
+    return `${dataCentre} ${service} ${rank}`;
+}
