Tests of slots in runs of requests

Slots leak if a run ends on a path that does not release them, and a target that is full gets requests again if runs send without one.

--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,6 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type HeldSlot, type SlotOutcome, type SlotPool } from "../admission/SlotPool.js";
-import { type SlotRequest } from "../admission/SlotRequest.js";
+import { type SlotGrants } from "../admission/SlotGrants.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
 import { type Target } from "../directory/Target.js";
 import { type SendPermits } from "../limits/SendPermits.js";
@@ -30,11 +29,7 @@
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
     /** Grants the slots of targets. */
-    readonly slots: {
-        acquire(pool: SlotPool, request: Omit<SlotRequest, "heads">): Promise<SlotOutcome>;
-        tryLocal(pool: SlotPool): HeldSlot | undefined;
-        fullFor(pool: SlotPool, rank: number): number;
-    };
+    readonly slots: Pick<SlotGrants, "acquire" | "tryLocal" | "fullFor">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/services/ServicePicker.test.ts
+++ b/packages/gateway/src/lib/services/ServicePicker.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from "@waxwingspar/utils";
+import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Target } from "../directory/Target.js";
@@ -72,3 +72,23 @@
     picker.ended(earlier, "failed", 5);
     assert.equal(picker.choose(none), later);
 });
+
+test("spreads requests over targets of equal cost, unless the mechanism is off", () => {
+    for (const isOn of [true, false]) {
+        const { clock, directory } = createPicker(["y", "z"]);
+        const options = { clock, service: "s", dataCentre: "x", directory, random: seededRandom(1), isOn: () => isOn };
+        const picker = new ServicePicker(options);
+        const chosen = Array.from({ length: 100 }, () => picker.choose(none)?.id);
+        const share = chosen.filter(id => id === "y").length / chosen.length;
+        assert.ok(isOn ? share > 0.35 && share < 0.65 : share === 1, `${share}`);
+    }
+});
+
+test("counts the requests of other gateways at targets that list their slots", () => {
+    const { clock, directory, x } = createPicker();
+    const knownLoad = (head: string) => head === "x" ? 3 : undefined;
+    const picker = new ServicePicker({ clock, service: "s", dataCentre: "x", directory, knownLoad });
+    assert.equal(picker.choose(none)?.id, "x");
+    directory.put({ ...x, slots: 6 });
+    assert.notEqual(picker.choose(none)?.id, "x");
+});
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -1,6 +1,7 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Clock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type IncomingMessage } from "node:http";
+import { type SlotGroup } from "../admission/SlotGroup.js";
 import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { ChainService } from "../chains/ChainService.js";
 import { TargetPaces } from "../chains/TargetPaces.js";
@@ -25,7 +26,14 @@
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
-import { leavingHeader, limitHeader, priorityHeader, refusalStatus, restHeader, type SimulatedTarget } from "./SimulatedTarget.js";
+import {
+    leavingHeader,
+    limitHeader,
+    priorityHeader,
+    refusalStatus,
+    restHeader,
+    type SimulatedTarget,
+} from "./SimulatedTarget.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
@@ -47,8 +55,19 @@
     readonly slots?: RequestContext["slots"];
 }
 
-function createGroupOfOne(): PermitGroup {
-    return { address: "", groupSize: 1, issuerShare: 1, findIssuer: () => "", send: () => undefined };
+/** Creates the group of a gateway without others. */
+export function createGroupOfOne(dataCentre = ""): PermitGroup & SlotGroup {
+    return {
+        address: "",
+        dataCentre,
+        groupSize: 1,
+        localSize: 1,
+        localMembers: 1,
+        issuerShare: 1,
+        slotShare: 1,
+        findIssuer: () => "",
+        send: () => undefined,
+    };
 }
 
 /** Name of the service without chains. */
--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -1,4 +1,4 @@
-import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
+import { type Clock, ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type Route } from "../configuration/Configuration.js";
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type RequestContext } from "../requests/RequestContext.js";
@@ -19,8 +19,10 @@
     readonly isResumable?: boolean;
     /** Retries that the retry budget allows beyond a fifth of the requests. */
     readonly retryReserve?: number;
-    /** Grants the slots of heads; by default all that are requested. */
-    readonly slots?: RequestContext["slots"];
+    /** Creates the source of slots of heads; by default all that are requested are granted. */
+    readonly createSlots?: (clock: Clock) => RequestContext["slots"];
+    /** The kind of accelerator of the targets, which determines the room of chains. */
+    readonly accelerator?: string;
     readonly isOn?: MechanismSwitch;
     /** Milliseconds until the deadline of a stream. */
     readonly timeout?: number;
@@ -44,8 +46,8 @@
     private readonly byPort = new Map<number, SimulatedTarget>();
     private readonly route: Route;
 
-    constructor(options: StreamSiteOptions = {}) {
-        const { seed = 1, chains = 2, maxAttempts = 2, isResumable = true, retryReserve, slots, isOn } = options;
+    constructor(private readonly options: StreamSiteOptions = {}) {
+        const { seed = 1, chains = 2, maxAttempts = 2, isResumable = true, retryReserve, createSlots, isOn } = options;
         this.random = seededRandom(seed);
         this.route = { ...streamRoute, maxAttempts, isResumable, timeout: options.timeout ?? streamRoute.timeout };
         this.router = new SimulatedRouter({
@@ -54,7 +56,7 @@
             store: new SimulatedStore(this.clock),
             targetAt: port => this.targetAt(port),
             retryReserve,
-            slots,
+            slots: createSlots?.(this.clock),
             isOn,
         });
         for (let chain = 0; chain < chains; chain++) {
@@ -85,7 +87,12 @@
 
     private addTarget(chain: number, part: number): SimulatedTarget {
         const layers = { first: part * layersPerTarget, end: (part + 1) * layersPerTarget };
-        const target = testTarget(`t${chain * targetsPerChain + part}`, "large", layers, `dc-${chain}`);
+        const target = testTarget(
+            `t${chain * targetsPerChain + part}`,
+            this.options.accelerator ?? "large",
+            layers,
+            `dc-${chain}`,
+        );
         const simulated = new SimulatedTarget({
             clock: this.clock,
             random: this.random,
