--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -217,7 +217,8 @@
             kind: caller.route.name,
             precedence,
             maxHold,
-            timeLeft: Math.max(0, caller.timeLeft),
+            // What is left when it is refused, since the time to return is bounded by a part of it.
+            timeLeft: Math.max(0, caller.timeLeft - maxHold),
             digest: caller.digest,
         };
     }
--- a/packages/gateway/src/lib/requests/sendPriority.ts
+++ b/packages/gateway/src/lib/requests/sendPriority.ts
@@ -33,5 +33,5 @@
     }
     return precedence === "running"
         ? Math.min(ofResumed, firstNewPriority) - 1
-        : Math.min(lastPriority, firstNewPriority + Math.max(0, rankOf(caller)));
+        : Math.min(lastPriority, firstNewPriority + Math.max(0, Math.floor(rankOf(caller))));
 }
