FairScheduler serves other queues too

Cause: the gateway's queue for slots needs the same order of items as an agent's work queue. Change: FairScheduler is generic over its items and exported with IndexedHeap; next() can pass over single items, and queuePosition() takes the number of items ahead.

--- a/packages/policy/src/lib/admission/FairScheduler.ts
+++ b/packages/policy/src/lib/admission/FairScheduler.ts
@@ -1,42 +1,51 @@
 import { IndexedHeap } from "../support/IndexedHeap.js";
-import { type OrganisationAccount } from "./OrganisationAccounts.js";
-import { type WorkItem } from "./WorkQueue.js";
 
 /**
- * A queued item.
+ * An organisation among which a {@link FairScheduler} divides service by weight.
  *
- * @internal
+ * @public
  */
-export interface WaitingItem {
-    readonly item: WorkItem;
-    readonly account: OrganisationAccount;
-    /** Clock time in milliseconds after which the item can no longer meet its bound and is refused. */
-    readonly expires: number;
-    /** True when `expires` is the caller's deadline, not the latest start that meets the first-token bound. */
-    readonly endsAtDeadline: boolean;
+export interface FairAccount {
+    readonly name: string;
+    /** May change while items of the account are queued. */
+    readonly weight: number;
 }
 
-/** The queued items of one organisation at one priority, ordered by expiry. */
-interface Flow {
+/**
+ * An item that a {@link FairScheduler} queues.
+ *
+ * @public
+ */
+export interface FairItem {
+    readonly id: string;
+    /** Items of higher priority are served first. */
+    readonly priority: number;
+    readonly account: FairAccount;
+    /** Position among the items of its account and priority, lowest first. */
+    readonly order: number;
+}
+
+/** The queued items of one organisation at one priority. */
+interface Flow<Item extends FairItem> {
     readonly key: string;
-    readonly account: OrganisationAccount;
+    readonly account: FairAccount;
     /** The virtual start time of the flow's next item. */
     tag: number;
     /** The weight added to the level's sum; the organisation's weight may change while the flow is backlogged. */
     countedWeight: number;
-    readonly items: IndexedHeap<WaitingItem>;
+    readonly items: IndexedHeap<Item>;
 }
 
 /** The flows of one priority, served by start-time fair queueing. */
-class Level {
-    readonly flows = new Map<string, Flow>();
+class Level<Item extends FairItem> {
+    readonly flows = new Map<string, Flow<Item>>();
     /** Flows with queued items, ordered by tag. */
-    readonly backlogged = new IndexedHeap<Flow>();
+    readonly backlogged = new IndexedHeap<Flow<Item>>();
     backloggedWeight = 0;
     queued = 0;
     virtualTime = 0;
 
-    flow(account: OrganisationAccount): Flow {
+    flow(account: FairAccount): Flow<Item> {
         let flow = this.flows.get(account.name);
         if (flow === undefined) {
             flow = { key: account.name, account, tag: 0, countedWeight: 0, items: new IndexedHeap() };
@@ -45,18 +54,18 @@
         return flow;
     }
 
-    add(flow: Flow, waiting: WaitingItem): void {
+    add(flow: Flow<Item>, item: Item): void {
         if (flow.items.size === 0) {
             flow.tag = Math.max(flow.tag, this.virtualTime);
             this.backlogged.set(flow.key, flow.tag, flow);
             flow.countedWeight = flow.account.weight;
             this.backloggedWeight += flow.countedWeight;
         }
-        flow.items.set(waiting.item.id, waiting.expires, waiting);
+        flow.items.set(item.id, item.order, item);
         this.queued++;
     }
 
-    remove(flow: Flow, id: string): void {
+    remove(flow: Flow<Item>, id: string): void {
         flow.items.delete(id);
         this.queued--;
         if (flow.items.size === 0) {
@@ -66,7 +75,7 @@
     }
 
     /** Advances virtual time to the start of an item's service, and the flow's tag to the end of that service. */
-    start(flow: Flow, service: number): void {
+    start(flow: Flow<Item>, service: number): void {
         // A backlogged flow keeps the credit of earlier corrections; an idle flow starts at the current virtual time.
         const begin = flow.items.size > 0 ? flow.tag : Math.max(flow.tag, this.virtualTime);
         this.virtualTime = Math.max(this.virtualTime, begin);
@@ -74,11 +83,11 @@
     }
 
     /** Adjusts the flow's tag by the difference between the actual service time and the one charged at the start. */
-    correct(flow: Flow, difference: number): void {
+    correct(flow: Flow<Item>, difference: number): void {
         this.moveTag(flow, flow.tag + difference / flow.account.weight);
     }
 
-    private moveTag(flow: Flow, tag: number): void {
+    private moveTag(flow: Flow<Item>, tag: number): void {
         flow.tag = tag;
         if (flow.items.size > 0) {
             this.backlogged.set(flow.key, tag, flow);
@@ -87,36 +96,42 @@
 }
 
 /**
- * Orders queued items strictly by priority, then by weighted start-time fair queueing over organisations, then by
- * expiry. Adding, removing and taking an item cost O(log n).
+ * Orders queued items strictly by priority, then by weighted start-time fair queueing over organisations, then by the
+ * order that each item states. Adding, removing and taking an item cost O(log n). An agent's work queue and a gateway's
+ * queue for slots use it when more is asked of targets than they can serve.
  *
- * @internal
+ * @public
  */
-export class FairScheduler {
+export class FairScheduler<Item extends FairItem> {
     /** Ordered by priority, highest first. */
-    private levels: { readonly priority: number; readonly level: Level; }[] = [];
+    private levels: { readonly priority: number; readonly level: Level<Item>; }[] = [];
     private total = 0;
 
     get size(): number {
         return this.total;
     }
 
-    add(waiting: WaitingItem): void {
-        const level = this.level(waiting.item.priority);
-        level.add(level.flow(waiting.account), waiting);
+    add(item: Item): void {
+        const level = this.level(item.priority);
+        level.add(level.flow(item.account), item);
         this.total++;
     }
 
-    remove(waiting: WaitingItem): void {
-        const level = this.level(waiting.item.priority);
-        level.remove(level.flow(waiting.account), waiting.item.id);
+    remove(item: Item): void {
+        const level = this.level(item.priority);
+        level.remove(level.flow(item.account), item.id);
         this.total--;
     }
 
-    /** Returns the next item whose organisation may start one now, without removing it. */
-    next(mayStart: (account: OrganisationAccount) => boolean): WaitingItem | undefined {
+    /**
+     * Returns the next item that may start now, without removing it.
+     *
+     * @param mayStart - Whether items of an organisation may start now.
+     * @param isEligible - Whether an item may start now. Items that may not are passed over.
+     */
+    next(mayStart: (account: Item["account"]) => boolean, isEligible?: (item: Item) => boolean): Item | undefined {
         for (const { level } of this.levels) {
-            const found = this.findNext(level, mayStart);
+            const found = this.findNext(level, mayStart, isEligible);
             if (found !== undefined) {
                 return found;
             }
@@ -125,38 +140,42 @@
     }
 
     /** Charges an organisation for an item that starts, by its expected service time. */
-    start(account: OrganisationAccount, priority: number, service: number): void {
+    start(account: FairAccount, priority: number, service: number): void {
         const level = this.level(priority);
         level.start(level.flow(account), service);
     }
 
     /** Corrects a charge by the difference between the actual and the expected service time. */
-    correct(account: OrganisationAccount, priority: number, difference: number): void {
+    correct(account: FairAccount, priority: number, difference: number): void {
         const level = this.level(priority);
         level.correct(level.flow(account), difference);
     }
 
-    /** Estimates the queue position of a new item of this organisation and priority; 1 means that it is served next. */
-    queuePosition(account: OrganisationAccount, priority: number): number {
-        let ahead = 0;
+    /**
+     * Estimates the queue position of a new item of this organisation and priority; 1 means that it is served next.
+     *
+     * @param ahead - Number of items of the same organisation and priority that are served before it; by default all.
+     */
+    queuePosition(account: FairAccount, priority: number, ahead?: number): number {
+        let moreUrgent = 0;
         for (const entry of this.levels) {
             if (entry.priority <= priority) {
                 break;
             }
-            ahead += entry.level.queued;
+            moreUrgent += entry.level.queued;
         }
         const level = this.level(priority);
         const flow = level.flow(account);
         const weight = level.backloggedWeight + (flow.items.size === 0 ? account.weight : 0);
-        const fair = Math.ceil((flow.items.size + 1) * weight / account.weight);
-        return ahead + Math.min(fair, level.queued + 1);
+        const fair = Math.ceil(((ahead ?? flow.items.size) + 1) * weight / account.weight);
+        return moreUrgent + Math.min(fair, level.queued + 1);
     }
 
     /**
      * Finds the item to evict from a full queue for a new one: at the lowest priority, from the organisation with the
      * longest queue relative to its weight. Returns undefined when the new item itself is the one to refuse.
      */
-    findItemToDisplace(account: OrganisationAccount, priority: number): WaitingItem | undefined {
+    findItemToDisplace(account: FairAccount, priority: number): Item | undefined {
         const lowest = this.levels.findLast(entry => entry.level.queued > 0);
         if (lowest === undefined || lowest.priority > priority) {
             return undefined;
@@ -170,12 +189,18 @@
         return longest.items.peekLeaf();
     }
 
-    private findNext(level: Level, mayStart: (account: OrganisationAccount) => boolean): WaitingItem | undefined {
-        const passedOver: Flow[] = [];
-        let found: WaitingItem | undefined;
+    private findNext(
+        level: Level<Item>,
+        mayStart: (account: Item["account"]) => boolean,
+        isEligible: ((item: Item) => boolean) | undefined,
+    ): Item | undefined {
+        const passedOver: Flow<Item>[] = [];
+        let found: Item | undefined;
         for (let flow = level.backlogged.peek(); flow !== undefined; flow = level.backlogged.peek()) {
             if (mayStart(flow.account)) {
-                found = flow.items.peek();
+                found = firstEligible(flow, isEligible);
+            }
+            if (found !== undefined) {
                 break;
             }
             passedOver.push(flow);
@@ -185,23 +210,40 @@
         return found;
     }
 
-    private level(priority: number): Level {
+    private level(priority: number): Level<Item> {
         const found = this.levels.find(entry => entry.priority === priority);
         if (found !== undefined) {
             return found.level;
         }
-        const level = new Level();
+        const level = new Level<Item>();
         this.levels = [...this.levels, { priority, level }].sort((a, b) => b.priority - a.priority);
         return level;
     }
 }
 
-function backlog(flow: Flow): number {
+function firstEligible<Item extends FairItem>(
+    flow: Flow<Item>,
+    isEligible: ((item: Item) => boolean) | undefined,
+): Item | undefined {
+    if (isEligible === undefined) {
+        return flow.items.peek();
+    }
+    const passedOver: Item[] = [];
+    for (let item = flow.items.peek(); item !== undefined && !isEligible(item); item = flow.items.peek()) {
+        passedOver.push(item);
+        flow.items.pop();
+    }
+    const found = flow.items.peek();
+    passedOver.forEach(item => flow.items.set(item.id, item.order, item));
+    return found;
+}
+
+function backlog<Item extends FairItem>(flow: Flow<Item>): number {
     return flow.items.size / flow.account.weight;
 }
 
-function longestFlow(level: Level): Flow | undefined {
-    let longest: Flow | undefined;
+function longestFlow<Item extends FairItem>(level: Level<Item>): Flow<Item> | undefined {
+    let longest: Flow<Item> | undefined;
     for (const flow of level.backlogged.values()) {
         if (longest === undefined || backlog(flow) > backlog(longest)) {
             longest = flow;
--- a/packages/policy/src/lib/admission/createWorkQueue.ts
+++ b/packages/policy/src/lib/admission/createWorkQueue.ts
@@ -2,7 +2,7 @@
 import { Result } from "true-myth";
 import { IndexedHeap } from "../support/IndexedHeap.js";
 import { ConcurrencyLimit } from "./ConcurrencyLimit.js";
-import { FairScheduler, type WaitingItem } from "./FairScheduler.js";
+import { type FairItem, FairScheduler } from "./FairScheduler.js";
 import { FirstTokenModel } from "./FirstTokenModel.js";
 import { type OrganisationAccount, OrganisationAccounts } from "./OrganisationAccounts.js";
 import { type WorkItem, type WorkQueue } from "./WorkQueue.js";
@@ -11,6 +11,16 @@
 /** The minimum retry delay returned with a refusal, in milliseconds. */
 const minRetryAfter = 50;
 
+/** A queued item. Items of one organisation and priority are ordered by expiry. */
+interface WaitingItem extends FairItem {
+    readonly item: WorkItem;
+    readonly account: OrganisationAccount;
+    /** Clock time in milliseconds after which the item can no longer meet its bound and is refused. */
+    readonly expires: number;
+    /** True when `expires` is the caller's deadline, not the latest start that meets the first-token bound. */
+    readonly endsAtDeadline: boolean;
+}
+
 interface RunningItem {
     readonly account: OrganisationAccount;
     readonly priority: number;
@@ -21,7 +31,7 @@
 class FairWorkQueue implements WorkQueue {
     private readonly clock: Clock;
     private readonly accounts: OrganisationAccounts;
-    private readonly scheduler = new FairScheduler();
+    private readonly scheduler = new FairScheduler<WaitingItem>();
     private readonly firstToken: FirstTokenModel;
     private readonly limit: ConcurrencyLimit;
     private readonly active = new Map<string, RunningItem>();
@@ -144,7 +154,8 @@
         const latestStart = Math.max(0, this.boundOf(item, account) - prediction);
         const endsAtDeadline = item.timeLeft < latestStart;
         const expires = this.clock.now() + Math.min(item.timeLeft, latestStart);
-        this.enqueue({ item, account, expires, endsAtDeadline });
+        const { id, priority } = item;
+        this.enqueue({ id, priority, order: expires, item, account, expires, endsAtDeadline });
         this.startWaiting();
         return Result.ok(this.active.has(item.id) ? "started" : "queued");
     }
--- a/packages/policy/src/lib/support/IndexedHeap.ts
+++ b/packages/policy/src/lib/support/IndexedHeap.ts
@@ -9,7 +9,7 @@
  * A binary min-heap by rank, whose members can be removed or given a new rank by key in logarithmic time. Members of
  * equal rank are returned in insertion order.
  *
- * @internal
+ * @public
  */
 export class IndexedHeap<T> {
     private readonly nodes: Node<T>[] = [];
