--- /dev/null
+++ b/packages/gateway/src/lib/testing/SlotLoad.ts
@@ -0,0 +1,135 @@
+import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
+import { SlotQueue, type SlotQueueOptions } from "../admission/SlotQueue.js";
+import { type SlotDecision, type SlotRequest } from "../admission/SlotRequest.js";
+
+/** Callers of one kind in a {@link SlotLoad}. */
+export interface CallerClass {
+    readonly kind: string;
+    readonly rank: number;
+    readonly organisation: string;
+    /** Requests per second at a time in milliseconds. */
+    readonly rate: (time: number) => number;
+    /** Milliseconds after which a refused caller returns, if not when told. */
+    readonly returnAfter?: number;
+}
+
+/** What one caller got. */
+export interface CallerRecord {
+    readonly type: CallerClass;
+    readonly arrived: number;
+    /** Each attempt's decision with its time. */
+    readonly decisions: { readonly time: number; readonly decision: SlotDecision; }[];
+}
+
+/** Options of {@link playSlotLoad}. */
+export interface SlotLoadOptions {
+    readonly seed: number;
+    readonly classes: readonly CallerClass[];
+    /** Milliseconds of arrivals. */
+    readonly duration: number;
+    readonly heads?: readonly string[];
+    /** Slots of a head at a time in milliseconds. */
+    readonly room?: (head: string, time: number) => number;
+    readonly maxHold?: number;
+    readonly timeLeft?: number;
+    /** Number of times that a refused caller returns. */
+    readonly returns?: number;
+    readonly queue?: Partial<SlotQueueOptions>;
+}
+
+/** Mean requests per second that three heads of 134 slots serve when a stream takes 2 to 4 s. */
+export const slotLoadCapacity = 3 * 134 / 3;
+
+/** Plays callers against a {@link SlotQueue} in virtual time. */
+class SlotLoad {
+    readonly clock = new ManualClock();
+    readonly callers: CallerRecord[] = [];
+    readonly queue: SlotQueue;
+    private readonly random: Random;
+    private readonly heads: readonly string[];
+    private readonly inFlight = new Map<string, number>();
+
+    constructor(private readonly options: SlotLoadOptions) {
+        this.random = seededRandom(options.seed);
+        this.heads = options.heads ?? ["a", "b", "c"];
+        const { clock, random } = this;
+        this.queue = new SlotQueue({ clock, random, freeSlots: head => this.freeSlots(head), ...options.queue });
+    }
+
+    play(): readonly CallerRecord[] {
+        this.options.classes.forEach(type => this.scheduleNext(type));
+        this.clock.advance(this.options.duration + 30_000);
+        return this.callers;
+    }
+
+    private freeSlots(head: string): number {
+        const room = this.options.room?.(head, this.clock.now()) ?? 134;
+        return room - (this.inFlight.get(head) ?? 0);
+    }
+
+    /** Draws arrivals at twice the rate or more and drops some, so that the rate may change with time. */
+    private scheduleNext(type: CallerClass): void {
+        const maxRate = 1_000;
+        const delay = -Math.log(1 - this.random.next()) * 1_000 / maxRate;
+        this.clock.schedule(() => {
+            if (this.clock.now() >= this.options.duration) {
+                return;
+            }
+            if (this.random.next() * maxRate < type.rate(this.clock.now())) {
+                const caller: CallerRecord = { type, arrived: this.clock.now(), decisions: [] };
+                this.callers.push(caller);
+                this.attempt(caller, `${this.callers.length}`);
+            }
+            this.scheduleNext(type);
+        }, delay);
+    }
+
+    private attempt(caller: CallerRecord, digest: string): void {
+        const { maxHold = 62, timeLeft = 20_000, returns = 1 } = this.options;
+        const { kind, rank, organisation, returnAfter } = caller.type;
+        const request: SlotRequest = {
+            id: `${digest}/${caller.decisions.length}`,
+            heads: this.heads,
+            rank,
+            organisation,
+            kind,
+            precedence: "waiting",
+            maxHold,
+            timeLeft: timeLeft - (this.clock.now() - caller.arrived),
+            digest,
+        };
+        this.queue.offer(request, decision => {
+            caller.decisions.push({ time: this.clock.now(), decision });
+            if (decision.kind === "granted") {
+                this.run(decision.head);
+            }
+            else if (caller.decisions.length <= returns) {
+                this.clock.schedule(() => this.attempt(caller, digest), returnAfter ?? decision.retryAfter);
+            }
+        });
+    }
+
+    private run(head: string): void {
+        this.inFlight.set(head, (this.inFlight.get(head) ?? 0) + 1);
+        this.clock.schedule(() => {
+            this.inFlight.set(head, this.inFlight.get(head)! - 1);
+            this.queue.noteFreed(1);
+            this.queue.update();
+        }, 2_000 + 2_000 * this.random.next());
+    }
+}
+
+/** Plays callers against a {@link SlotQueue} in virtual time. @returns What each caller got. */
+export function playSlotLoad(options: SlotLoadOptions): readonly CallerRecord[] {
+    return new SlotLoad(options).play();
+}
+
+/** Whether a caller was served, at its first attempt or when it returned. */
+export function isServed({ decisions }: CallerRecord): boolean {
+    return decisions.some(({ decision }) => decision.kind === "granted");
+}
+
+/** Share of callers that were served. */
+export function servedShare(callers: readonly CallerRecord[]): number {
+    return callers.filter(isServed).length / Math.max(1, callers.length);
+}
