--- a/packages/gateway/src/lib/requests/plainSlots.test.ts
+++ b/packages/gateway/src/lib/requests/plainSlots.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SlotSite } from "../testing/SlotSite.js";
+import { PlainSlotSite } from "../testing/PlainSlotSite.js";
 
 const seeds = [1, 2, 3, 4, 5];
 const loadTime = 3_000;
@@ -12,7 +12,7 @@
 for (const gateways of [1, 6]) {
     test(`full plain targets get no request beyond their slots from ${gateways} gateways`, async () => {
         for (const seed of seeds) {
-            const site = new SlotSite({ seed, gateways });
+            const site = new PlainSlotSite({ seed, gateways });
             await site.run(capacity * 1.8, loadTime);
             const served = site.answers.filter(({ statusCode, isComplete }) => statusCode === 200 && isComplete);
             const refused = site.answers.filter(({ resultNumber }) => resultNumber === 1022);
@@ -29,7 +29,7 @@
 }
 
 test("plain targets that list no slots get what arrives, without a message", async () => {
-    const site = new SlotSite({ gateways: 6, isListed: false });
+    const site = new PlainSlotSite({ gateways: 6, isListed: false });
     await site.run(capacity / 3, loadTime);
     assert.equal(site.messages, 0);
     assert.ok(site.answers.every(({ statusCode }) => statusCode === 200));
@@ -37,7 +37,7 @@
 
 // Guards against the first target in the list getting the first request of every gateway.
 test("the first requests of gateways are spread over equal targets", async () => {
-    const site = new SlotSite({ gateways: 60, isListed: false });
+    const site = new PlainSlotSite({ gateways: 60, isListed: false });
     site.gateways.forEach(gateway => gateway.startPlain("question"));
     await site.clock.advanceAsync(10);
     const [least = 0, , most = 0] = [...site.arrivals].sort((a, b) => a - b);
--- a/packages/gateway/src/lib/testing/SlotSite.ts
+++ b/packages/gateway/src/lib/testing/PlainSlotSite.ts
@@ -6,8 +6,8 @@
 import { SimulatedStore } from "./SimulatedStore.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 
-/** Options of {@link SlotSite}. */
-export interface SlotSiteOptions {
+/** Options of {@link PlainSlotSite}. */
+export interface PlainSlotSiteOptions {
     readonly seed?: number;
     readonly gateways?: number;
     readonly targets?: number;
@@ -26,7 +26,7 @@
 const millisecondsPerSecond = 1_000;
 
 /** Gateways of one data centre, and targets of a plain service that refuse requests beyond their slots. */
-export class SlotSite {
+export class PlainSlotSite {
     readonly clock = new ManualClock(1_000_000);
     readonly gateways: SimulatedRouter[] = [];
     readonly targets: SimulatedTarget[] = [];
@@ -40,7 +40,7 @@
     private readonly random: Random;
     private readonly grants: SlotGrants[] = [];
 
-    constructor(private readonly options: SlotSiteOptions = {}) {
+    constructor(private readonly options: PlainSlotSiteOptions = {}) {
         const { seed = 1, gateways = 1, targets = 3 } = options;
         this.random = seededRandom(seed);
         for (let target = 0; target < targets; target++) {
