--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -18,12 +18,12 @@
     penalties: "a target that fails repeatedly is avoided for longer each time",
     "resume-spread": "interrupted streams resume on chains with few waiting prompts",
     "short-first": "of interrupted streams those with short prompts are prefilled first",
+    "slot-admission": "requests wait for a slot, or are refused, before a head or a plain target is full",
     "hedged-sends": "an idempotent request without a reply is sent to a second target near the route's latency target",
     "second-attempts": "an idempotent request to a plain service is retried after a failure",
     "peer-confirmations": "a peer may confirm that the configuration is still the newest",
     "shared-watches": "gateways that are not relays rely on relays for changes of the store's tables",
     "peer-copies": "a gateway reads a changed configuration from a peer of its data centre before it asks the store",
-    "slot-admission": "requests are sent to a full target only when one of its slots is free, by rank and share",
     "start-queue": "requests are queued briefly while the process loads its configuration and target list",
 } as const satisfies Readonly<Record<string, string>>;
 
