The gateway issues and asks for slots behind the switch slot-admission

Cause: SlotGrants had no group to ask, and granted in the order of arrival. Change: SlotQueue decides at the issuer. PeerGroup is a SlotGroup (number of gateways of the data centre, told by relays in heartbeats as 'local'; share after a loss of contact, for 10 s). Datagrams go to permits, then to slots. Gateway has 'slots', not used by any request yet. A slow target less fits into a heartbeat (26 entries), since the new field made the largest one 1,206 bytes. SimulatedGroup delivered no datagram that was sent at a fraction of a millisecond. The interface of SlotGrants is unchanged; observe() is new, called with each heartbeat.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,5 +1,6 @@
 import { requestCodes, sleep } from "@waxwingspar/utils";
 import { type AddressInfo } from "node:net";
+import { SlotGrants } from "./admission/SlotGrants.js";
 import { CrossingAllowance } from "./chains/CrossingAllowance.js";
 import { loadShare } from "./chains/loadShare.js";
 import { TargetPaces } from "./chains/TargetPaces.js";
@@ -7,11 +8,9 @@
 import { type Configuration } from "./configuration/Configuration.js";
 import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
 import { ConfigurationLag } from "./configuration/ConfigurationLag.js";
-import { createConfigurationWatch } from "./configuration/createConfigurationWatch.js";
-import { runInSlices } from "./configuration/runInSlices.js";
 import { TableCopies } from "./copies/TableCopies.js";
 import { CrashProtection } from "./crashes/CrashProtection.js";
-import { createTargetWatch } from "./directory/createTargetWatch.js";
+import { createTableWatches } from "./createTableWatches.js";
 import { logTargetChange } from "./directory/logTargetChange.js";
 import { type DirectoryChange, TargetDirectory } from "./directory/TargetDirectory.js";
 import { PlacementDuty } from "./duty/PlacementDuty.js";
@@ -40,7 +39,7 @@
 import { StoreEras } from "./store/StoreEras.js";
 import { StoreHealth } from "./store/StoreHealth.js";
 import { type TableWatch } from "./store/TableWatch.js";
-import { type PeerSnapshot, type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
+import { type TableStatus, type WatchRole } from "./store/TableWatchOptions.js";
 import { refusesConnections } from "./upstream/refusesConnections.js";
 
 /** Milliseconds of the key revocation bound that are reserved for requests in flight. */
@@ -74,6 +73,7 @@
     private readonly rests: TargetRests;
     private readonly replies: TargetReplies;
     private readonly permits: SendPermits;
+    private readonly slots: SlotGrants;
     private readonly services: ServiceTable;
     private readonly crashes: CrashProtection;
     private readonly startQueue: StartQueue;
@@ -139,6 +139,14 @@
         });
         this.permits = new SendPermits({ clock, random, limits: this.limits, group: this.peers, observation });
         const { isOn = allMechanismsOn } = options;
+        this.slots = new SlotGrants({
+            clock,
+            random,
+            group: this.peers,
+            chainLoad: targetId => this.peers.chainLoad(targetId),
+            isOn: () => isOn("slot-admission"),
+            observation,
+        });
         this.services = new ServiceTable({
             clock,
             settings,
@@ -210,7 +218,23 @@
             isOn,
             observation: this.observation,
         });
-        this.watches = this.createWatches();
+        this.watches = createTableWatches({
+            gateway: options,
+            store,
+            eras,
+            storeHealth: this.storeHealth,
+            copies: this.copies,
+            configuration: this.configuration,
+            directory: this.directory,
+            observation,
+            role: () => this.watchRole,
+            onChange: configuration => this.applyConfiguration(configuration),
+            onConfigurationConfirmed: () => this.startQueue.release(),
+            onTargetsConfirmed: () => {
+                this.hasTargetList = true;
+                this.startQueue.release();
+            },
+        });
     }
 
     /** Starts to listen, to watch the store's tables and to exchange heartbeats with peers. */
@@ -315,8 +339,9 @@
                 }
                 this.receiveTableStatus(table, tableStatus, after);
             },
-            onOther: datagram => this.permits.receive(datagram),
+            onOther: datagram => this.permits.receive(datagram) || this.slots.receive(datagram),
             onSums: ({ slowTargets, limits, ...news }) => {
+                this.slots.observe();
                 this.paces.recordPeerReports(slowTargets);
                 this.crashes.receive(news);
                 this.limits.recordStatements(limits);
@@ -324,51 +349,6 @@
         });
     }
 
-    private createWatches(): ReadonlyMap<string, TableWatch> {
-        const { store, eras } = this;
-        const { clock, random, tables, logs, settings, isOn = allMechanismsOn } = this.options;
-        const createWatchOptions = (table: string) => ({
-            clock,
-            random,
-            store,
-            eras,
-            table,
-            contactTime: settings.contactTime,
-            role: () => isOn("shared-watches") ? this.watchRole : "alone",
-            ...this.storeHealth.createListeners(table),
-        });
-        const configurationWatch = createConfigurationWatch({
-            ...createWatchOptions(tables.configurationTable),
-            key: tables.configurationKey,
-            configurationTime: settings.configurationTime,
-            readFromPeers: isOn("peer-copies") ? version => this.readCopy(version) : undefined,
-            onRow: (row, encoded) => this.copies.keep(tables.configurationTable, row.version, [row], encoded),
-            decode: document => runInSlices(tables.decodeConfiguration(document), clock),
-            configuration: this.configuration,
-            observation: this.observation,
-            onChange: configuration => this.applyConfiguration(configuration),
-            onConfirmed: () => this.startQueue.release(),
-        });
-        const targetWatch = createTargetWatch({
-            ...createWatchOptions(tables.targetTable),
-            directory: this.directory,
-            drainTime: settings.drainTime,
-            decode: (id, document) => tables.decodeTarget(id, document),
-            logger: logs.directory,
-            onConfirmed: () => {
-                this.hasTargetList = true;
-                this.startQueue.release();
-            },
-        });
-        return new Map([[tables.configurationTable, configurationWatch], [tables.targetTable, targetWatch]]);
-    }
-
-    /** Reads the configuration's table from a peer that has at least a version. */
-    private async readCopy(version: number): Promise<PeerSnapshot | undefined> {
-        const read = await this.copies.reader.read(this.options.tables.configurationTable, version);
-        return read === undefined ? undefined : { ...read.copy, encoded: read.encoded, progress: read.progress };
-    }
-
     /** The status of each watched table, as peers receive it. */
     private get words(): TableStatuses {
         return Object.fromEntries(
--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -18,6 +18,7 @@
     penalties: "a target that fails repeatedly is avoided for longer each time",
     "resume-spread": "interrupted streams resume on chains with few waiting prompts",
     "short-first": "of interrupted streams those with short prompts are prefilled first",
+    "slot-admission": "requests wait for a slot, or are refused, before a head or a plain target is full",
     "hedged-sends": "an idempotent request without a reply is sent to a second target near the route's latency target",
     "second-attempts": "an idempotent request to a plain service is retried after a failure",
     "peer-confirmations": "a peer may confirm that the configuration is still the newest",
--- a/packages/gateway/src/lib/admission/SlotCounter.ts
+++ b/packages/gateway/src/lib/admission/SlotCounter.ts
@@ -76,7 +76,7 @@
             return false;
         }
         const grants = known?.grants ?? new Map<number, string>();
-        const before = new Map(known?.counts.heads.map(head => [head.target, head.inFlight]));
+        const before = new Map(known?.counts.heads.map(count => [count.target, usedBy(count)]));
         this.removeCounts(known?.counts);
         for (const [number, head] of grants) {
             if (isOver(counts, number)) {
@@ -90,7 +90,7 @@
             head.reported += usedBy(count);
             head.listed += home === this.options.group.dataCentre ? 1 : 0;
             head.rooms.record(-count.room);
-            before.set(count.target, (before.get(count.target) ?? 0) - count.inFlight);
+            before.set(count.target, (before.get(count.target) ?? 0) - usedBy(count));
         }
         // Removed first: the map keeps the order of the last messages.
         this.gateways.delete(incarnation);
@@ -145,12 +145,16 @@
         return Number.isFinite(room) ? room : 0;
     }
 
-    /** Slots of a head that may be granted; negative if more are in use. */
-    freeSlots(head: string): number {
+    /**
+     * Slots of a head that may be granted; negative if more are in use.
+     *
+     * @param excess - Factor of the room.
+     */
+    freeSlots(head: string, excess = 1): number {
         const room = this.room(head);
         // A gateway without contact is left one slot, so that it may serve somebody.
-        const issued = Math.max(Math.min(1, room), Math.floor(room * this.options.group.slotShare));
-        return issued - this.load(head);
+        const issued = Math.max(Math.min(1, room), Math.floor(excess * room * this.options.group.slotShare));
+        return Math.floor(issued - this.load(head));
     }
 
     /** Removes gateways that have been silent. */
@@ -163,8 +167,7 @@
             this.gateways.delete(incarnation);
             this.removeCounts(counts);
             grants.forEach(head => this.head(head).granted--);
-            const freed = new Map(counts.heads.map(({ target, inFlight }) => [target, inFlight]));
-            freed.forEach((count, head) => this.noteChange(head, count));
+            counts.heads.forEach(count => this.noteChange(count.target, usedBy(count)));
         }
     }
 
--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -104,16 +104,10 @@
         if (issuer !== group.address && this.own.isWithinQuota(pool, first)) {
             return this.hold(first.id, 0);
         }
-        const decision = issuer === group.address || this.silentIssuers.isSilent(issuer)
-            ? undefined
-            : await this.ask(issuer, pool, request);
-        if (decision === undefined || decision.kind === "undecided") {
-            const alone = this.decideAlone(pool, request, clock.now() - askedAt);
-            this.finish(pool, request, alone, "alone");
-            return alone;
-        }
-        const outcome = decision.kind === "granted" ? this.hold(decision.head, decision.held) : decision;
-        this.finish(pool, request, outcome, "reply");
+        const isAlone = issuer === group.address || this.silentIssuers.isSilent(issuer);
+        const reply = isAlone ? undefined : await this.ask(issuer, pool, request);
+        const outcome = reply ?? this.decideAlone(pool, request, clock.now() - askedAt);
+        this.finish(pool, request, outcome, reply === undefined ? "alone" : "reply");
         return outcome;
     }
 
@@ -182,7 +176,8 @@
         });
     }
 
-    private ask(issuer: string, pool: SlotPool, request: PoolRequest): Promise<IssuedDecision | undefined> {
+    /** @returns Undefined if the issuer does not reply or decide. */
+    private ask(issuer: string, pool: SlotPool, request: PoolRequest): Promise<SlotOutcome | undefined> {
         const { clock, group } = this.options;
         const number = this.nextNumber++;
         return new Promise(resolve => {
@@ -194,7 +189,14 @@
             }, replyTimeout + request.maxHold);
             const onReply = (decision: IssuedDecision) => {
                 this.silentIssuers.recordReply(issuer);
-                resolve(decision);
+                // Counted at once: the next message tells that the call is decided.
+                resolve(
+                    decision.kind === "granted"
+                        ? this.hold(decision.head, decision.held)
+                        : decision.kind === "undecided"
+                        ? undefined
+                        : decision,
+                );
             };
             this.pending.set(number, { issuer, timer, onReply });
             const { rank, organisation, kind, precedence, maxHold, timeLeft, digest } = request;
--- a/packages/gateway/src/lib/admission/SlotIssuer.ts
+++ b/packages/gateway/src/lib/admission/SlotIssuer.ts
@@ -1,26 +1,28 @@
-import { type Clock, type Random, type Timer } from "@waxwingspar/utils";
+import { type Clock, type Random } from "@waxwingspar/utils";
 import { LRUCache } from "lru-cache";
-import { ArrivalQueue } from "./ArrivalQueue.js";
 import { SlotCounter, type SlotCounterOptions } from "./SlotCounter.js";
 import { type SlotGroup } from "./SlotGroup.js";
 import { type HeadLoad, type IssuedDecision, type SlotCall, type SlotCounts, type SlotReply } from "./slotMessage.js";
 import { type SlotPool } from "./SlotPool.js";
+import { SlotQueue, type SlotQueueOptions } from "./SlotQueue.js";
 import { type SlotDecision, type SlotRequest } from "./SlotRequest.js";
 
 /** Options of {@link SlotIssuer}. */
-export interface SlotIssuerOptions extends Pick<SlotCounterOptions, "ownInFlight" | "chainLoad"> {
+export interface SlotIssuerOptions
+    extends Pick<SlotCounterOptions, "ownInFlight" | "chainLoad">, Pick<SlotQueueOptions, "weight"> {
     readonly clock: Clock;
     readonly random: Random;
     readonly group: SlotGroup;
-    /** Weight of an organisation among those of its rank. */
-    readonly weight?: (organisation: string) => number;
 }
 
 /** Whose slots are asked for. */
 type PoolName = Pick<SlotPool, "service" | "dataCentre">;
 
 interface IssuedPool {
-    readonly queue: ArrivalQueue;
+    readonly dataCentre: string;
+    readonly queue: SlotQueue;
+    /** Whether this gateway is the issuer, as last checked: one that is not any more grants nothing to those that wait. */
+    isIssued: boolean;
     /** Whether slots that become free without a message are looked for. */
     isPolled: boolean;
 }
@@ -36,9 +38,7 @@
  * gateways learn of the new issuer and report to it.
  */
 const takeoverTime = 600;
-/** Milliseconds after which a request that was interrupted is granted a slot of a head that is full. */
-const runningHold = 150;
-/** Share of its room up to which a head takes such requests: targets queue half as many as they have slots. */
+/** Share of its room up to which a head takes interrupted requests that have waited: targets queue half as many as they have slots. */
 const runningExcess = 1.25;
 /** Milliseconds between two looks for slots that have become free without a message, while requests wait. */
 const pollInterval = 40;
@@ -62,6 +62,8 @@
     /** Since when this gateway has been the issuer of a data centre. */
     private readonly issuerSince = new LRUCache<string, number>({ max: maxPools });
 
+    private nextOwn = 1;
+
     constructor(private readonly options: SlotIssuerOptions) {
         const { clock, group, ownInFlight, chainLoad } = options;
         this.counter = new SlotCounter({
@@ -88,7 +90,8 @@
     /** Decides on a request of this gateway. */
     offer(pool: SlotPool, request: SlotRequest, onDecision: (decision: SlotDecision) => void): void {
         this.noteRooms(pool);
-        this.enqueue(this.pool(pool, request.heads), request, onDecision);
+        // A caller's id may be in use: a request that is sent twice asks twice.
+        this.enqueue(this.pool(pool, request.heads), { ...request, id: `own ${this.nextOwn++}` }, onDecision);
     }
 
     /** The first head with a free slot that no request waits for. */
@@ -104,7 +107,7 @@
     noteOwnFreed(head: string): void {
         const pool = this.poolOf.get(head);
         pool?.queue.noteFreed(1);
-        pool?.queue.update();
+        this.update(pool);
     }
 
     /** Answers a call, at once or when it is decided. */
@@ -142,7 +145,7 @@
                 this.forgetWaiting(counts.incarnation, id);
             }
         }
-        new Set(counts.heads.map(({ target }) => this.poolOf.get(target))).forEach(pool => pool?.queue.update());
+        new Set(counts.heads.map(({ target }) => this.poolOf.get(target))).forEach(pool => this.update(pool));
     }
 
     /** Requests of all gateways on a head, and its room. */
@@ -170,37 +173,16 @@
     }
 
     private enqueue(pool: IssuedPool, request: SlotRequest, onDecision: (decision: SlotDecision) => void): void {
-        const { clock } = this.options;
-        const offeredAt = clock.now();
-        let timer: Timer | undefined;
-        let isDecided = false;
-        const decide = (decision: SlotDecision) => {
-            if (!isDecided) {
-                isDecided = true;
-                timer?.cancel();
-                onDecision(decision);
-            }
-        };
-        pool.queue.offer(request, decide);
-        if (request.precedence === "running") {
-            const grantAnyway = () => {
-                const head = isDecided ? undefined : this.findOverfull(request.heads);
-                if (head !== undefined) {
-                    pool.queue.cancel(request.id);
-                    decide({ kind: "granted", head, held: clock.now() - offeredAt });
-                }
-                else if (!isDecided) {
-                    timer = clock.schedule(grantAnyway, pollInterval);
-                }
-            };
-            timer = clock.schedule(grantAnyway, runningHold);
-        }
+        pool.isIssued = true;
+        pool.queue.offer(request, onDecision);
         this.poll(pool);
     }
 
-    /** The head that a request which was interrupted is sent to although none has a free slot. */
-    private findOverfull(heads: readonly string[]): string | undefined {
-        return heads.find(head => this.counter.load(head) < runningExcess * this.counter.room(head));
+    private update(pool: IssuedPool | undefined): void {
+        if (pool !== undefined && pool.queue.waiting > 0) {
+            pool.isIssued = this.isIssuer(pool.dataCentre);
+            pool.queue.update();
+        }
     }
 
     private poll(pool: IssuedPool): void {
@@ -210,7 +192,7 @@
         pool.isPolled = true;
         this.options.clock.schedule(() => {
             pool.isPolled = false;
-            pool.queue.update();
+            this.update(pool);
             this.poll(pool);
         }, pollInterval);
     }
@@ -242,14 +224,22 @@
 
     private pool({ service, dataCentre }: PoolName, heads: readonly string[]): IssuedPool {
         const key = `${dataCentre} ${service}`;
-        const pool = this.pools.get(key) ?? { queue: this.createQueue(), isPolled: false };
+        const pool = this.pools.get(key) ?? this.createPool(dataCentre);
         this.pools.set(key, pool);
         heads.forEach(head => this.poolOf.set(head, pool));
         return pool;
     }
 
-    private createQueue(): ArrivalQueue {
-        const { clock } = this.options;
-        return new ArrivalQueue({ clock, freeSlots: head => this.counter.freeSlots(head) });
+    private createPool(dataCentre: string): IssuedPool {
+        const { clock, random, weight } = this.options;
+        const queue: SlotQueue = new SlotQueue({
+            clock,
+            random,
+            weight,
+            freeSlots: head => pool.isIssued ? this.counter.freeSlots(head) : 0,
+            runningSlots: head => pool.isIssued ? this.counter.freeSlots(head, runningExcess) : 0,
+        });
+        const pool: IssuedPool = { dataCentre, queue, isIssued: true, isPolled: false };
+        return pool;
     }
 }
--- a/packages/gateway/src/lib/peers/GroupSize.ts
+++ b/packages/gateway/src/lib/peers/GroupSize.ts
@@ -24,7 +24,8 @@
     private joinedAt = Infinity;
     private knownAtJoin = 0;
 
-    constructor(private readonly clock: Clock) {}
+    /** @param retention - Milliseconds for which the largest size counts. */
+    constructor(private readonly clock: Clock, private readonly retention = peakRetention) {}
 
     /**
      * Records that this process has joined the group.
@@ -42,7 +43,7 @@
             this.peaks.pop();
         }
         this.peaks.push({ size, notedAt: this.clock.now() });
-        while (this.peaks[0] !== undefined && this.peaks[0].notedAt < this.clock.now() - peakRetention) {
+        while (this.peaks[0] !== undefined && this.peaks[0].notedAt < this.clock.now() - this.retention) {
             this.peaks.shift();
         }
     }
--- a/packages/gateway/src/lib/peers/GroupSums.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.ts
@@ -34,7 +34,7 @@
  * Maximum entries of all tables in one datagram. With ids of twelve characters a heartbeat stays below 1,200 bytes, so
  * that no network fragments it.
  */
-const maxTotalEntries = 27;
+const maxTotalEntries = 26;
 /**
  * Maximum entries of each table, largest first. Slow targets get what the other tables leave of the total, but at least
  * this number: when many are slow at the same time, gateways that do not know them build chains over them.
--- a/packages/gateway/src/lib/peers/IssuerShare.ts
+++ b/packages/gateway/src/lib/peers/IssuerShare.ts
@@ -17,9 +17,10 @@
     private readonly all: GroupSize;
     private counts: GatewayCounts = { dataCentre: 1, all: 1 };
 
-    constructor(clock: Clock) {
-        this.dataCentre = new GroupSize(clock);
-        this.all = new GroupSize(clock);
+    /** @param retention - Milliseconds for which gateways that were lost count as partitioned. */
+    constructor(clock: Clock, retention?: number) {
+        this.dataCentre = new GroupSize(clock, retention);
+        this.all = new GroupSize(clock, retention);
     }
 
     /** Records that this process has joined the group, with the numbers of gateways in the store's table. */
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -108,6 +108,16 @@
         return this.reporters().length + 1;
     }
 
+    /**
+     * The number of gateways of the own data centre, including this one, as its relays know them; those of all data
+     * centres if they don't tell.
+     */
+    get dataCentreMembers(): number {
+        const told = this.localPeers().flatMap(({ local }) => local ?? []);
+        const isUntold = told.length === 0 && !this.isRelay;
+        return isUntold ? this.others.members + 1 : Math.max(this.localMembers, ...told);
+    }
+
     /** Whether this process aggregates the reports of other gateways. */
     get isRelay(): boolean {
         return this.relays.includes(this.options.own.address) || this.reporters().length > 0;
@@ -187,7 +197,7 @@
         const addresses = new Set([...reportedTo, ...this.reporters().map(({ address }) => address)]);
         addresses.delete(this.options.own.address);
         for (const address of addresses) {
-            this.send(address, reportedTo.has(address) ? { state } : { whole });
+            this.send(address, reportedTo.has(address) ? { state } : { whole, local: this.localMembers });
         }
     }
 
@@ -341,7 +351,7 @@
         return ageSums(sums, this.options.clock.now() - receivedAt);
     }
 
-    private send(address: string, parts: Pick<Heartbeat, "state" | "near" | "whole">): void {
+    private send(address: string, parts: Pick<Heartbeat, "state" | "near" | "whole" | "local">): void {
         const { process, incarnation, own, words } = this.options;
         const receiver = this.peers.alive().find(peer => peer.address === address);
         const heartbeat: Heartbeat = {
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { type Logger } from "pino";
 import * as z from "zod/mini";
+import { type SlotGroup } from "../admission/SlotGroup.js";
 import { type Address } from "../GatewaySettings.js";
 import { type PermitGroup } from "../limits/SendPermits.js";
 import { type Store, type WriteResult } from "../store/Store.js";
@@ -9,6 +10,7 @@
 import { type GroupSums } from "./GroupSums.js";
 import { IssuerShare } from "./IssuerShare.js";
 import { PeerExchange, type PeerExchangeOptions } from "./PeerExchange.js";
+import { SlotShare } from "./SlotShare.js";
 
 /** A row of the member table. */
 const memberSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
@@ -44,10 +46,11 @@
  * The group of gateways of a site, as seen by one of them. Gateways discover each other at the start through a table of
  * the store, and then exchange their state in datagrams.
  */
-export class PeerGroup implements PermitGroup {
+export class PeerGroup implements PermitGroup, SlotGroup {
     private readonly socket: Socket = createSocket("udp4");
     private readonly exchange: PeerExchange;
     private readonly share: IssuerShare;
+    private readonly slots: SlotShare;
     private isListening = false;
     private isStopped = false;
     private nextRead = -Infinity;
@@ -56,6 +59,7 @@
     constructor(private readonly options: PeerGroupOptions) {
         const { clock, process, incarnation, dataCentre, logger } = options;
         this.share = new IssuerShare(clock);
+        this.slots = new SlotShare(clock);
         this.exchange = new PeerExchange({
             clock,
             process,
@@ -87,7 +91,27 @@
         return this.share.value;
     }
 
-    /** The address of the gateway that issues the permits for targets of a data centre. */
+    /** The data centre of this gateway. */
+    get dataCentre(): string {
+        return this.options.dataCentre;
+    }
+
+    /** The largest recent number of gateways of the own data centre; infinite until they are known. */
+    get localSize(): number {
+        return this.slots.localSize;
+    }
+
+    /** The number of gateways of the own data centre in contact, including this one. */
+    get localMembers(): number {
+        return this.slots.localMembers;
+    }
+
+    /** The share of the slots of heads that this gateway issues, from 0 to 1. */
+    get slotShare(): number {
+        return this.slots.value;
+    }
+
+    /** The address of the gateway that issues the permits and slots for targets of a data centre. */
     findIssuer(dataCentre: string): string {
         return this.exchange.findIssuer(dataCentre);
     }
@@ -150,6 +174,7 @@
             await this.register();
             if (await this.readMembers()) {
                 this.share.join(this.exchange.knownCounts);
+                this.slots.join(this.exchange.knownCounts);
                 this.options.logger.info({ members: this.exchange.knownMembers }, "joined");
                 return;
             }
@@ -213,7 +238,9 @@
         }
         const { clock } = this.options;
         this.exchange.sendHeartbeats();
-        this.share.record({ dataCentre: this.exchange.localMembers, all: this.exchange.others.members + 1 });
+        const all = this.exchange.others.members + 1;
+        this.share.record({ dataCentre: this.exchange.localMembers, all });
+        this.slots.record({ dataCentre: this.exchange.dataCentreMembers, all });
         if (this.exchange.isIsolated && clock.now() >= this.nextRead) {
             void this.readMembers();
         }
--- a/packages/gateway/src/lib/peers/heartbeat.ts
+++ b/packages/gateway/src/lib/peers/heartbeat.ts
@@ -35,6 +35,8 @@
     near: z.optional(groupSumsSchema),
     /** The sum over all gateways; for gateways that report to the sender. */
     whole: z.optional(groupSumsSchema),
+    /** The number of gateways of the sender's data centre in contact with it, itself included; sent with `whole`. */
+    local: z.optional(z.number()),
     /** Addresses of some live gateways, by data centre. */
     members: z.record(z.string(), z.array(z.string())),
 });
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -5,6 +5,7 @@
 import { IssuerShare } from "../peers/IssuerShare.js";
 import { PeerExchange, type TableStatuses } from "../peers/PeerExchange.js";
 import { type PeerState } from "../peers/PeerState.js";
+import { SlotShare } from "../peers/SlotShare.js";
 import { type TableWatch } from "../store/TableWatch.js";
 import { type TableStatus } from "../store/TableWatchOptions.js";
 import { silentLogs } from "./fixtures.js";
@@ -41,6 +42,7 @@
     readonly exchange: PeerExchange;
     readonly size: GroupSize;
     readonly issuerShare: IssuerShare;
+    readonly slotShare: SlotShare;
     /** The state that its heartbeats carry; tests may change it. */
     state: PeerState;
     /** Sets the listener for the sums of the other gateways' states. */
@@ -133,6 +135,7 @@
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
             issuerShare: new IssuerShare(this.clock),
+            slotShare: new SlotShare(this.clock),
             state: {
                 suspects: [],
                 slowTargets: {},
@@ -165,6 +168,7 @@
                     const all = others.members + 1;
                     gateway.size.record(all);
                     gateway.issuerShare.record({ dataCentre: gateway.exchange.localMembers, all });
+                    gateway.slotShare.record({ dataCentre: gateway.exchange.dataCentreMembers, all });
                     listener(others);
                 },
             }),
@@ -175,10 +179,11 @@
     }
 
     /** Makes the first `count` gateways known to a gateway, as the store's table of members does. */
-    introduce({ exchange, size, issuerShare }: SimulatedGateway, count = this.gateways.length): void {
+    introduce({ exchange, size, issuerShare, slotShare }: SimulatedGateway, count = this.gateways.length): void {
         this.gateways.slice(0, count).forEach(({ address, dataCentre }) => exchange.addMember({ address, dataCentre }));
         size.join(exchange.knownMembers + 1);
         issuerShare.join(exchange.knownCounts);
+        slotShare.join(exchange.knownCounts);
     }
 
     get runningGateways(): SimulatedGateway[] {
@@ -245,7 +250,7 @@
         }
         const copies = this.random.next() < duplicates ? 2 : 1;
         for (let copy = 0; copy < copies; copy++) {
-            const due = this.clock.now() + 1 + Math.floor(this.random.next() * maxDelay);
+            const due = Math.floor(this.clock.now()) + 1 + Math.floor(this.random.next() * maxDelay);
             const deliver = () => {
                 if (!receiver.isDown && this.clock.now() >= receiver.startsAt) {
                     count(receiver.received, datagram);
