--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
+import { type SlotGrants } from "../admission/SlotGrants.js";
 import { type CrashProtection } from "../crashes/CrashProtection.js";
 import { type Target } from "../directory/Target.js";
 import { type SendPermits } from "../limits/SendPermits.js";
@@ -27,6 +28,8 @@
     /** Whether a target is still the listed incarnation, as far as is known, and is not leaving. */
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
+    /** Grants the slots of targets. */
+    readonly slots: Pick<SlotGrants, "acquire" | "tryLocal" | "fullFor">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -1,6 +1,8 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Clock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type IncomingMessage } from "node:http";
+import { type SlotGroup } from "../admission/SlotGroup.js";
+import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { ChainService } from "../chains/ChainService.js";
 import { TargetPaces } from "../chains/TargetPaces.js";
 import { TargetSuspicions } from "../chains/TargetSuspicions.js";
@@ -9,7 +11,7 @@
 import { TargetDirectory } from "../directory/TargetDirectory.js";
 import { type PermitGroup, SendPermits } from "../limits/SendPermits.js";
 import { TargetLimits } from "../limits/TargetLimits.js";
-import { allMechanismsOn } from "../Mechanisms.js";
+import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 import { GatewayMetrics } from "../observation/Observation.js";
 import { TargetReplies } from "../replies/TargetReplies.js";
 import { CallerExchange } from "../requests/CallerExchange.js";
@@ -24,7 +26,14 @@
 import { type Store } from "../store/Store.js";
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
-import { leavingHeader, limitHeader, refusalStatus, restHeader, type SimulatedTarget } from "./SimulatedTarget.js";
+import {
+    leavingHeader,
+    limitHeader,
+    priorityHeader,
+    refusalStatus,
+    restHeader,
+    type SimulatedTarget,
+} from "./SimulatedTarget.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
@@ -41,10 +50,24 @@
     /** The gateways that share the limits of targets; by default this one only. */
     readonly group?: PermitGroup;
     readonly random?: Random;
+    readonly isOn?: MechanismSwitch;
+    /** Grants the slots of targets; by default all that are requested. */
+    readonly slots?: RequestContext["slots"];
 }
 
-function createGroupOfOne(): PermitGroup {
-    return { address: "", groupSize: 1, issuerShare: 1, findIssuer: () => "", send: () => undefined };
+/** Creates the group of a gateway without others. */
+export function createGroupOfOne(dataCentre = ""): PermitGroup & SlotGroup {
+    return {
+        address: "",
+        dataCentre,
+        groupSize: 1,
+        localSize: 1,
+        localMembers: 1,
+        issuerShare: 1,
+        slotShare: 1,
+        findIssuer: () => "",
+        send: () => undefined,
+    };
 }
 
 /** Name of the service without chains. */
@@ -81,7 +104,7 @@
     readCallerRequest: () => {
         throw new Error("not used");
     },
-    writeDispatchHeaders: () => [],
+    writeDispatchHeaders: (_, { priority }) => priority === undefined ? [] : [priorityHeader, `${priority}`],
     readReplyHead: (status, headers) => ({
         requestId: undefined,
         isSigned: true,
@@ -154,7 +177,13 @@
             },
             observation,
         });
-        this.picker = new ServicePicker({ clock, service: plainService, dataCentre, directory: this.directory });
+        this.picker = new ServicePicker({
+            clock,
+            random: seededRandom(2),
+            service: plainService,
+            dataCentre,
+            directory: this.directory,
+        });
         this.context = {
             clock,
             wire,
@@ -172,8 +201,9 @@
             rests: this.rests,
             mayReceive: target => this.directory.mayReceive(target),
             permits: this.permits,
+            slots: options.slots ?? unlimitedSlots,
             openExchange: exchange => targetAt(exchange.port).open(exchange),
-            isOn: allMechanismsOn,
+            isOn: options.isOn ?? allMechanismsOn,
             targetListAge: () => this.directory.age,
         };
     }
