The gateway's runs and pickers use the slots that are granted

Runs took unlimited slots until the grants were wired into the gateway. RequestRouter passes them on, ServiceTable gives pickers the random numbers of the gateway and the known loads of plain targets, and ChainService tells the room of a chain.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -149,6 +149,8 @@
         });
         this.services = new ServiceTable({
             clock,
+            random,
+            knownLoad: head => this.slots.knownLoad(head),
             settings,
             directory: this.directory,
             suspicions: this.suspicions,
@@ -179,6 +181,7 @@
             rests: this.rests,
             mayReceive: target => this.directory.mayReceive(target),
             permits: this.permits,
+            slots: this.slots,
             targetListAge: () => this.directory.age,
             findService: name => this.services.find(name),
         });
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -161,6 +161,11 @@
         );
     }
 
+    /** Number of requests of all gateways for which a chain has room. */
+    roomOf({ chain }: ChainLoad): number {
+        return chain.room;
+    }
+
     /** Milliseconds until a chain can be built because rests have ended; see {@link ChainRouter.restLeft}. */
     get restLeft(): number | undefined {
         return this.router.restLeft(this.options.engine);
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -1,5 +1,4 @@
 import { type Clock, type Random, requestCodes, type ResultCode } from "@waxwingspar/utils";
-import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
@@ -39,8 +38,7 @@
     readonly rests: TargetRests;
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: SendPermits;
-    /** Grants the slots of targets; by default all that are requested. */
-    readonly slots?: RequestContext["slots"];
+    readonly slots: RequestContext["slots"];
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -168,7 +166,7 @@
             rests,
             mayReceive,
             permits,
-            slots: slots ?? unlimitedSlots,
+            slots,
             openExchange,
             isOn,
             targetListAge,
--- a/packages/gateway/src/lib/requests/chainCandidates.ts
+++ b/packages/gateway/src/lib/requests/chainCandidates.ts
@@ -6,13 +6,13 @@
 /** Lists the chains that a request may be sent over now, best first, with the slots of their heads. */
 export function* chainCandidates(
     choice: Pick<ChainChoice, "listNext">,
-    service: Pick<ChainService, "target">,
+    service: Pick<ChainService, "roomOf" | "target">,
 ): Generator<SlotCandidate<ChainLoad>> {
     for (const load of choice.listNext()) {
         const target = service.target(load.chain.hops[0]?.targetId ?? "");
         if (target !== undefined) {
             // A chain whose memory is too small for an average request still runs one at a time.
-            yield { choice: load, target, room: Math.max(1, Math.floor(load.chain.room)) };
+            yield { choice: load, target, room: Math.max(1, Math.floor(service.roomOf(load))) };
         }
     }
 }
--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -26,7 +26,7 @@
 /** Options of {@link ServiceTable}. */
 export interface ServiceTableOptions extends Pick<ChainServiceOptions, ForwardedOption> {
     readonly clock: Clock;
-    readonly random?: Random;
+    readonly random: Random;
     readonly directory: TargetDirectory;
     /** Number of requests of all gateways on a plain target; see {@link ServicePickerOptions.knownLoad}. */
     readonly knownLoad?: ServicePickerOptions["knownLoad"];
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -2,7 +2,6 @@
 import { type Clock, type Random, seededRandom } from "@waxwingspar/utils";
 import { type IncomingMessage } from "node:http";
 import { type SlotGroup } from "../admission/SlotGroup.js";
-import { unlimitedSlots } from "../admission/unlimitedSlots.js";
 import { ChainService } from "../chains/ChainService.js";
 import { TargetPaces } from "../chains/TargetPaces.js";
 import { TargetSuspicions } from "../chains/TargetSuspicions.js";
@@ -34,6 +33,7 @@
     restHeader,
     type SimulatedTarget,
 } from "./SimulatedTarget.js";
+import { unlimitedSlots } from "./unlimitedSlots.js";
 
 /** Options of {@link SimulatedRouter}. */
 export interface SimulatedRouterOptions {
--- a/packages/gateway/src/lib/admission/unlimitedSlots.ts
+++ b/packages/gateway/src/lib/testing/unlimitedSlots.ts
@@ -1,5 +1,5 @@
+import { type HeldSlot, type SlotPool } from "../admission/SlotPool.js";
 import { type RequestContext } from "../requests/RequestContext.js";
-import { type HeldSlot, type SlotPool } from "./SlotPool.js";
 
 function grantFirst({ heads }: SlotPool): HeldSlot {
     return { kind: "granted", head: heads[0]?.id ?? "", held: 0, release: () => undefined };
