Several chains of a data centre share its slots and memory

A data centre used one chain, whose head runs 134 requests, while targets with second copies served nobody.

buildChains builds up to six chains of a data centre from the slots of heads and the memory for KV cache that earlier chains leave. The first chain is the one of buildChain. A request avoids a further chain that shares a target with a chain on which it has failed. headLoads sums the chains with the same head; before, a replaced chain hid its successor's load.

--- a/packages/gateway/src/lib/chains/Chain.ts
+++ b/packages/gateway/src/lib/chains/Chain.ts
@@ -12,5 +12,10 @@
     readonly room: number;
     /** Slowdown of its slowest target: the ratio of its step time to the expected time of its accelerator. */
     readonly slowdown: number;
+    /**
+     * Expected time of a step of all layers with the wait at each hop, relative to a full step on the reference
+     * accelerator; undefined if unknown.
+     */
+    readonly pace?: number;
     readonly hops: readonly Hop[];
 }
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -5,7 +5,10 @@
 import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
 import { type TargetRests } from "../rests/TargetRests.js";
 import { buildChain, type Slowdown } from "./buildChain.js";
+import { buildChains } from "./buildChains.js";
+import { buildMixedChains } from "./buildMixedChains.js";
 import { type Chain } from "./Chain.js";
+import { type ChainCondition, chainCost, type ChainUse, resumeCost } from "./chainCost.js";
 import { type CrossingAllowance, crossingTime } from "./CrossingAllowance.js";
 import { type LearnedRooms } from "./LearnedRooms.js";
 import { type TargetPaces } from "./TargetPaces.js";
@@ -28,8 +31,10 @@
     /** Limits new requests on chains between data centres; undefined if their links have no limit. */
     readonly crossingAllowance?: CrossingAllowance;
     readonly isOn?: MechanismSwitch;
-    /** Called when the chain that begins in a data centre has changed; `chain` is undefined when there is none now. */
+    /** Called when the first chain of a data centre has changed; `chain` is undefined when there is none now. */
     readonly onChange?: (dataCentre: string, chain: Chain | undefined) => void;
+    /** Called when the further chains of a data centre are others than before. */
+    readonly onFurtherChange?: (dataCentre: string, chains: readonly Chain[]) => void;
 }
 
 /** A chain and the requests of this process on it. */
@@ -50,59 +55,13 @@
 }
 
 /**
- * Cost of a chain in another data centre, in requests in flight. It is half of the load of a chain under normal
- * conditions: a lower value causes needless traffic between data centres, a higher one leaves chains idle beside a
- * saturated local one when callers move.
+ * Maintains the chains of each data centre for one service and balances requests over them by cost. The further chains
+ * of a data centre take the part of an overload for which its first chain has no slots or memory.
  */
-const localAdvantage = 20;
-/**
- * Cost of each hop between data centres, in requests in flight. Chains within one data centre are preferred until they
- * are nearly full, since the activations of a request occupy the link between data centres for 25 ms per hop.
- */
-const crossingPenalty = 30;
-/**
- * Cost of each request beyond the room of a chain, in requests in flight, so that chains with room are preferred.
- * Excess requests are queued or evict the KV cache of others.
- */
-const excessCost = 10;
-/**
- * Cost of each prompt of this process that a chain has yet to process, in requests in flight, when a stream is resumed:
- * all streams of a lost target move at the same time, and a chain processes prompts one after the other.
- */
-const pendingPromptCost = 10;
-/**
- * Cost of a chain, in requests in flight, for each multiple of the expected step time by which its slowest target
- * exceeds it. A target at half its speed delays all requests on the chain, so the chain is avoided until another one
- * carries twice as many requests.
- */
-const slownessPenalty = 40;
-
-/**
- * Builds chains through several data centres, for the seconds in which some of them have no complete chain of their
- * own. Each of these data centres gets a chain that begins there, which spreads the load over the links; only chains
- * with the fewest hops between data centres are returned. The targets of complete chains are left out, since they have
- * no capacity to spare. Without mixed chains, 180 requests were refused when three data centres lost a target each at
- * the same time.
- */
-function buildMixedChains(
-    dataCentres: readonly string[],
-    whole: readonly Chain[],
-    targets: readonly Target[],
-    engine: Engine,
-    slowdown: Slowdown,
-): Chain[] {
-    const used = new Set(whole.flatMap(({ hops }) => hops.map(({ targetId }) => targetId)));
-    const free = targets.filter(({ id }) => !used.has(id));
-    const chains = dataCentres
-        .filter(dataCentre => whole.every(chain => chain.dataCentre !== dataCentre))
-        .flatMap(dataCentre => buildChain(dataCentre, free, engine, slowdown) ?? []);
-    const fewest = Math.min(...chains.map(({ crossings }) => crossings));
-    return chains.filter(({ crossings }) => crossings === fewest);
-}
-
-/** Maintains the best chain of each data centre for one service and balances requests over these chains by cost. */
 export class ChainRouter {
     private chains: ChainLoad[] = [];
+    /** The first chain of the data centre, by further chain. */
+    private firsts = new Map<ChainLoad, ChainLoad>();
     private readonly loads = new Map<string, ChainLoad>();
     private builtState = "";
     /** When a chain can be built because rests have ended, on the clock. */
@@ -121,14 +80,14 @@
      */
     choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const loads = this.current(engine).filter(load => !excluded.has(load.chain.key) && this.mayAdd(engine, load));
-        return cheapest(loads, load => this.cost(load));
+        return cheapest(loads, this.costAfter(excluded));
     }
 
     /** Like {@link ChainRouter.choose}, but leaves out chains that are avoided after a stall. */
     chooseHealthy(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
         const now = this.options.clock.now();
         const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && this.mayAdd(engine, load));
-        return cheapest(healthy.filter(({ chain }) => !excluded.has(chain.key)), load => this.cost(load));
+        return cheapest(healthy.filter(({ chain }) => !excluded.has(chain.key)), this.costAfter(excluded));
     }
 
     /**
@@ -142,7 +101,7 @@
         const readable = healthy.filter(load => this.mayAdd(engine, load));
         return cheapest(
             readable.length > 0 ? readable : healthy,
-            load => this.isOn("resume-spread") ? this.resumeCost(load) : this.cost(load),
+            this.isOn("resume-spread") ? this.resumeCostAfter(excluded) : this.costAfter(excluded),
         );
     }
 
@@ -179,7 +138,8 @@
     }
 
     /**
-     * Returns the current chains, at most one for each data centre; rebuilds them when targets or slowdowns changed.
+     * Returns the current chains, the first one of each data centre before its further ones; rebuilds them when targets
+     * or slowdowns changed.
      */
     current(engine: Engine): ChainLoad[] {
         const { directory, suspicions, paces, rests } = this.options;
@@ -196,9 +156,14 @@
 
     /** Returns the number of requests that this process has in flight, by the first target of their chain. */
     headLoads(): [string, number][] {
-        return [...this.loads.values()]
-            .filter(({ inFlight }) => inFlight > 0)
-            .map(({ chain, inFlight }) => [chain.hops[0]?.targetId ?? "", inFlight]);
+        const sums = new Map<string, number>();
+        for (const { chain, inFlight } of this.loads.values()) {
+            const head = chain.hops[0]?.targetId ?? "";
+            if (inFlight > 0) {
+                sums.set(head, (sums.get(head) ?? 0) + inFlight);
+            }
+        }
+        return [...sums];
     }
 
     /**
@@ -238,8 +203,10 @@
         const dataCentres = [...new Set(targets.map(({ dataCentre }) => dataCentre))].sort();
         const local = dataCentres.flatMap(dataCentre => {
             const ofDataCentre = targets.filter(target => target.dataCentre === dataCentre);
-            const chain = buildChain(dataCentre, ofDataCentre, engine, slowdown);
-            return chain === undefined ? [] : [chain];
+            const previous = this.chainsOf(dataCentre);
+            return this.isOn("several-chains")
+                ? buildChains(dataCentre, ofDataCentre, engine, { slowdown, previous })
+                : buildChain(dataCentre, ofDataCentre, engine, slowdown) ?? [];
         });
         const mixed = this.isOn("mixed-chains") ? buildMixedChains(dataCentres, local, targets, engine, slowdown) : [];
         const chains = [...local, ...mixed];
@@ -250,14 +217,26 @@
         }
         this.reportChanges(chains);
         this.chains = chains.map(chain => this.getOrCreateLoad(chain));
+        this.firsts = new Map(this.chains.flatMap(load => {
+            const first = this.chains.find(({ chain }) => chain.dataCentre === load.chain.dataCentre);
+            return first === undefined || first === load ? [] : [[load, first] as const];
+        }));
+    }
+
+    private chainsOf(dataCentre: string): Chain[] {
+        return this.chains.flatMap(({ chain }) => chain.dataCentre === dataCentre ? [chain] : []);
     }
 
     private reportChanges(chains: readonly Chain[]): void {
-        const before = new Map(this.chains.map(({ chain }) => [chain.dataCentre, chain]));
-        const after = new Map(chains.map(chain => [chain.dataCentre, chain]));
-        for (const dataCentre of new Set([...before.keys(), ...after.keys()])) {
-            if (before.get(dataCentre)?.key !== after.get(dataCentre)?.key) {
-                this.options.onChange?.(dataCentre, after.get(dataCentre));
+        const dataCentres = [...this.chains.map(({ chain }) => chain), ...chains].map(({ dataCentre }) => dataCentre);
+        for (const dataCentre of new Set(dataCentres)) {
+            const [firstBefore, ...furtherBefore] = this.chainsOf(dataCentre);
+            const [first, ...further] = chains.filter(chain => chain.dataCentre === dataCentre);
+            if (firstBefore?.key !== first?.key) {
+                this.options.onChange?.(dataCentre, first);
+            }
+            if (furtherBefore.map(({ key }) => key).join() !== further.map(({ key }) => key).join()) {
+                this.options.onFurtherChange?.(dataCentre, further);
             }
         }
     }
@@ -281,20 +260,39 @@
         return load;
     }
 
-    private cost({ chain }: ChainLoad): number {
-        const distance = chain.dataCentre === this.options.dataCentre ? 0 : localAdvantage;
-        return this.loadCost(chain) + distance;
+    /** Returns the cost of chains for a request that has failed on the excluded ones. */
+    private costAfter(excluded: ReadonlySet<string>): (load: ChainLoad) => number {
+        return load => chainCost(this.conditionOf(load, excluded));
     }
 
-    private resumeCost({ chain, inFlight, streaming }: ChainLoad): number {
-        return this.loadCost(chain) + (inFlight - streaming) * pendingPromptCost;
+    /** Returns the cost of chains for a stream that is resumed after it has failed on the excluded ones. */
+    private resumeCostAfter(excluded: ReadonlySet<string>): (load: ChainLoad) => number {
+        return load => resumeCost(this.conditionOf(load, excluded), load.inFlight - load.streaming);
     }
 
-    private loadCost(chain: Chain): number {
-        const requests = this.requestsOn(chain);
-        const excess = this.isOn("chain-room") ? Math.max(0, requests + 1 - this.roomOf(chain)) : 0;
-        const slowness = (chain.slowdown - 1) * slownessPenalty;
-        return requests + excess * excessCost + chain.crossings * crossingPenalty + slowness;
+    private conditionOf(load: ChainLoad, excluded: ReadonlySet<string>): ChainCondition {
+        const first = this.firsts.get(load);
+        const takesRequests = first !== undefined && first.avoidedUntil <= this.options.clock.now();
+        const use = this.useOf(load);
+        return {
+            ...use,
+            room: this.isOn("chain-room") ? use.room : Infinity,
+            isRemote: load.chain.dataCentre !== this.options.dataCentre,
+            first: takesRequests ? this.useOf(first) : undefined,
+            sharesFailedTarget: excluded.size > 0 && this.sharesTarget(load.chain, excluded),
+        };
+    }
+
+    private useOf({ chain }: ChainLoad): ChainUse {
+        return { chain, requests: this.requestsOn(chain), room: this.roomOf(chain) };
+    }
+
+    /** Whether a chain shares a target with a current chain of its data centre that is excluded. */
+    private sharesTarget({ dataCentre, hops }: Chain, excluded: ReadonlySet<string>): boolean {
+        const ids = new Set(hops.map(({ targetId }) => targetId));
+        return this.chainsOf(dataCentre).some(other =>
+            excluded.has(other.key) && other.hops.some(({ targetId }) => ids.has(targetId))
+        );
     }
 
     /** Counts the requests of all gateways on chains that begin at the same target. */
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -11,6 +11,7 @@
 import { type CrossingAllowance } from "./CrossingAllowance.js";
 import { type EngineControl } from "./EngineControl.js";
 import { LearnedRooms } from "./LearnedRooms.js";
+import { logChains } from "./logChains.js";
 import { TargetInspector } from "./TargetInspector.js";
 import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
@@ -120,7 +121,7 @@
         this.router = new ChainRouter({
             ...options,
             rooms,
-            onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
+            ...logChains(options),
         });
         this.loop = new LoopDelay(options.clock);
         this.inspector = new TargetInspector({ ...options, rooms, loop: this.loop });
@@ -257,18 +258,6 @@
         void this.survey(load);
     }
 
-    private logChain(dataCentre: string, chain: Chain | undefined): void {
-        const { observation, directory } = this.options;
-        observation.logs.chains.info({
-            chain: dataCentre,
-            list: directory.revision,
-            hops: chain?.hops.map(({ targetId, layers }) => `${targetId}=${layers.first}-${layers.end}`),
-            room: chain === undefined ? undefined : Math.round(chain.room),
-            crossings: chain?.crossings,
-            slowdown: chain?.slowdown,
-        }, chain === undefined ? "chain broken" : "chain built");
-    }
-
     private scheduleCheck(): void {
         const { clock } = this.options;
         const delay = this.nextCheckDelay();
--- a/packages/gateway/src/lib/chains/buildChain.ts
+++ b/packages/gateway/src/lib/chains/buildChain.ts
@@ -3,7 +3,7 @@
 import { type Hop } from "../requests/messages.js";
 import { hopCost } from "./candidates.js";
 import { type Chain } from "./Chain.js";
-import { ampleRoom, requestRoom } from "./memory.js";
+import { ampleRoom, cacheMemory, freeMemory } from "./memory.js";
 
 /**
  * Cost of a hop to another data centre, relative to the time of a full step on the reference accelerator. It exceeds
@@ -29,22 +29,60 @@
     targets: readonly Target[],
     engine: Engine,
     slowdown: Slowdown = () => 1,
+): Chain | undefined {
+    const resources = targets.flatMap(target => measureResource(target, engine, slowdown) ?? []);
+    return findChain(dataCentre, resources, engine);
+}
+
+/** Like {@link buildChain}, from resources of which other chains may use a part. */
+export function findChain(
+    dataCentre: string,
+    resources: readonly ChainResource[],
+    engine: Engine,
+    minRoom = 0,
 ): Chain | undefined {
     const best: BestSteps = Array.from({ length: engine.layers + 1 }, () => new Map<string, Step>());
-    best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, slowdown: 1, dataCentre });
+    best[0]?.set(dataCentre, { cost: 0, crossings: 0, room: engine.slots, slowdown: 1, pace: 0, dataCentre });
     for (let layer = 0; layer < engine.layers; layer++) {
-        const holders = targets.filter(({ layers }) =>
-            layers !== undefined && layers.first <= layer && layers.end > layer
+        const reachedSteps = best[layer];
+        if (reachedSteps === undefined || reachedSteps.size === 0) {
+            continue;
+        }
+        const holders = resources.filter(({ layers, mayHead }) =>
+            layers.first <= layer && layers.end > layer && (layer > 0 || mayHead)
         );
-        for (const reached of best[layer]?.values() ?? []) {
+        for (const reached of reachedSteps.values()) {
             holders
-                .filter(target => mayFollow(reached, target, layer))
-                .forEach(target => addHop({ best, reached, target, layer, engine, slowdown: slowdown(target.id) }));
+                .filter(resource => mayFollow(reached, resource, layer))
+                .forEach(resource => addHop({ best, reached, resource, layer, engine, minRoom }));
         }
     }
     return toChain(dataCentre, cheapest([...best[engine.layers]?.values() ?? []]));
 }
 
+/** What a target that holds layers has for chains. */
+export interface ChainResource {
+    readonly target: Target;
+    readonly layers: LayerRange;
+    /** Time of a step relative to the reference accelerator. */
+    readonly stepFactor: number;
+    /** Ratio of its step time to the expected time of its accelerator. */
+    readonly slowdown: number;
+    /** Memory for the KV cache that no chain uses, in megabytes. */
+    readonly cacheLeft: number;
+    /** Whether a chain may begin at the target. */
+    readonly mayHead: boolean;
+}
+
+/** Returns what a target has when no chain uses it; undefined when it holds no layers. */
+export function measureResource(target: Target, engine: Engine, slowdown: Slowdown): ChainResource | undefined {
+    const { id, layers, accelerator } = target;
+    const stepFactor = engine.accelerators.find(({ name }) => name === accelerator)?.stepFactor ?? 1;
+    return layers === undefined
+        ? undefined
+        : { target, layers, stepFactor, slowdown: slowdown(id), cacheLeft: freeMemory(engine, target), mayHead: true };
+}
+
 /** Returns the slowdown of a target: the ratio of its step time to the expected time of its accelerator. */
 export type Slowdown = (targetId: string) => number;
 
@@ -58,6 +96,7 @@
     readonly room: number;
     /** Slowdown of the slowest target of the partial chain. */
     readonly slowdown: number;
+    readonly pace: number;
     readonly dataCentre: string;
     readonly before?: Step;
     readonly target?: Target;
@@ -67,7 +106,7 @@
 /**
  * Ensures that a chain uses each target at most once, and that its first target is in the data centre where it begins.
  */
-function mayFollow(reached: Step, target: Target, layer: number): boolean {
+function mayFollow(reached: Step, { target }: ChainResource, layer: number): boolean {
     const isElsewhere = target.dataCentre !== reached.dataCentre;
     return !(isElsewhere && layer === 0) && !isUsed(reached, target);
 }
@@ -76,23 +115,29 @@
 interface NextHop {
     readonly best: BestSteps;
     readonly reached: Step;
-    readonly target: Target;
+    readonly resource: ChainResource;
     readonly layer: number;
     readonly engine: Engine;
-    readonly slowdown: number;
+    /** Number of requests that every target of the chain must have room for. */
+    readonly minRoom: number;
 }
 
 /**
  * Extends a partial chain by a target, up to each layer that the target holds, where no cheaper partial chain is known.
  */
-function addHop({ best, reached, target, layer, engine, slowdown }: NextHop): void {
+function addHop({ best, reached, resource, layer, engine, minRoom }: NextHop): void {
+    const { target, slowdown, stepFactor, cacheLeft } = resource;
     const { dataCentre } = target;
-    const stepFactor = engine.accelerators.find(({ name }) => name === target.accelerator)?.stepFactor ?? 1;
+    const cacheSize = cacheMemory(engine);
     const factor = stepFactor * slowdown;
     const crossings = dataCentre === reached.dataCentre ? 0 : 1;
     const base = reached.cost + hopCost + crossings * crossingCost;
-    for (let end = layer + 1; end <= Math.min(target.layers?.end ?? 0, engine.layers); end++) {
-        const room = requestRoom(engine, target, end - layer);
+    const lastEnd = Math.min(resource.layers.end, engine.layers);
+    for (let end = layer + 1; end <= lastEnd; end++) {
+        const room = Math.max(0, cacheLeft / (cacheSize * (end - layer)));
+        if (room < minRoom) {
+            return;
+        }
         const shortage = Math.max(0, 1 - room / ampleRoom);
         const cost = base + factor * (end - layer) / engine.layers + shortageCost * shortage;
         const known = best[end]?.get(dataCentre);
@@ -102,6 +147,7 @@
                 crossings: reached.crossings + crossings,
                 room: Math.min(reached.room, room),
                 slowdown: Math.max(reached.slowdown, slowdown),
+                pace: reached.pace + hopCost + factor * (end - layer) / engine.layers,
                 dataCentre,
                 before: reached,
                 target,
@@ -138,6 +184,6 @@
     }
     const key = hops.map(hop => `${incarnationOf({ ...hop, id: hop.targetId })}:${hop.layers.first}-${hop.layers.end}`)
         .join(",");
-    const { crossings, room, slowdown } = last;
-    return { key, dataCentre, crossings, room, slowdown, hops };
+    const { crossings, room, slowdown, pace } = last;
+    return { key, dataCentre, crossings, room, slowdown, pace, hops };
 }
--- a/packages/gateway/src/lib/chains/memory.ts
+++ b/packages/gateway/src/lib/chains/memory.ts
@@ -11,7 +11,7 @@
 export const ampleRoom = 96;
 
 /** Returns the size of the KV cache of an average request for one layer, in megabytes. */
-function cacheMemory(engine: Engine): number {
+export function cacheMemory(engine: Engine): number {
     const tokens = engine.usualPrompt + engine.usualAnswer;
     return tokens * engine.cacheBytesPerToken / engine.layers / bytesPerMegabyte;
 }
@@ -31,7 +31,11 @@
  * Returns the number of average requests whose KV cache fits into a target, when it runs `runLayers` layers for each.
  */
 export function requestRoom(engine: Engine, target: Target, runLayers: number): number {
+    return Math.max(0, freeMemory(engine, target) / (cacheMemory(engine) * runLayers));
+}
+
+/** Returns the memory of a target beside the layers that it holds, in megabytes; negative when they exceed it. */
+export function freeMemory(engine: Engine, target: Target): number {
     const held = target.layers === undefined ? 0 : target.layers.end - target.layers.first;
-    const free = memoryOf(engine, target.accelerator) - held * engine.layerMemory;
-    return Math.max(0, free / (cacheMemory(engine) * runLayers));
+    return memoryOf(engine, target.accelerator) - held * engine.layerMemory;
 }
