Targets beside the first copy form whole further chains

Targets without layers held second copies of the smallest ranges first, so they formed no chain and served nobody while the first chain stood.

addFurtherChains gives such targets the layers that no target has room left for, so that they form chains with each other and with targets of earlier chains; separate copies come first. The first copy is planned as before, and no target gives up layers. Targets of further chains are in use while a chain is whole, so repairs leave them alone. Layers that several kept targets hold need no further standby, as planning again would otherwise have added some. PlacementDuty plans again only when targets have changed.

--- a/packages/gateway/src/lib/chains/addStandbys.ts
+++ b/packages/gateway/src/lib/chains/addStandbys.ts
@@ -24,7 +24,8 @@
     const ranges = placements
         .flatMap(({ target, layers }) => {
             const room = Math.min(ampleRoom, requestRoom(engine, { ...target, layers }, layers.end - layers.first));
-            return subtractRanges(layers, replicated).map(range => ({ ...range, room }));
+            const overlapping = placements.flatMap(other => other.target === target ? [] : [other.layers]);
+            return subtractRanges(layers, [...replicated, ...overlapping]).map(range => ({ ...range, room }));
         })
         .sort((a, b) => a.room - b.room || a.end - a.first - (b.end - b.first));
     const standbys: Placement[] = [];
--- a/packages/gateway/src/lib/chains/buildChains.ts
+++ b/packages/gateway/src/lib/chains/buildChains.ts
@@ -7,17 +7,22 @@
 import { cacheMemory } from "./memory.js";
 
 /** Maximum number of chains of a data centre, which bounds the cost of a rebuild. */
-const maxChains = 6;
+export const maxChains = 6;
 /**
  * Number of requests for which a further chain must have room. A smaller one serves about five streams a second, which
  * is not worth the reports that its targets are asked for.
  */
 const minRoom = 12;
+/**
+ * Numbers of requests for which a further chain is searched; the one with the highest throughput is used. The cheapest
+ * chain alone prefers fast targets on which the earlier chains have left little memory.
+ */
+const roomLevels: readonly number[] = [96, 48, minRoom];
 /**
  * Factor by which a further chain may be slower than the first one. Events of a first chain that is not loaded arrive
  * every 30 to 60 ms, and may arrive every 250 ms.
  */
-const maxPaceRatio = 4;
+export const maxPaceRatio = 4;
 /**
  * Factor by which new further chains must exceed the throughput of those that can be kept. A rebuild for less would move
  * requests back and forth between chains of nearly the same throughput.
@@ -28,7 +33,7 @@
  * Number of targets for each layer among which further chains are searched, the fastest ones first. It exceeds the number
  * of chains twice, and bounds the time of a rebuild: 300 targets took 24 ms without it.
  */
-const maxHolders = 16;
+const maxHolders = 12;
 
 /** Options of {@link buildChains}. */
 export interface ChainsOptions {
@@ -49,26 +54,36 @@
     dataCentre: string,
     targets: readonly Target[],
     engine: Engine,
-    { slowdown = () => 1, previous = [] }: ChainsOptions = {},
+    options: ChainsOptions = {},
 ): Chain[] {
+    return allocateChains(dataCentre, targets, engine, options).chains;
+}
+
+/** Like {@link buildChains}, with what the chains leave of the targets. */
+export function allocateChains(
+    dataCentre: string,
+    targets: readonly Target[],
+    engine: Engine,
+    { slowdown = () => 1, previous = [] }: ChainsOptions = {},
+): Allocation {
     const resources = targets.flatMap(target => measureResource(target, engine, slowdown) ?? []);
     const first = findChain(dataCentre, resources, engine);
     if (first === undefined) {
-        return [];
+        return { chains: [], resources, engine };
     }
     const alone = allocate({ chains: [], resources, engine }, first);
     const kept = previous.reduce((allocation, chain) => keepChain(allocation, chain), alone);
     const extended = addChains(kept, dataCentre);
     if (kept.chains.length === alone.chains.length) {
-        return extended.chains;
+        return extended;
     }
     const replaced = addChains(alone, dataCentre);
     const isBetter = throughput(replaced.chains) > throughput(extended.chains) * replacementGain;
-    return (isBetter ? replaced : extended).chains;
+    return isBetter ? replaced : extended;
 }
 
 /** Chains and what they leave of the targets. */
-interface Allocation {
+export interface Allocation {
     readonly chains: Chain[];
     readonly resources: readonly ChainResource[];
     readonly engine: Engine;
@@ -98,10 +113,14 @@
     let extended = allocation;
     while (extended.chains.length < maxChains) {
         const { resources, engine } = extended;
-        const minCache = minRoom * cacheMemory(engine);
-        const usable = resources.filter(({ cacheLeft }) => cacheLeft >= minCache);
-        const chain = findChain(dataCentre, selectFastest(usable, engine), engine, minRoom);
-        if (chain === undefined || !isWorthwhile(chain, extended)) {
+        const found = roomLevels.flatMap(room => {
+            const minCache = room * cacheMemory(engine);
+            const usable = resources.filter(({ cacheLeft }) => cacheLeft >= minCache);
+            const chain = findChain(dataCentre, selectFastest(usable, engine), engine, room);
+            return chain === undefined || !isWorthwhile(chain, extended) ? [] : [chain];
+        });
+        const [chain] = found.sort((a, b) => throughput([b]) - throughput([a]));
+        if (chain === undefined) {
             break;
         }
         extended = allocate(extended, chain);
@@ -110,7 +129,7 @@
 }
 
 /** Selects the resources that are among the fastest ones for any of their layers; only heads count for the first layer. */
-function selectFastest(resources: readonly ChainResource[], engine: Engine): ChainResource[] {
+export function selectFastest(resources: readonly ChainResource[], engine: Engine): ChainResource[] {
     const counts = new Array<number>(engine.layers).fill(0);
     const bySpeed = resources.toSorted((a, b) => a.stepFactor * a.slowdown - b.stepFactor * b.slowdown);
     return bySpeed.filter(({ layers, mayHead }) => {
--- a/packages/gateway/src/lib/chains/planLayers.ts
+++ b/packages/gateway/src/lib/chains/planLayers.ts
@@ -1,6 +1,7 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type Target } from "../directory/Target.js";
 import { allMechanismsOn, type MechanismSwitch } from "../Mechanisms.js";
+import { addFurtherChains, withPlacements } from "./addFurtherChains.js";
 import { addStandbys } from "./addStandbys.js";
 import { type Candidate, rankCandidates } from "./candidates.js";
 import { fillGaps } from "./fillGaps.js";
@@ -62,12 +63,37 @@
     for (const { level, plan } of attempts) {
         const filled = plan(kept, rankCandidates(idle, engine, level), engine, level);
         if (filled !== undefined) {
-            return isOn("second-copies") ? addStandbys(filled, targets, engine, level) : filled;
+            return isOn("second-copies") ? addCopies(filled, targets, engine, { level, isOn }) : filled;
         }
     }
     return [];
 }
 
+/**
+ * Adds further chains and standbys over targets without layers, until no such target is left or of use. A standby may
+ * make a further chain possible over the targets that remain.
+ */
+function addCopies(
+    filled: readonly Placement[],
+    targets: readonly Target[],
+    engine: Engine,
+    { level, isOn }: { readonly level: number; readonly isOn: MechanismSwitch; },
+): Placement[] {
+    const copies: Placement[] = [];
+    for (;;) {
+        const chains = isOn("several-chains")
+            ? addFurtherChains(withPlacements(targets, [...filled, ...copies]), engine)
+            : [];
+        const held = withPlacements(targets, [...copies, ...chains]);
+        const kept = filled.map(({ target, layers }) => ({ target: held[targets.indexOf(target)] ?? target, layers }));
+        const standbys = addStandbys(kept, held, engine, level).slice(filled.length);
+        copies.push(...chains, ...standbys);
+        if (chains.length + standbys.length === 0) {
+            return [...filled, ...copies];
+        }
+    }
+}
+
 /** Whether the targets can hold a complete copy and the given share of a second one at this concurrency. */
 function hasSpare(
     targets: readonly Target[],
--- a/packages/gateway/src/lib/duty/PlacementDuty.ts
+++ b/packages/gateway/src/lib/duty/PlacementDuty.ts
@@ -1,5 +1,6 @@
 import { type Clock } from "@waxwingspar/utils";
-import { buildChain } from "../chains/buildChain.js";
+import { buildChain, type Slowdown } from "../chains/buildChain.js";
+import { buildChains } from "../chains/buildChains.js";
 import { type Chain } from "../chains/Chain.js";
 import { type EngineControl } from "../chains/EngineControl.js";
 import { type Placement } from "../chains/Placement.js";
@@ -124,7 +125,7 @@
             for (const dataCentre of dataCentres) {
                 const local = targets.filter(target => target.dataCentre === dataCentre);
                 const chain = this.chainOf(name, dataCentre);
-                chain.update(this.buildCurrentChain(dataCentre, local, engine));
+                chain.update(this.buildCurrentChains(dataCentre, local, engine, chain));
                 if (this.options.isOn?.("slow-targets") !== false) {
                     this.paceWatch.requestReports(chain.inUse);
                 }
@@ -145,11 +146,23 @@
             .map(target => ({ ...target, layers: this.getOrderState(target).expected(this.listed(target)) }));
     }
 
-    /** Builds the chain from the layers that the targets hold now. */
-    private buildCurrentChain(dataCentre: string, targets: readonly Target[], engine: Engine): Chain | undefined {
-        const { directory, paces } = this.options;
+    /** Builds the chains from the layers that the targets hold now. */
+    private buildCurrentChains(
+        dataCentre: string,
+        targets: readonly Target[],
+        engine: Engine,
+        { current }: DataCentreChain,
+    ): Chain[] {
+        const { directory, paces, isOn = allMechanismsOn } = this.options;
         const listed = targets.flatMap(({ id }) => directory.get(id) ?? []);
-        return buildChain(dataCentre, listed, engine, id => paces.slowdown(id));
+        const slowdown: Slowdown = id => paces.slowdown(id);
+        return current.get(
+            [engine, directory.revision, paces.fingerprint, listed.map(({ id }) => id).join()],
+            () =>
+                isOn("several-chains")
+                    ? buildChains(dataCentre, listed, engine, { slowdown })
+                    : [buildChain(dataCentre, listed, engine, slowdown) ?? []].flat(),
+        );
     }
 
     /**
@@ -162,10 +175,13 @@
         const inUse = isOn("in-use-targets") ? chain.inUse : new Set<string>();
         const mayShift = chain.hasLongOutage || !isOn("shift-patience");
         const fullSpeedTargets = targets.filter(({ id }) => !isOn("slow-targets") || paces.slowdown(id) === 1);
-        const plan = fullSpeedTargets.length < targets.length
-            ? planLayers(fullSpeedTargets, engine, { inUse, mayShift: false, isOn })
-            : [];
-        return plan.length > 0 ? plan : planLayers(targets, engine, { inUse, mayShift, isOn });
+        const inputs = [engine, mayShift, describe(targets), describe(fullSpeedTargets), [...inUse].sort().join()];
+        return chain.plan.get(inputs, () => {
+            const plan = fullSpeedTargets.length < targets.length
+                ? planLayers(fullSpeedTargets, engine, { inUse, mayShift: false, isOn })
+                : [];
+            return plan.length > 0 ? plan : planLayers(targets, engine, { inUse, mayShift, isOn });
+        });
     }
 
     private chainOf(service: string, dataCentre: string): DataCentreChain {
@@ -272,3 +288,11 @@
         }
     }
 }
+
+/** Describes what a plan depends on. */
+function describe(targets: readonly Target[]): string {
+    return targets.map(target => {
+        const { accelerator, layers } = target;
+        return `${incarnationOf(target)} ${accelerator} ${layers?.first}-${layers?.end}`;
+    }).join();
+}
