--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -10,6 +10,8 @@
 import { type ChainLoad, ChainRouter } from "./ChainRouter.js";
 import { type CrossingAllowance } from "./CrossingAllowance.js";
 import { type EngineControl } from "./EngineControl.js";
+import { LearnedRooms } from "./LearnedRooms.js";
+import { logChains } from "./logChains.js";
 import { TargetInspector } from "./TargetInspector.js";
 import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
@@ -93,6 +95,11 @@
 const stallAvoidanceTime = 1_500;
 /** Milliseconds between two surveys of a chain: each report is billed, and recovering a lost range takes longer. */
 const surveyInterval = 500;
+/**
+ * Share of a chain's room in use from which a refusing target is expected to be full. Below it, a refusal is more likely
+ * a sign that the target is draining, so it gets no requests until it has answered.
+ */
+const nearlyFullShare = 0.7;
 /** HTTP status of a target that does not hold the layers that it was asked to run. */
 const misdirectedStatus = 421;
 
@@ -110,12 +117,14 @@
 
     constructor(private readonly options: ChainServiceOptions) {
         this.isOn = options.isOn ?? allMechanismsOn;
+        const rooms = new LearnedRooms(options.clock);
         this.router = new ChainRouter({
             ...options,
-            onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
+            rooms,
+            ...logChains(options),
         });
         this.loop = new LoopDelay(options.clock);
-        this.inspector = new TargetInspector({ ...options, loop: this.loop });
+        this.inspector = new TargetInspector({ ...options, rooms, loop: this.loop });
         this.checkedAt = options.clock.now();
         this.scheduleCheck();
     }
@@ -237,7 +246,7 @@
             this.inspector.avoidMisplaced(hop.targetId);
             return;
         }
-        this.inspector.inspectRefusing(hop.targetId);
+        this.inspector.inspectRefusing(hop.targetId, this.router.usedShare(load) >= nearlyFullShare);
     }
 
     /**
@@ -254,18 +263,6 @@
         void this.survey(load);
     }
 
-    private logChain(dataCentre: string, chain: Chain | undefined): void {
-        const { observation, directory } = this.options;
-        observation.logs.chains.info({
-            chain: dataCentre,
-            list: directory.revision,
-            hops: chain?.hops.map(({ targetId, layers }) => `${targetId}=${layers.first}-${layers.end}`),
-            room: chain === undefined ? undefined : Math.round(chain.room),
-            crossings: chain?.crossings,
-            slowdown: chain?.slowdown,
-        }, chain === undefined ? "chain broken" : "chain built");
-    }
-
     private scheduleCheck(): void {
         const { clock } = this.options;
         const delay = this.nextCheckDelay();
