--- a/packages/gateway/src/lib/admission/EventRate.ts
+++ b/packages/gateway/src/lib/admission/EventRate.ts
@@ -7,7 +7,10 @@
     readonly timeConstant: number;
 }
 
-/** Milliseconds over which the first events are averaged, so that the first one alone does not show a high rate. */
+/**
+ * Milliseconds from the first event until a rate is known. Under overload, 20 to 40 slots become free in this time; the
+ * first few alone would show a far too high or too low rate.
+ */
 const minObservation = 200;
 
 /**
@@ -21,9 +24,9 @@
 
     constructor(private readonly options: EventRateOptions) {}
 
-    /** Whether any event has been recorded. */
+    /** Whether events have been observed for long enough. */
     get isKnown(): boolean {
-        return this.started !== undefined;
+        return this.started !== undefined && this.options.clock.now() - this.started >= minObservation;
     }
 
     add(count = 1): void {
@@ -38,7 +41,7 @@
         return this.decayedSum(this.options.clock.now());
     }
 
-    /** Events per millisecond; 0 while none is known. */
+    /** Events per millisecond; 0 before the first one. */
     get value(): number {
         if (this.started === undefined) {
             return 0;
--- a/packages/gateway/src/lib/admission/SlotRates.ts
+++ b/packages/gateway/src/lib/admission/SlotRates.ts
@@ -24,7 +24,7 @@
  * requests cannot be served in time when more urgent ones take all slots that become free.
  */
 export class SlotRates {
-    private readonly freed: EventRate;
+    private freed: EventRate;
     /** Grants to starved requests that went before the order of the queue. */
     private readonly outOfTurn: EventRate;
     /** Other grants, by priority. */
@@ -38,15 +38,18 @@
 
     /** Slots that become free per millisecond; undefined while unknown. */
     get freedRate(): number | undefined {
-        const isKnown = this.options.clock.now() - this.lastFreed < rateMemory;
-        return isKnown ? this.freed.value : undefined;
+        return this.freed.isKnown && !this.isOutdated ? this.freed.value : undefined;
     }
 
     noteFreed(count: number): void {
-        if (count > 0) {
-            this.lastFreed = this.options.clock.now();
-            this.freed.add(count);
+        if (count <= 0) {
+            return;
         }
+        if (this.isOutdated) {
+            this.freed = this.create();
+        }
+        this.lastFreed = this.options.clock.now();
+        this.freed.add(count);
     }
 
     noteGranted(priority: number, isOutOfTurn: boolean): void {
@@ -75,6 +78,10 @@
         return position / Math.max(minRankShare * rate, rate - others);
     }
 
+    private get isOutdated(): boolean {
+        return this.options.clock.now() - this.lastFreed >= rateMemory;
+    }
+
     private create(): EventRate {
         const { clock, rateTimeConstant = 1_000 } = this.options;
         return new EventRate({ clock, timeConstant: rateTimeConstant });
