--- a/packages/gateway/src/lib/admission/SlotQueue.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.ts
@@ -80,6 +80,11 @@
         return this.held.size;
     }
 
+    /** Slots that become free per millisecond; undefined while unknown. */
+    get freedRate(): number | undefined {
+        return this.rates.freedRate;
+    }
+
     /** Calls `onDecision` exactly once: immediately, or when the request is granted, displaced or out of time. */
     offer(request: SlotRequest, onDecision: (decision: SlotDecision) => void): void {
         assert(this.held.get(request.id) === undefined, `request ${request.id} is already waiting`);
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -48,6 +48,10 @@
     readonly restingSends: Counter;
     readonly leavingReplies: Counter;
     readonly unknownHeaders: Counter;
+    readonly slotsGranted: Counter;
+    readonly slotsHeld: Counter;
+    readonly slotsRefused: Counter;
+    readonly slotHoldTime: Histogram;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -174,6 +178,22 @@
             name: "waxwingspar_gateway_unknown_headers_total",
             help: "Headers of targets' replies that this program does not know, once for each name.",
         });
+        this.slotsGranted = registry.counter({
+            name: "waxwingspar_gateway_slot_granted_total",
+            help: "Slots of heads and plain targets that requests were granted, by rank.",
+        });
+        this.slotsHeld = registry.counter({
+            name: "waxwingspar_gateway_slot_held_total",
+            help: "Requests that were held until a decision on their slot, by rank and decision.",
+        });
+        this.slotsRefused = registry.counter({
+            name: "waxwingspar_gateway_slot_refused_total",
+            help: "Requests that were refused a slot, by reason and rank.",
+        });
+        this.slotHoldTime = registry.histogram({
+            name: "waxwingspar_gateway_slot_held_seconds",
+            help: "Time for which requests were held until a decision on their slot, by decision.",
+        });
     }
 }
 
