Equal requests of many callers are not taken for one that repeats

Cause: callers that send equal requests share a digest; all were told the same time to return and were last of their rank. Change: a digest that was refused more than 5 times since its last grant is taken as shared: its callers are new and get times of their own. The property test of SlotQueue also checks that no request is held beside a free slot.

--- a/packages/gateway/src/lib/admission/ReturnSchedule.test.ts
+++ b/packages/gateway/src/lib/admission/ReturnSchedule.test.ts
@@ -75,3 +75,13 @@
     clock.advance(told + 20_001);
     assert.equal(schedule.classify("x"), "new");
 });
+
+test("callers that send equal requests are told different times", () => {
+    const { clock, schedule } = createSchedule();
+    const times = Array.from({ length: 105 }, () => {
+        clock.advance(1);
+        return Math.round(clock.now() + schedule.refuse({ digest: "x", rank: 0, timeLeft: 20_000 }, 50));
+    });
+    assert.ok(new Set(times.slice(5)).size > 80);
+    assert.equal(schedule.classify("x"), "new");
+});
--- a/packages/gateway/src/lib/admission/ReturnSchedule.ts
+++ b/packages/gateway/src/lib/admission/ReturnSchedule.ts
@@ -31,12 +31,19 @@
 
 interface PromisedReturn {
     readonly due: number;
+    /** Number of refusals since the request was last granted a slot. */
+    readonly refusals: number;
 }
 
 /** Share of the time that a caller has left by which it must have returned, so that the answer fits into the rest. */
 const maxShareOfTimeLeft = 1 / 3;
 /** Milliseconds for which a refused request is remembered: the longest deadline of a caller. */
 const memory = 20_000;
+/**
+ * Number of refusals of one digest after which it is taken to be shared by several callers, since a caller retries once.
+ * Otherwise callers that send equal requests would all be told the same time, and be last of their rank.
+ */
+const maxRefusalsOfCaller = 5;
 /** Milliseconds before the promised time at which a caller still counts as returning when told: its clock may differ. */
 const earlyTolerance = 10;
 /** Milliseconds of a bucket of the calendar. */
@@ -63,7 +70,8 @@
  * leaves behind: told one fixed time, 100 refused callers a second come back as a second burst, and an overload
  * outlasts its cause. Each is told the first time at which the calendar of promised returns has a slot for it.
  *
- * A caller is recognised by the digest of its request, so callers that send equal requests count as one.
+ * A caller is recognised by the digest of its request. Callers that send equal requests count as one until the digest
+ * has been refused more often than one caller asks.
  */
 export class ReturnSchedule {
     private readonly promised: LRUCache<string, PromisedReturn>;
@@ -80,12 +88,11 @@
     }
 
     classify(digest: string): ReturnClass {
-        const promise = this.promised.get(digest);
-        const now = this.options.clock.now();
-        if (promise === undefined || promise.due + memory < now) {
+        const promise = this.recall(digest);
+        if (promise === undefined || isShared(promise)) {
             return "new";
         }
-        return now < promise.due - earlyTolerance ? "early" : "asTold";
+        return this.options.clock.now() < promise.due - earlyTolerance ? "early" : "asTold";
     }
 
     /** Records the first attempt of a caller. */
@@ -95,7 +102,10 @@
 
     /** Forgets a request that was granted a slot. */
     forget(digest: string): void {
-        this.promised.delete(digest);
+        const promise = this.promised.get(digest);
+        if (promise !== undefined && !isShared(promise)) {
+            this.promised.delete(digest);
+        }
     }
 
     /**
@@ -107,16 +117,24 @@
     refuse(attempt: RefusedAttempt, expectedWait: number): number {
         const now = this.options.clock.now();
         const bound = Math.max(0, attempt.timeLeft * maxShareOfTimeLeft);
-        const promise = this.promised.get(attempt.digest);
-        if (promise !== undefined && promise.due - earlyTolerance > now) {
+        const promise = this.recall(attempt.digest);
+        const refusals = (promise?.refusals ?? 0) + 1;
+        if (promise !== undefined && promise.due - earlyTolerance > now && refusals <= maxRefusalsOfCaller) {
+            this.promised.set(attempt.digest, { due: promise.due, refusals });
             return Math.min(bound, promise.due - now);
         }
         const delay = Math.min(bound, this.findTime(attempt.rank, bound, expectedWait));
         this.record(attempt.rank, delay);
-        this.promised.set(attempt.digest, { due: now + delay });
+        this.promised.set(attempt.digest, { due: now + delay, refusals });
         return delay;
     }
 
+    private recall(digest: string): PromisedReturn | undefined {
+        const promise = this.promised.get(digest);
+        const isCurrent = promise !== undefined && promise.due + memory >= this.options.clock.now();
+        return isCurrent ? promise : undefined;
+    }
+
     private findTime(rank: number, bound: number, expectedWait: number): number {
         const rate = this.options.freedRate();
         if (rate === undefined || rate <= 0) {
@@ -211,3 +229,7 @@
         return from + this.options.random.next() * (to - from);
     }
 }
+
+function isShared({ refusals }: PromisedReturn): boolean {
+    return refusals > maxRefusalsOfCaller;
+}
--- a/packages/gateway/src/lib/admission/SlotQueue.test.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.test.ts
@@ -154,7 +154,7 @@
     assert.deepEqual([decisions, queue.waiting], [[], 0]);
 });
 
-test("each request gets one decision in time, and no head exceeds its room", () => {
+test("each request gets one decision in time, none is held beside a free slot, and no head exceeds its room", () => {
     const step = fc.record({
         delay: fc.nat(30),
         rank: fc.nat(2),
@@ -177,6 +177,9 @@
                     release(head);
                 }
                 assert.ok(free["a"]! >= 0 && free["b"]! >= 0);
+                const decided = new Set(decisions.map(({ id }) => id));
+                const held = steps.slice(0, index + 1).filter((_, each) => !decided.has(`${each}`));
+                assert.ok(held.every(({ heads }) => heads.every(each => free[each] === 0)));
             });
             clock.advance(80);
             assert.equal(queue.waiting, 0);
