The bundle finds all entries of packages

Cause: packages/policy has a second entry, and the bundle knew only the main one of each package. Change: names and sources of entries come from package.json. Measured: the bundle is built.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,17 +2,21 @@
 // code cache with which start-cached.cjs starts it.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { copyFileSync, mkdirSync, readdirSync } from "node:fs";
+import { copyFileSync, mkdirSync, readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 
 const target = "target";
 const folders = readdirSync("packages").map(name => [name, join("packages", name)]);
-const alias = Object.fromEntries(
-    [...folders, ["platform", "platform"]].map(([name, folder]) => [
-        `@waxwingspar/${name}`,
-        `./${join(folder, "src/index.ts")}`,
-    ]),
-);
+const alias = Object.fromEntries([...folders, ["platform", "platform"]].flatMap(listEntries));
+
+/** Lists the names under which a package is imported, with their sources. */
+function listEntries([name, folder]) {
+    const { exports } = JSON.parse(readFileSync(join(folder, "package.json"), "utf8"));
+    return Object.entries(exports).map(([entry, { default: file }]) => [
+        join(`@waxwingspar/${name}`, entry),
+        `./${join(folder, file.replace("dist/", "src/").replace(".js", ".ts"))}`,
+    ]);
+}
 
 mkdirSync(target, { recursive: true });
 await build({
