--- a/packages/gateway/src/lib/admission/SlotQueue.test.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.test.ts
@@ -100,6 +100,19 @@
     assert.deepEqual(decisions.map(({ id, kind, held }) => [id, kind, held]), [["third", "refused", 0]]);
 });
 
+test("a request is refused at once while more urgent ones take all slots", () => {
+    const { clock, decisions, offer, release } = createQueue({ a: 0 });
+    for (let i = 0; i < 100; i++) {
+        offer(`${i}`, { rank: 0, maxHold: 15 });
+        clock.advance(10);
+        release("a");
+    }
+    offer("less urgent", { maxHold: 25 });
+    offer("urgent", { rank: 0, maxHold: 25 });
+    assert.equal(decisions.at(-1)?.id, "less urgent");
+    assert.equal(decisions.at(-1)?.kind, "refused");
+});
+
 test("a more urgent request displaces the longest queue of the least urgent rank", () => {
     const { decisions, offer } = createQueue({ a: 0 }, { maxWaiting: 4 });
     offer("small", { rank: 2, organisation: "small" });
