--- a/packages/gateway/src/lib/admission/FullPools.ts
+++ b/packages/gateway/src/lib/admission/FullPools.ts
@@ -2,8 +2,11 @@
 import { LRUCache } from "lru-cache";
 import { type SlotPool } from "./SlotPool.js";
 
-/** Milliseconds for which a refusal tells that a pool is full at most: slots become free every few milliseconds. */
-const maxFullTime = 250;
+/**
+ * Bounds of the milliseconds for which a refusal tells that a pool is full: slots become free every few milliseconds, and
+ * asking each pool for each request costs messages.
+ */
+const fullTime = { min: 100, max: 250 };
 /** Maximum number of pools and ranks that are remembered. */
 const maxEntries = 1_000;
 
@@ -18,7 +21,7 @@
     /** @param retryAfter - Milliseconds after which the caller is to return. */
     record(pool: SlotPool, rank: number, retryAfter: number): void {
         this.leastUrgent = Math.max(this.leastUrgent, rank);
-        this.ends.set(keyOf(pool, rank), this.clock.now() + Math.min(maxFullTime, retryAfter));
+        this.ends.set(keyOf(pool, rank), this.clock.now() + Math.min(fullTime.max, Math.max(fullTime.min, retryAfter)));
     }
 
     /** Milliseconds until a pool may take a request of a rank; 0 if it is not known to be full. */
--- a/packages/gateway/src/lib/admission/OwnSlots.ts
+++ b/packages/gateway/src/lib/admission/OwnSlots.ts
@@ -13,7 +13,7 @@
 
 /** Options of {@link OwnSlots}. */
 export interface OwnSlotsOptions {
-    readonly group: Pick<SlotGroup, "dataCentre" | "localSize">;
+    readonly group: Pick<SlotGroup, "dataCentre" | "localSize" | "groupSize">;
     /** From 0 to 1: see {@link equalPart}. */
     readonly luck: number;
 }
@@ -78,7 +78,8 @@
     /** Whether a request may be sent while the issuer does not answer. */
     isWithinPart({ dataCentre }: SlotPool, { id, room }: SlotHead): boolean {
         const { group, luck } = this.options;
-        return dataCentre === group.dataCentre && this.inFlight(id) < equalPart(room, group.localSize, luck);
+        const size = dataCentre === group.dataCentre ? group.localSize : group.groupSize;
+        return this.inFlight(id) < equalPart(room, size, luck);
     }
 
     /** Heads with more requests than this gateway may send without asking. */
--- a/packages/gateway/src/lib/admission/SlotQueue.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.ts
@@ -91,6 +91,12 @@
         this.update();
         const returned = this.returns.classify(request.digest);
         const head = this.findHead(request, this.options.freeSlots);
+        // A request that may not be held looks for a free slot in several pools. Its caller is promised nothing here, and
+        // it is counted where it may be held.
+        if (head === undefined && request.maxHold <= 0) {
+            onDecision({ kind: "refused", reason: "full", retryAfter: 0, held: 0 });
+            return;
+        }
         // Before the request is counted: a kind's first request is not starved.
         const isStarved = head === undefined && returned !== "early" && this.floors.isStarved(request);
         if (returned === "new") {
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -84,7 +84,7 @@
         return this.waiting !== undefined;
     }
 
-    /** The refusal with the earliest time to return, if the last send got no slot. */
+    /** The last refusal, if the last send got no slot. */
     get refusal(): SlotRefusal | undefined {
         return this.lastRefusal;
     }
@@ -137,32 +137,21 @@
         const { clock, slots } = this.options.context;
         const waiting = this.waiting = {};
         const end = clock.now() + need.maxHold;
-        const rank = rankOf(this.options.caller);
-        const refusals: SlotRefusal[] = [];
-        let asks = 0;
-        for (const candidates of this.listPools()) {
+        for (const { candidates, mayHold } of this.listAsks(need)) {
             const [best] = candidates;
             if (best?.room === undefined) {
                 this.grant(best, onGranted, onRefused);
                 return;
             }
             const pool = poolOf(candidates);
-            // The first pool is always asked, since its issuer knows who goes first, and when a caller is to return.
-            if (asks > 0 && need.precedence === "waiting" && slots.fullFor(pool, rank) > 0) {
-                continue;
-            }
-            if (asks === maxAsks) {
-                break;
-            }
-            asks++;
-            const maxHold = Math.max(0, end - clock.now());
+            const maxHold = mayHold ? Math.max(0, end - clock.now()) : 0;
             const outcome = slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(need, maxHold));
             if (this.waiting !== waiting) {
                 releaseIfGranted(outcome);
                 return;
             }
             if (outcome.kind === "refused") {
-                refusals.push(outcome);
+                this.lastRefusal = outcome;
                 continue;
             }
             const granted = this.findCandidate(outcome.head);
@@ -177,10 +166,28 @@
             return;
         }
         this.waiting = undefined;
-        this.lastRefusal = refusals.sort((a, b) => a.retryAfter - b.retryAfter)[0];
         onRefused();
     }
 
+    /**
+     * Lists the pools to ask. Those that are not known to be full are asked for a slot that is free now; the first one,
+     * whose issuer knows who goes first and when a caller is to return, is asked last and may hold the request.
+     */
+    private listAsks({ precedence, maxHold }: SlotNeed): { candidates: SlotCandidate<Choice>[]; mayHold: boolean; }[] {
+        const { context: { slots }, caller } = this.options;
+        const pools = this.listPools();
+        const [first] = pools;
+        const open = pools.filter(candidates =>
+            candidates[0]?.room === undefined || precedence === "running"
+            || slots.fullFor(poolOf(candidates), rankOf(caller)) === 0
+        ).slice(0, maxAsks);
+        const probes = open.length === 1 && open[0] === first && maxHold > 0 ? [] : open;
+        return [
+            ...probes.map(candidates => ({ candidates, mayHold: false })),
+            ...first !== undefined && maxHold > 0 ? [{ candidates: first, mayHold: true }] : [],
+        ];
+    }
+
     private grant(
         candidate: SlotCandidate<Choice> | undefined,
         onGranted: (candidate: SlotCandidate<Choice>) => void,
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -29,6 +29,11 @@
  * silent for two seconds. A lost layer range is bypassed by another chain, or reloaded, within 0.4 to 1.6 s.
  */
 const maxResumeWait = 1_800;
+/**
+ * Maximum milliseconds for which the second run of a stream waits for a slot whose chain is only suspected. The slots of
+ * a lost chain are free only after its streams have moved, and other chains take them beyond their room after a while.
+ */
+const maxSuspectedHold = 300;
 const firstSuccess = 200;
 const firstRedirect = 300;
 
@@ -223,10 +228,13 @@
         }, () => this.noSlotGranted(runs > 0));
     }
 
-    /** Milliseconds for which the next send may wait for a slot; a second run is made only if one is free at once. */
+    /**
+     * Milliseconds for which the next send may wait for a slot. A second run of a request that has received nothing is
+     * made only if one is free at once.
+     */
     private get maxHold(): number {
         if (this.attempts.size > 0) {
-            return 0;
+            return this.delivered.hasBegun ? maxSuspectedHold : 0;
         }
         const isResumed = this.precedence === "running" || this.limits.mayHaveRun;
         return isResumed ? resumedHold(maxResumeWait - this.delivered.silence) : newRequestHold(this.caller);
--- a/packages/gateway/src/lib/requests/sendPriority.ts
+++ b/packages/gateway/src/lib/requests/sendPriority.ts
@@ -17,9 +17,23 @@
 /** The largest priority number that targets accept. */
 const lastPriority = 9;
 
-/** The urgency of a caller's request, where 0 is the most urgent. */
-export function rankOf({ organisation, route }: Pick<CallerExchange, "organisation" | "route">): number {
-    return organisation?.priority ?? route.priority;
+/** Number of ranks of routes within one rank of organisations. */
+const routeRanks = 10;
+/** Number of priorities that targets are told for each rank of organisations. */
+const toldRouteRanks = 3;
+
+/**
+ * The urgency of a caller's request, where 0 is the most urgent: by the priority of its organisation, and among equal
+ * ones by that of its route. The route's priority alone counts where the organisation has none.
+ */
+export function rankOf(caller: Pick<CallerExchange, "organisation" | "route">): number {
+    const { first, second } = ranksOf(caller);
+    return first * routeRanks + Math.min(second, routeRanks - 1);
+}
+
+function ranksOf({ organisation, route }: Pick<CallerExchange, "organisation" | "route">) {
+    const second = Math.max(0, Math.floor(route.priority));
+    return { first: Math.max(0, Math.floor(organisation?.priority ?? second)), second };
 }
 
 /**
@@ -33,5 +47,11 @@
     }
     return precedence === "running"
         ? Math.min(ofResumed, firstNewPriority) - 1
-        : Math.min(lastPriority, firstNewPriority + Math.max(0, Math.floor(rankOf(caller))));
+        : newPriority(caller);
+}
+
+function newPriority(caller: Pick<CallerExchange, "organisation" | "route">): number {
+    const { first, second } = ranksOf(caller);
+    const told = firstNewPriority + first * toldRouteRanks + Math.min(second, toldRouteRanks - 1);
+    return Math.min(lastPriority, told);
 }
