--- a/packages/gateway/src/lib/admission/HeldRequests.ts
+++ b/packages/gateway/src/lib/admission/HeldRequests.ts
@@ -9,8 +9,6 @@
     readonly returned: ReturnClass;
     readonly account: FairAccount;
     readonly priority: number;
-    /** Whether it goes before others of its priority and organisation. */
-    readonly goesFirst: boolean;
     readonly isStarved: boolean;
 }
 
@@ -28,9 +26,6 @@
 /** Milliseconds after which a "running" request may exceed the room of a head. */
 export const overrunDelay = 150;
 
-/** Distance in `order` between requests that go first and others; above any number of requests. */
-const orderDistance = 2 ** 50;
-
 /**
  * The requests that wait for a slot of a pool, indexed by order of service, by time, and by what makes one go out of
  * turn. Under overload some hundred requests a second are added and removed, each in O(log n).
@@ -46,8 +41,6 @@
     private readonly overrunning = new Set<HeldRequest>();
     /** Number of requests by head on which they may run. */
     private readonly byHead = new Map<string, number>();
-    /** Number of requests that go first, by priority and organisation. */
-    private readonly goingFirst = new Map<string, number>();
     private added = 0;
 
     get size(): number {
@@ -68,9 +61,9 @@
     }
 
     add(offer: SlotOffer, times: Pick<HeldRequest, "since" | "expires" | "expectedGrant">): void {
-        const { request, priority, goesFirst, isStarved, account } = offer;
+        const { request, priority, isStarved } = offer;
         const { id } = request;
-        const order = this.added++ + (goesFirst ? 0 : orderDistance);
+        const order = this.added++;
         const held: HeldRequest = { ...offer, ...times, id, order };
         const isRunning = priority === runningPriority;
         this.requests.set(id, held);
@@ -80,22 +73,16 @@
             this.starved.set(id, request.rank, held);
         }
         request.heads.forEach(head => changeCount(this.byHead, head, 1));
-        if (goesFirst) {
-            changeCount(this.goingFirst, flowOf(account, priority), 1);
-        }
     }
 
     remove(held: HeldRequest): void {
-        const { id, request, goesFirst, account, priority } = held;
+        const { id, request } = held;
         this.requests.delete(id);
         this.scheduler.remove(held);
         this.checks.delete(id);
         this.starved.delete(id);
         this.overrunning.delete(held);
         request.heads.forEach(head => changeCount(this.byHead, head, -1));
-        if (goesFirst) {
-            changeCount(this.goingFirst, flowOf(account, priority), -1);
-        }
     }
 
     /** Charges an organisation for a slot. A waiting request is removed afterwards. */
@@ -145,10 +132,8 @@
     }
 
     /** Estimates the place of a new request; 1 means that it is served next. */
-    position(offer: Pick<SlotOffer, "account" | "priority" | "goesFirst">): number {
-        const { account, priority, goesFirst } = offer;
-        const ahead = goesFirst ? this.goingFirst.get(flowOf(account, priority)) ?? 0 : undefined;
-        return this.scheduler.queuePosition(account, priority, ahead);
+    position({ account, priority }: Pick<SlotOffer, "account" | "priority">): number {
+        return this.scheduler.queuePosition(account, priority);
     }
 
     /** Finds the request that gives way to a new one; undefined if the new one is less urgent. */
@@ -158,10 +143,6 @@
     }
 }
 
-function flowOf(account: FairAccount, priority: number): string {
-    return `${priority} ${account.name}`;
-}
-
 function changeCount(counts: Map<string, number>, key: string, change: number): void {
     const count = (counts.get(key) ?? 0) + change;
     if (count === 0) {
--- a/packages/gateway/src/lib/admission/SlotQueue.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.ts
@@ -26,12 +26,6 @@
     readonly maxWaiting?: number;
     /** Time constant in milliseconds of the rates at which slots become free and are granted. Default 1,000. */
     readonly rateTimeConstant?: number;
-    /**
-     * Whether callers that returned when told go before new ones of their rank and organisation, and not in order of
-     * arrival. Default true. Under a load of 1.5 to 3 times the capacity that lasts, the same share of the callers is
-     * served either way, but with true nearly all of them at their second attempt.
-     */
-    readonly returnedFirst?: boolean;
     /** Finds starved kinds and organisations. */
     readonly floors?: StarvationFloors;
     /** Decides when refused callers return. */
@@ -106,8 +100,7 @@
         const account = this.account(request.organisation);
         const priority = priorityOf(request, returned);
         if (head === undefined) {
-            const goesFirst = returned === "asTold" && (this.options.returnedFirst ?? true);
-            this.hold({ request, onDecision, returned, account, priority, goesFirst, isStarved });
+            this.hold({ request, onDecision, returned, account, priority, isStarved });
             return;
         }
         this.noteGranted(request, account, priority, false);
@@ -298,7 +291,11 @@
     }
 }
 
-/** Callers that returned early come last in their rank, but before the next one. */
+/**
+ * Callers that returned early come last in their rank, but before the next one. Those that returned when told keep the
+ * order of arrival: first in the queue, they would leave first attempts nothing in a lasting overload, so that nearly all
+ * callers would be served late.
+ */
 function priorityOf({ precedence, rank }: SlotRequest, returned: ReturnClass): number {
     if (precedence === "running") {
         return runningPriority;
--- a/packages/gateway/src/lib/peers/SlotShare.ts
+++ b/packages/gateway/src/lib/peers/SlotShare.ts
@@ -29,7 +29,8 @@
 
     /** Records that this process has joined the group, with the numbers of gateways in the store's table. */
     join(known: GatewayCounts): void {
-        this.joinedAt = this.clock.now();
+        // A gateway that finds no other one in the store's table does not wait for heartbeats.
+        this.joinedAt = known.all === 1 ? -Infinity : this.clock.now();
         this.local.join(known.dataCentre);
         this.issuer.join(known);
     }
--- a/packages/gateway/src/lib/requests/sendPriority.ts
+++ b/packages/gateway/src/lib/requests/sendPriority.ts
@@ -52,6 +52,8 @@
 
 function newPriority(caller: Pick<CallerExchange, "organisation" | "route">): number {
     const { first, second } = ranksOf(caller);
-    const told = firstNewPriority + first * toldRouteRanks + Math.min(second, toldRouteRanks - 1);
-    return Math.min(lastPriority, told);
+    const told = caller.organisation?.priority === undefined
+        ? second
+        : first * toldRouteRanks + Math.min(second, toldRouteRanks - 1);
+    return Math.min(lastPriority, firstNewPriority + told);
 }
--- a/packages/policy/src/lib/admission/FairScheduler.ts
+++ b/packages/policy/src/lib/admission/FairScheduler.ts
@@ -151,12 +151,8 @@
         level.correct(level.flow(account), difference);
     }
 
-    /**
-     * Estimates the queue position of a new item of this organisation and priority; 1 means that it is served next.
-     *
-     * @param ahead - Number of items of the same organisation and priority that are served before it; by default all.
-     */
-    queuePosition(account: FairAccount, priority: number, ahead?: number): number {
+    /** Estimates the queue position of a new item of this organisation and priority; 1 means that it is served next. */
+    queuePosition(account: FairAccount, priority: number): number {
         let moreUrgent = 0;
         for (const entry of this.levels) {
             if (entry.priority <= priority) {
@@ -167,7 +163,7 @@
         const level = this.level(priority);
         const flow = level.flow(account);
         const weight = level.backloggedWeight + (flow.items.size === 0 ? account.weight : 0);
-        const fair = Math.ceil(((ahead ?? flow.items.size) + 1) * weight / account.weight);
+        const fair = Math.ceil((flow.items.size + 1) * weight / account.weight);
         return moreUrgent + Math.min(fair, level.queued + 1);
     }
 
