Groups of a data centre that were cut from each other meet within seconds, and issue each slot once

Change: the share of slots counts lost gateways for 60 s; a relay greets one member that does not report to it with every second heartbeat, without its state, so that it is not counted before it has found the other issuer.

--- a/packages/gateway/src/lib/peers/GroupMembers.ts
+++ b/packages/gateway/src/lib/peers/GroupMembers.ts
@@ -125,6 +125,13 @@
         return this.rotate(dataCentre, this.of(dataCentre).filter(member => member.skippedUntil <= now), count);
     }
 
+    /** The next member of the own data centre that does not report to this process, in rotation. */
+    nextLostProbes(reporters: readonly Pick<Member, "address">[]): readonly string[] {
+        const { dataCentre } = this.options.own;
+        const known = new Set(reporters.map(({ address }) => address));
+        return this.rotate(dataCentre, this.of(dataCentre).filter(({ address }) => !known.has(address)), 1);
+    }
+
     /** The next members of another data centre to ask for its relays, in rotation: live ones if there are any. */
     nextRemoteProbes(dataCentre: string): readonly string[] {
         const all = this.of(dataCentre);
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -46,6 +46,8 @@
  * that have relays of their own merge within a minute, and costs one message in ten seconds and five replies.
  */
 const probeInterval = 50;
+/** The same for members that were lost: groups that were cut have an issuer each until they hear from each other. */
+const lostProbeInterval = 2;
 
 const emptySums: GroupSums = addSums([]);
 
@@ -172,6 +174,9 @@
             const near = this.sumLocal(sumsOf(process, state));
             this.sendLocal(state, truncateSums(addSums([near, this.sumRemote()])));
             this.remoteRelays().forEach(address => this.send(address, { near: truncateSums(near) }));
+            if (this.relays.includes(this.options.own.address) && this.sequence % lostProbeInterval === 0) {
+                this.members.nextLostProbes(this.reporters()).forEach(address => this.send(address, {}));
+            }
         }
         else {
             this.sendLocal(state);
--- a/packages/gateway/src/lib/peers/SlotShare.ts
+++ b/packages/gateway/src/lib/peers/SlotShare.ts
@@ -5,16 +5,17 @@
 /** Milliseconds after joining until this process knows the gateways of its data centre: five heartbeats. */
 const settleTime = 1_000;
 /**
- * Milliseconds for which gateways that were lost count as partitioned. Longer than the streams that they had in flight;
- * of a longer partition, the refusals of targets that are full tell.
+ * Milliseconds for which gateways that were lost count as partitioned. Groups of a data centre that were cut from each
+ * other have issuers of their own until they meet again, which takes up to a minute: with 10 s, two of them issued all
+ * slots of a head each.
  */
-const lossRetention = 10_000;
+const lossRetention = 60_000;
 /** Share of the slots that a process issues before it has joined the group: see {@link GroupSize}. */
 const initialShare = 1 / 8;
 
 /**
- * The part of the slots of heads that this gateway may use: for a share of a second the gateways of a data centre may
- * have two issuers, and each issues a part.
+ * The part of the slots of heads that this gateway may use: after a cut, the gateways of a data centre may have two
+ * issuers for some time, and each issues a part.
  */
 export class SlotShare {
     private readonly local: GroupSize;
--- a/packages/gateway/src/lib/testing/SlotSite.ts
+++ b/packages/gateway/src/lib/testing/SlotSite.ts
@@ -69,6 +69,8 @@
 const shortestRun = 2_000;
 const longestRun = 5_000;
 const maxHold = 62;
+/** Milliseconds after the end of a cut until gateways know of each other's requests. */
+const contactTime = 2_000;
 const timeLeft = 20_000;
 const millisecondsPerSecond = 1_000;
 const organisations = 6;
@@ -84,6 +86,13 @@
     readonly results: SiteResult[] = [];
     /** Ids of requests that were admitted without an issuer. */
     readonly alone = new Set<string>();
+    /** Messages that are no heartbeats, of all gateways. */
+    slotMessages = 0;
+    private readonly history = new Map<string, number[]>();
+    private readonly headOf = new Map<() => void, SiteHead>();
+    private readonly exempted = new Set<() => void>();
+    /** Names of gateways that cannot reach others, or could not a moment ago. */
+    private readonly cutOff = new Set<string>();
     private readonly random: Random;
     private requests = 0;
     private debt = 0;
@@ -147,20 +156,58 @@
         const name = this.gateways[index]?.group.name ?? "";
         const [, dataCentre, number] = /(\d+)-(\d+)$/.exec(name) ?? [];
         this.kill(index);
-        const joined = this.group.add(Number(dataCentre), Number(number));
+        this.join(Number(dataCentre), Number(number));
+    }
+
+    /** Starts a gateway. */
+    join(dataCentre: number, number: number): void {
+        const joined = this.group.add(dataCentre, number);
         this.group.introduce(joined);
         this.add(joined, false);
     }
 
+    /** The number of the gateway that is the first of its data centre by address, and issues its slots. */
+    findIssuer(dataCentre: string): number {
+        const addresses = this.gateways.filter(({ group }) => group.dataCentre === dataCentre)
+            .map(({ group: { address } }) => address).sort();
+        return this.gateways.findIndex(({ group }) => group.address === addresses[0]);
+    }
+
+    /** Cuts gateways off from all others for some time. Their requests are exempt from then on. */
+    cut(isCut: (gateway: SimulatedGateway) => boolean, duration: number): void {
+        const names = new Set(this.gateways.map(({ group }) => group).filter(isCut).map(({ name }) => name));
+        this.group.isCut = (from, to) => names.has(from.name) !== names.has(to.name);
+        for (const { group, runs } of this.gateways) {
+            if (names.has(group.name)) {
+                this.cutOff.add(group.name);
+                runs.forEach(run => this.exempt(run));
+            }
+        }
+        this.after(duration, () => {
+            this.group.isCut = () => false;
+        });
+        this.after(duration + contactTime, () => names.forEach(name => this.cutOff.delete(name)));
+    }
+
+    private exempt(run: () => void): void {
+        const head = this.headOf.get(run);
+        if (head !== undefined && !this.exempted.has(run)) {
+            this.exempted.add(run);
+            head.exempt++;
+        }
+    }
+
+    /** Requests on a head some time ago. */
+    reported(id: string, age: number): number {
+        return this.history.get(id)?.at(-age) ?? 0;
+    }
+
     /** The pool of a data centre. */
     pool(dataCentre: string): SlotPool {
         const heads = this.heads.filter(head => head.dataCentre === dataCentre);
         return { service: "model", dataCentre, heads: heads.map(({ id, room }) => ({ id, room })) };
     }
 
-    /** Messages that are no heartbeats, of all gateways. */
-    slotMessages = 0;
-
     private add(group: SimulatedGateway, isOlder: boolean): void {
         const { createAdmission = createGrants } = this.options;
         const admission: Admission = createAdmission(group, this);
@@ -181,8 +228,6 @@
         return loads;
     }
 
-    private readonly headOf = new Map<() => void, SiteHead>();
-
     private async advance(duration: number): Promise<void> {
         for (let left = duration; left > 0; left--) {
             this.group.run(1);
@@ -191,6 +236,7 @@
             }
             await new Promise(resolve => void setImmediate(resolve));
             for (const head of this.heads) {
+                this.history.set(head.id, [...this.history.get(head.id) ?? [], head.inFlight].slice(-500));
                 const { inFlight, exempt, room } = head;
                 head.worstExcess = Math.max(head.worstExcess, inFlight - exempt - room);
                 head.used += Math.min(inFlight, room);
@@ -262,17 +308,19 @@
 
     private begin(gateway: SiteGateway, head: SiteHead, release: () => void, isExempt: boolean): void {
         head.inFlight++;
-        head.exempt += isExempt ? 1 : 0;
         const end = () => {
             if (gateway.runs.delete(end)) {
                 this.headOf.delete(end);
                 head.inFlight--;
-                head.exempt -= isExempt ? 1 : 0;
+                head.exempt -= this.exempted.delete(end) ? 1 : 0;
                 release();
             }
         };
         gateway.runs.add(end);
         this.headOf.set(end, head);
+        if (isExempt || this.cutOff.has(gateway.group.name)) {
+            this.exempt(end);
+        }
         this.after(shortestRun + Math.floor(this.random.next() * (longestRun - shortestRun)), end);
     }
 }
