Times of engines and the longest event interval of routes are decoded

Cause: chains are chosen by counting requests, because the configuration's step, prefill and delay times were not read.

--- a/packages/gateway/src/lib/configuration/Configuration.ts
+++ b/packages/gateway/src/lib/configuration/Configuration.ts
@@ -16,6 +16,9 @@
     prefillFactor: z.number(),
 });
 
+/** The time that a message takes from one data centre to another. */
+export const delaySchema = z.object({ from: z.string(), to: z.string(), delay: z.number() });
+
 /** A model whose layers are spread over several targets. */
 export const engineSchema = z.object({
     model: z.string(),
@@ -41,6 +44,19 @@
     activationBytes: z.optional(z.number()),
     /** Bandwidth of the link between two data centres, which all chains share, in megabits per second. */
     crossingBandwidth: z.optional(z.number()),
+    /** Decoding steps of a pass, after which a target sends its results on; a stream gets one event for each pass. */
+    stepsPerPass: z.optional(z.number()),
+    /** Time by which each decoding request lengthens a step of all layers on the reference accelerator. */
+    requestStepTime: z.optional(z.number()),
+    /** Time by which 1,000 tokens of context lengthen a step of all layers on the reference accelerator. */
+    contextStepTime: z.optional(z.number()),
+    /** Prompt tokens that the reference accelerator processes in a second, through all layers. */
+    prefillRate: z.optional(z.number()),
+    /** Time of prefill through all layers on the reference accelerator for a million pairs of prompt tokens. */
+    prefillPairTime: z.optional(z.number()),
+    /** Maximum number of prompt tokens that a target processes in one step. */
+    prefillChunk: z.optional(z.number()),
+    delays: z.optional(z.array(delaySchema)),
 });
 
 /** A group of interchangeable targets. An engine is set where a request runs over a chain of them. */
@@ -70,6 +86,8 @@
     /** Whether an interrupted stream may resume in another run after the last delivered event. */
     isResumable: z.boolean(),
     shares: z.array(routeShareSchema),
+    /** The longest interval between two events of a stream that is in time. */
+    maxEventInterval: z.optional(z.number()),
 });
 
 /** A customer and the credentials of its callers. */
