--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -7,6 +7,7 @@
 import { type ChainLoad, ChainRouter, type ChainRouterOptions } from "./ChainRouter.js";
 import { type EngineControl } from "./EngineControl.js";
 import { LearnedRooms } from "./LearnedRooms.js";
+import { logChains } from "./logChains.js";
 import { TargetInspector } from "./TargetInspector.js";
 
 /** A request on a chain, which is notified when the chain appears to have failed. */
@@ -24,7 +25,7 @@
 }
 
 /** Options of {@link ChainService}. */
-export interface ChainServiceOptions extends Omit<ChainRouterOptions, "rooms" | "onChange"> {
+export interface ChainServiceOptions extends Omit<ChainRouterOptions, "rooms" | "onChange" | "onFurtherChange"> {
     readonly engine: Engine;
     readonly engines: EngineControl;
     readonly observation: Observation;
@@ -104,7 +105,7 @@
         this.router = new ChainRouter({
             ...options,
             rooms,
-            onChange: (dataCentre, chain) => this.logChain(dataCentre, chain),
+            ...logChains(options),
         });
         this.loop = new LoopDelay(options.clock);
         this.inspector = new TargetInspector({ ...options, rooms, loop: this.loop });
@@ -256,18 +257,6 @@
         void this.survey(load);
     }
 
-    private logChain(dataCentre: string, chain: Chain | undefined): void {
-        const { observation, directory } = this.options;
-        observation.logs.chains.info({
-            chain: dataCentre,
-            list: directory.revision,
-            hops: chain?.hops.map(({ targetId, layers }) => `${targetId}=${layers.first}-${layers.end}`),
-            room: chain === undefined ? undefined : Math.round(chain.room),
-            crossings: chain?.crossings,
-            slowdown: chain?.slowdown,
-        }, chain === undefined ? "chain broken" : "chain built");
-    }
-
     private scheduleCheck(): void {
         const { clock } = this.options;
         const delay = this.nextCheckDelay();
