--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -286,9 +286,11 @@
 
     /** Returns the cost of chains for a request that has failed on the excluded ones. */
     private costAfter(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): (load: ChainLoad) => number {
-        return this.timed.applies(engine)
-            ? load => this.timed.cost(engine, load, this.drawbacksOf(load, excluded), prompt)
-            : load => chainCost(this.conditionOf(load, excluded));
+        if (!this.timed.applies(engine)) {
+            return load => chainCost(this.conditionOf(load, excluded));
+        }
+        const costs = this.timed.costs(engine, prompt);
+        return load => costs(load, this.drawbacksOf(load, excluded));
     }
 
     /** Returns the cost of chains for a stream that is resumed after it has failed on the excluded ones. */
@@ -297,9 +299,11 @@
         excluded: ReadonlySet<string>,
         prompt?: number,
     ): (load: ChainLoad) => number {
-        return this.timed.applies(engine)
-            ? load => this.timed.resumeCost(engine, load, this.drawbacksOf(load, excluded), prompt)
-            : load => resumeCost(this.conditionOf(load, excluded), load.inFlight - load.streaming);
+        if (!this.timed.applies(engine)) {
+            return load => resumeCost(this.conditionOf(load, excluded), load.inFlight - load.streaming);
+        }
+        const costs = this.timed.resumeCosts(engine, prompt);
+        return load => costs(load, this.drawbacksOf(load, excluded));
     }
 
     private drawbacksOf(load: ChainLoad, excluded: ReadonlySet<string>): ChainDrawbacks {
--- a/packages/gateway/src/lib/chains/TimedChoice.ts
+++ b/packages/gateway/src/lib/chains/TimedChoice.ts
@@ -38,6 +38,9 @@
     readonly sharesFailedTarget?: boolean;
 }
 
+/** Returns the cost of a chain in milliseconds. */
+export type TimedCosts = (load: ChainLoad, drawbacks: ChainDrawbacks) => number;
+
 /**
  * The part of the choice of chains that rests on predicted times. It applies if the mechanism "timed-choice" is on and
  * the configuration has the times of the engine; otherwise chains are compared by their numbers of requests.
@@ -61,21 +64,30 @@
         return isTimed(engine) && this.options.isOn("timed-choice");
     }
 
-    /** Returns the cost of sending a request over a chain, in milliseconds. */
-    cost(engine: TimedEngine, { chain }: ChainLoad, drawbacks: ChainDrawbacks, prompt = engine.usualPrompt): number {
-        const condition = this.predictions.condition(engine, chain, this.presenceOf(chain), prompt);
-        return timedCost({ ...condition, ...drawbacks });
+    /**
+     * Returns the costs of sending a request over each of the present chains, in milliseconds.
+     *
+     * @param prompt - Length of its prompt in tokens; the usual length if unknown.
+     */
+    costs(engine: TimedEngine, prompt = engine.usualPrompt): TimedCosts {
+        const { peerRatio } = this;
+        return ({ chain }, drawbacks) => {
+            const condition = this.predictions.condition(engine, chain, this.presenceOf(chain, peerRatio), prompt);
+            return timedCost({ ...condition, ...drawbacks });
+        };
     }
 
     /**
-     * Returns the cost of resuming a stream on a chain, in milliseconds. All gateways resume the streams of a lost chain
-     * at the same time, so that the prompts of theirs are ahead as well.
+     * Returns the costs of resuming a stream on each of the present chains, in milliseconds. All gateways resume the
+     * streams of a lost chain at the same time, so that the prompts of theirs are ahead as well.
      */
-    resumeCost(engine: TimedEngine, load: ChainLoad, drawbacks: ChainDrawbacks, prompt = engine.usualPrompt): number {
-        const { chain, inFlight, streaming } = load;
-        const pendingTokens = (inFlight - streaming) * (1 + this.peerRatio) * engine.usualPrompt;
-        const presence = { ...this.presenceOf(chain), pendingTokens };
-        return resumeTime({ ...this.predictions.condition(engine, chain, presence, prompt), ...drawbacks });
+    resumeCosts(engine: TimedEngine, prompt = engine.usualPrompt): TimedCosts {
+        const { peerRatio } = this;
+        return ({ chain, inFlight, streaming }, drawbacks) => {
+            const pendingTokens = (inFlight - streaming) * (1 + peerRatio) * engine.usualPrompt;
+            const presence = { ...this.presenceOf(chain, peerRatio), pendingTokens };
+            return resumeTime({ ...this.predictions.condition(engine, chain, presence, prompt), ...drawbacks });
+        };
     }
 
     /** Returns the number of requests up to which events of a chain are in time. */
@@ -111,10 +123,10 @@
     }
 
     /** Returns the estimated number of requests of all gateways on a chain, and its room. */
-    private presenceOf(chain: Chain): ChainPresence {
+    private presenceOf(chain: Chain, peerRatio = this.peerRatio): ChainPresence {
         const { ownLoad, peerLoad, room } = this.options;
         const head = headOf(chain);
-        const peers = this.estimate.estimate(head, peerLoad(head), this.peerRatio);
+        const peers = this.estimate.estimate(head, peerLoad(head), peerRatio);
         return { requests: ownLoad(head) + peers, room: room(chain) };
     }
 
