A restarted target completes its further chain again

Targets that hold layers but serve no chain counted as shared, and further chains that shared little room kept a restarted target from taking its layers again: it got two layers as a standby, and a chain for 97 requests stayed at 60.

Only targets of earlier chains cost more, and a chain that serves a quarter more than the present further chains may replace them.

--- a/packages/gateway/src/lib/chains/addFurtherChains.test.ts
+++ b/packages/gateway/src/lib/chains/addFurtherChains.test.ts
@@ -76,6 +76,20 @@
     }
 });
 
+test("a target that restarts without layers completes its further chain again", () => {
+    const site = planned(createSite({ large: 1, middle: 9, small: 10 }));
+    const [first, further] = buildChains("x", site, engine);
+    assert.ok(first !== undefined && further !== undefined);
+    const shared = new Set(first.hops.map(({ targetId }) => targetId));
+    const separate = further.hops.filter(({ targetId }) => !shared.has(targetId));
+    assert.ok(separate.length > 0);
+    for (const { targetId } of separate) {
+        const restarted = site.map(target => target.id === targetId ? { ...target, layers: undefined } : target);
+        const repaired = buildChains("x", planned(restarted), engine);
+        assert.ok(repaired.length >= 2 && (repaired[1]?.room ?? 0) > 0.9 * further.room, targetId);
+    }
+});
+
 test("no chains are added to a data centre without a first chain", () => {
     const targets = [testTarget("t1", "large", { first: 0, end: 20 }), testTarget("t2", "large")];
     assert.deepEqual(addFurtherChains(targets, engine), []);
--- a/packages/gateway/src/lib/chains/addFurtherChains.ts
+++ b/packages/gateway/src/lib/chains/addFurtherChains.ts
@@ -1,9 +1,9 @@
 import { type Engine } from "../configuration/Configuration.js";
 import { type Target } from "../directory/Target.js";
 import { type ChainResource, measureResource } from "./buildChain.js";
-import { allocateChains, maxChains, maxPaceRatio, selectFastest } from "./buildChains.js";
+import { allocateChains, maxChains, maxPaceRatio, replacementGain, selectFastest, throughput } from "./buildChains.js";
 import { type Candidate, hopCost, rankCandidates } from "./candidates.js";
-import { cacheMemory } from "./memory.js";
+import { cacheMemory, freeMemory } from "./memory.js";
 import { type Placement } from "./Placement.js";
 
 /**
@@ -18,9 +18,9 @@
  * Costs of each hop over a target that other chains use, relative to the time of a full step on the reference
  * accelerator, tried in this order. The loss of a shared target ends all its chains, so separate copies come first: with
  * free sharing, a third less was left on two of three measured sites after the loss of two targets. Where separate copies
- * are too slow, the cheaper sharing makes a chain possible.
+ * are too slow, free sharing makes a chain possible.
  */
-const sharingCosts: readonly number[] = [10, 2];
+const sharingCosts: readonly number[] = [10, 0];
 
 /**
  * Plans further chains over targets without layers, so that an overload is answered with memory and slots that otherwise
@@ -64,27 +64,50 @@
     /** Number of spare targets that are used or passed over. */
     readonly passed: number;
     readonly before?: Step;
-    /** The target that the hop shares with other chains; undefined if it is a spare one. */
+    /** The target that already holds the layers of the hop; undefined if it is a spare one. */
     readonly shared?: ChainResource;
     readonly placement?: Placement;
 }
 
+/**
+ * Plans a chain beside the present ones. When that is not possible, plans one that replaces the further chains, if it
+ * serves more than they do: after a target has restarted without its layers, they may only share what others have left.
+ */
 function planFurtherChain(targets: readonly Target[], engine: Engine): Placement[] {
     const holders = targets.filter(({ layers }) => layers !== undefined);
     const spares = targets.filter(({ layers }) => layers === undefined);
-    const { chains, resources } = allocateChains(holders[0]?.dataCentre ?? "", holders, engine);
-    const [first] = chains;
-    if (first === undefined || chains.length >= maxChains) {
+    const dataCentre = holders[0]?.dataCentre ?? "";
+    const present = allocateChains(dataCentre, holders, engine);
+    const [first, ...further] = present.chains;
+    if (first === undefined || present.chains.length >= maxChains) {
         return [];
     }
-    const maxPace = maxPaceRatio * (first.pace ?? 0);
+    const limits = { maxPace: maxPaceRatio * (first.pace ?? 0), minThroughput: 0 };
+    const added = findFurtherChain(present.resources, spares, engine, limits);
+    if (added.length > 0 || further.length === 0) {
+        return added;
+    }
+    const { resources } = allocateChains(dataCentre, holders, engine, { limit: 1 });
+    const minThroughput = throughput(further) * replacementGain;
+    return findFurtherChain(resources, spares, engine, { ...limits, minThroughput });
+}
+
+/** @returns The placements of the best chain with the highest cost of sharing that is fast enough. */
+function findFurtherChain(
+    resources: readonly ChainResource[],
+    spares: readonly Target[],
+    engine: Engine,
+    { maxPace, minThroughput }: { readonly maxPace: number; readonly minThroughput: number; },
+): Placement[] {
     for (const sharingCost of sharingCosts) {
         const steps = furtherLevels.flatMap(level => {
             const ranked = rankCandidates(spares, engine, level).slice(0, maxSpares);
             const step = findSteps(resources, ranked, engine, { level, sharingCost });
-            return step === undefined || step.pace > maxPace ? [] : [{ step, throughput: level / step.cost }];
+            return step === undefined || step.pace > maxPace || level / step.pace < minThroughput
+                ? []
+                : [{ step, value: level / step.cost }];
         });
-        const [best] = steps.sort((a, b) => b.throughput - a.throughput);
+        const [best] = steps.sort((a, b) => b.value - a.value);
         if (best !== undefined) {
             return listSteps(best.step).flatMap(({ placement }) => placement ?? []);
         }
@@ -136,7 +159,7 @@
                     layer + Math.floor(shared.cacheLeft / cacheSize),
                 );
                 const added = hopPace(shared.stepFactor, end - layer, engine);
-                const cost = before.cost + added + sharingCost;
+                const cost = before.cost + added + (isInChain(shared, engine) ? sharingCost : 0);
                 if (isCheaper(end, passed, cost) && !isUsed(before, shared)) {
                     keep({ pace: before.pace + added, cost, end, passed, before, shared });
                 }
@@ -172,6 +195,11 @@
     return measureResource({ ...target, layers }, engine, () => 1)?.stepFactor ?? 1;
 }
 
+/** Whether an earlier chain uses a target. */
+function isInChain({ target, cacheLeft }: ChainResource, engine: Engine): boolean {
+    return cacheLeft < freeMemory(engine, target);
+}
+
 function isUsed(step: Step, shared: ChainResource): boolean {
     for (let at: Step | undefined = step; at !== undefined; at = at.before) {
         if (at.shared === shared) {
--- a/packages/gateway/src/lib/chains/buildChains.ts
+++ b/packages/gateway/src/lib/chains/buildChains.ts
@@ -27,7 +27,7 @@
  * Factor by which new further chains must exceed the throughput of those that can be kept. A rebuild for less would move
  * requests back and forth between chains of nearly the same throughput.
  */
-const replacementGain = 1.25;
+export const replacementGain = 1.25;
 
 /**
  * Number of targets for each layer among which further chains are searched, the fastest ones first. It exceeds the number
@@ -40,6 +40,8 @@
     readonly slowdown?: Slowdown;
     /** Earlier chains of the data centre, which are kept where that is possible. */
     readonly previous?: readonly Chain[];
+    /** Maximum number of chains. Default 6. */
+    readonly limit?: number;
 }
 
 /**
@@ -64,7 +66,7 @@
     dataCentre: string,
     targets: readonly Target[],
     engine: Engine,
-    { slowdown = () => 1, previous = [] }: ChainsOptions = {},
+    { slowdown = () => 1, previous = [], limit = maxChains }: ChainsOptions = {},
 ): Allocation {
     const resources = targets.flatMap(target => measureResource(target, engine, slowdown) ?? []);
     const first = findChain(dataCentre, resources, engine);
@@ -73,11 +75,11 @@
     }
     const alone = allocate({ chains: [], resources, engine }, first);
     const kept = previous.reduce((allocation, chain) => keepChain(allocation, chain), alone);
-    const extended = addChains(kept, dataCentre);
+    const extended = addChains(kept, dataCentre, limit);
     if (kept.chains.length === alone.chains.length) {
         return extended;
     }
-    const replaced = addChains(alone, dataCentre);
+    const replaced = addChains(alone, dataCentre, limit);
     const isBetter = throughput(replaced.chains) > throughput(extended.chains) * replacementGain;
     return isBetter ? replaced : extended;
 }
@@ -109,9 +111,9 @@
 }
 
 /** Adds further chains from what is left, in order of increasing cost. */
-function addChains(allocation: Allocation, dataCentre: string): Allocation {
+function addChains(allocation: Allocation, dataCentre: string, limit: number): Allocation {
     let extended = allocation;
-    while (extended.chains.length < maxChains) {
+    while (extended.chains.length < limit) {
         const { resources, engine } = extended;
         const found = roomLevels.flatMap(room => {
             const minCache = room * cacheMemory(engine);
@@ -178,6 +180,6 @@
 }
 
 /** Returns the number of requests that chains serve in the time of a step of the reference accelerator. */
-function throughput(chains: readonly Chain[]): number {
+export function throughput(chains: readonly Chain[]): number {
     return chains.reduce((sum, { room, pace = Infinity }) => sum + room / pace, 0);
 }
