--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -141,6 +141,11 @@
         return this.fullPools.timeLeft(pool, rank);
     }
 
+    /** Milliseconds that a request of a rank is expected to wait for a slot of a pool; 0 if that is not known. */
+    expectedWait(pool: SlotPool, rank: number): number {
+        return this.fullPools.expectedWait(pool, rank);
+    }
+
     /** Notes whether this gateway is the issuer of its data centre; called with each heartbeat. */
     observe(): void {
         this.issuer.isIssuer(this.options.group.dataCentre);
@@ -282,7 +287,12 @@
 
     private finish(pool: SlotPool, request: PoolRequest, outcome: SlotDecision, decidedBy: Decider): void {
         if (outcome.kind === "refused" && outcome.reason !== "early") {
-            this.fullPools.record(pool, request.rank, outcome.retryAfter);
+            // A request that was not held is told the expected wait.
+            const wait = request.maxHold > 0 ? request.maxHold : outcome.retryAfter;
+            this.fullPools.record(pool, request.rank, outcome.retryAfter, wait);
+        }
+        else if (outcome.kind === "granted") {
+            this.fullPools.noteWait(pool, request.rank, outcome.held);
         }
         // Grants that did not wait are frequent and have changed nothing.
         if (outcome.kind === "granted" && decidedBy === "issuer" && outcome.held === 0) {
--- a/packages/gateway/src/lib/admission/SlotQueue.ts
+++ b/packages/gateway/src/lib/admission/SlotQueue.ts
@@ -40,6 +40,8 @@
     readonly isOutOfTurn: boolean;
 }
 
+/** Largest expected wait that is told, in milliseconds: the longest deadline of a caller. */
+const maxExpectedWait = 20_000;
 /** Smallest weight of an organisation, since shares are divided by weights. */
 const minWeight = 0.001;
 
@@ -86,9 +88,9 @@
         const returned = this.returns.classify(request.digest);
         const head = this.findHead(request, this.options.freeSlots);
         // A request that may not be held looks for a free slot in several pools. Its caller is promised nothing here, and
-        // it is counted where it may be held.
+        // it is counted where it may be held; it learns where that is best.
         if (head === undefined && request.maxHold <= 0) {
-            onDecision({ kind: "refused", reason: "full", retryAfter: 0, held: 0 });
+            onDecision({ kind: "refused", reason: "full", retryAfter: this.expectedWait(request, returned), held: 0 });
             return;
         }
         // Before the request is counted: a kind's first request is not starved.
@@ -144,6 +146,13 @@
         this.rates.noteFreed(count);
     }
 
+    /** Milliseconds until a request would get a slot if it waited. */
+    private expectedWait(request: SlotRequest, returned: ReturnClass): number {
+        const priority = priorityOf(request, returned);
+        const position = this.held.position({ account: this.account(request.organisation), priority });
+        return Math.min(maxExpectedWait, this.rates.expectedWait(position, priority) ?? 0);
+    }
+
     /** Holds a request that no head can take now, or refuses it if no slot is expected in time. */
     private hold(offer: SlotOffer): void {
         const { request, onDecision, returned, account, priority, isStarved } = offer;
--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -8,11 +8,12 @@
 import { buildChains } from "./buildChains.js";
 import { buildMixedChains } from "./buildMixedChains.js";
 import { type Chain } from "./Chain.js";
-import { type ChainCondition, chainCost, type ChainUse, resumeCost } from "./chainCost.js";
+import { type ChainCondition, chainCost, type ChainUse, isReserve, resumeCost } from "./chainCost.js";
 import { type CrossingAllowance, crossingTime } from "./CrossingAllowance.js";
 import { type LearnedRooms } from "./LearnedRooms.js";
 import { type TargetPaces } from "./TargetPaces.js";
 import { type TargetSuspicions } from "./TargetSuspicions.js";
+import { type ChainDrawbacks, headOf, TimedChoice } from "./TimedChoice.js";
 
 /** Options of {@link ChainRouter}. */
 export interface ChainRouterOptions {
@@ -30,6 +31,8 @@
     readonly rooms?: Pick<LearnedRooms, "share">;
     /** Limits new requests on chains between data centres; undefined if their links have no limit. */
     readonly crossingAllowance?: CrossingAllowance;
+    /** The smallest limit on the interval between events of the service's routes; undefined if they have none. */
+    readonly maxEventInterval?: () => number | undefined;
     readonly isOn?: MechanismSwitch;
     /** Called when the first chain of a data centre has changed; `chain` is undefined when there is none now. */
     readonly onChange?: (dataCentre: string, chain: Chain | undefined) => void;
@@ -67,27 +70,42 @@
     /** When a chain can be built because rests have ended, on the clock. */
     private restEnd: number | undefined;
     private readonly isOn: MechanismSwitch;
+    /** The part of the choice that rests on predicted times. */
+    readonly timed: TimedChoice;
+    private engine: Engine | undefined;
 
     constructor(private readonly options: ChainRouterOptions) {
-        this.isOn = options.isOn ?? allMechanismsOn;
+        const { isOn = allMechanismsOn } = options;
+        this.isOn = isOn;
+        this.timed = new TimedChoice({
+            ...options,
+            isOn,
+            ownLoad: headId => this.headLoad(headId),
+            heads: () => this.chains.map(({ chain }) => headOf(chain)),
+            room: chain => isOn("chain-room") ? this.roomOf(chain) : Infinity,
+        });
     }
 
     /**
      * Chooses the chain for a request that has not begun.
      *
      * @param excluded - Keys of chains on which the request has failed.
+     * @param prompt - Length of its prompt in tokens; undefined if unknown.
      * @returns The chain with the lowest cost; undefined when every chain is excluded or full, or there is none.
      */
-    choose(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+    choose(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): ChainLoad | undefined {
         const loads = this.current(engine).filter(load => !excluded.has(load.chain.key) && this.mayAdd(engine, load));
-        return cheapest(loads, this.costAfter(excluded));
+        return cheapest(loads, this.costAfter(engine, excluded, prompt));
     }
 
     /** Like {@link ChainRouter.choose}, but leaves out chains that are avoided after a stall. */
-    chooseHealthy(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+    chooseHealthy(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): ChainLoad | undefined {
         const now = this.options.clock.now();
         const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && this.mayAdd(engine, load));
-        return cheapest(healthy.filter(({ chain }) => !excluded.has(chain.key)), this.costAfter(excluded));
+        return cheapest(
+            healthy.filter(({ chain }) => !excluded.has(chain.key)),
+            this.costAfter(engine, excluded, prompt),
+        );
     }
 
     /**
@@ -95,18 +113,21 @@
      * pending prompts of this process, regardless of their data centre. A link between data centres that is in use comes
      * last: it would carry the activations of all tokens of the stream again.
      */
-    chooseToResume(engine: Engine, excluded: ReadonlySet<string>): ChainLoad | undefined {
+    chooseToResume(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): ChainLoad | undefined {
         const now = this.options.clock.now();
         const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && !excluded.has(load.chain.key));
         const readable = healthy.filter(load => this.mayAdd(engine, load));
         return cheapest(
             readable.length > 0 ? readable : healthy,
-            this.isOn("resume-spread") ? this.resumeCostAfter(excluded) : this.costAfter(excluded),
+            this.isOn("resume-spread")
+                ? this.resumeCostAfter(engine, excluded, prompt)
+                : this.costAfter(engine, excluded, prompt),
         );
     }
 
     /** Records that a request is sent over a chain. */
     noteSend(engine: Engine, { chain }: ChainLoad): void {
+        this.timed.noteSend(chain);
         if (chain.crossings > 0) {
             this.options.crossingAllowance?.use(crossingTime(engine) * chain.crossings);
         }
@@ -129,12 +150,14 @@
         return this.requestsOn(chain) / this.roomOf(chain);
     }
 
-    /** The room of a chain, less what its targets were found to lack. */
-    roomOf({ room, hops }: Chain): number {
+    /** The room of a chain up to the load at which its events are late, less what its targets were found to lack. */
+    roomOf(chain: Chain): number {
         const { rooms } = this.options;
+        const inTime = this.engine === undefined ? Infinity : this.timed.roomInTime(this.engine, chain);
+        const room = Math.min(chain.room, inTime);
         return rooms === undefined || !this.isOn("several-chains")
             ? room
-            : room * Math.min(...hops.map(({ targetId }) => rooms.share(targetId)));
+            : room * Math.min(...chain.hops.map(({ targetId }) => rooms.share(targetId)));
     }
 
     /**
@@ -143,6 +166,7 @@
      */
     current(engine: Engine): ChainLoad[] {
         const { directory, suspicions, paces, rests } = this.options;
+        this.engine = engine;
         const suspected = suspicions.list();
         const resting = rests.fingerprint;
         const state = `${directory.revision} ${suspected.join()} ${resting} ${paces.fingerprint} ${engine.layers}`;
@@ -158,7 +182,7 @@
     headLoads(): [string, number][] {
         const sums = new Map<string, number>();
         for (const { chain, inFlight } of this.loads.values()) {
-            const head = chain.hops[0]?.targetId ?? "";
+            const head = headOf(chain);
             if (inFlight > 0) {
                 sums.set(head, (sums.get(head) ?? 0) + inFlight);
             }
@@ -261,13 +285,30 @@
     }
 
     /** Returns the cost of chains for a request that has failed on the excluded ones. */
-    private costAfter(excluded: ReadonlySet<string>): (load: ChainLoad) => number {
-        return load => chainCost(this.conditionOf(load, excluded));
+    private costAfter(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): (load: ChainLoad) => number {
+        if (!this.timed.applies(engine)) {
+            return load => chainCost(this.conditionOf(load, excluded));
+        }
+        const costs = this.timed.costs(engine, prompt);
+        return load => costs(load, this.drawbacksOf(load, excluded));
     }
 
     /** Returns the cost of chains for a stream that is resumed after it has failed on the excluded ones. */
-    private resumeCostAfter(excluded: ReadonlySet<string>): (load: ChainLoad) => number {
-        return load => resumeCost(this.conditionOf(load, excluded), load.inFlight - load.streaming);
+    private resumeCostAfter(
+        engine: Engine,
+        excluded: ReadonlySet<string>,
+        prompt?: number,
+    ): (load: ChainLoad) => number {
+        if (!this.timed.applies(engine)) {
+            return load => resumeCost(this.conditionOf(load, excluded), load.inFlight - load.streaming);
+        }
+        const costs = this.timed.resumeCosts(engine, prompt);
+        return load => costs(load, this.drawbacksOf(load, excluded));
+    }
+
+    private drawbacksOf(load: ChainLoad, excluded: ReadonlySet<string>): ChainDrawbacks {
+        const condition = this.conditionOf(load, excluded);
+        return { isReserve: isReserve(condition), sharesFailedTarget: condition.sharesFailedTarget };
     }
 
     private conditionOf(load: ChainLoad, excluded: ReadonlySet<string>): ChainCondition {
@@ -296,8 +337,8 @@
     }
 
     /** Counts the requests of all gateways on chains that begin at the same target. */
-    private requestsOn({ hops }: Chain): number {
-        const head = hops[0]?.targetId ?? "";
+    private requestsOn(chain: Chain): number {
+        const head = headOf(chain);
         return this.headLoad(head) + this.options.peerLoad(head);
     }
 
--- a/packages/gateway/src/lib/chains/chainCost.ts
+++ b/packages/gateway/src/lib/chains/chainCost.ts
@@ -76,12 +76,17 @@
     return loadCost(condition) + pendingPrompts * pendingPromptCost;
 }
 
-function loadCost({ chain, requests, room, first, sharesFailedTarget }: ChainCondition): number {
+/** Whether a chain is a further one of a data centre whose first chain is not loaded. */
+export function isReserve({ first }: ChainCondition): boolean {
+    return first !== undefined && first.requests <= firstChainShare * first.room;
+}
+
+function loadCost(condition: ChainCondition): number {
+    const { chain, requests, room, first, sharesFailedTarget } = condition;
     const excess = Math.max(0, requests + 1 - room);
-    const isReserve = first !== undefined && first.requests <= firstChainShare * first.room;
     // A stream on a further chain occupies its slots for longer by the ratio of their paces, which includes slowdowns.
     const paceRatio = first === undefined ? 1 : (chain.pace ?? 1) / (first.chain.pace ?? 1);
     const slowness = (Math.max(chain.slowdown, paceRatio) - 1) * slownessPenalty;
     return requests + excess * excessCost + chain.crossings * crossingPenalty + slowness
-        + (isReserve ? reserveCost : 0) + (sharesFailedTarget ? sharedTargetCost : 0);
+        + (isReserve(condition) ? reserveCost : 0) + (sharesFailedTarget ? sharedTargetCost : 0);
 }
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -29,7 +29,7 @@
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: Pick<SendPermits, "isNeeded" | "mayAcquire" | "acquire" | "retryAfter">;
     /** Grants the slots of targets. */
-    readonly slots: Pick<SlotGrants, "acquire" | "tryLocal" | "fullFor">;
+    readonly slots: Pick<SlotGrants, "acquire" | "tryLocal" | "fullFor" | "expectedWait">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
     readonly isOn: MechanismSwitch;
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -17,6 +17,12 @@
     readonly room: number | undefined;
 }
 
+/** What the issuer of a pool answered; undefined if the candidates need no slot. */
+interface PoolAnswer<Choice> {
+    readonly candidates: readonly SlotCandidate<Choice>[];
+    readonly answer: HeldSlot | SlotRefusal | undefined;
+}
+
 /** What one send needs. */
 export interface SlotNeed {
     readonly precedence: Precedence;
@@ -134,18 +140,14 @@
         onGranted: (candidate: SlotCandidate<Choice>) => void,
         onRefused: () => void,
     ): Promise<void> {
-        const { clock, slots } = this.options.context;
+        const { clock } = this.options.context;
         const waiting = this.waiting = {};
         const end = clock.now() + need.maxHold;
-        for (const { candidates, mayHold } of this.listAsks(need)) {
-            const [best] = candidates;
-            if (best?.room === undefined) {
-                this.grant(best, onGranted, onRefused);
+        for await (const { candidates, answer: outcome } of this.askPools(need)) {
+            if (outcome === undefined) {
+                this.grant(candidates[0], onGranted, onRefused);
                 return;
             }
-            const pool = poolOf(candidates);
-            const maxHold = mayHold ? Math.max(0, end - clock.now()) : 0;
-            const outcome = slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(need, maxHold));
             if (this.waiting !== waiting) {
                 releaseIfGranted(outcome);
                 return;
@@ -170,22 +172,36 @@
     }
 
     /**
-     * Lists the pools to ask. Those that are not known to be full are asked for a slot that is free now; the first one,
-     * whose issuer knows who goes first and when a caller is to return, is asked last and may hold the request.
+     * Asks the pools that are not known to be full for a slot that is free now, and then the one that is expected to
+     * have a slot first to hold the request.
      */
-    private listAsks({ precedence, maxHold }: SlotNeed): { candidates: SlotCandidate<Choice>[]; mayHold: boolean; }[] {
-        const { context: { slots }, caller } = this.options;
+    private async *askPools({ precedence, maxHold }: SlotNeed): AsyncGenerator<PoolAnswer<Choice>> {
+        const { context: { slots, clock }, caller } = this.options;
+        const rank = rankOf(caller);
+        const end = clock.now() + maxHold;
+        const ask = async (candidates: readonly SlotCandidate<Choice>[], hold: number) => {
+            const pool = poolOf(candidates);
+            const answer = slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(precedence, hold));
+            return { candidates, answer };
+        };
         const pools = this.listPools();
-        const [first] = pools;
-        const open = pools.filter(candidates =>
-            candidates[0]?.room === undefined || precedence === "running"
-            || slots.fullFor(poolOf(candidates), rankOf(caller)) === 0
-        ).slice(0, maxAsks);
-        const probes = open.length === 1 && open[0] === first && maxHold > 0 ? [] : open;
-        return [
-            ...probes.map(candidates => ({ candidates, mayHold: false })),
-            ...first !== undefined && maxHold > 0 ? [{ candidates: first, mayHold: true }] : [],
-        ];
+        const limited = pools.filter(([best]) => best?.room !== undefined);
+        const open = limited.filter(pool => precedence === "running" || slots.fullFor(poolOf(pool), rank) === 0);
+        const isOnlyChoice = limited.length === 1 && maxHold > 0;
+        for (const candidates of isOnlyChoice ? [] : open.slice(0, maxAsks)) {
+            yield await ask(candidates, 0);
+        }
+        const [unlimited] = pools.filter(([best]) => best !== undefined && best.room === undefined);
+        if (unlimited !== undefined) {
+            yield { candidates: unlimited, answer: undefined };
+        }
+        const wait = (pool: readonly SlotCandidate<Choice>[]) => slots.expectedWait(poolOf(pool), rank);
+        const [soonest] = limited.toSorted((a, b) => wait(a) - wait(b));
+        // A request that may not be held is promised no time to return.
+        const hold = Math.max(1, end - clock.now());
+        if (soonest !== undefined && maxHold > 0) {
+            yield await ask(soonest, hold);
+        }
     }
 
     private grant(
@@ -215,7 +231,7 @@
         return [...pools.values()];
     }
 
-    private describe({ precedence }: SlotNeed, maxHold: number): Omit<SlotRequest, "heads"> {
+    private describe(precedence: Precedence, maxHold: number): Omit<SlotRequest, "heads"> {
         const { caller } = this.options;
         return {
             id: randomUUID(),
--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Random } from "@waxwingspar/utils";
 import { ChainService, type ChainServiceOptions } from "../chains/ChainService.js";
-import { type Service } from "../configuration/Configuration.js";
+import { type Route, type Service } from "../configuration/Configuration.js";
+import { smallestEventIntervals } from "../configuration/smallestEventIntervals.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type GatewaySettings } from "../GatewaySettings.js";
 import { RetryBudget } from "../requests/RetryBudget.js";
@@ -38,6 +39,8 @@
 /** The services of all configurations so far. A service keeps its state when the configuration changes. */
 export class ServiceTable {
     private readonly parts = new Map<string, ServiceParts>();
+    /** The smallest limit on the interval between events of all routes to a service, in milliseconds. */
+    private eventIntervals: ReadonlyMap<string, number> = new Map();
 
     constructor(private readonly options: ServiceTableOptions) {}
 
@@ -45,8 +48,13 @@
         return this.parts.get(name);
     }
 
-    /** Adds the services that are new. */
-    add(services: readonly Service[]): void {
+    /**
+     * Adds the services that are new.
+     *
+     * @param routes - All routes of the configuration, whose limits replace earlier ones.
+     */
+    add(services: readonly Service[], routes: readonly Route[]): void {
+        this.eventIntervals = smallestEventIntervals(routes);
         for (const service of services) {
             if (!this.parts.has(service.name)) {
                 this.parts.set(service.name, this.create(service));
@@ -75,7 +83,13 @@
             picker: new ServicePicker({ clock, random, service: name, dataCentre, directory, knownLoad, isOn }),
             chains: engine === undefined
                 ? undefined
-                : new ChainService({ ...this.options, service: name, dataCentre, engine }),
+                : new ChainService({
+                    ...this.options,
+                    service: name,
+                    dataCentre,
+                    engine,
+                    maxEventInterval: () => this.eventIntervals.get(name),
+                }),
             budget: new RetryBudget({
                 clock,
                 window: settings.retryWindow,
--- a/packages/gateway/src/lib/testing/SimulatedSlots.ts
+++ b/packages/gateway/src/lib/testing/SimulatedSlots.ts
@@ -47,6 +47,7 @@
             tryLocal: pool => isFree(pool) ? this.grant(pool, 0) : undefined,
             acquire: (pool, request) => this.acquire(pool, request),
             fullFor,
+            expectedWait: () => 0,
         };
     }
 
--- a/packages/gateway/src/lib/testing/unlimitedSlots.ts
+++ b/packages/gateway/src/lib/testing/unlimitedSlots.ts
@@ -10,4 +10,5 @@
     acquire: pool => Promise.resolve(grantFirst(pool)),
     tryLocal: grantFirst,
     fullFor: () => 0,
+    expectedWait: () => 0,
 };
