--- a/packages/gateway/src/lib/peers/SlotShare.ts
+++ b/packages/gateway/src/lib/peers/SlotShare.ts
@@ -21,6 +21,7 @@
     private readonly local: GroupSize;
     private readonly issuer: IssuerShare;
     private joinedAt = Infinity;
+    private foundNobody = false;
     private counts: GatewayCounts = { dataCentre: 1, all: 1 };
 
     constructor(private readonly clock: Clock) {
@@ -30,8 +31,8 @@
 
     /** Records that this process has joined the group, with the numbers of gateways in the store's table. */
     join(known: GatewayCounts): void {
-        // A gateway that finds no other one in the store's table does not wait for heartbeats.
-        this.joinedAt = known.all === 1 ? -Infinity : this.clock.now();
+        this.joinedAt = this.clock.now();
+        this.foundNobody = known.all === 1;
         this.local.join(known.dataCentre);
         this.issuer.join(known);
     }
@@ -45,6 +46,9 @@
 
     /** The largest recent number of gateways of the own data centre; infinite until they are known. */
     get localSize(): number {
+        if (this.isAlone) {
+            return 1;
+        }
         return this.clock.now() < this.joinedAt + settleTime ? Infinity : this.local.value;
     }
 
@@ -55,6 +59,17 @@
 
     /** The share of the slots that this gateway issues, from 0 to 1. */
     get value(): number {
+        if (this.isAlone) {
+            return 1;
+        }
         return this.joinedAt === Infinity ? initialShare : this.issuer.value;
     }
+
+    /**
+     * Whether the store's table named no other gateway and none has been heard. When a whole site starts, that holds for
+     * the first gateway until the first heartbeat.
+     */
+    private get isAlone(): boolean {
+        return this.foundNobody && this.counts.all === 1;
+    }
 }
