--- a/packages/gateway/src/lib/chains/buildChains.ts
+++ b/packages/gateway/src/lib/chains/buildChains.ts
@@ -30,8 +30,8 @@
 export const replacementGain = 1.25;
 
 /**
- * Number of targets for each layer among which further chains are searched, the fastest ones first. It exceeds the number
- * of chains twice, and bounds the time of a rebuild: 300 targets took 24 ms without it.
+ * Number of targets for each layer among which further chains are searched, the fastest ones first. It is twice the
+ * maximum number of chains, and bounds the time of a rebuild: 300 targets took 24 ms without it.
  */
 const maxHolders = 12;
 
