--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -6,6 +6,7 @@
 import { type SlotGroup } from "./SlotGroup.js";
 import { SlotIssuer, type SlotIssuerOptions } from "./SlotIssuer.js";
 import { type HeadLoad, type IssuedDecision, readSlotMessage, type SlotCall, type SlotReply } from "./slotMessage.js";
+import { type SlotDecisionInputs, SlotObservation } from "./SlotObservation.js";
 import { type HeldSlot, type SlotOutcome, type SlotPool } from "./SlotPool.js";
 import { SlotReports } from "./SlotReports.js";
 import { type SlotDecision, type SlotRequest } from "./SlotRequest.js";
@@ -15,7 +16,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly group: SlotGroup;
-    readonly observation: Pick<Observation, "logs">;
+    readonly observation: Observation;
     /** Whether slots are asked for; if not, every request is granted the first head. */
     readonly isOn?: () => boolean;
 }
@@ -23,8 +24,7 @@
 /** A request that any head of the pool may run. */
 export type PoolRequest = Omit<SlotRequest, "heads">;
 
-/** Who decides: the local quota, this gateway as the issuer, another issuer, or this gateway while none decides. */
-type Decider = "quota" | "issuer" | "reply" | "alone";
+type Decider = SlotDecisionInputs["decidedBy"];
 
 interface PendingCall {
     readonly issuer: string;
@@ -61,6 +61,7 @@
     private readonly reports: SlotReports;
     private readonly silentIssuers: SilentIssuers;
     private readonly fullPools: FullPools;
+    private readonly slotObservation: SlotObservation;
     private readonly loads = new Map<string, KnownLoad>();
     private readonly pending = new Map<number, PendingCall>();
     private nextNumber = 1;
@@ -72,6 +73,7 @@
         this.issuer = new SlotIssuer({ clock, random, group, chainLoad, weight, ownInFlight });
         this.silentIssuers = new SilentIssuers(clock);
         this.fullPools = new FullPools(clock);
+        this.slotObservation = new SlotObservation(options.observation);
         this.reports = new SlotReports({
             clock,
             group,
@@ -102,12 +104,14 @@
         }
         const issuer = group.findIssuer(pool.dataCentre);
         if (issuer !== group.address && this.own.isWithinQuota(pool, first)) {
-            return this.hold(first.id, 0);
+            const granted = this.hold(first.id, 0);
+            this.finish(pool, request, granted, "quota");
+            return granted;
         }
         const isAlone = issuer === group.address || this.silentIssuers.isSilent(issuer);
         const reply = isAlone ? undefined : await this.ask(issuer, pool, request);
         const outcome = reply ?? this.decideAlone(pool, request, clock.now() - askedAt);
-        this.finish(pool, request, outcome, reply === undefined ? "alone" : "reply");
+        this.finish(pool, request, outcome, reply === undefined ? "silence" : "reply");
         return outcome;
     }
 
@@ -284,34 +288,14 @@
         if (outcome.kind === "refused" && outcome.reason !== "early") {
             this.fullPools.record(pool, request.rank, outcome.retryAfter);
         }
-        // Grants that did not wait are frequent and have changed nothing.
-        if (outcome.kind === "granted" && decidedBy === "issuer" && outcome.held === 0) {
-            return;
-        }
-        const { clock, observation: { logs } } = this.options;
-        const { id, digest, rank, organisation, kind, precedence, maxHold, timeLeft } = request;
-        const loads = pool.heads.map(head => {
-            const known = this.loads.get(head.id);
-            const load = known === undefined ? {} : { load: known.load, age: Math.round(clock.now() - known.at) };
-            return { ...head, own: this.own.inFlight(head.id), ...load };
-        });
-        logs.limits.info({
-            request: id,
-            digest,
-            service: pool.service,
-            dataCentre: pool.dataCentre,
-            rank,
-            organisation,
-            kind,
-            precedence,
-            maxHold,
-            timeLeft: Math.round(timeLeft),
-            decidedBy,
-            held: Math.round(outcome.held),
-            ...outcome.kind === "granted"
-                ? { head: outcome.head }
-                : { reason: outcome.reason, retryAfter: Math.round(outcome.retryAfter) },
-            loads,
-        }, outcome.kind === "granted" ? "slot granted" : "slot refused");
+        const heads = pool.heads.map(({ id }) => id);
+        const known = heads.flatMap(head => this.loads.get(head) ?? []);
+        const add = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0);
+        const inputs = known.length === 0 ? {} : {
+            load: add(known.map(({ load }) => load)),
+            room: add(known.map(({ room }) => room)),
+            loadAge: Math.round(this.options.clock.now() - Math.min(...known.map(({ at }) => at))),
+        };
+        this.slotObservation.record({ ...request, heads }, outcome, { decidedBy, ...inputs });
     }
 }
--- a/packages/gateway/src/lib/admission/SlotObservation.ts
+++ b/packages/gateway/src/lib/admission/SlotObservation.ts
@@ -21,7 +21,7 @@
 const highestRankLabel = 9;
 
 /**
- * Counts the decisions on slots, and logs each request that was held or refused. Below capacity, all requests are
+ * Counts the decisions on slots, and logs each request that was held, refused, or decided without the issuer. Below capacity, all requests are
  * granted at once and nothing is logged.
  */
 export class SlotObservation {
@@ -41,7 +41,7 @@
             metrics.slotsHeld.add({ rank, decision: decision.kind });
             metrics.slotHoldTime.record(decision.held, { decision: decision.kind });
         }
-        if (isHeld || decision.kind === "refused") {
+        if (isHeld || decision.kind === "refused" || inputs.decidedBy === "silence") {
             this.log(request, decision, inputs);
         }
     }
@@ -49,20 +49,27 @@
     private log(request: SlotRequest, decision: SlotDecision, inputs: SlotDecisionInputs): void {
         const { id, rank, organisation, kind, precedence, heads } = request;
         const isRefused = decision.kind === "refused";
-        this.observation.logs.limits.info({
-            request: id,
-            rank,
-            organisation,
-            route: kind,
-            precedence,
-            heads: heads.length,
-            head: isRefused ? undefined : decision.head,
-            reason: isRefused ? decision.reason : undefined,
-            retryAfter: isRefused ? Math.round(decision.retryAfter) : undefined,
-            held: Math.round(decision.held),
-            maxHold: Math.round(request.maxHold),
-            timeLeft: Math.round(request.timeLeft),
-            ...inputs,
-        }, isRefused ? "slot refused" : "slot granted after a hold");
+        this.observation.logs.limits.info(
+            {
+                request: id,
+                rank,
+                organisation,
+                route: kind,
+                precedence,
+                heads: heads.length,
+                head: isRefused ? undefined : decision.head,
+                reason: isRefused ? decision.reason : undefined,
+                retryAfter: isRefused ? Math.round(decision.retryAfter) : undefined,
+                held: Math.round(decision.held),
+                maxHold: Math.round(request.maxHold),
+                timeLeft: Math.round(request.timeLeft),
+                ...inputs,
+            },
+            isRefused
+                ? "slot refused"
+                : decision.held > 0
+                ? "slot granted after a hold"
+                : "slot granted without its issuer",
+        );
     }
 }
--- a/packages/gateway/src/lib/testing/SlotSite.ts
+++ b/packages/gateway/src/lib/testing/SlotSite.ts
@@ -1,18 +1,9 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { SlotGrants } from "../admission/SlotGrants.js";
-import { type SlotOutcome, type SlotPool } from "../admission/SlotPool.js";
-import { type SlotRequest } from "../admission/SlotRequest.js";
+import { type SlotPool } from "../admission/SlotPool.js";
 import { silentObservation } from "./fixtures.js";
 import { type SimulatedGateway, SimulatedGroup, type SimulatedGroupOptions } from "./SimulatedGroup.js";
 
-/** What decides on the slots of a gateway's requests. */
-export interface Admission {
-    acquire(pool: SlotPool, request: Omit<SlotRequest, "heads">): Promise<SlotOutcome>;
-    /** @returns Requests or demand by the id of the head, for heartbeats. */
-    chainLoads?(): Record<string, number>;
-    receive?(datagram: string): boolean;
-}
-
 /** Options of {@link SlotSite}. */
 export interface SlotSiteOptions extends SimulatedGroupOptions {
     /** Heads of each data centre, and the requests that each of them has room for. */
@@ -28,7 +19,6 @@
     readonly running?: number;
     /** Number of gateways that send without asking, as an older build does, to the first head of their data centre. */
     readonly older?: number;
-    readonly createAdmission?: (gateway: SimulatedGateway, site: SlotSite) => Admission;
 }
 
 /** A head and the requests on it. */
@@ -48,7 +38,7 @@
 
 interface SiteGateway {
     readonly group: SimulatedGateway;
-    readonly admission: Admission;
+    readonly grants: SlotGrants;
     /** Functions that break its requests off. */
     readonly runs: Set<() => void>;
     readonly isOlder: boolean;
@@ -88,7 +78,6 @@
     readonly alone = new Set<string>();
     /** Messages that are no heartbeats, of all gateways. */
     slotMessages = 0;
-    private readonly history = new Map<string, number[]>();
     private readonly headOf = new Map<() => void, SiteHead>();
     private readonly exempted = new Set<() => void>();
     /** Names of gateways that cannot reach others, or could not a moment ago. */
@@ -197,11 +186,6 @@
         }
     }
 
-    /** Requests on a head some time ago. */
-    reported(id: string, age: number): number {
-        return this.history.get(id)?.at(-age) ?? 0;
-    }
-
     /** The pool of a data centre. */
     pool(dataCentre: string): SlotPool {
         const heads = this.heads.filter(head => head.dataCentre === dataCentre);
@@ -209,11 +193,10 @@
     }
 
     private add(group: SimulatedGateway, isOlder: boolean): void {
-        const { createAdmission = createGrants } = this.options;
-        const admission: Admission = createAdmission(group, this);
-        const gateway: SiteGateway = { group, admission, runs: new Set(), isOlder };
-        group.overrideState(() => ({ chainLoads: admission.chainLoads?.() ?? this.loadsOf(gateway) }));
-        group.onDatagram(datagram => !isOlder && admission.receive?.(datagram) === true);
+        const grants = createGrants(group, this);
+        const gateway: SiteGateway = { group, grants, runs: new Set(), isOlder };
+        group.overrideState(() => ({ chainLoads: this.loadsOf(gateway) }));
+        group.onDatagram(datagram => !isOlder && grants.receive(datagram));
         this.gateways.push(gateway);
     }
 
@@ -236,7 +219,6 @@
             }
             await new Promise(resolve => void setImmediate(resolve));
             for (const head of this.heads) {
-                this.history.set(head.id, [...this.history.get(head.id) ?? [], head.inFlight].slice(-500));
                 const { inFlight, exempt, room } = head;
                 head.worstExcess = Math.max(head.worstExcess, inFlight - exempt - room);
                 head.used += Math.min(inFlight, room);
@@ -283,7 +265,7 @@
         }
         const hold = precedence === "running" ? 1_200 : maxHold;
         const request = { id, rank, organisation, kind: `k${rank}`, precedence, maxHold: hold, timeLeft, digest };
-        void gateway.admission.acquire(pool, request).then(outcome => {
+        void gateway.grants.acquire(pool, request).then(outcome => {
             const now = this.group.clock.now();
             const result = { at: now, rank, decided: now - arrivedAt };
             if (outcome.kind === "granted") {
@@ -331,7 +313,7 @@
     const { clock } = site.group;
     const observation = silentObservation(clock);
     observation.logs.limits.info = (fields: { readonly request?: string; readonly decidedBy?: string; }) => {
-        if (fields.decidedBy === "alone" && fields.request !== undefined) {
+        if (fields.decidedBy === "silence" && fields.request !== undefined) {
             site.alone.add(fields.request);
         }
     };
