--- a/packages/gateway/src/lib/admission/SlotGroup.ts
+++ b/packages/gateway/src/lib/admission/SlotGroup.ts
@@ -15,14 +15,17 @@
     readonly slotShare: number;
 }
 
-/** Share of a head's room that gateways of its data centre use without asking, all together. */
-const quotaShare = 0.5;
+/**
+ * Share of a head's room that gateways of its data centre use without asking, all together. Requests within it are not
+ * ordered by rank: with 0.5, a third of the most urgent ones were refused while less urgent ones of other gateways ran.
+ */
+const quotaShare = 0.2;
 /** Number of gateways that is assumed while their number is unknown. */
 const assumedSize = 8;
 
 /**
  * Requests on a head that a gateway of its data centre sends without asking: the quotas of all of them add up to at most
- * half of the room, however old their views are. Gateways of other data centres have none: they seldom use the head, and
+ * a fifth of the room, however old their views are. Gateways of other data centres have none: they seldom use the head, and
  * a share that is reserved for them would be lost to those that do.
  */
 export function localQuota(room: number, localSize: number): number {
--- a/packages/gateway/src/lib/chains/buildChains.ts
+++ b/packages/gateway/src/lib/chains/buildChains.ts
@@ -20,9 +20,10 @@
 const roomLevels: readonly number[] = [96, 48, minRoom];
 /**
  * Factor by which a further chain may be slower than the first one. Events of a first chain that is not loaded arrive
- * every 30 to 60 ms, and may arrive every 250 ms.
+ * every 30 to 60 ms, and may arrive every 250 ms. Beside a first chain of the fastest accelerators alone, one of all
+ * others is five times as slow and has intervals of 140 ms.
  */
-export const maxPaceRatio = 4;
+export const maxPaceRatio = 6;
 /**
  * Factor by which new further chains must exceed the throughput of those that can be kept. A rebuild for less would move
  * requests back and forth between chains of nearly the same throughput.
--- a/packages/gateway/src/lib/peers/SlotShare.ts
+++ b/packages/gateway/src/lib/peers/SlotShare.ts
@@ -5,11 +5,11 @@
 /** Milliseconds after joining until this process knows the gateways of its data centre: five heartbeats. */
 const settleTime = 1_000;
 /**
- * Milliseconds for which gateways that were lost count as partitioned. Groups of a data centre that were cut from each
- * other have issuers of their own until they meet again, which takes up to a minute: with 10 s, two of them issued all
- * slots of a head each.
+ * Milliseconds for which gateways that were lost count as partitioned: as long as streams take that they had in flight.
+ * Processes are killed far more often than data centres are cut in two, and each loss would take its part of the slots
+ * away from callers. Of a longer partition, the refusals of targets that are full tell.
  */
-const lossRetention = 60_000;
+const lossRetention = 5_000;
 /** Share of the slots that a process issues before it has joined the group: see {@link GroupSize}. */
 const initialShare = 1 / 8;
 
--- a/packages/gateway/src/lib/requests/SlotUse.test.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.test.ts
@@ -1,9 +1,11 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type PoolRequest, SlotGrants } from "../admission/SlotGrants.js";
 import { type SlotPool } from "../admission/SlotPool.js";
 import { incarnationOf } from "../directory/Target.js";
+import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs } from "../testing/fixtures.js";
 import { createGroupOfOne, streamRoute } from "../testing/SimulatedRouter.js";
 import { type SimulatedDecision, SimulatedSlots } from "../testing/SimulatedSlots.js";
@@ -224,7 +226,7 @@
                 clock,
                 random: seededRandom(seed),
                 group: createGroupOfOne("dc-0"),
-                observation: { logs: silentLogs() },
+                observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) },
                 chainLoad: () => 0,
             }),
     });
--- a/packages/gateway/src/lib/requests/lostChains.test.ts
+++ b/packages/gateway/src/lib/requests/lostChains.test.ts
@@ -1,7 +1,9 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
 import { seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SlotGrants } from "../admission/SlotGrants.js";
+import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs } from "../testing/fixtures.js";
 import { createGroupOfOne } from "../testing/SimulatedRouter.js";
 import { StreamSite } from "../testing/StreamSite.js";
@@ -22,7 +24,7 @@
                 clock,
                 random: seededRandom(seed),
                 group: createGroupOfOne("dc-0"),
-                observation: { logs: silentLogs() },
+                observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) },
                 chainLoad: () => 0,
             }),
     });
--- a/packages/gateway/src/lib/testing/PlainSlotSite.ts
+++ b/packages/gateway/src/lib/testing/PlainSlotSite.ts
@@ -1,5 +1,7 @@
+import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Clock, ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import { SlotGrants } from "../admission/SlotGrants.js";
+import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs, testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
 import { createGroupOfOne, plainRoute, plainService, SimulatedRouter } from "./SimulatedRouter.js";
@@ -100,7 +102,7 @@
                 findIssuer: () => "0",
                 send: (to, datagram) => this.send(clock, to, datagram),
             },
-            observation: { logs: silentLogs() },
+            observation: { logs: silentLogs(), metrics: new GatewayMetrics(new MetricRegistry(clock)) },
             chainLoad: () => 0,
         });
         this.grants.push(grants);
