Weights of organisations reach the issuer; nothing is reported while slot-admission is off

Cause: with the switch off, a gateway still reported its counts; a pool without a bound of room could not be written into a message.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -144,6 +144,7 @@
             random,
             group: this.peers,
             chainLoad: targetId => this.peers.chainLoad(targetId),
+            weight: options.organisationWeight,
             isOn: () => isOn("slot-admission"),
             observation,
         });
--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -42,6 +42,8 @@
     readonly callerListener?: Server;
     /** Which mechanisms are on; all by default. */
     readonly isOn?: MechanismSwitch;
+    /** Weight of an organisation among those of its rank, when slots of heads are scarce; 1 by default. */
+    readonly organisationWeight?: (organisation: string) => number;
     /** Milliseconds from the stop request until the load balancer is sure to have removed this process. */
     readonly balancerDelay?: number;
 }
--- a/packages/gateway/src/lib/admission/OwnSlots.ts
+++ b/packages/gateway/src/lib/admission/OwnSlots.ts
@@ -18,6 +18,8 @@
     readonly luck: number;
 }
 
+/** Largest room, which stands for no bound: an infinite one cannot be written into a message. */
+const maxRoom = 1_000_000;
 /** Maximum number of heads whose counts are kept. */
 const maxHeads = 2_000;
 
@@ -31,7 +33,7 @@
     note({ dataCentre, heads }: SlotPool): void {
         for (const { id, room } of heads) {
             const head = this.heads.get(id) ?? { id, dataCentre, room, inFlight: 0 };
-            head.room = room;
+            head.room = Math.min(maxRoom, room);
             this.heads.set(id, head);
         }
     }
--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -79,6 +79,7 @@
             group,
             own: this.own,
             incarnation: this.incarnation,
+            isOn: () => options.isOn?.() !== false,
             next: () => this.nextNumber,
             pending: issuer => [...this.pending].flatMap(([number, call]) => call.issuer === issuer ? number : []),
         });
--- a/packages/gateway/src/lib/admission/SlotReports.ts
+++ b/packages/gateway/src/lib/admission/SlotReports.ts
@@ -10,6 +10,8 @@
     readonly group: SlotGroup;
     readonly own: OwnSlots;
     readonly incarnation: string;
+    /** Whether anything is sent. */
+    readonly isOn: () => boolean;
     /** The number of the next call. */
     readonly next: () => number;
     /** The numbers of the calls to an issuer that are not decided. */
@@ -74,8 +76,8 @@
     }
 
     private report(issuer: string): void {
-        const { group } = this.options;
-        if (issuer !== group.address) {
+        const { group, isOn } = this.options;
+        if (issuer !== group.address && isOn()) {
             const report: SlotReport = { jsonrpc: "2.0", method: "reportSlots", params: this.counts(issuer) };
             group.send(issuer, JSON.stringify(report));
         }
@@ -95,7 +97,7 @@
 
     /** Reports to new issuers, and regularly, while more requests are in flight than may be sent without asking. */
     watch(): void {
-        if (this.isChecking) {
+        if (this.isChecking || !this.options.isOn()) {
             return;
         }
         this.isChecking = true;
