--- a/packages/gateway/src/lib/admission/SlotGrants.test.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.test.ts
@@ -16,7 +16,7 @@
 }
 
 /** Gateways of one data centre, the first of which is the issuer, on a network that loses what the test tells it to. */
-async function createGateways(count: number) {
+async function createGateways(count: number, isOn = true) {
     const clock = new ManualClock(1_000);
     const network = { sent: 0, loses: (datagram: string): boolean => datagram === "" };
     const gateways: SlotGrants[] = [];
@@ -39,7 +39,8 @@
         };
         const observation = silentObservation(clock);
         const chainLoad = (head: string) => chainLoads[head] ?? 0;
-        gateways.push(new SlotGrants({ clock, random: seededRandom(index + 1), group, chainLoad, observation }));
+        const random = seededRandom(index + 1);
+        gateways.push(new SlotGrants({ clock, random, group, chainLoad, observation, isOn: () => isOn }));
     }
     gateways.forEach(gateway => gateway.observe());
     await clock.advanceAsync(1_000);
@@ -158,3 +159,23 @@
     await site.clock.advanceAsync(100);
     assert.equal((await fill(site, 1)).length, room);
 });
+
+// Guards against a switch that leaves part of the mechanism on.
+test("with the switch off, every request is granted and no message is sent", async () => {
+    const site = await createGateways(2, false);
+    for (let index = 0; index < 2 * room; index++) {
+        assert.equal((await acquire(site, 1))?.kind, "granted");
+    }
+    assert.equal(site.network.sent, 0);
+});
+
+// Guards against a bound that cannot be written into a message.
+test("a head without a bound takes all requests", async () => {
+    const { clock, gateways } = await createGateways(2);
+    const unbounded: SlotPool = { ...pool, heads: [{ id: "t2", room: Infinity }] };
+    const [, second] = gateways;
+    assert.ok(second !== undefined);
+    const acquired = Array.from({ length: 50 }, () => second.acquire(unbounded, request()));
+    await clock.advanceAsync(200);
+    assert.ok((await Promise.all(acquired)).every(outcome => outcome?.kind === "granted"));
+});
