--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -45,6 +45,11 @@
  * two seconds, and its prompt must be processed again.
  */
 const maxResumedHold = 1_200;
+/**
+ * Maximum milliseconds for which the second run of a stream whose chain is only suspected waits for a slot. The slots of
+ * a lost chain are free only after its streams have moved, and other chains take them beyond their room after a while.
+ */
+export const maxSuspectedHold = 300;
 /**
  * Maximum number of data centres that are asked for one send. Each further one costs a round trip between data centres,
  * and a refusal must be sent within an eighth of the latency target.
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -18,7 +18,7 @@
 import { type RequestContext } from "./RequestContext.js";
 import { SendGate } from "./SendGate.js";
 import { sendPriority } from "./sendPriority.js";
-import { newRequestHold, noSlotReason, resumedHold, type SlotCandidate, SlotUse } from "./SlotUse.js";
+import { maxSuspectedHold, newRequestHold, noSlotReason, resumedHold, type SlotCandidate, SlotUse } from "./SlotUse.js";
 import { type EndInitiator, StreamLog } from "./StreamLog.js";
 import { StreamRefusal } from "./StreamRefusal.js";
 
@@ -29,11 +29,6 @@
  * silent for two seconds. A lost layer range is bypassed by another chain, or reloaded, within 0.4 to 1.6 s.
  */
 const maxResumeWait = 1_800;
-/**
- * Maximum milliseconds for which the second run of a stream waits for a slot whose chain is only suspected. The slots of
- * a lost chain are free only after its streams have moved, and other chains take them beyond their room after a while.
- */
-const maxSuspectedHold = 300;
 const firstSuccess = 200;
 const firstRedirect = 300;
 
