--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -42,13 +42,10 @@
     readonly callerListener?: Server;
     /** Which mechanisms are on; all by default. */
     readonly isOn?: MechanismSwitch;
-<<<<<<< HEAD
     /** Called once if a part that the gateway needs is lost for good while it runs; it is to be stopped then. */
     readonly onLost?: (error: Error) => void;
-=======
     /** Weight of an organisation among those of its rank, when slots of heads are scarce; 1 by default. */
     readonly organisationWeight?: (organisation: string) => number;
->>>>>>> part-b
     /** Milliseconds from the stop request until the load balancer is sure to have removed this process. */
     readonly balancerDelay?: number;
 }
