Relays probe lost members only after their introductions

Cause: in the first second a relay took gateways that had not reported yet for lost ones; the test 'the number of calls does not grow with the number of gateways in a data centre' (sharedWatches) failed. Change: no such probes in the first six heartbeats.

--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -110,10 +110,7 @@
         return this.reporters().length + 1;
     }
 
-    /**
-     * The number of gateways of the own data centre, including this one, as its relays know them; those of all data
-     * centres if they don't tell.
-     */
+    /** The number of gateways of the own data centre as its relays know them; of all data centres if they don't tell. */
     get dataCentreMembers(): number {
         const told = this.localPeers().flatMap(({ local }) => local ?? []);
         const isUntold = told.length === 0 && !this.isRelay;
@@ -174,9 +171,7 @@
             const near = this.sumLocal(sumsOf(process, state));
             this.sendLocal(state, truncateSums(addSums([near, this.sumRemote()])));
             this.remoteRelays().forEach(address => this.send(address, { near: truncateSums(near) }));
-            if (this.relays.includes(this.options.own.address) && this.sequence % lostProbeInterval === 0) {
-                this.members.nextLostProbes(this.reporters()).forEach(address => this.send(address, {}));
-            }
+            this.lostProbes().forEach(address => this.send(address, {}));
         }
         else {
             this.sendLocal(state);
@@ -301,6 +296,13 @@
         return this.relays.some(address => address !== own.address) ? [] : this.members.nextLocalProbes();
     }
 
+    /** Lost members to probe, without the own state: they may have another issuer, which must not count this process. */
+    private lostProbes(): readonly string[] {
+        const isDue = this.sequence > introductionHeartbeats && this.sequence % lostProbeInterval === 0;
+        const isChosen = this.relays.includes(this.options.own.address);
+        return isDue && isChosen ? this.members.nextLostProbes(this.reporters()) : [];
+    }
+
     /**
      * Relays of the other data centres, known from their heartbeats or from reports. For a data centre from whose
      * relays no heartbeat arrives, members that may know its relays.
