--- a/packages/gateway/src/lib/admission/SlotObservation.ts
+++ b/packages/gateway/src/lib/admission/SlotObservation.ts
@@ -18,16 +18,20 @@
 }
 
 /** Ranks from this one on share a label, so that settings cannot make any number of series. */
-const highestRankLabel = 9;
+const highestRankLabel = 99;
 
 /**
- * Counts the decisions on slots, and logs each request that was held, refused, or decided without the issuer. Below capacity, all requests are
- * granted at once and nothing is logged.
+ * Counts the decisions on slots, and logs each request that was held, refused, or decided without the issuer. Below
+ * capacity, all requests are granted at once and nothing is logged. A request that only looks for a free slot is not
+ * refused by that: another pool decides on it.
  */
 export class SlotObservation {
     constructor(private readonly observation: Observation) {}
 
     record(request: SlotRequest, decision: SlotDecision, inputs: SlotDecisionInputs): void {
+        if (decision.kind === "refused" && request.maxHold <= 0) {
+            return;
+        }
         const { metrics } = this.observation;
         const rank = Math.min(highestRankLabel, request.rank);
         if (decision.kind === "granted") {
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -239,7 +239,7 @@
     private describe(precedence: Precedence, maxHold: number): Omit<SlotRequest, "heads"> {
         const { caller } = this.options;
         return {
-            id: randomUUID(),
+            id: caller.request.id ?? randomUUID(),
             rank: rankOf(caller),
             organisation: caller.organisation?.name ?? "",
             kind: caller.route.name,
