Slots are granted by rank only where a service has routes of different priorities

Where no request is worth more than another, callers of an overloaded service are better served late than refused. Change: slot-admission holds for services whose routes have different priorities.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -185,6 +185,7 @@
             slots: this.slots,
             targetListAge: () => this.directory.age,
             findService: name => this.services.find(name),
+            hasRanks: service => this.services.hasRanks(service),
         });
         this.startQueue = new StartQueue({
             clock,
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -6,7 +6,7 @@
 import { type Target } from "../directory/Target.js";
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
-import { type MechanismSwitch } from "../Mechanisms.js";
+import { type Mechanism, type MechanismSwitch } from "../Mechanisms.js";
 import { type Observation } from "../observation/Observation.js";
 import { type TargetReplies } from "../replies/TargetReplies.js";
 import { type TargetRests } from "../rests/TargetRests.js";
@@ -39,6 +39,8 @@
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: SendPermits;
     readonly slots: RequestContext["slots"];
+    /** Whether the routes of a service have different priorities, so that slots of its targets are granted by rank. */
+    readonly hasRanks: (service: string) => boolean;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets was last confirmed. */
     readonly targetListAge: () => number;
@@ -133,7 +135,8 @@
     }
 
     private start(caller: CallerExchange, route: Route): void {
-        const parts = this.options.findService(this.chooseShare(route));
+        const service = this.chooseShare(route);
+        const parts = this.options.findService(service);
         if (parts === undefined) {
             caller.refuse(requestCodes.noCapacity, "the service is not known", unreadyRetryAfter);
             return;
@@ -149,6 +152,7 @@
             mayReceive,
             permits,
             slots,
+            hasRanks,
             isOn,
             targetListAge,
         } = this.options;
@@ -168,7 +172,7 @@
             permits,
             slots,
             openExchange,
-            isOn,
+            isOn: (mechanism: Mechanism) => isOn(mechanism) && (mechanism !== "slot-admission" || hasRanks(service)),
             targetListAge,
         };
         if (parts.chains !== undefined) {
--- a/packages/gateway/src/lib/services/ServiceTable.ts
+++ b/packages/gateway/src/lib/services/ServiceTable.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Random } from "@waxwingspar/utils";
 import { ChainService, type ChainServiceOptions } from "../chains/ChainService.js";
 import { type Route, type Service } from "../configuration/Configuration.js";
+import { listRankedServices } from "../configuration/listRankedServices.js";
 import { smallestEventIntervals } from "../configuration/smallestEventIntervals.js";
 import { type TargetDirectory } from "../directory/TargetDirectory.js";
 import { type GatewaySettings } from "../GatewaySettings.js";
@@ -41,6 +42,7 @@
     private readonly parts = new Map<string, ServiceParts>();
     /** The smallest limit on the interval between events of all routes to a service, in milliseconds. */
     private eventIntervals: ReadonlyMap<string, number> = new Map();
+    private rankedServices: ReadonlySet<string> = new Set();
 
     constructor(private readonly options: ServiceTableOptions) {}
 
@@ -55,6 +57,7 @@
      */
     add(services: readonly Service[], routes: readonly Route[]): void {
         this.eventIntervals = smallestEventIntervals(routes);
+        this.rankedServices = listRankedServices(routes);
         for (const service of services) {
             if (!this.parts.has(service.name)) {
                 this.parts.set(service.name, this.create(service));
@@ -62,6 +65,11 @@
         }
     }
 
+    /** Whether the routes of a service have different priorities. */
+    hasRanks(service: string): boolean {
+        return this.rankedServices.has(service);
+    }
+
     /** Number of requests of this gateway in flight, by the first target of their chain. */
     headLoads(): Record<string, number> {
         return Object.fromEntries([...this.parts.values()].flatMap(({ chains }) => chains?.headLoads() ?? []));
