What a review of admission found: retries of interrupted requests, refusals without a promise, unknown accelerators, rooms of gateways that are gone

Cause, by reading: a gateway's own retry of a request that may have run counted as a caller that came back early; a request older than its hold was refused without a promised time; a chain over an accelerator that the configuration lacks had room for one request; the lowest room that a vanished gateway had reported stayed in force; a gateway with slot-admission off still issued slots; priorities above 9 made long loops. Change: each in its place. Measured: tests of admission, requests, chains and of the gateway on loopback.

--- a/packages/gateway/src/lib/admission/RecentMaximum.ts
+++ b/packages/gateway/src/lib/admission/RecentMaximum.ts
@@ -1,6 +1,9 @@
 import { type Clock } from "@waxwingspar/utils";
 
-/** The largest of the values that were recorded within a time. Each value counts from its record to the next one. */
+/**
+ * The largest of the values that were recorded within a time. Each value counts from its record to the next one, and the
+ * last one until the retention time after its record.
+ */
 export class RecentMaximum {
     /** Largest first; each was recorded before the next. */
     private readonly peaks: { readonly value: number; at: number; }[] = [];
@@ -21,10 +24,10 @@
         this.peaks.push({ value, at: now });
     }
 
-    /** Undefined if no value was recorded. */
+    /** Undefined if no value was recorded lately. */
     get value(): number | undefined {
         const bound = this.clock.now() - this.retention;
-        while (this.peaks.length > 1 && (this.peaks[0]?.at ?? Infinity) < bound) {
+        while ((this.peaks[0]?.at ?? Infinity) < bound) {
             this.peaks.shift();
         }
         return this.peaks[0]?.value;
--- a/packages/gateway/src/lib/admission/ReturnSchedule.ts
+++ b/packages/gateway/src/lib/admission/ReturnSchedule.ts
@@ -54,7 +54,7 @@
 const attemptTimeConstant = 2_000;
 /**
  * Smallest share of the freed slots that the calendar promises to callers who return. First attempts alone may exceed
- * the capacity, but those who return go before them.
+ * the capacity, but those who return are not put behind them.
  */
 const minReturnShare = 0.1;
 /**
--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -52,7 +52,7 @@
 /**
  * Obtains slots of heads for the requests of this gateway. Handles loads above the capacity of heads that many gateways
  * share: all of them together hold no more requests on a head than it has room for, whatever they know of each other.
- * A gateway sends a few requests without asking, so that below half of the capacity no message is needed.
+ * A gateway sends a few requests without asking, so that below a fifth of the capacity no message is needed.
  */
 export class SlotGrants {
     private readonly incarnation = uniqueId();
@@ -166,7 +166,10 @@
             this.settle(message);
         }
         else if (message.method === "takeSlot") {
-            this.issuer.answer(message);
+            // A gateway that takes no slots itself cannot count them; those who ask get no reply and use their parts.
+            if (this.options.isOn?.() !== false) {
+                this.issuer.answer(message);
+            }
         }
         else {
             this.issuer.receive(message.params);
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -59,9 +59,12 @@
 /** Why a request that got no slot is not sent. */
 export const noSlotReason = "no slot is free in time";
 
-/** Returns the milliseconds for which a request that has not run may be held, from those since its arrival. */
+/**
+ * Returns the milliseconds for which a request that has not run may be held, from those since its arrival. It is never 0,
+ * since only a request that may be held is promised a time to return.
+ */
 export function newRequestHold({ route, age }: Pick<CallerExchange, "route" | "age">): number {
-    return Math.max(0, route.latencyTarget * newHoldShare - age);
+    return Math.max(1, route.latencyTarget * newHoldShare - age);
 }
 
 /** Returns the milliseconds for which a stream that lost its chain may be held, of those that its caller still waits. */
@@ -149,14 +152,14 @@
         const waiting = this.waiting = {};
         const end = clock.now() + need.maxHold;
         for await (const { candidates, answer: outcome } of this.askPools(need)) {
-            if (outcome === undefined) {
-                this.grant(candidates[0], onGranted, onRefused);
-                return;
-            }
             if (this.waiting !== waiting) {
                 releaseIfGranted(outcome);
                 return;
             }
+            if (outcome === undefined) {
+                this.grant(candidates[0], onGranted, onRefused);
+                return;
+            }
             if (outcome.kind === "refused") {
                 this.lastRefusal = outcome;
                 continue;
@@ -172,8 +175,10 @@
             void this.ask({ ...need, maxHold: Math.max(0, end - clock.now()) }, onGranted, onRefused);
             return;
         }
-        this.waiting = undefined;
-        onRefused();
+        if (this.waiting === waiting) {
+            this.waiting = undefined;
+            onRefused();
+        }
     }
 
     /**
@@ -261,8 +266,8 @@
     };
 }
 
-function releaseIfGranted(outcome: HeldSlot | SlotRefusal): void {
-    if (outcome.kind === "granted") {
+function releaseIfGranted(outcome: HeldSlot | SlotRefusal | undefined): void {
+    if (outcome?.kind === "granted") {
         outcome.release();
     }
 }
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -29,8 +29,7 @@
  * silent for two seconds. A lost layer range is bypassed by another chain, or reloaded, within 0.4 to 1.6 s.
  */
 const maxResumeWait = 1_800;
-const firstSuccess = 200;
-const firstRedirect = 300;
+const successStatuses = { first: 200, end: 300 };
 
 /**
  * Runs one streamed request over a chain of targets. If the route allows it, an interrupted stream is resumed over
@@ -112,7 +111,7 @@
         else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
             this.attemptEnded(attempt, "unknown", `reply ${status} is unsigned or for another request`);
         }
-        else if (status < firstSuccess || status >= firstRedirect) {
+        else if (status < successStatuses.first || status >= successStatuses.end) {
             this.receiveFailedReply(attempt, status);
         }
     }
@@ -217,23 +216,24 @@
             this.giveUpAlone("retry budget is used up");
             return;
         }
-        const { attempts: { size: runs }, delivered: { count }, precedence } = this;
-        this.slots.take({ precedence, maxHold: this.maxHold }, candidate => {
+        const { attempts: { size: runs }, delivered: { count }, maxHold } = this;
+        this.slots.take({ precedence: this.isResumed ? "running" : "waiting", maxHold }, candidate => {
             const hasContinued = () => this.attempts.size > 0 && this.delivered.count > count;
             this.gate.pass(candidate.target, () => this.sendOver(candidate, hasContinued()), () => this.sendNow());
         }, () => this.noSlotGranted(runs > 0));
     }
 
-    /**
-     * Milliseconds for which the next send may wait for a slot. A second run of a request that has received nothing is
-     * made only if one is free at once.
-     */
+    /** Milliseconds to wait for a slot; a second run of a request without an event is made only if one is free. */
     private get maxHold(): number {
         if (this.attempts.size > 0) {
             return this.delivered.hasBegun ? maxSuspectedHold : 0;
         }
-        const isResumed = this.precedence === "running" || this.limits.mayHaveRun;
-        return isResumed ? resumedHold(maxResumeWait - this.delivered.silence) : newRequestHold(this.caller);
+        return this.isResumed ? resumedHold(maxResumeWait - this.delivered.silence) : newRequestHold(this.caller);
+    }
+
+    /** Whether a target may have begun to run the request, so that its caller cannot be told to return. */
+    private get isResumed(): boolean {
+        return this.precedence === "running" || this.limits.mayHaveRun;
     }
 
     /** @param wasRunning - Whether a run was in flight when the slot was requested. */
@@ -371,8 +371,8 @@
         const isLate = isPastDeadline(this.caller);
         if (mayRun) {
             const cause = isLate ? "deadline" : this.attempts.size > 0 ? "suspicion" : "target";
-            const silence = Math.round(this.delivered.silence);
-            noteGivenUp(this.context, this.caller, cause, { reason, events: this.delivered.count, silence });
+            const { count: events, silence } = this.delivered;
+            noteGivenUp(this.context, this.caller, cause, { reason, events, silence: Math.round(silence) });
         }
         this.finish();
         if (!mayRun) {
--- a/packages/gateway/src/lib/requests/chainCandidates.ts
+++ b/packages/gateway/src/lib/requests/chainCandidates.ts
@@ -11,8 +11,9 @@
     for (const load of choice.listNext()) {
         const target = service.target(load.chain.hops[0]?.targetId ?? "");
         if (target !== undefined) {
-            // A chain whose memory is too small for an average request still runs one at a time.
-            yield { choice: load, target, room: Math.max(1, Math.floor(service.roomOf(load))) };
+            // The room is not known where the accelerator of a target is not.
+            const room = service.roomOf(load);
+            yield { choice: load, target, room: room > 0 ? Math.max(1, Math.floor(room)) : undefined };
         }
     }
 }
--- a/packages/gateway/src/lib/requests/sendPriority.ts
+++ b/packages/gateway/src/lib/requests/sendPriority.ts
@@ -17,7 +17,7 @@
 /** The largest priority number that targets accept. */
 const lastPriority = 9;
 
-/** Number of ranks of routes within one rank of organisations. */
+/** Number of ranks of routes within one rank of organisations; less urgent priorities count as the last one. */
 const routeRanks = 10;
 /** Number of priorities that targets are told for each rank of organisations. */
 const toldRouteRanks = 3;
@@ -27,13 +27,14 @@
  * ones by that of its route. The route's priority alone counts where the organisation has none.
  */
 export function rankOf(caller: Pick<CallerExchange, "organisation" | "route">): number {
-    const { first, second } = ranksOf(caller);
-    return first * routeRanks + Math.min(second, routeRanks - 1);
+    const { ofOrganisation, ofRoute } = ranksOf(caller);
+    return ofOrganisation * routeRanks + ofRoute;
 }
 
 function ranksOf({ organisation, route }: Pick<CallerExchange, "organisation" | "route">) {
-    const second = Math.max(0, Math.floor(route.priority));
-    return { first: Math.max(0, Math.floor(organisation?.priority ?? second)), second };
+    const bounded = (priority: number) => Math.min(routeRanks - 1, Math.max(0, Math.floor(priority)));
+    const ofRoute = bounded(route.priority);
+    return { ofOrganisation: bounded(organisation?.priority ?? ofRoute), ofRoute };
 }
 
 /**
@@ -51,9 +52,9 @@
 }
 
 function newPriority(caller: Pick<CallerExchange, "organisation" | "route">): number {
-    const { first, second } = ranksOf(caller);
+    const { ofOrganisation, ofRoute } = ranksOf(caller);
     const told = caller.organisation?.priority === undefined
-        ? second
-        : first * toldRouteRanks + Math.min(second, toldRouteRanks - 1);
+        ? ofRoute
+        : ofOrganisation * toldRouteRanks + Math.min(ofRoute, toldRouteRanks - 1);
     return Math.min(lastPriority, firstNewPriority + told);
 }
