--- a/packages/gateway/src/lib/admission/OwnSlots.ts
+++ b/packages/gateway/src/lib/admission/OwnSlots.ts
@@ -15,7 +15,7 @@
 export interface OwnSlotsOptions {
     readonly group: Pick<SlotGroup, "dataCentre" | "localSize" | "groupSize">;
     /** From 0 to 1: see {@link equalPart}. */
-    readonly luck: number;
+    readonly roundingDraw: number;
 }
 
 /** Largest room, which stands for no bound: an infinite one cannot be written into a message. */
@@ -79,9 +79,9 @@
 
     /** Whether a request may be sent while the issuer does not answer. */
     isWithinPart({ dataCentre }: SlotPool, { id, room }: SlotHead): boolean {
-        const { group, luck } = this.options;
+        const { group, roundingDraw } = this.options;
         const size = dataCentre === group.dataCentre ? group.localSize : group.groupSize;
-        return this.inFlight(id) < equalPart(room, size, luck);
+        return this.inFlight(id) < equalPart(room, size, roundingDraw);
     }
 
     /** Heads with more requests than this gateway may send without asking. */
--- a/packages/gateway/src/lib/admission/SlotGrants.ts
+++ b/packages/gateway/src/lib/admission/SlotGrants.ts
@@ -68,7 +68,7 @@
 
     constructor(private readonly options: SlotGrantsOptions) {
         const { clock, random, group, chainLoad, weight } = options;
-        this.own = new OwnSlots({ group, luck: random.next() });
+        this.own = new OwnSlots({ group, roundingDraw: random.next() });
         const ownInFlight = (head: string) => this.own.inFlight(head);
         this.issuer = new SlotIssuer({ clock, random, group, chainLoad, weight, ownInFlight });
         this.silentIssuers = new SilentIssuers(clock);
--- a/packages/gateway/src/lib/admission/SlotGroup.ts
+++ b/packages/gateway/src/lib/admission/SlotGroup.ts
@@ -35,9 +35,9 @@
 /**
  * The equal part of a head's room that a gateway uses while no issuer answers.
  *
- * @param luck - From 0 to 1, drawn once for each gateway, so that parts below one request add up to the room on average.
+ * @param roundingDraw - From 0 to 1, drawn once for each gateway, so that parts below one request add up to the room on average.
  */
-export function equalPart(room: number, localSize: number, luck: number): number {
+export function equalPart(room: number, localSize: number, roundingDraw: number): number {
     const size = Number.isFinite(localSize) ? localSize : assumedSize;
-    return Math.floor(room / size + (room % size === 0 ? 0 : luck));
+    return Math.floor(room / size + (room % size === 0 ? 0 : roundingDraw));
 }
--- a/packages/gateway/src/lib/chains/addFurtherChains.ts
+++ b/packages/gateway/src/lib/chains/addFurtherChains.ts
@@ -54,7 +54,6 @@
 }
 
 /** A hop of a planned chain, with the best way to run all layers before its end. */
-
 interface Step {
     /** Time of a step over all hops so far, relative to a full step on the reference accelerator. */
     readonly pace: number;
--- a/packages/gateway/src/lib/limits/SilentIssuers.ts
+++ b/packages/gateway/src/lib/limits/SilentIssuers.ts
@@ -15,7 +15,7 @@
 /** Maximum number of issuers that are remembered. */
 const maxIssuers = 100;
 
-/** The issuers of permits that do not reply, by address. */
+/** The issuers of permits and slots that do not reply, by address. */
 export class SilentIssuers {
     private readonly silences = new LRUCache<string, Silence>({ max: maxIssuers });
 
