--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -183,37 +183,41 @@
 
     /**
      * Asks the pools that are not known to be full for a slot that is free now, and then the one that is expected to
-     * have a slot first to hold the request.
+     * have a slot first to hold the request. With a single pool only the second question is useful.
      */
     private async *askPools({ precedence, maxHold }: SlotNeed): AsyncGenerator<PoolAnswer<Choice>> {
         const { context: { slots, clock }, caller } = this.options;
         const rank = rankOf(caller);
         const end = clock.now() + maxHold;
-        const ask = async (candidates: readonly SlotCandidate<Choice>[], hold: number) => {
-            const pool = poolOf(candidates);
-            const answer = slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(precedence, hold));
-            return { candidates, answer };
-        };
         const pools = this.listPools();
         const limited = pools.filter(([best]) => best?.room !== undefined);
-        const open = limited.filter(pool => precedence === "running" || slots.fullFor(poolOf(pool), rank) === 0);
-        const isOnlyChoice = limited.length === 1 && maxHold > 0;
-        for (const candidates of isOnlyChoice ? [] : open.slice(0, maxAsks)) {
-            yield await ask(candidates, 0);
+        if (limited.length > 1 || maxHold === 0) {
+            const open = limited.filter(pool => precedence === "running" || slots.fullFor(poolOf(pool), rank) === 0);
+            for (const candidates of open.slice(0, maxAsks)) {
+                yield await this.askPool(candidates, { precedence, maxHold: 0 });
+            }
         }
-        const [unlimited] = pools.filter(([best]) => best !== undefined && best.room === undefined);
+        const unlimited = pools.find(([best]) => best?.room === undefined);
         if (unlimited !== undefined) {
             yield { candidates: unlimited, answer: undefined };
         }
-        const wait = (pool: readonly SlotCandidate<Choice>[]) => slots.expectedWait(poolOf(pool), rank);
-        const [soonest] = limited.toSorted((a, b) => wait(a) - wait(b));
-        // A request that may not be held is promised no time to return.
-        const hold = Math.max(1, end - clock.now());
+        const waitFor = (pool: readonly SlotCandidate<Choice>[]) => slots.expectedWait(poolOf(pool), rank);
+        const [soonest] = limited.toSorted((a, b) => waitFor(a) - waitFor(b));
         if (soonest !== undefined && maxHold > 0) {
-            yield await ask(soonest, hold);
+            // At least 1 ms: a request that may not be held is promised no time to return.
+            yield await this.askPool(soonest, { precedence, maxHold: Math.max(1, end - clock.now()) });
         }
     }
 
+    private async askPool(
+        candidates: readonly SlotCandidate<Choice>[],
+        need: SlotNeed,
+    ): Promise<PoolAnswer<Choice>> {
+        const { slots } = this.options.context;
+        const pool = poolOf(candidates);
+        return { candidates, answer: slots.tryLocal(pool) ?? await slots.acquire(pool, this.describe(need)) };
+    }
+
     private grant(
         candidate: SlotCandidate<Choice> | undefined,
         onGranted: (candidate: SlotCandidate<Choice>) => void,
@@ -241,7 +245,7 @@
         return [...pools.values()];
     }
 
-    private describe(precedence: Precedence, maxHold: number): Omit<SlotRequest, "heads"> {
+    private describe({ precedence, maxHold }: SlotNeed): Omit<SlotRequest, "heads"> {
         const { caller } = this.options;
         return {
             id: caller.request.id ?? randomUUID(),
