--- a/packages/gateway/src/lib/admission/SlotGroup.ts
+++ b/packages/gateway/src/lib/admission/SlotGroup.ts
@@ -17,7 +17,7 @@
 
 /**
  * Share of a head's room that gateways of its data centre use without asking, all together. Requests within it are not
- * ordered by rank: with 0.5, a third of the most urgent ones were refused while less urgent ones of other gateways ran.
+ * ordered by rank, so a larger share lets less urgent requests run while more urgent ones are refused.
  */
 const quotaShare = 0.2;
 /** Number of gateways that is assumed while their number is unknown. */
