Logs and metrics tell how far requests had come whose callers left, and how late the event loop runs

Change: the stage in the outcome and in a counter, the time since the last send and the loop's delay in 'request ended', a histogram of the loop's delay from ten ticks a second. Nothing decides by them.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -20,6 +20,7 @@
 import { TargetLimits } from "./limits/TargetLimits.js";
 import { allMechanismsOn } from "./Mechanisms.js";
 import { type Moment } from "./Moment.js";
+import { LoopMonitor } from "./observation/LoopMonitor.js";
 import { GatewayMetrics, type Observation } from "./observation/Observation.js";
 import { chooseWatchRole } from "./peers/chooseWatchRole.js";
 import { type TableStatuses } from "./peers/PeerExchange.js";
@@ -63,6 +64,7 @@
 export class Gateway {
     private readonly observation: Observation;
     private readonly eras = new StoreEras();
+    private readonly loop: LoopMonitor;
     private readonly store: Store;
     private readonly configuration: ConfigurationInForce;
     private readonly directory: TargetDirectory;
@@ -95,6 +97,7 @@
         const { settings, clock, logs, registry, random } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
         const { eras, observation } = this;
+        this.loop = new LoopMonitor({ clock, metrics: observation.metrics });
         const observed = new ObservedStore({ store: options.store, clock, observation });
         const store = new EraStore({ store: observed, eras, observation });
         this.store = store;
@@ -175,6 +178,7 @@
             random: options.random,
             wire: options.wire,
             observation: this.observation,
+            loop: this.loop,
             configuration: this.configuration,
             crashes: this.crashes,
             replies: this.replies,
@@ -246,6 +250,7 @@
     async start(): Promise<void> {
         const { logs, settings } = this.options;
         logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
+        this.loop.start();
         this.watches.forEach(watch => void watch.run());
         this.crashes.records.start();
         await Promise.all([this.readiness.start(), this.callers.start()]);
@@ -291,6 +296,7 @@
         this.services.stop();
         this.peers.stop();
         this.copies.stop();
+        this.loop.stop();
         this.callers.closeAll();
         this.readiness.close();
     }
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -52,6 +52,8 @@
     readonly slotsHeld: Counter;
     readonly slotsRefused: Counter;
     readonly slotHoldTime: Histogram;
+    readonly loopDelay: Histogram;
+    readonly callersLeft: Counter;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -194,6 +196,14 @@
             name: "waxwingspar_gateway_slot_held_seconds",
             help: "Time for which requests were held until a decision on their slot, by decision.",
         });
+        this.loopDelay = registry.histogram({
+            name: "waxwingspar_gateway_loop_delay_seconds",
+            help: "Time for which this process's event loop was blocked, measured ten times a second.",
+        });
+        this.callersLeft = registry.counter({
+            name: "waxwingspar_gateway_callers_left_total",
+            help: "Requests whose callers left before their answer had ended, by how far the request had come.",
+        });
     }
 }
 
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -3,6 +3,7 @@
 import { type Organisation, type Route } from "../configuration/Configuration.js";
 import { listCrashCauses } from "../crashes/crashCauses.js";
 import { type Target } from "../directory/Target.js";
+import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
 import { type CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { Delivery } from "./Delivery.js";
@@ -21,6 +22,7 @@
     readonly body: Buffer | undefined;
     readonly observation: Observation;
     readonly link: CallerLinkMonitor;
+    readonly loop: Pick<LoopMonitor, "longestDelay">;
     /** Version of the configuration that the request was routed and authenticated by. */
     readonly configurationVersion: number;
 }
@@ -69,6 +71,7 @@
     private disconnectListener: (() => void) | undefined;
     private drainListener: (() => void) | undefined;
     private sends = 0;
+    private lastSendAt: number | undefined;
     private lastTarget: Target | undefined;
     private lastBasis: SendBasis | undefined;
     private readonly delivery: Delivery;
@@ -152,6 +155,7 @@
     /** Records that the request is sent to a target; for a chain, to its first target. */
     noteSend(target: Target, basis: SendBasis): void {
         this.sends++;
+        this.lastSendAt = this.options.clock.now();
         this.lastTarget = target;
         this.lastBasis = basis;
         this.options.observation.metrics.targetListAge.record(basis.listAge, {});
@@ -225,11 +229,19 @@
     private handleClose(): void {
         this.finishEnded();
         if (!this.isOver) {
-            this.finish("caller left");
+            this.options.observation.metrics.callersLeft.add({ stage: this.stage });
+            this.finish(`caller left, ${this.stage}`);
             this.disconnectListener?.();
         }
     }
 
+    private get stage(): "unsent" | "sent" | "answering" {
+        if (this.hasHead) {
+            return "answering";
+        }
+        return this.sends > 0 ? "sent" : "unsent";
+    }
+
     /** Finishes an ended answer once it is flushed or the connection is closed. */
     private finishEnded(): void {
         if (this.pendingOutcome !== undefined) {
@@ -276,6 +288,8 @@
             deliveredPause: round(longestPause),
             deliveryWait: round(longestWait),
             duration: round(duration),
+            sinceSend: round(this.lastSendAt === undefined ? undefined : clock.now() - this.lastSendAt),
+            loopDelay: round(this.options.loop.longestDelay),
         }, "request ended");
     }
 }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -7,6 +7,7 @@
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type Mechanism, type MechanismSwitch } from "../Mechanisms.js";
+import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
 import { type TargetReplies } from "../replies/TargetReplies.js";
 import { type TargetRests } from "../rests/TargetRests.js";
@@ -26,6 +27,7 @@
     readonly random: Random;
     readonly wire: WireFormat;
     readonly observation: Observation;
+    readonly loop: Pick<LoopMonitor, "longestDelay">;
     readonly configuration: ConfigurationInForce;
     readonly findService: (name: string) => ServiceParts | undefined;
     /** Whether the configuration in force has been superseded for too long. */
@@ -129,6 +131,7 @@
             body,
             observation: this.options.observation,
             link: this.link,
+            loop: this.options.loop,
             configurationVersion: configuration.current.version,
         });
         this.start(caller, route);
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -249,6 +249,7 @@
             body: Buffer.from(body),
             observation,
             link: new CallerLinkMonitor({ clock, observation }),
+            loop: { longestDelay: 0 },
             configurationVersion: 1,
         });
         return { caller, answer };
