--- a/packages/proof/src/lib/site/SiteProcess.ts
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -48,6 +48,11 @@
         });
     }
 
+    /** The process id; undefined if it could not be started. */
+    get pid(): number | undefined {
+        return this.child.pid;
+    }
+
     get running(): boolean {
         return this.end === undefined;
     }
--- /dev/null
+++ b/packages/soak/src/lib/Throttle.ts
@@ -0,0 +1,28 @@
+import { type ChildProcess, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+
+/** For how long a process runs and stands still in turn, in milliseconds. */
+export interface ProcessorPart {
+    readonly running: number;
+    readonly standing: number;
+}
+
+const script = fileURLToPath(new URL("../throttle.js", import.meta.url));
+
+/** Gives a process a part of a processor only, as a host with little processor time does. */
+export class Throttle {
+    private readonly child: ChildProcess;
+
+    constructor(pid: number, part: ProcessorPart) {
+        this.child = fork(script, [String(pid)], { execArgv: [] });
+        this.child.send(part);
+    }
+
+    set(part: ProcessorPart): void {
+        this.child.send(part);
+    }
+
+    stop(): void {
+        this.child.kill();
+    }
+}
