A caller has left when the end of its connection is read; requests are sent after the other input of their turn

Cause: Node closes a response one to two turns of the event loop after it has read the caller's close, because it first ends its own side of the connection. On a process that is short of processor time, a turn lasts hundreds of milliseconds, and requests were sent on and run meanwhile. Change: the end of the connection ends all work for its callers within the same callback. A request is written to its target after the poll phase in which its connection was established, so that a close read in the same phase counts. A half-closed connection is treated as before: what has been written is flushed, and nothing more is sent.

--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -5,6 +5,7 @@
 import { type Target } from "../directory/Target.js";
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
+import { type CallerPresence } from "../server/CallerPresence.js";
 import { type CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { Delivery } from "./Delivery.js";
 import { type CallerRequest } from "./messages.js";
@@ -15,6 +16,7 @@
     readonly clock: Clock;
     readonly incoming: IncomingMessage;
     readonly response: ServerResponse;
+    readonly presence: CallerPresence;
     readonly request: CallerRequest;
     readonly route: Route;
     readonly organisation: Organisation | undefined;
@@ -79,7 +81,7 @@
     private pendingOutcome: string | undefined;
 
     constructor(private readonly options: CallerExchangeOptions) {
-        const { request, route, arrivedAt, response, clock, link, incoming, organisation, body } = options;
+        const { request, route, arrivedAt, response, presence, clock, link, incoming, organisation, body } = options;
         this.delivery = new Delivery({ clock, onFlushed: wait => link.recordWait(this, wait) });
         this.deadline = arrivedAt + Math.min(route.timeout, request.timeLeft ?? Infinity);
         this.digest = requestDigest({
@@ -90,7 +92,7 @@
             body,
         });
         this.crashCauses = listCrashCauses(this.digest, request.sharedParts);
-        response.once("close", () => this.handleClose());
+        presence.onLeave(() => this.handleLeave());
         response.on("drain", () => this.drainListener?.());
     }
 
@@ -226,7 +228,7 @@
         return Math.max(0, Math.min(retryAfter, left * retryAfterShare));
     }
 
-    private handleClose(): void {
+    private handleLeave(): void {
         this.finishEnded();
         if (!this.isOver) {
             this.options.observation.metrics.callersLeft.add({ stage: this.stage });
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -86,7 +86,7 @@
     }
 
     /** Handles a request whose body has been read completely. */
-    handle({ incoming, response, body }: ReceivedRequest): void {
+    handle({ incoming, response, presence, body }: ReceivedRequest): void {
         const { clock, wire, configuration } = this.options;
         const arrivedAt = clock.now();
         const request = wire.readCallerRequest(incoming.headers);
@@ -124,6 +124,7 @@
             clock,
             incoming,
             response,
+            presence,
             request,
             route,
             organisation: verdict.organisation,
--- a/packages/gateway/src/lib/requests/StartQueue.test.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.test.ts
@@ -16,8 +16,8 @@
     return { clock, state, passed, queue };
 }
 
-function testRequest(isDisconnected = false): ReceivedRequest {
-    return { response: { destroyed: isDisconnected } } as ReceivedRequest;
+function testRequest(hasLeft = false): ReceivedRequest {
+    return { presence: { hasLeft } } as ReceivedRequest;
 }
 
 test("requests that arrive before the process is ready are forwarded in order once it is", () => {
--- a/packages/gateway/src/lib/requests/StartQueue.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.ts
@@ -57,7 +57,7 @@
     private forward(waiting: Waiting): void {
         waiting.timer.cancel();
         this.waiting.delete(waiting);
-        if (!waiting.request.response.destroyed) {
+        if (!waiting.request.presence.hasLeft) {
             this.options.onRequest(waiting.request);
         }
     }
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,13 +1,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, type Server as Listener } from "node:net";
+import { type AddressInfo, type Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
 import { type Address } from "../GatewaySettings.js";
+import { CallerPresence } from "./CallerPresence.js";
 
 /** A request with its complete body. */
 export interface ReceivedRequest {
     readonly incoming: IncomingMessage;
     readonly response: ServerResponse;
     readonly body: Buffer | undefined;
+    readonly presence: CallerPresence;
 }
 
 /** Options of {@link CallerServer}. */
@@ -33,6 +35,8 @@
 /** HTTP server for callers, which buffers the complete body of each request. */
 export class CallerServer {
     private readonly server: Server;
+    /** The callers of each connection whose requests have not ended; several if they are pipelined. */
+    private readonly present = new WeakMap<Socket, Set<CallerPresence>>();
     private isStopping = false;
     private open = 0;
 
@@ -40,6 +44,7 @@
         const settings = { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: checkInterval };
         this.server = createServer(settings, (incoming, response) => this.receive(incoming, response));
         this.server.requestTimeout = 0;
+        this.server.on("connection", (socket: Socket) => this.watchEnd(socket));
     }
 
     /** Number of requests that have not ended. */
@@ -91,9 +96,26 @@
         this.server.closeAllConnections();
     }
 
+    /**
+     * Makes callers leave when the end of their connection is read. Node closes a response only turns of the event loop
+     * later, when it has ended its own side of the connection.
+     */
+    private watchEnd(socket: Socket): void {
+        const callers = new Set<CallerPresence>();
+        this.present.set(socket, callers);
+        socket.once("end", () => callers.forEach(presence => presence.leave()));
+    }
+
     private receive(incoming: IncomingMessage, response: ServerResponse): void {
         this.open++;
-        response.once("close", () => this.open--);
+        const presence = new CallerPresence();
+        const callers = this.present.get(incoming.socket);
+        callers?.add(presence);
+        response.once("close", () => {
+            this.open--;
+            callers?.delete(presence);
+            presence.leave();
+        });
         if (this.isStopping) {
             response.shouldKeepAlive = false;
         }
@@ -115,8 +137,8 @@
             chunks.push(chunk);
         });
         incoming.once("end", () => {
-            if (!isRefused && incoming.complete) {
-                this.options.onRequest({ incoming, response, body: joinBody(incoming, chunks) });
+            if (!isRefused && incoming.complete && !presence.hasLeft) {
+                this.options.onRequest({ incoming, response, body: joinBody(incoming, chunks), presence });
             }
         });
     }
--- a/packages/gateway/src/lib/testing/SimulatedAnswer.ts
+++ b/packages/gateway/src/lib/testing/SimulatedAnswer.ts
@@ -1,5 +1,6 @@
 import { EventEmitter } from "node:events";
 import { type ServerResponse } from "node:http";
+import { CallerPresence } from "../server/CallerPresence.js";
 
 /** Records a gateway's answer in place of a caller's connection. */
 export class SimulatedAnswer extends EventEmitter {
@@ -10,6 +11,7 @@
     isOver = false;
     /** Set once the answer has ended without being aborted. */
     isComplete = false;
+    readonly presence = new CallerPresence();
     /** The `Retry-After` header in seconds. */
     retryAfter: number | undefined;
 
@@ -53,7 +55,7 @@
 
     /** Simulates the loss of the connection, as when the gateway is killed. */
     breakConnection(): void {
-        this.emit("close");
+        this.presence.leave();
         this.finish();
     }
 
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -234,6 +234,7 @@
             clock,
             incoming: incoming as unknown as IncomingMessage,
             response: answer.response,
+            presence: answer.presence,
             request: {
                 id: undefined,
                 timeLeft: route.timeout,
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -52,7 +52,8 @@
     private readonly call: ClientRequest;
     private readonly connectTimer: NodeJS.Timeout;
     private response: IncomingMessage | undefined;
-    private isConnected = false;
+    private isEstablished = false;
+    private isSent = false;
     private isOver = false;
     private wasReset = false;
 
@@ -63,12 +64,22 @@
         this.call.once("socket", socket => {
             socket.setNoDelay(true);
             socket.prependOnceListener("end", () => this.detectReset(socket));
-            socket.once("connect", () => this.send());
+            socket.once("connect", () => this.sendAfterInput());
         });
         this.call.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
         this.call.once("response", response => this.receive(response));
     }
 
+    /**
+     * Sends the request after the other input of this turn of the event loop has been handled, which may show that its
+     * caller has left.
+     */
+    private sendAfterInput(): void {
+        clearTimeout(this.connectTimer);
+        this.isEstablished = true;
+        setImmediate(() => this.send());
+    }
+
     /** Sends the request on its new connection, unless what is known of the target has changed meanwhile. */
     private send(): void {
         const { body, maySend, listener } = this.options;
@@ -80,8 +91,7 @@
             listener.onFailure(withdrawn);
             return;
         }
-        this.isConnected = true;
-        clearTimeout(this.connectTimer);
+        this.isSent = true;
         this.call.end(body);
     }
 
@@ -101,7 +111,7 @@
 
     /** True while no byte can have reached the target. */
     get neverSent(): boolean {
-        return !this.isConnected;
+        return !this.isSent;
     }
 
     /**
@@ -144,7 +154,7 @@
      */
     private failIfUnconnected(): void {
         setImmediate(() => {
-            if (!this.isConnected) {
+            if (!this.isEstablished) {
                 this.fail("connect timeout");
             }
         });
