Connections are accepted before other input, and requests begun in bounded turns, the newest first

Callers saw: a gateway that was short of processor time served nobody any more, also when it had its processor back. Cause: the libuv of Node 20 accepts one connection in each turn of the event loop. Behind running streams turns last milliseconds on a starved process, so connections wait in the operating system until their callers have given up; each of them was read, routed and sent on all the same, the oldest first, within turns without a bound. Change: while connections are accepted, replies' data and requests wait, for at most 64 of them. Requests are begun for 10 ms of each turn, the newest first, a turn later if they may be old, and not for callers that have left. In a lasting overload what waited for 75 ms (500 ms in a crowd that passes) is refused with 1023, not run, 0.1 to 0.4 s to return, in 2 ms of each turn. Mechanisms newest-first and overload-refusals switch those parts off.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -28,9 +28,11 @@
 import { observeEngines } from "./replies/observeEngines.js";
 import { TargetReplies } from "./replies/TargetReplies.js";
 import { writeRefusal } from "./requests/CallerExchange.js";
+import { createStartQueue } from "./requests/createStartQueue.js";
 import { RequestRouter } from "./requests/RequestRouter.js";
-import { StartQueue } from "./requests/StartQueue.js";
+import { type StartQueue } from "./requests/StartQueue.js";
 import { TargetRests } from "./rests/TargetRests.js";
+import { AcceptBursts } from "./server/AcceptBursts.js";
 import { CallerServer } from "./server/CallerServer.js";
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServiceTable } from "./services/ServiceTable.js";
@@ -167,8 +169,10 @@
             isOn: options.isOn,
             observation,
         });
+        const bursts = new AcceptBursts();
         const router = new RequestRouter({
             clock,
+            bursts,
             isOn,
             hasConfirmedPeer: () => this.hasConfirmedPeer,
             lag: new ConfigurationLag({
@@ -191,14 +195,18 @@
             findService: name => this.services.find(name),
             hasRanks: service => this.services.hasRanks(service),
         });
-        this.startQueue = new StartQueue({
+        this.startQueue = createStartQueue({
             clock,
-            isReady: () => this.hasServingState || !isOn("start-queue"),
-            onRequest: request => router.handle(request),
+            loop: this.loop,
+            bursts,
+            isOn,
+            router,
+            isReady: () => this.hasServingState,
         });
         this.callers = new CallerServer({
             address: settings.callers,
             listening: options.callerListener,
+            onConnection: () => bursts.noteConnection(),
             onRequest: request =>
                 this.refusesNewRequests ? router.refuseStopping(request) : this.startQueue.take(request),
             onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
--- a/packages/gateway/src/lib/Mechanisms.ts
+++ b/packages/gateway/src/lib/Mechanisms.ts
@@ -26,6 +26,8 @@
     "peer-confirmations": "a peer may confirm that the configuration is still the newest",
     "shared-watches": "gateways that are not relays rely on relays for changes of the store's tables",
     "peer-copies": "a gateway reads a changed configuration from a peer of its data centre before it asks the store",
+    "newest-first": "a process that is short of processor time begins the newest requests first",
+    "overload-refusals": "a process that is short of processor time refuses requests that it cannot begin in time",
     "start-queue": "requests are queued briefly while the process loads its configuration and target list",
 } as const satisfies Readonly<Record<string, string>>;
 
--- a/packages/gateway/src/lib/observation/LoopMonitor.ts
+++ b/packages/gateway/src/lib/observation/LoopMonitor.ts
@@ -15,14 +15,17 @@
 export class LoopMonitor {
     private readonly delay: LoopDelay;
     private timer: Timer | undefined;
+    private due = Infinity;
+    private lastTickAt = 0;
+    private lastDelay = 0;
 
     constructor(private readonly options: LoopMonitorOptions) {
         this.delay = new LoopDelay(options.clock);
     }
 
     start(): void {
-        const due = this.options.clock.now() + tickInterval;
-        this.timer = this.options.clock.schedule(() => this.tick(due), tickInterval);
+        this.due = this.options.clock.now() + tickInterval;
+        this.timer = this.options.clock.schedule(() => this.tick(), tickInterval);
     }
 
     stop(): void {
@@ -34,8 +37,19 @@
         return this.delay.recent;
     }
 
-    private tick(due: number): void {
-        this.options.metrics.loopDelay.record(this.delay.record(due), {});
+    /**
+     * Maximum milliseconds for which input that is read now has waited in the operating system, as far as the ticks show:
+     * it may have arrived at any time while the loop was blocked.
+     */
+    get inputAge(): number {
+        const now = this.options.clock.now();
+        return Math.max(0, now - this.due, now - this.lastTickAt < this.lastDelay ? this.lastDelay : 0);
+    }
+
+    private tick(): void {
+        this.lastDelay = this.delay.record(this.due);
+        this.lastTickAt = this.options.clock.now();
+        this.options.metrics.loopDelay.record(this.lastDelay, {});
         this.start();
     }
 }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -38,6 +38,7 @@
     readonly replies: TargetReplies;
     readonly limits: TargetLimits;
     readonly rests: TargetRests;
+    readonly bursts: ExchangeOptions["bursts"];
     readonly mayReceive: (target: Target) => boolean;
     readonly permits: SendPermits;
     readonly slots: RequestContext["slots"];
@@ -57,6 +58,11 @@
  * Outages of the store last some seconds longer than credentials are accepted without it.
  */
 const unconfirmedRetryAfter = 1_000;
+/**
+ * Bounds of `Retry-After` in milliseconds when this process is short of processor time. Another process can serve the
+ * retry; the spread keeps those refused together from returning together.
+ */
+const overloadRetryAfter = { least: 100, most: 400 };
 /**
  * Maximum milliseconds since the last confirmation of the configuration at which unknown routes and keys are denied.
  * With an older one, a newer configuration may contain them. The time covers two waits for changes and their replies.
@@ -85,6 +91,25 @@
         writeRefusal(response, requestCodes.stopping, "this process is stopping", otherProcessRetryAfter);
     }
 
+    /** Refuses a request that this process cannot begin in time, because it is short of processor time. */
+    refuseOverloaded({ incoming, response }: ReceivedRequest, waited: number): void {
+        const request = this.options.wire.readCallerRequest(incoming.headers);
+        const { least, most } = overloadRetryAfter;
+        const retryAfter = least + this.options.random.next() * (most - least);
+        this.logRefusal(request, requestCodes.processOverloaded, `not begun for ${Math.round(waited)} ms`);
+        writeRefusal(response, requestCodes.processOverloaded, "this process is short of processor time", retryAfter);
+    }
+
+    /** Records a request that was not begun because its caller had left. */
+    noteLeft({ incoming }: ReceivedRequest): void {
+        const { observation, loop, wire } = this.options;
+        observation.metrics.callersLeft.add({ stage: "unread" });
+        observation.logs.requests.debug({
+            request: wire.readCallerRequest(incoming.headers).id,
+            loopDelay: Math.round(loop.longestDelay),
+        }, "caller had left");
+    }
+
     /** Handles a request whose body has been read completely. */
     handle({ incoming, response, presence, body }: ReceivedRequest): void {
         const { clock, wire, configuration } = this.options;
@@ -153,6 +178,7 @@
             replies,
             limits,
             rests,
+            bursts,
             mayReceive,
             permits,
             slots,
@@ -161,7 +187,7 @@
             targetListAge,
         } = this.options;
         const { budget } = parts;
-        const openExchange = (exchange: ExchangeOptions) => new Exchange(exchange);
+        const openExchange = (exchange: ExchangeOptions) => new Exchange({ ...exchange, bursts });
         const context = {
             clock,
             wire,
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -17,6 +17,8 @@
     readonly address: Address;
     /** A server that already listens at the address, whose connections this one takes over. */
     readonly listening?: Listener;
+    /** Called for each connection that is accepted. */
+    readonly onConnection: () => void;
     readonly onRequest: (request: ReceivedRequest) => void;
     readonly onTooLarge: (response: ServerResponse) => void;
     readonly maxBodyBytes: () => number;
@@ -44,7 +46,10 @@
         const settings = { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: checkInterval };
         this.server = createServer(settings, (incoming, response) => this.receive(incoming, response));
         this.server.requestTimeout = 0;
-        this.server.on("connection", (socket: Socket) => this.watchEnd(socket));
+        this.server.on("connection", (socket: Socket) => {
+            this.watchEnd(socket);
+            options.onConnection();
+        });
     }
 
     /** Number of requests that have not ended. */
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
+import { AcceptBursts } from "../server/AcceptBursts.js";
 import { Exchange, type ExchangeFailure } from "./Exchange.js";
 
 interface Result {
@@ -112,3 +113,41 @@
     const { failure } = await exchangeWith(socket => socket.destroy());
     assert.equal(failure?.neverSent, false);
 });
+
+test("data that arrives while connections are accepted is delivered in order, whole, and before the end", async () => {
+    for (const ending of ["end", "reset"] as const) {
+        const server = await listen(socket => {
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nfirst ");
+            setTimeout(() => socket.write("second "), 5);
+            setTimeout(() => ending === "end" ? socket.end("and the last one.") : socket.resetAndDestroy(), 15);
+        });
+        let endTurn = () => undefined as void;
+        const bursts = new AcceptBursts({ afterInput: callback => endTurn = callback });
+        bursts.noteConnection();
+        const { port } = server.address() as AddressInfo;
+        const chunks: string[] = [];
+        const failure = await new Promise<ExchangeFailure | undefined>(resolve =>
+            new Exchange({
+                host: "127.0.0.1",
+                port,
+                method: "GET",
+                path: "/",
+                headers: ["Host", "x"],
+                body: undefined,
+                connectTimeout: 1_000,
+                maySend: () => true,
+                bursts,
+                listener: {
+                    onHead: () => setTimeout(() => assert.deepEqual(chunks, []), 2),
+                    onData: chunk => chunks.push(chunk.toString()),
+                    onEnd: () => resolve(undefined),
+                    onFailure: resolve,
+                },
+            })
+        );
+        endTurn();
+        server.close();
+        assert.equal(chunks.join(""), ending === "end" ? "first second and the last one." : "first second ");
+        assert.equal(failure?.reason, ending === "end" ? undefined : "ECONNRESET");
+    }
+});
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -1,5 +1,6 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type Socket } from "node:net";
+import { type AcceptBursts } from "../server/AcceptBursts.js";
 
 /** Why an exchange ended without a complete reply. */
 export interface ExchangeFailure {
@@ -41,6 +42,8 @@
     /** Called when the connection is established: whether the request may still be sent. */
     readonly maySend: () => boolean;
     readonly listener: ExchangeListener;
+    /** While connections are accepted in a row, the data of replies is kept. By default none are. */
+    readonly bursts?: Pick<AcceptBursts, "isActive" | "whenOver">;
 }
 
 /**
@@ -56,6 +59,8 @@
     private isSent = false;
     private isOver = false;
     private wasReset = false;
+    /** Data that is kept while connections are accepted. */
+    private kept: Buffer[] = [];
 
     constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, connectTimeout } = options;
@@ -134,10 +139,11 @@
         listener.onHead(response);
         response.on("data", (chunk: Buffer) => {
             if (!this.isOver) {
-                listener.onData(chunk);
+                this.takeData(chunk);
             }
         });
         response.once("end", () => {
+            this.deliverKept();
             if (!response.complete || this.wasReset) {
                 this.fail(this.wasReset ? "reset" : "truncated");
             }
@@ -148,6 +154,26 @@
         });
     }
 
+    private takeData(chunk: Buffer): void {
+        const { bursts, listener } = this.options;
+        if (bursts?.isActive !== true) {
+            this.deliverKept();
+            listener.onData(chunk);
+            return;
+        }
+        if (this.kept.push(chunk) === 1) {
+            bursts.whenOver(() => this.deliverKept());
+        }
+    }
+
+    private deliverKept(): void {
+        const { kept } = this;
+        this.kept = [];
+        if (kept.length > 0 && !this.isOver) {
+            this.options.listener.onData(Buffer.concat(kept));
+        }
+    }
+
     /**
      * Checks the connection again after pending I/O: Node.js runs timers first, and the connection may have opened
      * while the event loop was blocked.
@@ -165,6 +191,10 @@
             return;
         }
         const neverSent = this.neverSent;
+        this.deliverKept();
+        if (this.isOver) {
+            return;
+        }
         this.close();
         this.options.listener.onFailure({ neverSent, reason });
     }
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -174,6 +174,14 @@
         retry: "later",
         summary: "Every target that could serve the request is full, and no slot becomes free in time.",
     },
+    processOverloaded: {
+        number: 1023,
+        name: "process-overloaded",
+        execution: "not run",
+        status: 503,
+        retry: "later",
+        summary: "The process that read the request is short of processor time and cannot begin it in time.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
