A request's age counts from its estimated arrival, not from when its body was read

Callers saw: targets worked on requests beyond their callers' deadlines; holds, hedges and deadlines began late by as long as the request had waited unread. The arrival was the moment at which the request was routed: neither the wait in the operating system while the event loop was blocked, nor that in the start queue and the intake counted. Change: the head's reading counts as the earliest sure moment; of the time for which the loop was blocked before it, half is added, bounded by half of the caller's time. The age at which requests are begun is logged and has a histogram. The body limit before a configuration moves to the server that applies it.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -56,11 +56,6 @@
 const stopSlack = 400;
 /** Milliseconds between two checks for open requests while the process stops. */
 const stopCheckInterval = 50;
-/**
- * Largest request body in bytes before a configuration sets a limit. Without a configuration a request is refused as
- * not run, whatever its size.
- */
-const defaultBodyLimit = 8_388_608;
 
 /** A gateway process, which accepts callers' requests and forwards them to targets. */
 export class Gateway {
@@ -204,13 +199,15 @@
             isReady: () => this.hasServingState,
         });
         this.callers = new CallerServer({
+            clock,
+            loop: this.loop,
             address: settings.callers,
             listening: options.callerListener,
             onConnection: () => bursts.noteConnection(),
             onRequest: request =>
                 this.refusesNewRequests ? router.refuseStopping(request) : this.startQueue.take(request),
             onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
-            maxBodyBytes: () => this.configuration.current?.limits.bodyBytes ?? defaultBodyLimit,
+            maxBodyBytes: () => this.configuration.current?.limits.bodyBytes,
         });
         this.readiness = new ReadinessServer(settings.readiness, () => this.isReady);
         this.lease = new PlacementLease({
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -54,6 +54,7 @@
     readonly slotHoldTime: Histogram;
     readonly loopDelay: Histogram;
     readonly callersLeft: Counter;
+    readonly requestAge: Histogram;
 
     constructor(registry: MetricRegistry) {
         this.requests = registry.counter({
@@ -200,6 +201,10 @@
             name: "waxwingspar_gateway_loop_delay_seconds",
             help: "Time for which this process's event loop was blocked, measured ten times a second.",
         });
+        this.requestAge = registry.histogram({
+            name: "waxwingspar_gateway_request_age_seconds",
+            help: "From a request's estimated arrival until it was begun.",
+        });
         this.callersLeft = registry.counter({
             name: "waxwingspar_gateway_callers_left_total",
             help: "Requests whose callers left before their answer had ended, by how far the request had come.",
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -20,6 +20,7 @@
     readonly request: CallerRequest;
     readonly route: Route;
     readonly organisation: Organisation | undefined;
+    /** Estimated time on the clock. */
     readonly arrivedAt: number;
     readonly body: Buffer | undefined;
     readonly observation: Observation;
@@ -72,6 +73,8 @@
     private longestPause = 0;
     private disconnectListener: (() => void) | undefined;
     private drainListener: (() => void) | undefined;
+    /** Milliseconds from the estimated arrival until the request was begun. */
+    private readonly ageAtBegin: number;
     private sends = 0;
     private lastSendAt: number | undefined;
     private lastTarget: Target | undefined;
@@ -83,6 +86,7 @@
     constructor(private readonly options: CallerExchangeOptions) {
         const { request, route, arrivedAt, response, presence, clock, link, incoming, organisation, body } = options;
         this.delivery = new Delivery({ clock, onFlushed: wait => link.recordWait(this, wait) });
+        this.ageAtBegin = clock.now() - arrivedAt;
         this.deadline = arrivedAt + Math.min(route.timeout, request.timeLeft ?? Infinity);
         this.digest = requestDigest({
             method: this.method,
@@ -290,6 +294,7 @@
             deliveredPause: round(longestPause),
             deliveryWait: round(longestWait),
             duration: round(duration),
+            ageAtBegin: round(this.ageAtBegin),
             sinceSend: round(this.lastSendAt === undefined ? undefined : clock.now() - this.lastSendAt),
             loopDelay: round(this.options.loop.longestDelay),
         }, "request ended");
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -111,10 +111,12 @@
     }
 
     /** Handles a request whose body has been read completely. */
-    handle({ incoming, response, presence, body }: ReceivedRequest): void {
-        const { clock, wire, configuration } = this.options;
-        const arrivedAt = clock.now();
+    handle(received: ReceivedRequest): void {
+        const { clock, wire, configuration, observation } = this.options;
+        const { incoming, response, presence, body } = received;
         const request = wire.readCallerRequest(incoming.headers);
+        const arrivedAt = estimateArrival(received, request.timeLeft);
+        observation.metrics.requestAge.record(clock.now() - arrivedAt, {});
         const refuse = (code: ResultCode, reason: string, retryAfter?: number) => {
             this.logRefusal(request, code, reason);
             writeRefusal(response, code, reason, retryAfter);
@@ -155,7 +157,7 @@
             organisation: verdict.organisation,
             arrivedAt,
             body,
-            observation: this.options.observation,
+            observation,
             link: this.link,
             loop: this.options.loop,
             configurationVersion: configuration.current.version,
@@ -250,6 +252,14 @@
     }
 }
 
+/**
+ * Estimates when a request arrived. One that is read after the event loop was blocked may have come at any time while it
+ * was, but not before its caller would have left.
+ */
+function estimateArrival({ readAt, maxUnread }: ReceivedRequest, timeLeft = Infinity): number {
+    return readAt - Math.min(maxUnread, timeLeft) / 2;
+}
+
 function pathOf(url: string): string {
     const query = url.indexOf("?");
     return query === -1 ? url : url.slice(0, query);
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,7 +1,9 @@
+import { type Clock } from "@waxwingspar/utils";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, type Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
 import { type Address } from "../GatewaySettings.js";
+import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { CallerPresence } from "./CallerPresence.js";
 
 /** A request with its complete body. */
@@ -10,10 +12,16 @@
     readonly response: ServerResponse;
     readonly body: Buffer | undefined;
     readonly presence: CallerPresence;
+    /** Time on the clock at which its head was read. */
+    readonly readAt: number;
+    /** Maximum milliseconds for which it had waited in the operating system until then. */
+    readonly maxUnread: number;
 }
 
 /** Options of {@link CallerServer}. */
 export interface CallerServerOptions {
+    readonly clock: Pick<Clock, "now">;
+    readonly loop: Pick<LoopMonitor, "inputAge">;
     readonly address: Address;
     /** A server that already listens at the address, whose connections this one takes over. */
     readonly listening?: Listener;
@@ -21,7 +29,8 @@
     readonly onConnection: () => void;
     readonly onRequest: (request: ReceivedRequest) => void;
     readonly onTooLarge: (response: ServerResponse) => void;
-    readonly maxBodyBytes: () => number;
+    /** Largest request body in bytes; undefined before a configuration sets a limit. */
+    readonly maxBodyBytes: () => number | undefined;
 }
 
 /** Bytes of headers above which Node refuses a request with status 431. Operators set lower limits. */
@@ -34,6 +43,12 @@
 /** Milliseconds between Node's checks for connections that exceed the header timeout. */
 const checkInterval = 1_000;
 
+/**
+ * Largest request body in bytes before a configuration sets a limit. Without a configuration a request is refused as
+ * not run, whatever its size.
+ */
+const defaultBodyLimit = 8_388_608;
+
 /** HTTP server for callers, which buffers the complete body of each request. */
 export class CallerServer {
     private readonly server: Server;
@@ -113,6 +128,8 @@
 
     private receive(incoming: IncomingMessage, response: ServerResponse): void {
         this.open++;
+        const readAt = this.options.clock.now();
+        const maxUnread = this.options.loop.inputAge;
         const presence = new CallerPresence();
         const callers = this.present.get(incoming.socket);
         callers?.add(presence);
@@ -133,7 +150,7 @@
             if (isRefused) {
                 return;
             }
-            if (bytes > this.options.maxBodyBytes()) {
+            if (bytes > (this.options.maxBodyBytes() ?? defaultBodyLimit)) {
                 isRefused = true;
                 response.shouldKeepAlive = false;
                 this.options.onTooLarge(response);
@@ -143,7 +160,8 @@
         });
         incoming.once("end", () => {
             if (!isRefused && incoming.complete && !presence.hasLeft) {
-                this.options.onRequest({ incoming, response, body: joinBody(incoming, chunks), presence });
+                const body = joinBody(incoming, chunks);
+                this.options.onRequest({ incoming, response, body, presence, readAt, maxUnread });
             }
         });
     }
