Entry: requests of callers that left before they were read are not sent

Callers saw nothing; heads ran requests for nobody. Cause: an entry sends over links that are open already, so a request was sent in the same turn of the event loop in which it was read, and the caller's close lay behind it; an orderly close was acted on turns later. Change: the end of a caller's connection disconnects it at once, and a body counts as read after the next input of the process. Two tests want a disconnected request to be closed when its cancel arrives; OpenRequests follows the disconnect for that.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -258,7 +258,10 @@
             attributes: { "http.request.method": exchange.method, "url.path": exchange.path },
         }, parent);
         const open = new OpenRequest(span);
-        this.open.add(open, exchange.response);
+        this.open.add(open, {
+            response: exchange.response,
+            onDisconnect: handler => exchange.onDisconnect(handler),
+        });
         return open;
     }
 }
--- a/packages/entry/src/lib/OpenRequests.ts
+++ b/packages/entry/src/lib/OpenRequests.ts
@@ -44,6 +44,12 @@
     }
 }
 
+/** The caller's side of a request. */
+interface AddedExchange {
+    readonly response: ServerResponse;
+    readonly onDisconnect: (handler: () => void) => void;
+}
+
 /**
  * The requests in progress, each from the arrival of its headers to the last byte of its response.
  *
@@ -57,8 +63,10 @@
         return this.open.size;
     }
 
-    add(request: OpenRequest, response: ServerResponse): void {
+    add(request: OpenRequest, { response, onDisconnect }: AddedExchange): void {
         this.open.set(request, response);
+        // Later, so that the handlers of its run can cancel it before.
+        onDisconnect(() => queueMicrotask(() => this.remove(request)));
         response.once("close", () => this.remove(request));
     }
 
@@ -84,7 +92,9 @@
     }
 
     private remove(request: OpenRequest): void {
-        this.open.delete(request);
+        if (!this.open.delete(request)) {
+            return;
+        }
         request.answered();
         if (this.open.size === 0) {
             this.emptyHandler?.();
--- a/packages/entry/src/lib/http/BodyReader.ts
+++ b/packages/entry/src/lib/http/BodyReader.ts
@@ -14,7 +14,7 @@
     constructor(private readonly maxMemory: number) {}
 
     /**
-     * Reads a whole body.
+     * Reads a whole body, and what arrived with it.
      *
      * @param limit - Maximum size of this body in bytes.
      * @returns The body, or `tooLarge`, or `overloaded` if the bodies of all requests exceed the memory limit, or
@@ -50,12 +50,13 @@
             request.once("end", () => resolve(Result.ok(body.whole())));
             request.once(
                 "close",
-                () => resolve(Result.err(failure(requestCodes.cancelled, "the caller disconnected"))),
+                () => resolve(Result.err(disconnected())),
             );
         });
         request.removeAllListeners("data");
         request.pause();
-        return outcome;
+        await nextInput();
+        return exchange.disconnected ? Result.err(disconnected()) : outcome;
     }
 }
 
@@ -73,6 +74,18 @@
     }
 }
 
+/**
+ * Resolves after the next input of the process has been handled. The end of a caller's connection that arrived together
+ * with its request is read then.
+ */
+function nextInput(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
+function disconnected() {
+    return failure(requestCodes.cancelled, "the caller disconnected");
+}
+
 function tooLarge(limit: number) {
     return failure(requestCodes.tooLarge, `the body exceeds ${limit} bytes`);
 }
--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -29,6 +29,7 @@
     readonly response: ServerResponse;
     private readonly onRefused: (cause: Failure) => void;
     private gone = false;
+    private readonly disconnectHandlers: (() => void)[] = [];
 
     constructor({ request, response, clock, onRefused }: ExchangeOptions) {
         this.onRefused = onRefused;
@@ -39,8 +40,11 @@
         response.setHeader("X-Request-Id", this.callerRequest ?? this.id);
         request.on("error", ignore);
         response.on("error", ignore);
+        const handleEnd = () => this.noteDisconnect();
+        request.socket.once("end", handleEnd);
         response.once("close", () => {
-            this.gone = !response.writableFinished;
+            request.socket.removeListener("end", handleEnd);
+            this.noteDisconnect();
         });
     }
 
@@ -70,11 +74,18 @@
 
     /** Calls a function once if the caller disconnects before receiving its complete answer. */
     onDisconnect(handler: () => void): void {
-        this.response.once("close", () => {
-            if (!this.response.writableFinished) {
-                handler();
-            }
-        });
+        this.disconnectHandlers.push(handler);
+    }
+
+    /**
+     * A caller has disconnected when the end of its connection is read. The response closes only turns of the event loop
+     * later, when this side of the connection has ended too.
+     */
+    private noteDisconnect(): void {
+        if (!this.gone && !this.response.writableFinished) {
+            this.gone = true;
+            this.disconnectHandlers.splice(0).forEach(handler => handler());
+        }
     }
 
     /** Sends a complete response with a JSON body, unless a response has already begun. */
