Soak: callers that leave, gateways with a small part of a processor

Cause: no gateway of the soak was short of processor time, and no caller left, so it could not see requests that were sent on in vain. Change: a fifth of the callers leave after 20 to 400 ms without an answer; gateways run for a part of the time for seconds; a check counts requests that reach targets more than half a second after their callers had left, whatever was done to the gateway. A caller that left by itself counts in no check of stops.

--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -1,4 +1,4 @@
-import { type CallerReply, callGateway } from "@waxwingspar/platform/testing";
+import { type CallerReply, callGateway, impatience } from "@waxwingspar/platform/testing";
 import { type Random, uniqueId } from "@waxwingspar/utils";
 import { Agent } from "node:http";
 import { type SoakGateway } from "./SoakGateway.js";
@@ -25,6 +25,9 @@
 const thinkTime = { least: 5, most: 80 };
 /** Milliseconds after which a caller without a gateway tries again. */
 const retryDelay = 100;
+/** Share of the requests whose callers leave without an answer after some milliseconds, and bounds of those. */
+const impatientShare = 0.2;
+const patienceTime = { least: 20, most: 400 };
 /** Share of the plain requests whose prompt has a deadly part. */
 const deadlyShare = 0.02;
 /** Number of subjects, one of which each prompt has. */
@@ -71,6 +74,9 @@
         const path = `${prefix}${requestId}`;
         const { incarnation, port, name } = gateway;
         const sentAt = now();
+        const { least, most } = patienceTime;
+        const patience = random.next() < impatientShare ? least + random.next() * (most - least) : undefined;
+        let hasLeft = false;
         const reply = await callGateway({
             port,
             path,
@@ -78,8 +84,12 @@
             body: method === "POST" ? requestId : undefined,
             requestId,
             agent,
+            patience,
             headers: { [gatewayHeader]: name, [promptHeader]: this.writePrompt(kind) },
-        }).catch((): CallerReply | undefined => undefined);
+        }).catch((error: unknown): CallerReply | undefined => {
+            hasLeft = error === impatience;
+            return undefined;
+        });
         const signer = String(reply?.headers[signatureHeader] ?? "").slice(signaturePrefix.length);
         const plainBody = `${signer} ${method} ${path} ${method === "POST" ? requestId : ""}`;
         log.calls.push({
@@ -87,6 +97,7 @@
             kind,
             gateway: incarnation,
             sentAt,
+            leftAt: hasLeft ? now() : undefined,
             expectedBody: kind === "stream" ? streamBody : plainBody,
             status: reply?.status ?? 0,
             body: reply?.body ?? "",
--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -7,6 +7,7 @@
 import { drawLinkFault } from "./drawLinkFault.js";
 import { FaultProxy } from "./FaultProxy.js";
 import { type GatewayIncarnation, type SoakLog } from "./SoakLog.js";
+import { type ProcessorPart, Throttle } from "./Throttle.js";
 
 /** Options of {@link SoakGateway}. */
 export interface SoakGatewayOptions {
@@ -121,6 +122,23 @@
         });
     }
 
+    /** Runs for a part of the time only. */
+    async starve(part: ProcessorPart, duration: number, wait: (duration: number) => Promise<void>): Promise<void> {
+        const { running, standing } = part;
+        await this.disturb(
+            `runs ${running} of ${running + standing} ms for ${Math.round(duration)} ms`,
+            async process => {
+                if (process.pid === undefined) {
+                    return;
+                }
+                const throttle = new Throttle(process.pid, part);
+                await wait(duration);
+                await throttle.stop();
+                process.signal("SIGCONT");
+            },
+        );
+    }
+
     /** Makes its link to the store misbehave for a while. */
     async failStoreLink(random: Random, wait: (duration: number) => Promise<void>): Promise<void> {
         const { log, now } = this.options;
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -34,6 +34,8 @@
     readonly kind: SoakKind;
     readonly gateway: GatewayIncarnation;
     readonly sentAt: number;
+    /** When its caller closed the connection because it had no answer. */
+    readonly leftAt?: number;
     readonly expectedBody: string;
     /** 0 if there was no answer. */
     readonly status: number;
--- a/packages/soak/src/lib/Throttle.ts
+++ b/packages/soak/src/lib/Throttle.ts
@@ -1,4 +1,5 @@
 import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
 import { fileURLToPath } from "node:url";
 
 /** For how long a process runs and stands still in turn, in milliseconds. */
@@ -22,7 +23,10 @@
         this.child.send(part);
     }
 
-    stop(): void {
+    /** Ends the throttling. The process may stand still then, until it gets SIGCONT. */
+    async stop(): Promise<void> {
+        const ended = once(this.child, "exit");
         this.child.kill();
+        await ended;
     }
 }
--- a/packages/soak/src/lib/checkSoak.test.ts
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -117,3 +117,14 @@
     withoutStore.storeFaults.push({ from: 18_000, until: 19_000 });
     assert.deepEqual(checksOf(withoutStore), []);
 });
+
+test("requests that reach targets after their callers have left are found", () => {
+    const calls = Array.from(
+        { length: 4 },
+        (_, index) => ({ requestId: `r${index}`, leftAt: 11_000, isComplete: false }),
+    );
+    const runs = (at: number) => calls.map(({ requestId }) => ({ requestId, at }));
+    assert.deepEqual(checksOf(createLog(calls, runs(11_600))), ["left"]);
+    assert.deepEqual(checksOf(createLog(calls, runs(11_400))), []);
+    assert.deepEqual(checksOf(createLog(calls, runs(11_600).slice(1))), []);
+});
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -16,6 +16,8 @@
 /** Requests with a deadly part that may reach targets later than the contact time after the crash with this index. */
 const allowedWithPart = 3;
 const lastFreeCrash = 4;
+/** Requests that may reach targets more than half a second after their callers have left. */
+const allowedAfterLeaving = 3;
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const success = 200;
 
@@ -42,6 +44,7 @@
         ...log.longestStall > maxStall ? [] : checkRests(log),
         ...checkStops(log),
         ...checkDeadlyPart(log),
+        ...log.longestStall > maxStall ? [] : checkLeftCallers(log),
         ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
         ...log.outdated.map(detail => ({ check: "configuration", detail })),
         ...log.unknownHeaders.map(detail => ({ check: "header", detail })),
@@ -119,11 +122,22 @@
         : [];
 }
 
+/** Requests whose callers have left reach no target, also after the process stood still, unless they were on their way. */
+function checkLeftCallers({ calls, runs, linkFaults }: SoakLog): Violation[] {
+    const leftAt = new Map(calls.flatMap(({ requestId, leftAt }) => leftAt === undefined ? [] : [[requestId, leftAt]]));
+    const late = runs.filter(({ requestId, target, at }) =>
+        at > (leftAt.get(requestId) ?? Infinity) + onTheWay && !wasCut(linkFaults, target, at - maxRunTime, at)
+    );
+    return late.length > allowedAfterLeaving
+        ? [{ check: "left", detail: `${late.length} requests reached targets after their callers had left` }]
+        : [];
+}
+
 /** A planned stop may not cost an answer that a target has begun, unless something else cut it off. */
 function checkStops({ calls, runs, linkFaults }: SoakLog): Violation[] {
     const find = (id: string) => runs.filter(({ requestId }) => requestId === id);
     return calls
-        .filter(({ isComplete, gateway }) => !isComplete && !gateway.wasCutOff)
+        .filter(({ isComplete, leftAt, gateway }) => !isComplete && leftAt === undefined && !gateway.wasCutOff)
         .filter(({ requestId }) => {
             const own = find(requestId);
             return own.length > 0
--- a/packages/soak/src/lib/playStarvation.ts
+++ b/packages/soak/src/lib/playStarvation.ts
@@ -126,7 +126,7 @@
         await pause((first?.seconds ?? 0) * millisecondsPerSecond);
         for (const [index, { seconds, part }] of later.entries()) {
             if (index === 0 && this.options.restarts === true) {
-                this.throttle?.stop();
+                await this.throttle?.stop();
                 await this.process?.kill();
                 await this.startGateway(part);
             }
@@ -141,8 +141,7 @@
     }
 
     async stop(): Promise<void> {
-        this.throttle?.stop();
-        this.process?.signal("SIGCONT");
+        await this.throttle?.stop();
         await this.process?.kill();
         this.targets.forEach(target => target.stop());
         this.store.stop();
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -41,6 +41,12 @@
 const interval = { least: 500, most: 3_000 };
 const pauseTime = { least: 200, most: 2_500 };
 const storeFaultTime = { least: 300, most: 3_500 };
+/** Parts of a processor that a gateway gets while it is short of time, and bounds of the milliseconds for which it is. */
+const starvedParts = [{ running: 3, standing: 62 }, { running: 60, standing: 700 }, {
+    running: 15,
+    standing: 50,
+}] as const;
+const starvationTime = { least: 1_000, most: 5_000 };
 /** Milliseconds between two checks which gateways are ready, as the load balancer makes them. */
 const probeInterval = 250;
 /** Milliseconds between two checks of the driver's own event loop. */
@@ -175,6 +181,7 @@
             () => gateway?.restart(),
             () => gateway?.crash(),
             () => gateway?.pause(this.draw(pauseTime), pause),
+            () => gateway?.starve(this.pick(starvedParts) ?? starvedParts[0], this.draw(starvationTime), pause),
             () => this.failStore(),
             () => this.targets.replace(pause),
             () => this.targets.changeLimit(),
