Soak: crowds that come to a gateway while it stands still, and leave

Change: a disturbance of 30 callers on new connections at a gateway that stands still or runs for a part of the time.

--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -50,7 +50,7 @@
                 continue;
             }
             const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-            while (!isOver() && await this.call(gateway, agent)) {
+            while (!isOver() && await this.call(gateway, agent, this.drawPatienceOfSome())) {
                 const { least, most } = thinkTime;
                 await wait(least + this.options.random.next() * (most - least));
             }
@@ -58,6 +58,22 @@
         }
     }
 
+    /** Sends one request on a connection of its own, and leaves soon if there is no answer. */
+    async callImpatiently(gateway: SoakGateway): Promise<void> {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        await this.call(gateway, agent, this.drawPatience());
+        agent.destroy();
+    }
+
+    private drawPatienceOfSome(): number | undefined {
+        return this.options.random.next() < impatientShare ? this.drawPatience() : undefined;
+    }
+
+    private drawPatience(): number {
+        const { least, most } = patienceTime;
+        return least + this.options.random.next() * (most - least);
+    }
+
     /** Writes the parts of a prompt: its subject, perhaps a deadly part, and one of its own. */
     private writePrompt(kind: SoakKind): string {
         const { random } = this.options;
@@ -67,15 +83,13 @@
     }
 
     /** @returns Whether the connection may be used again. */
-    private async call(gateway: SoakGateway, agent: Agent): Promise<boolean> {
+    private async call(gateway: SoakGateway, agent: Agent, patience?: number): Promise<boolean> {
         const { random, log, now } = this.options;
         const { kind, prefix, method } = kinds[Math.floor(random.next() * kinds.length)] ?? kinds[0]!;
         const requestId = uniqueId();
         const path = `${prefix}${requestId}`;
         const { incarnation, port, name } = gateway;
         const sentAt = now();
-        const { least, most } = patienceTime;
-        const patience = random.next() < impatientShare ? least + random.next() * (most - least) : undefined;
         let hasLeft = false;
         const reply = await callGateway({
             port,
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -37,6 +37,7 @@
 const plainTargets = 3;
 const portsPerGateway = 3;
 const callersPerGateway = 3;
+const crowdSize = 30;
 /** Bounds of the milliseconds between two disturbances, of a process's pause and of a fault of the store. */
 const interval = { least: 500, most: 3_000 };
 const pauseTime = { least: 200, most: 2_500 };
@@ -145,15 +146,10 @@
         const { gateways = 4, seconds = 30 } = this.options;
         void this.watchReadiness();
         void this.watchStalls();
-        const callers = Array.from({ length: gateways * callersPerGateway }, (_, index) =>
-            new SoakCaller({
-                random: seededRandom(this.options.seed * 100 + index),
-                log: this.log,
-                now: this.now,
-                wait: pause,
-                isOver: () => this.isOver,
-                chooseGateway: () => this.chooseGateway(),
-            }).run());
+        const callers = Array.from(
+            { length: gateways * callersPerGateway },
+            (_, index) => this.createCaller(seededRandom(this.options.seed * 100 + index)).run(),
+        );
         const end = this.now() + seconds * millisecondsPerSecond;
         while (this.now() < end) {
             await pause(this.draw(interval));
@@ -182,6 +178,7 @@
             () => gateway?.crash(),
             () => gateway?.pause(this.draw(pauseTime), pause),
             () => gateway?.starve(this.pick(starvedParts) ?? starvedParts[0], this.draw(starvationTime), pause),
+            () => this.crowd(gateway),
             () => this.failStore(),
             () => this.targets.replace(pause),
             () => this.targets.changeLimit(),
@@ -197,6 +194,33 @@
         await this.pick(actions)?.();
     }
 
+    /** Makes a gateway stand still, or run for a part of the time, while a crowd of callers comes to it and leaves. */
+    private async crowd(gateway: SoakGateway | undefined): Promise<void> {
+        if (gateway === undefined) {
+            return;
+        }
+        const callers = Array.from(
+            { length: crowdSize },
+            () => this.createCaller(this.random).callImpatiently(gateway),
+        );
+        const part = this.pick([undefined, ...starvedParts]);
+        const disturbance = part === undefined
+            ? gateway.pause(this.draw(pauseTime), pause)
+            : gateway.starve(part, this.draw(starvationTime), pause);
+        await Promise.all([disturbance, ...callers]);
+    }
+
+    private createCaller(random: Random): SoakCaller {
+        return new SoakCaller({
+            random,
+            log: this.log,
+            now: this.now,
+            wait: pause,
+            isOver: () => this.isOver,
+            chooseGateway: () => this.chooseGateway(),
+        });
+    }
+
     private async failStore(): Promise<void> {
         const fault = this.pick(storeFaults);
         const from = this.now();
