--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -96,7 +96,7 @@
         const request = this.options.wire.readCallerRequest(incoming.headers);
         const { least, most } = overloadRetryAfter;
         const retryAfter = least + this.options.random.next() * (most - least);
-        this.logRefusal(request, requestCodes.processOverloaded, `not begun for ${Math.round(waited)} ms`);
+        this.logRefusal(request, requestCodes.processOverloaded, "not begun in time", waited);
         writeRefusal(response, requestCodes.processOverloaded, "this process is short of processor time", retryAfter);
     }
 
@@ -239,8 +239,9 @@
         refuse(code, reason);
     }
 
-    private logRefusal(request: CallerRequest, code: ResultCode, reason: string): void {
-        const { configuration, observation } = this.options;
+    /** @param waited - Milliseconds for which the request waited to be begun. */
+    private logRefusal(request: CallerRequest, code: ResultCode, reason: string, waited?: number): void {
+        const { configuration, observation, loop } = this.options;
         observation.metrics.refusals.add({ code: `${code.number}` });
         observation.logs.requests.info({
             request: request.id,
@@ -248,6 +249,8 @@
             confirmed: Math.round(configuration.confirmationAge),
             outcome: `${code.name}: ${reason}`,
             status: code.status,
+            waited: waited === undefined ? undefined : Math.round(waited),
+            loopDelay: Math.round(loop.longestDelay),
         }, "request refused");
     }
 }
