Requests that wait are decided when a burst of connections is over

Callers saw nothing; found while reading the change. Under connections that never cease, requests that waited were not begun any more. Cause: the intake asked at the end of a turn whether connections were being accepted. Once its call stood before that of the bursts in the queue of the turn, the next burst had always begun by then. Change: the intake is told when a burst is over, as replies are. A turn's 10 ms count from its begin on, together with what was begun at once. The end of a turn is one class of both.

--- a/packages/gateway/src/lib/server/AcceptBursts.ts
+++ b/packages/gateway/src/lib/server/AcceptBursts.ts
@@ -1,7 +1,8 @@
+import { type AfterInput, TurnEnd } from "./TurnEnd.js";
+
 /** Options of {@link AcceptBursts}. */
 export interface AcceptBurstsOptions {
-    /** Runs a callback after the input of the present turn of the event loop has been handled. */
-    readonly afterInput?: (callback: () => void) => void;
+    readonly afterInput?: AfterInput;
 }
 
 /** Maximum number of connections that are accepted in a row while other input waits: some 10 ms of processor time. */
@@ -15,10 +16,13 @@
 export class AcceptBursts {
     private accepted = 0;
     private hasAccepted = false;
-    private isTurnEndDue = false;
     private readonly waiting: (() => void)[] = [];
 
-    constructor(private readonly options: AcceptBurstsOptions = {}) {}
+    private readonly turnEnd: TurnEnd;
+
+    constructor({ afterInput }: AcceptBurstsOptions = {}) {
+        this.turnEnd = new TurnEnd(() => this.endTurn(), afterInput);
+    }
 
     /** Whether further connections may wait, so that other input is to be kept for {@link AcceptBursts.whenOver}. */
     get isActive(): boolean {
@@ -29,7 +33,7 @@
     noteConnection(): void {
         this.accepted++;
         this.hasAccepted = true;
-        this.expectTurnEnd();
+        this.turnEnd.expect();
     }
 
     /** Calls a function when the present burst is over. */
@@ -37,18 +41,10 @@
         this.waiting.push(callback);
     }
 
-    private expectTurnEnd(): void {
-        if (!this.isTurnEndDue) {
-            this.isTurnEndDue = true;
-            (this.options.afterInput ?? setImmediate)(() => this.endTurn());
-        }
-    }
-
     private endTurn(): void {
-        this.isTurnEndDue = false;
         if (this.hasAccepted && this.accepted < maxBurst) {
             this.hasAccepted = false;
-            this.expectTurnEnd();
+            this.turnEnd.expect();
             return;
         }
         this.accepted = 0;
--- a/packages/gateway/src/lib/server/RequestIntake.test.ts
+++ b/packages/gateway/src/lib/server/RequestIntake.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock, type Random, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { AcceptBursts } from "./AcceptBursts.js";
 import { CallerPresence } from "./CallerPresence.js";
 import { type ReceivedRequest } from "./CallerServer.js";
 import { RequestIntake } from "./RequestIntake.js";
@@ -16,6 +17,7 @@
     const clock = new ManualClock();
     let due: (() => void)[] = [];
     const state = { inputAge: 0, isAccepting: false };
+    const held: (() => void)[] = [];
     const begun: number[] = [];
     const refused: number[] = [];
     const left: number[] = [];
@@ -31,6 +33,7 @@
             get isActive() {
                 return state.isAccepting;
             },
+            whenOver: callback => void held.push(callback),
         },
         isOn: mechanism => !off.includes(mechanism),
         onRequest: request => {
@@ -60,12 +63,12 @@
             return { request, presence, number };
         },
         endTurn: () => {
-            const callbacks = due;
+            const callbacks = [...state.isAccepting ? [] : held.splice(0), ...due];
             due = [];
             callbacks.forEach(callback => callback());
         },
         get isIdle() {
-            return due.length === 0;
+            return due.length === 0 && held.length === 0;
         },
     };
 }
@@ -81,11 +84,13 @@
 test("a crowd is begun in turns that leave time for other input, the newest first", () => {
     const { begun, arrive, endTurn } = createIntake();
     countTo(35).forEach(arrive);
+    endTurn();
     assert.equal(begun.length, 10);
     endTurn();
     assert.equal(begun.length, 20);
     assert.deepEqual(begun.slice(10, 13), [34, 33, 32]);
     endTurn();
+    assert.equal(begun.length, 30);
     endTurn();
     assert.deepEqual(begun.toSorted((a, b) => a - b), countTo(35));
 });
@@ -113,6 +118,34 @@
     assert.deepEqual(begun, [0]);
 });
 
+test("requests are begun though every turn accepts a connection", () => {
+    const due: (() => void)[] = [];
+    const loop = { afterInput: (callback: () => void) => void due.push(callback) };
+    const bursts = new AcceptBursts(loop);
+    const clock = new ManualClock();
+    let begun = 0;
+    const intake = new RequestIntake({
+        ...loop,
+        clock,
+        loop: { inputAge: 0 },
+        bursts,
+        isOn: () => true,
+        onRequest: () => {
+            begun++;
+            clock.advance(1);
+        },
+        onOverload: () => undefined,
+        onLeft: () => undefined,
+    });
+    for (let turn = 0; turn < 1_000; turn++) {
+        bursts.noteConnection();
+        intake.take({ presence: new CallerPresence() } as unknown as ReceivedRequest);
+        due.splice(0).forEach(callback => callback());
+    }
+    // Ten milliseconds after each burst of 64 connections.
+    assert.ok(begun >= 10 * Math.floor(1_000 / 64), `${begun} begun`);
+});
+
 test("a crowd that passes is not refused", () => {
     const { begun, refused, arrive, endTurn } = createIntake();
     countTo(300).forEach(arrive);
--- a/packages/gateway/src/lib/server/RequestIntake.ts
+++ b/packages/gateway/src/lib/server/RequestIntake.ts
@@ -3,13 +3,14 @@
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type AcceptBursts } from "./AcceptBursts.js";
 import { type ReceivedRequest } from "./CallerServer.js";
+import { type AfterInput, TurnEnd } from "./TurnEnd.js";
 
 /** Options of {@link RequestIntake}. */
 export interface RequestIntakeOptions {
     readonly clock: Clock;
     readonly loop: Pick<LoopMonitor, "inputAge">;
     /** While it is active, no request is begun. */
-    readonly bursts: Pick<AcceptBursts, "isActive">;
+    readonly bursts: Pick<AcceptBursts, "isActive" | "whenOver">;
     /** Begins to handle a request. */
     readonly onRequest: (request: ReceivedRequest) => void;
     /** Refuses a request that cannot be begun in time, which has waited for some milliseconds. */
@@ -17,8 +18,7 @@
     /** Called for each request that is not begun because its caller has left. */
     readonly onLeft: (request: ReceivedRequest) => void;
     readonly isOn: MechanismSwitch;
-    /** Runs a callback after the input of the present turn of the event loop has been handled. */
-    readonly afterInput?: (callback: () => void) => void;
+    readonly afterInput?: AfterInput;
 }
 
 /**
@@ -58,18 +58,24 @@
     /** Requests that wait, in the order in which they were read. */
     private waiting: Waiting[] = [];
     private turn = 0;
-    private isTurnEndDue = false;
+    private readonly turnEnd: TurnEnd;
+    /** Whether what waits is decided when the present burst of connections is over. */
+    private isHeldByBurst = false;
+    /** Whether what waits has been decided in the present turn. */
+    private hasDecided = false;
     /** Milliseconds of the present turn in which requests were begun. */
     private spent = 0;
     /** Since when requests have waited without a break; undefined if none does. */
     private lateSince: number | undefined;
 
-    constructor(private readonly options: RequestIntakeOptions) {}
+    constructor(private readonly options: RequestIntakeOptions) {
+        this.turnEnd = new TurnEnd(() => this.endTurn(), options.afterInput);
+    }
 
     /** Begins a request that has been read, immediately unless the process is late. */
     take(request: ReceivedRequest): void {
         const { loop, clock, bursts } = this.options;
-        this.expectTurnEnd();
+        this.turnEnd.expect();
         const isBusy = bursts.isActive || this.waiting.length > 0 || this.spent >= maxTurnTime;
         const isOld = loop.inputAge > oldInput;
         if (!isBusy && !isOld) {
@@ -80,24 +86,36 @@
         this.waiting.push({ request, readAt: clock.now(), firstTurn: this.turn + (isOld ? 2 : 1) });
     }
 
-    private expectTurnEnd(): void {
-        if (!this.isTurnEndDue) {
-            this.isTurnEndDue = true;
-            (this.options.afterInput ?? setImmediate)(() => this.endTurn());
-        }
-    }
-
     private endTurn(): void {
-        this.isTurnEndDue = false;
         this.turn++;
-        this.spent = 0;
-        if (!this.options.bursts.isActive) {
-            this.dropLeft();
-            this.beginWaiting();
-            this.refuseLate();
+        const { bursts } = this.options;
+        if (this.hasDecided) {
+            this.turnEnd.expect();
+        }
+        else if (!bursts.isActive) {
+            this.decide();
         }
+        else if (!this.isHeldByBurst) {
+            this.isHeldByBurst = true;
+            bursts.whenOver(() => this.decideAfterBurst());
+        }
+        this.hasDecided = false;
+        this.spent = 0;
+    }
+
+    private decideAfterBurst(): void {
+        this.isHeldByBurst = false;
+        this.hasDecided = true;
+        this.decide();
+        this.turnEnd.expect();
+    }
+
+    private decide(): void {
+        this.dropLeft();
+        this.beginWaiting();
+        this.refuseLate();
         if (this.waiting.length > 0) {
-            this.expectTurnEnd();
+            this.turnEnd.expect();
         }
         else {
             this.lateSince = undefined;
