Test of callers that leave while they wait for a slot, a permit, a chain or a resume

Cause: the invariant was tested over standstills of the process only; waits within a gateway were read.

--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -26,6 +26,8 @@
     readonly isOn?: MechanismSwitch;
     /** Milliseconds until the deadline of a stream. */
     readonly timeout?: number;
+    /** Called when a request reaches a target, with its body. */
+    readonly onArrival?: (body: string) => void;
 }
 
 const targetsPerChain = 4;
@@ -98,7 +100,8 @@
             random: this.random,
             target,
             crashesUnder: () => false,
-            onArrival: (_, priority) => {
+            onArrival: (body, priority) => {
+                this.options.onArrival?.(body);
                 this.arrivals++;
                 this.priorities.push(priority);
             },
