--- a/packages/gateway/src/lib/server/AcceptBursts.ts
+++ b/packages/gateway/src/lib/server/AcceptBursts.ts
@@ -17,7 +17,6 @@
     private accepted = 0;
     private hasAccepted = false;
     private readonly waiting: (() => void)[] = [];
-
     private readonly turnEnd: TurnEnd;
 
     constructor({ afterInput }: AcceptBurstsOptions = {}) {
--- a/packages/gateway/src/lib/server/RequestIntake.ts
+++ b/packages/gateway/src/lib/server/RequestIntake.ts
@@ -59,10 +59,10 @@
     private waiting: Waiting[] = [];
     private turn = 0;
     private readonly turnEnd: TurnEnd;
-    /** Whether what waits is decided when the present burst of connections is over. */
+    /** Whether the requests that wait are handled when the present burst of connections is over. */
     private isHeldByBurst = false;
-    /** Whether what waits has been decided in the present turn. */
-    private hasDecided = false;
+    /** Whether the requests that wait have been handled in the present turn. */
+    private isTurnHandled = false;
     /** Milliseconds of the present turn in which requests were begun. */
     private spent = 0;
     /** Since when requests have waited without a break; undefined if none does. */
@@ -89,28 +89,29 @@
     private endTurn(): void {
         this.turn++;
         const { bursts } = this.options;
-        if (this.hasDecided) {
+        if (this.isTurnHandled) {
             this.turnEnd.expect();
         }
         else if (!bursts.isActive) {
-            this.decide();
+            this.handleWaiting();
         }
         else if (!this.isHeldByBurst) {
             this.isHeldByBurst = true;
-            bursts.whenOver(() => this.decideAfterBurst());
+            bursts.whenOver(() => this.handleAfterBurst());
         }
-        this.hasDecided = false;
+        this.isTurnHandled = false;
         this.spent = 0;
     }
 
-    private decideAfterBurst(): void {
+    private handleAfterBurst(): void {
         this.isHeldByBurst = false;
-        this.hasDecided = true;
-        this.decide();
+        this.isTurnHandled = true;
+        this.handleWaiting();
         this.turnEnd.expect();
     }
 
-    private decide(): void {
+    /** Begins, refuses or drops requests that wait. */
+    private handleWaiting(): void {
         this.dropLeft();
         this.beginWaiting();
         this.refuseLate();
