Review case 2: an order for a replica that is gone crashes the one at its address

Cause: orders go out without Waxwingspar-Expect-Replica, and a report from the address of a target with a later born counts as a restart of that target. Case: review/2, a script; two replicas crash, and a replica of another service with a model gets the address of one.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -14,6 +14,9 @@
 export const hostname = "ficu95.example";
 export const key = "n2ctnfzs989anu6wsjnb";
 export const memoryMb = 350;
+/** Megabytes of one layer, and of each kind of card, as on the sheet. */
+export const layerMb = 1_750;
+export const kinds = { h100: 72_000, t4: 14_400 };
 const startedAt = performance.now();
 
 /** Milliseconds since the start of the script. */
@@ -89,8 +92,36 @@
         this.server.closeAllConnections();
     }
 
+    /** Keeps a copy of all rows. */
+    saveCopy() {
+        this.copy = { rows: new Map(this.rows), version: this.version };
+    }
+
+    /** Is away from now on: connections are reset. */
+    leave() {
+        this.isAway = true;
+        this.waiting.forEach(({ timer, response }) => {
+            clearTimeout(timer);
+            response.destroy();
+        });
+        this.waiting.clear();
+        this.server.closeAllConnections();
+    }
+
+    /** Comes back from the copy: later writes are lost, their versions are given out again, and the era rises. */
+    returnFromCopy() {
+        this.isAway = false;
+        this.rows = new Map(this.copy.rows);
+        this.version = this.copy.version;
+        this.history = this.history.filter(({ Ver }) => Ver <= this.version);
+        this.era++;
+    }
+
     /** Writes a row as the operator or a replica does; undefined removes it. */
     put(table, name, value) {
+        if (this.isAway) {
+            return undefined;
+        }
         this.change(table, name, value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"));
         this.answerFeeds();
         return this.version;
@@ -111,10 +142,19 @@
 
     async receive(incoming, response) {
         const chunks = [];
-        for await (const chunk of incoming) {
-            chunks.push(chunk);
+        try {
+            for await (const chunk of incoming) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            return;
         }
         await sleep(4);
+        if (this.isAway) {
+            incoming.socket.resetAndDestroy();
+            return;
+        }
         const url = new URL(incoming.url, "http://store");
         const table = url.searchParams.get("Table");
         if (url.pathname === "/rows-get") {
@@ -196,13 +236,20 @@
         Object.assign(this, { site, answer: sound, ...options });
     }
 
-    async start() {
-        await new Promise(done => this.server.listen(0, "127.0.0.1", done));
+    /** @param port - The port of a replica that is gone, whose address this one gets; by default a free one. */
+    async start(port = 0) {
+        await new Promise(done => this.server.listen(port, "127.0.0.1", done));
         this.address = `127.0.0.1:${this.server.address().port}`;
         this.write();
         this.timer = setInterval(() => this.write(), heartbeatMs);
     }
 
+    /** Ends at once and sends nothing; its entry is removed after three heartbeat intervals of silence. */
+    crash() {
+        this.stop();
+        setTimeout(() => this.site.store.put("servers", this.id, undefined), this.writtenAt + 3 * heartbeatMs - now());
+    }
+
     stop() {
         clearInterval(this.timer);
         this.server.close();
@@ -211,6 +258,7 @@
 
     write() {
         const { service, address, zone, state, kind, layers, born, slots } = this;
+        this.writtenAt = now();
         this.site.store.put("servers", this.id, {
             Service: service,
             Address: address,
@@ -221,7 +269,7 @@
             ColdRemainingMs: 0,
             Seq: ++this.seq,
             born,
-            ...(layers === undefined ? {} : { RouteType: kind, Layers: layers, Stage: "unified" }),
+            ...(kind === undefined ? {} : { RouteType: kind, Layers: layers, Stage: "unified" }),
         });
     }
 
@@ -248,7 +296,7 @@
             return;
         }
         if (incoming.url === "/order") {
-            this.takeOrder(JSON.parse(body), response);
+            this.takeOrder(JSON.parse(body), response, incoming.headers);
             return;
         }
         const { headers, method, url } = incoming;
@@ -266,19 +314,39 @@
         this.answer(seen, response, this);
     }
 
-    takeOrder({ From, Target, ExpectedRevision }, response) {
-        if (this.layers?.From === From && this.layers?.Target === Target) {
-            response.writeHead(200).end();
-            return;
+    takeOrder({ From, Target, ExpectedRevision }, response, headers) {
+        const expected = headers["waxwingspar-expect-replica"];
+        const { record } = this.site;
+        const text = `${this.id} (${this.service}, ${this.kind}) at ${this.address} gets the order ${From}-${Target}, `
+            + `expected count ${ExpectedRevision}, expected replica ${expected ?? "-"}`;
+        if (expected !== undefined && expected !== this.id) {
+            record.add(`${text}: 421`);
+            response.writeHead(421).end();
+        }
+        else if (this.service === "taller") {
+            record.add(`${text}: 400`);
+            response.writeHead(400).end();
         }
-        if (ExpectedRevision !== undefined && ExpectedRevision !== this.orders) {
+        else if (ExpectedRevision !== undefined && ExpectedRevision !== this.orders) {
+            record.add(`${text}: 409`);
             response.writeHead(409).end();
-            return;
         }
-        this.orders++;
-        this.layers = { From, Target };
-        response.writeHead(202).end();
-        this.write();
+        else if (this.layers?.From === From && this.layers.Target === Target) {
+            record.add(`${text}: 200`);
+            response.writeHead(200).end();
+        }
+        else if ((Target - From) * layerMb > kinds[this.kind]) {
+            record.say(`${text}: ${(Target - From) * layerMb} MB of ${kinds[this.kind]}, it crashes`);
+            this.overloaded = { From, Target, at: now() };
+            this.crash();
+        }
+        else {
+            record.add(`${text}: 202`);
+            this.orders++;
+            this.layers = { From, Target };
+            response.writeHead(202).end();
+            this.write();
+        }
     }
 }
 
@@ -366,8 +434,8 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         const { process: child } = this;
-        child.stdout.on("data", data => this.onLog?.(data.toString()));
-        child.stderr.on("data", data => this.onLog?.(data.toString()));
+        child.stdout.on("data", data => this.noteLog(data.toString()));
+        child.stderr.on("data", data => this.noteLog(data.toString()));
         child.once("exit", (code, signal) => {
             if (this.isStopped) {
                 return;
@@ -379,6 +447,15 @@
         });
     }
 
+    /** Adds the log lines to the record that match the pattern in LOGS, to trace what a process did. */
+    noteLog(text) {
+        const { LOGS: pattern } = process.env;
+        if (pattern !== undefined) {
+            const lines = text.split("\n").filter(line => line !== "" && new RegExp(pattern).test(line));
+            lines.forEach(line => this.site.record.add(`${this.name} ${line.slice(0, 400)}`));
+        }
+    }
+
     /** Resident memory in megabytes, as the machine's limit counts it. */
     get memory() {
         try {
@@ -517,7 +594,7 @@
     }
 
     /** Makes one request. The result tells how it ended, seen from the client. */
-    call({ path, method = "POST", deadline = 20_000, headers = {}, body = "x".repeat(600), maxGap }) {
+    call({ path, key: ownKey = key, method = "POST", deadline = 20_000, headers = {}, body = "x".repeat(600), maxGap }) {
         const { site, machine, agent } = this;
         const id = newId();
         const isKept = this.served > 0;
@@ -544,7 +621,7 @@
                     Host: hostname,
                     "Waxwingspar-Request-Id": id,
                     "Waxwingspar-Deadline-Ms": `${deadline}`,
-                    Authorization: `Bearer ${key}`,
+                    Authorization: `Bearer ${ownKey}`,
                     ...(method === "GET" ? {} : { "Content-Length": Buffer.byteLength(body) }),
                     ...headers,
                 },
@@ -625,7 +702,7 @@
                 loads_at_once: 2,
                 usual: { prompt: 760, answer: 168 },
                 Layers: 80,
-                LayerMb: 1_750,
+                LayerMb: layerMb,
                 ActBytes: 29_500,
                 PipeMbps: 13_000,
                 Stride: 2,
@@ -634,7 +711,10 @@
                 read_per_s: 196_000,
                 pairs_per_m: 0.166,
                 chunk: 512,
-                Kinds: [{ Name: "h100", Mb: 72_000, pace: 1.4, ReadX: 1 }],
+                Kinds: [
+                    { Name: "h100", Mb: kinds.h100, pace: 1.4, ReadX: 1 },
+                    { Name: "t4", Mb: kinds.t4, pace: 15, ReadX: 15 },
+                ],
             },
         }, { Name: "taller" }],
         Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 4_194_304, HeaderTimeoutMs: 5_000, IdleTimeoutMs: 15_000 },
@@ -643,19 +723,36 @@
     };
 }
 
-/** For each zone a chain of two replicas for streams and a plain replica. */
+/** For each zone a chain of three replicas for streams and a plain replica. */
 export function usualReplicas(zones) {
     return zones.flatMap((zone, index) => [
-        { id: `i-head${index}`, service: "asist", zone, kind: "h100", slots: 134, layers: { From: 0, Target: 40 } },
-        { id: `i-tail${index}`, service: "asist", zone, kind: "h100", slots: 134, layers: { From: 40, Target: 80 } },
+        ...chainReplicas("asist", "i-", zone, index),
         { id: `i-plain${index}`, service: "taller", zone, slots: 6 },
     ]);
 }
 
+/** Three replicas that hold all layers of a model together. */
+export function chainReplicas(service, prefix, zone, index) {
+    const common = { service, zone, kind: "h100", slots: 134 };
+    return [
+        { ...common, id: `${prefix}head${index}`, layers: { From: 0, Target: 27 } },
+        { ...common, id: `${prefix}mid${index}`, layers: { From: 27, Target: 54 } },
+        { ...common, id: `${prefix}tail${index}`, layers: { From: 54, Target: 80 } },
+    ];
+}
+
 /** Runs a case and exits with 0 (held), 1 (broken) or 2 (could not run). */
 export async function runCase(folder, play) {
     const site = new Site(folder);
     let code = 2;
+    const giveUp = error => {
+        site.record.say(`the case could not run: ${error.stack}`);
+        site.stop();
+        process.exit(2);
+    };
+    process.on("uncaughtException", giveUp);
+    process.on("unhandledRejection", giveUp);
+    ["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, () => giveUp(new Error(signal))));
     try {
         code = await play(site) ? 1 : 0;
     }
