--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -16,6 +16,7 @@
 export const memoryMb = 350;
 /** Megabytes of one layer, and of each kind of card, as on the sheet. */
 export const layerMb = 1_750;
+export const models = { Stage: "unified", Models: [{ Name: "m0", Version: 1, Adapters: [] }] };
 export const kinds = { h100: 72_000, t4: 14_400 };
 const startedAt = performance.now();
 
@@ -263,13 +264,13 @@
             Service: service,
             Address: address,
             Zone: zone,
-            Version: 1,
+            Version: "v1",
             Slots: slots,
             State: state,
             ColdRemainingMs: 0,
             Seq: ++this.seq,
             born,
-            ...(kind === undefined ? {} : { RouteType: kind, Layers: layers, Stage: "unified" }),
+            ...(kind === undefined ? {} : { ...models, RouteType: kind, Layers: layers }),
         });
     }
 
@@ -291,7 +292,9 @@
         const body = Buffer.concat(chunks).toString();
         if (incoming.url === "/report") {
             const { born, orders: Seq, layers: Layers } = this;
-            const report = { born, Busy: false, Seq, Layers, Waiting: 0, Running: 0, KvUsed: 0, KvTotal: 90_000, pace: 1 };
+            const model = Layers === undefined && this.kind === undefined ? {} : { ...models, RouteType: this.kind, Layers };
+            const counts = { Waiting: 0, Running: 0, KvUsed: 0, KvTotal: 90_000, Handles: 0 };
+            const report = { born, Busy: false, Seq, ...model, ...counts, pace: 1 };
             response.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(report));
             return;
         }
@@ -752,6 +755,7 @@
     };
     process.on("uncaughtException", giveUp);
     process.on("unhandledRejection", giveUp);
+    setTimeout(() => giveUp(new Error("the case takes too long")), 110_000).unref();
     ["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, () => giveUp(new Error(signal))));
     try {
         code = await play(site) ? 1 : 0;
