An event of a stream is searched once for its end, however many chunks it comes in

Cause: EventSplitter joined all bytes of an unfinished event with each chunk and searched them from their start, so the work grew with the square of the bytes. A chunk of 64 KB took 34 ms behind 1 MB and 127 ms behind 4 MB. Change: BlockScanner keeps its state between chunks and reads each byte once; ByteAccumulator joins pieces in a buffer that doubles. An event ends at the first blank line after a line of data: blocks without data (comments, lone ids, blank lines) stay with the event that follows, since clients do not dispatch them, and a lone id that a broken run sent would make the next run skip an event. Before, each blank line was an event of its own: 13 to 34 ms for a chunk of 64 KB.

--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -4,6 +4,7 @@
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type CallerExchange } from "./CallerExchange.js";
+import { type Send } from "./CrashCheck.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
@@ -120,6 +121,11 @@
         return this.firstEventTime;
     }
 
+    /** What is told of this run if its target may have crashed. */
+    get send(): Send {
+        return { target: this.target, startedAt: this.startedAt, repliedAt: this.firstEventTime };
+    }
+
     get hasPartialEvent(): boolean {
         return this.splitter.hasPartialEvent;
     }
@@ -133,6 +139,11 @@
         return events;
     }
 
+    /** Removes and returns what an answer that has ended brought after its last event. */
+    takeRest(): Buffer {
+        return this.splitter.takeRest();
+    }
+
     pause(): void {
         this.paused = true;
         this.exchange.pause();
--- a/packages/gateway/src/lib/requests/EventSplitter.test.ts
+++ b/packages/gateway/src/lib/requests/EventSplitter.test.ts
@@ -34,3 +34,14 @@
     const [event] = new EventSplitter().push(Buffer.from("data: a\n\n"));
     assert.equal(event?.id, undefined);
 });
+
+test("blocks without data are returned with the event that follows them, under its id", () => {
+    const splitter = new EventSplitter();
+    assert.deepEqual(splitter.push(Buffer.from("\n: wait\n\nid: 8\n\n")), []);
+    assert.equal(splitter.hasPartialEvent, false);
+    const [event, ...others] = splitter.push(Buffer.from("id: 9\ndata: a\n\n: end\n\n"));
+    assert.equal(event?.bytes.toString(), "\n: wait\n\nid: 8\n\nid: 9\ndata: a\n\n");
+    assert.equal(event?.id, "9");
+    assert.deepEqual(others, []);
+    assert.equal(splitter.takeRest().toString(), ": end\n\n");
+});
--- a/packages/gateway/src/lib/requests/EventSplitter.ts
+++ b/packages/gateway/src/lib/requests/EventSplitter.ts
@@ -1,43 +1,55 @@
-/** A complete event of a stream, with its original bytes. */
+import { ByteAccumulator } from "@waxwingspar/utils";
+import { BlockScanner } from "./BlockScanner.js";
+
+/** A complete event of a stream, with its original bytes and those of blocks without data before it. */
 export interface StreamEvent {
     readonly bytes: Buffer;
     readonly id: string | undefined;
 }
 
-const lineFeed = 0x0a;
-const idLine = /^id: ?(.*)$/m;
+const idField = "id:";
 
 /** Splits a `text/event-stream` into complete events, so that an event which was cut short is not forwarded. */
 export class EventSplitter {
-    private rest: Buffer = Buffer.alloc(0);
+    private readonly scanner = new BlockScanner();
+    private readonly held = new ByteAccumulator();
 
-    /** True while bytes of an incomplete event are buffered. */
+    /** True while an event, or a block without data, is incomplete. */
     get hasPartialEvent(): boolean {
-        return this.rest.length > 0;
+        return this.scanner.isInBlock;
+    }
+
+    /** Number of buffered bytes, which belong to no complete event. */
+    get heldBytes(): number {
+        return this.held.length;
     }
 
     /** Adds received bytes. @returns The events that they complete. */
     push(chunk: Buffer): StreamEvent[] {
-        const data = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(data, start); end !== -1; end = findEventEnd(data, start)) {
-            const bytes = data.subarray(start, end);
-            events.push({ bytes, id: idLine.exec(bytes.toString("latin1"))?.[1]?.trimEnd() });
+        for (let end = this.scanner.scan(chunk, 0); end !== -1; end = this.scanner.scan(chunk, end)) {
+            this.held.add(chunk.subarray(start, end));
+            const bytes = this.held.take();
+            events.push({ bytes, id: readId(bytes) });
             start = end;
         }
-        this.rest = data.subarray(start);
+        this.held.add(chunk.subarray(start));
         return events;
     }
+
+    /** Removes and returns the buffered bytes: at the end of a stream, blocks without data that no event follows. */
+    takeRest(): Buffer {
+        return this.held.take();
+    }
 }
 
-/** @returns The position after the blank line that ends an event, or -1. */
-function findEventEnd(data: Buffer, start: number): number {
-    for (let at = data.indexOf(lineFeed, start); at !== -1; at = data.indexOf(lineFeed, at + 1)) {
-        const next = data[at + 1] === 0x0d ? at + 2 : at + 1;
-        if (data[next] === lineFeed) {
-            return next + 1;
-        }
+/** @returns The last id in an event's bytes, which is its own: earlier ones are those of blocks without data. */
+function readId(bytes: Buffer): string | undefined {
+    const text = bytes.toString("latin1");
+    const lineStart = text.lastIndexOf(`\n${idField}`) + 1;
+    if (!text.startsWith(idField, lineStart)) {
+        return undefined;
     }
-    return -1;
+    return text.slice(lineStart + idField.length, text.indexOf("\n", lineStart)).trim();
 }
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -146,9 +146,9 @@
             this.onFailure(attempt, { neverSent: false, reason: "ended within an event or before the first" });
             return;
         }
-        const { target, startedAt, firstEventAt: repliedAt } = attempt;
-        this.crashCheck.noteEnd({ target, startedAt, repliedAt }, attempt.response?.statusCode ?? 0, isWhole);
+        this.crashCheck.noteEnd(attempt.send, attempt.response?.statusCode ?? 0, isWhole);
         this.writeHeadOnce(attempt);
+        this.forward(attempt, attempt.takeRest());
         this.finish();
         this.caller.end(`served ${this.delivered.count} events`);
     }
@@ -157,8 +157,7 @@
         if (!isWithdrawn) {
             this.service.streamFailed(attempt.load, neverSent);
         }
-        const { target, startedAt, firstEventAt: repliedAt } = attempt;
-        this.crashCheck.noteFailure({ target, startedAt, repliedAt }, neverSent);
+        this.crashCheck.noteFailure(attempt.send, neverSent);
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export { assert, assertNever } from "./lib/assert.js";
+export { ByteAccumulator } from "./lib/ByteAccumulator.js";
 export { type Clock, sleep, type Timer } from "./lib/Clock.js";
 export { type Failure, failure, type Outcome } from "./lib/Failure.js";
 export { uniqueId } from "./lib/ids.js";
