A target whose reply brings no head and no data is given up, and one connection no longer keeps the event loop

Seen by callers: a target that sends interim replies (1xx) or line feeds before a head without end keeps a request to its deadline, and while interim replies arrive nobody else is served for 0.4 s at a time. Cause: the parser of Node.js accepts both without a limit (heads, chunk extensions and trailers it limits to 16 KB), and libuv reads one socket up to 32 times before it turns to the next one. Change: Exchange ends a reply after 32 KB in a row without a head or data, handles the chunks of one read together, and reads on in the next turn of the event loop after a read that filled the buffer. A flood is no evidence of a crash.

--- a/packages/gateway/src/lib/requests/BlockScanner.test.ts
+++ b/packages/gateway/src/lib/requests/BlockScanner.test.ts
@@ -60,11 +60,11 @@
 
 // Guards against a gateway that hangs on an event without an end, since each chunk has it searched from its start.
 test("a byte of an event without an end is searched once, however many chunks follow it", t => {
-    // eslint-disable-next-line @typescript-eslint/unbound-method
-    const indexOf = Buffer.prototype.indexOf as (this: Buffer, value: number, from?: number) => number;
+    const indexOf = (bytes: Buffer, value: number, from: number) =>
+        Uint8Array.prototype.indexOf.call(bytes, value, from);
     let searched = 0;
     t.mock.method(Buffer.prototype, "indexOf", function(this: Buffer, value: number, from = 0): number {
-        const found = indexOf.call(this, value, from);
+        const found = indexOf(this, value, from);
         searched += (found === -1 ? this.length : found + 1) - from;
         return found;
     });
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -252,11 +252,13 @@
         this.continueAfter(attempt, "unknown");
     }
 
-    private exchangeFailed(attempt: Attempt, { neverSent, isWithdrawn = false, reason }: ExchangeFailure): void {
-        this.remove(attempt, isWithdrawn ? "withdrawn" : "failed");
+    private exchangeFailed(attempt: Attempt, { neverSent, isWithdrawn, isFlood, reason }: ExchangeFailure): void {
+        this.remove(attempt, isWithdrawn === true ? "withdrawn" : "failed");
         this.logFailure(attempt, reason);
-        const { target, startedAt, repliedAt } = attempt;
-        this.crashCheck.noteFailure({ target, startedAt, repliedAt }, neverSent);
+        if (isFlood !== true) {
+            const { target, startedAt, repliedAt } = attempt;
+            this.crashCheck.noteFailure({ target, startedAt, repliedAt }, neverSent);
+        }
         if (this.caller.headSent) {
             this.finish();
             this.caller.breakOff(reason);
--- a/packages/gateway/src/lib/requests/openExchange.ts
+++ b/packages/gateway/src/lib/requests/openExchange.ts
@@ -80,5 +80,8 @@
         get neverSent() {
             return exchange.neverSent;
         },
+        get bytesRead() {
+            return exchange.bytesRead;
+        },
     };
 }
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -24,6 +24,8 @@
     readonly events?: number;
     /** Share of the requests that it answers with an error status before it runs them. */
     readonly failedShare?: number;
+    /** Whether it continues an answer after the caller's last event, instead of repeating it from the start. */
+    readonly isResuming?: boolean;
     /** Whether a crash ends answers that have begun in order, as the end of an answer without a length. */
     readonly endsQuietly?: boolean;
 }
@@ -33,6 +35,22 @@
     readonly listener: ExchangeListener;
     hasHead: boolean;
     timer: Timer | undefined;
+    /** Bytes of the answer that were sent. */
+    bytes: number;
+    /** How many of them were sent since its last event. */
+    bytesWithoutEvent: number;
+    readonly firstEvent: number;
+    /** What it has turned into. */
+    flood: Flood | undefined;
+}
+
+/** Bytes that a faulty target sends in the place of events, again and again. */
+export interface Flood {
+    readonly content: Buffer;
+    /** Milliseconds between two sends of the content. */
+    readonly interval: number;
+    /** Number of events before them. */
+    readonly after: number;
 }
 
 /** Network delay from a gateway in milliseconds. */
@@ -55,6 +73,8 @@
 export const restHeader = "rest";
 /** Header with the priority that a target is told. */
 export const priorityHeader = "priority";
+/** Header with the id of the last event that the caller has. */
+export const lastEventHeader = "last-event";
 /** Header of a target that is leaving. */
 export const leavingHeader = "leaving";
 
@@ -75,6 +95,12 @@
     isMute = false;
     /** The limit that it names in its replies, in requests per second. */
     limit: number | undefined;
+    /** Number of requests that have reached it. */
+    arrivals = 0;
+    /** Largest number of bytes that one of its streams has sent since its last event. */
+    mostBytesWithoutEvent = 0;
+    /** What its streams turn into; undefined while it is sound. */
+    flood: Flood | undefined;
     private silentUntil = -Infinity;
     private readonly runs = new Set<Run>();
 
@@ -101,8 +127,18 @@
 
     /** Receives a request, in place of the constructor of a real exchange. */
     open({ body, headers, listener, maySend }: ExchangeOptions): OpenExchange {
-        const { clock, onArrival } = this.options;
-        const run: Run = { body: body?.toString() ?? "", listener, hasHead: false, timer: undefined };
+        const { clock, onArrival, isResuming = false } = this.options;
+        const lastEvent = isResuming ? readHeader(headers, lastEventHeader) : undefined;
+        const run: Run = {
+            body: body?.toString() ?? "",
+            listener,
+            hasHead: false,
+            timer: undefined,
+            bytes: 0,
+            bytesWithoutEvent: 0,
+            firstEvent: lastEvent === undefined ? 0 : lastEvent + 1,
+            flood: undefined,
+        };
         const latency = this.options.latency?.() ?? { connect: delay, reply: 0 };
         let isSent = false;
         run.timer = clock.schedule(() => {
@@ -115,7 +151,8 @@
                 return;
             }
             isSent = true;
-            onArrival(run.body, headers[0] === priorityHeader ? Number(headers[1]) : undefined);
+            this.arrivals++;
+            onArrival(run.body, readHeader(headers, priorityHeader));
             if (this.isRefusing || this.runs.size >= this.capacity || this.drawsRefusal) {
                 this.refuse(run, latency.reply);
                 return;
@@ -133,6 +170,9 @@
             get neverSent() {
                 return !isSent;
             },
+            get bytesRead() {
+                return run.bytes;
+            },
         };
     }
 
@@ -198,11 +238,15 @@
             return;
         }
         this.sendHead(run);
-        this.sendEvent(run, 0);
+        this.sendEvent(run, run.firstEvent);
     }
 
     private sendHead(run: Run): void {
         const headers = this.replyHeaders(run.body);
+        if (this.options.isResuming === true) {
+            // The end of an answer without a further event is told apart from a broken connection.
+            headers["transfer-encoding"] = "chunked";
+        }
         this.tellLeaving(run.body, headers);
         run.hasHead = true;
         run.listener.onHead({ statusCode: 200, headers, rawHeaders: [] });
@@ -236,16 +280,42 @@
             this.postpone(run, () => this.sendEvent(run, id));
             return;
         }
+        if (this.flood !== undefined && id >= this.flood.after) {
+            run.flood ??= this.flood;
+        }
+        if (run.flood !== undefined) {
+            this.sendFlood(run, run.flood);
+            return;
+        }
         if (id >= (this.options.events ?? simulatedEvents)) {
             this.runs.delete(run);
             run.listener.onEnd();
             return;
         }
         run.timer = this.options.clock.schedule(() => this.sendEvent(run, id + 1), eventInterval);
-        run.listener.onData(Buffer.from(`id: ${id}\ndata: x\n\n`));
+        run.bytesWithoutEvent = 0;
+        this.sendBytes(run, Buffer.from(`id: ${id}\ndata: x\n\n`));
+    }
+
+    private sendFlood(run: Run, flood: Flood): void {
+        const { content, interval } = flood;
+        run.timer = this.options.clock.schedule(() => this.sendFlood(run, flood), interval);
+        run.bytesWithoutEvent += content.length;
+        this.mostBytesWithoutEvent = Math.max(this.mostBytesWithoutEvent, run.bytesWithoutEvent);
+        this.sendBytes(run, content);
+    }
+
+    private sendBytes(run: Run, bytes: Buffer): void {
+        run.bytes += bytes.length;
+        run.listener.onData(bytes);
     }
 
     private draw({ least, most }: { readonly least: number; readonly most: number; }): number {
         return least + Math.floor(this.options.random.next() * (most - least));
     }
 }
+
+function readHeader(headers: readonly string[], name: string): number | undefined {
+    const index = headers.indexOf(name);
+    return index === -1 ? undefined : Number(headers[index + 1]);
+}
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -151,3 +151,102 @@
         assert.equal(failure?.reason, ending === "end" ? undefined : "ECONNRESET");
     }
 });
+
+const megabyte = 1_048_576;
+
+/** Writes a text again and again, some megabytes in all unless the connection is closed, and then a sound reply. */
+function flood(socket: Socket, text: string): void {
+    const block = Buffer.from(text.repeat(Math.ceil(65_536 / text.length)));
+    let sent = 0;
+    const write = () => {
+        while (sent < 8 * megabyte && !socket.destroyed && !socket.writableNeedDrain) {
+            socket.write(block);
+            sent += block.length;
+        }
+        if (sent >= 8 * megabyte) {
+            socket.end("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+        }
+    };
+    socket.on("drain", write);
+    write();
+}
+
+// Guards against a gateway that hangs on what precedes a head: its parser accepts these without end.
+test("a target that sends interim replies or line feeds without end is given up", async () => {
+    for (const text of ["HTTP/1.1 102 P\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", "\r\n"]) {
+        const { failure } = await exchangeWith(socket => flood(socket, text));
+        assert.equal(failure?.isFlood, true, JSON.stringify(text));
+        assert.equal(failure?.neverSent, false);
+    }
+});
+
+test("interim replies before a reply are read over", async () => {
+    const interim = "HTTP/1.1 102 P\r\n\r\n".repeat(100);
+    const { body } = await exchangeWith(socket => socket.end(`${interim}${unframed}whole`));
+    assert.equal(body, "whole");
+});
+
+test("a chunk extension or trailer without end is an error", async () => {
+    const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const [start, text] of [["1;", "a"], ["0\r\n", "A: b\r\n"]] as const) {
+        const { failure } = await exchangeWith(socket => {
+            socket.write(head + start);
+            flood(socket, text);
+        });
+        assert.equal(failure?.neverSent, false);
+    }
+});
+
+/** Counts the calls and bytes of `onData`, in all and by turn of the event loop. */
+async function countData(answer: (socket: Socket) => void): Promise<{ calls: number; bytes: number; most: number; }> {
+    const server = await listen(answer);
+    const counts = { calls: 0, bytes: 0, most: 0 };
+    let inTurn = 0;
+    await new Promise<void>(resolve => {
+        new Exchange({
+            host: "127.0.0.1",
+            port: (server.address() as AddressInfo).port,
+            method: "GET",
+            path: "/",
+            headers: ["Host", "x"],
+            body: undefined,
+            connectTimeout: 1_000,
+            maySend: () => true,
+            listener: {
+                onHead: () => undefined,
+                onData: chunk => {
+                    if (inTurn === 0) {
+                        setImmediate(() => inTurn = 0);
+                    }
+                    inTurn += chunk.length;
+                    counts.calls++;
+                    counts.bytes += chunk.length;
+                    counts.most = Math.max(counts.most, inTurn);
+                },
+                onEnd: () => resolve(),
+                onFailure: () => resolve(),
+            },
+        });
+    });
+    server.close();
+    return counts;
+}
+
+test("chunks that arrive together are handled together", async () => {
+    const { calls, bytes } = await countData(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        setImmediate(() => socket.end(`${"1\r\ny\r\n".repeat(2_000)}0\r\n\r\n`));
+    });
+    assert.equal(bytes, 2_000);
+    assert.ok(calls <= 10, `${calls} calls`);
+});
+
+// Guards against one connection that keeps the event loop: Node.js reads a socket up to 32 times before the next one.
+test("a reply that fills each read leaves the event loop to others", async () => {
+    const { bytes, most } = await countData(socket => {
+        socket.write(unframed);
+        flood(socket, "y");
+    });
+    assert.ok(bytes > 8 * megabyte);
+    assert.ok(most <= 262_144, `${most} bytes in one turn`);
+});
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -8,6 +8,8 @@
     readonly neverSent: boolean;
     /** True if this process held the request back because it may not be sent to the target any more. */
     readonly isWithdrawn?: boolean;
+    /** True if this process ended the reply because it brought bytes without end. */
+    readonly isFlood?: boolean;
     readonly reason: string;
 }
 
@@ -18,7 +20,7 @@
 export type ReplyMessage = Pick<IncomingMessage, "statusCode" | "headers" | "rawHeaders">;
 
 /** Operations of an exchange available to the code that opened it. */
-export type OpenExchange = Pick<Exchange, "pause" | "resume" | "cancel" | "neverSent">;
+export type OpenExchange = Pick<Exchange, "pause" | "resume" | "cancel" | "neverSent" | "bytesRead">;
 
 /** Receives the reply of an exchange, in this order. The last call is either `onEnd` or `onFailure`. */
 export interface ExchangeListener {
@@ -46,6 +48,14 @@
     readonly bursts?: Pick<AcceptBursts, "isActive" | "whenOver">;
 }
 
+/**
+ * Maximum bytes that a reply may bring in a row without a head or data, as line feeds or interim replies do. The head of
+ * a reply has at most 16 KB.
+ */
+const maxUnusedBytes = 32_768;
+/** Bytes of a read that fills the buffer of Node.js, so that more input is probably waiting. */
+const fullRead = 65_536;
+
 /**
  * One request to a target and its reply, on a connection of its own. A connection that is never reused cannot carry a
  * late second reply or a partly read body over to another request, and cannot have failed unnoticed while it was idle.
@@ -59,8 +69,15 @@
     private isSent = false;
     private isOver = false;
     private wasReset = false;
-    /** Data that is kept while connections are accepted. */
+    private isPaused = false;
+    /** True while the bytes of one read are parsed. */
+    private isParsing = false;
+    /** Data that is kept until its read has been parsed, and while connections are accepted. */
     private kept: Buffer[] = [];
+    private isAwaitingBurst = false;
+    /** Whether a head or data has arrived since the last read. */
+    private hasBroughtUse = false;
+    private unusedBytes = 0;
 
     constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, connectTimeout } = options;
@@ -70,6 +87,9 @@
             socket.setNoDelay(true);
             socket.prependOnceListener("end", () => this.detectReset(socket));
             socket.once("connect", () => this.sendAfterInput());
+            socket.prependListener("data", () => this.isParsing = true);
+            // Node.js added its own listener before, which parses the bytes.
+            socket.on("data", (bytes: Buffer) => this.endRead(bytes.length));
         });
         this.call.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
         this.call.once("response", response => this.receive(response));
@@ -102,10 +122,12 @@
 
     /** Stops reading until {@link Exchange.resume} is called, to apply back-pressure from a slow caller. */
     pause(): void {
+        this.isPaused = true;
         this.response?.pause();
     }
 
     resume(): void {
+        this.isPaused = false;
         this.response?.resume();
     }
 
@@ -119,6 +141,11 @@
         return !this.isSent;
     }
 
+    /** Bytes that the target has sent so far, the framing of its reply included. */
+    get bytesRead(): number {
+        return this.call.socket?.bytesRead ?? 0;
+    }
+
     /**
      * Distinguishes a reset from an orderly end. If the last bytes and a reset arrive together, Node.js reports an
      * ordinary end, and a reply without a length, which is delimited by the end of its connection, looks complete. Only
@@ -133,6 +160,7 @@
             return;
         }
         this.response = response;
+        this.hasBroughtUse = true;
         response.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
         response.once("close", () => this.fail("closed"));
         const { listener } = this.options;
@@ -155,22 +183,59 @@
     }
 
     private takeData(chunk: Buffer): void {
-        const { bursts, listener } = this.options;
+        this.hasBroughtUse = true;
+        this.kept.push(chunk);
+        if (!this.isParsing && this.kept.length === 1) {
+            // A response that was paused releases all its chunks one after the other.
+            queueMicrotask(() => this.deliverUnlessAccepting());
+        }
+    }
+
+    /** Handles the bytes of one read together, after Node.js has parsed them, however many chunks they consist of. */
+    private endRead(bytes: number): void {
+        this.isParsing = false;
+        this.deliverUnlessAccepting();
+        const isUseful = this.hasBroughtUse || (this.response?.readableLength ?? 0) > 0;
+        this.unusedBytes = isUseful ? 0 : this.unusedBytes + bytes;
+        this.hasBroughtUse = false;
+        if (this.unusedBytes > maxUnusedBytes) {
+            this.fail(`${this.unusedBytes} bytes without a head or data`, true);
+        }
+        else if (bytes >= fullRead) {
+            this.yieldToOthers();
+        }
+    }
+
+    /** Reads on in the next turn of the event loop. Node.js reads one socket up to 32 times in a turn. */
+    private yieldToOthers(): void {
+        this.response?.pause();
+        setImmediate(() => {
+            if (!this.isOver && !this.isPaused) {
+                this.response?.resume();
+            }
+        });
+    }
+
+    private deliverUnlessAccepting(): void {
+        const { bursts } = this.options;
         if (bursts?.isActive !== true) {
             this.deliverKept();
-            listener.onData(chunk);
-            return;
         }
-        if (this.kept.push(chunk) === 1) {
-            bursts.whenOver(() => this.deliverKept());
+        else if (!this.isAwaitingBurst && this.kept.length > 0) {
+            this.isAwaitingBurst = true;
+            bursts.whenOver(() => {
+                this.isAwaitingBurst = false;
+                this.deliverKept();
+            });
         }
     }
 
     private deliverKept(): void {
         const { kept } = this;
-        this.kept = [];
-        if (kept.length > 0 && !this.isOver) {
-            this.options.listener.onData(Buffer.concat(kept));
+        const [first] = kept;
+        if (first !== undefined && !this.isOver) {
+            this.kept = [];
+            this.options.listener.onData(kept.length === 1 ? first : Buffer.concat(kept));
         }
     }
 
@@ -186,7 +251,7 @@
         });
     }
 
-    private fail(reason: string): void {
+    private fail(reason: string, isFlood = false): void {
         if (this.isOver) {
             return;
         }
@@ -196,7 +261,7 @@
             return;
         }
         this.close();
-        this.options.listener.onFailure({ neverSent, reason });
+        this.options.listener.onFailure({ neverSent, isFlood, reason });
     }
 
     private close(): void {
