A stream that brings bytes without a further event is ended, and continued over another chain

Cause: neither the bytes nor the time without an event were bounded for one stream. Checks for silent chains look at all streams of a chain together. Change: EventProgress watches each run. More than 256 KB without a further event, framing included, end the run as failed: it is continued if its route allows it, the chain gets no new requests for 1.5 s if there is another one, and one line says why. Bytes that arrive for more than 600 ms without one suspect the run: it is kept until a second run brings an event, and ended when it is late again beside a second run. Further is an event with a higher id than before in this run, so a run that repeats an answer from its start is not judged. Silence is not judged here. In a stream with numbers as ids an event with another kind of id is not forwarded. A suspected stream prefers chains that have not failed it.

--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -75,7 +75,7 @@
  * chain is no evidence of a fault.
  */
 const maxCheckPause = 90;
-/** Milliseconds for which a stalled chain gets no new requests, unless a survey finds a faulty target. */
+/** Milliseconds for which a stalled or flooding chain gets no new requests, unless a survey finds a faulty target. */
 const stallAvoidanceTime = 1_500;
 /** Milliseconds between two surveys of a chain: each report is billed, and recovering a lost range takes longer. */
 const surveyInterval = 500;
@@ -262,6 +262,14 @@
         void this.survey(load);
     }
 
+    /**
+     * Records that a run on the chain brought bytes without end. Its connection is that of the first target, whose
+     * reports cannot show such a fault, so the chain gets no requests for a while if there is another one.
+     */
+    flooded(load: ChainLoad): void {
+        load.avoidedUntil = this.options.clock.now() + stallAvoidanceTime;
+    }
+
     private scheduleCheck(): void {
         const { clock } = this.options;
         const delay = this.nextCheckDelay();
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -5,6 +5,8 @@
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { type Send } from "./CrashCheck.js";
+import { type DeliveredEvents } from "./DeliveredEvents.js";
+import { EventProgress, maxEventBytes } from "./EventProgress.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
@@ -15,8 +17,11 @@
     onData(attempt: ChainAttempt, chunk: Buffer): void;
     onEnd(attempt: ChainAttempt): void;
     onFailure(attempt: ChainAttempt, failure: ExchangeFailure): void;
-    /** Called when no event has arrived within a multiple of the route's latency target. */
-    onLateFirstEvent(attempt: ChainAttempt): void;
+    /**
+     * Called when no event has arrived within a multiple of the route's latency target, or when bytes have been arriving
+     * for some time without an event that the caller lacks.
+     */
+    onLateEvent(attempt: ChainAttempt, reason: string): void;
 }
 
 /** Options of {@link ChainAttempt}. */
@@ -27,14 +32,14 @@
     readonly load: ChainLoad;
     /** The first target of the chain. */
     readonly target: Target;
-    /** Id of the last event that the caller has received. */
-    readonly lastEventId: string | undefined;
     /** 0 is the most urgent; undefined for the default of the targets. */
     readonly priority: number | undefined;
     /** Releases the slot that the attempt uses. */
     readonly releaseSlot: () => void;
     /** Whether the request itself may still be sent when the connection is established. */
     readonly maySend: () => boolean;
+    /** The events that the caller has received. */
+    readonly delivered: Pick<DeliveredEvents, "isNew" | "lastId">;
     readonly listener: ChainAttemptListener;
 }
 
@@ -46,11 +51,14 @@
     readonly startedAt: number;
     /** True for a reply that is not a stream, whose bytes are forwarded as they are. */
     isPlain = false;
+    /** True once the request has been sent over another chain as well. */
+    isSuspected = false;
     response: ReplyMessage | undefined;
     private readonly exchange: OpenExchange;
     /** Milliseconds to the first event that were predicted at the start. */
     private readonly expected: number | undefined;
     private readonly splitter = new EventSplitter();
+    private readonly progress: EventProgress;
     private readonly firstEventTimer: Timer;
     private firstEventTime: number | undefined;
     private lastEventTime: number | undefined;
@@ -58,8 +66,10 @@
     private isClosed = false;
 
     constructor(private readonly options: ChainAttemptOptions) {
-        const { context, caller, service, load, target, lastEventId, priority, maySend, listener } = options;
+        const { context, caller, service, load, target, delivered, priority, maySend, listener } = options;
+        const { lastId: lastEventId } = delivered;
         this.startedAt = context.clock.now();
+        this.progress = new EventProgress(context.clock, delivered);
         this.exchange = openExchange({
             context,
             caller,
@@ -73,7 +83,10 @@
                     this.response = response;
                     listener.onHead(this, response);
                 },
-                onData: chunk => listener.onData(this, chunk),
+                onData: chunk => {
+                    listener.onData(this, chunk);
+                    this.endFlood();
+                },
                 onEnd: () => listener.onEnd(this),
                 onFailure: failure => listener.onFailure(this, failure),
             },
@@ -84,7 +97,7 @@
             : undefined;
         service.begin(load, listener);
         this.firstEventTimer = context.clock.schedule(
-            () => listener.onLateFirstEvent(this),
+            () => listener.onLateEvent(this, "no first event"),
             caller.route.latencyTarget * firstEventTimeoutFactor,
         );
     }
@@ -130,13 +143,18 @@
         return this.splitter.hasPartialEvent;
     }
 
-    /** Parses bytes of the reply. @returns The events that they complete. */
+    /** Parses bytes of the reply. @returns The events that they complete and that the caller lacks. */
     take(chunk: Buffer): StreamEvent[] {
+        const { delivered, listener } = this.options;
         const events = this.splitter.push(chunk);
         if (events.length > 0) {
             this.noteEvents();
         }
-        return events;
+        const newEvents = events.filter(event => delivered.isNew(event));
+        if (this.progress.receive({ bytes: this.exchange.bytesRead, rest: this.splitter.heldBytes, events })) {
+            listener.onLateEvent(this, "bytes without a further event");
+        }
+        return newEvents;
     }
 
     /** Removes and returns what an answer that has ended brought after its last event. */
@@ -151,6 +169,7 @@
 
     resume(): void {
         this.paused = false;
+        this.progress.restartTime();
         this.exchange.resume();
     }
 
@@ -168,6 +187,14 @@
         context.observation.metrics.sends.add({ result: "stream" });
     }
 
+    /** Ends a run that brings bytes without end, whose events have been forwarded. */
+    private endFlood(): void {
+        if (!this.isClosed && this.progress.isExceeded) {
+            const reason = `more than ${maxEventBytes} bytes without a further event`;
+            this.options.listener.onFailure(this, { neverSent: false, isFlood: true, reason });
+        }
+    }
+
     private noteEvents(): void {
         const { context, service, load } = this.options;
         const now = context.clock.now();
--- a/packages/gateway/src/lib/requests/DeliveredEvents.ts
+++ b/packages/gateway/src/lib/requests/DeliveredEvents.ts
@@ -30,13 +30,16 @@
         return this.clock.now() - this.lastAt;
     }
 
-    /** Whether the caller lacks an event; a new run may begin with events that the caller already has. */
+    /**
+     * Whether the caller lacks an event; a new run may begin with events that the caller already has. In a stream with
+     * numbers as ids, an id that is no number is not an event of the answer.
+     */
     isNew({ id }: StreamEvent): boolean {
         if (id === undefined || this.lastEventId === undefined) {
             return true;
         }
         const [number, last] = [Number(id), Number(this.lastEventId)];
-        return Number.isNaN(number) || Number.isNaN(last) || number > last;
+        return Number.isNaN(last) || number > last;
     }
 
     /** Records events that are sent to the caller. */
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -16,19 +16,13 @@
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
+import { ResumeWait } from "./ResumeWait.js";
 import { SendGate } from "./SendGate.js";
 import { sendPriority } from "./sendPriority.js";
 import { maxSuspectedHold, newRequestHold, noSlotReason, resumedHold, type SlotCandidate, SlotUse } from "./SlotUse.js";
 import { type EndInitiator, StreamLog } from "./StreamLog.js";
 import { StreamRefusal } from "./StreamRefusal.js";
 
-/** Milliseconds between two attempts to find a chain that can resume an interrupted stream. */
-const resumeInterval = 200;
-/**
- * Maximum milliseconds after its last event that a stream waits for such a chain: callers abandon a stream that is
- * silent for two seconds. A lost layer range is bypassed by another chain, or reloaded, within 0.4 to 1.6 s.
- */
-const maxResumeWait = 1_800;
 const successStatuses = { first: 200, end: 300 };
 
 /**
@@ -49,7 +43,7 @@
     private readonly delivered: DeliveredEvents;
     private readonly slots: SlotUse<ChainLoad>;
     private readonly log: StreamLog;
-    private resumeTimer: Timer | undefined;
+    private readonly resumeWait: ResumeWait;
     private deadlineTimer: Timer | undefined;
 
     constructor(
@@ -58,6 +52,7 @@
         private readonly service: ChainService,
     ) {
         this.delivered = new DeliveredEvents(context.clock, caller.request.lastEventId);
+        this.resumeWait = new ResumeWait({ clock: context.clock, delivered: this.delivered });
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.gate = new SendGate({ context, caller, precedence: () => this.precedence });
         this.slots = new SlotUse({ context, caller, list: () => chainCandidates(this.choice, service) });
@@ -90,10 +85,7 @@
     }
 
     leaveChain(load: ChainLoad, reason: string): void {
-        const attempt = [...this.attempts].find(running => running.load === load);
-        if (attempt !== undefined) {
-            this.suspect(attempt, reason);
-        }
+        [...this.attempts].filter(running => running.load === load).forEach(attempt => this.suspect(attempt, reason));
     }
 
     onHead(attempt: ChainAttempt, response: ReplyMessage): void {
@@ -121,12 +113,13 @@
             this.forward(attempt, chunk);
             return;
         }
-        const newEvents = attempt.take(chunk).filter(event => this.delivered.isNew(event));
+        const newEvents = attempt.take(chunk);
         const { firstEventAt } = attempt;
         if (firstEventAt !== undefined && this.context.clock.now() - firstEventAt >= safeReplyAge) {
             this.crashCheck.noteSuccess();
         }
-        if (newEvents.length === 0) {
+        const [first] = newEvents;
+        if (first === undefined) {
             return;
         }
         this.keepOnly(attempt);
@@ -134,9 +127,7 @@
         this.delivered.add(newEvents);
         this.forward(
             attempt,
-            newEvents.length === 1 && newEvents[0] !== undefined
-                ? newEvents[0].bytes
-                : Buffer.concat(newEvents.map(({ bytes }) => bytes)),
+            newEvents.length === 1 ? first.bytes : Buffer.concat(newEvents.map(({ bytes }) => bytes)),
         );
     }
 
@@ -153,23 +144,32 @@
         this.caller.end(`served ${this.delivered.count} events`);
     }
 
-    onFailure(attempt: ChainAttempt, { neverSent, isWithdrawn = false, reason }: ExchangeFailure): void {
-        if (!isWithdrawn) {
+    onFailure(attempt: ChainAttempt, { neverSent, isWithdrawn, isFlood = false, reason }: ExchangeFailure): void {
+        if (isFlood) {
+            this.service.flooded(attempt.load);
+            this.attemptEnded(attempt, "unknown", reason, true, "gateway");
+            [...this.attempts].filter(other => other.isSuspected).forEach(other => this.suspect(other, reason));
+            return;
+        }
+        if (isWithdrawn !== true) {
             this.service.streamFailed(attempt.load, neverSent);
         }
         this.crashCheck.noteFailure(attempt.send, neverSent);
         this.attemptEnded(attempt, neverSent ? "neverSent" : "unknown", reason, !neverSent);
     }
 
-    onLateFirstEvent(attempt: ChainAttempt): void {
-        if (this.choice.chooseAlternativeWithRoom() !== undefined) {
-            this.suspect(attempt, "no first event");
+    onLateEvent(attempt: ChainAttempt, reason: string): void {
+        if (attempt.isSuspected && this.attempts.size > 1) {
+            this.attemptEnded(attempt, "unknown", reason, true, "gateway");
+        }
+        else if (attempt.firstEventAt !== undefined || this.choice.chooseAlternativeWithRoom() !== undefined) {
+            this.suspect(attempt, reason);
         }
     }
 
     /** Sends the request over another chain as well, if this is allowed and one is available. */
     private suspect(attempt: ChainAttempt, reason: string): void {
-        if (this.delivered.hasBegun) {
+        if (this.choice.chooseAlternative() === undefined && this.delivered.hasBegun) {
             this.choice.reset();
         }
         if (this.choice.chooseAlternative() === undefined) {
@@ -180,6 +180,7 @@
             this.attemptEnded(attempt, "neverSent", reason, false, "gateway");
         }
         else if (this.mayReplace(attempt)) {
+            attempt.isSuspected = true;
             this.log.suspected(attempt, reason);
             this.send();
         }
@@ -227,7 +228,7 @@
         if (this.attempts.size > 0) {
             return this.delivered.hasBegun ? maxSuspectedHold : 0;
         }
-        return this.isResumed ? resumedHold(maxResumeWait - this.delivered.silence) : newRequestHold(this.caller);
+        return this.isResumed ? resumedHold(this.resumeWait.timeLeft) : newRequestHold(this.caller);
     }
 
     /** Whether a target may have begun to run the request, so that its caller cannot be told to return. */
@@ -248,16 +249,16 @@
 
     /** @param hasContinued - Whether a suspected run has brought an event since, so that no other one is needed. */
     private sendOver({ choice: load, target }: SlotCandidate<ChainLoad>, hasContinued: boolean): void {
-        const { context, caller, service, precedence, delivered: { hasBegun, lastId: lastEventId } } = this;
+        const { context, caller, service, precedence, delivered } = this;
         if (hasContinued || !this.limits.begin(target.id, precedence)) {
             this.slots.cancel();
             this.giveUpAlone("retry budget is used up");
             return;
         }
-        const priority = sendPriority({ caller, precedence, hasBegun, isOn: context.isOn });
+        const priority = sendPriority({ caller, precedence, hasBegun: delivered.hasBegun, isOn: context.isOn });
         const maySend = () => this.crashCheck.maySend;
         const route = { context, caller, service, load, target, releaseSlot: this.slots.handOver() };
-        this.attempts.add(new ChainAttempt({ ...route, lastEventId, priority, maySend, listener: this }));
+        this.attempts.add(new ChainAttempt({ ...route, delivered, priority, maySend, listener: this }));
     }
 
     /** Handles a reply with an error status: retries the request if allowed, otherwise forwards the reply. */
@@ -339,13 +340,13 @@
             return;
         }
         const hasRun = this.caller.headSent || this.limits.mayHaveRun;
-        const mayWait = hasRun && mayResume(this.caller.route) && this.delivered.silence < maxResumeWait;
+        const mayWait = hasRun && mayResume(this.caller.route) && this.resumeWait.timeLeft > 0;
         if (!mayWait) {
             this.giveUp(reason);
             return;
         }
         this.choice.reset();
-        this.resumeTimer = this.context.clock.schedule(() => this.send(), resumeInterval);
+        this.resumeWait.start(() => this.send());
     }
 
     /** Ends a request that is not sent again because targets crashed while running it. */
@@ -383,7 +384,7 @@
 
     private finish(): void {
         this.deadlineTimer?.cancel();
-        this.resumeTimer?.cancel();
+        this.resumeWait.cancel();
         this.slots.cancel();
         this.attempts.forEach(attempt => this.remove(attempt));
         this.crashCheck.end();
--- a/packages/gateway/src/lib/testing/SimulatedAnswer.ts
+++ b/packages/gateway/src/lib/testing/SimulatedAnswer.ts
@@ -1,3 +1,4 @@
+import { type Clock, ManualClock } from "@waxwingspar/utils";
 import { EventEmitter } from "node:events";
 import { type ServerResponse } from "node:http";
 import { CallerPresence } from "../server/CallerPresence.js";
@@ -12,9 +13,17 @@
     /** Set once the answer has ended without being aborted. */
     isComplete = false;
     readonly presence = new CallerPresence();
+    /** Longest time in milliseconds in which the caller received nothing. */
+    longestPause = 0;
+    private lastAt: number;
     /** The `Retry-After` header in seconds. */
     retryAfter: number | undefined;
 
+    constructor(private readonly clock: Clock = new ManualClock()) {
+        super();
+        this.lastAt = clock.now();
+    }
+
     /** This object with the type that the gateway's code expects. */
     get response(): ServerResponse {
         return this as unknown as ServerResponse;
@@ -38,6 +47,7 @@
 
     write(chunk: Buffer, onLeft?: () => void): boolean {
         this.body += chunk.toString();
+        this.notePause();
         onLeft?.();
         return true;
     }
@@ -68,8 +78,15 @@
         this.once("finish", listener);
     }
 
+    private notePause(): void {
+        const now = this.clock.now();
+        this.longestPause = Math.max(this.longestPause, now - this.lastAt);
+        this.lastAt = now;
+    }
+
     private finish(): void {
         if (!this.isOver) {
+            this.notePause();
             this.isOver = true;
             this.emit("finish");
         }
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -26,6 +26,7 @@
 import { healthyReport, silentLogs, testEngine } from "./fixtures.js";
 import { SimulatedAnswer } from "./SimulatedAnswer.js";
 import {
+    lastEventHeader,
     leavingHeader,
     limitHeader,
     priorityHeader,
@@ -104,7 +105,10 @@
     readCallerRequest: () => {
         throw new Error("not used");
     },
-    writeDispatchHeaders: (_, { priority }) => priority === undefined ? [] : [priorityHeader, `${priority}`],
+    writeDispatchHeaders: (_, { priority, lastEventId }) => [
+        ...priority === undefined ? [] : [priorityHeader, `${priority}`],
+        ...lastEventId === undefined ? [] : [lastEventHeader, lastEventId],
+    ],
     readReplyHead: (status, headers) => ({
         requestId: undefined,
         isSigned: true,
@@ -228,7 +232,7 @@
     ): { readonly caller: CallerExchange; readonly answer: SimulatedAnswer; } {
         const { clock } = this.options;
         const { observation } = this.context;
-        const answer = new SimulatedAnswer();
+        const answer = new SimulatedAnswer(clock);
         const incoming = { method: "POST", url: "/chat", headers: { host: "a.example" }, rawHeaders: [] };
         const caller = new CallerExchange({
             clock,
--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -17,6 +17,8 @@
     readonly maxAttempts?: number;
     /** Whether a stream may be resumed on another chain. */
     readonly isResumable?: boolean;
+    /** Whether a target continues an answer after the caller's last event, instead of repeating it from the start. */
+    readonly isResuming?: boolean;
     /** Retries that the retry budget allows beyond a fifth of the requests. */
     readonly retryReserve?: number;
     /** Creates the source of slots of heads; by default all that are requested are granted. */
@@ -100,6 +102,7 @@
             random: this.random,
             target,
             crashesUnder: () => false,
+            isResuming: this.options.isResuming,
             onArrival: (body, priority) => {
                 this.options.onArrival?.(body);
                 this.arrivals++;
