--- a/packages/entry/src/lib/http/BodyReader.ts
+++ b/packages/entry/src/lib/http/BodyReader.ts
@@ -1,4 +1,4 @@
-import { failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { ByteAccumulator, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
 import { type Exchange } from "./Exchange.js";
 
@@ -25,15 +25,17 @@
         if (Number(request.headers["content-length"] ?? 0) > limit) {
             return Result.err(tooLarge(limit));
         }
-        const body = new BodyParts();
+        const body = new ByteAccumulator();
+        let size = 0;
         exchange.response.once("close", () => {
-            this.held -= body.size;
+            this.held -= size;
         });
         const outcome = await new Promise<Outcome<Uint8Array<ArrayBuffer>>>(resolve => {
             request.on("data", (chunk: Buffer) => {
                 this.held += chunk.length;
+                size += chunk.length;
                 body.add(chunk);
-                if (body.size > limit) {
+                if (size > limit) {
                     resolve(Result.err(tooLarge(limit)));
                 }
                 else if (this.held > this.maxMemory) {
@@ -47,7 +49,7 @@
                     );
                 }
             });
-            request.once("end", () => resolve(Result.ok(body.whole())));
+            request.once("end", () => resolve(Result.ok(new Uint8Array(body.take()))));
             request.once(
                 "close",
                 () => resolve(Result.err(disconnected())),
@@ -60,20 +62,6 @@
     }
 }
 
-class BodyParts {
-    size = 0;
-    private readonly chunks: Buffer[] = [];
-
-    add(chunk: Buffer): void {
-        this.size += chunk.length;
-        this.chunks.push(chunk);
-    }
-
-    whole(): Uint8Array<ArrayBuffer> {
-        return Buffer.concat(this.chunks);
-    }
-}
-
 /**
  * Resolves after the next input of the process has been handled. The end of a caller's connection that arrived together
  * with its request is read then.
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,4 +1,4 @@
-import { type Clock } from "@waxwingspar/utils";
+import { ByteAccumulator, type Clock } from "@waxwingspar/utils";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
@@ -219,7 +219,7 @@
         if (this.isStopping) {
             response.shouldKeepAlive = false;
         }
-        const chunks: Buffer[] = [];
+        const received = new ByteAccumulator();
         let bytes = 0;
         let isRefused = false;
         incoming.on("error", () => response.destroy());
@@ -234,20 +234,17 @@
                 this.options.onTooLarge(response);
                 return;
             }
-            chunks.push(chunk);
+            received.add(chunk);
         });
         incoming.once("end", () => {
             if (!isRefused && incoming.complete && !presence.hasLeft) {
-                const body = joinBody(incoming, chunks);
+                const body = hasBody(incoming) ? received.take() : undefined;
                 this.options.onRequest({ incoming, response, body, presence, readAt, maxUnread, isFirst });
             }
         });
     }
 }
 
-/** @returns Undefined if the request was sent without a body. */
-function joinBody(incoming: IncomingMessage, chunks: readonly Buffer[]): Buffer | undefined {
-    const hasBody = incoming.headers["content-length"] !== undefined
-        || incoming.headers["transfer-encoding"] !== undefined;
-    return hasBody ? Buffer.concat(chunks) : undefined;
+function hasBody({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
