KNOWN-RED.txt holds one entry a line, with command, seed, what was seen and an open issue

Cause: the reader took three lines at most, so three cases of the review had been put into the third field of one line, and their issue had ended. Change: a line has five fields that are checked; at most eight lines; cases of a review are printed and run by hand.

--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -1,10 +1,13 @@
-// Reads KNOWN-RED.txt, the list of tests that may fail temporarily (PACKAGE: TEST | CAUSE | ISSUE, at most three
-// lines), and judges a test run by it.
+// Reads KNOWN-RED.txt, the list of tests and review cases that may fail temporarily, one line each, and judges a test run
+// by it. A line is `PACKAGE: TEST | COMMAND | SEED | WHAT WAS SEEN | ISSUE`, or begins with `review: CASE`.
 import { existsSync, readFileSync } from "node:fs";
 import { relative, sep } from "node:path";
 
-const maxEntries = 3;
-const linePattern = /^([a-z]+: .*\S) \| (.*\S) \| (.*\S)$/;
+const maxEntries = 8;
+const form = "PACKAGE: TEST | COMMAND | SEED | WHAT WAS SEEN | ISSUE";
+const fieldPatterns = [/^[a-z]+: \S.*$/, /\S/, /^(seeds? \d[\d, ]*|no seed)$/, /\S/, /^\d+$/];
+/** Cases of a review are run by hand, since they build and start the whole gateway. */
+const reviewPrefix = "review: ";
 
 /** Reads the list, empty if the file is missing. Throws on a malformed line, a repeated test or too many lines. */
 export function readKnownRed(path) {
@@ -16,11 +19,12 @@
         throw new Error(`${path} has ${lines.length} lines; ${maxEntries} are allowed`);
     }
     const tests = lines.map(line => {
-        const [, test, cause, issue] = linePattern.exec(line) ?? [];
-        if (test === undefined) {
-            throw new Error(`${path}: not "PACKAGE: TEST | CAUSE | ISSUE": ${line}`);
+        const fields = line.split(" | ");
+        if (fields.length !== fieldPatterns.length || !fieldPatterns.every((pattern, at) => pattern.test(fields[at]))) {
+            throw new Error(`${path}: not "${form}": ${line}`);
         }
-        return { test, cause, issue };
+        const [test, command, seed, seen, issue] = fields;
+        return { test, command, seed, seen, issue };
     });
     if (new Set(tests.map(({ test }) => test)).size < tests.length) {
         throw new Error(`${path} lists a test twice`);
@@ -48,11 +52,14 @@
     const failed = new Set(outcomes.filter(({ passed }) => !passed).map(listedName));
     const passed = new Set(outcomes.filter(one => one.passed).map(listedName));
     const listed = known.filter(({ test }) => packages.includes(test.split(":")[0]));
-    const lines = [];
+    const lines = known.filter(({ test }) => test.startsWith(reviewPrefix)).map(entry =>
+        `known red, run by hand: ${describe(entry)}`
+    );
     let passes = status === 0 || failed.size > 0;
-    for (const { test, cause, issue } of listed) {
+    for (const entry of listed) {
+        const { test } = entry;
         if (failed.has(test)) {
-            lines.push(`known red, passed over: ${test} (${cause}; ${issue})`);
+            lines.push(`known red, passed over: ${describe(entry)}`);
         }
         else if (passed.has(test)) {
             lines.push(`known red, but it passes; remove it from the list: ${test}`);
@@ -70,3 +77,7 @@
     }
     return { passes, lines };
 }
+
+function describe({ test, command, seed, seen, issue }) {
+    return `${test} (${command}, ${seed}: ${seen}; issue ${issue})`;
+}
