A reply whose framing outweighs its data is given up

Chunks of one byte keep the event loop for as long as the route allows, in plain replies up to its time limit. Cause: parsing a chunk takes Node.js the same time however small it is, and nothing bounded the framing of a reply. Change: Exchange ends a reply after 64 KB of heads and framing and twice the bytes of its data. Bytes read are counted as they arrive instead of asked from the socket at each event. A whole reply of 10,000 chunks of one byte is still delivered.

--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -197,6 +197,20 @@
     }
 });
 
+// Guards against a reply whose framing keeps the event loop: parsing a chunk takes the same time however small it is.
+test("a reply in chunks of one byte without end is given up, and a short one is whole", async () => {
+    const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const { body, failure } = await exchangeWith(socket => {
+        socket.write(head);
+        flood(socket, "1\r\ny\r\n");
+    });
+    assert.equal(failure?.isFlood, true);
+    assert.ok(body.length < 65_536, `${body.length} bytes`);
+    const short = await exchangeWith(socket => socket.end(`${head}${"1\r\ny\r\n".repeat(10_000)}0\r\n\r\n`));
+    assert.equal(short.failure, undefined);
+    assert.equal(short.body.length, 10_000);
+});
+
 /** Counts the calls and bytes of `onData`, in all and by turn of the event loop. */
 async function countData(answer: (socket: Socket) => void): Promise<{ calls: number; bytes: number; most: number; }> {
     const server = await listen(answer);
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -53,6 +53,11 @@
  * a reply has at most 16 KB.
  */
 const maxUnusedBytes = 32_768;
+/**
+ * Maximum bytes of heads and framing, in all and for each byte of data. Chunks of one byte have five bytes of framing, and
+ * each one costs as much work as a chunk of thousands.
+ */
+const maxFraming = { bytes: 65_536, perByte: 2 };
 /** Bytes of a read that fills the buffer of Node.js, so that more input is probably waiting. */
 const fullRead = 65_536;
 
@@ -78,6 +83,8 @@
     /** Whether a head or data has arrived since the last read. */
     private hasBroughtUse = false;
     private unusedBytes = 0;
+    private readBytes = 0;
+    private dataBytes = 0;
 
     constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, connectTimeout } = options;
@@ -143,7 +150,7 @@
 
     /** Bytes that the target has sent so far, the framing of its reply included. */
     get bytesRead(): number {
-        return this.call.socket?.bytesRead ?? 0;
+        return this.readBytes;
     }
 
     /**
@@ -184,6 +191,7 @@
 
     private takeData(chunk: Buffer): void {
         this.hasBroughtUse = true;
+        this.dataBytes += chunk.length;
         this.kept.push(chunk);
         if (!this.isParsing && this.kept.length === 1) {
             // A response that was paused releases all its chunks one after the other.
@@ -194,13 +202,18 @@
     /** Handles the bytes of one read together, after Node.js has parsed them, however many chunks they consist of. */
     private endRead(bytes: number): void {
         this.isParsing = false;
+        this.readBytes += bytes;
         this.deliverUnlessAccepting();
-        const isUseful = this.hasBroughtUse || (this.response?.readableLength ?? 0) > 0;
-        this.unusedBytes = isUseful ? 0 : this.unusedBytes + bytes;
+        const waiting = this.response?.readableLength ?? 0;
+        this.unusedBytes = this.hasBroughtUse || waiting > 0 ? 0 : this.unusedBytes + bytes;
         this.hasBroughtUse = false;
+        const data = this.dataBytes + waiting;
         if (this.unusedBytes > maxUnusedBytes) {
             this.fail(`${this.unusedBytes} bytes without a head or data`, true);
         }
+        else if (this.bytesRead - data > maxFraming.bytes + data * maxFraming.perByte) {
+            this.fail(`${this.bytesRead - data} bytes of framing for ${data} bytes of data`, true);
+        }
         else if (bytes >= fullRead) {
             this.yieldToOthers();
         }
