--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -145,6 +145,20 @@
     assert.deepEqual(directory.get("a")?.layers, { first: 5, end: 9 });
 });
 
+// Guards against orders to a target of another service that got the address of one that is gone.
+test("a reply of another target at the same address is not taken for a restart", () => {
+    const { directory, changes } = createDirectory();
+    const gone: Target = { ...target, startedAt: 1, layers: { first: 0, end: 5 } };
+    directory.put(gone);
+    directory.put({ ...target, id: "b", service: "other", startedAt: 9 });
+    const { length } = changes;
+    assert.equal(directory.confirmsIncarnation(gone, 9), false);
+    assert.deepEqual(directory.get("a"), gone);
+    assert.equal(changes.length, length);
+    assert.equal(directory.confirmsIncarnation(gone, 8), false);
+    assert.equal(directory.get("a")?.startedAt, 8, "a restart under its id is seen as before");
+});
+
 test("a reply of an earlier incarnation does not apply to the current entry", () => {
     const { directory } = createDirectory();
     const later = { ...target, startedAt: 2 };
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -136,13 +136,17 @@
 
     /**
      * Whether a reply of a target applies to its current entry: neither may be of an earlier incarnation than the
-     * other. A reply of a later incarnation marks the target as restarted.
+     * other. A reply of a later incarnation marks the target as restarted, unless it came from another target that has
+     * the address now.
      *
      * @param target - The entry with which the call to the target was made.
      * @param startedAt - The start time in the reply; undefined if it contained none, or there was no reply.
      */
     confirmsIncarnation(target: Target, startedAt: number | undefined): boolean {
         if (startedAt !== undefined) {
+            if (this.isOfAnother(target, startedAt)) {
+                return false;
+            }
             this.recordRestart(target.id, startedAt);
         }
         const isCurrent = this.targets.get(target.id)?.startedAt === target.startedAt;
@@ -150,6 +154,14 @@
             && (startedAt === undefined || target.startedAt === undefined || startedAt === target.startedAt);
     }
 
+    /** Whether a start that was told at a target's address is that of another target which is listed there. */
+    private isOfAnother({ id, host, port, startedAt: knownStart }: Target, startedAt: number): boolean {
+        return startedAt !== knownStart
+            && this.list().some(other =>
+                other.id !== id && other.startedAt === startedAt && other.host === host && other.port === port
+            );
+    }
+
     /** Records that a target has restarted, before its entry in the list shows it. */
     private recordRestart(id: string, startedAt: number): void {
         const known = this.targets.get(id);
