Soak: streams that turn into bytes without end, and a run that sends too little fails

Cause: no play of real processes sent bytes without end; 60 gateways for 12 s sent no request and reported no violation. Change: a disturbance in which a tenth of a chain's streams turn into one of six contents; a check that at least a fifth of the planned requests were sent.

--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -3,6 +3,7 @@
     failAfterRun,
     type FakeStore,
     FakeTarget,
+    flood,
     hangUp,
     listTarget,
     refuse,
@@ -37,6 +38,8 @@
     readonly toldLeaving: Set<GatewayIncarnation>;
     /** Share of the requests that it refuses beside the usual one. */
     refusedShare: number;
+    /** What some of its streams turn into; undefined while it is sound. */
+    flood: string | undefined;
 }
 
 /** Header in which callers name the gateway that they call. */
@@ -63,6 +66,10 @@
 const refusedShares = [0.2, 0.5, 1];
 /** Bounds of the milliseconds in which a target refuses requests and asks for rest. */
 const refusalTime = { least: 300, most: 8_000 };
+/** What streams turn into that bring bytes without end, the share of them, and bounds of the milliseconds for which. */
+const floods = ["y\n", "y", "\n", ": y\n\n", "data: y\n", "id: 0\ndata: event 0\n\n"];
+const floodedShare = 0.1;
+const floodTime = { least: 500, most: 5_000 };
 /** Longest time in milliseconds for which a leaving target says so in its replies before the list does. */
 const maxUnlistedLeaving = 3_000;
 /** Milliseconds before a crash in which requests that it interrupts may have arrived. */
@@ -129,6 +136,19 @@
         target.fake.rest = undefined;
     }
 
+    /** Makes a random chain turn some of its streams into bytes without end for a while. */
+    async flood(wait: (duration: number) => Promise<void>): Promise<void> {
+        const { log, now } = this.options;
+        const target = this.pick(this.heads.filter(({ id }) => id.endsWith("-1") && !id.startsWith("plain")));
+        if (target === undefined) {
+            return;
+        }
+        target.flood = this.pick(floods);
+        log.event(now(), `${target.id} turns streams into ${JSON.stringify(target.flood)} without end`);
+        await wait(this.draw(floodTime));
+        target.flood = undefined;
+    }
+
     /** Makes the link to a random target misbehave for a while. */
     async failLink(wait: (duration: number) => Promise<void>): Promise<void> {
         const { log, now, random } = this.options;
@@ -244,6 +264,7 @@
             toldAt: new Map(),
             toldLeaving: new Set(),
             refusedShare: 0,
+            flood: undefined,
         };
         this.all.push(target);
         if (this.isStopped) {
@@ -269,10 +290,16 @@
         }
     }
 
-    private choose({ path }: SeenRequest, { refusedShare }: SoakTarget): readonly [RunEnd, TargetBehaviour] {
+    private choose(
+        { path }: SeenRequest,
+        { refusedShare, flood: text }: SoakTarget,
+    ): readonly [RunEnd, TargetBehaviour] {
         if (refusedShare > 0 && this.options.random.next() < refusedShare) {
             return ["refused", refuse];
         }
+        if (text !== undefined && path.startsWith("/chat/") && this.options.random.next() < floodedShare) {
+            return ["brokenOff", flood(Math.floor(this.options.random.next() * streamEvents), text, eventInterval)];
+        }
         if (path.startsWith("/chat/")) {
             return ["served", stream(streamEvents, Infinity, eventInterval)];
         }
--- a/packages/soak/src/lib/checkSoak.test.ts
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -1,7 +1,7 @@
 import { LimitHistory } from "@waxwingspar/gateway/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { checkSoak } from "./checkSoak.js";
+import { checkLoad, checkSoak } from "./checkSoak.js";
 import { type GatewayIncarnation, type SoakCall, SoakLog, type SoakRun } from "./SoakLog.js";
 
 const gateway: GatewayIncarnation = {
@@ -128,3 +128,10 @@
     assert.deepEqual(checksOf(createLog(calls, runs(11_400))), []);
     assert.deepEqual(checksOf(createLog(calls, runs(11_600).slice(1))), []);
 });
+
+// Guards against a soak that passes because its gateways never served: 60 gateways on a few processors.
+test("a soak that sends less than a fifth of its planned requests fails", () => {
+    assert.deepEqual(checkLoad(0, 10_800).map(({ detail }) => detail), ["0 of 10800 requests were sent"]);
+    assert.equal(checkLoad(2_159, 10_800).length, 1);
+    assert.deepEqual(checkLoad(2_160, 10_800), []);
+});
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -11,6 +11,8 @@
 const maxStall = 1_000;
 /** Milliseconds after a reply in which what had been sent before it may arrive. */
 const onTheWay = 500;
+/** Least share of its planned requests that a soak must send: callers wait while gateways are down or out of rotation. */
+const minSentShare = 0.2;
 /** Requests that may reach a target from one gateway in a rest that it asked for. */
 const allowedInRest = 2;
 /** Requests with a deadly part that may reach targets later than the contact time after the crash with this index. */
@@ -52,6 +54,13 @@
     ];
 }
 
+/** Checks that a soak has put its gateways under load at all. */
+export function checkLoad(calls: number, planned: number): Violation[] {
+    return calls >= planned * minSentShare
+        ? []
+        : [{ check: "load", detail: `${calls} of ${planned} requests were sent` }];
+}
+
 function checkRuns({ calls, runs }: SoakLog): Violation[] {
     const counts = new Map<string, number>();
     for (const { requestId } of runs.filter(({ end }) => end !== "refused")) {
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -2,7 +2,7 @@
 import { findPorts } from "@waxwingspar/proof";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { setTimeout as pause } from "node:timers/promises";
-import { checkSoak, type Violation } from "./checkSoak.js";
+import { checkLoad, checkSoak, type Violation } from "./checkSoak.js";
 import { SoakCaller } from "./SoakCaller.js";
 import { SoakGateway } from "./SoakGateway.js";
 import { SoakLog } from "./SoakLog.js";
@@ -37,6 +37,8 @@
 const plainTargets = 3;
 const portsPerGateway = 3;
 const callersPerGateway = 3;
+/** Requests per second of a caller that is always answered, with its pauses. */
+const plannedRate = 5;
 const crowdSize = 30;
 /** Bounds of the milliseconds between two disturbances, of a process's pause and of a fault of the store. */
 const interval = { least: 500, most: 3_000 };
@@ -115,12 +117,18 @@
             calls: calls.length,
             served: calls.filter(({ status, isComplete }) => status === success && isComplete).length,
             refused: calls.filter(({ status }) => status === refusal).length,
-            violations: checkSoak(this.log, this.targets.limited),
+            violations: [...checkSoak(this.log, this.targets.limited), ...checkLoad(calls.length, this.plannedCalls)],
             events,
             longestStall: Math.round(longestStall),
         };
     }
 
+    /** Requests that the callers make if each of them is answered. */
+    private get plannedCalls(): number {
+        const { gateways = 4, seconds = 30 } = this.options;
+        return gateways * callersPerGateway * seconds * plannedRate;
+    }
+
     async start(): Promise<void> {
         await this.store.start();
         this.store.put("op", "config", testConfiguration(this.version));
@@ -189,6 +197,7 @@
             () => this.publishSeries(),
             () => this.narrowStore(),
             () => this.targets.failLink(pause),
+            () => this.targets.flood(pause),
             () => gateway?.failStoreLink(this.random, pause),
         ];
         await this.pick(actions)?.();
