A run is judged by its progress after its events have been forwarded

Cause: a late run could be ended before the events without ids that the same bytes had brought were forwarded; an answer without trailing blocks ended with an empty write, which counted as its first byte when it had no event. Change: ChainAttempt judges the progress in one place, after the run has taken the bytes; nothing is written for no bytes.

--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -19,7 +19,7 @@
     onFailure(attempt: ChainAttempt, failure: ExchangeFailure): void;
     /**
      * Called when no event has arrived within a multiple of the route's latency target, or when bytes have been arriving
-     * for some time without an event that the caller lacks.
+     * for some time without a further event.
      */
     onLateEvent(attempt: ChainAttempt, reason: string): void;
 }
@@ -59,6 +59,8 @@
     private readonly expected: number | undefined;
     private readonly splitter = new EventSplitter();
     private readonly progress: EventProgress;
+    /** Whether the bytes that arrived last show that a further event is late. */
+    private isLate = false;
     private readonly firstEventTimer: Timer;
     private firstEventTime: number | undefined;
     private lastEventTime: number | undefined;
@@ -85,7 +87,7 @@
                 },
                 onData: chunk => {
                     listener.onData(this, chunk);
-                    this.endFlood();
+                    this.judgeProgress();
                 },
                 onEnd: () => listener.onEnd(this),
                 onFailure: failure => listener.onFailure(this, failure),
@@ -145,16 +147,17 @@
 
     /** Parses bytes of the reply. @returns The events that they complete and that the caller lacks. */
     take(chunk: Buffer): StreamEvent[] {
-        const { delivered, listener } = this.options;
+        const { delivered } = this.options;
         const events = this.splitter.push(chunk);
         if (events.length > 0) {
             this.noteEvents();
         }
-        const newEvents = events.filter(event => delivered.isNew(event));
-        if (this.progress.receive({ bytes: this.exchange.bytesRead, rest: this.splitter.heldBytes, events })) {
-            listener.onLateEvent(this, "bytes without a further event");
-        }
-        return newEvents;
+        this.isLate = this.progress.receive({
+            bytes: this.exchange.bytesRead,
+            rest: this.splitter.heldBytes,
+            events,
+        });
+        return events.filter(event => delivered.isNew(event));
     }
 
     /** Removes and returns what an answer that has ended brought after its last event. */
@@ -187,11 +190,18 @@
         context.observation.metrics.sends.add({ result: "stream" });
     }
 
-    /** Ends a run that brings bytes without end, whose events have been forwarded. */
-    private endFlood(): void {
-        if (!this.isClosed && this.progress.isExceeded) {
+    /** Ends or suspects a run that brings bytes without further events, once those that it brought are forwarded. */
+    private judgeProgress(): void {
+        const { listener } = this.options;
+        if (this.isClosed) {
+            return;
+        }
+        if (this.progress.isExceeded) {
             const reason = `more than ${maxEventBytes} bytes without a further event`;
-            this.options.listener.onFailure(this, { neverSent: false, isFlood: true, reason });
+            listener.onFailure(this, { neverSent: false, isFlood: true, reason });
+        }
+        else if (this.isLate) {
+            listener.onLateEvent(this, "bytes without a further event");
         }
     }
 
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -290,7 +290,7 @@
     }
 
     private forward(attempt: ChainAttempt, bytes: Buffer): void {
-        if (!this.caller.write(bytes)) {
+        if (bytes.length > 0 && !this.caller.write(bytes)) {
             attempt.pause();
         }
     }
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -81,7 +81,7 @@
     private kept: Buffer[] = [];
     private isAwaitingBurst = false;
     /** Whether a head or data has arrived since the last read. */
-    private hasBroughtUse = false;
+    private hasUsefulInput = false;
     private unusedBytes = 0;
     private readBytes = 0;
     private dataBytes = 0;
@@ -167,7 +167,7 @@
             return;
         }
         this.response = response;
-        this.hasBroughtUse = true;
+        this.hasUsefulInput = true;
         response.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
         response.once("close", () => this.fail("closed"));
         const { listener } = this.options;
@@ -190,7 +190,7 @@
     }
 
     private takeData(chunk: Buffer): void {
-        this.hasBroughtUse = true;
+        this.hasUsefulInput = true;
         this.dataBytes += chunk.length;
         this.kept.push(chunk);
         if (!this.isParsing && this.kept.length === 1) {
@@ -205,8 +205,8 @@
         this.readBytes += bytes;
         this.deliverUnlessAccepting();
         const waiting = this.response?.readableLength ?? 0;
-        this.unusedBytes = this.hasBroughtUse || waiting > 0 ? 0 : this.unusedBytes + bytes;
-        this.hasBroughtUse = false;
+        this.unusedBytes = this.hasUsefulInput || waiting > 0 ? 0 : this.unusedBytes + bytes;
+        this.hasUsefulInput = false;
         const data = this.dataBytes + waiting;
         if (this.unusedBytes > maxUnusedBytes) {
             this.fail(`${this.unusedBytes} bytes without a head or data`, true);
