--- a/packages/proof/src/lib/site/SiteProcess.ts
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -13,13 +13,17 @@
     readonly readyUrl?: string;
     /** Variables beside those of this process. */
     readonly environment?: Readonly<Record<string, string>>;
+    /** Maximum megabytes of the JavaScript heap. */
+    readonly heapMegabytes?: number;
+    /** Maximum number of open descriptors; by default as many as this process may open. */
+    readonly maxDescriptors?: number;
 }
 
 /** Milliseconds. */
 const readyPollInterval = 50;
 /** Milliseconds. */
 const readyTimeout = 60_000;
-const memoryLimit = "--max-old-space-size=256";
+const defaultHeapMegabytes = 256;
 
 /**
  * One process of the site under test, a child of the driver.
@@ -35,7 +39,10 @@
 
     constructor(private readonly options: SiteProcessOptions) {
         this.name = options.name;
-        this.child = spawn(process.execPath, [memoryLimit, "--enable-source-maps", ...options.command], {
+        const { heapMegabytes = defaultHeapMegabytes } = options;
+        const memoryLimit = `--max-old-space-size=${heapMegabytes}`;
+        const command = [process.execPath, memoryLimit, "--enable-source-maps", ...options.command];
+        this.child = spawn(...limitDescriptors(command, options.maxDescriptors), {
             stdio: ["ignore", "pipe", "pipe"],
             env: { ...process.env, ...options.environment },
         });
@@ -92,6 +99,12 @@
     }
 }
 
+/** @returns A program and its arguments that run a command with a limit on its descriptors. */
+function limitDescriptors(command: readonly string[], limit: number | undefined): [string, string[]] {
+    const [program = "", ...rest] = command;
+    return limit === undefined ? [program, rest] : ["/bin/sh", ["-c", `ulimit -n ${limit}; exec "$0" "$@"`, ...command]];
+}
+
 async function answers(url: string): Promise<boolean> {
     try {
         const response = await fetch(url);
--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -4,6 +4,8 @@
 import { relative, sep } from "node:path";
 
 const maxEntries = 8;
+/** Tests of crowds that misbehave have a line each, which does not count against {@link maxEntries}. */
+const uncountedPrefix = "abuse: ";
 const form = "PACKAGE: TEST | COMMAND | SEED | WHAT WAS SEEN | ISSUE";
 const fieldPatterns = [/^[a-z]+: \S.*$/, /\S/, /^(seeds? \d[\d, ]*|no seed)$/, /\S/, /^\d+$/];
 /** Cases of a review are run by hand, since they build and start the whole gateway. */
@@ -15,8 +17,9 @@
         return [];
     }
     const lines = readFileSync(path, "utf8").split("\n").filter(line => line.trim() !== "");
-    if (lines.length > maxEntries) {
-        throw new Error(`${path} has ${lines.length} lines; ${maxEntries} are allowed`);
+    const counted = lines.filter(line => !line.startsWith(uncountedPrefix)).length;
+    if (counted > maxEntries) {
+        throw new Error(`${path} has ${counted} lines; ${maxEntries} are allowed`);
     }
     const tests = lines.map(line => {
         const fields = line.split(" | ");
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -21,7 +21,7 @@
 }
 
 /** Runs test files and collects the outcome of each test. The status is null if the runner was ended by a signal. */
-function runTests(files, options = []) {
+function runTests(files, options) {
     const folder = mkdtempSync(join(tmpdir(), "waxwingspar-tests-"));
     const outcomeFile = join(folder, "outcomes");
     const reporters = [
@@ -30,8 +30,8 @@
         `--test-reporter=${fileURLToPath(new URL("./outcome-reporter.mjs", import.meta.url))}`,
         `--test-reporter-destination=${outcomeFile}`,
     ];
-    const settings = ["--test", "--test-timeout=240000", "--enable-source-maps"];
-    const { status } = spawnSync(process.execPath, [...settings, ...options, ...reporters, ...files], {
+    const settings = ["--test", "--enable-source-maps", ...options];
+    const { status } = spawnSync(process.execPath, [...settings, ...reporters, ...files], {
         stdio: "inherit",
     });
     const text = existsSync(outcomeFile) ? readFileSync(outcomeFile, "utf8") : "";
@@ -56,7 +56,17 @@
     console.error("no test files found; run the build first");
     process.exit(1);
 }
-const { status, outcomes } = runTests(files);
+const timeout = "--test-timeout=240000";
+/** The tests of this package measure memory and descriptors, so they run after all others and one at a time. */
+const apart = join("packages", "abuse");
+const apartOptions = ["--test-timeout=1800000", "--test-concurrency=1"];
+const groups = [
+    { files: files.filter(file => !file.startsWith(apart)), options: [timeout] },
+    { files: files.filter(file => file.startsWith(apart)), options: apartOptions },
+];
+const runs = groups.filter(group => group.files.length > 0).map(group => runTests(group.files, group.options));
+const outcomes = runs.flatMap(run => run.outcomes);
+const status = runs.some(run => run.status === null) ? null : Math.max(...runs.map(run => run.status));
 const { passes, lines } = judgeRun(known, outcomes, packages, status);
 lines.forEach(line => console.log(line));
 
@@ -68,13 +78,16 @@
     const names = known.map(({ test }) => test.slice(test.indexOf(": ") + 2));
     const escaped = names.map(name => name.replaceAll(/[\\^$.*+?()[\]{}|/]/g, "\\$&"));
     const failed = new Set(outcomes.filter(({ passed }) => !passed).map(({ file }) => moduleOf(file)));
-    const suspects = files.filter(file => failed.has(moduleOf(file)));
     // The runner also selects a test whose parent matches, and the parent of all tests of a file is named "<root>".
-    const rest = runTests(suspects, [`--test-name-pattern=/^(?!(?:${[...escaped, "<root>"].join("|")})$)/`]);
-    if (rest.status !== 0) {
+    const pattern = `--test-name-pattern=/^(?!(?:${[...escaped, "<root>"].join("|")})$)/`;
+    const rests = groups.map(group => ({ ...group, files: group.files.filter(file => failed.has(moduleOf(file))) }))
+        .filter(group => group.files.length > 0)
+        .map(group => runTests(group.files, [...group.options, pattern]));
+    const pass = rests.every(rest => rest.status === 0);
+    if (!pass) {
         console.log("failed: a file with known red tests fails without them, too");
     }
-    return rest.status === 0;
+    return pass;
 }
 
 process.exit(status !== null && passes && (status === 0 || passesWithoutKnown()) ? 0 : 1);
