connections: servers that count what their clients send and leave unread

Cause: the servers of Node.js parse a whole read at once, count nothing over connections, and answer a malformed or slow second request of a connection while the first one runs, with 400, 408 or 431, which its caller takes for that of the first. Change: a package with a memory budget for all clients of a process (who holds most and moves least is closed, never one whose request runs), an HTTP server on it, and a reader of bodies that counts before it takes. Nothing uses it yet. Result code 1024, memory-used-up. The bytes of a connection are parsed in pieces through the data listener of Node's server, so that a flood of small requests or tiny chunks takes turns. Weighed: a Duplex of our own around each socket is the documented way to feed an HTTP server, but would have to carry timeouts, end of input and write callbacks for every request; the listener is replaced instead, with public calls only.

--- /dev/null
+++ b/packages/connections/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Servers that count what their clients send and leave unread, and bound it.
+ *
+ * @packageDocumentation
+ */
+export { createSideServer, type SideServerOptions } from "./lib/createSideServer.js";
+export { GuardedServer, type GuardedServerOptions, type GuardReason, type GuardRefusal } from "./lib/GuardedServer.js";
+export { type GuardCounts, GuardRecord, type GuardRecordOptions } from "./lib/GuardRecord.js";
+export { Holding, type HoldingOptions, MemoryBudget, type MemoryBudgetOptions } from "./lib/MemoryBudget.js";
+export { type ClientLimits, clientLimits, type ProcessLimits } from "./lib/processLimits.js";
+export { type BodyOptions, readBody } from "./lib/readBody.js";
--- /dev/null
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -0,0 +1,316 @@
+import { type Clock } from "@waxwingspar/utils";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
+import { type Holding, type MemoryBudget } from "./MemoryBudget.js";
+import { type ReadTurns } from "./ReadTurns.js";
+
+/** Passes received bytes to the HTTP parser. */
+type Parse = (chunk: Buffer) => void;
+
+/** Options of {@link GuardedConnection}. */
+export interface GuardedConnectionOptions {
+    readonly socket: Socket;
+    readonly clock: Pick<Clock, "now">;
+    readonly budget: MemoryBudget;
+    readonly turns: ReadTurns;
+    /** Maximum number of requests that run at a time. */
+    readonly maxRunning: number;
+    /** Called when the connection is closed to make room for others, before its socket is destroyed. */
+    readonly onEvicted: (connection: GuardedConnection) => void;
+}
+
+/** Memory in bytes that a connection takes by itself: socket, parser, timers. */
+const connectionBytes = 16_384;
+/** Memory in bytes that a parsed request takes beside its head: request, response, their listeners. */
+const requestBytes = 4_096;
+/** Memory of a character of a parsed head, in its strings and in the arrays that refer to them. */
+const bytesPerHeadCharacter = 2;
+/** Bytes of answers that may wait for a client without being counted beyond {@link connectionBytes}. */
+const uncountedAnswerBytes = 16_384;
+/** Bytes that are parsed at once: of heads, so that few requests are parsed beyond the limit, and of bodies. */
+const sliceBytes = { head: 1_024, body: 16_384 };
+/**
+ * Bytes of a body that are read and dropped after its request was refused, so that a client that goes on sending gets to
+ * read the refusal before its connection is closed.
+ */
+const maxDiscarded = 1_048_576;
+/** Bytes of a read that are parsed immediately; the rest takes turns with that of other connections. */
+const immediateBytes = 16_384;
+
+/**
+ * A connection whose received and unread bytes are counted. It parses what it receives in small pieces, and no further
+ * while it has as many requests in progress as it may have.
+ *
+ * @internal
+ */
+export class GuardedConnection {
+    readonly socket: Socket;
+    readonly holding: Holding;
+    private readonly parse: Parse;
+    /** Received bytes that wait to be parsed. */
+    private readonly unparsed: Buffer[] = [];
+    /** Responses that have not ended, with the memory that is counted for their requests. */
+    private readonly open = new Map<ServerResponse, number>();
+    /** Requests that have been parsed and wait for those before them. */
+    private readonly waiting: (() => void)[] = [];
+    /** The request that was parsed last. */
+    private current: IncomingMessage | undefined;
+    /** What further parsing waits for. Only while the socket flows does a pause show that Node.js wants one. */
+    private waitsFor: "nothing" | "resume" | "answers" | "turn" = "nothing";
+    private headBytes = 0;
+    private answerBytes = 0;
+    /** Bytes of answers that the operating system had taken when this was last looked at. */
+    private taken = 0;
+    /** Time on the clock at which that number last grew, or no answer waited. */
+    private takenAt: number;
+    /** Bytes of a body that were read after its request was answered. */
+    private discarded = 0;
+    private isOver = false;
+
+    constructor(private readonly options: GuardedConnectionOptions) {
+        const { socket, budget } = options;
+        this.socket = socket;
+        this.takenAt = options.clock.now();
+        this.holding = budget.open({ isClientDue: () => this.isClientDue, close: () => this.evict() });
+        this.parse = this.takeParser();
+        socket.on("resume", () => this.handleResume());
+        socket.on("drain", () => this.updateAnswers());
+        socket.once("close", () => this.end());
+        if (!this.reserve(connectionBytes)) {
+            this.evict();
+        }
+    }
+
+    /** Whether the next move is the client's: to send the rest of a request or a new one, or to read an answer. */
+    get isClientDue(): boolean {
+        return this.open.size === 0 || this.current?.complete === false || this.socket.writableLength > 0;
+    }
+
+    /** Whether a refusal can only be taken for the answer to a request that has not been read whole. */
+    get mayRefuse(): boolean {
+        const [response] = this.open.keys();
+        const isSole = this.open.size === 1 && this.current?.complete === false && response?.headersSent === false;
+        return (isSole || this.open.size === 0) && this.socket.writable && this.socket.writableLength === 0;
+    }
+
+    /** The response to the request that is being read, if a refusal can be its answer. */
+    get refusableResponse(): ServerResponse | undefined {
+        const [response] = this.open.keys();
+        return this.mayRefuse ? response : undefined;
+    }
+
+    /** Counts memory for the connection. @returns False if there is no room; nothing was counted then. */
+    reserve(bytes: number): boolean {
+        return !this.isOver && this.options.budget.reserve(this.holding, bytes);
+    }
+
+    release(bytes: number): void {
+        this.options.budget.release(this.holding, bytes);
+    }
+
+    /** Counts a parsed request until its response closes. @returns False if there is no room for it. */
+    openRequest(incoming: IncomingMessage, response: ServerResponse): boolean {
+        const characters = incoming.rawHeaders.reduce((sum, text) => sum + text.length, incoming.url?.length ?? 0);
+        const bytes = requestBytes + bytesPerHeadCharacter * characters;
+        this.release(this.headBytes);
+        this.headBytes = 0;
+        this.discarded = 0;
+        const hasRoom = this.reserve(bytes);
+        this.current = incoming;
+        this.open.set(response, hasRoom ? bytes : 0);
+        incoming.once("end", () => this.holding.noteProgress());
+        response.once("close", () => this.closeRequest(response));
+        return hasRoom;
+    }
+
+    /** Runs the request that was opened last, when as many of those before it have ended as may run at a time. */
+    runInTurn(run: () => void): void {
+        if (this.open.size <= this.options.maxRunning) {
+            run();
+        }
+        else {
+            this.waiting.push(run);
+        }
+    }
+
+    /** Counts the answers that wait to be written, and what the client has taken of them since this was last called. */
+    updateAnswers(): void {
+        const { socket, holding, options: { budget, clock } } = this;
+        const taken = socket.bytesWritten - socket.writableLength;
+        if (taken > this.taken || socket.writableLength === 0) {
+            holding.move(taken - this.taken);
+            this.taken = taken;
+            this.takenAt = clock.now();
+        }
+        let waiting = 0;
+        for (const response of this.open.keys()) {
+            waiting += response.writableLength;
+        }
+        const counted = Math.max(0, waiting - uncountedAnswerBytes);
+        const change = counted - this.answerBytes;
+        this.answerBytes = counted;
+        if (change > 0) {
+            budget.add(holding, change);
+        }
+        else if (change < 0) {
+            budget.release(holding, -change);
+        }
+    }
+
+    /** Whether what it has received waits for its own answers, or for those of others. */
+    get isHeld(): boolean {
+        return this.waitsFor !== "nothing";
+    }
+
+    /** Whether the client has taken nothing of a waiting answer since a time on the clock. */
+    isUnreadSince(time: number): boolean {
+        return this.socket.writableLength > 0 && this.takenAt < time;
+    }
+
+    /** Closes the connection when what has been written is sent, and reads nothing more from it. */
+    close(): void {
+        this.end();
+        // The parser may be at work, so the socket is not destroyed at once.
+        this.socket.destroySoon();
+    }
+
+    /** Parses more of what has been received, when it is this connection's turn. */
+    readOn(): void {
+        if (this.waitsFor === "turn") {
+            this.waitsFor = "resume";
+            this.socket.resume();
+        }
+    }
+
+    /** Takes the place of the listener with which Node.js parses what it reads. */
+    private takeParser(): Parse {
+        const { socket } = this.options;
+        const [parse] = socket.listeners("data") as Parse[];
+        if (parse === undefined) {
+            throw new Error("expected a connection of an HTTP server, got one without a parser");
+        }
+        socket.removeListener("data", parse);
+        socket.on("data", (chunk: Buffer) => this.receive(chunk));
+        return parse;
+    }
+
+    private receive(chunk: Buffer): void {
+        if (this.isOver) {
+            return;
+        }
+        this.holding.move(chunk.length);
+        if (!this.reserve(chunk.length)) {
+            this.evict();
+            return;
+        }
+        this.unparsed.push(chunk);
+        if (this.waitsFor === "nothing") {
+            this.parseUnread();
+        }
+        else {
+            this.socket.pause();
+        }
+    }
+
+    /** Node.js resumes a connection that it had paused, and also one that is paused here, which then stays paused. */
+    private handleResume(): void {
+        if (this.socket.isPaused()) {
+            return;
+        }
+        if (this.waitsFor === "resume") {
+            this.waitsFor = "nothing";
+            this.parseUnread();
+        }
+        else if (this.waitsFor !== "nothing") {
+            this.socket.pause();
+        }
+    }
+
+    private parseUnread(): void {
+        const { socket } = this;
+        for (let parsed = 0; this.unparsed.length > 0 && !this.isOver && !socket.destroyed;) {
+            if (!this.mayParse) {
+                this.waitsFor = "answers";
+                socket.pause();
+                return;
+            }
+            if (parsed >= immediateBytes) {
+                this.waitForTurn();
+                return;
+            }
+            parsed += this.parseSlice();
+            if (socket.isPaused()) {
+                this.waitsFor = "resume";
+                return;
+            }
+        }
+    }
+
+    /** Whether the rest of a request or a further one may be parsed. */
+    private get mayParse(): boolean {
+        return this.open.size < this.options.maxRunning || this.current?.complete === false;
+    }
+
+    private parseSlice(): number {
+        const [chunk = empty] = this.unparsed;
+        const isInBody = this.current?.complete === false;
+        const length = Math.min(chunk.length, isInBody ? sliceBytes.body : sliceBytes.head);
+        if (length === chunk.length) {
+            this.unparsed.shift();
+        }
+        else {
+            this.unparsed[0] = chunk.subarray(length);
+        }
+        if (isInBody) {
+            this.release(length);
+            this.discarded += this.open.size === 0 ? length : 0;
+        }
+        else {
+            this.headBytes += length;
+        }
+        if (this.discarded > maxDiscarded) {
+            this.close();
+        }
+        else {
+            this.parse(chunk.subarray(0, length));
+        }
+        return length;
+    }
+
+    private waitForTurn(): void {
+        this.waitsFor = "turn";
+        this.socket.pause();
+        this.options.turns.expect(this);
+    }
+
+    private closeRequest(response: ServerResponse): void {
+        const bytes = this.open.get(response) ?? 0;
+        this.open.delete(response);
+        this.release(bytes);
+        this.holding.noteProgress();
+        this.updateAnswers();
+        if (!this.isOver && !this.socket.destroyed) {
+            this.waiting.shift()?.();
+        }
+        if (this.waitsFor === "answers" && this.mayParse) {
+            this.waitForTurn();
+        }
+    }
+
+    private evict(): void {
+        if (!this.isOver) {
+            this.options.onEvicted(this);
+            this.close();
+        }
+    }
+
+    private end(): void {
+        this.isOver = true;
+        this.unparsed.length = 0;
+        this.waiting.length = 0;
+        this.options.turns.forget(this);
+        this.options.budget.close(this.holding);
+    }
+}
+
+const empty = Buffer.alloc(0);
--- a/packages/utils/src/lib/resultCodes/requestCodes.ts
+++ b/packages/utils/src/lib/resultCodes/requestCodes.ts
@@ -182,6 +182,14 @@
         retry: "later",
         summary: "The process that read the request is short of processor time and cannot begin it in time.",
     },
+    memoryUsedUp: {
+        number: 1024,
+        name: "memory-used-up",
+        execution: "not run",
+        status: 503,
+        retry: "later",
+        summary: "The process that was to read the request has no memory left for it.",
+    },
     stageLost: {
         number: 2000,
         name: "stage-lost",
