A gateway counts the bodies of all its callers before it holds them

Callers saw: a gateway that ended, or was killed by the platform, while a few dozen clients sent bodies and stopped short of their end; with it went every answer in progress. Cause: each body was limited, not their sum; an announced length was not looked at; a body in chunks took up to twice its bytes and, while it grew, three times; nobody ended a body that stood still. Change: one budget for what all clients occupy, a fifth of the machine's memory. An announced body is refused before it is read, also before 100 Continue; others reserve their bytes first. When the budget is used up, the connection that holds the most for the longest time without progress is refused as not run (1024), which is true since its body is incomplete. A whole request must arrive within 60 s. Log lines of refusals that need no key are limited to a hundred a second, further ones counted; clients turned away get one line a second. MaxHeaderBytes is applied instead of 64 KB. Why it works: nothing is held that was not counted, and what a client leaves undone is closed first.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -33,6 +33,7 @@
 import { TargetRests } from "./rests/TargetRests.js";
 import { AcceptBursts } from "./server/AcceptBursts.js";
 import { type CallerServer } from "./server/CallerServer.js";
+import { ClientGuard } from "./server/ClientGuard.js";
 import { type OverloadControl } from "./server/OverloadControl.js";
 import { ReadinessServer } from "./server/ReadinessServer.js";
 import { ServiceTable } from "./services/ServiceTable.js";
@@ -95,6 +96,7 @@
         const { settings, clock, logs, registry, random, isOn = allMechanismsOn } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
         const { eras, observation } = this;
+        const guard = new ClientGuard({ clock, settings, observation });
         this.loop = new LoopMonitor({ clock, metrics: observation.metrics, onTick: () => this.overload.adjust() });
         const observed = new ObservedStore({ store: options.store, clock, observation });
         const store = this.store = new EraStore({ store: observed, eras, observation });
@@ -206,6 +208,7 @@
             startQueue: this.startQueue,
             observation,
             group: () => ({ members: this.peers.others.members, overloaded: this.peers.others.overloaded ?? 0 }),
+            guard,
             address: settings.callers,
             listening: options.callerListener,
             refusesNewRequests: () => this.refusesNewRequests,
--- a/packages/gateway/src/lib/GatewaySettings.ts
+++ b/packages/gateway/src/lib/GatewaySettings.ts
@@ -17,6 +17,9 @@
     /** Address that the load balancer probes for readiness. */
     readonly readiness: Address;
     readonly store: Address;
+    /** Megabytes of memory and number of sockets that the process may use; undefined if the platform sets no bound. */
+    readonly maxMemory: number | undefined;
+    readonly maxSockets: number | undefined;
     /**
      * Time without faults after which the platform's guarantees apply to this process, including that it knows of every
      * target that was removed.
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -56,6 +56,8 @@
     readonly loopUtilization: Gauge;
     readonly connections: Counter;
     readonly concurrencyLimit: Gauge;
+    readonly guardedClients: Counter;
+    readonly clientMemory: Gauge;
     readonly callersLeft: Counter;
     readonly requestAge: Histogram;
 
@@ -216,6 +218,14 @@
             name: "waxwingspar_gateway_concurrency_limit",
             help: "Maximum number of requests in progress that this process's processor can carry.",
         });
+        this.guardedClients = registry.counter({
+            name: "waxwingspar_gateway_guarded_clients_total",
+            help: "Connections closed and requests refused unread because of what their client sent or left unread, by reason.",
+        });
+        this.clientMemory = registry.gauge({
+            name: "waxwingspar_gateway_client_memory_bytes",
+            help: "Memory that is counted for what clients have sent or left unread.",
+        });
         this.requestAge = registry.histogram({
             name: "waxwingspar_gateway_request_age_seconds",
             help: "From a request's estimated arrival until it was begun.",
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -1,4 +1,6 @@
+import { type GuardReason } from "@waxwingspar/connections";
 import { type Clock, type Random, requestCodes, type ResultCode } from "@waxwingspar/utils";
+import { type ServerResponse } from "node:http";
 import { type Route } from "../configuration/Configuration.js";
 import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
 import { type ConfigurationLag } from "../configuration/ConfigurationLag.js";
@@ -7,6 +9,7 @@
 import { type SendPermits } from "../limits/SendPermits.js";
 import { type TargetLimits } from "../limits/TargetLimits.js";
 import { type Mechanism, type MechanismSwitch } from "../Mechanisms.js";
+import { LineLimit } from "../observation/LineLimit.js";
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
 import { type TargetReplies } from "../replies/TargetReplies.js";
@@ -63,6 +66,13 @@
  * retry; the spread keeps those refused together from returning together.
  */
 const overloadRetryAfter = { least: 100, most: 400 };
+/** Refusals that a client without a key can cause as often as it likes, so that their log lines are limited. */
+const unprovenCodes: ReadonlySet<ResultCode> = new Set([
+    requestCodes.noSuchRoute,
+    requestCodes.unauthenticated,
+    requestCodes.tooLarge,
+    requestCodes.memoryUsedUp,
+]);
 /**
  * Maximum milliseconds since the last confirmation of the configuration at which unknown routes and keys are denied.
  * With an older one, a newer configuration may contain them. The time covers two waits for changes and their replies.
@@ -77,9 +87,11 @@
 /** Routes and authenticates each request by the configuration in force and starts the run for its service. */
 export class RequestRouter {
     private readonly link: CallerLinkMonitor;
+    private readonly refusalLines: LineLimit;
 
     constructor(private readonly options: RequestRouterOptions) {
         this.link = new CallerLinkMonitor(options);
+        this.refusalLines = new LineLimit({ clock: options.clock, logger: options.observation.logs.requests });
     }
 
     /**
@@ -94,12 +106,26 @@
     /** Refuses a request that this process cannot begin in time, because it is short of processor time. */
     refuseOverloaded({ incoming, response }: ReceivedRequest, waited: number): void {
         const request = this.options.wire.readCallerRequest(incoming.headers);
-        const { least, most } = overloadRetryAfter;
-        const retryAfter = least + this.options.random.next() * (most - least);
+        const retryAfter = this.drawOverloadRetryAfter();
         this.logRefusal(request, requestCodes.processOverloaded, "not begun in time", waited);
         writeRefusal(response, requestCodes.processOverloaded, "this process is short of processor time", retryAfter);
     }
 
+    private drawOverloadRetryAfter(): number {
+        const { least, most } = overloadRetryAfter;
+        return least + this.options.random.next() * (most - least);
+    }
+
+    /** Refuses a request whose body has not been read completely. */
+    refuseUnread(response: ServerResponse, reason: GuardReason): void {
+        const request = this.options.wire.readCallerRequest(response.req.headers);
+        const isTooLarge = reason === "tooLarge";
+        const code = isTooLarge ? requestCodes.tooLarge : requestCodes.memoryUsedUp;
+        const message = isTooLarge ? "the body is too large" : "this process has no memory left for the request";
+        this.logRefusal(request, code, message);
+        writeRefusal(response, code, message, isTooLarge ? undefined : this.drawOverloadRetryAfter());
+    }
+
     /** Records a request that was not begun because its caller had left. */
     noteLeft({ incoming }: ReceivedRequest): void {
         const { observation, loop, wire } = this.options;
@@ -243,6 +269,9 @@
     private logRefusal(request: CallerRequest, code: ResultCode, reason: string, waited?: number): void {
         const { configuration, observation, loop } = this.options;
         observation.metrics.refusals.add({ code: `${code.number}` });
+        if (unprovenCodes.has(code) && !this.refusalLines.take()) {
+            return;
+        }
         observation.logs.requests.info({
             request: request.id,
             configuration: configuration.current?.version,
--- a/packages/gateway/src/lib/requests/createCallerServer.ts
+++ b/packages/gateway/src/lib/requests/createCallerServer.ts
@@ -1,9 +1,9 @@
-import { requestCodes } from "@waxwingspar/utils";
+import { type Clock } from "@waxwingspar/utils";
 import { type Observation } from "../observation/Observation.js";
 import { type AcceptBursts } from "../server/AcceptBursts.js";
 import { CallerServer, type CallerServerOptions } from "../server/CallerServer.js";
+import { type ClientGuard } from "../server/ClientGuard.js";
 import { OverloadControl, type OverloadControlOptions } from "../server/OverloadControl.js";
-import { writeRefusal } from "./CallerExchange.js";
 import { type RequestRouter } from "./RequestRouter.js";
 import { type StartQueue } from "./StartQueue.js";
 
@@ -11,7 +11,9 @@
 export interface CallerServerCreation
     extends
         Pick<CallerServerOptions, "address" | "listening" | "maxBodyBytes">,
-        Pick<OverloadControlOptions, "clock" | "isOn" | "group"> {
+        Pick<OverloadControlOptions, "isOn" | "group"> {
+    readonly clock: Clock;
+    readonly guard: ClientGuard;
     readonly loop: CallerServerOptions["loop"] & OverloadControlOptions["loop"];
     readonly bursts: AcceptBursts;
     readonly router: RequestRouter;
@@ -26,11 +28,13 @@
     readonly callers: CallerServer;
     readonly overload: OverloadControl;
 } {
-    const { clock, loop, address, listening, maxBodyBytes, isOn, group, bursts, router, startQueue } = options;
+    const { clock, loop, guard, address, listening, maxBodyBytes, isOn, group, bursts, router, startQueue } = options;
     const { logs, metrics } = options.observation;
     const callers: CallerServer = new CallerServer({
         clock,
         loop,
+        budget: guard.budget,
+        maxConnections: guard.limits.connections,
         address,
         listening,
         maxBodyBytes,
@@ -57,7 +61,8 @@
                 router.refuseOverloaded(request, 0);
             }
         },
-        onTooLarge: response => writeRefusal(response, requestCodes.tooLarge, "the body is too large"),
+        onRefused: (response, reason) => router.refuseUnread(response, reason),
+        onGuarded: reason => guard.note(reason),
     });
     const overload = new OverloadControl({ clock, loop, callers, group, isOn, metrics, logger: logs.process });
     return { callers, overload };
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,5 +1,6 @@
-import { ByteAccumulator, type Clock } from "@waxwingspar/utils";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { GuardedServer, type GuardReason, type MemoryBudget, readBody } from "@waxwingspar/connections";
+import { type Clock } from "@waxwingspar/utils";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
 import { type Address } from "../GatewaySettings.js";
@@ -22,7 +23,11 @@
 
 /** Options of {@link CallerServer}. */
 export interface CallerServerOptions {
-    readonly clock: Pick<Clock, "now">;
+    readonly clock: Clock;
+    /** What all clients of this process may occupy together. */
+    readonly budget: MemoryBudget;
+    /** Maximum number of connections; each has one request in progress at a time. */
+    readonly maxConnections: number;
     readonly loop: Pick<LoopMonitor, "inputAge">;
     readonly address: Address;
     /** A server that already listens at the address, whose connections this one takes over. */
@@ -38,13 +43,18 @@
     /** Called when the server cannot listen again; it tries further. */
     readonly onListenError?: (error: Error) => void;
     readonly onRequest: (request: ReceivedRequest) => void;
-    readonly onTooLarge: (response: ServerResponse) => void;
+    /** Refuses a request that has not run: its body is too large or too slow, or there is no room for it. */
+    readonly onRefused: (response: ServerResponse, reason: GuardReason) => void;
+    /** Called for each connection that is closed, and each request that is refused, because of what its client does. */
+    readonly onGuarded: (reason: GuardReason) => void;
     /** Largest request body in bytes; undefined before a configuration sets a limit. */
     readonly maxBodyBytes: () => number | undefined;
 }
 
-/** Bytes of headers above which Node refuses a request with status 431. Operators set lower limits. */
-const maxHeaderBytes = 65_536;
+/** Bytes of headers above which a request is refused with status 431 before a configuration sets a limit. */
+const defaultHeaderLimit = 65_536;
+/** Milliseconds in which a whole request must arrive: a multiple of what callers wait for their answers. */
+const requestTimeout = 60_000;
 /**
  * Milliseconds that an idle connection is kept beyond the configured idle timeout. Callers reuse connections that have
  * been idle for up to four fifths of the timeout.
@@ -81,9 +91,23 @@
     private open = 0;
 
     constructor(private readonly options: CallerServerOptions) {
-        const settings = { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: checkInterval };
-        this.server = createServer(settings, (incoming, response) => this.receive(incoming, response));
-        this.server.requestTimeout = 0;
+        const { clock, budget, maxConnections, onRefused, onGuarded, maxBodyBytes } = options;
+        this.server = new GuardedServer({
+            clock,
+            budget,
+            maxConnections,
+            maxRunning: Infinity,
+            maxBodyBytes: () => maxBodyBytes() ?? defaultBodyLimit,
+            onRequest: (incoming, response) => this.receive(incoming, response),
+            refuse: onRefused,
+            onGuarded,
+            server: {
+                maxHeaderSize: defaultHeaderLimit,
+                noDelay: true,
+                connectionsCheckingInterval: checkInterval,
+                requestTimeout,
+            },
+        }).http;
         this.server.on("connection", (socket: Socket) => {
             this.watchEnd(socket);
             this.unread.add(socket);
@@ -166,7 +190,9 @@
     }
 
     /** Applies the operators' timeouts for callers. */
-    applyLimits({ headerTimeout, idleTimeout }: CallerLimits): void {
+    applyLimits({ headerTimeout, idleTimeout, headerBytes }: CallerLimits): void {
+        // Read by Node.js for each new connection.
+        Object.assign(this.server, { maxHeaderSize: headerBytes });
         this.server.headersTimeout = headerTimeout;
         this.server.keepAliveTimeout = idleTimeout + idleSlack;
     }
@@ -219,32 +245,19 @@
         if (this.isStopping) {
             response.shouldKeepAlive = false;
         }
-        const received = new ByteAccumulator();
-        let bytes = 0;
-        let isRefused = false;
-        incoming.on("error", () => response.destroy());
-        incoming.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (isRefused) {
-                return;
-            }
-            if (bytes > (this.options.maxBodyBytes() ?? defaultBodyLimit)) {
-                isRefused = true;
-                response.shouldKeepAlive = false;
-                this.options.onTooLarge(response);
-                return;
-            }
-            received.add(chunk);
-        });
-        incoming.once("end", () => {
-            if (!isRefused && incoming.complete && !presence.hasLeft) {
-                const body = hasBody(incoming) ? received.take() : undefined;
-                this.options.onRequest({ incoming, response, body, presence, readAt, maxUnread, isFirst });
-            }
+        const { maxBodyBytes, onRequest, onRefused, onGuarded } = this.options;
+        readBody(incoming, {
+            maxBytes: maxBodyBytes() ?? defaultBodyLimit,
+            whenOver: callback => response.once("close", callback),
+            onBody: body => {
+                if (!presence.hasLeft) {
+                    onRequest({ incoming, response, body, presence, readAt, maxUnread, isFirst });
+                }
+            },
+            onRefused: reason => {
+                onGuarded(reason);
+                onRefused(response, reason);
+            },
         });
     }
 }
-
-function hasBody({ headers }: IncomingMessage): boolean {
-    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-}
