One request of a connection runs at a time, and those sent ahead are not parsed

Callers saw: a gateway that aborted with its heap used up while sixty clients sent requests of 29 bytes ahead and read nothing. Cause: Node.js parses a whole read, 2,000 such requests, before it looks at what waits to be written; each got its objects, its refusal and, on known paths, a send to a target at once, so that one client could also take all slots and descriptors.

--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -96,7 +96,6 @@
             clock,
             budget,
             maxConnections,
-            maxRunning: Infinity,
             maxBodyBytes: () => maxBodyBytes() ?? defaultBodyLimit,
             onRequest: (incoming, response) => this.receive(incoming, response),
             refuse: onRefused,
