The gateway's ports for probes, metrics and peers are bounded like that for callers

Callers saw: a gateway out of rotation, or ended with SIGABRT, because of clients that nobody let in: its ports for probes, metrics and copies are reachable without a key. Cause: plain servers of Node.js: any number of connections, requests parsed ahead without limit, heads within a minute. A refusal to an unknown host is logged at most a hundred times a second.

--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -1,9 +1,9 @@
 import {
-    type Address,
     Gateway,
     LogDestination,
     type Logs,
     MetricsServer,
+    type MetricsServerOptions,
     parseDisabledMechanisms,
 } from "@waxwingspar/gateway";
 import {
@@ -73,7 +73,7 @@
     process.on("uncaughtException", error => logs.process.error({ error: error.stack }, "uncaught exception"));
     await startOrStop(gateway);
     if (options.metricsPort !== undefined) {
-        await startMetrics({ host: anyAddress, port: options.metricsPort }, registry, logs);
+        await startMetrics({ clock, address: { host: anyAddress, port: options.metricsPort }, registry }, logs);
     }
     const error = await Promise.race([stopped, lost]);
     if (error !== undefined) {
@@ -134,12 +134,12 @@
     }
 }
 
-async function startMetrics(address: Address, registry: MetricRegistry, logs: Logs): Promise<void> {
+async function startMetrics(options: MetricsServerOptions, logs: Logs): Promise<void> {
     try {
-        await new MetricsServer(address, registry).start();
+        await new MetricsServer(options).start();
     }
     catch (error) {
-        logs.process.error({ error: String(error), address }, "metrics cannot be served");
+        logs.process.error({ error: String(error), address: options.address }, "metrics cannot be served");
     }
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,7 +38,7 @@
     type TokenCount,
     type WireFormat,
 } from "./lib/requests/messages.js";
-export { MetricsServer } from "./lib/server/MetricsServer.js";
+export { MetricsServer, type MetricsServerOptions } from "./lib/server/MetricsServer.js";
 export { ReplyLimit, type ReplyLimitOptions } from "./lib/store/ReplyLimit.js";
 export {
     type ConditionalWrite,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -214,7 +214,7 @@
             refusesNewRequests: () => this.refusesNewRequests,
             maxBodyBytes: () => this.configuration.current?.limits.bodyBytes,
         }));
-        this.readiness = new ReadinessServer(settings.readiness, () => this.isReady);
+        this.readiness = new ReadinessServer({ clock, address: settings.readiness, isReady: () => this.isReady });
         this.lease = new PlacementLease({
             clock,
             random,
--- a/packages/gateway/src/lib/copies/CopyServer.ts
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -1,10 +1,14 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createSideServer } from "@waxwingspar/connections";
+import { type Clock } from "@waxwingspar/utils";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Logger } from "pino";
 import { type Address } from "../GatewaySettings.js";
+import { LineLimit } from "../observation/LineLimit.js";
 import { encodeTableCopy, type TableCopy } from "./TableCopy.js";
 
 /** Options of {@link CopyServer}. */
 export interface CopyServerOptions {
+    readonly clock: Clock;
     readonly address: Address;
     readonly logger: Logger;
     /** Whether a process at a host may read copies, which contain credentials. */
@@ -26,6 +30,8 @@
 
 /** Transfers at a time: with more, none of them would end before the others on a narrow link. */
 const maxTransfers = 4;
+/** Bytes of all transfers at a time; connections share the bytes of a copy. */
+const maxTransferBytes = 268_435_456;
 /** Milliseconds after which a connection on which nothing moves is closed, so that it does not count as a transfer. */
 const idleTime = 5_000;
 /** Peers that a busy gateway names. */
@@ -44,10 +50,17 @@
 export class CopyServer {
     private readonly server: Server;
     private readonly copies = new Map<string, KeptCopy>();
+    private readonly refusalLines: LineLimit;
     private transfers = 0;
 
     constructor(private readonly options: CopyServerOptions) {
-        this.server = createServer((request, response) => void this.handle(request, response));
+        const { clock, logger } = options;
+        this.refusalLines = new LineLimit({ clock, logger });
+        this.server = createSideServer({
+            clock,
+            maxBytes: maxTransferBytes,
+            onRequest: (request, response) => void this.handle(request, response),
+        });
         this.server.setTimeout(idleTime);
     }
 
@@ -87,7 +100,9 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { remoteAddress = "" } = request.socket;
         if (!this.options.mayRead(remoteAddress)) {
-            this.options.logger.warn({ remoteAddress }, "copy refused to an unknown host");
+            if (this.refusalLines.take()) {
+                this.options.logger.warn({ remoteAddress }, "copy refused to an unknown host");
+            }
             response.writeHead(status.forbidden).end();
             return;
         }
--- a/packages/gateway/src/lib/copies/TableCopies.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.ts
@@ -26,9 +26,9 @@
     private readonly server: CopyServer;
 
     constructor(private readonly options: TableCopiesOptions) {
-        const { clock, random, address, eras, observation } = options;
+        const { clock, random, address, eras, observation, mayRead } = options;
         const own = `${address.host}:${address.port}`;
-        this.server = new CopyServer({ address, logger: observation.logs.peers, mayRead: options.mayRead });
+        this.server = new CopyServer({ clock, address, logger: observation.logs.peers, mayRead });
         this.reader = new CopyReader({
             clock,
             random,
--- a/packages/gateway/src/lib/server/ReadinessServer.ts
+++ b/packages/gateway/src/lib/server/ReadinessServer.ts
@@ -1,7 +1,17 @@
-import { createServer, type Server } from "node:http";
+import { createSideServer } from "@waxwingspar/connections";
+import { type Clock } from "@waxwingspar/utils";
+import { type Server } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type Address } from "../GatewaySettings.js";
 
+/** Options of {@link ReadinessServer}. */
+export interface ReadinessServerOptions {
+    readonly clock: Clock;
+    readonly address: Address;
+    /** Called at each probe. */
+    readonly isReady: () => boolean;
+}
+
 const ready = 200;
 const notReady = 503;
 
@@ -9,11 +19,14 @@
 export class ReadinessServer {
     private readonly server: Server;
 
-    /** @param isReady - Called at each probe. */
-    constructor(private readonly listenAddress: Address, isReady: () => boolean) {
-        this.server = createServer((_request, response) => {
-            response.writeHead(isReady() ? ready : notReady, { "Content-Length": 0 });
-            response.end();
+    constructor(private readonly options: ReadinessServerOptions) {
+        const { clock, isReady } = options;
+        this.server = createSideServer({
+            clock,
+            onRequest: (_request, response) => {
+                response.writeHead(isReady() ? ready : notReady, { "Content-Length": 0 });
+                response.end();
+            },
         });
     }
 
@@ -25,7 +38,8 @@
     start(): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(this.listenAddress.port, this.listenAddress.host, resolve);
+            const { host, port } = this.options.address;
+            this.server.listen(port, host, resolve);
         });
     }
 
