Connections to the port for links that have not shown the key are bounded

Callers saw: nothing yet; found while looking for the class. A server of links allows 20,000 connections, each of which may stall its TLS handshake or its hello for two seconds, more than a usual limit of descriptors. Change: of the connections that a process can bear, a quarter may be open without a proof of the key; then the oldest of them is closed. Frames before the hello were limited to 4 KB already, handshake and hello to two seconds.

--- a/packages/transport/src/lib/tcp/LinkServer.ts
+++ b/packages/transport/src/lib/tcp/LinkServer.ts
@@ -1,3 +1,4 @@
+import { clientLimits } from "@waxwingspar/connections";
 import { type Clock, type Failure, failure, type Outcome, SystemClock, transportCodes } from "@waxwingspar/utils";
 import { createServer, type Server, type Socket } from "node:net";
 import { createServer as createTlsServer } from "node:tls";
@@ -34,6 +35,9 @@
     readonly onRefused?: (reason: Failure) => void;
 }
 
+/** Share of the connections that a process can bear which may be open without a proof of the key. */
+const unprovenShare = 0.25;
+
 /**
  * Accepts links from other processes.
  *
@@ -48,6 +52,9 @@
     private readonly server: Server;
     private readonly links = new Set<BaseLink>();
     private readonly sockets = new Set<Socket>();
+    /** Connections whose peer has not proven that it holds the key, the oldest first. */
+    private readonly unproven = new Map<string, Socket>();
+    private readonly maxUnproven = Math.ceil(clientLimits().connections * unprovenShare);
     private readonly clock: Clock;
     private readonly limits: Required<LinkLimits>;
 
@@ -121,10 +128,21 @@
         socket.setNoDelay(true);
         socket.on("error", () => undefined);
         this.sockets.add(socket);
-        socket.on("close", () => this.sockets.delete(socket));
+        const peer = peerOf(socket);
+        this.unproven.set(peer, socket);
+        const [oldest] = this.unproven.values();
+        if (this.unproven.size > this.maxUnproven) {
+            oldest?.destroy();
+        }
+        socket.on("close", () => {
+            this.sockets.delete(socket);
+            this.unproven.delete(peer);
+        });
     }
 
     private accept(socket: Socket): void {
+        // A TLS connection has another socket than the one that was tracked, with the same peer.
+        const peer = peerOf(socket);
         openLink({
             stream: socket,
             hello: this.options.hello,
@@ -133,6 +151,7 @@
             limits: this.limits,
             onOpen: link => {
                 this.links.add(link);
+                this.unproven.delete(peer);
                 link.onClose(() => this.links.delete(link));
                 this.options.onLink?.(link);
             },
@@ -148,3 +167,7 @@
         this.sockets.forEach(socket => socket.destroy());
     }
 }
+
+function peerOf({ remoteAddress, remotePort }: Socket): string {
+    return `${remoteAddress}:${remotePort}`;
+}
