The own interface counts what its callers send and leave unread

Callers saw: an entry that ended while a hundred clients sent requests ahead, at its port for callers or for operators; and an entry that refused everybody's bodies while hoarders held theirs, for up to 30 s. Bodies were counted, but whoever came when the sum was used up was refused; connections could take all descriptors; the ports for operators were plain servers; a malformed or slow second request was answered while the first one ran. Change: callers' server, operators' endpoint and resource API run on the guarded server; bodies and answers share one budget (maxBodyMemory and maxReplyMemory), and who holds most and moves least goes; connections get three eighths of the descriptors at most. A body of a resource in tiny chunks takes the memory of its bytes. Counter waxwingspar_guarded_callers_total.

--- a/packages/cli/src/lib/daemons/AgentDaemon.ts
+++ b/packages/cli/src/lib/daemons/AgentDaemon.ts
@@ -60,6 +60,7 @@
         processLinks.registerMethods({ ...this.part.methods(), [observeMethodName]: observe });
         processLinks.onLink(link => this.part.membership.recordHello(link.peer));
         this.operators = new OperatorsServer({
+            clock,
             listen: settings.operators,
             registry,
             ready: () => this.part.node.ready && !agent.leaving,
--- a/packages/cli/src/lib/nodes/metrics.ts
+++ b/packages/cli/src/lib/nodes/metrics.ts
@@ -27,6 +27,10 @@
         name: "waxwingspar_recovery_seconds",
         help: "From noticing a loss in mid-stream to the next token.",
     });
+    const guarded = registry.counter({
+        name: "waxwingspar_guarded_callers_total",
+        help: "Connections closed and requests refused unread because of what their caller sent or left unread, by reason.",
+    });
     return {
         requestEnded: (route, code, duration, count) => {
             requests.add({ route, code });
@@ -36,6 +40,7 @@
         firstToken: (route, latency) => firstTokens.record(latency, { route }),
         retried: (route, code) => retries.add({ route, code }),
         recovered: (route, duration) => recoveries.record(duration, { route }),
+        guarded: reason => guarded.add({ reason }),
     };
 }
 
--- a/packages/cli/src/lib/operators/OperatorsServer.ts
+++ b/packages/cli/src/lib/operators/OperatorsServer.ts
@@ -1,7 +1,8 @@
+import { createSideServer } from "@waxwingspar/connections";
 import { type MetricRegistry } from "@waxwingspar/telemetry";
 import { type Address } from "@waxwingspar/transport";
-import { failure, type Outcome, transportCodes } from "@waxwingspar/utils";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Clock, failure, type Outcome, transportCodes } from "@waxwingspar/utils";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { Result } from "true-myth";
 import { createMetricsHandler } from "./createMetricsHandler.js";
@@ -10,15 +11,12 @@
 export interface OperatorsServerOptions {
     /** Where operators connect. */
     readonly listen: Address;
+    readonly clock: Clock;
     readonly registry: MetricRegistry;
     /** Whether the process is ready to serve. */
     readonly ready: () => boolean;
 }
 
-/** Milliseconds within which an operator's request must have arrived completely. */
-const requestTimeout = 30_000;
-const maxHeaderSize = 16_384;
-
 /**
  * The operators' endpoint of a process without the resource API: /metrics, /healthz and /readyz.
  *
@@ -30,8 +28,9 @@
 
     constructor(private readonly options: OperatorsServerOptions) {
         this.sendMetrics = createMetricsHandler(options.registry);
-        this.server = createServer({ requestTimeout, maxHeaderSize }, (request, response) => {
-            this.serve(request, response);
+        this.server = createSideServer({
+            clock: options.clock,
+            onRequest: (request, response) => this.serve(request, response),
         });
     }
 
--- a/packages/config/src/lib/api/ResourceApi.ts
+++ b/packages/config/src/lib/api/ResourceApi.ts
@@ -1,5 +1,6 @@
+import { createSideServer } from "@waxwingspar/connections";
 import { type Clock, failure, type Outcome, platformCodes, requestCodes, transportCodes } from "@waxwingspar/utils";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import { type Kind } from "../resources/Resource.js";
 import { type ResourceStore } from "../store/ResourceStore.js";
@@ -11,10 +12,10 @@
 import { WatchRoute } from "./WatchRoute.js";
 
 const apiVersion = "v1";
-/** Milliseconds within which a complete request must be received. */
-const requestTimeout = 30_000;
-/** The maximum size of the request headers in bytes. */
-const maxHeader = 16_384;
+/** Maximum number of connections, of which each watch needs one. */
+const maxConnections = 256;
+/** Bytes of requests and of answers that have not been read, for all connections together. */
+const maxBytes = 67_108_864;
 
 /** Handles a path outside the API, such as `/metrics`. Such paths require no token. @public */
 export type PlainHandler = (message: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -75,8 +76,11 @@
             "/readyz": (_message, response) => this.readiness(response),
             ...options.handlers,
         };
-        this.server = createServer({ requestTimeout, maxHeaderSize: maxHeader }, (message, response) => {
-            void this.handle(message, response);
+        this.server = createSideServer({
+            clock: options.clock,
+            maxConnections,
+            maxBytes,
+            onRequest: (message, response) => void this.handle(message, response),
         });
     }
 
--- a/packages/config/src/lib/api/readBody.ts
+++ b/packages/config/src/lib/api/readBody.ts
@@ -1,4 +1,4 @@
-import { failure, type Outcome, requestCodes, resourceCodes } from "@waxwingspar/utils";
+import { ByteAccumulator, failure, type Outcome, requestCodes, resourceCodes } from "@waxwingspar/utils";
 import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
 import { type IncomingMessage } from "node:http";
 import { Result } from "true-myth";
@@ -14,21 +14,19 @@
  * @internal
  */
 export async function readBody(message: IncomingMessage): Promise<Outcome<unknown>> {
-    const parts: Buffer[] = [];
-    let size = 0;
+    const body = new ByteAccumulator();
     try {
         for await (const part of message as AsyncIterable<Buffer>) {
-            size += part.length;
-            if (size > maxBody) {
+            if (body.length + part.length > maxBody) {
                 return Result.err(failure(requestCodes.tooLarge, `the request body exceeds ${maxBody} bytes`));
             }
-            parts.push(part);
+            body.add(part);
         }
     }
     catch {
         return Result.err(failure(requestCodes.malformed, "the request ended before its body was complete"));
     }
-    return parseJsonc(Buffer.concat(parts).toString());
+    return parseJsonc(body.take().toString());
 }
 
 /**
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,6 +1,7 @@
 import { ProxyTracerProvider, SpanKind, type Tracer } from "@opentelemetry/api";
 import { type Claims } from "@waxwingspar/claims";
 import { type Configuration } from "@waxwingspar/config";
+import { GuardRecord } from "@waxwingspar/connections";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { createOrganisationLimits, type OrganisationLimits, type RetryBudgets, type Router } from "@waxwingspar/policy";
 import { parentContext } from "@waxwingspar/telemetry";
@@ -11,7 +12,6 @@
 import { limitRefusal } from "./callers/limitRefusal.js";
 import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
 import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
-import { BodyReader } from "./http/BodyReader.js";
 import { CallerServer } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
 import { ReplyMemory } from "./http/ReplyMemory.js";
@@ -102,16 +102,21 @@
             metrics: options.metrics ?? noMetrics,
             limits: this.limits,
             tracer: options.tracer ?? new ProxyTracerProvider().getTracer("waxwingspar.entry"),
-            bodies: new BodyReader(this.limits.maxBodyMemory),
             replies: new ReplyMemory(this.limits.maxReplyBuffer, this.limits.maxReplyMemory),
         };
         this.authenticator = new Authenticator(options);
+        const guarded = new GuardRecord({
+            clock,
+            count: reason => this.services.metrics.guarded(reason),
+            log: reasons => logger.warn({ reasons }, "entry: callers turned away for what they do"),
+        });
         this.server = new CallerServer({
             listen,
             limits: this.limits,
             clock,
             handle: exchange => this.handle(exchange),
             onRefused: ({ code }, duration) => this.services.metrics.requestEnded(noRoute, code.number, duration, 0),
+            onGuarded: reason => guarded.note(reason),
             onUnexpectedError: fault => logger.error({ fault }, "entry: a request handler threw an unexpected error"),
         });
         router.update(routingTargets(configuration));
--- a/packages/entry/src/lib/EntryMetrics.ts
+++ b/packages/entry/src/lib/EntryMetrics.ts
@@ -1,3 +1,5 @@
+import { type GuardReason } from "@waxwingspar/connections";
+
 /**
  * Records the metrics of an entry. Each method is cheap, and none is called per token.
  *
@@ -23,6 +25,8 @@
      * @param duration - Milliseconds from the detection of the loss to the next token.
      */
     recovered(route: string, duration: number): void;
+    /** Records a connection that was closed, or a request that was refused unread, because of what its caller did. */
+    guarded(reason: GuardReason): void;
 }
 
 /** Drops all metrics, for an entry without a collector. @internal */
@@ -31,4 +35,5 @@
     firstToken: () => undefined,
     retried: () => undefined,
     recovered: () => undefined,
+    guarded: () => undefined,
 };
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -1,11 +1,12 @@
+import { clientLimits, GuardedServer, type GuardReason, MemoryBudget } from "@waxwingspar/connections";
 import { type Address } from "@waxwingspar/transport";
 import { type Clock, type Failure, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type Duplex } from "node:stream";
 import { Result } from "true-myth";
 import { type EntryLimits } from "../EntryLimits.js";
-import { errorBody } from "./errorBody.js";
+import { errorBody, retryAfterOf } from "./errorBody.js";
 import { Exchange } from "./Exchange.js";
 
 /** @internal */
@@ -17,12 +18,15 @@
     readonly handle: (exchange: Exchange) => Promise<void>;
     /** Called for a request that was refused before its run began, with the milliseconds since its arrival. */
     readonly onRefused: (cause: Failure, duration: number) => void;
+    /** Called for each connection that is closed and each request that is refused because of what its caller does. */
+    readonly onGuarded: (reason: GuardReason) => void;
     /** Called with an unexpected error of the handler. */
     readonly onUnexpectedError: (fault: unknown) => void;
 }
 
 /** Milliseconds between checks of the connections' time limits. */
 const checkInterval = 500;
+const millisecondsPerSecond = 1_000;
 
 /**
  * The HTTP server for callers. It enforces the limits on headers, time and connections, and answers requests that the
@@ -39,16 +43,42 @@
     constructor(options: CallerServerOptions) {
         const { limits } = options;
         this.options = options;
-        this.server = createServer({
-            maxHeaderSize: limits.maxHeaderBytes,
-            headersTimeout: Math.min(limits.headerTimeout, limits.bodyTimeout),
-            requestTimeout: limits.bodyTimeout,
-            keepAliveTimeout: limits.keepAliveTimeout,
-            connectionsCheckingInterval: checkInterval,
-            noDelay: true,
-        }, (request, response) => this.handleRequest(request, response));
-        this.server.maxConnections = limits.maxConnections;
-        this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket));
+        this.server = new GuardedServer({
+            clock: options.clock,
+            budget: new MemoryBudget({
+                clock: options.clock,
+                maxBytes: limits.maxBodyMemory + limits.maxReplyMemory,
+            }),
+            maxConnections: Math.min(limits.maxConnections, clientLimits().connections),
+            // One more than may be open, so that it is refused.
+            maxRunning: limits.maxOpenPerConnection + 1,
+            answerTimeout: limits.writeStallTimeout,
+            onRequest: (request, response) => this.handleRequest(request, response),
+            refuse: (response, reason) => this.refuse(response, reason),
+            refuseUnread,
+            onGuarded: options.onGuarded,
+            server: {
+                maxHeaderSize: limits.maxHeaderBytes,
+                headersTimeout: Math.min(limits.headerTimeout, limits.bodyTimeout),
+                requestTimeout: limits.bodyTimeout,
+                keepAliveTimeout: limits.keepAliveTimeout,
+                connectionsCheckingInterval: checkInterval,
+                noDelay: true,
+            },
+        }).http;
+    }
+
+    private refuse(response: ServerResponse, reason: GuardReason): void {
+        const cause = guardFailure(reason);
+        this.options.onRefused(cause, 0);
+        const body = JSON.stringify(errorBody(cause));
+        const retryAfter = retryAfterOf(cause);
+        response.writeHead(cause.code.status, {
+            "Content-Type": "application/json",
+            "Content-Length": Buffer.byteLength(body),
+            ...retryAfter === undefined ? {} : { "Retry-After": Math.ceil(retryAfter / millisecondsPerSecond) },
+        });
+        response.end(body);
     }
 
     /** Starts listening. @returns The address that it listens on. */
@@ -115,31 +145,33 @@
     }
 }
 
-/** Sends an error response on a connection on which no valid request could be read. */
-function refuseConnection(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (!socket.writable || error.code === "ECONNRESET") {
-        socket.destroy();
-        return;
-    }
-    const cause = connectionFailure(error.code);
+/** Returns an error response for a connection on which no valid request could be read. */
+function refuseUnread(reason: GuardReason): string {
+    const cause = guardFailure(reason);
     const body = JSON.stringify(errorBody(cause));
-    socket.end([
+    return [
         `HTTP/1.1 ${cause.code.status} ${cause.code.name}`,
         "Content-Type: application/json",
         `Content-Length: ${Buffer.byteLength(body)}`,
         "Connection: close",
         "",
         body,
-    ].join("\r\n"));
+    ].join("\r\n");
 }
 
-function connectionFailure(code: string | undefined) {
-    switch (code) {
-        case "HPE_HEADER_OVERFLOW":
+function guardFailure(reason: GuardReason): Failure {
+    switch (reason) {
+        case "headersTooLarge":
             return failure(requestCodes.tooLarge, "the headers exceed their limit");
-        case "ERR_HTTP_REQUEST_TIMEOUT":
+        case "tooLarge":
+            return failure(requestCodes.tooLarge, "the request exceeds its limit");
+        case "tooSlow":
             return failure(requestCodes.tooSlow, "the request did not arrive in time");
-        default:
+        case "malformed":
             return failure(requestCodes.malformed, "the request is not valid HTTP");
+        case "memory":
+        case "descriptors":
+        case "unread":
+            return failure(requestCodes.memoryUsedUp, "callers have used up what they may occupy");
     }
 }
--- a/packages/entry/src/lib/models/completionsRoute.ts
+++ b/packages/entry/src/lib/models/completionsRoute.ts
@@ -10,7 +10,7 @@
 import { malformed, readRequestHeaders, type RequestHeaders } from "../callers/requestHeaders.js";
 import { type EntryLimits } from "../EntryLimits.js";
 import { type EntryMetrics } from "../EntryMetrics.js";
-import { type BodyReader } from "../http/BodyReader.js";
+import { readRequestBody } from "../http/readRequestBody.js";
 import { type Exchange } from "../http/Exchange.js";
 import { PacedWriter } from "../http/PacedWriter.js";
 import { type ReplyMemory } from "../http/ReplyMemory.js";
@@ -42,7 +42,6 @@
     readonly metrics: EntryMetrics;
     readonly limits: EntryLimits;
     readonly tracer: Tracer;
-    readonly bodies: BodyReader;
     readonly replies: ReplyMemory;
     readonly versions: ModelVersions;
 }
@@ -60,7 +59,7 @@
     caller: Caller,
     open: OpenRequest,
 ): Promise<void> {
-    const body = await services.bodies.read(exchange, services.limits.maxBodyBytes);
+    const body = await readRequestBody(exchange, services.limits.maxBodyBytes);
     const chat = exchange.path.endsWith("/chat/completions");
     const parsed = body.andThen(data => parseBody(data, chat));
     const prepared = parsed.andThen(completion => prepare(services, exchange, caller, completion));
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -5,6 +5,7 @@
 import { type Caller } from "../callers/Authenticator.js";
 import { readRequestHeaders, type RequestHeaders } from "../callers/requestHeaders.js";
 import { type Exchange } from "../http/Exchange.js";
+import { readRequestBody } from "../http/readRequestBody.js";
 import { PacedWriter } from "../http/PacedWriter.js";
 import { ClaimBinding, type UnboundClaimRequest } from "../links/ClaimBinding.js";
 import { keyMissing, type RouteServices } from "../models/completionsRoute.js";
@@ -37,7 +38,7 @@
     if (checked.isErr) {
         return exchange.refuse(checked.error);
     }
-    const body = await services.bodies.read(exchange, checked.value.service.spec.maxBody);
+    const body = await readRequestBody(exchange, checked.value.service.spec.maxBody);
     if (body.isErr) {
         return exchange.refuse(body.error);
     }
