Silent connections and requests without their end are no load

Callers saw: connections closed unread while a crowd held its own open and sent nothing, or stopped short of its bodies' ends. Cause: the concurrency limit counts the requests in progress that a processor can carry, but counted connections without a request and bodies without an end as such, so the crowd took the room of callers who had something to run. Change: a request counts when it has been read whole, a connection for its first second.

--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -74,6 +74,8 @@
  * half a second, so that none is accepted whose caller has already given up; further callers connect elsewhere.
  */
 const backlog = 128;
+/** Milliseconds within which a caller sends the request that it has connected for. */
+const maxSilence = 1_000;
 /** Value of Node's `maxConnections` that admits every connection; some versions read 0 as none. */
 const unlimited = Number.MAX_SAFE_INTEGER;
 
@@ -82,13 +84,15 @@
     private readonly server: Server;
     /** The callers of each connection whose requests have not ended; several if they are pipelined. */
     private readonly present = new WeakMap<Socket, Set<CallerPresence>>();
-    /** Accepted connections whose first request has not been read. */
-    private readonly unread = new Set<Socket>();
+    /** Accepted connections whose first request has not been read, with the time of their acceptance; the oldest first. */
+    private readonly unread = new Map<Socket, number>();
     private isStopping = false;
     private isPaused = false;
     private isClosed = false;
     private listeningAt: AddressInfo | undefined;
     private open = 0;
+    /** Requests that have been read completely and not answered. */
+    private running = 0;
 
     constructor(private readonly options: CallerServerOptions) {
         const { clock, budget, maxConnections, onRefused, onGuarded, maxBodyBytes } = options;
@@ -109,7 +113,7 @@
         }).http;
         this.server.on("connection", (socket: Socket) => {
             this.watchEnd(socket);
-            this.unread.add(socket);
+            this.unread.set(socket, clock.now());
             socket.once("close", () => {
                 if (this.unread.delete(socket)) {
                     this.updateAcceptance();
@@ -126,9 +130,21 @@
         return this.open;
     }
 
-    /** Number of requests in progress, including those that accepted connections have not sent yet. */
+    /** Number of requests that run, including those that accepted connections are about to send. */
     get load(): number {
-        return this.open + this.unread.size;
+        this.forgetSilent();
+        return this.running + this.unread.size;
+    }
+
+    /** Connections that stay silent are no load; they must not turn others away. */
+    private forgetSilent(): void {
+        const since = this.options.clock.now() - maxSilence;
+        for (const [socket, acceptedAt] of this.unread) {
+            if (acceptedAt > since) {
+                return;
+            }
+            this.unread.delete(socket);
+        }
     }
 
     /** Applies the present answer of `mayAccept` to connections that arrive from now on. */
@@ -227,6 +243,11 @@
         socket.once("end", () => callers.forEach(presence => presence.leave()));
     }
 
+    private endRun(): void {
+        this.running--;
+        this.updateAcceptance();
+    }
+
     private receive(incoming: IncomingMessage, response: ServerResponse): void {
         this.open++;
         const isFirst = this.unread.delete(incoming.socket);
@@ -237,7 +258,6 @@
         callers?.add(presence);
         response.once("close", () => {
             this.open--;
-            this.updateAcceptance();
             callers?.delete(presence);
             presence.leave();
         });
@@ -250,6 +270,8 @@
             whenOver: callback => response.once("close", callback),
             onBody: body => {
                 if (!presence.hasLeft) {
+                    this.running++;
+                    response.once("close", () => this.endRun());
                     onRequest({ incoming, response, body, presence, readAt, maxUnread, isFirst });
                 }
             },
