A reply is read ahead by some blocks only while connections are accepted

Callers saw: a gateway at 586 to 607 MB of 350 while two hundred streams came at once whose callers read nothing, and answers that waited for seconds. Cause: while a burst of connections is accepted, what targets send is kept until it is over, and was read on: 64 turns of the event loop with 64 KB of each stream. It counts for nobody, since it has not been written to its caller. Change: an exchange that keeps 64 KB is not read further until the burst is over. Unit test: 8,388,608 bytes read ahead before.

--- a/packages/abuse/src/lib/gatewayCrowds.test.ts
+++ b/packages/abuse/src/lib/gatewayCrowds.test.ts
@@ -115,6 +115,11 @@
     return bear(context, { clients: 40, script, streamBehaviour: streamLarge });
 });
 
+test("gateway bears many streams that come at once and that nobody reads", { timeout }, context => {
+    const script: ClientScript = { opening: head({ path: "/chat/x", headers: ["Content-Length: 0"] }) };
+    return bear(context, { clients: 200, script, streamBehaviour: streamLarge });
+});
+
 test("gateway bears heads that never end", { timeout }, context =>
     bear(context, { clients: 1_000, script: headInPieces(60_000) }));
 
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -152,6 +152,48 @@
     }
 });
 
+test("while connections are accepted, a reply is read ahead by some blocks only, and then it is whole", async () => {
+    const length = 8 * megabyte;
+    const server = await listen(socket => {
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n`);
+        socket.write(Buffer.alloc(length));
+    });
+    let endTurn = () => undefined as void;
+    const bursts = new AcceptBursts({ afterInput: callback => endTurn = callback });
+    bursts.noteConnection();
+    const { port } = server.address() as AddressInfo;
+    let received = 0;
+    let readAhead = length;
+    await new Promise<void>((resolve, reject) => {
+        const call = new Exchange({
+            host: "127.0.0.1",
+            port,
+            method: "GET",
+            path: "/",
+            headers: ["Host", "x"],
+            body: undefined,
+            connectTimeout: 1_000,
+            maySend: () => true,
+            bursts,
+            listener: {
+                onHead: () => setTimeout(() => endBurst(), 50),
+                onData: chunk => received += chunk.length,
+                onEnd: resolve,
+                onFailure: ({ reason }) => reject(new Error(reason)),
+            },
+        });
+        const endBurst = () => {
+            readAhead = call.bytesRead;
+            // A burst ends with the first turn that accepts no connection.
+            endTurn();
+            endTurn();
+        };
+    });
+    server.close();
+    assert.equal(received, length);
+    assert.ok(readAhead <= 4 * 65_536, `${readAhead} bytes are read ahead`);
+});
+
 const megabyte = 1_048_576;
 
 /** Writes a text again and again, some megabytes in all unless the connection is closed, and then a sound reply. */
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -79,6 +79,7 @@
     private isParsing = false;
     /** Data that is kept until its read has been parsed, and while connections are accepted. */
     private kept: Buffer[] = [];
+    private keptBytes = 0;
     private isAwaitingBurst = false;
     /** Whether a head or data has arrived since the last read. */
     private hasUsefulInput = false;
@@ -193,6 +194,7 @@
         this.hasUsefulInput = true;
         this.dataBytes += chunk.length;
         this.kept.push(chunk);
+        this.keptBytes += chunk.length;
         if (!this.isParsing && this.kept.length === 1) {
             // A response that was paused releases all its chunks one after the other.
             queueMicrotask(() => this.deliverUnlessAccepting());
@@ -214,19 +216,26 @@
         else if (this.bytesRead - data > maxFraming.bytes + data * maxFraming.perByte) {
             this.fail(`${this.bytesRead - data} bytes of framing for ${data} bytes of data`, true);
         }
-        else if (bytes >= fullRead) {
+        else if (bytes >= fullRead || this.keptBytes >= fullRead) {
             this.yieldToOthers();
         }
     }
 
-    /** Reads on in the next turn of the event loop. Node.js reads one socket up to 32 times in a turn. */
+    /**
+     * Reads on in the next turn of the event loop, or when the present connections have been accepted. Node.js reads one
+     * socket up to 32 times in a turn.
+     */
     private yieldToOthers(): void {
         this.response?.pause();
-        setImmediate(() => {
-            if (!this.isOver && !this.isPaused) {
-                this.response?.resume();
-            }
-        });
+        if (!this.isAwaitingBurst) {
+            setImmediate(() => this.readOn());
+        }
+    }
+
+    private readOn(): void {
+        if (!this.isOver && !this.isPaused && !this.isAwaitingBurst) {
+            this.response?.resume();
+        }
     }
 
     private deliverUnlessAccepting(): void {
@@ -239,6 +248,7 @@
             bursts.whenOver(() => {
                 this.isAwaitingBurst = false;
                 this.deliverKept();
+                this.readOn();
             });
         }
     }
@@ -248,6 +258,7 @@
         const [first] = kept;
         if (first !== undefined && !this.isOver) {
             this.kept = [];
+            this.keptBytes = 0;
             this.options.listener.onData(kept.length === 1 ? first : Buffer.concat(kept));
         }
     }
