--- a/packages/cli/src/lib/nodes/metrics.ts
+++ b/packages/cli/src/lib/nodes/metrics.ts
@@ -29,7 +29,8 @@
     });
     const guarded = registry.counter({
         name: "waxwingspar_guarded_callers_total",
-        help: "Connections closed and requests refused unread because of what their caller sent or left unread, by reason.",
+        help:
+            "Connections closed and requests refused unread because of what their caller sent or left unread, by reason.",
     });
     return {
         requestEnded: (route, code, duration, count) => {
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -10,12 +10,19 @@
 import { type Socket } from "node:net";
 import { CountedResponse, guardedConnections } from "./CountedResponse.js";
 import { GuardedConnection } from "./GuardedConnection.js";
-import { announcedLength } from "./readBody.js";
 import { type MemoryBudget } from "./MemoryBudget.js";
+import { announcedLength } from "./readBody.js";
 import { ReadTurns } from "./ReadTurns.js";
 
 /** Why a connection was closed, or a request refused. @public */
-export type GuardReason = "memory" | "descriptors" | "unread" | "malformed" | "tooSlow" | "tooLarge" | "headersTooLarge";
+export type GuardReason =
+    | "memory"
+    | "descriptors"
+    | "unread"
+    | "malformed"
+    | "tooSlow"
+    | "tooLarge"
+    | "headersTooLarge";
 
 /** Writes the refusal of a request that has not run. @public */
 export type GuardRefusal = (response: ServerResponse, reason: GuardReason) => void;
@@ -82,7 +89,10 @@
             }
             this.receive(incoming, response);
         });
-        this.http.on("clientError", (error: NodeJS.ErrnoException, socket) => this.handleError(error, socket as Socket));
+        this.http.on(
+            "clientError",
+            (error: NodeJS.ErrnoException, socket) => this.handleError(error, socket as Socket),
+        );
     }
 
     private guard(socket: Socket): void {
--- a/packages/connections/src/lib/MemoryBudget.test.ts
+++ b/packages/connections/src/lib/MemoryBudget.test.ts
@@ -68,12 +68,16 @@
             switch (kind) {
                 case "reserve":
                     if (budget.reserve(client.holding, bytes)) {
-                        assert.ok(budget.used <= maxBytes || clients.every(({ isDue, isClosed }) => !isDue || isClosed));
+                        assert.ok(
+                            budget.used <= maxBytes || clients.every(({ isDue, isClosed }) => !isDue || isClosed),
+                        );
                     }
                     break;
                 case "add":
                     budget.add(client.holding, bytes);
-                    assert.ok(budget.used <= maxBytes || clients.every(({ isDue, holding }) => !isDue || holding.bytes === 0));
+                    assert.ok(
+                        budget.used <= maxBytes || clients.every(({ isDue, holding }) => !isDue || holding.bytes === 0),
+                    );
                     break;
                 case "release":
                     budget.release(client.holding, Math.min(bytes, client.holding.bytes));
--- a/packages/entry/src/lib/EntryLimits.ts
+++ b/packages/entry/src/lib/EntryLimits.ts
@@ -11,13 +11,17 @@
 export const entryLimitsSchema = z.strictObject({
     maxHeaderBytes: count.default(16_384).describe("All headers of one request together."),
     maxBodyBytes: count.default(1_048_576).describe("The body of a model request. Services set their own limit."),
-    maxBodyMemory: count.default(67_108_864).describe("What callers have sent, all requests in progress together. When this and maxReplyMemory are used up, the connection that holds the most and moves the least is closed."),
+    maxBodyMemory: count.default(67_108_864).describe(
+        "What callers have sent, all requests in progress together. When this and maxReplyMemory are used up, the connection that holds the most and moves the least is closed.",
+    ),
     headerTimeout: milliseconds.default(10_000).describe("For a request's headers to arrive."),
     bodyTimeout: milliseconds.default(30_000).describe("For a whole request to arrive."),
     keepAliveTimeout: milliseconds.default(75_000).describe(
         "For which a connection may stay open between two requests.",
     ),
-    maxConnections: count.default(20_000).describe("Connections of callers; three eighths of the process's descriptors at most."),
+    maxConnections: count.default(20_000).describe(
+        "Connections of callers; three eighths of the process's descriptors at most.",
+    ),
     maxOpenRequests: count.default(8_000).describe("Requests in progress on all connections."),
     maxOpenPerConnection: count.default(8).describe(
         "Requests in progress on one connection, which a caller reaches only by HTTP pipelining.",
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -220,7 +220,8 @@
         });
         this.guardedClients = registry.counter({
             name: "waxwingspar_gateway_guarded_clients_total",
-            help: "Connections closed and requests refused unread because of what their client sent or left unread, by reason.",
+            help:
+                "Connections closed and requests refused unread because of what their client sent or left unread, by reason.",
         });
         this.clientMemory = registry.gauge({
             name: "waxwingspar_gateway_client_memory_bytes",
--- a/packages/gateway/src/lib/server/ClientGuard.ts
+++ b/packages/gateway/src/lib/server/ClientGuard.ts
@@ -22,7 +22,8 @@
         this.record = new GuardRecord({
             clock,
             count: reason => metrics.guardedClients.add({ reason }),
-            log: reasons => logs.process.warn({ reasons, held: this.budget.used }, "clients turned away for what they do"),
+            log: reasons =>
+                logs.process.warn({ reasons, held: this.budget.used }, "clients turned away for what they do"),
         });
         metrics.clientMemory.observe(() => this.budget.used);
     }
--- a/packages/proof/src/lib/site/SiteProcess.ts
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -102,7 +102,9 @@
 /** @returns A program and its arguments that run a command with a limit on its descriptors. */
 function limitDescriptors(command: readonly string[], limit: number | undefined): [string, string[]] {
     const [program = "", ...rest] = command;
-    return limit === undefined ? [program, rest] : ["/bin/sh", ["-c", `ulimit -n ${limit}; exec "$0" "$@"`, ...command]];
+    return limit === undefined
+        ? [program, rest]
+        : ["/bin/sh", ["-c", `ulimit -n ${limit}; exec "$0" "$@"`, ...command]];
 }
 
 async function answers(url: string): Promise<boolean> {
