An event that comes again in the same read is not forwarded

Callers saw: a target that sent an event again reached them with every copy in the same read: up to 1,087 copies of one event, so tokens twice, against the second guarantee of the README. Cause: the events of a read were compared with the last id before that read, not with each other; and after a read that ended with an event without an id, the next read was compared with an older id. Change: events are compared one after the other, also within a read; ids are numbers only if they are decimal digits, the same for progress. Evidence: the first new test delivers 0 0 1 - 1 0 3 2 whole in one read on the old rule; a property test over random runs, reads and ids holds from the bytes of a reply to what its caller gets, by splitter and selection.

--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -39,7 +39,7 @@
     /** Whether the request itself may still be sent when the connection is established. */
     readonly maySend: () => boolean;
     /** The events that the caller has received. */
-    readonly delivered: Pick<DeliveredEvents, "isNew" | "lastId">;
+    readonly delivered: Pick<DeliveredEvents, "isNew" | "selectNew" | "lastId">;
     readonly listener: ChainAttemptListener;
 }
 
@@ -157,7 +157,7 @@
             rest: this.splitter.heldBytes,
             events,
         });
-        return events.filter(event => delivered.isNew(event));
+        return delivered.selectNew(events);
     }
 
     /** Removes and returns what an answer that has ended brought after its last event. */
--- a/packages/gateway/src/lib/requests/DeliveredEvents.ts
+++ b/packages/gateway/src/lib/requests/DeliveredEvents.ts
@@ -30,22 +30,41 @@
         return this.clock.now() - this.lastAt;
     }
 
+    /** Whether the caller lacks an event. */
+    isNew({ id }: StreamEvent): boolean {
+        return isAfter(id, this.lastEventId);
+    }
+
     /**
-     * Whether the caller lacks an event; a new run may begin with events that the caller already has. In a stream with
-     * numbers as ids, an id that is no number is not an event of the answer.
+     * Selects the events that the caller lacks. A new run may begin with events that the caller already has, and a target
+     * may send an event again. In a stream with numbers as ids, the ids of what a caller gets rise strictly; an id that is no
+     * number is then not an event of the answer.
+     *
+     * @param events - The events of one read, in order.
      */
-    isNew({ id }: StreamEvent): boolean {
-        if (id === undefined || this.lastEventId === undefined) {
-            return true;
-        }
-        const [number, last] = [Number(id), Number(this.lastEventId)];
-        return Number.isNaN(last) || number > last;
+    selectNew(events: readonly StreamEvent[]): StreamEvent[] {
+        let last = this.lastEventId;
+        return events.filter(({ id }) => {
+            const isNew = isAfter(id, last);
+            last = isNew ? id ?? last : last;
+            return isNew;
+        });
     }
 
     /** Records events that are sent to the caller. */
     add(events: readonly StreamEvent[]): void {
         this.events += events.length;
         this.lastAt = this.clock.now();
-        this.lastEventId = events.at(-1)?.id ?? this.lastEventId;
+        this.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.lastEventId;
     }
 }
+
+/** @returns The id of an event as a number; NaN if it is not one. */
+export function eventNumber(id: string | undefined): number {
+    return id !== undefined && /^\d+$/.test(id) ? Number(id) : NaN;
+}
+
+/** Whether an event with an id may follow the last one that had an id. */
+function isAfter(id: string | undefined, last: string | undefined): boolean {
+    return id === undefined || Number.isNaN(eventNumber(last)) || eventNumber(id) > eventNumber(last);
+}
--- a/packages/gateway/src/lib/requests/EventProgress.ts
+++ b/packages/gateway/src/lib/requests/EventProgress.ts
@@ -1,5 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type DeliveredEvents } from "./DeliveredEvents.js";
+import { type DeliveredEvents, eventNumber } from "./DeliveredEvents.js";
 import { type StreamEvent } from "./EventSplitter.js";
 
 /** What a stream has brought. */
@@ -74,7 +74,7 @@
     private takeFurtherEvents(events: readonly StreamEvent[]): boolean {
         let areFurther = false;
         for (const event of events) {
-            const number = Number(event.id);
+            const number = eventNumber(event.id);
             if (event.id === undefined) {
                 areFurther ||= this.highestId === -Infinity && this.delivered.lastId === undefined;
             }
