--- a/packages/abuse/src/lib/GatewayUnderTest.ts
+++ b/packages/abuse/src/lib/GatewayUnderTest.ts
@@ -23,6 +23,8 @@
     readonly memory?: number;
     /** Descriptors that the machine gives to sockets. */
     readonly sockets?: number;
+    /** Milliseconds of the routes' timeout; by default that of the test configuration. */
+    readonly routeTimeout?: number;
     /** How the plain target answers. */
     readonly behaviour?: TargetBehaviour;
     /** How the targets of the chain answer. */
@@ -86,7 +88,11 @@
         await Promise.all(targets.map(target => target.start()));
         const configuration = testConfiguration(1);
         const limits = { ...configuration.Limits, MaxBodyBytes: largestBody };
-        this.store.put("op", "config", { ...configuration, Limits: limits });
+        const routes = configuration.Routes.map(route => ({
+            ...route,
+            TimeoutMs: this.options.routeTimeout ?? route.TimeoutMs,
+        }));
+        this.store.put("op", "config", { ...configuration, Routes: routes, Limits: limits });
         targets.forEach(target => listTarget(this.store, target));
         const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await findPorts(host, 4);
         this.ports = { callers, readiness, peers, metrics };
