A client that leaves its answer unread is disconnected without waiting for it to read

Callers saw: nothing; found by reading. Cause: a connection that is closed to make room was closed once its answer had been written, which a client that reads nothing puts off for ever, with the answer in memory but in nobody's account. Change: what such a client has not taken is dropped. Evidence: the new test fails before, with the connection still open.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -167,11 +167,22 @@
         return this.socket.writableLength > 0 && this.takenAt < time;
     }
 
-    /** Closes the connection when what has been written is sent, and reads nothing more from it. */
-    close(): void {
+    /**
+     * Closes the connection and reads nothing more from it. What a client has not taken is dropped.
+     *
+     * @param sayWhy - Writes a last answer, if one is due.
+     */
+    close(sayWhy?: () => void): void {
+        const { socket } = this;
+        const isBlocked = socket.writableLength > 0;
+        sayWhy?.();
         this.end();
-        // The parser may be at work, so the socket is not destroyed at once.
-        this.socket.destroySoon();
+        if (isBlocked) {
+            socket.destroy();
+        }
+        else {
+            socket.destroySoon();
+        }
     }
 
     /** Parses more of what has been received, when it is this connection's turn. */
@@ -299,8 +310,7 @@
 
     private evict(): void {
         if (!this.isOver) {
-            this.options.onEvicted(this);
-            this.close();
+            this.close(() => this.options.onEvicted(this));
         }
     }
 
--- a/packages/connections/src/lib/GuardedServer.test.ts
+++ b/packages/connections/src/lib/GuardedServer.test.ts
@@ -173,6 +173,22 @@
     assert.match(refusal, /^HTTP\/1.1 503 /);
 });
 
+test("a client that leaves its answer unread makes room for others, and its answer is dropped", async context => {
+    const { port, budget, http } = await startServer(context, {
+        maxBytes: 60_000_000,
+        onRequest: (incoming, response) =>
+            void response.end(Buffer.alloc(incoming.url === "/a" ? 50_000_000 : 30_000_000)),
+    });
+    const socket = open(context, port);
+    socket.pause();
+    socket.write(get("/a"));
+    await until(() => budget.used > 30_000_000);
+    await new Promise(resolve => setTimeout(resolve, 20));
+    assert.equal((await send(context, port, [get("/b", true)])).length > 30_000_000, true);
+    const connections = await new Promise<number>(resolve => http.getConnections((_, count) => resolve(count)));
+    assert.equal(connections, 0);
+});
+
 test("a client that takes nothing of its answer is disconnected", async context => {
     const clock = new ManualClock();
     const { port, reasons, budget } = await startServer(context, {
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -128,9 +128,9 @@
         if (idlest === undefined) {
             return false;
         }
-        this.refuseEvicted(idlest, "descriptors");
-        this.connections.delete(idlest);
-        idlest.close();
+        const closed = idlest;
+        this.connections.delete(closed);
+        closed.close(() => this.refuseEvicted(closed, "descriptors"));
         return true;
     }
 
