A connection for which there is no memory is closed, and does not throw

Callers saw: nothing; found by reading. Cause: a connection that finds the budget used up by requests that run was refused before its variable was set, which threw in the server's connection event: logged by a gateway, the end of another process. Change: the refusal is given the connection. Evidence: the new test fails before with a ReferenceError.

--- a/packages/connections/src/lib/GuardedServer.test.ts
+++ b/packages/connections/src/lib/GuardedServer.test.ts
@@ -189,6 +189,20 @@
     assert.equal(connections, 0);
 });
 
+test("a connection for which there is no memory is closed, and those whose requests run are kept", async context => {
+    const running: ServerResponse[] = [];
+    const { port, reasons } = await startServer(context, {
+        maxBytes: 30_000,
+        onRequest: (_, response) => running.push(response),
+    });
+    const first = send(context, port, [get("/a", true)]);
+    await until(() => running.length === 1);
+    assert.equal(await send(context, port, [get("/b")]), "");
+    assert.deepEqual(reasons, ["memory"]);
+    running[0]?.end("done");
+    assert.match(await first, /done$/);
+});
+
 test("a client that takes nothing of its answer is disconnected", async context => {
     const clock = new ManualClock();
     const { port, reasons, budget } = await startServer(context, {
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -108,7 +108,7 @@
             budget,
             turns: this.turns,
             maxRunning,
-            onEvicted: () => this.refuseEvicted(connection, "memory"),
+            onEvicted: evicted => this.refuseEvicted(evicted, "memory"),
         });
         guardedConnections.set(socket, connection);
         this.connections.add(connection);
