--- a/packages/abuse/src/lib/entryCrowds.test.ts
+++ b/packages/abuse/src/lib/entryCrowds.test.ts
@@ -48,56 +48,39 @@
     }
 }
 
-test(
-    "entry bears bodies announced far over the limit",
-    { timeout },
-    context => bear(context, { clients: 40, script: announcedBody(path) }),
-);
+test("entry bears bodies announced far over the limit", { timeout }, context => {
+    return bear(context, { clients: 40, script: announcedBody(path) });
+});
 
-test(
-    "entry bears chunks without end",
-    { timeout },
-    context => bear(context, { clients: 40, script: endlessChunks(path) }),
-);
+test("entry bears chunks without end", { timeout }, context => {
+    return bear(context, { clients: 40, script: endlessChunks(path) });
+});
 
-test(
-    "entry bears bodies that stop short of their length",
-    { timeout },
-    context => bear(context, { clients: 200, script: almostWholeBody(path, bodyLimit) }),
-);
+test("entry bears bodies that stop short of their length", { timeout }, context => {
+    return bear(context, { clients: 200, script: almostWholeBody(path, bodyLimit) });
+});
 
-test(
-    "entry bears large chunks that stop short of the limit",
-    { timeout },
-    context => bear(context, { clients: 200, script: almostWholeChunks(path, bodyLimit, 65_000) }),
-);
+test("entry bears large chunks that stop short of the limit", { timeout }, context => {
+    return bear(context, { clients: 200, script: almostWholeChunks(path, bodyLimit, 65_000) });
+});
 
-test(
-    "entry bears chunks of one byte that stop short of the limit",
-    { timeout },
-    context => bear(context, { clients: 40, script: almostWholeChunks(path, 400_000, 1) }),
-);
+test("entry bears chunks of one byte that stop short of the limit", { timeout }, context => {
+    return bear(context, { clients: 40, script: almostWholeChunks(path, 400_000, 1) });
+});
 
-test(
-    "entry bears requests sent ahead at unknown paths",
-    { timeout },
-    context => bear(context, { clients: 100, script: requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000) }),
-);
+test("entry bears requests sent ahead at unknown paths", { timeout }, context => {
+    return bear(context, { clients: 100, script: requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000) });
+});
 
-test(
-    "entry bears more silent connections than it has descriptors",
-    { timeout },
-    context => bear(context, { clients: 1_200, script: silence, sockets: 500 }),
-);
+test("entry bears more silent connections than it has descriptors", { timeout }, context => {
+    return bear(context, { clients: 1_200, script: silence, sockets: 500 });
+});
 
 test("entry bears requests sent ahead at its port for operators", { timeout }, context => {
     const script = requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000);
     return bear(context, { clients: 60, script, port: ({ operatorPort }) => operatorPort });
 });
 
-test(
-    "entry bears silent connections at its port for operators",
-    { timeout },
-    context =>
-        bear(context, { clients: 1_200, script: silence, sockets: 500, port: ({ operatorPort }) => operatorPort }),
-);
+test("entry bears silent connections at its port for operators", { timeout }, context => {
+    return bear(context, { clients: 1_200, script: silence, sockets: 500, port: ({ operatorPort }) => operatorPort });
+});
--- a/packages/abuse/src/lib/gatewayCrowds.test.ts
+++ b/packages/abuse/src/lib/gatewayCrowds.test.ts
@@ -79,47 +79,33 @@
     }
 }
 
-test(
-    "gateway bears bodies announced far over the limit",
-    { timeout },
-    context => bear(context, { clients: 40, script: announcedBody("/get/x") }),
-);
-
-test(
-    "gateway bears announced bodies that wait for 100 Continue",
-    { timeout },
-    context => bear(context, { clients: 40, script: announcedBody("/get/x", ["Expect: 100-continue"]) }),
-);
-
-test(
-    "gateway bears chunks without end",
-    { timeout },
-    context => bear(context, { clients: 40, script: endlessChunks("/get/x") }),
-);
-
-test(
-    "gateway bears bodies that stop short of their length",
-    { timeout },
-    context => bear(context, { clients: 60, script: almostWholeBody("/get/x", largestBody) }),
-);
-
-test(
-    "gateway bears large chunks that stop short of the limit",
-    { timeout },
-    context => bear(context, { clients: 60, script: almostWholeChunks("/get/x", largestBody, 65_000) }),
-);
-
-test(
-    "gateway bears chunks of one byte that stop short of the limit",
-    { timeout },
-    context => bear(context, { clients: 60, script: almostWholeChunks("/get/x", 400_000, 1) }),
-);
-
-test(
-    "gateway bears requests sent ahead at unknown paths",
-    { timeout },
-    context => bear(context, { clients: 60, script: requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000) }),
-);
+test("gateway bears bodies announced far over the limit", { timeout }, context => {
+    return bear(context, { clients: 40, script: announcedBody("/get/x") });
+});
+
+test("gateway bears announced bodies that wait for 100 Continue", { timeout }, context => {
+    return bear(context, { clients: 40, script: announcedBody("/get/x", ["Expect: 100-continue"]) });
+});
+
+test("gateway bears chunks without end", { timeout }, context => {
+    return bear(context, { clients: 40, script: endlessChunks("/get/x") });
+});
+
+test("gateway bears bodies that stop short of their length", { timeout }, context => {
+    return bear(context, { clients: 60, script: almostWholeBody("/get/x", largestBody) });
+});
+
+test("gateway bears large chunks that stop short of the limit", { timeout }, context => {
+    return bear(context, { clients: 60, script: almostWholeChunks("/get/x", largestBody, 65_000) });
+});
+
+test("gateway bears chunks of one byte that stop short of the limit", { timeout }, context => {
+    return bear(context, { clients: 60, script: almostWholeChunks("/get/x", 400_000, 1) });
+});
+
+test("gateway bears requests sent ahead at unknown paths", { timeout }, context => {
+    return bear(context, { clients: 60, script: requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000) });
+});
 
 test("gateway bears requests with bodies sent ahead at unknown paths", { timeout }, context => {
     const request = "POST /n HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
@@ -141,24 +127,17 @@
     return bear(context, { clients: 200, script, streamBehaviour: streamLarge });
 });
 
-test(
-    "gateway bears heads that never end",
-    { timeout },
-    context => bear(context, { clients: 1_000, script: headInPieces(60_000) }),
-);
-
-test(
-    "gateway bears more silent connections than it has descriptors",
-    { timeout },
-    context => bear(context, { clients: 600, script: silence, sockets: 300 }),
-);
-
-test(
-    "gateway bears silent connections at its readiness port",
-    { timeout },
-    context =>
-        bear(context, { clients: 600, script: silence, sockets: 300, port: ({ readinessPort }) => readinessPort }),
-);
+test("gateway bears heads that never end", { timeout }, context => {
+    return bear(context, { clients: 1_000, script: headInPieces(60_000) });
+});
+
+test("gateway bears more silent connections than it has descriptors", { timeout }, context => {
+    return bear(context, { clients: 600, script: silence, sockets: 300 });
+});
+
+test("gateway bears silent connections at its readiness port", { timeout }, context => {
+    return bear(context, { clients: 600, script: silence, sockets: 300, port: ({ readinessPort }) => readinessPort });
+});
 
 test("gateway bears requests sent ahead at its readiness port", { timeout }, context => {
     const script = requestsAhead("GET /n HTTP/1.1\r\nHost: a\r\n\r\n", 8_000_000);
