Review: a stream that has a length and is resumed ends early as complete, or runs into the next answer

Cause: CallerExchange.writeHead passes the first target's Content-Length on, and StreamRun then writes the rest of the answer of another target, which may be shorter or longer. The case: review/8. Six model replicas answer with a length; one of them crashes once. Result: all streams that were resumed looked complete too early or were followed by bytes that are no answer.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib-2/model.mjs
+++ b/review/lib-2/model.mjs
@@ -29,15 +29,17 @@
     layers = { From: 0, Target: modelLayers, Version: 1 };
     orders = 0;
     #server;
+    #sockets = new Set();
 
     /**
      * @param head - Returns the lines of the head of an answer, by the number of the run.
      * @param event - Returns the bytes of an event of an answer.
      * @param events - Number of events of an answer.
+     * @param isSized - Whether answers have a length instead of chunks.
      */
     constructor(site, id, { zone = "a", host = "127.0.0.1", events = 20, interval = 20, head = headLines,
-        event = eventText } = {}) {
-        Object.assign(this, { site, id, zone, host, events, interval, head, event, state: "ready", born: Date.now() });
+        event = eventText, isSized = false } = {}) {
+        Object.assign(this, { site, id, zone, host, events, interval, head, event, isSized, state: "ready", born: Date.now() });
         site.replicas.push(this);
     }
 
@@ -47,6 +49,11 @@
             request.on("data", chunk => chunks.push(chunk));
             request.on("end", () => this.#receive(request, response, Buffer.concat(chunks).toString()));
         });
+        this.#server.on("connection", socket => {
+            this.#sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.once("close", () => this.#sockets.delete(socket));
+        });
         await new Promise(resolve => this.#server.listen(0, this.host, resolve));
         this.port = this.#server.address().port;
         this.list();
@@ -62,9 +69,10 @@
         });
     }
 
+    /** Ends as in a crash: open connections are reset, new ones refused. */
     stop() {
         this.#server?.close();
-        this.#server?.closeAllConnections();
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
     }
 
     #receive(request, response, body) {
@@ -131,11 +139,11 @@
                 return;
             }
             if (number >= this.events) {
-                socket.end("0\r\n\r\n");
+                socket.end(this.isSized ? "" : "0\r\n\r\n");
                 return;
             }
             const event = this.event(run, number, this);
-            socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+            socket.write(this.isSized ? event : `${event.length.toString(16)}\r\n${event}\r\n`);
             setTimeout(() => send(number + 1), this.interval);
         };
         setTimeout(() => send(first), this.interval);
@@ -144,13 +152,16 @@
 
 /** The head of a sound answer. */
 export function headLines(run, replica) {
+    const { first } = run;
+    const rest = Array.from({ length: Math.max(0, replica.events - first) }, (_, index) => first + index);
+    const length = rest.reduce((sum, number) => sum + Buffer.byteLength(replica.event(run, number, replica)), 0);
     return [
         "HTTP/1.1 200 OK",
         `Waxwingspar-Request-Id: ${run.id}`,
         `Waxwingspar-Replica-Signature: ${replica.id}.${run.id}`,
         "Waxwingspar-Weight-Versions: 1",
         "Content-Type: text/event-stream",
-        "Transfer-Encoding: chunked",
+        replica.isSized ? `Content-Length: ${length}` : "Transfer-Encoding: chunked",
         "Connection: close",
     ];
 }
