--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -70,20 +70,13 @@
     constructor(recordFile) {
         this.recordFile = recordFile;
         this.startedAt = performance.now();
-        if (recordFile !== undefined) {
-            writeFileSync(recordFile, "");
-        }
+        writeFileSync(recordFile, "");
     }
 
     /** Writes a line with the seconds since the start to the record of the case. */
     record(text) {
         const line = `${((performance.now() - this.startedAt) / 1000).toFixed(3).padStart(8)}  ${text}\n`;
-        if (this.recordFile === undefined) {
-            process.stdout.write(line);
-        }
-        else {
-            appendFileSync(this.recordFile, line);
-        }
+        appendFileSync(this.recordFile, line);
     }
 
     /** Starts a gateway as the deploy file does, and waits until it says that it is ready. */
@@ -157,8 +150,9 @@
     }
 
     /** Makes one call on a new connection. Its result tells how it ended. */
-    call(gateway, { port = gateway.ports.front, path, method = "GET", body, id, headers = {}, deadline = 1500,
-        timeout = deadline + 2_000, onData, agent = false }) {
+    call(gateway, options) {
+        const { port = gateway.ports.front, path, method = "GET", body, id, headers = {}, agent = false } = options;
+        const { deadline = 1_500, timeout = deadline + 2_000 } = options;
         const sentAt = performance.now();
         const result = { id, path, status: 0, headers: {}, body: "", end: "none" };
         return new Promise(resolve => {
@@ -188,7 +182,6 @@
                 result.headers = response.headers;
                 response.on("data", chunk => {
                     result.body += chunk;
-                    onData?.(chunk);
                 });
                 response.on("error", () => finish("broken off"));
                 response.once("close", () => finish(response.complete ? "complete" : "broken off"));
@@ -212,20 +205,28 @@
     }
 }
 
+/** Milliseconds for which a case runs at most. */
+const maxTime = 115_000;
+
 /** Runs a case: exit 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
 export async function runCase(recordFile, play) {
     const site = new Site(recordFile);
     const isTrouble = process.env.TROUBLE !== "0";
-    const guard = setTimeout(() => {
-        site.record("the case took too long");
+    const abort = reason => {
+        site.record(`the case could not run: ${reason}`);
         site.gateways.forEach(({ child }) => child.kill("SIGKILL"));
+        rmSync(site.folder, { recursive: true, force: true });
         process.exit(2);
-    }, 115_000);
+    };
+    const guard = setTimeout(() => abort("it took too long"), maxTime);
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.once(signal, () => abort(signal)));
     let code = 2;
     try {
         await site.store.start();
         code = await play(site, isTrouble) ? 1 : 0;
-        site.record(code === 1 ? "RESULT: the rule was broken" : "RESULT: the rule held");
+        const verdict = code === 1 ? "the rule was broken" : "the rule held";
+        site.record(`RESULT: ${verdict}`);
+        process.stdout.write(`${verdict}; see record.txt\n`);
     }
     catch (error) {
         site.record(`the case could not run: ${error.stack}`);
