Review: disruptions of three cases last no longer than the site's

Cause: the replicas of cases 5, 6 and 8 failed or spoiled answers to the end of the script. The change: 6.5 s and 5 s, as the site file has them, and one replica of eight in case 5.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -7,9 +7,11 @@
 const jobs = 240;
 const atOnce = 6;
 const events = 10;
-/** The faulty replica is one of seven (share = 0.143) and fails two of five requests (x = 0.4). */
-const replicas = 7;
+/** The faulty replica is one of eight (share = 0.125) and fails two of five requests (x = 0.4). */
+const replicas = 8;
 const failed = { of: 5, from: 3 };
+/** When the replica fails, in milliseconds after the first request: for_s = 6.5. */
+const trouble = { from: 1_000, until: 7_500 };
 /** Statuses that promise that a request has not run and never will. */
 const promises = new Set([408, 421, 429, 503]);
 
@@ -26,13 +28,17 @@
     });
     /** The jobs that were applied: a replica applies the job of a request when it begins to run it. */
     const applied = [];
-    const all = [];
+    let startedAt = Infinity;
+    const isInTrouble = () => {
+        const after = performance.now() - startedAt;
+        return isTrouble && after >= trouble.from && after < trouble.until;
+    };
     for (let number = 1; number <= replicas; number++) {
         const replica = new ModelReplica(site, `i-${number}`, {
             events,
             onRun: (run, one, socket) => {
                 applied.push({ id: run.id, job: run.body });
-                const mustFail = isTrouble && one.id === "i-1" && run.number % failed.of >= failed.from;
+                const mustFail = isInTrouble() && one.id === "i-1" && run.number % failed.of >= failed.from;
                 if (!mustFail) {
                     return false;
                 }
@@ -51,7 +57,6 @@
                 return true;
             },
         });
-        all.push(replica);
         await replica.start();
     }
     const gateway = await site.startGateway("front-1");
@@ -85,6 +90,7 @@
             }
         }
     };
+    startedAt = performance.now();
     await Promise.all(Array.from({ length: atOnce }, client));
     const twice = new Set(applied.map(({ job }) => job).filter(job =>
         applied.filter(one => one.job === job).length > 1
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -3,11 +3,13 @@
 import { ModelReplica, headLines, modelEngine, modelHeaders, modelService } from "../lib-2/model.mjs";
 import { key, limits, route, runCase } from "../lib-2/site.mjs";
 
-const streams = 240;
+const streams = 160;
 const atOnce = 8;
 const events = 20;
 /** The replica spoils one answer of this number: x = 0.05. */
 const spoiledEach = 20;
+/** When it does so, in milliseconds after the first stream: for_s = 5. */
+const trouble = { from: 1_000, until: 6_000 };
 
 /** The line "Content-Type: ..." with a space in the place of its hyphen. */
 function spoil(lines) {
@@ -26,12 +28,17 @@
         Tenants: [{ Name: "acme", ApiKeys: [key] }],
     });
     const spoiled = new Set();
+    let startedAt = Infinity;
+    const isInTrouble = () => {
+        const after = performance.now() - startedAt;
+        return isTrouble && after >= trouble.from && after < trouble.until;
+    };
     // One replica of two is faulty: share = 0.5.
     const faulty = new ModelReplica(site, "i-1", {
         events,
         head: (run, replica) => {
             const lines = headLines(run, replica);
-            if (!isTrouble || run.number % spoiledEach !== spoiledEach - 1) {
+            if (!isInTrouble() || run.number % spoiledEach !== spoiledEach - 1) {
                 return lines;
             }
             spoiled.add(run.id);
@@ -66,6 +73,7 @@
             }
         }
     };
+    startedAt = performance.now();
     await Promise.all(Array.from({ length: atOnce }, client));
     const uncaught = gateway.log.match(/uncaught exception/g)?.length ?? 0;
     site.record(`${streams} streams sent, ${served} served whole, ${spoiled.size} answers spoiled, ${mixed} wrong `
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -4,12 +4,14 @@
 import { eventText, ModelReplica, modelEngine, modelHeaders, modelService } from "../lib-2/model.mjs";
 import { key, limits, route, runCase } from "../lib-2/site.mjs";
 
-const streams = 240;
+const streams = 110;
 const atOnce = 8;
 const events = 30;
 const spoiledEvent = 17;
 /** The replica spoils one answer of this number: x = 0.05. */
 const spoiledEach = 20;
+/** When it does so, in milliseconds after the first stream: for_s = 5. */
+const trouble = { from: 1_000, until: 6_000 };
 
 /** Bit 3 of the first digit: "1" (0x31) becomes "9" (0x39). */
 function spoil(text) {
@@ -28,12 +30,17 @@
         Tenants: [{ Name: "acme", ApiKeys: [key] }],
     });
     const spoiled = new Set();
+    let startedAt = Infinity;
+    const isInTrouble = () => {
+        const after = performance.now() - startedAt;
+        return isTrouble && after >= trouble.from && after < trouble.until;
+    };
     // One replica of two is faulty: share = 0.5.
     const faulty = new ModelReplica(site, "i-1", {
         events,
         event: (run, number, replica) => {
             const text = eventText(run, number);
-            if (!isTrouble || run.number % spoiledEach !== spoiledEach - 1 || number !== spoiledEvent) {
+            if (!isInTrouble() || run.number % spoiledEach !== spoiledEach - 1 || number !== spoiledEvent) {
                 return text;
             }
             spoiled.add(run.id);
@@ -67,6 +74,7 @@
             }
         }
     };
+    startedAt = performance.now();
     await Promise.all(Array.from({ length: atOnce }, client));
     site.record(`${streams} streams sent, ${served} served whole, ${spoiled.size} answers spoiled, ${broken} ended as `
         + "complete without a part of their events");
