--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -26,7 +26,7 @@
         Limits: limits,
         Tenants: [{ Name: "acme", ApiKeys: [key] }],
     });
-    /** The jobs that were applied: a replica applies the job of a request when it begins to run it. */
+    /** The jobs that were applied: a request begins to run with its first token, and its job is applied then. */
     const applied = [];
     let startedAt = Infinity;
     const isInTrouble = () => {
@@ -37,7 +37,7 @@
         const replica = new ModelReplica(site, `i-${number}`, {
             events,
             onRun: (run, one, socket) => {
-                applied.push({ id: run.id, job: run.body });
+                setTimeout(() => applied.push({ id: run.id, job: run.body }), one.interval);
                 const mustFail = isInTrouble() && one.id === "i-1" && run.number % failed.of >= failed.from;
                 if (!mustFail) {
                     return false;
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -66,7 +66,7 @@
             served += isSuccess && isWhole && signature !== undefined ? 1 : 0;
             site.record(`client got ${id}: ${reply.status}, ${reply.end}, signature ${signature ?? "missing"}, events `
                 + `${numbers[0] ?? "none"} to ${numbers.at(-1) ?? "none"}`);
-            if (isSuccess && (signature === undefined || (reply.end === "complete" && !isWhole))) {
+            if (isSuccess && reply.end === "complete" && (signature === undefined || !isWhole)) {
                 mixed++;
                 site.record(`MIXED: ${id} is a success ${signature === undefined ? "without a signature, " : ""}`
                     + `${reply.end}, with ${numbers.length} of ${events} events`);
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -219,6 +219,9 @@
         process.exit(2);
     };
     const guard = setTimeout(() => abort("it took too long"), maxTime);
+    // An error of the script itself says nothing of the rule, and must leave no process behind.
+    process.once("uncaughtException", error => abort(error.stack));
+    process.once("unhandledRejection", error => abort(error?.stack ?? error));
     ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.once(signal, () => abort(signal)));
     let code = 2;
     try {
