Review: the stand-in works a length out only for answers that have one

Cause: it wrote each event once for a length that was not sent, so that the record of case 8 named answers as spoiled that were not.

--- a/review/lib-2/model.mjs
+++ b/review/lib-2/model.mjs
@@ -156,18 +156,21 @@
     }
 }
 
-/** The head of a sound answer. */
-export function headLines(run, replica) {
+function contentLength(run, replica) {
     const { first } = run;
     const rest = Array.from({ length: Math.max(0, replica.events - first) }, (_, index) => first + index);
-    const length = rest.reduce((sum, number) => sum + Buffer.byteLength(replica.event(run, number, replica)), 0);
+    return rest.reduce((sum, number) => sum + Buffer.byteLength(replica.event(run, number, replica)), 0);
+}
+
+/** The head of a sound answer. */
+export function headLines(run, replica) {
     return [
         "HTTP/1.1 200 OK",
         `Waxwingspar-Request-Id: ${run.id}`,
         `Waxwingspar-Replica-Signature: ${replica.id}.${run.id}`,
         "Waxwingspar-Weight-Versions: 1",
         "Content-Type: text/event-stream",
-        replica.isSized ? `Content-Length: ${length}` : "Transfer-Encoding: chunked",
+        replica.isSized ? `Content-Length: ${contentLength(run, replica)}` : "Transfer-Encoding: chunked",
         "Connection: close",
     ];
 }
