A head that cannot be passed on ends its run, and an answer never starts without its head

Cause: CallerExchange noted the head as sent before it was written. If Node.js refuses the head, which its parser had accepted, the exception ended in the handler of the process; the next event then made Node.js add a head of its own. Change: the head counts as sent once it is written; a body or an end without it breaks the answer off; a run whose head cannot be written has failed, and the request is retried, resumed or refused as unknown like after any other failure. Exchange ends a reply whose status is not final or whose names or values cannot be written, before anything of it is used. Metric unwritable_heads_total, and a log line with the request's id. StreamRun and PlainRun gave up some lines to StreamRefusal and PlainAttempt, no behaviour changed by that.

--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -58,6 +58,7 @@
     readonly concurrencyLimit: Gauge;
     readonly guardedClients: Counter;
     readonly clientMemory: Gauge;
+    readonly unwritableHeads: Counter;
     readonly callersLeft: Counter;
     readonly requestAge: Histogram;
 
@@ -231,6 +232,10 @@
             name: "waxwingspar_gateway_request_age_seconds",
             help: "From a request's estimated arrival until it was begun.",
         });
+        this.unwritableHeads = registry.counter({
+            name: "waxwingspar_gateway_unwritable_heads_total",
+            help: "Heads of targets' replies that could not be written to their callers.",
+        });
         this.callersLeft = registry.counter({
             name: "waxwingspar_gateway_callers_left_total",
             help: "Requests whose callers left before their answer had ended, by how far the request had come.",
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -6,6 +6,7 @@
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
 import { type CallerPresence } from "../server/CallerPresence.js";
+import { type ReplyHeadMessage } from "../upstream/findHeadFault.js";
 import { type CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { Delivery } from "./Delivery.js";
 import { type CallerRequest } from "./messages.js";
@@ -53,6 +54,8 @@
     "upgrade",
 ]);
 const millisecondsPerSecond = 1_000;
+/** Why a run fails whose reply has a head that cannot be passed on. */
+export const unwritableHead = "the head of the reply cannot be written";
 /** Maximum number of parts of a prompt in one log line. */
 const maxLoggedParts = 8;
 /** Maximum `Retry-After`, as a share of the caller's remaining time. Callers do not honour a longer one. */
@@ -167,14 +170,44 @@
         this.options.observation.metrics.targetListAge.record(basis.listAge, {});
     }
 
-    /** Sends the head of a target's reply. */
-    writeHead(status: number, rawHeaders: readonly string[]): void {
+    /**
+     * Sends the head of a target's reply, unless one has been sent.
+     *
+     * @returns False if it cannot be written. Nothing has been sent then, so that another answer is still possible.
+     */
+    writeHead({ statusCode: status = 0, rawHeaders }: ReplyHeadMessage): boolean {
+        if (this.hasHead) {
+            return true;
+        }
+        const { response, observation, request } = this.options;
+        try {
+            response.writeHead(status, endToEndHeaders(rawHeaders));
+        }
+        catch (error) {
+            observation.metrics.unwritableHeads.add({});
+            observation.logs.requests.error({
+                request: request.id,
+                digest: this.digest,
+                target: this.lastTarget?.id,
+                status,
+                error: String(error),
+            }, "head cannot be written");
+            return false;
+        }
         this.hasHead = true;
-        this.options.response.writeHead(status, endToEndHeaders(rawHeaders));
+        return true;
     }
 
-    /** @returns False if the caller does not keep up; the handler of `onDrain` is called when it does again. */
+    /**
+     * Sends a part of the body. Without a head the answer is broken off, since Node.js would add a head of its own.
+     *
+     * @returns False if the caller does not keep up; the handler of `onDrain` is called when it does again.
+     */
     write(chunk: Buffer): boolean {
+        if (!this.hasHead) {
+            this.breakOff("a body without a head");
+            return true;
+        }
         const now = this.options.clock.now();
         this.firstByteAt ??= now;
         this.longestPause = Math.max(this.longestPause, now - (this.lastByteAt ?? now));
@@ -187,6 +220,10 @@
         if (this.isOver) {
             return;
         }
+        if (!this.hasHead) {
+            this.breakOff("an end without a head");
+            return;
+        }
         this.firstByteAt ??= this.options.clock.now();
         this.isOver = true;
         this.pendingOutcome = outcome;
--- a/packages/gateway/src/lib/requests/EventSplitter.ts
+++ b/packages/gateway/src/lib/requests/EventSplitter.ts
@@ -44,6 +44,12 @@
     }
 }
 
+/** Joins the bytes of events, without a copy if there is only one. */
+export function joinEvents(events: readonly StreamEvent[]): Buffer {
+    const [first, ...others] = events;
+    return first !== undefined && others.length === 0 ? first.bytes : Buffer.concat(events.map(({ bytes }) => bytes));
+}
+
 /** @returns The last id in an event's bytes, which is its own: earlier ones are those of blocks without data. */
 function readId(bytes: Buffer): string | undefined {
     const text = bytes.toString("latin1");
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -2,13 +2,14 @@
 import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeVerdict, type ServicePicker } from "../services/ServicePicker.js";
-import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
+import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { isDelimited } from "../upstream/isDelimited.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
-import { type CallerExchange } from "./CallerExchange.js";
+import { type CallerExchange, unwritableHead } from "./CallerExchange.js";
 import { CrashCheck } from "./CrashCheck.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
+import { type PlainAttempt } from "./PlainAttempt.js";
 import { type RequestContext } from "./RequestContext.js";
 import { type Closure, SendGate } from "./SendGate.js";
 import { sendPriority } from "./sendPriority.js";
@@ -27,31 +28,19 @@
 const retryAfter = 100;
 const firstServerError = 500;
 
-interface Attempt {
-    readonly target: Target;
-    readonly exchange: OpenExchange;
-    readonly startedAt: number;
-    response?: ReplyMessage;
-    /** Time on the clock at which its reply began. */
-    repliedAt?: number;
-    readonly chunks: Buffer[];
-    bytes: number;
-    readonly releaseSlot: () => void;
-}
-
 /**
  * Runs one request on a service without chains: sends it, retries it if its kind allows, and answers with one of three
  * outcomes: the target's reply, a refusal which guarantees that the request was not executed, or an unknown outcome.
  */
 export class PlainRun {
-    private readonly attempts = new Set<Attempt>();
+    private readonly attempts = new Set<PlainAttempt>();
     private readonly tried = new Set<string>();
     private readonly limits: AttemptLimits;
     private readonly gate: SendGate;
     private readonly crashCheck: CrashCheck;
     private readonly slots: SlotUse<Target>;
     /** A complete reply with a server error, delivered if no attempt brings a better one. */
-    private failedReply: Attempt | undefined;
+    private failedReply: PlainAttempt | undefined;
     private deadlineTimer: Timer | undefined;
     private hedgeTimer: Timer | undefined;
 
@@ -161,7 +150,7 @@
         this.tried.add(target.id);
         this.picker.sent(target);
         const { context, caller } = this;
-        const attempt: Attempt = {
+        const attempt: PlainAttempt = {
             target,
             startedAt: context.clock.now(),
             chunks: [],
@@ -185,7 +174,7 @@
         this.attempts.add(attempt);
     }
 
-    private receiveHead(attempt: Attempt, response: ReplyMessage): void {
+    private receiveHead(attempt: PlainAttempt, response: ReplyMessage): void {
         attempt.response = response;
         attempt.repliedAt = this.context.clock.now();
         const head = this.context.wire.readReplyHead(response.statusCode ?? 0, response.headers);
@@ -215,7 +204,7 @@
         }
     }
 
-    private receiveData(attempt: Attempt, chunk: Buffer): void {
+    private receiveData(attempt: PlainAttempt, chunk: Buffer): void {
         if (attempt.bytes > maxBufferedReply) {
             this.forward(attempt, chunk);
             return;
@@ -223,20 +212,23 @@
         attempt.chunks.push(chunk);
         attempt.bytes += chunk.length;
         if (attempt.bytes > maxBufferedReply) {
+            if (attempt.response === undefined || !this.caller.writeHead(attempt.response)) {
+                this.abandon(attempt, "failed", "unknown", unwritableHead);
+                return;
+            }
             this.stopOthers(attempt);
-            this.caller.writeHead(attempt.response?.statusCode ?? 0, attempt.response?.rawHeaders ?? []);
             this.forward(attempt, Buffer.concat(attempt.chunks));
             this.caller.onDrain(() => attempt.exchange.resume());
         }
     }
 
-    private forward(attempt: Attempt, chunk: Buffer): void {
+    private forward(attempt: PlainAttempt, chunk: Buffer): void {
         if (!this.caller.write(chunk)) {
             attempt.exchange.pause();
         }
     }
 
-    private receiveEnd(attempt: Attempt): void {
+    private receiveEnd(attempt: PlainAttempt): void {
         const { response, target, startedAt, repliedAt } = attempt;
         const status = response?.statusCode ?? 0;
         const isFailure = status >= firstServerError;
@@ -252,7 +244,7 @@
         this.continueAfter(attempt, "unknown");
     }
 
-    private exchangeFailed(attempt: Attempt, { neverSent, isWithdrawn, isFlood, reason }: ExchangeFailure): void {
+    private exchangeFailed(attempt: PlainAttempt, { neverSent, isWithdrawn, isFlood, reason }: ExchangeFailure): void {
         this.remove(attempt, isWithdrawn === true ? "withdrawn" : "failed");
         this.logFailure(attempt, reason);
         if (isFlood !== true) {
@@ -268,7 +260,7 @@
     }
 
     /** Cancels an attempt whose reply cannot be used. */
-    private abandon(attempt: Attempt, verdict: ExchangeVerdict, end: AttemptEnd, reason: string): void {
+    private abandon(attempt: PlainAttempt, verdict: ExchangeVerdict, end: AttemptEnd, reason: string): void {
         attempt.exchange.cancel();
         this.remove(attempt, verdict);
         this.logFailure(attempt, reason);
@@ -276,7 +268,7 @@
     }
 
     /** Retries or gives up after an attempt without a usable reply. */
-    private continueAfter({ target }: Attempt, end: AttemptEnd): void {
+    private continueAfter({ target }: PlainAttempt, end: AttemptEnd): void {
         this.limits.end(target.id, end);
         if (this.attempts.size > 0) {
             return;
@@ -303,15 +295,17 @@
         }
     }
 
-    private deliver(attempt: Attempt): void {
-        const { response, chunks } = attempt;
-        this.finish();
-        if (!this.caller.headSent) {
-            this.caller.writeHead(response?.statusCode ?? 0, response?.rawHeaders ?? []);
-            this.caller.end("served", Buffer.concat(chunks));
+    /** Delivers the whole reply of an attempt that has ended. */
+    private deliver(attempt: PlainAttempt): void {
+        const rest = this.caller.headSent ? undefined : Buffer.concat(attempt.chunks);
+        if (attempt.response !== undefined && this.caller.writeHead(attempt.response)) {
+            this.finish();
+            this.caller.end("served", rest);
             return;
         }
-        this.caller.end("served");
+        this.failedReply = undefined;
+        this.logFailure(attempt, unwritableHead);
+        this.continueAfter(attempt, "unknown");
     }
 
     /** Ends a request that is not sent again because targets crashed while running it. */
@@ -349,7 +343,7 @@
         this.caller.refuse(closure.code, reason, closure.wait, closure.isBinding);
     }
 
-    private stopOthers(kept: Attempt): void {
+    private stopOthers(kept: PlainAttempt): void {
         for (const attempt of this.attempts) {
             if (attempt !== kept) {
                 attempt.exchange.cancel();
@@ -373,7 +367,7 @@
         }
     }
 
-    private remove(attempt: Attempt, verdict: ExchangeVerdict): void {
+    private remove(attempt: PlainAttempt, verdict: ExchangeVerdict): void {
         if (this.attempts.delete(attempt)) {
             attempt.releaseSlot();
             this.picker.ended(attempt.target, verdict, this.context.clock.now() - attempt.startedAt);
@@ -381,7 +375,7 @@
         }
     }
 
-    private logFailure(attempt: Attempt, reason: string): void {
+    private logFailure(attempt: PlainAttempt, reason: string): void {
         this.context.observation.logs.requests.warn({
             request: this.caller.request.id,
             digest: this.caller.digest,
--- a/packages/gateway/src/lib/requests/StreamRefusal.ts
+++ b/packages/gateway/src/lib/requests/StreamRefusal.ts
@@ -1,6 +1,9 @@
 import { requestCodes } from "@waxwingspar/utils";
 import { type ChainService } from "../chains/ChainService.js";
 import { type CallerExchange } from "./CallerExchange.js";
+import { type DeliveredEvents } from "./DeliveredEvents.js";
+import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
+import { type RequestContext } from "./RequestContext.js";
 import { type Closure, restClosure, type SendGate } from "./SendGate.js";
 import { refuseWithoutSlot, type SlotUse } from "./SlotUse.js";
 
@@ -8,8 +11,18 @@
 export interface StreamRefusalOptions {
     readonly gate: Pick<SendGate, "findClosure">;
     readonly service: Pick<ChainService, "choose" | "listHeads" | "restLeft">;
-    readonly caller: Pick<CallerExchange, "refuse">;
+    readonly caller: CallerExchange;
     readonly slots: Pick<SlotUse<unknown>, "refusal">;
+    readonly context: RequestContext;
+    readonly delivered: Pick<DeliveredEvents, "count" | "silence">;
+}
+
+/** What is known of a stream that is given up. */
+export interface UnservedStream {
+    /** Whether a target may have begun to run it. */
+    readonly mayRun: boolean;
+    /** Whether a run was in flight when it was given up. */
+    readonly isRunning: boolean;
 }
 
 /** `Retry-After` in milliseconds when no chain has room: some requests end in that time. */
@@ -18,7 +31,10 @@
 const noChainRetryAfter = 1_500;
 const noExclusions: ReadonlySet<string> = new Set();
 
-/** Refuses a stream that was never executed, with the time until a chain may take it. */
+/**
+ * Ends a stream that cannot be served. One that was never executed is refused, with the time until a chain may take it;
+ * the outcome of any other is unknown.
+ */
 export class StreamRefusal {
     constructor(private readonly options: StreamRefusalOptions) {}
 
@@ -27,7 +43,19 @@
         return this.closure?.reason ?? "no chain is left";
     }
 
-    refuse(reason: string): void {
+    endUnserved(reason: string, { mayRun, isRunning }: UnservedStream): void {
+        if (!mayRun) {
+            this.refuse(reason);
+            return;
+        }
+        const { context, caller, delivered: { count: events, silence } } = this.options;
+        const isLate = isPastDeadline(caller);
+        const cause = isLate ? "deadline" : isRunning ? "suspicion" : "target";
+        noteGivenUp(context, caller, cause, { reason, events, silence: Math.round(silence) });
+        caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
+    }
+
+    private refuse(reason: string): void {
         const { closure, options: { service, caller, slots } } = this;
         if (slots.refusal !== undefined) {
             refuseWithoutSlot(caller, slots.refusal);
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -1,4 +1,4 @@
-import { requestCodes, type Timer } from "@waxwingspar/utils";
+import { type Timer } from "@waxwingspar/utils";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { mayResume } from "../configuration/Configuration.js";
@@ -7,13 +7,13 @@
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { isDelimited } from "../upstream/isDelimited.js";
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
-import { type CallerExchange } from "./CallerExchange.js";
+import { type CallerExchange, unwritableHead } from "./CallerExchange.js";
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
 import { chainCandidates } from "./chainCandidates.js";
 import { ChainChoice } from "./ChainChoice.js";
 import { CrashCheck } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
-import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
+import { joinEvents } from "./EventSplitter.js";
 import { type Precedence } from "./precedence.js";
 import { type RequestContext } from "./RequestContext.js";
 import { ResumeWait } from "./ResumeWait.js";
@@ -56,7 +56,14 @@
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
         this.gate = new SendGate({ context, caller, precedence: () => this.precedence });
         this.slots = new SlotUse({ context, caller, list: () => chainCandidates(this.choice, service) });
-        this.refusal = new StreamRefusal({ gate: this.gate, service, caller, slots: this.slots });
+        this.refusal = new StreamRefusal({
+            context,
+            gate: this.gate,
+            service,
+            caller,
+            slots: this.slots,
+            delivered: this.delivered,
+        });
         this.log = new StreamLog({ context, caller, service, delivered: this.delivered });
         this.choice = new ChainChoice({
             service,
@@ -118,17 +125,11 @@
         if (firstEventAt !== undefined && this.context.clock.now() - firstEventAt >= safeReplyAge) {
             this.crashCheck.noteSuccess();
         }
-        const [first] = newEvents;
-        if (first === undefined) {
-            return;
+        if (newEvents.length > 0 && this.writeHeadOnce(attempt)) {
+            this.keepOnly(attempt);
+            this.delivered.add(newEvents);
+            this.forward(attempt, joinEvents(newEvents));
         }
-        this.keepOnly(attempt);
-        this.writeHeadOnce(attempt);
-        this.delivered.add(newEvents);
-        this.forward(
-            attempt,
-            newEvents.length === 1 ? first.bytes : Buffer.concat(newEvents.map(({ bytes }) => bytes)),
-        );
     }
 
     onEnd(attempt: ChainAttempt): void {
@@ -138,7 +139,9 @@
             return;
         }
         this.crashCheck.noteEnd(attempt.send, attempt.response?.statusCode ?? 0, isWhole);
-        this.writeHeadOnce(attempt);
+        if (!this.writeHeadOnce(attempt)) {
+            return;
+        }
         this.forward(attempt, attempt.takeRest());
         this.finish();
         this.caller.end(`served ${this.delivered.count} events`);
@@ -267,14 +270,18 @@
             this.attemptEnded(attempt, "unknown", `target's own status ${status}`);
             return;
         }
-        attempt.isPlain = true;
-        this.caller.writeHead(status, attempt.response?.rawHeaders ?? []);
+        if (this.writeHeadOnce(attempt)) {
+            attempt.isPlain = true;
+        }
     }
 
-    private writeHeadOnce({ response }: ChainAttempt): void {
-        if (!this.caller.headSent) {
-            this.caller.writeHead(response?.statusCode ?? 0, response?.rawHeaders ?? []);
+    /** @returns Whether the answer has a head. A run whose head cannot be written has failed. */
+    private writeHeadOnce(attempt: ChainAttempt): boolean {
+        if (attempt.response !== undefined && this.caller.writeHead(attempt.response)) {
+            return true;
         }
+        this.attemptEnded(attempt, "unknown", unwritableHead);
+        return false;
     }
 
     /** Cancels all other runs once one has brought new events. */
@@ -368,18 +375,9 @@
 
     private giveUp(reason: string): void {
         const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ neverSent }) => !neverSent);
-        const isLate = isPastDeadline(this.caller);
-        if (mayRun) {
-            const cause = isLate ? "deadline" : this.attempts.size > 0 ? "suspicion" : "target";
-            const { count: events, silence } = this.delivered;
-            noteGivenUp(this.context, this.caller, cause, { reason, events, silence: Math.round(silence) });
-        }
+        const isRunning = this.attempts.size > 0;
         this.finish();
-        if (!mayRun) {
-            this.refusal.refuse(reason);
-            return;
-        }
-        this.caller.refuse(isLate ? requestCodes.deadlineExceeded : requestCodes.outcomeUnknown, reason);
+        this.refusal.endUnserved(reason, { mayRun, isRunning });
     }
 
     private finish(): void {
--- a/packages/gateway/src/lib/testing/PlainSlotSite.ts
+++ b/packages/gateway/src/lib/testing/PlainSlotSite.ts
@@ -17,6 +17,8 @@
     readonly slots?: number;
     /** Whether targets list their slots. */
     readonly isListed?: boolean;
+    /** Share of the requests that targets answer with an error status. */
+    readonly failedShare?: number;
 }
 
 /** Milliseconds that a datagram between gateways is on its way. */
@@ -82,6 +84,7 @@
                 this.arrivalsAtFull += simulated.running >= slots ? 1 : 0;
             },
             events,
+            failedShare: this.options.failedShare,
         });
         simulated.capacity = slots;
         return simulated;
--- a/packages/gateway/src/lib/testing/SimulatedAnswer.ts
+++ b/packages/gateway/src/lib/testing/SimulatedAnswer.ts
@@ -16,6 +16,8 @@
     /** Longest time in milliseconds in which the caller received nothing. */
     longestPause = 0;
     private lastAt: number;
+    /** Number of heads that the writer refuses before it takes one, as Node.js does with malformed ones. */
+    refusedHeads = 0;
     /** The `Retry-After` header in seconds. */
     retryAfter: number | undefined;
 
@@ -40,12 +42,17 @@
     }
 
     writeHead(status: number, headers: Readonly<Record<string, unknown>>): void {
+        if (this.refusedHeads > 0) {
+            this.refusedHeads--;
+            throw new RangeError("the head is malformed");
+        }
         this.statusCode = status;
         this.retryAfter = headers["Retry-After"] === undefined ? undefined : Number(headers["Retry-After"]);
         this.headersSent = true;
     }
 
     write(chunk: Buffer, onLeft?: () => void): boolean {
+        this.addImplicitHead();
         this.body += chunk.toString();
         this.notePause();
         onLeft?.();
@@ -53,6 +60,7 @@
     }
 
     end(chunk?: Buffer, onLeft?: () => void): void {
+        this.addImplicitHead();
         this.body += chunk?.toString() ?? "";
         onLeft?.();
         this.isComplete = true;
@@ -78,6 +86,13 @@
         this.once("finish", listener);
     }
 
+    /** Node.js writes a head of its own before the first bytes of an answer without one. */
+    private addImplicitHead(): void {
+        if (!this.headersSent) {
+            this.writeHead(200, {});
+        }
+    }
+
     private notePause(): void {
         const now = this.clock.now();
         this.longestPause = Math.max(this.longestPause, now - this.lastAt);
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -1,6 +1,7 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type Socket } from "node:net";
 import { type AcceptBursts } from "../server/AcceptBursts.js";
+import { findHeadFault } from "./findHeadFault.js";
 
 /** Why an exchange ended without a complete reply. */
 export interface ExchangeFailure {
@@ -167,6 +168,11 @@
         if (this.isOver) {
             return;
         }
+        const fault = findHeadFault(response);
+        if (fault !== undefined) {
+            this.fail(`malformed head: ${fault}`);
+            return;
+        }
         this.response = response;
         this.hasUsefulInput = true;
         response.on("error", (error: NodeJS.ErrnoException) => this.fail(error.code ?? error.message));
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/findHeadFault.ts
@@ -0,0 +1,36 @@
+import { type IncomingMessage, validateHeaderName, validateHeaderValue } from "node:http";
+
+/** The part of a reply's head that is passed on to callers. */
+export type ReplyHeadMessage = Pick<IncomingMessage, "statusCode" | "rawHeaders">;
+
+/** Statuses of final replies. Those below are interim ones or none at all. */
+const finalStatuses = { first: 200, last: 999 };
+
+/**
+ * Finds what makes a reply's head impossible to pass on. The parser and the writer of Node.js check heads by different
+ * rules, which also differ between versions, so a head that was parsed may be one that cannot be written.
+ *
+ * @returns Undefined if status, names and values are those of a final reply in HTTP/1.1.
+ */
+export function findHeadFault({ statusCode = 0, rawHeaders }: ReplyHeadMessage): string | undefined {
+    if (!Number.isInteger(statusCode) || statusCode < finalStatuses.first || statusCode > finalStatuses.last) {
+        return `status ${statusCode} is not that of a final reply`;
+    }
+    for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+        const name = rawHeaders[i] ?? "";
+        if (!isValid(() => validateHeaderName(name)) || !isValid(() => validateHeaderValue(name, rawHeaders[i + 1]!))) {
+            return `header ${JSON.stringify(name)} is invalid`;
+        }
+    }
+    return undefined;
+}
+
+function isValid(validate: () => void): boolean {
+    try {
+        validate();
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
