An entry answers a call whose service's head cannot be written

The head of a plain service's answer, as its agent passes it on, was written without a check; what Node.js refuses (status 0, a name with a space) threw in the link's handler, and the call never ended. The same for a stored answer of a claimed call. Evidence: the new test times out before.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export { createSideServer, type SideServerOptions } from "./lib/createSideServer.js";
+export { findHeadFault, type ReplyHeadMessage } from "./lib/findHeadFault.js";
 export { GuardedServer, type GuardedServerOptions, type GuardReason, type GuardRefusal } from "./lib/GuardedServer.js";
 export { type GuardCounts, GuardRecord, type GuardRecordOptions } from "./lib/GuardRecord.js";
 export { Holding, type HoldingOptions, MemoryBudget, type MemoryBudgetOptions } from "./lib/MemoryBudget.js";
--- a/packages/gateway/src/lib/upstream/findHeadFault.ts
+++ b/packages/connections/src/lib/findHeadFault.ts
@@ -1,6 +1,6 @@
 import { type IncomingMessage, validateHeaderName, validateHeaderValue } from "node:http";
 
-/** The part of a reply's head that is passed on to callers. */
+/** The part of a reply's head that is passed on to callers. @public */
 export type ReplyHeadMessage = Pick<IncomingMessage, "statusCode" | "rawHeaders">;
 
 /** Statuses of final replies. Those below are interim ones or none at all. */
@@ -11,6 +11,7 @@
  * rules, which also differ between versions, so a head that was parsed may be one that cannot be written.
  *
  * @returns Undefined if status, names and values are those of a final reply in HTTP/1.1.
+ * @public
  */
 export function findHeadFault({ statusCode = 0, rawHeaders }: ReplyHeadMessage): string | undefined {
     if (!Number.isInteger(statusCode) || statusCode < finalStatuses.first || statusCode > finalStatuses.last) {
--- a/packages/entry/src/lib/services/ServiceCall.test.ts
+++ b/packages/entry/src/lib/services/ServiceCall.test.ts
@@ -58,6 +58,20 @@
     assert.deepEqual((await responding).headers.getSetCookie(), cookies);
 });
 
+// Guards against a process that ends, or a call that does, after an agent has passed on a head that cannot be written.
+test("a service's head that cannot be written is a lost answer", async context => {
+    const site = await startSite(context);
+    const odd = (status: number, headers: Record<string, string> = {}) => ({ status, headers });
+    for (const head of [odd(0), odd(101), odd(200, { "a b": "1" }), odd(200, { a: "\u0000" })]) {
+        const count = site.agent(0).all("call").length + 1;
+        const responding = site.fetch("/services/records/parts");
+        const { request } = await site.agent(0).wait("call", count);
+        site.agent(0).send({ type: "reply", request, ...head });
+        reply(site.agent(1), await site.agent(1).wait("call", count), "seven");
+        assert.equal(await (await responding).text(), "seven");
+    }
+});
+
 test("retries an idempotent call that was lost", async context => {
     const site = await startSite(context);
     const responding = site.fetch("/services/records/parts");
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -1,6 +1,7 @@
 import { type Span, SpanKind, type Tracer } from "@opentelemetry/api";
 import { context, trace } from "@opentelemetry/api";
 import { type StoredReply } from "@waxwingspar/claims";
+import { findHeadFault } from "@waxwingspar/connections";
 import { type HistoryRecorder } from "@waxwingspar/history";
 import { type AttemptEnd, type RetryBudget, type RoutedAttempt, type Router } from "@waxwingspar/policy";
 import { traceparentOf } from "@waxwingspar/telemetry";
@@ -23,6 +24,7 @@
 import { fromWire, restAskedBy } from "../recovery/failures.js";
 import { Recovery } from "../recovery/Recovery.js";
 import { ReplyCredit } from "./ReplyCredit.js";
+import { returnedHeaders } from "./serviceHeaders.js";
 
 /**
  * A plain call that has passed every check of the entry.
@@ -141,9 +143,7 @@
         }
         switch (message.type) {
             case "reply":
-                this.begun = true;
-                this.attempt.credit.active = message.credited === true;
-                return this.options.sink.head(message.status, message.headers);
+                return this.receiveHead(this.attempt, message);
             case "replyBody":
                 return this.forwardBody(this.attempt, message.data, message.last);
             case "callFailed":
@@ -157,6 +157,18 @@
         this.attemptFailed(failure(transportCodes.connectionLost, "the link to the target was lost"));
     }
 
+    private receiveHead(attempt: CallAttempt, reply: Extract<Message, { readonly type: "reply"; }>): void {
+        const head = checkHead(reply);
+        if (head.isErr) {
+            attempt.link.send({ type: "callCancel", request: this.request.id });
+            this.attemptFailed(head.error);
+            return;
+        }
+        this.begun = true;
+        attempt.credit.active = reply.credited === true;
+        this.options.sink.head(reply.status, head.value);
+    }
+
     private forwardBody(attempt: CallAttempt, data: Uint8Array, last: boolean): void {
         this.options.sink.body(data);
         if (last) {
@@ -257,9 +269,14 @@
     }
 
     /** Answers a duplicate with the reply that the runner of its claim has stored. Nothing runs. */
-    private sendStoredReply({ status, headers, body }: StoredReply): void {
-        this.options.sink.head(status, headers);
-        this.options.sink.body(Buffer.from(body, "base64"));
+    private sendStoredReply(reply: StoredReply): void {
+        const head = checkHead(reply);
+        if (head.isErr) {
+            this.finish(failure(requestCodes.outcomeUnknown, head.error.message));
+            return;
+        }
+        this.options.sink.head(reply.status, head.value);
+        this.options.sink.body(Buffer.from(reply.body, "base64"));
         this.answered();
     }
 
@@ -337,3 +354,13 @@
         this.cancel(failure(code, "the deadline passed"));
     }
 }
+
+/** @returns The headers of a service's answer that are returned to its caller, if its head can be written. */
+function checkHead({ status, headers }: Pick<StoredReply, "status" | "headers">): Outcome<ReplyHeaders> {
+    const returned = returnedHeaders(headers);
+    const rawHeaders = Object.entries(returned).flatMap(([name, value]) => [value].flat().flatMap(one => [name, one]));
+    const fault = findHeadFault({ statusCode: status, rawHeaders });
+    return fault === undefined
+        ? Result.ok(returned)
+        : Result.err(failure(transportCodes.protocolViolation, `the service's answer has a malformed head: ${fault}`));
+}
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -12,7 +12,7 @@
 import { mayUse } from "../models/findModel.js";
 import { type OpenRequest } from "../OpenRequests.js";
 import { type ReplySink, ServiceCall, type ServiceRequest } from "./ServiceCall.js";
-import { forwardedHeaders, returnedHeaders } from "./serviceHeaders.js";
+import { forwardedHeaders } from "./serviceHeaders.js";
 import { isNonIdempotent, parseServicePath, type ServicePath } from "./servicePath.js";
 
 interface CheckedCall {
@@ -158,7 +158,7 @@
             taken = handler;
         },
         head: (status, headers) => {
-            response.writeHead(status, returnedHeaders(headers));
+            response.writeHead(status, headers);
             // A short answer is sent in one write with its headers; headers of a slow answer do not wait for its body.
             setImmediate(() => response.flushHeaders());
         },
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -1,3 +1,4 @@
+import { type ReplyHeadMessage } from "@waxwingspar/connections";
 import { type Clock, type ResultCode } from "@waxwingspar/utils";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Organisation, type Route } from "../configuration/Configuration.js";
@@ -6,7 +7,6 @@
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type Observation } from "../observation/Observation.js";
 import { type CallerPresence } from "../server/CallerPresence.js";
-import { type ReplyHeadMessage } from "../upstream/findHeadFault.js";
 import { type CallerLinkMonitor } from "./CallerLinkMonitor.js";
 import { Delivery } from "./Delivery.js";
 import { type CallerRequest } from "./messages.js";
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -1,7 +1,7 @@
+import { findHeadFault } from "@waxwingspar/connections";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type Socket } from "node:net";
 import { type AcceptBursts } from "../server/AcceptBursts.js";
-import { findHeadFault } from "./findHeadFault.js";
 
 /** Why an exchange ended without a complete reply. */
 export interface ExchangeFailure {
