A begun stream goes on over a chain that had a faulty run if there is no other one

Callers saw: nothing reported; found by the random floods of our own tests. A stream was silent for up to two seconds and more while a sound chain was there, until its caller left. Cause: a chain that had brought bytes without end was avoided like one that is stalled: begun streams wait until it may be sound again, also when no other one is left. And a begun stream that brings bytes without events looked only for a chain with room, though its caller leaves after two seconds. Change: faulty runs have their own time; chains without one are preferred, the others are used if there is none. Evidence: the new test fails before.

--- a/packages/gateway/src/lib/chains/ChainRouter.ts
+++ b/packages/gateway/src/lib/chains/ChainRouter.ts
@@ -55,6 +55,8 @@
     falseAlarms: number;
     /** Until when the chain gets no new requests, because its streams stalled. */
     avoidedUntil: number;
+    /** Until when, on the clock, other chains are preferred because a run on this one was faulty. */
+    faultyUntil: number;
 }
 
 /**
@@ -101,11 +103,10 @@
     /** Like {@link ChainRouter.choose}, but leaves out chains that are avoided after a stall. */
     chooseHealthy(engine: Engine, excluded: ReadonlySet<string>, prompt?: number): ChainLoad | undefined {
         const now = this.options.clock.now();
-        const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && this.mayAdd(engine, load));
-        return cheapest(
-            healthy.filter(({ chain }) => !excluded.has(chain.key)),
-            this.costAfter(engine, excluded, prompt),
+        const healthy = this.current(engine).filter(load =>
+            load.avoidedUntil <= now && !excluded.has(load.chain.key) && this.mayAdd(engine, load)
         );
+        return cheapest(this.preferSound(healthy), this.costAfter(engine, excluded, prompt));
     }
 
     /**
@@ -118,13 +119,20 @@
         const healthy = this.current(engine).filter(load => load.avoidedUntil <= now && !excluded.has(load.chain.key));
         const readable = healthy.filter(load => this.mayAdd(engine, load));
         return cheapest(
-            readable.length > 0 ? readable : healthy,
+            this.preferSound(readable.length > 0 ? readable : healthy),
             this.isOn("resume-spread")
                 ? this.resumeCostAfter(engine, excluded, prompt)
                 : this.costAfter(engine, excluded, prompt),
         );
     }
 
+    /** @returns The chains without a recent faulty run, or all if each one has had such a run. */
+    private preferSound(loads: readonly ChainLoad[]): readonly ChainLoad[] {
+        const now = this.options.clock.now();
+        const sound = loads.filter(({ faultyUntil }) => faultyUntil <= now);
+        return sound.length > 0 ? sound : loads;
+    }
+
     /** Records that a request is sent over a chain. */
     noteSend(engine: Engine, { chain }: ChainLoad): void {
         this.timed.noteSend(chain);
@@ -279,6 +287,7 @@
             eventInterval: undefined,
             falseAlarms: 0,
             avoidedUntil: -Infinity,
+            faultyUntil: -Infinity,
         };
         this.loads.set(chain.key, load);
         return load;
@@ -313,7 +322,8 @@
 
     private conditionOf(load: ChainLoad, excluded: ReadonlySet<string>): ChainCondition {
         const first = this.firsts.get(load);
-        const takesRequests = first !== undefined && first.avoidedUntil <= this.options.clock.now();
+        const now = this.options.clock.now();
+        const takesRequests = first !== undefined && first.avoidedUntil <= now && first.faultyUntil <= now;
         const use = this.useOf(load);
         return {
             ...use,
--- a/packages/gateway/src/lib/chains/ChainService.ts
+++ b/packages/gateway/src/lib/chains/ChainService.ts
@@ -263,11 +263,12 @@
     }
 
     /**
-     * Records that a run on the chain brought bytes without end. Its connection is that of the first target, whose
-     * reports cannot show such a fault, so the chain gets no requests for a while if there is another one.
+     * Records that a run on the chain brought what belongs to no answer: bytes without end, or events that contradict
+     * each other. Reports of targets cannot show such a fault, so the chain gets no requests for a while if there is
+     * another one.
      */
-    flooded(load: ChainLoad): void {
-        load.avoidedUntil = this.options.clock.now() + stallAvoidanceTime;
+    ranFaulty(load: ChainLoad): void {
+        load.faultyUntil = this.options.clock.now() + stallAvoidanceTime;
     }
 
     private scheduleCheck(): void {
--- a/packages/gateway/src/lib/requests/ChainChoice.test.ts
+++ b/packages/gateway/src/lib/requests/ChainChoice.test.ts
@@ -13,6 +13,7 @@
         eventInterval: undefined,
         falseAlarms: 0,
         avoidedUntil: 0,
+        faultyUntil: 0,
     };
 }
 
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -149,7 +149,7 @@
 
     onFailure(attempt: ChainAttempt, { neverSent, isWithdrawn, isFlood = false, reason }: ExchangeFailure): void {
         if (isFlood) {
-            this.service.flooded(attempt.load);
+            this.service.ranFaulty(attempt.load);
             this.attemptEnded(attempt, "unknown", reason, true, "gateway");
             [...this.attempts].filter(other => other.isSuspected).forEach(other => this.suspect(other, reason));
             return;
@@ -165,7 +165,7 @@
         if (attempt.isSuspected && this.attempts.size > 1) {
             this.attemptEnded(attempt, "unknown", reason, true, "gateway");
         }
-        else if (attempt.firstEventAt !== undefined || this.choice.chooseAlternativeWithRoom() !== undefined) {
+        else if (this.delivered.hasBegun || this.choice.chooseAlternativeWithRoom() !== undefined) {
             this.suspect(attempt, reason);
         }
     }
--- a/packages/gateway/src/lib/requests/floodingTargets.test.ts
+++ b/packages/gateway/src/lib/requests/floodingTargets.test.ts
@@ -98,6 +98,22 @@
     assert.equal(site.arrivals, 1);
 });
 
+// Guards against streams that wait until their callers leave because each chain is avoided after a faulty run.
+test("a stream goes on at once over a chain that has had a faulty run if there is no other", async () => {
+    const site = new StreamSite({ isResuming: true, maxAttempts: 4 });
+    const [head, other] = [site.heads[0]!, site.heads[1]!];
+    head.flood = turnsInto(contents["short lines"]!, 3);
+    other.flood = turnsInto(contents["short lines"]!, 6);
+    site.open();
+    while (other.arrivals === 0) {
+        await site.clock.advanceAsync(1);
+    }
+    head.flood = undefined;
+    await site.clock.advanceAsync(untilDeadline);
+    assert.equal(site.served.length, 1);
+    assert.ok((site.answers[0]?.longestPause ?? Infinity) < 500);
+});
+
 test("a run that repeats the answer from its start is not judged while its events go on", async () => {
     const site = new StreamSite();
     site.open();
