A run of a stream whose ids do not rise has failed, and a jump is confirmed before it is forwarded

Cause: events were compared with what the caller had, whatever run they came from. Within one run an id that does not rise was taken for a repetition and dropped, and the end of the run then ended the answer as complete. A wrong id that had been forwarded also became the position from which another run was asked to go on. Change: EventSequence judges each run by its ids. An id that does not rise, is no number, or an end before what the caller has ends the run as faulty: the stream goes on over another chain, or is broken off. While ids are consecutive, an event whose id jumps is held until the next one confirms it, 100 ms at most, so that no wrong id reaches the caller. Where it has reached the caller (the first two events), the answer is broken off. Metric faulty_runs_total. StreamStage holds what StreamRun knew of precedence and holds. Changed test: 'an event that comes again in the same read ...' expected the run to go on after an id that went back; the run now ends there, which the same sequence in the next test checks. The property that ids rise strictly is unchanged.

--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -59,6 +59,7 @@
     readonly guardedClients: Counter;
     readonly clientMemory: Gauge;
     readonly unwritableHeads: Counter;
+    readonly faultyRuns: Counter;
     readonly callersLeft: Counter;
     readonly requestAge: Histogram;
 
@@ -236,6 +237,10 @@
             name: "waxwingspar_gateway_unwritable_heads_total",
             help: "Heads of targets' replies that could not be written to their callers.",
         });
+        this.faultyRuns = registry.counter({
+            name: "waxwingspar_gateway_faulty_runs_total",
+            help: "Runs of streams that were ended because of what they brought, by fault.",
+        });
         this.callersLeft = registry.counter({
             name: "waxwingspar_gateway_callers_left_total",
             help: "Requests whose callers left before their answer had ended, by how far the request had come.",
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -1,12 +1,14 @@
 import { type Timer } from "@waxwingspar/utils";
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService, type ChainUser } from "../chains/ChainService.js";
+import { safeReplyAge } from "../crashes/CrashGuard.js";
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type CallerExchange } from "./CallerExchange.js";
 import { type Send } from "./CrashCheck.js";
 import { type DeliveredEvents } from "./DeliveredEvents.js";
 import { EventProgress, maxEventBytes } from "./EventProgress.js";
+import { EventSequence, type SequencedEvents } from "./EventSequence.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
@@ -15,6 +17,8 @@
 export interface ChainAttemptListener extends ChainUser {
     onHead(attempt: ChainAttempt, response: ReplyMessage): void;
     onData(attempt: ChainAttempt, chunk: Buffer): void;
+    /** Called with events that were held, as no further event has shown in time whether their ids are right. */
+    onEvents(attempt: ChainAttempt, events: readonly StreamEvent[], isInDoubt: boolean): void;
     onEnd(attempt: ChainAttempt): void;
     onFailure(attempt: ChainAttempt, failure: ExchangeFailure): void;
     /**
@@ -39,10 +43,12 @@
     /** Whether the request itself may still be sent when the connection is established. */
     readonly maySend: () => boolean;
     /** The events that the caller has received. */
-    readonly delivered: Pick<DeliveredEvents, "isNew" | "selectNew" | "lastId">;
+    readonly delivered: DeliveredEvents;
     readonly listener: ChainAttemptListener;
 }
 
+/** Milliseconds for which an event is held whose id jumps. A later one would count as late with callers. */
+const maxHold = 100;
 /** Multiple of the latency target after which another chain is tried if no event has arrived. */
 const firstEventTimeoutFactor = 3;
 
@@ -58,6 +64,8 @@
     /** Milliseconds to the first event that were predicted at the start. */
     private readonly expected: number | undefined;
     private readonly splitter = new EventSplitter();
+    private readonly sequence: EventSequence;
+    private holdTimer: Timer | undefined;
     private readonly progress: EventProgress;
     /** Whether the bytes that arrived last show that a further event is late. */
     private isLate = false;
@@ -71,6 +79,7 @@
         const { context, caller, service, load, target, delivered, priority, maySend, listener } = options;
         const { lastId: lastEventId } = delivered;
         this.startedAt = context.clock.now();
+        this.sequence = new EventSequence(delivered);
         this.progress = new EventProgress(context.clock, delivered);
         this.exchange = openExchange({
             context,
@@ -136,6 +145,12 @@
         return this.firstEventTime;
     }
 
+    /** Whether its first event came so long ago that the request has not crashed its target. */
+    get hasLasted(): boolean {
+        const { firstEventTime, options: { context: { clock } } } = this;
+        return firstEventTime !== undefined && clock.now() - firstEventTime >= safeReplyAge;
+    }
+
     /** What is told of this run if its target may have crashed. */
     get send(): Send {
         return { target: this.target, startedAt: this.startedAt, repliedAt: this.firstEventTime };
@@ -145,9 +160,8 @@
         return this.splitter.hasPartialEvent;
     }
 
-    /** Parses bytes of the reply. @returns The events that they complete and that the caller lacks. */
-    take(chunk: Buffer): StreamEvent[] {
-        const { delivered } = this.options;
+    /** Parses bytes of the reply. @returns The events that they complete, or confirm, and that the caller lacks. */
+    take(chunk: Buffer): SequencedEvents {
         const events = this.splitter.push(chunk);
         if (events.length > 0) {
             this.noteEvents();
@@ -157,7 +171,17 @@
             rest: this.splitter.heldBytes,
             events,
         });
-        return delivered.selectNew(events);
+        const sequenced = this.sequence.take(events);
+        this.holdTimer?.cancel();
+        if (this.sequence.isHolding) {
+            this.holdTimer = this.options.context.clock.schedule(() => this.releaseHeld(), maxHold);
+        }
+        return sequenced;
+    }
+
+    /** Ends the sequence of events at the end of the reply. @returns The events that were held. */
+    endSequence(): SequencedEvents {
+        return this.sequence.end();
     }
 
     /** Removes and returns what an answer that has ended brought after its last event. */
@@ -165,9 +189,12 @@
         return this.splitter.takeRest();
     }
 
-    pause(): void {
-        this.paused = true;
-        this.exchange.pause();
+    /** Forwards bytes to the caller, at the caller's pace. */
+    forward(bytes: Buffer): void {
+        if (bytes.length > 0 && !this.options.caller.write(bytes)) {
+            this.paused = true;
+            this.exchange.pause();
+        }
     }
 
     resume(): void {
@@ -184,6 +211,7 @@
         this.isClosed = true;
         const { context, service, load, listener, releaseSlot } = this.options;
         this.firstEventTimer.cancel();
+        this.holdTimer?.cancel();
         this.exchange.cancel();
         service.end(load, listener, this.firstEventTime !== undefined);
         releaseSlot();
@@ -205,6 +233,10 @@
         }
     }
 
+    private releaseHeld(): void {
+        this.options.listener.onEvents(this, this.sequence.release(), true);
+    }
+
     private noteEvents(): void {
         const { context, service, load } = this.options;
         const now = context.clock.now();
--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -12,7 +12,8 @@
     readonly canSend: () => boolean;
 }
 
-const firstFailure = 300;
+/** The lowest status of a final reply that is no success. */
+export const firstFailure = 300;
 
 /** A send to a target. */
 export interface Send {
--- a/packages/gateway/src/lib/requests/DeliveredEvents.test.ts
+++ b/packages/gateway/src/lib/requests/DeliveredEvents.test.ts
@@ -3,27 +3,51 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { DeliveredEvents } from "./DeliveredEvents.js";
-import { EventSplitter } from "./EventSplitter.js";
+import { EventSequence } from "./EventSequence.js";
+import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 
-/** Takes the bytes of runs as a gateway does, each run cut into reads. @returns The ids that the caller gets. */
-function deliver(
-    runs: readonly { readonly text: string; readonly cuts: readonly number[]; }[],
-): (string | undefined)[] {
-    const delivered = new DeliveredEvents(new ManualClock(), undefined);
+interface Run {
+    readonly text: string;
+    /** Where the text is cut into reads. */
+    readonly cuts: readonly number[];
+}
+
+/** What became of runs: the ids that the caller got, and why the last run was ended. */
+interface Delivery {
+    readonly ids: (string | undefined)[];
+    readonly bytes: string;
+    readonly contradiction: string | undefined;
+    readonly isDeliveredInDoubt: boolean;
+}
+
+/** Takes the bytes of runs as a gateway does, until one contradicts itself. */
+function deliverRun(delivered: DeliveredEvents, { text, cuts }: Run): Delivery {
+    const sequence = new EventSequence(delivered);
+    const splitter = new EventSplitter();
     const ids: (string | undefined)[] = [];
-    for (const { text, cuts } of runs) {
-        const splitter = new EventSplitter();
-        let rest = Buffer.from(text);
-        for (const cut of [...cuts, rest.length]) {
-            const events = delivered.selectNew(splitter.push(rest.subarray(0, cut)));
-            rest = rest.subarray(cut);
-            if (events.length > 0) {
-                delivered.add(events);
-                ids.push(...events.map(({ id }) => id));
-            }
+    let bytes = "";
+    const add = (events: readonly StreamEvent[]) => {
+        delivered.add(events);
+        ids.push(...events.map(({ id }) => id));
+        bytes += events.map(event => event.bytes.toString()).join("");
+    };
+    let rest = Buffer.from(text);
+    for (const cut of [...cuts, rest.length]) {
+        const { events, contradiction, isDeliveredInDoubt } = sequence.take(splitter.push(rest.subarray(0, cut)));
+        rest = rest.subarray(cut);
+        add(events);
+        if (contradiction !== undefined) {
+            return { ids, bytes, contradiction, isDeliveredInDoubt };
         }
     }
-    return ids;
+    add(sequence.release());
+    return { ids, bytes, contradiction: undefined, isDeliveredInDoubt: false };
+}
+
+/** @returns The ids that the caller gets of runs that follow each other. */
+function deliver(runs: readonly Run[]): (string | undefined)[] {
+    const delivered = new DeliveredEvents(new ManualClock(), undefined);
+    return runs.flatMap(run => deliverRun(delivered, run).ids);
 }
 
 function eventText(id: string | undefined): string {
@@ -31,10 +55,82 @@
 }
 
 test("an event that comes again in the same read, or after one without an id, is not forwarded", () => {
-    const text = ["0", "0", "1", undefined, "1", "0", "3", "2"].map(eventText).join("");
-    assert.deepEqual(deliver([{ text, cuts: [] }]), ["0", "1", undefined, "3"]);
-    const cuts = Array.from({ length: text.length }, () => 1);
-    assert.deepEqual(deliver([{ text, cuts }]), ["0", "1", undefined, "3"]);
+    for (const ids of [["0", "1", "1", "2"], ["0", "1", undefined, "1", "2"], ["0", "1", undefined, "0", "2"]]) {
+        const text = ids.map(eventText).join("");
+        const expected = ids.slice(0, -2);
+        assert.deepEqual(deliver([{ text, cuts: [] }]), expected);
+        const cuts = Array.from({ length: text.length }, () => 1);
+        assert.deepEqual(deliver([{ text, cuts }]), expected);
+    }
+});
+
+// Guards against pieces that are missing from an answer which ends as complete, because an id of its run was spoiled.
+test("a run whose ids do not rise ends before the event that shows it", () => {
+    for (
+        const [ids, expected] of [
+            [["0", "0", "1", undefined, "1", "0", "3", "2"], ["0"]],
+            [["0", "1", "2", "97", "4", "5"], ["0", "1", "2"]],
+            [["0", "1", "2", "13", "4", "5"], ["0", "1", "2"]],
+            [["0", "1", "2", "x", "4"], ["0", "1", "2"]],
+            [["0", "1", "2", "", "4"], ["0", "1", "2"]],
+            [["0", "1", "2", "9999999999999999", "4"], ["0", "1", "2"]],
+        ] as const
+    ) {
+        const text = ids.map(eventText).join("");
+        const oneRead = deliverRun(new DeliveredEvents(new ManualClock(), undefined), { text, cuts: [] });
+        assert.deepEqual(oneRead.ids, expected);
+        assert.notEqual(oneRead.contradiction, undefined);
+        const cuts = Array.from({ length: text.length }, () => 1);
+        const manyReads = deliverRun(new DeliveredEvents(new ManualClock(), undefined), { text, cuts });
+        assert.deepEqual(manyReads, { ...oneRead, isDeliveredInDoubt: false });
+    }
+});
+
+test("a run that ends as complete has brought the caller each event that it lacked, whatever ids were spoiled", () => {
+    const spoiledId = fc.oneof(
+        fc.nat({ max: 99 }).map(String),
+        fc.constantFrom("x", "1x", "-1", "", "99999999999999999"),
+    );
+    const run = fc.record({
+        count: fc.integer({ min: 1, max: 30 }),
+        step: fc.constantFrom(1, 1, 1, 3),
+        spoiled: fc.array(fc.tuple(fc.nat({ max: 29 }), spoiledId), { maxLength: 2 }),
+        cuts: fc.array(fc.nat({ max: 60 }), { maxLength: 20 }),
+    });
+    fc.assert(fc.property(run, ({ count, step, spoiled, cuts }) => {
+        const ids = Array.from({ length: count }, (_, index) => `${index * step}`);
+        spoiled.forEach(([index, id]) => index < count && (ids[index] = id));
+        const events = ids.map((id, index) => `id: ${id}\ndata: ${index}\n\n`);
+        const delivered = new DeliveredEvents(new ManualClock(), undefined);
+        const { bytes, contradiction } = deliverRun(delivered, { text: events.join(""), cuts });
+        assert.ok(contradiction !== undefined || bytes === events.join(""));
+        assert.ok(events.join("").startsWith(bytes));
+    }));
+});
+
+test("a stream of consecutive ids is whole after another run, unless its first two events are in doubt", () => {
+    const count = 20;
+    const event = (id: string, index: number) => `id: ${id}\ndata: ${index}\n\n`;
+    const numbers = Array.from({ length: count }, (_, index) => index);
+    const whole = numbers.map(index => event(`${index}`, index)).join("");
+    const spoil = fc.record({
+        index: fc.nat({ max: count - 2 }),
+        id: fc.nat({ max: 999 }),
+        cuts: fc.array(fc.nat({ max: 60 }), { maxLength: 20 }),
+    });
+    fc.assert(fc.property(spoil, ({ index, id, cuts }) => {
+        fc.pre(id !== index);
+        const text = numbers.map(number => event(`${number === index ? id : number}`, number)).join("");
+        const delivered = new DeliveredEvents(new ManualClock(), undefined);
+        const first = deliverRun(delivered, { text, cuts });
+        if (first.isDeliveredInDoubt) {
+            assert.ok(index < 2);
+            return;
+        }
+        const rest = numbers.slice(Number(delivered.lastId ?? -1) + 1).map(number => event(`${number}`, number));
+        const second = deliverRun(delivered, { text: rest.join(""), cuts: [] });
+        assert.equal(first.bytes + second.bytes, whole);
+    }));
 });
 
 test("with numbers as ids, what a caller gets rises strictly over all runs and reads, whatever targets send", () => {
--- a/packages/gateway/src/lib/requests/DeliveredEvents.ts
+++ b/packages/gateway/src/lib/requests/DeliveredEvents.ts
@@ -5,6 +5,8 @@
 export class DeliveredEvents {
     private events = 0;
     private lastAt: number;
+    private stepKind: StepKind = "unknown";
+    private isDoubtful = false;
 
     /** @param lastEventId - Id of the last event that the caller has received before. */
     constructor(private readonly clock: Clock, private lastEventId: string | undefined) {
@@ -25,6 +27,16 @@
         return this.lastEventId;
     }
 
+    /** The steps between the ids so far. */
+    get steps(): StepKind {
+        return this.stepKind;
+    }
+
+    /** Whether the id of the last event may be wrong, so that the answer cannot be continued after it. */
+    get isInDoubt(): boolean {
+        return this.isDoubtful;
+    }
+
     /** Milliseconds since the last event, or since the start. */
     get silence(): number {
         return this.clock.now() - this.lastAt;
@@ -36,32 +48,38 @@
     }
 
     /**
-     * Selects the events that the caller lacks. A new run may begin with events that the caller already has, and a target
-     * may send an event again. In a stream with numbers as ids, the ids of what a caller gets rise strictly; an id that is no
-     * number is then not an event of the answer.
+     * Records events that are sent to the caller.
      *
-     * @param events - The events of one read, in order.
+     * @param isInDoubt - Whether their ids may be wrong, so that no other run can continue after them.
      */
-    selectNew(events: readonly StreamEvent[]): StreamEvent[] {
-        let last = this.lastEventId;
-        return events.filter(({ id }) => {
-            const isNew = isAfter(id, last);
-            last = isNew ? id ?? last : last;
-            return isNew;
-        });
-    }
-
-    /** Records events that are sent to the caller. */
-    add(events: readonly StreamEvent[]): void {
+    add(events: readonly StreamEvent[], isInDoubt = false): void {
+        for (const { id } of events) {
+            if (id !== undefined) {
+                this.stepKind = addStep(this.stepKind, this.lastEventId, id);
+                this.lastEventId = id;
+            }
+        }
         this.events += events.length;
         this.lastAt = this.clock.now();
-        this.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.lastEventId;
+        this.isDoubtful = isInDoubt;
     }
 }
 
-/** @returns The id of an event as a number; NaN if it is not one. */
+/** @returns The id of an event as a number; NaN if it is none, or one that is too long to be exact. */
 export function eventNumber(id: string | undefined): number {
-    return id !== undefined && /^\d+$/.test(id) ? Number(id) : NaN;
+    return id !== undefined && /^\d{1,15}$/.test(id) ? Number(id) : NaN;
+}
+
+/** The steps between ids that are numbers: each was 1, one at least was larger, or there were none. */
+export type StepKind = "consecutive" | "gaps" | "unknown";
+
+/** Adds the step from one id to the next. A step back belongs to a run that repeats the answer from its start. */
+export function addStep(steps: StepKind, last: string | undefined, next: string): StepKind {
+    const step = eventNumber(next) - eventNumber(last);
+    if (step > 1) {
+        return "gaps";
+    }
+    return step === 1 && steps === "unknown" ? "consecutive" : steps;
 }
 
 /** Whether an event with an id may follow the last one that had an id. */
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -2,7 +2,6 @@
 import { type ChainLoad } from "../chains/ChainRouter.js";
 import { type ChainService } from "../chains/ChainService.js";
 import { mayResume } from "../configuration/Configuration.js";
-import { safeReplyAge } from "../crashes/CrashGuard.js";
 import { type CrashRefusal } from "../crashes/Retrial.js";
 import { type ExchangeFailure, type ReplyMessage } from "../upstream/Exchange.js";
 import { isDelimited } from "../upstream/isDelimited.js";
@@ -11,19 +10,20 @@
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
 import { chainCandidates } from "./chainCandidates.js";
 import { ChainChoice } from "./ChainChoice.js";
-import { CrashCheck } from "./CrashCheck.js";
+import { CrashCheck, firstFailure } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
-import { joinEvents } from "./EventSplitter.js";
-import { type Precedence } from "./precedence.js";
+import { joinEvents, type StreamEvent } from "./EventSplitter.js";
 import { type RequestContext } from "./RequestContext.js";
 import { ResumeWait } from "./ResumeWait.js";
 import { SendGate } from "./SendGate.js";
 import { sendPriority } from "./sendPriority.js";
-import { maxSuspectedHold, newRequestHold, noSlotReason, resumedHold, type SlotCandidate, SlotUse } from "./SlotUse.js";
+import { noSlotReason, type SlotCandidate, SlotUse } from "./SlotUse.js";
 import { type EndInitiator, StreamLog } from "./StreamLog.js";
 import { StreamRefusal } from "./StreamRefusal.js";
+import { StreamStage } from "./StreamStage.js";
 
-const successStatuses = { first: 200, end: 300 };
+/** Bytes without end, or events whose ids show that some are missing. */
+type RunFault = "flood" | "contradiction";
 
 /**
  * Runs one streamed request over a chain of targets. If the route allows it, an interrupted stream is resumed over
@@ -44,6 +44,7 @@
     private readonly slots: SlotUse<ChainLoad>;
     private readonly log: StreamLog;
     private readonly resumeWait: ResumeWait;
+    private readonly stage: StreamStage;
     private deadlineTimer: Timer | undefined;
 
     constructor(
@@ -54,16 +55,12 @@
         this.delivered = new DeliveredEvents(context.clock, caller.request.lastEventId);
         this.resumeWait = new ResumeWait({ clock: context.clock, delivered: this.delivered });
         this.limits = new AttemptLimits({ budget: context.budget, maxAttempts: caller.route.maxAttempts });
-        this.gate = new SendGate({ context, caller, precedence: () => this.precedence });
+        const { delivered, limits, resumeWait } = this;
+        this.stage = new StreamStage({ caller, delivered, limits, resumeWait });
+        this.gate = new SendGate({ context, caller, precedence: () => this.stage.precedence });
         this.slots = new SlotUse({ context, caller, list: () => chainCandidates(this.choice, service) });
-        this.refusal = new StreamRefusal({
-            context,
-            gate: this.gate,
-            service,
-            caller,
-            slots: this.slots,
-            delivered: this.delivered,
-        });
+        const { gate, slots } = this;
+        this.refusal = new StreamRefusal({ context, gate, service, caller, slots, delivered });
         this.log = new StreamLog({ context, caller, service, delivered: this.delivered });
         this.choice = new ChainChoice({
             service,
@@ -78,7 +75,7 @@
         this.crashCheck = new CrashCheck({
             context,
             caller,
-            canSend: () => this.limits.mayBegin(this.precedence) && this.choice.chooseNext() !== undefined,
+            canSend: () => this.limits.mayBegin(this.stage.precedence) && this.choice.chooseNext() !== undefined,
         });
     }
 
@@ -86,8 +83,8 @@
         this.context.budget.request();
         this.caller.onDisconnect(() => this.finish());
         this.caller.onDrain(() => this.attempts.forEach(attempt => attempt.resume()));
-        const delay = Math.max(0, this.caller.timeLeft);
-        this.deadlineTimer = this.context.clock.schedule(() => this.giveUp("time is up"), delay);
+        const { clock } = this.context;
+        this.deadlineTimer = clock.schedule(() => this.giveUp("time is up"), Math.max(0, this.caller.timeLeft));
         this.send();
     }
 
@@ -110,25 +107,31 @@
         else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
             this.attemptEnded(attempt, "unknown", `reply ${status} is unsigned or for another request`);
         }
-        else if (status < successStatuses.first || status >= successStatuses.end) {
+        else if (status >= firstFailure) {
             this.receiveFailedReply(attempt, status);
         }
     }
 
     onData(attempt: ChainAttempt, chunk: Buffer): void {
         if (attempt.isPlain) {
-            this.forward(attempt, chunk);
+            attempt.forward(chunk);
             return;
         }
-        const newEvents = attempt.take(chunk);
-        const { firstEventAt } = attempt;
-        if (firstEventAt !== undefined && this.context.clock.now() - firstEventAt >= safeReplyAge) {
+        const { events, contradiction, isDeliveredInDoubt } = attempt.take(chunk);
+        if (attempt.hasLasted) {
             this.crashCheck.noteSuccess();
         }
-        if (newEvents.length > 0 && this.writeHeadOnce(attempt)) {
+        this.onEvents(attempt, events);
+        if (contradiction !== undefined && this.attempts.has(attempt)) {
+            this.endFaulty(attempt, "contradiction", contradiction, isDeliveredInDoubt);
+        }
+    }
+
+    onEvents(attempt: ChainAttempt, events: readonly StreamEvent[], isInDoubt = false): void {
+        if (events.length > 0 && this.writeHeadOnce(attempt)) {
             this.keepOnly(attempt);
-            this.delivered.add(newEvents);
-            this.forward(attempt, joinEvents(newEvents));
+            this.delivered.add(events, isInDoubt);
+            attempt.forward(joinEvents(events));
         }
     }
 
@@ -138,20 +141,23 @@
             this.onFailure(attempt, { neverSent: false, reason: "ended within an event or before the first" });
             return;
         }
+        const { events, contradiction } = attempt.endSequence();
+        if (contradiction !== undefined) {
+            return this.endFaulty(attempt, "contradiction", contradiction);
+        }
         this.crashCheck.noteEnd(attempt.send, attempt.response?.statusCode ?? 0, isWhole);
         if (!this.writeHeadOnce(attempt)) {
             return;
         }
-        this.forward(attempt, attempt.takeRest());
+        this.onEvents(attempt, events);
+        attempt.forward(attempt.takeRest());
         this.finish();
         this.caller.end(`served ${this.delivered.count} events`);
     }
 
     onFailure(attempt: ChainAttempt, { neverSent, isWithdrawn, isFlood = false, reason }: ExchangeFailure): void {
         if (isFlood) {
-            this.service.ranFaulty(attempt.load);
-            this.attemptEnded(attempt, "unknown", reason, true, "gateway");
-            [...this.attempts].filter(other => other.isSuspected).forEach(other => this.suspect(other, reason));
+            this.endFaulty(attempt, "flood", reason);
             return;
         }
         if (isWithdrawn !== true) {
@@ -170,6 +176,24 @@
         }
     }
 
+    /**
+     * Ends a run that has brought what belongs to no answer. Its chain is avoided for a while, and other runs that are
+     * suspected are not waited for.
+     *
+     * @param isDeliveredInDoubt - Whether the caller may have received something wrong, so that no run can continue.
+     */
+    private endFaulty(attempt: ChainAttempt, fault: RunFault, reason: string, isDeliveredInDoubt = false): void {
+        this.context.observation.metrics.faultyRuns.add({ fault });
+        this.service.ranFaulty(attempt.load);
+        if (isDeliveredInDoubt) {
+            this.log.failed(attempt, reason, "gateway");
+            this.giveUp(reason);
+            return;
+        }
+        this.attemptEnded(attempt, "unknown", reason, true, "gateway");
+        [...this.attempts].filter(other => other.isSuspected).forEach(other => this.suspect(other, reason));
+    }
+
     /** Sends the request over another chain as well, if this is allowed and one is available. */
     private suspect(attempt: ChainAttempt, reason: string): void {
         if (this.choice.chooseAlternative() === undefined && this.delivered.hasBegun) {
@@ -192,16 +216,12 @@
     /** A request that is suspected of crashing its targets runs on only one target at a time. */
     private mayReplace(attempt: ChainAttempt): boolean {
         const isAlone = this.attempts.size === 1 && !attempt.isPlain && !attempt.isPaused;
-        const canContinue = this.delivered.count === 0 || this.delivered.lastId !== undefined;
-        return isAlone && canContinue && this.mayRetry("unknown") && this.limits.mayBegin(this.precedence)
+        const { count, lastId, isInDoubt } = this.delivered;
+        const canContinue = (count === 0 || lastId !== undefined) && !isInDoubt;
+        return isAlone && canContinue && this.mayRetry("unknown") && this.limits.mayBegin(this.stage.precedence)
             && this.crashCheck.isUnsuspected;
     }
 
-    /** A caller that reconnects sends the id of the last event that it received. */
-    private get precedence(): Precedence {
-        return this.delivered.hasBegun || this.caller.request.lastEventId !== undefined ? "running" : "waiting";
-    }
-
     private send(): void {
         if (!this.gate.isHolding && !this.slots.isWaiting) {
             this.crashCheck.checkBeforeSend(() => this.sendNow(), refusal => this.refuseSuspect(refusal));
@@ -215,30 +235,18 @@
             this.waitOrGiveUp(this.refusal.reason);
             return;
         }
-        if (!this.limits.mayBegin(this.precedence)) {
+        if (!this.limits.mayBegin(this.stage.precedence)) {
             this.giveUpAlone("retry budget is used up");
             return;
         }
-        const { attempts: { size: runs }, delivered: { count }, maxHold } = this;
-        this.slots.take({ precedence: this.isResumed ? "running" : "waiting", maxHold }, candidate => {
+        const { attempts: { size: runs }, delivered: { count }, stage } = this;
+        const hold = { precedence: stage.isResumed ? "running" : "waiting", maxHold: stage.maxHold(runs) } as const;
+        this.slots.take(hold, candidate => {
             const hasContinued = () => this.attempts.size > 0 && this.delivered.count > count;
             this.gate.pass(candidate.target, () => this.sendOver(candidate, hasContinued()), () => this.sendNow());
         }, () => this.noSlotGranted(runs > 0));
     }
 
-    /** Milliseconds to wait for a slot; a second run of a request without an event is made only if one is free. */
-    private get maxHold(): number {
-        if (this.attempts.size > 0) {
-            return this.delivered.hasBegun ? maxSuspectedHold : 0;
-        }
-        return this.isResumed ? resumedHold(this.resumeWait.timeLeft) : newRequestHold(this.caller);
-    }
-
-    /** Whether a target may have begun to run the request, so that its caller cannot be told to return. */
-    private get isResumed(): boolean {
-        return this.precedence === "running" || this.limits.mayHaveRun;
-    }
-
     /** @param wasRunning - Whether a run was in flight when the slot was requested. */
     private noSlotGranted(wasRunning: boolean): void {
         this.crashCheck.noteUnsent();
@@ -252,7 +260,7 @@
 
     /** @param hasContinued - Whether a suspected run has brought an event since, so that no other one is needed. */
     private sendOver({ choice: load, target }: SlotCandidate<ChainLoad>, hasContinued: boolean): void {
-        const { context, caller, service, precedence, delivered } = this;
+        const { context, caller, service, stage: { precedence }, delivered } = this;
         if (hasContinued || !this.limits.begin(target.id, precedence)) {
             this.slots.cancel();
             this.giveUpAlone("retry budget is used up");
@@ -288,20 +296,13 @@
     private keepOnly(kept: ChainAttempt): void {
         for (const other of this.attempts) {
             if (other !== kept) {
-                const end = other.neverSent ? "neverSent" : "unknown";
                 this.log.notNeeded(other);
+                this.limits.end(other.target.id, other.neverSent ? "neverSent" : "unknown");
                 this.remove(other);
-                this.limits.end(other.target.id, end);
             }
         }
     }
 
-    private forward(attempt: ChainAttempt, bytes: Buffer): void {
-        if (bytes.length > 0 && !this.caller.write(bytes)) {
-            attempt.pause();
-        }
-    }
-
     /**
      * Continues after the end of an attempt with the other run or a retry, or gives up.
      *
@@ -335,7 +336,8 @@
 
     private mayRetry(end: AttemptEnd): boolean {
         const isAllowed = end !== "unknown" || mayResume(this.caller.route);
-        return isAllowed && (this.limits.hasAttemptLeft || this.delivered.hasBegun) && this.caller.timeLeft > 0;
+        return isAllowed && (this.limits.hasAttemptLeft || this.delivered.hasBegun) && this.caller.timeLeft > 0
+            && !this.delivered.isInDoubt;
     }
 
     /**
