A target's own status reaches callers as a promise only with its guarantee, on streams too

Cause: PlainRun and StreamRun each judged heads of replies. Only PlainRun knew that 408, 421, 429 and 503 are promises; a stream that may not be resumed forwarded them, and a resumable one did once no attempt was left. Two more of the class: a stream took the refusal of another request for its own, as it looked at the guarantee before the request's id; and a 421 that the meant target had signed counted as not run without a guarantee. Change: judgeReply judges heads for both. A status of these without a guarantee is an unknown outcome: 502, without the target's signature, or a retry if the request may run again.

--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -10,6 +10,7 @@
 import { EventProgress, maxEventBytes } from "./EventProgress.js";
 import { EventSequence, type SequencedEvents } from "./EventSequence.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { type ReplyHead } from "./messages.js";
 import { openExchange } from "./openExchange.js";
 import { type RequestContext } from "./RequestContext.js";
 
@@ -122,7 +123,7 @@
     }
 
     /** The target of the chain behind the first one that has an address; undefined if there is none. */
-    findTarget(address: string | undefined): Target | undefined {
+    private findTarget(address: string | undefined): Target | undefined {
         const { load, service } = this.options;
         const [, ...later] = load.chain.hops;
         const hop = later.find(hop => hop.address === address);
@@ -160,6 +161,15 @@
         return this.splitter.hasPartialEvent;
     }
 
+    /** Reads the head of the reply, and records what it says about the targets of the chain. */
+    readHead({ statusCode: status = 0, headers }: ReplyMessage): ReplyHead {
+        const { context: { wire, replies }, caller, target } = this.options;
+        const head = wire.readReplyHead(status, headers);
+        const faultyTarget = this.findTarget(head.faultyAddress);
+        replies.record({ target, faultyTarget, status, head, requestId: caller.request.id, sentAt: this.startedAt });
+        return head;
+    }
+
     /** Parses bytes of the reply. @returns The events that they complete, or confirm, and that the caller lacks. */
     take(chunk: Buffer): SequencedEvents {
         const events = this.splitter.push(chunk);
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -7,6 +7,7 @@
 import { type AttemptEnd, AttemptLimits } from "./AttemptLimits.js";
 import { type CallerExchange, unwritableHead } from "./CallerExchange.js";
 import { CrashCheck } from "./CrashCheck.js";
+import { judgeReply } from "./judgeReply.js";
 import { isPastDeadline, noteGivenUp } from "./noteGivenUp.js";
 import { openExchange } from "./openExchange.js";
 import { type PlainAttempt } from "./PlainAttempt.js";
@@ -19,11 +20,6 @@
 const maxBufferedReply = 262_144;
 /** Share of the latency target after which an idempotent request without a reply is hedged to a second target. */
 const hedgeLatencyShare = 0.8;
-/**
- * Statuses that tell callers that a request has not been executed. They are forwarded only if the target has declared
- * this explicitly.
- */
-const notExecutedStatuses = new Set([408, 421, 429, 503]);
 /** `Retry-After` in milliseconds when targets refuse. */
 const retryAfter = 100;
 const firstServerError = 500;
@@ -185,22 +181,12 @@
             requestId: this.caller.request.id,
             sentAt: attempt.startedAt,
         });
-        if (head.requestId !== this.caller.request.id && head.requestId !== undefined) {
-            this.abandon(attempt, "failed", "unknown", "reply to another request");
-        }
-        else if (head.neverExecuted) {
-            this.abandon(attempt, "refused", "neverExecuted", `refused with ${response.statusCode}`);
-        }
-        else if (!head.isSigned) {
-            this.abandon(attempt, "failed", "unknown", `unsigned reply ${response.statusCode}`);
+        const verdict = judgeReply(response.statusCode ?? 0, head, this.caller.request.id);
+        if (verdict.kind === "refusal") {
+            this.abandon(attempt, "refused", "neverExecuted", verdict.reason);
         }
-        else if (notExecutedStatuses.has(response.statusCode ?? 0)) {
-            this.abandon(
-                attempt,
-                "failed",
-                "unknown",
-                `status ${response.statusCode} without a not-executed guarantee`,
-            );
+        else if (verdict.kind === "unusable") {
+            this.abandon(attempt, "failed", "unknown", verdict.reason);
         }
     }
 
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -13,6 +13,7 @@
 import { CrashCheck, firstFailure } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
 import { joinEvents, type StreamEvent } from "./EventSplitter.js";
+import { judgeReply } from "./judgeReply.js";
 import { type RequestContext } from "./RequestContext.js";
 import { ResumeWait } from "./ResumeWait.js";
 import { SendGate } from "./SendGate.js";
@@ -94,18 +95,16 @@
 
     onHead(attempt: ChainAttempt, response: ReplyMessage): void {
         const status = response.statusCode ?? 0;
-        const head = this.context.wire.readReplyHead(status, response.headers);
-        const { target, startedAt: sentAt } = attempt;
-        const faultyTarget = attempt.findTarget(head.faultyAddress);
-        this.context.replies.record({ target, faultyTarget, status, head, requestId: this.caller.request.id, sentAt });
-        if (head.neverExecuted) {
+        const head = attempt.readHead(response);
+        const verdict = judgeReply(status, head, this.caller.request.id);
+        if (verdict.kind === "refusal") {
             if (head.rest.kind !== "asked") {
                 this.service.refused(attempt.load, status, head.faultyAddress);
             }
-            this.attemptEnded(attempt, "neverExecuted", `refused with ${status} at ${head.faultyAddress ?? "head"}`);
+            this.attemptEnded(attempt, "neverExecuted", verdict.reason);
         }
-        else if (!head.isSigned || (head.requestId !== undefined && head.requestId !== this.caller.request.id)) {
-            this.attemptEnded(attempt, "unknown", `reply ${status} is unsigned or for another request`);
+        else if (verdict.kind === "unusable") {
+            this.attemptEnded(attempt, "unknown", verdict.reason);
         }
         else if (status >= firstFailure) {
             this.receiveFailedReply(attempt, status);
