--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -89,6 +89,31 @@
     assert.equal(failure?.neverSent, false);
 });
 
+// Guards against whole answers that are replaced by a failure, since a faulty target sent bytes after them.
+test("a reply that is complete is delivered, whatever bytes follow it", async () => {
+    const head = "HTTP/1.1 200 OK\r\n";
+    for (
+        const [reply, expected] of [
+            [`${head}Content-Length: 5\r\n\r\nwhole`, "whole"],
+            [`${head}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`, "whole"],
+            ["HTTP/1.1 204 No Content\r\n\r\n", ""],
+            ["HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", ""],
+        ]
+    ) {
+        for (
+            const rest of [
+                "further bytes",
+                "\0",
+                "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother",
+                `${head}broken`,
+            ]
+        ) {
+            const { body, failure } = await exchangeWith(socket => socket.end(`${reply}${rest}`));
+            assert.deepEqual([body, failure], [expected, undefined], `${reply}${rest}`);
+        }
+    }
+});
+
 test("a request to a port without a listener was never sent", async () => {
     const server = await listen(() => undefined);
     const { port } = server.address() as AddressInfo;
