A reply that switches protocols, or uses another transfer coding than chunks, is no answer

A reply that switches protocols ended no exchange, so that its request waited for its deadline; a body in the coding gzip was forwarded as it came, without the header that names it, as a success. Cause: Node.js drops such a connection without an error; the codings of a reply were not looked at.

--- a/packages/connections/src/lib/findHeadFault.ts
+++ b/packages/connections/src/lib/findHeadFault.ts
@@ -18,10 +18,13 @@
         return `status ${statusCode} is not that of a final reply`;
     }
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-        const name = rawHeaders[i] ?? "";
-        if (!isValid(() => validateHeaderName(name)) || !isValid(() => validateHeaderValue(name, rawHeaders[i + 1]!))) {
+        const [name = "", value = ""] = rawHeaders.slice(i, i + 2);
+        if (!isValid(() => validateHeaderName(name)) || !isValid(() => validateHeaderValue(name, value))) {
             return `header ${JSON.stringify(name)} is invalid`;
         }
+        if (name.toLowerCase() === "transfer-encoding" && value.trim().toLowerCase() !== "chunked") {
+            return `transfer coding ${JSON.stringify(value)} is not supported`;
+        }
     }
     return undefined;
 }
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -114,6 +114,27 @@
     }
 });
 
+// Guards against requests that are answered at their deadline only.
+test("a reply that switches protocols ends its exchange at once", async () => {
+    for (const status of ["101 Switching Protocols", "200 OK"]) {
+        const { failure } = await exchangeWith(socket =>
+            socket.write(`HTTP/1.1 ${status}\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: 9\r\n\r\nbytes`)
+            && setTimeout(() => socket.destroy(), 50)
+        );
+        assert.equal(failure?.neverSent, false, status);
+    }
+});
+
+// Guards against a body that is forwarded in a coding which its head no longer names.
+test("a reply in another transfer coding than chunks is no answer", async () => {
+    for (const coding of ["gzip", "chunked, gzip", "gzip, chunked", "identity"]) {
+        const { failure } = await exchangeWith(socket =>
+            socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\nbody`)
+        );
+        assert.equal(failure?.neverSent, false, coding);
+    }
+});
+
 test("a request to a port without a listener was never sent", async () => {
     const server = await listen(() => undefined);
     const { port } = server.address() as AddressInfo;
