--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -215,7 +215,7 @@
             targetListAge,
         } = this.options;
         const { budget } = parts;
-        const openExchange = (exchange: ExchangeOptions) => new Exchange({ ...exchange, bursts });
+        const openExchange = (exchange: ExchangeOptions) => Exchange.open({ ...exchange, bursts });
         const context = {
             clock,
             wire,
--- a/packages/gateway/src/lib/upstream/Exchange.test.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.test.ts
@@ -31,7 +31,7 @@
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         const finish = (failure?: ExchangeFailure) => resolve({ body: Buffer.concat(chunks).toString(), failure });
-        new Exchange({
+        Exchange.open({
             host: "127.0.0.1",
             port,
             method: "GET",
@@ -135,6 +135,35 @@
     }
 });
 
+// Guards against a request that nobody answers, since one of its headers or its address cannot be written.
+test("a request that cannot be written has failed unsent, once its opener has returned", async () => {
+    const sound = { host: "127.0.0.1", port: 80, method: "GET", path: "/", headers: ["Host", "x"] };
+    const odd = [{ headers: ["X", "a\r\nb"] }, { headers: ["a b", "1"] }, { port: 70_000 }, { path: "/a b" }, {
+        method: "G T",
+    }];
+    for (const part of odd) {
+        const failure = await new Promise<ExchangeFailure>(resolve => {
+            let hasReturned = false;
+            const { neverSent } = Exchange.open({
+                ...sound,
+                ...part,
+                body: undefined,
+                connectTimeout: 1_000,
+                maySend: () => true,
+                listener: {
+                    onHead: () => undefined,
+                    onData: () => undefined,
+                    onEnd: () => undefined,
+                    onFailure: failure => hasReturned && resolve(failure),
+                },
+            });
+            hasReturned = neverSent;
+        });
+        assert.equal(failure.neverSent, true);
+        assert.equal(failure.isWithdrawn, true, "the target is not blamed");
+    }
+});
+
 test("a request to a port without a listener was never sent", async () => {
     const server = await listen(() => undefined);
     const { port } = server.address() as AddressInfo;
@@ -173,7 +202,7 @@
         const { port } = server.address() as AddressInfo;
         const chunks: string[] = [];
         const failure = await new Promise<ExchangeFailure | undefined>(resolve =>
-            new Exchange({
+            Exchange.open({
                 host: "127.0.0.1",
                 port,
                 method: "GET",
@@ -211,7 +240,7 @@
     let received = 0;
     let readAhead = length;
     await new Promise<void>((resolve, reject) => {
-        const call = new Exchange({
+        const call = Exchange.open({
             host: "127.0.0.1",
             port,
             method: "GET",
@@ -305,7 +334,7 @@
     const counts = { calls: 0, bytes: 0, most: 0 };
     let inTurn = 0;
     await new Promise<void>(resolve => {
-        new Exchange({
+        Exchange.open({
             host: "127.0.0.1",
             port: (server.address() as AddressInfo).port,
             method: "GET",
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -88,7 +88,19 @@
     private readBytes = 0;
     private dataBytes = 0;
 
-    constructor(private readonly options: ExchangeOptions) {
+    /**
+     * Opens an exchange. A request that cannot be written, such as one with a line feed in a header, has failed unsent.
+     */
+    static open(options: ExchangeOptions): OpenExchange {
+        try {
+            return new Exchange(options);
+        }
+        catch (error) {
+            return new UnwritableExchange(options.listener, String(error));
+        }
+    }
+
+    private constructor(private readonly options: ExchangeOptions) {
         const { host, port, method, path, headers, connectTimeout } = options;
         this.call = request({ host, port, method, path, headers, agent: false });
         this.connectTimer = setTimeout(() => this.failIfUnconnected(), connectTimeout);
@@ -309,3 +321,26 @@
         this.call.destroy();
     }
 }
+
+/** Fails an exchange once its opener has returned. */
+class UnwritableExchange implements OpenExchange {
+    readonly neverSent = true;
+    readonly bytesRead = 0;
+    private isCancelled = false;
+
+    constructor(listener: ExchangeListener, reason: string) {
+        setImmediate(() => {
+            if (!this.isCancelled) {
+                listener.onFailure({ neverSent: true, isWithdrawn: true, reason });
+            }
+        });
+    }
+
+    pause(): void {}
+
+    resume(): void {}
+
+    cancel(): void {
+        this.isCancelled = true;
+    }
+}
