A table is followed on whatever its rows cause, and copies that cannot be made are not handed on

A row nested some thousand levels deep that had been decoded could not be serialised for peers; the exception ended the watch of the table for good, and so did the address of a peer's holder that is none, and whatever else applying rows might throw. Change: an exception is a failed call: the table is read or asked again after the usual pause, and the log says why. Copies that cannot be serialised are dropped with a line of the log. Evidence: three new tests fail before with RangeError.

--- a/packages/gateway/src/lib/copies/CopyServer.ts
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -84,7 +84,14 @@
     /** Keeps a copy instead of an older one of the same table. */
     keep(copy: TableCopy, encoded?: Buffer): void {
         const bytes = encoded === undefined ? encodeTableCopy(copy) : Promise.resolve(encoded);
-        this.copies.set(copy.table, { version: copy.version, bytes, holders: new Set() });
+        const kept = { version: copy.version, bytes, holders: new Set<string>() };
+        this.copies.set(copy.table, kept);
+        bytes.catch((error: unknown) => {
+            this.options.logger.warn({ table: copy.table, error: String(error) }, "copy cannot be handed on");
+            if (this.copies.get(copy.table) === kept) {
+                this.copies.delete(copy.table);
+            }
+        });
     }
 
     private answer(table: string | undefined): CopyAnswer {
@@ -118,8 +125,11 @@
             return;
         }
         this.countTransfer(response, this.copies.get(table ?? ""), request.headers[askerHeader]);
-        const bytes = await answer.bytes;
-        if (!response.destroyed) {
+        const bytes = await answer.bytes.catch(() => undefined);
+        if (bytes === undefined) {
+            response.writeHead(status.notFound).end();
+        }
+        else if (!response.destroyed) {
             response.writeHead(status.ok, { "Content-Length": bytes.length });
             response.end(bytes);
         }
--- a/packages/gateway/src/lib/copies/TableCopies.test.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.test.ts
@@ -50,6 +50,26 @@
     assert.deepEqual((await c.copies.reader.read("t", 3))?.copy.rows, rows);
 });
 
+// Guards against an end of the following of a table whose rows are nested too deeply to be handed on.
+test("rows that cannot be serialised are not handed on, and later ones are", async t => {
+    const [a, b] = await Promise.all([createCopies(t), createCopies(t)]);
+    const nested = JSON.parse(`${"[".repeat(30_000)}${"]".repeat(30_000)}`) as unknown;
+    a.copies.keep("t", 3, [{ key: "k", value: nested, version: 3 }], undefined);
+    b.copies.reader.noteHolder("t", a.address, 3);
+    assert.equal(await b.copies.reader.read("t", 3), undefined);
+    a.copies.keep("t", 4, rows, undefined);
+    b.copies.reader.noteHolder("t", a.address, 4);
+    assert.deepEqual((await b.copies.reader.read("t", 4))?.copy.rows, rows);
+});
+
+test("a holder whose address is none gives no copy", async t => {
+    const { copies } = await createCopies(t);
+    for (const address of ["", "x", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:-1", "a b:1", "\r\n:1"]) {
+        copies.reader.noteHolder("t", address, 3);
+        assert.equal(await copies.reader.read("t", 3), undefined, address);
+    }
+});
+
 test("a gateway without a copy, and one that is gone, give none", async t => {
     const [a, b] = await Promise.all([createCopies(t), createCopies(t)]);
     b.copies.reader.noteHolder("t", a.address, 3);
--- a/packages/gateway/src/lib/copies/TableCopy.ts
+++ b/packages/gateway/src/lib/copies/TableCopy.ts
@@ -22,8 +22,12 @@
 /** Largest copy in bytes, uncompressed: a peer's reply cannot exhaust the memory of this process. */
 const maxCopyBytes = 67_108_864;
 
-/** Serialises and compresses a copy. */
-export function encodeTableCopy(copy: TableCopy): Promise<Buffer> {
+/**
+ * Serialises and compresses a copy.
+ *
+ * @throws RangeError if a row is nested too deeply to be serialised.
+ */
+export async function encodeTableCopy(copy: TableCopy): Promise<Buffer> {
     return compress(JSON.stringify(copy), { level: compressionLevel });
 }
 
--- a/packages/gateway/src/lib/copies/fetchCopy.ts
+++ b/packages/gateway/src/lib/copies/fetchCopy.ts
@@ -23,8 +23,8 @@
 export function createCopyFetch(
     { clock, own }: CopyFetchOptions,
 ): (address: string, table: string) => Promise<CopyReply> {
-    return (address, table) =>
-        new Promise(resolve => {
+    const fetch = (address: string, table: string) =>
+        new Promise<CopyReply>(resolve => {
             const sentAt = clock.now();
             const chunks: Buffer[] = [];
             let bytes = 0;
@@ -81,6 +81,9 @@
             });
             call.end();
         });
+    // An address that a peer names may be none, for which the call cannot be made.
+    return (address, table) =>
+        fetch(address, table).catch((error: unknown) => ({ kind: "failed", reason: String(error) }));
 }
 
 function readHolders(body: Buffer): string[] {
--- a/packages/gateway/src/lib/store/TableWatch.test.ts
+++ b/packages/gateway/src/lib/store/TableWatch.test.ts
@@ -223,3 +223,29 @@
     const [graceEnd = Infinity] = graceEnds;
     assert.ok(graceEnd - returnedAt < 3_000, `${graceEnd}`);
 });
+
+// Guards against a process that stops following a table because of one row.
+test("a table is followed on after rows that could not be applied", async () => {
+    const applied: number[] = [];
+    const thrown = new Set<number>();
+    const applyLater = (version: number) => {
+        if (!thrown.has(version)) {
+            thrown.add(version);
+            throw new RangeError("Maximum call stack size exceeded");
+        }
+        applied.push(version);
+    };
+    const read = { kind: "read" as const, rows: [{ key: "a", value: 1, version: 1 }], version: 1 };
+    const changes = (version: number) => ({
+        kind: "changes" as const,
+        changes: [change("a", version, version)],
+        version,
+    });
+    const { clock, watch } = watchTable([read, read, changes(2), changes(2), changes(3), changes(3)], {
+        onSnapshot: () => applyLater(1),
+        onChanges: ([first]) => applyLater(first?.row?.version ?? 0),
+    });
+    await clock.advanceAsync(10_000);
+    watch.stop();
+    assert.deepEqual(applied, [1, 2, 3]);
+});
--- a/packages/gateway/src/lib/store/TableWatch.ts
+++ b/packages/gateway/src/lib/store/TableWatch.ts
@@ -3,6 +3,7 @@
 import { CallBackOff } from "./CallBackOff.js";
 import { HistoryLimit } from "./HistoryLimit.js";
 import { PeerReports } from "./PeerReports.js";
+import { settle } from "./settle.js";
 import { type ReplyProgress, type Store, type StoreFailure } from "./Store.js";
 import {
     type CompleteTableWatchOptions,
@@ -73,14 +74,14 @@
     async run(): Promise<void> {
         while (!this.stopped) {
             await this.followPeers();
-            if (await this.readFromPeers()) {
+            if (await settle(() => this.readFromPeers()) === true) {
                 continue;
             }
             const asked = currentMoment(this.options.clock);
             const wait = this.nextWait;
-            const result = this.version === undefined || this.mustReadTable
-                ? await this.readAll()
-                : await this.waitForChanges(this.version, wait);
+            const { version } = this;
+            const mustRead = version === undefined || this.mustReadTable;
+            const result = await settle(() => mustRead ? this.readAll() : this.waitForChanges(version, wait));
             this.receivingSince = undefined;
             if (this.stopped) {
                 return;
@@ -305,7 +306,7 @@
             return "unchanged";
         }
         this.historyLimit.noteChanges(result.progress, result.changes.length);
-        this.changedAt = Math.max(this.changedAt, ...result.changes.map(({ row }) => row?.version ?? result.version));
+        result.changes.forEach(({ row }) => this.changedAt = Math.max(this.changedAt, row?.version ?? result.version));
         this.consecutiveChanges++;
         if (this.consecutiveChanges >= batchThreshold) {
             await sleep(this.options.clock, this.options.batchDelay);
@@ -320,10 +321,10 @@
 
     /** Waits for changes until {@link cancelWait} is called, because `after` is no longer a valid version. */
     private watchUntilCancelled(after: number, wait: number): ReturnType<Store["watch"]> {
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             this.cancelWait = () => resolve({ kind: "historyGone" });
             const { historyLimit: { maxBytes }, markReceiving: onBegin } = this;
-            void this.options.store.watch(this.options.table, after, wait, { maxBytes, onBegin }).then(resolve);
+            this.options.store.watch(this.options.table, after, wait, { maxBytes, onBegin }).then(resolve, reject);
         });
     }
 
