A planned stop ends what outlasts its grace period with an answer

Here late requests are refused as not run from 2.6 s on, but those that were taken before and still ran at the end were cut. Change: shortly before the end each request in progress is given up like at its deadline: 502 if it may have run, 503 if it has not; a begun stream is broken off. Then connections are closed. Evidence: the first new test fails before ('socket hang up'). The second plays 24 kept connections with requests of random length around a stop: none that reached a target is without an answer, none that ran is refused. It holds before, too.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -301,13 +301,13 @@
             await sleep(clock, stopCheckInterval);
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
+        await this.callers.closeAll();
         this.watches.forEach(watch => watch.stop());
         this.crashes.records.stop();
         this.services.stop();
         this.peers.stop();
         this.copies.stop();
         this.loop.stop();
-        this.callers.closeAll();
         this.readiness.close();
     }
 
--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -76,6 +76,7 @@
     private longestPause = 0;
     private disconnectListener: (() => void) | undefined;
     private drainListener: (() => void) | undefined;
+    private closeListener: (() => void) | undefined;
     /** Milliseconds from the estimated arrival until the request was begun. */
     private readonly ageAtBegin: number;
     private sends = 0;
@@ -156,6 +157,11 @@
         this.disconnectListener = listener;
     }
 
+    /** Sets the handler for the moment when the answer has been written or its connection is closed. */
+    onClose(listener: () => void): void {
+        this.closeListener = listener;
+    }
+
     /** Sets the handler for the moment when the write buffer to the caller has drained. */
     onDrain(listener: () => void): void {
         this.drainListener = listener;
@@ -270,6 +276,7 @@
     }
 
     private handleLeave(): void {
+        this.closeListener?.();
         this.finishEnded();
         if (!this.isOver) {
             this.options.observation.metrics.callersLeft.add({ stage: this.stage });
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -304,7 +304,8 @@
         this.caller.refuse(code, reason, retryAfter, isBinding);
     }
 
-    private giveUp(reason: string): void {
+    /** Ends the request with what is known of its outcome. */
+    giveUp(reason: string): void {
         if (this.failedReply !== undefined && this.attempts.size === 0) {
             this.deliver(this.failedReply);
             return;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -88,6 +88,8 @@
 export class RequestRouter {
     private readonly link: CallerLinkMonitor;
     private readonly refusalLines: LineLimit;
+    /** The requests in progress, by their callers. */
+    private readonly runs = new Map<CallerExchange, PlainRun | StreamRun>();
 
     constructor(private readonly options: RequestRouterOptions) {
         this.link = new CallerLinkMonitor(options);
@@ -136,6 +138,15 @@
         }, "caller had left");
     }
 
+    /** Ends all requests in progress, each with what is known of its outcome. */
+    endAll(reason: string): void {
+        for (const [caller, run] of this.runs) {
+            if (!caller.ended) {
+                run.giveUp(reason);
+            }
+        }
+    }
+
     /** Handles a request whose body has been read completely. */
     handle(received: ReceivedRequest): void {
         const { clock, wire, configuration, observation } = this.options;
@@ -233,11 +244,12 @@
             isOn: (mechanism: Mechanism) => isOn(mechanism) && (mechanism !== "slot-admission" || hasRanks(service)),
             targetListAge,
         };
-        if (parts.chains !== undefined) {
-            new StreamRun(context, caller, parts.chains).start();
-            return;
-        }
-        new PlainRun(context, caller, parts.picker).start();
+        const run = parts.chains === undefined
+            ? new PlainRun(context, caller, parts.picker)
+            : new StreamRun(context, caller, parts.chains);
+        this.runs.set(caller, run);
+        caller.onClose(() => this.runs.delete(caller));
+        run.start();
     }
 
     /** Chooses a service at random, by the weights of the route's shares. */
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -374,7 +374,8 @@
         }
     }
 
-    private giveUp(reason: string): void {
+    /** Ends the request with what is known of its outcome. */
+    giveUp(reason: string): void {
         const mayRun = this.limits.mayHaveRun || [...this.attempts].some(({ neverSent }) => !neverSent);
         const isRunning = this.attempts.size > 0;
         this.finish();
--- a/packages/gateway/src/lib/requests/createCallerServer.ts
+++ b/packages/gateway/src/lib/requests/createCallerServer.ts
@@ -61,6 +61,7 @@
                 router.refuseOverloaded(request, 0);
             }
         },
+        onClosing: () => router.endAll("this process stops"),
         onRefused: (response, reason) => router.refuseUnread(response, reason),
         onGuarded: reason => guard.note(reason),
     });
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,5 +1,5 @@
 import { GuardedServer, type GuardReason, type MemoryBudget, readBody } from "@waxwingspar/connections";
-import { type Clock } from "@waxwingspar/utils";
+import { type Clock, sleep } from "@waxwingspar/utils";
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
@@ -43,6 +43,8 @@
     /** Called when the server cannot listen again; it tries further. */
     readonly onListenError?: (error: Error) => void;
     readonly onRequest: (request: ReceivedRequest) => void;
+    /** Ends the requests in progress, before all connections are closed. */
+    readonly onClosing?: () => void;
     /** Refuses a request that has not run: its body is too large or too slow, or there is no room for it. */
     readonly onRefused: (response: ServerResponse, reason: GuardReason) => void;
     /** Called for each connection that is closed, and each request that is refused, because of what its client does. */
@@ -76,6 +78,8 @@
 const backlog = 128;
 /** Milliseconds within which a caller sends the request that it has connected for. */
 const maxSilence = 1_000;
+/** Milliseconds for the last answers to be written before all connections are closed. */
+const flushTime = 100;
 /** Value of Node's `maxConnections` that admits every connection; some versions read 0 as none. */
 const unlimited = Number.MAX_SAFE_INTEGER;
 
@@ -228,8 +232,12 @@
         this.server.closeIdleConnections();
     }
 
-    /** Closes all connections, including those with open requests. */
-    closeAll(): void {
+    /** Ends open requests with what is known of their outcome, then closes all connections. */
+    async closeAll(): Promise<void> {
+        if (this.open > 0) {
+            this.options.onClosing?.();
+            await sleep(this.options.clock, flushTime);
+        }
         this.server.closeAllConnections();
     }
 
