No request runs after an answer that closes its connection

Callers saw: in a planned stop, requests that were sent ahead on a connection ran after the answer that said 'Connection: close', whose caller had closed by then. Cause: a guarded connection went on to the next request it had read when an answer ended, whatever that answer had said. Change: what follows the last answer of a connection is dropped unread; its client knows that it has not run. Evidence: the new test (which answer is the last, sizes, pieces) fails before.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -294,12 +294,16 @@
         this.options.turns.expect(this);
     }
 
+    /** What follows the last answer of a connection is not read: its client knows that it has not run. */
     private closeRequest(response: ServerResponse): void {
         const bytes = this.open.get(response) ?? 0;
         this.open.delete(response);
         this.release(bytes);
         this.holding.noteProgress();
         this.updateAnswers();
+        if (!response.shouldKeepAlive) {
+            this.end();
+        }
         if (!this.isOver && !this.socket.destroyed) {
             this.waiting.shift()?.();
         }
--- a/packages/connections/src/lib/GuardedServer.test.ts
+++ b/packages/connections/src/lib/GuardedServer.test.ts
@@ -247,3 +247,26 @@
     assert.notEqual(await closed, busy);
     assert.deepEqual(reasons, ["descriptors"]);
 });
+
+// Guards against requests that run though their client was told before that the connection closes.
+test("no request runs after an answer that closes its connection, however many were sent ahead", async context => {
+    const run: string[] = [];
+    const { port } = await startServer(context, {
+        onRequest: (incoming, response) => {
+            run.push(incoming.url ?? "");
+            response.shouldKeepAlive = !incoming.url?.endsWith("last");
+            answerWithBody(incoming, response);
+        },
+    });
+    for (let last = 0; last < 6; last++) {
+        for (const size of [0, 10, 3_000]) {
+            const paths = Array.from({ length: 8 }, (_, index) => `/${index}${index === last ? "last" : ""}`);
+            const requests = paths.map(path => post(path, "x".repeat(size)));
+            for (const pieces of [[requests.join("")], requests, requests.join("").match(/[^]{1,100}/g) ?? []]) {
+                run.length = 0;
+                await send(context, port, pieces);
+                assert.deepEqual(run, paths.slice(0, last + 1));
+            }
+        }
+    }
+});
