--- a/packages/abuse/src/lib/GatewayUnderTest.ts
+++ b/packages/abuse/src/lib/GatewayUnderTest.ts
@@ -29,6 +29,8 @@
     readonly behaviour?: TargetBehaviour;
     /** How the targets of the chain answer. */
     readonly streamBehaviour?: TargetBehaviour;
+    /** Whether the targets of the chain answer calls for reports with bytes without end. */
+    readonly floodsReports?: boolean;
 }
 
 /** The smallest machine for callers on the users' sheets. */
@@ -56,6 +58,7 @@
         const { behaviour, streamBehaviour } = options;
         this.target = new FakeTarget("plain-x-1", behaviour);
         this.chain = [1, 2].map(index => new FakeTarget(`model-x-${index}`, streamBehaviour));
+        this.chain.forEach(target => target.floodsOwnCalls = options.floodsReports === true);
     }
 
     get callerPort(): number {
