A stream's head promises nothing that only its first target can keep

Cause: the answer kept the Content-Length of its first target; another target's text has another length. Change: successful streams are sent without length, digests, range and entity tag.

--- a/packages/gateway/src/lib/requests/CallerExchange.ts
+++ b/packages/gateway/src/lib/requests/CallerExchange.ts
@@ -53,6 +53,17 @@
     "transfer-encoding",
     "upgrade",
 ]);
+/** Headers that describe the whole body of one reply, which another target that continues a stream does not keep. */
+const wholeBodyHeaders = new Set([
+    "accept-ranges",
+    "content-digest",
+    "content-length",
+    "content-md5",
+    "content-range",
+    "digest",
+    "etag",
+    "repr-digest",
+]);
 const millisecondsPerSecond = 1_000;
 /** Why a run fails whose reply has a head that cannot be passed on. */
 export const unwritableHead = "the head of the reply cannot be written";
@@ -179,15 +190,16 @@
     /**
      * Sends the head of a target's reply, unless one has been sent.
      *
+     * @param isStream - Whether the body is sent event by event, and maybe continued by another target.
      * @returns False if it cannot be written. Nothing has been sent then, so that another answer is still possible.
      */
-    writeHead({ statusCode: status = 0, rawHeaders }: ReplyHeadMessage): boolean {
+    writeHead({ statusCode: status = 0, rawHeaders }: ReplyHeadMessage, isStream = false): boolean {
         if (this.hasHead) {
             return true;
         }
         const { response, observation, request } = this.options;
         try {
-            response.writeHead(status, endToEndHeaders(rawHeaders));
+            response.writeHead(status, selectHeaders(rawHeaders, isStream));
         }
         catch (error) {
             observation.metrics.unwritableHeads.add({});
@@ -364,12 +376,13 @@
     response.end(body);
 }
 
-/** @returns The headers of a reply without the hop-by-hop ones. */
-function endToEndHeaders(rawHeaders: readonly string[]): string[] {
+/** @returns The headers of a reply that hold for the answer to its caller. */
+function selectHeaders(rawHeaders: readonly string[], isStream: boolean): string[] {
     const kept: string[] = [];
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
         const name = rawHeaders[i] ?? "";
-        if (!hopByHopHeaders.has(name.toLowerCase())) {
+        const lowerCase = name.toLowerCase();
+        if (!hopByHopHeaders.has(lowerCase) && !(isStream && wholeBodyHeaders.has(lowerCase))) {
             kept.push(name, rawHeaders[i + 1] ?? "");
         }
     }
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -5,7 +5,7 @@
 import { type Target } from "../directory/Target.js";
 import { type ExchangeFailure, type OpenExchange, type ReplyMessage } from "../upstream/Exchange.js";
 import { type CallerExchange } from "./CallerExchange.js";
-import { type Send } from "./CrashCheck.js";
+import { firstFailure, type Send } from "./CrashCheck.js";
 import { type DeliveredEvents } from "./DeliveredEvents.js";
 import { EventProgress, maxEventBytes } from "./EventProgress.js";
 import { EventSequence, type SequencedEvents } from "./EventSequence.js";
@@ -141,6 +141,11 @@
         return this.paused;
     }
 
+    /** Whether its reply has the status of a success. */
+    get isSuccess(): boolean {
+        return this.response?.statusCode !== undefined && this.response.statusCode < firstFailure;
+    }
+
     /** Time of the first event on the clock; undefined before it. */
     get firstEventAt(): number | undefined {
         return this.firstEventTime;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -10,7 +10,7 @@
 import { ChainAttempt, type ChainAttemptListener } from "./ChainAttempt.js";
 import { chainCandidates } from "./chainCandidates.js";
 import { ChainChoice } from "./ChainChoice.js";
-import { CrashCheck, firstFailure } from "./CrashCheck.js";
+import { CrashCheck } from "./CrashCheck.js";
 import { DeliveredEvents } from "./DeliveredEvents.js";
 import { joinEvents, type StreamEvent } from "./EventSplitter.js";
 import { judgeReply } from "./judgeReply.js";
@@ -106,7 +106,7 @@
         else if (verdict.kind === "unusable") {
             this.attemptEnded(attempt, "unknown", verdict.reason);
         }
-        else if (status >= firstFailure) {
+        else if (!attempt.isSuccess) {
             this.receiveFailedReply(attempt, status);
         }
     }
@@ -284,7 +284,7 @@
 
     /** @returns Whether the answer has a head. A run whose head cannot be written has failed. */
     private writeHeadOnce(attempt: ChainAttempt): boolean {
-        if (attempt.response !== undefined && this.caller.writeHead(attempt.response)) {
+        if (attempt.response !== undefined && this.caller.writeHead(attempt.response, attempt.isSuccess)) {
             return true;
         }
         this.attemptEnded(attempt, "unknown", unwritableHead);
