Any series of SIGTERM and SIGHUP is one planned stop or none, from the first line of the program on

A SIGHUP within about 0.16 s of a start ended the process. Cause: only the first SIGTERM had a handler; handlers were installed when the bundle had loaded. Change: further SIGTERMs are logged and change nothing; the start script keeps the signals that come while the bundle loads and hands them on.

--- a/packages/abuse/src/lib/GatewayUnderTest.ts
+++ b/packages/abuse/src/lib/GatewayUnderTest.ts
@@ -43,6 +43,8 @@
 const bytesPerMegabyte = 1_000_000;
 const success = 200;
 const pollInterval = 50;
+/** Milliseconds until a process that does not end counts as hanging. */
+const endTimeout = 60_000;
 const script = fileURLToPath(new URL("../../../../target/start.cjs", import.meta.url));
 
 /** One bundled gateway process with stand-ins of the store and of targets. */
@@ -84,6 +86,13 @@
 
     /** Starts stand-ins and gateway, and waits until the gateway is ready. */
     async start(): Promise<void> {
+        await this.launch();
+        await this.becomesReady();
+        await this.serveOrdinaryCaller();
+    }
+
+    /** Starts stand-ins and gateway without waiting for it. */
+    async launch(): Promise<void> {
         const { memory = smallestMachine.memory, sockets = smallestMachine.sockets } = this.options;
         this.folder = await mkdtemp(join(tmpdir(), "waxwingspar-abuse-"));
         await this.store.start();
@@ -111,13 +120,26 @@
             heapMegabytes: Math.floor(memory * heapShare),
             maxDescriptors: sockets + fileDescriptors,
         });
+    }
+
+    /** Waits until the gateway is ready. @throws Error if it ends first. */
+    async becomesReady(): Promise<void> {
         while (!await this.isReady()) {
             if (!this.isRunning) {
-                throw new Error(`the gateway ended: ${this.process.end ?? ""}`);
+                throw new Error(`the gateway ended: ${this.process?.end ?? ""}`);
             }
             await pause(pollInterval);
         }
-        await this.serveOrdinaryCaller();
+    }
+
+    signal(signal: "SIGTERM" | "SIGHUP"): void {
+        this.process?.signal(signal);
+    }
+
+    /** Waits until the process has ended. @returns The signal or exit code with which it did. */
+    async waitForEnd(): Promise<string | undefined> {
+        await this.process?.waitForEnd(endTimeout);
+        return this.process?.end;
     }
 
     get isRunning(): boolean {
--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -114,11 +114,16 @@
     };
 }
 
+/** Stops on the first signal. Further ones change nothing, as the stop has its own limit. */
 function stopOnSignal(logs: Logs, stop: () => Promise<void>): Promise<undefined> {
     return new Promise(resolve => {
-        process.once("SIGTERM", signal => {
-            logs.process.info({ signal }, "signal received");
-            void stop().then(() => resolve(undefined));
+        let isStopping = false;
+        process.on("SIGTERM", signal => {
+            logs.process.info({ signal, isStopping }, "signal received");
+            if (!isStopping) {
+                isStopping = true;
+                void stop().then(() => resolve(undefined));
+            }
         });
     });
 }
--- a/packages/proof/src/lib/site/SiteProcess.ts
+++ b/packages/proof/src/lib/site/SiteProcess.ts
@@ -79,7 +79,7 @@
         }
     }
 
-    signal(signal: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT"): void {
+    signal(signal: "SIGTERM" | "SIGHUP" | "SIGKILL" | "SIGSTOP" | "SIGCONT"): void {
         if (this.running) {
             this.child.kill(signal);
         }
--- a/scripts/start-cached.cjs
+++ b/scripts/start-cached.cjs
@@ -6,6 +6,12 @@
 const { createServer } = require("node:net");
 const { Script } = require("node:vm");
 
+/** Signals that come before the bundle handles them. */
+const handled = ["SIGTERM", "SIGHUP"];
+const early = [];
+const keep = signal => early.push(signal);
+handled.forEach(signal => process.on(signal, keep));
+
 /** Maximum number of connections that wait while the bundle loads: as many as the program itself lets wait. */
 const backlog = 128;
 const bundle = join(__dirname, "gateway.cjs");
@@ -21,6 +27,13 @@
     return { script, main: bundled.exports.main };
 }
 
+/** Starts the program, and hands on the signals that have come before. */
+function start(listener) {
+    loadBundle().main(listener);
+    handled.forEach(signal => process.off(signal, keep));
+    early.forEach(signal => process.emit(signal, signal));
+}
+
 /** Returns the value of a command-line option. */
 function option(name) {
     const index = process.argv.indexOf(name);
@@ -34,13 +47,13 @@
 else {
     const callers = option("--callers");
     if (callers === undefined) {
-        loadBundle().main();
+        start();
     }
     else {
         // Connections that arrive while the bundle loads wait in the listener's backlog instead of being refused.
         const colon = callers.lastIndexOf(":");
         const listener = createServer();
         const [host, port] = [callers.slice(0, colon), Number(callers.slice(colon + 1))];
-        listener.listen({ host, port, backlog }, () => loadBundle().main(listener));
+        listener.listen({ host, port, backlog }, () => start(listener));
     }
 }
