A start uses a code cache only if it is of this program, this source and whole

Callers saw: nothing served, as each start with a cache of another version of Node.js ended with SIGSEGV, and so did the build. Cause: V8 accepts such a cache; writing a new one loaded the old one first. Change: the cache names what wrote it and hashes of source and cache; anything else is ignored with a line of the log. It is made without an older one, written aside and renamed. The crash was not played again: no other version of Node.js here.

--- a/scripts/start-cached.cjs
+++ b/scripts/start-cached.cjs
@@ -1,11 +1,15 @@
-// Starts the bundle in this folder with the V8 code cache that the build made of it. V8 accepts the cache only if the
-// same version made it from the same source; otherwise it compiles the bundle, which adds about 40 ms to the start.
+// Starts the bundle in this folder with the V8 code cache that the build made of it. Without it, V8 compiles the bundle,
+// which adds about 40 ms to the start. V8 does not check a cache that another build of Node.js wrote, and crashes on it, so
+// a cache is used only if its first line names this process and the bundle.
 "use strict";
-const { existsSync, readFileSync, writeFileSync } = require("node:fs");
+const { createHash } = require("node:crypto");
+const { readFileSync, renameSync, writeFileSync } = require("node:fs");
 const { dirname, join } = require("node:path");
 const { createServer } = require("node:net");
 const { Script } = require("node:vm");
 
+/** The level of warnings in the logs. */
+const warnLevel = 40;
 /** Signals that come before the bundle handles them. */
 const handled = ["SIGTERM", "SIGHUP"];
 const early = [];
@@ -17,14 +21,45 @@
 const bundle = join(__dirname, "gateway.cjs");
 const cache = join(__dirname, "gateway.cache");
 
-/** Loads the bundle, with the code cache if V8 accepts it. */
-function loadBundle() {
+function hash(data) {
+    return createHash("sha256").update(data).digest("hex");
+}
+
+/** What a cache depends on: the program that wrote it, the source that it was made of, and its own bytes. */
+function describeCache(source, data) {
+    const { version, arch, versions: { v8 } } = process;
+    return JSON.stringify({ version, arch, v8, source: hash(source), data: hash(data) });
+}
+
+/** Reads the code cache. Returns undefined, with a line of the log, if it does not fit. */
+function readCache(source) {
+    try {
+        const file = readFileSync(cache);
+        const end = file.indexOf("\n");
+        const data = file.subarray(end + 1);
+        if (file.toString("utf8", 0, Math.max(0, end)) === describeCache(source, data)) {
+            return data;
+        }
+        logUnused("it is damaged, or of another bundle or version of Node.js");
+    }
+    catch (error) {
+        logUnused(error.message);
+    }
+    return undefined;
+}
+
+function logUnused(reason) {
+    const line = { level: warnLevel, time: Date.now(), reason, msg: "process: code cache not used" };
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+/** Loads the bundle, with the code cache if there is one that fits. */
+function loadBundle(readCachedData = readCache) {
     const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, "utf8")}\n})`;
-    const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
-    const script = new Script(source, { filename: bundle, cachedData });
+    const script = new Script(source, { filename: bundle, cachedData: readCachedData(source) });
     const bundled = { exports: {} };
     script.runInThisContext().call(bundled.exports, bundled.exports, require, bundled, bundle, dirname(bundle));
-    return { script, main: bundled.exports.main };
+    return { source, script, main: bundled.exports.main };
 }
 
 /** Starts the program, and hands on the signals that have come before. */
@@ -41,8 +76,12 @@
 }
 
 if (process.argv.includes("--write-cache")) {
-    // Written after the bundle has loaded, so that the cache also holds the functions compiled while it loads.
-    writeFileSync(cache, loadBundle().script.createCachedData());
+    // Made without an older cache, and after the bundle has loaded, so that it holds the functions compiled until then.
+    const { source, script } = loadBundle(() => undefined);
+    const data = script.createCachedData();
+    const written = `${cache}.${process.pid}`;
+    writeFileSync(written, Buffer.concat([Buffer.from(`${describeCache(source, data)}\n`), data]));
+    renameSync(written, cache);
 }
 else {
     const callers = option("--callers");
