A request ends whatever its callbacks throw

Cause: exceptions in timers, in callbacks of exchanges and after promises ended in the handler of the process; the request kept its slot and its place, and what waited behind it in a burst or in the intake was dropped. Change: RequestGuard ends the request with what is known of its outcome; counted by place, logged with the id. callEach goes on with the next one. An exchange that ended during its check before the send calls its listener no more. Evidence: a walk over all callbacks of four kinds of requests, one to three throwing, over simulated targets: each ends truthfully and no target runs it on.

--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -60,6 +60,7 @@
     readonly clientMemory: Gauge;
     readonly unwritableHeads: Counter;
     readonly faultyRuns: Counter;
+    readonly requestErrors: Counter;
     readonly callersLeft: Counter;
     readonly requestAge: Histogram;
 
@@ -241,6 +242,10 @@
             name: "waxwingspar_gateway_faulty_runs_total",
             help: "Runs of streams that were ended because of what they brought, by fault.",
         });
+        this.requestErrors = registry.counter({
+            name: "waxwingspar_gateway_request_errors_total",
+            help: "Errors that were thrown in callbacks of requests, which end the request, by callback.",
+        });
         this.callersLeft = registry.counter({
             name: "waxwingspar_gateway_callers_left_total",
             help: "Requests whose callers left before their answer had ended, by how far the request had come.",
--- a/packages/gateway/src/lib/requests/ChainAttempt.ts
+++ b/packages/gateway/src/lib/requests/ChainAttempt.ts
@@ -62,6 +62,7 @@
     isSuspected = false;
     response: ReplyMessage | undefined;
     private readonly exchange: OpenExchange;
+    private readonly user: ChainUser;
     /** Milliseconds to the first event that were predicted at the start. */
     private readonly expected: number | undefined;
     private readonly splitter = new EventSplitter();
@@ -80,6 +81,12 @@
         const { context, caller, service, load, target, delivered, priority, maySend, listener } = options;
         const { lastId: lastEventId } = delivered;
         this.startedAt = context.clock.now();
+        this.user = {
+            leaveChain: context.guard.wrap(
+                "chain",
+                (left: ChainLoad, reason: string) => listener.leaveChain(left, reason),
+            ),
+        };
         this.sequence = new EventSequence(delivered);
         this.progress = new EventProgress(context.clock, delivered);
         this.exchange = openExchange({
@@ -107,7 +114,7 @@
         this.expected = lastEventId === undefined
             ? service.expectFirstEvent(load, caller.request.tokens?.prompt)
             : undefined;
-        service.begin(load, listener);
+        service.begin(load, this.user);
         this.firstEventTimer = context.clock.schedule(
             () => listener.onLateEvent(this, "no first event"),
             caller.route.latencyTarget * firstEventTimeoutFactor,
@@ -224,11 +231,11 @@
             return;
         }
         this.isClosed = true;
-        const { context, service, load, listener, releaseSlot } = this.options;
+        const { context, service, load, releaseSlot } = this.options;
         this.firstEventTimer.cancel();
         this.holdTimer?.cancel();
         this.exchange.cancel();
-        service.end(load, listener, this.firstEventTime !== undefined);
+        service.end(load, this.user, this.firstEventTime !== undefined);
         releaseSlot();
         context.observation.metrics.sends.add({ result: "stream" });
     }
--- a/packages/gateway/src/lib/requests/CrashCheck.ts
+++ b/packages/gateway/src/lib/requests/CrashCheck.ts
@@ -55,7 +55,7 @@
             onRefused(this.guard.describeCondemned(this.causes));
         }
         else {
-            void this.requestRetrial(send, onRefused);
+            this.options.context.guard.watch("retrial", this.requestRetrial(send, onRefused));
         }
     }
 
--- a/packages/gateway/src/lib/requests/PlainRun.ts
+++ b/packages/gateway/src/lib/requests/PlainRun.ts
@@ -56,9 +56,9 @@
     }
 
     start(): void {
-        const { clock } = this.context;
+        const { clock, guard } = this.context;
         this.context.budget.request();
-        this.caller.onDisconnect(() => this.stop());
+        this.caller.onDisconnect(guard.wrap("disconnect", () => this.stop()));
         this.deadlineTimer = clock.schedule(() => this.giveUp("time is up"), Math.max(0, this.caller.timeLeft));
         if (this.isIdempotent && this.context.isOn("hedged-sends")) {
             const delay = this.caller.route.latencyTarget * hedgeLatencyShare;
@@ -204,7 +204,7 @@
             }
             this.stopOthers(attempt);
             this.forward(attempt, Buffer.concat(attempt.chunks));
-            this.caller.onDrain(() => attempt.exchange.resume());
+            this.caller.onDrain(this.context.guard.wrap("drain", () => attempt.exchange.resume()));
         }
     }
 
--- a/packages/gateway/src/lib/requests/RequestContext.ts
+++ b/packages/gateway/src/lib/requests/RequestContext.ts
@@ -10,6 +10,7 @@
 import { type TargetRests } from "../rests/TargetRests.js";
 import { type ExchangeOptions, type OpenExchange } from "../upstream/Exchange.js";
 import { type WireFormat } from "./messages.js";
+import { type RequestGuard } from "./RequestGuard.js";
 import { type RetryBudget } from "./RetryBudget.js";
 
 /** Dependencies shared by all runs of requests. */
@@ -32,6 +33,8 @@
     readonly slots: Pick<SlotGrants, "acquire" | "tryLocal" | "fullFor" | "expectedWait">;
     /** Sends a request to a target. */
     readonly openExchange: (options: ExchangeOptions) => OpenExchange;
+    /** Ends the request when one of its callbacks throws. */
+    readonly guard: Pick<RequestGuard, "wrap" | "watch">;
     readonly isOn: MechanismSwitch;
     /** Milliseconds since the list of targets that sends are based on was last confirmed. */
     readonly targetListAge: () => number;
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -22,6 +22,7 @@
 import { type CallerRequest, type WireFormat } from "./messages.js";
 import { PlainRun } from "./PlainRun.js";
 import { type RequestContext } from "./RequestContext.js";
+import { RequestGuard } from "./RequestGuard.js";
 import { StreamRun } from "./StreamRun.js";
 
 /** Options of {@link RequestRouter}. */
@@ -147,8 +148,20 @@
         }
     }
 
-    /** Handles a request whose body has been read completely. */
+    /** Handles a request whose body has been read completely. If that fails before it runs, it is refused. */
     handle(received: ReceivedRequest): void {
+        try {
+            this.begin(received);
+        }
+        catch (error) {
+            const { metrics, logs } = this.options.observation;
+            metrics.requestErrors.add({ place: "begin" });
+            logs.requests.error({ error: error instanceof Error ? error.stack : String(error) }, "error in a request");
+            refuseAfterError(received.response);
+        }
+    }
+
+    private begin(received: ReceivedRequest): void {
         const { clock, wire, configuration, observation } = this.options;
         const { incoming, response, presence, body } = received;
         const request = wire.readCallerRequest(incoming.headers);
@@ -244,12 +257,13 @@
             isOn: (mechanism: Mechanism) => isOn(mechanism) && (mechanism !== "slot-admission" || hasRanks(service)),
             targetListAge,
         };
+        const guard = new RequestGuard({ context, caller });
         const run = parts.chains === undefined
-            ? new PlainRun(context, caller, parts.picker)
-            : new StreamRun(context, caller, parts.chains);
+            ? new PlainRun(guard.context, caller, parts.picker)
+            : new StreamRun(guard.context, caller, parts.chains);
         this.runs.set(caller, run);
         caller.onClose(() => this.runs.delete(caller));
-        run.start();
+        guard.start(() => run.start(), () => run.giveUp("an error in this process"));
     }
 
     /** Chooses a service at random, by the weights of the route's shares. */
@@ -296,6 +310,16 @@
     }
 }
 
+/** Refuses a request that has not been sent to a target, or closes its connection if that is not possible. */
+function refuseAfterError(response: ServerResponse): void {
+    try {
+        writeRefusal(response, requestCodes.noCapacity, "an error in this process", otherProcessRetryAfter);
+    }
+    catch {
+        response.destroy();
+    }
+}
+
 /**
  * Estimates when a request arrived. One that is read after the event loop was blocked may have come at any time while it
  * was, but not before its caller would have left.
--- a/packages/gateway/src/lib/requests/SendGate.ts
+++ b/packages/gateway/src/lib/requests/SendGate.ts
@@ -6,7 +6,7 @@
 
 /** Options of {@link SendGate}. */
 export interface SendGateOptions {
-    readonly context: Pick<RequestContext, "permits" | "rests">;
+    readonly context: Pick<RequestContext, "permits" | "rests" | "guard">;
     readonly caller: Pick<CallerExchange, "ended" | "request">;
     /** Precedence of the next send. */
     readonly precedence: () => Precedence;
@@ -50,7 +50,7 @@
      */
     pass(target: Target, send: () => void, onDenied: () => void): void {
         if (this.options.context.permits.isNeeded(target)) {
-            void this.acquire(target, send, onDenied);
+            this.options.context.guard.watch("permit", this.acquire(target, send, onDenied));
         }
         else {
             send();
--- a/packages/gateway/src/lib/requests/SlotUse.ts
+++ b/packages/gateway/src/lib/requests/SlotUse.ts
@@ -32,7 +32,7 @@
 
 /** Options of {@link SlotUse}. */
 export interface SlotUseOptions<Choice> {
-    readonly context: Pick<RequestContext, "clock" | "isOn" | "slots">;
+    readonly context: Pick<RequestContext, "clock" | "guard" | "isOn" | "slots">;
     readonly caller: Pick<CallerExchange, "digest" | "organisation" | "request" | "route" | "timeLeft">;
     /** Lists what the request may be sent to now, best first. */
     readonly list: () => Iterable<SlotCandidate<Choice>>;
@@ -121,7 +121,7 @@
         else {
             this.unused = context.slots.tryLocal(poolOf([best]));
             if (this.unused === undefined) {
-                void this.ask(need, onGranted, onRefused);
+                context.guard.watch("slot", this.ask(need, onGranted, onRefused));
             }
             else {
                 onGranted(best);
@@ -172,8 +172,7 @@
             }
             // The chain of the granted head broke while the request was held.
             outcome.release();
-            void this.ask({ ...need, maxHold: Math.max(0, end - clock.now()) }, onGranted, onRefused);
-            return;
+            return this.ask({ ...need, maxHold: Math.max(0, end - clock.now()) }, onGranted, onRefused);
         }
         if (this.waiting === waiting) {
             this.waiting = undefined;
--- a/packages/gateway/src/lib/requests/StreamRun.ts
+++ b/packages/gateway/src/lib/requests/StreamRun.ts
@@ -82,9 +82,9 @@
 
     start(): void {
         this.context.budget.request();
-        this.caller.onDisconnect(() => this.finish());
-        this.caller.onDrain(() => this.attempts.forEach(attempt => attempt.resume()));
-        const { clock } = this.context;
+        const { clock, guard } = this.context;
+        this.caller.onDisconnect(guard.wrap("disconnect", () => this.finish()));
+        this.caller.onDrain(guard.wrap("drain", () => this.attempts.forEach(attempt => attempt.resume())));
         this.deadlineTimer = clock.schedule(() => this.giveUp("time is up"), Math.max(0, this.caller.timeLeft));
         this.send();
     }
--- a/packages/gateway/src/lib/server/AcceptBursts.ts
+++ b/packages/gateway/src/lib/server/AcceptBursts.ts
@@ -1,3 +1,4 @@
+import { callEach } from "./callEach.js";
 import { type AfterInput, TurnEnd } from "./TurnEnd.js";
 
 /** Options of {@link AcceptBursts}. */
@@ -48,6 +49,6 @@
         }
         this.accepted = 0;
         this.hasAccepted = false;
-        this.waiting.splice(0).forEach(callback => callback());
+        callEach(this.waiting.splice(0));
     }
 }
--- a/packages/gateway/src/lib/server/RequestIntake.ts
+++ b/packages/gateway/src/lib/server/RequestIntake.ts
@@ -2,6 +2,7 @@
 import { type MechanismSwitch } from "../Mechanisms.js";
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
 import { type AcceptBursts } from "./AcceptBursts.js";
+import { callEach } from "./callEach.js";
 import { type ReceivedRequest } from "./CallerServer.js";
 import { type AfterInput, TurnEnd } from "./TurnEnd.js";
 
@@ -127,7 +128,7 @@
         const left = this.waiting.filter(({ request }) => request.presence.hasLeft);
         if (left.length > 0) {
             this.waiting = this.waiting.filter(({ request }) => !request.presence.hasLeft);
-            left.forEach(({ request }) => this.options.onLeft(request));
+            callEach(left.map(({ request }) => () => this.options.onLeft(request)));
         }
     }
 
@@ -158,14 +159,15 @@
                 return;
             }
             this.waiting.shift();
-            onOverload(oldest.request, now - oldest.readAt);
+            const { request, readAt } = oldest;
+            callEach([() => onOverload(request, now - readAt)]);
         }
     }
 
     private begin(request: ReceivedRequest): void {
         const { clock, onRequest } = this.options;
         const startedAt = clock.now();
-        onRequest(request);
+        callEach([() => onRequest(request)]);
         this.spent += clock.now() - startedAt;
     }
 }
--- a/packages/gateway/src/lib/testing/PlainSlotSite.ts
+++ b/packages/gateway/src/lib/testing/PlainSlotSite.ts
@@ -4,7 +4,13 @@
 import { GatewayMetrics } from "../observation/Observation.js";
 import { silentLogs, testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
-import { createGroupOfOne, plainRoute, plainService, SimulatedRouter } from "./SimulatedRouter.js";
+import {
+    createGroupOfOne,
+    plainRoute,
+    plainService,
+    SimulatedRouter,
+    type SimulatedRouterOptions,
+} from "./SimulatedRouter.js";
 import { SimulatedStore } from "./SimulatedStore.js";
 import { SimulatedTarget } from "./SimulatedTarget.js";
 
@@ -17,6 +23,7 @@
     readonly slots?: number;
     /** Whether targets list their slots. */
     readonly isListed?: boolean;
+    readonly createGuard?: SimulatedRouterOptions["createGuard"];
     /** Share of the requests that targets answer with an error status. */
     readonly failedShare?: number;
 }
@@ -116,6 +123,7 @@
             targetAt: port => this.targetAt(port),
             slots: grants,
             random,
+            createGuard: this.options.createGuard,
         });
         this.targets.forEach(({ target }) => router.directory.put(target));
         return router;
--- a/packages/gateway/src/lib/testing/SimulatedRouter.ts
+++ b/packages/gateway/src/lib/testing/SimulatedRouter.ts
@@ -18,6 +18,7 @@
 import { type WireFormat } from "../requests/messages.js";
 import { PlainRun } from "../requests/PlainRun.js";
 import { type RequestContext } from "../requests/RequestContext.js";
+import { RequestGuard, type RequestGuardOptions } from "../requests/RequestGuard.js";
 import { RetryBudget } from "../requests/RetryBudget.js";
 import { StreamRun } from "../requests/StreamRun.js";
 import { TargetRests } from "../rests/TargetRests.js";
@@ -54,6 +55,8 @@
     readonly isOn?: MechanismSwitch;
     /** Grants the slots of targets; by default all that are requested. */
     readonly slots?: RequestContext["slots"];
+    /** Creates what guards the callbacks of a request. */
+    readonly createGuard?: (options: RequestGuardOptions) => RequestGuard;
 }
 
 /** Creates the group of a gateway without others. */
@@ -140,7 +143,7 @@
     readonly limits: TargetLimits;
     readonly rests: TargetRests;
     readonly permits: SendPermits;
-    readonly context: RequestContext;
+    readonly context: Omit<RequestContext, "guard">;
     readonly metrics: GatewayMetrics;
 
     constructor(private readonly options: SimulatedRouterOptions) {
@@ -215,17 +218,24 @@
     /** Starts a caller's stream. */
     start(body: string, route = streamRoute): SimulatedAnswer {
         const { caller, answer } = this.receive(body, route);
-        new StreamRun(this.context, caller, this.chains).start();
+        this.run(caller, context => new StreamRun(context, caller, this.chains));
         return answer;
     }
 
     /** Starts a caller's request to the plain service. */
     startPlain(body: string, route = plainRoute): SimulatedAnswer {
         const { caller, answer } = this.receive(body, route);
-        new PlainRun(this.context, caller, this.picker).start();
+        this.run(caller, context => new PlainRun(context, caller, this.picker));
         return answer;
     }
 
+    private run(caller: CallerExchange, create: (context: RequestContext) => PlainRun | StreamRun): void {
+        const { context, options: { createGuard = options => new RequestGuard(options) } } = this;
+        const guard = createGuard({ context, caller });
+        const run = create(guard.context);
+        guard.start(() => run.start(), () => run.giveUp("an error in this process"));
+    }
+
     private receive(
         body: string,
         route: Route,
--- a/packages/gateway/src/lib/testing/SimulatedTarget.ts
+++ b/packages/gateway/src/lib/testing/SimulatedTarget.ts
@@ -128,9 +128,11 @@
     }
 
     /** Receives a request, in place of the constructor of a real exchange. */
-    open({ body, headers, listener, maySend }: ExchangeOptions): OpenExchange {
+    open({ body, headers, listener: given, maySend }: ExchangeOptions): OpenExchange {
         const { clock, onArrival, isResuming = false } = this.options;
         const lastEvent = isResuming ? readHeader(headers, lastEventHeader) : undefined;
+        let isCancelled = false;
+        const listener = stopListening(given, () => isCancelled);
         const run: Run = {
             body: body?.toString() ?? "",
             listener,
@@ -152,6 +154,9 @@
                 listener.onFailure(withdrawn);
                 return;
             }
+            if (isCancelled) {
+                return;
+            }
             isSent = true;
             this.arrivals++;
             onArrival(run.body, readHeader(headers, priorityHeader));
@@ -166,6 +171,7 @@
             pause: () => undefined,
             resume: () => undefined,
             cancel: () => {
+                isCancelled = true;
                 run.timer?.cancel();
                 this.runs.delete(run);
             },
@@ -321,3 +327,18 @@
     const index = headers.indexOf(name);
     return index === -1 ? undefined : Number(headers[index + 1]);
 }
+
+/** Like an exchange, a target calls its listener no more once it is cancelled. */
+function stopListening(listener: ExchangeListener, isCancelled: () => boolean): ExchangeListener {
+    const unlessCancelled = <Given extends unknown[]>(call: (...given: Given) => void) => (...given: Given) => {
+        if (!isCancelled()) {
+            call(...given);
+        }
+    };
+    return {
+        onHead: unlessCancelled(response => listener.onHead(response)),
+        onData: unlessCancelled(chunk => listener.onData(chunk)),
+        onEnd: unlessCancelled(() => listener.onEnd()),
+        onFailure: unlessCancelled(failure => listener.onFailure(failure)),
+    };
+}
--- a/packages/gateway/src/lib/testing/StreamSite.ts
+++ b/packages/gateway/src/lib/testing/StreamSite.ts
@@ -4,7 +4,7 @@
 import { type RequestContext } from "../requests/RequestContext.js";
 import { testTarget } from "./fixtures.js";
 import { type SimulatedAnswer } from "./SimulatedAnswer.js";
-import { SimulatedRouter, streamRoute } from "./SimulatedRouter.js";
+import { SimulatedRouter, type SimulatedRouterOptions, streamRoute } from "./SimulatedRouter.js";
 import { SimulatedStore } from "./SimulatedStore.js";
 import { simulatedEvents, SimulatedTarget } from "./SimulatedTarget.js";
 
@@ -26,6 +26,7 @@
     /** The kind of accelerator of the targets, which determines the room of chains. */
     readonly accelerator?: string;
     readonly isOn?: MechanismSwitch;
+    readonly createGuard?: SimulatedRouterOptions["createGuard"];
     /** Milliseconds until the deadline of a stream. */
     readonly timeout?: number;
     /** Called when a request reaches a target, with its body. */
@@ -62,6 +63,7 @@
             retryReserve,
             slots: createSlots?.(this.clock),
             isOn,
+            createGuard: options.createGuard,
         });
         for (let chain = 0; chain < chains; chain++) {
             this.heads.push(this.addTarget(chain, 0));
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -136,7 +136,11 @@
         if (this.isOver) {
             return;
         }
-        if (!maySend()) {
+        const isAllowed = maySend();
+        if (this.wasEnded()) {
+            return;
+        }
+        if (!isAllowed) {
             this.close();
             listener.onFailure(withdrawn);
             return;
@@ -152,6 +156,11 @@
         }
     }
 
+    /** Whether the exchange has ended meanwhile, which the compiler does not expect of a call. */
+    private wasEnded(): boolean {
+        return this.isOver;
+    }
+
     /** Stops reading until {@link Exchange.resume} is called, to apply back-pressure from a slow caller. */
     pause(): void {
         this.isPaused = true;
