--- a/packages/connections/src/lib/findHeadFault.ts
+++ b/packages/connections/src/lib/findHeadFault.ts
@@ -18,8 +18,9 @@
         return `status ${statusCode} is not that of a final reply`;
     }
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-        const [name = "", value = ""] = rawHeaders.slice(i, i + 2);
-        if (!isValid(() => validateHeaderName(name)) || !isValid(() => validateHeaderValue(name, value))) {
+        const name = rawHeaders[i] ?? "";
+        const value = rawHeaders[i + 1] ?? "";
+        if (!isWritable(name, value)) {
             return `header ${JSON.stringify(name)} is invalid`;
         }
         if (name.toLowerCase() === "transfer-encoding" && value.trim().toLowerCase() !== "chunked") {
@@ -29,9 +30,10 @@
     return undefined;
 }
 
-function isValid(validate: () => void): boolean {
+function isWritable(name: string, value: string): boolean {
     try {
-        validate();
+        validateHeaderName(name);
+        validateHeaderValue(name, value);
         return true;
     }
     catch {
