Ports of tests are below those of outgoing connections

Cause: the port had been found free in the range from which the system takes ports of outgoing connections, and one of the thousands of connections of the run took it before the gateway listened. Change: ports are drawn below that range. No check was changed.

--- a/packages/proof/src/lib/site/ports.ts
+++ b/packages/proof/src/lib/site/ports.ts
@@ -1,8 +1,12 @@
+import { randomInt } from "node:crypto";
 import { createServer, type Server } from "node:net";
 
+/** Ports below those that Linux gives to outgoing connections, one of which might take a port before its server listens. */
+const range = { first: 10_240, end: 32_768 };
+
 /**
- * Finds free ports on a loopback address. All ports are bound at the same time, so that none is returned twice. Outgoing
- * connections use 127.0.0.1, so a port found on another loopback address stays free, even while its process restarts.
+ * Finds free ports on a loopback address. All ports are bound at the same time, so that none is returned twice, and no
+ * outgoing connection takes one meanwhile, not even while the process that listens on it restarts.
  *
  * @public
  */
@@ -13,10 +17,19 @@
     return ports;
 }
 
-function listen(host: string): Promise<Server> {
-    return new Promise((resolve, reject) => {
+/** Listens on any free port of the range. */
+async function listen(host: string): Promise<Server> {
+    for (;;) {
         const server = createServer();
-        server.once("error", reject);
-        server.listen(0, host, () => resolve(server));
-    });
+        const isListening = await new Promise<boolean>((resolve, reject) => {
+            server.once(
+                "error",
+                (error: NodeJS.ErrnoException) => error.code === "EADDRINUSE" ? resolve(false) : reject(error),
+            );
+            server.listen(randomInt(range.first, range.end), host, () => resolve(true));
+        });
+        if (isListening) {
+            return server;
+        }
+    }
 }
