--- a/packages/abuse/src/lib/GatewayUnderTest.ts
+++ b/packages/abuse/src/lib/GatewayUnderTest.ts
@@ -9,7 +9,7 @@
     testSettings,
 } from "@waxwingspar/platform/testing";
 import { findPorts, SiteProcess } from "@waxwingspar/proof";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
@@ -43,6 +43,7 @@
 const bytesPerMegabyte = 1_000_000;
 const success = 200;
 const pollInterval = 50;
+const shownLines = 12;
 /** Milliseconds until a process that does not end counts as hanging. */
 const endTimeout = 60_000;
 const script = fileURLToPath(new URL("../../../../target/start.cjs", import.meta.url));
@@ -126,12 +127,17 @@
     async becomesReady(): Promise<void> {
         while (!await this.isReady()) {
             if (!this.isRunning) {
-                throw new Error(`the gateway ended: ${this.process?.end ?? ""}`);
+                throw new Error(`the gateway ended: ${this.process?.end ?? ""}\n${await this.readLog()}`);
             }
             await pause(pollInterval);
         }
     }
 
+    /** The last lines that the process has written. */
+    private async readLog(): Promise<string> {
+        return (await readFile(join(this.folder, "front-1.log"), "utf8")).split("\n").slice(-shownLines).join("\n");
+    }
+
     signal(signal: "SIGTERM" | "SIGHUP"): void {
         this.process?.signal(signal);
     }
