The close of a call ends an exchange only if there was no reply

Cause: since the close of a call ended its exchange too, at times before the reply's own error. Change: with a reply, the reply tells how it ended, as before. Tests of exchanges pass.

--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -115,8 +115,8 @@
             socket.on("data", (bytes: Buffer) => this.endRead(bytes.length));
         });
         this.call.on("error", (error: NodeJS.ErrnoException) => this.handleError(error));
-        // Node.js drops a connection that switches protocols without an error.
-        this.call.once("close", () => this.handleError({ code: "closed" }));
+        // Node.js drops a connection that switches protocols without an error. The end of a reply is told by the reply.
+        this.call.once("close", () => this.response === undefined && this.fail("closed"));
         this.call.once("response", response => this.receive(response));
     }
 
