--- a/packages/connections/src/lib/findHeadFault.ts
+++ b/packages/connections/src/lib/findHeadFault.ts
@@ -3,8 +3,8 @@
 /** The part of a reply's head that is passed on to callers. @public */
 export type ReplyHeadMessage = Pick<IncomingMessage, "statusCode" | "rawHeaders">;
 
-/** Statuses of final replies. Those below are interim ones or none at all. */
-const finalStatuses = { first: 200, last: 999 };
+/** Statuses of final replies in HTTP. Those below are interim ones or none at all. */
+const finalStatuses = { first: 200, last: 599 };
 
 /**
  * Finds what makes a reply's head impossible to pass on. The parser and the writer of Node.js check heads by different
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export { findHeadFault } from "@waxwingspar/connections";
 export {
     type EngineControl,
     type EngineReport,
