Answers in pieces of a byte take the memory of their bytes, from peers and engines too

Found by reading the change again: copies from peers and answers of engines were kept piece by piece up to their limit in bytes; a piece of one byte takes some hundred. Change: they are joined as they come, like other answers. Tests of copies and engines pass.

--- a/packages/engine/src/lib/HttpEngine.ts
+++ b/packages/engine/src/lib/HttpEngine.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Outcome } from "@waxwingspar/utils";
+import { ByteAccumulator, type Clock, type Outcome } from "@waxwingspar/utils";
 import { type z } from "zod";
 import {
     type CacheEvent,
@@ -125,17 +125,15 @@
         input: MethodInput<Name>,
         timeout = this.options.callTimeout,
     ): Promise<Outcome<MethodOutput<Name>>> {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const body = new ByteAccumulator();
         const sent = await this.client.post(methodPath(method), input, timeout, chunk => {
-            bytes += chunk.length;
-            chunks.push(chunk);
-            return bytes <= this.options.answerLimit;
+            body.add(chunk);
+            return body.length <= this.options.answerLimit;
         });
         return sent.andThen(() => {
             // The compiler cannot relate the schema of a generic method to the type of its output.
             const output = engineMethods[method].output as unknown as z.ZodType<MethodOutput<Name>>;
-            return fromWireOutcome(unpackBody(Buffer.concat(chunks)), output);
+            return fromWireOutcome(unpackBody(body.take()), output);
         });
     }
 }
--- a/packages/engine/src/lib/http/frames.ts
+++ b/packages/engine/src/lib/http/frames.ts
@@ -1,3 +1,5 @@
+import { ByteAccumulator } from "@waxwingspar/utils";
+
 const lengthBytes = 4;
 
 /** Prefixes a body with its length as a 32-bit big-endian integer. @internal */
@@ -14,8 +16,7 @@
  * @internal
  */
 export class FrameReader {
-    private chunks: Buffer[] = [];
-    private bytes = 0;
+    private readonly held = new ByteAccumulator();
     /** The number of buffered bytes needed to decode the next length or body. */
     private needed = lengthBytes;
 
@@ -28,10 +29,8 @@
      * @returns The bodies of the frames that are now complete, or undefined if a frame exceeds the limit.
      */
     push(chunk: Buffer): Buffer[] | undefined {
-        this.chunks.push(chunk);
-        this.bytes += chunk.length;
-        // Chunks are concatenated only when they complete a length or a body, so that a long frame is copied once.
-        return this.bytes < this.needed ? [] : this.splitFrames(Buffer.concat(this.chunks, this.bytes));
+        this.held.add(chunk);
+        return this.held.length < this.needed ? [] : this.splitFrames(this.held.take());
     }
 
     private splitFrames(joined: Buffer): Buffer[] | undefined {
@@ -51,8 +50,7 @@
             bodies.push(rest.subarray(lengthBytes, end));
             rest = rest.subarray(end);
         }
-        this.chunks = [rest];
-        this.bytes = rest.length;
+        this.held.add(rest);
         return bodies;
     }
 }
--- a/packages/gateway/src/lib/copies/fetchCopy.ts
+++ b/packages/gateway/src/lib/copies/fetchCopy.ts
@@ -1,4 +1,4 @@
-import { type Clock } from "@waxwingspar/utils";
+import { ByteAccumulator, type Clock } from "@waxwingspar/utils";
 import { request } from "node:http";
 import { ReplyLimit } from "../store/ReplyLimit.js";
 import { type CopyReply } from "./CopyReader.js";
@@ -26,10 +26,9 @@
     const fetch = (address: string, table: string) =>
         new Promise<CopyReply>(resolve => {
             const sentAt = clock.now();
-            const chunks: Buffer[] = [];
-            let bytes = 0;
+            const copy = new ByteAccumulator();
             let headAfter: number | undefined;
-            const measure = () => ({ bytes, headAfter, duration: clock.now() - sentAt });
+            const measure = () => ({ bytes: copy.length, headAfter, duration: clock.now() - sentAt });
             const colon = address.lastIndexOf(":");
             const call = request({
                 host: address.slice(0, colon),
@@ -52,24 +51,25 @@
                 afterInput: setImmediate,
             });
             call.once("error", (error: NodeJS.ErrnoException) => fail(error.code ?? error.message));
+            call.once("close", () => fail("closed"));
             call.once("response", response => {
                 headAfter = clock.now() - sentAt;
                 response.on("data", (chunk: Buffer) => {
-                    bytes += chunk.length;
-                    chunks.push(chunk);
+                    copy.add(chunk);
                     limit.receive(chunk.length);
-                    if (bytes > maxBytes) {
+                    if (copy.length > maxBytes) {
                         fail("too large");
                     }
                 });
                 response.once("close", () => fail("closed"));
                 response.once("end", () => {
-                    const body = Buffer.concat(chunks);
+                    const progress = measure();
+                    const body = copy.take();
                     if (!response.complete) {
                         fail("truncated");
                     }
                     else if (response.statusCode === status.ok) {
-                        finish({ kind: "copy", bytes: body, progress: measure() });
+                        finish({ kind: "copy", bytes: body, progress });
                     }
                     else if (response.statusCode === status.busy) {
                         finish({ kind: "busy", holders: readHolders(body) });
