A stream is not continued after an event whose id cannot be sent

Found by reading the change again: an id with a control character cannot be named in a request, so that a run that should go on after it was tried at each chain until the stream had been silent for 1.8 s. Now such a stream is broken off at once.

--- a/packages/gateway/src/lib/requests/DeliveredEvents.ts
+++ b/packages/gateway/src/lib/requests/DeliveredEvents.ts
@@ -32,7 +32,7 @@
         return this.stepKind;
     }
 
-    /** Whether the id of the last event may be wrong, so that the answer cannot be continued after it. */
+    /** Whether the id of the last event may be wrong or cannot be sent, so that the answer cannot be continued after it. */
     get isInDoubt(): boolean {
         return this.isDoubtful;
     }
@@ -61,10 +61,13 @@
         }
         this.events += events.length;
         this.lastAt = this.clock.now();
-        this.isDoubtful = isInDoubt;
+        this.isDoubtful = isInDoubt || !writableId.test(this.lastEventId ?? "");
     }
 }
 
+/** Ids that can be named in a header, as the request of a run that continues the answer does. */
+const writableId = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 /** @returns The id of an event as a number; NaN if it is none, or one that is too long to be exact. */
 export function eventNumber(id: string | undefined): number {
     return id !== undefined && /^\d{1,15}$/.test(id) ? Number(id) : NaN;
