--- a/packages/abuse/src/lib/GatewayUnderTest.ts
+++ b/packages/abuse/src/lib/GatewayUnderTest.ts
@@ -29,6 +29,8 @@
     readonly behaviour?: TargetBehaviour;
     /** How the targets of the chain answer. */
     readonly streamBehaviour?: TargetBehaviour;
+    /** Options of Node.js. */
+    readonly nodeOptions?: readonly string[];
     /** Whether the targets of the chain answer calls for reports with bytes without end. */
     readonly floodsReports?: boolean;
 }
@@ -115,7 +117,14 @@
         await writeFile(settings, JSON.stringify({ ...testSettings(this.store.address, identity), Limits: machine }));
         this.process = new SiteProcess({
             name: "front-1",
-            command: [script, "--callers", `${host}:${callers}`, "--metrics-port", `${metrics}`],
+            command: [
+                ...this.options.nodeOptions ?? [],
+                script,
+                "--callers",
+                `${host}:${callers}`,
+                "--metrics-port",
+                `${metrics}`,
+            ],
             log: join(this.folder, "front-1.log"),
             environment: { [settingsVariable]: settings },
             heapMegabytes: Math.floor(memory * heapShare),
