--- a/packages/gateway/src/lib/requests/spoiledIds.test.ts
+++ b/packages/gateway/src/lib/requests/spoiledIds.test.ts
@@ -39,6 +39,23 @@
     assert.equal(arrivals, 1);
 });
 
+// Guards against a stream that stays silent while runs are tried whose requests cannot be written.
+test("a stream is broken off at once after an event whose id cannot be sent", async () => {
+    for (const id of ["\u0001", "a\u007f", "\0"]) {
+        const site = new StreamSite({ isResuming: true });
+        const [head] = site.heads;
+        head!.writeId = () => id;
+        site.open();
+        while (site.answers[0]?.body === "") {
+            await site.clock.advanceAsync(1);
+        }
+        head!.crash();
+        await site.clock.advanceAsync(10);
+        const [answer] = site.answers;
+        assert.deepEqual([answer?.isOver, answer?.isComplete, site.arrivals], [true, false, 1]);
+    }
+});
+
 test("an event whose id jumps is held for a moment only, and the last one is delivered", async () => {
     for (const last of [20, simulatedEvents - 1]) {
         const site = new StreamSite({ isResuming: true });
