--- a/packages/gateway/src/lib/requests/RequestGuard.test.ts
+++ b/packages/gateway/src/lib/requests/RequestGuard.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { type SlotPool } from "../admission/SlotPool.js";
 import { PlainSlotSite } from "../testing/PlainSlotSite.js";
 import { type SimulatedAnswer } from "../testing/SimulatedAnswer.js";
 import { plainRoute } from "../testing/SimulatedRouter.js";
 import { StreamSite } from "../testing/StreamSite.js";
+import { unlimitedSlots } from "../testing/unlimitedSlots.js";
 import { RequestGuard, type RequestGuardOptions } from "./RequestGuard.js";
 
 /** Milliseconds until the deadline of a request, and longer than any request takes. */
@@ -15,6 +17,9 @@
 /** Makes the callbacks with some numbers, in the order of their calls, throw instead of doing their work. */
 class Walk {
     readonly places: string[] = [];
+    /** Where errors were counted, and those that were logged with the request. */
+    readonly counted: string[] = [];
+    readonly logged: string[] = [];
 
     constructor(private readonly failing: ReadonlySet<number>) {}
 
@@ -25,6 +30,16 @@
                 throw new Error(`injected at ${place}`);
             }
         };
+        const { context, caller } = options;
+        const { metrics, logs } = context.observation;
+        const requestErrors = { add: ({ place = "" }: Record<string, string>) => this.counted.push(place) };
+        const requests = {
+            error: ({ digest, place }: Record<string, string>) => this.logged.push(`${digest} ${place}`),
+        };
+        const observation = {
+            metrics: Object.assign(Object.create(metrics) as typeof metrics, { requestErrors }),
+            logs: { ...logs, requests: Object.assign(Object.create(logs.requests) as typeof logs.requests, requests) },
+        };
         return new class extends RequestGuard {
             override wrap<Arguments extends unknown[]>(
                 place: string,
@@ -39,26 +54,38 @@
             override watch(place: string, promise: Promise<void>): void {
                 super.watch(place, promise.then(() => pass(place)));
             }
-        }(options);
+        }({ context: { ...context, observation }, caller });
     };
 }
 
 interface Play {
     readonly walk: Walk;
     readonly answer: SimulatedAnswer;
-    /** Requests that targets still run at the end. */
-    readonly running: number;
+    /** Requests that targets still run at the end, loads of chains that count one, and slots that are not given back. */
+    readonly left: readonly number[];
     readonly arrivals: number;
 }
 
 async function playStream(failing: ReadonlySet<number>, isResumable: boolean): Promise<Play> {
     const walk = new Walk(failing);
-    const site = new StreamSite({ isResumable, isResuming: true, timeout, createGuard: walk.createGuard });
+    let slots = 0;
+    const takeSlot = (head = "") => {
+        slots++;
+        let isHeld = true;
+        const release = () => {
+            slots -= isHeld ? 1 : 0;
+            isHeld = false;
+        };
+        return { kind: "granted" as const, head, held: 0, release };
+    };
+    const createSlots = () => ({ ...unlimitedSlots, tryLocal: ({ heads: [head] }: SlotPool) => takeSlot(head?.id) });
+    const site = new StreamSite({ isResumable, isResuming: true, timeout, createGuard: walk.createGuard, createSlots });
     site.heads[0]!.flood = isResumable ? { content: Buffer.from("y\n"), interval: 90, after: 5 } : undefined;
     site.open();
     await site.clock.advanceAsync(untilDeadline);
-    const running = site.heads.reduce((sum, head) => sum + head.running, 0);
-    return { walk, answer: site.answers[0]!, running, arrivals: site.arrivals };
+    const running = site.targets.map(target => target.running);
+    const loads = site.router.chains.headLoads().map(([, load]) => load);
+    return { walk, answer: site.answers[0]!, left: [...running, ...loads, slots], arrivals: site.arrivals };
 }
 
 async function playPlain(failing: ReadonlySet<number>, kind: typeof plainRoute.kind): Promise<Play> {
@@ -66,8 +93,8 @@
     const site = new PlainSlotSite({ createGuard: walk.createGuard, failedShare: 0.5 });
     const answer = site.gateways[0]!.startPlain("question", { ...plainRoute, timeout, kind });
     await site.clock.advanceAsync(untilDeadline);
-    const running = site.targets.reduce((sum, target) => sum + target.running, 0);
-    return { walk, answer, running, arrivals: site.arrivals.reduce((sum, count) => sum + count, 0) };
+    const running = site.targets.map(target => target.running);
+    return { walk, answer, left: running, arrivals: site.arrivals.reduce((sum, count) => sum + count, 0) };
 }
 
 const plays: Readonly<Record<string, (failing: ReadonlySet<number>) => Promise<Play>>> = {
@@ -90,10 +117,14 @@
             for (
                 const failing of [new Set([first]), new Set([first, first + 1]), new Set([first, first + 3, first + 4])]
             ) {
-                const { walk, answer, running, arrivals } = await play(failing);
+                const { walk, answer, left, arrivals } = await play(failing);
                 const label = `throws at ${[...failing].map(index => `${index} ${walk.places[index] ?? ""}`).join()}`;
                 assert.equal(answer.isOver, true, label);
-                assert.equal(running, 0, label);
+                assert.ok(left.every(count => count === 0), `${label}: ${left.join()} left`);
+                const thrown = walk.places.filter((_, index) => failing.has(index));
+                assert.deepEqual(walk.counted, thrown, label);
+                assert.equal(walk.logged.length, thrown.length, label);
+                assert.ok(walk.logged.every(line => /^\S+ \S+$/.test(line)), label);
                 assert.ok(answer.statusCode !== 503 || arrivals === 0, `${label}: refused after it has arrived`);
                 const isWhole = answer.statusCode !== 200 || !answer.isComplete || answer.body.includes("id: 1\n");
                 assert.ok(isWhole, `${label}: ${answer.body}`);
