In a planned stop each answer closes its connection, also those to requests whose heads came before

A request whose head had come before the stop and its body later was refused as not run with 'Connection: keep-alive'; the connection was closed a moment later. Change: a stop applies to all responses that have not begun.

--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -94,7 +94,8 @@
     private isPaused = false;
     private isClosed = false;
     private listeningAt: AddressInfo | undefined;
-    private open = 0;
+    /** Responses to requests that have not ended. */
+    private readonly open = new Set<ServerResponse>();
     /** Requests that have been read completely and not answered. */
     private running = 0;
 
@@ -131,7 +132,7 @@
 
     /** Number of requests that have not ended. */
     get openRequests(): number {
-        return this.open;
+        return this.open.size;
     }
 
     /** Number of requests that run, including those that accepted connections are about to send. */
@@ -219,6 +220,10 @@
     /** Makes every further answer close its connection, so that callers move to other processes. */
     stopKeepingConnections(): void {
         this.isStopping = true;
+        for (const response of this.open) {
+            // Has no effect once the head has been sent.
+            response.shouldKeepAlive = false;
+        }
     }
 
     /** Stops listening. Open connections are kept until they are idle. */
@@ -234,7 +239,7 @@
 
     /** Ends open requests with what is known of their outcome, then closes all connections. */
     async closeAll(): Promise<void> {
-        if (this.open > 0) {
+        if (this.open.size > 0) {
             this.options.onClosing?.();
             await sleep(this.options.clock, flushTime);
         }
@@ -257,7 +262,7 @@
     }
 
     private receive(incoming: IncomingMessage, response: ServerResponse): void {
-        this.open++;
+        this.open.add(response);
         const isFirst = this.unread.delete(incoming.socket);
         const readAt = this.options.clock.now();
         const maxUnread = this.options.loop.inputAge;
@@ -265,7 +270,7 @@
         const callers = this.present.get(incoming.socket);
         callers?.add(presence);
         response.once("close", () => {
-            this.open--;
+            this.open.delete(response);
             callers?.delete(presence);
             presence.leave();
         });
