Processes that start sites find their ports in blocks of their own

Cause: ports drawn at random are free when they are found, but another process that starts a site may find the same one before the gateway listens. Change: a process takes ports from a block by its id, one after the other.

--- a/packages/proof/src/lib/site/ports.ts
+++ b/packages/proof/src/lib/site/ports.ts
@@ -1,35 +1,37 @@
-import { randomInt } from "node:crypto";
 import { createServer, type Server } from "node:net";
 
 /** Ports below those that Linux gives to outgoing connections, one of which might take a port before its server listens. */
-const range = { first: 10_240, end: 32_768 };
+const range = { first: 10_240, blocks: 88, blockSize: 256 };
+/** The ports of this process: sites of several processes are started at the same time. */
+const firstPort = range.first + process.pid % range.blocks * range.blockSize;
+let taken = 0;
 
 /**
- * Finds free ports on a loopback address. All ports are bound at the same time, so that none is returned twice, and no
- * outgoing connection takes one meanwhile, not even while the process that listens on it restarts.
+ * Finds free ports on a loopback address. All ports are bound at the same time, so that none is returned twice, and neither
+ * an outgoing connection nor another process that finds ports takes one before it is used, or while the process that
+ * listens on it restarts.
  *
  * @public
  */
 export async function findPorts(host: string, count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, () => listen(host)));
+    const servers: Server[] = [];
+    while (servers.length < count) {
+        const server = await listen(host, firstPort + taken++ % range.blockSize);
+        servers.push(...server === undefined ? [] : [server]);
+    }
     const ports = servers.map(server => (server.address() as { port: number; }).port);
     await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
 
-/** Listens on any free port of the range. */
-async function listen(host: string): Promise<Server> {
-    for (;;) {
+/** @returns Undefined if the port is in use. */
+function listen(host: string, port: number): Promise<Server | undefined> {
+    return new Promise((resolve, reject) => {
         const server = createServer();
-        const isListening = await new Promise<boolean>((resolve, reject) => {
-            server.once(
-                "error",
-                (error: NodeJS.ErrnoException) => error.code === "EADDRINUSE" ? resolve(false) : reject(error),
-            );
-            server.listen(randomInt(range.first, range.end), host, () => resolve(true));
-        });
-        if (isListening) {
-            return server;
-        }
-    }
+        server.once(
+            "error",
+            (error: NodeJS.ErrnoException) => error.code === "EADDRINUSE" ? resolve(undefined) : reject(error),
+        );
+        server.listen(port, host, () => resolve(server));
+    });
 }
