--- a/packages/gateway/src/lib/copies/TableCopies.test.ts
+++ b/packages/gateway/src/lib/copies/TableCopies.test.ts
@@ -1,6 +1,7 @@
 import { seededRandom, SystemClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { test, type TestContext } from "node:test";
 import { StoreEras } from "../store/StoreEras.js";
 import { silentObservation } from "../testing/fixtures.js";
@@ -70,6 +71,40 @@
     }
 });
 
+// Guards against a peer's answer without end that is kept until the process runs out of memory.
+test("a copy without end, or without a final status, is given up", async t => {
+    const { copies } = await createCopies(t);
+    const block = Buffer.alloc(65_536, "x");
+    for (
+        const [start, flood] of [
+            ["HTTP/1.1 200 OK\r\n\r\n", block],
+            ["HTTP/1.1 200 OK\r\nX: ", block],
+            ["", Buffer.from("HTTP/1.1 100 Continue\r\n\r\n".repeat(2_000))],
+            ["HTTP/1.1 000 OK\r\n\r\n", block],
+            ["HTTP/1.1 101 OK\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", block],
+        ] as const
+    ) {
+        const server = createServer(socket => {
+            const write = () => {
+                while (!socket.destroyed && !socket.writableNeedDrain) {
+                    socket.write(flood);
+                }
+            };
+            socket.on("error", () => undefined);
+            socket.on("drain", write);
+            socket.once("data", () => {
+                socket.write(start);
+                write();
+            });
+        }).listen(0, host);
+        await once(server, "listening");
+        const { port } = server.address() as AddressInfo;
+        copies.reader.noteHolder("t", `${host}:${port}`, 3);
+        assert.equal(await copies.reader.read("t", 3), undefined, start);
+        server.close();
+    }
+});
+
 test("a gateway without a copy, and one that is gone, give none", async t => {
     const [a, b] = await Promise.all([createCopies(t), createCopies(t)]);
     b.copies.reader.noteHolder("t", a.address, 3);
