--- a/packages/gateway/src/lib/requests/plainSlots.test.ts
+++ b/packages/gateway/src/lib/requests/plainSlots.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { PlainSlotSite } from "../testing/PlainSlotSite.js";
+import { plainRoute } from "../testing/SimulatedRouter.js";
+import { RequestGuard, type RequestGuardOptions } from "./RequestGuard.js";
 
 const seeds = [1, 2, 3, 4, 5];
 const loadTime = 3_000;
@@ -43,3 +45,30 @@
     const [least = 0, , most = 0] = [...site.arrivals].sort((a, b) => a - b);
     assert.ok(least * 2 > most, site.arrivals.join());
 });
+
+// Guards against a planned stop that cuts requests which wait, or tells that one has not run which has.
+test("when all requests are ended, those that wait for a slot are refused as not run, the others are unknown", async () => {
+    const ends: (() => void)[] = [];
+    const createGuard = (options: RequestGuardOptions) =>
+        new class extends RequestGuard {
+            override start(run: () => void, end: () => void): void {
+                ends.push(end);
+                super.start(run, end);
+            }
+        }(options);
+    const site = new PlainSlotSite({ targets: 1, slots: 2, createGuard });
+    await site.run(0.001, 1);
+    const answers = Array.from(
+        { length: 5 },
+        (_, number) => site.gateways[0]!.startPlain(`question ${number}`, { ...plainRoute, kind: "nonIdempotent" }),
+    );
+    const before = site.arrivals[0] ?? 0;
+    await site.clock.advanceAsync(20);
+    const ran = (site.arrivals[0] ?? 0) - before;
+    assert.equal(ran, 2);
+    ends.slice(-answers.length).forEach(end => end());
+    assert.deepEqual(answers.map(({ statusCode }) => statusCode).sort(), [502, 502, 503, 503, 503]);
+    assert.ok(answers.every(({ statusCode, hasRetryAfter }) => hasRetryAfter === (statusCode === 503)));
+    await site.clock.advanceAsync(2_000);
+    assert.equal((site.arrivals[0] ?? 0) - before, ran, "nothing runs later");
+});
