A test of a connection whose answer began before a planned stop, which fails

Callers see: after an answer that says 'Connection: keep-alive' and ends during a planned stop, the next request on the connection is read and gets neither an answer nor a refusal. On the test fails: the second request never begins ('expected () => running.length === 2', after 20,000 turns of the event loop).

--- a/packages/gateway/src/lib/server/CallerServer.test.ts
+++ b/packages/gateway/src/lib/server/CallerServer.test.ts
@@ -1,17 +1,23 @@
 import { MemoryBudget } from "@waxwingspar/connections";
 import { ManualClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { CallerServer, type ReceivedRequest } from "./CallerServer.js";
 
+/** Turns of the event loop after which a condition is taken not to become true. */
+const maxTurns = 20_000;
+
 async function until(holds: () => boolean): Promise<void> {
-    while (!holds()) {
+    for (let turn = 0; !holds(); turn++) {
+        assert.ok(turn < maxTurns, `expected ${holds.toString()}`);
         await new Promise(resolve => setImmediate(resolve));
     }
 }
 
-test("silent connections and requests without their end are no load, and turn nobody away", async context => {
+/** Starts a server. @returns It, the requests that it has received, and a function that opens a connection to it. */
+async function startServer(context: TestContext) {
     const clock = new ManualClock();
     const running: ReceivedRequest[] = [];
     const server = new CallerServer({
@@ -29,14 +35,20 @@
     await server.start();
     context.after(() => {
         server.close();
-        server.closeAll();
+        void server.closeAll();
     });
     const open = (text = "") => {
         const socket = connect(server.address.port, "127.0.0.1");
         socket.on("error", () => undefined);
         context.after(() => socket.destroy());
         socket.write(text);
+        return socket;
     };
+    return { clock, server, running, open };
+}
+
+test("silent connections and requests without their end are no load, and turn nobody away", async context => {
+    const { clock, server, running, open } = await startServer(context);
     open();
     open();
     await until(() => server.load === 2);
@@ -51,3 +63,22 @@
     running[0]?.response.end();
     await until(() => server.load === 0);
 });
+
+// Guards against requests that are read and dropped because a stop changed what an answer was about to say, not what it said.
+test("a connection whose answer began before a planned stop is read until an answer closes it", async context => {
+    const { server, running, open } = await startServer(context);
+    const socket = open("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    let received = "";
+    socket.on("data", data => received += data.toString());
+    await until(() => running.length === 1);
+    running[0]!.response.write("first");
+    server.stopKeepingConnections();
+    running[0]!.response.end("last");
+    await until(() => received.endsWith("0\r\n\r\n"));
+    assert.match(received, /Connection: keep-alive/);
+    socket.write("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    await until(() => running.length === 2);
+    running[1]!.response.end();
+    await once(socket, "close");
+    assert.match(received, /Connection: close/);
+});
