A connection that closes with unanswered input leaves a log line and is counted

Change: when a connection closes before its client has ended it, the bytes that were received and never parsed, the requests that were open, whether the client had been told and the age of the last bytes are logged (limited like other lines that clients can cause) and counted in waxwingspar_gateway_unanswered_closes_total. No logic is changed.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -5,6 +5,7 @@
  */
 export { createSideServer, type SideServerOptions } from "./lib/createSideServer.js";
 export { findHeadFault, type ReplyHeadMessage } from "./lib/findHeadFault.js";
+export { type UnansweredInput } from "./lib/GuardedConnection.js";
 export { GuardedServer, type GuardedServerOptions, type GuardReason, type GuardRefusal } from "./lib/GuardedServer.js";
 export { type GuardCounts, GuardRecord, type GuardRecordOptions } from "./lib/GuardRecord.js";
 export { Holding, type HoldingOptions, MemoryBudget, type MemoryBudgetOptions } from "./lib/MemoryBudget.js";
--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -7,6 +7,18 @@
 /** Passes received bytes to the HTTP parser. */
 type Parse = (chunk: Buffer) => void;
 
+/** What a connection that this process closed had received and not answered. @public */
+export interface UnansweredInput {
+    /** Requests whose heads were read. */
+    readonly requests: number;
+    /** Further bytes, which were never read as requests. */
+    readonly bytes: number;
+    /** Whether an answer had told the client that the connection closes. */
+    readonly wasTold: boolean;
+    /** Milliseconds since the last bytes were received. */
+    readonly age: number;
+}
+
 /** Options of {@link GuardedConnection}. */
 export interface GuardedConnectionOptions {
     readonly socket: Socket;
@@ -17,6 +29,8 @@
     readonly maxRunning: number;
     /** Called when the connection is closed to make room for others, before its socket is destroyed. */
     readonly onEvicted: (connection: GuardedConnection) => void;
+    /** Called when the connection has closed before its client did, with requests or bytes that were not answered. */
+    readonly onUnanswered?: (input: UnansweredInput) => void;
 }
 
 /** Memory in bytes that a connection takes by itself: socket, parser, timers. */
@@ -68,16 +82,26 @@
     /** Bytes of a body that were read after its request was answered. */
     private discarded = 0;
     private isOver = false;
+    /** Bytes that were received and never parsed. */
+    private droppedBytes = 0;
+    private receivedAt: number;
+    /** Whether the client has ended or reset the connection. */
+    private hasClientLeft = false;
 
     constructor(private readonly options: GuardedConnectionOptions) {
         const { socket, budget } = options;
         this.socket = socket;
-        this.takenAt = options.clock.now();
+        this.takenAt = this.receivedAt = options.clock.now();
         this.holding = budget.open({ isClientDue: () => this.isClientDue, close: () => this.evict() });
         this.parse = this.takeParser();
         socket.on("resume", () => this.handleResume());
         socket.on("drain", () => this.updateAnswers());
-        socket.once("close", () => this.end());
+        socket.prependOnceListener("end", () => this.hasClientLeft = true);
+        socket.prependOnceListener("error", () => this.hasClientLeft = true);
+        socket.once("close", () => {
+            this.end();
+            this.reportUnanswered();
+        });
         if (!this.reserve(connectionBytes)) {
             this.evict();
         }
@@ -209,11 +233,14 @@
     }
 
     private receive(chunk: Buffer): void {
+        this.receivedAt = this.options.clock.now();
         if (this.isOver) {
+            this.droppedBytes += chunk.length;
             return;
         }
         this.holding.move(chunk.length);
         if (!this.reserve(chunk.length)) {
+            this.droppedBytes += chunk.length;
             this.evict();
             return;
         }
@@ -323,11 +350,19 @@
 
     private end(): void {
         this.isOver = true;
+        this.droppedBytes += this.unparsed.reduce((sum, chunk) => sum + chunk.length, 0);
         this.unparsed.length = 0;
         this.waiting.length = 0;
         this.options.turns.forget(this);
         this.options.budget.close(this.holding);
     }
+
+    private reportUnanswered(): void {
+        const { options: { clock, onUnanswered }, droppedBytes: bytes, open: { size: requests } } = this;
+        if (!this.hasClientLeft && bytes + requests > 0) {
+            onUnanswered?.({ requests, bytes, wasTold: this.socket.writableEnded, age: clock.now() - this.receivedAt });
+        }
+    }
 }
 
 const empty = Buffer.alloc(0);
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -9,7 +9,7 @@
 } from "node:http";
 import { type Socket } from "node:net";
 import { CountedResponse, guardedConnections } from "./CountedResponse.js";
-import { GuardedConnection } from "./GuardedConnection.js";
+import { GuardedConnection, type UnansweredInput } from "./GuardedConnection.js";
 import { type MemoryBudget } from "./MemoryBudget.js";
 import { announcedLength } from "./readBody.js";
 import { ReadTurns } from "./ReadTurns.js";
@@ -38,6 +38,8 @@
     readonly refuseUnread?: (reason: GuardReason) => string;
     /** Called for each connection that is closed and each request that is refused. */
     readonly onGuarded?: (reason: GuardReason) => void;
+    /** Called for each connection that closes before its client does, with requests or bytes that were not answered. */
+    readonly onUnanswered?: (input: UnansweredInput) => void;
     /** Maximum number of connections. */
     readonly maxConnections: number;
     /** Maximum number of requests that run on one connection at a time; further ones wait, most of them unread. */
@@ -111,6 +113,7 @@
             turns: this.turns,
             maxRunning,
             onEvicted: evicted => this.refuseEvicted(evicted, "memory"),
+            onUnanswered: this.options.onUnanswered,
         });
         guardedConnections.set(socket, connection);
         this.connections.add(connection);
--- a/packages/gateway/src/lib/observation/Observation.ts
+++ b/packages/gateway/src/lib/observation/Observation.ts
@@ -58,6 +58,7 @@
     readonly concurrencyLimit: Gauge;
     readonly guardedClients: Counter;
     readonly clientMemory: Gauge;
+    readonly unansweredCloses: Counter;
     readonly unwritableHeads: Counter;
     readonly faultyRuns: Counter;
     readonly requestErrors: Counter;
@@ -230,6 +231,10 @@
             name: "waxwingspar_gateway_client_memory_bytes",
             help: "Memory that is counted for what clients have sent or left unread.",
         });
+        this.unansweredCloses = registry.counter({
+            name: "waxwingspar_gateway_unanswered_closes_total",
+            help: "Connections closed by this process with requests or bytes that it had received and not answered.",
+        });
         this.requestAge = registry.histogram({
             name: "waxwingspar_gateway_request_age_seconds",
             help: "From a request's estimated arrival until it was begun.",
--- a/packages/gateway/src/lib/requests/createCallerServer.ts
+++ b/packages/gateway/src/lib/requests/createCallerServer.ts
@@ -64,6 +64,7 @@
         onClosing: () => router.endAll("this process stops"),
         onRefused: (response, reason) => router.refuseUnread(response, reason),
         onGuarded: reason => guard.note(reason),
+        onUnanswered: input => guard.noteUnanswered(input),
     });
     const overload = new OverloadControl({ clock, loop, callers, group, isOn, metrics, logger: logs.process });
     return { callers, overload };
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,4 +1,10 @@
-import { GuardedServer, type GuardReason, type MemoryBudget, readBody } from "@waxwingspar/connections";
+import {
+    GuardedServer,
+    type GuardReason,
+    type MemoryBudget,
+    readBody,
+    type UnansweredInput,
+} from "@waxwingspar/connections";
 import { type Clock, sleep } from "@waxwingspar/utils";
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as Listener, type Socket } from "node:net";
@@ -49,6 +55,8 @@
     readonly onRefused: (response: ServerResponse, reason: GuardReason) => void;
     /** Called for each connection that is closed, and each request that is refused, because of what its client does. */
     readonly onGuarded: (reason: GuardReason) => void;
+    /** Called for each connection that closes before its client does, with requests or bytes that were not answered. */
+    readonly onUnanswered?: (input: UnansweredInput) => void;
     /** Largest request body in bytes; undefined before a configuration sets a limit. */
     readonly maxBodyBytes: () => number | undefined;
 }
@@ -100,7 +108,7 @@
     private running = 0;
 
     constructor(private readonly options: CallerServerOptions) {
-        const { clock, budget, maxConnections, onRefused, onGuarded, maxBodyBytes } = options;
+        const { clock, budget, maxConnections, onRefused, onGuarded, onUnanswered, maxBodyBytes } = options;
         this.server = new GuardedServer({
             clock,
             budget,
@@ -109,6 +117,7 @@
             onRequest: (incoming, response) => this.receive(incoming, response),
             refuse: onRefused,
             onGuarded,
+            onUnanswered,
             server: {
                 maxHeaderSize: defaultHeaderLimit,
                 noDelay: true,
--- a/packages/gateway/src/lib/server/ClientGuard.ts
+++ b/packages/gateway/src/lib/server/ClientGuard.ts
@@ -1,6 +1,14 @@
-import { type ClientLimits, clientLimits, type GuardReason, GuardRecord, MemoryBudget } from "@waxwingspar/connections";
+import {
+    type ClientLimits,
+    clientLimits,
+    type GuardReason,
+    GuardRecord,
+    MemoryBudget,
+    type UnansweredInput,
+} from "@waxwingspar/connections";
 import { type Clock } from "@waxwingspar/utils";
 import { type GatewaySettings } from "../GatewaySettings.js";
+import { LineLimit } from "../observation/LineLimit.js";
 import { type Observation } from "../observation/Observation.js";
 
 /** Options of {@link ClientGuard}. */
@@ -16,7 +24,11 @@
     readonly limits: ClientLimits;
     private readonly record: GuardRecord;
 
-    constructor({ clock, settings, observation: { metrics, logs } }: ClientGuardOptions) {
+    private readonly lines: LineLimit;
+
+    constructor(private readonly options: ClientGuardOptions) {
+        const { clock, settings, observation: { metrics, logs } } = options;
+        this.lines = new LineLimit({ clock, logger: logs.process });
         this.limits = clientLimits(settings);
         this.budget = new MemoryBudget({ clock, maxBytes: this.limits.bytes });
         this.record = new GuardRecord({
@@ -28,6 +40,18 @@
         metrics.clientMemory.observe(() => this.budget.used);
     }
 
+    /** Records that a connection closed with input that was not answered. */
+    noteUnanswered({ requests, bytes, wasTold, age }: UnansweredInput): void {
+        const { metrics, logs } = this.options.observation;
+        metrics.unansweredCloses.add({ told: `${wasTold}` });
+        if (this.lines.take()) {
+            logs.process.warn(
+                { requests, bytes, wasTold, age: Math.round(age) },
+                "connection closed with unanswered input",
+            );
+        }
+    }
+
     /** Records that a client was turned away. */
     note(reason: GuardReason): void {
         this.record.note(reason);
