--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -1,6 +1,7 @@
 import { type Clock } from "@waxwingspar/utils";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { AnswerBacklog } from "./AnswerBacklog.js";
 import { type Holding, type MemoryBudget } from "./MemoryBudget.js";
 import { type ReadTurns } from "./ReadTurns.js";
 
@@ -41,8 +42,6 @@
 const bytesPerHeadCharacter = 2;
 /** Memory in bytes of a name or value of a parsed head beside its characters: strings, entries of lists and of the index. */
 const bytesPerHeadText = 64;
-/** Bytes of answers that may wait for a client without being counted beyond {@link connectionBytes}. */
-const uncountedAnswerBytes = 16_384;
 /** Bytes that are parsed at once: of heads, so that few requests are parsed beyond the limit, and of bodies. */
 const sliceBytes = { head: 1_024, body: 16_384 };
 /**
@@ -63,6 +62,7 @@
     readonly socket: Socket;
     readonly holding: Holding;
     private readonly parse: Parse;
+    private readonly backlog: AnswerBacklog;
     /** Received bytes that wait to be parsed. */
     private readonly unparsed: Buffer[] = [];
     /** Responses that have not ended, with the memory that is counted for their requests. */
@@ -74,11 +74,6 @@
     /** What further parsing waits for. Only while the socket flows does a pause show that Node.js wants one. */
     private waitsFor: "nothing" | "resume" | "answers" | "turn" = "nothing";
     private headBytes = 0;
-    private answerBytes = 0;
-    /** Bytes of answers that the operating system had taken when this was last looked at. */
-    private taken = 0;
-    /** Time on the clock at which that number last grew, or no answer waited. */
-    private takenAt: number;
     /** Bytes of a body that were read after its request was answered. */
     private discarded = 0;
     private isOver = false;
@@ -91,8 +86,9 @@
     constructor(private readonly options: GuardedConnectionOptions) {
         const { socket, budget } = options;
         this.socket = socket;
-        this.takenAt = this.receivedAt = options.clock.now();
+        this.receivedAt = options.clock.now();
         this.holding = budget.open({ isClientDue: () => this.isClientDue, close: () => this.evict() });
+        this.backlog = new AnswerBacklog({ socket, clock: options.clock, budget, holding: this.holding });
         this.parse = this.takeParser();
         socket.on("resume", () => this.handleResume());
         socket.on("drain", () => this.updateAnswers());
@@ -162,26 +158,7 @@
 
     /** Counts the answers that wait to be written, and what the client has taken of them since this was last called. */
     updateAnswers(): void {
-        const { socket, holding, options: { budget, clock } } = this;
-        const taken = socket.bytesWritten - socket.writableLength;
-        if (taken > this.taken || socket.writableLength === 0) {
-            holding.move(taken - this.taken);
-            this.taken = taken;
-            this.takenAt = clock.now();
-        }
-        let waiting = 0;
-        for (const response of this.open.keys()) {
-            waiting += response.writableLength;
-        }
-        const counted = Math.max(0, waiting - uncountedAnswerBytes);
-        const change = counted - this.answerBytes;
-        this.answerBytes = counted;
-        if (change > 0) {
-            budget.add(holding, change);
-        }
-        else if (change < 0) {
-            budget.release(holding, -change);
-        }
+        this.backlog.update(this.open.keys());
     }
 
     /** Whether what it has received waits for its own answers, or for those of others. */
@@ -191,7 +168,7 @@
 
     /** Whether the client has taken nothing of a waiting answer since a time on the clock. */
     isUnreadSince(time: number): boolean {
-        return this.socket.writableLength > 0 && this.takenAt < time;
+        return this.backlog.isUnreadSince(time);
     }
 
     /**
