The soak finds whole requests that are read and never answered

Callers saw: in a planned stop, requests on kept connections got neither an answer nor a refusal. Cause, by reading: a request that gets no answer is judged only by the check of stops, which passes over those that reached no target, and these reached none. Nor did callers record when a request was whole and when its connection ended, so that one that crosses the close looked the same. Besides, the load gave the fault few chances: streams lasted 0.2 s, callers thought for 80 ms at most, none sent requests ahead, no route for streams that run once was used, and one of 17 disturbances was a planned stop. The time in which a cut link excuses a broken answer covers the whole of a long stream; it is as before for all others. The requests that a soak must send include those of the new callers.

--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -11,22 +11,24 @@
     readonly gateways: number;
     readonly seconds: number;
     readonly report?: string;
+    readonly command?: string;
 }
 
-const { seed: first, seeds, gateways, seconds, report } = new Command("soak")
+const { seed: first, seeds, gateways, seconds, report, command } = new Command("soak")
     .description("Runs real gateways under overlapping faults and checks what callers and targets see.")
     .option("--seed <number>", "the first seed", Number, 1)
     .option("--seeds <number>", "number of seeds, one after the other", Number, 1)
     .option("--gateways <number>", "number of gateway processes", Number, 4)
     .option("--seconds <number>", "seconds under load for each seed", Number, 30)
     .option("--report <file>", "write all results to this file as JSON")
+    .option("--command <file>", "the gateway program to start, such as packages/cli/dist/bin.js of another version")
     .parse()
     .opts<Options>();
 
 const results: SoakResult[] = [];
 for (let seed = first; seed < first + seeds; seed++) {
     const folder = await mkdtemp(join(tmpdir(), `waxwingspar-soak-${seed}-`));
-    const result = await runSoak({ seed, gateways, seconds, folder });
+    const result = await runSoak({ seed, gateways, seconds, folder, command });
     results.push(result);
     const { calls, served, refused, violations, events, longestStall } = result;
     process.stdout.write(
--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -32,9 +32,11 @@
 const deadlyShare = 0.02;
 /** Number of subjects, one of which each prompt has. */
 const subjects = 8;
-const signatureHeader = "waxwingspar-replica-signature";
-const signaturePrefix = "signature-of-";
-const streamBody = Array.from({ length: streamEvents }, (_, id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
+/** Header in which a target signs, and what stands before its id. */
+export const signatureHeader = "waxwingspar-replica-signature";
+export const signaturePrefix = "signature-of-";
+/** The whole body of a stream. */
+export const streamBody = Array.from({ length: streamEvents }, (_, id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
 
 /** A caller that uses one connection as long as it lasts, then one to another gateway. */
 export class SoakCaller {
@@ -91,6 +93,7 @@
         const { incarnation, port, name } = gateway;
         const sentAt = now();
         let hasLeft = false;
+        let writtenAt: number | undefined;
         const reply = await callGateway({
             port,
             path,
@@ -99,6 +102,7 @@
             requestId,
             agent,
             patience,
+            onRequest: outgoing => outgoing.once("finish", () => writtenAt = now()),
             headers: { [gatewayHeader]: name, [promptHeader]: this.writePrompt(kind) },
         }).catch((error: unknown): CallerReply | undefined => {
             hasLeft = error === impatience;
@@ -111,6 +115,8 @@
             kind,
             gateway: incarnation,
             sentAt,
+            writtenAt,
+            closedAt: reply?.isComplete === true ? undefined : now(),
             leftAt: hasLeft ? now() : undefined,
             expectedBody: kind === "stream" ? streamBody : plainBody,
             status: reply?.status ?? 0,
--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -19,6 +19,8 @@
     readonly folder: string;
     readonly log: SoakLog;
     readonly now: () => number;
+    /** The program to start; by default that of this build. */
+    readonly command?: string;
 }
 
 /** Milliseconds within which a stopped process ends: the grace period and a second. */
@@ -26,7 +28,7 @@
 /** Milliseconds until a configuration must be in force; with this bound followers rely on relays. */
 const configurationTime = 3_000;
 const success = 200;
-const command = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
+const ownCommand = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
 
 /** A gateway process that is disturbed and started again. */
 export class SoakGateway {
@@ -67,7 +69,7 @@
 
     /** Starts the process and waits until it is ready. */
     private async start(): Promise<void> {
-        const { name, dataCentre, ports, folder } = this.options;
+        const { name, dataCentre, ports, folder, command = ownCommand } = this.options;
         const settings = join(folder, `${name}.json`);
         const { Bounds, ...common } = testSettings(this.storeLink.address, { name, dataCentre, ports });
         const bounds = { ...Bounds as object, ConfigApplyMs: configurationTime };
@@ -89,11 +91,17 @@
         this.hasListened ||= reply !== undefined;
     }
 
-    /** Stops as planned and starts again. */
-    async restart(): Promise<void> {
-        await this.disturb("gets SIGTERM", async process => {
+    /**
+     * Stops as planned and starts again.
+     *
+     * @param again - Milliseconds after which the process gets the signal once more.
+     */
+    async restart(again?: number): Promise<void> {
+        await this.disturb(`gets SIGTERM${again === undefined ? "" : " twice"}`, async process => {
             process.signal("SIGTERM");
+            const timer = again === undefined ? undefined : setTimeout(() => process.signal("SIGTERM"), again);
             const hasEnded = await process.waitForEnd(stopTime);
+            clearTimeout(timer);
             const isPlanned = process.end === "0" || (process.end === "SIGTERM" && !this.hasListened);
             if (!hasEnded || !isPlanned) {
                 this.options.log.processFaults.push(`${this.name}: stop ended with ${process.end ?? "no end"}`);
@@ -103,6 +111,14 @@
         });
     }
 
+    /** Reads its settings again, also while it stops. A process that still loads is ended by the signal. */
+    hangUp(): void {
+        if (this.hasListened) {
+            this.options.log.event(this.options.now(), `${this.name} gets SIGHUP`);
+            this.process?.signal("SIGHUP");
+        }
+    }
+
     /** Is killed and starts again. */
     async crash(): Promise<void> {
         await this.disturb("is killed", async process => {
@@ -132,9 +148,13 @@
                     return;
                 }
                 const throttle = new Throttle(process.pid, part);
+                const slowness = (running + standing) / running;
+                const starvation = { from: this.options.now(), until: Infinity, slowness };
+                this.incarnation.starvations.push(starvation);
                 await wait(duration);
                 await throttle.stop();
                 process.signal("SIGCONT");
+                starvation.until = this.options.now();
             },
         );
     }
@@ -193,6 +213,7 @@
             number: ++this.starts,
             disturbances: [{ from: now, until: now }],
             storeCuts: [],
+            starvations: [],
             wasCutOff: false,
         };
     }
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -6,6 +6,8 @@
     readonly disturbances: { readonly from: number; until: number; }[];
     /** Periods in which its link to the store was cut or silent. */
     readonly storeCuts: { readonly from: number; readonly until: number; }[];
+    /** Periods in which it had a part of a processor only, and how many times longer its work took. */
+    readonly starvations: { readonly from: number; until: number; readonly slowness: number; }[];
     /** Whether it was killed or paused, so that its callers may lose answers. */
     wasCutOff: boolean;
 }
@@ -23,6 +25,8 @@
     readonly end: RunEnd;
     /** Whether it crashed its target. */
     readonly isDeadly?: boolean;
+    /** Milliseconds that the target works on it, where they are more than usual. */
+    readonly duration?: number;
 }
 
 /** The kinds of route that callers use. */
@@ -34,6 +38,12 @@
     readonly kind: SoakKind;
     readonly gateway: GatewayIncarnation;
     readonly sentAt: number;
+    /** When its last byte was handed to the operating system; undefined if that never happened. */
+    readonly writtenAt?: number;
+    /** When its connection ended; undefined if it outlasted the call. */
+    readonly closedAt?: number;
+    /** Whether it was sent ahead, and the answer to a request before it on its connection broke off. */
+    readonly isBehindBroken?: boolean;
     /** When its caller closed the connection because it had no answer. */
     readonly leftAt?: number;
     readonly expectedBody: string;
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -56,6 +56,14 @@
 /** Number of events of a complete stream. */
 export const streamEvents = 20;
 const eventInterval = 10;
+/** Milliseconds beside its events that a stream may take on a busy machine. */
+const streamSlack = 1_000;
+/** Bytes behind the usual text of a large answer. */
+export const largePadding = "x".repeat(1_000_000);
+/** Paths of streams, the milliseconds between the events of one, and a part of the paths of large answers. */
+const streamPath = /^\/(?:chat|once)\//;
+const pacedPath = /\/pace-(\d+)\//;
+export const largePart = "large/";
 const millisecondsPerSecond = 1_000;
 /** Bounds of the milliseconds in which a target serves a plain request. */
 const serviceTime = { least: 2, most: 40 };
@@ -77,6 +85,16 @@
 /** Milliseconds from its leaving until a target ends. */
 const leaveTime = 6_000;
 
+/** Answers like a usual target, with many bytes behind it. */
+const serveLarge: TargetBehaviour = (seen, response, target) => {
+    response.writeHead(200, target.replyHeaders(seen));
+    response.end(`${target.id} ${seen.method} ${seen.path} ${seen.body}${largePadding}`);
+};
+
+function paceOf(path: string): number {
+    return Number(pacedPath.exec(path)?.[1] ?? eventInterval);
+}
+
 function stopTarget({ link, fake }: SoakTarget): void {
     link.stop();
     fake.stop();
@@ -240,6 +258,7 @@
                 sender,
                 end: isDeadly ? "brokenOff" : end,
                 isDeadly,
+                duration: streamPath.test(seen.path) ? paceOf(seen.path) * streamEvents + streamSlack : undefined,
             });
             if (isDeadly) {
                 setTimeout(() => void this.crash(target), this.draw(crashTime));
@@ -251,7 +270,7 @@
                 }
                 behaviour(...parts);
             };
-            setTimeout(() => answer(seen, response, self), seen.path.startsWith("/chat/") ? 0 : this.draw(serviceTime));
+            setTimeout(() => answer(seen, response, self), streamPath.test(seen.path) ? 0 : this.draw(serviceTime));
         });
         await fake.start();
         const link = new FaultProxy({ server: fake.address });
@@ -297,11 +316,11 @@
         if (refusedShare > 0 && this.options.random.next() < refusedShare) {
             return ["refused", refuse];
         }
-        if (text !== undefined && path.startsWith("/chat/") && this.options.random.next() < floodedShare) {
+        if (text !== undefined && streamPath.test(path) && this.options.random.next() < floodedShare) {
             return ["brokenOff", flood(Math.floor(this.options.random.next() * streamEvents), text, eventInterval)];
         }
-        if (path.startsWith("/chat/")) {
-            return ["served", stream(streamEvents, Infinity, eventInterval)];
+        if (streamPath.test(path)) {
+            return ["served", stream(streamEvents, Infinity, paceOf(path))];
         }
         const drawn = this.options.random.next();
         const { refused, failed, brokenOff } = faultShare;
@@ -311,7 +330,9 @@
         if (drawn < refused + failed) {
             return ["failed", failAfterRun];
         }
-        return drawn < refused + failed + brokenOff ? ["brokenOff", hangUp] : ["served", serve];
+        return drawn < refused + failed + brokenOff
+            ? ["brokenOff", hangUp]
+            : ["served", path.includes(largePart) ? serveLarge : serve];
     }
 
     private pick<T>(items: readonly T[]): T | undefined {
--- a/packages/soak/src/lib/checkSoak.test.ts
+++ b/packages/soak/src/lib/checkSoak.test.ts
@@ -9,6 +9,7 @@
     number: 1,
     disturbances: [],
     storeCuts: [],
+    starvations: [],
     wasCutOff: false,
 };
 const call: SoakCall = {
@@ -49,6 +50,41 @@
     assert.deepEqual(checksOf(createLog([{ isComplete: false, gateway: killed }], [{}])), []);
 });
 
+test("a whole request that is read and never answered is found, one that crosses the end of its connection is not", () => {
+    const lost = { status: 0, isComplete: false, writtenAt: 10_000, closedAt: 11_400 };
+    const checks = (changes: Partial<SoakCall>, runs: readonly Partial<SoakRun>[] = []) =>
+        checksOf(createLog([{ ...lost, ...changes }], runs));
+    const starved = (slowness: number, until: number) => ({
+        ...gateway,
+        starvations: [{ from: 9_000, until, slowness }],
+    });
+    assert.deepEqual(checks({}), ["answered"]);
+    assert.deepEqual(checks({}, [{ end: "brokenOff" }]), ["answered"]);
+    assert.deepEqual(checks({ status: 503 }), ["answered"]);
+    assert.deepEqual(checks({ closedAt: 10_201 }), ["answered"]);
+    assert.deepEqual(checks({ gateway: starved(4, 12_000) }), ["answered"]);
+    assert.deepEqual(checks({ gateway: starved(20, 9_900) }), ["answered"]);
+    assert.deepEqual(checks({ gateway: starved(20, 12_000) }), []);
+    assert.deepEqual(checks({ closedAt: 10_200 }), []);
+    assert.deepEqual(checks({ writtenAt: undefined }), []);
+    assert.deepEqual(checks({ leftAt: 10_300 }), []);
+    assert.deepEqual(checks({ isBehindBroken: true }), []);
+    assert.deepEqual(checks({ gateway: { ...gateway, wasCutOff: true } }), []);
+    const stalled = createLog([{ ...lost, closedAt: 10_500 }], []);
+    stalled.longestStall = 300;
+    assert.deepEqual(checksOf(stalled), []);
+});
+
+test("a long stream that its target is still sending is not excused by a link that fails later", () => {
+    const cutAt = (at: number) => {
+        const log = createLog([{ isComplete: false }], [{ duration: 4_000 }]);
+        log.linkFaults.push({ target: "t1", from: at, until: at + 100 });
+        return checksOf(log);
+    };
+    assert.deepEqual(cutAt(13_900), []);
+    assert.deepEqual(cutAt(14_100), ["stop"]);
+});
+
 test("a request to a target that left is found, unless the store failed around its leaving", () => {
     const log = createLog([], [{ at: 12_500 }]);
     log.departures.push({ target: "t1", at: 10_000 });
--- a/packages/soak/src/lib/checkSoak.ts
+++ b/packages/soak/src/lib/checkSoak.ts
@@ -1,4 +1,5 @@
 import { type LimitHistory } from "@waxwingspar/gateway/testing";
+import { checkAnswered } from "./checkAnswered.js";
 import { type GatewayIncarnation, type LinkFaultPeriod, type SoakLog, type SoakRun } from "./SoakLog.js";
 
 /** Milliseconds after a disturbance until a process counts as in touch. */
@@ -45,6 +46,7 @@
         ...checkToldLeaving(log),
         ...log.longestStall > maxStall ? [] : checkRests(log),
         ...checkStops(log),
+        ...checkAnswered(log),
         ...checkDeadlyPart(log),
         ...log.longestStall > maxStall ? [] : checkLeftCallers(log),
         ...log.longestStall > maxStall ? [] : limited.flatMap(target => checkLimit(log, target)),
@@ -150,8 +152,8 @@
         .filter(({ requestId }) => {
             const own = find(requestId);
             return own.length > 0
-                && own.every(({ end, target, at }) =>
-                    end !== "brokenOff" && !wasCut(linkFaults, target, at, at + maxRunTime)
+                && own.every(({ end, target, at, duration = 0 }) =>
+                    end !== "brokenOff" && !wasCut(linkFaults, target, at, at + Math.max(maxRunTime, duration))
                 );
         })
         .map(({ requestId, gateway, kind, status }) => ({
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -3,10 +3,12 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { setTimeout as pause } from "node:timers/promises";
 import { checkLoad, checkSoak, type Violation } from "./checkSoak.js";
-import { SoakCaller } from "./SoakCaller.js";
+import { playPlannedWork } from "./playPlannedWork.js";
+import { SoakCaller, type SoakCallerOptions } from "./SoakCaller.js";
 import { SoakGateway } from "./SoakGateway.js";
 import { SoakLog } from "./SoakLog.js";
 import { SoakTargets } from "./SoakTargets.js";
+import { SteadyCaller } from "./SteadyCaller.js";
 
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
@@ -17,6 +19,8 @@
     readonly seconds?: number;
     /** Folder of settings and logs. */
     readonly folder: string;
+    /** The gateway program to start; by default that of this build. */
+    readonly command?: string;
 }
 
 /** The result of a soak. */
@@ -37,8 +41,11 @@
 const plainTargets = 3;
 const portsPerGateway = 3;
 const callersPerGateway = 3;
+/** Number of callers of each gateway that think, and keep their connections. */
+const steadyCallersPerGateway = 3;
 /** Requests per second of a caller that is always answered, with its pauses. */
 const plannedRate = 5;
+const steadyRate = 1;
 const crowdSize = 30;
 /** Bounds of the milliseconds between two disturbances, of a process's pause and of a fault of the store. */
 const interval = { least: 500, most: 3_000 };
@@ -126,14 +133,14 @@
     /** Requests that the callers make if each of them is answered. */
     private get plannedCalls(): number {
         const { gateways = 4, seconds = 30 } = this.options;
-        return gateways * callersPerGateway * seconds * plannedRate;
+        return gateways * seconds * (callersPerGateway * plannedRate + steadyCallersPerGateway * steadyRate);
     }
 
     async start(): Promise<void> {
         await this.store.start();
         this.store.put("op", "config", testConfiguration(this.version));
         await this.targets.start(dataCentres, plainTargets);
-        const { gateways = 4, folder } = this.options;
+        const { gateways = 4, folder, command } = this.options;
         const ports = await findPorts(host, gateways * portsPerGateway);
         this.gateways = Array.from({ length: gateways }, (_, index) => {
             const [callers = 0, readiness = 0, peers = 0] = ports.slice(index * portsPerGateway);
@@ -145,27 +152,33 @@
                 folder,
                 log: this.log,
                 now: this.now,
+                command,
             });
         });
         await Promise.all(this.gateways.map(gateway => gateway.open()));
     }
 
     async run(): Promise<void> {
-        const { gateways = 4, seconds = 30 } = this.options;
+        const { gateways = 4, seconds = 30, seed } = this.options;
         void this.watchReadiness();
         void this.watchStalls();
         const callers = Array.from(
             { length: gateways * callersPerGateway },
-            (_, index) => this.createCaller(seededRandom(this.options.seed * 100 + index)).run(),
+            (_, index) => this.createCaller(seededRandom(seed * 100 + index)).run(),
+        );
+        const steadyCallers = Array.from(
+            { length: gateways * steadyCallersPerGateway },
+            (_, index) => new SteadyCaller(this.createCallerOptions(seededRandom(seed * 100_000 + index))).run(),
         );
+        const plannedWork = this.playPlannedWork(seededRandom(seed + 2_000));
         const end = this.now() + seconds * millisecondsPerSecond;
         while (this.now() < end) {
             await pause(this.draw(interval));
             this.disturbances.push(this.disturb());
         }
         this.isOver = true;
-        await Promise.all(this.disturbances);
-        await Promise.all(callers);
+        await Promise.all([...this.disturbances, plannedWork]);
+        await Promise.all([...callers, ...steadyCallers]);
         this.publish();
         await Promise.all([this.checkConfiguration(), pause(settleTime)]);
         this.gateways.forEach(gateway => gateway.reportUnknownHeaders());
@@ -178,6 +191,19 @@
         this.store.stop();
     }
 
+    private playPlannedWork(random: Random): Promise<void> {
+        return playPlannedWork({
+            random,
+            gateways: this.gateways,
+            wait: pause,
+            isOver: () => this.isOver,
+            publishSeries: () => this.publishSeries(),
+            crowd: async gateway => {
+                await Promise.all(this.createCrowd(gateway, random));
+            },
+        });
+    }
+
     /** Begins one disturbance; earlier ones may be in progress. */
     private async disturb(): Promise<void> {
         const gateway = this.pick(this.gateways);
@@ -208,10 +234,7 @@
         if (gateway === undefined) {
             return;
         }
-        const callers = Array.from(
-            { length: crowdSize },
-            () => this.createCaller(this.random).callImpatiently(gateway),
-        );
+        const callers = this.createCrowd(gateway, this.random);
         const part = this.pick([undefined, ...starvedParts]);
         const disturbance = part === undefined
             ? gateway.pause(this.draw(pauseTime), pause)
@@ -219,15 +242,23 @@
         await Promise.all([disturbance, ...callers]);
     }
 
+    private createCrowd(gateway: SoakGateway, random: Random): Promise<void>[] {
+        return Array.from({ length: crowdSize }, () => this.createCaller(random).callImpatiently(gateway));
+    }
+
     private createCaller(random: Random): SoakCaller {
-        return new SoakCaller({
+        return new SoakCaller(this.createCallerOptions(random));
+    }
+
+    private createCallerOptions(random: Random): SoakCallerOptions {
+        return {
             random,
             log: this.log,
             now: this.now,
             wait: pause,
             isOver: () => this.isOver,
             chooseGateway: () => this.chooseGateway(),
-        });
+        };
     }
 
     private async failStore(): Promise<void> {
