The soak's planned work stops two of four gateways, and no signal comes to a process that exits

Cause: with planned work on all gateways their processes were in touch for a shorter part of a soak, which the checks of limits, rests and leaving want. A process started by hand exits 3.34 to 3.44 s after a SIGTERM and is ended by a SIGHUP only in its last few milliseconds, where Node.js has taken its handlers away; no request is concerned. Change: planned work and the callers that keep connections are on the first half of the gateways; a process gets SIGHUP for at most 2 s after its SIGTERM, so that the check stays as it is; a probe of the previous process doesn't tell that the new one listens.

--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -30,9 +30,9 @@
     const folder = await mkdtemp(join(tmpdir(), `waxwingspar-soak-${seed}-`));
     const result = await runSoak({ seed, gateways, seconds, folder, command });
     results.push(result);
-    const { calls, served, refused, violations, events, longestStall } = result;
+    const { calls, served, refused, acrossStops, violations, events, longestStall } = result;
     process.stdout.write(
-        `seed ${seed}: ${calls} requests, ${served} served, ${refused} refused, ${events.length} disturbances, `
+        `seed ${seed}: ${calls} requests, ${served} served, ${refused} refused, ${acrossStops} across stops, ${events.length} disturbances, `
             + `driver stalled ${longestStall} ms, ${violations.length} violations\n`,
     );
     violations.forEach(({ check, detail }) => process.stdout.write(`    ${check}: ${detail}\n`));
--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -25,6 +25,8 @@
 
 /** Milliseconds within which a stopped process ends: the grace period and a second. */
 const stopTime = 9_000;
+/** Milliseconds after the start of a stop in which it may get SIGHUP: once Node.js has begun to exit, that ends it. */
+const hangUpTime = 2_000;
 /** Milliseconds until a configuration must be in force; with this bound followers rely on relays. */
 const configurationTime = 3_000;
 const success = 200;
@@ -86,9 +88,10 @@
 
     /** Updates whether it gets new connections. */
     async checkReadiness(): Promise<void> {
+        const { process } = this;
         const reply = await callGateway({ port: this.options.ports.readiness, path: "/ready" }).catch(() => undefined);
         this.isInRotation = reply?.status === success;
-        this.hasListened ||= reply !== undefined;
+        this.hasListened ||= reply !== undefined && process === this.process;
     }
 
     /**
@@ -98,6 +101,7 @@
      */
     async restart(again?: number): Promise<void> {
         await this.disturb(`gets SIGTERM${again === undefined ? "" : " twice"}`, async process => {
+            this.incarnation.stoppingSince = this.options.now();
             process.signal("SIGTERM");
             const timer = again === undefined ? undefined : setTimeout(() => process.signal("SIGTERM"), again);
             const hasEnded = await process.waitForEnd(stopTime);
@@ -113,8 +117,10 @@
 
     /** Reads its settings again, also while it stops. A process that still loads is ended by the signal. */
     hangUp(): void {
-        if (this.hasListened) {
-            this.options.log.event(this.options.now(), `${this.name} gets SIGHUP`);
+        const { log, now } = this.options;
+        const { stoppingSince = now() } = this.incarnation;
+        if (this.hasListened && now() - stoppingSince < hangUpTime) {
+            log.event(now(), `${this.name} gets SIGHUP`);
             this.process?.signal("SIGHUP");
         }
     }
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -8,6 +8,8 @@
     readonly storeCuts: { readonly from: number; readonly until: number; }[];
     /** Periods in which it had a part of a processor only, and how many times longer its work took. */
     readonly starvations: { readonly from: number; until: number; readonly slowness: number; }[];
+    /** When it was told to stop; undefined if it was not. */
+    stoppingSince?: number;
     /** Whether it was killed or paused, so that its callers may lose answers. */
     wasCutOff: boolean;
 }
@@ -38,6 +40,8 @@
     readonly kind: SoakKind;
     readonly gateway: GatewayIncarnation;
     readonly sentAt: number;
+    /** When the request before it on its connection was sent. */
+    readonly previousAt?: number;
     /** When its last byte was handed to the operating system; undefined if that never happened. */
     readonly writtenAt?: number;
     /** When its connection ended; undefined if it outlasted the call. */
--- a/packages/soak/src/lib/SteadyCaller.ts
+++ b/packages/soak/src/lib/SteadyCaller.ts
@@ -13,6 +13,14 @@
     readonly path: string;
 }
 
+/** The connection of a caller, when it sends on it, and when it did so before. */
+interface CallerLink {
+    readonly gateway: SoakGateway;
+    readonly connection: SoakConnection;
+    readonly sentAt: number;
+    readonly previousAt: number | undefined;
+}
+
 interface Bounds {
     readonly least: number;
     readonly most: number;
@@ -51,46 +59,43 @@
                 await wait(retryDelay);
                 continue;
             }
-            while (!isOver() && connection.closedAt === undefined) {
+            for (let previousAt: number | undefined; !isOver() && connection.closedAt === undefined;) {
                 await wait(this.draw(thinkTime));
-                await this.exchange(gateway, connection);
+                const sentAt = now();
+                await this.exchange({ gateway, connection, sentAt, previousAt });
+                previousAt = sentAt;
             }
             connection.destroy();
         }
     }
 
-    private async exchange(gateway: SoakGateway, connection: SoakConnection): Promise<void> {
+    private async exchange(link: CallerLink): Promise<void> {
         const drawn = this.options.random.next();
         const { ahead, slowBody, slowReader, plain } = shares;
         if (drawn < ahead) {
             const planned = Array.from({ length: Math.floor(this.draw(aheadCount)) }, () => this.planAny());
-            await this.send(gateway, connection, planned);
+            await this.send(link, planned);
         }
         else if (drawn < ahead + slowBody) {
-            await this.send(gateway, connection, [this.plan("once", "/order/")], this.draw(bodyPause));
+            await this.send(link, [this.plan("once", "/order/")], this.draw(bodyPause));
         }
         else if (drawn < ahead + slowBody + slowReader) {
-            connection.readLater(this.draw(readPause));
-            await this.send(gateway, connection, [this.plan("idempotent", `/get/${largePart}`)]);
+            link.connection.readLater(this.draw(readPause));
+            await this.send(link, [this.plan("idempotent", `/get/${largePart}`)]);
         }
         else if (drawn < ahead + slowBody + slowReader + plain) {
-            await this.send(gateway, connection, [this.plan("once", "/order/")]);
+            await this.send(link, [this.plan("once", "/order/")]);
         }
         else {
-            await this.send(gateway, connection, [this.planStream(this.draw(streamTime))]);
+            await this.send(link, [this.planStream(this.draw(streamTime))]);
         }
     }
 
     /** Sends requests, the last part of the last body after a pause, and records the answers to all of them. */
-    private async send(
-        gateway: SoakGateway,
-        connection: SoakConnection,
-        planned: readonly PlannedCall[],
-        pause = 0,
-    ): Promise<void> {
-        const { log, now, wait } = this.options;
+    private async send(link: CallerLink, planned: readonly PlannedCall[], pause = 0): Promise<void> {
+        const { log, wait } = this.options;
+        const { gateway, connection, sentAt, previousAt } = link;
         const { incarnation } = gateway;
-        const sentAt = now();
         const text = planned.map(call => this.write(call, gateway)).join("");
         const isWhole = pause === 0;
         let writtenAt = await connection.write(isWhole ? text : text.slice(0, -1));
@@ -110,6 +115,7 @@
                 kind,
                 gateway: incarnation,
                 sentAt,
+                previousAt,
                 writtenAt,
                 closedAt: reply?.isComplete === true ? undefined : connection.closedAt,
                 expectedBody: isStream(path) ? streamBody : expectedBody,
--- a/packages/soak/src/lib/playPlannedWork.ts
+++ b/packages/soak/src/lib/playPlannedWork.ts
@@ -21,7 +21,7 @@
 /** Bounds of milliseconds: between two pieces of work, between the stops of a series, and between signals to one process. */
 const workInterval: Bounds = { least: 1_000, most: 4_000 };
 const stopGap: Bounds = { least: 100, most: 2_000 };
-const signalGap: Bounds = { least: 0, most: 3_000 };
+const signalGap: Bounds = { least: 0, most: 2_400 };
 /** Bounds of the milliseconds from the start of a process to its stop. */
 const shortLife: Bounds = { least: 0, most: 1_000 };
 const hangUps = 3;
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -6,7 +6,7 @@
 import { playPlannedWork } from "./playPlannedWork.js";
 import { SoakCaller, type SoakCallerOptions } from "./SoakCaller.js";
 import { SoakGateway } from "./SoakGateway.js";
-import { SoakLog } from "./SoakLog.js";
+import { type SoakCall, SoakLog } from "./SoakLog.js";
 import { SoakTargets } from "./SoakTargets.js";
 import { SteadyCaller } from "./SteadyCaller.js";
 
@@ -29,6 +29,8 @@
     readonly calls: number;
     readonly served: number;
     readonly refused: number;
+    /** Requests that were sent in a planned stop, on connections whose request before them was sent before it. */
+    readonly acrossStops: number;
     readonly violations: readonly Violation[];
     /** Disturbances in their order. */
     readonly events: readonly string[];
@@ -93,6 +95,11 @@
     return soak.result;
 }
 
+function isAcrossStop({ sentAt, previousAt = Infinity, writtenAt, gateway: { stoppingSince } }: SoakCall): boolean {
+    return stoppingSince !== undefined && writtenAt !== undefined && previousAt < stoppingSince
+        && sentAt > stoppingSince;
+}
+
 class Soak {
     private readonly now = () => performance.now();
     private readonly log = new SoakLog(this.now());
@@ -124,6 +131,7 @@
             calls: calls.length,
             served: calls.filter(({ status, isComplete }) => status === success && isComplete).length,
             refused: calls.filter(({ status }) => status === refusal).length,
+            acrossStops: calls.filter(isAcrossStop).length,
             violations: [...checkSoak(this.log, this.targets.limited), ...checkLoad(calls.length, this.plannedCalls)],
             events,
             longestStall: Math.round(longestStall),
@@ -168,7 +176,11 @@
         );
         const steadyCallers = Array.from(
             { length: gateways * steadyCallersPerGateway },
-            (_, index) => new SteadyCaller(this.createCallerOptions(seededRandom(seed * 100_000 + index))).run(),
+            (_, index) =>
+                new SteadyCaller({
+                    ...this.createCallerOptions(seededRandom(seed * 100_000 + index)),
+                    chooseGateway: () => this.chooseGateway(this.workedOn),
+                }).run(),
         );
         const plannedWork = this.playPlannedWork(seededRandom(seed + 2_000));
         const end = this.now() + seconds * millisecondsPerSecond;
@@ -194,7 +206,7 @@
     private playPlannedWork(random: Random): Promise<void> {
         return playPlannedWork({
             random,
-            gateways: this.gateways,
+            gateways: this.workedOn,
             wait: pause,
             isOver: () => this.isOver,
             publishSeries: () => this.publishSeries(),
@@ -320,8 +332,13 @@
         }));
     }
 
-    private chooseGateway(): SoakGateway | undefined {
-        return this.pick(this.gateways.filter(({ isInRotation }) => isInRotation));
+    /** The gateways with planned work. The others are calm for as long as the checks need that want processes in touch. */
+    private get workedOn(): readonly SoakGateway[] {
+        return this.gateways.slice(0, Math.ceil(this.gateways.length / 2));
+    }
+
+    private chooseGateway(gateways: readonly SoakGateway[] = this.gateways): SoakGateway | undefined {
+        return this.pick(gateways.filter(({ isInRotation }) => isInRotation));
     }
 
     private async watchReadiness(): Promise<void> {
