Idle connections are closed by what has been received and written, not by the view of Node.js

Callers saw: when a stop closed idle connections, requests that had been received and waited for their turn to be parsed were cut unread, and answers that had been written and not yet taken by a slow client were cut in the middle. Cause: closeIdleConnections (also called by the close of an HTTP server) goes by the parser and by 'finished' of the response. It knows neither of bytes that wait to be parsed nor of bytes that wait to be written. Change: the server itself closes a connection once all that it received is answered, the answers are written, and the input that was waiting has been read; a stop waits for the same.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -75,6 +75,7 @@
     /** What further parsing waits for. Only while the socket flows does a pause show that Node.js wants one. */
     private waitsFor: "nothing" | "resume" | "answers" | "turn" = "nothing";
     private headBytes = 0;
+    private isParsing = false;
     /** Bytes of a body that were read after its request was answered. */
     private discarded = 0;
     private readonly chart = createConnectionChart();
@@ -144,10 +145,28 @@
         this.chart.send("end");
     }
 
+    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    get isBusy(): boolean {
+        return this.open.size > 0 || this.hasUnread;
+    }
+
+    /** Closes the connection if a request has been read on it, and the client has all answers and sends nothing. */
+    closeIfIdle(): void {
+        const isIdle = this.current?.complete === true && !this.isBusy && this.socket.writableLength === 0;
+        if (isIdle) {
+            this.close();
+        }
+    }
+
+    /** Whether bytes may have been received behind the last request. */
+    private get hasUnread(): boolean {
+        return this.unparsed.length > 0 || this.headBytes > 0 || this.isParsing;
+    }
+
     /** Decides whether an answer closes the connection, before its head is written. */
     beginAnswer(response: ServerResponse): void {
-        const isLast = response === [...this.open.keys()].at(-1);
-        if (this.chart.state === "ending" && isLast && this.unparsed.length === 0 && this.headBytes === 0) {
+        const isLast = this.chart.state === "ending" && response === [...this.open.keys()].at(-1);
+        if (isLast && !this.hasUnread) {
             response.shouldKeepAlive = false;
         }
     }
@@ -322,7 +341,9 @@
             this.close();
         }
         else {
+            this.isParsing = true;
             this.parse(chunk.subarray(0, length));
+            this.isParsing = false;
         }
         return length;
     }
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -7,7 +7,7 @@
     type ServerResponse,
     STATUS_CODES,
 } from "node:http";
-import { type Socket } from "node:net";
+import { Server as Listener, type Socket } from "node:net";
 import { CountedResponse, guardedConnections } from "./CountedResponse.js";
 import { GuardedConnection, type UnansweredInput } from "./GuardedConnection.js";
 import { type MemoryBudget } from "./MemoryBudget.js";
@@ -80,6 +80,7 @@
     private readonly turns: ReadTurns;
     private isChecking = false;
     private isEnding = false;
+    private closesIdle = false;
 
     constructor(private readonly options: GuardedServerOptions) {
         this.turns = new ReadTurns(options.clock);
@@ -106,6 +107,25 @@
         this.connections.forEach(connection => connection.endSoon());
     }
 
+    /** Stops listening and closes no connection. The method of Node.js closes those that wait to be read, too. */
+    stopListening(): void {
+        Listener.prototype.close.call(this.http);
+    }
+
+    /**
+     * Closes each connection as soon as its client has all answers and sends nothing, after the input that is waiting has
+     * been read. Node.js takes a connection for idle whose bytes wait to be parsed, or whose answer waits to be written.
+     */
+    closeIdle(): void {
+        this.closesIdle = true;
+        setImmediate(() => this.connections.forEach(connection => connection.closeIfIdle()));
+    }
+
+    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    get isBusy(): boolean {
+        return [...this.connections].some(({ isBusy }) => isBusy);
+    }
+
     private guard(socket: Socket): void {
         const { clock, budget, maxConnections, maxRunning = defaultRunning } = this.options;
         if (this.connections.size >= maxConnections && !this.closeIdlest()) {
@@ -156,6 +176,7 @@
             return;
         }
         incoming.on("error", () => response.destroy());
+        response.once("close", () => this.closesIdle && setImmediate(() => connection.closeIfIdle()));
         if (!connection.openRequest(incoming, response)) {
             this.refuse(response, "memory");
         }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -296,8 +296,7 @@
         this.callers.close();
         this.refusesNewRequests = true;
         const end = stoppedAt + settings.stopGrace - stopSlack;
-        while (this.callers.openRequests > 0 && clock.now() < end) {
-            this.callers.closeIdle();
+        while (this.callers.isBusy && clock.now() < end) {
             await sleep(clock, stopCheckInterval);
         }
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -7,7 +7,7 @@
 } from "@waxwingspar/connections";
 import { type Clock, sleep } from "@waxwingspar/utils";
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as Listener, type Socket } from "node:net";
+import { type AddressInfo, type Server as Listener, type Socket } from "node:net";
 import { type CallerLimits } from "../configuration/Configuration.js";
 import { type Address } from "../GatewaySettings.js";
 import { type LoopMonitor } from "../observation/LoopMonitor.js";
@@ -177,8 +177,7 @@
     pauseListening(): void {
         if (!this.isPaused && !this.isClosed && this.server.listening) {
             this.isPaused = true;
-            // The method of the HTTP server would also close kept connections.
-            Listener.prototype.close.call(this.server);
+            this.guarded.stopListening();
         }
     }
 
@@ -235,12 +234,13 @@
     /** Stops listening. Open connections are kept until they are idle. */
     close(): void {
         this.isClosed = true;
-        this.server.close();
+        this.guarded.stopListening();
+        this.guarded.closeIdle();
     }
 
-    /** Closes connections without an open request, such as those whose last answer began before the stop. */
-    closeIdle(): void {
-        this.server.closeIdleConnections();
+    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    get isBusy(): boolean {
+        return this.guarded.isBusy;
     }
 
     /** Ends open requests with what is known of their outcome, then closes all connections. */
