--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -5,6 +5,7 @@
 import { createConnectionChart } from "./connectionChart.js";
 import { type Holding, type MemoryBudget } from "./MemoryBudget.js";
 import { type ReadTurns } from "./ReadTurns.js";
+import { UnreadInput } from "./UnreadInput.js";
 
 /** Passes received bytes to the HTTP parser. */
 type Parse = (chunk: Buffer) => void;
@@ -64,8 +65,7 @@
     readonly holding: Holding;
     private readonly parse: Parse;
     private readonly backlog: AnswerBacklog;
-    /** Received bytes that wait to be parsed. */
-    private readonly unparsed: Buffer[] = [];
+    private readonly unread: UnreadInput;
     /** Responses that have not ended, with the memory that is counted for their requests. */
     private readonly open = new Map<ServerResponse, number>();
     /** Requests that have been parsed and wait for those before them. */
@@ -79,9 +79,6 @@
     /** Bytes of a body that were read after its request was answered. */
     private discarded = 0;
     private readonly chart = createConnectionChart();
-    /** Bytes that were received and never parsed. */
-    private droppedBytes = 0;
-    private receivedAt: number;
     /** Whether the client knew that the connection closes before it was closed. */
     private wasTold = false;
     /** Whether the client has ended or reset the connection. */
@@ -90,7 +87,7 @@
     constructor(private readonly options: GuardedConnectionOptions) {
         const { socket, budget } = options;
         this.socket = socket;
-        this.receivedAt = options.clock.now();
+        this.unread = new UnreadInput(options.clock);
         this.holding = budget.open({ isClientDue: () => this.isClientDue, close: () => this.evict() });
         this.backlog = new AnswerBacklog({ socket, clock: options.clock, budget, holding: this.holding });
         this.parse = this.takeParser();
@@ -160,7 +157,7 @@
 
     /** Whether bytes may have been received behind the last request. */
     private get hasUnread(): boolean {
-        return this.unparsed.length > 0 || this.headBytes > 0 || this.isParsing;
+        return !this.unread.isEmpty || this.headBytes > 0 || this.isParsing;
     }
 
     /** Decides whether an answer closes the connection, before its head is written. */
@@ -261,18 +258,17 @@
     }
 
     private receive(chunk: Buffer): void {
-        this.receivedAt = this.options.clock.now();
         if (this.isOver) {
-            this.droppedBytes += chunk.length;
+            this.unread.refuse(chunk.length);
             return;
         }
         this.holding.move(chunk.length);
         if (!this.reserve(chunk.length)) {
-            this.droppedBytes += chunk.length;
+            this.unread.refuse(chunk.length);
             this.evict();
             return;
         }
-        this.unparsed.push(chunk);
+        this.unread.add(chunk);
         if (this.waitsFor === "nothing") {
             this.parseUnread();
         }
@@ -297,7 +293,7 @@
 
     private parseUnread(): void {
         const { socket } = this;
-        for (let parsed = 0; this.unparsed.length > 0 && !this.isOver && !socket.destroyed;) {
+        for (let parsed = 0; !this.unread.isEmpty && !this.isOver && !socket.destroyed;) {
             if (!this.mayParse) {
                 this.waitsFor = "answers";
                 socket.pause();
@@ -321,15 +317,9 @@
     }
 
     private parseSlice(): number {
-        const [chunk = empty] = this.unparsed;
         const isInBody = this.current?.complete === false;
-        const length = Math.min(chunk.length, isInBody ? sliceBytes.body : sliceBytes.head);
-        if (length === chunk.length) {
-            this.unparsed.shift();
-        }
-        else {
-            this.unparsed[0] = chunk.subarray(length);
-        }
+        const slice = this.unread.take(isInBody ? sliceBytes.body : sliceBytes.head);
+        const { length } = slice;
         if (isInBody) {
             this.release(length);
             this.discarded += this.open.size === 0 ? length : 0;
@@ -342,7 +332,7 @@
         }
         else {
             this.isParsing = true;
-            this.parse(chunk.subarray(0, length));
+            this.parse(slice);
             this.isParsing = false;
         }
         return length;
@@ -388,10 +378,7 @@
     }
 
     private dropUnread(): void {
-        const bytes = this.unparsed.reduce((sum, chunk) => sum + chunk.length, 0);
-        this.droppedBytes += bytes;
-        this.unparsed.length = 0;
-        this.release(bytes);
+        this.release(this.unread.drop());
         this.options.turns.forget(this);
     }
 
@@ -404,11 +391,9 @@
     }
 
     private reportUnanswered(): void {
-        const { options: { clock, onUnanswered }, droppedBytes: bytes, open: { size: requests } } = this;
+        const { options: { onUnanswered }, unread: { droppedBytes: bytes, age }, open: { size: requests } } = this;
         if (!this.hasClientLeft && bytes + requests > 0) {
-            onUnanswered?.({ requests, bytes, wasTold: this.wasTold, age: clock.now() - this.receivedAt });
+            onUnanswered?.({ requests, bytes, wasTold: this.wasTold, age });
         }
     }
 }
-
-const empty = Buffer.alloc(0);
