What a connection receives is passed to the parser by a class of its own

InputReader takes over slices, pauses and turns from GuardedConnection, which keeps requests, answers and the connection's state. No logic is changed; the tests of connections, servers and planned stops pass.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -3,12 +3,9 @@
 import { type Socket } from "node:net";
 import { AnswerBacklog } from "./AnswerBacklog.js";
 import { createConnectionChart } from "./connectionChart.js";
+import { InputReader } from "./InputReader.js";
 import { type Holding, type MemoryBudget } from "./MemoryBudget.js";
 import { type ReadTurns } from "./ReadTurns.js";
-import { UnreadInput } from "./UnreadInput.js";
-
-/** Passes received bytes to the HTTP parser. */
-type Parse = (chunk: Buffer) => void;
 
 /** What a connection that this process closed had received and not answered. @public */
 export interface UnansweredInput {
@@ -44,15 +41,11 @@
 const bytesPerHeadCharacter = 2;
 /** Memory in bytes of a name or value of a parsed head beside its characters: strings, entries of lists and of the index. */
 const bytesPerHeadText = 64;
-/** Bytes that are parsed at once: of heads, so that few requests are parsed beyond the limit, and of bodies. */
-const sliceBytes = { head: 1_024, body: 16_384 };
 /**
  * Bytes of a body that are read and dropped after its request was refused, so that a client that goes on sending gets to
  * read the refusal before its connection is closed.
  */
 const maxDiscarded = 1_048_576;
-/** Bytes of a read that are parsed immediately; the rest takes turns with that of other connections. */
-const immediateBytes = 16_384;
 
 /**
  * A connection whose received and unread bytes are counted. It parses what it receives in small pieces, and no further
@@ -63,19 +56,16 @@
 export class GuardedConnection {
     readonly socket: Socket;
     readonly holding: Holding;
-    private readonly parse: Parse;
+    private readonly reader: InputReader;
     private readonly backlog: AnswerBacklog;
-    private readonly unread: UnreadInput;
     /** Responses that have not ended, with the memory that is counted for their requests. */
     private readonly open = new Map<ServerResponse, number>();
     /** Requests that have been parsed and wait for those before them. */
     private readonly waiting: (() => void)[] = [];
     /** The request that was parsed last. */
     private current: IncomingMessage | undefined;
-    /** What further parsing waits for. Only while the socket flows does a pause show that Node.js wants one. */
-    private waitsFor: "nothing" | "resume" | "answers" | "turn" = "nothing";
+    /** Bytes of the head that is being read. */
     private headBytes = 0;
-    private isParsing = false;
     /** Bytes of a body that were read after its request was answered. */
     private discarded = 0;
     private readonly chart = createConnectionChart();
@@ -85,13 +75,21 @@
     private hasClientLeft = false;
 
     constructor(private readonly options: GuardedConnectionOptions) {
-        const { socket, budget } = options;
+        const { socket, clock, budget, turns, maxRunning } = options;
         this.socket = socket;
-        this.unread = new UnreadInput(options.clock);
         this.holding = budget.open({ isClientDue: () => this.isClientDue, close: () => this.evict() });
-        this.backlog = new AnswerBacklog({ socket, clock: options.clock, budget, holding: this.holding });
-        this.parse = this.takeParser();
-        socket.on("resume", () => this.handleResume());
+        this.backlog = new AnswerBacklog({ socket, clock, budget, holding: this.holding });
+        this.reader = new InputReader({
+            socket,
+            clock,
+            turns,
+            isOver: () => this.isOver,
+            isInBody: () => this.isInBody,
+            mayParse: () => this.isInBody || this.open.size < maxRunning,
+            reserve: bytes => this.receive(bytes),
+            onFull: () => this.evict(),
+            onSlice: (bytes, isInBody) => this.countSlice(bytes, isInBody),
+        });
         socket.on("drain", () => this.updateAnswers());
         socket.prependOnceListener("end", () => this.hasClientLeft = true);
         socket.prependOnceListener("error", () => this.hasClientLeft = true);
@@ -106,13 +104,13 @@
 
     /** Whether the next move is the client's: to send the rest of a request or a new one, or to read an answer. */
     get isClientDue(): boolean {
-        return this.open.size === 0 || this.current?.complete === false || this.socket.writableLength > 0;
+        return this.open.size === 0 || this.isInBody || this.socket.writableLength > 0;
     }
 
     /** Whether a refusal can only be taken for the answer to a request that has not been read whole. */
     get mayRefuse(): boolean {
         const [response] = this.open.keys();
-        const isSole = this.open.size === 1 && this.current?.complete === false && response?.headersSent === false;
+        const isSole = this.open.size === 1 && this.isInBody && response?.headersSent === false;
         return (isSole || this.open.size === 0) && this.socket.writable && this.socket.writableLength === 0;
     }
 
@@ -122,10 +120,14 @@
         return this.mayRefuse ? response : undefined;
     }
 
+    private get isInBody(): boolean {
+        return this.current?.complete === false;
+    }
+
     /** Whether nothing that is received is read any more. The rest of a request that is being read is. */
     private get isOver(): boolean {
         const { state } = this.chart;
-        return state === "closed" || (state === "told" && this.current?.complete !== false);
+        return state === "closed" || (state === "told" && !this.isInBody);
     }
 
     /** Counts memory for the connection. @returns False if there is no room; nothing was counted then. */
@@ -157,7 +159,7 @@
 
     /** Whether bytes may have been received behind the last request. */
     private get hasUnread(): boolean {
-        return !this.unread.isEmpty || this.headBytes > 0 || this.isParsing;
+        return this.reader.mayHaveMore || this.headBytes > 0;
     }
 
     /** Decides whether an answer closes the connection, before its head is written. */
@@ -211,7 +213,7 @@
 
     /** Whether what it has received waits for its own answers, or for those of others. */
     get isHeld(): boolean {
-        return this.waitsFor !== "nothing";
+        return this.reader.isHeld;
     }
 
     /** Whether the client has taken nothing of a waiting answer since a time on the clock. */
@@ -237,111 +239,25 @@
         }
     }
 
-    /** Parses more of what has been received, when it is this connection's turn. */
-    readOn(): void {
-        if (this.waitsFor === "turn") {
-            this.waitsFor = "resume";
-            this.socket.resume();
-        }
-    }
-
-    /** Takes the place of the listener with which Node.js parses what it reads. */
-    private takeParser(): Parse {
-        const { socket } = this.options;
-        const [parse] = socket.listeners("data") as Parse[];
-        if (parse === undefined) {
-            throw new Error("expected a connection of an HTTP server, got one without a parser");
-        }
-        socket.removeListener("data", parse);
-        socket.on("data", (chunk: Buffer) => this.receive(chunk));
-        return parse;
-    }
-
-    private receive(chunk: Buffer): void {
-        if (this.isOver) {
-            this.unread.refuse(chunk.length);
-            return;
-        }
-        this.holding.move(chunk.length);
-        if (!this.reserve(chunk.length)) {
-            this.unread.refuse(chunk.length);
-            this.evict();
-            return;
-        }
-        this.unread.add(chunk);
-        if (this.waitsFor === "nothing") {
-            this.parseUnread();
-        }
-        else {
-            this.socket.pause();
-        }
-    }
-
-    /** Node.js resumes a connection that it had paused, and also one that is paused here, which then stays paused. */
-    private handleResume(): void {
-        if (this.socket.isPaused()) {
-            return;
-        }
-        if (this.waitsFor === "resume") {
-            this.waitsFor = "nothing";
-            this.parseUnread();
-        }
-        else if (this.waitsFor !== "nothing") {
-            this.socket.pause();
-        }
-    }
-
-    private parseUnread(): void {
-        const { socket } = this;
-        for (let parsed = 0; !this.unread.isEmpty && !this.isOver && !socket.destroyed;) {
-            if (!this.mayParse) {
-                this.waitsFor = "answers";
-                socket.pause();
-                return;
-            }
-            if (parsed >= immediateBytes) {
-                this.waitForTurn();
-                return;
-            }
-            parsed += this.parseSlice();
-            if (socket.isPaused()) {
-                this.waitsFor = "resume";
-                return;
-            }
-        }
+    private receive(bytes: number): boolean {
+        this.holding.move(bytes);
+        return this.reserve(bytes);
     }
 
-    /** Whether the rest of a request or a further one may be parsed. */
-    private get mayParse(): boolean {
-        return this.current?.complete === false || this.open.size < this.options.maxRunning;
-    }
-
-    private parseSlice(): number {
-        const isInBody = this.current?.complete === false;
-        const slice = this.unread.take(isInBody ? sliceBytes.body : sliceBytes.head);
-        const { length } = slice;
+    /** Counts bytes that are about to be parsed. @returns False if the client sends too much of a body after its refusal. */
+    private countSlice(bytes: number, isInBody: boolean): boolean {
         if (isInBody) {
-            this.release(length);
-            this.discarded += this.open.size === 0 ? length : 0;
+            this.release(bytes);
+            this.discarded += this.open.size === 0 ? bytes : 0;
         }
         else {
-            this.headBytes += length;
+            this.headBytes += bytes;
         }
-        if (this.discarded > maxDiscarded) {
+        const isWithinLimit = this.discarded <= maxDiscarded;
+        if (!isWithinLimit) {
             this.close();
         }
-        else {
-            this.isParsing = true;
-            this.parse(slice);
-            this.isParsing = false;
-        }
-        return length;
-    }
-
-    private waitForTurn(): void {
-        this.waitsFor = "turn";
-        this.socket.pause();
-        this.options.turns.expect(this);
+        return isWithinLimit;
     }
 
     private closeRequest(response: ServerResponse): void {
@@ -357,9 +273,7 @@
         if (!this.isOver && !this.socket.destroyed) {
             this.waiting.shift()?.();
         }
-        if (this.waitsFor === "answers" && this.mayParse) {
-            this.waitForTurn();
-        }
+        this.reader.continue();
     }
 
     private evict(): void {
@@ -373,25 +287,20 @@
         this.chart.send("tell");
         this.waiting.length = 0;
         if (this.isOver) {
-            this.dropUnread();
+            this.release(this.reader.drop());
         }
     }
 
-    private dropUnread(): void {
-        this.release(this.unread.drop());
-        this.options.turns.forget(this);
-    }
-
     private end(): void {
         this.wasTold ||= this.chart.state === "told";
         this.chart.send("close");
         this.waiting.length = 0;
-        this.dropUnread();
+        this.reader.drop();
         this.options.budget.close(this.holding);
     }
 
     private reportUnanswered(): void {
-        const { options: { onUnanswered }, unread: { droppedBytes: bytes, age }, open: { size: requests } } = this;
+        const { options: { onUnanswered }, reader: { droppedBytes: bytes, age }, open: { size: requests } } = this;
         if (!this.hasClientLeft && bytes + requests > 0) {
             onUnanswered?.({ requests, bytes, wasTold: this.wasTold, age });
         }
