A connection is closed as idle only after the input that was waiting has been read

Callers saw: on a process that was late (starved, frozen), a request on a kept connection that had come in time was reset unread. Cause: the timer of an idle connection runs before the event loop looks at its input, and Node.js closes the connection at once. Change: the server closes it after the input of that turn, unless a request has come. A stop does not wait for parts of heads. Evidence: the new test ends with 'read ECONNRESET' before.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -144,15 +144,21 @@
         this.chart.send("end");
     }
 
-    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    /** Whether a request has no answer or not its whole answer, or received bytes wait to be read. */
     get isBusy(): boolean {
-        return this.open.size > 0 || this.hasUnread;
+        return this.open.size > 0 || this.reader.hasUnread;
     }
 
     /** Closes the connection if a request has been read on it, and the client has all answers and sends nothing. */
     closeIfIdle(): void {
-        const isIdle = this.current?.complete === true && !this.isBusy && this.socket.writableLength === 0;
-        if (isIdle) {
+        if (this.current?.complete === true && this.headBytes === 0) {
+            this.closeIfSilent();
+        }
+    }
+
+    /** Closes the connection of a client that has all answers, also if it has sent a part of a request. */
+    closeIfSilent(): void {
+        if (!this.isBusy && this.socket.writableLength === 0) {
             this.close();
         }
     }
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -88,6 +88,11 @@
         // The size of a head is limited, and a list that is cut would not show all headers that frame a body.
         this.http.maxHeadersCount = 0;
         this.http.on("connection", (socket: Socket) => this.guard(socket));
+        // The timer of an idle connection runs before the input that is waiting.
+        this.http.on(
+            "timeout",
+            (socket: Socket) => setImmediate(() => guardedConnections.get(socket)?.closeIfSilent()),
+        );
         this.http.on("request", (incoming, response) => this.receive(incoming, response));
         this.http.on("checkContinue", (incoming, response) => {
             if (!this.isTooLarge(incoming)) {
@@ -121,7 +126,7 @@
         setImmediate(() => this.connections.forEach(connection => connection.closeIfIdle()));
     }
 
-    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    /** Whether a request has no answer or not its whole answer, or received bytes wait to be read. */
     get isBusy(): boolean {
         return [...this.connections].some(({ isBusy }) => isBusy);
     }
--- a/packages/connections/src/lib/connectionEnds.test.ts
+++ b/packages/connections/src/lib/connectionEnds.test.ts
@@ -94,3 +94,18 @@
     await once(socket, "close");
     assert.ok(bytes > length, `${bytes} bytes`);
 });
+
+// Guards against requests that are cut because the timer of an idle connection runs before the input that is waiting.
+test("a request that came in time is answered though the process was late to look at it", async context => {
+    const { open } = await startServer(context, { server: { keepAliveTimeout: 30 } });
+    const socket = open();
+    const received = collect(socket);
+    socket.write(get("/first"));
+    await until(() => received.text.includes("/first;"));
+    socket.write(get("/second"));
+    // Some versions of Node.js add a second to the timeout.
+    const lateUntil = performance.now() + 1_500;
+    while (performance.now() < lateUntil);
+    await once(socket, "close");
+    assert.match(received.text, /second;$/m);
+});
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -238,7 +238,7 @@
         this.guarded.closeIdle();
     }
 
-    /** Whether a request that has been received, at least in part, has no answer or not its whole answer. */
+    /** Whether a request has no answer or not its whole answer, or received bytes wait to be read. */
     get isBusy(): boolean {
         return this.guarded.isBusy;
     }
