Whatever has been received at the end of a stop is answered or refused

Callers saw: at the end of the grace period, requests that waited (for the start, for their turn on a late process, behind another request of their connection) and requests whose bodies were half read were cut without an answer. Cause: a stop ended the requests that run; those that wait or are being read belonged to nobody. Change: the end of a stop first reads all that has been received and passes it on, as refused; then refuses what waits in the queues and what is half read, then ends what runs. A connection then reads nothing more ('finishing'), and the answer to its last request closes it. RequestPath takes the place of createStartQueue, so that one part knows both queues.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -124,10 +124,16 @@
         return this.current?.complete === false;
     }
 
-    /** Whether nothing that is received is read any more. The rest of a request that is being read is. */
+    /** Whether nothing that is received is read any more. After a last answer, the rest of its own request is. */
     private get isOver(): boolean {
         const { state } = this.chart;
-        return state === "closed" || (state === "told" && !this.isInBody);
+        return state === "closed" || state === "finishing" || (state === "told" && !this.isInBody);
+    }
+
+    /** Whether requests that have been read may still be answered. */
+    private get mayAnswer(): boolean {
+        const { state } = this.chart;
+        return state !== "told" && state !== "closed";
     }
 
     /** Counts memory for the connection. @returns False if there is no room; nothing was counted then. */
@@ -168,10 +174,19 @@
         return this.reader.mayHaveMore || this.headBytes > 0;
     }
 
+    /** Reads all that has been received, and runs all requests at once. Nothing more is read after that. */
+    finishReading(): void {
+        this.reader.readAll();
+        this.waiting.splice(0).forEach(run => run());
+        this.chart.send("finish");
+        this.closeIfIdle();
+    }
+
     /** Decides whether an answer closes the connection, before its head is written. */
     beginAnswer(response: ServerResponse): void {
-        const isLast = this.chart.state === "ending" && response === [...this.open.keys()].at(-1);
-        if (isLast && !this.hasUnread) {
+        const { state } = this.chart;
+        const mayClose = state === "finishing" || (state === "ending" && !this.hasUnread);
+        if (mayClose && response === [...this.open.keys()].at(-1)) {
             response.shouldKeepAlive = false;
         }
     }
@@ -201,7 +216,7 @@
 
     /** Runs the request that was opened last, when as many of those before it have ended as may run at a time. */
     runInTurn(run: () => void): void {
-        if (this.isOver) {
+        if (!this.mayAnswer) {
             return;
         }
         if (this.open.size <= this.options.maxRunning) {
@@ -276,9 +291,12 @@
         if (this.socket.writableEnded) {
             this.noteTold();
         }
-        if (!this.isOver && !this.socket.destroyed) {
+        if (this.mayAnswer && !this.socket.destroyed) {
             this.waiting.shift()?.();
         }
+        if (this.chart.state === "finishing") {
+            this.closeIfSilent();
+        }
         this.reader.continue();
     }
 
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -131,6 +131,14 @@
         return [...this.connections].some(({ isBusy }) => isBusy);
     }
 
+    /**
+     * Reads all that has been received and passes on all requests at once, so that they can be refused. Connections on
+     * which no request is open are closed; nothing more is read on the others.
+     */
+    finishReading(): void {
+        this.connections.forEach(connection => connection.finishReading());
+    }
+
     private guard(socket: Socket): void {
         const { clock, budget, maxConnections, maxRunning = defaultRunning } = this.options;
         if (this.connections.size >= maxConnections && !this.closeIdlest()) {
--- a/packages/connections/src/lib/InputReader.ts
+++ b/packages/connections/src/lib/InputReader.ts
@@ -85,6 +85,14 @@
         }
     }
 
+    /** Parses all that has been received, whatever it would wait for. */
+    readAll(): void {
+        const { socket, isOver } = this.options;
+        while (this.hasUnread && !isOver() && !socket.destroyed) {
+            this.parseSlice();
+        }
+    }
+
     /** Drops what waits. @returns Its bytes. */
     drop(): number {
         this.options.turns.forget(this);
--- a/packages/connections/src/lib/connectionEnds.test.ts
+++ b/packages/connections/src/lib/connectionEnds.test.ts
@@ -105,7 +105,9 @@
     socket.write(get("/second"));
     // Some versions of Node.js add a second to the timeout.
     const lateUntil = performance.now() + 1_500;
-    while (performance.now() < lateUntil);
+    while (performance.now() < lateUntil) {
+        // The event loop does not turn.
+    }
     await once(socket, "close");
     assert.match(received.text, /second;$/m);
 });
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -27,9 +27,8 @@
 import { observeEngines } from "./replies/observeEngines.js";
 import { TargetReplies } from "./replies/TargetReplies.js";
 import { createCallerServer } from "./requests/createCallerServer.js";
-import { createStartQueue } from "./requests/createStartQueue.js";
+import { RequestPath } from "./requests/RequestPath.js";
 import { RequestRouter } from "./requests/RequestRouter.js";
-import { type StartQueue } from "./requests/StartQueue.js";
 import { TargetRests } from "./rests/TargetRests.js";
 import { AcceptBursts } from "./server/AcceptBursts.js";
 import { type CallerServer } from "./server/CallerServer.js";
@@ -76,7 +75,7 @@
     private readonly slots: SlotGrants;
     private readonly services: ServiceTable;
     private readonly crashes: CrashProtection;
-    private readonly startQueue: StartQueue;
+    private readonly requestPath: RequestPath;
     private readonly callers: CallerServer;
     private readonly overload: OverloadControl;
     private readonly readiness: ReadinessServer;
@@ -191,7 +190,7 @@
             findService: name => this.services.find(name),
             hasRanks: service => this.services.hasRanks(service),
         });
-        this.startQueue = createStartQueue({
+        this.requestPath = new RequestPath({
             clock,
             loop: this.loop,
             bursts,
@@ -205,7 +204,7 @@
             bursts,
             isOn,
             router,
-            startQueue: this.startQueue,
+            path: this.requestPath,
             observation,
             group: () => ({ members: this.peers.others.members, overloaded: this.peers.others.overloaded ?? 0 }),
             guard,
@@ -248,10 +247,10 @@
             observation,
             role: () => this.watchRole,
             onChange: configuration => this.applyConfiguration(configuration),
-            onConfigurationConfirmed: () => this.startQueue.release(),
+            onConfigurationConfirmed: () => this.requestPath.release(),
             onTargetsConfirmed: () => {
                 this.hasTargetList = true;
-                this.startQueue.release();
+                this.requestPath.release();
             },
         });
     }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -101,8 +101,8 @@
      * Refuses a request that arrived on an existing connection after the load balancer has removed this process. It
      * might not be completed before the process exits.
      */
-    refuseStopping({ incoming, response }: ReceivedRequest): void {
-        this.logRefusal(this.options.wire.readCallerRequest(incoming.headers), requestCodes.stopping, "stopping");
+    refuseStopping(response: ServerResponse): void {
+        this.logRefusal(this.options.wire.readCallerRequest(response.req.headers), requestCodes.stopping, "stopping");
         writeRefusal(response, requestCodes.stopping, "this process is stopping", otherProcessRetryAfter);
     }
 
--- a/packages/gateway/src/lib/requests/StartQueue.ts
+++ b/packages/gateway/src/lib/requests/StartQueue.ts
@@ -54,6 +54,14 @@
         }
     }
 
+    /** Removes the requests that wait. */
+    takeWaiting(): ReceivedRequest[] {
+        const taken = [...this.waiting];
+        this.waiting.clear();
+        taken.forEach(({ timer }) => timer.cancel());
+        return taken.map(({ request }) => request);
+    }
+
     private forward(waiting: Waiting): void {
         waiting.timer.cancel();
         this.waiting.delete(waiting);
--- a/packages/gateway/src/lib/requests/createCallerServer.ts
+++ b/packages/gateway/src/lib/requests/createCallerServer.ts
@@ -4,8 +4,8 @@
 import { CallerServer, type CallerServerOptions } from "../server/CallerServer.js";
 import { type ClientGuard } from "../server/ClientGuard.js";
 import { OverloadControl, type OverloadControlOptions } from "../server/OverloadControl.js";
+import { type RequestPath } from "./RequestPath.js";
 import { type RequestRouter } from "./RequestRouter.js";
-import { type StartQueue } from "./StartQueue.js";
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerCreation
@@ -17,7 +17,7 @@
     readonly loop: CallerServerOptions["loop"] & OverloadControlOptions["loop"];
     readonly bursts: AcceptBursts;
     readonly router: RequestRouter;
-    readonly startQueue: StartQueue;
+    readonly path: RequestPath;
     /** Whether this process is stopping and begins no request any more. */
     readonly refusesNewRequests: () => boolean;
     readonly observation: Observation;
@@ -28,7 +28,7 @@
     readonly callers: CallerServer;
     readonly overload: OverloadControl;
 } {
-    const { clock, loop, guard, address, listening, maxBodyBytes, isOn, group, bursts, router, startQueue } = options;
+    const { clock, loop, guard, address, listening, maxBodyBytes, isOn, group, bursts, router, path } = options;
     const { logs, metrics } = options.observation;
     const callers: CallerServer = new CallerServer({
         clock,
@@ -52,16 +52,20 @@
         },
         onRequest: request => {
             if (options.refusesNewRequests()) {
-                router.refuseStopping(request);
+                router.refuseStopping(request.response);
             }
             else if (overload.admits(request)) {
-                startQueue.take(request);
+                path.take(request);
             }
             else {
                 router.refuseOverloaded(request, 0);
             }
         },
-        onClosing: () => router.endAll("this process stops"),
+        onClosing: () => {
+            path.refuseWaiting();
+            router.endAll("this process stops");
+        },
+        onUnfinished: response => router.refuseStopping(response),
         onRefused: (response, reason) => router.refuseUnread(response, reason),
         onGuarded: reason => guard.note(reason),
         onUnanswered: input => guard.noteUnanswered(input),
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -51,6 +51,8 @@
     readonly onRequest: (request: ReceivedRequest) => void;
     /** Ends the requests in progress, before all connections are closed. */
     readonly onClosing?: () => void;
+    /** Refuses a request whose body has not come, before all connections are closed. */
+    readonly onUnfinished?: (response: ServerResponse) => void;
     /** Refuses a request that has not run: its body is too large or too slow, or there is no room for it. */
     readonly onRefused: (response: ServerResponse, reason: GuardReason) => void;
     /** Called for each connection that is closed, and each request that is refused, because of what its client does. */
@@ -104,6 +106,8 @@
     private listeningAt: AddressInfo | undefined;
     /** Responses to requests that have not ended. */
     private readonly open = new Set<ServerResponse>();
+    /** Responses to requests whose bodies are being read. */
+    private readonly unfinished = new Set<ServerResponse>();
     /** Requests that have been read completely and not answered. */
     private running = 0;
 
@@ -243,11 +247,16 @@
         return this.guarded.isBusy;
     }
 
-    /** Ends open requests with what is known of their outcome, then closes all connections. */
+    /** Ends all requests that have been received with what is known of their outcome, then closes all connections. */
     async closeAll(): Promise<void> {
+        const { clock, onClosing, onUnfinished } = this.options;
+        await endOfInput();
+        this.guarded.finishReading();
+        await endOfInput();
         if (this.open.size > 0) {
-            this.options.onClosing?.();
-            await sleep(this.options.clock, flushTime);
+            this.unfinished.forEach(response => onUnfinished?.(response));
+            onClosing?.();
+            await sleep(clock, flushTime);
         }
         this.server.closeAllConnections();
     }
@@ -269,6 +278,7 @@
 
     private receive(incoming: IncomingMessage, response: ServerResponse): void {
         this.open.add(response);
+        this.unfinished.add(response);
         const isFirst = this.unread.delete(incoming.socket);
         const readAt = this.options.clock.now();
         const maxUnread = this.options.loop.inputAge;
@@ -277,6 +287,7 @@
         callers?.add(presence);
         response.once("close", () => {
             this.open.delete(response);
+            this.unfinished.delete(response);
             callers?.delete(presence);
             presence.leave();
         });
@@ -285,6 +296,7 @@
             maxBytes: maxBodyBytes() ?? defaultBodyLimit,
             whenOver: callback => response.once("close", callback),
             onBody: body => {
+                this.unfinished.delete(response);
                 if (!presence.hasLeft) {
                     this.running++;
                     response.once("close", () => this.endRun());
@@ -292,9 +304,15 @@
                 }
             },
             onRefused: reason => {
+                this.unfinished.delete(response);
                 onGuarded(reason);
                 onRefused(response, reason);
             },
         });
     }
 }
+
+/** Waits until the input that is waiting in this turn of the event loop has been read. */
+function endOfInput(): Promise<void> {
+    return new Promise(resolve => void setImmediate(resolve));
+}
--- a/packages/gateway/src/lib/server/RequestIntake.ts
+++ b/packages/gateway/src/lib/server/RequestIntake.ts
@@ -87,6 +87,11 @@
         this.waiting.push({ request, readAt: clock.now(), firstTurn: this.turn + (isOld ? 2 : 1) });
     }
 
+    /** Removes the requests that wait. */
+    takeWaiting(): ReceivedRequest[] {
+        return this.waiting.splice(0).map(({ request }) => request);
+    }
+
     private endTurn(): void {
         this.turn++;
         const { bursts } = this.options;
