A request that was read whole is answered whatever follows it on its connection

Callers saw: a request that ran at a target was cut without an answer because of what came behind it on the connection: bytes that are no request, a head or body that is too large or too slow, or a body that was closed to make room for others. Cause: such input destroyed the connection, whatever was open on it. A client with unread input that only waited for its turn counted as one that does nothing. Change: the connection reads nothing more; what is half read is refused in its turn, requests that were read whole are answered, and the last answer closes the connection. A client that does not take its answers is disconnected as before. A refusal that has been sent gets no second one behind it. Evidence: the new tests fail before: no answer ('[]' for '[200]') behind 'nonsense', and the connection is gone when its body makes room. 'no refusal is sent while an earlier request ... runs' waited for the close of a connection with a request that was never answered; it now answers that request late and wants its answer with the close, and no refusal.

--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -47,6 +47,11 @@
  */
 const maxDiscarded = 1_048_576;
 
+interface WaitingRequest {
+    readonly response: ServerResponse;
+    readonly run: () => void;
+}
+
 /**
  * A connection whose received and unread bytes are counted. It parses what it receives in small pieces, and no further
  * while it has as many requests in progress as it may have.
@@ -61,7 +66,7 @@
     /** Responses that have not ended, with the memory that is counted for their requests. */
     private readonly open = new Map<ServerResponse, number>();
     /** Requests that have been parsed and wait for those before them. */
-    private readonly waiting: (() => void)[] = [];
+    private waiting: WaitingRequest[] = [];
     /** The request that was parsed last. */
     private current: IncomingMessage | undefined;
     /** Bytes of the head that is being read. */
@@ -104,20 +109,31 @@
 
     /** Whether the next move is the client's: to send the rest of a request or a new one, or to read an answer. */
     get isClientDue(): boolean {
-        return this.open.size === 0 || this.isInBody || this.socket.writableLength > 0;
+        const isSilent = this.open.size === 0 && !this.reader.hasUnread;
+        return isSilent || this.isInBody || this.socket.writableLength > 0;
     }
 
     /** Whether a refusal can only be taken for the answer to a request that has not been read whole. */
     get mayRefuse(): boolean {
-        const [response] = this.open.keys();
-        const isSole = this.open.size === 1 && this.isInBody && response?.headersSent === false;
-        return (isSole || this.open.size === 0) && this.socket.writable && this.socket.writableLength === 0;
+        const isAlone = this.isInBody
+            ? this.open.size === 1 && this.refusableResponse !== undefined
+            : this.open.size === 0;
+        return isAlone && this.socket.writable && this.socket.writableLength === 0;
     }
 
     /** The response to the request that is being read, if a refusal can be its answer. */
     get refusableResponse(): ServerResponse | undefined {
-        const [response] = this.open.keys();
-        return this.mayRefuse ? response : undefined;
+        const response = this.isInBody ? this.lastOpen : undefined;
+        return response?.req === this.current && response?.headersSent === false ? response : undefined;
+    }
+
+    private get lastOpen(): ServerResponse | undefined {
+        return [...this.open.keys()].at(-1);
+    }
+
+    /** Whether a request that has been read whole has not had its whole answer. */
+    private get hasWholeRequest(): boolean {
+        return [...this.open.keys()].some(({ req }) => req.complete);
     }
 
     private get isInBody(): boolean {
@@ -130,12 +146,6 @@
         return state === "closed" || state === "finishing" || (state === "told" && !this.isInBody);
     }
 
-    /** Whether requests that have been read may still be answered. */
-    private get mayAnswer(): boolean {
-        const { state } = this.chart;
-        return state !== "told" && state !== "closed";
-    }
-
     /** Counts memory for the connection. @returns False if there is no room; nothing was counted then. */
     reserve(bytes: number): boolean {
         return this.chart.state !== "closed" && this.options.budget.reserve(this.holding, bytes);
@@ -177,7 +187,7 @@
     /** Reads all that has been received, and runs all requests at once. Nothing more is read after that. */
     finishReading(): void {
         this.reader.readAll();
-        this.waiting.splice(0).forEach(run => run());
+        this.waiting.splice(0).forEach(({ run }) => run());
         this.chart.send("finish");
         this.closeIfIdle();
     }
@@ -186,7 +196,7 @@
     beginAnswer(response: ServerResponse): void {
         const { state } = this.chart;
         const mayClose = state === "finishing" || (state === "ending" && !this.hasUnread);
-        if (mayClose && response === [...this.open.keys()].at(-1)) {
+        if (mayClose && response === this.lastOpen) {
             response.shouldKeepAlive = false;
         }
     }
@@ -194,7 +204,9 @@
     /** Records what a head that has been written says of the connection. */
     noteHead(response: ServerResponse): void {
         if (!response.shouldKeepAlive) {
-            this.noteTold();
+            const order = [...this.open.keys()];
+            const last = order.indexOf(response);
+            this.noteTold(this.waiting.filter(waiting => order.indexOf(waiting.response) < last));
         }
     }
 
@@ -215,15 +227,16 @@
     }
 
     /** Runs the request that was opened last, when as many of those before it have ended as may run at a time. */
-    runInTurn(run: () => void): void {
-        if (!this.mayAnswer) {
+    runInTurn(response: ServerResponse, run: () => void): void {
+        const { state } = this.chart;
+        if (state === "told" || state === "closed") {
             return;
         }
         if (this.open.size <= this.options.maxRunning) {
             run();
         }
         else {
-            this.waiting.push(run);
+            this.waiting.push({ response, run });
         }
     }
 
@@ -289,10 +302,10 @@
         this.updateAnswers();
         // Node.js ends the connection after an answer that closes it, whoever has written its head.
         if (this.socket.writableEnded) {
-            this.noteTold();
+            this.noteTold([]);
         }
-        if (this.mayAnswer && !this.socket.destroyed) {
-            this.waiting.shift()?.();
+        if (!this.socket.destroyed) {
+            this.waiting.shift()?.run();
         }
         if (this.chart.state === "finishing") {
             this.closeIfSilent();
@@ -300,16 +313,35 @@
         this.reader.continue();
     }
 
+    /**
+     * Reads nothing more, because no request can follow. Requests that have been read whole are answered first.
+     *
+     * @param refuseRest - Refuses the request that is being read.
+     * @returns False if there is none to be answered.
+     */
+    stopReading(refuseRest: () => void): boolean {
+        if (!this.hasWholeRequest || this.hasClientLeft) {
+            return false;
+        }
+        if (this.chart.send("finish")) {
+            this.release(this.reader.drop());
+            refuseRest();
+        }
+        return true;
+    }
+
     private evict(): void {
-        if (!this.isOver) {
-            this.close(() => this.options.onEvicted(this));
+        const refuseRest = () => this.options.onEvicted(this);
+        const isTaken = this.socket.writableLength === 0 && this.stopReading(refuseRest);
+        if (!isTaken && this.chart.state !== "closed") {
+            this.close(refuseRest);
         }
     }
 
-    /** The client knows that what follows does not run. */
-    private noteTold(): void {
+    /** @param waiting - Requests that are answered before the last answer; the client knows that what follows does not run. */
+    private noteTold(waiting: WaitingRequest[]): void {
         this.chart.send("tell");
-        this.waiting.length = 0;
+        this.waiting = waiting;
         if (this.isOver) {
             this.release(this.reader.drop());
         }
@@ -318,7 +350,7 @@
     private end(): void {
         this.wasTold ||= this.chart.state === "told";
         this.chart.send("close");
-        this.waiting.length = 0;
+        this.waiting = [];
         this.reader.drop();
         this.options.budget.close(this.holding);
     }
--- a/packages/connections/src/lib/GuardedServer.test.ts
+++ b/packages/connections/src/lib/GuardedServer.test.ts
@@ -122,11 +122,17 @@
     }
 });
 
-test("no refusal is sent while an earlier request of the connection runs", async context => {
+test("no refusal is sent behind an earlier request of the connection, whose answer closes it", async context => {
     const running: ServerResponse[] = [];
-    const { port } = await startServer(context, { onRequest: (_, response) => running.push(response), maxRunning: 8 });
-    const received = await send(context, port, [get("/a"), "nonsense\r\n\r\n"]);
-    assert.deepEqual([running.length, received], [1, ""]);
+    const { port, reasons } = await startServer(context, {
+        onRequest: (_, response) => running.push(response),
+        maxRunning: 8,
+    });
+    const received = send(context, port, [get("/a"), "nonsense\r\n\r\n"]);
+    await until(() => reasons.length === 1);
+    running[0]?.end("done");
+    assert.deepEqual([running.length, (await received).match(/HTTP.*/g)], [1, ["HTTP/1.1 200 OK"]]);
+    assert.match(await received, /Connection: close[^]*done/);
 });
 
 test("a malformed request is refused if no other one runs", async context => {
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -152,7 +152,7 @@
             budget,
             turns: this.turns,
             maxRunning,
-            onEvicted: evicted => this.refuseEvicted(evicted, "memory"),
+            onEvicted: evicted => this.refuseRest(evicted, "memory"),
             onUnanswered: this.options.onUnanswered,
         });
         if (this.isEnding) {
@@ -178,7 +178,7 @@
         }
         const closed = idlest;
         this.connections.delete(closed);
-        closed.close(() => this.refuseEvicted(closed, "descriptors"));
+        closed.close(() => this.refuseRest(closed, "descriptors"));
         return true;
     }
 
@@ -197,7 +197,7 @@
             this.refuse(response, "tooLarge");
         }
         else {
-            connection.runInTurn(() => this.options.onRequest(incoming, response));
+            connection.runInTurn(response, () => this.options.onRequest(incoming, response));
         }
     }
 
@@ -211,7 +211,7 @@
         refuse(response, reason);
     }
 
-    private refuseEvicted(connection: GuardedConnection, reason: GuardReason): void {
+    private refuseRest(connection: GuardedConnection, reason: GuardReason): void {
         const { refusableResponse: response } = connection;
         if (response === undefined) {
             this.options.onGuarded?.(reason);
@@ -222,13 +222,20 @@
         }
     }
 
-    /** Answers bytes that are no request, unless the answer could be taken for that to an earlier request. */
+    /**
+     * Answers bytes that are no request, unless the answer could be taken for that to an earlier request. Such a one gets
+     * its own answer first.
+     */
     private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
         const reason = reasonOf(error.code);
         const connection = guardedConnections.get(socket);
         if (reason === "tooSlow" && connection?.isHeld === true) {
             return;
         }
+        const isOfInput = error.code?.startsWith("HPE_") === true || reason === "tooSlow";
+        if (isOfInput && connection?.stopReading(() => this.refuseRest(connection, reason)) === true) {
+            return;
+        }
         if (error.code !== "ECONNRESET" && connection?.mayRefuse === true) {
             this.options.onGuarded?.(reason);
             socket.write((this.options.refuseUnread ?? statusOnly)(reason));
--- a/packages/connections/src/lib/connectionEnds.test.ts
+++ b/packages/connections/src/lib/connectionEnds.test.ts
@@ -1,14 +1,16 @@
-import { SystemClock } from "@waxwingspar/utils";
+import { ManualClock, SystemClock } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { GuardedServer, type GuardedServerOptions } from "./GuardedServer.js";
 import { MemoryBudget } from "./MemoryBudget.js";
+import { readBody } from "./readBody.js";
 
 /** Starts a server. @returns It, and a function that opens a connection and collects what it receives. */
 async function startServer(context: TestContext, options: Partial<GuardedServerOptions> = {}) {
-    const clock = new SystemClock();
+    const clock = options.clock ?? new SystemClock();
     const server = new GuardedServer({
         clock,
         budget: new MemoryBudget({ clock, maxBytes: 1e9 }),
@@ -111,3 +113,72 @@
     await once(socket, "close");
     assert.match(received.text, /second;$/m);
 });
+
+// Guards against requests that run and are cut because of what follows them on their connection.
+test("requests that were read whole are answered whatever follows them, and nothing behind it runs", async context => {
+    const post = "POST /half HTTP/1.1\r\nHost: a\r\n";
+    const rests = [
+        { rest: "nonsense\r\n\r\n", last: [undefined, 400] },
+        { rest: `GET / HTTP/1.1\r\nX: ${"x".repeat(20_000)}`, last: [undefined, 431] },
+        { rest: `${post}Transfer-Encoding: chunked\r\n\r\nnonsense`, last: [400] },
+        { rest: `${post}Content-Length: 10\r\n\r\nab`, last: [408] },
+        { rest: `${post}Content-Length: 10`, last: [undefined, 408] },
+    ];
+    for (const { rest, last } of rests) {
+        for (const whole of [1, 3]) {
+            for (const maxRunning of [1, 4]) {
+                const server = await startServer(context, {
+                    maxRunning,
+                    server: { headersTimeout: 100, requestTimeout: 100, connectionsCheckingInterval: 20 },
+                    onRequest: (incoming, response) => {
+                        if (incoming.url !== "/half") {
+                            setTimeout(() => response.end(`answer to ${incoming.url};`), 250);
+                        }
+                    },
+                });
+                const socket = server.open();
+                const received = collect(socket);
+                socket.write(Array.from({ length: whole }, (_, index) => get(`/${index}`)).join(""));
+                socket.write(rest);
+                await once(socket, "close");
+                const statuses = [...received.text.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => Number(status));
+                const play = `${rest.slice(0, 60)} behind ${whole}, ${maxRunning} at a time: ${received.text}`;
+                assert.deepEqual(statuses.slice(0, whole), Array.from({ length: whole }, () => 200), play);
+                assert.ok(statuses.length <= whole + 1 && last.includes(statuses[whole]), play);
+                assert.equal(received.text.match(/Connection: close/g)?.length, 1, play);
+            }
+        }
+    }
+});
+
+test("a connection that makes room for others has its whole requests answered, and its half one refused", async context => {
+    const clock = new ManualClock();
+    const whole: ServerResponse[] = [];
+    const { server, open } = await startServer(context, {
+        clock,
+        budget: new MemoryBudget({ clock, maxBytes: 150_000 }),
+        maxRunning: 4,
+        onRequest: (incoming, response) =>
+            readBody(incoming, {
+                maxBytes: 100_000,
+                whenOver: callback => response.once("close", callback),
+                onBody: body => body === undefined ? whole.push(response) : response.end(`${body.length};`),
+                onRefused: () => response.destroy(),
+            }),
+    });
+    const hoarder = open();
+    const received = collect(hoarder);
+    const post = (length: number) => `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${length}\r\n\r\n`;
+    hoarder.write(`${get("/0")}${get("/1")}${post(60_000)}half`);
+    await until(() => whole.length === 2);
+    clock.advance(1_000);
+    const other = open();
+    const served = collect(other);
+    other.write(`${post(60_000)}${"x".repeat(60_000)}`);
+    await until(() => served.text.includes("60000;"));
+    assert.ok(server.isBusy);
+    whole.forEach(response => response.end("whole;"));
+    await once(hoarder, "close");
+    const statuses = [...received.text.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => Number(status));
+    assert.deepEqual(statuses, [200, 200, 503]);
+});
