--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -7,7 +7,7 @@
     type ServerResponse,
     STATUS_CODES,
 } from "node:http";
-import { type Socket } from "node:net";
+import { Server as Listener, type Socket } from "node:net";
 import { CountedResponse, guardedConnections } from "./CountedResponse.js";
 import { GuardedConnection, type UnansweredInput } from "./GuardedConnection.js";
 import { type MemoryBudget } from "./MemoryBudget.js";
@@ -80,6 +80,7 @@
     private readonly turns: ReadTurns;
     private isChecking = false;
     private isEnding = false;
+    private closesIdle = false;
 
     constructor(private readonly options: GuardedServerOptions) {
         this.turns = new ReadTurns(options.clock);
@@ -87,6 +88,11 @@
         // The size of a head is limited, and a list that is cut would not show all headers that frame a body.
         this.http.maxHeadersCount = 0;
         this.http.on("connection", (socket: Socket) => this.guard(socket));
+        // The timer of an idle connection runs before the input that is waiting.
+        this.http.on(
+            "timeout",
+            (socket: Socket) => setImmediate(() => guardedConnections.get(socket)?.closeIfSilent()),
+        );
         this.http.on("request", (incoming, response) => this.receive(incoming, response));
         this.http.on("checkContinue", (incoming, response) => {
             if (!this.isTooLarge(incoming)) {
@@ -106,6 +112,33 @@
         this.connections.forEach(connection => connection.endSoon());
     }
 
+    /** Stops listening and closes no connection. The method of Node.js closes those that wait to be read, too. */
+    stopListening(): void {
+        Listener.prototype.close.call(this.http);
+    }
+
+    /**
+     * Closes each connection as soon as its client has all answers and sends nothing, after the input that is waiting has
+     * been read. Node.js takes a connection for idle whose bytes wait to be parsed, or whose answer waits to be written.
+     */
+    closeIdle(): void {
+        this.closesIdle = true;
+        setImmediate(() => this.connections.forEach(connection => connection.closeIfIdle()));
+    }
+
+    /** Whether a request has no answer or not its whole answer, or received bytes wait to be read. */
+    get isBusy(): boolean {
+        return [...this.connections].some(({ isBusy }) => isBusy);
+    }
+
+    /**
+     * Reads all that has been received and passes on all requests at once, so that they can be refused. Connections on
+     * which no request is open are closed; nothing more is read on the others.
+     */
+    finishReading(): void {
+        this.connections.forEach(connection => connection.finishReading());
+    }
+
     private guard(socket: Socket): void {
         const { clock, budget, maxConnections, maxRunning = defaultRunning } = this.options;
         if (this.connections.size >= maxConnections && !this.closeIdlest()) {
@@ -119,7 +152,7 @@
             budget,
             turns: this.turns,
             maxRunning,
-            onEvicted: evicted => this.refuseEvicted(evicted, "memory"),
+            onEvicted: evicted => this.refuseRest(evicted, "memory"),
             onUnanswered: this.options.onUnanswered,
         });
         if (this.isEnding) {
@@ -145,7 +178,7 @@
         }
         const closed = idlest;
         this.connections.delete(closed);
-        closed.close(() => this.refuseEvicted(closed, "descriptors"));
+        closed.close(() => this.refuseRest(closed, "descriptors"));
         return true;
     }
 
@@ -156,6 +189,7 @@
             return;
         }
         incoming.on("error", () => response.destroy());
+        response.once("close", () => this.closesIdle && setImmediate(() => connection.closeIfIdle()));
         if (!connection.openRequest(incoming, response)) {
             this.refuse(response, "memory");
         }
@@ -163,7 +197,7 @@
             this.refuse(response, "tooLarge");
         }
         else {
-            connection.runInTurn(() => this.options.onRequest(incoming, response));
+            connection.runInTurn(response, () => this.options.onRequest(incoming, response));
         }
     }
 
@@ -177,7 +211,7 @@
         refuse(response, reason);
     }
 
-    private refuseEvicted(connection: GuardedConnection, reason: GuardReason): void {
+    private refuseRest(connection: GuardedConnection, reason: GuardReason): void {
         const { refusableResponse: response } = connection;
         if (response === undefined) {
             this.options.onGuarded?.(reason);
@@ -188,13 +222,20 @@
         }
     }
 
-    /** Answers bytes that are no request, unless the answer could be taken for that to an earlier request. */
+    /**
+     * Answers bytes that are no request, unless the answer could be taken for that to an earlier request. Such a one gets
+     * its own answer first.
+     */
     private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
         const reason = reasonOf(error.code);
         const connection = guardedConnections.get(socket);
         if (reason === "tooSlow" && connection?.isHeld === true) {
             return;
         }
+        const isOfInput = error.code?.startsWith("HPE_") === true || reason === "tooSlow";
+        if (isOfInput && connection?.stopReading(() => this.refuseRest(connection, reason)) === true) {
+            return;
+        }
         if (error.code !== "ECONNRESET" && connection?.mayRefuse === true) {
             this.options.onGuarded?.(reason);
             socket.write((this.options.refuseUnread ?? statusOnly)(reason));
