The soak stops gateways that have callers, and its flooding targets send no events past the end of a stream

The gateways' log shows both attempts; the stand-in was wrong, and sends no events now that the stream doesn't have. Change: planned work waits for a gateway that has been in rotation for 2 s. What the driver's stalls excuse is their own time within the request's, instead of the longest stall of the soak.

--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -27,6 +27,8 @@
 const stopTime = 9_000;
 /** Milliseconds after the start of a stop in which it may get SIGHUP: once Node.js has begun to exit, that ends it. */
 const hangUpTime = 2_000;
+/** Milliseconds in rotation after which callers have come. */
+const settleTime = 2_000;
 /** Milliseconds until a configuration must be in force; with this bound followers rely on relays. */
 const configurationTime = 3_000;
 const success = 200;
@@ -35,8 +37,8 @@
 /** A gateway process that is disturbed and started again. */
 export class SoakGateway {
     incarnation: GatewayIncarnation;
-    /** Whether it gets new connections. */
-    isInRotation = false;
+    /** Since when it gets new connections; undefined while it gets none. */
+    private rotatedSince: number | undefined;
     private process: SiteProcess | undefined;
     private isBusy = false;
     /** Whether the process has been seen to listen; one that is still loading ends by the signal itself. */
@@ -58,6 +60,15 @@
         return this.options.ports.callers;
     }
 
+    get isInRotation(): boolean {
+        return this.rotatedSince !== undefined;
+    }
+
+    /** Whether callers have had the time to come to it. */
+    get isSettled(): boolean {
+        return this.isCalm && this.options.now() - (this.rotatedSince ?? Infinity) > settleTime;
+    }
+
     /** Whether its process runs and no disturbance of it is in progress. */
     get isCalm(): boolean {
         return this.process?.running === true && !this.isBusy;
@@ -90,7 +101,7 @@
     async checkReadiness(): Promise<void> {
         const { process } = this;
         const reply = await callGateway({ port: this.options.ports.readiness, path: "/ready" }).catch(() => undefined);
-        this.isInRotation = reply?.status === success;
+        this.rotatedSince = reply?.status === success ? this.rotatedSince ?? this.options.now() : undefined;
         this.hasListened ||= reply !== undefined && process === this.process;
     }
 
--- a/packages/soak/src/lib/SoakLog.ts
+++ b/packages/soak/src/lib/SoakLog.ts
@@ -108,6 +108,9 @@
     /** Longest time in milliseconds by which the driver itself stood still. */
     longestStall = 0;
 
+    /** Times in which it did. */
+    readonly stalls: { readonly from: number; readonly until: number; }[] = [];
+
     constructor(readonly startedAt: number) {}
 
     /** Records a disturbance. */
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -310,14 +310,15 @@
     }
 
     private choose(
-        { path }: SeenRequest,
+        { path, headers }: SeenRequest,
         { refusedShare, flood: text }: SoakTarget,
     ): readonly [RunEnd, TargetBehaviour] {
         if (refusedShare > 0 && this.options.random.next() < refusedShare) {
             return ["refused", refuse];
         }
         if (text !== undefined && streamPath.test(path) && this.options.random.next() < floodedShare) {
-            return ["brokenOff", flood(Math.floor(this.options.random.next() * streamEvents), text, eventInterval)];
+            const left = streamEvents - Number(headers["last-event-id"] ?? -1) - 1;
+            return ["brokenOff", flood(Math.floor(this.options.random.next() * left), text, eventInterval)];
         }
         if (streamPath.test(path)) {
             return ["served", stream(streamEvents, Infinity, paceOf(path))];
--- a/packages/soak/src/lib/checkAnswered.ts
+++ b/packages/soak/src/lib/checkAnswered.ts
@@ -28,10 +28,11 @@
         });
 }
 
-/** A shortage of processor time stretches what a process needs, and excuses nothing else. */
-function allowedTime({ writtenAt = 0, closedAt = Infinity, gateway }: SoakCall, { longestStall }: SoakLog): number {
-    const slowness = gateway.starvations
-        .filter(({ from, until }) => from <= closedAt && until >= writtenAt)
-        .map(starvation => starvation.slowness);
-    return crossingTime * Math.max(1, ...slowness) + longestStall;
+/** A shortage of processor time stretches what a process or the driver needs, and excuses nothing else. */
+function allowedTime({ writtenAt = 0, closedAt = Infinity, gateway }: SoakCall, { stalls }: SoakLog): number {
+    const overlaps = ({ from, until }: { readonly from: number; readonly until: number; }) =>
+        from <= closedAt && until >= writtenAt;
+    const slowness = gateway.starvations.filter(overlaps).map(starvation => starvation.slowness);
+    const stalled = stalls.filter(overlaps).reduce((sum, { from, until }) => sum + until - from, 0);
+    return crossingTime * Math.max(1, ...slowness) + stalled;
 }
--- a/packages/soak/src/lib/playPlannedWork.ts
+++ b/packages/soak/src/lib/playPlannedWork.ts
@@ -19,19 +19,21 @@
 }
 
 /** Bounds of milliseconds: between two pieces of work, between the stops of a series, and between signals to one process. */
-const workInterval: Bounds = { least: 1_000, most: 4_000 };
+const workInterval: Bounds = { least: 500, most: 3_000 };
 const stopGap: Bounds = { least: 100, most: 2_000 };
 const signalGap: Bounds = { least: 0, most: 2_400 };
 /** Bounds of the milliseconds from the start of a process to its stop. */
 const shortLife: Bounds = { least: 0, most: 1_000 };
 const hangUps = 3;
+/** Milliseconds after which it is looked again for a gateway that serves callers. */
+const retryInterval = 100;
 
-/** Stops gateways as planned and sends them signals, alone, in series, overlapping and beside other work. */
+/** Stops gateways that serve callers as planned, and sends them signals, alone, in series, overlapping and beside other work. */
 export async function playPlannedWork(options: PlannedWorkOptions): Promise<void> {
     const { random, wait, isOver, publishSeries, crowd } = options;
     const draw = ({ least, most }: Bounds) => least + random.next() * (most - least);
     const shuffle = () =>
-        options.gateways.map(gateway => ({ gateway, rank: random.next() }))
+        options.gateways.filter(({ isSettled }) => isSettled).map(gateway => ({ gateway, rank: random.next() }))
             .sort((one, other) => one.rank - other.rank)
             .map(({ gateway }) => gateway);
     const hangUp = async (gateway: SoakGateway) => {
@@ -73,9 +75,11 @@
     while (!isOver()) {
         const [first, ...others] = shuffle();
         const work = works[random.below(works.length)];
-        if (first !== undefined && work !== undefined) {
-            begun.push(work([first, ...others]));
+        if (first === undefined || work === undefined) {
+            await wait(retryInterval);
+            continue;
         }
+        begun.push(work([first, ...others]));
         await wait(draw(workInterval));
     }
     await Promise.all(begun);
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -63,6 +63,8 @@
 const probeInterval = 250;
 /** Milliseconds between two checks of the driver's own event loop. */
 const stallCheckInterval = 50;
+/** Milliseconds of a delay that is recorded as a stall. */
+const leastStall = 20;
 /** Milliseconds after the load until what was sent late has arrived. */
 const settleTime = 3_500;
 /** Milliseconds within which a process that was started answers on a busy machine. */
@@ -352,7 +354,11 @@
         while (!this.isOver) {
             const before = this.now();
             await pause(stallCheckInterval);
-            this.log.longestStall = Math.max(this.log.longestStall, this.now() - before - stallCheckInterval);
+            const stall = this.now() - before - stallCheckInterval;
+            this.log.longestStall = Math.max(this.log.longestStall, stall);
+            if (stall > leastStall) {
+                this.log.stalls.push({ from: this.now() - stall, until: this.now() });
+            }
         }
     }
 
