--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -79,6 +79,16 @@
 const refusal = 503;
 const storeFaults: readonly StoreFault[] = ["refuse", "reset", "silent", "loseReply"];
 
+/** Seeds of one soak for its callers that think. */
+const steadySeeds = 100_000;
+/** An odd number with bits all over. */
+const scatter = 0x9e37_79b1;
+
+/** The first numbers of a source follow its seed closely, so that neighbouring seeds would begin alike. */
+function scatteredRandom(seed: number): Random {
+    return seededRandom(Math.imul(seed, scatter));
+}
+
 /** The name of a route that only one version has. */
 function newestRoute(version: number): string {
     return `version${version}`;
@@ -180,11 +190,11 @@
             { length: gateways * steadyCallersPerGateway },
             (_, index) =>
                 new SteadyCaller({
-                    ...this.createCallerOptions(seededRandom(seed * 100_000 + index)),
+                    ...this.createCallerOptions(scatteredRandom(seed * steadySeeds + index)),
                     chooseGateway: () => this.chooseGateway(this.workedOn),
                 }).run(),
         );
-        const plannedWork = this.playPlannedWork(seededRandom(seed + 2_000));
+        const plannedWork = this.playPlannedWork(scatteredRandom(seed));
         const end = this.now() + seconds * millisecondsPerSecond;
         while (this.now() < end) {
             await pause(this.draw(interval));
