--- a/packages/connections/src/lib/InputReader.ts
+++ b/packages/connections/src/lib/InputReader.ts
@@ -55,9 +55,9 @@
         return this.unread.age;
     }
 
-    /** Whether bytes wait to be parsed. */
+    /** Whether bytes wait to be parsed, here or in the buffer of a paused socket. */
     get hasUnread(): boolean {
-        return !this.unread.isEmpty;
+        return !this.unread.isEmpty || this.options.socket.readableLength > 0;
     }
 
     /** Whether bytes wait to be parsed, or may follow in the piece that is being parsed. */
@@ -88,7 +88,11 @@
     /** Parses all that has been received, whatever it would wait for. */
     readAll(): void {
         const { socket, isOver } = this.options;
-        while (this.hasUnread && !isOver() && !socket.destroyed) {
+        while (socket.readableLength > 0 && !isOver()) {
+            // Its listener adds what is read.
+            socket.read();
+        }
+        while (!this.unread.isEmpty && !isOver() && !socket.destroyed) {
             this.parseSlice();
         }
     }
@@ -148,7 +152,7 @@
 
     private parseUnread(): void {
         const { socket, isOver, mayParse } = this.options;
-        for (let parsed = 0; this.hasUnread && !isOver() && !socket.destroyed;) {
+        for (let parsed = 0; !this.unread.isEmpty && !isOver() && !socket.destroyed;) {
             if (!mayParse()) {
                 this.waitsFor = "answers";
                 socket.pause();
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -255,6 +255,7 @@
         await endOfInput();
         if (this.open.size > 0) {
             this.unfinished.forEach(response => onUnfinished?.(response));
+            this.unfinished.clear();
             onClosing?.();
             await sleep(clock, flushTime);
         }
@@ -296,8 +297,8 @@
             maxBytes: maxBodyBytes() ?? defaultBodyLimit,
             whenOver: callback => response.once("close", callback),
             onBody: body => {
-                this.unfinished.delete(response);
-                if (!presence.hasLeft) {
+                const isUnanswered = this.unfinished.delete(response);
+                if (isUnanswered && !presence.hasLeft) {
                     this.running++;
                     response.once("close", () => this.endRun());
                     onRequest({ incoming, response, body, presence, readAt, maxUnread, isFirst });
