No request runs behind the refusal that closes a connection of the entry

Callers saw: with more requests ahead on a connection than it may have, the surplus one is refused and the refusal says that the connection closes; a request sent behind it ran at a target all the same, and its answer was never sent. Cause: the refusal wrote the Connection header by hand. The connection's owner looks at shouldKeepAlive, which stays true then, and went on reading and running. Evidence: the test failed before; of "/a", "/b", "/c" expected at the target, it printed "/a", "/b", "/c", "/e", and e had no answer. Why it works: the flag is cleared before the head, so the connection's owner records that the client was told, and reads no more.

--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -126,7 +126,8 @@
         });
         if (this.count(request.socket, response) > limits.maxOpenPerConnection) {
             const message = "too many requests are in progress on this connection";
-            exchange.refuse(failure(requestCodes.overloaded, message), undefined, { Connection: "close" });
+            response.shouldKeepAlive = false;
+            exchange.refuse(failure(requestCodes.overloaded, message));
             return;
         }
         handle(exchange).catch((fault: unknown) => {
--- /dev/null
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import test, { type TestContext } from "node:test";
+import { type MessageOf } from "./testing/FakeAgents.js";
+import { type RawAnswer, RawCaller, settle } from "./testing/RawCaller.js";
+import { callerToken, TestSite, type TestSiteOptions } from "./testing/TestSite.js";
+
+const limits = { stopLead: 1_000, stopLimit: 3_000, maxOpenPerConnection: 3 };
+const stopTime = limits.stopLead + limits.stopLimit;
+
+/** An entry whose calls run until the test answers them. */
+async function startSite(context: TestContext, options: TestSiteOptions["limits"] = {}) {
+    const site = await new TestSite({ limits: { ...limits, ...options } }).start();
+    const callers: RawCaller[] = [];
+    context.after(async () => {
+        callers.forEach(({ socket }) => socket.destroy());
+        const stopped = site.entry.stop();
+        await site.advance(stopTime);
+        await stopped;
+    });
+    const connect = () => {
+        const caller = new RawCaller(site.port);
+        callers.push(caller);
+        return caller;
+    };
+    return { site, agent: site.agent(0), connect };
+}
+
+/** @param name - The request's id and path. */
+function request(name: string, body = ""): string {
+    return [
+        `POST /services/records/${name} HTTP/1.1`,
+        "Host: x",
+        `Authorization: Bearer ${callerToken}`,
+        `X-Request-Id: ${name}`,
+        `Content-Length: ${body.length}`,
+        "",
+        body,
+    ].join("\r\n");
+}
+
+function sendHead(site: TestSite, { request }: MessageOf<"call">): void {
+    site.agent(0).send({ type: "reply", request, status: 200, headers: {} });
+}
+
+function sendEnd(site: TestSite, { request, path }: MessageOf<"call">): void {
+    const load = site.agent(0).load(false);
+    site.agent(0).send({ type: "replyBody", request, data: Buffer.from(path), last: true, load });
+}
+
+function summary({ id, status, closes }: RawAnswer): string {
+    return `${id} ${status} ${closes ? "close" : "keep"}`;
+}
+
+test("no request runs behind the refusal that closes its connection", async context => {
+    const { site, agent, connect } = await startSite(context);
+    const caller = connect();
+    caller.send(["a", "b", "c", "d"].map(name => request(name)).join(""));
+    await agent.wait("call", 3);
+    const answer = async (call: MessageOf<"call">) => {
+        sendHead(site, call);
+        sendEnd(site, call);
+        await settle();
+    };
+    const [a, b, c] = agent.all("call") as [MessageOf<"call">, MessageOf<"call">, MessageOf<"call">];
+    await answer(a);
+    await answer(b);
+    caller.send(request("e"));
+    await settle();
+    await answer(c);
+    assert.deepEqual(caller.answers.map(summary), ["a 200 keep", "b 200 keep", "c 200 keep", "d 503 close"]);
+    assert.deepEqual(agent.all("call").map(({ path }) => path), ["/a", "/b", "/c"]);
+});
