A stop of the entry ends each connection with the answer to its last request

Callers saw, in a planned stop: of requests sent ahead on a connection some ran and never got their answers; and the answer to a request whose head had been read before the stop said that the connection is kept, which was then closed. Cause: each request that was read after the stop began got a Connection: close header, also one with others behind it, and those read before never got one. The entry runs several requests of a connection at a time, so the choice can't be made when one is read. Evidence: two tests failed before: 'a 200', 'b 200' without 'c 200'; 'a 200 keep' where 'a 200 close' was due. Why it works: the connection's owner decides when the head of an answer is written, by what was received until then.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -155,7 +155,7 @@
         const { clock, logger } = this.options;
         const { stopLead, stopLimit } = this.limits;
         logger.info({ open: this.open.count }, "entry: stops");
-        this.server.disableKeepAlive();
+        this.server.endConnections();
         if (stopLead > 0) {
             await sleep(clock, stopLead);
         }
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -36,14 +36,14 @@
  */
 export class CallerServer {
     private readonly options: CallerServerOptions;
+    private readonly guarded: GuardedServer;
     private readonly server: Server;
     private readonly openByConnection = new WeakMap<Duplex, number>();
-    private closing = false;
 
     constructor(options: CallerServerOptions) {
         const { limits } = options;
         this.options = options;
-        this.server = new GuardedServer({
+        this.guarded = new GuardedServer({
             clock: options.clock,
             budget: new MemoryBudget({
                 clock: options.clock,
@@ -65,7 +65,8 @@
                 connectionsCheckingInterval: checkInterval,
                 noDelay: true,
             },
-        }).http;
+        });
+        this.server = this.guarded.http;
     }
 
     private refuse(response: ServerResponse, reason: GuardReason): void {
@@ -95,9 +96,9 @@
         });
     }
 
-    /** Makes every further response close its connection. */
-    disableKeepAlive(): void {
-        this.closing = true;
+    /** Lets every connection end with the answer to the last request that was received on it. */
+    endConnections(): void {
+        this.guarded.endConnections();
     }
 
     /** Stops accepting connections and closes those that are idle. */
@@ -114,9 +115,6 @@
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const { clock, handle, limits, onUnexpectedError, onRefused } = this.options;
-        if (this.closing) {
-            response.setHeader("Connection", "close");
-        }
         const arrived = clock.now();
         const exchange = new Exchange({
             request,
@@ -130,9 +128,12 @@
             exchange.refuse(failure(requestCodes.overloaded, message));
             return;
         }
-        handle(exchange).catch((fault: unknown) => {
-            onUnexpectedError(fault);
-            response.destroy();
+        // Only once everything that arrived with the request is parsed can its answer tell whether it is the last one.
+        queueMicrotask(() => {
+            handle(exchange).catch((fault: unknown) => {
+                onUnexpectedError(fault);
+                response.destroy();
+            });
         });
     }
 
--- a/packages/entry/src/lib/plannedStop.test.ts
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -51,6 +51,37 @@
     return `${id} ${status} ${closes ? "close" : "keep"}`;
 }
 
+test("requests sent ahead of a stop's answers get theirs before the close", async context => {
+    const { site, agent, connect } = await startSite(context);
+    const caller = connect();
+    caller.send(request("a"));
+    const first = await agent.wait("call");
+    void site.entry.stop();
+    caller.send(request("b") + request("c"));
+    const last = await agent.wait("call", 3);
+    for (const call of [last, first, ...agent.all("call").slice(1, 2)]) {
+        sendHead(site, call);
+        sendEnd(site, call);
+        await settle();
+    }
+    assert.deepEqual(caller.answers.map(summary).map(text => text.slice(0, 5)), ["a 200", "b 200", "c 200"]);
+});
+
+test("the answer to a request whose head was read before the stop tells that its connection closes", async context => {
+    const { site, agent, connect } = await startSite(context);
+    const caller = connect();
+    const text = request("a", "body");
+    caller.send(text.slice(0, -1));
+    await settle();
+    void site.entry.stop();
+    caller.send(text.slice(-1));
+    const call = await agent.wait("call");
+    sendHead(site, call);
+    sendEnd(site, call);
+    await settle();
+    assert.deepEqual(caller.answers.map(summary), ["a 200 close"]);
+});
+
 test("no request runs behind the refusal that closes its connection", async context => {
     const { site, agent, connect } = await startSite(context);
     const caller = connect();
