A stopping entry answers what lies in its sockets before it closes idle connections

Callers saw: a request that had arrived on a kept connection when the entry stopped accepting was cut off unread, and a stop ended while answers that belong to no run (refusals, probes) were still being written. Cause: Node.js was asked which connections are idle, and knows neither of bytes that wait to be read nor of answers that wait to be written; the stop waited for the runs only. Evidence: the test failed before; it printed 'a 200 keep' without 'b 503 close'. Why it works: the connections' owner closes them after it has read the input of that turn, and the stop waits for everything received.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -182,7 +182,7 @@
     private drain(limit: number): Promise<number> {
         return new Promise(resolve => {
             const timer = this.options.clock.schedule(() => resolve(this.open.abortAll()), limit);
-            this.open.whenEmpty(() => {
+            void this.server.whenIdle().then(() => {
                 timer.cancel();
                 resolve(0);
             });
--- a/packages/entry/src/lib/OpenRequests.ts
+++ b/packages/entry/src/lib/OpenRequests.ts
@@ -57,7 +57,6 @@
  */
 export class OpenRequests {
     private readonly open = new Map<OpenRequest, ServerResponse>();
-    private emptyHandler: (() => void) | undefined;
 
     get count(): number {
         return this.open.size;
@@ -70,15 +69,6 @@
         response.once("close", () => this.remove(request));
     }
 
-    /** Calls a function as soon as no request is in progress. */
-    whenEmpty(handler: () => void): void {
-        if (this.open.size === 0) {
-            handler();
-            return;
-        }
-        this.emptyHandler = handler;
-    }
-
     /** Aborts all requests in progress and returns their number. */
     abortAll(): number {
         const aborted = [...this.open];
@@ -92,13 +82,8 @@
     }
 
     private remove(request: OpenRequest): void {
-        if (!this.open.delete(request)) {
-            return;
-        }
-        request.answered();
-        if (this.open.size === 0) {
-            this.emptyHandler?.();
-            this.emptyHandler = undefined;
+        if (this.open.delete(request)) {
+            request.answered();
         }
     }
 }
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -39,6 +39,8 @@
     private readonly guarded: GuardedServer;
     private readonly server: Server;
     private readonly openByConnection = new WeakMap<Duplex, number>();
+    private open = 0;
+    private readonly emptyHandlers: (() => void)[] = [];
 
     constructor(options: CallerServerOptions) {
         const { limits } = options;
@@ -101,16 +103,28 @@
         this.guarded.endConnections();
     }
 
-    /** Stops accepting connections and closes those that are idle. */
+    /** Stops accepting connections, and closes each one as soon as it is idle. */
     stopAccepting(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+        this.guarded.stopListening();
+        this.guarded.closeIdle();
+    }
+
+    /** Resolves once every request that has been received has its whole answer. */
+    async whenIdle(): Promise<void> {
+        await endOfInput();
+        while (this.open > 0 || this.guarded.isBusy) {
+            await (this.open > 0 ? this.whenNoneOpen() : endOfInput());
+        }
     }
 
     /** Closes every connection. */
     destroy(): void {
-        this.server.close();
         this.server.closeAllConnections();
+        this.server.close();
+    }
+
+    private whenNoneOpen(): Promise<void> {
+        return new Promise(resolve => this.emptyHandlers.push(resolve));
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -140,13 +154,23 @@
     private count(socket: Duplex, response: ServerResponse): number {
         const open = (this.openByConnection.get(socket) ?? 0) + 1;
         this.openByConnection.set(socket, open);
+        this.open++;
         response.once("close", () => {
             this.openByConnection.set(socket, (this.openByConnection.get(socket) ?? 1) - 1);
+            this.open--;
+            if (this.open === 0) {
+                this.emptyHandlers.splice(0).forEach(handler => handler());
+            }
         });
         return open;
     }
 }
 
+/** Waits until the input that is waiting in this turn of the event loop has been read. */
+function endOfInput(): Promise<void> {
+    return new Promise(resolve => void setImmediate(resolve));
+}
+
 /** Returns an error response for a connection on which no valid request could be read. */
 function refuseUnread(reason: GuardReason): string {
     const cause = guardFailure(reason);
--- a/packages/entry/src/lib/plannedStop.test.ts
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -82,6 +82,19 @@
     assert.deepEqual(caller.answers.map(summary), ["a 200 close"]);
 });
 
+test("a request that lies in its socket when the entry stops accepting is refused, not cut off", async context => {
+    const { site, connect } = await startSite(context, { stopLead: 0 });
+    const caller = connect();
+    caller.send("GET /healthz HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\n\r\n");
+    await settle();
+    caller.send(request("b"));
+    const stopped = site.entry.stop();
+    await settle();
+    assert.deepEqual(caller.answers.map(summary), ["a 200 keep", "b 503 close"]);
+    await site.advance(stopTime);
+    assert.equal(await stopped, 0);
+});
+
 test("no request runs behind the refusal that closes its connection", async context => {
     const { site, agent, connect } = await startSite(context);
     const caller = connect();
