The limit of an entry's stop answers all that was received, and says of it only what is true

Callers saw, at the limit of a stop: requests whose bodies were being read, and those behind another one of their connection, were cut off without an answer; a request of which no attempt had been sent got 'unknown' where 'not run' was known. Cause: the limit ended the runs and destroyed all other responses, then all connections at once, before answers that waited for others of their connection were written. Why it works: shortly before the limit the entry reads all that has been received, refuses it as not run, ends the runs with what is known of them, and closes the connections once the answers are written, 100 ms later at the latest. A request whose body comes whole behind its refusal is not begun.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -12,7 +12,7 @@
 import { limitRefusal } from "./callers/limitRefusal.js";
 import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
 import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
-import { CallerServer } from "./http/CallerServer.js";
+import { CallerServer, flushTime, isDoneWithin } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
 import { ReplyMemory } from "./http/ReplyMemory.js";
 import { type ClosedLink } from "./links/AgentLink.js";
@@ -20,7 +20,7 @@
 import { type FindFinalOutcome } from "./links/ClaimBinding.js";
 import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
 import { modelsRoute } from "./models/modelsRoute.js";
-import { OpenRequest, OpenRequests } from "./OpenRequests.js";
+import { OpenRequest, OpenRequests, stoppingFailure } from "./OpenRequests.js";
 import { routingTargets } from "./routingTargets.js";
 import { serviceRoute } from "./services/serviceRoute.js";
 import { ModelVersions } from "./versions/ModelVersions.js";
@@ -161,9 +161,10 @@
         }
         this.accepting = false;
         this.server.stopAccepting();
-        const interrupted = await this.drain(stopLimit);
+        await isDoneWithin(clock, Math.max(0, stopLimit - flushTime), this.server.whenIdle());
+        let interrupted = 0;
+        await this.server.finish(() => interrupted = this.open.abortAll());
         this.removeHandler();
-        this.server.destroy();
         this.services.history({ event: "process.stopped", interrupted });
         logger.info({ interrupted }, "entry: stopped");
         return interrupted;
@@ -179,16 +180,6 @@
         logger.warn({ targets, open }, "entry: a link was lost");
     }
 
-    private drain(limit: number): Promise<number> {
-        return new Promise(resolve => {
-            const timer = this.options.clock.schedule(() => resolve(this.open.abortAll()), limit);
-            void this.server.whenIdle().then(() => {
-                timer.cancel();
-                resolve(0);
-            });
-        });
-    }
-
     private async handle(exchange: Exchange): Promise<void> {
         switch (exchange.path) {
             case "/healthz":
@@ -197,7 +188,7 @@
                 return this.sendReadiness(exchange);
         }
         if (!this.accepting) {
-            return exchange.refuse(failure(requestCodes.stopping, "this entry is stopping"));
+            return exchange.refuse(stoppingFailure());
         }
         if (this.options.configuration.revision === 0) {
             return exchange.refuse(
@@ -263,10 +254,7 @@
             attributes: { "http.request.method": exchange.method, "url.path": exchange.path },
         }, parent);
         const open = new OpenRequest(span);
-        this.open.add(open, {
-            response: exchange.response,
-            onDisconnect: handler => exchange.onDisconnect(handler),
-        });
+        this.open.add(open, exchange);
         return open;
     }
 }
--- a/packages/entry/src/lib/OpenRequests.ts
+++ b/packages/entry/src/lib/OpenRequests.ts
@@ -1,5 +1,6 @@
 import { type Span } from "@opentelemetry/api";
-import { type ServerResponse } from "node:http";
+import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
+import { type Exchange } from "./http/Exchange.js";
 
 /**
  * One request in progress.
@@ -17,7 +18,7 @@
         this.span = span;
     }
 
-    /** Sets the function that aborts the request when the process must stop. */
+    /** Sets the function that ends the run of the request when the process must stop. */
     onAbort(handler: () => void): void {
         this.abortHandler = handler;
     }
@@ -38,44 +39,38 @@
         }
     }
 
-    /** Aborts the request. */
+    /** Ends the run of the request, if it has begun. */
     abort(): void {
         this.abortHandler?.();
     }
 }
 
-/** The caller's side of a request. */
-interface AddedExchange {
-    readonly response: ServerResponse;
-    readonly onDisconnect: (handler: () => void) => void;
-}
-
 /**
  * The requests in progress, each from the arrival of its headers to the last byte of its response.
  *
  * @internal
  */
 export class OpenRequests {
-    private readonly open = new Map<OpenRequest, ServerResponse>();
+    private readonly open = new Map<OpenRequest, Exchange>();
 
     get count(): number {
         return this.open.size;
     }
 
-    add(request: OpenRequest, { response, onDisconnect }: AddedExchange): void {
-        this.open.set(request, response);
+    add(request: OpenRequest, exchange: Exchange): void {
+        this.open.set(request, exchange);
         // Later, so that the handlers of its run can cancel it before.
-        onDisconnect(() => queueMicrotask(() => this.remove(request)));
-        response.once("close", () => this.remove(request));
+        exchange.onDisconnect(() => queueMicrotask(() => this.remove(request)));
+        exchange.response.once("close", () => this.remove(request));
     }
 
-    /** Aborts all requests in progress and returns their number. */
+    /** Ends the runs of all requests in progress, and refuses those whose runs have not begun. @returns Their number. */
     abortAll(): number {
         const aborted = [...this.open];
-        for (const [request, response] of aborted) {
+        for (const [request, exchange] of aborted) {
             request.abort();
-            if (!response.writableEnded) {
-                response.destroy();
+            if (!exchange.isOver) {
+                exchange.refuse(stoppingFailure());
             }
         }
         return aborted.length;
@@ -87,3 +82,15 @@
         }
     }
 }
+
+/** Why a request is refused that has not run when the process stops. @internal */
+export function stoppingFailure(): Failure {
+    return failure(requestCodes.stopping, "this entry is stopping");
+}
+
+/** Why the run of a request ends when the process stops. @internal */
+export function stoppedFailure(mayHaveRun: boolean): Failure {
+    return mayHaveRun
+        ? failure(requestCodes.outcomeUnknown, "the process stopped before the answer was complete")
+        : stoppingFailure();
+}
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -27,6 +27,8 @@
 /** Milliseconds between checks of the connections' time limits. */
 const checkInterval = 500;
 const millisecondsPerSecond = 1_000;
+/** Milliseconds for the last answers to be written before all connections are closed. */
+export const flushTime = 100;
 
 /**
  * The HTTP server for callers. It enforces the limits on headers, time and connections, and answers requests that the
@@ -40,6 +42,7 @@
     private readonly server: Server;
     private readonly openByConnection = new WeakMap<Duplex, number>();
     private open = 0;
+    private isFinishing = false;
     private readonly emptyHandlers: (() => void)[] = [];
 
     constructor(options: CallerServerOptions) {
@@ -117,8 +120,18 @@
         }
     }
 
-    /** Closes every connection. */
-    destroy(): void {
+    /**
+     * Reads all that has been received, ends all requests, and closes every connection once their answers are written.
+     *
+     * @param endAll - Answers all requests in progress. Those that are read from now on must be refused.
+     */
+    async finish(endAll: () => void): Promise<void> {
+        await endOfInput();
+        this.isFinishing = true;
+        this.guarded.finishReading();
+        await endOfInput();
+        endAll();
+        await isDoneWithin(this.options.clock, flushTime, this.whenIdle());
         this.server.closeAllConnections();
         this.server.close();
     }
@@ -136,7 +149,8 @@
             clock,
             onRefused: cause => onRefused(cause, clock.now() - arrived),
         });
-        if (this.count(request.socket, response) > limits.maxOpenPerConnection) {
+        const open = this.count(request.socket, response);
+        if (open > limits.maxOpenPerConnection && !this.isFinishing) {
             const message = "too many requests are in progress on this connection";
             response.shouldKeepAlive = false;
             exchange.refuse(failure(requestCodes.overloaded, message));
@@ -166,6 +180,17 @@
     }
 }
 
+/** @returns Whether a promise has resolved within a time in milliseconds. */
+export function isDoneWithin(clock: Clock, time: number, done: Promise<void>): Promise<boolean> {
+    return new Promise(resolve => {
+        const timer = clock.schedule(() => resolve(false), time);
+        void done.then(() => {
+            timer.cancel();
+            resolve(true);
+        });
+    });
+}
+
 /** Waits until the input that is waiting in this turn of the event loop has been read. */
 function endOfInput(): Promise<void> {
     return new Promise(resolve => void setImmediate(resolve));
--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -67,6 +67,11 @@
         return this.gone;
     }
 
+    /** True once the caller has disconnected, or the answer is complete or broken off. */
+    get isOver(): boolean {
+        return this.gone || this.response.writableEnded || this.response.destroyed;
+    }
+
     header(name: string): string | undefined {
         const value = this.request.headers[name];
         return Array.isArray(value) ? value[0] : value;
@@ -103,13 +108,15 @@
     }
 
     /**
-     * Refuses the request before its run has begun.
+     * Refuses the request before its run has begun, unless it has been answered.
      *
      * @param status - The HTTP status, if it differs from that of the result code.
      */
     refuse(failure: Failure, status?: number, headers?: OutgoingHttpHeaders): void {
-        this.onRefused(failure);
-        this.sendFailure(failure, status, headers);
+        if (!this.response.headersSent) {
+            this.onRefused(failure);
+            this.sendFailure(failure, status, headers);
+        }
     }
 
     /** Sends a refusal or failure as the complete response. */
--- a/packages/entry/src/lib/models/RequestRun.ts
+++ b/packages/entry/src/lib/models/RequestRun.ts
@@ -65,6 +65,11 @@
         this.grant();
     }
 
+    /** Whether an attempt was sent that may have run. */
+    get mayHaveRun(): boolean {
+        return this.attempt !== undefined || this.recovery.mayHaveRun;
+    }
+
     /** Ends the request because its caller has disconnected or this process stops. */
     cancel(cause: Failure): void {
         this.attempt?.cancel(false);
@@ -384,10 +389,7 @@
     }
 
     private expire(): void {
-        const sent = this.attempt !== undefined;
-        this.attempt?.cancel(false);
-        this.endAttempt("cancelled");
-        const code = sent || this.recovery.mayHaveRun ? requestCodes.deadlineExceeded : requestCodes.deadlinePassed;
-        this.finish(failure(code, "the deadline passed"));
+        const code = this.mayHaveRun ? requestCodes.deadlineExceeded : requestCodes.deadlinePassed;
+        this.cancel(failure(code, "the deadline passed"));
     }
 }
--- a/packages/entry/src/lib/models/completionsRoute.ts
+++ b/packages/entry/src/lib/models/completionsRoute.ts
@@ -16,7 +16,7 @@
 import { type ReplyMemory } from "../http/ReplyMemory.js";
 import { type AgentLinks } from "../links/AgentLinks.js";
 import { ClaimBinding, type FindFinalOutcome, type UnboundClaimRequest } from "../links/ClaimBinding.js";
-import { type OpenRequest } from "../OpenRequests.js";
+import { type OpenRequest, stoppedFailure } from "../OpenRequests.js";
 import { type ModelVersions } from "../versions/ModelVersions.js";
 import { AnswerFormat } from "./AnswerFormat.js";
 import { StreamedAnswer, WholeAnswer } from "./answerSinks.js";
@@ -66,7 +66,7 @@
     if (prepared.isErr) {
         return exchange.refuse(prepared.error);
     }
-    if (exchange.disconnected) {
+    if (exchange.isOver) {
         return;
     }
     startRun(services, exchange, prepared.value, chat, open);
@@ -110,9 +110,7 @@
     const claimRequest = request.claim;
     const binding = claimRequest === undefined ? undefined : new ClaimBinding({ ...services, claimRequest });
     const run = new RequestRun({ ...services, request, sink, binding, span: open.span, onEnd: () => open.answered() });
-    open.onAbort(() =>
-        run.cancel(failure(requestCodes.outcomeUnknown, "the process stopped before the answer was complete"))
-    );
+    open.onAbort(() => run.cancel(stoppedFailure(run.mayHaveRun)));
     exchange.onDisconnect(() => run.cancel(failure(requestCodes.cancelled, "the caller disconnected")));
     run.start();
 }
--- a/packages/entry/src/lib/plannedStop.test.ts
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -1,11 +1,16 @@
+import { requestCodes } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import test, { type TestContext } from "node:test";
+import { flushTime } from "./http/CallerServer.js";
+import { type ErrorBody } from "./http/errorBody.js";
 import { type MessageOf } from "./testing/FakeAgents.js";
 import { type RawAnswer, RawCaller, settle } from "./testing/RawCaller.js";
 import { callerToken, TestSite, type TestSiteOptions } from "./testing/TestSite.js";
 
 const limits = { stopLead: 1_000, stopLimit: 3_000, maxOpenPerConnection: 3 };
-const stopTime = limits.stopLead + limits.stopLimit;
+/** The steps of the test's clock are longer than those of the event loop. */
+const slack = 500;
+const stopTime = limits.stopLead + limits.stopLimit + slack;
 
 /** An entry whose calls run until the test answers them. */
 async function startSite(context: TestContext, options: TestSiteOptions["limits"] = {}) {
@@ -51,6 +56,10 @@
     return `${id} ${status} ${closes ? "close" : "keep"}`;
 }
 
+function execution({ body }: RawAnswer): string {
+    return (JSON.parse(body) as ErrorBody).error.execution;
+}
+
 test("requests sent ahead of a stop's answers get theirs before the close", async context => {
     const { site, agent, connect } = await startSite(context);
     const caller = connect();
@@ -95,6 +104,42 @@
     assert.equal(await stopped, 0);
 });
 
+test("the stop's limit answers what runs, and refuses what has not begun", async context => {
+    const { site, agent, connect } = await startSite(context);
+    const [running, reading, ahead] = [connect(), connect(), connect()];
+    running.send(request("run"));
+    reading.send(request("read", "body").slice(0, -1));
+    ahead.send(["a", "b", "c", "d"].map(name => request(name)).join(""));
+    await agent.wait("call", 4);
+    const stopped = site.entry.stop();
+    await site.advance(stopTime);
+    assert.equal(await stopped, 5);
+    await settle();
+    assert.deepEqual([running, reading, ahead].map(({ answers }) => answers.map(execution)), [
+        ["unknown"],
+        ["not run"],
+        ["unknown", "unknown", "unknown", "not run"],
+    ]);
+});
+
+test("a request that waits between two attempts when the limit passes is refused as not run", async context => {
+    const { site, connect } = await startSite(context, { stopLead: 0, stopLimit: flushTime });
+    const caller = connect();
+    caller.send(request("a"));
+    for (const agent of [site.agent(0), site.agent(1)]) {
+        const { request } = await agent.wait("call");
+        agent.send({
+            type: "callFailed",
+            request,
+            failure: { code: requestCodes.stopping.number, message: "refused" },
+        });
+    }
+    void site.entry.stop();
+    site.clock.advance(0);
+    await settle();
+    assert.deepEqual(caller.answers.map(execution), ["not run"]);
+});
+
 test("no request runs behind the refusal that closes its connection", async context => {
     const { site, agent, connect } = await startSite(context);
     const caller = connect();
--- a/packages/entry/src/lib/services/ServiceCall.ts
+++ b/packages/entry/src/lib/services/ServiceCall.ts
@@ -130,6 +130,11 @@
         void this.startNextAttempt();
     }
 
+    /** Whether an attempt was sent that may have run. */
+    get mayHaveRun(): boolean {
+        return this.attempt !== undefined || this.recovery.mayHaveRun;
+    }
+
     /** Ends the call because its caller has disconnected, its deadline has passed or this process stops. */
     cancel(cause: Failure): void {
         this.attempt?.link.send({ type: "callCancel", request: this.request.id });
@@ -349,8 +354,7 @@
     }
 
     private expire(): void {
-        const mayHaveRun = this.attempt !== undefined || this.recovery.mayHaveRun;
-        const code = mayHaveRun ? requestCodes.deadlineExceeded : requestCodes.deadlinePassed;
+        const code = this.mayHaveRun ? requestCodes.deadlineExceeded : requestCodes.deadlinePassed;
         this.cancel(failure(code, "the deadline passed"));
     }
 }
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -1,5 +1,5 @@
 import { type Resource } from "@waxwingspar/config";
-import { type Failure, failure, type Outcome, requestCodes } from "@waxwingspar/utils";
+import { failure, type Outcome, requestCodes } from "@waxwingspar/utils";
 import { createHash } from "node:crypto";
 import { Result } from "true-myth";
 import { type Caller } from "../callers/Authenticator.js";
@@ -10,7 +10,7 @@
 import { ClaimBinding, type UnboundClaimRequest } from "../links/ClaimBinding.js";
 import { keyMissing, type RouteServices } from "../models/completionsRoute.js";
 import { mayUse } from "../models/findModel.js";
-import { type OpenRequest } from "../OpenRequests.js";
+import { type OpenRequest, stoppedFailure } from "../OpenRequests.js";
 import { type ReplySink, ServiceCall, type ServiceRequest } from "./ServiceCall.js";
 import { forwardedHeaders } from "./serviceHeaders.js";
 import { isNonIdempotent, parseServicePath, type ServicePath } from "./servicePath.js";
@@ -42,7 +42,7 @@
     if (body.isErr) {
         return exchange.refuse(body.error);
     }
-    if (!exchange.disconnected) {
+    if (!exchange.isOver) {
         startCall(services, exchange, caller, checked.value, body.value, open);
     }
 }
@@ -99,7 +99,7 @@
         span: open.span,
         onEnd: () => open.answered(),
     });
-    open.onAbort(() => call.cancel(stoppedFailure()));
+    open.onAbort(() => call.cancel(stoppedFailure(call.mayHaveRun)));
     exchange.onDisconnect(() => call.cancel(failure(requestCodes.cancelled, "the caller disconnected")));
     call.start();
 }
@@ -167,7 +167,3 @@
         fail: cause => response.headersSent ? void response.destroy() : exchange.sendFailure(cause),
     };
 }
-
-function stoppedFailure(): Failure {
-    return failure(requestCodes.outcomeUnknown, "the process stopped before the answer was complete");
-}
