An answer of the entry that breaks off behind another one is sent as far as it came

Callers saw: of two requests on one connection, the second one's answer had begun when it broke off (at a stop's limit, or because its target failed); once the first was answered the connection closed without a byte of the second. Cause: destroying a response that waits for others drops what had been written to it, its head too. Why it works: such an answer is broken off in its turn, once what there is of it has been written.

--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -119,6 +119,24 @@
         }
     }
 
+    /** Breaks off an answer that has begun: sends what there is of it, and closes the connection before its end. */
+    breakOff(): void {
+        const { response } = this;
+        const closeLater = () => void setImmediate(() => response.destroy());
+        response.flushHeaders();
+        if (response.socket === null) {
+            // It waits for earlier answers of its connection.
+            response.once("socket", closeLater);
+        }
+        else if (response.socket.writableCorked > 0) {
+            // Node.js writes at the end of this turn.
+            closeLater();
+        }
+        else {
+            response.destroy();
+        }
+    }
+
     /** Sends a refusal or failure as the complete response. */
     sendFailure(failure: Failure, status: number = failure.code.status, headers: OutgoingHttpHeaders = {}): void {
         const retryAfter = failure.code.retry === "later" ? retryAfterOf(failure) : undefined;
--- a/packages/entry/src/lib/services/serviceRoute.ts
+++ b/packages/entry/src/lib/services/serviceRoute.ts
@@ -164,6 +164,6 @@
         },
         body: data => void writer.write(data),
         end: () => writer.end(),
-        fail: cause => response.headersSent ? void response.destroy() : exchange.sendFailure(cause),
+        fail: cause => response.headersSent ? exchange.breakOff() : exchange.sendFailure(cause),
     };
 }
