The planned stop of a server is a class of its own

The entry's stop moves to the package of connections, so that the operators' servers can end in the same way.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -11,3 +11,4 @@
 export { Holding, type HoldingOptions, MemoryBudget, type MemoryBudgetOptions } from "./lib/MemoryBudget.js";
 export { type ClientLimits, clientLimits, type ProcessLimits } from "./lib/processLimits.js";
 export { type BodyOptions, readBody } from "./lib/readBody.js";
+export { flushTime, ServerStop, type ServerStopOptions, type StopLimit } from "./lib/ServerStop.js";
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -12,7 +12,7 @@
 import { limitRefusal } from "./callers/limitRefusal.js";
 import { type EntryLimits, entryLimitsSchema } from "./EntryLimits.js";
 import { type EntryMetrics, noMetrics } from "./EntryMetrics.js";
-import { CallerServer, flushTime, isDoneWithin } from "./http/CallerServer.js";
+import { CallerServer } from "./http/CallerServer.js";
 import { type Exchange } from "./http/Exchange.js";
 import { ReplyMemory } from "./http/ReplyMemory.js";
 import { type ClosedLink } from "./links/AgentLink.js";
@@ -160,10 +160,8 @@
             await sleep(clock, stopLead);
         }
         this.accepting = false;
-        this.server.stopAccepting();
-        await isDoneWithin(clock, Math.max(0, stopLimit - flushTime), this.server.whenIdle());
         let interrupted = 0;
-        await this.server.finish(() => interrupted = this.open.abortAll());
+        await this.server.stop({ limit: stopLimit, endAll: () => interrupted = this.open.abortAll() });
         this.removeHandler();
         this.services.history({ event: "process.stopped", interrupted });
         logger.info({ interrupted }, "entry: stopped");
--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -1,4 +1,11 @@
-import { clientLimits, GuardedServer, type GuardReason, MemoryBudget } from "@waxwingspar/connections";
+import {
+    clientLimits,
+    GuardedServer,
+    type GuardReason,
+    MemoryBudget,
+    ServerStop,
+    type StopLimit,
+} from "@waxwingspar/connections";
 import { type Address } from "@waxwingspar/transport";
 import { type Clock, type Failure, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -27,8 +34,6 @@
 /** Milliseconds between checks of the connections' time limits. */
 const checkInterval = 500;
 const millisecondsPerSecond = 1_000;
-/** Milliseconds for the last answers to be written before all connections are closed. */
-export const flushTime = 100;
 
 /**
  * The HTTP server for callers. It enforces the limits on headers, time and connections, and answers requests that the
@@ -40,10 +45,8 @@
     private readonly options: CallerServerOptions;
     private readonly guarded: GuardedServer;
     private readonly server: Server;
+    private readonly stopping: ServerStop;
     private readonly openByConnection = new WeakMap<Duplex, number>();
-    private open = 0;
-    private isFinishing = false;
-    private readonly emptyHandlers: (() => void)[] = [];
 
     constructor(options: CallerServerOptions) {
         const { limits } = options;
@@ -72,6 +75,7 @@
             },
         });
         this.server = this.guarded.http;
+        this.stopping = new ServerStop({ clock: options.clock, server: this.guarded });
     }
 
     private refuse(response: ServerResponse, reason: GuardReason): void {
@@ -106,38 +110,13 @@
         this.guarded.endConnections();
     }
 
-    /** Stops accepting connections, and closes each one as soon as it is idle. */
-    stopAccepting(): void {
-        this.guarded.stopListening();
-        this.guarded.closeIdle();
-    }
-
-    /** Resolves once every request that has been received has its whole answer. */
-    async whenIdle(): Promise<void> {
-        await endOfInput();
-        while (this.open > 0 || this.guarded.isBusy) {
-            await (this.open > 0 ? this.whenNoneOpen() : endOfInput());
-        }
-    }
-
     /**
-     * Reads all that has been received, ends all requests, and closes every connection once their answers are written.
+     * Stops accepting connections, and closes each one once all that it received is answered.
      *
-     * @param endAll - Answers all requests in progress. Those that are read from now on must be refused.
+     * @param limit - The time in which this ends, and what ends the requests that are still in progress then.
      */
-    async finish(endAll: () => void): Promise<void> {
-        await endOfInput();
-        this.isFinishing = true;
-        this.guarded.finishReading();
-        await endOfInput();
-        endAll();
-        await isDoneWithin(this.options.clock, flushTime, this.whenIdle());
-        this.server.closeAllConnections();
-        this.server.close();
-    }
-
-    private whenNoneOpen(): Promise<void> {
-        return new Promise(resolve => this.emptyHandlers.push(resolve));
+    stop(limit: StopLimit): Promise<void> {
+        return this.stopping.run(limit);
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -150,7 +129,7 @@
             onRefused: cause => onRefused(cause, clock.now() - arrived),
         });
         const open = this.count(request.socket, response);
-        if (open > limits.maxOpenPerConnection && !this.isFinishing) {
+        if (open > limits.maxOpenPerConnection && !this.stopping.isFinishing) {
             const message = "too many requests are in progress on this connection";
             response.shouldKeepAlive = false;
             exchange.refuse(failure(requestCodes.overloaded, message));
@@ -168,34 +147,13 @@
     private count(socket: Duplex, response: ServerResponse): number {
         const open = (this.openByConnection.get(socket) ?? 0) + 1;
         this.openByConnection.set(socket, open);
-        this.open++;
         response.once("close", () => {
             this.openByConnection.set(socket, (this.openByConnection.get(socket) ?? 1) - 1);
-            this.open--;
-            if (this.open === 0) {
-                this.emptyHandlers.splice(0).forEach(handler => handler());
-            }
         });
         return open;
     }
 }
 
-/** @returns Whether a promise has resolved within a time in milliseconds. */
-export function isDoneWithin(clock: Clock, time: number, done: Promise<void>): Promise<boolean> {
-    return new Promise(resolve => {
-        const timer = clock.schedule(() => resolve(false), time);
-        void done.then(() => {
-            timer.cancel();
-            resolve(true);
-        });
-    });
-}
-
-/** Waits until the input that is waiting in this turn of the event loop has been read. */
-function endOfInput(): Promise<void> {
-    return new Promise(resolve => void setImmediate(resolve));
-}
-
 /** Returns an error response for a connection on which no valid request could be read. */
 function refuseUnread(reason: GuardReason): string {
     const cause = guardFailure(reason);
--- a/packages/entry/src/lib/plannedStop.test.ts
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -1,8 +1,8 @@
+import { flushTime } from "@waxwingspar/connections";
 import { requestCodes } from "@waxwingspar/utils";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import test, { type TestContext } from "node:test";
-import { flushTime } from "./http/CallerServer.js";
 import { type ErrorBody } from "./http/errorBody.js";
 import { type MessageOf } from "./testing/FakeAgents.js";
 import { type RawAnswer, RawCaller, settle } from "./testing/RawCaller.js";
