Operators' requests are answered when the API or a metrics server closes, and no client keeps the API from closing

Operators saw: in a planned stop the API's connections with a request in their sockets were cut unread; a client that kept its connection open and silent, or had sent half a head, kept the process from closing; servers of metrics and readiness cut all. Cause: both asked Node.js, the one to close idle connections and to wait for all others without a limit, the other to close all at once. Why it works: both end like the entry, by the connections' owner.

--- a/packages/cli/src/lib/operators/OperatorsServer.ts
+++ b/packages/cli/src/lib/operators/OperatorsServer.ts
@@ -1,12 +1,15 @@
-import { createSideServer } from "@waxwingspar/connections";
+import { createSideServer, type GuardedServer, ServerStop } from "@waxwingspar/connections";
 import { type MetricRegistry } from "@waxwingspar/telemetry";
 import { type Address } from "@waxwingspar/transport";
 import { type Clock, failure, type Outcome, transportCodes } from "@waxwingspar/utils";
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { Result } from "true-myth";
 import { createMetricsHandler } from "./createMetricsHandler.js";
 
+/** Milliseconds in which the server closes, whatever its clients do. */
+const closeTime = 1_000;
+
 /** @internal */
 export interface OperatorsServerOptions {
     /** Where operators connect. */
@@ -23,7 +26,8 @@
  * @internal
  */
 export class OperatorsServer {
-    private readonly server: Server;
+    private readonly server: GuardedServer;
+    private readonly stopping: ServerStop;
     private readonly sendMetrics: (message: IncomingMessage, response: ServerResponse) => void;
 
     constructor(private readonly options: OperatorsServerOptions) {
@@ -32,25 +36,26 @@
             clock: options.clock,
             onRequest: (request, response) => this.serve(request, response),
         });
+        this.stopping = new ServerStop({ clock: options.clock, server: this.server });
     }
 
     /** Starts to listen. @returns The address, or the reason why the server cannot listen on it. */
     listen(): Promise<Outcome<Address>> {
         const { host, port } = this.options.listen;
+        const { http } = this.server;
         return new Promise(resolve => {
-            this.server.once("error", error => {
+            http.once("error", error => {
                 resolve(Result.err(failure(transportCodes.notConnected, `${host}:${port}: ${error.message}`)));
             });
-            this.server.listen(port, host, () => {
-                resolve(Result.ok({ host, port: (this.server.address() as AddressInfo).port }));
+            http.listen(port, host, () => {
+                resolve(Result.ok({ host, port: (http.address() as AddressInfo).port }));
             });
         });
     }
 
-    async close(): Promise<void> {
-        const closed = new Promise(resolve => this.server.close(resolve));
-        this.server.closeAllConnections();
-        await closed;
+    /** Stops listening, and closes all connections once whatever has been received is answered. */
+    close(): Promise<void> {
+        return this.stopping.run({ limit: closeTime, endAll: () => undefined });
     }
 
     private serve(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/config/src/lib/api/ResourceApi.test.ts
+++ b/packages/config/src/lib/api/ResourceApi.test.ts
@@ -2,12 +2,14 @@
 import { ManualClock, seededRandom } from "@waxwingspar/utils";
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { type Progress } from "../distribution/ProgressCollector.js";
 import { RevisionState } from "../revisions/RevisionState.js";
 import { StoreLog } from "../revisions/StoreLog.js";
 import { ResourceStore } from "../store/ResourceStore.js";
-import { type AnsweredRequest, ResourceApi, type ResourceApiOptions } from "./ResourceApi.js";
+import { type AnsweredRequest, closeTime, ResourceApi, type ResourceApiOptions } from "./ResourceApi.js";
 
 const secrets = {
     operator: "operator-secret",
@@ -66,7 +68,7 @@
         const answer = await response.text();
         return { status: response.status, text: answer, body: parseAnswer(answer) };
     };
-    return { send, node, answered, base };
+    return { send, node, answered, base, api, clock, store };
 }
 
 const service = { kind: "service", name: "s", spec: { timeout: 5 } };
@@ -234,3 +236,63 @@
         return {};
     }
 }
+
+test("whatever operators have sent is answered when the API closes, and no client keeps it from closing", async t => {
+    const { api, base, clock, send, store } = await setUp(t);
+    await send("POST", "/v1/resources/service", service);
+    const held: (() => void)[] = [];
+    const apply = store.apply.bind(store);
+    store.apply = async (...given) => {
+        await new Promise<void>(resolve => held.push(resolve));
+        return apply(...given);
+    };
+    const open = (text: string) => {
+        const socket = connect(Number(new URL(base).port), "127.0.0.1", () => socket.write(text));
+        const client = { socket, received: "", closed: once(socket, "close") };
+        socket.on("data", data => client.received += data.toString());
+        return client;
+    };
+    const request = (method: string, path: string, body = "", length = body.length) =>
+        `${method} ${path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${secrets.bootstrap}\r\n`
+        + `Content-Length: ${length}\r\n\r\n${body}`;
+    const write = request("PUT", "/v1/resources/service/s", JSON.stringify(service));
+    const read = request("GET", "/v1/resources/service/s");
+    const clients = [
+        "",
+        "GET /v1",
+        request("POST", "/v1/apply", "{", 9),
+        request("GET", "/v1/watch"),
+        write,
+        write + read + read,
+        read,
+    ].map(open);
+    const [, , , watch, , , kept] = clients;
+    while (held.length < 2 || kept?.received === "") {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    kept?.socket.write(read);
+    const closed = api.close();
+    held[0]?.();
+    await clock.advanceAsync(closeTime, 10);
+    await Promise.all([closed, ...clients.map(client => client.closed)]);
+    const answers = clients.map(({ received }) => [...received.matchAll(/HTTP\/1\.1 (\d+)|"execution":"([^"]+)/g)]);
+    assert.deepEqual(answers.map(found => found.map(([, status, execution]) => status ?? execution).join(" ")), [
+        "",
+        "",
+        "503 not run",
+        "200",
+        "200",
+        "502 unknown 503 not run 503 not run",
+        "200 200",
+    ]);
+    assert.match(watch?.received ?? "", /\r\n0\r\n\r\n$/);
+    assert.deepEqual(clients.map(({ received }) => received.match(/Connection: close/g)?.length ?? 0), [
+        0,
+        0,
+        1,
+        0,
+        1,
+        1,
+        1,
+    ]);
+});
--- a/packages/config/src/lib/api/ResourceApi.ts
+++ b/packages/config/src/lib/api/ResourceApi.ts
@@ -1,6 +1,14 @@
-import { createSideServer } from "@waxwingspar/connections";
-import { type Clock, failure, type Outcome, platformCodes, requestCodes, transportCodes } from "@waxwingspar/utils";
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createSideServer, type GuardedServer, ServerStop } from "@waxwingspar/connections";
+import {
+    type Clock,
+    type Failure,
+    failure,
+    type Outcome,
+    platformCodes,
+    requestCodes,
+    transportCodes,
+} from "@waxwingspar/utils";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import { type Kind } from "../resources/Resource.js";
 import { type ResourceStore } from "../store/ResourceStore.js";
@@ -17,6 +25,9 @@
 /** Bytes of requests and of answers that have not been read, for all connections together. */
 const maxBytes = 67_108_864;
 
+/** Milliseconds in which the API closes, whatever its clients do. @internal */
+export const closeTime = 5_000;
+
 /** Handles a path outside the API, such as `/metrics`. Such paths require no token. @public */
 export type PlainHandler = (message: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
@@ -57,7 +68,10 @@
  */
 export class ResourceApi {
     private readonly options: ResourceApiOptions;
-    private readonly server: Server;
+    private readonly server: GuardedServer;
+    private readonly stopping: ServerStop;
+    /** The requests that have no answer yet. */
+    private readonly open = new Map<ServerResponse, IncomingMessage>();
     private readonly authenticator: OperatorAuthenticator;
     private readonly reads: ReadRoutes;
     private readonly changes: ChangeRoutes;
@@ -82,6 +96,7 @@
             maxBytes,
             onRequest: (message, response) => void this.handle(message, response),
         });
+        this.stopping = new ServerStop({ clock: options.clock, server: this.server });
     }
 
     /** Starts listening. Returns the port. */
@@ -89,25 +104,42 @@
         const { host = "127.0.0.1", port = 0 } = this.options;
         return new Promise(resolve => {
             const fail = (error: Error) => resolve(Result.err(failure(transportCodes.notConnected, error.message)));
-            this.server.once("error", fail);
-            this.server.listen(port, host, () => {
-                this.server.off("error", fail);
-                const address = this.server.address();
+            const { http } = this.server;
+            http.once("error", fail);
+            http.listen(port, host, () => {
+                http.off("error", fail);
+                const address = http.address();
                 resolve(Result.ok(typeof address === "object" && address !== null ? address.port : port));
             });
         });
     }
 
-    /** Stops listening, ends all watches and resolves once all other requests have been answered. */
+    /**
+     * Stops listening and ends all watches. Resolves once all other requests have been answered, or with what is known
+     * of their outcome after {@link closeTime}.
+     */
     close(): Promise<void> {
-        return new Promise(resolve => {
-            this.server.close(() => resolve());
-            this.watches.close();
-            this.server.closeIdleConnections();
-        });
+        const closed = this.stopping.run({ limit: closeTime, endAll: () => this.endAll() });
+        this.watches.close();
+        return closed;
+    }
+
+    private endAll(): void {
+        for (const [response, { method, complete }] of this.open) {
+            if (!response.headersSent) {
+                const mayHaveRun = method !== "GET" && complete;
+                sendAnswer(response, failureAnswer([mayHaveRun ? outcomeUnknown() : stopping()]));
+            }
+        }
     }
 
     private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.stopping.isFinishing) {
+            sendAnswer(response, failureAnswer([stopping()]));
+            return;
+        }
+        this.open.set(response, message);
+        response.once("close", () => this.open.delete(response));
         const started = this.options.clock.now();
         const method = message.method ?? "GET";
         const url = parseUrl(message.url ?? "/");
@@ -192,6 +224,14 @@
     }
 }
 
+function stopping(): Failure {
+    return failure(requestCodes.stopping, "this process is stopping");
+}
+
+function outcomeUnknown(): Failure {
+    return failure(requestCodes.outcomeUnknown, "the process stopped before the change was confirmed");
+}
+
 function refuse(code: Parameters<typeof failure>[0], message: string): RouteOutcome {
     return Result.err([failure(code, message)]);
 }
--- a/packages/config/src/lib/api/WatchRoute.ts
+++ b/packages/config/src/lib/api/WatchRoute.ts
@@ -18,6 +18,7 @@
  */
 export class WatchRoute {
     private readonly open = new Set<ServerResponse>();
+    private isClosed = false;
 
     constructor(
         private readonly context: ApiContext,
@@ -26,6 +27,9 @@
     ) {}
 
     watch(request: ApiRequest): RouteOutcome {
+        if (this.isClosed) {
+            return Result.err([failure(requestCodes.stopping, "this process is stopping")]);
+        }
         const { state } = this.context.node;
         const from = request.query.get("revision");
         const revision = from === null ? state.revision : Number(from);
@@ -46,8 +50,9 @@
         return Result.ok(undefined);
     }
 
-    /** Ends all watches. */
+    /** Ends all watches, and refuses further ones. */
     close(): void {
+        this.isClosed = true;
         this.open.forEach(response => response.end());
     }
 
--- a/packages/connections/src/lib/createSideServer.ts
+++ b/packages/connections/src/lib/createSideServer.ts
@@ -1,5 +1,5 @@
 import { type Clock } from "@waxwingspar/utils";
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { GuardedServer } from "./GuardedServer.js";
 import { MemoryBudget } from "./MemoryBudget.js";
 import { clientLimits } from "./processLimits.js";
@@ -25,9 +25,16 @@
  *
  * @public
  */
-export function createSideServer(options: SideServerOptions): Server {
+export function createSideServer(options: SideServerOptions): GuardedServer {
     const { clock, onRequest, maxConnections = clientLimits().sideConnections, maxBytes = defaultMaxBytes } = options;
     const budget = new MemoryBudget({ clock, maxBytes });
     const server = { headersTimeout, requestTimeout, maxHeaderSize };
-    return new GuardedServer({ clock, budget, maxConnections, onRequest, server }).http;
+    return new GuardedServer({
+        clock,
+        budget,
+        maxConnections,
+        // Only once everything that arrived with a request is parsed can its answer tell whether it is the last one.
+        onRequest: (incoming, response) => queueMicrotask(() => onRequest(incoming, response)),
+        server,
+    });
 }
--- a/packages/gateway/src/lib/copies/CopyServer.ts
+++ b/packages/gateway/src/lib/copies/CopyServer.ts
@@ -60,7 +60,7 @@
             clock,
             maxBytes: maxTransferBytes,
             onRequest: (request, response) => void this.handle(request, response),
-        });
+        }).http;
         this.server.setTimeout(idleTime);
     }
 
--- a/packages/gateway/src/lib/server/MetricsServer.ts
+++ b/packages/gateway/src/lib/server/MetricsServer.ts
@@ -23,7 +23,7 @@
                 response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
                 response.end(registry.render());
             },
-        });
+        }).http;
     }
 
     start(): Promise<void> {
--- a/packages/gateway/src/lib/server/ReadinessServer.ts
+++ b/packages/gateway/src/lib/server/ReadinessServer.ts
@@ -27,7 +27,7 @@
                 response.writeHead(isReady() ? ready : notReady, { "Content-Length": 0 });
                 response.end();
             },
-        });
+        }).http;
     }
 
     /** The address that the server listens on. */
