--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -20,7 +20,7 @@
 import { type FindFinalOutcome } from "./links/ClaimBinding.js";
 import { completionsRoute, type RouteServices } from "./models/completionsRoute.js";
 import { modelsRoute } from "./models/modelsRoute.js";
-import { OpenRequest, OpenRequests } from "./OpenRequests.js";
+import { OpenRequest, OpenRequests, stoppingFailure } from "./OpenRequests.js";
 import { routingTargets } from "./routingTargets.js";
 import { serviceRoute } from "./services/serviceRoute.js";
 import { ModelVersions } from "./versions/ModelVersions.js";
@@ -155,15 +155,14 @@
         const { clock, logger } = this.options;
         const { stopLead, stopLimit } = this.limits;
         logger.info({ open: this.open.count }, "entry: stops");
-        this.server.disableKeepAlive();
+        this.server.endConnections();
         if (stopLead > 0) {
             await sleep(clock, stopLead);
         }
         this.accepting = false;
-        this.server.stopAccepting();
-        const interrupted = await this.drain(stopLimit);
+        let interrupted = 0;
+        await this.server.stop({ limit: stopLimit, endAll: () => interrupted = this.open.abortAll() });
         this.removeHandler();
-        this.server.destroy();
         this.services.history({ event: "process.stopped", interrupted });
         logger.info({ interrupted }, "entry: stopped");
         return interrupted;
@@ -179,16 +178,6 @@
         logger.warn({ targets, open }, "entry: a link was lost");
     }
 
-    private drain(limit: number): Promise<number> {
-        return new Promise(resolve => {
-            const timer = this.options.clock.schedule(() => resolve(this.open.abortAll()), limit);
-            this.open.whenEmpty(() => {
-                timer.cancel();
-                resolve(0);
-            });
-        });
-    }
-
     private async handle(exchange: Exchange): Promise<void> {
         switch (exchange.path) {
             case "/healthz":
@@ -197,7 +186,7 @@
                 return this.sendReadiness(exchange);
         }
         if (!this.accepting) {
-            return exchange.refuse(failure(requestCodes.stopping, "this entry is stopping"));
+            return exchange.refuse(stoppingFailure());
         }
         if (this.options.configuration.revision === 0) {
             return exchange.refuse(
@@ -263,10 +252,7 @@
             attributes: { "http.request.method": exchange.method, "url.path": exchange.path },
         }, parent);
         const open = new OpenRequest(span);
-        this.open.add(open, {
-            response: exchange.response,
-            onDisconnect: handler => exchange.onDisconnect(handler),
-        });
+        this.open.add(open, exchange);
         return open;
     }
 }
