What a review of the connection's life found: seven orders of events in which a request was lost, or memory not counted

They share their files, so they are mended together: - the end of a stop threw when it read on for a client that reads slowly and has sent requests ahead ('ERR_INTERNAL_ASSERTION'), and the whole stop failed with it. Nothing is parsed while Node.js has paused a connection; one connection's error ends no other's stop, and a stop that fails still ends the process. - what an evicted connection keeps for requests that run was counted as free (1,200,000 bytes held, 170,400 of 300,000 counted). A holding that stays open stays counted. - a request that was refused half read was passed on when its rest came. Its body is abandoned, and nothing more is read. - requests ran behind answers that close their connection by other ways than the flag: HTTP/1.0, a header of the application, Node's own 400 for a missing host. All of them pass the connection's owner now. - a CONNECT, or an unknown expectation, cut the requests before it. - making room for a new connection cut requests that were read whole (''). Only connections without any are closed for that. - refusals of half-read requests named memory as the reason, whatever it was.

--- a/packages/cli/src/lib/gateway/runGateway.ts
+++ b/packages/cli/src/lib/gateway/runGateway.ts
@@ -122,7 +122,9 @@
             logs.process.info({ signal, isStopping }, "signal received");
             if (!isStopping) {
                 isStopping = true;
-                void stop().then(() => resolve(undefined));
+                void stop()
+                    .catch((error: unknown) => logs.process.error({ error: String(error) }, "error in a stop"))
+                    .then(() => resolve(undefined));
             }
         });
     });
--- a/packages/connections/src/lib/GuardedServer.ts
+++ b/packages/connections/src/lib/GuardedServer.ts
@@ -59,6 +59,10 @@
 /** Milliseconds between checks for clients that take nothing of their answers. */
 const checkInterval = 1_000;
 
+const expectationFailed = 417;
+/** Code of a request for a tunnel, behind which no further request can be read. */
+const tunnelCode = "HPE_INVALID_METHOD";
+
 const statuses: Readonly<Record<GuardReason, number>> = {
     memory: 503,
     descriptors: 503,
@@ -85,7 +89,7 @@
 
     constructor(private readonly options: GuardedServerOptions) {
         this.turns = new ReadTurns(options.clock);
-        this.http = createServer({ ...options.server, ServerResponse: CountedResponse });
+        this.http = createServer({ ...options.server, ServerResponse: CountedResponse, requireHostHeader: false });
         // The size of a head is limited, and a list that is cut would not show all headers that frame a body.
         this.http.maxHeadersCount = 0;
         this.http.on("connection", (socket: Socket) => this.guard(socket));
@@ -94,6 +98,11 @@
             "timeout",
             (socket: Socket) => afterInput(() => guardedConnections.get(socket)?.closeIfSilent()),
         );
+        this.http.on(
+            "connect",
+            (_, socket) => this.handleError(Object.assign(new Error(), { code: tunnelCode }), socket as Socket),
+        );
+        this.http.on("checkExpectation", (incoming, response) => this.refuseExpectation(incoming, response));
         this.http.on("request", (incoming, response) => this.receive(incoming, response));
         this.http.on("checkContinue", (incoming, response) => {
             if (!this.isTooLarge(incoming)) {
@@ -133,11 +142,21 @@
     }
 
     /**
-     * Reads all that has been received and passes on all requests at once, so that they can be refused. Connections on
-     * which no request is open are closed; nothing more is read on the others.
+     * Reads all that is received, and passes on all requests at once, so that they can be refused. Connections on which no
+     * request is open are closed.
      */
     finishReading(): void {
-        this.connections.forEach(connection => connection.finishReading());
+        for (const connection of this.connections) {
+            try {
+                connection.finishReading();
+            }
+            catch (error) {
+                connection.socket.destroy();
+                setImmediate(() => {
+                    throw error;
+                });
+            }
+        }
     }
 
     private guard(socket: Socket): void {
@@ -170,7 +189,10 @@
         let idlest: GuardedConnection | undefined;
         for (const connection of this.connections) {
             const { movedAt } = connection.holding;
-            if (connection.isClientDue && (idlest === undefined || movedAt < idlest.holding.movedAt)) {
+            if (
+                connection.isClosable && connection.isClientDue
+                && (idlest === undefined || movedAt < idlest.holding.movedAt)
+            ) {
                 idlest = connection;
             }
         }
@@ -194,6 +216,10 @@
         if (!connection.openRequest(incoming, response)) {
             this.refuse(response, "memory");
         }
+        else if (incoming.headers.host === undefined && incoming.httpVersionMinor > 0) {
+            response.shouldKeepAlive = false;
+            this.refuse(response, "malformed");
+        }
         else if (this.isTooLarge(incoming)) {
             this.refuse(response, "tooLarge");
         }
@@ -202,6 +228,14 @@
         }
     }
 
+    /** Node.js itself would answer unknown expectations, and its answer would not count as one of the connection. */
+    private refuseExpectation(incoming: IncomingMessage, response: ServerResponse): void {
+        guardedConnections.get(incoming.socket)?.openRequest(incoming, response);
+        this.options.onGuarded?.("malformed");
+        response.writeHead(expectationFailed, { "Content-Length": 0 });
+        response.end();
+    }
+
     private isTooLarge(incoming: IncomingMessage): boolean {
         return (announcedLength(incoming) ?? 0) > (this.options.maxBodyBytes?.() ?? Infinity);
     }
--- a/packages/connections/src/lib/InputReader.ts
+++ b/packages/connections/src/lib/InputReader.ts
@@ -37,6 +37,8 @@
     /** What further parsing waits for. Only while the socket flows does a pause show that Node.js wants one. */
     private waitsFor: "nothing" | "resume" | "answers" | "turn" = "nothing";
     private isParsing = false;
+    /** Whether all that is received is parsed at once. */
+    private readsAll = false;
 
     constructor(private readonly options: InputReaderOptions) {
         const { socket, clock } = options;
@@ -85,15 +87,16 @@
         }
     }
 
-    /** Parses all that has been received, whatever it would wait for. */
+    /** Parses what has been received, and what will be, without waiting for answers or turns. */
     readAll(): void {
-        const { socket, isOver } = this.options;
-        while (socket.readableLength > 0 && !isOver()) {
-            // Its listener adds what is read.
-            socket.read();
-        }
-        while (!this.unread.isEmpty && !isOver() && !socket.destroyed) {
-            this.parseSlice();
+        const { socket, turns } = this.options;
+        this.readsAll = true;
+        turns.forget(this);
+        // The parser of Node.js takes nothing while it has paused the connection of a client that reads slowly.
+        if (this.waitsFor !== "resume") {
+            this.waitsFor = "nothing";
+            socket.resume();
+            this.parseUnread();
         }
     }
 
@@ -153,12 +156,12 @@
     private parseUnread(): void {
         const { socket, isOver, mayParse } = this.options;
         for (let parsed = 0; !this.unread.isEmpty && !isOver() && !socket.destroyed;) {
-            if (!mayParse()) {
+            if (!this.readsAll && !mayParse()) {
                 this.waitsFor = "answers";
                 socket.pause();
                 return;
             }
-            if (parsed >= immediateBytes) {
+            if (!this.readsAll && parsed >= immediateBytes) {
                 this.waitForTurn();
                 return;
             }
@@ -176,8 +179,12 @@
         const slice = this.unread.take(inBody ? sliceBytes.body : sliceBytes.head);
         if (onSlice(slice.length, inBody)) {
             this.isParsing = true;
-            this.parse(slice);
-            this.isParsing = false;
+            try {
+                this.parse(slice);
+            }
+            finally {
+                this.isParsing = false;
+            }
         }
         return slice.length;
     }
--- a/packages/connections/src/lib/MemoryBudget.ts
+++ b/packages/connections/src/lib/MemoryBudget.ts
@@ -11,8 +11,8 @@
 export interface HoldingOptions {
     /** Whether the next move is the client's. The connection is closed to make room only then. */
     readonly isClientDue: () => boolean;
-    /** Closes the connection. Its bytes have been released already. */
-    readonly close: () => void;
+    /** Closes the connection. @returns True if it stays open, with what it still holds, for requests that run. */
+    readonly close: () => boolean | void;
 }
 
 /** Bytes that a client must send or take to count as moving; fewer than that would let a trickle pass for progress. */
@@ -113,26 +113,31 @@
     }
 
     private makeRoom(bytes: number, requester?: Holding): boolean {
+        const kept = new Set<Holding>();
         while (this.total + bytes > this.options.maxBytes) {
-            const victim = this.findVictim(bytes, requester);
+            const victim = this.findVictim(bytes, requester, kept);
             if (victim === undefined || victim === requester) {
                 return false;
             }
-            this.close(victim);
-            victim.options.close();
+            if (victim.options.close() === true) {
+                kept.add(victim);
+            }
+            else {
+                this.close(victim);
+            }
         }
         return true;
     }
 
     /** The connection with the most byte-milliseconds since its last progress. */
-    private findVictim(bytes: number, requester: Holding | undefined): Holding | undefined {
+    private findVictim(bytes: number, requester: Holding | undefined, kept: ReadonlySet<Holding>): Holding | undefined {
         const now = this.options.clock.now();
         let victim: Holding | undefined;
         let most = 0;
         for (const holding of this.holdings) {
             const held = holding === requester ? holding.bytes + bytes : holding.bytes;
             const weight = held * (now - holding.movedAt + 1);
-            if (weight > most && holding.options.isClientDue()) {
+            if (weight > most && !kept.has(holding) && holding.options.isClientDue()) {
                 victim = holding;
                 most = weight;
             }
--- a/packages/connections/src/lib/readBody.ts
+++ b/packages/connections/src/lib/readBody.ts
@@ -63,11 +63,13 @@
         }
         onBody(bytes);
     });
-    whenOver(() => {
+    const abandon = () => {
         isOver = true;
         body.clear();
         release(held);
-    });
+    };
+    connection?.onAbandonBody(incoming, abandon);
+    whenOver(abandon);
     if (announced !== undefined && announced > maxBytes) {
         refuse("tooLarge");
     }
--- a/packages/gateway/src/lib/requests/RequestRouter.ts
+++ b/packages/gateway/src/lib/requests/RequestRouter.ts
@@ -74,6 +74,29 @@
     requestCodes.tooLarge,
     requestCodes.memoryUsedUp,
 ]);
+interface UnreadRefusal {
+    readonly code: ResultCode;
+    readonly message: string;
+    /** Whether the same request may be taken later. */
+    readonly isPassing: boolean;
+}
+
+const noMemory = {
+    code: requestCodes.memoryUsedUp,
+    message: "this process has no memory left for the request",
+    isPassing: true,
+};
+const tooLarge = { code: requestCodes.tooLarge, message: "the request is too large", isPassing: false };
+/** How requests are refused that have not been read completely. */
+const unreadRefusals: Readonly<Record<GuardReason, UnreadRefusal>> = {
+    memory: noMemory,
+    descriptors: noMemory,
+    unread: noMemory,
+    tooLarge,
+    headersTooLarge: tooLarge,
+    tooSlow: { code: requestCodes.tooSlow, message: "the request did not arrive in time", isPassing: true },
+    malformed: { code: requestCodes.malformed, message: "the request is not valid HTTP", isPassing: false },
+};
 /**
  * Maximum milliseconds since the last confirmation of the configuration at which unknown routes and keys are denied.
  * With an older one, a newer configuration may contain them. The time covers two waits for changes and their replies.
@@ -122,11 +145,9 @@
     /** Refuses a request whose body has not been read completely. */
     refuseUnread(response: ServerResponse, reason: GuardReason): void {
         const request = this.options.wire.readCallerRequest(response.req.headers);
-        const isTooLarge = reason === "tooLarge";
-        const code = isTooLarge ? requestCodes.tooLarge : requestCodes.memoryUsedUp;
-        const message = isTooLarge ? "the body is too large" : "this process has no memory left for the request";
+        const { code, message, isPassing } = unreadRefusals[reason];
         this.logRefusal(request, code, message);
-        writeRefusal(response, code, message, isTooLarge ? undefined : this.drawOverloadRetryAfter());
+        writeRefusal(response, code, message, isPassing ? this.drawOverloadRetryAfter() : undefined);
     }
 
     /** Records a request that was not begun because its caller had left. */
