An answer without a length to an HTTP/1.0 caller is reset when it breaks off

Callers saw: a plain service's answer that broke off (its target lost, a stop's limit) ended with the end of the connection, which is how HTTP/1.0 marks a whole answer: half an answer looked complete. Cause: the connection was closed in order also where nothing but its end frames the answer. Evidence: the new test failed before; the caller saw no error, 'undefined' for 'ECONNRESET'. Why it works: such a connection is reset, which no caller takes for an end.

--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -122,7 +122,7 @@
     /** Breaks off an answer that has begun: sends what there is of it, and closes the connection before its end. */
     breakOff(): void {
         const { response } = this;
-        const closeLater = () => void setImmediate(() => response.destroy());
+        const closeLater = () => void setImmediate(() => destroyUnfinished(response));
         response.flushHeaders();
         if (response.socket === null) {
             // It waits for earlier answers of its connection.
@@ -133,7 +133,7 @@
             closeLater();
         }
         else {
-            response.destroy();
+            destroyUnfinished(response);
         }
     }
 
@@ -145,6 +145,14 @@
     }
 }
 
+/** Closes the connection of an answer before its end. A reset tells this where the end of the connection is that end. */
+function destroyUnfinished(response: ServerResponse): void {
+    if (!response.chunkedEncoding && !response.hasHeader("Content-Length")) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 function acceptableId(value: string | undefined): string | undefined {
     return value !== undefined && value.length <= maxCallerRequest && printable.test(value) ? value : undefined;
 }
--- a/packages/entry/src/lib/plannedStop.test.ts
+++ b/packages/entry/src/lib/plannedStop.test.ts
@@ -141,6 +141,22 @@
     assert.deepEqual(caller.answers.map(execution), ["not run"]);
 });
 
+test("an answer whose end is that of its connection does not look whole when it breaks off", async context => {
+    const { site, agent, connect } = await startSite(context, { stopLead: 0 });
+    const caller = connect();
+    let error: NodeJS.ErrnoException | undefined;
+    caller.socket.on("error", fault => error = fault);
+    caller.send(request("a").replace("HTTP/1.1", "HTTP/1.0"));
+    const call = await agent.wait("call");
+    sendHead(site, call);
+    agent.send({ type: "replyBody", request: call.request, data: Buffer.from("half"), last: false });
+    await settle();
+    void site.entry.stop();
+    await site.advance(stopTime);
+    await settle();
+    assert.deepEqual([caller.answers.length, error?.code], [1, "ECONNRESET"]);
+});
+
 test("no request runs behind the refusal that closes its connection", async context => {
     const { site, agent, connect } = await startSite(context);
     const caller = connect();
