--- a/packages/entry/src/lib/EntryLimits.ts
+++ b/packages/entry/src/lib/EntryLimits.ts
@@ -49,7 +49,7 @@
         "Between answering \"not ready\" and closing the listening socket, so that the balancer notices.",
     ),
     stopLimit: milliseconds.default(900_000).describe(
-        "For requests in progress to end in a graceful stop; then they are cut off.",
+        "For requests in progress to end in a graceful stop; shortly before, those that are left are answered as refused or unknown.",
     ),
 });
 
