--- a/packages/soak/src/lib/SoakGateway.ts
+++ b/packages/soak/src/lib/SoakGateway.ts
@@ -19,20 +19,26 @@
     readonly folder: string;
     readonly log: SoakLog;
     readonly now: () => number;
+    /** The program to start; by default that of this build. */
+    readonly command?: string;
 }
 
 /** Milliseconds within which a stopped process ends: the grace period and a second. */
 const stopTime = 9_000;
+/** Milliseconds after the start of a stop in which it may get SIGHUP: once Node.js has begun to exit, that ends it. */
+const hangUpTime = 2_000;
+/** Milliseconds in rotation after which callers have come. */
+const settleTime = 2_000;
 /** Milliseconds until a configuration must be in force; with this bound followers rely on relays. */
 const configurationTime = 3_000;
 const success = 200;
-const command = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
+const ownCommand = fileURLToPath(new URL("../../../cli/dist/bin.js", import.meta.url));
 
 /** A gateway process that is disturbed and started again. */
 export class SoakGateway {
     incarnation: GatewayIncarnation;
-    /** Whether it gets new connections. */
-    isInRotation = false;
+    /** Since when it gets new connections; undefined while it gets none. */
+    private rotatedSince: number | undefined;
     private process: SiteProcess | undefined;
     private isBusy = false;
     /** Whether the process has been seen to listen; one that is still loading ends by the signal itself. */
@@ -54,6 +60,15 @@
         return this.options.ports.callers;
     }
 
+    get isInRotation(): boolean {
+        return this.rotatedSince !== undefined;
+    }
+
+    /** Whether callers have had the time to come to it. */
+    get isSettled(): boolean {
+        return this.isCalm && this.options.now() - (this.rotatedSince ?? Infinity) > settleTime;
+    }
+
     /** Whether its process runs and no disturbance of it is in progress. */
     get isCalm(): boolean {
         return this.process?.running === true && !this.isBusy;
@@ -67,7 +82,7 @@
 
     /** Starts the process and waits until it is ready. */
     private async start(): Promise<void> {
-        const { name, dataCentre, ports, folder } = this.options;
+        const { name, dataCentre, ports, folder, command = ownCommand } = this.options;
         const settings = join(folder, `${name}.json`);
         const { Bounds, ...common } = testSettings(this.storeLink.address, { name, dataCentre, ports });
         const bounds = { ...Bounds as object, ConfigApplyMs: configurationTime };
@@ -84,16 +99,24 @@
 
     /** Updates whether it gets new connections. */
     async checkReadiness(): Promise<void> {
+        const { process } = this;
         const reply = await callGateway({ port: this.options.ports.readiness, path: "/ready" }).catch(() => undefined);
-        this.isInRotation = reply?.status === success;
-        this.hasListened ||= reply !== undefined;
-    }
-
-    /** Stops as planned and starts again. */
-    async restart(): Promise<void> {
-        await this.disturb("gets SIGTERM", async process => {
+        this.rotatedSince = reply?.status === success ? this.rotatedSince ?? this.options.now() : undefined;
+        this.hasListened ||= reply !== undefined && process === this.process;
+    }
+
+    /**
+     * Stops as planned and starts again.
+     *
+     * @param again - Milliseconds after which the process gets the signal once more.
+     */
+    async restart(again?: number): Promise<void> {
+        await this.disturb(`gets SIGTERM${again === undefined ? "" : " twice"}`, async process => {
+            this.incarnation.stoppingSince = this.options.now();
             process.signal("SIGTERM");
+            const timer = again === undefined ? undefined : setTimeout(() => process.signal("SIGTERM"), again);
             const hasEnded = await process.waitForEnd(stopTime);
+            clearTimeout(timer);
             const isPlanned = process.end === "0" || (process.end === "SIGTERM" && !this.hasListened);
             if (!hasEnded || !isPlanned) {
                 this.options.log.processFaults.push(`${this.name}: stop ended with ${process.end ?? "no end"}`);
@@ -103,6 +126,16 @@
         });
     }
 
+    /** Reads its settings again, also while it stops. A process that still loads is ended by the signal. */
+    hangUp(): void {
+        const { log, now } = this.options;
+        const { stoppingSince = now() } = this.incarnation;
+        if (this.hasListened && now() - stoppingSince < hangUpTime) {
+            log.event(now(), `${this.name} gets SIGHUP`);
+            this.process?.signal("SIGHUP");
+        }
+    }
+
     /** Is killed and starts again. */
     async crash(): Promise<void> {
         await this.disturb("is killed", async process => {
@@ -132,9 +165,13 @@
                     return;
                 }
                 const throttle = new Throttle(process.pid, part);
+                const slowness = (running + standing) / running;
+                const starvation = { from: this.options.now(), until: Infinity, slowness };
+                this.incarnation.starvations.push(starvation);
                 await wait(duration);
                 await throttle.stop();
                 process.signal("SIGCONT");
+                starvation.until = this.options.now();
             },
         );
     }
@@ -193,6 +230,7 @@
             number: ++this.starts,
             disturbances: [{ from: now, until: now }],
             storeCuts: [],
+            starvations: [],
             wasCutOff: false,
         };
     }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -3,10 +3,12 @@
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { setTimeout as pause } from "node:timers/promises";
 import { checkLoad, checkSoak, type Violation } from "./checkSoak.js";
-import { SoakCaller } from "./SoakCaller.js";
+import { playPlannedWork } from "./playPlannedWork.js";
+import { SoakCaller, type SoakCallerOptions } from "./SoakCaller.js";
 import { SoakGateway } from "./SoakGateway.js";
-import { SoakLog } from "./SoakLog.js";
+import { type SoakCall, SoakLog } from "./SoakLog.js";
 import { SoakTargets } from "./SoakTargets.js";
+import { SteadyCaller } from "./SteadyCaller.js";
 
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
@@ -17,6 +19,8 @@
     readonly seconds?: number;
     /** Folder of settings and logs. */
     readonly folder: string;
+    /** The gateway program to start; by default that of this build. */
+    readonly command?: string;
 }
 
 /** The result of a soak. */
@@ -25,6 +29,8 @@
     readonly calls: number;
     readonly served: number;
     readonly refused: number;
+    /** Requests that were sent in a planned stop, on connections whose request before them was sent before it. */
+    readonly acrossStops: number;
     readonly violations: readonly Violation[];
     /** Disturbances in their order. */
     readonly events: readonly string[];
@@ -37,8 +43,11 @@
 const plainTargets = 3;
 const portsPerGateway = 3;
 const callersPerGateway = 3;
+/** Number of callers of each gateway that think, and keep their connections. */
+const steadyCallersPerGateway = 3;
 /** Requests per second of a caller that is always answered, with its pauses. */
 const plannedRate = 5;
+const steadyRate = 1;
 const crowdSize = 30;
 /** Bounds of the milliseconds between two disturbances, of a process's pause and of a fault of the store. */
 const interval = { least: 500, most: 3_000 };
@@ -54,6 +63,8 @@
 const probeInterval = 250;
 /** Milliseconds between two checks of the driver's own event loop. */
 const stallCheckInterval = 50;
+/** Milliseconds of a delay that is recorded as a stall. */
+const leastStall = 20;
 /** Milliseconds after the load until what was sent late has arrived. */
 const settleTime = 3_500;
 /** Milliseconds within which a process that was started answers on a busy machine. */
@@ -68,6 +79,16 @@
 const refusal = 503;
 const storeFaults: readonly StoreFault[] = ["refuse", "reset", "silent", "loseReply"];
 
+/** Seeds of one soak for its callers that think. */
+const steadySeeds = 100_000;
+/** An odd number with bits all over. */
+const scatter = 0x9e37_79b1;
+
+/** The first numbers of a source follow its seed closely, so that neighbouring seeds would begin alike. */
+function scatteredRandom(seed: number): Random {
+    return seededRandom(Math.imul(seed, scatter));
+}
+
 /** The name of a route that only one version has. */
 function newestRoute(version: number): string {
     return `version${version}`;
@@ -86,6 +107,11 @@
     return soak.result;
 }
 
+function isAcrossStop({ sentAt, previousAt = Infinity, writtenAt, gateway: { stoppingSince } }: SoakCall): boolean {
+    return stoppingSince !== undefined && writtenAt !== undefined && previousAt < stoppingSince
+        && sentAt > stoppingSince;
+}
+
 class Soak {
     private readonly now = () => performance.now();
     private readonly log = new SoakLog(this.now());
@@ -117,6 +143,7 @@
             calls: calls.length,
             served: calls.filter(({ status, isComplete }) => status === success && isComplete).length,
             refused: calls.filter(({ status }) => status === refusal).length,
+            acrossStops: calls.filter(isAcrossStop).length,
             violations: [...checkSoak(this.log, this.targets.limited), ...checkLoad(calls.length, this.plannedCalls)],
             events,
             longestStall: Math.round(longestStall),
@@ -126,14 +153,14 @@
     /** Requests that the callers make if each of them is answered. */
     private get plannedCalls(): number {
         const { gateways = 4, seconds = 30 } = this.options;
-        return gateways * callersPerGateway * seconds * plannedRate;
+        return gateways * seconds * (callersPerGateway * plannedRate + steadyCallersPerGateway * steadyRate);
     }
 
     async start(): Promise<void> {
         await this.store.start();
         this.store.put("op", "config", testConfiguration(this.version));
         await this.targets.start(dataCentres, plainTargets);
-        const { gateways = 4, folder } = this.options;
+        const { gateways = 4, folder, command } = this.options;
         const ports = await findPorts(host, gateways * portsPerGateway);
         this.gateways = Array.from({ length: gateways }, (_, index) => {
             const [callers = 0, readiness = 0, peers = 0] = ports.slice(index * portsPerGateway);
@@ -145,27 +172,37 @@
                 folder,
                 log: this.log,
                 now: this.now,
+                command,
             });
         });
         await Promise.all(this.gateways.map(gateway => gateway.open()));
     }
 
     async run(): Promise<void> {
-        const { gateways = 4, seconds = 30 } = this.options;
+        const { gateways = 4, seconds = 30, seed } = this.options;
         void this.watchReadiness();
         void this.watchStalls();
         const callers = Array.from(
             { length: gateways * callersPerGateway },
-            (_, index) => this.createCaller(seededRandom(this.options.seed * 100 + index)).run(),
+            (_, index) => this.createCaller(seededRandom(seed * 100 + index)).run(),
+        );
+        const steadyCallers = Array.from(
+            { length: gateways * steadyCallersPerGateway },
+            (_, index) =>
+                new SteadyCaller({
+                    ...this.createCallerOptions(scatteredRandom(seed * steadySeeds + index)),
+                    chooseGateway: () => this.chooseGateway(this.workedOn),
+                }).run(),
         );
+        const plannedWork = this.playPlannedWork(scatteredRandom(seed));
         const end = this.now() + seconds * millisecondsPerSecond;
         while (this.now() < end) {
             await pause(this.draw(interval));
             this.disturbances.push(this.disturb());
         }
         this.isOver = true;
-        await Promise.all(this.disturbances);
-        await Promise.all(callers);
+        await Promise.all([...this.disturbances, plannedWork]);
+        await Promise.all([...callers, ...steadyCallers]);
         this.publish();
         await Promise.all([this.checkConfiguration(), pause(settleTime)]);
         this.gateways.forEach(gateway => gateway.reportUnknownHeaders());
@@ -178,6 +215,19 @@
         this.store.stop();
     }
 
+    private playPlannedWork(random: Random): Promise<void> {
+        return playPlannedWork({
+            random,
+            gateways: this.workedOn,
+            wait: pause,
+            isOver: () => this.isOver,
+            publishSeries: () => this.publishSeries(),
+            crowd: async gateway => {
+                await Promise.all(this.createCrowd(gateway, random));
+            },
+        });
+    }
+
     /** Begins one disturbance; earlier ones may be in progress. */
     private async disturb(): Promise<void> {
         const gateway = this.pick(this.gateways);
@@ -208,10 +258,7 @@
         if (gateway === undefined) {
             return;
         }
-        const callers = Array.from(
-            { length: crowdSize },
-            () => this.createCaller(this.random).callImpatiently(gateway),
-        );
+        const callers = this.createCrowd(gateway, this.random);
         const part = this.pick([undefined, ...starvedParts]);
         const disturbance = part === undefined
             ? gateway.pause(this.draw(pauseTime), pause)
@@ -219,15 +266,23 @@
         await Promise.all([disturbance, ...callers]);
     }
 
+    private createCrowd(gateway: SoakGateway, random: Random): Promise<void>[] {
+        return Array.from({ length: crowdSize }, () => this.createCaller(random).callImpatiently(gateway));
+    }
+
     private createCaller(random: Random): SoakCaller {
-        return new SoakCaller({
+        return new SoakCaller(this.createCallerOptions(random));
+    }
+
+    private createCallerOptions(random: Random): SoakCallerOptions {
+        return {
             random,
             log: this.log,
             now: this.now,
             wait: pause,
             isOver: () => this.isOver,
             chooseGateway: () => this.chooseGateway(),
-        });
+        };
     }
 
     private async failStore(): Promise<void> {
@@ -289,8 +344,13 @@
         }));
     }
 
-    private chooseGateway(): SoakGateway | undefined {
-        return this.pick(this.gateways.filter(({ isInRotation }) => isInRotation));
+    /** The gateways with planned work. The others are calm for as long as the checks need that want processes in touch. */
+    private get workedOn(): readonly SoakGateway[] {
+        return this.gateways.slice(0, Math.ceil(this.gateways.length / 2));
+    }
+
+    private chooseGateway(gateways: readonly SoakGateway[] = this.gateways): SoakGateway | undefined {
+        return this.pick(gateways.filter(({ isInRotation }) => isInRotation));
     }
 
     private async watchReadiness(): Promise<void> {
@@ -304,7 +364,11 @@
         while (!this.isOver) {
             const before = this.now();
             await pause(stallCheckInterval);
-            this.log.longestStall = Math.max(this.log.longestStall, this.now() - before - stallCheckInterval);
+            const stall = this.now() - before - stallCheckInterval;
+            this.log.longestStall = Math.max(this.log.longestStall, stall);
+            if (stall > leastStall) {
+                this.log.stalls.push({ from: this.now() - stall, until: this.now() });
+            }
         }
     }
 
