A reply's bytes tell by themselves whether its head has ended and whether it is whole

Operators of another system saw a 200 with an empty or short body, framed as whole, after a replica had stopped in the middle of its answer's head. Here, nothing of our own held this: each reader believed its parser.

ReplyFraming follows the received bytes: the blank line of a final head, interim replies before it, and the length or chunks of the body. It examines heads and the lines around chunks; bodies are skipped.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -11,3 +11,5 @@
 export { Holding, type HoldingOptions, MemoryBudget, type MemoryBudgetOptions } from "./lib/MemoryBudget.js";
 export { type ClientLimits, clientLimits, type ProcessLimits } from "./lib/processLimits.js";
 export { type BodyOptions, readBody } from "./lib/readBody.js";
+export { ReplyFraming, type ReplyFramingOptions } from "./lib/ReplyFraming.js";
+export { ReplyWatch, type ReplyWatchOptions } from "./lib/ReplyWatch.js";
