A peer's copy without a length that was reset is not taken for whole

Exchange had a check of its own against this, the reader of copies had none.

Cause: if the last bytes and a reset arrive together, Node.js reports an ordinary end, which ends a body without length.

Both readers now ask the bytes: no head before its blank line, no end before the reply is whole, and for a body that ends with its connection no end by a reset. The check of Exchange moved into ReplyWatch.

--- a/packages/gateway/src/lib/copies/fetchCopy.ts
+++ b/packages/gateway/src/lib/copies/fetchCopy.ts
@@ -1,3 +1,4 @@
+import { ReplyWatch } from "@waxwingspar/connections";
 import { ByteAccumulator, type Clock } from "@waxwingspar/utils";
 import { request } from "node:http";
 import { ReplyLimit } from "../store/ReplyLimit.js";
@@ -28,6 +29,7 @@
             const sentAt = clock.now();
             const copy = new ByteAccumulator();
             let headAfter: number | undefined;
+            let watch: ReplyWatch | undefined;
             const measure = () => ({ bytes: copy.length, headAfter, duration: clock.now() - sentAt });
             const colon = address.lastIndexOf(":");
             const call = request({
@@ -52,7 +54,12 @@
             });
             call.once("error", (error: NodeJS.ErrnoException) => fail(error.code ?? error.message));
             call.once("close", () => fail("closed"));
+            call.once("socket", socket => watch = new ReplyWatch({ socket }));
             call.once("response", response => {
+                if (watch?.hasHead !== true) {
+                    fail("head cut");
+                    return;
+                }
                 headAfter = clock.now() - sentAt;
                 response.on("data", (chunk: Buffer) => {
                     copy.add(chunk);
@@ -65,7 +72,7 @@
                 response.once("end", () => {
                     const progress = measure();
                     const body = copy.take();
-                    if (!response.complete) {
+                    if (!response.complete || watch?.isWhole !== true) {
                         fail("truncated");
                     }
                     else if (response.statusCode === status.ok) {
--- a/packages/gateway/src/lib/upstream/Exchange.ts
+++ b/packages/gateway/src/lib/upstream/Exchange.ts
@@ -1,6 +1,5 @@
-import { findHeadFault } from "@waxwingspar/connections";
+import { findHeadFault, ReplyWatch } from "@waxwingspar/connections";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
-import { type Socket } from "node:net";
 import { type AcceptBursts } from "../server/AcceptBursts.js";
 
 /** Why an exchange ended without a complete reply. */
@@ -74,7 +73,7 @@
     private isEstablished = false;
     private isSent = false;
     private isOver = false;
-    private wasReset = false;
+    private watch: ReplyWatch | undefined;
     private isPaused = false;
     /** True while the bytes of one read are parsed. */
     private isParsing = false;
@@ -108,7 +107,7 @@
         this.connectTimer = setTimeout(() => this.failIfUnconnected(), connectTimeout);
         this.call.once("socket", socket => {
             socket.setNoDelay(true);
-            socket.prependOnceListener("end", () => this.detectReset(socket));
+            this.watch = new ReplyWatch({ socket, isHeadRequest: () => method === "HEAD" });
             socket.once("connect", () => this.sendAfterInput());
             socket.prependListener("data", () => this.isParsing = true);
             // Node.js added its own listener before, which parses the bytes.
@@ -187,19 +186,14 @@
         return this.readBytes;
     }
 
-    /**
-     * Distinguishes a reset from an orderly end. If the last bytes and a reset arrive together, Node.js reports an
-     * ordinary end, and a reply without a length, which is delimited by the end of its connection, looks complete. Only
-     * a connection that was reset has no remote address at this moment.
-     */
-    private detectReset(socket: Socket): void {
-        this.wasReset = socket.remoteAddress === undefined;
-    }
-
     private receive(response: IncomingMessage): void {
         if (this.isOver) {
             return;
         }
+        if (this.watch?.hasHead !== true) {
+            this.fail("head cut");
+            return;
+        }
         const fault = findHeadFault(response);
         if (fault !== undefined) {
             this.fail(`malformed head: ${fault}`);
@@ -218,8 +212,8 @@
         });
         response.once("end", () => {
             this.deliverKept();
-            if (!response.complete || this.wasReset) {
-                this.fail(this.wasReset ? "reset" : "truncated");
+            if (!response.complete || this.watch?.isWhole !== true) {
+                this.fail(this.watch?.wasReset === true ? "reset" : "truncated");
             }
             else if (!this.isOver) {
                 this.close();
