--- a/packages/connections/src/testing/cutReplies.ts
+++ b/packages/connections/src/testing/cutReplies.ts
@@ -168,6 +168,10 @@
         while (ending.size > 0) {
             await new Promise(resolve => setImmediate(resolve));
         }
+        if (seen.isWhole && !reply.isKeptOpen) {
+            // The client may have kept the connection, and has yet to read its end.
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
         const isTooMuch = (seen.hasHead && !reply.hasHead) || (seen.isWhole && !reply.isWhole);
         // A reset may overtake what was sent before it.
         const mayFail = reply.stop === "reset" || reply.mayBeRefused || (needsContent && !reply.hasContent);
