An answer without a length that was reset is not whole for engines, services, the platform and operators

A service's cut answer was passed on to callers as whole, with the status 200.

Cause: undici ends a message as complete if its connection was reset, once its parser says that the connection is not kept. This also holds without Connection: close, for a body that ends with its connection.

The four readers use the watched pool, which asks the bytes before it passes on a head or an end. The operator's client has a pool of its own instead of undici's global one.

Run: the tests of engine (lib, lib/http), stores (lib/http), agent (lib/service), cli (lib/operator).

--- a/packages/agent/src/lib/service/ServiceProxy.ts
+++ b/packages/agent/src/lib/service/ServiceProxy.ts
@@ -1,8 +1,9 @@
 import { SpanKind } from "@opentelemetry/api";
+import { createWatchedPool } from "@waxwingspar/connections/pool";
 import { parentContext, traceparentOf } from "@waxwingspar/telemetry";
 import { type CallMessage, type Link } from "@waxwingspar/transport";
 import { type Failure, failure, requestCodes } from "@waxwingspar/utils";
-import { type Dispatcher, Pool } from "undici";
+import { type Dispatcher } from "undici";
 import { type AgentContext } from "../AgentContext.js";
 import { type ClaimUse } from "../claims/ClaimTable.js";
 import { CallRecordSink } from "./CallRecordSink.js";
@@ -67,10 +68,7 @@
     ) {
         const url = new URL(service.baseUrl);
         this.root = url.pathname.replace(/\/$/, "");
-        this.dispatcher = service.dispatcher ?? new Pool(url.origin, {
-            pipelining: 1,
-            connect: { timeout: connectTimeout },
-        });
+        this.dispatcher = service.dispatcher ?? createServicePool(url.origin);
     }
 
     /** Number of calls that would be interrupted if the agent closed now. */
@@ -259,6 +257,11 @@
     }
 }
 
+/** Creates the connections to a service. @internal */
+export function createServicePool(origin: string): Dispatcher {
+    return createWatchedPool(origin, { connect: { timeout: connectTimeout } });
+}
+
 function claimUse({ request, service, organisation }: Omit<CallMessage, "claim">, claim: string): ClaimUse {
     return { claim, request, route: service, organisation };
 }
--- a/packages/cli/src/lib/operator/OperatorClient.ts
+++ b/packages/cli/src/lib/operator/OperatorClient.ts
@@ -1,3 +1,4 @@
+import { createWatchedPool } from "@waxwingspar/connections/pool";
 import {
     type Clock,
     type Failure,
@@ -8,7 +9,7 @@
     transportCodes,
 } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { request } from "undici";
+import { type Dispatcher } from "undici";
 import { z } from "zod";
 
 const maxAttempts = 4;
@@ -61,7 +62,11 @@
  * @internal
  */
 export class OperatorClient {
-    constructor(private readonly options: OperatorClientOptions) {}
+    private readonly pool: Dispatcher;
+
+    constructor(private readonly options: OperatorClientOptions) {
+        this.pool = createWatchedPool(new URL(options.server).origin);
+    }
 
     /**
      * Sends a request, and retries it if the connection or the store failed. Callers add an `idempotency-key` to
@@ -82,7 +87,9 @@
         const { server } = this.options;
         let rest = "";
         try {
-            const response = await request(new URL(`/v1/${path}`, server), {
+            const response = await this.pool.request({
+                path: `/v1/${path}`,
+                method: "GET",
                 headers: this.headers(),
                 signal,
                 bodyTimeout: 0,
@@ -107,7 +114,8 @@
     private async sendOnce({ method, path, body, headers }: OperatorRequest): Promise<ApiReply> {
         const { server } = this.options;
         try {
-            const response = await request(new URL(`/v1/${path}`, server), {
+            const response = await this.pool.request({
+                path: `/v1/${path}`,
                 method,
                 headers: { ...this.headers(), "content-type": "application/json", ...headers },
                 body: body === undefined ? undefined : JSON.stringify(body),
--- a/packages/connections/src/lib/createWatchedPool.ts
+++ b/packages/connections/src/lib/createWatchedPool.ts
@@ -49,8 +49,9 @@
             ...options,
             connect: (target, callback) =>
                 connector(target, (...result: buildConnector.CallbackArgs) => {
-                    const [, socket] = result;
-                    if (socket !== null) {
+                    const [error, socket] = result;
+                    // After an error undici gives no second argument.
+                    if (error === null) {
                         state.socket = socket;
                         state.watch = new ReplyWatch({ socket, isHeadRequest: () => state.isHeadRequest });
                     }
--- a/packages/engine/src/lib/http/EngineClient.ts
+++ b/packages/engine/src/lib/http/EngineClient.ts
@@ -1,7 +1,8 @@
+import { createWatchedPool } from "@waxwingspar/connections/pool";
 import { type Clock, type Outcome } from "@waxwingspar/utils";
 import { pack } from "msgpackr";
 import { Result } from "true-myth";
-import { type Dispatcher, Pool } from "undici";
+import { type Dispatcher, type Pool } from "undici";
 import { connectionFailure, timeoutErrorName } from "./connectionFailure.js";
 import { protocolViolation } from "./wireOutcome.js";
 
@@ -28,7 +29,7 @@
     private readonly pool: Pool;
 
     constructor(private readonly options: EngineClientOptions) {
-        this.pool = new Pool(options.origin, {
+        this.pool = createWatchedPool(options.origin, {
             connections: options.connections,
             connect: { timeout: options.connectTimeout },
             // The clock implements the timeouts instead, so that tests can control them.
--- a/packages/stores/src/lib/http/PlatformConnection.ts
+++ b/packages/stores/src/lib/http/PlatformConnection.ts
@@ -1,6 +1,7 @@
+import { createWatchedPool } from "@waxwingspar/connections/pool";
 import { failure, type Outcome, platformCodes } from "@waxwingspar/utils";
 import { Result } from "true-myth";
-import { Pool } from "undici";
+import { type Pool } from "undici";
 import {
     answerSchema,
     platformCalls,
@@ -52,10 +53,8 @@
 
     constructor(options: PlatformConnectionOptions) {
         const { origin, connections, connectTimeout, answerTimeout, maxAnswerBytes } = { ...defaults, ...options };
-        this.pool = new Pool(origin, {
+        this.pool = createWatchedPool(origin, {
             connections,
-            // With pipelining it would be unknown whether a request queued behind a failed one was sent.
-            pipelining: 1,
             connect: { timeout: connectTimeout },
             headersTimeout: answerTimeout,
             bodyTimeout: answerTimeout,
