The soak's slow readers fill more than the operating system's buffers, and long streams and slow readers stay below their timeouts

Cause: an answer of 1 MB was taken whole by the operating system (0 bytes waited in a process that sent 1 or 3 MB to a client which reads nothing, all of 5 MB did), so that no gateway ever had an unread answer. The users' rule doesn't count what ends at its route's timeout; the soak's load was wrong. Change: answers of 6 MB, on a route of their own; it and the routes of streams have a timeout of 9 s, and streams last 0.2 to 3.5 s, so that one which is sent as late as a kept connection allows ends before the last sixth of the grace period. No check is changed.

--- a/packages/soak/src/lib/ReplyReader.ts
+++ b/packages/soak/src/lib/ReplyReader.ts
@@ -1,8 +1,8 @@
 import { type CallerReply } from "@waxwingspar/platform/testing";
 
-/** A reply, and the number of bytes that it takes. */
+/** A reply, undefined while it is not complete, and the number of bytes that it takes. */
 interface ReadReply {
-    readonly reply: CallerReply;
+    readonly reply: CallerReply | undefined;
     readonly length: number;
 }
 
@@ -18,26 +18,39 @@
 
 /** Splits the bytes of a connection into replies. */
 export class ReplyReader {
-    private received = Buffer.alloc(0);
+    private chunks: Buffer[] = [];
+    private size = 0;
+    /** Bytes before which the next reply is not complete. */
+    private needed = 0;
 
     /** @returns The replies that are whole now. */
     add(bytes: Buffer): CallerReply[] {
-        this.received = Buffer.concat([this.received, bytes]);
+        this.chunks.push(bytes);
+        this.size += bytes.length;
+        if (this.size < this.needed) {
+            return [];
+        }
+        let received = Buffer.concat(this.chunks);
         const replies: CallerReply[] = [];
-        for (let read = readReply(this.received); read !== undefined; read = readReply(this.received)) {
+        let read = readReply(received);
+        while (read?.reply !== undefined) {
             replies.push(read.reply);
-            this.received = this.received.subarray(read.length);
+            received = received.subarray(read.length);
+            read = readReply(received);
         }
+        this.chunks = [received];
+        this.size = received.length;
+        this.needed = read !== undefined && read.length < Infinity ? read.length : 0;
         return replies;
     }
 
     /** @returns The reply that had begun when the connection ended. One without a length is whole then. */
     end(): CallerReply | undefined {
-        return readReply(this.received, true)?.reply;
+        return readReply(Buffer.concat(this.chunks), true)?.reply;
     }
 }
 
-/** @returns The reply at the start of the bytes; undefined if it is not complete, and if its head is not. */
+/** @returns The reply at the start of the bytes; undefined if its head is not complete. */
 function readReply(bytes: Buffer, hasEnded = false): ReadReply | undefined {
     const headLength = bytes.indexOf(headEnd);
     if (headLength < 0) {
@@ -54,7 +67,7 @@
     const { parts, length } = isChunked ? readChunks(bytes, start) : readSized(bytes, start, Number(size ?? Infinity));
     const isComplete = length <= bytes.length;
     if (!isComplete && !hasEnded) {
-        return undefined;
+        return { reply: undefined, length };
     }
     const status = Number(statusLine.split(" ")[1]);
     const isWhole = isComplete || (!isChunked && size === undefined);
--- a/packages/soak/src/lib/SoakConnection.ts
+++ b/packages/soak/src/lib/SoakConnection.ts
@@ -32,7 +32,7 @@
     async open(): Promise<boolean> {
         return await Promise.race([
             once(this.socket, "connect").then(() => true, () => false),
-            once(this.socket, "close").then(() => false),
+            once(this.socket, "close").then(() => false, () => false),
         ]);
     }
 
--- a/packages/soak/src/lib/SoakTargets.ts
+++ b/packages/soak/src/lib/SoakTargets.ts
@@ -58,12 +58,12 @@
 const eventInterval = 10;
 /** Milliseconds beside its events that a stream may take on a busy machine. */
 const streamSlack = 1_000;
-/** Bytes behind the usual text of a large answer. */
-export const largePadding = "x".repeat(1_000_000);
-/** Paths of streams, the milliseconds between the events of one, and a part of the paths of large answers. */
+/** Text behind the usual one of a large answer, more than the operating system takes for a client that doesn't read. */
+export const largePadding = "x".repeat(6_000_000);
+/** Paths of streams, the milliseconds between the events of one, and where the paths of large answers begin. */
 const streamPath = /^\/(?:chat|once)\//;
 const pacedPath = /\/pace-(\d+)\//;
-export const largePart = "large/";
+export const largePrefix = "/large/";
 const millisecondsPerSecond = 1_000;
 /** Bounds of the milliseconds in which a target serves a plain request. */
 const serviceTime = { least: 2, most: 40 };
@@ -333,7 +333,7 @@
         }
         return drawn < refused + failed + brokenOff
             ? ["brokenOff", hangUp]
-            : ["served", path.includes(largePart) ? serveLarge : serve];
+            : ["served", path.startsWith(largePrefix) ? serveLarge : serve];
     }
 
     private pick<T>(items: readonly T[]): T | undefined {
--- a/packages/soak/src/lib/SteadyCaller.ts
+++ b/packages/soak/src/lib/SteadyCaller.ts
@@ -1,10 +1,11 @@
 import { testHostname } from "@waxwingspar/platform/testing";
 import { uniqueId } from "@waxwingspar/utils";
 import { signatureHeader, signaturePrefix, type SoakCallerOptions, streamBody } from "./SoakCaller.js";
+import { longTimeout } from "./soakConfiguration.js";
 import { SoakConnection } from "./SoakConnection.js";
 import { type SoakGateway } from "./SoakGateway.js";
 import { type SoakKind } from "./SoakLog.js";
-import { gatewayHeader, largePadding, largePart, promptHeader, streamEvents } from "./SoakTargets.js";
+import { gatewayHeader, largePadding, largePrefix, promptHeader, streamEvents } from "./SoakTargets.js";
 
 interface PlannedCall {
     readonly requestId: string;
@@ -28,7 +29,7 @@
 
 /** Bounds of the milliseconds between two requests, and of those in which a stream sends its events. */
 const thinkTime: Bounds = { least: 0, most: 1_500 };
-const streamTime: Bounds = { least: 200, most: 4_000 };
+const streamTime: Bounds = { least: 200, most: 3_500 };
 /** Bounds of the milliseconds between two parts of a body, and for which a slow reader reads nothing. */
 const bodyPause: Bounds = { least: 100, most: 900 };
 const readPause: Bounds = { least: 200, most: 2_000 };
@@ -38,7 +39,6 @@
 const aheadCount: Bounds = { least: 2, most: 9 };
 /** Milliseconds after which a request counts as never answered: its deadline, the end of a stop and a starved gateway. */
 const answerTime = 25_000;
-const deadline = 5_000;
 const retryDelay = 100;
 const subjects = 8;
 
@@ -81,7 +81,7 @@
         }
         else if (drawn < ahead + slowBody + slowReader) {
             link.connection.readLater(this.draw(readPause));
-            await this.send(link, [this.plan("idempotent", `/get/${largePart}`)]);
+            await this.send(link, [this.plan("idempotent", largePrefix)]);
         }
         else if (drawn < ahead + slowBody + slowReader + plain) {
             await this.send(link, [this.plan("once", "/order/")]);
@@ -109,7 +109,6 @@
             const reply = await connection.receive();
             const signer = String(reply?.headers[signatureHeader] ?? "").slice(signaturePrefix.length);
             const plainBody = `${signer} ${method} ${path} ${method === "POST" ? requestId : ""}`;
-            const expectedBody = path.includes(largePart) ? plainBody + largePadding : plainBody;
             log.calls.push({
                 requestId,
                 kind,
@@ -118,9 +117,9 @@
                 previousAt,
                 writtenAt,
                 closedAt: reply?.isComplete === true ? undefined : connection.closedAt,
-                expectedBody: isStream(path) ? streamBody : expectedBody,
+                expectedBody: isStream(path) ? streamBody : plainBody,
                 status: reply?.status ?? 0,
-                body: reply?.body ?? "",
+                body: path.startsWith(largePrefix) ? withoutPadding(reply?.body) : reply?.body ?? "",
                 isComplete: reply?.isComplete === true,
                 isBehindBroken,
             });
@@ -137,7 +136,7 @@
             `Host: ${testHostname}`,
             "Authorization: Bearer key-1",
             `Waxwingspar-Request-Id: ${requestId}`,
-            `Waxwingspar-Deadline-Ms: ${deadline}`,
+            `Waxwingspar-Deadline-Ms: ${longTimeout}`,
             `${gatewayHeader}: ${name}`,
             `${promptHeader}: ${subject}:20,${uniqueId()}:9`,
             `Content-Length: ${body.length}`,
@@ -164,7 +163,7 @@
 
     private plan(kind: SoakKind, prefix: string): PlannedCall {
         const requestId = uniqueId();
-        return { requestId, kind, method: prefix.startsWith("/get/") ? "GET" : "POST", path: `${prefix}${requestId}` };
+        return { requestId, kind, method: kind === "idempotent" ? "GET" : "POST", path: `${prefix}${requestId}` };
     }
 
     private draw({ least, most }: Bounds): number {
@@ -172,6 +171,11 @@
     }
 }
 
+/** @returns The usual text of a large answer, so that a soak keeps no large texts; all of one that is not whole. */
+function withoutPadding(body = ""): string {
+    return body.endsWith(largePadding) ? Buffer.from(body.slice(0, -largePadding.length)).toString() : body;
+}
+
 function isStream(path: string): boolean {
-    return !path.startsWith("/get/") && !path.startsWith("/order/");
+    return path.startsWith("/chat/") || path.startsWith("/once/");
 }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -1,10 +1,11 @@
-import { callGateway, FakeStore, type StoreFault, testConfiguration } from "@waxwingspar/platform/testing";
+import { callGateway, FakeStore, type StoreFault } from "@waxwingspar/platform/testing";
 import { findPorts } from "@waxwingspar/proof";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { setTimeout as pause } from "node:timers/promises";
 import { checkLoad, checkSoak, type Violation } from "./checkSoak.js";
 import { playPlannedWork } from "./playPlannedWork.js";
 import { SoakCaller, type SoakCallerOptions } from "./SoakCaller.js";
+import { soakConfiguration } from "./soakConfiguration.js";
 import { SoakGateway } from "./SoakGateway.js";
 import { type SoakCall, SoakLog } from "./SoakLog.js";
 import { SoakTargets } from "./SoakTargets.js";
@@ -158,7 +159,7 @@
 
     async start(): Promise<void> {
         await this.store.start();
-        this.store.put("op", "config", testConfiguration(this.version));
+        this.store.put("op", "config", soakConfiguration(this.version));
         await this.targets.start(dataCentres, plainTargets);
         const { gateways = 4, folder, command } = this.options;
         const ports = await findPorts(host, gateways * portsPerGateway);
@@ -298,7 +299,7 @@
 
     /** Writes a new version, some of them with many routes, and one route that no other version has. */
     private publish(): void {
-        const configuration = testConfiguration(++this.version);
+        const configuration = soakConfiguration(++this.version);
         const [route] = configuration.Routes;
         const names = [newestRoute(this.version), ...Array.from({ length: this.routes }, (_, i) => `many${i}`)];
         const added = names.map(name => ({ ...route, Name: name, PathPrefix: `/${name}/` }));
