--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -5,6 +5,9 @@
 import { join } from "node:path";
 import { runSoak, type SoakResult } from "./lib/runSoak.js";
 
+/** Milliseconds within which the driver ends after the last seed. */
+const exitTime = 10_000;
+
 interface Options {
     readonly seed: number;
     readonly seeds: number;
@@ -48,3 +51,6 @@
     await writeFile(report, `${JSON.stringify(results, undefined, 4)}\n`);
 }
 process.exitCode = results.some(({ violations }) => violations.length > 0) ? 1 : 0;
+setTimeout(() => {
+    process.stderr.write(`the driver does not end: ${process.getActiveResourcesInfo().join(", ")}\n`);
+}, exitTime).unref();
