--- a/packages/entry/src/lib/http/CallerServer.ts
+++ b/packages/entry/src/lib/http/CallerServer.ts
@@ -1,4 +1,11 @@
-import { clientLimits, GuardedServer, type GuardReason, MemoryBudget } from "@waxwingspar/connections";
+import {
+    clientLimits,
+    GuardedServer,
+    type GuardReason,
+    MemoryBudget,
+    ServerStop,
+    type StopLimit,
+} from "@waxwingspar/connections";
 import { type Address } from "@waxwingspar/transport";
 import { type Clock, type Failure, failure, type Outcome, requestCodes, transportCodes } from "@waxwingspar/utils";
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -36,14 +43,15 @@
  */
 export class CallerServer {
     private readonly options: CallerServerOptions;
+    private readonly guarded: GuardedServer;
     private readonly server: Server;
+    private readonly stopping: ServerStop;
     private readonly openByConnection = new WeakMap<Duplex, number>();
-    private closing = false;
 
     constructor(options: CallerServerOptions) {
         const { limits } = options;
         this.options = options;
-        this.server = new GuardedServer({
+        this.guarded = new GuardedServer({
             clock: options.clock,
             budget: new MemoryBudget({
                 clock: options.clock,
@@ -65,7 +73,9 @@
                 connectionsCheckingInterval: checkInterval,
                 noDelay: true,
             },
-        }).http;
+        });
+        this.server = this.guarded.http;
+        this.stopping = new ServerStop({ clock: options.clock, server: this.guarded });
     }
 
     private refuse(response: ServerResponse, reason: GuardReason): void {
@@ -95,28 +105,22 @@
         });
     }
 
-    /** Makes every further response close its connection. */
-    disableKeepAlive(): void {
-        this.closing = true;
-    }
-
-    /** Stops accepting connections and closes those that are idle. */
-    stopAccepting(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+    /** Lets every connection end with the answer to the last request that was received on it. */
+    endConnections(): void {
+        this.guarded.endConnections();
     }
 
-    /** Closes every connection. */
-    destroy(): void {
-        this.server.close();
-        this.server.closeAllConnections();
+    /**
+     * Stops accepting connections, and closes each one once all that it received is answered.
+     *
+     * @param limit - The time in which this ends, and what ends the requests that are still in progress then.
+     */
+    stop(limit: StopLimit): Promise<void> {
+        return this.stopping.run(limit);
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const { clock, handle, limits, onUnexpectedError, onRefused } = this.options;
-        if (this.closing) {
-            response.setHeader("Connection", "close");
-        }
         const arrived = clock.now();
         const exchange = new Exchange({
             request,
@@ -124,14 +128,19 @@
             clock,
             onRefused: cause => onRefused(cause, clock.now() - arrived),
         });
-        if (this.count(request.socket, response) > limits.maxOpenPerConnection) {
+        const open = this.count(request.socket, response);
+        if (open > limits.maxOpenPerConnection && !this.stopping.isFinishing) {
             const message = "too many requests are in progress on this connection";
-            exchange.refuse(failure(requestCodes.overloaded, message), undefined, { Connection: "close" });
+            response.shouldKeepAlive = false;
+            exchange.refuse(failure(requestCodes.overloaded, message));
             return;
         }
-        handle(exchange).catch((fault: unknown) => {
-            onUnexpectedError(fault);
-            response.destroy();
+        // Only once everything that arrived with the request is parsed can its answer tell whether it is the last one.
+        queueMicrotask(() => {
+            handle(exchange).catch((fault: unknown) => {
+                onUnexpectedError(fault);
+                response.destroy();
+            });
         });
     }
 
--- a/packages/entry/src/lib/http/Exchange.ts
+++ b/packages/entry/src/lib/http/Exchange.ts
@@ -67,6 +67,11 @@
         return this.gone;
     }
 
+    /** True once the caller has disconnected, or the answer is complete or broken off. */
+    get isOver(): boolean {
+        return this.gone || this.response.writableEnded || this.response.destroyed;
+    }
+
     header(name: string): string | undefined {
         const value = this.request.headers[name];
         return Array.isArray(value) ? value[0] : value;
@@ -103,13 +108,33 @@
     }
 
     /**
-     * Refuses the request before its run has begun.
+     * Refuses the request before its run has begun, unless it has been answered.
      *
      * @param status - The HTTP status, if it differs from that of the result code.
      */
     refuse(failure: Failure, status?: number, headers?: OutgoingHttpHeaders): void {
-        this.onRefused(failure);
-        this.sendFailure(failure, status, headers);
+        if (!this.response.headersSent) {
+            this.onRefused(failure);
+            this.sendFailure(failure, status, headers);
+        }
+    }
+
+    /** Breaks off an answer that has begun: sends what there is of it, and closes the connection before its end. */
+    breakOff(): void {
+        const { response } = this;
+        const closeLater = () => void setImmediate(() => response.destroy());
+        response.flushHeaders();
+        if (response.socket === null) {
+            // It waits for earlier answers of its connection.
+            response.once("socket", closeLater);
+        }
+        else if (response.socket.writableCorked > 0) {
+            // Node.js writes at the end of this turn.
+            closeLater();
+        }
+        else {
+            response.destroy();
+        }
     }
 
     /** Sends a refusal or failure as the complete response. */
