--- a/packages/gateway/src/lib/testing/RestoredStoreSite.ts
+++ b/packages/gateway/src/lib/testing/RestoredStoreSite.ts
@@ -38,6 +38,7 @@
 }
 
 const configurationKey = "configuration";
+const membersTable = "gateways";
 const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
 /** The platform's bounds, in milliseconds. */
 const contactTime = 5_000;
@@ -63,6 +64,9 @@
     readonly acknowledged: { readonly version: number; readonly at: number; }[] = [];
     /** Targets that are running, by id. */
     readonly runningTargets = new Map<string, Target>();
+    /** The table of gateways. */
+    private readonly members: SimulatedStore;
+    private readonly stores: readonly SimulatedStore[];
     private readonly random: Random;
     /** The last value that operator or target wrote, by key; undefined if the row was removed. */
     private readonly writes = new Map<string, unknown>();
@@ -72,6 +76,8 @@
         this.random = seededRandom(seed + 900);
         this.group = new SimulatedGroup({ dataCentres, gatewaysEach, seed });
         this.table = new SimulatedStore(this.group.clock);
+        this.members = new SimulatedStore(this.group.clock);
+        this.stores = [this.table, this.members];
         this.changeConfiguration();
         for (let target = 0; target < 6; target++) {
             this.startTarget(`t${target}`);
@@ -116,27 +122,56 @@
     /** Takes a copy of the store, and after a short outage restores it. */
     failAndRestore(): void {
         const { clock } = this.group;
-        this.table.saveCopy();
+        this.saveCopy();
         clock.schedule(() => {
-            this.table.setDown(true);
-            clock.schedule(() => {
-                this.table.restoreCopy();
-                this.table.setDown(false);
-                this.rewrite();
-            }, this.draw(outageTime));
+            this.leave();
+            clock.schedule(() => this.comeBack(), this.draw(outageTime));
         }, this.draw(copyAge));
     }
 
-    /** Rewrites the newest value of each row that differs from the copy, each after a random delay. */
-    private rewrite(): void {
+    /** Saves the copy that {@link RestoredStoreSite.comeBack} restores. */
+    saveCopy(): void {
+        this.stores.forEach(store => store.saveCopy());
+    }
+
+    /** Takes the store away. */
+    leave(): void {
+        this.stores.forEach(store => store.setDown(true));
+    }
+
+    /**
+     * Restores the copy. The newest value of each row that differs from the copy is written again.
+     *
+     * @param rewriteDelay - Milliseconds until a row is written again.
+     */
+    comeBack(rewriteDelay: (key: string) => number = () => this.draw({ least: 0, most: rewriteTime })): void {
+        for (const store of this.stores) {
+            store.restoreCopy();
+            store.setDown(false);
+        }
         for (const [key, value] of this.writes) {
             if (this.table.value(key) !== value) {
-                const delay = this.draw({ least: 0, most: rewriteTime });
-                this.group.clock.schedule(() => this.table.put(key, this.writes.get(key)), delay);
+                this.group.clock.schedule(() => this.table.put(key, this.writes.get(key)), rewriteDelay(key));
             }
         }
     }
 
+    /** Starts another gateway. */
+    startGateway(dataCentre = 0): RestoredStoreGateway {
+        const group = this.group.add(dataCentre, this.group.gateways.length);
+        this.group.introduce(group);
+        const gateway = this.createGateway(group);
+        this.gateways.push(gateway);
+        return gateway;
+    }
+
+    /** Kills a gateway. */
+    kill(gateway: RestoredStoreGateway): void {
+        gateway.isCut = true;
+        gateway.group.isDown = true;
+        this.gateways.splice(this.gateways.indexOf(gateway), 1);
+    }
+
     private startTarget(id: string): void {
         const target: Target = {
             id,
@@ -151,9 +186,11 @@
         this.write(id, target);
     }
 
-    private removeTarget(): void {
-        const ids = [...this.runningTargets.keys()];
-        const id = ids[Math.floor(this.random.next() * ids.length)];
+    /** Removes a target, by default one at random. */
+    removeTarget(
+        ids = [...this.runningTargets.keys()],
+        id = ids[Math.floor(this.random.next() * ids.length)],
+    ): void {
         if (id !== undefined && ids.length > 2) {
             this.runningTargets.delete(id);
             this.write(id, undefined);
@@ -257,14 +294,15 @@
     /** The store as seen by one gateway, which may be cut off from it. */
     private createGatewayStore(gateway: () => RestoredStoreGateway): Store {
         const refused: StoreFailure = { kind: "unavailable", reason: "status 503" };
+        const storeOf = (name: string) => name === membersTable ? this.members : this.table;
         const callUnlessCut = <T>(call: () => Promise<T>): Promise<T | StoreFailure> => {
             gateway().calls++;
             return gateway().isCut ? Promise.resolve(refused) : call();
         };
         return {
-            read: () => callUnlessCut(() => this.table.read()),
-            watch: (name, after, wait) => callUnlessCut(() => this.table.watch(name, after, wait)),
-            write: change => callUnlessCut(() => this.table.write(change)),
+            read: name => callUnlessCut(() => storeOf(name).read()),
+            watch: (name, after, wait) => callUnlessCut(() => storeOf(name).watch(name, after, wait)),
+            write: change => callUnlessCut(() => storeOf(change.table).write(change)),
         };
     }
 
