A starting gateway confirms a configuration only when somebody has confirmed it in the store's era

Cause: it sees the first era of its life, so the caution after a restore never began, and nobody told it which version its peers have in force.

Now gateways write into their member rows, and say in heartbeats, the newest version of the configuration that they know (it only rises, in a restore too), since when, and the newest era in which one has confirmed it. A start reads the rows beside the configuration. If they name the store's era, or no era at all, it goes on as before; else the store has come back from a copy, and nothing is confirmed until a row or a heartbeat names the era, or 5.05 s have passed (logged). A confirmation of an older version since a newer one is in force somewhere never counts, which covers gateways that were cut off too.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -6,7 +6,8 @@
 import { TargetPaces } from "./chains/TargetPaces.js";
 import { TargetSuspicions } from "./chains/TargetSuspicions.js";
 import { type Configuration } from "./configuration/Configuration.js";
-import { ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
+import { type ConfigurationInForce } from "./configuration/ConfigurationInForce.js";
+import { ConfigurationKnowledge } from "./configuration/ConfigurationKnowledge.js";
 import { ConfigurationLag } from "./configuration/ConfigurationLag.js";
 import { TableCopies } from "./copies/TableCopies.js";
 import { CrashProtection } from "./crashes/CrashProtection.js";
@@ -22,8 +23,7 @@
 import { LoopMonitor } from "./observation/LoopMonitor.js";
 import { GatewayMetrics, type Observation } from "./observation/Observation.js";
 import { chooseWatchRole } from "./peers/chooseWatchRole.js";
-import { type TableStatuses } from "./peers/PeerExchange.js";
-import { PeerGroup } from "./peers/PeerGroup.js";
+import { PeerGroup, type PeerGroupOptions } from "./peers/PeerGroup.js";
 import { observeEngines } from "./replies/observeEngines.js";
 import { TargetReplies } from "./replies/TargetReplies.js";
 import { createCallerServer } from "./requests/createCallerServer.js";
@@ -39,7 +39,6 @@
 import { ServiceTable } from "./services/ServiceTable.js";
 import { EraStore } from "./store/EraStore.js";
 import { ObservedStore } from "./store/ObservedStore.js";
-import { type Store } from "./store/Store.js";
 import { StoreEras } from "./store/StoreEras.js";
 import { StoreHealth } from "./store/StoreHealth.js";
 import { type TableWatch } from "./store/TableWatch.js";
@@ -63,7 +62,7 @@
     private readonly observation: Observation;
     private readonly eras = new StoreEras();
     private readonly loop: LoopMonitor;
-    private readonly store: Store;
+    private readonly knowledge: ConfigurationKnowledge;
     private readonly configuration: ConfigurationInForce;
     private readonly directory: TargetDirectory;
     private readonly suspicions: TargetSuspicions;
@@ -93,19 +92,27 @@
     private stopped: Promise<void> | undefined;
 
     constructor(private readonly options: GatewayOptions) {
-        const { settings, clock, logs, registry, random, isOn = allMechanismsOn } = options;
+        const { settings, tables, clock, logs, registry, random, isOn = allMechanismsOn } = options;
         this.observation = { logs, metrics: new GatewayMetrics(registry) };
         const { eras, observation } = this;
         const guard = new ClientGuard({ clock, settings, observation });
         this.loop = new LoopMonitor({ clock, metrics: observation.metrics, onTick: () => this.overload.adjust() });
         const observed = new ObservedStore({ store: options.store, clock, observation });
-        const store = this.store = new EraStore({ store: observed, eras, observation });
+        const store = new EraStore({ store: observed, eras, observation });
         this.storeHealth = new StoreHealth(this.observation);
-        const { keyRevocation } = settings;
-        this.configuration = new ConfigurationInForce({
+        const { process, dataCentre, keyRevocation } = settings;
+        const own = { process, dataCentre, address: { host: settings.host, port: settings.internalPorts.first } };
+        this.knowledge = new ConfigurationKnowledge({
             clock,
+            random,
+            store,
+            eras,
+            ...own,
             maxConfirmationAge: keyRevocation === undefined ? undefined : keyRevocation - revocationSlack,
+            logger: logs.configuration,
+            onConfirmed: () => this.startQueue.release(),
         });
+        this.configuration = this.knowledge.configuration;
         this.directory = new TargetDirectory({ clock, onChange: change => this.handleTargetChange(change) });
         this.suspicions = new TargetSuspicions(clock);
         this.paces = new TargetPaces(clock);
@@ -130,11 +137,11 @@
             observation,
             gateways,
         });
-        this.peers = this.createPeerGroup();
+        this.peers = this.createPeerGroup(own);
         this.copies = new TableCopies({
             clock,
             random,
-            address: { host: settings.host, port: settings.internalPorts.first },
+            address: own.address,
             eras,
             observation,
             mayRead: host => this.peers.hasLocalHost(host),
@@ -170,9 +177,10 @@
             clock,
             bursts,
             isOn,
-            hasConfirmedPeer: () => this.hasConfirmedPeer,
+            hasConfirmedPeer: () =>
+                this.peers.tableAge(tables.configurationTable) < (this.configuration.maxConfirmationAge ?? Infinity),
             lag: new ConfigurationLag({
-                behindFor: () => this.watches.get(options.tables.configurationTable)?.behindFor,
+                behindFor: () => this.watches.get(tables.configurationTable)?.behindFor,
                 configurationTime: settings.configurationTime,
             }),
             random: options.random,
@@ -248,7 +256,7 @@
             observation,
             role: () => this.watchRole,
             onChange: configuration => this.applyConfiguration(configuration),
-            onConfigurationConfirmed: () => this.startQueue.release(),
+            onConfigurationConfirmed: () => this.knowledge.noteConfirmed(),
             onTargetsConfirmed: () => {
                 this.hasTargetList = true;
                 this.startQueue.release();
@@ -262,6 +270,7 @@
         logs.process.info({ process: settings.process, dataCentre: settings.dataCentre }, "starting");
         this.loop.start();
         this.watches.forEach(watch => void watch.run());
+        this.knowledge.start();
         this.crashes.records.start();
         await Promise.all([this.readiness.start(), this.callers.start()]);
         await Promise.all([this.peers.start(), this.copies.start()]);
@@ -303,6 +312,7 @@
         logs.process.info({ open: this.callers.openRequests, after: Math.round(clock.now() - stoppedAt) }, "stopped");
         await this.callers.closeAll();
         this.watches.forEach(watch => watch.stop());
+        this.knowledge.stop();
         this.crashes.records.stop();
         this.services.stop();
         this.peers.stop();
@@ -323,27 +333,18 @@
         return this.configuration.mayAcceptCredentials && this.hasTargetList;
     }
 
-    private get hasConfirmedPeer(): boolean {
-        const { settings: { keyRevocation = Infinity }, tables } = this.options;
-        return this.peers.tableAge(tables.configurationTable) < keyRevocation - revocationSlack;
-    }
-
     private get watchRole(): WatchRole {
         const { isRelay, hasFollowers } = this.peers;
         return chooseWatchRole({ isRelay, hasFollowers, hasDuty: this.lease.term !== undefined });
     }
 
-    private createPeerGroup(): PeerGroup {
-        const { store, eras, options: { settings, clock, logs, random } } = this;
+    private createPeerGroup(own: Pick<PeerGroupOptions, "process" | "dataCentre" | "address">): PeerGroup {
+        const { settings, clock, logs } = this.options;
         return new PeerGroup({
             clock,
-            store,
-            eras,
-            random,
-            process: settings.process,
+            rows: this.knowledge.rows,
+            ...own,
             incarnation: this.options.incarnation,
-            address: { host: settings.host, port: settings.internalPorts.first },
-            dataCentre: settings.dataCentre,
             logger: logs.peers,
             onLost: error => this.options.onLost?.(error),
             describe: () => ({
@@ -356,7 +357,12 @@
                 mayTakeDuty: this.storeHealth.isHealthy && this.lease.mayAcquire && !this.isStopping,
                 isOverloaded: this.overload.isOverloaded ? true : undefined,
             }),
-            words: () => this.words,
+            words: () =>
+                Object.fromEntries(
+                    [...this.watches].flatMap(([table, { status }]) => status === undefined ? [] : [[table, status]]),
+                ),
+            knownConfiguration: () => this.knowledge.known,
+            onKnownConfiguration: known => this.knowledge.hear(known),
             onTableStatus: (table, tableStatus, after, sender) => {
                 if (sender.dataCentre === settings.dataCentre) {
                     this.copies.reader.noteHolder(table, sender.address, tableStatus.version);
@@ -375,13 +381,6 @@
         });
     }
 
-    /** The status of each watched table, as peers receive it. */
-    private get words(): TableStatuses {
-        return Object.fromEntries(
-            [...this.watches].flatMap(([table, { status }]) => status === undefined ? [] : [[table, status]]),
-        );
-    }
-
     private handleTargetChange(change: DirectoryChange): void {
         const { id } = change.target;
         logTargetChange(this.options.logs.directory, change, this.directory.age);
--- a/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
+++ b/packages/gateway/src/lib/configuration/createConfigurationWatch.ts
@@ -75,8 +75,9 @@
         onChanges: (changes, _graceEnd, delivery) =>
             applyNewest(changes.flatMap(({ row }) => row ?? []), delivery, options),
         onConfirmed: after => {
-            configuration.confirm(after);
-            options.onConfirmed?.();
+            if (configuration.confirm(after)) {
+                options.onConfirmed?.();
+            }
         },
         onLost,
         onRegained,
--- a/packages/gateway/src/lib/peers/GroupSums.ts
+++ b/packages/gateway/src/lib/peers/GroupSums.ts
@@ -205,3 +205,11 @@
         ? table
         : Object.fromEntries(entries.sort(([, a], [, b]) => compare(a, b)).slice(0, count));
 }
+
+/** The sums of no gateways. */
+export const emptySums: GroupSums = addSums([]);
+
+/** The sums that cover the most gateways. */
+export function largestSums(sums: readonly GroupSums[]): GroupSums {
+    return sums.reduce((best, next) => next.members > best.members ? next : best, emptySums);
+}
--- a/packages/gateway/src/lib/peers/PeerExchange.ts
+++ b/packages/gateway/src/lib/peers/PeerExchange.ts
@@ -1,39 +1,23 @@
-import { type Clock } from "@waxwingspar/utils";
-import { type Logger } from "pino";
-import { currentMoment, type Moment } from "../Moment.js";
-import { type TableStatus } from "../store/TableWatchOptions.js";
+import { currentMoment } from "../Moment.js";
 import { GroupMembers, type Member } from "./GroupMembers.js";
-import { addSums, ageSums, type GroupSums, sumsOf, truncateState, truncateSums, withoutMember } from "./GroupSums.js";
+import {
+    addSums,
+    ageSums,
+    emptySums,
+    type GroupSums,
+    largestSums,
+    sumsOf,
+    truncateState,
+    truncateSums,
+    withoutMember,
+} from "./GroupSums.js";
 import { type Heartbeat, readHeartbeat, writeHeartbeat } from "./heartbeat.js";
 import { type GatewayCounts } from "./IssuerShare.js";
+import { type PeerExchangeOptions } from "./PeerExchangeOptions.js";
 import { type PeerState } from "./PeerState.js";
 import { type Peer, RecentPeers } from "./RecentPeers.js";
 import { SentHeartbeats } from "./SentHeartbeats.js";
 
-/** The known state of the store's tables, by name. */
-export type TableStatuses = Readonly<Record<string, TableStatus>>;
-
-/** Options of {@link PeerExchange}. */
-export interface PeerExchangeOptions {
-    readonly clock: Clock;
-    readonly process: string;
-    readonly incarnation: string;
-    readonly own: Member;
-    readonly logger: Logger;
-    /** Sends a datagram to a gateway; delivery is not guaranteed. */
-    readonly send: (address: string, datagram: string) => void;
-    /** The current state of this process. */
-    readonly describe: () => PeerState;
-    /** The state of the store's tables as this process knows it, by name. */
-    readonly words: () => TableStatuses;
-    /** A peer reported the state of a table at some time after the given moment. */
-    readonly onTableStatus?: (table: string, status: TableStatus, after: Moment, sender: Member) => void;
-    /** Handles a datagram that is not a heartbeat. Returns false if it cannot be read either. */
-    readonly onOther?: (datagram: string) => boolean;
-    /** Called after each heartbeat with the aggregated state of the other gateways. */
-    readonly onSums?: (others: GroupSums) => void;
-}
-
 /** One out of this number of unreadable datagrams is logged, starting with the first. */
 const unreadableLogInterval = 100;
 
@@ -49,13 +33,6 @@
 /** The same for members that were lost: groups that were cut have an issuer each until they hear from each other. */
 const lostProbeInterval = 2;
 
-const emptySums: GroupSums = addSums([]);
-
-/** The sums that cover the most gateways. */
-function largest(sums: readonly GroupSums[]): GroupSums {
-    return sums.reduce((best, next) => next.members > best.members ? next : best, emptySums);
-}
-
 /**
  * Exchanges heartbeats between gateways through relays. Each gateway reports its state to two relays of its data
  * centre. A relay adds the reports up, sends this sum to the relays of the other data centres, and sends the sum over
@@ -231,6 +208,9 @@
         this.members.markHeard(heartbeat);
         this.addReportedMembers(heartbeat);
         this.cachedOthers = undefined;
+        if (heartbeat.configuration !== undefined) {
+            this.options.onKnownConfiguration?.(heartbeat.configuration);
+        }
         this.applyTableStatuses(heartbeat);
     }
 
@@ -336,7 +316,7 @@
         const ofDataCentre = new Map<string, GroupSums>();
         for (const { dataCentre, near = emptySums, receivedAt } of this.remotePeers()) {
             const known = ofDataCentre.get(dataCentre) ?? emptySums;
-            ofDataCentre.set(dataCentre, largest([known, this.aged(near, receivedAt)]));
+            ofDataCentre.set(dataCentre, largestSums([known, this.aged(near, receivedAt)]));
         }
         return addSums([...ofDataCentre.values()]);
     }
@@ -345,7 +325,7 @@
     private sumOthers(): GroupSums {
         const own = addSums([this.sumLocal(emptySums), this.sumRemote()]);
         const relayed = this.relayedSums.alive().sort((a, b) => b.receivedAt - a.receivedAt);
-        return largest([own, ...relayed.map(digest => this.told(digest))]);
+        return largestSums([own, ...relayed.map(digest => this.told(digest))]);
     }
 
     /** The sum that a relay sent, without the state of this process. */
@@ -359,7 +339,7 @@
     }
 
     private send(address: string, parts: Pick<Heartbeat, "state" | "near" | "whole" | "local">): void {
-        const { process, incarnation, own, words } = this.options;
+        const { process, incarnation, own, words, knownConfiguration } = this.options;
         const receiver = this.peers.alive().find(peer => peer.address === address);
         const heartbeat: Heartbeat = {
             process,
@@ -373,6 +353,7 @@
                 isCounted: parts.whole !== undefined && receiver.state !== undefined,
             },
             words: words(),
+            configuration: knownConfiguration?.(),
             ...parts,
             members: this.membersFor(receiver),
         };
--- a/packages/gateway/src/lib/peers/PeerGroup.ts
+++ b/packages/gateway/src/lib/peers/PeerGroup.ts
@@ -1,27 +1,30 @@
-import { type Clock, type Random } from "@waxwingspar/utils";
+import { type Clock } from "@waxwingspar/utils";
 import { type Logger } from "pino";
-import * as z from "zod/mini";
 import { type SlotGroup } from "../admission/SlotGroup.js";
 import { type Address } from "../GatewaySettings.js";
 import { type PermitGroup } from "../limits/SendPermits.js";
-import { type Store, type WriteResult } from "../store/Store.js";
-import { type StoreEras } from "../store/StoreEras.js";
 import { type GroupSums } from "./GroupSums.js";
 import { IssuerShare } from "./IssuerShare.js";
-import { PeerExchange, type PeerExchangeOptions } from "./PeerExchange.js";
+import { type MemberRows } from "./MemberRows.js";
+import { PeerExchange } from "./PeerExchange.js";
+import { type PeerExchangeOptions } from "./PeerExchangeOptions.js";
 import { PeerSocket } from "./PeerSocket.js";
 import { SlotShare } from "./SlotShare.js";
 
-/** A row of the member table. */
-const memberSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
+type ForwardedOption =
+    | "describe"
+    | "words"
+    | "knownConfiguration"
+    | "onKnownConfiguration"
+    | "onTableStatus"
+    | "onSums"
+    | "onOther";
 
 /** Options of {@link PeerGroup}. */
-export interface PeerGroupOptions
-    extends Pick<PeerExchangeOptions, "describe" | "words" | "onTableStatus" | "onSums" | "onOther"> {
+export interface PeerGroupOptions extends Pick<PeerExchangeOptions, ForwardedOption> {
     readonly clock: Clock;
-    readonly store: Store;
-    readonly eras: StoreEras;
-    readonly random: Random;
+    /** The table through which gateways discover each other. */
+    readonly rows: MemberRows;
     readonly process: string;
     readonly incarnation: string;
     readonly address: Address;
@@ -31,7 +34,6 @@
     readonly onLost: (error: Error) => void;
 }
 
-const membersTable = "gateways";
 /** Milliseconds between two heartbeats. */
 const heartbeatInterval = 200;
 /** Milliseconds between attempts to join the group. */
@@ -41,8 +43,6 @@
  * known there may have been replaced.
  */
 const rejoinInterval = 10_000;
-/** Milliseconds over which gateways spread their writes to the member table after a restore of the store. */
-const registrationSpread = 2_000;
 
 /**
  * The group of gateways of a site, as seen by one of them. Gateways discover each other at the start through a table of
@@ -55,7 +55,6 @@
     private readonly slots: SlotShare;
     private isStopped = false;
     private nextRead = -Infinity;
-    private stopListening: () => void = () => undefined;
 
     constructor(private readonly options: PeerGroupOptions) {
         const { clock, process, incarnation, dataCentre, logger, address, onLost } = options;
@@ -72,6 +71,8 @@
             send: (to, datagram) => this.send(to, datagram),
             describe: options.describe,
             words: options.words,
+            knownConfiguration: options.knownConfiguration,
+            onKnownConfiguration: options.onKnownConfiguration,
             onTableStatus: options.onTableStatus,
             onSums: options.onSums,
             onOther: options.onOther,
@@ -161,13 +162,12 @@
             return;
         }
         this.sendHeartbeats();
-        this.stopListening = this.options.eras.onNewEra(() => this.registerAgain());
         void this.join();
     }
 
     stop(): void {
         this.isStopped = true;
-        this.stopListening();
+        this.options.rows.stop();
         this.socket.close();
     }
 
@@ -177,7 +177,7 @@
      */
     private async join(): Promise<void> {
         while (!this.isStopped) {
-            await this.register();
+            await this.options.rows.register();
             if (await this.readMembers()) {
                 this.share.join(this.exchange.knownCounts);
                 this.slots.join(this.exchange.knownCounts);
@@ -188,54 +188,18 @@
         }
     }
 
-    /**
-     * Writes this process to the member table again after a restore of the store: the copy may lack its row, through
-     * which gateways that start later discover it.
-     */
-    private registerAgain(): void {
-        const { clock, random } = this.options;
-        clock.schedule(() => void this.register(), random.next() * registrationSpread);
-    }
-
-    private async register(): Promise<void> {
-        let expectedVersion = 0;
-        while (!this.isStopped) {
-            const written = await this.writeMember(expectedVersion);
-            if (written.kind === "written") {
-                return;
-            }
-            expectedVersion = written.kind === "conflict" ? written.rows[0]?.version ?? 0 : expectedVersion;
-            await this.pause(joinRetryDelay);
-        }
-    }
-
     private pause(duration: number): Promise<void> {
         return new Promise(resolve => void this.options.clock.schedule(resolve, duration));
     }
 
-    private writeMember(expectedVersion: number): Promise<WriteResult> {
-        const { store, process, address, dataCentre } = this.options;
-        return store.write({ table: membersTable, key: process, value: { ...address, dataCentre }, expectedVersion });
-    }
-
     /** @returns Whether the member table could be read. */
     private async readMembers(): Promise<boolean> {
         this.nextRead = this.options.clock.now() + rejoinInterval;
-        const members = await this.options.store.read(membersTable);
-        if (members.kind !== "read") {
-            return false;
-        }
-        members.rows.forEach(({ value }) => this.addMember(value));
-        return true;
-    }
-
-    /** Adds the member in a row. Invalid rows, for example from another version of this program, are ignored. */
-    private addMember(value: unknown): void {
-        const member = memberSchema.safeParse(value);
-        if (member.success) {
-            const { host, port, dataCentre } = member.data;
-            this.exchange.addMember({ address: `${host}:${port}`, dataCentre });
-        }
+        const members = await this.options.rows.read();
+        members?.forEach(({ host, port, dataCentre }) =>
+            this.exchange.addMember({ address: `${host}:${port}`, dataCentre })
+        );
+        return members !== undefined;
     }
 
     private sendHeartbeats(): void {
--- a/packages/gateway/src/lib/peers/heartbeat.ts
+++ b/packages/gateway/src/lib/peers/heartbeat.ts
@@ -10,6 +10,19 @@
     pending: z.optional(z.boolean()),
 });
 
+/** What a gateway knows of the configuration. Versions of it are given by operators, so a restore leaves them valid. */
+const knownConfigurationSchema = z.object({
+    /** The newest version that is known to have been in force in a gateway. */
+    version: z.number(),
+    /** Milliseconds for which it has been in force there. */
+    age: z.number(),
+    /** The newest era of the store in which a gateway is known to have confirmed its configuration. */
+    era: z.optional(z.number()),
+});
+
+/** @see knownConfigurationSchema */
+export type KnownConfiguration = z.infer<typeof knownConfigurationSchema>;
+
 const heartbeatSchema = z.object({
     process: z.string(),
     /** Identifies this incarnation of the process. */
@@ -29,6 +42,8 @@
     })),
     /** The state of the store's tables as the sender knows it, by name: see {@link TableStatus}. */
     words: z.record(z.string(), tableStatusSchema),
+    /** What the sender knows of the configuration, from the store or from others. */
+    configuration: z.optional(knownConfigurationSchema),
     /** The state of the sender; for relays of its data centre. */
     state: z.optional(peerStateSchema),
     /** The sum over the sender's data centre, including the sender; for relays of other data centres. */
--- a/packages/gateway/src/lib/testing/RestoredStoreSite.ts
+++ b/packages/gateway/src/lib/testing/RestoredStoreSite.ts
@@ -1,7 +1,8 @@
 import { MetricRegistry } from "@waxwingspar/telemetry";
 import { type Random, seededRandom } from "@waxwingspar/utils";
 import { type Configuration } from "../configuration/Configuration.js";
-import { ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { type ConfigurationInForce } from "../configuration/ConfigurationInForce.js";
+import { ConfigurationKnowledge } from "../configuration/ConfigurationKnowledge.js";
 import { createConfigurationWatch } from "../configuration/createConfigurationWatch.js";
 import { createTargetWatch } from "../directory/createTargetWatch.js";
 import { incarnationOf, type Target } from "../directory/Target.js";
@@ -219,7 +220,18 @@
         const observation = { logs, metrics: new GatewayMetrics(new MetricRegistry(clock)) };
         const store = new EraStore({ store: this.createGatewayStore(() => gateway), eras, observation });
         const common = { clock, store, eras, contactTime, role: () => roleOf(group) };
-        const configuration = new ConfigurationInForce({ clock, maxConfirmationAge });
+        const knowledge = new ConfigurationKnowledge({
+            clock,
+            random: this.random,
+            store,
+            eras,
+            process: group.name,
+            address: { host: group.name, port: 1 },
+            dataCentre: group.dataCentre,
+            maxConfirmationAge,
+            logger: logs.configuration,
+        });
+        const { configuration } = knowledge;
         const directory = new TargetDirectory({
             clock,
             onChange: ({ kind, target }) => this.recordRemoval(gateway, kind, target),
@@ -251,7 +263,9 @@
             configuration,
             observation,
             onChange: () => undefined,
+            onConfirmed: () => knowledge.noteConfirmed(),
         });
+        group.tellConfiguration(() => knowledge.known, known => knowledge.hear(known));
         const targets = createTargetWatch({
             ...common,
             table: "t",
@@ -269,6 +283,8 @@
         }));
         void group.watch.run();
         void targets.run();
+        knowledge.start();
+        void knowledge.rows.register();
         lease.start();
         return gateway;
     }
--- a/packages/gateway/src/lib/testing/SimulatedGroup.ts
+++ b/packages/gateway/src/lib/testing/SimulatedGroup.ts
@@ -2,8 +2,10 @@
 import { type Moment } from "../Moment.js";
 import { GroupSize } from "../peers/GroupSize.js";
 import { type GroupSums } from "../peers/GroupSums.js";
+import { type KnownConfiguration } from "../peers/heartbeat.js";
 import { IssuerShare } from "../peers/IssuerShare.js";
-import { PeerExchange, type TableStatuses } from "../peers/PeerExchange.js";
+import { PeerExchange } from "../peers/PeerExchange.js";
+import { type TableStatuses } from "../peers/PeerExchangeOptions.js";
 import { type PeerState } from "../peers/PeerState.js";
 import { SlotShare } from "../peers/SlotShare.js";
 import { type TableWatch } from "../store/TableWatch.js";
@@ -53,6 +55,11 @@
     send(address: string, datagram: string): void;
     /** Sets a function whose result overrides parts of {@link state} at each heartbeat. */
     overrideState(describe: () => Partial<PeerState>): void;
+    /** Sets what its heartbeats say of the configuration, and the listener for what peers say. */
+    tellConfiguration(
+        tell: () => KnownConfiguration | undefined,
+        listen: (known: KnownConfiguration) => void,
+    ): void;
     /** When the store last confirmed the newest configuration to it, on the group's clock. */
     confirmedAt: number | undefined;
     /** The latest time as of which peers confirmed the configuration to it. */
@@ -118,6 +125,8 @@
         const dataCentreName = `dc-${dataCentre}`;
         let describe: () => Partial<PeerState> = () => ({});
         let handleOther: (datagram: string) => boolean = () => false;
+        let tell: () => KnownConfiguration | undefined = () => undefined;
+        let listen: (known: KnownConfiguration) => void = () => undefined;
         let listener: (others: GroupSums) => void = () => undefined;
         const gateway: SimulatedGateway = {
             name,
@@ -131,6 +140,10 @@
             overrideState: describeNow => {
                 describe = describeNow;
             },
+            tellConfiguration: (newTell, newListen) => {
+                tell = newTell;
+                listen = newListen;
+            },
             address,
             dataCentre: dataCentreName,
             size: new GroupSize(this.clock),
@@ -161,6 +174,8 @@
                 send: (to, datagram) => this.send(gateway, to, datagram),
                 describe: () => ({ ...gateway.state, ...describe() }),
                 words: () => this.describeTables(gateway),
+                knownConfiguration: () => tell(),
+                onKnownConfiguration: known => listen(known),
                 onTableStatus: (name, tableStatus, after) =>
                     name === table ? recordConfirmation(gateway, tableStatus, after) : undefined,
                 onOther: datagram => handleOther(datagram),
