A row that a copy brought back does not return a departed target when it is read again

Cause: the second read after a restore was applied as an ordinary list, and put() does not look at departed incarnations. Now a row that is unchanged since the restored list still counts as restored, for departed and for draining targets. A changed row, or a later start, is applied as usual, and so is a row that still stands 8 s after the return: the platform removes rows after three heartbeat intervals, and heartbeats alone do not change a row, so its target lives.

Evidence: 'the row of a target that has left ... is not taken at any read' fails without the change of directory/ ('a target that has left is used') and passes with it. The earlier form of this test never removed the target, so it failed for the wrong reason: it now asserts that the target is gone before the restore. replaceAll takes a predicate instead of a flag, and its two tests say () => true.

--- a/packages/gateway/src/lib/directory/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.test.ts
@@ -176,7 +176,7 @@
     directory.remove("a", -Infinity);
     directory.put({ ...target, id: "b", state: "draining" });
     const copy = [target, { ...target, id: "b" }, { ...target, id: "c", startedAt: 3 }, { ...target, id: "d" }];
-    directory.replaceAll(copy, -Infinity, true);
+    directory.replaceAll(copy, -Infinity, () => true);
     assert.deepEqual(directory.readyTargets("s").map(({ id, startedAt }) => `${id} ${startedAt}`), [
         "c 7",
         "d undefined",
@@ -187,7 +187,7 @@
 test("a target ignored in a restored list is added by the next complete list", () => {
     const { directory } = createDirectory();
     directory.remove("a", -Infinity);
-    directory.replaceAll([target], -Infinity, true);
+    directory.replaceAll([target], -Infinity, () => true);
     assert.equal(directory.readyTargets("s").length, 0);
     directory.replaceAll([target], -Infinity);
     assert.equal(directory.readyTargets("s").length, 1);
--- a/packages/gateway/src/lib/directory/TargetDirectory.ts
+++ b/packages/gateway/src/lib/directory/TargetDirectory.ts
@@ -211,14 +211,18 @@
     /**
      * Replaces the directory by a complete list. Targets that are missing from it are handled as removed.
      *
-     * @param isRestored - The list comes from a restored copy of the store and may be older than the directory, so it
-     * does not add targets again that have left or are draining. If such a target still runs, it writes its entry
+     * @param isRestored - Whether an entry comes from a restored copy of the store and may be older than the directory,
+     * so it does not add targets again that have left or are draining. If such a target still runs, it writes its entry
      * again, which is applied as usual.
      */
-    replaceAll(targets: readonly Target[], graceEnd: number, isRestored = false): void {
+    replaceAll(
+        targets: readonly Target[],
+        graceEnd: number,
+        isRestored: (target: Target) => boolean = () => false,
+    ): void {
         const listed = new Set(targets.map(target => target.id));
         for (const target of targets) {
-            if (isRestored && this.isDrainingOrGone(target)) {
+            if (isRestored(target) && this.isDrainingOrGone(target)) {
                 this.options.onChange?.({ kind: "stale", target });
             }
             else {
--- a/packages/gateway/src/lib/directory/TargetList.test.ts
+++ b/packages/gateway/src/lib/directory/TargetList.test.ts
@@ -10,7 +10,8 @@
 
 function createList() {
     const warnings: unknown[] = [];
-    const directory = new TargetDirectory({ clock: new ManualClock() });
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({ clock });
     const logger = Object.assign(Object.create(silentLogs().directory) as ReturnType<typeof silentLogs>["directory"], {
         warn: (fields: unknown) => warnings.push(fields),
     });
@@ -18,7 +19,7 @@
         typeof document === "object"
             ? { kind: "target", target: { ...target, id } }
             : { kind: "unusable", reason: `it is a ${typeof document}` };
-    return { directory, warnings, list: new TargetList({ directory, decode, logger }) };
+    return { clock, directory, warnings, list: new TargetList({ clock, directory, decode, logger }) };
 }
 
 const row = (key: string, value: unknown, version = 1) => ({ key, value, version });
@@ -47,3 +48,23 @@
     }
     assert.equal(warnings.length, 2);
 });
+
+test("a departed target's row from a copy is not taken when read again, until it changes or outlasts the target", () => {
+    for (const isChanged of [true, false]) {
+        const { clock, directory, list } = createList();
+        list.applySnapshot([row("a", {})], -Infinity);
+        list.applyChanges([{ key: "a", row: undefined }], -Infinity);
+        list.applySnapshot([row("a", {})], -Infinity, true);
+        list.applySnapshot([row("a", {})], -Infinity);
+        assert.deepEqual(directory.list(), []);
+        if (isChanged) {
+            list.applySnapshot([row("a", {}, 2)], -Infinity);
+        }
+        else {
+            clock.advance(7_900);
+            assert.deepEqual(directory.list(), []);
+            clock.advance(100);
+        }
+        assert.equal(directory.list().length, 1);
+    }
+});
--- a/packages/gateway/src/lib/directory/createTargetWatch.ts
+++ b/packages/gateway/src/lib/directory/createTargetWatch.ts
@@ -41,7 +41,7 @@
 export function createTargetWatch(options: TargetWatchOptions): TableWatch {
     const { clock, store, table, directory, decode, logger, contactTime, drainTime } = options;
     const { role, eras, random, onLost, onRegained, onPeersStale, onRestored } = options;
-    const list = new TargetList({ directory, decode, logger });
+    const list = new TargetList({ clock, directory, decode, logger });
     return new TableWatch({
         clock,
         store,
--- a/packages/gateway/src/lib/store/restoredStart.test.ts
+++ b/packages/gateway/src/lib/store/restoredStart.test.ts
@@ -135,8 +135,9 @@
     assert.ok(gone !== undefined);
     site.saveCopy();
     await site.group.runAsync(1_000);
-    site.removeTarget([], "t0");
+    site.removeTarget("t0");
     await site.group.runAsync(5_000);
+    assert.ok(site.gateways.every(({ directory }) => directory.get("t0") === undefined));
     site.leave();
     await site.group.runAsync(1_000);
     site.comeBack(() => 3_600);
--- a/packages/gateway/src/lib/testing/RestoredStoreSite.ts
+++ b/packages/gateway/src/lib/testing/RestoredStoreSite.ts
@@ -188,10 +188,9 @@
     }
 
     /** Removes a target, by default one at random. */
-    removeTarget(
-        ids = [...this.runningTargets.keys()],
-        id = ids[Math.floor(this.random.next() * ids.length)],
-    ): void {
+    removeTarget(wanted?: string): void {
+        const ids = [...this.runningTargets.keys()];
+        const id = wanted ?? ids[Math.floor(this.random.next() * ids.length)];
         if (id !== undefined && ids.length > 2) {
             this.runningTargets.delete(id);
             this.write(id, undefined);
