An answer that the application breaks off is no unanswered input

Change: only requests whose responses are not destroyed count. The end of a stop waits a whole turn for input, as the other closes do.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export { afterInput } from "./lib/afterInput.js";
 export { createSideServer, type SideServerOptions } from "./lib/createSideServer.js";
 export { findHeadFault, type ReplyHeadMessage } from "./lib/findHeadFault.js";
 export { type UnansweredInput } from "./lib/GuardedConnection.js";
--- a/packages/connections/src/lib/GuardedConnection.ts
+++ b/packages/connections/src/lib/GuardedConnection.ts
@@ -9,7 +9,7 @@
 
 /** What a connection that this process closed had received and not answered. @public */
 export interface UnansweredInput {
-    /** Requests whose heads were read. */
+    /** Requests whose heads were read, without those whose answers were broken off. */
     readonly requests: number;
     /** Further bytes, which were never read as requests. */
     readonly bytes: number;
@@ -194,7 +194,7 @@
     }
 
     /** Whether bytes may have been received behind the last request. */
-    private get hasUnread(): boolean {
+    private get mayHaveMore(): boolean {
         return this.reader.mayHaveMore || this.headBytes > 0;
     }
 
@@ -214,7 +214,7 @@
     /** Decides whether an answer closes the connection, before its head is written. */
     beginAnswer(response: ServerResponse): void {
         const { state } = this.chart;
-        const mayClose = state === "finishing" || (state === "ending" && !this.hasUnread);
+        const mayClose = state === "finishing" || (state === "ending" && !this.mayHaveMore);
         if (mayClose && response === this.lastOpen) {
             response.shouldKeepAlive = false;
         }
@@ -388,7 +388,9 @@
     }
 
     private reportUnanswered(): void {
-        const { options: { onUnanswered }, reader: { droppedBytes: bytes, age }, open: { size: requests } } = this;
+        const { options: { onUnanswered }, reader: { droppedBytes: bytes, age } } = this;
+        // Those that the application has broken off are destroyed by now.
+        const requests = [...this.open.keys()].filter(({ destroyed }) => !destroyed).length;
         if (!this.hasClientLeft && bytes + requests > 0) {
             onUnanswered?.({ requests, bytes, wasTold: this.wasTold, age });
         }
--- a/packages/connections/src/lib/connectionEnds.test.ts
+++ b/packages/connections/src/lib/connectionEnds.test.ts
@@ -182,3 +182,25 @@
     const statuses = [...received.text.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => Number(status));
     assert.deepEqual(statuses, [200, 200, 503]);
 });
+
+test("a close with unanswered input is reported, unless the client left or the answer was broken off", async context => {
+    const reports: unknown[] = [];
+    const responses: ServerResponse[] = [];
+    const { server, open } = await startServer(context, {
+        onRequest: (_, response) => responses.push(response),
+        onUnanswered: ({ requests, bytes, wasTold }) => reports.push({ requests, bytes, wasTold }),
+    });
+    let closed = 0;
+    server.http.on("connection", socket => socket.once("close", () => closed++));
+    const [cut, left, brokenOff] = [open(), open(), open()];
+    for (const [count, socket] of [cut, left, brokenOff].entries()) {
+        socket.write(get("/"));
+        await until(() => responses.length === count + 1);
+    }
+    left.destroy();
+    responses[2]?.destroy();
+    await Promise.all([once(responses[1]!, "close"), once(brokenOff, "close")]);
+    server.http.closeAllConnections();
+    await until(() => closed === 3);
+    assert.deepEqual(reports, [{ requests: 1, bytes: 0, wasTold: false }]);
+});
--- a/packages/gateway/src/lib/server/CallerServer.ts
+++ b/packages/gateway/src/lib/server/CallerServer.ts
@@ -1,4 +1,5 @@
 import {
+    afterInput,
     GuardedServer,
     type GuardReason,
     type MemoryBudget,
@@ -250,9 +251,9 @@
     /** Ends all requests that have been received with what is known of their outcome, then closes all connections. */
     async closeAll(): Promise<void> {
         const { clock, onClosing, onUnfinished } = this.options;
-        await endOfInput();
+        await new Promise<void>(afterInput);
         this.guarded.finishReading();
-        await endOfInput();
+        await new Promise<void>(afterInput);
         if (this.open.size > 0) {
             this.unfinished.forEach(response => onUnfinished?.(response));
             this.unfinished.clear();
@@ -312,8 +313,3 @@
         });
     }
 }
-
-/** Waits until the input that is waiting in this turn of the event loop has been read. */
-function endOfInput(): Promise<void> {
-    return new Promise(resolve => void setImmediate(resolve));
-}
