--- a/packages/connections/src/lib/connectionChart.ts
+++ b/packages/connections/src/lib/connectionChart.ts
@@ -4,8 +4,8 @@
 export type ConnectionState = "keeping" | "ending" | "finishing" | "told" | "closed";
 
 /**
- * `end`: this process wants the connection to end. `finish`: no further request can be read. `tell`: the head of an answer that closes the connection has been
- * written, or the client has ended it. `close`: nothing is read or written any more.
+ * `end`: this process wants the connection to end. `finish`: no further request can be read. `tell`: the head of an answer
+ * that closes the connection has been written, or the client has ended it. `close`: nothing is read or written any more.
  */
 export type ConnectionEvent = "end" | "finish" | "tell" | "close";
 
